--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# make demo: the main job on stand-ins.  make test: the tests.  Both set up first.
+
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := schema policy platform router cli standin
+
+.PHONY: setup demo test lint measure generate
+
+setup: .venv/.installed
+
+.venv/.installed: requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-build-isolation --no-deps \
+		$(foreach name,$(PACKAGES),-e packages/rampwick-$(name))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m tools.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+	$(BIN)/python tools/generate_schema.py --check
+
+generate: setup
+	$(BIN)/python tools/generate_schema.py
+
+measure: setup
+	$(BIN)/python -m measure
--- /dev/null
+++ b/packages/rampwick-cli/src/rampwick_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The rampwick command."""
+
+from ._main import main as main
--- /dev/null
+++ b/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
@@ -0,0 +1,84 @@
+"""Commands that look at one host, and the one that has it leave."""
+
+import argparse
+from typing import Any
+
+import httpx
+
+from . import _exit_codes
+from ._output import Output
+
+TIMEOUT_SECONDS = 5.0
+
+
+async def run_status(arguments: argparse.Namespace, output: Output) -> int:
+    """Show a host's view: itself, its peers, upstreams, what is degraded."""
+    status = await _get(arguments.admin, "/status")
+    if output.as_json:
+        output.show_object(status)
+        return _exit_codes.OK
+    output.show_object(
+        {
+            "host": f"{status['host']['name']} in {status['host']['hall']}",
+            "ready": status["is_ready"],
+            "revision": f"{status['revision']} from {status['revision_source']}",
+            "open requests": status["open_count"],
+            "waiting requests": status["waiting_count"],
+            "degraded": status["degraded"] or "nothing",
+        }
+    )
+    output.show("upstreams", status["upstreams"])
+    output.show("peers", status["peers"])
+    return _exit_codes.OK
+
+
+async def run_explain(arguments: argparse.Namespace, output: Output) -> int:
+    """Show why a request went where it went."""
+    decisions = await _get(arguments.admin, f"/explain/{arguments.request_id}")
+    if output.as_json:
+        output.show("decisions", decisions)
+        return _exit_codes.OK
+    for decision in decisions:
+        _explain_one(decision, output)
+    return _exit_codes.OK
+
+
+def _explain_one(decision: dict[str, Any], output: Output) -> None:
+    if decision["kind"] == "refuse":
+        output.say(
+            f"refused: {decision['reason']}, run state {decision['run_state']}, "
+            f"come back in {decision['retry_after_seconds']} seconds"
+        )
+        return
+    output.say(f"sent to {decision['upstream']} as {decision['attempt_id']}")
+    choice = decision["choice"] or {}
+    output.show(
+        "weighed", [_weighed_row(item) for item in choice.get("considered", [])]
+    )
+
+
+def _weighed_row(choice: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "upstream": choice["upstream"],
+        "cached_tokens": choice["cached_tokens"],
+        "missing_tokens": choice["missing_tokens"],
+        "queue_seconds": round(choice["queue_seconds"], 4),
+        "score_seconds": round(choice["score_seconds"], 4),
+        "has_slot": choice["has_slot"],
+    }
+
+
+async def run_drain(arguments: argparse.Namespace, output: Output) -> int:
+    """Begin a host's planned stop; asked again, hurry it."""
+    async with httpx.AsyncClient(trust_env=False, timeout=TIMEOUT_SECONDS) as client:
+        response = await client.post(f"{arguments.admin}/drain")
+    response.raise_for_status()
+    output.show_object({"state": "leaving"})
+    return _exit_codes.OK
+
+
+async def _get(admin: str, path: str) -> Any:
+    async with httpx.AsyncClient(trust_env=False, timeout=TIMEOUT_SECONDS) as client:
+        response = await client.get(f"{admin}{path}")
+    response.raise_for_status()
+    return response.json()
--- /dev/null
+++ b/packages/rampwick-cli/src/rampwick_cli/_main.py
@@ -0,0 +1,176 @@
+"""Command line of rampwick: what operators and callers use."""
+
+import argparse
+import os
+from pathlib import Path
+
+import anyio
+import httpx
+
+from rampwick_platform import AnswerLostError, PlatformError
+from rampwick_policy import ConflictError
+from rampwick_schema import RampwickError, read_settings
+
+from . import _exit_codes
+from ._ask import run_ask
+from ._host_commands import run_drain, run_explain, run_status
+from ._output import Output, complain
+from ._tree_commands import run_tree
+
+#: Environment variables that stand for options.
+PLATFORM_VARIABLE = "RAMPWICK_PLATFORM"
+ADMIN_VARIABLE = "RAMPWICK_ADMIN"
+ENTRY_VARIABLE = "RAMPWICK_ENTRY"
+KEY_VARIABLE = "RAMPWICK_KEY"
+
+EXAMPLES = f"""\
+examples:
+  rampwick tree create /herbaria/labels --new-key weight=3 priority_class=batch
+  rampwick tree set /herbaria tokens_per_second=50000 --wait
+  rampwick tree set /herbaria weight=2 --base 17     refuse if changed since 17
+  rampwick status
+  rampwick ask --model lektor --key KEY "What is on this label?"
+
+{_exit_codes.DESCRIPTION}"""
+
+WRITERS = ("set", "create", "move", "delete")
+
+
+def main() -> int:
+    """Run one command; return the exit code."""
+    parser = build_parser()
+    arguments = _parse(parser)
+    if getattr(arguments, "wait", False) and not arguments.admin:
+        parser.error(f"--wait needs --admin or {ADMIN_VARIABLE}")
+    output = Output(arguments.json)
+    try:
+        return anyio.run(arguments.run, arguments, output)
+    except ConflictError as error:
+        complain(f"conflict, nothing was written: {error}")
+        return _exit_codes.CONFLICT
+    except AnswerLostError as error:
+        complain(f"{error}; the write may have taken effect, see tree history")
+        return _exit_codes.UNKNOWN
+    except PlatformError as error:
+        complain(error)
+        return _exit_codes.UNREACHABLE
+    except RampwickError as error:
+        complain(error)
+        return _exit_codes.INVALID
+    except httpx.HTTPStatusError as error:
+        complain(f"status {error.response.status_code}")
+        return _exit_codes.FAILED
+    except httpx.HTTPError as error:
+        complain(f"can't be reached: {error or type(error).__name__}")
+        return _exit_codes.UNREACHABLE
+
+
+def _parse(parser: argparse.ArgumentParser) -> argparse.Namespace:
+    arguments, rest = parser.parse_known_args()
+    # argparse leaves words over that come after an option; values may stand there.
+    values: list[str] | None = getattr(arguments, "values", None)
+    if rest and (values is None or any(word.startswith("-") for word in rest)):
+        parser.error(f"unrecognized arguments: {' '.join(rest)}")
+    if rest and values is not None:
+        arguments.values = [*values, *rest]
+    return arguments
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog="rampwick",
+        description="Operate rampwick: edit the tree, read its state, send requests.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    common = argparse.ArgumentParser(add_help=False)
+    common.add_argument("--json", action="store_true", help="print JSON")
+    commands = parser.add_subparsers(dest="command", required=True)
+    _add_tree(commands, common)
+    _add_check(commands, common)
+    _add_host(commands, common, "status", run_status)
+    explain = _add_host(commands, common, "explain", run_explain)
+    explain.add_argument("request_id", help="the answer's X-Request-Id")
+    _add_host(commands, common, "drain", run_drain)
+    _add_ask(commands, common)
+    return parser
+
+
+def _add_tree(commands, common) -> None:
+    tree = commands.add_parser("tree", help="read and edit the tree")
+    subcommands = tree.add_subparsers(dest="tree_command", required=True)
+    for name in ("show", "get", "history", "diff", *WRITERS):
+        command = subcommands.add_parser(name, parents=[common])
+        command.set_defaults(run=run_tree)
+        _add_url(command, "--platform", PLATFORM_VARIABLE, "the platform's URL")
+        if name in ("history", "diff"):
+            command.add_argument("--after", type=int, default=0, help="revision")
+            command.add_argument("--until", type=int, help="revision")
+        elif name == "show":
+            command.add_argument("path", nargs="?", default="/")
+        else:
+            command.add_argument("path")
+        if name in WRITERS:
+            _add_writer_options(command, name)
+
+
+def _add_writer_options(command: argparse.ArgumentParser, name: str) -> None:
+    if name == "move":
+        command.add_argument("target")
+    if name in ("set", "create"):
+        command.add_argument("values", nargs="*", metavar="key=value")
+    if name == "set":
+        command.add_argument("--unset", action="append", default=[], metavar="KEY")
+    if name == "create":
+        command.add_argument("--workspace", action="store_true")
+        command.add_argument("--new-key", action="store_true", help="make a bearer key")
+    command.add_argument("--base", type=int, help="refuse if changed since REVISION")
+    command.add_argument("--author", help="name in the history; default is the user")
+    command.add_argument("--wait", action="store_true", help="until in force")
+    command.add_argument("--wait-timeout-seconds", type=float, default=8.0)
+    command.add_argument(
+        "--admin",
+        default=os.environ.get(ADMIN_VARIABLE),
+        help=f"a host's admin URL, for --wait (or {ADMIN_VARIABLE})",
+    )
+
+
+def _add_host(commands, common, name: str, run) -> argparse.ArgumentParser:
+    command = commands.add_parser(name, parents=[common], help=run.__doc__)
+    command.set_defaults(run=run)
+    _add_url(command, "--admin", ADMIN_VARIABLE, "the host's admin URL")
+    return command
+
+
+def _add_check(commands, common) -> None:
+    command = commands.add_parser("check", parents=[common], help="check settings")
+    command.set_defaults(run=_run_check)
+    command.add_argument("settings", type=Path)
+
+
+def _add_ask(commands, common) -> None:
+    command = commands.add_parser("ask", parents=[common], help=run_ask.__doc__)
+    command.set_defaults(run=run_ask)
+    _add_url(command, "--entry", ENTRY_VARIABLE, "an entry host's URL")
+    command.add_argument("--key", default=os.environ.get(KEY_VARIABLE, ""))
+    command.add_argument("--model", required=True)
+    command.add_argument("--max-tokens", type=int, default=64)
+    command.add_argument("--idempotency-key", help="run at most once")
+    command.add_argument("--deadline-seconds", type=float)
+    command.add_argument("prompt")
+
+
+def _add_url(
+    command: argparse.ArgumentParser, option: str, variable: str, text: str
+) -> None:
+    default = os.environ.get(variable)
+    command.add_argument(
+        option, default=default, required=not default, help=f"{text} (or {variable})"
+    )
+
+
+async def _run_check(arguments: argparse.Namespace, output: Output) -> int:
+    settings = read_settings(arguments.settings)
+    output.show_object({"settings": "valid", "host": settings.host.name})
+    return _exit_codes.OK
--- /dev/null
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -0,0 +1,28 @@
+"""The platform's object API and what rampwick keeps there."""
+
+from ._api import (
+    ABSENT as ABSENT,
+    MAX_VALUE_BYTES as MAX_VALUE_BYTES,
+    AnswerLostError as AnswerLostError,
+    Listing as Listing,
+    ObjectApi as ObjectApi,
+    PlatformError as PlatformError,
+    PlatformUnavailableError as PlatformUnavailableError,
+    StoredObject as StoredObject,
+    VersionConflictError as VersionConflictError,
+)
+from ._claim_store import ClaimStore as ClaimStore
+from ._http import HttpObjectApi as HttpObjectApi
+from ._lease_store import LeaseStore as LeaseStore
+from ._records import (
+    decode_record as decode_record,
+    encode_record as encode_record,
+    settle_put as settle_put,
+)
+from ._tree_store import (
+    SNAPSHOT_KEY as SNAPSHOT_KEY,
+    StoredTree as StoredTree,
+    TreeStore as TreeStore,
+    change_key as change_key,
+    decode_changes as decode_changes,
+)
--- /dev/null
+++ b/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
@@ -0,0 +1,50 @@
+"""Taking and renewing a lease on the platform."""
+
+import secrets
+from collections.abc import Callable
+
+from rampwick_policy import LeaseWatcher
+from rampwick_schema import LeaseRecord
+
+from ._api import ObjectApi, VersionConflictError
+from ._records import decode_record, settle_put
+
+
+class LeaseStore:
+    """One lease object, taken by conditional writes."""
+
+    def __init__(self, api: ObjectApi, key: str) -> None:
+        self._api = api
+        self._key = key
+
+    async def try_take(
+        self, watcher: LeaseWatcher, read_clock: Callable[[], float]
+    ) -> bool:
+        """Read the lease and take or renew it if that is allowed.
+
+        Return whether it is held now. A platform error leaves what was held to run
+        out by itself.
+        """
+        stored = await self._api.get(self._key)
+        if stored is not None:
+            record = decode_record(stored, LeaseRecord)
+            watcher.observe(record, stored.version, read_clock())
+        if not watcher.may_take(read_clock()):
+            return False
+        return await self._write(watcher, read_clock)
+
+    async def _write(
+        self, watcher: LeaseWatcher, read_clock: Callable[[], float]
+    ) -> bool:
+        record = LeaseRecord(
+            holder=watcher.host,
+            write_id=secrets.token_hex(8),
+            duration_seconds=watcher.duration_seconds,
+        )
+        began_seconds = read_clock()
+        try:
+            version = await settle_put(self._api, self._key, record, watcher.version)
+        except VersionConflictError:
+            return False
+        watcher.note_written(record, version, began_seconds)
+        return True
--- /dev/null
+++ b/packages/rampwick-platform/src/rampwick_platform/_records.py
@@ -0,0 +1,71 @@
+"""Records on the platform: JSON objects with conditional writes that settle.
+
+An answer can be lost after its write took effect. ``settle_put`` then reads back and
+recognises its own write by the random id that the record holds.
+"""
+
+import json
+from typing import Any, TypeVar
+
+from rampwick_schema import structure, unstructure
+
+from ._api import AnswerLostError, ObjectApi, StoredObject, VersionConflictError
+
+T = TypeVar("T")
+
+#: Times that a write without an answer is tried again under the same version.
+MAX_TRIES = 4
+
+
+def encode_record(record: Any) -> bytes:
+    """Return a record as the JSON text that the platform holds."""
+    text = json.dumps(unstructure(record), separators=(",", ":"), sort_keys=True)
+    return text.encode()
+
+
+def decode_record(stored: StoredObject, cls: type[T]) -> T:
+    """Return a record from a stored object, or raise DataError."""
+    step = f"read {cls.__name__}"
+    try:
+        data = json.loads(stored.value)
+    except ValueError:
+        data = None
+    return structure(data, cls, step=step, peer=stored.key)
+
+
+async def settle_put(
+    api: ObjectApi, key: str, record: Any, expected_version: int
+) -> int:
+    """Write a record that has a ``write_id``; return its version.
+
+    Raise VersionConflictError if another write was first, and AnswerLostError if
+    it stays unknown: the write may then have taken effect, or still do so. Trying
+    again under the same expected version is safe, since only one can succeed.
+    """
+    for remaining in reversed(range(MAX_TRIES)):
+        try:
+            return await api.put(key, encode_record(record), expected_version)
+        except (AnswerLostError, VersionConflictError) as error:
+            stored = await _read_back(api, key, error)
+            if stored is not None and _is_same_write(stored, record):
+                return stored.version
+            if isinstance(error, VersionConflictError) or not remaining:
+                raise
+    raise AssertionError("unreachable")
+
+
+def _is_same_write(stored: StoredObject, record: Any) -> bool:
+    return decode_record(stored, type(record)).write_id == record.write_id
+
+
+async def _read_back(
+    api: ObjectApi, key: str, cause: AnswerLostError | VersionConflictError
+) -> StoredObject | None:
+    try:
+        return await api.get(key)
+    except Exception as error:
+        raise AnswerLostError(
+            f"{cause.message}; reading back failed: {error}",
+            step=cause.step,
+            peer=cause.peer,
+        ) from error
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_admission.py
@@ -0,0 +1,143 @@
+"""Who may go next: limits, entitlement among hosts, and how long a wait will be."""
+
+import attrs
+
+from rampwick_schema import Summary
+
+from ._membership import Membership
+from ._queue import WaitingQueue
+from ._shares import DecayedUse, ShareLedger, Standing
+from ._tree import LimitedNode, Workspace
+
+#: Time constant of the rate at which this host gets rid of waiting work.
+DRAIN_SECONDS = 5.0
+
+#: Bounds of what callers are told to wait before they come back.
+MIN_RETRY_AFTER_SECONDS = 1.0
+MAX_RETRY_AFTER_SECONDS = 60.0
+
+#: A standing this much lower than another goes first for sure; less is noise.
+ENTITLED_RATIO = 0.9
+
+
+@attrs.frozen
+class Rival:
+    """A workspace that waits on other hosts."""
+
+    standing: Standing
+    waiting_count: int
+
+
+class Admission:
+    """Limits and shares over this host's queue and what peers told."""
+
+    def __init__(
+        self, queue: WaitingQueue, ledger: ShareLedger, peers: Membership
+    ) -> None:
+        self._queue = queue
+        self._ledger = ledger
+        self._peers = peers
+        self._drain = DecayedUse(DRAIN_SECONDS)
+        self._running: dict[str, int] = {}
+        self.workspaces: dict[str, Workspace] = {}
+
+    def note_started(
+        self, workspace: Workspace, tokens: float, now_seconds: float
+    ) -> None:
+        """Note that waiting work went to an upstream."""
+        self._drain.add("", tokens, now_seconds)
+        for path in workspace.lineage:
+            self._running[path] = self._running.get(path, 0) + 1
+
+    def note_ended(self, workspace: Workspace) -> None:
+        """Note that an attempt of a workspace ended."""
+        for path in workspace.lineage:
+            self._running[path] -= 1
+            if not self._running[path]:
+                del self._running[path]
+
+    def running_count(self, path: str) -> int:
+        """Return the attempts open at or below a path."""
+        return self._running.get(path, 0)
+
+    def full_queue(self, workspace: Workspace, max_waiting_count: int) -> str:
+        """Return whose queue has no room for another request, or nothing."""
+        if len(self._queue) >= max_waiting_count:
+            return "host"
+        for limit in workspace.limits:
+            most = limit.max_waiting_count
+            if most is not None and self._queue.waiting_count(limit.path) >= most:
+                return limit.path
+        return ""
+
+    def is_within_limits(self, workspace: Workspace, now_seconds: float) -> bool:
+        """Return whether limits on the path let another request start."""
+        part_ratio = self._peers.own_part_ratio(now_seconds)
+        return all(
+            self._is_within(limit, part_ratio, now_seconds)
+            for limit in workspace.limits
+        )
+
+    def _is_within(
+        self, limit: LimitedNode, part_ratio: float, now_seconds: float
+    ) -> bool:
+        most = limit.max_running_count
+        if most is not None and self.running_count(limit.path) >= most:
+            return False
+        if limit.tokens_per_second is None:
+            return True
+        decay_seconds = self._ledger.decay_seconds
+        allowed = limit.tokens_per_second * decay_seconds + limit.burst_tokens
+        used = self._ledger.used_tokens(limit.path, now_seconds)
+        return used < allowed * part_ratio
+
+    def standing(self, workspace: Workspace, now_seconds: float) -> Standing:
+        """Return the workspace's place in line over all hosts."""
+        return self._ledger.standing(workspace, now_seconds)
+
+    def rivals(self, now_seconds: float) -> list[Rival]:
+        """Return the workspaces that wait at live peers."""
+        return [
+            Rival(self.standing(workspace, now_seconds), count)
+            for path, count in self._waiting_elsewhere(now_seconds).items()
+            if (workspace := self.workspaces.get(path)) is not None
+        ]
+
+    def _waiting_elsewhere(self, now_seconds: float) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for view in self._peers.live(now_seconds):
+            for path, count in _waiting(view.summary):
+                counts[path] = counts.get(path, 0) + count
+        return counts
+
+    def wait_seconds(self, workspace: Workspace, now_seconds: float) -> float:
+        """Return how long a request that arrives now will wait, by the drain rate."""
+        drained = self._drain.get("", now_seconds)
+        waiting = self._queue.waiting_tokens(workspace.path)
+        if not waiting or drained < 1.0:
+            return 0.0
+        contenders = max(1, len(self._queue.counts()))
+        return waiting * contenders / (drained / DRAIN_SECONDS)
+
+    def retry_after_seconds(self, workspace: Workspace, now_seconds: float) -> float:
+        """Return when coming back has a chance: once today's queue is gone."""
+        wait_seconds = self.wait_seconds(workspace, now_seconds)
+        return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait_seconds))
+
+
+def goes_before(standing: Standing, other: Standing) -> bool:
+    """Return whether one standing is lower by more than noise."""
+    for mine, theirs in zip(standing, other, strict=False):
+        if mine < theirs * ENTITLED_RATIO:
+            return True
+        if theirs < mine * ENTITLED_RATIO:
+            return False
+    return False
+
+
+def _waiting(summary: Summary) -> list[tuple[str, int]]:
+    return [
+        (usage.workspace, usage.waiting_count)
+        for usage in summary.workspaces
+        if usage.waiting_count
+    ]
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_configuration.py
@@ -0,0 +1,108 @@
+"""Following the accepted configuration: only forward, from any source.
+
+Changes come from the platform's watch, from peers and from a fallback file, late,
+twice and out of order. Whatever the order, the revision in force never falls.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from rampwick_schema import Change, Tree
+
+from ._errors import TreeError
+from ._tree import TreeView, apply_change, empty_tree
+
+#: Changes kept for peers that ask; one too far behind gets the whole tree.
+KEPT_CHANGES = 256
+
+#: Changes kept that wait for an earlier one.
+MAX_PENDING = 4096
+
+
+@attrs.define
+class ConfigurationFollower:
+    """The tree in force at this host and the changes that led to it."""
+
+    view: TreeView = attrs.field(factory=lambda: TreeView(empty_tree()))
+    #: Where the revision in force came from: platform, peer, file or none.
+    source: str = "none"
+    #: Why the newest accepted revision is not in force, or nothing.
+    problem: str = ""
+    _head: Tree = attrs.field(factory=empty_tree)
+    _pending: dict[int, Change] = attrs.field(factory=dict)
+    _recent: list[Change] = attrs.field(factory=list)
+
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+        return self.view.revision
+
+    @property
+    def head_revision(self) -> int:
+        """Newest revision known; above the one in force only if it is invalid."""
+        return self._head.revision
+
+    @property
+    def has_gap(self) -> bool:
+        """Whether later changes wait for one that has not come."""
+        return bool(self._pending)
+
+    def offer_tree(self, tree: Tree, source: str) -> bool:
+        """Take a whole tree if it is newer; return whether it is now in force."""
+        if tree.revision <= self.head_revision:
+            return False
+        self._head = tree
+        self._recent.clear()
+        self._apply_pending()
+        return self._put_in_force(source)
+
+    def offer_fallback(self, tree: Tree) -> bool:
+        """Take the settings' own tree if nothing else is known."""
+        if self.revision or self.source != "none":
+            return False
+        self.view = TreeView(tree)
+        self.source = "file"
+        return True
+
+    def offer_changes(self, changes: Iterable[Change], source: str) -> bool:
+        """Take changes in any order; return whether the revision rose."""
+        for change in changes:
+            if change.revision > self.head_revision:
+                self._pending.setdefault(change.revision, change)
+        self._apply_pending()
+        while len(self._pending) > MAX_PENDING:
+            del self._pending[max(self._pending)]
+        return self._put_in_force(source)
+
+    def changes_after(self, revision: int) -> list[Change] | None:
+        """Return the changes after ``revision``, or none if they are not kept."""
+        if revision >= self.head_revision:
+            return []
+        if not self._recent or self._recent[0].revision > revision + 1:
+            return None
+        return [change for change in self._recent if change.revision > revision]
+
+    def _apply_pending(self) -> None:
+        while self._head.revision + 1 in self._pending:
+            change = self._pending.pop(self._head.revision + 1)
+            self._head = apply_change(self._head, change)
+            self._recent.append(change)
+        for revision in [item for item in self._pending if item <= self.head_revision]:
+            del self._pending[revision]
+        del self._recent[:-KEPT_CHANGES]
+
+    def _put_in_force(self, source: str) -> bool:
+        if self._head.revision <= self.revision:
+            return False
+        try:
+            view = TreeView(self._head)
+        except TreeError as error:
+            # Only a foreign writer gets here: the last valid tree stays in force
+            # until a later revision is valid again.
+            self.problem = f"revision {self._head.revision}: {error.message}"
+            return False
+        self.view = view
+        self.source = source
+        self.problem = ""
+        return True
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -0,0 +1,176 @@
+"""What the scheduler is told and what it answers: its typed events and actions."""
+
+import attrs
+
+from rampwick_schema import HostList, LoadReport, Summary
+
+from ._placement import Choice
+from ._prefix import PrefixChain, Scope
+from ._request import Outcome, RunState
+from ._tree import TreeView, Workspace
+
+#: Classes of requests, the most urgent first.
+PRIORITY_CLASSES = ("portal", "interactive", "batch")
+
+
+@attrs.frozen
+class RequestArrived:
+    """A caller's checked request enters the queue."""
+
+    request_id: str
+    workspace: Workspace
+    priority_class: str
+    deadline_seconds: float
+    is_repeatable: bool
+    #: Prompt of a model request; none for a plain service.
+    chain: PrefixChain | None = None
+    scope: Scope | None = None
+    #: Service that is called; empty for models.
+    service: str = ""
+    #: Largest answer that the caller allows.
+    max_answer_tokens: int = 0
+
+
+@attrs.frozen
+class AttemptAccepted:
+    """The upstream began to answer, from the life it names."""
+
+    request_id: str
+    attempt_id: str
+
+
+@attrs.frozen
+class AttemptDelivered:
+    """The first piece of the answer is about to go to the caller."""
+
+    request_id: str
+    attempt_id: str
+
+
+@attrs.frozen
+class AttemptFailed:
+    """An attempt ended without its whole answer."""
+
+    request_id: str
+    attempt_id: str
+    outcome: Outcome
+    message: str
+    #: When the upstream says to come back; nothing if it did not say.
+    retry_after_seconds: float | None = None
+
+
+@attrs.frozen
+class AttemptDone:
+    """An attempt brought its whole answer."""
+
+    request_id: str
+    attempt_id: str
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+
+
+@attrs.frozen
+class RequestCancelled:
+    """The caller went away."""
+
+    request_id: str
+
+
+@attrs.frozen
+class LoadReported:
+    """An upstream answered a probe; plain services send no report."""
+
+    upstream: str
+    report: LoadReport | None
+
+
+@attrs.frozen
+class ProbeFailed:
+    """An upstream did not answer a probe."""
+
+    upstream: str
+    message: str
+
+
+@attrs.frozen
+class HostListRead:
+    """The platform's list was read."""
+
+    host_list: HostList
+
+
+@attrs.frozen
+class PeerHeard:
+    """A peer sent a summary."""
+
+    name: str
+    hall: str
+    incarnation: int
+    summary: Summary
+
+
+@attrs.frozen
+class TreeInForce:
+    """Another revision of the tree is in force here."""
+
+    view: TreeView
+
+
+@attrs.frozen
+class Tick:
+    """Time has passed."""
+
+
+Event = (
+    RequestArrived
+    | AttemptAccepted
+    | AttemptDelivered
+    | AttemptFailed
+    | AttemptDone
+    | RequestCancelled
+    | LoadReported
+    | ProbeFailed
+    | HostListRead
+    | PeerHeard
+    | TreeInForce
+    | Tick
+)
+
+
+@attrs.frozen
+class Dispatch:
+    """Send the request to an upstream as this attempt."""
+
+    request_id: str
+    attempt_id: str
+    upstream: str
+    address: str
+    #: Life that the choice relied on; empty for plain services.
+    incarnation: str = ""
+    weights_version: int = 0
+    choice: Choice | None = None
+
+
+@attrs.frozen
+class Refuse:
+    """Give the caller its final answer: an error, at once."""
+
+    request_id: str
+    reason: str
+    run_state: RunState
+    retry_after_seconds: float | None = None
+    peer: str = ""
+
+
+@attrs.frozen
+class CancelAttempt:
+    """Stop an attempt at its upstream; nobody waits for it any more."""
+
+    request_id: str
+    attempt_id: str
+    upstream: str
+    address: str
+
+
+Action = Dispatch | Refuse | CancelAttempt
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_lease.py
@@ -0,0 +1,66 @@
+"""A lease on the platform: who may give orders, and for how long.
+
+The lease object's version is the fencing number: each write raises it, so a later
+holder's number is always higher. Nobody compares clocks of two hosts: a holder
+counts from before its write, a candidate from after it first saw the write.
+"""
+
+import attrs
+
+from rampwick_schema import LeaseRecord
+
+
+@attrs.define
+class LeaseWatcher:
+    """One host's knowledge of the lease; times are its own monotonic seconds."""
+
+    host: str
+    duration_seconds: float
+    #: Version under which the record was last seen; 0 if there is none.
+    version: int = 0
+    record: LeaseRecord | None = None
+    _seen_at_seconds: float = 0.0
+    _held_until_seconds: float = 0.0
+
+    def observe(
+        self, record: LeaseRecord | None, version: int, now_seconds: float
+    ) -> None:
+        """Note what a read showed; an older version changes nothing."""
+        if version <= self.version:
+            return
+        self.version = version
+        self.record = record
+        self._seen_at_seconds = now_seconds
+        if record is None or record.holder != self.host:
+            self._held_until_seconds = 0.0
+
+    def may_take(self, now_seconds: float) -> bool:
+        """Return whether a conditional write for the lease may be tried."""
+        if self.record is None or self.record.holder == self.host:
+            return True
+        return now_seconds >= self._seen_at_seconds + self.record.duration_seconds
+
+    def note_written(
+        self, record: LeaseRecord, version: int, write_began_seconds: float
+    ) -> None:
+        """Note that one's own write took effect; it counts from its beginning."""
+        self.version = version
+        self.record = record
+        self._seen_at_seconds = write_began_seconds
+        self._held_until_seconds = write_began_seconds + record.duration_seconds
+
+    def fencing_number(
+        self, now_seconds: float, needed_seconds: float = 0.0
+    ) -> int | None:
+        """Return the number for an order that takes ``needed_seconds``, or none.
+
+        None means that the lease would not outlive the order: an upstream that
+        ignores fencing could then obey two holders.
+        """
+        if now_seconds + needed_seconds >= self._held_until_seconds:
+            return None
+        return self.version
+
+    def remaining_seconds(self, now_seconds: float) -> float:
+        """Return for how long the lease is still held here."""
+        return max(0.0, self._held_until_seconds - now_seconds)
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -0,0 +1,195 @@
+"""Ways to choose a runner for a prompt.
+
+All ways get the same views and return a choice with its reasons. The daemon uses
+``PricedKnowledge``; the others are the baselines of its measurement.
+"""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import attrs
+
+from . import _rendezvous
+from ._prefix import PrefixChain
+
+#: What being one rank further from the computed home costs, as a share of the time
+#: that computing the whole prompt takes. It decides where a prefix goes that nobody
+#: is known to hold, and breaks ties so that hosts don't herd.
+HOME_RANK_RATIO = 0.25
+
+
+@attrs.frozen
+class RunnerView:
+    """What a choice may look at; running work counts peers' too."""
+
+    name: str
+    slots_count: int
+    running_count: int
+    waiting_tokens: int
+    prefill_tokens_per_second: float
+    #: Time that a network round trip to the runner costs.
+    distance_seconds: float = 0.0
+    #: Estimated wait for a slot; nothing while one is free.
+    slot_wait_seconds: float = 0.0
+
+    @property
+    def has_slot(self) -> bool:
+        """Whether the runner can start another request at once."""
+        return self.running_count < self.slots_count
+
+    @property
+    def queue_seconds(self) -> float:
+        """Time until the runner begins with a prompt that is sent now."""
+        prefill_seconds = self.waiting_tokens / self.prefill_tokens_per_second
+        return self.distance_seconds + self.slot_wait_seconds + prefill_seconds
+
+    def prefill_seconds(self, tokens: int) -> float:
+        """Return the time that computing so many prompt tokens takes."""
+        return tokens / self.prefill_tokens_per_second
+
+
+@attrs.frozen
+class Choice:
+    """A runner and why it was chosen."""
+
+    upstream: str
+    cached_tokens: int
+    missing_tokens: int
+    queue_seconds: float
+    score_seconds: float
+    has_slot: bool
+    #: What else was weighed, for operators who ask why.
+    considered: tuple["Choice", ...] = ()
+
+
+class KnowsCaches(Protocol):
+    """What can say how much of a prompt a runner holds."""
+
+    def cached_tokens(self, upstream: str, chain: PrefixChain) -> int:
+        """Return the tokens of the chain that the runner is believed to hold."""
+
+
+class Placement(Protocol):
+    """A way to choose among at least one runner."""
+
+    def choose(
+        self,
+        chain: PrefixChain,
+        runners: Sequence[RunnerView],
+        miss_price: float,
+        now_seconds: float,
+    ) -> Choice:
+        """Return the choice; ``miss_price`` weighs recomputing against waiting."""
+
+
+class PricedKnowledge:
+    """Least price times missing prefill plus wait, with the computed home as a hint.
+
+    The price is above one because a miss costs others too: it takes the runner's
+    time from them and evicts what they need.
+    """
+
+    def __init__(self, knowledge: KnowsCaches) -> None:
+        self._knowledge = knowledge
+
+    def choose(
+        self,
+        chain: PrefixChain,
+        runners: Sequence[RunnerView],
+        miss_price: float,
+        now_seconds: float,
+    ) -> Choice:
+        """Return the runner with the least score."""
+        ranks = _rendezvous.rank(chain.home_key, (runner.name for runner in runners))
+        by_name = {runner.name: runner for runner in runners}
+        choices = [
+            self._weigh(chain, by_name[name], miss_price, rank)
+            for rank, name in enumerate(ranks)
+        ]
+        best = min(choices, key=lambda choice: choice.score_seconds)
+        return attrs.evolve(best, considered=tuple(choices))
+
+    def _weigh(
+        self, chain: PrefixChain, runner: RunnerView, miss_price: float, rank: int
+    ) -> Choice:
+        cached = min(
+            self._knowledge.cached_tokens(runner.name, chain), chain.total_tokens
+        )
+        missing_seconds = runner.prefill_seconds(chain.total_tokens - cached)
+        home_seconds = rank * HOME_RANK_RATIO * missing_seconds
+        score = miss_price * missing_seconds + home_seconds + runner.queue_seconds
+        return _choice(chain, runner, cached, score)
+
+
+class RoundRobin:
+    """Baseline: each runner in turn."""
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def choose(
+        self,
+        chain: PrefixChain,
+        runners: Sequence[RunnerView],
+        miss_price: float,
+        now_seconds: float,
+    ) -> Choice:
+        """Return the next runner."""
+        runner = runners[self._next % len(runners)]
+        self._next += 1
+        return _choice(chain, runner, 0, 0.0)
+
+
+class LeastLoaded:
+    """Baseline: the runner with the shortest queue for its size."""
+
+    def choose(
+        self,
+        chain: PrefixChain,
+        runners: Sequence[RunnerView],
+        miss_price: float,
+        now_seconds: float,
+    ) -> Choice:
+        """Return the runner with the least running work."""
+        runner = min(runners, key=_fill)
+        return _choice(chain, runner, 0, runner.queue_seconds)
+
+
+class ComputedHome:
+    """Baseline: rendezvous hashing with bounded load, without any knowledge."""
+
+    def __init__(self, load_factor: float) -> None:
+        self._load_factor = load_factor
+
+    def choose(
+        self,
+        chain: PrefixChain,
+        runners: Sequence[RunnerView],
+        miss_price: float,
+        now_seconds: float,
+    ) -> Choice:
+        """Return the first runner by rank whose load is within bounds."""
+        by_name = {runner.name: runner for runner in runners}
+        mean = sum(_fill(runner) for runner in runners) / len(runners)
+        ranked = [by_name[name] for name in _rendezvous.rank(chain.home_key, by_name)]
+        for runner in ranked:
+            if _fill(runner) <= self._load_factor * mean + 1 / runner.slots_count:
+                return _choice(chain, runner, 0, runner.queue_seconds)
+        return _choice(chain, ranked[0], 0, ranked[0].queue_seconds)
+
+
+def _fill(runner: RunnerView) -> float:
+    return runner.running_count / runner.slots_count
+
+
+def _choice(
+    chain: PrefixChain, runner: RunnerView, cached: int, score_seconds: float
+) -> Choice:
+    return Choice(
+        upstream=runner.name,
+        cached_tokens=cached,
+        missing_tokens=chain.total_tokens - cached,
+        queue_seconds=runner.queue_seconds,
+        score_seconds=score_seconds,
+        has_slot=runner.has_slot,
+    )
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_prefix.py
@@ -0,0 +1,123 @@
+"""Identity of prompt prefixes.
+
+A prompt is cut into blocks of equal length. Each block's hash covers all blocks
+before it and starts from the scope: workspace, model and adapter. Equal hashes
+therefore mean equal beginnings within one workspace. The runner's life and weights
+version are not hashed but key the knowledge about it, so that a newer life drops
+what was known as a whole.
+
+Only some depths are remembered, the checkpoints: a geometric series and the ends of
+messages. A prompt of any length has a few dozen, and two prompts with a common
+beginning share the checkpoints within it.
+"""
+
+import hashlib
+from collections.abc import Sequence
+from functools import lru_cache
+
+import attrs
+
+#: Bytes of one prefix hash.
+HASH_BYTES = 8
+
+#: Ratio between two neighbouring checkpoints of the geometric series.
+CHECKPOINT_RATIO = 1.25
+
+
+@attrs.frozen
+class Scope:
+    """What a cached entry belongs to besides its text."""
+
+    workspace: str
+    model: str
+    adapter: str = ""
+
+    @property
+    def seed(self) -> bytes:
+        """Key of the first block's hash."""
+        text = "\0".join((self.workspace, self.model, self.adapter))
+        return hashlib.blake2b(text.encode(), digest_size=32).digest()
+
+
+@attrs.frozen
+class Checkpoint:
+    """One remembered depth of a prompt."""
+
+    prefix: bytes
+    tokens: int
+
+
+@attrs.frozen
+class PrefixChain:
+    """The checkpoints of one prompt, shallowest first, and its whole length."""
+
+    checkpoints: tuple[Checkpoint, ...]
+    total_tokens: int
+
+    @property
+    def home_key(self) -> bytes:
+        """Key that related prompts share: the hash of the first blocks."""
+        if not self.checkpoints:
+            return b""
+        return self.checkpoints[min(3, len(self.checkpoints) - 1)].prefix
+
+
+def build_chain(
+    scope: Scope,
+    text: bytes,
+    *,
+    block_bytes: int,
+    bytes_per_token: float,
+    boundaries_bytes: Sequence[int] = (),
+) -> PrefixChain:
+    """Return the chain of a prompt; ``boundaries_bytes`` are its messages' ends."""
+    count = len(text) // block_bytes
+    wanted = set(geometric_depths(count))
+    wanted.update(min(end // block_bytes, count) for end in boundaries_bytes)
+    wanted.add(count)
+    wanted.discard(0)
+    hashes = _hash_blocks(scope.seed, text, block_bytes, sorted(wanted))
+    checkpoints = tuple(
+        Checkpoint(prefix=prefix, tokens=int(depth * block_bytes / bytes_per_token))
+        for depth, prefix in hashes
+    )
+    total_tokens = max(1, round(len(text) / bytes_per_token))
+    return PrefixChain(checkpoints=checkpoints, total_tokens=total_tokens)
+
+
+def _hash_blocks(
+    seed: bytes, text: bytes, block_bytes: int, depths: Sequence[int]
+) -> list[tuple[int, bytes]]:
+    # One running hash over the text gives every depth's hash by copying its state,
+    # which costs less than a separate hash for each block.
+    running = hashlib.blake2b(key=seed, digest_size=HASH_BYTES)
+    hashes = []
+    start = 0
+    for depth in depths:
+        end = depth * block_bytes
+        running.update(text[start:end])
+        hashes.append((depth, running.copy().digest()))
+        start = end
+    return hashes
+
+
+@lru_cache(maxsize=4096)
+def geometric_depths(count: int) -> tuple[int, ...]:
+    """Return the depths in blocks, up to ``count``, that every prompt remembers."""
+    depths = []
+    depth = 1
+    while depth <= count:
+        depths.append(depth)
+        depth = max(depth + 1, int(depth * CHECKPOINT_RATIO))
+    return tuple(depths)
+
+
+def cache_salt(scope: Scope, weights_version: int, secret: str) -> str:
+    """Return the salt that keeps a scope's entries in an engine to themselves.
+
+    It holds the weights version, so that an engine which forgot to clear its cache
+    at a reload can't match entries of the older weights.
+    """
+    digest = hashlib.blake2b(scope.seed, key=secret.encode()[:64], digest_size=16)
+    digest.update(str(weights_version).encode())
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -0,0 +1,112 @@
+"""Requests that wait for an upstream, by class, then workspace, then arrival."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from ._events import PRIORITY_CLASSES, RequestArrived
+from ._request import RequestLifecycle
+
+
+@attrs.define
+class QueuedRequest:
+    """A request with its state; it keeps its place in line over retries."""
+
+    arrival: RequestArrived
+    lifecycle: RequestLifecycle
+    arrived_at_seconds: float
+    #: Priced tokens that the request is taken to need.
+    expected_tokens: float
+    #: Whether its next attempt must be paid from the retry budget.
+    needs_budget: bool = False
+    #: Upstream of the current attempt and what was charged for it.
+    upstream: str = ""
+    charged_tokens: float = 0.0
+    #: Since when no upstream at all could take it; nothing while one can.
+    stranded_at_seconds: float | None = None
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.arrival.request_id
+
+    @property
+    def workspace_path(self) -> str:
+        """Path of the workspace."""
+        return self.arrival.workspace.path
+
+
+class WaitingQueue:
+    """All waiting requests of this host."""
+
+    def __init__(self) -> None:
+        self._lines: dict[str, dict[str, dict[str, QueuedRequest]]] = {
+            name: {} for name in PRIORITY_CLASSES
+        }
+        self._counts: dict[str, int] = {}
+        self._tokens: dict[str, float] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __iter__(self) -> Iterator[QueuedRequest]:
+        for lines in self._lines.values():
+            for line in lines.values():
+                yield from line.values()
+
+    def add(self, item: QueuedRequest) -> None:
+        """Append a request to its line."""
+        lines = self._lines[item.arrival.priority_class]
+        lines.setdefault(item.workspace_path, {})[item.request_id] = item
+        self._adjust(item, sign=1)
+
+    def add_first(self, item: QueuedRequest) -> None:
+        """Put a request at the head of its line, as after a failed attempt."""
+        lines = self._lines[item.arrival.priority_class]
+        line = lines.get(item.workspace_path, {})
+        lines[item.workspace_path] = {item.request_id: item, **line}
+        self._adjust(item, sign=1)
+
+    def remove(self, item: QueuedRequest) -> None:
+        """Take a request out of its line."""
+        lines = self._lines[item.arrival.priority_class]
+        line = lines[item.workspace_path]
+        del line[item.request_id]
+        if not line:
+            del lines[item.workspace_path]
+        self._adjust(item, sign=-1)
+
+    def workspaces_waiting(self, priority_class: str) -> list[str]:
+        """Return the paths of the workspaces that wait in a class."""
+        return list(self._lines[priority_class])
+
+    def line(self, priority_class: str, path: str) -> Iterator[QueuedRequest]:
+        """Yield a workspace's requests in a class, the first in line first."""
+        yield from self._lines[priority_class].get(path, {}).values()
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of waiting requests by workspace."""
+        return self._counts
+
+    def waiting_count(self, path: str) -> int:
+        """Return the number of requests waiting at or below a path."""
+        if path in self._counts:
+            return self._counts[path]
+        prefix = path.rstrip("/") + "/"
+        return sum(
+            count for name, count in self._counts.items() if name.startswith(prefix)
+        )
+
+    def waiting_tokens(self, path: str) -> float:
+        """Return the priced tokens that wait for one workspace."""
+        return self._tokens.get(path, 0.0)
+
+    def _adjust(self, item: QueuedRequest, sign: int) -> None:
+        path = item.workspace_path
+        self._count += sign
+        self._counts[path] = self._counts.get(path, 0) + sign
+        self._tokens[path] = self._tokens.get(path, 0.0) + sign * item.expected_tokens
+        if not self._counts[path]:
+            del self._counts[path]
+            del self._tokens[path]
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_rendezvous.py
@@ -0,0 +1,26 @@
+"""Weighted rendezvous hashing: a ranking that hosts agree on without talking."""
+
+import hashlib
+import math
+from collections.abc import Iterable
+
+#: Largest value of the 8-byte hash, to map it into (0, 1).
+_HASH_SPAN = 2.0**64
+
+
+def rank(key: bytes, names: Iterable[str]) -> list[str]:
+    """Return the names in the key's order of preference.
+
+    When a name leaves, only the keys that preferred it move.
+    """
+    return sorted(names, key=lambda name: _draw(key, name), reverse=True)
+
+
+def weighted_first(key: bytes, weights: dict[str, float]) -> str:
+    """Return the preferred name where names are drawn in proportion to weights."""
+    return max(weights, key=lambda name: -weights[name] / math.log(_draw(key, name)))
+
+
+def _draw(key: bytes, name: str) -> float:
+    digest = hashlib.blake2b(name.encode(), key=key[:64], digest_size=8).digest()
+    return (int.from_bytes(digest, "big") + 0.5) / _HASH_SPAN
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_tree.py
@@ -0,0 +1,239 @@
+"""The tree of workspaces: paths, inheritance, validation and changes.
+
+Everything here is pure. A ``TreeView`` is built once for each revision and
+answers look-ups from precomputed maps.
+"""
+
+import re
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from rampwick_schema import Change, Node, NodeEdit, Tree
+
+from ._errors import ConflictError, TreeError
+
+ROOT = "/"
+
+#: One path component: letters, digits, dash, underscore, dot.
+_COMPONENT = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z")
+_KEY_HASH = re.compile(r"[0-9a-f]{64}\Z")
+
+#: Values that a node takes from the nearest ancestor that sets them.
+INHERITED = ("deadline_seconds", "priority_class", "miss_price", "models")
+
+DEFAULT_CLASS = "interactive"
+
+#: Largest depth of a path; keeps share vectors short.
+MAX_DEPTH = 8
+
+#: Nodes that a tree may hold, so that its snapshot stays under a megabyte.
+MAX_NODES = 2000
+
+STEP = "validate tree"
+
+
+@attrs.frozen
+class LimitedNode:
+    """A node on a workspace's path that sets a limit of its own."""
+
+    path: str
+    tokens_per_second: float | None
+    burst_tokens: float
+    max_running_count: int | None
+    max_waiting_count: int | None
+
+
+@attrs.frozen
+class Workspace:
+    """A workspace with everything that it inherits resolved."""
+
+    path: str
+    #: Weight of each node on the path, from below the root to the workspace.
+    weights: tuple[float, ...]
+    limits: tuple[LimitedNode, ...]
+    deadline_seconds: float | None = None
+    priority_class: str = DEFAULT_CLASS
+    miss_price: float | None = None
+    models: frozenset[str] | None = None
+
+    @property
+    def lineage(self) -> tuple[str, ...]:
+        """Paths from below the root down to the workspace itself."""
+        return tuple(lineage(self.path))[1:]
+
+    def allows_model(self, model: str) -> bool:
+        """Return whether callers of this workspace may use ``model``."""
+        return self.models is None or model in self.models
+
+
+class TreeView:
+    """A validated tree with the look-ups that requests need."""
+
+    def __init__(self, tree: Tree) -> None:
+        validate_tree(tree)
+        self.tree = tree
+        self._workspaces = {
+            path: resolve_workspace(tree, path)
+            for path, node in tree.nodes.items()
+            if node.is_workspace
+        }
+        self._by_key_hash = {
+            key_hash: path
+            for path, node in tree.nodes.items()
+            for key_hash in node.key_hashes
+        }
+
+    @property
+    def revision(self) -> int:
+        """Revision of the tree."""
+        return self.tree.revision
+
+    @property
+    def workspaces(self) -> dict[str, Workspace]:
+        """Workspaces by path."""
+        return self._workspaces
+
+    def find_workspace(self, key_hash: str) -> Workspace | None:
+        """Return the workspace whose bearer key has this SHA-256, if any."""
+        path = self._by_key_hash.get(key_hash)
+        return self._workspaces[path] if path else None
+
+
+def empty_tree() -> Tree:
+    """Return the tree of revision 0, before anyone has written one."""
+    return Tree(revision=0, nodes={ROOT: Node()})
+
+
+def lineage(path: str) -> Iterator[str]:
+    """Yield the root, each ancestor and the path itself, in that order."""
+    yield ROOT
+    parts = [part for part in path.split("/") if part]
+    for depth in range(len(parts)):
+        yield "/" + "/".join(parts[: depth + 1])
+
+
+def parent_of(path: str) -> str:
+    """Return the path of the parent; the root is its own parent."""
+    return path.rsplit("/", 1)[0] or ROOT
+
+
+def resolve_workspace(tree: Tree, path: str) -> Workspace:
+    """Return the workspace at ``path`` with inherited values filled in."""
+    nodes = [(step, tree.nodes[step]) for step in lineage(path)]
+    values = {}
+    for _, node in nodes:
+        for name in INHERITED:
+            if getattr(node, name) is not None:
+                values[name] = getattr(node, name)
+    if "models" in values:
+        values["models"] = frozenset(values["models"])
+    return Workspace(
+        path=path,
+        weights=tuple(node.weight or 1.0 for _, node in nodes[1:]),
+        limits=tuple(_limits_of(nodes)),
+        **values,
+    )
+
+
+def _limits_of(nodes: list[tuple[str, Node]]) -> Iterator[LimitedNode]:
+    # A child without a limit of its own is held by its ancestor's, which counts
+    # the whole subtree; so only nodes that set a value need a check.
+    for path, node in nodes:
+        limits = (node.tokens_per_second, node.max_running_count)
+        if (*limits, node.max_waiting_count) == (None, None, None):
+            continue
+        yield LimitedNode(
+            path=path,
+            tokens_per_second=node.tokens_per_second,
+            burst_tokens=node.burst_tokens or 0.0,
+            max_running_count=node.max_running_count,
+            max_waiting_count=node.max_waiting_count,
+        )
+
+
+def validate_tree(tree: Tree) -> None:
+    """Raise a TreeError that names every problem of the tree."""
+    problems = list(_problems(tree))
+    if problems:
+        raise TreeError("; ".join(problems), step=STEP)
+
+
+def _problems(tree: Tree) -> Iterator[str]:
+    if ROOT not in tree.nodes:
+        yield "the root / is missing"
+    if len(tree.nodes) > MAX_NODES:
+        yield f"{len(tree.nodes)} nodes, allowed are {MAX_NODES}"
+    owners: dict[str, str] = {}
+    for path, node in tree.nodes.items():
+        yield from _path_problems(tree, path)
+        if node.key_hashes and not node.is_workspace:
+            yield f"{path}: has keys but is_workspace is false"
+        for key_hash in node.key_hashes:
+            if not _KEY_HASH.match(key_hash):
+                yield f"{path}: key_hashes holds {key_hash!r}, not a SHA-256 in hex"
+            if owners.setdefault(key_hash, path) != path:
+                yield f"{path}: shares a key with {owners[key_hash]}"
+
+
+def _path_problems(tree: Tree, path: str) -> Iterator[str]:
+    if path == ROOT:
+        return
+    parts = path.split("/")[1:]
+    if not path.startswith("/") or not all(_COMPONENT.match(part) for part in parts):
+        yield f"{path!r}: not a path like /group/workspace"
+        return
+    if len(parts) > MAX_DEPTH:
+        yield f"{path}: deeper than {MAX_DEPTH} levels"
+    if parent_of(path) not in tree.nodes:
+        yield f"{path}: its parent {parent_of(path)} is missing"
+
+
+def apply_change(tree: Tree, change: Change) -> Tree:
+    """Return the tree after the change, which must make the next revision."""
+    if change.revision != tree.revision + 1:
+        message = f"change makes revision {change.revision}, tree is {tree.revision}"
+        raise ConflictError(message, step="apply change")
+    nodes = dict(tree.nodes)
+    for edit in change.edits:
+        if edit.node is None:
+            nodes.pop(edit.path, None)
+        else:
+            nodes[edit.path] = edit.node
+    return Tree(revision=change.revision, nodes=nodes)
+
+
+def moved(tree: Tree, source: str, target: str) -> list[NodeEdit]:
+    """Return the edits that move a subtree; keys and values go with it."""
+    if source not in tree.nodes:
+        raise TreeError(f"{source}: no such node", step="move node")
+    if target in tree.nodes:
+        raise TreeError(f"{target}: exists already", step="move node")
+    if target == source or target.startswith(source + "/"):
+        raise TreeError(f"{target}: lies within {source}", step="move node")
+    subtree = [path for path in tree.nodes if _is_within(path, source)]
+    removed = [NodeEdit(path=path, node=None) for path in subtree]
+    added = [
+        NodeEdit(path=target + path[len(source) :], node=tree.nodes[path])
+        for path in subtree
+    ]
+    return removed + added
+
+
+def deleted(tree: Tree, path: str) -> list[NodeEdit]:
+    """Return the edits that delete a subtree."""
+    if path == ROOT:
+        raise TreeError("the root can't be deleted", step="delete node")
+    if path not in tree.nodes:
+        raise TreeError(f"{path}: no such node", step="delete node")
+    subtree = (item for item in tree.nodes if _is_within(item, path))
+    return [NodeEdit(path=item, node=None) for item in subtree]
+
+
+def _is_within(path: str, ancestor: str) -> bool:
+    return path == ancestor or path.startswith(ancestor + "/")
+
+
+def touched_paths(changes: Iterable[Change]) -> set[str]:
+    """Return the paths that the changes replace or delete."""
+    return {edit.path for change in changes for edit in change.edits}
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -0,0 +1,197 @@
+"""Upstreams that can be given work: their list, life, health and load."""
+
+import math
+from collections.abc import Iterator
+
+import attrs
+
+from rampwick_schema import HostEntry, HostList, LoadReport, RetrySettings
+
+from ._health import Health
+from ._knowledge import Life, life_label
+from ._membership import Membership
+from ._placement import RunnerView
+
+#: Slots assumed for an upstream that reports none.
+DEFAULT_SLOTS = 32
+
+#: What a hop to another hall is taken to cost.
+HALL_DISTANCE_SECONDS = 0.002
+
+#: Weight of the newest interval in the mean time between two freed slots.
+RELEASE_SMOOTHING = 0.2
+
+#: Time between two freed slots assumed before any was seen.
+FIRST_RELEASE_SECONDS = 0.5
+
+
+@attrs.define
+class Upstream:
+    """One runner or service as this host sees it."""
+
+    entry: HostEntry
+    health: Health
+    #: Present life; none while it must be asked for again.
+    life: Life | None = None
+    #: Life that it reported last.
+    last_life: Life | None = None
+    model: str = ""
+    slots_count: int = DEFAULT_SLOTS
+    prefill_tokens_per_second: float = 1.0
+    reported_running_count: int = 0
+    #: Prompt tokens whose first token has not come, by own attempt.
+    own_attempts: dict[str, int] = attrs.field(factory=dict)
+    #: Until when an upstream that refused work as busy is left alone.
+    busy_until_seconds: float = 0.0
+    released_at_seconds: float | None = None
+    release_seconds: float = FIRST_RELEASE_SECONDS
+
+    @property
+    def name(self) -> str:
+        """Name in the host list."""
+        return self.entry.name
+
+    @property
+    def is_runner(self) -> bool:
+        """Whether it is a model engine rather than a plain service."""
+        return self.entry.kind == "runner"
+
+    @property
+    def life_name(self) -> str:
+        """Present life as peers name it, empty while none is known."""
+        return life_label(self.life) if self.life else ""
+
+    def start(self, attempt_id: str, missing_tokens: int) -> None:
+        """Note an attempt that is sent here."""
+        self.own_attempts[attempt_id] = missing_tokens
+
+    def note_first_token(self, attempt_id: str) -> None:
+        """Note that an attempt's prompt is computed."""
+        if attempt_id in self.own_attempts:
+            self.own_attempts[attempt_id] = 0
+
+    def release(self, attempt_id: str, now_seconds: float) -> None:
+        """Note that an attempt's slot is free again."""
+        if self.own_attempts.pop(attempt_id, None) is None:
+            return
+        if self.released_at_seconds is not None:
+            interval = now_seconds - self.released_at_seconds
+            self.release_seconds += RELEASE_SMOOTHING * (
+                interval - self.release_seconds
+            )
+        self.released_at_seconds = now_seconds
+
+
+class UpstreamTable:
+    """All upstreams by name."""
+
+    def __init__(
+        self, hall: str, retry: RetrySettings, slots_factor: float, prefill: float
+    ) -> None:
+        self._hall = hall
+        self._retry = retry
+        self._slots_factor = slots_factor
+        self._default_prefill = prefill
+        self._list_version = -1
+        self._upstreams: dict[str, Upstream] = {}
+
+    def __iter__(self) -> Iterator[Upstream]:
+        return iter(list(self._upstreams.values()))
+
+    def get(self, name: str) -> Upstream | None:
+        """Return the upstream of this name, if it is listed."""
+        return self._upstreams.get(name)
+
+    def apply_list(self, host_list: HostList) -> list[str]:
+        """Take a newer host list; return the names that are gone.
+
+        An older version changes nothing. A new address under an old name is a new
+        upstream.
+        """
+        if host_list.version <= self._list_version:
+            return []
+        self._list_version = host_list.version
+        listed = {
+            entry.name: entry
+            for entry in host_list.hosts
+            if entry.kind in ("runner", "service")
+        }
+        gone = [name for name in self._upstreams if name not in listed]
+        for name in gone:
+            del self._upstreams[name]
+        for entry in listed.values():
+            self._apply_entry(entry)
+        return gone
+
+    def _apply_entry(self, entry: HostEntry) -> None:
+        known = self._upstreams.get(entry.name)
+        if known is not None and known.entry.address == entry.address:
+            known.entry = entry
+            return
+        health = Health(self._retry.ramp_start_ratio, self._retry.ramp_seconds)
+        self._upstreams[entry.name] = Upstream(
+            entry=entry,
+            health=health,
+            prefill_tokens_per_second=self._default_prefill,
+        )
+
+    def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
+        """Take a runner's report; return whether it shows a new life."""
+        upstream.model = report.model
+        upstream.slots_count = report.slots_count
+        upstream.prefill_tokens_per_second = report.prefill_tokens_per_second
+        upstream.reported_running_count = report.running_count
+        life = Life(report.incarnation, report.weights_version)
+        is_new = life != upstream.last_life
+        upstream.life = upstream.last_life = life
+        return is_new
+
+    def is_open(
+        self, upstream: Upstream, peers: Membership, now_seconds: float
+    ) -> bool:
+        """Return whether the upstream may be given new work."""
+        if upstream.entry.state == "leaving":
+            return False
+        if peers.is_said_leaving(upstream.name, now_seconds):
+            return False
+        if upstream.is_runner and upstream.life is None:
+            return False
+        if now_seconds < upstream.busy_until_seconds:
+            return False
+        return upstream.health.admit_ratio(now_seconds) > 0.0
+
+    def usable_slots(
+        self, upstream: Upstream, part_ratio: float, now_seconds: float
+    ) -> int:
+        """Return the requests that may run there at once, from all hosts."""
+        ratio = upstream.health.admit_ratio(now_seconds) * part_ratio
+        return max(1, int(upstream.slots_count * self._slots_factor * ratio))
+
+    def view(
+        self,
+        upstream: Upstream,
+        peers: Membership,
+        extra_slots_ratio: float,
+        now_seconds: float,
+    ) -> RunnerView:
+        """Return what placement may know; peers' work counts as running.
+
+        ``extra_slots_ratio`` lets urgent requests use slots beyond the usual ones.
+        """
+        part_ratio = peers.own_part_ratio(now_seconds)
+        load = peers.load_of(upstream.name, upstream.life_name)
+        usable = self.usable_slots(upstream, part_ratio, now_seconds)
+        slots = usable + math.ceil(usable * extra_slots_ratio)
+        running = len(upstream.own_attempts) + load.running_count
+        waiting = sum(upstream.own_attempts.values()) + load.waiting_tokens
+        over = max(0, running - slots + 1)
+        distance = 0.0 if upstream.entry.hall == self._hall else HALL_DISTANCE_SECONDS
+        return RunnerView(
+            name=upstream.name,
+            slots_count=slots,
+            running_count=running,
+            waiting_tokens=waiting,
+            prefill_tokens_per_second=upstream.prefill_tokens_per_second,
+            distance_seconds=distance,
+            slot_wait_seconds=over * upstream.release_seconds,
+        )
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -0,0 +1,168 @@
+"""The operators' HTTP interface: health, metrics, status, explanations, drain."""
+
+import resource
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from rampwick_policy import Dispatch, Scheduler
+
+from ._configuration import ConfigurationTask
+from ._life import Life
+from ._parts import Parts
+from ._scheduler_task import Decision
+from ._upstream_tasks import HostListTask
+
+
+class AdminApp:
+    """Builds the ASGI application towards operators."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        life: Life,
+        configuration: ConfigurationTask,
+        hosts: HostListTask,
+        count_platform_calls: Callable[[], int],
+    ) -> None:
+        self._parts = parts
+        self._life = life
+        self._configuration = configuration
+        self._hosts = hosts
+        self._count_platform_calls = count_platform_calls
+        self.app = Starlette(
+            routes=[
+                Route("/healthz", self._healthz),
+                Route("/readyz", self._readyz),
+                Route("/metrics", self._metrics),
+                Route("/status", self._status),
+                Route("/explain/{request_id:path}", self._explain),
+                Route("/drain", self._drain, methods=["POST"]),
+            ]
+        )
+
+    async def _healthz(self, request: Request) -> Response:
+        return Response("ok\n")
+
+    async def _readyz(self, request: Request) -> Response:
+        if self._life.is_ready:
+            return Response("ready\n")
+        return Response("leaving\n", status_code=503)
+
+    async def _metrics(self, request: Request) -> Response:
+        metrics = self._parts.metrics
+        used = await self._parts.scheduler.ask(_read_use)
+        for path, tokens in used.items():
+            metrics.used_tokens.labels(path).set(tokens)
+        open_count, waiting_count = await self._parts.scheduler.ask(_read_counts)
+        metrics.open_requests.set(open_count)
+        metrics.waiting_requests.set(waiting_count)
+        metrics.revision.set(self._parts.follower.revision)
+        metrics.platform_calls.set(self._count_platform_calls())
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        metrics.processor_seconds.set(usage.ru_utime + usage.ru_stime)
+        body = generate_latest(metrics.registry)
+        return Response(body, media_type=CONTENT_TYPE_LATEST)
+
+    async def _status(self, request: Request) -> Response:
+        status = await self._parts.scheduler.ask(_read_status)
+        host = self._parts.settings.host
+        status["host"] = attrs.asdict(host)
+        status["is_ready"] = self._life.is_ready
+        status["revision"] = self._parts.follower.revision
+        status["revision_source"] = self._parts.follower.source
+        status["degraded"] = self._problems(status)
+        return JSONResponse(status)
+
+    def _problems(self, status: dict[str, Any]) -> list[str]:
+        found = []
+        if self._configuration.problem:
+            found.append(f"configuration: {self._configuration.problem}")
+        if self._parts.follower.problem:
+            found.append(f"configuration: {self._parts.follower.problem}")
+        if self._hosts.problem:
+            found.append(f"host list: {self._hosts.problem}")
+        if self._parts.follower.revision == 0:
+            found.append("configuration: no tree is known; callers are refused")
+        found += [
+            f"upstream {item['name']}: {item['health']}: {item['last_error']}"
+            for item in status["upstreams"]
+            if item["health"] != "up"
+        ]
+        if self._parts.settings.peers.secret and not status["peers"]:
+            found.append("peers: none is heard; this host keeps to its part")
+        return found
+
+    async def _explain(self, request: Request) -> Response:
+        request_id = request.path_params["request_id"]
+        decisions = self._parts.scheduler.decisions(request_id)
+        if not decisions:
+            return JSONResponse({"error": "no such request of late"}, status_code=404)
+        return JSONResponse([_describe_decision(item) for item in decisions])
+
+    async def _drain(self, request: Request) -> Response:
+        self._life.begin_stop()
+        return Response(status_code=202)
+
+
+def _read_use(scheduler: Scheduler, now_seconds: float) -> dict[str, float]:
+    return {
+        path: scheduler.ledger.used_tokens(path, now_seconds)
+        for path in scheduler.admission.workspaces
+    }
+
+
+def _read_counts(scheduler: Scheduler, now_seconds: float) -> tuple[int, int]:
+    return scheduler.open_count, len(scheduler.queue)
+
+
+def _read_status(scheduler: Scheduler, now_seconds: float) -> dict[str, Any]:
+    upstreams = [
+        {
+            "name": upstream.name,
+            "kind": upstream.entry.kind,
+            "hall": upstream.entry.hall,
+            "state": upstream.entry.state,
+            "health": upstream.health.state.value,
+            "admit_ratio": round(upstream.health.admit_ratio(now_seconds), 3),
+            "last_error": upstream.health.last_error,
+            "life": upstream.life_name,
+            "model": upstream.model,
+            "slots_count": upstream.slots_count,
+            "own_running_count": len(upstream.own_attempts),
+        }
+        for upstream in scheduler.upstreams
+    ]
+    peers = [
+        {
+            "name": view.name,
+            "hall": view.hall,
+            "revision": view.summary.revision,
+            "is_leaving": view.summary.is_leaving,
+            "heard_seconds_ago": round(now_seconds - view.heard_at_seconds, 3),
+        }
+        for view in scheduler.peers.live(now_seconds)
+    ]
+    return {
+        "upstreams": upstreams,
+        "peers": peers,
+        "open_count": scheduler.open_count,
+        "waiting_count": len(scheduler.queue),
+        "retry_budget_count": round(scheduler.budget.saved, 2),
+        "known_prefixes_count": scheduler.knowledge.entries_count(),
+    }
+
+
+def _describe_decision(decision: Decision) -> dict[str, Any]:
+    action = decision.action
+    kind = "dispatch" if isinstance(action, Dispatch) else "refuse"
+    data = attrs.asdict(action)
+    if "run_state" in data:
+        data["run_state"] = action.run_state.name.lower()  # type: ignore[union-attr]
+    return {"at_seconds": decision.at_seconds, "kind": kind, **data}
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_call.py
@@ -0,0 +1,261 @@
+"""Reading and checking what a caller sent, before anything is decided.
+
+All of it is pure. Whatever is wrong with a request becomes a CallerError with a clear
+message and a status of 4xx.
+"""
+
+import hashlib
+import math
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import orjson
+
+from rampwick_policy import (
+    PRIORITY_CLASSES,
+    PrefixChain,
+    Scope,
+    TreeView,
+    Workspace,
+    build_chain,
+)
+from rampwick_schema import PlacementSettings
+
+from ._errors import CallerError
+
+#: Headers that callers may set.
+DEADLINE_HEADER = "rampwick-deadline-seconds"
+CLASS_HEADER = "rampwick-class"
+REPEAT_HEADER = "rampwick-repeat"
+KEY_HEADER = "idempotency-key"
+
+MAX_KEY_CHARACTERS = 255
+MAX_DEADLINE_SECONDS = 3600.0
+MAX_MESSAGES = 4096
+MAX_ANSWER_TOKENS = 1_000_000
+
+STEP = "check request"
+
+#: Engines take lower numbers first.
+ENGINE_PRIORITIES = {name: rank for rank, name in enumerate(PRIORITY_CLASSES)}
+
+
+@attrs.frozen
+class CallTerms:
+    """What holds for a request whatever it asks for."""
+
+    workspace: Workspace
+    priority_class: str
+    #: Seconds from arrival until an answer is of no use any more.
+    deadline_seconds: float
+    is_repeatable: bool
+    idempotency_key: str = ""
+
+
+@attrs.frozen
+class ModelCall:
+    """A checked request to a model."""
+
+    terms: CallTerms
+    scope: Scope
+    chain: PrefixChain
+    #: Body as the caller sent it, to be completed for an engine.
+    body: dict[str, Any]
+    is_chat: bool
+    is_streamed: bool
+    wants_usage: bool
+    max_answer_tokens: int
+
+
+def bad_request(message: str, code: str = "invalid_request") -> CallerError:
+    """Return the error for a request that can't be understood."""
+    return CallerError(message, status=400, code=code, step=STEP)
+
+
+def find_workspace(view: TreeView, headers: Mapping[str, str]) -> Workspace:
+    """Return the workspace that a bearer key acts as."""
+    kind, _, key = headers.get("authorization", "").partition(" ")
+    if kind.lower() != "bearer" or not key:
+        raise CallerError(
+            "a bearer key is needed", status=401, code="no_key", step="find workspace"
+        )
+    workspace = view.find_workspace(hashlib.sha256(key.encode()).hexdigest())
+    if workspace is None:
+        raise CallerError(
+            "the key is unknown", status=401, code="unknown_key", step="find workspace"
+        )
+    return workspace
+
+
+def read_terms(
+    workspace: Workspace,
+    headers: Mapping[str, str],
+    *,
+    default_deadline_seconds: float,
+    repeatable_by_default: bool,
+) -> CallTerms:
+    """Return the terms that headers and tree set."""
+    key = headers.get(KEY_HEADER, "")
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise bad_request(f"{KEY_HEADER} is longer than {MAX_KEY_CHARACTERS}")
+    return CallTerms(
+        workspace=workspace,
+        priority_class=_read_class(workspace, headers),
+        deadline_seconds=_read_deadline(workspace, headers, default_deadline_seconds),
+        is_repeatable=_read_repeat(headers, key, repeatable_by_default),
+        idempotency_key=key,
+    )
+
+
+def _read_class(workspace: Workspace, headers: Mapping[str, str]) -> str:
+    name = headers.get(CLASS_HEADER, workspace.priority_class)
+    if name not in PRIORITY_CLASSES:
+        allowed = ", ".join(PRIORITY_CLASSES)
+        raise bad_request(f"{CLASS_HEADER} is {name!r}, allowed is {allowed}")
+    return name
+
+
+def _read_deadline(
+    workspace: Workspace, headers: Mapping[str, str], default_seconds: float
+) -> float:
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return workspace.deadline_seconds or default_seconds
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not 0.0 < seconds <= MAX_DEADLINE_SECONDS:
+        raise bad_request(
+            f"{DEADLINE_HEADER} is {text!r}, allowed is a number up to "
+            f"{MAX_DEADLINE_SECONDS:g}"
+        )
+    return seconds
+
+
+def _read_repeat(headers: Mapping[str, str], key: str, default: bool) -> bool:
+    text = headers.get(REPEAT_HEADER)
+    if text not in (None, "never", "allowed"):
+        raise bad_request(f"{REPEAT_HEADER} is {text!r}, allowed is never, allowed")
+    if key:
+        if text == "allowed":
+            raise bad_request(f"{KEY_HEADER} goes with {REPEAT_HEADER}: never")
+        return False
+    return default if text is None else text == "allowed"
+
+
+def read_model_call(
+    raw: bytes, terms: CallTerms, settings: PlacementSettings, *, is_chat: bool
+) -> ModelCall:
+    """Return the checked request of a body for a model."""
+    body = _read_object(raw)
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        raise bad_request("model is missing")
+    if not terms.workspace.allows_model(model):
+        raise CallerError(
+            f"model {model!r} is not open to this workspace",
+            status=403,
+            code="model_not_allowed",
+            step=STEP,
+        )
+    text, boundaries = _read_messages(body) if is_chat else _read_prompt(body)
+    options = body.get("stream_options") or {}
+    if not isinstance(options, dict):
+        raise bad_request("stream_options is not an object")
+    if body.get("n", 1) != 1:
+        raise bad_request("n is not 1; ask for each answer by itself")
+    scope = Scope(terms.workspace.path, model, _read_adapter(body))
+    chain = build_chain(
+        scope,
+        text,
+        block_bytes=settings.block_bytes,
+        bytes_per_token=settings.bytes_per_token,
+        boundaries_bytes=boundaries,
+    )
+    return ModelCall(
+        terms=terms,
+        scope=scope,
+        chain=chain,
+        body=body,
+        is_chat=is_chat,
+        is_streamed=_read_flag(body, "stream"),
+        wants_usage=bool(options.get("include_usage")),
+        max_answer_tokens=_read_max_tokens(body),
+    )
+
+
+def _read_object(raw: bytes) -> dict[str, Any]:
+    try:
+        body = orjson.loads(raw)
+    except orjson.JSONDecodeError as error:
+        raise bad_request(f"the body is not JSON: {error}") from None
+    if not isinstance(body, dict):
+        raise bad_request("the body is not a JSON object")
+    return body
+
+
+def _read_flag(body: dict[str, Any], name: str) -> bool:
+    value = body.get(name, False)
+    if not isinstance(value, bool):
+        raise bad_request(f"{name} is {value!r}, allowed is true or false")
+    return value
+
+
+def _read_adapter(body: dict[str, Any]) -> str:
+    adapter = body.get("adapter", "")
+    if not isinstance(adapter, str):
+        raise bad_request("adapter is not a string")
+    return adapter
+
+
+def _read_max_tokens(body: dict[str, Any]) -> int:
+    value = body.get("max_completion_tokens", body.get("max_tokens"))
+    if value is None:
+        return 0
+    if type(value) is not int or not 0 < value <= MAX_ANSWER_TOKENS:
+        raise bad_request(f"max_tokens is {value!r}, allowed is 1 to a million")
+    return value
+
+
+def _read_prompt(body: dict[str, Any]) -> tuple[bytes, list[int]]:
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str) or not prompt:
+        raise bad_request("prompt is missing or not a string")
+    return _encode(prompt), []
+
+
+def _read_messages(body: dict[str, Any]) -> tuple[bytes, list[int]]:
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not 0 < len(messages) <= MAX_MESSAGES:
+        raise bad_request("messages is missing, empty or too long")
+    parts = []
+    boundaries = []
+    length = 0
+    for index, message in enumerate(messages):
+        part = _render_message(index, message)
+        parts.append(part)
+        length += len(part)
+        boundaries.append(length)
+    return b"".join(parts), boundaries
+
+
+def _render_message(index: int, message: Any) -> bytes:
+    if not isinstance(message, dict):
+        raise bad_request(f"messages[{index}] is not an object")
+    role = message.get("role")
+    if not isinstance(role, str) or not role:
+        raise bad_request(f"messages[{index}].role is missing")
+    content = message.get("content")
+    if not isinstance(content, str):
+        # Parts, tool calls and the like count by their text.
+        return _encode(f"<{role}>") + orjson.dumps(message)
+    return _encode(f"<{role}>{content}")
+
+
+def _encode(text: str) -> bytes:
+    try:
+        return text.encode()
+    except UnicodeEncodeError:
+        raise bad_request("the text holds a lone surrogate") from None
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_claims.py
@@ -0,0 +1,166 @@
+"""The task that claims idempotency keys: many arrivals, one write."""
+
+import math
+import secrets
+from collections.abc import Callable
+
+import anyio
+import attrs
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from rampwick_platform import ClaimStore, ObjectApi
+from rampwick_policy import RunState, key_hash, shard_of
+from rampwick_schema import Claim, ClaimSettings, RampwickError
+
+from ._errors import CallerError
+from ._logs import PartLogger
+
+STEP = "claim key"
+
+#: Batches that may wait for the platform before newer claims are turned away.
+MAX_QUEUED = 1000
+
+#: Seconds after which a caller may ask again when the platform did not answer.
+RETRY_AFTER_SECONDS = 2.0
+
+log = PartLogger("claims")
+
+
+@attrs.frozen
+class WonClaim:
+    """A key that this arrival owns; only its holder may dispatch."""
+
+    shard: int
+    write_id: str
+    #: Local time after which it must not be dispatched any more.
+    usable_until_seconds: float
+
+
+@attrs.frozen
+class _Wanted:
+    shard: int
+    claim: Claim
+    answer: MemoryObjectSendStream[bool | RampwickError]
+
+
+class ClaimTask:
+    """Owns the claim store; gathers what is wanted into batches by shard."""
+
+    def __init__(
+        self,
+        api: ObjectApi | None,
+        settings: ClaimSettings,
+        read_clock: Callable[[], float],
+        read_wall_clock: Callable[[], float],
+    ) -> None:
+        self._store = ClaimStore(api) if api else None
+        self._settings = settings
+        self._read_clock = read_clock
+        self._read_wall_clock = read_wall_clock
+        self._inbox: MemoryObjectSendStream[_Wanted]
+        self._incoming: MemoryObjectReceiveStream[_Wanted]
+        self._inbox, self._incoming = anyio.create_memory_object_stream(MAX_QUEUED)
+        self._withdrawals: MemoryObjectSendStream[WonClaim]
+        self._withdrawn: MemoryObjectReceiveStream[WonClaim]
+        self._withdrawals, self._withdrawn = anyio.create_memory_object_stream(math.inf)
+
+    async def claim(self, workspace: str, key: str) -> WonClaim:
+        """Return the claim of a key, or raise a CallerError: it was not run."""
+        hashed = key_hash(workspace, key)
+        shard = shard_of(hashed, self._settings.shards_count)
+        began_seconds = self._read_clock()
+        claim = Claim(
+            key_hash=hashed,
+            write_id=secrets.token_hex(8),
+            expires_at_seconds=self._read_wall_clock() + self._settings.window_seconds,
+        )
+        is_won = await self._decide(shard, claim)
+        if not is_won:
+            raise CallerError(
+                "another request with this key came first and may have run",
+                status=409,
+                code="key_already_used",
+                step=STEP,
+            )
+        # Half the window is left for the answer of a later arrival to be right
+        # even if this host is paused in between.
+        usable_until = began_seconds + self._settings.window_seconds / 2
+        return WonClaim(shard, claim.write_id, usable_until)
+
+    async def _decide(self, shard: int, claim: Claim) -> bool:
+        outgoing, incoming = anyio.create_memory_object_stream[bool | RampwickError](1)
+        with incoming:
+            try:
+                self._inbox.send_nowait(_Wanted(shard, claim, outgoing))
+            except anyio.WouldBlock:
+                raise _unavailable("too many claims are waiting") from None
+            answer = await incoming.receive()
+        if isinstance(answer, RampwickError):
+            raise _unavailable(str(answer))
+        return answer
+
+    def withdraw(self, claim: WonClaim) -> None:
+        """Free the key of an arrival that surely did not run."""
+        self._withdrawals.send_nowait(claim)
+
+    async def run(self) -> None:
+        """Claim and withdraw until cancelled."""
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._run_withdrawals)
+            async for first in self._incoming:
+                await anyio.sleep(self._settings.batch_seconds)
+                batch = [first, *self._drain()]
+                for shard in {wanted.shard for wanted in batch}:
+                    part = [wanted for wanted in batch if wanted.shard == shard]
+                    task_group.start_soon(self._claim_batch, shard, part)
+
+    def _drain(self) -> list[_Wanted]:
+        batch = []
+        while True:
+            try:
+                batch.append(self._incoming.receive_nowait())
+            except anyio.WouldBlock:
+                return batch
+
+    async def _claim_batch(self, shard: int, batch: list[_Wanted]) -> None:
+        try:
+            if self._store is None:
+                raise RampwickError("no platform is set", step=STEP)
+            decision = await self._store.claim(
+                shard, [wanted.claim for wanted in batch], self._read_wall_clock()
+            )
+        except RampwickError as error:
+            log.problem("keys could not be claimed", error=str(error))
+            for wanted in batch:
+                _answer(wanted, error)
+            return
+        for wanted in batch:
+            _answer(wanted, wanted.claim.write_id in decision.won)
+
+    async def _run_withdrawals(self) -> None:
+        async for claim in self._withdrawn:
+            if self._store is None:
+                continue
+            try:
+                await self._store.withdraw(claim.shard, [claim.write_id])
+            except RampwickError as error:
+                log.problem("a key could not be freed", error=str(error))
+
+
+def _answer(wanted: _Wanted, answer: bool | RampwickError) -> None:
+    try:
+        wanted.answer.send_nowait(answer)
+    except anyio.BrokenResourceError:
+        # The caller is gone; the claim stays until it expires.
+        return
+
+
+def _unavailable(message: str) -> CallerError:
+    return CallerError(
+        f"the key could not be claimed: {message}",
+        status=503,
+        code="claim_unavailable",
+        step=STEP,
+        run_state=RunState.NOT_SENT,
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_entry.py
@@ -0,0 +1,240 @@
+"""The callers' HTTP interface: finding out what a request is and who serves it."""
+
+from urllib.parse import unquote
+
+from rampwick_schema import RampwickError
+
+from ._call import (
+    bad_request,
+    find_workspace,
+    read_model_call,
+    read_terms,
+)
+from ._errors import AttemptError, CallerError
+from ._logs import PartLogger
+from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange, relay_resumed
+from ._parts import Parts
+from ._responder import (
+    EVENT_STREAM,
+    Message,
+    Receive,
+    Responder,
+    Send,
+    SlowCallerError,
+    read_body,
+)
+from ._service_exchange import (
+    REPEATABLE_METHODS,
+    ServiceCall,
+    ServiceExchange,
+    passes_through,
+)
+
+SERVICES_PREFIX = "/services/"
+STREAMS_PREFIX = "/v1/streams/"
+MODELS_PATH = "/v1/models"
+
+log = PartLogger("entry")
+
+
+class EntryApp:
+    """ASGI application towards callers."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        #: Whether new requests are turned away because this host is leaving.
+        self.is_closed = False
+        #: Requests that have not been answered to their end.
+        self.open_count = 0
+
+    async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
+        """Serve one request; whatever happens, it gets one final answer."""
+        if scope["type"] != "http":
+            return
+        timeout_seconds = self._parts.settings.limits.write_timeout_seconds
+        responder = Responder(send, timeout_seconds)
+        self.open_count += 1
+        try:
+            await self._serve(scope, receive, responder)
+        except CallerError as error:
+            await responder.send_error(error)
+        except SlowCallerError:
+            log.problem("caller too slow, given up", path=scope["path"])
+        except RampwickError as error:
+            log.problem("request failed", path=scope["path"], error=str(error))
+            await responder.send_error(_internal_error(error))
+        finally:
+            self.open_count -= 1
+
+    async def _serve(
+        self, scope: Message, receive: Receive, responder: Responder
+    ) -> None:
+        if self.is_closed:
+            raise CallerError(
+                "this host is leaving",
+                status=503,
+                code="leaving",
+                step="accept request",
+                retry_after_seconds=1.0,
+            )
+        headers = _read_headers(scope)
+        method, path = scope["method"], scope["path"]
+        if method == "POST" and path in (CHAT_PATH, TEXT_PATH):
+            await self._serve_model(path, headers, receive, responder)
+        elif path.startswith(SERVICES_PREFIX):
+            await self._serve_service(scope, headers, receive, responder)
+        elif method == "GET" and path.startswith(STREAMS_PREFIX):
+            token = path.removeprefix(STREAMS_PREFIX)
+            await self._serve_resumed(token, headers, responder)
+        elif method == "GET" and path == MODELS_PATH:
+            await self._serve_models(headers, responder)
+        else:
+            raise _unknown_path(method, path)
+
+    async def _read_body(self, receive: Receive) -> bytes:
+        limits = self._parts.settings.limits
+        return await read_body(
+            receive,
+            max_body_bytes=limits.max_body_bytes,
+            timeout_seconds=limits.body_timeout_seconds,
+        )
+
+    async def _serve_model(
+        self, path: str, headers: dict[str, str], receive: Receive, responder: Responder
+    ) -> None:
+        arrived_at_seconds = self._parts.read_clock()
+        settings = self._parts.settings
+        terms = read_terms(
+            find_workspace(self._parts.view, headers),
+            headers,
+            default_deadline_seconds=settings.queue.default_deadline_seconds,
+            repeatable_by_default=True,
+        )
+        raw = await self._read_body(receive)
+        call = read_model_call(
+            raw, terms, settings.placement, is_chat=path == CHAT_PATH
+        )
+        await ModelExchange(
+            self._parts, call, receive, responder, arrived_at_seconds
+        ).run()
+
+    async def _serve_service(
+        self,
+        scope: Message,
+        headers: dict[str, str],
+        receive: Receive,
+        responder: Responder,
+    ) -> None:
+        arrived_at_seconds = self._parts.read_clock()
+        method = scope["method"]
+        terms = read_terms(
+            find_workspace(self._parts.view, headers),
+            headers,
+            default_deadline_seconds=self._parts.settings.queue.default_deadline_seconds,
+            repeatable_by_default=method in REPEATABLE_METHODS,
+        )
+        service, target = _split_target(scope)
+        call = ServiceCall(
+            terms=terms,
+            service=service,
+            method=method,
+            target=target,
+            headers=[item for item in headers.items() if passes_through(item[0])],
+            body=await self._read_body(receive),
+        )
+        await ServiceExchange(
+            self._parts, call, receive, responder, arrived_at_seconds
+        ).run()
+
+    async def _serve_resumed(
+        self, token: str, headers: dict[str, str], responder: Responder
+    ) -> None:
+        workspace = find_workspace(self._parts.view, headers)
+        reference = self._parts.tokens.decode(token)
+        if reference is None or reference.workspace != workspace.path:
+            raise _lost_stream("no such stream")
+        position = _read_position(headers, token)
+        upstream = await self._parts.scheduler.ask(
+            lambda scheduler, _: scheduler.upstreams.get(reference.upstream)
+        )
+        if upstream is None:
+            raise _lost_stream("its upstream is gone")
+        try:
+            async with self._parts.upstreams.resume_stream(
+                upstream.entry.address,
+                reference.upstream,
+                reference.attempt_id,
+                position,
+                is_chat=reference.is_chat,
+            ) as stream:
+                stream.check_start(reference.attempt_id, reference.incarnation)
+                await responder.start(200, EVENT_STREAM)
+                await relay_resumed(stream, token.encode(), position, responder)
+        except AttemptError as error:
+            raise _lost_stream(str(error)) from error
+
+    async def _serve_models(
+        self, headers: dict[str, str], responder: Responder
+    ) -> None:
+        workspace = find_workspace(self._parts.view, headers)
+        names = await self._parts.scheduler.ask(
+            lambda scheduler, _: {item.model for item in scheduler.upstreams}
+        )
+        models = [
+            {"id": name, "object": "model", "owned_by": "rampwick"}
+            for name in sorted(names)
+            if name and workspace.allows_model(name)
+        ]
+        await responder.send_json(200, {"object": "list", "data": models})
+
+
+def _read_headers(scope: Message) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+
+
+def _split_target(scope: Message) -> tuple[str, str]:
+    # The raw path keeps the caller's own escapes.
+    raw = scope.get("raw_path", scope["path"].encode()).decode("latin-1")
+    raw = raw.partition("?")[0].removeprefix(SERVICES_PREFIX)
+    service, _, path = raw.partition("/")
+    if not service:
+        raise _unknown_path(scope["method"], scope["path"])
+    query = scope.get("query_string", b"").decode("latin-1")
+    return unquote(service), f"/{path}" + (f"?{query}" if query else "")
+
+
+def _read_position(headers: dict[str, str], token: str) -> int:
+    last_id = headers.get("last-event-id")
+    if last_id is None:
+        return 0
+    named, _, position = last_id.rpartition(".")
+    if named != token or not position.isdigit() or len(position) > 12:
+        raise bad_request("last-event-id is not of this stream")
+    return int(position) + 1
+
+
+def _unknown_path(method: str, path: str) -> CallerError:
+    return CallerError(
+        f"{method} {path[:200]} is not served here",
+        status=404,
+        code="unknown_path",
+        step="find path",
+    )
+
+
+def _lost_stream(message: str) -> CallerError:
+    return CallerError(
+        f"the stream can't be resumed: {message}",
+        status=410,
+        code="stream_lost",
+        step="resume stream",
+    )
+
+
+def _internal_error(error: RampwickError) -> CallerError:
+    return CallerError(
+        error.message, status=500, code="internal", step=error.step, peer=error.peer
+    )
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -0,0 +1,84 @@
+"""Errors of the daemon, and their shape towards callers."""
+
+import attrs
+
+from rampwick_policy import Outcome, RunState
+from rampwick_schema import RampwickError
+
+
+class CallerError(RampwickError):
+    """A request that gets an error as its final answer."""
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        code: str,
+        step: str,
+        peer: str = "",
+        run_state: RunState = RunState.NOT_SENT,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.status = status
+        self.code = code
+        self.run_state = run_state
+        self.retry_after_seconds = retry_after_seconds
+
+    @property
+    def body(self) -> dict[str, object]:
+        """The error in OpenAI's shape, with rampwick's own fields."""
+        kind = "invalid_request_error" if self.status < 500 else "server_error"
+        error: dict[str, object] = {
+            "message": self.message,
+            "type": kind,
+            "code": self.code,
+            "was_run": self.run_state.was_run,
+            "step": self.step,
+            "peer": self.peer,
+        }
+        if self.retry_after_seconds is not None:
+            error["retry_after_seconds"] = round(self.retry_after_seconds, 3)
+        return {"error": error}
+
+
+class AttemptError(RampwickError):
+    """An attempt at an upstream ended without its whole answer."""
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        outcome: Outcome,
+        step: str,
+        peer: str,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.outcome = outcome
+        self.retry_after_seconds = retry_after_seconds
+
+
+class PeerError(RampwickError):
+    """A peer can't be talked to; it costs that connection only."""
+
+
+@attrs.frozen
+class ErrorKind:
+    """Status and code by which a refusal is told."""
+
+    status: int
+    message: str
+
+
+#: Refusals of the scheduler, by their reason.
+REFUSALS = {
+    "queue_full": ErrorKind(429, "too many requests are waiting"),
+    "deadline_unreachable": ErrorKind(
+        503, "the queue is too long to begin before the deadline"
+    ),
+    "deadline_passed": ErrorKind(504, "no answer began before the deadline"),
+    "no_upstream": ErrorKind(503, "no upstream can take the request now"),
+    "upstream_failed": ErrorKind(502, "the upstream failed"),
+}
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_exchange.py
@@ -0,0 +1,185 @@
+"""One caller's request from its arrival to its one final answer.
+
+An exchange asks the scheduler where to go, makes the attempt, and tells how it ended.
+What is common to models and services lives here; each kind makes its own attempts.
+"""
+
+from abc import ABC, abstractmethod
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream
+
+from rampwick_policy import (
+    AttemptDone,
+    AttemptFailed,
+    Dispatch,
+    Refuse,
+    RequestArrived,
+    RequestCancelled,
+    RunState,
+)
+
+from ._call import CallTerms
+from ._claims import WonClaim
+from ._errors import REFUSALS, AttemptError, CallerError
+from ._logs import PartLogger
+from ._parts import Parts
+from ._responder import Receive, Responder, SlowCallerError, wait_disconnect
+
+log = PartLogger("entry")
+
+Decisions = MemoryObjectReceiveStream[Dispatch | Refuse]
+
+
+class Exchange(ABC):
+    """A request under way."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        terms: CallTerms,
+        receive: Receive,
+        responder: Responder,
+        arrived_at_seconds: float,
+    ) -> None:
+        self.parts = parts
+        self.terms = terms
+        self.responder = responder
+        self.arrived_at_seconds = arrived_at_seconds
+        self.request_id = parts.ids.next()
+        self._receive = receive
+        self._claim: WonClaim | None = None
+        self._was_dispatched = False
+        self._has_ended = False
+
+    @abstractmethod
+    def arrival(self) -> RequestArrived:
+        """Return what the scheduler is told."""
+
+    @abstractmethod
+    async def attempt(self, dispatch: Dispatch) -> AttemptDone:
+        """Make one attempt and answer the caller, or raise AttemptError."""
+
+    @property
+    def labels(self) -> tuple[str, str]:
+        """Workspace and class, as metrics name them."""
+        return self.terms.workspace.path, self.terms.priority_class
+
+    async def run(self) -> None:
+        """Serve the request; return when the caller has its final answer."""
+        with self.parts.scheduler.submit(self.arrival()) as decisions:
+            try:
+                async with anyio.create_task_group() as task_group:
+                    task_group.start_soon(self._watch_caller, task_group.cancel_scope)
+                    await self._serve(decisions)
+                    task_group.cancel_scope.cancel()
+            finally:
+                self.parts.scheduler.close_mailbox(self.request_id)
+                if not self._has_ended:
+                    self._end("cancelled")
+                    self.parts.scheduler.post(RequestCancelled(self.request_id))
+
+    async def _serve(self, decisions: Decisions) -> None:
+        try:
+            decision: Dispatch | Refuse | None = await decisions.receive()
+            while isinstance(decision, Dispatch):
+                decision = await self._follow(decision, decisions)
+            if decision is not None:
+                raise self._refusal(decision)
+        except CallerError as error:
+            await self._answer_error(error)
+        except SlowCallerError:
+            log.problem("caller too slow, given up", request=self.request_id)
+
+    async def _follow(
+        self, dispatch: Dispatch, decisions: Decisions
+    ) -> Dispatch | Refuse | None:
+        """Make an attempt; return what is decided next, or nothing at its end."""
+        await self._own_key()
+        self._note_dispatch()
+        decision: Dispatch | Refuse | None = None
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._attempt, dispatch, task_group.cancel_scope)
+            decision = await decisions.receive()
+            task_group.cancel_scope.cancel()
+        return decision
+
+    async def _attempt(self, dispatch: Dispatch, scope: anyio.CancelScope) -> None:
+        try:
+            done = await self.attempt(dispatch)
+        except AttemptError as error:
+            self._note_attempt(dispatch, error.outcome.value)
+            log.problem(
+                "attempt failed",
+                request=self.request_id,
+                upstream=dispatch.upstream,
+                error=str(error),
+            )
+            # The decision about it ends this task group.
+            self.parts.scheduler.post(
+                AttemptFailed(
+                    request_id=self.request_id,
+                    attempt_id=dispatch.attempt_id,
+                    outcome=error.outcome,
+                    message=str(error),
+                    retry_after_seconds=error.retry_after_seconds,
+                )
+            )
+            return
+        self._note_attempt(dispatch, "done")
+        self._end("answered")
+        self.parts.scheduler.post(done)
+        scope.cancel()
+
+    async def _own_key(self) -> None:
+        key = self.terms.idempotency_key
+        if key and self._claim is None:
+            path = self.terms.workspace.path
+            self._claim = await self.parts.claims.claim(path, key)
+        claim = self._claim
+        if claim and self.parts.read_clock() >= claim.usable_until_seconds:
+            raise CallerError(
+                "the key was claimed too long ago",
+                status=503,
+                code="claim_expired",
+                step="claim key",
+            )
+
+    def _refusal(self, refuse: Refuse) -> CallerError:
+        kind = REFUSALS[refuse.reason]
+        return CallerError(
+            kind.message,
+            status=kind.status,
+            code=refuse.reason,
+            step="schedule request",
+            peer=refuse.peer,
+            run_state=refuse.run_state,
+            retry_after_seconds=refuse.retry_after_seconds,
+        )
+
+    async def _answer_error(self, error: CallerError) -> None:
+        if self._claim and error.run_state <= RunState.REFUSED:
+            self.parts.claims.withdraw(self._claim)
+        if not self._has_ended:
+            self._end(error.code)
+            self.parts.scheduler.post(RequestCancelled(self.request_id))
+        log.info("request refused", request=self.request_id, error=str(error))
+        await self.responder.send_error(error)
+
+    async def _watch_caller(self, scope: anyio.CancelScope) -> None:
+        await wait_disconnect(self._receive)
+        scope.cancel()
+
+    def _note_dispatch(self) -> None:
+        if self._was_dispatched:
+            return
+        self._was_dispatched = True
+        waited = self.parts.read_clock() - self.arrived_at_seconds
+        self.parts.metrics.queue_wait.labels(*self.labels).observe(waited)
+
+    def _note_attempt(self, dispatch: Dispatch, outcome: str) -> None:
+        self.parts.metrics.attempts.labels(dispatch.upstream, outcome).inc()
+
+    def _end(self, answer: str) -> None:
+        self._has_ended = True
+        self.parts.metrics.requests.labels(*self.labels, answer).inc()
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_peer_stream.py
@@ -0,0 +1,141 @@
+"""One stream between two rampwickd processes: frames and the mutual proof."""
+
+import hashlib
+import hmac
+import secrets
+from typing import Any
+
+import anyio
+import attrs
+from anyio.abc import SocketStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from rampwick_schema import (
+    LENGTH_BYTES,
+    PROTOCOL_VERSION,
+    Hello,
+    MessageError,
+    Proof,
+    decode_message,
+    encode_message,
+)
+
+from ._errors import PeerError
+from ._metrics import Metrics
+
+NONCE_BYTES = 16
+
+#: Longest time for the whole handshake.
+HANDSHAKE_SECONDS = 2.0
+
+#: Largest message before the other side has proved itself.
+MAX_HANDSHAKE_BYTES = 1024
+
+STEP = "talk to peer"
+
+
+@attrs.frozen
+class PeerIdentity:
+    """Who a process is towards its peers."""
+
+    host: str
+    hall: str
+    incarnation: int
+
+
+class PeerStream:
+    """Messages over one connection; any fault costs this connection only."""
+
+    def __init__(
+        self, stream: SocketStream, max_message_bytes: int, metrics: Metrics
+    ) -> None:
+        self._stream = stream
+        self._buffered = BufferedByteReceiveStream(stream)
+        self._max_message_bytes = max_message_bytes
+        self._metrics = metrics
+        self.peer = ""
+
+    async def send(self, message: Any) -> None:
+        """Send a message."""
+        data = encode_message(message)
+        if len(data) - LENGTH_BYTES > self._max_message_bytes:
+            raise PeerError(
+                f"message of {len(data)} bytes is too long", step=STEP, peer=self.peer
+            )
+        try:
+            await self._stream.send(data)
+        except (OSError, anyio.BrokenResourceError) as error:
+            raise self._closed(error) from error
+        self._metrics.control_bytes.labels("sent").inc(len(data))
+        self._metrics.control_messages.labels("sent").inc()
+
+    async def receive(self, max_bytes: int | None = None) -> Any:
+        """Return the next message."""
+        limit = max_bytes or self._max_message_bytes
+        try:
+            prefix = await self._buffered.receive_exactly(LENGTH_BYTES)
+            length = int.from_bytes(prefix, "big")
+            if length > limit:
+                raise PeerError(
+                    f"message of {length} bytes, allowed are {limit}",
+                    step=STEP,
+                    peer=self.peer,
+                )
+            body = await self._buffered.receive_exactly(length)
+        except (OSError, anyio.EndOfStream, anyio.IncompleteRead) as error:
+            raise self._closed(error) from error
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise self._closed(error) from error
+        self._metrics.control_bytes.labels("received").inc(LENGTH_BYTES + length)
+        self._metrics.control_messages.labels("received").inc()
+        try:
+            return decode_message(body, peer=self.peer)
+        except MessageError as error:
+            raise PeerError(error.message, step=error.step, peer=self.peer) from None
+
+    async def shake_hands(self, identity: PeerIdentity, secret: str) -> PeerIdentity:
+        """Prove each side's knowledge of the secret; return who the other is."""
+        with anyio.move_on_after(HANDSHAKE_SECONDS):
+            return await self._shake_hands(identity, secret)
+        raise PeerError("handshake took too long", step="shake hands", peer=self.peer)
+
+    async def _shake_hands(self, identity: PeerIdentity, secret: str) -> PeerIdentity:
+        mine = Hello(
+            protocol_version=PROTOCOL_VERSION,
+            host=identity.host,
+            hall=identity.hall,
+            incarnation=identity.incarnation,
+            nonce=secrets.token_bytes(NONCE_BYTES),
+        )
+        await self.send(mine)
+        theirs = self._expect(await self.receive(MAX_HANDSHAKE_BYTES), Hello)
+        if theirs.protocol_version != PROTOCOL_VERSION:
+            raise self._refused(f"protocol version {theirs.protocol_version}")
+        if len(theirs.nonce) != NONCE_BYTES or theirs.nonce == mine.nonce:
+            raise self._refused("bad nonce")
+        await self.send(Proof(digest=_prove(secret, mine, theirs)))
+        proof = self._expect(await self.receive(MAX_HANDSHAKE_BYTES), Proof)
+        if not hmac.compare_digest(proof.digest, _prove(secret, theirs, mine)):
+            raise self._refused("wrong secret")
+        self.peer = theirs.host
+        return PeerIdentity(theirs.host, theirs.hall, theirs.incarnation)
+
+    def _expect(self, message: Any, cls: type) -> Any:
+        if not isinstance(message, cls):
+            raise self._refused(f"{type(message).__name__} instead of {cls.__name__}")
+        return message
+
+    def _refused(self, message: str) -> PeerError:
+        return PeerError(message, step="shake hands", peer=self.peer)
+
+    def _closed(self, error: Exception) -> PeerError:
+        message = str(error) or type(error).__name__
+        return PeerError(f"connection closed: {message}", step=STEP, peer=self.peer)
+
+
+def _prove(secret: str, prover: Hello, asker: Hello) -> bytes:
+    # The prover's name, hall and incarnation are part of the proof, and the roles
+    # differ, so that no side can hand the other's proof back.
+    parts = (prover.host, prover.hall, str(prover.incarnation), asker.host)
+    text = "\0".join(parts).encode() + prover.nonce + asker.nonce
+    return hmac.digest(secret.encode(), text, hashlib.sha256)
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_responder.py
@@ -0,0 +1,123 @@
+"""Writing one answer to a caller over ASGI."""
+
+import math
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import anyio
+import orjson
+
+from ._errors import CallerError
+
+Message = dict[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+Headers = Iterable[tuple[bytes, bytes]]
+
+JSON = (b"content-type", b"application/json")
+EVENT_STREAM = (
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-store"),
+)
+
+
+class SlowCallerError(Exception):
+    """The caller took too long to take a piece of its answer."""
+
+
+class Responder:
+    """Sends one response: its head once, its pieces, its end once."""
+
+    def __init__(self, send: Send, write_timeout_seconds: float) -> None:
+        self._send = send
+        self._write_timeout_seconds = write_timeout_seconds
+        self.has_started = False
+        self.has_ended = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        self.has_started = True
+        await self._send_in_time(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": list(headers),
+            }
+        )
+
+    async def send(self, body: bytes) -> None:
+        """Send a piece of the body."""
+        await self._send_in_time(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
+
+    async def end(self, body: bytes = b"") -> None:
+        """Send the last piece."""
+        self.has_ended = True
+        await self._send_in_time({"type": "http.response.body", "body": body})
+
+    async def send_json(self, status: int, data: Any, headers: Headers = ()) -> None:
+        """Send a whole response of JSON."""
+        await self.start(status, [JSON, *headers])
+        await self.end(orjson.dumps(data))
+
+    async def send_error(self, error: CallerError) -> None:
+        """Send an error: as a response, or as the last event of a begun stream."""
+        if self.has_ended:
+            return
+        if self.has_started:
+            body = orjson.dumps(error.body)
+            await self.end(b"event: error\ndata: %s\n\n" % body)
+            return
+        headers: list[tuple[bytes, bytes]] = []
+        if error.retry_after_seconds is not None:
+            seconds = max(1, math.ceil(error.retry_after_seconds))
+            headers.append((b"retry-after", str(seconds).encode()))
+        await self.send_json(error.status, error.body, headers)
+
+    async def _send_in_time(self, message: Message) -> None:
+        with anyio.move_on_after(self._write_timeout_seconds) as scope:
+            await self._send(message)
+        if scope.cancelled_caught:
+            raise SlowCallerError
+
+
+async def read_body(
+    receive: Receive, *, max_body_bytes: int, timeout_seconds: float
+) -> bytes:
+    """Return a request's body; too large or too slow is a CallerError."""
+    step = "read body"
+    parts = []
+    length = 0
+    with anyio.move_on_after(timeout_seconds):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise CallerError(
+                    "the caller went away", status=400, code="cut_body", step=step
+                )
+            part = message.get("body", b"")
+            length += len(part)
+            if length > max_body_bytes:
+                raise CallerError(
+                    f"the body is larger than {max_body_bytes} bytes",
+                    status=413,
+                    code="body_too_large",
+                    step=step,
+                )
+            parts.append(part)
+            if not message.get("more_body"):
+                return b"".join(parts)
+    raise CallerError(
+        f"the body did not come within {timeout_seconds:g} seconds",
+        status=408,
+        code="body_too_slow",
+        step=step,
+    )
+
+
+async def wait_disconnect(receive: Receive) -> None:
+    """Return when the caller goes away."""
+    while (await receive())["type"] != "http.disconnect":
+        continue
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -0,0 +1,136 @@
+"""The task that owns the scheduler: everybody else sends it messages."""
+
+import math
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import attrs
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from rampwick_policy import (
+    Action,
+    CancelAttempt,
+    Dispatch,
+    Event,
+    Refuse,
+    RequestArrived,
+    Scheduler,
+    Tick,
+)
+
+#: Time between two looks at deadlines.
+TICK_SECONDS = 0.05
+
+#: Decisions remembered for operators who ask why.
+EXPLAINED_COUNT = 1000
+
+#: Attempts that wait to be cancelled at their upstreams.
+CANCELS_COUNT = 10_000
+
+
+@attrs.frozen
+class Question:
+    """A look at the scheduler's state by another task."""
+
+    ask: Callable[[Scheduler, float], Any]
+    answer: MemoryObjectSendStream[Any]
+
+
+@attrs.frozen
+class Decision:
+    """One action with the time at which it was decided."""
+
+    at_seconds: float
+    action: Dispatch | Refuse
+
+
+class SchedulerTask:
+    """Feeds the scheduler one event after another and spreads its actions."""
+
+    def __init__(self, scheduler: Scheduler, read_clock: Callable[[], float]) -> None:
+        self._scheduler = scheduler
+        self._read_clock = read_clock
+        self._inbox: MemoryObjectSendStream[Event | Question]
+        self._incoming: MemoryObjectReceiveStream[Event | Question]
+        self._inbox, self._incoming = anyio.create_memory_object_stream(math.inf)
+        self._cancels: MemoryObjectSendStream[CancelAttempt]
+        self.cancels: MemoryObjectReceiveStream[CancelAttempt]
+        self._cancels, self.cancels = anyio.create_memory_object_stream(CANCELS_COUNT)
+        self._mailboxes: dict[str, MemoryObjectSendStream[Dispatch | Refuse]] = {}
+        self._decisions: deque[Decision] = deque(maxlen=EXPLAINED_COUNT)
+
+    def post(self, event: Event) -> None:
+        """Send an event; it is handled in its turn."""
+        self._inbox.send_nowait(event)
+
+    def submit(
+        self, arrival: RequestArrived
+    ) -> MemoryObjectReceiveStream[Dispatch | Refuse]:
+        """Send a request; its decisions come through the returned stream."""
+        outgoing, mailbox = anyio.create_memory_object_stream[Dispatch | Refuse](8)
+        self._mailboxes[arrival.request_id] = outgoing
+        self.post(arrival)
+        return mailbox
+
+    def close_mailbox(self, request_id: str) -> None:
+        """Stop taking decisions for a request that has its final answer."""
+        outgoing = self._mailboxes.pop(request_id, None)
+        if outgoing is not None:
+            outgoing.close()
+
+    async def ask(self, question: Callable[[Scheduler, float], Any]) -> Any:
+        """Return what a function of the scheduler and the present time returns."""
+        outgoing, incoming = anyio.create_memory_object_stream[Any](1)
+        self._inbox.send_nowait(Question(question, outgoing))
+        with incoming:
+            return await incoming.receive()
+
+    def decisions(self, request_id: str) -> list[Decision]:
+        """Return what was decided of late for a request."""
+        return [
+            decision
+            for decision in self._decisions
+            if decision.action.request_id == request_id
+        ]
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._tick)
+            async for message in self._incoming:
+                now_seconds = self._read_clock()
+                if isinstance(message, Question):
+                    with message.answer:
+                        message.answer.send_nowait(
+                            message.ask(self._scheduler, now_seconds)
+                        )
+                else:
+                    self._handle(message, now_seconds)
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(TICK_SECONDS)
+            self.post(Tick())
+
+    def _handle(self, event: Event, now_seconds: float) -> None:
+        for action in self._scheduler.handle(event, now_seconds):
+            self._carry_out(action, now_seconds)
+
+    def _carry_out(self, action: Action, now_seconds: float) -> None:
+        if isinstance(action, CancelAttempt):
+            try:
+                self._cancels.send_nowait(action)
+            except anyio.WouldBlock:
+                # The engine ends it by itself once nobody reads its answer.
+                return
+            return
+        self._decisions.append(Decision(now_seconds, action))
+        mailbox = self._mailboxes.get(action.request_id)
+        if mailbox is None:
+            return
+        try:
+            mailbox.send_nowait(action)
+        except anyio.BrokenResourceError:
+            self.close_mailbox(action.request_id)
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_service_exchange.py
@@ -0,0 +1,132 @@
+"""Calls to plain services: method, body, headers and status are carried through."""
+
+import attrs
+
+from rampwick_policy import (
+    AttemptAccepted,
+    AttemptDelivered,
+    AttemptDone,
+    Dispatch,
+    Outcome,
+    RequestArrived,
+)
+
+from ._call import CallTerms
+from ._errors import AttemptError
+from ._exchange import Exchange
+from ._parts import Parts
+from ._responder import Receive, Responder
+
+#: Methods that HTTP itself allows to repeat.
+REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+
+#: Headers that belong to one connection or to rampwick, not to the call.
+OWN_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+OWN_PREFIX = "rampwick-"
+
+STEP = "call service"
+
+
+@attrs.frozen
+class ServiceCall:
+    """A checked call to a plain service."""
+
+    terms: CallTerms
+    service: str
+    method: str
+    #: Path and query after the service's name.
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+def passes_through(name: str) -> bool:
+    """Return whether a header goes on to the service or the caller."""
+    return name not in OWN_HEADERS and not name.startswith(OWN_PREFIX)
+
+
+class ServiceExchange(Exchange):
+    """A call to a plain service."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        call: ServiceCall,
+        receive: Receive,
+        responder: Responder,
+        arrived_at_seconds: float,
+    ) -> None:
+        super().__init__(parts, call.terms, receive, responder, arrived_at_seconds)
+        self._call = call
+
+    def arrival(self) -> RequestArrived:
+        """Return what the scheduler is told."""
+        return RequestArrived(
+            request_id=self.request_id,
+            workspace=self.terms.workspace,
+            priority_class=self.terms.priority_class,
+            deadline_seconds=self.arrived_at_seconds + self.terms.deadline_seconds,
+            is_repeatable=self.terms.is_repeatable,
+            service=self._call.service,
+        )
+
+    async def attempt(self, dispatch: Dispatch) -> AttemptDone:
+        """Make one attempt and pass the service's answer on."""
+        headers = [*self._call.headers, ("x-request-id", dispatch.attempt_id)]
+        async with self.parts.upstreams.request(
+            self._call.method,
+            f"http://{dispatch.address}{self._call.target}",
+            step=STEP,
+            peer=dispatch.upstream,
+            content=self._call.body,
+            headers=headers,
+        ) as response:
+            if response.status_code == 429:
+                raise AttemptError(
+                    "the service is busy",
+                    outcome=Outcome.BUSY,
+                    step=STEP,
+                    peer=dispatch.upstream,
+                )
+            self.parts.scheduler.post(
+                AttemptAccepted(self.request_id, dispatch.attempt_id)
+            )
+            await self._pass_on(dispatch, response)
+        return AttemptDone(self.request_id, dispatch.attempt_id)
+
+    async def _pass_on(self, dispatch, response) -> None:
+        headers = [
+            (name.encode(), value.encode("latin-1"))
+            for name, value in response.headers.multi_items()
+            if passes_through(name)
+        ]
+        headers.append((b"rampwick-upstream", dispatch.upstream.encode()))
+        waited = self.parts.read_clock() - self.arrived_at_seconds
+        self.parts.metrics.first_token.labels(*self.labels).observe(waited)
+        # The first piece is awaited before anything goes to the caller, so that a
+        # service that breaks off early can still be replaced.
+        pieces = response.aiter_raw()
+        first = await anext(pieces, b"")
+        self.parts.scheduler.post(
+            AttemptDelivered(self.request_id, dispatch.attempt_id)
+        )
+        await self.responder.start(response.status_code, headers)
+        await self.responder.send(first)
+        async for piece in pieces:
+            await self.responder.send(piece)
+        await self.responder.end()
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_sse.py
@@ -0,0 +1,93 @@
+"""Server-sent events: splitting an upstream's bytes and writing a caller's.
+
+Only what engines send is understood: an ``id`` line that holds a position and one
+``data`` line. Splitting is on the path of every token, so it works on whole buffers.
+"""
+
+import attrs
+
+from ._errors import AttemptError, Outcome
+
+EVENT_END = b"\n\n"
+DONE = b"[DONE]"
+
+STEP = "read stream"
+
+
+@attrs.frozen
+class StreamEvent:
+    """One event; a missing id means no position."""
+
+    position: int | None
+    data: bytes
+
+    @property
+    def is_done(self) -> bool:
+        """Whether this ends a whole answer."""
+        return self.data == DONE
+
+
+class EventSplitter:
+    """Cuts a byte stream into events, however the bytes are grouped."""
+
+    def __init__(self, max_event_bytes: int, peer: str) -> None:
+        self._max_event_bytes = max_event_bytes
+        self._peer = peer
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that these bytes complete."""
+        buffer = self._rest + data.replace(b"\r\n", b"\n")
+        *blocks, self._rest = buffer.split(EVENT_END)
+        if len(self._rest) > self._max_event_bytes:
+            raise self._error(f"event larger than {self._max_event_bytes} bytes")
+        return [self._parse(block) for block in blocks if block]
+
+    def _parse(self, block: bytes) -> StreamEvent:
+        position = None
+        data = b""
+        for line in block.split(b"\n"):
+            if line.startswith(b"data: "):
+                data = line[6:]
+            elif line.startswith(b"id: "):
+                position = self._parse_position(line[4:])
+        return StreamEvent(position, data)
+
+    def _parse_position(self, text: bytes) -> int:
+        if not text.isdigit() or len(text) > 12:
+            raise self._error(f"position {text[:20]!r} is not a number")
+        return int(text)
+
+    def _error(self, message: str) -> AttemptError:
+        return AttemptError(message, outcome=Outcome.BROKEN, step=STEP, peer=self._peer)
+
+
+class OrderKeeper:
+    """Lets each position pass once and in order."""
+
+    def __init__(self, next_position: int, peer: str) -> None:
+        #: Position that must come next.
+        self.next_position = next_position
+        self._peer = peer
+
+    def admit(self, event: StreamEvent) -> bool:
+        """Return whether the event is the next one; a gap is an error.
+
+        False means that the event came already and is to be dropped.
+        """
+        if event.position is None or event.position == self.next_position:
+            self.next_position += 1
+            return True
+        if event.position < self.next_position:
+            return False
+        raise AttemptError(
+            f"position {event.position} came before {self.next_position}",
+            outcome=Outcome.BROKEN,
+            step=STEP,
+            peer=self._peer,
+        )
+
+
+def format_event(stream_token: bytes, position: int, data: bytes) -> bytes:
+    """Return an event for the caller, whose id lets any host resume after it."""
+    return b"id: %s.%d\ndata: %s\n\n" % (stream_token, position, data)
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
@@ -0,0 +1,123 @@
+"""Tasks around upstreams: the host list, probes, cancellations."""
+
+import anyio
+
+from rampwick_platform import ObjectApi, PlatformError
+from rampwick_policy import HostListRead, LoadReported, ProbeFailed, Scheduler
+from rampwick_schema import DataError, HostEntry, HostList
+
+from ._errors import AttemptError
+from ._logs import PartLogger
+from ._scheduler_task import SchedulerTask
+from ._upstream_client import UpstreamClient
+
+#: Time between two probes of one upstream.
+PROBE_INTERVAL_SECONDS = 0.25
+
+log = PartLogger("upstreams")
+
+
+class HostListTask:
+    """Reads the platform's host list and passes on each newer one."""
+
+    def __init__(
+        self,
+        api: ObjectApi | None,
+        scheduler: SchedulerTask,
+        interval_seconds: float,
+    ) -> None:
+        self._api = api
+        self._scheduler = scheduler
+        self._interval_seconds = interval_seconds
+        #: The newest list, for peers' addresses.
+        self.host_list = HostList(version=0, hosts=[])
+        self._version = -1
+        #: Why the list can't be read at present, or nothing.
+        self.problem = ""
+
+    async def run(self) -> None:
+        """Read the list again and again until cancelled."""
+        if self._api is None:
+            return
+        while True:
+            try:
+                self.offer(await self._api.read_hosts())
+                self.problem = ""
+            except (PlatformError, DataError) as error:
+                # The last list stays good: upstreams are probed anyway.
+                self.problem = str(error)
+            await anyio.sleep(self._interval_seconds)
+
+    def offer(self, host_list: HostList) -> None:
+        """Take a list if it is newer than the last."""
+        if host_list.version <= self._version:
+            return
+        self._version = host_list.version
+        self.host_list = host_list
+        log.info("host list read", version=host_list.version)
+        self._scheduler.post(HostListRead(host_list))
+
+
+class ProbeTask:
+    """Asks every upstream for its load, one task for each."""
+
+    def __init__(self, client: UpstreamClient, scheduler: SchedulerTask) -> None:
+        self._client = client
+        self._scheduler = scheduler
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Keep one probing task for each listed upstream until cancelled."""
+        async with anyio.create_task_group() as task_group:
+            while True:
+                entries = await self._scheduler.ask(_list_entries)
+                for entry in entries:
+                    if entry.address not in self._scopes:
+                        scope = self._scopes[entry.address] = anyio.CancelScope()
+                        task_group.start_soon(self._probe_forever, entry, scope)
+                self._stop_unlisted({entry.address for entry in entries})
+                await anyio.sleep(PROBE_INTERVAL_SECONDS)
+
+    def _stop_unlisted(self, listed: set[str]) -> None:
+        for address in set(self._scopes) - listed:
+            self._scopes.pop(address).cancel()
+
+    async def _probe_forever(self, entry: HostEntry, scope: anyio.CancelScope) -> None:
+        with scope:
+            while True:
+                await self._probe(entry)
+                await anyio.sleep(PROBE_INTERVAL_SECONDS)
+
+    async def _probe(self, entry: HostEntry) -> None:
+        try:
+            report = await self._client.probe(entry.address, entry.name)
+        except AttemptError as error:
+            self._scheduler.post(ProbeFailed(entry.name, str(error)))
+            return
+        self._scheduler.post(LoadReported(entry.name, report))
+
+
+class CancelTask:
+    """Tells upstreams to stop attempts that nobody waits for."""
+
+    def __init__(self, client: UpstreamClient, scheduler: SchedulerTask) -> None:
+        self._client = client
+        self._scheduler = scheduler
+
+    async def run(self) -> None:
+        """Send cancellations until cancelled."""
+        async with anyio.create_task_group() as task_group:
+            async for action in self._scheduler.cancels:
+                task_group.start_soon(
+                    self._cancel, action.address, action.upstream, action.attempt_id
+                )
+
+    async def _cancel(self, address: str, upstream: str, attempt_id: str) -> None:
+        try:
+            await self._client.cancel(address, upstream, attempt_id)
+        except AttemptError as error:
+            log.problem("attempt not cancelled", attempt=attempt_id, error=str(error))
+
+
+def _list_entries(scheduler: Scheduler, now_seconds: float) -> list[HostEntry]:
+    return [upstream.entry for upstream in scheduler.upstreams]
--- /dev/null
+++ b/packages/rampwick-schema/build/lib/rampwick_schema/_generated_peer.py
@@ -0,0 +1,142 @@
+"""Messages between rampwickd processes: a length, then a msgpack array of a code and the fields.
+
+Generated from schema/peer.toml by tools/generate_schema.py; do not edit.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import attrs
+
+from ._generated_tree import Change, Tree
+from ._rules import within
+
+
+@attrs.frozen
+class Hello:
+    """First message of each side; the nonce is to be proved."""
+
+    CODE: ClassVar[int] = 1
+
+    #: Version of this protocol.
+    protocol_version: int = attrs.field(validator=within(1, None))
+    #: Name of the sender.
+    host: str
+    #: Hall of the sender.
+    hall: str
+    #: Start time of the sender's process in nanoseconds.
+    incarnation: int = attrs.field(validator=within(0, None))
+    #: 16 random bytes.
+    nonce: bytes
+
+
+@attrs.frozen
+class Proof:
+    """HMAC-SHA256 of the other side's nonce and one's own name under the shared secret."""
+
+    CODE: ClassVar[int] = 2
+
+    #: 32 bytes.
+    digest: bytes
+
+
+@attrs.frozen
+class WorkspaceUsage:
+    """One host's dealings with one workspace."""
+
+    #: Path of the workspace.
+    workspace: str
+    #: Decayed priced tokens served.
+    used_tokens: float = attrs.field(validator=within(0.0, None))
+    #: Requests waiting.
+    waiting_count: int = attrs.field(validator=within(0, None))
+
+
+@attrs.frozen
+class UpstreamUsage:
+    """One host's dealings with one upstream."""
+
+    #: Name of the upstream.
+    upstream: str
+    #: Life of the engine that this is about.
+    incarnation: str
+    #: Attempts open at the upstream.
+    running_count: int = attrs.field(validator=within(0, None))
+    #: Prompt tokens sent whose first token has not come.
+    waiting_tokens: int = attrs.field(validator=within(0, None))
+
+
+@attrs.frozen
+class PlacedPrefix:
+    """A prefix that a runner holds, by the sender's knowledge."""
+
+    #: Name of the runner.
+    upstream: str
+    #: Life of the engine that holds it.
+    incarnation: str
+    #: Hashes of 8 bytes, deepest first.
+    prefixes: list[bytes]
+
+
+@attrs.frozen
+class Summary:
+    """What a host tells each peer at each interval; also its heartbeat."""
+
+    CODE: ClassVar[int] = 3
+
+    #: Counts up within an incarnation.
+    sequence: int = attrs.field(validator=within(0, None))
+    #: Revision of the tree in force at the sender.
+    revision: int = attrs.field(validator=within(0, None))
+    #: Whether the sender takes no new requests.
+    is_leaving: bool
+    #: Workspaces in use.
+    workspaces: list[WorkspaceUsage]
+    #: Upstreams in use.
+    upstreams: list[UpstreamUsage]
+    #: Placements since the last summary.
+    placed: list[PlacedPrefix]
+    #: Upstreams that the sender knows to be leaving.
+    leaving_upstreams: list[str]
+
+
+@attrs.frozen
+class ChangesRequest:
+    """Asks for the changes after a revision."""
+
+    CODE: ClassVar[int] = 4
+
+    #: Last revision that the sender has.
+    after_revision: int = attrs.field(validator=within(0, None))
+
+
+@attrs.frozen
+class ChangesReply:
+    """Changes in order, as many as fit."""
+
+    CODE: ClassVar[int] = 5
+
+    #: Changes in the order of their revisions.
+    changes: list[Change]
+
+
+@attrs.frozen
+class TreeReply:
+    """The whole tree, for a peer too far behind for changes."""
+
+    CODE: ClassVar[int] = 6
+
+    #: Tree in force at the sender.
+    tree: Tree
+
+
+#: Classes by the code that starts their message.
+MESSAGES: dict[int, type] = {
+    Hello.CODE: Hello,
+    Proof.CODE: Proof,
+    Summary.CODE: Summary,
+    ChangesRequest.CODE: ChangesRequest,
+    ChangesReply.CODE: ChangesReply,
+    TreeReply.CODE: TreeReply,
+}
--- /dev/null
+++ b/packages/rampwick-schema/build/lib/rampwick_schema/_generated_tree.py
@@ -0,0 +1,86 @@
+"""The tree of workspaces and the records of its changes on the platform.
+
+Generated from schema/tree.toml by tools/generate_schema.py; do not edit.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from ._rules import one_of, within
+
+
+@attrs.frozen
+class Node:
+    """Values set at one node of the tree; an absent value is inherited."""
+
+    #: Share among siblings; not inherited, 1 where absent.
+    weight: float | None = attrs.field(default=None, validator=within(0.001, 1000000.0))
+    #: Limit on priced tokens over the fleet; each node on the path holds.
+    tokens_per_second: float | None = attrs.field(
+        default=None, validator=within(0.0, 1000000000.0)
+    )
+    #: Tokens that may be used ahead of the limit.
+    burst_tokens: float | None = attrs.field(
+        default=None, validator=within(0.0, 1000000000.0)
+    )
+    #: Requests running at once on one host.
+    max_running_count: int | None = attrs.field(
+        default=None, validator=within(0, 1000000)
+    )
+    #: Requests waiting at once on one host.
+    max_waiting_count: int | None = attrs.field(
+        default=None, validator=within(0, 1000000)
+    )
+    #: Deadline of requests that name none.
+    deadline_seconds: float | None = attrs.field(
+        default=None, validator=within(0.1, 3600.0)
+    )
+    #: Class of requests that name none.
+    priority_class: str | None = attrs.field(
+        default=None, validator=one_of(["portal", "interactive", "batch"])
+    )
+    #: Placement's weight of a recomputed token.
+    miss_price: float | None = attrs.field(default=None, validator=within(0.0, 100.0))
+    #: Models that callers may use; absent everywhere means all.
+    models: list[str] | None = attrs.field(default=None)
+    #: SHA-256 in hex of the bearer keys that act as this workspace; not inherited.
+    key_hashes: list[str] = attrs.field(factory=list)
+    #: Whether callers can act as this node.
+    is_workspace: bool = attrs.field(default=False)
+
+
+@attrs.frozen
+class Tree:
+    """The whole tree at one revision; paths look like /herbaria/labels."""
+
+    #: Number of changes accepted so far.
+    revision: int = attrs.field(validator=within(0, None))
+    #: Nodes by path; the root is /.
+    nodes: dict[str, Node]
+
+
+@attrs.frozen
+class NodeEdit:
+    """One node's new state; an absent node is a deletion."""
+
+    #: Path of the node.
+    path: str
+    #: New values, or none to delete.
+    node: Node | None
+
+
+@attrs.frozen
+class Change:
+    """One accepted change: the object that bears its revision."""
+
+    #: Revision that the change makes.
+    revision: int = attrs.field(validator=within(1, None))
+    #: Random id by which a writer knows its own write again.
+    write_id: str
+    #: Who made the change.
+    author: str
+    #: Writer's clock in seconds since 1970; for people, not for ordering.
+    made_at_seconds: float
+    #: Nodes that the change replaces.
+    edits: list[NodeEdit]
--- /dev/null
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -0,0 +1,55 @@
+"""Messages and settings of rampwick, and their conversion from and to plain data."""
+
+from ._convert import structure as structure, unstructure as unstructure
+from ._errors import (
+    DataError as DataError,
+    MessageError as MessageError,
+    RampwickError as RampwickError,
+    SettingsError as SettingsError,
+)
+from ._generated_peer import (
+    ChangesReply as ChangesReply,
+    ChangesRequest as ChangesRequest,
+    Hello as Hello,
+    PlacedPrefix as PlacedPrefix,
+    Proof as Proof,
+    Summary as Summary,
+    TreeReply as TreeReply,
+    UpstreamUsage as UpstreamUsage,
+    WorkspaceUsage as WorkspaceUsage,
+)
+from ._generated_platform import (
+    Claim as Claim,
+    ClaimShard as ClaimShard,
+    HostEntry as HostEntry,
+    HostList as HostList,
+    LeaseRecord as LeaseRecord,
+    WeightsTarget as WeightsTarget,
+)
+from ._generated_settings import (
+    ClaimSettings as ClaimSettings,
+    HostSettings as HostSettings,
+    LifeSettings as LifeSettings,
+    LimitSettings as LimitSettings,
+    ListenSettings as ListenSettings,
+    PeerSettings as PeerSettings,
+    PlacementSettings as PlacementSettings,
+    PlatformSettings as PlatformSettings,
+    QueueSettings as QueueSettings,
+    RetrySettings as RetrySettings,
+    Settings as Settings,
+)
+from ._generated_tree import (
+    Change as Change,
+    Node as Node,
+    NodeEdit as NodeEdit,
+    Tree as Tree,
+)
+from ._generated_upstream import LoadReport as LoadReport, Order as Order
+from ._settings import parse_settings as parse_settings, read_settings as read_settings
+from ._wire import (
+    LENGTH_BYTES as LENGTH_BYTES,
+    PROTOCOL_VERSION as PROTOCOL_VERSION,
+    decode_message as decode_message,
+    encode_message as encode_message,
+)
--- /dev/null
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
@@ -0,0 +1,82 @@
+"""Records on the platform, besides the tree.
+
+Generated from schema/platform.toml by tools/generate_schema.py; do not edit.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from ._rules import one_of, within
+
+
+@attrs.frozen
+class HostEntry:
+    """One entry of the platform's lagging host list."""
+
+    #: Name of the host.
+    name: str
+    #: What runs there.
+    kind: str = attrs.field(validator=one_of(["entry", "runner", "service", "kvstore"]))
+    #: Hall that it stands in.
+    hall: str
+    #: IP and port of its interface.
+    address: str
+    #: Whether it may be given work.
+    state: str = attrs.field(default="live", validator=one_of(["live", "leaving"]))
+    #: Service that it belongs to; runners leave it empty.
+    group: str = attrs.field(default="")
+    #: Whether it refuses orders with an old fencing number.
+    checks_fencing: bool = attrs.field(default=False)
+
+
+@attrs.frozen
+class HostList:
+    """The host list at one version."""
+
+    #: Version of the list.
+    version: int = attrs.field(validator=within(0, None))
+    #: Every known host.
+    hosts: list[HostEntry]
+
+
+@attrs.frozen
+class Claim:
+    """One idempotency key that has been claimed."""
+
+    #: Hash of workspace and key, in hex.
+    key_hash: str
+    #: Id of the arrival that owns the key.
+    write_id: str
+    #: Seconds since 1970 after which the key is free again.
+    expires_at_seconds: float
+
+
+@attrs.frozen
+class ClaimShard:
+    """All live claims of one shard."""
+
+    #: Live claims.
+    claims: list[Claim]
+
+
+@attrs.frozen
+class LeaseRecord:
+    """Who holds a lease; the object's version is the fencing number."""
+
+    #: Host that holds it.
+    holder: str
+    #: Random id of the holder's last write.
+    write_id: str
+    #: Length of the lease from the write on.
+    duration_seconds: float = attrs.field(validator=within(0.1, None))
+
+
+@attrs.frozen
+class WeightsTarget:
+    """What operators want runners to have loaded."""
+
+    #: Model.
+    model: str
+    #: Version of its weights.
+    weights_version: int = attrs.field(validator=within(0, None))
--- /dev/null
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -0,0 +1,210 @@
+"""Settings of one rampwickd process, as written in its TOML file.
+
+Generated from schema/settings.toml by tools/generate_schema.py; do not edit.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from ._rules import within
+
+
+@attrs.frozen
+class HostSettings:
+    """Who this process is."""
+
+    #: Name of the host, unique in the fleet.
+    name: str
+    #: Hall that the host stands in.
+    hall: str
+    #: Region that the hall belongs to.
+    region: str = attrs.field(default="local")
+
+
+@attrs.frozen
+class ListenSettings:
+    """Where this process listens; port 0 takes a free port and prints it."""
+
+    #: IP address for callers, peers and operators.
+    address: str = attrs.field(default="127.0.0.1")
+    #: Port of the callers' HTTP interface.
+    entry_port: int = attrs.field(default=0, validator=within(0, 65535))
+    #: Port for operators: metrics, status, drain.
+    admin_port: int = attrs.field(default=0, validator=within(0, 65535))
+    #: Port for the streams between rampwickd processes.
+    peer_port: int = attrs.field(default=0, validator=within(0, 65535))
+
+
+@attrs.frozen
+class PlatformSettings:
+    """The platform's object API."""
+
+    #: Base URL; empty runs without a platform, on the fallback tree.
+    url: str = attrs.field(default="")
+    #: Longest wait for one answer.
+    call_timeout_seconds: float = attrs.field(default=2.0, validator=within(0.01, 60.0))
+    #: Length of one waiting watch.
+    watch_timeout_seconds: float = attrs.field(
+        default=10.0, validator=within(0.1, 300.0)
+    )
+    #: Time between two reads of the host list.
+    host_list_interval_seconds: float = attrs.field(
+        default=1.0, validator=within(0.05, 60.0)
+    )
+    #: Budget of calls for this process.
+    calls_per_second: float = attrs.field(default=20.0, validator=within(0.1, 2000.0))
+
+
+@attrs.frozen
+class PeerSettings:
+    """Streams between rampwickd processes."""
+
+    #: Shared secret that peers prove to each other; empty turns peering off.
+    secret: str = attrs.field(default="")
+    #: Peers as ip:port, used next to the platform's host list.
+    seeds: list[str] = attrs.field(factory=list)
+    #: Time between two summaries to each peer; also the heartbeat.
+    gossip_interval_seconds: float = attrs.field(
+        default=0.5, validator=within(0.02, 30.0)
+    )
+    #: Silence after which a peer counts as gone.
+    dead_after_seconds: float = attrs.field(default=3.0, validator=within(0.1, 120.0))
+    #: Largest message taken from a peer.
+    max_message_bytes: int = attrs.field(
+        default=1048576, validator=within(1024, 16777216)
+    )
+
+
+@attrs.frozen
+class PlacementSettings:
+    """How runners are chosen."""
+
+    #: Weight of a recomputed token against the same time spent waiting; higher favours the hit rate, lower the first token.
+    miss_price: float = attrs.field(default=4.0, validator=within(0.0, 100.0))
+    #: Bytes of prompt text in one hashed block.
+    block_bytes: int = attrs.field(default=256, validator=within(16, 16384))
+    #: Bytes of prompt text counted as one token.
+    bytes_per_token: float = attrs.field(default=4.0, validator=within(0.5, 16.0))
+    #: Block entries remembered over all runners.
+    known_blocks_count: int = attrs.field(
+        default=200000, validator=within(100, 5000000)
+    )
+    #: Prefill speed assumed until a runner reports its own.
+    prefill_tokens_per_second: float = attrs.field(
+        default=8000.0, validator=within(1.0, 10000000.0)
+    )
+    #: Share of the mean load that the computed choice may fill on one runner.
+    load_factor: float = attrs.field(default=1.25, validator=within(1.0, 10.0))
+
+
+@attrs.frozen
+class QueueSettings:
+    """Waiting requests."""
+
+    #: Requests that may wait on this host.
+    max_waiting_count: int = attrs.field(default=1000, validator=within(1, 100000))
+    #: Time constant with which past use of the pool is forgotten.
+    usage_decay_seconds: float = attrs.field(default=10.0, validator=within(0.1, 600.0))
+    #: Deadline of a request that names none.
+    default_deadline_seconds: float = attrs.field(
+        default=60.0, validator=within(0.1, 3600.0)
+    )
+    #: Requests kept at a runner, as a multiple of the slots it reports.
+    slots_factor: float = attrs.field(default=1.0, validator=within(0.1, 10.0))
+
+
+@attrs.frozen
+class RetrySettings:
+    """Repeated attempts and health of upstreams."""
+
+    #: Retries allowed as a share of fresh requests.
+    budget_ratio: float = attrs.field(default=0.1, validator=within(0.0, 1.0))
+    #: Attempts for one request, the first included.
+    max_attempts_count: int = attrs.field(default=3, validator=within(1, 10))
+    #: Share of its slots that a returning upstream is given at first.
+    ramp_start_ratio: float = attrs.field(default=0.05, validator=within(0.001, 1.0))
+    #: Time over which a returning upstream gets back all its slots.
+    ramp_seconds: float = attrs.field(default=6.0, validator=within(0.01, 600.0))
+    #: Silence of an upstream after which the attempt counts as failed.
+    silence_timeout_seconds: float = attrs.field(
+        default=10.0, validator=within(0.05, 600.0)
+    )
+
+
+@attrs.frozen
+class LimitSettings:
+    """Bounds on what a caller may send."""
+
+    #: Largest request body.
+    max_body_bytes: int = attrs.field(
+        default=4194304, validator=within(1024, 1073741824)
+    )
+    #: Largest header section.
+    max_header_bytes: int = attrs.field(default=65536, validator=within(1024, 1048576))
+    #: Longest time in which a caller sends its body.
+    body_timeout_seconds: float = attrs.field(
+        default=10.0, validator=within(0.05, 600.0)
+    )
+    #: Largest event taken from an upstream's stream.
+    max_event_bytes: int = attrs.field(
+        default=1048576, validator=within(1024, 16777216)
+    )
+    #: Longest time in which a caller takes a chunk.
+    write_timeout_seconds: float = attrs.field(
+        default=30.0, validator=within(0.05, 600.0)
+    )
+
+
+@attrs.frozen
+class LifeSettings:
+    """Starting and stopping."""
+
+    #: Time between not ready and closed to new requests.
+    balancer_delay_seconds: float = attrs.field(
+        default=2.0, validator=within(0.0, 300.0)
+    )
+    #: Longest wait for open requests at a stop.
+    drain_timeout_seconds: float = attrs.field(
+        default=300.0, validator=within(0.0, 86400.0)
+    )
+    #: File with a tree and upstreams for a start without platform and peers.
+    fallback_tree: str = attrs.field(default="")
+
+
+@attrs.frozen
+class ClaimSettings:
+    """Requests that run at most once."""
+
+    #: Time for which an idempotency key is remembered.
+    window_seconds: float = attrs.field(default=600.0, validator=within(1.0, 86400.0))
+    #: Platform objects over which keys are spread; the same on every host.
+    shards_count: int = attrs.field(default=16, validator=within(1, 4096))
+    #: Time for which claims are gathered into one write.
+    batch_seconds: float = attrs.field(default=0.005, validator=within(0.0, 1.0))
+
+
+@attrs.frozen
+class Settings:
+    """All settings of one rampwickd process."""
+
+    #: Who this process is.
+    host: HostSettings
+    #: Where it listens.
+    listen: ListenSettings = attrs.field(factory=ListenSettings)
+    #: The platform's object API.
+    platform: PlatformSettings = attrs.field(factory=PlatformSettings)
+    #: Streams between processes.
+    peers: PeerSettings = attrs.field(factory=PeerSettings)
+    #: How runners are chosen.
+    placement: PlacementSettings = attrs.field(factory=PlacementSettings)
+    #: Waiting requests.
+    queue: QueueSettings = attrs.field(factory=QueueSettings)
+    #: Repeated attempts.
+    retry: RetrySettings = attrs.field(factory=RetrySettings)
+    #: Bounds on callers.
+    limits: LimitSettings = attrs.field(factory=LimitSettings)
+    #: Starting and stopping.
+    life: LifeSettings = attrs.field(factory=LifeSettings)
+    #: At-most-once requests.
+    claims: ClaimSettings = attrs.field(factory=ClaimSettings)
--- /dev/null
+++ b/packages/rampwick-standin/src/rampwick_standin/_platform.py
@@ -0,0 +1,147 @@
+"""Stand-in of the platform: an object API and a host list over HTTP.
+
+``POST /faults`` makes it fail: ``is_down`` answers nothing, ``delay_seconds`` is added
+to each call, ``lost_answers_count`` drops that many answers after their writes took
+effect, ``is_stale`` answers reads from the state at the time of the order.
+"""
+
+import copy
+import json
+
+import anyio
+import attrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from rampwick_schema import HostEntry, HostList, structure, unstructure
+
+from ._store import Item, ObjectStore, PreconditionError
+
+#: Longest sleep between two looks of a watch.
+WATCH_STEP_SECONDS = 0.02
+
+
+@attrs.define
+class PlatformFaults:
+    """What the platform does wrong at present."""
+
+    is_down: bool = False
+    delay_seconds: float = 0.0
+    lost_answers_count: int = 0
+    is_stale: bool = False
+
+
+class PlatformStandIn:
+    """The platform's state and its HTTP application."""
+
+    def __init__(self) -> None:
+        self.store = ObjectStore()
+        self.hosts = HostList(version=0, hosts=[])
+        self.faults = PlatformFaults()
+        self.calls_count = 0
+        self._stale_store = self.store
+        self.app = Starlette(
+            routes=[
+                Route("/v1/objects/{key:path}", self._get, methods=["GET"]),
+                Route("/v1/objects/{key:path}", self._put, methods=["PUT"]),
+                Route("/v1/objects", self._list),
+                Route("/v1/watch", self._watch),
+                Route("/v1/hosts", self._read_hosts, methods=["GET"]),
+                Route("/v1/hosts", self._write_hosts, methods=["PUT"]),
+                Route("/faults", self._set_faults, methods=["POST"]),
+            ]
+        )
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Change what goes wrong from now on."""
+        if faults.is_stale and not self.faults.is_stale:
+            self._stale_store = copy.deepcopy(self.store)
+        self.faults = faults
+
+    def set_hosts(self, entries: list[HostEntry]) -> None:
+        """Replace the host list."""
+        self.hosts = HostList(version=self.hosts.version + 1, hosts=entries)
+
+    @property
+    def _readable(self) -> ObjectStore:
+        return self._stale_store if self.faults.is_stale else self.store
+
+    async def _begin(self) -> Response | None:
+        self.calls_count += 1
+        await anyio.sleep(self.faults.delay_seconds)
+        return Response(status_code=503) if self.faults.is_down else None
+
+    def _take_lost_answer(self) -> bool:
+        if self.faults.lost_answers_count <= 0:
+            return False
+        self.faults.lost_answers_count -= 1
+        return True
+
+    async def _get(self, request: Request) -> Response:
+        if failure := await self._begin():
+            return failure
+        item = self._readable.get(request.path_params["key"])
+        if item is None:
+            return Response(status_code=404)
+        return Response(item.value, headers={"ETag": f'"{item.version}"'})
+
+    async def _put(self, request: Request) -> Response:
+        value = await request.body()
+        if failure := await self._begin():
+            return failure
+        expected = request.headers.get("If-Match", '"0"').strip('"')
+        try:
+            version = self.store.put(request.path_params["key"], value, int(expected))
+        except PreconditionError:
+            return Response(status_code=412)
+        if self._take_lost_answer():
+            return Response(status_code=504)
+        return Response(headers={"ETag": f'"{version}"'})
+
+    async def _list(self, request: Request) -> Response:
+        if failure := await self._begin():
+            return failure
+        prefix = request.query_params.get("prefix", "")
+        after_key = request.query_params.get("after_key", "")
+        return self._listing(self._readable.list_items(prefix, after_key))
+
+    async def _watch(self, request: Request) -> Response:
+        if failure := await self._begin():
+            return failure
+        prefix = request.query_params.get("prefix", "")
+        after_version = int(request.query_params["after_version"])
+        timeout_seconds = float(request.query_params["timeout_seconds"])
+        items: list[Item] = []
+        with anyio.move_on_after(timeout_seconds):
+            while not items and not self.faults.is_down:
+                items = self._readable.changed_after(prefix, after_version)
+                await anyio.sleep(0 if items else WATCH_STEP_SECONDS)
+        return (
+            Response(status_code=503) if self.faults.is_down else self._listing(items)
+        )
+
+    def _listing(self, items: list[Item]) -> Response:
+        objects = [
+            {"key": item.key, "version": item.version, "value": item.value.decode()}
+            for item in items
+        ]
+        return JSONResponse({"version": self._readable.version, "objects": objects})
+
+    async def _read_hosts(self, request: Request) -> Response:
+        if failure := await self._begin():
+            return failure
+        return JSONResponse(unstructure(self.hosts))
+
+    async def _write_hosts(self, request: Request) -> Response:
+        entries = structure(
+            json.loads(await request.body()), list[HostEntry], step="write hosts"
+        )
+        self.set_hosts(entries)
+        return Response(status_code=204)
+
+    async def _set_faults(self, request: Request) -> Response:
+        data = json.loads(await request.body())
+        self.set_faults(structure(data, PlatformFaults, step="set faults"))
+        return Response(status_code=204)
--- /dev/null
+++ b/packages/rampwick-standin/src/rampwick_standin/_runner.py
@@ -0,0 +1,180 @@
+"""HTTP interface of the toy engine: OpenAI's completions with a few extensions."""
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio.abc
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from rampwick_schema import LoadReport, Order, structure, unstructure
+
+from ._engine import Engine, EngineFaults, EngineRequest, EngineSettings, Stream
+
+#: Answer length where the caller names none.
+DEFAULT_MAX_TOKENS = 16
+
+
+class ConnectionCutError(Exception):
+    """Raised on purpose in the middle of an answer, to break the connection."""
+
+
+class RunnerStandIn:
+    """A runner; ``task_group`` runs its engine's requests."""
+
+    def __init__(
+        self, settings: EngineSettings, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        self.engine = Engine(settings)
+        self._task_group = task_group
+        self.app = Starlette(
+            routes=[
+                Route("/v1/completions", self._complete, methods=["POST"]),
+                Route("/v1/chat/completions", self._complete, methods=["POST"]),
+                Route("/v1/streams/{attempt_id}", self._resume, methods=["GET"]),
+                Route("/v1/streams/{attempt_id}", self._cancel, methods=["DELETE"]),
+                Route("/load", self._load),
+                Route("/orders", self._order, methods=["PUT"]),
+                Route("/faults", self._set_faults, methods=["POST"]),
+                Route("/crash", self._crash, methods=["POST"]),
+            ]
+        )
+
+    async def _complete(self, request: Request) -> Response:
+        await self.engine.wait_thawed()
+        if self.engine.faults.is_busy:
+            return Response(status_code=429, headers={"Retry-After": "1"})
+        body = json.loads(await request.body())
+        wanted = EngineRequest(
+            attempt_id=request.headers["X-Request-Id"],
+            text=prompt_text(body),
+            salt=body.get("cache_salt", ""),
+            max_tokens=body.get("max_tokens") or DEFAULT_MAX_TOKENS,
+            priority=body.get("priority", 0),
+        )
+        if wanted.attempt_id in self.engine.streams:
+            return Response(status_code=409)
+        stream = self.engine.open_stream(wanted)
+        self._task_group.start_soon(self.engine.run, wanted)
+        return self._respond(stream, 0, is_chat="messages" in body)
+
+    async def _resume(self, request: Request) -> Response:
+        await self.engine.wait_thawed()
+        stream = self.engine.streams.get(request.path_params["attempt_id"])
+        if stream is None:
+            return Response(status_code=404)
+        position = int(request.query_params.get("position", "0"))
+        is_chat = request.query_params.get("shape") == "chat"
+        return self._respond(stream, position, is_chat)
+
+    def _respond(self, stream: Stream, position: int, is_chat: bool) -> Response:
+        headers = {
+            "X-Request-Id": stream.attempt_id,
+            "X-Engine-Incarnation": self.engine.incarnation,
+            "X-Weights-Version": str(stream.weights_version),
+        }
+        return StreamingResponse(
+            self._events(stream, position, is_chat),
+            media_type="text/event-stream",
+            headers=headers,
+        )
+
+    async def _events(
+        self, stream: Stream, position: int, is_chat: bool
+    ) -> AsyncIterator[bytes]:
+        faults = self.engine.faults
+        sent = 0
+        async for at in self.engine.follow(stream, position):
+            await self.engine.wait_thawed()
+            if faults.cut_after_count is not None and sent >= faults.cut_after_count:
+                raise ConnectionCutError
+            event = _token_event(stream, at, is_chat)
+            yield event * (2 if at == faults.repeat_position else 1)
+            sent += 1
+        if stream.is_cancelled:
+            raise ConnectionCutError
+        if faults.cut_after_count is not None and sent >= faults.cut_after_count:
+            raise ConnectionCutError
+        yield _usage_event(stream)
+        yield b"data: [DONE]\n\n"
+
+    async def _cancel(self, request: Request) -> Response:
+        stream = self.engine.streams.get(request.path_params["attempt_id"])
+        if stream is not None and not stream.is_done:
+            stream.is_cancelled = True
+            self.engine.cancelled.append(stream.attempt_id)
+            stream.notify()
+        return Response(status_code=204)
+
+    async def _load(self, request: Request) -> Response:
+        await self.engine.wait_thawed()
+        settings = self.engine.settings
+        report = LoadReport(
+            incarnation=self.engine.incarnation,
+            model=settings.model,
+            weights_version=self.engine.weights_version,
+            slots_count=settings.slots_count,
+            running_count=self.engine.running_count,
+            waiting_tokens=self.engine.waiting_tokens,
+            prefill_tokens_per_second=settings.prefill_tokens_per_second,
+            cache_tokens=settings.cache_tokens,
+            role=self.engine.role,
+            fencing_number=self.engine.fencing_number,
+        )
+        return JSONResponse(unstructure(report))
+
+    async def _order(self, request: Request) -> Response:
+        order = structure(json.loads(await request.body()), Order, step="take order")
+        engine = self.engine
+        if engine.settings.checks_fencing and (
+            order.fencing_number < engine.fencing_number
+        ):
+            return Response(status_code=409)
+        engine.fencing_number = max(engine.fencing_number, order.fencing_number)
+        engine.role = order.role
+        self._task_group.start_soon(engine.load_weights, order.weights_version)
+        return Response(status_code=202)
+
+    async def _set_faults(self, request: Request) -> Response:
+        data = json.loads(await request.body())
+        self.engine.faults = structure(data, EngineFaults, step="set faults")
+        return Response(status_code=204)
+
+    async def _crash(self, request: Request) -> Response:
+        self.engine.crash()
+        return Response(status_code=204)
+
+
+def prompt_text(body: dict[str, Any]) -> bytes:
+    """Return the prompt as the bytes that the engine caches."""
+    if "messages" in body:
+        parts = (f"<{item['role']}>{item['content']}" for item in body["messages"])
+        return "".join(parts).encode()
+    return body["prompt"].encode()
+
+
+def _token_event(stream: Stream, position: int, is_chat: bool) -> bytes:
+    token = stream.tokens[position]
+    is_last = stream.is_done and position + 1 == len(stream.tokens)
+    reason = "stop" if is_last else None
+    choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+    if is_chat:
+        choice["delta"] = {"content": token}
+    else:
+        choice["text"] = token
+    data = {"id": stream.attempt_id, "choices": [choice]}
+    return b"id: %d\ndata: %s\n\n" % (position, json.dumps(data).encode())
+
+
+def _usage_event(stream: Stream) -> bytes:
+    usage = {
+        "prompt_tokens": stream.prompt_tokens,
+        "completion_tokens": len(stream.tokens),
+        "total_tokens": stream.prompt_tokens + len(stream.tokens),
+        "prompt_tokens_details": {"cached_tokens": stream.cached_tokens},
+    }
+    data = {"id": stream.attempt_id, "choices": [], "usage": usage}
+    return b"id: %d\ndata: %s\n\n" % (len(stream.tokens), json.dumps(data).encode())
--- /dev/null
+++ b/packages/rampwick-standin/src/rampwick_standin/_service.py
@@ -0,0 +1,44 @@
+"""Stand-in of a plain service: it echoes calls and remembers what it ran."""
+
+import anyio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class ServiceStandIn:
+    """A plain service whose calls take a fixed time."""
+
+    def __init__(self, name: str, call_seconds: float = 0.005) -> None:
+        self.name = name
+        self.call_seconds = call_seconds
+        #: Method, path and body of every call that ran, in order.
+        self.calls: list[tuple[str, str, bytes]] = []
+        #: Calls to run and then break off without an answer.
+        self.lost_answers_count = 0
+        self.is_busy = False
+        self.app = Starlette(
+            routes=[
+                Route("/load", self._load),
+                Route("/{path:path}", self._call, methods=METHODS),
+            ]
+        )
+
+    async def _load(self, request: Request) -> Response:
+        return Response(status_code=204)
+
+    async def _call(self, request: Request) -> Response:
+        if self.is_busy:
+            return Response(status_code=429)
+        body = await request.body()
+        await anyio.sleep(self.call_seconds)
+        self.calls.append((request.method, request.url.path, body))
+        if self.lost_answers_count > 0:
+            self.lost_answers_count -= 1
+            raise ConnectionError("answer lost on purpose")
+        status = int(request.query_params.get("status", "200"))
+        answer = {"service": self.name, "path": request.url.path, "bytes": len(body)}
+        return JSONResponse(answer, status_code=status)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of rampwick."""
--- /dev/null
+++ b/tests/bench.py
@@ -0,0 +1,202 @@
+"""A small set of real processes' parts in one event loop, on loopback.
+
+Tests run daemons and stand-ins side by side here and step every fault by hand.
+"""
+
+import hashlib
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import attrs
+import httpx
+from anyio.abc import TaskGroup
+
+from rampwick_platform import HttpObjectApi, TreeStore
+from rampwick_router import Addresses, Daemon, run_daemon
+from rampwick_schema import HostEntry, Node, NodeEdit, Settings, parse_settings
+from rampwick_standin import (
+    EngineSettings,
+    PlatformStandIn,
+    RunnerStandIn,
+    ServiceStandIn,
+    address_of,
+    bind_loopback,
+    serve_app,
+)
+
+KEY = "key-labels"
+OTHER_KEY = "key-drafts"
+SECRET = "a secret of the tests"
+
+#: Longest time that any one step of a test may take before it counts as stuck.
+STUCK_SECONDS = 20.0
+
+
+def hash_key(key: str) -> str:
+    """Return a key's hash as the tree holds it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def workspace_edits() -> list[NodeEdit]:
+    """Return the edits that make two workspaces."""
+    return [
+        NodeEdit("/herbaria", Node()),
+        NodeEdit(
+            "/herbaria/labels",
+            Node(is_workspace=True, key_hashes=[hash_key(KEY)]),
+        ),
+        NodeEdit(
+            "/herbaria/drafts",
+            Node(is_workspace=True, key_hashes=[hash_key(OTHER_KEY)]),
+        ),
+    ]
+
+
+def make_settings(name: str, platform_url: str, extra: str = "") -> Settings:
+    """Return settings with intervals short enough for tests."""
+    text = f"""
+[host]
+name = "{name}"
+hall = "trnava"
+[platform]
+url = "{platform_url}"
+host_list_interval_seconds = 0.05
+calls_per_second = 500.0
+watch_timeout_seconds = 1.0
+call_timeout_seconds = 1.0
+[peers]
+secret = "{SECRET}"
+gossip_interval_seconds = 0.05
+dead_after_seconds = 0.5
+[life]
+balancer_delay_seconds = 0.0
+"""
+    return parse_settings(text + extra, source=name)
+
+
+async def until(condition: Callable[[], object], step_seconds: float = 0.005) -> None:
+    """Return once a condition holds; fail if it never does."""
+    with anyio.fail_after(STUCK_SECONDS):
+        while not condition():
+            await anyio.sleep(step_seconds)
+
+
+@attrs.define
+class Host:
+    """A running daemon with its addresses and a client."""
+
+    daemon: Daemon
+    addresses: Addresses
+    client: httpx.AsyncClient
+
+    def upstream(self, name: str):
+        """Return the daemon's view of an upstream."""
+        return self.daemon.scheduler._scheduler.upstreams.get(name)
+
+    def is_open_to(self, name: str) -> bool:
+        """Return whether a runner's life is known and it is not down."""
+        found = self.upstream(name)
+        return found is not None and found.life is not None
+
+    async def complete(
+        self, prompt: str = "a prompt", key: str = KEY, headers=None, **body
+    ) -> httpx.Response:
+        """Send a whole, not streamed request."""
+        data = {"model": "lektor", "prompt": prompt, "max_tokens": 4, **body}
+        return await self.client.post(
+            "/v1/completions",
+            json=data,
+            headers={"Authorization": f"Bearer {key}", **(headers or {})},
+        )
+
+
+class Bench:
+    """Stand-ins and daemons of one test."""
+
+    def __init__(self, tasks: TaskGroup) -> None:
+        self._tasks = tasks
+        self._closing = anyio.Event()
+        self.platform = PlatformStandIn()
+        self.platform_url = ""
+        self.entries: dict[str, HostEntry] = {}
+        self.runners: dict[str, RunnerStandIn] = {}
+        self.services: dict[str, ServiceStandIn] = {}
+
+    async def start(self) -> None:
+        """Start the platform with a tree of two workspaces."""
+        self.platform_url = "http://" + self.serve(self.platform.app)
+        await self.edit(lambda tree: workspace_edits())
+
+    def serve(self, app) -> str:
+        """Serve an application; return its address."""
+        listener = bind_loopback()
+        address = address_of(listener)
+        self._tasks.start_soon(serve_app, app, listener, self._closing.wait)
+        return address
+
+    async def edit(self, make_edits) -> None:
+        """Change the tree as an operator would."""
+        async with HttpObjectApi(
+            self.platform_url, call_timeout_seconds=2.0, calls_per_second=1000.0
+        ) as api:
+            await TreeStore(api).propose(
+                make_edits, author="test", base_revision=None, now_seconds=0.0
+            )
+
+    def add_runner(self, name: str, **options) -> RunnerStandIn:
+        """Start a runner and list it."""
+        options.setdefault("step_seconds", 0.001)
+        settings = EngineSettings(name=name, **options)
+        runner = RunnerStandIn(settings, self._tasks)
+        self.runners[name] = runner
+        self._list(HostEntry(name, "runner", "trnava", self.serve(runner.app)))
+        return runner
+
+    def add_service(self, name: str, group: str) -> ServiceStandIn:
+        """Start a plain service and list it."""
+        service = ServiceStandIn(name)
+        self.services[name] = service
+        address = self.serve(service.app)
+        self._list(HostEntry(name, "service", "trnava", address, group=group))
+        return service
+
+    def set_state(self, name: str, state: str) -> None:
+        """Have the list say live or leaving of a host."""
+        self._list(attrs.evolve(self.entries[name], state=state))
+
+    def _list(self, entry: HostEntry) -> None:
+        self.entries[entry.name] = entry
+        self.platform.set_hosts(list(self.entries.values()))
+
+    @asynccontextmanager
+    async def run_host(
+        self, name: str = "entry-1", extra: str = "", platform_url: str | None = None
+    ) -> AsyncIterator[Host]:
+        """Run a daemon, listed as an entry host, until the context ends."""
+        url = self.platform_url if platform_url is None else platform_url
+        settings = make_settings(name, url, extra)
+        async with run_daemon(settings) as (daemon, addresses):
+            self._list(HostEntry(name, "entry", "trnava", addresses.peer))
+            base_url = f"http://{addresses.entry}"
+            async with httpx.AsyncClient(
+                base_url=base_url, timeout=STUCK_SECONDS, trust_env=False
+            ) as client:
+                yield Host(daemon, addresses, client)
+
+    def close(self) -> None:
+        """Stop all stand-ins."""
+        self._closing.set()
+        self._tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def run_bench() -> AsyncIterator[Bench]:
+    """Run a bench until the context ends."""
+    async with anyio.create_task_group() as tasks:
+        bench = Bench(tasks)
+        await bench.start()
+        try:
+            yield bench
+        finally:
+            bench.close()
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,38 @@
+"""A request served from end to end."""
+
+import anyio
+import testtools
+
+from rampwick_standin import answer_token
+
+from .bench import KEY, run_bench, until
+
+
+class WholePathTest(testtools.TestCase):
+    def test_streamed_and_whole_answers_are_the_runners(self):
+        async def scenario():
+            async with run_bench() as bench:
+                bench.add_runner("lektor-1")
+                async with bench.run_host() as host:
+                    await until(lambda: host.is_open_to("lektor-1"))
+                    await until(lambda: host.daemon.follower.revision == 1)
+                    whole = await host.complete("a label to read", max_tokens=5)
+                    self.assertEqual(200, whole.status_code, whole.text)
+                    expected = "".join(
+                        answer_token(b"a label to read", at) for at in range(5)
+                    )
+                    self.assertEqual(expected, whole.json()["choices"][0]["text"])
+                    streamed = await host.complete("a label to read", stream=True)
+                    self.assertIn("data: [DONE]", streamed.text)
+
+        anyio.run(scenario)
+
+    def test_unknown_key_is_refused(self):
+        async def scenario():
+            async with run_bench() as bench, bench.run_host() as host:
+                await until(lambda: host.daemon.follower.revision == 1)
+                answer = await host.complete(key=KEY + "x")
+                self.assertEqual(401, answer.status_code)
+                self.assertEqual("no", answer.json()["error"]["was_run"])
+
+        anyio.run(scenario)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developing rampwick."""
