Orders by a leased steward, and a scheduler whose pass over the queue is bounded

Cause: (1) weights rollouts had a plan but nobody who carried it out. (2) A trial of the policy under a script did not end within 300 s: with a long queue every event weighed 8 workspaces x 8 requests anew and built all views for each.

Ruled out: sending orders under the fencing number alone (runners that ignore it would obey two holders); a cache of placement choices by request (stale after any dispatch).

Change: a lease by conditional write, whose version is the fencing number; orders go out only if the lease outlives their time-out. One pass shares its views of upstreams and rivals (Room), skips when no upstream has a slot, an arrival tries only its own line, and events that free nothing start no pass.

--- /dev/null
+++ b/measure/_world.py
@@ -0,0 +1,466 @@
+"""The policy driven by a script: schedulers of several hosts, toy runners, one clock.
+
+This is no cluster simulator: it delivers each event with a fixed delay and a toy
+runner's answers, so that ways of deciding can be compared on the same arrivals.
+"""
+
+import heapq
+import itertools
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from rampwick_policy import (
+    AttemptAccepted,
+    AttemptDelivered,
+    AttemptDone,
+    AttemptFailed,
+    Dispatch,
+    HostListRead,
+    LoadReported,
+    Outcome,
+    PeerHeard,
+    Placement,
+    PrefixChain,
+    Refuse,
+    RequestArrived,
+    Scheduler,
+    Tick,
+    TreeInForce,
+    TreeView,
+)
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    LoadReport,
+    Node,
+    Tree,
+    encode_message,
+    parse_settings,
+)
+
+from ._workload import BLOCK_TOKENS, MODEL, Arrival
+
+#: One way between a host and a runner or another host.
+HOP_SECONDS = 0.001
+TICK_SECONDS = 0.05
+REPORT_INTERVAL_SECONDS = 0.25
+REPORT_LAG_SECONDS = 0.5
+STEP_SECONDS = 0.02
+
+HALLS = ("bratislava-a", "bratislava-b", "trnava", "nitra")
+
+
+@attrs.frozen
+class WorldSettings:
+    """Sizes of a run."""
+
+    hosts_count: int = 7
+    runners_count: int = 5
+    slots_count: int = 16
+    cache_tokens: int = 60_000
+    prefill_tokens_per_second: float = 8_000.0
+    miss_price: float = 4.0
+    gossip_seconds: float = 0.5
+    #: Whether hosts tell each other what they placed.
+    shares_placements: bool = True
+    deadline_seconds: float = 30.0
+    #: Weights of hosts by which arrivals are spread; equal if empty.
+    host_weights: tuple[float, ...] = ()
+
+
+class Clock:
+    """Time and what is due."""
+
+    def __init__(self) -> None:
+        self.now_seconds = 0.0
+        self._due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._tickets = itertools.count()
+
+    def after(
+        self, delay_seconds: float, call: Callable[..., None], *arguments: Any
+    ) -> None:
+        """Have something called after a delay."""
+        at_seconds = self.now_seconds + delay_seconds
+        heapq.heappush(self._due, (at_seconds, next(self._tickets), call, arguments))
+
+    def run_until(self, end_seconds: float) -> None:
+        """Call what is due in order until a time."""
+        while self._due and self._due[0][0] <= end_seconds:
+            self.now_seconds, _, call, arguments = heapq.heappop(self._due)
+            call(*arguments)
+        self.now_seconds = end_seconds
+
+
+@attrs.define(eq=False)
+class Job:
+    """One attempt at a runner."""
+
+    host: "Host"
+    dispatch: Dispatch
+    arrival: Arrival
+    cached_tokens: int = 0
+
+
+class Runner:
+    """A toy engine: slots by priority, serial prefill, an exact block cache."""
+
+    def __init__(self, name: str, settings: WorldSettings, clock: Clock) -> None:
+        self.name = name
+        self._settings = settings
+        self._clock = clock
+        self.life = 1
+        self.blocks: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self.free_slots = settings.slots_count
+        self._queue: list[tuple[int, int, Job]] = []
+        self._tickets = itertools.count()
+        self._prefill_free_seconds = 0.0
+        self.jobs: set[Job] = set()
+        self.waiting_tokens = 0
+        self.busy_slot_seconds = 0.0
+        #: Tokens that were computed here, and of them those another cache held.
+        self.computed_tokens = 0
+        self.wasted_tokens = 0
+        self.others: list[Runner] = []
+        self.is_up = True
+
+    def held_tokens(self, prompt_blocks: tuple[tuple[str, int], ...]) -> int:
+        """Return the tokens of a prompt's beginning that are cached."""
+        count = 0
+        for block in prompt_blocks:
+            if block not in self.blocks:
+                break
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def take(self, job: Job, priority: int) -> None:
+        """Receive an attempt."""
+        if not self.is_up:
+            self._fail(job, Outcome.UNREACHABLE)
+            return
+        self.jobs.add(job)
+        heapq.heappush(self._queue, (priority, next(self._tickets), job))
+        self._start_next()
+
+    def _start_next(self) -> None:
+        while self.free_slots and self._queue:
+            self.free_slots -= 1
+            _, _, job = heapq.heappop(self._queue)
+            self._prefill(job)
+
+    def _prefill(self, job: Job) -> None:
+        prompt = job.arrival.prompt
+        job.cached_tokens = self.held_tokens(prompt.blocks)
+        missing = prompt.tokens - job.cached_tokens
+        self._count_waste(job, missing)
+        self._use(prompt.blocks)
+        begin = max(self._clock.now_seconds, self._prefill_free_seconds)
+        self._prefill_free_seconds = (
+            begin + missing / self._settings.prefill_tokens_per_second
+        )
+        self.waiting_tokens += missing
+        delay = self._prefill_free_seconds - self._clock.now_seconds
+        self._clock.after(delay, self._first_token, job, missing, self.life)
+
+    def _count_waste(self, job: Job, missing: int) -> None:
+        held = max(
+            (other.held_tokens(job.arrival.prompt.blocks) for other in self.others),
+            default=0,
+        )
+        self.computed_tokens += missing
+        self.wasted_tokens += max(0, held - job.cached_tokens)
+
+    def _use(self, blocks: tuple[tuple[str, int], ...]) -> None:
+        for block in reversed(blocks):
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        limit = self._settings.cache_tokens // BLOCK_TOKENS
+        while len(self.blocks) > limit:
+            self.blocks.popitem(last=False)
+
+    def _first_token(self, job: Job, missing: int, life: int) -> None:
+        if life != self.life:
+            return
+        self.waiting_tokens -= missing
+        self._clock.after(HOP_SECONDS, job.host.first_token, job)
+        decode = job.arrival.kind.answer_tokens * STEP_SECONDS
+        self._clock.after(decode, self._finish, job, life)
+
+    def _finish(self, job: Job, life: int) -> None:
+        if life != self.life:
+            return
+        self.jobs.discard(job)
+        self.free_slots += 1
+        self._clock.after(HOP_SECONDS, job.host.done, job)
+        self._start_next()
+
+    def crash(self, down_seconds: float) -> None:
+        """Lose everything; come back empty after a while."""
+        self.life += 1
+        self.is_up = False
+        self.blocks.clear()
+        self.free_slots = self._settings.slots_count
+        self._queue.clear()
+        self._prefill_free_seconds = 0.0
+        self.waiting_tokens = 0
+        for job in self.jobs:
+            self._fail(job, Outcome.BROKEN)
+        self.jobs.clear()
+        self._clock.after(down_seconds, self._come_back)
+
+    def _come_back(self) -> None:
+        self.is_up = True
+
+    def _fail(self, job: Job, outcome: Outcome) -> None:
+        self._clock.after(HOP_SECONDS, job.host.failed, job, outcome)
+
+    def report(self) -> LoadReport:
+        """Return the runner's own report."""
+        return LoadReport(
+            incarnation=f"life-{self.life}",
+            model=MODEL,
+            weights_version=1,
+            slots_count=self._settings.slots_count,
+            running_count=self._settings.slots_count - self.free_slots,
+            waiting_tokens=self.waiting_tokens,
+            prefill_tokens_per_second=self._settings.prefill_tokens_per_second,
+            cache_tokens=self._settings.cache_tokens,
+        )
+
+
+class Oracle:
+    """Knows every cache exactly and at once."""
+
+    def __init__(self, runners: dict[str, Runner]) -> None:
+        self._runners = runners
+        self._blocks: dict[int, tuple[tuple[str, int], ...]] = {}
+
+    def learn(self, arrival: Arrival) -> None:
+        """Note which blocks belong to a chain."""
+        self._blocks[id(arrival.prompt.chain)] = arrival.prompt.blocks
+
+    def cached_tokens(self, upstream: str, chain: PrefixChain) -> int:
+        """Return the tokens that a runner holds."""
+        return self._runners[upstream].held_tokens(self._blocks[id(chain)])
+
+
+@attrs.define
+class Sample:
+    """What came of one request."""
+
+    arrival: Arrival
+    first_seconds: float | None = None
+    done_seconds: float | None = None
+    cached_tokens: int = 0
+    refused: str = ""
+    refused_seconds: float = 0.0
+
+
+class Host:
+    """One host's scheduler and its clients."""
+
+    def __init__(
+        self, world: "World", index: int, placement: Placement | None = None
+    ) -> None:
+        self._world = world
+        self._clock = world.clock
+        self._index = index
+        self.name = f"entry-{index}"
+        self._placement = placement
+        self.incarnation = 0
+        self.open: dict[str, Sample] = {}
+        self._count = 0
+        self.restart()
+
+    def restart(self) -> None:
+        """Begin another life that knows nothing."""
+        self.incarnation += 1
+        self._sequence = 0
+        hall = HALLS[self._index % len(HALLS)]
+        settings = parse_settings(
+            f'[host]\nname = "{self.name}"\nhall = "{hall}"\n'
+            f"[placement]\nmiss_price = {self._world.settings.miss_price}\n",
+            source="world",
+        )
+        draw = random.Random(self._index)
+        self.scheduler = Scheduler(settings, draw, self._placement)
+        now_seconds = self._clock.now_seconds
+        self.scheduler.handle(HostListRead(self._world.host_list), now_seconds)
+        self.scheduler.handle(TreeInForce(self._world.view), now_seconds)
+        for runner in self._world.runners.values():
+            if runner.is_up:
+                self.hear_report(runner.name, runner.report())
+
+    def arrive(self, arrival: Arrival) -> None:
+        """Take a client's request."""
+        self._count += 1
+        request_id = f"{self.name}.{self.incarnation}.{self._count}"
+        sample = Sample(arrival)
+        self.open[request_id] = sample
+        self._world.samples.append(sample)
+        self.handle(
+            RequestArrived(
+                request_id=request_id,
+                workspace=arrival.workspace,
+                priority_class=arrival.kind.priority_class,
+                deadline_seconds=self._clock.now_seconds
+                + self._world.settings.deadline_seconds,
+                is_repeatable=True,
+                chain=arrival.prompt.chain,
+                scope=arrival.prompt.scope,
+                max_answer_tokens=arrival.kind.answer_tokens,
+            )
+        )
+
+    def handle(self, event: Any) -> None:
+        """Have the scheduler handle an event, and carry its actions out."""
+        for action in self.scheduler.handle(event, self._clock.now_seconds):
+            if isinstance(action, Dispatch):
+                self._send(action)
+            elif isinstance(action, Refuse):
+                sample = self.open.pop(action.request_id)
+                sample.refused = action.reason
+                sample.refused_seconds = self._clock.now_seconds
+
+    def _send(self, dispatch: Dispatch) -> None:
+        sample = self.open[dispatch.request_id]
+        job = Job(self, dispatch, sample.arrival)
+        runner = self._world.runners[dispatch.upstream]
+        classes = ("portal", "interactive", "batch")
+        priority = classes.index(sample.arrival.kind.priority_class)
+        self._clock.after(HOP_SECONDS, runner.take, job, priority)
+
+    def first_token(self, job: Job) -> None:
+        """Receive an attempt's first token."""
+        names = (job.dispatch.request_id, job.dispatch.attempt_id)
+        sample = self.open.get(names[0])
+        if sample is None:
+            return
+        sample.first_seconds = self._clock.now_seconds
+        sample.cached_tokens = job.cached_tokens
+        self.handle(AttemptAccepted(*names))
+        self.handle(AttemptDelivered(*names))
+
+    def done(self, job: Job) -> None:
+        """Receive an attempt's end."""
+        sample = self.open.pop(job.dispatch.request_id, None)
+        if sample is None:
+            return
+        sample.done_seconds = self._clock.now_seconds
+        prompt = job.arrival.prompt
+        self.handle(
+            AttemptDone(
+                job.dispatch.request_id,
+                job.dispatch.attempt_id,
+                cached_tokens=job.cached_tokens,
+                prompt_tokens=prompt.tokens,
+                answer_tokens=job.arrival.kind.answer_tokens,
+            )
+        )
+
+    def failed(self, job: Job, outcome: Outcome) -> None:
+        """Hear that an attempt failed."""
+        names = (job.dispatch.request_id, job.dispatch.attempt_id)
+        if names[0] in self.open:
+            self.handle(AttemptFailed(*names, outcome, "failed"))
+
+    def hear_report(self, name: str, report: LoadReport) -> None:
+        """Hear a runner's report."""
+        self.handle(LoadReported(name, report))
+
+    def gossip(self) -> None:
+        """Tell all peers a summary, again and again."""
+        settings = self._world.settings
+        self._sequence += 1
+        summary = self.scheduler.summary(
+            self._sequence, 1, False, self._clock.now_seconds
+        )
+        if not settings.shares_placements:
+            summary = attrs.evolve(summary, placed=[])
+        size_bytes = len(encode_message(summary))
+        for peer in self._world.hosts:
+            if peer is not self and self._world.can_talk(self, peer):
+                self._world.gossip_bytes += size_bytes
+                heard = PeerHeard(self.name, "", self.incarnation, summary)
+                self._clock.after(HOP_SECONDS, peer.handle, heard)
+        self._clock.after(settings.gossip_seconds, self.gossip)
+
+    def tick(self) -> None:
+        """Let time pass."""
+        self.handle(Tick())
+        self._clock.after(TICK_SECONDS, self.tick)
+
+
+class World:
+    """Hosts, runners and one script."""
+
+    def __init__(
+        self,
+        settings: WorldSettings,
+        seed: int,
+        make_placement: Callable[["World"], Placement | None],
+    ) -> None:
+        self.settings = settings
+        self.clock = Clock()
+        self.samples: list[Sample] = []
+        self.gossip_bytes = 0
+        self._draw = random.Random(seed)
+        self.runners = {
+            f"lektor-{index}": Runner(f"lektor-{index}", settings, self.clock)
+            for index in range(settings.runners_count)
+        }
+        for runner in self.runners.values():
+            runner.others = [
+                other for other in self.runners.values() if other is not runner
+            ]
+        self.oracle = Oracle(self.runners)
+        self.host_list = HostList(
+            version=1,
+            hosts=[
+                HostEntry(name, "runner", HALLS[index % len(HALLS)], f"{name}:1")
+                for index, name in enumerate(self.runners)
+            ],
+        )
+        self.view = TreeView(Tree(1, {"/": Node()}))
+        self.cut_hosts: set[str] = set()
+        self.hosts: list[Host] = []
+        for index in range(settings.hosts_count):
+            self.hosts.append(Host(self, index, make_placement(self)))
+
+    def set_weights(self, nodes: dict[str, Node]) -> None:
+        """Put a tree in force everywhere."""
+        self.view = TreeView(Tree(2, {"/": Node(), **nodes}))
+        for host in self.hosts:
+            host.handle(TreeInForce(self.view))
+
+    def can_talk(self, one: Host, two: Host) -> bool:
+        """Return whether two hosts are on the same side of a cut."""
+        return (one.name in self.cut_hosts) == (two.name in self.cut_hosts)
+
+    def begin(self) -> None:
+        """Start what happens at intervals."""
+        for host in self.hosts:
+            phase = self._draw.random()
+            self.clock.after(phase * self.settings.gossip_seconds, host.gossip)
+            self.clock.after(phase * TICK_SECONDS, host.tick)
+        for runner in self.runners.values():
+            self._report(runner)
+
+    def _report(self, runner: Runner) -> None:
+        if runner.is_up:
+            report = runner.report()
+            for host in self.hosts:
+                lag = REPORT_LAG_SECONDS
+                self.clock.after(lag, host.hear_report, runner.name, report)
+        self.clock.after(REPORT_INTERVAL_SECONDS, self._report, runner)
+
+    def submit(self, arrival: Arrival) -> None:
+        """Have a request arrive at a random host at its time."""
+        weights = self.settings.host_weights or [1.0] * len(self.hosts)
+        (host,) = self._draw.choices(self.hosts, weights)
+        self.oracle.learn(arrival)
+        delay_seconds = arrival.at_seconds - self.clock.now_seconds
+        self.clock.after(delay_seconds, host.arrive, arrival)
--- /dev/null
+++ b/measure/placement.py
@@ -0,0 +1,256 @@
+"""Ways of placement compared on the same arrivals."""
+
+import argparse
+import csv
+import itertools
+import sys
+import time
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import attrs
+import numpy as np
+
+from rampwick_policy import (
+    ComputedHome,
+    LeastLoaded,
+    Placement,
+    PricedKnowledge,
+    RoundRobin,
+)
+
+from ._workload import SHAPES, Script, WorkloadShape
+from ._world import STEP_SECONDS, World, WorldSettings
+
+#: Hit rate assumed when a workload's nominal rate is worked out.
+NOMINAL_HIT_RATE = 0.92
+
+WARM_SECONDS = 20.0
+
+
+@attrs.frozen
+class Way:
+    """One way of placement with its settings."""
+
+    name: str
+    make: Callable[[World], Placement | None]
+    shares_placements: bool = True
+    gossip_seconds: float = 0.5
+    miss_price: float = 4.0
+
+
+def learned(world: World) -> None:
+    """Let each scheduler use its own knowledge, as the daemon does."""
+    return
+
+
+def ways(prices: tuple[float, ...] = (1.0, 2.0, 4.0, 8.0)) -> list[Way]:
+    """Return all ways, the last three over a range of prices."""
+    found = [
+        Way("round robin", lambda world: RoundRobin()),
+        Way("least loaded", lambda world: LeastLoaded()),
+        Way("computed", lambda world: ComputedHome(1.25)),
+    ]
+    for price in prices:
+        found.append(
+            Way("own only", learned, shares_placements=False, miss_price=price)
+        )
+    for price in prices:
+        found.append(Way("pooled 0.5 s", learned, miss_price=price))
+    found.append(Way("pooled 1 s", learned, gossip_seconds=1.0))
+    found.append(Way("pooled 3 s", learned, gossip_seconds=3.0))
+    for price in prices:
+        found.append(
+            Way(
+                "oracle",
+                lambda world: PricedKnowledge(world.oracle),
+                gossip_seconds=0.05,
+                miss_price=price,
+            )
+        )
+    return found
+
+
+@attrs.frozen
+class Row:
+    """Figures of one run."""
+
+    workload: str
+    way: str
+    miss_price: float
+    load: float
+    seed: int
+    requests: int
+    refused: int
+    hit_rate: float
+    wasted_ratio: float
+    p50_ms: float
+    p99_ms: float
+    portal_p99_ms: float
+    gossip_bytes_per_second: float
+
+
+def nominal_rate(shape: WorkloadShape, settings: WorldSettings) -> float:
+    """Return the requests a second that saturate the pool at the nominal hit rate."""
+    prefill_seconds = slot_seconds = 0.0
+    for kind in shape.kinds:
+        levels = shape.guide_tokens + shape.collection_tokens
+        shared = levels if kind.has_levels else 0
+        missing = kind.item_tokens + shared * (1.0 - NOMINAL_HIT_RATE)
+        prefill = missing / settings.prefill_tokens_per_second
+        prefill_seconds += kind.share * prefill
+        slot_seconds += kind.share * (prefill + kind.answer_tokens * STEP_SECONDS)
+    per_runner = min(1.0 / prefill_seconds, settings.slots_count / slot_seconds)
+    return settings.runners_count * per_runner
+
+
+def run_one(
+    workload: str, way_number: int, load: float, seed: int, seconds: float
+) -> Row:
+    """Run one way on one script; return its figures."""
+    way = ways()[way_number]
+    shape = SHAPES[workload]
+    settings = WorldSettings(
+        miss_price=way.miss_price,
+        gossip_seconds=way.gossip_seconds,
+        shares_placements=way.shares_placements,
+    )
+    world = World(settings, seed, way.make)
+    script = Script(shape, seed, nominal_rate(shape, settings) * load)
+    for arrival in script.arrivals(seconds):
+        world.submit(arrival)
+    world.begin()
+    world.clock.run_until(WARM_SECONDS)
+    bytes_before = world.gossip_bytes
+    computed, wasted = count_computed(world)
+    world.clock.run_until(seconds + settings.deadline_seconds)
+    computed_after, wasted_after = count_computed(world)
+    return summarise(
+        world,
+        Row(
+            workload=workload,
+            way=way.name,
+            miss_price=way.miss_price,
+            load=load,
+            seed=seed,
+            requests=0,
+            refused=0,
+            hit_rate=0.0,
+            wasted_ratio=(wasted_after - wasted) / max(1, computed_after - computed),
+            p50_ms=0.0,
+            p99_ms=0.0,
+            portal_p99_ms=0.0,
+            gossip_bytes_per_second=(world.gossip_bytes - bytes_before)
+            / (seconds + settings.deadline_seconds - WARM_SECONDS)
+            / settings.hosts_count,
+        ),
+    )
+
+
+def count_computed(world: World) -> tuple[int, int]:
+    """Return the tokens computed so far, and those some other cache held."""
+    runners = world.runners.values()
+    return (
+        sum(runner.computed_tokens for runner in runners),
+        sum(runner.wasted_tokens for runner in runners),
+    )
+
+
+def summarise(world: World, row: Row) -> Row:
+    """Return the row with the figures of the samples after the warm-up."""
+    samples = [
+        sample for sample in world.samples if sample.arrival.at_seconds >= WARM_SECONDS
+    ]
+    answered = [sample for sample in samples if sample.first_seconds is not None]
+    prompt = sum(sample.arrival.prompt.tokens for sample in answered)
+    cached = sum(sample.cached_tokens for sample in answered)
+    waits = [wait_ms(sample) for sample in answered] or [0.0]
+    portal = [
+        wait_ms(sample)
+        for sample in answered
+        if sample.arrival.kind.priority_class == "portal"
+    ] or [0.0]
+    return attrs.evolve(
+        row,
+        requests=len(samples),
+        refused=len(samples) - len(answered),
+        hit_rate=cached / max(1, prompt),
+        p50_ms=float(np.percentile(waits, 50)),
+        p99_ms=float(np.percentile(waits, 99)),
+        portal_p99_ms=float(np.percentile(portal, 99)),
+    )
+
+
+def wait_ms(sample) -> float:
+    """Return the time to first token in milliseconds."""
+    return (sample.first_seconds - sample.arrival.at_seconds) * 1000.0
+
+
+def main(words: list[str] | None = None) -> None:
+    """Compare the ways and write the figures."""
+    parser = argparse.ArgumentParser(prog="measure placement", description=__doc__)
+    parser.add_argument("--workload", nargs="+", default=list(SHAPES))
+    parser.add_argument("--load", nargs="+", type=float, default=[0.5, 0.8, 0.95, 1.2])
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=80.0)
+    parser.add_argument("--processes", type=int, default=7)
+    parser.add_argument("--only", default="", help="ways whose name holds this")
+    parser.add_argument("--out", type=Path, default=Path("out/placement.csv"))
+    arguments = parser.parse_args(words)
+    numbers = [at for at, way in enumerate(ways()) if arguments.only in way.name]
+    jobs = list(
+        itertools.product(
+            arguments.workload, numbers, arguments.load, range(1, arguments.seeds + 1)
+        )
+    )
+    began_seconds = time.monotonic()
+    with ProcessPoolExecutor(arguments.processes) as pool:
+        futures = [pool.submit(run_one, *job, arguments.seconds) for job in jobs]
+        rows = [future.result() for future in futures]
+    write_rows(rows, arguments.out)
+    print_medians(rows)
+    print(f"{len(rows)} runs in {time.monotonic() - began_seconds:.0f} s")
+
+
+def write_rows(rows: list[Row], path: Path) -> None:
+    """Write all rows as CSV."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    with path.open("w", newline="") as stream:
+        writer = csv.DictWriter(stream, [field.name for field in attrs.fields(Row)])
+        writer.writeheader()
+        for row in rows:
+            writer.writerow(attrs.asdict(row))
+
+
+def print_medians(rows: list[Row]) -> None:
+    """Print the median over seeds of each way, with the spread of the p99."""
+    print(
+        f"{'workload':<10}{'load':>5} {'way':<14}{'price':>6}{'hit':>7}{'wasted':>8}"
+        f"{'p50':>7}{'p99 ms':>8}{'(min..max)':>16}{'portal':>8}{'refused':>8}"
+        f"{'B/s':>7}"
+    )
+
+    def key(row: Row):
+        return (row.workload, row.load, row.way, row.miss_price)
+
+    for name, group in itertools.groupby(sorted(rows, key=key), key):
+        runs = list(group)
+        p99 = [row.p99_ms for row in runs]
+        spread = f"{min(p99):.0f}..{max(p99):.0f}"
+        print(
+            f"{name[0]:<10}{name[1]:>5} {name[2]:<14}{name[3]:>6}"
+            f"{median(runs, 'hit_rate'):>7.3f}{median(runs, 'wasted_ratio'):>8.3f}"
+            f"{median(runs, 'p50_ms'):>7.0f}{median(runs, 'p99_ms'):>8.0f}{spread:>16}"
+            f"{median(runs, 'portal_p99_ms'):>8.0f}{median(runs, 'refused'):>8.0f}"
+            f"{median(runs, 'gossip_bytes_per_second'):>7.0f}"
+        )
+
+
+def median(rows: list[Row], name: str) -> float:
+    """Return the median of one figure."""
+    return float(np.median([getattr(row, name) for row in rows]))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/packages/rampwick-cli/src/rampwick_cli/_main.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_main.py
@@ -16,6 +16,7 @@
 from ._host_commands import run_drain, run_explain, run_status
 from ._output import Output, complain
 from ._tree_commands import run_tree
+from ._weights_commands import run_weights
 
 #: Environment variables that stand for options.
 PLATFORM_VARIABLE = "RAMPWICK_PLATFORM"
@@ -88,6 +89,7 @@
     common.add_argument("--json", action="store_true", help="print JSON")
     commands = parser.add_subparsers(dest="command", required=True)
     _add_tree(commands, common)
+    _add_weights(commands, common)
     _add_check(commands, common)
     _add_host(commands, common, "status", run_status)
     explain = _add_host(commands, common, "explain", run_explain)
@@ -136,6 +138,18 @@
     )
 
 
+def _add_weights(commands, common) -> None:
+    weights = commands.add_parser("weights", help=run_weights.__doc__)
+    subcommands = weights.add_subparsers(dest="weights_command", required=True)
+    for name in ("show", "set"):
+        command = subcommands.add_parser(name, parents=[common])
+        command.set_defaults(run=run_weights)
+        _add_url(command, "--platform", PLATFORM_VARIABLE, "the platform's URL")
+        if name == "set":
+            command.add_argument("model")
+            command.add_argument("weights_version", type=int)
+
+
 def _add_host(commands, common, name: str, run) -> argparse.ArgumentParser:
     command = commands.add_parser(name, parents=[common], help=run.__doc__)
     command.set_defaults(run=run)
--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -26,3 +26,4 @@
     change_key as change_key,
     decode_changes as decode_changes,
 )
+from ._weights_store import WEIGHTS_KEY as WEIGHTS_KEY, WeightsStore as WeightsStore
--- a/packages/rampwick-policy/src/rampwick_policy/_orders.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_orders.py
@@ -29,8 +29,8 @@
     is_serving: bool
     #: Whether an order was sent that its report does not show fulfilled yet.
     is_loading: bool
-    checks_fencing: bool
     running_count: int = 0
+    address: str = ""
 
 
 @attrs.frozen
@@ -39,6 +39,7 @@
 
     runner: str
     order: Order
+    address: str = ""
 
 
 def plan_orders(
@@ -62,7 +63,7 @@
             order = Order(
                 fencing_number=fencing_number, weights_version=target.weights_version
             )
-            planned.append(PlannedOrder(runner=runner.name, order=order))
+            planned.append(PlannedOrder(runner.name, order, runner.address))
             loading += 1
     return planned
 
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -0,0 +1,109 @@
+"""Room at the upstreams: who may take a slot now, seen once for a whole pass.
+
+Building the views of all upstreams costs more than most decisions, so one pass over
+the queue shares them. A dispatch changes them; the next pass builds new ones.
+"""
+
+from ._admission import Admission, Rival, goes_before
+from ._events import RequestArrived
+from ._membership import Membership
+from ._placement import Choice, RunnerView
+from ._shares import Standing
+from ._upstreams import Upstream, UpstreamTable
+
+#: Slots beyond the usual ones that urgent requests may use.
+PORTAL_EXTRA_RATIO = 0.25
+
+#: Share of a runner's slots by which an entitled request may exceed them.
+ENTITLED_EXTRA_RATIO = 0.125
+
+
+class Room:
+    """Views of the upstreams at one moment."""
+
+    def __init__(
+        self,
+        upstreams: UpstreamTable,
+        peers: Membership,
+        admission: Admission,
+        now_seconds: float,
+    ) -> None:
+        self._upstreams = upstreams
+        self._peers = peers
+        self._admission = admission
+        self._now_seconds = now_seconds
+        self._part_ratio = peers.own_part_ratio(now_seconds)
+        self._views: dict[tuple[str, str, bool], list[RunnerView]] = {}
+        self._rivals: list[Rival] | None = None
+
+    def views(self, arrival: RequestArrived) -> list[RunnerView]:
+        """Return the upstreams that could serve a request."""
+        model = arrival.scope.model if arrival.scope else ""
+        is_urgent = arrival.priority_class == "portal"
+        key = (arrival.service, model, is_urgent)
+        if key not in self._views:
+            self._views[key] = self._build(arrival.service, model, is_urgent)
+        return self._views[key]
+
+    def has_any(self, views: list[RunnerView]) -> bool:
+        """Return whether any of the upstreams might take another request."""
+        return any(
+            view.running_count < view.slots_count + _extra_slots(view) for view in views
+        )
+
+    def may_take(
+        self, choice: Choice, views: list[RunnerView], standing: Standing
+    ) -> bool:
+        """Return whether a request of this standing may go where it was placed."""
+        view = next(item for item in views if item.name == choice.upstream)
+        if not view.has_slot:
+            return self._may_exceed(view, standing)
+        # Leave free slots to requests elsewhere that should go first. If nobody
+        # elsewhere waits for them, all are free to take: nothing stays idle.
+        entitled = sum(
+            rival.waiting_count
+            for rival in self._list_rivals()
+            if goes_before(rival.standing, standing)
+        )
+        free = sum(max(0, item.slots_count - item.running_count) for item in views)
+        return free > entitled
+
+    def _build(self, service: str, model: str, is_urgent: bool) -> list[RunnerView]:
+        extra_ratio = PORTAL_EXTRA_RATIO if is_urgent else 0.0
+        return [
+            self._upstreams.view(
+                upstream, self._peers, self._part_ratio, extra_ratio, self._now_seconds
+            )
+            for upstream in self._upstreams
+            if _serves(upstream, service, model)
+            and self._upstreams.is_open(upstream, self._now_seconds)
+        ]
+
+    def _list_rivals(self) -> list[Rival]:
+        if self._rivals is None:
+            self._rivals = self._admission.rivals(self._now_seconds)
+        return self._rivals
+
+    def _may_exceed(self, view: RunnerView, standing: Standing) -> bool:
+        # A full runner's slots are held by hosts whose work may be less entitled.
+        # One request over the line makes them see it, without any slot left idle.
+        upstream = self._upstreams.get(view.name)
+        if upstream is None or (
+            view.running_count >= view.slots_count + _extra_slots(view)
+        ):
+            return False
+        if not upstream.own_attempts:
+            return True
+        rivals = self._list_rivals()
+        is_first = not any(goes_before(item.standing, standing) for item in rivals)
+        return is_first and any(goes_before(standing, item.standing) for item in rivals)
+
+
+def _extra_slots(view: RunnerView) -> int:
+    return max(1, int(view.slots_count * ENTITLED_EXTRA_RATIO))
+
+
+def _serves(upstream: Upstream, service: str, model: str) -> bool:
+    if service:
+        return not upstream.is_runner and upstream.entry.group == service
+    return upstream.is_runner and upstream.model == model
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -12,7 +12,7 @@
 from rampwick_schema import HostList, Settings, Summary, UpstreamUsage, WorkspaceUsage
 
 from . import _events as ev
-from ._admission import Admission, Rival, goes_before
+from ._admission import Admission
 from ._errors import LifecycleError
 from ._knowledge import CacheKnowledge, Life
 from ._membership import Membership
@@ -22,7 +22,9 @@
 from ._queue import QueuedRequest, WaitingQueue
 from ._request import Outcome, RequestLifecycle, RunState
 from ._retry import RetryBudget
+from ._room import Room
 from ._shares import ShareLedger, Standing
+from ._tree import Workspace
 from ._upstreams import Upstream, UpstreamTable
 
 #: What an answer token costs in prompt tokens: it holds a slot for a whole step.
@@ -33,13 +35,7 @@
 ANSWER_SMOOTHING = 0.1
 
 #: Requests of one workspace that are tried for a free runner in one go.
-LOOKAHEAD_COUNT = 8
-
-#: Slots beyond the usual ones that urgent requests may use.
-PORTAL_EXTRA_RATIO = 0.25
-
-#: Share of a runner's slots by which an entitled request may exceed them.
-ENTITLED_EXTRA_RATIO = 0.125
+LOOKAHEAD_COUNT = 4
 
 #: Wait for an upstream to come back before a request is given up.
 STRANDED_SECONDS = 2.0
@@ -47,6 +43,14 @@
 #: Longest time that a busy upstream is left alone.
 MAX_BUSY_SECONDS = 1.0
 
+#: Events after which nothing that waits can go any sooner; ticks come anyway.
+QUIET_EVENTS = (
+    ev.AttemptAccepted,
+    ev.AttemptDelivered,
+    ev.LoadReported,
+    ev.PeerHeard,
+)
+
 #: Reasons of refusals.
 QUEUE_FULL = "queue_full"
 LIMIT_UNREACHABLE = "deadline_unreachable"
@@ -101,7 +105,7 @@
     def handle(self, event: ev.Event, now_seconds: float) -> list[ev.Action]:
         """Take one event; return what is to be done, in order."""
         actions = self._handlers[type(event)](event, now_seconds)
-        actions += self._fill(now_seconds)
+        actions += self._fill(event, now_seconds)
         return actions
 
     def lifecycle(self, request_id: str) -> RequestLifecycle | None:
@@ -417,70 +421,73 @@
 
     # Dispatching.
 
-    def _fill(self, now_seconds: float) -> list[ev.Action]:
+    def _fill(self, event: ev.Event, now_seconds: float) -> list[ev.Action]:
         """Dispatch what may go now, in the order of classes and shares."""
+        if not len(self.queue) or isinstance(event, QUIET_EVENTS):
+            return []
+        # What waited before an arrival was found blocked then; only its own line
+        # can have something new.
+        only_path = ""
+        if isinstance(event, ev.RequestArrived):
+            only_path = event.workspace.path
         actions: list[ev.Action] = []
-        if not len(self.queue):
-            return actions
-        rivals = self.admission.rivals(now_seconds)
         for priority_class in ev.PRIORITY_CLASSES:
-            while action := self._fill_one(priority_class, rivals, now_seconds):
+            while action := self._fill_one(priority_class, only_path, now_seconds):
                 actions.append(action)
         return actions
 
     def _fill_one(
-        self, priority_class: str, rivals: list[Rival], now_seconds: float
+        self, priority_class: str, only_path: str, now_seconds: float
     ) -> ev.Dispatch | None:
         paths = self.queue.workspaces_waiting(priority_class)
-        lines = []
-        for path in paths:
-            first = next(self.queue.line(priority_class, path))
-            workspace = first.arrival.workspace
-            standing = self.admission.standing(workspace, now_seconds)
-            lines.append((standing, path, workspace))
-        lines.sort(key=lambda line: line[:2])
-        for standing, path, workspace in lines:
+        if only_path:
+            paths = [path for path in paths if path == only_path]
+        if not paths:
+            return None
+        room = Room(self.upstreams, self.peers, self.admission, now_seconds)
+        for standing, path, workspace in self._lines(
+            priority_class, paths, now_seconds
+        ):
             if not self.admission.is_within_limits(workspace, now_seconds):
                 continue
             line = self.queue.line(priority_class, path)
             for _, item in zip(range(LOOKAHEAD_COUNT), line, strict=False):
-                action = self._try_dispatch(item, standing, rivals, now_seconds)
+                action = self._try_dispatch(item, standing, room, now_seconds)
                 if action is not None:
                     return action
         return None
 
+    def _lines(
+        self, priority_class: str, paths: list[str], now_seconds: float
+    ) -> list[tuple[Standing, str, Workspace]]:
+        lines = []
+        for path in paths:
+            first = next(self.queue.line(priority_class, path))
+            workspace = first.arrival.workspace
+            standing = self.admission.standing(workspace, now_seconds)
+            lines.append((standing, path, workspace))
+        lines.sort(key=lambda line: line[:2])
+        return lines
+
     def _try_dispatch(
-        self,
-        item: QueuedRequest,
-        standing: Standing,
-        rivals: list[Rival],
-        now_seconds: float,
+        self, item: QueuedRequest, standing: Standing, room: Room, now_seconds: float
     ) -> ev.Dispatch | None:
         arrival = item.arrival
-        extra_ratio = PORTAL_EXTRA_RATIO if arrival.priority_class == "portal" else 0.0
-        views = self._candidates(arrival, extra_ratio, now_seconds)
+        views = room.views(arrival)
         if not views:
             if item.stranded_at_seconds is None:
                 item.stranded_at_seconds = now_seconds
             return None
         item.stranded_at_seconds = None
+        if not room.has_any(views):
+            return None
         choice = self._choose(arrival, views, now_seconds)
-        if not self._may_take_slot(choice, views, standing, rivals):
+        if not room.may_take(choice, views, standing):
             return None
         if item.needs_budget and not self.budget.spend(now_seconds):
             return None
         return self._dispatch(item, choice, now_seconds)
 
-    def _candidates(
-        self, arrival: ev.RequestArrived, extra_ratio: float, now_seconds: float
-    ) -> list[RunnerView]:
-        return [
-            self.upstreams.view(upstream, self.peers, extra_ratio, now_seconds)
-            for upstream in self.upstreams
-            if _serves(upstream, arrival)
-            and self.upstreams.is_open(upstream, now_seconds)
-        ]
-
     def _choose(
         self, arrival: ev.RequestArrived, views: list[RunnerView], now_seconds: float
     ) -> Choice:
@@ -492,41 +499,6 @@
             return self._service_placement.choose(no_chain, views, price, now_seconds)
         return self._placement.choose(arrival.chain, views, price, now_seconds)
 
-    def _may_take_slot(
-        self,
-        choice: Choice,
-        views: list[RunnerView],
-        standing: Standing,
-        rivals: list[Rival],
-    ) -> bool:
-        view = next(item for item in views if item.name == choice.upstream)
-        if not view.has_slot:
-            return self._may_exceed(view, standing, rivals)
-        # Leave free slots to requests elsewhere that should go first. If nobody
-        # elsewhere waits for them, all are free to take: nothing stays idle.
-        entitled = sum(
-            rival.waiting_count
-            for rival in rivals
-            if goes_before(rival.standing, standing)
-        )
-        free = sum(max(0, item.slots_count - item.running_count) for item in views)
-        return free > entitled
-
-    def _may_exceed(
-        self, view: RunnerView, standing: Standing, rivals: list[Rival]
-    ) -> bool:
-        # A full runner's slots are held by hosts whose work may be less entitled.
-        # One request over the line makes them see it, without any slot left idle.
-        upstream = self.upstreams.get(view.name)
-        extra = max(1, int(view.slots_count * ENTITLED_EXTRA_RATIO))
-        if upstream is None or view.running_count >= view.slots_count + extra:
-            return False
-        if not upstream.own_attempts:
-            return True
-        return any(goes_before(standing, rival.standing) for rival in rivals) and not (
-            any(goes_before(rival.standing, standing) for rival in rivals)
-        )
-
     def _dispatch(
         self, item: QueuedRequest, choice: Choice, now_seconds: float
     ) -> ev.Dispatch:
@@ -575,13 +547,6 @@
         item.charged_tokens = 0.0
 
 
-def _serves(upstream: Upstream, arrival: ev.RequestArrived) -> bool:
-    if arrival.service:
-        return not upstream.is_runner and upstream.entry.group == arrival.service
-    model = arrival.scope.model if arrival.scope else ""
-    return upstream.is_runner and upstream.model == model
-
-
 def _sorted(host_list: HostList) -> HostList:
     hosts = sorted(host_list.hosts, key=lambda entry: entry.name)
     return HostList(version=host_list.version, hosts=hosts)
--- a/packages/rampwick-policy/src/rampwick_policy/_tree.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_tree.py
@@ -6,6 +6,7 @@
 
 import re
 from collections.abc import Iterable, Iterator
+from functools import lru_cache
 
 import attrs
 
@@ -60,7 +61,7 @@
     @property
     def lineage(self) -> tuple[str, ...]:
         """Paths from below the root down to the workspace itself."""
-        return tuple(lineage(self.path))[1:]
+        return lineage(self.path)[1:]
 
     def allows_model(self, model: str) -> bool:
         """Return whether callers of this workspace may use ``model``."""
@@ -105,12 +106,12 @@
     return Tree(revision=0, nodes={ROOT: Node()})
 
 
-def lineage(path: str) -> Iterator[str]:
-    """Yield the root, each ancestor and the path itself, in that order."""
-    yield ROOT
+@lru_cache(maxsize=8192)
+def lineage(path: str) -> tuple[str, ...]:
+    """Return the root, each ancestor and the path itself, in that order."""
     parts = [part for part in path.split("/") if part]
-    for depth in range(len(parts)):
-        yield "/" + "/".join(parts[: depth + 1])
+    depths = range(1, len(parts) + 1)
+    return (ROOT, *["/" + "/".join(parts[:depth]) for depth in depths])
 
 
 def parent_of(path: str) -> str:
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -12,6 +12,9 @@
 from ._membership import Membership
 from ._placement import RunnerView
 
+#: Role in which a runner takes requests.
+SERVING_ROLE = "serve"
+
 #: Slots assumed for an upstream that reports none.
 DEFAULT_SLOTS = 32
 
@@ -36,6 +39,7 @@
     #: Life that it reported last.
     last_life: Life | None = None
     model: str = ""
+    role: str = SERVING_ROLE
     slots_count: int = DEFAULT_SLOTS
     prefill_tokens_per_second: float = 1.0
     reported_running_count: int = 0
@@ -139,6 +143,7 @@
     def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
         """Take a runner's report; return whether it shows a new life."""
         upstream.model = report.model
+        upstream.role = report.role
         upstream.slots_count = report.slots_count
         upstream.prefill_tokens_per_second = report.prefill_tokens_per_second
         upstream.reported_running_count = report.running_count
@@ -151,7 +156,9 @@
         """Return whether the upstream may be given new work."""
         if upstream.entry.state == "leaving":
             return False
-        if upstream.is_runner and upstream.life is None:
+        if upstream.is_runner and (
+            upstream.life is None or upstream.role != SERVING_ROLE
+        ):
             return False
         if now_seconds < upstream.busy_until_seconds:
             return False
@@ -168,14 +175,15 @@
         self,
         upstream: Upstream,
         peers: Membership,
+        part_ratio: float,
         extra_slots_ratio: float,
         now_seconds: float,
     ) -> RunnerView:
         """Return what placement may know; peers' work counts as running.
 
-        ``extra_slots_ratio`` lets urgent requests use slots beyond the usual ones.
+        ``part_ratio`` is this host's part of the pool; ``extra_slots_ratio`` lets
+        urgent requests use slots beyond the usual ones.
         """
-        part_ratio = peers.own_part_ratio(now_seconds)
         load = peers.load_of(upstream.name, upstream.life_name)
         usable = self.usable_slots(upstream, part_ratio, now_seconds)
         slots = usable + math.ceil(usable * extra_slots_ratio)
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -17,6 +17,7 @@
 from ._life import Life
 from ._parts import Parts
 from ._scheduler_task import Decision
+from ._steward import StewardTask
 from ._upstream_tasks import HostListTask
 
 
@@ -29,12 +30,14 @@
         life: Life,
         configuration: ConfigurationTask,
         hosts: HostListTask,
+        steward: StewardTask,
         count_platform_calls: Callable[[], int],
     ) -> None:
         self._parts = parts
         self._life = life
         self._configuration = configuration
         self._hosts = hosts
+        self._steward = steward
         self._count_platform_calls = count_platform_calls
         self.app = Starlette(
             routes=[
@@ -77,9 +80,18 @@
         status["is_ready"] = self._life.is_ready
         status["revision"] = self._parts.follower.revision
         status["revision_source"] = self._parts.follower.source
+        status["lease"] = self._describe_lease()
         status["degraded"] = self._problems(status)
         return JSONResponse(status)
 
+    def _describe_lease(self) -> dict[str, Any]:
+        lease = self._steward.lease
+        return {
+            "holder": lease.record.holder if lease.record else "",
+            "fencing_number": lease.version,
+            "is_held_here": self._steward.is_holder,
+        }
+
     def _problems(self, status: dict[str, Any]) -> list[str]:
         found = []
         if self._configuration.problem:
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -30,6 +30,7 @@
 from ._peer_stream import PeerIdentity
 from ._peers import PeerTask
 from ._scheduler_task import SchedulerTask
+from ._steward import StewardTask
 from ._stream_tokens import StreamTokens
 from ._upstream_client import UpstreamClient
 from ._upstream_tasks import CancelTask, HostListTask, ProbeTask
@@ -88,6 +89,9 @@
         self._claims = ClaimTask(api, settings.claims, clocks.monotonic, clocks.wall)
         self._probes = ProbeTask(upstreams, self.scheduler)
         self._cancels = CancelTask(upstreams, self.scheduler)
+        self.steward = StewardTask(
+            api, settings, self.scheduler, upstreams, clocks.monotonic
+        )
         host = settings.host
         self._peers = PeerTask(
             PeerIdentity(host.name, host.hall, incarnation),
@@ -116,6 +120,7 @@
             self.life,
             self._configuration,
             self._hosts,
+            self.steward,
             lambda: getattr(api, "calls_count", 0),
         )
 
@@ -138,6 +143,7 @@
         tasks.start_soon(self._claims.run)
         tasks.start_soon(self._probes.run)
         tasks.start_soon(self._cancels.run)
+        tasks.start_soon(self.steward.run)
         tasks.start_soon(self._peers.run, listeners.peer)
         log.info("started", host=self._settings.host.name)
 
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -27,6 +27,7 @@
     HostList as HostList,
     LeaseRecord as LeaseRecord,
     WeightsTarget as WeightsTarget,
+    WeightsTargets as WeightsTargets,
 )
 from ._generated_settings import (
     ClaimSettings as ClaimSettings,
@@ -40,6 +41,7 @@
     QueueSettings as QueueSettings,
     RetrySettings as RetrySettings,
     Settings as Settings,
+    StewardSettings as StewardSettings,
 )
 from ._generated_tree import (
     Change as Change,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
@@ -80,3 +80,13 @@
     model: str
     #: Version of its weights.
     weights_version: int = attrs.field(validator=within(0, None))
+
+
+@attrs.frozen
+class WeightsTargets:
+    """All targets, as one object."""
+
+    #: Random id by which a writer knows its own write again.
+    write_id: str
+    #: One target for each model.
+    targets: list[WeightsTarget]
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -184,6 +184,20 @@
     batch_seconds: float = attrs.field(default=0.005, validator=within(0.0, 1.0))
 
 
+@attrs.frozen
+class StewardSettings:
+    """Orders to runners, given by one host of a region at a time."""
+
+    #: Whether this host may hold the lease.
+    is_candidate: bool = attrs.field(default=True)
+    #: Length of the lease; renewed at a third of it.
+    lease_seconds: float = attrs.field(default=10.0, validator=within(0.2, 600.0))
+    #: Time after which an ordered load counts as failed.
+    load_timeout_seconds: float = attrs.field(
+        default=120.0, validator=within(0.1, 3600.0)
+    )
+
+
 @attrs.frozen
 class Settings:
     """All settings of one rampwickd process."""
@@ -206,5 +220,7 @@
     limits: LimitSettings = attrs.field(factory=LimitSettings)
     #: Starting and stopping.
     life: LifeSettings = attrs.field(factory=LifeSettings)
+    #: Orders to runners.
+    steward: StewardSettings = attrs.field(factory=StewardSettings)
     #: At-most-once requests.
     claims: ClaimSettings = attrs.field(factory=ClaimSettings)
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_upstream.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_upstream.py
@@ -30,7 +30,7 @@
     prefill_tokens_per_second: float = attrs.field(validator=within(0.001, None))
     #: Size of the prefix cache.
     cache_tokens: int = attrs.field(validator=within(0, None))
-    #: Role of the runner.
+    #: serve, or loading while weights are loaded.
     role: str = attrs.field(default="serve")
     #: Highest fencing number seen.
     fencing_number: int = attrs.field(default=0, validator=within(0, None))
--- a/packages/rampwick-standin/src/rampwick_standin/_engine.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_engine.py
@@ -15,6 +15,8 @@
 import anyio
 import attrs
 
+from rampwick_schema import Order
+
 #: Bytes of prompt text in one token, and tokens in one block.
 BYTES_PER_TOKEN = 4
 BLOCK_TOKENS = 16
@@ -139,6 +141,7 @@
         #: Attempts that began to run, in order, over all lives: for checks.
         self.started: list[Stream] = []
         self.cancelled: list[str] = []
+        self.orders: list[Order] = []
         self._tickets = itertools.count()
         self._begin_life()
 
@@ -178,6 +181,7 @@
         if weights_version == self.weights_version:
             return
         self.loads_count += 1
+        self.role = "loading"
         # Like an engine's own reload: the batch is served out first.
         for _ in range(self.settings.slots_count):
             await self._take_slot(priority=0)
@@ -185,6 +189,7 @@
         self.weights_version = weights_version
         if not self.faults.keeps_cache:
             self.cache.clear()
+        self.role = "serve"
         for _ in range(self.settings.slots_count):
             self._give_slot()
 
--- a/packages/rampwick-standin/src/rampwick_standin/_runner.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_runner.py
@@ -136,7 +136,7 @@
         ):
             return Response(status_code=409)
         engine.fencing_number = max(engine.fencing_number, order.fencing_number)
-        engine.role = order.role
+        engine.orders.append(order)
         self._task_group.start_soon(engine.load_weights, order.weights_version)
         return Response(status_code=202)
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -172,13 +172,17 @@
 
     async def edit(self, make_edits) -> None:
         """Change the tree as an operator would."""
-        async with HttpObjectApi(
-            self.platform_url, call_timeout_seconds=2.0, calls_per_second=1000.0
-        ) as api:
+        async with self.open_api() as api:
             await TreeStore(api).propose(
                 make_edits, author="test", base_revision=None, now_seconds=0.0
             )
 
+    def open_api(self) -> HttpObjectApi:
+        """Return a client of the platform, to be entered."""
+        return HttpObjectApi(
+            self.platform_url, call_timeout_seconds=2.0, calls_per_second=1000.0
+        )
+
     def add_runner(self, name: str, **options) -> RunnerStandIn:
         """Start a runner and list it."""
         options.setdefault("step_seconds", 0.001)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,36 @@
+"""Fakes at the interfaces, with faults stepped by the test."""
+
+from rampwick_platform import AnswerLostError, Listing, VersionConflictError
+from rampwick_standin import ObjectStore, PreconditionError
+
+
+class FakeApi:
+    """The object API on a store in memory, with faults stepped by the test."""
+
+    def __init__(self, store=None):
+        self.store = store or ObjectStore()
+        self.lose_answers = 0
+        self.lose_writes = 0
+        self.before_put = None
+
+    async def get(self, key):
+        return self.store.get(key)
+
+    async def put(self, key, value, expected_version):
+        if self.before_put:
+            before, self.before_put = self.before_put, None
+            await before()
+        if self.lose_writes:
+            self.lose_writes -= 1
+            raise AnswerLostError("lost", step="put")
+        try:
+            version = self.store.put(key, value, expected_version)
+        except PreconditionError as error:
+            raise VersionConflictError(str(error), step="put") from None
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise AnswerLostError("lost", step="put")
+        return version
+
+    async def list_objects(self, prefix, after_key=""):
+        return Listing(self.store.version, self.store.list_items(prefix, after_key))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,10 +9,8 @@
 from rampwick_platform import (
     AnswerLostError,
     HttpObjectApi,
-    Listing,
     PlatformError,
     TreeStore,
-    VersionConflictError,
 )
 from rampwick_policy import (
     ConfigurationFollower,
@@ -26,10 +24,11 @@
     moved,
 )
 from rampwick_schema import Change, Node, NodeEdit, Tree
-from rampwick_standin import ObjectStore, PlatformFaults, PreconditionError
+from rampwick_standin import ObjectStore, PlatformFaults
 
 from .bench import until
 from .case import ScenarioCase
+from .fakes import FakeApi
 from .history import Observed, check_revisions
 
 
@@ -42,38 +41,6 @@
     return edits
 
 
-class FakeApi:
-    """The object API on a store in memory, with faults stepped by the test."""
-
-    def __init__(self, store=None):
-        self.store = store or ObjectStore()
-        self.lose_answers = 0
-        self.lose_writes = 0
-        self.before_put = None
-
-    async def get(self, key):
-        return self.store.get(key)
-
-    async def put(self, key, value, expected_version):
-        if self.before_put:
-            before, self.before_put = self.before_put, None
-            await before()
-        if self.lose_writes:
-            self.lose_writes -= 1
-            raise AnswerLostError("lost", step="put")
-        try:
-            version = self.store.put(key, value, expected_version)
-        except PreconditionError as error:
-            raise VersionConflictError(str(error), step="put") from None
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise AnswerLostError("lost", step="put")
-        return version
-
-    async def list_objects(self, prefix, after_key=""):
-        return Listing(self.store.version, self.store.list_items(prefix, after_key))
-
-
 class ProposeTest(TestCase):
     def propose(self, api, edits, base=None):
         async def run():
