Overload, fairness and prefill queues: hold work back here, refuse what can't begin

Change: prompts wait here once a runner has 0.1 s of prefill to do; a request that can't begin in time is refused at dispatch, at once; a full queue refuses the newest request of whoever fills it most; the drain rate counts only while something has waited for two seconds; the first token and peers' news start a pass; summaries are encoded once for all peers.

--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,30 @@
+"""Run a measurement: ``python -m measure placement|load|membership|relay …``."""
+
+import sys
+
+from . import load, membership, placement, relay
+
+MEASUREMENTS = {
+    "placement": placement.main,
+    "load": load.main,
+    "membership": membership.main,
+    "relay": relay.main,
+}
+
+
+def main() -> int:
+    """Run the named measurements, or all of them with their defaults."""
+    if len(sys.argv) > 1:
+        name, *words = sys.argv[1:]
+        if name not in MEASUREMENTS:
+            print(f"unknown measurement {name}; known: {', '.join(MEASUREMENTS)}")
+            return 2
+        MEASUREMENTS[name](words)
+        return 0
+    for run in MEASUREMENTS.values():
+        run([])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/measure/_world.py
+++ b/measure/_world.py
@@ -18,6 +18,7 @@
     AttemptDelivered,
     AttemptDone,
     AttemptFailed,
+    CancelAttempt,
     Dispatch,
     HostListRead,
     LoadReported,
@@ -103,6 +104,7 @@
     dispatch: Dispatch
     arrival: Arrival
     cached_tokens: int = 0
+    is_cancelled: bool = False
 
 
 class Runner:
@@ -149,7 +151,17 @@
         while self.free_slots and self._queue:
             self.free_slots -= 1
             _, _, job = heapq.heappop(self._queue)
-            self._prefill(job)
+            if job.is_cancelled:
+                self.jobs.discard(job)
+                self.free_slots += 1
+            else:
+                self._prefill(job)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt; a prompt that is being computed is computed on."""
+        for job in self.jobs:
+            if job.dispatch.attempt_id == attempt_id:
+                job.is_cancelled = True
 
     def _prefill(self, job: Job) -> None:
         prompt = job.arrival.prompt
@@ -187,6 +199,8 @@
         self.waiting_tokens -= missing
         self._clock.after(HOP_SECONDS, job.host.first_token, job)
         decode = job.arrival.kind.answer_tokens * STEP_SECONDS
+        if job.is_cancelled:
+            decode = 0.0
         self._clock.after(decode, self._finish, job, life)
 
     def _finish(self, job: Job, life: int) -> None:
@@ -320,6 +334,9 @@
         for action in self.scheduler.handle(event, self._clock.now_seconds):
             if isinstance(action, Dispatch):
                 self._send(action)
+            elif isinstance(action, CancelAttempt):
+                runner = self._world.runners[action.upstream]
+                self._clock.after(HOP_SECONDS, runner.cancel, action.attempt_id)
             elif isinstance(action, Refuse):
                 sample = self.open.pop(action.request_id)
                 sample.refused = action.reason
--- a/measure/load.py
+++ b/measure/load.py
@@ -79,7 +79,8 @@
 
 def label_rate(settings: WorldSettings) -> float:
     """Return the labels a second that the pool carries."""
-    shape = attrs.evolve(HERBARIA, kinds=(LABEL,))
+    # Three collections fit every cache, so hardly anything but items is missing.
+    shape = attrs.evolve(HERBARIA, kinds=(LABEL,), nominal_hit_rate=0.99)
     return nominal_rate(shape, settings)
 
 
@@ -103,10 +104,11 @@
     run_flows(world, flows, seed, 60.0, weights)
     errors = []
     for begin in (30.0, 40.0, 50.0):
-        done = dict.fromkeys(weights, 0)
+        done = dict.fromkeys(weights, 0.0)
         for item in world.samples:
             if item.done_seconds and begin <= item.done_seconds < begin + 10.0:
-                done[int(item.arrival.workspace.path[-1])] += 1
+                missing = item.arrival.prompt.tokens - item.cached_tokens
+                done[int(item.arrival.workspace.path[-1])] += missing + 4 * 8
         total = sum(done.values())
         for index, weight in weights.items():
             errors.append(abs(done[index] / total / (weight / 7.0) - 1.0))
@@ -206,6 +208,15 @@
     return world
 
 
+def refused_after_warming(world: World) -> list[Sample]:
+    """Return the refused requests that did not meet cold caches."""
+    return [
+        item
+        for item in world.samples
+        if item.refused and item.arrival.at_seconds >= WARM_SECONDS
+    ]
+
+
 def hit_rate(world: World, begin: float, end: float) -> float:
     """Return the hit rate of requests that arrived in a span of time."""
     items = [
@@ -224,14 +235,9 @@
         world.runners["lektor-0"].crash(5.0)
 
     world = faulty(seed, fault)
-    lost = [item for item in world.samples if item.refused]
-    cut = [
-        item
-        for item in world.samples
-        if item.first_seconds is not None
-        and item.done_seconds is None
-        and item.arrival.at_seconds < 60.0
-    ]
+    refused = refused_after_warming(world)
+    lost = [item for item in refused if not item.first_seconds]
+    cut = [item for item in refused if item.first_seconds]
     late = [
         wait_ms(item)
         for item in world.samples
@@ -290,7 +296,7 @@
         world.cut_hosts = {"entry-0", "entry-4"}
 
     world = faulty(seed, fault)
-    refused = [item for item in world.samples if item.refused]
+    refused = refused_after_warming(world)
     return {
         "hit_rate_before": hit_rate(world, 20.0, 40.0),
         "hit_rate_cut_off": hit_rate(world, 45.0, 75.0),
--- a/packages/rampwick-policy/src/rampwick_policy/_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_admission.py
@@ -12,6 +12,9 @@
 #: Time constant of the rate at which this host gets rid of waiting work.
 DRAIN_SECONDS = 5.0
 
+#: Time for which work must have been waiting before that rate is believed.
+MIN_BACKLOG_SECONDS = 2.0
+
 #: Bounds of what callers are told to wait before they come back.
 MIN_RETRY_AFTER_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 60.0
@@ -38,6 +41,7 @@
         self._ledger = ledger
         self._peers = peers
         self._drain = DecayedUse(DRAIN_SECONDS)
+        self._backlog_since_seconds: float | None = None
         self._running: dict[str, int] = {}
         self.workspaces: dict[str, Workspace] = {}
 
@@ -49,6 +53,17 @@
         for path in workspace.lineage:
             self._running[path] = self._running.get(path, 0) + 1
 
+    def note_queue(self, now_seconds: float) -> None:
+        """Note whether anything waits; only then is the drain rate a measure.
+
+        While nothing waits the rate shows the demand, not what could be served.
+        """
+        if not len(self._queue):
+            self._backlog_since_seconds = None
+        elif self._backlog_since_seconds is None:
+            self._backlog_since_seconds = now_seconds
+            self._drain = DecayedUse(DRAIN_SECONDS, at_seconds=now_seconds)
+
     def note_ended(self, workspace: Workspace) -> None:
         """Note that an attempt of a workspace ended."""
         for path in workspace.lineage:
@@ -60,10 +75,8 @@
         """Return the attempts open at or below a path."""
         return self._running.get(path, 0)
 
-    def full_queue(self, workspace: Workspace, max_waiting_count: int) -> str:
-        """Return whose queue has no room for another request, or nothing."""
-        if len(self._queue) >= max_waiting_count:
-            return "host"
+    def full_limit(self, workspace: Workspace) -> str:
+        """Return the path whose limit on waiting requests is reached, or nothing."""
         for limit in workspace.limits:
             most = limit.max_waiting_count
             if most is not None and self._queue.waiting_count(limit.path) >= most:
@@ -112,12 +125,19 @@
 
     def wait_seconds(self, workspace: Workspace, now_seconds: float) -> float:
         """Return how long a request that arrives now will wait, by the drain rate."""
-        drained = self._drain.get("", now_seconds)
         waiting = self._queue.waiting_tokens(workspace.path)
-        if not waiting or drained < 1.0:
+        tokens_per_second = self._drained_tokens_per_second(now_seconds)
+        if not waiting or tokens_per_second is None:
             return 0.0
         contenders = max(1, len(self._queue.counts()))
-        return waiting * contenders / (drained / DRAIN_SECONDS)
+        return waiting * contenders / tokens_per_second
+
+    def _drained_tokens_per_second(self, now_seconds: float) -> float | None:
+        since_seconds = self._backlog_since_seconds
+        if since_seconds is None or now_seconds - since_seconds < MIN_BACKLOG_SECONDS:
+            return None
+        elapsed_seconds = min(DRAIN_SECONDS, now_seconds - since_seconds)
+        return max(1.0, self._drain.get("", now_seconds)) / elapsed_seconds
 
     def retry_after_seconds(self, workspace: Workspace, now_seconds: float) -> float:
         """Return when coming back has a chance: once today's queue is gone."""
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -4,6 +4,7 @@
 ``PricedKnowledge``; the others are the baselines of its measurement.
 """
 
+import math
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -31,17 +32,27 @@
     distance_seconds: float = 0.0
     #: Estimated wait for a slot; nothing while one is free.
     slot_wait_seconds: float = 0.0
+    #: Prefill time that may wait at the runner.
+    max_prefill_queue_seconds: float = math.inf
+
+    @property
+    def prefill_queue_seconds(self) -> float:
+        """Time until the runner has computed the prompts that it was sent."""
+        return self.waiting_tokens / self.prefill_tokens_per_second
 
     @property
     def has_slot(self) -> bool:
-        """Whether the runner can start another request at once."""
-        return self.running_count < self.slots_count
+        """Whether the runner is to be sent another request now."""
+        return (
+            self.running_count < self.slots_count
+            and self.prefill_queue_seconds < self.max_prefill_queue_seconds
+        )
 
     @property
     def queue_seconds(self) -> float:
         """Time until the runner begins with a prompt that is sent now."""
-        prefill_seconds = self.waiting_tokens / self.prefill_tokens_per_second
-        return self.distance_seconds + self.slot_wait_seconds + prefill_seconds
+        engine_seconds = self.slot_wait_seconds + self.prefill_queue_seconds
+        return self.distance_seconds + engine_seconds
 
     def prefill_seconds(self, tokens: int) -> float:
         """Return the time that computing so many prompt tokens takes."""
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -77,6 +77,19 @@
             del lines[item.workspace_path]
         self._adjust(item, sign=-1)
 
+    def last_of_longest(self, other_than: str) -> QueuedRequest | None:
+        """Return the newest request of the workspace with the longest line.
+
+        None if the other workspace's own line is as long.
+        """
+        path = max(self._counts, key=lambda name: self._counts[name])
+        if self._counts[path] <= self._counts.get(other_than, 0) + 1:
+            return None
+        for lines in reversed(self._lines.values()):
+            if path in lines:
+                return next(reversed(lines[path].values()))
+        return None
+
     def workspaces_waiting(self, priority_class: str) -> list[str]:
         """Return the paths of the workspaces that wait in a class."""
         return list(self._lines[priority_class])
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -47,9 +47,7 @@
 
     def has_any(self, views: list[RunnerView]) -> bool:
         """Return whether any of the upstreams might take another request."""
-        return any(
-            view.running_count < view.slots_count + _extra_slots(view) for view in views
-        )
+        return any(_has_room(view) for view in views)
 
     def may_take(
         self, choice: Choice, views: list[RunnerView], standing: Standing
@@ -88,9 +86,7 @@
         # A full runner's slots are held by hosts whose work may be less entitled.
         # One request over the line makes them see it, without any slot left idle.
         upstream = self._upstreams.get(view.name)
-        if upstream is None or (
-            view.running_count >= view.slots_count + _extra_slots(view)
-        ):
+        if upstream is None or not _has_room(view):
             return False
         if not upstream.own_attempts:
             return True
@@ -99,8 +95,13 @@
         return is_first and any(goes_before(standing, item.standing) for item in rivals)
 
 
-def _extra_slots(view: RunnerView) -> int:
-    return max(1, int(view.slots_count * ENTITLED_EXTRA_RATIO))
+def _has_room(view: RunnerView) -> bool:
+    extra_slots = max(1, int(view.slots_count * ENTITLED_EXTRA_RATIO))
+    # Twice the usual prefill queue is the most that an entitled request may face.
+    return (
+        view.running_count < view.slots_count + extra_slots
+        and view.prefill_queue_seconds < 2 * view.max_prefill_queue_seconds
+    )
 
 
 def _serves(upstream: Upstream, service: str, model: str) -> bool:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -44,16 +44,11 @@
 MAX_BUSY_SECONDS = 1.0
 
 #: Events after which nothing that waits can go any sooner; ticks come anyway.
-QUIET_EVENTS = (
-    ev.AttemptAccepted,
-    ev.AttemptDelivered,
-    ev.LoadReported,
-    ev.PeerHeard,
-)
+QUIET_EVENTS = (ev.AttemptAccepted, ev.LoadReported)
 
 #: Reasons of refusals.
 QUEUE_FULL = "queue_full"
-LIMIT_UNREACHABLE = "deadline_unreachable"
+DEADLINE_UNREACHABLE = "deadline_unreachable"
 DEADLINE_PASSED = "deadline_passed"
 NO_UPSTREAM = "no_upstream"
 UPSTREAM_FAILED = "upstream_failed"
@@ -79,8 +74,8 @@
         self.upstreams = UpstreamTable(
             settings.host.hall,
             settings.retry,
+            settings.placement,
             settings.queue.slots_factor,
-            settings.placement.prefill_tokens_per_second,
         )
         self._pool = PlacementPool()
         self._placement = placement or PricedKnowledge(self.knowledge)
@@ -105,6 +100,7 @@
     def handle(self, event: ev.Event, now_seconds: float) -> list[ev.Action]:
         """Take one event; return what is to be done, in order."""
         actions = self._handlers[type(event)](event, now_seconds)
+        self.admission.note_queue(now_seconds)
         actions += self._fill(event, now_seconds)
         return actions
 
@@ -165,18 +161,27 @@
             raise LifecycleError(f"{event.request_id} arrived twice", step="arrive")
         self.budget.earn()
         workspace = event.workspace
-        full = self.admission.full_queue(
-            workspace, self._settings.queue.max_waiting_count
-        )
         wait_seconds = self.admission.wait_seconds(workspace, now_seconds)
         item = self._new_item(event, now_seconds)
         self._requests[event.request_id] = item
+        full = self.admission.full_limit(workspace)
         if full:
             return [self._refuse(item, QUEUE_FULL, now_seconds, peer=full)]
         if now_seconds + wait_seconds > event.deadline_seconds:
-            return [self._refuse(item, LIMIT_UNREACHABLE, now_seconds)]
-        self.queue.add(item)
-        return []
+            return [self._refuse(item, DEADLINE_UNREACHABLE, now_seconds)]
+        actions = self._make_way(item, now_seconds)
+        if not item.lifecycle.has_ended:
+            self.queue.add(item)
+        return actions
+
+    def _make_way(self, item: QueuedRequest, now_seconds: float) -> list[ev.Action]:
+        """Refuse one request if the host's queue is full, of whoever fills it most."""
+        if len(self.queue) < self._settings.queue.max_waiting_count:
+            return []
+        victim = self.queue.last_of_longest(other_than=item.workspace_path) or item
+        if victim is not item:
+            self.queue.remove(victim)
+        return [self._refuse(victim, QUEUE_FULL, now_seconds, peer="host")]
 
     def _new_item(self, event: ev.RequestArrived, now_seconds: float) -> QueuedRequest:
         lifecycle = RequestLifecycle(
@@ -438,7 +443,7 @@
 
     def _fill_one(
         self, priority_class: str, only_path: str, now_seconds: float
-    ) -> ev.Dispatch | None:
+    ) -> ev.Dispatch | ev.Refuse | None:
         paths = self.queue.workspaces_waiting(priority_class)
         if only_path:
             paths = [path for path in paths if path == only_path]
@@ -471,7 +476,7 @@
 
     def _try_dispatch(
         self, item: QueuedRequest, standing: Standing, room: Room, now_seconds: float
-    ) -> ev.Dispatch | None:
+    ) -> ev.Dispatch | ev.Refuse | None:
         arrival = item.arrival
         views = room.views(arrival)
         if not views:
@@ -482,12 +487,30 @@
         if not room.has_any(views):
             return None
         choice = self._choose(arrival, views, now_seconds)
+        if self._is_hopeless(arrival, choice, views, now_seconds):
+            self.queue.remove(item)
+            return self._refuse(item, DEADLINE_UNREACHABLE, now_seconds)
         if not room.may_take(choice, views, standing):
             return None
         if item.needs_budget and not self.budget.spend(now_seconds):
             return None
         return self._dispatch(item, choice, now_seconds)
 
+    def _is_hopeless(
+        self,
+        arrival: ev.RequestArrived,
+        choice: Choice,
+        views: list[RunnerView],
+        now_seconds: float,
+    ) -> bool:
+        """Return whether the answer can't begin in time even if it is sent now."""
+        if arrival.chain is None:
+            return False
+        view = next(item for item in views if item.name == choice.upstream)
+        prefill_seconds = view.prefill_seconds(choice.missing_tokens)
+        begins_seconds = now_seconds + choice.queue_seconds + prefill_seconds
+        return begins_seconds > arrival.deadline_seconds
+
     def _choose(
         self, arrival: ev.RequestArrived, views: list[RunnerView], now_seconds: float
     ) -> Choice:
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -5,7 +5,13 @@
 
 import attrs
 
-from rampwick_schema import HostEntry, HostList, LoadReport, RetrySettings
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    LoadReport,
+    PlacementSettings,
+    RetrySettings,
+)
 
 from ._health import Health
 from ._knowledge import Life, life_label
@@ -79,7 +85,10 @@
         if self.own_attempts.pop(attempt_id, None) is None:
             return
         if self.released_at_seconds is not None:
-            interval = now_seconds - self.released_at_seconds
+            # A longer interval only says that there was nothing to release.
+            interval = min(
+                FIRST_RELEASE_SECONDS, now_seconds - self.released_at_seconds
+            )
             self.release_seconds += RELEASE_SMOOTHING * (
                 interval - self.release_seconds
             )
@@ -90,12 +99,16 @@
     """All upstreams by name."""
 
     def __init__(
-        self, hall: str, retry: RetrySettings, slots_factor: float, prefill: float
+        self,
+        hall: str,
+        retry: RetrySettings,
+        placement: PlacementSettings,
+        slots_factor: float,
     ) -> None:
         self._hall = hall
         self._retry = retry
         self._slots_factor = slots_factor
-        self._default_prefill = prefill
+        self._placement = placement
         #: Version of the host list in use; -1 before the first.
         self.list_version = -1
         self._upstreams: dict[str, Upstream] = {}
@@ -137,7 +150,7 @@
         self._upstreams[entry.name] = Upstream(
             entry=entry,
             health=health,
-            prefill_tokens_per_second=self._default_prefill,
+            prefill_tokens_per_second=self._placement.prefill_tokens_per_second,
         )
 
     def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
@@ -199,4 +212,5 @@
             prefill_tokens_per_second=upstream.prefill_tokens_per_second,
             distance_seconds=distance,
             slot_wait_seconds=over * upstream.release_seconds,
+            max_prefill_queue_seconds=self._placement.max_prefill_queue_seconds,
         )
--- a/packages/rampwick-router/src/rampwick_router/_peer_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_stream.py
@@ -57,7 +57,10 @@
 
     async def send(self, message: Any) -> None:
         """Send a message."""
-        data = encode_message(message)
+        await self.send_encoded(encode_message(message))
+
+    async def send_encoded(self, data: bytes) -> None:
+        """Send a message that was encoded once for several peers."""
         if len(data) - LENGTH_BYTES > self._max_message_bytes:
             raise PeerError(
                 f"message of {len(data)} bytes is too long", step=STEP, peer=self.peer
--- a/packages/rampwick-router/src/rampwick_router/_peers.py
+++ b/packages/rampwick-router/src/rampwick_router/_peers.py
@@ -21,6 +21,7 @@
     Settings,
     Summary,
     TreeReply,
+    encode_message,
 )
 
 from ._configuration import ConfigurationTask
@@ -52,18 +53,22 @@
     """Messages on their way over one connection."""
 
     peer: PeerIdentity
-    _sending: MemoryObjectSendStream[Any]
-    waiting: MemoryObjectReceiveStream[Any]
+    _sending: MemoryObjectSendStream[bytes]
+    waiting: MemoryObjectReceiveStream[bytes]
 
     @classmethod
     def open(cls, peer: PeerIdentity) -> "Outbox":
         """Return an empty outbox towards a peer."""
-        return cls(peer, *anyio.create_memory_object_stream[Any](OUTBOX_COUNT))
+        return cls(peer, *anyio.create_memory_object_stream[bytes](OUTBOX_COUNT))
 
     def put(self, message: Any) -> None:
         """Send a message in its turn, or drop it if the peer is too slow."""
+        self.put_encoded(encode_message(message))
+
+    def put_encoded(self, data: bytes) -> None:
+        """Send a message that was encoded once for several peers."""
         try:
-            self._sending.send_nowait(message)
+            self._sending.send_nowait(data)
         except (anyio.WouldBlock, anyio.BrokenResourceError):
             # A later summary says all that this one would have.
             return
@@ -186,8 +191,8 @@
         self, stream: PeerStream, outbox: Outbox, scope: anyio.CancelScope
     ) -> None:
         try:
-            async for message in outbox.waiting:
-                await stream.send(message)
+            async for data in outbox.waiting:
+                await stream.send_encoded(data)
         except PeerError as error:
             log.info("stream to peer ended", error=str(error))
             scope.cancel()
@@ -247,6 +252,7 @@
                 sequence, self._follower.revision, self.is_leaving, now_seconds
             )
         )
+        data = encode_message(summary)
         by_peer = {outbox.peer.host: outbox for outbox in self._outboxes}
         for outbox in by_peer.values():
-            outbox.put(summary)
+            outbox.put_encoded(data)
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -94,6 +94,10 @@
     prefill_tokens_per_second: float = attrs.field(
         default=8000.0, validator=within(1.0, 10000000.0)
     )
+    #: Prompts kept waiting for prefill at a runner, as prefill time; the rest waits here, in fair order.
+    max_prefill_queue_seconds: float = attrs.field(
+        default=0.1, validator=within(0.001, 60.0)
+    )
     #: Share of the mean load that the computed choice may fill on one runner.
     load_factor: float = attrs.field(default=1.25, validator=within(1.0, 10.0))
 
@@ -123,7 +127,7 @@
     #: Attempts for one request, the first included.
     max_attempts_count: int = attrs.field(default=3, validator=within(1, 10))
     #: Share of its slots that a returning upstream is given at first.
-    ramp_start_ratio: float = attrs.field(default=0.05, validator=within(0.001, 1.0))
+    ramp_start_ratio: float = attrs.field(default=0.1, validator=within(0.001, 1.0))
     #: Time over which a returning upstream gets back all its slots.
     ramp_seconds: float = attrs.field(default=6.0, validator=within(0.01, 600.0))
     #: Silence of an upstream after which the attempt counts as failed.
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,182 @@
+"""Streams between hosts: any bytes cost one connection only; strangers stay out."""
+
+import anyio
+import msgpack
+from hypothesis import given, settings, strategies as st
+from testtools import TestCase
+
+from rampwick_router._errors import PeerError
+from rampwick_router._metrics import Metrics
+from rampwick_router._peer_stream import PeerIdentity, PeerStream
+from rampwick_schema import (
+    LENGTH_BYTES,
+    Change,
+    ChangesReply,
+    Hello,
+    MessageError,
+    Node,
+    NodeEdit,
+    PlacedPrefix,
+    SettingsError,
+    Summary,
+    Tree,
+    TreeReply,
+    WorkspaceUsage,
+    decode_message,
+    encode_message,
+    parse_settings,
+)
+
+from .bench import SECRET, until
+from .case import ScenarioCase
+
+TEXT = st.text(max_size=20)
+SUMMARIES = st.builds(
+    Summary,
+    sequence=st.integers(0, 2**40),
+    revision=st.integers(0, 2**40),
+    host_list_version=st.integers(-1, 2**40),
+    is_leaving=st.booleans(),
+    workspaces=st.lists(
+        st.builds(WorkspaceUsage, TEXT, st.floats(0, 1e9), st.integers(0, 10**6)),
+        max_size=3,
+    ),
+    upstreams=st.just([]),
+    placed=st.lists(
+        st.builds(
+            PlacedPrefix,
+            TEXT,
+            TEXT,
+            st.lists(st.binary(min_size=8, max_size=8), max_size=3),
+            st.lists(st.integers(0, 10**6), max_size=3),
+        ),
+        max_size=3,
+    ),
+)
+
+
+class WireTest(TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(SUMMARIES)
+    def test_messages_come_back_as_they_went(self, summary):
+        data = encode_message(summary)
+        self.assertEqual(len(data) - LENGTH_BYTES, int.from_bytes(data[:4], "big"))
+        self.assertEqual(summary, decode_message(data[LENGTH_BYTES:]))
+
+    @settings(derandomize=True, deadline=None, max_examples=500)
+    @given(st.binary(max_size=300))
+    def test_any_bytes_give_a_message_or_a_message_error(self, data):
+        try:
+            decode_message(data, peer="stranger")
+        except MessageError as error:
+            self.assertEqual("stranger", error.peer)
+
+    @settings(derandomize=True, deadline=None, max_examples=500)
+    @given(SUMMARIES, st.data())
+    def test_broken_messages_give_a_message_or_a_message_error(self, summary, data):
+        body = bytearray(encode_message(summary)[LENGTH_BYTES:])
+        for _ in range(data.draw(st.integers(1, 4))):
+            at = data.draw(st.integers(0, len(body) - 1))
+            body[at] = data.draw(st.integers(0, 255))
+        try:
+            decode_message(bytes(body))
+        except MessageError:
+            return
+
+    def test_fields_of_a_newer_peer_are_ignored(self):
+        body = msgpack.packb([2, b"digest", "something new"])
+        self.assertEqual(b"digest", decode_message(body).digest)
+
+    def test_trees_and_changes_come_back(self):
+        tree = TreeReply(Tree(3, {"/": Node(), "/a": Node(weight=2.0)}))
+        self.assertEqual(tree, decode_message(encode_message(tree)[LENGTH_BYTES:]))
+        change = Change(4, "w", "a", 1.0, [NodeEdit("/a", None)])
+        reply = ChangesReply([change])
+        self.assertEqual(reply, decode_message(encode_message(reply)[LENGTH_BYTES:]))
+
+
+class HandshakeTest(ScenarioCase):
+    async def dial(self, host, secret, name="entry-9"):
+        address, _, port = host.addresses.peer.rpartition(":")
+        connection = await anyio.connect_tcp(address, int(port))
+        stream = PeerStream(connection, 10_000, Metrics())
+        identity = PeerIdentity(name, "trnava", 1)
+        return stream, await stream.shake_hands(identity, secret)
+
+    def test_stranger_without_the_secret_is_not_heard(self):
+        async def scenario(bench):
+            async with bench.run_host() as host:
+                try:
+                    await self.dial(host, "another secret")
+                except PeerError as error:
+                    return error.message, host.daemon.scheduler._scheduler.peers
+
+        message, peers = self.run_scenario(scenario)
+        self.assertTrue("wrong secret" in message or "closed" in message, message)
+        self.assertEqual({}, peers._views)
+
+    def test_bad_messages_cost_their_connection_only(self):
+        async def scenario(bench):
+            bench.add_runner("lektor-1")
+            async with bench.run_host() as host:
+                await host.until_ready("lektor-1")
+                address, _, port = host.addresses.peer.rpartition(":")
+                for junk in (b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 64, b"\0\0\0\1\xc1"):
+                    async with await anyio.connect_tcp(address, int(port)) as raw:
+                        await raw.send(junk)
+                stream, peer = await self.dial(host, SECRET)
+                self.assertEqual("entry-1", peer.host)
+                # A second greeting has no place once the first is proved.
+                await stream.send(Hello(1, "x", "y", 1, b"0" * 16))
+                with anyio.move_on_after(5):
+                    try:
+                        while True:
+                            await stream.receive()
+                    except PeerError:
+                        pass
+                return (await host.complete()).status_code
+
+        self.assertEqual(200, self.run_scenario(scenario))
+
+    def test_hosts_hear_each_other_and_notice_silence(self):
+        async def scenario(bench):
+            async with bench.run_host("entry-1") as one:
+                peers = one.daemon.scheduler._scheduler.peers
+                async with bench.run_host("entry-2"):
+                    await until(lambda: "entry-2" in peers._views)
+                await until(lambda: "entry-2" not in peers._views)
+
+        self.run_scenario(scenario)
+
+
+class SettingsTest(TestCase):
+    def error(self, text):
+        head = '[host]\nname = "a"\nhall = "h"\n'
+        found = self.assertRaises(
+            SettingsError, parse_settings, head + text, source="a.toml"
+        )
+        return str(found)
+
+    def test_errors_name_file_key_value_and_what_is_allowed(self):
+        cases = {
+            "[retry]\nramp = 4": ("a.toml", "retry.ramp", "ramp_start_ratio"),
+            "[retry]\nbudget_ratio = 7": ("budget_ratio", "7", "0.0 to 1.0"),
+            "[retry]\nbudget_ratio = nan": ("budget_ratio", "nan"),
+            '[listen]\nentry_port = "80"': ("entry_port", "'80'", "whole number"),
+            "[life]\nbalancer_delay = 3": ("balancer_delay_seconds",),
+            "[peers]\nseeds = [1]": ("peers.seeds.0", "string"),
+            "[nothing]\n": ("nothing", "unknown"),
+        }
+        for text, parts in cases.items():
+            message = self.error(text)
+            for part in parts:
+                self.assertIn(part, message)
+            self.assertNotIn("\n", message)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.text(max_size=60))
+    def test_any_text_gives_settings_or_one_line(self, text):
+        try:
+            parse_settings(text, source="x")
+        except SettingsError as error:
+            self.assertIn("x", str(error))
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,317 @@
+"""Whole sessions of the scheduler as golden files, and its rules one by one."""
+
+import random
+
+import attrs
+import pytest
+from testtools import TestCase
+
+from rampwick_policy import (
+    AttemptAccepted,
+    AttemptDelivered,
+    AttemptDone,
+    AttemptFailed,
+    Dispatch,
+    HostListRead,
+    LoadReported,
+    Outcome,
+    PeerHeard,
+    ProbeFailed,
+    Refuse,
+    RequestArrived,
+    RequestCancelled,
+    RetryBudget,
+    Scheduler,
+    Scope,
+    Tick,
+    TreeInForce,
+    TreeView,
+    Workspace,
+    build_chain,
+)
+from rampwick_policy._tree import resolve_workspace
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    LoadReport,
+    Node,
+    Summary,
+    Tree,
+    UpstreamUsage,
+    WorkspaceUsage,
+    parse_settings,
+)
+
+GUIDE = "the guide of the collection. " * 80
+
+
+class Session:
+    """A scheduler with runners, and a log of what it was told and answered."""
+
+    def __init__(self, runners=2, slots=2, extra=""):
+        settings = parse_settings(
+            f'[host]\nname = "entry-1"\nhall = "trnava"\n{extra}', source="test"
+        )
+        self.scheduler = Scheduler(settings, random.Random(1))
+        self.lines = []
+        self.nodes = {
+            "/": Node(),
+            "/h": Node(),
+            "/h/a": Node(is_workspace=True),
+            "/h/b": Node(is_workspace=True),
+        }
+        names = [f"lektor-{index}" for index in range(1, runners + 1)]
+        entries = [HostEntry(name, "runner", "trnava", f"{name}:1") for name in names]
+        self.do(0.0, HostListRead(HostList(1, entries)))
+        self.put_tree()
+        for name in names:
+            self.report(0.0, name, slots=slots)
+
+    def put_tree(self):
+        self.view = TreeView(Tree(1, self.nodes))
+        self.do(0.0, TreeInForce(self.view))
+
+    def report(self, at, name, life="one", slots=2):
+        report = LoadReport(life, "m", 1, slots, 0, 0, 8000.0, 60_000)
+        return self.do(at, LoadReported(name, report))
+
+    def workspace(self, path) -> Workspace:
+        return resolve_workspace(self.view.tree, path)
+
+    def arrive(self, at, request_id, path="/h/a", text=GUIDE, deadline=60.0, **fields):
+        scope = Scope(path, "m")
+        chain = build_chain(scope, text.encode(), block_bytes=64, bytes_per_token=4.0)
+        fields.setdefault("is_repeatable", True)
+        fields.setdefault("priority_class", "interactive")
+        event = RequestArrived(
+            request_id=request_id,
+            workspace=self.workspace(path),
+            deadline_seconds=at + deadline,
+            chain=chain,
+            scope=scope,
+            max_answer_tokens=8,
+            **fields,
+        )
+        return self.do(at, event)
+
+    def do(self, at, event):
+        actions = self.scheduler.handle(event, at)
+        self.lines.append(f"{at:7.3f} > {describe_event(event)}")
+        self.lines += [f"{at:7.3f} <   {describe_action(item)}" for item in actions]
+        return actions
+
+    def done(self, at, request_id, attempt=1, cached=0, prompt=580):
+        attempt_id = f"{request_id}.{attempt}"
+        self.do(at, AttemptDelivered(request_id, attempt_id))
+        return self.do(at, AttemptDone(request_id, attempt_id, cached, prompt, 8))
+
+
+def describe_event(event):
+    """Return an event as one line of a golden file."""
+    name = type(event).__name__
+    parts = [
+        str(getattr(event, field))
+        for field in ("request_id", "attempt_id", "upstream", "name")
+        if hasattr(event, field)
+    ]
+    if hasattr(event, "outcome"):
+        parts.append(event.outcome.value)
+    if hasattr(event, "workspace"):
+        parts += [event.workspace.path, event.priority_class]
+    return " ".join([name, *parts])
+
+
+def describe_action(action):
+    """Return an action as one line of a golden file."""
+    if isinstance(action, Dispatch):
+        choice = action.choice
+        held = f"cached {choice.cached_tokens} missing {choice.missing_tokens}"
+        return f"Dispatch {action.attempt_id} to {action.upstream} {held}"
+    if isinstance(action, Refuse):
+        after = action.retry_after_seconds
+        back = "never" if after is None else f"{after:.1f}"
+        run = action.run_state.name.lower()
+        return f"Refuse {action.request_id} {action.reason} {run} back {back}"
+    return f"CancelAttempt {action.attempt_id} at {action.upstream}"
+
+
+class GoldenSessionTest(TestCase):
+    @pytest.fixture(autouse=True)
+    def take_snapshot(self, snapshot):
+        self.snapshot = snapshot
+
+    def check(self, session):
+        self.assertTrue("\n".join(session.lines) == self.snapshot)
+
+    def test_a_guide_finds_its_runner_again(self):
+        session = Session()
+        session.arrive(1.0, "r1")
+        session.done(1.2, "r1")
+        session.arrive(2.0, "r2", text=GUIDE + "an item")
+        session.done(2.1, "r2", cached=576)
+        session.arrive(3.0, "r3", path="/h/b")
+        self.check(session)
+
+    def test_a_crash_fails_over_and_comes_back_on_a_ramp(self):
+        session = Session(slots=8)
+        for number in range(3):
+            session.arrive(1.0, f"r{number}")
+        upstream = session.scheduler.upstreams
+        (busy,) = [item.name for item in upstream if item.own_attempts]
+        for number in range(3):
+            session.do(
+                1.5,
+                AttemptFailed(f"r{number}", f"r{number}.1", Outcome.BROKEN, "reset"),
+            )
+        for number in range(3):
+            session.done(1.7, f"r{number}", attempt=2)
+        session.do(1.8, ProbeFailed(busy, "refused"))
+        session.report(2.2, busy, life="two", slots=8)
+        session.arrive(2.3, "r9", text="something quite different " * 60)
+        self.check(session)
+
+    def test_a_marked_request_is_not_repeated(self):
+        session = Session()
+        session.arrive(1.0, "r1", is_repeatable=False)
+        session.do(1.1, AttemptAccepted("r1", "r1.1"))
+        session.do(1.2, AttemptFailed("r1", "r1.1", Outcome.BROKEN, "reset"))
+        session.arrive(2.0, "r2", is_repeatable=False)
+        session.do(2.1, AttemptFailed("r2", "r2.1", Outcome.BUSY, "429"))
+        self.check(session)
+
+    def test_deadlines_cancel_and_answer_at_once(self):
+        session = Session(runners=1, slots=1)
+        session.arrive(1.0, "r1", deadline=3.0)
+        session.arrive(1.0, "r2", deadline=1.0)
+        session.arrive(1.0, "r3", deadline=30.0)
+        session.do(2.0, Tick())
+        session.do(4.0, Tick())
+        session.do(4.1, AttemptDone("r1", "r1.1", 0, 580, 8))
+        session.do(5.0, RequestCancelled("r3"))
+        self.check(session)
+
+
+class RulesTest(TestCase):
+    def kinds(self, actions):
+        return [type(action).__name__ for action in actions]
+
+    def test_classes_go_before_each_other_and_shares_within(self):
+        session = Session(runners=1, slots=1)
+        session.arrive(1.0, "first")
+        for number, name in enumerate(["batch", "interactive", "portal"]):
+            session.arrive(1.1, f"{name}", priority_class=name, text=f"{number} " * 300)
+        waiting = [item.request_id for item in session.scheduler.queue]
+        self.assertEqual(["interactive", "batch"], waiting[-2:])
+
+    def test_used_less_goes_first(self):
+        session = Session(runners=1, slots=1)
+        session.arrive(1.0, "a1")
+        session.arrive(1.0, "a2")
+        session.arrive(1.0, "a3")
+        session.arrive(1.0, "b1", path="/h/b")
+        session.done(1.2, "a1")
+        order = [line for line in session.lines if "Dispatch" in line]
+        self.assertIn("b1", order[-1])
+
+    def test_full_queue_refuses_whoever_fills_it_most(self):
+        session = Session(runners=1, slots=1, extra="[queue]\nmax_waiting_count = 3\n")
+        for number in range(6):
+            session.arrive(1.0, f"a{number}")
+        (refused,) = [
+            action
+            for action in session.arrive(1.1, "b1", path="/h/b")
+            if isinstance(action, Refuse)
+        ]
+        self.assertNotEqual("b1", refused.request_id)
+        self.assertEqual("queue_full", refused.reason)
+        self.assertEqual("NOT_SENT", refused.run_state.name)
+
+    def test_limit_on_running_holds_a_subtree(self):
+        session = Session(runners=2, slots=8)
+        session.nodes["/h"] = Node(max_running_count=2)
+        session.put_tree()
+        actions = []
+        for number in range(4):
+            path = "/h/a" if number % 2 else "/h/b"
+            actions += session.arrive(1.0, f"r{number}", path=path)
+        self.assertEqual(["Dispatch"] * 2, self.kinds(actions))
+
+    def test_limit_on_tokens_counts_what_peers_served(self):
+        session = Session(runners=2, slots=8)
+        session.nodes["/h/a"] = Node(is_workspace=True, tokens_per_second=1000.0)
+        session.put_tree()
+        usage = [WorkspaceUsage("/h/a", 20_000.0, 0)]
+        summary = Summary(1, 1, 1, False, usage, [], [])
+        session.do(1.0, PeerHeard("entry-2", "trnava", 1, summary))
+        self.assertEqual([], session.arrive(1.0, "r1"))
+        # After a while the use is forgotten and the request may go.
+        self.assertEqual(["Dispatch"], self.kinds(session.do(20.0, Tick())))
+
+    def test_peers_work_counts_against_the_slots(self):
+        session = Session(runners=1, slots=2)
+        usage = [UpstreamUsage("lektor-1", "one/1", 3, 0)]
+        summary = Summary(1, 1, 1, False, [], usage, [])
+        session.do(1.0, PeerHeard("entry-2", "trnava", 1, summary))
+        self.assertEqual([], session.arrive(1.0, "r1"))
+        other_life = attrs.evolve(
+            summary, sequence=2, upstreams=[UpstreamUsage("lektor-1", "old/1", 3, 0)]
+        )
+        actions = session.do(1.1, PeerHeard("entry-2", "trnava", 1, other_life))
+        self.assertEqual(["Dispatch"], self.kinds(actions))
+
+    def test_long_prefill_is_not_queued_behind(self):
+        session = Session(runners=1, slots=8)
+        self.assertEqual(1, len(session.arrive(1.0, "r1", text="x" * 40_000)))
+        self.assertEqual([], session.arrive(1.0, "r2", text="y" * 4_000))
+        actions = session.do(2.0, AttemptDelivered("r1", "r1.1"))
+        self.assertEqual(["Dispatch"], self.kinds(actions))
+
+    def test_answer_that_can_not_begin_in_time_is_refused_at_once(self):
+        session = Session(runners=1, slots=8)
+        (action,) = session.arrive(1.0, "r1", text="x" * 400_000, deadline=2.0)
+        self.assertEqual("deadline_unreachable", action.reason)
+        self.assertIsNotNone(action.retry_after_seconds)
+
+    def test_nothing_waits_for_ever_without_an_upstream(self):
+        session = Session(runners=0)
+        session.arrive(1.0, "r1")
+        self.assertEqual([], session.do(2.0, Tick()))
+        (action,) = session.do(3.5, Tick())
+        self.assertEqual(
+            ("no_upstream", "NOT_SENT"), (action.reason, action.run_state.name)
+        )
+
+    def test_late_news_of_an_older_attempt_changes_nothing(self):
+        session = Session()
+        session.arrive(1.0, "r1")
+        session.do(1.1, AttemptFailed("r1", "r1.1", Outcome.BROKEN, "reset"))
+        self.assertEqual([], session.do(1.2, AttemptDone("r1", "r1.1", 0, 580, 8)))
+        lifecycle = session.scheduler.lifecycle("r1")
+        assert lifecycle is not None
+        self.assertFalse(lifecycle.has_ended)
+
+    def test_retries_stay_within_the_budget(self):
+        budget = RetryBudget(0.1)
+        while budget.spend(0.0):
+            continue
+        spent = 0
+        for _ in range(1000):
+            budget.earn()
+            spent += budget.spend(0.0)
+        self.assertLessEqual(spent, 101)
+
+    def test_an_empty_budget_earns_slowly_by_time(self):
+        budget = RetryBudget(0.1)
+        while budget.spend(0.0):
+            continue
+        self.assertFalse(budget.spend(0.5))
+        self.assertTrue(budget.spend(5.0))
+
+    def test_hot_prefix_spreads_when_its_runner_is_full(self):
+        session = Session(runners=2, slots=2)
+        sent = []
+        for number in range(4):
+            actions = session.arrive(1.0 + number, f"r{number}")
+            sent += [action.upstream for action in actions]
+            session.do(1.5 + number, AttemptDelivered(f"r{number}", f"r{number}.1"))
+        self.assertEqual(2, len(set(sent)))
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -11,7 +11,14 @@
 from rampwick_policy import Health, HealthState, is_watcher
 from rampwick_policy._membership import Membership, PeerView
 from rampwick_policy._upstreams import UpstreamTable
-from rampwick_schema import HostEntry, HostList, RetrySettings, Summary, UpstreamUsage
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    PlacementSettings,
+    RetrySettings,
+    Summary,
+    UpstreamUsage,
+)
 from rampwick_standin import PlatformFaults
 
 from .bench import KEY, hash_key, until
@@ -338,7 +345,7 @@
         self.assertEqual(0.25, peers.own_part_ratio(2.0))
 
     def test_flapping_list_ends_with_its_newest_version(self):
-        table = UpstreamTable("h", RetrySettings(), 1.0, 1.0)
+        table = UpstreamTable("h", RetrySettings(), PlacementSettings(), 1.0)
         states = ["live", "leaving", "live", "leaving"]
         lists = [
             HostList(version, [HostEntry("r", "service", "h", "a:1", state)])
