Placement: pool message ends at once, let patience lower the price, price 8

At 95 % load single requests waited up to 28.8 s for their one full runner.

Change: the ends of all messages but the last are told at once, geometric checkpoints only where a prompt has one message; a known prefix keeps its own finer extent; the price falls with the time waited; summaries every 0.25 s; price 8 by default.

Conclusion: adopted.

--- a/measure/_world.py
+++ b/measure/_world.py
@@ -64,8 +64,8 @@
     slots_count: int = 16
     cache_tokens: int = 60_000
     prefill_tokens_per_second: float = 8_000.0
-    miss_price: float = 4.0
-    gossip_seconds: float = 0.5
+    miss_price: float = 8.0
+    gossip_seconds: float = 0.25
     #: Whether hosts tell each other what they placed.
     shares_placements: bool = True
     deadline_seconds: float = 30.0
--- a/measure/placement.py
+++ b/measure/placement.py
@@ -33,8 +33,8 @@
     name: str
     make: Callable[[World], Placement | None]
     shares_placements: bool = True
-    gossip_seconds: float = 0.5
-    miss_price: float = 4.0
+    gossip_seconds: float = 0.25
+    miss_price: float = 8.0
 
 
 def learned(world: World) -> None:
@@ -54,7 +54,9 @@
             Way("own only", learned, shares_placements=False, miss_price=price)
         )
     for price in prices:
-        found.append(Way("pooled 0.5 s", learned, miss_price=price))
+        found.append(Way("pooled 0.25 s", learned, miss_price=price))
+    found.append(Way("pooled 0.5 s", learned, gossip_seconds=0.5))
+    found.append(Way("pooled 0.1 s", learned, gossip_seconds=0.1))
     found.append(Way("pooled 1 s", learned, gossip_seconds=1.0))
     found.append(Way("pooled 3 s", learned, gossip_seconds=3.0))
     for price in prices:
--- a/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
@@ -65,7 +65,8 @@
     def touch(self, prefixes: Iterable[bytes], extents_tokens: Iterable[int]) -> None:
         """Note prefixes that a peer reports, deepest first."""
         for prefix, extent in zip(prefixes, extents_tokens, strict=False):
-            self._put(prefix, extent)
+            # What this host inserted itself has finer extents; they stay.
+            self._put(prefix, self._tokens.get(prefix, extent))
         self._evict()
 
     def forget_beyond(self, chain: PrefixChain, tokens: int) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_pooling.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pooling.py
@@ -1,8 +1,9 @@
 """Which placements a host tells its peers.
 
 A host alone sees only its own part of the traffic, so hosts pool what they placed.
-Only prefixes that this host has seen at least twice are worth the bytes: the upper
-levels that prompts share, thousands instead of millions.
+Only upper levels are worth the bytes, thousands instead of millions: where a prompt has
+several messages, the ends of all but the last; where it has one, the checkpoints that
+this host has seen before.
 """
 
 from collections import OrderedDict
@@ -12,7 +13,7 @@
 from rampwick_schema import PlacedPrefix
 
 from ._knowledge import Life, life_label
-from ._prefix import PrefixChain
+from ._prefix import Checkpoint, PrefixChain
 
 #: Prefixes remembered to tell a second use from a first.
 SEEN_COUNT = 50_000
@@ -39,11 +40,10 @@
         """Note that a prompt was placed; its shared prefixes become news."""
         key = (upstream, life_label(life))
         previous = 0
-        for checkpoint in chain.checkpoints:
+        for checkpoint in chain.levels or self._seen_before(chain):
             extent = checkpoint.tokens - previous
             previous = checkpoint.tokens
-            if self._was_seen(checkpoint.prefix):
-                self._offer(key, checkpoint.prefix, extent, now_seconds)
+            self._offer(key, checkpoint.prefix, extent, now_seconds)
 
     def take(self) -> list[PlacedPrefix]:
         """Return the news since the last call and forget them."""
@@ -60,6 +60,9 @@
         self._pending_count = 0
         return news
 
+    def _seen_before(self, chain: PrefixChain) -> list[Checkpoint]:
+        return [item for item in chain.checkpoints if self._was_seen(item.prefix)]
+
     def _was_seen(self, prefix: bytes) -> bool:
         was_seen = prefix in self._seen
         self._seen[prefix] = None
--- a/packages/rampwick-policy/src/rampwick_policy/_prefix.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_prefix.py
@@ -45,6 +45,8 @@
 
     prefix: bytes
     tokens: int
+    #: Whether a message other than the last ends here: what prompts share.
+    is_level: bool = False
 
 
 @attrs.frozen
@@ -54,6 +56,11 @@
     checkpoints: tuple[Checkpoint, ...]
     total_tokens: int
 
+    @property
+    def levels(self) -> tuple[Checkpoint, ...]:
+        """The ends of the messages before the last, if there are several."""
+        return tuple(item for item in self.checkpoints if item.is_level)
+
     @property
     def home_key(self) -> bytes:
         """Key that related prompts share: the hash of the first blocks."""
@@ -72,13 +79,11 @@
 ) -> PrefixChain:
     """Return the chain of a prompt; ``boundaries_bytes`` are its messages' ends."""
     count = len(text) // block_bytes
-    wanted = set(geometric_depths(count))
-    wanted.update(min(end // block_bytes, count) for end in boundaries_bytes)
-    wanted.add(count)
-    wanted.discard(0)
+    levels = {min(end // block_bytes, count) for end in boundaries_bytes[:-1]}
+    wanted = {*geometric_depths(count), *levels, count} - {0}
     hashes = _hash_blocks(scope.seed, text, block_bytes, sorted(wanted))
     checkpoints = tuple(
-        Checkpoint(prefix=prefix, tokens=int(depth * block_bytes / bytes_per_token))
+        Checkpoint(prefix, int(depth * block_bytes / bytes_per_token), depth in levels)
         for depth, prefix in hashes
     )
     total_tokens = max(1, round(len(text) / bytes_per_token))
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -37,6 +37,9 @@
 #: Requests of one workspace that are tried for a free runner in one go.
 LOOKAHEAD_COUNT = 4
 
+#: Wait after which a request pays half the price to have its prefix cached.
+PATIENCE_SECONDS = 2.0
+
 #: Wait for an upstream to come back before a request is given up.
 STRANDED_SECONDS = 2.0
 
@@ -486,7 +489,7 @@
         item.stranded_at_seconds = None
         if not room.has_any(views):
             return None
-        choice = self._choose(arrival, views, now_seconds)
+        choice = self._choose(item, views, now_seconds)
         if self._is_hopeless(arrival, choice, views, now_seconds):
             self.queue.remove(item)
             return self._refuse(item, DEADLINE_UNREACHABLE, now_seconds)
@@ -512,11 +515,15 @@
         return begins_seconds > arrival.deadline_seconds
 
     def _choose(
-        self, arrival: ev.RequestArrived, views: list[RunnerView], now_seconds: float
+        self, item: QueuedRequest, views: list[RunnerView], now_seconds: float
     ) -> Choice:
+        arrival = item.arrival
         price = arrival.workspace.miss_price
         if price is None:
             price = self._settings.placement.miss_price
+        # Who has waited long settles for a runner that must compute more.
+        waited_seconds = now_seconds - item.arrived_at_seconds
+        price /= 1.0 + waited_seconds / PATIENCE_SECONDS
         if arrival.chain is None:
             no_chain = PrefixChain(checkpoints=(), total_tokens=1)
             return self._service_placement.choose(no_chain, views, price, now_seconds)
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -66,7 +66,7 @@
     seeds: list[str] = attrs.field(factory=list)
     #: Time between two summaries to each peer; also the heartbeat.
     gossip_interval_seconds: float = attrs.field(
-        default=0.5, validator=within(0.02, 30.0)
+        default=0.25, validator=within(0.02, 30.0)
     )
     #: Silence after which a peer counts as gone.
     dead_after_seconds: float = attrs.field(default=3.0, validator=within(0.1, 120.0))
@@ -81,7 +81,7 @@
     """How runners are chosen."""
 
     #: Weight of a recomputed token against the same time spent waiting; higher favours the hit rate, lower the first token.
-    miss_price: float = attrs.field(default=4.0, validator=within(0.0, 100.0))
+    miss_price: float = attrs.field(default=8.0, validator=within(0.0, 100.0))
     #: Bytes of prompt text in one hashed block.
     block_bytes: int = attrs.field(default=256, validator=within(16, 16384))
     #: Bytes of prompt text counted as one token.
