--- a/packages/rampwick-schema/src/rampwick_schema/_generated_tree.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_tree.py
@@ -67,7 +67,7 @@
     #: Path of the node.
     path: str
     #: New values, or none to delete.
-    node: Node | None
+    node: Node | None = attrs.field(default=None)
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,152 @@
+"""The operators' command and interface, against a running host."""
+
+import io
+import json
+import sys
+from contextlib import redirect_stderr, redirect_stdout
+from unittest import mock
+
+import anyio
+import httpx
+
+from rampwick_cli import main
+from rampwick_standin import PlatformFaults
+
+from .bench import KEY, until
+from .case import ScenarioCase
+
+
+def run_main(words):
+    """Run the command; return its exit code and what it printed."""
+    out, errors = io.StringIO(), io.StringIO()
+    with (
+        mock.patch.object(sys, "argv", ["rampwick", *words]),
+        redirect_stdout(out),
+        redirect_stderr(errors),
+    ):
+        try:
+            code = main()
+        except SystemExit as error:
+            code = error.code
+    return code, out.getvalue(), errors.getvalue()
+
+
+async def run(*words):
+    """Run the command in a thread, beside the event loop that serves it."""
+    return await anyio.to_thread.run_sync(run_main, words)
+
+
+class TreeCommandsTest(ScenarioCase):
+    def test_an_operators_day(self):
+        async def scenario(bench):
+            platform = ("--platform", bench.platform_url)
+            async with bench.run_host() as host:
+                await host.until_ready()
+                admin = ("--admin", f"http://{host.addresses.admin}")
+                made = await run(
+                    *("tree", "create", "/herbaria/new", "--new-key", "--json"),
+                    *("--wait", "weight=3", "priority_class=batch", *platform, *admin),
+                )
+                self.assertEqual(0, made[0], made)
+                key = json.loads(made[1].splitlines()[-1])["bearer_key"]
+                models = await host.client.get(
+                    "/v1/models", headers={"Authorization": f"Bearer {key}"}
+                )
+                self.assertEqual(200, models.status_code)
+                got = await run("tree", "get", "/herbaria/new", "--json", *platform)
+                self.assertEqual(3.0, json.loads(got[1])["weight"])
+                await run("tree", "set", "/herbaria/new", "weight=4", *platform)
+                lost = await run(
+                    "tree", "set", "/herbaria/new", "weight=5", "--base", "2", *platform
+                )
+                self.assertEqual(3, lost[0])
+                self.assertIn("/herbaria/new", lost[2])
+                bad = await run("tree", "set", "/herbaria", "weight=-1", *platform)
+                self.assertEqual(2, bad[0])
+                typo = await run("tree", "set", "/herbaria", "weigth=1", *platform)
+                self.assertIn("did you mean weight", typo[2])
+                moved = await run("tree", "move", "/herbaria/new", "/new", *platform)
+                self.assertEqual(0, moved[0], moved)
+                gone = await run("tree", "delete", "/new", *platform)
+                self.assertEqual(0, gone[0], gone)
+                history = await run("tree", "history", "--json", *platform)
+                self.assertEqual(5, len(json.loads(history[1])))
+                shown = await run("tree", "show", *platform)
+                self.assertNotIn("/new", shown[1])
+
+        self.run_scenario(scenario)
+
+    def test_unreachable_platform_has_its_own_exit_code(self):
+        async def scenario(bench):
+            bench.platform.set_faults(PlatformFaults(is_down=True))
+            return await run("tree", "show", "--platform", bench.platform_url)
+
+        code, _, errors = self.run_scenario(scenario)
+        self.assertEqual(4, code)
+        self.assertEqual(1, len(errors.splitlines()))
+
+
+class HostCommandsTest(ScenarioCase):
+    def test_status_ask_explain_and_drain(self):
+        async def scenario(bench):
+            bench.add_runner("lektor-1")
+            async with bench.run_host() as host:
+                await host.until_ready("lektor-1")
+                admin = ("--admin", f"http://{host.addresses.admin}")
+                entry = ("--entry", f"http://{host.addresses.entry}", "--key", KEY)
+                status = await run("status", "--json", *admin)
+                self.assertTrue(json.loads(status[1])["is_ready"])
+                asked = await run(
+                    "ask", "--model", "lektor", "--json", *entry, "what is this?"
+                )
+                self.assertEqual(0, asked[0], asked)
+                answer = json.loads(asked[1])
+                self.assertEqual("lektor-1", answer["upstream"])
+                explained = await run("explain", answer["request"], "--json", *admin)
+                (decision,) = json.loads(explained[1])
+                self.assertEqual("lektor-1", decision["upstream"])
+                table = await run("explain", answer["request"], *admin)
+                self.assertIn("weighed", table[1])
+                refused = await run(
+                    "ask", "--model", "lektor", *entry[:2], "--key", "wrong", "what?"
+                )
+                self.assertEqual(1, refused[0])
+                self.assertEqual(0, (await run("drain", *admin))[0])
+                await until(lambda: not host.daemon.life.is_ready)
+
+        self.run_scenario(scenario)
+
+    def test_health_and_metrics(self):
+        async def scenario(bench):
+            bench.add_runner("lektor-1")
+            async with bench.run_host() as host:
+                await host.until_ready("lektor-1")
+                await host.complete()
+                url = f"http://{host.addresses.admin}"
+                async with httpx.AsyncClient(base_url=url, trust_env=False) as client:
+                    health = await client.get("/healthz")
+                    metrics = (await client.get("/metrics")).text
+                    host.daemon.life.begin_stop()
+                    ready = await client.get("/readyz")
+            return health.status_code, metrics, ready.status_code
+
+        health, metrics, ready = self.run_scenario(scenario)
+        self.assertEqual((200, 503), (health, ready))
+        labels = 'priority_class="interactive",workspace="/herbaria/labels"'
+        self.assertIn(f"rampwick_first_token_seconds_count{{{labels}}} 1.0", metrics)
+        self.assertIn('rampwick_attempts_total{outcome="done"', metrics)
+
+    def test_weights_and_check(self):
+        async def scenario(bench):
+            platform = ("--platform", bench.platform_url)
+            made = await run("weights", "set", "lektor", "3", "--json", *platform)
+            shown = await run("weights", "show", "--json", *platform)
+            missing = await run("check", "no-such-file.toml")
+            return made, shown, missing
+
+        made, shown, missing = self.run_scenario(scenario)
+        self.assertEqual(
+            [{"model": "lektor", "weights_version": 3}], json.loads(shown[1])
+        )
+        self.assertEqual((0, 2), (made[0], missing[0]))
+        self.assertIn("no-such-file.toml", missing[2])
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -119,6 +119,13 @@
         self.assertRaises(TreeError, self.propose, api, set_weight("/a/b", 1.0))
         self.assertEqual([], api.store.log)
 
+    def test_deletion_comes_back_from_the_platform(self):
+        api = FakeApi()
+        self.propose(api, set_weight("/a", 2.0))
+        self.propose(api, lambda tree: deleted(tree, "/a"))
+        tree = anyio.run(TreeStore(api).load).tree
+        self.assertEqual((2, {"/"}), (tree.revision, set(tree.nodes)))
+
     def test_snapshot_saves_reading_the_log(self):
         api = FakeApi()
         for number in range(33):
