--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -2,13 +2,14 @@
 
 import sys
 
-from . import load, membership, placement, relay
+from . import load, membership, placement, relay, slopes
 
 MEASUREMENTS = {
     "placement": placement.main,
     "load": load.main,
     "membership": membership.main,
     "relay": relay.main,
+    "slopes": slopes.main,
 }
 
 
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -0,0 +1,212 @@
+"""Which waiting request goes next, and where.
+
+Classes go in order, workspaces by their standing, requests by arrival. A request goes
+to the runner that placement chooses, or waits for it.
+"""
+
+import attrs
+
+from rampwick_schema import PlacementSettings
+
+from . import _events as ev
+from ._admission import Admission
+from ._placement import Choice, LeastLoaded, Placement, RunnerView
+from ._pool import Pool
+from ._prefix import PrefixChain
+from ._queue import QueuedRequest, WaitingQueue
+from ._retry import RetryBudget
+from ._room import Room
+from ._shares import Standing
+from ._tree import Workspace
+
+#: What an answer token costs in prompt tokens: it holds a slot for a whole step.
+ANSWER_TOKEN_PRICE = 4.0
+
+#: Answer tokens assumed for a workspace before it has had an answer.
+FIRST_ANSWER_TOKENS = 64.0
+ANSWER_SMOOTHING = 0.1
+
+#: Requests of one workspace that are tried for a free runner in one go.
+LOOKAHEAD_COUNT = 4
+
+#: Wait after which a request pays half the price to have its prefix cached.
+PATIENCE_SECONDS = 2.0
+
+
+@attrs.frozen
+class Hopeless:
+    """A request, out of its line already, that can't begin before its deadline."""
+
+    item: QueuedRequest
+
+
+class AnswerEstimates:
+    """How long each workspace's answers are, learnt from the last ones."""
+
+    def __init__(self) -> None:
+        self._tokens: dict[str, float] = {}
+
+    def expect(self, arrival: ev.RequestArrived) -> float:
+        """Return the tokens that a request's answer is taken to have."""
+        if arrival.chain is None:
+            return 1.0
+        learned = self._tokens.get(arrival.workspace.path, FIRST_ANSWER_TOKENS)
+        return min(learned, arrival.max_answer_tokens or learned)
+
+    def learn(self, path: str, tokens: int) -> None:
+        """Note the length of a workspace's answer."""
+        known = self._tokens.get(path, FIRST_ANSWER_TOKENS)
+        self._tokens[path] = known + ANSWER_SMOOTHING * (tokens - known)
+
+
+class Dispatcher:
+    """Chooses among what waits; it shares its parts with the scheduler."""
+
+    def __init__(
+        self,
+        settings: PlacementSettings,
+        pool: Pool,
+        queue: WaitingQueue,
+        admission: Admission,
+        budget: RetryBudget,
+        answers: AnswerEstimates,
+        placement: Placement,
+    ) -> None:
+        self._settings = settings
+        self._pool = pool
+        self._queue = queue
+        self._admission = admission
+        self._budget = budget
+        self._answers = answers
+        self._placement = placement
+        self._service_placement = LeastLoaded()
+
+    def next_decision(
+        self, only_path: str, now_seconds: float
+    ) -> ev.Dispatch | Hopeless | None:
+        """Return the next request to send or give up, or none for now.
+
+        ``only_path`` restricts the look to one workspace; empty looks at all.
+        """
+        for priority_class in ev.PRIORITY_CLASSES:
+            decision = self._fill_one(priority_class, only_path, now_seconds)
+            if decision is not None:
+                return decision
+        return None
+
+    def _fill_one(
+        self, priority_class: str, only_path: str, now_seconds: float
+    ) -> ev.Dispatch | Hopeless | None:
+        paths = self._queue.workspaces_waiting(priority_class)
+        if only_path:
+            paths = [path for path in paths if path == only_path]
+        if not paths:
+            return None
+        room = Room(
+            self._pool.upstreams, self._pool.peers, self._admission, now_seconds
+        )
+        for standing, path, workspace in self._lines(
+            priority_class, paths, now_seconds
+        ):
+            if not self._admission.is_within_limits(workspace, now_seconds):
+                continue
+            line = self._queue.line(priority_class, path)
+            for _, item in zip(range(LOOKAHEAD_COUNT), line, strict=False):
+                action = self._try_dispatch(item, standing, room, now_seconds)
+                if action is not None:
+                    return action
+        return None
+
+    def _lines(
+        self, priority_class: str, paths: list[str], now_seconds: float
+    ) -> list[tuple[Standing, str, Workspace]]:
+        lines = []
+        for path in paths:
+            first = next(self._queue.line(priority_class, path))
+            workspace = first.arrival.workspace
+            standing = self._admission.standing(workspace, now_seconds)
+            lines.append((standing, path, workspace))
+        lines.sort(key=lambda line: line[:2])
+        return lines
+
+    def _try_dispatch(
+        self, item: QueuedRequest, standing: Standing, room: Room, now_seconds: float
+    ) -> ev.Dispatch | Hopeless | None:
+        arrival = item.arrival
+        views = room.views(arrival)
+        if not views:
+            if item.stranded_at_seconds is None:
+                item.stranded_at_seconds = now_seconds
+            return None
+        item.stranded_at_seconds = None
+        if not room.has_any(views):
+            return None
+        choice = self._choose(item, views, now_seconds)
+        if self._is_hopeless(arrival, choice, views, now_seconds):
+            self._queue.remove(item)
+            return Hopeless(item)
+        if not room.may_take(choice, views, standing):
+            return None
+        if item.needs_budget and not self._budget.spend(now_seconds):
+            return None
+        return self._dispatch(item, choice, now_seconds)
+
+    def _is_hopeless(
+        self,
+        arrival: ev.RequestArrived,
+        choice: Choice,
+        views: list[RunnerView],
+        now_seconds: float,
+    ) -> bool:
+        """Return whether the answer can't begin in time even if it is sent now."""
+        if arrival.chain is None:
+            return False
+        view = next(item for item in views if item.name == choice.upstream)
+        prefill_seconds = view.prefill_seconds(choice.missing_tokens)
+        begins_seconds = now_seconds + choice.queue_seconds + prefill_seconds
+        return begins_seconds > arrival.deadline_seconds
+
+    def _choose(
+        self, item: QueuedRequest, views: list[RunnerView], now_seconds: float
+    ) -> Choice:
+        arrival = item.arrival
+        price = arrival.workspace.miss_price
+        if price is None:
+            price = self._settings.miss_price
+        # Who has waited long settles for a runner that must compute more.
+        waited_seconds = now_seconds - item.arrived_at_seconds
+        price /= 1.0 + waited_seconds / PATIENCE_SECONDS
+        if arrival.chain is None:
+            no_chain = PrefixChain(checkpoints=(), total_tokens=1)
+            return self._service_placement.choose(no_chain, views, price, now_seconds)
+        return self._placement.choose(arrival.chain, views, price, now_seconds)
+
+    def _dispatch(
+        self, item: QueuedRequest, choice: Choice, now_seconds: float
+    ) -> ev.Dispatch:
+        upstream = self._pool.upstreams.get(choice.upstream)
+        assert upstream is not None
+        attempt_id = f"{item.request_id}.{item.lifecycle.attempts_count + 1}"
+        self._queue.remove(item)
+        item.lifecycle.start(attempt_id)
+        item.needs_budget = False
+        item.upstream = upstream.name
+        upstream.start(attempt_id, choice.missing_tokens)
+        answer_tokens = self._answers.expect(item.arrival)
+        item.charged_tokens = choice.missing_tokens + ANSWER_TOKEN_PRICE * answer_tokens
+        self._pool.ledger.charge(item.workspace_path, item.charged_tokens, now_seconds)
+        self._admission.note_started(
+            item.arrival.workspace, item.expected_tokens, now_seconds
+        )
+        if item.arrival.chain is not None and upstream.life is not None:
+            chain, life = item.arrival.chain, upstream.life
+            self._pool.note_placed(upstream.name, life, chain, now_seconds)
+        return ev.Dispatch(
+            request_id=item.request_id,
+            attempt_id=attempt_id,
+            upstream=upstream.name,
+            address=upstream.entry.address,
+            incarnation=upstream.life.incarnation if upstream.life else "",
+            weights_version=upstream.life.weights_version if upstream.life else 0,
+            choice=choice,
+        )
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -0,0 +1,174 @@
+"""What one host knows of the pool: upstreams, their caches, peers, use.
+
+It takes news and answers questions; it decides nothing about requests.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from rampwick_schema import HostList, Settings, Summary, UpstreamUsage, WorkspaceUsage
+
+from . import _events as ev
+from ._knowledge import CacheKnowledge, Life
+from ._membership import Membership
+from ._pooling import PlacementPool
+from ._prefix import PrefixChain
+from ._request import Outcome
+from ._shares import ShareLedger
+from ._upstreams import Upstream, UpstreamTable
+
+#: Longest time that a busy upstream is left alone.
+MAX_BUSY_SECONDS = 1.0
+
+#: News that the pool takes.
+PoolEvent = ev.LoadReported | ev.ProbeFailed | ev.HostListRead | ev.PeerHeard
+
+
+class Pool:
+    """Upstreams, caches, peers and use as this host knows them."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.knowledge = CacheKnowledge(settings.placement.known_blocks_count)
+        self.peers = Membership(settings.peers.dead_after_seconds)
+        self.ledger = ShareLedger(settings.queue.usage_decay_seconds)
+        self.upstreams = UpstreamTable(
+            settings.host.hall,
+            settings.retry,
+            settings.placement,
+            settings.queue.slots_factor,
+        )
+        self._placements = PlacementPool()
+        self._handlers: dict[type, Callable[[Any, float], None]] = {
+            ev.LoadReported: self._on_report,
+            ev.ProbeFailed: self._on_probe_failed,
+            ev.HostListRead: self._on_host_list,
+            ev.PeerHeard: self._on_peer,
+        }
+
+    def hear(self, event: PoolEvent, now_seconds: float) -> None:
+        """Take a piece of news."""
+        self._handlers[type(event)](event, now_seconds)
+
+    def note_placed(
+        self, name: str, life: Life, chain: PrefixChain, now_seconds: float
+    ) -> None:
+        """Note that a prompt goes to a runner, which will then hold it."""
+        self.knowledge.note_prompt(name, life, chain)
+        self._placements.note(name, life, chain, now_seconds)
+
+    def note_answer(
+        self, name: str, life: Life, chain: PrefixChain, event: ev.AttemptDone
+    ) -> None:
+        """Learn from a whole answer what the runner held and holds now."""
+        if not event.prompt_tokens:
+            return
+        if not event.cached_tokens:
+            # Nothing at all was held: what was believed of shallow levels is wrong
+            # for this runner, but the prompt itself is there now.
+            self.knowledge.correct(name, life, chain, 0)
+        self.knowledge.note_prompt(name, life, chain)
+
+    def note_failure(
+        self, name: str, event: ev.AttemptFailed, now_seconds: float
+    ) -> None:
+        """Note what an attempt's failure says about its upstream."""
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return
+        if event.outcome.is_ill_health:
+            self._take_down(upstream, event.message, now_seconds)
+        elif event.outcome is Outcome.STALE:
+            # The next probe says which life it is now.
+            upstream.life = None
+        elif event.outcome is Outcome.BUSY:
+            asked = event.retry_after_seconds or MAX_BUSY_SECONDS
+            upstream.busy_until_seconds = now_seconds + min(asked, MAX_BUSY_SECONDS)
+
+    def _take_down(self, upstream: Upstream, error: str, now_seconds: float) -> None:
+        upstream.health.note_failure(error, now_seconds)
+        # Nothing is known of the engine until it reports a life again; if it is
+        # the old one, what it holds is still good.
+        upstream.life = None
+
+    def summary(
+        self,
+        waiting: Mapping[str, int],
+        sequence: int,
+        revision: int,
+        is_leaving: bool,
+        now_seconds: float,
+    ) -> Summary:
+        """Return what peers are told; ``waiting`` counts requests by workspace.
+
+        The news of placements are told once.
+        """
+        return Summary(
+            sequence=sequence,
+            revision=revision,
+            host_list_version=self.upstreams.list_version,
+            is_leaving=is_leaving,
+            workspaces=self._workspace_usages(waiting, now_seconds),
+            upstreams=self._upstream_usages(),
+            placed=self._placements.take(),
+        )
+
+    def _workspace_usages(
+        self, waiting: Mapping[str, int], now_seconds: float
+    ) -> list[WorkspaceUsage]:
+        used = self.ledger.own_use(now_seconds)
+        return [
+            WorkspaceUsage(
+                workspace=path,
+                used_tokens=round(used.get(path, 0.0)),
+                waiting_count=waiting.get(path, 0),
+            )
+            for path in sorted(used.keys() | waiting.keys())
+        ]
+
+    def _upstream_usages(self) -> list[UpstreamUsage]:
+        return [
+            UpstreamUsage(
+                upstream=upstream.name,
+                incarnation=upstream.life_name,
+                running_count=len(upstream.own_attempts),
+                waiting_tokens=sum(upstream.own_attempts.values()),
+            )
+            for upstream in self.upstreams
+            if upstream.own_attempts
+        ]
+
+    def _on_report(self, event: ev.LoadReported, now_seconds: float) -> None:
+        upstream = self.upstreams.get(event.upstream)
+        if upstream is None:
+            return
+        is_same_life = True
+        if event.report is not None:
+            is_same_life = not self.upstreams.note_report(upstream, event.report)
+            assert upstream.life is not None
+            self.knowledge.observe_life(
+                upstream.name, upstream.life, event.report.cache_tokens
+            )
+        upstream.health.note_probe(is_same_life, now_seconds)
+
+    def _on_probe_failed(self, event: ev.ProbeFailed, now_seconds: float) -> None:
+        upstream = self.upstreams.get(event.upstream)
+        if upstream is not None:
+            self._take_down(upstream, event.message, now_seconds)
+
+    def _on_host_list(self, event: ev.HostListRead, now_seconds: float) -> None:
+        for name in self.upstreams.apply_list(_sorted(event.host_list)):
+            self.knowledge.forget(name)
+
+    def _on_peer(self, event: ev.PeerHeard, now_seconds: float) -> None:
+        is_news = self.peers.hear(
+            event.name, event.hall, event.incarnation, event.summary, now_seconds
+        )
+        if is_news:
+            self.ledger.hear(event.name, event.summary.workspaces, now_seconds)
+            for placed in event.summary.placed:
+                self.knowledge.note_reported(placed)
+
+
+def _sorted(host_list: HostList) -> HostList:
+    hosts = sorted(host_list.hosts, key=lambda entry: entry.name)
+    return HostList(version=host_list.version, hosts=hosts)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -13,7 +13,7 @@
     RetrySettings,
 )
 
-from ._health import Health
+from ._health import Health, HealthState
 from ._knowledge import Life, life_label
 from ._membership import Membership
 from ._placement import RunnerView
@@ -24,6 +24,10 @@
 #: Slots assumed for an upstream that reports none.
 DEFAULT_SLOTS = 32
 
+#: Time between two probes of an upstream, and of one that is waited for.
+PROBE_SECONDS = 1.0
+AWAITED_PROBE_SECONDS = 0.25
+
 #: What a hop to another hall is taken to cost.
 HALL_DISTANCE_SECONDS = 0.002
 
@@ -53,6 +57,8 @@
     own_attempts: dict[str, int] = attrs.field(factory=dict)
     #: Until when an upstream that refused work as busy is left alone.
     busy_until_seconds: float = 0.0
+    #: When it was last asked for its load.
+    probed_at_seconds: float = -math.inf
     released_at_seconds: float | None = None
     release_seconds: float = FIRST_RELEASE_SECONDS
 
@@ -153,6 +159,22 @@
             prefill_tokens_per_second=self._placement.prefill_tokens_per_second,
         )
 
+    def due_probes(self, now_seconds: float) -> list[HostEntry]:
+        """Return the upstreams to be probed now, and count them as probed.
+
+        One that can't be used until it answers is asked more often.
+        """
+        due = []
+        for upstream in self:
+            is_awaited = upstream.health.state is HealthState.DOWN or (
+                upstream.is_runner and upstream.life is None
+            )
+            interval_seconds = AWAITED_PROBE_SECONDS if is_awaited else PROBE_SECONDS
+            if now_seconds - upstream.probed_at_seconds >= interval_seconds:
+                upstream.probed_at_seconds = now_seconds
+                due.append(upstream.entry)
+        return due
+
     def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
         """Take a runner's report; return whether it shows a new life."""
         upstream.model = report.model
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -21,7 +21,7 @@
 )
 
 #: Time between two looks at deadlines.
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.1
 
 #: Decisions remembered for operators who ask why.
 EXPLAINED_COUNT = 1000
--- a/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
@@ -3,7 +3,7 @@
 import anyio
 
 from rampwick_platform import ObjectApi, PlatformError
-from rampwick_policy import HostListRead, LoadReported, ProbeFailed, Scheduler
+from rampwick_policy import HostListRead, LoadReported, ProbeFailed
 from rampwick_schema import DataError, HostEntry, HostList
 
 from ._errors import AttemptError
@@ -11,8 +11,8 @@
 from ._scheduler_task import SchedulerTask
 from ._upstream_client import UpstreamClient
 
-#: Time between two probes of one upstream.
-PROBE_INTERVAL_SECONDS = 0.5
+#: Time between two looks at which upstreams are to be probed.
+LOOK_INTERVAL_SECONDS = 0.25
 
 log = PartLogger("upstreams")
 
@@ -60,34 +60,24 @@
 
 
 class ProbeTask:
-    """Asks every upstream for its load, one task for each."""
+    """Asks for their load those upstreams whose turn it is."""
 
     def __init__(self, client: UpstreamClient, scheduler: SchedulerTask) -> None:
         self._client = client
         self._scheduler = scheduler
-        self._scopes: dict[str, anyio.CancelScope] = {}
 
     async def run(self) -> None:
-        """Keep one probing task for each listed upstream until cancelled."""
+        """Probe until cancelled."""
         async with anyio.create_task_group() as task_group:
             while True:
-                entries = await self._scheduler.ask(_list_entries)
-                for entry in entries:
-                    if entry.address not in self._scopes:
-                        scope = self._scopes[entry.address] = anyio.CancelScope()
-                        task_group.start_soon(self._probe_forever, entry, scope)
-                self._stop_unlisted({entry.address for entry in entries})
-                await anyio.sleep(PROBE_INTERVAL_SECONDS)
-
-    def _stop_unlisted(self, listed: set[str]) -> None:
-        for address in set(self._scopes) - listed:
-            self._scopes.pop(address).cancel()
-
-    async def _probe_forever(self, entry: HostEntry, scope: anyio.CancelScope) -> None:
-        with scope:
-            while True:
-                await self._probe(entry)
-                await anyio.sleep(PROBE_INTERVAL_SECONDS)
+                due = await self._scheduler.ask(
+                    lambda scheduler, now_seconds: scheduler.upstreams.due_probes(
+                        now_seconds
+                    )
+                )
+                for entry in due:
+                    task_group.start_soon(self._probe, entry)
+                await anyio.sleep(LOOK_INTERVAL_SECONDS)
 
     async def _probe(self, entry: HostEntry) -> None:
         try:
@@ -118,7 +108,3 @@
             await self._client.cancel(address, upstream, attempt_id)
         except AttemptError as error:
             log.problem("attempt not cancelled", attempt=attempt_id, error=str(error))
-
-
-def _list_entries(scheduler: Scheduler, now_seconds: float) -> list[HostEntry]:
-    return [upstream.entry for upstream in scheduler.upstreams]
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -49,7 +49,7 @@
     #: Path of the workspace.
     workspace: str
     #: Decayed priced tokens served.
-    used_tokens: float = attrs.field(validator=within(0.0, None))
+    used_tokens: int = attrs.field(validator=within(0, None))
     #: Requests waiting.
     waiting_count: int = attrs.field(validator=within(0, None))
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -36,7 +36,7 @@
 region = "sk-west"
 [platform]
 url = "{platform}"
-host_list_interval_seconds = 0.2
+host_list_interval_seconds = 0.5
 [peers]
 secret = "the demo's secret"
 [life]
