--- a/measure/_world.py
+++ b/measure/_world.py
@@ -299,8 +299,7 @@
             f"[placement]\nmiss_price = {self._world.settings.miss_price}\n",
             source="world",
         )
-        draw = random.Random(self._index)
-        self.scheduler = Scheduler(settings, draw, self._placement)
+        self.scheduler = Scheduler(settings, self._placement)
         now_seconds = self._clock.now_seconds
         self.scheduler.handle(HostListRead(self._world.host_list), now_seconds)
         self.scheduler.handle(TreeInForce(self._world.view), now_seconds)
--- a/measure/membership.py
+++ b/measure/membership.py
@@ -94,7 +94,7 @@
 def make_scheduler(shape: Shape) -> Scheduler:
     """Return a scheduler that knows the upstreams and the tree."""
     settings = parse_settings('[host]\nname = "a"\nhall = "h"\n', source="measure")
-    scheduler = Scheduler(settings, random.Random(1))
+    scheduler = Scheduler(settings)
     names = [f"lektor-{index}" for index in range(shape.upstreams_count)]
     hosts = [HostEntry(name, "runner", "h", f"{name}:1") for name in names]
     scheduler.handle(HostListRead(HostList(1, hosts)), 0.0)
--- a/packages/rampwick-cli/src/rampwick_cli/_main.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_main.py
@@ -2,7 +2,9 @@
 
 import argparse
 import os
+from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import anyio
 import httpx
@@ -34,6 +36,9 @@
 
 {_exit_codes.DESCRIPTION}"""
 
+#: What a subcommand runs; it returns the exit code.
+Command = Callable[[argparse.Namespace, Output], Awaitable[int]]
+
 WRITERS = ("set", "create", "move", "delete")
 
 
@@ -99,7 +104,7 @@
     return parser
 
 
-def _add_tree(commands, common) -> None:
+def _add_tree(commands: Any, common: argparse.ArgumentParser) -> None:
     tree = commands.add_parser("tree", help="read and edit the tree")
     subcommands = tree.add_subparsers(dest="tree_command", required=True)
     for name in ("show", "get", "history", "diff", *WRITERS):
@@ -138,7 +143,7 @@
     )
 
 
-def _add_weights(commands, common) -> None:
+def _add_weights(commands: Any, common: argparse.ArgumentParser) -> None:
     weights = commands.add_parser("weights", help=run_weights.__doc__)
     subcommands = weights.add_subparsers(dest="weights_command", required=True)
     for name in ("show", "set"):
@@ -150,20 +155,22 @@
             command.add_argument("weights_version", type=int)
 
 
-def _add_host(commands, common, name: str, run) -> argparse.ArgumentParser:
+def _add_host(
+    commands: Any, common: argparse.ArgumentParser, name: str, run: Command
+) -> argparse.ArgumentParser:
     command = commands.add_parser(name, parents=[common], help=run.__doc__)
     command.set_defaults(run=run)
     _add_url(command, "--admin", ADMIN_VARIABLE, "the host's admin URL")
     return command
 
 
-def _add_check(commands, common) -> None:
+def _add_check(commands: Any, common: argparse.ArgumentParser) -> None:
     command = commands.add_parser("check", parents=[common], help="check settings")
     command.set_defaults(run=_run_check)
     command.add_argument("settings", type=Path)
 
 
-def _add_ask(commands, common) -> None:
+def _add_ask(commands: Any, common: argparse.ArgumentParser) -> None:
     command = commands.add_parser("ask", parents=[common], help=run_ask.__doc__)
     command.set_defaults(run=run_ask)
     _add_url(command, "--entry", ENTRY_VARIABLE, "an entry host's URL")
--- a/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
@@ -114,11 +114,6 @@
         """Drop all that is known of a runner."""
         self._caches.pop(upstream, None)
 
-    def life_of(self, upstream: str) -> Life | None:
-        """Return the runner's present life, if one is known."""
-        cache = self._caches.get(upstream)
-        return cache.life if cache else None
-
     def cached_tokens(self, upstream: str, chain: PrefixChain) -> int:
         """Return the tokens of the chain that the runner is believed to hold."""
         cache = self._caches.get(upstream)
--- a/packages/rampwick-policy/src/rampwick_policy/_lease.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_lease.py
@@ -60,7 +60,3 @@
         if now_seconds + needed_seconds >= self._held_until_seconds:
             return None
         return self.version
-
-    def remaining_seconds(self, now_seconds: float) -> float:
-        """Return for how long the lease is still held here."""
-        return max(0.0, self._held_until_seconds - now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_pooling.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement_news.py
@@ -26,7 +26,7 @@
 
 
 @attrs.define
-class PlacementPool:
+class PlacementNews:
     """Placements of this host that peers have not been told yet."""
 
     _seen: OrderedDict[bytes, None] = attrs.field(factory=OrderedDict)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -11,7 +11,7 @@
 from . import _events as ev
 from ._knowledge import CacheKnowledge, Life
 from ._membership import Membership
-from ._pooling import PlacementPool
+from ._placement_news import PlacementNews
 from ._prefix import PrefixChain
 from ._request import Outcome
 from ._shares import ShareLedger
@@ -28,7 +28,7 @@
     """Upstreams, caches, peers and use as this host knows them."""
 
     def __init__(self, settings: Settings) -> None:
-        self.knowledge = CacheKnowledge(settings.placement.known_blocks_count)
+        self.knowledge = CacheKnowledge(settings.placement.known_prefixes_count)
         self.peers = Membership(settings.peers.dead_after_seconds)
         self.ledger = ShareLedger(settings.queue.usage_decay_seconds)
         self.upstreams = UpstreamTable(
@@ -37,7 +37,7 @@
             settings.placement,
             settings.queue.slots_factor,
         )
-        self._placements = PlacementPool()
+        self._news = PlacementNews()
         self._handlers: dict[type, Callable[[Any, float], None]] = {
             ev.LoadReported: self._on_report,
             ev.ProbeFailed: self._on_probe_failed,
@@ -54,7 +54,7 @@
     ) -> None:
         """Note that a prompt goes to a runner, which will then hold it."""
         self.knowledge.note_prompt(name, life, chain)
-        self._placements.note(name, life, chain, now_seconds)
+        self._news.note(name, life, chain, now_seconds)
 
     def note_answer(
         self, name: str, life: Life, chain: PrefixChain, event: ev.AttemptDone
@@ -109,7 +109,7 @@
             is_leaving=is_leaving,
             workspaces=self._workspace_usages(waiting, now_seconds),
             upstreams=self._upstream_usages(),
-            placed=self._placements.take(),
+            placed=self._news.take(),
         )
 
     def _workspace_usages(
--- a/packages/rampwick-policy/src/rampwick_policy/_rendezvous.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_rendezvous.py
@@ -1,7 +1,6 @@
-"""Weighted rendezvous hashing: a ranking that hosts agree on without talking."""
+"""Rendezvous hashing: a ranking that hosts agree on without talking."""
 
 import hashlib
-import math
 from collections.abc import Iterable
 
 #: Largest value of the 8-byte hash, to map it into (0, 1).
@@ -16,11 +15,6 @@
     return sorted(names, key=lambda name: _draw(key, name), reverse=True)
 
 
-def weighted_first(key: bytes, weights: dict[str, float]) -> str:
-    """Return the preferred name where names are drawn in proportion to weights."""
-    return max(weights, key=lambda name: -weights[name] / math.log(_draw(key, name)))
-
-
 def _draw(key: bytes, name: str) -> float:
     digest = hashlib.blake2b(name.encode(), key=key[:64], digest_size=8).digest()
     return (int.from_bytes(digest, "big") + 0.5) / _HASH_SPAN
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -6,7 +6,6 @@
 out the actions it returns, in their order.
 """
 
-import random
 from collections.abc import Callable
 from typing import Any
 
@@ -46,11 +45,9 @@
     def __init__(
         self,
         settings: Settings,
-        draw: random.Random,
         placement: Placement | None = None,
     ) -> None:
         self._settings = settings
-        self._draw = draw
         self.pool = Pool(settings)
         self.queue = WaitingQueue()
         self.admission = Admission(self.queue, self.ledger, self.peers)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -1,6 +1,5 @@
 """The daemon: its parts put together, its tasks run, its stop carried out."""
 
-import random
 import socket
 import time
 from collections.abc import AsyncIterator, Callable
@@ -77,7 +76,7 @@
         self.life = Life()
         self.follower = ConfigurationFollower()
         incarnation = time.time_ns()
-        scheduler = Scheduler(settings, random.Random(incarnation))
+        scheduler = Scheduler(settings)
         self.scheduler = SchedulerTask(scheduler, clocks.monotonic)
         self._hosts = HostListTask(
             api, self.scheduler, settings.platform.host_list_interval_seconds
--- a/packages/rampwick-router/src/rampwick_router/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/_entry.py
@@ -15,8 +15,9 @@
 )
 from ._errors import AttemptError, CallerError
 from ._logs import PartLogger
-from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange, relay_resumed
+from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange
 from ._parts import Parts
+from ._relay import relay_resumed
 from ._responder import (
     EVENT_STREAM,
     Message,
--- a/packages/rampwick-router/src/rampwick_router/_life.py
+++ b/packages/rampwick-router/src/rampwick_router/_life.py
@@ -34,10 +34,6 @@
         """Return when a stop has begun."""
         await self._stopping.wait()
 
-    async def wait_hurried(self) -> None:
-        """Return when a stop is to be hurried."""
-        await self._hurrying.wait()
-
     async def pause(self, seconds: float) -> None:
         """Wait, but not on when the stop is hurried."""
         with anyio.move_on_after(seconds):
--- a/packages/rampwick-router/src/rampwick_router/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_service_exchange.py
@@ -1,6 +1,7 @@
 """Calls to plain services: method, body, headers and status are carried through."""
 
 import attrs
+import httpx
 
 from rampwick_policy import (
     AttemptAccepted,
@@ -109,7 +110,7 @@
             await self._pass_on(dispatch, response)
         return AttemptDone(self.request_id, dispatch.attempt_id)
 
-    async def _pass_on(self, dispatch, response) -> None:
+    async def _pass_on(self, dispatch: Dispatch, response: httpx.Response) -> None:
         headers = [
             (name.encode(), value.encode("latin-1"))
             for name, value in response.headers.multi_items()
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -86,8 +86,8 @@
     block_bytes: int = attrs.field(default=256, validator=within(16, 16384))
     #: Bytes of prompt text counted as one token.
     bytes_per_token: float = attrs.field(default=4.0, validator=within(0.5, 16.0))
-    #: Block entries remembered over all runners.
-    known_blocks_count: int = attrs.field(
+    #: Prefixes remembered over all runners.
+    known_prefixes_count: int = attrs.field(
         default=200000, validator=within(100, 5000000)
     )
     #: Prefill speed assumed until a runner reports its own.
@@ -98,8 +98,6 @@
     max_prefill_queue_seconds: float = attrs.field(
         default=0.1, validator=within(0.001, 60.0)
     )
-    #: Share of the mean load that the computed choice may fill on one runner.
-    load_factor: float = attrs.field(default=1.25, validator=within(1.0, 10.0))
 
 
 @attrs.frozen
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,7 +1,5 @@
 """Whole sessions of the scheduler as golden files, and its rules one by one."""
 
-import random
-
 import attrs
 import pytest
 from testtools import TestCase
@@ -52,7 +50,7 @@
         settings = parse_settings(
             f'[host]\nname = "entry-1"\nhall = "trnava"\n{extra}', source="test"
         )
-        self.scheduler = Scheduler(settings, random.Random(1))
+        self.scheduler = Scheduler(settings)
         self.lines = []
         self.nodes = {
             "/": Node(),
