Prove that a dead host's stream goes on at another; toy engine in its own module

Ruled out: killing a process in the test (the bench runs daemons in one event loop; the proof drops what a dead host would not send and closes the daemon hard).

Change: test_host_dies_in_mid_stream_and_the_caller_goes_to_another; open_platform; measure/_runner.py.

--- a/measure/placement.py
+++ b/measure/placement.py
@@ -20,8 +20,9 @@
     RoundRobin,
 )
 
+from ._runner import STEP_SECONDS, WorldSettings
 from ._workload import SHAPES, Script, WorkloadShape
-from ._world import STEP_SECONDS, World, WorldSettings
+from ._world import World
 
 WARM_SECONDS = 20.0
 
--- a/packages/rampwick-cli/src/rampwick_cli/_tree_commands.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_tree_commands.py
@@ -8,28 +8,22 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from rampwick_platform import HttpObjectApi, TreeStore
+from rampwick_platform import TreeStore
 from rampwick_policy import TreeError, deleted, moved
 from rampwick_schema import Change, Node, NodeEdit, Tree, unstructure
 
 from . import _exit_codes
 from ._node_values import changed_node
 from ._output import Output
+from ._platform import open_platform
 from ._wait import wait_in_force
 
-CALL_TIMEOUT_SECONDS = 5.0
-CALLS_PER_SECOND = 50.0
-
 Edits = Callable[[Tree], Sequence[NodeEdit]]
 
 
 async def run_tree(arguments: argparse.Namespace, output: Output) -> int:
     """Run one of the tree commands; return the exit code."""
-    async with HttpObjectApi(
-        arguments.platform,
-        call_timeout_seconds=CALL_TIMEOUT_SECONDS,
-        calls_per_second=CALLS_PER_SECOND,
-    ) as api:
+    async with open_platform(arguments) as api:
         store = TreeStore(api)
         command = COMMANDS[arguments.tree_command]
         return await command(store, arguments, output)
--- a/packages/rampwick-cli/src/rampwick_cli/_weights_commands.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_weights_commands.py
@@ -2,21 +2,17 @@
 
 import argparse
 
-from rampwick_platform import HttpObjectApi, WeightsStore
+from rampwick_platform import WeightsStore
 from rampwick_schema import WeightsTarget, unstructure
 
 from . import _exit_codes
 from ._output import Output
-from ._tree_commands import CALL_TIMEOUT_SECONDS, CALLS_PER_SECOND
+from ._platform import open_platform
 
 
 async def run_weights(arguments: argparse.Namespace, output: Output) -> int:
     """Show or set which weights runners shall have loaded."""
-    async with HttpObjectApi(
-        arguments.platform,
-        call_timeout_seconds=CALL_TIMEOUT_SECONDS,
-        calls_per_second=CALLS_PER_SECOND,
-    ) as api:
+    async with open_platform(arguments) as api:
         store = WeightsStore(api)
         if arguments.weights_command == "set":
             target = WeightsTarget(arguments.model, arguments.weights_version)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings, strategies as st
 from testtools import TestCase
 
+from rampwick_policy import RequestCancelled
 from rampwick_router._errors import AttemptError
 from rampwick_router._sse import EventSplitter, OrderKeeper, StreamEvent
 from rampwick_standin import EngineFaults
@@ -169,6 +170,23 @@
         self.assertEqual(410, stranger.status_code)
         self.assertEqual(410, forged.status_code)
 
+    def test_host_dies_in_mid_stream_and_the_caller_goes_to_another(self):
+        async def scenario(bench):
+            bench.add_runner("lektor-1", step_seconds=0.1)
+            async with bench.run_host("entry-2") as two:
+                async with bench.run_host("entry-1") as one:
+                    await one.until_ready("lektor-1")
+                    await two.until_ready("lektor-1")
+                    # A dead host tells nobody that its callers are gone.
+                    drop_cancellations(one.daemon.scheduler)
+                    got, token, last_id = await self.first_events(one, "orphan", 2)
+                return got, await self.resume(two, token, last_id)
+
+        got, rest = self.run_scenario(scenario)
+        saw = read_stream("orphan", rest.status_code, got + rest.content)
+        self.assert_holds(check_answers([saw], LENGTH))
+        self.assertTrue(saw.is_whole)
+
     def test_resumed_twice_at_once_gives_both_the_same(self):
         async def scenario(bench):
             bench.add_runner("lektor-1", step_seconds=0.02)
@@ -272,6 +290,17 @@
         self.assertNotEqual(first, second)
 
 
+def drop_cancellations(scheduler):
+    """Have a scheduler's task not hear of callers that go away."""
+    post = scheduler.post
+
+    def post_others(event):
+        if not isinstance(event, RequestCancelled):
+            post(event)
+
+    scheduler.post = post_others
+
+
 async def do_nothing(*arguments, **options):
     """Stand in for a call that shall have no effect."""
 
