One view of the room for all classes; one look-up of the chosen runner

The dispatcher built a Room, with the views of all upstreams, again for each of the three classes in one decision; the same look-up of the chosen runner's view stood in two modules; ShareLedger.tokens_per_second was called by nobody (a limit of the same name had hidden it from the search for dead code).

Ruled out: sharing a Room over several decisions (a dispatch changes the views); one base for the placement strategies, whose equal lines are the protocol's signature only.

Change: next_decision builds the room once; chosen_view serves both callers; the unused method is gone.

The saved time was not measured.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -10,7 +10,7 @@
 
 from . import _events as ev
 from ._admission import Admission
-from ._placement import Choice, LeastLoaded, Placement, RunnerView
+from ._placement import Choice, LeastLoaded, Placement, RunnerView, chosen_view
 from ._pool import Pool
 from ._prefix import PrefixChain
 from ._queue import QueuedRequest, WaitingQueue
@@ -88,23 +88,21 @@
 
         ``only_path`` restricts the look to one workspace; empty looks at all.
         """
+        room = Room(
+            self._pool.upstreams, self._pool.peers, self._admission, now_seconds
+        )
         for priority_class in ev.PRIORITY_CLASSES:
-            decision = self._fill_one(priority_class, only_path, now_seconds)
+            decision = self._next_of_class(priority_class, only_path, room, now_seconds)
             if decision is not None:
                 return decision
         return None
 
-    def _fill_one(
-        self, priority_class: str, only_path: str, now_seconds: float
+    def _next_of_class(
+        self, priority_class: str, only_path: str, room: Room, now_seconds: float
     ) -> ev.Dispatch | Hopeless | None:
         paths = self._queue.workspaces_waiting(priority_class)
         if only_path:
             paths = [path for path in paths if path == only_path]
-        if not paths:
-            return None
-        room = Room(
-            self._pool.upstreams, self._pool.peers, self._admission, now_seconds
-        )
         for standing, path, workspace in self._lines(
             priority_class, paths, now_seconds
         ):
@@ -161,7 +159,7 @@
         """Return whether the answer can't begin in time even if it is sent now."""
         if arrival.chain is None:
             return False
-        view = next(item for item in views if item.name == choice.upstream)
+        view = chosen_view(choice, views)
         prefill_seconds = view.prefill_seconds(choice.missing_tokens)
         begins_seconds = now_seconds + choice.queue_seconds + prefill_seconds
         return begins_seconds > arrival.deadline_seconds
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -73,6 +73,11 @@
     considered: tuple["Choice", ...] = ()
 
 
+def chosen_view(choice: Choice, runners: Sequence[RunnerView]) -> RunnerView:
+    """Return the view of the runner that was chosen among these."""
+    return next(runner for runner in runners if runner.name == choice.upstream)
+
+
 class KnowsCaches(Protocol):
     """What can say how much of a prompt a runner holds."""
 
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -7,7 +7,7 @@
 from ._admission import Admission, Rival, goes_before
 from ._events import RequestArrived
 from ._membership import Membership
-from ._placement import Choice, RunnerView
+from ._placement import Choice, RunnerView, chosen_view
 from ._shares import Standing
 from ._upstreams import Upstream, UpstreamTable
 
@@ -53,7 +53,7 @@
         self, choice: Choice, views: list[RunnerView], standing: Standing
     ) -> bool:
         """Return whether a request of this standing may go where it was placed."""
-        view = next(item for item in views if item.name == choice.upstream)
+        view = chosen_view(choice, views)
         if not view.has_slot:
             return self._may_exceed(view, standing)
         # Leave free slots to requests elsewhere that should go first. If nobody
--- a/packages/rampwick-policy/src/rampwick_policy/_shares.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_shares.py
@@ -103,10 +103,6 @@
         """Return the decayed tokens at a path over all hosts heard of."""
         return self._own.get(path, now_seconds) + self._peers.get(path, now_seconds)
 
-    def tokens_per_second(self, path: str, now_seconds: float) -> float:
-        """Return the rate at which a path is served, smoothed by the decay."""
-        return self.used_tokens(path, now_seconds) / self.decay_seconds
-
     def standing(self, workspace: Workspace, now_seconds: float) -> Standing:
         """Return the workspace's place in line; the least one goes first."""
         pairs = zip(workspace.lineage, workspace.weights, strict=True)
