--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,11 @@
 
 setup: .venv/.installed
 
-.venv/.installed: requirements.lock $(wildcard packages/*/pyproject.toml)
+.venv/.installed: requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install -q -r requirements.lock
 	$(BIN)/pip install -q --no-build-isolation --no-deps \
-		$(foreach name,$(PACKAGES),-e packages/rampwick-$(name))
+		$(foreach name,$(PACKAGES),-e packages/rampwick-$(name)) -e platform
 	touch $@
 
 demo: setup
--- /dev/null
+++ b/deploy/build.py
@@ -0,0 +1,82 @@
+"""Puts what a host runs into target/: libraries by the lock file, then our packages.
+
+Libraries are installed only if the lock file changed, packages copied only if a
+source did, so that a build with nothing to do takes no time.
+"""
+
+import compileall
+import hashlib
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+TARGET = ROOT / "target"
+DEPENDENCIES = TARGET / "deps"
+LOCK = ROOT / "requirements-host.lock"
+
+SOURCES = [
+    *(
+        ROOT / f"packages/rampwick-{name}/src/rampwick_{name}"
+        for name in ("schema", "policy", "platform", "router")
+    ),
+    ROOT / "platform/rampwick_adapter",
+]
+
+
+def main() -> int:
+    """Build what is out of date; return the exit code."""
+    TARGET.mkdir(exist_ok=True)
+    lock = hashlib.sha256(LOCK.read_bytes()).hexdigest()
+    if read_stamp("lock") != lock:
+        install_libraries()
+        write_stamp("lock", lock)
+        write_stamp("sources", "")
+    sources = hash_sources()
+    if read_stamp("sources") != sources:
+        copy_packages()
+        write_stamp("sources", sources)
+    return 0
+
+
+def install_libraries() -> None:
+    """Install the locked libraries afresh."""
+    shutil.rmtree(DEPENDENCIES, ignore_errors=True)
+    arguments = ["install", "-q", "--no-deps", "--target", str(DEPENDENCIES)]
+    command = [sys.executable, "-m", "pip", *arguments, "-r", str(LOCK)]
+    subprocess.run(command, check=True, cwd=ROOT)
+
+
+def hash_sources() -> str:
+    """Return a hash of all sources of the packages."""
+    digest = hashlib.sha256()
+    for folder in SOURCES:
+        for path in sorted(folder.rglob("*.py")):
+            digest.update(str(path.relative_to(ROOT)).encode() + b"\0")
+            digest.update(path.read_bytes())
+    return digest.hexdigest()
+
+
+def copy_packages() -> None:
+    """Copy the packages beside the libraries and compile them."""
+    for folder in SOURCES:
+        copy = DEPENDENCIES / folder.name
+        shutil.rmtree(copy, ignore_errors=True)
+        shutil.copytree(folder, copy, ignore=shutil.ignore_patterns("__pycache__"))
+        compileall.compile_dir(str(copy), quiet=1)
+
+
+def read_stamp(name: str) -> str:
+    """Return what was built last, or an empty text."""
+    path = TARGET / f"{name}.stamp"
+    return path.read_text() if path.exists() else ""
+
+
+def write_stamp(name: str, text: str) -> None:
+    """Remember what was built."""
+    (TARGET / f"{name}.stamp").write_text(text)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -4,6 +4,7 @@
     ABSENT as ABSENT,
     MAX_VALUE_BYTES as MAX_VALUE_BYTES,
     AnswerLostError as AnswerLostError,
+    HistoryGoneError as HistoryGoneError,
     Listing as Listing,
     ObjectApi as ObjectApi,
     PlatformError as PlatformError,
@@ -12,13 +13,20 @@
     VersionConflictError as VersionConflictError,
 )
 from ._claim_store import ClaimStore as ClaimStore
+from ._entity_tags import EntityTagDialect as EntityTagDialect
 from ._http import HttpObjectApi as HttpObjectApi
+from ._kind_watcher import (
+    KindState as KindState,
+    KindView as KindView,
+    KindWatcher as KindWatcher,
+)
 from ._lease_store import LeaseStore as LeaseStore
 from ._records import (
     decode_record as decode_record,
     encode_record as encode_record,
     settle_put as settle_put,
 )
+from ._store_dialect import StoreDialect as StoreDialect, StoreRequest as StoreRequest
 from ._tree_store import (
     SNAPSHOT_KEY as SNAPSHOT_KEY,
     StoredTree as StoredTree,
--- a/packages/rampwick-platform/src/rampwick_platform/_api.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_api.py
@@ -26,6 +26,10 @@
     """The call may have taken effect; its answer did not come."""
 
 
+class HistoryGoneError(PlatformError):
+    """A watch asked for changes that the store has forgotten; list again."""
+
+
 class VersionConflictError(PlatformError):
     """A conditional write found another version than it expected."""
 
@@ -37,6 +41,8 @@
     key: str
     version: int
     value: bytes
+    #: Whether a watch tells that it is gone.
+    is_deleted: bool = False
 
 
 @attrs.frozen
@@ -45,6 +51,8 @@
 
     version: int
     objects: Sequence[StoredObject]
+    #: Whether there are more; they follow the last key.
+    is_truncated: bool = False
 
 
 class ObjectApi(Protocol):
--- /dev/null
+++ b/packages/rampwick-platform/src/rampwick_platform/_entity_tags.py
@@ -0,0 +1,89 @@
+"""Rampwick's own object API: conditional requests with entity tags."""
+
+from typing import Any
+
+import httpx
+
+from ._api import (
+    ABSENT,
+    AnswerLostError,
+    Listing,
+    PlatformError,
+    StoredObject,
+    VersionConflictError,
+)
+from ._store_dialect import StoreRequest
+
+
+class EntityTagDialect:
+    """Keys in the path, versions as entity tags."""
+
+    def get(self, key: str) -> StoreRequest:
+        """Return the request for an object."""
+        return StoreRequest("get object", "GET", f"/v1/objects/{key}")
+
+    def read_object(self, key: str, response: httpx.Response) -> StoredObject | None:
+        """Return the object of an answer, or none if it does not exist."""
+        if response.status_code == httpx.codes.NOT_FOUND:
+            return None
+        return StoredObject(key, _version(response, "get object"), response.content)
+
+    def put(self, key: str, value: bytes, expected_version: int) -> StoreRequest:
+        """Return the request for a conditional write."""
+        if expected_version == ABSENT:
+            headers = {"If-None-Match": "*"}
+        else:
+            headers = {"If-Match": f'"{expected_version}"'}
+        return StoreRequest(
+            "put object", "PUT", f"/v1/objects/{key}", headers=headers, content=value
+        )
+
+    def read_put(self, key: str, response: httpx.Response) -> int:
+        """Return the new version, or raise VersionConflictError."""
+        step = "put object"
+        if response.status_code == httpx.codes.PRECONDITION_FAILED:
+            raise VersionConflictError(f"{key} changed", step=step)
+        return _version(response, step)
+
+    def list_objects(self, prefix: str, after_key: str) -> StoreRequest:
+        """Return the request for the objects under a prefix."""
+        parameters = {"prefix": prefix, "after_key": after_key}
+        return StoreRequest("list objects", "GET", "/v1/objects", parameters)
+
+    def watch(
+        self, prefix: str, after_version: int, timeout_seconds: float
+    ) -> StoreRequest:
+        """Return the request that waits for changes."""
+        parameters = {
+            "prefix": prefix,
+            "after_version": str(after_version),
+            "timeout_seconds": str(timeout_seconds),
+        }
+        return StoreRequest("watch objects", "GET", "/v1/watch", parameters)
+
+    def read_listing(self, prefix: str, response: httpx.Response) -> Listing:
+        """Return the objects of a listing or a watch."""
+        step = "list objects"
+        data = _json(response, step)
+        try:
+            objects = [
+                StoredObject(item["key"], item["version"], item["value"].encode())
+                for item in data["objects"]
+            ]
+            return Listing(version=data["version"], objects=objects)
+        except (KeyError, TypeError, AttributeError) as error:
+            raise PlatformError(f"bad answer: {error!r}", step=step) from None
+
+
+def _version(response: httpx.Response, step: str) -> int:
+    try:
+        return int(response.headers["ETag"].strip('"'))
+    except (KeyError, ValueError):
+        raise AnswerLostError("answer without version", step=step) from None
+
+
+def _json(response: httpx.Response, step: str) -> Any:
+    try:
+        return response.json()
+    except ValueError:
+        raise PlatformError("answer is not JSON", step=step) from None
--- /dev/null
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -0,0 +1,165 @@
+"""Following all objects under a prefix: a listing, then one watch after another.
+
+What is known is a value with a version and the time at which it was surely the
+store's newest. That time counts from when the call that showed it was sent, so that a
+slow answer never makes old knowledge look fresh.
+"""
+
+import random
+from collections.abc import Callable, Mapping
+
+import anyio
+import attrs
+
+from rampwick_schema import DataError
+
+from ._api import HistoryGoneError, Listing, ObjectApi, PlatformError, StoredObject
+
+#: Waits between two calls after failures: the first, the factor, the longest.
+FIRST_PAUSE_SECONDS = 0.1
+PAUSE_FACTOR = 1.6
+MAX_PAUSE_SECONDS = 0.8
+
+
+@attrs.frozen
+class KindState:
+    """Objects under a prefix as the store had them."""
+
+    objects: Mapping[str, StoredObject]
+    #: Highest version of any change that is part of it.
+    version: int
+    #: Steady time until which it was surely the newest.
+    confirmed_at_seconds: float
+    #: Whether the store could not be read right before.
+    is_after_failure: bool = False
+
+
+@attrs.define
+class KindView:
+    """Merges listings and watched changes; it does no I/O and reads no clock."""
+
+    #: Version of the store from which the next watch goes on.
+    store_version: int = 0
+    objects: dict[str, StoredObject] = attrs.field(factory=dict)
+    version: int = 0
+
+    def take_listing(self, listing: Listing) -> None:
+        """Replace everything by a whole listing, unless it is older."""
+        if listing.version < self.store_version:
+            return
+        self.objects = {item.key: item for item in listing.objects}
+        self.store_version = listing.version
+        self.version = max([self.version, *(item.version for item in listing.objects)])
+
+    def take_changes(self, listing: Listing) -> None:
+        """Merge what a watch told; older versions of an object change nothing."""
+        for item in listing.objects:
+            known = self.objects.get(item.key)
+            if known is not None and known.version > item.version:
+                continue
+            if item.is_deleted:
+                self.objects.pop(item.key, None)
+            else:
+                self.objects[item.key] = item
+            self.version = max(self.version, item.version)
+        self.store_version = max(self.store_version, listing.version)
+
+
+class KindWatcher:
+    """Task that follows one prefix and hands each state to a callback.
+
+    ``take_state`` is called after every successful call, also if nothing changed:
+    then only the confirmation is newer.
+    """
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        prefix: str,
+        *,
+        wait_seconds: float,
+        take_state: Callable[[KindState], None],
+        take_problem: Callable[[str], None],
+        read_clock: Callable[[], float],
+        draw: random.Random,
+    ) -> None:
+        self._api = api
+        self._prefix = prefix
+        self._wait_seconds = wait_seconds
+        self._take_state = take_state
+        self._take_problem = take_problem
+        self._read_clock = read_clock
+        self._draw = draw
+        self._view = KindView()
+        self._is_listed = False
+        self._failures_count = 0
+        self._is_wanted = anyio.Event()
+
+    def look_now(self) -> None:
+        """Have the next look at the store begin at once instead of after a pause."""
+        self._is_wanted.set()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                confirmed_at_seconds = await self._look()
+                self._note_success(confirmed_at_seconds)
+            except HistoryGoneError as error:
+                self._is_listed = False
+                self._take_problem(str(error))
+            except (PlatformError, DataError) as error:
+                self._failures_count += 1
+                self._take_problem(str(error))
+                await self._pause()
+
+    async def refresh(self) -> None:
+        """Read everything once more, or raise PlatformError."""
+        began_seconds = self._read_clock()
+        self._view.take_listing(await self._list())
+        self._note_success(began_seconds)
+
+    async def _look(self) -> float:
+        began_seconds = self._read_clock()
+        if not self._is_listed:
+            self._view.take_listing(await self._list())
+            self._is_listed = True
+            return began_seconds
+        listing = await self._api.watch(
+            self._prefix, self._view.store_version, self._wait_seconds
+        )
+        self._view.take_changes(listing)
+        waited_seconds = self._read_clock() - began_seconds
+        # An answer without changes came at the end of the wait, so all of the wait
+        # counts, but not the time that its answer was under way.
+        if not listing.objects and waited_seconds >= self._wait_seconds:
+            return began_seconds + self._wait_seconds
+        return began_seconds
+
+    async def _list(self) -> Listing:
+        listing = await self._api.list_objects(self._prefix)
+        objects = list(listing.objects)
+        version = listing.version
+        while listing.is_truncated and listing.objects:
+            listing = await self._api.list_objects(self._prefix, objects[-1].key)
+            objects += listing.objects
+        # Pages are read one after the other; the first one's version is the one up
+        # to which all changes are surely in.
+        return Listing(version=version, objects=objects)
+
+    def _note_success(self, confirmed_at_seconds: float) -> None:
+        state = KindState(
+            objects=dict(self._view.objects),
+            version=self._view.version,
+            confirmed_at_seconds=confirmed_at_seconds,
+            is_after_failure=self._failures_count > 0,
+        )
+        self._failures_count = 0
+        self._take_state(state)
+
+    async def _pause(self) -> None:
+        seconds = FIRST_PAUSE_SECONDS * PAUSE_FACTOR ** (self._failures_count - 1)
+        seconds = min(MAX_PAUSE_SECONDS, seconds) * self._draw.uniform(0.5, 1.0)
+        self._is_wanted = anyio.Event()
+        with anyio.move_on_after(seconds):
+            await self._is_wanted.wait()
--- a/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
@@ -7,7 +7,7 @@
 from rampwick_schema import LeaseRecord
 
 from ._api import ObjectApi, VersionConflictError
-from ._records import decode_record, settle_put
+from ._records import decode_record, encode_record, settle_put
 
 
 class LeaseStore:
@@ -20,18 +20,35 @@
     async def try_take(
         self, watcher: LeaseWatcher, read_clock: Callable[[], float]
     ) -> bool:
-        """Read the lease and take or renew it if that is allowed.
+        """Take or renew the lease if that is allowed; return whether it is held now.
 
-        Return whether it is held now. A platform error leaves what was held to run
-        out by itself.
+        The lease is read only if nothing is known of it, or if a write found another
+        version than the known one. A platform error leaves what was held to run out
+        by itself.
         """
+        if not watcher.version:
+            await self._read(watcher, read_clock)
+        if not watcher.may_take(read_clock()):
+            return False
+        if await self._write(watcher, read_clock):
+            return True
+        await self._read(watcher, read_clock)
+        return False
+
+    async def release(self, watcher: LeaseWatcher, wait_seconds: float) -> None:
+        """Give the lease up; the next holder waits so long before it takes it."""
+        record = LeaseRecord(
+            holder="", write_id=secrets.token_hex(8), duration_seconds=wait_seconds
+        )
+        await self._api.put(self._key, encode_record(record), watcher.version)
+
+    async def _read(
+        self, watcher: LeaseWatcher, read_clock: Callable[[], float]
+    ) -> None:
         stored = await self._api.get(self._key)
         if stored is not None:
             record = decode_record(stored, LeaseRecord)
             watcher.observe(record, stored.version, read_clock())
-        if not watcher.may_take(read_clock()):
-            return False
-        return await self._write(watcher, read_clock)
 
     async def _write(
         self, watcher: LeaseWatcher, read_clock: Callable[[], float]
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -1,5 +1,11 @@
 """Decisions of rampwick: pure state machines that know no I/O and no clock."""
 
+from ._access import (
+    Access as Access,
+    AccessRules as AccessRules,
+    Verdict as Verdict,
+    decide_access as decide_access,
+)
 from ._claims import (
     ClaimDecision as ClaimDecision,
     decide_claims as decide_claims,
@@ -15,6 +21,7 @@
 )
 from ._events import (
     PRIORITY_CLASSES as PRIORITY_CLASSES,
+    RANKED_CLASSES as RANKED_CLASSES,
     Action as Action,
     AttemptAccepted as AttemptAccepted,
     AttemptDelivered as AttemptDelivered,
@@ -24,17 +31,21 @@
     Dispatch as Dispatch,
     Event as Event,
     HostListRead as HostListRead,
+    LoadOrdered as LoadOrdered,
     LoadReported as LoadReported,
     PeerHeard as PeerHeard,
     ProbeFailed as ProbeFailed,
     Refuse as Refuse,
     RequestArrived as RequestArrived,
     RequestCancelled as RequestCancelled,
+    TargetsRead as TargetsRead,
     Tick as Tick,
     TreeInForce as TreeInForce,
+    WeightsSeen as WeightsSeen,
 )
 from ._health import Health as Health, HealthState as HealthState
 from ._knowledge import CacheKnowledge as CacheKnowledge, Life as Life
+from ._lapses import LapseGuard as LapseGuard
 from ._lease import LeaseWatcher as LeaseWatcher
 from ._membership import Membership as Membership
 from ._orders import (
@@ -54,16 +65,24 @@
 from ._prefix import (
     Checkpoint as Checkpoint,
     PrefixChain as PrefixChain,
+    PromptPart as PromptPart,
     Scope as Scope,
     build_chain as build_chain,
     cache_salt as cache_salt,
+    chain_from_parts as chain_from_parts,
 )
 from ._request import (
     Outcome as Outcome,
     RequestLifecycle as RequestLifecycle,
     RunState as RunState,
 )
-from ._retry import RetryBudget as RetryBudget
+from ._retry import RetryBudget as RetryBudget, RetryBudgets as RetryBudgets
+from ._rollout import (
+    AskReport as AskReport,
+    OrderResult as OrderResult,
+    Rollout as Rollout,
+)
+from ._routes import RouteIndex as RouteIndex, choose_service as choose_service
 from ._scheduler import Scheduler as Scheduler
 from ._shares import DecayedUse as DecayedUse, ShareLedger as ShareLedger
 from ._tree import (
--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -14,7 +14,7 @@
 from ._pool import Pool
 from ._prefix import PrefixChain
 from ._queue import QueuedRequest, WaitingQueue
-from ._retry import RetryBudget
+from ._retry import RetryBudgets
 from ._room import Room
 from ._shares import Standing
 from ._tree import Workspace
@@ -68,7 +68,7 @@
         pool: Pool,
         queue: WaitingQueue,
         admission: Admission,
-        budget: RetryBudget,
+        budgets: RetryBudgets,
         answers: AnswerEstimates,
         placement: Placement,
     ) -> None:
@@ -76,7 +76,7 @@
         self._pool = pool
         self._queue = queue
         self._admission = admission
-        self._budget = budget
+        self._budgets = budgets
         self._answers = answers
         self._placement = placement
         self._service_placement = LeastLoaded()
@@ -91,7 +91,7 @@
         room = Room(
             self._pool.upstreams, self._pool.peers, self._admission, now_seconds
         )
-        for priority_class in ev.PRIORITY_CLASSES:
+        for priority_class in ev.RANKED_CLASSES:
             decision = self._next_of_class(priority_class, only_path, room, now_seconds)
             if decision is not None:
                 return decision
@@ -145,7 +145,8 @@
             return Hopeless(item)
         if not room.may_take(choice, views, standing):
             return None
-        if item.needs_budget and not self._budget.spend(now_seconds):
+        budget = self._budgets.of(arrival.service, self._pool.peers.known_hosts_count)
+        if item.needs_budget and not budget.spend(now_seconds):
             return None
         return self._dispatch(item, choice, now_seconds)
 
@@ -177,7 +178,8 @@
         if arrival.chain is None:
             no_chain = PrefixChain(checkpoints=(), total_tokens=1)
             return self._service_placement.choose(no_chain, views, price, now_seconds)
-        return self._placement.choose(arrival.chain, views, price, now_seconds)
+        sources = self._pool.import_sources(arrival.service, arrival.chain, now_seconds)
+        return self._placement.choose(arrival.chain, views, price, now_seconds, sources)
 
     def _dispatch(
         self, item: QueuedRequest, choice: Choice, now_seconds: float
@@ -196,9 +198,14 @@
         self._admission.note_started(
             item.arrival.workspace, item.expected_tokens, now_seconds
         )
+        save_address = ""
         if item.arrival.chain is not None and upstream.life is not None:
             chain, life = item.arrival.chain, upstream.life
             self._pool.note_placed(upstream.name, life, chain, now_seconds)
+            save_address = self._pool.save_address(
+                item.arrival.service, upstream, chain, now_seconds
+            )
+        source = choice.import_source
         return ev.Dispatch(
             request_id=item.request_id,
             attempt_id=attempt_id,
@@ -207,4 +214,6 @@
             incarnation=upstream.life.incarnation if upstream.life else "",
             weights_version=upstream.life.weights_version if upstream.life else 0,
             choice=choice,
+            import_address=source.address if source else "",
+            save_address=save_address,
         )
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from rampwick_schema import HostList, LoadReport, Summary
+from rampwick_schema import HostList, LoadReport, Summary, WeightsTarget
 
 from ._placement import Choice
 from ._prefix import PrefixChain, Scope
@@ -12,6 +12,9 @@
 #: Classes of requests, the most urgent first.
 PRIORITY_CLASSES = ("portal", "interactive", "batch")
 
+#: Names of all ranks of urgency; routes may use more of them than callers can name.
+RANKED_CLASSES = (*PRIORITY_CLASSES, *(f"rank-{rank}" for rank in range(3, 10)))
+
 
 @attrs.frozen
 class RequestArrived:
@@ -25,8 +28,14 @@
     #: Prompt of a model request; none for a plain service.
     chain: PrefixChain | None = None
     scope: Scope | None = None
-    #: Service that is called; empty for models.
+    #: Service that is called; empty where the model alone says who can serve it.
     service: str = ""
+    #: Upstreams on which it may run; none leaves it to the settings.
+    max_attempts_count: int | None = None
+    #: Whether a stream that broke after its first piece may go on elsewhere.
+    is_resumable: bool = False
+    #: Time within which an answer is worth most; none if it is not known.
+    latency_target_seconds: float | None = None
     #: Largest answer that the caller allows.
     max_answer_tokens: int = 0
 
@@ -55,6 +64,8 @@
     attempt_id: str
     outcome: Outcome
     message: str
+    #: Whether the caller has pieces of the answer already.
+    has_delivered: bool = False
     #: When the upstream says to come back; nothing if it did not say.
     retry_after_seconds: float | None = None
 
@@ -110,6 +121,37 @@
     summary: Summary
 
 
+@attrs.frozen
+class WeightsSeen:
+    """An upstream showed which weights it has: by an answer, or through a peer.
+
+    Only the upstream's own word may lower what is known.
+    """
+
+    upstream: str
+    incarnation: str
+    weights_version: int
+    is_own_word: bool = True
+
+
+@attrs.frozen
+class LoadOrdered:
+    """A runner was told to load weights; until then it serves nothing."""
+
+    upstream: str
+    incarnation: str
+    weights_version: int
+    #: When the load is over at the latest, even if nothing is heard of it.
+    until_seconds: float
+
+
+@attrs.frozen
+class TargetsRead:
+    """The weights that the runners shall have, and since when each is known."""
+
+    targets: tuple[WeightsTarget, ...]
+
+
 @attrs.frozen
 class TreeInForce:
     """Another revision of the tree is in force here."""
@@ -133,6 +175,9 @@
     | ProbeFailed
     | HostListRead
     | PeerHeard
+    | WeightsSeen
+    | LoadOrdered
+    | TargetsRead
     | TreeInForce
     | Tick
 )
@@ -150,6 +195,10 @@
     incarnation: str = ""
     weights_version: int = 0
     choice: Choice | None = None
+    #: Address of a cache from which the upstream shall take what it misses.
+    import_address: str = ""
+    #: Address of a store to which it shall save what the prompt shares.
+    save_address: str = ""
 
 
 @attrs.frozen
--- a/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
@@ -119,6 +119,11 @@
         cache = self._caches.get(upstream)
         return cache.cached_tokens(chain) if cache else 0
 
+    def life_of(self, upstream: str) -> Life | None:
+        """Return the newest life known of a runner."""
+        cache = self._caches.get(upstream)
+        return cache.life if cache else None
+
     def note_prompt(self, upstream: str, life: Life, chain: PrefixChain) -> None:
         """Note that a runner in ``life`` computed or used the whole prompt."""
         cache = self._current(upstream, life)
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_lapses.py
@@ -0,0 +1,74 @@
+"""Upstreams whose entries vanished while the store was away.
+
+An upstream renews its entry in the store, and the entry goes if it can't. So after an
+outage of the store entries are missing whose upstreams live. They are back about two
+seconds after the store, and until then a missing one is taken to be there still.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from rampwick_schema import HostEntry, HostList
+
+#: Time after the store's return until which a missing entry may still come back.
+LAPSE_SECONDS = 1.8
+
+
+@attrs.define
+class LapseGuard:
+    """Remembers the entries that may only have lapsed; times are steady seconds."""
+
+    _entries: dict[str, HostEntry] = attrs.field(factory=dict)
+    _lapsed: dict[str, HostEntry] = attrs.field(factory=dict)
+    _version: int = 0
+    _returned_at_seconds: float | None = None
+
+    @property
+    def lapse_end_seconds(self) -> float | None:
+        """When the entries that are still missing count as gone, if there are any."""
+        if not self._lapsed or self._returned_at_seconds is None:
+            return None
+        return self._returned_at_seconds + LAPSE_SECONDS
+
+    def take(
+        self,
+        entries: Iterable[HostEntry],
+        version: int,
+        is_after_failure: bool,
+        now_seconds: float,
+    ) -> None:
+        """Take the entries as they are in the store now."""
+        if is_after_failure:
+            self._returned_at_seconds = now_seconds
+        listed = {entry.name: entry for entry in entries}
+        if self._is_returning(now_seconds):
+            known = {**self._lapsed, **self._entries}
+            self._lapsed = {
+                name: entry
+                for name, entry in known.items()
+                if name not in listed and entry.state != "leaving"
+            }
+        else:
+            self._lapsed = {}
+        self._entries = listed
+        self._version = version
+
+    def host_list(self, now_seconds: float) -> HostList:
+        """Return the hosts that count as listed now.
+
+        Two versions belong to each version of the store: with the lapsed entries,
+        and without them.
+        """
+        if not self._is_returning(now_seconds):
+            self._lapsed = {}
+        hosts = [*self._entries.values(), *self._lapsed.values()]
+        stage = 0 if self._lapsed else 1
+        return HostList(version=2 * self._version + stage, hosts=hosts)
+
+    def _is_returning(self, now_seconds: float) -> bool:
+        returned_at_seconds = self._returned_at_seconds
+        return (
+            returned_at_seconds is not None
+            and now_seconds < returned_at_seconds + LAPSE_SECONDS
+        )
--- a/packages/rampwick-policy/src/rampwick_policy/_lease.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_lease.py
@@ -5,6 +5,8 @@
 counts from before its write, a candidate from after it first saw the write.
 """
 
+import math
+
 import attrs
 
 from rampwick_schema import LeaseRecord
@@ -16,6 +18,9 @@
 
     host: str
     duration_seconds: float
+    #: Time after its own write in which a holder may give orders; the rest of the
+    #: lease keeps the next holder's orders apart from its last one.
+    order_window_seconds: float = math.inf
     #: Version under which the record was last seen; 0 if there is none.
     version: int = 0
     record: LeaseRecord | None = None
@@ -34,6 +39,11 @@
         if record is None or record.holder != self.host:
             self._held_until_seconds = 0.0
 
+    def note_heard(self, holder: str, version: int, now_seconds: float) -> None:
+        """Note what a peer says of the lease that it holds."""
+        record = LeaseRecord(holder, "", self.duration_seconds)
+        self.observe(record, version, now_seconds)
+
     def may_take(self, now_seconds: float) -> bool:
         """Return whether a conditional write for the lease may be tried."""
         if self.record is None or self.record.holder == self.host:
@@ -47,7 +57,13 @@
         self.version = version
         self.record = record
         self._seen_at_seconds = write_began_seconds
-        self._held_until_seconds = write_began_seconds + record.duration_seconds
+        self._held_until_seconds = write_began_seconds + min(
+            record.duration_seconds, self.order_window_seconds
+        )
+
+    def give_up(self) -> None:
+        """Stop giving orders at once, whatever the lease says."""
+        self._held_until_seconds = -math.inf
 
     def fencing_number(
         self, now_seconds: float, needed_seconds: float = 0.0
--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -43,7 +43,7 @@
         # Sums over all views, kept up to date so that a choice costs no walk.
         self._loads: dict[tuple[str, str], PeerLoad] = {}
         #: Most hosts that were alive at once of late, this one included.
-        self._known_hosts_count = 1
+        self.known_hosts_count = 1
 
     def hear(
         self,
@@ -62,8 +62,8 @@
             self._count(known.summary, sign=-1)
         self._count(summary, sign=1)
         self._views[name] = PeerView(name, hall, incarnation, summary, now_seconds)
-        self._known_hosts_count = max(
-            self._known_hosts_count, 1 + len(list(self.live(now_seconds)))
+        self.known_hosts_count = max(
+            self.known_hosts_count, 1 + len(list(self.live(now_seconds)))
         )
         return True
 
@@ -94,7 +94,7 @@
         """
         if self.hears_anyone(now_seconds):
             return 1.0
-        return 1.0 / self._known_hosts_count
+        return 1.0 / self.known_hosts_count
 
     def load_of(self, upstream: str, incarnation: str) -> "PeerLoad":
         """Return what peers, those not yet expired, have under way at an upstream."""
--- a/packages/rampwick-policy/src/rampwick_policy/_orders.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_orders.py
@@ -46,6 +46,7 @@
     runners: Sequence[RunnerState],
     targets: Sequence[WeightsTarget],
     fencing_number: int,
+    max_loads: int = MAX_LOADS,
 ) -> list[PlannedOrder]:
     """Return the orders to send now; the idlest runner goes first."""
     loading = sum(runner.is_loading for runner in runners)
@@ -58,7 +59,7 @@
             if runner.weights_version < target.weights_version and not runner.is_loading
         ]
         for runner in sorted(behind, key=lambda item: (item.running_count, item.name)):
-            if loading >= MAX_LOADS or not _can_spare(runner, of_model, planned):
+            if loading >= max_loads or not _can_spare(runner, of_model, planned):
                 break
             order = Order(
                 fencing_number=fencing_number, weights_version=target.weights_version
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -11,6 +11,7 @@
 import attrs
 
 from . import _rendezvous
+from ._imports import ImportSource
 from ._prefix import PrefixChain
 
 #: What being one rank further from the computed home costs, as a share of the time
@@ -34,6 +35,10 @@
     slot_wait_seconds: float = 0.0
     #: Prefill time that may wait at the runner.
     max_prefill_queue_seconds: float = math.inf
+    #: Weights of its cache; entries of others can't be imported.
+    weights_version: int = 0
+    #: What being sent to a runner with old weights is taken to cost.
+    penalty_seconds: float = 0.0
 
     @property
     def prefill_queue_seconds(self) -> float:
@@ -69,6 +74,9 @@
     queue_seconds: float
     score_seconds: float
     has_slot: bool
+    #: Cache from which the runner shall take what it does not hold, if any.
+    import_source: ImportSource | None = None
+    imported_tokens: int = 0
     #: What else was weighed, for operators who ask why.
     considered: tuple["Choice", ...] = ()
 
@@ -94,8 +102,12 @@
         runners: Sequence[RunnerView],
         miss_price: float,
         now_seconds: float,
+        sources: Sequence[ImportSource] = (),
     ) -> Choice:
-        """Return the choice; ``miss_price`` weighs recomputing against waiting."""
+        """Return the choice; ``miss_price`` weighs recomputing against waiting.
+
+        ``sources`` are caches from which the runner may import.
+        """
 
 
 class PricedKnowledge:
@@ -105,8 +117,9 @@
     time from them and evicts what they need.
     """
 
-    def __init__(self, knowledge: KnowsCaches) -> None:
+    def __init__(self, knowledge: KnowsCaches, import_price: float = 0.0) -> None:
         self._knowledge = knowledge
+        self._import_price = import_price
 
     def choose(
         self,
@@ -114,27 +127,42 @@
         runners: Sequence[RunnerView],
         miss_price: float,
         now_seconds: float,
+        sources: Sequence[ImportSource] = (),
     ) -> Choice:
         """Return the runner with the least score."""
         ranks = _rendezvous.rank(chain.home_key, (runner.name for runner in runners))
         by_name = {runner.name: runner for runner in runners}
         choices = [
-            self._weigh(chain, by_name[name], miss_price, rank)
+            self._weigh(chain, by_name[name], miss_price, rank, sources)
             for rank, name in enumerate(ranks)
         ]
         best = min(choices, key=lambda choice: choice.score_seconds)
         return attrs.evolve(best, considered=tuple(choices))
 
     def _weigh(
-        self, chain: PrefixChain, runner: RunnerView, miss_price: float, rank: int
+        self,
+        chain: PrefixChain,
+        runner: RunnerView,
+        miss_price: float,
+        rank: int,
+        sources: Sequence[ImportSource],
     ) -> Choice:
         cached = min(
             self._knowledge.cached_tokens(runner.name, chain), chain.total_tokens
         )
-        missing_seconds = runner.prefill_seconds(chain.total_tokens - cached)
-        home_seconds = rank * HOME_RANK_RATIO * missing_seconds
-        score = miss_price * missing_seconds + home_seconds + runner.queue_seconds
-        return _choice(chain, runner, cached, score)
+        source = best_source(sources, runner, cached)
+        imported = max(0, source.held_tokens - cached) if source else 0
+        missing_seconds = runner.prefill_seconds(chain.total_tokens - cached - imported)
+        import_seconds = runner.prefill_seconds(imported) * self._import_price
+        home_seconds = rank * HOME_RANK_RATIO * (missing_seconds + import_seconds)
+        score = (
+            miss_price * (missing_seconds + import_seconds)
+            + home_seconds
+            + (source.seconds(cached) if source else 0.0)
+            + runner.queue_seconds
+            + runner.penalty_seconds
+        )
+        return _choice(chain, runner, cached, score, source, imported)
 
 
 class RoundRobin:
@@ -149,6 +177,7 @@
         runners: Sequence[RunnerView],
         miss_price: float,
         now_seconds: float,
+        sources: Sequence[ImportSource] = (),
     ) -> Choice:
         """Return the next runner."""
         runner = runners[self._next % len(runners)]
@@ -165,6 +194,7 @@
         runners: Sequence[RunnerView],
         miss_price: float,
         now_seconds: float,
+        sources: Sequence[ImportSource] = (),
     ) -> Choice:
         """Return the runner with the least running work."""
         runner = min(runners, key=_fill)
@@ -183,6 +213,7 @@
         runners: Sequence[RunnerView],
         miss_price: float,
         now_seconds: float,
+        sources: Sequence[ImportSource] = (),
     ) -> Choice:
         """Return the first runner by rank whose load is within bounds."""
         by_name = {runner.name: runner for runner in runners}
@@ -198,13 +229,44 @@
     return runner.running_count / runner.slots_count
 
 
+def best_source(
+    sources: Sequence[ImportSource], runner: RunnerView, cached_tokens: int
+) -> ImportSource | None:
+    """Return the cache that saves a runner the most time, or any to be asked.
+
+    Among sources that hold nothing more, the last one is asked all the same: what
+    is known of a store is old, and a question costs next to nothing.
+    """
+    usable = [
+        source
+        for source in sources
+        if source.weights_version == runner.weights_version
+        and source.name != runner.name
+    ]
+    if not usable:
+        return None
+
+    def saved_seconds(source: ImportSource) -> float:
+        extra = max(0, source.held_tokens - cached_tokens)
+        return runner.prefill_seconds(extra) - source.seconds(cached_tokens)
+
+    return max(reversed(usable), key=saved_seconds)
+
+
 def _choice(
-    chain: PrefixChain, runner: RunnerView, cached: int, score_seconds: float
+    chain: PrefixChain,
+    runner: RunnerView,
+    cached: int,
+    score_seconds: float,
+    source: ImportSource | None = None,
+    imported: int = 0,
 ) -> Choice:
     return Choice(
         upstream=runner.name,
         cached_tokens=cached,
-        missing_tokens=chain.total_tokens - cached,
+        missing_tokens=chain.total_tokens - cached - imported,
+        import_source=source,
+        imported_tokens=imported,
         queue_seconds=runner.queue_seconds,
         score_seconds=score_seconds,
         has_slot=runner.has_slot,
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -9,6 +9,8 @@
 from rampwick_schema import HostList, Settings, Summary, UpstreamUsage, WorkspaceUsage
 
 from . import _events as ev
+from ._health import HealthState
+from ._imports import Holder, Imports, ImportSource
 from ._knowledge import CacheKnowledge, Life
 from ._membership import Membership
 from ._placement_news import PlacementNews
@@ -21,7 +23,15 @@
 MAX_BUSY_SECONDS = 1.0
 
 #: News that the pool takes.
-PoolEvent = ev.LoadReported | ev.ProbeFailed | ev.HostListRead | ev.PeerHeard
+PoolEvent = (
+    ev.LoadReported
+    | ev.ProbeFailed
+    | ev.HostListRead
+    | ev.PeerHeard
+    | ev.WeightsSeen
+    | ev.LoadOrdered
+    | ev.TargetsRead
+)
 
 
 class Pool:
@@ -37,18 +47,62 @@
             settings.placement,
             settings.queue.slots_factor,
         )
+        self.imports = Imports(settings.host.hall)
         self._news = PlacementNews()
         self._handlers: dict[type, Callable[[Any, float], None]] = {
             ev.LoadReported: self._on_report,
             ev.ProbeFailed: self._on_probe_failed,
             ev.HostListRead: self._on_host_list,
             ev.PeerHeard: self._on_peer,
+            ev.WeightsSeen: self._on_weights,
+            ev.LoadOrdered: self._on_load,
+            ev.TargetsRead: self._on_targets,
         }
 
     def hear(self, event: PoolEvent, now_seconds: float) -> None:
         """Take a piece of news."""
         self._handlers[type(event)](event, now_seconds)
 
+    def import_sources(
+        self, service: str, chain: PrefixChain, now_seconds: float
+    ) -> list[ImportSource]:
+        """Return the caches that engines of a service may import a prompt from.
+
+        The stores come last: they are asked when nobody is known to hold more.
+        """
+        terms = self.imports.service(service)
+        if terms is None:
+            return []
+        versions = set()
+        sources = []
+        for upstream in self.upstreams:
+            if upstream.entry.group != service or upstream.life is None:
+                continue
+            versions.add(upstream.life.weights_version)
+            held = self.knowledge.cached_tokens(upstream.name, chain)
+            if held and upstream.health.state is not HealthState.DOWN:
+                holder = Holder(
+                    upstream.name,
+                    upstream.entry.address,
+                    held,
+                    upstream.life.weights_version,
+                )
+                sources.append(self.imports.runner_source(terms, holder))
+        for version in versions:
+            store = self.imports.store_source(terms, version, chain, now_seconds)
+            if store is not None:
+                sources.append(store)
+        return sources
+
+    def save_address(
+        self, service: str, upstream: Upstream, chain: PrefixChain, now_seconds: float
+    ) -> str:
+        """Return the store to which an upstream shall save a prompt, if any."""
+        if self.imports.service(service) is None or upstream.life is None:
+            return ""
+        version = upstream.life.weights_version
+        return self.imports.save_address(version, chain, now_seconds)
+
     def note_placed(
         self, name: str, life: Life, chain: PrefixChain, now_seconds: float
     ) -> None:
@@ -77,7 +131,7 @@
             return
         if event.outcome.is_ill_health:
             self._take_down(upstream, event.message, now_seconds)
-        elif event.outcome is Outcome.STALE:
+        elif event.outcome in (Outcome.STALE, Outcome.MISDIRECTED):
             # The next probe says which life it is now.
             upstream.life = None
         elif event.outcome is Outcome.BUSY:
@@ -144,10 +198,7 @@
         is_same_life = True
         if event.report is not None:
             is_same_life = not self.upstreams.note_report(upstream, event.report)
-            assert upstream.life is not None
-            self.knowledge.observe_life(
-                upstream.name, upstream.life, event.report.cache_tokens
-            )
+            self._observe(upstream, event.report.cache_tokens)
         upstream.health.note_probe(is_same_life, now_seconds)
 
     def _on_probe_failed(self, event: ev.ProbeFailed, now_seconds: float) -> None:
@@ -158,6 +209,39 @@
     def _on_host_list(self, event: ev.HostListRead, now_seconds: float) -> None:
         for name in self.upstreams.apply_list(_sorted(event.host_list)):
             self.knowledge.forget(name)
+        for upstream in self.upstreams:
+            if upstream.entry.incarnation and upstream.is_runner:
+                self._observe(upstream)
+
+    def _on_weights(self, event: ev.WeightsSeen, now_seconds: float) -> None:
+        upstream = self.upstreams.get(event.upstream)
+        if upstream is None:
+            return
+        life = Life(event.incarnation, event.weights_version)
+        known = upstream.last_life
+        if known is not None and known.incarnation != event.incarnation:
+            # Another life is for the list or a probe to tell.
+            return
+        if self.upstreams.note_life(upstream, life, event.is_own_word):
+            self._observe(upstream)
+
+    def _on_load(self, event: ev.LoadOrdered, now_seconds: float) -> None:
+        upstream = self.upstreams.get(event.upstream)
+        if upstream is None or event.weights_version < upstream.load_version:
+            return
+        upstream.load_version = event.weights_version
+        upstream.load_until_seconds = event.until_seconds
+
+    def _on_targets(self, event: ev.TargetsRead, now_seconds: float) -> None:
+        self.upstreams.targets.apply(event.targets, now_seconds)
+
+    def _observe(self, upstream: Upstream, cache_tokens: int = 0) -> None:
+        """Drop what was known of an earlier life of a runner's cache."""
+        if upstream.life is None:
+            return
+        service = self.imports.service(upstream.entry.group)
+        capacity = cache_tokens or (service.cache_tokens if service else 0)
+        self.knowledge.observe_life(upstream.name, upstream.life, capacity)
 
     def _on_peer(self, event: ev.PeerHeard, now_seconds: float) -> None:
         is_news = self.peers.hear(
--- a/packages/rampwick-policy/src/rampwick_policy/_prefix.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_prefix.py
@@ -55,6 +55,8 @@
 
     checkpoints: tuple[Checkpoint, ...]
     total_tokens: int
+    #: Key that related prompts share where it is known; empty takes the first blocks.
+    named_home: bytes = b""
 
     @property
     def levels(self) -> tuple[Checkpoint, ...]:
@@ -64,8 +66,8 @@
     @property
     def home_key(self) -> bytes:
         """Key that related prompts share: the hash of the first blocks."""
-        if not self.checkpoints:
-            return b""
+        if self.named_home or not self.checkpoints:
+            return self.named_home
         return self.checkpoints[min(3, len(self.checkpoints) - 1)].prefix
 
 
@@ -90,6 +92,35 @@
     return PrefixChain(checkpoints=checkpoints, total_tokens=total_tokens)
 
 
+@attrs.frozen
+class PromptPart:
+    """One named part of a prompt; equal names mean equal text."""
+
+    name: bytes
+    tokens: int
+
+
+def chain_from_parts(scope: Scope, parts: Sequence[PromptPart]) -> PrefixChain:
+    """Return the chain of a prompt whose parts are named instead of sent as text.
+
+    The last part is the request's own; the ends of the others are levels.
+    """
+    running = hashlib.blake2b(key=scope.seed, digest_size=HASH_BYTES)
+    checkpoints = []
+    tokens = 0
+    for index, part in enumerate(parts):
+        running.update(len(part.name).to_bytes(2, "big") + part.name)
+        tokens += part.tokens
+        is_level = index < len(parts) - 1
+        checkpoints.append(Checkpoint(running.copy().digest(), tokens, is_level))
+    shared = [item for item in checkpoints if item.is_level] or checkpoints
+    return PrefixChain(
+        checkpoints=tuple(checkpoints),
+        total_tokens=max(1, tokens),
+        named_home=shared[-1].prefix if shared else b"",
+    )
+
+
 def _hash_blocks(
     seed: bytes, text: bytes, block_bytes: int, depths: Sequence[int]
 ) -> list[tuple[int, bytes]]:
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ._events import PRIORITY_CLASSES, RequestArrived
+from ._events import RANKED_CLASSES, RequestArrived
 from ._request import RequestLifecycle
 
 
@@ -41,7 +41,7 @@
 
     def __init__(self) -> None:
         self._lines: dict[str, dict[str, dict[str, QueuedRequest]]] = {
-            name: {} for name in PRIORITY_CLASSES
+            name: {} for name in RANKED_CLASSES
         }
         self._counts: dict[str, int] = {}
         self._tokens: dict[str, float] = {}
--- a/packages/rampwick-policy/src/rampwick_policy/_request.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request.py
@@ -6,6 +6,9 @@
 
 from ._errors import LifecycleError
 
+#: Attempts beyond those that ran: so often may upstreams refuse one request.
+MAX_REFUSALS = 4
+
 
 class RunState(enum.IntEnum):
     """What is known of whether a request ran; it only ever rises.
@@ -39,6 +42,9 @@
     BROKEN = "broken"
     #: The upstream answered from another life than the one it was chosen for.
     STALE = "stale"
+    #: The upstream is another than the one asked for, or in another life, and said
+    #: that it did not run the request.
+    MISDIRECTED = "misdirected"
 
     @property
     def is_ill_health(self) -> bool:
@@ -48,7 +54,12 @@
     @property
     def proves_not_run(self) -> bool:
         """Whether the attempt surely did not run."""
-        return self in (Outcome.UNREACHABLE, Outcome.BUSY)
+        return self in (Outcome.UNREACHABLE, Outcome.BUSY, Outcome.MISDIRECTED)
+
+    @property
+    def never_arrived(self) -> bool:
+        """Whether the upstream never saw the attempt."""
+        return self is Outcome.UNREACHABLE
 
 
 @attrs.define
@@ -63,10 +74,15 @@
     deadline_seconds: float
     #: Whether the request may run again after an attempt that may have run.
     is_repeatable: bool
+    #: Upstreams on which the request may run.
     max_attempts_count: int
+    #: Whether the rest of a stream may come from another upstream.
+    is_resumable: bool = False
     run_state: RunState = RunState.NOT_SENT
     attempt_id: str = ""
     attempts_count: int = 0
+    #: Attempts that ran or may have run.
+    runs_count: int = 0
     has_delivered: bool = False
     has_ended: bool = False
 
@@ -109,6 +125,7 @@
         self.attempt_id = ""
         known = RunState.REFUSED if outcome.proves_not_run else RunState.MAYBE_RUN
         self.run_state = max(self.run_state, known)
+        self.runs_count += not outcome.proves_not_run
         return True
 
     def may_retry(self, now_seconds: float) -> bool:
@@ -116,9 +133,10 @@
         may_run_again = self.is_repeatable or self.run_state <= RunState.REFUSED
         return (
             self.is_waiting
-            and not self.has_delivered
+            and (not self.has_delivered or self.is_resumable)
             and may_run_again
-            and self.attempts_count < self.max_attempts_count
+            and self.runs_count < self.max_attempts_count
+            and self.attempts_count < self.max_attempts_count + MAX_REFUSALS
             and now_seconds < self.deadline_seconds
         )
 
--- a/packages/rampwick-policy/src/rampwick_policy/_retry.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_retry.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from rampwick_schema import RetrySettings
+
 #: Retries that may be saved up while nothing fails: about what one runner had under
 #: way when it crashed, so that a single crash loses no work.
 MAX_SAVED = 64.0
@@ -13,15 +15,24 @@
 
 @attrs.define
 class RetryBudget:
-    """Each fresh request earns a part of a retry; each retry spends a whole one."""
+    """Each fresh request earns a part of a retry; each retry spends a whole one.
+
+    In any span of time no more retries go out than were saved up, plus the earned
+    share of the span's requests, plus the floor.
+    """
 
     earned_ratio: float
-    saved: float = MAX_SAVED / 2
+    max_saved: float = MAX_SAVED
+    floor_per_second: float = FLOOR_PER_SECOND
+    saved: float = attrs.field(init=False)
     _at_seconds: float | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self.saved = self.max_saved / 2
+
     def earn(self) -> None:
         """Note a fresh request."""
-        self.saved = min(MAX_SAVED, self.saved + self.earned_ratio)
+        self.saved = min(self.max_saved, self.saved + self.earned_ratio)
 
     def spend(self, now_seconds: float) -> bool:
         """Take one retry; return whether the budget allows it."""
@@ -34,5 +45,43 @@
     def _earn_by_time(self, now_seconds: float) -> None:
         if self._at_seconds is not None and self.saved < 1.0:
             elapsed_seconds = now_seconds - self._at_seconds
-            self.saved = min(1.0, self.saved + elapsed_seconds * FLOOR_PER_SECOND)
+            earned = elapsed_seconds * self.floor_per_second
+            self.saved = min(1.0, self.saved + earned)
         self._at_seconds = now_seconds
+
+
+class RetryBudgets:
+    """One budget for each service, so that one ill service spends only its own."""
+
+    def __init__(self, settings: RetrySettings) -> None:
+        self._settings = settings
+        self._by_service: dict[str, RetryBudget] = {}
+
+    def of(self, service: str, hosts_count: int) -> RetryBudget:
+        """Return a service's budget; the empty name is that of all models.
+
+        Where the fleet's owners judge all hosts together, each has its part of what
+        may be saved up.
+        """
+        max_saved = self._max_saved(hosts_count)
+        budget = self._by_service.get(service)
+        if budget is None:
+            budget = self._by_service[service] = RetryBudget(
+                self._settings.budget_ratio * self._settings.margin_ratio,
+                max_saved,
+                self._settings.floor_per_second,
+            )
+        budget.max_saved = max_saved
+        return budget
+
+    def _max_saved(self, hosts_count: int) -> float:
+        settings = self._settings
+        if not settings.fleet_saved_count:
+            return settings.max_saved_count * settings.margin_ratio
+        return settings.fleet_saved_count * settings.margin_ratio / hosts_count
+
+    @property
+    def least_saved(self) -> float:
+        """Retries left to the service that has the fewest."""
+        saved = (budget.saved for budget in self._by_service.values())
+        return min(saved, default=0.0)
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -105,6 +105,8 @@
 
 
 def _serves(upstream: Upstream, service: str, model: str) -> bool:
-    if service:
-        return not upstream.is_runner and upstream.entry.group == service
-    return upstream.is_runner and upstream.model == model
+    if service and upstream.entry.group != service:
+        return False
+    if model:
+        return upstream.is_runner and upstream.model == model
+    return bool(service)
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_routes.py
@@ -0,0 +1,82 @@
+"""Finding the route of a request, and the service that takes it.
+
+A ``RouteIndex`` is built once for each revision of the configuration and answers
+look-ups from maps.
+"""
+
+import hashlib
+from collections.abc import Iterator
+
+from rampwick_schema import KeptStore, Route, Routing, Service
+
+#: Bytes of the hash that spreads requests over a route's services.
+_DRAW_BYTES = 8
+
+
+class RouteIndex:
+    """Routes, services and stores of one revision, by what they are asked for."""
+
+    def __init__(self, routing: Routing) -> None:
+        self.routing = routing
+        self._services = {service.name: service for service in routing.services}
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in routing.routes:
+            self._by_host.setdefault(route.host, {})[route.path_prefix] = route
+
+    def __len__(self) -> int:
+        return len(self.routing.routes)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of ``host`` whose prefix of ``path`` is the longest."""
+        routes = self._by_host.get(host)
+        if not routes:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def service(self, name: str) -> Service | None:
+        """Return a service by its name."""
+        return self._services.get(name)
+
+    def kept_store(self, hall: str) -> KeptStore | None:
+        """Return the store of kept cache for engines: one of ``hall`` goes first."""
+        stores = self.routing.kept_stores
+        near = [store for store in stores if store.hall == hall]
+        return next(iter(near or stores), None)
+
+
+def choose_service(route: Route, request_id: str) -> str:
+    """Return the service that takes a request, by the weights of the route.
+
+    The choice depends on the id alone, so that all hosts agree on it.
+    """
+    total = sum(target.weight for target in route.targets)
+    digest = hashlib.blake2b(request_id.encode(), digest_size=_DRAW_BYTES).digest()
+    draw = int.from_bytes(digest, "big") / 256.0**_DRAW_BYTES * total
+    for target in route.targets:
+        draw -= target.weight
+        if draw < 0.0:
+            return target.service
+    return route.targets[-1].service
+
+
+def routing_problems(routing: Routing) -> Iterator[str]:
+    """Yield what makes a routing table unusable, one short text for each problem."""
+    names = {service.name for service in routing.services}
+    owners: dict[tuple[str, str], str] = {}
+    for route in routing.routes:
+        prefix = route.path_prefix
+        if not (prefix.startswith("/") and prefix.endswith("/")):
+            yield f"route {route.name}: path_prefix {prefix!r} must be between slashes"
+        owner = owners.setdefault((route.host, prefix), route.name)
+        if owner != route.name:
+            yield f"route {route.name}: same host and path_prefix as {owner}"
+        if not sum(target.weight for target in route.targets) > 0.0:
+            yield f"route {route.name}: its services have no weight"
+        for target in route.targets:
+            if target.service not in names:
+                yield f"route {route.name}: unknown service {target.service!r}"
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -20,10 +20,10 @@
 from ._placement import Placement, PricedKnowledge
 from ._pool import Pool, PoolEvent
 from ._queue import QueuedRequest, WaitingQueue
-from ._request import RequestLifecycle, RunState
-from ._retry import RetryBudget
+from ._request import Outcome, RequestLifecycle, RunState
+from ._retry import RetryBudgets
 from ._shares import ShareLedger
-from ._upstreams import UpstreamTable
+from ._upstreams import Upstream, UpstreamTable
 
 #: Wait for an upstream to come back before a request is given up.
 STRANDED_SECONDS = 2.0
@@ -51,16 +51,17 @@
         self.pool = Pool(settings)
         self.queue = WaitingQueue()
         self.admission = Admission(self.queue, self.ledger, self.peers)
-        self.budget = RetryBudget(settings.retry.budget_ratio)
+        self.budgets = RetryBudgets(settings.retry)
         self._answers = AnswerEstimates()
         self._dispatcher = Dispatcher(
             settings.placement,
             self.pool,
             self.queue,
             self.admission,
-            self.budget,
+            self.budgets,
             self._answers,
-            placement or PricedKnowledge(self.knowledge),
+            placement
+            or PricedKnowledge(self.knowledge, settings.placement.import_price),
         )
         self._requests: dict[str, QueuedRequest] = {}
         self._handlers: dict[type, Callable[[Any, float], list[ev.Action]]] = {
@@ -74,6 +75,9 @@
             ev.ProbeFailed: self._on_pool_news,
             ev.HostListRead: self._on_pool_news,
             ev.PeerHeard: self._on_pool_news,
+            ev.WeightsSeen: self._on_pool_news,
+            ev.LoadOrdered: self._on_pool_news,
+            ev.TargetsRead: self._on_pool_news,
             ev.TreeInForce: self._on_tree,
             ev.Tick: self._on_tick,
         }
@@ -105,6 +109,11 @@
         """What the runners' caches are believed to hold."""
         return self.pool.knowledge
 
+    def running_count(self, upstream: Upstream) -> int:
+        """Return the attempts open at an upstream, those of peers included."""
+        load = self.peers.load_of(upstream.name, upstream.life_name)
+        return len(upstream.own_attempts) + load.running_count
+
     def lifecycle(self, request_id: str) -> RequestLifecycle | None:
         """Return the state of a request that has no final answer yet."""
         item = self._requests.get(request_id)
@@ -130,7 +139,7 @@
     ) -> list[ev.Action]:
         if event.request_id in self._requests:
             raise LifecycleError(f"{event.request_id} arrived twice", step="arrive")
-        self.budget.earn()
+        self.budgets.of(event.service, self.peers.known_hosts_count).earn()
         workspace = event.workspace
         wait_seconds = self.admission.wait_seconds(workspace, now_seconds)
         item = self._new_item(event, now_seconds)
@@ -159,7 +168,9 @@
             request_id=event.request_id,
             deadline_seconds=event.deadline_seconds,
             is_repeatable=event.is_repeatable,
-            max_attempts_count=self._settings.retry.max_attempts_count,
+            max_attempts_count=event.max_attempts_count
+            or self._settings.retry.max_attempts_count,
+            is_resumable=event.is_resumable,
         )
         prompt_tokens = event.chain.total_tokens if event.chain else 0
         answer_tokens = self._answers.expect(event)
@@ -202,11 +213,16 @@
         if not item.lifecycle.may_retry(now_seconds):
             refusal = self._refuse(item, UPSTREAM_FAILED, now_seconds, peer=peer)
             return [*actions, refusal]
-        # An attempt that surely did not run cost the fleet nothing to speak of.
-        item.needs_budget = not event.outcome.proves_not_run
+        item.needs_budget = self._is_charged(event.outcome)
         self.queue.add_first(item)
         return actions
 
+    def _is_charged(self, outcome: Outcome) -> bool:
+        # A refusal costs the fleet next to nothing, but its owner may count it.
+        if self._settings.retry.charges_refusals:
+            return not outcome.never_arrived
+        return not outcome.proves_not_run
+
     def _stop_attempt(
         self, item: QueuedRequest, event: ev.AttemptFailed
     ) -> list[ev.Action]:
@@ -290,6 +306,7 @@
 
     def _on_tree(self, event: ev.TreeInForce, now_seconds: float) -> list[ev.Action]:
         self.admission.workspaces = event.view.workspaces
+        self.pool.imports.apply(event.view.routes)
         return []
 
     def _on_tick(self, event: ev.Tick, now_seconds: float) -> list[ev.Action]:
@@ -305,7 +322,7 @@
         is_late = now_seconds >= item.arrival.deadline_seconds
         is_stranded = (
             item.stranded_at_seconds is not None
-            and now_seconds - item.stranded_at_seconds > STRANDED_SECONDS
+            and now_seconds - item.stranded_at_seconds > self._hold_seconds(item)
         )
         if not is_late and not is_stranded:
             return []
@@ -316,6 +333,13 @@
             item.lifecycle.run_state = RunState.MAYBE_RUN
         return [*dropped, self._refuse(item, reason, now_seconds)]
 
+    def _hold_seconds(self, item: QueuedRequest) -> float:
+        """Return how long a request waits while no upstream can take it."""
+        target_seconds = item.arrival.latency_target_seconds
+        if target_seconds is None:
+            return STRANDED_SECONDS
+        return target_seconds * self._settings.retry.hold_ratio
+
     def _fill(self, event: ev.Event, now_seconds: float) -> list[ev.Action]:
         """Dispatch what may go now, and refuse what can't be served in time."""
         if not len(self.queue) or isinstance(event, QUIET_EVENTS):
--- a/packages/rampwick-policy/src/rampwick_policy/_tree.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_tree.py
@@ -4,6 +4,7 @@
 answers look-ups from precomputed maps.
 """
 
+import hashlib
 import re
 from collections.abc import Iterable, Iterator
 from functools import lru_cache
@@ -13,6 +14,7 @@
 from rampwick_schema import Change, Node, NodeEdit, Tree
 
 from ._errors import ConflictError, TreeError
+from ._routes import RouteIndex, routing_problems
 
 ROOT = "/"
 
@@ -57,6 +59,10 @@
     priority_class: str = DEFAULT_CLASS
     miss_price: float | None = None
     models: frozenset[str] | None = None
+    #: Rank of its requests on routes; none leaves it to the route.
+    priority_rank: int | None = None
+    #: Whose cached prompts its requests may use, on routes.
+    cache_wall: str = ""
 
     @property
     def lineage(self) -> tuple[str, ...]:
@@ -74,11 +80,18 @@
     def __init__(self, tree: Tree) -> None:
         validate_tree(tree)
         self.tree = tree
+        self.routes = RouteIndex(tree.routing)
+        shared_wall = _shared_wall(tree)
         self._workspaces = {
-            path: resolve_workspace(tree, path)
+            path: attrs.evolve(
+                resolve_workspace(tree, path),
+                cache_wall=path if node.is_isolated else shared_wall,
+            )
             for path, node in tree.nodes.items()
             if node.is_workspace
         }
+        #: Stands for whoever uses a public route.
+        self.public_workspace = Workspace(ROOT, (), (), cache_wall=shared_wall)
         self._by_key_hash = {
             key_hash: path
             for path, node in tree.nodes.items()
@@ -133,10 +146,22 @@
         path=path,
         weights=tuple(node.weight or 1.0 for _, node in nodes[1:]),
         limits=tuple(_limits_of(nodes)),
+        priority_rank=tree.nodes[path].priority_rank,
         **values,
     )
 
 
+def _shared_wall(tree: Tree) -> str:
+    """Return the name under which workspaces that are not isolated share a cache.
+
+    It changes with the set of isolated workspaces, since one that becomes isolated
+    has left entries under the old name.
+    """
+    isolated = sorted(path for path, node in tree.nodes.items() if node.is_isolated)
+    digest = hashlib.blake2b("\0".join(isolated).encode(), digest_size=8)
+    return f"shared-{digest.hexdigest()}"
+
+
 def _limits_of(nodes: list[tuple[str, Node]]) -> Iterator[LimitedNode]:
     # A child without a limit of its own is held by its ancestor's, which counts
     # the whole subtree; so only nodes that set a value need a check.
@@ -175,6 +200,7 @@
                 yield f"{path}: key_hashes holds {key_hash!r}, not a SHA-256 in hex"
             if owners.setdefault(key_hash, path) != path:
                 yield f"{path}: shares a key with {owners[key_hash]}"
+    yield from routing_problems(tree.routing)
 
 
 def _path_problems(tree: Tree, path: str) -> Iterator[str]:
@@ -201,7 +227,7 @@
             nodes.pop(edit.path, None)
         else:
             nodes[edit.path] = edit.node
-    return Tree(revision=change.revision, nodes=nodes)
+    return attrs.evolve(tree, revision=change.revision, nodes=nodes)
 
 
 def moved(tree: Tree, source: str, target: str) -> list[NodeEdit]:
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -17,6 +17,7 @@
 from ._knowledge import Life, life_label
 from ._membership import Membership
 from ._placement import RunnerView
+from ._targets import TargetWeights
 
 #: Role in which a runner takes requests.
 SERVING_ROLE = "serve"
@@ -24,12 +25,12 @@
 #: Slots assumed for an upstream that reports none.
 DEFAULT_SLOTS = 32
 
-#: Time between two probes of an upstream, and of one that is waited for.
-PROBE_SECONDS = 1.0
-AWAITED_PROBE_SECONDS = 0.25
+#: Time by which a runner with older weights gets nothing any more before nothing may
+#: begin on them: requests wait at runners, too.
+OUTDATED_MARGIN_SECONDS = 1.5
 
-#: What a hop to another hall is taken to cost.
-HALL_DISTANCE_SECONDS = 0.002
+#: Time between two probes of an upstream that is waited for.
+AWAITED_PROBE_SECONDS = 0.25
 
 #: Weight of the newest interval in the mean time between two freed slots.
 RELEASE_SMOOTHING = 0.2
@@ -55,6 +56,9 @@
     reported_running_count: int = 0
     #: Prompt tokens whose first token has not come, by own attempt.
     own_attempts: dict[str, int] = attrs.field(factory=dict)
+    #: Weights that it is loading and until when; it serves nothing meanwhile.
+    load_version: int = 0
+    load_until_seconds: float = -math.inf
     #: Until when an upstream that refused work as busy is left alone.
     busy_until_seconds: float = 0.0
     #: When it was last asked for its load.
@@ -77,6 +81,13 @@
         """Present life as peers name it, empty while none is known."""
         return life_label(self.life) if self.life else ""
 
+    def is_loading(self, now_seconds: float) -> bool:
+        """Return whether it was told to load weights that it does not have yet."""
+        has_them = self.life is not None and (
+            self.life.weights_version >= self.load_version
+        )
+        return not has_them and now_seconds < self.load_until_seconds
+
     def start(self, attempt_id: str, missing_tokens: int) -> None:
         """Note an attempt that is sent here."""
         self.own_attempts[attempt_id] = missing_tokens
@@ -115,6 +126,7 @@
         self._retry = retry
         self._slots_factor = slots_factor
         self._placement = placement
+        self.targets = TargetWeights()
         #: Version of the host list in use; -1 before the first.
         self.list_version = -1
         self._upstreams: dict[str, Upstream] = {}
@@ -151,13 +163,45 @@
         known = self._upstreams.get(entry.name)
         if known is not None and known.entry.address == entry.address:
             known.entry = entry
+            self._take_listed(known)
             return
         health = Health(self._retry.ramp_start_ratio, self._retry.ramp_seconds)
-        self._upstreams[entry.name] = Upstream(
+        upstream = Upstream(
             entry=entry,
             health=health,
             prefill_tokens_per_second=self._placement.prefill_tokens_per_second,
         )
+        self._upstreams[entry.name] = upstream
+        self._take_listed(upstream)
+
+    def _take_listed(self, upstream: Upstream) -> None:
+        """Take what the list itself tells; it lags, so weights only rise by it."""
+        entry = upstream.entry
+        if entry.slots_count:
+            upstream.slots_count = entry.slots_count
+        if entry.incarnation and upstream.is_runner:
+            upstream.model = entry.model
+            life = Life(entry.incarnation, entry.weights_version)
+            self.note_life(upstream, life, is_own_word=False)
+
+    def note_life(self, upstream: Upstream, life: Life, is_own_word: bool) -> bool:
+        """Take a life that was seen; return whether it is new.
+
+        Word that is not the upstream's own may be old: it can't lower the version.
+        """
+        known = upstream.last_life
+        is_older = (
+            known is not None
+            and known.incarnation == life.incarnation
+            and known.weights_version > life.weights_version
+        )
+        if is_older and not is_own_word:
+            return False
+        upstream.life = upstream.last_life = life
+        if life != known:
+            # Whatever it was doing before, it has come out of it.
+            upstream.role = SERVING_ROLE
+        return life != known
 
     def due_probes(self, now_seconds: float) -> list[HostEntry]:
         """Return the upstreams to be probed now, and count them as probed.
@@ -169,7 +213,11 @@
             is_awaited = upstream.health.state is HealthState.DOWN or (
                 upstream.is_runner and upstream.life is None
             )
-            interval_seconds = AWAITED_PROBE_SECONDS if is_awaited else PROBE_SECONDS
+            interval_seconds = self._retry.probe_interval_seconds
+            if is_awaited:
+                interval_seconds = AWAITED_PROBE_SECONDS
+            elif not interval_seconds:
+                continue
             if now_seconds - upstream.probed_at_seconds >= interval_seconds:
                 upstream.probed_at_seconds = now_seconds
                 due.append(upstream.entry)
@@ -178,13 +226,12 @@
     def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
         """Take a runner's report; return whether it shows a new life."""
         upstream.model = report.model
-        upstream.role = report.role
         upstream.slots_count = report.slots_count
         upstream.prefill_tokens_per_second = report.prefill_tokens_per_second
         upstream.reported_running_count = report.running_count
         life = Life(report.incarnation, report.weights_version)
-        is_new = life != upstream.last_life
-        upstream.life = upstream.last_life = life
+        is_new = self.note_life(upstream, life, is_own_word=True)
+        upstream.role = report.role
         return is_new
 
     def is_open(self, upstream: Upstream, now_seconds: float) -> bool:
@@ -195,10 +242,36 @@
             upstream.life is None or upstream.role != SERVING_ROLE
         ):
             return False
-        if now_seconds < upstream.busy_until_seconds:
+        if now_seconds < upstream.busy_until_seconds or upstream.is_loading(
+            now_seconds
+        ):
+            return False
+        if self._is_too_old(upstream, now_seconds):
             return False
         return upstream.health.admit_ratio(now_seconds) > 0.0
 
+    def outdated_seconds(self, upstream: Upstream, now_seconds: float) -> float:
+        """Return for how long newer weights than the upstream's have been named."""
+        if upstream.life is None or not upstream.model:
+            return 0.0
+        version = upstream.life.weights_version
+        return self.targets.outdated_seconds(upstream.model, version, now_seconds)
+
+    def _is_too_old(self, upstream: Upstream, now_seconds: float) -> bool:
+        most_seconds = self._placement.max_outdated_seconds
+        if not most_seconds:
+            return False
+        outdated_seconds = self.outdated_seconds(upstream, now_seconds)
+        return outdated_seconds > most_seconds - OUTDATED_MARGIN_SECONDS
+
+    def _outdated_penalty_seconds(
+        self, upstream: Upstream, now_seconds: float
+    ) -> float:
+        outdated_seconds = self.outdated_seconds(upstream, now_seconds)
+        if outdated_seconds <= self._placement.outdated_grace_seconds:
+            return 0.0
+        return self._placement.outdated_penalty_seconds
+
     def usable_slots(
         self, upstream: Upstream, part_ratio: float, now_seconds: float
     ) -> int:
@@ -225,7 +298,8 @@
         running = len(upstream.own_attempts) + load.running_count
         waiting = sum(upstream.own_attempts.values()) + load.waiting_tokens
         over = max(0, running - slots + 1)
-        distance = 0.0 if upstream.entry.hall == self._hall else HALL_DISTANCE_SECONDS
+        is_near = upstream.entry.hall == self._hall
+        distance = 0.0 if is_near else self._placement.hall_distance_seconds
         return RunnerView(
             name=upstream.name,
             slots_count=slots,
@@ -235,4 +309,6 @@
             distance_seconds=distance,
             slot_wait_seconds=over * upstream.release_seconds,
             max_prefill_queue_seconds=self._placement.max_prefill_queue_seconds,
+            weights_version=upstream.life.weights_version if upstream.life else 0,
+            penalty_seconds=self._outdated_penalty_seconds(upstream, now_seconds),
         )
--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -1,9 +1,29 @@
 """The rampwickd daemon."""
 
+from ._channels import AnswerHead as AnswerHead
 from ._daemon import (
     Addresses as Addresses,
     Clocks as Clocks,
     Daemon as Daemon,
     run_daemon as run_daemon,
 )
-from ._main import main as main
+from ._dialects import (
+    AnswerFacts as AnswerFacts,
+    AttemptTerms as AttemptTerms,
+    ControlRequest as ControlRequest,
+    Dialects as Dialects,
+    ErrorAnswer as ErrorAnswer,
+    Header as Header,
+    RawCall as RawCall,
+    RoutedCall as RoutedCall,
+)
+from ._errors import CallerError as CallerError
+from ._headers import (
+    asks_to_close as asks_to_close,
+    end_to_end as end_to_end,
+    find as find,
+    keep_alive_seconds as keep_alive_seconds,
+)
+from ._integration import Integration as Integration
+from ._log_sink import open_log as open_log
+from ._main import main as main, run_host as run_host
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -32,8 +32,10 @@
         hosts: HostListTask,
         steward: StewardTask,
         count_platform_calls: Callable[[], int],
+        needs_configuration: bool,
     ) -> None:
         self._parts = parts
+        self._needs_configuration = needs_configuration
         self._life = life
         self._configuration = configuration
         self._hosts = hosts
@@ -50,13 +52,24 @@
             ]
         )
 
+        #: For a listener that tells a balancer no more than this.
+        self.ready_app = Starlette(routes=[Route("/readyz", self._readyz)])
+
     async def _healthz(self, request: Request) -> Response:
         return Response("ok\n")
 
     async def _readyz(self, request: Request) -> Response:
-        if self._life.is_ready:
-            return Response("ready\n")
-        return Response("leaving\n", status_code=503)
+        if not self._life.is_ready:
+            return Response("leaving\n", status_code=503)
+        if self._waits_for_configuration:
+            return Response("no configuration yet\n", status_code=503)
+        return Response("ready\n")
+
+    @property
+    def _waits_for_configuration(self) -> bool:
+        # Without routes of its own a host can still answer what rampwick's own
+        # paths ask; where all requests hang on routes it could only refuse them.
+        return self._needs_configuration and not self._parts.follower.revision
 
     async def _metrics(self, request: Request) -> Response:
         metrics = self._parts.metrics
@@ -166,7 +179,7 @@
         "peers": peers,
         "open_count": scheduler.open_count,
         "waiting_count": len(scheduler.queue),
-        "retry_budget_count": round(scheduler.budget.saved, 2),
+        "retry_budget_count": round(scheduler.budgets.least_saved, 2),
         "known_prefixes_count": scheduler.knowledge.entries_count(),
     }
 
--- a/packages/rampwick-router/src/rampwick_router/_call.py
+++ b/packages/rampwick-router/src/rampwick_router/_call.py
@@ -73,6 +73,11 @@
     return CallerError(message, status=400, code=code, step=STEP)
 
 
+def hash_key(key: str) -> str:
+    """Return the hash under which the configuration knows a bearer key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def find_workspace(view: TreeView, headers: Mapping[str, str]) -> Workspace:
     """Return the workspace that a bearer key acts as."""
     kind, _, key = headers.get("authorization", "").partition(" ")
@@ -80,7 +85,7 @@
         raise CallerError(
             "a bearer key is needed", status=401, code="no_key", step="find workspace"
         )
-    workspace = view.find_workspace(hashlib.sha256(key.encode()).hexdigest())
+    workspace = view.find_workspace(hash_key(key))
     if workspace is None:
         raise CallerError(
             "the key is unknown", status=401, code="unknown_key", step="find workspace"
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_configuration_sources.py
@@ -0,0 +1,181 @@
+"""Where the configuration is read: rampwick's own log of changes, or one object."""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from rampwick_platform import (
+    KindState,
+    KindWatcher,
+    ObjectApi,
+    PlatformError,
+    TreeStore,
+    decode_changes,
+)
+from rampwick_policy import Scheduler, is_watcher
+from rampwick_schema import DataError, RampwickError, Settings, Tree
+
+from ._configuration import ConfigurationTask
+from ._logs import PartLogger
+from ._scheduler_task import SchedulerTask
+
+#: Wait after a failed call, and before a host without a watch looks by itself.
+FAILURE_PAUSE_SECONDS = 0.5
+LOOK_INTERVAL_SECONDS = 15.0
+
+#: How often a host without a watch sees whether it shall keep one now.
+ROLE_INTERVAL_SECONDS = 0.5
+
+#: Least time between two looks that requests ask for.
+REFRESH_INTERVAL_SECONDS = 0.2
+
+log = PartLogger("configuration")
+
+
+class TreeStoreSource:
+    """The log of changes that operators write with rampwick's own command line."""
+
+    def __init__(
+        self,
+        store: TreeStore,
+        settings: Settings,
+        scheduler: SchedulerTask,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._settings = settings
+        self._scheduler = scheduler
+        self._read_clock = read_clock
+        self._store_version = 0
+
+    async def run(self, task: ConfigurationTask) -> None:
+        """Follow the log until cancelled."""
+        looked_at_seconds = -LOOK_INTERVAL_SECONDS
+        while True:
+            now_seconds = self._read_clock()
+            is_due = now_seconds - looked_at_seconds >= LOOK_INTERVAL_SECONDS
+            try:
+                if is_due or task.follower.has_gap:
+                    await self._load(task)
+                    looked_at_seconds = now_seconds
+                elif await self._is_watcher():
+                    await self._watch(task)
+                else:
+                    await anyio.sleep(ROLE_INTERVAL_SECONDS)
+            except (PlatformError, DataError) as error:
+                task.note_problem(str(error))
+                await anyio.sleep(FAILURE_PAUSE_SECONDS)
+
+    async def refresh(self) -> None:
+        """Do nothing: an old tree only refuses what a newer one may allow."""
+
+    async def _is_watcher(self) -> bool:
+        host = self._settings.host
+
+        def ask(scheduler: Scheduler, now_seconds: float) -> bool:
+            peers = scheduler.peers.live(now_seconds)
+            return is_watcher(host.name, host.hall, peers)
+
+        return await self._scheduler.ask(ask)
+
+    async def _load(self, task: ConfigurationTask) -> None:
+        began_seconds = self._read_clock()
+        follower = task.follower
+        base = follower.view.tree if follower.revision else None
+        stored = await self._store.load(base)
+        self._store_version = stored.store_version
+        task.note_problem("")
+        is_new = follower.offer_tree(stored.tree, "platform")
+        task.confirm(began_seconds)
+        if is_new:
+            task.announce()
+
+    async def _watch(self, task: ConfigurationTask) -> None:
+        listing = await self._store.watch(
+            self._store_version, self._settings.platform.watch_timeout_seconds
+        )
+        task.note_problem("")
+        if task.follower.offer_changes(decode_changes(listing), "platform"):
+            task.announce()
+        if listing.version < self._store_version:
+            # An older state of the store answered; what it shows is no news.
+            await anyio.sleep(FAILURE_PAUSE_SECONDS)
+        versions = [stored.version for stored in listing.objects]
+        self._store_version = max([self._store_version, *versions])
+
+
+class ReadsConfiguration(Protocol):
+    """How a deployment's configuration is read from the store."""
+
+    @property
+    def configuration_prefix(self) -> str:
+        """Prefix under which it lies."""
+
+    def read_tree(self, state: KindState) -> Tree | None:
+        """Return the tree, none if there is none, or raise a RampwickError."""
+
+
+class WatchedTreeSource:
+    """A configuration that others write, whole, into the store."""
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        reader: ReadsConfiguration,
+        settings: Settings,
+        read_clock: Callable[[], float],
+        draw: random.Random,
+    ) -> None:
+        self._reader = reader
+        self._read_clock = read_clock
+        self._task: ConfigurationTask
+        self._refreshed_at_seconds = -REFRESH_INTERVAL_SECONDS
+        self._refused_version = 0
+        self._watcher = KindWatcher(
+            api,
+            reader.configuration_prefix,
+            wait_seconds=settings.platform.confirm_wait_seconds,
+            take_state=self._take,
+            take_problem=self._note_problem,
+            read_clock=read_clock,
+            draw=draw,
+        )
+
+    async def run(self, task: ConfigurationTask) -> None:
+        """Watch until cancelled."""
+        self._task = task
+        await self._watcher.run()
+
+    async def refresh(self) -> None:
+        """Read the configuration now, unless that was done a moment ago."""
+        now_seconds = self._read_clock()
+        if now_seconds - self._refreshed_at_seconds < REFRESH_INTERVAL_SECONDS:
+            return
+        self._refreshed_at_seconds = now_seconds
+        try:
+            await self._watcher.refresh()
+        except PlatformError as error:
+            self._note_problem(str(error))
+
+    def _note_problem(self, problem: str) -> None:
+        self._task.note_problem(problem)
+
+    def _take(self, state: KindState) -> None:
+        self._task.note_problem("")
+        follower = self._task.follower
+        is_new = False
+        if state.version != self._refused_version:
+            try:
+                tree = self._reader.read_tree(state)
+                is_new = tree is not None and follower.offer_tree(tree, "platform")
+            except RampwickError as error:
+                # Refused whole; the one before stays in force.
+                self._refused_version = state.version
+                log.problem("configuration refused", error=str(error))
+        if is_new:
+            self._task.confirm(state.confirmed_at_seconds)
+            self._task.announce()
+        elif follower.revision:
+            self._task.confirm(state.confirmed_at_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -1,5 +1,6 @@
 """The daemon: its parts put together, its tasks run, its stop carried out."""
 
+import random
 import socket
 import time
 from collections.abc import AsyncIterator, Callable
@@ -18,13 +19,25 @@
 from rampwick_schema import Settings
 
 from ._admin import AdminApp
+from ._channels import ChannelPool
 from ._claims import ClaimTask
-from ._configuration import ConfigurationTask
+from ._configuration import ConfigurationSource, ConfigurationTask
+from ._configuration_sources import TreeStoreSource, WatchedTreeSource
 from ._entry import EntryApp
 from ._fallback import read_fallback
+from ._host_sources import (
+    HostSource,
+    PeerDirectory,
+    PolledHosts,
+    PolledTargets,
+    WatchedHosts,
+    WatchedTargets,
+)
+from ._integration import Integration
 from ._life import Life
 from ._logs import PartLogger
 from ._metrics import Metrics
+from ._own_dialect import OWN_DIALECTS
 from ._parts import Parts, RequestIds
 from ._peer_stream import PeerIdentity
 from ._peers import PeerTask
@@ -32,11 +45,16 @@
 from ._steward import StewardTask
 from ._stream_tokens import StreamTokens
 from ._upstream_client import UpstreamClient
+from ._upstream_control import DialectControl, UpstreamControl
 from ._upstream_tasks import CancelTask, HostListTask, ProbeTask
 
 #: Time between two looks at whether all requests have been served out.
 DRAIN_STEP_SECONDS = 0.05
 
+#: Time before a stopping process would be killed at which it is gone: what closing
+#: the listeners and the connections takes, several times over.
+STOP_MARGIN_SECONDS = 1.0
+
 #: Time that the HTTP library is given to close idle connections.
 CLOSE_SECONDS = 0.5
 
@@ -68,8 +86,11 @@
         settings: Settings,
         api: ObjectApi | None,
         upstreams: UpstreamClient,
+        channels: ChannelPool,
         clocks: Clocks,
+        integration: Integration | None,
     ) -> None:
+        draw = random.Random()
         self._settings = settings
         self._clocks = clocks
         self._metrics = Metrics()
@@ -78,19 +99,32 @@
         incarnation = time.time_ns()
         scheduler = Scheduler(settings)
         self.scheduler = SchedulerTask(scheduler, clocks.monotonic)
-        self._hosts = HostListTask(
-            api, self.scheduler, settings.platform.host_list_interval_seconds
+        dialects = integration.dialects if integration else OWN_DIALECTS
+        control: UpstreamControl = upstreams
+        if integration is not None:
+            control = DialectControl(channels, dialects.control, self._find_health_path)
+        self.steward = StewardTask(
+            api, settings, self.scheduler, control, clocks.monotonic, draw
         )
-        store = TreeStore(api) if api else None
+        sources = _make_sources(
+            api,
+            settings,
+            self.scheduler,
+            self.steward,
+            clocks.monotonic,
+            draw,
+            integration,
+        )
+        self._hosts = HostListTask(sources.hosts, self.scheduler)
+        self._targets = sources.targets
+        self._directory = sources.directory
+        self._channels = channels
         self._configuration = ConfigurationTask(
-            self.follower, store, settings, self.scheduler, clocks.monotonic
+            self.follower, sources.configuration, self.scheduler, clocks.monotonic
         )
         self._claims = ClaimTask(api, settings.claims, clocks.monotonic, clocks.wall)
-        self._probes = ProbeTask(upstreams, self.scheduler)
-        self._cancels = CancelTask(upstreams, self.scheduler)
-        self.steward = StewardTask(
-            api, settings, self.scheduler, upstreams, clocks.monotonic
-        )
+        self._probes = ProbeTask(control, self.scheduler)
+        self._cancels = CancelTask(control, self.scheduler)
         host = settings.host
         self._peers = PeerTask(
             PeerIdentity(host.name, host.hall, incarnation),
@@ -99,8 +133,12 @@
             self.follower,
             self._configuration,
             self._metrics,
+            clocks.monotonic,
             self._hosts,
+            self.steward,
+            self._directory,
         )
+        self.steward.tell_peers = self._peers.tell_summary
         self._parts = Parts(
             settings=settings,
             scheduler=self.scheduler,
@@ -112,8 +150,11 @@
             ids=RequestIds(host.name, incarnation),
             life=self.life,
             read_clock=clocks.monotonic,
+            configuration=self._configuration,
+            channels=channels,
+            dialects=dialects,
         )
-        self.entry = EntryApp(self._parts)
+        self.entry = EntryApp(self._parts, serves_routes=integration is not None)
         self.admin = AdminApp(
             self._parts,
             self.life,
@@ -121,8 +162,13 @@
             self._hosts,
             self.steward,
             lambda: getattr(api, "calls_count", 0),
+            needs_configuration=integration is not None,
         )
 
+    def _find_health_path(self, service: str) -> str:
+        known = self.follower.view.routes.service(service)
+        return known.health_path if known else "/health"
+
     def load_fallback(self) -> None:
         """Put the tree and upstreams of the settings in force until others come."""
         path = self._settings.life.fallback_tree
@@ -143,6 +189,11 @@
         tasks.start_soon(self._probes.run)
         tasks.start_soon(self._cancels.run)
         tasks.start_soon(self.steward.run)
+        tasks.start_soon(self._channels.sweep)
+        if self._targets is not None:
+            tasks.start_soon(self._targets.run)
+        if self._directory is not None:
+            tasks.start_soon(self._directory.run)
         tasks.start_soon(self.entry.watch_callers)
         tasks.start_soon(self._peers.run, listeners.peer)
         log.info("started", host=self._settings.host.name)
@@ -150,18 +201,67 @@
     async def stop(self) -> None:
         """Carry out a planned stop once it has begun."""
         await self.life.wait_stopping()
+        began_seconds = self._clocks.monotonic()
         log.info("not ready, waiting for the balancer")
         self._peers.is_leaving = True
+        await self.steward.give_up()
         await self._peers.tell_summary()
         await self.life.pause(self._settings.life.balancer_delay_seconds)
-        self.entry.is_closed = True
+        self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("closed, serving out", open_count=self.entry.open_count)
-        with anyio.move_on_after(self._settings.life.drain_timeout_seconds):
+        with anyio.move_on_after(self._drain_seconds(began_seconds)):
             while self.entry.open_count:
                 # A hurried stop has each open request end itself with an error.
                 await anyio.sleep(DRAIN_STEP_SECONDS)
         log.info("left", open_count=self.entry.open_count)
 
+    def _drain_seconds(self, began_seconds: float) -> float:
+        """Return how long open requests are waited for at the most."""
+        life = self._settings.life
+        if not life.stop_within_seconds:
+            return life.drain_timeout_seconds
+        spent_seconds = self._clocks.monotonic() - began_seconds
+        left_seconds = life.stop_within_seconds - STOP_MARGIN_SECONDS - spent_seconds
+        return max(0.0, min(life.drain_timeout_seconds, left_seconds))
+
+
+@attrs.frozen
+class Sources:
+    """Where a daemon's configuration, hosts and targets come from."""
+
+    configuration: ConfigurationSource | None = None
+    hosts: HostSource | None = None
+    targets: PolledTargets | WatchedTargets | None = None
+    directory: PeerDirectory | None = None
+
+
+def _make_sources(
+    api: ObjectApi | None,
+    settings: Settings,
+    scheduler: SchedulerTask,
+    steward: StewardTask,
+    read_clock: Callable[[], float],
+    draw: random.Random,
+    integration: Integration | None,
+) -> Sources:
+    if api is None:
+        return Sources()
+    if integration is None:
+        interval_seconds = settings.platform.host_list_interval_seconds
+        return Sources(
+            TreeStoreSource(TreeStore(api), settings, scheduler, read_clock),
+            PolledHosts(api, interval_seconds),
+            PolledTargets(api, scheduler, lambda: steward.is_holder, steward.wake),
+        )
+    reader = integration.reader
+    address = _peer_address(settings)
+    return Sources(
+        WatchedTreeSource(api, reader, settings, read_clock, draw),
+        WatchedHosts(api, reader, read_clock, draw),
+        WatchedTargets(api, reader, scheduler, steward.wake, read_clock, draw),
+        PeerDirectory(api, settings, address, read_clock, draw),
+    )
+
 
 @attrs.frozen
 class Listeners:
@@ -169,13 +269,19 @@
 
     entry: socket.socket
     admin: socket.socket
+    #: Tells a balancer whether the host is ready, where that is wanted.
+    ready: socket.socket | None
     peer: Any
     addresses: Addresses
 
 
 @asynccontextmanager
 async def run_daemon(
-    settings: Settings, *, api: ObjectApi | None = None, clocks: Clocks | None = None
+    settings: Settings,
+    *,
+    api: ObjectApi | None = None,
+    clocks: Clocks | None = None,
+    integration: Integration | None = None,
 ) -> AsyncIterator[tuple[Daemon, Addresses]]:
     """Run a daemon for the length of the context; leaving it stops it hard.
 
@@ -189,6 +295,7 @@
                     settings.platform.url,
                     call_timeout_seconds=settings.platform.call_timeout_seconds,
                     calls_per_second=settings.platform.calls_per_second,
+                    dialect=integration.store if integration else None,
                 )
             )
         upstreams = await stack.enter_async_context(
@@ -196,8 +303,10 @@
                 settings.retry.silence_timeout_seconds, settings.limits.max_event_bytes
             )
         )
+        clocks = clocks or Clocks()
+        channels = await stack.enter_async_context(ChannelPool(clocks.monotonic))
         listeners = await _listen(settings, stack)
-        daemon = Daemon(settings, api, upstreams, clocks or Clocks())
+        daemon = Daemon(settings, api, upstreams, channels, clocks, integration)
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         await daemon.start(tasks, listeners)
@@ -207,23 +316,32 @@
 
 async def _listen(settings: Settings, stack: AsyncExitStack) -> Listeners:
     listen = settings.listen
-    entry = _bind(listen.address, listen.entry_port)
+    entry = _bind(listen.entry or f"{listen.address}:{listen.entry_port}")
     stack.callback(entry.close)
-    admin = _bind(listen.address, listen.admin_port)
+    admin = _bind(listen.admin or f"{listen.address}:{listen.admin_port}")
     stack.callback(admin.close)
+    ready = None
+    if listen.ready:
+        ready = _bind(listen.ready)
+        stack.callback(ready.close)
+    host, _, port = _peer_address(settings).rpartition(":")
     peer = await anyio.create_tcp_listener(
-        local_host=listen.address, local_port=listen.peer_port, reuse_port=False
+        local_host=host, local_port=int(port), reuse_port=False
     )
     await stack.enter_async_context(peer)
     peer_port = peer.extra(anyio.abc.SocketAttribute.local_port)
-    addresses = Addresses(
-        _address(entry), _address(admin), f"{listen.address}:{peer_port}"
-    )
-    return Listeners(entry, admin, peer, addresses)
+    addresses = Addresses(_address(entry), _address(admin), f"{host}:{peer_port}")
+    return Listeners(entry, admin, ready, peer, addresses)
+
+
+def _peer_address(settings: Settings) -> str:
+    listen = settings.listen
+    return listen.peer or f"{listen.address}:{listen.peer_port}"
 
 
-def _bind(address: str, port: int) -> socket.socket:
-    listener = socket.create_server((address, port), backlog=1024)
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)), backlog=1024)
     listener.setblocking(False)
     return listener
 
@@ -241,10 +359,13 @@
     stack: AsyncExitStack,
 ) -> None:
     closing = anyio.Event()
-    for app, listener in (
+    served = [
         (daemon.entry, listeners.entry),
         (daemon.admin.app, listeners.admin),
-    ):
+    ]
+    if listeners.ready is not None:
+        served.append((daemon.admin.ready_app, listeners.ready))
+    for app, listener in served:
         config = _server_config(settings, listener)
         tasks.start_soon(_serve, app, config, closing)
 
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -0,0 +1,179 @@
+"""What a daemon needs of the protocols around it.
+
+The daemon decides and forwards; a dialect translates. Rampwick's own dialect is in
+``_own_dialect``; a deployment with other names brings one of its own.
+"""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import attrs
+
+from rampwick_policy import OrderResult, PromptPart
+from rampwick_schema import HostEntry, LoadReport, Order
+
+from ._channels import AnswerHead
+from ._errors import CallerError
+
+Header = tuple[bytes, bytes]
+
+
+@attrs.frozen
+class RawCall:
+    """A caller's request line and headers as they came."""
+
+    method: str
+    #: Path and query, byte for byte.
+    target: str
+    #: Names are in lower case.
+    headers: Sequence[Header]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the value of a header that may stand once; None if it is absent."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return None
+
+    def count(self, name: bytes) -> int:
+        """Return how often a header stands."""
+        return sum(known == name for known, _ in self.headers)
+
+
+@attrs.frozen
+class RoutedCall:
+    """A caller's request on a route, read from its headers."""
+
+    request_id: str
+    host: str
+    method: str
+    #: Path and query, to be sent on as they are.
+    target: str
+    #: Bearer key; none if the caller sent none.
+    key: str | None
+    #: Headers that go on to the upstream as they are.
+    passed_headers: Sequence[Header]
+    #: Time that the caller will wait; none if it does not say.
+    timeout_seconds: float | None = None
+    #: Model and parts of the prompt; none of them for plain services.
+    model: str = ""
+    parts: tuple[PromptPart, ...] = ()
+    max_answer_tokens: int = 0
+    #: Id of the last event that the caller has of a stream; empty for a new one.
+    last_event_id: str = ""
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        return self.target.partition("?")[0]
+
+
+@attrs.frozen
+class AttemptTerms:
+    """What one attempt tells its upstream besides the caller's request."""
+
+    #: Upstream and life that alone shall run it.
+    incarnation: str
+    weights_version: int
+    remaining_seconds: float
+    #: Workspace that it runs for; empty on public routes.
+    workspace: str
+    priority_rank: int
+    cache_salt: str = ""
+    import_address: str = ""
+    save_address: str = ""
+    #: Last event that the caller has, if a stream goes on.
+    resume_after: str = ""
+
+
+@attrs.frozen
+class AnswerFacts:
+    """What an upstream's answer says of the attempt and of the upstream."""
+
+    #: Id of the request that it answers; empty if it names none.
+    request_id: str
+    #: Whether the upstream says that it did not run the request.
+    was_refused: bool = False
+    #: Whether the upstream is another than asked for, or has other weights.
+    is_misdirected: bool = False
+    #: Whether the answer is proved to be the upstream's own.
+    is_signed: bool = False
+    incarnation: str = ""
+    #: Weights of the upstream; none if it does not say.
+    weights_version: int | None = None
+    retry_after_seconds: float | None = None
+    #: How long the connection may rest; none if it does not say.
+    max_rest_seconds: float | None = None
+    #: Whether the upstream closes its connections, as one that leaves does.
+    is_closing: bool = False
+
+
+@attrs.frozen
+class ErrorAnswer:
+    """An error as a caller is told it."""
+
+    status: int
+    headers: Sequence[Header]
+    body: bytes
+
+
+class CallerDialect(Protocol):
+    """How callers of routes speak."""
+
+    def read_call(self, raw: RawCall) -> RoutedCall:
+        """Return the request, or raise a CallerError of status 400."""
+
+    def write_error(self, error: CallerError, request_id: str) -> ErrorAnswer:
+        """Return an error as this dialect tells it."""
+
+
+class UpstreamDialect(Protocol):
+    """How the upstreams of routes speak."""
+
+    def request_headers(self, call: RoutedCall, terms: AttemptTerms) -> list[Header]:
+        """Return the headers of an attempt; its body keeps its length."""
+
+    def read_answer(self, head: AnswerHead) -> AnswerFacts:
+        """Return what the head of an answer says."""
+
+    def answer_headers(self, head: AnswerHead) -> list[Header]:
+        """Return the headers that the caller is sent."""
+
+
+@attrs.frozen
+class ControlRequest:
+    """A call to an upstream that is not a caller's request."""
+
+    #: What is being done, for errors and logs.
+    step: str
+    method: str
+    path: str
+    headers: Sequence[Header]
+    body: bytes = b""
+
+
+class ControlDialect(Protocol):
+    """How upstreams are asked how they are, and told what to do."""
+
+    def probe(self, entry: HostEntry, health_path: str) -> ControlRequest:
+        """Return the call by which an upstream tells how it is."""
+
+    def read_probe(
+        self, entry: HostEntry, head: AnswerHead, body: bytes
+    ) -> LoadReport | None:
+        """Return a runner's report, none of a healthy service, or raise DataError."""
+
+    def order(self, entry: HostEntry, order: Order) -> ControlRequest:
+        """Return the call that gives an order."""
+
+    def read_order(self, head: AnswerHead) -> OrderResult:
+        """Return what a runner says to an order."""
+
+
+@attrs.frozen
+class Dialects:
+    """The protocols towards callers and upstreams of routes."""
+
+    caller: CallerDialect
+    upstream: UpstreamDialect
+    control: ControlDialect
--- a/packages/rampwick-router/src/rampwick_router/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/_entry.py
@@ -26,6 +26,7 @@
     Send,
     read_body,
 )
+from ._routed_entry import RoutedEntry
 from ._service_exchange import (
     REPEATABLE_METHODS,
     ServiceCall,
@@ -46,10 +47,12 @@
 class EntryApp:
     """ASGI application towards callers."""
 
-    def __init__(self, parts: Parts) -> None:
+    def __init__(self, parts: Parts, serves_routes: bool = False) -> None:
         self._parts = parts
+        self._serves_routes = serves_routes
         #: Whether new requests are turned away because this host is leaving.
         self.is_closed = False
+        self._routed = RoutedEntry(parts)
         self._open: dict[Responder, anyio.CancelScope] = {}
 
     @property
@@ -76,7 +79,10 @@
         """Serve one request; whatever happens, it gets one final answer."""
         if scope["type"] != "http":
             return
-        responder = Responder(send, self._parts.read_clock)
+        life = self._parts.life
+        responder = Responder(
+            send, self._parts.read_clock, is_leaving=lambda: not life.is_ready
+        )
         cancel_scope = anyio.CancelScope()
         self._open[responder] = cancel_scope
         try:
@@ -115,6 +121,9 @@
                 step="accept request",
                 retry_after_seconds=1.0,
             )
+        if self._serves_routes or len(self._parts.view.routes):
+            await self._routed.serve(scope, receive, responder)
+            return
         headers = _read_headers(scope)
         method, path = scope["method"], scope["path"]
         if method == "POST" and path in (CHAT_PATH, TEXT_PATH):
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from rampwick_policy import Outcome, RunState
+from rampwick_policy import Outcome, RunState, Verdict
 from rampwick_schema import RampwickError
 
 
@@ -82,3 +82,32 @@
     "no_upstream": ErrorKind(503, "no upstream can take the request now"),
     "upstream_failed": ErrorKind(502, "the upstream failed"),
 }
+
+
+#: How long a caller shall wait before it asks another host, where this one can't
+#: confirm its configuration: hosts fail apart, so the next one can serve at once.
+OTHER_HOST_SECONDS = 0.05
+
+#: Answers to requests that the configuration does not allow.
+DENIALS = {
+    Verdict.NO_CONFIGURATION: ErrorKind(503, "no configuration is known here yet"),
+    Verdict.UNKNOWN_ROUTE: ErrorKind(404, "no route leads there"),
+    Verdict.NO_KEY: ErrorKind(401, "a bearer key is needed"),
+    Verdict.UNKNOWN_KEY: ErrorKind(401, "the key is unknown"),
+    Verdict.STALE: ErrorKind(503, "the configuration can't be confirmed here now"),
+}
+
+
+def denial(verdict: Verdict, run_state: RunState = RunState.NOT_SENT) -> CallerError:
+    """Return the error for a request that the configuration does not allow."""
+    kind = DENIALS[verdict]
+    is_elsewhere = kind.status == 503
+    may_ask_again = is_elsewhere and run_state <= RunState.REFUSED
+    return CallerError(
+        kind.message,
+        status=kind.status if run_state <= RunState.REFUSED else 502,
+        code=verdict.value,
+        step="check access",
+        run_state=run_state,
+        retry_after_seconds=OTHER_HOST_SECONDS if may_ask_again else None,
+    )
--- a/packages/rampwick-router/src/rampwick_router/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_exchange.py
@@ -50,6 +50,8 @@
         self._receive = receive
         self._claim: WonClaim | None = None
         self._has_ended = False
+        #: Whether an attempt ran or may have run.
+        self.may_have_run = False
 
     @abstractmethod
     def arrival(self) -> RequestArrived:
@@ -59,6 +61,14 @@
     async def attempt(self, dispatch: Dispatch) -> AttemptDone:
         """Make one attempt and answer the caller, or raise AttemptError."""
 
+    def check_still_allowed(self) -> None:
+        """Raise a CallerError if the request may not run any more."""
+        return
+
+    async def answer_error(self, error: CallerError) -> None:
+        """Give the caller an error as its final answer."""
+        await self.responder.send_error(error)
+
     @property
     def labels(self) -> tuple[str, str]:
         """Workspace and class, as metrics name them."""
@@ -93,6 +103,7 @@
     ) -> Dispatch | Refuse | None:
         """Make an attempt; return what is decided next, or nothing at its end."""
         await self._own_key()
+        self.check_still_allowed()
         self._note_dispatch()
         decision: Dispatch | Refuse | None = None
         async with anyio.create_task_group() as task_group:
@@ -106,6 +117,7 @@
             done = await self.attempt(dispatch)
         except AttemptError as error:
             self._note_attempt(dispatch, error.outcome.value)
+            self.may_have_run |= not error.outcome.proves_not_run
             log.problem(
                 "attempt failed",
                 request=self.request_id,
@@ -146,7 +158,7 @@
         kind = REFUSALS[refuse.reason]
         return CallerError(
             kind.message,
-            status=kind.status,
+            status=_refusal_status(kind.status, refuse.run_state),
             code=refuse.reason,
             step="schedule request",
             peer=refuse.peer,
@@ -161,7 +173,7 @@
             self._end(error.code)
             self.parts.scheduler.post(RequestCancelled(self.request_id))
         log.info("request refused", request=self.request_id, error=str(error))
-        await self.responder.send_error(error)
+        await self.answer_error(error)
 
     async def _watch_caller(self, scope: anyio.CancelScope) -> None:
         await wait_disconnect(self._receive)
@@ -180,3 +192,16 @@
     def _end(self, answer: str) -> None:
         self._has_ended = True
         self.parts.metrics.requests.labels(*self.labels, answer).inc()
+
+
+def _refusal_status(status: int, run_state: RunState) -> int:
+    """Return a status that promises no more than what is known of the request.
+
+    503 says that it was not run; after attempts that may have run it must not be
+    said, and after attempts that surely did not, it may.
+    """
+    if run_state > RunState.REFUSED and status in (429, 503):
+        return 502
+    if run_state <= RunState.REFUSED and status == 502:
+        return 503
+    return status
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_headers.py
@@ -0,0 +1,66 @@
+"""Headers that belong to one connection and never travel further."""
+
+from collections.abc import Iterable
+
+Header = tuple[bytes, bytes]
+
+#: Headers of one connection, by RFC 9110, and those that the sender makes anew.
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+def end_to_end(headers: Iterable[Header]) -> list[Header]:
+    """Return the headers that go beyond one connection.
+
+    What a Connection header names belongs to the connection as well.
+    """
+    known = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in known
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    left_out = CONNECTION_HEADERS | named
+    return [(name, value) for name, value in known if name.lower() not in left_out]
+
+
+def find(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Return the value of the first header of a lower-case name; None without one."""
+    for known, value in headers:
+        if known.lower() == name:
+            return value
+    return None
+
+
+def keep_alive_seconds(headers: Iterable[Header]) -> float | None:
+    """Return the rest that a Keep-Alive header allows; None if it names none."""
+    value = find(headers, b"keep-alive")
+    if value is None:
+        return None
+    for part in value.split(b","):
+        name, _, text = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout" and text.strip().isdigit():
+            return float(text)
+    return None
+
+
+def asks_to_close(headers: Iterable[Header]) -> bool:
+    """Return whether a Connection header ends the connection after this message."""
+    value = find(headers, b"connection")
+    if value is None:
+        return False
+    return any(token.strip().lower() == b"close" for token in value.split(b","))
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_integration.py
@@ -0,0 +1,24 @@
+"""What a deployment with a platform of its own brings into the daemon."""
+
+from typing import Protocol
+
+import attrs
+
+from rampwick_platform import StoreDialect
+
+from ._configuration_sources import ReadsConfiguration
+from ._dialects import Dialects
+from ._host_sources import ReadsTargets, ReadsUpstreams
+
+
+class StoreReader(ReadsConfiguration, ReadsUpstreams, ReadsTargets, Protocol):
+    """How everything that others keep in the store is read."""
+
+
+@attrs.frozen
+class Integration:
+    """Translations between a platform's protocols and rampwick's own terms."""
+
+    store: StoreDialect
+    reader: StoreReader
+    dialects: Dialects
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -3,16 +3,17 @@
 import argparse
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
-from typing import TextIO
 
 import anyio
-import eliot
 
 from rampwick_schema import RampwickError, Settings, read_settings
 
 from ._daemon import Daemon, run_daemon
 from ._fallback import read_fallback
+from ._integration import Integration
+from ._log_sink import open_log
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
@@ -37,8 +38,11 @@
     if arguments.check:
         print(f"{arguments.settings}: settings are valid")
         return EXIT_OK
-    eliot.to_file(_open_log(arguments.log))
-    anyio.run(_run, settings)
+    with open_log(arguments.log):
+        # A test or a demo that let the ports be chosen reads them here; where logs
+        # go to standard output the line "started" says them.
+        announce = print if arguments.log else _announce_nothing
+        anyio.run(run_host, settings, None, announce)
     return EXIT_OK
 
 
@@ -51,21 +55,26 @@
     )
     parser.add_argument("settings", type=Path, help="settings file (TOML)")
     parser.add_argument("--check", action="store_true", help="check, then exit")
-    parser.add_argument("--log", type=Path, help="log file; default is stderr")
+    parser.add_argument("--log", type=Path, help="log file; default is standard output")
     return parser.parse_args()
 
 
-def _open_log(path: Path | None) -> TextIO:
-    return path.open("a", encoding="utf-8") if path else sys.stderr
+def _announce_nothing(line: str, *, flush: bool) -> None:
+    return
 
 
-async def _run(settings: Settings) -> None:
+async def run_host(
+    settings: Settings,
+    integration: Integration | None = None,
+    announce: Callable[..., None] = _announce_nothing,
+) -> None:
+    """Run a daemon until it is told to stop by a signal."""
     async with (
-        run_daemon(settings) as (daemon, addresses),
+        run_daemon(settings, integration=integration) as (daemon, addresses),
         anyio.create_task_group() as tasks,
     ):
         tasks.start_soon(_watch_signals, daemon)
-        print(
+        announce(
             f"rampwickd {settings.host.name} entry={addresses.entry} "
             f"admin={addresses.admin} peer={addresses.peer}",
             flush=True,
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -0,0 +1,220 @@
+"""Rampwick's own names for routed requests, towards callers and upstreams.
+
+A deployment whose callers and upstreams speak otherwise brings a dialect of its own.
+"""
+
+import math
+
+import orjson
+
+from rampwick_policy import OrderResult, PromptPart
+from rampwick_schema import HostEntry, LoadReport, Order, structure, unstructure
+
+from ._call import bad_request
+from ._channels import AnswerHead
+from ._dialects import (
+    AnswerFacts,
+    AttemptTerms,
+    ControlRequest,
+    Dialects,
+    ErrorAnswer,
+    Header,
+    RawCall,
+    RoutedCall,
+)
+from ._errors import CallerError
+from ._headers import asks_to_close, end_to_end, find, keep_alive_seconds
+
+PREFIX = b"rampwick-"
+REQUEST_ID = b"rampwick-request-id"
+DEADLINE = b"rampwick-deadline-seconds"
+MODEL = b"rampwick-model"
+PARTS = b"rampwick-prompt-parts"
+ANSWER_TOKENS = b"rampwick-answer-tokens"
+LAST_EVENT_ID = b"last-event-id"
+WORKSPACE = b"rampwick-workspace"
+INCARNATION = b"rampwick-incarnation"
+WEIGHTS = b"rampwick-weights-version"
+SALT = b"rampwick-cache-salt"
+PRIORITY = b"rampwick-priority"
+IMPORT_FROM = b"rampwick-import-from"
+SAVE_TO = b"rampwick-save-to"
+#: What became of a request that an upstream did not serve: ``refused``,
+#: ``misdirected``.
+NOT_RUN = b"rampwick-not-run"
+
+#: Longest id of a request and largest number of parts of a prompt.
+MAX_ID_BYTES = 200
+MAX_PARTS = 256
+
+JSON = (b"content-type", b"application/json")
+
+
+class OwnCallerDialect:
+    """How callers name what they want, in rampwick's own headers."""
+
+    def read_call(self, raw: RawCall) -> RoutedCall:
+        """Return the request, or raise a CallerError of status 400."""
+        request_id = (raw.get(REQUEST_ID) or b"").decode("latin-1")
+        if not request_id or len(request_id) > MAX_ID_BYTES:
+            raise bad_request(f"{REQUEST_ID.decode()} is missing or too long")
+        host = (raw.get(b"host") or b"").decode("latin-1").lower()
+        return RoutedCall(
+            request_id=request_id,
+            host=host.partition(":")[0],
+            method=raw.method,
+            target=raw.target,
+            key=read_bearer_key(raw),
+            passed_headers=[
+                (name, value)
+                for name, value in end_to_end(raw.headers)
+                if not name.startswith(PREFIX)
+                and name not in (b"authorization", LAST_EVENT_ID)
+            ],
+            timeout_seconds=_read_seconds(raw.get(DEADLINE)),
+            model=(raw.get(MODEL) or b"").decode("latin-1"),
+            parts=read_parts(raw.get(PARTS) or b""),
+            max_answer_tokens=_read_count(raw.get(ANSWER_TOKENS)),
+            last_event_id=(raw.get(LAST_EVENT_ID) or b"").decode("latin-1"),
+        )
+
+    def write_error(self, error: CallerError, request_id: str) -> ErrorAnswer:
+        """Return an error as JSON."""
+        headers: list[Header] = [JSON, (REQUEST_ID, request_id.encode("latin-1"))]
+        if error.retry_after_seconds is not None:
+            seconds = max(1, math.ceil(error.retry_after_seconds))
+            headers.append((b"retry-after", str(seconds).encode()))
+        body = orjson.dumps(error.body)
+        headers.append((b"content-length", str(len(body)).encode()))
+        return ErrorAnswer(error.status, headers, body)
+
+
+class OwnUpstreamDialect:
+    """How upstreams are told what they need, in rampwick's own headers."""
+
+    def request_headers(self, call: RoutedCall, terms: AttemptTerms) -> list[Header]:
+        """Return the headers of an attempt."""
+        headers = [
+            *call.passed_headers,
+            (REQUEST_ID, call.request_id.encode("latin-1")),
+            (DEADLINE, f"{terms.remaining_seconds:.3f}".encode()),
+            (INCARNATION, terms.incarnation.encode("latin-1")),
+            (PRIORITY, str(terms.priority_rank).encode()),
+        ]
+        optional = [
+            (WORKSPACE, terms.workspace),
+            (MODEL, call.model),
+            (PARTS, write_parts(call.parts)),
+            (SALT, terms.cache_salt),
+            (IMPORT_FROM, terms.import_address),
+            (SAVE_TO, terms.save_address),
+            (LAST_EVENT_ID, terms.resume_after),
+        ]
+        headers += [(name, text.encode("latin-1")) for name, text in optional if text]
+        if terms.weights_version:
+            headers.append((WEIGHTS, str(terms.weights_version).encode()))
+        return headers
+
+    def read_answer(self, head: AnswerHead) -> AnswerFacts:
+        """Return what the head of an answer says."""
+        headers = head.headers
+        not_run = find(headers, NOT_RUN)
+        incarnation = find(headers, INCARNATION) or b""
+        retry_after = find(headers, b"retry-after")
+        weights = find(headers, WEIGHTS)
+        return AnswerFacts(
+            request_id=(find(headers, REQUEST_ID) or b"").decode("latin-1"),
+            was_refused=not_run is not None,
+            is_misdirected=not_run == b"misdirected",
+            is_signed=bool(incarnation),
+            incarnation=incarnation.decode("latin-1"),
+            weights_version=int(weights) if weights and weights.isdigit() else None,
+            retry_after_seconds=_read_seconds(retry_after),
+            max_rest_seconds=keep_alive_seconds(headers),
+            is_closing=asks_to_close(headers),
+        )
+
+    def answer_headers(self, head: AnswerHead) -> list[Header]:
+        """Return the headers that the caller is sent."""
+        return end_to_end(head.headers)
+
+
+class OwnControlDialect:
+    """How rampwick's own runners report and take orders."""
+
+    def probe(self, entry: HostEntry, health_path: str) -> ControlRequest:
+        """Return the call by which an upstream tells how it is."""
+        host = (b"host", entry.address.encode())
+        return ControlRequest("probe upstream", "GET", "/load", [host])
+
+    def read_probe(
+        self, entry: HostEntry, head: AnswerHead, body: bytes
+    ) -> LoadReport | None:
+        """Return a runner's report, none of a healthy service, or raise DataError."""
+        if not body:
+            return None
+        return structure(
+            orjson.loads(body), LoadReport, step="probe upstream", peer=entry.name
+        )
+
+    def order(self, entry: HostEntry, order: Order) -> ControlRequest:
+        """Return the call that gives an order."""
+        headers = [(b"host", entry.address.encode()), JSON]
+        body = orjson.dumps(unstructure(order))
+        return ControlRequest("send order", "PUT", "/orders", headers, body)
+
+    def read_order(self, head: AnswerHead) -> OrderResult:
+        """Return what a runner says to an order."""
+        results = {
+            200: OrderResult.HOLDS,
+            202: OrderResult.TAKEN,
+            409: OrderResult.FENCED,
+            412: OrderResult.CONFLICT,
+        }
+        return results.get(head.status, OrderResult.REFUSED)
+
+
+OWN_DIALECTS = Dialects(OwnCallerDialect(), OwnUpstreamDialect(), OwnControlDialect())
+
+
+def read_bearer_key(raw: RawCall) -> str | None:
+    """Return the caller's bearer key, none without one."""
+    kind, _, key = (raw.get(b"authorization") or b"").partition(b" ")
+    if kind.lower() != b"bearer" or not key.strip():
+        return None
+    return key.strip().decode("latin-1")
+
+
+def read_parts(value: bytes) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt, written as NAME:TOKENS by commas."""
+    if not value.strip():
+        return ()
+    items = value.split(b",")
+    if len(items) > MAX_PARTS:
+        raise bad_request(f"a prompt of {len(items)} parts, allowed are {MAX_PARTS}")
+    parts = []
+    for item in items:
+        name, _, tokens = item.strip().rpartition(b":")
+        if not name or not tokens.isdigit() or len(tokens) > 9:
+            raise bad_request(f"a part of the prompt is {item[:60]!r}")
+        parts.append(PromptPart(name, int(tokens)))
+    return tuple(parts)
+
+
+def write_parts(parts: tuple[PromptPart, ...]) -> str:
+    """Return the parts of a prompt as they are written in a header."""
+    return ",".join(f"{part.name.decode('latin-1')}:{part.tokens}" for part in parts)
+
+
+def _read_seconds(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if 0.0 <= seconds < 1e6 else None
+
+
+def _read_count(value: bytes | None) -> int:
+    return int(value) if value and value.isdigit() and len(value) < 10 else 0
--- a/packages/rampwick-router/src/rampwick_router/_parts.py
+++ b/packages/rampwick-router/src/rampwick_router/_parts.py
@@ -4,16 +4,37 @@
 
 import attrs
 
-from rampwick_policy import ConfigurationFollower, TreeView
+from rampwick_policy import (
+    Access,
+    AccessRules,
+    ConfigurationFollower,
+    TreeView,
+    decide_access,
+)
 from rampwick_schema import Settings
 
+from ._call import hash_key
+from ._channels import ChannelPool
 from ._claims import ClaimTask
+from ._configuration import ConfigurationTask
+from ._dialects import Dialects, RoutedCall
 from ._life import Life
 from ._metrics import Metrics
 from ._scheduler_task import SchedulerTask
 from ._stream_tokens import StreamTokens
 from ._upstream_client import UpstreamClient
 
+#: Time by which a configuration must be younger than the bound on it: for what the
+#: request still has to travel, for clocks that run apart, and for watches that hear
+#: nothing for a second while changes are made.
+KEY_AGE_MARGIN_SECONDS = 1.5
+
+
+def _less_margin(bound_seconds: float) -> float | None:
+    if not bound_seconds:
+        return None
+    return max(0.0, bound_seconds - KEY_AGE_MARGIN_SECONDS)
+
 
 @attrs.define
 class RequestIds:
@@ -43,6 +64,28 @@
     ids: RequestIds
     life: Life
     read_clock: Callable[[], float]
+    configuration: ConfigurationTask
+    channels: ChannelPool
+    dialects: Dialects
+
+    def look_up(self, call: RoutedCall) -> Access:
+        """Return what the configuration in force says of a request on a route."""
+        platform = self.settings.platform
+        return decide_access(
+            self.view,
+            host=call.host,
+            path=call.path,
+            key_hash=None if call.key is None else hash_key(call.key),
+            age_seconds=self.configuration.age_seconds(self.read_clock()),
+            rules=AccessRules(
+                max_key_age_seconds=_less_margin(platform.max_key_age_seconds),
+                max_denial_age_seconds=platform.max_denial_age_seconds or None,
+            ),
+        )
+
+    def count_hosts(self) -> int:
+        """Return the hosts of the fleet that this one takes to be alive."""
+        return self.scheduler.hosts_count
 
     @property
     def view(self) -> TreeView:
--- a/packages/rampwick-router/src/rampwick_router/_peers.py
+++ b/packages/rampwick-router/src/rampwick_router/_peers.py
@@ -5,6 +5,7 @@
 today's 6 to 8 hosts all know each other.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -12,12 +13,19 @@
 from anyio.abc import SocketStream, TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
-from rampwick_policy import ConfigurationFollower, PeerHeard
+from rampwick_policy import (
+    ConfigurationFollower,
+    LoadOrdered,
+    PeerHeard,
+    WeightsSeen,
+)
 from rampwick_schema import (
     ChangesReply,
     ChangesRequest,
     HostListReply,
     HostListRequest,
+    RunnerLoad,
+    RunnerWeights,
     Settings,
     Summary,
     TreeReply,
@@ -26,10 +34,12 @@
 
 from ._configuration import ConfigurationTask
 from ._errors import PeerError
+from ._host_sources import PeerDirectory
 from ._logs import PartLogger
 from ._metrics import Metrics
 from ._peer_stream import PeerIdentity, PeerStream
 from ._scheduler_task import SchedulerTask
+from ._steward import StewardTask
 from ._upstream_tasks import HostListTask
 
 #: Wait before a peer is dialled again.
@@ -85,7 +95,10 @@
         follower: ConfigurationFollower,
         configuration: ConfigurationTask,
         metrics: Metrics,
+        read_clock: Callable[[], float],
         hosts: HostListTask,
+        steward: StewardTask,
+        directory: PeerDirectory | None,
     ) -> None:
         self._identity = identity
         self._settings = settings.peers
@@ -93,7 +106,10 @@
         self._follower = follower
         self._configuration = configuration
         self._metrics = metrics
+        self._read_clock = read_clock
         self._hosts = hosts
+        self._steward = steward
+        self._directory = directory
         self._outboxes: list[Outbox] = []
         self._dialled: dict[str, anyio.CancelScope] = {}
         self._sequence = 0
@@ -140,6 +156,8 @@
             for entry in self._hosts.host_list.hosts
             if entry.kind == "entry" and entry.name != self._identity.host
         }
+        if self._directory is not None:
+            listed |= self._directory.addresses()
         return listed | set(self._settings.seeds)
 
     async def _dial_forever(self, address: str, scope: anyio.CancelScope) -> None:
@@ -221,12 +239,39 @@
 
     def _take_summary(self, outbox: Outbox, summary: Summary) -> None:
         peer = outbox.peer
+        self._take_steward_news(peer, summary)
         self._scheduler.post(PeerHeard(peer.host, peer.hall, peer.incarnation, summary))
         if summary.revision > self._follower.head_revision:
             outbox.put(ChangesRequest(self._follower.head_revision))
         if summary.host_list_version > self._hosts.version:
             outbox.put(HostListRequest(self._hosts.version))
 
+    def _take_steward_news(self, peer: PeerIdentity, summary: Summary) -> None:
+        now_seconds = self._read_clock()
+        if summary.lease_version:
+            self._steward.lease.note_heard(
+                peer.host, summary.lease_version, now_seconds
+            )
+        for load in summary.loads:
+            until_seconds = now_seconds + load.remaining_seconds
+            self._scheduler.post(
+                LoadOrdered(
+                    load.upstream,
+                    load.incarnation,
+                    load.weights_version,
+                    until_seconds,
+                )
+            )
+        for shown in summary.weights:
+            self._scheduler.post(
+                WeightsSeen(
+                    shown.upstream,
+                    shown.incarnation,
+                    shown.weights_version,
+                    is_own_word=False,
+                )
+            )
+
     def _answer_changes(self, outbox: Outbox, after_revision: int) -> None:
         changes = self._follower.changes_after(after_revision)
         if changes is None:
@@ -243,6 +288,27 @@
             with anyio.move_on_after(self._settings.gossip_interval_seconds):
                 await changed.wait()
 
+    def _with_steward_news(self, summary: Summary) -> Summary:
+        now_seconds = self._read_clock()
+        steward = self._steward
+        loads = [
+            RunnerLoad(
+                load.upstream,
+                load.incarnation,
+                load.weights_version,
+                max(0.0, load.until_seconds - now_seconds),
+            )
+            for load in steward.loads()
+        ]
+        weights = [
+            RunnerWeights(shown.upstream, shown.incarnation, shown.weights_version)
+            for shown in steward.weights_shown()
+        ]
+        lease_version = steward.lease.version if steward.is_holder else 0
+        return attrs.evolve(
+            summary, lease_version=lease_version, loads=loads, weights=weights
+        )
+
     async def tell_summary(self) -> None:
         """Send a summary to every connected peer now, over one stream each."""
         self._sequence += 1
@@ -252,7 +318,7 @@
                 sequence, self._follower.revision, self.is_leaving, now_seconds
             )
         )
-        data = encode_message(summary)
+        data = encode_message(self._with_steward_news(summary))
         by_peer = {outbox.peer.host: outbox for outbox in self._outboxes}
         for outbox in by_peer.values():
             outbox.put_encoded(data)
--- a/packages/rampwick-router/src/rampwick_router/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/_responder.py
@@ -15,6 +15,7 @@
 
 Headers = Iterable[tuple[bytes, bytes]]
 
+CLOSE = (b"connection", b"close")
 JSON = (b"content-type", b"application/json")
 EVENT_STREAM = (
     (b"content-type", b"text/event-stream"),
@@ -29,8 +30,14 @@
     look after all slow callers; a time-out for each piece would cost every token.
     """
 
-    def __init__(self, send: Send, read_clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        send: Send,
+        read_clock: Callable[[], float],
+        is_leaving: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._send = send
+        self._is_leaving = is_leaving
         self._read_clock = read_clock
         self.has_started = False
         self.has_ended = False
@@ -40,14 +47,13 @@
         self.was_dispatched = False
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Send status and headers."""
+        """Send status and headers; a host that leaves closes the connection after."""
         self.has_started = True
+        sent = list(headers)
+        if self._is_leaving():
+            sent.append(CLOSE)
         await self._send_watched(
-            {
-                "type": "http.response.start",
-                "status": status,
-                "headers": list(headers),
-            }
+            {"type": "http.response.start", "status": status, "headers": sent}
         )
 
     async def send(self, body: bytes) -> None:
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_routed_entry.py
@@ -0,0 +1,100 @@
+"""Requests on routes: read by the callers' dialect, checked, then exchanged."""
+
+import anyio
+
+from rampwick_policy import Access, Verdict, choose_service
+from rampwick_schema import Route, Service
+
+from ._dialects import RawCall, RoutedCall
+from ._errors import CallerError, denial
+from ._logs import PartLogger
+from ._parts import Parts
+from ._responder import Message, Receive, Responder, read_body
+from ._routed_exchange import RoutedExchange, RoutedRequest
+
+#: Longest wait for a look at the platform before a route or key is called unknown.
+LOOK_TIMEOUT_SECONDS = 0.4
+
+log = PartLogger("route")
+
+
+class RoutedEntry:
+    """Serves the requests that routes lead to services."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+
+    async def serve(
+        self, scope: Message, receive: Receive, responder: Responder
+    ) -> None:
+        """Serve one request; whatever happens, it gets one final answer."""
+        arrived_at_seconds = self._parts.read_clock()
+        raw = _read_raw(scope)
+        request_id = ""
+        try:
+            call = self._parts.dialects.caller.read_call(raw)
+            request_id = call.request_id
+            # The body is read first: closing a connection on unread bytes would
+            # reset it, and the caller might lose its answer.
+            body = await self._read_body(receive)
+            request = await self._check(call, body, arrived_at_seconds)
+            await RoutedExchange(self._parts, request, receive, responder).run()
+        except CallerError as error:
+            log.info("request denied", request=request_id, error=str(error))
+            await self._send_error(error, request_id, responder)
+
+    async def _check(
+        self, call: RoutedCall, body: bytes, arrived_at_seconds: float
+    ) -> RoutedRequest:
+        access = self._parts.look_up(call)
+        if access.verdict is Verdict.STALE:
+            access = await self._look_again(call)
+        if access.verdict is not Verdict.ALLOWED:
+            raise denial(access.verdict)
+        assert access.route is not None and access.workspace is not None
+        return RoutedRequest(
+            call=call,
+            route=access.route,
+            service=self._service(access.route, call),
+            workspace=access.workspace,
+            body=body,
+            arrived_at_seconds=arrived_at_seconds,
+        )
+
+    async def _look_again(self, call: RoutedCall) -> Access:
+        with anyio.move_on_after(LOOK_TIMEOUT_SECONDS):
+            await self._parts.configuration.refresh()
+        return self._parts.look_up(call)
+
+    def _service(self, route: Route, call: RoutedCall) -> Service:
+        name = choose_service(route, call.request_id)
+        service = self._parts.view.routes.service(name)
+        assert service is not None, "the configuration was validated"
+        return service
+
+    async def _read_body(self, receive: Receive) -> bytes:
+        limits = self._parts.view.routes.routing.caller_limits
+        return await read_body(
+            receive,
+            max_body_bytes=limits.max_body_bytes,
+            timeout_seconds=limits.body_timeout_seconds,
+        )
+
+    async def _send_error(
+        self, error: CallerError, request_id: str, responder: Responder
+    ) -> None:
+        if responder.has_started:
+            return
+        answer = self._parts.dialects.caller.write_error(error, request_id)
+        await responder.start(answer.status, answer.headers)
+        await responder.end(answer.body)
+
+
+def _read_raw(scope: Message) -> RawCall:
+    target = scope.get("raw_path", scope["path"].encode()).decode("latin-1")
+    query = scope.get("query_string", b"").decode("latin-1")
+    return RawCall(
+        method=scope["method"],
+        target=target + (f"?{query}" if query else ""),
+        headers=list(scope["headers"]),
+    )
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -61,6 +61,11 @@
         self._mailboxes: dict[str, MemoryObjectSendStream[Dispatch | Refuse]] = {}
         self._decisions: deque[Decision] = deque(maxlen=EXPLAINED_COUNT)
 
+    @property
+    def hosts_count(self) -> int:
+        """Most hosts that were alive at once of late, this one included."""
+        return self._scheduler.peers.known_hosts_count
+
     def post(self, event: Event) -> None:
         """Send an event; it is handled in its turn."""
         self._inbox.send_nowait(event)
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -1,41 +1,78 @@
 """The task that gives orders to runners while this host holds the region's lease."""
 
-from collections.abc import Callable
+import math
+import random
+from collections.abc import Awaitable, Callable
 
 import anyio
 import attrs
+from anyio.abc import TaskGroup
 
-from rampwick_platform import LeaseStore, ObjectApi, WeightsStore
+from rampwick_platform import LeaseStore, ObjectApi, PlatformError
 from rampwick_policy import (
+    AskReport,
     LeaseWatcher,
+    LoadOrdered,
+    LoadReported,
+    OrderResult,
     PlannedOrder,
+    Rollout,
     RunnerState,
     Scheduler,
-    plan_orders,
+    WeightsSeen,
+)
+from rampwick_schema import (
+    DataError,
+    HostEntry,
+    Settings,
+    StewardSettings,
+    WeightsTarget,
 )
-from rampwick_schema import RampwickError, Settings
 
 from ._errors import AttemptError
 from ._logs import PartLogger
 from ._scheduler_task import SchedulerTask
-from ._upstream_client import CONTROL_TIMEOUT_SECONDS, UpstreamClient
+from ._upstream_control import CONTROL_TIMEOUT_SECONDS, UpstreamControl
 
-#: Time between two looks at the lease and at what runners have loaded; the holder
-#: reads the targets as often, which is a call to the platform.
-PLAN_INTERVAL_SECONDS = 1.0
+#: Time between two looks at the plan while there is something to do, and while not.
+BUSY_INTERVAL_SECONDS = 0.05
+IDLE_INTERVAL_SECONDS = 0.25
 
-#: Part of the lease after which it is renewed.
+#: Part of the order window after which the lease is renewed: two renewals may fail
+#: before the holder must stop giving orders.
 RENEWAL_RATIO = 1 / 3
 
+#: Time between telling peers of a load and ordering it, a few trips between halls:
+#: what they have sent by then still finds the runner serving.
+ANNOUNCE_LEAD_SECONDS = 0.02
+
+#: Random wait before a lease that is free is tried for, so that hosts don't race.
+TAKE_JITTER_SECONDS = 0.4
+
+#: Time for which peers are told of weights that an own load brought.
+TOLD_SECONDS = 5.0
+
 log = PartLogger("steward")
 
 
 @attrs.frozen
-class SentOrder:
-    """An order whose effect the runner has not reported yet."""
+class LoadUnderWay:
+    """A load that this host has ordered, as peers are told."""
 
+    upstream: str
+    incarnation: str
     weights_version: int
-    sent_at_seconds: float
+    until_seconds: float
+
+
+@attrs.frozen
+class WeightsShown:
+    """Weights that a runner was seen to have after an own order."""
+
+    upstream: str
+    incarnation: str
+    weights_version: int
+    seen_at_seconds: float
 
 
 class StewardTask:
@@ -50,110 +87,234 @@
         api: ObjectApi | None,
         settings: Settings,
         scheduler: SchedulerTask,
-        client: UpstreamClient,
+        control: UpstreamControl,
         read_clock: Callable[[], float],
+        draw: random.Random,
     ) -> None:
         self._settings = settings.steward
         self._scheduler = scheduler
-        self._client = client
+        self._control = control
         self._read_clock = read_clock
-        self.lease = LeaseWatcher(settings.host.name, settings.steward.lease_seconds)
+        self._draw = draw
+        self.lease = LeaseWatcher(
+            settings.host.name,
+            _lease_seconds(settings.steward),
+            settings.steward.order_window_seconds,
+        )
         region = settings.host.region
         self._leases = LeaseStore(api, f"leases/steward-{region}") if api else None
-        self._weights = WeightsStore(api) if api else None
-        self._sent: dict[str, SentOrder] = {}
+        self._rollout = Rollout(
+            settings.steward.max_loads_count, settings.steward.max_loads_ratio
+        )
         self._renew_at_seconds = 0.0
+        self._was_holder = False
+        self._has_stopped = False
+        self._ordered_at_seconds = -math.inf
+        self._shown: dict[str, WeightsShown] = {}
+        self._wake = anyio.Event()
+        #: Called when peers shall hear of a load at once.
+        self.tell_peers: Callable[[], Awaitable[None]] = _tell_nobody
 
     @property
     def is_holder(self) -> bool:
         """Whether this host holds the lease now."""
         return self.lease.fencing_number(self._read_clock()) is not None
 
+    def wake(self) -> None:
+        """Have the plan looked at now, since there may be something to do."""
+        self._wake.set()
+
+    def loads(self) -> list[LoadUnderWay]:
+        """Return the loads that this host has ordered and that are not over."""
+        found = []
+        for name, (version, until_seconds) in self._rollout.loads().items():
+            found.append(LoadUnderWay(name, "", version, until_seconds))
+        return found
+
+    def weights_shown(self) -> list[WeightsShown]:
+        """Return the weights that own loads have brought of late."""
+        oldest = self._read_clock() - TOLD_SECONDS
+        self._shown = {
+            name: shown
+            for name, shown in self._shown.items()
+            if shown.seen_at_seconds > oldest
+        }
+        return list(self._shown.values())
+
     async def run(self) -> None:
         """Take or renew the lease and plan, until cancelled."""
         if self._leases is None or not self._settings.is_candidate:
             return
-        while True:
-            try:
-                await self._keep_lease()
-                if self.is_holder:
-                    await self._give_orders()
-            except RampwickError as error:
-                # The lease runs out by itself; nothing is ordered without it.
-                log.problem("no orders now", error=str(error))
-            await anyio.sleep(PLAN_INTERVAL_SECONDS)
+        await anyio.sleep(self._draw.uniform(0.0, TAKE_JITTER_SECONDS))
+        async with anyio.create_task_group() as tasks:
+            while not self._has_stopped:
+                self._wake = anyio.Event()
+                is_busy = False
+                try:
+                    await self._keep_lease()
+                    if self.is_holder:
+                        is_busy = await self._look(tasks)
+                except (PlatformError, DataError) as error:
+                    # The lease runs out by itself; nothing is ordered without it.
+                    log.problem("no orders now", error=str(error))
+                interval = BUSY_INTERVAL_SECONDS if is_busy else IDLE_INTERVAL_SECONDS
+                with anyio.move_on_after(interval):
+                    await self._wake.wait()
+
+    async def give_up(self) -> None:
+        """Let another host take the lease at once, as this one stops."""
+        self._has_stopped = True
+        if self._leases is None or not self.is_holder:
+            return
+        self.lease.give_up()
+        # Two holders' orders lie as far apart as when a lease runs out.
+        apart_seconds = (
+            self.lease.duration_seconds - self._settings.order_window_seconds
+        )
+        since_seconds = self._read_clock() - self._ordered_at_seconds
+        wait_seconds = max(0.0, apart_seconds - since_seconds)
+        try:
+            await self._leases.release(self.lease, wait_seconds)
+            log.info("lease given up", wait_seconds=wait_seconds)
+        except (PlatformError, DataError) as error:
+            log.problem("lease not given up", error=str(error))
 
     async def _keep_lease(self) -> None:
         assert self._leases is not None
-        if self._read_clock() < self._renew_at_seconds:
-            return
-        was_holder = self.is_holder
-        renewal_seconds = self._settings.lease_seconds * RENEWAL_RATIO
-        self._renew_at_seconds = self._read_clock() + renewal_seconds
-        is_holder = await self._leases.try_take(self.lease, self._read_clock)
-        if is_holder and not was_holder:
-            log.info("lease taken", fencing_number=self.lease.version)
-            # What the holder before ordered shows in the runners' reports.
-            self._sent.clear()
-            await anyio.sleep(CONTROL_TIMEOUT_SECONDS)
-
-    async def _give_orders(self) -> None:
-        assert self._weights is not None
-        targets = await self._weights.load()
-        if not targets:
-            return
-        runners = await self._scheduler.ask(self._read_runners)
-        # Only the plan's shape depends on the number; each order reads its own.
-        for planned in plan_orders(runners, targets, fencing_number=0):
-            await self._send(planned)
-
-    async def _send(self, planned: PlannedOrder) -> None:
-        needed_seconds = CONTROL_TIMEOUT_SECONDS
-        number = self.lease.fencing_number(self._read_clock(), needed_seconds)
-        if number is None:
+        now_seconds = self._read_clock()
+        if now_seconds < self._renew_at_seconds or not self.lease.may_take(now_seconds):
+            self._note_holding()
             return
-        order = attrs.evolve(planned.order, fencing_number=number)
-        self._sent[planned.runner] = SentOrder(
-            order.weights_version, self._read_clock()
+        window_seconds = min(
+            self._settings.order_window_seconds, self.lease.duration_seconds
         )
+        self._renew_at_seconds = now_seconds + window_seconds * RENEWAL_RATIO
+        await self._leases.try_take(self.lease, self._read_clock)
+        self._note_holding()
+
+    def _note_holding(self) -> None:
+        is_holder = self.is_holder
+        if is_holder == self._was_holder:
+            return
+        self._was_holder = is_holder
+        sentence = "lease taken" if is_holder else "lease lost"
+        log.info(sentence, fencing_number=self.lease.version)
+        # What the holder before ordered shows in the runners' reports.
+        self._rollout.reset()
+
+    async def _look(self, tasks: TaskGroup) -> bool:
+        """Carry out what is to be done now; return whether more will follow."""
+        targets = await self._scheduler.ask(_read_targets)
+        if not targets:
+            return False
+        runners = await self._scheduler.ask(_read_runners)
+        now_seconds = self._read_clock()
+        steps = self._rollout.plan(runners, targets, now_seconds)
+        entries = await self._scheduler.ask(_read_entries)
+        for step in steps:
+            entry = entries.get(step.runner)
+            if entry is None:
+                continue
+            if isinstance(step, AskReport):
+                tasks.start_soon(self._ask, entry)
+            else:
+                self._rollout.note_sent(
+                    step.runner, step.order.weights_version, now_seconds
+                )
+                tasks.start_soon(self._order, entry, step)
+        return bool(steps or self._rollout.loads())
+
+    async def _ask(self, entry: HostEntry) -> None:
+        began_seconds = self._read_clock()
         try:
-            is_taken = await self._client.send_order(
-                planned.address, planned.runner, order
-            )
+            report = await self._control.probe(entry)
         except AttemptError as error:
-            # It may have been taken; the runner's report will show.
-            log.problem("order unanswered", error=str(error))
+            log.problem("runner does not report", runner=entry.name, error=str(error))
+            return
+        if report is None:
             return
-        if not is_taken:
-            del self._sent[planned.runner]
-        log.info("order sent", runner=planned.runner, is_taken=is_taken)
-
-    def _read_runners(
-        self, scheduler: Scheduler, now_seconds: float
-    ) -> list[RunnerState]:
-        return [
-            RunnerState(
-                name=upstream.name,
-                model=upstream.model,
-                weights_version=upstream.last_life.weights_version,
-                is_serving=scheduler.upstreams.is_open(upstream, now_seconds),
-                is_loading=upstream.role == "loading"
-                or self._is_pending(
-                    upstream.name, upstream.last_life.weights_version, now_seconds
-                ),
-                running_count=len(upstream.own_attempts),
-                address=upstream.entry.address,
+        was_pending = entry.name in self._rollout.loads()
+        self._rollout.note_report(entry.name, report, began_seconds)
+        self._scheduler.post(LoadReported(entry.name, report))
+        if was_pending and entry.name not in self._rollout.loads():
+            log.info(
+                "load over",
+                runner=entry.name,
+                weights_version=report.weights_version,
+                report_age_seconds=round(self._read_clock() - began_seconds, 3),
             )
-            for upstream in scheduler.upstreams
-            if upstream.is_runner and upstream.last_life is not None
-        ]
-
-    def _is_pending(
-        self, runner: str, weights_version: int, now_seconds: float
-    ) -> bool:
-        sent = self._sent.get(runner)
-        if sent is None or weights_version >= sent.weights_version:
-            self._sent.pop(runner, None)
-            return False
-        waited_seconds = now_seconds - sent.sent_at_seconds
-        return waited_seconds < self._settings.load_timeout_seconds
+            self._note_shown(entry.name, report.incarnation, report.weights_version)
+            await self.tell_peers()
+        self.wake()
+
+    def _note_shown(self, runner: str, incarnation: str, version: int) -> None:
+        now_seconds = self._read_clock()
+        self._shown[runner] = WeightsShown(runner, incarnation, version, now_seconds)
+        self._scheduler.post(WeightsSeen(runner, incarnation, version))
+
+    async def _order(self, entry: HostEntry, planned: PlannedOrder) -> None:
+        version = planned.order.weights_version
+        loads = self._rollout.loads()
+        until_seconds = loads[entry.name][1] if entry.name in loads else 0.0
+        self._scheduler.post(LoadOrdered(entry.name, "", version, until_seconds))
+        await self.tell_peers()
+        await anyio.sleep(ANNOUNCE_LEAD_SECONDS)
+        result = await self._send(entry, planned)
+        self._rollout.note_result(entry.name, result)
+        if result not in (OrderResult.TAKEN, OrderResult.LOST):
+            self._scheduler.post(LoadOrdered(entry.name, "", version, 0.0))
+        self.wake()
+
+    async def _send(self, entry: HostEntry, planned: PlannedOrder) -> OrderResult:
+        number = self.lease.fencing_number(self._read_clock(), CONTROL_TIMEOUT_SECONDS)
+        if number is None:
+            return OrderResult.REFUSED
+        order = attrs.evolve(planned.order, fencing_number=number)
+        self._ordered_at_seconds = self._read_clock()
+        result = await self._control.send_order(entry, order)
+        log.info(
+            "order sent",
+            runner=entry.name,
+            weights_version=order.weights_version,
+            fencing_number=number,
+            expected_orders_count=order.expected_orders_count,
+            result=result.value,
+        )
+        return result
+
+
+def _lease_seconds(settings: StewardSettings) -> float:
+    apart_seconds = settings.order_window_seconds + settings.orders_apart_seconds
+    if not settings.orders_apart_seconds:
+        return settings.lease_seconds
+    return max(settings.lease_seconds, apart_seconds)
+
+
+async def _tell_nobody() -> None:
+    return
+
+
+def _read_runners(scheduler: Scheduler, now_seconds: float) -> list[RunnerState]:
+    return [
+        RunnerState(
+            name=upstream.name,
+            model=upstream.model,
+            weights_version=upstream.last_life.weights_version,
+            is_serving=scheduler.upstreams.is_open(upstream, now_seconds),
+            is_loading=False,
+            running_count=scheduler.running_count(upstream),
+            address=upstream.entry.address,
+        )
+        for upstream in scheduler.upstreams
+        if upstream.is_runner
+        and upstream.last_life is not None
+        and upstream.entry.state != "leaving"
+    ]
+
+
+def _read_entries(scheduler: Scheduler, now_seconds: float) -> dict[str, HostEntry]:
+    return {upstream.name: upstream.entry for upstream in scheduler.upstreams}
+
+
+def _read_targets(scheduler: Scheduler, now_seconds: float) -> list[WeightsTarget]:
+    return scheduler.upstreams.targets.all_newest()
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_tcp_socket.py
@@ -0,0 +1,100 @@
+"""A TCP connection without a hidden buffer.
+
+A stream of the event loop may have read bytes that nobody asked for yet, and then
+nobody can tell whether a kept connection is clean. Here every byte is either in the
+kernel or with the caller.
+"""
+
+import socket
+
+import anyio
+
+#: Unacknowledged bytes after this time break a connection, so that a peer behind a
+#: cut does not hold requests until their deadlines.
+USER_TIMEOUT_MILLISECONDS = 2000
+
+#: Keep-alive probes of a silent connection: first after, then every, so many.
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES_COUNT = 3
+
+#: Bytes taken from the kernel at once.
+RECEIVE_BYTES = 65536
+
+
+class TcpSocket:
+    """One connection; errors are OSError, the peer's end is an empty read."""
+
+    def __init__(self, raw: socket.socket) -> None:
+        self._raw = raw
+        self._is_closed = False
+
+    @classmethod
+    async def connect(cls, address: str) -> "TcpSocket":
+        """Connect to ``ip:port``; the caller bounds the time."""
+        host, _, port = address.rpartition(":")
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            raw.setblocking(False)
+            _tune(raw)
+            await _connect(raw, (host, int(port)))
+        except BaseException:
+            raw.close()
+            raise
+        return cls(raw)
+
+    async def send(self, data: bytes) -> None:
+        """Send all bytes."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self._raw.send(view) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self._raw)
+
+    async def receive(self) -> bytes:
+        """Return the next bytes; none once the peer has ended its side."""
+        while True:
+            try:
+                return self._raw.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                await anyio.wait_readable(self._raw)
+
+    def has_news(self) -> bool:
+        """Return whether there is a byte to read, an end or an error."""
+        try:
+            self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self) -> None:
+        """Close the connection; what the peer still sends is lost."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._raw.close()
+
+
+async def _connect(raw: socket.socket, address: tuple[str, int]) -> None:
+    try:
+        raw.connect(address)
+    except BlockingIOError:
+        await anyio.wait_writable(raw)
+        error = raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "connection failed") from None
+
+
+def _tune(raw: socket.socket) -> None:
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES_COUNT),
+    )
+    for level, name, value in options:
+        raw.setsockopt(level, name, value)
--- a/packages/rampwick-router/src/rampwick_router/_upstream_client.py
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_client.py
@@ -13,8 +13,15 @@
 import httpx
 import orjson
 
-from rampwick_policy import Dispatch, Outcome
-from rampwick_schema import DataError, LoadReport, Order, structure, unstructure
+from rampwick_policy import Dispatch, OrderResult, Outcome
+from rampwick_schema import (
+    DataError,
+    HostEntry,
+    LoadReport,
+    Order,
+    structure,
+    unstructure,
+)
 
 from ._errors import AttemptError
 from ._sse import EventSplitter, StreamEvent
@@ -32,6 +39,15 @@
 CONTROL_TIMEOUT_SECONDS = 1.0
 
 
+#: What a runner says to an order, by the status of its answer.
+ORDER_RESULTS: dict[int, OrderResult] = {
+    httpx.codes.ACCEPTED: OrderResult.TAKEN,
+    httpx.codes.OK: OrderResult.HOLDS,
+    httpx.codes.CONFLICT: OrderResult.FENCED,
+    httpx.codes.PRECONDITION_FAILED: OrderResult.CONFLICT,
+}
+
+
 @attrs.frozen
 class StreamStart:
     """What an upstream says before the first event of an answer."""
@@ -146,9 +162,10 @@
         ):
             return
 
-    async def probe(self, address: str, upstream: str) -> LoadReport | None:
+    async def probe(self, entry: HostEntry) -> LoadReport | None:
         """Return a runner's report, or none from a service that is up."""
         step = "probe upstream"
+        address, upstream = entry.address, entry.name
         try:
             async with self._session.get(
                 f"http://{address}/load", timeout=self._control_timeout
@@ -164,17 +181,20 @@
             )
         return _read_report(body, step, upstream)
 
-    async def send_order(self, address: str, upstream: str, order: Order) -> bool:
-        """Send an order; return false if its fencing number was refused."""
-        async with self.request(
-            "PUT",
-            f"http://{address}/orders",
-            step="send order",
-            peer=upstream,
-            json=unstructure(order),
-            timeout=CONTROL_TIMEOUT_SECONDS,
-        ) as response:
-            return response.is_success
+    async def send_order(self, entry: HostEntry, order: Order) -> OrderResult:
+        """Send an order and return what the runner says to it."""
+        try:
+            async with self.request(
+                "PUT",
+                f"http://{entry.address}/orders",
+                step="send order",
+                peer=entry.name,
+                json=unstructure(order),
+                timeout=CONTROL_TIMEOUT_SECONDS,
+            ) as response:
+                return ORDER_RESULTS.get(response.status_code, OrderResult.REFUSED)
+        except AttemptError:
+            return OrderResult.LOST
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_control.py
@@ -0,0 +1,97 @@
+"""Control calls to upstreams: probes, orders, cancellations."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from rampwick_policy import OrderResult, Outcome
+from rampwick_schema import DataError, HostEntry, LoadReport, Order
+
+from ._channels import AnswerHead, ChannelPool
+from ._dialects import ControlDialect, ControlRequest
+from ._errors import AttemptError
+
+#: Longest wait for an answer to a control call. An order is given only if the lease
+#: outlives it, so it is short; answers take a few milliseconds.
+CONTROL_TIMEOUT_SECONDS = 0.4
+
+#: Longest answer to a control call.
+MAX_ANSWER_BYTES = 1_048_576
+
+
+class UpstreamControl(Protocol):
+    """What the daemon asks of upstreams besides serving requests."""
+
+    async def probe(self, entry: HostEntry) -> LoadReport | None:
+        """Return a runner's report, or none from a service that is up."""
+
+    async def send_order(self, entry: HostEntry, order: Order) -> OrderResult:
+        """Send an order and return what the runner says to it."""
+
+    async def cancel(self, address: str, upstream: str, attempt_id: str) -> None:
+        """Stop an attempt that nobody waits for any more."""
+
+
+class DialectControl:
+    """Control calls over kept connections, in a deployment's own dialect."""
+
+    def __init__(
+        self,
+        channels: ChannelPool,
+        dialect: ControlDialect,
+        find_health_path: Callable[[str], str],
+    ) -> None:
+        self._channels = channels
+        self._dialect = dialect
+        self._find_health_path = find_health_path
+
+    async def probe(self, entry: HostEntry) -> LoadReport | None:
+        """Return a runner's report, or none from a service that is up."""
+        head, body = await self._call(entry, self._probe_request(entry))
+        try:
+            return self._dialect.read_probe(entry, head, body)
+        except DataError as error:
+            raise AttemptError(
+                error.message, outcome=Outcome.BROKEN, step=error.step, peer=entry.name
+            ) from error
+
+    async def send_order(self, entry: HostEntry, order: Order) -> OrderResult:
+        """Send an order; no answer is a result too."""
+        try:
+            head, _ = await self._call(entry, self._dialect.order(entry, order))
+        except AttemptError as error:
+            if error.outcome.never_arrived:
+                return OrderResult.REFUSED
+            return OrderResult.LOST
+        return self._dialect.read_order(head)
+
+    def _probe_request(self, entry: HostEntry) -> ControlRequest:
+        return self._dialect.probe(entry, self._find_health_path(entry.group))
+
+    async def cancel(self, address: str, upstream: str, attempt_id: str) -> None:
+        """Do nothing: closing the attempt's connection has stopped it already."""
+
+    async def _call(
+        self, entry: HostEntry, request: ControlRequest
+    ) -> tuple[AnswerHead, bytes]:
+        headers = list(request.headers)
+        if request.body:
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        with anyio.move_on_after(CONTROL_TIMEOUT_SECONDS):
+            async with self._channels.borrow(entry.name, entry.address) as channel:
+                await channel.send(request.method, request.path, headers, request.body)
+                head = await channel.receive_head()
+                body = b""
+                async for piece in channel.receive_pieces():
+                    body += piece
+                    if len(body) > MAX_ANSWER_BYTES:
+                        raise _failed("the answer is too long", request, entry)
+                return head, body
+        raise _failed("no answer in time", request, entry)
+
+
+def _failed(message: str, request: ControlRequest, entry: HostEntry) -> AttemptError:
+    return AttemptError(
+        message, outcome=Outcome.BROKEN, step=request.step, peer=entry.name
+    )
--- a/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
@@ -2,14 +2,14 @@
 
 import anyio
 
-from rampwick_platform import ObjectApi, PlatformError
 from rampwick_policy import HostListRead, LoadReported, ProbeFailed
-from rampwick_schema import DataError, HostEntry, HostList
+from rampwick_schema import HostEntry, HostList
 
 from ._errors import AttemptError
+from ._host_sources import HostSource
 from ._logs import PartLogger
 from ._scheduler_task import SchedulerTask
-from ._upstream_client import UpstreamClient
+from ._upstream_control import UpstreamControl
 
 #: Time between two looks at which upstreams are to be probed.
 LOOK_INTERVAL_SECONDS = 0.25
@@ -18,17 +18,11 @@
 
 
 class HostListTask:
-    """Reads the platform's host list and passes on each newer one."""
-
-    def __init__(
-        self,
-        api: ObjectApi | None,
-        scheduler: SchedulerTask,
-        interval_seconds: float,
-    ) -> None:
-        self._api = api
+    """Keeps the newest host list, whoever read it, and passes on each newer one."""
+
+    def __init__(self, source: HostSource | None, scheduler: SchedulerTask) -> None:
+        self._source = source
         self._scheduler = scheduler
-        self._interval_seconds = interval_seconds
         #: The newest list, for peers' addresses.
         self.host_list = HostList(version=0, hosts=[])
         #: Version of that list; -1 before the first.
@@ -37,33 +31,44 @@
         self.problem = ""
 
     async def run(self) -> None:
-        """Read the list again and again until cancelled."""
-        if self._api is None:
-            return
-        while True:
-            try:
-                self.offer(await self._api.read_hosts())
-                self.problem = ""
-            except (PlatformError, DataError) as error:
-                # The last list stays good: upstreams are probed anyway.
-                self.problem = str(error)
-            await anyio.sleep(self._interval_seconds)
+        """Follow the source until cancelled."""
+        if self._source is not None:
+            await self._source.run(self.offer, self.note_problem)
+
+    def note_problem(self, problem: str) -> None:
+        """Note why the list can't be read, or by an empty text that it can."""
+        if problem and not self.problem:
+            log.problem("host list can't be read", error=problem)
+        if self.problem and not problem:
+            log.info("host list can be read again")
+        self.problem = problem
 
     def offer(self, host_list: HostList) -> None:
         """Take a list if it is newer than the last."""
         if host_list.version <= self.version:
             return
+        self._log_changes(host_list)
         self.version = host_list.version
         self.host_list = host_list
-        log.info("host list read", version=host_list.version)
         self._scheduler.post(HostListRead(host_list))
 
+    def _log_changes(self, host_list: HostList) -> None:
+        before = {entry.name: entry.state for entry in self.host_list.hosts}
+        after = {entry.name: entry.state for entry in host_list.hosts}
+        log.info(
+            "host list read",
+            version=host_list.version,
+            added=sorted(after.keys() - before.keys()),
+            removed=sorted(before.keys() - after.keys()),
+            leaving=sorted(name for name, state in after.items() if state != "live"),
+        )
+
 
 class ProbeTask:
     """Asks for their load those upstreams whose turn it is."""
 
-    def __init__(self, client: UpstreamClient, scheduler: SchedulerTask) -> None:
-        self._client = client
+    def __init__(self, control: UpstreamControl, scheduler: SchedulerTask) -> None:
+        self._control = control
         self._scheduler = scheduler
 
     async def run(self) -> None:
@@ -81,7 +86,7 @@
 
     async def _probe(self, entry: HostEntry) -> None:
         try:
-            report = await self._client.probe(entry.address, entry.name)
+            report = await self._control.probe(entry)
         except AttemptError as error:
             self._scheduler.post(ProbeFailed(entry.name, str(error)))
             return
@@ -91,8 +96,8 @@
 class CancelTask:
     """Tells upstreams to stop attempts that nobody waits for."""
 
-    def __init__(self, client: UpstreamClient, scheduler: SchedulerTask) -> None:
-        self._client = client
+    def __init__(self, control: UpstreamControl, scheduler: SchedulerTask) -> None:
+        self._control = control
         self._scheduler = scheduler
 
     async def run(self) -> None:
@@ -105,6 +110,6 @@
 
     async def _cancel(self, address: str, upstream: str, attempt_id: str) -> None:
         try:
-            await self._client.cancel(address, upstream, attempt_id)
+            await self._control.cancel(address, upstream, attempt_id)
         except AttemptError as error:
             log.problem("attempt not cancelled", attempt=attempt_id, error=str(error))
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -15,6 +15,8 @@
     HostListRequest as HostListRequest,
     PlacedPrefix as PlacedPrefix,
     Proof as Proof,
+    RunnerLoad as RunnerLoad,
+    RunnerWeights as RunnerWeights,
     Summary as Summary,
     TreeReply as TreeReply,
     UpstreamUsage as UpstreamUsage,
@@ -25,10 +27,19 @@
     ClaimShard as ClaimShard,
     HostEntry as HostEntry,
     HostList as HostList,
+    HostRecord as HostRecord,
     LeaseRecord as LeaseRecord,
     WeightsTarget as WeightsTarget,
     WeightsTargets as WeightsTargets,
 )
+from ._generated_routing import (
+    CallerLimits as CallerLimits,
+    KeptStore as KeptStore,
+    Route as Route,
+    Routing as Routing,
+    Service as Service,
+    WeightedService as WeightedService,
+)
 from ._generated_settings import (
     ClaimSettings as ClaimSettings,
     HostSettings as HostSettings,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -82,6 +82,32 @@
     extents_tokens: list[int]
 
 
+@attrs.frozen
+class RunnerLoad:
+    """A load of weights that the sender has ordered and that is not over."""
+
+    #: Name of the runner.
+    upstream: str
+    #: Life of the runner that was told.
+    incarnation: str
+    #: Weights that it loads.
+    weights_version: int = attrs.field(validator=within(0, None))
+    #: Time after which it is over at the latest.
+    remaining_seconds: float = attrs.field(validator=within(0.0, None))
+
+
+@attrs.frozen
+class RunnerWeights:
+    """Weights that the sender has seen a runner have."""
+
+    #: Name of the runner.
+    upstream: str
+    #: Life of the runner.
+    incarnation: str
+    #: Its weights.
+    weights_version: int = attrs.field(validator=within(0, None))
+
+
 @attrs.frozen
 class Summary:
     """What a host tells each peer at each interval; also its heartbeat."""
@@ -102,6 +128,12 @@
     upstreams: list[UpstreamUsage]
     #: Placements since the last summary.
     placed: list[PlacedPrefix]
+    #: Version of the steward's lease that the sender holds; 0 if it holds none.
+    lease_version: int = attrs.field(default=0, validator=within(0, None))
+    #: Loads that the sender has ordered.
+    loads: list[RunnerLoad] = attrs.field(factory=list)
+    #: Weights that runners were seen to have after loads that the sender ordered.
+    weights: list[RunnerWeights] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
@@ -24,8 +24,16 @@
     address: str
     #: Whether it may be given work.
     state: str = attrs.field(default="live", validator=one_of(["live", "leaving"]))
-    #: Service that it belongs to; runners leave it empty.
+    #: Service that it belongs to; runners without routes leave it empty.
     group: str = attrs.field(default="")
+    #: Life of the upstream where the list tells it; empty where it has to be asked.
+    incarnation: str = attrs.field(default="")
+    #: Model of a runner where the list tells it.
+    model: str = attrs.field(default="")
+    #: Loaded weights where the list tells them; the list lags.
+    weights_version: int = attrs.field(default=0, validator=within(0, None))
+    #: Requests that it works on at once where the list tells them.
+    slots_count: int = attrs.field(default=0, validator=within(0, None))
     #: Whether it refuses orders with an old fencing number.
     checks_fencing: bool = attrs.field(default=False)
 
@@ -60,6 +68,20 @@
     claims: list[Claim]
 
 
+@attrs.frozen
+class HostRecord:
+    """Where a host's peers find it; each host keeps its own."""
+
+    #: Name of the host.
+    host: str
+    #: Hall that it stands in.
+    hall: str
+    #: IP and port of its streams between hosts.
+    peer_address: str
+    #: Random id of the host's last write.
+    write_id: str
+
+
 @attrs.frozen
 class LeaseRecord:
     """Who holds a lease; the object's version is the fencing number."""
@@ -68,8 +90,8 @@
     holder: str
     #: Random id of the holder's last write.
     write_id: str
-    #: Length of the lease from the write on.
-    duration_seconds: float = attrs.field(validator=within(0.1, None))
+    #: Length of the lease from the write on; 0 once its holder has given it up.
+    duration_seconds: float = attrs.field(validator=within(0.0, None))
 
 
 @attrs.frozen
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ._rules import within
+from ._rules import one_of, within
 
 
 @attrs.frozen
@@ -32,6 +32,14 @@
     entry_port: int = attrs.field(default=0, validator=within(0, 65535))
     #: Port for operators: metrics, status, drain.
     admin_port: int = attrs.field(default=0, validator=within(0, 65535))
+    #: Callers' interface as ip:port; empty takes address and entry_port.
+    entry: str = attrs.field(default="")
+    #: Operators' interface as ip:port; empty takes address and admin_port.
+    admin: str = attrs.field(default="")
+    #: Streams between processes as ip:port; empty takes address and peer_port.
+    peer: str = attrs.field(default="")
+    #: A listener as ip:port that tells a balancer no more than whether the host is ready; empty for none.
+    ready: str = attrs.field(default="")
     #: Port for the streams between rampwickd processes.
     peer_port: int = attrs.field(default=0, validator=within(0, 65535))
 
@@ -42,12 +50,22 @@
 
     #: Base URL; empty runs without a platform, on the fallback tree.
     url: str = attrs.field(default="")
+    #: Time after which a key that was taken away must not be honoured on routes; requests with keys are refused a margin earlier if the configuration was not confirmed since. 0 for no bound.
+    max_key_age_seconds: float = attrs.field(default=0.0, validator=within(0.0, 3600.0))
+    #: Time since that confirmation after which an unknown route or key is looked up on the platform first; 0 for no bound.
+    max_denial_age_seconds: float = attrs.field(
+        default=0.0, validator=within(0.0, 3600.0)
+    )
     #: Longest wait for one answer.
     call_timeout_seconds: float = attrs.field(default=2.0, validator=within(0.01, 60.0))
     #: Length of one waiting watch.
     watch_timeout_seconds: float = attrs.field(
         default=10.0, validator=within(0.1, 300.0)
     )
+    #: Length of one waiting watch on a configuration that routes hang on; each answer confirms it.
+    confirm_wait_seconds: float = attrs.field(
+        default=2.0, validator=within(0.05, 300.0)
+    )
     #: Time between two reads of the host list.
     host_list_interval_seconds: float = attrs.field(
         default=1.0, validator=within(0.05, 60.0)
@@ -94,6 +112,24 @@
     prefill_tokens_per_second: float = attrs.field(
         default=8000.0, validator=within(1.0, 10000000.0)
     )
+    #: Weight of a token imported from another cache, as part of the price of computing it.
+    import_price: float = attrs.field(default=0.1, validator=within(0.0, 100.0))
+    #: What sending a request to another hall is taken to cost, as waiting time.
+    hall_distance_seconds: float = attrs.field(
+        default=0.002, validator=within(0.0, 10.0)
+    )
+    #: Time after the naming of newer weights in which older ones count as good.
+    outdated_grace_seconds: float = attrs.field(
+        default=1.0, validator=within(0.0, 3600.0)
+    )
+    #: What a runner with older weights is then taken to cost, as waiting time.
+    outdated_penalty_seconds: float = attrs.field(
+        default=0.2, validator=within(0.0, 3600.0)
+    )
+    #: Time after which nothing may begin on older weights; a runner gets nothing a margin earlier. 0 for no bound.
+    max_outdated_seconds: float = attrs.field(
+        default=0.0, validator=within(0.0, 3600.0)
+    )
     #: Prompts kept waiting for prefill at a runner, as prefill time; the rest waits here, in fair order.
     max_prefill_queue_seconds: float = attrs.field(
         default=0.1, validator=within(0.001, 60.0)
@@ -122,6 +158,24 @@
 
     #: Retries allowed as a share of fresh requests.
     budget_ratio: float = attrs.field(default=0.1, validator=within(0.0, 1.0))
+    #: Part of the budget that is really used, where others judge by the whole.
+    margin_ratio: float = attrs.field(default=1.0, validator=within(0.0, 1.0))
+    #: Retries that all hosts together may save up for one service, each an equal part; 0 takes max_saved_count.
+    fleet_saved_count: float = attrs.field(
+        default=0.0, validator=within(0.0, 1000000.0)
+    )
+    #: Retries that may be saved up for one service while nothing fails.
+    max_saved_count: float = attrs.field(default=64.0, validator=within(0.0, 100000.0))
+    #: Retries earned by time alone while none is saved.
+    floor_per_second: float = attrs.field(default=0.5, validator=within(0.0, 1000.0))
+    #: Whether an attempt after a refusal is paid from the budget, as one after a failure is.
+    charges_refusals: bool = attrs.field(default=False)
+    #: Time between two probes of a healthy upstream; 0 probes only those that are down.
+    probe_interval_seconds: float = attrs.field(
+        default=1.0, validator=within(0.0, 60.0)
+    )
+    #: Part of a request's latency target for which it waits while no upstream can take it.
+    hold_ratio: float = attrs.field(default=0.25, validator=within(0.0, 100.0))
     #: Attempts for one request, the first included.
     max_attempts_count: int = attrs.field(default=3, validator=within(1, 10))
     #: Share of its slots that a returning upstream is given at first.
@@ -166,6 +220,12 @@
     balancer_delay_seconds: float = attrs.field(
         default=2.0, validator=within(0.0, 300.0)
     )
+    #: Time after which a stopping process is killed; it leaves a margin earlier, whatever is open. 0 for no bound.
+    stop_within_seconds: float = attrs.field(
+        default=0.0, validator=within(0.0, 86400.0)
+    )
+    #: Whether new requests are refused after the balancer's delay, or served on until the host leaves.
+    refuses_while_leaving: bool = attrs.field(default=True)
     #: Longest wait for open requests at a stop.
     drain_timeout_seconds: float = attrs.field(
         default=300.0, validator=within(0.0, 86400.0)
@@ -194,6 +254,20 @@
     is_candidate: bool = attrs.field(default=True)
     #: Length of the lease; renewed at a third of it.
     lease_seconds: float = attrs.field(default=10.0, validator=within(0.2, 600.0))
+    #: Least time between the orders of two holders; the lease is at least that much longer than the window.
+    orders_apart_seconds: float = attrs.field(default=0.0, validator=within(0.0, 600.0))
+    #: Time after a renewal in which its holder may give orders; less than the lease, so that two holders' orders lie apart.
+    order_window_seconds: float = attrs.field(
+        default=5.0, validator=within(0.05, 600.0)
+    )
+    #: Runners that load weights at once in any case; more may slow each other down.
+    max_loads_count: int = attrs.field(default=2, validator=within(1, 10000))
+    #: Part of a model's runners that may load at once, where that is more.
+    max_loads_ratio: float = attrs.field(default=0.0, validator=within(0.0, 1.0))
+    #: What becomes of a runner's streams at a load: they end first, are cut, or go on under the new weights.
+    manner: str = attrs.field(
+        default="drain", validator=one_of(["drain", "cut", "keep"])
+    )
     #: Time after which an ordered load counts as failed.
     load_timeout_seconds: float = attrs.field(
         default=120.0, validator=within(0.1, 3600.0)
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_tree.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_tree.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ._generated_routing import Routing
 from ._rules import one_of, within
 
 
@@ -48,6 +49,10 @@
     key_hashes: list[str] = attrs.field(factory=list)
     #: Whether callers can act as this node.
     is_workspace: bool = attrs.field(default=False)
+    #: Whether its cached prompts are kept from workspaces that it would share them with; not inherited.
+    is_isolated: bool = attrs.field(default=False)
+    #: Rank of its requests on routes, before the route's own; not inherited.
+    priority_rank: int | None = attrs.field(default=None, validator=within(0, 9))
 
 
 @attrs.frozen
@@ -58,6 +63,8 @@
     revision: int = attrs.field(validator=within(0, None))
     #: Nodes by path; the root is /.
     nodes: dict[str, Node]
+    #: Routes to services; empty where callers only use rampwick's own paths.
+    routing: Routing = attrs.field(factory=Routing)
 
 
 @attrs.frozen
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_upstream.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_upstream.py
@@ -34,6 +34,8 @@
     role: str = attrs.field(default="serve")
     #: Highest fencing number seen.
     fencing_number: int = attrs.field(default=0, validator=within(0, None))
+    #: Orders that this life has taken.
+    orders_count: int = attrs.field(default=0, validator=within(0, None))
 
 
 @attrs.frozen
@@ -46,3 +48,7 @@
     weights_version: int = attrs.field(validator=within(0, None))
     #: Role that the runner shall take.
     role: str = attrs.field(default="serve")
+    #: Orders that the runner must have taken for this one to count; none for any number.
+    expected_orders_count: int | None = attrs.field(
+        default=None, validator=within(0, None)
+    )
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from rampwick_platform import LeaseStore, WeightsStore
-from rampwick_policy import LeaseWatcher, RunnerState, plan_orders
+from rampwick_policy import LeaseWatcher, OrderResult, RunnerState, plan_orders
 from rampwick_schema import WeightsTarget
 from rampwick_standin import PlatformFaults
 
@@ -169,17 +169,16 @@
                 runner.engine.fencing_number = 1_000_000
                 async with bench.open_api() as api:
                     await WeightsStore(api).set_target(TARGET[0])
-                client = host.daemon.steward._client
-                refused = []
+                client = host.daemon.steward._control
+                results = []
 
-                async def send_order(address, upstream, order):
-                    taken = await send(address, upstream, order)
-                    refused.append(taken)
-                    return taken
+                async def send_order(entry, order):
+                    results.append(await send(entry, order))
+                    return results[-1]
 
                 send = client.send_order
                 with mock.patch.object(client, "send_order", send_order):
-                    await until(lambda: refused)
-                return refused[0], runner.engine.weights_version
+                    await until(lambda: results)
+                return results[0], runner.engine.weights_version
 
-        self.assertEqual((False, 1), self.run_scenario(scenario))
+        self.assertEqual((OrderResult.FENCED, 1), self.run_scenario(scenario))
--- a/tools/generate_schema.py
+++ b/tools/generate_schema.py
@@ -20,7 +20,8 @@
 # The import order of the generated modules: later ones may use earlier ones.
 MODULES = {
     "settings": [],
-    "tree": [],
+    "routing": [],
+    "tree": ["routing"],
     "platform": [],
     "upstream": [],
     "peer": ["platform", "tree"],
@@ -42,7 +43,7 @@
     "_number",
 )
 PURE_NUMBERS = {"weight", "revision", "after_revision", "sequence", "version"}
-PURE_NUMBERS |= {"incarnation"}
+PURE_NUMBERS |= {"incarnation", "priority_rank"}
 
 MODULE_TEMPLATE = '''\
 """{{ title }}
