--- a/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
@@ -27,12 +27,12 @@
         by itself.
         """
         if not watcher.version:
-            await self._read(watcher, read_clock)
+            await self.read(watcher, read_clock)
         if not watcher.may_take(read_clock()):
             return False
         if await self._write(watcher, read_clock):
             return True
-        await self._read(watcher, read_clock)
+        await self.read(watcher, read_clock)
         return False
 
     async def release(self, watcher: LeaseWatcher, wait_seconds: float) -> None:
@@ -42,9 +42,10 @@
         )
         await self._api.put(self._key, encode_record(record), watcher.version)
 
-    async def _read(
+    async def read(
         self, watcher: LeaseWatcher, read_clock: Callable[[], float]
     ) -> None:
+        """Learn of the lease as it is now."""
         stored = await self._api.get(self._key)
         if stored is not None:
             record = decode_record(stored, LeaseRecord)
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -47,6 +47,7 @@
 from ._knowledge import CacheKnowledge as CacheKnowledge, Life as Life
 from ._lapses import LapseGuard as LapseGuard
 from ._lease import LeaseWatcher as LeaseWatcher
+from ._leaving import fits_before as fits_before
 from ._membership import Membership as Membership
 from ._orders import (
     PlannedOrder as PlannedOrder,
--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -139,6 +139,8 @@
         item.stranded_at_seconds = None
         if not room.has_any(views):
             return None
+        fresh = [view for view in views if view.name not in item.tried]
+        views = fresh or views
         choice = self._choose(item, views, now_seconds)
         if self._is_hopeless(arrival, choice, views, now_seconds):
             self._queue.remove(item)
--- a/packages/rampwick-policy/src/rampwick_policy/_lease.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_lease.py
@@ -24,8 +24,11 @@
     #: Version under which the record was last seen; 0 if there is none.
     version: int = 0
     record: LeaseRecord | None = None
+    #: Last time at which its holder was heard of, whatever the version.
+    heard_at_seconds: float = 0.0
     _seen_at_seconds: float = 0.0
-    _held_until_seconds: float = 0.0
+    _held_until_seconds: float = -math.inf
+    _orders_until_seconds: float = -math.inf
 
     def observe(
         self, record: LeaseRecord | None, version: int, now_seconds: float
@@ -33,14 +36,16 @@
         """Note what a read showed; an older version changes nothing."""
         if version <= self.version:
             return
+        self.heard_at_seconds = now_seconds
         self.version = version
         self.record = record
         self._seen_at_seconds = now_seconds
         if record is None or record.holder != self.host:
-            self._held_until_seconds = 0.0
+            self.give_up()
 
     def note_heard(self, holder: str, version: int, now_seconds: float) -> None:
         """Note what a peer says of the lease that it holds."""
+        self.heard_at_seconds = now_seconds
         record = LeaseRecord(holder, "", self.duration_seconds)
         self.observe(record, version, now_seconds)
 
@@ -57,13 +62,21 @@
         self.version = version
         self.record = record
         self._seen_at_seconds = write_began_seconds
-        self._held_until_seconds = write_began_seconds + min(
+        self._held_until_seconds = write_began_seconds + record.duration_seconds
+        self._orders_until_seconds = write_began_seconds + min(
             record.duration_seconds, self.order_window_seconds
         )
 
     def give_up(self) -> None:
-        """Stop giving orders at once, whatever the lease says."""
-        self._held_until_seconds = -math.inf
+        """Hold the lease no more and stop giving orders at once."""
+        self._held_until_seconds = self._orders_until_seconds = -math.inf
+
+    def is_held(self, now_seconds: float) -> bool:
+        """Return whether no other host can have taken the lease yet.
+
+        Orders may need it to be renewed first.
+        """
+        return now_seconds < self._held_until_seconds
 
     def fencing_number(
         self, now_seconds: float, needed_seconds: float = 0.0
@@ -73,6 +86,6 @@
         None means that the lease would not outlive the order: an upstream that
         ignores fencing could then obey two holders.
         """
-        if now_seconds + needed_seconds >= self._held_until_seconds:
+        if now_seconds + needed_seconds >= self._orders_until_seconds:
             return None
         return self.version
--- a/packages/rampwick-policy/src/rampwick_policy/_orders.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_orders.py
@@ -74,6 +74,9 @@
     of_model: Sequence[RunnerState],
     planned: Sequence[PlannedOrder],
 ) -> bool:
+    if not runner.is_serving:
+        # It serves nothing as it is, so nothing is lost while it loads.
+        return True
     taken = {item.runner for item in planned} | {runner.name}
     serving = sum(
         item.is_serving and not item.is_loading and item.name not in taken
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -19,6 +19,8 @@
     expected_tokens: float
     #: Whether its next attempt must be paid from the retry budget.
     needs_budget: bool = False
+    #: Upstreams that had an attempt; another one goes first.
+    tried: set[str] = attrs.field(factory=set)
     #: Upstream of the current attempt and what was charged for it.
     upstream: str = ""
     charged_tokens: float = 0.0
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -206,6 +206,7 @@
         if item is None or not item.lifecycle.fail(event.attempt_id, event.outcome):
             return []
         peer = item.upstream
+        item.tried.add(peer)
         actions = self._stop_attempt(item, event)
         self._release(item, event.attempt_id, now_seconds)
         self.pool.note_failure(peer, event, now_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/_configuration_sources.py
@@ -174,8 +174,9 @@
                 # Refused whole; the one before stays in force.
                 self._refused_version = state.version
                 log.problem("configuration refused", error=str(error))
-        if is_new:
+        # A newer revision that could not be put in force may have taken a key away.
+        is_newest = follower.revision == follower.head_revision
+        if follower.revision and is_newest and state.version != self._refused_version:
             self._task.confirm(state.confirmed_at_seconds)
+        if is_new:
             self._task.announce()
-        elif follower.revision:
-            self._task.confirm(state.confirmed_at_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -179,6 +179,16 @@
         if self.follower.offer_fallback(fallback.tree):
             self._configuration.announce()
 
+    def reload(self, settings: Settings) -> None:
+        """Take settings that were read again: seeds at once, the rest at a restart."""
+        changed = sorted(
+            field.name
+            for field in attrs.fields(Settings)
+            if getattr(settings, field.name) != getattr(self._settings, field.name)
+        )
+        self._peers.seeds = frozenset(settings.peers.seeds)
+        log.info("settings reloaded", changed=changed)
+
     async def start(self, tasks: TaskGroup, listeners: "Listeners") -> None:
         """Start all tasks; return once requests are taken."""
         tasks.start_soon(self.scheduler.run)
@@ -202,6 +212,10 @@
         """Carry out a planned stop once it has begun."""
         await self.life.wait_stopping()
         began_seconds = self._clocks.monotonic()
+        stop_within_seconds = self._settings.life.stop_within_seconds
+        if stop_within_seconds:
+            gone_by_seconds = began_seconds + stop_within_seconds - STOP_MARGIN_SECONDS
+            self.life.gone_by_seconds = gone_by_seconds
         log.info("not ready, waiting for the balancer")
         self._peers.is_leaving = True
         await self.steward.give_up()
@@ -209,20 +223,19 @@
         await self.life.pause(self._settings.life.balancer_delay_seconds)
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("closed, serving out", open_count=self.entry.open_count)
-        with anyio.move_on_after(self._drain_seconds(began_seconds)):
+        with anyio.move_on_after(self._drain_seconds()):
             while self.entry.open_count:
                 # A hurried stop has each open request end itself with an error.
                 await anyio.sleep(DRAIN_STEP_SECONDS)
         log.info("left", open_count=self.entry.open_count)
 
-    def _drain_seconds(self, began_seconds: float) -> float:
+    def _drain_seconds(self) -> float:
         """Return how long open requests are waited for at the most."""
-        life = self._settings.life
-        if not life.stop_within_seconds:
-            return life.drain_timeout_seconds
-        spent_seconds = self._clocks.monotonic() - began_seconds
-        left_seconds = life.stop_within_seconds - STOP_MARGIN_SECONDS - spent_seconds
-        return max(0.0, min(life.drain_timeout_seconds, left_seconds))
+        drain_seconds = self._settings.life.drain_timeout_seconds
+        if self.life.gone_by_seconds is None:
+            return drain_seconds
+        left_seconds = self.life.gone_by_seconds - self._clocks.monotonic()
+        return max(0.0, min(drain_seconds, left_seconds))
 
 
 @attrs.frozen
--- a/packages/rampwick-router/src/rampwick_router/_life.py
+++ b/packages/rampwick-router/src/rampwick_router/_life.py
@@ -13,6 +13,8 @@
     def __init__(self) -> None:
         self._stopping = anyio.Event()
         self._hurrying = anyio.Event()
+        #: Steady time by which a stopping host is gone; none while it has time.
+        self.gone_by_seconds: float | None = None
 
     @property
     def is_ready(self) -> bool:
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -14,6 +14,9 @@
 from ._fallback import read_fallback
 from ._integration import Integration
 from ._log_sink import open_log
+from ._logs import PartLogger
+
+log = PartLogger("life")
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
@@ -42,7 +45,7 @@
         # A test or a demo that let the ports be chosen reads them here; where logs
         # go to standard output the line "started" says them.
         announce = print if arguments.log else _announce_nothing
-        anyio.run(run_host, settings, None, announce)
+        anyio.run(run_host, arguments.settings, None, announce)
     return EXIT_OK
 
 
@@ -64,16 +67,21 @@
 
 
 async def run_host(
-    settings: Settings,
-    integration: Integration | None = None,
+    path: Path,
+    make_integration: Callable[[Settings], Integration] | None = None,
     announce: Callable[..., None] = _announce_nothing,
 ) -> None:
-    """Run a daemon until it is told to stop by a signal."""
+    """Run a daemon until it is told to stop by a signal.
+
+    ``path`` leads to its settings, which SIGHUP has read again.
+    """
+    settings = read_settings(path)
+    integration = make_integration(settings) if make_integration else None
     async with (
         run_daemon(settings, integration=integration) as (daemon, addresses),
         anyio.create_task_group() as tasks,
     ):
-        tasks.start_soon(_watch_signals, daemon)
+        tasks.start_soon(_watch_signals, daemon, path)
         announce(
             f"rampwickd {settings.host.name} entry={addresses.entry} "
             f"admin={addresses.admin} peer={addresses.peer}",
@@ -83,7 +91,19 @@
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(daemon: Daemon) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            daemon.life.begin_stop()
+async def _watch_signals(daemon: Daemon, path: Path) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                _reload(daemon, path)
+            else:
+                daemon.life.begin_stop()
+
+
+def _reload(daemon: Daemon, path: Path) -> None:
+    try:
+        daemon.reload(read_settings(path))
+    except RampwickError as error:
+        log.problem("settings not reloaded, the old ones hold", error=str(error))
--- a/packages/rampwick-router/src/rampwick_router/_peers.py
+++ b/packages/rampwick-router/src/rampwick_router/_peers.py
@@ -114,6 +114,8 @@
         self._dialled: dict[str, anyio.CancelScope] = {}
         self._sequence = 0
         self._accepted_count = 0
+        #: Addresses known from the settings.
+        self.seeds = frozenset(settings.peers.seeds)
         #: Whether peers are told that this host takes no new requests.
         self.is_leaving = False
 
@@ -158,7 +160,7 @@
         }
         if self._directory is not None:
             listed |= self._directory.addresses()
-        return listed | set(self._settings.seeds)
+        return listed | self.seeds
 
     async def _dial_forever(self, address: str, scope: anyio.CancelScope) -> None:
         with scope:
--- a/packages/rampwick-router/src/rampwick_router/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/_routed_entry.py
@@ -2,11 +2,11 @@
 
 import anyio
 
-from rampwick_policy import Access, Verdict, choose_service
+from rampwick_policy import Access, Verdict, choose_service, fits_before
 from rampwick_schema import Route, Service
 
 from ._dialects import RawCall, RoutedCall
-from ._errors import CallerError, denial
+from ._errors import OTHER_HOST_SECONDS, CallerError, denial
 from ._logs import PartLogger
 from ._parts import Parts
 from ._responder import Message, Receive, Responder, read_body
@@ -52,6 +52,7 @@
         if access.verdict is not Verdict.ALLOWED:
             raise denial(access.verdict)
         assert access.route is not None and access.workspace is not None
+        self._check_stop(access.route, call)
         return RoutedRequest(
             call=call,
             route=access.route,
@@ -61,6 +62,24 @@
             arrived_at_seconds=arrived_at_seconds,
         )
 
+    def _check_stop(self, route: Route, call: RoutedCall) -> None:
+        """Raise if this host may be gone before the answer is whole."""
+        gone_by_seconds = self._parts.life.gone_by_seconds
+        if gone_by_seconds is None or fits_before(
+            gone_by_seconds,
+            latency_target_seconds=route.latency_target_seconds,
+            max_answer_tokens=call.max_answer_tokens,
+            now_seconds=self._parts.read_clock(),
+        ):
+            return
+        raise CallerError(
+            "this host is leaving",
+            status=503,
+            code="leaving",
+            step="accept request",
+            retry_after_seconds=OTHER_HOST_SECONDS,
+        )
+
     async def _look_again(self, call: RoutedCall) -> Access:
         with anyio.move_on_after(LOOK_TIMEOUT_SECONDS):
             await self._parts.configuration.refresh()
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -38,10 +38,14 @@
 BUSY_INTERVAL_SECONDS = 0.05
 IDLE_INTERVAL_SECONDS = 0.25
 
-#: Part of the order window after which the lease is renewed: two renewals may fail
-#: before the holder must stop giving orders.
+#: Part of the lease after which it is renewed: two renewals may fail before another
+#: host takes it.
 RENEWAL_RATIO = 1 / 3
 
+#: Time for which nothing is heard of the holder after which the lease is read: a few
+#: summaries of peers.
+SILENCE_SECONDS = 1.2
+
 #: Time between telling peers of a load and ordering it, a few trips between halls:
 #: what they have sent by then still finds the runner serving.
 ANNOUNCE_LEAD_SECONDS = 0.02
@@ -107,6 +111,9 @@
             settings.steward.max_loads_count, settings.steward.max_loads_ratio
         )
         self._renew_at_seconds = 0.0
+        self._renewing = anyio.Lock()
+        #: Version of the lease that a silence of its holder was looked into for.
+        self._read_version = 0
         self._was_holder = False
         self._has_stopped = False
         self._ordered_at_seconds = -math.inf
@@ -118,7 +125,7 @@
     @property
     def is_holder(self) -> bool:
         """Whether this host holds the lease now."""
-        return self.lease.fencing_number(self._read_clock()) is not None
+        return self.lease.is_held(self._read_clock())
 
     def wake(self) -> None:
         """Have the plan looked at now, since there may be something to do."""
@@ -180,18 +187,34 @@
             log.problem("lease not given up", error=str(error))
 
     async def _keep_lease(self) -> None:
-        assert self._leases is not None
         now_seconds = self._read_clock()
-        if now_seconds < self._renew_at_seconds or not self.lease.may_take(now_seconds):
-            self._note_holding()
-            return
-        window_seconds = min(
-            self._settings.order_window_seconds, self.lease.duration_seconds
-        )
-        self._renew_at_seconds = now_seconds + window_seconds * RENEWAL_RATIO
-        await self._leases.try_take(self.lease, self._read_clock)
+        if now_seconds >= self._renew_at_seconds and self.lease.may_take(now_seconds):
+            await self._renew()
+        elif not self.is_holder:
+            await self._listen_for_holder(now_seconds)
         self._note_holding()
 
+    async def _renew(self) -> None:
+        assert self._leases is not None
+        renewal_seconds = self.lease.duration_seconds * RENEWAL_RATIO
+        async with self._renewing:
+            self._renew_at_seconds = self._read_clock() + renewal_seconds
+            await self._leases.try_take(self.lease, self._read_clock)
+
+    async def _listen_for_holder(self, now_seconds: float) -> None:
+        """Read the lease once if its holder has fallen silent.
+
+        Its last renewal may not have been heard of; the wait for the lease counts
+        from when the newest version was seen.
+        """
+        assert self._leases is not None
+        silent_seconds = now_seconds - self.lease.heard_at_seconds
+        is_known = self.lease.version in (0, self._read_version)
+        if is_known or silent_seconds < SILENCE_SECONDS:
+            return
+        await self._leases.read(self.lease, self._read_clock)
+        self._read_version = self.lease.version
+
     def _note_holding(self) -> None:
         is_holder = self.is_holder
         if is_holder == self._was_holder:
@@ -265,8 +288,20 @@
             self._scheduler.post(LoadOrdered(entry.name, "", version, 0.0))
         self.wake()
 
+    async def _fencing_number(self) -> int | None:
+        """Return the number for an order, after a renewal if it takes one."""
+        needed_seconds = CONTROL_TIMEOUT_SECONDS
+        number = self.lease.fencing_number(self._read_clock(), needed_seconds)
+        if number is not None or not self.is_holder:
+            return number
+        try:
+            await self._renew()
+        except (PlatformError, DataError) as error:
+            log.problem("lease not renewed, no order", error=str(error))
+        return self.lease.fencing_number(self._read_clock(), needed_seconds)
+
     async def _send(self, entry: HostEntry, planned: PlannedOrder) -> OrderResult:
-        number = self.lease.fencing_number(self._read_clock(), CONTROL_TIMEOUT_SECONDS)
+        number = await self._fencing_number()
         if number is None:
             return OrderResult.REFUSED
         order = attrs.evolve(planned.order, fencing_number=number)
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,432 @@
+"""Upstreams whose every byte a test chooses, and routed hosts before them."""
+
+import hashlib
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+import attrs
+import h11
+
+from rampwick_platform import (
+    KindState,
+    Listing,
+    StoredObject,
+    VersionConflictError,
+)
+from rampwick_platform._records import decode_record, encode_record
+from rampwick_router import Integration, run_daemon
+from rampwick_router._own_dialect import OWN_DIALECTS
+from rampwick_schema import (
+    HostEntry,
+    Node,
+    Route,
+    Routing,
+    Service,
+    Tree,
+    WeightedService,
+    WeightsTarget,
+    parse_settings,
+)
+
+KEY = "key-labels"
+HOST = "labels.example"
+
+ServiceAnswer = Callable[["Exchange"], Awaitable[None]]
+
+
+@attrs.define
+class Exchange:
+    """One request at a scripted upstream, and its raw connection."""
+
+    upstream: "ScriptedUpstream"
+    stream: anyio.abc.SocketStream
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request as the upstream was told it."""
+        return self.headers["rampwick-request-id"]
+
+    async def send(self, data: bytes) -> None:
+        """Send raw bytes."""
+        await self.stream.send(data)
+
+    async def answer(
+        self, body: bytes = b"done", status: int = 200, extra: bytes = b"", **options
+    ) -> None:
+        """Send a whole, framed and signed answer."""
+        await self.send(self.head(status, extra, length=len(body), **options) + body)
+
+    def head(
+        self,
+        status: int = 200,
+        extra: bytes = b"",
+        length: int | None = None,
+        request_id: str | None = None,
+        signed: bool = True,
+    ) -> bytes:
+        """Return the head of an answer."""
+        lines = [
+            b"HTTP/1.1 %d Status" % status,
+            b"Rampwick-Request-Id: " + (request_id or self.request_id).encode(),
+        ]
+        if signed:
+            lines.append(b"Rampwick-Incarnation: " + self.upstream.name.encode())
+        if length is not None:
+            lines.append(b"Content-Length: %d" % length)
+        if extra:
+            lines.append(extra)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def reset(self) -> None:
+        """Have the connection reset at its close."""
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        linger = struct.pack("ii", 1, 0)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+async def answer_done(exchange: Exchange) -> None:
+    """Answer as a healthy service does."""
+    await exchange.answer()
+
+
+class Hangup(Exception):
+    """Raised by a script to close its connection."""
+
+
+class ScriptedUpstream:
+    """A TCP server that answers each request by the next script, then by the last."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address = ""
+        self.requests: list[Exchange] = []
+        self.connections_count = 0
+        self.open_count = 0
+        self.scripts: list[ServiceAnswer] = [answer_done]
+
+    async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Listen on loopback until cancelled."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        task_status.started()
+        await listener.serve(self._converse)
+
+    async def _converse(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections_count += 1
+        self.open_count += 1
+        try:
+            async with stream:
+                await self._answer_all(stream)
+        except (Hangup, anyio.EndOfStream, OSError):
+            return
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+        finally:
+            self.open_count -= 1
+
+    async def _answer_all(self, stream: anyio.abc.SocketStream) -> None:
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            exchange = await self._read(stream, connection)
+            if exchange is None:
+                return
+            if exchange.target == "/load":
+                await exchange.send(b"HTTP/1.1 204 Well\r\n\r\n")
+                connection = h11.Connection(h11.SERVER)
+                continue
+            self.requests.append(exchange)
+            script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+            await script(exchange)
+            # The bytes of the answer are the script's; the parser begins anew.
+            connection = h11.Connection(h11.SERVER)
+
+    async def _read(
+        self, stream: anyio.abc.SocketStream, connection: h11.Connection
+    ) -> Exchange | None:
+        request = None
+        body = b""
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(await stream.receive())
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                assert request is not None
+                headers = {
+                    name.decode(): value.decode() for name, value in request.headers
+                }
+                method, target = request.method.decode(), request.target.decode()
+                return Exchange(self, stream, method, target, headers, body)
+            else:
+                return None
+
+
+class MemoryStore:
+    """The object API in memory, with watches and faults stepped by the test."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.objects: dict[str, StoredObject] = {}
+        self.log: list[StoredObject] = []
+        self.changed = anyio.Event()
+        #: Raised by every call while it is set.
+        self.failure: Exception | None = None
+        self.calls: list[str] = []
+
+    def write(self, key: str, record) -> int:
+        """Write a record as others do."""
+        self.version += 1
+        stored = StoredObject(key, self.version, encode_record(record))
+        self.objects[key] = stored
+        self._tell(stored)
+        return self.version
+
+    def delete(self, key: str) -> None:
+        """Delete a record as others do."""
+        self.version += 1
+        gone = attrs.evolve(
+            self.objects.pop(key), version=self.version, is_deleted=True
+        )
+        self._tell(gone)
+
+    def _tell(self, stored: StoredObject) -> None:
+        self.log.append(stored)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _begin(self, call: str) -> None:
+        self.calls.append(call)
+        if self.failure is not None:
+            raise self.failure
+
+    async def get(self, key: str) -> StoredObject | None:
+        self._begin(f"get {key}")
+        return self.objects.get(key)
+
+    async def put(self, key: str, value: bytes, expected_version: int) -> int:
+        self._begin(f"put {key}")
+        known = self.objects[key].version if key in self.objects else 0
+        if known != expected_version:
+            raise VersionConflictError("changed", step="put")
+        self.version += 1
+        self.objects[key] = StoredObject(key, self.version, value)
+        self._tell(self.objects[key])
+        return self.version
+
+    async def list_objects(self, prefix: str, after_key: str = "") -> Listing:
+        self._begin(f"list {prefix}")
+        found = [item for key, item in self.objects.items() if key.startswith(prefix)]
+        return Listing(self.version, found)
+
+    async def watch(
+        self, prefix: str, after_version: int, timeout_seconds: float
+    ) -> Listing:
+        self._begin(f"watch {prefix}")
+        with anyio.move_on_after(timeout_seconds):
+            while True:
+                news = [
+                    item
+                    for item in self.log
+                    if item.version > after_version and item.key.startswith(prefix)
+                ]
+                if news:
+                    return Listing(self.version, news)
+                await self.changed.wait()
+                if self.failure is not None:
+                    raise self.failure
+        return Listing(self.version, [])
+
+
+class OwnReader:
+    """Reads rampwick's own records from a store."""
+
+    configuration_prefix = "config/"
+    upstreams_prefix = "upstreams/"
+    targets_prefix = "targets/"
+
+    def read_tree(self, state: KindState) -> Tree | None:
+        stored = state.objects.get("config/main")
+        return decode_record(stored, Tree) if stored else None
+
+    def read_upstream(self, stored: StoredObject) -> HostEntry:
+        return decode_record(stored, HostEntry)
+
+    def read_target(self, stored: StoredObject) -> WeightsTarget:
+        return decode_record(stored, WeightsTarget)
+
+
+def make_tree(revision: int = 1, **options) -> Tree:
+    """Return a tree with one workspace and a few routes to two services."""
+    services = [
+        Service("labels"),
+        Service("notes"),
+    ]
+
+    def make(name, prefix, service, **terms):
+        terms = {"timeout_seconds": 5.0, "latency_target_seconds": 1.0, **terms}
+        targets = [WeightedService(service)]
+        return Route(name, HOST, prefix, targets, **terms)
+
+    routes = [
+        make("once", "/once/", "labels"),
+        make("again", "/again/", "labels", is_repeatable=True, max_attempts_count=2),
+        make(
+            "stream",
+            "/stream/",
+            "notes",
+            is_stream=True,
+            is_resumable=True,
+            max_attempts_count=2,
+        ),
+        make("brittle", "/brittle/", "notes", is_stream=True),
+        make("open", "/open/", "labels", is_public=True),
+    ]
+    key_hash = hashlib.sha256(KEY.encode()).hexdigest()
+    nodes = {"/": Node(), "/t": Node(is_workspace=True, key_hashes=[key_hash])}
+    routing = Routing(options.pop("routes", routes), services)
+    return Tree(revision, options.pop("nodes", nodes), routing)
+
+
+@attrs.define
+class RoutedHost:
+    """A routed daemon with its address."""
+
+    daemon: object
+    address: str
+    store: MemoryStore
+
+    async def call(
+        self,
+        path: str,
+        *,
+        request_id: str = "r1",
+        method: str = "POST",
+        body: bytes = b"",
+        key: str | None = KEY,
+        headers: dict[str, str] | None = None,
+    ) -> "CallerView":
+        """Send one request on a connection of its own; return what came back."""
+        sent = {
+            "Host": HOST,
+            "Rampwick-Request-Id": request_id,
+            "Content-Length": str(len(body)),
+            **({"Authorization": f"Bearer {key}"} if key else {}),
+            **(headers or {}),
+        }
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in sent.items()]
+        host, _, port = self.address.partition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            return await read_answer(stream)
+
+
+@attrs.define
+class CallerView:
+    """What a caller saw of one answer."""
+
+    status: int = 0
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+
+
+async def read_answer(stream: anyio.abc.SocketStream) -> CallerView:
+    """Read one answer to its end, whole or not."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    connection.send(h11.EndOfMessage())
+    view = CallerView()
+    while True:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError:
+            return view
+        if event is h11.NEED_DATA:
+            try:
+                connection.receive_data(await stream.receive())
+            except anyio.EndOfStream:
+                connection.receive_data(b"")
+            except anyio.BrokenResourceError:
+                return view
+        elif isinstance(event, h11.Response):
+            view.status = event.status_code
+            view.headers = {
+                name.decode(): value.decode() for name, value in event.headers
+            }
+        elif isinstance(event, h11.Data):
+            view.body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            view.is_whole = True
+            return view
+        else:
+            return view
+
+
+@asynccontextmanager
+async def run_routed(
+    upstreams: dict[str, list[str]], platform: str = "", retry: str = ""
+) -> AsyncIterator[tuple[RoutedHost, dict[str, ScriptedUpstream]]]:
+    """Run a routed host before scripted upstreams, named by their service."""
+    store = MemoryStore()
+    store.write("config/main", make_tree())
+    found: dict[str, ScriptedUpstream] = {}
+    async with anyio.create_task_group() as tasks:
+        for service, names in upstreams.items():
+            for name in names:
+                found[name] = ScriptedUpstream(name)
+                await tasks.start(found[name].serve)
+                list_upstream(store, found[name], service)
+        settings = parse_settings(
+            '[host]\nname = "entry-1"\nhall = "trnava"\n'
+            "[life]\nbalancer_delay_seconds = 0.0\n"
+            f"[platform]\nconfirm_wait_seconds = 0.05\n{platform}\n"
+            f"[retry]\nprobe_interval_seconds = 0.0\n{retry}\n",
+            source="test",
+        )
+        integration = Integration(
+            store=None,  # type: ignore[arg-type]
+            reader=OwnReader(),
+            dialects=OWN_DIALECTS,
+        )
+        async with run_daemon(settings, api=store, integration=integration) as (
+            daemon,
+            addresses,
+        ):
+            host = RoutedHost(daemon, addresses.entry, store)
+            with anyio.fail_after(20.0):
+                while daemon.follower.revision < 1 or len(
+                    list(daemon.scheduler._scheduler.upstreams)
+                ) < len(found):
+                    await anyio.sleep(0.005)
+            try:
+                yield host, found
+            finally:
+                tasks.cancel_scope.cancel()
+
+
+def list_upstream(
+    store: MemoryStore, upstream: ScriptedUpstream, service: str, state: str = "live"
+) -> None:
+    """Register an upstream as it would itself."""
+    entry = HostEntry(
+        upstream.name,
+        "service",
+        "trnava",
+        upstream.address,
+        state=state,
+        group=service,
+        incarnation=upstream.name,
+    )
+    store.write(f"upstreams/{upstream.name}", entry)
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,564 @@
+"""The adapter to the users' platform: it translates, and its words stay inside."""
+
+import re
+from pathlib import Path
+
+import httpx
+import orjson
+from testtools import TestCase
+
+from rampwick_adapter._control import ControlTranslation
+from rampwick_adapter._objects import ObjectsTranslation
+from rampwick_adapter._records import StoreTranslation
+from rampwick_adapter._requests import CallerTranslation, UpstreamTranslation
+from rampwick_platform import (
+    KindState,
+    PlatformError,
+    StoredObject,
+    VersionConflictError,
+)
+from rampwick_policy import OrderResult, TreeView
+from rampwick_router import AnswerHead, AttemptTerms, CallerError, RawCall
+from rampwick_schema import (
+    DataError,
+    HostEntry,
+    Order,
+    StewardSettings,
+    parse_settings,
+)
+
+ROOT = Path(__file__).resolve().parent.parent
+
+MANIFEST = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "One.example",
+            "path_prefix": "/a/",
+            "kind": "stream",
+            "timeout_ms": 4000,
+            "target_latency_ms": 600,
+            "priority": 1,
+            "traffic_split": [
+                {"service": "engine-s", "weight": 90},
+                {"service": "plain", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_aim_ms": 500,
+            "a_field_of_tomorrow": [1],
+        },
+        {
+            "name": "r-2",
+            "host": "one.example",
+            "path_prefix": "/b/",
+            "kind": "idempotent",
+            "timeout_ms": 3000,
+            "service": "plain",
+        },
+    ],
+    "services": [
+        {
+            "name": "engine-s",
+            "health_path": "/well",
+            "max_connections": 370,
+            "engine": {
+                "slots": 64,
+                "kv_capacity_tokens": 99487,
+                "kv_token_bytes": 18432,
+                "link_mbps": 550000.0,
+                "max_in_flight": 12,
+                "models": [{"name": "m-1"}],
+            },
+        },
+        {"name": "plain", "health_path": "/health", "max_connections": 110},
+        {
+            "name": "kept",
+            "kv_store_addr": "172.20.0.2:8781",
+            "zone": "b",
+            "kv_capacity_tokens": 635402,
+            "link_mbps": 25000.0,
+        },
+    ],
+    "limits": {"max_body_bytes": 4194304, "idle_timeout_ms": 15000},
+    "tenants": [
+        {"name": "t1", "api_keys": ["k1", "k2"], "priority": 0, "isolated": True},
+        {"name": "t2", "api_keys": ["k3"]},
+    ],
+}
+
+
+def stored(key, spec, version=3):
+    return StoredObject(key, version, orjson.dumps(spec))
+
+
+def state(*objects):
+    return KindState({item.key: item for item in objects}, 3, 0.0)
+
+
+def read_tree(manifest):
+    return StoreTranslation().read_tree(state(stored("config/main", manifest)))
+
+
+class ManifestTest(TestCase):
+    def test_a_manifest_becomes_a_valid_tree(self):
+        view = TreeView(read_tree(MANIFEST))
+        self.assertEqual(7, view.revision)
+        route = view.routes.find("one.example", "/a/x")
+        self.assertTrue(route.is_stream and route.is_resumable)
+        self.assertFalse(route.is_repeatable)
+        self.assertEqual(
+            (4.0, 0.6, 0.5, 2),
+            (
+                route.timeout_seconds,
+                route.latency_target_seconds,
+                route.gap_target_seconds,
+                route.max_attempts_count,
+            ),
+        )
+        self.assertTrue(view.routes.find("one.example", "/b/").is_repeatable)
+        engine = view.routes.service("engine-s")
+        self.assertEqual(
+            (True, "m-1", "/well"), (engine.is_engine, engine.model, engine.health_path)
+        )
+        self.assertEqual("172.20.0.2:8781", view.routes.kept_store("z").address)
+        self.assertIsNone(view.routes.service("kept"))
+        self.assertEqual(0, view.workspaces["/t1"].priority_rank)
+        self.assertNotEqual(
+            view.workspaces["/t1"].cache_wall, view.workspaces["/t2"].cache_wall
+        )
+        self.assertEqual(15.0, view.routes.routing.caller_limits.idle_timeout_seconds)
+
+    def test_what_can_not_be_translated_is_refused_and_named(self):
+        route = dict(MANIFEST["routes"][0])
+        del route["timeout_ms"]
+        error = self.assertRaises(DataError, read_tree, {**MANIFEST, "routes": [route]})
+        self.assertIn("timeout_ms is missing", str(error))
+        bad = {**MANIFEST["routes"][0], "max_attempts": "many"}
+        self.assertRaises(DataError, read_tree, {**MANIFEST, "routes": [bad]})
+
+    def test_no_manifest_is_no_tree(self):
+        self.assertIsNone(StoreTranslation().read_tree(state()))
+
+    def test_upstreams_and_weights(self):
+        entry = StoreTranslation().read_upstream(
+            stored(
+                "servers/i-1",
+                {
+                    "service": "engine-s",
+                    "address": "10.0.0.9:1",
+                    "zone": "b",
+                    "slots": 64,
+                    "state": "draining",
+                    "models": [{"name": "m-1", "version": 4, "adapters": []}],
+                    "seq": 4,
+                },
+            )
+        )
+        expected = HostEntry(
+            "i-1",
+            "runner",
+            "b",
+            "10.0.0.9:1",
+            state="leaving",
+            group="engine-s",
+            incarnation="i-1",
+            model="m-1",
+            weights_version=4,
+            slots_count=64,
+        )
+        self.assertEqual(expected, entry)
+        target = StoreTranslation().read_target(
+            stored("versions/m-1", {"model": "m-1", "version": 5})
+        )
+        self.assertEqual(("m-1", 5), (target.model, target.weights_version))
+        self.assertRaises(
+            DataError, StoreTranslation().read_upstream, stored("servers/i-2", {})
+        )
+
+
+def raw_call(**headers):
+    pairs = [
+        (name.replace("_", "-").encode(), value.encode())
+        for name, value in {"host": "one.example:80", **headers}.items()
+    ]
+    return RawCall("POST", "/a/1?q=2", pairs)
+
+
+class RequestTest(TestCase):
+    def test_a_request_is_read_whole(self):
+        call = CallerTranslation().read_call(
+            raw_call(
+                x_rampwick_request_id="id1",
+                x_rampwick_request_timeout_ms="5000",
+                x_rampwick_model="m-1",
+                x_rampwick_token_usage="1460,80",
+                x_rampwick_prefix_hash="5c1e07a2:800,91bd3f06:410",
+                authorization="Bearer k1",
+                last_event_id="7",
+            )
+        )
+        self.assertEqual(
+            ("id1", "one.example", "k1"), (call.request_id, call.host, call.key)
+        )
+        self.assertEqual(
+            (5.0, 80, "7"),
+            (call.timeout_seconds, call.max_answer_tokens, call.last_event_id),
+        )
+        self.assertEqual([800, 410], [part.tokens for part in call.parts])
+        self.assertEqual("/a/1", call.path)
+
+    def test_a_request_without_an_id_or_with_two_is_refused(self):
+        read = CallerTranslation().read_call
+        self.assertRaises(CallerError, read, raw_call())
+        twice = raw_call(x_rampwick_request_id="a")
+        twice.headers.append((b"x-rampwick-request-id", b"b"))
+        self.assertRaises(CallerError, read, twice)
+        bad = raw_call(x_rampwick_request_id="a", x_rampwick_prefix_hash="nonsense")
+        self.assertRaises(CallerError, read, bad)
+
+    def test_nothing_that_callers_must_not_set_reaches_an_upstream(self):
+        forged = {
+            "x_rampwick_tenant": "other",
+            "x_rampwick_hold": "h",
+            "x_rampwick_pin_ms": "4000",
+            "x_rampwick_kv_backup": "10.0.0.1:1",
+            "kv_from": "10.0.0.1:1/x",
+            "x_rampwick_cache_salt": "s",
+            "x_rampwick_kv_fetch_from": "10.0.0.1:1",
+            "x_rampwick_kv_save_to": "10.0.0.1:1",
+            "x_rampwick_target_instance": "i-9",
+            "x_rampwick_expect_version": "1",
+            "x_rampwick_request_priority": "0",
+            "x_rampwick_not_executed": "1",
+            "x_rampwick_response_signature": "sig",
+            "authorization": "Bearer k1",
+            "connection": "x-rampwick-model, x-hop",
+            "x_hop": "1",
+            "te": "trailers",
+            "x_own": "kept",
+        }
+        call = CallerTranslation().read_call(
+            raw_call(
+                x_rampwick_request_id="id1",
+                x_rampwick_model="m-1",
+                x_rampwick_length_hint="9",
+                **forged,
+            )
+        )
+        terms = AttemptTerms(
+            incarnation="i-1",
+            weights_version=4,
+            remaining_seconds=1.5,
+            workspace="t1",
+            priority_rank=2,
+            cache_salt="ours",
+        )
+        sent = UpstreamTranslation().request_headers(call, terms)
+        names = [name for name, _ in sent]
+        self.assertEqual(len(names), len(set(names)))
+        expected = {
+            b"host": b"one.example:80",
+            b"x-own": b"kept",
+            b"x-rampwick-request-id": b"id1",
+            b"x-rampwick-model": b"m-1",
+            b"x-rampwick-length-hint": b"9",
+            b"x-rampwick-request-timeout-ms": b"1500",
+            b"x-rampwick-target-instance": b"i-1",
+            b"x-rampwick-tenant": b"t1",
+            b"x-rampwick-cache-salt": b"ours",
+            b"x-rampwick-request-priority": b"2",
+            b"x-rampwick-expect-version": b"4",
+        }
+        self.assertEqual(expected, dict(sent))
+
+    def test_answers_say_what_they_prove(self):
+        read = UpstreamTranslation().read_answer
+
+        def facts(status, *headers):
+            return read(AnswerHead(status, list(headers), True))
+
+        refused = facts(503, (b"X-Rampwick-Not-Executed", b"1"))
+        self.assertTrue(refused.was_refused and not refused.is_misdirected)
+        other = facts(421, (b"X-Rampwick-Instance-Id", b"i-2"))
+        self.assertTrue(other.was_refused and other.is_misdirected)
+        self.assertFalse(facts(503).was_refused)
+        served = facts(
+            200,
+            (b"X-Rampwick-Request-Id", b"id1"),
+            (b"X-Rampwick-Response-Signature", b"sig"),
+            (b"X-Rampwick-Weight-Versions", b"4"),
+            (b"Keep-Alive", b"timeout=7"),
+            (b"Connection", b"close"),
+        )
+        self.assertEqual(
+            ("id1", True, 4, 7.0, True),
+            (
+                served.request_id,
+                served.is_signed,
+                served.weights_version,
+                served.max_rest_seconds,
+                served.is_closing,
+            ),
+        )
+
+    def test_errors_may_name_a_fraction_of_a_second(self):
+        error = CallerError(
+            "busy", status=503, code="x", step="y", retry_after_seconds=0.05
+        )
+        answer = CallerTranslation().write_error(error, "id1")
+        self.assertIn((b"retry-after", b"0.050"), answer.headers)
+        self.assertIn((b"x-rampwick-request-id", b"id1"), answer.headers)
+
+
+class ControlTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.control = ControlTranslation("front-1", StewardSettings(manner="keep"))
+        self.entry = HostEntry(
+            "i-1", "runner", "b", "10.0.0.9:1", incarnation="i-1", model="m-1"
+        )
+
+    def test_an_order_names_runner_fence_and_orders_taken(self):
+        order = Order(41, 5, expected_orders_count=2)
+        request = self.control.order(self.entry, order)
+        body = orjson.loads(request.body)
+        self.assertEqual(
+            {
+                "op": "version",
+                "model": "m-1",
+                "version": 5,
+                "manner": "retain",
+                "holder": "front-1",
+                "fencing_token": 41,
+                "expected_revision": 2,
+            },
+            body,
+        )
+        self.assertIn((b"x-rampwick-target-instance", b"i-1"), request.headers)
+
+    def test_answers_to_orders(self):
+        results = [
+            self.control.read_order(AnswerHead(status, [], True))
+            for status in (200, 202, 400, 409, 412, 421)
+        ]
+        self.assertEqual(
+            [
+                OrderResult.HOLDS,
+                OrderResult.TAKEN,
+                OrderResult.REFUSED,
+                OrderResult.CONFLICT,
+                OrderResult.FENCED,
+                OrderResult.REFUSED,
+            ],
+            results,
+        )
+
+    def test_reports(self):
+        body = orjson.dumps(
+            {
+                "stage": "unified",
+                "models": [{"name": "m-1", "version": 3, "adapters": []}],
+                "busy": True,
+                "seq": 2,
+                "waiting": 1,
+                "running": 12,
+                "kv_used": 41000,
+                "kv_total": 90000,
+            }
+        )
+        head = AnswerHead(200, [], True)
+        report = self.control.read_probe(self.entry, head, body)
+        self.assertEqual(
+            (3, "loading", 2),
+            (report.weights_version, report.role, report.orders_count),
+        )
+        self.assertRaises(DataError, self.control.read_probe, self.entry, head, b"{}")
+
+    def test_a_service_is_well_only_if_it_is_the_one(self):
+        entry = HostEntry("i-2", "service", "b", "10.0.0.9:1", incarnation="i-2")
+        own = AnswerHead(200, [(b"X-Rampwick-Instance-Id", b"i-2")], True)
+        other = AnswerHead(200, [(b"X-Rampwick-Instance-Id", b"i-3")], True)
+        self.assertIsNone(self.control.read_probe(entry, own, b""))
+        self.assertRaises(DataError, self.control.read_probe, entry, other, b"")
+
+
+def reply(status, data):
+    return httpx.Response(status, content=orjson.dumps(data))
+
+
+def object_data(name, revision, spec=None):
+    return {"metadata": {"name": name, "revision": revision}, "spec": spec}
+
+
+class ObjectsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = ObjectsTranslation()
+
+    def test_the_first_write_creates_and_the_next_names_its_revision(self):
+        first = self.store.put("leases/x", b'{"a":1}', 0)
+        self.assertEqual(("POST", "/-/objects/leases"), (first.method, first.path))
+        self.assertNotIn("revision", orjson.loads(first.content)["metadata"])
+        second = self.store.put("leases/x", b'{"a":2}', 412)
+        self.assertEqual(("PUT", "/-/objects/leases/x"), (second.method, second.path))
+        body = orjson.loads(second.content)
+        self.assertEqual((412, {"a": 2}), (body["metadata"]["revision"], body["spec"]))
+
+    def test_a_write_that_lost_its_race_is_a_conflict(self):
+        taken = reply(409, object_data("x", 9))
+        self.assertRaises(VersionConflictError, self.store.read_put, "leases/x", taken)
+        gone = reply(404, {})
+        self.assertRaises(VersionConflictError, self.store.read_put, "leases/x", gone)
+        done = reply(200, object_data("x", 10))
+        self.assertEqual(10, self.store.read_put("leases/x", done))
+
+    def test_listings_and_watches(self):
+        listing = self.store.read_listing(
+            "servers/",
+            reply(
+                200,
+                {
+                    "items": [object_data("i-1", 5, {"zone": "b"})],
+                    "truncated": True,
+                    "store_revision": 530,
+                },
+            ),
+        )
+        self.assertEqual((530, True), (listing.version, listing.is_truncated))
+        self.assertEqual("servers/i-1", listing.objects[0].key)
+        watched = self.store.read_listing(
+            "servers/",
+            reply(
+                200,
+                {
+                    "events": [{"tombstone": True, "object": object_data("i-1", 6)}],
+                    "store_revision": 533,
+                },
+            ),
+        )
+        self.assertTrue(watched.objects[0].is_deleted)
+        more = self.store.list_objects("servers/", "servers/i-1")
+        self.assertEqual({"after": "i-1"}, more.parameters)
+        wait = self.store.watch("servers/", 530, 1.5)
+        self.assertEqual({"watch": "530", "wait_ms": "1500"}, wait.parameters)
+
+    def test_an_answer_that_is_none_is_an_error(self):
+        broken = httpx.Response(200, content=b"<html>")
+        self.assertRaises(PlatformError, self.store.read_listing, "servers/", broken)
+        empty = reply(200, {"events": [{"object": {}}], "store_revision": 3})
+        self.assertRaises(PlatformError, self.store.read_listing, "servers/", empty)
+
+
+FIELDS = {
+    "node_name": "front-1",
+    "zone": "bratislava-a",
+    "region": "sk-west",
+    "ip": "10.1.0.30",
+    "listen": {
+        "front": "10.1.0.30:8782",
+        "readiness": "10.1.0.30:8789",
+        "control": "10.1.0.30:8783",
+    },
+    "seeds": ["10.1.0.30:8783", "10.2.0.22:8783"],
+    "platform": {"address": "10.200.1.7:8784"},
+    "bounds": {
+        "strict_revoke": True,
+        "revoke_ms": 5000,
+        "version_ms": 10000,
+        "retry_budget_ratio": 0.2,
+        "retry_budget_slack": 56,
+        "grace_s": 8,
+        "lease_ms": 3000,
+    },
+}
+
+
+def look_up(name, scopes):
+    if name == ".":
+        return scopes[-1]
+    for scope in reversed(scopes):
+        value = scope
+        for part in name.split("."):
+            value = value.get(part) if isinstance(value, dict) else None
+        if value is not None:
+            return value
+    return None
+
+
+def fill(text, scopes):
+    """Fill a template as the platform describes it, as far as ours uses it."""
+    section = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+
+    def fill_section(match):
+        value = look_up(match.group(1), scopes)
+        if not value:
+            return ""
+        if not isinstance(value, list):
+            return fill(match.group(2), [*scopes, value])
+        parts = []
+        for index, item in enumerate(value):
+            comma = "," if index < len(value) - 1 else ""
+            body = match.group(2).replace("{{,}}", comma)
+            parts.append(fill(body, [*scopes, item]))
+        return "".join(parts)
+
+    def fill_value(match):
+        value = look_up(match.group(1), scopes)
+        if match.group(2):
+            return orjson.dumps(value).decode()
+        return "" if value is None else str(value)
+
+    text = section.sub(fill_section, text)
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill_value, text)
+
+
+class TemplateTest(TestCase):
+    def fill(self, fields):
+        text = (ROOT / "deploy/host.toml").read_text()
+        return parse_settings(fill(text, [fields]), source="template")
+
+    def test_the_template_yields_valid_settings(self):
+        settings = self.fill(FIELDS)
+        self.assertEqual("10.1.0.30:8782", settings.listen.entry)
+        self.assertEqual(5.0, settings.platform.max_key_age_seconds)
+        self.assertEqual(3.0, settings.steward.orders_apart_seconds)
+        self.assertEqual(FIELDS["seeds"], settings.peers.seeds)
+
+    def test_it_does_so_where_bounds_are_missing(self):
+        bounds = {"grace_s": 8}
+        settings = self.fill({**FIELDS, "seeds": [], "bounds": bounds})
+        self.assertEqual(0.0, settings.platform.max_key_age_seconds)
+
+
+class BoundaryTest(TestCase):
+    """No word of the platform's wire stands outside its folder."""
+
+    WORDS = re.compile(
+        r"x-rampwick-|/-/|kv-from|kv_token|kv_store_addr|path_prefix.:|fencing_token"
+        r"|create_revision|store_revision|api_keys|traffic_split|target_latency_ms",
+        re.IGNORECASE,
+    )
+    OUTSIDE = ("packages", "schema", "tools", "measure")
+
+    def test_words_of_the_wire(self):
+        found = [
+            f"{path.relative_to(ROOT)}: {line.strip()}"
+            for folder in self.OUTSIDE
+            for path in sorted((ROOT / folder).rglob("*"))
+            if path.suffix in (".py", ".toml") and "egg-info" not in str(path)
+            for line in path.read_text().splitlines()
+            if self.WORDS.search(line)
+        ]
+        self.assertEqual([], found)
+
+    def test_the_adapter_is_a_small_part_of_the_code(self):
+        def count(paths):
+            return sum(len(path.read_text().splitlines()) for path in paths)
+
+        adapter = count((ROOT / "platform").rglob("*.py"))
+        packages = count((ROOT / "packages").rglob("src/**/*.py"))
+        self.assertLess(adapter, packages / 10)
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,249 @@
+"""Rollouts of weights: what is asked, ordered, waited for, and by whom."""
+
+import attrs
+from hypothesis import given, settings, strategies as st
+from testtools import TestCase
+
+from rampwick_policy import (
+    AskReport,
+    HostListRead,
+    LeaseWatcher,
+    LoadOrdered,
+    LoadReported,
+    OrderResult,
+    Rollout,
+    RunnerState,
+    Scheduler,
+    TargetsRead,
+    WeightsSeen,
+)
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    LeaseRecord,
+    LoadReport,
+    WeightsTarget,
+    parse_settings,
+)
+
+TARGETS = [WeightsTarget("m", 2)]
+
+
+def state(name, version=1, serving=True, running=0):
+    return RunnerState(name, "m", version, serving, False, running, f"{name}:1")
+
+
+def report(version=1, orders=0, role="serve"):
+    return LoadReport("one", "m", version, 8, 0, 0, 8000.0, 60_000, role, 0, orders)
+
+
+class Steward:
+    """Carries out a rollout's steps against runners that obey at once."""
+
+    def __init__(self, names, max_loads=1, ratio=0.4):
+        self.rollout = Rollout(max_loads, ratio)
+        self.versions = dict.fromkeys(names, 1)
+        self.orders = dict.fromkeys(names, 0)
+        self.busy_until = dict.fromkeys(names, 0.0)
+        self.most_loading = 0
+
+    def step(self, now):
+        runners = [state(name, version) for name, version in self.versions.items()]
+        for step in self.rollout.plan(runners, TARGETS, now):
+            if isinstance(step, AskReport):
+                self.answer(step.runner, now)
+            else:
+                self.take(step, now)
+        loading = sum(now < until for until in self.busy_until.values())
+        self.most_loading = max(self.most_loading, loading)
+
+    def answer(self, name, now):
+        is_busy = now < self.busy_until[name]
+        if self.busy_until[name] and not is_busy:
+            self.versions[name] = 2
+        role = "loading" if is_busy else "serve"
+        shown = report(self.versions[name], self.orders[name], role)
+        self.rollout.note_report(name, shown, now)
+
+    def take(self, planned, now):
+        name = planned.runner
+        self.rollout.note_sent(name, planned.order.weights_version, now)
+        if planned.order.expected_orders_count != self.orders[name]:
+            self.rollout.note_result(name, OrderResult.CONFLICT)
+            return
+        self.orders[name] += 1
+        self.busy_until[name] = now + 0.8
+        self.rollout.note_result(name, OrderResult.TAKEN)
+
+
+class RolloutPlanTest(TestCase):
+    def test_a_runner_is_asked_before_it_is_told(self):
+        rollout = Rollout(1)
+        (ask,) = rollout.plan([state("r")], TARGETS, 1.0)
+        self.assertEqual(AskReport("r", "r:1"), ask)
+        rollout.note_report("r", report(orders=3), 1.01)
+        (planned,) = rollout.plan([state("r")], TARGETS, 1.02)
+        self.assertEqual(3, planned.order.expected_orders_count)
+        self.assertEqual(2, planned.order.weights_version)
+
+    def test_an_old_report_is_not_ordered_by(self):
+        rollout = Rollout(1)
+        rollout.plan([state("r")], TARGETS, 1.0)
+        rollout.note_report("r", report(orders=3), 1.01)
+        (again,) = rollout.plan([state("r")], TARGETS, 2.0)
+        self.assertIsInstance(again, AskReport)
+
+    def test_all_runners_come_to_the_target_two_of_five_at_a_time(self):
+        steward = Steward([f"r{number}" for number in range(5)])
+        now = 1.0
+        while set(steward.versions.values()) != {2} and now < 20.0:
+            steward.step(now)
+            now += 0.05
+        self.assertEqual({2}, set(steward.versions.values()))
+        self.assertEqual({1}, set(steward.orders.values()))
+        self.assertEqual(2, steward.most_loading)
+        self.assertLess(now, 5.0)
+
+    def test_an_unanswered_order_that_was_never_taken_is_given_again(self):
+        rollout = Rollout(1)
+        rollout.note_report("r", report(), 1.0)
+        rollout.note_sent("r", 2, 1.0)
+        rollout.note_result("r", OrderResult.LOST)
+        self.assertEqual([], rollout.plan([state("r")], TARGETS, 1.1))
+        (look,) = rollout.plan([state("r")], TARGETS, 1.7)
+        self.assertIsInstance(look, AskReport)
+        # Too early to tell: reports lag.
+        rollout.note_report("r", report(), 1.7)
+        self.assertIn("r", rollout.loads())
+        rollout.note_report("r", report(), 2.1)
+        (again,) = rollout.plan([state("r")], TARGETS, 2.11)
+        self.assertEqual(0, again.order.expected_orders_count)
+
+    def test_an_order_refused_for_another_is_followed_by_a_look(self):
+        rollout = Rollout(1)
+        rollout.plan([state("r")], TARGETS, 1.0)
+        rollout.note_report("r", report(), 1.0)
+        rollout.note_sent("r", 2, 1.0)
+        rollout.note_result("r", OrderResult.CONFLICT)
+        (look,) = rollout.plan([state("r")], TARGETS, 1.5)
+        self.assertIsInstance(look, AskReport)
+
+    def test_runners_that_serve_nothing_are_loaded_all_the_same(self):
+        # All have outdated weights for too long to be given work.
+        rollout = Rollout(1, 0.4)
+        runners = [state(f"r{number}", serving=False) for number in range(5)]
+        steps = rollout.plan(runners, TARGETS, 1.0)
+        self.assertEqual(2, len(steps))
+
+    @settings(derandomize=True, deadline=None, max_examples=50)
+    @given(st.lists(st.sampled_from(list(OrderResult)), max_size=12))
+    def test_never_more_loads_than_allowed_whatever_runners_say(self, results):
+        rollout = Rollout(2)
+        runners = [state(f"r{number}") for number in range(4)]
+        now = 1.0
+        for result in results:
+            for step in rollout.plan(runners, TARGETS, now):
+                if isinstance(step, AskReport):
+                    rollout.note_report(step.runner, report(), now)
+                else:
+                    rollout.note_sent(step.runner, 2, now)
+                    rollout.note_result(step.runner, result)
+            self.assertLessEqual(len(rollout.loads()), 2)
+            now += 0.2
+
+
+class RunnerViewTest(TestCase):
+    """What a host believes of a runner during a load."""
+
+    def setUp(self):
+        super().setUp()
+        settings = parse_settings('[host]\nname = "e"\nhall = "t"\n', source="test")
+        self.scheduler = Scheduler(settings)
+        self.entry = HostEntry(
+            "r",
+            "runner",
+            "t",
+            "r:1",
+            group="s",
+            incarnation="one",
+            model="m",
+            weights_version=1,
+        )
+        self.read(1, self.entry)
+
+    def read(self, version, entry, now=0.0):
+        self.scheduler.handle(HostListRead(HostList(version, [entry])), now)
+
+    def is_open(self, now):
+        upstream = self.scheduler.upstreams.get("r")
+        return self.scheduler.upstreams.is_open(upstream, now)
+
+    def test_nothing_is_sent_from_the_announcement_until_the_weights_are_seen(self):
+        self.assertTrue(self.is_open(1.0))
+        self.scheduler.handle(LoadOrdered("r", "", 2, 4.0), 1.0)
+        self.assertFalse(self.is_open(1.1))
+        self.scheduler.handle(WeightsSeen("r", "one", 2, is_own_word=False), 1.8)
+        self.assertTrue(self.is_open(1.9))
+
+    def test_an_announced_load_that_never_shows_ends_by_time(self):
+        self.scheduler.handle(LoadOrdered("r", "", 2, 4.0), 1.0)
+        self.assertTrue(self.is_open(4.1))
+
+    def test_a_reported_load_is_over_once_the_list_shows_its_weights(self):
+        # Found on the first whole day: the role "loading" of the last report stayed.
+        loading = report(role="loading")
+        self.scheduler.handle(LoadReported("r", loading), 1.0)
+        self.assertFalse(self.is_open(1.1))
+        self.read(2, attrs.evolve(self.entry, weights_version=2), 2.0)
+        self.assertTrue(self.is_open(2.1))
+
+    def test_a_late_list_does_not_lower_the_weights(self):
+        self.scheduler.handle(WeightsSeen("r", "one", 3), 1.0)
+        self.read(2, attrs.evolve(self.entry, weights_version=2), 2.0)
+        upstream = self.scheduler.upstreams.get("r")
+        self.assertEqual(3, upstream.life.weights_version)
+
+    def test_only_the_runners_own_word_lowers_the_weights(self):
+        self.scheduler.handle(WeightsSeen("r", "one", 3), 1.0)
+        self.scheduler.handle(WeightsSeen("r", "one", 2, is_own_word=False), 1.1)
+        upstream = self.scheduler.upstreams.get("r")
+        self.assertEqual(3, upstream.life.weights_version)
+        self.scheduler.handle(WeightsSeen("r", "one", 2), 1.2)
+        self.assertEqual(2, upstream.life.weights_version)
+
+    def test_weights_count_as_outdated_from_the_first_newer_naming(self):
+        self.scheduler.handle(TargetsRead((WeightsTarget("m", 2),)), 10.0)
+        self.scheduler.handle(TargetsRead((WeightsTarget("m", 3),)), 14.0)
+        upstream = self.scheduler.upstreams.get("r")
+        outdated = self.scheduler.upstreams.outdated_seconds(upstream, 15.0)
+        self.assertEqual(5.0, outdated)
+
+
+class LeaseTakeOverTest(TestCase):
+    """Orders of two holders lie apart, and a silent holder is replaced soon."""
+
+    def test_a_holder_orders_only_within_its_window(self):
+        lease = LeaseWatcher("one", 3.8, 0.8)
+        lease.note_written(LeaseRecord("one", "", 3.8), 5, 10.0)
+        self.assertEqual(5, lease.fencing_number(10.3, needed_seconds=0.4))
+        self.assertIsNone(lease.fencing_number(10.5, needed_seconds=0.4))
+        self.assertTrue(lease.is_held(13.7))
+        self.assertFalse(lease.is_held(13.8))
+
+    def test_the_next_holder_waits_from_when_it_heard_of_the_last_renewal(self):
+        lease = LeaseWatcher("two", 3.8, 0.8)
+        lease.note_heard("one", 5, 10.2)
+        # The same version again is no renewal.
+        lease.note_heard("one", 5, 12.0)
+        self.assertFalse(lease.may_take(13.9))
+        self.assertTrue(lease.may_take(14.0))
+        # The last order of the first could arrive at 10.0 + 0.8 at the latest.
+        self.assertGreaterEqual(14.0 - 10.8, 3.0)
+
+    def test_a_lease_that_was_given_up_is_free_after_the_time_it_names(self):
+        lease = LeaseWatcher("two", 3.8, 0.8)
+        lease.observe(LeaseRecord("", "", 0.0), 6, 10.0)
+        self.assertTrue(lease.may_take(10.0))
+        lease.observe(LeaseRecord("", "", 2.4), 7, 11.0)
+        self.assertFalse(lease.may_take(13.3))
+        self.assertTrue(lease.may_take(13.4))
