--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -6,6 +6,11 @@
     Verdict as Verdict,
     decide_access as decide_access,
 )
+from ._cache_news import (
+    SaltBook as SaltBook,
+    SaltMeaning as SaltMeaning,
+    is_cache_reader as is_cache_reader,
+)
 from ._claims import (
     ClaimDecision as ClaimDecision,
     decide_claims as decide_claims,
@@ -27,6 +32,9 @@
     AttemptDelivered as AttemptDelivered,
     AttemptDone as AttemptDone,
     AttemptFailed as AttemptFailed,
+    AttemptSilent as AttemptSilent,
+    CacheChanges as CacheChanges,
+    CacheSeen as CacheSeen,
     CancelAttempt as CancelAttempt,
     Dispatch as Dispatch,
     Event as Event,
@@ -44,7 +52,12 @@
     WeightsSeen as WeightsSeen,
 )
 from ._health import Health as Health, HealthState as HealthState
-from ._knowledge import CacheKnowledge as CacheKnowledge, Life as Life
+from ._imports import kept_life as kept_life
+from ._knowledge import (
+    CacheKnowledge as CacheKnowledge,
+    Life as Life,
+    life_label as life_label,
+)
 from ._lapses import LapseGuard as LapseGuard
 from ._lease import LeaseWatcher as LeaseWatcher
 from ._leaving import fits_before as fits_before
@@ -71,6 +84,7 @@
     build_chain as build_chain,
     cache_salt as cache_salt,
     chain_from_parts as chain_from_parts,
+    part_key as part_key,
 )
 from ._request import (
     Outcome as Outcome,
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -70,6 +70,14 @@
     retry_after_seconds: float | None = None
 
 
+@attrs.frozen
+class AttemptSilent:
+    """An upstream has not begun to answer an attempt for a while."""
+
+    request_id: str
+    attempt_id: str
+
+
 @attrs.frozen
 class AttemptDone:
     """An attempt brought its whole answer."""
@@ -145,6 +153,27 @@
     until_seconds: float
 
 
+@attrs.frozen
+class CacheChanges:
+    """Entries of one life of a cache and how many tokens of each it keeps now."""
+
+    #: Life as peers name it.
+    label: str
+    prefixes: tuple[bytes, ...]
+    #: Tokens kept; none means that the entry is gone.
+    tokens: tuple[int, ...]
+
+
+@attrs.frozen
+class CacheSeen:
+    """An engine's or a store's own word on its cache, read here or by a peer."""
+
+    upstream: str
+    changes: tuple[CacheChanges, ...]
+    #: Whether everything that was known before is to be forgotten.
+    is_reset: bool = False
+
+
 @attrs.frozen
 class TargetsRead:
     """The weights that the runners shall have, and since when each is known."""
@@ -169,6 +198,7 @@
     | AttemptAccepted
     | AttemptDelivered
     | AttemptFailed
+    | AttemptSilent
     | AttemptDone
     | RequestCancelled
     | LoadReported
@@ -177,6 +207,7 @@
     | PeerHeard
     | WeightsSeen
     | LoadOrdered
+    | CacheSeen
     | TargetsRead
     | TreeInForce
     | Tick
--- a/packages/rampwick-policy/src/rampwick_policy/_imports.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_imports.py
@@ -8,9 +8,10 @@
 
 import attrs
 
-from rampwick_schema import KeptStore, Service
+from rampwick_schema import KeptStore, PlacedPrefix, Service
 
-from ._prefix import PrefixChain
+from ._knowledge import Life
+from ._prefix import PrefixChain, held_tokens
 from ._routes import RouteIndex
 
 #: Time that setting up one import takes; from the engines' data sheets.
@@ -19,6 +20,9 @@
 #: Time for which a prefix saved to a store is taken to be there.
 SAVED_SECONDS = 15.0
 
+#: Stands for a store's incarnation, which hosts don't know.
+KEPT_INCARNATION = "kept"
+
 #: Prefixes remembered as saved.
 SAVED_COUNT = 20_000
 
@@ -49,25 +53,86 @@
     weights_version: int
 
 
-@attrs.define
+@attrs.frozen
+class KeptEntry:
+    """One prefix that a store is believed to hold."""
+
+    tokens: int
+    noted_at_seconds: float
+    #: Whether the store itself told of it, rather than a host that had it saved.
+    is_told: bool
+
+
 class KeptKnowledge:
-    """What this host believes one store of kept cache holds, by weights version."""
+    """What this host believes a store of kept cache holds, by weights version."""
 
-    _saved_at: dict[tuple[int, bytes], float] = attrs.field(factory=dict)
+    def __init__(self) -> None:
+        self._entries: dict[tuple[int, bytes], KeptEntry] = {}
 
-    def holds(self, weights_version: int, prefix: bytes, now_seconds: float) -> bool:
-        """Return whether a prefix was saved of late."""
-        saved_at = self._saved_at.get((weights_version, prefix))
-        return saved_at is not None and now_seconds - saved_at < SAVED_SECONDS
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def tokens(self, version: int, prefix: bytes, now_seconds: float) -> int:
+        """Return how much of an entry the store holds.
+
+        What a host had saved is taken to be there for a while; what the store told
+        itself stays until it tells otherwise.
+        """
+        entry = self._entries.get((version, prefix))
+        if entry is None:
+            return 0
+        age_seconds = now_seconds - entry.noted_at_seconds
+        if not entry.is_told and age_seconds >= SAVED_SECONDS:
+            return 0
+        return entry.tokens
+
+    def held_tokens(self, version: int, chain: PrefixChain, now_seconds: float) -> int:
+        """Return the length of a prompt's beginning that the store holds."""
+        held = {
+            item.prefix: self.tokens(version, item.prefix, now_seconds)
+            for item in chain.checkpoints
+        }
+        return held_tokens(chain, held)
 
     def note_saved(
-        self, weights_version: int, prefix: bytes, now_seconds: float
+        self, version: int, prefix: bytes, tokens: int, now_seconds: float
     ) -> None:
         """Note that a prefix is being saved."""
-        self._saved_at.pop((weights_version, prefix), None)
-        self._saved_at[weights_version, prefix] = now_seconds
-        while len(self._saved_at) > SAVED_COUNT:
-            del self._saved_at[next(iter(self._saved_at))]
+        known = self._entries.get((version, prefix))
+        if known is None or not known.is_told:
+            self._put(version, prefix, KeptEntry(tokens, now_seconds, False))
+
+    def note_change(
+        self, version: int, prefix: bytes, tokens: int, now_seconds: float
+    ) -> None:
+        """Take a change that the store told."""
+        if tokens > 0:
+            self._put(version, prefix, KeptEntry(tokens, now_seconds, True))
+        else:
+            self._entries.pop((version, prefix), None)
+
+    def clear(self) -> None:
+        """Forget everything, as after the store came back empty."""
+        self._entries.clear()
+
+    def _put(self, version: int, prefix: bytes, entry: KeptEntry) -> None:
+        self._entries.pop((version, prefix), None)
+        self._entries[version, prefix] = entry
+        while len(self._entries) > SAVED_COUNT:
+            del self._entries[next(iter(self._entries))]
+
+
+def kept_life(weights_version: int) -> Life:
+    """Return the life by which hosts tell each other what a store holds."""
+    return Life(KEPT_INCARNATION, weights_version)
+
+
+def kept_version(label: str) -> int | None:
+    """Return the weights version of a store's life; none for a runner's."""
+    incarnation, _, version = label.rpartition("/")
+    if incarnation != KEPT_INCARNATION or not version.isdigit():
+        return None
+    return int(version)
 
 
 class Imports:
@@ -115,16 +180,23 @@
         store = self.store()
         if store is None or store.link_bits_per_second <= 0.0:
             return None
-        held = 0
-        for level in chain.levels:
-            if self.kept.holds(weights_version, level.prefix, now_seconds):
-                held = level.tokens
+        held = self.kept.held_tokens(weights_version, chain, now_seconds)
         bits_per_token = 8.0 * service.token_bytes
         seconds_per_token = bits_per_token / store.link_bits_per_second
         return ImportSource(
             store.name, store.address, held, seconds_per_token, weights_version
         )
 
+    def note_reported(self, placed: PlacedPrefix, now_seconds: float) -> bool:
+        """Take what a peer had saved; return whether it is about a store."""
+        version = kept_version(placed.incarnation)
+        if version is None:
+            return False
+        pairs = zip(placed.prefixes, placed.extents_tokens, strict=False)
+        for prefix, tokens in pairs:
+            self.kept.note_saved(version, prefix, tokens, now_seconds)
+        return True
+
     def save_address(
         self, weights_version: int, chain: PrefixChain, now_seconds: float
     ) -> str:
@@ -136,8 +208,12 @@
         levels = chain.levels
         if store is None or not levels:
             return ""
-        if self.kept.holds(weights_version, levels[-1].prefix, now_seconds):
+        held = self.kept.held_tokens(weights_version, chain, now_seconds)
+        if held >= levels[-1].tokens:
             return ""
+        previous = 0
         for level in levels:
-            self.kept.note_saved(weights_version, level.prefix, now_seconds)
+            extent = level.tokens - previous
+            previous = level.tokens
+            self.kept.note_saved(weights_version, level.prefix, extent, now_seconds)
         return store.address
--- a/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
@@ -6,13 +6,13 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
 from rampwick_schema import PlacedPrefix
 
-from ._prefix import Checkpoint, PrefixChain
+from ._prefix import Checkpoint, PrefixChain, held_tokens
 
 
 @attrs.frozen
@@ -41,11 +41,8 @@
         return len(self._tokens)
 
     def cached_tokens(self, chain: PrefixChain) -> int:
-        """Return the length of the longest checkpoint believed to be held."""
-        for checkpoint in reversed(chain.checkpoints):
-            if checkpoint.prefix in self._tokens:
-                return checkpoint.tokens
-        return 0
+        """Return the length of the beginning believed to be held."""
+        return held_tokens(chain, self._tokens)
 
     def insert(self, checkpoints: Iterable[Checkpoint]) -> None:
         """Note that the runner has just used these, given shallowest first."""
@@ -69,6 +66,13 @@
             self._put(prefix, self._tokens.get(prefix, extent))
         self._evict()
 
+    def note_change(self, prefix: bytes, tokens: int) -> None:
+        """Take a change that the engine told: how much it keeps of an entry now."""
+        if tokens > 0:
+            self._put(prefix, tokens)
+        else:
+            self._held_tokens -= self._tokens.pop(prefix, 0)
+
     def forget_beyond(self, chain: PrefixChain, tokens: int) -> None:
         """Drop the chain's checkpoints deeper than the runner really held."""
         for checkpoint in chain.checkpoints:
@@ -146,6 +150,21 @@
             cache.touch(placed.prefixes, placed.extents_tokens)
             self._bound(cache)
 
+    def note_changes(
+        self,
+        upstream: str,
+        label: str,
+        prefixes: Sequence[bytes],
+        tokens: Sequence[int],
+    ) -> None:
+        """Take changes that an engine told; those of another life are dropped."""
+        cache = self._caches.get(upstream)
+        if cache is None or life_label(cache.life) != label:
+            return
+        for prefix, kept in zip(prefixes, tokens, strict=False):
+            cache.note_change(prefix, kept)
+        self._bound(cache)
+
     def entries_count(self) -> int:
         """Return the number of entries over all runners."""
         return sum(len(cache) for cache in self._caches.values())
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -10,7 +10,7 @@
 
 from . import _events as ev
 from ._health import HealthState
-from ._imports import Holder, Imports, ImportSource
+from ._imports import Holder, Imports, ImportSource, kept_life, kept_version
 from ._knowledge import CacheKnowledge, Life
 from ._membership import Membership
 from ._placement_news import PlacementNews
@@ -19,6 +19,9 @@
 from ._shares import ShareLedger
 from ._upstreams import Upstream, UpstreamTable
 
+#: Time for which peers are told that an upstream was found to be down.
+DOWN_TOLD_SECONDS = 1.0
+
 #: Longest time that a busy upstream is left alone.
 MAX_BUSY_SECONDS = 1.0
 
@@ -31,6 +34,7 @@
     | ev.WeightsSeen
     | ev.LoadOrdered
     | ev.TargetsRead
+    | ev.CacheSeen
 )
 
 
@@ -57,6 +61,7 @@
             ev.WeightsSeen: self._on_weights,
             ev.LoadOrdered: self._on_load,
             ev.TargetsRead: self._on_targets,
+            ev.CacheSeen: self._on_cache,
         }
 
     def hear(self, event: PoolEvent, now_seconds: float) -> None:
@@ -101,7 +106,12 @@
         if self.imports.service(service) is None or upstream.life is None:
             return ""
         version = upstream.life.weights_version
-        return self.imports.save_address(version, chain, now_seconds)
+        address = self.imports.save_address(version, chain, now_seconds)
+        store = self.imports.store()
+        if address and store is not None:
+            # Peers need not save it again.
+            self._news.note(store.name, kept_life(version), chain, now_seconds)
+        return address
 
     def note_placed(
         self, name: str, life: Life, chain: PrefixChain, now_seconds: float
@@ -138,7 +148,13 @@
             asked = event.retry_after_seconds or MAX_BUSY_SECONDS
             upstream.busy_until_seconds = now_seconds + min(asked, MAX_BUSY_SECONDS)
 
+    def suspect(self, name: str, now_seconds: float) -> bool:
+        """Suspect an upstream that fell silent; return whether that is new."""
+        upstream = self.upstreams.get(name)
+        return upstream is not None and self.upstreams.suspect(upstream, now_seconds)
+
     def _take_down(self, upstream: Upstream, error: str, now_seconds: float) -> None:
+        upstream.is_suspected = False
         upstream.health.note_failure(error, now_seconds)
         # Nothing is known of the engine until it reports a life again; if it is
         # the old one, what it holds is still good.
@@ -164,6 +180,12 @@
             workspaces=self._workspace_usages(waiting, now_seconds),
             upstreams=self._upstream_usages(),
             placed=self._news.take(),
+            down=[
+                upstream.name
+                for upstream in self.upstreams
+                if upstream.health.state is HealthState.DOWN
+                and now_seconds - upstream.health.since_seconds < DOWN_TOLD_SECONDS
+            ],
         )
 
     def _workspace_usages(
@@ -185,7 +207,8 @@
                 upstream=upstream.name,
                 incarnation=upstream.life_name,
                 running_count=len(upstream.own_attempts),
-                waiting_tokens=sum(upstream.own_attempts.values()),
+                waiting_tokens=upstream.own_waiting_tokens,
+                urgent_tokens=upstream.own_urgent_tokens,
             )
             for upstream in self.upstreams
             if upstream.own_attempts
@@ -200,6 +223,7 @@
             is_same_life = not self.upstreams.note_report(upstream, event.report)
             self._observe(upstream, event.report.cache_tokens)
         upstream.health.note_probe(is_same_life, now_seconds)
+        self.upstreams.clear(upstream, now_seconds)
 
     def _on_probe_failed(self, event: ev.ProbeFailed, now_seconds: float) -> None:
         upstream = self.upstreams.get(event.upstream)
@@ -235,6 +259,20 @@
     def _on_targets(self, event: ev.TargetsRead, now_seconds: float) -> None:
         self.upstreams.targets.apply(event.targets, now_seconds)
 
+    def _on_cache(self, event: ev.CacheSeen, now_seconds: float) -> None:
+        if event.is_reset:
+            self.imports.kept.clear()
+        for changes in event.changes:
+            version = kept_version(changes.label)
+            if version is None:
+                self.knowledge.note_changes(
+                    event.upstream, changes.label, changes.prefixes, changes.tokens
+                )
+                continue
+            pairs = zip(changes.prefixes, changes.tokens, strict=False)
+            for prefix, tokens in pairs:
+                self.imports.kept.note_change(version, prefix, tokens, now_seconds)
+
     def _observe(self, upstream: Upstream, cache_tokens: int = 0) -> None:
         """Drop what was known of an earlier life of a runner's cache."""
         if upstream.life is None:
@@ -249,8 +287,12 @@
         )
         if is_news:
             self.ledger.hear(event.name, event.summary.workspaces, now_seconds)
+            for name in event.summary.down:
+                # Each host asks for itself: it may reach what the peer does not.
+                self.suspect(name, now_seconds)
             for placed in event.summary.placed:
-                self.knowledge.note_reported(placed)
+                if not self.imports.note_reported(placed, now_seconds):
+                    self.knowledge.note_reported(placed)
 
 
 def _sorted(host_list: HostList) -> HostList:
--- a/packages/rampwick-policy/src/rampwick_policy/_prefix.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_prefix.py
@@ -12,7 +12,7 @@
 """
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from functools import lru_cache
 
 import attrs
@@ -57,6 +57,8 @@
     total_tokens: int
     #: Key that related prompts share where it is known; empty takes the first blocks.
     named_home: bytes = b""
+    #: Whether the checkpoints are named parts, each with a key of its own.
+    has_parts: bool = False
 
     @property
     def levels(self) -> tuple[Checkpoint, ...]:
@@ -105,22 +107,52 @@
 
     The last part is the request's own; the ends of the others are levels.
     """
-    running = hashlib.blake2b(key=scope.seed, digest_size=HASH_BYTES)
     checkpoints = []
     tokens = 0
     for index, part in enumerate(parts):
-        running.update(len(part.name).to_bytes(2, "big") + part.name)
         tokens += part.tokens
         is_level = index < len(parts) - 1
-        checkpoints.append(Checkpoint(running.copy().digest(), tokens, is_level))
+        checkpoints.append(Checkpoint(part_key(scope, part.name), tokens, is_level))
     shared = [item for item in checkpoints if item.is_level] or checkpoints
     return PrefixChain(
         checkpoints=tuple(checkpoints),
         total_tokens=max(1, tokens),
         named_home=shared[-1].prefix if shared else b"",
+        has_parts=True,
     )
 
 
+def part_key(scope: Scope, name: bytes) -> bytes:
+    """Return the key under which one named part is known within a scope."""
+    return hashlib.blake2b(name, key=scope.seed, digest_size=HASH_BYTES).digest()
+
+
+def held_tokens(chain: PrefixChain, held: Mapping[bytes, int]) -> int:
+    """Return the length of the prompt's beginning that a cache holds.
+
+    ``held`` has the tokens that each entry adds to the one before it. Where a prompt
+    has named parts, each entry is one part, of which a cache may have kept only the
+    beginning, and it counts if all parts before it are whole.
+    """
+    if not chain.has_parts:
+        return next(
+            (
+                item.tokens
+                for item in reversed(chain.checkpoints)
+                if item.prefix in held
+            ),
+            0,
+        )
+    total = 0
+    for checkpoint in chain.checkpoints:
+        extent = checkpoint.tokens - total
+        kept = held.get(checkpoint.prefix, 0)
+        if kept < extent:
+            return total + kept
+        total = checkpoint.tokens
+    return total
+
+
 def _hash_blocks(
     seed: bytes, text: bytes, block_bytes: int, depths: Sequence[int]
 ) -> list[tuple[int, bytes]]:
--- a/packages/rampwick-policy/src/rampwick_policy/_rollout.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_rollout.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import math
 from collections.abc import Sequence
 
 import attrs
@@ -33,6 +34,9 @@
 #: Time for which a runner that reports a load under way is left alone at least.
 STILL_LOADING_SECONDS = 0.5
 
+#: Time for which a runner that did not report is left out of the plan.
+SILENT_SECONDS = 1.0
+
 #: Time after which a report that did not come is asked for again.
 ASK_AGAIN_SECONDS = 0.3
 
@@ -71,6 +75,8 @@
     report: LoadReport | None = None
     reported_at_seconds: float = 0.0
     asked_at_seconds: float = -1e9
+    #: Until when a runner that did not report is left out.
+    silent_until_seconds: float = -1e9
     #: The last order, while it is not known to be over.
     ordered_version: int | None = None
     ordered_at_seconds: float = 0.0
@@ -112,9 +118,15 @@
         names = {runner.name for runner in runners}
         for name in self._records.keys() - names:
             del self._records[name]
-        states = [self._with_pending(runner) for runner in runners]
+        states = [
+            self._with_pending(runner)
+            for runner in runners
+            if now_seconds >= self._record(runner.name).silent_until_seconds
+        ]
         steps: list[RolloutStep] = []
-        max_loads = max(self._max_loads, int(len(states) * self._max_loads_ratio))
+        # Rounded up: with a runner gone the others load as fast as before.
+        by_ratio = math.ceil(len(states) * self._max_loads_ratio)
+        max_loads = max(self._max_loads, by_ratio)
         for planned in plan_orders(states, targets, 0, max_loads):
             steps += self._approach(planned, now_seconds)
         for runner in states:
@@ -145,6 +157,11 @@
                 record.until_seconds, asked_at_seconds + STILL_LOADING_SECONDS
             )
 
+    def note_silence(self, runner: str, now_seconds: float) -> None:
+        """Note that a runner did not report; others go before it for a while."""
+        record = self._record(runner)
+        record.silent_until_seconds = now_seconds + SILENT_SECONDS
+
     def note_sent(self, runner: str, version: int, now_seconds: float) -> None:
         """Note that an order is about to be sent."""
         record = self._record(runner)
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -5,7 +5,7 @@
 """
 
 from ._admission import Admission, Rival, goes_before
-from ._events import RequestArrived
+from ._events import RANKED_CLASSES, RequestArrived
 from ._membership import Membership
 from ._placement import Choice, RunnerView, chosen_view
 from ._shares import Standing
@@ -39,7 +39,7 @@
     def views(self, arrival: RequestArrived) -> list[RunnerView]:
         """Return the upstreams that could serve a request."""
         model = arrival.scope.model if arrival.scope else ""
-        is_urgent = arrival.priority_class == "portal"
+        is_urgent = arrival.priority_class == RANKED_CLASSES[0]
         key = (arrival.service, model, is_urgent)
         if key not in self._views:
             self._views[key] = self._build(arrival.service, model, is_urgent)
@@ -70,7 +70,12 @@
         extra_ratio = PORTAL_EXTRA_RATIO if is_urgent else 0.0
         return [
             self._upstreams.view(
-                upstream, self._peers, self._part_ratio, extra_ratio, self._now_seconds
+                upstream,
+                self._peers,
+                self._part_ratio,
+                extra_ratio,
+                is_urgent,
+                self._now_seconds,
             )
             for upstream in self._upstreams
             if _serves(upstream, service, model)
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -29,7 +29,7 @@
 STRANDED_SECONDS = 2.0
 
 #: Events after which nothing that waits can go any sooner; ticks come anyway.
-QUIET_EVENTS = (ev.AttemptAccepted, ev.LoadReported)
+QUIET_EVENTS = (ev.AttemptAccepted, ev.LoadReported, ev.CacheSeen)
 
 #: Reasons of refusals.
 QUEUE_FULL = "queue_full"
@@ -69,15 +69,17 @@
             ev.AttemptAccepted: self._on_accepted,
             ev.AttemptDelivered: self._on_delivered,
             ev.AttemptFailed: self._on_failed,
+            ev.AttemptSilent: self._on_silent,
             ev.AttemptDone: self._on_done,
             ev.RequestCancelled: self._on_cancelled,
             ev.LoadReported: self._on_pool_news,
-            ev.ProbeFailed: self._on_pool_news,
+            ev.ProbeFailed: self._on_probe_failed,
             ev.HostListRead: self._on_pool_news,
             ev.PeerHeard: self._on_pool_news,
             ev.WeightsSeen: self._on_pool_news,
             ev.LoadOrdered: self._on_pool_news,
             ev.TargetsRead: self._on_pool_news,
+            ev.CacheSeen: self._on_pool_news,
             ev.TreeInForce: self._on_tree,
             ev.Tick: self._on_tick,
         }
@@ -299,6 +301,31 @@
             return None
         return self.admission.retry_after_seconds(item.arrival.workspace, now_seconds)
 
+    def _on_silent(
+        self, event: ev.AttemptSilent, now_seconds: float
+    ) -> list[ev.Action]:
+        item = self._requests.get(event.request_id)
+        if item is not None and item.lifecycle.attempt_id == event.attempt_id:
+            self.pool.suspect(item.upstream, now_seconds)
+        return []
+
+    def _on_probe_failed(
+        self, event: ev.ProbeFailed, now_seconds: float
+    ) -> list[ev.Action]:
+        """Take an upstream down, and what may be repeated away from it."""
+        self.pool.hear(event, now_seconds)
+        actions: list[ev.Action] = []
+        for item in list(self._requests.values()):
+            if item.upstream == event.upstream and item.lifecycle.is_repeatable:
+                failed = ev.AttemptFailed(
+                    item.request_id,
+                    item.lifecycle.attempt_id,
+                    Outcome.BROKEN,
+                    event.message,
+                )
+                actions += self._on_failed(failed, now_seconds)
+        return actions
+
     # News of others, and time.
 
     def _on_pool_news(self, event: PoolEvent, now_seconds: float) -> list[ev.Action]:
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -32,6 +32,12 @@
 #: Time between two probes of an upstream that is waited for.
 AWAITED_PROBE_SECONDS = 0.25
 
+#: Time between two probes of an upstream that is suspected to be gone.
+SUSPECTED_PROBE_SECONDS = 0.05
+
+#: Time for which a suspicion that a probe has cleared does not come again.
+TRUST_SECONDS = 2.0
+
 #: Weight of the newest interval in the mean time between two freed slots.
 RELEASE_SMOOTHING = 0.2
 
@@ -56,11 +62,17 @@
     reported_running_count: int = 0
     #: Prompt tokens whose first token has not come, by own attempt.
     own_attempts: dict[str, int] = attrs.field(factory=dict)
+    #: Own attempts of the most urgent rank.
+    urgent_attempts: set[str] = attrs.field(factory=set)
     #: Weights that it is loading and until when; it serves nothing meanwhile.
     load_version: int = 0
     load_until_seconds: float = -math.inf
     #: Until when an upstream that refused work as busy is left alone.
     busy_until_seconds: float = 0.0
+    #: Whether it fell silent and is to be asked at once if it is well.
+    is_suspected: bool = False
+    #: Until when its silence raises no suspicion, since it has just proved well.
+    trusted_until_seconds: float = -math.inf
     #: When it was last asked for its load.
     probed_at_seconds: float = -math.inf
     released_at_seconds: float | None = None
@@ -88,9 +100,23 @@
         )
         return not has_them and now_seconds < self.load_until_seconds
 
-    def start(self, attempt_id: str, missing_tokens: int) -> None:
+    @property
+    def own_waiting_tokens(self) -> int:
+        """Prompt tokens of own attempts whose first token has not come."""
+        return sum(self.own_attempts.values())
+
+    @property
+    def own_urgent_tokens(self) -> int:
+        """Those of them that are of the most urgent rank."""
+        return sum(self.own_attempts[attempt] for attempt in self.urgent_attempts)
+
+    def start(
+        self, attempt_id: str, missing_tokens: int, is_urgent: bool = False
+    ) -> None:
         """Note an attempt that is sent here."""
         self.own_attempts[attempt_id] = missing_tokens
+        if is_urgent:
+            self.urgent_attempts.add(attempt_id)
 
     def note_first_token(self, attempt_id: str) -> None:
         """Note that an attempt's prompt is computed."""
@@ -99,6 +125,7 @@
 
     def release(self, attempt_id: str, now_seconds: float) -> None:
         """Note that an attempt's slot is free again."""
+        self.urgent_attempts.discard(attempt_id)
         if self.own_attempts.pop(attempt_id, None) is None:
             return
         if self.released_at_seconds is not None:
@@ -214,7 +241,9 @@
                 upstream.is_runner and upstream.life is None
             )
             interval_seconds = self._retry.probe_interval_seconds
-            if is_awaited:
+            if upstream.is_suspected:
+                interval_seconds = SUSPECTED_PROBE_SECONDS
+            elif is_awaited:
                 interval_seconds = AWAITED_PROBE_SECONDS
             elif not interval_seconds:
                 continue
@@ -223,6 +252,24 @@
                 due.append(upstream.entry)
         return due
 
+    def suspect(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Suspect an upstream that fell silent; return whether that is new.
+
+        It gets no new work until a probe, which comes at once, has cleared it.
+        """
+        if upstream.is_suspected or now_seconds < upstream.trusted_until_seconds:
+            return False
+        if upstream.health.state is HealthState.DOWN:
+            return False
+        upstream.is_suspected = True
+        return True
+
+    def clear(self, upstream: Upstream, now_seconds: float) -> None:
+        """Trust an upstream that has answered a probe."""
+        if upstream.is_suspected:
+            upstream.is_suspected = False
+            upstream.trusted_until_seconds = now_seconds + TRUST_SECONDS
+
     def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
         """Take a runner's report; return whether it shows a new life."""
         upstream.model = report.model
@@ -246,7 +293,7 @@
             now_seconds
         ):
             return False
-        if self._is_too_old(upstream, now_seconds):
+        if upstream.is_suspected or self._is_too_old(upstream, now_seconds):
             return False
         return upstream.health.admit_ratio(now_seconds) > 0.0
 
@@ -285,18 +332,22 @@
         peers: Membership,
         part_ratio: float,
         extra_slots_ratio: float,
+        is_urgent: bool,
         now_seconds: float,
     ) -> RunnerView:
         """Return what placement may know; peers' work counts as running.
 
         ``part_ratio`` is this host's part of the pool; ``extra_slots_ratio`` lets
-        urgent requests use slots beyond the usual ones.
+        urgent requests use slots beyond the usual ones. Runners take urgent prompts
+        before others, so that for those only urgent ones wait.
         """
         load = peers.load_of(upstream.name, upstream.life_name)
         usable = self.usable_slots(upstream, part_ratio, now_seconds)
         slots = usable + math.ceil(usable * extra_slots_ratio)
         running = len(upstream.own_attempts) + load.running_count
-        waiting = sum(upstream.own_attempts.values()) + load.waiting_tokens
+        waiting = upstream.own_waiting_tokens + load.waiting_tokens
+        if is_urgent:
+            waiting = upstream.own_urgent_tokens + load.urgent_tokens
         over = max(0, running - slots + 1)
         is_near = upstream.entry.hall == self._hall
         distance = 0.0 if is_near else self._placement.hall_distance_seconds
--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -10,6 +10,8 @@
 from ._dialects import (
     AnswerFacts as AnswerFacts,
     AttemptTerms as AttemptTerms,
+    CacheEvent as CacheEvent,
+    CacheEvents as CacheEvents,
     ControlRequest as ControlRequest,
     Dialects as Dialects,
     ErrorAnswer as ErrorAnswer,
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_cache_reader.py
@@ -0,0 +1,209 @@
+"""The task that reads cache events of engines and stores, for this host and peers."""
+
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from rampwick_policy import (
+    CacheChanges,
+    CacheSeen,
+    Life,
+    SaltBook,
+    Scheduler,
+    Scope,
+    is_cache_reader,
+    kept_life,
+    life_label,
+    part_key,
+)
+from rampwick_schema import CacheChange, CacheNews, DataError, HostSettings
+
+from ._channels import ChannelPool
+from ._dialects import CacheDialect, CacheEvents
+from ._errors import AttemptError
+from ._logs import PartLogger
+from ._scheduler_task import SchedulerTask
+from ._upstream_control import call_upstream
+
+#: Longest wait of one question, and what its answer may take beyond.
+WAIT_SECONDS = 1.0
+ANSWER_SECONDS = 0.5
+
+#: Time between two questions to one cache. Events come in all the time, so that a
+#: question seldom waits, and each one has its price; placements that hosts tell each
+#: other fill the time between.
+PERIOD_SECONDS = 0.7
+
+#: Wait after a question that failed.
+FAILURE_PAUSE_SECONDS = 1.0
+
+#: Time between two looks at which caches this host is to read.
+ROLE_SECONDS = 0.5
+
+log = PartLogger("cache")
+
+
+@attrs.frozen
+class Source:
+    """A cache whose events are read."""
+
+    name: str
+    address: str
+    #: Life of the engine; empty for a store, which outlives all weights.
+    incarnation: str = ""
+
+
+@attrs.define
+class Reading:
+    """Where the reading of one cache stands."""
+
+    epoch: int | None = None
+    since: int = 0
+    #: Whether the last question was answered.
+    is_heard: bool = True
+
+
+class CacheReaderTask:
+    """Reads the events of those caches that are this host's to read."""
+
+    def __init__(
+        self,
+        host: HostSettings,
+        scheduler: SchedulerTask,
+        channels: ChannelPool,
+        dialect: CacheDialect,
+        salts: SaltBook,
+        tell_peers: Callable[[CacheNews], None],
+    ) -> None:
+        self._host = host
+        self._scheduler = scheduler
+        self._channels = channels
+        self._dialect = dialect
+        self._salts = salts
+        self._tell_peers = tell_peers
+        self._scopes: dict[Source, anyio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                wanted = await self._scheduler.ask(self._list_sources)
+                for source in self._scopes.keys() - wanted:
+                    self._scopes.pop(source).cancel()
+                for source in wanted - self._scopes.keys():
+                    scope = self._scopes[source] = anyio.CancelScope()
+                    tasks.start_soon(self._follow, source, scope)
+                await anyio.sleep(ROLE_SECONDS)
+
+    def _list_sources(self, scheduler: Scheduler, now_seconds: float) -> set[Source]:
+        imports = scheduler.pool.imports
+        sources = {
+            Source(upstream.name, upstream.entry.address, upstream.entry.incarnation)
+            for upstream in scheduler.upstreams
+            if upstream.is_runner and imports.service(upstream.entry.group) is not None
+        }
+        store = imports.store()
+        if store is not None:
+            sources.add(Source(store.name, store.address))
+        self._salts.prepare(_list_scopes(scheduler), _list_versions(scheduler))
+        peers = list(scheduler.peers.live(now_seconds))
+        return {
+            source
+            for source in sources
+            if is_cache_reader(self._host.name, self._host.hall, source.name, peers)
+        }
+
+    async def _follow(self, source: Source, scope: anyio.CancelScope) -> None:
+        reading = Reading()
+        with scope:
+            while True:
+                try:
+                    await self._ask(source, reading)
+                except (AttemptError, DataError) as error:
+                    self._note_silence(source, reading, str(error))
+                    await anyio.sleep(FAILURE_PAUSE_SECONDS)
+                await anyio.sleep(PERIOD_SECONDS)
+
+    async def _ask(self, source: Source, reading: Reading) -> None:
+        request = self._dialect.events(source.address, reading.since, WAIT_SECONDS)
+        # Named apart from requests, so that a waiting call holds none of theirs up.
+        head, body = await call_upstream(
+            self._channels,
+            f"{source.name} events",
+            source.address,
+            request,
+            WAIT_SECONDS + ANSWER_SECONDS,
+        )
+        events = self._dialect.read_events(head, body)
+        if not reading.is_heard:
+            reading.is_heard = True
+            log.info("cache tells again", cache=source.name, epoch=events.epoch)
+        is_new = reading.epoch not in (None, events.epoch)
+        reading.epoch = events.epoch
+        if is_new and events.next_number < reading.since:
+            # Numbers began anew, too: the answer may have left the first ones out.
+            reading.since = 0
+            events = attrs.evolve(events, events=[])
+        else:
+            reading.since = events.next_number
+        self._pass_on(source, events, is_reset=is_new and not source.incarnation)
+
+    def _note_silence(self, source: Source, reading: Reading, error: str) -> None:
+        if reading.is_heard:
+            log.problem("cache does not tell", cache=source.name, error=error)
+        reading.is_heard = False
+
+    def _pass_on(self, source: Source, events: CacheEvents, is_reset: bool) -> None:
+        changes = self._translate(source, events)
+        if not changes and not is_reset:
+            return
+        seen = CacheSeen(source.name, tuple(changes), is_reset)
+        self._scheduler.post(seen)
+        self._tell_peers(
+            CacheNews(
+                upstream=source.name,
+                is_reset=is_reset,
+                changes=[
+                    CacheChange(item.label, list(item.prefixes), list(item.tokens))
+                    for item in changes
+                ],
+            )
+        )
+
+    def _translate(self, source: Source, events: CacheEvents) -> list[CacheChanges]:
+        by_version: dict[int, dict[bytes, int]] = {}
+        for event in events.events:
+            meaning = self._salts.find(event.salt)
+            if meaning is not None:
+                known = by_version.setdefault(meaning.weights_version, {})
+                # Of several changes of an entry the last one holds.
+                known[part_key(meaning.scope, event.part)] = event.kept_tokens
+        return [
+            CacheChanges(_label(source, version), tuple(known), tuple(known.values()))
+            for version, known in by_version.items()
+        ]
+
+
+def _label(source: Source, version: int) -> str:
+    if source.incarnation:
+        return life_label(Life(source.incarnation, version))
+    return life_label(kept_life(version))
+
+
+def _list_scopes(scheduler: Scheduler) -> set[Scope]:
+    models = {upstream.model for upstream in scheduler.upstreams if upstream.model}
+    walls = {item.cache_wall for item in scheduler.admission.workspaces.values()}
+    return {Scope(wall, model) for wall in walls for model in models}
+
+
+def _list_versions(scheduler: Scheduler) -> set[int]:
+    versions = {
+        upstream.life.weights_version
+        for upstream in scheduler.upstreams
+        if upstream.life is not None and upstream.is_runner
+    }
+    newest = {
+        target.weights_version for target in scheduler.upstreams.targets.all_newest()
+    }
+    return versions | newest
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -15,10 +15,11 @@
 from hypercorn.config import Config
 
 from rampwick_platform import HttpObjectApi, ObjectApi, TreeStore
-from rampwick_policy import ConfigurationFollower, Scheduler
+from rampwick_policy import ConfigurationFollower, SaltBook, Scheduler
 from rampwick_schema import Settings
 
 from ._admin import AdminApp
+from ._cache_reader import CacheReaderTask
 from ._channels import ChannelPool
 from ._claims import ClaimTask
 from ._configuration import ConfigurationSource, ConfigurationTask
@@ -139,6 +140,15 @@
             self._directory,
         )
         self.steward.tell_peers = self._peers.tell_summary
+        salts = SaltBook(settings.peers.secret)
+        self._cache_reader = CacheReaderTask(
+            host,
+            self.scheduler,
+            channels,
+            dialects.cache,
+            salts,
+            self._peers.tell_cache_news,
+        )
         self._parts = Parts(
             settings=settings,
             scheduler=self.scheduler,
@@ -153,6 +163,7 @@
             configuration=self._configuration,
             channels=channels,
             dialects=dialects,
+            salts=salts,
         )
         self.entry = EntryApp(self._parts, serves_routes=integration is not None)
         self.admin = AdminApp(
@@ -200,6 +211,7 @@
         tasks.start_soon(self._cancels.run)
         tasks.start_soon(self.steward.run)
         tasks.start_soon(self._channels.sweep)
+        tasks.start_soon(self._cache_reader.run)
         if self._targets is not None:
             tasks.start_soon(self._targets.run)
         if self._directory is not None:
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -170,6 +170,39 @@
         """Return what a runner says to an order."""
 
 
+@attrs.frozen
+class CacheEvent:
+    """One change of a cache."""
+
+    salt: str
+    part: bytes
+    #: Tokens kept of the part now; none means that it is gone.
+    kept_tokens: int
+
+
+@attrs.frozen
+class CacheEvents:
+    """What a cache told since the last question."""
+
+    #: Changes when the cache starts anew, empty.
+    epoch: int
+    #: Where the next question goes on.
+    next_number: int
+    #: Whether older events were forgotten before they were read.
+    has_gap: bool
+    events: Sequence[CacheEvent]
+
+
+class CacheDialect(Protocol):
+    """How engines and stores tell what they cache."""
+
+    def events(self, address: str, since: int, wait_seconds: float) -> ControlRequest:
+        """Return the call for the events after a number; it waits for some."""
+
+    def read_events(self, head: AnswerHead, body: bytes) -> CacheEvents:
+        """Return the events of an answer, or raise DataError."""
+
+
 @attrs.frozen
 class Dialects:
     """The protocols towards callers and upstreams of routes."""
@@ -177,3 +210,4 @@
     caller: CallerDialect
     upstream: UpstreamDialect
     control: ControlDialect
+    cache: CacheDialect
--- a/packages/rampwick-router/src/rampwick_router/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_exchange.py
@@ -28,6 +28,9 @@
 
 log = PartLogger("entry")
 
+#: Scores of other upstreams in the log line of a placement.
+MAX_LOGGED_CHOICES = 6
+
 Decisions = MemoryObjectReceiveStream[Dispatch | Refuse]
 
 
@@ -52,6 +55,7 @@
         self._has_ended = False
         #: Whether an attempt ran or may have run.
         self.may_have_run = False
+        self._is_under_way = False
 
     @abstractmethod
     def arrival(self) -> RequestArrived:
@@ -105,22 +109,29 @@
         await self._own_key()
         self.check_still_allowed()
         self._note_dispatch()
+        self._log_dispatch(dispatch)
         decision: Dispatch | Refuse | None = None
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self._attempt, dispatch, task_group.cancel_scope)
             decision = await decisions.receive()
+            # Decided while the attempt was under way: nobody knows if it ran.
+            self.may_have_run |= self._is_under_way
             task_group.cancel_scope.cancel()
-        return decision
+        return None if self.responder.has_ended else decision
 
     async def _attempt(self, dispatch: Dispatch, scope: anyio.CancelScope) -> None:
+        self._is_under_way = True
         try:
             done = await self.attempt(dispatch)
         except AttemptError as error:
+            self._is_under_way = False
             self._note_attempt(dispatch, error.outcome.value)
             self.may_have_run |= not error.outcome.proves_not_run
             log.problem(
                 "attempt failed",
-                request=self.request_id,
+                request=self.caller_request_id,
+                attempt=dispatch.attempt_id,
+                outcome=error.outcome.value,
                 upstream=dispatch.upstream,
                 error=str(error),
             )
@@ -172,7 +183,14 @@
         if not self._has_ended:
             self._end(error.code)
             self.parts.scheduler.post(RequestCancelled(self.request_id))
-        log.info("request refused", request=self.request_id, error=str(error))
+        log.info(
+            "request refused",
+            request=self.caller_request_id,
+            status=error.status,
+            run_state=error.run_state.name.lower(),
+            retry_after_ms=_milliseconds(error.retry_after_seconds),
+            error=str(error),
+        )
         await self.answer_error(error)
 
     async def _watch_caller(self, scope: anyio.CancelScope) -> None:
@@ -186,6 +204,39 @@
         waited = self.parts.read_clock() - self.arrived_at_seconds
         self.parts.metrics.queue_wait.labels(*self.labels).observe(waited)
 
+    @property
+    def caller_request_id(self) -> str:
+        """The id under which the caller knows the request."""
+        return self.request_id
+
+    def _log_dispatch(self, dispatch: Dispatch) -> None:
+        choice = dispatch.choice
+        fields: dict[str, object] = {}
+        if choice is not None:
+            source = choice.import_source
+            fields = {
+                "cached_tokens": choice.cached_tokens,
+                "imported_tokens": choice.imported_tokens,
+                "missing_tokens": choice.missing_tokens,
+                "import_from": source.name if source else "",
+                "queue_ms": round(choice.queue_seconds * 1000),
+                "scores_ms": {
+                    other.upstream: round(other.score_seconds * 1000)
+                    for other in choice.considered[:MAX_LOGGED_CHOICES]
+                },
+            }
+        waited = self.parts.read_clock() - self.arrived_at_seconds
+        log.info(
+            "attempt sent",
+            request=self.caller_request_id,
+            attempt=dispatch.attempt_id,
+            upstream=dispatch.upstream,
+            weights_version=dispatch.weights_version,
+            waited_ms=round(waited * 1000),
+            is_saved=bool(dispatch.save_address),
+            **fields,
+        )
+
     def _note_attempt(self, dispatch: Dispatch, outcome: str) -> None:
         self.parts.metrics.attempts.labels(dispatch.upstream, outcome).inc()
 
@@ -194,6 +245,10 @@
         self.parts.metrics.requests.labels(*self.labels, answer).inc()
 
 
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
+
+
 def _refusal_status(status: int, run_state: RunState) -> int:
     """Return a status that promises no more than what is known of the request.
 
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -3,7 +3,7 @@
 import argparse
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import anyio
@@ -18,6 +18,9 @@
 
 log = PartLogger("life")
 
+#: Signals that a daemon understands: stop, and read the settings again.
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 
@@ -77,29 +80,30 @@
     """
     settings = read_settings(path)
     integration = make_integration(settings) if make_integration else None
-    async with (
-        run_daemon(settings, integration=integration) as (daemon, addresses),
-        anyio.create_task_group() as tasks,
-    ):
-        tasks.start_soon(_watch_signals, daemon, path)
-        announce(
-            f"rampwickd {settings.host.name} entry={addresses.entry} "
-            f"admin={addresses.admin} peer={addresses.peer}",
-            flush=True,
-        )
-        await daemon.stop()
-        tasks.cancel_scope.cancel()
-
-
-async def _watch_signals(daemon: Daemon, path: Path) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                _reload(daemon, path)
-            else:
-                daemon.life.begin_stop()
+    # Signals that come while the daemon starts wait for it.
+    with anyio.open_signal_receiver(*SIGNALS) as signals:
+        async with (
+            run_daemon(settings, integration=integration) as (daemon, addresses),
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(_watch_signals, signals, daemon, path)
+            announce(
+                f"rampwickd {settings.host.name} entry={addresses.entry} "
+                f"admin={addresses.admin} peer={addresses.peer}",
+                flush=True,
+            )
+            await daemon.stop()
+            tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(
+    signals: AsyncIterator[signal.Signals], daemon: Daemon, path: Path
+) -> None:
+    async for number in signals:
+        if number == signal.SIGHUP:
+            _reload(daemon, path)
+        else:
+            daemon.life.begin_stop()
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_own_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -8,13 +8,22 @@
 import orjson
 
 from rampwick_policy import OrderResult, PromptPart
-from rampwick_schema import HostEntry, LoadReport, Order, structure, unstructure
+from rampwick_schema import (
+    DataError,
+    HostEntry,
+    LoadReport,
+    Order,
+    structure,
+    unstructure,
+)
 
 from ._call import bad_request
 from ._channels import AnswerHead
 from ._dialects import (
     AnswerFacts,
     AttemptTerms,
+    CacheEvent,
+    CacheEvents,
     ControlRequest,
     Dialects,
     ErrorAnswer,
@@ -174,7 +183,38 @@
         return results.get(head.status, OrderResult.REFUSED)
 
 
-OWN_DIALECTS = Dialects(OwnCallerDialect(), OwnUpstreamDialect(), OwnControlDialect())
+class OwnCacheDialect:
+    """How rampwick's own stand-ins tell what they cache."""
+
+    def events(self, address: str, since: int, wait_seconds: float) -> ControlRequest:
+        """Return the call for the events after a number; it waits for some."""
+        path = f"/cache/events?since={since}&wait_seconds={wait_seconds:g}"
+        host = (b"host", address.encode())
+        return ControlRequest("read cache events", "GET", path, [host])
+
+    def read_events(self, head: AnswerHead, body: bytes) -> CacheEvents:
+        """Return the events of an answer, or raise DataError."""
+        step = "read cache events"
+        if head.status != 200:
+            raise DataError(f"status {head.status}", step=step)
+        try:
+            data = orjson.loads(body)
+            return CacheEvents(
+                epoch=data["epoch"],
+                next_number=data["next_number"],
+                has_gap=data["has_gap"],
+                events=[
+                    CacheEvent(salt, part.encode(), tokens)
+                    for salt, part, tokens in data["events"]
+                ],
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise DataError(f"bad events: {error!r}", step=step) from None
+
+
+OWN_DIALECTS = Dialects(
+    OwnCallerDialect(), OwnUpstreamDialect(), OwnControlDialect(), OwnCacheDialect()
+)
 
 
 def read_bearer_key(raw: RawCall) -> str | None:
--- a/packages/rampwick-router/src/rampwick_router/_parts.py
+++ b/packages/rampwick-router/src/rampwick_router/_parts.py
@@ -8,6 +8,7 @@
     Access,
     AccessRules,
     ConfigurationFollower,
+    SaltBook,
     TreeView,
     decide_access,
 )
@@ -67,6 +68,7 @@
     configuration: ConfigurationTask
     channels: ChannelPool
     dialects: Dialects
+    salts: SaltBook
 
     def look_up(self, call: RoutedCall) -> Access:
         """Return what the configuration in force says of a request on a route."""
--- a/packages/rampwick-router/src/rampwick_router/_peers.py
+++ b/packages/rampwick-router/src/rampwick_router/_peers.py
@@ -14,12 +14,15 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from rampwick_policy import (
+    CacheChanges,
+    CacheSeen,
     ConfigurationFollower,
     LoadOrdered,
     PeerHeard,
     WeightsSeen,
 )
 from rampwick_schema import (
+    CacheNews,
     ChangesReply,
     ChangesRequest,
     HostListReply,
@@ -222,6 +225,8 @@
     def _take(self, outbox: Outbox, message: Any) -> None:
         if isinstance(message, Summary):
             self._take_summary(outbox, message)
+        elif isinstance(message, CacheNews):
+            self._take_cache_news(message)
         elif isinstance(message, ChangesRequest):
             self._answer_changes(outbox, message.after_revision)
         elif isinstance(message, ChangesReply):
@@ -274,6 +279,15 @@
                 )
             )
 
+    def _take_cache_news(self, news: CacheNews) -> None:
+        changes = tuple(
+            CacheChanges(
+                item.incarnation, tuple(item.prefixes), tuple(item.kept_tokens)
+            )
+            for item in news.changes
+        )
+        self._scheduler.post(CacheSeen(news.upstream, changes, news.is_reset))
+
     def _answer_changes(self, outbox: Outbox, after_revision: int) -> None:
         changes = self._follower.changes_after(after_revision)
         if changes is None:
@@ -311,6 +325,15 @@
             summary, lease_version=lease_version, loads=loads, weights=weights
         )
 
+    def tell_cache_news(self, news: CacheNews) -> None:
+        """Send cache events to the peers that this host reads them for."""
+        self._send_to_all(encode_message(news))
+
+    def _send_to_all(self, data: bytes) -> None:
+        by_peer = {outbox.peer.host: outbox for outbox in self._outboxes}
+        for outbox in by_peer.values():
+            outbox.put_encoded(data)
+
     async def tell_summary(self) -> None:
         """Send a summary to every connected peer now, over one stream each."""
         self._sequence += 1
@@ -320,7 +343,4 @@
                 sequence, self._follower.revision, self.is_leaving, now_seconds
             )
         )
-        data = encode_message(self._with_steward_news(summary))
-        by_peer = {outbox.peer.host: outbox for outbox in self._outboxes}
-        for outbox in by_peer.values():
-            outbox.put_encoded(data)
+        self._send_to_all(encode_message(self._with_steward_news(summary)))
--- a/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
@@ -14,6 +14,7 @@
     AttemptAccepted,
     AttemptDelivered,
     AttemptDone,
+    AttemptSilent,
     Dispatch,
     Outcome,
     PrefixChain,
@@ -23,7 +24,6 @@
     Verdict,
     WeightsSeen,
     Workspace,
-    cache_salt,
     chain_from_parts,
 )
 from rampwick_schema import Route, Service
@@ -42,6 +42,10 @@
 #: one that breaks off can still be replaced.
 WHOLE_ANSWER_BYTES = 262_144
 
+#: Silence before an answer's head after which an upstream is suspected to be gone:
+#: well above what a busy engine takes, well below what callers bear.
+SUSPECT_SECONDS = 0.5
+
 #: Time left under which an attempt is not worth sending.
 MIN_REMAINING_SECONDS = 0.005
 
@@ -119,6 +123,7 @@
         self._resume_after = request.call.last_event_id
         self._events_count = 0
         self._delivered_attempt_id = ""
+        self._first_seconds = 0.0
 
     @property
     def caller_request_id(self) -> str:
@@ -150,6 +155,7 @@
             raise self._failed(Outcome.UNREACHABLE, "no time is left", dispatch)
         with anyio.move_on_after(remaining_seconds):
             await self._forward(dispatch, self._terms(dispatch, remaining_seconds))
+            self._log_answer(dispatch)
             return self._done(dispatch)
         raise self._failed(Outcome.BROKEN, "no answer within the deadline", dispatch)
 
@@ -173,11 +179,7 @@
         request = self._request
         salt = ""
         if request.scope is not None:
-            salt = cache_salt(
-                request.scope,
-                dispatch.weights_version,
-                self.parts.settings.peers.secret,
-            )
+            salt = self.parts.salts.salt(request.scope, dispatch.weights_version)
         return AttemptTerms(
             incarnation=dispatch.incarnation or dispatch.upstream,
             weights_version=dispatch.weights_version,
@@ -196,10 +198,24 @@
         return max(1, most // self.parts.count_hosts())
 
     async def _head(self, channel: Channel, dispatch: Dispatch) -> AnswerHead:
-        with anyio.move_on_after(self._silence_seconds()):
+        silence_seconds = self._silence_seconds()
+        with anyio.move_on_after(min(SUSPECT_SECONDS, silence_seconds)):
+            return await channel.receive_head()
+        self._suspect(dispatch)
+        # A wait that was broken off left every byte where it was.
+        with anyio.move_on_after(silence_seconds - SUSPECT_SECONDS):
             return await channel.receive_head()
         raise self._failed(Outcome.BROKEN, "the upstream is silent", dispatch)
 
+    def _suspect(self, dispatch: Dispatch) -> None:
+        """Have an upstream looked at that does not begin to answer."""
+        log.problem(
+            "upstream is silent",
+            request=self._call.request_id,
+            upstream=dispatch.upstream,
+        )
+        self.parts.scheduler.post(AttemptSilent(self.request_id, dispatch.attempt_id))
+
     def _silence_seconds(self) -> float:
         """Return how long an upstream may say nothing before another is tried.
 
@@ -320,11 +336,27 @@
             )
         if self.responder.has_started:
             return
-        waited_seconds = self.parts.read_clock() - self.arrived_at_seconds
-        self.parts.metrics.first_token.labels(*self.labels).observe(waited_seconds)
+        self._first_seconds = self.parts.read_clock() - self.arrived_at_seconds
+        self.parts.metrics.first_token.labels(*self.labels).observe(
+            self._first_seconds
+        )
         headers = [*self.parts.dialects.upstream.answer_headers(head), *extra]
         await self.responder.start(head.status, headers)
 
+    def _log_answer(self, dispatch: Dispatch) -> None:
+        whole_seconds = self.parts.read_clock() - self.arrived_at_seconds
+        log.info(
+            "request answered",
+            request=self._call.request_id,
+            attempt=dispatch.attempt_id,
+            upstream=dispatch.upstream,
+            workspace=self.terms.workspace.path,
+            route=self._request.route.name,
+            first_ms=round(self._first_seconds * 1000),
+            whole_ms=round(whole_seconds * 1000),
+            events_count=self._events_count,
+        )
+
     def _done(self, dispatch: Dispatch) -> AttemptDone:
         choice = dispatch.choice
         prompt_tokens = self._chain.total_tokens if self._chain else 0
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -253,6 +253,8 @@
             report = await self._control.probe(entry)
         except AttemptError as error:
             log.problem("runner does not report", runner=entry.name, error=str(error))
+            self._rollout.note_silence(entry.name, self._read_clock())
+            self.wake()
             return
         if report is None:
             return
--- a/packages/rampwick-router/src/rampwick_router/_upstream_control.py
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_control.py
@@ -75,23 +75,34 @@
     async def _call(
         self, entry: HostEntry, request: ControlRequest
     ) -> tuple[AnswerHead, bytes]:
-        headers = list(request.headers)
-        if request.body:
-            headers.append((b"content-length", str(len(request.body)).encode()))
-        with anyio.move_on_after(CONTROL_TIMEOUT_SECONDS):
-            async with self._channels.borrow(entry.name, entry.address) as channel:
-                await channel.send(request.method, request.path, headers, request.body)
-                head = await channel.receive_head()
-                body = b""
-                async for piece in channel.receive_pieces():
-                    body += piece
-                    if len(body) > MAX_ANSWER_BYTES:
-                        raise _failed("the answer is too long", request, entry)
-                return head, body
-        raise _failed("no answer in time", request, entry)
-
-
-def _failed(message: str, request: ControlRequest, entry: HostEntry) -> AttemptError:
-    return AttemptError(
-        message, outcome=Outcome.BROKEN, step=request.step, peer=entry.name
-    )
+        return await call_upstream(
+            self._channels, entry.name, entry.address, request, CONTROL_TIMEOUT_SECONDS
+        )
+
+
+async def call_upstream(
+    channels: ChannelPool,
+    name: str,
+    address: str,
+    request: ControlRequest,
+    timeout_seconds: float,
+) -> tuple[AnswerHead, bytes]:
+    """Make a small call to an upstream; every failure is an AttemptError."""
+    headers = list(request.headers)
+    if request.body:
+        headers.append((b"content-length", str(len(request.body)).encode()))
+    with anyio.move_on_after(timeout_seconds):
+        async with channels.borrow(name, address) as channel:
+            await channel.send(request.method, request.path, headers, request.body)
+            head = await channel.receive_head()
+            body = b""
+            async for piece in channel.receive_pieces():
+                body += piece
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise _failed("the answer is too long", request, name)
+            return head, body
+    raise _failed("no answer in time", request, name)
+
+
+def _failed(message: str, request: ControlRequest, name: str) -> AttemptError:
+    return AttemptError(message, outcome=Outcome.BROKEN, step=request.step, peer=name)
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -8,6 +8,8 @@
     SettingsError as SettingsError,
 )
 from ._generated_peer import (
+    CacheChange as CacheChange,
+    CacheNews as CacheNews,
     ChangesReply as ChangesReply,
     ChangesRequest as ChangesRequest,
     Hello as Hello,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -66,6 +66,8 @@
     running_count: int = attrs.field(validator=within(0, None))
     #: Prompt tokens sent whose first token has not come.
     waiting_tokens: int = attrs.field(validator=within(0, None))
+    #: Those of them that are of the most urgent rank.
+    urgent_tokens: int = attrs.field(default=0, validator=within(0, None))
 
 
 @attrs.frozen
@@ -128,6 +130,8 @@
     upstreams: list[UpstreamUsage]
     #: Placements since the last summary.
     placed: list[PlacedPrefix]
+    #: Upstreams that the sender has just found to be down.
+    down: list[str] = attrs.field(factory=list)
     #: Version of the steward's lease that the sender holds; 0 if it holds none.
     lease_version: int = attrs.field(default=0, validator=within(0, None))
     #: Loads that the sender has ordered.
@@ -136,6 +140,32 @@
     weights: list[RunnerWeights] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class CacheChange:
+    """What one life of a cache keeps now of some entries."""
+
+    #: Life of the engine, or of a store for one version of the weights.
+    incarnation: str
+    #: Keys of 8 bytes.
+    prefixes: list[bytes]
+    #: Tokens kept of each; 0 means that it is gone.
+    kept_tokens: list[int]
+
+
+@attrs.frozen
+class CacheNews:
+    """Cache events that the sender has read for its peers."""
+
+    CODE: ClassVar[int] = 9
+
+    #: Name of the runner or store.
+    upstream: str
+    #: Whether what was known before is to be forgotten.
+    is_reset: bool
+    #: Changes by life.
+    changes: list[CacheChange]
+
+
 @attrs.frozen
 class ChangesRequest:
     """Asks for the changes after a revision."""
@@ -191,6 +221,7 @@
     Hello.CODE: Hello,
     Proof.CODE: Proof,
     Summary.CODE: Summary,
+    CacheNews.CODE: CacheNews,
     ChangesRequest.CODE: ChangesRequest,
     ChangesReply.CODE: ChangesReply,
     TreeReply.CODE: TreeReply,
