--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -1,6 +1,7 @@
 """The object API over HTTP: one client, whatever dialect the store speaks."""
 
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -51,8 +52,8 @@
         self._budget = CallBudget(calls_per_second)
         self._dialect = dialect or EntityTagDialect()
         self._read_clock = read_clock
-        #: Calls made so far, a watch as one.
-        self.calls_count = 0
+        #: Calls made so far by what they were for, a watch as one.
+        self.calls: Counter[str] = Counter()
         self._client = httpx.AsyncClient(
             base_url=url, timeout=call_timeout_seconds, trust_env=False
         )
@@ -63,6 +64,11 @@
     async def __aexit__(self, *details: object) -> None:
         await self._client.aclose()
 
+    @property
+    def calls_count(self) -> int:
+        """Calls made so far."""
+        return self.calls.total()
+
     async def get(self, key: str) -> StoredObject | None:
         """Return an object, or none if it does not exist."""
         response = await self._call(self._dialect.get(key))
@@ -104,8 +110,8 @@
 
     async def _call(self, request: StoreRequest, **options: Any) -> httpx.Response:
         await anyio.sleep(self._budget.reserve(self._read_clock()))
-        self.calls_count += 1
         step = request.step
+        self.calls[f"{step} {request.path}"] += 1
         try:
             response = await self._client.request(
                 request.method,
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -20,6 +20,9 @@
 PAUSE_FACTOR = 1.6
 MAX_PAUSE_SECONDS = 0.8
 
+#: Time between two looks at whether this host is to read.
+ROLE_SECONDS = 0.2
+
 
 @attrs.frozen
 class KindState:
@@ -69,7 +72,9 @@
     """Task that follows one prefix and hands each state to a callback.
 
     ``take_state`` is called after every successful call, also if nothing changed:
-    then only the confirmation is newer.
+    then only the confirmation is newer. While ``is_wanted`` says no, others read and
+    no call is made. ``pause_seconds`` go by between two calls, so that many changes
+    in a short time are read by few of them.
     """
 
     def __init__(
@@ -82,6 +87,8 @@
         take_problem: Callable[[str], None],
         read_clock: Callable[[], float],
         draw: random.Random,
+        pause_seconds: float = 0.0,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self._api = api
         self._prefix = prefix
@@ -90,21 +97,21 @@
         self._take_problem = take_problem
         self._read_clock = read_clock
         self._draw = draw
+        self._pause_seconds = pause_seconds
+        self._is_wanted = is_wanted
         self._view = KindView()
         self._is_listed = False
         self._failures_count = 0
-        self._is_wanted = anyio.Event()
-
-    def look_now(self) -> None:
-        """Have the next look at the store begin at once instead of after a pause."""
-        self._is_wanted.set()
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            while not self._is_wanted():
+                await anyio.sleep(ROLE_SECONDS)
             try:
                 confirmed_at_seconds = await self._look()
                 self._note_success(confirmed_at_seconds)
+                await anyio.sleep(self._pause_seconds)
             except HistoryGoneError as error:
                 self._is_listed = False
                 self._take_problem(str(error))
@@ -160,6 +167,4 @@
     async def _pause(self) -> None:
         seconds = FIRST_PAUSE_SECONDS * PAUSE_FACTOR ** (self._failures_count - 1)
         seconds = min(MAX_PAUSE_SECONDS, seconds) * self._draw.uniform(0.5, 1.0)
-        self._is_wanted = anyio.Event()
-        with anyio.move_on_after(seconds):
-            await self._is_wanted.wait()
+        await anyio.sleep(seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -51,7 +51,9 @@
     TreeInForce as TreeInForce,
     WeightsSeen as WeightsSeen,
 )
+from ._hall_news import HallNews as HallNews
 from ._health import Health as Health, HealthState as HealthState
+from ._host_lists import diff_hosts as diff_hosts, patch_hosts as patch_hosts
 from ._imports import kept_life as kept_life
 from ._knowledge import (
     CacheKnowledge as CacheKnowledge,
@@ -92,6 +94,7 @@
     RunState as RunState,
 )
 from ._retry import RetryBudget as RetryBudget, RetryBudgets as RetryBudgets
+from ._roles import Member as Member, MemberTable as MemberTable
 from ._rollout import (
     AskReport as AskReport,
     OrderResult as OrderResult,
--- a/packages/rampwick-policy/src/rampwick_policy/_cache_news.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_cache_news.py
@@ -12,10 +12,7 @@
 from . import _rendezvous
 from ._membership import PeerView
 from ._prefix import Scope, cache_salt
-
-#: Up to so many hosts one of them reads an engine's events for all; in larger fleets
-#: one of each hall does, so that no news has to travel between halls.
-SMALL_FLEET_COUNT = 16
+from ._roles import Member
 
 _KEY = b"cache events of "
 
@@ -59,16 +56,20 @@
 
 
 def is_cache_reader(
-    host: str, hall: str, upstream: str, live_peers: Iterable[PeerView]
+    own: Member, upstream: str, hall: str, live_peers: Iterable[PeerView]
 ) -> bool:
-    """Return whether ``host`` shall read an upstream's cache events.
+    """Return whether this host shall read the cache events of an upstream.
 
-    Hosts agree as far as they hear each other; one that hears nobody reads for
-    itself.
+    One host of the upstream's own hall does for all, where there is any: then the
+    events cross between halls once. Hosts agree as far as they hear each other; one
+    that hears nobody reads for itself.
     """
-    peers = list(live_peers)
-    if len(peers) >= SMALL_FLEET_COUNT:
-        peers = [view for view in peers if view.hall == hall]
-    staying = [view.name for view in peers if not view.summary.is_leaving]
-    ranked = _rendezvous.rank(_KEY + upstream.encode()[:40], [*staying, host])
-    return ranked[0] == host
+    staying = [view for view in live_peers if not view.summary.is_leaving]
+    halls = {view.hall for view in staying} | {own.hall}
+    if hall in halls:
+        if own.hall != hall:
+            return False
+        staying = [view for view in staying if view.hall == hall]
+    names = [view.name for view in staying if view.summary.hosts_count == 1]
+    ranked = _rendezvous.rank(_KEY + upstream.encode()[:40], [*names, own.name])
+    return ranked[0] == own.name
--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -194,7 +194,7 @@
         item.needs_budget = False
         item.upstream = upstream.name
         is_urgent = item.arrival.priority_class == ev.RANKED_CLASSES[0]
-        upstream.start(attempt_id, choice.missing_tokens, is_urgent)
+        upstream.start(attempt_id, choice.missing_tokens, now_seconds, is_urgent)
         answer_tokens = self._answers.expect(item.arrival)
         item.charged_tokens = choice.missing_tokens + ANSWER_TOKEN_PRICE * answer_tokens
         self._pool.ledger.charge(item.workspace_path, item.charged_tokens, now_seconds)
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_hall_news.py
@@ -0,0 +1,74 @@
+"""What a whole hall says, put together by its relay for other halls."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from rampwick_schema import (
+    PlacedPrefix,
+    Summary,
+    UpstreamUsage,
+    WorkspaceUsage,
+)
+
+#: Placements of a hall that wait for the next sum; older ones give way, since a home
+#: is computed for what nobody is known to hold.
+MAX_PLACED = 512
+
+
+@attrs.define
+class HallNews:
+    """Collects what is told only once, and adds up what stands."""
+
+    _placed: list[PlacedPrefix] = attrs.field(factory=list)
+
+    def take(self, summary: Summary) -> None:
+        """Take a summary of one host."""
+        self._placed += summary.placed
+        del self._placed[:-MAX_PLACED]
+
+    def merge(self, summaries: Iterable[Summary], sequence: int) -> Summary:
+        """Return the sum of the summaries of a hall's hosts."""
+        known = list(summaries)
+        placed, self._placed = self._placed, []
+        return Summary(
+            sequence=sequence,
+            revision=max((item.revision for item in known), default=0),
+            host_list_version=max(
+                (item.host_list_version for item in known), default=-1
+            ),
+            is_leaving=False,
+            workspaces=_sum_workspaces(known),
+            upstreams=_sum_upstreams(known),
+            placed=placed,
+            down=sorted({name for item in known for name in item.down}),
+            hosts_count=max(1, sum(item.hosts_count for item in known)),
+        )
+
+
+def _sum_workspaces(summaries: Iterable[Summary]) -> list[WorkspaceUsage]:
+    used: dict[str, int] = {}
+    waiting: dict[str, int] = {}
+    for summary in summaries:
+        for usage in summary.workspaces:
+            path = usage.workspace
+            used[path] = used.get(path, 0) + usage.used_tokens
+            waiting[path] = waiting.get(path, 0) + usage.waiting_count
+    return [WorkspaceUsage(path, used[path], waiting[path]) for path in sorted(used)]
+
+
+def _sum_upstreams(summaries: Iterable[Summary]) -> list[UpstreamUsage]:
+    sums: dict[tuple[str, str], UpstreamUsage] = {}
+    for summary in summaries:
+        for usage in summary.upstreams:
+            key = (usage.upstream, usage.incarnation)
+            known = sums.get(key)
+            if known is not None:
+                usage = attrs.evolve(
+                    usage,
+                    running_count=usage.running_count + known.running_count,
+                    waiting_tokens=usage.waiting_tokens + known.waiting_tokens,
+                    urgent_tokens=usage.urgent_tokens + known.urgent_tokens,
+                )
+            sums[key] = usage
+    return [sums[key] for key in sorted(sums)]
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_host_lists.py
@@ -0,0 +1,27 @@
+"""Differences between versions of the host list, to be sent instead of the whole."""
+
+from rampwick_schema import HostList, HostListChanges
+
+
+def diff_hosts(base: HostList, current: HostList) -> HostListChanges:
+    """Return what makes ``current`` out of ``base``."""
+    before = {entry.name: entry for entry in base.hosts}
+    after = {entry.name: entry for entry in current.hosts}
+    return HostListChanges(
+        base_version=base.version,
+        version=current.version,
+        changed=[entry for name, entry in after.items() if before.get(name) != entry],
+        removed=sorted(before.keys() - after.keys()),
+    )
+
+
+def patch_hosts(base: HostList, changes: HostListChanges) -> HostList | None:
+    """Return the list that the changes make, or none if they are not for this one."""
+    if base.version != changes.base_version:
+        return None
+    hosts = {entry.name: entry for entry in base.hosts}
+    for name in changes.removed:
+        hosts.pop(name, None)
+    for entry in changes.changed:
+        hosts[entry.name] = entry
+    return HostList(version=changes.version, hosts=list(hosts.values()))
--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -58,16 +58,24 @@
         known = self._views.get(name)
         order = (incarnation, summary.sequence)
         if known and order <= (known.incarnation, known.summary.sequence):
-            return False
+            is_silent = now_seconds - known.heard_at_seconds >= self._dead_after_seconds
+            # Another relay may speak for a hall; it counts from when the one before
+            # has fallen silent.
+            if incarnation == known.incarnation or not is_silent:
+                return False
         if known:
             self._count(known.summary, sign=-1)
         self._count(summary, sign=1)
         self._views[name] = PeerView(name, hall, incarnation, summary, now_seconds)
         self.known_hosts_count = max(
-            self.known_hosts_count, 1 + len(list(self.live(now_seconds)))
+            self.known_hosts_count, self.hosts_count(now_seconds)
         )
         return True
 
+    def hosts_count(self, now_seconds: float) -> int:
+        """Return the hosts that are alive, this one included."""
+        return 1 + sum(view.summary.hosts_count for view in self.live(now_seconds))
+
     def live(self, now_seconds: float) -> Iterator[PeerView]:
         """Yield the peers that were heard recently."""
         for view in self._views.values():
--- a/packages/rampwick-policy/src/rampwick_policy/_request.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request.py
@@ -40,6 +40,8 @@
     BUSY = "busy"
     #: The upstream broke off or fell silent; it may have run the request.
     BROKEN = "broken"
+    #: The caller's time ran out first; it may have run the request.
+    EXPIRED = "expired"
     #: The upstream answered from another life than the one it was chosen for.
     STALE = "stale"
     #: The upstream is another than the one asked for, or in another life, and said
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_roles.py
@@ -0,0 +1,148 @@
+"""Which hosts talk to which, and who reads the platform for the others.
+
+A small fleet is one group: all its hosts hear each other. In a larger one the hosts
+of each hall are a group, and one host of each, the relay, tells the other halls what
+its group says, all in one. A few hosts of each group read the platform and the others
+ask them. Nobody agrees on anything: each host ranks the members that it knows and
+hears, by the speed of their links, and takes the role that its own place gives it.
+Two hosts that differ do a role twice for a while, which costs some calls.
+"""
+
+from collections.abc import Collection, Iterable, Iterator
+
+import attrs
+
+from . import _rendezvous
+
+#: Hosts up to which a fleet is one group. Each hears every other a few times a
+#: second, which at 17 hosts takes about 2 % of a small host's core.
+MESH_LIMIT_COUNT = 16
+
+#: Hosts of a group that read the platform: in a small fleet, where a call is cheap and
+#: a group is all there is, so many that two may fail at once.
+READERS_COUNT = 3
+LARGE_READERS_COUNT = 1
+
+#: Hosts of each group that keep links to other groups; the first that is heard relays.
+RELAYS_COUNT = 2
+
+#: Time for which a member that could not be reached is passed over.
+UNREACHABLE_SECONDS = 5.0
+
+_KEY = b"roles"
+
+
+@attrs.frozen
+class Member:
+    """A host of the fleet, as it says of itself."""
+
+    name: str
+    hall: str
+    #: IP and port of its streams between hosts.
+    address: str
+    incarnation: int = 0
+    link_megabits_per_second: float = 1000.0
+
+
+class MemberTable:
+    """The members of the fleet that this host knows, and its own place among them."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self._members: dict[str, Member] = {own.name: own}
+        self._unreachable_until: dict[str, float] = {}
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(list(self._members.values()))
+
+    def get(self, name: str) -> Member | None:
+        """Return a member by its name."""
+        return self._members.get(name)
+
+    def learn(self, members: Iterable[Member]) -> list[Member]:
+        """Take what is said of members; return those that are news."""
+        news = []
+        for member in members:
+            known = self._members.get(member.name)
+            if member.name == self.own.name or member == known:
+                continue
+            if known is not None and member.incarnation < known.incarnation:
+                continue
+            self._members[member.name] = member
+            news.append(member)
+        return news
+
+    def keep_only(self, names: Collection[str]) -> None:
+        """Forget the members that an authoritative list does not name."""
+        for name in self._members.keys() - set(names) - {self.own.name}:
+            del self._members[name]
+
+    def note_unreachable(self, name: str, now_seconds: float) -> None:
+        """Note that a member could not be reached."""
+        self._unreachable_until[name] = now_seconds + UNREACHABLE_SECONDS
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the fleet is more than one group."""
+        return len(self._members) > MESH_LIMIT_COUNT
+
+    def group(self) -> list[Member]:
+        """Return the other members of this host's group."""
+        return [
+            member
+            for member in self._members.values()
+            if member.name != self.own.name and self.is_in_group(member.hall)
+        ]
+
+    def is_in_group(self, hall: str) -> bool:
+        """Return whether hosts of a hall are of this host's group."""
+        return not self.is_large or hall == self.own.hall
+
+    def rank(self, live: Collection[str]) -> int:
+        """Return this host's place among the members of its group that it hears."""
+        heard = [member for member in self.group() if member.name in live]
+        return _ranked([*heard, self.own]).index(self.own)
+
+    def first_of_group(self, live: Collection[str]) -> list[Member]:
+        """Return the members of the group that are heard, the first in rank first."""
+        return _ranked(member for member in self.group() if member.name in live)
+
+    def is_reader(self, live: Collection[str]) -> bool:
+        """Return whether this host reads the platform for its group."""
+        most = LARGE_READERS_COUNT if self.is_large else READERS_COUNT
+        return self.rank(live) < most
+
+    def is_relay(self, live: Collection[str]) -> bool:
+        """Return whether this host tells other groups what its own says."""
+        return self.is_large and self.rank(live) == 0
+
+    def wanted_links(self, now_seconds: float) -> list[Member]:
+        """Return the members that this host is to keep a link to."""
+        wanted = self.group()
+        if not self.is_large:
+            return wanted
+        if self.own in self._candidates(self.own.hall, now_seconds):
+            halls = {member.hall for member in self._members.values()}
+            for hall in sorted(halls - {self.own.hall}):
+                wanted += self._candidates(hall, now_seconds)
+        return wanted
+
+    def _candidates(self, hall: str, now_seconds: float) -> list[Member]:
+        of_hall = [
+            member
+            for member in self._members.values()
+            if member.hall == hall
+            and now_seconds >= self._unreachable_until.get(member.name, -1.0)
+        ]
+        return _ranked(of_hall)[:RELAYS_COUNT]
+
+
+def _ranked(members: Iterable[Member]) -> list[Member]:
+    """Return members in the order that every host gives them."""
+    known = {member.name: member for member in members}
+    order = _rendezvous.rank(_KEY, known)
+    place = {name: index for index, name in enumerate(order)}
+    return sorted(
+        known.values(),
+        key=lambda member: (-member.link_megabits_per_second, place[member.name]),
+    )
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -38,11 +38,12 @@
 #: Time for which a suspicion that a probe has cleared does not come again.
 TRUST_SECONDS = 2.0
 
-#: Weight of the newest interval in the mean time between two freed slots.
-RELEASE_SMOOTHING = 0.2
+#: Weight of the newest run in the mean length of runs, and the mean assumed before.
+RUN_SMOOTHING = 0.1
+FIRST_RUN_SECONDS = 1.0
 
-#: Time between two freed slots assumed before any was seen.
-FIRST_RELEASE_SECONDS = 0.5
+#: Longest time taken to go by between two freed slots of a full upstream.
+MAX_RELEASE_SECONDS = 0.5
 
 
 @attrs.define
@@ -75,8 +76,9 @@
     trusted_until_seconds: float = -math.inf
     #: When it was last asked for its load.
     probed_at_seconds: float = -math.inf
-    released_at_seconds: float | None = None
-    release_seconds: float = FIRST_RELEASE_SECONDS
+    #: Mean time for which an attempt holds a slot.
+    run_seconds: float = FIRST_RUN_SECONDS
+    _started_at: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def name(self) -> str:
@@ -111,10 +113,15 @@
         return sum(self.own_attempts[attempt] for attempt in self.urgent_attempts)
 
     def start(
-        self, attempt_id: str, missing_tokens: int, is_urgent: bool = False
+        self,
+        attempt_id: str,
+        missing_tokens: int,
+        now_seconds: float,
+        is_urgent: bool = False,
     ) -> None:
         """Note an attempt that is sent here."""
         self.own_attempts[attempt_id] = missing_tokens
+        self._started_at[attempt_id] = now_seconds
         if is_urgent:
             self.urgent_attempts.add(attempt_id)
 
@@ -128,15 +135,8 @@
         self.urgent_attempts.discard(attempt_id)
         if self.own_attempts.pop(attempt_id, None) is None:
             return
-        if self.released_at_seconds is not None:
-            # A longer interval only says that there was nothing to release.
-            interval = min(
-                FIRST_RELEASE_SECONDS, now_seconds - self.released_at_seconds
-            )
-            self.release_seconds += RELEASE_SMOOTHING * (
-                interval - self.release_seconds
-            )
-        self.released_at_seconds = now_seconds
+        ran_seconds = now_seconds - self._started_at.pop(attempt_id, now_seconds)
+        self.run_seconds += RUN_SMOOTHING * (ran_seconds - self.run_seconds)
 
 
 class UpstreamTable:
@@ -349,6 +349,7 @@
         if is_urgent:
             waiting = upstream.own_urgent_tokens + load.urgent_tokens
         over = max(0, running - slots + 1)
+        release_seconds = min(MAX_RELEASE_SECONDS, upstream.run_seconds / usable)
         is_near = upstream.entry.hall == self._hall
         distance = 0.0 if is_near else self._placement.hall_distance_seconds
         return RunnerView(
@@ -358,7 +359,7 @@
             waiting_tokens=waiting,
             prefill_tokens_per_second=upstream.prefill_tokens_per_second,
             distance_seconds=distance,
-            slot_wait_seconds=over * upstream.release_seconds,
+            slot_wait_seconds=over * release_seconds,
             max_prefill_queue_seconds=self._placement.max_prefill_queue_seconds,
             weights_version=upstream.life.weights_version if upstream.life else 0,
             penalty_seconds=self._outdated_penalty_seconds(upstream, now_seconds),
--- a/packages/rampwick-router/src/rampwick_router/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/_cache_reader.py
@@ -9,6 +9,7 @@
     CacheChanges,
     CacheSeen,
     Life,
+    Member,
     SaltBook,
     Scheduler,
     Scope,
@@ -17,7 +18,7 @@
     life_label,
     part_key,
 )
-from rampwick_schema import CacheChange, CacheNews, DataError, HostSettings
+from rampwick_schema import CacheChange, CacheNews, DataError
 
 from ._channels import ChannelPool
 from ._dialects import CacheDialect, CacheEvents
@@ -49,6 +50,7 @@
     """A cache whose events are read."""
 
     name: str
+    hall: str
     address: str
     #: Life of the engine; empty for a store, which outlives all weights.
     incarnation: str = ""
@@ -69,14 +71,14 @@
 
     def __init__(
         self,
-        host: HostSettings,
+        own: Member,
         scheduler: SchedulerTask,
         channels: ChannelPool,
         dialect: CacheDialect,
         salts: SaltBook,
         tell_peers: Callable[[CacheNews], None],
     ) -> None:
-        self._host = host
+        self._own = own
         self._scheduler = scheduler
         self._channels = channels
         self._dialect = dialect
@@ -99,19 +101,24 @@
     def _list_sources(self, scheduler: Scheduler, now_seconds: float) -> set[Source]:
         imports = scheduler.pool.imports
         sources = {
-            Source(upstream.name, upstream.entry.address, upstream.entry.incarnation)
+            Source(
+                upstream.name,
+                upstream.entry.hall,
+                upstream.entry.address,
+                upstream.entry.incarnation,
+            )
             for upstream in scheduler.upstreams
             if upstream.is_runner and imports.service(upstream.entry.group) is not None
         }
         store = imports.store()
         if store is not None:
-            sources.add(Source(store.name, store.address))
+            sources.add(Source(store.name, store.hall, store.address))
         self._salts.prepare(_list_scopes(scheduler), _list_versions(scheduler))
         peers = list(scheduler.peers.live(now_seconds))
         return {
             source
             for source in sources
-            if is_cache_reader(self._host.name, self._host.hall, source.name, peers)
+            if is_cache_reader(self._own, source.name, source.hall, peers)
         }
 
     async def _follow(self, source: Source, scope: anyio.CancelScope) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_channels.py
+++ b/packages/rampwick-router/src/rampwick_router/_channels.py
@@ -27,8 +27,9 @@
 #: servers keep idle connections for at least five seconds.
 DEFAULT_REST_SECONDS = 4.0
 
-#: Part of the upstream's own bound that is used, for the clocks and the way there.
-REST_RATIO = 0.7
+#: Part of the upstream's own bound that is used: the rest is for the way there, and
+#: for the one that closes a little early.
+REST_RATIO = 0.85
 
 #: Largest head of an answer.
 MAX_HEAD_BYTES = 65536
--- a/packages/rampwick-router/src/rampwick_router/_configuration.py
+++ b/packages/rampwick-router/src/rampwick_router/_configuration.py
@@ -11,6 +11,9 @@
 from ._logs import PartLogger
 from ._scheduler_task import SchedulerTask
 
+#: Longest wait for a peer's confirmation before the platform itself is asked.
+PEER_ANSWER_SECONDS = 0.1
+
 log = PartLogger("configuration")
 
 
@@ -30,12 +33,13 @@
     def __init__(
         self,
         follower: ConfigurationFollower,
-        source: ConfigurationSource | None,
         scheduler: SchedulerTask,
         read_clock: Callable[[], float],
     ) -> None:
         self.follower = follower
-        self._source = source
+        self.source: ConfigurationSource | None = None
+        #: Asks a peer that reads the platform; returns whether there is one.
+        self.ask_peer: Callable[[], bool] = lambda: False
         self._scheduler = scheduler
         self._read_clock = read_clock
         self._confirmed_at_seconds = -math.inf
@@ -74,10 +78,19 @@
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
-        if self._source is not None:
-            await self._source.run(self)
+        if self.source is not None:
+            await self.source.run(self)
 
     async def refresh(self) -> None:
-        """Look at the source now; a problem is noted, not raised."""
-        if self._source is not None:
-            await self._source.refresh()
+        """Have the configuration confirmed now; a problem is noted, not raised.
+
+        A peer that reads the platform is asked first, where this host is none.
+        """
+        confirmed_at_seconds = self._confirmed_at_seconds
+        if self.ask_peer():
+            with anyio.move_on_after(PEER_ANSWER_SECONDS):
+                while self._confirmed_at_seconds == confirmed_at_seconds:
+                    await anyio.sleep(PEER_ANSWER_SECONDS / 20)
+                return
+        if self.source is not None:
+            await self.source.refresh()
--- a/packages/rampwick-router/src/rampwick_router/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/_configuration_sources.py
@@ -125,6 +125,7 @@
         api: ObjectApi,
         reader: ReadsConfiguration,
         settings: Settings,
+        is_wanted: Callable[[], bool],
         read_clock: Callable[[], float],
         draw: random.Random,
     ) -> None:
@@ -137,6 +138,7 @@
             api,
             reader.configuration_prefix,
             wait_seconds=settings.platform.confirm_wait_seconds,
+            is_wanted=is_wanted,
             take_state=self._take,
             take_problem=self._note_problem,
             read_clock=read_clock,
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -1,5 +1,6 @@
 """The daemon: its parts put together, its tasks run, its stop carried out."""
 
+import math
 import random
 import socket
 import time
@@ -15,19 +16,19 @@
 from hypercorn.config import Config
 
 from rampwick_platform import HttpObjectApi, ObjectApi, TreeStore
-from rampwick_policy import ConfigurationFollower, SaltBook, Scheduler
+from rampwick_policy import ConfigurationFollower, Member, SaltBook, Scheduler
 from rampwick_schema import Settings
 
 from ._admin import AdminApp
 from ._cache_reader import CacheReaderTask
 from ._channels import ChannelPool
 from ._claims import ClaimTask
-from ._configuration import ConfigurationSource, ConfigurationTask
+from ._configuration import ConfigurationTask
 from ._configuration_sources import TreeStoreSource, WatchedTreeSource
 from ._entry import EntryApp
 from ._fallback import read_fallback
+from ._gossip import GossipTask
 from ._host_sources import (
-    HostSource,
     PeerDirectory,
     PolledHosts,
     PolledTargets,
@@ -40,8 +41,7 @@
 from ._metrics import Metrics
 from ._own_dialect import OWN_DIALECTS
 from ._parts import Parts, RequestIds
-from ._peer_stream import PeerIdentity
-from ._peers import PeerTask
+from ._reading_role import ReadingRole
 from ._scheduler_task import SchedulerTask
 from ._steward import StewardTask
 from ._stream_tokens import StreamTokens
@@ -56,6 +56,9 @@
 #: the listeners and the connections takes, several times over.
 STOP_MARGIN_SECONDS = 1.0
 
+#: Time between two lines that say how the host stands.
+STATE_INTERVAL_SECONDS = 10.0
+
 #: Time that the HTTP library is given to close idle connections.
 CLOSE_SECONDS = 0.5
 
@@ -88,66 +91,63 @@
         api: ObjectApi | None,
         upstreams: UpstreamClient,
         channels: ChannelPool,
+        peer_address: str,
         clocks: Clocks,
         integration: Integration | None,
     ) -> None:
         draw = random.Random()
         self._settings = settings
+        self._api = api
         self._clocks = clocks
         self._metrics = Metrics()
+        self._channels = channels
         self.life = Life()
         self.follower = ConfigurationFollower()
         incarnation = time.time_ns()
-        scheduler = Scheduler(settings)
-        self.scheduler = SchedulerTask(scheduler, clocks.monotonic)
+        host = settings.host
+        own = Member(
+            host.name,
+            host.hall,
+            peer_address,
+            incarnation,
+            host.link_megabits_per_second,
+        )
+        read_clock = clocks.monotonic
+        self.scheduler = SchedulerTask(Scheduler(settings), read_clock)
         dialects = integration.dialects if integration else OWN_DIALECTS
         control: UpstreamControl = upstreams
         if integration is not None:
             control = DialectControl(channels, dialects.control, self._find_health_path)
         self.steward = StewardTask(
-            api, settings, self.scheduler, control, clocks.monotonic, draw
+            api, settings, self.scheduler, control, read_clock, draw
         )
-        sources = _make_sources(
-            api,
-            settings,
-            self.scheduler,
-            self.steward,
-            clocks.monotonic,
-            draw,
-            integration,
-        )
-        self._hosts = HostListTask(sources.hosts, self.scheduler)
-        self._targets = sources.targets
-        self._directory = sources.directory
-        self._channels = channels
+        self._hosts = HostListTask(self.scheduler)
         self._configuration = ConfigurationTask(
-            self.follower, sources.configuration, self.scheduler, clocks.monotonic
+            self.follower, self.scheduler, read_clock
         )
-        self._claims = ClaimTask(api, settings.claims, clocks.monotonic, clocks.wall)
-        self._probes = ProbeTask(control, self.scheduler)
-        self._cancels = CancelTask(control, self.scheduler)
-        host = settings.host
-        self._peers = PeerTask(
-            PeerIdentity(host.name, host.hall, incarnation),
+        self._gossip = GossipTask(
+            own,
             settings,
             self.scheduler,
-            self.follower,
             self._configuration,
             self._metrics,
-            clocks.monotonic,
+            read_clock,
             self._hosts,
             self.steward,
-            self._directory,
         )
-        self.steward.tell_peers = self._peers.tell_summary
+        self.steward.tell_peers = self._gossip.tell_steward_news
+        self._connect(api, draw, integration)
+        self._claims = ClaimTask(api, settings.claims, read_clock, clocks.wall)
+        self._probes = ProbeTask(control, self.scheduler)
+        self._cancels = CancelTask(control, self.scheduler)
         salts = SaltBook(settings.peers.secret)
         self._cache_reader = CacheReaderTask(
-            host,
+            own,
             self.scheduler,
             channels,
             dialects.cache,
             salts,
-            self._peers.tell_cache_news,
+            self._gossip.tell_cache_news,
         )
         self._parts = Parts(
             settings=settings,
@@ -159,7 +159,7 @@
             tokens=StreamTokens(settings.peers.secret),
             ids=RequestIds(host.name, incarnation),
             life=self.life,
-            read_clock=clocks.monotonic,
+            read_clock=read_clock,
             configuration=self._configuration,
             channels=channels,
             dialects=dialects,
@@ -176,6 +176,54 @@
             needs_configuration=integration is not None,
         )
 
+    def _connect(
+        self,
+        api: ObjectApi | None,
+        draw: random.Random,
+        integration: Integration | None,
+    ) -> None:
+        """Give the tasks that follow the platform their sources."""
+        self._targets: PolledTargets | WatchedTargets | None = None
+        self._directory: PeerDirectory | None = None
+        if api is None:
+            return
+        settings, scheduler, steward = self._settings, self.scheduler, self.steward
+        read_clock = self._clocks.monotonic
+        if integration is None:
+            self._configuration.source = TreeStoreSource(
+                TreeStore(api), settings, scheduler, read_clock
+            )
+            interval_seconds = settings.platform.host_list_interval_seconds
+            self._hosts.source = PolledHosts(api, interval_seconds)
+            self._targets = PolledTargets(
+                api, scheduler, lambda: steward.is_holder, steward.wake
+            )
+            return
+        role = ReadingRole(
+            self._gossip.table,
+            lambda: self._gossip.live_names,
+            lambda: self._gossip.answered_at_seconds,
+            self._configuration,
+            self._hosts,
+            read_clock,
+        )
+        reader = integration.reader
+        self._configuration.source = WatchedTreeSource(
+            api, reader, settings, role.wants_configuration, read_clock, draw
+        )
+        self._configuration.ask_peer = self._gossip.ask_reader
+        self._hosts.source = WatchedHosts(
+            api, reader, role.wants_hosts, read_clock, draw
+        )
+        self._targets = WatchedTargets(
+            api, reader, scheduler, steward.wake, role.wants_targets, read_clock, draw
+        )
+        self._directory = PeerDirectory(
+            api, self._gossip.table.own, role.is_lonely, role.is_reader, draw
+        )
+        self._gossip.directory = self._directory
+        steward.is_candidate = role.is_candidate
+
     def _find_health_path(self, service: str) -> str:
         known = self.follower.view.routes.service(service)
         return known.health_path if known else "/health"
@@ -197,7 +245,7 @@
             for field in attrs.fields(Settings)
             if getattr(settings, field.name) != getattr(self._settings, field.name)
         )
-        self._peers.seeds = frozenset(settings.peers.seeds)
+        self._gossip.seeds = frozenset(settings.peers.seeds)
         log.info("settings reloaded", changed=changed)
 
     async def start(self, tasks: TaskGroup, listeners: "Listeners") -> None:
@@ -217,9 +265,30 @@
         if self._directory is not None:
             tasks.start_soon(self._directory.run)
         tasks.start_soon(self.entry.watch_callers)
-        tasks.start_soon(self._peers.run, listeners.peer)
+        tasks.start_soon(self._log_state)
+        tasks.start_soon(self._gossip.run, listeners.peer)
         log.info("started", host=self._settings.host.name)
 
+    async def _log_state(self) -> None:
+        """Say now and then how the host stands, so that logs alone tell it."""
+        while True:
+            await anyio.sleep(STATE_INTERVAL_SECONDS)
+            now_seconds = self._clocks.monotonic()
+            log.info(
+                "state",
+                open_count=self.entry.open_count,
+                revision=self.follower.revision,
+                revision_age_ms=_milliseconds(
+                    self._configuration.age_seconds(now_seconds)
+                ),
+                host_list_age_ms=_milliseconds(self._hosts.age_seconds(now_seconds)),
+                is_reader=self._gossip.is_reader(),
+                is_steward=self.steward.is_holder,
+                hosts_heard_count=len(self._gossip.live_names),
+                connections_opened_count=self._channels.opened_count,
+                platform_calls=dict(getattr(self._api, "calls", {})),
+            )
+
     async def stop(self) -> None:
         """Carry out a planned stop once it has begun."""
         await self.life.wait_stopping()
@@ -229,9 +298,9 @@
             gone_by_seconds = began_seconds + stop_within_seconds - STOP_MARGIN_SECONDS
             self.life.gone_by_seconds = gone_by_seconds
         log.info("not ready, waiting for the balancer")
-        self._peers.is_leaving = True
+        self._gossip.is_leaving = True
         await self.steward.give_up()
-        await self._peers.tell_summary()
+        await self._gossip.tell_summary()
         await self.life.pause(self._settings.life.balancer_delay_seconds)
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("closed, serving out", open_count=self.entry.open_count)
@@ -239,7 +308,11 @@
             while self.entry.open_count:
                 # A hurried stop has each open request end itself with an error.
                 await anyio.sleep(DRAIN_STEP_SECONDS)
-        log.info("left", open_count=self.entry.open_count)
+        log.info(
+            "left",
+            open_count=self.entry.open_count,
+            platform_calls=dict(getattr(self._api, "calls", {})),
+        )
 
     def _drain_seconds(self) -> float:
         """Return how long open requests are waited for at the most."""
@@ -250,44 +323,6 @@
         return max(0.0, min(drain_seconds, left_seconds))
 
 
-@attrs.frozen
-class Sources:
-    """Where a daemon's configuration, hosts and targets come from."""
-
-    configuration: ConfigurationSource | None = None
-    hosts: HostSource | None = None
-    targets: PolledTargets | WatchedTargets | None = None
-    directory: PeerDirectory | None = None
-
-
-def _make_sources(
-    api: ObjectApi | None,
-    settings: Settings,
-    scheduler: SchedulerTask,
-    steward: StewardTask,
-    read_clock: Callable[[], float],
-    draw: random.Random,
-    integration: Integration | None,
-) -> Sources:
-    if api is None:
-        return Sources()
-    if integration is None:
-        interval_seconds = settings.platform.host_list_interval_seconds
-        return Sources(
-            TreeStoreSource(TreeStore(api), settings, scheduler, read_clock),
-            PolledHosts(api, interval_seconds),
-            PolledTargets(api, scheduler, lambda: steward.is_holder, steward.wake),
-        )
-    reader = integration.reader
-    address = _peer_address(settings)
-    return Sources(
-        WatchedTreeSource(api, reader, settings, read_clock, draw),
-        WatchedHosts(api, reader, read_clock, draw),
-        WatchedTargets(api, reader, scheduler, steward.wake, read_clock, draw),
-        PeerDirectory(api, settings, address, read_clock, draw),
-    )
-
-
 @attrs.frozen
 class Listeners:
     """Bound sockets of one daemon."""
@@ -331,7 +366,15 @@
         clocks = clocks or Clocks()
         channels = await stack.enter_async_context(ChannelPool(clocks.monotonic))
         listeners = await _listen(settings, stack)
-        daemon = Daemon(settings, api, upstreams, channels, clocks, integration)
+        daemon = Daemon(
+            settings,
+            api,
+            upstreams,
+            channels,
+            listeners.addresses.peer,
+            clocks,
+            integration,
+        )
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         await daemon.start(tasks, listeners)
@@ -359,6 +402,10 @@
     return Listeners(entry, admin, ready, peer, addresses)
 
 
+def _milliseconds(seconds: float) -> int | None:
+    return None if math.isinf(seconds) else round(seconds * 1000)
+
+
 def _peer_address(settings: Settings) -> str:
     listen = settings.listen
     return listen.peer or f"{listen.address}:{listen.peer_port}"
--- a/packages/rampwick-router/src/rampwick_router/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/_host_sources.py
@@ -15,19 +15,17 @@
     ObjectApi,
     PlatformError,
     StoredObject,
-    VersionConflictError,
     WeightsStore,
     decode_record,
     settle_put,
 )
-from rampwick_policy import LapseGuard, TargetsRead
+from rampwick_policy import LapseGuard, Member, TargetsRead
 from rampwick_schema import (
     DataError,
     HostEntry,
     HostList,
     HostRecord,
     RampwickError,
-    Settings,
     WeightsTarget,
 )
 
@@ -40,22 +38,39 @@
 #: Longest wait of one watch on what seldom changes.
 LONG_WAIT_SECONDS = 20.0
 
+#: Wait of one watch on the upstreams: its answers confirm the list to peers.
+UPSTREAMS_WAIT_SECONDS = 2.0
+
+#: Time between two watches on the upstreams: during a rollout their entries change
+#: all the time, and an entry that leaves may have new work for seconds yet.
+WATCH_PAUSE_SECONDS = 0.3
+
 #: Time between two reads of the targets by the host that gives orders.
 TARGETS_INTERVAL_SECONDS = 1.0
 
-#: Wait before a host's own record is written again after a failure.
-RECORD_PAUSE_SECONDS = 1.0
+#: Time between two looks of a host that hears nobody at where others are.
+LONELY_LOOK_SECONDS = 2.0
 
 log = PartLogger("upstreams")
 
-TakeHosts = Callable[[HostList], None]
-TakeProblem = Callable[[str], None]
+
+class TakesHosts(Protocol):
+    """Who is told of the host list."""
+
+    def offer(self, host_list: HostList) -> None:
+        """Take a list if it is newer than the last."""
+
+    def confirm(self, at_seconds: float) -> None:
+        """Note a steady time at which the list was the newest."""
+
+    def note_problem(self, problem: str) -> None:
+        """Note why the list can't be read, or by an empty text that it can."""
 
 
 class HostSource(Protocol):
     """Where the list of hosts comes from."""
 
-    async def run(self, take: TakeHosts, take_problem: TakeProblem) -> None:
+    async def run(self, task: TakesHosts) -> None:
         """Hand on each list that is read, until cancelled."""
 
 
@@ -66,15 +81,15 @@
         self._api = api
         self._interval_seconds = interval_seconds
 
-    async def run(self, take: TakeHosts, take_problem: TakeProblem) -> None:
+    async def run(self, task: TakesHosts) -> None:
         """Poll until cancelled."""
         while True:
             try:
-                take(await self._api.read_hosts())
-                take_problem("")
+                task.offer(await self._api.read_hosts())
+                task.note_problem("")
             except (PlatformError, DataError) as error:
                 # The last list stays good: upstreams are probed anyway.
-                take_problem(str(error))
+                task.note_problem(str(error))
             await anyio.sleep(self._interval_seconds)
 
 
@@ -96,6 +111,7 @@
         self,
         api: ObjectApi,
         reader: ReadsUpstreams,
+        is_wanted: Callable[[], bool],
         read_clock: Callable[[], float],
         draw: random.Random,
     ) -> None:
@@ -106,28 +122,28 @@
         self._watcher = KindWatcher(
             api,
             reader.upstreams_prefix,
-            wait_seconds=LONG_WAIT_SECONDS,
+            wait_seconds=UPSTREAMS_WAIT_SECONDS,
+            pause_seconds=WATCH_PAUSE_SECONDS,
+            is_wanted=is_wanted,
             take_state=self._take_state,
             take_problem=self._note_problem,
             read_clock=read_clock,
             draw=draw,
         )
-        self._take: TakeHosts = _ignore
-        self._take_problem: TakeProblem = _ignore
+        self._task: TakesHosts
 
-    async def run(self, take: TakeHosts, take_problem: TakeProblem) -> None:
+    async def run(self, task: TakesHosts) -> None:
         """Watch until cancelled."""
-        self._take = take
-        self._take_problem = take_problem
+        self._task = task
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._end_lapses)
             await self._watcher.run()
 
     def _note_problem(self, problem: str) -> None:
-        self._take_problem(problem)
+        self._task.note_problem(problem)
 
     def _take_state(self, state: KindState) -> None:
-        self._take_problem("")
+        self._task.note_problem("")
         entries = []
         for stored in state.objects.values():
             try:
@@ -138,10 +154,11 @@
             entries, state.version, state.is_after_failure, self._read_clock()
         )
         self._hand_on()
+        self._task.confirm(state.confirmed_at_seconds)
         self._changed.set()
 
     def _hand_on(self) -> None:
-        self._take(self._guard.host_list(self._read_clock()))
+        self._task.offer(self._guard.host_list(self._read_clock()))
 
     async def _end_lapses(self) -> None:
         while True:
@@ -157,81 +174,78 @@
 
 
 class PeerDirectory:
-    """Hosts that keep a record each in the store, this one among them."""
+    """Records in the store by which hosts find each other if no seed answers.
+
+    The hosts that read the platform keep a record there; one that hears nobody reads
+    them, and keeps one, too.
+    """
 
     def __init__(
         self,
         api: ObjectApi,
-        settings: Settings,
-        peer_address: str,
-        read_clock: Callable[[], float],
+        own: Member,
+        is_lonely: Callable[[], bool],
+        is_reader: Callable[[], bool],
         draw: random.Random,
     ) -> None:
         self._api = api
-        self._host = settings.host
-        self._peer_address = peer_address
-        self._addresses: dict[str, str] = {}
-        self._watcher = KindWatcher(
-            api,
-            PEERS_PREFIX,
-            wait_seconds=LONG_WAIT_SECONDS,
-            take_state=self._take_state,
-            take_problem=_ignore,
-            read_clock=read_clock,
-            draw=draw,
-        )
+        self._own = own
+        self._is_lonely = is_lonely
+        self._is_reader = is_reader
+        self._draw = draw
+        self._members: list[Member] = []
+        self._has_record = False
 
-    def addresses(self) -> set[str]:
-        """Return the addresses of the other hosts."""
-        return {
-            address
-            for name, address in self._addresses.items()
-            if name != self._host.name
-        }
+    def members(self) -> list[Member]:
+        """Return the other hosts that have a record."""
+        return self._members
 
     async def run(self) -> None:
-        """Keep the own record and follow those of others until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._write_record)
-            await self._watcher.run()
-
-    def _take_state(self, state: KindState) -> None:
-        addresses = {}
-        for stored in state.objects.values():
+        """Keep the own record and look for others while needed, until cancelled."""
+        while True:
+            seconds = LONELY_LOOK_SECONDS * self._draw.uniform(0.7, 1.3)
+            await anyio.sleep(seconds)
             try:
-                record = decode_record(stored, HostRecord)
-            except DataError as error:
-                log.problem("record can't be read", record=stored.key, error=str(error))
-                continue
-            addresses[record.host] = record.peer_address
-        self._addresses = addresses
+                if self._is_reader() and not self._has_record:
+                    await self._write_record()
+                if self._is_lonely():
+                    await self._read_records()
+            except (PlatformError, DataError) as error:
+                log.problem("directory out of reach", error=str(error))
+
+    async def _read_records(self) -> None:
+        listing = await self._api.list_objects(PEERS_PREFIX)
+        members = []
+        for stored in listing.objects:
+            record = decode_record(stored, HostRecord)
+            members.append(
+                Member(
+                    record.host,
+                    record.hall,
+                    record.peer_address,
+                    link_megabits_per_second=record.link_megabits_per_second,
+                )
+            )
+        self._members = members
 
     async def _write_record(self) -> None:
-        key = f"{PEERS_PREFIX}{self._host.name}"
+        own = self._own
+        key = f"{PEERS_PREFIX}{own.name}"
         record = HostRecord(
-            host=self._host.name,
-            hall=self._host.hall,
-            peer_address=self._peer_address,
+            host=own.name,
+            hall=own.hall,
+            peer_address=own.address,
+            link_megabits_per_second=own.link_megabits_per_second,
             write_id=secrets.token_hex(8),
         )
-        while True:
-            try:
-                await self._settle(key, record)
-                return
-            except VersionConflictError:
-                continue
-            except (PlatformError, DataError) as error:
-                log.problem("own record not written", error=str(error))
-                await anyio.sleep(RECORD_PAUSE_SECONDS)
-
-    async def _settle(self, key: str, record: HostRecord) -> None:
         stored = await self._api.get(key)
         version = stored.version if stored else ABSENT
-        if stored is not None:
-            known = decode_record(stored, HostRecord)
-            if known.peer_address == record.peer_address:
-                return
-        await settle_put(self._api, key, record, version)
+        is_known = stored is not None and (
+            decode_record(stored, HostRecord).peer_address == record.peer_address
+        )
+        if not is_known:
+            await settle_put(self._api, key, record, version)
+        self._has_record = True
 
 
 class ReadsTargets(Protocol):
@@ -254,6 +268,7 @@
         reader: ReadsTargets,
         scheduler: SchedulerTask,
         wake: Callable[[], None],
+        is_wanted: Callable[[], bool],
         read_clock: Callable[[], float],
         draw: random.Random,
     ) -> None:
@@ -264,6 +279,7 @@
             api,
             reader.targets_prefix,
             wait_seconds=LONG_WAIT_SECONDS,
+            is_wanted=is_wanted,
             take_state=self._take_state,
             take_problem=_ignore,
             read_clock=read_clock,
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_peer_links.py
@@ -0,0 +1,220 @@
+"""Links between this host and its peers: dialled, accepted, proved, kept.
+
+A link carries messages both ways; any fault costs that link only. What the messages
+mean is for others: they are handed to one callback.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import anyio
+import attrs
+from anyio.abc import SocketStream, TaskGroup
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from rampwick_policy import Member
+from rampwick_schema import PeerSettings, encode_message
+
+from ._errors import PeerError
+from ._logs import PartLogger
+from ._metrics import Metrics
+from ._peer_stream import PeerStream
+
+#: Waits before a peer is dialled again: the first, the factor, the longest.
+REDIAL_SECONDS = 0.25
+REDIAL_FACTOR = 1.6
+MAX_REDIAL_SECONDS = 2.0
+
+DIAL_TIMEOUT_SECONDS = 1.0
+
+#: Time between two looks at which peers are to be dialled.
+LOOK_SECONDS = 0.25
+
+#: Messages that may wait for a slow peer before the newest are dropped.
+OUTBOX_COUNT = 128
+
+#: Links accepted at once, peers and strangers together.
+MAX_ACCEPTED = 512
+
+log = PartLogger("peers")
+
+
+@attrs.define(eq=False)
+class Link:
+    """One link to a peer that has proved itself."""
+
+    peer: Member
+    _sending: MemoryObjectSendStream[bytes]
+    waiting: MemoryObjectReceiveStream[bytes]
+
+    @classmethod
+    def open(cls, peer: Member) -> "Link":
+        """Return a link with an empty outbox."""
+        return cls(peer, *anyio.create_memory_object_stream[bytes](OUTBOX_COUNT))
+
+    def put(self, message: Any) -> None:
+        """Send a message in its turn, or drop it if the peer is too slow."""
+        self.put_encoded(encode_message(message))
+
+    def put_encoded(self, data: bytes) -> None:
+        """Send a message that was encoded once for several peers."""
+        try:
+            self._sending.send_nowait(data)
+        except (anyio.WouldBlock, anyio.BrokenResourceError):
+            # A later message of the kind says all that this one would have.
+            return
+
+
+class PeerLinks:
+    """Owns all links of this host."""
+
+    def __init__(
+        self,
+        own: Member,
+        settings: PeerSettings,
+        metrics: Metrics,
+        list_wanted: Callable[[], Iterable[Member]],
+        list_seeds: Callable[[], Iterable[str]],
+    ) -> None:
+        self._own = own
+        self._settings = settings
+        self._metrics = metrics
+        self._list_wanted = list_wanted
+        self._list_seeds = list_seeds
+        self._links: list[Link] = []
+        self._dialled: dict[str, anyio.CancelScope] = {}
+        self._accepted_count = 0
+        #: Called with each link that opens, before anything comes over it.
+        self.note_opened: Callable[[Link], None] = _ignore_link
+        #: Called with each message and the link that it came over.
+        self.take: Callable[[Link, Any], None] = _ignore_message
+        #: Called with the name of a wanted member that could not be reached.
+        self.note_unreachable: Callable[[str], None] = _ignore_name
+
+    @property
+    def links(self) -> list[Link]:
+        """One link to each peer."""
+        return list({link.peer.name: link for link in self._links}.values())
+
+    def link_to(self, name: str) -> Link | None:
+        """Return a link to a peer, if there is one."""
+        return next((link for link in self._links if link.peer.name == name), None)
+
+    def broadcast(self, message: Any, is_for: Callable[[Member], bool]) -> None:
+        """Send a message to all linked peers that it is for."""
+        links = [link for link in self.links if is_for(link.peer)]
+        if not links:
+            return
+        data = encode_message(message)
+        for link in links:
+            link.put_encoded(data)
+
+    async def run(self, listener: Any) -> None:
+        """Accept and dial until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, self._accept)
+            while True:
+                self._look(tasks)
+                await anyio.sleep(LOOK_SECONDS)
+
+    def _look(self, tasks: TaskGroup) -> None:
+        """Dial what is wanted and not dialled, and let go of what is not wanted."""
+        wanted = {member.address: member.name for member in self._list_wanted()}
+        linked = {link.peer.address for link in self._links}
+        addresses = dict(wanted)
+        for seed in self._list_seeds():
+            addresses.setdefault(seed, "")
+        for address in addresses.keys() - self._dialled.keys() - linked:
+            scope = self._dialled[address] = anyio.CancelScope()
+            tasks.start_soon(self._dial_again, address, addresses[address], scope)
+        for address in self._dialled.keys() - addresses.keys():
+            self._dialled.pop(address).cancel()
+
+    async def _dial_again(
+        self, address: str, name: str, scope: anyio.CancelScope
+    ) -> None:
+        pause_seconds = REDIAL_SECONDS
+        with scope:
+            while True:
+                is_met = False
+                try:
+                    await self._dial(address)
+                    is_met = True
+                except (PeerError, OSError, TimeoutError, ValueError):
+                    # Silence is noticed by the membership; here it only counts.
+                    if name:
+                        self.note_unreachable(name)
+                if is_met:
+                    pause_seconds = REDIAL_SECONDS
+                await anyio.sleep(pause_seconds)
+                pause_seconds = min(MAX_REDIAL_SECONDS, pause_seconds * REDIAL_FACTOR)
+
+    async def _dial(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        with anyio.fail_after(DIAL_TIMEOUT_SECONDS):
+            connection = await anyio.connect_tcp(host, int(port))
+        await self._converse(connection)
+
+    async def _accept(self, connection: SocketStream) -> None:
+        if self._accepted_count >= MAX_ACCEPTED:
+            await connection.aclose()
+            return
+        self._accepted_count += 1
+        try:
+            await self._converse(connection)
+        except PeerError as error:
+            log.info("link from peer ended", error=str(error))
+        finally:
+            self._accepted_count -= 1
+
+    async def _converse(self, connection: SocketStream) -> None:
+        async with connection:
+            limit = self._settings.max_message_bytes
+            stream = PeerStream(connection, limit, self._metrics)
+            peer = await stream.shake_hands(self._own, self._settings.secret)
+            if peer.name == self._own.name:
+                # A seed may be this host itself; keep the line so as not to redial.
+                await anyio.sleep_forever()
+            link = Link.open(peer)
+            self._links.append(link)
+            log.info("peer linked", peer=peer.name, hall=peer.hall)
+            try:
+                self.note_opened(link)
+                await self._talk(stream, link)
+            finally:
+                self._links.remove(link)
+
+    async def _talk(self, stream: PeerStream, link: Link) -> None:
+        failure: PeerError | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._write, stream, link, tasks.cancel_scope)
+            try:
+                while True:
+                    self.take(link, await stream.receive())
+            except PeerError as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _write(
+        self, stream: PeerStream, link: Link, scope: anyio.CancelScope
+    ) -> None:
+        try:
+            async for data in link.waiting:
+                await stream.send_encoded(data)
+        except PeerError as error:
+            log.info("link to peer ended", peer=link.peer.name, error=str(error))
+            scope.cancel()
+
+
+def _ignore_link(link: Link) -> None:
+    return
+
+
+def _ignore_message(link: Link, message: Any) -> None:
+    return
+
+
+def _ignore_name(name: str) -> None:
+    return
--- a/packages/rampwick-router/src/rampwick_router/_peer_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_stream.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 import anyio
-import attrs
 from anyio.abc import SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from rampwick_policy import Member
 from rampwick_schema import (
     LENGTH_BYTES,
     PROTOCOL_VERSION,
@@ -34,15 +34,6 @@
 STEP = "talk to peer"
 
 
-@attrs.frozen
-class PeerIdentity:
-    """Who a process is towards its peers."""
-
-    host: str
-    hall: str
-    incarnation: int
-
-
 class PeerStream:
     """Messages over one connection; any fault costs this connection only."""
 
@@ -96,19 +87,21 @@
         except MessageError as error:
             raise PeerError(error.message, step=error.step, peer=self.peer) from None
 
-    async def shake_hands(self, identity: PeerIdentity, secret: str) -> PeerIdentity:
+    async def shake_hands(self, own: Member, secret: str) -> Member:
         """Prove each side's knowledge of the secret; return who the other is."""
         with anyio.move_on_after(HANDSHAKE_SECONDS):
-            return await self._shake_hands(identity, secret)
+            return await self._shake_hands(own, secret)
         raise PeerError("handshake took too long", step="shake hands", peer=self.peer)
 
-    async def _shake_hands(self, identity: PeerIdentity, secret: str) -> PeerIdentity:
+    async def _shake_hands(self, own: Member, secret: str) -> Member:
         mine = Hello(
             protocol_version=PROTOCOL_VERSION,
-            host=identity.host,
-            hall=identity.hall,
-            incarnation=identity.incarnation,
+            host=own.name,
+            hall=own.hall,
+            incarnation=own.incarnation,
             nonce=secrets.token_bytes(NONCE_BYTES),
+            peer_address=own.address,
+            link_megabits_per_second=own.link_megabits_per_second,
         )
         await self.send(mine)
         theirs = self._expect(await self.receive(MAX_HANDSHAKE_BYTES), Hello)
@@ -121,7 +114,13 @@
         if not hmac.compare_digest(proof.digest, _prove(secret, theirs, mine)):
             raise self._refused("wrong secret")
         self.peer = theirs.host
-        return PeerIdentity(theirs.host, theirs.hall, theirs.incarnation)
+        return Member(
+            theirs.host,
+            theirs.hall,
+            theirs.peer_address,
+            theirs.incarnation,
+            theirs.link_megabits_per_second,
+        )
 
     def _expect(self, message: Any, cls: type) -> Any:
         if not isinstance(message, cls):
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_peer_sync.py
@@ -0,0 +1,158 @@
+"""Configuration and host list between peers: differences where they suffice, and ages.
+
+A host that does not read the platform asks one that does how old its knowledge is.
+The reply's ages count from when the question was sent, so that a late reply never
+makes old knowledge look fresh.
+"""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from rampwick_policy import ConfigurationFollower, diff_hosts, patch_hosts
+from rampwick_schema import (
+    ChangesReply,
+    ChangesRequest,
+    ConfirmReply,
+    ConfirmRequest,
+    HostList,
+    HostListChanges,
+    HostListReply,
+    HostListRequest,
+    Summary,
+    TreeReply,
+)
+
+from ._configuration import ConfigurationTask
+from ._logs import PartLogger
+from ._peer_links import Link
+from ._upstream_tasks import HostListTask
+
+#: Changes in one reply; the rest is asked for again.
+CHANGES_PER_REPLY = 64
+
+#: Versions of the host list kept to tell differences to.
+KEPT_LISTS = 32
+
+#: Questions remembered until they are answered.
+KEPT_QUESTIONS = 64
+
+#: Told instead of an age that is not known.
+LONG_AGO_SECONDS = 1e6
+
+log = PartLogger("peers")
+
+
+@attrs.define
+class PeerSync:
+    """Answers peers' questions about configuration and hosts, and asks its own."""
+
+    _follower: ConfigurationFollower
+    _configuration: ConfigurationTask
+    _hosts: HostListTask
+    _read_clock: Callable[[], float]
+    _lists: dict[int, HostList] = attrs.field(factory=dict)
+    _asked_at: dict[int, float] = attrs.field(factory=dict)
+    _sequence: int = 0
+    #: When a question was answered last.
+    answered_at_seconds: float = -math.inf
+
+    def take(self, link: Link, message: Any) -> bool:
+        """Take a message of this kind; return whether it is one."""
+        if isinstance(message, ChangesRequest):
+            self._answer_changes(link, message.after_revision)
+        elif isinstance(message, ChangesReply):
+            if self._follower.offer_changes(message.changes, "peer"):
+                self._configuration.announce()
+        elif isinstance(message, TreeReply):
+            if self._follower.offer_tree(message.tree, "peer"):
+                self._configuration.announce()
+        elif isinstance(message, HostListRequest):
+            self._answer_hosts(link, message.after_version)
+        elif isinstance(message, HostListReply):
+            self._hosts.offer(message.host_list)
+        elif isinstance(message, HostListChanges):
+            self._patch_hosts(link, message)
+        elif isinstance(message, ConfirmRequest):
+            link.put(self._confirmation(message.sequence))
+        elif isinstance(message, ConfirmReply):
+            self._take_confirmation(link, message)
+        else:
+            return False
+        return True
+
+    def compare(self, link: Link, summary: Summary) -> None:
+        """Ask a peer for what it knows and this host does not."""
+        self._ask_for_newer(link, summary.revision, summary.host_list_version)
+
+    def ask_ages(self, link: Link) -> None:
+        """Ask a peer how old its knowledge is."""
+        self._sequence += 1
+        self._asked_at[self._sequence] = self._read_clock()
+        while len(self._asked_at) > KEPT_QUESTIONS:
+            del self._asked_at[next(iter(self._asked_at))]
+        link.put(ConfirmRequest(self._sequence))
+
+    def _ask_for_newer(self, link: Link, revision: int, list_version: int) -> None:
+        if revision > self._follower.head_revision:
+            link.put(ChangesRequest(self._follower.head_revision))
+        if list_version > self._hosts.version:
+            link.put(HostListRequest(self._hosts.version))
+
+    def _answer_changes(self, link: Link, after_revision: int) -> None:
+        changes = self._follower.changes_after(after_revision)
+        if changes is None:
+            link.put(TreeReply(self._follower.view.tree))
+        elif changes:
+            link.put(ChangesReply(changes[:CHANGES_PER_REPLY]))
+
+    def _answer_hosts(self, link: Link, after_version: int) -> None:
+        current = self._hosts.host_list
+        if self._hosts.version <= after_version:
+            return
+        self._lists[self._hosts.version] = current
+        while len(self._lists) > KEPT_LISTS:
+            del self._lists[next(iter(self._lists))]
+        known = self._lists.get(after_version)
+        if known is None:
+            link.put(HostListReply(current))
+        else:
+            link.put(diff_hosts(known, current))
+
+    def _patch_hosts(self, link: Link, changes: HostListChanges) -> None:
+        patched = patch_hosts(self._hosts.host_list, changes)
+        if patched is not None:
+            self._hosts.offer(patched)
+        elif changes.version > self._hosts.version:
+            # Another list came between: the whole one settles it.
+            link.put(HostListRequest(-1))
+
+    def _confirmation(self, sequence: int) -> ConfirmReply:
+        now_seconds = self._read_clock()
+        return ConfirmReply(
+            sequence=sequence,
+            revision=self._follower.revision,
+            revision_age_seconds=_tellable(
+                self._configuration.age_seconds(now_seconds)
+            ),
+            host_list_version=self._hosts.version,
+            host_list_age_seconds=_tellable(self._hosts.age_seconds(now_seconds)),
+        )
+
+    def _take_confirmation(self, link: Link, reply: ConfirmReply) -> None:
+        asked_at_seconds = self._asked_at.pop(reply.sequence, None)
+        if asked_at_seconds is None:
+            return
+        self.answered_at_seconds = self._read_clock()
+        self._ask_for_newer(link, reply.revision, reply.host_list_version)
+        is_newest = self._follower.revision == self._follower.head_revision
+        if reply.revision and reply.revision == self._follower.revision and is_newest:
+            self._configuration.confirm(asked_at_seconds - reply.revision_age_seconds)
+        if reply.host_list_version == self._hosts.version:
+            self._hosts.confirm(asked_at_seconds - reply.host_list_age_seconds)
+
+
+def _tellable(age_seconds: float) -> float:
+    return max(0.0, min(LONG_AGO_SECONDS, age_seconds))
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_reading_role.py
@@ -0,0 +1,82 @@
+"""Whether this host reads the platform itself, or relies on those that do."""
+
+from collections.abc import Callable
+
+from rampwick_policy import MemberTable
+
+from ._configuration import ConfigurationTask
+from ._upstream_tasks import HostListTask
+
+#: Age of knowledge from readers after which a host reads for itself: a reader's watch
+#: and a question to it take 2.1 s together, and keys want less than 3.5 s.
+FALLBACK_SECONDS = 2.3
+
+#: Link speed from which a host reads at its start without waiting for others to tell
+#: it; weaker ones wait so long, since in a large fleet they are many.
+STRONG_LINK_MEGABITS_PER_SECOND = 100.0
+START_GRACE_SECONDS = 2.5
+
+#: Hosts of each group, the first in rank, that compete for the steward's lease.
+CANDIDATES_COUNT = 2
+
+
+class ReadingRole:
+    """Answers what of the platform this host is to read now."""
+
+    def __init__(
+        self,
+        table: MemberTable,
+        list_live: Callable[[], set[str]],
+        answered_at: Callable[[], float],
+        configuration: ConfigurationTask,
+        hosts: HostListTask,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._table = table
+        self._list_live = list_live
+        self._answered_at = answered_at
+        self._configuration = configuration
+        self._hosts = hosts
+        self._read_clock = read_clock
+        link = table.own.link_megabits_per_second
+        grace_seconds = 0.0
+        if link < STRONG_LINK_MEGABITS_PER_SECOND:
+            grace_seconds = START_GRACE_SECONDS
+        self._grace_until_seconds = read_clock() + grace_seconds
+
+    def is_reader(self) -> bool:
+        """Return whether this host reads for its group."""
+        return self._is_past_grace() and self._table.is_reader(self._list_live())
+
+    def is_lonely(self) -> bool:
+        """Return whether this host hears nobody."""
+        return not self._list_live()
+
+    def is_candidate(self) -> bool:
+        """Return whether this host may take the steward's lease."""
+        if not self._is_past_grace():
+            return False
+        return self._table.rank(self._list_live()) < CANDIDATES_COUNT
+
+    def wants_configuration(self) -> bool:
+        """Return whether this host is to read the configuration."""
+        return self._wants(self._configuration.age_seconds(self._read_clock()))
+
+    def wants_hosts(self) -> bool:
+        """Return whether this host is to read the list of upstreams."""
+        return self._wants(self._hosts.age_seconds(self._read_clock()))
+
+    def wants_targets(self) -> bool:
+        """Return whether this host is to read the weights that are wanted."""
+        return self._wants(0.0)
+
+    def _wants(self, age_seconds: float) -> bool:
+        if not self._is_past_grace():
+            return False
+        if self.is_reader():
+            return True
+        silent_seconds = self._read_clock() - self._answered_at()
+        return max(age_seconds, silent_seconds) > FALLBACK_SECONDS
+
+    def _is_past_grace(self) -> bool:
+        return self._read_clock() >= self._grace_until_seconds
--- a/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
@@ -157,7 +157,7 @@
             await self._forward(dispatch, self._terms(dispatch, remaining_seconds))
             self._log_answer(dispatch)
             return self._done(dispatch)
-        raise self._failed(Outcome.BROKEN, "no answer within the deadline", dispatch)
+        raise self._failed(Outcome.EXPIRED, "no answer within the deadline", dispatch)
 
     async def _forward(self, dispatch: Dispatch, terms: AttemptTerms) -> None:
         dialect = self.parts.dialects.upstream
@@ -337,9 +337,7 @@
         if self.responder.has_started:
             return
         self._first_seconds = self.parts.read_clock() - self.arrived_at_seconds
-        self.parts.metrics.first_token.labels(*self.labels).observe(
-            self._first_seconds
-        )
+        self.parts.metrics.first_token.labels(*self.labels).observe(self._first_seconds)
         headers = [*self.parts.dialects.upstream.answer_headers(head), *extra]
         await self.responder.start(head.status, headers)
 
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -66,6 +66,10 @@
         """Most hosts that were alive at once of late, this one included."""
         return self._scheduler.peers.known_hosts_count
 
+    def live_names(self, now_seconds: float) -> set[str]:
+        """Return the names of the peers that were heard of late."""
+        return {view.name for view in self._scheduler.peers.live(now_seconds)}
+
     def post(self, event: Event) -> None:
         """Send an event; it is handled in its turn."""
         self._inbox.send_nowait(event)
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 import attrs
@@ -46,15 +46,15 @@
 #: summaries of peers.
 SILENCE_SECONDS = 1.2
 
-#: Time between telling peers of a load and ordering it, a few trips between halls:
-#: what they have sent by then still finds the runner serving.
-ANNOUNCE_LEAD_SECONDS = 0.02
+#: Time between telling peers of a load and ordering it: the news takes a few trips
+#: between halls, and prompts that were sent before have begun by then.
+ANNOUNCE_LEAD_SECONDS = 0.15
 
 #: Random wait before a lease that is free is tried for, so that hosts don't race.
 TAKE_JITTER_SECONDS = 0.4
 
 #: Time for which peers are told of weights that an own load brought.
-TOLD_SECONDS = 5.0
+TOLD_SECONDS = 2.0
 
 log = PartLogger("steward")
 
@@ -119,6 +119,8 @@
         self._ordered_at_seconds = -math.inf
         self._shown: dict[str, WeightsShown] = {}
         self._wake = anyio.Event()
+        #: Whether this host may take a lease that it does not hold.
+        self.is_candidate: Callable[[], bool] = lambda: True
         #: Called when peers shall hear of a load at once.
         self.tell_peers: Callable[[], Awaitable[None]] = _tell_nobody
 
@@ -188,18 +190,23 @@
 
     async def _keep_lease(self) -> None:
         now_seconds = self._read_clock()
-        if now_seconds >= self._renew_at_seconds and self.lease.may_take(now_seconds):
+        may_try = self.is_holder or self.is_candidate()
+        is_due = now_seconds >= self._renew_at_seconds
+        if may_try and is_due and self.lease.may_take(now_seconds):
             await self._renew()
-        elif not self.is_holder:
+        elif may_try and not self.is_holder:
             await self._listen_for_holder(now_seconds)
         self._note_holding()
 
     async def _renew(self) -> None:
+        async with self._renewing:
+            await self._write_lease()
+
+    async def _write_lease(self) -> None:
         assert self._leases is not None
         renewal_seconds = self.lease.duration_seconds * RENEWAL_RATIO
-        async with self._renewing:
-            self._renew_at_seconds = self._read_clock() + renewal_seconds
-            await self._leases.try_take(self.lease, self._read_clock)
+        self._renew_at_seconds = self._read_clock() + renewal_seconds
+        await self._leases.try_take(self.lease, self._read_clock)
 
     async def _listen_for_holder(self, now_seconds: float) -> None:
         """Read the lease once if its holder has fallen silent.
@@ -234,6 +241,7 @@
         now_seconds = self._read_clock()
         steps = self._rollout.plan(runners, targets, now_seconds)
         entries = await self._scheduler.ask(_read_entries)
+        planned = []
         for step in steps:
             entry = entries.get(step.runner)
             if entry is None:
@@ -241,12 +249,24 @@
             if isinstance(step, AskReport):
                 tasks.start_soon(self._ask, entry)
             else:
-                self._rollout.note_sent(
-                    step.runner, step.order.weights_version, now_seconds
-                )
+                planned.append((entry, step))
+        if planned:
+            await self._announce(planned, now_seconds)
+            for entry, step in planned:
                 tasks.start_soon(self._order, entry, step)
         return bool(steps or self._rollout.loads())
 
+    async def _announce(
+        self, planned: Sequence[tuple[HostEntry, PlannedOrder]], now_seconds: float
+    ) -> None:
+        """Have all hosts stop sending to runners that are about to be told to load."""
+        for entry, step in planned:
+            version = step.order.weights_version
+            self._rollout.note_sent(entry.name, version, now_seconds)
+            until_seconds = self._rollout.loads()[entry.name][1]
+            self._scheduler.post(LoadOrdered(entry.name, "", version, until_seconds))
+        await self.tell_peers()
+
     async def _ask(self, entry: HostEntry) -> None:
         began_seconds = self._read_clock()
         try:
@@ -279,10 +299,6 @@
 
     async def _order(self, entry: HostEntry, planned: PlannedOrder) -> None:
         version = planned.order.weights_version
-        loads = self._rollout.loads()
-        until_seconds = loads[entry.name][1] if entry.name in loads else 0.0
-        self._scheduler.post(LoadOrdered(entry.name, "", version, until_seconds))
-        await self.tell_peers()
         await anyio.sleep(ANNOUNCE_LEAD_SECONDS)
         result = await self._send(entry, planned)
         self._rollout.note_result(entry.name, result)
@@ -293,13 +309,14 @@
     async def _fencing_number(self) -> int | None:
         """Return the number for an order, after a renewal if it takes one."""
         needed_seconds = CONTROL_TIMEOUT_SECONDS
-        number = self.lease.fencing_number(self._read_clock(), needed_seconds)
-        if number is not None or not self.is_holder:
-            return number
-        try:
-            await self._renew()
-        except (PlatformError, DataError) as error:
-            log.problem("lease not renewed, no order", error=str(error))
+        async with self._renewing:
+            number = self.lease.fencing_number(self._read_clock(), needed_seconds)
+            if number is not None or not self.is_holder:
+                return number
+            try:
+                await self._write_lease()
+            except (PlatformError, DataError) as error:
+                log.problem("lease not renewed, no order", error=str(error))
         return self.lease.fencing_number(self._read_clock(), needed_seconds)
 
     async def _send(self, entry: HostEntry, planned: PlannedOrder) -> OrderResult:
--- a/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
@@ -1,5 +1,7 @@
 """Tasks around upstreams: the host list, probes, cancellations."""
 
+import math
+
 import anyio
 
 from rampwick_policy import HostListRead, LoadReported, ProbeFailed
@@ -20,20 +22,29 @@
 class HostListTask:
     """Keeps the newest host list, whoever read it, and passes on each newer one."""
 
-    def __init__(self, source: HostSource | None, scheduler: SchedulerTask) -> None:
-        self._source = source
+    def __init__(self, scheduler: SchedulerTask) -> None:
+        self.source: HostSource | None = None
         self._scheduler = scheduler
         #: The newest list, for peers' addresses.
         self.host_list = HostList(version=0, hosts=[])
         #: Version of that list; -1 before the first.
         self.version = -1
+        self._confirmed_at_seconds = -math.inf
         #: Why the list can't be read at present, or nothing.
         self.problem = ""
 
+    def age_seconds(self, now_seconds: float) -> float:
+        """Return the time since the list was surely the newest."""
+        return now_seconds - self._confirmed_at_seconds
+
+    def confirm(self, at_seconds: float) -> None:
+        """Note a steady time at which the list was the newest."""
+        self._confirmed_at_seconds = max(self._confirmed_at_seconds, at_seconds)
+
     async def run(self) -> None:
         """Follow the source until cancelled."""
-        if self._source is not None:
-            await self._source.run(self.offer, self.note_problem)
+        if self.source is not None:
+            await self.source.run(self)
 
     def note_problem(self, problem: str) -> None:
         """Note why the list can't be read, or by an empty text that it can."""
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ._generated_platform import HostList
+from ._generated_platform import HostEntry, HostList, WeightsTarget
 from ._generated_tree import Change, Tree
 from ._rules import within
 
@@ -30,6 +30,12 @@
     incarnation: int = attrs.field(validator=within(0, None))
     #: 16 random bytes.
     nonce: bytes
+    #: IP and port at which the sender takes streams of peers.
+    peer_address: str = attrs.field(default="")
+    #: Speed of the sender's link.
+    link_megabits_per_second: float = attrs.field(
+        default=1000.0, validator=within(0.0, None)
+    )
 
 
 @attrs.frozen
@@ -132,12 +138,94 @@
     placed: list[PlacedPrefix]
     #: Upstreams that the sender has just found to be down.
     down: list[str] = attrs.field(factory=list)
-    #: Version of the steward's lease that the sender holds; 0 if it holds none.
-    lease_version: int = attrs.field(default=0, validator=within(0, None))
-    #: Loads that the sender has ordered.
-    loads: list[RunnerLoad] = attrs.field(factory=list)
-    #: Weights that runners were seen to have after loads that the sender ordered.
-    weights: list[RunnerWeights] = attrs.field(factory=list)
+    #: Hosts that the summary speaks for.
+    hosts_count: int = attrs.field(default=1, validator=within(1, None))
+
+
+@attrs.frozen
+class HallSummary:
+    """What all hosts of a hall say, told by its relay to other halls and passed on there."""
+
+    CODE: ClassVar[int] = 10
+
+    #: Hall that it is about.
+    hall: str
+    #: Host that put it together.
+    relay: str
+    #: Incarnation of that host.
+    incarnation: int = attrs.field(validator=within(0, None))
+    #: The sums of its hosts' summaries.
+    summary: Summary
+
+
+@attrs.frozen
+class MemberRecord:
+    """One host of the fleet."""
+
+    #: Name of the host.
+    host: str
+    #: Hall that it stands in.
+    hall: str
+    #: IP and port of its streams between hosts.
+    peer_address: str
+    #: Start time of its process in nanoseconds.
+    incarnation: int = attrs.field(validator=within(0, None))
+    #: Speed of its link.
+    link_megabits_per_second: float = attrs.field(validator=within(0.0, None))
+
+
+@attrs.frozen
+class Members:
+    """Hosts that the sender knows."""
+
+    CODE: ClassVar[int] = 11
+
+    #: The hosts.
+    members: list[MemberRecord]
+
+
+@attrs.frozen
+class ConfirmRequest:
+    """Asks a host that reads the platform how old what it has read is."""
+
+    CODE: ClassVar[int] = 12
+
+    #: Number that the reply repeats.
+    sequence: int = attrs.field(validator=within(0, None))
+
+
+@attrs.frozen
+class ConfirmReply:
+    """Ages at the time of the reply, so that the asker can count them from its question."""
+
+    CODE: ClassVar[int] = 13
+
+    #: Number of the question.
+    sequence: int = attrs.field(validator=within(0, None))
+    #: Revision of the configuration in force.
+    revision: int = attrs.field(validator=within(0, None))
+    #: Time since it was surely the newest.
+    revision_age_seconds: float = attrs.field(validator=within(0.0, None))
+    #: Version of the host list.
+    host_list_version: int = attrs.field(validator=within(-1, None))
+    #: Time since it was surely the newest.
+    host_list_age_seconds: float = attrs.field(validator=within(0.0, None))
+
+
+@attrs.frozen
+class HostListChanges:
+    """The difference between two versions of the host list."""
+
+    CODE: ClassVar[int] = 14
+
+    #: Version to which it is to be applied.
+    base_version: int = attrs.field(validator=within(-1, None))
+    #: Version that it makes.
+    version: int = attrs.field(validator=within(0, None))
+    #: Entries that are new or other.
+    changed: list[HostEntry]
+    #: Names that are gone.
+    removed: list[str]
 
 
 @attrs.frozen
@@ -166,6 +254,24 @@
     changes: list[CacheChange]
 
 
+@attrs.frozen
+class StewardNews:
+    """What the holder of the steward's lease tells all hosts, at changes and again and again."""
+
+    CODE: ClassVar[int] = 15
+
+    #: Host that holds the lease.
+    holder: str
+    #: Version of the lease.
+    lease_version: int = attrs.field(validator=within(0, None))
+    #: Weights that are wanted.
+    targets: list[WeightsTarget]
+    #: Loads under way.
+    loads: list[RunnerLoad]
+    #: Weights that runners were seen to have after loads.
+    weights: list[RunnerWeights]
+
+
 @attrs.frozen
 class ChangesRequest:
     """Asks for the changes after a revision."""
@@ -221,7 +327,13 @@
     Hello.CODE: Hello,
     Proof.CODE: Proof,
     Summary.CODE: Summary,
+    HallSummary.CODE: HallSummary,
+    Members.CODE: Members,
+    ConfirmRequest.CODE: ConfirmRequest,
+    ConfirmReply.CODE: ConfirmReply,
+    HostListChanges.CODE: HostListChanges,
     CacheNews.CODE: CacheNews,
+    StewardNews.CODE: StewardNews,
     ChangesRequest.CODE: ChangesRequest,
     ChangesReply.CODE: ChangesReply,
     TreeReply.CODE: TreeReply,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
@@ -80,6 +80,10 @@
     peer_address: str
     #: Random id of the host's last write.
     write_id: str
+    #: Speed of its link.
+    link_megabits_per_second: float = attrs.field(
+        default=1000.0, validator=within(0.0, None)
+    )
 
 
 @attrs.frozen
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -20,6 +20,10 @@
     hall: str
     #: Region that the hall belongs to.
     region: str = attrs.field(default="local")
+    #: Speed of the host's link; hosts with faster ones read the platform and relay for the others.
+    link_megabits_per_second: float = attrs.field(
+        default=1000.0, validator=within(0.001, 10000000.0)
+    )
 
 
 @attrs.frozen
--- a/packages/rampwick-schema/src/rampwick_schema/_wire.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_wire.py
@@ -16,7 +16,7 @@
 LENGTH_BYTES = 4
 
 #: Version of the protocol between peers; a peer with another one is refused.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 STEP = "decode message"
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -458,6 +458,7 @@
     "zone": "bratislava-a",
     "region": "sk-west",
     "ip": "10.1.0.30",
+    "limits": {"link_mbps": 200},
     "listen": {
         "front": "10.1.0.30:8782",
         "readiness": "10.1.0.30:8789",
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -149,7 +149,7 @@
                 # The third hears the platform no more, only its peers.
                 third = three.daemon._configuration
                 await until(lambda: len(third_peers(three)) == 2)
-                with mock.patch.object(third._source, "_store", CutOffStore()):
+                with mock.patch.object(third.source, "_store", CutOffStore()):
                     await until(lambda: third.problem)
                     await bench.edit(set_weight("/new", 2.0))
                     for host in hosts:
@@ -199,7 +199,7 @@
                 bench.platform.faults = PlatformFaults(is_stale=True)
                 for _ in range(3):
                     task = host.daemon._configuration
-                    await task._source._load(task)
+                    await task.source._load(task)
                     looks.append(Observed("entry-1", follower.revision))
             return looks
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,11 +5,13 @@
 from hypothesis import given, settings, strategies as st
 from testtools import TestCase
 
+from rampwick_policy import Member
 from rampwick_router._errors import PeerError
 from rampwick_router._metrics import Metrics
-from rampwick_router._peer_stream import PeerIdentity, PeerStream
+from rampwick_router._peer_stream import PeerStream
 from rampwick_schema import (
     LENGTH_BYTES,
+    PROTOCOL_VERSION,
     Change,
     ChangesReply,
     Hello,
@@ -100,7 +102,7 @@
         address, _, port = host.addresses.peer.rpartition(":")
         connection = await anyio.connect_tcp(address, int(port))
         stream = PeerStream(connection, 10_000, Metrics())
-        identity = PeerIdentity(name, "trnava", 1)
+        identity = Member(name, "trnava", "127.0.0.1:1", 1)
         return stream, await stream.shake_hands(identity, secret)
 
     def test_stranger_without_the_secret_is_not_heard(self):
@@ -125,9 +127,9 @@
                     async with await anyio.connect_tcp(address, int(port)) as raw:
                         await raw.send(junk)
                 stream, peer = await self.dial(host, SECRET)
-                self.assertEqual("entry-1", peer.host)
+                self.assertEqual("entry-1", peer.name)
                 # A second greeting has no place once the first is proved.
-                await stream.send(Hello(1, "x", "y", 1, b"0" * 16))
+                await stream.send(Hello(PROTOCOL_VERSION, "x", "y", 1, b"0" * 16))
                 with anyio.move_on_after(5):
                     try:
                         while True:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -69,7 +69,7 @@
                     await host.until_ready("lektor-1", "lektor-2")
                     await until(lambda host=host: peers_of(host))
                 # Cut only the second host off: its list stays as it was.
-                source = two.daemon._hosts._source
+                source = two.daemon._hosts.source
                 with mock.patch.object(source, "_api", BrokenApi()):
                     await until(lambda: two.daemon._hosts.problem)
                     bench.set_state("lektor-1", "leaving")
