--- a/packages/rampwick-policy/src/rampwick_policy/_imports.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_imports.py
@@ -149,14 +149,18 @@
 
     def service(self, name: str) -> Service | None:
         """Return a service whose engines can import, if this is one."""
-        service = self._routes.service(name) if self._routes else None
+        if self._routes is None:
+            return None
+        service = self._routes.service(name)
         if service is None or service.link_bits_per_second <= 0.0:
             return None
         return service
 
     def store(self) -> KeptStore | None:
         """Return the store that serves this host's engines."""
-        return self._routes.kept_store(self._hall) if self._routes else None
+        if self._routes is None:
+            return None
+        return self._routes.kept_store(self._hall)
 
     def runner_source(self, service: Service, holder: Holder) -> ImportSource:
         """Return a runner's cache as a source."""
