--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -2,7 +2,6 @@
 
 from ._channels import AnswerHead as AnswerHead
 from ._daemon import (
-    Addresses as Addresses,
     Clocks as Clocks,
     Daemon as Daemon,
     run_daemon as run_daemon,
@@ -29,3 +28,4 @@
 from ._integration import Integration as Integration
 from ._log_sink import open_log as open_log
 from ._main import main as main, run_host as run_host
+from ._servers import Addresses as Addresses
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -2,18 +2,14 @@
 
 import math
 import random
-import socket
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
-from typing import Any
 
 import anyio
 import attrs
 from anyio.abc import TaskGroup
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from rampwick_platform import HttpObjectApi, ObjectApi, TreeStore
 from rampwick_policy import ConfigurationFollower, Member, SaltBook, Scheduler
@@ -28,23 +24,20 @@
 from ._entry import EntryApp
 from ._fallback import read_fallback
 from ._gossip import GossipTask
-from ._host_sources import (
-    PeerDirectory,
-    PolledHosts,
-    PolledTargets,
-    WatchedHosts,
-    WatchedTargets,
-)
+from ._host_sources import PolledHosts, WatchedHosts
 from ._integration import Integration
 from ._life import Life
 from ._logs import PartLogger
 from ._metrics import Metrics
 from ._own_dialect import OWN_DIALECTS
 from ._parts import Parts, RequestIds
+from ._peer_directory import PeerDirectory
 from ._reading_role import ReadingRole
 from ._scheduler_task import SchedulerTask
+from ._servers import Addresses, Listeners, listen, serve_apps
 from ._steward import StewardTask
 from ._stream_tokens import StreamTokens
+from ._target_sources import PolledTargets, WatchedTargets
 from ._upstream_client import UpstreamClient
 from ._upstream_control import DialectControl, UpstreamControl
 from ._upstream_tasks import CancelTask, HostListTask, ProbeTask
@@ -59,9 +52,6 @@
 #: Time between two lines that say how the host stands.
 STATE_INTERVAL_SECONDS = 10.0
 
-#: Time that the HTTP library is given to close idle connections.
-CLOSE_SECONDS = 0.5
-
 log = PartLogger("life")
 
 
@@ -73,15 +63,6 @@
     wall: Callable[[], float] = time.time
 
 
-@attrs.frozen
-class Addresses:
-    """Where a running daemon listens, as ip:port."""
-
-    entry: str
-    admin: str
-    peer: str
-
-
 class Daemon:
     """One rampwickd; ``run_daemon`` starts and stops it."""
 
@@ -248,7 +229,7 @@
         self._gossip.seeds = frozenset(settings.peers.seeds)
         log.info("settings reloaded", changed=changed)
 
-    async def start(self, tasks: TaskGroup, listeners: "Listeners") -> None:
+    async def start(self, tasks: TaskGroup, listeners: Listeners) -> None:
         """Start all tasks; return once requests are taken."""
         tasks.start_soon(self.scheduler.run)
         self.load_fallback()
@@ -323,18 +304,6 @@
         return max(0.0, min(drain_seconds, left_seconds))
 
 
-@attrs.frozen
-class Listeners:
-    """Bound sockets of one daemon."""
-
-    entry: socket.socket
-    admin: socket.socket
-    #: Tells a balancer whether the host is ready, where that is wanted.
-    ready: socket.socket | None
-    peer: Any
-    addresses: Addresses
-
-
 @asynccontextmanager
 async def run_daemon(
     settings: Settings,
@@ -365,7 +334,7 @@
         )
         clocks = clocks or Clocks()
         channels = await stack.enter_async_context(ChannelPool(clocks.monotonic))
-        listeners = await _listen(settings, stack)
+        listeners = await listen(settings.listen, stack)
         daemon = Daemon(
             settings,
             api,
@@ -378,86 +347,15 @@
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         await daemon.start(tasks, listeners)
-        await _start_servers(settings, daemon, listeners, tasks, stack)
+        served = [
+            (daemon.entry, listeners.entry),
+            (daemon.admin.app, listeners.admin),
+        ]
+        if listeners.ready is not None:
+            served.append((daemon.admin.ready_app, listeners.ready))
+        serve_apps(served, settings.limits.max_header_bytes, tasks, stack)
         yield daemon, listeners.addresses
 
 
-async def _listen(settings: Settings, stack: AsyncExitStack) -> Listeners:
-    listen = settings.listen
-    entry = _bind(listen.entry or f"{listen.address}:{listen.entry_port}")
-    stack.callback(entry.close)
-    admin = _bind(listen.admin or f"{listen.address}:{listen.admin_port}")
-    stack.callback(admin.close)
-    ready = None
-    if listen.ready:
-        ready = _bind(listen.ready)
-        stack.callback(ready.close)
-    host, _, port = _peer_address(settings).rpartition(":")
-    peer = await anyio.create_tcp_listener(
-        local_host=host, local_port=int(port), reuse_port=False
-    )
-    await stack.enter_async_context(peer)
-    peer_port = peer.extra(anyio.abc.SocketAttribute.local_port)
-    addresses = Addresses(_address(entry), _address(admin), f"{host}:{peer_port}")
-    return Listeners(entry, admin, ready, peer, addresses)
-
-
 def _milliseconds(seconds: float) -> int | None:
     return None if math.isinf(seconds) else round(seconds * 1000)
-
-
-def _peer_address(settings: Settings) -> str:
-    listen = settings.listen
-    return listen.peer or f"{listen.address}:{listen.peer_port}"
-
-
-def _bind(address: str) -> socket.socket:
-    host, _, port = address.rpartition(":")
-    listener = socket.create_server((host, int(port)), backlog=1024)
-    listener.setblocking(False)
-    return listener
-
-
-def _address(listener: socket.socket) -> str:
-    host, port = listener.getsockname()[:2]
-    return f"{host}:{port}"
-
-
-async def _start_servers(
-    settings: Settings,
-    daemon: Daemon,
-    listeners: Listeners,
-    tasks: TaskGroup,
-    stack: AsyncExitStack,
-) -> None:
-    closing = anyio.Event()
-    served = [
-        (daemon.entry, listeners.entry),
-        (daemon.admin.app, listeners.admin),
-    ]
-    if listeners.ready is not None:
-        served.append((daemon.admin.ready_app, listeners.ready))
-    for app, listener in served:
-        config = _server_config(settings, listener)
-        tasks.start_soon(_serve, app, config, closing)
-
-    stack.callback(closing.set)
-
-
-def _server_config(settings: Settings, listener: socket.socket) -> Config:
-    config = Config()
-    config.bind = [f"fd://{listener.detach()}"]
-    config.h11_max_incomplete_size = settings.limits.max_header_bytes
-    config.graceful_timeout = CLOSE_SECONDS
-    config.keep_alive_timeout = 75
-    config.include_server_header = False
-    config.errorlog = None
-    config.accesslog = None
-    return config
-
-
-async def _serve(app: Any, config: Config, closing: anyio.Event) -> None:
-    # Hypercorn runs in this process, without workers of its own. It ends by its
-    # trigger only; cancelled halfway it raises errors.
-    with anyio.CancelScope(shield=True):
-        await serve(app, config, shutdown_trigger=closing.wait)
--- a/packages/rampwick-router/src/rampwick_router/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/_gossip.py
@@ -10,25 +10,11 @@
 
 import anyio
 
-from rampwick_policy import (
-    CacheChanges,
-    CacheSeen,
-    HallNews,
-    LoadOrdered,
-    Member,
-    MemberTable,
-    PeerHeard,
-    Scheduler,
-    TargetsRead,
-    WeightsSeen,
-)
+from rampwick_policy import HallNews, Member, MemberTable, PeerHeard, Scheduler
 from rampwick_schema import (
     CacheNews,
     HallSummary,
-    MemberRecord,
     Members,
-    RunnerLoad,
-    RunnerWeights,
     Settings,
     StewardNews,
     Summary,
@@ -36,10 +22,18 @@
 
 from ._configuration import ConfigurationTask
 from ._errors import PeerError
-from ._host_sources import PeerDirectory
 from ._logs import PartLogger
 from ._metrics import Metrics
+from ._peer_directory import PeerDirectory
 from ._peer_links import Link, PeerLinks
+from ._peer_news import (
+    cache_event,
+    listed_members,
+    steward_events,
+    steward_news,
+    to_member,
+    to_record,
+)
 from ._peer_sync import PeerSync
 from ._scheduler_task import SchedulerTask
 from ._steward import StewardTask
@@ -130,7 +124,7 @@
         return self.table.is_reader(self.live_names)
 
     def _list_wanted(self) -> list[Member]:
-        self.table.learn(_listed_members(self._hosts))
+        self.table.learn(listed_members(self._hosts.host_list))
         if self.directory is not None:
             self.table.learn(self.directory.members())
         return self.table.wanted_links(self._read_clock())
@@ -145,14 +139,14 @@
         self.table.note_unreachable(name, self._read_clock())
 
     def _note_opened(self, link: Link) -> None:
-        known = [_record(member) for member in self.table]
+        known = [to_record(member) for member in self.table]
         link.put(Members(known))
         self._learn([link.peer])
 
     def _learn(self, members: Iterable[Member]) -> None:
         news = self.table.learn(members)
         if news:
-            told = Members([_record(member) for member in news])
+            told = Members([to_record(member) for member in news])
             self._links.broadcast(told, lambda peer: True)
 
     # What comes in.
@@ -167,7 +161,7 @@
         elif isinstance(message, CacheNews):
             self._take_cache_news(link, message)
         elif isinstance(message, Members):
-            self._learn(_member(record) for record in message.members)
+            self._learn(to_member(record) for record in message.members)
         elif not self._sync.take(link, message):
             name = type(message).__name__
             raise PeerError(f"{name} at this point", step="talk", peer=link.peer.name)
@@ -196,27 +190,8 @@
             return
         now_seconds = self._read_clock()
         self._steward.lease.note_heard(news.holder, news.lease_version, now_seconds)
-        if news.targets:
-            self._scheduler.post(TargetsRead(tuple(news.targets)))
-        for load in news.loads:
-            until_seconds = now_seconds + load.remaining_seconds
-            self._scheduler.post(
-                LoadOrdered(
-                    load.upstream,
-                    load.incarnation,
-                    load.weights_version,
-                    until_seconds,
-                )
-            )
-        for shown in news.weights:
-            self._scheduler.post(
-                WeightsSeen(
-                    shown.upstream,
-                    shown.incarnation,
-                    shown.weights_version,
-                    is_own_word=False,
-                )
-            )
+        for event in steward_events(news, now_seconds):
+            self._scheduler.post(event)
         self._relay(link, news)
 
     def _relay(self, link: Link, message: Any) -> None:
@@ -229,13 +204,7 @@
         )
 
     def _take_cache_news(self, link: Link, news: CacheNews) -> None:
-        changes = tuple(
-            CacheChanges(
-                change.incarnation, tuple(change.prefixes), tuple(change.kept_tokens)
-            )
-            for change in news.changes
-        )
-        self._scheduler.post(CacheSeen(news.upstream, changes, news.is_reset))
+        self._scheduler.post(cache_event(news))
         self._relay(link, news)
 
     # What goes out.
@@ -284,25 +253,9 @@
 
     async def tell_steward_news(self) -> None:
         """Tell all hosts of loads, weights and lease now."""
-        now_seconds = self._read_clock()
-        steward = self._steward
-        news = StewardNews(
-            holder=self.table.own.name,
-            lease_version=steward.lease.version,
-            targets=await self._scheduler.ask(_read_targets),
-            loads=[
-                RunnerLoad(
-                    load.upstream,
-                    load.incarnation,
-                    load.weights_version,
-                    max(0.0, load.until_seconds - now_seconds),
-                )
-                for load in steward.loads()
-            ],
-            weights=[
-                RunnerWeights(shown.upstream, shown.incarnation, shown.weights_version)
-                for shown in steward.weights_shown()
-            ],
+        targets = await self._scheduler.ask(_read_targets)
+        news = steward_news(
+            self.table.own.name, self._steward, targets, self._read_clock()
         )
         is_relay = self.table.is_relay(self.live_names)
         self._links.broadcast(news, lambda peer: is_relay or self._is_of_group(peer))
@@ -373,31 +326,3 @@
 
 def _read_targets(scheduler: Scheduler, now_seconds: float) -> Any:
     return scheduler.upstreams.targets.all_newest()
-
-
-def _listed_members(hosts: HostListTask) -> list[Member]:
-    return [
-        Member(entry.name, entry.hall, entry.address)
-        for entry in hosts.host_list.hosts
-        if entry.kind == "entry"
-    ]
-
-
-def _record(member: Member) -> MemberRecord:
-    return MemberRecord(
-        member.name,
-        member.hall,
-        member.address,
-        member.incarnation,
-        member.link_megabits_per_second,
-    )
-
-
-def _member(record: MemberRecord) -> Member:
-    return Member(
-        record.host,
-        record.hall,
-        record.peer_address,
-        record.incarnation,
-        record.link_megabits_per_second,
-    )
--- a/packages/rampwick-router/src/rampwick_router/_integration.py
+++ b/packages/rampwick-router/src/rampwick_router/_integration.py
@@ -8,7 +8,8 @@
 
 from ._configuration_sources import ReadsConfiguration
 from ._dialects import Dialects
-from ._host_sources import ReadsTargets, ReadsUpstreams
+from ._host_sources import ReadsUpstreams
+from ._target_sources import ReadsTargets
 
 
 class StoreReader(ReadsConfiguration, ReadsUpstreams, ReadsTargets, Protocol):
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_peer_directory.py
@@ -0,0 +1,102 @@
+"""Records in the store by which hosts find each other if no seed answers."""
+
+import random
+import secrets
+from collections.abc import Callable
+
+import anyio
+
+from rampwick_platform import (
+    ABSENT,
+    ObjectApi,
+    PlatformError,
+    decode_record,
+    settle_put,
+)
+from rampwick_policy import Member
+from rampwick_schema import DataError, HostRecord
+
+from ._logs import PartLogger
+
+#: Prefix of the records.
+PEERS_PREFIX = "peers/"
+
+#: Time between two looks of a host that hears nobody at where others are.
+LONELY_LOOK_SECONDS = 2.0
+
+log = PartLogger("peers")
+
+
+class PeerDirectory:
+    """Records in the store by which hosts find each other if no seed answers.
+
+    The hosts that read the platform keep a record there; one that hears nobody reads
+    them, and keeps one, too.
+    """
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        own: Member,
+        is_lonely: Callable[[], bool],
+        is_reader: Callable[[], bool],
+        draw: random.Random,
+    ) -> None:
+        self._api = api
+        self._own = own
+        self._is_lonely = is_lonely
+        self._is_reader = is_reader
+        self._draw = draw
+        self._members: list[Member] = []
+        self._has_record = False
+
+    def members(self) -> list[Member]:
+        """Return the other hosts that have a record."""
+        return self._members
+
+    async def run(self) -> None:
+        """Keep the own record and look for others while needed, until cancelled."""
+        while True:
+            seconds = LONELY_LOOK_SECONDS * self._draw.uniform(0.7, 1.3)
+            await anyio.sleep(seconds)
+            try:
+                if self._is_reader() and not self._has_record:
+                    await self._write_record()
+                if self._is_lonely():
+                    await self._read_records()
+            except (PlatformError, DataError) as error:
+                log.problem("directory out of reach", error=str(error))
+
+    async def _read_records(self) -> None:
+        listing = await self._api.list_objects(PEERS_PREFIX)
+        members = []
+        for stored in listing.objects:
+            record = decode_record(stored, HostRecord)
+            members.append(
+                Member(
+                    record.host,
+                    record.hall,
+                    record.peer_address,
+                    link_megabits_per_second=record.link_megabits_per_second,
+                )
+            )
+        self._members = members
+
+    async def _write_record(self) -> None:
+        own = self._own
+        key = f"{PEERS_PREFIX}{own.name}"
+        record = HostRecord(
+            host=own.name,
+            hall=own.hall,
+            peer_address=own.address,
+            link_megabits_per_second=own.link_megabits_per_second,
+            write_id=secrets.token_hex(8),
+        )
+        stored = await self._api.get(key)
+        version = stored.version if stored else ABSENT
+        is_known = stored is not None and (
+            decode_record(stored, HostRecord).peer_address == record.peer_address
+        )
+        if not is_known:
+            await settle_put(self._api, key, record, version)
+        self._has_record = True
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_peer_news.py
@@ -0,0 +1,115 @@
+"""Peers' messages as the scheduler's events and members, and the other way round."""
+
+from collections.abc import Iterator, Sequence
+
+from rampwick_policy import (
+    CacheChanges,
+    CacheSeen,
+    Event,
+    LoadOrdered,
+    Member,
+    TargetsRead,
+    WeightsSeen,
+)
+from rampwick_schema import (
+    CacheNews,
+    HostList,
+    MemberRecord,
+    RunnerLoad,
+    RunnerWeights,
+    StewardNews,
+    WeightsTarget,
+)
+
+from ._steward import StewardTask
+
+
+def to_record(member: Member) -> MemberRecord:
+    """Return a member as peers are told of it."""
+    return MemberRecord(
+        member.name,
+        member.hall,
+        member.address,
+        member.incarnation,
+        member.link_megabits_per_second,
+    )
+
+
+def to_member(record: MemberRecord) -> Member:
+    """Return the member that a peer told of."""
+    return Member(
+        record.host,
+        record.hall,
+        record.peer_address,
+        record.incarnation,
+        record.link_megabits_per_second,
+    )
+
+
+def listed_members(host_list: HostList) -> list[Member]:
+    """Return the entry hosts of a host list."""
+    return [
+        Member(entry.name, entry.hall, entry.address)
+        for entry in host_list.hosts
+        if entry.kind == "entry"
+    ]
+
+
+def steward_news(
+    holder: str,
+    steward: StewardTask,
+    targets: Sequence[WeightsTarget],
+    now_seconds: float,
+) -> StewardNews:
+    """Return what the steward has to say: lease, targets, loads, weights."""
+    loads = [
+        RunnerLoad(
+            load.upstream,
+            load.incarnation,
+            load.weights_version,
+            max(0.0, load.until_seconds - now_seconds),
+        )
+        for load in steward.loads()
+    ]
+    weights = [
+        RunnerWeights(shown.upstream, shown.incarnation, shown.weights_version)
+        for shown in steward.weights_shown()
+    ]
+    return StewardNews(
+        holder=holder,
+        lease_version=steward.lease.version,
+        targets=list(targets),
+        loads=loads,
+        weights=weights,
+    )
+
+
+def steward_events(news: StewardNews, now_seconds: float) -> Iterator[Event]:
+    """Yield what the scheduler learns from a steward's news."""
+    if news.targets:
+        yield TargetsRead(tuple(news.targets))
+    for load in news.loads:
+        yield LoadOrdered(
+            load.upstream,
+            load.incarnation,
+            load.weights_version,
+            now_seconds + load.remaining_seconds,
+        )
+    for shown in news.weights:
+        yield WeightsSeen(
+            shown.upstream,
+            shown.incarnation,
+            shown.weights_version,
+            is_own_word=False,
+        )
+
+
+def cache_event(news: CacheNews) -> CacheSeen:
+    """Return what the scheduler learns from a peer's cache events."""
+    changes = tuple(
+        CacheChanges(
+            change.incarnation, tuple(change.prefixes), tuple(change.kept_tokens)
+        )
+        for change in news.changes
+    )
+    return CacheSeen(news.upstream, changes, news.is_reset)
--- a/packages/rampwick-router/src/rampwick_router/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/_routed_entry.py
@@ -10,7 +10,8 @@
 from ._logs import PartLogger
 from ._parts import Parts
 from ._responder import Message, Receive, Responder, read_body
-from ._routed_exchange import RoutedExchange, RoutedRequest
+from ._routed_exchange import RoutedExchange
+from ._routed_request import RoutedRequest
 
 #: Longest wait for a look at the platform before a route or key is called unknown.
 LOOK_TIMEOUT_SECONDS = 0.4
--- a/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
@@ -7,7 +7,6 @@
 from collections.abc import AsyncIterator
 
 import anyio
-import attrs
 
 from rampwick_policy import (
     RANKED_CLASSES,
@@ -17,25 +16,21 @@
     AttemptSilent,
     Dispatch,
     Outcome,
-    PrefixChain,
     RequestArrived,
     RunState,
-    Scope,
     Verdict,
     WeightsSeen,
-    Workspace,
-    chain_from_parts,
 )
-from rampwick_schema import Route, Service
 
 from ._call import CallTerms
 from ._channels import AnswerHead, Channel
-from ._dialects import AnswerFacts, AttemptTerms, RoutedCall
+from ._dialects import AnswerFacts, AttemptTerms
 from ._errors import AttemptError, CallerError, denial
 from ._exchange import Exchange
 from ._logs import PartLogger
 from ._parts import Parts
 from ._responder import Receive, Responder
+from ._routed_request import RoutedRequest
 from ._whole_events import WholeEvents
 
 #: Answers up to this size are read whole before any of it goes to the caller, so that
@@ -54,52 +49,6 @@
 log = PartLogger("route")
 
 
-@attrs.frozen
-class RoutedRequest:
-    """A checked request on a route."""
-
-    call: RoutedCall
-    route: Route
-    service: Service
-    workspace: Workspace
-    body: bytes
-    arrived_at_seconds: float
-
-    @property
-    def priority_rank(self) -> int:
-        """Rank of the request: the workspace's own goes before the route's."""
-        rank = self.workspace.priority_rank
-        return self.route.priority_rank if rank is None else rank
-
-    @property
-    def deadline_seconds(self) -> float:
-        """Steady time at which the caller or the route gives up."""
-        seconds = self.route.timeout_seconds
-        if self.call.timeout_seconds is not None:
-            seconds = min(seconds, self.call.timeout_seconds)
-        return self.arrived_at_seconds + seconds
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Whether it may run again after a run that may have begun."""
-        if self.route.is_stream:
-            return self.route.is_resumable
-        return self.route.is_repeatable
-
-    @property
-    def scope(self) -> Scope | None:
-        """What its cached entries belong to; none for plain services."""
-        if not self.call.parts:
-            return None
-        return Scope(self.workspace.cache_wall, self.call.model)
-
-    @property
-    def chain(self) -> PrefixChain | None:
-        """The parts of its prompt; none for plain services."""
-        scope = self.scope
-        return chain_from_parts(scope, self.call.parts) if scope else None
-
-
 class RoutedExchange(Exchange):
     """A request on a route under way."""
 
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -0,0 +1,111 @@
+"""Listeners of a daemon, and the HTTP servers on them."""
+
+import socket
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from typing import Any
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from rampwick_schema import ListenSettings
+
+#: Time that the HTTP library is given to close idle connections.
+CLOSE_SECONDS = 0.5
+
+#: Time for which a caller's idle connection is kept; longer than the usual balancers'
+#: minute, so that they close first.
+KEEP_ALIVE_SECONDS = 75
+
+#: Connections that may wait to be accepted.
+BACKLOG_COUNT = 1024
+
+
+@attrs.frozen
+class Addresses:
+    """Where a running daemon listens, as ip:port."""
+
+    entry: str
+    admin: str
+    peer: str
+
+
+@attrs.frozen
+class Listeners:
+    """Bound sockets of one daemon."""
+
+    entry: socket.socket
+    admin: socket.socket
+    #: Tells a balancer whether the host is ready, where that is wanted.
+    ready: socket.socket | None
+    peer: Any
+    addresses: Addresses
+
+
+async def listen(settings: ListenSettings, stack: AsyncExitStack) -> Listeners:
+    """Bind all listeners; the stack closes them."""
+    entry = _bind(settings.entry or f"{settings.address}:{settings.entry_port}")
+    stack.callback(entry.close)
+    admin = _bind(settings.admin or f"{settings.address}:{settings.admin_port}")
+    stack.callback(admin.close)
+    ready = None
+    if settings.ready:
+        ready = _bind(settings.ready)
+        stack.callback(ready.close)
+    peer_address = settings.peer or f"{settings.address}:{settings.peer_port}"
+    host, _, port = peer_address.rpartition(":")
+    peer = await anyio.create_tcp_listener(
+        local_host=host, local_port=int(port), reuse_port=False
+    )
+    await stack.enter_async_context(peer)
+    peer_port = peer.extra(anyio.abc.SocketAttribute.local_port)
+    addresses = Addresses(_address(entry), _address(admin), f"{host}:{peer_port}")
+    return Listeners(entry, admin, ready, peer, addresses)
+
+
+def _bind(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    listener = socket.create_server((host, int(port)), backlog=BACKLOG_COUNT)
+    listener.setblocking(False)
+    return listener
+
+
+def _address(listener: socket.socket) -> str:
+    host, port = listener.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+def serve_apps(
+    served: Sequence[tuple[Any, socket.socket]],
+    max_header_bytes: int,
+    tasks: TaskGroup,
+    stack: AsyncExitStack,
+) -> None:
+    """Serve ASGI applications on bound sockets until the stack is left."""
+    closing = anyio.Event()
+    for app, listener in served:
+        config = _server_config(listener, max_header_bytes)
+        tasks.start_soon(_serve, app, config, closing)
+    stack.callback(closing.set)
+
+
+def _server_config(listener: socket.socket, max_header_bytes: int) -> Config:
+    config = Config()
+    config.bind = [f"fd://{listener.detach()}"]
+    config.h11_max_incomplete_size = max_header_bytes
+    config.graceful_timeout = CLOSE_SECONDS
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.include_server_header = False
+    config.errorlog = None
+    config.accesslog = None
+    return config
+
+
+async def _serve(app: Any, config: Config, closing: anyio.Event) -> None:
+    # Hypercorn runs in this process, without workers of its own. It ends by its
+    # trigger only; cancelled halfway it raises errors.
+    with anyio.CancelScope(shield=True):
+        await serve(app, config, shutdown_trigger=closing.wait)
