--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -55,7 +55,11 @@
         #: Calls made so far by what they were for, a watch as one.
         self.calls: Counter[str] = Counter()
         self._client = httpx.AsyncClient(
-            base_url=url, timeout=call_timeout_seconds, trust_env=False
+            base_url=url,
+            timeout=call_timeout_seconds,
+            trust_env=False,
+            # Loading the certificates that nobody asks for takes a tenth of a start.
+            verify=url.startswith("https:"),
         )
 
     async def __aenter__(self) -> "HttpObjectApi":
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -7,6 +7,7 @@
     decide_access as decide_access,
 )
 from ._cache_news import (
+    CacheBox as CacheBox,
     SaltBook as SaltBook,
     SaltMeaning as SaltMeaning,
     is_cache_reader as is_cache_reader,
--- a/packages/rampwick-policy/src/rampwick_policy/_cache_news.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_cache_news.py
@@ -10,6 +10,7 @@
 import attrs
 
 from . import _rendezvous
+from ._events import CacheChanges, CacheSeen
 from ._membership import PeerView
 from ._prefix import Scope, cache_salt
 from ._roles import Member
@@ -55,6 +56,47 @@
         return self._meanings.get(salt)
 
 
+@attrs.define
+class _Gathered:
+    """What waits to be told of one cache."""
+
+    is_reset: bool = False
+    #: Tokens kept by life and prefix.
+    tokens: dict[str, dict[bytes, int]] = attrs.field(factory=dict)
+
+
+@attrs.define
+class CacheBox:
+    """Cache events gathered for a while; of each entry only the newest is told."""
+
+    _by_upstream: dict[str, _Gathered] = attrs.field(factory=dict)
+
+    def add(self, seen: CacheSeen) -> None:
+        """Gather the changes of one cache."""
+        gathered = self._by_upstream.setdefault(seen.upstream, _Gathered())
+        if seen.is_reset:
+            gathered.is_reset = True
+            gathered.tokens.clear()
+        for change in seen.changes:
+            known = gathered.tokens.setdefault(change.label, {})
+            known.update(zip(change.prefixes, change.tokens, strict=False))
+
+    def take(self) -> list[CacheSeen]:
+        """Return what was gathered, by cache, and begin anew."""
+        gathered, self._by_upstream = self._by_upstream, {}
+        return [
+            CacheSeen(
+                upstream,
+                tuple(
+                    CacheChanges(label, tuple(known), tuple(known.values()))
+                    for label, known in item.tokens.items()
+                ),
+                item.is_reset,
+            )
+            for upstream, item in gathered.items()
+        ]
+
+
 def is_cache_reader(
     own: Member, upstream: str, hall: str, live_peers: Iterable[PeerView]
 ) -> bool:
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -87,6 +87,8 @@
     cached_tokens: int = 0
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    #: For how long its connection is kept; nothing if it was closed.
+    connection_rest_seconds: float = 0.0
 
 
 @attrs.frozen
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -31,6 +31,8 @@
     prefill_tokens_per_second: float
     #: Time that a network round trip to the runner costs.
     distance_seconds: float = 0.0
+    #: What opening a connection costs; nothing while one rests.
+    connect_seconds: float = 0.0
     #: Estimated wait for a slot; nothing while one is free.
     slot_wait_seconds: float = 0.0
     #: Prefill time that may wait at the runner.
@@ -57,7 +59,7 @@
     def queue_seconds(self) -> float:
         """Time until the runner begins with a prompt that is sent now."""
         engine_seconds = self.slot_wait_seconds + self.prefill_queue_seconds
-        return self.distance_seconds + engine_seconds
+        return self.distance_seconds + self.connect_seconds + engine_seconds
 
     def prefill_seconds(self, tokens: int) -> float:
         """Return the time that computing so many prompt tokens takes."""
@@ -186,7 +188,9 @@
 
 
 class LeastLoaded:
-    """Baseline: the runner with the shortest queue for its size."""
+    """The runner with the shortest queue for its size; opening a connection to it
+    counts as one more request.
+    """
 
     def choose(
         self,
@@ -197,7 +201,7 @@
         sources: Sequence[ImportSource] = (),
     ) -> Choice:
         """Return the runner with the least running work."""
-        runner = min(runners, key=_fill)
+        runner = min(runners, key=_fill_once_sent)
         return _choice(chain, runner, 0, runner.queue_seconds)
 
 
@@ -229,6 +233,11 @@
     return runner.running_count / runner.slots_count
 
 
+def _fill_once_sent(runner: RunnerView) -> float:
+    opened_count = 1 if runner.connect_seconds else 0
+    return (runner.running_count + opened_count) / runner.slots_count
+
+
 def best_source(
     sources: Sequence[ImportSource], runner: RunnerView, cached_tokens: int
 ) -> ImportSource | None:
--- a/packages/rampwick-policy/src/rampwick_policy/_rendezvous.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_rendezvous.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing: a ranking that hosts agree on without talking."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
@@ -15,6 +16,11 @@
     return sorted(names, key=lambda name: _draw(key, name), reverse=True)
 
 
+#: Draws remembered: some hundred hot prefixes at some hundred upstreams each.
+_DRAWS_COUNT = 65_536
+
+
+@functools.lru_cache(maxsize=_DRAWS_COUNT)
 def _draw(key: bytes, name: str) -> float:
     digest = hashlib.blake2b(name.encode(), key=key[:64], digest_size=8).digest()
     return (int.from_bytes(digest, "big") + 0.5) / _HASH_SPAN
--- a/packages/rampwick-policy/src/rampwick_policy/_roles.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_roles.py
@@ -51,6 +51,9 @@
         self.own = own
         self._members: dict[str, Member] = {own.name: own}
         self._unreachable_until: dict[str, float] = {}
+        # Roles are asked for with each message and seldom change.
+        self._group: list[Member] | None = None
+        self._ranking: tuple[frozenset[str], list[Member]] | None = None
 
     def __iter__(self) -> Iterator[Member]:
         return iter(list(self._members.values()))
@@ -70,12 +73,18 @@
                 continue
             self._members[member.name] = member
             news.append(member)
+        if news:
+            self._forget_roles()
         return news
 
     def keep_only(self, names: Collection[str]) -> None:
         """Forget the members that an authoritative list does not name."""
         for name in self._members.keys() - set(names) - {self.own.name}:
             del self._members[name]
+            self._forget_roles()
+
+    def _forget_roles(self) -> None:
+        self._group = self._ranking = None
 
     def note_unreachable(self, name: str, now_seconds: float) -> None:
         """Note that a member could not be reached."""
@@ -88,11 +97,13 @@
 
     def group(self) -> list[Member]:
         """Return the other members of this host's group."""
-        return [
-            member
-            for member in self._members.values()
-            if member.name != self.own.name and self.is_in_group(member.hall)
-        ]
+        if self._group is None:
+            self._group = [
+                member
+                for member in self._members.values()
+                if member.name != self.own.name and self.is_in_group(member.hall)
+            ]
+        return list(self._group)
 
     def is_in_group(self, hall: str) -> bool:
         """Return whether hosts of a hall are of this host's group."""
@@ -100,12 +111,19 @@
 
     def rank(self, live: Collection[str]) -> int:
         """Return this host's place among the members of its group that it hears."""
-        heard = [member for member in self.group() if member.name in live]
-        return _ranked([*heard, self.own]).index(self.own)
+        return self._ranked_group(live).index(self.own)
 
     def first_of_group(self, live: Collection[str]) -> list[Member]:
         """Return the members of the group that are heard, the first in rank first."""
-        return _ranked(member for member in self.group() if member.name in live)
+        return [member for member in self._ranked_group(live) if member != self.own]
+
+    def _ranked_group(self, live: Collection[str]) -> list[Member]:
+        """Return this host and those of its group that it hears, by rank."""
+        names = frozenset(live)
+        if self._ranking is None or self._ranking[0] != names:
+            heard = [member for member in self.group() if member.name in names]
+            self._ranking = (names, _ranked([*heard, self.own]))
+        return self._ranking[1]
 
     def is_reader(self, live: Collection[str]) -> bool:
         """Return whether this host reads the platform for its group."""
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -243,6 +243,8 @@
             return []
         upstream = self.upstreams.get(item.upstream)
         self._release(item, event.attempt_id, now_seconds)
+        if upstream is not None and event.connection_rest_seconds > 0.0:
+            upstream.keep_connection(now_seconds + event.connection_rest_seconds)
         del self._requests[event.request_id]
         chain = item.arrival.chain
         if chain is None:
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -79,6 +79,8 @@
     #: Mean time for which an attempt holds a slot.
     run_seconds: float = FIRST_RUN_SECONDS
     _started_at: dict[str, float] = attrs.field(factory=dict)
+    #: Until when each connection rests that this host keeps and nobody uses.
+    _resting_until: list[float] = attrs.field(factory=list)
 
     @property
     def name(self) -> str:
@@ -122,6 +124,8 @@
         """Note an attempt that is sent here."""
         self.own_attempts[attempt_id] = missing_tokens
         self._started_at[attempt_id] = now_seconds
+        if self._resting_until:
+            self._resting_until.pop()
         if is_urgent:
             self.urgent_attempts.add(attempt_id)
 
@@ -130,8 +134,19 @@
         if attempt_id in self.own_attempts:
             self.own_attempts[attempt_id] = 0
 
+    def has_connection(self, now_seconds: float) -> bool:
+        """Return whether a kept connection is free for another attempt."""
+        return any(until > now_seconds for until in self._resting_until)
+
+    def keep_connection(self, until_seconds: float) -> None:
+        """Note that a connection rests, to be used again until then."""
+        self._resting_until.append(until_seconds)
+
     def release(self, attempt_id: str, now_seconds: float) -> None:
         """Note that an attempt's slot is free again."""
+        self._resting_until = [
+            until for until in self._resting_until if until > now_seconds
+        ]
         self.urgent_attempts.discard(attempt_id)
         if self.own_attempts.pop(attempt_id, None) is None:
             return
@@ -352,6 +367,9 @@
         release_seconds = min(MAX_RELEASE_SECONDS, upstream.run_seconds / usable)
         is_near = upstream.entry.hall == self._hall
         distance = 0.0 if is_near else self._placement.hall_distance_seconds
+        connect_seconds = self._placement.connect_price_seconds
+        if upstream.has_connection(now_seconds):
+            connect_seconds = 0.0
         return RunnerView(
             name=upstream.name,
             slots_count=slots,
@@ -359,6 +377,7 @@
             waiting_tokens=waiting,
             prefill_tokens_per_second=upstream.prefill_tokens_per_second,
             distance_seconds=distance,
+            connect_seconds=connect_seconds,
             slot_wait_seconds=over * release_seconds,
             max_prefill_queue_seconds=self._placement.max_prefill_queue_seconds,
             weights_version=upstream.life.weights_version if upstream.life else 0,
--- a/packages/rampwick-router/src/rampwick_router/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/_cache_reader.py
@@ -18,7 +18,7 @@
     life_label,
     part_key,
 )
-from rampwick_schema import CacheChange, CacheNews, DataError
+from rampwick_schema import DataError
 
 from ._channels import ChannelPool
 from ._dialects import CacheDialect, CacheEvents
@@ -76,7 +76,7 @@
         channels: ChannelPool,
         dialect: CacheDialect,
         salts: SaltBook,
-        tell_peers: Callable[[CacheNews], None],
+        tell_peers: Callable[[CacheSeen], None],
     ) -> None:
         self._own = own
         self._scheduler = scheduler
@@ -167,16 +167,7 @@
             return
         seen = CacheSeen(source.name, tuple(changes), is_reset)
         self._scheduler.post(seen)
-        self._tell_peers(
-            CacheNews(
-                upstream=source.name,
-                is_reset=is_reset,
-                changes=[
-                    CacheChange(item.label, list(item.prefixes), list(item.tokens))
-                    for item in changes
-                ],
-            )
-        )
+        self._tell_peers(seen)
 
     def _translate(self, source: Source, events: CacheEvents) -> list[CacheChanges]:
         by_version: dict[int, dict[bytes, int]] = {}
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -128,7 +128,7 @@
             channels,
             dialects.cache,
             salts,
-            self._gossip.tell_cache_news,
+            self._gossip.cache_mail.tell,
         )
         self._parts = Parts(
             settings=settings,
@@ -327,13 +327,13 @@
                     dialect=integration.store if integration else None,
                 )
             )
-        upstreams = await stack.enter_async_context(
-            UpstreamClient(
-                settings.retry.silence_timeout_seconds, settings.limits.max_event_bytes
-            )
-        )
         clocks = clocks or Clocks()
         channels = await stack.enter_async_context(ChannelPool(clocks.monotonic))
+        upstreams = UpstreamClient(
+            channels,
+            settings.retry.silence_timeout_seconds,
+            settings.limits.max_event_bytes,
+        )
         listeners = await listen(settings.listen, stack)
         daemon = Daemon(
             settings,
--- a/packages/rampwick-router/src/rampwick_router/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/_gossip.py
@@ -20,6 +20,7 @@
     Summary,
 )
 
+from ._cache_mail import CacheMail
 from ._configuration import ConfigurationTask
 from ._errors import PeerError
 from ._logs import PartLogger
@@ -27,7 +28,6 @@
 from ._peer_directory import PeerDirectory
 from ._peer_links import Link, PeerLinks
 from ._peer_news import (
-    cache_event,
     listed_members,
     steward_events,
     steward_news,
@@ -39,12 +39,13 @@
 from ._steward import StewardTask
 from ._upstream_tasks import HostListTask
 
-#: Hosts in a group up to which summaries go at the interval of the settings; in a
-#: larger one they go so much more seldom that each host's work stays the same.
-FULL_RATE_GROUP_COUNT = 10
+#: Hosts in a group up to which summaries go at the interval of the settings. In a
+#: larger one the interval grows with the square of the size: each host hears fewer
+#: messages a second, and each tells of a smaller part of the load.
+FULL_RATE_GROUP_COUNT = 9
 
 #: Time between two sums of a hall for other halls, as a multiple of the interval.
-HALL_INTERVAL_FACTOR = 2.0
+HALL_INTERVAL_FACTOR = 1.5
 
 #: Time between two questions about the ages of a reader's knowledge.
 CONFIRM_SECONDS = 0.6
@@ -92,6 +93,9 @@
         self._links.note_unreachable = self._note_unreachable
         self._sync = PeerSync(configuration.follower, configuration, hosts, read_clock)
         self._hall_news = HallNews()
+        self.cache_mail = CacheMail(
+            self.table, self._links, scheduler, lambda: self.live_names
+        )
         self._own_summary: Summary | None = None
         self._sequence = 0
         self._hall_sequence = 0
@@ -108,6 +112,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._links.run, listener)
             tasks.start_soon(self._tell_halls)
+            tasks.start_soon(self.cache_mail.run)
             tasks.start_soon(self._keep_ages)
             tasks.start_soon(self._tell_steward_news)
             await self._tell_again()
@@ -159,7 +164,7 @@
         elif isinstance(message, StewardNews):
             self._take_steward_news(link, message)
         elif isinstance(message, CacheNews):
-            self._take_cache_news(link, message)
+            self.cache_mail.take(link, message)
         elif isinstance(message, Members):
             self._learn(to_member(record) for record in message.members)
         elif not self._sync.take(link, message):
@@ -203,10 +208,6 @@
             message, self._is_of_another if is_own else self._is_of_group
         )
 
-    def _take_cache_news(self, link: Link, news: CacheNews) -> None:
-        self._scheduler.post(cache_event(news))
-        self._relay(link, news)
-
     # What goes out.
 
     def _is_of_group(self, peer: Member) -> bool:
@@ -219,7 +220,7 @@
     def _interval_seconds(self) -> float:
         size = len(self.table.group())
         factor = max(1.0, size / FULL_RATE_GROUP_COUNT)
-        return self._settings.gossip_interval_seconds * factor
+        return self._settings.gossip_interval_seconds * factor**2
 
     async def _tell_again(self) -> None:
         while True:
@@ -284,11 +285,6 @@
         told = HallSummary(own.hall, own.name, own.incarnation, summary)
         self._links.broadcast(told, self._is_of_another)
 
-    def tell_cache_news(self, news: CacheNews) -> None:
-        """Send cache events to the peers that this host reads them for."""
-        is_relay = self.table.is_relay(self.live_names)
-        self._links.broadcast(news, lambda peer: is_relay or self._is_of_group(peer))
-
     async def _keep_ages(self) -> None:
         """Ask a reader for the ages of its knowledge, unless this host is one."""
         while True:
--- a/packages/rampwick-router/src/rampwick_router/_peer_news.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_news.py
@@ -1,6 +1,6 @@
 """Peers' messages as the scheduler's events and members, and the other way round."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from rampwick_policy import (
     CacheChanges,
@@ -12,7 +12,9 @@
     WeightsSeen,
 )
 from rampwick_schema import (
+    CacheChange,
     CacheNews,
+    CacheUpdate,
     HostList,
     MemberRecord,
     RunnerLoad,
@@ -104,12 +106,30 @@
         )
 
 
-def cache_event(news: CacheNews) -> CacheSeen:
-    """Return what the scheduler learns from a peer's cache events."""
-    changes = tuple(
-        CacheChanges(
-            change.incarnation, tuple(change.prefixes), tuple(change.kept_tokens)
-        )
-        for change in news.changes
+def to_cache_news(gathered: Iterable[CacheSeen]) -> CacheNews:
+    """Return cache events as peers are told of them."""
+    return CacheNews(
+        [
+            CacheUpdate(
+                seen.upstream,
+                seen.is_reset,
+                [
+                    CacheChange(item.label, list(item.prefixes), list(item.tokens))
+                    for item in seen.changes
+                ],
+            )
+            for seen in gathered
+        ]
     )
-    return CacheSeen(news.upstream, changes, news.is_reset)
+
+
+def cache_events(news: CacheNews) -> Iterator[CacheSeen]:
+    """Yield what the scheduler learns from a peer's cache events."""
+    for update in news.updates:
+        changes = tuple(
+            CacheChanges(
+                change.incarnation, tuple(change.prefixes), tuple(change.kept_tokens)
+            )
+            for change in update.changes
+        )
+        yield CacheSeen(update.upstream, changes, update.is_reset)
--- a/packages/rampwick-router/src/rampwick_router/_peer_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_stream.py
@@ -7,7 +7,6 @@
 
 import anyio
 from anyio.abc import SocketStream
-from anyio.streams.buffered import BufferedByteReceiveStream
 
 from rampwick_policy import Member
 from rampwick_schema import (
@@ -41,10 +40,15 @@
         self, stream: SocketStream, max_message_bytes: int, metrics: Metrics
     ) -> None:
         self._stream = stream
-        self._buffered = BufferedByteReceiveStream(stream)
+        self._received = bytearray()
         self._max_message_bytes = max_message_bytes
-        self._metrics = metrics
         self.peer = ""
+        # Looked up once: finding a label costs more than counting.
+        bytes_count, messages_count = metrics.control_bytes, metrics.control_messages
+        self._sent_bytes = bytes_count.labels("sent")
+        self._sent_messages = messages_count.labels("sent")
+        self._received_bytes = bytes_count.labels("received")
+        self._received_messages = messages_count.labels("received")
 
     async def send(self, message: Any) -> None:
         """Send a message."""
@@ -60,33 +64,41 @@
             await self._stream.send(data)
         except (OSError, anyio.BrokenResourceError) as error:
             raise self._closed(error) from error
-        self._metrics.control_bytes.labels("sent").inc(len(data))
-        self._metrics.control_messages.labels("sent").inc()
+        self._sent_bytes.inc(len(data))
+        self._sent_messages.inc()
 
     async def receive(self, max_bytes: int | None = None) -> Any:
         """Return the next message."""
         limit = max_bytes or self._max_message_bytes
-        try:
-            prefix = await self._buffered.receive_exactly(LENGTH_BYTES)
-            length = int.from_bytes(prefix, "big")
-            if length > limit:
-                raise PeerError(
-                    f"message of {length} bytes, allowed are {limit}",
-                    step=STEP,
-                    peer=self.peer,
-                )
-            body = await self._buffered.receive_exactly(length)
-        except (OSError, anyio.EndOfStream, anyio.IncompleteRead) as error:
-            raise self._closed(error) from error
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise self._closed(error) from error
-        self._metrics.control_bytes.labels("received").inc(LENGTH_BYTES + length)
-        self._metrics.control_messages.labels("received").inc()
+        await self._receive_bytes(LENGTH_BYTES)
+        length = int.from_bytes(self._received[:LENGTH_BYTES], "big")
+        if length > limit:
+            raise PeerError(
+                f"message of {length} bytes, allowed are {limit}",
+                step=STEP,
+                peer=self.peer,
+            )
+        end = LENGTH_BYTES + length
+        await self._receive_bytes(end)
+        body = bytes(self._received[LENGTH_BYTES:end])
+        del self._received[:end]
+        self._received_bytes.inc(end)
+        self._received_messages.inc()
         try:
             return decode_message(body, peer=self.peer)
         except MessageError as error:
             raise PeerError(error.message, step=error.step, peer=self.peer) from None
 
+    async def _receive_bytes(self, count: int) -> None:
+        """Read on until so many bytes are there."""
+        try:
+            while len(self._received) < count:
+                self._received += await self._stream.receive()
+        except (OSError, anyio.EndOfStream) as error:
+            raise self._closed(error) from error
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise self._closed(error) from error
+
     async def shake_hands(self, own: Member, secret: str) -> Member:
         """Prove each side's knowledge of the secret; return who the other is."""
         with anyio.move_on_after(HANDSHAKE_SECONDS):
--- a/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
@@ -73,6 +73,8 @@
         self._events_count = 0
         self._delivered_attempt_id = ""
         self._first_seconds = 0.0
+        #: For how long the connection of the last attempt is kept.
+        self._rest_seconds = 0.0
 
     @property
     def caller_request_id(self) -> str:
@@ -123,6 +125,7 @@
             self._note_channel(channel, facts)
             self._check(head, facts, dispatch)
             await self._pass_on(channel, head, dispatch)
+        self._rest_seconds = channel.max_rest_seconds
 
     def _terms(self, dispatch: Dispatch, remaining_seconds: float) -> AttemptTerms:
         request = self._request
@@ -314,6 +317,7 @@
             cached_tokens=max(0, prompt_tokens - missing),
             prompt_tokens=prompt_tokens,
             answer_tokens=min(self._events_count, self._call.max_answer_tokens),
+            connection_rest_seconds=self._rest_seconds,
         )
 
     async def answer_error(self, error: CallerError) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -109,14 +109,30 @@
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self._tick)
             async for message in self._incoming:
-                now_seconds = self._read_clock()
-                if isinstance(message, Question):
-                    with message.answer:
-                        message.answer.send_nowait(
-                            message.ask(self._scheduler, now_seconds)
-                        )
-                else:
-                    self._handle(message, now_seconds)
+                self._take(message)
+                self._take_waiting()
+
+    def _take_waiting(self) -> None:
+        """Handle what has come meanwhile, without a turn of the event loop for each."""
+        while True:
+            try:
+                message = self._incoming.receive_nowait()
+            except anyio.WouldBlock:
+                return
+            self._take(message)
+
+    def _take(self, message: Event | Question) -> None:
+        now_seconds = self._read_clock()
+        if not isinstance(message, Question):
+            self._handle(message, now_seconds)
+            return
+        with message.answer:
+            answer = message.ask(self._scheduler, now_seconds)
+            try:
+                message.answer.send_nowait(answer)
+            except anyio.BrokenResourceError:
+                # Whoever asked was cancelled meanwhile.
+                return
 
     async def _tick(self) -> None:
         while True:
--- a/packages/rampwick-router/src/rampwick_router/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_service_exchange.py
@@ -1,7 +1,8 @@
 """Calls to plain services: method, body, headers and status are carried through."""
 
+from http import HTTPStatus
+
 import attrs
-import httpx
 
 from rampwick_policy import (
     AttemptAccepted,
@@ -17,6 +18,7 @@
 from ._exchange import Exchange
 from ._parts import Parts
 from ._responder import Receive, Responder
+from ._upstream_client import UpstreamAnswer
 
 #: Methods that HTTP itself allows to repeat.
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -88,16 +90,21 @@
 
     async def attempt(self, dispatch: Dispatch) -> AttemptDone:
         """Make one attempt and pass the service's answer on."""
-        headers = [*self._call.headers, ("x-request-id", dispatch.attempt_id)]
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in self._call.headers
+        ]
+        headers.append((b"x-request-id", dispatch.attempt_id.encode()))
         async with self.parts.upstreams.request(
             self._call.method,
-            f"http://{dispatch.address}{self._call.target}",
+            dispatch.address,
+            self._call.target,
             step=STEP,
             peer=dispatch.upstream,
-            content=self._call.body,
             headers=headers,
-        ) as response:
-            if response.status_code == 429:
+            body=self._call.body,
+        ) as answer:
+            if answer.status == HTTPStatus.TOO_MANY_REQUESTS:
                 raise AttemptError(
                     "the service is busy",
                     outcome=Outcome.BUSY,
@@ -107,26 +114,26 @@
             self.parts.scheduler.post(
                 AttemptAccepted(self.request_id, dispatch.attempt_id)
             )
-            await self._pass_on(dispatch, response)
+            await self._pass_on(dispatch, answer)
         return AttemptDone(self.request_id, dispatch.attempt_id)
 
-    async def _pass_on(self, dispatch: Dispatch, response: httpx.Response) -> None:
+    async def _pass_on(self, dispatch: Dispatch, answer: UpstreamAnswer) -> None:
         headers = [
-            (name.encode(), value.encode("latin-1"))
-            for name, value in response.headers.multi_items()
-            if passes_through(name)
+            (name, value)
+            for name, value in answer.head.headers
+            if passes_through(name.decode("latin-1"))
         ]
         headers.append((b"rampwick-upstream", dispatch.upstream.encode()))
         waited = self.parts.read_clock() - self.arrived_at_seconds
         self.parts.metrics.first_token.labels(*self.labels).observe(waited)
         # The first piece is awaited before anything goes to the caller, so that a
         # service that breaks off early can still be replaced.
-        pieces = response.aiter_raw()
+        pieces = answer.pieces
         first = await anext(pieces, b"")
         self.parts.scheduler.post(
             AttemptDelivered(self.request_id, dispatch.attempt_id)
         )
-        await self.responder.start(response.status_code, headers)
+        await self.responder.start(answer.status, headers)
         await self.responder.send(first)
         async for piece in pieces:
             await self.responder.send(piece)
--- a/packages/rampwick-router/src/rampwick_router/_upstream_client.py
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_client.py
@@ -1,16 +1,14 @@
-"""HTTP towards runners and services; every failure becomes one typed outcome.
+"""Rampwick's own protocol towards runners and services, over kept connections.
 
-Streams of tokens and probes are read by aiohttp, everything else by httpx:
-docs/design/relay.md has the figures. Callers' requests go through aiohttp as POST
-only, since it repeats other methods by itself on a connection that closes.
+Every failure becomes one typed outcome.
 """
 
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 
-import aiohttp
+import anyio
 import attrs
-import httpx
 import orjson
 
 from rampwick_policy import Dispatch, OrderResult, Outcome
@@ -23,30 +21,22 @@
     unstructure,
 )
 
+from ._channels import AnswerHead, Channel, ChannelPool, RawHeaders
+from ._dialects import ControlRequest
 from ._errors import AttemptError
 from ._sse import EventSplitter, StreamEvent
-
-#: Longest wait for a connection to an upstream of the same region.
-CONNECT_TIMEOUT_SECONDS = 1.0
-
-#: Shorter than any server's, so that a connection is not used as it closes.
-KEEPALIVE_SECONDS = 2.0
-
-#: Connections to all upstreams.
-MAX_CONNECTIONS = 4096
-
-#: Longest wait for an answer to a probe, a cancellation or an order.
-CONTROL_TIMEOUT_SECONDS = 1.0
-
+from ._upstream_control import CONTROL_TIMEOUT_SECONDS, call_upstream
 
 #: What a runner says to an order, by the status of its answer.
 ORDER_RESULTS: dict[int, OrderResult] = {
-    httpx.codes.ACCEPTED: OrderResult.TAKEN,
-    httpx.codes.OK: OrderResult.HOLDS,
-    httpx.codes.CONFLICT: OrderResult.FENCED,
-    httpx.codes.PRECONDITION_FAILED: OrderResult.CONFLICT,
+    HTTPStatus.ACCEPTED: OrderResult.TAKEN,
+    HTTPStatus.OK: OrderResult.HOLDS,
+    HTTPStatus.CONFLICT: OrderResult.FENCED,
+    HTTPStatus.PRECONDITION_FAILED: OrderResult.CONFLICT,
 }
 
+JSON = (b"content-type", b"application/json")
+
 
 @attrs.frozen
 class StreamStart:
@@ -58,76 +48,68 @@
 
 
 class UpstreamClient:
-    """Connections to all upstreams of one daemon."""
+    """Requests and control calls to all upstreams of one daemon."""
 
-    def __init__(self, silence_timeout_seconds: float, max_event_bytes: int) -> None:
+    def __init__(
+        self,
+        channels: ChannelPool,
+        silence_timeout_seconds: float,
+        max_event_bytes: int,
+    ) -> None:
+        self._channels = channels
+        self._silence_timeout_seconds = silence_timeout_seconds
         self._max_event_bytes = max_event_bytes
-        self._timeout = httpx.Timeout(
-            silence_timeout_seconds, connect=CONNECT_TIMEOUT_SECONDS, pool=None
-        )
-        limits = httpx.Limits(
-            max_connections=MAX_CONNECTIONS, keepalive_expiry=KEEPALIVE_SECONDS
-        )
-        self._client = httpx.AsyncClient(
-            timeout=self._timeout, limits=limits, trust_env=False
-        )
-        self._stream_timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=CONNECT_TIMEOUT_SECONDS,
-            sock_read=silence_timeout_seconds,
-        )
-        self._control_timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
-        self._session: aiohttp.ClientSession
-
-    async def __aenter__(self) -> "UpstreamClient":
-        self._session = aiohttp.ClientSession(
-            timeout=self._stream_timeout,
-            connector=aiohttp.TCPConnector(
-                limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_SECONDS
-            ),
-            auto_decompress=False,
-        )
-        return self
-
-    async def __aexit__(self, *details: object) -> None:
-        await self._session.close()
-        await self._client.aclose()
 
     @asynccontextmanager
     async def request(
-        self, method: str, url: str, *, step: str, peer: str, **options: object
-    ) -> AsyncIterator[httpx.Response]:
+        self,
+        method: str,
+        address: str,
+        target: str,
+        *,
+        step: str,
+        peer: str,
+        headers: RawHeaders = (),
+        body: bytes = b"",
+    ) -> AsyncIterator["UpstreamAnswer"]:
         """Send a request and yield its answer; errors are AttemptError."""
-        try:
-            async with self._client.stream(method, url, **options) as response:  # type: ignore[arg-type]
-                yield response
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
-            raise _failed(error, Outcome.UNREACHABLE, step, peer) from error
-        except (httpx.HTTPError, httpx.StreamError) as error:
-            raise _failed(error, Outcome.BROKEN, step, peer) from error
+        length = str(len(body)).encode()
+        sent = [(b"host", address.encode()), *headers, (b"content-length", length)]
+        async with self._channels.borrow(peer, address) as channel:
+            await channel.send(method, target, sent, body)
+            with self._silence(step, peer):
+                head = await channel.receive_head()
+            yield UpstreamAnswer(head, self._pieces(channel, step, peer))
+
+    async def _pieces(
+        self, channel: Channel, step: str, peer: str
+    ) -> AsyncIterator[bytes]:
+        pieces = channel.receive_pieces()
+        while True:
+            with self._silence(step, peer):
+                piece = await anext(pieces, None)
+            if piece is None:
+                return
+            yield piece
+
+    def _silence(self, step: str, peer: str) -> "_SilenceBound":
+        return _SilenceBound(self._silence_timeout_seconds, step, peer)
 
     @asynccontextmanager
     async def start_stream(
         self, dispatch: Dispatch, path: str, content: bytes
     ) -> AsyncIterator["UpstreamStream"]:
         """Send an attempt to a runner and yield its answer's stream."""
-        url = f"http://{dispatch.address}{path}"
-        headers = {
-            "X-Request-Id": dispatch.attempt_id,
-            "Content-Type": "application/json",
-        }
-        step, peer = "start stream", dispatch.upstream
-        try:
-            async with self._session.post(
-                url, data=content, headers=headers, allow_redirects=False
-            ) as response:
-                head = StreamHead(response.status, response.headers)
-                chunks = response.content.iter_any()
-                yield UpstreamStream(head, chunks, peer, self._max_event_bytes)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise _failed(error, Outcome.UNREACHABLE, step, peer) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise _failed(error, Outcome.BROKEN, step, peer) from error
+        async with self.request(
+            "POST",
+            dispatch.address,
+            path,
+            step="start stream",
+            peer=dispatch.upstream,
+            headers=[(b"x-request-id", dispatch.attempt_id.encode()), JSON],
+            body=content,
+        ) as answer:
+            yield UpstreamStream(answer, dispatch.upstream, self._max_event_bytes)
 
     @asynccontextmanager
     async def resume_stream(
@@ -141,82 +123,105 @@
     ) -> AsyncIterator["UpstreamStream"]:
         """Take a stream up again at a position."""
         shape = "chat" if is_chat else "text"
-        url = f"http://{address}/v1/streams/{attempt_id}"
-        parameters = {"position": str(position), "shape": shape}
+        target = f"/v1/streams/{attempt_id}?position={position}&shape={shape}"
         async with self.request(
-            "GET", url, step="resume stream", peer=upstream, params=parameters
-        ) as response:
-            head = StreamHead(response.status_code, response.headers)
-            chunks = response.aiter_raw()
-            yield UpstreamStream(head, chunks, upstream, self._max_event_bytes)
+            "GET", address, target, step="resume stream", peer=upstream
+        ) as answer:
+            yield UpstreamStream(answer, upstream, self._max_event_bytes)
 
     async def cancel(self, address: str, upstream: str, attempt_id: str) -> None:
         """Stop an attempt that nobody waits for any more."""
-        url = f"http://{address}/v1/streams/{attempt_id}"
-        async with self.request(
-            "DELETE",
-            url,
-            step="cancel attempt",
-            peer=upstream,
-            timeout=CONTROL_TIMEOUT_SECONDS,
-        ):
-            return
+        target = f"/v1/streams/{attempt_id}"
+        await self._call(
+            upstream, address, _control("DELETE", target, "cancel attempt", address)
+        )
 
     async def probe(self, entry: HostEntry) -> LoadReport | None:
         """Return a runner's report, or none from a service that is up."""
         step = "probe upstream"
-        address, upstream = entry.address, entry.name
-        try:
-            async with self._session.get(
-                f"http://{address}/load", timeout=self._control_timeout
-            ) as response:
-                status, body = response.status, await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise _failed(error, Outcome.BROKEN, step, upstream) from error
-        if status == httpx.codes.NO_CONTENT:
+        request = _control("GET", "/load", step, entry.address)
+        head, body = await self._call(entry.name, entry.address, request)
+        if head.status == HTTPStatus.NO_CONTENT:
             return None
-        if status != httpx.codes.OK:
+        if head.status != HTTPStatus.OK:
             raise AttemptError(
-                f"status {status}", outcome=Outcome.BROKEN, step=step, peer=upstream
+                f"status {head.status}",
+                outcome=Outcome.BROKEN,
+                step=step,
+                peer=entry.name,
             )
-        return _read_report(body, step, upstream)
+        return _read_report(body, step, entry.name)
 
     async def send_order(self, entry: HostEntry, order: Order) -> OrderResult:
         """Send an order and return what the runner says to it."""
+        body = orjson.dumps(unstructure(order))
+        request = _control("PUT", "/orders", "send order", entry.address, body)
         try:
-            async with self.request(
-                "PUT",
-                f"http://{entry.address}/orders",
-                step="send order",
-                peer=entry.name,
-                json=unstructure(order),
-                timeout=CONTROL_TIMEOUT_SECONDS,
-            ) as response:
-                return ORDER_RESULTS.get(response.status_code, OrderResult.REFUSED)
+            head, _ = await self._call(entry.name, entry.address, request)
         except AttemptError:
             return OrderResult.LOST
+        return ORDER_RESULTS.get(head.status, OrderResult.REFUSED)
+
+    async def _call(
+        self, upstream: str, address: str, request: ControlRequest
+    ) -> tuple[AnswerHead, bytes]:
+        return await call_upstream(
+            self._channels, upstream, address, request, CONTROL_TIMEOUT_SECONDS
+        )
+
+
+class _SilenceBound:
+    """A wait for an upstream that becomes an AttemptError when it lasts too long."""
+
+    def __init__(self, seconds: float, step: str, peer: str) -> None:
+        self._scope = anyio.move_on_after(seconds)
+        self._step = step
+        self._peer = peer
+
+    def __enter__(self) -> None:
+        self._scope.__enter__()
+
+    def __exit__(self, *details: object) -> None:
+        self._scope.__exit__(*details)  # type: ignore[arg-type]
+        if self._scope.cancelled_caught:
+            raise AttemptError(
+                "the upstream is silent",
+                outcome=Outcome.BROKEN,
+                step=self._step,
+                peer=self._peer,
+            )
 
 
 @attrs.frozen
-class StreamHead:
-    """Status and headers of an answer."""
+class UpstreamAnswer:
+    """An answer under way."""
 
-    status: int
-    headers: Mapping[str, str]
+    head: AnswerHead
+    #: Pieces of its body as they come.
+    pieces: AsyncIterator[bytes]
+
+    @property
+    def status(self) -> int:
+        """Status of the answer."""
+        return self.head.status
+
+    def texts(self) -> Mapping[str, str]:
+        """Return the headers by lower-case name; the last of equal ones."""
+        return {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in self.head.headers
+        }
 
 
 class UpstreamStream:
     """An answer under way."""
 
     def __init__(
-        self,
-        head: StreamHead,
-        chunks: AsyncIterator[bytes],
-        upstream: str,
-        max_event_bytes: int,
+        self, answer: UpstreamAnswer, upstream: str, max_event_bytes: int
     ) -> None:
-        self._head = head
-        self._chunks = chunks
+        self._status = answer.status
+        self._headers = answer.texts()
+        self._pieces = answer.pieces
         self._upstream = upstream
         self._max_event_bytes = max_event_bytes
 
@@ -235,32 +240,32 @@
         return start
 
     def _check_status(self) -> None:
-        status = self._head.status
-        if status == httpx.codes.OK:
+        status = self._status
+        if status == HTTPStatus.OK:
             return
-        if status == httpx.codes.TOO_MANY_REQUESTS:
+        if status == HTTPStatus.TOO_MANY_REQUESTS:
             raise self._error(Outcome.BUSY, "the upstream is busy")
         raise self._error(Outcome.BROKEN, f"status {status}")
 
     def _read_start(self) -> StreamStart:
-        headers = self._head.headers
-        version = headers.get("X-Weights-Version", "0")
+        headers = self._headers
+        version = headers.get("x-weights-version", "0")
         return StreamStart(
-            attempt_id=headers.get("X-Request-Id", ""),
-            incarnation=headers.get("X-Engine-Incarnation", ""),
+            attempt_id=headers.get("x-request-id", ""),
+            incarnation=headers.get("x-engine-incarnation", ""),
             weights_version=int(version) if version.isdigit() else 0,
         )
 
     async def batches(self) -> AsyncIterator[list[StreamEvent]]:
         """Yield the events that came together, as soon as they come."""
         splitter = EventSplitter(self._max_event_bytes, self._upstream)
-        async for data in self._chunks:
+        async for data in self._pieces:
             events = splitter.feed(data)
             if events:
                 yield events
 
     def _error(self, outcome: Outcome, message: str) -> AttemptError:
-        asked = self._head.headers.get("Retry-After", "")
+        asked = self._headers.get("retry-after", "")
         return AttemptError(
             message,
             outcome=outcome,
@@ -280,6 +285,10 @@
         ) from None
 
 
-def _failed(error: Exception, outcome: Outcome, step: str, peer: str) -> AttemptError:
-    message = str(error) or type(error).__name__
-    return AttemptError(message, outcome=outcome, step=step, peer=peer)
+def _control(
+    method: str, path: str, step: str, address: str, body: bytes = b""
+) -> ControlRequest:
+    headers: list[tuple[bytes, bytes]] = [(b"host", address.encode())]
+    if body:
+        headers.append(JSON)
+    return ControlRequest(step, method, path, headers, body)
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -10,6 +10,7 @@
 from ._generated_peer import (
     CacheChange as CacheChange,
     CacheNews as CacheNews,
+    CacheUpdate as CacheUpdate,
     ChangesReply as ChangesReply,
     ChangesRequest as ChangesRequest,
     ConfirmReply as ConfirmReply,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -241,10 +241,8 @@
 
 
 @attrs.frozen
-class CacheNews:
-    """Cache events that the sender has read for its peers."""
-
-    CODE: ClassVar[int] = 9
+class CacheUpdate:
+    """What changed of one runner's or store's cache."""
 
     #: Name of the runner or store.
     upstream: str
@@ -254,6 +252,16 @@
     changes: list[CacheChange]
 
 
+@attrs.frozen
+class CacheNews:
+    """Cache events that hosts have read for their peers, gathered for a while."""
+
+    CODE: ClassVar[int] = 9
+
+    #: Changes by cache.
+    updates: list[CacheUpdate]
+
+
 @attrs.frozen
 class StewardNews:
     """What the holder of the steward's lease tells all hosts, at changes and again and again."""
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -122,6 +122,10 @@
     hall_distance_seconds: float = attrs.field(
         default=0.002, validator=within(0.0, 10.0)
     )
+    #: What opening a connection to an upstream is taken to cost, as waiting time; one that rests costs nothing.
+    connect_price_seconds: float = attrs.field(
+        default=0.001, validator=within(0.0, 10.0)
+    )
     #: Time after the naming of newer weights in which older ones count as good.
     outdated_grace_seconds: float = attrs.field(
         default=1.0, validator=within(0.0, 3600.0)
--- /dev/null
+++ b/tests/test_cache_mail.py
@@ -0,0 +1,154 @@
+"""Cache events on their way between hosts, and the task that owns the scheduler."""
+
+import anyio
+import attrs
+from hypothesis import given, strategies as st
+from testtools import TestCase
+
+from rampwick_policy import (
+    CacheBox,
+    CacheChanges,
+    CacheSeen,
+    Member,
+    MemberTable,
+    Scheduler,
+)
+from rampwick_router._cache_mail import CacheMail
+from rampwick_router._peer_news import cache_events, to_cache_news
+from rampwick_router._scheduler_task import SchedulerTask
+from rampwick_schema import parse_settings
+
+NAMES = st.sampled_from(["a", "b"])
+CHANGES = st.dictionaries(st.sampled_from([b"x" * 8, b"y" * 8]), st.integers(0, 9))
+
+
+def seen(upstream, kept, label="one/1", is_reset=False):
+    changes = CacheChanges(label, tuple(kept), tuple(kept.values()))
+    return CacheSeen(upstream, (changes,), is_reset)
+
+
+def apply_to(known, events):
+    """Apply events to what a host knows: tokens by upstream, life and prefix."""
+    for event in events:
+        if event.is_reset:
+            known = {
+                key: kept for key, kept in known.items() if key[0] != event.upstream
+            }
+        for change in event.changes:
+            for prefix, tokens in zip(change.prefixes, change.tokens, strict=True):
+                known[event.upstream, change.label, prefix] = tokens
+    return known
+
+
+class BoxTest(TestCase):
+    @given(st.lists(st.tuples(NAMES, CHANGES, st.booleans()), max_size=12))
+    def test_what_is_told_amounts_to_all_that_was_gathered(self, steps):
+        box = CacheBox()
+        events = [seen(name, kept, is_reset=reset) for name, kept, reset in steps]
+        for event in events:
+            box.add(event)
+        before = {("a", "one/1", b"x" * 8): 100, ("b", "one/1", b"y" * 8): 100}
+        told = list(cache_events(to_cache_news(box.take())))
+        self.assertEqual(apply_to(dict(before), events), apply_to(dict(before), told))
+
+    def test_nothing_is_told_twice(self):
+        box = CacheBox()
+        box.add(seen("a", {b"x" * 8: 5}))
+        self.assertEqual(1, len(box.take()))
+        self.assertEqual([], box.take())
+
+
+@attrs.define
+class RecordingLinks:
+    """Stands for the links of one host; notes what each peer was sent."""
+
+    peers: list
+    sent: dict = attrs.field(factory=dict)
+
+    def broadcast(self, message, is_for):
+        for peer in self.peers:
+            if is_for(peer):
+                self.sent.setdefault(peer.name, []).append(message)
+
+    def link_to(self, name):
+        return next((peer for peer in self.peers if peer.name == name), None)
+
+
+@attrs.frozen
+class FakeLink:
+    """Stands for a link to a peer."""
+
+    peer: Member
+
+
+class MailTest(TestCase):
+    """Who is told: all in a small fleet, relays and their halls in a large one."""
+
+    def fleet(self, own_name, per_hall):
+        members = [
+            Member(f"{hall}{number}", hall, f"{hall}{number}:1", 1, 100.0 - number)
+            for hall in ("h", "k")
+            for number in range(per_hall)
+        ]
+        own = next(member for member in members if member.name == own_name)
+        table = MemberTable(own)
+        table.learn(members)
+        links = RecordingLinks([member for member in members if member != own])
+        self.posted = []
+        names = {member.name for member in members} - {own_name}
+        mail = CacheMail(table, links, self, lambda: names)
+        return mail, links
+
+    def post(self, event):
+        self.posted.append(event)
+
+    def test_in_a_small_fleet_everybody_is_told(self):
+        mail, links = self.fleet("h1", per_hall=3)
+        mail.tell(seen("a", {b"x" * 8: 5}))
+        mail._hand_on()
+        self.assertEqual({"h0", "h2", "k0", "k1", "k2"}, set(links.sent))
+
+    def test_in_a_large_fleet_only_the_relay_is_told(self):
+        mail, links = self.fleet("h5", per_hall=10)
+        mail.tell(seen("a", {b"x" * 8: 5}))
+        mail._hand_on()
+        self.assertEqual({"h0"}, set(links.sent))
+
+    def test_the_relay_tells_its_hall_and_the_other_halls(self):
+        mail, links = self.fleet("h0", per_hall=10)
+        peer = FakeLink(links.link_to("h5"))
+        mail.take(peer, to_cache_news([seen("a", {b"x" * 8: 5})]))
+        mail._hand_on()
+        self.assertEqual(1, len(self.posted))
+        self.assertEqual(19, len(links.sent))
+
+    def test_what_another_hall_told_stays_in_this_one(self):
+        mail, links = self.fleet("h0", per_hall=10)
+        mail.take(
+            FakeLink(links.link_to("k0")), to_cache_news([seen("a", {b"x" * 8: 5})])
+        )
+        mail._hand_on()
+        self.assertEqual({f"h{number}" for number in range(1, 10)}, set(links.sent))
+
+    def test_without_a_link_to_the_relay_the_hall_is_told(self):
+        mail, links = self.fleet("h5", per_hall=10)
+        links.peers = [peer for peer in links.peers if peer.name != "h0"]
+        mail.tell(seen("a", {b"x" * 8: 5}))
+        mail._hand_on()
+        self.assertEqual(8, len(links.sent))
+
+
+class SchedulerTaskTest(TestCase):
+    def test_a_question_whose_asker_left_hurts_nobody(self):
+        async def scenario():
+            settings = parse_settings('[host]\nname = "e"\nhall = "h"\n', source="t")
+            task = SchedulerTask(Scheduler(settings), lambda: 1.0)
+            async with anyio.create_task_group() as tasks:
+                with anyio.CancelScope() as scope:
+                    scope.cancel()
+                    await task.ask(lambda scheduler, now_seconds: 1)
+                tasks.start_soon(task.run)
+                self.assertEqual(2, await task.ask(lambda scheduler, now_seconds: 2))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -313,3 +313,46 @@
             sent += [action.upstream for action in actions]
             session.do(1.5 + number, AttemptDelivered(f"r{number}", f"r{number}.1"))
         self.assertEqual(2, len(set(sent)))
+
+
+class KeptConnectionTest(TestCase):
+    """A kept connection decides between runners that are equal otherwise."""
+
+    def setUp(self):
+        super().setUp()
+        self.session = Session(extra="[placement]\nconnect_price_seconds = 10.0\n")
+        # Two prompts that would go to different runners.
+        homes = {}
+        for number in range(50):
+            text = f"prompt {number} " * 10
+            (sent,) = self.session.arrive(1.0, f"home-{number}", text=text)
+            homes.setdefault(sent.upstream, text)
+            self.session.do(1.0, RequestCancelled(f"home-{number}"))
+        (self.first, self.text), (self.second, self.other) = homes.items()
+
+    def answer(self, at, rest_seconds):
+        self.session.arrive(at, "kept", text=self.text)
+        done = AttemptDone("kept", "kept.1", 0, 580, 8, rest_seconds)
+        self.session.do(at, AttemptDelivered("kept", "kept.1"))
+        self.session.do(at, done)
+
+    def home_of_other(self, at):
+        (sent,) = self.session.arrive(at, "other", text=self.other)
+        return sent.upstream
+
+    def test_the_runner_with_a_resting_connection_is_chosen(self):
+        self.answer(2.0, rest_seconds=4.0)
+        self.assertEqual(self.first, self.home_of_other(5.0))
+
+    def test_a_connection_that_rested_too_long_counts_no_more(self):
+        self.answer(2.0, rest_seconds=4.0)
+        self.assertEqual(self.second, self.home_of_other(7.0))
+
+    def test_a_connection_that_was_closed_counts_not_at_all(self):
+        self.answer(2.0, rest_seconds=0.0)
+        self.assertEqual(self.second, self.home_of_other(3.0))
+
+    def test_a_connection_in_use_counts_no_more(self):
+        self.answer(2.0, rest_seconds=4.0)
+        self.session.arrive(2.5, "busy", text=self.text)
+        self.assertEqual(self.second, self.home_of_other(3.0))
