The steward reads targets whatever its rank; readers tell what is wanted

Cause: since groups and readers only the three readers of a group watch the targets, and the steward's news carries them to the rest. A host that takes the lease before it hears of others need not become a reader: it then holds the lease, knows of no newer weights, and nobody tells it.

Change: whoever holds the lease watches the targets; a reader's answer to a question of ages tells its targets, so that hosts know them also while nobody holds the lease. The scheduler task says its targets itself; two copies of one question are gone.

--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -186,6 +186,7 @@
             lambda: self._gossip.answered_at_seconds,
             self._configuration,
             self._hosts,
+            lambda: steward.is_holder,
             read_clock,
         )
         reader = integration.reader
--- a/packages/rampwick-router/src/rampwick_router/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/_gossip.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from rampwick_policy import HallNews, Member, MemberTable, PeerHeard, Scheduler
+from rampwick_policy import HallNews, Member, MemberTable, PeerHeard
 from rampwick_schema import (
     CacheNews,
     HallSummary,
@@ -91,7 +91,9 @@
         self._links.take = self._take
         self._links.note_opened = self._note_opened
         self._links.note_unreachable = self._note_unreachable
-        self._sync = PeerSync(configuration.follower, configuration, hosts, read_clock)
+        self._sync = PeerSync(
+            configuration.follower, configuration, hosts, scheduler, read_clock
+        )
         self._hall_news = HallNews()
         self.cache_mail = CacheMail(
             self.table, self._links, scheduler, lambda: self.live_names
@@ -254,7 +256,7 @@
 
     async def tell_steward_news(self) -> None:
         """Tell all hosts of loads, weights and lease now."""
-        targets = await self._scheduler.ask(_read_targets)
+        targets = self._scheduler.targets()
         news = steward_news(
             self.table.own.name, self._steward, targets, self._read_clock()
         )
@@ -318,7 +320,3 @@
     def answered_at_seconds(self) -> float:
         """When a reader last said how old its knowledge is."""
         return self._sync.answered_at_seconds
-
-
-def _read_targets(scheduler: Scheduler, now_seconds: float) -> Any:
-    return scheduler.upstreams.targets.all_newest()
--- a/packages/rampwick-router/src/rampwick_router/_peer_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_sync.py
@@ -1,4 +1,4 @@
-"""Configuration and host list between peers: differences where they suffice, and ages.
+"""What readers of the platform know, between peers: differences where they suffice.
 
 A host that does not read the platform asks one that does how old its knowledge is.
 The reply's ages count from when the question was sent, so that a late reply never
@@ -11,7 +11,12 @@
 
 import attrs
 
-from rampwick_policy import ConfigurationFollower, diff_hosts, patch_hosts
+from rampwick_policy import (
+    ConfigurationFollower,
+    TargetsRead,
+    diff_hosts,
+    patch_hosts,
+)
 from rampwick_schema import (
     ChangesReply,
     ChangesRequest,
@@ -28,6 +33,7 @@
 from ._configuration import ConfigurationTask
 from ._logs import PartLogger
 from ._peer_links import Link
+from ._scheduler_task import SchedulerTask
 from ._upstream_tasks import HostListTask
 
 #: Changes in one reply; the rest is asked for again.
@@ -52,6 +58,7 @@
     _follower: ConfigurationFollower
     _configuration: ConfigurationTask
     _hosts: HostListTask
+    _scheduler: SchedulerTask
     _read_clock: Callable[[], float]
     _lists: dict[int, HostList] = attrs.field(factory=dict)
     _asked_at: dict[int, float] = attrs.field(factory=dict)
@@ -139,6 +146,7 @@
             ),
             host_list_version=self._hosts.version,
             host_list_age_seconds=_tellable(self._hosts.age_seconds(now_seconds)),
+            targets=self._scheduler.targets(),
         )
 
     def _take_confirmation(self, link: Link, reply: ConfirmReply) -> None:
@@ -152,6 +160,8 @@
             self._configuration.confirm(asked_at_seconds - reply.revision_age_seconds)
         if reply.host_list_version == self._hosts.version:
             self._hosts.confirm(asked_at_seconds - reply.host_list_age_seconds)
+        if reply.targets:
+            self._scheduler.post(TargetsRead(tuple(reply.targets)))
 
 
 def _tellable(age_seconds: float) -> float:
--- a/packages/rampwick-router/src/rampwick_router/_reading_role.py
+++ b/packages/rampwick-router/src/rampwick_router/_reading_role.py
@@ -30,6 +30,7 @@
         answered_at: Callable[[], float],
         configuration: ConfigurationTask,
         hosts: HostListTask,
+        is_steward: Callable[[], bool],
         read_clock: Callable[[], float],
     ) -> None:
         self._table = table
@@ -37,6 +38,7 @@
         self._answered_at = answered_at
         self._configuration = configuration
         self._hosts = hosts
+        self._is_steward = is_steward
         self._read_clock = read_clock
         link = table.own.link_megabits_per_second
         grace_seconds = 0.0
@@ -67,8 +69,12 @@
         return self._wants(self._hosts.age_seconds(self._read_clock()))
 
     def wants_targets(self) -> bool:
-        """Return whether this host is to read the weights that are wanted."""
-        return self._wants(0.0)
+        """Return whether this host is to read the weights that are wanted.
+
+        Whoever gives the orders reads them, whatever its rank: a host may have taken
+        the lease before it heard of the others.
+        """
+        return self._is_steward() or self._wants(0.0)
 
     def _wants(self, age_seconds: float) -> bool:
         if not self._is_past_grace():
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -19,6 +19,7 @@
     Scheduler,
     Tick,
 )
+from rampwick_schema import WeightsTarget
 
 #: Time between two looks at deadlines.
 TICK_SECONDS = 0.1
@@ -70,6 +71,10 @@
         """Return the names of the peers that were heard of late."""
         return {view.name for view in self._scheduler.peers.live(now_seconds)}
 
+    def targets(self) -> list[WeightsTarget]:
+        """Return the newest weights that are known to be wanted."""
+        return self._scheduler.upstreams.targets.all_newest()
+
     def post(self, event: Event) -> None:
         """Send an event; it is handled in its turn."""
         self._inbox.send_nowait(event)
@@ -110,9 +115,9 @@
             task_group.start_soon(self._tick)
             async for message in self._incoming:
                 self._take(message)
-                self._take_waiting()
+                self.take_waiting()
 
-    def _take_waiting(self) -> None:
+    def take_waiting(self) -> None:
         """Handle what has come meanwhile, without a turn of the event loop for each."""
         while True:
             try:
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -26,7 +26,6 @@
     HostEntry,
     Settings,
     StewardSettings,
-    WeightsTarget,
 )
 
 from ._errors import AttemptError
@@ -234,7 +233,7 @@
 
     async def _look(self, tasks: TaskGroup) -> bool:
         """Carry out what is to be done now; return whether more will follow."""
-        targets = await self._scheduler.ask(_read_targets)
+        targets = self._scheduler.targets()
         if not targets:
             return False
         runners = await self._scheduler.ask(_read_runners)
@@ -368,7 +367,3 @@
 
 def _read_entries(scheduler: Scheduler, now_seconds: float) -> dict[str, HostEntry]:
     return {upstream.name: upstream.entry for upstream in scheduler.upstreams}
-
-
-def _read_targets(scheduler: Scheduler, now_seconds: float) -> list[WeightsTarget]:
-    return scheduler.upstreams.targets.all_newest()
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -210,6 +210,8 @@
     host_list_version: int = attrs.field(validator=within(-1, None))
     #: Time since it was surely the newest.
     host_list_age_seconds: float = attrs.field(validator=within(0.0, None))
+    #: Weights that are wanted, as far as the sender knows.
+    targets: list[WeightsTarget] = attrs.field(factory=list)
 
 
 @attrs.frozen
