A fault soak of real processes; logs say what hosts believe and what refusals rest on

Change: soak/ starts platform, runners, service and hosts as processes behind loopback forwarders that delay, silence (one way, too) and reset; stops, kills, pauses and clock steps come by signals and a file; planned work comes alone first, then everything in series and overlapping. Checkers (tests/history.py and soak/_checks.py) look at what callers and upstreams saw; each has a history that breaks it. The product gained peers.advertised_address, clocks for the entry point, and stand-ins that tell what ran. Each change of what a host believes of an upstream or a peer is a line ("beliefs: ..."), each refusal says what it rests on (waiting, attempts, retries saved, upstreams by state), each denial the revision's age.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := .venv/bin
 PACKAGES := schema policy platform router cli standin
 
-.PHONY: setup demo test lint measure generate
+.PHONY: setup demo test lint measure soak generate
 
 setup: .venv/.installed
 
@@ -33,3 +33,7 @@
 
 measure: setup
 	$(BIN)/python -m measure
+
+# Fresh seeds for some minutes; `python -m soak --seed N` plays one again.
+soak: setup
+	$(BIN)/python -m soak --minutes 5
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -65,6 +65,7 @@
 from ._lease import LeaseWatcher as LeaseWatcher
 from ._leaving import fits_before as fits_before
 from ._membership import Membership as Membership
+from ._notices import Notice as Notice
 from ._orders import (
     PlannedOrder as PlannedOrder,
     RunnerState as RunnerState,
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -243,6 +243,8 @@
     run_state: RunState
     retry_after_seconds: float | None = None
     peer: str = ""
+    #: What it rests on, for logs.
+    evidence: str = ""
 
 
 @attrs.frozen
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -13,6 +13,7 @@
 from ._imports import Holder, Imports, ImportSource, kept_life, kept_version
 from ._knowledge import CacheKnowledge, Life
 from ._membership import Membership
+from ._notices import NoticeBook
 from ._placement_news import PlacementNews
 from ._prefix import PrefixChain
 from ._request import Outcome
@@ -52,6 +53,7 @@
             settings.queue.slots_factor,
         )
         self.imports = Imports(settings.host.hall)
+        self.notices = NoticeBook()
         self._news = PlacementNews()
         self._handlers: dict[type, Callable[[Any, float], None]] = {
             ev.LoadReported: self._on_report,
@@ -144,6 +146,7 @@
         elif event.outcome in (Outcome.STALE, Outcome.MISDIRECTED):
             # The next probe says which life it is now.
             upstream.life = None
+            self._notice(upstream, event.message, now_seconds)
         elif event.outcome is Outcome.BUSY:
             asked = event.retry_after_seconds or MAX_BUSY_SECONDS
             upstream.busy_until_seconds = now_seconds + min(asked, MAX_BUSY_SECONDS)
@@ -151,7 +154,21 @@
     def suspect(self, name: str, now_seconds: float) -> bool:
         """Suspect an upstream that fell silent; return whether that is new."""
         upstream = self.upstreams.get(name)
-        return upstream is not None and self.upstreams.suspect(upstream, now_seconds)
+        if upstream is None or not self.upstreams.suspect(upstream, now_seconds):
+            return False
+        self._notice(upstream, "it is silent, or a peer says so", now_seconds)
+        return True
+
+    def expire_peers(self, now_seconds: float) -> None:
+        """Drop peers that have been silent for too long."""
+        for view in self.peers.expire(now_seconds):
+            silent_seconds = now_seconds - view.heard_at_seconds
+            self.notices.forget("peer", view.name, f"silent for {silent_seconds:.1f} s")
+
+    def _notice(self, upstream: Upstream, reason: str, now_seconds: float) -> None:
+        """Note what is believed of an upstream now, and why."""
+        state = self.upstreams.describe(upstream, now_seconds)
+        self.notices.note("upstream", upstream.name, state, reason)
 
     def _take_down(self, upstream: Upstream, error: str, now_seconds: float) -> None:
         upstream.is_suspected = False
@@ -159,6 +176,7 @@
         # Nothing is known of the engine until it reports a life again; if it is
         # the old one, what it holds is still good.
         upstream.life = None
+        self._notice(upstream, error, now_seconds)
 
     def summary(
         self,
@@ -224,6 +242,7 @@
             self._observe(upstream, event.report.cache_tokens)
         upstream.health.note_probe(is_same_life, now_seconds)
         self.upstreams.clear(upstream, now_seconds)
+        self._notice(upstream, "it answered a probe", now_seconds)
 
     def _on_probe_failed(self, event: ev.ProbeFailed, now_seconds: float) -> None:
         upstream = self.upstreams.get(event.upstream)
@@ -231,11 +250,14 @@
             self._take_down(upstream, event.message, now_seconds)
 
     def _on_host_list(self, event: ev.HostListRead, now_seconds: float) -> None:
+        reason = f"host list {event.host_list.version}"
         for name in self.upstreams.apply_list(_sorted(event.host_list)):
             self.knowledge.forget(name)
+            self.notices.forget("upstream", name, reason)
         for upstream in self.upstreams:
             if upstream.entry.incarnation and upstream.is_runner:
                 self._observe(upstream)
+            self._notice(upstream, reason, now_seconds)
 
     def _on_weights(self, event: ev.WeightsSeen, now_seconds: float) -> None:
         upstream = self.upstreams.get(event.upstream)
@@ -248,6 +270,7 @@
             return
         if self.upstreams.note_life(upstream, life, event.is_own_word):
             self._observe(upstream)
+            self._notice(upstream, "its weights were seen", now_seconds)
 
     def _on_load(self, event: ev.LoadOrdered, now_seconds: float) -> None:
         upstream = self.upstreams.get(event.upstream)
@@ -255,6 +278,7 @@
             return
         upstream.load_version = event.weights_version
         upstream.load_until_seconds = event.until_seconds
+        self._notice(upstream, "the steward says so", now_seconds)
 
     def _on_targets(self, event: ev.TargetsRead, now_seconds: float) -> None:
         self.upstreams.targets.apply(event.targets, now_seconds)
@@ -286,6 +310,7 @@
             event.name, event.hall, event.incarnation, event.summary, now_seconds
         )
         if is_news:
+            self.notices.note("peer", event.name, "heard", "its summary came")
             self.ledger.hear(event.name, event.summary.workspaces, now_seconds)
             for name in event.summary.down:
                 # Each host asks for itself: it may reach what the peer does not.
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -78,7 +78,7 @@
                 self._now_seconds,
             )
             for upstream in self._upstreams
-            if _serves(upstream, service, model)
+            if serves(upstream, service, model)
             and self._upstreams.is_open(upstream, self._now_seconds)
         ]
 
@@ -109,7 +109,8 @@
     )
 
 
-def _serves(upstream: Upstream, service: str, model: str) -> bool:
+def serves(upstream: Upstream, service: str, model: str) -> bool:
+    """Return whether an upstream is of a service, or has a model."""
     if service and upstream.entry.group != service:
         return False
     if model:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -15,6 +15,7 @@
 from ._admission import Admission
 from ._dispatcher import ANSWER_TOKEN_PRICE, AnswerEstimates, Dispatcher, Hopeless
 from ._errors import LifecycleError
+from ._evidence import describe_refusal
 from ._knowledge import CacheKnowledge
 from ._membership import Membership
 from ._placement import Placement, PricedKnowledge
@@ -291,6 +292,15 @@
             run_state=item.lifecycle.run_state,
             retry_after_seconds=self._retry_after_seconds(item, reason, now_seconds),
             peer=peer,
+            evidence=describe_refusal(
+                item,
+                self.upstreams,
+                len(self.queue),
+                self.budgets.of(
+                    item.arrival.service, self.peers.known_hosts_count
+                ).saved,
+                now_seconds,
+            ),
         )
 
     def _retry_after_seconds(
@@ -340,7 +350,7 @@
         return []
 
     def _on_tick(self, event: ev.Tick, now_seconds: float) -> list[ev.Action]:
-        self.peers.expire(now_seconds)
+        self.pool.expire_peers(now_seconds)
         actions: list[ev.Action] = []
         for item in list(self._requests.values()):
             actions += self._check_hope(item, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -312,6 +312,20 @@
             return False
         return upstream.health.admit_ratio(now_seconds) > 0.0
 
+    def describe(self, upstream: Upstream, now_seconds: float) -> str:
+        """Return what is believed of an upstream in a word or two, for logs."""
+        if upstream.entry.state == "leaving":
+            return "leaving"
+        if upstream.health.state is not HealthState.UP:
+            return upstream.health.state.value
+        if upstream.is_suspected:
+            return "suspected"
+        if upstream.is_loading(now_seconds):
+            return f"loading weights {upstream.load_version}"
+        if upstream.is_runner:
+            return f"up as {upstream.life_name or 'unknown'}"
+        return "up"
+
     def outdated_seconds(self, upstream: Upstream, now_seconds: float) -> float:
         """Return for how long newer weights than the upstream's have been named."""
         if upstream.life is None or not upstream.model:
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -1,6 +1,5 @@
 """The daemon: its parts put together, its tasks run, its stop carried out."""
 
-import math
 import random
 import time
 from collections.abc import AsyncIterator, Callable
@@ -27,7 +26,7 @@
 from ._host_sources import PolledHosts, WatchedHosts
 from ._integration import Integration
 from ._life import Life
-from ._logs import PartLogger
+from ._logs import PartLogger, milliseconds
 from ._metrics import Metrics
 from ._own_dialect import OWN_DIALECTS
 from ._parts import Parts, RequestIds
@@ -260,10 +259,10 @@
                 "state",
                 open_count=self.entry.open_count,
                 revision=self.follower.revision,
-                revision_age_ms=_milliseconds(
+                revision_age_ms=milliseconds(
                     self._configuration.age_seconds(now_seconds)
                 ),
-                host_list_age_ms=_milliseconds(self._hosts.age_seconds(now_seconds)),
+                host_list_age_ms=milliseconds(self._hosts.age_seconds(now_seconds)),
                 is_reader=self._gossip.is_reader(),
                 is_steward=self.steward.is_holder,
                 hosts_heard_count=len(self._gossip.live_names),
@@ -341,7 +340,7 @@
             api,
             upstreams,
             channels,
-            listeners.addresses.peer,
+            settings.peers.advertised_address or listeners.addresses.peer,
             clocks,
             integration,
         )
@@ -356,7 +355,3 @@
             served.append((daemon.admin.ready_app, listeners.ready))
         serve_apps(served, settings.limits.max_header_bytes, tasks, stack)
         yield daemon, listeners.addresses
-
-
-def _milliseconds(seconds: float) -> int | None:
-    return None if math.isinf(seconds) else round(seconds * 1000)
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -19,8 +19,11 @@
         peer: str = "",
         run_state: RunState = RunState.NOT_SENT,
         retry_after_seconds: float | None = None,
+        evidence: str = "",
     ) -> None:
         super().__init__(message, step=step, peer=peer)
+        #: What it rests on; for logs, not for the caller.
+        self.evidence = evidence
         self.status = status
         self.code = code
         self.run_state = run_state
--- a/packages/rampwick-router/src/rampwick_router/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_exchange.py
@@ -22,7 +22,7 @@
 from ._call import CallTerms
 from ._claims import WonClaim
 from ._errors import REFUSALS, AttemptError, CallerError
-from ._logs import PartLogger
+from ._logs import PartLogger, milliseconds
 from ._parts import Parts
 from ._responder import Receive, Responder, wait_disconnect
 
@@ -175,6 +175,7 @@
             peer=refuse.peer,
             run_state=refuse.run_state,
             retry_after_seconds=refuse.retry_after_seconds,
+            evidence=refuse.evidence,
         )
 
     async def _answer_error(self, error: CallerError) -> None:
@@ -187,9 +188,12 @@
             "request refused",
             request=self.caller_request_id,
             status=error.status,
+            code=error.code,
             run_state=error.run_state.name.lower(),
-            retry_after_ms=_milliseconds(error.retry_after_seconds),
+            retry_after_ms=milliseconds(error.retry_after_seconds),
+            had_begun=self.responder.has_started,
             error=str(error),
+            evidence=error.evidence,
         )
         await self.answer_error(error)
 
@@ -245,10 +249,6 @@
         self.parts.metrics.requests.labels(*self.labels, answer).inc()
 
 
-def _milliseconds(seconds: float | None) -> int | None:
-    return None if seconds is None else round(seconds * 1000)
-
-
 def _refusal_status(status: int, run_state: RunState) -> int:
     """Return a status that promises no more than what is known of the request.
 
--- a/packages/rampwick-router/src/rampwick_router/_logs.py
+++ b/packages/rampwick-router/src/rampwick_router/_logs.py
@@ -4,6 +4,7 @@
 next one that does says how many were left out.
 """
 
+import math
 import time
 from typing import Any
 
@@ -69,3 +70,10 @@
             message=f"{self._part}: {sentence}",
             **fields,
         )
+
+
+def milliseconds(seconds: float | None) -> int | None:
+    """Return a time as log lines say it; none where it is not known."""
+    if seconds is None or math.isinf(seconds):
+        return None
+    return round(seconds * 1000)
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -10,7 +10,7 @@
 
 from rampwick_schema import RampwickError, Settings, read_settings
 
-from ._daemon import Daemon, run_daemon
+from ._daemon import Clocks, Daemon, run_daemon
 from ._fallback import read_fallback
 from ._integration import Integration
 from ._log_sink import open_log
@@ -73,17 +73,22 @@
     path: Path,
     make_integration: Callable[[Settings], Integration] | None = None,
     announce: Callable[..., None] = _announce_nothing,
+    clocks: Clocks | None = None,
 ) -> None:
     """Run a daemon until it is told to stop by a signal.
 
-    ``path`` leads to its settings, which SIGHUP has read again.
+    ``path`` leads to its settings, which SIGHUP has read again; ``clocks`` are the
+    machine's own unless others are given.
     """
     settings = read_settings(path)
     integration = make_integration(settings) if make_integration else None
     # Signals that come while the daemon starts wait for it.
     with anyio.open_signal_receiver(*SIGNALS) as signals:
         async with (
-            run_daemon(settings, integration=integration) as (daemon, addresses),
+            run_daemon(settings, clocks=clocks, integration=integration) as (
+                daemon,
+                addresses,
+            ),
             anyio.create_task_group() as tasks,
         ):
             tasks.start_soon(_watch_signals, signals, daemon, path)
--- a/packages/rampwick-router/src/rampwick_router/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/_routed_entry.py
@@ -7,7 +7,7 @@
 
 from ._dialects import RawCall, RoutedCall
 from ._errors import OTHER_HOST_SECONDS, CallerError, denial
-from ._logs import PartLogger
+from ._logs import PartLogger, milliseconds
 from ._parts import Parts
 from ._responder import Message, Receive, Responder, read_body
 from ._routed_exchange import RoutedExchange
@@ -41,9 +41,22 @@
             request = await self._check(call, body, arrived_at_seconds)
             await RoutedExchange(self._parts, request, receive, responder).run()
         except CallerError as error:
-            log.info("request denied", request=request_id, error=str(error))
+            self._log_denial(error, request_id)
             await self._send_error(error, request_id, responder)
 
+    def _log_denial(self, error: CallerError, request_id: str) -> None:
+        configuration = self._parts.configuration
+        age_seconds = configuration.age_seconds(self._parts.read_clock())
+        log.info(
+            "request denied",
+            request=request_id,
+            status=error.status,
+            code=error.code,
+            revision=self._parts.follower.revision,
+            revision_age_ms=milliseconds(age_seconds),
+            error=str(error),
+        )
+
     async def _check(
         self, call: RoutedCall, body: bytes, arrived_at_seconds: float
     ) -> RoutedRequest:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -21,6 +21,8 @@
 )
 from rampwick_schema import WeightsTarget
 
+from ._logs import PartLogger
+
 #: Time between two looks at deadlines.
 TICK_SECONDS = 0.1
 
@@ -30,6 +32,8 @@
 #: Attempts that wait to be cancelled at their upstreams.
 CANCELS_COUNT = 10_000
 
+log = PartLogger("beliefs")
+
 
 @attrs.frozen
 class Question:
@@ -147,6 +151,14 @@
     def _handle(self, event: Event, now_seconds: float) -> None:
         for action in self._scheduler.handle(event, now_seconds):
             self._carry_out(action, now_seconds)
+        for notice in self._scheduler.pool.notices.take():
+            log.info(
+                f"{notice.kind} is {_first_word(notice.after)}",
+                name=notice.name,
+                before=notice.before,
+                after=notice.after,
+                reason=notice.reason,
+            )
 
     def _carry_out(self, action: Action, now_seconds: float) -> None:
         if isinstance(action, CancelAttempt):
@@ -164,3 +176,8 @@
             mailbox.send_nowait(action)
         except anyio.BrokenResourceError:
             self.close_mailbox(action.request_id)
+
+
+def _first_word(text: str) -> str:
+    # Sentences are few, so that their volume can be bounded one by one.
+    return text.partition(" ")[0]
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -86,6 +86,8 @@
     secret: str = attrs.field(default="")
     #: Peers as ip:port, used next to the platform's host list.
     seeds: list[str] = attrs.field(factory=list)
+    #: Where peers reach this host, as ip:port, if that is not where it listens; for hosts behind a forwarder.
+    advertised_address: str = attrs.field(default="")
     #: Time between two summaries to each peer; also the heartbeat.
     gossip_interval_seconds: float = attrs.field(
         default=0.25, validator=within(0.02, 30.0)
--- a/packages/rampwick-standin/src/rampwick_standin/_engine.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_engine.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import secrets
+import time
 from collections import OrderedDict
 from collections.abc import AsyncIterator
 
@@ -104,6 +105,8 @@
     weights_version: int
     incarnation: str
     request: "EngineRequest"
+    #: Steady time at which the attempt came in; one clock for all of a machine.
+    started_at_seconds: float = attrs.field(factory=time.monotonic)
     tokens: list[str] = attrs.field(factory=list)
     prompt_tokens: int = 0
     cached_tokens: int = 0
--- a/packages/rampwick-standin/src/rampwick_standin/_runner.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_runner.py
@@ -40,6 +40,7 @@
                 Route("/orders", self._order, methods=["PUT"]),
                 Route("/faults", self._set_faults, methods=["POST"]),
                 Route("/crash", self._crash, methods=["POST"]),
+                Route("/seen", self._seen),
             ]
         )
 
@@ -145,6 +146,23 @@
         self.engine.faults = structure(data, EngineFaults, step="set faults")
         return Response(status_code=204)
 
+    async def _seen(self, request: Request) -> Response:
+        """Tell all that ran, over all lives, for checks from outside."""
+        attempts = [
+            {
+                "attempt_id": stream.attempt_id,
+                "text": stream.request.text.decode(),
+                "salt": stream.request.salt,
+                "cached_tokens": stream.cached_tokens,
+                "weights_version": stream.weights_version,
+                "incarnation": stream.incarnation,
+                "started_at_seconds": stream.started_at_seconds,
+            }
+            for stream in self.engine.started
+        ]
+        orders = [order.fencing_number for order in self.engine.orders]
+        return JSONResponse({"attempts": attempts, "orders": orders})
+
     async def _crash(self, request: Request) -> Response:
         self.engine.crash()
         return Response(status_code=204)
--- a/packages/rampwick-standin/src/rampwick_standin/_service.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_service.py
@@ -31,6 +31,7 @@
         self.app = Starlette(
             routes=[
                 Route("/load", self._load),
+                Route("/seen", self._seen),
                 Route("/{path:path}", self._call, methods=METHODS),
             ]
         )
@@ -38,6 +39,10 @@
     async def _load(self, request: Request) -> Response:
         return Response(status_code=204)
 
+    async def _seen(self, request: Request) -> Response:
+        """Tell the bodies of all calls that ran, for checks from outside."""
+        return JSONResponse([body.decode() for _, _, body in self.calls])
+
     async def _call(self, request: Request) -> Response:
         if self.is_busy:
             return Response(status_code=429)
--- /dev/null
+++ b/soak/_checks.py
@@ -0,0 +1,153 @@
+"""The promises of docs/guarantees.md, checked on what a run saw.
+
+Each checker returns the violations that it finds, as sentences.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+
+import attrs
+from tests.history import (
+    Observed,
+    RunnerSaw,
+    check_answers,
+    check_at_most_once,
+    check_cache,
+    check_revisions,
+)
+
+from ._callers import ANSWER_TOKENS, GUIDE, Call, marked
+from ._faults import PLANNED, Deed
+
+#: Time for which planned work must have been alone for a cut to count against it.
+CALM_SECONDS = 2.0
+
+#: Time after which a leaving runner gets no new work.
+LEAVE_SECONDS = 2.0
+
+#: Time beyond its deadline by which a caller must have had its final answer.
+ANSWER_SLACK_SECONDS = 4.0
+
+
+@attrs.define
+class Seen:
+    """All that a run saw."""
+
+    calls: list[Call] = attrs.field(factory=list)
+    attempts: list[RunnerSaw] = attrs.field(factory=list)
+    #: Steady time at which each attempt came in, by its id.
+    started: dict[str, float] = attrs.field(factory=dict)
+    #: Texts of the calls that the plain service ran.
+    service_runs: list[str] = attrs.field(factory=list)
+    #: Fencing numbers of the orders that each runner took, in their order.
+    orders: dict[str, list[int]] = attrs.field(factory=dict)
+    revisions: list[Observed] = attrs.field(factory=list)
+    deeds: list[Deed] = attrs.field(factory=list)
+    #: What else was found while the run went on.
+    noted: list[str] = attrs.field(factory=list)
+
+    @property
+    def runs(self) -> list[str]:
+        """Text of every run, engines' and the service's."""
+        return [attempt.text.decode() for attempt in self.attempts] + self.service_runs
+
+
+def check_all(seen: Seen) -> list[str]:
+    """Return all violations of a run, shortened to what is not shared."""
+    answers = [
+        call.saw
+        for call in seen.calls
+        if call.kind not in ("read", "write")
+        and not call.is_cut
+        and not call.is_unreachable
+    ]
+    found = [
+        *seen.noted,
+        *check_answers(answers, ANSWER_TOKENS),
+        *check_services(seen.calls),
+        *check_at_most_once(seen.runs, marked(seen.calls)),
+        *check_refusals(seen.calls, seen.runs),
+        *check_cache(seen.attempts),
+        *check_revisions(seen.revisions),
+        *check_orders(seen.orders),
+        *check_planned(seen),
+        *check_leaving(seen),
+    ]
+    return [sentence.replace(GUIDE, "") for sentence in found]
+
+
+def check_services(calls: Iterable[Call]) -> list[str]:
+    """Each good answer of the service is the one to its own call, whole."""
+    return [
+        f"{call.saw.prompt} got another call's answer from {call.host}"
+        for call in calls
+        if call.kind in ("read", "write")
+        and call.saw.status == 200
+        and not call.saw.is_whole
+    ]
+
+
+def check_refusals(calls: Sequence[Call], runs: Sequence[str]) -> list[str]:
+    """What was refused as not run, in all of its tries, never ran."""
+    ran = set(runs)
+    words = defaultdict(set)
+    for call in calls:
+        words[call.saw.prompt].add("" if call.is_cut else call.saw.was_run)
+    return [
+        f"{prompt} was refused as not run, but ran"
+        for prompt, said in words.items()
+        if said == {"no"} and prompt in ran
+    ]
+
+
+def check_orders(orders: dict[str, list[int]]) -> list[str]:
+    """No runner takes an order of an older holder after one of a newer."""
+    return [
+        f"{runner} took orders with fencing numbers {numbers}"
+        for runner, numbers in orders.items()
+        if numbers != sorted(numbers)
+    ]
+
+
+def check_planned(seen: Seen) -> list[str]:
+    """Planned work cuts no request that reached an upstream."""
+    ran = set(seen.runs)
+    found = []
+    for call in seen.calls:
+        if not call.is_cut or call.saw.prompt not in ran:
+            continue
+        if _is_calm(seen.deeds, call.began_seconds - CALM_SECONDS, call.ended_seconds):
+            found.append(
+                f"{call.saw.prompt} ({call.kind}) was cut by {call.host} in calm times "
+                f"at {call.ended_seconds:.3f} after "
+                f"{call.ended_seconds - call.began_seconds:.3f} s: {call.error}"
+            )
+    return found
+
+
+def check_leaving(seen: Seen) -> list[str]:
+    """A leaving runner gets nothing new once the word is out."""
+    found = []
+    for deed in seen.deeds:
+        if deed.kind != "runner_leave" or not deed.target:
+            continue
+        begins = deed.began_seconds + LEAVE_SECONDS
+        if not _is_calm(seen.deeds, deed.began_seconds, deed.ended_seconds):
+            continue
+        found += [
+            f"{deed.target} was given {attempt.attempt_id} while it was leaving"
+            for attempt in seen.attempts
+            if attempt.runner == deed.target
+            and begins < seen.started[attempt.attempt_id] < deed.ended_seconds
+        ]
+    return found
+
+
+def _is_calm(deeds: Iterable[Deed], from_seconds: float, to_seconds: float) -> bool:
+    """Return whether nothing but planned work went on in a span of time."""
+    return not any(
+        deed.kind not in PLANNED
+        and deed.began_seconds < to_seconds
+        and deed.ended_seconds > from_seconds
+        for deed in deeds
+    )
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,146 @@
+"""The soak's checkers catch broken histories, and a short seeded run holds."""
+
+import random
+import tempfile
+from pathlib import Path
+
+import anyio
+import attrs
+from soak._callers import ANSWER_TOKENS, Call
+from soak._checks import Seen, check_all
+from soak._faults import PLANNED, UNPLANNED, Deed, Saboteur, draw_plan
+from soak._fleet import Size
+from soak._run import Terms, play
+from testtools import TestCase
+
+from .history import CallerSaw, Observed, RunnerSaw, expected_tokens
+
+#: The run that CI plays: few processes, few faults, always the same seed.
+CI_TERMS = Terms(seed=11, size=Size(2, 2, 3), chaos_seconds=3.0, faults_count=4)
+
+
+def call(prompt="p", kind="stream", at=100.0, **options):
+    saw = {
+        "status": 200,
+        "tokens": expected_tokens(prompt, ANSWER_TOKENS),
+        "is_whole": True,
+    }
+    fields = {name: options.pop(name) for name in list(options) if name in SAW}
+    saw = CallerSaw(prompt=prompt, **{**saw, **fields})
+    return Call(kind, "e0", saw, at, at + 0.5, **options)
+
+
+SAW = {field.name for field in attrs.fields(CallerSaw)}
+
+
+def run(prompt, attempt="a.1", runner="r0", salt="s", cached=0, weights=1):
+    return RunnerSaw(runner, attempt, prompt.encode(), salt, cached, weights, "one")
+
+
+class CheckersTest(TestCase):
+    """Each kind of broken history is caught, and its sound neighbour is not."""
+
+    def violations(self, **seen):
+        return check_all(Seen(**seen))
+
+    def test_a_sound_history_has_no_violations(self):
+        seen = {"calls": [call("p")], "attempts": [run("p")]}
+        self.assertEqual([], self.violations(**seen))
+
+    def test_anothers_answer_is_caught(self):
+        wrong = expected_tokens("other", ANSWER_TOKENS)
+        self.assertNotEqual([], self.violations(calls=[call("p", tokens=wrong)]))
+
+    def test_a_cut_that_calls_itself_whole_is_caught(self):
+        short = expected_tokens("p", ANSWER_TOKENS - 1)
+        self.assertNotEqual([], self.violations(calls=[call("p", tokens=short)]))
+
+    def test_a_marked_request_that_ran_twice_is_caught(self):
+        attempts = [run("p", "a.1"), run("p", "b.1")]
+        once = call("p", kind="never")
+        self.assertNotEqual([], self.violations(calls=[once], attempts=attempts))
+        again = call("p", kind="stream")
+        self.assertEqual([], self.violations(calls=[again], attempts=attempts))
+
+    def test_a_false_not_run_is_caught(self):
+        refused = call(
+            "p", status=503, tokens=(), is_whole=False, error_code="x", was_run="no"
+        )
+        self.assertEqual([], self.violations(calls=[refused]))
+        self.assertNotEqual([], self.violations(calls=[refused], attempts=[run("p")]))
+
+    def test_a_not_run_after_a_lost_try_promises_nothing_about_that_try(self):
+        lost = call("p", kind="keyed", status=0, tokens=(), is_whole=False, is_cut=True)
+        refused = call(
+            "p",
+            "keyed",
+            status=409,
+            tokens=(),
+            is_whole=False,
+            error_code="x",
+            was_run="no",
+        )
+        deeds = [Deed("host_kill", "e0", 99.0, 101.0)]
+        found = self.violations(calls=[lost, refused], attempts=[run("p")], deeds=deeds)
+        self.assertEqual([], found)
+
+    def test_old_weights_entries_are_caught(self):
+        attempts = [run("p", "a.1"), run("q", "b.1", cached=16, weights=2)]
+        self.assertNotEqual([], self.violations(attempts=attempts))
+
+    def test_a_revision_that_falls_within_a_life_is_caught(self):
+        fall = [Observed("e0/1", 5), Observed("e0/1", 4)]
+        self.assertNotEqual([], self.violations(revisions=fall))
+        restart = [Observed("e0/1", 5), Observed("e0/2", 4)]
+        self.assertEqual([], self.violations(revisions=restart))
+
+    def test_an_old_holders_order_is_caught(self):
+        self.assertNotEqual([], self.violations(orders={"r0": [3, 5, 4]}))
+        self.assertEqual([], self.violations(orders={"r0": [3, 3, 5]}))
+
+    def test_a_cut_counts_in_calm_times_only(self):
+        cut = call("p", status=0, tokens=(), is_whole=False, is_cut=True)
+        seen = {"calls": [cut], "attempts": [run("p")]}
+        planned = [Deed("host_term", "e0", 99.0, 101.0)]
+        self.assertNotEqual([], self.violations(**seen, deeds=planned))
+        killed = [Deed("host_kill", "e0", 99.0, 101.0)]
+        self.assertEqual([], self.violations(**seen, deeds=killed))
+        crossing = {"calls": [cut], "deeds": planned}
+        self.assertEqual([], self.violations(**crossing))
+
+    def test_work_for_a_runner_that_is_leaving_is_caught(self):
+        deeds = [Deed("runner_leave", "r0", 100.0, 110.0)]
+        for at, is_caught in ((101.0, False), (105.0, True), (111.0, False)):
+            found = self.violations(
+                attempts=[run("p")], started={"a.1": at}, deeds=deeds
+            )
+            self.assertEqual(is_caught, bool(found), at)
+
+    def test_a_wrong_answer_of_the_service_is_caught(self):
+        self.assertNotEqual(
+            [], self.violations(calls=[call(kind="read", is_whole=False)])
+        )
+
+
+class PlanTest(TestCase):
+    def test_a_seed_draws_the_same_plan_again(self):
+        plans = [draw_plan(random.Random(3), 5.0, 8.0, 20) for _ in range(2)]
+        self.assertEqual(*plans)
+
+    def test_planned_work_has_its_time_alone(self):
+        for seed in range(20):
+            for fault in draw_plan(random.Random(seed), 5.0, 8.0, 20):
+                if fault.at_seconds < 5.0:
+                    self.assertIn(fault.kind, PLANNED)
+
+    def test_every_kind_can_be_carried_out(self):
+        for kind in (*PLANNED, *UNPLANNED):
+            self.assertTrue(callable(getattr(Saboteur, f"_{kind}")), kind)
+
+
+class ShortRunTest(TestCase):
+    def test_a_short_seeded_run_keeps_the_promises(self):
+        with tempfile.TemporaryDirectory() as folder:
+            verdict = anyio.run(play, CI_TERMS, Path(folder))
+        self.assertEqual([], verdict.violations)
+        self.assertGreater(verdict.served_count, 0)
