--- a/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
@@ -47,7 +47,8 @@
     if decision["kind"] == "refuse":
         output.say(
             f"refused: {decision['reason']}, run state {decision['run_state']}, "
-            f"come back in {decision['retry_after_seconds']} seconds"
+            f"come back in {decision['retry_after_seconds']} seconds; "
+            f"{decision['evidence']}"
         )
         return
     output.say(f"sent to {decision['upstream']} as {decision['attempt_id']}")
--- a/packages/rampwick-cli/src/rampwick_cli/_main.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_main.py
@@ -16,6 +16,7 @@
 from . import _exit_codes
 from ._ask import run_ask
 from ._host_commands import run_drain, run_explain, run_status
+from ._log_commands import run_logs
 from ._output import Output, complain
 from ._tree_commands import run_tree
 from ._weights_commands import run_weights
@@ -32,6 +33,7 @@
   rampwick tree set /herbaria tokens_per_second=50000 --wait
   rampwick tree set /herbaria weight=2 --base 17     refuse if changed since 17
   rampwick status
+  rampwick logs host.log --about REQUEST-ID          what became of a request
   rampwick ask --model lektor --key KEY "What is on this label?"
 
 {_exit_codes.DESCRIPTION}"""
@@ -63,6 +65,9 @@
     except RampwickError as error:
         complain(error)
         return _exit_codes.INVALID
+    except OSError as error:
+        complain(error)
+        return _exit_codes.INVALID
     except httpx.HTTPStatusError as error:
         complain(f"status {error.response.status_code}")
         return _exit_codes.FAILED
@@ -98,8 +103,9 @@
     _add_check(commands, common)
     _add_host(commands, common, "status", run_status)
     explain = _add_host(commands, common, "explain", run_explain)
-    explain.add_argument("request_id", help="the answer's X-Request-Id")
+    explain.add_argument("request_id", help="the id that the caller was told")
     _add_host(commands, common, "drain", run_drain)
+    _add_logs(commands, common)
     _add_ask(commands, common)
     return parser
 
@@ -170,6 +176,17 @@
     command.add_argument("settings", type=Path)
 
 
+def _add_logs(commands: Any, common: argparse.ArgumentParser) -> None:
+    command = commands.add_parser("logs", parents=[common], help=run_logs.__doc__)
+    command.set_defaults(run=run_logs)
+    command.add_argument("files", nargs="*", help="log files; none reads the input")
+    command.add_argument("--about", help="a request, an upstream or a peer")
+    command.add_argument("--workspace", help="path of a workspace")
+    command.add_argument("--part", help="what writes it: entry, route, beliefs, ...")
+    command.add_argument("--problems", action="store_true", help="problems only")
+    command.add_argument("--follow", action="store_true", help="wait for more lines")
+
+
 def _add_ask(commands: Any, common: argparse.ArgumentParser) -> None:
     command = commands.add_parser("ask", parents=[common], help=run_ask.__doc__)
     command.set_defaults(run=run_ask)
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -21,7 +21,7 @@
 MAX_PAUSE_SECONDS = 0.8
 
 #: Time between two looks at whether this host is to read.
-ROLE_SECONDS = 0.2
+ROLE_SECONDS = 0.5
 
 
 @attrs.frozen
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -42,6 +42,7 @@
     HostListRead as HostListRead,
     LoadOrdered as LoadOrdered,
     LoadReported as LoadReported,
+    PeerGone as PeerGone,
     PeerHeard as PeerHeard,
     ProbeFailed as ProbeFailed,
     Refuse as Refuse,
@@ -52,7 +53,7 @@
     TreeInForce as TreeInForce,
     WeightsSeen as WeightsSeen,
 )
-from ._hall_news import HallNews as HallNews
+from ._hall_news import HallNews as HallNews, without as without
 from ._health import Health as Health, HealthState as HealthState
 from ._host_lists import diff_hosts as diff_hosts, patch_hosts as patch_hosts
 from ._imports import kept_life as kept_life
@@ -64,7 +65,7 @@
 from ._lapses import LapseGuard as LapseGuard
 from ._lease import LeaseWatcher as LeaseWatcher
 from ._leaving import fits_before as fits_before
-from ._membership import Membership as Membership
+from ._membership import Membership as Membership, PeerView as PeerView
 from ._notices import Notice as Notice
 from ._orders import (
     PlannedOrder as PlannedOrder,
@@ -90,13 +91,18 @@
     chain_from_parts as chain_from_parts,
     part_key as part_key,
 )
+from ._relaying import RelayListener as RelayListener
 from ._request import (
     Outcome as Outcome,
     RequestLifecycle as RequestLifecycle,
     RunState as RunState,
 )
 from ._retry import RetryBudget as RetryBudget, RetryBudgets as RetryBudgets
-from ._roles import Member as Member, MemberTable as MemberTable
+from ._roles import (
+    Member as Member,
+    MemberTable as MemberTable,
+    Neighbours as Neighbours,
+)
 from ._rollout import (
     AskReport as AskReport,
     OrderResult as OrderResult,
--- a/packages/rampwick-policy/src/rampwick_policy/_cache_news.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_cache_news.py
@@ -11,9 +11,8 @@
 
 from . import _rendezvous
 from ._events import CacheChanges, CacheSeen
-from ._membership import PeerView
 from ._prefix import Scope, cache_salt
-from ._roles import Member
+from ._roles import Member, Neighbours
 
 _KEY = b"cache events of "
 
@@ -97,21 +96,16 @@
         ]
 
 
-def is_cache_reader(
-    own: Member, upstream: str, hall: str, live_peers: Iterable[PeerView]
-) -> bool:
+def is_cache_reader(own: Member, upstream: str, hall: str, near: Neighbours) -> bool:
     """Return whether this host shall read the cache events of an upstream.
 
-    One host of the upstream's own hall does for all, where there is any: then the
+    One host of the upstream's own hall does for all, where any is heard: then the
     events cross between halls once. Hosts agree as far as they hear each other; one
     that hears nobody reads for itself.
     """
-    staying = [view for view in live_peers if not view.summary.is_leaving]
-    halls = {view.hall for view in staying} | {own.hall}
-    if hall in halls:
-        if own.hall != hall:
-            return False
-        staying = [view for view in staying if view.hall == hall]
-    names = [view.name for view in staying if view.summary.hosts_count == 1]
-    ranked = _rendezvous.rank(_KEY + upstream.encode()[:40], [*names, own.name])
-    return ranked[0] == own.name
+    key = _KEY + upstream.encode()[:40]
+    halls = near.halls | {own.hall}
+    reading_hall = hall if hall in halls else _rendezvous.rank(key, halls)[0]
+    if reading_hall != own.hall:
+        return False
+    return _rendezvous.rank(key, near.staying | {own.name})[0] == own.name
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -131,6 +131,13 @@
     summary: Summary
 
 
+@attrs.frozen
+class PeerGone:
+    """What a peer said counts no more: another tells it, or it has left."""
+
+    name: str
+
+
 @attrs.frozen
 class WeightsSeen:
     """An upstream showed which weights it has: by an answer, or through a peer.
@@ -207,6 +214,7 @@
     | ProbeFailed
     | HostListRead
     | PeerHeard
+    | PeerGone
     | WeightsSeen
     | LoadOrdered
     | CacheSeen
--- a/packages/rampwick-policy/src/rampwick_policy/_hall_news.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_hall_news.py
@@ -1,4 +1,4 @@
-"""What a whole hall says, put together by its relay for other halls."""
+"""What many hosts say, put together by a relay for those that don't hear them."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -49,6 +49,56 @@
         )
 
 
+def without(total: Summary, part: Summary) -> Summary:
+    """Return a sum of summaries without one that is part of it.
+
+    A host takes its own word out of what its relay tells of all.
+    """
+    used = {item.workspace: item.used_tokens for item in part.workspaces}
+    loads = {(item.upstream, item.incarnation): item for item in part.upstreams}
+    waiting = {
+        (item.workspace, item.service): item.requests_count for item in part.waiting
+    }
+    return attrs.evolve(
+        total,
+        workspaces=[
+            WorkspaceUsage(
+                item.workspace,
+                max(0, item.used_tokens - used.get(item.workspace, 0)),
+            )
+            for item in total.workspaces
+        ],
+        upstreams=[
+            _less(item, loads.get((item.upstream, item.incarnation)))
+            for item in total.upstreams
+        ],
+        waiting=[
+            attrs.evolve(
+                item,
+                requests_count=max(
+                    0,
+                    item.requests_count
+                    - waiting.get((item.workspace, item.service), 0),
+                ),
+            )
+            for item in total.waiting
+        ],
+        hosts_count=max(1, total.hosts_count - part.hosts_count),
+    )
+
+
+def _less(total: UpstreamUsage, part: UpstreamUsage | None) -> UpstreamUsage:
+    if part is None:
+        return total
+    return UpstreamUsage(
+        total.upstream,
+        total.incarnation,
+        max(0, total.running_count - part.running_count),
+        max(0, total.waiting_tokens - part.waiting_tokens),
+        max(0, total.urgent_tokens - part.urgent_tokens),
+    )
+
+
 def _sum_workspaces(summaries: Iterable[Summary]) -> list[WorkspaceUsage]:
     used: Counter[str] = Counter()
     for summary in summaries:
--- a/packages/rampwick-policy/src/rampwick_policy/_health.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_health.py
@@ -13,6 +13,9 @@
 MIN_PAUSE_SECONDS = 0.25
 MAX_PAUSE_SECONDS = 8.0
 
+#: Failures in a row that are told apart.
+MAX_COUNTED_FAILURES = 16
+
 
 class HealthState(enum.Enum):
     """Whether an upstream gets work."""
@@ -33,10 +36,13 @@
     #: When the present state began.
     since_seconds: float = 0.0
     last_error: str = ""
+    #: Failures in a row, answers between them set it to nothing.
+    failures_count: int = 0
 
     def note_failure(self, error: str, now_seconds: float) -> None:
         """Take the upstream out; soon after a return, for twice as long."""
         was_back_seconds = now_seconds - self.since_seconds
+        self.failures_count = min(self.failures_count + 1, MAX_COUNTED_FAILURES)
         if self.state is HealthState.DOWN:
             pass
         elif was_back_seconds < self.ramp_seconds and self.last_error:
@@ -53,6 +59,7 @@
         A life that went on had only a broken connection, and its cache is warm: it
         gets its slots back at once. A new one gets them on the ramp.
         """
+        self.failures_count = 0
         if self.state is not HealthState.DOWN:
             return
         if now_seconds - self.since_seconds < self.pause_seconds:
--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -91,6 +91,12 @@
             self._count(view.summary, sign=-1)
         return gone
 
+    def drop(self, name: str) -> None:
+        """Forget a peer and what it said of its load."""
+        known = self._views.pop(name, None)
+        if known is not None:
+            self._count(known.summary, sign=-1)
+
     def hears_anyone(self, now_seconds: float) -> bool:
         """Return whether any peer is alive as far as this host knows."""
         return next(self.live(now_seconds), None) is not None
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -246,20 +246,21 @@
     Among sources that hold nothing more, the last one is asked all the same: what
     is known of a store is old, and a question costs next to nothing.
     """
-    usable = [
-        source
-        for source in sources
-        if source.weights_version == runner.weights_version
-        and source.name != runner.name
-    ]
-    if not usable:
-        return None
-
-    def saved_seconds(source: ImportSource) -> float:
-        extra = max(0, source.held_tokens - cached_tokens)
-        return runner.prefill_seconds(extra) - source.seconds(cached_tokens)
-
-    return max(reversed(usable), key=saved_seconds)
+    best: ImportSource | None = None
+    best_saved_seconds = -math.inf
+    seconds_per_token = 1.0 / runner.prefill_tokens_per_second
+    for source in reversed(sources):
+        if source.weights_version != runner.weights_version:
+            continue
+        if source.name == runner.name:
+            continue
+        extra = source.held_tokens - cached_tokens
+        saved_seconds = 0.0
+        if extra > 0:
+            saved_seconds = extra * seconds_per_token - source.seconds(cached_tokens)
+        if saved_seconds > best_saved_seconds:
+            best, best_saved_seconds = source, saved_seconds
+    return best
 
 
 def _choice(
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -3,7 +3,9 @@
 It takes news and answers questions; it decides nothing about requests.
 """
 
+import heapq
 from collections.abc import Callable, Mapping
+from operator import attrgetter
 from typing import Any
 
 from rampwick_schema import (
@@ -30,6 +32,10 @@
 #: Time for which peers are told that an upstream was found to be down.
 DOWN_TOLD_SECONDS = 1.0
 
+#: Runners of one version that are weighed as sources of a prompt, those that hold most
+#: first: one for the choice, the others where it is the source itself.
+MAX_HOLDERS = 3
+
 #: Longest time that a busy upstream is left alone.
 MAX_BUSY_SECONDS = 1.0
 
@@ -39,6 +45,7 @@
     | ev.ProbeFailed
     | ev.HostListRead
     | ev.PeerHeard
+    | ev.PeerGone
     | ev.WeightsSeen
     | ev.LoadOrdered
     | ev.TargetsRead
@@ -67,6 +74,7 @@
             ev.ProbeFailed: self._on_probe_failed,
             ev.HostListRead: self._on_host_list,
             ev.PeerHeard: self._on_peer,
+            ev.PeerGone: self._on_peer_gone,
             ev.WeightsSeen: self._on_weights,
             ev.LoadOrdered: self._on_load,
             ev.TargetsRead: self._on_targets,
@@ -87,22 +95,20 @@
         terms = self.imports.service(service)
         if terms is None:
             return []
-        versions = set()
-        sources = []
+        holders: dict[int, list[Holder]] = {}
         for upstream in self.upstreams:
             if upstream.entry.group != service or upstream.life is None:
                 continue
-            versions.add(upstream.life.weights_version)
+            version = upstream.life.weights_version
+            of_version = holders.setdefault(version, [])
             held = self.knowledge.cached_tokens(upstream.name, chain)
             if held and upstream.health.state is not HealthState.DOWN:
-                holder = Holder(
-                    upstream.name,
-                    upstream.entry.address,
-                    held,
-                    upstream.life.weights_version,
-                )
-                sources.append(self.imports.runner_source(terms, holder))
-        for version in versions:
+                address = upstream.entry.address
+                of_version.append(Holder(upstream.name, address, held, version))
+        sources = []
+        for version, found in holders.items():
+            best = heapq.nlargest(MAX_HOLDERS, found, key=attrgetter("held_tokens"))
+            sources += [self.imports.runner_source(terms, holder) for holder in best]
             store = self.imports.store_source(terms, version, chain, now_seconds)
             if store is not None:
                 sources.append(store)
@@ -308,6 +314,11 @@
         capacity = cache_tokens or (service.cache_tokens if service else 0)
         self.knowledge.observe_life(upstream.name, upstream.life, capacity)
 
+    def _on_peer_gone(self, event: ev.PeerGone, now_seconds: float) -> None:
+        self.peers.drop(event.name)
+        self.ledger.hear(event.name, (), now_seconds)
+        self.notices.forget("peer", event.name, "others speak for it now")
+
     def _on_peer(self, event: ev.PeerHeard, now_seconds: float) -> None:
         is_news = self.peers.hear(
             event.name, event.hall, event.incarnation, event.summary, now_seconds
--- a/packages/rampwick-policy/src/rampwick_policy/_roles.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_roles.py
@@ -1,13 +1,15 @@
 """Which hosts talk to which, and who reads the platform for the others.
 
 A small fleet is one group: all its hosts hear each other. In a larger one the hosts
-of each hall are a group, and one host of each, the relay, tells the other halls what
-its group says, all in one. A few hosts of each group read the platform and the others
-ask them. Nobody agrees on anything: each host ranks the members that it knows and
-hears, by the speed of their links, and takes the role that its own place gives it.
+of each hall are a group. Each tells the first two of its hall, the relays, what it has
+to say; the first of them adds it up, tells the other halls' relays, and tells its own
+hall what the whole fleet says. A few hosts of each group read the platform and the
+others ask them. Nobody agrees on anything: each host ranks the members that it knows
+and hears, by the speed of their links, and takes the role that its own place gives it.
 Two hosts that differ do a role twice for a while, which costs some calls.
 """
 
+import itertools
 from collections.abc import Collection, Iterable, Iterator
 
 import attrs
@@ -23,7 +25,8 @@
 READERS_COUNT = 3
 LARGE_READERS_COUNT = 1
 
-#: Hosts of each group that keep links to other groups; the first that is heard relays.
+#: Relays of each hall: hosts that hear all of it and the other halls' relays. The first
+#: that is heard speaks; the next one is ready to.
 RELAYS_COUNT = 2
 
 #: Time for which a member that could not be reached is passed over.
@@ -44,6 +47,17 @@
     link_megabits_per_second: float = 1000.0
 
 
+@attrs.frozen
+class Neighbours:
+    """Whom a host hears: its own hall's hosts by name, and the halls."""
+
+    #: Hosts of its own hall.
+    heard: frozenset[str] = frozenset()
+    #: Those of them that are not leaving.
+    staying: frozenset[str] = frozenset()
+    halls: frozenset[str] = frozenset()
+
+
 class MemberTable:
     """The members of the fleet that this host knows, and its own place among them."""
 
@@ -54,6 +68,7 @@
         # Roles are asked for with each message and seldom change.
         self._group: list[Member] | None = None
         self._ranking: tuple[frozenset[str], list[Member]] | None = None
+        self._halls: dict[str, list[Member]] = {}
 
     def __iter__(self) -> Iterator[Member]:
         return iter(list(self._members.values()))
@@ -85,9 +100,10 @@
 
     def _forget_roles(self) -> None:
         self._group = self._ranking = None
+        self._halls.clear()
 
     def note_unreachable(self, name: str, now_seconds: float) -> None:
-        """Note that a member could not be reached."""
+        """Note that a member could not be reached, or fell silent."""
         self._unreachable_until[name] = now_seconds + UNREACHABLE_SECONDS
 
     @property
@@ -136,23 +152,38 @@
 
     def wanted_links(self, now_seconds: float) -> list[Member]:
         """Return the members that this host is to keep a link to."""
-        wanted = self.group()
         if not self.is_large:
-            return wanted
-        if self.own in self._candidates(self.own.hall, now_seconds):
+            return self.group()
+        halls = {self.own.hall}
+        if self.is_relay_candidate(now_seconds):
             halls = {member.hall for member in self._members.values()}
-            for hall in sorted(halls - {self.own.hall}):
-                wanted += self._candidates(hall, now_seconds)
-        return wanted
-
-    def _candidates(self, hall: str, now_seconds: float) -> list[Member]:
-        of_hall = [
+        return [
             member
-            for member in self._members.values()
-            if member.hall == hall
-            and now_seconds >= self._unreachable_until.get(member.name, -1.0)
+            for hall in sorted(halls)
+            for member in self.relays(hall, now_seconds)
+            if member != self.own
         ]
-        return _ranked(of_hall)[:RELAYS_COUNT]
+
+    def is_relay_candidate(self, now_seconds: float) -> bool:
+        """Return whether this host is one of its hall's relays."""
+        return self.is_large and self.own in self.relays(self.own.hall, now_seconds)
+
+    def relays(self, hall: str, now_seconds: float) -> list[Member]:
+        """Return the relays of a hall, the one that speaks first."""
+        if hall not in self._halls:
+            self._halls[hall] = _ranked(
+                member for member in self._members.values() if member.hall == hall
+            )
+        reachable = (
+            member
+            for member in self._halls[hall]
+            if not self.is_passed_over(member.name, now_seconds)
+        )
+        return list(itertools.islice(reachable, RELAYS_COUNT))
+
+    def is_passed_over(self, name: str, now_seconds: float) -> bool:
+        """Return whether a member was out of reach or silent a moment ago."""
+        return now_seconds < self._unreachable_until.get(name, -1.0)
 
 
 def _ranked(members: Iterable[Member]) -> list[Member]:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -83,6 +83,7 @@
             ev.ProbeFailed: self._on_probe_failed,
             ev.HostListRead: self._on_pool_news,
             ev.PeerHeard: self._on_pool_news,
+            ev.PeerGone: self._on_pool_news,
             ev.WeightsSeen: self._on_pool_news,
             ev.LoadOrdered: self._on_pool_news,
             ev.TargetsRead: self._on_pool_news,
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -29,11 +29,12 @@
 #: begin on them: requests wait at runners, too.
 OUTDATED_MARGIN_SECONDS = 1.5
 
-#: Time between two probes of an upstream that is waited for.
+#: Time between two probes of an upstream that is waited for: the first, the factor
+#: after each one that failed, and the longest. Most that are down stay down, and each
+#: host asks for itself.
 AWAITED_PROBE_SECONDS = 0.25
-
-#: Time between two probes of an upstream that is suspected to be gone.
-SUSPECTED_PROBE_SECONDS = 0.05
+PROBE_FACTOR = 1.6
+MAX_AWAITED_PROBE_SECONDS = 2.0
 
 #: Time for which a suspicion that a probe has cleared does not come again.
 TRUST_SECONDS = 2.0
@@ -252,21 +253,30 @@
         """
         due = []
         for upstream in self:
-            is_awaited = upstream.health.state is HealthState.DOWN or (
-                upstream.is_runner and upstream.life is None
-            )
-            interval_seconds = self._retry.probe_interval_seconds
-            if upstream.is_suspected:
-                interval_seconds = SUSPECTED_PROBE_SECONDS
-            elif is_awaited:
-                interval_seconds = AWAITED_PROBE_SECONDS
-            elif not interval_seconds:
-                continue
-            if now_seconds - upstream.probed_at_seconds >= interval_seconds:
+            if self._probe_wait(upstream, now_seconds) <= 0.0:
                 upstream.probed_at_seconds = now_seconds
                 due.append(upstream.entry)
         return due
 
+    def probe_pause(self, now_seconds: float) -> float:
+        """Return the time until the next probe is due; infinite if none will be."""
+        waits = (self._probe_wait(upstream, now_seconds) for upstream in self)
+        return max(0.0, min(waits, default=math.inf))
+
+    def _probe_wait(self, upstream: Upstream, now_seconds: float) -> float:
+        is_awaited = upstream.health.state is HealthState.DOWN or (
+            upstream.is_runner and upstream.life is None
+        )
+        interval_seconds = self._retry.probe_interval_seconds
+        if upstream.is_suspected or is_awaited:
+            growth = PROBE_FACTOR**upstream.health.failures_count
+            interval_seconds = min(
+                AWAITED_PROBE_SECONDS * growth, MAX_AWAITED_PROBE_SECONDS
+            )
+        if not interval_seconds:
+            return math.inf
+        return upstream.probed_at_seconds + interval_seconds - now_seconds
+
     def suspect(self, upstream: Upstream, now_seconds: float) -> bool:
         """Suspect an upstream that fell silent; return whether that is new.
 
--- a/packages/rampwick-policy/src/rampwick_policy/_watchers.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_watchers.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable
 
 from . import _rendezvous
-from ._membership import PeerView
 
 #: Hosts in each hall that keep a watch, so that one may fail unnoticed.
 WATCHERS_PER_HALL = 2
@@ -15,8 +14,7 @@
 _KEY = b"configuration watch"
 
 
-def is_watcher(host: str, hall: str, live_peers: Iterable[PeerView]) -> bool:
-    """Return whether ``host`` shall keep a watch, by what it hears."""
-    names = [view.name for view in live_peers if view.hall == hall]
-    ranked = _rendezvous.rank(_KEY, [*names, host])
+def is_watcher(host: str, heard: Iterable[str]) -> bool:
+    """Return whether ``host`` shall keep a watch, by whom it hears of its hall."""
+    ranked = _rendezvous.rank(_KEY, {*heard, host})
     return host in ranked[:WATCHERS_PER_HALL]
--- a/packages/rampwick-router/src/rampwick_router/_cache_mail.py
+++ b/packages/rampwick-router/src/rampwick_router/_cache_mail.py
@@ -39,16 +39,20 @@
         self._read_here = CacheBox()
         #: What other halls told.
         self._read_elsewhere = CacheBox()
+        self._has_news = anyio.Event()
 
     async def run(self) -> None:
         """Hand on what was gathered, again and again until cancelled."""
         while True:
+            await self._has_news.wait()
+            self._has_news = anyio.Event()
             await anyio.sleep(GATHER_SECONDS)
             self._hand_on()
 
     def tell(self, seen: CacheSeen) -> None:
         """Take events that this host has read; they are told in their turn."""
         self._read_here.add(seen)
+        self._has_news.set()
 
     def take(self, link: Link, news: CacheNews) -> None:
         """Take events that a peer tells; a relay tells them further."""
@@ -59,6 +63,7 @@
             self._scheduler.post(seen)
             if is_relay:
                 box.add(seen)
+                self._has_news.set()
 
     def _hand_on(self) -> None:
         here, elsewhere = self._read_here.take(), self._read_elsewhere.take()
--- a/packages/rampwick-router/src/rampwick_router/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/_cache_reader.py
@@ -10,6 +10,7 @@
     CacheSeen,
     Life,
     Member,
+    Neighbours,
     SaltBook,
     Scheduler,
     Scope,
@@ -40,7 +41,7 @@
 FAILURE_PAUSE_SECONDS = 1.0
 
 #: Time between two looks at which caches this host is to read.
-ROLE_SECONDS = 0.5
+ROLE_SECONDS = 1.0
 
 log = PartLogger("cache")
 
@@ -77,6 +78,7 @@
         dialect: CacheDialect,
         salts: SaltBook,
         tell_peers: Callable[[CacheSeen], None],
+        list_neighbours: Callable[[], Neighbours],
     ) -> None:
         self._own = own
         self._scheduler = scheduler
@@ -84,6 +86,7 @@
         self._dialect = dialect
         self._salts = salts
         self._tell_peers = tell_peers
+        self._list_neighbours = list_neighbours
         self._scopes: dict[Source, anyio.CancelScope] = {}
 
     async def run(self) -> None:
@@ -114,11 +117,11 @@
         if store is not None:
             sources.add(Source(store.name, store.hall, store.address))
         self._salts.prepare(_list_scopes(scheduler), _list_versions(scheduler))
-        peers = list(scheduler.peers.live(now_seconds))
+        near = self._list_neighbours()
         return {
             source
             for source in sources
-            if is_cache_reader(self._own, source.name, source.hall, peers)
+            if is_cache_reader(self._own, source.name, source.hall, near)
         }
 
     async def _follow(self, source: Source, scope: anyio.CancelScope) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/_configuration_sources.py
@@ -14,12 +14,11 @@
     TreeStore,
     decode_changes,
 )
-from rampwick_policy import Scheduler, is_watcher
+from rampwick_policy import Neighbours, is_watcher
 from rampwick_schema import DataError, RampwickError, Settings, Tree
 
 from ._configuration import ConfigurationTask
 from ._logs import PartLogger
-from ._scheduler_task import SchedulerTask
 
 #: Wait after a failed call, and before a host without a watch looks by itself.
 FAILURE_PAUSE_SECONDS = 0.5
@@ -41,12 +40,12 @@
         self,
         store: TreeStore,
         settings: Settings,
-        scheduler: SchedulerTask,
+        list_neighbours: Callable[[], Neighbours],
         read_clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._settings = settings
-        self._scheduler = scheduler
+        self._list_neighbours = list_neighbours
         self._read_clock = read_clock
         self._store_version = 0
 
@@ -60,7 +59,7 @@
                 if is_due or task.follower.has_gap:
                     await self._load(task)
                     looked_at_seconds = now_seconds
-                elif await self._is_watcher():
+                elif self._is_watcher():
                     await self._watch(task)
                 else:
                     await anyio.sleep(ROLE_INTERVAL_SECONDS)
@@ -71,14 +70,8 @@
     async def refresh(self) -> None:
         """Do nothing: an old tree only refuses what a newer one may allow."""
 
-    async def _is_watcher(self) -> bool:
-        host = self._settings.host
-
-        def ask(scheduler: Scheduler, now_seconds: float) -> bool:
-            peers = scheduler.peers.live(now_seconds)
-            return is_watcher(host.name, host.hall, peers)
-
-        return await self._scheduler.ask(ask)
+    def _is_watcher(self) -> bool:
+        return is_watcher(self._settings.host.name, self._list_neighbours().heard)
 
     async def _load(self, task: ConfigurationTask) -> None:
         began_seconds = self._read_clock()
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -34,6 +34,7 @@
 from ._reading_role import ReadingRole
 from ._scheduler_task import SchedulerTask
 from ._servers import Addresses, Listeners, listen, serve_apps
+from ._silence import SilenceWatch
 from ._steward import StewardTask
 from ._stream_tokens import StreamTokens
 from ._target_sources import PolledTargets, WatchedTargets
@@ -128,7 +129,9 @@
             dialects.cache,
             salts,
             self._gossip.cache_mail.tell,
+            self._gossip.neighbours,
         )
+        self._silences = SilenceWatch(read_clock)
         self._parts = Parts(
             settings=settings,
             scheduler=self.scheduler,
@@ -144,6 +147,7 @@
             channels=channels,
             dialects=dialects,
             salts=salts,
+            silences=self._silences,
         )
         self.entry = EntryApp(self._parts, serves_routes=integration is not None)
         self.admin = AdminApp(
@@ -171,7 +175,7 @@
         read_clock = self._clocks.monotonic
         if integration is None:
             self._configuration.source = TreeStoreSource(
-                TreeStore(api), settings, scheduler, read_clock
+                TreeStore(api), settings, self._gossip.neighbours, read_clock
             )
             interval_seconds = settings.platform.host_list_interval_seconds
             self._hosts.source = PolledHosts(api, interval_seconds)
@@ -182,6 +186,7 @@
         role = ReadingRole(
             self._gossip.table,
             lambda: self._gossip.live_names,
+            lambda: self._gossip.hears_nobody,
             lambda: self._gossip.answered_at_seconds,
             self._configuration,
             self._hosts,
@@ -246,6 +251,7 @@
         if self._directory is not None:
             tasks.start_soon(self._directory.run)
         tasks.start_soon(self.entry.watch_callers)
+        tasks.start_soon(self._silences.run)
         tasks.start_soon(self._log_state)
         tasks.start_soon(self._gossip.run, listeners.peer)
         log.info("started", host=self._settings.host.name)
--- a/packages/rampwick-router/src/rampwick_router/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_exchange.py
@@ -80,7 +80,9 @@
 
     async def run(self) -> None:
         """Serve the request; return when the caller has its final answer."""
-        with self.parts.scheduler.submit(self.arrival()) as decisions:
+        arrival = self.arrival()
+        submitted = self.parts.scheduler.submit(arrival, self.caller_request_id)
+        with submitted as decisions:
             try:
                 async with anyio.create_task_group() as task_group:
                     task_group.start_soon(self._watch_caller, task_group.cancel_scope)
--- a/packages/rampwick-router/src/rampwick_router/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/_gossip.py
@@ -1,8 +1,8 @@
 """What hosts tell each other, and when.
 
-Within a group every host tells every other a summary at each interval; it is the
-heartbeat, too. In a large fleet the first host of each hall adds its hall's summaries
-up and tells the other halls, where the first host passes them on.
+In a small fleet every host tells every other a summary at each interval; it is the
+heartbeat, too. In a large one each tells its hall's relays, and the first of these
+tells its hall what the whole fleet says.
 """
 
 from collections.abc import Callable, Iterable
@@ -10,9 +10,20 @@
 
 import anyio
 
-from rampwick_policy import HallNews, Member, MemberTable, PeerHeard
+from rampwick_policy import (
+    HallNews,
+    Member,
+    MemberTable,
+    Neighbours,
+    PeerGone,
+    PeerHeard,
+    PeerView,
+    RelayListener,
+)
 from rampwick_schema import (
+    Beat,
     CacheNews,
+    FleetSummary,
     HallSummary,
     Members,
     Settings,
@@ -39,13 +50,13 @@
 from ._steward import StewardTask
 from ._upstream_tasks import HostListTask
 
-#: Hosts in a group up to which summaries go at the interval of the settings. In a
-#: larger one the interval grows with the square of the size: each host hears fewer
+#: Hosts of a small fleet up to which summaries go at the interval of the settings. In
+#: a larger one the interval grows with the square of the size: each host hears fewer
 #: messages a second, and each tells of a smaller part of the load.
 FULL_RATE_GROUP_COUNT = 9
 
-#: Time between two sums of a hall for other halls, as a multiple of the interval.
-HALL_INTERVAL_FACTOR = 1.5
+#: Tellings of a hall's sum to its own hosts for each one to the other halls.
+TELLINGS_PER_HALL_SUM = 2
 
 #: Time between two questions about the ages of a reader's knowledge.
 CONFIRM_SECONDS = 0.6
@@ -59,6 +70,9 @@
 #: Time after the start for which seeds are dialled whatever else is known.
 SEEDING_SECONDS = 2.0
 
+#: Name under which the scheduler knows what a relay tells of all other hosts.
+FLEET = "fleet"
+
 log = PartLogger("peers")
 
 
@@ -85,6 +99,7 @@
         #: Records in the store by which lonely hosts find others.
         self.directory: PeerDirectory | None = None
         self.table = MemberTable(own)
+        self._listener = RelayListener(own)
         self._links = PeerLinks(
             own, settings.peers, metrics, self._list_wanted, self._list_seeds
         )
@@ -94,13 +109,16 @@
         self._sync = PeerSync(
             configuration.follower, configuration, hosts, scheduler, read_clock
         )
+        #: What this hall's hosts say for other halls, and all hosts for this hall.
         self._hall_news = HallNews()
+        self._fleet_news = HallNews()
         self.cache_mail = CacheMail(
             self.table, self._links, scheduler, lambda: self.live_names
         )
         self._own_summary: Summary | None = None
         self._sequence = 0
-        self._hall_sequence = 0
+        #: Whether the fleet is large, and whether this host is one of its relays.
+        self._standing = (False, False)
         self._began_seconds = read_clock()
         #: Addresses known from the settings.
         self.seeds = frozenset(settings.peers.seeds)
@@ -113,7 +131,6 @@
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._links.run, listener)
-            tasks.start_soon(self._tell_halls)
             tasks.start_soon(self.cache_mail.run)
             tasks.start_soon(self._keep_ages)
             tasks.start_soon(self._tell_steward_news)
@@ -121,10 +138,42 @@
 
     # Members and roles.
 
+    @property
+    def is_relay_candidate(self) -> bool:
+        """Whether this host hears all of its hall and speaks for it, or is next to."""
+        return self.table.is_relay_candidate(self._read_clock())
+
+    @property
+    def hears_nobody(self) -> bool:
+        """Whether no word of any peer has come for a while."""
+        return not self._scheduler.live_names(self._read_clock())
+
     @property
     def live_names(self) -> set[str]:
-        """Names of the hosts that were heard of late."""
-        return self._scheduler.live_names(self._read_clock())
+        """Names of the hosts that count as alive where roles are given out."""
+        now_seconds = self._read_clock()
+        if not self.table.is_large:
+            return self._scheduler.live_names(now_seconds)
+        heard = self.neighbours().heard
+        relays = self.table.relays(self.table.own.hall, now_seconds)
+        names = heard | {member.name for member in relays}
+        return {
+            name for name in names if not self.table.is_passed_over(name, now_seconds)
+        }
+
+    def neighbours(self) -> Neighbours:
+        """Return whom this host hears, by itself or through its relay."""
+        now_seconds = self._read_clock()
+        if self.table.is_large and not self.is_relay_candidate:
+            return self._listener.neighbours(now_seconds)
+        views = self._scheduler.peer_views(now_seconds)
+        own_hall = self.table.own.hall
+        mates = [view for view in views if view.hall == own_hall]
+        return Neighbours(
+            frozenset(view.name for view in mates),
+            frozenset(view.name for view in mates if not view.summary.is_leaving),
+            frozenset(view.hall for view in views),
+        )
 
     def is_reader(self) -> bool:
         """Return whether this host is to read the platform for its group."""
@@ -138,7 +187,7 @@
 
     def _list_seeds(self) -> Iterable[str]:
         is_starting = self._read_clock() - self._began_seconds < SEEDING_SECONDS
-        if is_starting or not self.live_names:
+        if is_starting or self.hears_nobody:
             return self.seeds
         return ()
 
@@ -153,14 +202,36 @@
     def _learn(self, members: Iterable[Member]) -> None:
         news = self.table.learn(members)
         if news:
+            self._links.look_again()
             told = Members([to_record(member) for member in news])
             self._links.broadcast(told, lambda peer: True)
 
+    def _look_at_roles(self) -> None:
+        """Pass over a relay that fell silent; begin anew where the own role changes."""
+        now_seconds = self._read_clock()
+        if self.table.is_large:
+            relays = self.table.relays(self.table.own.hall, now_seconds)
+            if self._listener.is_silent(relays, now_seconds):
+                log.problem("relay is silent", peer=relays[0].name)
+                self.table.note_unreachable(relays[0].name, now_seconds)
+                self._links.look_again()
+        standing = (self.table.is_large, self.is_relay_candidate)
+        if standing == self._standing:
+            return
+        self._standing = standing
+        self._links.look_again()
+        log.info("role changed", is_large=standing[0], is_relay_candidate=standing[1])
+        # Whoever spoke for others before would be counted beside them.
+        for view in self._scheduler.peer_views(now_seconds):
+            self._scheduler.post(PeerGone(view.name))
+
     # What comes in.
 
     def _take(self, link: Link, message: Any) -> None:
         if isinstance(message, Summary):
             self._take_summary(link, message)
+        elif isinstance(message, FleetSummary):
+            self._take_fleet(link, message)
         elif isinstance(message, HallSummary):
             self._take_hall(link, message)
         elif isinstance(message, StewardNews):
@@ -178,19 +249,37 @@
         if not self.table.is_in_group(peer.hall):
             # Its relay speaks for it.
             return
-        self._scheduler.post(PeerHeard(peer.name, peer.hall, peer.incarnation, summary))
+        self._listener.note_word(peer.name, self._read_clock())
         self._sync.compare(link, summary)
+        if self.table.is_large and not self.is_relay_candidate:
+            # The relay speaks for it, too.
+            return
+        self._scheduler.post(PeerHeard(peer.name, peer.hall, peer.incarnation, summary))
         self._hall_news.take(summary)
+        self._fleet_news.take(summary)
+
+    def _take_fleet(self, link: Link, news: FleetSummary) -> None:
+        peer, own = link.peer, self.table.own
+        if not self.table.is_in_group(peer.hall):
+            return
+        now_seconds = self._read_clock()
+        relays = self.table.relays(own.hall, now_seconds)
+        word = self._listener.take(peer.name, news, relays, now_seconds)
+        if word is None:
+            return
+        self._sync.compare(link, news.summary)
+        if word.asked_at_seconds is not None:
+            self._sync.take_ages(news, word.asked_at_seconds)
+        if not self.is_relay_candidate:
+            self._scheduler.post(PeerHeard(FLEET, "", own.incarnation, word.summary))
 
     def _take_hall(self, link: Link, news: HallSummary) -> None:
-        if self.table.is_in_group(news.hall):
+        if self.table.is_in_group(news.hall) or not self.is_relay_candidate:
             return
         name = f"hall {news.hall}"
         self._scheduler.post(PeerHeard(name, news.hall, news.incarnation, news.summary))
-        if not self.table.is_in_group(link.peer.hall):
-            self._sync.compare(link, news.summary)
-            if self.table.is_relay(self.live_names):
-                self._links.broadcast(news, self._is_of_group)
+        self._sync.compare(link, news.summary)
+        self._fleet_news.take(news.summary)
 
     def _take_steward_news(self, link: Link, news: StewardNews) -> None:
         if news.holder == self.table.own.name:
@@ -202,12 +291,15 @@
         self._relay(link, news)
 
     def _relay(self, link: Link, message: Any) -> None:
-        """Pass a message on between halls, if that is this host's to do."""
+        """Pass a message on to those who did not get it, if that is this host's."""
         if not self.table.is_relay(self.live_names):
             return
         is_own = self.table.is_in_group(link.peer.hall)
         self._links.broadcast(
-            message, self._is_of_another if is_own else self._is_of_group
+            message,
+            lambda peer: (
+                peer.name != link.peer.name and (is_own or self._is_of_group(peer))
+            ),
         )
 
     # What goes out.
@@ -218,21 +310,36 @@
     def _is_of_another(self, peer: Member) -> bool:
         return not self.table.is_in_group(peer.hall)
 
+    def _is_told(self, peer: Member) -> bool:
+        """Return whether a peer is to hear this host itself."""
+        if not self.table.is_large:
+            return True
+        relays = self.table.relays(self.table.own.hall, self._read_clock())
+        return peer.name in {member.name for member in relays}
+
     @property
     def _interval_seconds(self) -> float:
-        size = len(self.table.group())
-        factor = max(1.0, size / FULL_RATE_GROUP_COUNT)
+        if self.table.is_large:
+            return self._settings.gossip_interval_seconds
+        factor = max(1.0, len(self.table.group()) / FULL_RATE_GROUP_COUNT)
         return self._settings.gossip_interval_seconds * factor**2
 
     async def _tell_again(self) -> None:
+        count = 0
         while True:
+            count += 1
+            self._look_at_roles()
             await self.tell_summary()
+            if self.table.is_relay(self.live_names):
+                self._tell_fleet()
+                if count % TELLINGS_PER_HALL_SUM == 0:
+                    self._tell_hall()
             changed = self._configuration.changed
             with anyio.move_on_after(self._interval_seconds):
                 await changed.wait()
 
     async def tell_summary(self) -> None:
-        """Send a summary to every peer of the group now."""
+        """Send a summary now to every peer that is to hear this host."""
         self._sequence += 1
         sequence = self._sequence
         summary = await self._scheduler.ask(
@@ -244,8 +351,53 @@
             )
         )
         self._own_summary = summary
-        self._links.broadcast(summary, self._is_of_group)
+        self._listener.note_told(summary, self._read_clock())
+        self._links.broadcast(summary, self._is_told)
         self._hall_news.take(summary)
+        self._fleet_news.take(summary)
+
+    def _tell_fleet(self) -> None:
+        """Tell this hall's hosts what the whole fleet says."""
+        own = self.table.own
+        now_seconds = self._read_clock()
+        views = self._scheduler.peer_views(now_seconds)
+        summary = self._fleet_news.merge(self._said_by(views), self._sequence)
+        told = FleetSummary(
+            own.incarnation,
+            self._sync.with_own_versions(summary),
+            [
+                Beat(
+                    view.name,
+                    view.incarnation,
+                    view.summary.sequence,
+                    view.summary.is_leaving,
+                )
+                for view in views
+                if view.hall == own.hall
+            ],
+            sorted({view.hall for view in views} | {own.hall}),
+            *self._sync.own_ages(),
+            self._scheduler.targets(),
+        )
+        self._links.broadcast(told, self._is_of_group)
+
+    def _tell_hall(self) -> None:
+        """Tell other halls what this one says."""
+        own = self.table.own
+        views = [
+            view
+            for view in self._scheduler.peer_views(self._read_clock())
+            if view.hall == own.hall
+        ]
+        summary = self._hall_news.merge(self._said_by(views), self._sequence)
+        told = HallSummary(own.hall, own.name, own.incarnation, summary)
+        self._links.broadcast(told, self._is_of_another)
+
+    def _said_by(self, views: Iterable[PeerView]) -> list[Summary]:
+        summaries = [view.summary for view in views]
+        if self._own_summary is not None:
+            summaries.append(self._own_summary)
+        return summaries
 
     async def _tell_steward_news(self) -> None:
         """Repeat what the steward has to say, while this host is it."""
@@ -256,42 +408,23 @@
 
     async def tell_steward_news(self) -> None:
         """Tell all hosts of loads, weights and lease now."""
-        targets = self._scheduler.targets()
         news = steward_news(
-            self.table.own.name, self._steward, targets, self._read_clock()
+            self.table.own.name,
+            self._steward,
+            self._scheduler.targets(),
+            self._read_clock(),
         )
         is_relay = self.table.is_relay(self.live_names)
-        self._links.broadcast(news, lambda peer: is_relay or self._is_of_group(peer))
-
-    async def _tell_halls(self) -> None:
-        """Tell other halls what this one says, while this host is its relay."""
-        while True:
-            if self.table.is_relay(self.live_names):
-                await self._tell_hall()
-            await anyio.sleep(self._interval_seconds * HALL_INTERVAL_FACTOR)
-
-    async def _tell_hall(self) -> None:
-        own = self.table.own
-        self._hall_sequence += 1
-        sequence = self._hall_sequence
-        views = await self._scheduler.ask(
-            lambda scheduler, now_seconds: [
-                view.summary
-                for view in scheduler.peers.live(now_seconds)
-                if view.hall == own.hall
-            ]
-        )
-        if self._own_summary is not None:
-            views.append(self._own_summary)
-        summary = self._hall_news.merge(views, sequence)
-        told = HallSummary(own.hall, own.name, own.incarnation, summary)
-        self._links.broadcast(told, self._is_of_another)
+        self._links.broadcast(news, lambda peer: is_relay or self._is_told(peer))
 
     async def _keep_ages(self) -> None:
-        """Ask a reader for the ages of its knowledge, unless this host is one."""
+        """Ask a reader for the ages of its knowledge, unless this host is one.
+
+        In a large fleet the relay tells them unasked.
+        """
         while True:
             await anyio.sleep(CONFIRM_SECONDS)
-            if self.is_reader():
+            if self.table.is_large or self.is_reader():
                 continue
             link = self._reader_link()
             if link is not None:
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -1,6 +1,7 @@
 """Command line of rampwickd."""
 
 import argparse
+import gc
 import signal
 import sys
 from collections.abc import AsyncIterator, Callable
@@ -91,6 +92,8 @@
             ),
             anyio.create_task_group() as tasks,
         ):
+            # What was loaded by now stays: no collection need look at it again.
+            gc.freeze()
             tasks.start_soon(_watch_signals, signals, daemon, path)
             announce(
                 f"rampwickd {settings.host.name} entry={addresses.entry} "
--- a/packages/rampwick-router/src/rampwick_router/_parts.py
+++ b/packages/rampwick-router/src/rampwick_router/_parts.py
@@ -22,6 +22,7 @@
 from ._life import Life
 from ._metrics import Metrics
 from ._scheduler_task import SchedulerTask
+from ._silence import SilenceWatch
 from ._stream_tokens import StreamTokens
 from ._upstream_client import UpstreamClient
 
@@ -69,6 +70,7 @@
     channels: ChannelPool
     dialects: Dialects
     salts: SaltBook
+    silences: SilenceWatch
 
     def look_up(self, call: RoutedCall) -> Access:
         """Return what the configuration in force says of a request on a route."""
--- a/packages/rampwick-router/src/rampwick_router/_peer_links.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_links.py
@@ -27,8 +27,8 @@
 
 DIAL_TIMEOUT_SECONDS = 1.0
 
-#: Time between two looks at which peers are to be dialled.
-LOOK_SECONDS = 0.25
+#: Time between two looks at which peers are to be dialled; news of members come first.
+LOOK_SECONDS = 1.0
 
 #: Messages that may wait for a slow peer before the newest are dropped.
 OUTBOX_COUNT = 128
@@ -84,6 +84,7 @@
         self._links: list[Link] = []
         self._dialled: dict[str, anyio.CancelScope] = {}
         self._accepted_count = 0
+        self._news = anyio.Event()
         #: Called with each link that opens, before anything comes over it.
         self.note_opened: Callable[[Link], None] = _ignore_link
         #: Called with each message and the link that it came over.
@@ -114,8 +115,14 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, self._accept)
             while True:
+                self._news = anyio.Event()
                 self._look(tasks)
-                await anyio.sleep(LOOK_SECONDS)
+                with anyio.move_on_after(LOOK_SECONDS):
+                    await self._news.wait()
+
+    def look_again(self) -> None:
+        """Look now at which peers are wanted, since that may have changed."""
+        self._news.set()
 
     def _look(self, tasks: TaskGroup) -> None:
         """Dial what is wanted and not dialled, and let go of what is not wanted."""
--- a/packages/rampwick-router/src/rampwick_router/_peer_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_sync.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -22,12 +22,14 @@
     ChangesRequest,
     ConfirmReply,
     ConfirmRequest,
+    FleetSummary,
     HostList,
     HostListChanges,
     HostListReply,
     HostListRequest,
     Summary,
     TreeReply,
+    WeightsTarget,
 )
 
 from ._configuration import ConfigurationTask
@@ -90,6 +92,33 @@
             return False
         return True
 
+    def own_ages(self) -> tuple[float, float]:
+        """Return the ages of the configuration and of the host list, to be told."""
+        now_seconds = self._read_clock()
+        return (
+            _tellable(self._configuration.age_seconds(now_seconds)),
+            _tellable(self._hosts.age_seconds(now_seconds)),
+        )
+
+    def with_own_versions(self, summary: Summary) -> Summary:
+        """Return a summary of many hosts with the versions that this one can give."""
+        return attrs.evolve(
+            summary,
+            revision=self._follower.revision,
+            host_list_version=self._hosts.version,
+        )
+
+    def take_ages(self, news: FleetSummary, asked_at_seconds: float) -> None:
+        """Take the ages that a relay tells, counted from a word that it had heard."""
+        self._confirm(
+            asked_at_seconds,
+            news.summary.revision,
+            news.revision_age_seconds,
+            news.summary.host_list_version,
+            news.host_list_age_seconds,
+            news.targets,
+        )
+
     def compare(self, link: Link, summary: Summary) -> None:
         """Ask a peer for what it knows and this host does not."""
         self._ask_for_newer(link, summary.revision, summary.host_list_version)
@@ -137,15 +166,13 @@
             link.put(HostListRequest(-1))
 
     def _confirmation(self, sequence: int) -> ConfirmReply:
-        now_seconds = self._read_clock()
+        revision_age_seconds, host_list_age_seconds = self.own_ages()
         return ConfirmReply(
             sequence=sequence,
             revision=self._follower.revision,
-            revision_age_seconds=_tellable(
-                self._configuration.age_seconds(now_seconds)
-            ),
+            revision_age_seconds=revision_age_seconds,
             host_list_version=self._hosts.version,
-            host_list_age_seconds=_tellable(self._hosts.age_seconds(now_seconds)),
+            host_list_age_seconds=host_list_age_seconds,
             targets=self._scheduler.targets(),
         )
 
@@ -153,15 +180,33 @@
         asked_at_seconds = self._asked_at.pop(reply.sequence, None)
         if asked_at_seconds is None:
             return
-        self.answered_at_seconds = self._read_clock()
         self._ask_for_newer(link, reply.revision, reply.host_list_version)
+        self._confirm(
+            asked_at_seconds,
+            reply.revision,
+            reply.revision_age_seconds,
+            reply.host_list_version,
+            reply.host_list_age_seconds,
+            reply.targets,
+        )
+
+    def _confirm(
+        self,
+        asked_at_seconds: float,
+        revision: int,
+        revision_age_seconds: float,
+        list_version: int,
+        list_age_seconds: float,
+        targets: Sequence[WeightsTarget],
+    ) -> None:
+        self.answered_at_seconds = self._read_clock()
         is_newest = self._follower.revision == self._follower.head_revision
-        if reply.revision and reply.revision == self._follower.revision and is_newest:
-            self._configuration.confirm(asked_at_seconds - reply.revision_age_seconds)
-        if reply.host_list_version == self._hosts.version:
-            self._hosts.confirm(asked_at_seconds - reply.host_list_age_seconds)
-        if reply.targets:
-            self._scheduler.post(TargetsRead(tuple(reply.targets)))
+        if revision and revision == self._follower.revision and is_newest:
+            self._configuration.confirm(asked_at_seconds - revision_age_seconds)
+        if list_version == self._hosts.version:
+            self._hosts.confirm(asked_at_seconds - list_age_seconds)
+        if targets:
+            self._scheduler.post(TargetsRead(tuple(targets)))
 
 
 def _tellable(age_seconds: float) -> float:
--- a/packages/rampwick-router/src/rampwick_router/_reading_role.py
+++ b/packages/rampwick-router/src/rampwick_router/_reading_role.py
@@ -27,6 +27,7 @@
         self,
         table: MemberTable,
         list_live: Callable[[], set[str]],
+        hears_nobody: Callable[[], bool],
         answered_at: Callable[[], float],
         configuration: ConfigurationTask,
         hosts: HostListTask,
@@ -35,6 +36,7 @@
     ) -> None:
         self._table = table
         self._list_live = list_live
+        self._hears_nobody = hears_nobody
         self._answered_at = answered_at
         self._configuration = configuration
         self._hosts = hosts
@@ -52,7 +54,7 @@
 
     def is_lonely(self) -> bool:
         """Return whether this host hears nobody."""
-        return not self._list_live()
+        return self._hears_nobody()
 
     def is_candidate(self) -> bool:
         """Return whether this host may take the steward's lease."""
--- a/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
@@ -31,6 +31,7 @@
 from ._parts import Parts
 from ._responder import Receive, Responder
 from ._routed_request import RoutedRequest
+from ._silence import Listening
 from ._whole_events import WholeEvents
 
 #: Answers up to this size are read whole before any of it goes to the caller, so that
@@ -73,6 +74,7 @@
         self._events_count = 0
         self._delivered_attempt_id = ""
         self._first_seconds = 0.0
+        self._listening: Listening
         #: For how long the connection of the last attempt is kept.
         self._rest_seconds = 0.0
 
@@ -124,7 +126,11 @@
             facts = dialect.read_answer(head)
             self._note_channel(channel, facts)
             self._check(head, facts, dispatch)
-            await self._pass_on(channel, head, dispatch)
+            with self.parts.silences.listen(self._silence_seconds()) as listening:
+                self._listening = listening
+                await self._pass_on(channel, head, dispatch)
+            if listening.is_silent:
+                raise self._failed(Outcome.BROKEN, "the upstream is silent", dispatch)
         self._rest_seconds = channel.max_rest_seconds
 
     def _terms(self, dispatch: Dispatch, remaining_seconds: float) -> AttemptTerms:
@@ -233,7 +239,7 @@
         events = WholeEvents(
             limits.max_event_bytes, dispatch.upstream, self._resume_after
         )
-        async for piece in self._pieces(channel, dispatch):
+        async for piece in self._pieces(channel):
             batch = events.feed(piece)
             if not batch.count:
                 continue
@@ -246,25 +252,20 @@
         await self._begin(head, dispatch)
         await self.responder.end(events.rest)
 
-    async def _pieces(
-        self, channel: Channel, dispatch: Dispatch
-    ) -> AsyncIterator[bytes]:
-        pieces = channel.receive_pieces()
-        while True:
-            piece: bytes | None = None
-            with anyio.move_on_after(self._silence_seconds()) as scope:
-                piece = await anext(pieces, None)
-            if scope.cancelled_caught:
-                raise self._failed(Outcome.BROKEN, "the upstream is silent", dispatch)
-            if piece is None:
-                return
+    async def _pieces(self, channel: Channel) -> AsyncIterator[bytes]:
+        listening = self._listening
+        self.parts.silences.note_waiting(listening)
+        async for piece in channel.receive_pieces():
+            # Whoever takes the piece may be slow; that is not the upstream's silence.
+            listening.waiting_since_seconds = None
             yield piece
+            self.parts.silences.note_waiting(listening)
 
     async def _pass_whole(
         self, channel: Channel, head: AnswerHead, dispatch: Dispatch
     ) -> None:
         kept = b""
-        async for piece in self._pieces(channel, dispatch):
+        async for piece in self._pieces(channel):
             kept += piece
             if self.responder.has_started or len(kept) > WHOLE_ANSWER_BYTES:
                 await self._begin(head, dispatch)
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -14,6 +14,8 @@
     CancelAttempt,
     Dispatch,
     Event,
+    Notice,
+    PeerView,
     Refuse,
     RequestArrived,
     Scheduler,
@@ -23,8 +25,9 @@
 
 from ._logs import PartLogger
 
-#: Time between two looks at deadlines.
+#: Time between two looks at deadlines, and while no request is open.
 TICK_SECONDS = 0.1
+IDLE_TICK_SECONDS = 1.0
 
 #: Decisions remembered for operators who ask why.
 EXPLAINED_COUNT = 1000
@@ -49,6 +52,16 @@
 
     at_seconds: float
     action: Dispatch | Refuse
+    #: Id under which the caller knows the request.
+    caller_request_id: str
+
+
+@attrs.frozen
+class Mailbox:
+    """Where the decisions about an open request go."""
+
+    decisions: MemoryObjectSendStream[Dispatch | Refuse]
+    caller_request_id: str
 
 
 class SchedulerTask:
@@ -63,14 +76,21 @@
         self._cancels: MemoryObjectSendStream[CancelAttempt]
         self.cancels: MemoryObjectReceiveStream[CancelAttempt]
         self._cancels, self.cancels = anyio.create_memory_object_stream(CANCELS_COUNT)
-        self._mailboxes: dict[str, MemoryObjectSendStream[Dispatch | Refuse]] = {}
+        self._mailboxes: dict[str, Mailbox] = {}
         self._decisions: deque[Decision] = deque(maxlen=EXPLAINED_COUNT)
+        self._has_work = anyio.Event()
+        #: Set when an upstream is to be asked at once how it is, then replaced.
+        self.has_doubt = anyio.Event()
 
     @property
     def hosts_count(self) -> int:
         """Most hosts that were alive at once of late, this one included."""
         return self._scheduler.peers.known_hosts_count
 
+    def peer_views(self, now_seconds: float) -> list[PeerView]:
+        """Return the newest words of the peers that were heard of late."""
+        return list(self._scheduler.peers.live(now_seconds))
+
     def live_names(self, now_seconds: float) -> set[str]:
         """Return the names of the peers that were heard of late."""
         return {view.name for view in self._scheduler.peers.live(now_seconds)}
@@ -84,19 +104,20 @@
         self._inbox.send_nowait(event)
 
     def submit(
-        self, arrival: RequestArrived
+        self, arrival: RequestArrived, caller_request_id: str
     ) -> MemoryObjectReceiveStream[Dispatch | Refuse]:
         """Send a request; its decisions come through the returned stream."""
         outgoing, mailbox = anyio.create_memory_object_stream[Dispatch | Refuse](8)
-        self._mailboxes[arrival.request_id] = outgoing
+        self._mailboxes[arrival.request_id] = Mailbox(outgoing, caller_request_id)
+        self._has_work.set()
         self.post(arrival)
         return mailbox
 
     def close_mailbox(self, request_id: str) -> None:
         """Stop taking decisions for a request that has its final answer."""
-        outgoing = self._mailboxes.pop(request_id, None)
-        if outgoing is not None:
-            outgoing.close()
+        mailbox = self._mailboxes.pop(request_id, None)
+        if mailbox is not None:
+            mailbox.decisions.close()
 
     async def ask(self, question: Callable[[Scheduler, float], Any]) -> Any:
         """Return what a function of the scheduler and the present time returns."""
@@ -106,11 +127,11 @@
             return await incoming.receive()
 
     def decisions(self, request_id: str) -> list[Decision]:
-        """Return what was decided of late for a request."""
+        """Return what was decided of late for a request, by its id here or outside."""
         return [
             decision
             for decision in self._decisions
-            if decision.action.request_id == request_id
+            if request_id in (decision.action.request_id, decision.caller_request_id)
         ]
 
     async def run(self) -> None:
@@ -145,6 +166,10 @@
 
     async def _tick(self) -> None:
         while True:
+            if not self._scheduler.open_count:
+                self._has_work = anyio.Event()
+                with anyio.move_on_after(IDLE_TICK_SECONDS):
+                    await self._has_work.wait()
             await anyio.sleep(TICK_SECONDS)
             self.post(Tick())
 
@@ -152,13 +177,19 @@
         for action in self._scheduler.handle(event, now_seconds):
             self._carry_out(action, now_seconds)
         for notice in self._scheduler.pool.notices.take():
-            log.info(
-                f"{notice.kind} is {_first_word(notice.after)}",
-                name=notice.name,
-                before=notice.before,
-                after=notice.after,
-                reason=notice.reason,
-            )
+            self._tell(notice)
+
+    def _tell(self, notice: Notice) -> None:
+        log.info(
+            f"{notice.kind} is {_first_word(notice.after)}",
+            name=notice.name,
+            before=notice.before,
+            after=notice.after,
+            reason=notice.reason,
+        )
+        if notice.kind == "upstream":
+            self.has_doubt.set()
+            self.has_doubt = anyio.Event()
 
     def _carry_out(self, action: Action, now_seconds: float) -> None:
         if isinstance(action, CancelAttempt):
@@ -168,12 +199,13 @@
                 # The engine ends it by itself once nobody reads its answer.
                 return
             return
-        self._decisions.append(Decision(now_seconds, action))
         mailbox = self._mailboxes.get(action.request_id)
+        caller_id = mailbox.caller_request_id if mailbox else ""
+        self._decisions.append(Decision(now_seconds, action, caller_id))
         if mailbox is None:
             return
         try:
-            mailbox.send_nowait(action)
+            mailbox.decisions.send_nowait(action)
         except anyio.BrokenResourceError:
             self.close_mailbox(action.request_id)
 
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -33,9 +33,11 @@
 from ._scheduler_task import SchedulerTask
 from ._upstream_control import CONTROL_TIMEOUT_SECONDS, UpstreamControl
 
-#: Time between two looks at the plan while there is something to do, and while not.
+#: Time between two looks at the plan while there is something to do, while there is
+#: not, and between two looks at the lease of a host that has no part in it.
 BUSY_INTERVAL_SECONDS = 0.05
 IDLE_INTERVAL_SECONDS = 0.25
+BYSTANDER_INTERVAL_SECONDS = 1.0
 
 #: Part of the lease after which it is renewed: two renewals may fail before another
 #: host takes it.
@@ -165,10 +167,16 @@
                 except (PlatformError, DataError) as error:
                     # The lease runs out by itself; nothing is ordered without it.
                     log.problem("no orders now", error=str(error))
-                interval = BUSY_INTERVAL_SECONDS if is_busy else IDLE_INTERVAL_SECONDS
-                with anyio.move_on_after(interval):
+                with anyio.move_on_after(self._pause_seconds(is_busy)):
                     await self._wake.wait()
 
+    def _pause_seconds(self, is_busy: bool) -> float:
+        if is_busy:
+            return BUSY_INTERVAL_SECONDS
+        if self.is_holder or self.is_candidate():
+            return IDLE_INTERVAL_SECONDS
+        return BYSTANDER_INTERVAL_SECONDS
+
     async def give_up(self) -> None:
         """Let another host take the lease at once, as this one stops."""
         self._has_stopped = True
--- a/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/_upstream_tasks.py
@@ -13,8 +13,8 @@
 from ._scheduler_task import SchedulerTask
 from ._upstream_control import UpstreamControl
 
-#: Time between two looks at which upstreams are to be probed.
-LOOK_INTERVAL_SECONDS = 0.25
+#: Time between two looks at which upstreams are to be probed; a new doubt comes first.
+LOOK_INTERVAL_SECONDS = 1.0
 
 log = PartLogger("upstreams")
 
@@ -93,7 +93,14 @@
                 )
                 for entry in due:
                     task_group.start_soon(self._probe, entry)
-                await anyio.sleep(LOOK_INTERVAL_SECONDS)
+                has_doubt = self._scheduler.has_doubt
+                pause_seconds = await self._scheduler.ask(
+                    lambda scheduler, now_seconds: scheduler.upstreams.probe_pause(
+                        now_seconds
+                    )
+                )
+                with anyio.move_on_after(min(pause_seconds, LOOK_INTERVAL_SECONDS)):
+                    await has_doubt.wait()
 
     async def _probe(self, entry: HostEntry) -> None:
         try:
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -8,6 +8,7 @@
     SettingsError as SettingsError,
 )
 from ._generated_peer import (
+    Beat as Beat,
     CacheChange as CacheChange,
     CacheNews as CacheNews,
     CacheUpdate as CacheUpdate,
@@ -15,6 +16,7 @@
     ChangesRequest as ChangesRequest,
     ConfirmReply as ConfirmReply,
     ConfirmRequest as ConfirmRequest,
+    FleetSummary as FleetSummary,
     HallSummary as HallSummary,
     Hello as Hello,
     HostListChanges as HostListChanges,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -170,6 +170,42 @@
     summary: Summary
 
 
+@attrs.frozen
+class Beat:
+    """A host as its hall's relay has heard it last."""
+
+    #: Name of the host.
+    host: str
+    #: Its incarnation.
+    incarnation: int = attrs.field(validator=within(0, None))
+    #: Number of its last summary that is part of the sum.
+    sequence: int = attrs.field(validator=within(0, None))
+    #: Whether it takes no new requests.
+    is_leaving: bool
+
+
+@attrs.frozen
+class FleetSummary:
+    """What all hosts of the fleet say, told by a hall's relay to each host of its hall. Ages are those at the time of telling; a host counts them from when it sent the summary that its beat names."""
+
+    CODE: ClassVar[int] = 16
+
+    #: Incarnation of the relay.
+    incarnation: int = attrs.field(validator=within(0, None))
+    #: The sums of all hosts' summaries, the receiver's included; revision and host list are the relay's own.
+    summary: Summary
+    #: Hosts of the hall that the relay hears.
+    heard: list[Beat]
+    #: Halls that the relay hears.
+    halls: list[str]
+    #: Time since the relay's revision was surely the newest.
+    revision_age_seconds: float = attrs.field(validator=within(0.0, None))
+    #: Time since its host list was surely the newest.
+    host_list_age_seconds: float = attrs.field(validator=within(0.0, None))
+    #: Weights that are wanted, as far as the relay knows.
+    targets: list[WeightsTarget]
+
+
 @attrs.frozen
 class MemberRecord:
     """One host of the fleet."""
@@ -350,6 +386,7 @@
     Proof.CODE: Proof,
     Summary.CODE: Summary,
     HallSummary.CODE: HallSummary,
+    FleetSummary.CODE: FleetSummary,
     Members.CODE: Members,
     ConfirmRequest.CODE: ConfirmRequest,
     ConfirmReply.CODE: ConfirmReply,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -543,7 +543,7 @@
         r"|create_revision|store_revision|api_keys|traffic_split|target_latency_ms",
         re.IGNORECASE,
     )
-    OUTSIDE = ("packages", "schema", "tools", "measure")
+    OUTSIDE = ("packages", "schema", "tools", "measure", "soak")
 
     def test_words_of_the_wire(self):
         found = [
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -10,6 +10,7 @@
     HostListRead,
     Life,
     Member,
+    Neighbours,
     PromptPart,
     RequestArrived,
     SaltBook,
@@ -24,7 +25,6 @@
     part_key,
 )
 from rampwick_policy._imports import KeptKnowledge
-from rampwick_policy._membership import PeerView
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -32,7 +32,6 @@
     Node,
     Routing,
     Service,
-    Summary,
     Tree,
     parse_settings,
 )
@@ -139,15 +138,13 @@
 
 
 class CacheReaderRoleTest(TestCase):
-    def view(self, name, hall):
-        return PeerView(name, hall, 1, Summary(1, 1, 1, False, [], [], []), 0.0)
-
     def readers(self, hosts, upstream_hall):
         found = []
         for name, hall in hosts:
             own = Member(name, hall, "")
-            peers = [self.view(*other) for other in hosts if other[0] != name]
-            if is_cache_reader(own, "runner", upstream_hall, peers):
+            mates = frozenset(other for other, its in hosts if its == hall) - {name}
+            near = Neighbours(mates, mates, frozenset(its for _, its in hosts))
+            if is_cache_reader(own, "runner", upstream_hall, near):
                 found.append((name, hall))
         return found
 
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -72,6 +72,7 @@
         return ReadingRole(
             table,
             lambda: live - {table.own.name},
+            lambda: False,
             lambda: host.now_seconds,
             host.configuration,
             host.hosts,
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -90,17 +90,22 @@
         self.assertEqual(4, len(readers))
         self.assertEqual({200.0}, {item.link_megabits_per_second for item in readers})
 
-    def test_links_grow_with_the_hall_and_not_with_the_fleet(self):
+    def test_a_host_links_to_its_relays_and_these_to_each_other(self):
         for table in self.tables():
             links = len(table.wanted_links(0.0))
-            self.assertIn(links, (17, 17 + 2 * 3))
+            expected = 1 + 2 * 3 if table.is_relay_candidate(0.0) else 2
+            self.assertEqual(expected, links)
+        candidates = [item for item in self.tables() if item.is_relay_candidate(0.0)]
+        self.assertEqual(2 * 4, len(candidates))
 
     def test_links_between_halls_are_wanted_by_both_sides(self):
         wanted = {
             (table.own.name, member.name)
             for table in self.tables()
             for member in table.wanted_links(0.0)
+            if member.hall != table.own.hall
         }
+        self.assertEqual(2 * 4 * 2 * 3, len(wanted))
         self.assertEqual(wanted, {(b, a) for a, b in wanted})
 
     def test_a_relay_that_falls_silent_is_followed_by_one_that_has_its_links(self):
@@ -114,7 +119,7 @@
         ]
         self.assertEqual(4, len(heirs))
         for table in heirs:
-            self.assertEqual(17 + 2 * 3, len(table.wanted_links(0.0)))
+            self.assertEqual(1 + 2 * 3, len(table.wanted_links(0.0)))
 
     def test_a_candidate_out_of_reach_is_passed_over_for_a_while(self):
         table = next(item for item in self.tables() if item.is_relay(self.live))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,5 +1,7 @@
 """Whole sessions of the scheduler as golden files, and its rules one by one."""
 
+import math
+
 import attrs
 import pytest
 from testtools import TestCase
@@ -359,6 +361,36 @@
         self.assertEqual(2, len(set(sent)))
 
 
+class ProbeTimesTest(TestCase):
+    """When upstreams are asked how they are, where they are asked by need only."""
+
+    def setUp(self):
+        super().setUp()
+        self.session = Session(extra="[retry]\nprobe_interval_seconds = 0.0\n")
+        self.table = self.session.scheduler.upstreams
+
+    def probed(self, at):
+        return [entry.name for entry in self.table.due_probes(at)]
+
+    def test_nobody_is_asked_while_all_are_well(self):
+        self.assertEqual([], self.probed(1.0))
+        self.assertEqual(math.inf, self.table.probe_pause(1.0))
+
+    def test_one_that_is_down_is_asked_less_and_less_often(self):
+        now = 10.0
+        self.session.do(now, ProbeFailed("lektor-1", "silent"))
+        pauses = []
+        for _ in range(8):
+            self.assertEqual(["lektor-1"], self.probed(now))
+            self.session.do(now, ProbeFailed("lektor-1", "silent"))
+            self.assertEqual([], self.probed(now))
+            pauses.append(self.table.probe_pause(now))
+            now += pauses[-1] + 1e-6
+        self.assertEqual(sorted(pauses), pauses)
+        self.assertLess(pauses[0], 1.0)
+        self.assertEqual(2.0, pauses[-1])
+
+
 class KeptConnectionTest(TestCase):
     """A kept connection decides between runners that are equal otherwise."""
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -9,7 +9,7 @@
 
 from rampwick_platform import PlatformUnavailableError
 from rampwick_policy import Health, HealthState, is_watcher
-from rampwick_policy._membership import Membership, PeerView
+from rampwick_policy._membership import Membership
 from rampwick_policy._upstreams import UpstreamTable
 from rampwick_schema import (
     HostEntry,
@@ -362,11 +362,7 @@
         names = [f"entry-{number}" for number in range(6)]
         watching = []
         for name in names:
-            others = [
-                PeerView(other, "h", 1, summary(1), 0.0)
-                for other in names
-                if other != name
-            ]
-            watching.append(is_watcher(name, "h", others))
+            others = [other for other in names if other != name]
+            watching.append(is_watcher(name, others))
         self.assertEqual(2, sum(watching))
-        self.assertTrue(is_watcher("alone", "h", []))
+        self.assertTrue(is_watcher("alone", []))
