Keep apart what each store of kept cache holds; judge no host down by stale words of peers

Cause 1: the grown deployments have three stores of kept cache. A host kept one belief for all of them and saved to, and read the events of, the store nearest to itself, so a prompt saved to one store was taken to be in another: the import failed and the prompt was not saved where it was looked for.

Ruled out: one belief for all hosts' stores, saved in each (three times the moves, a third of the room).

Change: Imports keeps one KeptKnowledge for each store, offers each as a source, has each one's events read, and saves a prompt to one store, by rendezvous of its first part. A host tells peers of an upstream down only from the second failure in a row, and not when more than half are down here; a peer's word is not followed up within 0.5 s of an answer.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -56,7 +56,7 @@
 from ._hall_news import HallNews as HallNews, without as without
 from ._health import Health as Health, HealthState as HealthState
 from ._host_lists import diff_hosts as diff_hosts, patch_hosts as patch_hosts
-from ._imports import kept_life as kept_life
+from ._kept import kept_life as kept_life
 from ._knowledge import (
     CacheKnowledge as CacheKnowledge,
     Life as Life,
--- a/packages/rampwick-policy/src/rampwick_policy/_health.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_health.py
@@ -33,8 +33,10 @@
     ramp_seconds: float
     state: HealthState = HealthState.UP
     pause_seconds: float = MIN_PAUSE_SECONDS
-    #: When the present state began.
+    #: When the present state began; while it is down, when it failed last.
     since_seconds: float = 0.0
+    #: When it went down.
+    down_at_seconds: float = 0.0
     last_error: str = ""
     #: Failures in a row, answers between them set it to nothing.
     failures_count: int = 0
@@ -43,12 +45,14 @@
         """Take the upstream out; soon after a return, for twice as long."""
         was_back_seconds = now_seconds - self.since_seconds
         self.failures_count = min(self.failures_count + 1, MAX_COUNTED_FAILURES)
-        if self.state is HealthState.DOWN:
-            pass
-        elif was_back_seconds < self.ramp_seconds and self.last_error:
-            self.pause_seconds = min(MAX_PAUSE_SECONDS, self.pause_seconds * 2)
-        else:
-            self.pause_seconds = MIN_PAUSE_SECONDS
+        if self.state is not HealthState.DOWN:
+            self.down_at_seconds = now_seconds
+            is_soon_again = was_back_seconds < self.ramp_seconds and self.last_error
+            self.pause_seconds = (
+                min(MAX_PAUSE_SECONDS, self.pause_seconds * 2)
+                if is_soon_again
+                else MIN_PAUSE_SECONDS
+            )
         self.state = HealthState.DOWN
         self.since_seconds = now_seconds
         self.last_error = error
--- a/packages/rampwick-policy/src/rampwick_policy/_imports.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_imports.py
@@ -10,22 +10,14 @@
 
 from rampwick_schema import KeptStore, PlacedPrefix, Service
 
-from ._knowledge import Life
-from ._prefix import PrefixChain, held_tokens
+from . import _rendezvous
+from ._kept import KeptKnowledge, kept_version
+from ._prefix import PrefixChain
 from ._routes import RouteIndex
 
 #: Time that setting up one import takes; from the engines' data sheets.
 SETUP_SECONDS = 0.004
 
-#: Time for which a prefix saved to a store is taken to be there.
-SAVED_SECONDS = 15.0
-
-#: Stands for a store's incarnation, which hosts don't know.
-KEPT_INCARNATION = "kept"
-
-#: Prefixes remembered as saved.
-SAVED_COUNT = 20_000
-
 
 @attrs.frozen
 class ImportSource:
@@ -53,99 +45,19 @@
     weights_version: int
 
 
-@attrs.frozen
-class KeptEntry:
-    """One prefix that a store is believed to hold."""
-
-    tokens: int
-    noted_at_seconds: float
-    #: Whether the store itself told of it, rather than a host that had it saved.
-    is_told: bool
-
-
-class KeptKnowledge:
-    """What this host believes a store of kept cache holds, by weights version."""
-
-    def __init__(self) -> None:
-        self._entries: dict[tuple[int, bytes], KeptEntry] = {}
-
-    def __len__(self) -> int:
-        return len(self._entries)
-
-    def tokens(self, version: int, prefix: bytes, now_seconds: float) -> int:
-        """Return how much of an entry the store holds.
-
-        What a host had saved is taken to be there for a while; what the store told
-        itself stays until it tells otherwise.
-        """
-        entry = self._entries.get((version, prefix))
-        if entry is None:
-            return 0
-        age_seconds = now_seconds - entry.noted_at_seconds
-        if not entry.is_told and age_seconds >= SAVED_SECONDS:
-            return 0
-        return entry.tokens
-
-    def held_tokens(self, version: int, chain: PrefixChain, now_seconds: float) -> int:
-        """Return the length of a prompt's beginning that the store holds."""
-        held = {
-            item.prefix: self.tokens(version, item.prefix, now_seconds)
-            for item in chain.checkpoints
-        }
-        return held_tokens(chain, held)
-
-    def note_saved(
-        self, version: int, prefix: bytes, tokens: int, now_seconds: float
-    ) -> None:
-        """Note that a prefix is being saved."""
-        known = self._entries.get((version, prefix))
-        if known is None or not known.is_told:
-            self._put(version, prefix, KeptEntry(tokens, now_seconds, False))
-
-    def note_change(
-        self, version: int, prefix: bytes, tokens: int, now_seconds: float
-    ) -> None:
-        """Take a change that the store told."""
-        if tokens > 0:
-            self._put(version, prefix, KeptEntry(tokens, now_seconds, True))
-        else:
-            self._entries.pop((version, prefix), None)
-
-    def clear(self) -> None:
-        """Forget everything, as after the store came back empty."""
-        self._entries.clear()
-
-    def _put(self, version: int, prefix: bytes, entry: KeptEntry) -> None:
-        self._entries.pop((version, prefix), None)
-        self._entries[version, prefix] = entry
-        while len(self._entries) > SAVED_COUNT:
-            del self._entries[next(iter(self._entries))]
-
-
-def kept_life(weights_version: int) -> Life:
-    """Return the life by which hosts tell each other what a store holds."""
-    return Life(KEPT_INCARNATION, weights_version)
-
-
-def kept_version(label: str) -> int | None:
-    """Return the weights version of a store's life; none for a runner's."""
-    incarnation, _, version = label.rpartition("/")
-    if incarnation != KEPT_INCARNATION or not version.isdigit():
-        return None
-    return int(version)
-
-
 class Imports:
     """Sources of cached prompts for the engines of one configuration."""
 
-    def __init__(self, hall: str) -> None:
-        self._hall = hall
+    def __init__(self) -> None:
         self._routes: RouteIndex | None = None
-        self.kept = KeptKnowledge()
+        self._stores: dict[str, KeptStore] = {}
+        self._kept: dict[str, KeptKnowledge] = {}
 
     def apply(self, routes: RouteIndex) -> None:
         """Take the services and stores of another configuration."""
         self._routes = routes
+        self._stores = {store.name: store for store in routes.routing.kept_stores}
+        self._kept = {name: self.kept(name) for name in self._stores}
 
     def service(self, name: str) -> Service | None:
         """Return a service whose engines can import, if this is one."""
@@ -156,11 +68,13 @@
             return None
         return service
 
-    def store(self) -> KeptStore | None:
-        """Return the store that serves this host's engines."""
-        if self._routes is None:
-            return None
-        return self._routes.kept_store(self._hall)
+    def stores(self) -> list[KeptStore]:
+        """Return the stores of kept cache."""
+        return list(self._stores.values())
+
+    def kept(self, store: str) -> KeptKnowledge:
+        """Return what a store is believed to hold; nothing of an unknown one."""
+        return self._kept.get(store, KeptKnowledge())
 
     def runner_source(self, service: Service, holder: Holder) -> ImportSource:
         """Return a runner's cache as a source."""
@@ -173,51 +87,69 @@
             holder.weights_version,
         )
 
-    def store_source(
+    def store_sources(
         self,
         service: Service,
         weights_version: int,
         chain: PrefixChain,
         now_seconds: float,
-    ) -> ImportSource | None:
-        """Return the store as a source, with what it is believed to hold."""
-        store = self.store()
-        if store is None or store.link_bits_per_second <= 0.0:
-            return None
-        held = self.kept.held_tokens(weights_version, chain, now_seconds)
+    ) -> list[ImportSource]:
+        """Return the stores as sources, with what each is believed to hold.
+
+        The one that a prompt is saved to comes last.
+        """
         bits_per_token = 8.0 * service.token_bytes
-        seconds_per_token = bits_per_token / store.link_bits_per_second
-        return ImportSource(
-            store.name, store.address, held, seconds_per_token, weights_version
-        )
+        return [
+            ImportSource(
+                store.name,
+                store.address,
+                self._kept[store.name].held_tokens(weights_version, chain, now_seconds),
+                bits_per_token / store.link_bits_per_second,
+                weights_version,
+            )
+            for store in reversed(self._ranked(chain))
+            if store.link_bits_per_second > 0.0
+        ]
 
     def note_reported(self, placed: PlacedPrefix, now_seconds: float) -> bool:
         """Take what a peer had saved; return whether it is about a store."""
         version = kept_version(placed.incarnation)
         if version is None:
             return False
+        kept = self.kept(placed.upstream)
         pairs = zip(placed.prefixes, placed.extents_tokens, strict=False)
         for prefix, tokens in pairs:
-            self.kept.note_saved(version, prefix, tokens, now_seconds)
+            kept.note_saved(version, prefix, tokens, now_seconds)
         return True
 
-    def save_address(
+    def take_store(
         self, weights_version: int, chain: PrefixChain, now_seconds: float
-    ) -> str:
-        """Return where to save a prompt's shared part, if it is not kept already.
+    ) -> KeptStore | None:
+        """Return where to save a prompt's shared part; none if it is kept already.
 
-        The prefixes count as saved from now on.
+        One copy does for the fleet: a store's link carries a prompt in a small part
+        of the time that reading it takes, and together the stores then hold the
+        more. The prefixes count as saved from now on.
         """
-        store = self.store()
+        ranked = self._ranked(chain)
         levels = chain.levels
-        if store is None or not levels:
-            return ""
-        held = self.kept.held_tokens(weights_version, chain, now_seconds)
-        if held >= levels[-1].tokens:
-            return ""
+        if not ranked or not levels:
+            return None
+        for store in ranked:
+            held = self._kept[store.name].held_tokens(
+                weights_version, chain, now_seconds
+            )
+            if held >= levels[-1].tokens:
+                return None
+        kept = self._kept[ranked[0].name]
         previous = 0
         for level in levels:
             extent = level.tokens - previous
             previous = level.tokens
-            self.kept.note_saved(weights_version, level.prefix, extent, now_seconds)
-        return store.address
+            kept.note_saved(weights_version, level.prefix, extent, now_seconds)
+        return ranked[0]
+
+    def _ranked(self, chain: PrefixChain) -> list[KeptStore]:
+        """Return the stores, with that first to which a prompt is saved."""
+        names = _rendezvous.rank(chain.home_key, self._stores)
+        return [self._stores[name] for name in names]
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -19,7 +19,8 @@
 
 from . import _events as ev
 from ._health import HealthState
-from ._imports import Holder, Imports, ImportSource, kept_life, kept_version
+from ._imports import Holder, Imports, ImportSource
+from ._kept import kept_life, kept_version
 from ._knowledge import CacheKnowledge, Life
 from ._membership import Membership
 from ._notices import NoticeBook
@@ -29,8 +30,14 @@
 from ._shares import ShareLedger
 from ._upstreams import Upstream, UpstreamTable
 
-#: Time for which peers are told that an upstream was found to be down.
-DOWN_TOLD_SECONDS = 1.0
+#: Time after its first failure for which peers are told that an upstream is down, and
+#: the failures in a row from which on they are: one lost packet is no news.
+DOWN_TOLD_SECONDS = 1.5
+DOWN_TOLD_FAILURES = 2
+
+#: Part of the upstreams beyond which a host that finds them down tells nobody: it is
+#: then more likely cut off itself.
+MAX_DOWN_TOLD_RATIO = 0.5
 
 #: Runners of one version that are weighed as sources of a prompt, those that hold most
 #: first: one for the choice, the others where it is the source itself.
@@ -66,7 +73,7 @@
             settings.placement,
             settings.queue.slots_factor,
         )
-        self.imports = Imports(settings.host.hall)
+        self.imports = Imports()
         self.notices = NoticeBook()
         self._news = PlacementNews()
         self._handlers: dict[type, Callable[[Any, float], None]] = {
@@ -109,9 +116,7 @@
         for version, found in holders.items():
             best = heapq.nlargest(MAX_HOLDERS, found, key=attrgetter("held_tokens"))
             sources += [self.imports.runner_source(terms, holder) for holder in best]
-            store = self.imports.store_source(terms, version, chain, now_seconds)
-            if store is not None:
-                sources.append(store)
+            sources += self.imports.store_sources(terms, version, chain, now_seconds)
         return sources
 
     def save_address(
@@ -121,12 +126,12 @@
         if self.imports.service(service) is None or upstream.life is None:
             return ""
         version = upstream.life.weights_version
-        address = self.imports.save_address(version, chain, now_seconds)
-        store = self.imports.store()
-        if address and store is not None:
-            # Peers need not save it again.
-            self._news.note(store.name, kept_life(version), chain, now_seconds)
-        return address
+        store = self.imports.take_store(version, chain, now_seconds)
+        if store is None:
+            return ""
+        # Peers need not save it again.
+        self._news.note(store.name, kept_life(version), chain, now_seconds)
+        return store.address
 
     def note_placed(
         self, name: str, life: Life, chain: PrefixChain, now_seconds: float
@@ -212,18 +217,28 @@
             workspaces=self._workspace_usages(now_seconds),
             upstreams=self._upstream_usages(),
             placed=self._news.take(),
-            down=[
-                upstream.name
-                for upstream in self.upstreams
-                if upstream.health.state is HealthState.DOWN
-                and now_seconds - upstream.health.since_seconds < DOWN_TOLD_SECONDS
-            ],
+            down=self._found_down(now_seconds),
             waiting=[
                 WaitingCount(path, service, count)
                 for (path, service), count in sorted(waiting.items())
             ],
         )
 
+    def _found_down(self, now_seconds: float) -> list[str]:
+        down = [
+            upstream
+            for upstream in self.upstreams
+            if upstream.health.state is HealthState.DOWN
+        ]
+        if len(down) > MAX_DOWN_TOLD_RATIO * len(self.upstreams):
+            return []
+        return [
+            upstream.name
+            for upstream in down
+            if upstream.health.failures_count >= DOWN_TOLD_FAILURES
+            and now_seconds - upstream.health.down_at_seconds < DOWN_TOLD_SECONDS
+        ]
+
     def _workspace_usages(self, now_seconds: float) -> list[WorkspaceUsage]:
         used = self.ledger.own_use(now_seconds)
         return [WorkspaceUsage(path, round(used[path])) for path in sorted(used)]
@@ -293,8 +308,9 @@
         self.upstreams.targets.apply(event.targets, now_seconds)
 
     def _on_cache(self, event: ev.CacheSeen, now_seconds: float) -> None:
+        kept = self.imports.kept(event.upstream)
         if event.is_reset:
-            self.imports.kept.clear()
+            kept.clear()
         for changes in event.changes:
             version = kept_version(changes.label)
             if version is None:
@@ -304,7 +320,7 @@
                 continue
             pairs = zip(changes.prefixes, changes.tokens, strict=False)
             for prefix, tokens in pairs:
-                self.imports.kept.note_change(version, prefix, tokens, now_seconds)
+                kept.note_change(version, prefix, tokens, now_seconds)
 
     def _observe(self, upstream: Upstream, cache_tokens: int = 0) -> None:
         """Drop what was known of an earlier life of a runner's cache."""
@@ -328,7 +344,9 @@
             self.ledger.hear(event.name, event.summary.workspaces, now_seconds)
             for name in event.summary.down:
                 # Each host asks for itself: it may reach what the peer does not.
-                self.suspect(name, now_seconds)
+                upstream = self.upstreams.get(name)
+                if upstream is not None and not upstream.is_heard(now_seconds):
+                    self.suspect(name, now_seconds)
             for placed in event.summary.placed:
                 if not self.imports.note_reported(placed, now_seconds):
                     self.knowledge.note_reported(placed)
--- a/packages/rampwick-policy/src/rampwick_policy/_routes.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_routes.py
@@ -7,7 +7,7 @@
 import hashlib
 from collections.abc import Iterator
 
-from rampwick_schema import KeptStore, Route, Routing, Service
+from rampwick_schema import Route, Routing, Service
 
 #: Bytes of the hash that spreads requests over a route's services.
 _DRAW_BYTES = 8
@@ -42,12 +42,6 @@
         """Return a service by its name."""
         return self._services.get(name)
 
-    def kept_store(self, hall: str) -> KeptStore | None:
-        """Return the store of kept cache for engines: one of ``hall`` goes first."""
-        stores = self.routing.kept_stores
-        near = [store for store in stores if store.hall == hall]
-        return next(iter(near or stores), None)
-
 
 def choose_service(route: Route, request_id: str) -> str:
     """Return the service that takes a request, by the weights of the route.
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -206,7 +206,7 @@
         if item is not None and item.lifecycle.deliver(event.attempt_id):
             upstream = self.upstreams.get(item.upstream)
             if upstream is not None:
-                upstream.note_first_token(event.attempt_id)
+                upstream.note_first_token(event.attempt_id, now_seconds)
         return []
 
     def _on_failed(
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -39,6 +39,9 @@
 #: Time for which a suspicion that a probe has cleared does not come again.
 TRUST_SECONDS = 2.0
 
+#: Time after an answer for which peers' word that an upstream is down is not followed.
+HEARD_SECONDS = 0.5
+
 #: Weight of the newest run in the mean length of runs, and the mean assumed before.
 RUN_SMOOTHING = 0.1
 FIRST_RUN_SECONDS = 1.0
@@ -75,6 +78,8 @@
     is_suspected: bool = False
     #: Until when its silence raises no suspicion, since it has just proved well.
     trusted_until_seconds: float = -math.inf
+    #: When one of this host's attempts had a piece of an answer last.
+    heard_at_seconds: float = -math.inf
     #: When it was last asked for its load.
     probed_at_seconds: float = -math.inf
     #: Mean time for which an attempt holds a slot.
@@ -130,8 +135,13 @@
         if is_urgent:
             self.urgent_attempts.add(attempt_id)
 
-    def note_first_token(self, attempt_id: str) -> None:
+    def is_heard(self, now_seconds: float) -> bool:
+        """Return whether it has just answered this host, whatever others say."""
+        return now_seconds - self.heard_at_seconds < HEARD_SECONDS
+
+    def note_first_token(self, attempt_id: str, now_seconds: float) -> None:
         """Note that an attempt's prompt is computed."""
+        self.heard_at_seconds = now_seconds
         if attempt_id in self.own_attempts:
             self.own_attempts[attempt_id] = 0
 
@@ -177,6 +187,9 @@
     def __iter__(self) -> Iterator[Upstream]:
         return iter(list(self._upstreams.values()))
 
+    def __len__(self) -> int:
+        return len(self._upstreams)
+
     def get(self, name: str) -> Upstream | None:
         """Return the upstream of this name, if it is listed."""
         return self._upstreams.get(name)
--- a/packages/rampwick-router/src/rampwick_router/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/_cache_reader.py
@@ -113,9 +113,9 @@
             for upstream in scheduler.upstreams
             if upstream.is_runner and imports.service(upstream.entry.group) is not None
         }
-        store = imports.store()
-        if store is not None:
-            sources.add(Source(store.name, store.hall, store.address))
+        sources.update(
+            Source(store.name, store.hall, store.address) for store in imports.stores()
+        )
         self._salts.prepare(_list_scopes(scheduler), _list_versions(scheduler))
         near = self._list_neighbours()
         return {
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -124,7 +124,8 @@
         self.assertEqual(
             (True, "m-1", "/well"), (engine.is_engine, engine.model, engine.health_path)
         )
-        self.assertEqual("172.20.0.2:8781", view.routes.kept_store("z").address)
+        (store,) = view.routes.routing.kept_stores
+        self.assertEqual(("172.20.0.2:8781", "b"), (store.address, store.hall))
         self.assertIsNone(view.routes.service("kept"))
         self.assertEqual(0, view.workspaces["/t1"].priority_rank)
         self.assertNotEqual(
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -24,7 +24,7 @@
     life_label,
     part_key,
 )
-from rampwick_policy._imports import KeptKnowledge
+from rampwick_policy._kept import KeptKnowledge
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -158,8 +158,10 @@
         self.assertEqual(1, len(self.readers(hosts, "hall-9")))
 
 
-class ImportTest(TestCase):
-    """Where a prompt goes, and from where its runner takes what it lacks."""
+class ImportCase(TestCase):
+    """Two runners whose engines import and save."""
+
+    stores = (KeptStore("kept", "10.9.0.1:1", "h", 600_000, 25e9),)
 
     def setUp(self):
         super().setUp()
@@ -175,9 +177,10 @@
             token_bytes=18_432,
             link_bits_per_second=550e9,
         )
-        store = KeptStore("kept", "10.9.0.1:1", "h", 600_000, 25e9)
         nodes = {"/": Node(), "/t": Node(is_workspace=True)}
-        tree = Tree(1, nodes, Routing(services=[service], kept_stores=[store]))
+        tree = Tree(
+            1, nodes, Routing(services=[service], kept_stores=list(self.stores))
+        )
         self.view = TreeView(tree)
         self.scheduler.handle(TreeInForce(self.view), 0.0)
         self.list_runners(("a", 1), ("b", 1))
@@ -219,6 +222,10 @@
         (dispatch,) = self.scheduler.handle(event, 1.0)
         return dispatch
 
+
+class ImportTest(ImportCase):
+    """Where a prompt goes, and from where its runner takes what it lacks."""
+
     def test_a_prompt_goes_where_it_is_held(self):
         self.tell("b", life_label(Life("b", 1)), (GUIDE, 2500), (THING, 3700))
         self.assertEqual("b", self.arrive().upstream)
@@ -271,4 +278,45 @@
         saved = [item for item in told if item.upstream == "kept"]
         self.assertEqual(1, len(saved))
         other.pool.imports.note_reported(saved[0], 1.0)
-        self.assertEqual("", other.pool.imports.save_address(1, chain(), 1.0))
+        self.assertIsNone(other.pool.imports.take_store(1, chain(), 1.0))
+
+
+class SeveralStoresTest(ImportCase):
+    """Each store holds its own, and any may be asked."""
+
+    stores = tuple(
+        KeptStore(f"kept-{hall}", f"{hall}:1", hall, 600_000, 25e9) for hall in "hij"
+    )
+
+    def setUp(self):
+        super().setUp()
+        first = self.arrive("first")
+        self.store = "kept-" + first.save_address.partition(":")[0]
+        self.address = first.save_address
+        for name in "ab":
+            self.tell(name, life_label(Life(name, 1)), (GUIDE, 0), (THING, 0))
+        self.others = [store for store in self.stores if store.address != self.address]
+
+    def test_a_prompt_is_saved_to_one_store_and_imported_from_there(self):
+        dispatch = self.arrive()
+        self.assertEqual("", dispatch.save_address)
+        self.assertEqual(self.address, dispatch.import_address)
+
+    def test_a_prompt_is_imported_from_the_store_that_told_of_it(self):
+        self.scheduler.handle(CacheSeen(self.store, (), is_reset=True), 2.0)
+        other = self.others[0]
+        self.tell(other.name, life_label(kept_life(1)), (GUIDE, 2500), (THING, 3700))
+        dispatch = self.arrive()
+        self.assertEqual(other.address, dispatch.import_address)
+        self.assertEqual(6200, dispatch.choice.imported_tokens)
+
+    def test_one_store_that_came_back_empty_says_nothing_of_another(self):
+        self.scheduler.handle(CacheSeen(self.others[0].name, (), is_reset=True), 2.0)
+        self.assertEqual("", self.arrive().save_address)
+
+    def test_a_store_that_dropped_a_part_is_not_the_one_that_has_it(self):
+        label = life_label(kept_life(1))
+        self.tell(self.store, label, (GUIDE, 2500), (THING, 3700))
+        self.tell(self.others[0].name, label, (GUIDE, 0), (THING, 0))
+        self.assertEqual(self.address, self.arrive().import_address)
+        self.assertEqual("", self.arrive("r2").save_address)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -391,6 +391,61 @@
         self.assertEqual(2.0, pauses[-1])
 
 
+class DownNewsTest(TestCase):
+    """What hosts tell each other of upstreams that are down, and what they make of it.
+
+    Seen on a grown fleet: hosts with a slow link told of one runner after another, and
+    all 78 hosts asked each of them again and again: 29,704 probes in a day.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.session = Session(runners=4)
+        self.scheduler = self.session.scheduler
+
+    def told(self, at):
+        return self.scheduler.summary(1, 1, False, at).down
+
+    def fail(self, name, *times):
+        for at in times:
+            self.session.do(at, ProbeFailed(name, "silent"))
+
+    def test_one_failure_is_no_news_a_second_is(self):
+        self.fail("lektor-1", 1.0)
+        self.assertEqual([], self.told(1.1))
+        self.fail("lektor-1", 1.3)
+        self.assertEqual(["lektor-1"], self.told(1.4))
+
+    def test_it_is_news_for_a_moment_only_however_often_it_fails(self):
+        self.fail("lektor-1", 1.0, 1.3, 2.0, 2.9)
+        self.assertEqual([], self.told(3.0))
+
+    def test_a_host_that_reaches_few_upstreams_tells_of_none(self):
+        for name in ("lektor-1", "lektor-2", "lektor-3"):
+            self.fail(name, 1.0, 1.3)
+        self.assertEqual([], self.told(1.4))
+
+    def hear_down(self, at):
+        summary = Summary(1, 1, 1, False, [], [], [], ["lektor-1"])
+        self.session.do(at, PeerHeard("entry-2", "trnava", 1, summary))
+        return self.scheduler.upstreams.get("lektor-1").is_suspected
+
+    def test_a_peers_word_has_an_upstream_asked(self):
+        self.assertTrue(self.hear_down(5.0))
+
+    def test_a_peers_word_counts_little_right_after_an_answer(self):
+        (sent,) = self.session.arrive(4.8, "r1")
+        self.session.do(4.9, AttemptDelivered("r1", "r1.1"))
+        known = self.scheduler.upstreams.get(sent.upstream)
+        self.assertTrue(known.is_heard(5.0))
+        summary = Summary(1, 1, 1, False, [], [], [], [sent.upstream])
+        self.session.do(5.0, PeerHeard("entry-2", "trnava", 1, summary))
+        self.assertFalse(known.is_suspected)
+        later = attrs.evolve(summary, sequence=2)
+        self.session.do(5.6, PeerHeard("entry-2", "trnava", 1, later))
+        self.assertTrue(known.is_suspected)
+
+
 class KeptConnectionTest(TestCase):
     """A kept connection decides between runners that are equal otherwise."""
 
