Sight: hosts say which weights they believe to be wanted, from whom, and how old that is

Cause: the logs could not tell the hypotheses of docs/incidents/outdated-weights.md apart. A host said whether it held the lease and whether it read the platform, never which weights it took to be wanted, since when, and how many runners it saw behind.

Ruled out: a line for each plan of the steward (20 a second); an age for what peers tell (a peer's word has no time of the store's).

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -70,6 +70,7 @@
 from ._orders import (
     PlannedOrder as PlannedOrder,
     RunnerState as RunnerState,
+    count_outdated as count_outdated,
     plan_orders as plan_orders,
 )
 from ._placement import (
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -185,9 +185,13 @@
 
 @attrs.frozen
 class TargetsRead:
-    """The weights that the runners shall have, and since when each is known."""
+    """The weights that the runners shall have."""
 
     targets: tuple[WeightsTarget, ...]
+    #: Who says so, as logs tell it.
+    source: str = ""
+    #: Steady time at which they were surely the newest; none if a peer told them.
+    read_at_seconds: float | None = None
 
 
 @attrs.frozen
--- a/packages/rampwick-policy/src/rampwick_policy/_orders.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_orders.py
@@ -42,6 +42,16 @@
     address: str = ""
 
 
+def count_outdated(
+    runners: Sequence[RunnerState], targets: Sequence[WeightsTarget]
+) -> int:
+    """Return the number of runners whose weights are older than their target."""
+    wanted = {target.model: target.weights_version for target in targets}
+    return sum(
+        runner.weights_version < wanted.get(runner.model, 0) for runner in runners
+    )
+
+
 def plan_orders(
     runners: Sequence[RunnerState],
     targets: Sequence[WeightsTarget],
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -305,7 +305,13 @@
         self._notice(upstream, "the steward says so", now_seconds)
 
     def _on_targets(self, event: ev.TargetsRead, now_seconds: float) -> None:
-        self.upstreams.targets.apply(event.targets, now_seconds)
+        targets = self.upstreams.targets
+        targets.apply(event.targets, now_seconds)
+        if event.read_at_seconds is not None:
+            targets.note_read(event.read_at_seconds)
+        for target in targets.all_newest():
+            state = f"version {target.weights_version}"
+            self.notices.note("target", target.model, state, event.source)
 
     def _on_cache(self, event: ev.CacheSeen, now_seconds: float) -> None:
         kept = self.imports.kept(event.upstream)
--- a/packages/rampwick-policy/src/rampwick_policy/_targets.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_targets.py
@@ -1,5 +1,6 @@
 """The weights that runners shall have, and for how long others have been outdated."""
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -15,6 +16,8 @@
     """Target versions by model, with the time at which each became known here."""
 
     _named_at: dict[str, dict[int, float]] = attrs.field(factory=dict)
+    #: Steady time at which this host's own reading was surely the newest.
+    read_at_seconds: float = -math.inf
 
     def apply(self, targets: Iterable[WeightsTarget], now_seconds: float) -> None:
         """Take the targets that were read; older versions change nothing."""
@@ -25,6 +28,14 @@
             while len(named) > KEPT_VERSIONS:
                 del named[min(named)]
 
+    def note_read(self, at_seconds: float) -> None:
+        """Note that this host read all targets itself, and when they were newest."""
+        self.read_at_seconds = max(self.read_at_seconds, at_seconds)
+
+    def read_age_seconds(self, now_seconds: float) -> float:
+        """Return the age of this host's own reading; infinite if there is none."""
+        return now_seconds - self.read_at_seconds
+
     def newest(self, model: str) -> int:
         """Return the target version of a model; 0 if none is known."""
         return max(self._named_at.get(model, {}), default=0)
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -80,6 +80,8 @@
         metrics.open_requests.set(open_count)
         metrics.waiting_requests.set(waiting_count)
         metrics.revision.set(self._parts.follower.revision)
+        metrics.targets_age.set(self._parts.scheduler.targets_age_seconds())
+        metrics.outdated_runners.set(self._steward.outdated_count())
         metrics.platform_calls.set(self._count_platform_calls())
         usage = resource.getrusage(resource.RUSAGE_SELF)
         metrics.processor_seconds.set(usage.ru_utime + usage.ru_stime)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import anyio
 import attrs
@@ -180,7 +181,7 @@
             interval_seconds = settings.platform.host_list_interval_seconds
             self._hosts.source = PolledHosts(api, interval_seconds)
             self._targets = PolledTargets(
-                api, scheduler, lambda: steward.is_holder, steward.wake
+                api, scheduler, lambda: steward.is_holder, steward.wake, read_clock
             )
             return
         role = ReadingRole(
@@ -271,11 +272,24 @@
                 host_list_age_ms=milliseconds(self._hosts.age_seconds(now_seconds)),
                 is_reader=self._gossip.is_reader(),
                 is_steward=self.steward.is_holder,
+                **self._describe_targets(),
                 hosts_heard_count=len(self._gossip.live_names),
                 connections_opened_count=self._channels.opened_count,
                 platform_calls=dict(getattr(self._api, "calls", {})),
             )
 
+    def _describe_targets(self) -> dict[str, Any]:
+        """Return what this host believes of new weights, as its log tells it."""
+        return {
+            "targets": {
+                target.model: target.weights_version
+                for target in self.scheduler.targets()
+            },
+            "targets_read_age_ms": milliseconds(self.scheduler.targets_age_seconds()),
+            "outdated_runners_count": self.steward.outdated_count(),
+            "loads_count": len(self.steward.loads()),
+        }
+
     async def stop(self) -> None:
         """Carry out a planned stop once it has begun."""
         await self.life.wait_stopping()
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -103,6 +103,16 @@
             "Processor time of this process.",
             registry=registry,
         )
+        self.targets_age = Gauge(
+            "rampwick_targets_age_seconds",
+            "Age of this host's own reading of the weights that are wanted.",
+            registry=registry,
+        )
+        self.outdated_runners = Gauge(
+            "rampwick_outdated_runners",
+            "Runners with older weights than this host believes to be wanted.",
+            registry=registry,
+        )
         self.revision = Gauge(
             "rampwick_revision", "Revision of the tree in force.", registry=registry
         )
--- a/packages/rampwick-router/src/rampwick_router/_peer_news.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_news.py
@@ -25,6 +25,9 @@
 
 from ._steward import StewardTask
 
+#: Who told this host of targets, as its log says it.
+STEWARD_SOURCE = "the steward says so"
+
 
 def to_record(member: Member) -> MemberRecord:
     """Return a member as peers are told of it."""
@@ -89,7 +92,7 @@
 def steward_events(news: StewardNews, now_seconds: float) -> Iterator[Event]:
     """Yield what the scheduler learns from a steward's news."""
     if news.targets:
-        yield TargetsRead(tuple(news.targets))
+        yield TargetsRead(tuple(news.targets), STEWARD_SOURCE)
     for load in news.loads:
         yield LoadOrdered(
             load.upstream,
--- a/packages/rampwick-router/src/rampwick_router/_peer_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_sync.py
@@ -47,6 +47,9 @@
 #: Questions remembered until they are answered.
 KEPT_QUESTIONS = 64
 
+#: Who told this host of targets, as its log says it.
+READER_SOURCE = "a reader says so"
+
 #: Told instead of an age that is not known.
 LONG_AGO_SECONDS = 1e6
 
@@ -206,7 +209,7 @@
         if list_version == self._hosts.version:
             self._hosts.confirm(asked_at_seconds - list_age_seconds)
         if targets:
-            self._scheduler.post(TargetsRead(tuple(targets)))
+            self._scheduler.post(TargetsRead(tuple(targets), READER_SOURCE))
 
 
 def _tellable(age_seconds: float) -> float:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -95,6 +95,11 @@
         """Return the newest weights that are known to be wanted."""
         return self._scheduler.upstreams.targets.all_newest()
 
+    def targets_age_seconds(self) -> float:
+        """Return the age of this host's own reading of the targets, or infinity."""
+        now_seconds = self._read_clock()
+        return self._scheduler.upstreams.targets.read_age_seconds(now_seconds)
+
     def post(self, event: Event) -> None:
         """Hand in an event; it is handled now, or after the one under way."""
         self._waiting.append(event)
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -20,6 +20,7 @@
     RunnerState,
     Scheduler,
     WeightsSeen,
+    count_outdated,
 )
 from rampwick_schema import (
     DataError,
@@ -151,6 +152,12 @@
         }
         return list(self._shown.values())
 
+    def outdated_count(self) -> int:
+        """Return the number of runners with older weights than are wanted here."""
+        targets = self._scheduler.targets()
+        runners = self._scheduler.look(_read_runners)
+        return count_outdated(runners, targets)
+
     async def run(self) -> None:
         """Take or renew the lease and plan, until cancelled."""
         if self._leases is None or not self._settings.is_candidate:
--- a/packages/rampwick-router/src/rampwick_router/_target_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/_target_sources.py
@@ -26,6 +26,9 @@
 #: Time between two reads of the targets by the host that gives orders.
 TARGETS_INTERVAL_SECONDS = 1.0
 
+#: Who told this host of targets, as its log says it.
+PLATFORM_SOURCE = "the platform says so"
+
 log = PartLogger("steward")
 
 
@@ -78,7 +81,7 @@
                 targets.append(self._reader.read_target(stored))
             except RampwickError as error:
                 log.problem("target can't be read", target=stored.key, error=str(error))
-        _post_targets(self._scheduler, targets, self._wake)
+        _post_targets(self._scheduler, targets, state.confirmed_at_seconds, self._wake)
 
 
 class PolledTargets:
@@ -90,7 +93,9 @@
         scheduler: SchedulerTask,
         is_wanted: Callable[[], bool],
         wake: Callable[[], None],
+        read_clock: Callable[[], float],
     ) -> None:
+        self._read_clock = read_clock
         self._store = WeightsStore(api)
         self._scheduler = scheduler
         self._is_wanted = is_wanted
@@ -100,9 +105,10 @@
         """Read the targets while this host gives orders, until cancelled."""
         while True:
             if self._is_wanted():
+                began_seconds = self._read_clock()
                 try:
                     targets = await self._store.load()
-                    _post_targets(self._scheduler, targets, self._wake)
+                    _post_targets(self._scheduler, targets, began_seconds, self._wake)
                 except (PlatformError, DataError) as error:
                     log.problem("targets can't be read", error=str(error))
             await anyio.sleep(TARGETS_INTERVAL_SECONDS)
@@ -111,9 +117,10 @@
 def _post_targets(
     scheduler: SchedulerTask,
     targets: Sequence[WeightsTarget],
+    read_at_seconds: float,
     wake: Callable[[], None],
 ) -> None:
-    scheduler.post(TargetsRead(tuple(targets)))
+    scheduler.post(TargetsRead(tuple(targets), PLATFORM_SOURCE, read_at_seconds))
     wake()
 
 
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -1,6 +1,10 @@
 """Who reads the platform, and what those who don't are told."""
 
+import contextlib
+import math
+
 import attrs
+import eliot
 from testtools import TestCase
 
 from rampwick_policy import (
@@ -93,6 +97,15 @@
 
 
 class ToldTargetsTest(TestCase):
+    @contextlib.contextmanager
+    def capture_logs(self):
+        lines = []
+        eliot.add_destinations(lines.append)
+        try:
+            yield lines
+        finally:
+            eliot.remove_destination(lines.append)
+
     def test_a_readers_answer_tells_the_weights_that_are_wanted(self):
         reader, asker = Host(), Host()
         reader.hear(WeightsTarget("m", 3))
@@ -102,6 +115,26 @@
         asker.sync.take(question, answer.messages[0])
         self.assertEqual([WeightsTarget("m", 3)], asker.scheduler.targets())
 
+    def test_a_newer_target_is_a_line_of_the_log_with_its_source(self):
+        host = Host()
+        target = WeightsTarget("m", 3)
+        event = TargetsRead((target,), "the platform says so", read_at_seconds=99.5)
+        with self.capture_logs() as lines:
+            host.scheduler.post(event)
+            host.scheduler.post(event)
+        (line,) = [item for item in lines if item["message"].startswith("beliefs:")]
+        self.assertEqual("m", line["name"])
+        self.assertEqual("version 3", line["after"])
+        self.assertEqual("the platform says so", line["reason"])
+
+    def test_only_the_hosts_own_reading_has_an_age(self):
+        host = Host()
+        host.hear(WeightsTarget("m", 3))
+        self.assertEqual(math.inf, host.scheduler.targets_age_seconds())
+        host.scheduler.post(TargetsRead((), read_at_seconds=99.5))
+        host.scheduler.post(TargetsRead((), read_at_seconds=99.0))
+        self.assertEqual(0.5, host.scheduler.targets_age_seconds())
+
     def test_older_weights_that_a_reader_tells_late_change_nothing(self):
         reader, asker = Host(), Host()
         reader.hear(WeightsTarget("m", 2))
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -16,6 +16,7 @@
     Scheduler,
     TargetsRead,
     WeightsSeen,
+    count_outdated,
 )
 from rampwick_schema import (
     HostEntry,
@@ -152,6 +153,17 @@
             now += 0.2
 
 
+class OutdatedTest(TestCase):
+    def test_runners_behind_their_own_models_target_are_counted(self):
+        runners = [
+            RunnerState("a", "m", 1, is_serving=True, is_loading=False),
+            RunnerState("b", "m", 2, is_serving=True, is_loading=False),
+            RunnerState("c", "other", 1, is_serving=True, is_loading=False),
+        ]
+        self.assertEqual(1, count_outdated(runners, [WeightsTarget("m", 2)]))
+        self.assertEqual(0, count_outdated(runners, []))
+
+
 class RunnerViewTest(TestCase):
     """What a host believes of a runner during a load."""
 
