Give up links between hosts that are silent, and dial them anew

Cause: a link whose connection had died without an end stayed linked: a linked peer is not dialled again, and nothing bounded the wait for its next message. Hosts counted each other as gone after 3 s and never heard each other again; so nobody could tell the steward of a version, each host read the platform for itself, and shares, caches and loads were nobody's but a host's own.

Ruled out: the kernel's keep-alive alone (a process or forwarder that stands still still acknowledges); closing a link where the membership says gone (in a large fleet most links are of peers that relays speak for).

Change: a link that has nothing to say says so each third of dead_after_seconds; one from which nothing came for dead_after_seconds, at two looks in a row (what arrived while a process stood still is read before the second), is given up and dialled again.

--- a/packages/rampwick-router/src/rampwick_router/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/_gossip.py
@@ -101,7 +101,12 @@
         self.table = MemberTable(own)
         self._listener = RelayListener(own)
         self._links = PeerLinks(
-            own, settings.peers, metrics, self._list_wanted, self._list_seeds
+            own,
+            settings.peers,
+            metrics,
+            self._list_wanted,
+            self._list_seeds,
+            read_clock,
         )
         self._links.take = self._take
         self._links.note_opened = self._note_opened
--- a/packages/rampwick-router/src/rampwick_router/_peer_links.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_links.py
@@ -13,7 +13,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from rampwick_policy import Member
-from rampwick_schema import PeerSettings, encode_message
+from rampwick_schema import Members, PeerSettings, encode_message
 
 from ._errors import PeerError
 from ._logs import PartLogger
@@ -30,6 +30,13 @@
 #: Time between two looks at which peers are to be dialled; news of members come first.
 LOOK_SECONDS = 1.0
 
+#: Time between two looks at which links are silent and which have nothing to say, as a
+#: part of the silence after which a peer counts as gone: two such words may be lost.
+KEEP_ALIVE_RATIO = 1 / 3
+
+#: Said on a link that has nothing else to say.
+NOTHING_NEW = Members([])
+
 #: Messages that may wait for a slow peer before the newest are dropped.
 OUTBOX_COUNT = 128
 
@@ -46,11 +53,33 @@
     peer: Member
     _sending: MemoryObjectSendStream[bytes]
     waiting: MemoryObjectReceiveStream[bytes]
+    #: Last times at which a message came, and at which one went out.
+    heard_at_seconds: float
+    told_at_seconds: float
+    #: Cancelled to give the link up.
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    _was_silent: bool = False
 
     @classmethod
-    def open(cls, peer: Member) -> "Link":
+    def open(cls, peer: Member, now_seconds: float) -> "Link":
         """Return a link with an empty outbox."""
-        return cls(peer, *anyio.create_memory_object_stream[bytes](OUTBOX_COUNT))
+        streams = anyio.create_memory_object_stream[bytes](OUTBOX_COUNT)
+        return cls(peer, *streams, now_seconds, now_seconds)
+
+    def close(self) -> None:
+        """Give up what still waits in the outbox."""
+        self._sending.close()
+        self.waiting.close()
+
+    def is_silent(self, now_seconds: float, max_seconds: float) -> bool:
+        """Return whether nothing came for too long, at this look and the one before.
+
+        After a pause of this process the first look may come before what has arrived
+        meanwhile is read.
+        """
+        was_silent = self._was_silent
+        self._was_silent = now_seconds - self.heard_at_seconds > max_seconds
+        return was_silent and self._was_silent
 
     def put(self, message: Any) -> None:
         """Send a message in its turn, or drop it if the peer is too slow."""
@@ -60,8 +89,9 @@
         """Send a message that was encoded once for several peers."""
         try:
             self._sending.send_nowait(data)
-        except (anyio.WouldBlock, anyio.BrokenResourceError):
-            # A later message of the kind says all that this one would have.
+        except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            # The peer is too slow, or the link is given up: a later message of the
+            # kind says all that this one would have.
             return
 
 
@@ -75,7 +105,10 @@
         metrics: Metrics,
         list_wanted: Callable[[], Iterable[Member]],
         list_seeds: Callable[[], Iterable[str]],
+        read_clock: Callable[[], float],
     ) -> None:
+        self._read_clock = read_clock
+        self._keep_alive_seconds = settings.dead_after_seconds * KEEP_ALIVE_RATIO
         self._own = own
         self._settings = settings
         self._metrics = metrics
@@ -114,12 +147,34 @@
         """Accept and dial until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, self._accept)
+            tasks.start_soon(self._keep_links)
             while True:
                 self._news = anyio.Event()
                 self._look(tasks)
                 with anyio.move_on_after(LOOK_SECONDS):
                     await self._news.wait()
 
+    async def _keep_links(self) -> None:
+        """Give up links that fell silent; keep up those with nothing to say.
+
+        An open connection may be dead without an end or a reset: its link hid the peer
+        for the rest of a run, since a linked peer is not dialled again.
+        """
+        while True:
+            await anyio.sleep(self._keep_alive_seconds)
+            now_seconds = self._read_clock()
+            for link in self._links:
+                self._keep_link(link, now_seconds)
+
+    def _keep_link(self, link: Link, now_seconds: float) -> None:
+        if link.is_silent(now_seconds, self._settings.dead_after_seconds):
+            silent_seconds = round(now_seconds - link.heard_at_seconds, 1)
+            peer = link.peer.name
+            log.problem("link given up", peer=peer, silent_seconds=silent_seconds)
+            link.scope.cancel()
+        elif now_seconds - link.told_at_seconds > self._keep_alive_seconds / 2:
+            link.put(NOTHING_NEW)
+
     def look_again(self) -> None:
         """Look now at which peers are wanted, since that may have changed."""
         self._news.set()
@@ -182,14 +237,16 @@
             if peer.name == self._own.name:
                 # A seed may be this host itself; keep the line so as not to redial.
                 await anyio.sleep_forever()
-            link = Link.open(peer)
+            link = Link.open(peer, self._read_clock())
             self._links.append(link)
             log.info("peer linked", peer=peer.name, hall=peer.hall)
             try:
-                self.note_opened(link)
-                await self._talk(stream, link)
+                with link.scope:
+                    self.note_opened(link)
+                    await self._talk(stream, link)
             finally:
                 self._links.remove(link)
+                link.close()
 
     async def _talk(self, stream: PeerStream, link: Link) -> None:
         failure: PeerError | None = None
@@ -197,7 +254,9 @@
             tasks.start_soon(self._write, stream, link, tasks.cancel_scope)
             try:
                 while True:
-                    self.take(link, await stream.receive())
+                    message = await stream.receive()
+                    link.heard_at_seconds = self._read_clock()
+                    self.take(link, message)
             except PeerError as error:
                 failure = error
             tasks.cancel_scope.cancel()
@@ -210,6 +269,7 @@
         try:
             async for data in link.waiting:
                 await stream.send_encoded(data)
+                link.told_at_seconds = self._read_clock()
         except PeerError as error:
             log.info("link to peer ended", peer=link.peer.name, error=str(error))
             scope.cancel()
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -30,8 +30,9 @@
 
 from rampwick_platform import AnswerLostError, HttpObjectApi, Listing, StoredObject
 from rampwick_platform._http import WATCH_GRACE_SECONDS
-from rampwick_policy import Scheduler, TargetsRead
+from rampwick_policy import Member, Scheduler, TargetsRead
 from rampwick_router import run_daemon
+from rampwick_router._peer_links import Link
 from rampwick_router._scheduler_task import SchedulerTask
 from rampwick_router._steward import StewardTask
 from rampwick_router._target_sources import WatchedTargets
@@ -206,6 +207,29 @@
         return daemon.scheduler.live_names(daemon.scheduler._read_clock())
 
 
+class LinkSilenceTest(TestCase):
+    def looks(self, *times):
+        """Look at a link's silence at these times; the last word came at the others."""
+
+        async def main():
+            link = Link.open(Member("p", "h", "p:1"), 100.0)
+            found = []
+            for now_seconds, heard_at_seconds in times:
+                link.heard_at_seconds = heard_at_seconds
+                found.append(link.is_silent(now_seconds, 3.0))
+            link.close()
+            return found
+
+        return anyio.run(main)
+
+    def test_a_link_counts_as_silent_at_the_second_look(self):
+        looks = self.looks((102.0, 100.0), (103.5, 100.0), (104.5, 100.0))
+        self.assertEqual([False, False, True], looks)
+
+    def test_what_arrived_while_this_process_stood_still_is_read_first(self):
+        self.assertEqual([False, False], self.looks((130.0, 100.0), (131.0, 130.1)))
+
+
 class UninformedHolderTest(TestCase):
     """Whoever can't learn what is wanted leaves the lease to others."""
 
