A holder that can't learn what is wanted leaves the lease to others

Cause: a host may hold the lease and know of no newer weights, whatever the reason: it was no reader, its watch is dead, the store answers its writes and not its reads. It renews, orders nothing, and nobody else may.

Ruled out: a lease only for readers (a host in rank behind them has to be able to take it, and its first reading comes after); giving up at the first failed reading (a watch that fails and is asked again is 4.5 s old by then, and a take-over costs 3 s).

--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -30,7 +30,7 @@
 )
 
 from ._errors import AttemptError
-from ._logs import PartLogger
+from ._logs import PartLogger, milliseconds
 from ._scheduler_task import SchedulerTask
 from ._upstream_control import CONTROL_TIMEOUT_SECONDS, UpstreamControl
 
@@ -55,6 +55,13 @@
 #: Random wait before a lease that is free is tried for, so that hosts don't race.
 TAKE_JITTER_SECONDS = 0.4
 
+#: Age of its own reading of the targets up to which a holder keeps the lease: a reading
+#: that fails once and succeeds at the next try is 4.5 s old by then.
+MAX_TARGETS_AGE_SECONDS = 5.0
+
+#: Time for which a host that can't learn what is wanted leaves the lease to others.
+ABSTAIN_SECONDS = 10.0
+
 #: Time for which peers are told of weights that an own load brought.
 TOLD_SECONDS = 2.0
 
@@ -117,6 +124,9 @@
         #: Version of the lease that a silence of its holder was looked into for.
         self._read_version = 0
         self._was_holder = False
+        self._held_since_seconds = math.inf
+        #: Until when the lease is left to hosts that know what is wanted.
+        self._abstains_until_seconds = -math.inf
         self._has_stopped = False
         self._ordered_at_seconds = -math.inf
         self._shown: dict[str, WeightsShown] = {}
@@ -187,8 +197,11 @@
     async def give_up(self) -> None:
         """Let another host take the lease at once, as this one stops."""
         self._has_stopped = True
-        if self._leases is None or not self.is_holder:
-            return
+        if self.is_holder:
+            await self._release()
+
+    async def _release(self) -> None:
+        assert self._leases is not None
         self.lease.give_up()
         # Two holders' orders lie as far apart as when a lease runs out.
         apart_seconds = (
@@ -204,7 +217,9 @@
 
     async def _keep_lease(self) -> None:
         now_seconds = self._read_clock()
-        may_try = self.is_holder or self.is_candidate()
+        if self.is_holder and not self._is_informed(now_seconds):
+            await self._abstain(now_seconds)
+        may_try = self.is_holder or self._may_compete(now_seconds)
         is_due = now_seconds >= self._renew_at_seconds
         if may_try and is_due and self.lease.may_take(now_seconds):
             await self._renew()
@@ -212,6 +227,26 @@
             await self._listen_for_holder(now_seconds)
         self._note_holding()
 
+    def _may_compete(self, now_seconds: float) -> bool:
+        return now_seconds >= self._abstains_until_seconds and self.is_candidate()
+
+    def _is_informed(self, now_seconds: float) -> bool:
+        """Return whether this holder knows what is wanted, or may still learn it."""
+        held_seconds = now_seconds - self._held_since_seconds
+        age_seconds = self._scheduler.targets_age_seconds()
+        return min(age_seconds, held_seconds) <= MAX_TARGETS_AGE_SECONDS
+
+    async def _abstain(self, now_seconds: float) -> None:
+        """Leave the lease to others, who may learn what is wanted.
+
+        A holder that knows of no newer weights orders nothing, and while it renews
+        nobody else may: all runners would keep old ones for as long as it lives.
+        """
+        age_ms = milliseconds(self._scheduler.targets_age_seconds())
+        log.problem("targets can't be read, lease let go", targets_read_age_ms=age_ms)
+        self._abstains_until_seconds = now_seconds + ABSTAIN_SECONDS
+        await self._release()
+
     async def _renew(self) -> None:
         async with self._renewing:
             await self._write_lease()
@@ -241,6 +276,7 @@
         if is_holder == self._was_holder:
             return
         self._was_holder = is_holder
+        self._held_since_seconds = self._read_clock() if is_holder else math.inf
         sentence = "lease taken" if is_holder else "lease lost"
         log.info(sentence, fencing_number=self.lease.version)
         # What the holder before ordered shows in the runners' reports.
