The soak strands connections; its engine survives a crash while it loads

Cause: each silence in the soak ended with a reset, so it could not show what silence for good does. The load of the life before handed slots to the new one, or waited for slots of a queue that was gone; two loads at once each held what the other waited for.

--- a/packages/rampwick-standin/src/rampwick_standin/_engine.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_engine.py
@@ -139,7 +139,6 @@
         self.faults = EngineFaults()
         self.weights_version = 1
         self.fencing_number = 0
-        self.role = "serve"
         self.loads_count = 0
         #: Attempts that began to run, in order, over all lives: for checks.
         self.started: list[Stream] = []
@@ -155,6 +154,8 @@
         self._free_slots = self.settings.slots_count
         self._queue: list[tuple[int, int, anyio.Event]] = []
         self._prefill = anyio.Lock()
+        self._loading = anyio.Lock()
+        self.role = "serve"
         self._waiting_tokens = 0
 
     def crash(self) -> None:
@@ -181,6 +182,12 @@
 
     async def load_weights(self, weights_version: int) -> None:
         """Load other weights; the cache is of no use to them."""
+        incarnation = self.incarnation
+        async with self._loading:
+            if incarnation == self.incarnation:
+                await self._load(weights_version, incarnation)
+
+    async def _load(self, weights_version: int, incarnation: str) -> None:
         if weights_version == self.weights_version:
             return
         self.loads_count += 1
@@ -189,6 +196,9 @@
         for _ in range(self.settings.slots_count):
             await self._take_slot(priority=0)
         await anyio.sleep(self.settings.load_seconds)
+        if incarnation != self.incarnation:
+            # The life that loaded has ended, and its batch with it.
+            return
         self.weights_version = weights_version
         if not self.faults.keeps_cache:
             self.cache.clear()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -19,6 +19,9 @@
 #: Model that the stand-in runners serve.
 MODEL = "lektor"
 
+#: Time within which a dead connection is noticed, and what it carried has ended.
+NOTICE_SECONDS = 5.0
+
 #: Pause before a process that ended is started again.
 RESTART_SECONDS = 0.3
 
@@ -73,6 +76,10 @@
     "runner_loses_answers",
 )
 
+#: Connections that are silent for good while new ones work. They are drawn after all
+#: else, so that a seed draws what it drew before there were such.
+STRANDED = ("peer_link_stranded", "platform_link_stranded", "runner_link_stranded")
+
 
 def draw_plan(
     draw: random.Random, planned_seconds: float, chaos_seconds: float, count: int
@@ -90,6 +97,9 @@
             # Troubles come in series: the same again, a moment later.
             again = attrs.evolve(faults[-1], at_seconds=at_seconds + draw.random())
             faults.append(again)
+    for kind in STRANDED:
+        at_seconds = planned_seconds + draw.uniform(0.0, chaos_seconds)
+        faults.append(_draw_fault(draw, kind, at_seconds))
     return sorted(faults, key=lambda fault: fault.at_seconds)
 
 
@@ -215,6 +225,15 @@
     async def _platform_link_reset(self, fault: Fault, deed: Deed) -> None:
         self._platform_link(fault, deed).reset()
 
+    async def _platform_link_stranded(self, fault: Fault, deed: Deed) -> None:
+        await self._strand(self._platform_link(fault, deed))
+
+    async def _peer_link_stranded(self, fault: Fault, deed: Deed) -> None:
+        await self._strand(self._fleet.to_peer[self._host(fault, deed).name])
+
+    async def _runner_link_stranded(self, fault: Fault, deed: Deed) -> None:
+        await self._strand(self._fleet.to_upstream[self._runner(fault, deed).name])
+
     async def _peer_link_silent(self, fault: Fault, deed: Deed) -> None:
         proxy = self._fleet.to_peer[self._host(fault, deed).name]
         await self._silence(proxy, fault, True, True)
@@ -239,6 +258,11 @@
     def _platform_link(self, fault: Fault, deed: Deed) -> Proxy:
         return self._fleet.to_platform[self._host(fault, deed).name]
 
+    async def _strand(self, proxy: Proxy) -> None:
+        proxy.strand()
+        # What rests on a dead connection breaks only once that is noticed.
+        await anyio.sleep(NOTICE_SECONDS)
+
     async def _silence(
         self, proxy: Proxy, fault: Fault, is_out: bool, is_back: bool
     ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import attrs
 from soak._callers import ANSWER_TOKENS, Call
 from soak._checks import Seen, check_all
-from soak._faults import PLANNED, UNPLANNED, Deed, Saboteur, draw_plan
+from soak._faults import PLANNED, STRANDED, UNPLANNED, Deed, Saboteur, draw_plan
 from soak._fleet import Size
 from soak._run import Terms, play
 from testtools import TestCase
@@ -30,6 +30,17 @@
     return Call(kind, "e0", saw, at, at + 0.5, **options)
 
 
+#: What seed 3 drew, in its order, before connections could be stranded.
+SEED_3_KINDS = (
+    "name_weights name_weights host_term runner_leave configure host_term "
+    "runner_frozen name_weights runner_leave clock_step runner_leave host_pause "
+    "platform_link_silent runner_leave platform_link_silent name_weights "
+    "name_weights platform_stale platform_slow runner_loses_answers host_term "
+    "name_weights peer_link_silent runner_link_reset platform_slow "
+    "platform_link_silent platform_slow clock_step peer_link_reset "
+    "runner_link_one_way"
+)
+
 SAW = {field.name for field in attrs.fields(CallerSaw)}
 
 
@@ -133,8 +144,15 @@
                 if fault.at_seconds < 5.0:
                     self.assertIn(fault.kind, PLANNED)
 
+    def test_stranded_connections_change_nothing_of_what_a_seed_drew_before(self):
+        plan = draw_plan(random.Random(3), 5.0, 8.0, 20)
+        kinds = [fault.kind for fault in plan]
+        self.assertEqual(1, kinds.count("peer_link_stranded"))
+        rest = [fault.kind for fault in plan if fault.kind not in STRANDED]
+        self.assertEqual(SEED_3_KINDS, " ".join(rest))
+
     def test_every_kind_can_be_carried_out(self):
-        for kind in (*PLANNED, *UNPLANNED):
+        for kind in (*PLANNED, *UNPLANNED, *STRANDED):
             self.assertTrue(callable(getattr(Saboteur, f"_{kind}")), kind)
 
 
