Since when weights are wanted is told among hosts; leaving hosts keep no place for the lease

Causes: (A) a host counted outdated weights from when it heard of newer ones: one that started after the naming sent prompts to old weights for the whole bound again. (B) two hosts that were leaving kept both candidate places while they drained, and the lease lay vacant for 9 to 10 s in the middle of a rollout.

Ruled out: ages in the targets message itself (it is a record in the store, too); the whole bound, or nothing, for a naming that nobody saw (the one refuses every prompt until the first load after a restart of all hosts, the other doubles the time); readers and relays by who stays (what they do they go on doing until they are gone).

What was named before this host's first look counts as half the bound old, until somebody tells better; what appeared while the store could not be read counts from the last reading. Only staying hosts have a rank among the lease's candidates. A link that opens gets the steward's news at once.

--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -2,7 +2,13 @@
 
 import attrs
 
-from rampwick_schema import HostList, LoadReport, Summary, WeightsTarget
+from rampwick_schema import (
+    HostList,
+    LoadReport,
+    NamedWeights,
+    Summary,
+    WeightsTarget,
+)
 
 from ._placement import Choice
 from ._prefix import PrefixChain, Scope
@@ -192,6 +198,10 @@
     source: str = ""
     #: Steady time at which they were surely the newest; none if a peer told them.
     read_at_seconds: float | None = None
+    #: When versions were named, as a peer tells it.
+    named: tuple[NamedWeights, ...] = ()
+    #: Whether they could not be read right before.
+    is_after_failure: bool = False
 
 
 @attrs.frozen
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -306,7 +306,8 @@
 
     def _on_targets(self, event: ev.TargetsRead, now_seconds: float) -> None:
         targets = self.upstreams.targets
-        targets.apply(event.targets, now_seconds)
+        targets.learn(event.named, now_seconds)
+        targets.apply(event.targets, now_seconds, event.is_after_failure)
         if event.read_at_seconds is not None:
             targets.note_read(event.read_at_seconds)
         for target in targets.all_newest():
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -29,6 +29,11 @@
 #: begin on them: requests wait at runners, too.
 OUTDATED_MARGIN_SECONDS = 1.5
 
+#: Age of weights that were named before anybody looked, as a part of the time after
+#: which nothing may begin on older ones. All of it would refuse every prompt until the
+#: first load after a restart of all hosts, nothing of it doubles the time.
+GUESSED_AGE_RATIO = 0.5
+
 #: Time between two probes of an upstream that is waited for: the first, the factor
 #: after each one that failed, and the longest. Most that are down stay down, and each
 #: host asks for itself.
@@ -179,7 +184,7 @@
         self._retry = retry
         self._slots_factor = slots_factor
         self._placement = placement
-        self.targets = TargetWeights()
+        self.targets = TargetWeights(placement.max_outdated_seconds * GUESSED_AGE_RATIO)
         #: Version of the host list in use; -1 before the first.
         self.list_version = -1
         self._upstreams: dict[str, Upstream] = {}
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -187,6 +187,7 @@
         role = ReadingRole(
             self._gossip.table,
             lambda: self._gossip.live_names,
+            lambda: self._gossip.staying_names,
             lambda: self._gossip.hears_nobody,
             lambda: self._gossip.answered_at_seconds,
             self._configuration,
--- a/packages/rampwick-router/src/rampwick_router/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/_gossip.py
@@ -166,6 +166,15 @@
             name for name in names if not self.table.is_passed_over(name, now_seconds)
         }
 
+    @property
+    def staying_names(self) -> set[str]:
+        """Names of those of them that are not leaving."""
+        if self.table.is_large:
+            near = self.neighbours()
+            return self.live_names - (near.heard - near.staying)
+        views = self._scheduler.peer_views(self._read_clock())
+        return {view.name for view in views if not view.summary.is_leaving}
+
     def neighbours(self) -> Neighbours:
         """Return whom this host hears, by itself or through its relay."""
         now_seconds = self._read_clock()
@@ -202,6 +211,10 @@
     def _note_opened(self, link: Link) -> None:
         known = [to_record(member) for member in self.table]
         link.put(Members(known))
+        if self._steward.is_holder:
+            # A host that has just started sent prompts to a runner that was about to
+            # load, until the next telling half a second later.
+            link.put(self._steward_news())
         self._learn([link.peer])
 
     def _learn(self, members: Iterable[Member]) -> None:
@@ -383,6 +396,7 @@
             sorted({view.hall for view in views} | {own.hall}),
             *self._sync.own_ages(),
             self._scheduler.targets(),
+            self._scheduler.named_weights(),
         )
         self._links.broadcast(told, self._is_of_group)
 
@@ -413,14 +427,18 @@
 
     def tell_steward_news(self) -> None:
         """Tell all hosts of loads, weights and lease now."""
-        news = steward_news(
+        news = self._steward_news()
+        is_relay = self.table.is_relay(self.live_names)
+        self._links.broadcast(news, lambda peer: is_relay or self._is_told(peer))
+
+    def _steward_news(self) -> StewardNews:
+        return steward_news(
             self.table.own.name,
             self._steward,
             self._scheduler.targets(),
+            self._scheduler.named_weights(),
             self._read_clock(),
         )
-        is_relay = self.table.is_relay(self.live_names)
-        self._links.broadcast(news, lambda peer: is_relay or self._is_told(peer))
 
     async def _keep_ages(self) -> None:
         """Ask a reader for the ages of its knowledge, unless this host is one.
--- a/packages/rampwick-router/src/rampwick_router/_peer_news.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_news.py
@@ -17,6 +17,7 @@
     CacheUpdate,
     HostList,
     MemberRecord,
+    NamedWeights,
     RunnerLoad,
     RunnerWeights,
     StewardNews,
@@ -64,6 +65,7 @@
     holder: str,
     steward: StewardTask,
     targets: Sequence[WeightsTarget],
+    named: Sequence[NamedWeights],
     now_seconds: float,
 ) -> StewardNews:
     """Return what the steward has to say: lease, targets, loads, weights."""
@@ -86,13 +88,15 @@
         targets=list(targets),
         loads=loads,
         weights=weights,
+        named=list(named),
     )
 
 
 def steward_events(news: StewardNews, now_seconds: float) -> Iterator[Event]:
     """Yield what the scheduler learns from a steward's news."""
     if news.targets:
-        yield TargetsRead(tuple(news.targets), STEWARD_SOURCE)
+        named = tuple(news.named)
+        yield TargetsRead(tuple(news.targets), STEWARD_SOURCE, named=named)
     for load in news.loads:
         yield LoadOrdered(
             load.upstream,
--- a/packages/rampwick-router/src/rampwick_router/_peer_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_sync.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -29,7 +29,6 @@
     HostListRequest,
     Summary,
     TreeReply,
-    WeightsTarget,
 )
 
 from ._configuration import ConfigurationTask
@@ -119,7 +118,7 @@
             news.revision_age_seconds,
             news.summary.host_list_version,
             news.host_list_age_seconds,
-            news.targets,
+            TargetsRead(tuple(news.targets), READER_SOURCE, named=tuple(news.named)),
         )
 
     def compare(self, link: Link, summary: Summary) -> None:
@@ -177,6 +176,7 @@
             host_list_version=self._hosts.version,
             host_list_age_seconds=host_list_age_seconds,
             targets=self._scheduler.targets(),
+            named=self._scheduler.named_weights(),
         )
 
     def _take_confirmation(self, link: Link, reply: ConfirmReply) -> None:
@@ -190,7 +190,7 @@
             reply.revision_age_seconds,
             reply.host_list_version,
             reply.host_list_age_seconds,
-            reply.targets,
+            TargetsRead(tuple(reply.targets), READER_SOURCE, named=tuple(reply.named)),
         )
 
     def _confirm(
@@ -200,7 +200,7 @@
         revision_age_seconds: float,
         list_version: int,
         list_age_seconds: float,
-        targets: Sequence[WeightsTarget],
+        told: TargetsRead,
     ) -> None:
         self.answered_at_seconds = self._read_clock()
         is_newest = self._follower.revision == self._follower.head_revision
@@ -208,8 +208,8 @@
             self._configuration.confirm(asked_at_seconds - revision_age_seconds)
         if list_version == self._hosts.version:
             self._hosts.confirm(asked_at_seconds - list_age_seconds)
-        if targets:
-            self._scheduler.post(TargetsRead(tuple(targets), READER_SOURCE))
+        if told.targets:
+            self._scheduler.post(told)
 
 
 def _tellable(age_seconds: float) -> float:
--- a/packages/rampwick-router/src/rampwick_router/_reading_role.py
+++ b/packages/rampwick-router/src/rampwick_router/_reading_role.py
@@ -27,6 +27,7 @@
         self,
         table: MemberTable,
         list_live: Callable[[], set[str]],
+        list_staying: Callable[[], set[str]],
         hears_nobody: Callable[[], bool],
         answered_at: Callable[[], float],
         configuration: ConfigurationTask,
@@ -36,6 +37,7 @@
     ) -> None:
         self._table = table
         self._list_live = list_live
+        self._list_staying = list_staying
         self._hears_nobody = hears_nobody
         self._answered_at = answered_at
         self._configuration = configuration
@@ -57,10 +59,14 @@
         return self._hears_nobody()
 
     def is_candidate(self) -> bool:
-        """Return whether this host may take the steward's lease."""
+        """Return whether this host may take the steward's lease.
+
+        Hosts that leave won't take it again. While they drain they answer as ever: two
+        of them kept both places, and nobody held the lease for 10 s.
+        """
         if not self._is_past_grace():
             return False
-        return self._table.rank(self._list_live()) < CANDIDATES_COUNT
+        return self._table.rank(self._list_staying()) < CANDIDATES_COUNT
 
     def wants_configuration(self) -> bool:
         """Return whether this host is to read the configuration."""
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -25,7 +25,7 @@
     Scheduler,
     Tick,
 )
-from rampwick_schema import WeightsTarget
+from rampwick_schema import NamedWeights, WeightsTarget
 
 from ._logs import PartLogger
 
@@ -95,6 +95,10 @@
         """Return the newest weights that are known to be wanted."""
         return self._scheduler.upstreams.targets.all_newest()
 
+    def named_weights(self) -> list[NamedWeights]:
+        """Return when versions were named, where this host knows it."""
+        return self._scheduler.upstreams.targets.ages(self._read_clock())
+
     def targets_age_seconds(self) -> float:
         """Return the age of this host's own reading of the targets, or infinity."""
         now_seconds = self._read_clock()
--- a/packages/rampwick-router/src/rampwick_router/_target_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/_target_sources.py
@@ -83,7 +83,13 @@
                 targets.append(self._reader.read_target(stored))
             except RampwickError as error:
                 log.problem("target can't be read", target=stored.key, error=str(error))
-        _post_targets(self._scheduler, targets, state.confirmed_at_seconds, self._wake)
+        _post_targets(
+            self._scheduler,
+            targets,
+            state.confirmed_at_seconds,
+            state.is_after_failure,
+            self._wake,
+        )
 
 
 class PolledTargets:
@@ -105,13 +111,22 @@
 
     async def run(self) -> None:
         """Read the targets while this host gives orders, until cancelled."""
+        is_after_failure = False
         while True:
             if self._is_wanted():
                 began_seconds = self._read_clock()
                 try:
                     targets = await self._store.load()
-                    _post_targets(self._scheduler, targets, began_seconds, self._wake)
+                    _post_targets(
+                        self._scheduler,
+                        targets,
+                        began_seconds,
+                        is_after_failure,
+                        self._wake,
+                    )
+                    is_after_failure = False
                 except (PlatformError, DataError) as error:
+                    is_after_failure = True
                     log.problem("targets can't be read", error=str(error))
             await anyio.sleep(TARGETS_INTERVAL_SECONDS)
 
@@ -120,9 +135,16 @@
     scheduler: SchedulerTask,
     targets: Sequence[WeightsTarget],
     read_at_seconds: float,
+    is_after_failure: bool,
     wake: Callable[[], None],
 ) -> None:
-    scheduler.post(TargetsRead(tuple(targets), PLATFORM_SOURCE, read_at_seconds))
+    event = TargetsRead(
+        tuple(targets),
+        PLATFORM_SOURCE,
+        read_at_seconds,
+        is_after_failure=is_after_failure,
+    )
+    scheduler.post(event)
     wake()
 
 
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -24,6 +24,7 @@
     HostListRequest as HostListRequest,
     MemberRecord as MemberRecord,
     Members as Members,
+    NamedWeights as NamedWeights,
     PlacedPrefix as PlacedPrefix,
     Proof as Proof,
     RunnerLoad as RunnerLoad,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -184,6 +184,18 @@
     is_leaving: bool
 
 
+@attrs.frozen
+class NamedWeights:
+    """Weights that were named, and how long ago at the time of telling."""
+
+    #: Model.
+    model: str
+    #: Version of its weights.
+    weights_version: int = attrs.field(validator=within(0, None))
+    #: Time since its naming.
+    age_seconds: float = attrs.field(validator=within(0.0, None))
+
+
 @attrs.frozen
 class FleetSummary:
     """What all hosts of the fleet say, told by a hall's relay to each host of its hall. Ages are those at the time of telling; a host counts them from when it sent the summary that its beat names."""
@@ -204,6 +216,8 @@
     host_list_age_seconds: float = attrs.field(validator=within(0.0, None))
     #: Weights that are wanted, as far as the relay knows.
     targets: list[WeightsTarget]
+    #: When versions were named, as far as the teller saw it or was told.
+    named: list[NamedWeights] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -260,6 +274,8 @@
     host_list_age_seconds: float = attrs.field(validator=within(0.0, None))
     #: Weights that are wanted, as far as the sender knows.
     targets: list[WeightsTarget] = attrs.field(factory=list)
+    #: When versions were named, as far as the teller saw it or was told.
+    named: list[NamedWeights] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -328,6 +344,8 @@
     loads: list[RunnerLoad]
     #: Weights that runners were seen to have after loads.
     weights: list[RunnerWeights]
+    #: When versions were named, as far as the teller saw it or was told.
+    named: list[NamedWeights] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -27,6 +27,8 @@
 from rampwick_schema import (
     HostEntry,
     HostList,
+    LeaseRecord,
+    StewardNews,
     Summary,
     WeightsTarget,
     parse_settings,
@@ -34,6 +36,9 @@
 
 from .fakes import FakeApi
 
+#: Steady time of daemons that do not run.
+NOW_SECONDS = 100.0
+
 
 class Host:
     """What of one host takes part in reading, without sockets or tasks."""
@@ -67,11 +72,27 @@
     """Stands for a link; keeps what was put on it."""
 
     messages: list = attrs.field(factory=list)
+    peer: Member | None = None
 
     def put(self, message):
         self.messages.append(message)
 
 
+def make_daemon(member):
+    """Return a daemon that does not run, on the users' platform."""
+    text = f'[host]\nname = "{member.name}"\nhall = "{member.hall}"\n'
+    settings = parse_settings(text, source="t")
+    return Daemon(
+        settings,
+        FakeApi(),
+        None,
+        None,
+        member.address,
+        Clocks(monotonic=lambda: NOW_SECONDS),
+        make_integration(settings),
+    )
+
+
 class ReadingRoleTest(TestCase):
     def role(self, is_steward):
         members = [Member(f"h{number}", "h", f"h{number}:1") for number in range(6)]
@@ -88,6 +109,7 @@
         return ReadingRole(
             table,
             lambda: live - {table.own.name},
+            lambda: live - {table.own.name},
             lambda: False,
             lambda: host.now_seconds,
             host.configuration,
@@ -109,6 +131,27 @@
         self.assertFalse(role.wants_configuration())
 
 
+class NewLinkTest(TestCase):
+    def messages(self, is_holder):
+        """Return what a host puts on a link that has just opened."""
+
+        async def main():
+            daemon = make_daemon(Member("h0", "h", "h0:1"))
+            if is_holder:
+                lease = daemon.steward.lease
+                record = LeaseRecord("h0", "w", 10.0)
+                lease.note_written(record, 7, write_began_seconds=NOW_SECONDS)
+            link = Wire(peer=Member("h1", "h", "h1:1"))
+            daemon._gossip._note_opened(link)
+            return [type(message) for message in link.messages]
+
+        return anyio.run(main)
+
+    def test_the_steward_tells_its_news_at_once(self):
+        self.assertIn(StewardNews, self.messages(is_holder=True))
+        self.assertNotIn(StewardNews, self.messages(is_holder=False))
+
+
 class LeavingCandidatesTest(TestCase):
     """Hosts that leave take no place among those who may hold the steward's lease.
 
@@ -137,13 +180,7 @@
         third = members[2]
 
         async def main():
-            text = f'[host]\nname = "{third.name}"\nhall = "h"\n'
-            settings = parse_settings(text, source="t")
-            clocks = Clocks(monotonic=lambda: 100.0)
-            integration = make_integration(settings)
-            daemon = Daemon(
-                settings, FakeApi(), None, None, third.address, clocks, integration
-            )
+            daemon = make_daemon(third)
             daemon._gossip.table.learn(members)
             for rank, member in enumerate(members):
                 if member != third:
@@ -221,11 +258,35 @@
         self.tell(self.witness(2), newcomer)
         self.assertEqual([True, False], [self.is_open(newcomer, s) for s in (0.3, 0.5)])
 
+    def test_an_older_naming_counts_for_runners_that_missed_it(self):
+        newcomer = self.host()
+        self.tell(self.witness(2, 3), newcomer)
+        # Version 3 was named 6 s ago, but the runner has been outdated for 12 s.
+        self.assertFalse(self.is_open(newcomer, 0.1))
+
     def test_what_was_named_before_anybody_looked_counts_as_half_the_time_ago(self):
         newcomer = self.host()
         self.read(newcomer, WeightsTarget("m", 2))
         self.assertEqual([True, False], [self.is_open(newcomer, s) for s in (2.4, 0.2)])
 
+    def test_a_guess_is_not_told_and_gives_way_to_what_was_seen(self):
+        guesser, other = self.host(), self.host()
+        self.read(guesser, WeightsTarget("m", 2))
+        self.read(other)
+        self.tell(guesser, other)
+        self.assertEqual([True, False], [self.is_open(other, s) for s in (6.4, 0.2)])
+        seen = self.witness(2)
+        seen.now_seconds -= 5.0
+        self.tell(seen, guesser)
+        self.assertEqual([True, False], [self.is_open(guesser, s) for s in (5.4, 0.2)])
+
+    def test_what_was_named_while_the_store_was_away_counts_from_the_last_reading(self):
+        host = self.host()
+        self.read(host)
+        host.now_seconds += 4.0
+        self.read(host, WeightsTarget("m", 2), is_after_failure=True)
+        self.assertEqual([True, False], [self.is_open(host, s) for s in (2.4, 0.2)])
+
 
 class ToldTargetsTest(TestCase):
     @contextlib.contextmanager
