A sound holder keeps the lease through a cut watch; quiet links are shown to live on

(1) After a failed watch the next call was another watch, which confirms nothing until it has waited: one ordinary cut made the holder's reading 6.65 s old, over the 5 s after which it let the lease go; alone in reach, it came back after 11.35 s. (2) A pause of the lease without a look at it left the time since when it is held as it was. (3) Two watches in a row could take connections that were as dead: 7.3 s. (4) A release did not tell its own host the new version, and counted an order from its sending, not from its latest arrival. (5) An order that the rest of the lease was too short for left no line. (6) A link was heard by whole messages, which a megabyte over a slow way takes seconds for. (7) Three mutations survived the tests: no word on quiet links, a link never heard, a reading without its time.

Ruled out: two looks in a row before letting go (a listing makes the first one right).

Change: a listing after each failure; connections to the store rest 2 s at the most; the lease is let go at 8 s, and not while runners are known to be behind; its holding is looked at after failures, too; releases note their version and count from the latest arrival; the line "steward: lease too short for an order"; bytes keep a link up.

Figures: four new tests; each of the three mutations fails one now, and so does the listing left out. In the calm, with a watch cut at any of five moments, and after 6 s without the store, the lease is never let go (0 of 40 s).

--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -27,6 +27,10 @@
 #: back, and what a busy store adds.
 WATCH_GRACE_SECONDS = 0.5
 
+#: Rest after which a connection is used no more: otherwise the call after one on a dead
+#: connection takes another that is as dead; two watches heard nothing for 7.3 s.
+MAX_REST_SECONDS = 2.0
+
 #: Statuses that a dialect's readers understand.
 MEANINGFUL_STATUSES = frozenset(
     {
@@ -66,6 +70,7 @@
                 # Each dead connection in the pool costs the next call its whole
                 # time-out, unless the kernel has found it dead before.
                 socket_options=LIVENESS_OPTIONS,
+                limits=httpx.Limits(keepalive_expiry=MAX_REST_SECONDS),
             ),
         )
 
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -116,6 +116,9 @@
                 self._is_listed = False
                 self._take_problem(str(error))
             except (PlatformError, DataError) as error:
+                # Another watch would confirm nothing until it has waited; a listing
+                # does within one round trip.
+                self._is_listed = False
                 self._failures_count += 1
                 self._take_problem(str(error))
                 await self._pause()
--- a/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
@@ -35,12 +35,18 @@
         await self.read(watcher, read_clock)
         return False
 
-    async def release(self, watcher: LeaseWatcher, wait_seconds: float) -> None:
+    async def release(
+        self,
+        watcher: LeaseWatcher,
+        wait_seconds: float,
+        read_clock: Callable[[], float],
+    ) -> None:
         """Give the lease up; the next holder waits so long before it takes it."""
         record = LeaseRecord(
             holder="", write_id=secrets.token_hex(8), duration_seconds=wait_seconds
         )
-        await self._api.put(self._key, encode_record(record), watcher.version)
+        version = await self._api.put(self._key, encode_record(record), watcher.version)
+        watcher.observe(record, version, read_clock())
 
     async def read(
         self, watcher: LeaseWatcher, read_clock: Callable[[], float]
--- a/packages/rampwick-router/src/rampwick_router/_peer_links.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_links.py
@@ -53,7 +53,7 @@
     peer: Member
     _sending: MemoryObjectSendStream[bytes]
     waiting: MemoryObjectReceiveStream[bytes]
-    #: Last times at which a message came, and at which one went out.
+    #: Last times at which bytes came in, and at which a message went out.
     heard_at_seconds: float
     told_at_seconds: float
     #: Cancelled to give the link up.
@@ -66,6 +66,10 @@
         streams = anyio.create_memory_object_stream[bytes](OUTBOX_COUNT)
         return cls(peer, *streams, now_seconds, now_seconds)
 
+    def note_heard(self, now_seconds: float) -> None:
+        """Note that something came in."""
+        self.heard_at_seconds = now_seconds
+
     def close(self) -> None:
         """Give up what still waits in the outbox."""
         self._sending.close()
@@ -147,15 +151,15 @@
         """Accept and dial until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, self._accept)
-            tasks.start_soon(self._keep_links)
+            tasks.start_soon(self.keep_links)
             while True:
                 self._news = anyio.Event()
                 self._look(tasks)
                 with anyio.move_on_after(LOOK_SECONDS):
                     await self._news.wait()
 
-    async def _keep_links(self) -> None:
-        """Give up links that fell silent; keep up those with nothing to say.
+    async def keep_links(self) -> None:
+        """Look after all links, again and again until cancelled.
 
         An open connection may be dead without an end or a reset: its link hid the peer
         for the rest of a run, since a linked peer is not dialled again.
@@ -164,9 +168,10 @@
             await anyio.sleep(self._keep_alive_seconds)
             now_seconds = self._read_clock()
             for link in self._links:
-                self._keep_link(link, now_seconds)
+                self.keep_link(link, now_seconds)
 
-    def _keep_link(self, link: Link, now_seconds: float) -> None:
+    def keep_link(self, link: Link, now_seconds: float) -> None:
+        """Give up a link that fell silent, or say something on one that is quiet."""
         if link.is_silent(now_seconds, self._settings.dead_after_seconds):
             silent_seconds = round(now_seconds - link.heard_at_seconds, 1)
             peer = link.peer.name
@@ -239,6 +244,8 @@
                 await anyio.sleep_forever()
             link = Link.open(peer, self._read_clock())
             self._links.append(link)
+            # Bytes count, not messages: a long one takes seconds over a slow way.
+            stream.note_bytes = lambda: link.note_heard(self._read_clock())
             log.info("peer linked", peer=peer.name, hall=peer.hall)
             try:
                 with link.scope:
@@ -254,9 +261,7 @@
             tasks.start_soon(self._write, stream, link, tasks.cancel_scope)
             try:
                 while True:
-                    message = await stream.receive()
-                    link.heard_at_seconds = self._read_clock()
-                    self.take(link, message)
+                    self.take(link, await stream.receive())
             except PeerError as error:
                 failure = error
             tasks.cancel_scope.cancel()
--- a/packages/rampwick-router/src/rampwick_router/_peer_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/_peer_stream.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 import secrets
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -43,6 +44,8 @@
         self._received = bytearray()
         self._max_message_bytes = max_message_bytes
         self.peer = ""
+        #: Called whenever bytes come in.
+        self.note_bytes: Callable[[], None] = _ignore
         # Looked up once: finding a label costs more than counting.
         bytes_count, messages_count = metrics.control_bytes, metrics.control_messages
         self._sent_bytes = bytes_count.labels("sent")
@@ -94,6 +97,7 @@
         try:
             while len(self._received) < count:
                 self._received += await self._stream.receive()
+                self.note_bytes()
         except (OSError, anyio.EndOfStream) as error:
             raise self._closed(error) from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
@@ -147,6 +151,10 @@
         return PeerError(f"connection closed: {message}", step=STEP, peer=self.peer)
 
 
+def _ignore() -> None:
+    return
+
+
 def _prove(secret: str, prover: Hello, asker: Hello) -> bytes:
     # The prover's name, hall and incarnation are part of the proof, and the roles
     # differ, so that no side can hand the other's proof back.
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -55,9 +55,9 @@
 #: Random wait before a lease that is free is tried for, so that hosts don't race.
 TAKE_JITTER_SECONDS = 0.4
 
-#: Age of its own reading of the targets up to which a holder keeps the lease: a reading
-#: that fails once and succeeds at the next try is 4.5 s old by then.
-MAX_TARGETS_AGE_SECONDS = 5.0
+#: Age of its own reading of the targets up to which a holder keeps the lease: a watch
+#: on a dead connection and three listings after it that fail take 7 s.
+MAX_TARGETS_AGE_SECONDS = 8.0
 
 #: Lengths of the lease for which a host that can't learn what is wanted leaves it to
 #: others; they notice its silence and wait the old lease out within one and a half.
@@ -179,7 +179,10 @@
                 self._wake = anyio.Event()
                 is_busy = False
                 try:
-                    await self._keep_lease()
+                    try:
+                        await self._keep_lease()
+                    finally:
+                        self._note_holding()
                     if self.is_holder:
                         is_busy = await self._look(tasks)
                 except (PlatformError, DataError) as error:
@@ -211,7 +214,7 @@
         since_seconds = self._read_clock() - self._ordered_at_seconds
         wait_seconds = max(0.0, apart_seconds - since_seconds)
         try:
-            await self._leases.release(self.lease, wait_seconds)
+            await self._leases.release(self.lease, wait_seconds, self._read_clock)
             log.info("lease given up", wait_seconds=wait_seconds)
         except (PlatformError, DataError) as error:
             log.problem("lease not given up", error=str(error))
@@ -226,7 +229,6 @@
             await self._renew()
         elif may_try and not self.is_holder:
             await self._listen_for_holder(now_seconds)
-        self._note_holding()
 
     def _may_compete(self, now_seconds: float) -> bool:
         return now_seconds >= self._abstains_until_seconds and self.is_candidate()
@@ -235,7 +237,10 @@
         """Return whether this holder knows what is wanted, or may still learn it."""
         held_seconds = now_seconds - self._held_since_seconds
         age_seconds = self._scheduler.targets_age_seconds()
-        return min(age_seconds, held_seconds) <= MAX_TARGETS_AGE_SECONDS
+        if min(age_seconds, held_seconds) <= MAX_TARGETS_AGE_SECONDS:
+            return True
+        # What it knows is enough to go on with.
+        return self.outdated_count() > 0
 
     async def _abstain(self, now_seconds: float) -> None:
         """Leave the lease to others, who may learn what is wanted.
@@ -374,9 +379,11 @@
     async def _send(self, entry: HostEntry, planned: PlannedOrder) -> OrderResult:
         number = await self._fencing_number()
         if number is None:
+            log.problem("lease too short for an order", runner=entry.name)
             return OrderResult.REFUSED
         order = attrs.evolve(planned.order, fencing_number=number)
-        self._ordered_at_seconds = self._read_clock()
+        # It may arrive as late as its time-out.
+        self._ordered_at_seconds = self._read_clock() + CONTROL_TIMEOUT_SECONDS
         result = await self._control.send_order(entry, order)
         log.info(
             "order sent",
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -140,6 +140,9 @@
             (0.0, Listing(6, [stored("a", 6)])),
             (0.0, Listing(7, [])),
         )
+        # A listing confirms at once where another watch would wait.
+        kinds = [call[0] for call in self.script.calls[:4]]
+        self.assertEqual(["list", "watch", "list", "watch"], kinds)
         flags = [item.is_after_failure for item in self.states]
         self.assertEqual([False, True, False], flags)
         self.assertEqual(1, len(self.problems))
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -18,6 +18,7 @@
 rest of the run, hosts_heard_count 0. Orders followed within 0.4 s of the holder's line.
 """
 
+import math
 import random
 import socket
 from contextlib import AsyncExitStack
@@ -28,11 +29,19 @@
 from soak._proxy import Proxy
 from testtools import TestCase
 
-from rampwick_platform import AnswerLostError, HttpObjectApi, Listing, StoredObject
+from rampwick_platform import (
+    AnswerLostError,
+    HttpObjectApi,
+    Listing,
+    PlatformUnavailableError,
+    StoredObject,
+    _kind_watcher,
+)
 from rampwick_platform._http import WATCH_GRACE_SECONDS
 from rampwick_policy import Member, Scheduler, TargetsRead
 from rampwick_router import run_daemon
-from rampwick_router._peer_links import Link
+from rampwick_router._metrics import Metrics
+from rampwick_router._peer_links import Link, PeerLinks
 from rampwick_router._scheduler_task import SchedulerTask
 from rampwick_router._steward import StewardTask
 from rampwick_router._target_sources import WatchedTargets
@@ -175,6 +184,19 @@
         return note
 
 
+@attrs.define
+class Clock:
+    """Time that a test steps."""
+
+    now_seconds: float = 100.0
+
+    def read(self):
+        return self.now_seconds
+
+    def is_now(self, link):
+        return link.heard_at_seconds == self.now_seconds
+
+
 class SilentLinkTest(ScenarioCase):
     async def run_host(self, stack, tasks, name, seeds=()):
         """Run a daemon that peers reach through a forwarder; return both."""
@@ -207,6 +229,47 @@
         return daemon.scheduler.live_names(daemon.scheduler._read_clock())
 
 
+class QuietLinkTest(TestCase):
+    """A link over which nobody has anything to say lives on."""
+
+    def test_a_quiet_link_is_not_given_up(self):
+        clock = Clock()
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                one = await self.start(clock, "one", tasks)
+                two = await self.start(clock, "two", tasks, one._own.address)
+                await until(lambda: one.links and two.links)
+                links = [one.links[0], two.links[0]]
+                for _ in range(30):
+                    clock.now_seconds += 1.0
+                    for side, link in zip((one, two), links, strict=True):
+                        side.keep_link(link, clock.now_seconds)
+                    await until(lambda: all(clock.is_now(link) for link in links))
+                self.assertEqual(links, [one.links[0], two.links[0]])
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    async def start(self, clock, name, tasks, seed=""):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        settings = make_settings(name, "").peers
+        settings = attrs.evolve(settings, dead_after_seconds=3.0)
+        links = PeerLinks(
+            Member(name, "h", f"127.0.0.1:{port}"),
+            settings,
+            Metrics(),
+            lambda: (),
+            lambda: [seed] if seed else [],
+            clock.read,
+        )
+        # The test looks at the links itself, in stepped time.
+        links.keep_links = anyio.sleep_forever
+        tasks.start_soon(links.run, listener)
+        return links
+
+
 class LinkSilenceTest(TestCase):
     def looks(self, *times):
         """Look at a link's silence at these times; the last word came at the others."""
@@ -237,6 +300,112 @@
         return a
 
 
+class SteppedStore(FakeApi):
+    """A store whose watches wait in stepped time, and can be cut."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_seconds = 100.0
+        self.cut_at_seconds = math.inf
+        self.is_down = False
+        self._stepped = anyio.Event()
+
+    def read_clock(self):
+        return self.now_seconds
+
+    async def step(self, seconds=0.1):
+        """Let time pass, and everybody look at it."""
+        self.now_seconds += seconds
+        stepped, self._stepped = self._stepped, anyio.Event()
+        stepped.set()
+        for _ in range(20):
+            await anyio.sleep(0)
+
+    def check(self):
+        if self.is_down:
+            raise PlatformUnavailableError("down", step="call")
+
+    async def put(self, key, value, expected_version):
+        self.check()
+        return await super().put(key, value, expected_version)
+
+    async def list_objects(self, prefix, after_key=""):
+        self.check()
+        return Listing(1, [])
+
+    async def watch(self, prefix, after_version, timeout_seconds):
+        self.check()
+        end_seconds = self.now_seconds + timeout_seconds
+        while self.now_seconds < end_seconds:
+            await self._stepped.wait()
+            if self.now_seconds >= self.cut_at_seconds:
+                self.cut_at_seconds = math.inf
+                raise AnswerLostError("cut", step="watch objects")
+        return Listing(1, [])
+
+
+class SoundHolderTest(TestCase):
+    """A holder that reads the targets as it should keeps the lease through troubles."""
+
+    def play(self, trouble, seconds=40.0):
+        """Step a lone host through time; return the times at which it held nothing."""
+        self.patch(_kind_watcher, "FIRST_PAUSE_SECONDS", 0.0)
+        store = SteppedStore()
+        settings = read_settings("a")
+        scheduler = SchedulerTask(Scheduler(settings), store.read_clock)
+        steward = StewardTask(
+            store, settings, scheduler, None, store.read_clock, NoJitter()
+        )
+        targets = WatchedTargets(
+            store,
+            ReadsVersions(),
+            scheduler,
+            steward.wake,
+            lambda: True,
+            store.read_clock,
+            NoJitter(),
+        )
+        vacant = []
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(targets.run)
+                tasks.start_soon(steward.run)
+                await until(lambda: steward.is_holder)
+                while store.now_seconds < 100.0 + seconds:
+                    trouble(store)
+                    await store.step()
+                    steward.wake()
+                    if not steward.is_holder:
+                        vacant.append(round(store.now_seconds - 100.0, 1))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        return vacant
+
+    def test_in_calm(self):
+        self.assertEqual([], self.play(lambda store: None))
+
+    def test_one_watch_is_cut_whenever(self):
+        for cut_seconds in (10.5, 11.0, 11.5, 12.0, 12.5):
+            cuts = [100.0 + cut_seconds]
+
+            def cut(store, cuts=cuts):
+                if cuts and store.now_seconds >= cuts[0]:
+                    store.cut_at_seconds = cuts.pop()
+
+            self.assertEqual([], self.play(cut), cut_seconds)
+            self.assertEqual([], cuts)
+
+    def test_the_store_is_away_for_a_while(self):
+        def away(store):
+            store.is_down = 109.5 <= store.now_seconds < 115.5
+
+        # The lease may run out meanwhile; it is taken at the next try and not let go.
+        vacant = [at for at in self.play(away) if at > 18.0]
+        self.assertEqual([], vacant)
+
+
 class UninformedHolderTest(TestCase):
     """Whoever can't learn what is wanted leaves the lease to others."""
 
