--- a/packages/rampwick-policy/src/rampwick_policy/_orders.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_orders.py
@@ -69,8 +69,11 @@
             if runner.weights_version < target.weights_version and not runner.is_loading
         ]
         for runner in sorted(behind, key=lambda item: (item.running_count, item.name)):
-            if loading >= max_loads or not _can_spare(runner, of_model, planned):
+            if loading >= max_loads:
                 break
+            if not _can_spare(runner, of_model, planned):
+                # Others behind it may serve nothing, so that nothing is lost by them.
+                continue
             order = Order(
                 fencing_number=fencing_number, weights_version=target.weights_version
             )
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -17,6 +17,7 @@
     TargetsRead,
     WeightsSeen,
     count_outdated,
+    plan_orders,
 )
 from rampwick_schema import (
     HostEntry,
@@ -153,6 +154,30 @@
             now += 0.2
 
 
+class SpareTest(TestCase):
+    """Runners that serve nothing are loaded whatever those that serve can spare.
+
+    Sequence: four of ten runners serve, and none may be spared; six have weights too
+    old to serve and requests that are still running. Cause: the plan went by running
+    requests and ended at the first runner that could not be spared.
+    """
+
+    def test_serving_runners_do_not_hold_up_those_that_serve_nothing(self):
+        serving = [
+            RunnerState(f"a{number}", "m", 1, is_serving=True, is_loading=False)
+            for number in range(4)
+        ]
+        silent = [
+            RunnerState(
+                f"b{n}", "m", 1, is_serving=False, is_loading=False, running_count=5
+            )
+            for n in range(6)
+        ]
+        target = WeightsTarget("m", 2)
+        planned = plan_orders([*serving, *silent], [target], 1, max_loads=4)
+        self.assertEqual(["b0", "b1", "b2", "b3"], [item.runner for item in planned])
+
+
 class OutdatedTest(TestCase):
     def test_runners_behind_their_own_models_target_are_counted(self):
         runners = [
