The soak asks the engine which weights computed the entries that an attempt used

A host that had just started sent prompts under the salt of old weights to a runner that was about to load; they were computed by the new ones, found stale, and reached nobody. The checker took the salt's first weights for the makers of all its entries; the engine had dropped its cache at the load, so what the attempts used was computed by their own weights.

Ruled out: a use of older entries (the toy engine clears its cache at each load; the blocks in question were made after it); judging delivered answers only, as the test of a rollout in mid-burst does (an attempt that used older entries would pass).

Change: the toy engine keeps the weights of each block and tells the oldest that a prompt used; the checker goes by that, and by the salt where an engine does not tell. This check was wrong and is replaced by one as strict: an entry of other weights is caught whatever salt it lies under, in every attempt, also in those that were dropped.

--- a/packages/rampwick-standin/src/rampwick_standin/_engine.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_engine.py
@@ -56,25 +56,37 @@
     keeps_cache: bool = False
 
 
+@attrs.frozen
+class CacheUse:
+    """What a prompt found in the cache."""
+
+    tokens: int
+    #: Oldest weights that computed any of it; those in use if nothing was found.
+    weights_version: int
+
+
 class BlockCache:
-    """Least-recently-used prefix blocks by chained hash."""
+    """Least-recently-used prefix blocks by chained hash, with the weights of each."""
 
     def __init__(self, capacity_tokens: int) -> None:
         self._capacity_blocks = capacity_tokens // BLOCK_TOKENS
-        self._blocks: OrderedDict[bytes, None] = OrderedDict()
+        self._blocks: OrderedDict[bytes, int] = OrderedDict()
 
-    def use(self, salt: str, text: bytes) -> int:
-        """Return the cached tokens of a prompt and put all its blocks in."""
+    def use(self, salt: str, text: bytes, weights_version: int) -> "CacheUse":
+        """Say what is cached of a prompt and put all its blocks in."""
         hashes = hash_blocks(salt, text)
         held = 0
         while held < len(hashes) and hashes[held] in self._blocks:
             held += 1
+        oldest = min(
+            (self._blocks[block] for block in hashes[:held]), default=weights_version
+        )
         for block in reversed(hashes):
-            self._blocks[block] = None
+            self._blocks.setdefault(block, weights_version)
             self._blocks.move_to_end(block)
         while len(self._blocks) > self._capacity_blocks:
             self._blocks.popitem(last=False)
-        return held * BLOCK_TOKENS
+        return CacheUse(held * BLOCK_TOKENS, oldest)
 
     def clear(self) -> None:
         """Drop every block."""
@@ -110,6 +122,8 @@
     tokens: list[str] = attrs.field(factory=list)
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    #: Oldest weights that computed what was cached.
+    cached_weights_version: int = 0
     is_done: bool = False
     is_cancelled: bool = False
     changed: anyio.Event = attrs.field(factory=anyio.Event)
@@ -247,7 +261,9 @@
         # What waited over a reload is computed with the weights of now.
         stream.weights_version = self.weights_version
         async with self._prefill:
-            stream.cached_tokens = self.cache.use(request.salt, request.text)
+            found = self.cache.use(request.salt, request.text, self.weights_version)
+            stream.cached_tokens = found.tokens
+            stream.cached_weights_version = found.weights_version
             missing = stream.prompt_tokens - stream.cached_tokens
             self._waiting_tokens += missing
             await anyio.sleep(missing / speed)
--- a/packages/rampwick-standin/src/rampwick_standin/_runner.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_runner.py
@@ -155,6 +155,7 @@
                 "salt": stream.request.salt,
                 "cached_tokens": stream.cached_tokens,
                 "weights_version": stream.weights_version,
+                "cached_weights_version": stream.cached_weights_version,
                 "incarnation": stream.incarnation,
                 "started_at_seconds": stream.started_at_seconds,
             }
--- a/tests/history.py
+++ b/tests/history.py
@@ -41,6 +41,8 @@
     cached_tokens: int
     weights_version: int
     incarnation: str
+    #: Oldest weights that computed what was cached, where the engine tells it.
+    cached_weights_version: int | None = None
 
 
 @attrs.frozen
@@ -97,11 +99,17 @@
 
 
 def check_cache(attempts: Iterable[RunnerSaw]) -> list[str]:
-    """No salt is shared by two workspaces' texts, weights or lives of a cache."""
+    """No attempt uses entries that other weights computed.
+
+    Where the engine does not tell which ones did, they are taken to be those under
+    which the salt was seen first.
+    """
     found = []
     weights_of: dict[str, int] = {}
     for saw in attempts:
         known = weights_of.setdefault(saw.salt, saw.weights_version)
+        if saw.cached_weights_version is not None:
+            known = saw.cached_weights_version
         if saw.cached_tokens and known != saw.weights_version:
             found.append(f"{saw.attempt_id} used entries of weights {known}")
     return found
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -4,7 +4,14 @@
 from testtools import TestCase
 
 from rampwick_standin import EngineSettings
-from rampwick_standin._engine import Engine, EngineRequest
+from rampwick_standin._engine import (
+    BLOCK_BYTES,
+    BLOCK_TOKENS,
+    BlockCache,
+    CacheUse,
+    Engine,
+    EngineRequest,
+)
 
 from .bench import STUCK_SECONDS
 
@@ -84,3 +91,15 @@
         engine = anyio.run(main)
         self.assertEqual((3, "serve"), (engine.weights_version, engine.role))
         self.assertEqual(0, engine.running_count)
+
+
+class CacheMakersTest(TestCase):
+    def test_the_oldest_weights_that_computed_a_block_are_told(self):
+        cache = BlockCache(1000)
+        text = b"x" * BLOCK_BYTES * 2
+        self.assertEqual(CacheUse(0, 1), cache.use("s", text[:BLOCK_BYTES], 1))
+        self.assertEqual(CacheUse(BLOCK_TOKENS, 1), cache.use("s", text, 2))
+        self.assertEqual(CacheUse(2 * BLOCK_TOKENS, 1), cache.use("s", text, 2))
+        cache.clear()
+        self.assertEqual(CacheUse(0, 2), cache.use("s", text, 2))
+        self.assertEqual(CacheUse(2 * BLOCK_TOKENS, 2), cache.use("s", text, 2))
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,5 +1,6 @@
 """The checkers themselves, on histories that break their promise."""
 
+import attrs
 import testtools
 
 from .history import (
@@ -60,6 +61,13 @@
         self.assertEqual([], check_cache(fine))
         self.assertNotEqual([], check_cache([*fine, attempt("c", "s", 16, 2)]))
 
+    def test_the_engines_own_word_on_its_entries_goes_before_the_salt(self):
+        first = attempt("a", "s", 0, 1)
+        late = attrs.evolve(attempt("b", "s", 16, 2), cached_weights_version=2)
+        self.assertEqual([], check_cache([first, late]))
+        stale = attrs.evolve(attempt("b", "t", 16, 2), cached_weights_version=1)
+        self.assertNotEqual([], check_cache([first, stale]))
+
     def test_falling_revision_is_found(self):
         looks = [Observed("h", 1), Observed("g", 5), Observed("h", 2)]
         self.assertEqual([], check_revisions(looks))
