Split the steward: one module keeps the lease, one gives orders

Ruled out: a task of its own for the lease (orders need its fencing number in one breath with a renewal).

Change: LeaseKeeper takes, renews, releases, abstains and hands out fencing numbers; StewardTask plans and orders. Whether a host holds the lease and since when is one value. The age of what is known counts as none while runners are known to be behind, as before. No behaviour changes besides.

--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -1,6 +1,5 @@
 """The task that gives orders to runners while this host holds the region's lease."""
 
-import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -30,7 +29,8 @@
 )
 
 from ._errors import AttemptError
-from ._logs import PartLogger, milliseconds
+from ._lease_keeper import MAX_TARGETS_AGE_SECONDS, LeaseKeeper
+from ._logs import PartLogger
 from ._scheduler_task import SchedulerTask
 from ._upstream_control import CONTROL_TIMEOUT_SECONDS, UpstreamControl
 
@@ -40,14 +40,6 @@
 IDLE_INTERVAL_SECONDS = 0.25
 BYSTANDER_INTERVAL_SECONDS = 1.0
 
-#: Part of the lease after which it is renewed: two renewals may fail before another
-#: host takes it.
-RENEWAL_RATIO = 1 / 3
-
-#: Time for which nothing is heard of the holder after which the lease is read: a few
-#: summaries of peers.
-SILENCE_SECONDS = 1.2
-
 #: Time between telling peers of a load and ordering it: the news takes a few trips
 #: between halls, and prompts that were sent before have begun by then.
 ANNOUNCE_LEAD_SECONDS = 0.15
@@ -55,14 +47,6 @@
 #: Random wait before a lease that is free is tried for, so that hosts don't race.
 TAKE_JITTER_SECONDS = 0.4
 
-#: Age of its own reading of the targets up to which a holder keeps the lease: a watch
-#: on a dead connection and three listings after it that fail take 7 s.
-MAX_TARGETS_AGE_SECONDS = 8.0
-
-#: Lengths of the lease for which a host that can't learn what is wanted leaves it to
-#: others; they notice its silence and wait the old lease out within one and a half.
-ABSTAIN_LEASES = 2.0
-
 #: Time for which peers are told of weights that an own load brought.
 TOLD_SECONDS = 2.0
 
@@ -110,26 +94,21 @@
         self._control = control
         self._read_clock = read_clock
         self._draw = draw
-        self.lease = LeaseWatcher(
-            settings.host.name,
-            _lease_seconds(settings.steward),
-            settings.steward.order_window_seconds,
+        self._keeper = LeaseKeeper(
+            LeaseStore(api, f"leases/steward-{settings.host.region}") if api else None,
+            LeaseWatcher(
+                settings.host.name,
+                _lease_seconds(settings.steward),
+                settings.steward.order_window_seconds,
+            ),
+            self._targets_age_seconds,
+            read_clock,
         )
-        region = settings.host.region
-        self._leases = LeaseStore(api, f"leases/steward-{region}") if api else None
+        self._has_platform = api is not None
         self._rollout = Rollout(
             settings.steward.max_loads_count, settings.steward.max_loads_ratio
         )
-        self._renew_at_seconds = 0.0
-        self._renewing = anyio.Lock()
-        #: Version of the lease that a silence of its holder was looked into for.
-        self._read_version = 0
-        self._was_holder = False
-        self._held_since_seconds = math.inf
-        #: Until when the lease is left to hosts that know what is wanted.
-        self._abstains_until_seconds = -math.inf
         self._has_stopped = False
-        self._ordered_at_seconds = -math.inf
         self._shown: dict[str, WeightsShown] = {}
         self._wake = anyio.Event()
         #: Whether this host may take a lease that it does not hold.
@@ -137,10 +116,15 @@
         #: Called when peers shall hear of a load at once.
         self.tell_peers: Callable[[], None] = _tell_nobody
 
+    @property
+    def lease(self) -> LeaseWatcher:
+        """What this host knows of the lease."""
+        return self._keeper.lease
+
     @property
     def is_holder(self) -> bool:
         """Whether this host holds the lease now."""
-        return self.lease.is_held(self._read_clock())
+        return self._keeper.is_held
 
     def wake(self) -> None:
         """Have the plan looked at now, since there may be something to do."""
@@ -171,7 +155,7 @@
 
     async def run(self) -> None:
         """Take or renew the lease and plan, until cancelled."""
-        if self._leases is None or not self._settings.is_candidate:
+        if not self._has_platform or not self._settings.is_candidate:
             return
         await anyio.sleep(self._draw.uniform(0.0, TAKE_JITTER_SECONDS))
         async with anyio.create_task_group() as tasks:
@@ -179,10 +163,7 @@
                 self._wake = anyio.Event()
                 is_busy = False
                 try:
-                    try:
-                        await self._keep_lease()
-                    finally:
-                        self._note_holding()
+                    await self._keep_lease()
                     if self.is_holder:
                         is_busy = await self._look(tasks)
                 except (PlatformError, DataError) as error:
@@ -201,93 +182,23 @@
     async def give_up(self) -> None:
         """Let another host take the lease at once, as this one stops."""
         self._has_stopped = True
-        if self.is_holder:
-            await self._release()
-
-    async def _release(self) -> None:
-        assert self._leases is not None
-        self.lease.give_up()
-        # Two holders' orders lie as far apart as when a lease runs out.
-        apart_seconds = (
-            self.lease.duration_seconds - self._settings.order_window_seconds
-        )
-        since_seconds = self._read_clock() - self._ordered_at_seconds
-        wait_seconds = max(0.0, apart_seconds - since_seconds)
-        try:
-            await self._leases.release(self.lease, wait_seconds, self._read_clock)
-            log.info("lease given up", wait_seconds=wait_seconds)
-        except (PlatformError, DataError) as error:
-            log.problem("lease not given up", error=str(error))
+        await self._keeper.release()
 
     async def _keep_lease(self) -> None:
-        now_seconds = self._read_clock()
-        if self.is_holder and not self._is_informed(now_seconds):
-            await self._abstain(now_seconds)
-        may_try = self.is_holder or self._may_compete(now_seconds)
-        is_due = now_seconds >= self._renew_at_seconds
-        if may_try and is_due and self.lease.may_take(now_seconds):
-            await self._renew()
-        elif may_try and not self.is_holder:
-            await self._listen_for_holder(now_seconds)
-
-    def _may_compete(self, now_seconds: float) -> bool:
-        return now_seconds >= self._abstains_until_seconds and self.is_candidate()
-
-    def _is_informed(self, now_seconds: float) -> bool:
-        """Return whether this holder knows what is wanted, or may still learn it."""
-        held_seconds = now_seconds - self._held_since_seconds
+        try:
+            await self._keeper.keep(self.is_candidate())
+        finally:
+            if self._keeper.note_holding():
+                # What the holder before ordered shows in the runners' reports.
+                self._rollout.reset()
+
+    def _targets_age_seconds(self) -> float:
+        """Return how old what this host knows of the targets is, if that matters."""
         age_seconds = self._scheduler.targets_age_seconds()
-        if min(age_seconds, held_seconds) <= MAX_TARGETS_AGE_SECONDS:
-            return True
-        # What it knows is enough to go on with.
-        return self.outdated_count() > 0
-
-    async def _abstain(self, now_seconds: float) -> None:
-        """Leave the lease to others, who may learn what is wanted.
-
-        A holder that knows of no newer weights orders nothing, and while it renews
-        nobody else may: all runners would keep old ones for as long as it lives.
-        """
-        age_ms = milliseconds(self._scheduler.targets_age_seconds())
-        log.problem("targets can't be read, lease let go", targets_read_age_ms=age_ms)
-        abstain_seconds = ABSTAIN_LEASES * self.lease.duration_seconds
-        self._abstains_until_seconds = now_seconds + abstain_seconds
-        await self._release()
-
-    async def _renew(self) -> None:
-        async with self._renewing:
-            await self._write_lease()
-
-    async def _write_lease(self) -> None:
-        assert self._leases is not None
-        renewal_seconds = self.lease.duration_seconds * RENEWAL_RATIO
-        self._renew_at_seconds = self._read_clock() + renewal_seconds
-        await self._leases.try_take(self.lease, self._read_clock)
-
-    async def _listen_for_holder(self, now_seconds: float) -> None:
-        """Read the lease once if its holder has fallen silent.
-
-        Its last renewal may not have been heard of; the wait for the lease counts
-        from when the newest version was seen.
-        """
-        assert self._leases is not None
-        silent_seconds = now_seconds - self.lease.heard_at_seconds
-        is_known = self.lease.version in (0, self._read_version)
-        if is_known or silent_seconds < SILENCE_SECONDS:
-            return
-        await self._leases.read(self.lease, self._read_clock)
-        self._read_version = self.lease.version
-
-    def _note_holding(self) -> None:
-        is_holder = self.is_holder
-        if is_holder == self._was_holder:
-            return
-        self._was_holder = is_holder
-        self._held_since_seconds = self._read_clock() if is_holder else math.inf
-        sentence = "lease taken" if is_holder else "lease lost"
-        log.info(sentence, fencing_number=self.lease.version)
-        # What the holder before ordered shows in the runners' reports.
-        self._rollout.reset()
+        if age_seconds > MAX_TARGETS_AGE_SECONDS and self.outdated_count():
+            # What it knows is enough to go on with.
+            return 0.0
+        return age_seconds
 
     async def _look(self, tasks: TaskGroup) -> bool:
         """Carry out what is to be done now; return whether more will follow."""
@@ -363,27 +274,13 @@
             self._scheduler.post(LoadOrdered(entry.name, "", version, 0.0))
         self.wake()
 
-    async def _fencing_number(self) -> int | None:
-        """Return the number for an order, after a renewal if it takes one."""
-        needed_seconds = CONTROL_TIMEOUT_SECONDS
-        async with self._renewing:
-            number = self.lease.fencing_number(self._read_clock(), needed_seconds)
-            if number is not None or not self.is_holder:
-                return number
-            try:
-                await self._write_lease()
-            except (PlatformError, DataError) as error:
-                log.problem("lease not renewed, no order", error=str(error))
-        return self.lease.fencing_number(self._read_clock(), needed_seconds)
-
     async def _send(self, entry: HostEntry, planned: PlannedOrder) -> OrderResult:
-        number = await self._fencing_number()
+        number = await self._keeper.fencing_number(CONTROL_TIMEOUT_SECONDS)
         if number is None:
             log.problem("lease too short for an order", runner=entry.name)
             return OrderResult.REFUSED
         order = attrs.evolve(planned.order, fencing_number=number)
-        # It may arrive as late as its time-out.
-        self._ordered_at_seconds = self._read_clock() + CONTROL_TIMEOUT_SECONDS
+        self._keeper.note_order(CONTROL_TIMEOUT_SECONDS)
         result = await self._control.send_order(entry, order)
         log.info(
             "order sent",
