--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -50,9 +50,15 @@
         """Replace everything by a whole listing, unless it is older."""
         if listing.version < self.store_version:
             return
+        known = self.objects
         self.objects = {item.key: item for item in listing.objects}
         self.store_version = listing.version
-        self.version = max([self.version, *(item.version for item in listing.objects)])
+        versions = [item.version for item in listing.objects]
+        if known.keys() - self.objects.keys():
+            # A deletion is a change, and nothing in the listing has its version: hosts
+            # would keep the list from before it, and send to what has left.
+            versions.append(listing.version)
+        self.version = max([self.version, *versions])
 
     def take_changes(self, listing: Listing) -> None:
         """Merge what a watch told; older versions of an object change nothing."""
@@ -101,7 +107,9 @@
         self._is_wanted = is_wanted
         self._view = KindView()
         self._is_listed = False
+        #: Failures since a watch was answered, and whether the last call failed.
         self._failures_count = 0
+        self._has_failed = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -120,6 +128,7 @@
                 # does within one round trip.
                 self._is_listed = False
                 self._failures_count += 1
+                self._has_failed = True
                 self._take_problem(str(error))
                 await self._pause()
 
@@ -138,6 +147,9 @@
         listing = await self._api.watch(
             self._prefix, self._view.store_version, self._wait_seconds
         )
+        # Only this ends a row of failures: a store that answers listings and no watches
+        # would get ten times the calls.
+        self._failures_count = 0
         self._view.take_changes(listing)
         waited_seconds = self._read_clock() - began_seconds
         # An answer without changes came at the end of the wait, so all of the wait
@@ -162,9 +174,9 @@
             objects=dict(self._view.objects),
             version=self._view.version,
             confirmed_at_seconds=confirmed_at_seconds,
-            is_after_failure=self._failures_count > 0,
+            is_after_failure=self._has_failed,
         )
-        self._failures_count = 0
+        self._has_failed = False
         self._take_state(state)
 
     async def _pause(self) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -112,6 +112,7 @@
 from ._routes import RouteIndex as RouteIndex, choose_service as choose_service
 from ._scheduler import Scheduler as Scheduler
 from ._shares import DecayedUse as DecayedUse, ShareLedger as ShareLedger
+from ._targets import TargetWeights as TargetWeights
 from ._tree import (
     ROOT as ROOT,
     TreeView as TreeView,
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -307,9 +307,15 @@
     def _on_targets(self, event: ev.TargetsRead, now_seconds: float) -> None:
         targets = self.upstreams.targets
         targets.learn(event.named, now_seconds)
-        targets.apply(event.targets, now_seconds, event.is_after_failure)
-        if event.read_at_seconds is not None:
-            targets.note_read(event.read_at_seconds)
+        if event.read_at_seconds is None:
+            targets.apply(event.targets, now_seconds)
+        else:
+            targets.read(
+                event.targets,
+                event.read_at_seconds,
+                now_seconds,
+                event.is_after_failure,
+            )
         for target in targets.all_newest():
             state = f"version {target.weights_version}"
             self.notices.note("target", target.model, state, event.source)
--- a/packages/rampwick-policy/src/rampwick_policy/_targets.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_targets.py
@@ -13,16 +13,24 @@
 TOLD_VERSIONS = 4
 
 
+#: Age of a host's own reading up to which it was reading all the time: a watch of 3 s
+#: and the way of its answer. What a peer tells it knows as late as that.
+MAX_READING_AGE_SECONDS = 4.0
+
+
 @attrs.define
 class TargetWeights:
     """Target versions by model, with the time at which each was named.
 
-    A naming that nobody here saw has a guessed time, which is not told to peers and
-    gives way to the word of one who saw it.
+    A host has seen a naming if it was reading all the time. Else its time is guessed:
+    so long ago, but not before a newer version would have been told or read here.
+    Guesses are not told to peers and give way to the word of one who saw.
     """
 
-    #: Age of a version that was named before this host looked for the first time.
+    #: Age of a version that was named while nobody told this host of it.
     guessed_age_seconds: float = 0.0
+    #: Steady time up to which no newer version was known to readers or to this host.
+    quiet_until_seconds: float = -math.inf
     #: Steady time at which this host's own reading was surely the newest.
     read_at_seconds: float = -math.inf
     _named_at: dict[str, dict[int, float]] = attrs.field(factory=dict)
@@ -32,23 +40,51 @@
         self,
         targets: Iterable[WeightsTarget],
         now_seconds: float,
+    ) -> None:
+        """Take the targets that were told; older versions change nothing."""
+        for target in targets:
+            if self._is_new(target):
+                self._guess(target, now_seconds)
+        self._note_quiet(now_seconds - MAX_READING_AGE_SECONDS)
+
+    def read(
+        self,
+        targets: Iterable[WeightsTarget],
+        read_at_seconds: float,
+        now_seconds: float,
         is_after_failure: bool = False,
     ) -> None:
-        """Take the targets that were read or told; older versions change nothing.
+        """Take what this host has read, and the time at which it was newest.
 
-        After a failure to read, a version may be as old as the last reading.
+        A version that was not there a moment ago was named in between; after a failure
+        or a pause nobody here knows when.
         """
+        age_seconds = now_seconds - self.read_at_seconds
+        has_seen = age_seconds <= MAX_READING_AGE_SECONDS and not is_after_failure
         for target in targets:
-            model, version = target.model, target.weights_version
-            if version <= max(self._named_at.get(model, {}), default=-1):
+            if not self._is_new(target):
                 continue
-            at_seconds = now_seconds
-            is_first = math.isinf(self.read_at_seconds)
-            if is_first:
-                at_seconds -= self.guessed_age_seconds
-            elif is_after_failure:
-                at_seconds = self.read_at_seconds
-            self._note(model, version, at_seconds, is_first or is_after_failure)
+            if has_seen:
+                self._note(
+                    target.model, target.weights_version, now_seconds, is_guess=False
+                )
+            else:
+                self._guess(target, now_seconds)
+        self.read_at_seconds = max(self.read_at_seconds, read_at_seconds)
+        self._note_quiet(read_at_seconds)
+
+    def _is_new(self, target: WeightsTarget) -> bool:
+        known = self._named_at.get(target.model, {})
+        return target.weights_version > max(known, default=-1)
+
+    def _guess(self, target: WeightsTarget, now_seconds: float) -> None:
+        at_seconds = max(
+            now_seconds - self.guessed_age_seconds, self.quiet_until_seconds
+        )
+        self._note(target.model, target.weights_version, at_seconds, is_guess=True)
+
+    def _note_quiet(self, at_seconds: float) -> None:
+        self.quiet_until_seconds = max(self.quiet_until_seconds, at_seconds)
 
     def learn(self, named: Iterable[NamedWeights], now_seconds: float) -> None:
         """Take a peer's word on when versions were named; the earliest time holds."""
@@ -72,10 +108,6 @@
             del named[oldest]
             self._guessed.discard((model, oldest))
 
-    def note_read(self, at_seconds: float) -> None:
-        """Note that this host read all targets itself, and when they were newest."""
-        self.read_at_seconds = max(self.read_at_seconds, at_seconds)
-
     def read_age_seconds(self, now_seconds: float) -> float:
         """Return the age of this host's own reading; infinite if there is none."""
         return now_seconds - self.read_at_seconds
--- a/packages/rampwick-router/src/rampwick_router/_lease_keeper.py
+++ b/packages/rampwick-router/src/rampwick_router/_lease_keeper.py
@@ -78,15 +78,22 @@
         now_seconds = self._read_clock()
         if self.is_held and not self._is_informed(now_seconds):
             await self._abstain(now_seconds)
-        may_compete = is_candidate and now_seconds >= self._abstains_until_seconds
-        may_try = self.is_held or may_compete
         is_due = now_seconds >= self._renew_at_seconds
-        if may_try and is_due and self.lease.may_take(now_seconds):
+        if not self._may_try(is_candidate, now_seconds):
+            return
+        if is_due and self.lease.may_take(now_seconds):
             async with self._renewing:
-                await self._write()
-        elif may_try and not self.is_held:
+                # It may have been released while the lock was waited for.
+                if self._may_try(is_candidate, self._read_clock()):
+                    await self._write()
+        elif not self.is_held:
             await self._listen_for_holder(now_seconds)
 
+    def _may_try(self, is_candidate: bool, now_seconds: float) -> bool:
+        if self.is_held:
+            return True
+        return is_candidate and now_seconds >= self._abstains_until_seconds
+
     def _is_informed(self, now_seconds: float) -> bool:
         """Return whether this holder knows what is wanted, or may still learn it."""
         held_seconds = now_seconds - self._held_since_seconds
@@ -102,12 +109,21 @@
         log.problem("targets can't be read, lease let go", targets_read_age_ms=age_ms)
         abstain_seconds = ABSTAIN_LEASES * self.lease.duration_seconds
         self._abstains_until_seconds = now_seconds + abstain_seconds
-        await self.release()
+        await self._release()
 
-    async def release(self) -> None:
-        """Let another host take the lease, if this one holds it."""
-        if self._leases is None or not self.is_held:
-            return
+    async def retire(self) -> None:
+        """Leave the lease to others for good, at once if this host holds it."""
+        self._abstains_until_seconds = math.inf
+        await self._release()
+
+    async def _release(self) -> None:
+        # A renewal under way would win, and the host hold the lease again.
+        async with self._renewing:
+            if self.is_held:
+                await self._write_release()
+
+    async def _write_release(self) -> None:
+        assert self._leases is not None
         self.lease.give_up()
         # Two holders' orders lie as far apart as when a lease runs out.
         apart_seconds = self.lease.duration_seconds - self.lease.order_window_seconds
--- a/packages/rampwick-router/src/rampwick_router/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/_steward.py
@@ -29,7 +29,7 @@
 )
 
 from ._errors import AttemptError
-from ._lease_keeper import MAX_TARGETS_AGE_SECONDS, LeaseKeeper
+from ._lease_keeper import LeaseKeeper
 from ._logs import PartLogger
 from ._scheduler_task import SchedulerTask
 from ._upstream_control import CONTROL_TIMEOUT_SECONDS, UpstreamControl
@@ -182,7 +182,7 @@
     async def give_up(self) -> None:
         """Let another host take the lease at once, as this one stops."""
         self._has_stopped = True
-        await self._keeper.release()
+        await self._keeper.retire()
 
     async def _keep_lease(self) -> None:
         try:
@@ -194,11 +194,15 @@
 
     def _targets_age_seconds(self) -> float:
         """Return how old what this host knows of the targets is, if that matters."""
-        age_seconds = self._scheduler.targets_age_seconds()
-        if age_seconds > MAX_TARGETS_AGE_SECONDS and self.outdated_count():
+        if self._is_rolling_out():
             # What it knows is enough to go on with.
             return 0.0
-        return age_seconds
+        return self._scheduler.targets_age_seconds()
+
+    def _is_rolling_out(self) -> bool:
+        """Return whether a load is under way that may yet end as expected."""
+        now_seconds = self._read_clock()
+        return any(load.until_seconds > now_seconds for load in self.loads())
 
     async def _look(self, tasks: TaskGroup) -> bool:
         """Carry out what is to be done now; return whether more will follow."""
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -193,7 +193,7 @@
     #: Version of its weights.
     weights_version: int = attrs.field(validator=within(0, None))
     #: Time since its naming.
-    age_seconds: float = attrs.field(validator=within(0.0, None))
+    age_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
 
 
 @attrs.frozen
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -1,6 +1,7 @@
 """Following a kind in the store: versions, ages, forgotten history, lapses."""
 
 import random
+from unittest import mock
 
 import anyio
 from hypothesis import given, settings, strategies as st
@@ -37,6 +38,15 @@
         view.take_changes(Listing(12, [stored("a", 12, is_deleted=True)]))
         self.assertEqual(({}, 12), (view.objects, view.version))
 
+    def test_a_deletion_that_only_a_listing_shows_has_a_version_too(self):
+        """Without one the list of before counted as newer, with what had gone."""
+        view = KindView()
+        view.take_listing(Listing(10, [stored("a", 9), stored("b", 8)]))
+        view.take_listing(Listing(12, [stored("b", 8)]))
+        self.assertEqual((["k/b"], 12), (list(view.objects), view.version))
+        view.take_listing(Listing(15, [stored("b", 8)]))
+        self.assertEqual(12, view.version)
+
     @settings(derandomize=True, deadline=None)
     @given(st.permutations(list(range(1, 8))))
     def test_the_version_never_falls(self, order):
@@ -147,6 +157,19 @@
         self.assertEqual([False, True, False], flags)
         self.assertEqual(1, len(self.problems))
 
+    def test_pauses_grow_while_watches_fail_though_listings_succeed(self):
+        """Ten times the calls went to a store that answered listings only."""
+        counts = []
+
+        async def note(watcher):
+            counts.append(watcher._failures_count)
+
+        listing = (0.0, Listing(5, []))
+        failure = (0.0, PlatformUnavailableError("down", step="watch"))
+        with mock.patch.object(KindWatcher, "_pause", note):
+            self.play(*([listing, failure] * 3), listing, listing, failure)
+        self.assertEqual([1, 2, 3, 1], counts)
+
     def test_pages_are_read_to_the_end_under_the_first_ones_version(self):
         self.play(
             (0.0, Listing(5, [stored("a", 4)], is_truncated=True)),
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -17,6 +17,7 @@
     PeerHeard,
     Scheduler,
     TargetsRead,
+    TargetWeights,
 )
 from rampwick_router._configuration import ConfigurationTask
 from rampwick_router._daemon import Clocks, Daemon
@@ -288,6 +289,52 @@
         self.assertEqual([True, False], [self.is_open(host, s) for s in (2.4, 0.2)])
 
 
+class NamingTimeTest(TestCase):
+    """What counts as seen is told on; what is guessed is neither too old nor told."""
+
+    OLD, NEW = WeightsTarget("m", 1), WeightsTarget("m", 2)
+
+    def weights(self):
+        return TargetWeights(guessed_age_seconds=10.0)
+
+    def state(self, weights, now_seconds):
+        """Return for how long version 1 has been outdated, and what is told of it."""
+        outdated_seconds = weights.outdated_seconds("m", 1, now_seconds)
+        told = [item.weights_version for item in weights.ages(now_seconds)]
+        return round(outdated_seconds, 1), 2 in told
+
+    def test_what_appears_between_two_readings_is_seen(self):
+        weights = self.weights()
+        weights.read([self.OLD], 100.0, 100.0)
+        weights.read([self.NEW], 103.0, 103.1)
+        self.assertEqual((1.0, True), self.state(weights, 104.1))
+
+    def test_what_appears_after_a_pause_is_guessed_within_the_pause(self):
+        weights = self.weights()
+        weights.read([self.OLD], 100.0, 100.0)
+        weights.read([self.NEW], 109.0, 109.0)
+        self.assertEqual((9.0, False), self.state(weights, 109.0))
+
+    def test_a_word_without_its_time_is_no_sight_of_it(self):
+        weights = self.weights()
+        weights.read([self.OLD], 100.0, 100.0)
+        weights.apply([self.NEW], 101.0)
+        self.assertEqual((1.0, False), self.state(weights, 101.0))
+
+    def test_who_was_told_until_now_does_not_guess_beyond_that(self):
+        weights = self.weights()
+        weights.apply([self.OLD], 100.0)
+        weights.apply([self.NEW], 100.5)
+        self.assertEqual((4.5, False), self.state(weights, 100.5))
+
+    def test_a_last_reading_of_long_ago_is_not_the_time_of_a_naming(self):
+        weights = self.weights()
+        weights.read([self.OLD], 100.0, 100.0)
+        weights.apply([self.OLD], 160.0)
+        weights.read([self.NEW], 160.7, 160.7, is_after_failure=True)
+        self.assertEqual((4.7, False), self.state(weights, 160.7))
+
+
 class ToldTargetsTest(TestCase):
     @contextlib.contextmanager
     def capture_logs(self):
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -32,20 +32,30 @@
 from rampwick_platform import (
     AnswerLostError,
     HttpObjectApi,
+    LeaseStore,
     Listing,
     PlatformUnavailableError,
     StoredObject,
     _kind_watcher,
 )
 from rampwick_platform._http import WATCH_GRACE_SECONDS
-from rampwick_policy import Member, Scheduler, TargetsRead
+from rampwick_policy import (
+    HostListRead,
+    LeaseWatcher,
+    Member,
+    Outcome,
+    Scheduler,
+    TargetsRead,
+)
 from rampwick_router import run_daemon
+from rampwick_router._errors import AttemptError
+from rampwick_router._lease_keeper import LeaseKeeper
 from rampwick_router._metrics import Metrics
 from rampwick_router._peer_links import Link, PeerLinks
 from rampwick_router._scheduler_task import SchedulerTask
 from rampwick_router._steward import StewardTask
 from rampwick_router._target_sources import WatchedTargets
-from rampwick_schema import WeightsTarget, parse_settings
+from rampwick_schema import HostEntry, HostList, WeightsTarget, parse_settings
 
 from .bench import make_settings, until
 from .case import ScenarioCase
@@ -406,6 +416,56 @@
         self.assertEqual([], vacant)
 
 
+class DarkControl:
+    """Runners that answer nothing."""
+
+    async def probe(self, entry):
+        raise AttemptError(
+            "no answer in time", outcome=Outcome.BROKEN, step="probe", peer=entry.name
+        )
+
+
+class SlowAnswers(FakeApi):
+    """A store whose second write takes effect and is answered when the test says so."""
+
+    def __init__(self):
+        super().__init__()
+        self.answer = anyio.Event()
+        self.writes_count = 0
+
+    async def put(self, key, value, expected_version):
+        version = await super().put(key, value, expected_version)
+        self.writes_count += 1
+        if self.writes_count == 2:
+            await self.answer.wait()
+        return version
+
+
+class RetiringTest(TestCase):
+    def test_a_renewal_under_way_does_not_win_over_the_release(self):
+        """The host held the lease again for 5 s, as it left."""
+        clock = Clock()
+
+        async def main():
+            api = SlowAnswers()
+            lease = LeaseWatcher("a", 10.0, 5.0)
+            store = LeaseStore(api, "leases/l")
+            keeper = LeaseKeeper(store, lease, lambda: 0.0, clock.read)
+            await keeper.keep(is_candidate=True)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keeper.fencing_number, 6.0)
+                await anyio.sleep(0)
+                tasks.start_soon(keeper.retire)
+                await anyio.sleep(0)
+                api.answer.set()
+            states = [(keeper.is_held, lease.record.holder)]
+            clock.now_seconds += 60.0
+            await keeper.keep(is_candidate=True)
+            return [*states, (keeper.is_held, lease.record.holder)]
+
+        self.assertEqual([(False, ""), (False, "")], anyio.run(main))
+
+
 class UninformedHolderTest(TestCase):
     """Whoever can't learn what is wanted leaves the lease to others."""
 
@@ -414,11 +474,22 @@
         self.assertEqual("a", holders[0])
         self.assertEqual("b", holders[-1])
 
+    def test_a_lost_runner_with_old_weights_is_no_reason_to_keep_it(self):
+        entry = HostEntry(
+            "r", "runner", "h", "r:1", incarnation="i", model="m", weights_version=1
+        )
+        events = [
+            HostListRead(HostList(1, [entry])),
+            TargetsRead((WeightsTarget("m", 2),)),
+        ]
+        holders, _ = self.play(reading={"b"}, events=events)
+        self.assertEqual(("a", "b"), (holders[0], holders[-1]))
+
     def test_a_holder_that_reads_them_keeps_it(self):
         holders, _ = self.play(reading={"a", "b"})
         self.assertEqual({"a"}, set(holders))
 
-    def play(self, reading, seconds=30.0):
+    def play(self, reading, seconds=30.0, events=()):
         """Step two hosts through time; return the holders, and when each held."""
         self.now_seconds = 100.0
         api = FakeApi()
@@ -430,6 +501,8 @@
                 tasks.start_soon(stewards["a"].run)
                 await until(lambda: stewards["a"].is_holder)
                 tasks.start_soon(stewards["b"].run)
+                for event in events:
+                    stewards["a"]._scheduler.post(event)
                 while self.now_seconds < 100.0 + seconds:
                     await self.step(stewards, reading)
                     holders.extend(
@@ -444,7 +517,12 @@
         settings = read_settings(name)
         scheduler = SchedulerTask(Scheduler(settings), lambda: self.now_seconds)
         return StewardTask(
-            api, settings, scheduler, None, lambda: self.now_seconds, NoJitter()
+            api,
+            settings,
+            scheduler,
+            DarkControl(),
+            lambda: self.now_seconds,
+            NoJitter(),
         )
 
     def tell_of_the_lease(self, stewards):
