The router in four parts that import in one direction

Cause: 54 files in one folder, in which what callers meet, what upstreams meet, what hosts tell each other and what keeps weights and configuration stood mixed.

Change: entry, upstream, peers and control under rampwick_router, each with a thin __init__ that says what it owns, who feeds it and what it imports. The head of an answer moved to _headers, which had a second copy of the type of a header; the task that keeps the host list left the tasks around upstreams for control, since it holds a belief. No behaviour changes; the tests change in their imports alone.

--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -1,6 +1,5 @@
 """The rampwickd daemon."""
 
-from ._channels import AnswerHead as AnswerHead
 from ._daemon import (
     Clocks as Clocks,
     Daemon as Daemon,
@@ -14,12 +13,13 @@
     ControlRequest as ControlRequest,
     Dialects as Dialects,
     ErrorAnswer as ErrorAnswer,
-    Header as Header,
     RawCall as RawCall,
     RoutedCall as RoutedCall,
 )
 from ._errors import CallerError as CallerError
 from ._headers import (
+    AnswerHead as AnswerHead,
+    Header as Header,
     asks_to_close as asks_to_close,
     end_to_end as end_to_end,
     find as find,
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -13,12 +13,10 @@
 
 from rampwick_policy import Dispatch, Scheduler
 
-from ._configuration import ConfigurationTask
 from ._life import Life
-from ._parts import Parts
 from ._scheduler_task import Decision
-from ._steward import StewardTask
-from ._upstream_tasks import HostListTask
+from .control import ConfigurationTask, HostListTask, StewardTask
+from .entry import Parts
 
 
 class AdminApp:
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -16,32 +16,38 @@
 from rampwick_schema import Settings
 
 from ._admin import AdminApp
-from ._cache_reader import CacheReaderTask
-from ._channels import ChannelPool
-from ._claims import ClaimTask
-from ._configuration import ConfigurationTask
-from ._configuration_sources import TreeStoreSource, WatchedTreeSource
-from ._entry import EntryApp
 from ._fallback import read_fallback
-from ._gossip import GossipTask
-from ._host_sources import PolledHosts, WatchedHosts
 from ._integration import Integration
 from ._life import Life
 from ._logs import PartLogger, milliseconds
 from ._metrics import Metrics
 from ._own_dialect import OWN_DIALECTS
-from ._parts import Parts, RequestIds
-from ._peer_directory import PeerDirectory
-from ._reading_role import ReadingRole
 from ._scheduler_task import SchedulerTask
 from ._servers import Addresses, Listeners, listen, serve_apps
-from ._silence import SilenceWatch
-from ._steward import StewardTask
-from ._stream_tokens import StreamTokens
-from ._target_sources import PolledTargets, WatchedTargets
-from ._upstream_client import UpstreamClient
-from ._upstream_control import DialectControl, UpstreamControl
-from ._upstream_tasks import CancelTask, HostListTask, ProbeTask
+from .control import (
+    ConfigurationTask,
+    HostListTask,
+    PolledHosts,
+    PolledTargets,
+    ReadingRole,
+    StewardTask,
+    TreeStoreSource,
+    WatchedHosts,
+    WatchedTargets,
+    WatchedTreeSource,
+)
+from .entry import ClaimTask, EntryApp, Parts, RequestIds, StreamTokens
+from .peers import GossipTask, PeerDirectory
+from .upstream import (
+    CacheReaderTask,
+    CancelTask,
+    ChannelPool,
+    DialectControl,
+    ProbeTask,
+    SilenceWatch,
+    UpstreamClient,
+    UpstreamControl,
+)
 
 #: Time between two looks at whether all requests have been served out.
 DRAIN_STEP_SECONDS = 0.05
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -12,10 +12,8 @@
 from rampwick_policy import OrderResult, PromptPart
 from rampwick_schema import HostEntry, LoadReport, Order
 
-from ._channels import AnswerHead
 from ._errors import CallerError
-
-Header = tuple[bytes, bytes]
+from ._headers import AnswerHead, Header
 
 
 @attrs.frozen
--- a/packages/rampwick-router/src/rampwick_router/_headers.py
+++ b/packages/rampwick-router/src/rampwick_router/_headers.py
@@ -1,8 +1,11 @@
-"""Headers that belong to one connection and never travel further."""
+"""Headers of requests and answers, and which of them never travel further."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+
+import attrs
 
 Header = tuple[bytes, bytes]
+RawHeaders = Sequence[Header]
 
 #: Headers of one connection, by RFC 9110, and those that the sender makes anew.
 CONNECTION_HEADERS = frozenset(
@@ -22,6 +25,16 @@
 )
 
 
+@attrs.frozen
+class AnswerHead:
+    """Status line and headers of an upstream's answer."""
+
+    status: int
+    headers: RawHeaders
+    #: Whether the end of the body is told by its length or by chunks.
+    is_framed: bool
+
+
 def end_to_end(headers: Iterable[Header]) -> list[Header]:
     """Return the headers that go beyond one connection.
 
--- a/packages/rampwick-router/src/rampwick_router/_integration.py
+++ b/packages/rampwick-router/src/rampwick_router/_integration.py
@@ -6,10 +6,8 @@
 
 from rampwick_platform import StoreDialect
 
-from ._configuration_sources import ReadsConfiguration
 from ._dialects import Dialects
-from ._host_sources import ReadsUpstreams
-from ._target_sources import ReadsTargets
+from .control import ReadsConfiguration, ReadsTargets, ReadsUpstreams
 
 
 class StoreReader(ReadsConfiguration, ReadsUpstreams, ReadsTargets, Protocol):
--- a/packages/rampwick-router/src/rampwick_router/_own_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -17,8 +17,6 @@
     unstructure,
 )
 
-from ._call import bad_request
-from ._channels import AnswerHead
 from ._dialects import (
     AnswerFacts,
     AttemptTerms,
@@ -32,7 +30,8 @@
     RoutedCall,
 )
 from ._errors import CallerError
-from ._headers import asks_to_close, end_to_end, find, keep_alive_seconds
+from ._headers import AnswerHead, asks_to_close, end_to_end, find, keep_alive_seconds
+from .entry import bad_request
 
 PREFIX = b"rampwick-"
 REQUEST_ID = b"rampwick-request-id"
--- a/packages/rampwick-router/src/rampwick_router/_configuration.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration.py
@@ -8,8 +8,8 @@
 
 from rampwick_policy import ConfigurationFollower, TreeInForce
 
-from ._logs import PartLogger
-from ._scheduler_task import SchedulerTask
+from .._logs import PartLogger
+from .._scheduler_task import SchedulerTask
 
 #: Longest wait for a peer's confirmation before the platform itself is asked.
 PEER_ANSWER_SECONDS = 0.1
--- a/packages/rampwick-router/src/rampwick_router/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -17,8 +17,8 @@
 from rampwick_policy import Neighbours, is_watcher
 from rampwick_schema import DataError, RampwickError, Settings, Tree
 
+from .._logs import PartLogger
 from ._configuration import ConfigurationTask
-from ._logs import PartLogger
 
 #: Wait after a failed call, and before a host without a watch looks by itself.
 FAILURE_PAUSE_SECONDS = 0.5
--- a/packages/rampwick-router/src/rampwick_router/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -17,7 +17,7 @@
 from rampwick_policy import LapseGuard
 from rampwick_schema import DataError, HostEntry, HostList, RampwickError
 
-from ._logs import PartLogger
+from .._logs import PartLogger
 
 #: Wait of one watch on the upstreams: its answers confirm the list to peers, which
 #: read for themselves once what they are told is older than FALLBACK_SECONDS. With 2 s
--- a/packages/rampwick-router/src/rampwick_router/_lease_keeper.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_lease_keeper.py
@@ -9,7 +9,7 @@
 from rampwick_policy import LeaseWatcher
 from rampwick_schema import DataError
 
-from ._logs import PartLogger, milliseconds
+from .._logs import PartLogger, milliseconds
 
 #: Part of the lease after which it is renewed: two renewals may fail before another
 #: host takes it.
--- a/packages/rampwick-router/src/rampwick_router/_reading_role.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_reading_role.py
@@ -5,7 +5,7 @@
 from rampwick_policy import MemberTable
 
 from ._configuration import ConfigurationTask
-from ._upstream_tasks import HostListTask
+from ._host_lists import HostListTask
 
 #: Age of knowledge from readers after which a host reads for itself: a reader's watch
 #: and a question to it take 2.1 s together, and keys want less than 3.5 s.
--- a/packages/rampwick-router/src/rampwick_router/_target_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_target_sources.py
@@ -17,8 +17,8 @@
 from rampwick_policy import TargetsRead
 from rampwick_schema import DataError, RampwickError, WeightsTarget
 
-from ._logs import PartLogger
-from ._scheduler_task import SchedulerTask
+from .._logs import PartLogger
+from .._scheduler_task import SchedulerTask
 
 #: Longest wait of one watch on the targets. A watch whose connection has died hears of
 #: no version until its wait is over: with 20 s the steward learned of one 16.1 s late,
--- a/packages/rampwick-router/src/rampwick_router/_call.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_call.py
@@ -22,7 +22,7 @@
 )
 from rampwick_schema import PlacementSettings
 
-from ._errors import CallerError
+from .._errors import CallerError
 
 #: Headers that callers may set.
 DEADLINE_HEADER = "rampwick-deadline-seconds"
--- a/packages/rampwick-router/src/rampwick_router/_claims.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_claims.py
@@ -12,8 +12,8 @@
 from rampwick_policy import RunState, key_hash, shard_of
 from rampwick_schema import Claim, ClaimSettings, RampwickError
 
-from ._errors import CallerError
-from ._logs import PartLogger
+from .._errors import CallerError
+from .._logs import PartLogger
 
 STEP = "claim key"
 
--- a/packages/rampwick-router/src/rampwick_router/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -7,14 +7,14 @@
 from rampwick_policy import RunState
 from rampwick_schema import RampwickError
 
+from .._errors import AttemptError, CallerError
+from .._logs import PartLogger
 from ._call import (
     bad_request,
     find_workspace,
     read_model_call,
     read_terms,
 )
-from ._errors import AttemptError, CallerError
-from ._logs import PartLogger
 from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange
 from ._parts import Parts
 from ._relay import relay_resumed
--- a/packages/rampwick-router/src/rampwick_router/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -19,10 +19,10 @@
     RunState,
 )
 
+from .._errors import REFUSALS, AttemptError, CallerError
+from .._logs import PartLogger, milliseconds
 from ._call import CallTerms
 from ._claims import WonClaim
-from ._errors import REFUSALS, AttemptError, CallerError
-from ._logs import PartLogger, milliseconds
 from ._parts import Parts
 from ._responder import Receive, Responder, wait_disconnect
 
--- a/packages/rampwick-router/src/rampwick_router/_parts.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_parts.py
@@ -14,17 +14,15 @@
 )
 from rampwick_schema import Settings
 
+from .._dialects import Dialects, RoutedCall
+from .._life import Life
+from .._metrics import Metrics
+from .._scheduler_task import SchedulerTask
+from ..control import ConfigurationTask
+from ..upstream import ChannelPool, SilenceWatch, UpstreamClient
 from ._call import hash_key
-from ._channels import ChannelPool
 from ._claims import ClaimTask
-from ._configuration import ConfigurationTask
-from ._dialects import Dialects, RoutedCall
-from ._life import Life
-from ._metrics import Metrics
-from ._scheduler_task import SchedulerTask
-from ._silence import SilenceWatch
 from ._stream_tokens import StreamTokens
-from ._upstream_client import UpstreamClient
 
 #: Time by which a configuration must be younger than the bound on it: for what the
 #: request still has to travel, for clocks that run apart, and for watches that hear
--- a/packages/rampwick-router/src/rampwick_router/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -9,13 +9,12 @@
 
 from rampwick_policy import AttemptAccepted, AttemptDelivered, Dispatch, Outcome
 
+from .._errors import AttemptError
+from ..upstream import DONE, OrderKeeper, StreamEvent, UpstreamStream, format_event
 from ._call import ModelCall
-from ._errors import AttemptError
 from ._parts import Parts
 from ._responder import EVENT_STREAM, Responder
-from ._sse import DONE, OrderKeeper, StreamEvent, format_event
 from ._stream_tokens import StreamReference
-from ._upstream_client import UpstreamStream
 
 #: Times that one broken stream is taken up again before its attempt has failed.
 MAX_RESUMES = 3
--- a/packages/rampwick-router/src/rampwick_router/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -7,7 +7,7 @@
 import anyio
 import orjson
 
-from ._errors import CallerError
+from .._errors import CallerError
 
 Message = dict[str, Any]
 Receive = Callable[[], Awaitable[Message]]
--- a/packages/rampwick-router/src/rampwick_router/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -5,9 +5,9 @@
 from rampwick_policy import Access, Verdict, choose_service, fits_before
 from rampwick_schema import Route, Service
 
-from ._dialects import RawCall, RoutedCall
-from ._errors import OTHER_HOST_SECONDS, CallerError, denial
-from ._logs import PartLogger, milliseconds
+from .._dialects import RawCall, RoutedCall
+from .._errors import OTHER_HOST_SECONDS, CallerError, denial
+from .._logs import PartLogger, milliseconds
 from ._parts import Parts
 from ._responder import Message, Receive, Responder, read_body
 from ._routed_exchange import RoutedExchange
--- a/packages/rampwick-router/src/rampwick_router/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -22,16 +22,16 @@
     WeightsSeen,
 )
 
+from .._dialects import AnswerFacts, AttemptTerms
+from .._errors import AttemptError, CallerError, denial
+from .._headers import AnswerHead
+from .._logs import PartLogger
+from ..upstream import Channel, Listening
 from ._call import CallTerms
-from ._channels import AnswerHead, Channel
-from ._dialects import AnswerFacts, AttemptTerms
-from ._errors import AttemptError, CallerError, denial
 from ._exchange import Exchange
-from ._logs import PartLogger
 from ._parts import Parts
 from ._responder import Receive, Responder
 from ._routed_request import RoutedRequest
-from ._silence import Listening
 from ._whole_events import WholeEvents
 
 #: Answers up to this size are read whole before any of it goes to the caller, so that
--- a/packages/rampwick-router/src/rampwick_router/_routed_request.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_request.py
@@ -5,7 +5,7 @@
 from rampwick_policy import PrefixChain, Scope, Workspace, chain_from_parts
 from rampwick_schema import Route, Service
 
-from ._dialects import RoutedCall
+from .._dialects import RoutedCall
 
 
 @attrs.frozen
--- a/packages/rampwick-router/src/rampwick_router/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -13,12 +13,12 @@
     RequestArrived,
 )
 
+from .._errors import AttemptError
+from ..upstream import UpstreamAnswer
 from ._call import CallTerms
-from ._errors import AttemptError
 from ._exchange import Exchange
 from ._parts import Parts
 from ._responder import Receive, Responder
-from ._upstream_client import UpstreamAnswer
 
 #: Methods that HTTP itself allows to repeat.
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
--- a/packages/rampwick-router/src/rampwick_router/_whole_events.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_whole_events.py
@@ -10,7 +10,7 @@
 
 from rampwick_policy import Outcome
 
-from ._errors import AttemptError
+from .._errors import AttemptError
 
 #: An event ends with an empty line, in any of the three line ends.
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/peers/__init__.py
@@ -0,0 +1,9 @@
+"""What hosts tell each other: links, summaries, news of the platform.
+
+It owns the streams between hosts and the records by which hosts find each other. Peers'
+messages become events for the scheduler and news for :mod:`~rampwick_router.control`,
+whose knowledge it passes on. It knows nothing of callers.
+"""
+
+from ._directory import PeerDirectory as PeerDirectory
+from ._gossip import GossipTask as GossipTask
--- a/packages/rampwick-router/src/rampwick_router/_cache_mail.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_cache_mail.py
@@ -12,9 +12,9 @@
 from rampwick_policy import CacheBox, CacheSeen, Member, MemberTable
 from rampwick_schema import CacheNews
 
-from ._peer_links import Link, PeerLinks
-from ._peer_news import cache_events, to_cache_news
-from ._scheduler_task import SchedulerTask
+from .._scheduler_task import SchedulerTask
+from ._links import Link, PeerLinks
+from ._news import cache_events, to_cache_news
 
 #: Time for which events are gathered: well below what placements, which hosts tell
 #: each other at once, stay good for.
--- a/packages/rampwick-router/src/rampwick_router/_peer_directory.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_directory.py
@@ -16,7 +16,7 @@
 from rampwick_policy import Member
 from rampwick_schema import DataError, HostRecord
 
-from ._logs import PartLogger
+from .._logs import PartLogger
 
 #: Prefix of the records.
 PEERS_PREFIX = "peers/"
--- a/packages/rampwick-router/src/rampwick_router/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -31,24 +31,22 @@
     Summary,
 )
 
+from .._errors import PeerError
+from .._logs import PartLogger
+from .._metrics import Metrics
+from .._scheduler_task import SchedulerTask
+from ..control import ConfigurationTask, HostListTask, StewardTask
 from ._cache_mail import CacheMail
-from ._configuration import ConfigurationTask
-from ._errors import PeerError
-from ._logs import PartLogger
-from ._metrics import Metrics
-from ._peer_directory import PeerDirectory
-from ._peer_links import Link, PeerLinks
-from ._peer_news import (
+from ._directory import PeerDirectory
+from ._links import Link, PeerLinks
+from ._news import (
     listed_members,
     steward_events,
     steward_news,
     to_member,
     to_record,
 )
-from ._peer_sync import PeerSync
-from ._scheduler_task import SchedulerTask
-from ._steward import StewardTask
-from ._upstream_tasks import HostListTask
+from ._sync import PeerSync
 
 #: Hosts of a small fleet up to which summaries go at the interval of the settings. In
 #: a larger one the interval grows with the square of the size: each host hears fewer
--- a/packages/rampwick-router/src/rampwick_router/_peer_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -15,10 +15,10 @@
 from rampwick_policy import Member
 from rampwick_schema import Members, PeerSettings, encode_message
 
-from ._errors import PeerError
-from ._logs import PartLogger
-from ._metrics import Metrics
-from ._peer_stream import PeerStream
+from .._errors import PeerError
+from .._logs import PartLogger
+from .._metrics import Metrics
+from ._stream import PeerStream
 
 #: Waits before a peer is dialled again: the first, the factor, the longest.
 REDIAL_SECONDS = 0.25
--- a/packages/rampwick-router/src/rampwick_router/_peer_news.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_news.py
@@ -24,7 +24,7 @@
     WeightsTarget,
 )
 
-from ._steward import StewardTask
+from ..control import StewardTask
 
 #: Who told this host of targets, as its log says it.
 STEWARD_SOURCE = "the steward says so"
--- a/packages/rampwick-router/src/rampwick_router/_peer_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -20,8 +20,8 @@
     encode_message,
 )
 
-from ._errors import PeerError
-from ._metrics import Metrics
+from .._errors import PeerError
+from .._metrics import Metrics
 
 NONCE_BYTES = 16
 
--- a/packages/rampwick-router/src/rampwick_router/_peer_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_sync.py
@@ -31,11 +31,10 @@
     TreeReply,
 )
 
-from ._configuration import ConfigurationTask
-from ._logs import PartLogger
-from ._peer_links import Link
-from ._scheduler_task import SchedulerTask
-from ._upstream_tasks import HostListTask
+from .._logs import PartLogger
+from .._scheduler_task import SchedulerTask
+from ..control import ConfigurationTask, HostListTask
+from ._links import Link
 
 #: Changes in one reply; the rest is asked for again.
 CHANGES_PER_REPLY = 64
--- a/packages/rampwick-router/src/rampwick_router/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -21,12 +21,12 @@
 )
 from rampwick_schema import DataError
 
+from .._dialects import CacheDialect, CacheEvents
+from .._errors import AttemptError
+from .._logs import PartLogger
+from .._scheduler_task import SchedulerTask
 from ._channels import ChannelPool
-from ._dialects import CacheDialect, CacheEvents
-from ._errors import AttemptError
-from ._logs import PartLogger
-from ._scheduler_task import SchedulerTask
-from ._upstream_control import call_upstream
+from ._control import call_upstream
 
 #: Longest wait of one question, and what its answer may take beyond.
 WAIT_SECONDS = 1.0
--- a/packages/rampwick-router/src/rampwick_router/_channels.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_channels.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import anyio
@@ -16,7 +16,8 @@
 
 from rampwick_policy import Outcome
 
-from ._errors import AttemptError
+from .._errors import AttemptError
+from .._headers import AnswerHead, RawHeaders
 from ._tcp_socket import TcpSocket
 
 #: Longest wait for a connection: some ten round trips within a region, and short
@@ -40,18 +41,6 @@
 #: Time between two looks for connections that have rested too long.
 SWEEP_SECONDS = 1.0
 
-RawHeaders = Sequence[tuple[bytes, bytes]]
-
-
-@attrs.frozen
-class AnswerHead:
-    """Status line and headers of an upstream's answer."""
-
-    status: int
-    headers: RawHeaders
-    #: Whether the end of the body is told by its length or by chunks.
-    is_framed: bool
-
 
 class ChannelLimitError(AttemptError):
     """All connections that this host may open to an upstream are in use."""
--- a/packages/rampwick-router/src/rampwick_router/_upstream_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -21,11 +21,12 @@
     unstructure,
 )
 
-from ._channels import AnswerHead, Channel, ChannelPool, RawHeaders
-from ._dialects import ControlRequest
-from ._errors import AttemptError
+from .._dialects import ControlRequest
+from .._errors import AttemptError
+from .._headers import AnswerHead, RawHeaders
+from ._channels import Channel, ChannelPool
+from ._control import CONTROL_TIMEOUT_SECONDS, call_upstream
 from ._sse import EventSplitter, StreamEvent
-from ._upstream_control import CONTROL_TIMEOUT_SECONDS, call_upstream
 
 #: What a runner says to an order, by the status of its answer.
 ORDER_RESULTS: dict[int, OrderResult] = {
--- a/packages/rampwick-router/src/rampwick_router/_upstream_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -8,9 +8,10 @@
 from rampwick_policy import OrderResult, Outcome
 from rampwick_schema import DataError, HostEntry, LoadReport, Order
 
-from ._channels import AnswerHead, ChannelPool
-from ._dialects import ControlDialect, ControlRequest
-from ._errors import AttemptError
+from .._dialects import ControlDialect, ControlRequest
+from .._errors import AttemptError
+from .._headers import AnswerHead
+from ._channels import ChannelPool
 
 #: Longest wait for an answer to a control call. An order is given only if the lease
 #: outlives it, so it is short; answers take a few milliseconds.
--- a/packages/rampwick-router/src/rampwick_router/_sse.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ._errors import AttemptError, Outcome
+from .._errors import AttemptError, Outcome
 
 EVENT_END = b"\n\n"
 DONE = b"[DONE]"
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
@@ -0,0 +1,74 @@
+"""Tasks around upstreams: probes and cancellations."""
+
+import anyio
+
+from rampwick_policy import LoadReported, ProbeFailed
+from rampwick_schema import HostEntry
+
+from .._errors import AttemptError
+from .._logs import PartLogger
+from .._scheduler_task import SchedulerTask
+from ._control import UpstreamControl
+
+#: Time between two looks at which upstreams are to be probed; a new doubt comes first.
+LOOK_INTERVAL_SECONDS = 1.0
+
+log = PartLogger("upstreams")
+
+
+class ProbeTask:
+    """Asks for their load those upstreams whose turn it is."""
+
+    def __init__(self, control: UpstreamControl, scheduler: SchedulerTask) -> None:
+        self._control = control
+        self._scheduler = scheduler
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with anyio.create_task_group() as task_group:
+            while True:
+                due = self._scheduler.look(
+                    lambda scheduler, now_seconds: scheduler.upstreams.due_probes(
+                        now_seconds
+                    )
+                )
+                for entry in due:
+                    task_group.start_soon(self._probe, entry)
+                has_doubt = self._scheduler.has_doubt
+                pause_seconds = self._scheduler.look(
+                    lambda scheduler, now_seconds: scheduler.upstreams.probe_pause(
+                        now_seconds
+                    )
+                )
+                with anyio.move_on_after(min(pause_seconds, LOOK_INTERVAL_SECONDS)):
+                    await has_doubt.wait()
+
+    async def _probe(self, entry: HostEntry) -> None:
+        try:
+            report = await self._control.probe(entry)
+        except AttemptError as error:
+            self._scheduler.post(ProbeFailed(entry.name, str(error)))
+            return
+        self._scheduler.post(LoadReported(entry.name, report))
+
+
+class CancelTask:
+    """Tells upstreams to stop attempts that nobody waits for."""
+
+    def __init__(self, control: UpstreamControl, scheduler: SchedulerTask) -> None:
+        self._control = control
+        self._scheduler = scheduler
+
+    async def run(self) -> None:
+        """Send cancellations until cancelled."""
+        async with anyio.create_task_group() as task_group:
+            async for action in self._scheduler.cancels:
+                task_group.start_soon(
+                    self._cancel, action.address, action.upstream, action.attempt_id
+                )
+
+    async def _cancel(self, address: str, upstream: str, attempt_id: str) -> None:
+        try:
+            await self._control.cancel(address, upstream, attempt_id)
+        except AttemptError as error:
+            log.problem("attempt not cancelled", attempt=attempt_id, error=str(error))
--- a/tests/test_cache_isolation.py
+++ b/tests/test_cache_isolation.py
@@ -46,7 +46,7 @@
         def salt(scope, weights_version, secret):
             return "one for all"
 
-        with mock.patch("rampwick_router._model_exchange.cache_salt", salt):
+        with mock.patch("rampwick_router.entry._model_exchange.cache_salt", salt):
             self.assertRaises(
                 AssertionError,
                 self.test_same_text_in_two_workspaces_shares_nothing,
@@ -96,7 +96,7 @@
         def salt(scope, weights_version, secret):
             return cache_salt(scope, 0, secret)
 
-        with mock.patch("rampwick_router._model_exchange.cache_salt", salt):
+        with mock.patch("rampwick_router.entry._model_exchange.cache_salt", salt):
             _, attempts = self.roll_out()
         self.assertNotEqual([], check_cache(attempts))
 
--- a/tests/test_cache_mail.py
+++ b/tests/test_cache_mail.py
@@ -14,9 +14,9 @@
     Scheduler,
     TargetsRead,
 )
-from rampwick_router._cache_mail import CacheMail
-from rampwick_router._peer_news import cache_events, to_cache_news
 from rampwick_router._scheduler_task import SchedulerTask
+from rampwick_router.peers._cache_mail import CacheMail
+from rampwick_router.peers._news import cache_events, to_cache_news
 from rampwick_schema import WeightsTarget, parse_settings
 
 NAMES = st.sampled_from(["a", "b"])
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 from rampwick_policy import Member
 from rampwick_router._errors import PeerError
 from rampwick_router._metrics import Metrics
-from rampwick_router._peer_stream import PeerStream
+from rampwick_router.peers._stream import PeerStream
 from rampwick_schema import (
     LENGTH_BYTES,
     PROTOCOL_VERSION,
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -19,12 +19,12 @@
     TargetsRead,
     TargetWeights,
 )
-from rampwick_router._configuration import ConfigurationTask
 from rampwick_router._daemon import Clocks, Daemon
-from rampwick_router._peer_sync import PeerSync
-from rampwick_router._reading_role import ReadingRole
 from rampwick_router._scheduler_task import SchedulerTask
-from rampwick_router._upstream_tasks import HostListTask
+from rampwick_router.control._configuration import ConfigurationTask
+from rampwick_router.control._host_lists import HostListTask
+from rampwick_router.control._reading_role import ReadingRole
+from rampwick_router.peers._sync import PeerSync
 from rampwick_schema import (
     HostEntry,
     HostList,
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -3,7 +3,7 @@
 import anyio
 from testtools import TestCase
 
-from rampwick_router._silence import SilenceWatch
+from rampwick_router.upstream._silence import SilenceWatch
 
 
 class SilenceWatchTest(TestCase):
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -8,7 +8,7 @@
 
 from rampwick_policy import RequestCancelled
 from rampwick_router._errors import AttemptError
-from rampwick_router._sse import EventSplitter, OrderKeeper, StreamEvent
+from rampwick_router.upstream._sse import EventSplitter, OrderKeeper, StreamEvent
 from rampwick_standin import EngineFaults
 
 from .bench import KEY, OTHER_KEY, until
@@ -160,7 +160,7 @@
                 return got, rest, stranger, forged
 
         with mock.patch(
-            "rampwick_router._upstream_client.UpstreamClient.cancel", do_nothing
+            "rampwick_router.upstream._client.UpstreamClient.cancel", do_nothing
         ):
             got, rest, stranger, forged = self.run_scenario(scenario)
         self.assertEqual(200, rest.status_code, rest.text)
@@ -207,7 +207,7 @@
                 ]
 
         with mock.patch(
-            "rampwick_router._upstream_client.UpstreamClient.cancel", do_nothing
+            "rampwick_router.upstream._client.UpstreamClient.cancel", do_nothing
         ):
             seen = self.run_scenario(scenario)
         self.assert_holds(check_answers(seen, LENGTH))
--- a/tests/test_tcp_socket.py
+++ b/tests/test_tcp_socket.py
@@ -6,7 +6,7 @@
 import anyio
 from testtools import TestCase
 
-from rampwick_router._tcp_socket import TcpSocket
+from rampwick_router.upstream._tcp_socket import TcpSocket
 
 
 class TcpSocketTest(TestCase):
