Hosts that start learn at once what the caches hold, and find each other

A host looked for caches to read a second after its start, told its peers 0.4 s later, and found them only once a seed listened. For those 1.5 s it took each prompt for unknown: 80 prompts in 0.9 s waited 0.7 to 1.9 s at the runners and for the link of the store, whose cache they asked for without knowing.

Ruled out: the runners' and the store's caches were whole; the configuration was known 20 ms after the start.

Change: the cache reader looks every 20 ms while it knows no cache; what comes after a quiet time is told peers at once; whoever links is told the contents of the caches that the peer reads (small fleets only); a host that starts alone reads the records of others in the store at once.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -34,7 +34,6 @@
     AttemptDone as AttemptDone,
     AttemptFailed as AttemptFailed,
     AttemptSilent as AttemptSilent,
-    CacheChanges as CacheChanges,
     CacheSeen as CacheSeen,
     CancelAttempt as CancelAttempt,
     Dispatch as Dispatch,
@@ -58,6 +57,7 @@
 from ._host_lists import diff_hosts as diff_hosts, patch_hosts as patch_hosts
 from ._kept import kept_life as kept_life
 from ._knowledge import (
+    CacheChanges as CacheChanges,
     CacheKnowledge as CacheKnowledge,
     Life as Life,
     life_label as life_label,
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -10,6 +10,7 @@
     WeightsTarget,
 )
 
+from ._knowledge import CacheChanges
 from ._placement import Choice
 from ._prefix import PrefixChain, Scope
 from ._request import Outcome, RunState
@@ -168,17 +169,6 @@
     until_seconds: float
 
 
-@attrs.frozen
-class CacheChanges:
-    """Entries of one life of a cache and how many tokens of each it keeps now."""
-
-    #: Life as peers name it.
-    label: str
-    prefixes: tuple[bytes, ...]
-    #: Tokens kept; none means that the entry is gone.
-    tokens: tuple[int, ...]
-
-
 @attrs.frozen
 class CacheSeen:
     """An engine's or a store's own word on its cache, read here or by a peer."""
--- a/packages/rampwick-policy/src/rampwick_policy/_kept.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_kept.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ._knowledge import Life
+from ._knowledge import CacheChanges, Life, life_label
 from ._prefix import PrefixChain, held_tokens
 
 #: Time for which a prefix saved to a store is taken to be there.
@@ -73,6 +73,19 @@
         else:
             self._entries.pop((version, prefix), None)
 
+    def contents(self) -> list[CacheChanges]:
+        """Return what the store itself told that it holds, by weights version."""
+        told: dict[int, dict[bytes, int]] = {}
+        for (version, prefix), entry in self._entries.items():
+            if entry.is_told:
+                told.setdefault(version, {})[prefix] = entry.tokens
+        return [
+            CacheChanges(
+                life_label(kept_life(version)), tuple(held), tuple(held.values())
+            )
+            for version, held in told.items()
+        ]
+
     def clear(self) -> None:
         """Forget everything, as after the store came back empty."""
         self._entries.clear()
--- a/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_knowledge.py
@@ -28,6 +28,17 @@
     return f"{life.incarnation}/{life.weights_version}"
 
 
+@attrs.frozen
+class CacheChanges:
+    """Entries of one life of a cache and how many tokens of each it keeps now."""
+
+    #: Life as peers name it.
+    label: str
+    prefixes: tuple[bytes, ...]
+    #: Tokens kept; none means that the entry is gone.
+    tokens: tuple[int, ...]
+
+
 @attrs.define
 class RunnerCache:
     """Estimate of one runner's cache in its present life."""
@@ -73,6 +84,13 @@
         else:
             self._held_tokens -= self._tokens.pop(prefix, 0)
 
+    def contents(self) -> list[CacheChanges]:
+        """Return all entries, those used last at the end."""
+        if not self._tokens:
+            return []
+        label = life_label(self.life)
+        return [CacheChanges(label, tuple(self._tokens), tuple(self._tokens.values()))]
+
     def forget_beyond(self, chain: PrefixChain, tokens: int) -> None:
         """Drop the chain's checkpoints deeper than the runner really held."""
         for checkpoint in chain.checkpoints:
@@ -123,6 +141,11 @@
         cache = self._caches.get(upstream)
         return cache.cached_tokens(chain) if cache else 0
 
+    def contents(self, upstream: str) -> list[CacheChanges]:
+        """Return what a runner is believed to hold, what it used last at the end."""
+        cache = self._caches.get(upstream)
+        return cache.contents() if cache else []
+
     def life_of(self, upstream: str) -> Life | None:
         """Return the newest life known of a runner."""
         cache = self._caches.get(upstream)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -4,7 +4,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from operator import attrgetter
 from typing import Any
 
@@ -133,6 +133,17 @@
         self._news.note(store.name, kept_life(version), chain, now_seconds)
         return store.address
 
+    def cache_contents(self, names: Collection[str]) -> list[ev.CacheSeen]:
+        """Return what some caches are believed to hold, to tell a host anew."""
+        seen = []
+        for name in sorted(names):
+            changes = (
+                self.knowledge.contents(name) or self.imports.kept(name).contents()
+            )
+            if changes:
+                seen.append(ev.CacheSeen(name, tuple(changes)))
+        return seen
+
     def note_placed(
         self, name: str, life: Life, chain: PrefixChain, now_seconds: float
     ) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -138,6 +138,7 @@
             self._gossip.cache_mail.tell,
             self._gossip.neighbours,
         )
+        self._gossip.cache_mail.list_read = self._cache_reader.read_names
         self._silences = SilenceWatch(read_clock)
         self._parts = Parts(
             settings=settings,
@@ -215,6 +216,7 @@
         self._directory = PeerDirectory(
             api, self._gossip.table.own, role.is_lonely, role.is_reader, draw
         )
+        self._directory.note_found = self._gossip.look_for_peers
         self._gossip.directory = self._directory
         steward.is_candidate = role.is_candidate
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_cache_mail.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_cache_mail.py
@@ -40,14 +40,33 @@
         #: What other halls told.
         self._read_elsewhere = CacheBox()
         self._has_news = anyio.Event()
+        #: Says which caches this host reads.
+        self.list_read: Callable[[], set[str]] = set
+
+    def greet(self, link: Link) -> None:
+        """Tell a peer, which may have just started, what the caches read here hold.
+
+        In a large fleet the relays would tell each host of all caches; hosts there
+        learn from what comes next.
+        """
+        names = self.list_read()
+        if self._table.is_large or not names:
+            return
+        seen = self._scheduler.look(
+            lambda scheduler, now_seconds: scheduler.pool.cache_contents(names)
+        )
+        if seen:
+            link.put(to_cache_news(seen))
 
     async def run(self) -> None:
         """Hand on what was gathered, again and again until cancelled."""
         while True:
             await self._has_news.wait()
+            # What comes after a quiet time is told at once, as by a host that has just
+            # read its first cache; the rest is gathered.
             self._has_news = anyio.Event()
-            await anyio.sleep(GATHER_SECONDS)
             self._hand_on()
+            await anyio.sleep(GATHER_SECONDS)
 
     def tell(self, seen: CacheSeen) -> None:
         """Take events that this host has read; they are told in their turn."""
--- a/packages/rampwick-router/src/rampwick_router/peers/_directory.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_directory.py
@@ -48,6 +48,8 @@
         self._is_reader = is_reader
         self._draw = draw
         self._members: list[Member] = []
+        #: Called when the records have been read.
+        self.note_found: Callable[[], None] = _do_nothing
         self._has_record = False
 
     def members(self) -> list[Member]:
@@ -56,16 +58,22 @@
 
     async def run(self) -> None:
         """Keep the own record and look for others while needed, until cancelled."""
+        # Where all hosts come back at once, the seeds may be the last ones to listen.
+        await self._look(is_first=True)
         while True:
             seconds = LONELY_LOOK_SECONDS * self._draw.uniform(0.7, 1.3)
             await anyio.sleep(seconds)
-            try:
-                if self._is_reader() and not self._has_record:
-                    await self._write_record()
-                if self._is_lonely():
-                    await self._read_records()
-            except (PlatformError, DataError) as error:
-                log.problem("directory out of reach", error=str(error))
+            await self._look(is_first=False)
+
+    async def _look(self, is_first: bool) -> None:
+        try:
+            if self._is_reader() and not self._has_record and not is_first:
+                await self._write_record()
+            if self._is_lonely():
+                await self._read_records()
+                self.note_found()
+        except (PlatformError, DataError) as error:
+            log.problem("directory out of reach", error=str(error))
 
     async def _read_records(self) -> None:
         listing = await self._api.list_objects(PEERS_PREFIX)
@@ -100,3 +108,7 @@
         if not is_known:
             await settle_put(self._api, key, record, version)
         self._has_record = True
+
+
+def _do_nothing() -> None:
+    return
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -191,6 +191,10 @@
         """Return whether this host is to read the platform for its group."""
         return self.table.is_reader(self.live_names)
 
+    def look_for_peers(self) -> None:
+        """Dial at once whoever has become known."""
+        self._links.look_again()
+
     def _list_wanted(self) -> list[Member]:
         self.table.learn(listed_members(self._hosts.host_list))
         if self.directory is not None:
@@ -209,6 +213,7 @@
     def _note_opened(self, link: Link) -> None:
         known = [to_record(member) for member in self.table]
         link.put(Members(known))
+        self.cache_mail.greet(link)
         if self._steward.is_holder:
             # A host that has just started sent prompts to a runner that was about to
             # load, until the next telling half a second later.
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -43,6 +43,10 @@
 #: Time between two looks at which caches this host is to read.
 ROLE_SECONDS = 1.0
 
+#: The same while none is known, as in the first moments of a host: until it has read
+#: the caches it takes each prompt for unknown and each runner for full.
+FIRST_ROLE_SECONDS = 0.02
+
 log = PartLogger("cache")
 
 
@@ -99,7 +103,11 @@
                 for source in wanted - self._scopes.keys():
                     scope = self._scopes[source] = anyio.CancelScope()
                     tasks.start_soon(self._follow, source, scope)
-                await anyio.sleep(ROLE_SECONDS)
+                await anyio.sleep(ROLE_SECONDS if wanted else FIRST_ROLE_SECONDS)
+
+    def read_names(self) -> set[str]:
+        """Return the names of the caches that this host reads."""
+        return {source.name for source in self._scopes}
 
     def _list_sources(self, scheduler: Scheduler, now_seconds: float) -> set[Source]:
         imports = scheduler.pool.imports
