--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -1,22 +1,34 @@
 """Which waiting request goes next, and where.
 
-Classes go in order, workspaces by their standing, requests by arrival. A request goes
-to the runner that placement chooses, or waits for it.
+Those that can still be in time go before those that are late; among them classes go in
+order, workspaces by their standing, requests by arrival. A request goes to the runner
+that placement chooses, or waits for it.
 """
 
+import itertools
+
 import attrs
 
 from rampwick_schema import PlacementSettings
 
 from . import _events as ev
 from ._admission import Admission
-from ._placement import Choice, LeastLoaded, Placement, RunnerView, chosen_view
+from ._moves import Move
+from ._placement import (
+    Choice,
+    LeastLoaded,
+    Placement,
+    RunnerView,
+    blind_tokens,
+    chosen_view,
+)
 from ._pool import Pool
 from ._prefix import PrefixChain
 from ._queue import QueuedRequest, WaitingQueue
 from ._retry import RetryBudgets
 from ._room import Room
 from ._shares import Standing
+from ._timeliness import in_time_until_seconds, is_spent
 from ._tree import Workspace
 
 #: What an answer token costs in prompt tokens: it holds a slot for a whole step.
@@ -95,14 +107,23 @@
         room = Room(
             self._pool.upstreams, self._pool.peers, self._admission, now_seconds
         )
-        for priority_class in ev.RANKED_CLASSES:
-            decision = self._next_of_class(priority_class, only_path, room, now_seconds)
+        for is_late, priority_class in itertools.product(
+            (False, True), ev.RANKED_CLASSES
+        ):
+            decision = self._next_of_class(
+                priority_class, is_late, only_path, room, now_seconds
+            )
             if decision is not None:
                 return decision
         return None
 
     def _next_of_class(
-        self, priority_class: str, only_path: str, room: Room, now_seconds: float
+        self,
+        priority_class: str,
+        is_late: bool,
+        only_path: str,
+        room: Room,
+        now_seconds: float,
     ) -> ev.Dispatch | Hopeless | None:
         paths = self._queue.workspaces_waiting(priority_class)
         if only_path:
@@ -113,8 +134,10 @@
             if not self._admission.is_within_limits(workspace, now_seconds):
                 continue
             line = self._queue.line(priority_class, path)
+            if not is_late:
+                line = (item for item in line if not is_spent(item, now_seconds))
             for _, item in zip(range(LOOKAHEAD_COUNT), line, strict=False):
-                action = self._try_dispatch(item, standing, room, now_seconds)
+                action = self._try_dispatch(item, is_late, standing, room, now_seconds)
                 if action is not None:
                     return action
         return None
@@ -132,7 +155,12 @@
         return lines
 
     def _try_dispatch(
-        self, item: QueuedRequest, standing: Standing, room: Room, now_seconds: float
+        self,
+        item: QueuedRequest,
+        is_late: bool,
+        standing: Standing,
+        room: Room,
+        now_seconds: float,
     ) -> ev.Dispatch | Hopeless | None:
         arrival = item.arrival
         views = room.views(arrival)
@@ -149,30 +177,18 @@
         fresh = [view for view in views if view.name not in item.tried]
         views = fresh or views
         choice = self._choose(item, views, now_seconds)
-        if self._is_hopeless(arrival, choice, views, now_seconds):
+        begins_seconds = _begins_seconds(arrival, choice, views, now_seconds)
+        if begins_seconds > arrival.deadline_seconds:
             self._queue.remove(item)
             return Hopeless(item)
-        if not room.may_take(arrival.service, choice, views, standing):
+        if not is_late and begins_seconds > in_time_until_seconds(item):
+            return None
+        if not room.may_take(arrival.service, choice, views, standing, is_late):
             return None
         if item.needs_budget:
             budget.spend(now_seconds)
         return self._dispatch(item, choice, now_seconds)
 
-    def _is_hopeless(
-        self,
-        arrival: ev.RequestArrived,
-        choice: Choice,
-        views: list[RunnerView],
-        now_seconds: float,
-    ) -> bool:
-        """Return whether the answer can't begin in time even if it is sent now."""
-        if arrival.chain is None:
-            return False
-        view = chosen_view(choice, views)
-        prefill_seconds = view.prefill_seconds(choice.missing_tokens)
-        begins_seconds = now_seconds + choice.queue_seconds + prefill_seconds
-        return begins_seconds > arrival.deadline_seconds
-
     def _choose(
         self, item: QueuedRequest, views: list[RunnerView], now_seconds: float
     ) -> Choice:
@@ -190,7 +206,10 @@
         return self._placement.choose(arrival.chain, views, price, now_seconds, sources)
 
     def _dispatch(
-        self, item: QueuedRequest, choice: Choice, now_seconds: float
+        self,
+        item: QueuedRequest,
+        choice: Choice,
+        now_seconds: float,
     ) -> ev.Dispatch:
         upstream = self._pool.upstreams.get(choice.upstream)
         assert upstream is not None
@@ -200,7 +219,13 @@
         item.needs_budget = False
         item.upstream = upstream.name
         is_urgent = item.arrival.priority_class == ev.RANKED_CLASSES[0]
-        upstream.start(attempt_id, choice.missing_tokens, now_seconds, is_urgent)
+        upstream.start(
+            attempt_id,
+            choice.missing_tokens,
+            now_seconds,
+            is_urgent,
+        )
+        self._note_import(attempt_id, item, choice)
         answer_tokens = self._answers.expect(item.arrival)
         item.charged_tokens = choice.missing_tokens + ANSWER_TOKEN_PRICE * answer_tokens
         self._pool.ledger.charge(item.workspace_path, item.charged_tokens, now_seconds)
@@ -226,3 +251,28 @@
             import_address=source.address if source else "",
             save_address=save_address,
         )
+
+    def _note_import(
+        self, attempt_id: str, item: QueuedRequest, choice: Choice
+    ) -> None:
+        if choice.import_source is None or item.arrival.chain is None:
+            return
+        tokens = choice.imported_tokens or blind_tokens(
+            item.arrival.chain, choice.cached_tokens
+        )
+        move = Move(choice.import_source.name, choice.upstream, tokens)
+        self._pool.moves.begin(attempt_id, move)
+
+
+def _begins_seconds(
+    arrival: ev.RequestArrived,
+    choice: Choice,
+    views: list[RunnerView],
+    now_seconds: float,
+) -> float:
+    """Return when the answer begins if the request is sent where it was placed now."""
+    if arrival.chain is None:
+        return now_seconds
+    prefill_seconds = chosen_view(choice, views).prefill_seconds(choice.missing_tokens)
+    before_seconds = choice.queue_seconds + choice.import_seconds
+    return now_seconds + before_seconds + prefill_seconds
--- a/packages/rampwick-policy/src/rampwick_policy/_imports.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_imports.py
@@ -18,6 +18,10 @@
 #: Time that setting up one import takes; from the engines' data sheets.
 SETUP_SECONDS = 0.004
 
+#: How many times longer a move between two halls takes than one within a hall; the
+#: platform says so of its links.
+FAR_FACTOR = 2.0
+
 
 @attrs.frozen
 class ImportSource:
@@ -28,11 +32,21 @@
     held_tokens: int
     seconds_per_token: float
     weights_version: int
+    hall: str = ""
+    is_store: bool = False
+    #: Time that what moves from this cache already takes.
+    queue_seconds: float = 0.0
 
-    def seconds(self, own_tokens: int) -> float:
-        """Return the time to import what goes beyond ``own_tokens``."""
+    def seconds(self, own_tokens: int, hall: str) -> float:
+        """Return the time to import into a hall what goes beyond ``own_tokens``."""
         tokens = max(0, self.held_tokens - own_tokens)
-        return SETUP_SECONDS + tokens * self.seconds_per_token if tokens else 0.0
+        return self.move_seconds(tokens, hall) if tokens else 0.0
+
+    def move_seconds(self, tokens: int, hall: str) -> float:
+        """Return the time until so many tokens are in a hall, if they are held."""
+        factor = FAR_FACTOR if hall and self.hall and hall != self.hall else 1.0
+        moving_seconds = tokens * self.seconds_per_token * factor
+        return SETUP_SECONDS + self.queue_seconds + moving_seconds
 
 
 @attrs.frozen
@@ -43,6 +57,7 @@
     address: str
     held_tokens: int
     weights_version: int
+    hall: str = ""
 
 
 class Imports:
@@ -85,6 +100,7 @@
             holder.held_tokens,
             bits_per_token / service.link_bits_per_second,
             holder.weights_version,
+            holder.hall,
         )
 
     def store_sources(
@@ -106,6 +122,8 @@
                 self._kept[store.name].held_tokens(weights_version, chain, now_seconds),
                 bits_per_token / store.link_bits_per_second,
                 weights_version,
+                store.hall,
+                is_store=True,
             )
             for store in reversed(self._ranked(chain))
             if store.link_bits_per_second > 0.0
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -19,6 +19,9 @@
 #: is known to hold, and breaks ties so that hosts don't herd.
 HOME_RANK_RATIO = 0.25
 
+#: Chance that a cache which is not known to hold a shared part holds it.
+BLIND_RATIO = 1.0
+
 
 @attrs.frozen
 class RunnerView:
@@ -29,6 +32,7 @@
     running_count: int
     waiting_tokens: int
     prefill_tokens_per_second: float
+    hall: str = ""
     #: Time that a network round trip to the runner costs.
     distance_seconds: float = 0.0
     #: What opening a connection costs; nothing while one rests.
@@ -79,6 +83,8 @@
     #: Cache from which the runner shall take what it does not hold, if any.
     import_source: ImportSource | None = None
     imported_tokens: int = 0
+    #: Time until what is known to be there has been imported.
+    import_seconds: float = 0.0
     #: What else was weighed, for operators who ask why.
     considered: tuple["Choice", ...] = ()
 
@@ -152,19 +158,23 @@
         cached = min(
             self._knowledge.cached_tokens(runner.name, chain), chain.total_tokens
         )
-        source = best_source(sources, runner, cached)
+        source = best_source(
+            sources, runner, cached, chain, miss_price * (1.0 - self._import_price)
+        )
         imported = max(0, source.held_tokens - cached) if source else 0
         missing_seconds = runner.prefill_seconds(chain.total_tokens - cached - imported)
         import_seconds = runner.prefill_seconds(imported) * self._import_price
+        import_wait_seconds = source.seconds(cached, runner.hall) if source else 0.0
         home_seconds = rank * HOME_RANK_RATIO * (missing_seconds + import_seconds)
         score = (
             miss_price * (missing_seconds + import_seconds)
             + home_seconds
-            + (source.seconds(cached) if source else 0.0)
+            + import_wait_seconds
             + runner.queue_seconds
             + runner.penalty_seconds
         )
-        return _choice(chain, runner, cached, score, source, imported)
+        choice = _choice(chain, runner, cached, score, source, imported)
+        return attrs.evolve(choice, import_seconds=import_wait_seconds)
 
 
 class RoundRobin:
@@ -239,30 +249,48 @@
 
 
 def best_source(
-    sources: Sequence[ImportSource], runner: RunnerView, cached_tokens: int
+    sources: Sequence[ImportSource],
+    runner: RunnerView,
+    cached_tokens: int,
+    chain: PrefixChain,
+    price: float,
 ) -> ImportSource | None:
     """Return the cache that saves a runner the most time, or any to be asked.
 
-    Among sources that hold nothing more, the last one is asked all the same: what
-    is known of a store is old, and a question costs next to nothing.
+    Among sources that hold nothing more, the last one is asked all the same: what is
+    known of caches is old, and a question costs next to nothing. None is asked where
+    computing the whole shared part, at ``price`` times its time, takes no longer than
+    what moves from there already.
     """
     best: ImportSource | None = None
     best_saved_seconds = -math.inf
-    seconds_per_token = 1.0 / runner.prefill_tokens_per_second
+    most_wait_seconds = price * runner.prefill_seconds(_shared_tokens(chain))
     for source in reversed(sources):
         if source.weights_version != runner.weights_version:
             continue
-        if source.name == runner.name:
+        if source.name == runner.name or source.queue_seconds > most_wait_seconds:
             continue
         extra = source.held_tokens - cached_tokens
         saved_seconds = 0.0
         if extra > 0:
-            saved_seconds = extra * seconds_per_token - source.seconds(cached_tokens)
+            moving_seconds = source.seconds(cached_tokens, runner.hall)
+            saved_seconds = runner.prefill_seconds(extra) - moving_seconds
+            saved_seconds += source.queue_seconds
         if saved_seconds > best_saved_seconds:
             best, best_saved_seconds = source, saved_seconds
     return best
 
 
+def blind_tokens(chain: PrefixChain, cached_tokens: int) -> int:
+    """Return what a cache that is asked without knowing is expected to move."""
+    return int(BLIND_RATIO * max(0, _shared_tokens(chain) - cached_tokens))
+
+
+def _shared_tokens(chain: PrefixChain) -> int:
+    """Return the tokens of a prompt that others may share."""
+    return chain.levels[-1].tokens if chain.levels else 0
+
+
 def _choice(
     chain: PrefixChain,
     runner: RunnerView,
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -8,6 +8,8 @@
 from operator import attrgetter
 from typing import Any
 
+import attrs
+
 from rampwick_schema import (
     HostList,
     Settings,
@@ -23,6 +25,7 @@
 from ._kept import kept_life, kept_version
 from ._knowledge import CacheKnowledge, Life
 from ._membership import Membership
+from ._moves import Moves
 from ._notices import NoticeBook
 from ._placement_news import PlacementNews
 from ._prefix import PrefixChain
@@ -74,6 +77,7 @@
             settings.queue.slots_factor,
         )
         self.imports = Imports()
+        self.moves = Moves(self.peers)
         self.notices = NoticeBook()
         self._news = PlacementNews()
         self._handlers: dict[type, Callable[[Any, float], None]] = {
@@ -111,13 +115,21 @@
             held = self.knowledge.cached_tokens(upstream.name, chain)
             if held and upstream.health.state is not HealthState.DOWN:
                 address = upstream.entry.address
-                of_version.append(Holder(upstream.name, address, held, version))
+                hall = upstream.entry.hall
+                of_version.append(Holder(upstream.name, address, held, version, hall))
         sources = []
         for version, found in holders.items():
             best = heapq.nlargest(MAX_HOLDERS, found, key=attrgetter("held_tokens"))
             sources += [self.imports.runner_source(terms, holder) for holder in best]
             sources += self.imports.store_sources(terms, version, chain, now_seconds)
-        return sources
+        return [self._with_queue(source) for source in sources]
+
+    def _with_queue(self, source: ImportSource) -> ImportSource:
+        moving_tokens = self.moves.waiting_tokens(source.name)
+        if not moving_tokens:
+            return source
+        queue_seconds = moving_tokens * source.seconds_per_token
+        return attrs.evolve(source, queue_seconds=queue_seconds)
 
     def save_address(
         self, service: str, upstream: Upstream, chain: PrefixChain, now_seconds: float
@@ -226,7 +238,7 @@
             host_list_version=self.upstreams.list_version,
             is_leaving=is_leaving,
             workspaces=self._workspace_usages(now_seconds),
-            upstreams=self._upstream_usages(),
+            upstreams=[*self._upstream_usages(), *self.moves.usages()],
             placed=self._news.take(),
             down=self._found_down(now_seconds),
             waiting=[
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -9,6 +9,7 @@
 from ._membership import Membership
 from ._placement import Choice, RunnerView, chosen_view
 from ._shares import Standing
+from ._timeliness import LATE_QUEUE_RATIO
 from ._upstreams import Upstream, UpstreamTable
 
 #: Slots beyond the usual ones that urgent requests may use.
@@ -55,10 +56,18 @@
         choice: Choice,
         views: list[RunnerView],
         standing: Standing,
+        is_late: bool = False,
     ) -> bool:
-        """Return whether a request of this standing may go where it was placed."""
+        """Return whether a request of this standing may go where it was placed.
+
+        One that ``is_late`` already leaves the larger part of the queue to others.
+        """
         rivals = self._list_rivals(service)
         view = chosen_view(choice, views)
+        if is_late:
+            most_seconds = LATE_QUEUE_RATIO * view.max_prefill_queue_seconds
+            if view.prefill_queue_seconds > most_seconds:
+                return False
         if not view.has_slot:
             return self._may_exceed(view, rivals, standing)
         # Leave free slots to requests elsewhere that should go first. If nobody
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -205,6 +205,7 @@
         item = self._requests.get(event.request_id)
         if item is not None and item.lifecycle.deliver(event.attempt_id):
             upstream = self.upstreams.get(item.upstream)
+            self.pool.moves.end(event.attempt_id)
             if upstream is not None:
                 upstream.note_first_token(event.attempt_id, now_seconds)
         return []
@@ -411,6 +412,7 @@
     def _release(
         self, item: QueuedRequest, attempt_id: str, now_seconds: float
     ) -> None:
+        self.pool.moves.end(attempt_id)
         upstream = self.upstreams.get(item.upstream)
         if upstream is not None:
             upstream.release(attempt_id, now_seconds)
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
@@ -0,0 +1,36 @@
+"""Who can still be answered in time, and what room the others leave to them.
+
+It answers a burst, and all hosts coming back at once: for some seconds more prompts
+wait than the runners can read within their callers' latency targets. Served by arrival,
+each of them waits behind those that are late already, until nearly all are late. Those
+that can still be in time go first instead; the others are served in the room that is
+left, for as long as their deadlines last.
+"""
+
+import math
+
+from ._queue import QueuedRequest
+
+#: Part of its latency target after which a request that still waits counts as late: the
+#: rest is what sending it and reading a short prompt take.
+SPENT_RATIO = 0.75
+
+#: Part of a runner's usual queue of prompts up to which it is sent what is late
+#: already: a request that arrives next then finds the larger part of the queue free.
+LATE_QUEUE_RATIO = 0.33
+
+
+def in_time_until_seconds(item: QueuedRequest) -> float:
+    """Return when its answer must begin; infinite where no target is known."""
+    target_seconds = item.arrival.latency_target_seconds
+    if target_seconds is None:
+        return math.inf
+    return item.arrived_at_seconds + target_seconds
+
+
+def is_spent(item: QueuedRequest, now_seconds: float) -> bool:
+    """Return whether it has waited too long to be in time wherever it is sent."""
+    target_seconds = item.arrival.latency_target_seconds
+    if target_seconds is None:
+        return False
+    return now_seconds - item.arrived_at_seconds > target_seconds * SPENT_RATIO
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -83,7 +83,7 @@
     is_suspected: bool = False
     #: Until when its silence raises no suspicion, since it has just proved well.
     trusted_until_seconds: float = -math.inf
-    #: When one of this host's attempts had a piece of an answer last.
+    #: When it last answered this host, an attempt or a probe.
     heard_at_seconds: float = -math.inf
     #: When it was last asked for its load.
     probed_at_seconds: float = -math.inf
@@ -311,8 +311,14 @@
         """Trust an upstream that has answered a probe."""
         if upstream.is_suspected:
             upstream.is_suspected = False
+            upstream.heard_at_seconds = now_seconds
             upstream.trusted_until_seconds = now_seconds + TRUST_SECONDS
 
+    def was_heard_since(self, name: str, since_seconds: float) -> bool:
+        """Return whether an upstream has answered this host since a steady time."""
+        upstream = self._upstreams.get(name)
+        return upstream is not None and upstream.heard_at_seconds > since_seconds
+
     def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
         """Take a runner's report; return whether it shows a new life."""
         upstream.model = report.model
@@ -403,8 +409,6 @@
         slots = usable + math.ceil(usable * extra_slots_ratio)
         running = len(upstream.own_attempts) + load.running_count
         waiting = upstream.own_waiting_tokens + load.waiting_tokens
-        if is_urgent:
-            waiting = upstream.own_urgent_tokens + load.urgent_tokens
         over = max(0, running - slots + 1)
         release_seconds = min(MAX_RELEASE_SECONDS, upstream.run_seconds / usable)
         is_near = upstream.entry.hall == self._hall
@@ -418,6 +422,7 @@
             running_count=running,
             waiting_tokens=waiting,
             prefill_tokens_per_second=upstream.prefill_tokens_per_second,
+            hall=upstream.entry.hall,
             distance_seconds=distance,
             connect_seconds=connect_seconds,
             slot_wait_seconds=over * release_seconds,
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -8,7 +8,7 @@
 import eliot
 from testtools import TestCase
 
-from rampwick_adapter.__main__ import make_integration
+from rampwick_adapter._host import make_integration
 from rampwick_policy import (
     ConfigurationFollower,
     HostListRead,
