Peers hear of long prompts at once; runners' reading speed is learned

Cause: hosts that see a burst know of each other's prompts 0.25 s later. At a return of all hosts one runner got eleven prompts of 40,000 tokens from five hosts in 0.2 s.

Change: a prompt of 1,000 tokens and more to read is told peers at once, at most every 50 ms, in small fleets. The speed is learned for each model from prompts that found nothing waiting, by a quantile, since guesses of caches are often wrong.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -25,6 +25,7 @@
 from ._pool import Pool
 from ._prefix import PrefixChain
 from ._queue import QueuedRequest, WaitingQueue
+from ._reading_speed import MAX_QUEUE_SECONDS, MIN_TOKENS
 from ._retry import RetryBudgets
 from ._room import Room
 from ._shares import Standing
@@ -224,6 +225,7 @@
             choice.missing_tokens,
             now_seconds,
             is_urgent,
+            is_alone=_is_alone(choice),
         )
         self._note_import(attempt_id, item, choice)
         answer_tokens = self._answers.expect(item.arrival)
@@ -264,6 +266,15 @@
         self._pool.moves.begin(attempt_id, move)
 
 
+def _is_alone(choice: Choice) -> bool:
+    """Return whether how long a prompt takes tells how fast its runner reads."""
+    return (
+        choice.missing_tokens >= MIN_TOKENS
+        and not choice.imported_tokens
+        and choice.prefill_queue_seconds < MAX_QUEUE_SECONDS
+    )
+
+
 def _begins_seconds(
     arrival: ev.RequestArrived,
     choice: Choice,
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -78,6 +78,8 @@
     cached_tokens: int
     missing_tokens: int
     queue_seconds: float
+    #: The part of it that prompts take which wait at the runner.
+    prefill_queue_seconds: float
     score_seconds: float
     has_slot: bool
     #: Cache from which the runner shall take what it does not hold, if any.
@@ -306,6 +308,7 @@
         import_source=source,
         imported_tokens=imported,
         queue_seconds=runner.queue_seconds,
+        prefill_queue_seconds=runner.prefill_queue_seconds,
         score_seconds=score_seconds,
         has_slot=runner.has_slot,
     )
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -207,7 +207,8 @@
             upstream = self.upstreams.get(item.upstream)
             self.pool.moves.end(event.attempt_id)
             if upstream is not None:
-                upstream.note_first_token(event.attempt_id, now_seconds)
+                speed = self.upstreams.reading_speed(upstream.model)
+                upstream.note_first_token(event.attempt_id, speed, now_seconds)
         return []
 
     def _on_failed(
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -17,6 +17,7 @@
 from ._knowledge import Life, life_label
 from ._membership import Membership
 from ._placement import RunnerView
+from ._reading_speed import ReadingSpeed
 from ._targets import TargetWeights
 
 #: Role in which a runner takes requests.
@@ -68,7 +69,8 @@
     model: str = ""
     role: str = SERVING_ROLE
     slots_count: int = DEFAULT_SLOTS
-    prefill_tokens_per_second: float = 1.0
+    #: Its own word of how fast it reads prompts; none if it says nothing of it.
+    told_tokens_per_second: float = 0.0
     reported_running_count: int = 0
     #: Prompt tokens whose first token has not come, by own attempt.
     own_attempts: dict[str, int] = attrs.field(factory=dict)
@@ -90,6 +92,8 @@
     #: Mean time for which an attempt holds a slot.
     run_seconds: float = FIRST_RUN_SECONDS
     _started_at: dict[str, float] = attrs.field(factory=dict)
+    #: Tokens to be read of attempts that found nothing waiting, by attempt.
+    _alone_tokens: dict[str, int] = attrs.field(factory=dict)
     #: Until when each connection rests that this host keeps and nobody uses.
     _resting_until: list[float] = attrs.field(factory=list)
 
@@ -131,8 +135,11 @@
         missing_tokens: int,
         now_seconds: float,
         is_urgent: bool = False,
+        is_alone: bool = False,
     ) -> None:
-        """Note an attempt that is sent here."""
+        """Note an attempt that is sent here, and whether it finds nothing waiting."""
+        if is_alone:
+            self._alone_tokens[attempt_id] = missing_tokens
         self.own_attempts[attempt_id] = missing_tokens
         self._started_at[attempt_id] = now_seconds
         if self._resting_until:
@@ -144,11 +151,17 @@
         """Return whether it has just answered this host, whatever others say."""
         return now_seconds - self.heard_at_seconds < HEARD_SECONDS
 
-    def note_first_token(self, attempt_id: str, now_seconds: float) -> None:
-        """Note that an attempt's prompt is computed."""
+    def note_first_token(
+        self, attempt_id: str, speed: ReadingSpeed, now_seconds: float
+    ) -> None:
+        """Note that an attempt's prompt is computed, and how long that took."""
         self.heard_at_seconds = now_seconds
         if attempt_id in self.own_attempts:
             self.own_attempts[attempt_id] = 0
+        tokens = self._alone_tokens.pop(attempt_id, 0)
+        started_at_seconds = self._started_at.get(attempt_id)
+        if tokens and started_at_seconds is not None:
+            speed.note(tokens, now_seconds - started_at_seconds)
 
     def has_connection(self, now_seconds: float) -> bool:
         """Return whether a kept connection is free for another attempt."""
@@ -164,6 +177,7 @@
             until for until in self._resting_until if until > now_seconds
         ]
         self.urgent_attempts.discard(attempt_id)
+        self._alone_tokens.pop(attempt_id, None)
         if self.own_attempts.pop(attempt_id, None) is None:
             return
         ran_seconds = now_seconds - self._started_at.pop(attempt_id, now_seconds)
@@ -188,6 +202,7 @@
         #: Version of the host list in use; -1 before the first.
         self.list_version = -1
         self._upstreams: dict[str, Upstream] = {}
+        self._speeds: dict[str, ReadingSpeed] = {}
 
     def __iter__(self) -> Iterator[Upstream]:
         return iter(list(self._upstreams.values()))
@@ -227,11 +242,7 @@
             self._take_listed(known)
             return
         health = Health(self._retry.ramp_start_ratio, self._retry.ramp_seconds)
-        upstream = Upstream(
-            entry=entry,
-            health=health,
-            prefill_tokens_per_second=self._placement.prefill_tokens_per_second,
-        )
+        upstream = Upstream(entry=entry, health=health)
         self._upstreams[entry.name] = upstream
         self._take_listed(upstream)
 
@@ -323,7 +334,7 @@
         """Take a runner's report; return whether it shows a new life."""
         upstream.model = report.model
         upstream.slots_count = report.slots_count
-        upstream.prefill_tokens_per_second = report.prefill_tokens_per_second
+        upstream.told_tokens_per_second = report.prefill_tokens_per_second
         upstream.reported_running_count = report.running_count
         life = Life(report.incarnation, report.weights_version)
         is_new = self.note_life(upstream, life, is_own_word=True)
@@ -382,6 +393,14 @@
             return 0.0
         return self._placement.outdated_penalty_seconds
 
+    def reading_speed(self, model: str) -> ReadingSpeed:
+        """Return how fast runners of a model read prompts, as learned here."""
+        speed = self._speeds.get(model)
+        if speed is None:
+            start = self._placement.prefill_tokens_per_second
+            speed = self._speeds[model] = ReadingSpeed(start)
+        return speed
+
     def usable_slots(
         self, upstream: Upstream, part_ratio: float, now_seconds: float
     ) -> int:
@@ -421,7 +440,8 @@
             slots_count=slots,
             running_count=running,
             waiting_tokens=waiting,
-            prefill_tokens_per_second=upstream.prefill_tokens_per_second,
+            prefill_tokens_per_second=upstream.told_tokens_per_second
+            or self.reading_speed(upstream.model).tokens_per_second,
             hall=upstream.entry.hall,
             distance_seconds=distance,
             connect_seconds=connect_seconds,
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -124,6 +124,7 @@
             self.steward,
         )
         self.steward.tell_peers = self._gossip.tell_steward_news
+        self.scheduler.note_long_prompt = self._gossip.note_load
         self._connect(api, draw, integration)
         self._claims = ClaimTask(api, settings.claims, read_clock, clocks.wall)
         self._probes = ProbeTask(control, self.scheduler)
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -33,6 +33,9 @@
 TICK_SECONDS = 0.1
 IDLE_TICK_SECONDS = 1.0
 
+#: Tokens to be read from which peers are told of a prompt at once.
+LONG_PROMPT_TOKENS = 1000
+
 #: Decisions remembered for operators who ask why.
 EXPLAINED_COUNT = 1000
 
@@ -77,6 +80,8 @@
         self._has_work = anyio.Event()
         #: Set when an upstream is to be asked at once how it is, then replaced.
         self.has_doubt = anyio.Event()
+        #: Called when a prompt was sent that keeps a runner busy for a while.
+        self.note_long_prompt: Callable[[], None] = _do_nothing
 
     @property
     def hosts_count(self) -> int:
@@ -180,6 +185,8 @@
                 # The engine ends it by itself once nobody reads its answer.
                 return
             return
+        if isinstance(action, Dispatch) and _is_long(action):
+            self.note_long_prompt()
         mailbox = self._mailboxes.get(action.request_id)
         caller_id = mailbox.caller_request_id if mailbox else ""
         self._decisions.append(Decision(now_seconds, action, caller_id))
@@ -191,6 +198,15 @@
             self.close_mailbox(action.request_id)
 
 
+def _is_long(dispatch: Dispatch) -> bool:
+    choice = dispatch.choice
+    return choice is not None and choice.missing_tokens >= LONG_PROMPT_TOKENS
+
+
+def _do_nothing() -> None:
+    return
+
+
 def _first_word(text: str) -> str:
     # Sentences are few, so that their volume can be bounded one by one.
     return text.partition(" ")[0]
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -68,6 +68,10 @@
 #: Time after the start for which seeds are dialled whatever else is known.
 SEEDING_SECONDS = 2.0
 
+#: Least time between two words of long prompts, about a way there and back and the
+#: handling of each by every host.
+LOAD_NEWS_SECONDS = 0.05
+
 #: Name under which the scheduler knows what a relay tells of all other hosts.
 FLEET = "fleet"
 
@@ -119,6 +123,7 @@
             self.table, self._links, scheduler, lambda: self.live_names
         )
         self._own_summary: Summary | None = None
+        self._has_load = anyio.Event()
         self._sequence = 0
         #: Whether the fleet is large, and whether this host is one of its relays.
         self._standing = (False, False)
@@ -137,6 +142,7 @@
             tasks.start_soon(self.cache_mail.run)
             tasks.start_soon(self._keep_ages)
             tasks.start_soon(self._tell_steward_news)
+            tasks.start_soon(self._tell_load)
             await self._tell_again()
 
     # Members and roles.
@@ -359,6 +365,23 @@
             with anyio.move_on_after(self._interval_seconds):
                 await changed.wait()
 
+    async def _tell_load(self) -> None:
+        """Tell of long prompts before the interval is over, in a small fleet.
+
+        All hosts that see a burst would send their prompts to the same idle runner
+        until they hear of each other.
+        """
+        while True:
+            await self._has_load.wait()
+            self._has_load = anyio.Event()
+            if not self.table.is_large:
+                self.tell_summary()
+            await anyio.sleep(LOAD_NEWS_SECONDS)
+
+    def note_load(self) -> None:
+        """Note that a runner was sent a long prompt."""
+        self._has_load.set()
+
     def tell_summary(self) -> None:
         """Send a summary now to every peer that is to hear this host."""
         self._sequence += 1
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_upstream.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_upstream.py
@@ -26,8 +26,8 @@
     running_count: int = attrs.field(validator=within(0, None))
     #: Prompt tokens not yet computed.
     waiting_tokens: int = attrs.field(validator=within(0, None))
-    #: Prefill speed.
-    prefill_tokens_per_second: float = attrs.field(validator=within(0.001, None))
+    #: Prefill speed; 0 if the runner does not know it.
+    prefill_tokens_per_second: float = attrs.field(validator=within(0.0, None))
     #: Size of the prefix cache.
     cache_tokens: int = attrs.field(validator=within(0, None))
     #: serve, or loading while weights are loaded.
