Listen before loading; know before serving; a load lab that replays all of it

Cause: a host takes half a second to load. Where all are killed at once, callers are refused by one after another until they have no tries left: 34 of 54 requests owed in the two seconds around it failed.

Change: rampwick_start binds the callers' address before anything else is imported; connections wait. The daemon serves once it knows configuration, upstreams and the caches that it reads, or 0.25 s after its start.

The count of urgent tokens is gone from summaries, since nothing reads it.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -21,6 +21,7 @@
         ROOT / f"packages/rampwick-{name}/src/rampwick_{name}"
         for name in ("schema", "policy", "platform", "router")
     ),
+    ROOT / "packages/rampwick-router/src/rampwick_start",
     ROOT / "platform/rampwick_adapter",
 ]
 
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -1,10 +1,11 @@
-"""Run a measurement: ``python -m measure placement|load|membership|relay …``."""
+"""Run a measurement: ``python -m measure lab|placement|load|membership|relay …``."""
 
 import sys
 
-from . import load, membership, placement, relay, slopes
+from . import lab, load, membership, placement, relay, slopes
 
 MEASUREMENTS = {
+    "lab": lab.main,
     "placement": placement.main,
     "load": load.main,
     "membership": membership.main,
--- /dev/null
+++ b/measure/_lab.py
@@ -0,0 +1,569 @@
+"""The load lab: schedulers of several hosts, toy engines and one clock, under a load.
+
+Everything is stepped and seeded: the same pattern, seed and mechanisms give the same
+result. Hosts tell each other summaries as the daemon does; engines read prompts one
+after another, keep the parts used last, and import from a store over one link.
+"""
+
+import random
+import tomllib
+from collections import OrderedDict
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from unittest import mock
+
+import attrs
+import cattrs
+
+from rampwick_policy import (
+    AttemptAccepted,
+    AttemptDelivered,
+    AttemptDone,
+    CacheChanges,
+    CacheSeen,
+    CancelAttempt,
+    Dispatch,
+    Event,
+    HostListRead,
+    Life,
+    PeerHeard,
+    PromptPart,
+    Refuse,
+    RequestArrived,
+    Scheduler,
+    Scope,
+    Tick,
+    TreeInForce,
+    TreeView,
+    Workspace,
+    _dispatcher,
+    _moves,
+    _reading_speed,
+    _room,
+    chain_from_parts,
+    kept_life,
+    life_label,
+    part_key,
+)
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    KeptStore,
+    Node,
+    Routing,
+    Service,
+    Tree,
+    parse_settings,
+)
+
+from ._runner import Clock
+
+HALLS = ("a", "b", "c", "d")
+SCOPE = Scope("wall", "m")
+STORE = "kept"
+SERVICE = "s"
+
+#: One way between a host and an engine or another host.
+HOP_SECONDS = 0.001
+TICK_SECONDS = 0.1
+GOSSIP_SECONDS = 0.25
+#: Between two words of what a cache holds, and their way.
+CACHE_WORD_SECONDS = 0.7
+CACHE_LAG_SECONDS = 0.1
+EARLY_WORD_SECONDS = 0.05
+LONG_PROMPT_TOKENS = 1000
+STEP_SECONDS = 0.006
+TOKEN_BYTES = 163_840
+LINK_BITS_PER_SECOND = 180e9
+
+#: Mechanisms that can be left out.
+MECHANISMS = (
+    "order",
+    "early-word",
+    "cache-word",
+    "speed",
+    "link-queue",
+)
+
+PATTERNS = Path(__file__).with_name("patterns.toml")
+
+
+@attrs.frozen
+class Pattern:
+    """A load and the fleet that it meets."""
+
+    name: str
+    doc: str
+    length_seconds: float
+    hosts_count: int = 8
+    engines_count: int = 5
+    long_per_second: float = 11.0
+    short_per_second: float = 14.0
+    things_count: int = 84
+    #: Part of the long prompts that share one thing.
+    hot_ratio: float = 0.0
+    tokens_per_second: float = 30_000.0
+    cache_tokens: int = 75_000
+    burst_from_seconds: float = 0.0
+    burst_until_seconds: float = 0.0
+    burst_ratio: float = 1.0
+    off_from_seconds: float = 0.0
+    off_until_seconds: float = 0.0
+    #: Time before which nothing counts.
+    warm_seconds: float = 2.0
+
+
+def read_patterns() -> dict[str, Pattern]:
+    """Return the patterns by name."""
+    data = tomllib.loads(PATTERNS.read_text())
+    return {
+        name: cattrs.structure({"name": name, **fields}, Pattern)
+        for name, fields in data.items()
+    }
+
+
+@attrs.frozen
+class Kind:
+    """One kind of request."""
+
+    name: str
+    priority_class: str
+    target_seconds: float
+    deadline_seconds: float
+    answer_tokens: int
+
+
+LONG = Kind("long", "interactive", 0.6, 6.0, 13)
+SHORT = Kind("short", "portal", 0.4, 15.0, 73)
+
+
+@attrs.frozen
+class Call:
+    """One request of the script."""
+
+    at_seconds: float
+    kind: Kind
+    parts: tuple[PromptPart, ...]
+    workspace: int
+
+
+@attrs.define
+class Sample:
+    """What came of one request."""
+
+    call: Call
+    first_seconds: float | None = None
+    refused: str = ""
+
+    @property
+    def outcome(self) -> str:
+        """In one word: in time, late, refused or open."""
+        if self.refused:
+            return "refused"
+        if self.first_seconds is None:
+            return "open"
+        waited_seconds = self.first_seconds - self.call.at_seconds
+        return "in time" if waited_seconds <= self.call.kind.target_seconds else "late"
+
+
+def script(pattern: Pattern, seed: int) -> list[Call]:
+    """Draw a pattern's requests, in order of time."""
+    draw = random.Random(seed)
+    calls = [
+        *_calls(pattern, draw, LONG, pattern.long_per_second),
+        *_calls(pattern, draw, SHORT, pattern.short_per_second),
+    ]
+    return sorted(calls, key=lambda call: call.at_seconds)
+
+
+def _calls(
+    pattern: Pattern, draw: random.Random, kind: Kind, per_second: float
+) -> Iterator[Call]:
+    at_seconds = 0.0
+    while True:
+        is_burst = (
+            pattern.burst_from_seconds <= at_seconds < pattern.burst_until_seconds
+        )
+        rate = per_second * (pattern.burst_ratio if is_burst else 1.0)
+        at_seconds += draw.expovariate(rate)
+        if at_seconds >= pattern.length_seconds:
+            return
+        parts = _long_parts(pattern, draw) if kind is LONG else _short_parts(draw)
+        yield Call(at_seconds, kind, parts, draw.randrange(8))
+
+
+def _long_parts(pattern: Pattern, draw: random.Random) -> tuple[PromptPart, ...]:
+    thing = 0
+    if draw.random() >= pattern.hot_ratio:
+        thing = draw.randrange(pattern.things_count)
+    own_tokens = min(20_000, 100 + int(draw.expovariate(1 / 2800)))
+    return (
+        PromptPart(b"guide %d" % (thing % 4), 2520),
+        PromptPart(b"thing %d" % thing, 3780),
+        PromptPart(b"own %d" % draw.getrandbits(60), own_tokens),
+    )
+
+
+def _short_parts(draw: random.Random) -> tuple[PromptPart, ...]:
+    thing = draw.randrange(157)
+    return (
+        PromptPart(b"style %d" % (thing % 20), 119),
+        PromptPart(b"shop %d" % thing, 79),
+        PromptPart(
+            b"own %d" % draw.getrandbits(60), 50 + int(draw.expovariate(1 / 580))
+        ),
+    )
+
+
+class Cache:
+    """Parts by key, those used last; tells what changed since it was asked last."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity_tokens = capacity_tokens
+        self.tokens: OrderedDict[bytes, int] = OrderedDict()
+        self._changed: dict[bytes, int] = {}
+        self.link_free_seconds = 0.0
+
+    def missing(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens of a prompt from its first part that is not kept."""
+        for index, part in enumerate(parts):
+            if part_key(SCOPE, part.name) not in self.tokens:
+                return sum(item.tokens for item in parts[index:])
+        return 0
+
+    def use(self, parts: tuple[PromptPart, ...]) -> None:
+        """Keep the parts of a prompt; those unused longest give way."""
+        for part in reversed(parts):
+            key = part_key(SCOPE, part.name)
+            self.tokens[key] = self._changed[key] = part.tokens
+            self.tokens.move_to_end(key)
+        while sum(self.tokens.values()) > self._capacity_tokens:
+            key, _ = self.tokens.popitem(last=False)
+            self._changed[key] = 0
+
+    def take_changes(self) -> dict[bytes, int]:
+        """Return what changed since the last call."""
+        changed, self._changed = self._changed, {}
+        return changed
+
+
+class Engine:
+    """Reads prompts one after another, first come first served."""
+
+    def __init__(self, lab: "Lab", name: str, hall: str) -> None:
+        self._lab = lab
+        self.name = name
+        self.hall = hall
+        self.cache = Cache(lab.pattern.cache_tokens)
+        self._free_seconds = 0.0
+        self.read_tokens = 0
+
+    def take(self, host: "Host", dispatch: Dispatch, sample: Sample) -> None:
+        """Receive an attempt: import what it may, then wait to be read."""
+        now_seconds = self._lab.clock.now_seconds
+        ready_seconds = now_seconds
+        parts = sample.call.parts
+        if dispatch.import_address:
+            ready_seconds = self._import(parts[:-1], now_seconds)
+        delay = ready_seconds - now_seconds
+        self._lab.clock.after(delay, self._read, host, dispatch, sample)
+
+    def _import(self, parts: tuple[PromptPart, ...], now_seconds: float) -> float:
+        store = self._lab.store
+        tokens = self.cache.missing(parts)
+        if not tokens or store.missing(parts):
+            return now_seconds + HOP_SECONDS
+        seconds = tokens * 8.0 * TOKEN_BYTES / LINK_BITS_PER_SECOND
+        seconds *= 1.0 if self.hall == HALLS[1] else 2.0
+        begin = max(now_seconds, store.link_free_seconds)
+        store.link_free_seconds = begin + seconds
+        self.cache.use(parts)
+        return store.link_free_seconds
+
+    def _read(self, host: "Host", dispatch: Dispatch, sample: Sample) -> None:
+        now_seconds = self._lab.clock.now_seconds
+        parts = sample.call.parts
+        missing = self.cache.missing(parts)
+        self.read_tokens += missing
+        self.cache.use(parts)
+        if dispatch.save_address:
+            self._lab.store.use(parts[:-1])
+        begin = max(now_seconds, self._free_seconds)
+        self._free_seconds = begin + missing / self._lab.pattern.tokens_per_second
+        delay = self._free_seconds - now_seconds + HOP_SECONDS
+        self._lab.clock.after(delay, host.first_token, dispatch)
+        answer_seconds = sample.call.kind.answer_tokens * STEP_SECONDS
+        self._lab.clock.after(delay + answer_seconds, host.done, dispatch, sample)
+
+
+class Host:
+    """One host's scheduler."""
+
+    def __init__(self, lab: "Lab", index: int) -> None:
+        self._lab = lab
+        self._index = index
+        self.name = f"host-{index}"
+        self.hall = HALLS[index % len(HALLS)]
+        self.incarnation = 0
+        self._sequence = 0
+        self._count = 0
+        self._told_early_seconds = -1.0
+        self.start()
+
+    def start(self) -> None:
+        """Begin a life that knows no more than the platform tells."""
+        self.incarnation += 1
+        self.open: dict[str, Sample] = {}
+        settings = parse_settings(
+            f'[host]\nname = "{self.name}"\nhall = "{self.hall}"\n'
+            "[placement]\nprefill_tokens_per_second = 40000.0\n"
+            "max_prefill_queue_seconds = 0.3\nconnect_price_seconds = 0.01\n",
+            source="lab",
+        )
+        self.scheduler = Scheduler(settings)
+        self.handle(TreeInForce(self._lab.view))
+        self.handle(HostListRead(self._lab.host_list))
+
+    def arrive(self, sample: Sample) -> None:
+        """Take a caller's request."""
+        self._count += 1
+        request_id = f"{self.name}.{self.incarnation}.{self._count}"
+        self.open[request_id] = sample
+        call = sample.call
+        self.handle(
+            RequestArrived(
+                request_id=request_id,
+                workspace=self._lab.workspaces[call.workspace],
+                priority_class=call.kind.priority_class,
+                deadline_seconds=self._lab.clock.now_seconds
+                + call.kind.deadline_seconds,
+                is_repeatable=False,
+                chain=chain_from_parts(SCOPE, call.parts),
+                scope=SCOPE,
+                service=SERVICE,
+                latency_target_seconds=call.kind.target_seconds,
+                max_answer_tokens=call.kind.answer_tokens,
+            )
+        )
+
+    def handle(self, event: Event) -> None:
+        """Have the scheduler handle an event, and carry its actions out."""
+        for action in self.scheduler.handle(event, self._lab.clock.now_seconds):
+            if isinstance(action, Dispatch):
+                self._send(action)
+            elif isinstance(action, Refuse):
+                self.open.pop(action.request_id).refused = action.reason
+            elif isinstance(action, CancelAttempt):
+                continue
+
+    def _send(self, dispatch: Dispatch) -> None:
+        sample = self.open[dispatch.request_id]
+        engine = self._lab.engines[dispatch.upstream]
+        self._lab.clock.after(HOP_SECONDS, engine.take, self, dispatch, sample)
+        choice = dispatch.choice
+        if choice is not None and choice.missing_tokens >= LONG_PROMPT_TOKENS:
+            self._tell_early()
+
+    def _tell_early(self) -> None:
+        now_seconds = self._lab.clock.now_seconds
+        due_seconds = self._told_early_seconds + EARLY_WORD_SECONDS
+        if "early-word" in self._lab.without or now_seconds < self._told_early_seconds:
+            return
+        at_seconds = max(now_seconds, due_seconds)
+        self._told_early_seconds = at_seconds
+        self._lab.clock.after(at_seconds - now_seconds, self.tell)
+
+    def first_token(self, dispatch: Dispatch) -> None:
+        """Receive an attempt's first token."""
+        sample = self.open.get(dispatch.request_id)
+        if sample is None:
+            return
+        sample.first_seconds = self._lab.clock.now_seconds
+        names = (dispatch.request_id, dispatch.attempt_id)
+        self.handle(AttemptAccepted(*names))
+        self.handle(AttemptDelivered(*names))
+
+    def done(self, dispatch: Dispatch, sample: Sample) -> None:
+        """Receive an attempt's end."""
+        if self.open.pop(dispatch.request_id, None) is None:
+            return
+        tokens = sum(part.tokens for part in sample.call.parts)
+        missing = dispatch.choice.missing_tokens if dispatch.choice else 0
+        self.handle(
+            AttemptDone(
+                dispatch.request_id,
+                dispatch.attempt_id,
+                cached_tokens=max(0, tokens - missing),
+                prompt_tokens=tokens,
+                answer_tokens=sample.call.kind.answer_tokens,
+                connection_rest_seconds=4.0,
+            )
+        )
+
+    def tell(self) -> None:
+        """Tell all peers a summary."""
+        self._sequence += 1
+        now_seconds = self._lab.clock.now_seconds
+        summary = self.scheduler.summary(self._sequence, 1, False, now_seconds)
+        heard = PeerHeard(self.name, self.hall, self.incarnation, summary)
+        for peer in self._lab.hosts:
+            if peer is not self:
+                self._lab.clock.after(HOP_SECONDS, peer.hear, heard)
+
+    def hear(self, heard: PeerHeard) -> None:
+        """Hear a peer, unless this host is off."""
+        if not self._lab.is_off:
+            self.handle(heard)
+
+
+class Lab:
+    """One run of a pattern."""
+
+    def __init__(
+        self, pattern: Pattern, seed: int, without: frozenset[str] = frozenset()
+    ) -> None:
+        self.pattern = pattern
+        self.without = without
+        self.clock = Clock()
+        self.samples: list[Sample] = []
+        self.is_off = False
+        self._draw = random.Random(seed)
+        self._calls = script(pattern, seed)
+        self.store = Cache(600_000)
+        self.engines = {
+            f"e{index}": Engine(self, f"e{index}", HALLS[index % len(HALLS)])
+            for index in range(pattern.engines_count)
+        }
+        self.host_list = HostList(1, [_entry(item) for item in self.engines.values()])
+        self.view = TreeView(_tree(pattern))
+        self.workspaces: list[Workspace] = list(self.view.workspaces.values())
+        self.hosts = [Host(self, index) for index in range(pattern.hosts_count)]
+
+    def run(self) -> list[Sample]:
+        """Play the pattern; return what came of each request."""
+        with leave_out(self.without):
+            for host in self.hosts:
+                phase = self._draw.random()
+                self.clock.after(phase * GOSSIP_SECONDS, self._gossip, host)
+                self.clock.after(phase * TICK_SECONDS, self._tick, host)
+            self.clock.after(CACHE_WORD_SECONDS, self._tell_caches)
+            for call in self._calls:
+                self.clock.after(call.at_seconds, self._arrive, call)
+            if self.pattern.off_until_seconds:
+                self.clock.after(self.pattern.off_from_seconds, self._turn_off)
+                self.clock.after(self.pattern.off_until_seconds, self._turn_on)
+            self.clock.run_until(self.pattern.length_seconds + 15.0)
+        return [
+            sample
+            for sample in self.samples
+            if sample.call.at_seconds >= self.pattern.warm_seconds
+        ]
+
+    def _arrive(self, call: Call) -> None:
+        sample = Sample(call)
+        self.samples.append(sample)
+        if self.is_off:
+            # Its connection waits for the host, or for the next one.
+            wait = self.pattern.off_until_seconds - self.clock.now_seconds
+            self.clock.after(wait + 0.3 * self._draw.random(), self._submit, sample)
+        else:
+            self._submit(sample)
+
+    def _submit(self, sample: Sample) -> None:
+        self._draw.choice(self.hosts).arrive(sample)
+
+    def _gossip(self, host: Host) -> None:
+        if not self.is_off:
+            host.tell()
+        self.clock.after(GOSSIP_SECONDS, self._gossip, host)
+
+    def _tick(self, host: Host) -> None:
+        if not self.is_off:
+            host.handle(Tick())
+        self.clock.after(TICK_SECONDS, self._tick, host)
+
+    def _tell_caches(self) -> None:
+        self.clock.after(CACHE_WORD_SECONDS, self._tell_caches)
+        for name, label, cache in self._caches():
+            changed = cache.take_changes()
+            if changed:
+                self.clock.after(CACHE_LAG_SECONDS, self._hear, name, label, changed)
+
+    def _caches(self) -> Iterator[tuple[str, str, Cache]]:
+        for engine in self.engines.values():
+            yield engine.name, life_label(Life(engine.name, 1)), engine.cache
+        yield STORE, life_label(kept_life(1)), self.store
+
+    def _hear(self, name: str, label: str, changed: dict[bytes, int]) -> None:
+        changes = CacheChanges(label, tuple(changed), tuple(changed.values()))
+        for host in self.hosts:
+            if not self.is_off:
+                host.handle(CacheSeen(name, (changes,)))
+
+    def _turn_off(self) -> None:
+        self.is_off = True
+
+    def _turn_on(self) -> None:
+        self.is_off = False
+        for host in self.hosts:
+            host.start()
+        if "cache-word" not in self.without:
+            for name, label, cache in self._caches():
+                self.clock.after(0.02, self._hear, name, label, dict(cache.tokens))
+
+
+def _entry(engine: Engine) -> HostEntry:
+    return HostEntry(
+        engine.name,
+        "runner",
+        engine.hall,
+        f"{engine.name}:1",
+        group=SERVICE,
+        incarnation=engine.name,
+        model=SCOPE.model,
+        weights_version=1,
+        slots_count=64,
+    )
+
+
+def _tree(pattern: Pattern) -> Tree:
+    service = Service(
+        SERVICE,
+        is_engine=True,
+        cache_tokens=pattern.cache_tokens,
+        token_bytes=TOKEN_BYTES,
+        link_bits_per_second=LINK_BITS_PER_SECOND,
+    )
+    store = KeptStore(STORE, f"{STORE}:1", HALLS[1], 600_000, LINK_BITS_PER_SECOND)
+    nodes = {"/": Node()}
+    nodes |= {f"/w{index}": Node(is_workspace=True) for index in range(8)}
+    return Tree(1, nodes, Routing(services=[service], kept_stores=[store]))
+
+
+@contextmanager
+def leave_out(names: frozenset[str]) -> Iterator[None]:
+    """Leave mechanisms of the policy out for the length of the context."""
+    unknown = names - set(MECHANISMS)
+    if unknown:
+        raise ValueError(f"unknown: {sorted(unknown)}; known: {MECHANISMS}")
+    with ExitStack() as stack:
+
+        def replace(target: object, name: str, value: object) -> None:
+            stack.enter_context(mock.patch.object(target, name, value))
+
+        if "order" in names:
+            replace(_dispatcher, "is_spent", lambda item, now_seconds: False)
+            replace(_dispatcher, "in_time_until_seconds", lambda item: float("inf"))
+            replace(_room, "LATE_QUEUE_RATIO", float("inf"))
+        if "speed" in names:
+            replace(_reading_speed.ReadingSpeed, "note", lambda *_: None)
+        if "link-queue" in names:
+            replace(_moves.Moves, "waiting_tokens", lambda *_: 0)
+        yield
+
+
+def in_time_ratio(samples: list[Sample], kind: Kind | None = None) -> float:
+    """Return the part of the requests, of one kind or all, that were in time."""
+    counted = [item for item in samples if kind is None or item.call.kind is kind]
+    return sum(item.outcome == "in time" for item in counted) / max(1, len(counted))
--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -219,12 +219,10 @@
         item.lifecycle.start(attempt_id)
         item.needs_budget = False
         item.upstream = upstream.name
-        is_urgent = item.arrival.priority_class == ev.RANKED_CLASSES[0]
         upstream.start(
             attempt_id,
             choice.missing_tokens,
             now_seconds,
-            is_urgent,
             is_alone=_is_alone(choice),
         )
         self._note_import(attempt_id, item, choice)
--- a/packages/rampwick-policy/src/rampwick_policy/_hall_news.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_hall_news.py
@@ -95,7 +95,6 @@
         total.incarnation,
         max(0, total.running_count - part.running_count),
         max(0, total.waiting_tokens - part.waiting_tokens),
-        max(0, total.urgent_tokens - part.urgent_tokens),
     )
 
 
@@ -126,7 +125,6 @@
                     usage,
                     running_count=usage.running_count + known.running_count,
                     waiting_tokens=usage.waiting_tokens + known.waiting_tokens,
-                    urgent_tokens=usage.urgent_tokens + known.urgent_tokens,
                 )
             sums[key] = usage
     return [sums[key] for key in sorted(sums)]
--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -29,7 +29,6 @@
 
     running_count: int = 0
     waiting_tokens: int = 0
-    urgent_tokens: int = 0
 
 
 NO_LOAD = PeerLoad()
@@ -122,7 +121,6 @@
             new = PeerLoad(
                 running_count=old.running_count + sign * usage.running_count,
                 waiting_tokens=old.waiting_tokens + sign * usage.waiting_tokens,
-                urgent_tokens=old.urgent_tokens + sign * usage.urgent_tokens,
             )
             if new == NO_LOAD:
                 self._loads.pop(key, None)
--- a/packages/rampwick-policy/src/rampwick_policy/_moves.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_moves.py
@@ -62,7 +62,7 @@
     def usages(self) -> list[UpstreamUsage]:
         """Return what peers are told."""
         return [
-            UpstreamUsage(name, MOVES_LABEL, count, self._tokens[name], 0)
+            UpstreamUsage(name, MOVES_LABEL, count, self._tokens[name])
             for name, count in sorted(self._counts.items())
             if count
         ]
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -273,7 +273,6 @@
                 incarnation=upstream.life_name,
                 running_count=len(upstream.own_attempts),
                 waiting_tokens=upstream.own_waiting_tokens,
-                urgent_tokens=upstream.own_urgent_tokens,
             )
             for upstream in self.upstreams
             if upstream.own_attempts
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -9,7 +9,7 @@
 from ._membership import Membership
 from ._placement import Choice, RunnerView, chosen_view
 from ._shares import Standing
-from ._timeliness import LATE_QUEUE_RATIO, SHORT_PROMPT_SECONDS
+from ._timeliness import LATE_QUEUE_RATIO
 from ._upstreams import Upstream, UpstreamTable
 
 #: Slots beyond the usual ones that urgent requests may use.
@@ -64,7 +64,7 @@
         """
         rivals = self._list_rivals(service)
         view = chosen_view(choice, views)
-        if is_late and not _is_short(choice, view):
+        if is_late:
             most_seconds = LATE_QUEUE_RATIO * view.max_prefill_queue_seconds
             if view.prefill_queue_seconds > most_seconds:
                 return False
@@ -88,7 +88,6 @@
                 self._peers,
                 self._part_ratio,
                 extra_ratio,
-                is_urgent,
                 self._now_seconds,
             )
             for upstream in self._upstreams
@@ -115,10 +114,6 @@
         return is_first and any(goes_before(standing, item.standing) for item in rivals)
 
 
-def _is_short(choice: Choice, view: RunnerView) -> bool:
-    return view.prefill_seconds(choice.missing_tokens) <= SHORT_PROMPT_SECONDS
-
-
 def _has_room(view: RunnerView) -> bool:
     extra_slots = max(1, int(view.slots_count * ENTITLED_EXTRA_RATIO))
     # Twice the usual prefill queue is the most that an entitled request may face.
--- a/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
@@ -19,10 +19,6 @@
 #: already: a request that arrives next then finds the larger part of the queue free.
 LATE_QUEUE_RATIO = 0.33
 
-#: Time to read a prompt up to which it is short: it is sent though it is late, since
-#: holding it would gain the others nothing.
-SHORT_PROMPT_SECONDS = 0.03
-
 
 def in_time_until_seconds(item: QueuedRequest) -> float:
     """Return when its answer must begin; infinite where no target is known."""
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -74,8 +74,6 @@
     reported_running_count: int = 0
     #: Prompt tokens whose first token has not come, by own attempt.
     own_attempts: dict[str, int] = attrs.field(factory=dict)
-    #: Own attempts of the most urgent rank.
-    urgent_attempts: set[str] = attrs.field(factory=set)
     #: Weights that it is loading and until when; it serves nothing meanwhile.
     load_version: int = 0
     load_until_seconds: float = -math.inf
@@ -124,17 +122,11 @@
         """Prompt tokens of own attempts whose first token has not come."""
         return sum(self.own_attempts.values())
 
-    @property
-    def own_urgent_tokens(self) -> int:
-        """Those of them that are of the most urgent rank."""
-        return sum(self.own_attempts[attempt] for attempt in self.urgent_attempts)
-
     def start(
         self,
         attempt_id: str,
         missing_tokens: int,
         now_seconds: float,
-        is_urgent: bool = False,
         is_alone: bool = False,
     ) -> None:
         """Note an attempt that is sent here, and whether it finds nothing waiting."""
@@ -144,8 +136,6 @@
         self._started_at[attempt_id] = now_seconds
         if self._resting_until:
             self._resting_until.pop()
-        if is_urgent:
-            self.urgent_attempts.add(attempt_id)
 
     def is_heard(self, now_seconds: float) -> bool:
         """Return whether it has just answered this host, whatever others say."""
@@ -176,7 +166,6 @@
         self._resting_until = [
             until for until in self._resting_until if until > now_seconds
         ]
-        self.urgent_attempts.discard(attempt_id)
         self._alone_tokens.pop(attempt_id, None)
         if self.own_attempts.pop(attempt_id, None) is None:
             return
@@ -414,14 +403,12 @@
         peers: Membership,
         part_ratio: float,
         extra_slots_ratio: float,
-        is_urgent: bool,
         now_seconds: float,
     ) -> RunnerView:
         """Return what placement may know; peers' work counts as running.
 
         ``part_ratio`` is this host's part of the pool; ``extra_slots_ratio`` lets
-        urgent requests use slots beyond the usual ones. Runners take urgent prompts
-        before others, so that for those only urgent ones wait.
+        urgent requests use slots beyond the usual ones.
         """
         load = peers.load_of(upstream.name, upstream.life_name)
         usable = self.usable_slots(upstream, part_ratio, now_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -1,6 +1,7 @@
 """The daemon: its parts put together, its tasks run, its stop carried out."""
 
 import random
+import socket
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -56,6 +57,11 @@
 #: the listeners and the connections takes, several times over.
 STOP_MARGIN_SECONDS = 1.0
 
+#: Longest wait of a host that starts for what it decides by: a few calls to the store
+#: and to caches in calm times, a small part of what callers bear in others.
+INFORMED_WITHIN_SECONDS = 0.25
+INFORMED_STEP_SECONDS = 0.01
+
 #: Time between two lines that say how the host stands.
 STATE_INTERVAL_SECONDS = 10.0
 
@@ -267,6 +273,23 @@
         tasks.start_soon(self._gossip.run, listeners.peer)
         log.info("started", host=self._settings.host.name)
 
+    async def wait_informed(self) -> None:
+        """Wait, for a short while, until this host knows what it decides by.
+
+        Callers' connections wait meanwhile. A host that serves before it knows the
+        configuration refuses, and one that knows no cache takes each runner for full.
+        """
+        with anyio.move_on_after(INFORMED_WITHIN_SECONDS):
+            while not self._is_informed():
+                await anyio.sleep(INFORMED_STEP_SECONDS)
+
+    def _is_informed(self) -> bool:
+        return (
+            self.follower.revision > 0
+            and self._hosts.version >= 0
+            and self._cache_reader.has_asked_all
+        )
+
     async def _log_state(self) -> None:
         """Say now and then how the host stands, so that logs alone tell it."""
         while True:
@@ -341,6 +364,7 @@
     api: ObjectApi | None = None,
     clocks: Clocks | None = None,
     integration: Integration | None = None,
+    listener: socket.socket | None = None,
 ) -> AsyncIterator[tuple[Daemon, Addresses]]:
     """Run a daemon for the length of the context; leaving it stops it hard.
 
@@ -364,7 +388,7 @@
             settings.retry.silence_timeout_seconds,
             settings.limits.max_event_bytes,
         )
-        listeners = await listen(settings.listen, stack)
+        listeners = await listen(settings.listen, stack, listener)
         daemon = Daemon(
             settings,
             api,
@@ -377,6 +401,8 @@
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         await daemon.start(tasks, listeners)
+        if integration is not None:
+            await daemon.wait_informed()
         served = [
             (daemon.entry, listeners.entry),
             (daemon.admin.app, listeners.admin),
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -3,6 +3,7 @@
 import argparse
 import gc
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
@@ -75,21 +76,22 @@
     make_integration: Callable[[Settings], Integration] | None = None,
     announce: Callable[..., None] = _announce_nothing,
     clocks: Clocks | None = None,
+    listener: socket.socket | None = None,
 ) -> None:
     """Run a daemon until it is told to stop by a signal.
 
     ``path`` leads to its settings, which SIGHUP has read again; ``clocks`` are the
-    machine's own unless others are given.
+    machine's own unless others are given; ``listener`` takes callers already, if one
+    was bound before the daemon was loaded.
     """
     settings = read_settings(path)
     integration = make_integration(settings) if make_integration else None
     # Signals that come while the daemon starts wait for it.
     with anyio.open_signal_receiver(*SIGNALS) as signals:
         async with (
-            run_daemon(settings, clocks=clocks, integration=integration) as (
-                daemon,
-                addresses,
-            ),
+            run_daemon(
+                settings, clocks=clocks, integration=integration, listener=listener
+            ) as (daemon, addresses),
             anyio.create_task_group() as tasks,
         ):
             # What was loaded by now stays: no collection need look at it again.
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -12,6 +12,7 @@
 from hypercorn.config import Config
 
 from rampwick_schema import ListenSettings
+from rampwick_start import bind
 
 #: Time that the HTTP library is given to close idle connections.
 CLOSE_SECONDS = 0.5
@@ -20,9 +21,6 @@
 #: minute, so that they close first.
 KEEP_ALIVE_SECONDS = 75
 
-#: Connections that may wait to be accepted.
-BACKLOG_COUNT = 1024
-
 
 @attrs.frozen
 class Addresses:
@@ -45,15 +43,23 @@
     addresses: Addresses
 
 
-async def listen(settings: ListenSettings, stack: AsyncExitStack) -> Listeners:
-    """Bind all listeners; the stack closes them."""
-    entry = _bind(settings.entry or f"{settings.address}:{settings.entry_port}")
+async def listen(
+    settings: ListenSettings,
+    stack: AsyncExitStack,
+    entry: socket.socket | None = None,
+) -> Listeners:
+    """Bind all listeners; the stack closes them.
+
+    ``entry`` takes callers already, if it is given.
+    """
+    if entry is None:
+        entry = bind(settings.entry or f"{settings.address}:{settings.entry_port}")
     stack.callback(entry.close)
-    admin = _bind(settings.admin or f"{settings.address}:{settings.admin_port}")
+    admin = bind(settings.admin or f"{settings.address}:{settings.admin_port}")
     stack.callback(admin.close)
     ready = None
     if settings.ready:
-        ready = _bind(settings.ready)
+        ready = bind(settings.ready)
         stack.callback(ready.close)
     peer_address = settings.peer or f"{settings.address}:{settings.peer_port}"
     host, _, port = peer_address.rpartition(":")
@@ -66,13 +72,6 @@
     return Listeners(entry, admin, ready, peer, addresses)
 
 
-def _bind(address: str) -> socket.socket:
-    host, _, port = address.rpartition(":")
-    listener = socket.create_server((host, int(port)), backlog=BACKLOG_COUNT)
-    listener.setblocking(False)
-    return listener
-
-
 def _address(listener: socket.socket) -> str:
     host, port = listener.getsockname()[:2]
     return f"{host}:{port}"
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -92,6 +92,8 @@
         self._tell_peers = tell_peers
         self._list_neighbours = list_neighbours
         self._scopes: dict[Source, anyio.CancelScope] = {}
+        #: Caches that were asked, whatever came of it.
+        self._asked: set[Source] = set()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -105,6 +107,11 @@
                     tasks.start_soon(self._follow, source, scope)
                 await anyio.sleep(ROLE_SECONDS if wanted else FIRST_ROLE_SECONDS)
 
+    @property
+    def has_asked_all(self) -> bool:
+        """Whether it is known which caches are read here, and all were asked once."""
+        return bool(self._scopes) and self._scopes.keys() <= self._asked
+
     def read_names(self) -> set[str]:
         """Return the names of the caches that this host reads."""
         return {source.name for source in self._scopes}
@@ -140,7 +147,9 @@
                     await self._ask(source, reading)
                 except (AttemptError, DataError) as error:
                     self._note_silence(source, reading, str(error))
+                    self._asked.add(source)
                     await anyio.sleep(FAILURE_PAUSE_SECONDS)
+                self._asked.add(source)
                 await anyio.sleep(PERIOD_SECONDS)
 
     async def _ask(self, source: Source, reading: Reading) -> None:
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -70,8 +70,6 @@
     running_count: int = attrs.field(validator=within(0, None))
     #: Prompt tokens sent whose first token has not come.
     waiting_tokens: int = attrs.field(validator=within(0, None))
-    #: Those of them that are of the most urgent rank.
-    urgent_tokens: int = attrs.field(default=0, validator=within(0, None))
 
 
 @attrs.frozen
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 
 from rampwick_policy import (
+    AttemptDelivered,
     CacheChanges,
     CacheKnowledge,
     CacheSeen,
@@ -11,6 +12,7 @@
     Life,
     Member,
     Neighbours,
+    PeerHeard,
     PromptPart,
     RequestArrived,
     SaltBook,
@@ -24,7 +26,9 @@
     life_label,
     part_key,
 )
+from rampwick_policy._imports import SETUP_SECONDS, ImportSource
 from rampwick_policy._kept import KeptKnowledge
+from rampwick_policy._moves import MOVES_LABEL, Move
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -32,6 +36,7 @@
     Node,
     Routing,
     Service,
+    Summary,
     Tree,
     parse_settings,
 )
@@ -208,14 +213,14 @@
         seen = CacheSeen(name, (CacheChanges(label, prefixes, tokens),))
         self.scheduler.handle(seen, 1.0)
 
-    def arrive(self, request_id="r1"):
+    def arrive(self, request_id="r1", parts=None):
         event = RequestArrived(
             request_id=request_id,
             workspace=self.view.workspaces["/t"],
             priority_class="interactive",
             deadline_seconds=60.0,
             is_repeatable=True,
-            chain=chain(),
+            chain=chain(*(parts or ())),
             scope=SCOPE,
             service="s",
         )
@@ -281,6 +286,53 @@
         self.assertIsNone(other.pool.imports.take_store(1, chain(), 1.0))
 
 
+class QueueAtLinkTest(ImportCase):
+    """What moves from a cache already is waited for, so short prompts do without."""
+
+    SHORT = (PromptPart(b"style", 100), PromptPart(b"own", 400))
+
+    def setUp(self):
+        super().setUp()
+        # At 5.9 us a token the store's link is busy for 0.3 s.
+        self.scheduler.pool.moves.begin("x", Move("kept", "a", 50_000))
+
+    def test_a_short_prompt_is_computed_instead(self):
+        self.assertEqual("", self.arrive(parts=self.SHORT).import_address)
+
+    def test_a_long_one_waits_for_its_cache(self):
+        self.assertEqual("10.9.0.1:1", self.arrive().import_address)
+
+    def test_a_short_one_takes_from_an_idle_link(self):
+        self.scheduler.pool.moves.end("x")
+        dispatch = self.arrive(parts=self.SHORT)
+        self.assertEqual("10.9.0.1:1", dispatch.import_address)
+
+    def test_peers_are_told_and_count(self):
+        told = self.scheduler.summary(1, 1, False, 1.0).upstreams
+        self.assertEqual(
+            [("a", MOVES_LABEL, 50_000), ("kept", MOVES_LABEL, 50_000)],
+            [(item.upstream, item.incarnation, item.waiting_tokens) for item in told],
+        )
+        summary = Summary(1, 1, 1, False, [], told, [])
+        self.scheduler.handle(PeerHeard("p", "h", 1, summary), 1.0)
+        self.assertEqual(100_000, self.scheduler.pool.moves.waiting_tokens("kept"))
+
+    def test_a_move_counts_until_the_answer_begins(self):
+        dispatch = self.arrive("r1")
+        moves = self.scheduler.pool.moves
+        self.assertGreater(moves.waiting_tokens("kept"), 50_000)
+        self.scheduler.handle(AttemptDelivered("r1", dispatch.attempt_id), 1.5)
+        self.assertEqual(50_000, moves.waiting_tokens("kept"))
+
+
+class FarMoveTest(TestCase):
+    def test_a_move_between_halls_takes_twice_as_long(self):
+        source = ImportSource("s", "s:1", 5000, 1e-5, 1, hall="h")
+        near, far = source.seconds(0, "h"), source.seconds(0, "k")
+        self.assertAlmostEqual(2 * (near - SETUP_SECONDS), far - SETUP_SECONDS)
+        self.assertEqual(0.0, source.seconds(5000, "k"))
+
+
 class SeveralStoresTest(ImportCase):
     """Each store holds its own, and any may be asked."""
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -38,7 +38,7 @@
 def words(draw):
     """Return the summary of some host, with a row for each thing at most."""
     used = draw(st.dictionaries(NAMES, COUNTS))
-    loads = draw(st.dictionaries(NAMES, st.tuples(COUNTS, COUNTS, COUNTS)))
+    loads = draw(st.dictionaries(NAMES, st.tuples(COUNTS, COUNTS)))
     waits = draw(st.dictionaries(st.tuples(NAMES, NAMES), COUNTS))
     return summary(
         workspaces=[WorkspaceUsage(*item) for item in used.items()],
@@ -52,7 +52,7 @@
     rows = [
         *((item.workspace, item.used_tokens) for item in word.workspaces),
         *(
-            (item.upstream, item.running_count, item.waiting_tokens, item.urgent_tokens)
+            (item.upstream, item.running_count, item.waiting_tokens)
             for item in word.upstreams
         ),
         *((item.workspace, item.service, item.requests_count) for item in word.waiting),
--- /dev/null
+++ b/tests/test_timeliness.py
@@ -0,0 +1,154 @@
+"""Who goes first when not all can be in time, and what short cuts are left."""
+
+import math
+
+import attrs
+from testtools import TestCase
+
+from rampwick_policy import (
+    AttemptDelivered,
+    Dispatch,
+    HostListRead,
+    LoadReported,
+    PromptPart,
+    RequestArrived,
+    Scheduler,
+    Scope,
+    Tick,
+    TreeInForce,
+    TreeView,
+    chain_from_parts,
+)
+from rampwick_policy._reading_speed import ReadingSpeed
+from rampwick_policy._upstreams import Upstream
+from rampwick_schema import HostEntry, HostList, LoadReport, Node, Tree, parse_settings
+
+SCOPE = Scope("wall", "m")
+SETTINGS = (
+    '[host]\nname = "e"\nhall = "h"\n[placement]\nmax_prefill_queue_seconds = 0.3\n'
+)
+
+
+class Host:
+    """A scheduler with one runner that reads 10,000 tokens a second."""
+
+    def __init__(self):
+        self.scheduler = Scheduler(parse_settings(SETTINGS, source="t"))
+        nodes = {"/": Node(), "/t": Node(is_workspace=True)}
+        self.view = TreeView(Tree(1, nodes))
+        self.scheduler.handle(TreeInForce(self.view), 0.0)
+        entries = [HostEntry("r", "runner", "h", "r:1")]
+        self.scheduler.handle(HostListRead(HostList(1, entries)), 0.0)
+        report = LoadReport("one", "m", 1, 64, 0, 0, 10_000.0, 60_000)
+        self.scheduler.handle(LoadReported("r", report), 0.0)
+
+    def arrive(self, name, tokens, at=1.0, target=0.6):
+        event = RequestArrived(
+            request_id=name,
+            workspace=self.view.workspaces["/t"],
+            priority_class="interactive",
+            deadline_seconds=60.0,
+            is_repeatable=True,
+            chain=chain_from_parts(SCOPE, [PromptPart(name.encode(), tokens)]),
+            scope=SCOPE,
+            latency_target_seconds=target,
+        )
+        return self.sent(event, at)
+
+    def sent(self, event, at):
+        actions = self.scheduler.handle(event, at)
+        return [item.request_id for item in actions if isinstance(item, Dispatch)]
+
+    def begin(self, name, at):
+        return self.sent(AttemptDelivered(name, f"{name}.1"), at)
+
+    def tick(self, at):
+        return self.sent(Tick(), at)
+
+
+class OrderTest(TestCase):
+    def test_one_that_can_be_in_time_goes_before_one_that_is_late(self):
+        host = Host()
+        self.assertEqual(["first"], host.arrive("first", 4000))
+        self.assertEqual([], host.arrive("early", 1000, at=1.01))
+        self.assertEqual([], host.arrive("fresh", 1000, at=1.55))
+        # The runner's queue is empty again only when "early" has spent its time.
+        self.assertEqual(["fresh"], host.begin("first", 1.6))
+        self.assertEqual(["early"], host.begin("fresh", 1.7))
+
+    def test_the_order_is_that_of_arrival_where_no_target_is_known(self):
+        host = Host()
+        host.arrive("first", 4000, target=None)
+        host.arrive("early", 1000, at=1.01, target=None)
+        host.arrive("fresh", 1000, at=1.55, target=None)
+        self.assertEqual(["early", "fresh"], host.begin("first", 1.6))
+
+    def test_what_is_late_leaves_the_larger_part_of_a_queue_to_others(self):
+        host = Host()
+        host.arrive("first", 1500)
+        # 0.15 s wait at the runner, half of what may: too much for one that can't be
+        # in time any more, whatever is done.
+        self.assertEqual([], host.arrive("huge", 9000, at=1.0))
+        self.assertEqual([], host.tick(1.1))
+        self.assertEqual(["fresh"], host.arrive("fresh", 1000, at=1.12))
+
+    def test_what_is_late_is_served_as_soon_as_there_is_room(self):
+        host = Host()
+        host.arrive("first", 1500)
+        host.arrive("huge", 9000, at=1.0)
+        self.assertEqual(["huge"], host.begin("first", 1.2))
+
+
+class ReadingSpeedTest(TestCase):
+    def learn(self, start, *rates):
+        speed = ReadingSpeed(start)
+        for rate in rates:
+            speed.note(3000, 3000 / rate + 0.012)
+        return speed.tokens_per_second
+
+    def test_it_follows_what_is_observed(self):
+        self.assertLess(abs(self.learn(56_000.0, *[30_000.0] * 30) - 30_000), 3000)
+        self.assertLess(abs(self.learn(8_000.0, *[30_000.0] * 40) - 30_000), 3000)
+
+    def test_a_few_wrong_guesses_of_caches_do_not_move_it_far(self):
+        rates = [30_000.0, 31_000.0, 300_000.0, 29_000.0, 30_000.0, 5_000.0] * 10
+        self.assertLess(abs(self.learn(30_000.0, *rates) - 30_000), 4500)
+
+    def test_only_prompts_that_found_nothing_waiting_count(self):
+        upstream = Upstream(HostEntry("r", "runner", "h", "r:1"), health=None)
+        speed = ReadingSpeed(40_000.0)
+        upstream.start("a", 3000, 1.0)
+        upstream.note_first_token("a", speed, 3.0)
+        self.assertEqual(40_000.0, speed.tokens_per_second)
+        upstream.start("b", 3000, 3.0, is_alone=True)
+        upstream.note_first_token("b", speed, 5.0)
+        self.assertLess(speed.tokens_per_second, 40_000.0)
+
+    def test_an_engines_own_word_goes_first(self):
+        host = Host()
+        (upstream,) = host.scheduler.upstreams
+        host.scheduler.upstreams.reading_speed("m").tokens_per_second = 1.0
+        view = host.scheduler.upstreams.view(
+            upstream, host.scheduler.peers, 1.0, 0.0, 1.0
+        )
+        self.assertEqual(10_000.0, view.prefill_tokens_per_second)
+
+
+class HeardTest(TestCase):
+    """Silence of an attempt is no silence of its upstream while it answers others."""
+
+    def test_a_first_token_and_a_probe_are_word_of_an_upstream(self):
+        host = Host()
+        upstreams = host.scheduler.upstreams
+        host.arrive("a", 100, at=1.0)
+        self.assertFalse(upstreams.was_heard_since("r", 1.0))
+        host.begin("a", 1.2)
+        self.assertTrue(upstreams.was_heard_since("r", 1.0))
+        self.assertFalse(upstreams.was_heard_since("r", 1.3))
+        report = attrs.evolve(LoadReport("one", "m", 1, 64, 0, 0, 1.0, 60_000))
+        host.scheduler.pool.suspect("r", 1.4)
+        host.scheduler.handle(LoadReported("r", report), 1.5)
+        self.assertTrue(upstreams.was_heard_since("r", 1.3))
+
+    def test_nothing_is_heard_of_an_unknown_upstream(self):
+        self.assertFalse(Host().scheduler.upstreams.was_heard_since("x", -math.inf))
