Caches are caught up with at once; late ones wait less as their time runs out

Cause: a cache tells its events 500 at a time, the oldest first, and a host asked for the next page after 0.7 s. One that had just started took some 6 s to learn what the store holds; meanwhile nearly every prompt had its parts saved there again (45 of 48 in 0.4 s, 20 % in calm times) over the very link that imports wait for.

Ruled out: gaps in the events (has_gap false at all 15 first answers), the salts.

Change: after a full answer the next question follows at once. In its first second a host that hears nobody yet reads the caches of its own hall only; their readers tell it the others', which is a part of the bytes.

Late requests: the room that they are given grows over the second half of their time to one and a half times the usual queue, so that a flood doesn't hold them until their deadlines.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -29,7 +29,7 @@
 from ._retry import RetryBudgets
 from ._room import Room
 from ._shares import Standing
-from ._timeliness import in_time_until_seconds, is_spent
+from ._timeliness import in_time_until_seconds, is_spent, late_queue_ratio
 from ._tree import Workspace
 
 #: What an answer token costs in prompt tokens: it holds a slot for a whole step.
@@ -184,7 +184,13 @@
             return Hopeless(item)
         if not is_late and begins_seconds > in_time_until_seconds(item):
             return None
-        if not room.may_take(arrival.service, choice, views, standing, is_late):
+        terms = (arrival.service, choice, views, standing)
+        if is_late:
+            queue_ratio = late_queue_ratio(item, now_seconds)
+            may_take = room.may_take_late(*terms, queue_ratio)
+        else:
+            may_take = room.may_take(*terms)
+        if not may_take:
             return None
         if item.needs_budget:
             budget.spend(now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -9,7 +9,6 @@
 from ._membership import Membership
 from ._placement import Choice, RunnerView, chosen_view
 from ._shares import Standing
-from ._timeliness import LATE_QUEUE_RATIO
 from ._upstreams import Upstream, UpstreamTable
 
 #: Slots beyond the usual ones that urgent requests may use.
@@ -56,18 +55,10 @@
         choice: Choice,
         views: list[RunnerView],
         standing: Standing,
-        is_late: bool = False,
     ) -> bool:
-        """Return whether a request of this standing may go where it was placed.
-
-        One that ``is_late`` already leaves the larger part of the queue to others.
-        """
+        """Return whether a request of this standing may go where it was placed."""
         rivals = self._list_rivals(service)
         view = chosen_view(choice, views)
-        if is_late:
-            most_seconds = LATE_QUEUE_RATIO * view.max_prefill_queue_seconds
-            if view.prefill_queue_seconds > most_seconds:
-                return False
         if not view.has_slot:
             return self._may_exceed(view, rivals, standing)
         # Leave free slots to requests elsewhere that should go first. If nobody
@@ -80,6 +71,26 @@
         free = sum(max(0, item.slots_count - item.running_count) for item in views)
         return free > entitled
 
+    def may_take_late(
+        self,
+        service: str,
+        choice: Choice,
+        views: list[RunnerView],
+        standing: Standing,
+        queue_ratio: float,
+    ) -> bool:
+        """Return whether one that is late already may go where it was placed.
+
+        ``queue_ratio`` is the part of the usual queue of prompts that it may find;
+        above one it waits for nobody else any more.
+        """
+        view = chosen_view(choice, views)
+        if view.prefill_queue_seconds > queue_ratio * view.max_prefill_queue_seconds:
+            return False
+        if queue_ratio > 1.0:
+            return _has_room(view)
+        return self.may_take(service, choice, views, standing)
+
     def _build(self, service: str, model: str, is_urgent: bool) -> list[RunnerView]:
         extra_ratio = PORTAL_EXTRA_RATIO if is_urgent else 0.0
         return [
--- a/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
@@ -20,6 +20,24 @@
 LATE_QUEUE_RATIO = 0.33
 
 
+#: The same when all of its time is spent: more than the usual queue, so that a flood of
+#: requests that can be in time does not keep it waiting until its deadline.
+LAST_QUEUE_RATIO = 1.5
+
+
+def late_queue_ratio(item: QueuedRequest, now_seconds: float) -> float:
+    """Return the part of a runner's usual queue up to which a late one is sent there.
+
+    It grows while the request waits: one that was held in vain until its deadline has
+    cost its caller all of its time.
+    """
+    allowed_seconds = item.arrival.deadline_seconds - item.arrived_at_seconds
+    waited_seconds = now_seconds - item.arrived_at_seconds
+    # Nothing of the growth in the first half of its time, all of it at the end.
+    growth_ratio = max(0.0, 2.0 * waited_seconds / max(0.001, allowed_seconds) - 1.0)
+    return LATE_QUEUE_RATIO + growth_ratio * (LAST_QUEUE_RATIO - LATE_QUEUE_RATIO)
+
+
 def in_time_until_seconds(item: QueuedRequest) -> float:
     """Return when its answer must begin; infinite where no target is known."""
     target_seconds = item.arrival.latency_target_seconds
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -143,7 +143,7 @@
             dialects.cache,
             salts,
             self._gossip.cache_mail.tell,
-            self._gossip.neighbours,
+            self._gossip.roles.neighbours,
         )
         self._gossip.cache_mail.list_read = self._cache_reader.read_names
         self._silences = SilenceWatch(read_clock)
@@ -190,7 +190,7 @@
         read_clock = self._clocks.monotonic
         if integration is None:
             self._configuration.source = TreeStoreSource(
-                TreeStore(api), settings, self._gossip.neighbours, read_clock
+                TreeStore(api), settings, self._gossip.roles.neighbours, read_clock
             )
             interval_seconds = settings.platform.host_list_interval_seconds
             self._hosts.source = PolledHosts(api, interval_seconds)
@@ -199,11 +199,11 @@
             )
             return
         role = ReadingRole(
-            self._gossip.table,
-            lambda: self._gossip.live_names,
-            lambda: self._gossip.staying_names,
-            lambda: self._gossip.hears_nobody,
-            lambda: self._gossip.answered_at_seconds,
+            self._gossip.roles.table,
+            lambda: self._gossip.roles.live_names,
+            lambda: self._gossip.roles.staying_names,
+            lambda: self._gossip.roles.hears_nobody,
+            lambda: self._gossip.ages.answered_at_seconds,
             self._configuration,
             self._hosts,
             lambda: steward.is_holder,
@@ -213,7 +213,7 @@
         self._configuration.source = WatchedTreeSource(
             api, reader, settings, role.wants_configuration, read_clock, draw
         )
-        self._configuration.ask_peer = self._gossip.ask_reader
+        self._configuration.ask_peer = self._gossip.ages.ask_reader
         self._hosts.source = WatchedHosts(
             api, reader, role.wants_hosts, read_clock, draw
         )
@@ -221,7 +221,7 @@
             api, reader, scheduler, steward.wake, role.wants_targets, read_clock, draw
         )
         self._directory = PeerDirectory(
-            api, self._gossip.table.own, role.is_lonely, role.is_reader, draw
+            api, self._gossip.roles.table.own, role.is_lonely, role.is_reader, draw
         )
         self._directory.note_found = self._gossip.look_for_peers
         self._gossip.directory = self._directory
@@ -287,7 +287,7 @@
         return (
             self.follower.revision > 0
             and self._hosts.version >= 0
-            and self._cache_reader.has_asked_all
+            and self._cache_reader.is_caught_up
         )
 
     async def _log_state(self) -> None:
@@ -303,10 +303,10 @@
                     self._configuration.age_seconds(now_seconds)
                 ),
                 host_list_age_ms=milliseconds(self._hosts.age_seconds(now_seconds)),
-                is_reader=self._gossip.is_reader(),
+                is_reader=self._gossip.roles.is_reader(),
                 is_steward=self.steward.is_holder,
                 **self._describe_targets(),
-                hosts_heard_count=len(self._gossip.live_names),
+                hosts_heard_count=len(self._gossip.roles.live_names),
                 connections_opened_count=self._channels.opened_count,
                 platform_calls=dict(getattr(self._api, "calls", {})),
             )
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -13,12 +13,9 @@
 from rampwick_policy import (
     HallNews,
     Member,
-    MemberTable,
-    Neighbours,
     PeerGone,
     PeerHeard,
     PeerView,
-    RelayListener,
 )
 from rampwick_schema import (
     Beat,
@@ -36,6 +33,7 @@
 from .._metrics import Metrics
 from .._scheduler_task import SchedulerTask
 from ..control import ConfigurationTask, HostListTask, StewardTask
+from ._ages import AgeKeeper
 from ._cache_mail import CacheMail
 from ._directory import PeerDirectory
 from ._links import Link, PeerLinks
@@ -46,6 +44,7 @@
     to_member,
     to_record,
 )
+from ._roles import Roles
 from ._sync import PeerSync
 
 #: Hosts of a small fleet up to which summaries go at the interval of the settings. In
@@ -56,12 +55,6 @@
 #: Tellings of a hall's sum to its own hosts for each one to the other halls.
 TELLINGS_PER_HALL_SUM = 2
 
-#: Time between two questions about the ages of a reader's knowledge.
-CONFIRM_SECONDS = 0.6
-
-#: Time without an answer after which the next reader in rank is asked.
-CONFIRM_PATIENCE_SECONDS = 1.5
-
 #: Time between two tellings of the steward's news where nothing changes.
 STEWARD_INTERVAL_SECONDS = 0.5
 
@@ -100,8 +93,9 @@
         self._steward = steward
         #: Records in the store by which lonely hosts find others.
         self.directory: PeerDirectory | None = None
-        self.table = MemberTable(own)
-        self._listener = RelayListener(own)
+        self.roles = Roles(own, scheduler, read_clock)
+        self.table = self.roles.table
+        self._listener = self.roles.listener
         self._links = PeerLinks(
             own,
             settings.peers,
@@ -116,11 +110,12 @@
         self._sync = PeerSync(
             configuration.follower, configuration, hosts, scheduler, read_clock
         )
+        self.ages = AgeKeeper(self.roles, self._links, self._sync, read_clock)
         #: What this hall's hosts say for other halls, and all hosts for this hall.
         self._hall_news = HallNews()
         self._fleet_news = HallNews()
         self.cache_mail = CacheMail(
-            self.table, self._links, scheduler, lambda: self.live_names
+            self.table, self._links, scheduler, lambda: self.roles.live_names
         )
         self._own_summary: Summary | None = None
         self._has_load = anyio.Event()
@@ -140,63 +135,13 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._links.run, listener)
             tasks.start_soon(self.cache_mail.run)
-            tasks.start_soon(self._keep_ages)
+            tasks.start_soon(self.ages.run)
             tasks.start_soon(self._tell_steward_news)
             tasks.start_soon(self._tell_load)
             await self._tell_again()
 
     # Members and roles.
 
-    @property
-    def is_relay_candidate(self) -> bool:
-        """Whether this host hears all of its hall and speaks for it, or is next to."""
-        return self.table.is_relay_candidate(self._read_clock())
-
-    @property
-    def hears_nobody(self) -> bool:
-        """Whether no word of any peer has come for a while."""
-        return not self._scheduler.live_names(self._read_clock())
-
-    @property
-    def live_names(self) -> set[str]:
-        """Names of the hosts that count as alive where roles are given out."""
-        now_seconds = self._read_clock()
-        if not self.table.is_large:
-            return self._scheduler.live_names(now_seconds)
-        heard = self.neighbours().heard
-        relays = self.table.relays(self.table.own.hall, now_seconds)
-        names = heard | {member.name for member in relays}
-        return {
-            name for name in names if not self.table.is_passed_over(name, now_seconds)
-        }
-
-    @property
-    def staying_names(self) -> set[str]:
-        """Names of those of them that are not leaving."""
-        if self.table.is_large:
-            near = self.neighbours()
-            return self.live_names - (near.heard - near.staying)
-        views = self._scheduler.peer_views(self._read_clock())
-        return {view.name for view in views if not view.summary.is_leaving}
-
-    def neighbours(self) -> Neighbours:
-        """Return whom this host hears, by itself or through its relay."""
-        now_seconds = self._read_clock()
-        if self.table.is_large and not self.is_relay_candidate:
-            return self._listener.neighbours(now_seconds)
-        views = self._scheduler.peer_views(now_seconds)
-        own_hall = self.table.own.hall
-        mates = [view for view in views if view.hall == own_hall]
-        return Neighbours(
-            frozenset(view.name for view in mates),
-            frozenset(view.name for view in mates if not view.summary.is_leaving),
-            frozenset(view.hall for view in views),
-        )
-
-    def is_reader(self) -> bool:
-        """Return whether this host is to read the platform for its group."""
-        return self.table.is_reader(self.live_names)
-
     def look_for_peers(self) -> None:
         """Dial at once whoever has become known."""
         self._links.look_again()
@@ -209,7 +154,7 @@
 
     def _list_seeds(self) -> Iterable[str]:
         is_starting = self._read_clock() - self._began_seconds < SEEDING_SECONDS
-        if is_starting or self.hears_nobody:
+        if is_starting or self.roles.hears_nobody:
             return self.seeds
         return ()
 
@@ -242,7 +187,7 @@
                 log.problem("relay is silent", peer=relays[0].name)
                 self.table.note_unreachable(relays[0].name, now_seconds)
                 self._links.look_again()
-        standing = (self.table.is_large, self.is_relay_candidate)
+        standing = (self.table.is_large, self.roles.is_relay_candidate)
         if standing == self._standing:
             return
         self._standing = standing
@@ -278,7 +223,7 @@
             return
         self._listener.note_word(peer.name, self._read_clock())
         self._sync.compare(link, summary)
-        if self.table.is_large and not self.is_relay_candidate:
+        if self.table.is_large and not self.roles.is_relay_candidate:
             # The relay speaks for it, too.
             return
         self._scheduler.post(PeerHeard(peer.name, peer.hall, peer.incarnation, summary))
@@ -297,11 +242,11 @@
         self._sync.compare(link, news.summary)
         if word.asked_at_seconds is not None:
             self._sync.take_ages(news, word.asked_at_seconds)
-        if not self.is_relay_candidate:
+        if not self.roles.is_relay_candidate:
             self._scheduler.post(PeerHeard(FLEET, "", own.incarnation, word.summary))
 
     def _take_hall(self, link: Link, news: HallSummary) -> None:
-        if self.table.is_in_group(news.hall) or not self.is_relay_candidate:
+        if self.table.is_in_group(news.hall) or not self.roles.is_relay_candidate:
             return
         name = f"hall {news.hall}"
         self._scheduler.post(PeerHeard(name, news.hall, news.incarnation, news.summary))
@@ -319,31 +264,18 @@
 
     def _relay(self, link: Link, message: Any) -> None:
         """Pass a message on to those who did not get it, if that is this host's."""
-        if not self.table.is_relay(self.live_names):
+        if not self.roles.is_relay():
             return
         is_own = self.table.is_in_group(link.peer.hall)
         self._links.broadcast(
             message,
             lambda peer: (
-                peer.name != link.peer.name and (is_own or self._is_of_group(peer))
+                peer.name != link.peer.name and (is_own or self.roles.is_of_group(peer))
             ),
         )
 
     # What goes out.
 
-    def _is_of_group(self, peer: Member) -> bool:
-        return self.table.is_in_group(peer.hall)
-
-    def _is_of_another(self, peer: Member) -> bool:
-        return not self.table.is_in_group(peer.hall)
-
-    def _is_told(self, peer: Member) -> bool:
-        """Return whether a peer is to hear this host itself."""
-        if not self.table.is_large:
-            return True
-        relays = self.table.relays(self.table.own.hall, self._read_clock())
-        return peer.name in {member.name for member in relays}
-
     @property
     def _interval_seconds(self) -> float:
         if self.table.is_large:
@@ -357,7 +289,7 @@
             count += 1
             self._look_at_roles()
             self.tell_summary()
-            if self.table.is_relay(self.live_names):
+            if self.roles.is_relay():
                 self._tell_fleet()
                 if count % TELLINGS_PER_HALL_SUM == 0:
                     self._tell_hall()
@@ -396,7 +328,7 @@
         )
         self._own_summary = summary
         self._listener.note_told(summary, self._read_clock())
-        self._links.broadcast(summary, self._is_told)
+        self._links.broadcast(summary, self.roles.is_told)
         self._hall_news.take(summary)
         self._fleet_news.take(summary)
 
@@ -424,7 +356,7 @@
             self._scheduler.targets(),
             self._scheduler.named_weights(),
         )
-        self._links.broadcast(told, self._is_of_group)
+        self._links.broadcast(told, self.roles.is_of_group)
 
     def _tell_hall(self) -> None:
         """Tell other halls what this one says."""
@@ -436,7 +368,7 @@
         ]
         summary = self._hall_news.merge(self._said_by(views), self._sequence)
         told = HallSummary(own.hall, own.name, own.incarnation, summary)
-        self._links.broadcast(told, self._is_of_another)
+        self._links.broadcast(told, self.roles.is_of_another)
 
     def _said_by(self, views: Iterable[PeerView]) -> list[Summary]:
         summaries = [view.summary for view in views]
@@ -454,8 +386,8 @@
     def tell_steward_news(self) -> None:
         """Tell all hosts of loads, weights and lease now."""
         news = self._steward_news()
-        is_relay = self.table.is_relay(self.live_names)
-        self._links.broadcast(news, lambda peer: is_relay or self._is_told(peer))
+        is_relay = self.roles.is_relay()
+        self._links.broadcast(news, lambda peer: is_relay or self.roles.is_told(peer))
 
     def _steward_news(self) -> StewardNews:
         return steward_news(
@@ -465,40 +397,3 @@
             self._scheduler.named_weights(),
             self._read_clock(),
         )
-
-    async def _keep_ages(self) -> None:
-        """Ask a reader for the ages of its knowledge, unless this host is one.
-
-        In a large fleet the relay tells them unasked.
-        """
-        while True:
-            await anyio.sleep(CONFIRM_SECONDS)
-            if self.table.is_large or self.is_reader():
-                continue
-            link = self._reader_link()
-            if link is not None:
-                self._sync.ask_ages(link)
-
-    def _reader_link(self) -> Link | None:
-        links = (
-            self._links.link_to(member.name)
-            for member in self.table.first_of_group(self.live_names)
-        )
-        known = [link for link in links if link is not None]
-        if not known:
-            return None
-        since_seconds = self._read_clock() - self._sync.answered_at_seconds
-        is_silent = since_seconds > CONFIRM_PATIENCE_SECONDS
-        return known[1] if is_silent and len(known) > 1 else known[0]
-
-    def ask_reader(self) -> bool:
-        """Ask a reader now, if one is linked; return whether one is."""
-        link = None if self.is_reader() else self._reader_link()
-        if link is not None:
-            self._sync.ask_ages(link)
-        return link is not None
-
-    @property
-    def answered_at_seconds(self) -> float:
-        """When a reader last said how old its knowledge is."""
-        return self._sync.answered_at_seconds
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/peers/_roles.py
@@ -0,0 +1,96 @@
+"""Which hosts this one hears, and the roles that follow from that.
+
+Roles are computed by each host for itself, from the members that it knows and hears;
+see :mod:`rampwick_policy` for the rules.
+"""
+
+from collections.abc import Callable
+
+from rampwick_policy import Member, MemberTable, Neighbours, RelayListener
+
+from .._scheduler_task import SchedulerTask
+
+
+class Roles:
+    """Says who is there as this host sees it, and what its own place is."""
+
+    def __init__(
+        self,
+        own: Member,
+        scheduler: SchedulerTask,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._scheduler = scheduler
+        self._read_clock = read_clock
+        self.table = MemberTable(own)
+        #: What the relay of a large fleet's hall says of the others.
+        self.listener = RelayListener(own)
+
+    @property
+    def is_relay_candidate(self) -> bool:
+        """Whether this host hears all of its hall and speaks for it, or is next to."""
+        return self.table.is_relay_candidate(self._read_clock())
+
+    @property
+    def hears_nobody(self) -> bool:
+        """Whether no word of any peer has come for a while."""
+        return not self._scheduler.live_names(self._read_clock())
+
+    @property
+    def live_names(self) -> set[str]:
+        """Names of the hosts that count as alive where roles are given out."""
+        now_seconds = self._read_clock()
+        if not self.table.is_large:
+            return self._scheduler.live_names(now_seconds)
+        heard = self.neighbours().heard
+        relays = self.table.relays(self.table.own.hall, now_seconds)
+        names = heard | {member.name for member in relays}
+        return {
+            name for name in names if not self.table.is_passed_over(name, now_seconds)
+        }
+
+    @property
+    def staying_names(self) -> set[str]:
+        """Names of those of them that are not leaving."""
+        if self.table.is_large:
+            near = self.neighbours()
+            return self.live_names - (near.heard - near.staying)
+        views = self._scheduler.peer_views(self._read_clock())
+        return {view.name for view in views if not view.summary.is_leaving}
+
+    def neighbours(self) -> Neighbours:
+        """Return whom this host hears, by itself or through its relay."""
+        now_seconds = self._read_clock()
+        if self.table.is_large and not self.is_relay_candidate:
+            return self.listener.neighbours(now_seconds)
+        views = self._scheduler.peer_views(now_seconds)
+        own_hall = self.table.own.hall
+        mates = [view for view in views if view.hall == own_hall]
+        return Neighbours(
+            frozenset(view.name for view in mates),
+            frozenset(view.name for view in mates if not view.summary.is_leaving),
+            frozenset(view.hall for view in views),
+        )
+
+    def is_reader(self) -> bool:
+        """Return whether this host is to read the platform for its group."""
+        return self.table.is_reader(self.live_names)
+
+    def is_relay(self) -> bool:
+        """Return whether this host speaks for its hall now."""
+        return self.table.is_relay(self.live_names)
+
+    def is_of_group(self, peer: Member) -> bool:
+        """Return whether a peer is of this host's group."""
+        return self.table.is_in_group(peer.hall)
+
+    def is_of_another(self, peer: Member) -> bool:
+        """Return whether a peer is of another group."""
+        return not self.table.is_in_group(peer.hall)
+
+    def is_told(self, peer: Member) -> bool:
+        """Return whether a peer is to hear this host itself."""
+        if not self.table.is_large:
+            return True
+        relays = self.table.relays(self.table.own.hall, self._read_clock())
+        return peer.name in {member.name for member in relays}
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -37,6 +37,15 @@
 #: other fill the time between.
 PERIOD_SECONDS = 0.7
 
+#: Events in one answer from which the next question follows at once. Caches tell a few
+#: hundred at a time, the oldest first: at one answer in 0.7 s a host that had just
+#: started took 6 s to learn what a cache holds, and had it all saved again meanwhile.
+MANY_EVENTS_COUNT = 200
+
+#: Time from a host's start in which it reads the caches of its own hall only: the
+#: others' readers tell it theirs as soon as they are linked, at a part of the bytes.
+ALONE_AFTER_SECONDS = 1.0
+
 #: Wait after a question that failed.
 FAILURE_PAUSE_SECONDS = 1.0
 
@@ -92,8 +101,9 @@
         self._tell_peers = tell_peers
         self._list_neighbours = list_neighbours
         self._scopes: dict[Source, anyio.CancelScope] = {}
-        #: Caches that were asked, whatever came of it.
-        self._asked: set[Source] = set()
+        self._began_seconds: float | None = None
+        #: Caches that told all that they had, or did not answer.
+        self._caught_up: set[Source] = set()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -108,9 +118,9 @@
                 await anyio.sleep(ROLE_SECONDS if wanted else FIRST_ROLE_SECONDS)
 
     @property
-    def has_asked_all(self) -> bool:
-        """Whether it is known which caches are read here, and all were asked once."""
-        return bool(self._scopes) and self._scopes.keys() <= self._asked
+    def is_caught_up(self) -> bool:
+        """Whether the caches that are read here are known, and what they hold."""
+        return bool(self._scopes) and self._scopes.keys() <= self._caught_up
 
     def read_names(self) -> set[str]:
         """Return the names of the caches that this host reads."""
@@ -133,6 +143,10 @@
         )
         self._salts.prepare(_list_scopes(scheduler), _list_versions(scheduler))
         near = self._list_neighbours()
+        if self._began_seconds is None:
+            self._began_seconds = now_seconds
+        if not near.halls and now_seconds - self._began_seconds < ALONE_AFTER_SECONDS:
+            sources = {item for item in sources if item.hall == self._own.hall}
         return {
             source
             for source in sources
@@ -144,15 +158,17 @@
         with scope:
             while True:
                 try:
-                    await self._ask(source, reading)
+                    if await self._ask(source, reading) >= MANY_EVENTS_COUNT:
+                        continue
                 except (AttemptError, DataError) as error:
                     self._note_silence(source, reading, str(error))
-                    self._asked.add(source)
+                    self._caught_up.add(source)
                     await anyio.sleep(FAILURE_PAUSE_SECONDS)
-                self._asked.add(source)
+                self._caught_up.add(source)
                 await anyio.sleep(PERIOD_SECONDS)
 
-    async def _ask(self, source: Source, reading: Reading) -> None:
+    async def _ask(self, source: Source, reading: Reading) -> int:
+        """Ask for the next events; return how many came."""
         request = self._dialect.events(source.address, reading.since, WAIT_SECONDS)
         # Named apart from requests, so that a waiting call holds none of theirs up.
         head, body = await call_upstream(
@@ -175,6 +191,7 @@
         else:
             reading.since = events.next_number
         self._pass_on(source, events, is_reset=is_new and not source.incarnation)
+        return len(events.events)
 
     def _note_silence(self, source: Source, reading: Reading, error: str) -> None:
         if reading.is_heard:
