--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -51,7 +51,7 @@
     is_suspected: bool = False
     #: Until when its silence raises no suspicion, since it has just proved well.
     trusted_until_seconds: float = -math.inf
-    #: When it last answered this host, an attempt or a probe.
+    #: When one of this host's attempts had a piece of an answer last.
     heard_at_seconds: float = -math.inf
     #: When it was last asked for its load.
     probed_at_seconds: float = -math.inf
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -181,14 +181,8 @@
         """Trust an upstream that has answered a probe."""
         if upstream.is_suspected:
             upstream.is_suspected = False
-            upstream.heard_at_seconds = now_seconds
             upstream.trusted_until_seconds = now_seconds + TRUST_SECONDS
 
-    def was_heard_since(self, name: str, since_seconds: float) -> bool:
-        """Return whether an upstream has answered this host since a steady time."""
-        upstream = self._upstreams.get(name)
-        return upstream is not None and upstream.heard_at_seconds > since_seconds
-
     def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
         """Take a runner's report; return whether it shows a new life."""
         upstream.model = report.model
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -34,10 +34,6 @@
 from ._routed_request import RoutedRequest
 from ._whole_events import WholeEvents
 
-#: How many times longer than usual an upstream may say nothing to an attempt while it
-#: answers others: it is busy, and a second attempt would make two of them busier.
-PATIENCE_RATIO = 1.75
-
 #: Answers up to this size are read whole before any of it goes to the caller, so that
 #: one that breaks off can still be replaced.
 WHOLE_ANSWER_BYTES = 262_144
@@ -161,26 +157,14 @@
 
     async def _head(self, channel: Channel, dispatch: Dispatch) -> AnswerHead:
         silence_seconds = self._silence_seconds()
-        sent_at_seconds = self.parts.read_clock()
         with anyio.move_on_after(min(SUSPECT_SECONDS, silence_seconds)):
             return await channel.receive_head()
         self._suspect(dispatch)
         # A wait that was broken off left every byte where it was.
         with anyio.move_on_after(silence_seconds - SUSPECT_SECONDS):
             return await channel.receive_head()
-        if self._was_heard_since(dispatch.upstream, sent_at_seconds):
-            with anyio.move_on_after(silence_seconds * (PATIENCE_RATIO - 1.0)):
-                return await channel.receive_head()
         raise self._failed(Outcome.BROKEN, "the upstream is silent", dispatch)
 
-    def _was_heard_since(self, upstream: str, since_seconds: float) -> bool:
-        """Return whether an upstream has answered anything since a steady time."""
-        return self.parts.scheduler.look(
-            lambda scheduler, now_seconds: scheduler.upstreams.was_heard_since(
-                upstream, since_seconds
-            )
-        )
-
     def _suspect(self, dispatch: Dispatch) -> None:
         """Have an upstream looked at that does not begin to answer."""
         log.problem(
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -3,9 +3,6 @@
 import anyio
 from testtools import TestCase
 
-from rampwick_policy import Dispatch, Outcome
-from rampwick_router._errors import AttemptError
-from rampwick_router.entry._routed_exchange import RoutedExchange
 from rampwick_router.upstream._silence import SilenceWatch
 
 
@@ -46,60 +43,3 @@
     def test_what_has_ended_is_looked_at_no_more(self):
         self.read((True, 0.1))
         self.assertEqual(set(), self.watch._open)
-
-
-class StubExchange:
-    """What an exchange needs to wait for the head of an answer; no time is given."""
-
-    def __init__(self, is_heard):
-        self.is_heard = is_heard
-        self.suspected = []
-
-    def _silence_seconds(self):
-        return 0.0
-
-    @property
-    def parts(self):
-        return self
-
-    def read_clock(self):
-        return 10.0
-
-    def _suspect(self, dispatch):
-        self.suspected.append(dispatch.upstream)
-
-    def _was_heard_since(self, upstream, since_seconds):
-        return self.is_heard
-
-    def _failed(self, outcome, message, dispatch):
-        return AttemptError(message, outcome=outcome, step="t", peer=dispatch.upstream)
-
-
-class SlowChannel:
-    """A connection whose head comes at the third time of asking."""
-
-    asked_count = 0
-
-    async def receive_head(self):
-        self.asked_count += 1
-        if self.asked_count < 3:
-            await anyio.sleep_forever()
-        return "head"
-
-
-class BusyUpstreamTest(TestCase):
-    """An upstream that answers others is busy, not gone: no second attempt for it."""
-
-    def head(self, is_heard):
-        exchange, dispatch = StubExchange(is_heard), Dispatch("q", "q.1", "r", "r:1")
-        channel = SlowChannel()
-        head = anyio.run(RoutedExchange._head, exchange, channel, dispatch)
-        self.assertEqual(["r"], exchange.suspected)
-        return head
-
-    def test_one_that_was_heard_meanwhile_is_waited_for(self):
-        self.assertEqual("head", self.head(is_heard=True))
-
-    def test_one_that_says_nothing_at_all_is_given_up(self):
-        error = self.assertRaises(AttemptError, self.head, is_heard=False)
-        self.assertEqual(Outcome.BROKEN, error.outcome)
--- a/tests/test_timeliness.py
+++ b/tests/test_timeliness.py
@@ -1,8 +1,5 @@
 """Who goes first when not all can be in time, and what short cuts are left."""
 
-import math
-
-import attrs
 from testtools import TestCase
 
 from rampwick_policy import (
@@ -140,23 +137,3 @@
             upstream, host.scheduler.peers, 1.0, 0.0, 1.0
         )
         self.assertEqual(10_000.0, view.prefill_tokens_per_second)
-
-
-class HeardTest(TestCase):
-    """Silence of an attempt is no silence of its upstream while it answers others."""
-
-    def test_a_first_token_and_a_probe_are_word_of_an_upstream(self):
-        host = Host()
-        upstreams = host.scheduler.upstreams
-        host.arrive("a", 100, at=1.0)
-        self.assertFalse(upstreams.was_heard_since("r", 1.0))
-        host.begin("a", 1.2)
-        self.assertTrue(upstreams.was_heard_since("r", 1.0))
-        self.assertFalse(upstreams.was_heard_since("r", 1.3))
-        report = attrs.evolve(LoadReport("one", "m", 1, 64, 0, 0, 1.0, 60_000))
-        host.scheduler.pool.suspect("r", 1.4)
-        host.scheduler.handle(LoadReported("r", report), 1.5)
-        self.assertTrue(upstreams.was_heard_since("r", 1.3))
-
-    def test_nothing_is_heard_of_an_unknown_upstream(self):
-        self.assertFalse(Host().scheduler.upstreams.was_heard_since("x", -math.inf))
