--- a/packages/rampwick-policy/src/rampwick_policy/_moves.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_moves.py
@@ -52,6 +52,9 @@
         for name in (move.source, move.target):
             self._tokens[name] -= move.tokens
             self._counts[name] -= 1
+            if not self._counts[name]:
+                # Names of runners that are gone would add up.
+                del self._counts[name], self._tokens[name]
 
     def waiting_tokens(self, name: str) -> int:
         """Return the tokens that move from or to a cache, for all hosts."""
@@ -64,5 +67,4 @@
         return [
             UpstreamUsage(name, MOVES_LABEL, count, self._tokens[name])
             for name, count in sorted(self._counts.items())
-            if count
         ]
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -19,9 +19,6 @@
 #: is known to hold, and breaks ties so that hosts don't herd.
 HOME_RANK_RATIO = 0.25
 
-#: Chance that a cache which is not known to hold a shared part holds it.
-BLIND_RATIO = 1.0
-
 
 @attrs.frozen
 class RunnerView:
@@ -284,8 +281,8 @@
 
 
 def blind_tokens(chain: PrefixChain, cached_tokens: int) -> int:
-    """Return what a cache that is asked without knowing is expected to move."""
-    return int(BLIND_RATIO * max(0, _shared_tokens(chain) - cached_tokens))
+    """Return what a cache that is asked without knowing moves if it holds all."""
+    return max(0, _shared_tokens(chain) - cached_tokens)
 
 
 def _shared_tokens(chain: PrefixChain) -> int:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -52,9 +52,10 @@
 #: Time between two looks at which caches this host is to read.
 ROLE_SECONDS = 1.0
 
-#: The same while none is known, as in the first moments of a host: until it has read
-#: the caches it takes each prompt for unknown and each runner for full.
+#: The same in the first moments of a host, until it knows which caches there are: until
+#: it has read them it takes each prompt for unknown and each runner for full.
 FIRST_ROLE_SECONDS = 0.02
+FIRST_MOMENTS_SECONDS = 3.0
 
 log = PartLogger("cache")
 
@@ -102,6 +103,8 @@
         self._list_neighbours = list_neighbours
         self._scopes: dict[Source, anyio.CancelScope] = {}
         self._began_seconds: float | None = None
+        #: Whether any cache is known, read here or elsewhere.
+        self._knows_any = False
         #: Caches that told all that they had, or did not answer.
         self._caught_up: set[Source] = set()
 
@@ -112,15 +115,29 @@
                 wanted = self._scheduler.look(self._list_sources)
                 for source in self._scopes.keys() - wanted:
                     self._scopes.pop(source).cancel()
+                    self._caught_up.discard(source)
                 for source in wanted - self._scopes.keys():
                     scope = self._scopes[source] = anyio.CancelScope()
                     tasks.start_soon(self._follow, source, scope)
-                await anyio.sleep(ROLE_SECONDS if wanted else FIRST_ROLE_SECONDS)
+                await anyio.sleep(self._scheduler.look(self._pause_seconds))
 
     @property
     def is_caught_up(self) -> bool:
         """Whether the caches that are read here are known, and what they hold."""
-        return bool(self._scopes) and self._scopes.keys() <= self._caught_up
+        return self._knows_any and self._scopes.keys() <= self._caught_up
+
+    def _age_seconds(self, now_seconds: float) -> float:
+        """Return the time since this host first looked for caches."""
+        if self._began_seconds is None:
+            self._began_seconds = now_seconds
+        return now_seconds - self._began_seconds
+
+    def _pause_seconds(self, scheduler: Scheduler, now_seconds: float) -> float:
+        """Return the time until the next look."""
+        is_first = self._age_seconds(now_seconds) < FIRST_MOMENTS_SECONDS
+        if is_first and not self._knows_any:
+            return FIRST_ROLE_SECONDS
+        return ROLE_SECONDS
 
     def read_names(self) -> set[str]:
         """Return the names of the caches that this host reads."""
@@ -142,10 +159,9 @@
             Source(store.name, store.hall, store.address) for store in imports.stores()
         )
         self._salts.prepare(_list_scopes(scheduler), _list_versions(scheduler))
+        self._knows_any = bool(sources)
         near = self._list_neighbours()
-        if self._began_seconds is None:
-            self._began_seconds = now_seconds
-        if not near.halls and now_seconds - self._began_seconds < ALONE_AFTER_SECONDS:
+        if not near.halls and self._age_seconds(now_seconds) < ALONE_AFTER_SECONDS:
             sources = {item for item in sources if item.hall == self._own.hall}
         return {
             source
@@ -158,7 +174,7 @@
         with scope:
             while True:
                 try:
-                    if await self._ask(source, reading) >= MANY_EVENTS_COUNT:
+                    if await self._ask(source, reading):
                         continue
                 except (AttemptError, DataError) as error:
                     self._note_silence(source, reading, str(error))
@@ -167,8 +183,8 @@
                 self._caught_up.add(source)
                 await anyio.sleep(PERIOD_SECONDS)
 
-    async def _ask(self, source: Source, reading: Reading) -> int:
-        """Ask for the next events; return how many came."""
+    async def _ask(self, source: Source, reading: Reading) -> bool:
+        """Ask for the next events; return whether there are likely more already."""
         request = self._dialect.events(source.address, reading.since, WAIT_SECONDS)
         # Named apart from requests, so that a waiting call holds none of theirs up.
         head, body = await call_upstream(
@@ -182,6 +198,7 @@
         if not reading.is_heard:
             reading.is_heard = True
             log.info("cache tells again", cache=source.name, epoch=events.epoch)
+        before = reading.since
         is_new = reading.epoch not in (None, events.epoch)
         reading.epoch = events.epoch
         if is_new and events.next_number < reading.since:
@@ -191,7 +208,7 @@
         else:
             reading.since = events.next_number
         self._pass_on(source, events, is_reset=is_new and not source.incarnation)
-        return len(events.events)
+        return len(events.events) >= MANY_EVENTS_COUNT and reading.since > before
 
     def _note_silence(self, source: Source, reading: Reading, error: str) -> None:
         if reading.is_heard:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -36,7 +36,12 @@
 from rampwick_router.peers._cache_mail import CacheMail
 from rampwick_router.peers._directory import PeerDirectory
 from rampwick_router.peers._news import cache_events
-from rampwick_router.upstream._cache_reader import CacheReaderTask, Source
+from rampwick_router.upstream._cache_reader import (
+    FIRST_ROLE_SECONDS,
+    ROLE_SECONDS,
+    CacheReaderTask,
+    Source,
+)
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -229,13 +234,14 @@
 class CatchUpTest(TestCase):
     """A host that starts learns all that a cache holds before it waits for more."""
 
-    def catch_up(self, pages, hall="h"):
-        cache = PagedCache(pages)
+    def catch_up(self, pages=(), cache=None):
+        cache = cache or PagedCache(pages)
         own = Member("e", "h", "e:1")
         reader = CacheReaderTask(
             own, self, None, cache, SaltBook("s"), self.told.append, Neighbours
         )
-        source = Source("r", hall, "r:1", "r")
+        source = Source("r", "h", "r:1", "r")
+        reader._knows_any = True
 
         async def main():
             reader._scopes[source] = anyio.CancelScope()
@@ -264,6 +270,13 @@
     def test_few_events_are_all_there_is(self):
         self.assertEqual([0], self.catch_up([20, 20]))
 
+    def test_a_cache_that_does_not_go_on_is_not_asked_in_a_loop(self):
+        cache = PagedCache([500, 500])
+        cache.read_events = lambda head, since: CacheEvents(
+            1, 0, False, [CacheEvent("salt", f"part {n}", 64) for n in range(500)]
+        )
+        self.assertEqual([0], self.catch_up(cache=cache))
+
 
 class FirstRolesTest(TestCase):
     """In its first moments a host reads its own hall's caches and no others."""
@@ -291,3 +304,15 @@
 
     def test_who_still_hears_nobody_reads_all(self):
         self.assertEqual({"h", "k"}, self.wanted(1.5))
+
+    def test_looks_are_frequent_only_until_caches_are_known(self):
+        reader = CacheReaderTask(
+            Member("e", "h", "e:1"), None, None, None, SaltBook("s"), None, Neighbours
+        )
+        self.assertEqual(FIRST_ROLE_SECONDS, reader._pause_seconds(None, 10.0))
+        self.assertEqual(ROLE_SECONDS, reader._pause_seconds(None, 14.0))
+        reader = CacheReaderTask(
+            Member("e", "h", "e:1"), None, None, None, SaltBook("s"), None, Neighbours
+        )
+        reader._knows_any = True
+        self.assertEqual(ROLE_SECONDS, reader._pause_seconds(None, 10.0))
