--- a/measure/_lab.py
+++ b/measure/_lab.py
@@ -6,16 +6,11 @@
 """
 
 import random
-import tomllib
 from collections import OrderedDict
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
-from pathlib import Path
 from unittest import mock
 
-import attrs
-import cattrs
-
 from rampwick_policy import (
     AttemptAccepted,
     AttemptDelivered,
@@ -56,6 +51,7 @@
     parse_settings,
 )
 
+from ._lab_script import Call, Kind, Pattern, Sample, script
 from ._runner import Clock
 
 HALLS = ("a", "b", "c", "d")
@@ -85,135 +81,6 @@
     "link-queue",
 )
 
-PATTERNS = Path(__file__).with_name("patterns.toml")
-
-
-@attrs.frozen
-class Pattern:
-    """A load and the fleet that it meets."""
-
-    name: str
-    doc: str
-    length_seconds: float
-    hosts_count: int = 8
-    engines_count: int = 5
-    long_per_second: float = 11.0
-    short_per_second: float = 14.0
-    things_count: int = 84
-    #: Part of the long prompts that share one thing.
-    hot_ratio: float = 0.0
-    tokens_per_second: float = 30_000.0
-    cache_tokens: int = 75_000
-    burst_from_seconds: float = 0.0
-    burst_until_seconds: float = 0.0
-    burst_ratio: float = 1.0
-    off_from_seconds: float = 0.0
-    off_until_seconds: float = 0.0
-    #: Time before which nothing counts.
-    warm_seconds: float = 2.0
-
-
-def read_patterns() -> dict[str, Pattern]:
-    """Return the patterns by name."""
-    data = tomllib.loads(PATTERNS.read_text())
-    return {
-        name: cattrs.structure({"name": name, **fields}, Pattern)
-        for name, fields in data.items()
-    }
-
-
-@attrs.frozen
-class Kind:
-    """One kind of request."""
-
-    name: str
-    priority_class: str
-    target_seconds: float
-    deadline_seconds: float
-    answer_tokens: int
-
-
-LONG = Kind("long", "interactive", 0.6, 6.0, 13)
-SHORT = Kind("short", "portal", 0.4, 15.0, 73)
-
-
-@attrs.frozen
-class Call:
-    """One request of the script."""
-
-    at_seconds: float
-    kind: Kind
-    parts: tuple[PromptPart, ...]
-    workspace: int
-
-
-@attrs.define
-class Sample:
-    """What came of one request."""
-
-    call: Call
-    first_seconds: float | None = None
-    refused: str = ""
-
-    @property
-    def outcome(self) -> str:
-        """In one word: in time, late, refused or open."""
-        if self.refused:
-            return "refused"
-        if self.first_seconds is None:
-            return "open"
-        waited_seconds = self.first_seconds - self.call.at_seconds
-        return "in time" if waited_seconds <= self.call.kind.target_seconds else "late"
-
-
-def script(pattern: Pattern, seed: int) -> list[Call]:
-    """Draw a pattern's requests, in order of time."""
-    draw = random.Random(seed)
-    calls = [
-        *_calls(pattern, draw, LONG, pattern.long_per_second),
-        *_calls(pattern, draw, SHORT, pattern.short_per_second),
-    ]
-    return sorted(calls, key=lambda call: call.at_seconds)
-
-
-def _calls(
-    pattern: Pattern, draw: random.Random, kind: Kind, per_second: float
-) -> Iterator[Call]:
-    at_seconds = 0.0
-    while True:
-        is_burst = (
-            pattern.burst_from_seconds <= at_seconds < pattern.burst_until_seconds
-        )
-        rate = per_second * (pattern.burst_ratio if is_burst else 1.0)
-        at_seconds += draw.expovariate(rate)
-        if at_seconds >= pattern.length_seconds:
-            return
-        parts = _long_parts(pattern, draw) if kind is LONG else _short_parts(draw)
-        yield Call(at_seconds, kind, parts, draw.randrange(8))
-
-
-def _long_parts(pattern: Pattern, draw: random.Random) -> tuple[PromptPart, ...]:
-    thing = 0
-    if draw.random() >= pattern.hot_ratio:
-        thing = draw.randrange(pattern.things_count)
-    own_tokens = min(20_000, 100 + int(draw.expovariate(1 / 2800)))
-    return (
-        PromptPart(b"guide %d" % (thing % 4), 2520),
-        PromptPart(b"thing %d" % thing, 3780),
-        PromptPart(b"own %d" % draw.getrandbits(60), own_tokens),
-    )
-
-
-def _short_parts(draw: random.Random) -> tuple[PromptPart, ...]:
-    thing = draw.randrange(157)
-    return (
-        PromptPart(b"style %d" % (thing % 20), 119),
-        PromptPart(b"shop %d" % thing, 79),
-        PromptPart(
-            b"own %d" % draw.getrandbits(60), 50 + int(draw.expovariate(1 / 580))
-        ),
-    )
-
 
 class Cache:
     """Parts by key, those used last; tells what changed since it was asked last."""
--- a/measure/lab.py
+++ b/measure/lab.py
@@ -8,16 +8,8 @@
 from collections import Counter
 from collections.abc import Sequence
 
-from ._lab import (
-    LONG,
-    MECHANISMS,
-    SHORT,
-    Lab,
-    Pattern,
-    Sample,
-    in_time_ratio,
-    read_patterns,
-)
+from ._lab import MECHANISMS, Lab, in_time_ratio
+from ._lab_script import LONG, SHORT, Pattern, Sample, read_patterns
 
 
 def main(words: Sequence[str]) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_imports.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_imports.py
@@ -33,17 +33,14 @@
     seconds_per_token: float
     weights_version: int
     hall: str = ""
-    is_store: bool = False
     #: Time that what moves from this cache already takes.
     queue_seconds: float = 0.0
 
     def seconds(self, own_tokens: int, hall: str) -> float:
         """Return the time to import into a hall what goes beyond ``own_tokens``."""
         tokens = max(0, self.held_tokens - own_tokens)
-        return self.move_seconds(tokens, hall) if tokens else 0.0
-
-    def move_seconds(self, tokens: int, hall: str) -> float:
-        """Return the time until so many tokens are in a hall, if they are held."""
+        if not tokens:
+            return 0.0
         factor = FAR_FACTOR if hall and self.hall and hall != self.hall else 1.0
         moving_seconds = tokens * self.seconds_per_token * factor
         return SETUP_SECONDS + self.queue_seconds + moving_seconds
@@ -123,7 +120,6 @@
                 bits_per_token / store.link_bits_per_second,
                 weights_version,
                 store.hall,
-                is_store=True,
             )
             for store in reversed(self._ranked(chain))
             if store.link_bits_per_second > 0.0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -6,7 +6,8 @@
 
 from collections import Counter
 
-from measure._lab import LONG, SHORT, Lab, in_time_ratio, read_patterns
+from measure._lab import Lab, in_time_ratio
+from measure._lab_script import LONG, SHORT, read_patterns
 from testtools import TestCase
 
 PATTERNS = read_patterns()
