A fleet starts whatever its figures look like

Ruled out: a looser type check for all settings; a hand-written '0.2' in quotes stays an error. Change: figures of a template go as text into tables below [filled]; what says nothing or can't be read takes the default with a log line, what lies beyond the bounds is taken as the bound. A saved retry count of 0 now means none.

--- a/packages/rampwick-cli/src/rampwick_cli/_main.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_main.py
@@ -209,6 +209,10 @@
 
 
 async def _run_check(arguments: argparse.Namespace, output: Output) -> int:
-    settings = read_settings(arguments.settings)
-    output.show_object({"settings": "valid", "host": settings.host.name})
+    problems: list[str] = []
+    settings = read_settings(arguments.settings, problems.append)
+    shown: dict[str, Any] = {"settings": "valid", "host": settings.host.name}
+    if problems:
+        shown["problems"] = problems
+    output.show_object(shown)
     return _exit_codes.OK
--- a/packages/rampwick-policy/src/rampwick_policy/_retry.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_retry.py
@@ -80,7 +80,7 @@
 
     def _max_saved(self, hosts_count: int) -> float:
         settings = self._settings
-        if not settings.fleet_saved_count:
+        if settings.fleet_saved_count < 0.0:
             return settings.max_saved_count * settings.margin_ratio
         return settings.fleet_saved_count * settings.margin_ratio / hosts_count
 
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -37,7 +37,7 @@
     """Run the daemon; return the process's exit code."""
     arguments = _parse()
     try:
-        settings = read_settings(arguments.settings)
+        settings = read_settings(arguments.settings, _print_problem)
         if settings.life.fallback_tree:
             read_fallback(Path(settings.life.fallback_tree))
     except RampwickError as error:
@@ -67,6 +67,14 @@
     return parser.parse_args()
 
 
+def _print_problem(problem: str) -> None:
+    print(f"rampwickd: {problem}", file=sys.stderr)
+
+
+def _log_problem(problem: str) -> None:
+    log.problem("setting not taken as it is", problem=problem)
+
+
 def _announce_nothing(line: str, *, flush: bool) -> None:
     return
 
@@ -84,7 +92,7 @@
     machine's own unless others are given; ``listener`` takes callers already, if one
     was bound before the daemon was loaded.
     """
-    settings = read_settings(path)
+    settings = read_settings(path, _log_problem)
     integration = make_integration(settings) if make_integration else None
     # Signals that come while the daemon starts wait for it.
     with anyio.open_signal_receiver(*SIGNALS) as signals:
@@ -118,6 +126,6 @@
 
 def _reload(daemon: Daemon, path: Path) -> None:
     try:
-        daemon.reload(read_settings(path))
+        daemon.reload(read_settings(path, _log_problem))
     except RampwickError as error:
         log.problem("settings not reloaded, the old ones hold", error=str(error))
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -170,9 +170,9 @@
     budget_ratio: float = attrs.field(default=0.1, validator=within(0.0, 1.0))
     #: Part of the budget that is really used, where others judge by the whole.
     margin_ratio: float = attrs.field(default=1.0, validator=within(0.0, 1.0))
-    #: Retries that all hosts together may save up for one service, each an equal part; 0 takes max_saved_count.
+    #: Retries that all hosts together may save up for one service, each an equal part; a negative one takes max_saved_count.
     fleet_saved_count: float = attrs.field(
-        default=0.0, validator=within(0.0, 1000000.0)
+        default=-1.0, validator=within(-1.0, 1000000.0)
     )
     #: Retries that may be saved up for one service while nothing fails.
     max_saved_count: float = attrs.field(default=64.0, validator=within(0.0, 100000.0))
--- a/packages/rampwick-schema/src/rampwick_schema/_rules.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_rules.py
@@ -3,21 +3,39 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+import attrs
 
-def within(low: float | None, high: float | None) -> Callable[..., None]:
-    """Return a validator that takes numbers from ``low`` to ``high``, or none."""
 
-    def validate(instance: object, attribute: Any, value: float | None) -> None:
+@attrs.frozen
+class Within:
+    """Validator that takes numbers from ``low`` to ``high``, or none."""
+
+    low: float | None
+    high: float | None
+
+    def __call__(self, instance: object, attribute: Any, value: float | None) -> None:
+        """Raise a ValueError that names the bounds unless the value keeps them."""
         if value is None:
             return
         # Written so that NaN, which compares false, is refused.
-        above = low is None or value >= low
-        below = high is None or value <= high
+        above = self.low is None or value >= self.low
+        below = self.high is None or value <= self.high
         if not (above and below):
-            bounds = describe_bounds(low, high)
+            bounds = describe_bounds(self.low, self.high)
             raise ValueError(f"{attribute.name} is {value!r}, allowed is {bounds}")
 
-    return validate
+    def nearest(self, value: float) -> float:
+        """Return the allowed number that is nearest."""
+        if self.low is not None and value < self.low:
+            return self.low
+        if self.high is not None and value > self.high:
+            return self.high
+        return value
+
+
+def within(low: float | None, high: float | None) -> Within:
+    """Return a validator that takes numbers from ``low`` to ``high``, or none."""
+    return Within(low, high)
 
 
 def one_of(allowed: Sequence[str]) -> Callable[..., None]:
