rampwick profile: where a host's processor time goes

A host's cost had to be guessed from the outside. POST /profile takes a profile of the running host by the standard library's profiler, bounded, one at a time, loaded only when asked. Weighed: a sampling library (one more dependency on 195 hosts, and it needs a thread or signals).

--- a/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
@@ -6,10 +6,13 @@
 import httpx
 
 from . import _exit_codes
-from ._output import Output
+from ._output import Output, complain
 
 TIMEOUT_SECONDS = 5.0
 
+#: Rows shown of each table of a profile; ``--json`` shows all that the host told.
+PROFILE_ROWS = 15
+
 
 async def run_status(arguments: argparse.Namespace, output: Output) -> int:
     """Show a host's view: itself, its peers, upstreams, what is degraded."""
@@ -78,6 +81,34 @@
     return _exit_codes.OK
 
 
+async def run_profile(arguments: argparse.Namespace, output: Output) -> int:
+    """Show where a host's processor time goes for some seconds from now on."""
+    timeout_seconds = arguments.seconds + TIMEOUT_SECONDS
+    async with httpx.AsyncClient(trust_env=False, timeout=timeout_seconds) as client:
+        response = await client.post(
+            f"{arguments.admin}/profile", params={"seconds": arguments.seconds}
+        )
+    if response.status_code in (httpx.codes.BAD_REQUEST, httpx.codes.CONFLICT):
+        complain(response.json()["error"])
+        return _exit_codes.INVALID
+    response.raise_for_status()
+    report = response.json()
+    if output.as_json:
+        output.show_object(report)
+        return _exit_codes.OK
+    busy_ratio = report["processor_seconds"] / report["elapsed_seconds"]
+    output.show_object(
+        {
+            "elapsed seconds": report["elapsed_seconds"],
+            "processor seconds": report["processor_seconds"],
+            "part of a core": round(busy_ratio, 4),
+        }
+    )
+    output.show("modules", report["modules"][:PROFILE_ROWS])
+    output.show("functions", report["functions"][:PROFILE_ROWS])
+    return _exit_codes.OK
+
+
 async def _get(admin: str, path: str) -> Any:
     async with httpx.AsyncClient(trust_env=False, timeout=TIMEOUT_SECONDS) as client:
         response = await client.get(f"{admin}{path}")
--- a/packages/rampwick-cli/src/rampwick_cli/_main.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_main.py
@@ -15,7 +15,7 @@
 
 from . import _exit_codes
 from ._ask import run_ask
-from ._host_commands import run_drain, run_explain, run_status
+from ._host_commands import run_drain, run_explain, run_profile, run_status
 from ._log_commands import run_logs
 from ._output import Output, complain
 from ._tree_commands import run_tree
@@ -105,6 +105,8 @@
     explain = _add_host(commands, common, "explain", run_explain)
     explain.add_argument("request_id", help="the id that the caller was told")
     _add_host(commands, common, "drain", run_drain)
+    profile = _add_host(commands, common, "profile", run_profile)
+    profile.add_argument("--seconds", type=float, default=10.0, help="60 at the most")
     _add_logs(commands, common)
     _add_ask(commands, common)
     return parser
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -14,10 +14,14 @@
 from rampwick_policy import Dispatch, Scheduler
 
 from ._life import Life
+from ._logs import PartLogger
+from ._profile import MAX_PROFILE_SECONDS, Profiler
 from ._scheduler_task import Decision
 from .control import ConfigurationTask, HostListTask, StewardTask
 from .entry import Parts
 
+log = PartLogger("admin")
+
 
 class AdminApp:
     """Builds the ASGI application towards operators."""
@@ -39,6 +43,7 @@
         self._hosts = hosts
         self._steward = steward
         self._count_platform_calls = count_platform_calls
+        self._profiler = Profiler()
         self.app = Starlette(
             routes=[
                 Route("/healthz", self._healthz),
@@ -47,6 +52,7 @@
                 Route("/status", self._status),
                 Route("/explain/{request_id:path}", self._explain),
                 Route("/drain", self._drain, methods=["POST"]),
+                Route("/profile", self._profile, methods=["POST"]),
             ]
         )
 
@@ -135,6 +141,22 @@
         self._life.begin_stop()
         return Response(status_code=202)
 
+    async def _profile(self, request: Request) -> Response:
+        try:
+            seconds = float(request.query_params.get("seconds", ""))
+        except ValueError:
+            seconds = 0.0
+        if not 0.0 < seconds <= MAX_PROFILE_SECONDS:
+            message = f"seconds is to be a number up to {MAX_PROFILE_SECONDS:g}"
+            return JSONResponse({"error": message}, status_code=400)
+        if self._profiler.is_busy:
+            message = "a profile is being taken already"
+            return JSONResponse({"error": message}, status_code=409)
+        log.info("profile begins", seconds=seconds)
+        report = await self._profiler.take(seconds)
+        log.info("profile over", processor_seconds=report.processor_seconds)
+        return JSONResponse(attrs.asdict(report))
+
 
 def _read_use(scheduler: Scheduler, now_seconds: float) -> dict[str, float]:
     return {
--- a/packages/rampwick-schema/src/rampwick_schema/_rules.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_rules.py
@@ -33,7 +33,7 @@
         return value
 
 
-def within(low: float | None, high: float | None) -> Within:
+def within(low: float | None, high: float | None) -> Callable[..., None]:
     """Return a validator that takes numbers from ``low`` to ``high``, or none."""
     return Within(low, high)
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -150,3 +150,51 @@
         )
         self.assertEqual((0, 2), (made[0], missing[0]))
         self.assertIn("no-such-file.toml", missing[2])
+
+
+class ProfileCommandTest(ScenarioCase):
+    def test_a_host_tells_where_its_time_goes(self):
+        async def scenario(bench):
+            async with bench.run_host() as host:
+                admin = ("--admin", f"http://{host.addresses.admin}")
+                words = ("profile", "--seconds", "0.3", *admin)
+                code, out, _ = await run(*words, "--json")
+                self.assertEqual(0, code)
+                report = json.loads(out)
+                self.assertGreaterEqual(report["elapsed_seconds"], 0.3)
+                names = [row["name"] for row in report["modules"]]
+                self.assertTrue(any("rampwick_" in name for name in names), names)
+                code, out, _ = await run(*words)
+                self.assertIn("part of a core", out)
+
+        self.run_scenario(scenario)
+
+    def test_what_is_no_time_is_refused(self):
+        async def scenario(bench):
+            async with bench.run_host() as host:
+                admin = ("--admin", f"http://{host.addresses.admin}")
+                code, _, errors = await run("profile", "--seconds", "61", *admin)
+                self.assertNotEqual(0, code)
+                self.assertIn("up to 60", errors)
+
+        self.run_scenario(scenario)
+
+    def test_one_profile_is_taken_at_once(self):
+        async def scenario(bench):
+            async with bench.run_host() as host:
+                url = f"http://{host.addresses.admin}/profile"
+                async with httpx.AsyncClient(trust_env=False) as client:
+                    async with anyio.create_task_group() as tasks:
+                        tasks.start_soon(post_for, client, url, 0.4)
+                        await anyio.sleep(0.1)
+                        second = await client.post(url, params={"seconds": 0.1})
+                        self.assertEqual(409, second.status_code)
+                    third = await client.post(url, params={"seconds": 0.05})
+                    self.assertEqual(200, third.status_code)
+
+        self.run_scenario(scenario)
+
+
+async def post_for(client, url, seconds):
+    """Have a profile taken."""
+    await client.post(url, params={"seconds": seconds}, timeout=5.0)
