--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -0,0 +1,198 @@
+"""One attempt of a request on a route: sent, listened to, its answer checked.
+
+The caller's method, path and body are carried unchanged; the dialects say which
+headers are.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from rampwick_policy import (
+    AttemptAccepted,
+    AttemptSilent,
+    Dispatch,
+    Outcome,
+    WeightsSeen,
+)
+
+from .._dialects import AnswerFacts, AttemptTerms
+from .._errors import AttemptError
+from .._headers import AnswerHead
+from .._logs import PartLogger
+from ..upstream import Channel, Listening
+from ._parts import Parts
+from ._routed_request import RoutedRequest
+
+#: Silence before an answer's head after which an upstream is suspected to be gone:
+#: well above what a busy engine takes, well below what callers bear.
+SUSPECT_SECONDS = 0.5
+
+STEP = "forward request"
+
+log = PartLogger("route")
+
+
+class RoutedAttempt:
+    """One attempt at one upstream; ``open`` makes it, ``pieces`` is its answer."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        request: RoutedRequest,
+        dispatch: Dispatch,
+        request_id: str,
+        resume_after: str,
+        *,
+        is_resumed: bool,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self.dispatch = dispatch
+        self._request_id = request_id
+        self._resume_after = resume_after
+        #: Whether the caller has part of an answer, which this one is to go on with.
+        self._is_resumed = is_resumed
+        self._channel: Channel
+        self._listening: Listening
+        #: For how long the connection is kept after the answer.
+        self.rest_seconds = 0.0
+
+    @asynccontextmanager
+    async def open(self, remaining_seconds: float) -> AsyncIterator[AnswerHead]:
+        """Send the request and yield the head of its answer, or raise AttemptError."""
+        call, dispatch = self._request.call, self.dispatch
+        dialect = self._parts.dialects.upstream
+        headers = dialect.request_headers(call, self._terms(remaining_seconds))
+        body = self._request.body
+        if body or call.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            headers.append((b"content-length", str(len(body)).encode()))
+        async with self._parts.channels.borrow(
+            dispatch.upstream, dispatch.address, self._max_connections()
+        ) as self._channel:
+            await self._channel.send(call.method, call.target, headers, body)
+            head = await self._receive_head()
+            facts = dialect.read_answer(head)
+            self._note_channel(facts)
+            self._check(head, facts)
+            with self._parts.silences.listen(self._silence_seconds()) as listening:
+                self._listening = listening
+                yield head
+            if listening.is_silent:
+                raise self.failed(Outcome.BROKEN, "the upstream is silent")
+        self.rest_seconds = self._channel.max_rest_seconds
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes."""
+        listening = self._listening
+        self._parts.silences.note_waiting(listening)
+        async for piece in self._channel.receive_pieces():
+            # Whoever takes the piece may be slow; that is not the upstream's silence.
+            listening.waiting_since_seconds = None
+            yield piece
+            self._parts.silences.note_waiting(listening)
+
+    def failed(
+        self, outcome: Outcome, message: str, facts: AnswerFacts | None = None
+    ) -> AttemptError:
+        """Return the error that says how the attempt ended."""
+        return AttemptError(
+            message,
+            outcome=outcome,
+            step=STEP,
+            peer=self.dispatch.upstream,
+            retry_after_seconds=facts.retry_after_seconds if facts else None,
+        )
+
+    def _terms(self, remaining_seconds: float) -> AttemptTerms:
+        request, dispatch = self._request, self.dispatch
+        salt = ""
+        if request.scope is not None:
+            salt = self._parts.salts.salt(request.scope, dispatch.weights_version)
+        return AttemptTerms(
+            incarnation=dispatch.incarnation or dispatch.upstream,
+            weights_version=dispatch.weights_version,
+            remaining_seconds=remaining_seconds,
+            workspace=request.workspace.path.removeprefix("/"),
+            priority_rank=request.priority_rank,
+            cache_salt=salt,
+            import_address=dispatch.import_address,
+            save_address=dispatch.save_address,
+            resume_after=self._resume_after,
+        )
+
+    def _max_connections(self) -> int:
+        """Return this host's part of the connections that an upstream takes."""
+        most = self._request.service.max_connections_count
+        return max(1, most // self._parts.count_hosts())
+
+    async def _receive_head(self) -> AnswerHead:
+        silence_seconds = self._silence_seconds()
+        with anyio.move_on_after(min(SUSPECT_SECONDS, silence_seconds)):
+            return await self._channel.receive_head()
+        self._suspect()
+        # A wait that was broken off left every byte where it was.
+        with anyio.move_on_after(silence_seconds - SUSPECT_SECONDS):
+            return await self._channel.receive_head()
+        raise self.failed(Outcome.BROKEN, "the upstream is silent")
+
+    def _suspect(self) -> None:
+        """Have an upstream looked at that does not begin to answer."""
+        log.problem(
+            "upstream is silent",
+            request=self._request.call.request_id,
+            upstream=self.dispatch.upstream,
+        )
+        silent = AttemptSilent(self._request_id, self.dispatch.attempt_id)
+        self._parts.scheduler.post(silent)
+
+    def _silence_seconds(self) -> float:
+        """Return how long an upstream may say nothing before another is tried.
+
+        A request that must not run again has nothing to gain from giving up.
+        """
+        if not self._request.is_repeatable:
+            return float("inf")
+        return self._parts.settings.retry.silence_timeout_seconds
+
+    def _note_channel(self, facts: AnswerFacts) -> None:
+        if facts.is_closing:
+            self._channel.max_rest_seconds = 0.0
+        elif facts.max_rest_seconds is not None:
+            self._channel.note_rest_bound(facts.max_rest_seconds)
+
+    def _check(self, head: AnswerHead, facts: AnswerFacts) -> None:
+        """Raise unless the answer is this attempt's own and may be passed on."""
+        self._note_weights(facts)
+        status = f"status {head.status}"
+        if facts.is_misdirected:
+            raise self.failed(Outcome.MISDIRECTED, status, facts)
+        if facts.was_refused:
+            raise self.failed(Outcome.BUSY, status, facts)
+        if facts.request_id != self._request.call.request_id:
+            message = f"answer is for {facts.request_id!r}"
+            raise self.failed(Outcome.BROKEN, message)
+        if not facts.is_signed:
+            raise self.failed(Outcome.BROKEN, f"{status} without proof")
+        if self._is_resumed and not is_success(head):
+            raise self.failed(Outcome.BROKEN, f"resumed with {status}")
+        accepted = AttemptAccepted(self._request_id, self.dispatch.attempt_id)
+        self._parts.scheduler.post(accepted)
+
+    def _note_weights(self, facts: AnswerFacts) -> None:
+        dispatch = self.dispatch
+        if facts.weights_version is None or not dispatch.weights_version:
+            return
+        if facts.incarnation not in ("", dispatch.incarnation):
+            return
+        if facts.weights_version != dispatch.weights_version:
+            seen = WeightsSeen(
+                dispatch.upstream, dispatch.incarnation, facts.weights_version
+            )
+            self._parts.scheduler.post(seen)
+
+
+def is_success(head: AnswerHead) -> bool:
+    """Return whether an answer says that its request was served."""
+    return 200 <= head.status < 300
