--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_refusals.py
@@ -0,0 +1,95 @@
+"""When a request is given up, and what its caller is told."""
+
+import math
+
+from rampwick_schema import RetrySettings
+
+from . import _events as ev
+from ._admission import Admission
+from ._dispatcher import NO_RETRY_LEFT
+from ._evidence import describe_refusal
+from ._pool import Pool
+from ._queue import QueuedRequest, WaitingQueue
+from ._request import RunState
+from ._retry import RetryBudgets
+
+#: Wait for an upstream to come back, or for a retry, before a request is given up.
+STRANDED_SECONDS = 2.0
+
+#: Reasons of refusals.
+QUEUE_FULL = "queue_full"
+DEADLINE_UNREACHABLE = "deadline_unreachable"
+DEADLINE_PASSED = "deadline_passed"
+UPSTREAM_FAILED = "upstream_failed"
+
+
+class Refusals:
+    """Finds the requests without hope and says why; it shares the scheduler's parts."""
+
+    def __init__(
+        self,
+        settings: RetrySettings,
+        pool: Pool,
+        queue: WaitingQueue,
+        admission: Admission,
+        budgets: RetryBudgets,
+    ) -> None:
+        self._settings = settings
+        self._pool = pool
+        self._queue = queue
+        self._admission = admission
+        self._budgets = budgets
+
+    def find_reason(self, item: QueuedRequest, now_seconds: float) -> str:
+        """Return why a request without answer is to be given up now, or nothing."""
+        if item.lifecycle.has_delivered:
+            return ""
+        if now_seconds >= item.arrival.deadline_seconds:
+            return DEADLINE_PASSED
+        stranded_at_seconds = item.stranded_at_seconds
+        if stranded_at_seconds is None:
+            return ""
+        is_stranded = now_seconds - stranded_at_seconds > self._hold_seconds(item)
+        return item.stranded_reason if is_stranded else ""
+
+    def make(
+        self, item: QueuedRequest, reason: str, now_seconds: float, peer: str
+    ) -> ev.Refuse:
+        """Return the refusal of a request that is in no line any more."""
+        budget = self._budgets.of(
+            item.arrival.service, self._pool.peers.known_hosts_count
+        )
+        return ev.Refuse(
+            request_id=item.request_id,
+            reason=reason,
+            run_state=item.lifecycle.run_state,
+            retry_after_seconds=self._retry_after_seconds(item, now_seconds),
+            peer=peer,
+            evidence=describe_refusal(
+                item,
+                self._pool.upstreams,
+                len(self._queue),
+                budget.saved,
+                now_seconds,
+            ),
+        )
+
+    def _retry_after_seconds(
+        self, item: QueuedRequest, now_seconds: float
+    ) -> float | None:
+        may_ask_again = (
+            item.arrival.is_repeatable or item.lifecycle.run_state <= RunState.REFUSED
+        )
+        if not may_ask_again:
+            return None
+        return self._admission.retry_after_seconds(item.arrival.workspace, now_seconds)
+
+    def _hold_seconds(self, item: QueuedRequest) -> float:
+        """Return how long a request waits while no upstream can take it."""
+        target_seconds = item.arrival.latency_target_seconds
+        if target_seconds is None and item.stranded_reason == NO_RETRY_LEFT:
+            # Its caller named nothing but a deadline, and retries are earned by time.
+            return math.inf
+        if target_seconds is None:
+            return STRANDED_SECONDS
+        return target_seconds * self._settings.hold_ratio
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -6,7 +6,6 @@
 out the actions it returns, in their order.
 """
 
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -16,35 +15,30 @@
 from ._admission import Admission
 from ._dispatcher import (
     ANSWER_TOKEN_PRICE,
-    NO_RETRY_LEFT,
     AnswerEstimates,
     Dispatcher,
     Hopeless,
 )
 from ._errors import LifecycleError
-from ._evidence import describe_refusal
 from ._knowledge import CacheKnowledge
 from ._membership import Membership
 from ._placement import Placement, PricedKnowledge
 from ._pool import Pool, PoolEvent
 from ._queue import QueuedRequest, WaitingQueue
+from ._refusals import (
+    DEADLINE_UNREACHABLE,
+    QUEUE_FULL,
+    UPSTREAM_FAILED,
+    Refusals,
+)
 from ._request import Outcome, RequestLifecycle, RunState
 from ._retry import RetryBudgets
 from ._shares import ShareLedger
 from ._upstreams import Upstream, UpstreamTable
 
-#: Wait for an upstream to come back, or for a retry, before a request is given up.
-STRANDED_SECONDS = 2.0
-
 #: Events after which nothing that waits can go any sooner; ticks come anyway.
 QUIET_EVENTS = (ev.AttemptAccepted, ev.LoadReported, ev.CacheSeen)
 
-#: Reasons of refusals.
-QUEUE_FULL = "queue_full"
-DEADLINE_UNREACHABLE = "deadline_unreachable"
-DEADLINE_PASSED = "deadline_passed"
-UPSTREAM_FAILED = "upstream_failed"
-
 
 class Scheduler:
     """State machine of one host's decisions."""
@@ -70,6 +64,9 @@
             placement
             or PricedKnowledge(self.knowledge, settings.placement.import_price),
         )
+        self._refusals = Refusals(
+            settings.retry, self.pool, self.queue, self.admission, self.budgets
+        )
         self._requests: dict[str, QueuedRequest] = {}
         self._handlers: dict[type, Callable[[Any, float], list[ev.Action]]] = {
             ev.RequestArrived: self._on_arrived,
@@ -295,32 +292,7 @@
         # The item is in no line here; the caller gets its one final answer at once.
         item.lifecycle.end()
         self._requests.pop(item.request_id, None)
-        return ev.Refuse(
-            request_id=item.request_id,
-            reason=reason,
-            run_state=item.lifecycle.run_state,
-            retry_after_seconds=self._retry_after_seconds(item, reason, now_seconds),
-            peer=peer,
-            evidence=describe_refusal(
-                item,
-                self.upstreams,
-                len(self.queue),
-                self.budgets.of(
-                    item.arrival.service, self.peers.known_hosts_count
-                ).saved,
-                now_seconds,
-            ),
-        )
-
-    def _retry_after_seconds(
-        self, item: QueuedRequest, reason: str, now_seconds: float
-    ) -> float | None:
-        may_ask_again = (
-            item.arrival.is_repeatable or item.lifecycle.run_state <= RunState.REFUSED
-        )
-        if not may_ask_again:
-            return None
-        return self.admission.retry_after_seconds(item.arrival.workspace, now_seconds)
+        return self._refusals.make(item, reason, now_seconds, peer)
 
     def _on_silent(
         self, event: ev.AttemptSilent, now_seconds: float
@@ -366,32 +338,15 @@
         return actions
 
     def _check_hope(self, item: QueuedRequest, now_seconds: float) -> list[ev.Action]:
-        if item.lifecycle.has_delivered:
+        reason = self._refusals.find_reason(item, now_seconds)
+        if not reason:
             return []
-        is_late = now_seconds >= item.arrival.deadline_seconds
-        is_stranded = (
-            item.stranded_at_seconds is not None
-            and now_seconds - item.stranded_at_seconds > self._hold_seconds(item)
-        )
-        if not is_late and not is_stranded:
-            return []
-        reason = DEADLINE_PASSED if is_late else item.stranded_reason
         dropped = self._drop(item, now_seconds)
         if dropped and item.lifecycle.run_state < RunState.MAYBE_RUN:
             # Under way and unanswered: nobody knows whether it ran.
             item.lifecycle.run_state = RunState.MAYBE_RUN
         return [*dropped, self._refuse(item, reason, now_seconds)]
 
-    def _hold_seconds(self, item: QueuedRequest) -> float:
-        """Return how long a request waits while no upstream can take it."""
-        target_seconds = item.arrival.latency_target_seconds
-        if target_seconds is None and item.stranded_reason == NO_RETRY_LEFT:
-            # Its caller named nothing but a deadline, and retries are earned by time.
-            return math.inf
-        if target_seconds is None:
-            return STRANDED_SECONDS
-        return target_seconds * self._settings.retry.hold_ratio
-
     def _fill(self, event: ev.Event, now_seconds: float) -> list[ev.Action]:
         """Dispatch what may go now, and refuse what can't be served in time."""
         if not len(self.queue) or isinstance(event, QUIET_EVENTS):
