--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -1,9 +1,7 @@
-"""The daemon: its parts put together, its tasks run, its stop carried out."""
+"""The daemon: its tasks run, its stop carried out."""
 
-import random
 import socket
-import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -12,42 +10,17 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from rampwick_platform import HttpObjectApi, ObjectApi, TreeStore
-from rampwick_policy import ConfigurationFollower, Member, SaltBook, Scheduler
+from rampwick_platform import HttpObjectApi, ObjectApi
 from rampwick_schema import Settings
 
-from ._admin import AdminApp
+from ._assembly import Assembly, Clocks as Clocks
 from ._fallback import read_fallback
 from ._integration import Integration
-from ._life import Life
 from ._logs import PartLogger, milliseconds
-from ._metrics import Metrics
-from ._own_dialect import OWN_DIALECTS
-from ._scheduler_task import SchedulerTask
 from ._servers import Addresses, Listeners, listen, serve_apps
-from .control import (
-    ConfigurationTask,
-    HostListTask,
-    PolledHosts,
-    PolledTargets,
-    ReadingRole,
-    StewardTask,
-    TreeStoreSource,
-    WatchedHosts,
-    WatchedTargets,
-    WatchedTreeSource,
-)
-from .entry import ClaimTask, EntryApp, Parts, RequestIds, StreamTokens
-from .peers import GossipTask, PeerDirectory
 from .upstream import (
-    CacheReaderTask,
-    CancelTask,
     ChannelPool,
-    DialectControl,
-    ProbeTask,
-    SilenceWatch,
     UpstreamClient,
-    UpstreamControl,
 )
 
 #: Time between two looks at whether all requests have been served out.
@@ -68,14 +41,6 @@
 log = PartLogger("life")
 
 
-@attrs.frozen
-class Clocks:
-    """Where the daemon reads time, in seconds."""
-
-    monotonic: Callable[[], float] = time.monotonic
-    wall: Callable[[], float] = time.time
-
-
 class Daemon:
     """One rampwickd; ``run_daemon`` starts and stops it."""
 
@@ -89,147 +54,24 @@
         clocks: Clocks,
         integration: Integration | None,
     ) -> None:
-        draw = random.Random()
+        built = Assembly(
+            settings, api, upstreams, channels, peer_address, clocks, integration
+        )
         self._settings = settings
         self._api = api
         self._clocks = clocks
-        self._metrics = Metrics()
         self._channels = channels
-        self.life = Life()
-        self.follower = ConfigurationFollower()
-        incarnation = time.time_ns()
-        host = settings.host
-        own = Member(
-            host.name,
-            host.hall,
-            peer_address,
-            incarnation,
-            host.link_megabits_per_second,
-        )
-        read_clock = clocks.monotonic
-        self.scheduler = SchedulerTask(Scheduler(settings), read_clock)
-        dialects = integration.dialects if integration else OWN_DIALECTS
-        control: UpstreamControl = upstreams
-        if integration is not None:
-            control = DialectControl(channels, dialects.control, self._find_health_path)
-        self.steward = StewardTask(
-            api, settings, self.scheduler, control, read_clock, draw
-        )
-        self._hosts = HostListTask(self.scheduler)
-        self._configuration = ConfigurationTask(
-            self.follower, self.scheduler, read_clock
-        )
-        self._gossip = GossipTask(
-            own,
-            settings,
-            self.scheduler,
-            self._configuration,
-            self._metrics,
-            read_clock,
-            self._hosts,
-            self.steward,
-        )
-        self.steward.tell_peers = self._gossip.tell_steward_news
-        self.scheduler.note_long_prompt = self._gossip.note_load
-        self._connect(api, draw, integration)
-        self._claims = ClaimTask(api, settings.claims, read_clock, clocks.wall)
-        self._probes = ProbeTask(control, self.scheduler)
-        self._cancels = CancelTask(control, self.scheduler)
-        salts = SaltBook(settings.peers.secret)
-        self._cache_reader = CacheReaderTask(
-            own,
-            self.scheduler,
-            channels,
-            dialects.cache,
-            salts,
-            self._gossip.cache_mail.tell,
-            self._gossip.roles.neighbours,
-        )
-        self._gossip.cache_mail.list_read = self._cache_reader.read_names
-        self._silences = SilenceWatch(read_clock)
-        self._parts = Parts(
-            settings=settings,
-            scheduler=self.scheduler,
-            follower=self.follower,
-            upstreams=upstreams,
-            claims=self._claims,
-            metrics=self._metrics,
-            tokens=StreamTokens(settings.peers.secret),
-            ids=RequestIds(host.name, incarnation),
-            life=self.life,
-            read_clock=read_clock,
-            configuration=self._configuration,
-            channels=channels,
-            dialects=dialects,
-            salts=salts,
-            silences=self._silences,
-        )
-        self.entry = EntryApp(self._parts, serves_routes=integration is not None)
-        self.admin = AdminApp(
-            self._parts,
-            self.life,
-            self._configuration,
-            self._hosts,
-            self.steward,
-            lambda: getattr(api, "calls_count", 0),
-            needs_configuration=integration is not None,
-        )
-
-    def _connect(
-        self,
-        api: ObjectApi | None,
-        draw: random.Random,
-        integration: Integration | None,
-    ) -> None:
-        """Give the tasks that follow the platform their sources."""
-        self._targets: PolledTargets | WatchedTargets | None = None
-        self._directory: PeerDirectory | None = None
-        if api is None:
-            return
-        settings, scheduler, steward = self._settings, self.scheduler, self.steward
-        read_clock = self._clocks.monotonic
-        if integration is None:
-            self._configuration.source = TreeStoreSource(
-                TreeStore(api), settings, self._gossip.roles.neighbours, read_clock
-            )
-            interval_seconds = settings.platform.host_list_interval_seconds
-            self._hosts.source = PolledHosts(api, interval_seconds)
-            self._targets = PolledTargets(
-                api, scheduler, lambda: steward.is_holder, steward.wake, read_clock
-            )
-            return
-        role = ReadingRole(
-            self._gossip.roles.table,
-            lambda: self._gossip.roles.live_names,
-            lambda: self._gossip.roles.staying_names,
-            lambda: self._gossip.roles.hears_nobody,
-            lambda: self._gossip.ages.answered_at_seconds,
-            self._configuration,
-            self._hosts,
-            lambda: steward.is_holder,
-            read_clock,
-        )
-        reader = integration.reader
-        self._configuration.source = WatchedTreeSource(
-            api, reader, settings, role.wants_configuration, read_clock, draw
-        )
-        self._configuration.ask_peer = self._gossip.ages.ask_reader
-        self._hosts.source = WatchedHosts(
-            api, reader, role.wants_hosts, read_clock, draw
-        )
-        self._targets = WatchedTargets(
-            api, reader, scheduler, steward.wake, role.wants_targets, read_clock, draw
-        )
-        self._directory = PeerDirectory(
-            api, self._gossip.roles.table.own, role.is_lonely, role.is_reader, draw
-        )
-        self._directory.note_found = self._gossip.look_for_peers
-        self._gossip.directory = self._directory
-        steward.is_candidate = role.is_candidate
-
-    def _find_health_path(self, service: str) -> str:
-        known = self.follower.view.routes.service(service)
-        return known.health_path if known else "/health"
+        self._built = built
+        self._hosts = built.hosts
+        self._configuration = built.configuration
+        self._gossip = built.gossip
+        self._parts = built.parts
+        self.life = built.life
+        self.follower = built.follower
+        self.scheduler = built.scheduler
+        self.steward = built.steward
+        self.entry = built.entry
+        self.admin = built.admin
 
     def load_fallback(self) -> None:
         """Put the tree and upstreams of the settings in force until others come."""
@@ -257,18 +99,18 @@
         self.load_fallback()
         tasks.start_soon(self._hosts.run)
         tasks.start_soon(self._configuration.run)
-        tasks.start_soon(self._claims.run)
-        tasks.start_soon(self._probes.run)
-        tasks.start_soon(self._cancels.run)
+        tasks.start_soon(self._built.claims.run)
+        tasks.start_soon(self._built.probes.run)
+        tasks.start_soon(self._built.cancels.run)
         tasks.start_soon(self.steward.run)
         tasks.start_soon(self._channels.sweep)
-        tasks.start_soon(self._cache_reader.run)
-        if self._targets is not None:
-            tasks.start_soon(self._targets.run)
-        if self._directory is not None:
-            tasks.start_soon(self._directory.run)
+        tasks.start_soon(self._built.cache_reader.run)
+        if self._built.targets is not None:
+            tasks.start_soon(self._built.targets.run)
+        if self._built.directory is not None:
+            tasks.start_soon(self._built.directory.run)
         tasks.start_soon(self.entry.watch_callers)
-        tasks.start_soon(self._silences.run)
+        tasks.start_soon(self._built.silences.run)
         tasks.start_soon(self._log_state)
         tasks.start_soon(self._gossip.run, listeners.peer)
         log.info("started", host=self._settings.host.name)
@@ -287,7 +129,7 @@
         return (
             self.follower.revision > 0
             and self._hosts.version >= 0
-            and self._cache_reader.is_caught_up
+            and self._built.cache_reader.is_caught_up
         )
 
     async def _log_state(self) -> None:
