What a host costs, in sight: roles, messages by scope and kind, calls and connections by purpose

An operator could not tell which host is relay, reader or lease holder of a hall, nor what messages, calls and connections were for. On the metrics address and in rampwick status; labels are looked up once a link or a class.

--- a/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
@@ -27,6 +27,10 @@
             "revision": f"{status['revision']} from {status['revision_source']}",
             "open requests": status["open_count"],
             "waiting requests": status["waiting_count"],
+            "roles": _describe_roles(status),
+            "hall's relays": status["roles"]["relays"] or "none, the fleet is small",
+            "steward": status["lease"]["holder"] or "unknown",
+            "hosts heard": _describe_hosts(status["roles"]),
             "degraded": status["degraded"] or "nothing",
         }
     )
@@ -35,6 +39,20 @@
     return _exit_codes.OK
 
 
+def _describe_roles(status: dict[str, Any]) -> str:
+    roles = status["roles"]
+    held = {
+        "relay": roles["is_relay"],
+        "reader": roles["is_reader"],
+        "steward": status["lease"]["is_held_here"],
+    }
+    return ", ".join(name for name, is_held in held.items() if is_held) or "none"
+
+
+def _describe_hosts(roles: dict[str, Any]) -> str:
+    return f"{roles['heard_count']} of {roles['members_count'] - 1} known"
+
+
 async def run_explain(arguments: argparse.Namespace, output: Output) -> int:
     """Show why a request went where it went."""
     decisions = await _get(arguments.admin, f"/explain/{arguments.request_id}")
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -1,7 +1,7 @@
 """The operators' HTTP interface: health, metrics, status, explanations, drain."""
 
 import resource
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -19,6 +19,7 @@
 from ._scheduler_task import Decision
 from .control import ConfigurationTask, HostListTask, StewardTask
 from .entry import Parts
+from .peers import RolesView
 
 log = PartLogger("admin")
 
@@ -33,7 +34,8 @@
         configuration: ConfigurationTask,
         hosts: HostListTask,
         steward: StewardTask,
-        count_platform_calls: Callable[[], int],
+        read_platform_calls: Callable[[], Mapping[str, int]],
+        read_roles: Callable[[], RolesView],
         needs_configuration: bool,
     ) -> None:
         self._parts = parts
@@ -42,7 +44,8 @@
         self._configuration = configuration
         self._hosts = hosts
         self._steward = steward
-        self._count_platform_calls = count_platform_calls
+        self._read_platform_calls = read_platform_calls
+        self._read_roles = read_roles
         self._profiler = Profiler()
         self.app = Starlette(
             routes=[
@@ -86,7 +89,14 @@
         metrics.revision.set(self._parts.follower.revision)
         metrics.targets_age.set(self._parts.scheduler.targets_age_seconds())
         metrics.outdated_runners.set(self._steward.outdated_count())
-        metrics.platform_calls.set(self._count_platform_calls())
+        for purpose, count in self._read_platform_calls().items():
+            metrics.platform_calls.labels(purpose).set(count)
+        for reason, count in self._parts.channels.opened_counts().items():
+            metrics.connections_opened.labels(reason).set(count)
+        roles = self._read_roles()
+        metrics.roles.labels("relay").set(roles.is_relay)
+        metrics.roles.labels("reader").set(roles.is_reader)
+        metrics.roles.labels("steward").set(self._steward.is_holder)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         metrics.processor_seconds.set(usage.ru_utime + usage.ru_stime)
         body = generate_latest(metrics.registry)
@@ -100,6 +110,9 @@
         status["revision"] = self._parts.follower.revision
         status["revision_source"] = self._parts.follower.source
         status["lease"] = self._describe_lease()
+        status["roles"] = attrs.asdict(self._read_roles())
+        status["platform_calls"] = dict(self._read_platform_calls())
+        status["connections_opened"] = self._parts.channels.opened_counts()
         status["degraded"] = self._problems(status)
         return JSONResponse(status)
 
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -145,7 +145,8 @@
             self.configuration,
             self.hosts,
             self.steward,
-            lambda: getattr(api, "calls_count", 0),
+            lambda: getattr(api, "calls", {}),
+            self.gossip.roles.describe,
             needs_configuration=integration is not None,
         )
 
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -149,7 +149,7 @@
                 is_steward=self.steward.is_holder,
                 **self._describe_targets(),
                 hosts_heard_count=len(self._gossip.roles.live_names),
-                connections_opened_count=self._channels.opened_count,
+                connections_opened=self._channels.opened_counts(),
                 platform_calls=dict(getattr(self._api, "calls", {})),
             )
 
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -85,18 +85,39 @@
         )
         self.control_bytes = Counter(
             "rampwick_control_bytes",
-            "Bytes of messages between hosts.",
-            ("direction",),
+            "Bytes of messages between hosts; scope is hall or across.",
+            ("direction", "scope"),
             registry=registry,
         )
         self.control_messages = Counter(
             "rampwick_control_messages",
-            "Messages between hosts.",
-            ("direction",),
+            "Messages between hosts; scope is hall or across.",
+            ("direction", "scope"),
+            registry=registry,
+        )
+        self.control_kinds = Counter(
+            "rampwick_control_received",
+            "Messages from other hosts by what they are.",
+            ("kind",),
             registry=registry,
         )
         self.platform_calls = Gauge(
-            "rampwick_platform_calls", "Calls to the platform.", registry=registry
+            "rampwick_platform_calls",
+            "Calls to the platform by purpose.",
+            ("purpose",),
+            registry=registry,
+        )
+        self.connections_opened = Gauge(
+            "rampwick_connections_opened",
+            "Connections opened to upstreams by what they were opened for.",
+            ("reason",),
+            registry=registry,
+        )
+        self.roles = Gauge(
+            "rampwick_role",
+            "Whether this host has a role among the hosts: relay, reader, steward.",
+            ("role",),
+            registry=registry,
         )
         self.processor_seconds = Gauge(
             "rampwick_processor_seconds",
--- a/packages/rampwick-router/src/rampwick_router/peers/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/__init__.py
@@ -7,3 +7,4 @@
 
 from ._directory import PeerDirectory as PeerDirectory
 from ._gossip import GossipTask as GossipTask
+from ._roles import RolesView as RolesView
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -114,6 +114,8 @@
         #: What this hall's hosts say for other halls, and all hosts for this hall.
         self._hall_news = HallNews()
         self._fleet_news = HallNews()
+        #: Counters of messages by their class, each looked up once.
+        self._received = _Counters(metrics)
         self.cache_mail = CacheMail(
             self.table, self._links, scheduler, lambda: self.roles.live_names
         )
@@ -200,6 +202,7 @@
     # What comes in.
 
     def _take(self, link: Link, message: Any) -> None:
+        self._received[type(message)].inc()
         if isinstance(message, Summary):
             self._take_summary(link, message)
         elif isinstance(message, FleetSummary):
@@ -397,3 +400,15 @@
             self._scheduler.named_weights(),
             self._read_clock(),
         )
+
+
+class _Counters(dict[type, Any]):
+    """Counters of messages from other hosts by the class of the message."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        super().__init__()
+        self._metrics = metrics
+
+    def __missing__(self, cls: type) -> Any:
+        counter = self[cls] = self._metrics.control_kinds.labels(cls.__name__)
+        return counter
--- a/packages/rampwick-router/src/rampwick_router/peers/_roles.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_roles.py
@@ -6,11 +6,29 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from rampwick_policy import Member, MemberTable, Neighbours, RelayListener
 
 from .._scheduler_task import SchedulerTask
 
 
+@attrs.frozen
+class RolesView:
+    """A host's place in the fleet as it sees it."""
+
+    #: Whether the fleet is so large that relays speak for their halls.
+    is_large: bool
+    #: Whether this host speaks for its hall, and reads the platform for others.
+    is_relay: bool
+    is_reader: bool
+    #: Relays of this host's hall, the one that speaks first.
+    relays: list[str]
+    #: Hosts of the fleet that are known, and those that are heard.
+    members_count: int
+    heard_count: int
+
+
 class Roles:
     """Says who is there as this host sees it, and what its own place is."""
 
@@ -94,3 +112,18 @@
             return True
         relays = self.table.relays(self.table.own.hall, self._read_clock())
         return peer.name in {member.name for member in relays}
+
+    def describe(self) -> RolesView:
+        """Return this host's place in the fleet, for operators."""
+        now_seconds = self._read_clock()
+        relays: list[Member] = []
+        if self.table.is_large:
+            relays = self.table.relays(self.table.own.hall, now_seconds)
+        return RolesView(
+            is_large=self.table.is_large,
+            is_relay=self.is_relay(),
+            is_reader=self.is_reader(),
+            relays=[member.name for member in relays],
+            members_count=len(list(self.table)),
+            heard_count=len(self.live_names),
+        )
--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -46,12 +46,17 @@
         self.peer = ""
         #: Called whenever bytes come in.
         self.note_bytes: Callable[[], None] = _ignore
-        # Looked up once: finding a label costs more than counting.
-        bytes_count, messages_count = metrics.control_bytes, metrics.control_messages
-        self._sent_bytes = bytes_count.labels("sent")
-        self._sent_messages = messages_count.labels("sent")
-        self._received_bytes = bytes_count.labels("received")
-        self._received_messages = messages_count.labels("received")
+        self._metrics = metrics
+        # Until it has said who it is, a peer may be of any hall.
+        self._count_as("across")
+
+    def _count_as(self, scope: str) -> None:
+        """Look the counters up once: finding a label costs more than counting."""
+        metrics = self._metrics
+        self._sent_bytes = metrics.control_bytes.labels("sent", scope)
+        self._sent_messages = metrics.control_messages.labels("sent", scope)
+        self._received_bytes = metrics.control_bytes.labels("received", scope)
+        self._received_messages = metrics.control_messages.labels("received", scope)
 
     async def send(self, message: Any) -> None:
         """Send a message."""
@@ -130,6 +135,7 @@
         if not hmac.compare_digest(proof.digest, _prove(secret, theirs, mine)):
             raise self._refused("wrong secret")
         self.peer = theirs.host
+        self._count_as("hall" if theirs.hall == own.hall else "across")
         return Member(
             theirs.host,
             theirs.hall,
--- a/packages/rampwick-router/src/rampwick_router/upstream/_channels.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_channels.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -42,6 +43,10 @@
 SWEEP_SECONDS = 1.0
 
 
+#: What a connection is for if its borrower says nothing else.
+REQUEST = "request"
+
+
 class ChannelLimitError(AttemptError):
     """All connections that this host may open to an upstream are in use."""
 
@@ -177,8 +182,12 @@
     def __init__(self, read_clock: Callable[[], float]) -> None:
         self._read_clock = read_clock
         self._by_upstream: dict[str, _UpstreamChannels] = {}
-        #: Connections opened so far.
-        self.opened_count = 0
+        #: Connections opened so far, by what each was opened for.
+        self._opened: Counter[str] = Counter()
+
+    def opened_counts(self) -> dict[str, int]:
+        """Return the connections opened so far, by what each was opened for."""
+        return dict(self._opened)
 
     async def __aenter__(self) -> "ChannelPool":
         return self
@@ -191,17 +200,22 @@
 
     @asynccontextmanager
     async def borrow(
-        self, upstream: str, address: str, max_count: float = math.inf
+        self,
+        upstream: str,
+        address: str,
+        max_count: float = math.inf,
+        reason: str = REQUEST,
     ) -> AsyncIterator[Channel]:
         """Lend a connection to an upstream, a resting one if there is any.
 
+        ``reason`` says what it is for, for whoever looks at what connections cost.
         It rests again afterwards if its answer came whole; otherwise it is closed,
         which stops whatever the upstream still does for it.
         """
         channels = self._by_upstream.setdefault(upstream, _UpstreamChannels())
         channel = self._take_resting(channels)
         if channel is None:
-            channel = await self._open(channels, upstream, address, max_count)
+            channel = await self._open(channels, upstream, address, max_count, reason)
         is_whole = False
         try:
             yield channel
@@ -230,6 +244,7 @@
         upstream: str,
         address: str,
         max_count: float,
+        reason: str,
     ) -> Channel:
         if channels.open_count >= max_count:
             raise ChannelLimitError(
@@ -246,7 +261,7 @@
         finally:
             if not is_open:
                 channels.open_count -= 1
-        self.opened_count += 1
+        self._opened[reason] += 1
         return Channel(upstream, connection)
 
     async def sweep(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -93,7 +93,7 @@
     if request.body:
         headers.append((b"content-length", str(len(request.body)).encode()))
     with anyio.move_on_after(timeout_seconds):
-        async with channels.borrow(name, address) as channel:
+        async with channels.borrow(name, address, reason=request.step) as channel:
             await channel.send(request.method, request.path, headers, request.body)
             head = await channel.receive_head()
             body = b""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -198,3 +198,28 @@
 async def post_for(client, url, seconds):
     """Have a profile taken."""
     await client.post(url, params={"seconds": seconds}, timeout=5.0)
+
+
+class FleetInSightTest(ScenarioCase):
+    def test_status_and_metrics_tell_roles_and_costs(self):
+        async def scenario(bench):
+            async with bench.run_host() as one:
+                seeds = (one.addresses.peer,)
+                async with bench.run_host("entry-2", seeds=seeds) as two:
+                    await until(lambda: two.daemon._gossip.roles.live_names)
+                    admin = f"http://{two.addresses.admin}"
+                    code, out, _ = await run("status", "--admin", admin)
+                    self.assertEqual(0, code)
+                    self.assertIn("roles: ", out)
+                    self.assertIn("hosts heard: 1 of 1 known", out)
+                    async with httpx.AsyncClient(trust_env=False) as client:
+                        metrics = (await client.get(f"{admin}/metrics")).text
+            for name in (
+                'rampwick_control_messages_total{direction="sent",scope="hall"}',
+                'rampwick_control_received_total{kind="Summary"}',
+                'rampwick_role{role="reader"}',
+                "rampwick_platform_calls{purpose=",
+            ):
+                self.assertIn(name, metrics)
+
+        self.run_scenario(scenario)
