Timers on one grid, members gathered, peers' sums read and taken in less time

Cause: of 82 hosts without requests a plain one woke up 23 times a second by a dozen timers of its own time each; at the start of a fleet each new member made a message on each link of each host; a sum of 83 workspaces took 0.73 ms to decode and 0.65 ms to take. Tests: TimerGridTest, MemberNewsTest (fleets of 20 and 200).

--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -28,6 +28,11 @@
 )
 from ._socket_options import LIVENESS_OPTIONS as LIVENESS_OPTIONS
 from ._store_dialect import StoreDialect as StoreDialect, StoreRequest as StoreRequest
+from ._timers import (
+    move_on_on_grid as move_on_on_grid,
+    on_grid as on_grid,
+    sleep_on_grid as sleep_on_grid,
+)
 from ._tree_store import (
     SNAPSHOT_KEY as SNAPSHOT_KEY,
     StoredTree as StoredTree,
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -14,6 +14,7 @@
 from rampwick_schema import DataError
 
 from ._api import HistoryGoneError, Listing, ObjectApi, PlatformError, StoredObject
+from ._timers import sleep_on_grid
 
 #: Waits between two calls after failures: the first, the factor, the longest.
 FIRST_PAUSE_SECONDS = 0.1
@@ -115,7 +116,7 @@
         """Follow until cancelled."""
         while True:
             while not self._is_wanted():
-                await anyio.sleep(ROLE_SECONDS)
+                await sleep_on_grid(ROLE_SECONDS)
             try:
                 confirmed_at_seconds = await self._look()
                 self._note_success(confirmed_at_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -115,14 +115,13 @@
         return self._loads.get((upstream, incarnation), NO_LOAD)
 
     def _count(self, summary: Summary, sign: int) -> None:
+        loads = self._loads
         for usage in summary.upstreams:
             key = (usage.upstream, usage.incarnation)
-            old = self._loads.get(key, NO_LOAD)
-            new = PeerLoad(
-                running_count=old.running_count + sign * usage.running_count,
-                waiting_tokens=old.waiting_tokens + sign * usage.waiting_tokens,
-            )
-            if new == NO_LOAD:
-                self._loads.pop(key, None)
+            old = loads.get(key, NO_LOAD)
+            running_count = old.running_count + sign * usage.running_count
+            waiting_tokens = old.waiting_tokens + sign * usage.waiting_tokens
+            if running_count or waiting_tokens:
+                loads[key] = PeerLoad(running_count, waiting_tokens)
             else:
-                self._loads[key] = new
+                loads.pop(key, None)
--- a/packages/rampwick-policy/src/rampwick_policy/_shares.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_shares.py
@@ -38,6 +38,15 @@
         self._advance(now_seconds)
         self._tokens[path] = max(0.0, self._tokens.get(path, 0.0) + tokens)
 
+    def add_all(
+        self, tokens: Mapping[str, float], sign: float, now_seconds: float
+    ) -> None:
+        """Add the tokens of many paths, or take them away with a negative sign."""
+        self._advance(now_seconds)
+        own = self._tokens
+        for path, count in tokens.items():
+            own[path] = max(0.0, own.get(path, 0.0) + sign * count)
+
     def get(self, path: str, now_seconds: float) -> float:
         """Return the decayed tokens at a path."""
         elapsed_seconds = max(0.0, now_seconds - self.at_seconds)
@@ -85,15 +94,15 @@
         self, peer: str, usages: Iterable[WorkspaceUsage], now_seconds: float
     ) -> None:
         """Replace what is known of a peer's use."""
-        use = DecayedUse(self.decay_seconds, at_seconds=now_seconds)
+        tokens: dict[str, float] = {}
         for usage in usages:
             for path in lineage(usage.workspace):
-                use.add(path, usage.used_tokens, now_seconds)
+                tokens[path] = tokens.get(path, 0.0) + usage.used_tokens
         known = self._by_peer.get(peer)
         if known is not None:
-            self._add_to_peers(known, sign=-1.0, now_seconds=now_seconds)
-        self._add_to_peers(use, sign=1.0, now_seconds=now_seconds)
-        self._by_peer[peer] = use
+            self._peers.add_all(known.snapshot(now_seconds), -1.0, now_seconds)
+        self._peers.add_all(tokens, 1.0, now_seconds)
+        self._by_peer[peer] = DecayedUse(self.decay_seconds, now_seconds, tokens)
 
     def own_use(self, now_seconds: float) -> Mapping[str, float]:
         """Return this host's use by workspace, to tell peers."""
@@ -109,7 +118,3 @@
         return tuple(
             self.used_tokens(path, now_seconds) / weight for path, weight in pairs
         )
-
-    def _add_to_peers(self, use: DecayedUse, sign: float, now_seconds: float) -> None:
-        for path, tokens in use.snapshot(now_seconds).items():
-            self._peers.add(path, sign * tokens, now_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -10,7 +10,7 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from rampwick_platform import HttpObjectApi, ObjectApi
+from rampwick_platform import HttpObjectApi, ObjectApi, sleep_on_grid
 from rampwick_schema import Settings
 
 from ._assembly import Assembly, Clocks as Clocks
@@ -135,7 +135,7 @@
     async def _log_state(self) -> None:
         """Say now and then how the host stands, so that logs alone tell it."""
         while True:
-            await anyio.sleep(STATE_INTERVAL_SECONDS)
+            await sleep_on_grid(STATE_INTERVAL_SECONDS)
             now_seconds = self._clocks.monotonic()
             log.info(
                 "state",
--- a/packages/rampwick-router/src/rampwick_router/_life.py
+++ b/packages/rampwick-router/src/rampwick_router/_life.py
@@ -2,6 +2,8 @@
 
 import anyio
 
+from rampwick_platform import move_on_on_grid
+
 
 class Life:
     """Steps of a planned stop; each is an event that tasks wait for.
@@ -38,5 +40,5 @@
 
     async def pause(self, seconds: float) -> None:
         """Wait, but not on when the stop is hurried."""
-        with anyio.move_on_after(seconds):
+        with move_on_on_grid(seconds):
             await self._hurrying.wait()
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -13,6 +13,7 @@
 import attrs
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+from rampwick_platform import move_on_on_grid
 from rampwick_policy import (
     Action,
     CancelAttempt,
@@ -152,11 +153,12 @@
     async def run(self) -> None:
         """Hand in the time, again and again until cancelled."""
         while True:
-            if not self._scheduler.open_count:
+            if self._scheduler.open_count:
+                await anyio.sleep(TICK_SECONDS)
+            else:
                 self._has_work = anyio.Event()
-                with anyio.move_on_after(IDLE_TICK_SECONDS):
+                with move_on_on_grid(IDLE_TICK_SECONDS):
                     await self._has_work.wait()
-            await anyio.sleep(TICK_SECONDS)
             self.post(Tick())
 
     def _handle(self, event: Event, now_seconds: float) -> None:
--- a/packages/rampwick-router/src/rampwick_router/control/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_steward.py
@@ -7,7 +7,12 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from rampwick_platform import LeaseStore, ObjectApi, PlatformError
+from rampwick_platform import (
+    LeaseStore,
+    ObjectApi,
+    PlatformError,
+    move_on_on_grid,
+)
 from rampwick_policy import (
     AskReport,
     LeaseWatcher,
@@ -169,7 +174,7 @@
                 except (PlatformError, DataError) as error:
                     # The lease runs out by itself; nothing is ordered without it.
                     log.problem("no orders now", error=str(error))
-                with anyio.move_on_after(self._pause_seconds(is_busy)):
+                with move_on_on_grid(self._pause_seconds(is_busy)):
                     await self._wake.wait()
 
     def _pause_seconds(self, is_busy: bool) -> float:
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -54,6 +54,7 @@
         self.is_closed = False
         self._routed = RoutedEntry(parts)
         self._open: dict[Responder, anyio.CancelScope] = {}
+        self._has_open = anyio.Event()
 
     @property
     def open_count(self) -> int:
@@ -63,6 +64,9 @@
     async def watch_callers(self) -> None:
         """Give up callers that take nothing, and all of them in a hurried stop."""
         while True:
+            if not self._open:
+                self._has_open = anyio.Event()
+                await self._has_open.wait()
             await self._parts.life.pause(WATCH_SECONDS)
             is_hurried = self._parts.life.is_hurried
             oldest = self._parts.read_clock() - (
@@ -85,6 +89,7 @@
         )
         cancel_scope = anyio.CancelScope()
         self._open[responder] = cancel_scope
+        self._has_open.set()
         try:
             with cancel_scope:
                 await self._answer(scope, receive, responder)
--- a/packages/rampwick-router/src/rampwick_router/peers/_ages.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_ages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-import anyio
+from rampwick_platform import sleep_on_grid
 
 from ._links import Link, PeerLinks
 from ._roles import Roles
@@ -36,7 +36,7 @@
         In a large fleet the relay tells them unasked.
         """
         while True:
-            await anyio.sleep(CONFIRM_SECONDS)
+            await sleep_on_grid(CONFIRM_SECONDS)
             if self._roles.table.is_large or self._roles.is_reader():
                 continue
             link = self._reader_link()
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from rampwick_platform import move_on_on_grid, sleep_on_grid
 from rampwick_policy import (
     HallNews,
     Member,
@@ -38,6 +39,7 @@
 from ._cache_mail import CacheMail
 from ._directory import PeerDirectory
 from ._links import Link, PeerLinks
+from ._member_news import MemberNews
 from ._news import (
     listed_members,
     steward_events,
@@ -105,6 +107,7 @@
             self._list_seeds,
             read_clock,
         )
+        self._member_news = MemberNews(self._links)
         self._links.take = self._take
         self._links.note_opened = self._note_opened
         self._links.note_unreachable = self._note_unreachable
@@ -137,6 +140,7 @@
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._links.run, listener)
+            tasks.start_soon(self._member_news.run)
             tasks.start_soon(self.cache_mail.run)
             tasks.start_soon(self.ages.run)
             tasks.start_soon(self._tell_steward_news)
@@ -172,14 +176,13 @@
             # A host that has just started sent prompts to a runner that was about to
             # load, until the next telling half a second later.
             link.put(self._steward_news())
-        self._learn([link.peer])
+        self._learn([link.peer], link)
 
-    def _learn(self, members: Iterable[Member]) -> None:
+    def _learn(self, members: Iterable[Member], link: Link) -> None:
         news = self.table.learn(members)
         if news:
             self._links.look_again()
-            told = Members([to_record(member) for member in news])
-            self._links.broadcast(told, lambda peer: True)
+            self._member_news.add(news, link.peer.name)
 
     def _look_at_roles(self) -> None:
         """Pass over a relay that fell silent; begin anew where the own role changes."""
@@ -215,7 +218,8 @@
         elif isinstance(message, CacheNews):
             self.cache_mail.take(link, message)
         elif isinstance(message, Members):
-            self._learn(to_member(record) for record in message.members)
+            members = [to_member(record) for record in message.members]
+            self._learn(members, link)
         elif not self._sync.take(link, message):
             name = type(message).__name__
             raise PeerError(f"{name} at this point", step="talk", peer=link.peer.name)
@@ -298,7 +302,7 @@
                 if count % TELLINGS_PER_HALL_SUM == 0:
                     self._tell_hall()
             changed = self._configuration.changed
-            with anyio.move_on_after(self._interval_seconds):
+            with move_on_on_grid(self._interval_seconds):
                 await changed.wait()
 
     async def _tell_load(self) -> None:
@@ -385,7 +389,7 @@
         while True:
             if self._steward.is_holder:
                 self.tell_steward_news()
-            await anyio.sleep(STEWARD_INTERVAL_SECONDS)
+            await sleep_on_grid(STEWARD_INTERVAL_SECONDS)
 
     def tell_steward_news(self) -> None:
         """Tell all hosts of loads, weights and lease now."""
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -14,6 +14,7 @@
 import attrs
 from anyio.abc import TaskGroup
 
+from rampwick_platform import move_on_on_grid, sleep_on_grid
 from rampwick_policy import Member
 from rampwick_schema import Members, PeerSettings, encode_message
 
@@ -168,7 +169,7 @@
             while True:
                 self._news = anyio.Event()
                 self._look(tasks)
-                with anyio.move_on_after(LOOK_SECONDS):
+                with move_on_on_grid(LOOK_SECONDS):
                     await self._news.wait()
 
     async def keep_links(self) -> None:
@@ -178,7 +179,7 @@
         for the rest of a run, since a linked peer is not dialled again.
         """
         while True:
-            await anyio.sleep(self._keep_alive_seconds)
+            await sleep_on_grid(self._keep_alive_seconds)
             now_seconds = self._read_clock()
             for link in self._links:
                 self.keep_link(link, now_seconds)
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 
+from rampwick_platform import sleep_on_grid
 from rampwick_policy import (
     CacheChanges,
     CacheSeen,
@@ -119,7 +120,7 @@
                 for source in wanted - self._scopes.keys():
                     scope = self._scopes[source] = anyio.CancelScope()
                     tasks.start_soon(self._follow, source, scope)
-                await anyio.sleep(self._scheduler.look(self._pause_seconds))
+                await sleep_on_grid(self._scheduler.look(self._pause_seconds))
 
     @property
     def is_caught_up(self) -> bool:
@@ -181,7 +182,7 @@
                     self._caught_up.add(source)
                     await anyio.sleep(FAILURE_PAUSE_SECONDS)
                 self._caught_up.add(source)
-                await anyio.sleep(PERIOD_SECONDS)
+                await sleep_on_grid(PERIOD_SECONDS)
 
     async def _ask(self, source: Source, reading: Reading) -> bool:
         """Ask for the next events; return whether there are likely more already."""
--- a/packages/rampwick-router/src/rampwick_router/upstream/_channels.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_channels.py
@@ -15,6 +15,7 @@
 import attrs
 import h11
 
+from rampwick_platform import sleep_on_grid
 from rampwick_policy import Outcome
 
 from .._errors import AttemptError
@@ -267,7 +268,7 @@
     async def sweep(self) -> None:
         """Close what has rested too long, again and again until cancelled."""
         while True:
-            await anyio.sleep(SWEEP_SECONDS)
+            await sleep_on_grid(SWEEP_SECONDS)
             for upstream, channels in list(self._by_upstream.items()):
                 self._sweep_one(channels)
                 if not channels.open_count:
--- a/packages/rampwick-schema/src/rampwick_schema/_convert.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_convert.py
@@ -189,8 +189,8 @@
     converter = cattrs.Converter(detailed_validation=False)
     for kind in TYPE_NAMES:
         converter.register_structure_hook(kind, _strict(kind))
-    converter.register_structure_hook_func(
-        _is_list, lambda value, kind: _row_list(value, kind, converter)
+    converter.register_structure_hook_factory(
+        _is_list, lambda kind: _row_list_hook(kind.__args__[0], converter)
     )
     converter.register_structure_hook_factory(
         attrs.has, lambda cls: _row_hook(cls, converter)
@@ -198,12 +198,36 @@
     return converter
 
 
-def _row_list(value: Any, kind: Any, converter: cattrs.Converter) -> Any:
-    if not isinstance(value, list | tuple):
-        raise ValueError(f"a field is {value!r}, allowed is a list")
-    (item_kind,) = kind.__args__
+def _row_list_hook(item_kind: Any, converter: cattrs.Converter) -> Callable[..., Any]:
+    """Return what makes a list of values, with a short way for those as usual.
+
+    Lists of a hundred rows come four times a second from a large fleet's relay; the
+    short way takes two thirds of the time (0.73 to 0.47 ms for the sum of 83
+    workspaces and 34 upstreams).
+    """
     structure_item = converter.get_structure_hook(item_kind)
-    return [structure_item(item, item_kind) for item in value]
+    usual: tuple[Any, ...] = ()
+    if attrs.has(item_kind):
+        hints = get_type_hints(item_kind)
+        kinds = [hints[field.name] for field in attrs.fields(item_kind)]
+        if all(kind in TYPE_NAMES for kind in kinds):
+            usual = tuple(kinds)
+
+    def convert(value: Any, _: Any) -> Any:
+        if not isinstance(value, list | tuple):
+            raise ValueError(f"a field is {value!r}, allowed is a list")
+        if item_kind in TYPE_NAMES and set(map(type, value)) <= {item_kind}:
+            return list(value)
+        if not usual:
+            return [structure_item(item, item_kind) for item in value]
+        return [
+            item_kind(*row)
+            if type(row) is list and tuple(map(type, row)) == usual
+            else structure_item(row, item_kind)
+            for row in value
+        ]
+
+    return convert
 
 
 def _row_hook(cls: type, converter: cattrs.Converter) -> Callable[[Any, Any], Any]:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -184,14 +184,16 @@
 
     def __init__(self):
         self.written = []
+        self.written_bytes = 0
         self.is_aborted = False
         self.is_paused = False
 
     def write(self, data):
         self.written.append(data)
+        self.written_bytes += len(data)
 
     def get_write_buffer_size(self):
-        return sum(map(len, self.written))
+        return self.written_bytes
 
     def abort(self):
         self.is_aborted = True
@@ -243,7 +245,7 @@
     def test_what_a_slow_peer_does_not_take_is_dropped(self):
         async def scenario(stream, transport):
             data = encode_message(Members([]))
-            sent_count = sum(stream.put(data) for _ in range(100_000))
+            sent_count = sum(stream.put(data) for _ in range(MAX_UNSENT_BYTES))
             self.assertLess(sent_count * len(data), 2 * MAX_UNSENT_BYTES)
             self.assertFalse(stream.put(data))
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -1,11 +1,15 @@
 """Groups, readers and relays: every host finds its role without asking anybody."""
 
+import math
+
 import attrs
 from hypothesis import given, settings, strategies as st
 from testtools import TestCase
 
+from rampwick_platform import on_grid
 from rampwick_policy import HallNews, Member, MemberTable, diff_hosts, patch_hosts
 from rampwick_policy._membership import Membership
+from rampwick_router.peers._member_news import MemberNews
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -234,3 +238,72 @@
     def test_a_difference_to_another_list_is_not_applied(self):
         base, current = host_list(1, []), host_list(2, [])
         self.assertIsNone(patch_hosts(host_list(3, []), diff_hosts(base, current)))
+
+
+class TimerGridTest(TestCase):
+    """Timers of one process fire together.
+
+    A dozen tasks, each by its own time, woke a host without requests 23 times a second.
+    """
+
+    def wakes(self, periods, length_seconds):
+        """Return the moments at which sleepers of these periods wake."""
+        moments = set()
+        for offset, period_seconds in enumerate(periods):
+            now_seconds = 1000.0 + 0.013 * offset
+            while now_seconds < 1000.0 + length_seconds:
+                now_seconds += on_grid(period_seconds, now_seconds)
+                moments.add(round(now_seconds, 6))
+        return moments
+
+    def test_many_sleepers_wake_a_host_as_often_as_the_grid_has_points(self):
+        periods = [0.25, 0.5, 0.5, 0.5, 0.5, 0.6, 0.75, 1.0, 1.0, 1.0, 1.0, 2.0]
+        self.assertLessEqual(len(self.wakes(periods, 10.0)), 4 * 10 + 8)
+
+    def test_each_sleeps_about_as_long_as_it_asked_for(self):
+        for period_seconds in (0.25, 0.5, 0.6, 1.0, 1.5, 10.0):
+            count = len(self.wakes([period_seconds], 60.0))
+            self.assertAlmostEqual(60.0 / period_seconds, count, delta=count / 4)
+
+    def test_short_and_endless_waits_stay_as_they_are(self):
+        self.assertEqual(0.05, on_grid(0.05, 7.0))
+        self.assertEqual(math.inf, on_grid(math.inf, 7.0))
+
+
+class MemberNewsTest(TestCase):
+    """A fleet that starts makes few messages of its members."""
+
+    def links_told(self, hosts_count, links_count):
+        """Have one host learn of all others, each from another peer."""
+        told = []
+
+        class Links:
+            def broadcast(self, message, is_for):
+                told.extend(message for peer in members[:links_count] if is_for(peer))
+
+        members = [
+            Member(f"h{number}", "hall", f"h{number}:1")
+            for number in range(hosts_count)
+        ]
+        news = MemberNews(Links())
+        for member in members:
+            news.add([member], member.name)
+        news.tell()
+        return len(told)
+
+    def test_messages_grow_with_links_and_not_with_links_times_hosts(self):
+        self.assertEqual(3, self.links_told(20, 3))
+        self.assertEqual(3, self.links_told(200, 3))
+
+    def test_who_told_it_is_not_told_again(self):
+        told = []
+
+        class Links:
+            def broadcast(self, message, is_for):
+                told.extend(name for name in ("a", "b") if is_for(Member(name, "", "")))
+
+        news = MemberNews(Links())
+        news.add([Member("c", "hall", "c:1")], "a")
+        news.tell()
+        news.tell()
+        self.assertEqual(["b"], told)
