--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -291,8 +291,10 @@
         count = self.pages[since] if since < len(self.pages) else 0
         events = []
         for number in range(count):
-            events.append(CacheEvent(self.salt, f"part {since} {number}", 64))
-            events.append(CacheEvent(self.salt, f"part {since} {number - 3}", 0))
+            part = f"part {since} {number}".encode()
+            gone = f"part {since} {number - 3}".encode()
+            events.append(CacheEvent(self.salt, part, 64))
+            events.append(CacheEvent(self.salt, gone, 0))
         return CacheEvents(1, since + bool(count), False, events)
 
 
