--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -99,6 +99,18 @@
     return KindState({item.key: item for item in objects}, 3, 0.0)
 
 
+def with_fractions(data, more):
+    """Return the same data with each figure but the version as a fraction."""
+    if isinstance(data, dict):
+        return {
+            key: item if key == "version" else with_fractions(item, more)
+            for key, item in data.items()
+        }
+    if isinstance(data, list):
+        return [with_fractions(item, more) for item in data]
+    return data + more if type(data) is int else data
+
+
 def read_tree(manifest):
     return StoreTranslation().read_tree(state(stored("config/main", manifest)))
 
@@ -141,6 +153,19 @@
         bad = {**MANIFEST["routes"][0], "max_attempts": "many"}
         self.assertRaises(DataError, read_tree, {**MANIFEST, "routes": [bad]})
 
+    def test_counts_may_be_written_as_fractions(self):
+        """A rank of 1.0 would be no place in a list, and each request would fail."""
+        wanted = read_tree(MANIFEST)
+        self.assertEqual(wanted, read_tree(with_fractions(MANIFEST, 0.0)))
+        tree = read_tree(with_fractions(MANIFEST, 0.25))
+        for node in tree.nodes.values():
+            self.assertIn(type(node.priority_rank), (int, type(None)))
+        for route in tree.routing.routes:
+            self.assertIs(int, type(route.priority_rank))
+            self.assertIs(int, type(route.max_attempts_count))
+        for service in tree.routing.services:
+            self.assertIs(int, type(service.max_connections_count))
+
     def test_no_manifest_is_no_tree(self):
         self.assertIsNone(StoreTranslation().read_tree(state()))
 
