A whole fleet may dial a seed at once

The loop's server makes the queue of a listener that it is given 100 long; 195 hosts that start dial their seeds together, and an opening packet that finds no place is sent again after a second. No test: a queue's length can't be seen from outside without filling it.

--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -40,6 +40,10 @@
 #: Said on a link that has nothing else to say.
 NOTHING_NEW = Members([])
 
+#: Links that may wait to be accepted: a whole fleet dials its seeds at once, and what
+#: finds no place asks again after seconds.
+BACKLOG_COUNT = 1024
+
 #: Links accepted at once, peers and strangers together.
 MAX_ACCEPTED = 512
 
@@ -163,6 +167,7 @@
                     lambda stream: tasks.start_soon(self._accept, stream),
                 ),
                 sock=listener,
+                backlog=BACKLOG_COUNT,
             )
             stack.callback(server.close)
             tasks.start_soon(self.keep_links)
