--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -126,15 +126,9 @@
     time from them and evicts what they need.
     """
 
-    def __init__(
-        self,
-        knowledge: KnowsCaches,
-        import_price: float = 0.0,
-        hall_seconds_per_token: float = 0.0,
-    ) -> None:
+    def __init__(self, knowledge: KnowsCaches, import_price: float = 0.0) -> None:
         self._knowledge = knowledge
         self._import_price = import_price
-        self._hall_seconds_per_token = hall_seconds_per_token
 
     def choose(
         self,
@@ -180,9 +174,6 @@
             + runner.queue_seconds
             + runner.penalty_seconds
         )
-        if runner.distance_seconds:
-            # Its text crosses the link between the halls.
-            score += chain.total_tokens * self._hall_seconds_per_token
         choice = _choice(chain, runner, cached, score, source, imported)
         return attrs.evolve(choice, import_seconds=import_wait_seconds)
 
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -62,11 +62,7 @@
             self.budgets,
             self._answers,
             placement
-            or PricedKnowledge(
-                self.knowledge,
-                settings.placement.import_price,
-                settings.placement.hall_seconds_per_token,
-            ),
+            or PricedKnowledge(self.knowledge, settings.placement.import_price),
         )
         self._refusals = Refusals(
             settings.retry, self.pool, self.queue, self.admission, self.budgets
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -174,9 +174,9 @@
             gone_by_seconds = began_seconds + stop_within_seconds - STOP_MARGIN_SECONDS
             self.life.gone_by_seconds = gone_by_seconds
         log.info("not ready, waiting for the balancer")
-        self._gossip.is_leaving = True
+        self._gossip.summaries.is_leaving = True
         await self.steward.give_up()
-        self._gossip.tell_summary()
+        self._gossip.summaries.tell_own()
         await self.life.pause(self._settings.life.balancer_delay_seconds)
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("closed, serving out", open_count=self.entry.open_count)
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -13,14 +13,11 @@
 
 from rampwick_platform import move_on_on_grid, sleep_on_grid
 from rampwick_policy import (
-    HallNews,
     Member,
     PeerGone,
     PeerHeard,
-    PeerView,
 )
 from rampwick_schema import (
-    Beat,
     CacheNews,
     FleetSummary,
     HallSummary,
@@ -48,6 +45,7 @@
     to_record,
 )
 from ._roles import Roles
+from ._summaries import SummaryTeller
 from ._sync import PeerSync
 
 #: Hosts of a small fleet up to which summaries go at the interval of the settings. In
@@ -115,24 +113,25 @@
             configuration.follower, configuration, hosts, scheduler, read_clock
         )
         self.ages = AgeKeeper(self.roles, self._links, self._sync, read_clock)
-        #: What this hall's hosts say for other halls, and all hosts for this hall.
-        self._hall_news = HallNews()
-        self._fleet_news = HallNews()
+        self.summaries = SummaryTeller(
+            scheduler,
+            configuration.follower,
+            self._links,
+            self.roles,
+            self._sync,
+            read_clock,
+        )
         #: Counters of messages by their class, each looked up once.
         self._received = _Counters(metrics)
         self.cache_mail = CacheMail(
             self.table, self._links, scheduler, lambda: self.roles.live_names
         )
-        self._own_summary: Summary | None = None
         self._has_load = anyio.Event()
-        self._sequence = 0
         #: Whether the fleet is large, and whether this host is one of its relays.
         self._standing = (False, False)
         self._began_seconds = read_clock()
         #: Addresses known from the settings.
         self.seeds = frozenset(settings.peers.seeds)
-        #: Whether peers are told that this host takes no new requests.
-        self.is_leaving = False
 
     async def run(self, listener: socket.socket) -> None:
         """Link, tell and listen until cancelled."""
@@ -235,8 +234,7 @@
             # The relay speaks for it, too.
             return
         self._scheduler.post(PeerHeard(peer.name, peer.hall, peer.incarnation, summary))
-        self._hall_news.take(summary)
-        self._fleet_news.take(summary)
+        self.summaries.take_host(summary)
 
     def _take_fleet(self, link: Link, news: FleetSummary) -> None:
         peer, own = link.peer, self.table.own
@@ -259,7 +257,7 @@
         name = f"hall {news.hall}"
         self._scheduler.post(PeerHeard(name, news.hall, news.incarnation, news.summary))
         self._sync.compare(link, news.summary)
-        self._fleet_news.take(news.summary)
+        self.summaries.take_hall(news.summary)
 
     def _take_steward_news(self, link: Link, news: StewardNews) -> None:
         if news.holder == self.table.own.name:
@@ -296,11 +294,11 @@
         while True:
             count += 1
             self._look_at_roles()
-            self.tell_summary()
+            self.summaries.tell_own()
             if self.roles.is_relay():
-                self._tell_fleet()
+                self.summaries.tell_fleet()
                 if count % TELLINGS_PER_HALL_SUM == 0:
-                    self._tell_hall()
+                    self.summaries.tell_hall()
             changed = self._configuration.changed
             with move_on_on_grid(self._interval_seconds):
                 await changed.wait()
@@ -315,75 +313,13 @@
             await self._has_load.wait()
             self._has_load = anyio.Event()
             if not self.table.is_large:
-                self.tell_summary()
+                self.summaries.tell_own()
             await anyio.sleep(LOAD_NEWS_SECONDS)
 
     def note_load(self) -> None:
         """Note that a runner was sent a long prompt."""
         self._has_load.set()
 
-    def tell_summary(self) -> None:
-        """Send a summary now to every peer that is to hear this host."""
-        self._sequence += 1
-        sequence = self._sequence
-        summary = self._scheduler.look(
-            lambda scheduler, now_seconds: scheduler.summary(
-                sequence,
-                self._configuration.follower.revision,
-                self.is_leaving,
-                now_seconds,
-            )
-        )
-        self._own_summary = summary
-        self._listener.note_told(summary, self._read_clock())
-        self._links.broadcast(summary, self.roles.is_told)
-        self._hall_news.take(summary)
-        self._fleet_news.take(summary)
-
-    def _tell_fleet(self) -> None:
-        """Tell this hall's hosts what the whole fleet says."""
-        own = self.table.own
-        now_seconds = self._read_clock()
-        views = self._scheduler.peer_views(now_seconds)
-        summary = self._fleet_news.merge(self._said_by(views), self._sequence)
-        told = FleetSummary(
-            own.incarnation,
-            self._sync.with_own_versions(summary),
-            [
-                Beat(
-                    view.name,
-                    view.incarnation,
-                    view.summary.sequence,
-                    view.summary.is_leaving,
-                )
-                for view in views
-                if view.hall == own.hall
-            ],
-            sorted({view.hall for view in views} | {own.hall}),
-            *self._sync.own_ages(),
-            self._scheduler.targets(),
-            self._scheduler.named_weights(),
-        )
-        self._links.broadcast(told, self.roles.is_of_group)
-
-    def _tell_hall(self) -> None:
-        """Tell other halls what this one says."""
-        own = self.table.own
-        views = [
-            view
-            for view in self._scheduler.peer_views(self._read_clock())
-            if view.hall == own.hall
-        ]
-        summary = self._hall_news.merge(self._said_by(views), self._sequence)
-        told = HallSummary(own.hall, own.name, own.incarnation, summary)
-        self._links.broadcast(told, self.roles.is_of_another)
-
-    def _said_by(self, views: Iterable[PeerView]) -> list[Summary]:
-        summaries = [view.summary for view in views]
-        if self._own_summary is not None:
-            summaries.append(self._own_summary)
-        return summaries
-
     async def _tell_steward_news(self) -> None:
         """Repeat what the steward has to say, while this host is it."""
         while True:
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
@@ -0,0 +1,111 @@
+"""Telling peers what this host, its hall and the whole fleet say.
+
+In a small fleet each host tells every other a summary of its own. In a large one it
+tells its hall's relays; the first of them adds up its hall for the other halls, and all
+halls for its own.
+"""
+
+from collections.abc import Callable, Iterable
+
+from rampwick_policy import ConfigurationFollower, HallNews, PeerView
+from rampwick_schema import Beat, FleetSummary, HallSummary, Summary
+
+from .._scheduler_task import SchedulerTask
+from ._links import PeerLinks
+from ._roles import Roles
+from ._sync import PeerSync
+
+
+class SummaryTeller:
+    """Makes summaries and sends each to whom it is for."""
+
+    def __init__(
+        self,
+        scheduler: SchedulerTask,
+        follower: ConfigurationFollower,
+        links: PeerLinks,
+        roles: Roles,
+        sync: PeerSync,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._scheduler = scheduler
+        self._follower = follower
+        self._links = links
+        self._roles = roles
+        self._sync = sync
+        self._read_clock = read_clock
+        #: What this hall's hosts say for other halls, and all hosts for this hall.
+        self._hall_news = HallNews()
+        self._fleet_news = HallNews()
+        self._own: Summary | None = None
+        self._sequence = 0
+        #: Whether peers are told that this host takes no new requests.
+        self.is_leaving = False
+
+    def take_host(self, summary: Summary) -> None:
+        """Take what a host of this hall says."""
+        self._hall_news.take(summary)
+        self._fleet_news.take(summary)
+
+    def take_hall(self, summary: Summary) -> None:
+        """Take what another hall says."""
+        self._fleet_news.take(summary)
+
+    def tell_own(self) -> None:
+        """Send a summary now to every peer that is to hear this host."""
+        self._sequence += 1
+        summary = self._scheduler.look(
+            lambda scheduler, now_seconds: scheduler.summary(
+                self._sequence,
+                self._follower.revision,
+                self.is_leaving,
+                now_seconds,
+            )
+        )
+        self._own = summary
+        self._roles.listener.note_told(summary, self._read_clock())
+        self._links.broadcast(summary, self._roles.is_told)
+        self.take_host(summary)
+
+    def tell_fleet(self) -> None:
+        """Tell this hall's hosts what the whole fleet says."""
+        own = self._roles.table.own
+        views = self._scheduler.peer_views(self._read_clock())
+        summary = self._fleet_news.merge(self._said_by(views), self._sequence)
+        told = FleetSummary(
+            own.incarnation,
+            self._sync.with_own_versions(summary),
+            [
+                Beat(
+                    view.name,
+                    view.incarnation,
+                    view.summary.sequence,
+                    view.summary.is_leaving,
+                )
+                for view in views
+                if view.hall == own.hall
+            ],
+            sorted({view.hall for view in views} | {own.hall}),
+            *self._sync.own_ages(),
+            self._scheduler.targets(),
+            self._scheduler.named_weights(),
+        )
+        self._links.broadcast(told, self._roles.is_of_group)
+
+    def tell_hall(self) -> None:
+        """Tell other halls what this one says."""
+        own = self._roles.table.own
+        views = [
+            view
+            for view in self._scheduler.peer_views(self._read_clock())
+            if view.hall == own.hall
+        ]
+        summary = self._hall_news.merge(self._said_by(views), self._sequence)
+        told = HallSummary(own.hall, own.name, own.incarnation, summary)
+        self._links.broadcast(told, self._roles.is_of_another)
+
+    def _said_by(self, views: Iterable[PeerView]) -> list[Summary]:
+        summaries = [view.summary for view in views]
+        if self._own is not None:
+            summaries.append(self._own)
+        return summaries
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -125,8 +125,6 @@
     hall_distance_seconds: float = attrs.field(
         default=0.002, validator=within(0.0, 10.0)
     )
-    #: What each token of a prompt that is sent to another hall is taken to cost besides, as waiting time; for links between halls that are dear.
-    hall_seconds_per_token: float = attrs.field(default=0.0, validator=within(0.0, 1.0))
     #: What opening a connection to an upstream is taken to cost, as waiting time; one that rests costs nothing.
     connect_price_seconds: float = attrs.field(
         default=0.001, validator=within(0.0, 10.0)
