--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -11,9 +11,10 @@
 import anyio
 import attrs
 
-from rampwick_schema import DataError
+from rampwick_schema import DataError, Shown
 
 from ._api import HistoryGoneError, Listing, ObjectApi, PlatformError, StoredObject
+from ._timers import sleep_on_grid
 
 #: Waits between two calls after failures: the first, the factor, the longest.
 FIRST_PAUSE_SECONDS = 0.1
@@ -24,8 +25,8 @@
 ROLE_SECONDS = 0.5
 
 
-@attrs.frozen
-class KindState:
+@attrs.frozen(repr=False)
+class KindState(Shown):
     """Objects under a prefix as the store had them."""
 
     objects: Mapping[str, StoredObject]
@@ -37,8 +38,8 @@
     is_after_failure: bool = False
 
 
-@attrs.define
-class KindView:
+@attrs.define(repr=False)
+class KindView(Shown):
     """Merges listings and watched changes; it does no I/O and reads no clock."""
 
     #: Version of the store from which the next watch goes on.
@@ -115,7 +116,7 @@
         """Follow until cancelled."""
         while True:
             while not self._is_wanted():
-                await anyio.sleep(ROLE_SECONDS)
+                await sleep_on_grid(ROLE_SECONDS)
             try:
                 confirmed_at_seconds = await self._look()
                 self._note_success(confirmed_at_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -9,11 +9,11 @@
 
 import attrs
 
-from rampwick_schema import Summary
+from rampwick_schema import Shown, Summary
 
 
-@attrs.frozen
-class PeerView:
+@attrs.frozen(repr=False)
+class PeerView(Shown):
     """The newest word of one peer."""
 
     name: str
@@ -23,8 +23,8 @@
     heard_at_seconds: float
 
 
-@attrs.frozen
-class PeerLoad:
+@attrs.frozen(repr=False)
+class PeerLoad(Shown):
     """What peers have under way at one upstream."""
 
     running_count: int = 0
@@ -115,14 +115,13 @@
         return self._loads.get((upstream, incarnation), NO_LOAD)
 
     def _count(self, summary: Summary, sign: int) -> None:
+        loads = self._loads
         for usage in summary.upstreams:
             key = (usage.upstream, usage.incarnation)
-            old = self._loads.get(key, NO_LOAD)
-            new = PeerLoad(
-                running_count=old.running_count + sign * usage.running_count,
-                waiting_tokens=old.waiting_tokens + sign * usage.waiting_tokens,
-            )
-            if new == NO_LOAD:
-                self._loads.pop(key, None)
+            old = loads.get(key, NO_LOAD)
+            running_count = old.running_count + sign * usage.running_count
+            waiting_tokens = old.waiting_tokens + sign * usage.waiting_tokens
+            if running_count or waiting_tokens:
+                loads[key] = PeerLoad(running_count, waiting_tokens)
             else:
-                self._loads[key] = new
+                loads.pop(key, None)
--- a/packages/rampwick-policy/src/rampwick_policy/_placement.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from rampwick_schema import Shown
+
 from . import _rendezvous
 from ._imports import ImportSource
 from ._prefix import PrefixChain
@@ -20,8 +22,8 @@
 HOME_RANK_RATIO = 0.25
 
 
-@attrs.frozen
-class RunnerView:
+@attrs.frozen(repr=False)
+class RunnerView(Shown):
     """What a choice may look at; running work counts peers' too."""
 
     name: str
@@ -67,8 +69,8 @@
         return tokens / self.prefill_tokens_per_second
 
 
-@attrs.frozen
-class Choice:
+@attrs.frozen(repr=False)
+class Choice(Shown):
     """A runner and why it was chosen."""
 
     upstream: str
--- a/packages/rampwick-policy/src/rampwick_policy/_tree.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_tree.py
@@ -4,6 +4,7 @@
 answers look-ups from precomputed maps.
 """
 
+import functools
 import hashlib
 import re
 from collections.abc import Iterable, Iterator
@@ -11,7 +12,7 @@
 
 import attrs
 
-from rampwick_schema import Change, Node, NodeEdit, Tree
+from rampwick_schema import Change, Node, NodeEdit, Shown, Tree
 
 from ._errors import ConflictError, TreeError
 from ._routes import RouteIndex, routing_problems
@@ -36,8 +37,8 @@
 STEP = "validate tree"
 
 
-@attrs.frozen
-class LimitedNode:
+@attrs.frozen(repr=False)
+class LimitedNode(Shown):
     """A node on a workspace's path that sets a limit of its own."""
 
     path: str
@@ -47,8 +48,8 @@
     max_waiting_count: int | None
 
 
-@attrs.frozen
-class Workspace:
+@attrs.frozen(repr=False)
+class Workspace(Shown):
     """A workspace with everything that it inherits resolved."""
 
     path: str
@@ -120,6 +121,7 @@
 
 
 @lru_cache(maxsize=8192)
+@functools.lru_cache(maxsize=4096)
 def lineage(path: str) -> tuple[str, ...]:
     """Return the root, each ancestor and the path itself, in that order."""
     parts = [part for part in path.split("/") if part]
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -1,7 +1,7 @@
 """The operators' HTTP interface: health, metrics, status, explanations, drain."""
 
 import resource
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -14,9 +14,14 @@
 from rampwick_policy import Dispatch, Scheduler
 
 from ._life import Life
+from ._logs import PartLogger
+from ._profile import MAX_PROFILE_SECONDS, Profiler
 from ._scheduler_task import Decision
 from .control import ConfigurationTask, HostListTask, StewardTask
 from .entry import Parts
+from .peers import RolesView
+
+log = PartLogger("admin")
 
 
 class AdminApp:
@@ -29,7 +34,8 @@
         configuration: ConfigurationTask,
         hosts: HostListTask,
         steward: StewardTask,
-        count_platform_calls: Callable[[], int],
+        read_platform_calls: Callable[[], Mapping[str, int]],
+        read_roles: Callable[[], RolesView],
         needs_configuration: bool,
     ) -> None:
         self._parts = parts
@@ -38,7 +44,9 @@
         self._configuration = configuration
         self._hosts = hosts
         self._steward = steward
-        self._count_platform_calls = count_platform_calls
+        self._read_platform_calls = read_platform_calls
+        self._read_roles = read_roles
+        self._profiler = Profiler()
         self.app = Starlette(
             routes=[
                 Route("/healthz", self._healthz),
@@ -47,6 +55,7 @@
                 Route("/status", self._status),
                 Route("/explain/{request_id:path}", self._explain),
                 Route("/drain", self._drain, methods=["POST"]),
+                Route("/profile", self._profile, methods=["POST"]),
             ]
         )
 
@@ -80,7 +89,14 @@
         metrics.revision.set(self._parts.follower.revision)
         metrics.targets_age.set(self._parts.scheduler.targets_age_seconds())
         metrics.outdated_runners.set(self._steward.outdated_count())
-        metrics.platform_calls.set(self._count_platform_calls())
+        for purpose, count in self._read_platform_calls().items():
+            metrics.platform_calls.labels(purpose).set(count)
+        for reason, count in self._parts.channels.opened_counts().items():
+            metrics.connections_opened.labels(reason).set(count)
+        roles = self._read_roles()
+        metrics.roles.labels("relay").set(roles.is_relay)
+        metrics.roles.labels("reader").set(roles.is_reader)
+        metrics.roles.labels("steward").set(self._steward.is_holder)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         metrics.processor_seconds.set(usage.ru_utime + usage.ru_stime)
         body = generate_latest(metrics.registry)
@@ -94,6 +110,9 @@
         status["revision"] = self._parts.follower.revision
         status["revision_source"] = self._parts.follower.source
         status["lease"] = self._describe_lease()
+        status["roles"] = attrs.asdict(self._read_roles())
+        status["platform_calls"] = dict(self._read_platform_calls())
+        status["connections_opened"] = self._parts.channels.opened_counts()
         status["degraded"] = self._problems(status)
         return JSONResponse(status)
 
@@ -135,6 +154,22 @@
         self._life.begin_stop()
         return Response(status_code=202)
 
+    async def _profile(self, request: Request) -> Response:
+        try:
+            seconds = float(request.query_params.get("seconds", ""))
+        except ValueError:
+            seconds = 0.0
+        if not 0.0 < seconds <= MAX_PROFILE_SECONDS:
+            message = f"seconds is to be a number up to {MAX_PROFILE_SECONDS:g}"
+            return JSONResponse({"error": message}, status_code=400)
+        if self._profiler.is_busy:
+            message = "a profile is being taken already"
+            return JSONResponse({"error": message}, status_code=409)
+        log.info("profile begins", seconds=seconds)
+        report = await self._profiler.take(seconds)
+        log.info("profile over", processor_seconds=report.processor_seconds)
+        return JSONResponse(attrs.asdict(report))
+
 
 def _read_use(scheduler: Scheduler, now_seconds: float) -> dict[str, float]:
     return {
--- a/packages/rampwick-router/src/rampwick_router/control/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_steward.py
@@ -7,7 +7,12 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from rampwick_platform import LeaseStore, ObjectApi, PlatformError
+from rampwick_platform import (
+    LeaseStore,
+    ObjectApi,
+    PlatformError,
+    move_on_on_grid,
+)
 from rampwick_policy import (
     AskReport,
     LeaseWatcher,
@@ -25,6 +30,7 @@
     DataError,
     HostEntry,
     Settings,
+    Shown,
     StewardSettings,
 )
 
@@ -53,8 +59,8 @@
 log = PartLogger("steward")
 
 
-@attrs.frozen
-class LoadUnderWay:
+@attrs.frozen(repr=False)
+class LoadUnderWay(Shown):
     """A load that this host has ordered, as peers are told."""
 
     upstream: str
@@ -63,8 +69,8 @@
     until_seconds: float
 
 
-@attrs.frozen
-class WeightsShown:
+@attrs.frozen(repr=False)
+class WeightsShown(Shown):
     """Weights that a runner was seen to have after an own order."""
 
     upstream: str
@@ -169,7 +175,7 @@
                 except (PlatformError, DataError) as error:
                     # The lease runs out by itself; nothing is ordered without it.
                     log.problem("no orders now", error=str(error))
-                with anyio.move_on_after(self._pause_seconds(is_busy)):
+                with move_on_on_grid(self._pause_seconds(is_busy)):
                     await self._wake.wait()
 
     def _pause_seconds(self, is_busy: bool) -> float:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -99,6 +99,18 @@
     return KindState({item.key: item for item in objects}, 3, 0.0)
 
 
+def with_fractions(data, more):
+    """Return the same data with each figure but the version as a fraction."""
+    if isinstance(data, dict):
+        return {
+            key: item if key == "version" else with_fractions(item, more)
+            for key, item in data.items()
+        }
+    if isinstance(data, list):
+        return [with_fractions(item, more) for item in data]
+    return data + more if type(data) is int else data
+
+
 def read_tree(manifest):
     return StoreTranslation().read_tree(state(stored("config/main", manifest)))
 
@@ -141,6 +153,19 @@
         bad = {**MANIFEST["routes"][0], "max_attempts": "many"}
         self.assertRaises(DataError, read_tree, {**MANIFEST, "routes": [bad]})
 
+    def test_counts_may_be_written_as_fractions(self):
+        """A rank of 1.0 would be no place in a list, and each request would fail."""
+        wanted = read_tree(MANIFEST)
+        self.assertEqual(wanted, read_tree(with_fractions(MANIFEST, 0.0)))
+        tree = read_tree(with_fractions(MANIFEST, 0.25))
+        for node in tree.nodes.values():
+            self.assertIn(type(node.priority_rank), (int, type(None)))
+        for route in tree.routing.routes:
+            self.assertIs(int, type(route.priority_rank))
+            self.assertIs(int, type(route.max_attempts_count))
+        for service in tree.routing.services:
+            self.assertIs(int, type(service.max_connections_count))
+
     def test_no_manifest_is_no_tree(self):
         self.assertIsNone(StoreTranslation().read_tree(state()))
 
@@ -510,8 +535,10 @@
 
     def fill_value(match):
         value = look_up(match.group(1), scopes)
-        if match.group(2):
+        if match.group(2) or isinstance(value, dict | bool):
             return orjson.dumps(value).decode()
+        if isinstance(value, list):
+            return ",".join(map(str, value))
         return "" if value is None else str(value)
 
     text = section.sub(fill_section, text)
@@ -535,6 +562,34 @@
         settings = self.fill({**FIELDS, "seeds": [], "bounds": bounds})
         self.assertEqual(0.0, settings.platform.max_key_age_seconds)
 
+    #: Ways in which a figure may be written, or not be there.
+    WRITTEN = (
+        0, 1, 430, 430.13, 0.2, 5e-4, 1e9, -3, "430.13", "", None, True, False,
+        "many", [], [1, 2], {}, {"a": 'it "is"'}, float("nan"), float("inf"),
+    )  # fmt: skip
+
+    def test_no_figure_keeps_a_host_from_starting(self):
+        """A fraction where a whole number used to stand stopped a whole fleet."""
+        for table in ("bounds", "limits"):
+            for key in FIELDS[table]:
+                for value in self.WRITTEN:
+                    figures = {**FIELDS[table], key: value}
+                    settings = self.fill({**FIELDS, table: figures})
+                    self.assertEqual("front-1", settings.host.name)
+
+    def test_figures_are_taken_as_they_are(self):
+        bounds = {**FIELDS["bounds"], "retry_budget_slack": 430.13, "grace_s": 7.5}
+        settings = self.fill({**FIELDS, "bounds": bounds})
+        self.assertEqual(430.13, settings.retry.fleet_saved_count)
+        self.assertEqual(7.5, settings.life.stop_within_seconds)
+        none = self.fill({**FIELDS, "bounds": {**bounds, "retry_budget_slack": 0}})
+        self.assertEqual(0.0, none.retry.fleet_saved_count)
+
+    def test_tables_and_lists_may_be_missing(self):
+        for key in ("limits", "bounds", "seeds", "region"):
+            settings = self.fill({**FIELDS, key: None})
+            self.assertEqual("bratislava-a", settings.host.hall)
+
 
 class BoundaryTest(TestCase):
     """No word of the platform's wire stands outside its folder."""
