A message too long for a peer ends its stream, not the host

Cause: since links are written in the turn in which something is said, the error of a message over max_message_bytes came up in whoever told it, and would have ended the daemon. Found by reading the diff; no run showed it. Test fails before.

--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -132,14 +132,18 @@
     # Messages in and out.
 
     def put(self, data: bytes) -> bool:
-        """Send a message that is encoded; return false where the peer is too slow."""
-        if len(data) - LENGTH_BYTES > self._max_message_bytes:
-            raise PeerError(
-                f"message of {len(data)} bytes is too long", step=STEP, peer=self.peer
-            )
+        """Send a message that is encoded; return false where the peer is too slow.
+
+        One that no peer would take ends the stream, and whoever waits for its end says
+        so; whoever tells many peers goes on.
+        """
         transport = self._transport
         if transport is None or self._has_ended:
             return False
+        if len(data) - LENGTH_BYTES > self._max_message_bytes:
+            message = f"message of {len(data)} bytes is too long"
+            self._end(PeerError(message, step=STEP, peer=self.peer))
+            return False
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             return False
         transport.write(data)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -271,6 +271,15 @@
         (error,) = ended
         self.assertIsInstance(error, PeerError)
 
+    def test_a_message_too_long_ends_its_stream_and_nothing_else(self):
+        async def scenario(stream, transport):
+            self.assertFalse(stream.put(b"x" * 20_000))
+            self.assertTrue(transport.is_aborted)
+            self.assertFalse(stream.put(encode_message(Members([]))))
+            self.assertEqual([], transport.written)
+
+        self.play(scenario)
+
     def test_a_stranger_can_not_fill_the_memory(self):
         async def scenario(stream, transport):
             stream.data_received(b"\0" * 100_000)
