--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -29,7 +29,7 @@
 from ._socket_options import LIVENESS_OPTIONS as LIVENESS_OPTIONS
 from ._store_dialect import StoreDialect as StoreDialect, StoreRequest as StoreRequest
 from ._timers import (
-    move_on_on_grid as move_on_on_grid,
+    move_on_at_grid as move_on_at_grid,
     on_grid as on_grid,
     sleep_on_grid as sleep_on_grid,
 )
--- a/packages/rampwick-platform/src/rampwick_platform/_timers.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_timers.py
@@ -33,6 +33,6 @@
     await anyio.sleep(on_grid(seconds, anyio.current_time()))
 
 
-def move_on_on_grid(seconds: float) -> anyio.CancelScope:
+def move_on_at_grid(seconds: float) -> anyio.CancelScope:
     """Return a scope that ends after about so long, at the same moment as others."""
     return anyio.move_on_after(on_grid(seconds, anyio.current_time()))
--- a/packages/rampwick-router/src/rampwick_router/_life.py
+++ b/packages/rampwick-router/src/rampwick_router/_life.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from rampwick_platform import move_on_on_grid
+from rampwick_platform import move_on_at_grid
 
 
 class Life:
@@ -40,5 +40,5 @@
 
     async def pause(self, seconds: float) -> None:
         """Wait, but not on when the stop is hurried."""
-        with move_on_on_grid(seconds):
+        with move_on_at_grid(seconds):
             await self._hurrying.wait()
--- a/packages/rampwick-router/src/rampwick_router/control/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_steward.py
@@ -11,7 +11,7 @@
     LeaseStore,
     ObjectApi,
     PlatformError,
-    move_on_on_grid,
+    move_on_at_grid,
 )
 from rampwick_policy import (
     AskReport,
@@ -175,7 +175,7 @@
                 except (PlatformError, DataError) as error:
                     # The lease runs out by itself; nothing is ordered without it.
                     log.problem("no orders now", error=str(error))
-                with move_on_on_grid(self._pause_seconds(is_busy)):
+                with move_on_at_grid(self._pause_seconds(is_busy)):
                     await self._wake.wait()
 
     def _pause_seconds(self, is_busy: bool) -> float:
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from rampwick_platform import move_on_on_grid, sleep_on_grid
+from rampwick_platform import move_on_at_grid, sleep_on_grid
 from rampwick_policy import (
     Member,
     PeerGone,
@@ -300,7 +300,7 @@
                 if count % TELLINGS_PER_HALL_SUM == 0:
                     self.summaries.tell_hall()
             changed = self._configuration.changed
-            with move_on_on_grid(self._interval_seconds):
+            with move_on_at_grid(self._interval_seconds):
                 await changed.wait()
 
     async def _tell_load(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -14,7 +14,7 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from rampwick_platform import move_on_on_grid, sleep_on_grid
+from rampwick_platform import move_on_at_grid, sleep_on_grid
 from rampwick_policy import Member
 from rampwick_schema import Members, PeerSettings, Shown, encode_message
 
@@ -174,7 +174,7 @@
             while True:
                 self._news = anyio.Event()
                 self._look(tasks)
-                with move_on_on_grid(LOOK_SECONDS):
+                with move_on_at_grid(LOOK_SECONDS):
                     await self._news.wait()
 
     async def keep_links(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from rampwick_platform import move_on_on_grid
+from rampwick_platform import move_on_at_grid
 from rampwick_policy import LoadReported, ProbeFailed
 from rampwick_schema import HostEntry
 
@@ -41,7 +41,7 @@
                         now_seconds
                     )
                 )
-                with move_on_on_grid(min(pause_seconds, LOOK_INTERVAL_SECONDS)):
+                with move_on_at_grid(min(pause_seconds, LOOK_INTERVAL_SECONDS)):
                     await has_doubt.wait()
 
     async def _probe(self, entry: HostEntry) -> None:
