What others saw go meanwhile is not listed anew

Cause: a reader that the store had turned away compared its first listing after that with its own last reading, although others had read on and told it a newer list. Change: what may have lapsed is reckoned from the newest list that a host knows. Test: test_what_others_saw_go_meanwhile_is_not_listed_anew fails before.

--- a/packages/rampwick-policy/src/rampwick_policy/_lapses.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_lapses.py
@@ -37,13 +37,17 @@
         version: int,
         is_after_failure: bool,
         now_seconds: float,
+        newest: HostList | None = None,
     ) -> None:
-        """Take the entries as they are in the store now."""
+        """Take the entries as they are in the store now.
+
+        ``newest`` is the newest list that this host knows, whoever has read it.
+        """
         if is_after_failure:
             self._returned_at_seconds = now_seconds
         listed = {entry.name: entry for entry in entries}
         if self._is_returning(now_seconds):
-            known = {**self._lapsed, **self._entries}
+            known = self._known_before(newest)
             self._lapsed = {
                 name: entry
                 for name, entry in known.items()
@@ -54,6 +58,14 @@
         self._entries = listed
         self._version = version
 
+    def _known_before(self, newest: HostList | None) -> dict[str, HostEntry]:
+        """Return the entries of which those that are missing now may have lapsed."""
+        if newest is None or newest.version <= 2 * self._version + 1:
+            return {**self._lapsed, **self._entries}
+        # Others have read on while this host could not: what had gone by then would
+        # be listed anew, and sent to after it has left.
+        return {entry.name: entry for entry in newest.hosts if entry.kind != "entry"}
+
     def host_list(self, now_seconds: float) -> HostList:
         """Return the hosts that count as listed now.
 
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -34,6 +34,9 @@
 class TakesHosts(Protocol):
     """Who is told of the host list."""
 
+    #: The newest list that is known, whoever has read it.
+    host_list: HostList
+
     def offer(self, host_list: HostList) -> None:
         """Take a list if it is newer than the last."""
 
@@ -128,7 +131,11 @@
             except RampwickError as error:
                 log.problem("entry can't be read", entry=stored.key, error=str(error))
         self._guard.take(
-            entries, state.version, state.is_after_failure, self._read_clock()
+            entries,
+            state.version,
+            state.is_after_failure,
+            self._read_clock(),
+            self._task.host_list,
         )
         self._hand_on()
         self._task.confirm(state.confirmed_at_seconds)
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -16,7 +16,7 @@
     StoredObject,
 )
 from rampwick_policy import LapseGuard
-from rampwick_schema import HostEntry
+from rampwick_schema import HostEntry, HostList
 
 
 def stored(name, version, is_deleted=False):
@@ -232,6 +232,23 @@
         self.assertEqual(["a", "b"], self.names(guard, 16.8))
         self.assertGreater(guard.host_list(16.8).version, held.version)
 
+    def test_what_others_saw_go_meanwhile_is_not_listed_anew(self):
+        """A reader was turned away by the store while others read on.
+
+        A runner left; the others' list, which this reader knew, was without it. Back
+        at the store, the reader missed the runner in its own last reading, took it for
+        lapsed and told all: a host sent to it 3.5 s after it had left. Found by a hunt,
+        settled by the lists' versions in the logs: 117 without it, 126 with it again.
+        """
+        guard = LapseGuard()
+        guard.take([entry("a"), entry("b")], 5, False, 10.0)
+        newest = HostList(17, [entry("a"), entry("c")])
+        guard.take([entry("a"), entry("c")], 9, True, 15.0, newest)
+        self.assertEqual(["a", "c"], self.names(guard, 15.0))
+        # What lapses now is kept as ever.
+        guard.take([entry("a")], 10, False, 15.2, guard.host_list(15.2))
+        self.assertEqual(["a", "c"], self.names(guard, 15.3))
+
     def test_what_was_leaving_is_not_kept(self):
         guard = LapseGuard()
         guard.take([entry("a", "leaving"), entry("b")], 5, False, 10.0)
