Last reading: an end told twice, types looked up for each table, a property nobody asks

PeerStream kept whether it has ended beside why it has; the types of the settings were looked up anew for each filled-in table at a start; HttpObjectApi.calls_count lost its last reader when calls were told by purpose. No behaviour changes; tests as they were.

--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -80,11 +80,6 @@
     async def __aexit__(self, *details: object) -> None:
         await self._client.aclose()
 
-    @property
-    def calls_count(self) -> int:
-        """Calls made so far."""
-        return self.calls.total()
-
     async def get(self, key: str) -> StoredObject | None:
         """Return an object, or none if it does not exist."""
         response = await self._call(self._dialect.get(key))
--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -72,8 +72,8 @@
         self._received = bytearray()
         self._has_news = anyio.Event()
         self._take: Callable[[Any], None] | None = None
+        #: Why the stream has ended; none while it goes on.
         self._failure: Exception | None = None
-        self._has_ended = False
         self.peer = ""
         #: Called whenever bytes come in, and whenever some go out.
         self.note_bytes: Callable[[], None] = _ignore
@@ -109,7 +109,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Hand on the messages that are whole."""
-        if self._has_ended:
+        if self._failure is not None:
             return
         self._received += data
         self.note_bytes()
@@ -138,7 +138,7 @@
         so; whoever tells many peers goes on.
         """
         transport = self._transport
-        if transport is None or self._has_ended:
+        if transport is None or self._failure is not None:
             return False
         if len(data) - LENGTH_BYTES > self._max_message_bytes:
             message = f"message of {len(data)} bytes is too long"
@@ -168,7 +168,7 @@
         """Hand each message to a function until the stream ends, then raise why."""
         self._take = take
         self._hand_on(take)
-        if not self._has_ended:
+        if self._failure is None:
             self._reading().resume_reading()
         while True:
             await self._wait()
@@ -189,7 +189,7 @@
         return self._transport
 
     def _hand_on(self, take: Callable[[Any], None]) -> None:
-        while not self._has_ended:
+        while self._failure is None:
             message = self._next(self._max_message_bytes)
             if message is None:
                 return
@@ -222,9 +222,8 @@
             raise PeerError(error.message, step=error.step, peer=self.peer) from None
 
     def _end(self, error: Exception) -> None:
-        if self._has_ended:
+        if self._failure is not None:
             return
-        self._has_ended = True
         self._failure = error
         self._has_news.set()
         if self._transport is not None:
--- a/packages/rampwick-schema/src/rampwick_schema/_filled.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_filled.py
@@ -46,23 +46,24 @@
     filled = data.get(FILLED)
     if not isinstance(filled, dict):
         return merged
+    sections = get_type_hints(cls)
     for table, figures in filled.items():
         if not isinstance(figures, dict):
             note_problem(f"{FILLED}.{table}: is {figures!r}, allowed is a table")
             continue
         known = merged.setdefault(table, {})
         if isinstance(known, dict):
-            merged[table] = {**known, **_read_table(cls, table, figures, note_problem)}
+            read = _read_table(sections.get(table), table, figures, note_problem)
+            merged[table] = {**known, **read}
     return merged
 
 
 def _read_table(
-    cls: type,
+    section: type | None,
     table: str,
     figures: Mapping[str, Any],
     note_problem: Callable[[str], None],
 ) -> dict[str, Any]:
-    section = get_type_hints(cls).get(table)
     fields = attrs.fields_dict(section) if section is not None else {}
     hints = get_type_hints(section) if section is not None else {}
     read = {}
