Reading: the daemon is given its parts, a host's own summary and the lab's engines apart

Cause: Daemon and Assembly took the same seven parameters; the pool both took news and wrote what peers are told; the lab's file held engines and hosts. Change: Daemon takes an Assembly; _own_summary.py; measure/_lab_engine.py; a cache around a cache in _tree.py is gone. No behaviour changes; the one test that builds a daemon builds its parts first.

--- a/measure/_lab.py
+++ b/measure/_lab.py
@@ -1,12 +1,10 @@
 """The load lab: schedulers of several hosts, toy engines and one clock, under a load.
 
 Everything is stepped and seeded: the same pattern, seed and mechanisms give the same
-result. Hosts tell each other summaries as the daemon does; engines read prompts one
-after another, keep the parts used last, and import from a store over one link.
+result. Hosts tell each other summaries as the daemon does.
 """
 
 import random
-from collections import OrderedDict
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from unittest import mock
@@ -23,11 +21,9 @@
     HostListRead,
     Life,
     PeerHeard,
-    PromptPart,
     Refuse,
     RequestArrived,
     Scheduler,
-    Scope,
     Tick,
     TreeInForce,
     TreeView,
@@ -38,7 +34,6 @@
     chain_from_parts,
     kept_life,
     life_label,
-    part_key,
 )
 from rampwick_schema import (
     HostEntry,
@@ -51,16 +46,21 @@
     parse_settings,
 )
 
+from ._lab_engine import (
+    HALLS,
+    HOP_SECONDS,
+    LINK_BITS_PER_SECOND,
+    SCOPE,
+    TOKEN_BYTES,
+    Cache,
+    Engine,
+)
 from ._lab_script import Call, Kind, Pattern, Sample, script
 from ._runner import Clock
 
-HALLS = ("a", "b", "c", "d")
-SCOPE = Scope("wall", "m")
 STORE = "kept"
 SERVICE = "s"
 
-#: One way between a host and an engine or another host.
-HOP_SECONDS = 0.001
 TICK_SECONDS = 0.1
 GOSSIP_SECONDS = 0.25
 #: Between two words of what a cache holds, and their way.
@@ -68,9 +68,6 @@
 CACHE_LAG_SECONDS = 0.1
 EARLY_WORD_SECONDS = 0.05
 LONG_PROMPT_TOKENS = 1000
-STEP_SECONDS = 0.006
-TOKEN_BYTES = 163_840
-LINK_BITS_PER_SECOND = 180e9
 
 #: Mechanisms that can be left out.
 MECHANISMS = (
@@ -82,87 +79,6 @@
 )
 
 
-class Cache:
-    """Parts by key, those used last; tells what changed since it was asked last."""
-
-    def __init__(self, capacity_tokens: int) -> None:
-        self._capacity_tokens = capacity_tokens
-        self.tokens: OrderedDict[bytes, int] = OrderedDict()
-        self._changed: dict[bytes, int] = {}
-        self.link_free_seconds = 0.0
-
-    def missing(self, parts: tuple[PromptPart, ...]) -> int:
-        """Return the tokens of a prompt from its first part that is not kept."""
-        for index, part in enumerate(parts):
-            if part_key(SCOPE, part.name) not in self.tokens:
-                return sum(item.tokens for item in parts[index:])
-        return 0
-
-    def use(self, parts: tuple[PromptPart, ...]) -> None:
-        """Keep the parts of a prompt; those unused longest give way."""
-        for part in reversed(parts):
-            key = part_key(SCOPE, part.name)
-            self.tokens[key] = self._changed[key] = part.tokens
-            self.tokens.move_to_end(key)
-        while sum(self.tokens.values()) > self._capacity_tokens:
-            key, _ = self.tokens.popitem(last=False)
-            self._changed[key] = 0
-
-    def take_changes(self) -> dict[bytes, int]:
-        """Return what changed since the last call."""
-        changed, self._changed = self._changed, {}
-        return changed
-
-
-class Engine:
-    """Reads prompts one after another, first come first served."""
-
-    def __init__(self, lab: "Lab", name: str, hall: str) -> None:
-        self._lab = lab
-        self.name = name
-        self.hall = hall
-        self.cache = Cache(lab.pattern.cache_tokens)
-        self._free_seconds = 0.0
-        self.read_tokens = 0
-
-    def take(self, host: "Host", dispatch: Dispatch, sample: Sample) -> None:
-        """Receive an attempt: import what it may, then wait to be read."""
-        now_seconds = self._lab.clock.now_seconds
-        ready_seconds = now_seconds
-        parts = sample.call.parts
-        if dispatch.import_address:
-            ready_seconds = self._import(parts[:-1], now_seconds)
-        delay = ready_seconds - now_seconds
-        self._lab.clock.after(delay, self._read, host, dispatch, sample)
-
-    def _import(self, parts: tuple[PromptPart, ...], now_seconds: float) -> float:
-        store = self._lab.store
-        tokens = self.cache.missing(parts)
-        if not tokens or store.missing(parts):
-            return now_seconds + HOP_SECONDS
-        seconds = tokens * 8.0 * TOKEN_BYTES / LINK_BITS_PER_SECOND
-        seconds *= 1.0 if self.hall == HALLS[1] else 2.0
-        begin = max(now_seconds, store.link_free_seconds)
-        store.link_free_seconds = begin + seconds
-        self.cache.use(parts)
-        return store.link_free_seconds
-
-    def _read(self, host: "Host", dispatch: Dispatch, sample: Sample) -> None:
-        now_seconds = self._lab.clock.now_seconds
-        parts = sample.call.parts
-        missing = self.cache.missing(parts)
-        self.read_tokens += missing
-        self.cache.use(parts)
-        if dispatch.save_address:
-            self._lab.store.use(parts[:-1])
-        begin = max(now_seconds, self._free_seconds)
-        self._free_seconds = begin + missing / self._lab.pattern.tokens_per_second
-        delay = self._free_seconds - now_seconds + HOP_SECONDS
-        self._lab.clock.after(delay, host.first_token, dispatch)
-        answer_seconds = sample.call.kind.answer_tokens * STEP_SECONDS
-        self._lab.clock.after(delay + answer_seconds, host.done, dispatch, sample)
-
-
 class Host:
     """One host's scheduler."""
 
--- /dev/null
+++ b/measure/_lab_engine.py
@@ -0,0 +1,103 @@
+"""Toy engines of the load lab, and the caches they and their store keep."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from rampwick_policy import Dispatch, PromptPart, Scope, part_key
+
+from ._lab_script import Sample
+
+if TYPE_CHECKING:
+    from ._lab import Host, Lab
+
+HALLS = ("a", "b", "c", "d")
+SCOPE = Scope("wall", "m")
+
+#: One way between a host and an engine or another host.
+HOP_SECONDS = 0.001
+STEP_SECONDS = 0.006
+TOKEN_BYTES = 163_840
+LINK_BITS_PER_SECOND = 180e9
+
+
+class Cache:
+    """Parts by key, those used last; tells what changed since it was asked last."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity_tokens = capacity_tokens
+        self.tokens: OrderedDict[bytes, int] = OrderedDict()
+        self._changed: dict[bytes, int] = {}
+        self.link_free_seconds = 0.0
+
+    def missing(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens of a prompt from its first part that is not kept."""
+        for index, part in enumerate(parts):
+            if part_key(SCOPE, part.name) not in self.tokens:
+                return sum(item.tokens for item in parts[index:])
+        return 0
+
+    def use(self, parts: tuple[PromptPart, ...]) -> None:
+        """Keep the parts of a prompt; those unused longest give way."""
+        for part in reversed(parts):
+            key = part_key(SCOPE, part.name)
+            self.tokens[key] = self._changed[key] = part.tokens
+            self.tokens.move_to_end(key)
+        while sum(self.tokens.values()) > self._capacity_tokens:
+            key, _ = self.tokens.popitem(last=False)
+            self._changed[key] = 0
+
+    def take_changes(self) -> dict[bytes, int]:
+        """Return what changed since the last call."""
+        changed, self._changed = self._changed, {}
+        return changed
+
+
+class Engine:
+    """Reads prompts one after another, first come first served."""
+
+    def __init__(self, lab: Lab, name: str, hall: str) -> None:
+        self._lab = lab
+        self.name = name
+        self.hall = hall
+        self.cache = Cache(lab.pattern.cache_tokens)
+        self._free_seconds = 0.0
+        self.read_tokens = 0
+
+    def take(self, host: Host, dispatch: Dispatch, sample: Sample) -> None:
+        """Receive an attempt: import what it may, then wait to be read."""
+        now_seconds = self._lab.clock.now_seconds
+        ready_seconds = now_seconds
+        parts = sample.call.parts
+        if dispatch.import_address:
+            ready_seconds = self._import(parts[:-1], now_seconds)
+        delay = ready_seconds - now_seconds
+        self._lab.clock.after(delay, self._read, host, dispatch, sample)
+
+    def _import(self, parts: tuple[PromptPart, ...], now_seconds: float) -> float:
+        store = self._lab.store
+        tokens = self.cache.missing(parts)
+        if not tokens or store.missing(parts):
+            return now_seconds + HOP_SECONDS
+        seconds = tokens * 8.0 * TOKEN_BYTES / LINK_BITS_PER_SECOND
+        seconds *= 1.0 if self.hall == HALLS[1] else 2.0
+        begin = max(now_seconds, store.link_free_seconds)
+        store.link_free_seconds = begin + seconds
+        self.cache.use(parts)
+        return store.link_free_seconds
+
+    def _read(self, host: Host, dispatch: Dispatch, sample: Sample) -> None:
+        now_seconds = self._lab.clock.now_seconds
+        parts = sample.call.parts
+        missing = self.cache.missing(parts)
+        self.read_tokens += missing
+        self.cache.use(parts)
+        if dispatch.save_address:
+            self._lab.store.use(parts[:-1])
+        begin = max(now_seconds, self._free_seconds)
+        self._free_seconds = begin + missing / self._lab.pattern.tokens_per_second
+        delay = self._free_seconds - now_seconds + HOP_SECONDS
+        self._lab.clock.after(delay, host.first_token, dispatch)
+        answer_seconds = sample.call.kind.answer_tokens * STEP_SECONDS
+        self._lab.clock.after(delay + answer_seconds, host.done, dispatch, sample)
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_own_summary.py
@@ -0,0 +1,80 @@
+"""What one host tells its peers of itself: use, open work, placements, what is down."""
+
+from collections.abc import Mapping
+
+from rampwick_schema import Summary, UpstreamUsage, WaitingCount, WorkspaceUsage
+
+from ._health import HealthState
+from ._pool import Pool
+
+#: Time after its first failure for which peers are told that an upstream is down, and
+#: the failures in a row from which on they are: one lost packet is no news.
+DOWN_TOLD_SECONDS = 1.5
+DOWN_TOLD_FAILURES = 2
+
+#: Part of the upstreams beyond which a host that finds them down tells nobody: it is
+#: then more likely cut off itself.
+MAX_DOWN_TOLD_RATIO = 0.5
+
+
+def own_summary(
+    pool: Pool,
+    waiting: Mapping[tuple[str, str], int],
+    sequence: int,
+    revision: int,
+    is_leaving: bool,
+    now_seconds: float,
+) -> Summary:
+    """Return what peers are told.
+
+    ``waiting`` counts requests by workspace and service. The news of placements are
+    told once.
+    """
+    return Summary(
+        sequence=sequence,
+        revision=revision,
+        host_list_version=pool.upstreams.list_version,
+        is_leaving=is_leaving,
+        workspaces=_workspace_usages(pool, now_seconds),
+        upstreams=[*_upstream_usages(pool), *pool.moves.usages()],
+        placed=pool.take_placed(),
+        down=_found_down(pool, now_seconds),
+        waiting=[
+            WaitingCount(path, service, count)
+            for (path, service), count in sorted(waiting.items())
+        ],
+    )
+
+
+def _found_down(pool: Pool, now_seconds: float) -> list[str]:
+    down = [
+        upstream
+        for upstream in pool.upstreams
+        if upstream.health.state is HealthState.DOWN
+    ]
+    if len(down) > MAX_DOWN_TOLD_RATIO * len(pool.upstreams):
+        return []
+    return [
+        upstream.name
+        for upstream in down
+        if upstream.health.failures_count >= DOWN_TOLD_FAILURES
+        and now_seconds - upstream.health.down_at_seconds < DOWN_TOLD_SECONDS
+    ]
+
+
+def _workspace_usages(pool: Pool, now_seconds: float) -> list[WorkspaceUsage]:
+    used = pool.ledger.own_use(now_seconds)
+    return [WorkspaceUsage(path, round(used[path])) for path in sorted(used)]
+
+
+def _upstream_usages(pool: Pool) -> list[UpstreamUsage]:
+    return [
+        UpstreamUsage(
+            upstream=upstream.name,
+            incarnation=upstream.life_name,
+            running_count=len(upstream.own_attempts),
+            waiting_tokens=upstream.own_waiting_tokens,
+        )
+        for upstream in pool.upstreams
+        if upstream.own_attempts
+    ]
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -4,7 +4,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection
 from operator import attrgetter
 from typing import Any
 
@@ -12,11 +12,8 @@
 
 from rampwick_schema import (
     HostList,
+    PlacedPrefix,
     Settings,
-    Summary,
-    UpstreamUsage,
-    WaitingCount,
-    WorkspaceUsage,
 )
 
 from . import _events as ev
@@ -33,15 +30,6 @@
 from ._shares import ShareLedger
 from ._upstreams import Upstream, UpstreamTable
 
-#: Time after its first failure for which peers are told that an upstream is down, and
-#: the failures in a row from which on they are: one lost packet is no news.
-DOWN_TOLD_SECONDS = 1.5
-DOWN_TOLD_FAILURES = 2
-
-#: Part of the upstreams beyond which a host that finds them down tells nobody: it is
-#: then more likely cut off itself.
-MAX_DOWN_TOLD_RATIO = 0.5
-
 #: Runners of one version that are weighed as sources of a prompt, those that hold most
 #: first: one for the choice, the others where it is the source itself.
 MAX_HOLDERS = 3
@@ -219,64 +207,9 @@
         upstream.life = None
         self._notice(upstream, error, now_seconds)
 
-    def summary(
-        self,
-        waiting: Mapping[tuple[str, str], int],
-        sequence: int,
-        revision: int,
-        is_leaving: bool,
-        now_seconds: float,
-    ) -> Summary:
-        """Return what peers are told.
-
-        ``waiting`` counts requests by workspace and service. The news of placements
-        are told once.
-        """
-        return Summary(
-            sequence=sequence,
-            revision=revision,
-            host_list_version=self.upstreams.list_version,
-            is_leaving=is_leaving,
-            workspaces=self._workspace_usages(now_seconds),
-            upstreams=[*self._upstream_usages(), *self.moves.usages()],
-            placed=self._news.take(),
-            down=self._found_down(now_seconds),
-            waiting=[
-                WaitingCount(path, service, count)
-                for (path, service), count in sorted(waiting.items())
-            ],
-        )
-
-    def _found_down(self, now_seconds: float) -> list[str]:
-        down = [
-            upstream
-            for upstream in self.upstreams
-            if upstream.health.state is HealthState.DOWN
-        ]
-        if len(down) > MAX_DOWN_TOLD_RATIO * len(self.upstreams):
-            return []
-        return [
-            upstream.name
-            for upstream in down
-            if upstream.health.failures_count >= DOWN_TOLD_FAILURES
-            and now_seconds - upstream.health.down_at_seconds < DOWN_TOLD_SECONDS
-        ]
-
-    def _workspace_usages(self, now_seconds: float) -> list[WorkspaceUsage]:
-        used = self.ledger.own_use(now_seconds)
-        return [WorkspaceUsage(path, round(used[path])) for path in sorted(used)]
-
-    def _upstream_usages(self) -> list[UpstreamUsage]:
-        return [
-            UpstreamUsage(
-                upstream=upstream.name,
-                incarnation=upstream.life_name,
-                running_count=len(upstream.own_attempts),
-                waiting_tokens=upstream.own_waiting_tokens,
-            )
-            for upstream in self.upstreams
-            if upstream.own_attempts
-        ]
+    def take_placed(self) -> list[PlacedPrefix]:
+        """Return the placements that peers have not been told, to tell them once."""
+        return self._news.take()
 
     def _on_report(self, event: ev.LoadReported, now_seconds: float) -> None:
         upstream = self.upstreams.get(event.upstream)
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -22,6 +22,7 @@
 from ._errors import LifecycleError
 from ._knowledge import CacheKnowledge
 from ._membership import Membership
+from ._own_summary import own_summary
 from ._placement import Placement, PricedKnowledge
 from ._pool import Pool, PoolEvent
 from ._queue import QueuedRequest, WaitingQueue
@@ -135,8 +136,13 @@
         self, sequence: int, revision: int, is_leaving: bool, now_seconds: float
     ) -> Summary:
         """Return what peers are told; the news of placements are told once."""
-        return self.pool.summary(
-            self.queue.service_counts(), sequence, revision, is_leaving, now_seconds
+        return own_summary(
+            self.pool,
+            self.queue.service_counts(),
+            sequence,
+            revision,
+            is_leaving,
+            now_seconds,
         )
 
     # Requests.
--- a/packages/rampwick-policy/src/rampwick_policy/_tree.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_tree.py
@@ -4,7 +4,6 @@
 answers look-ups from precomputed maps.
 """
 
-import functools
 import hashlib
 import re
 from collections.abc import Iterable, Iterator
@@ -121,7 +120,6 @@
 
 
 @lru_cache(maxsize=8192)
-@functools.lru_cache(maxsize=4096)
 def lineage(path: str) -> tuple[str, ...]:
     """Return the root, each ancestor and the path itself, in that order."""
     parts = [part for part in path.split("/") if part]
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -64,11 +64,11 @@
         integration: Integration | None,
     ) -> None:
         draw = random.Random()
-        self._settings = settings
-        self._api = api
-        self._clocks = clocks
+        self.settings = settings
+        self.api = api
+        self.clocks = clocks
+        self.channels = channels
         self._metrics = Metrics()
-        self._channels = channels
         self.life = Life()
         self.follower = ConfigurationFollower()
         incarnation = time.time_ns()
@@ -161,8 +161,8 @@
         self.directory: PeerDirectory | None = None
         if api is None:
             return
-        settings, scheduler, steward = self._settings, self.scheduler, self.steward
-        read_clock = self._clocks.monotonic
+        settings, scheduler, steward = self.settings, self.scheduler, self.steward
+        read_clock = self.clocks.monotonic
         if integration is None:
             self.configuration.source = TreeStoreSource(
                 TreeStore(api), settings, self.gossip.roles.neighbours, read_clock
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -44,23 +44,11 @@
 class Daemon:
     """One rampwickd; ``run_daemon`` starts and stops it."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        api: ObjectApi | None,
-        upstreams: UpstreamClient,
-        channels: ChannelPool,
-        peer_address: str,
-        clocks: Clocks,
-        integration: Integration | None,
-    ) -> None:
-        built = Assembly(
-            settings, api, upstreams, channels, peer_address, clocks, integration
-        )
-        self._settings = settings
-        self._api = api
-        self._clocks = clocks
-        self._channels = channels
+    def __init__(self, built: Assembly) -> None:
+        self._settings = built.settings
+        self._api = built.api
+        self._clocks = built.clocks
+        self._channels = built.channels
         self._built = built
         self._hosts = built.hosts
         self._configuration = built.configuration
@@ -231,7 +219,7 @@
             settings.limits.max_event_bytes,
         )
         listeners = await listen(settings.listen, stack, listener)
-        daemon = Daemon(
+        built = Assembly(
             settings,
             api,
             upstreams,
@@ -240,6 +228,7 @@
             clocks,
             integration,
         )
+        daemon = Daemon(built)
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         await daemon.start(tasks, listeners)
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -19,7 +19,8 @@
     TargetsRead,
     TargetWeights,
 )
-from rampwick_router._daemon import Clocks, Daemon
+from rampwick_router._assembly import Assembly, Clocks
+from rampwick_router._daemon import Daemon
 from rampwick_router._scheduler_task import SchedulerTask
 from rampwick_router.control._configuration import ConfigurationTask
 from rampwick_router.control._host_lists import HostListTask
@@ -84,13 +85,15 @@
     text = f'[host]\nname = "{member.name}"\nhall = "{member.hall}"\n'
     settings = parse_settings(text, source="t")
     return Daemon(
-        settings,
-        FakeApi(),
-        None,
-        None,
-        member.address,
-        Clocks(monotonic=lambda: NOW_SECONDS),
-        make_integration(settings),
+        Assembly(
+            settings,
+            FakeApi(),
+            None,
+            None,
+            member.address,
+            Clocks(monotonic=lambda: NOW_SECONDS),
+            make_integration(settings),
+        )
     )
 
 
