--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -17,7 +17,7 @@
 from ._fallback import read_fallback
 from ._integration import Integration
 from ._logs import PartLogger, milliseconds
-from ._servers import Addresses, Listeners, listen, serve_apps
+from ._servers import CLOSE_SECONDS, Addresses, Listeners, listen, serve_apps
 from .upstream import (
     ChannelPool,
     UpstreamClient,
@@ -26,9 +26,9 @@
 #: Time between two looks at whether all requests have been served out.
 DRAIN_STEP_SECONDS = 0.05
 
-#: Time before a stopping process would be killed at which it is gone: what closing
-#: the listeners and the connections takes, several times over.
-STOP_MARGIN_SECONDS = 1.0
+#: Time before a stopping process would be killed at which it begins to close: what the
+#: HTTP library is given to close connections, and half as much again.
+STOP_MARGIN_SECONDS = 1.5 * CLOSE_SECONDS
 
 #: Longest wait of a host that starts for what it decides by: a few calls to the store
 #: and to caches in calm times, a small part of what callers bear in others.
@@ -166,6 +166,7 @@
         await self.steward.give_up()
         self._gossip.summaries.tell_own()
         await self.life.pause(self._settings.life.balancer_delay_seconds)
+        self.life.has_balancer_turned = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("closed, serving out", open_count=self.entry.open_count)
         with anyio.move_on_after(self._drain_seconds()):
--- a/packages/rampwick-router/src/rampwick_router/_life.py
+++ b/packages/rampwick-router/src/rampwick_router/_life.py
@@ -17,6 +17,8 @@
         self._hurrying = anyio.Event()
         #: Steady time by which a stopping host is gone; none while it has time.
         self.gone_by_seconds: float | None = None
+        #: Whether the balancer has had the time to send callers elsewhere.
+        self.has_balancer_turned = False
 
     @property
     def is_ready(self) -> bool:
--- a/packages/rampwick-router/src/rampwick_router/entry/_parts.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_parts.py
@@ -7,6 +7,7 @@
 from rampwick_policy import (
     Access,
     AccessRules,
+    AnswerPace,
     ConfigurationFollower,
     SaltBook,
     TreeView,
@@ -73,6 +74,8 @@
     dialects: Dialects
     salts: SaltBook
     silences: SilenceWatch
+    #: How long answers take here, for when this host leaves.
+    pace: AnswerPace = attrs.field(factory=AnswerPace)
 
     def look_up(self, call: RoutedCall) -> Access:
         """Return what the configuration in force says of a request on a route."""
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -78,12 +78,20 @@
 
     def _check_stop(self, route: Route, call: RoutedCall) -> None:
         """Raise if this host may be gone before the answer is whole."""
-        gone_by_seconds = self._parts.life.gone_by_seconds
-        if gone_by_seconds is None or fits_before(
-            gone_by_seconds,
+        life, now_seconds = self._parts.life, self._parts.read_clock()
+        if life.gone_by_seconds is None:
+            return
+        # While the balancer still sends callers here, few are turned away; those on
+        # kept connections that come later go to another host as well.
+        pace_ratio = 1.0
+        if life.has_balancer_turned:
+            pace_ratio = self._parts.pace.worst_ratio(now_seconds)
+        if fits_before(
+            life.gone_by_seconds,
             latency_target_seconds=route.latency_target_seconds,
             max_answer_tokens=call.max_answer_tokens,
-            now_seconds=self._parts.read_clock(),
+            now_seconds=now_seconds,
+            pace_ratio=pace_ratio,
         ):
             return
         raise CallerError(
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -164,7 +164,14 @@
         await self.responder.start(head.status, headers)
 
     def _log_answer(self, dispatch: Dispatch) -> None:
-        whole_seconds = self.parts.read_clock() - self.arrived_at_seconds
+        now_seconds = self.parts.read_clock()
+        whole_seconds = now_seconds - self.arrived_at_seconds
+        self.parts.pace.note(
+            whole_seconds,
+            latency_target_seconds=self._request.route.latency_target_seconds,
+            answer_tokens=self._call.max_answer_tokens,
+            now_seconds=now_seconds,
+        )
         log.info(
             "request answered",
             request=self._call.request_id,
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -7,6 +7,7 @@
 
 from rampwick_policy import (
     AccessRules,
+    AnswerPace,
     RouteIndex,
     TreeError,
     TreeView,
@@ -149,3 +150,24 @@
         self.assertTrue(fits_before(13.0, max_answer_tokens=50, **terms))
         self.assertFalse(fits_before(12.0, max_answer_tokens=50, **terms))
         self.assertTrue(fits_before(11.0, max_answer_tokens=0, **terms))
+
+    def test_after_slow_answers_less_is_taken(self):
+        # Answers of 36 tokens took 6.4 s after an outage of the store; a host with 4 s
+        # left took such requests on kept connections and cut them.
+        pace = AnswerPace()
+        terms = {"latency_target_seconds": 0.515, "now_seconds": 10.0}
+        self.assertTrue(fits_before(14.5, max_answer_tokens=36, **terms))
+        pace.note(6.4, answer_tokens=36, **terms)
+        ratio = pace.worst_ratio(11.0)
+        self.assertFalse(
+            fits_before(14.5, max_answer_tokens=36, pace_ratio=ratio, **terms)
+        )
+        self.assertTrue(
+            fits_before(14.5, max_answer_tokens=0, pace_ratio=ratio, **terms)
+        )
+
+    def test_slow_answers_are_forgotten(self):
+        pace = AnswerPace()
+        pace.note(6.4, latency_target_seconds=0.5, answer_tokens=36, now_seconds=10.0)
+        self.assertGreater(pace.worst_ratio(11.0), 2.9)
+        self.assertEqual(2.0, pace.worst_ratio(60.0))
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -115,6 +115,58 @@
     return StoreTranslation().read_tree(state(stored("config/main", manifest)))
 
 
+class TenantLimitsTest(TestCase):
+    """Limits of tenants, however the manifest writes them."""
+
+    def read(self, **fields):
+        tenant = {"name": "t1", "api_keys": ["k"], **fields}
+        manifest = {**MANIFEST, "tenants": [tenant]}
+        held = state(stored("config/main", manifest))
+        return StoreTranslation().read_tree(held).nodes["/t1"]
+
+    def test_tokens_and_what_a_plain_request_counts(self):
+        node = self.read(
+            unit="token_stream", plain_tokens=200, rate_per_s=516742, burst=1000.5
+        )
+        self.assertEqual(
+            (516742.0, 1000.5, 200.0, False),
+            (
+                node.tokens_per_second,
+                node.burst_tokens,
+                node.plain_tokens,
+                node.counts_requests,
+            ),
+        )
+
+    def test_requests_count_as_one_where_no_unit_is_named(self):
+        node = self.read(rate_per_s=12.5)
+        self.assertEqual(
+            (12.5, None, True),
+            (node.tokens_per_second, node.burst_tokens, node.counts_requests),
+        )
+
+    def test_zero_or_nothing_is_no_limit(self):
+        for fields in ({}, {"rate_per_s": 0, "burst": 5}, {"rate_per_s": None}):
+            node = self.read(**fields)
+            self.assertEqual((None, None), (node.tokens_per_second, node.burst_tokens))
+
+    def test_a_limit_beyond_all_bounds_stops_no_manifest(self):
+        self.assertEqual(1e9, self.read(rate_per_s=1e15).tokens_per_second)
+
+    def test_tokens_are_counted_as_the_caller_names_them(self):
+        def named(value):
+            headers = [(b"x-rampwick-request-id", b"r1")]
+            if value is not None:
+                headers.append((b"x-rampwick-token-usage", value))
+            call = CallerTranslation().read_call(RawCall("POST", "/a/1", headers))
+            return call.named_tokens
+
+        self.assertEqual(1540, named(b"1460,80"))
+        self.assertEqual(1540, named(b" 1460 , 80 "))
+        self.assertIsNone(named(None))
+        self.assertIsNone(named(b"1460,many"))
+
+
 class ManifestTest(TestCase):
     def test_a_manifest_becomes_a_valid_tree(self):
         view = TreeView(read_tree(MANIFEST))
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -122,6 +122,44 @@
         self.assertEqual(1, run(scenario, {"labels": ["a"]}))
 
 
+class LeavingHostTest(TestCase):
+    """A host that leaves takes only what it will surely answer whole.
+
+    Symptom: callers on kept connections saw answers cut in the middle while hosts were
+    stopped one by one. Sequence: the store had been away, answers took three times what
+    hosts reckon, and a host with four seconds left took requests that needed six.
+    """
+
+    def leave(self, slow_seconds, left_seconds):
+        async def scenario(host, found):
+            daemon = host.daemon
+            now_seconds = daemon._clocks.monotonic()
+            if slow_seconds:
+                daemon._parts.pace.note(
+                    slow_seconds,
+                    latency_target_seconds=1.0,
+                    answer_tokens=0,
+                    now_seconds=now_seconds,
+                )
+            daemon.life.begin_stop()
+            daemon.life.gone_by_seconds = now_seconds + left_seconds
+            daemon.life.has_balancer_turned = True
+            return await host.call("/again/1"), ran(found)
+
+        return run(scenario)
+
+    def test_what_may_not_be_done_is_refused_while_it_has_not_run(self):
+        answer, seen = self.leave(slow_seconds=6.4, left_seconds=5.0)
+        self.assertEqual((503, []), (answer.status, seen))
+        self.assertEqual("close", answer.headers["connection"])
+        # Whole seconds are what this dialect can say.
+        self.assertEqual("1", answer.headers["retry-after"])
+
+    def test_what_will_be_done_is_served(self):
+        answer, seen = self.leave(slow_seconds=0.0, left_seconds=5.0)
+        self.assertEqual((200, 1), (answer.status, len(seen)))
+
+
 class NotRunTest(TestCase):
     """What an answer says of whether a request ran is true."""
 
