--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -28,6 +28,10 @@
 #: of peers' words, so that the correction of one host isn't repeated by all.
 SETTLE_SECONDS = 2.0
 
+#: Part of what a limit may be passed by that is aimed at: a fleet that aims at the
+#: limit itself is below it half of the time, and refuses then what is within it.
+AIMED_RATIO = 0.3
+
 #: Age up to which a peer's word is continued, and up to which it then holds: a peer
 #: that says nothing may still be sending. From there on it leaves the window.
 CONTINUED_SECONDS = 1.0
@@ -179,7 +183,7 @@
         if self._asked_since_seconds is None:
             self._asked_since_seconds = now_seconds
         self._asked.add(tokens, now_seconds)
-        allowed = allowed_tokens(self.limit, terms.window_seconds) * terms.part_ratio
+        allowed, most = self._bounds(terms)
         used = self.used_tokens(terms, now_seconds)
         if now_seconds < self._forgiven_until_seconds:
             used = min(used, allowed)
@@ -194,7 +198,6 @@
             known_seconds = terms.window_seconds - terms.unknown_seconds
             fresh = self._refill * (known_seconds + FRESH_SECONDS) * terms.part_ratio
             room = max(room, fresh - used)
-        most = allowed * (1.0 + terms.over_ratio) + terms.slack_tokens
         may_settle = max(0.0, room / SETTLE_SECONDS + leaving)
         self.admit_ratio = min(1.0, may_settle / max(1.0, asked))
         if tokens + ahead <= room:
@@ -210,6 +213,13 @@
         most_seconds = terms.window_seconds
         return OverLimit(self.limit.path, min(wait_seconds, most_seconds))
 
+    def _bounds(self, terms: FleetTerms) -> tuple[float, float]:
+        """Return what is aimed at within a window, and what must not be passed."""
+        limit = allowed_tokens(self.limit, terms.window_seconds)
+        most = limit * (1.0 + terms.over_ratio) + terms.slack_tokens
+        aimed = limit + (most - limit) * AIMED_RATIO
+        return aimed * terms.part_ratio, most * terms.part_ratio
+
     def used_tokens(self, terms: FleetTerms, now_seconds: float) -> float:
         """Return what all hosts have sent within the window, as far as known."""
         used = self._sent.total(now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_lapses.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_lapses.py
@@ -48,10 +48,15 @@
         listed = {entry.name: entry for entry in entries}
         if self._is_returning(now_seconds):
             known = self._known_before(newest)
+            # Where another upstream is now, the one before is gone: it may have
+            # started again under another name.
+            taken = {entry.address for entry in listed.values()}
             self._lapsed = {
                 name: entry
                 for name, entry in known.items()
-                if name not in listed and entry.state != "leaving"
+                if name not in listed
+                and entry.state != "leaving"
+                and entry.address not in taken
             }
         else:
             self._lapsed = {}
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -67,6 +67,8 @@
             settings.queue.slots_factor,
         )
         self.imports = Imports()
+        #: Names of the services that requests may be led to.
+        self.services: frozenset[str] = frozenset()
         self.moves = Moves(self.peers)
         self.notices = NoticeBook()
         self._news = PlacementNews()
@@ -86,6 +88,14 @@
         """Take a piece of news."""
         self._handlers[type(event)](event, now_seconds)
 
+    def is_in_service(self, upstream: Upstream) -> bool:
+        """Return whether an upstream belongs to a service that is in force.
+
+        An entry that names another service names no runner to use, or to order.
+        """
+        group = upstream.entry.group
+        return not group or group in self.services
+
     def import_sources(
         self, service: str, chain: PrefixChain, now_seconds: float
     ) -> list[ImportSource]:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -368,6 +368,8 @@
         self.admission.workspaces = event.view.workspaces
         self.limits.apply(event.view.workspaces, now_seconds)
         self.pool.imports.apply(event.view.routes)
+        services = event.view.routes.routing.services
+        self.pool.services = frozenset(service.name for service in services)
         return []
 
     def _on_tick(self, event: ev.Tick, now_seconds: float) -> list[ev.Action]:
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -98,7 +98,8 @@
     is_misdirected: bool = False
     #: Whether the answer is proved to be the upstream's own.
     is_signed: bool = False
-    incarnation: str = ""
+    #: Whether it names another upstream, or another life, than was asked.
+    is_another: bool = False
     #: Weights of the upstream; none if it does not say.
     weights_version: int | None = None
     retry_after_seconds: float | None = None
@@ -133,8 +134,8 @@
     def request_headers(self, call: RoutedCall, terms: AttemptTerms) -> list[Header]:
         """Return the headers of an attempt; its body keeps its length."""
 
-    def read_answer(self, head: AnswerHead) -> AnswerFacts:
-        """Return what the head of an answer says."""
+    def read_answer(self, head: AnswerHead, incarnation: str) -> AnswerFacts:
+        """Return what the head of an answer says; ``incarnation`` was asked."""
 
     def answer_headers(self, head: AnswerHead) -> list[Header]:
         """Return the headers that the caller is sent."""
--- a/packages/rampwick-router/src/rampwick_router/_own_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -123,19 +123,19 @@
             headers.append((WEIGHTS, str(terms.weights_version).encode()))
         return headers
 
-    def read_answer(self, head: AnswerHead) -> AnswerFacts:
+    def read_answer(self, head: AnswerHead, incarnation: str) -> AnswerFacts:
         """Return what the head of an answer says."""
         headers = head.headers
         not_run = find(headers, NOT_RUN)
-        incarnation = find(headers, INCARNATION) or b""
+        named = (find(headers, INCARNATION) or b"").decode("latin-1")
         retry_after = find(headers, b"retry-after")
         weights = find(headers, WEIGHTS)
         return AnswerFacts(
             request_id=(find(headers, REQUEST_ID) or b"").decode("latin-1"),
             was_refused=not_run is not None,
             is_misdirected=not_run == b"misdirected",
-            is_signed=bool(incarnation),
-            incarnation=incarnation.decode("latin-1"),
+            is_signed=bool(named),
+            is_another=named not in ("", incarnation),
             weights_version=int(weights) if weights and weights.isdigit() else None,
             retry_after_seconds=_read_seconds(retry_after),
             max_rest_seconds=keep_alive_seconds(headers),
--- a/packages/rampwick-router/src/rampwick_router/control/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_steward.py
@@ -329,6 +329,7 @@
         if upstream.is_runner
         and upstream.last_life is not None
         and upstream.entry.state != "leaving"
+        and scheduler.pool.is_in_service(upstream)
     ]
 
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -73,7 +73,7 @@
         ) as self._channel:
             await self._channel.send(call.method, call.target, headers, body)
             head = await self._receive_head()
-            facts = dialect.read_answer(head)
+            facts = dialect.read_answer(head, dispatch.incarnation)
             self._note_channel(facts)
             self._check(head, facts)
             with self._parts.silences.listen(self._silence_seconds()) as listening:
@@ -184,7 +184,7 @@
         dispatch = self.dispatch
         if facts.weights_version is None or not dispatch.weights_version:
             return
-        if facts.incarnation not in ("", dispatch.incarnation):
+        if facts.is_another:
             return
         if facts.weights_version != dispatch.weights_version:
             seen = WeightsSeen(
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -229,7 +229,9 @@
                     "service": "engine-s",
                     "address": "10.0.0.9:1",
                     "zone": "b",
+                    "version": "v1",
                     "slots": 64,
+                    "cold_remaining_ms": 0,
                     "state": "draining",
                     "models": [{"name": "m-1", "version": 4, "adapters": []}],
                     "seq": 4,
@@ -357,13 +359,16 @@
         read = UpstreamTranslation().read_answer
 
         def facts(status, *headers):
-            return read(AnswerHead(status, list(headers), True))
+            return read(AnswerHead(status, list(headers), True), "i-1")
 
         refused = facts(503, (b"X-Rampwick-Not-Executed", b"1"))
         self.assertTrue(refused.was_refused and not refused.is_misdirected)
         other = facts(421, (b"X-Rampwick-Instance-Id", b"i-2"))
         self.assertTrue(other.was_refused and other.is_misdirected)
+        self.assertTrue(other.is_another)
         self.assertFalse(facts(503).was_refused)
+        old = facts(421, (b"X-Rampwick-Instance-Id", b"i-1"))
+        self.assertTrue(old.is_misdirected and not old.is_another)
         served = facts(
             200,
             (b"X-Rampwick-Request-Id", b"id1"),
