--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -69,6 +69,7 @@
 from ._lapses import LapseGuard as LapseGuard
 from ._lease import LeaseWatcher as LeaseWatcher
 from ._leaving import AnswerPace as AnswerPace, fits_before as fits_before
+from ._limit_book import LimitState as LimitState
 from ._membership import Membership as Membership, PeerView as PeerView
 from ._notices import Notice as Notice
 from ._orders import (
--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -8,6 +8,7 @@
 is smaller than one long prompt.
 """
 
+import math
 import random
 
 import attrs
@@ -28,9 +29,13 @@
 #: of peers' words, so that the correction of one host isn't repeated by all.
 SETTLE_SECONDS = 2.0
 
-#: Part of what a limit may be passed by that is aimed at: a fleet that aims at the
-#: limit itself is below it half of the time, and refuses then what is within it.
-AIMED_RATIO = 0.3
+#: Parts of what a limit may be passed by that are aimed at, at least and at most. A
+#: fleet that aims at the limit itself is below it half of the time and refuses then
+#: what is within it. In between, the aim is as far from the bound as what is asked for
+#: within the time in which hosts hear of a burst.
+LEAST_AIMED_RATIO = 0.0
+MOST_AIMED_RATIO = 0.5
+UNHEARD_SECONDS = 0.6
 
 #: Age up to which a peer's word is continued, and up to which it then holds: a peer
 #: that says nothing may still be sending. From there on it leaves the window.
@@ -49,6 +54,9 @@
 #: a lone request is no sign of a workspace over its limit.
 FRESH_SECONDS = 0.5
 
+#: Time for which a limit is said to bind after a refusal.
+BINDING_SECONDS = 1.0
+
 #: Bounds of what callers over a limit are told to wait, and how it is spread.
 MIN_RETRY_AFTER_SECONDS = 0.25
 SPREAD_RATIO = 0.25
@@ -117,6 +125,7 @@
         #: Ratio of the requests that may go, as decided last.
         self.admit_ratio = 1.0
         self._forgiven_until_seconds = 0.0
+        self._refused_at_seconds = -math.inf
         self._asked_since_seconds: float | None = None
 
     def change(
@@ -183,12 +192,12 @@
         if self._asked_since_seconds is None:
             self._asked_since_seconds = now_seconds
         self._asked.add(tokens, now_seconds)
-        allowed, most = self._bounds(terms)
+        asked, leaving = self._rates(now_seconds)
+        allowed, most = self._bounds(asked, terms)
         used = self.used_tokens(terms, now_seconds)
         if now_seconds < self._forgiven_until_seconds:
             used = min(used, allowed)
         unknown = self._unknown_tokens(terms)
-        asked, leaving = self._rates(now_seconds)
         if unknown:
             leaving += self._refill * terms.part_ratio
         others_asked = sum(word.usage.asked_tokens for word in self._words.values())
@@ -209,17 +218,24 @@
         if may_go:
             self._sent.add(tokens, now_seconds)
             return None
+        self._refused_at_seconds = now_seconds
         wait_seconds = self._wait_seconds(tokens - room, asked, may_settle)
         most_seconds = terms.window_seconds
         return OverLimit(self.limit.path, min(wait_seconds, most_seconds))
 
-    def _bounds(self, terms: FleetTerms) -> tuple[float, float]:
+    def _bounds(self, asked: float, terms: FleetTerms) -> tuple[float, float]:
         """Return what is aimed at within a window, and what must not be passed."""
         limit = allowed_tokens(self.limit, terms.window_seconds)
         most = limit * (1.0 + terms.over_ratio) + terms.slack_tokens
-        aimed = limit + (most - limit) * AIMED_RATIO
+        aimed = most - asked * UNHEARD_SECONDS
+        aimed = min(aimed, limit + (most - limit) * MOST_AIMED_RATIO)
+        aimed = max(aimed, limit + (most - limit) * LEAST_AIMED_RATIO)
         return aimed * terms.part_ratio, most * terms.part_ratio
 
+    def is_binding(self, now_seconds: float) -> bool:
+        """Return whether a request was refused because of it of late."""
+        return now_seconds - self._refused_at_seconds < BINDING_SECONDS
+
     def used_tokens(self, terms: FleetTerms, now_seconds: float) -> float:
         """Return what all hosts have sent within the window, as far as known."""
         used = self._sent.total(now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
@@ -11,12 +11,13 @@
 from ._fleet_limit import FleetLimit, FleetTerms, OverLimit, allowed_tokens
 from ._tree import LimitedNode, Workspace
 
-#: Time for which hosts that fell silent may still be serving callers somewhere: what
-#: peers need to notice, and the longest that keys are honoured without confirmation.
-MISSING_SECONDS = 10.0
+#: Time for which hosts that fell silent may still be serving callers somewhere, as long
+#: as keys are usually honoured without confirmation: for so long those that hear each
+#: other keep to their part of each limit.
+SERVING_SECONDS = 5.0
 
-#: Part of the hosts known of late below which those that hear each other keep to
-#: their part of each limit: the others may be serving where nobody hears them.
+#: The same for the smaller part of a fleet, which may itself be what was cut off.
+MISSING_SECONDS = 10.0
 MINORITY_RATIO = 0.5
 
 
@@ -37,7 +38,10 @@
     allowed_tokens: float
     used_tokens: float
     admit_ratio: float
+    #: Part of the limit that the hosts heard here may use.
     part_ratio: float
+    #: Whether requests were refused because of it within the last second.
+    is_binding: bool
 
 
 class LimitBook:
@@ -176,19 +180,27 @@
                 limit.used_tokens(terms, now_seconds),
                 limit.admit_ratio,
                 terms.part_ratio,
+                limit.is_binding(now_seconds),
             )
             for path, limit in sorted(self._limits.items())
         ]
 
+    def _part_ratio(self, now_seconds: float) -> float:
+        """Return the part of each limit that the hosts heard here may use."""
+        ratio = self._hosts_count / self._most_hosts_count
+        missing_seconds = now_seconds - self._most_at_seconds
+        if ratio >= MINORITY_RATIO and missing_seconds > SERVING_SECONDS:
+            return 1.0
+        return ratio
+
     def _terms(self, now_seconds: float) -> FleetTerms:
         settings = self._settings
         known_seconds = self.known_seconds(now_seconds)
-        part_ratio = self._hosts_count / self._most_hosts_count
         return FleetTerms(
             settings.window_seconds,
             settings.over_ratio,
             settings.slack_tokens,
-            1.0 if part_ratio >= MINORITY_RATIO else part_ratio,
+            self._part_ratio(now_seconds),
             max(0.0, settings.window_seconds - known_seconds),
         )
 
--- a/packages/rampwick-policy/src/rampwick_policy/_notices.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_notices.py
@@ -9,7 +9,7 @@
 class Notice(Shown):
     """One belief that is another now."""
 
-    #: What it is about: an upstream or a peer.
+    #: What it is about: an upstream, a peer, a target or a limit.
     kind: str
     name: str
     before: str
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -11,7 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from rampwick_policy import Dispatch, Scheduler
+from rampwick_policy import Dispatch, LimitState, Scheduler
 
 from ._life import Life
 from ._logs import PartLogger
@@ -83,6 +83,9 @@
         used = self._parts.scheduler.look(_read_use)
         for path, tokens in used.items():
             metrics.used_tokens.labels(path).set(tokens)
+        for state in self._parts.scheduler.look(_read_limits):
+            metrics.limit_used.labels(state.path).set(state.used_tokens)
+            metrics.limit_allowed.labels(state.path).set(state.allowed_tokens)
         open_count, waiting_count = self._parts.scheduler.look(_read_counts)
         metrics.open_requests.set(open_count)
         metrics.waiting_requests.set(waiting_count)
@@ -178,6 +181,10 @@
     }
 
 
+def _read_limits(scheduler: Scheduler, now_seconds: float) -> list[LimitState]:
+    return scheduler.limits.states(now_seconds)
+
+
 def _read_counts(scheduler: Scheduler, now_seconds: float) -> tuple[int, int]:
     return scheduler.open_count, len(scheduler.queue)
 
@@ -215,6 +222,9 @@
         "open_count": scheduler.open_count,
         "waiting_count": len(scheduler.queue),
         "retry_budget_count": round(scheduler.budgets.least_saved, 2),
+        "limits": [
+            attrs.asdict(state) for state in scheduler.limits.states(now_seconds)
+        ],
         "known_prefixes_count": scheduler.knowledge.entries_count(),
     }
 
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -83,6 +83,18 @@
             ("workspace",),
             registry=registry,
         )
+        self.limit_used = Gauge(
+            "rampwick_limit_used_tokens",
+            "Tokens that all hosts sent within a limit's window, as far as known.",
+            ("workspace",),
+            registry=registry,
+        )
+        self.limit_allowed = Gauge(
+            "rampwick_limit_allowed_tokens",
+            "Tokens that a limit allows within its window.",
+            ("workspace",),
+            registry=registry,
+        )
         self.control_bytes = Counter(
             "rampwick_control_bytes",
             "Bytes of messages between hosts; scope is hall or across.",
