Who asks for the configuration while it is being read waits for that look

Ruled out: the store (4 ms an answer then), a reader's silence. Change: concurrent looks share one; requests that come before any configuration look, too. Tests: test_look_again.py, two of three fail without.

--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -126,6 +126,7 @@
         self._read_clock = read_clock
         self._task: ConfigurationTask
         self._refreshed_at_seconds = -REFRESH_INTERVAL_SECONDS
+        self._refreshing: anyio.Event | None = None
         self._refused_version = 0
         self._watcher = KindWatcher(
             api,
@@ -144,15 +145,28 @@
         await self._watcher.run()
 
     async def refresh(self) -> None:
-        """Read the configuration now, unless that was done a moment ago."""
-        now_seconds = self._read_clock()
-        if now_seconds - self._refreshed_at_seconds < REFRESH_INTERVAL_SECONDS:
+        """Read the configuration now, unless that was done a moment ago.
+
+        Who asks while it is being read waits for that. A herd's return asks a dozen
+        times at once at each host: all but the first were told at once that nothing
+        was confirmed, 1,001 of the first requests that 90 hosts took (logs).
+        """
+        while self._refreshing is not None:
+            await self._refreshing.wait()
+        since_seconds = self._read_clock() - self._refreshed_at_seconds
+        if since_seconds < REFRESH_INTERVAL_SECONDS:
             return
-        self._refreshed_at_seconds = now_seconds
+        self._refreshing = anyio.Event()
         try:
             await self._watcher.refresh()
+            self._refreshed_at_seconds = self._read_clock()
         except PlatformError as error:
+            self._refreshed_at_seconds = self._read_clock()
             self._note_problem(str(error))
+        finally:
+            # Left unnoted by one whose caller went away: the next one reads.
+            self._refreshing.set()
+            self._refreshing = None
 
     def _note_problem(self, problem: str) -> None:
         self._task.note_problem(problem)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -61,7 +61,7 @@
         self, call: RoutedCall, body: bytes, arrived_at_seconds: float
     ) -> RoutedRequest:
         access = self._parts.look_up(call)
-        if access.verdict is Verdict.STALE:
+        if access.verdict in (Verdict.STALE, Verdict.NO_CONFIGURATION):
             access = await self._look_again(call)
         if access.verdict is not Verdict.ALLOWED:
             raise denial(access.verdict)
--- /dev/null
+++ b/tests/test_look_again.py
@@ -0,0 +1,119 @@
+"""Requests that come before the configuration is confirmed wait for one look at it."""
+
+import random
+from types import SimpleNamespace
+
+import anyio
+from testtools import TestCase
+
+from rampwick_platform import Listing, PlatformUnavailableError, StoredObject
+from rampwick_policy import ConfigurationFollower, Scheduler
+from rampwick_router._scheduler_task import SchedulerTask
+from rampwick_router.control._configuration import ConfigurationTask
+from rampwick_router.control._configuration_sources import WatchedTreeSource
+from rampwick_schema import Node, Tree, parse_settings
+
+SETTINGS = parse_settings('[host]\nname = "h"\nhall = "x"\n', source="t")
+
+
+class SlowApi:
+    """A store whose answers wait for the test."""
+
+    def __init__(self):
+        self.calls_count = 0
+        self.may_answer = anyio.Event()
+        self.is_up = True
+
+    async def list_objects(self, prefix, after_key=""):
+        self.calls_count += 1
+        await self.may_answer.wait()
+        if not self.is_up:
+            raise PlatformUnavailableError("down", step="list objects")
+        return Listing(5, [StoredObject("config/main", 5, b"{}")])
+
+
+class Reader:
+    configuration_prefix = "config/"
+
+    def read_tree(self, state):
+        return Tree(3, {"/": Node()})
+
+
+class LookAgainTest(TestCase):
+    """Symptom: of the first requests at hosts that came back all but one were refused.
+
+    Sequence: a peer told the configuration and not how old it is; a dozen requests
+    asked for a look at the store at once; the first read, the others were told that
+    the last look was a moment ago, and nothing was confirmed yet.
+    """
+
+    def look(self, scenario):
+        async def main():
+            clock = SimpleNamespace(now=100.0)
+            scheduler = SchedulerTask(Scheduler(SETTINGS), lambda: clock.now)
+            task = ConfigurationTask(
+                ConfigurationFollower(), scheduler, lambda: clock.now
+            )
+            api = SlowApi()
+            source = WatchedTreeSource(
+                api, Reader(), SETTINGS, lambda: False, lambda: clock.now, random
+            )
+            task.source = source
+            source._task = task
+            with anyio.fail_after(10.0):
+                return await scenario(task, api, clock)
+
+        return anyio.run(main)
+
+    def test_all_that_ask_at_once_wait_for_one_look(self):
+        async def scenario(task, api, clock):
+            ages = []
+
+            async def ask():
+                await task.refresh()
+                ages.append(task.age_seconds(clock.now))
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(10):
+                    tasks.start_soon(ask)
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual([], ages)
+                api.may_answer.set()
+            return ages, api.calls_count
+
+        ages, calls_count = self.look(scenario)
+        self.assertEqual([0.0] * 10, ages)
+        self.assertEqual(1, calls_count)
+
+    def test_where_the_first_goes_away_the_next_one_looks(self):
+        async def scenario(task, api, clock):
+            async with anyio.create_task_group() as tasks:
+                first = anyio.CancelScope()
+
+                async def ask_and_leave():
+                    with first:
+                        await task.refresh()
+
+                tasks.start_soon(ask_and_leave)
+                await anyio.wait_all_tasks_blocked()
+                tasks.start_soon(task.refresh)
+                await anyio.wait_all_tasks_blocked()
+                first.cancel()
+                await anyio.wait_all_tasks_blocked()
+                api.may_answer.set()
+            return task.age_seconds(clock.now), api.calls_count
+
+        self.assertEqual((0.0, 2), self.look(scenario))
+
+    def test_a_store_that_is_away_is_not_asked_by_each(self):
+        async def scenario(task, api, clock):
+            api.is_up = False
+            api.may_answer.set()
+            async with anyio.create_task_group() as tasks:
+                for _ in range(10):
+                    tasks.start_soon(task.refresh)
+            return api.calls_count, task.problem
+
+        calls_count, problem = self.look(scenario)
+        self.assertEqual(1, calls_count)
+        self.assertIn("down", problem)
