--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -29,11 +29,14 @@
 #: of peers' words, so that the correction of one host isn't repeated by all.
 SETTLE_SECONDS = 2.0
 
-#: How far the fleet's sum passes its aim at the worst while hosts hear of a burst, as a
-#: part of the limit: 0.07 to 0.1 in the patterns of the limits lab. The aim is so far
-#: from what must not be passed: a fleet that aims at the limit itself is below it half
-#: of the time, and refuses then what is within it.
-OVERSHOOT_RATIO = 0.12
+#: Time in which hosts hear of a burst: the aim is as far from what must not be passed as
+#: what is asked for within it, so that a small excess is held near the bound and a
+#: large one near the limit. A fleet that aims at the limit itself is below it half of
+#: the time, and refuses then what is within it.
+UNHEARD_SECONDS = 0.6
+
+#: Largest part of what a limit may be passed by that is aimed at.
+MOST_AIMED_RATIO = 0.5
 
 #: Age up to which a peer's word is continued, and up to which it then holds: a peer
 #: that says nothing may still be sending. From there on it leaves the window.
@@ -191,7 +194,7 @@
             self._asked_since_seconds = now_seconds
         self._asked.add(tokens, now_seconds)
         asked, leaving = self._rates(now_seconds)
-        allowed, most = self._bounds(terms)
+        allowed, most = self._bounds(asked, terms)
         used = self.used_tokens(terms, now_seconds)
         if now_seconds < self._forgiven_until_seconds:
             used = min(used, allowed)
@@ -221,11 +224,15 @@
         most_seconds = terms.window_seconds
         return OverLimit(self.limit.path, min(wait_seconds, most_seconds))
 
-    def _bounds(self, terms: FleetTerms) -> tuple[float, float]:
+    def _bounds(self, asked: float, terms: FleetTerms) -> tuple[float, float]:
         """Return what is aimed at within a window, and what must not be passed."""
         limit = allowed_tokens(self.limit, terms.window_seconds)
         most = limit * (1.0 + terms.over_ratio) + terms.slack_tokens
-        aimed = max(limit, most - limit * OVERSHOOT_RATIO)
+        aimed = min(
+            most - asked * UNHEARD_SECONDS,
+            limit + (most - limit) * MOST_AIMED_RATIO,
+        )
+        aimed = max(limit, aimed)
         return aimed * terms.part_ratio, most * terms.part_ratio
 
     def is_binding(self, now_seconds: float) -> bool:
