--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -29,8 +29,8 @@
 #: of peers' words, so that the correction of one host isn't repeated by all.
 SETTLE_SECONDS = 2.0
 
-#: Time in which hosts hear of a burst: the aim is as far from what must not be passed as
-#: what is asked for within it, so that a small excess is held near the bound and a
+#: Time in which hosts hear of a burst: the aim is as far from what must not be passed
+#: as what is asked for within it, so that a small excess is held near the bound and a
 #: large one near the limit. A fleet that aims at the limit itself is below it half of
 #: the time, and refuses then what is within it.
 UNHEARD_SECONDS = 0.6
