Limits: peers' words apart; a moment without a word takes no part away

Cause: where a host's role changes (each start of a large fleet) it hears nobody for a quarter of a second to a half, and kept to a ninetieth of each limit then.

--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -15,6 +15,7 @@
 
 from rampwick_schema import LimitUsage, Shown
 
+from ._limit_words import LEAVING_SECONDS, PeerWords
 from ._sent_window import SentWindow
 from ._tree import LimitedNode
 
@@ -22,9 +23,6 @@
 #: workspace near its limit, and short against the time in which a burst fills it.
 ASKED_SECONDS = 0.5
 
-#: Time ahead for which hosts tell what will have left their windows.
-LEAVING_SECONDS = 1.0
-
 #: Time within which the fleet's sum is to reach the limit: two to three times the age
 #: of peers' words, so that the correction of one host isn't repeated by all.
 SETTLE_SECONDS = 2.0
@@ -38,19 +36,9 @@
 #: Largest part of what a limit may be passed by that is aimed at.
 MOST_AIMED_RATIO = 0.5
 
-#: Age up to which a peer's word is continued, and up to which it then holds: a peer
-#: that says nothing may still be sending. From there on it leaves the window.
-CONTINUED_SECONDS = 1.0
-HELD_SECONDS = 3.0
-
 #: Least time over which the rate of what is asked for is taken after a start.
 MIN_ASKED_SECONDS = 0.125
 
-#: Part of a peer's sum that must be missing, with nothing to have left the window,
-#: before it is taken for the sum of hosts that died: their requests have run all the
-#: same. Less is a host that is counted in one word and not in the next.
-LOST_RATIO = 0.1
-
 #: Time for which a limit's rate may be used at once by a fleet that has just started:
 #: a lone request is no sign of a workspace over its limit.
 FRESH_SECONDS = 0.5
@@ -86,27 +74,20 @@
 
 
 @attrs.frozen(repr=False)
-class _Word(Shown):
-    """What a peer said last, counted from when it was true."""
-
-    usage: LimitUsage
-    at_seconds: float
-
-    def sent_tokens(
-        self, admit_ratio: float, window_seconds: float, now_seconds: float
-    ) -> float:
-        """Return what the peer has sent within the window by now, as far as known."""
-        age_seconds = max(0.0, now_seconds - self.at_seconds)
-        continued_seconds = min(age_seconds, CONTINUED_SECONDS)
-        usage = self.usage
-        growth = admit_ratio * usage.asked_tokens - usage.leaving_tokens
-        tokens = max(0.0, usage.sent_tokens + growth * continued_seconds)
-        left_seconds = max(0.0, age_seconds - HELD_SECONDS)
-        return tokens * max(0.0, 1.0 - left_seconds / window_seconds)
-
-    def is_fresh(self, now_seconds: float) -> bool:
-        """Return whether the peer is surely among those that hear each other."""
-        return now_seconds - self.at_seconds < HELD_SECONDS
+class _Outlook(Shown):
+    """How a limit stands at a moment, over all hosts; tokens within the window."""
+
+    used: float
+    #: What may still be sent, and what must not be passed.
+    room: float
+    most: float
+    #: Tokens that will be sent elsewhere before the fleet's sum has settled.
+    ahead: float
+    #: Tokens asked for a second, and those that may go.
+    asked: float
+    may_settle: float
+    #: Whether others' part of it is known by old words, or not at all.
+    is_guess: bool
 
 
 class FleetLimit:
@@ -119,8 +100,7 @@
         self._draw = draw
         self._sent = SentWindow(window_seconds)
         self._asked = SentWindow(ASKED_SECONDS)
-        self._words: dict[str, _Word] = {}
-        self._lost: list[_Word] = []
+        self._words = PeerWords(window_seconds)
         #: Parts of requests that may go; one is sent for each whole.
         self._credit = draw.random()
         #: Ratio of the requests that may go, as decided last.
@@ -151,38 +131,17 @@
             self.limit.path, round(sent), round(leaving / LEAVING_SECONDS), round(asked)
         )
 
-    def hear(
-        self,
-        peer: str,
-        usage: LimitUsage,
-        age_seconds: float,
-        window_seconds: float,
-        now_seconds: float,
-    ) -> None:
-        """Take what a peer says now of a time that was ``age_seconds`` ago."""
-        at_seconds = now_seconds - age_seconds
-        known = self._words.get(peer)
-        if known is not None:
-            since_seconds = max(0.0, at_seconds - known.at_seconds)
-            told_seconds = min(since_seconds, LEAVING_SECONDS)
-            kept = known.usage.sent_tokens - known.usage.leaving_tokens * told_seconds
-            kept *= max(0.0, 1.0 - (since_seconds - told_seconds) / window_seconds)
-            if kept - usage.sent_tokens > LOST_RATIO * known.usage.sent_tokens:
-                lost = LimitUsage(self.limit.path, round(kept - usage.sent_tokens))
-                self._lost.append(_Word(lost, at_seconds))
-        self._words[peer] = _Word(usage, at_seconds)
+    def hear(self, peer: str, usage: LimitUsage, at_seconds: float) -> None:
+        """Take what a peer says of a time."""
+        self._words.take(peer, usage, at_seconds)
 
     def forget(self, peer: str) -> None:
         """Drop what a peer said, since another one speaks for it."""
-        self._words.pop(peer, None)
+        self._words.forget(peer)
 
-    def expire(self, window_seconds: float, now_seconds: float) -> None:
+    def expire(self, now_seconds: float) -> None:
         """Drop the words of which nothing can be within the window any more."""
-        oldest_seconds = now_seconds - window_seconds - HELD_SECONDS
-        self._lost = [word for word in self._lost if word.at_seconds > oldest_seconds]
-        for peer, word in list(self._words.items()):
-            if word.at_seconds <= oldest_seconds:
-                del self._words[peer]
+        self._words.expire(now_seconds)
 
     # Decisions.
 
@@ -193,36 +152,52 @@
         if self._asked_since_seconds is None:
             self._asked_since_seconds = now_seconds
         self._asked.add(tokens, now_seconds)
+        outlook = self._look_ahead(terms, now_seconds)
+        self.admit_ratio = min(1.0, outlook.may_settle / max(1.0, outlook.asked))
+        if self._may_go(tokens, outlook):
+            self._sent.add(tokens, now_seconds)
+            return None
+        self._refused_at_seconds = now_seconds
+        wait_seconds = self._wait_seconds(tokens, outlook)
+        return OverLimit(self.limit.path, min(wait_seconds, terms.window_seconds))
+
+    def _may_go(self, tokens: float, outlook: _Outlook) -> bool:
+        if tokens + outlook.ahead <= outlook.room:
+            return True
+        if not outlook.is_guess or outlook.used + tokens > outlook.most:
+            return False
+        return self._draw_one()
+
+    def _look_ahead(self, terms: FleetTerms, now_seconds: float) -> _Outlook:
         asked, leaving = self._rates(now_seconds)
-        allowed, most = self._bounds(asked, terms)
+        aimed, most = self._bounds(asked, terms)
         used = self.used_tokens(terms, now_seconds)
         if now_seconds < self._forgiven_until_seconds:
-            used = min(used, allowed)
-        unknown = self._unknown_tokens(terms)
-        if unknown:
+            used = min(used, aimed)
+        room = aimed - used
+        if terms.unknown_seconds:
             leaving += self._refill * terms.part_ratio
-        others_asked = sum(word.usage.asked_tokens for word in self._words.values())
-        ahead = max(0.0, others_asked - leaving) * SETTLE_SECONDS
-        room = allowed - used - unknown
-        if unknown:
-            known_seconds = terms.window_seconds - terms.unknown_seconds
-            fresh = self._refill * (known_seconds + FRESH_SECONDS) * terms.part_ratio
-            room = max(room, fresh - used)
-        may_settle = max(0.0, room / SETTLE_SECONDS + leaving)
-        self.admit_ratio = min(1.0, may_settle / max(1.0, asked))
-        if tokens + ahead <= room:
-            may_go = True
-        elif used + tokens > most or not (self._words or unknown):
-            may_go = False
-        else:
-            may_go = self._draw_one()
-        if may_go:
-            self._sent.add(tokens, now_seconds)
-            return None
-        self._refused_at_seconds = now_seconds
-        wait_seconds = self._wait_seconds(tokens - room, asked, may_settle)
-        most_seconds = terms.window_seconds
-        return OverLimit(self.limit.path, min(wait_seconds, most_seconds))
+            room = self._room_of_unknown(room, used, terms)
+        ahead = max(0.0, self._words.asked_tokens - leaving) * SETTLE_SECONDS
+        return _Outlook(
+            used=used,
+            room=room,
+            most=most,
+            ahead=ahead,
+            asked=asked,
+            may_settle=max(0.0, room / SETTLE_SECONDS + leaving),
+            is_guess=bool(self._words) or terms.unknown_seconds > 0.0,
+        )
+
+    def _room_of_unknown(self, room: float, used: float, terms: FleetTerms) -> float:
+        """Return the room where hosts that are no more may have sent, too.
+
+        They are taken to have sent all that they might, the burst not long ago.
+        """
+        sent = self._refill * terms.unknown_seconds + self.limit.burst_tokens
+        known_seconds = terms.window_seconds - terms.unknown_seconds
+        fresh = self._refill * (known_seconds + FRESH_SECONDS)
+        return max(room - sent * terms.part_ratio, fresh * terms.part_ratio - used)
 
     def _bounds(self, asked: float, terms: FleetTerms) -> tuple[float, float]:
         """Return what is aimed at within a window, and what must not be passed."""
@@ -241,18 +216,11 @@
 
     def used_tokens(self, terms: FleetTerms, now_seconds: float) -> float:
         """Return what all hosts have sent within the window, as far as known."""
-        used = self._sent.total(now_seconds)
-        words = [*self._words.values(), *self._lost]
-        if terms.part_ratio < 1.0:
-            # Those that are not heard have the rest of the limit to themselves.
-            words = [
-                word for word in self._words.values() if word.is_fresh(now_seconds)
-            ]
-        for word in words:
-            used += word.sent_tokens(
-                self.admit_ratio, terms.window_seconds, now_seconds
-            )
-        return used
+        # Those that are not heard have the rest of the limit to themselves.
+        only_fresh = terms.part_ratio < 1.0
+        return self._sent.total(now_seconds) + self._words.sent_tokens(
+            self.admit_ratio, only_fresh, now_seconds
+        )
 
     def move(self, tokens: float, from_seconds: float, now_seconds: float) -> None:
         """Count a request that waited from when it is sent."""
@@ -271,16 +239,6 @@
     def _refill(self) -> float:
         return self.limit.tokens_per_second or 0.0
 
-    def _unknown_tokens(self, terms: FleetTerms) -> float:
-        """Return what hosts that are no more may have sent within the window.
-
-        They are taken to have sent all that they might, the burst not long ago.
-        """
-        if not terms.unknown_seconds:
-            return 0.0
-        tokens = self._refill * terms.unknown_seconds + self.limit.burst_tokens
-        return tokens * terms.part_ratio
-
     def _asked_per_second(self, now_seconds: float) -> float:
         if self._asked_since_seconds is None:
             return 0.0
@@ -293,10 +251,7 @@
         """Return what all are asked for a second, and what leaves their windows."""
         asked = self._asked_per_second(now_seconds)
         leaving = self._sent.leaving(LEAVING_SECONDS, now_seconds) / LEAVING_SECONDS
-        for word in self._words.values():
-            asked += word.usage.asked_tokens
-            leaving += word.usage.leaving_tokens
-        return asked, leaving
+        return asked + self._words.asked_tokens, leaving + self._words.leaving_tokens
 
     def _draw_one(self) -> bool:
         # Parts are saved up: single draws would let a host that sees two requests a
@@ -307,13 +262,12 @@
         self._credit -= 1.0
         return True
 
-    def _wait_seconds(
-        self, short_tokens: float, asked: float, may_settle: float
-    ) -> float:
+    def _wait_seconds(self, tokens: float, outlook: _Outlook) -> float:
         """Return when there is room again for this request and those turned away."""
         refill = max(1.0, self._refill)
-        wait_seconds = max(0.0, short_tokens) / refill
-        wait_seconds += max(0.0, asked - may_settle) * ASKED_SECONDS / refill
+        wait_seconds = max(0.0, tokens - outlook.room) / refill
+        turned_away = max(0.0, outlook.asked - outlook.may_settle)
+        wait_seconds += turned_away * ASKED_SECONDS / refill
         spread = 1.0 + SPREAD_RATIO * (2.0 * self._draw.random() - 1.0)
         return max(MIN_RETRY_AFTER_SECONDS, wait_seconds * spread)
 
--- a/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
@@ -1,5 +1,6 @@
 """All limits in tokens of a host: what is counted, and who may go."""
 
+import math
 import random
 from collections.abc import Iterable, Mapping
 
@@ -11,6 +12,11 @@
 from ._fleet_limit import FleetLimit, FleetTerms, OverLimit, allowed_tokens
 from ._tree import LimitedNode, Workspace
 
+#: Time for which a host that hears nobody counts those that it heard: where its relay
+#: or its own role is another, the next word is a moment away, and with 90 hosts its
+#: own part of a limit is less than one long prompt.
+ALONE_SECONDS = 1.5
+
 #: Time for which hosts that fell silent may still be serving callers somewhere, as long
 #: as keys are usually honoured without confirmation: for so long those that hear each
 #: other keep to their part of each limit.
@@ -58,6 +64,7 @@
         self._hosts_count = 1
         self._most_hosts_count = 1
         self._most_at_seconds = 0.0
+        self._heard_at_seconds = -math.inf
 
     def apply(self, workspaces: Mapping[str, Workspace], now_seconds: float) -> None:
         """Take the limits of a tree; what was counted stays."""
@@ -144,13 +151,12 @@
         assert self._known_since_seconds is not None
         self._known_since_seconds = min(self._known_since_seconds, since_seconds)
         said = {usage.path: usage for usage in summary.limits}
-        window_seconds = self._settings.window_seconds
         # A peer that names a limit no more has nothing left in its window.
         for path in said.keys() | self._said.get(peer, frozenset()):
             limit = self._limits.get(path)
             if limit is not None:
                 usage = said.get(path) or LimitUsage(path, 0)
-                limit.hear(peer, usage, age_seconds, window_seconds, now_seconds)
+                limit.hear(peer, usage, now_seconds - age_seconds)
         self._said[peer] = frozenset(said)
 
     def forget(self, peer: str) -> None:
@@ -162,13 +168,17 @@
     def note_time(self, hosts_count: int, now_seconds: float) -> None:
         """Note the present time and the hosts that hear each other."""
         self.known_seconds(now_seconds)
+        if hosts_count > 1:
+            self._heard_at_seconds = now_seconds
+        elif now_seconds - self._heard_at_seconds < ALONE_SECONDS:
+            hosts_count = self._hosts_count
         self._hosts_count = hosts_count
         is_old = now_seconds - self._most_at_seconds > MISSING_SECONDS
         if hosts_count >= self._most_hosts_count or is_old:
             self._most_hosts_count = hosts_count
             self._most_at_seconds = now_seconds
         for limit in self._limits.values():
-            limit.expire(self._settings.window_seconds, now_seconds)
+            limit.expire(now_seconds)
 
     def states(self, now_seconds: float) -> list[LimitState]:
         """Return how each limit stands."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -20,8 +20,9 @@
     Tick,
     without,
 )
+from rampwick_policy._limit_book import LimitBook
 from rampwick_policy._sent_window import SentWindow
-from rampwick_schema import LimitUsage, Node, Summary
+from rampwick_schema import LimitUsage, Node, QuotaSettings, Summary
 
 from .test_scheduler import Session
 
@@ -163,6 +164,38 @@
         self.assertEqual([], summary.limits)
 
 
+class PartTest(TestCase):
+    """How much of a limit the hosts use that hear each other."""
+
+    def part(self, *heard):
+        """Return the part after so many hosts were heard, each for a second."""
+        book = LimitBook(QuotaSettings(), "h")
+        at_seconds = 0.0
+        for count in heard:
+            for _ in range(10):
+                at_seconds += 0.1
+                book.note_time(count, at_seconds)
+        return round(book._part_ratio(at_seconds), 2)
+
+    def test_all_that_were_heard_of_late_have_the_whole(self):
+        self.assertEqual(1.0, self.part(90))
+        self.assertEqual(1.0, self.part(1, 40, 90))
+
+    def test_while_hosts_are_missing_the_others_keep_to_their_part(self):
+        self.assertEqual(0.75, self.part(100, 75))
+        self.assertEqual(0.75, self.part(100, 75, 75, 75))
+        # Keys are honoured no longer where they can't be confirmed.
+        self.assertEqual(1.0, self.part(100, *[75] * 6))
+
+    def test_the_smaller_side_of_a_cut_keeps_to_it_for_longer(self):
+        self.assertEqual(0.25, self.part(100, *[25] * 6))
+        self.assertEqual(1.0, self.part(100, *[25] * 12))
+
+    def test_a_moment_without_a_word_takes_nothing_away(self):
+        self.assertEqual(1.0, self.part(90, 1))
+        self.assertEqual(0.01, self.part(90, 1, 1))
+
+
 class WordsTest(TestCase):
     def summary(self, sent, asked=0, known=0.0):
         usage = [LimitUsage("/w", sent, 0, asked)]
