In a fleet that has just come back limited requests wait for what all are asked

All hosts were killed at 13 s with a workspace 4.7 times over; what was asked meanwhile came at once at 14.7 s, and each host let it go before it had heard of the others'. Ruled out: parts of a host (an instant's backlog is 14 requests a host, a part of 90 less than one). Change: while nobody in the fleet has counted for 3 s, the first limited requests wait 0.6 s, told to peers meanwhile.

--- a/measure/_limits_lab.py
+++ b/measure/_limits_lab.py
@@ -81,7 +81,11 @@
 class Way(Protocol):
     """How one host decides under a limit."""
 
-    def ask(self, tokens: int, now_seconds: float) -> bool:
+    def hold_seconds(self, tokens: int, now_seconds: float) -> float:
+        """Return how long a request waits before that is decided."""
+        ...
+
+    def ask(self, tokens: int, was_held: bool, now_seconds: float) -> bool:
         """Return whether a request may go."""
         ...
 
@@ -128,18 +132,22 @@
         self.book.apply({PATH: self._workspace}, now_seconds)
         self.book.known_seconds(now_seconds)
 
-    def ask(self, tokens: int, now_seconds: float) -> bool:
+    def hold_seconds(self, tokens: int, now_seconds: float) -> float:
+        """Return how long a request waits before that is decided."""
+        return self.book.hold_seconds(self._arrival(tokens, now_seconds), now_seconds)
+
+    def ask(self, tokens: int, was_held: bool, now_seconds: float) -> bool:
         """Return whether a request may go."""
-        arrival = RequestArrived(
-            "r",
-            self._workspace,
-            "portal",
-            now_seconds + 9.0,
-            False,
-            named_tokens=tokens,
-        )
+        arrival = self._arrival(tokens, now_seconds)
+        arrival = attrs.evolve(arrival, was_held=was_held)
         return not isinstance(self.book.ask(arrival, now_seconds), OverLimit)
 
+    def _arrival(self, tokens: int, now_seconds: float) -> RequestArrived:
+        deadline_seconds = now_seconds + 9.0
+        return RequestArrived(
+            "r", self._workspace, "portal", deadline_seconds, False, named_tokens=tokens
+        )
+
     def change(self, ratio: float, now_seconds: float) -> None:
         """Take a limit that is lowered to a part."""
         self._workspace = workspace(self._pattern, ratio)
@@ -186,9 +194,9 @@
         self._own_asked = 0.0
         self._others_asked: dict[str, float] = {}
 
-    def ask(self, tokens: int, now_seconds: float) -> bool:
+    def ask(self, tokens: int, was_held: bool, now_seconds: float) -> bool:
         """Return whether a request may go."""
-        super().ask(tokens, now_seconds)
+        super().ask(tokens, was_held, now_seconds)
         equal = self.equal_ratio / self._pattern.hosts_count
         total = self._own_asked + sum(self._others_asked.values())
         asked_part = self._own_asked / total if total else equal
@@ -308,13 +316,24 @@
         now_seconds = self.clock.now_seconds
         up = [host for host in self.hosts if not host.is_off]
         if not up:
+            # Callers whose hosts are off try until those are back.
+            back_seconds = self._pattern.killed_at_seconds
+            back_seconds += self._pattern.killed_seconds + 0.3
+            self.clock.after(back_seconds - now_seconds, self._arrive, tokens)
             return
         host = self._draw.choice(up)
         cut_for_seconds = now_seconds - self._pattern.cut_at_seconds
         if host.hall == 0 and cut_for_seconds > self._pattern.cut_serves_seconds:
             return
-        has_gone = host.way.ask(tokens, now_seconds)
-        self.asked.append(Asked(now_seconds, tokens, has_gone))
+        hold_seconds = host.way.hold_seconds(tokens, now_seconds)
+        was_held = hold_seconds > 0.0
+        self.clock.after(hold_seconds, self._decide, host, tokens, was_held)
+
+    def _decide(self, host: _Host, tokens: int, was_held: bool) -> None:
+        now_seconds = self.clock.now_seconds
+        if not host.is_off:
+            has_gone = host.way.ask(tokens, was_held, now_seconds)
+            self.asked.append(Asked(now_seconds, tokens, has_gone))
 
     # Hosts tell each other.
 
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -48,6 +48,8 @@
     max_answer_tokens: int = 0
     #: Tokens of prompt and answer as the caller names them; none if it names none.
     named_tokens: int | None = None
+    #: Whether it has waited for what the whole fleet is asked, and was told to peers.
+    was_held: bool = False
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -43,6 +43,11 @@
 #: a lone request is no sign of a workspace over its limit.
 FRESH_SECONDS = 0.5
 
+#: Time for which the first requests wait in a fleet that has just come back as a whole:
+#: two hops of summaries. What was asked meanwhile comes at once, and each host let all
+#: of it go before it had heard of the others' (1.15 of what a rule allows, 90 hosts).
+HOLD_SECONDS = 0.6
+
 #: Time for which a limit is said to bind after a refusal.
 BINDING_SECONDS = 1.0
 
@@ -145,13 +150,29 @@
 
     # Decisions.
 
+    def hold_seconds(self, tokens: float, now_seconds: float) -> float:
+        """Return how long a request waits until peers have told what they are asked.
+
+        To be asked while the fleet is young; peers are told of a request that waits.
+        """
+        since_seconds = self._asked_since_seconds
+        if since_seconds is None:
+            since_seconds = now_seconds
+        hold_seconds = max(0.0, since_seconds + HOLD_SECONDS - now_seconds)
+        if hold_seconds:
+            self.note_asked(tokens, now_seconds)
+        return hold_seconds
+
+    def note_asked(self, tokens: float, now_seconds: float) -> None:
+        """Count a request among those that this host is asked for."""
+        if self._asked_since_seconds is None:
+            self._asked_since_seconds = now_seconds
+        self._asked.add(tokens, now_seconds)
+
     def ask(
         self, tokens: float, terms: FleetTerms, now_seconds: float
     ) -> OverLimit | None:
         """Count a request that may go now; return why it may not."""
-        if self._asked_since_seconds is None:
-            self._asked_since_seconds = now_seconds
-        self._asked.add(tokens, now_seconds)
         outlook = self._look_ahead(terms, now_seconds)
         self.admit_ratio = min(1.0, outlook.may_settle / max(1.0, outlook.asked))
         if self._may_go(tokens, outlook):
--- a/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
@@ -12,6 +12,9 @@
 from ._fleet_limit import FleetLimit, FleetTerms, OverLimit, allowed_tokens
 from ._tree import LimitedNode, Workspace
 
+#: Age of what a fleet knows up to which its first requests wait for what all are asked.
+YOUNG_SECONDS = 3.0
+
 #: Time for which a host that hears nobody counts those that it heard: where its relay
 #: or its own role is another, the next word is a moment away, and with 90 hosts its
 #: own part of a limit is less than one long prompt.
@@ -89,6 +92,22 @@
 
     # What requests count.
 
+    def hold_seconds(self, event: ev.RequestArrived, now_seconds: float) -> float:
+        """Return how long a request waits for what the fleet is asked, as a whole.
+
+        Nothing, but for the first moments of a fleet in which nobody knows anything.
+        """
+        if self.known_seconds(now_seconds) > YOUNG_SECONDS:
+            return 0.0
+        return max(
+            (
+                known.hold_seconds(_counted_tokens(limit, event), now_seconds)
+                for limit in event.workspace.limits
+                if (known := self._limits.get(limit.path)) is not None
+            ),
+            default=0.0,
+        )
+
     def ask(
         self, event: ev.RequestArrived, now_seconds: float
     ) -> OverLimit | list[Counted]:
@@ -99,6 +118,8 @@
             if known is None:
                 continue
             tokens = _counted_tokens(limit, event)
+            if not event.was_held:
+                known.note_asked(tokens, now_seconds)
             over = known.ask(tokens, self._terms(now_seconds), now_seconds)
             if over is not None:
                 self.give_back(counted)
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -7,6 +7,7 @@
 from abc import ABC, abstractmethod
 
 import anyio
+import attrs
 from anyio.streams.memory import MemoryObjectReceiveStream
 
 from rampwick_policy import (
@@ -80,7 +81,7 @@
 
     async def run(self) -> None:
         """Serve the request; return when the caller has its final answer."""
-        arrival = self.arrival()
+        arrival = await self._hold(self.arrival())
         submitted = self.parts.scheduler.submit(arrival, self.caller_request_id)
         with submitted as decisions:
             try:
@@ -93,6 +94,18 @@
                 if not self._has_ended:
                     self._note_cancelled()
 
+    async def _hold(self, arrival: RequestArrived) -> RequestArrived:
+        """Wait, in a fleet that has just come back, for what all hosts are asked."""
+        hold_seconds = self.parts.scheduler.look(
+            lambda scheduler, now_seconds: scheduler.limits.hold_seconds(
+                arrival, now_seconds
+            )
+        )
+        if not hold_seconds:
+            return arrival
+        await anyio.sleep(hold_seconds)
+        return attrs.evolve(arrival, was_held=True)
+
     def _note_cancelled(self) -> None:
         """Note that nobody waits for the answer any more."""
         self._end("cancelled")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -18,11 +18,12 @@
     RequestArrived,
     RequestCancelled,
     Tick,
+    TreeView,
     without,
 )
 from rampwick_policy._limit_book import LimitBook
 from rampwick_policy._sent_window import SentWindow
-from rampwick_schema import LimitUsage, Node, QuotaSettings, Summary
+from rampwick_schema import LimitUsage, Node, QuotaSettings, Summary, Tree
 
 from .test_scheduler import Session
 
@@ -196,6 +197,36 @@
         self.assertEqual(0.01, self.part(90, 1, 1))
 
 
+class HoldTest(TestCase):
+    """Who waits a moment in a fleet that has just come back as a whole."""
+
+    def hold(self, at_seconds, known_seconds=0.0, **limit):
+        book = LimitBook(QuotaSettings(), "h")
+        view = TreeView(Tree(1, {"/": Node(), "/w": Node(is_workspace=True, **limit)}))
+        book.apply(view.workspaces, 100.0)
+        summary = Summary(
+            1, 1, 1, False, [], [], [], limits_known_seconds=known_seconds
+        )
+        book.hear("p", summary, 0.0, 100.0)
+        arrival = RequestArrived(
+            "r", view.workspaces["/w"], "portal", 200.0, False, named_tokens=500
+        )
+        first = book.hold_seconds(arrival, 100.0 + at_seconds)
+        later = book.hold_seconds(arrival, 100.5 + at_seconds)
+        return round(first, 2), round(later, 2)
+
+    def test_the_first_ones_wait_for_two_hops_of_words(self):
+        self.assertEqual((0.6, 0.1), self.hold(0.2, tokens_per_second=1000.0))
+
+    def test_nobody_waits_where_somebody_has_been_counting(self):
+        terms = {"known_seconds": 60.0, "tokens_per_second": 1000.0}
+        self.assertEqual((0.0, 0.0), self.hold(0.2, **terms))
+        self.assertEqual((0.0, 0.0), self.hold(5.0, tokens_per_second=1000.0))
+
+    def test_nobody_waits_without_a_limit(self):
+        self.assertEqual((0.0, 0.0), self.hold(0.2))
+
+
 class WordsTest(TestCase):
     def summary(self, sent, asked=0, known=0.0):
         usage = [LimitUsage("/w", sent, 0, asked)]
@@ -246,8 +277,13 @@
     def test_what_hosts_sent_that_died_counts_on(self):
         worst, _ = self.play("limits_after_half_a_herds_return")
         self.assertLess(worst, 1.0)
-        worst, _ = self.play("limits_after_a_herds_return")
+
+    def test_what_comes_at_once_with_all_hosts_waits_for_what_all_are_asked(self):
+        # A day of 90 hosts: 3,696,248 tokens in 8 s, 3,225,292 allowed, the herd killed
+        # at 13 s with a workspace 4.7 times over. Without the wait 1.27 to 1.43 here.
+        worst, refused = self.play("limits_after_a_herds_return")
         self.assertLess(worst, 1.0)
+        self.assertLess(refused, 0.05)
 
     def test_drawn_days_stay_within_the_bound(self):
         # Seed 4 passed it by 2 in 100 while the larger side of a cut did not keep to
