--- a/tests/test_look_again.py
+++ b/tests/test_look_again.py
@@ -7,10 +7,12 @@
 from testtools import TestCase
 
 from rampwick_platform import Listing, PlatformUnavailableError, StoredObject
-from rampwick_policy import ConfigurationFollower, Scheduler
+from rampwick_policy import Access, ConfigurationFollower, Scheduler, Verdict
+from rampwick_router import CallerError
 from rampwick_router._scheduler_task import SchedulerTask
 from rampwick_router.control._configuration import ConfigurationTask
 from rampwick_router.control._configuration_sources import WatchedTreeSource
+from rampwick_router.entry._routed_entry import RoutedEntry
 from rampwick_schema import Node, Tree, parse_settings
 
 SETTINGS = parse_settings('[host]\nname = "h"\nhall = "x"\n', source="t")
@@ -140,3 +142,41 @@
         calls_count, problem = self.look(scenario)
         self.assertEqual(1, calls_count)
         self.assertIn("down", problem)
+
+
+class BeforeAnyConfigurationTest(TestCase):
+    """What comes before a host knows any configuration has it looked for, too."""
+
+    def check(self, verdict, after):
+        """Return the verdict that counts, and how often the source was asked."""
+        found = SimpleNamespace(verdict=verdict, looks_count=0)
+
+        async def refresh():
+            found.looks_count += 1
+            found.verdict = after
+
+        parts = SimpleNamespace(
+            configuration=SimpleNamespace(refresh=refresh),
+            look_up=lambda call: Access(found.verdict),
+        )
+        entry = RoutedEntry(parts)
+        try:
+            anyio.run(entry._check, None, b"", 0.0)
+        except CallerError as error:
+            return error.code, found.looks_count
+        raise AssertionError("no verdict")
+
+    def test_it_is_looked_for_once(self):
+        unknown = Verdict.UNKNOWN_ROUTE
+        self.assertEqual(
+            ("unknown_route", 1), self.check(Verdict.NO_CONFIGURATION, unknown)
+        )
+        self.assertEqual(("unknown_route", 1), self.check(Verdict.STALE, unknown))
+
+    def test_where_none_is_found_it_is_told(self):
+        none = Verdict.NO_CONFIGURATION
+        self.assertEqual(("no_configuration", 1), self.check(none, none))
+
+    def test_what_is_known_to_be_wrong_is_not_looked_for(self):
+        unknown = Verdict.UNKNOWN_KEY
+        self.assertEqual(("unknown_key", 0), self.check(unknown, unknown))
