--- a/tests/test_births.py
+++ b/tests/test_births.py
@@ -174,7 +174,7 @@
             self.assertEqual("service", read({**ENTRY, "models": models}).kind)
 
     def test_a_start_is_a_whole_number(self):
-        for born in (1.5, "1777752651000", True, -1, [1], 2**63):
+        for born in (1.5, "1777752651000", True, -1, [1], 2**63, None):
             self.assertRaises(DataError, read, {**ENTRY, "born": born})
 
     def test_a_state_that_is_not_named_is_no_state(self):
