Reading: who gets a place in line apart from the scheduler; the limits lab in three modules

No behaviour changes: Intake makes the item, asks limits, queue and deadline, and finds whom to refuse for it; patterns and ways of the limits lab stand apart.

--- /dev/null
+++ b/measure/_limit_patterns.py
@@ -0,0 +1,55 @@
+"""What is asked under one limit in the limits lab, and what happens meanwhile."""
+
+import math
+
+import attrs
+
+from rampwick_schema import Shown
+
+
+@attrs.frozen(repr=False)
+class LimitPattern(Shown):
+    """What is asked under one limit, and what happens meanwhile; rates in tokens."""
+
+    name: str
+    tokens_per_second: float = 300_000.0
+    burst_tokens: float = 300_000.0
+    #: How far the limit may be passed before a rule is broken.
+    over_ratio: float = 0.1
+    slack_tokens: float = 100_000.0
+    #: Usual demand as a part of the rate, and its multiple in the hot time.
+    usual_ratio: float = 0.8
+    hot_ratio: float = 1.0
+    hot_from_seconds: float = 12.0
+    hot_until_seconds: float = 22.0
+    #: Part of the rate that the limit is lowered to at the start of the hot time.
+    lowered_ratio: float = 1.0
+    #: When all hosts are killed, and for how long.
+    killed_at_seconds: float = math.inf
+    killed_seconds: float = 2.0
+    killed_ratio: float = 1.0
+    #: When a hall is cut off, which goes on serving for a while.
+    cut_at_seconds: float = math.inf
+    cut_serves_seconds: float = 5.0
+    hosts_count: int = 90
+    halls_count: int = 4
+    length_seconds: float = 32.0
+
+
+PATTERNS = (
+    LimitPattern("below_the_limit"),
+    LimitPattern("at_the_limit", usual_ratio=1.0),
+    LimitPattern("hot_workspace", hot_ratio=4.7),
+    LimitPattern("very_hot_workspace", hot_ratio=7.0),
+    LimitPattern("small_limit_hot", 30_000.0, 30_000.0, hot_ratio=4.7),
+    LimitPattern("limit_lowered", lowered_ratio=0.3),
+    LimitPattern("limits_while_a_hall_is_cut_off", hot_ratio=4.7, cut_at_seconds=14.0),
+    LimitPattern("limits_after_a_herds_return", hot_ratio=4.7, killed_at_seconds=16.0),
+    LimitPattern(
+        "limits_after_half_a_herds_return",
+        hot_ratio=4.7,
+        killed_at_seconds=16.0,
+        killed_ratio=0.55,
+    ),
+    LimitPattern("few_hosts_hot", hot_ratio=4.7, hosts_count=8, halls_count=1),
+)
--- a/measure/limits.py
+++ b/measure/limits.py
@@ -7,13 +7,9 @@
 import statistics
 from collections.abc import Sequence
 
-from ._limits_lab import (
-    PATTERNS,
-    WAYS,
-    LimitsLab,
-    refused_wrongly_ratio,
-    worst_window_ratio,
-)
+from ._limit_patterns import PATTERNS
+from ._limit_ways import WAYS
+from ._limits_lab import LimitsLab, refused_wrongly_ratio, worst_window_ratio
 
 
 def main(words: Sequence[str]) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -20,7 +20,7 @@
     Hopeless,
 )
 from ._errors import LifecycleError
-from ._fleet_limit import OverLimit
+from ._intake import Intake
 from ._knowledge import CacheKnowledge
 from ._limit_book import LimitBook
 from ._membership import Membership
@@ -30,7 +30,6 @@
 from ._queue import QueuedRequest, WaitingQueue
 from ._refusals import (
     DEADLINE_UNREACHABLE,
-    OVER_LIMIT,
     QUEUE_FULL,
     UPSTREAM_FAILED,
     Refusals,
@@ -68,6 +67,9 @@
             placement
             or PricedKnowledge(self.knowledge, settings.placement.import_price),
         )
+        self._intake = Intake(
+            settings, self.queue, self.admission, self.limits, self._answers
+        )
         self._refusals = Refusals(
             settings.retry, self.pool, self.queue, self.admission, self.budgets
         )
@@ -161,64 +163,26 @@
         if event.request_id in self._requests:
             raise LifecycleError(f"{event.request_id} arrived twice", step="arrive")
         self.budgets.of(event.service, self.peers.known_hosts_count).earn()
-        workspace = event.workspace
-        wait_seconds = self.admission.wait_seconds(workspace, now_seconds)
-        item = self._new_item(event, now_seconds)
+        item = self._intake.new_item(event, now_seconds)
         self._requests[event.request_id] = item
-        counted = self.limits.ask(event, now_seconds)
-        if isinstance(counted, OverLimit):
-            return [self._refuse_over_limit(item, counted, now_seconds)]
-        item.counted = counted
-        full = self.admission.full_limit(workspace)
-        if full:
-            return [self._refuse(item, QUEUE_FULL, now_seconds, peer=full)]
-        if now_seconds + wait_seconds > event.deadline_seconds:
-            return [self._refuse(item, DEADLINE_UNREACHABLE, now_seconds)]
-        actions = self._make_way(item, now_seconds)
-        if not item.lifecycle.has_ended:
+        rejection = self._intake.check(item, now_seconds)
+        if rejection is not None:
+            return [
+                self._refuse(
+                    item,
+                    rejection.reason,
+                    now_seconds,
+                    rejection.peer,
+                    rejection.retry_after_seconds,
+                )
+            ]
+        victim = self._intake.make_way(item)
+        if victim is not item:
             self.queue.add(item)
-        return actions
-
-    def _refuse_over_limit(
-        self, item: QueuedRequest, over: OverLimit, now_seconds: float
-    ) -> ev.Refuse:
-        """Refuse a request at once that its workspace's limit has no room for.
-
-        It takes no place in line: those within their limits would wait behind it.
-        """
-        item.lifecycle.end()
-        del self._requests[item.request_id]
-        return self._refusals.make(
-            item, OVER_LIMIT, now_seconds, over.path, over.retry_after_seconds
-        )
-
-    def _make_way(self, item: QueuedRequest, now_seconds: float) -> list[ev.Action]:
-        """Refuse one request if the host's queue is full, of whoever fills it most."""
-        if len(self.queue) < self._settings.queue.max_waiting_count:
+        if victim is None:
             return []
-        victim = self.queue.last_of_longest(other_than=item.workspace_path) or item
-        if victim is not item:
-            self.queue.remove(victim)
         return [self._refuse(victim, QUEUE_FULL, now_seconds, peer="host")]
 
-    def _new_item(self, event: ev.RequestArrived, now_seconds: float) -> QueuedRequest:
-        lifecycle = RequestLifecycle(
-            request_id=event.request_id,
-            deadline_seconds=event.deadline_seconds,
-            is_repeatable=event.is_repeatable,
-            max_attempts_count=event.max_attempts_count
-            or self._settings.retry.max_attempts_count,
-            is_resumable=event.is_resumable,
-        )
-        prompt_tokens = event.chain.total_tokens if event.chain else 0
-        answer_tokens = self._answers.expect(event)
-        return QueuedRequest(
-            arrival=event,
-            lifecycle=lifecycle,
-            arrived_at_seconds=now_seconds,
-            expected_tokens=prompt_tokens + ANSWER_TOKEN_PRICE * answer_tokens,
-        )
-
     def _on_accepted(
         self, event: ev.AttemptAccepted, now_seconds: float
     ) -> list[ev.Action]:
@@ -320,13 +284,18 @@
         return [ev.CancelAttempt(item.request_id, attempt_id, upstream.name, address)]
 
     def _refuse(
-        self, item: QueuedRequest, reason: str, now_seconds: float, peer: str = ""
+        self,
+        item: QueuedRequest,
+        reason: str,
+        now_seconds: float,
+        peer: str = "",
+        retry_after_seconds: float | None = None,
     ) -> ev.Refuse:
         # The item is in no line here; the caller gets its one final answer at once.
         item.lifecycle.end()
         self._requests.pop(item.request_id, None)
         self._uncount(item)
-        return self._refusals.make(item, reason, now_seconds, peer)
+        return self._refusals.make(item, reason, now_seconds, peer, retry_after_seconds)
 
     def _uncount(self, item: QueuedRequest) -> None:
         """Have a request that surely did not run count no more towards limits."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,13 +2,8 @@
 
 import random
 
-from measure._limits_lab import (
-    PATTERNS,
-    LimitPattern,
-    LimitsLab,
-    refused_wrongly_ratio,
-    worst_window_ratio,
-)
+from measure._limit_patterns import PATTERNS, LimitPattern
+from measure._limits_lab import LimitsLab, refused_wrongly_ratio, worst_window_ratio
 from testtools import TestCase
 
 from rampwick_policy import (
