After a herd's return limited requests wait a second, and who hears nobody keeps to its part

Change: 1.0 s; members that are known count from the start; requests of less than a 5,000th of a limit neither wait nor are drawn (thumbnails among them).

--- a/measure/_limit_ways.py
+++ b/measure/_limit_ways.py
@@ -44,6 +44,10 @@
         """Note the present time."""
         ...
 
+    def note_members(self, count: int, now_seconds: float) -> None:
+        """Note how many hosts are known."""
+        ...
+
 
 def workspace(pattern: LimitPattern, ratio: float = 1.0) -> Workspace:
     """Return the workspace with its limit."""
@@ -115,6 +119,10 @@
         """Note the present time."""
         self.book.note_time(hosts_count, now_seconds)
 
+    def note_members(self, count: int, now_seconds: float) -> None:
+        """Note how many hosts are known."""
+        self.book.note_members(count, now_seconds)
+
 
 class Parts(FleetSums):
     """Each host has a part of the limit, and no more: equal, or by what it is asked."""
--- a/measure/_limits_lab.py
+++ b/measure/_limits_lab.py
@@ -198,6 +198,8 @@
     def _start(self, host: _Host) -> None:
         host.is_off = False
         host.way = self._new(host.name, self.clock.now_seconds)
+        # Who else there is comes with the first links.
+        host.way.note_members(self._pattern.hosts_count, self.clock.now_seconds)
 
 
 def worst_window_ratio(
--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -44,9 +44,13 @@
 FRESH_SECONDS = 0.5
 
 #: Time for which the first requests wait in a fleet that has just come back as a whole:
-#: two hops of summaries. What was asked meanwhile comes at once, and each host let all
-#: of it go before it had heard of the others' (1.15 of what a rule allows, 90 hosts).
-HOLD_SECONDS = 0.6
+#: until what other halls are asked has come by way of two relays. What was asked
+#: meanwhile comes at once, and each host let all of it go before it had heard of the
+#: others' (1.15 of what a rule allows, 90 hosts; 1.06 where they waited 0.6 s).
+HOLD_SECONDS = 1.0
+
+#: Part of a limit up to which a request is no matter: it neither waits nor is drawn.
+TRIFLE_RATIO = 1.0 / 5000.0
 
 #: Time for which a limit is said to bind after a refusal.
 BINDING_SECONDS = 1.0
@@ -150,11 +154,15 @@
 
     # Decisions.
 
-    def hold_seconds(self, tokens: float, now_seconds: float) -> float:
+    def hold_seconds(
+        self, tokens: float, window_seconds: float, now_seconds: float
+    ) -> float:
         """Return how long a request waits until peers have told what they are asked.
 
         To be asked while the fleet is young; peers are told of a request that waits.
         """
+        if tokens <= self._trifle_tokens(window_seconds):
+            return 0.0
         since_seconds = self._asked_since_seconds
         if since_seconds is None:
             since_seconds = now_seconds
@@ -175,19 +183,22 @@
         """Count a request that may go now; return why it may not."""
         outlook = self._look_ahead(terms, now_seconds)
         self.admit_ratio = min(1.0, outlook.may_settle / max(1.0, outlook.asked))
-        if self._may_go(tokens, outlook):
+        if self._may_go(tokens, terms.window_seconds, outlook):
             self._sent.add(tokens, now_seconds)
             return None
         self._refused_at_seconds = now_seconds
         wait_seconds = self._wait_seconds(tokens, outlook)
         return OverLimit(self.limit.path, min(wait_seconds, terms.window_seconds))
 
-    def _may_go(self, tokens: float, outlook: _Outlook) -> bool:
+    def _may_go(self, tokens: float, window_seconds: float, outlook: _Outlook) -> bool:
         if tokens + outlook.ahead <= outlook.room:
             return True
         if not outlook.is_guess or outlook.used + tokens > outlook.most:
             return False
-        return self._draw_one()
+        return tokens <= self._trifle_tokens(window_seconds) or self._draw_one()
+
+    def _trifle_tokens(self, window_seconds: float) -> float:
+        return allowed_tokens(self.limit, window_seconds) * TRIFLE_RATIO
 
     def _look_ahead(self, terms: FleetTerms, now_seconds: float) -> _Outlook:
         asked, leaving = self._rates(now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
@@ -101,7 +101,11 @@
             return 0.0
         return max(
             (
-                known.hold_seconds(_counted_tokens(limit, event), now_seconds)
+                known.hold_seconds(
+                    _counted_tokens(limit, event),
+                    self._settings.window_seconds,
+                    now_seconds,
+                )
                 for limit in event.workspace.limits
                 if (known := self._limits.get(limit.path)) is not None
             ),
@@ -186,6 +190,15 @@
         for limit in self._limits.values():
             limit.forget(peer)
 
+    def note_members(self, count: int, now_seconds: float) -> None:
+        """Note how many hosts are known, heard or not.
+
+        One that has just started and hears nobody yet is not the whole fleet.
+        """
+        if count > self._most_hosts_count:
+            self._most_hosts_count = count
+            self._most_at_seconds = now_seconds
+
     def note_time(self, hosts_count: int, now_seconds: float) -> None:
         """Note the present time and the hosts that hear each other."""
         self.known_seconds(now_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -142,6 +142,10 @@
         """Return what a function of the scheduler and the present time returns."""
         return question(self._scheduler, self._read_clock())
 
+    def note_members(self, count: int) -> None:
+        """Note how many hosts of the fleet are known, heard or not."""
+        self._scheduler.limits.note_members(count, self._read_clock())
+
     def decisions(self, request_id: str) -> list[Decision]:
         """Return what was decided of late for a request, by its id here or outside."""
         return [
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -180,6 +180,7 @@
     def _learn(self, members: Iterable[Member], link: Link) -> None:
         news = self.table.learn(members)
         if news:
+            self._scheduler.note_members(len(list(self.table)))
             self._links.look_again()
             self._member_news.add(news, link.peer.name)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -187,6 +187,16 @@
         self.assertEqual(0.25, self.part(100, *[25] * 6))
         self.assertEqual(1.0, self.part(100, *[25] * 12))
 
+    def test_one_that_hears_nobody_yet_is_not_the_whole_fleet(self):
+        book = LimitBook(QuotaSettings(), "h")
+        book.note_time(1, 0.1)
+        self.assertEqual(1.0, book._part_ratio(0.1))
+        book.note_members(90, 0.2)
+        book.note_time(1, 0.3)
+        self.assertEqual(0.01, round(book._part_ratio(0.3), 2))
+        book.note_time(90, 0.8)
+        self.assertEqual(1.0, book._part_ratio(0.8))
+
     def test_a_moment_without_a_word_takes_nothing_away(self):
         self.assertEqual(1.0, self.part(90, 1))
         self.assertEqual(0.01, self.part(90, 1, 1))
@@ -211,7 +221,10 @@
         return round(first, 2), round(later, 2)
 
     def test_the_first_ones_wait_for_two_hops_of_words(self):
-        self.assertEqual((0.6, 0.1), self.hold(0.2, tokens_per_second=1000.0))
+        self.assertEqual((1.0, 0.5), self.hold(0.2, tokens_per_second=1000.0))
+
+    def test_a_trifle_does_not_wait(self):
+        self.assertEqual((0.0, 0.0), self.hold(0.2, tokens_per_second=1e6))
 
     def test_nobody_waits_where_somebody_has_been_counting(self):
         terms = {"known_seconds": 60.0, "tokens_per_second": 1000.0}
