--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -59,7 +59,8 @@
 #: Time between two tellings of the steward's news where nothing changes.
 STEWARD_INTERVAL_SECONDS = 0.5
 
-#: Time after the start for which seeds are dialled whatever else is known.
+#: Time after the start for which seeds are dialled whatever else is known, and for which
+#: hosts count that are known and not heard yet.
 SEEDING_SECONDS = 2.0
 
 #: Least time between two words of long prompts, about a way there and back and the
@@ -159,11 +160,14 @@
         return self.table.wanted_links(self._read_clock())
 
     def _list_seeds(self) -> Iterable[str]:
-        is_starting = self._read_clock() - self._began_seconds < SEEDING_SECONDS
-        if is_starting or self.roles.hears_nobody:
+        if self._is_starting or self.roles.hears_nobody:
             return self.seeds
         return ()
 
+    @property
+    def _is_starting(self) -> bool:
+        return self._read_clock() - self._began_seconds < SEEDING_SECONDS
+
     def _note_unreachable(self, name: str) -> None:
         self.table.note_unreachable(name, self._read_clock())
 
@@ -180,7 +184,9 @@
     def _learn(self, members: Iterable[Member], link: Link) -> None:
         news = self.table.learn(members)
         if news:
-            self._scheduler.note_members(len(list(self.table)))
+            if self._is_starting:
+                # Later those count that were heard: some that are known have left.
+                self._scheduler.note_members(len(list(self.table)))
             self._links.look_again()
             self._member_news.add(news, link.peer.name)
 
