--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -59,8 +59,8 @@
 #: Time between two tellings of the steward's news where nothing changes.
 STEWARD_INTERVAL_SECONDS = 0.5
 
-#: Time after the start for which seeds are dialled whatever else is known, and for which
-#: hosts count that are known and not heard yet.
+#: Time after the start for which seeds are dialled whatever else is known, and hosts
+#: count that are known and not heard yet.
 SEEDING_SECONDS = 2.0
 
 #: Least time between two words of long prompts, about a way there and back and the
