--- a/packages/rampwick-policy/src/rampwick_policy/_notices.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_notices.py
@@ -33,6 +33,10 @@
         self._known[kind, name] = state
         self._waiting.append(Notice(kind, name, before, state, reason))
 
+    def knows(self, kind: str, name: str) -> bool:
+        """Return whether anything is believed of something."""
+        return (kind, name) in self._known
+
     def forget(self, kind: str, name: str, reason: str) -> None:
         """Note that nothing is believed of something any more."""
         before = self._known.pop((kind, name), "")
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -352,6 +352,10 @@
     def _look_at_limits(self, now_seconds: float) -> None:
         self.limits.note_time(self.peers.hosts_count(now_seconds), now_seconds)
         for state in self.limits.states(now_seconds):
+            if not state.is_binding and not self.pool.notices.knows(
+                "limit", state.path
+            ):
+                continue
             belief = "binding" if state.is_binding else "open"
             reason = (
                 f"{state.used_tokens:.0f} of {state.allowed_tokens:.0f} tokens sent by "
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -97,6 +97,21 @@
         (sent,) = session.arrive(later, "r10", named_tokens=5000)
         self.assertEqual("r10", sent.request_id)
 
+    def test_the_log_says_when_a_limit_begins_and_ends_to_bind(self):
+        session = self.session()
+        notices = session.scheduler.pool.notices
+
+        def told(at):
+            session.do(at, Tick())
+            return [item.after for item in notices.take() if item.kind == "limit"]
+
+        self.assertEqual([], told(LATER_SECONDS))
+        for number in range(3):
+            session.arrive(LATER_SECONDS, f"r{number}", named_tokens=5000)
+        self.assertEqual(["binding"], told(LATER_SECONDS + 0.1))
+        self.assertEqual([], told(LATER_SECONDS + 0.5))
+        self.assertEqual(["open"], told(LATER_SECONDS + 2.0))
+
     def test_one_over_its_limit_pushes_nobody_behind(self):
         session = self.session()
         for number in range(50):
