--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -343,26 +343,12 @@
 
     def _on_tick(self, event: ev.Tick, now_seconds: float) -> list[ev.Action]:
         self.pool.expire_peers(now_seconds)
-        self._look_at_limits(now_seconds)
+        self.pool.look_at_limits(now_seconds)
         actions: list[ev.Action] = []
         for item in list(self._requests.values()):
             actions += self._check_hope(item, now_seconds)
         return actions
 
-    def _look_at_limits(self, now_seconds: float) -> None:
-        self.limits.note_time(self.peers.hosts_count(now_seconds), now_seconds)
-        for state in self.limits.states(now_seconds):
-            if not state.is_binding and not self.pool.notices.knows(
-                "limit", state.path
-            ):
-                continue
-            belief = "binding" if state.is_binding else "open"
-            reason = (
-                f"{state.used_tokens:.0f} of {state.allowed_tokens:.0f} tokens sent by "
-                f"all, part {state.part_ratio:.2f}"
-            )
-            self.pool.notices.note("limit", state.path, belief, reason)
-
     def _check_hope(self, item: QueuedRequest, now_seconds: float) -> list[ev.Action]:
         reason = self._refusals.find_reason(item, now_seconds)
         if not reason:
