Looks at the store: the pause is kept, not two to the power of the failures

Cause: the pause between looks at the configuration was computed as 0.2 s times two to the number of looks that failed in a row. From the 1,024th on, half an hour of outage, that is more than a float holds: each request that asked for a look ended in an OverflowError. Change: the pause itself is kept and doubled up to its bound, a state less to derive from. Measured: the new test, 1,100 looks that fail, broke with that error before and passes now; test_look_again, test_reading and test_start pass, lint is clean.

--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -131,8 +131,7 @@
         self._task: ConfigurationTask
         self._refreshed_at_seconds = -REFRESH_INTERVAL_SECONDS
         self._refreshing: anyio.Event | None = None
-        #: Looks in a row that failed.
-        self._failures_count = 0
+        self._refresh_interval_seconds = REFRESH_INTERVAL_SECONDS
         self._refused_version = 0
         self._watcher = KindWatcher(
             api,
@@ -168,24 +167,21 @@
             self._refreshed_at_seconds = self._read_clock()
         except PlatformError as error:
             self._refreshed_at_seconds = self._read_clock()
-            self._failures_count += 1
+            self._refresh_interval_seconds = min(
+                MAX_REFRESH_INTERVAL_SECONDS, 2.0 * self._refresh_interval_seconds
+            )
             self._note_problem(str(error))
         finally:
             # Left unnoted by one whose caller went away: the next one reads.
             self._refreshing.set()
             self._refreshing = None
 
-    @property
-    def _refresh_interval_seconds(self) -> float:
-        interval_seconds = REFRESH_INTERVAL_SECONDS * 2**self._failures_count
-        return min(MAX_REFRESH_INTERVAL_SECONDS, interval_seconds)
-
     def _note_problem(self, problem: str) -> None:
         self._task.note_problem(problem)
 
     def _take(self, state: KindState) -> None:
         self._task.note_problem("")
-        self._failures_count = 0
+        self._refresh_interval_seconds = REFRESH_INTERVAL_SECONDS
         follower = self._task.follower
         is_new = False
         if state.version != self._refused_version:
--- a/tests/test_look_again.py
+++ b/tests/test_look_again.py
@@ -130,6 +130,22 @@
         # Once it answers, looks are as near to each other as before.
         self.assertEqual(2, after_count)
 
+    def test_a_store_that_is_away_for_long_is_looked_for_all_the_while(self):
+        """Symptom: after 1,024 looks that failed, each request broke with an overflow.
+
+        Half an hour of outage does that; the pause was two to the power of the looks.
+        """
+
+        async def scenario(task, api, clock):
+            api.is_up = False
+            api.may_answer.set()
+            for _ in range(1100):
+                clock.now += 2.0
+                await task.refresh()
+            return api.calls_count
+
+        self.assertEqual(1100, self.look(scenario))
+
     def test_a_store_that_is_away_is_not_asked_by_each(self):
         async def scenario(task, api, clock):
             api.is_up = False
