Limits lab: a hall's sums are picked in one place

Cause: what a relay heard of other halls was picked by the same loop in two functions; the compared ways kept a part that is only used where it is computed, and began a count that taking the limit had begun. Change: one function for the sums, the part is local, the second beginning is gone.

--- a/measure/_limit_ways.py
+++ b/measure/_limit_ways.py
@@ -71,7 +71,6 @@
         self.book = LimitBook(settings, name)
         self._workspace = workspace(pattern)
         self.book.apply({PATH: self._workspace}, now_seconds)
-        self.book.known_seconds(now_seconds)
 
     def hold_seconds(self, tokens: int, now_seconds: float) -> float:
         """Return how long a request waits before that is decided."""
@@ -133,7 +132,6 @@
     def __init__(self, pattern: LimitPattern, name: str, now_seconds: float) -> None:
         super().__init__(pattern, name, now_seconds)
         self._ratio = 1.0
-        self._part = 1.0 / pattern.hosts_count
         self._level = 0.0
         self._at_seconds = now_seconds
         self._own_asked = 0.0
@@ -145,9 +143,9 @@
         equal = self.equal_ratio / self._pattern.hosts_count
         total = self._own_asked + sum(self._others_asked.values())
         asked_part = self._own_asked / total if total else equal
-        self._part = equal + (1.0 - self.equal_ratio) * asked_part
-        rate = self._pattern.tokens_per_second * self._ratio * self._part
-        most = max(self._pattern.burst_tokens * self._ratio * self._part, tokens)
+        part = equal + (1.0 - self.equal_ratio) * asked_part
+        rate = self._pattern.tokens_per_second * self._ratio * part
+        most = max(self._pattern.burst_tokens * self._ratio * part, tokens)
         elapsed_seconds = now_seconds - self._at_seconds
         self._at_seconds = now_seconds
         self._level = min(most, self._level + rate * elapsed_seconds)
--- a/measure/_limits_lab.py
+++ b/measure/_limits_lab.py
@@ -136,15 +136,17 @@
             host.way.note_time(self._heard_count(host.hall), now_seconds)
 
     def _heard_count(self, hall: int) -> int:
-        now_seconds = self.clock.now_seconds
-        own = sum(item.hosts_count for item in self._hall(hall))
-        return own + sum(
-            summary.hosts_count
+        heard = [*self._hall(hall), *self._others(hall)]
+        return sum(summary.hosts_count for summary in heard)
+
+    def _others(self, hall: int) -> list[Summary]:
+        """Return the other halls' sums that a hall's relay has."""
+        oldest = self.clock.now_seconds - LATE_HALL_SECONDS
+        return [
+            summary
             for (by, of), (summary, at_seconds) in self._sums.items()
-            if by == hall
-            and of != hall
-            and now_seconds - at_seconds < LATE_HALL_SECONDS
-        )
+            if by == hall and of != hall and at_seconds > oldest
+        ]
 
     def _hall(self, hall: int) -> list[Summary]:
         """Return the words that a hall's relay has of its hosts."""
@@ -158,14 +160,8 @@
     def _tell_hall(self, hall: int) -> None:
         self.clock.after(TELL_SECONDS, self._tell_hall, hall)
         now_seconds = self.clock.now_seconds
-        others = [
-            summary
-            for (by, of), (summary, at_seconds) in self._sums.items()
-            if by == hall
-            and of != hall
-            and now_seconds - at_seconds < LATE_HALL_SECONDS
-        ]
-        total = HallNews().merge([*self._hall(hall), *others], 1)
+        heard = [*self._hall(hall), *self._others(hall)]
+        total = HallNews().merge(heard, 1)
         for host in self.hosts:
             if host.hall == hall and not host.is_off and host.told is not None:
                 age_seconds = now_seconds - host.told_at_seconds
