Limits: a tick adds up only the limits that bind

Cause: each tick, ten times a second in a host at work, the pool added up what all peers had sent under every limit to see which of them bind, which the limit knows by itself. Change: limits are asked first whether they bind; only those that do, or were told of, are added up. What leaves the window a second is computed in one place, what peers are asked once a decision; the time since which anybody counts begins as never, without a check for none; what is uncounted is emptied where that is done, not by one of its callers; the status page reads limits as the metrics do. No decision changes.

--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -135,10 +135,8 @@
         asked = self._asked_per_second(now_seconds)
         if sent < 1.0 and asked < 1.0:
             return None
-        leaving = self._sent.leaving(LEAVING_SECONDS, now_seconds)
-        return LimitUsage(
-            self.limit.path, round(sent), round(leaving / LEAVING_SECONDS), round(asked)
-        )
+        leaving = self._leaving_per_second(now_seconds)
+        return LimitUsage(self.limit.path, round(sent), round(leaving), round(asked))
 
     def hear(self, peer: str, usage: LimitUsage, at_seconds: float) -> None:
         """Take what a peer says of a time."""
@@ -201,7 +199,9 @@
         return allowed_tokens(self.limit, window_seconds) * TRIFLE_RATIO
 
     def _look_ahead(self, terms: FleetTerms, now_seconds: float) -> _Outlook:
-        asked, leaving = self._rates(now_seconds)
+        asked_elsewhere = self._words.asked_tokens
+        asked = self._asked_per_second(now_seconds) + asked_elsewhere
+        leaving = self._leaving_per_second(now_seconds) + self._words.leaving_tokens
         aimed, most = self._bounds(asked, terms)
         used = self.used_tokens(terms, now_seconds)
         if now_seconds < self._forgiven_until_seconds:
@@ -210,7 +210,7 @@
         if terms.unknown_seconds:
             leaving += self._refill * terms.part_ratio
             room = self._room_of_unknown(room, used, terms)
-        ahead = max(0.0, self._words.asked_tokens - leaving) * SETTLE_SECONDS
+        ahead = max(0.0, asked_elsewhere - leaving) * SETTLE_SECONDS
         return _Outlook(
             used=used,
             room=room,
@@ -279,11 +279,8 @@
         span_seconds = min(ASKED_SECONDS, max(MIN_ASKED_SECONDS, since_seconds))
         return self._asked.total(now_seconds) / span_seconds
 
-    def _rates(self, now_seconds: float) -> tuple[float, float]:
-        """Return what all are asked for a second, and what leaves their windows."""
-        asked = self._asked_per_second(now_seconds)
-        leaving = self._sent.leaving(LEAVING_SECONDS, now_seconds) / LEAVING_SECONDS
-        return asked + self._words.asked_tokens, leaving + self._words.leaving_tokens
+    def _leaving_per_second(self, now_seconds: float) -> float:
+        return self._sent.leaving(LEAVING_SECONDS, now_seconds) / LEAVING_SECONDS
 
     def _draw_one(self) -> bool:
         # Parts are saved up: single draws would let a host that sees two requests a
--- a/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
@@ -63,7 +63,7 @@
         #: Limits that each peer named last.
         self._said: dict[str, frozenset[str]] = {}
         #: Since when somebody who is alive has been counting.
-        self._known_since_seconds: float | None = None
+        self._known_since_seconds = math.inf
         self._hosts_count = 1
         self._most_hosts_count = 1
         self._most_at_seconds = 0.0
@@ -163,17 +163,14 @@
 
     def known_seconds(self, now_seconds: float) -> float:
         """Return for how long somebody who is alive has been counting."""
-        if self._known_since_seconds is None:
-            self._known_since_seconds = now_seconds
+        self._known_since_seconds = min(self._known_since_seconds, now_seconds)
         return now_seconds - self._known_since_seconds
 
     def hear(
         self, peer: str, summary: Summary, age_seconds: float, now_seconds: float
     ) -> None:
         """Take a peer's word, which is that old already."""
-        self.known_seconds(now_seconds)
         since_seconds = now_seconds - age_seconds - summary.limits_known_seconds
-        assert self._known_since_seconds is not None
         self._known_since_seconds = min(self._known_since_seconds, since_seconds)
         said = {usage.path: usage for usage in summary.limits}
         # A peer that names a limit no more has nothing left in its window.
@@ -216,16 +213,24 @@
 
     def states(self, now_seconds: float) -> list[LimitState]:
         """Return how each limit stands."""
-        terms = self._terms(now_seconds)
+        return [self.state(path, now_seconds) for path in sorted(self._limits)]
+
+    def state(self, path: str, now_seconds: float) -> LimitState:
+        """Return how one limit stands."""
+        limit, terms = self._limits[path], self._terms(now_seconds)
+        return LimitState(
+            path,
+            allowed_tokens(limit.limit, terms.window_seconds),
+            limit.used_tokens(terms, now_seconds),
+            limit.admit_ratio,
+            terms.part_ratio,
+            limit.is_binding(now_seconds),
+        )
+
+    def bindings(self, now_seconds: float) -> list[tuple[str, bool]]:
+        """Return the paths of all limits, each with whether it binds."""
         return [
-            LimitState(
-                path,
-                allowed_tokens(limit.limit, terms.window_seconds),
-                limit.used_tokens(terms, now_seconds),
-                limit.admit_ratio,
-                terms.part_ratio,
-                limit.is_binding(now_seconds),
-            )
+            (path, limit.is_binding(now_seconds))
             for path, limit in sorted(self._limits.items())
         ]
 
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -209,15 +209,16 @@
     def look_at_limits(self, now_seconds: float) -> None:
         """Note who is there to keep limits, and which begin or end to bind."""
         self.limits.note_time(self.peers.hosts_count(now_seconds), now_seconds)
-        for state in self.limits.states(now_seconds):
-            if not state.is_binding and not self.notices.knows("limit", state.path):
+        for path, is_binding in self.limits.bindings(now_seconds):
+            if not is_binding and not self.notices.knows("limit", path):
                 continue
-            belief = "binding" if state.is_binding else "open"
+            belief = "binding" if is_binding else "open"
+            state = self.limits.state(path, now_seconds)
             reason = (
                 f"{state.used_tokens:.0f} of {state.allowed_tokens:.0f} tokens sent by "
                 f"all, part {state.part_ratio:.2f}"
             )
-            self.notices.note("limit", state.path, belief, reason)
+            self.notices.note("limit", path, belief, reason)
 
     def _notice(self, upstream: Upstream, reason: str, now_seconds: float) -> None:
         """Note what is believed of an upstream now, and why."""
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -274,7 +274,6 @@
         if not attempt_id:
             self.queue.remove(item)
             self._uncount(item)
-            item.counted = []
             return []
         upstream = self.upstreams.get(item.upstream)
         self._release(item, attempt_id, now_seconds)
@@ -301,6 +300,7 @@
         """Have a request that surely did not run count no more towards limits."""
         if item.lifecycle.run_state <= RunState.REFUSED:
             self.limits.give_back(item.counted)
+            item.counted = []
 
     def _on_silent(
         self, event: ev.AttemptSilent, now_seconds: float
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -223,7 +223,7 @@
         "waiting_count": len(scheduler.queue),
         "retry_budget_count": round(scheduler.budgets.least_saved, 2),
         "limits": [
-            attrs.asdict(state) for state in scheduler.limits.states(now_seconds)
+            attrs.asdict(state) for state in _read_limits(scheduler, now_seconds)
         ],
         "known_prefixes_count": scheduler.knowledge.entries_count(),
     }
