Hosts read the rate of requests that upstreams name, and say when it begins and ends

Cause: an answer's head was read for nine things, a rate was not among them; no line told whether a host had seen one, and when. Ruled out: a line for each answer that names one (hundreds of equal lines); taking it from a 421 or from another upstream's answer (it proves nothing on the one that was asked). Change: AnswerFacts.request_rate in both dialects (decimal numbers only, the least of several; what can't be read neither names nor ends one), RateNamed, a book of words in policy by which an older answer that comes later changes nothing, notices. Upstreams without lives of their own are compared by their names, as they were asked.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -53,6 +53,7 @@
     PeerGone as PeerGone,
     PeerHeard as PeerHeard,
     ProbeFailed as ProbeFailed,
+    RateNamed as RateNamed,
     Refuse as Refuse,
     RequestArrived as RequestArrived,
     RequestCancelled as RequestCancelled,
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -207,6 +207,19 @@
     is_after_failure: bool = False
 
 
+@attrs.frozen(repr=False)
+class RateNamed(Shown):
+    """An answer named the requests that its upstream takes, or named none any more."""
+
+    upstream: str
+    #: Life that answered; empty where lives are not told apart.
+    incarnation: str
+    #: Requests a second from all hosts together; none if it names no rate.
+    requests_per_second: float | None
+    #: When the request was sent that it answers.
+    asked_at_seconds: float
+
+
 @attrs.frozen(repr=False)
 class EndsHeard(Shown):
     """A peer tells of upstreams that end under requests."""
@@ -243,6 +256,7 @@
     | LoadOrdered
     | CacheSeen
     | TargetsRead
+    | RateNamed
     | EndsHeard
     | TreeInForce
     | Tick
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -28,6 +28,7 @@
 from ._placement_news import PlacementNews
 from ._prefix import PrefixChain
 from ._request import Outcome
+from ._request_rates import RateWord, RequestRates
 from ._shares import ShareLedger
 from ._upstreams import Upstream, UpstreamTable
 
@@ -55,6 +56,7 @@
     | ev.LoadOrdered
     | ev.TargetsRead
     | ev.CacheSeen
+    | ev.RateNamed
 )
 
 
@@ -77,6 +79,8 @@
         self.services: frozenset[str] = frozenset()
         self.moves = Moves(self.peers)
         self.notices = NoticeBook()
+        #: Requests a second that upstreams in need take from all hosts.
+        self.rates = RequestRates(self.notices)
         self._news = PlacementNews()
         self._handlers: dict[type, Callable[[Any, float], None]] = {
             ev.LoadReported: self._on_report,
@@ -88,6 +92,7 @@
             ev.LoadOrdered: self._on_load,
             ev.TargetsRead: self._on_targets,
             ev.CacheSeen: self._on_cache,
+            ev.RateNamed: self._on_rate,
         }
 
     def hear(self, event: PoolEvent, now_seconds: float) -> None:
@@ -292,6 +297,7 @@
         reason = f"host list {event.host_list.version}"
         for name in self.upstreams.apply_list(_sorted(event.host_list)):
             self.knowledge.forget(name)
+            self.rates.forget(name, reason)
             self.notices.forget("upstream", name, reason)
         for upstream in self.upstreams:
             if upstream.entry.incarnation and upstream.is_runner:
@@ -350,6 +356,17 @@
             for prefix, tokens in pairs:
                 kept.note_change(version, prefix, tokens, now_seconds)
 
+    def _on_rate(self, event: ev.RateNamed, now_seconds: float) -> None:
+        if self.upstreams.get(event.upstream) is None:
+            return
+        word = RateWord(
+            event.incarnation,
+            event.requests_per_second,
+            event.asked_at_seconds,
+            now_seconds,
+        )
+        self.rates.take(event.upstream, word, "its answer says so")
+
     def _observe(self, upstream: Upstream, cache_tokens: int = 0) -> None:
         """Drop what was known of an earlier life of a runner's cache."""
         if upstream.life is None:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -109,6 +109,7 @@
             ev.LoadOrdered: self._on_pool_news,
             ev.TargetsRead: self._on_pool_news,
             ev.CacheSeen: self._on_pool_news,
+            ev.RateNamed: self._on_pool_news,
             ev.EndsHeard: self._on_ends_heard,
             ev.TreeInForce: self._on_tree,
             ev.Tick: self._on_tick,
--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -14,7 +14,9 @@
     Dialects as Dialects,
     ErrorAnswer as ErrorAnswer,
     RawCall as RawCall,
+    RequestRate as RequestRate,
     RoutedCall as RoutedCall,
+    read_request_rate as read_request_rate,
 )
 from ._errors import CallerError as CallerError
 from ._headers import (
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -4,6 +4,7 @@
 ``_own_dialect``; a deployment with other names brings one of its own.
 """
 
+import re
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -13,7 +14,11 @@
 from rampwick_schema import HostEntry, LoadReport, Order, Shown
 
 from ._errors import CallerError
-from ._headers import AnswerHead, Header
+from ._headers import AnswerHead, Header, find_all
+
+#: A decimal number as upstreams write one: no sign, no exponent, and short, since
+#: nothing else is a rate that anybody means.
+DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
 @attrs.frozen(repr=False)
@@ -86,6 +91,16 @@
     resume_after: str = ""
 
 
+@attrs.frozen(repr=False)
+class RequestRate(Shown):
+    """What an answer says of the requests that its upstream takes from all hosts."""
+
+    #: Requests a second; none if it names no rate.
+    per_second: float | None = None
+    #: Whether it is surely so: what can't be read neither names a rate nor ends one.
+    is_readable: bool = True
+
+
 @attrs.frozen(repr=False)
 class AnswerFacts(Shown):
     """What an upstream's answer says of the attempt and of the upstream."""
@@ -107,6 +122,17 @@
     max_rest_seconds: float | None = None
     #: Whether the upstream closes its connections, as one that leaves does.
     is_closing: bool = False
+    request_rate: RequestRate = RequestRate()
+
+
+def read_request_rate(head: AnswerHead, name: bytes) -> RequestRate:
+    """Return the rate under a lower-case header name; the least one of several."""
+    values = find_all(head.headers, name)
+    if not values:
+        return RequestRate()
+    if not all(DECIMAL.fullmatch(value.strip()) for value in values):
+        return RequestRate(is_readable=False)
+    return RequestRate(min(float(value) for value in values))
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-router/src/rampwick_router/_headers.py
+++ b/packages/rampwick-router/src/rampwick_router/_headers.py
@@ -9,6 +9,10 @@
 Header = tuple[bytes, bytes]
 RawHeaders = Sequence[Header]
 
+#: Requests a second that an upstream takes from all hosts together, as rampwick's own
+#: upstreams name it.
+REQUEST_RATE = b"rampwick-request-rate"
+
 #: Headers of one connection, by RFC 9110, and those that the sender makes anew.
 CONNECTION_HEADERS = frozenset(
     {
@@ -61,6 +65,11 @@
     return None
 
 
+def find_all(headers: Iterable[Header], name: bytes) -> list[bytes]:
+    """Return the values of all headers of a lower-case name."""
+    return [value for known, value in headers if known.lower() == name]
+
+
 def keep_alive_seconds(headers: Iterable[Header]) -> float | None:
     """Return the rest that a Keep-Alive header allows; None if it names none."""
     value = find(headers, b"keep-alive")
--- a/packages/rampwick-router/src/rampwick_router/_own_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -28,9 +28,17 @@
     Header,
     RawCall,
     RoutedCall,
+    read_request_rate,
 )
 from ._errors import CallerError
-from ._headers import AnswerHead, asks_to_close, end_to_end, find, keep_alive_seconds
+from ._headers import (
+    REQUEST_RATE,
+    AnswerHead,
+    asks_to_close,
+    end_to_end,
+    find,
+    keep_alive_seconds,
+)
 from .entry import bad_request
 
 PREFIX = b"rampwick-"
@@ -50,7 +58,6 @@
 #: What became of a request that an upstream did not serve: ``refused``,
 #: ``misdirected``.
 NOT_RUN = b"rampwick-not-run"
-
 #: Longest id of a request and largest number of parts of a prompt.
 MAX_ID_BYTES = 200
 MAX_PARTS = 256
@@ -140,6 +147,7 @@
             retry_after_seconds=_read_seconds(retry_after),
             max_rest_seconds=keep_alive_seconds(headers),
             is_closing=asks_to_close(headers),
+            request_rate=read_request_rate(head, REQUEST_RATE),
         )
 
     def answer_headers(self, head: AnswerHead) -> list[Header]:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -92,6 +92,10 @@
         """Requests that upstreams end under."""
         return self._scheduler.suspects
 
+    def knows_rate(self, upstream: str) -> bool:
+        """Return whether an upstream has named a rate of requests of late."""
+        return self._scheduler.pool.rates.knows(upstream)
+
     @property
     def hosts_count(self) -> int:
         """Most hosts that were alive at once of late, this one included."""
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -10,10 +10,13 @@
 from rampwick_policy import AttemptAccepted, AttemptDelivered, Dispatch, Outcome
 from rampwick_schema import Shown
 
+from .._dialects import read_request_rate
 from .._errors import AttemptError
+from .._headers import REQUEST_RATE
 from ..upstream import DONE, OrderKeeper, StreamEvent, UpstreamStream, format_event
 from ._call import ModelCall
 from ._parts import Parts
+from ._rates import note_rate
 from ._responder import EVENT_STREAM, Responder
 from ._stream_tokens import StreamReference
 
@@ -79,8 +82,9 @@
     async def _start(self, content: bytes) -> None:
         client = self._parts.upstreams
         path = self._target.path
+        asked_at_seconds = self._parts.read_clock()
         async with client.start_stream(self._dispatch, path, content) as stream:
-            await self._take(stream)
+            await self._take(stream, asked_at_seconds)
 
     async def _resume_after(self, error: AttemptError) -> None:
         was_closed = error.was_closed
@@ -100,6 +104,7 @@
 
     async def _resume(self) -> None:
         dispatch = self._dispatch
+        asked_at_seconds = self._parts.read_clock()
         async with self._parts.upstreams.resume_stream(
             dispatch.address,
             dispatch.upstream,
@@ -107,11 +112,18 @@
             self._order.next_position,
             is_chat=self._target.call.is_chat,
         ) as stream:
-            await self._take(stream)
+            await self._take(stream, asked_at_seconds)
 
-    async def _take(self, stream: UpstreamStream) -> None:
+    async def _take(self, stream: UpstreamStream, asked_at_seconds: float) -> None:
         dispatch = self._dispatch
         start = stream.check_start(dispatch.attempt_id, dispatch.incarnation)
+        note_rate(
+            self._parts.scheduler,
+            dispatch,
+            read_request_rate(stream.head, REQUEST_RATE),
+            asked_at_seconds=asked_at_seconds,
+            is_proved=True,
+        )
         if start.weights_version != dispatch.weights_version:
             # The salt named other weights: what was cached may be older ones'.
             raise self._error(Outcome.STALE, "the engine has other weights now")
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -23,6 +23,7 @@
 from .._logs import PartLogger
 from ..upstream import Channel, Listening
 from ._parts import Parts
+from ._rates import note_rate
 from ._routed_request import RoutedRequest
 
 #: Silence before an answer's head after which an upstream is suspected to be gone:
@@ -71,10 +72,12 @@
         async with self._parts.channels.borrow(
             dispatch.upstream, dispatch.address, self._max_connections()
         ) as self._channel:
+            asked_at_seconds = self._parts.read_clock()
             await self._channel.send(call.method, call.target, headers, body)
             head = await self._receive_head()
-            facts = dialect.read_answer(head, dispatch.incarnation)
+            facts = dialect.read_answer(head, self._asked_incarnation)
             self._note_channel(facts)
+            self._note_rate(facts, asked_at_seconds)
             self._check(head, facts)
             with self._parts.silences.listen(self._silence_seconds()) as listening:
                 self._listening = listening
@@ -105,13 +108,18 @@
             retry_after_seconds=facts.retry_after_seconds if facts else None,
         )
 
+    @property
+    def _asked_incarnation(self) -> str:
+        """The life that alone shall run it; upstreams without lives have their name."""
+        return self.dispatch.incarnation or self.dispatch.upstream
+
     def _terms(self, remaining_seconds: float) -> AttemptTerms:
         request, dispatch = self._request, self.dispatch
         salt = ""
         if request.scope is not None:
             salt = self._parts.salts.salt(request.scope, dispatch.weights_version)
         return AttemptTerms(
-            incarnation=dispatch.incarnation or dispatch.upstream,
+            incarnation=self._asked_incarnation,
             weights_version=dispatch.weights_version,
             remaining_seconds=remaining_seconds,
             workspace=request.workspace.path.removeprefix("/"),
@@ -180,6 +188,20 @@
         accepted = AttemptAccepted(self._request_id, self.dispatch.attempt_id)
         self._parts.scheduler.post(accepted)
 
+    def _note_rate(self, facts: AnswerFacts, asked_at_seconds: float) -> None:
+        """Note the rate that the upstream names, unless the answer is another's."""
+        if facts.is_misdirected or facts.is_another:
+            return
+        if facts.request_id != self._request.call.request_id:
+            return
+        note_rate(
+            self._parts.scheduler,
+            self.dispatch,
+            facts.request_rate,
+            asked_at_seconds=asked_at_seconds,
+            is_proved=facts.is_signed,
+        )
+
     def _note_weights(self, facts: AnswerFacts) -> None:
         dispatch = self.dispatch
         if facts.weights_version is None or not dispatch.weights_version:
--- a/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -15,11 +15,14 @@
 )
 from rampwick_schema import Shown
 
+from .._dialects import read_request_rate
 from .._errors import AttemptError
+from .._headers import REQUEST_RATE
 from ..upstream import UpstreamAnswer
 from ._call import CallTerms
 from ._exchange import Exchange
 from ._parts import Parts
+from ._rates import note_rate
 from ._responder import Receive, Responder
 
 #: Methods that HTTP itself allows to repeat.
@@ -102,6 +105,7 @@
             for name, value in self._call.headers
         ]
         headers.append((b"x-request-id", dispatch.attempt_id.encode()))
+        asked_at_seconds = self.parts.read_clock()
         async with self.parts.upstreams.request(
             self._call.method,
             dispatch.address,
@@ -111,6 +115,13 @@
             headers=headers,
             body=self._call.body,
         ) as answer:
+            note_rate(
+                self.parts.scheduler,
+                dispatch,
+                read_request_rate(answer.head, REQUEST_RATE),
+                asked_at_seconds=asked_at_seconds,
+                is_proved=answer.status < HTTPStatus.INTERNAL_SERVER_ERROR,
+            )
             if answer.status == HTTPStatus.TOO_MANY_REQUESTS:
                 raise AttemptError(
                     "the service is busy",
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -222,6 +222,7 @@
         self, answer: UpstreamAnswer, upstream: str, max_event_bytes: int
     ) -> None:
         self._status = answer.status
+        self.head = answer.head
         self._headers = answer.texts()
         self._pieces = answer.pieces
         self._upstream = upstream
--- a/packages/rampwick-standin/src/rampwick_standin/_engine.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_engine.py
@@ -56,6 +56,8 @@
     loses_answers: bool = False
     #: Keep the cache over a load of other weights, as no engine should.
     keeps_cache: bool = False
+    #: Requests a second that it says it takes from all hosts; none to say nothing.
+    request_rate: float | None = None
 
 
 @attrs.frozen
--- a/packages/rampwick-standin/src/rampwick_standin/_runner.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_runner.py
@@ -79,6 +79,9 @@
             "X-Engine-Incarnation": stream.incarnation,
             "X-Weights-Version": str(stream.weights_version),
         }
+        rate = self.engine.faults.request_rate
+        if rate is not None:
+            headers["Rampwick-Request-Rate"] = f"{rate:g}"
         return StreamingResponse(
             self._events(stream, position, is_chat),
             media_type="text/event-stream",
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -18,7 +18,13 @@
     VersionConflictError,
 )
 from rampwick_policy import OrderResult, TreeView
-from rampwick_router import AnswerHead, AttemptTerms, CallerError, RawCall
+from rampwick_router import (
+    AnswerHead,
+    AttemptTerms,
+    CallerError,
+    RawCall,
+    RequestRate,
+)
 from rampwick_schema import (
     DataError,
     HostEntry,
@@ -355,6 +361,30 @@
         }
         self.assertEqual(expected, dict(sent))
 
+    def test_the_rate_that_an_upstream_names_is_a_short_decimal_number(self):
+        def rate(*values):
+            headers = [(b"Server-Limit", value) for value in values]
+            facts = UpstreamTranslation().read_answer(
+                AnswerHead(200, headers, True), "i-1"
+            )
+            return facts.request_rate
+
+        for value, expected in (
+            (b"1.8", 1.8),
+            (b"0", 0.0),
+            (b"0.05", 0.05),
+            (b" 50 ", 50.0),
+            (b"7.", 7.0),
+            (b".5", 0.5),
+        ):
+            self.assertEqual(RequestRate(expected), rate(value))
+        self.assertEqual(RequestRate(1.5), rate(b"2", b"1.5"))
+        self.assertEqual(RequestRate(), rate())
+        unreadable = RequestRate(is_readable=False)
+        for value in (b"", b"-1", b"1e9", b"nan", b"inf", b"1,5", b"x", b"9" * 4096):
+            self.assertEqual(unreadable, rate(value))
+        self.assertEqual(unreadable, rate(b"2", b"x"))
+
     def test_answers_say_what_they_prove(self):
         read = UpstreamTranslation().read_answer
 
