--- a/tests/bench.py
+++ b/tests/bench.py
@@ -113,6 +113,10 @@
         found = self.upstream(name)
         return found is not None and found.life is not None
 
+    def knows_rate(self, name: str) -> bool:
+        """Return whether an upstream has named a rate of requests."""
+        return self.daemon.scheduler.knows_rate(name)
+
     async def complete(
         self, prompt: str = "a prompt", key: str = KEY, headers=None, **body
     ) -> httpx.Response:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,9 @@
 """Failures that are known and listed cost a run nothing; every run prints them.
 
-``KNOWN-RED.txt`` at the root holds one line for each: the test's id, its cause and its
-issue, apart by ``|``. What is not listed fails as ever, and so does a list that is too
-long or names a test that isn't there.
+``KNOWN-RED.txt`` at the root holds one line for each: the test's id, the command (with
+its seed) that shows it, what was seen, and the issue, apart by ``|``. What is not
+listed fails as ever, and so does a list that is too long or names a test that isn't
+there.
 """
 
 from pathlib import Path
@@ -22,7 +23,8 @@
     """One line of the list."""
 
     test: str
-    cause: str
+    command: str
+    seen: str
     issue: str
 
 
@@ -33,8 +35,8 @@
         if not line.strip() or line.startswith("#"):
             continue
         fields = [field.strip() for field in line.split("|")]
-        if len(fields) != 3 or not all(fields):
-            raise ValueError(f"not 'test | cause | issue': {line!r}")
+        if len(fields) != 4 or not all(fields):
+            raise ValueError(f"not 'test | command | seen | issue': {line!r}")
         known.append(KnownFailure(*fields))
     if len(known) > MAX_KNOWN:
         raise ValueError(f"{len(known)} known failures, allowed are {MAX_KNOWN}")
@@ -72,7 +74,7 @@
         raise pytest.UsageError(f"{KNOWN_RED.name}: no such test: {missing}")
     for failure in known:
         if failure.test in collected:
-            reason = f"{failure.cause} ({failure.issue})"
+            reason = f"{failure.seen} ({failure.issue})"
             mark = pytest.mark.xfail(reason=reason, strict=False)
             collected[failure.test].add_marker(mark)
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -4,19 +4,27 @@
 
 from .conftest import KnownFailure, find_missing, read_known
 
-LINE = "tests/test_known_red.py::A::test_b | a cause | issue 1"
+LINE = "tests/test_known_red.py::A::test_b | make test | what was seen | issue 1"
 
 
 class KnownRedTest(TestCase):
-    def test_a_line_names_test_cause_and_issue(self):
+    def test_a_line_names_test_command_sight_and_issue(self):
         known = read_known(f"# a note\n\n{LINE}\n")
         expected = KnownFailure(
-            "tests/test_known_red.py::A::test_b", "a cause", "issue 1"
+            "tests/test_known_red.py::A::test_b",
+            "make test",
+            "what was seen",
+            "issue 1",
         )
         self.assertEqual([expected], known)
 
     def test_a_line_that_lacks_a_part_is_no_line(self):
-        for line in ("tests/test_a.py::b", "a | b", "a | | c", "a | b | c | d"):
+        for line in (
+            "tests/test_a.py::b",
+            "a | b | c",
+            "a | | c | d",
+            "a | b | c | d | e",
+        ):
             self.assertRaises(ValueError, read_known, line)
 
     def test_no_more_than_three(self):
@@ -30,5 +38,5 @@
         self.assertEqual([], find_missing([known], {known.test: None}))
         # Its file was not part of this run.
         self.assertEqual([], find_missing([known], {"tests/test_a.py::b": None}))
-        gone = KnownFailure("tests/no_such_file.py::A", "a cause", "issue 1")
+        gone = KnownFailure("tests/no_such_file.py::A", "make test", "seen", "issue 1")
         self.assertEqual([gone.test], find_missing([gone], {known.test: None}))
