Upstreams that name a rate of requests get no more, from all hosts together

Callers saw nothing; two runners in need got 4.9 and 4.0 requests a second where they had said that they take 1.8 and 1.4, and every host went on. Cause: nothing read the rate. And the number holds for all hosts together: kept to by each host alone it goes out as often as there are hosts. Ruled out: equal parts for all (90 hosts at 1.8 a second: one turn in 50 s each, 0.01 of the rate used); sums and an admit ratio, as limits in tokens are kept (up to 9 times what is allowed where 90 hosts are asked for a tenth of a request a second each); one sender. Change: a few hosts, chosen by rendezvous among halls and hosts, send to a limited upstream, each its part, one after the other; a rate is told like ends under requests, by one teller of facts; where all upstreams of a service are limited, what can't have its turn in time is refused on arrival. Status, metrics, explanations, python -m measure rates. Why this holds: at most 4 x rate + 1 + 2 x rate requests go in 4 s, whatever is asked for, and no sum of others' words is waited for.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from . import blame, lab, limits, load, membership, placement, relay, slopes
+from . import blame, lab, limits, load, membership, placement, rates, relay, slopes
 
 MEASUREMENTS = {
     "blame": blame.main,
@@ -11,6 +11,7 @@
     "placement": placement.main,
     "load": load.main,
     "membership": membership.main,
+    "rates": rates.main,
     "relay": relay.main,
     "slopes": slopes.main,
 }
--- a/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
@@ -35,6 +35,8 @@
         }
     )
     output.show("upstreams", status["upstreams"])
+    if status["request_rates"]:
+        output.show("request rates", status["request_rates"])
     output.show("peers", status["peers"])
     return _exit_codes.OK
 
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -50,10 +50,12 @@
     HostListRead as HostListRead,
     LoadOrdered as LoadOrdered,
     LoadReported as LoadReported,
+    NeighboursSeen as NeighboursSeen,
     PeerGone as PeerGone,
     PeerHeard as PeerHeard,
     ProbeFailed as ProbeFailed,
     RateNamed as RateNamed,
+    RatesHeard as RatesHeard,
     Refuse as Refuse,
     RequestArrived as RequestArrived,
     RequestCancelled as RequestCancelled,
@@ -114,6 +116,8 @@
     RequestLifecycle as RequestLifecycle,
     RunState as RunState,
 )
+from ._request_rates import RequestRates as RequestRates
+from ._request_turns import TurnState as TurnState
 from ._retry import RetryBudget as RetryBudget, RetryBudgets as RetryBudgets
 from ._roles import (
     Member as Member,
--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -25,6 +25,7 @@
 from ._pool import Pool
 from ._prefix import PrefixChain
 from ._queue import QueuedRequest, WaitingQueue
+from ._rate_outlook import RateOutlooks
 from ._reading_speed import MAX_QUEUE_SECONDS, MIN_TOKENS
 from ._request import RunState
 from ._retry import RetryBudgets
@@ -51,6 +52,7 @@
 NO_UPSTREAM = "no_upstream"
 NO_RETRY_LEFT = "no_retry_left"
 KEPT_APART = "kept_apart"
+AT_RATE = "upstreams_at_rate"
 
 
 @attrs.frozen(repr=False)
@@ -92,8 +94,10 @@
         answers: AnswerEstimates,
         placement: Placement,
         suspects: Suspects,
+        outlooks: RateOutlooks,
     ) -> None:
         self._settings = settings
+        self._outlooks = outlooks
         self._pool = pool
         self._queue = queue
         self._admission = admission
@@ -110,8 +114,9 @@
 
         ``only_path`` restricts the look to one workspace; empty looks at all.
         """
+        pool = self._pool
         room = Room(
-            self._pool.upstreams, self._pool.peers, self._admission, now_seconds
+            pool.upstreams, pool.peers, self._admission, pool.turns, now_seconds
         )
         for is_late, priority_class in itertools.product(
             (False, True), ev.RANKED_CLASSES
@@ -171,7 +176,8 @@
         arrival = item.arrival
         views = room.views(arrival)
         if not views:
-            item.strand(NO_UPSTREAM, now_seconds)
+            is_limited = self._outlooks.find(arrival, now_seconds) is not None
+            item.strand(AT_RATE if is_limited else NO_UPSTREAM, now_seconds)
             return None
         budget = self._budgets.of(arrival.service, self._pool.peers.known_hosts_count)
         if item.needs_budget and not budget.has_one(now_seconds):
@@ -238,6 +244,7 @@
         item.incarnation = upstream.incarnation
         item.sent_at_seconds = now_seconds
         self._suspects.note_sent(item)
+        self._pool.turns.note_sent(upstream, now_seconds)
         upstream.start(
             attempt_id,
             choice.missing_tokens,
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -7,6 +7,7 @@
     HostList,
     LoadReport,
     NamedWeights,
+    RateNews,
     Shown,
     Summary,
     WeightsTarget,
@@ -17,6 +18,7 @@
 from ._placement import Choice
 from ._prefix import PrefixChain, Scope
 from ._request import Outcome, RunState
+from ._roles import Neighbours
 from ._tree import TreeView, Workspace
 
 #: Classes of requests, the most urgent first.
@@ -220,6 +222,21 @@
     asked_at_seconds: float
 
 
+@attrs.frozen(repr=False)
+class RatesHeard(Shown):
+    """A peer tells which rates upstreams name."""
+
+    news: RateNews
+
+
+@attrs.frozen(repr=False)
+class NeighboursSeen(Shown):
+    """The host hears other hosts than before, or begins to leave."""
+
+    neighbours: Neighbours
+    is_leaving: bool
+
+
 @attrs.frozen(repr=False)
 class EndsHeard(Shown):
     """A peer tells of upstreams that end under requests."""
@@ -257,6 +274,8 @@
     | CacheSeen
     | TargetsRead
     | RateNamed
+    | RatesHeard
+    | NeighboursSeen
     | EndsHeard
     | TreeInForce
     | Tick
--- a/packages/rampwick-policy/src/rampwick_policy/_evidence.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_evidence.py
@@ -2,15 +2,16 @@
 
 from collections import Counter
 
+from ._pool import Pool
 from ._queue import QueuedRequest
 from ._room import serves
-from ._upstreams import UpstreamTable
+from ._upstream import Upstream
 
 
 def describe_refusal(
     item: QueuedRequest,
     suspicion: str,
-    upstreams: UpstreamTable,
+    pool: Pool,
     waiting_count: int,
     saved_retries: float,
     now_seconds: float,
@@ -23,19 +24,28 @@
         f"waited {waited_seconds:.3f} s, {left_seconds:.3f} s left; "
         f"{lifecycle.attempts_count} attempts, {lifecycle.runs_count} may have run; "
         f"{waiting_count} wait here; {saved_retries:.1f} retries saved; "
-        f"upstreams: {_describe_upstreams(item, upstreams, now_seconds)}"
+        f"upstreams: {_describe_upstreams(item, pool, now_seconds)}"
         + (f"; {suspicion}" if suspicion else "")
     )
 
 
-def _describe_upstreams(
-    item: QueuedRequest, upstreams: UpstreamTable, now_seconds: float
-) -> str:
+def _describe_upstreams(item: QueuedRequest, pool: Pool, now_seconds: float) -> str:
     scope = item.arrival.scope
     model = scope.model if scope else ""
     states = Counter(
-        upstreams.describe(upstream, now_seconds).partition(" ")[0]
-        for upstream in upstreams
+        _state(upstream, pool, now_seconds)
+        for upstream in pool.upstreams
         if serves(upstream, item.arrival.service, model)
     )
     return ", ".join(f"{count} {state}" for state, count in sorted(states.items()))
+
+
+def _state(upstream: Upstream, pool: Pool, now_seconds: float) -> str:
+    state = pool.upstreams.describe(upstream, now_seconds).partition(" ")[0]
+    turn = pool.turns.state(upstream, now_seconds)
+    if state != "up" or turn is None:
+        return state
+    return (
+        f"up at {turn.requests_per_second:g}/s of which "
+        f"{turn.own_requests_per_second:.2g}/s are this host's"
+    )
--- a/packages/rampwick-policy/src/rampwick_policy/_intake.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_intake.py
@@ -7,10 +7,11 @@
 from . import _events as ev
 from ._admission import Admission
 from ._blame import Suspicion
-from ._dispatcher import ANSWER_TOKEN_PRICE, AnswerEstimates
+from ._dispatcher import ANSWER_TOKEN_PRICE, AT_RATE, AnswerEstimates
 from ._fleet_limit import OverLimit
 from ._limit_book import LimitBook
 from ._queue import QueuedRequest, WaitingQueue
+from ._rate_outlook import RateOutlooks
 from ._refusals import (
     DEADLINE_UNREACHABLE,
     ENDS_UPSTREAMS,
@@ -43,6 +44,7 @@
         limits: LimitBook,
         answers: AnswerEstimates,
         suspects: Suspects,
+        outlooks: RateOutlooks,
     ) -> None:
         self._settings = settings
         self._queue = queue
@@ -50,6 +52,7 @@
         self._limits = limits
         self._answers = answers
         self._suspects = suspects
+        self._outlooks = outlooks
 
     def new_item(self, event: ev.RequestArrived, now_seconds: float) -> QueuedRequest:
         """Return an arriving request with its state."""
@@ -79,6 +82,10 @@
         if self._suspects.suspicion(item) is Suspicion.STOPPED:
             self._suspects.note_refused(item, now_seconds)
             return Rejection(ENDS_UPSTREAMS)
+        before_count = self._outlooks.waiting_count(event)
+        turn_seconds = self._outlooks.wait_seconds(item, before_count, now_seconds)
+        if turn_seconds is not None:
+            return Rejection(AT_RATE, retry_after_seconds=turn_seconds)
         counted = self._limits.ask(event, now_seconds)
         if isinstance(counted, OverLimit):
             return Rejection(OVER_LIMIT, counted.path, counted.retry_after_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_limit_book.py
@@ -246,7 +246,7 @@
             for path, limit in sorted(self._limits.items())
         ]
 
-    def _part_ratio(self, now_seconds: float) -> float:
+    def part_ratio(self, now_seconds: float) -> float:
         """Return the part of each limit that the hosts heard here may use."""
         ratio = self._hosts_count / self._most_hosts_count
         missing_seconds = now_seconds - self._most_at_seconds
@@ -261,7 +261,7 @@
             settings.window_seconds,
             settings.over_ratio,
             settings.slack_tokens,
-            self._part_ratio(now_seconds),
+            self.part_ratio(now_seconds),
             max(0.0, settings.window_seconds - known_seconds),
         )
 
--- a/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
@@ -1,11 +1,14 @@
 """Requests without a final answer: how each leaves its upstream, its line, the host."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from . import _events as ev
 from ._admission import Admission
+from ._dispatcher import AT_RATE
 from ._pool import Pool
 from ._queue import QueuedRequest, WaitingQueue
+from ._rate_outlook import RateOutlooks
 from ._refusals import Refusals
 from ._request import RunState
 from ._suspects import Suspects
@@ -105,14 +108,38 @@
         return self._refusals.make(item, reason, now_seconds, peer, retry_after_seconds)
 
     def give_up(
-        self, item: QueuedRequest, reason: str, now_seconds: float
+        self,
+        item: QueuedRequest,
+        reason: str,
+        now_seconds: float,
+        retry_after_seconds: float | None = None,
     ) -> list[ev.Action]:
         """Refuse a request that waits or is under way, and cancel its attempt."""
         dropped = self.drop(item, now_seconds)
         if dropped and item.lifecycle.run_state < RunState.MAYBE_RUN:
             # Under way and unanswered: nobody knows whether it ran.
             item.lifecycle.run_state = RunState.MAYBE_RUN
-        return [*dropped, self.refuse(item, reason, now_seconds)]
+        refusal = self.refuse(
+            item, reason, now_seconds, retry_after_seconds=retry_after_seconds
+        )
+        return [*dropped, refusal]
+
+    def refuse_without_turn(
+        self, outlooks: RateOutlooks, now_seconds: float
+    ) -> list[ev.Action]:
+        """Refuse what waits for upstreams that are all limited, beyond their rates."""
+        actions: list[ev.Action] = []
+        before: Counter[str] = Counter()
+        for item in self:
+            if not item.lifecycle.is_waiting or item.lifecycle.has_delivered:
+                continue
+            service = item.arrival.service
+            wait_seconds = outlooks.wait_seconds(item, before[service], now_seconds)
+            if wait_seconds is None:
+                before[service] += 1
+            else:
+                actions += self.give_up(item, AT_RATE, now_seconds, wait_seconds)
+        return actions
 
     def _uncount(self, item: QueuedRequest) -> None:
         """Have a request that surely did not run count no more towards limits."""
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -29,6 +29,7 @@
 from ._prefix import PrefixChain
 from ._request import Outcome
 from ._request_rates import RateWord, RequestRates
+from ._request_turns import RequestTurns, Standpoint
 from ._shares import ShareLedger
 from ._upstreams import Upstream, UpstreamTable
 
@@ -57,6 +58,8 @@
     | ev.TargetsRead
     | ev.CacheSeen
     | ev.RateNamed
+    | ev.RatesHeard
+    | ev.NeighboursSeen
 )
 
 
@@ -79,8 +82,14 @@
         self.services: frozenset[str] = frozenset()
         self.moves = Moves(self.peers)
         self.notices = NoticeBook()
-        #: Requests a second that upstreams in need take from all hosts.
+        #: Requests a second that upstreams in need take from all hosts, and whose turn
+        #: it is to send them one.
         self.rates = RequestRates(self.notices)
+        self.turns = RequestTurns(
+            self.rates,
+            Standpoint(settings.host.name, settings.host.hall),
+            self.limits.part_ratio,
+        )
         self._news = PlacementNews()
         self._handlers: dict[type, Callable[[Any, float], None]] = {
             ev.LoadReported: self._on_report,
@@ -93,6 +102,8 @@
             ev.TargetsRead: self._on_targets,
             ev.CacheSeen: self._on_cache,
             ev.RateNamed: self._on_rate,
+            ev.RatesHeard: self._on_rates_heard,
+            ev.NeighboursSeen: self._on_neighbours,
         }
 
     def hear(self, event: PoolEvent, now_seconds: float) -> None:
@@ -365,7 +376,17 @@
             event.asked_at_seconds,
             now_seconds,
         )
-        self.rates.take(event.upstream, word, "its answer says so")
+        self.rates.take_answer(event.upstream, word, now_seconds)
+
+    def _on_rates_heard(self, event: ev.RatesHeard, now_seconds: float) -> None:
+        self.rates.hear(event.news, now_seconds)
+
+    def _on_neighbours(self, event: ev.NeighboursSeen, now_seconds: float) -> None:
+        self.turns.standpoint = attrs.evolve(
+            self.turns.standpoint,
+            neighbours=event.neighbours,
+            is_leaving=event.is_leaving,
+        )
 
     def _observe(self, upstream: Upstream, cache_tokens: int = 0) -> None:
         """Drop what was known of an earlier life of a runner's cache."""
--- a/packages/rampwick-policy/src/rampwick_policy/_refusals.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_refusals.py
@@ -6,7 +6,7 @@
 
 from . import _events as ev
 from ._admission import Admission
-from ._dispatcher import KEPT_APART, NO_RETRY_LEFT
+from ._dispatcher import AT_RATE, KEPT_APART, NO_RETRY_LEFT
 from ._evidence import describe_refusal
 from ._pool import Pool
 from ._queue import QueuedRequest, WaitingQueue
@@ -88,7 +88,7 @@
             evidence=describe_refusal(
                 item,
                 self._suspects.describe(item),
-                self._pool.upstreams,
+                self._pool,
                 len(self._queue),
                 budget.saved,
                 now_seconds,
@@ -110,6 +110,9 @@
         if item.lifecycle.has_delivered:
             return MIDWAY_SECONDS
         target_seconds = item.arrival.latency_target_seconds
+        if item.stranded_reason == AT_RATE:
+            # Its turn is foreseen; it is refused as soon as that is too late.
+            return math.inf
         if target_seconds is None and item.stranded_reason == NO_RETRY_LEFT:
             # Its caller named nothing but a deadline, and retries are earned by time.
             return math.inf
--- a/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
@@ -5,9 +5,12 @@
 when the request was sent, and when its answer came.
 """
 
+import math
+from collections.abc import Callable, Iterable
+
 import attrs
 
-from rampwick_schema import Shown
+from rampwick_schema import RateNews, Shown, UpstreamRate
 
 from ._notices import NoticeBook
 
@@ -16,6 +19,13 @@
 #: would keep to it for good.
 STALE_SECONDS = 30.0
 
+#: Time after which what has not changed is told again by whoever has an answer next.
+CONFIRM_SECONDS = 10.0
+
+#: Time for which news is told again, since a message to a slow peer is dropped and a
+#: hall may be without its relay for a moment.
+RETELL_SECONDS = 3.0
+
 
 @attrs.frozen(repr=False)
 class RateWord(Shown):
@@ -46,6 +56,12 @@
     def __init__(self, notices: NoticeBook) -> None:
         self._notices = notices
         self._words: dict[str, RateWord] = {}
+        #: When this host told the others of each, and when anybody did.
+        self._told_at: dict[str, float] = {}
+        self._confirmed_at: dict[str, float] = {}
+        self._untold: set[str] = set()
+        #: Called when there is something to tell.
+        self.note_news: Callable[[], None] = _do_nothing
 
     def __len__(self) -> int:
         return len(self._words)
@@ -54,6 +70,10 @@
         """Return whether the upstream has named a rate, be it over by now."""
         return upstream in self._words
 
+    def word(self, upstream: str) -> RateWord | None:
+        """Return the newest word of an upstream."""
+        return self._words.get(upstream)
+
     def rate(self, upstream: str, incarnation: str, now_seconds: float) -> float | None:
         """Return the requests a second that a life takes; none if it names none."""
         word = self._words.get(upstream)
@@ -63,6 +83,62 @@
             return None
         return word.requests_per_second
 
+    def take_answer(self, upstream: str, word: RateWord, now_seconds: float) -> None:
+        """Take the word of an answer that this host had; peers hear what is new."""
+        is_change = self.take(upstream, word, "its answer says so")
+        if self._words.get(upstream) is not word:
+            return
+        confirmed_at_seconds = self._confirmed_at.get(upstream, -math.inf)
+        if is_change or now_seconds - confirmed_at_seconds > CONFIRM_SECONDS:
+            self._untold.add(upstream)
+            self.note_news()
+
+    def hear(self, news: RateNews, now_seconds: float) -> None:
+        """Take a peer's word."""
+        for told in news.rates:
+            word = RateWord(
+                told.incarnation,
+                told.requests_per_second if told.is_limited else None,
+                now_seconds - told.asked_age_seconds,
+                now_seconds - told.heard_age_seconds,
+            )
+            source = f"a peer had an answer {told.heard_age_seconds:.3f} s ago"
+            self.take(told.upstream, word, source)
+            if self._words.get(told.upstream) is word:
+                self._confirmed_at[told.upstream] = now_seconds
+
+    def take_news(self, now_seconds: float) -> RateNews | None:
+        """Return what peers have not been told, to tell them now and again later."""
+        untold, self._untold = self._untold, set()
+        for upstream in untold:
+            self._told_at[upstream] = self._confirmed_at[upstream] = now_seconds
+        return self._news(untold, now_seconds)
+
+    def repeat_news(self, now_seconds: float) -> RateNews | None:
+        """Return what peers were told of late, to tell it again."""
+        oldest_seconds = now_seconds - RETELL_SECONDS
+        told = {name for name, at in self._told_at.items() if at > oldest_seconds}
+        return self._news(told, now_seconds)
+
+    def greeting(self, now_seconds: float) -> RateNews | None:
+        """Return what a host is to know that has just come."""
+        return self._news(self._words, now_seconds)
+
+    def _news(self, names: Iterable[str], now_seconds: float) -> RateNews | None:
+        rates = [
+            UpstreamRate(
+                name,
+                word.incarnation,
+                word.requests_per_second is not None,
+                word.requests_per_second or 0.0,
+                max(0.0, now_seconds - word.asked_at_seconds),
+                max(0.0, now_seconds - word.heard_at_seconds),
+            )
+            for name in sorted(names)
+            if (word := self._words.get(name)) is not None
+        ]
+        return RateNews(rates) if rates else None
+
     def take(self, upstream: str, word: RateWord, source: str) -> bool:
         """Take a word; return whether what is believed is another now."""
         known = self._words.get(upstream)
@@ -81,6 +157,9 @@
 
     def forget(self, upstream: str, reason: str) -> None:
         """Drop what was said by an upstream that is gone."""
+        self._told_at.pop(upstream, None)
+        self._confirmed_at.pop(upstream, None)
+        self._untold.discard(upstream)
         if self._words.pop(upstream, None) is not None:
             self._notices.forget("rate", upstream, reason)
 
@@ -90,3 +169,7 @@
             return
         state = f"limited to {word.requests_per_second:g} requests a second"
         self._notices.note("rate", upstream, state, source)
+
+
+def _do_nothing() -> None:
+    return
--- a/packages/rampwick-policy/src/rampwick_policy/_room.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_room.py
@@ -8,6 +8,7 @@
 from ._events import RANKED_CLASSES, RequestArrived
 from ._membership import Membership
 from ._placement import Choice, RunnerView, chosen_view
+from ._request_turns import RequestTurns
 from ._shares import Standing
 from ._upstreams import Upstream, UpstreamTable
 
@@ -26,9 +27,11 @@
         upstreams: UpstreamTable,
         peers: Membership,
         admission: Admission,
+        turns: RequestTurns,
         now_seconds: float,
     ) -> None:
         self._upstreams = upstreams
+        self._turns = turns
         self._peers = peers
         self._admission = admission
         self._now_seconds = now_seconds
@@ -104,6 +107,9 @@
             for upstream in self._upstreams
             if serves(upstream, service, model)
             and self._upstreams.is_open(upstream, self._now_seconds)
+            # An upstream in need names one number for all hosts: unread, or kept to by
+            # each host alone, it gets several times what it takes.
+            and self._turns.may_send(upstream, self._now_seconds)
         ]
 
     def _list_rivals(self, service: str) -> list[Rival]:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -30,6 +30,7 @@
 from ._placement import Placement, PricedKnowledge
 from ._pool import Pool, PoolEvent
 from ._queue import QueuedRequest, WaitingQueue
+from ._rate_outlook import RateOutlooks
 from ._refusals import (
     DEADLINE_UNREACHABLE,
     ENDS_UPSTREAMS,
@@ -62,6 +63,7 @@
         self.budgets = RetryBudgets(settings.retry)
         self._answers = AnswerEstimates()
         self.suspects = Suspects(self.pool.notices)
+        self._outlooks = RateOutlooks(self.pool.upstreams, self.pool.turns, self.queue)
         self._dispatcher = Dispatcher(
             settings.placement,
             self.pool,
@@ -72,6 +74,7 @@
             placement
             or PricedKnowledge(self.knowledge, settings.placement.import_price),
             self.suspects,
+            self._outlooks,
         )
         self._intake = Intake(
             settings,
@@ -80,6 +83,7 @@
             self.limits,
             self._answers,
             self.suspects,
+            self._outlooks,
         )
         self._refusals = Refusals(
             settings.retry,
@@ -110,6 +114,8 @@
             ev.TargetsRead: self._on_pool_news,
             ev.CacheSeen: self._on_pool_news,
             ev.RateNamed: self._on_pool_news,
+            ev.RatesHeard: self._on_pool_news,
+            ev.NeighboursSeen: self._on_pool_news,
             ev.EndsHeard: self._on_ends_heard,
             ev.TreeInForce: self._on_tree,
             ev.Tick: self._on_tick,
@@ -373,6 +379,8 @@
         actions: list[ev.Action] = []
         for item in self._requests:
             actions += self._check_hope(item, now_seconds)
+        if len(self.pool.rates):
+            actions += self._requests.refuse_without_turn(self._outlooks, now_seconds)
         return actions
 
     def _check_hope(self, item: QueuedRequest, now_seconds: float) -> list[ev.Action]:
--- a/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
@@ -46,6 +46,14 @@
     return item.arrived_at_seconds + target_seconds
 
 
+def begins_by_seconds(item: QueuedRequest) -> float:
+    """Return when it must be sent to be in time; its deadline if it has no target."""
+    target_seconds = item.arrival.latency_target_seconds
+    if target_seconds is None:
+        return item.arrival.deadline_seconds
+    return item.arrived_at_seconds + target_seconds * SPENT_RATIO
+
+
 def is_spent(item: QueuedRequest, now_seconds: float) -> bool:
     """Return whether it has waited too long to be in time wherever it is sent."""
     target_seconds = item.arrival.latency_target_seconds
--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -80,6 +80,11 @@
         """Present life as peers name it, empty while none is known."""
         return life_label(self.life) if self.life else ""
 
+    @property
+    def life_incarnation(self) -> str:
+        """Life that attempts name; empty where none is known, or there are no lives."""
+        return self.life.incarnation if self.life is not None else ""
+
     @property
     def incarnation(self) -> str:
         """Life that attempts are sent to, as far as it is known."""
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -11,7 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from rampwick_policy import Dispatch, LimitState, Scheduler, Suspicion
+from rampwick_policy import Dispatch, LimitState, Scheduler, Suspicion, TurnState
 
 from ._life import Life
 from ._logs import PartLogger
@@ -88,6 +88,12 @@
         for state in self._parts.scheduler.look(_read_limits):
             metrics.limit_used.labels(state.path).set(state.used_tokens)
             metrics.limit_allowed.labels(state.path).set(state.allowed_tokens)
+        metrics.request_rate.clear()
+        metrics.own_request_rate.clear()
+        for turn in self._parts.scheduler.look(_read_turns):
+            metrics.request_rate.labels(turn.upstream).set(turn.requests_per_second)
+            own_rate = turn.own_requests_per_second
+            metrics.own_request_rate.labels(turn.upstream).set(own_rate)
         for state, count in self._parts.scheduler.look(_count_suspects).items():
             metrics.suspects.labels(state).set(count)
         open_count, waiting_count = self._parts.scheduler.look(_read_counts)
@@ -208,6 +214,13 @@
     return scheduler.limits.states(now_seconds)
 
 
+def _read_turns(scheduler: Scheduler, now_seconds: float) -> list[TurnState]:
+    """Return the rates that upstreams name, with what of them is this host's."""
+    turns = scheduler.pool.turns
+    states = [turns.state(upstream, now_seconds) for upstream in scheduler.upstreams]
+    return [state for state in states if state is not None]
+
+
 def _read_suspects(scheduler: Scheduler, now_seconds: float) -> list[dict[str, Any]]:
     """Return the requests that upstreams ended under, those with most ends first."""
     book = scheduler.suspects.book
@@ -274,6 +287,9 @@
         "limits": [
             attrs.asdict(state) for state in _read_limits(scheduler, now_seconds)
         ],
+        "request_rates": [
+            attrs.asdict(state) for state in _read_turns(scheduler, now_seconds)
+        ],
         "known_prefixes_count": scheduler.knowledge.entries_count(),
     }
 
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -92,6 +92,9 @@
     "kept_apart": ErrorKind(
         503, "each upstream has another request that upstreams may end under"
     ),
+    "upstreams_at_rate": ErrorKind(
+        503, "the upstreams take no more requests than they get now"
+    ),
     "no_retry_left": ErrorKind(503, "the retry budget is spent for now"),
     "upstream_failed": ErrorKind(502, "the upstream failed"),
     "ends_upstreams": ErrorKind(
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -95,6 +95,18 @@
             ("workspace",),
             registry=registry,
         )
+        self.request_rate = Gauge(
+            "rampwick_upstream_request_rate",
+            "Requests a second that an upstream says it takes from all hosts.",
+            ("upstream",),
+            registry=registry,
+        )
+        self.own_request_rate = Gauge(
+            "rampwick_upstream_own_request_rate",
+            "The part of it that this host may send.",
+            ("upstream",),
+            registry=registry,
+        )
         self.suspects = Gauge(
             "rampwick_suspects",
             "Requests that upstreams ended under: none is done yet, they are kept "
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -23,6 +23,7 @@
     PeerView,
     Refuse,
     RequestArrived,
+    RequestRates,
     Scheduler,
     Suspects,
     Tick,
@@ -92,9 +93,14 @@
         """Requests that upstreams end under."""
         return self._scheduler.suspects
 
+    @property
+    def rates(self) -> RequestRates:
+        """Rates of requests that upstreams name."""
+        return self._scheduler.pool.rates
+
     def knows_rate(self, upstream: str) -> bool:
         """Return whether an upstream has named a rate of requests of late."""
-        return self._scheduler.pool.rates.knows(upstream)
+        return self.rates.knows(upstream)
 
     @property
     def hosts_count(self) -> int:
--- a/packages/rampwick-router/src/rampwick_router/peers/_early_news.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_early_news.py
@@ -1,16 +1,14 @@
 """News that does not wait for the next interval.
 
-Long prompts, surges under limits and upstreams that end under requests: what all hosts
-do until they hear of these costs more than a few messages.
+Long prompts, surges under limits, upstreams that end under requests or name a rate:
+what all hosts do until they hear of these costs more than a few messages.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
 
 import anyio
 
-from rampwick_schema import EndNews
-
-from .._scheduler_task import SchedulerTask
 from ._links import PeerLinks
 from ._roles import Roles
 from ._summaries import SummaryTeller
@@ -22,12 +20,28 @@
 #: Least time between two words of surges: a relay adds up its hall for each.
 SURGE_NEWS_SECONDS = 0.1
 
-#: Least time between two words of upstreams that ended: all attempts that were aboard
-#: break within milliseconds, and what they show is told in one message.
-END_NEWS_SECONDS = 0.02
+#: Time for which facts are gathered: all attempts that an end breaks do so within
+#: milliseconds, and what they show is told in one message.
+FACT_NEWS_SECONDS = 0.02
 
 #: Time between two tellings of the same, while it is new.
-END_REPEAT_SECONDS = 1.0
+FACT_REPEAT_SECONDS = 1.0
+
+
+class FactSource(Protocol):
+    """Facts that all hosts must know: told at once, again, and to who comes."""
+
+    #: Called when there is something to tell.
+    note_news: Callable[[], None]
+
+    def take_news(self, now_seconds: float) -> Any:
+        """Return the message on what was not told yet; none if nothing is new."""
+
+    def repeat_news(self, now_seconds: float) -> Any:
+        """Return the message on what was told of late; none if nothing was."""
+
+    def greeting(self, now_seconds: float) -> Any:
+        """Return the message to a host that has just come; none if there is none."""
 
 
 class EarlyNews:
@@ -35,20 +49,20 @@
 
     def __init__(
         self,
-        scheduler: SchedulerTask,
+        facts: Iterable[FactSource],
         summaries: SummaryTeller,
         links: PeerLinks,
         roles: Roles,
         read_clock: Callable[[], float],
     ) -> None:
-        self._scheduler = scheduler
         self._summaries = summaries
         self._links = links
         self._roles = roles
-        self._read_clock = read_clock
         self._has_load = anyio.Event()
-        self._has_ends = anyio.Event()
         self._has_surge = anyio.Event()
+        self._tellers = [
+            FactTeller(source, self._broadcast, read_clock) for source in facts
+        ]
         #: Whether the surge to be told of is of this hall, or another hall's.
         self._is_own_surge = False
 
@@ -57,7 +71,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tell_load)
             tasks.start_soon(self._tell_surges)
-            tasks.start_soon(self._tell_ends)
+            for teller in self._tellers:
+                tasks.start_soon(teller.run)
 
     def note_load(self) -> None:
         """Note that a runner was sent a long prompt."""
@@ -106,26 +121,46 @@
             if is_own:
                 self._summaries.tell_hall(has_surged=True)
 
-    def note_ends(self) -> None:
-        """Note that there is news of upstreams that end under requests."""
-        self._has_ends.set()
+    def greetings(self, now_seconds: float) -> list[Any]:
+        """Return the messages with facts that a host is to know that has just come."""
+        greetings = (teller.source.greeting(now_seconds) for teller in self._tellers)
+        return [message for message in greetings if message is not None]
+
+    def _broadcast(self, news: Any) -> None:
+        is_relay = self._roles.is_relay()
+        self._links.broadcast(news, lambda peer: is_relay or self._roles.is_told(peer))
+
+
+class FactTeller:
+    """Tells the others of one kind of facts, soon and then again for a while."""
 
-    async def _tell_ends(self) -> None:
-        """Tell of upstreams that ended, soon and then again for a while."""
-        suspects = self._scheduler.suspects
+    def __init__(
+        self,
+        source: FactSource,
+        broadcast: Callable[[Any], None],
+        read_clock: Callable[[], float],
+    ) -> None:
+        self.source = source
+        self._broadcast = broadcast
+        self._read_clock = read_clock
+        self._has_news = anyio.Event()
+        source.note_news = self.wake
+
+    def wake(self) -> None:
+        """Note that there is something to tell."""
+        self._has_news.set()
+
+    async def run(self) -> None:
+        """Tell until cancelled."""
         while True:
-            await self._has_ends.wait()
-            await anyio.sleep(END_NEWS_SECONDS)
-            self._has_ends = anyio.Event()
-            news = suspects.take_news(self._read_clock())
+            await self._has_news.wait()
+            await anyio.sleep(FACT_NEWS_SECONDS)
+            self._has_news = anyio.Event()
+            news = self.source.take_news(self._read_clock())
             while news is not None:
-                self._broadcast_ends(news)
-                with anyio.move_on_after(END_REPEAT_SECONDS):
-                    await self._has_ends.wait()
-                news = suspects.repeat_news(self._read_clock())
-                if self._has_ends.is_set():
+                self._broadcast(news)
+                with anyio.move_on_after(FACT_REPEAT_SECONDS):
+                    await self._has_news.wait()
+                news = self.source.repeat_news(self._read_clock())
+                if self._has_news.is_set():
                     break
-
-    def _broadcast_ends(self, news: EndNews) -> None:
-        is_relay = self._roles.is_relay()
-        self._links.broadcast(news, lambda peer: is_relay or self._roles.is_told(peer))
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -15,8 +15,11 @@
 from rampwick_policy import (
     EndsHeard,
     Member,
+    Neighbours,
+    NeighboursSeen,
     PeerGone,
     PeerHeard,
+    RatesHeard,
 )
 from rampwick_schema import (
     CacheNews,
@@ -24,6 +27,7 @@
     FleetSummary,
     HallSummary,
     Members,
+    RateNews,
     Settings,
     StewardNews,
     Summary,
@@ -122,7 +126,11 @@
             read_clock,
         )
         self.early = EarlyNews(
-            scheduler, self.summaries, self._links, self.roles, read_clock
+            (scheduler.suspects, scheduler.rates),
+            self.summaries,
+            self._links,
+            self.roles,
+            read_clock,
         )
         #: Counters of messages by their class, each looked up once.
         self._received = _Counters(metrics)
@@ -131,6 +139,7 @@
         )
         #: Whether the fleet is large, and whether this host is one of its relays.
         self._standing = (False, False)
+        self._seen = NeighboursSeen(Neighbours(), is_leaving=False)
         self._began_seconds = read_clock()
         #: Addresses known from the settings.
         self.seeds = frozenset(settings.peers.seeds)
@@ -176,9 +185,8 @@
         known = [to_record(member) for member in self.table]
         link.put(Members(known))
         self.cache_mail.greet(link)
-        ends = self._scheduler.suspects.greeting(self._read_clock())
-        if ends is not None:
-            link.put(ends)
+        for message in self.early.greetings(self._read_clock()):
+            link.put(message)
         if self._steward.is_holder:
             # A host that has just started sent prompts to a runner that was about to
             # load, until the next telling half a second later.
@@ -213,6 +221,13 @@
         for view in self._scheduler.peer_views(now_seconds):
             self._scheduler.post(PeerGone(view.name))
 
+    def _note_neighbours(self) -> None:
+        """Tell the scheduler whom this host hears, by which senders are chosen."""
+        seen = NeighboursSeen(self.roles.neighbours(), self.summaries.is_leaving)
+        if seen != self._seen:
+            self._seen = seen
+            self._scheduler.post(seen)
+
     # What comes in.
 
     def _take(self, link: Link, message: Any) -> None:
@@ -228,6 +243,9 @@
         elif isinstance(message, EndNews):
             self._scheduler.post(EndsHeard(message))
             self._relay(link, message)
+        elif isinstance(message, RateNews):
+            self._scheduler.post(RatesHeard(message))
+            self._relay(link, message)
         elif isinstance(message, CacheNews):
             self.cache_mail.take(link, message)
         elif isinstance(message, Members):
@@ -327,6 +345,7 @@
         while True:
             count += 1
             self._look_at_roles()
+            self._note_neighbours()
             self.summaries.tell_own()
             if self.roles.is_relay():
                 self.summaries.tell_fleet()
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -495,6 +495,34 @@
     stopped: list[StoppedRequest] = attrs.field(factory=list)
 
 
+@attrs.frozen(repr=False)
+class UpstreamRate(Shown):
+    """What one answer of an upstream said of the requests that it takes."""
+
+    #: Name of the upstream.
+    upstream: str
+    #: Life that answered; empty where lives are not told apart.
+    incarnation: str
+    #: Whether it named a rate.
+    is_limited: bool
+    #: The rate from all hosts together; 0 if it named none.
+    requests_per_second: float = attrs.field(validator=within(0.0, None))
+    #: Time since the request was sent that it answered.
+    asked_age_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
+    #: Time since its answer came.
+    heard_age_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
+
+
+@attrs.frozen(repr=False)
+class RateNews(Shown):
+    """What hosts tell each other of the rates that upstreams name."""
+
+    CODE: ClassVar[int] = 18
+
+    #: The newest word of some upstreams.
+    rates: list[UpstreamRate] = attrs.field(factory=list)
+
+
 #: Classes by the code that starts their message.
 MESSAGES: dict[int, type] = {
     Hello.CODE: Hello,
@@ -514,4 +542,5 @@
     HostListRequest.CODE: HostListRequest,
     HostListReply.CODE: HostListReply,
     EndNews.CODE: EndNews,
+    RateNews.CODE: RateNews,
 }
--- a/tests/test_early_news.py
+++ b/tests/test_early_news.py
@@ -40,7 +40,7 @@
     def tell(self, *notes, is_relay):
         teller = RecordingTeller()
         roles = SimpleNamespace(is_relay=lambda: is_relay)
-        news = EarlyNews(None, teller, None, roles, None)
+        news = EarlyNews((), teller, None, roles, None)
         for note in notes:
             getattr(news, note)()
         news.tell_surge()
@@ -101,8 +101,8 @@
             is_relay=lambda: is_relay, is_told=lambda peer: peer.name in told_names
         )
         links = SimpleNamespace(broadcast=send)
-        news = EarlyNews(None, None, links, roles, None)
-        news._broadcast_ends(EndNews())
+        news = EarlyNews((), None, links, roles, None)
+        news._broadcast(EndNews())
         return sent
 
     def test_a_host_of_a_large_fleet_tells_its_relays(self):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -186,7 +186,7 @@
             for _ in range(10):
                 at_seconds += 0.1
                 book.note_time(count, at_seconds)
-        return round(book._part_ratio(at_seconds), 2)
+        return round(book.part_ratio(at_seconds), 2)
 
     def test_all_that_were_heard_of_late_have_the_whole(self):
         self.assertEqual(1.0, self.part(90))
@@ -205,12 +205,12 @@
     def test_one_that_hears_nobody_yet_is_not_the_whole_fleet(self):
         book = LimitBook(QuotaSettings(), "h")
         book.note_time(1, 0.1)
-        self.assertEqual(1.0, book._part_ratio(0.1))
+        self.assertEqual(1.0, book.part_ratio(0.1))
         book.note_members(90, 0.2)
         book.note_time(1, 0.3)
-        self.assertEqual(0.01, round(book._part_ratio(0.3), 2))
+        self.assertEqual(0.01, round(book.part_ratio(0.3), 2))
         book.note_time(90, 0.8)
-        self.assertEqual(1.0, book._part_ratio(0.8))
+        self.assertEqual(1.0, book.part_ratio(0.8))
 
     def test_a_moment_without_a_word_takes_nothing_away(self):
         self.assertEqual(1.0, self.part(90, 1))
