--- a/measure/_lab.py
+++ b/measure/_lab.py
@@ -20,7 +20,11 @@
     Event,
     HostListRead,
     Life,
+    Neighbours,
+    NeighboursSeen,
     PeerHeard,
+    RateNamed,
+    RatesHeard,
     Refuse,
     RequestArrived,
     Scheduler,
@@ -67,6 +71,8 @@
 CACHE_WORD_SECONDS = 0.7
 CACHE_LAG_SECONDS = 0.1
 EARLY_WORD_SECONDS = 0.05
+#: Time for which what upstreams name is gathered before peers hear it.
+RATE_NEWS_SECONDS = 0.02
 LONG_PROMPT_TOKENS = 1000
 
 #: Mechanisms that can be left out.
@@ -104,9 +110,34 @@
             source="lab",
         )
         self.scheduler = Scheduler(settings)
+        self.scheduler.pool.rates.note_news = self._tell_rates
+        self.handle(NeighboursSeen(self._neighbours(), is_leaving=False))
         self.handle(TreeInForce(self._lab.view))
         self.handle(HostListRead(self._lab.host_list))
 
+    def _neighbours(self) -> Neighbours:
+        halls = {
+            f"host-{index}": HALLS[index % len(HALLS)]
+            for index in range(self._lab.pattern.hosts_count)
+        }
+        mates = frozenset(
+            name
+            for name, hall in halls.items()
+            if hall == self.hall and name != self.name
+        )
+        return Neighbours(mates, mates, frozenset(halls.values()))
+
+    def _tell_rates(self) -> None:
+        self._lab.clock.after(RATE_NEWS_SECONDS, self._broadcast_rates)
+
+    def _broadcast_rates(self) -> None:
+        news = self.scheduler.pool.rates.take_news(self._lab.clock.now_seconds)
+        if news is None:
+            return
+        for peer in self._lab.hosts:
+            if peer is not self:
+                self._lab.clock.after(HOP_SECONDS, peer.handle, RatesHeard(news))
+
     def arrive(self, sample: Sample) -> None:
         """Take a caller's request."""
         self._count += 1
@@ -135,7 +166,9 @@
             if isinstance(action, Dispatch):
                 self._send(action)
             elif isinstance(action, Refuse):
-                self.open.pop(action.request_id).refused = action.reason
+                sample = self.open.pop(action.request_id)
+                sample.refused = action.reason
+                sample.refused_seconds = self._lab.clock.now_seconds
             elif isinstance(action, CancelAttempt):
                 continue
 
@@ -162,10 +195,20 @@
         if sample is None:
             return
         sample.first_seconds = self._lab.clock.now_seconds
+        self._note_rate(dispatch)
         names = (dispatch.request_id, dispatch.attempt_id)
         self.handle(AttemptAccepted(*names))
         self.handle(AttemptDelivered(*names))
 
+    def _note_rate(self, dispatch: Dispatch) -> None:
+        rate = self._lab.engines[dispatch.upstream].rate_per_second
+        if rate is not None:
+            now_seconds = self._lab.clock.now_seconds
+            named = RateNamed(
+                dispatch.upstream, dispatch.incarnation, rate, now_seconds
+            )
+            self.handle(named)
+
     def done(self, dispatch: Dispatch, sample: Sample) -> None:
         """Receive an attempt's end."""
         if self.open.pop(dispatch.request_id, None) is None:
--- a/measure/_lab_engine.py
+++ b/measure/_lab_engine.py
@@ -64,10 +64,23 @@
         self.cache = Cache(lab.pattern.cache_tokens)
         self._free_seconds = 0.0
         self.read_tokens = 0
+        #: When each attempt came.
+        self.taken_seconds: list[float] = []
+
+    @property
+    def rate_per_second(self) -> float | None:
+        """Requests a second that it takes from all hosts; none if it names none."""
+        pattern = self._lab.pattern
+        if int(self.name[1:]) >= pattern.limited_count:
+            return None
+        if self._lab.clock.now_seconds < pattern.limited_from_seconds:
+            return None
+        return pattern.limited_per_second
 
     def take(self, host: Host, dispatch: Dispatch, sample: Sample) -> None:
         """Receive an attempt: import what it may, then wait to be read."""
         now_seconds = self._lab.clock.now_seconds
+        self.taken_seconds.append(now_seconds)
         ready_seconds = now_seconds
         parts = sample.call.parts
         if dispatch.import_address:
--- a/measure/_lab_script.py
+++ b/measure/_lab_script.py
@@ -34,6 +34,10 @@
     burst_ratio: float = 1.0
     off_from_seconds: float = 0.0
     off_until_seconds: float = 0.0
+    #: Engines that take only so many requests a second from all hosts, and since when.
+    limited_count: int = 0
+    limited_from_seconds: float = 0.0
+    limited_per_second: float = 0.0
     #: Time before which nothing counts.
     warm_seconds: float = 2.0
 
@@ -79,6 +83,14 @@
     call: Call
     first_seconds: float | None = None
     refused: str = ""
+    refused_seconds: float | None = None
+
+    @property
+    def held_seconds(self) -> float:
+        """Time for which it was held before it was refused; none of others."""
+        if self.refused_seconds is None:
+            return 0.0
+        return self.refused_seconds - self.call.at_seconds
 
     @property
     def outcome(self) -> str:
