--- a/packages/rampwick-policy/src/rampwick_policy/_evidence.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_evidence.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from ._limit_book import LimitState
 from ._pool import Pool
 from ._queue import QueuedRequest
 from ._room import serves
@@ -29,6 +30,15 @@
     )
 
 
+def describe_limit(state: LimitState) -> str:
+    """Return how a limit stands that a request was refused for."""
+    return (
+        f"{state.used_tokens:.0f} of {state.allowed_tokens:.0f} tokens sent by all "
+        f"within the window; admitted {state.admit_ratio:.3f} of what is asked for; "
+        f"part of the fleet heard {state.part_ratio:.2f}"
+    )
+
+
 def _describe_upstreams(item: QueuedRequest, pool: Pool, now_seconds: float) -> str:
     scope = item.arrival.scope
     model = scope.model if scope else ""
--- a/packages/rampwick-policy/src/rampwick_policy/_refusals.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_refusals.py
@@ -7,7 +7,7 @@
 from . import _events as ev
 from ._admission import Admission
 from ._dispatcher import AT_RATE, KEPT_APART, NO_RETRY_LEFT
-from ._evidence import describe_refusal
+from ._evidence import describe_limit, describe_refusal
 from ._pool import Pool
 from ._queue import QueuedRequest, WaitingQueue
 from ._request import RunState
@@ -76,23 +76,31 @@
         """
         if retry_after_seconds is None and reason != ENDS_UPSTREAMS:
             retry_after_seconds = self._retry_after_seconds(item, now_seconds)
-        budget = self._budgets.of(
-            item.arrival.service, self._pool.peers.known_hosts_count
-        )
+        if reason == OVER_LIMIT:
+            # It hangs on no upstream, and a hot workspace is refused by the thousand.
+            evidence = describe_limit(self._pool.limits.state(peer, now_seconds))
+        else:
+            evidence = self._describe(item, now_seconds)
         return ev.Refuse(
             request_id=item.request_id,
             reason=reason,
             run_state=item.lifecycle.run_state,
             retry_after_seconds=retry_after_seconds,
             peer=peer,
-            evidence=describe_refusal(
-                item,
-                self._suspects.describe(item),
-                self._pool,
-                len(self._queue),
-                budget.saved,
-                now_seconds,
-            ),
+            evidence=evidence,
+        )
+
+    def _describe(self, item: QueuedRequest, now_seconds: float) -> str:
+        budget = self._budgets.of(
+            item.arrival.service, self._pool.peers.known_hosts_count
+        )
+        return describe_refusal(
+            item,
+            self._suspects.describe(item),
+            self._pool,
+            len(self._queue),
+            budget.saved,
+            now_seconds,
         )
 
     def _retry_after_seconds(
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -88,15 +88,27 @@
         submitted = self.parts.scheduler.submit(arrival, self.caller_request_id)
         with submitted as decisions:
             try:
-                async with anyio.create_task_group() as task_group:
-                    task_group.start_soon(self._watch_caller, task_group.cancel_scope)
-                    await self._serve(decisions)
-                    task_group.cancel_scope.cancel()
+                decision = _receive_now(decisions)
+                if isinstance(decision, Refuse):
+                    # Watching a caller that is answered at once costs as much as all
+                    # the rest of its refusal.
+                    await self._answer_error(self._refusal(decision))
+                else:
+                    await self._serve_watched(decision, decisions)
             finally:
                 self.parts.scheduler.close_mailbox(self.request_id)
                 if not self._has_ended:
                     self._note_cancelled()
 
+    async def _serve_watched(
+        self, first: Dispatch | None, decisions: Decisions
+    ) -> None:
+        """Serve the request, and give it up if its caller leaves."""
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._watch_caller, task_group.cancel_scope)
+            await self._serve(first, decisions)
+            task_group.cancel_scope.cancel()
+
     async def _hold(self, arrival: RequestArrived) -> RequestArrived:
         """Wait, in a fleet that has just come back, for what all hosts are asked."""
         hold_seconds = self.parts.scheduler.look(
@@ -123,14 +135,17 @@
             was_writing=self.responder.waiting_since_seconds is not None,
         )
 
-    async def _serve(self, decisions: Decisions) -> None:
+    async def _serve(self, first: Dispatch | None, decisions: Decisions) -> None:
         try:
-            decision: Dispatch | Refuse | None = await decisions.receive()
+            decision: Dispatch | Refuse | None = first or await decisions.receive()
             while isinstance(decision, Dispatch):
                 decision = await self._follow(decision, decisions)
             if decision is not None:
-                raise self._refusal(decision)
+                await self._answer_error(self._refusal(decision))
         except CallerError as error:
+            if not self._has_ended:
+                # Nobody decided this for the scheduler, which has it open still.
+                self.parts.scheduler.post(RequestCancelled(self.request_id))
             await self._answer_error(error)
 
     async def _follow(
@@ -216,7 +231,6 @@
             self.parts.claims.withdraw(self._claim)
         if not self._has_ended:
             self._end(error.code)
-            self.parts.scheduler.post(RequestCancelled(self.request_id))
         log.info(
             "request refused",
             request=self.caller_request_id,
@@ -288,6 +302,14 @@
         self.parts.metrics.requests.labels(*self.labels, answer).inc()
 
 
+def _receive_now(decisions: Decisions) -> Dispatch | Refuse | None:
+    """Return what was decided on arrival; none if the request waits."""
+    try:
+        return decisions.receive_nowait()
+    except anyio.WouldBlock:
+        return None
+
+
 def _refusal_status(kind: ErrorKind, run_state: RunState) -> int:
     """Return a status that promises no more than what is known of the request.
 
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -1,12 +1,18 @@
 """Requests on routes, end to end: one final answer, its own, and no run too many."""
 
+import hashlib
+from collections import Counter
+from unittest import mock
+
 import anyio
 import attrs
 from testtools import TestCase
 
 from rampwick_platform import PlatformUnavailableError
+from rampwick_router.entry._routed_exchange import RoutedExchange
+from rampwick_schema import Node
 
-from .scripted import Hangup, list_upstream, make_tree, run_routed
+from .scripted import KEY, Hangup, list_upstream, make_tree, run_routed
 
 STUCK_SECONDS = 30.0
 
@@ -494,3 +500,63 @@
             return len(found["a"].requests), len(found["b"].requests)
 
         self.assertEqual((0, 6), run(scenario))
+
+
+class CheapRefusalTest(TestCase):
+    """A hot workspace is refused by the thousand: that must not cost what serving does.
+
+    Each refusal named the state of every upstream, had its caller watched by a task of
+    its own, and told the scheduler that a request was cancelled which it had refused.
+    """
+
+    def refuse(self, count):
+        events, tasks = Counter(), Counter()
+
+        async def scenario(host, found):
+            node = Node(
+                is_workspace=True,
+                key_hashes=[hashlib.sha256(KEY.encode()).hexdigest()],
+                tokens_per_second=0.001,
+                burst_tokens=0.0,
+                counts_requests=True,
+            )
+            host.store.write(
+                "config/main", make_tree(2, nodes={"/": Node(), "/t": node})
+            )
+            while host.daemon.follower.revision < 2:
+                await anyio.sleep(0.005)
+            scheduler = host.daemon.scheduler._scheduler
+            handle = scheduler.handle
+
+            def note(event, now_seconds):
+                events[type(event).__name__] += 1
+                return handle(event, now_seconds)
+
+            scheduler.handle = note
+            watch_caller = RoutedExchange._watch_caller
+
+            async def watch(exchange, scope):
+                tasks["watch"] += 1
+                await watch_caller(exchange, scope)
+
+            with mock.patch.object(RoutedExchange, "_watch_caller", watch):
+                answers = [
+                    await host.call("/once/1", request_id=f"r{number}")
+                    for number in range(count)
+                ]
+            (explained,) = host.daemon.scheduler.decisions(f"r{count - 1}")
+            return answers, explained.action
+
+        answers, refusal = run(scenario, {"labels": ["a"]})
+        return answers, refusal, events, tasks
+
+    def test_it_is_one_event_and_no_task(self):
+        answers, refusal, events, tasks = self.refuse(5)
+        refused = [item for item in answers if item.status == 429]
+        served = len(answers) - len(refused)
+        self.assertGreaterEqual(len(refused), 4)
+        self.assertEqual(len(answers), events["RequestArrived"])
+        self.assertEqual(0, events["RequestCancelled"])
+        self.assertEqual(served, tasks["watch"])
+        self.assertIn("tokens sent by all", refusal.evidence)
+        self.assertNotIn("upstreams", refusal.evidence)
