Limited upstreams refuse nothing while another may be back any moment

Cause: where the upstreams that are not limited were suspected or had just gone down, all that was open was limited, and what came was refused on arrival though a probe clears a suspicion within a quarter of a second. And words on rates that are over stayed for good, with a look at each upstream for each request. Ruled out: waiting whenever any upstream is down (down for long, nothing comes of it). Change: an upstream without a rate that is not down, or has been for less than 2 s, counts as one that takes what comes: the request is held as where none is up. Words that have not held for a minute are dropped.

--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -259,6 +259,7 @@
     def look_at_limits(self, now_seconds: float) -> None:
         """Note who is there to keep limits, and which begin or end to bind."""
         self.limits.note_time(self.peers.hosts_count(now_seconds), now_seconds)
+        self.rates.sweep(now_seconds)
         for path, is_binding in self.limits.bindings(now_seconds):
             if not is_binding and not self.notices.knows("limit", path):
                 continue
--- a/packages/rampwick-policy/src/rampwick_policy/_rate_outlook.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_rate_outlook.py
@@ -47,7 +47,10 @@
         self._queue = queue
 
     def find(self, arrival: RequestArrived, now_seconds: float) -> RateOutlook | None:
-        """Return the outlook of a request; none if any upstream takes what comes."""
+        """Return the outlook of a request; none if any upstream takes what comes.
+
+        One that does counts, too, if it was open a moment ago and may be again.
+        """
         if not len(self._turns.rates):
             return None
         model = arrival.scope.model if arrival.scope else ""
@@ -56,9 +59,12 @@
         for upstream in self._upstreams:
             if not serves(upstream, arrival.service, model):
                 continue
+            next_at_seconds = self._turns.next_at_seconds(upstream, now_seconds)
             if not self._upstreams.is_open(upstream, now_seconds):
+                is_soon = self._upstreams.may_open_soon(upstream, now_seconds)
+                if next_at_seconds is None and is_soon:
+                    return None
                 continue
-            next_at_seconds = self._turns.next_at_seconds(upstream, now_seconds)
             if next_at_seconds is None:
                 return None
             is_any_open = True
--- a/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
@@ -155,6 +155,13 @@
         self._note(upstream, word, source)
         return True
 
+    def sweep(self, now_seconds: float) -> None:
+        """Drop the words that have not held for long; to be called now and then."""
+        oldest_seconds = now_seconds - 2.0 * STALE_SECONDS
+        for upstream, word in list(self._words.items()):
+            if word.heard_at_seconds < oldest_seconds:
+                self.forget(upstream, "nobody has heard it name a rate for long")
+
     def forget(self, upstream: str, reason: str) -> None:
         """Drop what was said by an upstream that is gone."""
         self._told_at.pop(upstream, None)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -36,6 +36,9 @@
 MAX_AWAITED_PROBE_SECONDS = 2.0
 
 #: Time for which a suspicion that a probe has cleared does not come again.
+#: Time for which an upstream that went down is expected back any moment.
+SOON_SECONDS = 2.0
+
 TRUST_SECONDS = 2.0
 
 
@@ -257,6 +260,14 @@
     def usable_slots(
         self, upstream: Upstream, part_ratio: float, now_seconds: float
     ) -> int:
+    def may_open_soon(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Return whether one that is not open now may be in a moment."""
+        if upstream.entry.state == "leaving":
+            return False
+        health = upstream.health
+        down_seconds = now_seconds - health.down_at_seconds
+        return health.state is not HealthState.DOWN or down_seconds < SOON_SECONDS
+
         """Return the requests that may run there at once, from all hosts."""
         ratio = upstream.health.admit_ratio(now_seconds) * part_ratio
         return max(1, int(upstream.slots_count * self._slots_factor * ratio))
--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -20,6 +20,7 @@
     Health,
     Neighbours,
     NeighboursSeen,
+    ProbeFailed,
     RateNamed,
     RatesHeard,
     Refuse,
@@ -414,6 +415,18 @@
         ended = session.do(0.2, RateNamed("lektor-1", "one", None, 0.1))
         self.assertEqual(["lektor-1"], self.sent_to(ended))
 
+    def test_while_another_may_be_back_any_moment_nothing_is_refused_for_it(self):
+        session = Session(runners=2, slots=8, extra="[retry]\nhold_ratio = 0.25\n")
+        self.name_rate(session, 10.0, 0.0, "lektor-1")
+        session.do(10.0, ProbeFailed("lektor-2", "silent"))
+        terms = {"latency_target_seconds": 2.0}
+        self.assertEqual([], session.arrive(10.1, "r0", **terms))
+        self.assertEqual([], session.do(10.5, Tick()))
+        (refusal,) = session.do(10.7, Tick())
+        self.assertEqual("no_upstream", refusal.reason)
+        (refusal,) = session.arrive(13.0, "r1", **terms)
+        self.assertEqual("upstreams_at_rate", refusal.reason)
+
     def test_another_life_of_the_runner_is_not_limited(self):
         session = Session(runners=1, slots=8)
         self.name_rate(session, 0.0, 0.0, "lektor-1")
--- a/tests/test_request_rates.py
+++ b/tests/test_request_rates.py
@@ -61,6 +61,14 @@
         self.assertEqual(1.8, self.rate(1.0 + STALE_SECONDS))
         self.assertIs(None, self.rate(1.1 + STALE_SECONDS))
 
+    def test_what_has_not_held_for_long_is_forgotten(self):
+        self.take(1.8, 0.9, 1.0)
+        self.rates.sweep(1.0 + 2.0 * STALE_SECONDS)
+        self.assertTrue(self.rates.knows("u"))
+        self.rates.sweep(1.1 + 2.0 * STALE_SECONDS)
+        self.assertFalse(self.rates.knows("u"))
+        self.assertEqual(0, len(self.rates))
+
     def test_operators_are_told_of_its_begin_change_and_end(self):
         for rate, at in ((1.8, 1.0), (1.8, 2.0), (0.5, 3.0), (None, 4.0)):
             self.take(rate, at, at)
