A hall probes what is down in turns and tells who has answered

Ruled out: a longer pause for all (callers would wait for it after the cut). Change: from the sixth failure in a row on, hosts of a hall take turns, spread by rendezvous; summaries name what has just answered, and the others ask once for it. A host alone, and halls of up to two hosts, ask as before.

--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -72,6 +72,7 @@
         self.ledger = ShareLedger(settings.queue.usage_decay_seconds)
         self.limits = LimitBook(settings.quota, settings.host.name)
         self.upstreams = UpstreamTable(
+            settings.host.name,
             settings.host.hall,
             settings.retry,
             settings.placement,
@@ -258,8 +259,8 @@
 
     def look_at_limits(self, now_seconds: float) -> None:
         """Note who is there to keep limits, and which begin or end to bind."""
-        self.limits.note_time(self.peers.hosts_count(now_seconds), now_seconds)
         self.rates.sweep(now_seconds)
+        self.limits.note_time(self.peers.hosts_count(now_seconds), now_seconds)
         for path, is_binding in self.limits.bindings(now_seconds):
             if not is_binding and not self.notices.knows("limit", path):
                 continue
@@ -296,7 +297,10 @@
         if event.report is not None:
             is_same_life = not self.upstreams.note_report(upstream, event.report)
             self._observe(upstream, event.report.cache_tokens)
+        was_down = upstream.health.state is HealthState.DOWN
         upstream.health.note_probe(is_same_life, now_seconds)
+        if was_down:
+            upstream.answered_again_seconds = now_seconds
         self.upstreams.clear(upstream, now_seconds)
         self._notice(upstream, "it answered a probe", now_seconds)
 
@@ -383,6 +387,7 @@
         self.rates.hear(event.news, now_seconds)
 
     def _on_neighbours(self, event: ev.NeighboursSeen, now_seconds: float) -> None:
+        self.upstreams.mates = event.neighbours.heard
         self.turns.standpoint = attrs.evolve(
             self.turns.standpoint,
             neighbours=event.neighbours,
@@ -416,6 +421,10 @@
                 upstream = self.upstreams.get(name)
                 if upstream is not None and not upstream.is_heard(now_seconds):
                     self.suspect(name, now_seconds)
+            for name in event.summary.up:
+                upstream = self.upstreams.get(name)
+                if upstream is not None and upstream.health.state is HealthState.DOWN:
+                    self.upstreams.ask_again(upstream, now_seconds)
             for placed in event.summary.placed:
                 if not self.imports.note_reported(placed, now_seconds):
                     self.knowledge.note_reported(placed)
