Soak: a runner names a rate of requests; the checker holds all hosts to it

Nothing but stand-ins brings such a rate about. Hosts that are killed, paused or cut off meanwhile are excused, and a runner that something else is wrong with.

--- a/packages/rampwick-standin/src/rampwick_standin/_engine.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_engine.py
@@ -56,8 +56,6 @@
     loses_answers: bool = False
     #: Keep the cache over a load of other weights, as no engine should.
     keeps_cache: bool = False
-    #: Requests a second that it says it takes from all hosts; none to say nothing.
-    request_rate: float | None = None
 
 
 @attrs.frozen
@@ -155,6 +153,8 @@
     def __init__(self, settings: EngineSettings) -> None:
         self.settings = settings
         self.faults = EngineFaults()
+        #: Requests a second that it says it takes from all hosts; none to say nothing.
+        self.request_rate: float | None = None
         self.weights_version = 1
         self.fencing_number = 0
         self.loads_count = 0
--- a/packages/rampwick-standin/src/rampwick_standin/_runner.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_runner.py
@@ -40,6 +40,7 @@
                 Route("/orders", self._order, methods=["PUT"]),
                 Route("/faults", self._set_faults, methods=["POST"]),
                 Route("/crash", self._crash, methods=["POST"]),
+                Route("/request-rate", self._set_rate, methods=["POST"]),
                 Route("/seen", self._seen),
             ]
         )
@@ -79,7 +80,7 @@
             "X-Engine-Incarnation": stream.incarnation,
             "X-Weights-Version": str(stream.weights_version),
         }
-        rate = self.engine.faults.request_rate
+        rate = self.engine.request_rate
         if rate is not None:
             headers["Rampwick-Request-Rate"] = f"{rate:g}"
         return StreamingResponse(
@@ -149,6 +150,12 @@
         self.engine.faults = structure(data, EngineFaults, step="set faults")
         return Response(status_code=204)
 
+    async def _set_rate(self, request: Request) -> Response:
+        """Name a rate in all answers from now on, or none."""
+        named = json.loads(await request.body())
+        self.engine.request_rate = named["requests_per_second"]
+        return Response(status_code=204)
+
     async def _seen(self, request: Request) -> Response:
         """Tell all that ran, over all lives, for checks from outside."""
         attempts = [
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -31,6 +31,12 @@
 DEADLY_RUNS = 3
 TOLD_SECONDS = 3.0
 
+#: What a runner that names a rate may get within a window, and from when on.
+RATE_KNOWN_SECONDS = 3.0
+RATE_WINDOW_SECONDS = 4.0
+RATE_OVER_RATIO = 1.5
+RATE_SLACK_COUNT = 5
+
 #: Time beyond its deadline by which a caller must have had its final answer.
 ANSWER_SLACK_SECONDS = 4.0
 
@@ -79,6 +85,7 @@
         *check_planned(seen),
         *check_leaving(seen),
         *check_deadly(seen),
+        *check_rates(seen),
     ]
     return [sentence.replace(GUIDE, "") for sentence in found]
 
@@ -107,6 +114,58 @@
     return found
 
 
+def check_rates(seen: Seen) -> list[str]:
+    """A runner that names a rate gets no more from all hosts that go on undisturbed."""
+    found = []
+    for deed in seen.deeds:
+        if deed.request_rate is None or _is_disturbed(seen.deeds, deed, "runner_"):
+            continue
+        known_seconds = deed.began_seconds + RATE_KNOWN_SECONDS
+        times = sorted(
+            seen.started[attempt.attempt_id]
+            for attempt in seen.attempts
+            if attempt.runner == deed.target
+            and known_seconds < seen.started[attempt.attempt_id] < deed.ended_seconds
+            and not _is_excused(seen.deeds, attempt.attempt_id, deed)
+        )
+        most = RATE_OVER_RATIO * deed.request_rate * RATE_WINDOW_SECONDS
+        most += RATE_SLACK_COUNT
+        for at in times:
+            count = sum(at <= other < at + RATE_WINDOW_SECONDS for other in times)
+            if count > most:
+                found.append(
+                    f"{deed.target} takes {deed.request_rate} requests a second and "
+                    f"got {count} in {RATE_WINDOW_SECONDS} s, allowed {most:.0f}"
+                )
+                break
+    return found
+
+
+def _is_disturbed(deeds: Iterable[Deed], limited: Deed, kinds: str) -> bool:
+    """Return whether something else was wrong with a runner that named a rate."""
+    return any(
+        deed is not limited
+        and deed.target == limited.target
+        and deed.kind.startswith(kinds)
+        and deed.began_seconds < limited.ended_seconds
+        and deed.ended_seconds > limited.began_seconds
+        for deed in deeds
+    )
+
+
+def _is_excused(deeds: Iterable[Deed], attempt_id: str, limited: Deed) -> bool:
+    """Return whether the host of an attempt was ended, paused or cut off meanwhile."""
+    host = attempt_id.partition("-")[0]
+    kinds = ("host_", "hosts_", "peer_link_")
+    return any(
+        deed.kind.startswith(kinds)
+        and deed.target in ("", host)
+        and deed.began_seconds < limited.ended_seconds
+        and deed.ended_seconds > limited.began_seconds
+        for deed in deeds
+    )
+
+
 def check_services(calls: Iterable[Call]) -> list[str]:
     """Each good answer of the service is the one to its own call, whole."""
     return [
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -45,6 +45,8 @@
     target: str
     began_seconds: float
     ended_seconds: float = float("inf")
+    #: Requests a second that its target said it takes, if it is about that.
+    request_rate: float | None = None
 
 
 #: Planned work: none of it may cost a caller anything.
@@ -74,16 +76,21 @@
     "runner_loses_answers",
 )
 
-#: Connections that are silent for good while new ones work, and a request that crashes
-#: whoever runs it. They are drawn after all else, so that a seed draws what it drew
-#: before there were such.
+#: Connections that are silent for good while new ones work, a request that crashes
+#: whoever runs it, and a runner that takes few requests. They are drawn after all else,
+#: so that a seed draws what it drew before there were such.
 LATE_KINDS = (
     "peer_link_stranded",
     "platform_link_stranded",
     "runner_link_stranded",
     "deadly_prompt",
+    "runner_limited",
 )
 
+#: How long a runner names a rate, and how large it is at the most.
+LIMITED_SECONDS = 9.0
+MOST_RATE = 3.0
+
 #: How often what runners don't survive is asked for, and with which pause.
 DEADLY_TRIES = 14
 DEADLY_PAUSE_SECONDS = 0.5
@@ -162,7 +169,7 @@
         deed = Deed(fault.kind, "", time.monotonic())
         self.deeds.append(deed)
         await act(fault, deed)
-        deed.ended_seconds = time.monotonic()
+        deed.ended_seconds = min(deed.ended_seconds, time.monotonic())
 
     def _host(self, fault: Fault, deed: Deed) -> Member:
         host = self._fleet.hosts[fault.index % len(self._fleet.hosts)]
@@ -314,6 +321,18 @@
                     # The host is down or cut off; the next try goes to another one.
                     return
 
+    async def _runner_limited(self, fault: Fault, deed: Deed) -> None:
+        runner = self._runner(fault, deed)
+        deed.request_rate = round(fault.strength * MOST_RATE, 2)
+        await self._name_rate(runner, deed.request_rate)
+        await anyio.sleep(LIMITED_SECONDS)
+        deed.ended_seconds = time.monotonic()
+        await self._name_rate(runner, None)
+
+    async def _name_rate(self, runner: Member, rate: float | None) -> None:
+        data = {"requests_per_second": rate}
+        await self._fleet.post(runner, "/request-rate", data)
+
     async def _upset(self, fault: Fault, deed: Deed, data: dict[str, bool]) -> None:
         runner = self._runner(fault, deed)
         await self._fleet.post(runner, "/faults", data)
--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -95,8 +95,7 @@
 
     def limit(self, bench, rate):
         """Have the first runner name a rate, or none."""
-        engine = bench.runners["lektor-0"].engine
-        engine.faults = attrs.evolve(engine.faults, request_rate=rate)
+        bench.runners["lektor-0"].engine.request_rate = rate
 
     def begun(self, bench, name="lektor-0"):
         """Return when a runner began each request."""
@@ -151,9 +150,7 @@
         async def scenario(bench):
             async with self.two_hosts(bench) as (one, two):
                 for runner in bench.runners.values():
-                    runner.engine.faults = attrs.evolve(
-                        runner.engine.faults, request_rate=0.0
-                    )
+                    runner.engine.request_rate = 0.0
                 for number in range(100):
                     if all(one.knows_rate(name) for name in bench.runners):
                         break
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -120,6 +120,23 @@
         self.assertNotEqual([], self.violations(orders={"r0": [3, 5, 4]}))
         self.assertEqual([], self.violations(orders={"r0": [3, 3, 5]}))
 
+    def test_a_runner_that_gets_more_than_it_says_is_caught(self):
+        def found(count, *deeds):
+            limited = Deed("runner_limited", "r0", 10.0, 20.0, request_rate=1.0)
+            names = [f"e0-1-{index}.1" for index in range(count)]
+            started = {name: 14.0 + index / 10.0 for index, name in enumerate(names)}
+            runs = [run(name, name) for name in names]
+            return self.violations(
+                attempts=runs, started=started, deeds=[limited, *deeds]
+            )
+
+        self.assertEqual([], found(11))
+        self.assertNotEqual([], found(12))
+        # What a host does that was cut off, or to a runner that crashed, is excused.
+        self.assertEqual([], found(12, Deed("peer_link_silent", "e0", 12.0, 13.0)))
+        self.assertEqual([], found(12, Deed("runner_crash", "r0", 12.0, 12.1)))
+        self.assertNotEqual([], found(12, Deed("peer_link_silent", "e1", 12.0, 13.0)))
+
     def test_a_deadly_prompt_that_goes_on_running_is_caught(self):
         def found(*times, deeds=()):
             names = [f"{index}.1" for index in range(len(times))]
