--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -223,7 +223,9 @@
         if arrival.chain is None:
             no_chain = PrefixChain(checkpoints=(), total_tokens=1)
             return self._service_placement.choose(no_chain, views, price, now_seconds)
-        sources = self._pool.import_sources(arrival.service, arrival.chain, now_seconds)
+        sources = self._pool.caches.import_sources(
+            arrival.service, arrival.chain, now_seconds
+        )
         return self._placement.choose(arrival.chain, views, price, now_seconds, sources)
 
     def _dispatch(
@@ -261,8 +263,8 @@
         save_address = ""
         if item.arrival.chain is not None and upstream.life is not None:
             chain, life = item.arrival.chain, upstream.life
-            self._pool.note_placed(upstream.name, life, chain, now_seconds)
-            save_address = self._pool.save_address(
+            self._pool.caches.note_placed(upstream.name, life, chain, now_seconds)
+            save_address = self._pool.caches.save_address(
                 item.arrival.service, upstream, chain, now_seconds
             )
         source = choice.import_source
--- a/packages/rampwick-policy/src/rampwick_policy/_own_summary.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_own_summary.py
@@ -40,7 +40,7 @@
         is_leaving=is_leaving,
         workspaces=_workspace_usages(pool, now_seconds),
         upstreams=[*_upstream_usages(pool), *pool.moves.usages()],
-        placed=pool.take_placed(),
+        placed=pool.caches.take_placed(),
         down=_found_down(pool, now_seconds),
         up=_found_up(pool, now_seconds),
         waiting=[
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -1,42 +1,31 @@
-"""What one host knows of the pool: upstreams, their caches, peers, use.
+"""What one host knows of the pool: upstreams, peers, use, limits and rates.
 
 It takes news and answers questions; it decides nothing about requests.
 """
 
-import heapq
-from collections.abc import Callable, Collection
-from operator import attrgetter
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
 from rampwick_schema import (
     HostList,
-    PlacedPrefix,
     Settings,
 )
 
 from . import _events as ev
+from ._cache_book import CacheBook
 from ._health import HealthState
-from ._imports import Holder, Imports, ImportSource
-from ._kept import kept_life, kept_version
-from ._knowledge import CacheKnowledge, Life
+from ._knowledge import Life
 from ._limit_book import LimitBook
 from ._membership import Membership
-from ._moves import Moves
 from ._notices import NoticeBook
-from ._placement_news import PlacementNews
-from ._prefix import PrefixChain
 from ._request import Outcome
 from ._request_rates import RateWord, RequestRates
 from ._request_turns import RequestTurns, Standpoint
 from ._shares import ShareLedger
 from ._upstreams import Upstream, UpstreamTable
 
-#: Runners of one version that are weighed as sources of a prompt, those that hold most
-#: first: one for the choice, the others where it is the source itself.
-MAX_HOLDERS = 3
-
 #: Longest time that a busy upstream is left alone.
 MAX_BUSY_SECONDS = 1.0
 
@@ -67,7 +56,6 @@
     """Upstreams, caches, peers and use as this host knows them."""
 
     def __init__(self, settings: Settings) -> None:
-        self.knowledge = CacheKnowledge(settings.placement.known_prefixes_count)
         self.peers = Membership(settings.peers.dead_after_seconds)
         self.ledger = ShareLedger(settings.queue.usage_decay_seconds)
         self.limits = LimitBook(settings.quota, settings.host.name)
@@ -78,10 +66,8 @@
             settings.placement,
             settings.queue.slots_factor,
         )
-        self.imports = Imports()
         #: Names of the services that requests may be led to.
         self.services: frozenset[str] = frozenset()
-        self.moves = Moves(self.peers)
         self.notices = NoticeBook()
         #: Requests a second that upstreams in need take from all hosts, and whose turn
         #: it is to send them one.
@@ -91,7 +77,12 @@
             Standpoint(settings.host.name, settings.host.hall),
             self.limits.part_ratio,
         )
-        self._news = PlacementNews()
+        self.caches = CacheBook(
+            settings.placement.known_prefixes_count, self.upstreams, self.peers
+        )
+        self.knowledge = self.caches.knowledge
+        self.imports = self.caches.imports
+        self.moves = self.caches.moves
         self._handlers: dict[type, Callable[[Any, float], None]] = {
             ev.LoadReported: self._on_report,
             ev.ProbeFailed: self._on_probe_failed,
@@ -101,7 +92,7 @@
             ev.WeightsSeen: self._on_weights,
             ev.LoadOrdered: self._on_load,
             ev.TargetsRead: self._on_targets,
-            ev.CacheSeen: self._on_cache,
+            ev.CacheSeen: self.caches.hear,
             ev.RateNamed: self._on_rate,
             ev.RatesHeard: self._on_rates_heard,
             ev.NeighboursSeen: self._on_neighbours,
@@ -119,85 +110,6 @@
         group = upstream.entry.group
         return not group or group in self.services
 
-    def import_sources(
-        self, service: str, chain: PrefixChain, now_seconds: float
-    ) -> list[ImportSource]:
-        """Return the caches that engines of a service may import a prompt from.
-
-        The stores come last: they are asked when nobody is known to hold more.
-        """
-        terms = self.imports.service(service)
-        if terms is None:
-            return []
-        holders: dict[int, list[Holder]] = {}
-        for upstream in self.upstreams:
-            if upstream.entry.group != service or upstream.life is None:
-                continue
-            version = upstream.life.weights_version
-            of_version = holders.setdefault(version, [])
-            held = self.knowledge.cached_tokens(upstream.name, chain)
-            if held and upstream.health.state is not HealthState.DOWN:
-                address = upstream.entry.address
-                hall = upstream.entry.hall
-                of_version.append(Holder(upstream.name, address, held, version, hall))
-        sources = []
-        for version, found in holders.items():
-            best = heapq.nlargest(MAX_HOLDERS, found, key=attrgetter("held_tokens"))
-            sources += [self.imports.runner_source(terms, holder) for holder in best]
-            sources += self.imports.store_sources(terms, version, chain, now_seconds)
-        return [self._with_queue(source) for source in sources]
-
-    def _with_queue(self, source: ImportSource) -> ImportSource:
-        moving_tokens = self.moves.waiting_tokens(source.name)
-        if not moving_tokens:
-            return source
-        queue_seconds = moving_tokens * source.seconds_per_token
-        return attrs.evolve(source, queue_seconds=queue_seconds)
-
-    def save_address(
-        self, service: str, upstream: Upstream, chain: PrefixChain, now_seconds: float
-    ) -> str:
-        """Return the store to which an upstream shall save a prompt, if any."""
-        if self.imports.service(service) is None or upstream.life is None:
-            return ""
-        version = upstream.life.weights_version
-        store = self.imports.take_store(version, chain, now_seconds)
-        if store is None:
-            return ""
-        # Peers need not save it again.
-        self._news.note(store.name, kept_life(version), chain, now_seconds)
-        return store.address
-
-    def cache_contents(self, names: Collection[str]) -> list[ev.CacheSeen]:
-        """Return what some caches are believed to hold, to tell a host anew."""
-        seen = []
-        for name in sorted(names):
-            changes = (
-                self.knowledge.contents(name) or self.imports.kept(name).contents()
-            )
-            if changes:
-                seen.append(ev.CacheSeen(name, tuple(changes)))
-        return seen
-
-    def note_placed(
-        self, name: str, life: Life, chain: PrefixChain, now_seconds: float
-    ) -> None:
-        """Note that a prompt goes to a runner, which will then hold it."""
-        self.knowledge.note_prompt(name, life, chain)
-        self._news.note(name, life, chain, now_seconds)
-
-    def note_answer(
-        self, name: str, life: Life, chain: PrefixChain, event: ev.AttemptDone
-    ) -> None:
-        """Learn from a whole answer what the runner held and holds now."""
-        if not event.prompt_tokens:
-            return
-        if not event.cached_tokens:
-            # Nothing at all was held: what was believed of shallow levels is wrong
-            # for this runner, but the prompt itself is there now.
-            self.knowledge.correct(name, life, chain, 0)
-        self.knowledge.note_prompt(name, life, chain)
-
     def note_failure(
         self, name: str, event: ev.AttemptFailed, now_seconds: float
     ) -> None:
@@ -285,10 +197,6 @@
         upstream.life = None
         self._notice(upstream, error, now_seconds)
 
-    def take_placed(self) -> list[PlacedPrefix]:
-        """Return the placements that peers have not been told, to tell them once."""
-        return self._news.take()
-
     def _on_report(self, event: ev.LoadReported, now_seconds: float) -> None:
         upstream = self.upstreams.get(event.upstream)
         if upstream is None:
@@ -296,7 +204,7 @@
         is_same_life = True
         if event.report is not None:
             is_same_life = not self.upstreams.note_report(upstream, event.report)
-            self._observe(upstream, event.report.cache_tokens)
+            self.caches.observe(upstream, event.report.cache_tokens)
         was_down = upstream.health.state is HealthState.DOWN
         upstream.health.note_probe(is_same_life, now_seconds)
         if was_down:
@@ -317,7 +225,7 @@
             self.notices.forget("upstream", name, reason)
         for upstream in self.upstreams:
             if upstream.entry.incarnation and upstream.is_runner:
-                self._observe(upstream)
+                self.caches.observe(upstream)
             self._notice(upstream, reason, now_seconds)
 
     def _on_weights(self, event: ev.WeightsSeen, now_seconds: float) -> None:
@@ -330,7 +238,7 @@
             # Another life is for the list or a probe to tell.
             return
         if self.upstreams.note_life(upstream, life, event.is_own_word):
-            self._observe(upstream)
+            self.caches.observe(upstream)
             self._notice(upstream, "its weights were seen", now_seconds)
 
     def _on_load(self, event: ev.LoadOrdered, now_seconds: float) -> None:
@@ -357,21 +265,6 @@
             state = f"version {target.weights_version}"
             self.notices.note("target", target.model, state, event.source)
 
-    def _on_cache(self, event: ev.CacheSeen, now_seconds: float) -> None:
-        kept = self.imports.kept(event.upstream)
-        if event.is_reset:
-            kept.clear()
-        for changes in event.changes:
-            version = kept_version(changes.label)
-            if version is None:
-                self.knowledge.note_changes(
-                    event.upstream, changes.label, changes.prefixes, changes.tokens
-                )
-                continue
-            pairs = zip(changes.prefixes, changes.tokens, strict=False)
-            for prefix, tokens in pairs:
-                kept.note_change(version, prefix, tokens, now_seconds)
-
     def _on_rate(self, event: ev.RateNamed, now_seconds: float) -> None:
         if self.upstreams.get(event.upstream) is None:
             return
@@ -394,14 +287,6 @@
             is_leaving=event.is_leaving,
         )
 
-    def _observe(self, upstream: Upstream, cache_tokens: int = 0) -> None:
-        """Drop what was known of an earlier life of a runner's cache."""
-        if upstream.life is None:
-            return
-        service = self.imports.service(upstream.entry.group)
-        capacity = cache_tokens or (service.cache_tokens if service else 0)
-        self.knowledge.observe_life(upstream.name, upstream.life, capacity)
-
     def _on_peer_gone(self, event: ev.PeerGone, now_seconds: float) -> None:
         self.peers.drop(event.name)
         self.ledger.hear(event.name, (), now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -293,7 +293,7 @@
         )
         self._answers.learn(item.workspace_path, event.answer_tokens)
         if upstream is not None and upstream.life is not None:
-            self.pool.note_answer(upstream.name, upstream.life, chain, event)
+            self.pool.caches.note_answer(upstream.name, upstream.life, chain, event)
         return []
 
     def _on_cancelled(
--- a/packages/rampwick-router/src/rampwick_router/peers/_cache_mail.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_cache_mail.py
@@ -53,7 +53,7 @@
         if self._table.is_large or not names:
             return
         seen = self._scheduler.look(
-            lambda scheduler, now_seconds: scheduler.pool.cache_contents(names)
+            lambda scheduler, now_seconds: scheduler.pool.caches.contents(names)
         )
         if seen:
             link.put(to_cache_news(seen))
