Reading: whether an upstream has ended, and which attempts are charged, stand where they belong

The scheduler had two predicates on an upstream's entry and on the retry settings; they are the upstream table's and the budgets'. Moves of code only.

--- a/packages/rampwick-policy/src/rampwick_policy/_retry.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_retry.py
@@ -4,6 +4,8 @@
 
 from rampwick_schema import RetrySettings, Shown
 
+from ._request import Outcome
+
 #: Retries that may be saved up while nothing fails: about what one runner had under
 #: way when it crashed, so that a single crash loses no work.
 MAX_SAVED = 64.0
@@ -78,6 +80,15 @@
         budget.max_saved = max_saved
         return budget
 
+    def is_charged(self, outcome: Outcome) -> bool:
+        """Return whether another attempt after this one is paid from the budget.
+
+        A refusal costs the fleet next to nothing, but its owner may count it.
+        """
+        if self._settings.charges_refusals:
+            return not outcome.never_arrived
+        return not outcome.proves_not_run
+
     def _max_saved(self, hosts_count: int) -> float:
         settings = self._settings
         if settings.fleet_saved_count < 0.0:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -241,7 +241,7 @@
             return []
         peer = item.upstream
         item.tried.add(peer)
-        if event.was_closed and self._has_ended(peer, now_seconds):
+        if event.was_closed and self.upstreams.has_ended(peer, now_seconds):
             self.suspects.note_end(item, now_seconds)
         actions = self._requests.cancel(item, event)
         self._requests.release(item, event.attempt_id, now_seconds)
@@ -252,28 +252,10 @@
                 item, UPSTREAM_FAILED, now_seconds, peer=peer
             )
             return [*actions, refusal]
-        item.needs_budget = self._is_charged(event.outcome)
+        item.needs_budget = self.budgets.is_charged(event.outcome)
         self.queue.add_first(item)
         return actions
 
-    def _has_ended(self, name: str, now_seconds: float) -> bool:
-        """Return whether an upstream that closed a connection ended unexpectedly.
-
-        One that leaves, or loads weights, closes them on purpose.
-        """
-        upstream = self.upstreams.get(name)
-        return (
-            upstream is not None
-            and upstream.entry.state != "leaving"
-            and not upstream.is_loading(now_seconds)
-        )
-
-    def _is_charged(self, outcome: Outcome) -> bool:
-        # A refusal costs the fleet next to nothing, but its owner may count it.
-        if self._settings.retry.charges_refusals:
-            return not outcome.never_arrived
-        return not outcome.proves_not_run
-
     def _on_done(self, event: ev.AttemptDone, now_seconds: float) -> list[ev.Action]:
         item = self._requests.get(event.request_id)
         if item is None or not item.lifecycle.finish(event.attempt_id):
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -260,6 +260,18 @@
             return False
         return upstream.health.admit_ratio(now_seconds) > 0.0
 
+    def has_ended(self, name: str, now_seconds: float) -> bool:
+        """Return whether an upstream that closed a connection ended unexpectedly.
+
+        One that leaves, or loads weights, closes them on purpose.
+        """
+        upstream = self._upstreams.get(name)
+        return (
+            upstream is not None
+            and upstream.entry.state != "leaving"
+            and not upstream.is_loading(now_seconds)
+        )
+
     def may_open_soon(self, upstream: Upstream, now_seconds: float) -> bool:
         """Return whether one that is not open now may be in a moment."""
         if upstream.entry.state == "leaving":
