--- a/packages/rampwick-policy/src/rampwick_policy/_blame.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_blame.py
@@ -19,8 +19,7 @@
 #: by chance are rare, and the third is to show which of them it is.
 APART_ENDS_COUNT = 2
 
-#: Ends after which a request may be stopped. With four, two deadly requests before five
-#: upstreams each ended 4.0 instead of 3.5 of them (mean of 10 seeds, blame lab).
+#: Ends after which a request may be stopped: each one more costs an upstream.
 STOP_ENDS_COUNT = 3
 
 #: Time after an end by which the other hosts' word on what they had aboard is here. One
--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -50,8 +50,8 @@
 
 #: Time for which the first requests wait in a fleet that has just come back as a whole:
 #: until what other halls are asked has come by way of two relays. What was asked
-#: meanwhile comes at once, and each host let all of it go before it had heard of the
-#: others' (1.15 of what a rule allows, 90 hosts; 1.06 where they waited 0.6 s).
+#: meanwhile comes at once, and each host would let all of it go before it had heard of
+#: the others'.
 HOLD_SECONDS = 1.0
 
 #: Part of a limit up to which a request is no matter: it neither waits nor is drawn.
@@ -91,8 +91,8 @@
 class _Forgiven(Shown):
     """What was sent under a higher limit; less and less of it is in the window.
 
-    Forgiven whole until it had left, what left was let go again at the old rate, and a
-    surge right after found the window full (1.06 of the bound in the limits lab).
+    Forgiven whole until it has left, what leaves would be let go again at the old rate,
+    and a surge right after would find the window full.
     """
 
     until_seconds: float
--- a/packages/rampwick-policy/src/rampwick_policy/_leaving.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_leaving.py
@@ -18,9 +18,8 @@
 class AnswerPace:
     """How much longer than reckoned the slowest answers of late took.
 
-    In the seconds after an outage of the store one answer in a hundred took 2.3 to 3
-    times what was reckoned (logs of 90 hosts): hosts that left had taken such requests
-    when they had four seconds left, and cut their answers.
+    After an outage of the store some take several times what is reckoned: hosts that
+    leave would take such requests with too little time left, and cut their answers.
     """
 
     def __init__(self) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_roles.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_roles.py
@@ -18,8 +18,8 @@
 
 from . import _rendezvous
 
-#: Hosts up to which a fleet is one group. Each hears every other a few times a
-#: second, which at 17 hosts takes about 2 % of a small host's core.
+#: Hosts up to which a fleet is one group. Each hears every other a few times a second,
+#: which costs more with each of them.
 MESH_LIMIT_COUNT = 16
 
 #: Hosts of a group that read the platform: in a small fleet, where a call is cheap and
--- a/packages/rampwick-policy/src/rampwick_policy/_suspects.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_suspects.py
@@ -155,9 +155,7 @@
         """Return the upstreams that a request may go to, as far as it is suspected.
 
         A suspect goes to one that no other suspect is at, the same from all hosts as
-        far as they can, so that the next end tells which of them it was: of five
-        upstreams and two deadly requests each ended 3.5 instead of 6.0 upstreams, and
-        one in four as many others were lost (mean of 10 seeds, blame lab).
+        far as they can, so that the next end tells which of them it was.
         """
         identity = item.arrival.identity
         if identity is None or self.suspicion(item) is not Suspicion.APART:
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -28,9 +28,8 @@
 ROLE_INTERVAL_SECONDS = 0.5
 
 #: Least time between two looks that requests ask for; it doubles with each that fails
-#: up to the longest. At 0.2 s throughout, 90 hosts made 1,760 calls for the
-#: configuration while the store was away for 4.5 s (counted in logs). The readers'
-#: watches notice its return, and peers tell of it.
+#: up to the longest, or a large fleet would call a store that is away without pause.
+#: The readers' watches notice its return, and peers tell of it.
 REFRESH_INTERVAL_SECONDS = 0.2
 MAX_REFRESH_INTERVAL_SECONDS = 1.6
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_roles.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_roles.py
@@ -100,9 +100,8 @@
         """Return among whom the reading of caches is shared.
 
         In the first moments of a large fleet those count that are known and not heard
-        yet. Hosts that came back together each took themselves for alone and asked all
-        48 caches for their histories: links of 5 Mbit/s were full for 3 s, in which
-        nothing was heard and no runner reached (logs of 90 hosts).
+        yet. Hosts that come back together would each take themselves for alone and ask
+        all caches for their histories, and weak links would carry nothing else.
         """
         near = self.neighbours()
         age_seconds = self._read_clock() - self._began_seconds
--- a/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
@@ -25,8 +25,7 @@
 
 #: Silence of a hall, some two and a half of its relay's tellings, after which it counts
 #: neither as heard nor as sending under limits: hosts that are cut off keep to their
-#: part before both sides fill the same room. With 3 s, what was sent just after a cut
-#: was 1.24 of a limit in the limits lab, with this 1.07.
+#: part before both sides fill the same room.
 LATE_HALL_SECONDS = 1.25
 
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -39,8 +39,8 @@
 PERIOD_SECONDS = 0.7
 
 #: Events in one answer from which the next question follows at once. Caches tell a few
-#: hundred at a time, the oldest first: at one answer in 0.7 s a host that had just
-#: started took 6 s to learn what a cache holds, and had it all saved again meanwhile.
+#: hundred at a time, the oldest first: at one answer a period a host that has just
+#: started would have all saved again before it knows what a cache holds.
 MANY_EVENTS_COUNT = 200
 
 #: Time from a host's start in which it reads the caches of its own hall only: the
@@ -85,9 +85,8 @@
     """What a cache told before this host had caught up with it, for peers.
 
     Engines remember thousands of events and hold some dozens of entries. Told event by
-    event, the caches of 30 engines made 12 MB between halls and 35 MB within them when
-    all of 82 hosts came back, and each host read half a megabyte of them at half a
-    core while its callers waited.
+    event, they would fill the links and keep hosts busy while callers wait, whenever
+    all hosts of a large fleet come back.
     """
 
     #: Tokens kept now by life and prefix, those that changed last at the end.
