Reading: two hosts before runners in one place; facts have their type

One set-up serves the tests of deadly requests and of limited upstreams; what tells of facts names its two messages instead of anything. No change of behaviour.

--- a/packages/rampwick-router/src/rampwick_router/peers/_early_news.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_early_news.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import Protocol
 
 import anyio
 
+from rampwick_schema import EndNews, RateNews
+
 from ._links import PeerLinks
 from ._roles import Roles
 from ._summaries import SummaryTeller
@@ -27,6 +29,9 @@
 #: Time between two tellings of the same, while it is new.
 FACT_REPEAT_SECONDS = 1.0
 
+#: Messages that tell of facts.
+FactNews = EndNews | RateNews
+
 
 class FactSource(Protocol):
     """Facts that all hosts must know: told at once, again, and to who comes."""
@@ -34,13 +39,13 @@
     #: Called when there is something to tell.
     note_news: Callable[[], None]
 
-    def take_news(self, now_seconds: float) -> Any:
+    def take_news(self, now_seconds: float) -> FactNews | None:
         """Return the message on what was not told yet; none if nothing is new."""
 
-    def repeat_news(self, now_seconds: float) -> Any:
+    def repeat_news(self, now_seconds: float) -> FactNews | None:
         """Return the message on what was told of late; none if nothing was."""
 
-    def greeting(self, now_seconds: float) -> Any:
+    def greeting(self, now_seconds: float) -> FactNews | None:
         """Return the message to a host that has just come; none if there is none."""
 
 
@@ -126,12 +131,12 @@
         if is_own:
             self._summaries.tell_hall(has_surged=True)
 
-    def greetings(self, now_seconds: float) -> list[Any]:
+    def greetings(self, now_seconds: float) -> list[FactNews]:
         """Return the messages with facts that a host is to know that has just come."""
         greetings = (teller.source.greeting(now_seconds) for teller in self._tellers)
         return [message for message in greetings if message is not None]
 
-    def _broadcast(self, news: Any) -> None:
+    def _broadcast(self, news: FactNews) -> None:
         is_relay = self._roles.is_relay()
         self._links.broadcast(news, lambda peer: is_relay or self._roles.is_told(peer))
 
@@ -142,7 +147,7 @@
     def __init__(
         self,
         source: FactSource,
-        broadcast: Callable[[Any], None],
+        broadcast: Callable[[FactNews], None],
         read_clock: Callable[[], float],
     ) -> None:
         self.source = source
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -252,6 +252,19 @@
         self._tasks.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def run_two_hosts(bench: Bench) -> AsyncIterator[tuple[Host, Host]]:
+    """Run two hosts; yield them once both know all runners and each other."""
+    async with (
+        bench.run_host("entry-1") as one,
+        bench.run_host("entry-2") as two,
+    ):
+        for host in (one, two):
+            await host.until_ready(*bench.runners)
+            await until(lambda host=host: host.daemon.scheduler.hosts_count == 2)
+        yield one, two
+
+
 @asynccontextmanager
 async def run_bench() -> AsyncIterator[Bench]:
     """Run a bench until the context ends."""
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -11,7 +11,7 @@
 import json
 from contextlib import asynccontextmanager
 
-from .bench import until
+from .bench import run_two_hosts, until
 from .case import ScenarioCase
 from .test_cli import run
 
@@ -34,14 +34,8 @@
         """Run the hosts; yield them once both know all runners and each other."""
         for index in range(4):
             bench.add_runner(f"lektor-{index}", deadly_text=DEADLY)
-        async with (
-            bench.run_host("entry-1") as one,
-            bench.run_host("entry-2") as two,
-        ):
-            for host in (one, two):
-                await host.until_ready(*bench.runners)
-                await until(lambda host=host: host.daemon.scheduler.hosts_count == 2)
-            yield one, two
+        async with run_two_hosts(bench) as hosts:
+            yield hosts
 
     async def ask_in_turn(self, bench, hosts, count):
         """Ask for the deadly prompt again and again, with all runners up."""
--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -45,7 +45,7 @@
 from rampwick_policy._upstream import Upstream
 from rampwick_schema import HostEntry
 
-from .bench import until
+from .bench import run_two_hosts, until
 from .case import ScenarioCase
 from .test_scheduler import Session
 
@@ -84,14 +84,8 @@
         for index in range(2):
             bench.add_runner(f"lektor-{index}")
         self.limit(bench, self.RATE)
-        async with (
-            bench.run_host("entry-1") as one,
-            bench.run_host("entry-2") as two,
-        ):
-            for host in (one, two):
-                await host.until_ready(*bench.runners)
-                await until(lambda host=host: host.daemon.scheduler.hosts_count == 2)
-            yield one, two
+        async with run_two_hosts(bench) as hosts:
+            yield hosts
 
     def limit(self, bench, rate):
         """Have the first runner name a rate, or none."""
