Taken back: a hall's turns at probing what is down

By reading: a host that was cut off or frozen by itself for ten seconds finds all upstreams down; its mates never had them down, so that none tells it of an answer, and it would ask each again only at its own turn, up to 22 s later in a hall of 22.

--- a/packages/rampwick-policy/src/rampwick_policy/_hall_news.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_hall_news.py
@@ -46,7 +46,6 @@
             upstreams=_sum_upstreams(known),
             placed=placed,
             down=sorted({name for item in known for name in item.down}),
-            up=sorted({name for item in known for name in item.up}),
             hosts_count=max(1, sum(item.hosts_count for item in known)),
             waiting=_sum_waiting(known),
             limits=sum_limits(known),
--- a/packages/rampwick-policy/src/rampwick_policy/_own_summary.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_own_summary.py
@@ -12,9 +12,6 @@
 DOWN_TOLD_SECONDS = 1.5
 DOWN_TOLD_FAILURES = 2
 
-#: Time for which peers are told that an upstream which was down has answered.
-UP_TOLD_SECONDS = 1.5
-
 
 def own_summary(
     pool: Pool,
@@ -38,7 +35,6 @@
         upstreams=[*_upstream_usages(pool), *pool.moves.usages()],
         placed=pool.caches.take_placed(),
         down=_found_down(pool, now_seconds),
-        up=_found_up(pool, now_seconds),
         waiting=[
             WaitingCount(path, service, count)
             for (path, service), count in sorted(waiting.items())
@@ -64,15 +60,6 @@
     ]
 
 
-def _found_up(pool: Pool, now_seconds: float) -> list[str]:
-    oldest_seconds = now_seconds - UP_TOLD_SECONDS
-    return [
-        upstream.name
-        for upstream in pool.upstreams
-        if upstream.answered_again_seconds > oldest_seconds
-    ]
-
-
 def _workspace_usages(pool: Pool, now_seconds: float) -> list[WorkspaceUsage]:
     used = pool.ledger.own_use(now_seconds)
     return [WorkspaceUsage(path, round(used[path])) for path in sorted(used)]
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -15,7 +15,6 @@
 
 from . import _events as ev
 from ._cache_book import CacheBook
-from ._health import HealthState
 from ._knowledge import Life
 from ._limit_book import LimitBook
 from ._membership import Membership
@@ -64,7 +63,6 @@
         self.ledger = ShareLedger(settings.queue.usage_decay_seconds)
         self.limits = LimitBook(settings.quota, settings.host.name)
         self.upstreams = UpstreamTable(
-            settings.host.name,
             settings.host.hall,
             settings.retry,
             settings.placement,
@@ -175,8 +173,8 @@
 
     def look_at_limits(self, now_seconds: float) -> None:
         """Note who is there to keep limits, and which begin or end to bind."""
-        self.rates.sweep(now_seconds)
         self.limits.note_time(self.peers.hosts_count(now_seconds), now_seconds)
+        self.rates.sweep(now_seconds)
         for path, is_binding in self.limits.bindings(now_seconds):
             if not is_binding and not self.notices.knows("limit", path):
                 continue
@@ -209,10 +207,7 @@
         if event.report is not None:
             is_same_life = not self.upstreams.note_report(upstream, event.report)
             self.caches.observe(upstream, event.report.cache_tokens)
-        was_down = upstream.health.state is HealthState.DOWN
         upstream.health.note_probe(is_same_life, now_seconds)
-        if was_down:
-            upstream.answered_again_seconds = now_seconds
         self.upstreams.clear(upstream, now_seconds)
         self._notice(upstream, "it answered a probe", now_seconds)
 
@@ -284,7 +279,6 @@
         self.rates.hear(event.news, now_seconds)
 
     def _on_neighbours(self, event: ev.NeighboursSeen, now_seconds: float) -> None:
-        self.upstreams.mates = event.neighbours.heard
         self.turns.standpoint = attrs.evolve(
             self.turns.standpoint,
             neighbours=event.neighbours,
@@ -306,7 +300,6 @@
             self.ledger.hear(event.name, event.summary.workspaces, now_seconds)
             self.limits.hear(event.name, event.summary, event.age_seconds, now_seconds)
             self._hear_down(event.summary.down, now_seconds)
-            self._hear_up(event.summary.up, now_seconds)
             for placed in event.summary.placed:
                 if not self.imports.note_reported(placed, now_seconds):
                     self.knowledge.note_reported(placed)
@@ -325,13 +318,6 @@
             if upstream is not None and not upstream.is_heard(now_seconds):
                 self.suspect(name, now_seconds)
 
-    def _hear_up(self, names: Sequence[str], now_seconds: float) -> None:
-        """Have asked at once what answered a peer after it was down."""
-        for name in names:
-            upstream = self.upstreams.get(name)
-            if upstream is not None and upstream.health.state is HealthState.DOWN:
-                self.upstreams.ask_again(upstream, now_seconds)
-
 
 def _sorted(host_list: HostList) -> HostList:
     hosts = sorted(host_list.hosts, key=lambda entry: entry.name)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -55,8 +55,6 @@
     heard_at_seconds: float = -math.inf
     #: When one of them found no answer, and none of its hall had one shortly before.
     silent_at_seconds: float = -math.inf
-    #: When it answered a probe after it had been down.
-    answered_again_seconds: float = -math.inf
     #: When it was last asked for its load.
     probed_at_seconds: float = -math.inf
     #: Mean time for which an attempt holds a slot.
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -11,7 +11,6 @@
     RetrySettings,
 )
 
-from . import _rendezvous
 from ._health import Health, HealthState
 from ._knowledge import Life
 from ._membership import Membership
@@ -36,15 +35,10 @@
 PROBE_FACTOR = 1.6
 MAX_AWAITED_PROBE_SECONDS = 2.0
 
-#: Hosts of a hall that probe an upstream which has been down for a while, as many at a
-#: time; whoever gets an answer tells the others. Each host asking for itself would cost
-#: probes without end while another hall is cut off.
-PROBING_HOSTS_COUNT = 2
-
+#: Time for which a suspicion that a probe has cleared does not come again.
 #: Time for which an upstream that went down is expected back any moment.
 SOON_SECONDS = 2.0
 
-#: Time for which a suspicion that a probe has cleared does not come again.
 TRUST_SECONDS = 2.0
 
 
@@ -57,16 +51,12 @@
 
     def __init__(
         self,
-        host: str,
         hall: str,
         retry: RetrySettings,
         placement: PlacementSettings,
         slots_factor: float,
     ) -> None:
-        self._host = host
         self._hall = hall
-        #: Other hosts of this hall that are heard, with whom probes are shared.
-        self.mates: frozenset[str] = frozenset()
         self._retry = retry
         self._slots_factor = slots_factor
         self._placement = placement
@@ -164,17 +154,7 @@
         waits = (self._probe_wait(upstream, now_seconds) for upstream in self)
         return max(0.0, min(waits, default=math.inf))
 
-    def ask_again(self, upstream: Upstream, now_seconds: float) -> None:
-        """Have an upstream probed at once that another host had an answer from.
-
-        Once only: it may answer others and not this host.
-        """
-        if now_seconds - upstream.probed_at_seconds > MAX_AWAITED_PROBE_SECONDS:
-            upstream.probed_at_seconds = -math.inf
-
     def _probe_wait(self, upstream: Upstream, now_seconds: float) -> float:
-        if self._is_shared_out(upstream):
-            return self._shared_probe_at(upstream) - now_seconds
         is_awaited = upstream.health.state is HealthState.DOWN or (
             upstream.is_runner and upstream.life is None
         )
@@ -188,33 +168,6 @@
             return math.inf
         return upstream.probed_at_seconds + interval_seconds - now_seconds
 
-    def _is_shared_out(self, upstream: Upstream) -> bool:
-        """Return whether the probes of an upstream are shared among a hall's hosts.
-
-        Only where it has been down for a while: what has just failed is mostly back
-        within a second or two.
-        """
-        health = upstream.health
-        growth = PROBE_FACTOR**health.failures_count
-        return (
-            health.state is HealthState.DOWN
-            and AWAITED_PROBE_SECONDS * growth >= MAX_AWAITED_PROBE_SECONDS
-            and len(self.mates) >= PROBING_HOSTS_COUNT
-        )
-
-    def _shared_probe_at(self, upstream: Upstream) -> float:
-        """Return when this host's next turn to probe comes; hosts' turns are spread."""
-        hosts = _rendezvous.rank(upstream.name.encode(), self.mates | {self._host})
-        turns_count = len(hosts) / PROBING_HOSTS_COUNT
-        interval_seconds = MAX_AWAITED_PROBE_SECONDS * turns_count
-        phase_seconds = interval_seconds * hosts.index(self._host) / len(hosts)
-        if math.isinf(upstream.probed_at_seconds):
-            return upstream.probed_at_seconds
-        turn = math.floor(
-            (upstream.probed_at_seconds - phase_seconds) / interval_seconds
-        )
-        return phase_seconds + (turn + 1) * interval_seconds
-
     def suspect(self, upstream: Upstream, now_seconds: float) -> bool:
         """Suspect an upstream that fell silent; return whether that is new.
 
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -161,8 +161,6 @@
     placed: list[PlacedPrefix]
     #: Upstreams that the sender has just found to be down.
     down: list[str] = attrs.field(factory=list)
-    #: Upstreams that were down and have just answered the sender.
-    up: list[str] = attrs.field(factory=list)
     #: Hosts that the summary speaks for.
     hosts_count: int = attrs.field(default=1, validator=within(1, None))
     #: Requests that wait at the sender.
