--- a/measure/_rate_lab.py
+++ b/measure/_rate_lab.py
@@ -10,12 +10,11 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 
 from rampwick_policy import Health, Neighbours
-from rampwick_policy._fleet_limit import FleetLimit, FleetTerms
+from rampwick_policy._fleet_limit import FleetLimit
 from rampwick_policy._notices import NoticeBook
 from rampwick_policy._request_rates import RateWord, RequestRates
 from rampwick_policy._request_turns import (
@@ -24,16 +23,24 @@
     SenderRule,
     Standpoint,
 )
-from rampwick_policy._tree import LimitedNode
 from rampwick_policy._upstream import Upstream
 from rampwick_schema import HostEntry, Shown
 
+from ._rate_patterns import RatePattern
+from ._rate_ways import (
+    OVER_RATIO,
+    SLACK_COUNT,
+    WINDOW_SECONDS,
+    EachHost,
+    Gate,
+    OneSender,
+    OpenGate,
+    SumsGate,
+    TurnGate,
+    WholeGate,
+)
 from ._runner import Clock
 
-#: What is allowed: so many times the rate within a window, and so many beside it.
-WINDOW_SECONDS = 4.0
-OVER_RATIO = 1.5
-SLACK_COUNT = 5
 #: Time from a rate's first naming from which on it is judged, and the time for which a
 #: host must have known it.
 CONTACT_SECONDS = 3.0
@@ -43,171 +50,6 @@
 WORD_SECONDS = 0.25
 
 
-@attrs.frozen
-class RatePattern:
-    """Sizes and troubles of a run."""
-
-    name: str
-    hosts_count: int
-    halls_count: int
-    upstreams_count: int
-    requests_per_second: float
-    #: Upstreams that name a rate, and the rate from each time on; none ends it.
-    limited_count: int
-    rates: tuple[tuple[float, float | None], ...]
-    #: Part of the requests that would all go to the first upstream.
-    hot_ratio: float = 0.0
-    #: Time until the other hosts hear what one tells.
-    told_seconds: float = 0.03
-    #: When a hall is cut off and heals; it neither hears the others nor is heard.
-    cut_seconds: tuple[float, float] | None = None
-    #: When a part of the hosts begins anew, knowing nothing.
-    restart_seconds: float | None = None
-    length_seconds: float = 30.0
-
-
-def _patterns() -> tuple[RatePattern, ...]:
-    small = RatePattern("6 hosts, 1 of 5 at 1.8", 6, 4, 5, 32.0, 1, ((4.0, 1.8),))
-    large = attrs.evolve(
-        small,
-        name="90 hosts, 1 of 45 at 1.8",
-        hosts_count=90,
-        upstreams_count=45,
-        requests_per_second=368.0,
-        told_seconds=0.12,
-    )
-    huge = attrs.evolve(
-        large,
-        name="300 hosts, 1 of 60 at 1.8",
-        hosts_count=300,
-        halls_count=6,
-        upstreams_count=60,
-        requests_per_second=900.0,
-    )
-    changing = ((4.0, 50.0), (10.0, 1.8), (18.0, 0.2), (24.0, 20.0))
-    return (
-        small,
-        attrs.evolve(
-            small, name="the same, 2 at 0.2", limited_count=2, rates=((4.0, 0.2),)
-        ),
-        attrs.evolve(small, name="the same, all at 1.8", limited_count=5),
-        attrs.evolve(
-            small, name="the same, 50, 1.8, 0.2, 20", rates=changing, hot_ratio=0.5
-        ),
-        attrs.evolve(small, name="the same, a hall cut off", cut_seconds=(10.0, 20.0)),
-        attrs.evolve(small, name="the same, half restart", restart_seconds=12.0),
-        large,
-        attrs.evolve(large, name="the same, half of all go there", hot_ratio=0.5),
-        attrs.evolve(
-            large, name="the same, 2 at 0.2", limited_count=2, rates=((4.0, 0.2),)
-        ),
-        attrs.evolve(large, name="the same, all at 1.8", limited_count=45),
-        attrs.evolve(
-            large, name="the same, 50, 1.8, 0.2, 20", rates=changing, hot_ratio=0.5
-        ),
-        attrs.evolve(large, name="the same, a hall cut off", cut_seconds=(10.0, 20.0)),
-        attrs.evolve(large, name="the same, half restart", restart_seconds=12.0),
-        huge,
-        attrs.evolve(huge, name="the same, half of all go there", hot_ratio=0.5),
-    )
-
-
-PATTERNS = _patterns()
-
-
-class EachHost:
-    """All hosts send, each its equal part."""
-
-    def __init__(self, hosts_count: int) -> None:
-        self._hosts_count = hosts_count
-
-    def senders_count(self, requests_per_second: float) -> int:
-        """Return the hosts that send, as far as there are so many."""
-        return self._hosts_count
-
-
-class OneSender:
-    """One host sends all."""
-
-    def senders_count(self, requests_per_second: float) -> int:
-        """Return the hosts that send, as far as there are so many."""
-        return 1
-
-
-class Gate(Protocol):
-    """One host's say on whether it may send an upstream a request."""
-
-    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
-        """Return whether it may, and count it if so."""
-
-
-class OpenGate:
-    """Nobody reads rates."""
-
-    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
-        """Return whether it may, and count it if so."""
-        return True
-
-
-class TurnGate:
-    """The policy's own turns, with a rule for the senders."""
-
-    def __init__(self, turns: RequestTurns) -> None:
-        self._turns = turns
-
-    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
-        """Return whether it may, and count it if so."""
-        if not self._turns.may_send(upstream, now_seconds):
-            return False
-        self._turns.note_sent(upstream, now_seconds)
-        return True
-
-
-class WholeGate:
-    """Each host keeps to the whole rate by itself."""
-
-    def __init__(self, rates: RequestRates) -> None:
-        self._rates = rates
-        self._last_at: dict[str, float] = {}
-
-    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
-        """Return whether it may, and count it if so."""
-        rate = self._rates.rate(upstream.name, "", now_seconds)
-        if rate is None:
-            return True
-        last_at_seconds = self._last_at.get(upstream.name, 0.0)
-        if now_seconds < last_at_seconds + 1.0 / max(0.1, rate):
-            return False
-        self._last_at[upstream.name] = now_seconds
-        return True
-
-
-class SumsGate:
-    """Sums and one admit ratio, as limits in tokens are kept."""
-
-    def __init__(self, rates: RequestRates, draw: random.Random) -> None:
-        self._rates = rates
-        self._draw = draw
-        self.limits: dict[str, FleetLimit] = {}
-
-    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
-        """Return whether it may, and count it if so."""
-        rate = self._rates.rate(upstream.name, "", now_seconds)
-        if rate is None:
-            self.limits.pop(upstream.name, None)
-            return True
-        node = LimitedNode(upstream.name, rate, 0.0, 1.0, True, None, None)
-        limit = self.limits.get(upstream.name)
-        if limit is None:
-            limit = FleetLimit(node, WINDOW_SECONDS, self._draw)
-            self.limits[upstream.name] = limit
-        elif limit.limit != node:
-            limit.change(node, WINDOW_SECONDS, now_seconds)
-        limit.note_asked(1.0, now_seconds)
-        terms = FleetTerms(WINDOW_SECONDS, OVER_RATIO - 1.0, SLACK_COUNT)
-        return limit.ask(1.0, terms, now_seconds) is None
-
-
 @attrs.define(eq=False)
 class _Host:
     name: str
--- /dev/null
+++ b/measure/_rate_patterns.py
@@ -0,0 +1,75 @@
+"""Fleets, upstreams and the rates that they name, for the rate lab."""
+
+import attrs
+
+
+@attrs.frozen
+class RatePattern:
+    """Sizes and troubles of a run."""
+
+    name: str
+    hosts_count: int
+    halls_count: int
+    upstreams_count: int
+    requests_per_second: float
+    #: Upstreams that name a rate, and the rate from each time on; none ends it.
+    limited_count: int
+    rates: tuple[tuple[float, float | None], ...]
+    #: Part of the requests that would all go to the first upstream.
+    hot_ratio: float = 0.0
+    #: Time until the other hosts hear what one tells.
+    told_seconds: float = 0.03
+    #: When a hall is cut off and heals; it neither hears the others nor is heard.
+    cut_seconds: tuple[float, float] | None = None
+    #: When a part of the hosts begins anew, knowing nothing.
+    restart_seconds: float | None = None
+    length_seconds: float = 30.0
+
+
+def _patterns() -> tuple[RatePattern, ...]:
+    small = RatePattern("6 hosts, 1 of 5 at 1.8", 6, 4, 5, 32.0, 1, ((4.0, 1.8),))
+    large = attrs.evolve(
+        small,
+        name="90 hosts, 1 of 45 at 1.8",
+        hosts_count=90,
+        upstreams_count=45,
+        requests_per_second=368.0,
+        told_seconds=0.12,
+    )
+    huge = attrs.evolve(
+        large,
+        name="300 hosts, 1 of 60 at 1.8",
+        hosts_count=300,
+        halls_count=6,
+        upstreams_count=60,
+        requests_per_second=900.0,
+    )
+    changing = ((4.0, 50.0), (10.0, 1.8), (18.0, 0.2), (24.0, 20.0))
+    return (
+        small,
+        attrs.evolve(
+            small, name="the same, 2 at 0.2", limited_count=2, rates=((4.0, 0.2),)
+        ),
+        attrs.evolve(small, name="the same, all at 1.8", limited_count=5),
+        attrs.evolve(
+            small, name="the same, 50, 1.8, 0.2, 20", rates=changing, hot_ratio=0.5
+        ),
+        attrs.evolve(small, name="the same, a hall cut off", cut_seconds=(10.0, 20.0)),
+        attrs.evolve(small, name="the same, half restart", restart_seconds=12.0),
+        large,
+        attrs.evolve(large, name="the same, half of all go there", hot_ratio=0.5),
+        attrs.evolve(
+            large, name="the same, 2 at 0.2", limited_count=2, rates=((4.0, 0.2),)
+        ),
+        attrs.evolve(large, name="the same, all at 1.8", limited_count=45),
+        attrs.evolve(
+            large, name="the same, 50, 1.8, 0.2, 20", rates=changing, hot_ratio=0.5
+        ),
+        attrs.evolve(large, name="the same, a hall cut off", cut_seconds=(10.0, 20.0)),
+        attrs.evolve(large, name="the same, half restart", restart_seconds=12.0),
+        huge,
+        attrs.evolve(huge, name="the same, half of all go there", hot_ratio=0.5),
+    )
+
+
+PATTERNS = _patterns()
--- /dev/null
+++ b/measure/_rate_ways.py
@@ -0,0 +1,108 @@
+"""Ways to keep to the rates that upstreams name, for the rate lab."""
+
+import random
+from typing import Protocol
+
+from rampwick_policy._fleet_limit import FleetLimit, FleetTerms
+from rampwick_policy._request_rates import RequestRates
+from rampwick_policy._request_turns import RequestTurns
+from rampwick_policy._tree import LimitedNode
+from rampwick_policy._upstream import Upstream
+
+#: What is allowed: so many times the rate within a window, and so many beside it.
+WINDOW_SECONDS = 4.0
+OVER_RATIO = 1.5
+SLACK_COUNT = 5
+
+
+class EachHost:
+    """All hosts send, each its equal part."""
+
+    def __init__(self, hosts_count: int) -> None:
+        self._hosts_count = hosts_count
+
+    def senders_count(self, requests_per_second: float) -> int:
+        """Return the hosts that send, as far as there are so many."""
+        return self._hosts_count
+
+
+class OneSender:
+    """One host sends all."""
+
+    def senders_count(self, requests_per_second: float) -> int:
+        """Return the hosts that send, as far as there are so many."""
+        return 1
+
+
+class Gate(Protocol):
+    """One host's say on whether it may send an upstream a request."""
+
+    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Return whether it may, and count it if so."""
+
+
+class OpenGate:
+    """Nobody reads rates."""
+
+    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Return whether it may, and count it if so."""
+        return True
+
+
+class TurnGate:
+    """The policy's own turns, with a rule for the senders."""
+
+    def __init__(self, turns: RequestTurns) -> None:
+        self._turns = turns
+
+    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Return whether it may, and count it if so."""
+        if not self._turns.may_send(upstream, now_seconds):
+            return False
+        self._turns.note_sent(upstream, now_seconds)
+        return True
+
+
+class WholeGate:
+    """Each host keeps to the whole rate by itself."""
+
+    def __init__(self, rates: RequestRates) -> None:
+        self._rates = rates
+        self._last_at: dict[str, float] = {}
+
+    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Return whether it may, and count it if so."""
+        rate = self._rates.rate(upstream.name, "", now_seconds)
+        if rate is None:
+            return True
+        last_at_seconds = self._last_at.get(upstream.name, 0.0)
+        if now_seconds < last_at_seconds + 1.0 / max(0.1, rate):
+            return False
+        self._last_at[upstream.name] = now_seconds
+        return True
+
+
+class SumsGate:
+    """Sums and one admit ratio, as limits in tokens are kept."""
+
+    def __init__(self, rates: RequestRates, draw: random.Random) -> None:
+        self._rates = rates
+        self._draw = draw
+        self.limits: dict[str, FleetLimit] = {}
+
+    def may_send(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Return whether it may, and count it if so."""
+        rate = self._rates.rate(upstream.name, "", now_seconds)
+        if rate is None:
+            self.limits.pop(upstream.name, None)
+            return True
+        node = LimitedNode(upstream.name, rate, 0.0, 1.0, True, None, None)
+        limit = self.limits.get(upstream.name)
+        if limit is None:
+            limit = FleetLimit(node, WINDOW_SECONDS, self._draw)
+            self.limits[upstream.name] = limit
+        elif limit.limit != node:
+            limit.change(node, WINDOW_SECONDS, now_seconds)
+        limit.note_asked(1.0, now_seconds)
+        terms = FleetTerms(WINDOW_SECONDS, OVER_RATIO - 1.0, SLACK_COUNT)
+        return limit.ask(1.0, terms, now_seconds) is None
--- a/measure/rates.py
+++ b/measure/rates.py
@@ -7,7 +7,8 @@
 import statistics
 from collections.abc import Sequence
 
-from ._rate_lab import PATTERNS, WAYS, RateLab
+from ._rate_lab import WAYS, RateLab
+from ._rate_patterns import PATTERNS
 
 
 def main(words: Sequence[str]) -> None:
