Reading: what waits is counted on arrival only while a rate is known

Each arrival added up the lines of all workspaces before it was looked whether any upstream names a rate, which is hardly ever. The look comes first now.

--- a/packages/rampwick-policy/src/rampwick_policy/_intake.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_intake.py
@@ -82,8 +82,7 @@
         if self._suspects.suspicion(item) is Suspicion.STOPPED:
             self._suspects.note_refused(item, now_seconds)
             return Rejection(ENDS_UPSTREAMS)
-        before_count = self._outlooks.waiting_count(event)
-        turn_seconds = self._outlooks.wait_seconds(item, before_count, now_seconds)
+        turn_seconds = self._outlooks.wait_on_arrival_seconds(item, now_seconds)
         if turn_seconds is not None:
             return Rejection(AT_RATE, retry_after_seconds=turn_seconds)
         counted = self._limits.ask(event, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_rate_outlook.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_rate_outlook.py
@@ -90,10 +90,15 @@
         wait_seconds = turn_at_seconds - now_seconds
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait_seconds))
 
-    def waiting_count(self, arrival: RequestArrived) -> int:
-        """Return the requests that wait for the same service."""
-        return sum(
-            count
-            for (_, service), count in self._queue.service_counts().items()
-            if service == arrival.service
-        )
+    def wait_on_arrival_seconds(
+        self, item: QueuedRequest, now_seconds: float
+    ) -> float | None:
+        """Return the same for one that arrives behind all that wait for its service."""
+        if not len(self._turns.rates):
+            return None
+        before_count = self._waiting_count(item.arrival.service)
+        return self.wait_seconds(item, before_count, now_seconds)
+
+    def _waiting_count(self, service: str) -> int:
+        counts = self._queue.service_counts()
+        return sum(count for (_, name), count in counts.items() if name == service)
