Hosts read announced shutdowns and requested pauses, and log them

Of the hypotheses on requests to leaving upstreams, "nothing reads the announcement" and "it is read and taken back" could not be told apart: no log line showed that a host had seen one. The head of each answer of the asked upstream's own is read for both signals now; a line is logged when either changes. No decision uses them yet.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -62,6 +62,7 @@
     TargetsRead as TargetsRead,
     Tick as Tick,
     TreeInForce as TreeInForce,
+    UpstreamSignalled as UpstreamSignalled,
     WeightsSeen as WeightsSeen,
 )
 from ._hall_news import (
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -229,6 +229,17 @@
     news: RateNews
 
 
+@attrs.frozen(repr=False)
+class UpstreamSignalled(Shown):
+    """An upstream announced its shutdown, or asked this host for a pause."""
+
+    upstream: str
+    #: Incarnation that answered; empty where incarnations are not told apart.
+    incarnation: str
+    is_leaving: bool = False
+    pause_seconds: float | None = None
+
+
 @attrs.frozen(repr=False)
 class NeighboursSeen(Shown):
     """The host hears other hosts than before, or begins to leave."""
@@ -275,6 +286,7 @@
     | TargetsRead
     | RateNamed
     | RatesHeard
+    | UpstreamSignalled
     | NeighboursSeen
     | EndsHeard
     | TreeInForce
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -51,6 +51,7 @@
     | ev.CacheSeen
     | ev.RateNamed
     | ev.RatesHeard
+    | ev.UpstreamSignalled
     | ev.NeighboursSeen
 )
 
@@ -97,6 +98,7 @@
             ev.CacheSeen: self.caches.hear,
             ev.RateNamed: self._on_rate,
             ev.RatesHeard: self._on_rates_heard,
+            ev.UpstreamSignalled: self._on_signalled,
             ev.NeighboursSeen: self._on_neighbours,
         }
 
@@ -221,6 +223,8 @@
         for name in self.upstreams.apply_list(_sorted(event.host_list)):
             self.knowledge.forget(name)
             self.rates.forget(name, reason)
+            self.notices.forget("announcement", name, reason)
+            self.notices.forget("pause", name, reason)
             self.notices.forget("upstream", name, reason)
         for upstream in self.upstreams:
             if upstream.entry.incarnation and upstream.is_runner:
@@ -278,6 +282,14 @@
     def _on_rates_heard(self, event: ev.RatesHeard, now_seconds: float) -> None:
         self.rates.hear(event.news, now_seconds)
 
+    def _on_signalled(self, event: ev.UpstreamSignalled, now_seconds: float) -> None:
+        name = event.upstream
+        if event.is_leaving:
+            self.notices.note("announcement", name, "leaving", "its answer says so")
+        if event.pause_seconds is not None:
+            asked = f"asked for {event.pause_seconds:g} s at {now_seconds:.3f} s"
+            self.notices.note("pause", name, asked, "its answer says so")
+
     def _on_neighbours(self, event: ev.NeighboursSeen, now_seconds: float) -> None:
         self.turns.standpoint = attrs.evolve(
             self.turns.standpoint,
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -115,6 +115,7 @@
             ev.CacheSeen: self._on_pool_news,
             ev.RateNamed: self._on_pool_news,
             ev.RatesHeard: self._on_pool_news,
+            ev.UpstreamSignalled: self._on_pool_news,
             ev.NeighboursSeen: self._on_pool_news,
             ev.EndsHeard: self._on_ends_heard,
             ev.TreeInForce: self._on_tree,
--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -16,7 +16,9 @@
     RawCall as RawCall,
     RequestRate as RequestRate,
     RoutedCall as RoutedCall,
+    UpstreamSignals as UpstreamSignals,
     read_request_rate as read_request_rate,
+    read_signals as read_signals,
 )
 from ._errors import CallerError as CallerError
 from ._headers import (
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -6,6 +6,7 @@
 
 import re
 from collections.abc import Sequence
+from http import HTTPStatus
 from typing import Protocol
 
 import attrs
@@ -101,6 +102,43 @@
     is_readable: bool = True
 
 
+#: Statuses under which ``Retry-After`` asks the sender for a pause.
+PAUSING_STATUSES = frozenset(
+    {HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE}
+)
+
+
+@attrs.frozen(repr=False)
+class UpstreamSignals(Shown):
+    """What an answer asks of whoever sends to its upstream."""
+
+    #: Whether the upstream is shutting down and takes no new requests.
+    is_leaving: bool = False
+    #: Time for which it wants no request from this host; none if it does not say.
+    pause_seconds: float | None = None
+
+    def __bool__(self) -> bool:
+        return self.is_leaving or self.pause_seconds is not None
+
+
+def read_signals(head: AnswerHead, leaving_name: bytes) -> UpstreamSignals:
+    """Return the signals of an answer; ``leaving_name`` is a lower-case header name.
+
+    Of several values the longest pause counts, and any that is not ``0`` announces a
+    shutdown. A pause that can't be read, as a date, is none.
+    """
+    announced = find_all(head.headers, leaving_name)
+    pauses = [
+        float(value)
+        for value in find_all(head.headers, b"retry-after")
+        if head.status in PAUSING_STATUSES and DECIMAL.fullmatch(value.strip())
+    ]
+    return UpstreamSignals(
+        is_leaving=any(value.strip() not in (b"", b"0") for value in announced),
+        pause_seconds=max(pauses, default=None),
+    )
+
+
 @attrs.frozen(repr=False)
 class AnswerFacts(Shown):
     """What an upstream's answer says of the attempt and of the upstream."""
@@ -123,6 +161,7 @@
     #: Whether the upstream closes its connections, as one that leaves does.
     is_closing: bool = False
     request_rate: RequestRate = RequestRate()
+    signals: UpstreamSignals = UpstreamSignals()
 
 
 def read_request_rate(head: AnswerHead, name: bytes) -> RequestRate:
--- a/packages/rampwick-router/src/rampwick_router/_headers.py
+++ b/packages/rampwick-router/src/rampwick_router/_headers.py
@@ -13,6 +13,9 @@
 #: upstreams name it.
 REQUEST_RATE = b"rampwick-request-rate"
 
+#: Announcement of an upstream that is shutting down.
+LEAVING = b"rampwick-leaving"
+
 #: Headers of one connection, by RFC 9110, and those that the sender makes anew.
 CONNECTION_HEADERS = frozenset(
     {
--- a/packages/rampwick-router/src/rampwick_router/_own_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -29,9 +29,11 @@
     RawCall,
     RoutedCall,
     read_request_rate,
+    read_signals,
 )
 from ._errors import CallerError
 from ._headers import (
+    LEAVING,
     REQUEST_RATE,
     AnswerHead,
     asks_to_close,
@@ -148,6 +150,7 @@
             max_rest_seconds=keep_alive_seconds(headers),
             is_closing=asks_to_close(headers),
             request_rate=read_request_rate(head, REQUEST_RATE),
+            signals=read_signals(head, LEAVING),
         )
 
     def answer_headers(self, head: AnswerHead) -> list[Header]:
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -10,14 +10,15 @@
 from rampwick_policy import AttemptAccepted, AttemptDelivered, Dispatch, Outcome
 from rampwick_schema import Shown
 
-from .._dialects import read_request_rate
+from .._dialects import read_request_rate, read_signals
 from .._errors import AttemptError
-from .._headers import REQUEST_RATE
+from .._headers import LEAVING, REQUEST_RATE
 from ..upstream import DONE, OrderKeeper, StreamEvent, UpstreamStream, format_event
 from ._call import ModelCall
 from ._parts import Parts
 from ._rates import note_rate
 from ._responder import EVENT_STREAM, Responder
+from ._signals import note_signals
 from ._stream_tokens import StreamReference
 
 #: Times that one broken stream is taken up again before its attempt has failed.
@@ -124,6 +125,9 @@
             asked_at_seconds=asked_at_seconds,
             is_proved=True,
         )
+        note_signals(
+            self._parts.scheduler, dispatch, read_signals(stream.head, LEAVING)
+        )
         if start.weights_version != dispatch.weights_version:
             # The salt named other weights: what was cached may be older ones'.
             raise self._error(Outcome.STALE, "the engine has other weights now")
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -25,6 +25,7 @@
 from ._parts import Parts
 from ._rates import note_rate
 from ._routed_request import RoutedRequest
+from ._signals import note_signals
 
 #: Silence before an answer's head after which an upstream is suspected to be gone:
 #: well above what a busy engine takes, well below what callers bear.
@@ -77,7 +78,7 @@
             head = await self._receive_head()
             facts = dialect.read_answer(head, self._asked_incarnation)
             self._note_channel(facts)
-            self._note_rate(facts, asked_at_seconds)
+            self._note_upstream_state(facts, asked_at_seconds)
             self._check(head, facts)
             with self._parts.silences.listen(self._silence_seconds()) as listening:
                 self._listening = listening
@@ -188,12 +189,13 @@
         accepted = AttemptAccepted(self._request_id, self.dispatch.attempt_id)
         self._parts.scheduler.post(accepted)
 
-    def _note_rate(self, facts: AnswerFacts, asked_at_seconds: float) -> None:
-        """Note the rate that the upstream names, unless the answer is another's."""
+    def _note_upstream_state(self, facts: AnswerFacts, asked_at_seconds: float) -> None:
+        """Note the rate and the signals of an answer, unless it is another's."""
         if facts.is_misdirected or facts.is_another:
             return
         if facts.request_id != self._request.call.request_id:
             return
+        note_signals(self._parts.scheduler, self.dispatch, facts.signals)
         note_rate(
             self._parts.scheduler,
             self.dispatch,
--- a/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -15,15 +15,16 @@
 )
 from rampwick_schema import Shown
 
-from .._dialects import read_request_rate
+from .._dialects import read_request_rate, read_signals
 from .._errors import AttemptError
-from .._headers import REQUEST_RATE
+from .._headers import LEAVING, REQUEST_RATE
 from ..upstream import UpstreamAnswer
 from ._call import CallTerms
 from ._exchange import Exchange
 from ._parts import Parts
 from ._rates import note_rate
 from ._responder import Receive, Responder
+from ._signals import note_signals
 
 #: Methods that HTTP itself allows to repeat.
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -122,6 +123,8 @@
                 asked_at_seconds=asked_at_seconds,
                 is_proved=answer.status < HTTPStatus.INTERNAL_SERVER_ERROR,
             )
+            signals = read_signals(answer.head, LEAVING)
+            note_signals(self.parts.scheduler, dispatch, signals)
             if answer.status == HTTPStatus.TOO_MANY_REQUESTS:
                 raise AttemptError(
                     "the service is busy",
