Send nothing to an upstream after an answer announces its shutdown

Callers' requests reached a runner that had announced its shutdown 11.4 s earlier, while the store was away: only the entry in the store told hosts that an upstream leaves. Ruled out: requests placed before the announcement (they were placed 1 and 71 ms before they were sent); a listing that takes it back (the lists had not changed).

An announcement is kept for the incarnation that made it, outside the table of upstreams, so that neither a later listing nor an entry that lapsed and came back takes it away. The table answers in one place why an upstream is given no request; that answer is asked for again when the request is about to be sent, after its wait for a connection. Where all upstreams of a service leave, requests are refused on arrival as not run. Answers to probes and orders count as well.

The mutation in test_stopping.py now takes out is_leaving in place of is_open: since the state is looked at twice, a table that is wrong in one of both is no longer a fault that callers see; the check of what they see is unchanged.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -149,4 +149,5 @@
     touched_paths as touched_paths,
     validate_tree as validate_tree,
 )
+from ._upstreams import Obstacle as Obstacle
 from ._watchers import is_watcher as is_watcher
--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -13,6 +13,7 @@
 
 from . import _events as ev
 from ._admission import Admission
+from ._forecasts import Forecasts
 from ._moves import Move
 from ._placement import (
     Choice,
@@ -25,8 +26,8 @@
 from ._pool import Pool
 from ._prefix import PrefixChain
 from ._queue import QueuedRequest, WaitingQueue
-from ._rate_outlook import RateOutlooks
 from ._reading_speed import MAX_QUEUE_SECONDS, MIN_TOKENS
+from ._reasons import KEPT_APART, NO_RETRY_LEFT, NO_UPSTREAM
 from ._request import RunState
 from ._retry import RetryBudgets
 from ._room import Room
@@ -48,12 +49,6 @@
 #: Wait after which a request pays half the price to have its prefix cached.
 PATIENCE_SECONDS = 2.0
 
-#: Why nothing can be done for a request.
-NO_UPSTREAM = "no_upstream"
-NO_RETRY_LEFT = "no_retry_left"
-KEPT_APART = "kept_apart"
-AT_RATE = "upstreams_at_rate"
-
 
 @attrs.frozen(repr=False)
 class Hopeless(Shown):
@@ -94,10 +89,10 @@
         answers: AnswerEstimates,
         placement: Placement,
         suspects: Suspects,
-        outlooks: RateOutlooks,
+        forecasts: Forecasts,
     ) -> None:
         self._settings = settings
-        self._outlooks = outlooks
+        self._forecasts = forecasts
         self._pool = pool
         self._queue = queue
         self._admission = admission
@@ -176,8 +171,8 @@
         arrival = item.arrival
         views = room.views(arrival)
         if not views:
-            is_limited = self._outlooks.find(arrival, now_seconds) is not None
-            item.strand(AT_RATE if is_limited else NO_UPSTREAM, now_seconds)
+            forecast = self._forecasts.find(arrival, now_seconds)
+            item.strand(forecast.reason if forecast else NO_UPSTREAM, now_seconds)
             return None
         budget = self._budgets.of(arrival.service, self._pool.peers.known_hosts_count)
         if item.needs_budget and not budget.has_one(now_seconds):
--- a/packages/rampwick-policy/src/rampwick_policy/_rate_outlook.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_forecasts.py
@@ -1,6 +1,6 @@
-"""When requests get their turn where all upstreams that could serve them are limited.
+"""When a request can be sent, where no upstream that could serve it takes it now.
 
-Without it they would wait for room that can't come in time, each until its deadline.
+Without a forecast it would wait for room that can't come in time, until its deadline.
 """
 
 import math
@@ -11,6 +11,7 @@
 
 from ._events import RequestArrived
 from ._queue import QueuedRequest, WaitingQueue
+from ._reasons import AT_RATE, NO_UPSTREAM
 from ._request_turns import RequestTurns
 from ._room import serves
 from ._timeliness import begins_by_seconds
@@ -23,20 +24,33 @@
 
 
 @attrs.frozen(repr=False)
-class RateOutlook(Shown):
-    """What this host may send to upstreams that are all limited."""
+class Forecast(Shown):
+    """What this host may send to upstreams none of which is open and unlimited."""
 
+    #: When the first request may go; infinite if none may.
     first_at_seconds: float
+    #: Requests that may go afterwards; 0 if that is not known.
     requests_per_second: float
+    #: Why there is no open upstream.
+    reason: str
 
-    def turn_at_seconds(self, before_count: int) -> float:
+    def send_at_seconds(self, before_count: int) -> float:
         """Return when a request goes that has so many before it; infinite if never."""
         if not before_count or not self.requests_per_second:
             return self.first_at_seconds
         return self.first_at_seconds + before_count / self.requests_per_second
 
 
-class RateOutlooks:
+@attrs.frozen(repr=False)
+class Postponement(Shown):
+    """A request can't be sent in time; its caller is to come back."""
+
+    reason: str
+    #: Time until then; none if nothing is known of it.
+    retry_after_seconds: float | None
+
+
+class Forecasts:
     """Looks ahead for requests; it shares the scheduler's parts."""
 
     def __init__(
@@ -46,19 +60,27 @@
         self._turns = turns
         self._queue = queue
 
-    def find(self, arrival: RequestArrived, now_seconds: float) -> RateOutlook | None:
-        """Return the outlook of a request; none if any upstream takes what comes.
+    @property
+    def is_needed(self) -> bool:
+        """Whether any upstream announced something that a forecast could rest on."""
+        return bool(len(self._turns.rates) or len(self._upstreams.departures))
+
+    def find(self, arrival: RequestArrived, now_seconds: float) -> Forecast | None:
+        """Return the forecast for a request; none if any upstream takes what comes.
 
         One that does counts, too, if it was open a moment ago and may be again.
         """
-        if not len(self._turns.rates):
+        if not self.is_needed:
             return None
         model = arrival.scope.model if arrival.scope else ""
         first_at_seconds, requests_per_second = math.inf, 0.0
-        is_any_open = False
+        is_any_leaving = is_any_open = False
         for upstream in self._upstreams:
             if not serves(upstream, arrival.service, model):
                 continue
+            if self._upstreams.is_leaving(upstream):
+                is_any_leaving = True
+                continue
             next_at_seconds = self._turns.next_at_seconds(upstream, now_seconds)
             if not self._upstreams.is_open(upstream, now_seconds):
                 is_soon = self._upstreams.may_open_soon(upstream, now_seconds)
@@ -70,35 +92,48 @@
             is_any_open = True
             first_at_seconds = min(first_at_seconds, next_at_seconds)
             requests_per_second += self._turns.own_rate(upstream, now_seconds)
-        if not is_any_open:
-            return None
-        return RateOutlook(max(first_at_seconds, now_seconds), requests_per_second)
+        if is_any_open:
+            first_at_seconds = max(first_at_seconds, now_seconds)
+            return Forecast(first_at_seconds, requests_per_second, AT_RATE)
+        return Forecast(math.inf, 0.0, NO_UPSTREAM) if is_any_leaving else None
 
-    def wait_seconds(
+    def postpone(
         self, item: QueuedRequest, before_count: int, now_seconds: float
-    ) -> float | None:
+    ) -> Postponement | None:
         """Return when a request that can't be in time is to come back.
 
-        None if its turn comes in time, or if it hangs on no rate.
+        None if it can, or if it hangs on no forecast.
         """
-        outlook = self.find(item.arrival, now_seconds)
-        if outlook is None:
-            return None
-        turn_at_seconds = outlook.turn_at_seconds(before_count)
-        if turn_at_seconds <= begins_by_seconds(item):
+        forecast = self.find(item.arrival, now_seconds)
+        if forecast is None:
             return None
-        wait_seconds = turn_at_seconds - now_seconds
-        return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait_seconds))
+        return _postpone(item, forecast, before_count, now_seconds)
 
-    def wait_on_arrival_seconds(
+    def postpone_on_arrival(
         self, item: QueuedRequest, now_seconds: float
-    ) -> float | None:
+    ) -> Postponement | None:
         """Return the same for one that arrives behind all that wait for its service."""
-        if not len(self._turns.rates):
+        forecast = self.find(item.arrival, now_seconds)
+        if forecast is None:
             return None
         before_count = self._waiting_count(item.arrival.service)
-        return self.wait_seconds(item, before_count, now_seconds)
+        return _postpone(item, forecast, before_count, now_seconds)
 
     def _waiting_count(self, service: str) -> int:
         counts = self._queue.service_counts()
         return sum(count for (_, name), count in counts.items() if name == service)
+
+
+def _postpone(
+    item: QueuedRequest, forecast: Forecast, before_count: int, now_seconds: float
+) -> Postponement | None:
+    send_at_seconds = forecast.send_at_seconds(before_count)
+    if send_at_seconds <= begins_by_seconds(item):
+        return None
+    if forecast.reason == NO_UPSTREAM:
+        return Postponement(NO_UPSTREAM, None)
+    wait_seconds = send_at_seconds - now_seconds
+    retry_after_seconds = min(
+        MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait_seconds)
+    )
+    return Postponement(forecast.reason, retry_after_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_intake.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_intake.py
@@ -7,12 +7,12 @@
 from . import _events as ev
 from ._admission import Admission
 from ._blame import Suspicion
-from ._dispatcher import ANSWER_TOKEN_PRICE, AT_RATE, AnswerEstimates
+from ._dispatcher import ANSWER_TOKEN_PRICE, AnswerEstimates
 from ._fleet_limit import OverLimit
+from ._forecasts import Forecasts
 from ._limit_book import LimitBook
 from ._queue import QueuedRequest, WaitingQueue
-from ._rate_outlook import RateOutlooks
-from ._refusals import (
+from ._reasons import (
     DEADLINE_UNREACHABLE,
     ENDS_UPSTREAMS,
     OVER_LIMIT,
@@ -44,7 +44,7 @@
         limits: LimitBook,
         answers: AnswerEstimates,
         suspects: Suspects,
-        outlooks: RateOutlooks,
+        forecasts: Forecasts,
     ) -> None:
         self._settings = settings
         self._queue = queue
@@ -52,7 +52,7 @@
         self._limits = limits
         self._answers = answers
         self._suspects = suspects
-        self._outlooks = outlooks
+        self._forecasts = forecasts
 
     def new_item(self, event: ev.RequestArrived, now_seconds: float) -> QueuedRequest:
         """Return an arriving request with its state."""
@@ -82,9 +82,11 @@
         if self._suspects.suspicion(item) is Suspicion.STOPPED:
             self._suspects.note_refused(item, now_seconds)
             return Rejection(ENDS_UPSTREAMS)
-        turn_seconds = self._outlooks.wait_on_arrival_seconds(item, now_seconds)
-        if turn_seconds is not None:
-            return Rejection(AT_RATE, retry_after_seconds=turn_seconds)
+        postponed = self._forecasts.postpone_on_arrival(item, now_seconds)
+        if postponed is not None:
+            return Rejection(
+                postponed.reason, retry_after_seconds=postponed.retry_after_seconds
+            )
         counted = self._limits.ask(event, now_seconds)
         if isinstance(counted, OverLimit):
             return Rejection(OVER_LIMIT, counted.path, counted.retry_after_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
@@ -5,10 +5,9 @@
 
 from . import _events as ev
 from ._admission import Admission
-from ._dispatcher import AT_RATE
+from ._forecasts import Forecasts
 from ._pool import Pool
 from ._queue import QueuedRequest, WaitingQueue
-from ._rate_outlook import RateOutlooks
 from ._refusals import Refusals
 from ._request import RunState
 from ._suspects import Suspects
@@ -124,21 +123,23 @@
         )
         return [*dropped, refusal]
 
-    def refuse_without_turn(
-        self, outlooks: RateOutlooks, now_seconds: float
+    def refuse_unsendable(
+        self, forecasts: Forecasts, now_seconds: float
     ) -> list[ev.Action]:
-        """Refuse what waits for upstreams that are all limited, beyond their rates."""
+        """Refuse what waits and, by its forecast, can't be sent in time."""
         actions: list[ev.Action] = []
         before: Counter[str] = Counter()
         for item in self:
             if not item.lifecycle.is_waiting or item.lifecycle.has_delivered:
                 continue
             service = item.arrival.service
-            wait_seconds = outlooks.wait_seconds(item, before[service], now_seconds)
-            if wait_seconds is None:
+            postponed = forecasts.postpone(item, before[service], now_seconds)
+            if postponed is None:
                 before[service] += 1
             else:
-                actions += self.give_up(item, AT_RATE, now_seconds, wait_seconds)
+                actions += self.give_up(
+                    item, postponed.reason, now_seconds, postponed.retry_after_seconds
+                )
         return actions
 
     def _uncount(self, item: QueuedRequest) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -15,6 +15,7 @@
 
 from . import _events as ev
 from ._cache_book import CacheBook
+from ._departures import Incarnation
 from ._knowledge import Life
 from ._limit_book import LimitBook
 from ._membership import Membership
@@ -23,7 +24,7 @@
 from ._request_rates import RateWord, RequestRates
 from ._request_turns import RequestTurns, Standpoint
 from ._shares import ShareLedger
-from ._upstreams import Upstream, UpstreamTable
+from ._upstreams import Obstacle, Upstream, UpstreamTable
 
 #: Longest time that a busy upstream is left alone.
 MAX_BUSY_SECONDS = 1.0
@@ -159,6 +160,22 @@
             if item not in silent and self.upstreams.suspect(item, now_seconds):
                 self._notice(item, f"others of {hall} are silent", now_seconds)
 
+    def withdrawal(
+        self, name: str, incarnation: str, now_seconds: float
+    ) -> Obstacle | None:
+        """Return why a request that was placed must not be sent after all.
+
+        What an upstream asks for while a request waits for its connection holds for
+        that request, too.
+        """
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return None
+        if incarnation not in ("", upstream.incarnation):
+            return None
+        obstacle = self.upstreams.obstacle(upstream, now_seconds)
+        return obstacle if obstacle and obstacle.is_own_request else None
+
     def suspect(self, name: str, now_seconds: float) -> bool:
         """Suspect an upstream that fell silent; return whether that is new."""
         upstream = self.upstreams.get(name)
@@ -223,9 +240,10 @@
         for name in self.upstreams.apply_list(_sorted(event.host_list)):
             self.knowledge.forget(name)
             self.rates.forget(name, reason)
-            self.notices.forget("announcement", name, reason)
             self.notices.forget("pause", name, reason)
             self.notices.forget("upstream", name, reason)
+        names = {upstream.name for upstream in self.upstreams}
+        self.upstreams.departures.sweep(names, now_seconds)
         for upstream in self.upstreams:
             if upstream.entry.incarnation and upstream.is_runner:
                 self.caches.observe(upstream)
@@ -283,12 +301,16 @@
         self.rates.hear(event.news, now_seconds)
 
     def _on_signalled(self, event: ev.UpstreamSignalled, now_seconds: float) -> None:
-        name = event.upstream
+        upstream = self.upstreams.get(event.upstream)
+        incarnation = event.incarnation or (upstream.incarnation if upstream else "")
         if event.is_leaving:
-            self.notices.note("announcement", name, "leaving", "its answer says so")
+            leaving = Incarnation(event.upstream, incarnation)
+            self.upstreams.departures.note(leaving, now_seconds)
+            if upstream is not None:
+                self._notice(upstream, "its answer says so", now_seconds)
         if event.pause_seconds is not None:
             asked = f"asked for {event.pause_seconds:g} s at {now_seconds:.3f} s"
-            self.notices.note("pause", name, asked, "its answer says so")
+            self.notices.note("pause", event.upstream, asked, "its answer says so")
 
     def _on_neighbours(self, event: ev.NeighboursSeen, now_seconds: float) -> None:
         self.turns.standpoint = attrs.evolve(
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_reasons.py
@@ -0,0 +1,12 @@
+"""Why requests are refused, as callers and logs are told it."""
+
+OVER_LIMIT = "over_limit"
+QUEUE_FULL = "queue_full"
+DEADLINE_UNREACHABLE = "deadline_unreachable"
+DEADLINE_PASSED = "deadline_passed"
+UPSTREAM_FAILED = "upstream_failed"
+ENDS_UPSTREAMS = "ends_upstreams"
+NO_UPSTREAM = "no_upstream"
+NO_RETRY_LEFT = "no_retry_left"
+KEPT_APART = "kept_apart"
+AT_RATE = "upstreams_at_rate"
--- a/packages/rampwick-policy/src/rampwick_policy/_refusals.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_refusals.py
@@ -6,10 +6,17 @@
 
 from . import _events as ev
 from ._admission import Admission
-from ._dispatcher import AT_RATE, KEPT_APART, NO_RETRY_LEFT
 from ._evidence import describe_limit, describe_refusal
 from ._pool import Pool
 from ._queue import QueuedRequest, WaitingQueue
+from ._reasons import (
+    AT_RATE,
+    DEADLINE_PASSED,
+    ENDS_UPSTREAMS,
+    KEPT_APART,
+    NO_RETRY_LEFT,
+    OVER_LIMIT,
+)
 from ._request import RunState
 from ._retry import RetryBudgets
 from ._suspects import Suspects
@@ -22,14 +29,6 @@
 #: itself. Without a bound callers were held to their deadlines, 4 s and more.
 MIDWAY_SECONDS = 4.0
 
-#: Reasons of refusals.
-OVER_LIMIT = "over_limit"
-QUEUE_FULL = "queue_full"
-DEADLINE_UNREACHABLE = "deadline_unreachable"
-DEADLINE_PASSED = "deadline_passed"
-UPSTREAM_FAILED = "upstream_failed"
-ENDS_UPSTREAMS = "ends_upstreams"
-
 
 class Refusals:
     """Finds the requests without hope and says why; it shares the scheduler's parts."""
--- a/packages/rampwick-policy/src/rampwick_policy/_request.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request.py
@@ -38,6 +38,8 @@
     DONE = "done"
     #: The connection was never made; the upstream is ill.
     UNREACHABLE = "unreachable"
+    #: It was not sent, since the upstream has come to want no more requests.
+    WITHDRAWN = "withdrawn"
     #: The upstream said that it did not run the request; it is not ill.
     BUSY = "busy"
     #: The upstream broke off or fell silent; it may have run the request.
@@ -58,12 +60,12 @@
     @property
     def proves_not_run(self) -> bool:
         """Whether the attempt surely did not run."""
-        return self in (Outcome.UNREACHABLE, Outcome.BUSY, Outcome.MISDIRECTED)
+        return self.never_arrived or self in (Outcome.BUSY, Outcome.MISDIRECTED)
 
     @property
     def never_arrived(self) -> bool:
         """Whether the upstream never saw the attempt."""
-        return self is Outcome.UNREACHABLE
+        return self in (Outcome.UNREACHABLE, Outcome.WITHDRAWN)
 
 
 @attrs.define(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -21,6 +21,7 @@
     Hopeless,
 )
 from ._errors import LifecycleError
+from ._forecasts import Forecasts
 from ._intake import Intake
 from ._knowledge import CacheKnowledge
 from ._limit_book import LimitBook
@@ -30,14 +31,13 @@
 from ._placement import Placement, PricedKnowledge
 from ._pool import Pool, PoolEvent
 from ._queue import QueuedRequest, WaitingQueue
-from ._rate_outlook import RateOutlooks
-from ._refusals import (
+from ._reasons import (
     DEADLINE_UNREACHABLE,
     ENDS_UPSTREAMS,
     QUEUE_FULL,
     UPSTREAM_FAILED,
-    Refusals,
 )
+from ._refusals import Refusals
 from ._request import Outcome, RequestLifecycle
 from ._retry import RetryBudgets
 from ._shares import ShareLedger
@@ -63,7 +63,7 @@
         self.budgets = RetryBudgets(settings.retry)
         self._answers = AnswerEstimates()
         self.suspects = Suspects(self.pool.notices)
-        self._outlooks = RateOutlooks(self.pool.upstreams, self.pool.turns, self.queue)
+        self._forecasts = Forecasts(self.pool.upstreams, self.pool.turns, self.queue)
         self._dispatcher = Dispatcher(
             settings.placement,
             self.pool,
@@ -74,7 +74,7 @@
             placement
             or PricedKnowledge(self.knowledge, settings.placement.import_price),
             self.suspects,
-            self._outlooks,
+            self._forecasts,
         )
         self._intake = Intake(
             settings,
@@ -83,7 +83,7 @@
             self.limits,
             self._answers,
             self.suspects,
-            self._outlooks,
+            self._forecasts,
         )
         self._refusals = Refusals(
             settings.retry,
@@ -362,8 +362,8 @@
         actions: list[ev.Action] = []
         for item in self._requests:
             actions += self._check_hope(item, now_seconds)
-        if len(self.pool.rates):
-            actions += self._requests.refuse_without_turn(self._outlooks, now_seconds)
+        if self._forecasts.is_needed:
+            actions += self._requests.refuse_unsendable(self._forecasts, now_seconds)
         return actions
 
     def _check_hope(self, item: QueuedRequest, now_seconds: float) -> list[ev.Action]:
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -1,5 +1,6 @@
 """Upstreams that can be given work: their list, and what placement may know."""
 
+import enum
 import math
 from collections.abc import Iterator
 
@@ -11,6 +12,7 @@
     RetrySettings,
 )
 
+from ._departures import Departures, Incarnation
 from ._health import Health, HealthState
 from ._knowledge import Life
 from ._membership import Membership
@@ -46,6 +48,31 @@
 MAX_RELEASE_SECONDS = 0.5
 
 
+#: State of the entry of an upstream that is shutting down.
+LEAVING_STATE = "leaving"
+
+
+class Obstacle(enum.Enum):
+    """Why an upstream is given no new requests."""
+
+    LEAVING = "leaving"
+    #: Its incarnation has to be learned from a probe.
+    UNKNOWN = "unknown"
+    #: It has another role than to serve requests.
+    NOT_SERVING = "not serving"
+    BUSY = "busy"
+    LOADING = "loading"
+    SUSPECTED = "suspected"
+    #: It has weights that nothing may begin on any more.
+    OUTDATED = "outdated"
+    DOWN = "down"
+
+    @property
+    def is_own_request(self) -> bool:
+        """Whether the upstream itself asks for no more requests."""
+        return self is Obstacle.LEAVING
+
+
 class UpstreamTable:
     """All upstreams by name."""
 
@@ -63,6 +90,7 @@
         self.targets = TargetWeights(placement.max_outdated_seconds * GUESSED_AGE_RATIO)
         #: Version of the host list in use; -1 before the first.
         self.list_version = -1
+        self.departures = Departures()
         self._upstreams: dict[str, Upstream] = {}
         self._speeds: dict[str, ReadingSpeed] = {}
 
@@ -197,21 +225,36 @@
         upstream.role = report.role
         return is_new
 
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is shutting down, by its entry or its answers."""
+        if upstream.entry.state == LEAVING_STATE:
+            return True
+        present = Incarnation(upstream.name, upstream.incarnation)
+        return present in self.departures
+
+    def obstacle(self, upstream: Upstream, now_seconds: float) -> Obstacle | None:
+        """Return why an upstream may be given no new request; none if it may."""
+        if self.is_leaving(upstream):
+            return Obstacle.LEAVING
+        if upstream.is_runner and upstream.life is None:
+            return Obstacle.UNKNOWN
+        if upstream.is_runner and upstream.role != SERVING_ROLE:
+            return Obstacle.NOT_SERVING
+        if now_seconds < upstream.busy_until_seconds:
+            return Obstacle.BUSY
+        if upstream.is_loading(now_seconds):
+            return Obstacle.LOADING
+        if upstream.is_suspected:
+            return Obstacle.SUSPECTED
+        if self._is_too_old(upstream, now_seconds):
+            return Obstacle.OUTDATED
+        if upstream.health.admit_ratio(now_seconds) <= 0.0:
+            return Obstacle.DOWN
+        return None
+
     def is_open(self, upstream: Upstream, now_seconds: float) -> bool:
         """Return whether the upstream may be given new work."""
-        if upstream.entry.state == "leaving":
-            return False
-        if upstream.is_runner and (
-            upstream.life is None or upstream.role != SERVING_ROLE
-        ):
-            return False
-        if now_seconds < upstream.busy_until_seconds or upstream.is_loading(
-            now_seconds
-        ):
-            return False
-        if upstream.is_suspected or self._is_too_old(upstream, now_seconds):
-            return False
-        return upstream.health.admit_ratio(now_seconds) > 0.0
+        return self.obstacle(upstream, now_seconds) is None
 
     def has_ended(self, name: str, now_seconds: float) -> bool:
         """Return whether an upstream that closed a connection ended unexpectedly.
@@ -221,13 +264,13 @@
         upstream = self._upstreams.get(name)
         return (
             upstream is not None
-            and upstream.entry.state != "leaving"
+            and not self.is_leaving(upstream)
             and not upstream.is_loading(now_seconds)
         )
 
     def may_open_soon(self, upstream: Upstream, now_seconds: float) -> bool:
         """Return whether one that is not open now may be in a moment."""
-        if upstream.entry.state == "leaving":
+        if self.is_leaving(upstream):
             return False
         health = upstream.health
         down_seconds = now_seconds - health.down_at_seconds
@@ -235,7 +278,7 @@
 
     def describe(self, upstream: Upstream, now_seconds: float) -> str:
         """Return what is believed of an upstream in a word or two, for logs."""
-        if upstream.entry.state == "leaving":
+        if self.is_leaving(upstream):
             return "leaving"
         if upstream.health.state is not HealthState.UP:
             return upstream.health.state.value
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -258,6 +258,7 @@
             "kind": upstream.entry.kind,
             "hall": upstream.entry.hall,
             "state": upstream.entry.state,
+            "belief": scheduler.upstreams.describe(upstream, now_seconds),
             "health": upstream.health.state.value,
             "admit_ratio": round(upstream.health.admit_ratio(now_seconds), 3),
             "last_error": upstream.health.last_error,
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -85,7 +85,12 @@
         dialects = integration.dialects if integration else OWN_DIALECTS
         control: UpstreamControl = upstreams
         if integration is not None:
-            control = DialectControl(channels, dialects.control, self._find_health_path)
+            control = DialectControl(
+                channels,
+                dialects.control,
+                self._find_health_path,
+                self.scheduler,
+            )
         self.steward = StewardTask(
             api, settings, self.scheduler, control, read_clock, draw
         )
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -229,6 +229,9 @@
     ) -> LoadReport | None:
         """Return a runner's report, none of a healthy service, or raise DataError."""
 
+    def read_signals(self, head: AnswerHead) -> UpstreamSignals:
+        """Return the signals of an answer that is surely the called upstream's own."""
+
     def order(self, entry: HostEntry, order: Order) -> ControlRequest:
         """Return the call that gives an order."""
 
--- a/packages/rampwick-router/src/rampwick_router/_own_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -28,6 +28,7 @@
     Header,
     RawCall,
     RoutedCall,
+    UpstreamSignals,
     read_request_rate,
     read_signals,
 )
@@ -176,6 +177,10 @@
             orjson.loads(body), LoadReport, step="probe upstream", peer=entry.name
         )
 
+    def read_signals(self, head: AnswerHead) -> UpstreamSignals:
+        """Return none: control calls name no incarnation that an answer could prove."""
+        return UpstreamSignals()
+
     def order(self, entry: HostEntry, order: Order) -> ControlRequest:
         """Return the call that gives an order."""
         headers = [(b"host", entry.address.encode()), JSON]
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -20,6 +20,7 @@
     Dispatch,
     Event,
     Notice,
+    Obstacle,
     PeerView,
     Refuse,
     RequestArrived,
@@ -102,6 +103,11 @@
         """Return whether an upstream has named a rate of requests of late."""
         return self.rates.knows(upstream)
 
+    def withdrawal(self, upstream: str, incarnation: str) -> Obstacle | None:
+        """Return why a placed request must not be sent any more; none if it may."""
+        pool = self._scheduler.pool
+        return pool.withdrawal(upstream, incarnation, self._read_clock())
+
     @property
     def hosts_count(self) -> int:
         """Most hosts that were alive at once of late, this one included."""
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -18,7 +18,7 @@
 from ._parts import Parts
 from ._rates import note_rate
 from ._responder import EVENT_STREAM, Responder
-from ._signals import note_signals
+from ._signals import check_still_wanted, note_signals
 from ._stream_tokens import StreamReference
 
 #: Times that one broken stream is taken up again before its attempt has failed.
@@ -83,6 +83,7 @@
     async def _start(self, content: bytes) -> None:
         client = self._parts.upstreams
         path = self._target.path
+        check_still_wanted(self._parts.scheduler, self._dispatch)
         asked_at_seconds = self._parts.read_clock()
         async with client.start_stream(self._dispatch, path, content) as stream:
             await self._take(stream, asked_at_seconds)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -25,7 +25,7 @@
 from ._parts import Parts
 from ._rates import note_rate
 from ._routed_request import RoutedRequest
-from ._signals import note_signals
+from ._signals import check_still_wanted, note_signals
 
 #: Silence before an answer's head after which an upstream is suspected to be gone:
 #: well above what a busy engine takes, well below what callers bear.
@@ -73,6 +73,7 @@
         async with self._parts.channels.borrow(
             dispatch.upstream, dispatch.address, self._max_connections()
         ) as self._channel:
+            check_still_wanted(self._parts.scheduler, dispatch)
             asked_at_seconds = self._parts.read_clock()
             await self._channel.send(call.method, call.target, headers, body)
             head = await self._receive_head()
--- a/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -24,7 +24,7 @@
 from ._parts import Parts
 from ._rates import note_rate
 from ._responder import Receive, Responder
-from ._signals import note_signals
+from ._signals import check_still_wanted, note_signals
 
 #: Methods that HTTP itself allows to repeat.
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -106,6 +106,7 @@
             for name, value in self._call.headers
         ]
         headers.append((b"x-request-id", dispatch.attempt_id.encode()))
+        check_still_wanted(self.parts.scheduler, dispatch)
         asked_at_seconds = self.parts.read_clock()
         async with self.parts.upstreams.request(
             self._call.method,
--- a/packages/rampwick-router/src/rampwick_router/entry/_signals.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_signals.py
@@ -1,8 +1,9 @@
-"""Passing on what an upstream's answer asks of whoever sends to it."""
+"""What an upstream's answers ask of whoever sends to it, noted and obeyed."""
 
-from rampwick_policy import Dispatch, UpstreamSignalled
+from rampwick_policy import Dispatch, Outcome, UpstreamSignalled
 
 from .._dialects import UpstreamSignals
+from .._errors import AttemptError
 from .._scheduler_task import SchedulerTask
 
 
@@ -20,3 +21,15 @@
             signals.pause_seconds,
         )
     )
+
+
+def check_still_wanted(scheduler: SchedulerTask, dispatch: Dispatch) -> None:
+    """Raise unless the upstream still takes a request that is about to be sent."""
+    obstacle = scheduler.withdrawal(dispatch.upstream, dispatch.incarnation)
+    if obstacle is not None:
+        raise AttemptError(
+            f"the upstream is {obstacle.value}",
+            outcome=Outcome.WITHDRAWN,
+            step="forward request",
+            peer=dispatch.upstream,
+        )
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -5,12 +5,13 @@
 
 import anyio
 
-from rampwick_policy import OrderResult, Outcome
+from rampwick_policy import OrderResult, Outcome, UpstreamSignalled
 from rampwick_schema import DataError, HostEntry, LoadReport, Order
 
 from .._dialects import ControlDialect, ControlRequest
 from .._errors import AttemptError
 from .._headers import AnswerHead
+from .._scheduler_task import SchedulerTask
 from ._channels import ChannelPool
 
 #: Longest wait for an answer to a control call. An order is given only if the lease
@@ -42,7 +43,9 @@
         channels: ChannelPool,
         dialect: ControlDialect,
         find_health_path: Callable[[str], str],
+        scheduler: SchedulerTask,
     ) -> None:
+        self._scheduler = scheduler
         self._channels = channels
         self._dialect = dialect
         self._find_health_path = find_health_path
@@ -76,9 +79,20 @@
     async def _call(
         self, entry: HostEntry, request: ControlRequest
     ) -> tuple[AnswerHead, bytes]:
-        return await call_upstream(
+        head, body = await call_upstream(
             self._channels, entry.name, entry.address, request, CONTROL_TIMEOUT_SECONDS
         )
+        signals = self._dialect.read_signals(head)
+        if signals:
+            self._scheduler.post(
+                UpstreamSignalled(
+                    entry.name,
+                    entry.incarnation,
+                    signals.is_leaving,
+                    signals.pause_seconds,
+                )
+            )
+        return head, body
 
 
 async def call_upstream(
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -51,10 +51,10 @@
         self.assertEqual(0, self.leave())
 
     def test_table_that_ignores_the_state_is_caught(self):
-        def is_open(self, upstream, now_seconds):
-            return upstream.life is not None
+        def is_leaving(self, upstream):
+            return False
 
-        with mock.patch.object(UpstreamTable, "is_open", is_open):
+        with mock.patch.object(UpstreamTable, "is_leaving", is_leaving):
             self.assertNotEqual(0, self.leave())
 
     def test_host_cut_off_from_the_platform_hears_it_from_a_peer(self):
