Keep the whole pause that a refusing upstream asks for

Five requests reached a runner within a pause of 3 s that it had asked a host for: one constant cut every pause to 1 s, and each refusal set the time anew, also to an earlier one. Evidence: after six refusals in a row the next request went out 1.04 to 1.17 s later, never earlier. Ruled out: requests under way (they were placed 1 to 2 ms before they were sent) and calls that are no requests (the upstream's count and the lines of attempts agree).

A pause is kept for the incarnation that asked for it, whole, beside the announced shutdowns; a shorter one does not end it, another incarnation has none. It is looked at where requests are placed and again as they are sent. Answers that were passed on to callers count as well as refusals. Where all upstreams of a service are paused, a request that can't be in time after the first one resumes is refused on arrival as not run, with the time until then; one that can waits. Paused services get no health probes, which take a slot. A log line says when a pause begins, by which answer and for how long, and when it is over.

Numbers that are no short decimal (1e9, nan, inf, 4 KB of digits) are no pause; float() had taken nan and inf.

test_requests_within_a_pause.py: requests from 1.0 s on within 3 s before, none after. The test of another start in test_births.py notes a pause where it set the removed field.

--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -238,6 +238,8 @@
     incarnation: str
     is_leaving: bool = False
     pause_seconds: float | None = None
+    #: Which answer says so, for logs.
+    source: str = "its answer says so"
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_forecasts.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_forecasts.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections.abc import Sequence
 
 import attrs
 
@@ -11,11 +12,11 @@
 
 from ._events import RequestArrived
 from ._queue import QueuedRequest, WaitingQueue
-from ._reasons import AT_RATE, NO_UPSTREAM
+from ._reasons import AT_RATE, NO_UPSTREAM, PAUSED
 from ._request_turns import RequestTurns
 from ._room import serves
 from ._timeliness import begins_by_seconds
-from ._upstreams import UpstreamTable
+from ._upstreams import Obstacle, Upstream, UpstreamTable
 
 #: Bounds of what callers are told to wait: long enough for another turn, short enough
 #: to try a host that has more of them.
@@ -41,6 +42,13 @@
         return self.first_at_seconds + before_count / self.requests_per_second
 
 
+#: Forecast for an upstream that takes what comes, or may do so in a moment.
+ANY_MOMENT = Forecast(0.0, math.inf, "")
+
+#: Reasons by how much they say about when a request can be sent.
+REASONS = (AT_RATE, PAUSED, NO_UPSTREAM)
+
+
 @attrs.frozen(repr=False)
 class Postponement(Shown):
     """A request can't be sent in time; its caller is to come back."""
@@ -62,8 +70,11 @@
 
     @property
     def is_needed(self) -> bool:
-        """Whether any upstream announced something that a forecast could rest on."""
-        return bool(len(self._turns.rates) or len(self._upstreams.departures))
+        """Whether any upstream has said anything that a forecast could rest on."""
+        upstreams = self._upstreams
+        return bool(
+            len(self._turns.rates) or len(upstreams.departures) or len(upstreams.pauses)
+        )
 
     def find(self, arrival: RequestArrived, now_seconds: float) -> Forecast | None:
         """Return the forecast for a request; none if any upstream takes what comes.
@@ -73,29 +84,36 @@
         if not self.is_needed:
             return None
         model = arrival.scope.model if arrival.scope else ""
-        first_at_seconds, requests_per_second = math.inf, 0.0
-        is_any_leaving = is_any_open = False
+        known = []
         for upstream in self._upstreams:
             if not serves(upstream, arrival.service, model):
                 continue
-            if self._upstreams.is_leaving(upstream):
-                is_any_leaving = True
-                continue
-            next_at_seconds = self._turns.next_at_seconds(upstream, now_seconds)
-            if not self._upstreams.is_open(upstream, now_seconds):
-                is_soon = self._upstreams.may_open_soon(upstream, now_seconds)
-                if next_at_seconds is None and is_soon:
-                    return None
-                continue
-            if next_at_seconds is None:
+            forecast = self._forecast(upstream, now_seconds)
+            if forecast is ANY_MOMENT:
                 return None
-            is_any_open = True
-            first_at_seconds = min(first_at_seconds, next_at_seconds)
-            requests_per_second += self._turns.own_rate(upstream, now_seconds)
-        if is_any_open:
-            first_at_seconds = max(first_at_seconds, now_seconds)
-            return Forecast(first_at_seconds, requests_per_second, AT_RATE)
-        return Forecast(math.inf, 0.0, NO_UPSTREAM) if is_any_leaving else None
+            if forecast is not None:
+                known.append(forecast)
+        return _combine(known, now_seconds) if known else None
+
+    def _forecast(self, upstream: Upstream, now_seconds: float) -> Forecast | None:
+        """Return the forecast for one upstream; none if it is out for longer."""
+        obstacle = self._upstreams.obstacle(upstream, now_seconds)
+        if obstacle is Obstacle.LEAVING:
+            return Forecast(math.inf, 0.0, NO_UPSTREAM)
+        turn_at_seconds = self._turns.next_at_seconds(upstream, now_seconds)
+        is_limited = turn_at_seconds is not None
+        rate = self._turns.own_rate(upstream, now_seconds) if is_limited else math.inf
+        if obstacle is Obstacle.PAUSED:
+            resumes_at_seconds = self._upstreams.paused_until_seconds(upstream)
+            if turn_at_seconds is not None:
+                resumes_at_seconds = max(resumes_at_seconds, turn_at_seconds)
+            return Forecast(resumes_at_seconds, rate, PAUSED)
+        if obstacle is None and turn_at_seconds is not None:
+            return Forecast(turn_at_seconds, rate, AT_RATE)
+        if obstacle is None:
+            return ANY_MOMENT
+        is_soon = self._upstreams.may_open_soon(upstream, now_seconds)
+        return ANY_MOMENT if is_soon and not is_limited else None
 
     def postpone(
         self, item: QueuedRequest, before_count: int, now_seconds: float
@@ -124,6 +142,16 @@
         return sum(count for (_, name), count in counts.items() if name == service)
 
 
+def _combine(known: Sequence[Forecast], now_seconds: float) -> Forecast:
+    first_at_seconds = min(item.first_at_seconds for item in known)
+    reasons = {item.reason for item in known}
+    return Forecast(
+        max(now_seconds, first_at_seconds),
+        sum(item.requests_per_second for item in known),
+        next(reason for reason in REASONS if reason in reasons),
+    )
+
+
 def _postpone(
     item: QueuedRequest, forecast: Forecast, before_count: int, now_seconds: float
 ) -> Postponement | None:
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -26,9 +26,6 @@
 from ._shares import ShareLedger
 from ._upstreams import Obstacle, Upstream, UpstreamTable
 
-#: Longest time that a busy upstream is left alone.
-MAX_BUSY_SECONDS = 1.0
-
 #: Upstreams of a hall that must fall silent for this host, and within which time, for
 #: the rest of them to be asked how they are before they are sent anything. One may be
 #: ill by itself; the time is that in which a host notices a silence twice.
@@ -116,10 +113,10 @@
         return not group or group in self.services
 
     def note_failure(
-        self, name: str, event: ev.AttemptFailed, now_seconds: float
+        self, failed: Incarnation, event: ev.AttemptFailed, now_seconds: float
     ) -> None:
         """Note what an attempt's failure says about its upstream."""
-        upstream = self.upstreams.get(name)
+        upstream = self.upstreams.get(failed.upstream)
         if upstream is None:
             return
         if event.outcome.is_ill_health:
@@ -131,8 +128,7 @@
             upstream.life = None
             self._notice(upstream, event.message, now_seconds)
         elif event.outcome is Outcome.BUSY:
-            asked = event.retry_after_seconds or MAX_BUSY_SECONDS
-            upstream.busy_until_seconds = now_seconds + min(asked, MAX_BUSY_SECONDS)
+            self._pause(failed, event.retry_after_seconds, event.message, now_seconds)
 
     def note_silent(self, name: str, now_seconds: float) -> None:
         """Note that an upstream does not begin to answer this host."""
@@ -240,7 +236,6 @@
         for name in self.upstreams.apply_list(_sorted(event.host_list)):
             self.knowledge.forget(name)
             self.rates.forget(name, reason)
-            self.notices.forget("pause", name, reason)
             self.notices.forget("upstream", name, reason)
         names = {upstream.name for upstream in self.upstreams}
         self.upstreams.departures.sweep(names, now_seconds)
@@ -307,10 +302,30 @@
             leaving = Incarnation(event.upstream, incarnation)
             self.upstreams.departures.note(leaving, now_seconds)
             if upstream is not None:
-                self._notice(upstream, "its answer says so", now_seconds)
+                self._notice(upstream, event.source, now_seconds)
         if event.pause_seconds is not None:
-            asked = f"asked for {event.pause_seconds:g} s at {now_seconds:.3f} s"
-            self.notices.note("pause", event.upstream, asked, "its answer says so")
+            paused = Incarnation(event.upstream, incarnation)
+            self._pause(paused, event.pause_seconds, event.source, now_seconds)
+
+    def _pause(
+        self,
+        paused: Incarnation,
+        pause_seconds: float | None,
+        source: str,
+        now_seconds: float,
+    ) -> None:
+        self.upstreams.pauses.note(paused, pause_seconds, now_seconds)
+        upstream = self.upstreams.get(paused.upstream)
+        if upstream is not None:
+            asked = "no time" if pause_seconds is None else f"{pause_seconds:g} s"
+            self._notice(upstream, f"{source}, it asks for {asked}", now_seconds)
+
+    def end_pauses(self, now_seconds: float) -> None:
+        """Drop the pauses that are over."""
+        for incarnation in self.upstreams.pauses.expire(now_seconds):
+            upstream = self.upstreams.get(incarnation.upstream)
+            if upstream is not None:
+                self._notice(upstream, "its pause is over", now_seconds)
 
     def _on_neighbours(self, event: ev.NeighboursSeen, now_seconds: float) -> None:
         self.turns.standpoint = attrs.evolve(
--- a/packages/rampwick-policy/src/rampwick_policy/_refusals.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_refusals.py
@@ -16,6 +16,7 @@
     KEPT_APART,
     NO_RETRY_LEFT,
     OVER_LIMIT,
+    PAUSED,
 )
 from ._request import RunState
 from ._retry import RetryBudgets
@@ -117,8 +118,8 @@
         if item.lifecycle.has_delivered:
             return MIDWAY_SECONDS
         target_seconds = item.arrival.latency_target_seconds
-        if item.stranded_reason == AT_RATE:
-            # Its turn is foreseen; it is refused as soon as that is too late.
+        if item.stranded_reason in (AT_RATE, PAUSED):
+            # When it can go is foreseen; it is refused as soon as that is too late.
             return math.inf
         if target_seconds is None and item.stranded_reason == NO_RETRY_LEFT:
             # Its caller named nothing but a deadline, and retries are earned by time.
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -14,6 +14,7 @@
 from . import _events as ev
 from ._admission import Admission
 from ._blame import Suspicion
+from ._departures import Incarnation
 from ._dispatcher import (
     ANSWER_TOKEN_PRICE,
     AnswerEstimates,
@@ -246,7 +247,8 @@
             self.suspects.note_end(item, now_seconds)
         actions = self._requests.cancel(item, event)
         self._requests.release(item, event.attempt_id, now_seconds)
-        self.pool.note_failure(peer, event, now_seconds)
+        failed = Incarnation(peer, item.incarnation)
+        self.pool.note_failure(failed, event, now_seconds)
         self._requests.settle(item, 0.0, now_seconds)
         if not item.lifecycle.may_retry(now_seconds):
             refusal = self._requests.refuse(
@@ -358,6 +360,7 @@
     def _on_tick(self, event: ev.Tick, now_seconds: float) -> list[ev.Action]:
         self.pool.expire_peers(now_seconds)
         self.pool.look_at_limits(now_seconds)
+        self.pool.end_pauses(now_seconds)
         self.suspects.book.sweep(now_seconds)
         actions: list[ev.Action] = []
         for item in self._requests:
--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -45,8 +45,6 @@
     #: Weights that it is loading and until when; it serves nothing meanwhile.
     load_version: int = 0
     load_until_seconds: float = -math.inf
-    #: Until when an upstream that refused work as busy is left alone.
-    busy_until_seconds: float = 0.0
     #: Whether it fell silent and is to be asked at once if it is well.
     is_suspected: bool = False
     #: Until when its silence raises no suspicion, since it has just proved well.
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -16,6 +16,7 @@
 from ._health import Health, HealthState
 from ._knowledge import Life
 from ._membership import Membership
+from ._pauses import Pauses
 from ._placement import RunnerView
 from ._reading_speed import ReadingSpeed
 from ._targets import TargetWeights
@@ -56,11 +57,12 @@
     """Why an upstream is given no new requests."""
 
     LEAVING = "leaving"
+    #: It refused a request and wants none for a while.
+    PAUSED = "paused"
     #: Its incarnation has to be learned from a probe.
     UNKNOWN = "unknown"
     #: It has another role than to serve requests.
     NOT_SERVING = "not serving"
-    BUSY = "busy"
     LOADING = "loading"
     SUSPECTED = "suspected"
     #: It has weights that nothing may begin on any more.
@@ -70,7 +72,7 @@
     @property
     def is_own_request(self) -> bool:
         """Whether the upstream itself asks for no more requests."""
-        return self is Obstacle.LEAVING
+        return self in (Obstacle.LEAVING, Obstacle.PAUSED)
 
 
 class UpstreamTable:
@@ -91,6 +93,7 @@
         #: Version of the host list in use; -1 before the first.
         self.list_version = -1
         self.departures = Departures()
+        self.pauses = Pauses()
         self._upstreams: dict[str, Upstream] = {}
         self._speeds: dict[str, ReadingSpeed] = {}
 
@@ -194,7 +197,11 @@
             )
         if not interval_seconds:
             return math.inf
-        return upstream.probed_at_seconds + interval_seconds - now_seconds
+        due_at_seconds = upstream.probed_at_seconds + interval_seconds
+        if not upstream.is_runner:
+            # A health probe waits for a slot as a request does.
+            due_at_seconds = max(due_at_seconds, self.paused_until_seconds(upstream))
+        return due_at_seconds - now_seconds
 
     def suspect(self, upstream: Upstream, now_seconds: float) -> bool:
         """Suspect an upstream that fell silent; return whether that is new.
@@ -229,19 +236,22 @@
         """Return whether an upstream is shutting down, by its entry or its answers."""
         if upstream.entry.state == LEAVING_STATE:
             return True
-        present = Incarnation(upstream.name, upstream.incarnation)
-        return present in self.departures
+        return _present(upstream) in self.departures
+
+    def paused_until_seconds(self, upstream: Upstream) -> float:
+        """Return until when an upstream wants no requests from this host."""
+        return self.pauses.until_seconds(_present(upstream))
 
     def obstacle(self, upstream: Upstream, now_seconds: float) -> Obstacle | None:
         """Return why an upstream may be given no new request; none if it may."""
         if self.is_leaving(upstream):
             return Obstacle.LEAVING
+        if now_seconds < self.paused_until_seconds(upstream):
+            return Obstacle.PAUSED
         if upstream.is_runner and upstream.life is None:
             return Obstacle.UNKNOWN
         if upstream.is_runner and upstream.role != SERVING_ROLE:
             return Obstacle.NOT_SERVING
-        if now_seconds < upstream.busy_until_seconds:
-            return Obstacle.BUSY
         if upstream.is_loading(now_seconds):
             return Obstacle.LOADING
         if upstream.is_suspected:
@@ -280,6 +290,8 @@
         """Return what is believed of an upstream in a word or two, for logs."""
         if self.is_leaving(upstream):
             return "leaving"
+        if now_seconds < self.paused_until_seconds(upstream):
+            return "paused"
         if upstream.health.state is not HealthState.UP:
             return upstream.health.state.value
         if upstream.is_suspected:
@@ -367,3 +379,7 @@
             weights_version=upstream.life.weights_version if upstream.life else 0,
             penalty_seconds=self._outdated_penalty_seconds(upstream, now_seconds),
         )
+
+
+def _present(upstream: Upstream) -> Incarnation:
+    return Incarnation(upstream.name, upstream.incarnation)
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -155,7 +155,6 @@
     is_another: bool = False
     #: Weights of the upstream; none if it does not say.
     weights_version: int | None = None
-    retry_after_seconds: float | None = None
     #: How long the connection may rest; none if it does not say.
     max_rest_seconds: float | None = None
     #: Whether the upstream closes its connections, as one that leaves does.
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -95,6 +95,7 @@
     "upstreams_at_rate": ErrorKind(
         503, "the upstreams take no more requests than they get now"
     ),
+    "upstreams_paused": ErrorKind(503, "the upstreams want no requests for a while"),
     "no_retry_left": ErrorKind(503, "the retry budget is spent for now"),
     "upstream_failed": ErrorKind(502, "the upstream failed"),
     "ends_upstreams": ErrorKind(
--- a/packages/rampwick-router/src/rampwick_router/_own_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -138,7 +138,6 @@
         headers = head.headers
         not_run = find(headers, NOT_RUN)
         named = (find(headers, INCARNATION) or b"").decode("latin-1")
-        retry_after = find(headers, b"retry-after")
         weights = find(headers, WEIGHTS)
         return AnswerFacts(
             request_id=(find(headers, REQUEST_ID) or b"").decode("latin-1"),
@@ -147,7 +146,6 @@
             is_signed=bool(named),
             is_another=named not in ("", incarnation),
             weights_version=int(weights) if weights and weights.isdigit() else None,
-            retry_after_seconds=_read_seconds(retry_after),
             max_rest_seconds=keep_alive_seconds(headers),
             is_closing=asks_to_close(headers),
             request_rate=read_request_rate(head, REQUEST_RATE),
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -107,7 +107,7 @@
             outcome=outcome,
             step=STEP,
             peer=self.dispatch.upstream,
-            retry_after_seconds=facts.retry_after_seconds if facts else None,
+            retry_after_seconds=facts.signals.pause_seconds if facts else None,
         )
 
     @property
--- a/packages/rampwick-router/src/rampwick_router/entry/_signals.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_signals.py
@@ -19,6 +19,7 @@
             dispatch.incarnation,
             signals.is_leaving,
             signals.pause_seconds,
+            f"its answer to {dispatch.attempt_id} says so",
         )
     )
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -22,9 +22,9 @@
     unstructure,
 )
 
-from .._dialects import ControlRequest
+from .._dialects import ControlRequest, read_signals
 from .._errors import AttemptError
-from .._headers import AnswerHead, RawHeaders
+from .._headers import LEAVING, AnswerHead, RawHeaders
 from ._channels import Channel, ChannelPool
 from ._control import CONTROL_TIMEOUT_SECONDS, call_upstream
 from ._sse import EventSplitter, StreamEvent
@@ -268,13 +268,12 @@
                 yield events
 
     def _error(self, outcome: Outcome, message: str) -> AttemptError:
-        asked = self._headers.get("retry-after", "")
         return AttemptError(
             message,
             outcome=outcome,
             step="start stream",
             peer=self._upstream,
-            retry_after_seconds=float(asked) if asked.isdigit() else None,
+            retry_after_seconds=read_signals(self.head, LEAVING).pause_seconds,
         )
 
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -90,6 +90,7 @@
                     entry.incarnation,
                     signals.is_leaving,
                     signals.pause_seconds,
+                    f"its answer to {request.step!r} says so",
                 )
             )
         return head, body
--- a/tests/test_births.py
+++ b/tests/test_births.py
@@ -17,6 +17,7 @@
     Scheduler,
     chain_from_parts,
 )
+from rampwick_policy._departures import Incarnation
 from rampwick_policy._prefix import PromptPart, Scope
 from rampwick_router import AnswerHead, AttemptTerms, RoutedCall
 from rampwick_schema import (
@@ -133,7 +134,8 @@
         self.scheduler.knowledge.note_prompt(self.old.name, life, self.chain)
         self.scheduler.upstreams.suspect(old, 1.0)
         old.load_version, old.load_until_seconds = 9, 100.0
-        old.busy_until_seconds = 100.0
+        paused = Incarnation(old.name, old.incarnation)
+        self.scheduler.upstreams.pauses.note(paused, 99.0, 1.0)
         self.take(2, self.new)
         new = self.scheduler.upstreams.get(self.new.name)
         self.assertIsNone(self.scheduler.upstreams.get(self.old.name))
--- a/tests/test_requests_within_a_pause.py
+++ b/tests/test_requests_within_a_pause.py
@@ -1,9 +1,26 @@
 """Guards against requests within the pause that an upstream's refusal asked for."""
 
+import anyio
 from testtools import TestCase
 
-from rampwick_policy import AttemptFailed, Dispatch, Outcome, Tick
+from rampwick_policy import (
+    AttemptFailed,
+    Dispatch,
+    HostListRead,
+    LoadReported,
+    Obstacle,
+    Outcome,
+    ProbeFailed,
+    Refuse,
+    RunState,
+    Tick,
+    UpstreamSignalled,
+)
+from rampwick_policy._departures import Incarnation
+from rampwick_policy._pauses import DEFAULT_PAUSE_SECONDS, Pauses
+from rampwick_schema import HostEntry, HostList
 
+from .scripted import run_routed
 from .test_scheduler import Session
 
 #: Pause asked for.
@@ -52,3 +69,132 @@
             if isinstance(action, Dispatch)
         ]
         self.assertEqual([], sent)
+
+    def pause(self, session, at, *names, seconds=PAUSE_SECONDS, life="one"):
+        for name in names:
+            signal = UpstreamSignalled(name, life, pause_seconds=seconds)
+            session.do(at, signal)
+
+    def sent_to(self, actions):
+        return [item.upstream for item in actions if isinstance(item, Dispatch)]
+
+    def test_an_answer_that_was_passed_on_asks_for_one_as_well(self):
+        session = Session(runners=2, slots=8)
+        self.pause(session, 1.0, "lektor-1")
+        self.assertEqual(["lektor-2"], self.sent_to(session.arrive(3.9, "r1")))
+
+    def test_a_shorter_pause_does_not_end_a_longer_one(self):
+        session = Session(runners=1, slots=8)
+        self.pause(session, 1.0, "lektor-1")
+        self.pause(session, 1.1, "lektor-1", seconds=0.05)
+        self.assertEqual([], self.sent_to(session.arrive(2.0, "r1")))
+        self.assertEqual(["lektor-1"], self.sent_to(session.do(4.0, Tick())))
+
+    def test_it_does_not_hold_for_the_next_incarnation(self):
+        session = Session(runners=1, slots=8)
+        self.pause(session, 1.0, "lektor-1", seconds=30.0)
+        self.assertEqual([], session.arrive(1.1, "r1"))
+        report = session.report(1.2, "lektor-1", life="two", slots=8)
+        sent = report + session.do(1.3, Tick())
+        self.assertEqual(["lektor-1"], self.sent_to(sent))
+
+    def test_it_holds_for_an_entry_that_lapsed_and_came_back(self):
+        session = Session(runners=1, slots=8)
+        entry = HostEntry(
+            "a", "service", "trnava", "a:1", group="labels", incarnation="a"
+        )
+        session.do(1.0, HostListRead(HostList(2, [entry])))
+        self.pause(session, 1.1, "a", life="")
+        session.do(2.0, HostListRead(HostList(3, [])))
+        session.do(3.0, HostListRead(HostList(4, [entry])))
+        upstreams = session.scheduler.upstreams
+        found = upstreams.obstacle(upstreams.get("a"), 4.0)
+        self.assertEqual(Obstacle.PAUSED, found)
+
+    def test_a_request_that_was_placed_before_is_not_sent(self):
+        session = Session(runners=2, slots=8)
+        (first,) = self.sent_to(session.arrive(1.0, "r1"))
+        self.pause(session, 1.0, first)
+        found = session.scheduler.pool.withdrawal(first, "one", 1.0)
+        self.assertEqual(Obstacle.PAUSED, found)
+
+    def test_where_all_want_one_requests_are_refused_at_once_until_then(self):
+        session = Session(runners=2, slots=8)
+        self.pause(session, 1.0, "lektor-1")
+        self.pause(session, 1.0, "lektor-2", seconds=2.0)
+        (refusal,) = session.arrive(1.5, "r1", latency_target_seconds=1.0)
+        self.assertEqual(
+            ("upstreams_paused", RunState.NOT_SENT, 1.5),
+            (refusal.reason, refusal.run_state, refusal.retry_after_seconds),
+        )
+        # One that can still be in time waits for the first to resume.
+        self.assertEqual([], session.arrive(2.5, "r2", latency_target_seconds=1.0))
+        self.assertEqual(["lektor-2"], self.sent_to(session.do(3.0, Tick())))
+
+    def test_callers_are_not_told_to_wait_for_an_hour(self):
+        session = Session(runners=1, slots=8)
+        self.pause(session, 1.0, "lektor-1", seconds=3600.0)
+        (refusal,) = session.arrive(1.5, "r1", latency_target_seconds=1.0)
+        self.assertIsInstance(refusal, Refuse)
+        self.assertEqual(10.0, refusal.retry_after_seconds)
+        # The next one starts in time: nothing waits for the hour to pass.
+        session.report(2.0, "lektor-1", life="two", slots=8)
+        self.assertEqual(["lektor-1"], self.sent_to(session.arrive(2.1, "r2")))
+
+    def test_a_paused_service_gets_no_health_probe(self):
+        session = Session(runners=1, slots=8)
+        entry = HostEntry(
+            "a", "service", "trnava", "a:1", group="labels", incarnation="a"
+        )
+        session.do(1.0, HostListRead(HostList(2, [entry])))
+        session.do(1.0, LoadReported("a", None))
+        session.do(1.0, ProbeFailed("a", "status 503"))
+        self.pause(session, 1.0, "a", life="a")
+        upstreams = session.scheduler.upstreams
+        for at, names in ((3.9, []), (4.1, ["a"])):
+            due = [entry.name for entry in upstreams.due_probes(at)]
+            self.assertEqual(names, due)
+
+
+class PausesTest(TestCase):
+    def test_one_without_a_time_is_short(self):
+        pauses, paused = Pauses(), Incarnation("a", "1")
+        for asked in (None, 0.0):
+            pauses.note(paused, asked, 1.0)
+            until_seconds = pauses.until_seconds(paused)
+            self.assertEqual(1.0 + DEFAULT_PAUSE_SECONDS, until_seconds)
+
+    def test_those_that_are_over_are_dropped(self):
+        pauses, paused = Pauses(), Incarnation("a", "1")
+        pauses.note(paused, 3.0, 1.0)
+        self.assertEqual([], pauses.expire(3.9))
+        self.assertEqual([paused], pauses.expire(4.0))
+        self.assertEqual(0, len(pauses))
+
+
+class PausedHostTest(TestCase):
+    """A whole host before upstreams of which one refuses and asks for a pause."""
+
+    def counts(self, value, count=30):
+        """Return the requests that reached each after one refusal with this pause."""
+
+        async def refuse(exchange):
+            extra = b"Rampwick-Not-Run: busy\r\nRetry-After: " + value
+            await exchange.answer(b"", 503, extra)
+
+        async def main():
+            with anyio.fail_after(20.0):
+                async with run_routed({"labels": ["a", "b"]}) as (host, found):
+                    found["a"].scripts = [refuse]
+                    statuses = {
+                        (await host.call("/once/1", request_id=f"r{number}")).status
+                        for number in range(count)
+                    }
+                    self.assertEqual({200}, statuses)
+                    return len(found["a"].requests)
+
+        return anyio.run(main)
+
+    def test_numbers_of_all_sorts_stop_no_host(self):
+        for value in (b"3", b"3600", b"1e9", b"-1", b"nan", b"inf", b"9" * 4096):
+            self.assertEqual(1, self.counts(value))
