Rename: urgent updates, broadcast and retransmitted, as the field calls them

Names, comments and docstrings only: EarlyNews, FactSource and FactTeller become UrgentUpdates, UpdateSource and UpdateBroadcaster; EndNews and RateNews become CrashUpdate and RateLimitUpdate (their codes on the wire stay); greetings become initial states, retelling becomes retransmission. No change of behaviour; linters, types and the tests of what was renamed pass.

--- a/measure/_lab.py
+++ b/measure/_lab.py
@@ -23,8 +23,8 @@
     Neighbours,
     NeighboursSeen,
     PeerHeard,
+    RateLimitUpdateReceived,
     RateNamed,
-    RatesHeard,
     Refuse,
     RequestArrived,
     Scheduler,
@@ -110,7 +110,7 @@
             source="lab",
         )
         self.scheduler = Scheduler(settings)
-        self.scheduler.pool.rates.note_news = self._tell_rates
+        self.scheduler.pool.rates.on_update = self._tell_rates
         self.handle(NeighboursSeen(self._neighbours(), is_leaving=False))
         self.handle(TreeInForce(self._lab.view))
         self.handle(HostListRead(self._lab.host_list))
@@ -131,12 +131,14 @@
         self._lab.clock.after(RATE_NEWS_SECONDS, self._broadcast_rates)
 
     def _broadcast_rates(self) -> None:
-        news = self.scheduler.pool.rates.take_news(self._lab.clock.now_seconds)
+        news = self.scheduler.pool.rates.take_update(self._lab.clock.now_seconds)
         if news is None:
             return
         for peer in self._lab.hosts:
             if peer is not self:
-                self._lab.clock.after(HOP_SECONDS, peer.handle, RatesHeard(news))
+                self._lab.clock.after(
+                    HOP_SECONDS, peer.handle, RateLimitUpdateReceived(news)
+                )
 
     def arrive(self, sample: Sample) -> None:
         """Take a caller's request."""
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -3,11 +3,11 @@
 import attrs
 
 from rampwick_schema import (
-    EndNews,
+    CrashUpdate,
     HostList,
     LoadReport,
     NamedWeights,
-    RateNews,
+    RateLimitUpdate,
     Shown,
     Summary,
     WeightsTarget,
@@ -223,10 +223,10 @@
 
 
 @attrs.frozen(repr=False)
-class RatesHeard(Shown):
+class RateLimitUpdateReceived(Shown):
     """A peer tells which rates upstreams name."""
 
-    news: RateNews
+    news: RateLimitUpdate
 
 
 @attrs.frozen(repr=False)
@@ -251,10 +251,10 @@
 
 
 @attrs.frozen(repr=False)
-class EndsHeard(Shown):
+class CrashUpdateReceived(Shown):
     """A peer tells of upstreams that end under requests."""
 
-    news: EndNews
+    news: CrashUpdate
 
 
 @attrs.frozen(repr=False)
@@ -287,10 +287,10 @@
     | CacheSeen
     | TargetsRead
     | RateNamed
-    | RatesHeard
+    | RateLimitUpdateReceived
     | UpstreamSignalled
     | NeighboursSeen
-    | EndsHeard
+    | CrashUpdateReceived
     | TreeInForce
     | Tick
 )
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -48,7 +48,7 @@
     | ev.TargetsRead
     | ev.CacheSeen
     | ev.RateNamed
-    | ev.RatesHeard
+    | ev.RateLimitUpdateReceived
     | ev.UpstreamSignalled
     | ev.NeighboursSeen
 )
@@ -95,7 +95,7 @@
             ev.TargetsRead: self._on_targets,
             ev.CacheSeen: self.caches.hear,
             ev.RateNamed: self._on_rate,
-            ev.RatesHeard: self._on_rates_heard,
+            ev.RateLimitUpdateReceived: self._on_rates_heard,
             ev.UpstreamSignalled: self._on_signalled,
             ev.NeighboursSeen: self._on_neighbours,
         }
@@ -292,7 +292,9 @@
         )
         self.rates.take_answer(event.upstream, word, now_seconds)
 
-    def _on_rates_heard(self, event: ev.RatesHeard, now_seconds: float) -> None:
+    def _on_rates_heard(
+        self, event: ev.RateLimitUpdateReceived, now_seconds: float
+    ) -> None:
         self.rates.hear(event.news, now_seconds)
 
     def _on_signalled(self, event: ev.UpstreamSignalled, now_seconds: float) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from rampwick_schema import RateNews, Shown, UpstreamRate
+from rampwick_schema import RateLimitUpdate, Shown, UpstreamRate
 
 from ._notices import NoticeBook
 
@@ -22,9 +22,8 @@
 #: Time after which what has not changed is told again by whoever has an answer next.
 CONFIRM_SECONDS = 10.0
 
-#: Time for which news is told again, since a message to a slow peer is dropped and a
-#: hall may be without its relay for a moment.
-RETELL_SECONDS = 3.0
+#: Covers messages dropped by a full send queue and a relay fail-over.
+RETRANSMIT_SECONDS = 3.0
 
 
 @attrs.frozen(repr=False)
@@ -61,7 +60,7 @@
         self._confirmed_at: dict[str, float] = {}
         self._untold: set[str] = set()
         #: Called when there is something to tell.
-        self.note_news: Callable[[], None] = _do_nothing
+        self.on_update: Callable[[], None] = _do_nothing
 
     def __len__(self) -> int:
         return len(self._words)
@@ -91,9 +90,9 @@
         confirmed_at_seconds = self._confirmed_at.get(upstream, -math.inf)
         if is_change or now_seconds - confirmed_at_seconds > CONFIRM_SECONDS:
             self._untold.add(upstream)
-            self.note_news()
+            self.on_update()
 
-    def hear(self, news: RateNews, now_seconds: float) -> None:
+    def hear(self, news: RateLimitUpdate, now_seconds: float) -> None:
         """Take a peer's word."""
         for told in news.rates:
             word = RateWord(
@@ -107,24 +106,24 @@
             if self._words.get(told.upstream) is word:
                 self._confirmed_at[told.upstream] = now_seconds
 
-    def take_news(self, now_seconds: float) -> RateNews | None:
+    def take_update(self, now_seconds: float) -> RateLimitUpdate | None:
         """Return what peers have not been told, to tell them now and again later."""
         untold, self._untold = self._untold, set()
         for upstream in untold:
             self._told_at[upstream] = self._confirmed_at[upstream] = now_seconds
         return self._news(untold, now_seconds)
 
-    def repeat_news(self, now_seconds: float) -> RateNews | None:
+    def take_retransmission(self, now_seconds: float) -> RateLimitUpdate | None:
         """Return what peers were told of late, to tell it again."""
-        oldest_seconds = now_seconds - RETELL_SECONDS
+        oldest_seconds = now_seconds - RETRANSMIT_SECONDS
         told = {name for name, at in self._told_at.items() if at > oldest_seconds}
         return self._news(told, now_seconds)
 
-    def greeting(self, now_seconds: float) -> RateNews | None:
+    def initial_state(self, now_seconds: float) -> RateLimitUpdate | None:
         """Return what a host is to know that has just come."""
         return self._news(self._words, now_seconds)
 
-    def _news(self, names: Iterable[str], now_seconds: float) -> RateNews | None:
+    def _news(self, names: Iterable[str], now_seconds: float) -> RateLimitUpdate | None:
         rates = [
             UpstreamRate(
                 name,
@@ -137,7 +136,7 @@
             for name in sorted(names)
             if (word := self._words.get(name)) is not None
         ]
-        return RateNews(rates) if rates else None
+        return RateLimitUpdate(rates) if rates else None
 
     def take(self, upstream: str, word: RateWord, source: str) -> bool:
         """Take a word; return whether what is believed is another now."""
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -115,10 +115,10 @@
             ev.TargetsRead: self._on_pool_news,
             ev.CacheSeen: self._on_pool_news,
             ev.RateNamed: self._on_pool_news,
-            ev.RatesHeard: self._on_pool_news,
+            ev.RateLimitUpdateReceived: self._on_pool_news,
             ev.UpstreamSignalled: self._on_pool_news,
             ev.NeighboursSeen: self._on_pool_news,
-            ev.EndsHeard: self._on_ends_heard,
+            ev.CrashUpdateReceived: self._on_ends_heard,
             ev.TreeInForce: self._on_tree,
             ev.Tick: self._on_tick,
         }
@@ -334,7 +334,7 @@
     # Requests that upstreams end under.
 
     def _on_ends_heard(
-        self, event: ev.EndsHeard, now_seconds: float
+        self, event: ev.CrashUpdateReceived, now_seconds: float
     ) -> list[ev.Action]:
         if self.suspects.hear(event.news, now_seconds):
             return self._stop_suspects(now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_suspects.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_suspects.py
@@ -12,8 +12,8 @@
 from rampwick_schema import (
     AboardRequest,
     ClearedRequest,
+    CrashUpdate,
     EndedUpstream,
-    EndNews,
     LiveUpstream,
     Shown,
     StoppedRequest,
@@ -25,12 +25,11 @@
 from ._queue import QueuedRequest
 from ._rendezvous import rank
 
-#: Time for which own news is told again, since a message to a slow peer is dropped and
-#: a hall may be without its relay for a moment.
-RETELL_SECONDS = 3.0
+#: Covers messages dropped by a full send queue and a relay fail-over.
+RETRANSMIT_SECONDS = 3.0
 
 #: Age up to which ends are told to a host that has just come.
-GREET_SECONDS = 60.0
+INITIAL_STATE_SECONDS = 60.0
 
 
 @attrs.frozen(repr=False)
@@ -84,7 +83,7 @@
         self._untold: list[_Fact] = []
         self._told: deque[_Fact] = deque()
         #: Called when there is something to tell.
-        self.note_news: Callable[[], None] = _do_nothing
+        self.on_update: Callable[[], None] = _do_nothing
 
     # What attempts show.
 
@@ -198,7 +197,7 @@
 
     # What peers say and are told.
 
-    def hear(self, news: EndNews, now_seconds: float) -> bool:
+    def hear(self, news: CrashUpdate, now_seconds: float) -> bool:
         """Take a peer's word; return whether it stopped anybody."""
         for live in news.live:
             life = LifeName(live.upstream, live.incarnation)
@@ -235,7 +234,7 @@
             self._notice(suspect)
         return is_news
 
-    def take_news(self, now_seconds: float) -> EndNews | None:
+    def take_update(self, now_seconds: float) -> CrashUpdate | None:
         """Return what peers have not been told, to tell them now and again later."""
         if not self._untold:
             return None
@@ -243,21 +242,21 @@
         self._told.extend(facts)
         return _to_news(facts, now_seconds)
 
-    def repeat_news(self, now_seconds: float) -> EndNews | None:
+    def take_retransmission(self, now_seconds: float) -> CrashUpdate | None:
         """Return what peers were told of late, to tell it again."""
-        oldest_seconds = now_seconds - RETELL_SECONDS
+        oldest_seconds = now_seconds - RETRANSMIT_SECONDS
         while self._told and self._told[0].at_seconds < oldest_seconds:
             self._told.popleft()
         return _to_news(list(self._told), now_seconds) if self._told else None
 
-    def greeting(self, now_seconds: float) -> EndNews | None:
+    def initial_state(self, now_seconds: float) -> CrashUpdate | None:
         """Return what a host is to know that has just come."""
         facts: list[_Fact] = []
         for suspect in self.book:
             facts += [
                 _End(life, suspect.fingerprint, suspect.workspace_path, at_seconds)
                 for life, at_seconds in suspect.ends.items()
-                if now_seconds - at_seconds < GREET_SECONDS
+                if now_seconds - at_seconds < INITIAL_STATE_SECONDS
             ]
             if suspect.stopped_at_seconds is not None:
                 facts.append(
@@ -293,7 +292,7 @@
 
     def _tell(self, fact: _Fact) -> None:
         self._untold.append(fact)
-        self.note_news()
+        self.on_update()
 
 
 def _describe_ends(suspect: Suspect) -> str:
@@ -304,9 +303,9 @@
     )
 
 
-def _to_news(facts: list[_Fact], now_seconds: float) -> EndNews:
+def _to_news(facts: list[_Fact], now_seconds: float) -> CrashUpdate:
     """Return facts as peers are told them, with their ages."""
-    news = EndNews()
+    news = CrashUpdate()
     ended: dict[LifeName, EndedUpstream] = {}
     for fact in facts:
         age_seconds = max(0.0, now_seconds - fact.at_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -110,7 +110,7 @@
         )
         self.steward.tell_peers = self.gossip.tell_steward_news
         self.scheduler.note_long_prompt = self.gossip.early.note_load
-        self.scheduler.note_surge = self.gossip.early.note_surge
+        self.scheduler.note_burst = self.gossip.early.note_burst
         self._connect(api, draw, integration)
         self.claims = ClaimTask(api, settings.claims, read_clock, clocks.wall)
         self.probes = ProbeTask(control, self.scheduler)
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -87,7 +87,7 @@
         #: Called when a prompt was sent that keeps a runner busy for a while.
         self.note_long_prompt: Callable[[], None] = _do_nothing
         #: Called when a workspace near its limit asks this host for much more.
-        self.note_surge: Callable[[], None] = _do_nothing
+        self.note_burst: Callable[[], None] = _do_nothing
 
     @property
     def suspects(self) -> Suspects:
@@ -195,7 +195,7 @@
         if isinstance(event, RequestArrived) and self._scheduler.limits.has_surged(
             event.workspace, now_seconds
         ):
-            self.note_surge()
+            self.note_burst()
         for notice in self._scheduler.pool.notices.take():
             self._tell(notice)
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -13,21 +13,21 @@
 
 from rampwick_platform import move_on_at_grid, sleep_on_grid
 from rampwick_policy import (
-    EndsHeard,
+    CrashUpdateReceived,
     Member,
     Neighbours,
     NeighboursSeen,
     PeerGone,
     PeerHeard,
-    RatesHeard,
+    RateLimitUpdateReceived,
 )
 from rampwick_schema import (
     CacheNews,
-    EndNews,
+    CrashUpdate,
     FleetSummary,
     HallSummary,
     Members,
-    RateNews,
+    RateLimitUpdate,
     Settings,
     StewardNews,
     Summary,
@@ -41,7 +41,6 @@
 from ._ages import AgeKeeper
 from ._cache_mail import CacheMail
 from ._directory import PeerDirectory
-from ._early_news import EarlyNews
 from ._links import Link, PeerLinks
 from ._member_news import MemberNews
 from ._news import (
@@ -54,6 +53,7 @@
 from ._roles import Roles
 from ._summaries import SummaryTeller
 from ._sync import PeerSync
+from ._urgent_updates import UrgentUpdates
 
 #: Hosts of a small fleet up to which summaries go at the interval of the settings. In
 #: a larger one the interval grows with the square of the size: each host hears fewer
@@ -125,7 +125,7 @@
             self._sync,
             read_clock,
         )
-        self.early = EarlyNews(
+        self.early = UrgentUpdates(
             (scheduler.suspects, scheduler.rates),
             self.summaries,
             self._links,
@@ -185,7 +185,7 @@
         known = [to_record(member) for member in self.table]
         link.put(Members(known))
         self.cache_mail.greet(link)
-        for message in self.early.greetings(self._read_clock()):
+        for message in self.early.initial_states(self._read_clock()):
             link.put(message)
         if self._steward.is_holder:
             # A host that has just started sent prompts to a runner that was about to
@@ -240,11 +240,11 @@
             self._take_hall(link, message)
         elif isinstance(message, StewardNews):
             self._take_steward_news(link, message)
-        elif isinstance(message, EndNews):
-            self._scheduler.post(EndsHeard(message))
+        elif isinstance(message, CrashUpdate):
+            self._scheduler.post(CrashUpdateReceived(message))
             self._relay(link, message)
-        elif isinstance(message, RateNews):
-            self._scheduler.post(RatesHeard(message))
+        elif isinstance(message, RateLimitUpdate):
+            self._scheduler.post(RateLimitUpdateReceived(message))
             self._relay(link, message)
         elif isinstance(message, CacheNews):
             self.cache_mail.take(link, message)
@@ -268,7 +268,7 @@
         self._scheduler.post(PeerHeard(peer.name, peer.hall, peer.incarnation, summary))
         self.summaries.take_host(summary)
         if summary.has_surged and self.roles.is_relay():
-            self.early.note_surge()
+            self.early.note_burst()
 
     def _take_fleet(self, link: Link, news: FleetSummary) -> None:
         peer, own = link.peer, self.table.own
@@ -308,7 +308,7 @@
         self._sync.compare(link, news.summary)
         self.summaries.take_hall(news.summary)
         if news.summary.has_surged and self.roles.is_relay():
-            self.early.note_surge_elsewhere()
+            self.early.note_remote_burst()
 
     def _take_steward_news(self, link: Link, news: StewardNews) -> None:
         if news.holder == self.table.own.name:
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
@@ -0,0 +1,178 @@
+"""Urgent updates, sent outside the regular gossip interval.
+
+Long prompts, bursts under limits, upstreams that crash, leave or name a rate: what
+hosts do until they know of these costs more than a few messages.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import anyio
+
+from rampwick_schema import CrashUpdate, RateLimitUpdate
+
+from ._links import PeerLinks
+from ._roles import Roles
+from ._summaries import SummaryTeller
+
+#: Least time between two updates on long prompts: a round trip, and the handling of
+#: each by every host.
+LOAD_UPDATE_SECONDS = 0.05
+
+#: Least time between two updates on bursts: a relay adds up its hall for each.
+BURST_UPDATE_SECONDS = 0.1
+
+#: Time for which updates are batched: all attempts that a crash breaks fail within
+#: milliseconds, and share one message.
+UPDATE_BATCH_SECONDS = 0.02
+
+#: Time between two retransmissions of one update.
+RETRANSMIT_INTERVAL_SECONDS = 1.0
+
+#: Messages on facts that all hosts must know.
+Update = CrashUpdate | RateLimitUpdate
+
+
+class UpdateSource(Protocol):
+    """Facts that all hosts must know."""
+
+    #: Called when there is an update to broadcast.
+    on_update: Callable[[], None]
+
+    def take_update(self, now_seconds: float) -> Update | None:
+        """Return the update on what was not broadcast yet; none if nothing is new."""
+
+    def take_retransmission(self, now_seconds: float) -> Update | None:
+        """Return what was broadcast of late; none if nothing was."""
+
+    def initial_state(self, now_seconds: float) -> Update | None:
+        """Return what a host needs that has just connected; none if nothing."""
+
+
+class UrgentUpdates:
+    """Broadcasts at once what can't wait."""
+
+    def __init__(
+        self,
+        facts: Iterable[UpdateSource],
+        summaries: SummaryTeller,
+        links: PeerLinks,
+        roles: Roles,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._summaries = summaries
+        self._links = links
+        self._roles = roles
+        self._has_load = anyio.Event()
+        self._has_burst = anyio.Event()
+        self._broadcasters = [
+            UpdateBroadcaster(source, self._broadcast, read_clock) for source in facts
+        ]
+        #: Whether the burst to be broadcast is of this hall, and of another one.
+        self._is_own_burst = False
+        self._is_remote_burst = False
+
+    async def run(self) -> None:
+        """Broadcast until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._broadcast_load)
+            tasks.start_soon(self._broadcast_bursts)
+            for broadcaster in self._broadcasters:
+                tasks.start_soon(broadcaster.run)
+
+    def note_load(self) -> None:
+        """Note that a runner was sent a long prompt."""
+        self._has_load.set()
+
+    async def _broadcast_load(self) -> None:
+        """Broadcast the load that long prompts cause, in a small fleet.
+
+        All hosts that see a burst would send their prompts to the same idle runner
+        until they know of each other's.
+        """
+        while True:
+            await self._has_load.wait()
+            self._has_load = anyio.Event()
+            if not self._roles.table.is_large:
+                self._summaries.tell_own()
+            await anyio.sleep(LOAD_UPDATE_SECONDS)
+
+    def note_burst(self) -> None:
+        """Note that a workspace near its limit asks this hall for much more."""
+        self._is_own_burst = True
+        self._has_burst.set()
+
+    def note_remote_burst(self) -> None:
+        """Note a burst in another hall, which this hall's hosts are to know of."""
+        self._is_remote_burst = True
+        self._has_burst.set()
+
+    async def _broadcast_bursts(self) -> None:
+        while True:
+            await self._has_burst.wait()
+            self._has_burst = anyio.Event()
+            self.broadcast_burst()
+            await anyio.sleep(BURST_UPDATE_SECONDS)
+
+    def broadcast_burst(self) -> None:
+        """Broadcast a burst under a limit; a relay forwards one of its whole hall.
+
+        Until they know of a burst, hosts admit as much as before it. An update costs
+        a relay's whole hall, so one that changes nothing is not forwarded.
+        """
+        is_own, self._is_own_burst = self._is_own_burst, False
+        is_elsewhere, self._is_remote_burst = self._is_remote_burst, False
+        self._summaries.tell_own(has_surged=is_own)
+        if not self._roles.is_relay():
+            return
+        is_own = is_own and self._summaries.is_hall_surge()
+        if is_own or is_elsewhere:
+            self._summaries.tell_fleet()
+        if is_own:
+            self._summaries.tell_hall(has_surged=True)
+
+    def initial_states(self, now_seconds: float) -> list[Update]:
+        """Return the updates that a host needs that has just connected."""
+        states = [item.source.initial_state(now_seconds) for item in self._broadcasters]
+        return [state for state in states if state is not None]
+
+    def _broadcast(self, update: Update) -> None:
+        is_relay = self._roles.is_relay()
+        self._links.broadcast(
+            update, lambda peer: is_relay or self._roles.is_told(peer)
+        )
+
+
+class UpdateBroadcaster:
+    """Broadcasts updates from one source and retransmits them for a limited time."""
+
+    def __init__(
+        self,
+        source: UpdateSource,
+        broadcast: Callable[[Update], None],
+        read_clock: Callable[[], float],
+    ) -> None:
+        self.source = source
+        self._broadcast = broadcast
+        self._read_clock = read_clock
+        self._has_update = anyio.Event()
+        source.on_update = self.wake
+
+    def wake(self) -> None:
+        """Note that there is an update to broadcast."""
+        self._has_update.set()
+
+    async def run(self) -> None:
+        """Broadcast until cancelled."""
+        while True:
+            await self._has_update.wait()
+            await anyio.sleep(UPDATE_BATCH_SECONDS)
+            self._has_update = anyio.Event()
+            update = self.source.take_update(self._read_clock())
+            while update is not None:
+                self._broadcast(update)
+                with anyio.move_on_after(RETRANSMIT_INTERVAL_SECONDS):
+                    await self._has_update.wait()
+                update = self.source.take_retransmission(self._read_clock())
+                if self._has_update.is_set():
+                    break
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -480,7 +480,7 @@
 
 
 @attrs.frozen(repr=False)
-class EndNews(Shown):
+class CrashUpdate(Shown):
     """What hosts tell each other of upstreams that end under requests."""
 
     CODE: ClassVar[int] = 17
@@ -514,7 +514,7 @@
 
 
 @attrs.frozen(repr=False)
-class RateNews(Shown):
+class RateLimitUpdate(Shown):
     """What hosts tell each other of the rates that upstreams name."""
 
     CODE: ClassVar[int] = 18
@@ -541,6 +541,6 @@
     TreeReply.CODE: TreeReply,
     HostListRequest.CODE: HostListRequest,
     HostListReply.CODE: HostListReply,
-    EndNews.CODE: EndNews,
-    RateNews.CODE: RateNews,
+    CrashUpdate.CODE: CrashUpdate,
+    RateLimitUpdate.CODE: RateLimitUpdate,
 }
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -10,8 +10,8 @@
     AttemptFailed,
     BlameBook,
     CancelAttempt,
+    CrashUpdateReceived,
     Dispatch,
-    EndsHeard,
     HostListRead,
     LifeName,
     LoadReported,
@@ -28,7 +28,7 @@
 )
 from rampwick_policy._blame import MAX_SUSPECTS_COUNT, SETTLE_SECONDS
 from rampwick_schema import (
-    EndNews,
+    CrashUpdate,
     HostEntry,
     HostList,
     Node,
@@ -265,9 +265,9 @@
 
     def tell(self, teller, hearer, take=None):
         suspects = teller.scheduler.suspects
-        news = (take or suspects.take_news)(teller.at_seconds)
+        news = (take or suspects.take_update)(teller.at_seconds)
         if news is not None:
-            hearer.do(EndsHeard(news))
+            hearer.do(CrashUpdateReceived(news))
 
     def test_three_hosts_that_saw_one_end_each_stop_it(self):
         hosts = [Host(), Host(), Host()]
@@ -280,7 +280,7 @@
             host.end(name)
             for other in hosts:
                 if other is not host:
-                    self.tell(host, other, host.scheduler.suspects.greeting)
+                    self.tell(host, other, host.scheduler.suspects.initial_state)
         for host in hosts:
             host.later()
             self.assertEqual(Suspicion.STOPPED, host.suspicion(DEADLY))
@@ -288,7 +288,7 @@
     def test_a_host_that_has_just_come_is_told(self):
         old, new = Host(), Host()
         old.end_under(DEADLY, 3)
-        self.tell(old, new, old.scheduler.suspects.greeting)
+        self.tell(old, new, old.scheduler.suspects.initial_state)
         _, (refusal,) = new.ask(DEADLY)
         self.assertEqual("ends_upstreams", refusal.reason)
 
@@ -296,16 +296,16 @@
         host = Host()
         host.end_under(DEADLY, 3)
         suspects = host.scheduler.suspects
-        self.assertIsNotNone(suspects.take_news(host.at_seconds))
-        self.assertIsNone(suspects.take_news(host.at_seconds))
-        self.assertIsNotNone(suspects.repeat_news(host.at_seconds))
-        self.assertIsNone(suspects.repeat_news(host.at_seconds + 10.0))
+        self.assertIsNotNone(suspects.take_update(host.at_seconds))
+        self.assertIsNone(suspects.take_update(host.at_seconds))
+        self.assertIsNotNone(suspects.take_retransmission(host.at_seconds))
+        self.assertIsNone(suspects.take_retransmission(host.at_seconds + 10.0))
 
     def test_a_request_let_go_stays_so_whatever_old_news_comes(self):
         one, two = Host(), Host()
         one.end_under(DEADLY, 3)
-        old = one.scheduler.suspects.greeting(one.at_seconds)
-        two.do(EndsHeard(old))
+        old = one.scheduler.suspects.initial_state(one.at_seconds)
+        two.do(CrashUpdateReceived(old))
         one.at_seconds += 1.0
         two.at_seconds += 1.0
         found = RequestIdentity("/w", "h/x", DEADLY).fingerprint
@@ -319,15 +319,15 @@
             ended=[attrs.evolve(item, age_seconds=3.0) for item in old.ended],
             stopped=[attrs.evolve(item, age_seconds=3.0) for item in old.stopped],
         )
-        two.do(EndsHeard(aged))
+        two.do(CrashUpdateReceived(aged))
         self.assertEqual(Suspicion.NONE, two.suspicion(DEADLY))
 
     def test_a_peers_word_stops_what_is_under_way(self):
         host = Host()
         name, _ = host.ask(DEADLY)
         found = RequestIdentity("/w", "h/x", DEADLY).fingerprint
-        news = EndNews(stopped=[StoppedRequest(found, "/w", 0.1, 3)])
-        actions = host.do(EndsHeard(news))
+        news = CrashUpdate(stopped=[StoppedRequest(found, "/w", 0.1, 3)])
+        actions = host.do(CrashUpdateReceived(news))
         self.assertEqual([name], [a.request_id for a in actions if type(a) is Refuse])
 
 
--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -21,8 +21,8 @@
     Neighbours,
     NeighboursSeen,
     ProbeFailed,
+    RateLimitUpdateReceived,
     RateNamed,
-    RatesHeard,
     Refuse,
     RunState,
     Tick,
@@ -30,7 +30,7 @@
 from rampwick_policy._notices import NoticeBook
 from rampwick_policy._request_rates import (
     CONFIRM_SECONDS,
-    RETELL_SECONDS,
+    RETRANSMIT_SECONDS,
     RateWord,
     RequestRates,
 )
@@ -304,7 +304,7 @@
         super().setUp()
         self.woken = []
         self.one = RequestRates(NoticeBook())
-        self.one.note_news = lambda: self.woken.append(True)
+        self.one.on_update = lambda: self.woken.append(True)
         self.two = RequestRates(NoticeBook())
 
     def answer(self, rate, at, asked=None):
@@ -314,28 +314,28 @@
     def test_it_is_told_at_once_and_again_for_a_while(self):
         self.answer(1.8, 1.0)
         self.assertEqual([True], self.woken)
-        self.two.hear(self.one.take_news(1.02), 51.0)
+        self.two.hear(self.one.take_update(1.02), 51.0)
         self.assertEqual(1.8, self.two.rate("u", "1", 51.0))
-        self.assertIs(None, self.one.take_news(1.1))
-        self.assertEqual(1, len(self.one.repeat_news(2.0).rates))
-        self.assertIs(None, self.one.repeat_news(1.1 + RETELL_SECONDS))
+        self.assertIs(None, self.one.take_update(1.1))
+        self.assertEqual(1, len(self.one.take_retransmission(2.0).rates))
+        self.assertIs(None, self.one.take_retransmission(1.1 + RETRANSMIT_SECONDS))
 
     def test_the_same_is_told_again_where_nobody_has_for_a_while(self):
         self.answer(1.8, 1.0)
-        self.one.take_news(1.0)
+        self.one.take_update(1.0)
         self.answer(1.8, 5.0)
         self.assertEqual(1, len(self.woken))
-        self.two.hear(self.one.greeting(5.0), 5.0)
-        self.one.hear(self.two.greeting(6.0), 6.0)
+        self.two.hear(self.one.initial_state(5.0), 5.0)
+        self.one.hear(self.two.initial_state(6.0), 6.0)
         self.answer(1.8, 1.5 + CONFIRM_SECONDS)
         self.assertEqual(2, len(self.woken))
 
     def test_an_old_word_does_not_bring_back_what_is_over(self):
         self.answer(1.8, 1.0)
-        old = self.one.greeting(1.0)
+        old = self.one.initial_state(1.0)
         self.two.hear(old, 1.0)
         self.answer(None, 2.0)
-        self.two.hear(self.one.take_news(2.0), 2.0)
+        self.two.hear(self.one.take_update(2.0), 2.0)
         self.assertIs(None, self.two.rate("u", "1", 2.0))
         late = attrs.evolve(
             old,
@@ -430,6 +430,6 @@
         session.do(0.0, NeighboursSeen(near, is_leaving=True))
         rates = RequestRates(NoticeBook())
         rates.take("lektor-1", RateWord("one", 1.0, 0.0, 0.0), "test")
-        session.do(0.0, RatesHeard(rates.greeting(0.0)))
+        session.do(0.0, RateLimitUpdateReceived(rates.initial_state(0.0)))
         (refusal,) = session.arrive(0.1, "r0", latency_target_seconds=2.0)
         self.assertEqual("upstreams_at_rate", refusal.reason)
--- a/tests/test_early_news.py
+++ b/tests/test_urgent_updates.py
@@ -17,8 +17,8 @@
 )
 from rampwick_policy._notices import NoticeBook
 from rampwick_router._scheduler_task import SchedulerTask
-from rampwick_router.peers._early_news import EarlyNews
-from rampwick_schema import EndNews, LimitUsage, Node, Tree, parse_settings
+from rampwick_router.peers._urgent_updates import UrgentUpdates
+from rampwick_schema import CrashUpdate, LimitUsage, Node, Tree, parse_settings
 
 
 class RecordingTeller:
@@ -45,25 +45,25 @@
     def tell(self, *notes, is_relay, is_hall_surge=True):
         teller = RecordingTeller(is_hall_surge)
         roles = SimpleNamespace(is_relay=lambda: is_relay)
-        news = EarlyNews((), teller, None, roles, None)
+        news = UrgentUpdates((), teller, None, roles, None)
         for note in notes:
             getattr(news, note)()
-        news.tell_surge()
+        news.broadcast_burst()
         return teller.told
 
     def test_a_host_tells_those_that_hear_it(self):
-        told = self.tell("note_surge", is_relay=False)
+        told = self.tell("note_burst", is_relay=False)
         self.assertEqual([("own", True)], told)
 
     def test_a_relay_passes_it_on_to_its_hall_and_to_the_others(self):
-        told = self.tell("note_surge", is_relay=True)
+        told = self.tell("note_burst", is_relay=True)
         self.assertEqual([("own", True), ("fleet", False), ("hall", True)], told)
 
     def test_a_relay_keeps_back_what_changes_nothing_for_its_hall(self):
-        told = self.tell("note_surge", is_relay=True, is_hall_surge=False)
+        told = self.tell("note_burst", is_relay=True, is_hall_surge=False)
         self.assertEqual([("own", True)], told)
         both = self.tell(
-            "note_surge", "note_surge_elsewhere", is_relay=True, is_hall_surge=False
+            "note_burst", "note_remote_burst", is_relay=True, is_hall_surge=False
         )
         self.assertEqual([("own", True), ("fleet", False)], both)
 
@@ -79,7 +79,7 @@
         self.assertTrue(gate.is_news([usage, attrs.evolve(usage, path="/v")]))
 
     def test_what_another_hall_told_does_not_go_back(self):
-        told = self.tell("note_surge_elsewhere", is_relay=True)
+        told = self.tell("note_remote_burst", is_relay=True)
         self.assertEqual([("own", False), ("fleet", False)], told)
 
     def test_a_surge_counts_where_a_limit_is_nearly_used_and_not_before(self):
@@ -89,7 +89,7 @@
         )
         clock = SimpleNamespace(now=100.0)
         task = SchedulerTask(scheduler, lambda: clock.now)
-        task.note_surge = lambda: surges.append(clock.now)
+        task.note_burst = lambda: surges.append(clock.now)
         node = Node(is_workspace=True, tokens_per_second=100.0, burst_tokens=200.0)
         view = TreeView(Tree(1, {"/": Node(), "/w": node}))
         task.post(TreeInForce(view))
@@ -125,8 +125,8 @@
             is_relay=lambda: is_relay, is_told=lambda peer: peer.name in told_names
         )
         links = SimpleNamespace(broadcast=send)
-        news = EarlyNews((), None, links, roles, None)
-        news._broadcast(EndNews())
+        news = UrgentUpdates((), None, links, roles, None)
+        news._broadcast(CrashUpdate())
         return sent
 
     def test_a_host_of_a_large_fleet_tells_its_relays(self):
@@ -143,6 +143,6 @@
             life = LifeName("u", str(number))
             suspects.book.note_end(life, b"f" * 16, "/w", 1.0, 1.0)
         suspects.judge(2.0)
-        news = suspects.take_news(2.0)
+        news = suspects.take_update(2.0)
         self.assertEqual([3], [item.ends_count for item in news.stopped])
-        self.assertEqual(3, len(suspects.greeting(2.0).ended))
+        self.assertEqual(3, len(suspects.initial_state(2.0).ended))
