Broadcast announced shutdowns to all hosts; the soak has a runner announce one

A leaving upstream concerns all hosts, and an answer may be the only one that says so while the store is away: each host would send it a request of its own first. Announcements take the way of crash and rate-limit updates: broadcast 20 ms after the answer, retransmitted for 3 s, and part of the initial state of a new link. Nothing orders them, since none is taken back.

Soak: a runner announces its shutdown in its answers only; no undisturbed host may send to it 2 s after the first such answer.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -28,6 +28,7 @@
     withdraw_claims as withdraw_claims,
 )
 from ._configuration import ConfigurationFollower as ConfigurationFollower
+from ._departures import Departures as Departures
 from ._errors import (
     ConflictError as ConflictError,
     LifecycleError as LifecycleError,
@@ -48,6 +49,7 @@
     Dispatch as Dispatch,
     Event as Event,
     HostListRead as HostListRead,
+    LeavingUpdateReceived as LeavingUpdateReceived,
     LoadOrdered as LoadOrdered,
     LoadReported as LoadReported,
     NeighboursSeen as NeighboursSeen,
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -5,6 +5,7 @@
 from rampwick_schema import (
     CrashUpdate,
     HostList,
+    LeavingUpdate,
     LoadReport,
     NamedWeights,
     RateLimitUpdate,
@@ -242,6 +243,13 @@
     source: str = "its answer says so"
 
 
+@attrs.frozen(repr=False)
+class LeavingUpdateReceived(Shown):
+    """A peer knows of upstreams that announced their shutdown."""
+
+    update: LeavingUpdate
+
+
 @attrs.frozen(repr=False)
 class NeighboursSeen(Shown):
     """The host hears other hosts than before, or begins to leave."""
@@ -289,6 +297,7 @@
     | RateNamed
     | RateLimitUpdateReceived
     | UpstreamSignalled
+    | LeavingUpdateReceived
     | NeighboursSeen
     | CrashUpdateReceived
     | TreeInForce
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -50,6 +50,7 @@
     | ev.RateNamed
     | ev.RateLimitUpdateReceived
     | ev.UpstreamSignalled
+    | ev.LeavingUpdateReceived
     | ev.NeighboursSeen
 )
 
@@ -97,6 +98,7 @@
             ev.RateNamed: self._on_rate,
             ev.RateLimitUpdateReceived: self._on_rates_heard,
             ev.UpstreamSignalled: self._on_signalled,
+            ev.LeavingUpdateReceived: self._on_leaving_received,
             ev.NeighboursSeen: self._on_neighbours,
         }
 
@@ -309,6 +311,15 @@
             paused = Incarnation(event.upstream, incarnation)
             self._pause(paused, event.pause_seconds, event.source, now_seconds)
 
+    def _on_leaving_received(
+        self, event: ev.LeavingUpdateReceived, now_seconds: float
+    ) -> None:
+        received = self.upstreams.departures.receive(event.update, now_seconds)
+        for incarnation in received:
+            upstream = self.upstreams.get(incarnation.upstream)
+            if upstream is not None:
+                self._notice(upstream, "a peer had an answer", now_seconds)
+
     def _pause(
         self,
         paused: Incarnation,
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -117,6 +117,7 @@
             ev.RateNamed: self._on_pool_news,
             ev.RateLimitUpdateReceived: self._on_pool_news,
             ev.UpstreamSignalled: self._on_pool_news,
+            ev.LeavingUpdateReceived: self._on_pool_news,
             ev.NeighboursSeen: self._on_pool_news,
             ev.CrashUpdateReceived: self._on_ends_heard,
             ev.TreeInForce: self._on_tree,
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -17,6 +17,7 @@
 from rampwick_policy import (
     Action,
     CancelAttempt,
+    Departures,
     Dispatch,
     Event,
     Notice,
@@ -99,6 +100,11 @@
         """Rates of requests that upstreams name."""
         return self._scheduler.pool.rates
 
+    @property
+    def departures(self) -> Departures:
+        """Upstreams that announced their shutdown."""
+        return self._scheduler.upstreams.departures
+
     def knows_rate(self, upstream: str) -> bool:
         """Return whether an upstream has named a rate of requests of late."""
         return self.rates.knows(upstream)
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -14,6 +14,7 @@
 from rampwick_platform import move_on_at_grid, sleep_on_grid
 from rampwick_policy import (
     CrashUpdateReceived,
+    LeavingUpdateReceived,
     Member,
     Neighbours,
     NeighboursSeen,
@@ -26,6 +27,7 @@
     CrashUpdate,
     FleetSummary,
     HallSummary,
+    LeavingUpdate,
     Members,
     RateLimitUpdate,
     Settings,
@@ -126,7 +128,7 @@
             read_clock,
         )
         self.early = UrgentUpdates(
-            (scheduler.suspects, scheduler.rates),
+            (scheduler.suspects, scheduler.rates, scheduler.departures),
             self.summaries,
             self._links,
             self.roles,
@@ -246,6 +248,9 @@
         elif isinstance(message, RateLimitUpdate):
             self._scheduler.post(RateLimitUpdateReceived(message))
             self._relay(link, message)
+        elif isinstance(message, LeavingUpdate):
+            self._scheduler.post(LeavingUpdateReceived(message))
+            self._relay(link, message)
         elif isinstance(message, CacheNews):
             self.cache_mail.take(link, message)
         elif isinstance(message, Members):
--- a/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from rampwick_schema import CrashUpdate, RateLimitUpdate
+from rampwick_schema import CrashUpdate, LeavingUpdate, RateLimitUpdate
 
 from ._links import PeerLinks
 from ._roles import Roles
@@ -30,7 +30,7 @@
 RETRANSMIT_INTERVAL_SECONDS = 1.0
 
 #: Messages on facts that all hosts must know.
-Update = CrashUpdate | RateLimitUpdate
+Update = CrashUpdate | RateLimitUpdate | LeavingUpdate
 
 
 class UpdateSource(Protocol):
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -26,6 +26,8 @@
     HostListChanges as HostListChanges,
     HostListReply as HostListReply,
     HostListRequest as HostListRequest,
+    LeavingUpdate as LeavingUpdate,
+    LeavingUpstream as LeavingUpstream,
     LimitUsage as LimitUsage,
     LiveUpstream as LiveUpstream,
     MemberRecord as MemberRecord,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -523,6 +523,26 @@
     rates: list[UpstreamRate] = attrs.field(factory=list)
 
 
+@attrs.frozen(repr=False)
+class LeavingUpstream(Shown):
+    """One incarnation of an upstream that is shutting down."""
+
+    #: Name of the upstream.
+    upstream: str
+    #: Its incarnation; empty where incarnations are not told apart.
+    incarnation: str
+
+
+@attrs.frozen(repr=False)
+class LeavingUpdate(Shown):
+    """Upstreams that announced their shutdown in an answer."""
+
+    CODE: ClassVar[int] = 19
+
+    #: Their incarnations.
+    leaving: list[LeavingUpstream] = attrs.field(factory=list)
+
+
 #: Classes by the code that starts their message.
 MESSAGES: dict[int, type] = {
     Hello.CODE: Hello,
@@ -543,4 +563,5 @@
     HostListReply.CODE: HostListReply,
     CrashUpdate.CODE: CrashUpdate,
     RateLimitUpdate.CODE: RateLimitUpdate,
+    LeavingUpdate.CODE: LeavingUpdate,
 }
--- a/packages/rampwick-standin/src/rampwick_standin/_engine.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_engine.py
@@ -128,6 +128,8 @@
     cached_weights_version: int = 0
     is_done: bool = False
     is_cancelled: bool = False
+    #: Whether the head of its answer announced the engine's shutdown.
+    announced_leaving: bool = False
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     def notify(self) -> None:
@@ -166,6 +168,8 @@
         self._begin_life()
 
     def _begin_life(self) -> None:
+        #: Whether all answers of this life announce its end.
+        self.is_leaving = False
         self.incarnation = secrets.token_hex(4)
         self.cache = BlockCache(self.settings.cache_tokens)
         self.streams: dict[str, Stream] = {}
--- a/packages/rampwick-standin/src/rampwick_standin/_runner.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_runner.py
@@ -40,6 +40,7 @@
                 Route("/orders", self._order, methods=["PUT"]),
                 Route("/faults", self._set_faults, methods=["POST"]),
                 Route("/crash", self._crash, methods=["POST"]),
+                Route("/leave", self._leave, methods=["POST"]),
                 Route("/request-rate", self._set_rate, methods=["POST"]),
                 Route("/seen", self._seen),
             ]
@@ -83,6 +84,9 @@
         rate = self.engine.request_rate
         if rate is not None:
             headers["Rampwick-Request-Rate"] = f"{rate:g}"
+        if self.engine.is_leaving:
+            stream.announced_leaving = True
+            headers["Rampwick-Leaving"] = "1"
         return StreamingResponse(
             self._events(stream, position, is_chat),
             media_type="text/event-stream",
@@ -168,12 +172,18 @@
                 "cached_weights_version": stream.cached_weights_version,
                 "incarnation": stream.incarnation,
                 "started_at_seconds": stream.started_at_seconds,
+                "announced_leaving": stream.announced_leaving,
             }
             for stream in self.engine.started
         ]
         orders = [order.fencing_number for order in self.engine.orders]
         return JSONResponse({"attempts": attempts, "orders": orders})
 
+    async def _leave(self, request: Request) -> Response:
+        """Announce in all answers from now on that this life ends."""
+        self.engine.is_leaving = True
+        return Response(status_code=204)
+
     async def _crash(self, request: Request) -> Response:
         self.engine.crash()
         return Response(status_code=204)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -37,6 +37,10 @@
 RATE_OVER_RATIO = 1.5
 RATE_SLACK_COUNT = 5
 
+#: Time after the first answer that announces a shutdown from which on no host may send
+#: to that runner: peers are sent it at once, and once more a second later.
+DEPARTURE_KNOWN_SECONDS = 2.0
+
 #: Time beyond its deadline by which a caller must have had its final answer.
 ANSWER_SLACK_SECONDS = 4.0
 
@@ -86,6 +90,7 @@
         *check_leaving(seen),
         *check_deadly(seen),
         *check_rates(seen),
+        *check_departures(seen),
     ]
     return [sentence.replace(GUIDE, "") for sentence in found]
 
@@ -141,7 +146,40 @@
     return found
 
 
-def _is_disturbed(deeds: Iterable[Deed], limited: Deed, kinds: str) -> bool:
+def check_departures(seen: Seen) -> list[str]:
+    """No undisturbed host sends to a runner that has announced its shutdown."""
+    first: dict[tuple[str, str], float] = {}
+    for attempt in seen.attempts:
+        if attempt.announced_leaving:
+            life, at_seconds = _life(attempt), seen.started[attempt.attempt_id]
+            first[life] = min(at_seconds, first.get(life, at_seconds))
+    return [
+        f"{attempt.runner} leaves and got {attempt.attempt_id}"
+        for attempt in seen.attempts
+        if (announced_seconds := first.get(_life(attempt))) is not None
+        and seen.started[attempt.attempt_id]
+        > announced_seconds + DEPARTURE_KNOWN_SECONDS
+        and not _is_uninformed(seen, attempt, announced_seconds)
+    ]
+
+
+def _life(attempt: RunnerSaw) -> tuple[str, str]:
+    return attempt.runner, attempt.incarnation
+
+
+def _is_uninformed(seen: Seen, attempt: RunnerSaw, announced_seconds: float) -> bool:
+    """Return whether anything kept the announcement from the host of an attempt."""
+    until_seconds = seen.started[attempt.attempt_id]
+    meanwhile = Deed("", attempt.runner, announced_seconds, until_seconds)
+    kinds = ("runner_link_", "runner_frozen", "runner_loses_answers")
+    return _is_excused(seen.deeds, attempt.attempt_id, meanwhile) or _is_disturbed(
+        seen.deeds, meanwhile, kinds
+    )
+
+
+def _is_disturbed(
+    deeds: Iterable[Deed], limited: Deed, kinds: str | tuple[str, ...]
+) -> bool:
     """Return whether something else was wrong with a runner that named a rate."""
     return any(
         deed is not limited
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -77,20 +77,25 @@
 )
 
 #: Connections that are silent for good while new ones work, a request that crashes
-#: whoever runs it, and a runner that takes few requests. They are drawn after all else,
-#: so that a seed draws what it drew before there were such.
+#: whoever runs it, a runner that takes few requests, and one that only its answers say
+#: is leaving. They are drawn after all else, so that a seed draws what it drew before
+#: there were such.
 LATE_KINDS = (
     "peer_link_stranded",
     "platform_link_stranded",
     "runner_link_stranded",
     "deadly_prompt",
     "runner_limited",
+    "runner_announces",
 )
 
 #: How long a runner names a rate, and how large it is at the most.
 LIMITED_SECONDS = 9.0
 MOST_RATE = 3.0
 
+#: Time from the announcement of a runner's shutdown to its end.
+ANNOUNCED_SECONDS = 6.0
+
 #: How often what runners don't survive is asked for, and with which pause.
 DEADLY_TRIES = 14
 DEADLY_PAUSE_SECONDS = 0.5
@@ -329,6 +334,15 @@
         deed.ended_seconds = time.monotonic()
         await self._name_rate(runner, None)
 
+    async def _runner_announces(self, fault: Fault, deed: Deed) -> None:
+        """Have a runner announce its shutdown in its answers only, then end it."""
+        runner = self._runner(fault, deed)
+        await self._fleet.post(runner, "/leave")
+        deed.began_seconds = time.monotonic()
+        await anyio.sleep(ANNOUNCED_SECONDS)
+        deed.ended_seconds = time.monotonic()
+        await self._fleet.post(runner, "/crash")
+
     async def _name_rate(self, runner: Member, rate: float | None) -> None:
         data = {"requests_per_second": rate}
         await self._fleet.post(runner, "/request-rate", data)
--- a/tests/history.py
+++ b/tests/history.py
@@ -43,6 +43,8 @@
     incarnation: str
     #: Oldest weights that computed what was cached, where the engine tells it.
     cached_weights_version: int | None = None
+    #: Whether the head of its answer announced the engine's shutdown.
+    announced_leaving: bool = False
 
 
 @attrs.frozen
--- a/tests/test_requests_to_leaving_upstreams.py
+++ b/tests/test_requests_to_leaving_upstreams.py
@@ -18,10 +18,23 @@
     Tick,
     UpstreamSignalled,
 )
-from rampwick_policy._departures import UNLISTED_SECONDS, Departures, Incarnation
+from rampwick_policy._departures import (
+    RETRANSMIT_SECONDS,
+    UNLISTED_SECONDS,
+    Departures,
+    Incarnation,
+)
 from rampwick_router import AnswerHead
-from rampwick_schema import HostEntry, HostList, StewardSettings
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    LeavingUpdate,
+    LeavingUpstream,
+    StewardSettings,
+)
 
+from .bench import run_two_hosts, until
+from .case import ScenarioCase
 from .scripted import run_routed
 from .test_scheduler import Session
 
@@ -159,7 +172,55 @@
         self.assertEqual(["r2"], refused)
 
 
+class PeersTest(ScenarioCase):
+    def test_a_host_sends_nothing_to_one_that_a_peer_s_answer_announced(self):
+        async def scenario(bench):
+            bench.add_runner("lektor-0")
+            bench.add_runner("lektor-1")
+            bench.runners["lektor-0"].engine.is_leaving = True
+            async with run_two_hosts(bench) as (one, two):
+                started = bench.runners["lektor-0"].engine.started
+                for number in range(100):
+                    if started:
+                        break
+                    await one.complete(f"{number} of the sheets, " * 20)
+                await until(lambda: len(two.daemon.scheduler.departures))
+                known_count = len(started)
+                for number in range(20):
+                    await two.complete(f"{number} of the plants, " * 20)
+                return known_count, len(started)
+
+        self.assertEqual((1, 1), self.run_scenario(scenario))
+
+
 class DeparturesTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.one, self.two = Departures(), Departures()
+        self.woken = []
+        self.one.on_update = lambda: self.woken.append(True)
+        self.two.on_update = lambda: self.woken.append(False)
+
+    def test_an_answer_is_broadcast_once_and_retransmitted_for_a_while(self):
+        gone = Incarnation("a", "1")
+        self.one.note(gone, 1.0)
+        self.one.note(gone, 1.5)
+        self.assertEqual([True], self.woken)
+        update = self.one.take_update(1.02)
+        self.assertEqual([gone], self.two.receive(update, 1.03))
+        self.assertEqual([], self.two.receive(update, 1.04))
+        self.assertIs(None, self.one.take_update(1.1))
+        self.assertEqual(update, self.one.take_retransmission(2.0))
+        self.assertIs(None, self.one.take_retransmission(1.1 + RETRANSMIT_SECONDS))
+
+    def test_what_a_peer_sent_goes_to_new_peers_only(self):
+        update = LeavingUpdate([LeavingUpstream("a", "1")])
+        self.two.receive(update, 1.0)
+        self.assertEqual([], self.woken)
+        self.assertIs(None, self.two.take_update(1.0))
+        self.assertEqual(update, self.two.initial_state(1.0))
+        self.assertIs(None, self.one.initial_state(1.0))
+
     def test_what_is_not_listed_for_long_is_dropped(self):
         departures = Departures()
         gone, listed = Incarnation("a", "1"), Incarnation("b", "1")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -106,6 +106,23 @@
         found = self.violations(calls=[lost, refused], attempts=[run("p")], deeds=deeds)
         self.assertEqual([], found)
 
+    def departure(self, *begun, deeds=()):
+        """Return what is wrong if a leaving runner's requests begin then."""
+        names = [f"e{number}-1-1.1" for number, _ in enumerate(begun)]
+        attempts = [
+            attrs.evolve(run("p", name), announced_leaving=True) for name in names
+        ]
+        started = dict(zip(names, begun, strict=True))
+        seen = {"attempts": attempts, "started": started, "deeds": list(deeds)}
+        return self.violations(calls=[call("p")], **seen)
+
+    def test_requests_to_a_runner_that_announced_its_shutdown_are_caught(self):
+        self.assertEqual([], self.departure(101.0, 102.5))
+        self.assertNotEqual([], self.departure(101.0, 103.5))
+        for kind, target in (("peer_link_silent", "e1"), ("runner_frozen", "r0")):
+            kept_from_it = Deed(kind, target, 100.0, 104.0)
+            self.assertEqual([], self.departure(101.0, 103.5, deeds=[kept_from_it]))
+
     def test_old_weights_entries_are_caught(self):
         attempts = [run("p", "a.1"), run("q", "b.1", cached=16, weights=2)]
         self.assertNotEqual([], self.violations(attempts=attempts))
