--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -2,7 +2,18 @@
 
 import sys
 
-from . import blame, lab, limits, load, membership, placement, rates, relay, slopes
+from . import (
+    blame,
+    lab,
+    limits,
+    load,
+    membership,
+    placement,
+    rates,
+    relay,
+    signals,
+    slopes,
+)
 
 MEASUREMENTS = {
     "blame": blame.main,
@@ -13,6 +24,7 @@
     "membership": membership.main,
     "rates": rates.main,
     "relay": relay.main,
+    "signals": signals.main,
     "slopes": slopes.main,
 }
 
