--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -228,7 +228,7 @@
     ) -> LoadReport | None:
         """Return a runner's report, none of a healthy service, or raise DataError."""
 
-    def read_signals(self, head: AnswerHead) -> UpstreamSignals:
+    def read_signals(self, head: AnswerHead, body: bytes) -> UpstreamSignals:
         """Return the signals of an answer that is surely the called upstream's own."""
 
     def order(self, entry: HostEntry, order: Order) -> ControlRequest:
--- a/packages/rampwick-router/src/rampwick_router/_own_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_own_dialect.py
@@ -175,7 +175,7 @@
             orjson.loads(body), LoadReport, step="probe upstream", peer=entry.name
         )
 
-    def read_signals(self, head: AnswerHead) -> UpstreamSignals:
+    def read_signals(self, head: AnswerHead, body: bytes) -> UpstreamSignals:
         """Return none: control calls name no incarnation that an answer could prove."""
         return UpstreamSignals()
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -82,7 +82,7 @@
         head, body = await call_upstream(
             self._channels, entry.name, entry.address, request, CONTROL_TIMEOUT_SECONDS
         )
-        signals = self._dialect.read_signals(head)
+        signals = self._dialect.read_signals(head, body)
         if signals:
             self._scheduler.post(
                 UpstreamSignalled(
--- a/tests/test_requests_to_leaving_upstreams.py
+++ b/tests/test_requests_to_leaving_upstreams.py
@@ -235,9 +235,24 @@
 
 
 class ControlAnswersTest(TestCase):
-    def test_answers_to_control_calls_count_unless_another_gave_them(self):
+    def is_leaving(self, status, headers=(), body=b""):
         control = ControlTranslation("entry-1", StewardSettings())
+        head = AnswerHead(status, headers, is_framed=True)
+        return control.read_signals(head, body).is_leaving
+
+    def test_answers_to_control_calls_count_unless_another_gave_them(self):
         headers = [(b"Server-Leaving", b"1")]
         for status, is_leaving in {200: True, 503: True, 421: False}.items():
-            signals = control.read_signals(AnswerHead(status, headers, is_framed=True))
-            self.assertEqual(is_leaving, signals.is_leaving)
+            self.assertEqual(is_leaving, self.is_leaving(status, headers))
+
+    def test_a_report_counts_by_its_state(self):
+        for body, is_leaving in {
+            b'{"state": "draining", "running": 3}': True,
+            b'{"state": "ready"}': False,
+            b'{"state": 7}': False,
+            b"[]": False,
+            b"ok": False,
+            b"": False,
+        }.items():
+            self.assertEqual(is_leaving, self.is_leaving(200, body=body))
+        self.assertFalse(self.is_leaving(503, body=b'{"state": "draining"}'))
