--- a/measure/_lab.py
+++ b/measure/_lab.py
@@ -22,7 +22,7 @@
     Life,
     Neighbours,
     NeighboursSeen,
-    PeerHeard,
+    PeerSummaryReceived,
     RateLimitUpdateReceived,
     RateNamed,
     Refuse,
@@ -233,12 +233,12 @@
         self._sequence += 1
         now_seconds = self._lab.clock.now_seconds
         summary = self.scheduler.summary(self._sequence, 1, False, now_seconds)
-        heard = PeerHeard(self.name, self.hall, self.incarnation, summary)
+        heard = PeerSummaryReceived(self.name, self.hall, self.incarnation, summary)
         for peer in self._lab.hosts:
             if peer is not self:
                 self._lab.clock.after(HOP_SECONDS, peer.hear, heard)
 
-    def hear(self, heard: PeerHeard) -> None:
+    def hear(self, heard: PeerSummaryReceived) -> None:
         """Hear a peer, unless this host is off."""
         if not self._lab.is_off:
             self.handle(heard)
--- a/measure/_limits_lab.py
+++ b/measure/_limits_lab.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from rampwick_policy import HallNews, SurgeGate, sum_limits, without
+from rampwick_policy import SummaryDigest, SurgeGate, sum_limits, without
 from rampwick_schema import Shown, Summary
 
 from ._limit_patterns import LimitPattern
@@ -198,7 +198,7 @@
     def _say_hall(self, hall: int) -> None:
         now_seconds = self.clock.now_seconds
         heard = [*self._hall(hall), *self._others(hall)]
-        total = HallNews().merge(heard, 1)
+        total = SummaryDigest().merge(heard, 1)
         for host in self.hosts:
             if host.hall == hall and not host.is_off and host.told is not None:
                 age_seconds = now_seconds - host.told_at_seconds
@@ -212,7 +212,7 @@
     def _say_others(self, hall: int) -> None:
         if not any(host.hall == hall and not host.is_off for host in self.hosts):
             return
-        summary = HallNews().merge(self._hall(hall), 1)
+        summary = SummaryDigest().merge(self._hall(hall), 1)
         self._surges[hall].note_told(summary.limits)
         for other in range(self._pattern.halls_count):
             if other != hall and not self._is_cut(hall, other):
--- a/measure/_rate_lab.py
+++ b/measure/_rate_lab.py
@@ -16,7 +16,7 @@
 from rampwick_policy import Health, Neighbours
 from rampwick_policy._fleet_limit import FleetLimit
 from rampwick_policy._notices import NoticeBook
-from rampwick_policy._request_rates import RateWord, RequestRates
+from rampwick_policy._request_rates import RateObservation, RequestRates
 from rampwick_policy._request_turns import (
     FewSenders,
     RequestTurns,
@@ -253,11 +253,11 @@
         name, rate = item.upstream.name, item.rate(now_seconds)
         if rate is not None:
             host.known_since.setdefault(name, now_seconds)
-        word = RateWord("", rate, asked_at_seconds, now_seconds)
+        word = RateObservation("", rate, asked_at_seconds, now_seconds)
         if host.rates.take(name, word, "its answer says so"):
             self._clock.after(self._pattern.told_seconds, self._hear, host, name, word)
 
-    def _hear(self, teller: _Host, name: str, word: RateWord) -> None:
+    def _hear(self, teller: _Host, name: str, word: RateObservation) -> None:
         for host in self._hosts:
             if host is not teller and self._hears(teller, host):
                 self.result.messages_count += 1
--- a/measure/_world.py
+++ b/measure/_world.py
@@ -20,7 +20,7 @@
     HostListRead,
     LoadReported,
     Outcome,
-    PeerHeard,
+    PeerSummaryReceived,
     Placement,
     PrefixChain,
     Refuse,
@@ -210,7 +210,7 @@
         for peer in self._world.hosts:
             if peer is not self and self._world.can_talk(self, peer):
                 self._world.gossip_bytes += size_bytes
-                heard = PeerHeard(self.name, "", self.incarnation, summary)
+                heard = PeerSummaryReceived(self.name, "", self.incarnation, summary)
                 self._clock.after(HOP_SECONDS, peer.handle, heard)
         self._clock.after(settings.gossip_seconds, self.gossip)
 
--- a/measure/membership.py
+++ b/measure/membership.py
@@ -18,7 +18,7 @@
 from rampwick_policy import (
     HostListRead,
     LoadReported,
-    PeerHeard,
+    PeerSummaryReceived,
     Scheduler,
     TreeInForce,
     TreeView,
@@ -130,7 +130,7 @@
         now_seconds = at * GOSSIP_SECONDS
         for peer, data in incoming[at]:
             summary = decode_message(data[LENGTH_BYTES:], peer=peer)
-            scheduler.handle(PeerHeard(peer, "h", 1, summary), now_seconds)
+            scheduler.handle(PeerSummaryReceived(peer, "h", 1, summary), now_seconds)
             received_bytes += len(data)
         own = make_summary(shape, at, draw)
         scheduler.summary(at, 17, False, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -14,7 +14,7 @@
     Suspect as Suspect,
     Suspicion as Suspicion,
 )
-from ._cache_news import (
+from ._cache_events import (
     CacheBox as CacheBox,
     SaltBook as SaltBook,
     SaltMeaning as SaltMeaning,
@@ -54,7 +54,7 @@
     LoadReported as LoadReported,
     NeighboursSeen as NeighboursSeen,
     PeerGone as PeerGone,
-    PeerHeard as PeerHeard,
+    PeerSummaryReceived as PeerSummaryReceived,
     ProbeFailed as ProbeFailed,
     RateLimitUpdateReceived as RateLimitUpdateReceived,
     RateNamed as RateNamed,
@@ -67,8 +67,8 @@
     UpstreamSignalled as UpstreamSignalled,
     WeightsSeen as WeightsSeen,
 )
-from ._hall_news import (
-    HallNews as HallNews,
+from ._hall_digest import (
+    SummaryDigest as SummaryDigest,
     sum_limits as sum_limits,
     without as without,
     without_limits as without_limits,
--- a/packages/rampwick-policy/src/rampwick_policy/_cache_book.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_cache_book.py
@@ -19,7 +19,7 @@
 from ._knowledge import CacheKnowledge, Life
 from ._membership import Membership
 from ._moves import Moves
-from ._placement_news import PlacementNews
+from ._placement_updates import PlacementUpdates
 from ._prefix import PrefixChain
 from ._upstreams import Upstream, UpstreamTable
 
@@ -38,7 +38,7 @@
         self.imports = Imports()
         self.moves = Moves(peers)
         self._upstreams = upstreams
-        self._news = PlacementNews()
+        self._news = PlacementUpdates()
 
     def import_sources(
         self, service: str, chain: PrefixChain, now_seconds: float
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -143,7 +143,7 @@
 
 
 @attrs.frozen(repr=False)
-class PeerHeard(Shown):
+class PeerSummaryReceived(Shown):
     """A peer sent a summary."""
 
     name: str
@@ -171,7 +171,7 @@
     upstream: str
     incarnation: str
     weights_version: int
-    is_own_word: bool = True
+    is_own_report: bool = True
 
 
 @attrs.frozen(repr=False)
@@ -288,7 +288,7 @@
     | LoadReported
     | ProbeFailed
     | HostListRead
-    | PeerHeard
+    | PeerSummaryReceived
     | PeerGone
     | WeightsSeen
     | LoadOrdered
--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -15,7 +15,7 @@
 
 from rampwick_schema import LimitUsage, Shown
 
-from ._limit_words import LEAVING_SECONDS, PeerWords
+from ._limit_reports import LEAVING_SECONDS, PeerReports
 from ._sent_window import SentWindow
 from ._tree import LimitedNode
 
@@ -140,7 +140,7 @@
         self._draw = draw
         self._sent = SentWindow(window_seconds)
         self._asked = SentWindow(ASKED_SECONDS)
-        self._words = PeerWords(window_seconds)
+        self._words = PeerReports(window_seconds)
         #: Parts of requests that may go; one is sent for each whole.
         self._credit = draw.random()
         #: Ratio of the requests that may go, as decided last.
--- a/packages/rampwick-policy/src/rampwick_policy/_hall_news.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_hall_digest.py
@@ -21,7 +21,7 @@
 
 
 @attrs.define(repr=False)
-class HallNews(Shown):
+class SummaryDigest(Shown):
     """Collects what is told only once, and adds up what stands."""
 
     _placed: list[PlacedPrefix] = attrs.field(factory=list)
--- a/packages/rampwick-policy/src/rampwick_policy/_placement_news.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_placement_updates.py
@@ -1,9 +1,9 @@
-"""Which placements a host tells its peers.
+"""Which placements a host shares with its peers.
 
-A host alone sees only its own part of the traffic, so hosts pool what they placed.
-Only upper levels are worth the bytes, thousands instead of millions: where a prompt has
-several messages, the ends of all but the last; where it has one, the checkpoints that
-this host has seen before.
+A host sees only its own part of the traffic, so hosts pool what they placed. Only upper
+levels are worth the bytes, thousands instead of millions: where a prompt has several
+messages, the ends of all but the last; where it has one, the checkpoints that this host
+has seen before.
 """
 
 from collections import OrderedDict
@@ -26,8 +26,8 @@
 
 
 @attrs.define(repr=False)
-class PlacementNews(Shown):
-    """Placements of this host that peers have not been told yet."""
+class PlacementUpdates(Shown):
+    """Placements of this host that have not been sent to peers yet."""
 
     _seen: OrderedDict[bytes, None] = attrs.field(factory=OrderedDict)
     _told_at: OrderedDict[tuple[str, bytes], float] = attrs.field(factory=OrderedDict)
@@ -37,7 +37,7 @@
     def note(
         self, upstream: str, life: Life, chain: PrefixChain, now_seconds: float
     ) -> None:
-        """Note that a prompt was placed; its shared prefixes become news."""
+        """Note that a prompt was placed; its shared prefixes become pending."""
         key = (upstream, life_label(life))
         previous = 0
         for checkpoint in chain.levels or self._seen_before(chain):
@@ -46,8 +46,8 @@
             self._offer(key, checkpoint.prefix, extent, now_seconds)
 
     def take(self) -> list[PlacedPrefix]:
-        """Return the news since the last call and forget them."""
-        news = [
+        """Return the pending placements, and clear them."""
+        placed = [
             PlacedPrefix(
                 upstream=upstream,
                 incarnation=incarnation,
@@ -58,7 +58,7 @@
         ]
         self._pending = {}
         self._pending_count = 0
-        return news
+        return placed
 
     def _seen_before(self, chain: PrefixChain) -> list[Checkpoint]:
         return [item for item in chain.checkpoints if self._was_seen(item.prefix)]
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -21,7 +21,7 @@
 from ._membership import Membership
 from ._notices import NoticeBook
 from ._request import Outcome
-from ._request_rates import RateWord, RequestRates
+from ._request_rates import RateObservation, RequestRates
 from ._request_turns import RequestTurns, Standpoint
 from ._shares import ShareLedger
 from ._upstreams import Obstacle, Upstream, UpstreamTable
@@ -41,7 +41,7 @@
     ev.LoadReported
     | ev.ProbeFailed
     | ev.HostListRead
-    | ev.PeerHeard
+    | ev.PeerSummaryReceived
     | ev.PeerGone
     | ev.WeightsSeen
     | ev.LoadOrdered
@@ -89,14 +89,14 @@
             ev.LoadReported: self._on_report,
             ev.ProbeFailed: self._on_probe_failed,
             ev.HostListRead: self._on_host_list,
-            ev.PeerHeard: self._on_peer,
+            ev.PeerSummaryReceived: self._on_peer,
             ev.PeerGone: self._on_peer_gone,
             ev.WeightsSeen: self._on_weights,
             ev.LoadOrdered: self._on_load,
             ev.TargetsRead: self._on_targets,
             ev.CacheSeen: self.caches.hear,
             ev.RateNamed: self._on_rate,
-            ev.RateLimitUpdateReceived: self._on_rates_heard,
+            ev.RateLimitUpdateReceived: self._on_rate_limits_received,
             ev.UpstreamSignalled: self._on_signalled,
             ev.LeavingUpdateReceived: self._on_leaving_received,
             ev.NeighboursSeen: self._on_neighbours,
@@ -255,7 +255,7 @@
         if known is not None and known.incarnation != event.incarnation:
             # Another life is for the list or a probe to tell.
             return
-        if self.upstreams.note_life(upstream, life, event.is_own_word):
+        if self.upstreams.note_life(upstream, life, event.is_own_report):
             self.caches.observe(upstream)
             self._notice(upstream, "its weights were seen", now_seconds)
 
@@ -286,7 +286,7 @@
     def _on_rate(self, event: ev.RateNamed, now_seconds: float) -> None:
         if self.upstreams.get(event.upstream) is None:
             return
-        word = RateWord(
+        word = RateObservation(
             event.incarnation,
             event.requests_per_second,
             event.asked_at_seconds,
@@ -294,7 +294,7 @@
         )
         self.rates.take_answer(event.upstream, word, now_seconds)
 
-    def _on_rates_heard(
+    def _on_rate_limits_received(
         self, event: ev.RateLimitUpdateReceived, now_seconds: float
     ) -> None:
         self.rates.hear(event.news, now_seconds)
@@ -353,7 +353,7 @@
         self.limits.forget(event.name)
         self.notices.forget("peer", event.name, "others speak for it now")
 
-    def _on_peer(self, event: ev.PeerHeard, now_seconds: float) -> None:
+    def _on_peer(self, event: ev.PeerSummaryReceived, now_seconds: float) -> None:
         is_news = self.peers.hear(
             event.name, event.hall, event.incarnation, event.summary, now_seconds
         )
--- a/packages/rampwick-policy/src/rampwick_policy/_relaying.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_relaying.py
@@ -8,7 +8,7 @@
 
 from rampwick_schema import Beat, FleetSummary, Shown, Summary
 
-from ._hall_news import without
+from ._hall_digest import without
 from ._roles import Member, Neighbours
 
 #: Silence after which a relay is passed over: four of its tellings.
@@ -22,13 +22,13 @@
 
 
 @attrs.frozen(repr=False)
-class _OwnWord(Shown):
+class _OwnReport(Shown):
     told_at_seconds: float
     summary: Summary
 
 
 @attrs.frozen(repr=False)
-class FleetWord(Shown):
+class FleetReport(Shown):
     """What a relay told of the fleet, as this host takes it."""
 
     #: What the others say, this host left out.
@@ -43,7 +43,7 @@
 
     def __init__(self, own: Member) -> None:
         self._own = own
-        self._told: deque[_OwnWord] = deque(maxlen=KEPT_SUMMARIES)
+        self._told: deque[_OwnReport] = deque(maxlen=KEPT_SUMMARIES)
         self._speaker = ""
         self._spoke_at_seconds = -math.inf
         self._word_at: dict[str, float] = {}
@@ -54,7 +54,7 @@
 
     def note_told(self, summary: Summary, now_seconds: float) -> None:
         """Note a summary that this host sends to its relays."""
-        self._told.append(_OwnWord(now_seconds, summary))
+        self._told.append(_OwnReport(now_seconds, summary))
 
     def note_word(self, name: str, now_seconds: float) -> None:
         """Note that a host of the hall said anything at all."""
@@ -76,7 +76,7 @@
         news: FleetSummary,
         relays: Sequence[Member],
         now_seconds: float,
-    ) -> FleetWord | None:
+    ) -> FleetReport | None:
         """Take what a relay tells; None if another one is listened to."""
         self.note_word(relay, now_seconds)
         is_first = bool(relays) and relays[0].name == relay
@@ -92,7 +92,7 @@
         own = self._find_own(news)
         self._sequence += 1
         summary = without(news.summary, own.summary) if own else news.summary
-        return FleetWord(
+        return FleetReport(
             attrs.evolve(summary, sequence=self._sequence),
             own.told_at_seconds if own else None,
         )
@@ -111,7 +111,7 @@
             self._halls,
         )
 
-    def _find_own(self, news: FleetSummary) -> _OwnWord | None:
+    def _find_own(self, news: FleetSummary) -> _OwnReport | None:
         """Return the own summary that is part of a relay's sum, if one is."""
         own = (self._own.name, self._own.incarnation)
         sequences = {
--- a/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
@@ -27,7 +27,7 @@
 
 
 @attrs.frozen(repr=False)
-class RateWord(Shown):
+class RateObservation(Shown):
     """What one answer said of its upstream's rate."""
 
     #: Life that answered; empty where lives are not told apart.
@@ -38,7 +38,7 @@
     asked_at_seconds: float
     heard_at_seconds: float
 
-    def replaces(self, known: "RateWord") -> bool:
+    def replaces(self, known: "RateObservation") -> bool:
         """Return whether this is surely what the upstream says now.
 
         Of two words that agree in whether there is a rate, the one heard last holds.
@@ -54,7 +54,7 @@
 
     def __init__(self, notices: NoticeBook) -> None:
         self._notices = notices
-        self._words: dict[str, RateWord] = {}
+        self._words: dict[str, RateObservation] = {}
         #: When this host told the others of each, and when anybody did.
         self._told_at: dict[str, float] = {}
         self._confirmed_at: dict[str, float] = {}
@@ -69,7 +69,7 @@
         """Return whether the upstream has named a rate, be it over by now."""
         return upstream in self._words
 
-    def word(self, upstream: str) -> RateWord | None:
+    def word(self, upstream: str) -> RateObservation | None:
         """Return the newest word of an upstream."""
         return self._words.get(upstream)
 
@@ -82,7 +82,9 @@
             return None
         return word.requests_per_second
 
-    def take_answer(self, upstream: str, word: RateWord, now_seconds: float) -> None:
+    def take_answer(
+        self, upstream: str, word: RateObservation, now_seconds: float
+    ) -> None:
         """Take the word of an answer that this host had; peers hear what is new."""
         is_change = self.take(upstream, word, "its answer says so")
         if self._words.get(upstream) is not word:
@@ -95,7 +97,7 @@
     def hear(self, news: RateLimitUpdate, now_seconds: float) -> None:
         """Take a peer's word."""
         for told in news.rates:
-            word = RateWord(
+            word = RateObservation(
                 told.incarnation,
                 told.requests_per_second if told.is_limited else None,
                 now_seconds - told.asked_age_seconds,
@@ -138,7 +140,7 @@
         ]
         return RateLimitUpdate(rates) if rates else None
 
-    def take(self, upstream: str, word: RateWord, source: str) -> bool:
+    def take(self, upstream: str, word: RateObservation, source: str) -> bool:
         """Take a word; return whether what is believed is another now."""
         known = self._words.get(upstream)
         if known is not None and known.incarnation != word.incarnation:
@@ -169,7 +171,7 @@
         if self._words.pop(upstream, None) is not None:
             self._notices.forget("rate", upstream, reason)
 
-    def _note(self, upstream: str, word: RateWord, source: str) -> None:
+    def _note(self, upstream: str, word: RateObservation, source: str) -> None:
         if word.requests_per_second is None:
             self._notices.note("rate", upstream, "open", source)
             return
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -107,19 +107,19 @@
             ev.RequestCancelled: self._on_cancelled,
             ev.LoadReported: self._on_reported,
             ev.ProbeFailed: self._on_probe_failed,
-            ev.HostListRead: self._on_pool_news,
-            ev.PeerHeard: self._on_pool_news,
-            ev.PeerGone: self._on_pool_news,
-            ev.WeightsSeen: self._on_pool_news,
-            ev.LoadOrdered: self._on_pool_news,
-            ev.TargetsRead: self._on_pool_news,
-            ev.CacheSeen: self._on_pool_news,
-            ev.RateNamed: self._on_pool_news,
-            ev.RateLimitUpdateReceived: self._on_pool_news,
-            ev.UpstreamSignalled: self._on_pool_news,
-            ev.LeavingUpdateReceived: self._on_pool_news,
-            ev.NeighboursSeen: self._on_pool_news,
-            ev.CrashUpdateReceived: self._on_ends_heard,
+            ev.HostListRead: self._on_pool_event,
+            ev.PeerSummaryReceived: self._on_pool_event,
+            ev.PeerGone: self._on_pool_event,
+            ev.WeightsSeen: self._on_pool_event,
+            ev.LoadOrdered: self._on_pool_event,
+            ev.TargetsRead: self._on_pool_event,
+            ev.CacheSeen: self._on_pool_event,
+            ev.RateNamed: self._on_pool_event,
+            ev.RateLimitUpdateReceived: self._on_pool_event,
+            ev.UpstreamSignalled: self._on_pool_event,
+            ev.LeavingUpdateReceived: self._on_pool_event,
+            ev.NeighboursSeen: self._on_pool_event,
+            ev.CrashUpdateReceived: self._on_crashes_received,
             ev.TreeInForce: self._on_tree,
             ev.Tick: self._on_tick,
         }
@@ -317,7 +317,7 @@
 
     # News of others, and time.
 
-    def _on_pool_news(self, event: PoolEvent, now_seconds: float) -> list[ev.Action]:
+    def _on_pool_event(self, event: PoolEvent, now_seconds: float) -> list[ev.Action]:
         self.pool.hear(event, now_seconds)
         return []
 
@@ -334,7 +334,7 @@
 
     # Requests that upstreams end under.
 
-    def _on_ends_heard(
+    def _on_crashes_received(
         self, event: ev.CrashUpdateReceived, now_seconds: float
     ) -> list[ev.Action]:
         if self.suspects.hear(event.news, now_seconds):
--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -38,7 +38,7 @@
     role: str = SERVING_ROLE
     slots_count: int = DEFAULT_SLOTS
     #: Its own word of how fast it reads prompts; none if it says nothing of it.
-    told_tokens_per_second: float = 0.0
+    reported_tokens_per_second: float = 0.0
     reported_running_count: int = 0
     #: Prompt tokens whose first token has not come, by own attempt.
     own_attempts: dict[str, int] = attrs.field(factory=dict)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -147,9 +147,9 @@
         if entry.incarnation and upstream.is_runner:
             upstream.model = entry.model
             life = Life(entry.incarnation, entry.weights_version)
-            self.note_life(upstream, life, is_own_word=False)
+            self.note_life(upstream, life, is_own_report=False)
 
-    def note_life(self, upstream: Upstream, life: Life, is_own_word: bool) -> bool:
+    def note_life(self, upstream: Upstream, life: Life, is_own_report: bool) -> bool:
         """Take a life that was seen; return whether it is new.
 
         Word that is not the upstream's own may be old: it can't lower the version.
@@ -160,7 +160,7 @@
             and known.incarnation == life.incarnation
             and known.weights_version > life.weights_version
         )
-        if is_older and not is_own_word:
+        if is_older and not is_own_report:
             return False
         upstream.life = upstream.last_life = life
         if life != known:
@@ -225,10 +225,10 @@
         """Take a runner's report; return whether it shows a new life."""
         upstream.model = report.model
         upstream.slots_count = report.slots_count
-        upstream.told_tokens_per_second = report.prefill_tokens_per_second
+        upstream.reported_tokens_per_second = report.prefill_tokens_per_second
         upstream.reported_running_count = report.running_count
         life = Life(report.incarnation, report.weights_version)
-        is_new = self.note_life(upstream, life, is_own_word=True)
+        is_new = self.note_life(upstream, life, is_own_report=True)
         upstream.role = report.role
         return is_new
 
@@ -369,7 +369,7 @@
             slots_count=slots,
             running_count=running,
             waiting_tokens=waiting,
-            prefill_tokens_per_second=upstream.told_tokens_per_second
+            prefill_tokens_per_second=upstream.reported_tokens_per_second
             or self.reading_speed(upstream.model).tokens_per_second,
             hall=upstream.entry.hall,
             distance_seconds=distance,
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -108,7 +108,7 @@
             self.hosts,
             self.steward,
         )
-        self.steward.tell_peers = self.gossip.tell_steward_news
+        self.steward.notify_peers = self.gossip.broadcast_rollout
         self.scheduler.note_long_prompt = self.gossip.early.note_load
         self.scheduler.note_burst = self.gossip.early.note_burst
         self._connect(api, draw, integration)
@@ -122,10 +122,10 @@
             channels,
             dialects.cache,
             salts,
-            self.gossip.cache_mail.tell,
+            self.gossip.cache_outbox.tell,
             self.gossip.roles.neighbours_at_work,
         )
-        self.gossip.cache_mail.list_read = self.cache_reader.read_names
+        self.gossip.cache_outbox.list_read = self.cache_reader.read_names
         self.silences = SilenceWatch(read_clock)
         self.parts = Parts(
             settings=settings,
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -164,7 +164,7 @@
         log.info("not ready, waiting for the balancer")
         self._gossip.summaries.is_leaving = True
         await self.steward.give_up()
-        self._gossip.summaries.tell_own()
+        self._gossip.summaries.publish_own()
         await self.life.pause(self._settings.life.balancer_delay_seconds)
         self.life.has_balancer_turned = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
--- a/packages/rampwick-router/src/rampwick_router/control/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_steward.py
@@ -120,7 +120,7 @@
         #: Whether this host may take a lease that it does not hold.
         self.is_candidate: Callable[[], bool] = lambda: True
         #: Called when peers shall hear of a load at once.
-        self.tell_peers: Callable[[], None] = _tell_nobody
+        self.notify_peers: Callable[[], None] = _tell_nobody
 
     @property
     def lease(self) -> LeaseWatcher:
@@ -243,7 +243,7 @@
             self._rollout.note_sent(entry.name, version, now_seconds)
             until_seconds = self._rollout.loads()[entry.name][1]
             self._scheduler.post(LoadOrdered(entry.name, "", version, until_seconds))
-        self.tell_peers()
+        self.notify_peers()
 
     async def _ask(self, entry: HostEntry) -> None:
         began_seconds = self._read_clock()
@@ -267,7 +267,7 @@
                 report_age_seconds=round(self._read_clock() - began_seconds, 3),
             )
             self._note_shown(entry.name, report.incarnation, report.weights_version)
-            self.tell_peers()
+            self.notify_peers()
         self.wake()
 
     def _note_shown(self, runner: str, incarnation: str, version: int) -> None:
--- a/packages/rampwick-router/src/rampwick_router/peers/_cache_mail.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
@@ -1,8 +1,8 @@
-"""Cache events on their way between hosts.
+"""Distribution of cache events between hosts.
 
-In a small fleet each host tells all others what it has read. In a large one it tells
-its hall's relay, which gathers what its hall read and what other halls tell, so that
-each host gets a few messages a second however many caches there are.
+In a small fleet each host sends all others what it has read. In a large one it sends it
+to its hall's relay, which batches what its hall read and what other halls sent, so that
+each host receives a few messages a second however many caches there are.
 """
 
 from collections.abc import Callable
@@ -10,19 +10,19 @@
 import anyio
 
 from rampwick_policy import CacheBox, CacheSeen, Member, MemberTable
-from rampwick_schema import CacheNews
+from rampwick_schema import CacheEventUpdate
 
 from .._scheduler_task import SchedulerTask
 from ._links import Link, PeerLinks
-from ._news import cache_events, to_cache_news
+from ._messages import cache_events, to_cache_event_update
 
-#: Time for which events are gathered: well below what placements, which hosts tell
-#: each other at once, stay good for.
+#: Time for which events are batched: well below the time for which placements, which
+#: hosts exchange at once, stay valid.
 GATHER_SECONDS = 0.4
 
 
-class CacheMail:
-    """Gathers cache events and hands them to those who shall have them."""
+class CacheOutbox:
+    """Batches cache events and sends them to the hosts that need them."""
 
     def __init__(
         self,
@@ -37,17 +37,16 @@
         self._list_live = list_live
         #: What was read in this host's hall.
         self._read_here = CacheBox()
-        #: What other halls told.
+        #: What other halls sent.
         self._read_elsewhere = CacheBox()
-        self._has_news = anyio.Event()
+        self._has_update = anyio.Event()
         #: Says which caches this host reads.
         self.list_read: Callable[[], set[str]] = set
 
     def greet(self, link: Link) -> None:
-        """Tell a peer, which may have just started, what the caches read here hold.
+        """Send a newly linked peer what the caches read here hold.
 
-        In a large fleet the relays would tell each host of all caches; hosts there
-        learn from what comes next.
+        Not in a large fleet, where relays would send each host the state of all caches.
         """
         names = self.list_read()
         if self._table.is_large or not names:
@@ -56,25 +55,25 @@
             lambda scheduler, now_seconds: scheduler.pool.caches.contents(names)
         )
         if seen:
-            link.put(to_cache_news(seen))
+            link.put(to_cache_event_update(seen))
 
     async def run(self) -> None:
-        """Hand on what was gathered, again and again until cancelled."""
+        """Send batches until cancelled."""
         while True:
-            await self._has_news.wait()
-            # What comes after a quiet time is told at once, as by a host that has just
-            # read its first cache; the rest is gathered.
-            self._has_news = anyio.Event()
+            await self._has_update.wait()
+            # The first events after an idle time are sent at once, as by a host that
+            # has just read its first cache; the rest is batched.
+            self._has_update = anyio.Event()
             self._hand_on()
             await anyio.sleep(GATHER_SECONDS)
 
     def tell(self, seen: CacheSeen) -> None:
-        """Take events that this host has read; they are told in their turn."""
+        """Add events that this host has read."""
         self._read_here.add(seen)
-        self._has_news.set()
+        self._has_update.set()
 
-    def take(self, link: Link, news: CacheNews) -> None:
-        """Take events that a peer tells; a relay tells them further."""
+    def take(self, link: Link, news: CacheEventUpdate) -> None:
+        """Apply events that a peer sent; a relay forwards them."""
         is_relay = self._table.is_relay(self._list_live())
         is_near = self._table.is_in_group(link.peer.hall)
         box = self._read_here if is_near else self._read_elsewhere
@@ -82,7 +81,7 @@
             self._scheduler.post(seen)
             if is_relay:
                 box.add(seen)
-                self._has_news.set()
+                self._has_update.set()
 
     def _hand_on(self) -> None:
         here, elsewhere = self._read_here.take(), self._read_elsewhere.take()
@@ -110,7 +109,7 @@
 
     def _send(self, seen: list[CacheSeen], is_for: Callable[[Member], bool]) -> None:
         if seen:
-            self._links.broadcast(to_cache_news(seen), is_for)
+            self._links.broadcast(to_cache_event_update(seen), is_for)
 
 
 def _named(name: str) -> Callable[[Member], bool]:
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -19,19 +19,19 @@
     Neighbours,
     NeighboursSeen,
     PeerGone,
-    PeerHeard,
+    PeerSummaryReceived,
     RateLimitUpdateReceived,
 )
 from rampwick_schema import (
-    CacheNews,
+    CacheEventUpdate,
     CrashUpdate,
     FleetSummary,
     HallSummary,
     LeavingUpdate,
     Members,
     RateLimitUpdate,
+    RolloutUpdate,
     Settings,
-    StewardNews,
     Summary,
 )
 
@@ -41,19 +41,19 @@
 from .._scheduler_task import SchedulerTask
 from ..control import ConfigurationTask, HostListTask, StewardTask
 from ._ages import AgeKeeper
-from ._cache_mail import CacheMail
+from ._cache_outbox import CacheOutbox
 from ._directory import PeerDirectory
 from ._links import Link, PeerLinks
-from ._member_news import MemberNews
-from ._news import (
+from ._member_updates import MemberUpdates
+from ._messages import (
     listed_members,
+    rollout_update,
     steward_events,
-    steward_news,
     to_member,
     to_record,
 )
 from ._roles import Roles
-from ._summaries import SummaryTeller
+from ._summaries import SummaryPublisher
 from ._sync import PeerSync
 from ._urgent_updates import UrgentUpdates
 
@@ -111,7 +111,7 @@
             self._list_seeds,
             read_clock,
         )
-        self._member_news = MemberNews(self._links)
+        self._member_updates = MemberUpdates(self._links)
         self._links.take = self._take
         self._links.note_opened = self._note_opened
         self._links.note_unreachable = self._note_unreachable
@@ -119,7 +119,7 @@
             configuration.follower, configuration, hosts, scheduler, read_clock
         )
         self.ages = AgeKeeper(self.roles, self._links, self._sync, read_clock)
-        self.summaries = SummaryTeller(
+        self.summaries = SummaryPublisher(
             scheduler,
             configuration.follower,
             self._links,
@@ -136,7 +136,7 @@
         )
         #: Counters of messages by their class, each looked up once.
         self._received = _Counters(metrics)
-        self.cache_mail = CacheMail(
+        self.cache_outbox = CacheOutbox(
             self.table, self._links, scheduler, lambda: self.roles.live_names
         )
         #: Whether the fleet is large, and whether this host is one of its relays.
@@ -152,10 +152,10 @@
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._links.run, listener)
-            tasks.start_soon(self._member_news.run)
-            tasks.start_soon(self.cache_mail.run)
+            tasks.start_soon(self._member_updates.run)
+            tasks.start_soon(self.cache_outbox.run)
             tasks.start_soon(self.ages.run)
-            tasks.start_soon(self._tell_steward_news)
+            tasks.start_soon(self._broadcast_rollout)
             tasks.start_soon(self.early.run)
             await self._tell_again()
 
@@ -186,13 +186,13 @@
     def _note_opened(self, link: Link) -> None:
         known = [to_record(member) for member in self.table]
         link.put(Members(known))
-        self.cache_mail.greet(link)
+        self.cache_outbox.greet(link)
         for message in self.early.initial_states(self._read_clock()):
             link.put(message)
         if self._steward.is_holder:
             # A host that has just started sent prompts to a runner that was about to
             # load, until the next telling half a second later.
-            link.put(self._steward_news())
+            link.put(self._rollout_update())
         self._learn([link.peer], link)
 
     def _learn(self, members: Iterable[Member], link: Link) -> None:
@@ -202,7 +202,7 @@
                 # Later those count that were heard: some that are known have left.
                 self._scheduler.note_members(len(list(self.table)))
             self._links.look_again()
-            self._member_news.add(news, link.peer.name)
+            self._member_updates.add(news, link.peer.name)
 
     def _look_at_roles(self) -> None:
         """Pass over a relay that fell silent; begin anew where the own role changes."""
@@ -240,8 +240,8 @@
             self._take_fleet(link, message)
         elif isinstance(message, HallSummary):
             self._take_hall(link, message)
-        elif isinstance(message, StewardNews):
-            self._take_steward_news(link, message)
+        elif isinstance(message, RolloutUpdate):
+            self._take_rollout_update(link, message)
         elif isinstance(message, CrashUpdate):
             self._scheduler.post(CrashUpdateReceived(message))
             self._relay(link, message)
@@ -251,8 +251,8 @@
         elif isinstance(message, LeavingUpdate):
             self._scheduler.post(LeavingUpdateReceived(message))
             self._relay(link, message)
-        elif isinstance(message, CacheNews):
-            self.cache_mail.take(link, message)
+        elif isinstance(message, CacheEventUpdate):
+            self.cache_outbox.take(link, message)
         elif isinstance(message, Members):
             members = [to_member(record) for record in message.members]
             self._learn(members, link)
@@ -270,7 +270,9 @@
         if self.table.is_large and not self.roles.is_relay_candidate:
             # The relay speaks for it, too.
             return
-        self._scheduler.post(PeerHeard(peer.name, peer.hall, peer.incarnation, summary))
+        self._scheduler.post(
+            PeerSummaryReceived(peer.name, peer.hall, peer.incarnation, summary)
+        )
         self.summaries.take_host(summary)
         if summary.has_surged and self.roles.is_relay():
             self.early.note_burst()
@@ -293,7 +295,9 @@
             if word.asked_at_seconds is not None:
                 age_seconds = now_seconds - word.asked_at_seconds
             self._scheduler.post(
-                PeerHeard(FLEET, "", own.incarnation, word.summary, age_seconds)
+                PeerSummaryReceived(
+                    FLEET, "", own.incarnation, word.summary, age_seconds
+                )
             )
 
     def _take_hall(self, link: Link, news: HallSummary) -> None:
@@ -301,7 +305,7 @@
             return
         name = f"hall {news.hall}"
         self._scheduler.post(
-            PeerHeard(
+            PeerSummaryReceived(
                 name,
                 news.hall,
                 news.incarnation,
@@ -315,7 +319,7 @@
         if news.summary.has_surged and self.roles.is_relay():
             self.early.note_remote_burst()
 
-    def _take_steward_news(self, link: Link, news: StewardNews) -> None:
+    def _take_rollout_update(self, link: Link, news: RolloutUpdate) -> None:
         if news.holder == self.table.own.name:
             return
         now_seconds = self._read_clock()
@@ -351,30 +355,30 @@
             count += 1
             self._look_at_roles()
             self._note_neighbours()
-            self.summaries.tell_own()
+            self.summaries.publish_own()
             if self.roles.is_relay():
-                self.summaries.tell_fleet()
+                self.summaries.publish_fleet()
                 if count % TELLINGS_PER_HALL_SUM == 0:
-                    self.summaries.tell_hall()
+                    self.summaries.publish_hall()
             changed = self._configuration.changed
             with move_on_at_grid(self._interval_seconds):
                 await changed.wait()
 
-    async def _tell_steward_news(self) -> None:
+    async def _broadcast_rollout(self) -> None:
         """Repeat what the steward has to say, while this host is it."""
         while True:
             if self._steward.is_holder:
-                self.tell_steward_news()
+                self.broadcast_rollout()
             await sleep_on_grid(STEWARD_INTERVAL_SECONDS)
 
-    def tell_steward_news(self) -> None:
+    def broadcast_rollout(self) -> None:
         """Tell all hosts of loads, weights and lease now."""
-        news = self._steward_news()
+        news = self._rollout_update()
         is_relay = self.roles.is_relay()
         self._links.broadcast(news, lambda peer: is_relay or self.roles.is_told(peer))
 
-    def _steward_news(self) -> StewardNews:
-        return steward_news(
+    def _rollout_update(self) -> RolloutUpdate:
+        return rollout_update(
             self.table.own.name,
             self._steward,
             self._scheduler.targets(),
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/peers/_member_updates.py
@@ -0,0 +1,50 @@
+"""Batched membership updates.
+
+When a whole fleet starts, each host learns of all others within a second. Sent one by
+one, that is a message for each host on each link.
+"""
+
+import anyio
+
+from rampwick_policy import Member
+from rampwick_schema import Members
+
+from ._links import PeerLinks
+from ._messages import to_record
+
+#: Time for which members are batched: a few round trips between halls, and little of
+#: what a starting host waits for.
+GATHER_SECONDS = 0.05
+
+
+class MemberUpdates:
+    """Broadcasts members that peers may not know yet."""
+
+    def __init__(self, links: PeerLinks) -> None:
+        self._links = links
+        self._members: dict[str, Member] = {}
+        self._sources: set[str] = set()
+        self._has_update = anyio.Event()
+
+    def add(self, members: list[Member], source: str) -> None:
+        """Add members that the peer ``source`` sent."""
+        self._members.update((member.name, member) for member in members)
+        self._sources.add(source)
+        self._has_update.set()
+
+    async def run(self) -> None:
+        """Broadcast batches until cancelled."""
+        while True:
+            await self._has_update.wait()
+            self._has_update = anyio.Event()
+            await anyio.sleep(GATHER_SECONDS)
+            self.tell()
+
+    def tell(self) -> None:
+        """Broadcast the batch, except to a peer that alone sent all of it."""
+        members, self._members = self._members, {}
+        sources, self._sources = self._sources, set()
+        if not members:
+            return
+        batch = Members([to_record(member) for member in members.values()])
+        self._links.broadcast(batch, lambda peer: sources != {peer.name})
--- a/packages/rampwick-router/src/rampwick_router/peers/_news.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_messages.py
@@ -13,14 +13,14 @@
 )
 from rampwick_schema import (
     CacheChange,
-    CacheNews,
+    CacheEventUpdate,
     CacheUpdate,
     HostList,
     MemberRecord,
     NamedWeights,
+    RolloutUpdate,
     RunnerLoad,
     RunnerWeights,
-    StewardNews,
     WeightsTarget,
 )
 
@@ -61,13 +61,13 @@
     ]
 
 
-def steward_news(
+def rollout_update(
     holder: str,
     steward: StewardTask,
     targets: Sequence[WeightsTarget],
     named: Sequence[NamedWeights],
     now_seconds: float,
-) -> StewardNews:
+) -> RolloutUpdate:
     """Return what the steward has to say: lease, targets, loads, weights."""
     loads = [
         RunnerLoad(
@@ -82,7 +82,7 @@
         RunnerWeights(shown.upstream, shown.incarnation, shown.weights_version)
         for shown in steward.weights_shown()
     ]
-    return StewardNews(
+    return RolloutUpdate(
         holder=holder,
         lease_version=steward.lease.version,
         targets=list(targets),
@@ -92,7 +92,7 @@
     )
 
 
-def steward_events(news: StewardNews, now_seconds: float) -> Iterator[Event]:
+def steward_events(news: RolloutUpdate, now_seconds: float) -> Iterator[Event]:
     """Yield what the scheduler learns from a steward's news."""
     if news.targets:
         named = tuple(news.named)
@@ -109,13 +109,13 @@
             shown.upstream,
             shown.incarnation,
             shown.weights_version,
-            is_own_word=False,
+            is_own_report=False,
         )
 
 
-def to_cache_news(gathered: Iterable[CacheSeen]) -> CacheNews:
+def to_cache_event_update(gathered: Iterable[CacheSeen]) -> CacheEventUpdate:
     """Return cache events as peers are told of them."""
-    return CacheNews(
+    return CacheEventUpdate(
         [
             CacheUpdate(
                 seen.upstream,
@@ -130,7 +130,7 @@
     )
 
 
-def cache_events(news: CacheNews) -> Iterator[CacheSeen]:
+def cache_events(news: CacheEventUpdate) -> Iterator[CacheSeen]:
     """Yield what the scheduler learns from a peer's cache events."""
     for update in news.updates:
         changes = tuple(
--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -70,7 +70,7 @@
         self._note_connected = note_connected
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
-        self._has_news = anyio.Event()
+        self._has_update = anyio.Event()
         self._take: Callable[[Any], None] | None = None
         #: Why the stream has ended; none while it goes on.
         self._failure: Exception | None = None
@@ -116,7 +116,7 @@
         if self._take is None:
             if len(self._received) > MAX_UNREAD_BYTES:
                 self._reading().pause_reading()
-            self._has_news.set()
+            self._has_update.set()
             return
         try:
             self._hand_on(self._take)
@@ -177,8 +177,8 @@
         """Wait for bytes, or raise why none will come."""
         if self._failure is not None:
             raise self._failure
-        self._has_news = anyio.Event()
-        await self._has_news.wait()
+        self._has_update = anyio.Event()
+        await self._has_update.wait()
 
     def close(self) -> None:
         """Give the connection up, with what has not gone out."""
@@ -225,7 +225,7 @@
         if self._failure is not None:
             return
         self._failure = error
-        self._has_news.set()
+        self._has_update.set()
         if self._transport is not None:
             self._transport.abort()
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
@@ -1,8 +1,8 @@
-"""Telling peers what this host, its hall and the whole fleet say.
+"""Publication of summaries of this host, its hall and the whole fleet.
 
-In a small fleet each host tells every other a summary of its own. In a large one it
-tells its hall's relays; the first of them adds up its hall for the other halls, and all
-halls for its own.
+In a small fleet each host sends every other a summary of its own. In a large one it
+sends it to its hall's relays; the first of them aggregates its hall for the other
+halls, and all halls for its own.
 """
 
 from collections.abc import Callable, Iterable
@@ -11,7 +11,7 @@
 
 from rampwick_policy import (
     ConfigurationFollower,
-    HallNews,
+    SummaryDigest,
     SurgeGate,
     sum_limits,
     without_limits,
@@ -29,8 +29,8 @@
 LATE_HALL_SECONDS = 1.25
 
 
-class SummaryTeller:
-    """Makes summaries and sends each to whom it is for."""
+class SummaryPublisher:
+    """Builds summaries and sends each to its audience."""
 
     def __init__(
         self,
@@ -48,8 +48,8 @@
         self._sync = sync
         self._read_clock = read_clock
         #: What this hall's hosts say for other halls, and all hosts for this hall.
-        self._hall_news = HallNews()
-        self._fleet_news = HallNews()
+        self._hall_digest = SummaryDigest()
+        self._fleet_digest = SummaryDigest()
         self._surges = SurgeGate()
         self._own: Summary | None = None
         self._sequence = 0
@@ -57,18 +57,18 @@
         self.is_leaving = False
 
     def take_host(self, summary: Summary) -> None:
-        """Take what a host of this hall says."""
-        self._hall_news.take(summary)
-        self._fleet_news.take(summary)
+        """Add the summary of a host of this hall."""
+        self._hall_digest.take(summary)
+        self._fleet_digest.take(summary)
 
     def take_hall(self, summary: Summary) -> None:
-        """Take what another hall says."""
-        self._fleet_news.take(summary)
+        """Add the summary of another hall."""
+        self._fleet_digest.take(summary)
 
-    def tell_own(self, *, has_surged: bool = False) -> None:
-        """Send a summary now to every peer that is to hear this host.
+    def publish_own(self, *, has_surged: bool = False) -> None:
+        """Send this host's summary to every peer that needs it.
 
-        ``has_surged`` has relays pass it on at once.
+        ``has_surged`` has relays forward it at once.
         """
         self._sequence += 1
         summary = self._scheduler.look(
@@ -85,8 +85,8 @@
         self._links.broadcast(summary, self._roles.is_told)
         self.take_host(summary)
 
-    def tell_fleet(self) -> None:
-        """Tell this hall's hosts what the whole fleet says."""
+    def publish_fleet(self) -> None:
+        """Send this hall's hosts the aggregate of the whole fleet."""
         own = self._roles.table.own
         now_seconds = self._read_clock()
         views = self._scheduler.peer_views(now_seconds)
@@ -97,7 +97,7 @@
             else view.summary
             for view in views
         ]
-        summary = self._fleet_news.merge(self._with_own(said), self._sequence)
+        summary = self._fleet_digest.merge(self._with_own(said), self._sequence)
         told = FleetSummary(
             own.incarnation,
             self._sync.with_own_versions(summary),
@@ -119,13 +119,13 @@
         self._links.broadcast(told, self._roles.is_of_group)
 
     def is_hall_surge(self) -> bool:
-        """Return whether this hall is asked for much more than others were told."""
+        """Return whether demand in this hall is far above what was published."""
         return self._surges.is_news(sum_limits(self._hall_said()))
 
-    def tell_hall(self, *, has_surged: bool = False) -> None:
-        """Tell other halls what this one says."""
+    def publish_hall(self, *, has_surged: bool = False) -> None:
+        """Send other halls the aggregate of this one."""
         own = self._roles.table.own
-        summary = self._hall_news.merge(self._hall_said(), self._sequence)
+        summary = self._hall_digest.merge(self._hall_said(), self._sequence)
         self._surges.note_told(summary.limits)
         summary = attrs.evolve(summary, has_surged=has_surged)
         told = HallSummary(own.hall, own.name, own.incarnation, summary)
--- a/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
@@ -13,7 +13,7 @@
 
 from ._links import PeerLinks
 from ._roles import Roles
-from ._summaries import SummaryTeller
+from ._summaries import SummaryPublisher
 
 #: Least time between two updates on long prompts: a round trip, and the handling of
 #: each by every host.
@@ -55,7 +55,7 @@
     def __init__(
         self,
         facts: Iterable[UpdateSource],
-        summaries: SummaryTeller,
+        summaries: SummaryPublisher,
         links: PeerLinks,
         roles: Roles,
         read_clock: Callable[[], float],
@@ -94,7 +94,7 @@
             await self._has_load.wait()
             self._has_load = anyio.Event()
             if not self._roles.table.is_large:
-                self._summaries.tell_own()
+                self._summaries.publish_own()
             await anyio.sleep(LOAD_UPDATE_SECONDS)
 
     def note_burst(self) -> None:
@@ -122,14 +122,14 @@
         """
         is_own, self._is_own_burst = self._is_own_burst, False
         is_elsewhere, self._is_remote_burst = self._is_remote_burst, False
-        self._summaries.tell_own(has_surged=is_own)
+        self._summaries.publish_own(has_surged=is_own)
         if not self._roles.is_relay():
             return
         is_own = is_own and self._summaries.is_hall_surge()
         if is_own or is_elsewhere:
-            self._summaries.tell_fleet()
+            self._summaries.publish_fleet()
         if is_own:
-            self._summaries.tell_hall(has_surged=True)
+            self._summaries.publish_hall(has_surged=True)
 
     def initial_states(self, now_seconds: float) -> list[Update]:
         """Return the updates that a host needs that has just connected."""
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -132,7 +132,7 @@
         channels: ChannelPool,
         dialect: CacheDialect,
         salts: SaltBook,
-        tell_peers: Callable[[CacheSeen], None],
+        notify_peers: Callable[[CacheSeen], None],
         list_neighbours: Callable[[], Neighbours],
     ) -> None:
         self._own = own
@@ -140,7 +140,7 @@
         self._channels = channels
         self._dialect = dialect
         self._salts = salts
-        self._tell_peers = tell_peers
+        self._notify_peers = notify_peers
         self._list_neighbours = list_neighbours
         self._scopes: dict[Source, anyio.CancelScope] = {}
         self._histories = anyio.CapacityLimiter(HISTORIES_AT_ONCE)
@@ -268,7 +268,7 @@
         changes = reading.history.take()
         reading.history = None
         if changes:
-            self._tell_peers(CacheSeen(source.name, tuple(changes)))
+            self._notify_peers(CacheSeen(source.name, tuple(changes)))
 
     def _note_silence(self, source: Source, reading: Reading, error: str) -> None:
         if reading.is_heard:
@@ -290,7 +290,7 @@
         if history is not None and not is_reset:
             history.add(changes)
         else:
-            self._tell_peers(seen)
+            self._notify_peers(seen)
 
     def _translate(self, source: Source, events: CacheEvents) -> list[CacheChanges]:
         by_version: dict[int, dict[bytes, int]] = {}
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -340,7 +340,7 @@
 
 
 @attrs.frozen(repr=False)
-class CacheNews(Shown):
+class CacheEventUpdate(Shown):
     """Cache events that hosts have read for their peers, gathered for a while."""
 
     CODE: ClassVar[int] = 9
@@ -350,7 +350,7 @@
 
 
 @attrs.frozen(repr=False)
-class StewardNews(Shown):
+class RolloutUpdate(Shown):
     """What the holder of the steward's lease tells all hosts, at changes and again and again."""
 
     CODE: ClassVar[int] = 15
@@ -554,8 +554,8 @@
     ConfirmRequest.CODE: ConfirmRequest,
     ConfirmReply.CODE: ConfirmReply,
     HostListChanges.CODE: HostListChanges,
-    CacheNews.CODE: CacheNews,
-    StewardNews.CODE: StewardNews,
+    CacheEventUpdate.CODE: CacheEventUpdate,
+    RolloutUpdate.CODE: RolloutUpdate,
     ChangesRequest.CODE: ChangesRequest,
     ChangesReply.CODE: ChangesReply,
     TreeReply.CODE: TreeReply,
--- a/tests/test_cache_mail.py
+++ b/tests/test_cache_outbox.py
@@ -15,8 +15,8 @@
     TargetsRead,
 )
 from rampwick_router._scheduler_task import SchedulerTask
-from rampwick_router.peers._cache_mail import CacheMail
-from rampwick_router.peers._news import cache_events, to_cache_news
+from rampwick_router.peers._cache_outbox import CacheOutbox
+from rampwick_router.peers._messages import cache_events, to_cache_event_update
 from rampwick_schema import WeightsTarget, parse_settings
 
 NAMES = st.sampled_from(["a", "b"])
@@ -49,7 +49,7 @@
         for event in events:
             box.add(event)
         before = {("a", "one/1", b"x" * 8): 100, ("b", "one/1", b"y" * 8): 100}
-        told = list(cache_events(to_cache_news(box.take())))
+        told = list(cache_events(to_cache_event_update(box.take())))
         self.assertEqual(apply_to(dict(before), events), apply_to(dict(before), told))
 
     def test_nothing_is_told_twice(self):
@@ -97,7 +97,7 @@
         links = RecordingLinks([member for member in members if member != own])
         self.posted = []
         names = {member.name for member in members} - {own_name}
-        mail = CacheMail(table, links, self, lambda: names)
+        mail = CacheOutbox(table, links, self, lambda: names)
         return mail, links
 
     def post(self, event):
@@ -118,7 +118,7 @@
     def test_the_relay_tells_its_hall_and_the_other_halls(self):
         mail, links = self.fleet("h0", per_hall=10)
         peer = FakeLink(links.link_to("h5"))
-        mail.take(peer, to_cache_news([seen("a", {b"x" * 8: 5})]))
+        mail.take(peer, to_cache_event_update([seen("a", {b"x" * 8: 5})]))
         mail._hand_on()
         self.assertEqual(1, len(self.posted))
         self.assertEqual(19, len(links.sent))
@@ -126,7 +126,8 @@
     def test_what_another_hall_told_stays_in_this_one(self):
         mail, links = self.fleet("h0", per_hall=10)
         mail.take(
-            FakeLink(links.link_to("k0")), to_cache_news([seen("a", {b"x" * 8: 5})])
+            FakeLink(links.link_to("k0")),
+            to_cache_event_update([seen("a", {b"x" * 8: 5})]),
         )
         mail._hand_on()
         self.assertEqual({f"h{number}" for number in range(1, 10)}, set(links.sent))
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -12,7 +12,7 @@
     Life,
     Member,
     Neighbours,
-    PeerHeard,
+    PeerSummaryReceived,
     PromptPart,
     RequestArrived,
     SaltBook,
@@ -314,7 +314,7 @@
             [(item.upstream, item.incarnation, item.waiting_tokens) for item in told],
         )
         summary = Summary(1, 1, 1, False, [], told, [])
-        self.scheduler.handle(PeerHeard("p", "h", 1, summary), 1.0)
+        self.scheduler.handle(PeerSummaryReceived("p", "h", 1, summary), 1.0)
         self.assertEqual(100_000, self.scheduler.pool.moves.waiting_tokens("kept"))
 
     def test_a_move_counts_until_the_answer_begins(self):
--- a/tests/test_limited_upstreams.py
+++ b/tests/test_limited_upstreams.py
@@ -31,7 +31,7 @@
 from rampwick_policy._request_rates import (
     CONFIRM_SECONDS,
     RETRANSMIT_SECONDS,
-    RateWord,
+    RateObservation,
     RequestRates,
 )
 from rampwick_policy._request_turns import (
@@ -182,7 +182,7 @@
 def make_turns(standpoint, rate, at=0.0, heard_ratio=1.0):
     """Return the turns of a host that knows the rate of one upstream."""
     rates = RequestRates(NoticeBook())
-    rates.take("u", RateWord("", rate, at, at), "test")
+    rates.take("u", RateObservation("", rate, at, at), "test")
     return RequestTurns(rates, standpoint, lambda now_seconds: heard_ratio)
 
 
@@ -284,15 +284,15 @@
         upstream = make_upstream()
         self.assertFalse(turns.may_send(upstream, 0.0))
         self.assertTrue(turns.may_send(upstream, 1.0))
-        turns.rates.take("u", RateWord("", 0.5, 0.95, 1.0), "test")
+        turns.rates.take("u", RateObservation("", 0.5, 0.95, 1.0), "test")
         for _ in range(int(MOST_SAVED_COUNT)):
             self.assertTrue(turns.may_send(upstream, 1.0))
             turns.note_sent(upstream, 1.0)
         self.assertFalse(turns.may_send(upstream, 2.9))
-        turns.rates.take("u", RateWord("", 10.0, 2.0, 2.9), "test")
+        turns.rates.take("u", RateObservation("", 10.0, 2.0, 2.9), "test")
         self.assertFalse(turns.may_send(upstream, 2.9))
         self.assertTrue(turns.may_send(upstream, 3.0))
-        turns.rates.take("u", RateWord("", None, 2.95, 3.0), "test")
+        turns.rates.take("u", RateObservation("", None, 2.95, 3.0), "test")
         turns.note_sent(upstream, 3.0)
         self.assertTrue(turns.may_send(upstream, 3.0))
 
@@ -309,7 +309,7 @@
 
     def answer(self, rate, at, asked=None):
         asked = at if asked is None else asked
-        self.one.take_answer("u", RateWord("1", rate, asked, at), at)
+        self.one.take_answer("u", RateObservation("1", rate, asked, at), at)
 
     def test_it_is_told_at_once_and_again_for_a_while(self):
         self.answer(1.8, 1.0)
@@ -429,7 +429,7 @@
         near = Neighbours(frozenset({"e9"}), frozenset({"e9"}), frozenset({"trnava"}))
         session.do(0.0, NeighboursSeen(near, is_leaving=True))
         rates = RequestRates(NoticeBook())
-        rates.take("lektor-1", RateWord("one", 1.0, 0.0, 0.0), "test")
+        rates.take("lektor-1", RateObservation("one", 1.0, 0.0, 0.0), "test")
         session.do(0.0, RateLimitUpdateReceived(rates.initial_state(0.0)))
         (refusal,) = session.arrive(0.1, "r0", latency_target_seconds=2.0)
         self.assertEqual("upstreams_at_rate", refusal.reason)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,10 +9,10 @@
 
 from rampwick_policy import (
     AttemptFailed,
-    HallNews,
     Outcome,
     RequestArrived,
     RequestCancelled,
+    SummaryDigest,
     Tick,
     TreeView,
     without,
@@ -260,7 +260,7 @@
 
     def test_sums_of_a_hall_hold_all_and_a_host_takes_its_own_out(self):
         one, two = self.summary(100, 10, 3.0), self.summary(50, 5, 70.0)
-        total = HallNews().merge([one, two], 1)
+        total = SummaryDigest().merge([one, two], 1)
         self.assertEqual([LimitUsage("/w", 150, 0, 15)], total.limits)
         self.assertEqual(70.0, total.limits_known_seconds)
         self.assertEqual([LimitUsage("/w", 50, 0, 5)], without(total, one).limits)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -20,8 +20,8 @@
     Node,
     NodeEdit,
     PlacedPrefix,
+    RolloutUpdate,
     SettingsError,
-    StewardNews,
     Summary,
     Tree,
     TreeReply,
@@ -101,7 +101,7 @@
         A message from the release before was no message: each link between hosts of two
         releases ended at the first one, and was dialled and ended again.
         """
-        news = StewardNews("h", 7, [WeightsTarget("m", 2)], [], [])
+        news = RolloutUpdate("h", 7, [WeightsTarget("m", 2)], [], [])
         whole = msgpack.unpackb(encode_message(news)[LENGTH_BYTES:])
         self.assertEqual([], whole.pop())
         self.assertEqual(news, decode_message(msgpack.packb(whole)))
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -14,7 +14,7 @@
     HostListRead,
     Member,
     MemberTable,
-    PeerHeard,
+    PeerSummaryReceived,
     Scheduler,
     TargetsRead,
     TargetWeights,
@@ -30,7 +30,7 @@
     HostEntry,
     HostList,
     LeaseRecord,
-    StewardNews,
+    RolloutUpdate,
     Summary,
     WeightsTarget,
     parse_settings,
@@ -204,8 +204,8 @@
         return anyio.run(main)
 
     def test_the_steward_tells_its_news_at_once(self):
-        self.assertIn(StewardNews, self.messages(is_holder=True))
-        self.assertNotIn(StewardNews, self.messages(is_holder=False))
+        self.assertIn(RolloutUpdate, self.messages(is_holder=True))
+        self.assertNotIn(RolloutUpdate, self.messages(is_holder=False))
 
 
 class LeavingCandidatesTest(TestCase):
@@ -241,7 +241,9 @@
             for rank, member in enumerate(members):
                 if member != third:
                     summary = Summary(1, 1, 1, rank < leaving_count, [], [], [])
-                    daemon.scheduler.post(PeerHeard(member.name, "h", 1, summary))
+                    daemon.scheduler.post(
+                        PeerSummaryReceived(member.name, "h", 1, summary)
+                    )
             return daemon.steward.is_candidate()
 
         return anyio.run(main)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -4,7 +4,7 @@
 from hypothesis import given, strategies as st
 from testtools import TestCase
 
-from rampwick_policy import HallNews, Member, RelayListener, without
+from rampwick_policy import Member, RelayListener, SummaryDigest, without
 from rampwick_schema import (
     Beat,
     FleetSummary,
@@ -63,9 +63,9 @@
 class WithoutTest(TestCase):
     @given(words(), words())
     def test_a_sum_without_a_part_is_what_the_others_say(self, own, others):
-        total = HallNews().merge([own, others], 9)
+        total = SummaryDigest().merge([own, others], 9)
         rest = without(total, own)
-        self.assertEqual(facts(HallNews().merge([others], 9)), facts(rest))
+        self.assertEqual(facts(SummaryDigest().merge([others], 9)), facts(rest))
         self.assertEqual(1, rest.hosts_count)
 
 
--- a/tests/test_request_rates.py
+++ b/tests/test_request_rates.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 
 from rampwick_policy._notices import NoticeBook
-from rampwick_policy._request_rates import STALE_SECONDS, RateWord, RequestRates
+from rampwick_policy._request_rates import STALE_SECONDS, RateObservation, RequestRates
 
 from .scripted import run_routed
 
@@ -20,7 +20,7 @@
         self.rates = RequestRates(self.notices)
 
     def take(self, rate, asked, heard, life="1"):
-        return self.rates.take("u", RateWord(life, rate, asked, heard), "test")
+        return self.rates.take("u", RateObservation(life, rate, asked, heard), "test")
 
     def rate(self, now, life="1"):
         return self.rates.rate("u", life, now)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -7,9 +7,9 @@
 from testtools import TestCase
 
 from rampwick_platform import on_grid
-from rampwick_policy import HallNews, Member, MemberTable, diff_hosts, patch_hosts
+from rampwick_policy import Member, MemberTable, SummaryDigest, diff_hosts, patch_hosts
 from rampwick_policy._membership import Membership
-from rampwick_router.peers._member_news import MemberNews
+from rampwick_router.peers._member_updates import MemberUpdates
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -170,7 +170,7 @@
             waiting=[WaitingCount("/a", "s", 2), WaitingCount("/b", "t", 2)],
             down=["x", "y"],
         )
-        merged = HallNews().merge([one, two], 7)
+        merged = SummaryDigest().merge([one, two], 7)
         self.assertEqual(
             [
                 UpstreamUsage("r", "one/1", 5, 150),
@@ -189,7 +189,7 @@
         )
 
     def test_placements_are_told_once_and_bounded(self):
-        news = HallNews()
+        news = SummaryDigest()
         placed = [PlacedPrefix("r", "one/1", [b"12345678"], [5])]
         for number in range(1000):
             news.take(summary(number, placed=placed))
@@ -270,7 +270,7 @@
         self.assertEqual(math.inf, on_grid(math.inf, 7.0))
 
 
-class MemberNewsTest(TestCase):
+class MemberUpdatesTest(TestCase):
     """A fleet that starts makes few messages of its members."""
 
     def links_told(self, hosts_count, links_count):
@@ -285,7 +285,7 @@
             Member(f"h{number}", "hall", f"h{number}:1")
             for number in range(hosts_count)
         ]
-        news = MemberNews(Links())
+        news = MemberUpdates(Links())
         for member in members:
             news.add([member], member.name)
         news.tell()
@@ -302,7 +302,7 @@
             def broadcast(self, message, is_for):
                 told.extend(name for name in ("a", "b") if is_for(Member(name, "", "")))
 
-        news = MemberNews(Links())
+        news = MemberUpdates(Links())
         news.add([Member("c", "hall", "c:1")], "a")
         news.tell()
         news.tell()
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -219,7 +219,7 @@
         self.assertTrue(self.is_open(1.0))
         self.scheduler.handle(LoadOrdered("r", "", 2, 4.0), 1.0)
         self.assertFalse(self.is_open(1.1))
-        self.scheduler.handle(WeightsSeen("r", "one", 2, is_own_word=False), 1.8)
+        self.scheduler.handle(WeightsSeen("r", "one", 2, is_own_report=False), 1.8)
         self.assertTrue(self.is_open(1.9))
 
     def test_an_announced_load_that_never_shows_ends_by_time(self):
@@ -242,7 +242,7 @@
 
     def test_only_the_runners_own_word_lowers_the_weights(self):
         self.scheduler.handle(WeightsSeen("r", "one", 3), 1.0)
-        self.scheduler.handle(WeightsSeen("r", "one", 2, is_own_word=False), 1.1)
+        self.scheduler.handle(WeightsSeen("r", "one", 2, is_own_report=False), 1.1)
         upstream = self.scheduler.upstreams.get("r")
         self.assertEqual(3, upstream.life.weights_version)
         self.scheduler.handle(WeightsSeen("r", "one", 2), 1.2)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -15,7 +15,7 @@
     HostListRead,
     LoadReported,
     Outcome,
-    PeerHeard,
+    PeerSummaryReceived,
     ProbeFailed,
     Refuse,
     RequestArrived,
@@ -244,25 +244,27 @@
         session.put_tree()
         usage = [LimitUsage("/h/a", 20_000)]
         summary = Summary(1, 1, 1, False, [], [], [], limits=usage)
-        session.do(20.0, PeerHeard("entry-2", "trnava", 1, summary))
+        session.do(20.0, PeerSummaryReceived("entry-2", "trnava", 1, summary))
         (refused,) = session.arrive(20.0, "r1")
         self.assertEqual(("over_limit", "/h/a"), (refused.reason, refused.peer))
         self.assertEqual("NOT_SENT", refused.run_state.name)
         # After a while the use has left the window and the request may go.
         summary = Summary(2, 1, 1, False, [], [], [])
-        session.do(40.0, PeerHeard("entry-2", "trnava", 1, summary))
+        session.do(40.0, PeerSummaryReceived("entry-2", "trnava", 1, summary))
         self.assertEqual(["Dispatch"], self.kinds(session.arrive(40.0, "r2")))
 
     def test_peers_work_counts_against_the_slots(self):
         session = Session(runners=1, slots=2)
         usage = [UpstreamUsage("lektor-1", "one/1", 3, 0)]
         summary = Summary(1, 1, 1, False, [], usage, [])
-        session.do(1.0, PeerHeard("entry-2", "trnava", 1, summary))
+        session.do(1.0, PeerSummaryReceived("entry-2", "trnava", 1, summary))
         self.assertEqual([], session.arrive(1.0, "r1"))
         other_life = attrs.evolve(
             summary, sequence=2, upstreams=[UpstreamUsage("lektor-1", "old/1", 3, 0)]
         )
-        actions = session.do(1.1, PeerHeard("entry-2", "trnava", 1, other_life))
+        actions = session.do(
+            1.1, PeerSummaryReceived("entry-2", "trnava", 1, other_life)
+        )
         self.assertEqual(["Dispatch"], self.kinds(actions))
 
     def hear_of_waiting(self, session, at, service):
@@ -270,7 +272,7 @@
         usage = [WorkspaceUsage("/h/a", 50_000)]
         waiting = [WaitingCount("/h/b", service, 100)]
         summary = Summary(1, 1, 1, False, usage, [], [], waiting=waiting)
-        session.do(at, PeerHeard("entry-2", "trnava", 1, summary))
+        session.do(at, PeerSummaryReceived("entry-2", "trnava", 1, summary))
 
     def test_slots_are_left_to_those_who_wait_for_the_same_service(self):
         session = Session(runners=2, slots=8)
@@ -432,7 +434,7 @@
 
     def hear_down(self, at):
         summary = Summary(1, 1, 1, False, [], [], [], ["lektor-1"])
-        self.session.do(at, PeerHeard("entry-2", "trnava", 1, summary))
+        self.session.do(at, PeerSummaryReceived("entry-2", "trnava", 1, summary))
         return self.scheduler.upstreams.get("lektor-1").is_suspected
 
     def test_a_peers_word_has_an_upstream_asked(self):
@@ -445,13 +447,13 @@
         # 18 s: nothing was sent until 4,400 probes had come back.
         names = ["lektor-1", "lektor-2", "lektor-3"]
         summary = Summary(1, 1, 1, False, [], [], [], names)
-        self.session.do(5.0, PeerHeard("fleet", "", 1, summary))
+        self.session.do(5.0, PeerSummaryReceived("fleet", "", 1, summary))
         suspected = [
             item.name for item in self.scheduler.upstreams if item.is_suspected
         ]
         self.assertEqual([], suspected)
         few = attrs.evolve(summary, sequence=2, down=names[:2])
-        self.session.do(5.3, PeerHeard("fleet", "", 1, few))
+        self.session.do(5.3, PeerSummaryReceived("fleet", "", 1, few))
         suspected = [
             item.name for item in self.scheduler.upstreams if item.is_suspected
         ]
@@ -463,10 +465,10 @@
         known = self.scheduler.upstreams.get(sent.upstream)
         self.assertTrue(known.is_heard(5.0))
         summary = Summary(1, 1, 1, False, [], [], [], [sent.upstream])
-        self.session.do(5.0, PeerHeard("entry-2", "trnava", 1, summary))
+        self.session.do(5.0, PeerSummaryReceived("entry-2", "trnava", 1, summary))
         self.assertFalse(known.is_suspected)
         later = attrs.evolve(summary, sequence=2)
-        self.session.do(5.6, PeerHeard("entry-2", "trnava", 1, later))
+        self.session.do(5.6, PeerSummaryReceived("entry-2", "trnava", 1, later))
         self.assertTrue(known.is_suspected)
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -34,9 +34,9 @@
 from rampwick_policy._kept import KeptKnowledge
 from rampwick_router._dialects import CacheEvent, CacheEvents
 from rampwick_router._scheduler_task import SchedulerTask
-from rampwick_router.peers._cache_mail import CacheMail
+from rampwick_router.peers._cache_outbox import CacheOutbox
 from rampwick_router.peers._directory import PeerDirectory
-from rampwick_router.peers._news import cache_events
+from rampwick_router.peers._messages import cache_events
 from rampwick_router.upstream._cache_reader import (
     FIRST_ROLE_SECONDS,
     ROLE_SECONDS,
@@ -160,7 +160,7 @@
         scheduler.post(CacheSeen("r", (changes,)))
         table = MemberTable(Member("e", "h", "e:1"))
         table.learn(Member(f"k{n}", "h", f"k{n}:1") for n in range(hosts_count - 1))
-        mail = CacheMail(table, None, scheduler, set)
+        mail = CacheOutbox(table, None, scheduler, set)
         mail.list_read = lambda: names
         return mail
 
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from rampwick_policy import Member, PeerView
-from rampwick_router.peers._summaries import LATE_HALL_SECONDS, SummaryTeller
+from rampwick_router.peers._summaries import LATE_HALL_SECONDS, SummaryPublisher
 from rampwick_schema import LimitUsage, Summary, UpstreamUsage
 
 OWN = Member("h1", "a", "h1:1", 7)
@@ -49,8 +49,8 @@
             with_own_versions=lambda item: item, own_ages=lambda: (0.0, 0.0)
         )
         links = SimpleNamespace(broadcast=lambda message, to: sent.append(message))
-        teller = SummaryTeller(scheduler, None, links, roles, sync, lambda: 100.0)
-        teller.tell_fleet()
+        teller = SummaryPublisher(scheduler, None, links, roles, sync, lambda: 100.0)
+        teller.publish_fleet()
         return sent[0].summary
 
     def test_one_that_spoke_of_late_counts(self):
--- a/tests/test_urgent_updates.py
+++ b/tests/test_urgent_updates.py
@@ -31,13 +31,13 @@
     def is_hall_surge(self):
         return self._is_hall_surge
 
-    def tell_own(self, *, has_surged=False):
+    def publish_own(self, *, has_surged=False):
         self.told.append(("own", has_surged))
 
-    def tell_fleet(self):
+    def publish_fleet(self):
         self.told.append(("fleet", False))
 
-    def tell_hall(self, *, has_surged=False):
+    def publish_hall(self, *, has_surged=False):
         self.told.append(("hall", has_surged))
 
 
