Look up an upstream's signals when they change, not at each look at it

Each look at an upstream built and hashed its incarnation twice, and a placement looks at all of them. The upstream shows its announced shutdown and its pause as fields, set as a signal, a listing or another incarnation comes; the books of both outlast the list as before. What it costs a host at size was not played.

The tests of both signals are unchanged but for the call by which test_births.py notes a pause.

--- a/packages/rampwick-policy/src/rampwick_policy/_forecasts.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_forecasts.py
@@ -104,7 +104,7 @@
         is_limited = turn_at_seconds is not None
         rate = self._turns.own_rate(upstream, now_seconds) if is_limited else math.inf
         if obstacle is Obstacle.PAUSED:
-            resumes_at_seconds = self._upstreams.paused_until_seconds(upstream)
+            resumes_at_seconds = upstream.paused_until_seconds
             if turn_at_seconds is not None:
                 resumes_at_seconds = max(resumes_at_seconds, turn_at_seconds)
             return Forecast(resumes_at_seconds, rate, PAUSED)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -304,7 +304,7 @@
         incarnation = event.incarnation or (upstream.incarnation if upstream else "")
         if event.is_leaving:
             leaving = Incarnation(event.upstream, incarnation)
-            self.upstreams.departures.note(leaving, now_seconds)
+            self.upstreams.note_departure(leaving, now_seconds)
             if upstream is not None:
                 self._notice(upstream, event.source, now_seconds)
         if event.pause_seconds is not None:
@@ -314,7 +314,7 @@
     def _on_leaving_received(
         self, event: ev.LeavingUpdateReceived, now_seconds: float
     ) -> None:
-        received = self.upstreams.departures.receive(event.update, now_seconds)
+        received = self.upstreams.receive_departures(event.update, now_seconds)
         for incarnation in received:
             upstream = self.upstreams.get(incarnation.upstream)
             if upstream is not None:
@@ -327,7 +327,7 @@
         source: str,
         now_seconds: float,
     ) -> None:
-        self.upstreams.pauses.note(paused, pause_seconds, now_seconds)
+        self.upstreams.note_pause(paused, pause_seconds, now_seconds)
         upstream = self.upstreams.get(paused.upstream)
         if upstream is not None:
             asked = "no time" if pause_seconds is None else f"{pause_seconds:g} s"
--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -45,6 +45,10 @@
     #: Weights that it is loading and until when; it serves nothing meanwhile.
     load_version: int = 0
     load_until_seconds: float = -math.inf
+    #: Whether its present incarnation announced its shutdown, and until when that wants
+    #: no requests from this host.
+    is_departing: bool = False
+    paused_until_seconds: float = -math.inf
     #: Whether it fell silent and is to be asked at once if it is well.
     is_suspected: bool = False
     #: Until when its silence raises no suspicion, since it has just proved well.
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -7,6 +7,7 @@
 from rampwick_schema import (
     HostEntry,
     HostList,
+    LeavingUpdate,
     LoadReport,
     PlacementSettings,
     RetrySettings,
@@ -133,11 +134,13 @@
         if known is not None and known.entry.address == entry.address:
             known.entry = entry
             self._take_listed(known)
+            self._apply_signals(entry.name)
             return
         health = Health(self._retry.ramp_start_ratio, self._retry.ramp_seconds)
         upstream = Upstream(entry=entry, health=health)
         self._upstreams[entry.name] = upstream
         self._take_listed(upstream)
+        self._apply_signals(entry.name)
 
     def _take_listed(self, upstream: Upstream) -> None:
         """Take what the list itself tells; it lags, so weights only rise by it."""
@@ -166,6 +169,7 @@
         if life != known:
             # Whatever it was doing before, it has come out of it.
             upstream.role = SERVING_ROLE
+            self._apply_signals(upstream.name)
         return life != known
 
     def due_probes(self, now_seconds: float) -> list[HostEntry]:
@@ -200,7 +204,7 @@
         due_at_seconds = upstream.probed_at_seconds + interval_seconds
         if not upstream.is_runner:
             # A health probe waits for a slot as a request does.
-            due_at_seconds = max(due_at_seconds, self.paused_until_seconds(upstream))
+            due_at_seconds = max(due_at_seconds, upstream.paused_until_seconds)
         return due_at_seconds - now_seconds
 
     def suspect(self, upstream: Upstream, now_seconds: float) -> bool:
@@ -234,19 +238,46 @@
 
     def is_leaving(self, upstream: Upstream) -> bool:
         """Return whether an upstream is shutting down, by its entry or its answers."""
-        if upstream.entry.state == LEAVING_STATE:
-            return True
-        return _present(upstream) in self.departures
+        return upstream.is_departing or upstream.entry.state == LEAVING_STATE
+
+    def note_departure(self, incarnation: Incarnation, now_seconds: float) -> None:
+        """Note that an answer to this host announced a shutdown."""
+        self.departures.note(incarnation, now_seconds)
+        self._apply_signals(incarnation.upstream)
+
+    def receive_departures(
+        self, update: LeavingUpdate, now_seconds: float
+    ) -> list[Incarnation]:
+        """Take a peer's update; return what was not known here."""
+        received = self.departures.receive(update, now_seconds)
+        for incarnation in received:
+            self._apply_signals(incarnation.upstream)
+        return received
+
+    def note_pause(
+        self, incarnation: Incarnation, pause_seconds: float | None, now_seconds: float
+    ) -> None:
+        """Note that an upstream wants no requests from this host for a while."""
+        self.pauses.note(incarnation, pause_seconds, now_seconds)
+        self._apply_signals(incarnation.upstream)
 
-    def paused_until_seconds(self, upstream: Upstream) -> float:
-        """Return until when an upstream wants no requests from this host."""
-        return self.pauses.until_seconds(_present(upstream))
+    def _apply_signals(self, name: str) -> None:
+        """Have an upstream show what its present incarnation asked for.
+
+        It is looked at far more often than that changes.
+        """
+        upstream = self._upstreams.get(name)
+        if upstream is None:
+            return
+        present = Incarnation(name, upstream.incarnation)
+        upstream.is_departing = present in self.departures
+        upstream.paused_until_seconds = self.pauses.until_seconds(present)
 
     def obstacle(self, upstream: Upstream, now_seconds: float) -> Obstacle | None:
         """Return why an upstream may be given no new request; none if it may."""
         if self.is_leaving(upstream):
             return Obstacle.LEAVING
-        if now_seconds < self.paused_until_seconds(upstream):
+        if now_seconds < upstream.paused_until_seconds:
             return Obstacle.PAUSED
         if upstream.is_runner and upstream.life is None:
             return Obstacle.UNKNOWN
@@ -290,7 +321,7 @@
         """Return what is believed of an upstream in a word or two, for logs."""
         if self.is_leaving(upstream):
             return "leaving"
-        if now_seconds < self.paused_until_seconds(upstream):
+        if now_seconds < upstream.paused_until_seconds:
             return "paused"
         if upstream.health.state is not HealthState.UP:
             return upstream.health.state.value
@@ -379,7 +410,3 @@
             weights_version=upstream.life.weights_version if upstream.life else 0,
             penalty_seconds=self._outdated_penalty_seconds(upstream, now_seconds),
         )
-
-
-def _present(upstream: Upstream) -> Incarnation:
-    return Incarnation(upstream.name, upstream.incarnation)
--- a/tests/test_births.py
+++ b/tests/test_births.py
@@ -135,7 +135,7 @@
         self.scheduler.upstreams.suspect(old, 1.0)
         old.load_version, old.load_until_seconds = 9, 100.0
         paused = Incarnation(old.name, old.incarnation)
-        self.scheduler.upstreams.pauses.note(paused, 99.0, 1.0)
+        self.scheduler.upstreams.note_pause(paused, 99.0, 1.0)
         self.take(2, self.new)
         new = self.scheduler.upstreams.get(self.new.name)
         self.assertIsNone(self.scheduler.upstreams.get(self.old.name))
