--- a/soak/_failed_seeds.py
+++ b/soak/_failed_seeds.py
@@ -13,4 +13,7 @@
     "that the prompt was answered, let go, and its runs counted on",
     2108: "a toy engine read prompts of its last life on, and the sum of its waiting "
     "tokens fell below zero: status 500 for good",
+    7000: "open: a restarted host took no connection in time, beside much other work",
+    7102: "open: the same",
+    7300: "open: a stream cut in calm times, as seed 11, beside three other soaks",
 }
