An upstream that is back in the same incarnation shows what was announced meanwhile

While an upstream is down its incarnation may be unknown here, so a peer's update on it found nothing to mark; as it came back unchanged, the mark was not looked up again, and requests went to a leaving upstream. It is looked up each time an incarnation is seen now.

test_what_came_while_it_was_down_holds_as_it_is_back fails before, passes after, with the tests of both signals, births and the scheduler. The whole suite was not run on this commit by hand.

--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -169,7 +169,7 @@
         if life != known:
             # Whatever it was doing before, it has come out of it.
             upstream.role = SERVING_ROLE
-            self._apply_signals(upstream.name)
+        self._apply_signals(upstream.name)
         return life != known
 
     def due_probes(self, now_seconds: float) -> list[HostEntry]:
--- a/tests/test_requests_to_leaving_upstreams.py
+++ b/tests/test_requests_to_leaving_upstreams.py
@@ -11,8 +11,10 @@
     AttemptFailed,
     Dispatch,
     HostListRead,
+    LeavingUpdateReceived,
     Obstacle,
     Outcome,
+    ProbeFailed,
     Refuse,
     RunState,
     Tick,
@@ -132,6 +134,15 @@
         leave(session, 3.0, "lektor-1", life="one")
         self.assertEqual(["lektor-1"], sent_to(session.arrive(3.1, "r2")))
 
+    def test_what_came_while_it_was_down_holds_as_it_is_back(self):
+        session = Session(runners=1, slots=8)
+        session.do(1.0, ProbeFailed("lektor-1", "silent"))
+        update = LeavingUpdate([LeavingUpstream("lektor-1", "one")])
+        session.do(1.1, LeavingUpdateReceived(update))
+        session.report(2.0, "lektor-1", life="one", slots=8)
+        upstreams = session.scheduler.upstreams
+        self.assertTrue(upstreams.is_leaving(upstreams.get("lektor-1")))
+
     def test_its_closed_connections_are_no_crash(self):
         session = Session(runners=1, slots=8)
         leave(session, 1.0, "lektor-1")
