--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -31,7 +31,11 @@
     open_loop as open_loop,
     read_steady_clock as read_steady_clock,
 )
-from ._store_dialect import StoreDialect as StoreDialect, StoreRequest as StoreRequest
+from ._store_dialect import (
+    StoreDialect as StoreDialect,
+    StoreRequest as StoreRequest,
+    read_era as read_era,
+)
 from ._timers import (
     move_on_at_grid as move_on_at_grid,
     on_grid as on_grid,
--- a/packages/rampwick-platform/src/rampwick_platform/_entity_tags.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_entity_tags.py
@@ -12,12 +12,19 @@
     StoredObject,
     VersionConflictError,
 )
-from ._store_dialect import StoreRequest
+from ._store_dialect import StoreRequest, read_era
+
+#: Header of the store's era, in all its answers.
+ERA_HEADER = "Rampwick-Store-Era"
 
 
 class EntityTagDialect:
     """Keys in the path, versions as entity tags."""
 
+    def read_era(self, response: httpx.Response) -> int:
+        """Return the store's era; 0 where an answer gives none."""
+        return read_era(response.headers.get(ERA_HEADER, ""))
+
     def get(self, key: str) -> StoreRequest:
         """Return the request for an object."""
         return StoreRequest("get object", "GET", f"/v1/objects/{key}")
--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -59,6 +59,10 @@
         self._read_clock = read_clock
         #: Calls made so far by what they were for, a watch as one.
         self.calls: Counter[str] = Counter()
+        #: Highest era of the store that an answer gave.
+        self.era = 0
+        #: Called with the era before and the new one.
+        self.note_era: Callable[[int, int], None] = _ignore_era
         self._client = httpx.AsyncClient(
             base_url=url,
             timeout=call_timeout_seconds,
@@ -140,9 +144,15 @@
             raise AnswerLostError(
                 _describe(error), step=step, peer=self._url
             ) from error
+        self._take_era(self._dialect.read_era(response))
         self._check(response, step)
         return response
 
+    def _take_era(self, era: int) -> None:
+        if era > self.era:
+            before, self.era = self.era, era
+            self.note_era(before, era)
+
     def _check(self, response: httpx.Response, step: str) -> None:
         status = response.status_code
         if response.is_success or status in MEANINGFUL_STATUSES:
@@ -156,5 +166,9 @@
         raise kind(message, step=step, peer=self._url)
 
 
+def _ignore_era(before: int, era: int) -> None:
+    return
+
+
 def _describe(error: Exception) -> str:
     return str(error) or type(error).__name__
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -47,10 +47,10 @@
     objects: dict[str, StoredObject] = attrs.field(factory=dict)
     version: int = 0
 
-    def take_listing(self, listing: Listing) -> None:
-        """Replace everything by a whole listing, unless it is older."""
+    def take_listing(self, listing: Listing) -> bool:
+        """Replace everything by a whole listing; return false if it is older."""
         if listing.version < self.store_version:
-            return
+            return False
         known = self.objects
         self.objects = {item.key: item for item in listing.objects}
         self.store_version = listing.version
@@ -60,6 +60,7 @@
             # would keep the list from before it, and send to what has left.
             versions.append(listing.version)
         self.version = max([self.version, *versions])
+        return True
 
     def take_changes(self, listing: Listing) -> None:
         """Merge what a watch told; older versions of an object change nothing."""
@@ -136,13 +137,13 @@
     async def refresh(self) -> None:
         """Read everything once more, or raise PlatformError."""
         began_seconds = self._read_clock()
-        self._view.take_listing(await self._list())
+        self._take_listing(await self._list())
         self._note_success(began_seconds)
 
     async def _look(self) -> float:
         began_seconds = self._read_clock()
         if not self._is_listed:
-            self._view.take_listing(await self._list())
+            self._take_listing(await self._list())
             self._is_listed = True
             return began_seconds
         listing = await self._api.watch(
@@ -170,6 +171,14 @@
         # to which all changes are surely in.
         return Listing(version=version, objects=objects)
 
+    def _take_listing(self, listing: Listing) -> None:
+        known_version = self._view.store_version
+        if not self._view.take_listing(listing):
+            self._take_problem(
+                f"listing of {self._prefix} has version {listing.version}, "
+                f"{known_version} is known"
+            )
+
     def _note_success(self, confirmed_at_seconds: float) -> None:
         state = KindState(
             objects=dict(self._view.objects),
--- a/packages/rampwick-platform/src/rampwick_platform/_store_dialect.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_store_dialect.py
@@ -9,6 +9,15 @@
 
 from ._api import Listing, StoredObject
 
+#: Digits of an era that are read; longer ones are no era.
+MAX_ERA_DIGITS = 6
+
+
+def read_era(text: str) -> int:
+    """Return the era that a header's text gives; 0 if it is no whole number."""
+    is_era = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_era else 0
+
 
 @attrs.frozen(repr=False)
 class StoreRequest(Shown):
@@ -31,6 +40,12 @@
     that it has a meaning of its own.
     """
 
+    def read_era(self, response: httpx.Response) -> int:
+        """Return the store's era as an answer gives it; 0 where it gives none.
+
+        It rises whenever the store is restored from an older copy.
+        """
+
     def get(self, key: str) -> StoreRequest:
         """Return the request for an object."""
 
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -139,6 +139,7 @@
                 hosts_heard_count=len(self._gossip.roles.live_names),
                 connections_opened=self._channels.opened_counts(),
                 platform_calls=dict(getattr(self._api, "calls", {})),
+                store_era=getattr(self._api, "era", 0),
             )
 
     def _describe_targets(self) -> dict[str, Any]:
@@ -188,6 +189,11 @@
         return max(0.0, min(drain_seconds, left_seconds))
 
 
+def _log_era(before: int, era: int) -> None:
+    sentence = "store restored from an older copy" if before else "store era known"
+    log.info(sentence, era_before=before, era=era)
+
+
 @asynccontextmanager
 async def run_daemon(
     settings: Settings,
@@ -212,6 +218,8 @@
                     dialect=integration.store if integration else None,
                 )
             )
+        if isinstance(api, HttpObjectApi):
+            api.note_era = _log_era
         clocks = clocks or Clocks()
         channels = await stack.enter_async_context(ChannelPool(clocks.monotonic))
         upstreams = UpstreamClient(
