Failing tests: a store that is restored from an older copy

The stand-in store can be restored from a copy, in a new era. On the code as it is, what is written after that is not read, the lease is not taken in ten tries, and 10 of 10 requests reach an upstream that is leaving.

--- a/packages/rampwick-standin/src/rampwick_standin/_platform.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_platform.py
@@ -2,7 +2,9 @@
 
 ``POST /faults`` makes it fail: ``is_down`` answers nothing, ``delay_seconds`` is added
 to each call, ``lost_answers_count`` drops that many answers after their writes took
-effect, ``is_stale`` answers reads from the state at the time of the order.
+effect, ``is_stale`` answers reads from the state at the time of the order. ``POST
+/copy`` keeps a copy of the store, and ``POST /restore`` brings it back from that copy,
+in a new era.
 """
 
 import copy
@@ -11,6 +13,8 @@
 import anyio
 import attrs
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.middleware.base import BaseHTTPMiddleware, RequestResponseEndpoint
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
@@ -19,6 +23,9 @@
 
 from ._store import Item, ObjectStore, PreconditionError
 
+#: Header of the store's era, in all answers once there was a restore.
+ERA_HEADER = "Rampwick-Store-Era"
+
 #: Longest sleep between two looks of a watch.
 WATCH_STEP_SECONDS = 0.02
 
@@ -42,6 +49,8 @@
         self.faults = PlatformFaults()
         self.calls_count = 0
         self._stale_store = self.store
+        self._copy = copy.deepcopy(self.store)
+        self.era = 0
         self.app = Starlette(
             routes=[
                 Route("/v1/objects/{key:path}", self._get, methods=["GET"]),
@@ -51,9 +60,22 @@
                 Route("/v1/hosts", self._read_hosts, methods=["GET"]),
                 Route("/v1/hosts", self._write_hosts, methods=["PUT"]),
                 Route("/faults", self._set_faults, methods=["POST"]),
-            ]
+                Route("/copy", self._handle_copy, methods=["POST"]),
+                Route("/restore", self._handle_restore, methods=["POST"]),
+            ],
+            middleware=[Middleware(BaseHTTPMiddleware, dispatch=self._add_era)],
         )
 
+    def keep_copy(self) -> None:
+        """Keep the store's present state for a later restore."""
+        self._copy = copy.deepcopy(self.store)
+
+    def restore(self, eras_count: int = 1) -> None:
+        """Lose all that was written since the copy; revisions count on from there."""
+        self.store = copy.deepcopy(self._copy)
+        self._stale_store = self.store
+        self.era += eras_count
+
     def set_faults(self, faults: PlatformFaults) -> None:
         """Change what goes wrong from now on."""
         if faults.is_stale and not self.faults.is_stale:
@@ -64,6 +86,14 @@
         """Replace the host list."""
         self.hosts = HostList(version=self.hosts.version + 1, hosts=entries)
 
+    async def _add_era(
+        self, request: Request, call_next: RequestResponseEndpoint
+    ) -> Response:
+        response = await call_next(request)
+        if self.era:
+            response.headers[ERA_HEADER] = str(self.era)
+        return response
+
     @property
     def _readable(self) -> ObjectStore:
         return self._stale_store if self.faults.is_stale else self.store
@@ -113,9 +143,14 @@
         prefix = request.query_params.get("prefix", "")
         after_version = int(request.query_params["after_version"])
         timeout_seconds = float(request.query_params["timeout_seconds"])
+        era = self.era
+        if after_version > self._readable.version:
+            return Response(status_code=410)
         items: list[Item] = []
         with anyio.move_on_after(timeout_seconds):
             while not items and not self.faults.is_down:
+                if self.era != era:
+                    return Response(status_code=410)
                 items = self._readable.changed_after(prefix, after_version)
                 await anyio.sleep(0 if items else WATCH_STEP_SECONDS)
         return (
@@ -141,6 +176,14 @@
         self.set_hosts(entries)
         return Response(status_code=204)
 
+    async def _handle_copy(self, request: Request) -> Response:
+        self.keep_copy()
+        return Response(status_code=204)
+
+    async def _handle_restore(self, request: Request) -> Response:
+        self.restore()
+        return Response(status_code=204)
+
     async def _set_faults(self, request: Request) -> Response:
         data = json.loads(await request.body())
         self.set_faults(structure(data, PlatformFaults, step="set faults"))
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -9,8 +9,10 @@
 import anyio
 import attrs
 import h11
+import httpx
 
 from rampwick_platform import (
+    HttpObjectApi,
     KindState,
     Listing,
     StoredObject,
@@ -30,6 +32,7 @@
     WeightsTarget,
     parse_settings,
 )
+from rampwick_standin import PlatformStandIn
 
 KEY = "key-labels"
 HOST = "labels.example"
@@ -376,12 +379,32 @@
             return view
 
 
+class RestorableStore(HttpObjectApi):
+    """A client of a stand-in that can be restored, with the writes of others."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "http://store", call_timeout_seconds=1.0, calls_per_second=1000.0
+        )
+        self.stand_in = PlatformStandIn()
+        self._client = httpx.AsyncClient(
+            transport=httpx.ASGITransport(self.stand_in.app), base_url="http://store"
+        )
+
+    def write(self, key: str, record) -> int:
+        """Write a record as others do."""
+        store = self.stand_in.store
+        known = store.get(key)
+        expected_version = known.version if known else 0
+        return store.put(key, encode_record(record), expected_version)
+
+
 @asynccontextmanager
 async def run_routed(
-    upstreams: dict[str, list[str]], platform: str = "", retry: str = ""
+    upstreams: dict[str, list[str]], platform: str = "", retry: str = "", store=None
 ) -> AsyncIterator[tuple[RoutedHost, dict[str, ScriptedUpstream]]]:
     """Run a routed host before scripted upstreams, named by their service."""
-    store = MemoryStore()
+    store = store or MemoryStore()
     store.write("config/main", make_tree())
     found: dict[str, ScriptedUpstream] = {}
     async with anyio.create_task_group() as tasks:
