Order the store's versions across its restores

Callers saw requests served by an upstream that was leaving and by a configuration that had been replaced. Cause: the store came back from an older copy and counted its revisions on from there; hosts took a higher revision for a later state, dropped the listings, confirmed by them what they had, and watched from a revision that the store didn't have (410). Once it had counted past that, the changes up to there were never read. The steward's lease expected a version of before and was never taken again.

Versions are one number with the store's era in the high bits, made at the client. Answers of an era before are refused, watches from an era before are listed anew, conditional writes that expect a version of an era before are not sent, and one that meets a restore on its way is no success. A listing that is dropped no longer confirms, and a second 410 in a row is followed by a pause.

--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -10,6 +10,7 @@
     PlatformError as PlatformError,
     PlatformUnavailableError as PlatformUnavailableError,
     StoredObject as StoredObject,
+    StoreRestoredError as StoreRestoredError,
     VersionConflictError as VersionConflictError,
 )
 from ._claim_store import ClaimStore as ClaimStore
--- a/packages/rampwick-platform/src/rampwick_platform/_api.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_api.py
@@ -30,13 +30,24 @@
     """A watch asked for changes that the store has forgotten; list again."""
 
 
+class StoreRestoredError(AnswerLostError):
+    """The store was restored from an older copy while a write was under way.
+
+    The write may have replaced another object than the one it expected.
+    """
+
+
 class VersionConflictError(PlatformError):
     """A conditional write found another version than it expected."""
 
 
 @attrs.frozen(repr=False)
 class StoredObject(Shown):
-    """One object; versions rise over the whole store with each write."""
+    """One object; versions rise over the whole store with each write.
+
+    They also rise as the store is restored from an older copy: all that is read after
+    that has a higher version than all that was read before.
+    """
 
     key: str
     version: int
@@ -58,6 +69,10 @@
 class ObjectApi(Protocol):
     """What rampwick needs of the platform; each method is one counted call."""
 
+    @property
+    def era(self) -> int:
+        """Number of the store's restores, as far as its answers have told."""
+
     async def get(self, key: str) -> StoredObject | None:
         """Return an object, or none if it does not exist."""
 
@@ -70,7 +85,10 @@
     async def watch(
         self, prefix: str, after_version: int, timeout_seconds: float
     ) -> Listing:
-        """Wait for objects written after a version; none at a time-out."""
+        """Wait for objects written after a version; none at a time-out.
+
+        Raise HistoryGoneError if the store was restored since that version.
+        """
 
     async def read_hosts(self) -> HostList:
         """Return the lagging list of hosts."""
--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -5,17 +5,21 @@
 from typing import Any
 
 import anyio
+import attrs
 import httpx
 
-from rampwick_schema import HostList, structure
+from rampwick_schema import HostList, era_of, join_version, revision_of, structure
 
 from ._api import (
+    ABSENT,
     AnswerLostError,
     HistoryGoneError,
     Listing,
     PlatformError,
     PlatformUnavailableError,
     StoredObject,
+    StoreRestoredError,
+    VersionConflictError,
 )
 from ._budget import CallBudget
 from ._entity_tags import EntityTagDialect
@@ -61,8 +65,9 @@
         self.calls: Counter[str] = Counter()
         #: Highest era of the store that an answer gave.
         self.era = 0
-        #: Called with the era before and the new one.
-        self.note_era: Callable[[int, int], None] = _ignore_era
+        self._has_answer = False
+        #: Called with the store's era before and the new one as it is restored.
+        self.note_restored: Callable[[int, int], None] = _ignore_era
         self._client = httpx.AsyncClient(
             base_url=url,
             timeout=call_timeout_seconds,
@@ -87,29 +92,73 @@
     async def get(self, key: str) -> StoredObject | None:
         """Return an object, or none if it does not exist."""
         response = await self._call(self._dialect.get(key))
-        return self._dialect.read_object(key, response)
+        stored = self._dialect.read_object(key, response)
+        return self._with_era(stored) if stored else None
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
-        """Write if the object has the expected version; return the new version."""
-        request = self._dialect.put(key, value, expected_version)
+        """Write if the object has the expected version; return the new version.
+
+        In another era than that of the expected version its revision may be another
+        object's: such a write is not sent, or its success is a StoreRestoredError.
+        """
+        step = "put object"
+        expected_era = era_of(expected_version)
+        is_absent = expected_version == ABSENT
+        if not is_absent and expected_era < self.era:
+            message = f"{key} was read in era {expected_era}, it is {self.era}"
+            raise VersionConflictError(message, step=step, peer=self._url)
+        request = self._dialect.put(key, value, revision_of(expected_version))
         response = await self._call(request)
-        return self._dialect.read_put(key, response)
+        version = self._lift(self._dialect.read_put(key, response))
+        if not is_absent and expected_era != self.era:
+            message = f"{key} was written in era {self.era}, expected {expected_era}"
+            raise StoreRestoredError(message, step=step, peer=self._url)
+        return version
 
     async def list_objects(self, prefix: str, after_key: str = "") -> Listing:
         """Return the objects whose keys start with a prefix, in order."""
         request = self._dialect.list_objects(prefix, after_key)
         response = await self._call(request)
-        return self._dialect.read_listing(prefix, response)
+        return self._listing_with_era(self._dialect.read_listing(prefix, response))
 
     async def watch(
         self, prefix: str, after_version: int, timeout_seconds: float
     ) -> Listing:
-        """Wait for objects written after a version; none at a time-out."""
-        request = self._dialect.watch(prefix, after_version, timeout_seconds)
+        """Wait for objects written after a version; none at a time-out.
+
+        Raise HistoryGoneError if the store was restored since that version.
+        """
+        self._check_watched_era(after_version)
+        request = self._dialect.watch(
+            prefix, revision_of(after_version), timeout_seconds
+        )
         response = await self._call(
             request, timeout=timeout_seconds + WATCH_GRACE_SECONDS
         )
-        return self._dialect.read_listing(prefix, response)
+        self._check_watched_era(after_version)
+        return self._listing_with_era(self._dialect.read_listing(prefix, response))
+
+    def _check_watched_era(self, after_version: int) -> None:
+        if era_of(after_version) < self.era:
+            # The changes up to that revision in the new era would never be read.
+            message = f"era {self.era} began"
+            raise HistoryGoneError(message, step="watch objects", peer=self._url)
+
+    def _with_era(self, stored: StoredObject) -> StoredObject:
+        return attrs.evolve(stored, version=self._lift(stored.version))
+
+    def _listing_with_era(self, listing: Listing) -> Listing:
+        return attrs.evolve(
+            listing,
+            version=self._lift(listing.version),
+            objects=[self._with_era(item) for item in listing.objects],
+        )
+
+    def _lift(self, revision: int) -> int:
+        try:
+            return join_version(self.era, revision)
+        except ValueError as error:
+            raise PlatformError(str(error), step="read", peer=self._url) from None
 
     async def read_hosts(self) -> HostList:
         """Return the lagging list of hosts."""
@@ -144,14 +193,20 @@
             raise AnswerLostError(
                 _describe(error), step=step, peer=self._url
             ) from error
-        self._take_era(self._dialect.read_era(response))
+        era = self._dialect.read_era(response)
+        self._take_era(era)
         self._check(response, step)
+        if era < self.era:
+            # From before the restore, or without its place in the order.
+            message = f"answer of era {era}, the store is in era {self.era}"
+            raise AnswerLostError(message, step=step, peer=self._url)
+        self._has_answer = True
         return response
 
     def _take_era(self, era: int) -> None:
-        if era > self.era:
-            before, self.era = self.era, era
-            self.note_era(before, era)
+        before, self.era = self.era, max(era, self.era)
+        if self._has_answer and era > before:
+            self.note_restored(before, era)
 
     def _check(self, response: httpx.Response, step: str) -> None:
         status = response.status_code
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -11,7 +11,7 @@
 import anyio
 import attrs
 
-from rampwick_schema import DataError, Shown
+from rampwick_schema import DataError, Shown, era_of
 
 from ._api import HistoryGoneError, Listing, ObjectApi, PlatformError, StoredObject
 from ._timers import sleep_on_grid
@@ -36,6 +36,8 @@
     confirmed_at_seconds: float
     #: Whether the store could not be read right before.
     is_after_failure: bool = False
+    #: Version of the store, which other kinds' changes raise, too.
+    store_version: int = 0
 
 
 @attrs.define(repr=False)
@@ -112,6 +114,8 @@
         #: Failures since a watch was answered, and whether the last call failed.
         self._failures_count = 0
         self._has_failed = False
+        #: Watches in a row whose history was gone.
+        self._gone_count = 0
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -125,6 +129,12 @@
             except HistoryGoneError as error:
                 self._is_listed = False
                 self._take_problem(str(error))
+                self._gone_count += 1
+                if self._gone_count > 1:
+                    # A listing was followed by another: without a pause a store that
+                    # has no history would get calls as fast as it answers them.
+                    self._failures_count += 1
+                    await self._pause()
             except (PlatformError, DataError) as error:
                 # Another watch would confirm nothing until it has waited; a listing
                 # does within one round trip.
@@ -152,6 +162,7 @@
         # Only this ends a row of failures: a store that answers listings and no watches
         # would get ten times the calls.
         self._failures_count = 0
+        self._gone_count = 0
         self._view.take_changes(listing)
         waited_seconds = self._read_clock() - began_seconds
         # An answer without changes came at the end of the wait, so all of the wait
@@ -166,6 +177,8 @@
         version = listing.version
         while listing.is_truncated and listing.objects:
             listing = await self._api.list_objects(self._prefix, objects[-1].key)
+            if era_of(listing.version) != era_of(version):
+                raise HistoryGoneError("restored", step="list", peer=self._prefix)
             objects += listing.objects
         # Pages are read one after the other; the first one's version is the one up
         # to which all changes are surely in.
@@ -174,10 +187,9 @@
     def _take_listing(self, listing: Listing) -> None:
         known_version = self._view.store_version
         if not self._view.take_listing(listing):
-            self._take_problem(
-                f"listing of {self._prefix} has version {listing.version}, "
-                f"{known_version} is known"
-            )
+            # What it does not show it does not confirm either.
+            message = f"listing has version {listing.version}, {known_version} is known"
+            raise PlatformError(message, step="list", peer=self._prefix)
 
     def _note_success(self, confirmed_at_seconds: float) -> None:
         state = KindState(
@@ -185,6 +197,7 @@
             version=self._view.version,
             confirmed_at_seconds=confirmed_at_seconds,
             is_after_failure=self._has_failed,
+            store_version=self._view.store_version,
         )
         self._has_failed = False
         self._take_state(state)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -189,9 +189,8 @@
         return max(0.0, min(drain_seconds, left_seconds))
 
 
-def _log_era(before: int, era: int) -> None:
-    sentence = "store restored from an older copy" if before else "store era known"
-    log.info(sentence, era_before=before, era=era)
+def _log_restore(era_before: int, era: int) -> None:
+    log.problem("store restored from an older copy", era_before=era_before, era=era)
 
 
 @asynccontextmanager
@@ -219,7 +218,7 @@
                 )
             )
         if isinstance(api, HttpObjectApi):
-            api.note_era = _log_era
+            api.note_restored = _log_restore
         clocks = clocks or Clocks()
         channels = await stack.enter_async_context(ChannelPool(clocks.monotonic))
         upstreams = UpstreamClient(
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -89,6 +89,13 @@
 from ._generated_upstream import LoadReport as LoadReport, Order as Order
 from ._settings import parse_settings as parse_settings, read_settings as read_settings
 from ._shown import Shown as Shown
+from ._store_versions import (
+    MAX_ERA as MAX_ERA,
+    MAX_REVISION as MAX_REVISION,
+    era_of as era_of,
+    join_version as join_version,
+    revision_of as revision_of,
+)
 from ._wire import (
     LENGTH_BYTES as LENGTH_BYTES,
     PROTOCOL_VERSION as PROTOCOL_VERSION,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -8,13 +8,32 @@
 """
 
 import random
+import unittest
+from types import SimpleNamespace
 
 import anyio
+from hypothesis import given, settings, strategies as st
 from testtools import TestCase
 
-from rampwick_platform import KindWatcher, LeaseStore
+from rampwick_platform import (
+    ABSENT,
+    AnswerLostError,
+    HistoryGoneError,
+    KindWatcher,
+    LeaseStore,
+    StoreRestoredError,
+    VersionConflictError,
+    read_era,
+)
 from rampwick_policy import LeaseWatcher
-from rampwick_schema import LeaseRecord
+from rampwick_schema import (
+    MAX_ERA,
+    MAX_REVISION,
+    LeaseRecord,
+    era_of,
+    join_version,
+    revision_of,
+)
 
 from .scripted import RestorableStore, list_upstream, make_tree, run_routed
 
@@ -64,10 +83,11 @@
             watcher.note_heard("former", version, now_seconds)
             store.stand_in.restore()
             leases = LeaseStore(store, "leases/steward")
+            clock = SimpleNamespace(now=now_seconds)
             taken = []
             for _ in range(10):
-                now_seconds += 1.0
-                taken.append(await leases.try_take(watcher, lambda: now_seconds))
+                clock.now += 1.0
+                taken.append(await leases.try_take(watcher, lambda: clock.now))
             return any(taken)
 
         self.assertTrue(anyio.run(main))
@@ -95,6 +115,162 @@
         self.assertEqual(0, anyio.run(main))
 
 
+class StoreVersionTest(TestCase):
+    @settings(derandomize=True)
+    @given(
+        st.tuples(st.integers(0, MAX_ERA), st.integers(0, MAX_REVISION)),
+        st.tuples(st.integers(0, MAX_ERA), st.integers(0, MAX_REVISION)),
+    )
+    def test_versions_compare_by_era_and_then_by_revision(self, one, other):
+        self.assertEqual(one < other, join_version(*one) < join_version(*other))
+        version = join_version(*one)
+        self.assertEqual(one, (era_of(version), revision_of(version)))
+
+    def test_without_eras_a_version_is_the_revision(self):
+        self.assertEqual(61, join_version(0, 61))
+
+    def test_what_does_not_fit_is_no_version(self):
+        for era, revision in ((-1, 0), (0, -1), (MAX_ERA + 1, 0), (0, 2**40)):
+            self.assertRaises(ValueError, join_version, era, revision)
+
+    def test_only_whole_numbers_are_eras(self):
+        self.assertEqual((3, 0, 12), tuple(read_era(text) for text in ("3", "0", "12")))
+        for text in ("", "-1", "1.0", "nan", "1, 2", "9" * 4096, "٣", "0x1"):
+            self.assertEqual(0, read_era(text))
+
+
+class ErasOfAnswersTest(TestCase):
+    """Calls to a store of nine objects, of which a copy holds three."""
+
+    def call(self, scenario):
+        async def main():
+            store = RestorableStore()
+            for number in range(9):
+                if number == 3:
+                    store.stand_in.keep_copy()
+                store.write(f"k/{number}", LeaseRecord("", "", 1.0))
+            return await scenario(store)
+
+        return anyio.run(main)
+
+    def test_all_that_is_read_after_a_restore_is_newer(self):
+        async def scenario(store):
+            before = await store.list_objects("k/")
+            store.stand_in.restore()
+            after = await store.list_objects("k/")
+            one = await store.get("k/1")
+            return before.version, after.version, one.version, after.objects[1].version
+
+        before, after, one, listed = self.call(scenario)
+        self.assertEqual(
+            (9, join_version(1, 3), join_version(1, 2)), (before, after, one)
+        )
+        self.assertEqual(one, listed)
+
+    def test_a_watch_from_before_is_not_answered_by_what_came_later(self):
+        async def scenario(store):
+            await store.list_objects("k/")
+            store.stand_in.restore()
+            for number in range(9):
+                store.write(f"k/new-{number}", LeaseRecord("", "", 1.0))
+            # The store has a revision 9 again, which is another one's.
+            with expect(HistoryGoneError):
+                await store.watch("k/", 9, 0.01)
+            calls_count = store.calls.total()
+            with expect(HistoryGoneError):
+                await store.watch("k/", 9, 0.01)
+            return store.calls.total() - calls_count
+
+        self.assertEqual(0, self.call(scenario))
+
+    def test_a_write_that_expects_a_version_of_before_is_not_sent(self):
+        async def scenario(store):
+            version = (await store.get("k/2")).version
+            store.stand_in.restore()
+            await store.list_objects("k/")
+            with expect(VersionConflictError):
+                await store.put("k/2", b"{}", version)
+            return store.stand_in.store.get("k/2").version
+
+        self.assertEqual(3, self.call(scenario))
+
+    def test_a_write_across_the_restore_is_no_success(self):
+        async def scenario(store):
+            version = (await store.get("k/2")).version
+            store.stand_in.restore()
+            with expect(StoreRestoredError):
+                await store.put("k/2", b"{}", version)
+            return await store.put("k/new", b"{}", ABSENT)
+
+        self.assertEqual(join_version(1, 5), self.call(scenario))
+
+    def test_an_answer_of_an_era_before_is_refused(self):
+        async def scenario(store):
+            store.stand_in.restore(eras_count=3)
+            await store.list_objects("k/")
+            for era in (2, 0):
+                store.stand_in.era = era
+                with expect(AnswerLostError):
+                    await store.list_objects("k/")
+            store.stand_in.era = 3
+            return (await store.list_objects("k/")).version
+
+        self.assertEqual(join_version(3, 3), self.call(scenario))
+
+    def test_a_restore_is_told_once(self):
+        async def scenario(store):
+            eras = []
+            store.note_restored = lambda before, era: eras.append((before, era))
+            await store.list_objects("k/")
+            store.stand_in.restore(eras_count=3)
+            await store.list_objects("k/")
+            await store.list_objects("k/")
+            return eras
+
+        self.assertEqual([(0, 3)], self.call(scenario))
+
+
+class GoneHistoryTest(TestCase):
+    def test_a_store_without_history_is_not_asked_without_pause(self):
+        async def main():
+            store = RestorableStore()
+            store.write("k/a", LeaseRecord("", "", 1.0))
+
+            async def watch(prefix, after_version, timeout_seconds):
+                raise HistoryGoneError("gone", step="watch")
+
+            store.watch = watch
+            watcher = KindWatcher(
+                store,
+                "k/",
+                wait_seconds=0.02,
+                take_state=lambda state: None,
+                take_problem=lambda problem: None,
+                read_clock=lambda: 0.0,
+                draw=random.Random(1),
+            )
+            pauses = []
+
+            async def note_pause():
+                pauses.append(store.calls.total())
+                await anyio.sleep(0)
+
+            watcher._pause = note_pause
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watcher.run)
+                await settle(store, lambda: len(pauses) > 3)
+                tasks.cancel_scope.cancel()
+            return pauses[:3]
+
+        # Two listings at once, and a pause before each one after them.
+        self.assertEqual([2, 3, 4], anyio.run(main))
+
+
+def expect(kind):
+    """Return a context that expects an error."""
+    return unittest.TestCase().assertRaises(kind)
+
+
 async def settle(store: RestorableStore, condition, calls_count: int = 60) -> None:
     """Wait until a condition holds, or for so many more calls to the store."""
     last_count = store.calls.total() + calls_count
