Keep upstreams that a restored copy lacks until they have registered again

A copy lacks the entries of upstreams that started after it was made. Their loss looked like a planned end: a reader whose watch was told that its history is gone had seen no failure, so that it dropped them at once, and requests had nowhere to go until they had registered again.

A rise of the era counts as a return of the store: what is missing is kept for 1.8 s, as entries that lapsed are. The era stays readable in the version of a list of hosts. Rampwick's own list of hosts is put in the same order.

--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -8,7 +8,14 @@
 import attrs
 import httpx
 
-from rampwick_schema import HostList, era_of, join_version, revision_of, structure
+from rampwick_schema import (
+    MAX_REVISION,
+    HostList,
+    era_of,
+    join_version,
+    revision_of,
+    structure,
+)
 
 from ._api import (
     ABSENT,
@@ -155,10 +162,10 @@
         )
 
     def _lift(self, revision: int) -> int:
-        try:
-            return join_version(self.era, revision)
-        except ValueError as error:
-            raise PlatformError(str(error), step="read", peer=self._url) from None
+        if not 0 <= revision <= MAX_REVISION:
+            message = f"revision {revision} is out of range"
+            raise PlatformError(message, step="read version", peer=self._url)
+        return join_version(self.era, revision)
 
     async def read_hosts(self) -> HostList:
         """Return the lagging list of hosts."""
@@ -170,7 +177,8 @@
             raise PlatformError(
                 "answer is not JSON", step=request.step, peer=self._url
             ) from None
-        return structure(data, HostList, step=request.step, peer=self._url)
+        host_list = structure(data, HostList, step=request.step, peer=self._url)
+        return attrs.evolve(host_list, version=self._lift(host_list.version))
 
     async def _call(self, request: StoreRequest, **options: Any) -> httpx.Response:
         await anyio.sleep(self._budget.reserve(self._read_clock()))
--- a/packages/rampwick-platform/src/rampwick_platform/_store_dialect.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_store_dialect.py
@@ -5,7 +5,7 @@
 import attrs
 import httpx
 
-from rampwick_schema import MAX_ERA, Shown
+from rampwick_schema import Shown
 
 from ._api import Listing, StoredObject
 
@@ -15,9 +15,8 @@
 
 def read_era(text: str) -> int:
     """Return the era that a header's text gives; 0 if it is no whole number."""
-    if not (text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS):
-        return 0
-    return min(int(text), MAX_ERA)
+    is_era = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_era else 0
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_lapses.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_lapses.py
@@ -1,15 +1,23 @@
 """Upstreams whose entries vanished while the store was away.
 
 An upstream renews its entry in the store, and the entry goes if it can't. So after an
-outage of the store entries are missing whose upstreams live. They are back about two
-seconds after the store, and until then a missing one is taken to be there still.
+outage of the store entries are missing whose upstreams live, and a copy from which the
+store was restored lacks those of upstreams that have started since. They are back about
+two seconds after the store, and until then a missing one is taken to be there still.
 """
 
 from collections.abc import Iterable
 
 import attrs
 
-from rampwick_schema import HostEntry, HostList, Shown
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    Shown,
+    era_of,
+    join_version,
+    revision_of,
+)
 
 #: Time after the store's return until which a missing entry may still come back.
 LAPSE_SECONDS = 1.8
@@ -43,7 +51,7 @@
 
         ``newest`` is the newest list that this host knows, whoever has read it.
         """
-        if is_after_failure:
+        if is_after_failure or self._is_restored(version, newest):
             self._returned_at_seconds = now_seconds
         listed = {entry.name: entry for entry in entries}
         if self._is_returning(now_seconds):
@@ -63,9 +71,14 @@
         self._entries = listed
         self._version = version
 
+    def _is_restored(self, version: int, newest: HostList | None) -> bool:
+        """Return whether the store was restored since the lists that are known."""
+        known_versions = [self._version, newest.version if newest else 0]
+        return any(era_of(item) < era_of(version) for item in known_versions if item)
+
     def _known_before(self, newest: HostList | None) -> dict[str, HostEntry]:
         """Return the entries of which those that are missing now may have lapsed."""
-        if newest is None or newest.version <= 2 * self._version + 1:
+        if newest is None or newest.version <= list_version(self._version, 1):
             return {**self._lapsed, **self._entries}
         # Others have read on while this host could not: what had gone by then would
         # be listed anew, and sent to after it has left.
@@ -81,7 +94,7 @@
             self._lapsed = {}
         hosts = [*self._entries.values(), *self._lapsed.values()]
         stage = 0 if self._lapsed else 1
-        return HostList(version=2 * self._version + stage, hosts=hosts)
+        return HostList(version=list_version(self._version, stage), hosts=hosts)
 
     def _is_returning(self, now_seconds: float) -> bool:
         returned_at_seconds = self._returned_at_seconds
@@ -89,3 +102,8 @@
             returned_at_seconds is not None
             and now_seconds < returned_at_seconds + LAPSE_SECONDS
         )
+
+
+def list_version(version: int, stage: int) -> int:
+    """Return the version of a list that shows the store at a version of its own."""
+    return join_version(era_of(version), 2 * revision_of(version) + stage)
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -16,7 +16,7 @@
     StoredObject,
 )
 from rampwick_policy import LapseGuard
-from rampwick_schema import HostEntry, HostList
+from rampwick_schema import HostEntry, HostList, join_version
 
 
 def stored(name, version, is_deleted=False):
@@ -249,6 +249,36 @@
         guard.take([entry("a")], 10, False, 15.2, guard.host_list(15.2))
         self.assertEqual(["a", "c"], self.names(guard, 15.3))
 
+    def test_entries_that_a_restored_copy_lacks_are_kept_until_they_are_back(self):
+        """Their watch was told that its history is gone, which is no failure."""
+        guard = LapseGuard()
+        guard.take([entry("a"), entry("b"), entry("c", "leaving")], 50, False, 10.0)
+        guard.take([entry("a")], join_version(1, 20), False, 15.0)
+        self.assertEqual(["a", "b"], self.names(guard, 15.0))
+        self.assertGreater(guard.host_list(15.0).version, 2 * 50 + 1)
+        guard.take([entry("a")], join_version(1, 21), False, 15.5)
+        self.assertEqual(["a", "b"], self.names(guard, 16.7))
+        self.assertEqual(["a"], self.names(guard, 16.8))
+
+    def test_the_second_restore_within_seconds_is_one_too(self):
+        guard = LapseGuard()
+        guard.take([entry("a"), entry("b")], 50, False, 10.0)
+        guard.take([entry("a")], join_version(1, 20), False, 15.0)
+        guard.take([], join_version(4, 20), False, 16.0)
+        self.assertEqual(["a", "b"], self.names(guard, 17.7))
+
+    def test_who_reads_late_keeps_what_others_keep(self):
+        guard = LapseGuard()
+        guard.take([entry("a"), entry("b")], 50, False, 10.0)
+        others = HostList(join_version(1, 2 * 20), [entry("a"), entry("b"), entry("c")])
+        guard.take([entry("a")], join_version(1, 21), False, 15.0, others)
+        self.assertEqual(["a", "b", "c"], self.names(guard, 15.0))
+
+    def test_a_host_that_starts_after_a_restore_holds_nothing(self):
+        guard = LapseGuard()
+        guard.take([entry("a")], join_version(2, 20), False, 15.0)
+        self.assertIsNone(guard.lapse_end_seconds)
+
     def test_what_was_leaving_is_not_kept(self):
         guard = LapseGuard()
         guard.take([entry("a", "leaving"), entry("b")], 5, False, 10.0)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -130,7 +130,7 @@
         self.assertEqual(61, join_version(0, 61))
 
     def test_what_does_not_fit_is_no_version(self):
-        for era, revision in ((-1, 0), (0, -1), (MAX_ERA + 1, 0), (0, 2**40)):
+        for era, revision in ((-1, 0), (0, -1), (MAX_ERA + 1, 0), (0, 1 << 40)):
             self.assertRaises(ValueError, join_version, era, revision)
 
     def test_only_whole_numbers_are_eras(self):
