Send nothing to an upstream that only a restored copy lists as live

A copy lists upstreams that have left since it was made, and those that were leaving as live. A host sent them requests as soon as the store was back, though it had been told that they leave. What was leaving stays so for its incarnation, also where its entry had gone. One whose entry had gone without that may have lapsed and live: it gets requests once its entry would have lapsed again, or as soon as it registers again.

--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -235,7 +235,7 @@
 
     def _on_host_list(self, event: ev.HostListRead, now_seconds: float) -> None:
         reason = f"host list {event.host_list.version}"
-        for name in self.upstreams.apply_list(_sorted(event.host_list)):
+        for name in self.upstreams.apply_list(_sorted(event.host_list), now_seconds):
             self.knowledge.forget(name)
             self.rates.forget(name, reason)
             self.notices.forget("upstream", name, reason)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from rampwick_schema import (
     HostEntry,
@@ -11,9 +11,11 @@
     LoadReport,
     PlacementSettings,
     RetrySettings,
+    era_of,
 )
 
 from ._departures import Departures, Incarnation
+from ._former_entries import FormerEntries
 from ._health import Health, HealthState
 from ._knowledge import Life
 from ._membership import Membership
@@ -50,6 +52,9 @@
 MAX_RELEASE_SECONDS = 0.5
 
 
+#: Time within which the entry of an upstream that has ended goes from the store.
+RELAPSE_SECONDS = 5.0
+
 #: State of the entry of an upstream that is shutting down.
 LEAVING_STATE = "leaving"
 
@@ -60,6 +65,8 @@
     LEAVING = "leaving"
     #: It refused a request and wants none for a while.
     PAUSED = "paused"
+    #: Its entry had gone, and is back only since the store was restored from a copy.
+    UNCONFIRMED = "unconfirmed"
     #: Its incarnation has to be learned from a probe.
     UNKNOWN = "unknown"
     #: It has another role than to serve requests.
@@ -94,6 +101,7 @@
         #: Version of the host list in use; -1 before the first.
         self.list_version = -1
         self.departures = Departures()
+        self._former = FormerEntries()
         self.pauses = Pauses()
         self._upstreams: dict[str, Upstream] = {}
         self._speeds: dict[str, ReadingSpeed] = {}
@@ -108,7 +116,7 @@
         """Return the upstream of this name, if it is listed."""
         return self._upstreams.get(name)
 
-    def apply_list(self, host_list: HostList) -> list[str]:
+    def apply_list(self, host_list: HostList, now_seconds: float) -> list[str]:
         """Take a newer host list; return the names that are gone.
 
         An older version changes nothing. A new address under an old name is a new
@@ -116,6 +124,8 @@
         """
         if host_list.version <= self.list_version:
             return []
+        known_version, new_version = self.list_version, host_list.version
+        is_restored = known_version >= 0 and era_of(known_version) < era_of(new_version)
         self.list_version = host_list.version
         listed = {
             entry.name: entry
@@ -124,11 +134,38 @@
         }
         gone = [name for name in self._upstreams if name not in listed]
         for name in gone:
-            del self._upstreams[name]
+            upstream = self._upstreams.pop(name)
+            was_leaving = upstream.entry.state == LEAVING_STATE
+            self._former.note_gone(upstream, was_leaving, now_seconds)
+        if is_restored:
+            self._keep_departures(listed, now_seconds)
         for entry in listed.values():
             self._apply_entry(entry)
+        if is_restored:
+            self._doubt_former(now_seconds)
+        self._former.forget(listed, now_seconds)
         return gone
 
+    def _keep_departures(
+        self, listed: Mapping[str, HostEntry], now_seconds: float
+    ) -> None:
+        """Keep those leaving that the copy has from before they said so."""
+        leaving = [
+            Incarnation(upstream.name, upstream.incarnation)
+            for upstream in self
+            if upstream.entry.state == LEAVING_STATE
+        ]
+        former = [self._former.get(name, now_seconds) for name in listed]
+        leaving += [item.incarnation for item in former if item and item.was_leaving]
+        for incarnation in leaving:
+            self.departures.note_known(incarnation, now_seconds)
+
+    def _doubt_former(self, now_seconds: float) -> None:
+        """Give no requests to those that had gone until their entries would lapse."""
+        for upstream in self:
+            if self._former.get(upstream.name, now_seconds) is not None:
+                upstream.unconfirmed_until_seconds = now_seconds + RELAPSE_SECONDS
+
     def _apply_entry(self, entry: HostEntry) -> None:
         known = self._upstreams.get(entry.name)
         if known is not None and known.entry.address == entry.address:
@@ -279,6 +316,8 @@
             return Obstacle.LEAVING
         if now_seconds < upstream.paused_until_seconds:
             return Obstacle.PAUSED
+        if now_seconds < upstream.unconfirmed_until_seconds:
+            return Obstacle.UNCONFIRMED
         if upstream.is_runner and upstream.life is None:
             return Obstacle.UNKNOWN
         if upstream.is_runner and upstream.role != SERVING_ROLE:
@@ -313,6 +352,8 @@
         """Return whether one that is not open now may be in a moment."""
         if self.is_leaving(upstream):
             return False
+        if now_seconds < upstream.unconfirmed_until_seconds:
+            return False
         health = upstream.health
         down_seconds = now_seconds - health.down_at_seconds
         return health.state is not HealthState.DOWN or down_seconds < SOON_SECONDS
@@ -323,6 +364,8 @@
             return "leaving"
         if now_seconds < upstream.paused_until_seconds:
             return "paused"
+        if now_seconds < upstream.unconfirmed_until_seconds:
+            return "unconfirmed"
         if upstream.health.state is not HealthState.UP:
             return upstream.health.state.value
         if upstream.is_suspected:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -353,7 +353,7 @@
             for version, state in enumerate(states)
         ]
         for host_list in (lists[3], lists[0], lists[2], lists[1]):
-            table.apply_list(host_list)
+            table.apply_list(host_list, 0.0)
         found = table.get("r")
         assert found is not None
         self.assertEqual("leaving", found.entry.state)
