Keep two holders apart where the lease comes back from a copy

A restored store may have a former holder's record, none at all, or give the version that a holder expects to another's record. A host that found its own record of long ago took the lease at once, beside the holder; one whose write met the restore took it over another's record; and where the copy had no lease, writes expected a version for ever.

All but the holder wait for a whole lease from when they see the new era, which they read at once as any answer names it. A host's own record counts as its own only if this process wrote it, or if the store was never restored: a restarted steward waits 3 s in a store that was.

--- a/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from rampwick_policy import LeaseWatcher
-from rampwick_schema import LeaseRecord
+from rampwick_schema import LeaseRecord, era_of
 
-from ._api import ObjectApi, VersionConflictError
+from ._api import ABSENT, ObjectApi, VersionConflictError
 from ._records import decode_record, encode_record, settle_put
 
 
@@ -22,11 +22,11 @@
     ) -> bool:
         """Take or renew the lease if that is allowed; return whether it is held now.
 
-        The lease is read only if nothing is known of it, or if a write found another
-        version than the known one. A platform error leaves what was held to run out
-        by itself.
+        The lease is read only if nothing is known of it, if the store was restored
+        since, or if a write found another version than the known one. A platform error
+        leaves what was held to run out by itself.
         """
-        if not watcher.version:
+        if not watcher.version or era_of(watcher.version) < self._api.era:
             await self.read(watcher, read_clock)
         if not watcher.may_take(read_clock()):
             return False
@@ -53,9 +53,11 @@
     ) -> None:
         """Learn of the lease as it is now."""
         stored = await self._api.get(self._key)
-        if stored is not None:
-            record = decode_record(stored, LeaseRecord)
-            watcher.observe(record, stored.version, read_clock())
+        if stored is None:
+            watcher.observe_absence(read_clock())
+            return
+        record = decode_record(stored, LeaseRecord)
+        watcher.observe(record, stored.version, read_clock())
 
     async def _write(
         self, watcher: LeaseWatcher, read_clock: Callable[[], float]
@@ -70,5 +72,10 @@
             version = await settle_put(self._api, self._key, record, watcher.version)
         except VersionConflictError:
             return False
+        if watcher.version != ABSENT and era_of(watcher.version) != era_of(version):
+            # It may have replaced the record of a host that holds the lease.
+            watcher.give_up()
+            watcher.observe(record, version, read_clock())
+            return False
         watcher.note_written(record, version, began_seconds)
         return True
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,6 +12,7 @@
         self.lose_answers = 0
         self.lose_writes = 0
         self.before_put = None
+        self.era = 0
 
     async def get(self, key):
         return self.store.get(key)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -186,6 +186,7 @@
         #: Raised by every call while it is set.
         self.failure: Exception | None = None
         self.calls: list[str] = []
+        self.era = 0
 
     def write(self, key: str, record) -> int:
         """Write a record as others do."""
@@ -382,11 +383,11 @@
 class RestorableStore(HttpObjectApi):
     """A client of a stand-in that can be restored, with the writes of others."""
 
-    def __init__(self) -> None:
+    def __init__(self, stand_in: PlatformStandIn | None = None) -> None:
         super().__init__(
             "http://store", call_timeout_seconds=1.0, calls_per_second=1000.0
         )
-        self.stand_in = PlatformStandIn()
+        self.stand_in = stand_in or PlatformStandIn()
         self._client = httpx.AsyncClient(
             transport=httpx.ASGITransport(self.stand_in.app), base_url="http://store"
         )
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -266,6 +266,101 @@
         self.assertEqual([2, 3, 4], anyio.run(main))
 
 
+class RestoredLeaseTest(TestCase):
+    """Two holders never order at once, whatever record of the lease the copy has."""
+
+    def play(self, scenario):
+        async def main():
+            clock = SimpleNamespace(now=100.0)
+            store = RestorableStore()
+            leases = LeaseStore(store, "leases/steward")
+
+            async def take(watcher, at_seconds, leases=leases):
+                clock.now = at_seconds
+                return await leases.try_take(watcher, lambda: clock.now)
+
+            return await scenario(store, take)
+
+        return anyio.run(main)
+
+    def test_who_finds_its_own_record_of_long_ago_waits_for_the_holder(self):
+        async def scenario(store, take):
+            former, holder = LeaseWatcher("former", 3.0), LeaseWatcher("holder", 3.0)
+            await take(former, 100.0)
+            store.stand_in.keep_copy()
+            await take(holder, 100.5)
+            self.assertTrue(await take(holder, 104.0))
+            await take(former, 104.1)
+            store.stand_in.restore()
+            await store.list_objects("k/")
+            taken = [await take(former, 104.5 + step / 2) for step in range(7)]
+            self.assertTrue(holder.is_held(106.9))
+            return taken
+
+        self.assertEqual([False] * 6 + [True], self.play(scenario))
+
+    def test_a_renewal_that_replaces_anothers_record_holds_nothing(self):
+        async def scenario(store, take):
+            former, other = LeaseWatcher("former", 3.0), LeaseWatcher("other", 3.0)
+            store.write("k/a", LeaseRecord("", "", 1.0))
+            store.stand_in.keep_copy()
+            self.assertTrue(await take(former, 100.0))
+            store.stand_in.restore()
+            # The same revision as the former holder's record had.
+            others = LeaseStore(RestorableStore(store.stand_in), "leases/steward")
+            self.assertTrue(await take(other, 101.0, others))
+            self.assertFalse(await take(former, 101.5))
+            self.assertIsNone(former.fencing_number(101.6))
+            # The other one learns of it at its next renewal, and until then orders.
+            self.assertFalse(await take(former, 104.4))
+            self.assertFalse(await take(other, 102.0, others))
+            return await take(former, 104.5)
+
+        self.assertTrue(self.play(scenario))
+
+    def test_a_lease_that_the_copy_lacks_is_free_after_its_time(self):
+        async def scenario(store, take):
+            store.stand_in.keep_copy()
+            holder, next_one = LeaseWatcher("holder", 3.0), LeaseWatcher("next", 3.0)
+            self.assertTrue(await take(holder, 100.0))
+            await take(next_one, 100.1)
+            first = holder.fencing_number(100.2)
+            store.stand_in.restore()
+            await store.list_objects("k/")
+            taken = [await take(next_one, 101.0 + step) for step in range(4)]
+            return taken, next_one.fencing_number(104.0) > first
+
+        self.assertEqual(([False, False, False, True], True), self.play(scenario))
+
+    def test_the_holder_goes_on_in_the_new_era(self):
+        async def scenario(store, take):
+            holder = LeaseWatcher("holder", 3.0)
+            await take(holder, 100.0)
+            store.stand_in.keep_copy()
+            await take(holder, 101.0)
+            first = holder.fencing_number(101.1)
+            store.stand_in.restore()
+            # The first write finds another version, the second expects that one.
+            taken = [await take(holder, 102.0), await take(holder, 102.1)]
+            return taken, holder.fencing_number(102.2) > first
+
+        self.assertEqual(([False, True], True), self.play(scenario))
+
+    def test_after_a_restart_a_host_takes_its_own_lease_at_once_but_not_from_a_copy(
+        self,
+    ):
+        async def scenario(store, take):
+            await take(LeaseWatcher("holder", 3.0), 100.0)
+            restarted = LeaseWatcher("holder", 3.0)
+            found = [await take(restarted, 101.0)]
+            store.stand_in.keep_copy()
+            store.stand_in.restore()
+            restarted = LeaseWatcher("holder", 3.0)
+            return found + [await take(restarted, 102.0 + step) for step in range(4)]
+
+        self.assertEqual([True, False, False, False, True], self.play(scenario))
+
+
 def expect(kind):
     """Return a context that expects an error."""
     return unittest.TestCase().assertRaises(kind)
