Keep a newer configuration over the older one of a restored store

A copy holds an older configuration: keys that were taken away are back, routes are gone. It was ignored, yet each reading of it confirmed the newer one in force as the store's newest, so that revocations which nobody had read before the store lost them were never missed. And a revision that is given out a second time, lower or the same, was ignored for good.

Trees carry the era in which they were written, where it is known; of two eras the later one is newer, between hosts too. Of 17 tests none can run on the code before, which knows no eras.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -27,7 +27,10 @@
     shard_of as shard_of,
     withdraw_claims as withdraw_claims,
 )
-from ._configuration import ConfigurationFollower as ConfigurationFollower
+from ._configuration import (
+    ConfigurationFollower as ConfigurationFollower,
+    TreeVersion as TreeVersion,
+)
 from ._departures import Departures as Departures
 from ._errors import (
     ConflictError as ConflictError,
@@ -122,6 +125,7 @@
 )
 from ._request_rates import RequestRates as RequestRates
 from ._request_turns import TurnState as TurnState
+from ._restored_trees import ReadTree as ReadTree, RestoredTrees as RestoredTrees
 from ._retry import RetryBudget as RetryBudget, RetryBudgets as RetryBudgets
 from ._roles import (
     Member as Member,
--- a/packages/rampwick-policy/src/rampwick_policy/_configuration.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_configuration.py
@@ -1,7 +1,9 @@
 """Following the accepted configuration: only forward, from any source.
 
 Changes come from the platform's watch, from peers and from a fallback file, late,
-twice and out of order. Whatever the order, the revision in force never falls.
+twice and out of order. Whatever the order, the version in force never falls: of two
+revisions the higher one is newer, but where the store was restored from an older copy
+in between. Revisions are given out again then, and the one of the later era is newer.
 """
 
 from collections.abc import Iterable
@@ -20,6 +22,35 @@
 MAX_PENDING = 4096
 
 
+@attrs.frozen(repr=False)
+class TreeVersion(Shown):
+    """Place of a tree in the order of all trees."""
+
+    revision: int
+    #: Era of the store in which the revision was written, where that is known.
+    store_era: int | None = None
+
+    def is_newer_than(self, other: "TreeVersion") -> bool:
+        """Return whether a tree of this version replaces one of the other."""
+        if self.is_of_another_era(other):
+            return (self.store_era or 0) > (other.store_era or 0)
+        return self.revision > other.revision
+
+    def is_of_another_era(self, other: "TreeVersion") -> bool:
+        """Return whether both eras are known and differ."""
+        is_known = self.store_era is not None and other.store_era is not None
+        return is_known and self.store_era != other.store_era
+
+    def is_same(self, other: "TreeVersion") -> bool:
+        """Return whether both stand for one tree."""
+        return self.revision == other.revision and not self.is_of_another_era(other)
+
+
+def tree_version(tree: Tree) -> TreeVersion:
+    """Return the version of a tree."""
+    return TreeVersion(tree.revision, tree.store_era)
+
+
 @attrs.define(repr=False)
 class ConfigurationFollower(Shown):
     """The tree in force at this host and the changes that led to it."""
@@ -43,6 +74,21 @@
         """Newest revision known; above the one in force only if it is invalid."""
         return self._head.revision
 
+    @property
+    def version(self) -> TreeVersion:
+        """Version in force."""
+        return tree_version(self.view.tree)
+
+    @property
+    def head_version(self) -> TreeVersion:
+        """Newest version known."""
+        return tree_version(self._head)
+
+    @property
+    def is_newest_in_force(self) -> bool:
+        """Whether the newest version known could be put in force."""
+        return self.version == self.head_version
+
     @property
     def has_gap(self) -> bool:
         """Whether later changes wait for one that has not come."""
@@ -50,8 +96,13 @@
 
     def offer_tree(self, tree: Tree, source: str) -> bool:
         """Take a whole tree if it is newer; return whether it is now in force."""
-        if tree.revision <= self.head_revision:
+        version = tree_version(tree)
+        if not version.is_newer_than(self.head_version):
             return False
+        if version.is_of_another_era(self.head_version):
+            self._pending.clear()
+        if version.store_era is None:
+            tree = attrs.evolve(tree, store_era=self._head.store_era)
         self._head = tree
         self._recent.clear()
         return self._put_in_force([tree, *self._apply_pending()], source)
@@ -64,8 +115,15 @@
         self.source = "file"
         return True
 
-    def offer_changes(self, changes: Iterable[Change], source: str) -> bool:
-        """Take changes in any order; return whether the revision rose."""
+    def offer_changes(
+        self, changes: Iterable[Change], source: str, store_era: int | None = None
+    ) -> bool:
+        """Take changes in any order; return whether the revision rose.
+
+        Those of another era than the newest known tree's have another base.
+        """
+        if TreeVersion(0, store_era).is_of_another_era(self.head_version):
+            return False
         for change in changes:
             if change.revision > self.head_revision:
                 self._pending.setdefault(change.revision, change)
@@ -74,10 +132,13 @@
             del self._pending[max(self._pending)]
         return self._put_in_force(trees, source)
 
-    def changes_after(self, revision: int) -> list[Change] | None:
-        """Return the changes after ``revision``, or none if they are not kept."""
-        if revision >= self.head_revision:
+    def changes_after(self, known: TreeVersion) -> list[Change] | None:
+        """Return the changes after a version, or none if they are not kept."""
+        if not self.head_version.is_newer_than(known):
             return []
+        if known.is_of_another_era(self.head_version):
+            return None
+        revision = known.revision
         if not self._recent or self._recent[0].revision > revision + 1:
             return None
         return [change for change in self._recent if change.revision > revision]
--- a/packages/rampwick-policy/src/rampwick_policy/_hall_digest.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_hall_digest.py
@@ -15,6 +15,8 @@
     WorkspaceUsage,
 )
 
+from ._configuration import TreeVersion
+
 #: Placements of a hall that wait for the next sum; older ones give way, since a home
 #: is computed for what nobody is known to hold.
 MAX_PLACED = 512
@@ -35,9 +37,10 @@
         """Return the sum of the summaries of a hall's hosts."""
         known = list(summaries)
         placed, self._placed = self._placed, []
+        version = _newest_version(known)
         return Summary(
             sequence=sequence,
-            revision=max((item.revision for item in known), default=0),
+            revision=version.revision,
             host_list_version=max(
                 (item.host_list_version for item in known), default=-1
             ),
@@ -52,6 +55,7 @@
             limits_known_seconds=max(
                 (item.limits_known_seconds for item in known), default=0.0
             ),
+            store_era=version.store_era,
         )
 
 
@@ -105,6 +109,15 @@
     return attrs.evolve(summary, limits=[], hosts_count=1, limits_known_seconds=0.0)
 
 
+def _newest_version(summaries: Iterable[Summary]) -> TreeVersion:
+    newest = TreeVersion(0)
+    for summary in summaries:
+        version = TreeVersion(summary.revision, summary.store_era)
+        if version.is_newer_than(newest):
+            newest = version
+    return newest
+
+
 def _less(total: UpstreamUsage, part: UpstreamUsage | None) -> UpstreamUsage:
     if part is None:
         return total
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -1,5 +1,6 @@
 """Where the configuration is read: rampwick's own log of changes, or one object."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -14,7 +15,7 @@
     TreeStore,
     decode_changes,
 )
-from rampwick_policy import Neighbours, is_watcher
+from rampwick_policy import Neighbours, ReadTree, RestoredTrees, is_watcher
 from rampwick_schema import DataError, RampwickError, Settings, Tree
 
 from .._logs import PartLogger
@@ -132,6 +133,11 @@
         self._refreshing: anyio.Event | None = None
         self._refresh_interval_seconds = REFRESH_INTERVAL_SECONDS
         self._refused_version = 0
+        self._restored = RestoredTrees()
+        self._last_state: KindState | None = None
+        #: When a tree that is held back may be taken.
+        self._due_at_seconds = math.inf
+        self._has_due = anyio.Event()
         self._watcher = KindWatcher(
             api,
             reader.configuration_prefix,
@@ -146,7 +152,19 @@
     async def run(self, task: ConfigurationTask) -> None:
         """Watch until cancelled."""
         self._task = task
-        await self._watcher.run()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._take_held)
+            await self._watcher.run()
+
+    async def _take_held(self) -> None:
+        """Take trees that are held back as soon as they may be."""
+        while True:
+            self._has_due = anyio.Event()
+            wait_seconds = max(0.0, self._due_at_seconds - self._read_clock())
+            with anyio.move_on_after(wait_seconds) as scope:
+                await self._has_due.wait()
+            if scope.cancelled_caught and self._last_state is not None:
+                self._take(self._last_state)
 
     async def refresh(self) -> None:
         """Read the configuration now, unless that was done a moment ago.
@@ -178,22 +196,51 @@
     def _note_problem(self, problem: str) -> None:
         self._task.note_problem(problem)
 
+    @property
+    def _is_held(self) -> bool:
+        """Whether what the store shows is not taken yet."""
+        return math.isfinite(self._due_at_seconds)
+
     def _take(self, state: KindState) -> None:
         self._task.note_problem("")
         self._refresh_interval_seconds = REFRESH_INTERVAL_SECONDS
+        self._last_state = state
         follower = self._task.follower
-        is_new = False
+        is_new = is_shown = False
         if state.version != self._refused_version:
             try:
                 tree = self._reader.read_tree(state)
-                is_new = tree is not None and follower.offer_tree(tree, "platform")
+                if tree is not None:
+                    is_new = self._offer(tree, state)
+                    is_same = tree.revision == follower.revision
+                    is_shown = is_same and not self._is_held
             except RampwickError as error:
                 # Refused whole; the one before stays in force.
                 self._refused_version = state.version
                 log.problem("configuration refused", error=str(error))
-        # A newer revision that could not be put in force may have taken a key away.
-        is_newest = follower.revision == follower.head_revision
-        if follower.revision and is_newest and state.version != self._refused_version:
+        # A newer revision that could not be put in force may have taken a key away, and
+        # so may one that the store lost as it was restored.
+        if follower.revision and is_shown and follower.is_newest_in_force:
             self._task.confirm(state.confirmed_at_seconds)
         if is_new:
             self._task.announce()
+
+    def _offer(self, tree: Tree, state: KindState) -> bool:
+        """Offer what the store shows; return whether it is now in force."""
+        now_seconds = self._read_clock()
+        follower = self._task.follower
+        read = ReadTree(tree, state.version, state.store_version)
+        offer = self._restored.place(read, follower.view.tree, now_seconds)
+        if offer.due_at_seconds <= now_seconds:
+            self._due_at_seconds = math.inf
+            return follower.offer_tree(offer.tree, "platform")
+        if offer.due_at_seconds != self._due_at_seconds:
+            self._due_at_seconds = offer.due_at_seconds
+            self._has_due.set()
+            log.problem(
+                "older revision of a restored store held back",
+                revision=tree.revision,
+                in_force=follower.revision,
+                held_seconds=round(offer.due_at_seconds - now_seconds, 3),
+            )
+        return False
--- a/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
@@ -79,7 +79,11 @@
                 now_seconds,
             )
         )
-        summary = attrs.evolve(summary, has_surged=has_surged)
+        summary = attrs.evolve(
+            summary,
+            has_surged=has_surged,
+            store_era=self._follower.version.store_era,
+        )
         self._own = summary
         self._roles.listener.note_told(summary, self._read_clock())
         self._links.broadcast(summary, self._roles.is_told)
--- a/packages/rampwick-router/src/rampwick_router/peers/_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_sync.py
@@ -14,6 +14,7 @@
 from rampwick_policy import (
     ConfigurationFollower,
     TargetsRead,
+    TreeVersion,
     diff_hosts,
     patch_hosts,
 )
@@ -73,9 +74,10 @@
     def take(self, link: Link, message: Any) -> bool:
         """Take a message of this kind; return whether it is one."""
         if isinstance(message, ChangesRequest):
-            self._answer_changes(link, message.after_revision)
+            known = TreeVersion(message.after_revision, message.store_era)
+            self._answer_changes(link, known)
         elif isinstance(message, ChangesReply):
-            if self._follower.offer_changes(message.changes, "peer"):
+            if self._follower.offer_changes(message.changes, "peer", message.store_era):
                 self._configuration.announce()
         elif isinstance(message, TreeReply):
             if self._follower.offer_tree(message.tree, "peer"):
@@ -108,13 +110,14 @@
             summary,
             revision=self._follower.revision,
             host_list_version=self._hosts.version,
+            store_era=self._follower.version.store_era,
         )
 
     def take_ages(self, news: FleetSummary, asked_at_seconds: float) -> None:
         """Take the ages that a relay tells, counted from a word that it had heard."""
         self._confirm(
             asked_at_seconds,
-            news.summary.revision,
+            TreeVersion(news.summary.revision, news.summary.store_era),
             news.revision_age_seconds,
             news.summary.host_list_version,
             news.host_list_age_seconds,
@@ -123,7 +126,8 @@
 
     def compare(self, link: Link, summary: Summary) -> None:
         """Ask a peer for what it knows and this host does not."""
-        self._ask_for_newer(link, summary.revision, summary.host_list_version)
+        version = TreeVersion(summary.revision, summary.store_era)
+        self._ask_for_newer(link, version, summary.host_list_version)
 
     def ask_ages(self, link: Link) -> None:
         """Ask a peer how old its knowledge is."""
@@ -133,18 +137,22 @@
             del self._asked_at[next(iter(self._asked_at))]
         link.put(ConfirmRequest(self._sequence))
 
-    def _ask_for_newer(self, link: Link, revision: int, list_version: int) -> None:
-        if revision > self._follower.head_revision:
-            link.put(ChangesRequest(self._follower.head_revision))
+    def _ask_for_newer(
+        self, link: Link, version: TreeVersion, list_version: int
+    ) -> None:
+        known = self._follower.head_version
+        if version.is_newer_than(known):
+            link.put(ChangesRequest(known.revision, known.store_era))
         if list_version > self._hosts.version:
             link.put(HostListRequest(self._hosts.version))
 
-    def _answer_changes(self, link: Link, after_revision: int) -> None:
-        changes = self._follower.changes_after(after_revision)
+    def _answer_changes(self, link: Link, known: TreeVersion) -> None:
+        changes = self._follower.changes_after(known)
         if changes is None:
             link.put(TreeReply(self._follower.view.tree))
         elif changes:
-            link.put(ChangesReply(changes[:CHANGES_PER_REPLY]))
+            store_era = self._follower.head_version.store_era
+            link.put(ChangesReply(changes[:CHANGES_PER_REPLY], store_era))
 
     def _answer_hosts(self, link: Link, after_version: int) -> None:
         current = self._hosts.host_list
@@ -177,16 +185,18 @@
             host_list_age_seconds=host_list_age_seconds,
             targets=self._scheduler.targets(),
             named=self._scheduler.named_weights(),
+            store_era=self._follower.version.store_era,
         )
 
     def _take_confirmation(self, link: Link, reply: ConfirmReply) -> None:
         asked_at_seconds = self._asked_at.pop(reply.sequence, None)
         if asked_at_seconds is None:
             return
-        self._ask_for_newer(link, reply.revision, reply.host_list_version)
+        version = TreeVersion(reply.revision, reply.store_era)
+        self._ask_for_newer(link, version, reply.host_list_version)
         self._confirm(
             asked_at_seconds,
-            reply.revision,
+            version,
             reply.revision_age_seconds,
             reply.host_list_version,
             reply.host_list_age_seconds,
@@ -196,15 +206,15 @@
     def _confirm(
         self,
         asked_at_seconds: float,
-        revision: int,
+        version: TreeVersion,
         revision_age_seconds: float,
         list_version: int,
         list_age_seconds: float,
         told: TargetsRead,
     ) -> None:
         self.answered_at_seconds = self._read_clock()
-        is_newest = self._follower.revision == self._follower.head_revision
-        if revision and revision == self._follower.revision and is_newest:
+        is_same = version.revision > 0 and version.is_same(self._follower.version)
+        if is_same and self._follower.is_newest_in_force:
             self._configuration.confirm(asked_at_seconds - revision_age_seconds)
         if list_version == self._hosts.version:
             self._hosts.confirm(asked_at_seconds - list_age_seconds)
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -173,6 +173,8 @@
     )
     #: Whether what is asked under a limit has just grown, so that this is passed on at once.
     has_surged: bool = attrs.field(default=False)
+    #: Era of the store in which the sender's revision was written.
+    store_era: int | None = attrs.field(default=None, validator=within(0, None))
 
 
 @attrs.frozen(repr=False)
@@ -297,6 +299,8 @@
     targets: list[WeightsTarget] = attrs.field(factory=list)
     #: When versions were named, as far as the teller saw it or was told.
     named: list[NamedWeights] = attrs.field(factory=list)
+    #: Era of the store in which the revision was written.
+    store_era: int | None = attrs.field(default=None, validator=within(0, None))
 
 
 @attrs.frozen(repr=False)
@@ -377,6 +381,8 @@
 
     #: Last revision that the sender has.
     after_revision: int = attrs.field(validator=within(0, None))
+    #: Era of the store in which that revision was written.
+    store_era: int | None = attrs.field(default=None, validator=within(0, None))
 
 
 @attrs.frozen(repr=False)
@@ -387,6 +393,8 @@
 
     #: Changes in the order of their revisions.
     changes: list[Change]
+    #: Era of the store in which they were written.
+    store_era: int | None = attrs.field(default=None, validator=within(0, None))
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_tree.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_tree.py
@@ -72,6 +72,8 @@
     nodes: dict[str, Node]
     #: Routes to services; empty where callers only use rampwick's own paths.
     routing: Routing = attrs.field(factory=Routing)
+    #: Era of the store in which the revision was written; absent where that isn't known.
+    store_era: int | None = attrs.field(default=None, validator=within(0, None))
 
 
 @attrs.frozen(repr=False)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -16,6 +16,7 @@
     ConfigurationFollower,
     ConflictError,
     TreeError,
+    TreeVersion,
     TreeView,
     apply_change,
     deleted,
@@ -298,8 +299,8 @@
     def test_peer_too_far_behind_gets_no_changes(self):
         follower = ConfigurationFollower()
         follower.offer_tree(Tree(10, {"/": Node()}), "platform")
-        self.assertIsNone(follower.changes_after(3))
-        self.assertEqual([], follower.changes_after(10))
+        self.assertIsNone(follower.changes_after(TreeVersion(3)))
+        self.assertEqual([], follower.changes_after(TreeVersion(10)))
 
 
 NAMES = st.sampled_from(["a", "b", "c"])
--- /dev/null
+++ b/tests/test_restored_trees.py
@@ -0,0 +1,291 @@
+"""The configuration in force where the store comes back with an older one."""
+
+import random
+from types import SimpleNamespace
+
+import anyio
+import attrs
+from testtools import TestCase
+
+from rampwick_platform import KindState
+from rampwick_policy import (
+    ConfigurationFollower,
+    Scheduler,
+    SummaryDigest,
+    TreeVersion,
+)
+from rampwick_policy._restored_trees import COPY_HOLD_SECONDS, REWRITE_HOLD_SECONDS
+from rampwick_router._scheduler_task import SchedulerTask
+from rampwick_router.control._configuration import ConfigurationTask
+from rampwick_router.control._configuration_sources import WatchedTreeSource
+from rampwick_router.control._host_lists import HostListTask
+from rampwick_router.peers._sync import PeerSync
+from rampwick_schema import (
+    Change,
+    ChangesRequest,
+    ConfirmRequest,
+    Node,
+    Summary,
+    TreeReply,
+    join_version,
+    parse_settings,
+)
+
+from .scripted import make_tree
+
+SETTINGS = parse_settings('[host]\nname = "h"\nhall = "x"\n', source="t")
+
+MARKED = {"/": Node(), "/other": Node()}
+
+
+class Reader:
+    configuration_prefix = "config/"
+
+    def __init__(self):
+        self.tree = None
+
+    def read_tree(self, state):
+        return self.tree
+
+
+class Host:
+    """A host that reads the configuration of a store which a test writes."""
+
+    def __init__(self, clock=None):
+        self.clock = clock or SimpleNamespace(now=100.0)
+        self.reader = Reader()
+        read_clock = lambda: self.clock.now  # noqa: E731
+        scheduler = SchedulerTask(Scheduler(SETTINGS), read_clock)
+        self.follower = ConfigurationFollower()
+        self.task = ConfigurationTask(self.follower, scheduler, read_clock)
+        self.source = WatchedTreeSource(
+            None, self.reader, SETTINGS, lambda: False, read_clock, random
+        )
+        self.source._task = self.task
+        self.sync = PeerSync(
+            self.follower, self.task, HostListTask(scheduler), scheduler, read_clock
+        )
+
+    def read(self, era, written, store, tree):
+        """Have the source read a tree that was written at a revision of the store."""
+        self.reader.tree = tree
+        state = KindState(
+            {},
+            join_version(era, written),
+            self.clock.now,
+            store_version=join_version(era, store),
+        )
+        self.source._take(state)
+
+    def pass_held(self):
+        self.source._take(self.source._last_state)
+
+    @property
+    def age_seconds(self):
+        return self.task.age_seconds(self.clock.now)
+
+
+class RestoredTreeTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.host = Host()
+        self.clock = self.host.clock
+        self.host.read(0, 40, 50, make_tree(22))
+        self.clock.now = 110.0
+
+    @property
+    def revision(self):
+        return self.host.follower.revision
+
+    def test_an_older_one_is_neither_taken_nor_does_it_confirm(self):
+        """A key that was taken away would be back, or seem never to have been."""
+        self.host.read(1, 30, 45, make_tree(18))
+        self.assertEqual((22, 10.0), (self.revision, self.host.age_seconds))
+
+    def test_an_older_one_is_taken_once_nobody_writes_a_newer_one_again(self):
+        self.host.read(1, 30, 45, make_tree(18))
+        self.clock.now += COPY_HOLD_SECONDS - 0.1
+        self.host.read(1, 30, 45, make_tree(18))
+        self.assertEqual(22, self.revision)
+        self.clock.now += 0.1
+        self.host.pass_held()
+        self.assertEqual((18, 1), (self.revision, self.host.follower.version.store_era))
+
+    def test_a_copy_that_has_the_one_in_force_confirms_it(self):
+        self.host.read(1, 40, 45, make_tree(22))
+        self.assertEqual((22, 0.0), (self.revision, self.host.age_seconds))
+
+    def test_a_newer_one_is_taken_at_once(self):
+        for written, store, revision in ((30, 45, 18), (46, 46, 25)):
+            self.host.read(1, written, store, make_tree(revision))
+        self.assertEqual((25, 0.0), (self.revision, self.host.age_seconds))
+        # Also where the host hears of the restore by it, or the copy has it.
+        other = Host()
+        other.read(0, 30, 31, make_tree(20))
+        other.read(1, 40, 45, make_tree(22))
+        self.assertEqual(22, other.follower.revision)
+
+    def test_lost_revisions_that_are_written_one_after_another_are_no_way_back(self):
+        self.host.read(1, 30, 45, make_tree(18))
+        for written, revision in ((46, 20), (47, 22), (48, 25)):
+            self.clock.now += REWRITE_HOLD_SECONDS / 2
+            self.host.read(1, written, written, make_tree(revision))
+            self.assertGreaterEqual(self.revision, 22)
+        self.assertEqual(25, self.revision)
+
+    def test_a_lower_one_that_stays_is_the_operators_will(self):
+        self.host.read(1, 30, 45, make_tree(18))
+        self.host.read(1, 46, 46, make_tree(20))
+        self.clock.now += REWRITE_HOLD_SECONDS
+        self.host.pass_held()
+        self.assertEqual(20, self.revision)
+        self.assertLess(REWRITE_HOLD_SECONDS, 2.0)
+
+    def test_one_number_may_stand_for_another_tree(self):
+        self.host.read(1, 30, 45, make_tree(18))
+        self.host.read(1, 46, 46, make_tree(22, nodes=MARKED))
+        self.assertEqual(10.0, self.host.age_seconds)
+        self.clock.now += REWRITE_HOLD_SECONDS
+        self.host.pass_held()
+        self.assertIn("/other", self.host.follower.view.tree.nodes)
+        self.assertEqual(1, self.host.follower.version.store_era)
+
+    def test_several_restores(self):
+        self.host.read(1, 30, 45, make_tree(18))
+        self.clock.now += 1.0
+        self.host.read(4, 20, 35, make_tree(12))
+        self.clock.now += COPY_HOLD_SECONDS - 0.5
+        self.host.pass_held()
+        self.assertEqual(22, self.revision)
+        self.host.read(4, 36, 36, make_tree(23))
+        self.assertEqual((23, 4), (self.revision, self.host.follower.version.store_era))
+
+    def test_a_store_without_a_configuration_confirms_none(self):
+        self.host.read(1, 0, 5, None)
+        self.assertEqual((22, 10.0), (self.revision, self.host.age_seconds))
+
+    def test_the_wait_for_a_held_one_ends_by_itself(self):
+        async def main():
+            host = Host(SimpleNamespace(now=0.0))
+            host.read(0, 40, 50, make_tree(22))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(host.source._take_held)
+                await anyio.lowlevel.checkpoint()
+                host.read(1, 30, 45, make_tree(18))
+                host.clock.now = COPY_HOLD_SECONDS
+                host.source._has_due.set()
+                with anyio.fail_after(20.0):
+                    while host.follower.revision != 18:
+                        await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+
+class TreeOrderTest(TestCase):
+    def test_a_later_era_goes_before_a_higher_revision(self):
+        self.assertTrue(TreeVersion(20, 1).is_newer_than(TreeVersion(24, 0)))
+        self.assertFalse(TreeVersion(24, 0).is_newer_than(TreeVersion(20, 1)))
+
+    def test_where_an_era_is_not_known_the_revision_decides(self):
+        self.assertTrue(TreeVersion(24).is_newer_than(TreeVersion(20, 1)))
+        self.assertFalse(TreeVersion(20, 1).is_newer_than(TreeVersion(24)))
+
+    def test_one_revision_of_two_eras_is_two_trees(self):
+        self.assertFalse(TreeVersion(22, 0).is_same(TreeVersion(22, 1)))
+        self.assertTrue(TreeVersion(22).is_same(TreeVersion(22, 1)))
+
+    def test_a_relay_tells_the_newest_of_its_hosts(self):
+        def tell(revision, store_era):
+            return Summary(1, revision, 1, False, [], [], [], store_era=store_era)
+
+        summaries = [tell(22, 0), tell(20, 1), tell(21, 0)]
+        merged = SummaryDigest().merge(summaries, 1)
+        self.assertEqual((20, 1), (merged.revision, merged.store_era))
+
+
+class Link:
+    """A link whose messages go to the other host at once."""
+
+    def __init__(self, own, other):
+        self._own, self._other = own, other
+        self.sent = []
+
+    def put(self, message):
+        self.sent.append(message)
+        self._other.sync.take(Link(self._other, self._own), message)
+
+
+class RestoredPeersTest(TestCase):
+    """Hosts of which some have read the restored store, and others have not."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = SimpleNamespace(now=100.0)
+        self.one, self.other = Host(self.clock), Host(self.clock)
+        self.one.read(0, 40, 50, make_tree(22))
+        self.gossip()
+
+    def gossip(self):
+        """Have both compare what they know, as summaries do."""
+        for host, peer in ((self.one, self.other), (self.other, self.one)):
+            version = peer.follower.version
+            summary = Summary(
+                1, version.revision, -1, False, [], [], [], store_era=version.store_era
+            )
+            host.sync.compare(Link(host, peer), summary)
+
+    def ask(self):
+        self.other.sync.ask_ages(Link(self.other, self.one))
+
+    @property
+    def revisions(self):
+        return self.one.follower.revision, self.other.follower.revision
+
+    def test_a_later_era_wins_against_a_peer_that_insists(self):
+        self.one.read(1, 30, 45, make_tree(18))
+        self.one.read(1, 46, 46, make_tree(20))
+        self.clock.now += REWRITE_HOLD_SECONDS
+        self.one.pass_held()
+        for _ in range(3):
+            self.gossip()
+        self.assertEqual((20, 20), self.revisions)
+        # As old as the reading that the other host has it from.
+        self.ask()
+        self.assertEqual(REWRITE_HOLD_SECONDS, self.other.age_seconds)
+
+    def test_who_starts_meanwhile_takes_what_others_have_and_gives_nothing_back(self):
+        started = Host(self.clock)
+        started.read(1, 30, 45, make_tree(18))
+        self.assertEqual(18, started.follower.revision)
+        self.other = started
+        self.gossip()
+        self.assertEqual((22, 22), self.revisions)
+        # The copy does not confirm it here either.
+        started.read(1, 30, 45, make_tree(18))
+        self.assertEqual(22, started.follower.revision)
+
+    def test_one_revision_of_two_eras_is_not_confirmed_by_the_other(self):
+        self.clock.now += 5.0
+        self.one.read(1, 46, 45, make_tree(22, nodes=MARKED))
+        self.clock.now += REWRITE_HOLD_SECONDS
+        self.one.pass_held()
+        sent = []
+        link = SimpleNamespace(put=sent.append)
+        self.one.sync.take(link, ConfirmRequest(1))
+        self.other.sync._asked_at[1] = self.clock.now
+        self.other.sync.take(SimpleNamespace(put=sent.append), sent[0])
+        self.assertGreater(self.other.age_seconds, 5.0)
+        self.assertIsInstance(sent[1], ChangesRequest)
+        self.one.sync.take(link, sent[1])
+        self.assertIsInstance(sent[2], TreeReply)
+
+    def test_changes_of_another_era_have_another_base(self):
+        follower = ConfigurationFollower()
+        follower.offer_tree(attrs.evolve(make_tree(10), store_era=1), "peer")
+        change = Change(11, "w", "a", 0.0, [])
+        self.assertFalse(follower.offer_changes([change], "peer", 0))
+        self.assertIsNone(follower.changes_after(TreeVersion(10, 0)))
+        self.assertEqual([], follower.changes_after(TreeVersion(5, 2)))
+        self.assertTrue(follower.offer_changes([change], "peer", 1))
+        self.assertEqual([change], follower.changes_after(TreeVersion(10, 1)))
--- a/tools/generate_schema.py
+++ b/tools/generate_schema.py
@@ -43,7 +43,7 @@
     "_number",
 )
 PURE_NUMBERS = {"weight", "revision", "after_revision", "sequence", "version"}
-PURE_NUMBERS |= {"incarnation", "priority_rank"}
+PURE_NUMBERS |= {"incarnation", "priority_rank", "store_era"}
 
 MODULE_TEMPLATE = '''\
 """{{ title }}
