Write a reader's directory record again after the store was restored

The copy may lack the record, and a host wrote it once only: hosts that hear nobody would not find it there. The test fails on the code before.

--- a/packages/rampwick-router/src/rampwick_router/peers/_directory.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_directory.py
@@ -50,7 +50,8 @@
         self._members: list[Member] = []
         #: Called when the records have been read.
         self.note_found: Callable[[], None] = _do_nothing
-        self._has_record = False
+        #: Era of the store that has the own record; none while it has none.
+        self._recorded_era: int | None = None
 
     def members(self) -> list[Member]:
         """Return the other hosts that have a record."""
@@ -67,7 +68,9 @@
 
     async def _look(self, is_first: bool) -> None:
         try:
-            if self._is_reader() and not self._has_record and not is_first:
+            # A store that was restored from a copy may lack the record.
+            has_record = self._recorded_era == self._api.era
+            if self._is_reader() and not has_record and not is_first:
                 await self._write_record()
             if self._is_lonely():
                 await self._read_records()
@@ -107,7 +110,7 @@
         )
         if not is_known:
             await settle_put(self._api, key, record, version)
-        self._has_record = True
+        self._recorded_era = self._api.era
 
 
 def _do_nothing() -> None:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -54,6 +54,7 @@
     Tree,
     parse_settings,
 )
+from rampwick_standin import ObjectStore
 from rampwick_start import bind_early, load
 
 from .fakes import FakeApi
@@ -135,6 +136,27 @@
         anyio.run(main)
         self.assertEqual(["k"], found)
 
+    def test_a_reader_records_itself_again_in_a_restored_store(self):
+        api = FakeApi()
+
+        async def main():
+            directory = PeerDirectory(
+                api,
+                Member("e", "h", "e:1"),
+                lambda: False,
+                lambda: True,
+                random.Random(1),
+            )
+            await directory._look(is_first=False)
+            api.store = ObjectStore()
+            await directory._look(is_first=False)
+            self.assertIsNone(await api.get("peers/e"))
+            api.era = 1
+            await directory._look(is_first=False)
+            return await api.get("peers/e")
+
+        self.assertIsNotNone(anyio.run(main))
+
 
 @attrs.define
 class RecordingLink:
