Claim keys once more after the store was restored

A copy lacks claims whose requests have run: another host would run them again. Hosts keep the claims they won until these expire, at most 20,000, and write them again as the era rises. Until 4 s later no key can be claimed: such requests are refused as not run. Claims of hosts that have ended since stay lost.

--- a/packages/rampwick-router/src/rampwick_router/entry/_claims.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_claims.py
@@ -23,6 +23,14 @@
 #: Seconds after which a caller may ask again when the platform did not answer.
 RETRY_AFTER_SECONDS = 2.0
 
+#: Claims of its own that a host keeps, for the case that the store loses them.
+MAX_KEPT_CLAIMS = 20_000
+
+#: Time after a restore in which no key can be claimed, so that hosts have written their
+#: claims again; and the time between two looks at whether there was one.
+RESTORED_WAIT_SECONDS = 4.0
+ERA_INTERVAL_SECONDS = 0.5
+
 log = PartLogger("claims")
 
 
@@ -43,6 +51,12 @@
     answer: MemoryObjectSendStream[bool | RampwickError]
 
 
+@attrs.frozen(repr=False)
+class _Kept(Shown):
+    shard: int
+    claim: Claim
+
+
 class ClaimTask:
     """Owns the claim store; gathers what is wanted into batches by shard."""
 
@@ -53,8 +67,13 @@
         read_clock: Callable[[], float],
         read_wall_clock: Callable[[], float],
     ) -> None:
+        self._api = api
         self._store = ClaimStore(api) if api else None
         self._settings = settings
+        #: Claims won here that have not expired, the oldest first.
+        self._won: dict[str, _Kept] = {}
+        self._era = 0
+        self._restored_at_seconds = -math.inf
         self._read_clock = read_clock
         self._read_wall_clock = read_wall_clock
         self._inbox: MemoryObjectSendStream[_Wanted]
@@ -107,6 +126,7 @@
         """Claim and withdraw until cancelled."""
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self._run_withdrawals)
+            task_group.start_soon(self._watch_era)
             async for first in self._incoming:
                 await anyio.sleep(self._settings.batch_seconds)
                 batch = [first, *self._drain()]
@@ -126,9 +146,16 @@
         try:
             if self._store is None:
                 raise RampwickError("no platform is set", step=STEP)
+            self._check_complete()
             decision = await self._store.claim(
                 shard, [wanted.claim for wanted in batch], self._read_wall_clock()
             )
+            if self._note_era():
+                # Its answer is the first one of a restored store.
+                for write_id in decision.won:
+                    self.withdraw(WonClaim(shard, write_id, -math.inf))
+            self._check_complete()
+            self._keep(shard, batch, decision.won)
         except RampwickError as error:
             log.problem("keys could not be claimed", error=str(error))
             for wanted in batch:
@@ -137,10 +164,64 @@
         for wanted in batch:
             _answer(wanted, wanted.claim.write_id in decision.won)
 
+    def _keep(self, shard: int, batch: list[_Wanted], won: frozenset[str]) -> None:
+        for wanted in batch:
+            if wanted.claim.write_id in won:
+                self._won[wanted.claim.write_id] = _Kept(shard, wanted.claim)
+        now_seconds = self._read_wall_clock()
+        for write_id, kept in list(self._won.items()):
+            has_room = len(self._won) <= MAX_KEPT_CLAIMS
+            if has_room and now_seconds < kept.claim.expires_at_seconds:
+                break
+            del self._won[write_id]
+
+    # A store that was restored from a copy lacks claims whose requests have run.
+
+    def _check_complete(self) -> None:
+        """Raise a RampwickError while claims may be missing from the store."""
+        self._note_era()
+        since_seconds = self._read_clock() - self._restored_at_seconds
+        if since_seconds < RESTORED_WAIT_SECONDS:
+            message = "the store was restored, claims are being written again"
+            raise RampwickError(message, step=STEP)
+
+    def _note_era(self) -> bool:
+        """Note a restore; return whether there was one since the last look."""
+        era = self._api.era if self._api else 0
+        is_restored = era > self._era
+        if is_restored:
+            self._era = era
+            self._restored_at_seconds = self._read_clock()
+        return is_restored
+
+    async def _watch_era(self) -> None:
+        written_era = 0
+        while True:
+            self._note_era()
+            if self._era != written_era and await self._write_again():
+                written_era = self._era
+            await anyio.sleep(ERA_INTERVAL_SECONDS)
+
+    async def _write_again(self) -> bool:
+        """Claim once more what was won here; return whether all is written."""
+        claims_by_shard: dict[int, list[Claim]] = {}
+        for kept in self._won.values():
+            claims_by_shard.setdefault(kept.shard, []).append(kept.claim)
+        try:
+            for shard, claims in claims_by_shard.items():
+                assert self._store is not None
+                await self._store.claim(shard, claims, self._read_wall_clock())
+        except RampwickError as error:
+            log.problem("claims not written again", error=str(error))
+            return False
+        log.info("claims written again", claims_count=len(self._won))
+        return True
+
     async def _run_withdrawals(self) -> None:
         async for claim in self._withdrawn:
             if self._store is None:
                 continue
+            self._won.pop(claim.write_id, None)
             try:
                 await self._store.withdraw(claim.shard, [claim.write_id])
             except RampwickError as error:
