Follow rampwick's own log through a restore of its store

The log of changes counts on from an older revision, and its numbers stand for other changes: hosts ignored those up to the revision that they had, and applied the next one to a tree that the log no longer leads to. In another era than that of the tree in force the log is read from its beginning, and its tree is placed as any restored one. An edit based on a revision that the store lacks is refused, and so is one that meets the restore on its way; it stays in the log then. An edit based on a number that has been given out again since can't be told.

--- a/packages/rampwick-platform/src/rampwick_platform/_tree_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_tree_store.py
@@ -18,7 +18,7 @@
     apply_change,
     touched_paths,
 )
-from rampwick_schema import Change, DataError, NodeEdit, Shown, Tree
+from rampwick_schema import Change, DataError, NodeEdit, Shown, Tree, era_of
 
 from ._api import (
     ABSENT,
@@ -91,9 +91,16 @@
         """Have a change accepted, or raise and leave everything as it was.
 
         ``make_edits`` gets the newest tree. With a ``base_revision`` the change is
-        refused if any of its nodes was changed since: ConflictError says by whom.
+        refused if any of its nodes was changed since: ConflictError says by whom. It is
+        refused, too, if the store is older than the base, or restored meanwhile.
         """
         stored = await self.load()
+        if base_revision is not None and base_revision > stored.tree.revision:
+            raise ConflictError(
+                f"revision {base_revision} is not in the store, which has "
+                f"{stored.tree.revision}: it was restored from an older copy",
+                step=STEP,
+            )
         edits = list(make_edits(stored.tree))
         if base_revision is not None:
             await self._check_untouched(edits, base_revision)
@@ -107,9 +114,16 @@
         tree = apply_change(stored.tree, change)
         TreeView(tree)
         try:
-            await settle_put(self._api, change_key(change.revision), change, ABSENT)
+            key = change_key(change.revision)
+            version = await settle_put(self._api, key, change, ABSENT)
         except VersionConflictError:
             raise await self._conflict(stored.tree.revision) from None
+        if era_of(version) != era_of(stored.store_version):
+            raise ConflictError(
+                "the store was restored from an older copy as revision "
+                f"{change.revision} was written: see the history",
+                step=STEP,
+            )
         await self._renew_snapshot(tree)
         return change
 
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -8,6 +8,7 @@
 import anyio
 
 from rampwick_platform import (
+    HistoryGoneError,
     KindState,
     KindWatcher,
     ObjectApi,
@@ -15,8 +16,14 @@
     TreeStore,
     decode_changes,
 )
-from rampwick_policy import Neighbours, ReadTree, RestoredTrees, is_watcher
-from rampwick_schema import DataError, RampwickError, Settings, Tree
+from rampwick_policy import (
+    ConfigurationFollower,
+    Neighbours,
+    ReadTree,
+    RestoredTrees,
+    is_watcher,
+)
+from rampwick_schema import DataError, RampwickError, Settings, Tree, era_of
 
 from .._logs import PartLogger
 from ._configuration import ConfigurationTask
@@ -52,6 +59,9 @@
         self._list_neighbours = list_neighbours
         self._read_clock = read_clock
         self._store_version = 0
+        self._restored = RestoredTrees()
+        #: Whether the log shows an older tree that is not taken yet.
+        self._is_held = False
 
     async def run(self, task: ConfigurationTask) -> None:
         """Follow the log until cancelled."""
@@ -63,10 +73,17 @@
                 if is_due or task.follower.has_gap:
                     await self._load(task)
                     looked_at_seconds = now_seconds
+                elif self._is_held and self._is_watcher():
+                    await anyio.sleep(ROLE_INTERVAL_SECONDS)
+                    await self._load(task)
                 elif self._is_watcher():
                     await self._watch(task)
                 else:
                     await anyio.sleep(ROLE_INTERVAL_SECONDS)
+            except HistoryGoneError as error:
+                task.note_problem(str(error))
+                looked_at_seconds = -math.inf
+                await anyio.sleep(FAILURE_PAUSE_SECONDS)
             except (PlatformError, DataError) as error:
                 task.note_problem(str(error))
                 await anyio.sleep(FAILURE_PAUSE_SECONDS)
@@ -82,19 +99,40 @@
         follower = task.follower
         base = follower.view.tree if follower.revision else None
         stored = await self._store.load(base)
+        if self._is_of_another_era(stored.store_version, follower):
+            # Its log may go on from an older revision than the one in force.
+            stored = await self._store.load()
         self._store_version = stored.store_version
         task.note_problem("")
-        is_new = follower.offer_tree(stored.tree, "platform")
+        read = ReadTree(stored.tree, stored.store_version, stored.store_version)
+        now_seconds = self._read_clock()
+        offer = self._restored.place(read, follower.view.tree, now_seconds)
+        was_held, self._is_held = self._is_held, offer.due_at_seconds > now_seconds
+        if self._is_held:
+            if not was_held:
+                _log_held(stored.tree, follower, offer.due_at_seconds - now_seconds)
+            return
+        is_new = follower.offer_tree(offer.tree, "platform")
         task.confirm(began_seconds)
         if is_new:
             task.announce()
 
+    def _is_of_another_era(
+        self, store_version: int, follower: ConfigurationFollower
+    ) -> bool:
+        known_era = follower.version.store_era
+        return bool(follower.revision) and known_era != era_of(store_version)
+
     async def _watch(self, task: ConfigurationTask) -> None:
         listing = await self._store.watch(
             self._store_version, self._settings.platform.watch_timeout_seconds
         )
         task.note_problem("")
-        if task.follower.offer_changes(decode_changes(listing), "platform"):
+        changes = decode_changes(listing)
+        if changes and self._is_of_another_era(listing.version, task.follower):
+            await self._load(task)
+            return
+        if task.follower.offer_changes(changes, "platform", era_of(listing.version)):
             task.announce()
         if listing.version < self._store_version:
             # An older state of the store answered; what it shows is no news.
@@ -237,10 +275,14 @@
         if offer.due_at_seconds != self._due_at_seconds:
             self._due_at_seconds = offer.due_at_seconds
             self._has_due.set()
-            log.problem(
-                "older revision of a restored store held back",
-                revision=tree.revision,
-                in_force=follower.revision,
-                held_seconds=round(offer.due_at_seconds - now_seconds, 3),
-            )
+            _log_held(tree, follower, offer.due_at_seconds - now_seconds)
         return False
+
+
+def _log_held(tree: Tree, follower: ConfigurationFollower, held_seconds: float) -> None:
+    log.problem(
+        "older revision of a restored store held back",
+        revision=tree.revision,
+        in_force=follower.revision,
+        held_seconds=round(held_seconds, 3),
+    )
