Show the store's era, and restore the soak's store from a copy

Status, metrics and the state line name the store's era; the line of a revision in force and the status of peers name the era in which it was written. Log lines say as a restore is noticed and by which call, as an older configuration is held back, and as the store's is taken.

The soak copies its store, has it away for a moment, restores it and writes again what it lost.

--- a/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_host_commands.py
@@ -25,6 +25,7 @@
             "host": f"{status['host']['name']} in {status['host']['hall']}",
             "ready": status["is_ready"],
             "revision": f"{status['revision']} from {status['revision_source']}",
+            "store_era": status["store_era"],
             "open requests": status["open_count"],
             "waiting requests": status["waiting_count"],
             "roles": _describe_roles(status),
--- a/packages/rampwick-cli/src/rampwick_cli/_tree_commands.py
+++ b/packages/rampwick-cli/src/rampwick_cli/_tree_commands.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from rampwick_platform import TreeStore
-from rampwick_policy import TreeError, deleted, moved
+from rampwick_policy import TreeError, TreeVersion, deleted, moved
 from rampwick_schema import Change, Node, NodeEdit, Tree, unstructure
 
 from . import _exit_codes
@@ -128,7 +128,8 @@
     output.show_object({"revision": change.revision, "state": "accepted"})
     if not arguments.wait:
         return _exit_codes.OK
-    return await wait_in_force(change.revision, arguments, output)
+    version = TreeVersion(change.revision, store.era)
+    return await wait_in_force(version, arguments, output)
 
 
 def _find(tree: Tree, path: str) -> Node:
--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -73,8 +73,9 @@
         #: Highest era of the store that an answer gave.
         self.era = 0
         self._has_answer = False
-        #: Called with the store's era before and the new one as it is restored.
-        self.note_restored: Callable[[int, int], None] = _ignore_era
+        #: Called as the store was restored, with its era before and the new one, and
+        #: with the call whose answer told it.
+        self.note_restored: Callable[[int, int, str], None] = _ignore_era
         self._client = httpx.AsyncClient(
             base_url=url,
             timeout=call_timeout_seconds,
@@ -202,7 +203,7 @@
                 _describe(error), step=step, peer=self._url
             ) from error
         era = self._dialect.read_era(response)
-        self._take_era(era)
+        self._take_era(era, f"{step} {request.path}")
         self._check(response, step)
         if era < self.era:
             # From before the restore, or without its place in the order.
@@ -211,10 +212,10 @@
         self._has_answer = True
         return response
 
-    def _take_era(self, era: int) -> None:
+    def _take_era(self, era: int, call: str) -> None:
         before, self.era = self.era, max(era, self.era)
         if self._has_answer and era > before:
-            self.note_restored(before, era)
+            self.note_restored(before, era, call)
 
     def _check(self, response: httpx.Response, step: str) -> None:
         status = response.status_code
@@ -229,7 +230,7 @@
         raise kind(message, step=step, peer=self._url)
 
 
-def _ignore_era(before: int, era: int) -> None:
+def _ignore_era(before: int, era: int, call: str) -> None:
     return
 
 
--- a/packages/rampwick-platform/src/rampwick_platform/_tree_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_tree_store.py
@@ -58,6 +58,11 @@
     def __init__(self, api: ObjectApi) -> None:
         self._api = api
 
+    @property
+    def era(self) -> int:
+        """Number of the store's restores."""
+        return self._api.era
+
     async def load(self, base: Tree | None = None) -> StoredTree:
         """Return the newest tree, starting from ``base`` or the snapshot."""
         follower = ConfigurationFollower()
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -35,6 +35,7 @@
         hosts: HostListTask,
         steward: StewardTask,
         read_platform_calls: Callable[[], Mapping[str, int]],
+        read_store_era: Callable[[], int],
         read_roles: Callable[[], RolesView],
         needs_configuration: bool,
     ) -> None:
@@ -45,6 +46,7 @@
         self._hosts = hosts
         self._steward = steward
         self._read_platform_calls = read_platform_calls
+        self._read_store_era = read_store_era
         self._read_roles = read_roles
         self._profiler = Profiler()
         self.app = Starlette(
@@ -100,6 +102,7 @@
         metrics.open_requests.set(open_count)
         metrics.waiting_requests.set(waiting_count)
         metrics.revision.set(self._parts.follower.revision)
+        metrics.store_era.set(self._read_store_era())
         metrics.targets_age.set(self._parts.scheduler.targets_age_seconds())
         metrics.outdated_runners.set(self._steward.outdated_count())
         for purpose, count in self._read_platform_calls().items():
@@ -121,7 +124,9 @@
         status["host"] = attrs.asdict(host)
         status["is_ready"] = self._life.is_ready
         status["revision"] = self._parts.follower.revision
+        status["revision_era"] = self._parts.follower.version.store_era
         status["revision_source"] = self._parts.follower.source
+        status["store_era"] = self._read_store_era()
         status["lease"] = self._describe_lease()
         status["roles"] = attrs.asdict(self._read_roles())
         status["platform_calls"] = dict(self._read_platform_calls())
@@ -274,6 +279,7 @@
             "name": view.name,
             "hall": view.hall,
             "revision": view.summary.revision,
+            "revision_era": view.summary.store_era,
             "is_leaving": view.summary.is_leaving,
             "heard_seconds_ago": round(now_seconds - view.heard_at_seconds, 3),
         }
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -152,6 +152,7 @@
             self.hosts,
             self.steward,
             lambda: getattr(api, "calls", {}),
+            lambda: api.era if api else 0,
             self.gossip.roles.describe,
             needs_configuration=integration is not None,
         )
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -139,7 +139,7 @@
                 hosts_heard_count=len(self._gossip.roles.live_names),
                 connections_opened=self._channels.opened_counts(),
                 platform_calls=dict(getattr(self._api, "calls", {})),
-                store_era=getattr(self._api, "era", 0),
+                store_era=self._api.era if self._api else 0,
             )
 
     def _describe_targets(self) -> dict[str, Any]:
@@ -189,8 +189,10 @@
         return max(0.0, min(drain_seconds, left_seconds))
 
 
-def _log_restore(era_before: int, era: int) -> None:
-    log.problem("store restored from an older copy", era_before=era_before, era=era)
+def _log_restore(era_before: int, era: int, call: str) -> None:
+    log.problem(
+        "store restored from an older copy", era_before=era_before, era=era, call=call
+    )
 
 
 @asynccontextmanager
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -165,6 +165,11 @@
             "Runners with older weights than this host believes to be wanted.",
             registry=registry,
         )
+        self.store_era = Gauge(
+            "rampwick_store_era",
+            "Number of the store's restores from older copies, as its answers tell it.",
+            registry=registry,
+        )
         self.revision = Gauge(
             "rampwick_revision", "Revision of the tree in force.", registry=registry
         )
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration.py
@@ -61,6 +61,7 @@
         log.info(
             "revision in force",
             revision=self.follower.revision,
+            store_era=self.follower.version.store_era,
             source=self.follower.source,
             age_seconds=round(self.age_seconds(self._read_clock()), 3),
         )
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -112,6 +112,8 @@
             if not was_held:
                 _log_held(stored.tree, follower, offer.due_at_seconds - now_seconds)
             return
+        if was_held:
+            _log_restored(stored.tree)
         is_new = follower.offer_tree(offer.tree, "platform")
         task.confirm(began_seconds)
         if is_new:
@@ -270,6 +272,8 @@
         read = ReadTree(tree, state.version, state.store_version)
         offer = self._restored.place(read, follower.view.tree, now_seconds)
         if offer.due_at_seconds <= now_seconds:
+            if self._is_held:
+                _log_restored(tree)
             self._due_at_seconds = math.inf
             return follower.offer_tree(offer.tree, "platform")
         if offer.due_at_seconds != self._due_at_seconds:
@@ -279,6 +283,10 @@
         return False
 
 
+def _log_restored(tree: Tree) -> None:
+    log.info("revision of the restored store taken", revision=tree.revision)
+
+
 def _log_held(tree: Tree, follower: ConfigurationFollower, held_seconds: float) -> None:
     log.problem(
         "older revision of a restored store held back",
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -77,9 +77,9 @@
 )
 
 #: Connections that are silent for good while new ones work, a request that crashes
-#: whoever runs it, a runner that takes few requests, and one that only its answers say
-#: is leaving. They are drawn after all else, so that a seed draws what it drew before
-#: there were such.
+#: whoever runs it, a runner that takes few requests, one that only its answers say is
+#: leaving, and a store that comes back from an older copy. They are drawn after all
+#: else, so that a seed draws what it drew before there were such.
 LATE_KINDS = (
     "peer_link_stranded",
     "platform_link_stranded",
@@ -87,6 +87,7 @@
     "deadly_prompt",
     "runner_limited",
     "runner_announces",
+    "platform_restored",
 )
 
 #: How long a runner names a rate, and how large it is at the most.
@@ -96,6 +97,10 @@
 #: Time from the announcement of a runner's shutdown to its end.
 ANNOUNCED_SECONDS = 6.0
 
+#: How often operators try to write what a restored store has lost.
+WRITE_TRIES = 50
+WRITE_PAUSE_SECONDS = 0.2
+
 #: How often what runners don't survive is asked for, and with which pause.
 DEADLY_TRIES = 14
 DEADLY_PAUSE_SECONDS = 0.5
@@ -143,9 +148,20 @@
         #: Hosts that are down on purpose, and stops that took too long.
         self.down: set[str] = set()
         self.slow_stops: list[str] = []
-        #: Highest revision that was accepted, and the weights that were named.
-        self.revision = 0
+        #: Newest version of the tree that was accepted, by the store's era and its
+        #: revision, and the weights that were named.
+        self._accepted = (0, 0)
         self.weights_version = 1
+        self._was_restored = False
+
+    @property
+    def revision(self) -> int:
+        """Newest revision that was accepted."""
+        return self._accepted[1]
+
+    def note_accepted(self, era: int, revision: int) -> None:
+        """Note a revision that the store has accepted in an era."""
+        self._accepted = max(self._accepted, (era, revision))
 
     async def play(self, faults: list[Fault], began_seconds: float) -> None:
         """Carry all faults out, each in its time; return when the last is over."""
@@ -166,6 +182,9 @@
             await self._fleet.post(runner, "/faults", {})
         self._fleet.leaving.clear()
         await self._fleet.publish()
+        if self._was_restored:
+            # What was accepted right before the restore may be lost.
+            await self._write_again()
 
     async def _carry_out(self, fault: Fault, began_seconds: float) -> None:
         wait_seconds = began_seconds + fault.at_seconds - time.monotonic()
@@ -386,7 +405,39 @@
         await anyio.sleep(fault.for_seconds)
         await self._fleet.post(self._fleet.platform, "/faults", {})
 
+    async def _platform_restored(self, fault: Fault, deed: Deed) -> None:
+        platform = self._fleet.platform
+        await self._fleet.post(platform, "/copy")
+        await anyio.sleep(fault.for_seconds)
+        await self._fleet.post(platform, "/faults", {"is_down": True})
+        await anyio.sleep(fault.strength)
+        await self._fleet.post(platform, "/restore")
+        await self._fleet.post(platform, "/faults", {})
+        self._was_restored = True
+        await self._write_again()
+
+    async def _write_again(self) -> None:
+        """Have operators write what the store has lost, as soon as it lets them."""
+        before = self._accepted
+        for _ in range(WRITE_TRIES):
+            await self._add_node()
+            if self._accepted > before and await self._set_weights():
+                return
+            await anyio.sleep(WRITE_PAUSE_SECONDS)
+
+    async def _set_weights(self) -> bool:
+        async with self._fleet.open_api() as api:
+            try:
+                target = WeightsTarget(MODEL, self.weights_version)
+                await WeightsStore(api).set_target(target)
+            except PlatformError:
+                return False
+            return True
+
     async def _configure(self, fault: Fault, deed: Deed) -> None:
+        await self._add_node()
+
+    async def _add_node(self) -> None:
         path = f"/soak/extra-{secrets.token_hex(3)}"
         edits = [NodeEdit(path, Node(is_workspace=True))]
         async with self._fleet.open_api() as api:
@@ -401,7 +452,7 @@
                 # The platform is being upset, or another operator was first: the
                 # one who asked is told, and nothing was accepted.
                 return
-            self.revision = max(self.revision, change.revision)
+            self.note_accepted(api.era, change.revision)
 
     async def _name_weights(self, fault: Fault, deed: Deed) -> None:
         version = self.weights_version + 1
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -121,7 +121,7 @@
             change = await TreeStore(api).propose(
                 lambda tree: edits, author="soak", base_revision=None, now_seconds=0.0
             )
-        self._saboteur.revision = change.revision
+        self._saboteur.note_accepted(0, change.revision)
 
     async def _call(self, name: str) -> None:
         caller = self._caller(name)
@@ -169,7 +169,8 @@
             return
         process = next(host for host in self._fleet.hosts if host.name == name).process
         life = f"{name}/{process.pid if process else 0}"
-        self._seen.revisions.append(Observed(life, status["revision"]))
+        era = status["revision_era"] or 0
+        self._seen.revisions.append(Observed(life, status["revision"], era))
 
     async def _await_recovery(self, when: str) -> None:
         """Wait until everything is well; what is not in time is a violation."""
