--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -11,6 +11,7 @@
     placement,
     rates,
     relay,
+    restores,
     signals,
     slopes,
 )
@@ -24,6 +25,7 @@
     "membership": membership.main,
     "rates": rates.main,
     "relay": relay.main,
+    "restores": restores.main,
     "signals": signals.main,
     "slopes": slopes.main,
 }
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -521,6 +521,14 @@
         body = orjson.loads(second.content)
         self.assertEqual((412, {"a": 2}), (body["metadata"]["revision"], body["spec"]))
 
+    def test_any_answer_may_name_the_stores_era(self):
+        def answer(**headers):
+            return httpx.Response(410, headers=headers)
+
+        self.assertEqual(3, self.store.read_era(answer(**{"Store-Era": "3"})))
+        for headers in ({}, {"Store-Era": "third"}, {"Store-Era": "-1"}):
+            self.assertEqual(0, self.store.read_era(answer(**headers)))
+
     def test_a_write_that_lost_its_race_is_a_conflict(self):
         taken = reply(409, object_data("x", 9))
         self.assertRaises(VersionConflictError, self.store.read_put, "leases/x", taken)
