--- a/measure/_limits_lab.py
+++ b/measure/_limits_lab.py
@@ -149,7 +149,7 @@
         if now_seconds - self._early_at.get(hall, -math.inf) < EARLY_GAP_SECONDS:
             return
         self._early_at[hall] = now_seconds
-        if not self._surges[hall].is_news(sum_limits(self._hall(hall))):
+        if not self._surges[hall].has_grown(sum_limits(self._hall(hall))):
             return
         self.passed_on_count += 1
         self._say_hall(hall)
--- a/packages/rampwick-policy/src/rampwick_policy/_blame.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_blame.py
@@ -172,7 +172,7 @@
         at_seconds: float,
         now_seconds: float,
     ) -> bool:
-        """Note that a life ended with a request aboard; return whether that is news.
+        """Note that a life ended with a request aboard; return whether that is new.
 
         ``at_seconds`` is earlier than the present time where another host saw it.
         """
@@ -210,7 +210,7 @@
         return True
 
     def clear(self, fingerprint: bytes, at_seconds: float) -> bool:
-        """Hold nothing of before a time against a request; return whether that is news.
+        """Hold nothing of before a time against a request; return whether that is new.
 
         It was answered whole, or an operator lets it go.
         """
@@ -236,7 +236,7 @@
         at_seconds: float,
         now_seconds: float,
     ) -> bool:
-        """Take another host's word that a request is stopped; return if it is news."""
+        """Take another host's word that a request is stopped; return if it is new."""
         if self._cleared_at.get(fingerprint, -math.inf) >= at_seconds:
             return False
         suspect = self._take_in(fingerprint, workspace_path, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_cache_book.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_cache_book.py
@@ -38,7 +38,7 @@
         self.imports = Imports()
         self.moves = Moves(peers)
         self._upstreams = upstreams
-        self._news = PlacementUpdates()
+        self._updates = PlacementUpdates()
 
     def import_sources(
         self, service: str, chain: PrefixChain, now_seconds: float
@@ -86,7 +86,7 @@
         if store is None:
             return ""
         # Peers need not save it again.
-        self._news.note(store.name, kept_life(version), chain, now_seconds)
+        self._updates.note(store.name, kept_life(version), chain, now_seconds)
         return store.address
 
     def contents(self, names: Collection[str]) -> list[ev.CacheSeen]:
@@ -105,7 +105,7 @@
     ) -> None:
         """Note that a prompt goes to a runner, which will then hold it."""
         self.knowledge.note_prompt(name, life, chain)
-        self._news.note(name, life, chain, now_seconds)
+        self._updates.note(name, life, chain, now_seconds)
 
     def note_answer(
         self, name: str, life: Life, chain: PrefixChain, event: ev.AttemptDone
@@ -121,7 +121,7 @@
 
     def take_placed(self) -> list[PlacedPrefix]:
         """Return the placements that peers have not been told, to tell them once."""
-        return self._news.take()
+        return self._updates.take()
 
     def hear(self, event: ev.CacheSeen, now_seconds: float) -> None:
         """Take what a cache said of itself, here or to a peer."""
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -227,7 +227,7 @@
 class RateLimitUpdateReceived(Shown):
     """A peer tells which rates upstreams name."""
 
-    news: RateLimitUpdate
+    update: RateLimitUpdate
 
 
 @attrs.frozen(repr=False)
@@ -262,7 +262,7 @@
 class CrashUpdateReceived(Shown):
     """A peer tells of upstreams that end under requests."""
 
-    news: CrashUpdate
+    update: CrashUpdate
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -1,6 +1,6 @@
 """Which peers are alive and what each said last.
 
-A peer's word counts by incarnation, then by sequence number: older news never
+A peer's report counts by incarnation, then by sequence: an older one never
 overrides newer. A peer that is silent for too long counts as gone; what it said of
 running work is then dropped, while its use of the pool decays by itself.
 """
--- a/packages/rampwick-policy/src/rampwick_policy/_own_summary.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_own_summary.py
@@ -8,7 +8,7 @@
 from ._pool import MAX_DOWN_TOLD_RATIO, Pool
 
 #: Time after its first failure for which peers are told that an upstream is down, and
-#: the failures in a row from which on they are: one lost packet is no news.
+#: the failures in a row from which on they are: one lost packet shows nothing.
 DOWN_TOLD_SECONDS = 1.5
 DOWN_TOLD_FAILURES = 2
 
@@ -23,7 +23,7 @@
 ) -> Summary:
     """Return what peers are told.
 
-    ``waiting`` counts requests by workspace and service. The news of placements are
+    ``waiting`` counts requests by workspace and service. Updates of placements are
     told once.
     """
     return Summary(
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -1,6 +1,6 @@
 """What one host knows of the pool: upstreams, peers, use, limits and rates.
 
-It takes news and answers questions; it decides nothing about requests.
+It takes events and answers questions; it decides nothing about requests.
 """
 
 from collections.abc import Callable, Sequence
@@ -36,7 +36,7 @@
 #: taken: who found them so is more likely cut off itself, or many found one each.
 MAX_DOWN_TOLD_RATIO = 0.5
 
-#: News that the pool takes.
+#: Events that the pool takes.
 PoolEvent = (
     ev.LoadReported
     | ev.ProbeFailed
@@ -103,7 +103,7 @@
         }
 
     def hear(self, event: PoolEvent, now_seconds: float) -> None:
-        """Take a piece of news."""
+        """Take an event."""
         self._handlers[type(event)](event, now_seconds)
 
     def is_in_service(self, upstream: Upstream) -> bool:
@@ -297,7 +297,7 @@
     def _on_rate_limits_received(
         self, event: ev.RateLimitUpdateReceived, now_seconds: float
     ) -> None:
-        self.rates.hear(event.news, now_seconds)
+        self.rates.hear(event.update, now_seconds)
 
     def _on_signalled(self, event: ev.UpstreamSignalled, now_seconds: float) -> None:
         upstream = self.upstreams.get(event.upstream)
@@ -354,10 +354,10 @@
         self.notices.forget("peer", event.name, "others speak for it now")
 
     def _on_peer(self, event: ev.PeerSummaryReceived, now_seconds: float) -> None:
-        is_news = self.peers.hear(
+        is_new = self.peers.hear(
             event.name, event.hall, event.incarnation, event.summary, now_seconds
         )
-        if is_news:
+        if is_new:
             self.notices.note("peer", event.name, "heard", "its summary came")
             self.ledger.hear(event.name, event.summary.workspaces, now_seconds)
             self.limits.hear(event.name, event.summary, event.age_seconds, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_relaying.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_relaying.py
@@ -73,7 +73,7 @@
     def take(
         self,
         relay: str,
-        news: FleetSummary,
+        fleet: FleetSummary,
         relays: Sequence[Member],
         now_seconds: float,
     ) -> FleetReport | None:
@@ -86,12 +86,12 @@
             return None
         self._speaker = relay
         self._spoke_at_seconds = now_seconds
-        self._halls = frozenset(news.halls)
-        for beat in news.heard:
+        self._halls = frozenset(fleet.halls)
+        for beat in fleet.heard:
             self._beats[beat.host] = (beat, now_seconds)
-        own = self._find_own(news)
+        own = self._find_own(fleet)
         self._sequence += 1
-        summary = without(news.summary, own.summary) if own else news.summary
+        summary = without(fleet.summary, own.summary) if own else fleet.summary
         return FleetReport(
             attrs.evolve(summary, sequence=self._sequence),
             own.told_at_seconds if own else None,
@@ -111,11 +111,13 @@
             self._halls,
         )
 
-    def _find_own(self, news: FleetSummary) -> _OwnReport | None:
+    def _find_own(self, fleet: FleetSummary) -> _OwnReport | None:
         """Return the own summary that is part of a relay's sum, if one is."""
         own = (self._own.name, self._own.incarnation)
         sequences = {
-            beat.sequence for beat in news.heard if (beat.host, beat.incarnation) == own
+            beat.sequence
+            for beat in fleet.heard
+            if (beat.host, beat.incarnation) == own
         }
         for word in self._told:
             if word.summary.sequence in sequences:
--- a/packages/rampwick-policy/src/rampwick_policy/_request.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request.py
@@ -73,7 +73,7 @@
     """State machine of one request over all its attempts.
 
     Events of an attempt other than the current one return false and change
-    nothing: late and crossed news can't reach the caller.
+    nothing: late and crossed events can't reach the caller.
     """
 
     request_id: str
--- a/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_rates.py
@@ -94,9 +94,9 @@
             self._untold.add(upstream)
             self.on_update()
 
-    def hear(self, news: RateLimitUpdate, now_seconds: float) -> None:
+    def hear(self, update: RateLimitUpdate, now_seconds: float) -> None:
         """Take a peer's word."""
-        for told in news.rates:
+        for told in update.rates:
             word = RateObservation(
                 told.incarnation,
                 told.requests_per_second if told.is_limited else None,
@@ -113,19 +113,21 @@
         untold, self._untold = self._untold, set()
         for upstream in untold:
             self._told_at[upstream] = self._confirmed_at[upstream] = now_seconds
-        return self._news(untold, now_seconds)
+        return self._to_update(untold, now_seconds)
 
     def take_retransmission(self, now_seconds: float) -> RateLimitUpdate | None:
         """Return what peers were told of late, to tell it again."""
         oldest_seconds = now_seconds - RETRANSMIT_SECONDS
         told = {name for name, at in self._told_at.items() if at > oldest_seconds}
-        return self._news(told, now_seconds)
+        return self._to_update(told, now_seconds)
 
     def initial_state(self, now_seconds: float) -> RateLimitUpdate | None:
         """Return what a host is to know that has just come."""
-        return self._news(self._words, now_seconds)
+        return self._to_update(self._words, now_seconds)
 
-    def _news(self, names: Iterable[str], now_seconds: float) -> RateLimitUpdate | None:
+    def _to_update(
+        self, names: Iterable[str], now_seconds: float
+    ) -> RateLimitUpdate | None:
         rates = [
             UpstreamRate(
                 name,
--- a/packages/rampwick-policy/src/rampwick_policy/_roles.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_roles.py
@@ -80,8 +80,8 @@
         return self._members.get(name)
 
     def learn(self, members: Iterable[Member]) -> list[Member]:
-        """Take what is said of members; return those that are news."""
-        news = []
+        """Take what is said of members; return those that were not known."""
+        learned = []
         for member in members:
             known = self._members.get(member.name)
             if member.name == self.own.name or member == known:
@@ -89,10 +89,10 @@
             if known is not None and member.incarnation < known.incarnation:
                 continue
             self._members[member.name] = member
-            news.append(member)
-        if news:
+            learned.append(member)
+        if learned:
             self._forget_roles()
-        return news
+        return learned
 
     def keep_only(self, names: Collection[str]) -> None:
         """Forget the members that an authoritative list does not name."""
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -176,7 +176,7 @@
     def summary(
         self, sequence: int, revision: int, is_leaving: bool, now_seconds: float
     ) -> Summary:
-        """Return what peers are told; the news of placements are told once."""
+        """Return what peers are told; updates of placements are sent once."""
         return own_summary(
             self.pool,
             self.queue.service_counts(),
@@ -315,7 +315,7 @@
                 actions += self._on_failed(failed, now_seconds)
         return actions
 
-    # News of others, and time.
+    # Reports of others, and time.
 
     def _on_pool_event(self, event: PoolEvent, now_seconds: float) -> list[ev.Action]:
         self.pool.hear(event, now_seconds)
@@ -337,7 +337,7 @@
     def _on_crashes_received(
         self, event: ev.CrashUpdateReceived, now_seconds: float
     ) -> list[ev.Action]:
-        if self.suspects.hear(event.news, now_seconds):
+        if self.suspects.hear(event.update, now_seconds):
             return self._stop_suspects(now_seconds)
         return []
 
--- a/packages/rampwick-policy/src/rampwick_policy/_surges.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_surges.py
@@ -1,4 +1,4 @@
-"""Whether what a hall is asked under limits is news to others.
+"""Whether demand of a hall under limits has grown since others were told.
 
 A host sees a few requests of a workspace in a second, so that what it is asked doubles
 by chance all the time; only a hall's sum tells whether there is more of it.
@@ -10,7 +10,7 @@
 
 #: Growth of what a hall is asked under a limit, since it was told last, that can't wait
 #: for the next usual word.
-NEWS_RATIO = 1.5
+GROWTH_RATIO = 1.5
 
 
 class SurgeGate:
@@ -23,9 +23,9 @@
         """Note what others are told now."""
         self._told = {usage.path: usage.asked_tokens for usage in limits}
 
-    def is_news(self, limits: Iterable[LimitUsage]) -> bool:
+    def has_grown(self, limits: Iterable[LimitUsage]) -> bool:
         """Return whether any limit is asked for much more than others know."""
         return any(
-            usage.asked_tokens > NEWS_RATIO * max(1, self._told.get(usage.path, 0))
+            usage.asked_tokens > GROWTH_RATIO * max(1, self._told.get(usage.path, 0))
             for usage in limits
         )
--- a/packages/rampwick-policy/src/rampwick_policy/_suspects.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_suspects.py
@@ -197,20 +197,20 @@
 
     # What peers say and are told.
 
-    def hear(self, news: CrashUpdate, now_seconds: float) -> bool:
+    def hear(self, update: CrashUpdate, now_seconds: float) -> bool:
         """Take a peer's word; return whether it stopped anybody."""
-        for live in news.live:
+        for live in update.live:
             life = LifeName(live.upstream, live.incarnation)
             self.book.note_live(life, now_seconds - live.age_seconds)
-        for cleared in news.cleared:
+        for cleared in update.cleared:
             at_seconds = now_seconds - cleared.age_seconds
             if self.book.clear(cleared.fingerprint, at_seconds):
                 name = cleared.fingerprint.hex()
                 self._notices.forget("request", name, "a peer says so")
-        for ended in news.ended:
+        for ended in update.ended:
             self._hear_end(ended, now_seconds)
         has_stopped = False
-        for stopped in news.stopped:
+        for stopped in update.stopped:
             has_stopped |= self._hear_stopped(stopped, now_seconds)
         return has_stopped
 
@@ -222,7 +222,7 @@
             self._take_end(end, now_seconds)
 
     def _hear_stopped(self, stopped: StoppedRequest, now_seconds: float) -> bool:
-        is_news = self.book.note_stopped(
+        is_new = self.book.note_stopped(
             stopped.fingerprint,
             stopped.workspace,
             stopped.ends_count,
@@ -230,9 +230,9 @@
             now_seconds,
         )
         suspect = self.book.get(stopped.fingerprint)
-        if is_news and suspect is not None:
+        if is_new and suspect is not None:
             self._notice(suspect)
-        return is_news
+        return is_new
 
     def take_update(self, now_seconds: float) -> CrashUpdate | None:
         """Return what peers have not been told, to tell them now and again later."""
@@ -240,14 +240,14 @@
             return None
         facts, self._untold = self._untold, []
         self._told.extend(facts)
-        return _to_news(facts, now_seconds)
+        return _to_update(facts, now_seconds)
 
     def take_retransmission(self, now_seconds: float) -> CrashUpdate | None:
         """Return what peers were told of late, to tell it again."""
         oldest_seconds = now_seconds - RETRANSMIT_SECONDS
         while self._told and self._told[0].at_seconds < oldest_seconds:
             self._told.popleft()
-        return _to_news(list(self._told), now_seconds) if self._told else None
+        return _to_update(list(self._told), now_seconds) if self._told else None
 
     def initial_state(self, now_seconds: float) -> CrashUpdate | None:
         """Return what a host is to know that has just come."""
@@ -267,20 +267,20 @@
                         suspect.stopped_at_seconds,
                     )
                 )
-        return _to_news(facts, now_seconds) if facts else None
+        return _to_update(facts, now_seconds) if facts else None
 
     def _take_end(self, end: _End, now_seconds: float) -> bool:
         dropped_count = self.book.dropped_count
-        is_news = self.book.note_end(
+        is_new = self.book.note_end(
             end.life, end.fingerprint, end.workspace_path, end.at_seconds, now_seconds
         )
         if self.book.dropped_count > dropped_count:
             reason = f"{len(self.book)} are remembered, which is the most"
             self._notices.note("suspects", end.workspace_path, "dropped", reason)
         suspect = self.book.get(end.fingerprint)
-        if is_news and suspect is not None:
+        if is_new and suspect is not None:
             self._notice(suspect)
-        return is_news
+        return is_new
 
     def _notice(self, suspect: Suspect) -> None:
         suspicion = self.book.suspicion(suspect.fingerprint)
@@ -303,19 +303,19 @@
     )
 
 
-def _to_news(facts: list[_Fact], now_seconds: float) -> CrashUpdate:
+def _to_update(facts: list[_Fact], now_seconds: float) -> CrashUpdate:
     """Return facts as peers are told them, with their ages."""
-    news = CrashUpdate()
+    update = CrashUpdate()
     ended: dict[LifeName, EndedUpstream] = {}
     for fact in facts:
         age_seconds = max(0.0, now_seconds - fact.at_seconds)
         if isinstance(fact, _Live):
             live = LiveUpstream(fact.life.upstream, fact.life.incarnation, age_seconds)
-            news.live.append(live)
+            update.live.append(live)
         elif isinstance(fact, _Cleared):
-            news.cleared.append(ClearedRequest(fact.fingerprint, age_seconds))
+            update.cleared.append(ClearedRequest(fact.fingerprint, age_seconds))
         elif isinstance(fact, _Stopped):
-            news.stopped.append(
+            update.stopped.append(
                 StoppedRequest(
                     fact.fingerprint, fact.workspace_path, age_seconds, fact.ends_count
                 )
@@ -328,8 +328,8 @@
                 ),
             )
             told.aboard.append(AboardRequest(fact.fingerprint, fact.workspace_path))
-    news.ended.extend(ended.values())
-    return news
+    update.ended.extend(ended.values())
+    return update
 
 
 def _do_nothing() -> None:
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -137,7 +137,7 @@
         if task.follower.offer_changes(changes, "platform", era_of(listing.version)):
             task.announce()
         if listing.version < self._store_version:
-            # An older state of the store answered; what it shows is no news.
+            # An older state of the store answered; it shows nothing new.
             await anyio.sleep(FAILURE_PAUSE_SECONDS)
         versions = [stored.version for stored in listing.objects]
         self._store_version = max([self._store_version, *versions])
--- a/packages/rampwick-router/src/rampwick_router/control/_steward.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_steward.py
@@ -46,7 +46,7 @@
 IDLE_INTERVAL_SECONDS = 0.25
 BYSTANDER_INTERVAL_SECONDS = 1.0
 
-#: Time between telling peers of a load and ordering it: the news takes a few trips
+#: Time between announcing a load to peers and ordering it: the update takes a few trips
 #: between halls, and prompts that were sent before have begun by then.
 ANNOUNCE_LEAD_SECONDS = 0.15
 
--- a/packages/rampwick-router/src/rampwick_router/peers/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/__init__.py
@@ -1,8 +1,9 @@
-"""What hosts tell each other: links, summaries, news of the platform.
+"""Messages between hosts: links, summaries, updates from the platform.
 
 It owns the streams between hosts and the records by which hosts find each other. Peers'
-messages become events for the scheduler and news for :mod:`~rampwick_router.control`,
-whose knowledge it passes on. It knows nothing of callers.
+messages become events for the scheduler and updates for
+:mod:`~rampwick_router.control`, whose knowledge it passes on. It knows nothing of
+callers.
 """
 
 from ._directory import PeerDirectory as PeerDirectory
--- a/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
@@ -72,12 +72,12 @@
         self._read_here.add(seen)
         self._has_update.set()
 
-    def take(self, link: Link, news: CacheEventUpdate) -> None:
+    def take(self, link: Link, message: CacheEventUpdate) -> None:
         """Apply events that a peer sent; a relay forwards them."""
         is_relay = self._table.is_relay(self._list_live())
         is_near = self._table.is_in_group(link.peer.hall)
         box = self._read_here if is_near else self._read_elsewhere
-        for seen in cache_events(news):
+        for seen in cache_events(message):
             self._scheduler.post(seen)
             if is_relay:
                 box.add(seen)
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -65,7 +65,7 @@
 #: Tellings of a hall's sum to its own hosts for each one to the other halls.
 TELLINGS_PER_HALL_SUM = 2
 
-#: Time between two tellings of the steward's news where nothing changes.
+#: Time between two broadcasts of the leader's update where nothing changes.
 STEWARD_INTERVAL_SECONDS = 0.5
 
 #: Time after the start for which seeds are dialled whatever else is known, and hosts
@@ -79,7 +79,7 @@
 
 
 class GossipTask:
-    """Tells peers what this host knows, and takes what they tell."""
+    """Sends peers what this host knows, and takes what they send."""
 
     def __init__(
         self,
@@ -196,13 +196,13 @@
         self._learn([link.peer], link)
 
     def _learn(self, members: Iterable[Member], link: Link) -> None:
-        news = self.table.learn(members)
-        if news:
+        learned = self.table.learn(members)
+        if learned:
             if self._is_starting:
                 # Later those count that were heard: some that are known have left.
                 self._scheduler.note_members(len(list(self.table)))
             self._links.look_again()
-            self._member_updates.add(news, link.peer.name)
+            self._member_updates.add(learned, link.peer.name)
 
     def _look_at_roles(self) -> None:
         """Pass over a relay that fell silent; begin anew where the own role changes."""
@@ -277,18 +277,18 @@
         if summary.has_surged and self.roles.is_relay():
             self.early.note_burst()
 
-    def _take_fleet(self, link: Link, news: FleetSummary) -> None:
+    def _take_fleet(self, link: Link, update: FleetSummary) -> None:
         peer, own = link.peer, self.table.own
         if not self.table.is_in_group(peer.hall):
             return
         now_seconds = self._read_clock()
         relays = self.table.relays(own.hall, now_seconds)
-        word = self._listener.take(peer.name, news, relays, now_seconds)
+        word = self._listener.take(peer.name, update, relays, now_seconds)
         if word is None:
             return
-        self._sync.compare(link, news.summary)
+        self._sync.compare(link, update.summary)
         if word.asked_at_seconds is not None:
-            self._sync.take_ages(news, word.asked_at_seconds)
+            self._sync.take_ages(update, word.asked_at_seconds)
         if not self.roles.is_relay_candidate:
             # What the relay added up is as old as this host's own part of it.
             age_seconds = 0.0
@@ -300,33 +300,33 @@
                 )
             )
 
-    def _take_hall(self, link: Link, news: HallSummary) -> None:
-        if self.table.is_in_group(news.hall) or not self.roles.is_relay_candidate:
+    def _take_hall(self, link: Link, update: HallSummary) -> None:
+        if self.table.is_in_group(update.hall) or not self.roles.is_relay_candidate:
             return
-        name = f"hall {news.hall}"
+        name = f"hall {update.hall}"
         self._scheduler.post(
             PeerSummaryReceived(
                 name,
-                news.hall,
-                news.incarnation,
-                news.summary,
+                update.hall,
+                update.incarnation,
+                update.summary,
                 # Its hosts told their relay at any time within the interval before.
                 self._settings.gossip_interval_seconds / 2.0,
             )
         )
-        self._sync.compare(link, news.summary)
-        self.summaries.take_hall(news.summary)
-        if news.summary.has_surged and self.roles.is_relay():
+        self._sync.compare(link, update.summary)
+        self.summaries.take_hall(update.summary)
+        if update.summary.has_surged and self.roles.is_relay():
             self.early.note_remote_burst()
 
-    def _take_rollout_update(self, link: Link, news: RolloutUpdate) -> None:
-        if news.holder == self.table.own.name:
+    def _take_rollout_update(self, link: Link, update: RolloutUpdate) -> None:
+        if update.holder == self.table.own.name:
             return
         now_seconds = self._read_clock()
-        self._steward.lease.note_heard(news.holder, news.lease_version, now_seconds)
-        for event in steward_events(news, now_seconds):
+        self._steward.lease.note_heard(update.holder, update.lease_version, now_seconds)
+        for event in steward_events(update, now_seconds):
             self._scheduler.post(event)
-        self._relay(link, news)
+        self._relay(link, update)
 
     def _relay(self, link: Link, message: Any) -> None:
         """Pass a message on to those who did not get it, if that is this host's."""
@@ -373,9 +373,9 @@
 
     def broadcast_rollout(self) -> None:
         """Tell all hosts of loads, weights and lease now."""
-        news = self._rollout_update()
+        update = self._rollout_update()
         is_relay = self.roles.is_relay()
-        self._links.broadcast(news, lambda peer: is_relay or self.roles.is_told(peer))
+        self._links.broadcast(update, lambda peer: is_relay or self.roles.is_told(peer))
 
     def _rollout_update(self) -> RolloutUpdate:
         return rollout_update(
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -30,7 +30,7 @@
 
 DIAL_TIMEOUT_SECONDS = 1.0
 
-#: Time between two looks at which peers are to be dialled; news of members come first.
+#: Time between two looks at which peers are to be dialled, unless members change.
 LOOK_SECONDS = 1.0
 
 #: Time between two looks at which links are silent and which have nothing to say, as a
@@ -130,7 +130,7 @@
         self._links: list[Link] = []
         self._dialled: dict[str, anyio.CancelScope] = {}
         self._accepted_count = 0
-        self._news = anyio.Event()
+        self._changed = anyio.Event()
         #: Called with each link that opens, before anything comes over it.
         self.note_opened: Callable[[Link], None] = _ignore_link
         #: Called with each message and the link that it came over.
@@ -172,10 +172,10 @@
             stack.callback(server.close)
             tasks.start_soon(self.keep_links)
             while True:
-                self._news = anyio.Event()
+                self._changed = anyio.Event()
                 self._look(tasks)
                 with move_on_at_grid(LOOK_SECONDS):
-                    await self._news.wait()
+                    await self._changed.wait()
 
     async def keep_links(self) -> None:
         """Look after all links, again and again until cancelled.
@@ -201,7 +201,7 @@
 
     def look_again(self) -> None:
         """Look now at which peers are wanted, since that may have changed."""
-        self._news.set()
+        self._changed.set()
 
     def _look(self, tasks: TaskGroup) -> None:
         """Dial what is wanted and not dialled, and let go of what is not wanted."""
--- a/packages/rampwick-router/src/rampwick_router/peers/_messages.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_messages.py
@@ -92,19 +92,19 @@
     )
 
 
-def steward_events(news: RolloutUpdate, now_seconds: float) -> Iterator[Event]:
-    """Yield what the scheduler learns from a steward's news."""
-    if news.targets:
-        named = tuple(news.named)
-        yield TargetsRead(tuple(news.targets), STEWARD_SOURCE, named=named)
-    for load in news.loads:
+def steward_events(update: RolloutUpdate, now_seconds: float) -> Iterator[Event]:
+    """Yield what the scheduler learns from a leader's update."""
+    if update.targets:
+        named = tuple(update.named)
+        yield TargetsRead(tuple(update.targets), STEWARD_SOURCE, named=named)
+    for load in update.loads:
         yield LoadOrdered(
             load.upstream,
             load.incarnation,
             load.weights_version,
             now_seconds + load.remaining_seconds,
         )
-    for shown in news.weights:
+    for shown in update.weights:
         yield WeightsSeen(
             shown.upstream,
             shown.incarnation,
@@ -130,9 +130,9 @@
     )
 
 
-def cache_events(news: CacheEventUpdate) -> Iterator[CacheSeen]:
+def cache_events(message: CacheEventUpdate) -> Iterator[CacheSeen]:
     """Yield what the scheduler learns from a peer's cache events."""
-    for update in news.updates:
+    for update in message.updates:
         changes = tuple(
             CacheChanges(
                 change.incarnation, tuple(change.prefixes), tuple(change.kept_tokens)
--- a/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
@@ -124,7 +124,7 @@
 
     def is_hall_surge(self) -> bool:
         """Return whether demand in this hall is far above what was published."""
-        return self._surges.is_news(sum_limits(self._hall_said()))
+        return self._surges.has_grown(sum_limits(self._hall_said()))
 
     def publish_hall(self, *, has_surged: bool = False) -> None:
         """Send other halls the aggregate of this one."""
--- a/packages/rampwick-router/src/rampwick_router/peers/_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_sync.py
@@ -113,15 +113,15 @@
             store_era=self._follower.version.store_era,
         )
 
-    def take_ages(self, news: FleetSummary, asked_at_seconds: float) -> None:
+    def take_ages(self, fleet: FleetSummary, asked_at_seconds: float) -> None:
         """Take the ages that a relay tells, counted from a word that it had heard."""
         self._confirm(
             asked_at_seconds,
-            TreeVersion(news.summary.revision, news.summary.store_era),
-            news.revision_age_seconds,
-            news.summary.host_list_version,
-            news.host_list_age_seconds,
-            TargetsRead(tuple(news.targets), READER_SOURCE, named=tuple(news.named)),
+            TreeVersion(fleet.summary.revision, fleet.summary.store_era),
+            fleet.revision_age_seconds,
+            fleet.summary.host_list_version,
+            fleet.host_list_age_seconds,
+            TargetsRead(tuple(fleet.targets), READER_SOURCE, named=tuple(fleet.named)),
         )
 
     def compare(self, link: Link, summary: Summary) -> None:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_channels.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_channels.py
@@ -146,7 +146,7 @@
             return False
         connection.start_next_cycle()
         self._socket.rest()
-        return not self._socket.has_news()
+        return not self._socket.is_readable()
 
     def note_rest_bound(self, seconds: float) -> None:
         """Take the upstream's own bound on how long the connection may rest."""
@@ -155,7 +155,7 @@
     def may_rest_on(self, now_seconds: float) -> bool:
         """Return whether a resting connection may still be used."""
         rested_seconds = now_seconds - self.rested_since_seconds
-        return rested_seconds < self.max_rest_seconds and not self._socket.has_news()
+        return rested_seconds < self.max_rest_seconds and not self._socket.is_readable()
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
@@ -86,7 +86,7 @@
             asyncio.get_running_loop().remove_reader(self._raw)
         self._has_bytes.set()
 
-    def has_news(self) -> bool:
+    def is_readable(self) -> bool:
         """Return whether there is a byte to read, an end or an error."""
         try:
             self._raw.recv(1, socket.MSG_PEEK)
--- a/tests/test_tcp_socket.py
+++ b/tests/test_tcp_socket.py
@@ -66,9 +66,9 @@
             await reader.receive()
             reader.rest()
             self.assertFalse(self.is_watched(reader))
-            self.assertFalse(reader.has_news())
+            self.assertFalse(reader.is_readable())
             far.send(b"late")
-            self.assertTrue(reader.has_news())
+            self.assertTrue(reader.is_readable())
             self.assertEqual(b"late", await reader.receive())
 
         self.run_with(scenario)
--- a/tests/test_urgent_updates.py
+++ b/tests/test_urgent_updates.py
@@ -70,13 +70,13 @@
     def test_a_halls_surge_is_news_once(self):
         gate = SurgeGate()
         usage = LimitUsage("/w", 0, 0, 1000)
-        self.assertTrue(gate.is_news([usage]))
+        self.assertTrue(gate.has_grown([usage]))
         gate.note_told([usage])
-        self.assertFalse(gate.is_news([usage]))
-        self.assertFalse(gate.is_news([attrs.evolve(usage, asked_tokens=1400)]))
-        self.assertTrue(gate.is_news([attrs.evolve(usage, asked_tokens=1600)]))
+        self.assertFalse(gate.has_grown([usage]))
+        self.assertFalse(gate.has_grown([attrs.evolve(usage, asked_tokens=1400)]))
+        self.assertTrue(gate.has_grown([attrs.evolve(usage, asked_tokens=1600)]))
         # Of two limits, one that has not been told of is news.
-        self.assertTrue(gate.is_news([usage, attrs.evolve(usage, path="/v")]))
+        self.assertTrue(gate.has_grown([usage, attrs.evolve(usage, path="/v")]))
 
     def test_what_another_hall_told_does_not_go_back(self):
         told = self.tell("note_remote_burst", is_relay=True)
