Say for how long no key can be claimed after a restore

Such a request is refused on arrival with the time that is left, status names it, and the soak waits for it within its time for recovery.

--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -150,6 +150,11 @@
             found.append(f"configuration: {self._parts.follower.problem}")
         if self._hosts.problem:
             found.append(f"host list: {self._hosts.problem}")
+        claims_seconds = self._parts.claims.incomplete_seconds
+        if claims_seconds > 0.0:
+            found.append(
+                f"claims: the store was restored, no key for {claims_seconds:.1f} s"
+            )
         if self._parts.follower.revision == 0:
             found.append("configuration: no tree is known; callers are refused")
         found += [
--- a/packages/rampwick-router/src/rampwick_router/entry/_claims.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_claims.py
@@ -31,6 +31,9 @@
 RESTORED_WAIT_SECONDS = 4.0
 ERA_INTERVAL_SECONDS = 0.5
 
+#: Why no key can be claimed after a restore.
+INCOMPLETE = "the store was restored, claims are being written again"
+
 log = PartLogger("claims")
 
 
@@ -85,6 +88,9 @@
 
     async def claim(self, workspace: str, key: str) -> WonClaim:
         """Return the claim of a key, or raise a CallerError: it was not run."""
+        wait_seconds = self.incomplete_seconds
+        if wait_seconds > 0.0:
+            raise _unavailable(INCOMPLETE, wait_seconds)
         hashed = key_hash(workspace, key)
         shard = shard_of(hashed, self._settings.shards_count)
         began_seconds = self._read_clock()
@@ -146,7 +152,8 @@
         try:
             if self._store is None:
                 raise RampwickError("no platform is set", step=STEP)
-            self._check_complete()
+            if self.incomplete_seconds > 0.0:
+                raise RampwickError(INCOMPLETE, step=STEP)
             decision = await self._store.claim(
                 shard, [wanted.claim for wanted in batch], self._read_wall_clock()
             )
@@ -154,7 +161,7 @@
                 # Its answer is the first one of a restored store.
                 for write_id in decision.won:
                     self.withdraw(WonClaim(shard, write_id, -math.inf))
-            self._check_complete()
+                raise RampwickError(INCOMPLETE, step=STEP)
             self._keep(shard, batch, decision.won)
         except RampwickError as error:
             log.problem("keys could not be claimed", error=str(error))
@@ -177,13 +184,12 @@
 
     # A store that was restored from a copy lacks claims whose requests have run.
 
-    def _check_complete(self) -> None:
-        """Raise a RampwickError while claims may be missing from the store."""
+    @property
+    def incomplete_seconds(self) -> float:
+        """Time for which claims may still be missing from the store; 0 for none."""
         self._note_era()
         since_seconds = self._read_clock() - self._restored_at_seconds
-        if since_seconds < RESTORED_WAIT_SECONDS:
-            message = "the store was restored, claims are being written again"
-            raise RampwickError(message, step=STEP)
+        return max(0.0, RESTORED_WAIT_SECONDS - since_seconds)
 
     def _note_era(self) -> bool:
         """Note a restore; return whether there was one since the last look."""
@@ -236,12 +242,14 @@
         return
 
 
-def _unavailable(message: str) -> CallerError:
+def _unavailable(
+    message: str, retry_after_seconds: float = RETRY_AFTER_SECONDS
+) -> CallerError:
     return CallerError(
         f"the key could not be claimed: {message}",
         status=503,
         code="claim_unavailable",
         step=STEP,
         run_state=RunState.NOT_SENT,
-        retry_after_seconds=RETRY_AFTER_SECONDS,
+        retry_after_seconds=retry_after_seconds,
     )
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -63,6 +63,9 @@
         """Reset all connections at both ends."""
         for stream in list(self._open):
             raw = stream.extra(SocketAttribute.raw_socket)
+            if raw.fileno() < 0:
+                # It was closed in this moment, and is not taken off the set yet.
+                continue
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             raw.shutdown(socket.SHUT_RD)
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -203,6 +203,8 @@
                 return f"{host.name} is silent: {error!r}"
             if status["revision"] != self._saboteur.revision:
                 return f"{host.name} has revision {status['revision']}"
+            if any(item.startswith("claims:") for item in status["degraded"]):
+                return f"{host.name} can't claim keys"
             if len(status["peers"]) != len(self._fleet.hosts) - 1:
                 return f"{host.name} hears {len(status['peers'])} peers"
             for upstream in status["upstreams"]:
--- a/tests/test_restored_claims.py
+++ b/tests/test_restored_claims.py
@@ -55,6 +55,7 @@
             store.stand_in.restore()
             for host in (other, one):
                 self.assertEqual("claim_unavailable", await self.refuse(host, "lost"))
+                self.assertEqual(RESTORED_WAIT_SECONDS, host.incomplete_seconds)
             (lost,) = one._won
             while lost not in self.write_ids(store):
                 await anyio.sleep(0.01)
