Restored stores: three cases that a reading of the change found

An invalid configuration after one that was held back left the wait at its end: it was over at once, again and again. A tree of the settings held a store's back for 20 s, though it stands in only until another is known. A claim under way as another call told of the restore was taken for won. A test each, which fails on the code before.

--- a/measure/restores.py
+++ b/measure/restores.py
@@ -109,7 +109,7 @@
             join_version(store.era, store.written),
             join_version(store.era, store.revision),
         )
-        offer = self._restored.place(read, self.follower.view.tree, now_seconds)
+        offer = self._restored.place(read, self.follower.head, now_seconds)
         if offer.due_at_seconds > now_seconds:
             return
         self.follower.offer_tree(offer.tree, "platform")
--- a/packages/rampwick-policy/src/rampwick_policy/_configuration.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_configuration.py
@@ -79,6 +79,11 @@
         """Version in force."""
         return tree_version(self.view.tree)
 
+    @property
+    def head(self) -> Tree:
+        """Newest tree known, also if it could not be put in force."""
+        return self._head
+
     @property
     def head_version(self) -> TreeVersion:
         """Newest version known."""
--- a/packages/rampwick-policy/src/rampwick_policy/_restored_trees.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_restored_trees.py
@@ -48,13 +48,16 @@
     #: The last two that were found to be equal, since comparing whole trees is slow.
     _equal: tuple[int, Tree] | None = None
 
-    def place(self, read: ReadTree, in_force: Tree, now_seconds: float) -> TreeOffer:
-        """Return a tree as it is to be offered, and from when on."""
+    def place(self, read: ReadTree, known: Tree, now_seconds: float) -> TreeOffer:
+        """Return a tree as it is to be offered, and from when on.
+
+        ``known`` is the newest one that this host knows.
+        """
         self._note(read, now_seconds)
         if not self._era:
             return TreeOffer(attrs.evolve(read.tree, store_era=0), now_seconds)
         is_copied = read.version <= self._first_version
-        if read.tree.revision > in_force.revision or self._is_equal(read, in_force):
+        if read.tree.revision > known.revision or self._is_equal(read, known):
             era = None if is_copied else self._era
             return TreeOffer(attrs.evolve(read.tree, store_era=era), now_seconds)
         due_at_seconds = self._version_since_seconds + REWRITE_HOLD_SECONDS
@@ -75,12 +78,12 @@
             self._version = read.version
             self._version_since_seconds = now_seconds
 
-    def _is_equal(self, read: ReadTree, in_force: Tree) -> bool:
-        if read.tree.revision != in_force.revision:
+    def _is_equal(self, read: ReadTree, known: Tree) -> bool:
+        if read.tree.revision != known.revision:
             return False
-        known = self._equal
-        if known is not None and known[0] == read.version and known[1] is in_force:
+        found = self._equal
+        if found is not None and found[0] == read.version and found[1] is known:
             return True
-        is_equal = read.tree == attrs.evolve(in_force, store_era=read.tree.store_era)
-        self._equal = (read.version, in_force) if is_equal else None
+        is_equal = read.tree == attrs.evolve(known, store_era=read.tree.store_era)
+        self._equal = (read.version, known) if is_equal else None
         return is_equal
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -106,7 +106,7 @@
         task.note_problem("")
         read = ReadTree(stored.tree, stored.store_version, stored.store_version)
         now_seconds = self._read_clock()
-        offer = self._restored.place(read, follower.view.tree, now_seconds)
+        offer = self._restored.place(read, follower.head, now_seconds)
         was_held, self._is_held = self._is_held, offer.due_at_seconds > now_seconds
         if self._is_held:
             if not was_held:
@@ -257,6 +257,7 @@
             except RampwickError as error:
                 # Refused whole; the one before stays in force.
                 self._refused_version = state.version
+                self._due_at_seconds = math.inf
                 log.problem("configuration refused", error=str(error))
         # A newer revision that could not be put in force may have taken a key away, and
         # so may one that the store lost as it was restored.
@@ -270,7 +271,7 @@
         now_seconds = self._read_clock()
         follower = self._task.follower
         read = ReadTree(tree, state.version, state.store_version)
-        offer = self._restored.place(read, follower.view.tree, now_seconds)
+        offer = self._restored.place(read, follower.head, now_seconds)
         if offer.due_at_seconds <= now_seconds:
             if self._is_held:
                 _log_restored(tree)
--- a/packages/rampwick-router/src/rampwick_router/entry/_claims.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_claims.py
@@ -157,8 +157,8 @@
             decision = await self._store.claim(
                 shard, [wanted.claim for wanted in batch], self._read_wall_clock()
             )
-            if self._note_era():
-                # Its answer is the first one of a restored store.
+            if self.incomplete_seconds > 0.0:
+                # The store was restored before it answered.
                 for write_id in decision.won:
                     self.withdraw(WonClaim(shard, write_id, -math.inf))
                 raise RampwickError(INCOMPLETE, step=STEP)
@@ -191,21 +191,20 @@
         since_seconds = self._read_clock() - self._restored_at_seconds
         return max(0.0, RESTORED_WAIT_SECONDS - since_seconds)
 
-    def _note_era(self) -> bool:
-        """Note a restore; return whether there was one since the last look."""
+    def _note_era(self) -> None:
+        """Note when the store was restored."""
         era = self._api.era if self._api else 0
-        is_restored = era > self._era
-        if is_restored:
+        if era > self._era:
             self._era = era
             self._restored_at_seconds = self._read_clock()
-        return is_restored
 
     async def _watch_era(self) -> None:
         written_era = 0
         while True:
             self._note_era()
-            if self._era != written_era and await self._write_again():
-                written_era = self._era
+            era = self._era
+            if era != written_era and await self._write_again():
+                written_era = era
             await sleep_on_grid(ERA_INTERVAL_SECONDS)
 
     async def _write_again(self) -> bool:
@@ -220,7 +219,8 @@
         except RampwickError as error:
             log.problem("claims not written again", error=str(error))
             return False
-        log.info("claims written again", claims_count=len(self._won))
+        if claims_by_shard:
+            log.info("claims written again", claims_count=len(self._won))
         return True
 
     async def _run_withdrawals(self) -> None:
--- a/tests/test_restored_claims.py
+++ b/tests/test_restored_claims.py
@@ -66,6 +66,24 @@
 
         self.play(scenario)
 
+    def test_a_claim_is_refused_though_another_call_told_of_the_restore(self):
+        async def scenario(store, clock, one, other):
+            claim = one._store.claim
+
+            async def claim_late(*arguments):
+                store.stand_in.restore()
+                await store.list_objects("k/")
+                # The host looks at the era while the claim is under way.
+                self.assertEqual(RESTORED_WAIT_SECONDS, one.incomplete_seconds)
+                return await claim(*arguments)
+
+            one._store.claim = claim_late
+            self.assertEqual("claim_unavailable", await self.refuse(one, "key"))
+            while self.write_ids(store):
+                await anyio.sleep(0.01)
+
+        self.play(scenario)
+
     def test_a_claim_that_meets_the_restore_is_free_again(self):
         async def scenario(store, clock, one, other):
             await one.claim("/w", "early")
--- a/tests/test_restored_trees.py
+++ b/tests/test_restored_trees.py
@@ -24,6 +24,7 @@
     Change,
     ChangesRequest,
     ConfirmRequest,
+    DataError,
     Node,
     Summary,
     TreeReply,
@@ -164,6 +165,24 @@
         self.host.read(1, 0, 5, None)
         self.assertEqual((22, 10.0), (self.revision, self.host.age_seconds))
 
+    def test_an_invalid_one_ends_the_wait_for_a_held_one(self):
+        """The wait was over at once, again and again, and took the whole processor."""
+        self.host.read(1, 30, 45, make_tree(18))
+
+        def refuse(state):
+            raise DataError("no tree", step="read record")
+
+        self.host.reader.read_tree = refuse
+        self.host.read(1, 46, 46, None)
+        self.assertEqual(float("inf"), self.host.source._due_at_seconds)
+        self.assertEqual(22, self.revision)
+
+    def test_a_tree_of_the_settings_holds_nothing_back(self):
+        host = Host()
+        host.follower.offer_fallback(make_tree(30))
+        host.read(1, 30, 45, make_tree(18))
+        self.assertEqual(18, host.follower.revision)
+
     def test_the_wait_for_a_held_one_ends_by_itself(self):
         async def main():
             host = Host(SimpleNamespace(now=0.0))
