--- /dev/null
+++ b/tests/test_hosts_cut_off.py
@@ -0,0 +1,70 @@
+"""Guards against refusals at a host that has lost its own links to the upstreams."""
+
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+from testtools import TestCase
+
+from rampwick_policy import HealthState
+
+from .bench import run_bench, until
+from .partitions import KINDS, current_host, partitioned_links
+
+TEST_TIMEOUT_SECONDS = 60.0
+
+#: Terms of a request: it fails after a second at the latest.
+TERMS = {"Rampwick-Deadline-Seconds": "1.0"}
+
+
+@asynccontextmanager
+async def run_hosts(names=("entry-1", "entry-2"), runners=2):
+    """Run hosts before runners; yield them by name with the bench and the partition."""
+    async with AsyncExitStack() as stack:
+        partition = stack.enter_context(partitioned_links())
+        bench = await stack.enter_async_context(run_bench())
+        for number in range(runners):
+            bench.add_runner(f"r{number}")
+        hosts = {}
+        for name in names:
+            current_host.set(name)
+            hosts[name] = await stack.enter_async_context(bench.run_host(name))
+        current_host.set("")
+        for host in hosts.values():
+            await host.until_ready(*bench.runners)
+            await until(lambda: host.daemon.scheduler.hosts_count == len(hosts))
+        yield hosts, bench, partition
+
+
+def is_down(host, name):
+    return host.upstream(name).health.state is HealthState.DOWN
+
+
+class CutOffHostTest(TestCase):
+    def serve_while_cut_off(self, kind):
+        async def main():
+            with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+                async with run_hosts() as (hosts, bench, partition):
+                    cut_off, sound = hosts.values()
+                    partition.cut("entry-1", kind)
+                    # Requests during the detection may fail.
+                    for number in range(6):
+                        await cut_off.complete(f"warm up {number}", headers=TERMS)
+                    served = {"cut off": [], "sound": []}
+                    for number in range(10):
+                        for name, host in (("cut off", cut_off), ("sound", sound)):
+                            answer = await host.complete(
+                                f"{name} {number}", headers=TERMS
+                            )
+                            served[name].append(answer.status_code)
+                    return served
+
+        return anyio.run(main)
+
+    def test_first_tries_are_served_through_other_hosts(self):
+        # All upstreams are sound and reachable from the other host.
+        for kind in KINDS:
+            self.assertEqual(
+                {"cut off": [200] * 10, "sound": [200] * 10},
+                self.serve_while_cut_off(kind),
+                kind,
+            )
