--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -21,6 +21,7 @@
 from ._prefix_cache_index import CacheGeneration
 from ._request import Outcome
 from ._request_rates import RateObservation, RequestRates
+from ._service_reachability import ServiceReachability
 from ._shares import UsageLedger
 from ._shutdown_announcements import Incarnation
 from ._state_changes import StateChangeTracker
@@ -74,6 +75,7 @@
         #: Names of the services that requests may be routed to.
         self.services: frozenset[str] = frozenset()
         self.state_changes = StateChangeTracker()
+        self.reachability = ServiceReachability(self.upstreams, self.state_changes)
         #: Request rates that overloaded upstreams accept from all hosts together, and
         #: this host's share of them.
         self.rates = RequestRates(self.state_changes)
@@ -232,6 +234,8 @@
         """Record the current state of an upstream and the reason for it."""
         state = self.upstreams.describe(upstream, now_seconds)
         self.state_changes.note("upstream", upstream.name, state, reason)
+        peers_count = self.peers.hosts_count(now_seconds) - 1
+        self.reachability.update(upstream, peers_count)
 
     def _mark_down(self, upstream: Upstream, error: str, now_seconds: float) -> None:
         upstream.is_suspected = False
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -114,6 +114,8 @@
         self._context.scheduler.run_query(self._observe_estimates)
         for state, count in self._context.scheduler.run_query(_count_suspects).items():
             metrics.suspects.labels(state).set(count)
+        unreachable = self._context.scheduler.run_query(_read_unreachable)
+        metrics.unreachable_services.set(len(unreachable))
         open_count, waiting_count = self._context.scheduler.run_query(_read_counts)
         metrics.open_requests.set(open_count)
         metrics.waiting_requests.set(waiting_count)
@@ -187,6 +189,10 @@
             for item in status["upstreams"]
             if item["health"] != "up"
         ]
+        problems += [
+            f"service {name}: no upstream is reachable from this host"
+            for name in status["unreachable_services"]
+        ]
         if self._context.settings.peers.secret and not status["peers"]:
             problems.append(
                 "peers: none is alive; this host limits itself to its share"
@@ -314,6 +320,10 @@
     return scheduler.open_count, len(scheduler.queue)
 
 
+def _read_unreachable(scheduler: Scheduler, now_seconds: float) -> list[str]:
+    return scheduler.pool.reachability.unreachable
+
+
 def _read_status(scheduler: Scheduler, now_seconds: float) -> dict[str, Any]:
     upstreams = [
         {
@@ -352,6 +362,7 @@
         "limits": [
             attrs.asdict(state) for state in _read_limits(scheduler, now_seconds)
         ],
+        "unreachable_services": scheduler.pool.reachability.unreachable,
         "request_rates": [
             attrs.asdict(state) for state in _read_request_rates(scheduler, now_seconds)
         ],
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -232,6 +232,11 @@
             "Runners with weights older than the known target version.",
             registry=registry,
         )
+        self.unreachable_services = Gauge(
+            "rampwick_unreachable_services",
+            "Services of which this host reaches no upstream.",
+            registry=registry,
+        )
         self.store_era = Gauge(
             "rampwick_store_era",
             "Number of restores of the store from older copies, as the store reports.",
--- a/tests/partitions.py
+++ b/tests/partitions.py
@@ -86,7 +86,8 @@
         if kind == RESET:
             raise ConnectionResetError("partitioned")
         if kind != HANG:
-            return await send(self, data, before_write)
+            await send(self, data, before_write)
+            return
         before_write()
         self.sent_bytes_count += len(data)
 
--- a/tests/test_hosts_cut_off.py
+++ b/tests/test_hosts_cut_off.py
@@ -5,10 +5,11 @@
 import anyio
 from testtools import TestCase
 
-from rampwick_policy import HealthState
+from rampwick_policy import HealthState, LoadReported, ProbeFailed
 
 from .bench import run_bench, until
 from .partitions import KINDS, current_host, partitioned_links
+from .test_scheduler import Session
 
 TEST_TIMEOUT_SECONDS = 60.0
 
@@ -31,7 +32,9 @@
         current_host.set("")
         for host in hosts.values():
             await host.until_ready(*bench.runners)
-            await until(lambda: host.daemon.scheduler.hosts_count == len(hosts))
+            await until(
+                lambda host=host: host.daemon.scheduler.hosts_count == len(hosts)
+            )
         yield hosts, bench, partition
 
 
@@ -68,3 +71,23 @@
                 self.serve_while_cut_off(kind),
                 kind,
             )
+
+
+class ReachabilityTest(TestCase):
+    def test_service_without_reachable_upstreams_is_logged_and_reported(self):
+        session = Session(runners=2)
+        session.do(1.0, ProbeFailed("lektor-1", "silent"))
+        self.assertEqual([], session.scheduler.pool.reachability.unreachable)
+        session.do(1.1, ProbeFailed("lektor-2", "silent"))
+        self.assertEqual(["models"], session.scheduler.pool.reachability.unreachable)
+        (change,) = self.take(session)
+        self.assertEqual("unreachable", change.after)
+        self.assertIn("all 2 upstreams are, 0 peers are alive", change.reason)
+        session.do(2.0, LoadReported("lektor-2", None))
+        self.assertEqual([], session.scheduler.pool.reachability.unreachable)
+        (change,) = self.take(session)
+        self.assertEqual("reachable", change.after)
+
+    def take(self, session):
+        changes = session.scheduler.pool.state_changes.take()
+        return [change for change in changes if change.kind == "service"]
