--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -169,6 +169,15 @@
     touched_paths as touched_paths,
     validate_tree as validate_tree,
 )
+from ._tunnel_peers import (
+    BUSY as BUSY,
+    LEAVING as LEAVING,
+    TUNNELLED as TUNNELLED,
+    UNKNOWN as UNKNOWN,
+    UNREACHABLE as UNREACHABLE,
+    TunnelPeers as TunnelPeers,
+)
+from ._upstream_paths import UpstreamPath as UpstreamPath
 from ._upstream_rate_limiter import UpstreamRateState as UpstreamRateState
 from ._upstreams import IneligibleReason as IneligibleReason
 from ._watchers import is_watcher as is_watcher
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -21,6 +21,7 @@
 from ._request import Outcome, RunState
 from ._roles import LivePeers
 from ._tree import TreeView, Workspace
+from ._upstream_paths import UpstreamPath
 
 #: Priority classes that callers can request, the most urgent first.
 PRIORITY_CLASSES = ("portal", "interactive", "batch")
@@ -132,6 +133,8 @@
 
     upstream: str
     report: LoadReport | None
+    #: The path on which it answered.
+    path: UpstreamPath = UpstreamPath.DIRECT
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -9,12 +9,14 @@
 import attrs
 
 from rampwick_schema import (
+    HostEntry,
     HostList,
     Settings,
 )
 
 from . import _events as ev
 from ._cache_tracker import CacheTracker
+from ._health import HealthState
 from ._limit_tracker import LimitTracker
 from ._membership import Membership
 from ._prefill_isolation import PrefillIsolation
@@ -25,6 +27,8 @@
 from ._shares import UsageLedger
 from ._shutdown_announcements import Incarnation
 from ._state_changes import StateChangeTracker
+from ._tunnel_peers import TUNNELLED, UNKNOWN, UNREACHABLE
+from ._upstream_paths import CUT_OFF_COUNT, UpstreamPath, UpstreamPaths
 from ._upstream_rate_limiter import LocalView, UpstreamRateLimiter
 from ._upstreams import IneligibleReason, Upstream, UpstreamTable
 from ._view_cache import ViewCache
@@ -72,6 +76,7 @@
             settings.placement,
             settings.queue.slots_factor,
         )
+        self.paths = UpstreamPaths()
         #: Names of the services that requests may be routed to.
         self.services: frozenset[str] = frozenset()
         self.state_changes = StateChangeTracker()
@@ -128,13 +133,19 @@
         return not group or group in self.services
 
     def note_failure(
-        self, failed: Incarnation, event: ev.AttemptFailed, now_seconds: float
+        self,
+        failed: Incarnation,
+        event: ev.AttemptFailed,
+        sent_at_seconds: float,
+        now_seconds: float,
     ) -> None:
-        """Update the state of an upstream after a failed attempt."""
+        """Update the state of an upstream after an attempt, sent at a time, failed."""
         upstream = self.upstreams.get(failed.upstream)
         if upstream is None:
             return
         if event.outcome.is_health_failure:
+            if self.paths.has_changed_since(upstream.name, sent_at_seconds):
+                return
             self._mark_down(upstream, event.message, now_seconds)
             if not event.was_closed:
                 self._check_hall_outage(upstream, now_seconds)
@@ -179,6 +190,61 @@
                     now_seconds,
                 )
 
+    def _suspect_own_links(self, now_seconds: float) -> None:
+        """Suspect all upstreams with a direct path if this host seems to be cut off.
+
+        The first tunnels show that upstreams are alive which this host can't reach.
+        """
+        if len(self.paths.tunnelled) < CUT_OFF_COUNT:
+            return
+        direct = [item for item in self.upstreams if not self.is_tunnelled(item.name)]
+        if any(item.has_answered_recently(now_seconds) for item in direct):
+            return
+        for item in direct:
+            if self.upstreams.suspect(item, now_seconds):
+                reason = "other upstreams are reachable only through peers"
+                self._record_state(item, reason, now_seconds)
+
+    def is_tunnelled(self, name: str) -> bool:
+        """Return whether connections to an upstream or store are opened through peers.
+
+        A store of cached prompts is not probed, so it follows the upstreams.
+        """
+        if self.upstreams.get(name) is not None:
+            return self.paths.path(name) is UpstreamPath.TUNNEL
+        return 0 < len(self.upstreams) == len(self.paths.tunnelled)
+
+    def may_probe_idle_link(self, name: str) -> bool:
+        """Return whether a kept connection may show that an upstream is reachable.
+
+        After a failure only a new connection shows that new ones can be opened.
+        """
+        upstream = self.upstreams.get(name)
+        if upstream is None or self.is_tunnelled(name):
+            return False
+        return upstream.health.state is not HealthState.DOWN
+
+    def due_link_checks(self, now_seconds: float) -> list[HostEntry]:
+        """Return the tunnelled upstreams whose own links are to be checked now."""
+        due = map(self.upstreams.get, self.paths.due_checks(now_seconds))
+        return [item.entry for item in due if item is not None]
+
+    def tunnel_refusal(self, address: str) -> str:
+        """Return why this host opens no tunnel to an address; empty if it does.
+
+        A tunnel leads over the own link of this host only, and to known addresses.
+        """
+        for upstream in self.upstreams:
+            if upstream.entry.address == address:
+                if self.is_tunnelled(upstream.name):
+                    return TUNNELLED
+                is_down = upstream.health.state is HealthState.DOWN
+                return UNREACHABLE if is_down else ""
+        for store in self.imports.stores():
+            if store.address == address:
+                return TUNNELLED if self.is_tunnelled(store.name) else ""
+        return UNKNOWN
+
     def withdrawal(
         self, name: str, incarnation: str, now_seconds: float
     ) -> IneligibleReason | None:
@@ -233,6 +299,8 @@
     ) -> None:
         """Record the current state of an upstream and the reason for it."""
         state = self.upstreams.describe(upstream, now_seconds)
+        if self.is_tunnelled(upstream.name):
+            state += " through a peer"
         self.state_changes.note("upstream", upstream.name, state, reason)
         peers_count = self.peers.hosts_count(now_seconds) - 1
         self.reachability.update(upstream, peers_count)
@@ -255,6 +323,9 @@
             self.caches.update_generation(upstream, event.report.cache_tokens)
         upstream.health.note_probe(is_same_generation, now_seconds)
         self.upstreams.clear(upstream, now_seconds)
+        is_new_path = self.paths.note_answer(upstream.name, event.path, now_seconds)
+        if is_new_path and event.path is UpstreamPath.TUNNEL:
+            self._suspect_own_links(now_seconds)
         self._record_state(upstream, "it answered a probe", now_seconds)
 
     def _on_probe_failed(self, event: ev.ProbeFailed, now_seconds: float) -> None:
@@ -266,6 +337,7 @@
         reason = f"host list {event.host_list.version}"
         for name in self.upstreams.apply_list(_sorted(event.host_list), now_seconds):
             self.cache_index.forget(name)
+            self.paths.forget(name)
             self.rates.forget(name, reason)
             self.state_changes.forget("upstream", name, reason)
         names = {upstream.name for upstream in self.upstreams}
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -48,6 +48,8 @@
     incarnation: str = ""
     sent_at_seconds: float = 0.0
     charged_tokens: float = 0.0
+    #: The latest attempt that got no answer for long.
+    stalled_attempt_id: str = ""
     #: Charges against the token limits.
     limit_charges: list[LimitCharge] = attrs.field(factory=list)
     #: Since when and why no upstream can be used for it; unset while one can.
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -282,7 +282,7 @@
         actions = self._requests.cancel(item, event)
         self._requests.release(item, event.attempt_id, now_seconds)
         failed = Incarnation(peer, item.incarnation)
-        self.pool.note_failure(failed, event, now_seconds)
+        self.pool.note_failure(failed, event, item.sent_at_seconds, now_seconds)
         self._requests.charge_actual(item, 0.0, now_seconds)
         # Another attempt would find even less time left.
         is_unsent = event.outcome is Outcome.UNSENT
@@ -333,6 +333,7 @@
     ) -> list[ev.Action]:
         item = self._requests.get(event.request_id)
         if item is not None and item.lifecycle.attempt_id == event.attempt_id:
+            item.stalled_attempt_id = event.attempt_id
             self.pool.note_stalled_upstream(item.upstream, now_seconds)
         return []
 
@@ -341,16 +342,28 @@
     ) -> list[ev.Action]:
         """Mark an upstream as down, and fail its attempts that may be repeated."""
         self.pool.handle(event, now_seconds)
+        return self._fail_attempts(event.upstream, event.message, now_seconds)
+
+    def _fail_attempts(
+        self,
+        upstream: str,
+        message: str,
+        now_seconds: float,
+        *,
+        only_stalled: bool = False,
+    ) -> list[ev.Action]:
+        """Fail the attempts at an upstream that may be repeated."""
         actions: list[ev.Action] = []
         for item in self._requests:
-            if item.upstream == event.upstream and item.lifecycle.is_repeatable:
-                failed = ev.AttemptFailed(
-                    item.request_id,
-                    item.lifecycle.attempt_id,
-                    Outcome.BROKEN,
-                    event.message,
-                )
-                actions += self._on_failed(failed, now_seconds)
+            attempt_id = item.lifecycle.attempt_id
+            if item.upstream != upstream or not item.lifecycle.is_repeatable:
+                continue
+            if only_stalled and item.stalled_attempt_id != attempt_id:
+                continue
+            failed = ev.AttemptFailed(
+                item.request_id, attempt_id, Outcome.BROKEN, message
+            )
+            actions += self._on_failed(failed, now_seconds)
         return actions
 
     # Upstreams and peers.
@@ -362,13 +375,19 @@
     def _on_reported(
         self, event: ev.LoadReported, now_seconds: float
     ) -> list[ev.Action]:
+        before = self.pool.paths.path(event.upstream)
         self.pool.handle(event, now_seconds)
         upstream = self.upstreams.get(event.upstream)
         if upstream is not None:
             self.quarantine.note_live(
                 upstream.name, upstream.incarnation, upstream.probed_at_seconds
             )
-        return []
+        if before is event.path:
+            return []
+        # Those without an answer were sent over a link that has failed.
+        return self._fail_attempts(
+            event.upstream, "its path failed", now_seconds, only_stalled=True
+        )
 
     # Crash updates, changes of the tree and time.
 
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -26,7 +26,7 @@
 from ._scheduler_task import Decision
 from .control import ConfigurationTask, HostListTask, RolloutController
 from .entry import EntryContext
-from .peers import RolesView
+from .peers import RolesView, TunnelsView
 
 log = ComponentLogger("admin")
 
@@ -44,6 +44,7 @@
         read_platform_calls: Callable[[], Mapping[str, int]],
         read_store_era: Callable[[], int],
         read_roles: Callable[[], RolesView],
+        read_tunnels: Callable[[], TunnelsView],
         needs_configuration: bool,
     ) -> None:
         self._context = context
@@ -55,6 +56,7 @@
         self._read_platform_calls = read_platform_calls
         self._read_store_era = read_store_era
         self._read_roles = read_roles
+        self._read_tunnels = read_tunnels
         self._profiler = Profiler()
         self.app = Starlette(
             routes=[
@@ -127,6 +129,9 @@
             metrics.platform_calls.labels(purpose).set(count)
         for reason, count in self._context.connection_pool.opened_counts().items():
             metrics.connections_opened.labels(reason).set(count)
+        tunnels = self._read_tunnels()
+        metrics.tunnels.labels("opened").set(sum(tunnels.opened.values()))
+        metrics.tunnels.labels("served").set(tunnels.served_count)
         roles = self._read_roles()
         metrics.roles.labels("relay").set(roles.is_relay)
         metrics.roles.labels("reader").set(roles.is_reader)
@@ -155,6 +160,7 @@
         status["store_era"] = self._read_store_era()
         status["lease"] = self._describe_lease()
         status["roles"] = attrs.asdict(self._read_roles())
+        status["tunnels"] = attrs.asdict(self._read_tunnels())
         status["platform_calls"] = dict(self._read_platform_calls())
         status["connections_opened"] = self._context.connection_pool.opened_counts()
         status["degraded"] = self._list_problems(status)
@@ -330,6 +336,7 @@
             "name": upstream.name,
             "kind": upstream.entry.kind,
             "hall": upstream.entry.hall,
+            "path": scheduler.pool.paths.path(upstream.name).value,
             "state": upstream.entry.state,
             "belief": scheduler.upstreams.describe(upstream, now_seconds),
             "health": upstream.health.state.value,
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -113,7 +113,9 @@
         self.scheduler.on_burst = self.gossip.urgent_updates.note_burst
         self._connect_sources(api, rng, integration)
         self.claims = ClaimTask(api, settings.claims, read_clock, clocks.wall)
-        self.probes = ProbeTask(control, self.scheduler)
+        connection_pool.find_path = self.scheduler.path
+        connection_pool.tunnels = self.gossip.tunnels
+        self.probes = ProbeTask(control, self.scheduler, self.gossip.tunnels)
         self.cancels = CancelTask(control, self.scheduler)
         salts = SaltTable(settings.peers.secret)
         self.cache_reader = CacheReaderTask(
@@ -154,6 +156,7 @@
             lambda: getattr(api, "calls", {}),
             lambda: api.era if api else 0,
             self.gossip.roles.describe,
+            self.gossip.describe_tunnels,
             needs_configuration=integration is not None,
         )
 
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -168,6 +168,7 @@
             self.lifecycle.exit_deadline_seconds = exit_deadline_seconds
         log.info("not ready, waiting for the balancer to stop routing here")
         self._gossip.summaries.is_leaving = True
+        self._gossip.tunnel_server.is_leaving = True
         await self.rollout_controller.retire()
         self._gossip.summaries.publish_own()
         await self.lifecycle.pause(self._settings.life.balancer_delay_seconds)
@@ -175,7 +176,7 @@
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("draining open requests", open_count=self.entry.open_count)
         with anyio.move_on_after(self._drain_seconds()):
-            while self.entry.open_count:
+            while self.entry.open_count or self._gossip.tunnel_server.busy_count:
                 # In a forced shutdown EntryApp ends each open request with an error.
                 await anyio.sleep(DRAIN_CHECK_SECONDS)
         log.info(
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -237,6 +237,13 @@
             "Services of which this host reaches no upstream.",
             registry=registry,
         )
+        self.tunnels = Gauge(
+            "rampwick_tunnels",
+            "Open connections to upstreams through another host, by the side of this "
+            "host: opened or served.",
+            ("side",),
+            registry=registry,
+        )
         self.store_era = Gauge(
             "rampwick_store_era",
             "Number of restores of the store from older copies, as the store reports.",
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -31,6 +31,7 @@
     ShutdownAnnouncements,
     StateChange,
     Tick,
+    UpstreamPath,
 )
 from rampwick_schema import NamedWeights, ReprMixin, WeightsTarget
 
@@ -129,6 +130,17 @@
         pool = self._scheduler.pool
         return pool.withdrawal(upstream, incarnation, self._read_clock())
 
+    def path(self, upstream: str) -> UpstreamPath:
+        """Return the path to an upstream or a store of cached prompts."""
+        if self._scheduler.pool.is_tunnelled(upstream):
+            return UpstreamPath.TUNNEL
+        return UpstreamPath.DIRECT
+
+    def upstream_hall(self, upstream: str) -> str:
+        """Return the hall of an upstream; empty if it is not listed."""
+        found = self._scheduler.upstreams.get(upstream)
+        return found.entry.hall if found is not None else ""
+
     @property
     def hosts_count(self) -> int:
         """Highest recent number of hosts alive at once, including this one."""
--- a/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
@@ -22,6 +22,7 @@
     Rollout,
     RunnerState,
     Scheduler,
+    UpstreamPath,
     WeightsLoadOrdered,
     WeightsReported,
     count_outdated,
@@ -251,7 +252,7 @@
     async def _probe(self, entry: HostEntry) -> None:
         started_seconds = self._read_clock()
         try:
-            report = await self._control.probe(entry)
+            report = await self._control.probe(entry, UpstreamPath.DIRECT)
         except AttemptError as error:
             log.problem(
                 "runner report unavailable", runner=entry.name, error=str(error)
--- a/packages/rampwick-router/src/rampwick_router/peers/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/__init__.py
@@ -9,3 +9,4 @@
 from ._directory import PeerDirectory as PeerDirectory
 from ._gossip import GossipTask as GossipTask
 from ._roles import RolesView as RolesView
+from ._tunnel_server import TunnelsView as TunnelsView
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -56,6 +56,8 @@
 from ._roles import Roles
 from ._summaries import SummaryPublisher
 from ._sync import PeerSync
+from ._tunnel_server import TunnelServer, TunnelsView
+from ._tunnels import TunnelClient
 from ._urgent_updates import UrgentUpdates
 
 #: Number of hosts in a small fleet up to which summaries are sent at the configured
@@ -138,6 +140,21 @@
             self.roles,
             read_clock,
         )
+        self.tunnels = TunnelClient(
+            own,
+            settings.peers,
+            metrics,
+            self.roles.tunnel_peers,
+            scheduler.upstream_hall,
+            read_clock,
+        )
+        self.tunnel_server = TunnelServer(
+            settings.peers.max_tunnels_count,
+            lambda address: scheduler.run_query(
+                lambda found, now_seconds: found.pool.tunnel_refusal(address)
+            ),
+        )
+        self._links.serve_tunnel = self.tunnel_server.serve
         #: Message counters by class. Each is looked up only once.
         self._received = _Counters(metrics)
         self.cache_outbox = CacheOutbox(
@@ -164,6 +181,14 @@
             tasks.start_soon(self.urgent_updates.run)
             await self._publish_summaries()
 
+    def describe_tunnels(self) -> TunnelsView:
+        """Return the tunnels of this host, for operators."""
+        return TunnelsView(
+            opened=self.tunnels.peers.open_counts,
+            served_count=self.tunnel_server.open_count,
+            results=dict(self.tunnel_server.results),
+        )
+
     # Members and roles.
 
     def reconcile_links(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack, closing
 from typing import Any
 
@@ -138,6 +138,8 @@
         self.on_opened: Callable[[Link], None] = _ignore_link
         #: Called with each message and the link on which it was received.
         self.on_message: Callable[[Link, Any], None] = _ignore_message
+        #: Serves a tunnel that an authenticated peer requests, until it ends.
+        self.serve_tunnel: Callable[[PeerStream, Member], Awaitable[None]] = _refuse
         #: Called with the name of a wanted member that could not be reached.
         self.on_unreachable: Callable[[str], None] = _ignore_name
 
@@ -268,6 +270,9 @@
                 # A seed may be this host itself. Keep the connection open so that the
                 # seed is not dialled again.
                 await anyio.sleep_forever()
+            if stream.tunnel is not None:
+                await self.serve_tunnel(stream, peer)
+                return
             link = Link.open(peer, self._read_clock(), stream.put)
             self._links.append(link)
             # Any received bytes count as activity, not only whole messages: a long
@@ -283,6 +288,10 @@
                 self._links.remove(link)
 
 
+async def _refuse(stream: PeerStream, peer: Member) -> None:
+    return
+
+
 def _ignore_link(link: Link) -> None:
     return
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_roles.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_roles.py
@@ -103,6 +103,26 @@
             frozenset(view.hall for view in views),
         )
 
+    def tunnel_peers(self) -> list[Member]:
+        """Return the hosts that may connect this one to upstreams.
+
+        Hosts of other halls of a large fleet are not known to be alive one by one.
+        """
+        now_seconds = self._read_clock()
+        serving = self.serving_names
+        halls = self.live_peers().halls if self.table.is_large else frozenset()
+        return [
+            member
+            for member in self.table
+            if member != self.table.own
+            and not self.table.is_marked_unreachable(member.name, now_seconds)
+            and (
+                member.name in serving
+                if self.is_in_own_group(member)
+                else member.hall in halls
+            )
+        ]
+
     def cache_reading_peers(self) -> LivePeers:
         """Return the peers among which the reading of caches is divided.
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -4,11 +4,16 @@
 import hashlib
 import hmac
 import secrets
+import select
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any, cast
 
 import anyio
+import attrs
 
+from rampwick_platform import LIVENESS_OPTIONS
 from rampwick_policy import Member
 from rampwick_schema import (
     LENGTH_BYTES,
@@ -16,12 +21,15 @@
     Hello,
     MessageError,
     Proof,
+    ReprMixin,
+    TunnelHello,
     decode_message,
     encode_message,
 )
 
 from .._errors import PeerError
 from .._metrics import Metrics
+from .._segment_age import segment_age_seconds
 
 NONCE_BYTES = 16
 
@@ -34,6 +42,11 @@
 #: Maximum number of buffered bytes during the handshake.
 MAX_UNREAD_BYTES = 4 * MAX_HANDSHAKE_BYTES
 
+#: Maximum size of a message on a tunnel, and of its buffered bytes. A message carries
+#: at most 64 KiB of the connection.
+MAX_TUNNEL_MESSAGE_BYTES = 66_000
+MAX_UNREAD_TUNNEL_BYTES = 2 * MAX_TUNNEL_MESSAGE_BYTES
+
 #: Size of a peer's send buffer above which new messages are dropped: a few seconds of a
 #: relay's output, and small enough to hold in memory for a whole hall of slow hosts.
 MAX_UNSENT_BYTES = 131_072
@@ -49,6 +62,16 @@
     return
 
 
+@attrs.frozen(repr=False)
+class UpstreamAddress(ReprMixin):
+    """An upstream to which a tunnel leads."""
+
+    name: str
+    hall: str
+    #: IP and port.
+    address: str
+
+
 class PeerStream(asyncio.Protocol):
     """Messages on one connection. An error closes only this connection.
 
@@ -73,6 +96,13 @@
         #: Set when bytes arrive or the stream ends, then replaced.
         self._wakeup = anyio.Event()
         self._on_message: Callable[[Any], None] | None = None
+        self._max_received_bytes = MAX_HANDSHAKE_BYTES
+        self._max_unread_bytes = MAX_UNREAD_BYTES
+        #: Cleared while the send buffer is above the transport's limit.
+        self._is_writable = asyncio.Event()
+        self._is_writable.set()
+        #: The tunnel that the peer requests; none if it opens a link.
+        self.tunnel: TunnelHello | None = None
         #: Error that ended the stream; none while it is open.
         self._failure: Exception | None = None
         self.peer = ""
@@ -115,7 +145,7 @@
         self._received += data
         self.on_bytes()
         if self._on_message is None:
-            if len(self._received) > MAX_UNREAD_BYTES:
+            if len(self._received) > self._max_unread_bytes:
                 self._reading().pause_reading()
             self._wakeup.set()
             return
@@ -130,6 +160,14 @@
         message = str(error) if error else "end of stream"
         self._end(self._closed(message))
 
+    def pause_writing(self) -> None:
+        """Make ``send_all`` wait, since the send buffer is full."""
+        self._is_writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let ``send_all`` continue."""
+        self._is_writable.set()
+
     # Sending and receiving messages.
 
     def put(self, data: bytes) -> bool:
@@ -158,14 +196,53 @@
         """Send a handshake message."""
         self.put(encode_message(message))
 
+    async def send_all(self, message: Any) -> None:
+        """Send a message of a tunnel; wait while the peer is too slow."""
+        if self._failure is None:
+            await self._is_writable.wait()
+        if self._failure is not None:
+            raise self._failure
+        self._writing().write(encode_message(message))
+
     async def receive(self) -> Any:
-        """Return the next handshake message."""
+        """Return the next message of the handshake or of a tunnel."""
         while True:
-            message = self._next_message(MAX_HANDSHAKE_BYTES)
+            message = self._next_message(self._max_received_bytes)
             if message is not None:
                 return message
+            if self._failure is None:
+                self._reading().resume_reading()
             await self._wait()
 
+    def begin_tunnel(self) -> None:
+        """Allow the messages of a tunnel, and detect a dead connection.
+
+        Nothing is sent on an idle tunnel, so that only the kernel notices its end.
+        """
+        self._max_received_bytes = MAX_TUNNEL_MESSAGE_BYTES
+        self._max_unread_bytes = MAX_UNREAD_TUNNEL_BYTES
+        raw = self._raw_socket()
+        for level, name, value in LIVENESS_OPTIONS:
+            raw.setsockopt(level, name, value)
+
+    def has_unread(self) -> bool:
+        """Return whether there is data to read, an end of stream or an error."""
+        if self._received or self._failure is not None:
+            return True
+        poll = select.poll()
+        poll.register(self._raw_socket(), select.POLLIN | select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def data_age_seconds(self) -> float:
+        """Return how long ago at least the last bytes arrived."""
+        return segment_age_seconds(self._raw_socket())
+
+    def discard_unsent(self) -> None:
+        """Make the close discard the bytes that the kernel has not sent yet."""
+        if self._failure is None:
+            linger = struct.pack("ii", 1, 0)
+            self._raw_socket().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def deliver(self, on_message: Callable[[Any], None]) -> None:
         """Pass each message to a function until the stream ends; raise the reason."""
         self._on_message = on_message
@@ -190,6 +267,13 @@
         assert self._transport is not None
         return self._transport
 
+    def _writing(self) -> asyncio.WriteTransport:
+        assert self._transport is not None
+        return self._transport
+
+    def _raw_socket(self) -> Any:
+        return self._reading().get_extra_info("socket")
+
     def _deliver_received(self, on_message: Callable[[Any], None]) -> None:
         while self._failure is None:
             message = self._next_message(self._max_message_bytes)
@@ -228,27 +312,31 @@
             return
         self._failure = error
         self._wakeup.set()
+        self._is_writable.set()
         if self._transport is not None:
             self._transport.abort()
 
-    async def handshake(self, own: Member, secret: str) -> Member:
-        """Authenticate both sides by the shared secret; return the peer."""
+    async def handshake(
+        self, own: Member, secret: str, tunnel_to: UpstreamAddress | None = None
+    ) -> Member:
+        """Authenticate both sides by the shared secret; return the peer.
+
+        With an upstream given, request a tunnel to it instead of a link.
+        """
         with anyio.move_on_after(HANDSHAKE_SECONDS):
-            return await self._run_handshake(own, secret)
+            return await self._run_handshake(own, secret, tunnel_to)
         raise PeerError("handshake timed out", step="handshake", peer=self.peer)
 
-    async def _run_handshake(self, own: Member, secret: str) -> Member:
-        local = Hello(
-            protocol_version=PROTOCOL_VERSION,
-            host=own.name,
-            hall=own.hall,
-            incarnation=own.incarnation,
-            nonce=secrets.token_bytes(NONCE_BYTES),
-            peer_address=own.address,
-            link_megabits_per_second=own.link_megabits_per_second,
-        )
+    async def _run_handshake(
+        self, own: Member, secret: str, tunnel_to: UpstreamAddress | None
+    ) -> Member:
+        local = _make_hello(own, tunnel_to)
         await self.send(local)
-        remote = self._expect(await self.receive(), Hello)
+        remote = await self.receive()
+        if isinstance(remote, TunnelHello) and tunnel_to is None:
+            self.tunnel = remote
+        else:
+            remote = self._expect(remote, Hello)
         if remote.protocol_version != PROTOCOL_VERSION:
             raise self._refused(
                 f"unsupported protocol version {remote.protocol_version}"
@@ -283,7 +371,28 @@
         return PeerError(f"connection closed: {message}", step=STEP, peer=self.peer)
 
 
-def _prove(secret: str, prover: Hello, verifier: Hello) -> bytes:
+def _make_hello(own: Member, tunnel_to: UpstreamAddress | None) -> Hello | TunnelHello:
+    hello = Hello(
+        protocol_version=PROTOCOL_VERSION,
+        host=own.name,
+        hall=own.hall,
+        incarnation=own.incarnation,
+        nonce=secrets.token_bytes(NONCE_BYTES),
+        peer_address=own.address,
+        link_megabits_per_second=own.link_megabits_per_second,
+    )
+    if tunnel_to is None:
+        return hello
+    return TunnelHello(
+        **attrs.asdict(hello),
+        upstream=tunnel_to.name,
+        upstream_address=tunnel_to.address,
+    )
+
+
+def _prove(
+    secret: str, prover: Hello | TunnelHello, verifier: Hello | TunnelHello
+) -> bytes:
     # The digest covers the identity of the prover and depends on the direction, so that
     # a proof cannot be reflected to its sender.
     parts = (prover.host, prover.hall, str(prover.incarnation), verifier.host)
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnel_server.py
@@ -0,0 +1,158 @@
+"""Tunnels that this host serves: it connects peers to upstreams it can reach."""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+
+import anyio
+import attrs
+
+from rampwick_policy import BUSY, LEAVING, UNREACHABLE, Member
+from rampwick_schema import ReprMixin, TunnelData, TunnelEnd, TunnelHello, TunnelReply
+
+from .._errors import PeerError
+from .._logs import ComponentLogger
+from ..upstream import UpstreamSocket, connect_directly
+from ._stream import PeerStream
+
+#: Time for the peer to close a tunnel whose upstream has closed the connection.
+CLOSE_TIMEOUT_SECONDS = 2.0
+
+log = ComponentLogger("tunnels")
+
+
+def _pass() -> None:
+    return
+
+
+class ServedTunnel:
+    """One tunnel: forwards bytes between a peer and an upstream until one side ends."""
+
+    def __init__(self, stream: PeerStream, upstream: UpstreamSocket) -> None:
+        self._stream = stream
+        self._upstream = upstream
+        #: Whether the last bytes came from the peer, so that an answer is due.
+        self.awaits_answer = False
+
+    async def run(self) -> None:
+        """Forward until the tunnel ends, then close both sides."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._forward_requests, tasks.cancel_scope)
+                await self._forward_answers()
+                # The peer closes the tunnel once it has read the end.
+                with anyio.move_on_after(CLOSE_TIMEOUT_SECONDS):
+                    await anyio.sleep_forever()
+                tasks.cancel_scope.cancel()
+        finally:
+            if self.awaits_answer:
+                # What the upstream has not received must not reach it any more.
+                self._upstream.discard_unsent()
+            self._upstream.close()
+
+    async def _forward_requests(self, scope: anyio.CancelScope) -> None:
+        try:
+            while True:
+                message = await self._stream.receive()
+                if not isinstance(message, TunnelData):
+                    break
+                self.awaits_answer = True
+                await self._upstream.send(message.data, _pass)
+        except (PeerError, OSError):
+            # The caller's host has closed the tunnel, or reads the error of the
+            # upstream from the other direction.
+            pass
+        scope.cancel()
+
+    async def _forward_answers(self) -> None:
+        end = TunnelEnd()
+        try:
+            while data := await self._upstream.receive():
+                self.awaits_answer = False
+                await self._stream.send_all(TunnelData(data))
+        except OSError as error:
+            end = TunnelEnd(str(error) or type(error).__name__)
+        except PeerError:
+            return
+        self.awaits_answer = False
+        await self._send_end(end)
+
+    async def _send_end(self, end: TunnelEnd) -> None:
+        try:
+            await self._stream.send_all(end)
+        except PeerError:
+            # The peer has left already.
+            return
+
+
+@attrs.frozen(repr=False)
+class TunnelsView(ReprMixin):
+    """The tunnels of a host, in both directions."""
+
+    #: Open tunnels of this host, by the peer that serves them.
+    opened: dict[str, int]
+    #: Open tunnels that this host serves, and the tunnels requested so far by result.
+    served_count: int
+    results: dict[str, int]
+
+
+class TunnelServer:
+    """Serves tunnels to peers, within a limit."""
+
+    def __init__(self, max_count: int, find_refusal: Callable[[str], str]) -> None:
+        self._max_count = max_count
+        #: Returns why this host does not connect to an address; empty if it does.
+        self._find_refusal = find_refusal
+        self._tunnels: set[ServedTunnel] = set()
+        self.is_leaving = False
+        #: Number of tunnels opened and refused so far, by result.
+        self.results: dict[str, int] = {}
+
+    @property
+    def open_count(self) -> int:
+        """Number of open tunnels."""
+        return len(self._tunnels)
+
+    @property
+    def busy_count(self) -> int:
+        """Number of tunnels on which an answer is due."""
+        return sum(tunnel.awaits_answer for tunnel in self._tunnels)
+
+    async def serve(self, stream: PeerStream, peer: Member) -> None:
+        """Serve a tunnel to an authenticated peer until it ends."""
+        request = stream.tunnel
+        assert request is not None
+        stream.begin_tunnel()
+        refusal = self._refusal(request)
+        upstream: UpstreamSocket | None = None
+        if not refusal:
+            try:
+                upstream = await connect_directly(request.upstream_address)
+            except (OSError, TimeoutError, ValueError):
+                refusal = UNREACHABLE
+        result = refusal or "opened"
+        self.results[result] = self.results.get(result, 0) + 1
+        log.info(
+            "tunnel requested",
+            peer=peer.name,
+            upstream=request.upstream,
+            refusal=refusal,
+        )
+        with ExitStack() as stack:
+            if upstream is not None:
+                stack.callback(upstream.close)
+            await stream.send_all(TunnelReply(refusal))
+            if upstream is None:
+                with anyio.move_on_after(CLOSE_TIMEOUT_SECONDS):
+                    await stream.receive()
+                return
+            tunnel = ServedTunnel(stream, upstream)
+            self._tunnels.add(tunnel)
+            stack.callback(self._tunnels.discard, tunnel)
+            await tunnel.run()
+
+    def _refusal(self, request: TunnelHello) -> str:
+        if self.is_leaving:
+            return LEAVING
+        if len(self._tunnels) >= self._max_count:
+            return BUSY
+        return self._find_refusal(request.upstream_address)
--- a/packages/rampwick-router/src/rampwick_router/upstream/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/__init__.py
@@ -15,12 +15,17 @@
     ConnectionPool as ConnectionPool,
     SendCheck as SendCheck,
     UpstreamConnection as UpstreamConnection,
+    connect_directly as connect_directly,
 )
 from ._control import (
     CONTROL_TIMEOUT_SECONDS as CONTROL_TIMEOUT_SECONDS,
     DialectControl as DialectControl,
     UpstreamControl as UpstreamControl,
 )
+from ._sockets import (
+    TunnelDialer as TunnelDialer,
+    UpstreamSocket as UpstreamSocket,
+)
 from ._sse import (
     DONE as DONE,
     SequenceFilter as SequenceFilter,
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -241,14 +241,15 @@
     async def _poll(self, source: CacheSource, state: ReadState) -> bool:
         """Poll for the next events; return whether more are likely available."""
         request = self._dialect.events(source.address, state.since, POLL_WAIT_SECONDS)
-        # Polls have their own entry in the connection pool, so that a waiting poll
-        # does not occupy connections needed by requests.
+        # Polls have their own lane in the connection pool, so that a waiting poll does
+        # not occupy connections needed by requests.
         head, body = await call_upstream(
             self._connection_pool,
-            f"{source.name} events",
+            source.name,
             source.address,
             request,
             POLL_WAIT_SECONDS + RESPONSE_MARGIN_SECONDS,
+            lane="events",
         )
         events = self._dialect.read_events(head, body)
         if not state.is_responding:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -11,7 +11,7 @@
 import attrs
 import orjson
 
-from rampwick_policy import Dispatch, OrderResult, Outcome
+from rampwick_policy import Dispatch, OrderResult, Outcome, UpstreamPath
 from rampwick_schema import (
     DataError,
     HostEntry,
@@ -26,7 +26,7 @@
 from .._errors import AttemptError
 from .._headers import LEAVING, RawHeaders, ResponseHead
 from ._connection_pool import ConnectionPool, SendCheck, UpstreamConnection
-from ._control import CONTROL_TIMEOUT_SECONDS, call_upstream
+from ._control import call_upstream, timeout_seconds
 from ._sse import EventSplitter, StreamEvent
 
 #: Result of an order by response status.
@@ -149,11 +149,19 @@
             upstream, address, _control("DELETE", target, "cancel attempt", address)
         )
 
-    async def probe(self, entry: HostEntry) -> LoadReport | None:
+    async def probe(
+        self,
+        entry: HostEntry,
+        path: UpstreamPath | None = None,
+        *,
+        may_reuse: bool = True,
+    ) -> LoadReport | None:
         """Return a runner's load report, or none for a service that is up."""
         step = "probe upstream"
         request = _control("GET", "/load", step, entry.address)
-        head, body = await self._call(entry.name, entry.address, request)
+        head, body = await self._call(
+            entry.name, entry.address, request, path, may_reuse=may_reuse
+        )
         if head.status == HTTPStatus.NO_CONTENT:
             return None
         if head.status != HTTPStatus.OK:
@@ -170,16 +178,31 @@
         body = orjson.dumps(unstructure(order))
         request = _control("PUT", "/orders", "send order", entry.address, body)
         try:
-            head, _ = await self._call(entry.name, entry.address, request)
+            # Orders that come from two hosts count as those of two holders.
+            head, _ = await self._call(
+                entry.name, entry.address, request, UpstreamPath.DIRECT
+            )
         except AttemptError:
             return OrderResult.LOST
         return ORDER_RESULTS.get(head.status, OrderResult.REFUSED)
 
     async def _call(
-        self, upstream: str, address: str, request: ControlRequest
+        self,
+        upstream: str,
+        address: str,
+        request: ControlRequest,
+        path: UpstreamPath | None = None,
+        *,
+        may_reuse: bool = True,
     ) -> tuple[ResponseHead, bytes]:
         return await call_upstream(
-            self._connection_pool, upstream, address, request, CONTROL_TIMEOUT_SECONDS
+            self._connection_pool,
+            upstream,
+            address,
+            request,
+            timeout_seconds(path),
+            path,
+            may_reuse=may_reuse,
         )
 
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -15,11 +15,12 @@
 import h11
 
 from rampwick_platform import sleep_aligned
-from rampwick_policy import Outcome
+from rampwick_policy import Outcome, UpstreamPath
 from rampwick_schema import ReprMixin
 
 from .._errors import AttemptError
 from .._headers import RawHeaders, ResponseHead
+from ._sockets import CHUNK_BYTES, TunnelDialer, UpstreamSocket
 from ._tcp_socket import TcpSocket
 
 #: Connect timeout: about ten round trips within a region, and short enough to try
@@ -37,10 +38,6 @@
 #: Maximum size of a response head.
 MAX_HEAD_BYTES = 65536
 
-#: Maximum number of body bytes passed to the socket at once, so that an early response
-#: is noticed.
-SEND_BYTES = 65536
-
 #: Time between two sweeps for expired idle connections.
 SWEEP_SECONDS = 1.0
 
@@ -48,8 +45,10 @@
 #: Called before each write of a request, with whether a part of it has been sent.
 SendCheck = Callable[[bool], None]
 
-#: Default reason for opening a connection.
+#: Default reason for opening a connection, and the count of those opened through peers
+#: for any reason.
 REQUEST = "request"
+TUNNEL = "tunnel"
 
 
 class ConnectionLimitError(AttemptError):
@@ -61,7 +60,8 @@
     """One connection to an upstream."""
 
     peer: str
-    _socket: TcpSocket
+    _socket: UpstreamSocket
+    path: UpstreamPath = UpstreamPath.DIRECT
     _http: h11.Connection = attrs.field(init=False)
     #: Maximum idle time; responses of the upstream may change it.
     max_idle_seconds: float = DEFAULT_IDLE_SECONDS
@@ -108,8 +108,9 @@
             tail += self._http.send(h11.Data(data=body))
         tail += self._http.send(h11.EndOfMessage())
         data = head + tail
-        for start in range(0, len(data), SEND_BYTES):
-            await self._send_bytes(data[start : start + SEND_BYTES], check)
+        # Sent in pieces, so that an early response is noticed.
+        for start in range(0, len(data), CHUNK_BYTES):
+            await self._send_bytes(data[start : start + CHUNK_BYTES], check)
 
     async def _send_bytes(self, data: bytes, check: SendCheck | None) -> None:
         def before_write() -> None:
@@ -226,11 +227,19 @@
     open_count: int = 0
 
 
+def _always_direct(upstream: str) -> UpstreamPath:
+    return UpstreamPath.DIRECT
+
+
 class ConnectionPool:
-    """Connections to all upstreams of one host."""
+    """Connections to all upstreams of one host, opened by itself or through peers."""
 
     def __init__(self, read_clock: Callable[[], float]) -> None:
         self._read_clock = read_clock
+        #: Returns the current path to an upstream.
+        self.find_path: Callable[[str], UpstreamPath] = _always_direct
+        #: Opens connections through peers; none if this host has no peers.
+        self.tunnels: TunnelDialer | None = None
         self._by_upstream: dict[str, _UpstreamConnections] = {}
         #: Number of connections opened so far, by reason.
         self._opened: Counter[str] = Counter()
@@ -255,18 +264,30 @@
         address: str,
         max_count: float = math.inf,
         reason: str = REQUEST,
+        path: UpstreamPath | None = None,
+        *,
+        may_reuse: bool = True,
+        lane: str = "",
     ) -> AsyncIterator[UpstreamConnection]:
         """Lend a connection to an upstream, an idle one if available.
 
         ``reason`` states what the connection is for, for metrics on connection cost.
+        ``path`` replaces the current path to the upstream. Without ``may_reuse`` the
+        connection is a new one, which shows whether new ones can be opened.
+        Connections of one ``lane`` are not lent to another.
         Afterwards the connection returns to the pool if its response was complete.
         Otherwise it is closed, which also stops the upstream's work on the request.
         """
-        connections = self._by_upstream.setdefault(upstream, _UpstreamConnections())
-        connection = self._take_idle(connections)
+        key = f"{upstream} {lane}" if lane else upstream
+        connections = self._by_upstream.setdefault(key, _UpstreamConnections())
+        current_path = self.find_path(upstream)
+        path = path or current_path
+        # A kept connection of another path may have died in the meantime.
+        may_reuse = may_reuse and path is current_path
+        connection = self._take_idle(connections, path) if may_reuse else None
         if connection is None:
             connection = await self._open(
-                connections, upstream, address, max_count, reason
+                connections, upstream, address, max_count, reason, path
             )
         is_complete = False
         try:
@@ -281,12 +302,13 @@
                 connection.abort()
 
     def _take_idle(
-        self, connections: _UpstreamConnections
+        self, connections: _UpstreamConnections, path: UpstreamPath
     ) -> UpstreamConnection | None:
         # Use the most recently used connection first, so that the others can expire.
         while connections.idle:
             connection = connections.idle.pop()
-            if connection.may_stay_idle(self._read_clock()):
+            is_usable = connection.may_stay_idle(self._read_clock())
+            if is_usable and connection.path is path:
                 return connection
             connections.open_count -= 1
             connection.close()
@@ -299,6 +321,7 @@
         address: str,
         max_count: float,
         reason: str,
+        path: UpstreamPath,
     ) -> UpstreamConnection:
         if connections.open_count >= max_count:
             raise ConnectionLimitError(
@@ -310,13 +333,32 @@
         connections.open_count += 1
         is_open = False
         try:
-            tcp_socket = await _connect(upstream, address)
+            upstream_socket = await self._connect(upstream, address, path)
             is_open = True
         finally:
             if not is_open:
                 connections.open_count -= 1
         self._opened[reason] += 1
-        return UpstreamConnection(upstream, tcp_socket)
+        if path is UpstreamPath.TUNNEL:
+            self._opened[TUNNEL] += 1
+        return UpstreamConnection(upstream, upstream_socket, path)
+
+    async def _connect(
+        self, upstream: str, address: str, path: UpstreamPath
+    ) -> UpstreamSocket:
+        try:
+            if path is UpstreamPath.TUNNEL:
+                if self.tunnels is None:
+                    raise OSError("no peers")
+                return await self.tunnels.open(upstream, address)
+            return await connect_directly(address)
+        except (OSError, TimeoutError, ValueError) as error:
+            raise AttemptError(
+                str(error) or type(error).__name__,
+                outcome=Outcome.UNREACHABLE,
+                step="connect",
+                peer=upstream,
+            ) from error
 
     async def sweep(self) -> None:
         """Close expired idle connections periodically until cancelled."""
@@ -330,21 +372,19 @@
     def _close_expired(self, connections: _UpstreamConnections) -> None:
         now_seconds = self._read_clock()
         idle, connections.idle = connections.idle, []
-        expired = [item for item in idle if not item.may_stay_idle(now_seconds)]
+        expired = [
+            item
+            for item in idle
+            if not item.may_stay_idle(now_seconds)
+            or item.path is not self.find_path(item.peer)
+        ]
         connections.idle += [item for item in idle if item not in expired]
         for connection in expired:
             connections.open_count -= 1
             connection.close()
 
 
-async def _connect(upstream: str, address: str) -> TcpSocket:
-    try:
-        with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
-            return await TcpSocket.connect(address)
-    except (OSError, TimeoutError, ValueError) as error:
-        raise AttemptError(
-            str(error) or type(error).__name__,
-            outcome=Outcome.UNREACHABLE,
-            step="connect",
-            peer=upstream,
-        ) from error
+async def connect_directly(address: str) -> TcpSocket:
+    """Connect to ``ip:port`` over this host's own link, within the timeout."""
+    with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+        return await TcpSocket.connect(address)
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from rampwick_policy import OrderResult, Outcome, UpstreamSignalled
+from rampwick_policy import OrderResult, Outcome, UpstreamPath, UpstreamSignalled
 from rampwick_schema import DataError, HostEntry, LoadReport, Order
 
 from .._dialects import ControlDialect, ControlRequest
@@ -18,6 +18,9 @@
 #: so it is short; responses take a few milliseconds.
 CONTROL_TIMEOUT_SECONDS = 0.4
 
+#: The same through a peer, which first has to be reached.
+TUNNEL_TIMEOUT_SECONDS = 0.6
+
 #: Maximum size of a response to a control call.
 MAX_RESPONSE_BYTES = 1_048_576
 
@@ -25,8 +28,18 @@
 class UpstreamControl(Protocol):
     """Control operations on upstreams, besides serving requests."""
 
-    async def probe(self, entry: HostEntry) -> LoadReport | None:
-        """Return a runner's load report, or none for a service that is up."""
+    async def probe(
+        self,
+        entry: HostEntry,
+        path: UpstreamPath | None = None,
+        *,
+        may_reuse: bool = True,
+    ) -> LoadReport | None:
+        """Return a runner's load report, or none for a service that is up.
+
+        ``path`` replaces the current path to the upstream. Without ``may_reuse`` the
+        probe opens a new connection.
+        """
 
     async def send_order(self, entry: HostEntry, order: Order) -> OrderResult:
         """Send an order and return its result."""
@@ -50,9 +63,17 @@
         self._dialect = dialect
         self._find_health_path = find_health_path
 
-    async def probe(self, entry: HostEntry) -> LoadReport | None:
+    async def probe(
+        self,
+        entry: HostEntry,
+        path: UpstreamPath | None = None,
+        *,
+        may_reuse: bool = True,
+    ) -> LoadReport | None:
         """Return a runner's load report, or none for a service that is up."""
-        head, body = await self._call(entry, self._probe_request(entry))
+        head, body = await self._call(
+            entry, self._probe_request(entry), path, may_reuse=may_reuse
+        )
         try:
             return self._dialect.read_probe(entry, head, body)
         except DataError as error:
@@ -63,7 +84,10 @@
     async def send_order(self, entry: HostEntry, order: Order) -> OrderResult:
         """Send an order and return its result; a missing response is a result too."""
         try:
-            head, _ = await self._call(entry, self._dialect.order(entry, order))
+            # Orders that come from two hosts count as those of two holders.
+            head, _ = await self._call(
+                entry, self._dialect.order(entry, order), UpstreamPath.DIRECT
+            )
         except AttemptError as error:
             if error.outcome.never_arrived:
                 return OrderResult.REFUSED
@@ -77,14 +101,21 @@
         """Do nothing: closing the attempt's connection has already cancelled it."""
 
     async def _call(
-        self, entry: HostEntry, request: ControlRequest
+        self,
+        entry: HostEntry,
+        request: ControlRequest,
+        path: UpstreamPath | None = None,
+        *,
+        may_reuse: bool = True,
     ) -> tuple[ResponseHead, bytes]:
         head, body = await call_upstream(
             self._connection_pool,
             entry.name,
             entry.address,
             request,
-            CONTROL_TIMEOUT_SECONDS,
+            timeout_seconds(path),
+            path,
+            may_reuse=may_reuse,
         )
         signals = self._dialect.read_signals(head, body)
         if signals:
@@ -106,6 +137,10 @@
     address: str,
     request: ControlRequest,
     timeout_seconds: float,
+    path: UpstreamPath | None = None,
+    *,
+    may_reuse: bool = True,
+    lane: str = "",
 ) -> tuple[ResponseHead, bytes]:
     """Make a small call to an upstream; every failure is an AttemptError."""
     headers = list(request.headers)
@@ -113,7 +148,12 @@
         headers.append((b"content-length", str(len(request.body)).encode()))
     with anyio.move_on_after(timeout_seconds):
         async with connection_pool.borrow(
-            name, address, reason=request.step
+            name,
+            address,
+            reason=request.step,
+            path=path,
+            may_reuse=may_reuse,
+            lane=lane,
         ) as connection:
             await connection.send(request.method, request.path, headers, request.body)
             head = await connection.receive_head()
@@ -130,5 +170,12 @@
     raise _failed(f"no response within {timeout_seconds} s", request, name)
 
 
+def timeout_seconds(path: UpstreamPath | None) -> float:
+    """Return the time limit of a control call on a path."""
+    if path is UpstreamPath.TUNNEL:
+        return TUNNEL_TIMEOUT_SECONDS
+    return CONTROL_TIMEOUT_SECONDS
+
+
 def _failed(message: str, request: ControlRequest, name: str) -> AttemptError:
     return AttemptError(message, outcome=Outcome.BROKEN, step=request.step, peer=name)
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
@@ -3,57 +3,150 @@
 import anyio
 
 from rampwick_platform import move_on_after_aligned
-from rampwick_policy import LoadReported, ProbeFailed
-from rampwick_schema import HostEntry
+from rampwick_policy import LoadReported, ProbeFailed, Scheduler, UpstreamPath
+from rampwick_schema import HostEntry, LoadReport
 
 from .._errors import AttemptError
 from .._logs import ComponentLogger
 from .._scheduler_task import SchedulerTask
 from ._control import UpstreamControl
+from ._sockets import TunnelDialer
 
 #: Maximum time between two checks for due probes; a newly suspected upstream triggers a
 #: check immediately.
 MAX_PROBE_WAIT_SECONDS = 1.0
 
+#: Time without an answer over the own link after which an upstream is also probed
+#: through a peer: several round trips, and short enough that both results are known
+#: when the own link's connect timeout ends.
+TUNNEL_DELAY_SECONDS = 0.1
+
 log = ComponentLogger("upstreams")
 
 
 class ProbeTask:
-    """Probes the upstreams that are due for their load."""
+    """Probes the upstreams that are due for their load, and the links to them."""
 
-    def __init__(self, control: UpstreamControl, scheduler: SchedulerTask) -> None:
+    def __init__(
+        self,
+        control: UpstreamControl,
+        scheduler: SchedulerTask,
+        tunnels: TunnelDialer,
+    ) -> None:
         self._control = control
         self._scheduler = scheduler
+        self._tunnels = tunnels
 
     async def run(self) -> None:
         """Probe until cancelled."""
         async with anyio.create_task_group() as task_group:
             while True:
-                due = self._scheduler.run_query(
-                    lambda scheduler, now_seconds: scheduler.upstreams.due_probes(
-                        now_seconds
-                    )
-                )
-                for entry in due:
+                for entry in self._scheduler.run_query(_due_probes):
                     task_group.start_soon(self._probe, entry)
+                for entry in self._scheduler.run_query(_due_link_checks):
+                    task_group.start_soon(self._check_link, entry)
                 probe_requested = self._scheduler.probe_requested
-                pause_seconds = self._scheduler.run_query(
-                    lambda scheduler, now_seconds: scheduler.upstreams.probe_delay(
-                        now_seconds
-                    )
-                )
+                pause_seconds = self._scheduler.run_query(_probe_delay)
                 with move_on_after_aligned(min(pause_seconds, MAX_PROBE_WAIT_SECONDS)):
                     await probe_requested.wait()
 
     async def _probe(self, entry: HostEntry) -> None:
+        """Probe an upstream over the own link and, if that fails, through a peer."""
+        may_reuse = self._scheduler.run_query(
+            lambda scheduler, now_seconds: scheduler.pool.may_probe_idle_link(
+                entry.name
+            )
+        )
+        race = ProbeRace(self._control, entry)
         try:
-            report = await self._control.probe(entry)
+            report, path = await race.run(self._tunnels, may_reuse=may_reuse)
         except AttemptError as error:
             self._scheduler.post(ProbeFailed(entry.name, str(error)))
             return
+        self._scheduler.post(LoadReported(entry.name, report, path))
+
+    async def _check_link(self, entry: HostEntry) -> None:
+        """Return to the own link of an upstream if it works again."""
+        try:
+            report = await self._control.probe(
+                entry, UpstreamPath.DIRECT, may_reuse=False
+            )
+        except AttemptError:
+            # The upstream remains reachable through peers, and is checked again.
+            return
         self._scheduler.post(LoadReported(entry.name, report))
 
 
+class ProbeRace:
+    """One probe of an upstream over the own link, and then also through a peer."""
+
+    def __init__(self, control: UpstreamControl, entry: HostEntry) -> None:
+        self._control = control
+        self._entry = entry
+        self._reports: dict[UpstreamPath, LoadReport | None] = {}
+        self._error: AttemptError | None = None
+        self._direct_ended = anyio.Event()
+
+    async def run(
+        self, tunnels: TunnelDialer, *, may_reuse: bool
+    ) -> tuple[LoadReport | None, UpstreamPath]:
+        """Return the report and its path; raise the own link's error if both fail.
+
+        The own link wins if both answer.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_direct, may_reuse)
+            with anyio.move_on_after(TUNNEL_DELAY_SECONDS):
+                await self._direct_ended.wait()
+            if UpstreamPath.DIRECT not in self._reports and tunnels.is_available:
+                tasks.start_soon(self._run_tunnel)
+            await self._direct_ended.wait()
+            if UpstreamPath.DIRECT in self._reports:
+                tasks.cancel_scope.cancel()
+        for path in UpstreamPath:
+            if path in self._reports:
+                return self._reports[path], path
+        assert self._error is not None
+        raise self._error
+
+    async def _run_direct(self, may_reuse: bool) -> None:
+        path = UpstreamPath.DIRECT
+        try:
+            self._reports[path] = await self._control.probe(
+                self._entry, path, may_reuse=may_reuse
+            )
+        except AttemptError as error:
+            self._error = error
+        finally:
+            self._direct_ended.set()
+
+    async def _run_tunnel(self) -> None:
+        path = UpstreamPath.TUNNEL
+        try:
+            self._reports[path] = await self._control.probe(self._entry, path)
+        except AttemptError as error:
+            log.info(
+                "upstream is unreachable through peers",
+                upstream=self._entry.name,
+                error=str(error),
+            )
+
+
+def _due_probes(scheduler: Scheduler, now_seconds: float) -> list[HostEntry]:
+    return scheduler.upstreams.due_probes(now_seconds)
+
+
+def _due_link_checks(scheduler: Scheduler, now_seconds: float) -> list[HostEntry]:
+    return scheduler.pool.due_link_checks(now_seconds)
+
+
+def _probe_delay(scheduler: Scheduler, now_seconds: float) -> float:
+    return min(
+        scheduler.upstreams.probe_delay(now_seconds),
+        scheduler.pool.paths.check_delay(now_seconds),
+    )
+
+
 class CancelTask:
     """Cancels attempts whose results are no longer needed."""
 
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -581,6 +581,64 @@
     leaving: list[LeavingUpstream] = attrs.field(factory=list)
 
 
+@attrs.frozen(repr=False)
+class TunnelHello(ReprMixin):
+    """First message of a connection on which the sender asks the receiver to connect it to an upstream; otherwise like Hello."""
+
+    CODE: ClassVar[int] = 20
+
+    #: Version of this protocol.
+    protocol_version: int = attrs.field(validator=within(1, None))
+    #: Name of the sender.
+    host: str
+    #: Hall of the sender.
+    hall: str
+    #: Start time of the sender's process in nanoseconds.
+    incarnation: int = attrs.field(validator=within(0, None))
+    #: 16 random bytes.
+    nonce: bytes
+    #: IP and port at which the sender accepts peer connections.
+    peer_address: str = attrs.field(default="")
+    #: Link speed of the sender.
+    link_megabits_per_second: float = attrs.field(
+        default=1000.0, validator=within(0.0, None)
+    )
+    #: Name of the upstream.
+    upstream: str = attrs.field(default="")
+    #: IP and port of the upstream.
+    upstream_address: str = attrs.field(default="")
+
+
+@attrs.frozen(repr=False)
+class TunnelReply(ReprMixin):
+    """Response to a tunnel request; after it, both sides send the bytes of the connection."""
+
+    CODE: ClassVar[int] = 21
+
+    #: Why the tunnel is not open: unreachable, tunnelled, unknown, busy or leaving; empty if it is open.
+    refusal: str = attrs.field(default="")
+
+
+@attrs.frozen(repr=False)
+class TunnelData(ReprMixin):
+    """Bytes of the connection, in order."""
+
+    CODE: ClassVar[int] = 22
+
+    #: At most 65536 bytes.
+    data: bytes
+
+
+@attrs.frozen(repr=False)
+class TunnelEnd(ReprMixin):
+    """End of the connection to the upstream. A tunnel that ends without it was broken between the hosts."""
+
+    CODE: ClassVar[int] = 23
+
+    #: Error of the connection to the upstream; empty if the upstream closed it.
+    error: str = attrs.field(default="")
+
+
 #: Classes by the code that starts their message.
 MESSAGES: dict[int, type] = {
     Hello.CODE: Hello,
@@ -602,4 +660,8 @@
     CrashUpdate.CODE: CrashUpdate,
     RateLimitUpdate.CODE: RateLimitUpdate,
     LeavingUpdate.CODE: LeavingUpdate,
+    TunnelHello.CODE: TunnelHello,
+    TunnelReply.CODE: TunnelReply,
+    TunnelData.CODE: TunnelData,
+    TunnelEnd.CODE: TunnelEnd,
 }
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -99,6 +99,8 @@
     max_message_bytes: int = attrs.field(
         default=1048576, validator=within(1024, 16777216)
     )
+    #: Maximum number of connections that this host makes to upstreams for peers that have lost their own links; 0 turns tunnels off in both directions.
+    max_tunnels_count: int = attrs.field(default=256, validator=within(0, 10000))
 
 
 @attrs.frozen(repr=False)
