--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -26,6 +26,7 @@
 from rampwick_router.control._host_lists import HostListTask
 from rampwick_router.control._reader_role import ReaderRole
 from rampwick_router.peers._sync import PeerSync
+from rampwick_router.upstream import ConnectionPool
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -89,7 +90,7 @@
             settings,
             FakeApi(),
             None,
-            None,
+            ConnectionPool(lambda: NOW_SECONDS),
             member.address,
             Clocks(monotonic=lambda: NOW_SECONDS),
             make_integration(settings),
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -245,7 +245,7 @@
         self.positions.append(since)
         return since
 
-    async def call(self, connection_pool, name, address, request, timeout_seconds):
+    async def call(self, pool, name, address, request, timeout_seconds, lane=""):
         await anyio.sleep(0)
         return None, request
 
