--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -214,6 +214,16 @@
             return self.paths.path(name) is UpstreamPath.TUNNEL
         return 0 < len(self.upstreams) == len(self.paths.tunnelled)
 
+    def has_lost_own_links(self) -> bool:
+        """Return whether only peers reach the runners, so that no order can be sent."""
+        runners = [item for item in self.upstreams if item.is_runner]
+        if not any(self.is_tunnelled(item.name) for item in runners):
+            return False
+        return all(
+            self.is_tunnelled(item.name) or item.health.state is HealthState.DOWN
+            for item in runners
+        )
+
     def may_probe_idle_link(self, name: str) -> bool:
         """Return whether a kept connection may show that an upstream is reachable.
 
--- a/packages/rampwick-router/src/rampwick_router/control/_lease_manager.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_lease_manager.py
@@ -39,11 +39,13 @@
         leases: LeaseStore | None,
         lease: LeaseWatcher,
         read_targets_age: Callable[[], float],
+        can_send_orders: Callable[[], bool],
         read_clock: Callable[[], float],
     ) -> None:
         self._leases = leases
         self.lease = lease
         self._read_targets_age = read_targets_age
+        self._can_send_orders = can_send_orders
         self._read_clock = read_clock
         self._renew_at_seconds = 0.0
         self._renewing = anyio.Lock()
@@ -78,7 +80,9 @@
         """Renew or acquire the lease if due; otherwise check an unresponsive holder."""
         now_seconds = self._read_clock()
         if self.is_held and not self._has_fresh_targets(now_seconds):
-            await self._abstain(now_seconds)
+            await self._abstain("targets unavailable", now_seconds)
+        elif self.is_held and not self._can_send_orders():
+            await self._abstain("no runner reachable", now_seconds)
         is_due = now_seconds >= self._renew_at_seconds
         if not self._may_try(is_candidate, now_seconds):
             return
@@ -93,22 +97,23 @@
     def _may_try(self, is_candidate: bool, now_seconds: float) -> bool:
         if self.is_held:
             return True
-        return is_candidate and now_seconds >= self._abstains_until_seconds
+        has_abstained = now_seconds >= self._abstains_until_seconds
+        return is_candidate and has_abstained and self._can_send_orders()
 
     def _has_fresh_targets(self, now_seconds: float) -> bool:
         """Return whether this holder's targets are current, or may still become so."""
         held_seconds = now_seconds - self._held_since_seconds
         return min(self._read_targets_age(), held_seconds) <= MAX_TARGETS_AGE_SECONDS
 
-    async def _abstain(self, now_seconds: float) -> None:
-        """Release the lease to hosts that may be able to read the targets.
+    async def _abstain(self, reason: str, now_seconds: float) -> None:
+        """Release the lease to hosts that may be able to carry out the rollout.
 
-        A holder that receives no newer targets orders nothing, and while it renews no
-        other host can take over: all runners would keep old weights for as long as it
-        runs.
+        A holder that receives no newer targets, or reaches no runner, orders nothing,
+        and while it renews no other host can take over: all runners would keep old
+        weights for as long as it runs.
         """
         age_ms = milliseconds(self._read_targets_age())
-        log.problem("targets unavailable, releasing lease", targets_read_age_ms=age_ms)
+        log.problem(f"{reason}, releasing lease", targets_read_age_ms=age_ms)
         abstain_seconds = ABSTAIN_LEASES_COUNT * self.lease.duration_seconds
         self._abstains_until_seconds = now_seconds + abstain_seconds
         await self._release()
--- a/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
@@ -110,6 +110,7 @@
                 settings.steward.order_window_seconds,
             ),
             self._targets_age_seconds,
+            self._can_send_orders,
             read_clock,
         )
         self._has_platform = api is not None
@@ -207,6 +208,13 @@
             return 0.0
         return self._scheduler.targets_age_seconds()
 
+    def _can_send_orders(self) -> bool:
+        """Return whether this host's own links lead to a runner.
+
+        Orders are not sent through peers, which would count as other holders.
+        """
+        return not self._scheduler.run_query(_has_lost_own_links)
+
     def _is_rolling_out(self) -> bool:
         """Return whether a load is in progress that may still complete as expected."""
         now_seconds = self._read_clock()
@@ -341,5 +349,9 @@
     ]
 
 
+def _has_lost_own_links(scheduler: Scheduler, now_seconds: float) -> bool:
+    return scheduler.pool.has_lost_own_links()
+
+
 def _read_entries(scheduler: Scheduler, now_seconds: float) -> dict[str, HostEntry]:
     return {upstream.name: upstream.entry for upstream in scheduler.upstreams}
--- a/tests/test_hosts_cut_off.py
+++ b/tests/test_hosts_cut_off.py
@@ -18,7 +18,7 @@
 
 
 @asynccontextmanager
-async def run_hosts(names=("entry-1", "entry-2"), runners=2):
+async def run_hosts(names=("entry-1", "entry-2"), runners=2, extra=""):
     """Run hosts before runners; yield them by name with the bench and the partition."""
     async with AsyncExitStack() as stack:
         partition = stack.enter_context(partitioned_links())
@@ -28,7 +28,7 @@
         hosts = {}
         for name in names:
             current_host.set(name)
-            hosts[name] = await stack.enter_async_context(bench.run_host(name))
+            hosts[name] = await stack.enter_async_context(bench.run_host(name, extra))
         current_host.set("")
         for host in hosts.values():
             await host.until_ready(*bench.runners)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -416,7 +416,7 @@
 class UnresponsiveControl:
     """Runners that do not respond."""
 
-    async def probe(self, entry):
+    async def probe(self, entry, path=None):
         raise AttemptError(
             "no answer in time", outcome=Outcome.BROKEN, step="probe", peer=entry.name
         )
@@ -450,7 +450,7 @@
             api = DelayedWriteStore()
             lease = LeaseWatcher("a", 10.0, 5.0)
             store = LeaseStore(api, "leases/l")
-            manager = LeaseManager(store, lease, lambda: 0.0, clock.read)
+            manager = LeaseManager(store, lease, lambda: 0.0, lambda: True, clock.read)
             await manager.maintain(is_candidate=True)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(manager.fencing_number, 6.0)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -251,6 +251,30 @@
         self.assertLessEqual(4, peers.open_counts["entry-3"])
 
 
+class CutOffControllerTest(TestCase):
+    def test_lease_passes_to_a_host_that_reaches_runners(self):
+        async def main():
+            async with run_hosts(extra="[steward]\nlease_seconds = 0.6\n") as found:
+                hosts, bench, partition = found
+                one, two = hosts.values()
+
+                def holds(host):
+                    return host.daemon.rollout_controller.is_holder
+
+                await until(lambda: holds(one) or holds(two))
+                holder, other = (one, two) if holds(one) else (two, one)
+                name = "entry-1" if holder is one else "entry-2"
+                partition.cut(name, HANG)
+                number = 0
+                while not is_tunnelled(holder, *bench.runners):
+                    await holder.complete(f"to be cut off {number}", headers=TERMS)
+                    number += 1
+                await until(lambda: holds(other))
+                return holds(holder)
+
+        self.assertFalse(run(main))
+
+
 class TunnelBytesTest(TestCase):
     """What one end of a tunnel does reaches the other end as what it is."""
 
