--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -44,6 +44,14 @@
 #: that runner: the announcement is sent to peers at once and again a second later.
 SHUTDOWN_KNOWN_SECONDS = 2.0
 
+#: Time from the failure of a host's links to the upstreams until its callers are served
+#: as elsewhere, and the minimum share of calls served there, relative to other hosts.
+CUT_OFF_KNOWN_SECONDS = 3.0
+MIN_SERVED_RATIO = 2.0 / 3.0
+
+#: Longest time of a call that counts as served there; they usually take milliseconds.
+MAX_SERVED_SECONDS = 1.0
+
 #: Time beyond its deadline within which a caller must have its final response.
 RESPONSE_SLACK_SECONDS = 4.0
 
@@ -96,6 +104,7 @@
         *check_crashing_prompt(observations),
         *check_rates(observations),
         *check_shutdown_announcements(observations),
+        *check_cut_off_hosts(observations),
     ]
     return [violation.replace(SHARED_PREFIX, "") for violation in found]
 
@@ -130,6 +139,40 @@
     return found
 
 
+def check_cut_off_hosts(observations: RunObservations) -> list[str]:
+    """Callers of a host without links to the upstreams are served as elsewhere."""
+    found = []
+    for injected in observations.injected_faults:
+        if injected.kind != "host_cut_off_alone":
+            continue
+        calls = [
+            call
+            for call in observations.calls
+            if injected.began_seconds + CUT_OFF_KNOWN_SECONDS
+            < call.began_seconds
+            < injected.ended_seconds - MAX_SERVED_SECONDS
+        ]
+        here = [call for call in calls if call.host == injected.target]
+        elsewhere = [call for call in calls if call.host != injected.target]
+        if _served_ratio(here) < MIN_SERVED_RATIO * _served_ratio(elsewhere):
+            found.append(
+                f"{injected.target} served {_served_ratio(here):.2f} of {len(here)} "
+                f"calls while cut off, the other hosts "
+                f"{_served_ratio(elsewhere):.2f} of {len(elsewhere)}"
+            )
+    return found
+
+
+def _served_ratio(calls: Sequence[Call]) -> float:
+    served = sum(
+        call.observed.is_whole
+        and not call.is_cut
+        and call.ended_seconds - call.began_seconds < MAX_SERVED_SECONDS
+        for call in calls
+    )
+    return served / len(calls) if calls else 0.0
+
+
 def check_rates(observations: RunObservations) -> list[str]:
     """Undisturbed hosts together keep to the rate limit that a runner reports."""
     found = []
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -88,8 +88,18 @@
     "runner_limited",
     "runner_announces_shutdown",
     "platform_restored",
+    "host_cut_off",
 )
 
+#: Ways in which a host's links to the upstreams fail: all bytes are held back, all
+#: connections are reset and new ones refused, or new ones are refused or held back
+#: while open ones work.
+CUT_OFF_WAYS = ("hang", "reset", "refuse_new", "hold_new")
+
+#: How long a host is cut off, and the pause before the next cut.
+CUT_OFF_SECONDS = 6.0
+CUT_OFF_PAUSE_SECONDS = 0.7
+
 #: How long a runner reports a rate limit, and the largest such limit.
 RATE_LIMIT_SECONDS = 9.0
 MAX_RATE = 3.0
@@ -249,6 +259,38 @@
         await anyio.sleep(fault.duration_seconds)
         host.signal(signal.SIGCONT)
 
+    async def cut_off_alone(self, number: int) -> None:
+        """Cut one host off twice in a row while nothing else happens."""
+        for way in (number, number + 1):
+            fault = Fault(0.0, 0.0, "host_cut_off", number, way % 4 / 4.0)
+            injected = InjectedFault("host_cut_off_alone", "", time.monotonic())
+            self.injected_faults.append(injected)
+            await self._host_cut_off(fault, injected)
+            injected.ended_seconds = time.monotonic()
+            await anyio.sleep(CUT_OFF_PAUSE_SECONDS)
+
+    async def _host_cut_off(self, fault: Fault, injected: InjectedFault) -> None:
+        """Make the links of a host to all upstreams, or to all runners, fail."""
+        host = self._host(fault, injected)
+        way = CUT_OFF_WAYS[int(fault.strength * len(CUT_OFF_WAYS)) % 4]
+        links = self._fleet.own_links[host.name]
+        if fault.index % 3 == 2:
+            links = {item.name: links[item.name] for item in self._fleet.runners}
+        for link in links.values():
+            conditions = link.conditions
+            conditions.is_stalled_to_target = way == "hang"
+            conditions.is_stalled_from_target = way == "hang"
+            conditions.refuses_new = way in ("reset", "refuse_new")
+            conditions.holds_new = way == "hold_new"
+            if way == "reset":
+                link.reset()
+        await anyio.sleep(CUT_OFF_SECONDS)
+        for link in links.values():
+            link.conditions.clear()
+            if way == "hang":
+                # A connection that fails during a cut loses the bytes held back.
+                link.reset()
+
     async def _clock_step(self, fault: Fault, injected: InjectedFault) -> None:
         path = self._fleet.clock_file(self._host(fault, injected))
         path.write_text(str((fault.strength - 0.5) * 20.0))
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -199,6 +199,14 @@
             child.name: self._proxy(f"hosts to {child.name}", child.port)
             for child in [*self.runners, self.service]
         }
+        #: Links of each host to the upstreams, by their names.
+        self.own_links = {
+            host.name: {
+                name: self._proxy(f"{host.name} to {name}", proxy.port)
+                for name, proxy in self.to_upstream.items()
+            }
+            for host in self.hosts
+        }
         self.leaving: set[str] = set()
 
     @property
@@ -213,6 +221,7 @@
             *self.to_platform.values(),
             *self.to_peer.values(),
             *self.to_upstream.values(),
+            *(link for links in self.own_links.values() for link in links.values()),
         ]
 
     @property
@@ -310,7 +319,8 @@
         settings = self._directory / f"{name}.toml"
         clock = self._directory / f"{name}.clock"
         clock.write_text("0")
-        arguments = ("-m", "soak._host", str(settings), str(clock))
+        links = self._directory / f"{name}.links.json"
+        arguments = ("-m", "soak._host", str(settings), str(clock), str(links))
         log = self._directory / f"{name}.log"
         child = ManagedProcess(name, arguments, self._draw_ports(3), log)
         self._stack.callback(child.kill)
@@ -330,6 +340,11 @@
             **self.ports(host),
         )
         (self._directory / f"{host.name}.toml").write_text(text)
+        links = {
+            self.to_upstream[name].address: link.address
+            for name, link in self.own_links[host.name].items()
+        }
+        (self._directory / f"{host.name}.links.json").write_text(json.dumps(links))
 
     def _draw_ports(self, count: int) -> int:
         """Return the first of `count` consecutive free ports."""
--- a/soak/_host.py
+++ b/soak/_host.py
@@ -1,9 +1,11 @@
-"""Runs rampwickd with a wall clock offset read from a file.
+"""Runs rampwickd with a wrong clock and with its own links to the upstreams.
 
-Usage: ``python -m soak._host SETTINGS FILE``. Everything else is the real program;
-only the soak test needs a wrong clock on demand.
+Usage: ``python -m soak._host SETTINGS CLOCK LINKS``: files with the settings, the
+offset of the wall clock, and the address to connect to in place of each upstream's.
+Everything else is the real program.
 """
 
+import json
 import sys
 import time
 from pathlib import Path
@@ -11,11 +13,13 @@
 import anyio
 
 from rampwick_router import Clocks, open_log, run_host
+from rampwick_router.upstream._tcp_socket import TcpSocket
 
 
 def main() -> None:
     """Run the daemon until it is stopped."""
-    settings, shift = Path(sys.argv[1]), Path(sys.argv[2])
+    settings, shift, links = map(Path, sys.argv[1:4])
+    use_links(json.loads(links.read_text()))
 
     def read_wall_clock() -> float:
         return time.time() + float(shift.read_text() or "0")
@@ -25,5 +29,15 @@
         anyio.run(lambda: run_host(settings, clocks=clocks))
 
 
+def use_links(links: dict[str, str]) -> None:
+    """Connect to other addresses in place of the upstreams' own."""
+    connect = TcpSocket.connect.__func__
+
+    async def connect_by_link(cls: type[TcpSocket], address: str) -> TcpSocket:
+        return await connect(cls, links.get(address, address))
+
+    TcpSocket.connect = classmethod(connect_by_link)
+
+
 if __name__ == "__main__":
     main()
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -28,11 +28,15 @@
     #: Whether bytes to the target, or from it, are held back.
     is_stalled_to_target: bool = False
     is_stalled_from_target: bool = False
+    #: Whether new connections are closed at once, or held back.
+    refuses_new: bool = False
+    holds_new: bool = False
 
     def clear(self) -> None:
         """Forward both directions without faults."""
         self.delay_seconds = 0.0
         self.is_stalled_to_target = self.is_stalled_from_target = False
+        self.refuses_new = self.holds_new = False
 
 
 @attrs.define
@@ -81,8 +85,10 @@
 
     async def _forward(self, client_stream: SocketStream) -> None:
         async with client_stream:
-            while self.conditions.is_stalled_to_target:
+            while self.conditions.is_stalled_to_target or self.conditions.holds_new:
                 await anyio.sleep(POLL_INTERVAL_SECONDS)
+            if self.conditions.refuses_new:
+                return
             try:
                 target_stream = await anyio.connect_tcp(LOOPBACK, self.target_port)
             except OSError:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -98,6 +98,8 @@
             await self._injector.inject_all(plan, time.monotonic())
             await self._injector.clear_faults()
             await self._await_recovery("after the faults")
+            await self._injector.cut_off_alone(self._parameters.seed)
+            await self._await_recovery("after the cuts")
             self._is_over = True
         await self._collect()
 
