--- a/packages/rampwick-policy/src/rampwick_policy/_tunnel_peers.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_tunnel_peers.py
@@ -1,7 +1,7 @@
 """Choice of the peers through which a host opens its tunnels to upstreams."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -13,8 +13,10 @@
 #: Maximum number of peers tried for one connection.
 MAX_TRIED_COUNT = 3
 
-#: Time for which a peer that refused or failed is tried after all others.
+#: Time for which a peer that refused or failed is tried after all others, and the same
+#: for a peer that uses tunnels itself, and for its hall: links of a hall fail together.
 AVOIDED_SECONDS = 2.0
+CUT_OFF_SECONDS = 5.0
 
 #: Refusals that concern one upstream only; others concern the peer.
 UNREACHABLE = "unreachable"
@@ -34,38 +36,57 @@
     _open_counts: Counter[str] = attrs.field(factory=Counter)
     #: Until when a peer is avoided: for all upstreams (empty name), or for one.
     _avoided_until_seconds: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    #: Until when the hosts of a hall are tried after those of others.
+    _hall_avoided_until_seconds: dict[str, float] = attrs.field(factory=dict)
+    #: Order of the last candidates, which seldom change.
+    _names: frozenset[str] = frozenset()
+    _order: list[str] = attrs.field(factory=list)
 
     @property
     def open_counts(self) -> dict[str, int]:
         """Number of open tunnels by peer."""
         return {name: count for name, count in self._open_counts.items() if count}
 
-    def rank(
+    def choose(
         self,
         members: Iterable[Member],
         upstream: str,
         upstream_hall: str,
+        tried: Collection[str],
         now_seconds: float,
-    ) -> list[Member]:
-        """Return the peers to try for a connection, best first.
+    ) -> Member | None:
+        """Return the next peer to try for a connection; ``None`` if none is left.
 
-        Peers in the hall of this host or of the upstream come first, since traffic
-        through another hall crosses between halls twice. Among them the one with the
-        fewest tunnels of this host comes first; equal ones differ between hosts.
+        The peer with the fewest tunnels of this host comes first, so that no peer
+        carries much more than others. Of equal ones, those in the hall of this host or
+        of the upstream come first, since traffic through another hall crosses between
+        halls twice; the rest differs between hosts.
         """
+        if len(tried) >= MAX_TRIED_COUNT:
+            return None
         candidates = {item.name: item for item in members if item.name != self.own.name}
-        order = _rendezvous.rank(self.own.name.encode(), candidates)
         halls = (self.own.hall, upstream_hall)
 
-        def cost(name: str) -> tuple[bool, bool, int]:
+        def cost(name: str) -> tuple[bool, bool, int, bool]:
+            hall = candidates[name].hall
             return (
                 self._is_avoided(name, upstream, now_seconds),
-                candidates[name].hall not in halls,
+                now_seconds < self._hall_avoided_until_seconds.get(hall, -1.0),
                 self._open_counts[name],
+                hall not in halls,
             )
 
-        best = sorted(order, key=cost)[:MAX_TRIED_COUNT]
-        return [candidates[name] for name in best]
+        order = self._ordered(candidates)
+        best = min((name for name in order if name not in tried), key=cost, default="")
+        return candidates.get(best)
+
+    def _ordered(self, candidates: Collection[str]) -> list[str]:
+        """Return the names in an order that differs between hosts."""
+        names = frozenset(candidates)
+        if names != self._names:
+            self._names = names
+            self._order = _rendezvous.rank(self.own.name.encode(), names)
+        return self._order
 
     def _is_avoided(self, name: str, upstream: str, now_seconds: float) -> bool:
         return any(
@@ -82,13 +103,17 @@
         self._open_counts[name] -= 1
 
     def note_refused(
-        self, name: str, upstream: str, refusal: str, now_seconds: float
+        self, peer: Member, upstream: str, refusal: str, now_seconds: float
     ) -> None:
         """Record that a peer refused a tunnel, or failed; avoid it for a while."""
+        avoided_seconds = AVOIDED_SECONDS
+        if refusal == TUNNELLED:
+            avoided_seconds = CUT_OFF_SECONDS
+            self._hall_avoided_until_seconds[peer.hall] = now_seconds + avoided_seconds
         scope = upstream if refusal in REFUSALS_OF_ONE_UPSTREAM else ""
         self._avoided_until_seconds = {
             key: until
             for key, until in self._avoided_until_seconds.items()
             if until > now_seconds
         }
-        self._avoided_until_seconds[name, scope] = now_seconds + AVOIDED_SECONDS
+        self._avoided_until_seconds[peer.name, scope] = now_seconds + avoided_seconds
--- a/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
@@ -5,7 +5,7 @@
 the hosts stay distinct. The other host interprets none of them.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import anyio
 
@@ -134,18 +134,20 @@
     async def open(self, upstream: str, address: str) -> TunnelSocket:
         """Connect to an upstream through one of a few peers."""
         target = UpstreamAddress(upstream, self._find_hall(upstream), address)
-        ranked = self.peers.rank(
-            self._list_peers(), upstream, target.hall, self._read_clock()
-        )
-        refusals = []
+        refusals: dict[str, str] = {}
         with anyio.fail_after(OPEN_TIMEOUT_SECONDS):
-            for peer in ranked:
+            # Chosen again after each refusal, which may concern the whole hall.
+            while peer := self._choose(target, refusals):
                 try:
                     return await self._open_through(peer, target)
                 except (PeerError, DataError, OSError, TimeoutError) as error:
-                    refusal = str(error) or type(error).__name__
-                    refusals.append(f"{peer.name}: {refusal}")
-        raise TunnelRefusedError(f"no tunnel: {', '.join(refusals) or 'no peers'}")
+                    refusals[peer.name] = str(error) or type(error).__name__
+        raise TunnelRefusedError(f"no tunnel: {refusals or 'no peers'}")
+
+    def _choose(self, target: UpstreamAddress, tried: Collection[str]) -> Member | None:
+        return self.peers.choose(
+            self._list_peers(), target.name, target.hall, tried, self._read_clock()
+        )
 
     async def _open_through(
         self, peer: Member, target: UpstreamAddress
@@ -172,7 +174,7 @@
                 if stream is not None:
                     stream.close()
                 now_seconds = self._read_clock()
-                self.peers.note_refused(peer.name, target.name, refusal, now_seconds)
+                self.peers.note_refused(peer, target.name, refusal, now_seconds)
         self.peers.note_opened(peer.name)
         log.info("tunnel opened", upstream=target.name, peer=peer.name)
         return TunnelSocket(stream, lambda: self.peers.note_closed(peer.name))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -19,6 +19,7 @@
     TunnelPeers,
     UpstreamPath,
 )
+from rampwick_policy._tunnel_peers import MAX_TRIED_COUNT
 from rampwick_policy._upstream_paths import (
     CHECK_INTERVAL_SECONDS,
     CHECKED_COUNT,
@@ -71,6 +72,14 @@
         number += 1
 
 
+def ranked(peers, fleet, upstream, hall, at):
+    """Return the peers in the order in which they are tried."""
+    tried = {}
+    while peer := peers.choose(fleet, upstream, hall, tried, at):
+        tried[peer.name] = peer
+    return list(tried.values())
+
+
 class PathsTest(TestCase):
     def paths(self, *names):
         paths = UpstreamPaths()
@@ -115,23 +124,34 @@
                 upstream = f"u{number}"
                 for peer in fleet:
                     if peer in cut:
-                        peers.note_refused(peer.name, upstream, "tunnelled", 1.0)
-                best, *_ = peers.rank(fleet, upstream, "b", 1.0)
+                        peers.note_refused(peer, upstream, "tunnelled", 1.0)
+                best = peers.choose(fleet, upstream, "b", (), 1.0)
                 peers.note_opened(best.name)
                 chosen[best.name] += 1
         self.assertEqual(set(), set(chosen) - {member.name for member in sound})
-        # Hall c has no part: it is neither theirs nor the upstreams'.
-        near = [member for member in sound if member.hall != "c"]
-        self.assertLessEqual(max(chosen.values()), 2 * 160 / len(near))
+        self.assertLessEqual(max(chosen.values()), 2 * 160 / len(sound))
+
+    def test_peers_near_this_host_or_the_upstream_come_first(self):
+        fleet = [self.member(n, hall) for hall in "abc" for n in range(3)]
+        tried = ranked(TunnelPeers(fleet[0]), fleet, "u", "b", 1.0)
+        self.assertEqual(MAX_TRIED_COUNT, len(tried))
+        self.assertEqual(set(), {member.hall for member in tried} - {"a", "b"})
+
+    def test_hall_of_a_cut_off_peer_is_tried_last(self):
+        fleet = [self.member(n, hall) for hall in "ab" for n in range(9)]
+        peers = TunnelPeers(fleet[0])
+        peers.note_refused(fleet[1], "u", "tunnelled", 1.0)
+        tried = ranked(peers, fleet, "u", "a", 1.1)
+        self.assertEqual({"b"}, {member.hall for member in tried})
 
     def test_peer_that_reaches_one_upstream_less_serves_for_others(self):
         peers = TunnelPeers(self.member(0, "a"))
         fleet = [self.member(1, "a"), self.member(2, "a")]
-        first, second = peers.rank(fleet, "u", "a", 1.0)
-        peers.note_refused(first.name, "u", "unreachable", 1.0)
-        self.assertEqual([second, first], peers.rank(fleet, "u", "a", 1.1))
-        self.assertEqual([first, second], peers.rank(fleet, "v", "a", 1.1))
-        self.assertEqual([first, second], peers.rank(fleet, "u", "a", 9.0))
+        first, second = ranked(peers, fleet, "u", "a", 1.0)
+        peers.note_refused(first, "u", "unreachable", 1.0)
+        self.assertEqual([second, first], ranked(peers, fleet, "u", "a", 1.1))
+        self.assertEqual([first, second], ranked(peers, fleet, "v", "a", 1.1))
+        self.assertEqual([first, second], ranked(peers, fleet, "u", "a", 9.0))
 
 
 class PathOfFailureTest(TestCase):
@@ -401,10 +421,10 @@
                 address = bench.entries["r0"].address
                 await client.open("r0", address)
                 t.cancel_scope.cancel()
-                return client.peers.open_counts, client.peers.rank(
-                    [old, *found], "r0", "", host.daemon._clocks.monotonic()
-                )
+                now_seconds = host.daemon._clocks.monotonic()
+                order = ranked(client.peers, [old, *found], "r0", "", now_seconds)
+                return client.peers.open_counts, order
 
-        counts, ranked = run(main)
+        counts, order = run(main)
         self.assertEqual({"entry-2": 2}, counts)
-        self.assertEqual(["entry-2", "entry-0"], [item.name for item in ranked])
+        self.assertEqual(["entry-2", "entry-0"], [item.name for item in order])
