--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -56,6 +56,7 @@
     AttemptDone as AttemptDone,
     AttemptFailed as AttemptFailed,
     AttemptStalled as AttemptStalled,
+    BrittlenessReported as BrittlenessReported,
     CacheReported as CacheReported,
     CancelAttempt as CancelAttempt,
     CrashUpdateReceived as CrashUpdateReceived,
--- a/packages/rampwick-policy/src/rampwick_policy/_cached_views.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_cached_views.py
@@ -19,8 +19,8 @@
 from ._membership import Membership, PeerLoad
 from ._runner_state import RunnerState
 from ._runner_views import RunnerView, RunnerViews
+from ._send_limits import SendLimits
 from ._upstream import serves
-from ._upstream_rate_limiter import UpstreamRateLimiter
 from ._upstreams import UpstreamTable
 
 #: Share of the views that may change before they are sorted again as a whole instead of
@@ -77,12 +77,12 @@
         key: ViewKey,
         upstreams: UpstreamTable,
         peers: Membership,
-        rate_limiter: UpstreamRateLimiter,
+        send_limits: SendLimits,
     ) -> None:
         self._key = key
         self._upstreams = upstreams
         self._peers = peers
-        self._rate_limiter = rate_limiter
+        self._send_limits = send_limits
         self._reset()
 
     def _reset(self) -> None:
@@ -285,14 +285,14 @@
         # An overloaded upstream reports one rate for all hosts together. If hosts
         # ignored it, or each used it in full, the upstream would receive several
         # times the rate that it accepts.
-        limited_names = self._rate_limiter.rates.names()
+        limited_names = self._send_limits.limited_names(self._upstreams)
         for name in {*limited_names, *self._limited_names}:
             item = self._items.get(name)
             upstream = self._upstreams.get(name)
             if item is None or upstream is None:
                 continue
             is_within_rate = not item.state.is_eligible or (
-                self._rate_limiter.may_send(upstream, now_seconds)
+                self._send_limits.may_send(upstream, now_seconds)
             )
             if is_within_rate != item.is_within_rate:
                 item.is_within_rate = is_within_rate
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -233,6 +233,17 @@
     sent_at_seconds: float
 
 
+@attrs.frozen(repr=False)
+class BrittlenessReported(ReprMixin):
+    """A response stated that its upstream is brittle, or no longer states it."""
+
+    upstream: str
+    #: Rejections per second that it withstands; ``None`` without a statement.
+    rejections_per_second: float | None
+    #: When the request of this response was sent.
+    sent_at_seconds: float
+
+
 @attrs.frozen(repr=False)
 class RateLimitUpdateReceived(ReprMixin):
     """A peer sent the rate limits that upstreams reported."""
@@ -305,6 +316,7 @@
     | CacheReported
     | TargetsReceived
     | RateLimitReported
+    | BrittlenessReported
     | RateLimitUpdateReceived
     | UpstreamSignalled
     | LeavingUpdateReceived
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -15,6 +15,7 @@
 )
 
 from . import _events as ev
+from ._brittle_services import BrittleServices
 from ._cache_tracker import CacheTracker
 from ._health import HealthState
 from ._limit_tracker import LimitTracker
@@ -23,6 +24,7 @@
 from ._prefix_cache_index import CacheGeneration
 from ._request import Outcome
 from ._request_rates import RateObservation, RequestRates
+from ._send_limits import SendLimits
 from ._service_reachability import ServiceReachability
 from ._shares import UsageLedger
 from ._shutdown_announcements import Incarnation
@@ -56,6 +58,7 @@
     | ev.TargetsReceived
     | ev.CacheReported
     | ev.RateLimitReported
+    | ev.BrittlenessReported
     | ev.RateLimitUpdateReceived
     | ev.UpstreamSignalled
     | ev.LeavingUpdateReceived
@@ -89,7 +92,13 @@
             LocalView(settings.host.name, settings.host.hall),
             self.limits.share_ratio,
         )
-        self.view_cache = ViewCache(self.upstreams, self.peers, self.rate_limiter)
+        self.brittle = BrittleServices(
+            self.peers, lambda: self.rate_limiter.local_view, self.state_changes
+        )
+        self.upstreams.min_probe_interval = self.brittle.probe_interval_seconds
+        self.view_cache = ViewCache(
+            self.upstreams, self.peers, SendLimits(self.rate_limiter, self.brittle)
+        )
         #: Preferences of runners that keep prefill away from streams.
         self.prefill_isolation = PrefillIsolation(
             settings.placement.isolates_prefill,
@@ -114,6 +123,7 @@
             ev.TargetsReceived: self._on_targets,
             ev.CacheReported: self.caches.apply_changes,
             ev.RateLimitReported: self._on_rate_limit_reported,
+            ev.BrittlenessReported: self._on_brittleness_reported,
             ev.RateLimitUpdateReceived: self._on_rate_limits_received,
             ev.UpstreamSignalled: self._on_signalled,
             ev.LeavingUpdateReceived: self._on_leaving_received,
@@ -154,7 +164,10 @@
             upstream.cache_generation = None
             self._record_state(upstream, event.message, now_seconds)
         elif event.outcome is Outcome.BUSY:
-            self._pause(failed, event.retry_after_seconds, event.message, now_seconds)
+            pause_seconds = self.brittle.pause_seconds(
+                upstream, event.retry_after_seconds
+            )
+            self._pause(failed, pause_seconds, event.message, now_seconds)
 
     def note_stalled_upstream(self, name: str, now_seconds: float) -> None:
         """Record that an upstream does not start to answer this host."""
@@ -293,6 +306,7 @@
         """Update the number of hosts sharing the limits, and record binding limits."""
         self.limits.note_time(self.peers.hosts_count(now_seconds), now_seconds)
         self.rates.sweep(now_seconds)
+        self.brittle.sweep(now_seconds)
         for path, is_binding in self.limits.binding_states(now_seconds):
             if not is_binding and not self.state_changes.has_state("limit", path):
                 continue
@@ -413,6 +427,18 @@
         )
         self.rates.record_response(event.upstream, observation, now_seconds)
 
+    def _on_brittleness_reported(
+        self, event: ev.BrittlenessReported, now_seconds: float
+    ) -> None:
+        upstream = self.upstreams.get(event.upstream)
+        if upstream is not None:
+            self.brittle.note_response(
+                upstream,
+                event.rejections_per_second,
+                event.sent_at_seconds,
+                now_seconds,
+            )
+
     def _on_rate_limits_received(
         self, event: ev.RateLimitUpdateReceived, now_seconds: float
     ) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -147,6 +147,7 @@
             ev.TargetsReceived: self._on_pool_event,
             ev.CacheReported: self._on_pool_event,
             ev.RateLimitReported: self._on_pool_event,
+            ev.BrittlenessReported: self._on_pool_event,
             ev.RateLimitUpdateReceived: self._on_pool_event,
             ev.UpstreamSignalled: self._on_pool_event,
             ev.LeavingUpdateReceived: self._on_pool_event,
@@ -252,6 +253,9 @@
     ) -> list[ev.Action]:
         item = self._requests.get(event.request_id)
         if item is not None and item.lifecycle.accept(event.attempt_id):
+            upstream = self.upstreams.get(item.upstream)
+            if upstream is not None:
+                upstream.note_accepted(event.attempt_id)
             self.quarantine.note_live(
                 item.upstream, item.incarnation, item.sent_at_seconds
             )
--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -91,6 +91,8 @@
     run_seconds: float = attrs.field(
         default=INITIAL_RUN_SECONDS, on_setattr=_note_change
     )
+    #: Attempts of this host without a response, which it may still reject.
+    unanswered_attempts: set[str] = attrs.field(factory=set)
     _started_at: dict[str, float] = attrs.field(factory=dict)
     #: Tokens to compute of attempts that were sent to an empty queue, by attempt.
     _unqueued_tokens: dict[str, int] = attrs.field(factory=dict)
@@ -164,10 +166,15 @@
         if is_queue_empty:
             self._unqueued_tokens[attempt_id] = missing_tokens
         self.own_attempts[attempt_id] = missing_tokens
+        self.unanswered_attempts.add(attempt_id)
         self._started_at[attempt_id] = now_seconds
         if self._idle_until:
             self._idle_until.pop()
 
+    def note_accepted(self, attempt_id: str) -> None:
+        """Record that an attempt was not rejected."""
+        self.unanswered_attempts.discard(attempt_id)
+
     def has_answered_recently(self, now_seconds: float) -> bool:
         """Return whether it has answered this host very recently."""
         return now_seconds - self.answered_at_seconds < RECENT_ANSWER_SECONDS
@@ -204,6 +211,7 @@
         self._note_changed()
         self._idle_until = [until for until in self._idle_until if until > now_seconds]
         self._unqueued_tokens.pop(attempt_id, None)
+        self.unanswered_attempts.discard(attempt_id)
         if self.own_attempts.pop(attempt_id, None) is None:
             return
         ran_seconds = now_seconds - self._started_at.pop(attempt_id, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 from rampwick_schema import (
     HostEntry,
@@ -88,6 +88,10 @@
         return self in (IneligibleReason.LEAVING, IneligibleReason.PAUSED)
 
 
+def _no_interval(upstream: Upstream, now_seconds: float) -> float:
+    return 0.0
+
+
 class UpstreamTable:
     """The listed upstreams by name."""
 
@@ -111,6 +115,8 @@
         #: Changes of upstreams that their views depend on.
         self.changes = ChangeLog()
         self._upstreams: dict[str, Upstream] = {}
+        #: Returns the minimum time between two probes of an upstream by this host.
+        self.min_probe_interval: Callable[[Upstream, float], float] = _no_interval
         self._last_position = 0
         self._prefill_speeds: dict[str, PrefillSpeed] = {}
 
@@ -273,6 +279,9 @@
             )
         if not interval_seconds:
             return math.inf
+        interval_seconds = max(
+            interval_seconds, self.min_probe_interval(upstream, now_seconds)
+        )
         due_at_seconds = upstream.probed_at_seconds + interval_seconds
         if not upstream.is_runner:
             # A health probe takes a slot like a request, so a pause delays it.
--- a/packages/rampwick-policy/src/rampwick_policy/_view_cache.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_view_cache.py
@@ -2,7 +2,7 @@
 
 from ._cached_views import CachedViews, ViewKey
 from ._membership import Membership
-from ._upstream_rate_limiter import UpstreamRateLimiter
+from ._send_limits import SendLimits
 from ._upstreams import UpstreamTable
 
 #: Maximum number of sets of views. Requests name services and models, so that the
@@ -17,11 +17,11 @@
         self,
         upstreams: UpstreamTable,
         peers: Membership,
-        rate_limiter: UpstreamRateLimiter,
+        send_limits: SendLimits,
     ) -> None:
         self._upstreams = upstreams
         self._peers = peers
-        self._rate_limiter = rate_limiter
+        self._send_limits = send_limits
         self._sets: dict[ViewKey, CachedViews] = {}
 
     def views(
@@ -37,7 +37,7 @@
             if len(self._sets) >= MAX_SETS_COUNT:
                 self._sets.clear()
             views = self._sets[key] = CachedViews(
-                key, self._upstreams, self._peers, self._rate_limiter
+                key, self._upstreams, self._peers, self._send_limits
             )
         views.refresh(share_ratio, now_seconds)
         return views
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -370,6 +370,7 @@
             attrs.asdict(state) for state in _read_limits(scheduler, now_seconds)
         ],
         "unreachable_services": scheduler.pool.reachability.unreachable,
+        "brittle_services": scheduler.pool.brittle.states(),
         "request_rates": [
             attrs.asdict(state) for state in _read_request_rates(scheduler, now_seconds)
         ],
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -164,6 +164,8 @@
     #: Whether the upstream closes the connection, as during its shutdown.
     is_closing: bool = False
     request_rate: RequestRate = RequestRate()
+    #: Rejections per second that the upstream withstands, if it is brittle.
+    brittleness: RequestRate = RequestRate()
     signals: UpstreamSignals = UpstreamSignals()
 
 
--- a/packages/rampwick-router/src/rampwick_router/_headers.py
+++ b/packages/rampwick-router/src/rampwick_router/_headers.py
@@ -12,6 +12,9 @@
 #: Requests per second that a rampwick upstream accepts from all hosts together.
 REQUEST_RATE = b"rampwick-request-rate"
 
+#: Rejections per second under which a rampwick upstream fails.
+BRITTLE = b"rampwick-brittle"
+
 #: Announces that an upstream is shutting down.
 LEAVING = b"rampwick-leaving"
 
--- a/packages/rampwick-router/src/rampwick_router/_native_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_native_dialect.py
@@ -34,6 +34,7 @@
 )
 from ._errors import CallerError
 from ._headers import (
+    BRITTLE,
     LEAVING,
     REQUEST_RATE,
     ResponseHead,
@@ -149,6 +150,7 @@
             max_idle_seconds=keep_alive_seconds(headers),
             is_closing=has_connection_close(headers),
             request_rate=read_request_rate(head, REQUEST_RATE),
+            brittleness=read_request_rate(head, BRITTLE),
             signals=read_signals(head, LEAVING),
         )
 
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -125,6 +125,11 @@
         """Return whether an upstream has reported a request rate limit recently."""
         return self.rates.has_observation(upstream)
 
+    def is_brittle(self, upstream: str) -> bool:
+        """Return whether an upstream belongs to a service that is brittle."""
+        found = self._scheduler.upstreams.get(upstream)
+        return found is not None and self._scheduler.pool.brittle.is_brittle(found)
+
     def withdrawal(self, upstream: str, incarnation: str) -> IneligibleReason | None:
         """Return why a dispatched request must not be sent; None if it may be."""
         pool = self._scheduler.pool
--- a/packages/rampwick-router/src/rampwick_router/entry/_rates.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_rates.py
@@ -1,6 +1,6 @@
-"""Reporting of upstreams' request rate limits to the scheduler."""
+"""Reporting of the limits that upstreams state to the scheduler."""
 
-from rampwick_policy import Dispatch, RateLimitReported
+from rampwick_policy import BrittlenessReported, Dispatch, RateLimitReported
 
 from .._dialects import RequestRate
 from .._scheduler_task import SchedulerTask
@@ -29,3 +29,22 @@
             dispatch.upstream, dispatch.incarnation, rate.per_second, sent_at_seconds
         )
     )
+
+
+def post_brittleness(
+    scheduler: SchedulerTask,
+    dispatch: Dispatch,
+    stated: RequestRate,
+    *,
+    sent_at_seconds: float,
+    is_verified: bool,
+) -> None:
+    """Post that an upstream is brittle, or that it no longer states so."""
+    if not stated.is_readable:
+        return
+    ends = is_verified and scheduler.is_brittle(dispatch.upstream)
+    if stated.per_second is None and not ends:
+        return
+    scheduler.post(
+        BrittlenessReported(dispatch.upstream, stated.per_second, sent_at_seconds)
+    )
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -17,13 +17,13 @@
 
 from .._dialects import read_request_rate, read_signals
 from .._errors import AttemptError
-from .._headers import LEAVING, REQUEST_RATE
+from .._headers import BRITTLE, LEAVING, REQUEST_RATE
 from ..upstream import DONE, SequenceFilter, StreamEvent, UpstreamStream, format_event
 from ._answer_recorder import AnswerRecorder
 from ._attempt_check import AttemptCheck
 from ._call import ModelCall
 from ._context import EntryContext
-from ._rates import post_rate_limit
+from ._rates import post_brittleness, post_rate_limit
 from ._responder import EVENT_STREAM, Responder
 from ._signals import post_signals
 from ._stream_tokens import StreamReference
@@ -139,6 +139,13 @@
             sent_at_seconds=sent_at_seconds,
             is_verified=True,
         )
+        post_brittleness(
+            self._context.scheduler,
+            dispatch,
+            read_request_rate(stream.head, BRITTLE),
+            sent_at_seconds=sent_at_seconds,
+            is_verified=True,
+        )
         post_signals(
             self._context.scheduler, dispatch, read_signals(stream.head, LEAVING)
         )
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -24,7 +24,7 @@
 from ..upstream import ReadMonitor, UpstreamConnection
 from ._attempt_check import AttemptCheck
 from ._context import EntryContext
-from ._rates import post_rate_limit
+from ._rates import post_brittleness, post_rate_limit
 from ._routed_request import RoutedRequest
 from ._signals import post_signals
 
@@ -222,6 +222,13 @@
             sent_at_seconds=sent_at_seconds,
             is_verified=info.is_signed,
         )
+        post_brittleness(
+            self._context.scheduler,
+            self.dispatch,
+            info.brittleness,
+            sent_at_seconds=sent_at_seconds,
+            is_verified=info.is_signed,
+        )
 
     def _post_weights(self, info: ResponseInfo) -> None:
         dispatch = self.dispatch
--- a/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -17,13 +17,13 @@
 
 from .._dialects import read_request_rate, read_signals
 from .._errors import AttemptError
-from .._headers import LEAVING, REQUEST_RATE
+from .._headers import BRITTLE, LEAVING, REQUEST_RATE
 from ..upstream import UpstreamResponse
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
 from ._context import EntryContext
 from ._exchange import Exchange
-from ._rates import post_rate_limit
+from ._rates import post_brittleness, post_rate_limit
 from ._responder import Receive, Responder
 from ._signals import post_signals
 
@@ -127,6 +127,13 @@
                 sent_at_seconds=sent_at_seconds,
                 is_verified=response.status < HTTPStatus.INTERNAL_SERVER_ERROR,
             )
+            post_brittleness(
+                self.context.scheduler,
+                dispatch,
+                read_request_rate(response.head, BRITTLE),
+                sent_at_seconds=sent_at_seconds,
+                is_verified=response.status < HTTPStatus.INTERNAL_SERVER_ERROR,
+            )
             signals = read_signals(response.head, LEAVING)
             post_signals(self.context.scheduler, dispatch, signals)
             if response.status == HTTPStatus.TOO_MANY_REQUESTS:
