--- a/packages/rampwick-platform/src/rampwick_platform/_socket_options.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_socket_options.py
@@ -12,7 +12,8 @@
 USER_TIMEOUT_MILLISECONDS = 2000
 
 #: Keep-alive probes of an idle connection: initial delay, interval and count. They cost
-#: two packets per second on an idle connection.
+#: two packets per second on an idle connection. The user timeout also ends the probing,
+#: whatever their count.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES_COUNT = 3
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -143,6 +143,8 @@
 
     upstream: str
     message: str
+    #: Whether a new connection to it was opened, so that its machine and link work.
+    is_connected: bool = False
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -41,6 +41,10 @@
 HALL_OUTAGE_COUNT = 2
 HALL_OUTAGE_SECONDS = 1.5
 
+#: Time from the suspicion of an upstream for which it may be silent without being down.
+#: The suspicion follows half a second without an answer.
+MAX_SILENT_SECONDS = 1.0
+
 #: Share of the upstreams beyond which a report that they are down is neither sent nor
 #: applied. Its sender is more likely partitioned itself, or the report sums up single
 #: findings of many hosts.
@@ -240,10 +244,11 @@
     def may_probe_idle_link(self, name: str) -> bool:
         """Return whether a kept connection may show that an upstream is reachable.
 
-        After a failure only a new connection shows that new ones can be opened.
+        After a failure only a new connection shows that new ones can be opened, and
+        tells a silent upstream from a dead machine or link.
         """
         upstream = self.upstreams.get(name)
-        if upstream is None or self.is_tunnelled(name):
+        if upstream is None or self.is_tunnelled(name) or upstream.is_suspected:
             return False
         return upstream.health.state is not HealthState.DOWN
 
@@ -289,6 +294,7 @@
         upstream = self.upstreams.get(name)
         if upstream is None or not self.upstreams.suspect(upstream, now_seconds):
             return False
+        upstream.suspected_at_seconds = now_seconds
         self._record_state(
             upstream, "unresponsive, or reported down by a peer", now_seconds
         )
@@ -352,7 +358,21 @@
             self._suspect_own_links(now_seconds)
         self._record_state(upstream, "it answered a probe", now_seconds)
 
+    def may_be_silent(self, event: ev.ProbeFailed, now_seconds: float) -> bool:
+        """Return whether an upstream may only be silent for a moment.
+
+        A sound upstream may answer nothing for about a second. While new connections
+        to it can be opened, it gets no new requests, but keeps those that it has.
+        """
+        upstream = self.upstreams.get(event.upstream)
+        if upstream is None or not event.is_connected or not upstream.is_suspected:
+            return False
+        silent_seconds = now_seconds - upstream.suspected_at_seconds
+        return silent_seconds < MAX_SILENT_SECONDS
+
     def _on_probe_failed(self, event: ev.ProbeFailed, now_seconds: float) -> None:
+        if self.may_be_silent(event, now_seconds):
+            return
         upstream = self.upstreams.get(event.upstream)
         if upstream is not None:
             self._mark_down(upstream, event.message, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -345,6 +345,8 @@
         self, event: ev.ProbeFailed, now_seconds: float
     ) -> list[ev.Action]:
         """Mark an upstream as down, and fail its attempts that may be repeated."""
+        if self.pool.may_be_silent(event, now_seconds):
+            return []
         self.pool.handle(event, now_seconds)
         return self._fail_attempts(event.upstream, event.message, now_seconds)
 
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -58,12 +58,15 @@
         peer: str,
         retry_after_seconds: float | None = None,
         was_closed: bool = False,
+        is_connected: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.outcome = outcome
         self.retry_after_seconds = retry_after_seconds
         #: Whether the upstream closed or reset the connection.
         self.was_closed = was_closed
+        #: Whether a new connection was opened and then nothing was received.
+        self.is_connected = is_connected
 
 
 class CallerLeftError(RampwickError):
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -146,6 +146,7 @@
     headers = list(request.headers)
     if request.body:
         headers.append((b"content-length", str(len(request.body)).encode()))
+    is_connected = False
     with anyio.move_on_after(timeout_seconds):
         async with connection_pool.borrow(
             name,
@@ -155,6 +156,7 @@
             may_reuse=may_reuse,
             lane=lane,
         ) as connection:
+            is_connected = not may_reuse
             await connection.send(request.method, request.path, headers, request.body)
             head = await connection.receive_head()
             body = b""
@@ -167,7 +169,9 @@
                         name,
                     )
             return head, body
-    raise _failed(f"no response within {timeout_seconds} s", request, name)
+    raise _failed(
+        f"no response within {timeout_seconds} s", request, name, is_connected
+    )
 
 
 def timeout_seconds(path: UpstreamPath | None) -> float:
@@ -177,5 +181,13 @@
     return CONTROL_TIMEOUT_SECONDS
 
 
-def _failed(message: str, request: ControlRequest, name: str) -> AttemptError:
-    return AttemptError(message, outcome=Outcome.BROKEN, step=request.step, peer=name)
+def _failed(
+    message: str, request: ControlRequest, name: str, is_connected: bool = False
+) -> AttemptError:
+    return AttemptError(
+        message,
+        outcome=Outcome.BROKEN,
+        step=request.step,
+        peer=name,
+        is_connected=is_connected,
+    )
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
@@ -61,7 +61,9 @@
         try:
             report, path = await race.run(self._tunnels, may_reuse=may_reuse)
         except AttemptError as error:
-            self._scheduler.post(ProbeFailed(entry.name, str(error)))
+            self._scheduler.post(
+                ProbeFailed(entry.name, str(error), error.is_connected)
+            )
             return
         self._scheduler.post(LoadReported(entry.name, report, path))
 
