--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -70,6 +70,7 @@
     )
     #: Whether it is unresponsive; it is probed at once and gets no work until then.
     is_suspected: bool = attrs.field(default=False, on_setattr=_note_change)
+    #: When a request to it was found to have no answer for long.
     suspected_at_seconds: float = -math.inf
     #: Until when it is not suspected again, because it has just answered a probe.
     suspicion_exempt_until_seconds: float = -math.inf
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -176,7 +176,7 @@
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("draining open requests", open_count=self.entry.open_count)
         with anyio.move_on_after(self._drain_seconds()):
-            while self.entry.open_count or self._gossip.tunnel_server.busy_count:
+            while self.entry.open_count or self._gossip.tunnel_server.active_count:
                 # In a forced shutdown EntryApp ends each open request with an error.
                 await anyio.sleep(DRAIN_CHECK_SECONDS)
         log.info(
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -153,6 +153,7 @@
             lambda address: scheduler.run_query(
                 lambda found, now_seconds: found.pool.tunnel_refusal(address)
             ),
+            read_clock,
         )
         self._links.serve_tunnel = self.tunnel_server.serve
         #: Message counters by class. Each is looked up only once.
--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -222,8 +222,12 @@
         self._max_received_bytes = MAX_TUNNEL_MESSAGE_BYTES
         self._max_unread_bytes = MAX_UNREAD_TUNNEL_BYTES
         raw = self._raw_socket()
-        for level, name, value in LIVENESS_OPTIONS:
-            raw.setsockopt(level, name, value)
+        try:
+            for level, name, value in LIVENESS_OPTIONS:
+                raw.setsockopt(level, name, value)
+        except OSError as error:
+            # The peer has closed the connection already.
+            raise self._closed(str(error)) from error
 
     def has_unread(self) -> bool:
         """Return whether there is data to read, an end of stream or an error."""
--- a/packages/rampwick-router/src/rampwick_router/peers/_tunnel_server.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnel_server.py
@@ -14,6 +14,10 @@
 from ..upstream import UpstreamSocket, connect_directly
 from ._stream import PeerStream
 
+#: Time after its last bytes for which a tunnel counts as active: more than the pause
+#: between two events of a stream.
+ACTIVE_SECONDS = 1.0
+
 #: Time for the peer to close a tunnel whose upstream has closed the connection.
 CLOSE_TIMEOUT_SECONDS = 2.0
 
@@ -27,11 +31,24 @@
 class ServedTunnel:
     """One tunnel: forwards bytes between a peer and an upstream until one side ends."""
 
-    def __init__(self, stream: PeerStream, upstream: UpstreamSocket) -> None:
+    def __init__(
+        self,
+        stream: PeerStream,
+        upstream: UpstreamSocket,
+        read_clock: Callable[[], float],
+    ) -> None:
         self._stream = stream
         self._upstream = upstream
+        self._read_clock = read_clock
         #: Whether the last bytes came from the peer, so that an answer is due.
-        self.awaits_answer = False
+        self._awaits_answer = False
+        self._used_at_seconds = read_clock()
+
+    @property
+    def is_active(self) -> bool:
+        """Whether an answer is due, or part of one has arrived just now."""
+        idle_seconds = self._read_clock() - self._used_at_seconds
+        return self._awaits_answer or idle_seconds < ACTIVE_SECONDS
 
     async def run(self) -> None:
         """Forward until the tunnel ends, then close both sides."""
@@ -44,7 +61,7 @@
                     await anyio.sleep_forever()
                 tasks.cancel_scope.cancel()
         finally:
-            if self.awaits_answer:
+            if self._awaits_answer:
                 # What the upstream has not received must not reach it any more.
                 self._upstream.discard_unsent()
             self._upstream.close()
@@ -55,7 +72,7 @@
                 message = await self._stream.receive()
                 if not isinstance(message, TunnelData):
                     break
-                self.awaits_answer = True
+                self._awaits_answer = True
                 await self._upstream.send(message.data, _pass)
         except (PeerError, OSError):
             # The caller's host has closed the tunnel, or reads the error of the
@@ -67,13 +84,14 @@
         end = TunnelEnd()
         try:
             while data := await self._upstream.receive():
-                self.awaits_answer = False
+                self._awaits_answer = False
+                self._used_at_seconds = self._read_clock()
                 await self._stream.send_all(TunnelData(data))
         except OSError as error:
             end = TunnelEnd(str(error) or type(error).__name__)
         except PeerError:
             return
-        self.awaits_answer = False
+        self._awaits_answer = False
         await self._send_end(end)
 
     async def _send_end(self, end: TunnelEnd) -> None:
@@ -98,8 +116,14 @@
 class TunnelServer:
     """Serves tunnels to peers, within a limit."""
 
-    def __init__(self, max_count: int, find_refusal: Callable[[str], str]) -> None:
+    def __init__(
+        self,
+        max_count: int,
+        find_refusal: Callable[[str], str],
+        read_clock: Callable[[], float],
+    ) -> None:
         self._max_count = max_count
+        self._read_clock = read_clock
         #: Returns why this host does not connect to an address; empty if it does.
         self._find_refusal = find_refusal
         self._tunnels: set[ServedTunnel] = set()
@@ -113,9 +137,9 @@
         return len(self._tunnels)
 
     @property
-    def busy_count(self) -> int:
-        """Number of tunnels on which an answer is due."""
-        return sum(tunnel.awaits_answer for tunnel in self._tunnels)
+    def active_count(self) -> int:
+        """Number of tunnels that carry a request or its answer."""
+        return sum(tunnel.is_active for tunnel in self._tunnels)
 
     async def serve(self, stream: PeerStream, peer: Member) -> None:
         """Serve a tunnel to an authenticated peer until it ends."""
@@ -145,7 +169,7 @@
                 with anyio.move_on_after(CLOSE_TIMEOUT_SECONDS):
                     await stream.receive()
                 return
-            tunnel = ServedTunnel(stream, upstream)
+            tunnel = ServedTunnel(stream, upstream, self._read_clock)
             self._tunnels.add(tunnel)
             stack.callback(self._tunnels.discard, tunnel)
             await tunnel.run()
--- a/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Collection, Iterable
+from contextlib import ExitStack
 
 import anyio
 
@@ -36,6 +37,9 @@
 #: Refusal recorded for a peer that failed or that knows no tunnels.
 FAILED = "failed"
 
+#: Errors after which another peer is tried.
+OPEN_ERRORS = (PeerError, DataError, OSError, TimeoutError)
+
 log = ComponentLogger("tunnels")
 
 
@@ -140,7 +144,7 @@
             while peer := self._choose(target, refusals):
                 try:
                     return await self._open_through(peer, target)
-                except (PeerError, DataError, OSError, TimeoutError) as error:
+                except OPEN_ERRORS as error:
                     refusals[peer.name] = str(error) or type(error).__name__
         raise TunnelRefusedError(f"no tunnel: {refusals or 'no peers'}")
 
@@ -152,29 +156,29 @@
     async def _open_through(
         self, peer: Member, target: UpstreamAddress
     ) -> TunnelSocket:
-        refusal = FAILED
-        stream = None
-        try:
-            with anyio.fail_after(PEER_TIMEOUT_SECONDS):
-                stream = await PeerStream.connect(
-                    peer.address, self._settings.max_message_bytes, self._metrics
-                )
-                await stream.handshake(self._own, self._settings.secret, target)
-            stream.begin_tunnel()
-            refusal = UNREACHABLE
-            with anyio.fail_after(REPLY_TIMEOUT_SECONDS):
-                reply = await stream.receive()
-            if not isinstance(reply, TunnelReply):
-                raise TunnelLostError(f"unexpected {type(reply).__name__}")
-            refusal = reply.refusal
-            if refusal:
-                raise TunnelRefusedError(refusal)
-        finally:
-            if refusal:
-                if stream is not None:
-                    stream.close()
+        with ExitStack() as stack:
+            refusal = FAILED
+            try:
+                with anyio.fail_after(PEER_TIMEOUT_SECONDS):
+                    stream = await PeerStream.connect(
+                        peer.address, self._settings.max_message_bytes, self._metrics
+                    )
+                    stack.callback(stream.close)
+                    await stream.handshake(self._own, self._settings.secret, target)
+                stream.begin_tunnel()
+                refusal = UNREACHABLE
+                with anyio.fail_after(REPLY_TIMEOUT_SECONDS):
+                    reply = await stream.receive()
+                if not isinstance(reply, TunnelReply):
+                    raise TunnelLostError(f"unexpected {type(reply).__name__}")
+                if reply.refusal:
+                    refusal = reply.refusal
+                    raise TunnelRefusedError(refusal)
+            except OPEN_ERRORS:
                 now_seconds = self._read_clock()
                 self.peers.note_refused(peer, target.name, refusal, now_seconds)
+                raise
+            stack.pop_all()
         self.peers.note_opened(peer.name)
         log.info("tunnel opened", upstream=target.name, peer=peer.name)
         return TunnelSocket(stream, lambda: self.peers.note_closed(peer.name))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -214,7 +214,7 @@
 
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(send)
-                    await until(lambda: served_by(peer).busy_count)
+                    await until(lambda: served_by(peer).active_count)
                     for tunnel in served_by(peer)._tunnels:
                         tunnel._stream.close()
                 body = answers[0].json()
@@ -247,7 +247,7 @@
                 await cut_off(host, bench, partition)
                 with anyio.move_on_after(0.5):
                     await host.complete("long", max_tokens=100_000)
-                await until(lambda: not served_by(peer).busy_count)
+                await until(lambda: not served_by(peer).active_count)
                 engines = [runner.engine for runner in bench.runners.values()]
                 await until(lambda: not any(item.running_count for item in engines))
 
@@ -270,6 +270,38 @@
         self.assertLessEqual(refused, 1)
         self.assertLessEqual(4, peers.open_counts["entry-3"])
 
+    def test_peer_is_not_avoided_after_a_probe_that_was_cancelled(self):
+        async def main():
+            async with run_hosts() as (hosts, bench, _):
+                client = tunnels_of(hosts["entry-1"])
+                with anyio.CancelScope() as scope:
+                    scope.cancel()
+                    await client.open("r0", bench.entries["r0"].address)
+                return client.peers._avoided_until_seconds
+
+        self.assertEqual({}, run(main))
+
+    def test_stopping_host_waits_for_a_stream_that_it_forwards(self):
+        async def main():
+            async with run_hosts() as (hosts, bench, partition):
+                host, peer = hosts.values()
+                await cut_off(host, bench, partition)
+                answers = []
+
+                async def stream():
+                    answers.append(await host.stream("long", max_tokens=300))
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(stream)
+                    engines = [runner.engine for runner in bench.runners.values()]
+                    await until(lambda: any(item.running_count for item in engines))
+                    await anyio.sleep(0.05)
+                    peer.daemon.lifecycle.begin_stop()
+                    await peer.daemon.stop()
+                    return len(answers)
+
+        self.assertEqual(1, run(main))
+
 
 class CutOffControllerTest(TestCase):
     def test_lease_passes_to_a_host_that_reaches_runners(self):
