--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -371,8 +371,6 @@
         return silent_seconds < MAX_SILENT_SECONDS
 
     def _on_probe_failed(self, event: ev.ProbeFailed, now_seconds: float) -> None:
-        if self.may_be_silent(event, now_seconds):
-            return
         upstream = self.upstreams.get(event.upstream)
         if upstream is not None:
             self._mark_down(upstream, event.message, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_service_reachability.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_service_reachability.py
@@ -40,7 +40,7 @@
         members = [item for item in self._upstreams if _service(item) == service]
         if service not in self._unreachable and all(map(_is_unusable, members)):
             self._unreachable.add(service)
-            reason = f"all {len(members)} upstreams are, {peers_count} peers are alive"
+            reason = f"{len(members)} upstreams unusable, {peers_count} peers alive"
             self._state_changes.note("service", service, "unreachable", reason)
 
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
@@ -103,14 +103,25 @@
             if UpstreamPath.DIRECT not in self._reports and tunnels.is_available:
                 tasks.start_soon(self._run_tunnel)
             await self._direct_ended.wait()
-            if UpstreamPath.DIRECT in self._reports:
+            if self._is_link_sound:
                 tasks.cancel_scope.cancel()
+        if self._is_link_sound:
+            self._reports.pop(UpstreamPath.TUNNEL, None)
         for path in UpstreamPath:
             if path in self._reports:
                 return self._reports[path], path
         assert self._error is not None
         raise self._error
 
+    @property
+    def _is_link_sound(self) -> bool:
+        """Whether the own link works, so that a peer's would make no difference.
+
+        An upstream to which a connection opened is silent itself.
+        """
+        is_connected = self._error is not None and self._error.is_connected
+        return is_connected or UpstreamPath.DIRECT in self._reports
+
     async def _run_direct(self, may_reuse: bool) -> None:
         path = UpstreamPath.DIRECT
         try:
--- a/tests/test_hosts_cut_off.py
+++ b/tests/test_hosts_cut_off.py
@@ -82,7 +82,7 @@
         self.assertEqual(["models"], session.scheduler.pool.reachability.unreachable)
         (change,) = self.take(session)
         self.assertEqual("unreachable", change.after)
-        self.assertIn("all 2 upstreams are, 0 peers are alive", change.reason)
+        self.assertIn("2 upstreams unusable, 0 peers alive", change.reason)
         session.do(2.0, LoadReported("lektor-2", None))
         self.assertEqual([], session.scheduler.pool.reachability.unreachable)
         (change,) = self.take(session)
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -8,11 +8,13 @@
     HealthState,
     LoadReported,
     ProbeFailed,
+    UpstreamPath,
 )
 from rampwick_policy._pool import MAX_SILENT_SECONDS
 
+from .bench import until
 from .scripted import run_routed
-from .test_hosts_cut_off import TEST_TIMEOUT_SECONDS
+from .test_hosts_cut_off import TEST_TIMEOUT_SECONDS, run_hosts
 from .test_scheduler import Session
 
 
@@ -53,6 +55,28 @@
         session.do(1.75, ProbeFailed(upstream.name, "connect"))
         self.assertIs(HealthState.DOWN, upstream.health.state)
 
+    def test_peers_are_not_used_to_reach_a_silent_upstream(self):
+        async def main():
+            with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+                async with run_hosts(runners=1) as (hosts, bench, _):
+                    host = hosts["entry-1"]
+                    engine = bench.runners["r0"].engine
+                    upstream = host.upstream("r0")
+                    engine.faults.is_frozen = True
+                    scheduler = host.daemon.scheduler
+                    scheduler.run_query(
+                        lambda found, now: found.pool.suspect("r0", now)
+                    )
+                    await anyio.sleep(0.35)
+                    # Frozen for longer than a probe waits, not than one by a peer.
+                    scheduler.probe_requested.set()
+                    await anyio.sleep(0.25)
+                    engine.faults.is_frozen = False
+                    await until(lambda: not upstream.is_suspected)
+                    return scheduler.path("r0"), upstream.health.state
+
+        self.assertEqual((UpstreamPath.DIRECT, HealthState.UP), anyio.run(main))
+
     def test_call_is_answered_by_the_upstream_that_was_silent(self):
         async def pause(exchange):
             await anyio.sleep(1.0)
