--- a/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
@@ -54,9 +54,15 @@
 class TunnelSocket:
     """A connection to an upstream through a peer."""
 
-    def __init__(self, stream: PeerStream, on_closed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        stream: PeerStream,
+        on_closed: Callable[[], None],
+        is_peer_available: Callable[[], bool],
+    ) -> None:
         self._stream = stream
         self._on_closed = on_closed
+        self._is_peer_available = is_peer_available
         self._is_closed = False
         #: Number of bytes passed to the connection to the peer so far.
         self.sent_bytes_count = 0
@@ -88,8 +94,14 @@
         """Do nothing: the event loop reads ahead up to a limit."""
 
     def is_readable(self) -> bool:
-        """Return whether there is data to read, an end of stream or an error."""
-        return self._is_closed or self._stream.has_unread()
+        """Return whether there is data to read, an end of stream or an error.
+
+        Also true once the peer is shutting down, so that an idle tunnel is not used
+        again: the peer waits for tunnels in use.
+        """
+        if self._is_closed or not self._is_peer_available():
+            return True
+        return self._stream.has_unread()
 
     def data_age_seconds(self) -> float:
         """Return how long ago at least the bytes read last arrived at this host."""
@@ -181,4 +193,8 @@
             stack.pop_all()
         self.peers.note_opened(peer.name)
         log.info("tunnel opened", upstream=target.name, peer=peer.name)
-        return TunnelSocket(stream, lambda: self.peers.note_closed(peer.name))
+        return TunnelSocket(
+            stream,
+            lambda: self.peers.note_closed(peer.name),
+            lambda: any(item.name == peer.name for item in self._list_peers()),
+        )
