--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -241,6 +241,11 @@
             for item in runners
         )
 
+    def is_down(self, name: str) -> bool:
+        """Return whether an upstream is listed and down."""
+        upstream = self.upstreams.get(name)
+        return upstream is not None and upstream.health.state is HealthState.DOWN
+
     def may_probe_idle_link(self, name: str) -> bool:
         """Return whether a kept connection may show that an upstream is reachable.
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
@@ -57,7 +57,10 @@
                 entry.name
             )
         )
-        race = ProbeRace(self._control, entry)
+        may_be_silent = self._scheduler.run_query(
+            lambda scheduler, now_seconds: not scheduler.pool.is_down(entry.name)
+        )
+        race = ProbeRace(self._control, entry, may_be_silent=may_be_silent)
         try:
             report, path = await race.run(self._tunnels, may_reuse=may_reuse)
         except AttemptError as error:
@@ -82,7 +85,10 @@
 class ProbeRace:
     """One probe of an upstream over the own link, and then also through a peer."""
 
-    def __init__(self, control: UpstreamControl, entry: HostEntry) -> None:
+    def __init__(
+        self, control: UpstreamControl, entry: HostEntry, *, may_be_silent: bool
+    ) -> None:
+        self._may_be_silent = may_be_silent
         self._control = control
         self._entry = entry
         self._reports: dict[UpstreamPath, LoadReport | None] = {}
@@ -117,10 +123,12 @@
     def _is_link_sound(self) -> bool:
         """Whether the own link works, so that a peer's would make no difference.
 
-        An upstream to which a connection opened is silent itself.
+        An upstream to which a connection opened is silent itself, unless that lasts:
+        something on the way may accept connections in its place.
         """
         is_connected = self._error is not None and self._error.is_connected
-        return is_connected or UpstreamPath.DIRECT in self._reports
+        is_silent = is_connected and self._may_be_silent
+        return is_silent or UpstreamPath.DIRECT in self._reports
 
     async def _run_direct(self, may_reuse: bool) -> None:
         path = UpstreamPath.DIRECT
