--- a/measure/partitions.py
+++ b/measure/partitions.py
@@ -217,7 +217,7 @@
 
 async def measure_tunnels(count: int) -> None:
     """Print the processor time of requests over both paths, for all hosts together."""
-    # The test bench runs daemons and stand-ins in this process.
+    # Runs daemons and stand-ins in this process.
     from tests.bench import run_bench, run_two_hosts
 
     from rampwick_policy import LoadReported, UpstreamPath
--- a/packages/rampwick-policy/src/rampwick_policy/_brittle_services.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_brittle_services.py
@@ -26,6 +26,12 @@
 #: last summary interval are not known, and a brittle upstream may queue fewer.
 CERTAIN_ROOM_RATIO = 0.5
 
+#: Largest number of rejections that is believed: more than a host could cause anyway.
+MAX_REJECTIONS_PER_SECOND = 1e6
+
+#: Tolerance for rounding errors in the parts of the hosts.
+ROUNDING_TOLERANCE = 1e-9
+
 #: Minimum pause after a rejection: the time over which rejections are counted.
 REJECTION_PAUSE_SECONDS = 1.0
 
@@ -78,6 +84,7 @@
             if known is not None and sent_at_seconds > known.stated_at_seconds:
                 self._forget(service, f"{upstream.name} no longer states it")
             return
+        rejections_per_second = min(rejections_per_second, MAX_REJECTIONS_PER_SECOND)
         stated = Brittleness(rejections_per_second, now_seconds)
         self._by_service[service] = stated
         state = f"brittle, withstands {rejections_per_second:g} rejections per second"
@@ -130,7 +137,7 @@
         total_count = max(1, math.floor(stated.rejections_per_second))
         key = f"{upstream.name}/{upstream.known_incarnation}".encode()
         ratio = rate_share(self._read_local_view(), key, total_count)
-        return math.floor(total_count * ratio + 1e-9)
+        return math.floor(total_count * ratio + ROUNDING_TOLERANCE)
 
     def pause_seconds(
         self, upstream: Upstream, requested_seconds: float | None
--- a/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
@@ -10,7 +10,6 @@
 
 import anyio
 
-from rampwick_platform import read_steady_clock
 from rampwick_policy import UNREACHABLE, Member, TunnelPeers
 from rampwick_schema import (
     DataError,
@@ -129,7 +128,7 @@
         metrics: Metrics,
         list_peers: Callable[[], Iterable[Member]],
         find_hall: Callable[[str], str],
-        read_clock: Callable[[], float] = read_steady_clock,
+        read_clock: Callable[[], float],
     ) -> None:
         self._own = own
         self._settings = settings
--- a/tests/test_brittle_services.py
+++ b/tests/test_brittle_services.py
@@ -22,6 +22,7 @@
 )
 from rampwick_policy._brittle_services import STALE_SECONDS, BrittleServices
 from rampwick_policy._membership import Membership
+from rampwick_policy._send_limits import SendLimits
 from rampwick_policy._state_changes import StateChangeTracker
 from rampwick_policy._upstream import Upstream
 from rampwick_policy._upstream_rate_limiter import LocalView
@@ -136,6 +137,19 @@
         session.do(1.0, BrittlenessReported("b", None, 0.6))
         self.assertEqual({}, services.states())
 
+    def test_number_without_bound_is_no_error(self):
+        session = self.session(rejections=float("inf"))
+        self.assertNotEqual([], self.arrive(session, 1.0, 4))
+
+    def test_all_upstreams_of_a_brittle_service_have_send_limits(self):
+        session = self.session()
+        pool = session.scheduler.pool
+        limits = SendLimits(pool.rate_limiter, pool.brittle)
+        self.assertEqual(["a", "b"], sorted(limits.limited_names(pool.upstreams)))
+        for action in self.arrive(session, 1.0, 40):
+            upstream = pool.upstreams.get(action.upstream)
+            self.assertFalse(limits.may_send(upstream, 1.0))
+
     def test_statement_expires(self):
         session = self.session()
         session.do(1.0 + STALE_SECONDS, Tick())
--- a/tests/test_hosts_cut_off.py
+++ b/tests/test_hosts_cut_off.py
@@ -6,6 +6,8 @@
 from testtools import TestCase
 
 from rampwick_policy import HealthState, LoadReported, ProbeFailed
+from rampwick_policy._service_reachability import MODELS, ServiceReachability
+from rampwick_policy._state_changes import StateChangeTracker
 
 from .bench import run_bench, until
 from .partitions import KINDS, current_host, partitioned_links
@@ -74,6 +76,18 @@
 
 
 class ReachabilityTest(TestCase):
+    def test_service_is_reachable_while_one_upstream_is(self):
+        session = Session(runners=2)
+        pool = session.scheduler.pool
+        tracker = ServiceReachability(pool.upstreams, StateChangeTracker())
+        first, second = pool.upstreams
+        first.is_suspected = True
+        tracker.update(first, peers_count=1)
+        self.assertEqual([], tracker.unreachable)
+        second.is_suspected = True
+        tracker.update(second, peers_count=1)
+        self.assertEqual([MODELS], tracker.unreachable)
+
     def test_service_without_reachable_upstreams_is_logged_and_reported(self):
         session = Session(runners=2)
         session.do(1.0, ProbeFailed("lektor-1", "silent"))
