Log how the body of each answer on a route ended

Three causes fit: a body without a length that ends with its connection, a reset that is read as an orderly close, and chunks that end inside an event. The line of an answer could not tell them apart. It has `body_end` and `remainder_bytes` now.

No decision changes. `ResponseHead.is_framed`, which nothing read, is replaced by the way in which the body did end; it also knows bodiless responses.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -26,6 +26,7 @@
     shard_of as shard_of,
     withdraw_claims as withdraw_claims,
 )
+from ._completeness import BodyEnd as BodyEnd
 from ._configuration import (
     ConfigurationFollower as ConfigurationFollower,
     TreeVersion as TreeVersion,
--- a/packages/rampwick-router/src/rampwick_router/_headers.py
+++ b/packages/rampwick-router/src/rampwick_router/_headers.py
@@ -42,9 +42,6 @@
 
     status: int
     headers: RawHeaders
-    #: Whether the body is delimited by its length or by chunks, and not by the close of
-    #: the connection.
-    is_framed: bool
 
 
 def end_to_end_headers(headers: Iterable[Header]) -> list[Header]:
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -12,6 +12,7 @@
 from rampwick_policy import (
     AttemptAccepted,
     AttemptStalled,
+    BodyEnd,
     Dispatch,
     Outcome,
     WeightsReported,
@@ -110,6 +111,11 @@
             yield chunk
             self._context.stall_detector.note_waiting(monitor)
 
+    @property
+    def body_end(self) -> BodyEnd | None:
+        """How the body of the response ended; none while it has not."""
+        return self._connection.body_end
+
     def data_age_seconds(self) -> float:
         """Return how long ago at least the bytes read last arrived at this host."""
         return self._connection.data_age_seconds()
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -9,6 +9,7 @@
     RANKED_CLASSES,
     AttemptDelivered,
     AttemptDone,
+    BodyEnd,
     Dispatch,
     Outcome,
     RequestArrived,
@@ -60,6 +61,9 @@
         self._resume_after = request.call.last_event_id
         self._events_count = 0
         self._delivered_attempt_id = ""
+        #: How the body of the last attempt ended, and its bytes after the last event.
+        self._body_end: BodyEnd | None = None
+        self._remainder_bytes = 0
 
     @property
     def caller_request_id(self) -> str:
@@ -132,6 +136,8 @@
             self._events_count += batch.count
             await self.responder.send(batch.data)
             self.recorder.note_written()
+        self._body_end = attempt.body_end
+        self._remainder_bytes = len(events.remainder)
         await self._start_response(head, dispatch)
         await self.responder.end(events.remainder)
 
@@ -148,6 +154,7 @@
                 await self.responder.send(buffer)
                 self.recorder.note_written()
                 buffer = b""
+        self._body_end = attempt.body_end
         self.recorder.note_events(1, attempt.data_age_seconds)
         if not self.responder.has_started:
             length = str(len(buffer)).encode()
@@ -187,6 +194,8 @@
         return {
             "route": self._request.route.name,
             "events_count": self._events_count,
+            "body_end": self._body_end.value if self._body_end else "",
+            "remainder_bytes": self._remainder_bytes,
         }
 
     def _done(self, attempt: RoutedAttempt) -> AttemptDone:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -9,13 +9,14 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 
 import anyio
 import attrs
 import h11
 
 from rampwick_platform import sleep_aligned
-from rampwick_policy import Outcome, UpstreamPath
+from rampwick_policy import BodyEnd, Outcome, UpstreamPath
 from rampwick_schema import ReprMixin
 
 from .._errors import AttemptError
@@ -38,6 +39,9 @@
 #: Maximum size of a response head.
 MAX_HEAD_BYTES = 65536
 
+#: Statuses whose responses have no body.
+BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
 #: Time between two sweeps for expired idle connections.
 SWEEP_SECONDS = 1.0
 
@@ -67,10 +71,15 @@
     max_idle_seconds: float = DEFAULT_IDLE_SECONDS
     idle_since_seconds: float = 0.0
     requests_count: int = 0
+    #: How the body of the current response ended; none while it has not.
+    body_end: BodyEnd | None = None
     #: Bytes that the socket had sent before the current request.
     _earlier_bytes_count: int = 0
-    #: Whether the head of the current response has arrived.
+    _method: str = ""
+    #: Whether the head of the current response has arrived, and whether its body ends
+    #: by a length or by chunks.
     _has_head: bool = False
+    _is_delimited: bool = False
     _has_failed: bool = False
     #: Whether the upstream has closed or reset the connection.
     _was_closed: bool = False
@@ -101,6 +110,8 @@
         self.requests_count += 1
         self._earlier_bytes_count = self._socket.sent_bytes_count
         self._has_head = False
+        self.body_end = None
+        self._method = method
         request = h11.Request(method=method, target=target, headers=list(headers))
         head = self._http.send(request)
         tail = b""
@@ -127,9 +138,9 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                headers = list(event.headers)
                 self._has_head = True
-                return ResponseHead(event.status_code, headers, _is_framed(headers))
+                self._is_delimited = self._has_delimited_body(event)
+                return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise self._broken("read answer", "the connection closed")
 
@@ -140,10 +151,19 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                is_delimited = self._is_delimited
+                self.body_end = BodyEnd.DELIMITED if is_delimited else BodyEnd.CLOSED
                 return
             else:
                 raise self._broken("read answer", "the connection closed")
 
+    def _has_delimited_body(self, response: h11.Response) -> bool:
+        """Return whether the end of the body is known without the connection's."""
+        if self._method == "HEAD" or response.status_code in BODILESS_STATUSES:
+            return True
+        names = {name for name, _ in response.headers}
+        return b"content-length" in names or b"transfer-encoding" in names
+
     async def _next_event(self) -> object:
         while True:
             try:
@@ -214,11 +234,6 @@
         )
 
 
-def _is_framed(headers: RawHeaders) -> bool:
-    names = {name.lower() for name, _ in headers}
-    return b"content-length" in names or b"transfer-encoding" in names
-
-
 @attrs.define(repr=False)
 class _UpstreamConnections(ReprMixin):
     """Connections to one incarnation of an upstream."""
--- a/tests/test_requests_to_leaving_upstreams.py
+++ b/tests/test_requests_to_leaving_upstreams.py
@@ -248,7 +248,7 @@
 class ControlAnswersTest(TestCase):
     def is_leaving(self, status, headers=(), body=b""):
         control = ControlTranslation("entry-1", StewardSettings())
-        head = ResponseHead(status, headers, is_framed=True)
+        head = ResponseHead(status, headers)
         return control.read_signals(head, body).is_leaving
 
     def test_control_answers_count_unless_another_incarnation_sent_them(self):
--- a/tests/test_upstream_signals.py
+++ b/tests/test_upstream_signals.py
@@ -15,7 +15,7 @@
 
 
 def signals(*headers, status=200):
-    return read_signals(ResponseHead(status, headers, is_framed=True), LEAVING)
+    return read_signals(ResponseHead(status, headers), LEAVING)
 
 
 class ReadSignalsTest(TestCase):
@@ -63,9 +63,7 @@
         self.assertTrue(both.is_leaving)
 
     def test_the_adapter_reads_the_headers_of_the_platform(self):
-        head = ResponseHead(
-            503, [(b"Server-Leaving", b"1"), (b"Retry-After", b"3")], is_framed=True
-        )
+        head = ResponseHead(503, [(b"Server-Leaving", b"1"), (b"Retry-After", b"3")])
         facts = UpstreamTranslation().read_response(head, "i-1")
         self.assertEqual(UpstreamSignals(True, 3.0), facts.signals)
 
