Don't end a stream that was cut inside an event as complete

Callers of streams got the first events, a part of the next one, and framing that said the answer was complete: 200 with the runner's signature and a short body.

Cause: the end of the upstream's framing counted as the end of the answer. A body without a length ends at any orderly close, also that of a runner that crashes, and a runner may send its last chunk in the middle of an event. The bytes after the last event were appended and the answer was ended. Ruled out: resets taken for orderly closes (the socket and the tunnels keep them apart), and hosts, links or the store, which had no fault at the time.

Whether an answer is complete is one decision now, `find_defect` in policy, made from how the body ended and what it holds; routed streams, buffered answers and the OpenAI dialect ask it at the end of the body. A stream inside an event, or closed without length and event, has been broken off: it goes on elsewhere if its route allows, else it is visibly cut. An event also ends at an empty line whose terminators differ, since such an event would count as torn.

Each cut position of three line terminators is checked without a network.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -26,7 +26,14 @@
     shard_of as shard_of,
     withdraw_claims as withdraw_claims,
 )
-from ._completeness import BodyEnd as BodyEnd
+from ._completeness import (
+    BLANK_LINE as BLANK_LINE,
+    AnswerContent as AnswerContent,
+    BodyEnd as BodyEnd,
+    ReceivedAnswer as ReceivedAnswer,
+    find_defect as find_defect,
+    has_open_event as has_open_event,
+)
 from ._configuration import (
     ConfigurationFollower as ConfigurationFollower,
     TreeVersion as TreeVersion,
--- a/packages/rampwick-policy/src/rampwick_policy/_completeness.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_completeness.py
@@ -1,6 +1,22 @@
-"""How the body of an upstream's response ended."""
+"""When an answer of an upstream is complete.
+
+Every path on which bytes of an answer are forwarded asks :func:`find_defect` at the end
+of the body, and ends the answer towards its caller only if there is no defect. An
+answer with a defect may be continued by another attempt, or is visibly cut short.
+"""
 
 import enum
+import re
+
+import attrs
+
+from rampwick_schema import ReprMixin
+
+#: The empty line that ends an event, with any of the three line terminators.
+BLANK_LINE = rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)"
+
+#: A field of an event, which is any line that is neither empty nor a comment.
+FIELD_LINE = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 
 
 class BodyEnd(enum.Enum):
@@ -10,3 +26,53 @@
     DELIMITED = "delimited"
     #: By the orderly close of the connection, without a length or chunks.
     CLOSED = "closed"
+
+
+class AnswerContent(enum.Enum):
+    """What the body of an answer consists of."""
+
+    BYTES = "bytes"
+    EVENTS = "events"
+    #: Events of the OpenAI dialect, which marks the end of a complete answer.
+    COMPLETION_EVENTS = "completion events"
+
+
+@attrs.frozen(repr=False)
+class ReceivedAnswer(ReprMixin):
+    """What is known about an answer at the end of its body."""
+
+    content: AnswerContent
+    #: How the body ended; ``None`` if its connection broke.
+    body_end: BodyEnd | None
+    #: Number of complete events in this body.
+    events_count: int = 0
+    #: Whether the body ended between the first and the last byte of an event.
+    is_inside_event: bool = False
+    #: Whether the event that marks the end of a complete answer was received.
+    has_final_event: bool = False
+
+
+def find_defect(answer: ReceivedAnswer) -> str:
+    """Return why an answer is not complete; empty if it is.
+
+    The framing alone does not show it: an upstream that fails may still close its
+    connection in order, or send the last chunk.
+    """
+    if answer.content is AnswerContent.COMPLETION_EVENTS:
+        return "" if answer.has_final_event else "the stream ended before its end"
+    if answer.body_end is None:
+        return "the connection broke"
+    if answer.is_inside_event:
+        return "the stream ended inside an event"
+    has_no_evidence = answer.body_end is BodyEnd.CLOSED and not answer.events_count
+    if answer.content is AnswerContent.EVENTS and has_no_evidence:
+        return "the connection closed before the first event"
+    return ""
+
+
+def has_open_event(tail: bytes) -> bool:
+    """Return whether the bytes after the last complete event begin another one.
+
+    Empty lines and comments between events do not.
+    """
+    return FIELD_LINE.search(tail) is not None
--- a/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
@@ -8,13 +8,12 @@
 
 import attrs
 
-from rampwick_policy import Outcome
+from rampwick_policy import BLANK_LINE, Outcome, has_open_event
 from rampwick_schema import ReprMixin
 
 from .._errors import AttemptError
 
-#: An event ends with an empty line, with any of the three line terminators.
-EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+EVENT_END = re.compile(BLANK_LINE)
 ID_LINE = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n]*)")
 
 STEP = "read stream"
@@ -37,14 +36,21 @@
         self._max_event_bytes = max_event_bytes
         self._peer = peer
         self._remainder = b""
+        #: Number of complete events so far, including those that were dropped.
+        self.count = 0
         #: Events with ids up to this one are dropped; None if ids are not numeric.
         self._after_id = int(after_id) if after_id.isdigit() else None
 
     @property
     def remainder(self) -> bytes:
-        """Bytes of the last, incomplete event."""
+        """Bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end inside an event."""
+        return has_open_event(self._remainder)
+
     def feed(self, data: bytes) -> EventBatch:
         """Add bytes and return the events that they complete."""
         buffer = self._remainder + data
@@ -54,6 +60,7 @@
         for end in EVENT_END.finditer(buffer):
             event = buffer[start : end.end()]
             start = end.end()
+            self.count += 1
             event_id = _read_id(event)
             if self._is_duplicate(event_id):
                 continue
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -8,10 +8,12 @@
 import orjson
 
 from rampwick_policy import (
+    AnswerContent,
     AttemptAccepted,
     AttemptDelivered,
     Dispatch,
     Outcome,
+    ReceivedAnswer,
 )
 from rampwick_schema import ReprMixin
 
@@ -19,6 +21,7 @@
 from .._errors import AttemptError
 from .._headers import BRITTLE, LEAVING, REQUEST_RATE
 from ..upstream import DONE, SequenceFilter, StreamEvent, UpstreamStream, format_event
+from ._answer_end import check_complete
 from ._answer_recorder import AnswerRecorder
 from ._attempt_check import AttemptCheck
 from ._call import ModelCall
@@ -158,8 +161,8 @@
         async for events in stream.batches():
             await self._forward(events, stream.data_age_seconds)
             if self._is_complete:
-                return
-        raise self._error(Outcome.BROKEN, "the stream ended before its end")
+                break
+        _check_final_event(self._is_complete, dispatch.upstream)
 
     async def _forward(
         self, events: list[StreamEvent], data_age_seconds: Callable[[], float]
@@ -269,14 +272,21 @@
 ) -> None:
     """Relay a stream that a caller resumes, starting at ``position``."""
     order = SequenceFilter(position, "")
+    has_final_event = False
     async for body in _resumed_bodies(stream, token, order):
         if body is None:
-            await responder.end(b"data: " + DONE + b"\n\n")
-            return
+            has_final_event = True
+            break
         await responder.send(body)
-    raise AttemptError(
-        "the stream ended before its end", outcome=Outcome.BROKEN, step=STEP, peer=""
+    _check_final_event(has_final_event, "")
+    await responder.end(b"data: " + DONE + b"\n\n")
+
+
+def _check_final_event(has_final_event: bool, peer: str) -> None:
+    answer = ReceivedAnswer(
+        AnswerContent.COMPLETION_EVENTS, body_end=None, has_final_event=has_final_event
     )
+    check_complete(answer, STEP, peer)
 
 
 async def _resumed_bodies(
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -7,11 +7,13 @@
 
 from rampwick_policy import (
     RANKED_CLASSES,
+    AnswerContent,
     AttemptDelivered,
     AttemptDone,
     BodyEnd,
     Dispatch,
     Outcome,
+    ReceivedAnswer,
     RequestArrived,
     RunState,
     Verdict,
@@ -20,6 +22,7 @@
 from .._errors import CallerError, access_error
 from .._headers import ResponseHead
 from .._logs import ComponentLogger
+from ._answer_end import check_complete
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
 from ._context import EntryContext
@@ -33,6 +36,8 @@
 #: the request can be retried if the response breaks off.
 MAX_BUFFERED_BYTES = 262_144
 
+STEP = "forward answer"
+
 log = ComponentLogger("route")
 
 
@@ -136,8 +141,17 @@
             self._events_count += batch.count
             await self.responder.send(batch.data)
             self.recorder.note_written()
-        self._body_end = attempt.body_end
-        self._remainder_bytes = len(events.remainder)
+        self._note_body_end(attempt, len(events.remainder))
+        check_complete(
+            ReceivedAnswer(
+                AnswerContent.EVENTS,
+                attempt.body_end,
+                events_count=events.count,
+                is_inside_event=events.is_inside_event,
+            ),
+            STEP,
+            dispatch.upstream,
+        )
         await self._start_response(head, dispatch)
         await self.responder.end(events.remainder)
 
@@ -154,7 +168,12 @@
                 await self.responder.send(buffer)
                 self.recorder.note_written()
                 buffer = b""
-        self._body_end = attempt.body_end
+        self._note_body_end(attempt)
+        check_complete(
+            ReceivedAnswer(AnswerContent.BYTES, attempt.body_end),
+            STEP,
+            dispatch.upstream,
+        )
         self.recorder.note_events(1, attempt.data_age_seconds)
         if not self.responder.has_started:
             length = str(len(buffer)).encode()
@@ -180,6 +199,10 @@
         headers = [*self.context.dialects.upstream.response_headers(head), *extra]
         await self.responder.start(head.status, headers)
 
+    def _note_body_end(self, attempt: RoutedAttempt, remainder_bytes: int = 0) -> None:
+        self._body_end = attempt.body_end
+        self._remainder_bytes = remainder_bytes
+
     def _record_duration(self) -> None:
         now_seconds = self.context.read_clock()
         self.context.slow_answers.note(
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -2,6 +2,14 @@
 
 from testtools import TestCase
 
+from rampwick_policy import (
+    AnswerContent,
+    BodyEnd,
+    ReceivedAnswer,
+    find_defect,
+)
+from rampwick_router.entry._event_framing import EventFramer
+
 from .scripted import Hangup
 from .test_routed import CHUNKED, all_scripts, chunk, event, ran, run
 
@@ -62,3 +70,88 @@
                 (response.body, response.is_whole, len(received)),
                 frame.__name__,
             )
+
+    def test_resumable_stream_goes_on_elsewhere_after_a_cut_inside_an_event(self):
+        for frame in FRAMINGS:
+
+            async def scenario(host, servers, frame=frame):
+                cut, rest = frame(whole(3) + PARTIAL_EVENT), in_chunks(event(4))
+
+                async def cut_then_go_on(exchange):
+                    for server in servers.values():
+                        server.scripts = [rest]
+                    await cut(exchange)
+
+                all_scripts(servers, cut_then_go_on)
+                return await host.call("/stream/1"), ran(servers)
+
+            response, received = run(scenario)
+            self.assertEqual(
+                (whole(4), True, ["c", "d"]),
+                (response.body, response.is_whole, received),
+                frame.__name__,
+            )
+
+    def test_closed_connection_without_an_event_is_no_answer(self):
+        async def scenario(host, servers):
+            all_scripts(servers, until_close(b""))
+            return await host.call("/brittle/1")
+
+        self.assertEqual(502, run(scenario).status)
+
+    def test_stream_that_ends_between_events_is_complete_however_it_is_framed(self):
+        for frame in FRAMINGS:
+            for end in (b"", b": the end\n", b"\n\n"):
+
+                async def scenario(host, servers, frame=frame, end=end):
+                    all_scripts(servers, frame(whole(3) + end))
+                    return await host.call("/brittle/1")
+
+                response = run(scenario)
+                self.assertEqual(
+                    (whole(3) + end, True),
+                    (response.body, response.is_whole),
+                    (frame.__name__, end),
+                )
+
+
+class DefectTest(TestCase):
+    def defect(self, body, body_end):
+        framer = EventFramer(1000, "peer")
+        framer.feed(body)
+        return find_defect(
+            ReceivedAnswer(
+                AnswerContent.EVENTS,
+                body_end,
+                events_count=framer.count,
+                is_inside_event=framer.is_inside_event,
+            )
+        )
+
+    def test_only_cuts_between_events_leave_a_complete_stream(self):
+        for newline in (b"\n", b"\r\n", b"\r"):
+            first = b"id: 1" + newline + b"data: a" + newline * 2
+            body = first + b"id: 2" + newline + b"data: b" + newline * 2
+            whole_at = {
+                at
+                for at in range(len(body) + 1)
+                if not self.defect(body[:at], BodyEnd.CLOSED)
+            }
+            # With CRLF an event also ends at the CR of its empty line.
+            ends = {len(first), len(body)}
+            early = {end - 1 for end in ends} if newline == b"\r\n" else set()
+            self.assertEqual(ends | early, whole_at, newline)
+
+    def test_line_terminators_may_be_mixed(self):
+        for end in (b"\n\r\n", b"\r\n\n", b"\n\r", b"\r\n\r\n"):
+            self.assertEqual("", self.defect(b"data: a" + end, BodyEnd.CLOSED), end)
+        self.assertNotEqual("", self.defect(b"data: a\r\n", BodyEnd.CLOSED))
+
+    def test_broken_connection_is_a_defect_of_every_content(self):
+        for content in AnswerContent:
+            answer = ReceivedAnswer(content, None, events_count=3)
+            self.assertNotEqual("", find_defect(answer), content)
+
+    def test_stated_end_of_an_empty_stream_is_complete(self):
+        self.assertEqual("", self.defect(b"", BodyEnd.DELIMITED))
+        self.assertNotEqual("", self.defect(b"", BodyEnd.CLOSED))
