Don't complete a started answer with the text of an error

Callers of plain services whose answer was cut got the bytes so far, then the text of an error event, and framing that said the answer was whole. Callers of streams on routes got the same when their host was forced to shut down.

Cause: an error after the start of any answer was sent as a last event, which only the OpenAI dialect defines. The same class as streams cut inside an event: an answer was ended without asking whether it was complete. Only streams of that dialect, started as such, end with an error event now; any other started answer is left visibly cut.

Both tests failed before: b'half' followed by an error event and a complete framing; one event of the runner followed by an event of the host.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -20,7 +20,6 @@
 from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange
 from ._relay import relay_resumed
 from ._responder import (
-    EVENT_STREAM,
     Message,
     Receive,
     Responder,
@@ -252,7 +251,7 @@
                 check=lambda has_sent: _check_caller(responder),
             ) as stream:
                 stream.check_start(reference.attempt_id, reference.incarnation)
-                await responder.start(200, EVENT_STREAM)
+                await responder.start_events()
                 await relay_resumed(stream, token.encode(), position, responder)
         except AttemptError as error:
             raise _lost_stream(str(error)) from error
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -27,7 +27,7 @@
 from ._call import ModelCall
 from ._context import EntryContext
 from ._rates import post_brittleness, post_rate_limit
-from ._responder import EVENT_STREAM, Responder
+from ._responder import Responder
 from ._signals import post_signals
 from ._stream_tokens import StreamReference
 
@@ -223,12 +223,11 @@
             AttemptDelivered(self._target.request_id, self._dispatch.attempt_id)
         )
         headers = [
-            *EVENT_STREAM,
             (b"x-request-id", self._target.request_id.encode()),
             (b"rampwick-upstream", self._dispatch.upstream.encode()),
             (b"rampwick-stream", self._token),
         ]
-        await self._target.responder.start(200, headers)
+        await self._target.responder.start_events(headers)
 
     async def _finish(self) -> None:
         if self._target.call.is_streamed:
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -50,6 +50,8 @@
         self.was_dispatched = False
         #: Whether the server has reported that the caller disconnected.
         self.is_disconnected = False
+        #: Whether the response is a stream in which an error is an event.
+        self._has_error_events = False
 
     def has_caller_left(self) -> bool:
         """Return whether the caller's close has reached this host."""
@@ -65,6 +67,11 @@
             {"type": "http.response.start", "status": status, "headers": all_headers}
         )
 
+    async def start_events(self, headers: Headers = ()) -> None:
+        """Start a stream of the OpenAI dialect, which may end with an error event."""
+        self._has_error_events = True
+        await self.start(200, [*EVENT_STREAM, *headers])
+
     async def send(self, body: bytes) -> None:
         """Send a chunk of the body."""
         await self._send_timed(
@@ -82,10 +89,15 @@
         await self.end(orjson.dumps(data))
 
     async def send_error(self, error: CallerError) -> None:
-        """Send an error as a response, or as the last event of a started stream."""
+        """Send an error as a response, or as the last event of a started stream.
+
+        Any other started response stays without its end, so that it is visibly cut.
+        """
         if self.has_ended:
             return
         if self.has_started:
+            if not self._has_error_events:
+                return
             body = orjson.dumps(error.body)
             await self.end(b"event: error\ndata: %s\n\n" % body)
             return
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -235,9 +235,8 @@
         )
 
     async def send_error(self, error: CallerError) -> None:
-        """Send the final response, or truncate a response that has started."""
+        """Send the final response, or leave a started one visibly cut."""
         if self.responder.has_started:
-            # Only a connection closed early marks the response as incomplete.
             return
         response = self.context.dialects.caller.write_error(
             error, self._call.request_id
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -151,7 +151,7 @@
     """Stand-ins and daemons of one test."""
 
     def __init__(self, tasks: TaskGroup) -> None:
-        self._tasks = tasks
+        self.tasks = tasks
         self._closing = anyio.Event()
         self.platform = PlatformStandIn()
         self.platform_url = ""
@@ -168,7 +168,7 @@
         """Serve an application; return its address."""
         listener = bind_loopback()
         address = address_of(listener)
-        self._tasks.start_soon(serve_app, app, listener, self._closing.wait)
+        self.tasks.start_soon(serve_app, app, listener, self._closing.wait)
         return address
 
     async def edit(self, make_edits) -> None:
@@ -188,9 +188,9 @@
         """Start a runner and add it to the host list."""
         options.setdefault("step_seconds", 0.001)
         settings = EngineSettings(name=name, **options)
-        runner = RunnerStandIn(settings, self._tasks)
+        runner = RunnerStandIn(settings, self.tasks)
         self.runners[name] = runner
-        self._list(HostEntry(name, "runner", "trnava", self.serve(runner.app)))
+        self.list_entry(HostEntry(name, "runner", "trnava", self.serve(runner.app)))
         return runner
 
     def add_service(self, name: str, group: str) -> ServiceStandIn:
@@ -198,14 +198,15 @@
         service = ServiceStandIn(name)
         self.services[name] = service
         address = self.serve(service.app)
-        self._list(HostEntry(name, "service", "trnava", address, group=group))
+        self.list_entry(HostEntry(name, "service", "trnava", address, group=group))
         return service
 
     def set_state(self, name: str, state: str) -> None:
         """Set a host's state in the host list to live or leaving."""
-        self._list(attrs.evolve(self.entries[name], state=state))
+        self.list_entry(attrs.evolve(self.entries[name], state=state))
 
-    def _list(self, entry: HostEntry) -> None:
+    def list_entry(self, entry: HostEntry) -> None:
+        """Add an entry to the host list, or replace it."""
         self.entries[entry.name] = entry
         self.platform.set_hosts(list(self.entries.values()))
 
@@ -216,7 +217,7 @@
         """Run a daemon, listed as entry host, until the context ends."""
         settings = make_settings(name, self.platform_url, extra, seeds)
         async with run_daemon(settings) as (daemon, addresses):
-            self._list(HostEntry(name, "entry", "trnava", addresses.peer))
+            self.list_entry(HostEntry(name, "entry", "trnava", addresses.peer))
             base_url = f"http://{addresses.entry}"
             async with httpx.AsyncClient(
                 base_url=base_url, timeout=TEST_TIMEOUT_SECONDS, trust_env=False
@@ -246,7 +247,7 @@
     def close(self) -> None:
         """Stop all stand-ins."""
         self._closing.set()
-        self._tasks.cancel_scope.cancel()
+        self.tasks.cancel_scope.cancel()
 
 
 @asynccontextmanager
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,5 +1,6 @@
 """Answers that were cut short are never framed as complete."""
 
+import anyio
 from testtools import TestCase
 
 from rampwick_policy import (
@@ -9,8 +10,11 @@
     find_defect,
 )
 from rampwick_router.entry._event_framing import EventFramer
+from rampwick_schema import HostEntry
 
-from .scripted import Hangup
+from .bench import KEY, until
+from .case import ScenarioCase
+from .scripted import Hangup, ScriptedUpstream, read_response
 from .test_routed import CHUNKED, all_scripts, chunk, event, ran, run
 
 PARTIAL_EVENT = b"id: 4\ndata: ha"
@@ -155,3 +159,63 @@
     def test_stated_end_of_an_empty_stream_is_complete(self):
         self.assertEqual("", self.defect(b"", BodyEnd.DELIMITED))
         self.assertNotEqual("", self.defect(b"", BodyEnd.CLOSED))
+
+
+async def call_service(host, request):
+    """Send a raw request for a plain service and return the response."""
+    address, _, port = host.addresses.entry.rpartition(":")
+    async with await anyio.connect_tcp(address, int(port)) as stream:
+        await stream.send(request)
+        return await read_response(stream)
+
+
+GET_SERVICE = (
+    b"GET /services/portal/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n"
+    % KEY.encode()
+)
+
+
+class CutServiceAnswerTest(ScenarioCase):
+    """A plain service's answer is cut where the service cut it."""
+
+    def answer(self, script):
+        async def scenario(bench):
+            upstream = ScriptedUpstream("portal-1")
+            upstream.scripts = [script]
+            await bench.tasks.start(upstream.serve)
+            entry = HostEntry(
+                "portal-1", "service", "trnava", upstream.address, group="portal"
+            )
+            bench.list_entry(entry)
+            async with bench.run_host() as host:
+                await host.until_ready()
+                await until(lambda: host.upstream("portal-1"))
+                return await call_service(host, GET_SERVICE)
+
+        return self.run_scenario(scenario)
+
+    def test_cut_answer_is_not_ended_with_the_text_of_an_error(self):
+        async def script(exchange):
+            await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+            await anyio.sleep(0.05)
+            raise Hangup
+
+        view = self.answer(script)
+        self.assertEqual((200, b"half", False), (view.status, view.body, view.is_whole))
+
+
+class ForcedShutdownTest(TestCase):
+    def test_stream_at_a_forced_shutdown_is_cut_without_an_event_of_the_host(self):
+        async def scenario(host, servers):
+            async def endless(exchange):
+                await exchange.send(exchange.head(extra=CHUNKED))
+                await exchange.send(chunk(event(1)))
+                host.daemon.lifecycle.begin_stop()
+                host.daemon.lifecycle.begin_stop()
+                await anyio.sleep_forever()
+
+            all_scripts(servers, endless)
+            return await host.call("/stream/1")
+
+        response = run(scenario)
+        self.assertEqual((event(1), False), (response.body, response.is_whole))
