Reset the connection of an HTTP/1.0 caller whose answer is cut

Callers with HTTP/1.0 read a body without a length until the connection is closed. An answer that broke off was closed in order, so it looked complete to them.

Cause: the server shows a cut by leaving out the last chunk, which that version lacks. An answer that has started and not ended is cut in one place now, `Responder.cut`; for HTTP/1.0 the connection is closed by a reset, without shutting down its direction before.

The test failed before: three events and an orderly close. A complete answer still ends with an orderly close, and a newer caller's cut answer still lacks its last chunk.

--- a/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
@@ -7,6 +7,7 @@
 
 import select
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 from weakref import WeakValueDictionary
@@ -23,7 +24,7 @@
 class CallerSocket:
     """A caller's connection; reading its state consumes no bytes."""
 
-    def __init__(self, raw: socket.socket | None = None) -> None:
+    def __init__(self, raw: "CallerConnection | None" = None) -> None:
         self._raw = raw
 
     def has_left(self) -> bool:
@@ -40,6 +41,11 @@
         poll.register(self._raw, select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def reset_on_close(self) -> None:
+        """Make the close of the connection a reset."""
+        if self._raw is not None and self._raw.fileno() >= 0:
+            self._raw.reset_on_close()
+
     def unread_seconds(self) -> float:
         """Return for how long at least the bytes just read had been in the kernel.
 
@@ -56,17 +62,38 @@
 UNKNOWN_SOCKET = CallerSocket()
 
 
+class CallerConnection(socket.socket):
+    """A caller's connection whose close can be made a reset."""
+
+    _is_reset_on_close = False
+
+    def reset_on_close(self) -> None:
+        """Discard unsent bytes and send a reset when the connection is closed."""
+        self._is_reset_on_close = True
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def shutdown(self, how: int) -> None:
+        """Shut one direction down, unless the connection is to be reset.
+
+        The server shuts its direction down before each close, which the caller would
+        read as the end of the response.
+        """
+        if not self._is_reset_on_close:
+            super().shutdown(how)
+
+
 class CallerListener(socket.socket):
     """A listening socket that remembers the connections it accepted while they live."""
 
     def __init__(self, fileno: int) -> None:
         super().__init__(fileno=fileno)
-        self._accepted: WeakValueDictionary[tuple[Address, Address], socket.socket]
+        self._accepted: WeakValueDictionary[tuple[Address, Address], CallerConnection]
         self._accepted = WeakValueDictionary()
 
-    def accept(self) -> tuple[socket.socket, Any]:
+    def accept(self) -> tuple[CallerConnection, Any]:
         """Accept a connection."""
-        connection, address = super().accept()
+        accepted, address = super().accept()
+        connection = CallerConnection(fileno=accepted.detach())
         self._accepted[_key(address, connection.getsockname())] = connection
         return connection, address
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -94,6 +94,7 @@
             self._context.read_clock,
             is_draining=lambda: not lifecycle.is_ready,
             caller_socket=caller,
+            http_version=scope.get("http_version", ""),
         )
         cancel_scope = anyio.CancelScope()
         self._open[responder] = cancel_scope
@@ -106,6 +107,7 @@
             if cancel_scope.cancelled_caught:
                 await self._end_cancelled(responder, scope["path"])
         finally:
+            responder.cut()
             del self._open[responder]
 
     async def _serve_or_send_error(
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -37,9 +37,11 @@
         read_clock: Callable[[], float],
         is_draining: Callable[[], bool] = lambda: False,
         caller_socket: CallerSocket = UNKNOWN_SOCKET,
+        http_version: str = "",
     ) -> None:
         self._send = send
         self._caller_socket = caller_socket
+        self._http_version = http_version
         self._is_draining = is_draining
         self._read_clock = read_clock
         self.has_started = False
@@ -83,6 +85,15 @@
         self.has_ended = True
         await self._send_timed({"type": "http.response.body", "body": body})
 
+    def cut(self) -> None:
+        """Make a response without its end visibly incomplete, whatever its framing.
+
+        The server then closes the connection without the last chunk. In a version
+        without chunks, that close would be the end of the body.
+        """
+        if self.has_started and not self.has_ended and self._http_version == "1.0":
+            self._caller_socket.reset_on_close()
+
     async def send_json(self, status: int, data: Any, headers: Headers = ()) -> None:
         """Send a complete JSON response."""
         await self.start(status, [JSON, *headers])
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -14,7 +14,7 @@
 
 from .bench import KEY, until
 from .case import ScenarioCase
-from .scripted import Hangup, ScriptedUpstream, read_response
+from .scripted import KEY as ROUTE_KEY, Hangup, ScriptedUpstream, read_response
 from .test_routed import CHUNKED, all_scripts, chunk, event, ran, run
 
 PARTIAL_EVENT = b"id: 4\ndata: ha"
@@ -219,3 +219,58 @@
 
         response = run(scenario)
         self.assertEqual((event(1), False), (response.body, response.is_whole))
+
+
+async def cut_stream(exchange):
+    """Stream three events and break off."""
+    await exchange.send(exchange.head(extra=CHUNKED) + chunk(whole(3)))
+    await anyio.sleep(0.05)
+    raise Hangup
+
+
+async def read_until_close(host, version):
+    """Return the bytes of a stream, and whether its connection was reset."""
+    address, _, port = host.address.partition(":")
+    lines = [
+        b"POST /brittle/1 HTTP/" + version,
+        b"Host: labels.example",
+        b"Rampwick-Request-Id: r1",
+        b"Content-Length: 0",
+        b"Authorization: Bearer " + ROUTE_KEY.encode(),
+    ]
+    received = b""
+    async with await anyio.connect_tcp(address, int(port)) as stream:
+        await stream.send(b"\r\n".join(lines) + b"\r\n\r\n")
+        try:
+            while True:
+                received += await stream.receive()
+        except anyio.EndOfStream:
+            return received, False
+        except anyio.BrokenResourceError:
+            return received, True
+
+
+class OldCallerTest(TestCase):
+    """Callers without chunked encoding read until the connection is closed."""
+
+    def read(self, script, version=b"1.0"):
+        async def scenario(host, servers):
+            all_scripts(servers, script)
+            return await read_until_close(host, version)
+
+        return run(scenario)
+
+    def test_cut_stream_ends_with_a_reset(self):
+        received, was_reset = self.read(cut_stream)
+        self.assertTrue(received.endswith(whole(3)), received)
+        self.assertTrue(was_reset)
+
+    def test_complete_stream_ends_with_an_orderly_close(self):
+        received, was_reset = self.read(in_chunks(whole(3)))
+        self.assertTrue(received.endswith(whole(3)), received)
+        self.assertFalse(was_reset)
+
+    def test_cut_stream_of_a_newer_caller_lacks_its_last_chunk(self):
+        received, was_reset = self.read(cut_stream, b"1.1")
+        self.assertTrue(received.endswith(chunk(whole(3))), received)
+        self.assertFalse(was_reset)
