Reset HTTP/2 streams whose answer is cut

Callers with HTTP/2 whose answer was cut got neither its end nor a reset: they waited for the rest until their own timeout, while other streams of the connection went on.

Cause: the server shows a cut by closing the connection, and does nothing to a single stream of several. The stream is reset with INTERNAL_ERROR now, after what was forwarded has been sent; the connection stays. Weighed: closing the connection, which would cut the answers of all other streams on it.

The test failed before (no end of the stream within 5 s).

--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -15,6 +15,7 @@
 from rampwick_start import bind
 
 from ._caller_sockets import CallerListener
+from ._http2 import reset_cut_streams
 
 #: Time that the HTTP server is given to close idle connections.
 CLOSE_TIMEOUT_SECONDS = 0.5
@@ -85,6 +86,7 @@
     The servers shut down before any resource that is on the stack already, so that
     requests received by then can still complete.
     """
+    reset_cut_streams()
     closing = anyio.Event()
     ended = []
     for app, bound in served:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,6 +1,9 @@
 """Answers that were cut short are never framed as complete."""
 
 import anyio
+import h2.config
+import h2.connection
+import h2.events
 from testtools import TestCase
 
 from rampwick_policy import (
@@ -274,3 +277,51 @@
         received, was_reset = self.read(cut_stream, b"1.1")
         self.assertTrue(received.endswith(chunk(whole(3))), received)
         self.assertFalse(was_reset)
+
+
+async def read_http2(host, paths, until_count):
+    """Send requests on one connection; return the data and end of each stream."""
+    address, _, port = host.address.partition(":")
+    connection = h2.connection.H2Connection(h2.config.H2Configuration())
+    data, ends = {}, {}
+    async with await anyio.connect_tcp(address, int(port)) as stream:
+        connection.initiate_connection()
+        for number, path in enumerate(paths):
+            headers = [
+                (":method", "POST"),
+                (":path", path),
+                (":scheme", "http"),
+                (":authority", "labels.example"),
+                ("rampwick-request-id", f"r{number}"),
+                ("authorization", f"Bearer {ROUTE_KEY}"),
+            ]
+            connection.send_headers(2 * number + 1, headers, end_stream=True)
+        await stream.send(connection.data_to_send())
+        while len(ends) < until_count:
+            for item in connection.receive_data(await stream.receive()):
+                if isinstance(item, h2.events.DataReceived):
+                    data[item.stream_id] = data.get(item.stream_id, b"") + item.data
+                elif isinstance(item, h2.events.StreamEnded):
+                    ends[item.stream_id] = "ended"
+                elif isinstance(item, h2.events.StreamReset):
+                    ends[item.stream_id] = "reset"
+            await stream.send(connection.data_to_send())
+    return data, ends
+
+
+class MultiplexedCallerTest(TestCase):
+    def test_cut_stream_is_reset_and_others_on_its_connection_go_on(self):
+        async def scenario(host, servers):
+            async def script(exchange):
+                if exchange.request_id == "r0":
+                    await cut_stream(exchange)
+                await anyio.sleep(0.2)
+                await in_chunks(whole(3))(exchange)
+
+            all_scripts(servers, script)
+            with anyio.fail_after(5.0):
+                return await read_http2(host, ["/brittle/0", "/brittle/1"], 2)
+
+        data, ends = run(scenario)
+        self.assertEqual({1: whole(3), 3: whole(3)}, data)
+        self.assertEqual({1: "reset", 3: "ended"}, ends)
