Don't complete an event stream that a plain service cut inside an event

Callers of a plain service that streams events without length or chunks got a torn event and complete framing, as callers of routed streams did.

Cause: answers that are forwarded as bytes were not asked whether they hold events. The same class: each way that bytes take has to ask. `BodyTracker` follows bodies that are forwarded as they arrive, by their content type, for plain services and for answers on routes that are no streams; the decision is the common one.

The test fails with the former `_service_exchange`: two events and the start of a third, framed as complete.

--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -22,7 +22,7 @@
 from .._errors import CallerError, access_error
 from .._headers import ResponseHead
 from .._logs import ComponentLogger
-from ._answer_end import check_complete
+from ._answer_end import BodyTracker, check_complete
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
 from ._context import EntryContext
@@ -159,8 +159,10 @@
         self, attempt: RoutedAttempt, head: ResponseHead
     ) -> None:
         dispatch = attempt.dispatch
+        tracker = BodyTracker(head)
         buffer = b""
         async for chunk in attempt.chunks():
+            tracker.feed(chunk)
             buffer += chunk
             if self.responder.has_started or len(buffer) > MAX_BUFFERED_BYTES:
                 self.recorder.note_events(1, attempt.data_age_seconds)
@@ -169,11 +171,7 @@
                 self.recorder.note_written()
                 buffer = b""
         self._note_body_end(attempt)
-        check_complete(
-            ReceivedAnswer(AnswerContent.BYTES, attempt.body_end),
-            STEP,
-            dispatch.upstream,
-        )
+        tracker.check(attempt.body_end, STEP, dispatch.upstream)
         self.recorder.note_events(1, attempt.data_age_seconds)
         if not self.responder.has_started:
             length = str(len(buffer)).encode()
--- a/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -19,6 +19,7 @@
 from .._errors import AttemptError
 from .._headers import BRITTLE, LEAVING, REQUEST_RATE
 from ..upstream import UpstreamResponse
+from ._answer_end import BodyTracker
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
 from ._context import EntryContext
@@ -161,7 +162,11 @@
         # The response starts once its first chunk has arrived, so that the call can be
         # retried if the service fails before.
         chunks = response.chunks
+        tracker = BodyTracker(response.head)
         first = await anext(chunks, b"")
+        tracker.feed(first)
+        if not first:
+            tracker.check(response.read_body_end(), STEP, dispatch.upstream)
         self.recorder.note_events(1, response.data_age_seconds)
         self.context.scheduler.post(
             AttemptDelivered(self.request_id, dispatch.attempt_id)
@@ -169,6 +174,8 @@
         await self.responder.start(response.status, headers)
         await self.responder.send(first)
         async for chunk in chunks:
+            tracker.feed(chunk)
             await self.responder.send(chunk)
+        tracker.check(response.read_body_end(), STEP, dispatch.upstream)
         await self.responder.end()
         self.recorder.note_written()
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -11,7 +11,7 @@
 import attrs
 import orjson
 
-from rampwick_policy import Dispatch, OrderResult, Outcome, UpstreamPath
+from rampwick_policy import BodyEnd, Dispatch, OrderResult, Outcome, UpstreamPath
 from rampwick_schema import (
     DataError,
     HostEntry,
@@ -90,7 +90,12 @@
             with self._read_timeout(step, peer):
                 head = await connection.receive_head()
             chunks = self._chunks(connection, step, peer)
-            yield UpstreamResponse(head, chunks, connection.data_age_seconds)
+            yield UpstreamResponse(
+                head,
+                chunks,
+                connection.data_age_seconds,
+                lambda: connection.body_end,
+            )
 
     async def _chunks(
         self, connection: UpstreamConnection, step: str, peer: str
@@ -237,6 +242,8 @@
     chunks: AsyncIterator[bytes]
     #: Returns how long ago at least the last chunk arrived at this host.
     data_age_seconds: Callable[[], float]
+    #: Returns how the body ended; None while it has not.
+    read_body_end: Callable[[], BodyEnd | None]
 
     @property
     def status(self) -> int:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -12,6 +12,9 @@
     ReceivedAnswer,
     find_defect,
 )
+from rampwick_router._errors import AttemptError
+from rampwick_router._headers import ResponseHead
+from rampwick_router.entry._answer_end import BodyTracker
 from rampwick_router.entry._event_framing import EventFramer
 from rampwick_schema import HostEntry
 
@@ -206,6 +209,41 @@
         view = self.answer(script)
         self.assertEqual((200, b"half", False), (view.status, view.body, view.is_whole))
 
+    def test_event_stream_of_a_service_is_not_complete_inside_an_event(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        for body, is_whole in ((whole(2), True), (whole(2) + PARTIAL_EVENT, False)):
+
+            async def script(exchange, body=body):
+                await exchange.send(head + body)
+                raise Hangup
+
+            view = self.answer(script)
+            self.assertEqual((body, is_whole), (view.body, view.is_whole))
+
+
+class BodyTrackerTest(TestCase):
+    def is_complete(self, chunks):
+        tracker = BodyTracker(
+            ResponseHead(200, [(b"content-type", b"text/event-stream; charset=utf-8")])
+        )
+        for part in chunks:
+            tracker.feed(part)
+        try:
+            tracker.check(BodyEnd.CLOSED, "read", "peer")
+        except AttemptError:
+            return False
+        return True
+
+    def test_long_events_and_chunks_that_split_an_empty_line(self):
+        long_event = b"data: " + b"x" * 9000
+        self.assertFalse(self.is_complete([long_event]))
+        self.assertFalse(self.is_complete([long_event, b"\r\n"]))
+        self.assertTrue(self.is_complete([long_event, b"\r\n", b"\r\n"]))
+        self.assertTrue(
+            self.is_complete([long_event[:8000], long_event[8000:], b"\n\n"])
+        )
+        self.assertFalse(self.is_complete([long_event, b"\n\n", b"id: 2\n"]))
+
 
 class ForcedShutdownTest(TestCase):
     def test_stream_at_a_forced_shutdown_is_cut_without_an_event_of_the_host(self):
