--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -257,6 +257,7 @@
             model="m-1",
             weights_version=4,
             slots_count=64,
+            software_version="v1",
         )
         self.assertEqual(expected, entry)
         target = StoreTranslation().read_target(
@@ -367,7 +368,7 @@
         def rate(*values):
             headers = [(b"Server-Limit", value) for value in values]
             facts = UpstreamTranslation().read_response(
-                ResponseHead(200, headers, True), "i-1"
+                ResponseHead(200, headers), "i-1"
             )
             return facts.request_rate
 
@@ -391,7 +392,7 @@
         read = UpstreamTranslation().read_response
 
         def facts(status, *headers):
-            return read(ResponseHead(status, list(headers), True), "i-1")
+            return read(ResponseHead(status, list(headers)), "i-1")
 
         refused = facts(503, (b"X-Rampwick-Not-Executed", b"1"))
         self.assertTrue(refused.was_refused and not refused.is_misdirected)
@@ -457,7 +458,7 @@
 
     def test_results_of_orders(self):
         results = [
-            self.control.read_order(ResponseHead(status, [], True))
+            self.control.read_order(ResponseHead(status, []))
             for status in (200, 202, 400, 409, 412, 421)
         ]
         self.assertEqual(
@@ -485,7 +486,7 @@
                 "kv_total": 90000,
             }
         )
-        head = ResponseHead(200, [], True)
+        head = ResponseHead(200, [])
         report = self.control.read_probe(self.entry, head, body)
         self.assertEqual(
             (3, "loading", 2),
@@ -495,8 +496,8 @@
 
     def test_a_service_is_healthy_only_if_its_instance_id_matches(self):
         entry = HostEntry("i-2", "service", "b", "10.0.0.9:1", incarnation="i-2")
-        own = ResponseHead(200, [(b"X-Rampwick-Instance-Id", b"i-2")], True)
-        other = ResponseHead(200, [(b"X-Rampwick-Instance-Id", b"i-3")], True)
+        own = ResponseHead(200, [(b"X-Rampwick-Instance-Id", b"i-2")])
+        other = ResponseHead(200, [(b"X-Rampwick-Instance-Id", b"i-3")])
         self.assertIsNone(self.control.read_probe(entry, own, b""))
         self.assertRaises(DataError, self.control.read_probe, entry, other, b"")
 
--- a/tests/test_brittle_services.py
+++ b/tests/test_brittle_services.py
@@ -167,7 +167,7 @@
 class ReadingTest(TestCase):
     def read(self, *values, status=200):
         headers = [(b"Server-Brittle", value) for value in values]
-        head = ResponseHead(status, headers, True)
+        head = ResponseHead(status, headers)
         return UpstreamTranslation().read_response(head, "i").brittleness
 
     def test_number_of_rejections_is_read_from_any_response(self):
--- a/tests/test_upstream_restarts.py
+++ b/tests/test_upstream_restarts.py
@@ -85,7 +85,7 @@
         self.assertEqual(b"i-1", sent[b"x-rampwick-target-instance"])
         probe = ControlTranslation("h", StewardSettings()).probe(read(ENTRY), "/health")
         self.assertIn((b"x-rampwick-target-instance", b"i-1"), probe.headers)
-        head = ResponseHead(421, [(b"x-rampwick-instance-id", b"i-1")], True)
+        head = ResponseHead(421, [(b"x-rampwick-instance-id", b"i-1")])
         facts = UpstreamTranslation().read_response(head, "i-1@1777752651000")
         self.assertFalse(facts.is_other_incarnation)
 
@@ -102,7 +102,7 @@
     def probe(self, **fields):
         body = orjson.dumps({**self.REPORT, **fields})
         control = ControlTranslation("h", StewardSettings())
-        return control.read_probe(read(ENTRY), ResponseHead(200, [], True), body)
+        return control.read_probe(read(ENTRY), ResponseHead(200, []), body)
 
     def test_report_of_the_same_start_is_accepted(self):
         self.assertEqual(4, self.probe(born=1777752651000).weights_version)
