Pass on and log the software version of upstreams

The logs name upstreams, not versions, so that attempts within one answer can't be told from those of returning callers.

The adapter checked the version in an upstream's entry and dropped it. An incarnation keeps the first version that was stated: later entries, and those of peers of an older release, which lack it, change nothing. No decision uses it yet.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -394,6 +394,7 @@
             import_address=source.address if source else "",
             save_address=save_address,
             expected_wait_seconds=item.expected_wait_seconds,
+            software_version=upstream.entry.software_version,
         )
 
     def _note_import(
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -347,6 +347,8 @@
     save_address: str = ""
     #: Wait at the host by the last estimate; ``None`` without one.
     expected_wait_seconds: float | None = None
+    #: Version of the upstream's software; empty if it is not known.
+    software_version: str = ""
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -4,6 +4,8 @@
 import math
 from collections.abc import Callable, Collection, Iterator
 
+import attrs
+
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -196,7 +198,12 @@
     def _apply_entry(self, entry: HostEntry) -> None:
         known = self._upstreams.get(entry.name)
         if known is not None and known.entry.address == entry.address:
-            known.entry = entry
+            known.entry = attrs.evolve(
+                entry,
+                # An incarnation doesn't change its software; a peer of an older
+                # release does not pass the version on.
+                software_version=known.entry.software_version or entry.software_version,
+            )
             self._apply_listed_state(known)
             self._apply_signals(entry.name)
             return
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -344,6 +344,7 @@
             "last_error": upstream.health.last_error,
             "life": upstream.generation_name,
             "model": upstream.model,
+            "software_version": upstream.entry.software_version,
             "slots_count": upstream.slots_count,
             "own_running_count": len(upstream.own_attempts),
         }
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -337,6 +337,7 @@
             attempt=dispatch.attempt_id,
             upstream=dispatch.upstream,
             weights_version=dispatch.weights_version,
+            software_version=dispatch.software_version,
             waited_ms=round(waited * 1000),
             is_saved=bool(dispatch.save_address),
             **fields,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
@@ -37,6 +37,8 @@
     slots_count: int = attrs.field(default=0, validator=within(0, None))
     #: Whether the upstream rejects orders with an outdated fencing number.
     checks_fencing: bool = attrs.field(default=False)
+    #: Version of the upstream's software, not of its weights; empty if the list does not state it.
+    software_version: str = attrs.field(default="")
 
 
 @attrs.frozen(repr=False)
