Reproduce streams that go on at another software version

Streams break at one of four upstreams of two versions: 8 of 8 go on, within one answer, at the other version. Callers leave their streams and take them up at another host, while the first upstream leaves: 6 of 6 go on at the other version.

Hosts in these tests know that entries state versions (`Integration.has_software_versions`); nothing acts on it yet.

--- a/packages/rampwick-router/src/rampwick_router/_integration.py
+++ b/packages/rampwick-router/src/rampwick_router/_integration.py
@@ -22,3 +22,6 @@
     store: StoreDialect
     decoder: StoreDecoder
     dialects: Dialects
+    #: Whether the entries of upstreams state the version of their software. A stream
+    #: then stays with the version that began it.
+    has_software_versions: bool = False
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -312,6 +312,13 @@
     daemon: object
     address: str
     store: MemoryStore
+    #: Address for peers.
+    peer_address: str = ""
+
+    @property
+    def upstreams_count(self) -> int:
+        """Number of upstreams that the host knows."""
+        return len(list(self.daemon.scheduler._scheduler.upstreams))
 
     async def call(
         self,
@@ -403,9 +410,16 @@
 
 @asynccontextmanager
 async def run_routed(
-    upstreams: dict[str, list[str]], platform: str = "", retry: str = "", store=None
+    upstreams: dict[str, list[str]],
+    platform: str = "",
+    retry: str = "",
+    store=None,
+    versions: dict[str, str] | None = None,
 ) -> AsyncIterator[tuple[RoutedHost, dict[str, ScriptedUpstream]]]:
-    """Run a host with scripted upstreams, whose names are given by service."""
+    """Run a host with scripted upstreams, whose names are given by service.
+
+    ``versions`` has the versions of their software, if their entries state them.
+    """
     store = store or MemoryStore()
     store.write("config/main", make_tree())
     servers: dict[str, ScriptedUpstream] = {}
@@ -414,28 +428,13 @@
             for name in names:
                 servers[name] = ScriptedUpstream(name)
                 await tasks.start(servers[name].serve)
-                list_upstream(store, servers[name], service)
-        settings = parse_settings(
-            '[host]\nname = "entry-1"\nhall = "trnava"\n'
-            "[life]\nbalancer_delay_seconds = 0.0\n"
-            f"[platform]\nconfirm_wait_seconds = 0.05\n{platform}\n"
-            f"[retry]\nprobe_interval_seconds = 0.0\n{retry}\n",
-            source="test",
-        )
-        integration = Integration(
-            store=None,  # type: ignore[arg-type]
-            decoder=NativeDecoder(),
-            dialects=NATIVE_DIALECTS,
-        )
-        async with run_daemon(settings, api=store, integration=integration) as (
-            daemon,
-            addresses,
-        ):
-            host = RoutedHost(daemon, addresses.entry, store)
+                version = (versions or {}).get(name, "")
+                list_upstream(store, servers[name], service, version=version)
+        async with run_routed_host(
+            store, platform=platform, retry=retry, has_versions=versions is not None
+        ) as host:
             with anyio.fail_after(20.0):
-                while daemon.follower.revision < 1 or len(
-                    list(daemon.scheduler._scheduler.upstreams)
-                ) < len(servers):
+                while host.upstreams_count < len(servers):
                     await anyio.sleep(0.005)
             try:
                 yield host, servers
@@ -443,8 +442,48 @@
                 tasks.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def run_routed_host(
+    store,
+    name: str = "entry-1",
+    *,
+    platform: str = "",
+    retry: str = "",
+    peers: str = "",
+    has_versions: bool = False,
+) -> AsyncIterator[RoutedHost]:
+    """Run a host on a store; yield it once it has the configuration."""
+    settings = parse_settings(
+        f'[host]\nname = "{name}"\nhall = "trnava"\n'
+        "[life]\nbalancer_delay_seconds = 0.0\n"
+        f"[platform]\nconfirm_wait_seconds = 0.05\n{platform}\n"
+        f"[peers]\n{peers}\n"
+        f"[retry]\nprobe_interval_seconds = 0.0\n{retry}\n",
+        source="test",
+    )
+    integration = Integration(
+        store=None,  # type: ignore[arg-type]
+        decoder=NativeDecoder(),
+        dialects=NATIVE_DIALECTS,
+        has_software_versions=has_versions,
+    )
+    async with run_daemon(settings, api=store, integration=integration) as (
+        daemon,
+        addresses,
+    ):
+        host = RoutedHost(daemon, addresses.entry, store, addresses.peer)
+        with anyio.fail_after(20.0):
+            while daemon.follower.revision < 1:
+                await anyio.sleep(0.005)
+        yield host
+
+
 def list_upstream(
-    store: MemoryStore, upstream: ScriptedUpstream, service: str, state: str = "live"
+    store: MemoryStore,
+    upstream: ScriptedUpstream,
+    service: str,
+    state: str = "live",
+    version: str = "",
 ) -> None:
     """Write the store entry of an upstream."""
     entry = HostEntry(
@@ -455,5 +494,6 @@
         state=state,
         group=service,
         incarnation=upstream.name,
+        software_version=version,
     )
     store.write(f"upstreams/{upstream.name}", entry)
--- /dev/null
+++ b/tests/test_software_versions.py
@@ -0,0 +1,171 @@
+"""A stream stays with the software version that began it."""
+
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+from testtools import TestCase
+
+from .bench import until
+from .scripted import (
+    HOST,
+    KEY,
+    MemoryStore,
+    ScriptedUpstream,
+    list_upstream,
+    make_tree,
+    run_routed,
+    run_routed_host,
+)
+from .test_routed import CHUNKED, all_scripts, chunk, event, stream_of
+
+TEST_TIMEOUT_SECONDS = 40.0
+
+#: Versions of the software of the upstreams, by name.
+MIXED = {"a": "v1", "b": "v2", "c": "v1", "d": "v2"}
+
+PEERS = """
+secret = "of the tests"
+gossip_interval_seconds = 0.05
+dead_after_seconds = 0.5
+"""
+
+
+def run(scenario, names=("a", "b", "c", "d"), **options):
+    """Run a scenario with one host and upstreams of two versions."""
+    versions = {name: MIXED[name] for name in names}
+
+    async def main():
+        with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+            async with run_routed(
+                {"notes": list(names)}, versions=versions, **options
+            ) as (host, servers):
+                return await scenario(host, servers)
+
+    return anyio.run(main)
+
+
+def run_hosts(scenario, names=("a", "b", "c", "d"), **options):
+    """Run a scenario with two hosts that are peers, before the same upstreams."""
+
+    async def main():
+        with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+            async with two_hosts(names, **options) as (one, two, servers):
+                return await scenario(one, two, servers)
+
+    return anyio.run(main)
+
+
+@asynccontextmanager
+async def two_hosts(names, versions=MIXED):
+    """Run two hosts that know each other and all upstreams."""
+    store = MemoryStore()
+    store.write("config/main", make_tree())
+    servers = {}
+    async with anyio.create_task_group() as tasks, AsyncExitStack() as stack:
+        for name in names:
+            servers[name] = ScriptedUpstream(name)
+            await tasks.start(servers[name].serve)
+            list_upstream(store, servers[name], "notes", version=versions[name])
+        hosts = []
+        seeds = ""
+        for name in ("entry-1", "entry-2"):
+            host = await stack.enter_async_context(
+                run_routed_host(store, name, peers=PEERS + seeds, has_versions=True)
+            )
+            seeds = f'seeds = ["{host.peer_address}"]\n'
+            hosts.append(host)
+        for host in hosts:
+            await until(lambda host=host: host.upstreams_count == len(names))
+            await until(lambda host=host: host.daemon.scheduler.hosts_count == 2)
+        try:
+            yield *hosts, servers
+        finally:
+            await stack.aclose()
+            tasks.cancel_scope.cancel()
+
+
+async def begin_stream(host, request_id, path="/stream/1"):
+    """Read a stream up to its third event, and leave."""
+    address, _, port = host.address.partition(":")
+    request = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRampwick-Request-Id: {request_id}\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+    )
+    received = b""
+    async with await anyio.connect_tcp(address, int(port)) as stream:
+        await stream.send(request.encode())
+        while event(3) not in received:
+            received += await stream.receive()
+
+
+async def resume(host, first_id, number, path="/stream/1"):
+    """Take a stream up after its third event."""
+    headers = {"Last-Event-Id": "3", "Rampwick-Resumes": first_id}
+    return await host.call(path, request_id=f"{first_id}-{number}", headers=headers)
+
+
+async def begin_or_go_on(exchange):
+    """Stream three events and wait, or send the rest of a stream."""
+    if exchange.headers.get("last-event-id"):
+        await stream_of(4, 6)(exchange)
+        return
+    await exchange.send(exchange.head(extra=CHUNKED))
+    for number in (1, 2, 3):
+        await exchange.send(chunk(event(number)))
+    await anyio.sleep_forever()
+
+
+def versions_by_stream(servers):
+    """Return the versions at which each stream ran, by the id of its first attempt."""
+    found = {}
+    for name, server in servers.items():
+        for exchange in server.requests:
+            first_id = exchange.request_id.partition("-")[0]
+            found.setdefault(first_id, set()).add(MIXED[name])
+    return found
+
+
+class OneAnswerTest(TestCase):
+    def test_broken_stream_goes_on_only_at_the_version_that_began_it(self):
+        async def scenario(host, servers):
+            for number in range(8):
+                all_scripts(servers, break_or_go_on)
+                await host.call("/stream/1", request_id=f"r{number}")
+            return versions_by_stream(servers)
+
+        async def break_or_go_on(exchange):
+            if exchange.headers.get("last-event-id"):
+                await stream_of(4, 6)(exchange)
+            else:
+                await stream_of(1, 9, stop_after=3)(exchange)
+
+        found = run(scenario)
+        self.assertEqual([1] * 8, [len(versions) for versions in found.values()], found)
+
+
+class ReturningCallerTest(TestCase):
+    def test_stream_taken_up_at_another_host_goes_on_at_its_version(self):
+        async def scenario(one, two, servers):
+            all_scripts(servers, begin_or_go_on)
+            for number in range(6):
+                await begin_stream(one, f"s{number}")
+            for name in {exchange.upstream.name for exchange in all_requests(servers)}:
+                list_upstream(one.store, servers[name], "notes", "leaving", MIXED[name])
+                await until(lambda name=name: is_leaving(two, name))
+            views = [await resume(two, f"s{number}", 1) for number in range(6)]
+            return versions_by_stream(servers), [view.status for view in views]
+
+        # The upstream after the one that is leaving has the other version.
+        found, statuses = run_hosts(scenario)
+        self.assertEqual([{"v1"}] * 6, list(found.values()))
+        self.assertEqual([200] * 6, statuses)
+
+
+def all_requests(servers):
+    """Return the requests that all upstreams received."""
+    return [exchange for server in servers.values() for exchange in server.requests]
+
+
+def is_leaving(host, name):
+    """Return whether a host knows that an upstream is leaving."""
+    return host.daemon.scheduler._scheduler.upstreams.get(name).entry.state == "leaving"
