Continue only streams with ids after a part of an answer was sent

Found in review. Callers of a resumable route got the first part of a large error body and then, under its status, the events of another attempt, framed as complete. Events without ids were sent twice: an attempt that starts over can't be told where the first one broke off.

Cause: whether another attempt may follow what was delivered was decided by the route alone. The forwarder now says with the first delivery whether it can be continued: a successful event stream whose events have ids. The lifecycle allows no other attempt otherwise.

--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -79,6 +79,9 @@
 
     request_id: str
     attempt_id: str
+    #: Whether another attempt can go on after what the caller has received: a stream of
+    #: events with ids, and not the body of an error, say.
+    may_continue: bool = True
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_request.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request.py
@@ -119,14 +119,16 @@
         self.run_state = max(self.run_state, RunState.RUNNING)
         return True
 
-    def deliver(self, attempt_id: str) -> bool:
+    def deliver(self, attempt_id: str, *, may_continue: bool = True) -> bool:
         """Record that a first chunk is sent to the caller.
 
-        No other attempt follows, unless the request is resumable.
+        No other attempt follows, unless the request is resumable and what is sent can
+        be continued.
         """
         if not self._is_current(attempt_id):
             return False
         self.has_delivered = True
+        self.is_resumable = self.is_resumable and may_continue
         return True
 
     def fail(self, attempt_id: str, outcome: Outcome) -> bool:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -265,7 +265,9 @@
         self, event: ev.AttemptDelivered, now_seconds: float
     ) -> list[ev.Action]:
         item = self._requests.get(event.request_id)
-        if item is not None and item.lifecycle.deliver(event.attempt_id):
+        if item is not None and item.lifecycle.deliver(
+            event.attempt_id, may_continue=event.may_continue
+        ):
             upstream = self.upstreams.get(item.upstream)
             self.pool.cache_transfers.end(event.attempt_id)
             if upstream is not None:
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -134,7 +134,9 @@
             if not batch.count:
                 continue
             self.recorder.note_events(batch.count, attempt.data_age_seconds)
-            await self._start_response(head, dispatch)
+            await self._start_response(
+                head, dispatch, may_continue=bool(batch.last_id or self._resume_after)
+            )
             # The id is recorded before the send: an event that may have reached the
             # caller must not be sent again.
             self._resume_after = batch.last_id or self._resume_after
@@ -184,11 +186,13 @@
         head: ResponseHead,
         dispatch: Dispatch,
         extra: tuple[tuple[bytes, bytes], ...] = (),
+        *,
+        may_continue: bool = False,
     ) -> None:
         if dispatch.attempt_id != self._delivered_attempt_id:
             self._delivered_attempt_id = dispatch.attempt_id
             self.context.scheduler.post(
-                AttemptDelivered(self.request_id, dispatch.attempt_id)
+                AttemptDelivered(self.request_id, dispatch.attempt_id, may_continue)
             )
         if self.responder.has_started:
             return
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -125,6 +125,43 @@
                 )
 
 
+class StartedAnswerTest(TestCase):
+    """Only a stream with ids is continued by another attempt."""
+
+    def answer(self, first, second):
+        async def scenario(host, servers):
+            async def first_then_second(exchange):
+                for server in servers.values():
+                    server.scripts = [second]
+                await first(exchange)
+
+            all_scripts(servers, first_then_second)
+            return await host.call("/stream/1"), len(ran(servers))
+
+        return run(scenario)
+
+    def test_cut_body_of_an_error_is_not_continued_by_a_stream(self):
+        async def large_error(exchange):
+            await exchange.send(exchange.head(500, length=400_000) + b"x" * 300_000)
+            await anyio.sleep(0.1)
+            raise Hangup
+
+        response, runs_count = self.answer(large_error, in_chunks(whole(3)))
+        self.assertEqual(
+            (500, False, 1), (response.status, response.is_whole, runs_count)
+        )
+        self.assertEqual(set(b"x"), set(response.body))
+
+    def test_events_without_ids_are_not_sent_twice(self):
+        first, second = b"data: a\n\n", b"data: b\n\n"
+        response, runs_count = self.answer(
+            until_close(first + b"data: b"), in_chunks(first + second)
+        )
+        self.assertEqual(
+            (first, False, 1), (response.body, response.is_whole, runs_count)
+        )
+
+
 class DefectTest(TestCase):
     def defect(self, body, body_end):
         framer = EventFramer(1000, "peer")
