Count no comments as events when an answer's end is judged

Found in review. A runner that sent a comment as its heartbeat and then closed its connection, without a length, gave its caller an empty stream framed as complete; also when a stream was continued after a cut.

Only blocks with a field are events now. Comments are forwarded as before, and what was sent without an event can be continued. A byte order mark before a comment is no field.

The extended test failed before with `: ok` (200, complete).

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -32,7 +32,7 @@
     BodyEnd as BodyEnd,
     ReceivedAnswer as ReceivedAnswer,
     find_defect as find_defect,
-    has_open_event as has_open_event,
+    has_field as has_field,
 )
 from ._configuration import (
     ConfigurationFollower as ConfigurationFollower,
--- a/packages/rampwick-policy/src/rampwick_policy/_completeness.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_completeness.py
@@ -16,6 +16,7 @@
 BLANK_LINE = rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)"
 
 #: A field of an event, which is any line that is neither empty nor a comment.
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 FIELD_LINE = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 
 
@@ -44,7 +45,8 @@
     content: AnswerContent
     #: How the body ended; ``None`` if its connection broke.
     body_end: BodyEnd | None
-    #: Number of complete events in this body.
+    #: Number of complete events in this body that the caller did not have yet; comments
+    #: and empty blocks, which servers send as heartbeats, are none.
     events_count: int = 0
     #: Whether the body ended between the first and the last byte of an event.
     is_inside_event: bool = False
@@ -70,9 +72,9 @@
     return ""
 
 
-def has_open_event(tail: bytes) -> bool:
-    """Return whether the bytes after the last complete event begin another one.
+def has_field(block: bytes) -> bool:
+    """Return whether bytes hold a field of an event, or its beginning.
 
-    Empty lines and comments between events do not.
+    Empty lines and comments are none, nor is a byte order mark before them.
     """
-    return FIELD_LINE.search(tail) is not None
+    return FIELD_LINE.search(block.removeprefix(BYTE_ORDER_MARK)) is not None
--- a/packages/rampwick-router/src/rampwick_router/entry/_answer_end.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_answer_end.py
@@ -9,7 +9,7 @@
     Outcome,
     ReceivedAnswer,
     find_defect,
-    has_open_event,
+    has_field,
 )
 
 from .._errors import AttemptError
@@ -56,12 +56,12 @@
         buffer = self._tail + chunk
         start = 0
         for end in EVENT_END.finditer(buffer):
-            start = end.end()
-            self._events_count += 1
+            block, start = buffer[start : end.end()], end.end()
+            self._events_count += self._is_long_event or has_field(block)
             self._is_long_event = False
         self._tail = buffer[start:]
         if len(self._tail) > MAX_KEPT_BYTES:
-            self._is_long_event |= has_open_event(self._tail)
+            self._is_long_event |= has_field(self._tail)
             self._tail = self._tail[-LINE_END_BYTES:]
 
     def check(self, body_end: BodyEnd | None, step: str, peer: str) -> None:
@@ -70,6 +70,6 @@
             self._content,
             body_end,
             events_count=self._events_count,
-            is_inside_event=self._is_long_event or has_open_event(self._tail),
+            is_inside_event=self._is_long_event or has_field(self._tail),
         )
         check_complete(answer, step, peer)
--- a/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from rampwick_policy import BLANK_LINE, Outcome, has_open_event
+from rampwick_policy import BLANK_LINE, Outcome, has_field
 from rampwick_schema import ReprMixin
 
 from .._errors import AttemptError
@@ -21,9 +21,10 @@
 
 @attrs.frozen(repr=False)
 class EventBatch(ReprMixin):
-    """Complete events from one read."""
+    """Complete events from one read, and the comments between them."""
 
     data: bytes
+    #: Number of events, without comments.
     count: int
     #: Id of the last event that has an id; empty if none has.
     last_id: str = ""
@@ -36,8 +37,8 @@
         self._max_event_bytes = max_event_bytes
         self._peer = peer
         self._remainder = b""
-        #: Number of complete events so far, including those that were dropped.
-        self.count = 0
+        #: Number of complete events so far that were not dropped as duplicates.
+        self.events_count = 0
         #: Events with ids up to this one are dropped; None if ids are not numeric.
         self._after_id = int(after_id) if after_id.isdigit() else None
 
@@ -49,22 +50,23 @@
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes so far end inside an event."""
-        return has_open_event(self._remainder)
+        return has_field(self._remainder)
 
     def feed(self, data: bytes) -> EventBatch:
         """Add bytes and return the events that they complete."""
         buffer = self._remainder + data
-        new_events = []
+        new_blocks = []
+        new_count = 0
         last_id = ""
         start = 0
         for end in EVENT_END.finditer(buffer):
             event = buffer[start : end.end()]
             start = end.end()
-            self.count += 1
             event_id = _read_id(event)
             if self._is_duplicate(event_id):
                 continue
-            new_events.append(event)
+            new_count += has_field(event)
+            new_blocks.append(event)
             last_id = event_id or last_id
         self._remainder = buffer[start:]
         if len(self._remainder) > self._max_event_bytes:
@@ -74,7 +76,8 @@
                 step=STEP,
                 peer=self._peer,
             )
-        return EventBatch(b"".join(new_events), len(new_events), last_id)
+        self.events_count += new_count
+        return EventBatch(b"".join(new_blocks), new_count, last_id)
 
     def _is_duplicate(self, event_id: str) -> bool:
         return (
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -65,7 +65,9 @@
         self._chain = request.chain
         self._resume_after = request.call.last_event_id
         self._events_count = 0
-        self._delivered_attempt_id = ""
+        #: The attempt that last sent something to the caller, and whether another one
+        #: can go on after that.
+        self._last_delivery = ("", False)
         #: How the body of the last attempt ended, and its bytes after the last event.
         self._body_end: BodyEnd | None = None
         self._remainder_bytes = 0
@@ -131,11 +133,13 @@
         )
         async for chunk in attempt.chunks():
             batch = events.feed(chunk)
-            if not batch.count:
+            if not batch.data:
                 continue
-            self.recorder.note_events(batch.count, attempt.data_age_seconds)
+            if batch.count:
+                self.recorder.note_events(batch.count, attempt.data_age_seconds)
+            has_id = bool(batch.last_id or self._resume_after)
             await self._start_response(
-                head, dispatch, may_continue=bool(batch.last_id or self._resume_after)
+                head, dispatch, may_continue=has_id or not batch.count
             )
             # The id is recorded before the send: an event that may have reached the
             # caller must not be sent again.
@@ -148,7 +152,7 @@
             ReceivedAnswer(
                 AnswerContent.EVENTS,
                 attempt.body_end,
-                events_count=events.count,
+                events_count=events.events_count,
                 is_inside_event=events.is_inside_event,
             ),
             STEP,
@@ -189,8 +193,9 @@
         *,
         may_continue: bool = False,
     ) -> None:
-        if dispatch.attempt_id != self._delivered_attempt_id:
-            self._delivered_attempt_id = dispatch.attempt_id
+        delivery = (dispatch.attempt_id, may_continue)
+        if delivery != self._last_delivery:
+            self._last_delivery = delivery
             self.context.scheduler.post(
                 AttemptDelivered(self.request_id, dispatch.attempt_id, may_continue)
             )
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -103,11 +103,15 @@
             )
 
     def test_closed_connection_without_an_event_is_no_answer(self):
-        async def scenario(host, servers):
-            all_scripts(servers, until_close(b""))
-            return await host.call("/brittle/1")
+        # Servers send comments as heartbeats before the first event.
+        for body, expected in ((b"", (502, True)), (b": ok\n\n", (200, False))):
+
+            async def scenario(host, servers, body=body):
+                all_scripts(servers, until_close(body))
+                return await host.call("/brittle/1")
 
-        self.assertEqual(502, run(scenario).status)
+            response = run(scenario)
+            self.assertEqual(expected, (response.status, response.is_whole), body)
 
     def test_stream_that_ends_between_events_is_complete_however_it_is_framed(self):
         for frame in FRAMINGS:
@@ -152,6 +156,15 @@
         )
         self.assertEqual(set(b"x"), set(response.body))
 
+    def test_stream_goes_on_elsewhere_after_a_heartbeat(self):
+        response, runs_count = self.answer(
+            until_close(b": ok\n\n" + PARTIAL_EVENT), in_chunks(whole(3))
+        )
+        self.assertEqual(
+            (b": ok\n\n" + whole(3), True, 2),
+            (response.body, response.is_whole, runs_count),
+        )
+
     def test_events_without_ids_are_not_sent_twice(self):
         first, second = b"data: a\n\n", b"data: b\n\n"
         response, runs_count = self.answer(
@@ -170,7 +183,7 @@
             ReceivedAnswer(
                 AnswerContent.EVENTS,
                 body_end,
-                events_count=framer.count,
+                events_count=framer.events_count,
                 is_inside_event=framer.is_inside_event,
             )
         )
@@ -189,6 +202,11 @@
             early = {end - 1 for end in ends} if newline == b"\r\n" else set()
             self.assertEqual(ends | early, whole_at, newline)
 
+    def test_comments_are_no_events_even_after_a_byte_order_mark(self):
+        for body in (b": ok\n\n", b"\xef\xbb\xbf: ok\n\n", b"\n\n\n"):
+            self.assertNotEqual("", self.defect(body, BodyEnd.CLOSED), body)
+            self.assertEqual("", self.defect(body[:-1], BodyEnd.DELIMITED), body)
+
     def test_line_terminators_may_be_mixed(self):
         for end in (b"\n\r\n", b"\r\n\n", b"\n\r", b"\r\n\r\n"):
             self.assertEqual("", self.defect(b"data: a" + end, BodyEnd.CLOSED), end)
