Require the event that a cut left open from the next attempt

A stream was cut inside its fourth event, and the attempt that went on sent nothing new (known events, a comment, an empty body, 204): the caller got three events framed as complete.

Cause: the decision looked at one body and forgot the cut before. The answer remembers that an event is due until an attempt has sent one. A break between two events leaves nothing due, since the last event may have been the last of the stream.

The test failed before for each of the four continuations.

--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -68,6 +68,8 @@
         #: The attempt that last sent something to the caller, and whether another one
         #: can go on after that.
         self._last_delivery = ("", False)
+        #: Whether the last attempt ended inside an event that no later one has sent.
+        self._was_inside_event = False
         #: How the body of the last attempt ended, and its bytes after the last event.
         self._body_end: BodyEnd | None = None
         self._remainder_bytes = 0
@@ -131,6 +133,31 @@
         events = EventFramer(
             limits.max_event_bytes, dispatch.upstream, self._resume_after
         )
+        was_inside_event, self._was_inside_event = self._was_inside_event, False
+        try:
+            await self._forward_events(attempt, head, events)
+        finally:
+            still_due = was_inside_event and not events.events_count
+            self._was_inside_event = events.is_inside_event or still_due
+        self._note_body_end(attempt, len(events.remainder))
+        check_complete(
+            ReceivedAnswer(
+                AnswerContent.EVENTS,
+                attempt.body_end,
+                events_count=events.events_count,
+                is_inside_event=events.is_inside_event,
+                is_event_due=was_inside_event,
+            ),
+            STEP,
+            dispatch.upstream,
+        )
+        await self._start_response(head, dispatch)
+        await self.responder.end(events.remainder)
+
+    async def _forward_events(
+        self, attempt: RoutedAttempt, head: ResponseHead, events: EventFramer
+    ) -> None:
+        """Forward complete events as they arrive."""
         async for chunk in attempt.chunks():
             batch = events.feed(chunk)
             if not batch.data:
@@ -139,7 +166,7 @@
                 self.recorder.note_events(batch.count, attempt.data_age_seconds)
             has_id = bool(batch.last_id or self._resume_after)
             await self._start_response(
-                head, dispatch, may_continue=has_id or not batch.count
+                head, attempt.dispatch, may_continue=has_id or not batch.count
             )
             # The id is recorded before the send: an event that may have reached the
             # caller must not be sent again.
@@ -147,19 +174,6 @@
             self._events_count += batch.count
             await self.responder.send(batch.data)
             self.recorder.note_written()
-        self._note_body_end(attempt, len(events.remainder))
-        check_complete(
-            ReceivedAnswer(
-                AnswerContent.EVENTS,
-                attempt.body_end,
-                events_count=events.events_count,
-                is_inside_event=events.is_inside_event,
-            ),
-            STEP,
-            dispatch.upstream,
-        )
-        await self._start_response(head, dispatch)
-        await self.responder.end(events.remainder)
 
     async def _forward_buffered(
         self, attempt: RoutedAttempt, head: ResponseHead
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -165,6 +165,25 @@
             (response.body, response.is_whole, runs_count),
         )
 
+    def test_event_that_was_cut_is_due_from_the_next_attempt(self):
+        cut = until_close(whole(3) + PARTIAL_EVENT)
+
+        async def no_content(exchange):
+            await exchange.send(exchange.head(204))
+
+        for rest in (
+            until_close(whole(2)),
+            in_chunks(b": ok\n"),
+            with_length(b""),
+            no_content,
+        ):
+            response, _ = self.answer(cut, rest)
+            self.assertEqual((whole(3), False), (response.body, response.is_whole))
+
+    def test_stream_that_broke_after_its_last_event_is_complete(self):
+        response, _ = self.answer(cut_stream, in_chunks(b": ok\n\n"))
+        self.assertTrue(response.is_whole)
+
     def test_events_without_ids_are_not_sent_twice(self):
         first, second = b"data: a\n\n", b"data: b\n\n"
         response, runs_count = self.answer(
