Take answers of another type on stream routes for what they are

A complete JSON answer with its length on a stream route was taken for an event that had been cut: 502 instead of 200.

Cause: the content was told from the route. Its type tells it now; a body without a type on a stream route still counts as events. The test failed before (502).

--- a/packages/rampwick-router/src/rampwick_router/entry/_answer_end.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_answer_end.py
@@ -38,12 +38,19 @@
         )
 
 
+def has_events(head: ResponseHead, *, otherwise: bool) -> bool:
+    """Return whether a body is a stream of events, by its type if it has one."""
+    content_type = find(head.headers, b"content-type")
+    if content_type is None:
+        return otherwise
+    return content_type.partition(b";")[0].strip().lower() == EVENT_STREAM_TYPE
+
+
 class BodyTracker:
     """Follows a body that is forwarded as it arrives, not event by event."""
 
     def __init__(self, head: ResponseHead) -> None:
-        content_type = find(head.headers, b"content-type") or b""
-        is_stream = content_type.partition(b";")[0].strip().lower() == EVENT_STREAM_TYPE
+        is_stream = has_events(head, otherwise=False)
         self._content = AnswerContent.EVENTS if is_stream else AnswerContent.BYTES
         self._events_count = 0
         self._tail = b""
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -22,7 +22,7 @@
 from .._errors import CallerError, access_error
 from .._headers import ResponseHead
 from .._logs import ComponentLogger
-from ._answer_end import BodyTracker, check_complete
+from ._answer_end import BodyTracker, check_complete, has_events
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
 from ._context import EntryContext
@@ -122,7 +122,8 @@
         raise attempt.failed(Outcome.EXPIRED, "response incomplete at the deadline")
 
     async def _forward(self, attempt: RoutedAttempt, head: ResponseHead) -> None:
-        if self._request.route.is_stream and is_success(head):
+        is_stream = self._request.route.is_stream and is_success(head)
+        if is_stream and has_events(head, otherwise=True):
             await self._forward_stream(attempt, head)
         else:
             await self._forward_buffered(attempt, head)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -128,6 +128,23 @@
                     (frame.__name__, end),
                 )
 
+    def test_answer_of_another_type_on_a_stream_route_is_not_cut(self):
+        for status in (200, 201):
+
+            async def scenario(host, servers, status=status):
+                async def answer(exchange):
+                    extra = b"Content-Type: application/json"
+                    await exchange.answer(b'{"a": 1}', status, extra)
+
+                all_scripts(servers, answer)
+                return await host.call("/stream/1")
+
+            response = run(scenario)
+            self.assertEqual(
+                (status, b'{"a": 1}', True),
+                (response.status, response.body, response.is_whole),
+            )
+
 
 class StartedAnswerTest(TestCase):
     """Only a stream with ids is continued by another attempt."""
