Don't read a reset that a write has met as an end of stream

Found in review. A tunnel ended in order although the upstream had reset its connection, if bytes of the request and the reset arrived in the same iteration of the event loop: an answer that only the close ends looked complete at the other host.

Cause: the kernel reports a reset once. The write got it, and the read that followed found an empty stream. The socket remembers the error of a write and raises it where a read would report the end.

The test failed before (no error from the read).

--- a/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
@@ -35,6 +35,8 @@
         #: Whether the loop watches the socket, and whether it has become readable.
         self._is_watched = False
         self._has_bytes = asyncio.Event()
+        #: Error of a write. The kernel reports a reset once, to a write or to a read.
+        self._send_error: OSError | None = None
 
     @classmethod
     async def connect(cls, address: str) -> "TcpSocket":
@@ -65,15 +67,24 @@
                 view = view[count:]
             except BlockingIOError:
                 await anyio.wait_writable(self._raw)
+            except OSError as error:
+                self._send_error = error
+                raise
 
     async def receive(self) -> bytes:
-        """Return the next bytes; empty once the peer has closed its side."""
+        """Return the next bytes; empty once the peer has closed its side.
+
+        A reset that a write has met is an error here, too, and no end of stream.
+        """
         while True:
             self._watch()
             await self._has_bytes.wait()
             self._has_bytes.clear()
             try:
-                return self._raw.recv(RECEIVE_BYTES)
+                data = self._raw.recv(RECEIVE_BYTES)
+                if not data and self._send_error is not None:
+                    raise self._send_error
+                return data
             except BlockingIOError:
                 # Woken for bytes that an earlier read has already consumed.
                 continue
--- a/tests/test_tcp_socket.py
+++ b/tests/test_tcp_socket.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import socket
+import struct
+import time
 
 import anyio
 from testtools import TestCase
@@ -41,6 +43,26 @@
 
         self.run_with(scenario)
 
+    def test_reset_that_a_write_has_met_is_no_end_of_stream(self):
+        async def main():
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                reader = await TcpSocket.connect(f"127.0.0.1:{port}")
+                remote, _ = listener.accept()
+                remote.send(b"half")
+                self.assertEqual(b"half", await reader.receive())
+                linger = struct.pack("ii", 1, 0)
+                remote.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                remote.close()
+                time.sleep(0.05)
+                with self.assertRaises(OSError):
+                    await reader.send(b"rest of the request", lambda: None)
+                with self.assertRaises(OSError):
+                    await reader.receive()
+                reader.close()
+
+        anyio.run(main)
+
     def test_the_socket_stays_watched_between_two_reads(self):
         async def scenario(reader, remote):
             remote.send(b"one")
