Reset an HTTP/1.0 caller's connection also if the host is killed

Cause: the reset was prepared when the host noticed the cut itself. It is prepared at the start of the answer now and taken back once the last bytes have been written; no other place has to remember it. The test failed before (no reset prepared in the middle of the answer).

--- a/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
@@ -41,10 +41,10 @@
         poll.register(self._raw, select.POLLRDHUP)
         return bool(poll.poll(0))
 
-    def reset_on_close(self) -> None:
-        """Make the close of the connection a reset."""
+    def set_reset_on_close(self, is_reset: bool) -> None:
+        """Make the close of the connection a reset, or an orderly one again."""
         if self._raw is not None and self._raw.fileno() >= 0:
-            self._raw.reset_on_close()
+            self._raw.set_reset_on_close(is_reset)
 
     def unread_seconds(self) -> float:
         """Return for how long at least the bytes just read had been in the kernel.
@@ -67,10 +67,14 @@
 
     _is_reset_on_close = False
 
-    def reset_on_close(self) -> None:
-        """Discard unsent bytes and send a reset when the connection is closed."""
-        self._is_reset_on_close = True
-        self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    def set_reset_on_close(self, is_reset: bool) -> None:
+        """Make the close discard unsent bytes and send a reset, or not.
+
+        The kernel does so, too, when it closes the connection of a killed process.
+        """
+        self._is_reset_on_close = is_reset
+        linger = struct.pack("ii", is_reset, 0)
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def shutdown(self, how: int) -> None:
         """Shut one direction down, unless the connection is to be reset.
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -107,7 +107,6 @@
             if cancel_scope.cancelled_caught:
                 await self._end_cancelled(responder, scope["path"])
         finally:
-            responder.cut()
             del self._open[responder]
 
     async def _serve_or_send_error(
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -41,7 +41,10 @@
     ) -> None:
         self._send = send
         self._caller_socket = caller_socket
-        self._http_version = http_version
+        #: Whether the caller may take the close of its connection for the end of the
+        #: body. Until the end, the connection is set to be closed by a reset, so that
+        #: the response is visibly cut even if this process is killed.
+        self._ends_with_close = http_version == "1.0"
         self._is_draining = is_draining
         self._read_clock = read_clock
         self.has_started = False
@@ -62,6 +65,8 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers; during a shutdown, with ``Connection: close``."""
         self.has_started = True
+        if self._ends_with_close:
+            self._caller_socket.set_reset_on_close(True)
         all_headers = list(headers)
         if self._is_draining():
             all_headers.append(CLOSE)
@@ -82,18 +87,13 @@
 
     async def end(self, body: bytes = b"") -> None:
         """Send the last chunk of the body."""
+        if self._ends_with_close:
+            await self.send(body)
+            body = b""
+            self._caller_socket.set_reset_on_close(False)
         self.has_ended = True
         await self._send_timed({"type": "http.response.body", "body": body})
 
-    def cut(self) -> None:
-        """Make a response without its end visibly incomplete, whatever its framing.
-
-        The server then closes the connection without the last chunk. In a version
-        without chunks, that close would be the end of the body.
-        """
-        if self.has_started and not self.has_ended and self._http_version == "1.0":
-            self._caller_socket.reset_on_close()
-
     async def send_json(self, status: int, data: Any, headers: Headers = ()) -> None:
         """Send a complete JSON response."""
         await self.start(status, [JSON, *headers])
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,5 +1,9 @@
 """Answers that were cut short are never framed as complete."""
 
+import gc
+import socket
+import struct
+
 import anyio
 import h2.config
 import h2.connection
@@ -12,6 +16,7 @@
     ReceivedAnswer,
     find_defect,
 )
+from rampwick_router._caller_sockets import CallerConnection
 from rampwick_router._errors import AttemptError
 from rampwick_router._headers import ResponseHead
 from rampwick_router.entry._answer_end import BodyTracker
@@ -397,6 +402,28 @@
         self.assertTrue(received.endswith(whole(3)), received)
         self.assertTrue(was_reset)
 
+    def test_connection_is_set_to_be_reset_until_the_end(self):
+        lingers = []
+
+        async def scenario(host, servers):
+            async def script(exchange):
+                await exchange.send(exchange.head(extra=CHUNKED) + chunk(whole(2)))
+                await anyio.sleep(0.1)
+                lingers.extend(
+                    item.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+                    for item in gc.get_objects()
+                    if isinstance(item, CallerConnection) and item.fileno() >= 0
+                )
+                await exchange.send(chunk(event(3)) + b"0\r\n\r\n")
+
+            all_scripts(servers, script)
+            return await read_until_close(host, b"1.0")
+
+        received, was_reset = run(scenario)
+        self.assertIn(struct.pack("ii", 1, 0), lingers)
+        self.assertTrue(received.endswith(whole(3)))
+        self.assertFalse(was_reset)
+
     def test_complete_stream_ends_with_an_orderly_close(self):
         received, was_reset = self.read(in_chunks(whole(3)))
         self.assertTrue(received.endswith(whole(3)), received)
