Reset HTTP/2 streams only at the end of their application

Found in review. A caller that reset several streams itself, with data that it had not taken, held its whole connection up for a quarter of a second each (3.0 s for twelve), and what the server kept of a cut stream was never released.

Cause: the reset hung on the closing of streams, which the reading task does, too. It is made where an application returns without an end, and the sending task releases the buffer.

--- a/packages/rampwick-router/src/rampwick_router/_http2.py
+++ b/packages/rampwick-router/src/rampwick_router/_http2.py
@@ -4,6 +4,8 @@
 import h2.errors
 import h2.exceptions
 import hypercorn.protocol
+import priority
+from hypercorn.protocol.events import Event as StreamEvent, StreamClosed
 from hypercorn.protocol.h2 import H2Protocol
 
 #: Time for which a caller may take what was sent before its stream is reset.
@@ -17,24 +19,30 @@
     until its own timeout.
     """
 
-    async def _close_stream(self, stream_id: int) -> None:
-        if stream_id in self.streams:
-            await self._reset_if_cut(stream_id)
-        await super()._close_stream(stream_id)
+    async def stream_send(self, event: StreamEvent) -> None:
+        """Send an event of an application; its return ends its stream."""
+        if isinstance(event, StreamClosed):
+            await self._reset_if_cut(event.stream_id)
+        await super().stream_send(event)
 
     async def _reset_if_cut(self, stream_id: int) -> None:
         buffer = self.stream_buffers.get(stream_id)
-        if self.closed or buffer is None or buffer._complete:
+        is_open = stream_id in self.streams and not self.closed
+        if not is_open or buffer is None or buffer._complete:
             return
         if buffer.buffer:
             with anyio.move_on_after(FLUSH_SECONDS):
                 await buffer.drain()
         try:
             self.connection.reset_stream(stream_id, h2.errors.ErrorCodes.INTERNAL_ERROR)
-        except h2.exceptions.ProtocolError:
+            # The sending task releases a closed buffer when it is its turn.
+            await buffer.close()
+            self.priority.unblock(stream_id)
+        except (h2.exceptions.ProtocolError, priority.MissingStreamError):
             # The caller has reset the stream or closed the connection already.
             return
         await self._flush()
+        await self.has_data.set()
 
 
 def reset_cut_streams() -> None:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -3,11 +3,13 @@
 import gc
 import socket
 import struct
+from unittest import mock
 
 import anyio
 import h2.config
 import h2.connection
 import h2.events
+import h2.settings
 from testtools import TestCase
 
 from rampwick_policy import (
@@ -19,6 +21,7 @@
 from rampwick_router._caller_sockets import CallerConnection
 from rampwick_router._errors import AttemptError
 from rampwick_router._headers import ResponseHead
+from rampwick_router._http2 import ResettingH2Protocol
 from rampwick_router.entry._answer_end import BodyTracker
 from rampwick_router.entry._event_framing import EventFramer
 from rampwick_schema import HostEntry
@@ -465,7 +468,73 @@
     return data, ends
 
 
+async def reset_streams(host, count):
+    """Reset streams whose data the caller does not take; return the time to a reply."""
+    address, _, port = host.address.partition(":")
+    connection = h2.connection.H2Connection(h2.config.H2Configuration())
+    async with await anyio.connect_tcp(address, int(port)) as stream:
+        connection.initiate_connection()
+        window = {h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: 10}
+        connection.update_settings(window)
+        for number in range(count):
+            headers = [
+                (":method", "POST"),
+                (":path", f"/brittle/{number}"),
+                (":scheme", "http"),
+                (":authority", "labels.example"),
+                ("rampwick-request-id", f"r{number}"),
+                ("authorization", f"Bearer {ROUTE_KEY}"),
+            ]
+            connection.send_headers(2 * number + 1, headers, end_stream=True)
+        await stream.send(connection.data_to_send())
+        with anyio.move_on_after(0.5):
+            while True:
+                connection.receive_data(await stream.receive())
+                await stream.send(connection.data_to_send())
+        for number in range(count):
+            connection.reset_stream(2 * number + 1)
+        connection.ping(b"12345678")
+        await stream.send(connection.data_to_send())
+        began_seconds = anyio.current_time()
+        while True:
+            for item in connection.receive_data(await stream.receive()):
+                if isinstance(item, h2.events.PingAckReceived):
+                    return anyio.current_time() - began_seconds
+
+
 class MultiplexedCallerTest(TestCase):
+    def test_resets_by_the_caller_do_not_hold_its_connection_up(self):
+        async def scenario(host, servers):
+            async def script(exchange):
+                await exchange.send(exchange.head(extra=CHUNKED) + chunk(whole(900)))
+                await anyio.sleep(5.0)
+
+            all_scripts(servers, script)
+            with anyio.fail_after(10.0):
+                return await reset_streams(host, 12)
+
+        # Each of twelve streams may wait for a quarter of a second.
+        self.assertLess(run(scenario), 1.5)
+
+    def test_buffers_of_cut_streams_are_released(self):
+        protocols = []
+
+        async def scenario(host, servers):
+            all_scripts(servers, cut_stream)
+            with anyio.fail_after(10.0):
+                await read_http2(host, [f"/brittle/{n}" for n in range(5)], 5)
+            await anyio.sleep(0.2)
+            return [len(item.stream_buffers) for item in protocols]
+
+        created = ResettingH2Protocol.__init__
+
+        def note(protocol, *arguments):
+            created(protocol, *arguments)
+            protocols.append(protocol)
+
+        with mock.patch.object(ResettingH2Protocol, "__init__", note):
+            self.assertEqual([0], run(scenario))
+
     def test_cut_stream_is_reset_and_others_on_its_connection_go_on(self):
         async def scenario(host, servers):
             async def script(exchange):
