Log how the body of a failed attempt ended, and end its wait for chunks

Found in review: the line of an answer says how its body ended, but answers that are cut have no such line, only `attempt failed`, which has the same fields now. The wait for chunks of an upstream ends with its body, so that a caller that takes the end of its answer slowly is no stall of the upstream. No other decision changes.

--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -225,6 +225,7 @@
                 upstream=dispatch.upstream,
                 error=str(error),
                 **self._fingerprint_field(error),
+                **self.body_fields(),
             )
             # The decision that follows cancels this task group.
             self.context.scheduler.post(
@@ -314,6 +315,10 @@
         """Return log fields of the answer that only this kind of request has."""
         return {}
 
+    def body_fields(self) -> dict[str, object]:
+        """Return log fields of how the body of the last attempt ended, if known."""
+        return {}
+
     def _log_dispatch(self, dispatch: Dispatch) -> None:
         choice = dispatch.choice
         fields: dict[str, object] = {}
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -110,6 +110,8 @@
             monitor.waiting_since_seconds = None
             yield chunk
             self._context.stall_detector.note_waiting(monitor)
+        # The caller may take the end of the answer slowly.
+        monitor.waiting_since_seconds = None
 
     @property
     def body_end(self) -> BodyEnd | None:
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -138,9 +138,9 @@
         try:
             await self._forward_events(attempt, head, events)
         finally:
+            self._note_body_end(attempt, len(events.remainder))
             still_due = was_inside_event and not events.events_count
             self._was_inside_event = events.is_inside_event or still_due
-        self._note_body_end(attempt, len(events.remainder))
         check_complete(
             ReceivedAnswer(
                 AnswerContent.EVENTS,
@@ -239,6 +239,12 @@
         return {
             "route": self._request.route.name,
             "events_count": self._events_count,
+            **self.body_fields(),
+        }
+
+    def body_fields(self) -> dict[str, object]:
+        """Return how the last body ended, and its bytes after the last event."""
+        return {
             "body_end": self._body_end.value if self._body_end else "",
             "remainder_bytes": self._remainder_bytes,
         }
