Reject cut load reports of runners

Found in review, native dialect only: an empty report of a runner counted as the answer of a healthy service, and a cut one raised an error that nothing caught. Both are data errors now, as in the adapter. The test failed before.

--- a/packages/rampwick-router/src/rampwick_router/_native_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_native_dialect.py
@@ -171,11 +171,16 @@
         self, entry: HostEntry, head: ResponseHead, body: bytes
     ) -> LoadReport | None:
         """Return a runner's report, None for a healthy service, or raise DataError."""
-        if not body:
+        step = "probe upstream"
+        if not body and entry.kind == "service":
             return None
-        return structure(
-            orjson.loads(body), LoadReport, step="probe upstream", peer=entry.name
-        )
+        try:
+            data = orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            raise DataError(
+                f"cut report: {error}", step=step, peer=entry.name
+            ) from None
+        return structure(data, LoadReport, step=step, peer=entry.name)
 
     def read_signals(self, head: ResponseHead, body: bytes) -> UpstreamSignals:
         """Return no signals: control responses carry no incarnation to verify."""
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -22,9 +22,10 @@
 from rampwick_router._errors import AttemptError
 from rampwick_router._headers import ResponseHead
 from rampwick_router._http2 import ResettingH2Protocol
+from rampwick_router._native_dialect import NativeControlDialect
 from rampwick_router.entry._answer_end import BodyTracker
 from rampwick_router.entry._event_framing import EventFramer
-from rampwick_schema import HostEntry
+from rampwick_schema import DataError, HostEntry
 
 from .bench import KEY, until
 from .case import ScenarioCase
@@ -550,3 +551,15 @@
         data, ends = run(scenario)
         self.assertEqual({1: whole(3), 3: whole(3)}, data)
         self.assertEqual({1: "reset", 3: "ended"}, ends)
+
+
+class CutReportTest(TestCase):
+    def test_cut_load_report_is_no_report_of_a_service(self):
+        runner = HostEntry("r", "runner", "h", "1.1.1.1:1")
+        read_probe = NativeControlDialect().read_probe
+        for body in (b"", b'{"model": "m'):
+            self.assertRaises(
+                DataError, read_probe, runner, ResponseHead(200, []), body
+            )
+        service = HostEntry("s", "service", "h", "1.1.1.1:1")
+        self.assertIsNone(read_probe(service, ResponseHead(200, []), b""))
