Keep a stream at its software version over the retries within one answer

Cause: the choice of the next upstream did not know the software version, which entries state and nobody kept. With the first event, a stream is bound to the version of the upstream that sends it, and only upstreams of that version may go on with it; a version that isn't stated equals none. Before its first event a request may still change. Where no usable upstream has the version, the answer waits as it does without any upstream, and is cut then.

Ruled out: entries of reused addresses, which the check of the incarnation refuses.

Acts only where entries state versions (`Integration.has_software_versions`).

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -30,12 +30,13 @@
 from ._prefill_speed import MAX_EMPTY_QUEUE_SECONDS, MIN_SAMPLE_TOKENS
 from ._prefix import PrefixChain
 from ._queue import QueuedRequest, WaitingQueue
-from ._reasons import KEPT_APART, NO_RETRY_LEFT, NO_UPSTREAM
+from ._reasons import KEPT_APART, NO_RETRY_LEFT, NO_SAME_VERSION, NO_UPSTREAM
 from ._request import RunState
 from ._request_quarantine import RequestQuarantine
 from ._retry import RetryBudgets
 from ._runner_views import ListedViews, RunnerViews, as_runner_views
 from ._shares import FairnessKey
+from ._software_versions import SoftwareVersions
 from ._timeliness import (
     YIELDING_QUEUE_RATIO,
     cannot_meet_target,
@@ -107,8 +108,10 @@
         forecasts: Forecasts,
         plain_shares: PlainShares,
         peer_queues: PeerQueues,
+        software_versions: SoftwareVersions,
         estimates_start: bool,
     ) -> None:
+        self._software_versions = software_versions
         self._peer_queues = peer_queues
         self._estimates_start = estimates_start
         self._settings = settings
@@ -234,6 +237,10 @@
                 item, forecast.reason if forecast else NO_UPSTREAM, now_seconds
             )
             return None
+        views = self._software_versions.allowed_views(item, views)
+        if not views:
+            self._mark_blocked(item, NO_SAME_VERSION, now_seconds)
+            return None
         budget = self._budgets.of(arrival.service, self._pool.peers.known_hosts_count)
         if item.needs_budget and not budget.has_retry(now_seconds):
             self._mark_blocked(item, NO_RETRY_LEFT, now_seconds)
@@ -352,6 +359,7 @@
         item.needs_budget = False
         item.upstream = upstream.name
         item.incarnation = upstream.incarnation
+        item.attempt_software_version = upstream.entry.software_version
         item.sent_at_seconds = now_seconds
         self._request_quarantine.note_sent(item)
         self._pool.rate_limiter.note_sent(upstream, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -48,6 +48,10 @@
     incarnation: str = ""
     sent_at_seconds: float = 0.0
     charged_tokens: float = 0.0
+    #: Software version that the stream has to stay with; ``None`` while it may run at
+    #: any. And that of the upstream of the current attempt.
+    software_version: str | None = None
+    attempt_software_version: str = ""
     #: The latest attempt that got no answer for long.
     stalled_attempt_id: str = ""
     #: Charges against the token limits.
--- a/packages/rampwick-policy/src/rampwick_policy/_reasons.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_reasons.py
@@ -8,6 +8,8 @@
 #: The request is quarantined, because upstreams crashed while running it.
 ENDS_UPSTREAMS = "ends_upstreams"
 NO_UPSTREAM = "no_upstream"
+#: No usable upstream has the software version that began the stream.
+NO_SAME_VERSION = "no_same_version"
 NO_RETRY_LEFT = "no_retry_left"
 #: The request is isolated, and no upstream without another such request is available.
 KEPT_APART = "kept_apart"
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -49,6 +49,7 @@
 from ._retry import RetryBudgets
 from ._shares import UsageLedger
 from ._shutdown_announcements import Incarnation
+from ._software_versions import SoftwareVersions
 from ._start_estimates import StartEstimates
 from ._upstreams import Upstream, UpstreamTable
 
@@ -64,6 +65,8 @@
         settings: Settings,
         placement: Placement | None = None,
         rng: random.Random | None = None,
+        *,
+        has_software_versions: bool = False,
     ) -> None:
         self._settings = settings
         self.pool = Pool(settings)
@@ -77,6 +80,9 @@
         )
         rates = LearnedRates()
         estimates = StartEstimates(self.upstreams, self.peers, self.queue, rates)
+        self.software_versions = SoftwareVersions(
+            self.upstreams, is_enabled=has_software_versions
+        )
         self._dispatcher = Dispatcher(
             settings.placement,
             self.pool,
@@ -96,6 +102,7 @@
                 rates,
             ),
             estimates.peer_queues,
+            self.software_versions,
             settings.queue.estimates_start,
         )
         self._intake = Intake(
@@ -268,6 +275,7 @@
         if item is not None and item.lifecycle.deliver(
             event.attempt_id, may_continue=event.may_continue
         ):
+            self.software_versions.note_first_event(item)
             upstream = self.upstreams.get(item.upstream)
             self.pool.cache_transfers.end(event.attempt_id)
             if upstream is not None:
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -81,7 +81,15 @@
             host.link_megabits_per_second,
         )
         read_clock = clocks.monotonic
-        self.scheduler = SchedulerTask(Scheduler(settings, rng=rng), read_clock)
+        self.scheduler = SchedulerTask(
+            Scheduler(
+                settings,
+                rng=rng,
+                has_software_versions=integration is not None
+                and integration.has_software_versions,
+            ),
+            read_clock,
+        )
         dialects = integration.dialects if integration else NATIVE_DIALECTS
         control: UpstreamControl = upstreams
         if integration is not None:
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -97,6 +97,9 @@
     ),
     "deadline_passed": ErrorKind(504, "no answer began before the deadline"),
     "no_upstream": ErrorKind(503, "no upstream can take the request now"),
+    "no_same_version": ErrorKind(
+        503, "no usable upstream has the software version that began the stream"
+    ),
     "kept_apart": ErrorKind(
         503, "each upstream has another request that upstreams may end under"
     ),
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -9,6 +9,7 @@
 from .scripted import (
     HOST,
     KEY,
+    Hangup,
     MemoryStore,
     ScriptedUpstream,
     list_upstream,
@@ -32,13 +33,11 @@
 
 def run(scenario, names=("a", "b", "c", "d"), **options):
     """Run a scenario with one host and upstreams of two versions."""
-    versions = {name: MIXED[name] for name in names}
+    options.setdefault("versions", {name: MIXED[name] for name in names})
 
     async def main():
         with anyio.fail_after(TEST_TIMEOUT_SECONDS):
-            async with run_routed(
-                {"notes": list(names)}, versions=versions, **options
-            ) as (host, servers):
+            async with run_routed({"notes": list(names)}, **options) as (host, servers):
                 return await scenario(host, servers)
 
     return anyio.run(main)
@@ -142,6 +141,57 @@
         found = run(scenario)
         self.assertEqual([1] * 8, [len(versions) for versions in found.values()], found)
 
+    def test_stream_is_cut_if_no_upstream_has_its_version(self):
+        async def scenario(host, servers):
+            all_scripts(servers, break_after_three)
+            response = await host.call("/stream/1")
+            return response, versions_by_stream(servers)
+
+        response, found = run(scenario, names=("a", "b"))
+        self.assertFalse(response.is_whole)
+        self.assertEqual(1, len(found["r1"]))
+
+    def test_stream_that_has_not_begun_may_change_the_version(self):
+        async def scenario(host, servers):
+            async def hang_up(exchange):
+                for server in servers.values():
+                    server.scripts = [stream_of(1, 6)]
+                raise Hangup
+
+            all_scripts(servers, hang_up)
+            response = await host.call("/stream/1")
+            return response, versions_by_stream(servers)
+
+        response, found = run(scenario, names=("a", "b"))
+        self.assertTrue(response.is_whole)
+        self.assertEqual({"v1", "v2"}, found["r1"])
+
+    def test_unknown_versions_are_not_taken_for_the_same(self):
+        async def scenario(host, servers):
+            all_scripts(servers, break_after_three)
+            response = await host.call("/stream/1")
+            return response.is_whole, len(all_requests(servers))
+
+        unknown = {"a": "", "c": ""}
+        self.assertEqual((False, 1), run(scenario, names=unknown, versions=unknown))
+
+    def test_versions_have_no_effect_where_entries_do_not_state_them(self):
+        async def scenario(host, servers):
+            async def break_then_go_on(exchange):
+                for server in servers.values():
+                    server.scripts = [stream_of(4, 6)]
+                await break_after_three(exchange)
+
+            all_scripts(servers, break_then_go_on)
+            return (await host.call("/stream/1")).is_whole
+
+        self.assertTrue(run(scenario, versions=None))
+
+
+async def break_after_three(exchange):
+    """Stream three events and break off."""
+    await stream_of(1, 9, stop_after=3)(exchange)
+
 
 class ReturningCallerTest(TestCase):
     def test_stream_taken_up_at_another_host_goes_on_at_its_version(self):
