Keep a stream at its software version when its caller takes it up at any host

Cause: what one attempt knew ended with it. A host now tells all others the version of each stream when it sends the request, before the first event can reach the caller (BegunStreamsUpdate: nine bytes a stream, collected for 20 ms while a service has several versions, else for 250 ms; relays pass on what is new to them; a host that links gets the newest). A caller's request to go on (`Resumes`) is bound to that version, or, without a record, to the only one that its service has had for as long as the stream can have lasted, if the host knows that from a current list. An unknown version is refused as not run, with Retry-After; so is one of which no upstream is listed, at once. Streams that have begun go before new ones, up to what an upstream takes at the most.

Keys of streams include the workspace, so that no caller reaches another's. Two streams of one id, versions that aren't stated, torn records and overlong names leave a version unknown. Peers of older releases get no message that they can't decode: Hello announces the messages that a host knows, since an unknown one ends a link.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -12,6 +12,11 @@
     LateCause as LateCause,
     find_late_cause as find_late_cause,
 )
+from ._begun_streams import (
+    BegunStream as BegunStream,
+    BegunStreams as BegunStreams,
+    stream_key as stream_key,
+)
 from ._burst_detector import BurstDetector as BurstDetector
 from ._cache_events import (
     CacheEventBuffer as CacheEventBuffer,
--- /dev/null
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -0,0 +1,202 @@
+"""The software versions at which streams began, shared by all hosts.
+
+A caller may take a broken stream up at any host, when the host that began it is gone or
+cut off. Each host therefore tells all others the version of each stream that it begins,
+when it sends the request: before the first event can reach the caller.
+"""
+
+import hashlib
+from collections.abc import Callable
+
+import attrs
+
+from rampwick_schema import BegunStreamsUpdate, ListedVersion, ReprMixin, StreamGroup
+
+from ._version_history import VersionHistory
+
+#: Version of an upstream whose entry does not state one. It equals no version, not even
+#: itself: two upstreams of unknown versions may differ.
+UNKNOWN_VERSION = ""
+
+#: Length of a stream's key, and of its record in an update, which ends with the number
+#: of the attempt.
+KEY_BYTES = 8
+RECORD_BYTES = KEY_BYTES + 1
+MAX_ATTEMPT_NUMBER = 255
+
+#: Maximum number of streams that a host remembers, and that one update has.
+MAX_STREAMS_COUNT = 50_000
+MAX_UPDATE_COUNT = 5_000
+
+#: Time after a stream's deadline for which it is remembered: callers' clocks differ.
+RETENTION_SECONDS = 2.0
+
+#: Longest time for which a peer may ask a host to remember a stream.
+MAX_LIFETIME_SECONDS = 600.0
+
+#: Longest accepted name of a service or a version.
+MAX_NAME_CHARACTERS = 256
+
+#: Time over which streams are collected for one update while all upstreams of a service
+#: have one version, and while they have several.
+RELAXED_BATCH_SECONDS = 0.25
+URGENT_BATCH_SECONDS = 0.02
+
+
+def stream_key(workspace_path: str, request_id: str) -> bytes:
+    """Return the key of a stream by the request that began it.
+
+    The workspace is part of it, so that no caller can name a stream of another one.
+    """
+    text = f"{workspace_path}\0{request_id}".encode()
+    return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+
+
+@attrs.frozen(repr=False)
+class BegunStream(ReprMixin):
+    """Where a stream began, as far as is known."""
+
+    service: str
+    software_version: str
+    #: Number of the attempt within its request. A request may change the version before
+    #: its first event, so that the last attempt counts.
+    attempt_number: int
+    expires_at_seconds: float
+
+
+class BegunStreams:
+    """Streams begun by any host, by key, and the updates about them for peers."""
+
+    def __init__(self, history: VersionHistory) -> None:
+        self._history = history
+        self._streams: dict[bytes, BegunStream] = {}
+        self._pending: dict[bytes, BegunStream] = {}
+        #: Called when there is an update to broadcast.
+        self.on_update: Callable[[], None] = _do_nothing
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def find(self, key: bytes, now_seconds: float) -> BegunStream | None:
+        """Return a stream that can still be taken up, or ``None``."""
+        stream = self._streams.get(key)
+        if stream is None or stream.expires_at_seconds < now_seconds:
+            return None
+        return stream
+
+    def note_sent(self, key: bytes, stream: BegunStream, now_seconds: float) -> None:
+        """Record that a request was sent that may begin a stream, and tell peers."""
+        if self._add(key, stream, now_seconds):
+            self._enqueue(key)
+
+    def receive_update(
+        self, update: BegunStreamsUpdate, now_seconds: float, *, must_forward: bool
+    ) -> None:
+        """Apply a peer's update; values that can't be right are ignored.
+
+        With ``must_forward``, what is new is passed on to other peers.
+        """
+        self._history.receive(update.listed, update.known_seconds, now_seconds)
+        for group in update.groups:
+            names = (group.service, group.software_version)
+            if max(map(len, names)) > MAX_NAME_CHARACTERS:
+                continue
+            self._history.note_begun(*names, now_seconds)
+            lifetime_seconds = min(group.lifetime_seconds, MAX_LIFETIME_SECONDS)
+            expires_at_seconds = now_seconds + lifetime_seconds
+            records = group.records
+            for start in range(0, len(records) - RECORD_BYTES + 1, RECORD_BYTES):
+                key = records[start : start + KEY_BYTES]
+                number = records[start + KEY_BYTES]
+                stream = BegunStream(*names, number, expires_at_seconds)
+                if self._add(key, stream, now_seconds) and must_forward:
+                    self._enqueue(key)
+
+    def take_update(self, now_seconds: float) -> BegunStreamsUpdate | None:
+        """Return the streams that peers have not been told yet, if any."""
+        if not self._pending:
+            return None
+        keys = list(self._pending)[:MAX_UPDATE_COUNT]
+        taken = {key: self._pending.pop(key) for key in keys}
+        if self._pending:
+            self.on_update()
+        return _to_update(taken, now_seconds)
+
+    def take_retransmission(self, now_seconds: float) -> None:
+        """Return nothing: a peer that misses an update gets it when it connects."""
+        return
+
+    def initial_state(self, now_seconds: float) -> BegunStreamsUpdate | None:
+        """Return the newest streams and the versions listed, for a new peer."""
+        self._expire(now_seconds)
+        keys = list(self._streams)[-MAX_UPDATE_COUNT:]
+        update = _to_update({key: self._streams[key] for key in keys}, now_seconds)
+        return attrs.evolve(
+            update,
+            listed=[
+                ListedVersion(service, version, age_seconds)
+                for service, version, age_seconds in self._history.ages(now_seconds)
+            ],
+            known_seconds=self._history.known_seconds(now_seconds),
+        )
+
+    def batch_seconds(self) -> float:
+        """Return the time over which streams are collected for one update."""
+        is_mixed = self._history.is_mixed
+        return URGENT_BATCH_SECONDS if is_mixed else RELAXED_BATCH_SECONDS
+
+    def _add(self, key: bytes, stream: BegunStream, now_seconds: float) -> bool:
+        """Record a stream; return whether that is new."""
+        known = self._streams.get(key)
+        if known is not None and known.expires_at_seconds >= now_seconds:
+            if known.attempt_number > stream.attempt_number:
+                return False
+            if known.attempt_number == stream.attempt_number:
+                if _version(known) in (_version(stream), UNKNOWN_VERSION):
+                    return False
+                # Two hosts have got requests with the same id.
+                stream = attrs.evolve(stream, software_version=UNKNOWN_VERSION)
+        # The newest streams are at the end.
+        self._streams.pop(key, None)
+        self._streams[key] = stream
+        self._expire(now_seconds)
+        return True
+
+    def _enqueue(self, key: bytes) -> None:
+        self._pending[key] = self._streams[key]
+        self.on_update()
+
+    def _expire(self, now_seconds: float) -> None:
+        """Forget the oldest streams that have expired, or are too many."""
+        while self._streams:
+            key = next(iter(self._streams))
+            has_expired = self._streams[key].expires_at_seconds < now_seconds
+            if not has_expired and len(self._streams) <= MAX_STREAMS_COUNT:
+                return
+            del self._streams[key]
+
+
+def _version(stream: BegunStream) -> str:
+    return stream.software_version
+
+
+def _to_update(
+    streams: dict[bytes, BegunStream], now_seconds: float
+) -> BegunStreamsUpdate:
+    records: dict[tuple[str, str, int], bytearray] = {}
+    for key, stream in streams.items():
+        # Lifetimes are rounded up to whole seconds, so that many share a group.
+        left_seconds = max(0.0, stream.expires_at_seconds - now_seconds)
+        group = (stream.service, stream.software_version, int(left_seconds) + 1)
+        record = key + bytes([min(stream.attempt_number, MAX_ATTEMPT_NUMBER)])
+        records.setdefault(group, bytearray()).extend(record)
+    return BegunStreamsUpdate(
+        [
+            StreamGroup(service, version, float(seconds), bytes(data))
+            for (service, version, seconds), data in records.items()
+        ]
+    )
+
+
+def _do_nothing() -> None:
+    return
--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -274,7 +274,9 @@
         if not is_late and is_too_late and not is_due(item, now_seconds):
             return None
         arguments = (arrival.service, choice, views, fairness_key)
-        if is_late or is_too_late:
+        if item.has_begun:
+            may_dispatch = chosen_view(choice, views).has_headroom
+        elif is_late or is_too_late:
             queue_ratio = late_queue_ratio(item, now_seconds)
             may_dispatch = capacity.may_dispatch_late(*arguments, queue_ratio)
         elif self._gives_way(item, now_seconds):
@@ -362,6 +364,7 @@
         item.attempt_software_version = upstream.entry.software_version
         item.sent_at_seconds = now_seconds
         self._request_quarantine.note_sent(item)
+        self._software_versions.note_sent(item, now_seconds)
         self._pool.rate_limiter.note_sent(upstream, now_seconds)
         upstream.start(
             attempt_id,
--- a/packages/rampwick-policy/src/rampwick_policy/_early_refusals.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_early_refusals.py
@@ -148,6 +148,7 @@
         return (
             lifecycle.is_waiting
             and not lifecycle.attempts_count
+            and not item.has_begun
             and item.blocked_since_seconds is None
         )
 
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -63,6 +63,14 @@
     pause_target_seconds: float | None = None
     #: Answer length that the caller expects; ``None`` if it stated none.
     expected_answer_tokens: int | None = None
+    #: Key of the stream that it may begin, and of the one that its caller says it goes
+    #: on with; empty for none.
+    stream_key: bytes = b""
+    resumed_key: bytes = b""
+    #: Whether the caller has events of the stream already.
+    is_resumption: bool = False
+    #: Longest time since a stream began that its caller may still take up.
+    max_stream_age_seconds: float = 0.0
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_intake.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_intake.py
@@ -21,6 +21,7 @@
 )
 from ._request import RequestLifecycle
 from ._request_quarantine import RequestQuarantine
+from ._software_versions import SoftwareVersions
 
 
 @attrs.frozen(repr=False)
@@ -47,7 +48,9 @@
         quarantine: RequestQuarantine,
         forecasts: Forecasts,
         rates: LearnedRates,
+        software_versions: SoftwareVersions,
     ) -> None:
+        self._software_versions = software_versions
         self._settings = settings
         self._queue = queue
         self._admission = admission
@@ -90,6 +93,11 @@
         if self._request_quarantine.quarantine_state(item) is QuarantineState.STOPPED:
             self._request_quarantine.note_refused(item, now_seconds)
             return Rejection(ENDS_UPSTREAMS)
+        unresumable = self._software_versions.check_resumption(item, now_seconds)
+        if unresumable is not None:
+            return Rejection(
+                unresumable.reason, retry_after_seconds=unresumable.retry_after_seconds
+            )
         postponed = self._forecasts.find_postponement_on_arrival(item, now_seconds)
         if postponed is not None:
             return Rejection(
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -60,6 +60,11 @@
     blocked_since_seconds: float | None = None
     blocked_reason: str = ""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether its caller has events that bind it to a software version."""
+        return self.software_version is not None
+
     @property
     def request_id(self) -> str:
         """ID of the request."""
--- a/packages/rampwick-policy/src/rampwick_policy/_reasons.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_reasons.py
@@ -8,6 +8,8 @@
 #: The request is quarantined, because upstreams crashed while running it.
 ENDS_UPSTREAMS = "ends_upstreams"
 NO_UPSTREAM = "no_upstream"
+#: It is not known at which software version the stream began.
+UNKNOWN_SOFTWARE = "unknown_software_version"
 #: No usable upstream has the software version that began the stream.
 NO_SAME_VERSION = "no_same_version"
 NO_RETRY_LEFT = "no_retry_left"
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -114,6 +114,7 @@
             self.quarantine,
             self._forecasts,
             rates,
+            self.software_versions,
         )
         self._refusals = Refusals(
             settings.retry,
@@ -146,7 +147,7 @@
             ev.RequestCancelled: self._on_cancelled,
             ev.LoadReported: self._on_reported,
             ev.ProbeFailed: self._on_probe_failed,
-            ev.HostListRead: self._on_pool_event,
+            ev.HostListRead: self._on_host_list,
             ev.PeerSummaryReceived: self._on_pool_event,
             ev.PeerRemoved: self._on_pool_event,
             ev.WeightsReported: self._on_pool_event,
@@ -250,7 +251,9 @@
             ]
         victim = self._intake.evict_for(item)
         if victim is not item:
-            self.queue.add(item)
+            # What a caller has a part of goes before what it may begin elsewhere.
+            add = self.queue.add_first if item.has_begun else self.queue.add
+            add(item)
         if victim is None:
             return []
         return [self._requests.refuse(victim, QUEUE_FULL, now_seconds, peer="host")]
@@ -388,6 +391,14 @@
         self.pool.handle(event, now_seconds)
         return []
 
+    def _on_host_list(
+        self, event: ev.HostListRead, now_seconds: float
+    ) -> list[ev.Action]:
+        self.software_versions.note_listed(now_seconds)
+        self.pool.handle(event, now_seconds)
+        self.software_versions.note_listed(now_seconds)
+        return []
+
     def _on_reported(
         self, event: ev.LoadReported, now_seconds: float
     ) -> list[ev.Action]:
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -2,17 +2,47 @@
 
 Upstreams of several software versions may serve in one service, and what one version
 writes does not fit what another one goes on with. Upstreams do not check that, so a
-stream is only sent to upstreams of the version that produced its first event.
+stream is only sent to upstreams of the version that produced its first event: over the
+retries within one answer, and over the requests of a caller that takes it up.
 """
 
+from collections import Counter
+
+import attrs
+
+from rampwick_schema import ReprMixin
+
+from ._begun_streams import (
+    RETENTION_SECONDS,
+    UNKNOWN_VERSION,
+    BegunStream,
+    BegunStreams,
+)
 from ._queue import QueuedRequest
+from ._reasons import NO_SAME_VERSION, UNKNOWN_SOFTWARE
 from ._runner_views import ListedViews, RunnerView, RunnerViews
 from ._upstream import Upstream
 from ._upstreams import UpstreamTable
+from ._version_history import VersionHistory
+
+#: ``Retry-After`` for a stream of unknown version. Another host may know the version,
+#: and updates of peers take less.
+UNKNOWN_RETRY_SECONDS = 0.25
+
+#: ``Retry-After`` while no upstream of the version is listed. One that crashed is
+#: started again within seconds.
+NO_UPSTREAM_RETRY_SECONDS = 1.0
+
+#: How the version of a stream that a caller takes up was found, as used in metrics.
+RECORDED, ONLY_VERSION, UNKNOWN, GONE = "recorded", "only version", "unknown", "gone"
+
+
+@attrs.frozen(repr=False)
+class Unresumable(ReprMixin):
+    """Why a stream can't be taken up here now."""
 
-#: Version of an upstream whose entry does not state one. It equals no version, not even
-#: itself: two upstreams of unknown versions may differ.
-UNKNOWN_VERSION = ""
+    reason: str
+    retry_after_seconds: float
 
 
 class SoftwareVersions:
@@ -22,6 +52,76 @@
         self._upstreams = upstreams
         #: Whether the entries of upstreams state versions.
         self.is_enabled = is_enabled
+        self.history = VersionHistory()
+        self.streams = BegunStreams(self.history)
+        #: Number of streams that callers took up, by how their version was found.
+        self.resumed_counts: Counter[str] = Counter()
+
+    def note_listed(self, now_seconds: float) -> None:
+        """Record the versions of the listed upstreams."""
+        if self.is_enabled:
+            self.history.note_listed(self._upstreams, now_seconds)
+
+    # Streams that callers take up.
+
+    def check_resumption(
+        self, item: QueuedRequest, now_seconds: float
+    ) -> Unresumable | None:
+        """Bind a stream that its caller takes up; return why it can't be."""
+        arrival = item.arrival
+        if not (self.is_enabled and arrival.is_resumable and arrival.is_resumption):
+            return None
+        version, found_by = self._find_version(item, now_seconds)
+        if version != UNKNOWN_VERSION and not self._is_listed(
+            arrival.service, version, now_seconds
+        ):
+            found_by = GONE
+        self.resumed_counts[found_by] += 1
+        if found_by == UNKNOWN:
+            return Unresumable(UNKNOWN_SOFTWARE, UNKNOWN_RETRY_SECONDS)
+        if found_by == GONE:
+            return Unresumable(NO_SAME_VERSION, NO_UPSTREAM_RETRY_SECONDS)
+        item.software_version = version
+        return None
+
+    def _find_version(self, item: QueuedRequest, now_seconds: float) -> tuple[str, str]:
+        arrival = item.arrival
+        begun = self.streams.find(arrival.resumed_key, now_seconds)
+        if begun is not None:
+            is_known = begun.software_version != UNKNOWN_VERSION
+            if is_known and begun.service == arrival.service:
+                return begun.software_version, RECORDED
+            return UNKNOWN_VERSION, UNKNOWN
+        only = self.history.only_version(
+            arrival.service, arrival.max_stream_age_seconds, now_seconds
+        )
+        if only:
+            return only, ONLY_VERSION
+        return UNKNOWN_VERSION, UNKNOWN
+
+    def _is_listed(self, service: str, version: str, now_seconds: float) -> bool:
+        """Return whether an upstream of a version is listed and not leaving."""
+        return any(
+            upstream.entry.group == service
+            and is_same_version(upstream, version)
+            and not self._upstreams.is_draining(upstream, now_seconds)
+            for upstream in self._upstreams
+        )
+
+    # Attempts.
+
+    def note_sent(self, item: QueuedRequest, now_seconds: float) -> None:
+        """Record an attempt that may send the first event of a stream."""
+        arrival = item.arrival
+        if not (self.is_enabled and arrival.is_resumable and arrival.stream_key):
+            return
+        stream = BegunStream(
+            arrival.service,
+            item.attempt_software_version,
+            item.lifecycle.attempts_count,
+            arrival.deadline_seconds + RETENTION_SECONDS,
+        )
+        self.streams.note_sent(arrival.stream_key, stream, now_seconds)
 
     def note_first_event(self, item: QueuedRequest) -> None:
         """Record that the current attempt of a request sends its first event."""
--- a/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_timeliness.py
@@ -69,7 +69,13 @@
 
 
 def is_due(item: QueuedRequest, now_seconds: float) -> bool:
-    """Return whether a request that is to be served can't give way any longer."""
+    """Return whether a request that is to be served can't give way any longer.
+
+    A stream that has begun never does: its caller waits in the middle of an answer, and
+    fewer upstreams can go on with it.
+    """
+    if item.has_begun:
+        return True
     allowed_seconds = item.arrival.deadline_seconds - item.arrived_at_seconds
     waited_seconds = now_seconds - item.arrived_at_seconds
     return item.is_kept and waited_seconds > allowed_seconds * DUE_RATIO
--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -18,6 +18,7 @@
     RoutedCall as RoutedCall,
     UpstreamSignals as UpstreamSignals,
     read_request_rate as read_request_rate,
+    read_resumed_id as read_resumed_id,
     read_signals as read_signals,
 )
 from ._errors import CallerError as CallerError
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -371,6 +371,7 @@
             attrs.asdict(state) for state in _read_limits(scheduler, now_seconds)
         ],
         "unreachable_services": scheduler.pool.reachability.unreachable,
+        "streams_taken_up": dict(scheduler.software_versions.resumed_counts),
         "brittle_services": scheduler.pool.brittle.states(),
         "request_rates": [
             attrs.asdict(state) for state in _read_request_rates(scheduler, now_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -103,6 +103,7 @@
             api, settings, self.scheduler, control, read_clock, rng
         )
         self.hosts = HostListTask(self.scheduler)
+        self.scheduler.set_list_age(self.hosts.age_seconds)
         self.configuration = ConfigurationTask(
             self.follower, self.scheduler, read_clock
         )
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -44,6 +44,18 @@
         return sum(known == name for known, _ in self.headers)
 
 
+#: Longest id of another request that a caller may name.
+MAX_NAMED_ID_BYTES = 256
+
+
+def read_resumed_id(raw: RawCall, name: bytes) -> str:
+    """Return the id of the request whose stream a caller takes up; empty if invalid."""
+    value = (raw.get(name) or b"").strip()
+    if raw.count(name) != 1 or len(value) > MAX_NAMED_ID_BYTES:
+        return ""
+    return value.decode("latin-1")
+
+
 @attrs.frozen(repr=False)
 class RoutedCall(ReprMixin):
     """A caller's request on a route, parsed from its headers."""
@@ -69,6 +81,9 @@
     declared_tokens: int | None = None
     #: Id of the last event that the caller received; empty for a new stream.
     last_event_id: str = ""
+    #: Id of the request that brought the first event of the stream that is taken up;
+    #: empty if the caller names none.
+    resumed_id: str = ""
 
     @property
     def path(self) -> str:
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -97,6 +97,9 @@
     ),
     "deadline_passed": ErrorKind(504, "no answer began before the deadline"),
     "no_upstream": ErrorKind(503, "no upstream can take the request now"),
+    "unknown_software_version": ErrorKind(
+        503, "it is not known at which software version the stream began"
+    ),
     "no_same_version": ErrorKind(
         503, "no usable upstream has the software version that began the stream"
     ),
--- a/packages/rampwick-router/src/rampwick_router/_native_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_native_dialect.py
@@ -30,6 +30,7 @@
     RoutedCall,
     UpstreamSignals,
     read_request_rate,
+    read_resumed_id,
     read_signals,
 )
 from ._errors import CallerError
@@ -52,6 +53,7 @@
 PARTS = b"rampwick-prompt-parts"
 ANSWER_TOKENS = b"rampwick-answer-tokens"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"rampwick-resumes"
 WORKSPACE = b"rampwick-workspace"
 INCARNATION = b"rampwick-incarnation"
 WEIGHTS = b"rampwick-weights-version"
@@ -95,6 +97,7 @@
             parts=read_parts(raw.get(PARTS) or b""),
             max_answer_tokens=_read_count(raw.get(ANSWER_TOKENS)),
             last_event_id=(raw.get(LAST_EVENT_ID) or b"").decode("latin-1"),
+            resumed_id=read_resumed_id(raw, RESUMES),
         )
 
     def write_error(self, error: CallerError, request_id: str) -> ErrorResponse:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -17,6 +17,7 @@
 from rampwick_policy import (
     Action,
     AnswerTimings,
+    BegunStreams,
     CancelAttempt,
     Dispatch,
     Event,
@@ -33,7 +34,12 @@
     Tick,
     UpstreamPath,
 )
-from rampwick_schema import NamedWeights, ReprMixin, WeightsTarget
+from rampwick_schema import (
+    BegunStreamsUpdate,
+    NamedWeights,
+    ReprMixin,
+    WeightsTarget,
+)
 
 from ._logs import ComponentLogger
 
@@ -121,6 +127,25 @@
         """Upstreams that announced a shutdown."""
         return self._scheduler.upstreams.shutdown_announcements
 
+    @property
+    def begun_streams(self) -> BegunStreams | None:
+        """The versions at which streams began; none where entries state no versions."""
+        versions = self._scheduler.software_versions
+        return versions.streams if versions.is_enabled else None
+
+    def set_list_age(self, read_age_seconds: Callable[[float], float]) -> None:
+        """Set the function that returns the age of the host list at a time."""
+        history = self._scheduler.software_versions.history
+        history.list_age_seconds = read_age_seconds
+
+    def receive_begun_streams(
+        self, update: BegunStreamsUpdate, *, must_forward: bool
+    ) -> None:
+        """Apply a peer's update, which makes no waiting request dispatchable."""
+        self._scheduler.software_versions.streams.receive_update(
+            update, self._read_clock(), must_forward=must_forward
+        )
+
     def has_request_rate(self, upstream: str) -> bool:
         """Return whether an upstream has reported a request rate limit recently."""
         return self.rates.has_observation(upstream)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -112,7 +112,10 @@
         return self._context.check_access(call)
 
     def _service(self, route: Route, call: RoutedCall) -> Service:
-        name = choose_service(route, call.request_id)
+        # A stream that is taken up goes on in the service that began it.
+        is_resumption = bool(call.last_event_id and call.resumed_id)
+        chosen_by = call.resumed_id if is_resumption else call.request_id
+        name = choose_service(route, chosen_by)
         service = self._context.view.routes.service(name)
         assert service is not None, "the configuration was validated"
         return service
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -17,6 +17,7 @@
     RequestArrived,
     RunState,
     Verdict,
+    stream_key,
 )
 
 from .._errors import CallerError, access_error
@@ -99,6 +100,12 @@
             identity=request.identity,
             pause_target_seconds=request.route.gap_target_seconds or None,
             expected_answer_tokens=self._call.expected_answer_tokens,
+            stream_key=stream_key(request.workspace.path, self._call.request_id),
+            resumed_key=stream_key(request.workspace.path, self._call.resumed_id)
+            if self._call.resumed_id
+            else b"",
+            is_resumption=bool(self._call.last_event_id),
+            max_stream_age_seconds=request.route.timeout_seconds,
         )
 
     async def attempt(self, dispatch: Dispatch, check: AttemptCheck) -> AttemptDone:
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -24,6 +24,7 @@
     RateLimitUpdateReceived,
 )
 from rampwick_schema import (
+    BegunStreamsUpdate,
     CacheEventUpdate,
     CrashUpdate,
     FleetSummary,
@@ -139,6 +140,7 @@
             self._links,
             self.roles,
             read_clock,
+            scheduler.begun_streams,
         )
         self.tunnels = TunnelClient(
             own,
@@ -286,6 +288,9 @@
         elif isinstance(message, LeavingUpdate):
             self._scheduler.post(LeavingUpdateReceived(message))
             self._relay(link, message)
+        elif isinstance(message, BegunStreamsUpdate):
+            must_forward = self.roles.is_relay()
+            self._scheduler.receive_begun_streams(message, must_forward=must_forward)
         elif isinstance(message, CacheEventUpdate):
             self.cache_outbox.receive(link, message)
         elif isinstance(message, Members):
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -17,7 +17,13 @@
 
 from rampwick_platform import move_on_after_aligned, sleep_aligned
 from rampwick_policy import Member
-from rampwick_schema import Members, PeerSettings, ReprMixin, encode_message
+from rampwick_schema import (
+    MESSAGES_VERSION,
+    Members,
+    PeerSettings,
+    ReprMixin,
+    encode_message,
+)
 
 from .._errors import PeerError
 from .._logs import ComponentLogger
@@ -66,6 +72,8 @@
     #: Times at which bytes were last received, and a message was last sent.
     received_at_seconds: float
     sent_at_seconds: float
+    #: Version of the messages that the peer decodes; others are not sent.
+    messages_version: int = MESSAGES_VERSION
     #: Cancelled to close the link.
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     _was_unresponsive: bool = False
@@ -76,9 +84,14 @@
         peer: Member,
         now_seconds: float,
         send: Callable[[bytes], bool] = _send_nothing,
+        messages_version: int = MESSAGES_VERSION,
     ) -> "Link":
         """Return a link that has just been opened."""
-        return cls(peer, send, now_seconds, now_seconds)
+        return cls(peer, send, now_seconds, now_seconds, messages_version)
+
+    def accepts(self, message: Any) -> bool:
+        """Return whether the peer decodes a message; it may be of an older release."""
+        return bool(self.messages_version >= message.CODE)
 
     def mark_received(self, now_seconds: float) -> None:
         """Record that bytes were received."""
@@ -99,7 +112,9 @@
         return was_unresponsive and self._was_unresponsive
 
     def put(self, message: Any) -> None:
-        """Send a message, or drop it if the peer is too slow."""
+        """Send a message, or drop it if the peer is too slow or doesn't know it."""
+        if not self.accepts(message):
+            return
         self.put_encoded(encode_message(message))
 
     def put_encoded(self, data: bytes) -> None:
@@ -154,7 +169,11 @@
 
     def broadcast(self, message: Any, is_recipient: Callable[[Member], bool]) -> None:
         """Send a message to all connected peers that ``is_recipient`` selects."""
-        links = [link for link in self.links if is_recipient(link.peer)]
+        links = [
+            link
+            for link in self.links
+            if link.accepts(message) and is_recipient(link.peer)
+        ]
         if not links:
             return
         data = encode_message(message)
@@ -273,7 +292,9 @@
             if stream.tunnel is not None:
                 await self.serve_tunnel(stream, peer)
                 return
-            link = Link.open(peer, self._read_clock(), stream.put)
+            link = Link.open(
+                peer, self._read_clock(), stream.put, stream.messages_version
+            )
             self._links.append(link)
             # Any received bytes count as activity, not only whole messages: a long
             # message takes seconds over a slow link.
--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -17,7 +17,9 @@
 from rampwick_policy import Member
 from rampwick_schema import (
     LENGTH_BYTES,
+    MESSAGES_VERSION,
     PROTOCOL_VERSION,
+    UNANNOUNCED_MESSAGES_VERSION,
     Hello,
     MessageError,
     Proof,
@@ -106,6 +108,8 @@
         #: Error that ended the stream; none while it is open.
         self._failure: Exception | None = None
         self.peer = ""
+        #: Version of the messages that the peer decodes.
+        self.messages_version = UNANNOUNCED_MESSAGES_VERSION
         #: Called when bytes are received, and when a message is sent.
         self.on_bytes: Callable[[], None] = _ignore
         self.on_sent: Callable[[], None] = _ignore
@@ -352,6 +356,7 @@
         if not hmac.compare_digest(proof.digest, _prove(secret, remote, local)):
             raise self._refused("wrong secret")
         self.peer = remote.host
+        self.messages_version = max(self.messages_version, remote.messages_version)
         self._count_as("hall" if remote.hall == own.hall else "across")
         return Member(
             remote.host,
@@ -384,6 +389,7 @@
         nonce=secrets.token_bytes(NONCE_BYTES),
         peer_address=own.address,
         link_megabits_per_second=own.link_megabits_per_second,
+        messages_version=MESSAGES_VERSION,
     )
     if tunnel_to is None:
         return hello
--- a/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
@@ -10,7 +10,13 @@
 
 import anyio
 
-from rampwick_schema import CrashUpdate, LeavingUpdate, RateLimitUpdate
+from rampwick_policy import BegunStreams
+from rampwick_schema import (
+    BegunStreamsUpdate,
+    CrashUpdate,
+    LeavingUpdate,
+    RateLimitUpdate,
+)
 
 from ._links import PeerLinks
 from ._roles import Roles
@@ -32,7 +38,11 @@
 RETRANSMIT_INTERVAL_SECONDS = 1.0
 
 #: Messages that all hosts must receive.
-Update = CrashUpdate | RateLimitUpdate | LeavingUpdate
+Update = CrashUpdate | RateLimitUpdate | LeavingUpdate | BegunStreamsUpdate
+
+
+def _default_batch() -> float:
+    return UPDATE_BATCH_SECONDS
 
 
 class UpdateSource(Protocol):
@@ -61,7 +71,9 @@
         links: PeerLinks,
         roles: Roles,
         read_clock: Callable[[], float],
+        streams: BegunStreams | None = None,
     ) -> None:
+        """``streams`` is the source for the streams that this host begins, if any."""
         self._summaries = summaries
         self._links = links
         self._roles = roles
@@ -70,6 +82,11 @@
         self._broadcasters = [
             UpdateBroadcaster(source, self._broadcast, read_clock) for source in sources
         ]
+        if streams is not None:
+            batch = streams.batch_seconds
+            self._broadcasters.append(
+                UpdateBroadcaster(streams, self._broadcast, read_clock, batch)
+            )
         #: Whether there is a burst to broadcast from this hall, and from another hall.
         self._is_own_burst = False
         self._is_remote_burst = False
@@ -154,8 +171,10 @@
         source: UpdateSource,
         broadcast: Callable[[Update], None],
         read_clock: Callable[[], float],
+        read_batch_seconds: Callable[[], float] = _default_batch,
     ) -> None:
         self.source = source
+        self._read_batch_seconds = read_batch_seconds
         self._broadcast = broadcast
         self._read_clock = read_clock
         self._has_update = anyio.Event()
@@ -169,7 +188,7 @@
         """Broadcast until cancelled."""
         while True:
             await self._has_update.wait()
-            await anyio.sleep(UPDATE_BATCH_SECONDS)
+            await anyio.sleep(self._read_batch_seconds())
             self._has_update = anyio.Event()
             update = self.source.take_update(self._read_clock())
             while update is not None:
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -10,6 +10,7 @@
 from ._generated_peer import (
     AboardRequest as AboardRequest,
     Beat as Beat,
+    BegunStreamsUpdate as BegunStreamsUpdate,
     CacheChange as CacheChange,
     CacheEventUpdate as CacheEventUpdate,
     CacheUpdate as CacheUpdate,
@@ -29,6 +30,7 @@
     LeavingUpdate as LeavingUpdate,
     LeavingUpstream as LeavingUpstream,
     LimitUsage as LimitUsage,
+    ListedVersion as ListedVersion,
     LiveUpstream as LiveUpstream,
     MemberRecord as MemberRecord,
     Members as Members,
@@ -42,6 +44,7 @@
     RunnerLoad as RunnerLoad,
     RunnerWeights as RunnerWeights,
     StoppedRequest as StoppedRequest,
+    StreamGroup as StreamGroup,
     Summary as Summary,
     TreeReply as TreeReply,
     TunnelData as TunnelData,
@@ -104,7 +107,9 @@
 )
 from ._wire import (
     LENGTH_BYTES as LENGTH_BYTES,
+    MESSAGES_VERSION as MESSAGES_VERSION,
     PROTOCOL_VERSION as PROTOCOL_VERSION,
+    UNANNOUNCED_MESSAGES_VERSION as UNANNOUNCED_MESSAGES_VERSION,
     decode_message as decode_message,
     encode_message as encode_message,
 )
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -37,6 +37,8 @@
     link_megabits_per_second: float = attrs.field(
         default=1000.0, validator=within(0.0, None)
     )
+    #: Highest code of the messages that the sender decodes; 0 if it does not say.
+    messages_version: int = attrs.field(default=0, validator=within(0, None))
 
 
 @attrs.frozen(repr=False)
@@ -607,6 +609,8 @@
     upstream: str = attrs.field(default="")
     #: IP and port of the upstream.
     upstream_address: str = attrs.field(default="")
+    #: Highest code of the messages that the sender decodes; 0 if it does not say.
+    messages_version: int = attrs.field(default=0, validator=within(0, None))
 
 
 @attrs.frozen(repr=False)
@@ -639,6 +643,46 @@
     error: str = attrs.field(default="")
 
 
+@attrs.frozen(repr=False)
+class StreamGroup(ReprMixin):
+    """Requests that may have begun a stream at one software version."""
+
+    #: Service of the streams.
+    service: str
+    #: Software version of the upstreams; empty if it is not known.
+    software_version: str
+    #: Time for which their callers may take them up, as of sending.
+    lifetime_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
+    #: For each the hash of workspace and request id, 8 bytes, and the number of the attempt, one byte.
+    records: bytes
+
+
+@attrs.frozen(repr=False)
+class ListedVersion(ReprMixin):
+    """A software version that upstreams of a service have or had."""
+
+    #: Name of the service.
+    service: str
+    #: Version of the software.
+    software_version: str
+    #: Time since an upstream of this version was last listed.
+    age_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
+
+
+@attrs.frozen(repr=False)
+class BegunStreamsUpdate(ReprMixin):
+    """Update between hosts about the software versions at which streams began."""
+
+    CODE: ClassVar[int] = 24
+
+    #: Streams that the sender has begun, or passes on.
+    groups: list[StreamGroup] = attrs.field(factory=list)
+    #: Versions that the sender knows; sent when a link opens.
+    listed: list[ListedVersion] = attrs.field(factory=list)
+    #: Time for which the sender knows all versions that were listed; 0 if it does not say.
+    known_seconds: float = attrs.field(default=0.0, validator=within(0.0, 1000000000.0))
+
+
 #: Classes by the code that starts their message.
 MESSAGES: dict[int, type] = {
     Hello.CODE: Hello,
@@ -664,4 +708,5 @@
     TunnelReply.CODE: TunnelReply,
     TunnelData.CODE: TunnelData,
     TunnelEnd.CODE: TunnelEnd,
+    BegunStreamsUpdate.CODE: BegunStreamsUpdate,
 }
--- a/packages/rampwick-schema/src/rampwick_schema/_wire.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_wire.py
@@ -18,6 +18,13 @@
 #: Version of the peer protocol; connections of peers with another version are refused.
 PROTOCOL_VERSION = 2
 
+#: Version of the set of messages: the highest code. Hosts announce the one that they
+#: decode, since an unknown message ends a link.
+MESSAGES_VERSION = max(MESSAGES)
+
+#: Version that hosts decode which announce none.
+UNANNOUNCED_MESSAGES_VERSION = 23
+
 STEP = "decode message"
 
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,6 +5,8 @@
 import anyio
 from testtools import TestCase
 
+from rampwick_schema import UNANNOUNCED_MESSAGES_VERSION
+
 from .bench import until
 from .scripted import (
     HOST,
@@ -210,6 +212,103 @@
         self.assertEqual([{"v1"}] * 6, list(found.values()))
         self.assertEqual([200] * 6, statuses)
 
+    def test_stream_goes_on_after_the_host_that_began_it_is_gone(self):
+        async def scenario(one, two, servers):
+            all_scripts(servers, begin_or_go_on)
+            await begin_stream(one, "s1")
+            await until(lambda: len(streams_of(two)) == 1)
+            for link in one.daemon._gossip._links.links:
+                link.scope.cancel()
+            return await resume(two, "s1", 1), versions_by_stream(servers)
+
+        view, found = run_hosts(scenario)
+        self.assertEqual((200, 1), (view.status, len(found["s1"])))
+
+    def test_stream_of_unknown_version_is_refused_as_not_run(self):
+        async def scenario(one, two, servers):
+            all_scripts(servers, begin_or_go_on)
+            await begin_stream(one, "s1")
+            await until(lambda: len(streams_of(two)) == 1)
+            requests_count = len(all_requests(servers))
+            headers = {"Last-Event-Id": "3"}
+            views = [
+                await two.call("/stream/1", request_id=f"r{number}", headers=item)
+                for number, item in enumerate(
+                    (
+                        headers,
+                        {**headers, "Rampwick-Resumes": "unknown"},
+                        {**headers, "Rampwick-Resumes": "s1" * 400},
+                        {**headers, "Rampwick-Resumes": ""},
+                    )
+                )
+            ]
+            return views, len(all_requests(servers)) - requests_count
+
+        views, runs_count = run_hosts(scenario)
+        self.assertEqual([503] * 4, [view.status for view in views])
+        self.assertEqual(0, runs_count)
+        for view in views:
+            self.assertIn(b"unknown_software_version", view.body)
+            self.assertIn("retry-after", view.headers)
+
+    def test_stream_whose_version_has_left_is_refused_at_once(self):
+        async def scenario(one, two, servers):
+            all_scripts(servers, begin_or_go_on)
+            await begin_stream(one, "s1")
+            (version,) = versions_by_stream(servers)["s1"]
+            for name in [name for name in servers if MIXED[name] == version]:
+                list_upstream(one.store, servers[name], "notes", "leaving", version)
+                await until(lambda name=name: is_leaving(two, name))
+            with anyio.fail_after(0.5):
+                return await resume(two, "s1", 1)
+
+        view = run_hosts(scenario)
+        self.assertEqual(503, view.status)
+        self.assertIn(b"no_same_version", view.body)
+
+    def test_stream_of_the_only_version_goes_on_without_a_record(self):
+        async def scenario(one, two, servers):
+            all_scripts(servers, begin_or_go_on)
+            history = two.daemon.scheduler._scheduler.software_versions.history
+            early = await two.call("/stream/1", headers={"Last-Event-Id": "3"})
+            history._known_since_seconds -= 10.0
+            late = await two.call("/stream/1", headers={"Last-Event-Id": "3"})
+            return early.status, late.status
+
+        same = dict.fromkeys("abcd", "v1")
+        self.assertEqual((503, 200), run_hosts(scenario, versions=same))
+
+    def test_new_host_learns_of_streams_and_versions_from_its_peers(self):
+        async def scenario(one, two, servers):
+            all_scripts(servers, begin_or_go_on)
+            await begin_stream(one, "s1")
+            peers = PEERS + f'seeds = ["{one.peer_address}"]\n'
+            async with run_routed_host(
+                one.store, "entry-3", peers=peers, has_versions=True
+            ) as three:
+                await until(lambda: len(streams_of(three)) >= 1)
+                await until(lambda: three.upstreams_count == len(servers))
+                return await resume(three, "s1", 1), versions_by_stream(servers)
+
+        view, found = run_hosts(scenario)
+        self.assertEqual((200, 1), (view.status, len(found["s1"])))
+
+    def test_peer_of_an_older_release_gets_no_message_that_it_cannot_decode(self):
+        async def scenario(one, two, servers):
+            all_scripts(servers, begin_or_go_on)
+            for link in one.daemon._gossip._links._links:
+                link.messages_version = UNANNOUNCED_MESSAGES_VERSION
+            await begin_stream(one, "s1")
+            await anyio.sleep(0.4)
+            return len(streams_of(one)), len(streams_of(two))
+
+        self.assertEqual((1, 0), run_hosts(scenario))
+
+
+def streams_of(host):
+    """Return the streams that a host remembers."""
+    return host.daemon.scheduler.begun_streams
+
 
 def all_requests(servers):
     """Return the requests that all upstreams received."""
