--- a/packages/rampwick-policy/src/rampwick_policy/_version_history.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_version_history.py
@@ -58,9 +58,14 @@
             self._note(
                 item.service, item.software_version, now_seconds - item.age_seconds
             )
-        if known_seconds and self._known_since_seconds is not None:
+        if known_seconds:
             since_seconds = now_seconds - min(known_seconds, REMEMBERED_SECONDS)
-            self._known_since_seconds = min(self._known_since_seconds, since_seconds)
+            own_seconds = self._known_since_seconds
+            self._known_since_seconds = (
+                since_seconds
+                if own_seconds is None
+                else min(own_seconds, since_seconds)
+            )
 
     def known_seconds(self, now_seconds: float) -> float:
         """Return for how long all listed versions are known."""
--- /dev/null
+++ b/tests/test_begun_streams.py
@@ -0,0 +1,161 @@
+"""What hosts know of the software versions at which streams began."""
+
+from testtools import TestCase
+
+from rampwick_policy import BegunStream, BegunStreams, stream_key
+from rampwick_policy._begun_streams import (
+    MAX_NAME_CHARACTERS,
+    MAX_STREAMS_COUNT,
+    RECORD_BYTES,
+    UNKNOWN_VERSION,
+)
+from rampwick_policy._version_history import MAX_LIST_AGE_SECONDS, VersionHistory
+from rampwick_schema import (
+    BegunStreamsUpdate,
+    StreamGroup,
+    decode_message,
+    encode_message,
+)
+
+KEY = stream_key("/a", "r1")
+
+
+def make(version="v1", number=1, until=20.0, service="notes"):
+    return BegunStream(service, version, number, until)
+
+
+class Listed:
+    """An upstream as the history sees it."""
+
+    def __init__(self, version, service="notes"):
+        self.entry = type("Entry", (), {"group": service, "software_version": version})
+
+
+class BegunStreamsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.own = BegunStreams(VersionHistory())
+        self.peer = BegunStreams(VersionHistory())
+
+    def send(self, now=1.0, must_forward=False):
+        """Pass the pending update on to the peer, over the wire."""
+        update = self.own.take_update(now)
+        data = decode_message(encode_message(update)[4:])
+        self.peer.receive_update(data, now, must_forward=must_forward)
+
+    def version(self, streams, key=KEY, now=1.0):
+        found = streams.find(key, now)
+        return found and found.software_version
+
+    def test_last_attempt_counts_in_any_order_of_arrival(self):
+        for order in ((1, 2), (2, 1)):
+            peer = BegunStreams(VersionHistory())
+            for number in order:
+                self.own = BegunStreams(VersionHistory())
+                self.peer = peer
+                self.own.note_sent(KEY, make(f"v{number}", number), 1.0)
+                self.send()
+            self.assertEqual("v2", self.version(peer), order)
+
+    def test_two_streams_of_one_id_have_no_known_version(self):
+        self.own.note_sent(KEY, make("v1"), 1.0)
+        self.peer.note_sent(KEY, make("v2"), 1.0)
+        self.send()
+        self.assertEqual(UNKNOWN_VERSION, self.version(self.peer))
+        self.own.note_sent(KEY, make("v1"), 1.0)
+        self.assertEqual("v1", self.version(self.own))
+
+    def test_stream_is_forgotten_after_its_deadline(self):
+        self.own.note_sent(KEY, make(until=3.0), 1.0)
+        self.send()
+        self.assertEqual("v1", self.version(self.peer, now=3.0))
+        self.assertIsNone(self.version(self.peer, now=4.1))
+
+    def test_keys_of_two_workspaces_differ(self):
+        self.assertNotEqual(KEY, stream_key("/b", "r1"))
+
+    def test_relay_passes_each_stream_on_once(self):
+        self.own.note_sent(KEY, make(), 1.0)
+        update = self.own.take_update(1.0)
+        for _ in range(3):
+            self.peer.receive_update(update, 1.0, must_forward=True)
+        self.assertIsNotNone(self.peer.take_update(1.0))
+        self.assertIsNone(self.peer.take_update(1.0))
+
+    def test_torn_records_and_long_names_change_nothing(self):
+        long = "v" * (MAX_NAME_CHARACTERS + 1)
+        records = KEY + b"\1"
+        for group in (
+            StreamGroup("notes", "v1", 9.0, records[:-1]),
+            StreamGroup("notes", long, 9.0, records),
+            StreamGroup(long, "v1", 9.0, records),
+        ):
+            self.peer.receive_update(
+                BegunStreamsUpdate([group]), 1.0, must_forward=True
+            )
+        self.assertEqual(0, len(self.peer))
+        group = StreamGroup("notes", "v1", 1e9, records + records[:-1])
+        self.peer.receive_update(BegunStreamsUpdate([group]), 1.0, must_forward=False)
+        self.assertEqual(1, len(self.peer))
+        self.assertIsNone(self.version(self.peer, now=700.0))
+
+    def test_number_of_streams_is_bounded_and_the_newest_stay(self):
+        for number in range(MAX_STREAMS_COUNT + 10):
+            key = number.to_bytes(RECORD_BYTES - 1, "big")
+            self.own.note_sent(key, make(until=1e9), 1.0)
+        self.assertEqual(MAX_STREAMS_COUNT, len(self.own))
+        self.assertIsNotNone(self.own.find(key, 1.0))
+
+    def test_initial_state_has_streams_and_versions(self):
+        history = VersionHistory()
+        history.note_listed([Listed("v1")], 1.0)
+        own = BegunStreams(history)
+        own.note_sent(KEY, make(), 11.0)
+        peer_history = VersionHistory()
+        peer = BegunStreams(peer_history)
+        peer.receive_update(own.initial_state(11.0), 111.0, must_forward=False)
+        self.assertEqual("v1", self.version(peer, now=111.0))
+        self.assertEqual(10.0, peer_history.known_seconds(111.0))
+
+
+class VersionHistoryTest(TestCase):
+    def history(self, *listed, since=0.0, now=20.0):
+        history = VersionHistory()
+        history.list_age_seconds = lambda now_seconds: 0.5
+        history.note_listed(listed, since)
+        history.note_listed(listed, now)
+        return history
+
+    def test_only_version_is_known_after_as_long_as_a_stream_may_last(self):
+        history = self.history(Listed("v1"), Listed("v1"))
+        self.assertEqual("v1", history.only_version("notes", 15.0, 20.0))
+        self.assertIsNone(history.only_version("notes", 25.0, 20.0))
+        self.assertIsNone(history.only_version("other", 15.0, 20.0))
+
+    def test_version_that_left_counts_as_long_as_its_streams_may_last(self):
+        history = self.history(Listed("v1"), Listed("v2"))
+        history.note_listed([Listed("v2")], 30.0)
+        self.assertIsNone(history.only_version("notes", 15.0, 30.0))
+        self.assertTrue(history.is_mixed)
+        self.assertEqual("v2", history.only_version("notes", 15.0, 36.0))
+
+    def test_old_list_proves_nothing(self):
+        history = self.history(Listed("v1"))
+        history.list_age_seconds = lambda now_seconds: MAX_LIST_AGE_SECONDS + 0.1
+        self.assertIsNone(history.only_version("notes", 15.0, 20.0))
+
+    def test_stream_of_a_version_that_is_not_listed_here_makes_a_service_mixed(self):
+        history = self.history(Listed("v1"))
+        history.note_begun("notes", "v2", 20.0)
+        self.assertIsNone(history.only_version("notes", 15.0, 20.0))
+
+    def test_version_that_is_not_stated_is_not_the_only_one(self):
+        history = self.history(Listed(UNKNOWN_VERSION))
+        self.assertFalse(history.only_version("notes", 15.0, 20.0))
+
+    def test_host_knows_as_long_as_its_peers_do(self):
+        history = VersionHistory()
+        history.list_age_seconds = lambda now_seconds: 0.5
+        history.receive([], 100.0, 20.0)
+        history.note_listed([Listed("v1")], 20.1)
+        self.assertEqual("v1", history.only_version("notes", 15.0, 20.2))
