--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -113,7 +113,7 @@
         for service, count in isolation.against_preference_counts().items():
             metrics.against_preference.labels(service).set(count)
         metrics.ignored_demands.set(isolation.ignored_count)
-        self._context.scheduler.run_query(self._observe_estimates)
+        self._context.scheduler.run_query(self._observe_scheduler)
         for state, count in self._context.scheduler.run_query(_count_suspects).items():
             metrics.suspects.labels(state).set(count)
         unreachable = self._context.scheduler.run_query(_read_unreachable)
@@ -141,7 +141,10 @@
         body = generate_latest(metrics.registry)
         return Response(body, media_type=CONTENT_TYPE_LATEST)
 
-    def _observe_estimates(self, scheduler: Scheduler, now_seconds: float) -> None:
+    def _observe_scheduler(self, scheduler: Scheduler, now_seconds: float) -> None:
+        taken_up = scheduler.software_versions.resumed_counts
+        for found, count in taken_up.items():
+            self._context.metrics.streams_taken_up.labels(found).set(count)
         metrics, refusals = self._context.metrics, scheduler.early_refusals
         for labels, count in refusals.refused_counts.items():
             metrics.early_refusals.labels(*labels).set(count)
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -156,6 +156,12 @@
             "Summaries of peers whose prefill demand was not plausible.",
             registry=registry,
         )
+        self.streams_taken_up = Gauge(
+            "rampwick_streams_taken_up",
+            "Streams that callers took up, by how their software version was found.",
+            ("found",),
+            registry=registry,
+        )
         self.early_refusals = Gauge(
             "rampwick_early_refusals",
             "Requests refused by an estimate of their start: on arrival, at the check "
