--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -39,7 +39,7 @@
 
 #: Time over which streams are collected for one update while all upstreams of a service
 #: have one version, and while they have several.
-RELAXED_BATCH_SECONDS = 0.1
+RELAXED_BATCH_SECONDS = 0.25
 URGENT_BATCH_SECONDS = 0.02
 
 
