Stand-ins: streams torn inside an event, and cut answers of the service

A runner that ends its body as if it were whole inside an event, and a service that breaks off in the middle of a body, could not be brought about with the stand-ins: their cuts fell between events, or before the first byte of a body.

`EngineFaults.torn_after_count` sends half of the event after that many and ends the chunks in order. `cut_answers_count` cuts that many answers of the service after half of the body, in turn with a stated length and with chunks; `POST /faults` sets it. A body with neither, and a reset, are not possible with this server: it adds chunks to each HTTP/1.1 answer without a length and gives the application no connection. The cancellations that hosts send to services after a break don't count, else they would use up each second cut.

--- a/packages/rampwick-standin/src/rampwick_standin/_engine.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_engine.py
@@ -48,6 +48,8 @@
     is_busy: bool = False
     #: Break each connection after this many events; None to complete the stream.
     cut_after_count: int | None = None
+    #: End each body, as if it were whole, inside the event after this many.
+    torn_after_count: int | None = None
     #: Position of an event that is sent twice.
     repeat_position: int | None = None
     #: Attempt id in the header of every response, in place of the requested one.
--- a/packages/rampwick-standin/src/rampwick_standin/_runner.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_runner.py
@@ -87,8 +87,12 @@
         if self.engine.is_leaving:
             stream.announced_leaving = True
             headers["Rampwick-Leaving"] = "1"
+        events = self._events(stream, position, is_chat)
+        torn_after_count = self.engine.faults.torn_after_count
+        if torn_after_count is not None:
+            events = _tear(events, torn_after_count)
         return StreamingResponse(
-            self._events(stream, position, is_chat),
+            events,
             media_type="text/event-stream",
             headers=headers,
         )
@@ -197,6 +201,15 @@
     return body["prompt"].encode()
 
 
+async def _tear(events: AsyncIterator[bytes], count: int) -> AsyncIterator[bytes]:
+    async for event in events:
+        if not count:
+            yield event[: len(event) // 2]
+            return
+        count -= 1
+        yield event
+
+
 def _token_event(stream: Stream, position: int, is_chat: bool) -> bytes:
     token = stream.tokens[position]
     is_last = stream.is_done and position + 1 == len(stream.tokens)
--- a/packages/rampwick-standin/src/rampwick_standin/_service.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_service.py
@@ -1,5 +1,6 @@
 """Simulated plain service that echoes calls and records them."""
 
+import json
 from collections.abc import AsyncIterator
 
 import anyio
@@ -9,9 +10,10 @@
 from starlette.routing import Route
 
 
-async def _interrupted_body() -> AsyncIterator[bytes]:
+async def _interrupted_body(part: bytes = b"") -> AsyncIterator[bytes]:
+    if part:
+        yield part
     raise ConnectionError("injected fault: response lost")
-    yield b""
 
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
@@ -27,11 +29,14 @@
         self.calls: list[tuple[str, str, bytes]] = []
         #: Number of calls to execute without sending a response.
         self.lost_answers_count = 0
+        #: Number of responses to cut, in turn with a stated length and chunks.
+        self.cut_answers_count = 0
         self.is_busy = False
         self.app = Starlette(
             routes=[
                 Route("/load", self._load),
                 Route("/seen", self._seen),
+                Route("/faults", self._set_faults, methods=["POST"]),
                 Route("/{path:path}", self._call, methods=METHODS),
             ]
         )
@@ -43,6 +48,11 @@
         """Return the bodies of all executed calls, for external checks."""
         return JSONResponse([body.decode() for _, _, body in self.calls])
 
+    async def _set_faults(self, request: Request) -> Response:
+        data = json.loads(await request.body())
+        self.cut_answers_count = data.get("cut_answers_count", 0)
+        return Response(status_code=204)
+
     async def _call(self, request: Request) -> Response:
         if self.is_busy:
             return Response(status_code=429)
@@ -58,4 +68,12 @@
             "path": request.url.path,
             "bytes": len(body),
         }
-        return JSONResponse(response_body, status_code=status)
+        response = JSONResponse(response_body, status_code=status)
+        # Hosts also cancel failed calls, by DELETE; nobody waits for those responses.
+        if self.cut_answers_count > 0 and request.method != "DELETE":
+            self.cut_answers_count -= 1
+            # Without the stated length, the server sends chunks.
+            headers = response.headers if self.cut_answers_count % 2 else None
+            part = bytes(response.body[: len(response.body) // 2])
+            return StreamingResponse(_interrupted_body(part), status, headers)
+        return response
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -206,6 +206,18 @@
         view = self.answer(script)
         self.assertEqual((200, b"half", False), (view.status, view.body, view.is_whole))
 
+    def test_answer_that_the_stand_in_cuts_is_not_complete(self):
+        async def scenario(bench):
+            service = bench.add_service("portal-1", "portal")
+            async with bench.run_host() as host:
+                await host.until_ready()
+                await until(lambda: host.upstream("portal-1"))
+                service.cut_answers_count = 2
+                return [await call_service(host, GET_SERVICE) for _ in range(3)]
+
+        views = self.run_scenario(scenario)
+        self.assertEqual([False, False, True], [view.is_whole for view in views])
+
 
 class ForcedShutdownTest(TestCase):
     def test_stream_at_a_forced_shutdown_is_cut_without_an_event_of_the_host(self):
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -41,6 +41,21 @@
         # Three resumptions suffice for cuts after every second event or more.
         self.assertEqual([True] * 5, [response.is_whole for response in responses[1:]])
 
+    def test_stream_torn_inside_any_event_is_never_framed_as_complete(self):
+        async def scenario(bench):
+            runner = bench.add_runner("lektor-1")
+            responses = []
+            async with bench.run_host() as host:
+                await host.until_ready("lektor-1")
+                # The usage and the end mark follow the tokens.
+                for position in range(LENGTH + 2):
+                    runner.engine.faults = EngineFaults(torn_after_count=position)
+                    prompt = f"torn after {position}"
+                    responses.append(await host.stream(prompt, max_tokens=LENGTH))
+            return responses
+
+        self.assert_holds(check_responses(self.run_scenario(scenario), LENGTH))
+
     def repeat_an_event(self):
         """Return the response to a stream with one event sent twice."""
 
