Soak: draw torn streams and cut answers of the service

The soak could not bring about the incident of answers that were broken off and framed as complete: no fault ended a body in order inside its content, and a caller that got such an answer ended the run by an exception of its parser.

Two kinds are drawn last: `torn_streams` tears the streams of a runner inside one of their events, `cut_answers` cuts four answers of the service. Neither name starts with `runner_`, so that the check of rate limits is not excused by them. An answer with complete framing whose content breaks off is a violation of its own, whatever its status; a cut one is not.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -42,7 +42,7 @@
     is_cut: bool = False
     #: Whether the connection was refused.
     is_unreachable: bool = False
-    #: Exception that ended the attempt without a response.
+    #: Exception that ended the attempt without a readable response.
     error: str = ""
 
 
@@ -102,7 +102,14 @@
             return self._failed_call(
                 kind, host, text, began_seconds, is_cut=True, error=repr(error)
             )
-        observed = _read(kind, text, response, key)
+        try:
+            observed = _read(kind, text, response, key)
+        except ValueError as error:
+            observed = ObservedResponse(text, response.status_code, key=key)
+            ended_seconds = time.monotonic()
+            return Call(
+                kind, host, observed, began_seconds, ended_seconds, error=repr(error)
+            )
         return Call(kind, host, observed, began_seconds, time.monotonic())
 
     def _failed_call(
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -92,6 +92,7 @@
         *observations.found_during_run,
         *check_responses(responses, RESPONSE_TOKENS),
         *check_services(observations.calls),
+        *check_content(observations.calls),
         *check_at_most_once(
             observations.runs, at_most_once_prompts(observations.calls)
         ),
@@ -285,6 +286,16 @@
     ]
 
 
+def check_content(calls: Iterable[Call]) -> list[str]:
+    """No response with complete framing breaks off inside its content."""
+    return [
+        f"{call.observed.prompt} ({call.kind}) got a complete response from "
+        f"{call.host} with broken content: {call.error}"
+        for call in calls
+        if call.error and not call.is_cut
+    ]
+
+
 def check_refusals(calls: Sequence[Call], runs: Sequence[str]) -> list[str]:
     """A request whose attempts were all refused as not run never ran."""
     ran = set(runs)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,6 +14,7 @@
 from rampwick_policy import ConflictError
 from rampwick_schema import Node, NodeEdit, WeightsTarget
 
+from ._callers import RESPONSE_TOKENS
 from ._fleet import CRASHING_PROMPT, KEY, MODEL, Fleet, ManagedProcess
 from ._proxy import Proxy
 
@@ -78,8 +79,10 @@
 
 #: Connections that drop all bytes while new ones work, a request that crashes the
 #: runners that run it, a runner with a low rate limit, a runner that announces its
-#: shutdown in responses only, and a store that is restored from an older copy. They
-#: are drawn last, so that seeds from before these kinds existed draw the same as then.
+#: shutdown in responses only, a store that is restored from an older copy, a host
+#: without links to the upstreams, a runner that ends its streams inside an event, and
+#: a service that cuts responses. They are drawn last, so that seeds from before these
+#: kinds existed draw the same as then; new kinds are added at the end.
 LAST_DRAWN_KINDS = (
     "peer_link_blackholed",
     "platform_link_blackholed",
@@ -89,6 +92,8 @@
     "runner_announces_shutdown",
     "platform_restored",
     "host_cut_off",
+    "torn_streams",
+    "cut_answers",
 )
 
 #: Ways in which a host's links to the upstreams fail: all bytes are held back, all
@@ -104,6 +109,12 @@
 RATE_LIMIT_SECONDS = 9.0
 MAX_RATE = 3.0
 
+#: Events of a whole stream, inside one of which it is torn: tokens, usage, end mark.
+STREAM_EVENTS = RESPONSE_TOKENS + 2
+
+#: Responses that the service cuts, half of them with a stated length.
+CUT_ANSWERS = 4
+
 #: Time from the announcement of a runner's shutdown to its exit.
 DRAIN_SECONDS = 6.0
 
@@ -190,6 +201,7 @@
         await self._fleet.post(self._fleet.platform, "/faults", {})
         for runner in self._fleet.runners:
             await self._fleet.post(runner, "/faults", {})
+        await self._fleet.post(self._fleet.service, "/faults", {})
         self._fleet.leaving.clear()
         await self._fleet.publish()
         if self._was_restored:
@@ -388,6 +400,18 @@
     ) -> None:
         await self._inject_runner_fault(fault, injected, {"loses_answers": True})
 
+    async def _torn_streams(self, fault: Fault, injected: InjectedFault) -> None:
+        data = {"torn_after_count": fault.index % STREAM_EVENTS}
+        await self._inject_runner_fault(fault, injected, data)
+
+    async def _cut_answers(self, fault: Fault, injected: InjectedFault) -> None:
+        service = self._fleet.service
+        injected.target = service.name
+        data = {"cut_answers_count": CUT_ANSWERS}
+        await self._fleet.post(service, "/faults", data)
+        await anyio.sleep(fault.duration_seconds)
+        await self._fleet.post(service, "/faults", {})
+
     async def _crashing_prompt(self, fault: Fault, injected: InjectedFault) -> None:
         for number in range(CRASHING_ATTEMPTS):
             hosts = self._fleet.hosts
@@ -432,7 +456,7 @@
         await self._fleet.post(runner, "/request-rate", data)
 
     async def _inject_runner_fault(
-        self, fault: Fault, injected: InjectedFault, data: dict[str, bool]
+        self, fault: Fault, injected: InjectedFault, data: dict[str, int]
     ) -> None:
         runner = self._runner(fault, injected)
         await self._fleet.post(runner, "/faults", data)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,8 @@
 
 import anyio
 import attrs
-from soak._callers import RESPONSE_TOKENS, Call
+import httpx
+from soak._callers import RESPONSE_TOKENS, Call, Caller
 from soak._checks import RunObservations, check_all
 from soak._faults import (
     LAST_DRAWN_KINDS,
@@ -70,6 +71,14 @@
     )
 
 
+def read_as_caller(kind, status, body):
+    """Return the call of a caller that gets this response."""
+    transport = httpx.MockTransport(lambda _: httpx.Response(status, content=body))
+    client = httpx.AsyncClient(transport=transport, base_url="http://e0")
+    caller = Caller("c0", {"e0": ""}, random.Random(1), lambda _: None, {"e0": client})
+    return anyio.run(caller.send, kind, "e0")
+
+
 class CheckersTest(TestCase):
     """Each kind of violation is reported, and the nearest valid history is not."""
 
@@ -236,6 +245,20 @@
             )
             self.assertEqual(is_reported, bool(violations), at)
 
+    def test_complete_response_with_broken_content_is_reported(self):
+        bodies = (
+            ("stream", 200, b'id: 1\ndata: {"cho'),
+            ("stream", 502, b'{"err'),
+            ("read", 200, b'{"service": "portal", "by'),
+        )
+        for kind, status, body in bodies:
+            calls = [read_as_caller(kind, status, body)]
+            self.assertNotEqual([], self.violations(calls=calls), body)
+
+    def test_cut_response_with_broken_content_is_not_reported(self):
+        cut = call(status=0, tokens=(), is_whole=False, is_cut=True, error="x")
+        self.assertEqual([], self.violations(calls=[cut]))
+
     def test_wrong_response_of_the_service_is_reported(self):
         self.assertNotEqual(
             [], self.violations(calls=[call(kind="read", is_whole=False)])
