Forward nothing of an attempt that the scheduler has given up

Found in review. A probe that fails gives an attempt up and places its request again at once, while the attempt's task is cancelled some iterations later.

Cause: the forwarder did not ask whether its attempt is still the current one. It does with each first delivery, which the scheduler records in the same step.

--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -20,7 +20,7 @@
     stream_key,
 )
 
-from .._errors import CallerError, access_error
+from .._errors import AttemptError, CallerError, access_error
 from .._headers import ResponseHead
 from .._logs import ComponentLogger
 from ._answer_end import BodyTracker, check_complete, has_events
@@ -221,6 +221,7 @@
             self.context.scheduler.post(
                 AttemptDelivered(self.request_id, dispatch.attempt_id, may_continue)
             )
+            self._check_current(dispatch)
         if self.responder.has_started:
             return
         first_seconds = self.context.read_clock() - self.arrived_at_seconds
@@ -228,6 +229,22 @@
         headers = [*self.context.dialects.upstream.response_headers(head), *extra]
         await self.responder.start(head.status, headers)
 
+    def _check_current(self, dispatch: Dispatch) -> None:
+        """Raise if the scheduler has given an attempt up, which may run on for a moment.
+
+        What it brings must not reach the caller: the next attempt is chosen without it.
+        """
+        lifecycle = self.context.scheduler.run_query(
+            lambda scheduler, _: scheduler.lifecycle(self.request_id)
+        )
+        if lifecycle is None or lifecycle.attempt_id != dispatch.attempt_id:
+            raise AttemptError(
+                "the attempt was given up",
+                outcome=Outcome.BROKEN,
+                step=STEP,
+                peer=dispatch.upstream,
+            )
+
     def _note_body_end(self, attempt: RoutedAttempt, remainder_bytes: int = 0) -> None:
         self._body_end = attempt.body_end
         self._remainder_bytes = remainder_bytes
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,10 +1,14 @@
 """A stream stays with the software version that began it."""
 
 from contextlib import AsyncExitStack, asynccontextmanager
+from unittest import mock
 
 import anyio
 from testtools import TestCase
 
+from rampwick_policy import AttemptFailed, Outcome
+from rampwick_router.entry import _routed_exchange
+from rampwick_router.entry._event_framing import EventFramer
 from rampwick_schema import UNANNOUNCED_MESSAGES_VERSION
 
 from .bench import until
@@ -168,6 +172,36 @@
         self.assertTrue(response.is_whole)
         self.assertEqual({"v1", "v2"}, found["r1"])
 
+    def test_events_of_an_attempt_that_was_given_up_are_not_forwarded(self):
+        async def scenario(host, servers):
+            scheduler = host.daemon.scheduler
+            given_up = []
+
+            class Framer(EventFramer):
+                def feed(self, data):
+                    batch = super().feed(data)
+                    (item,) = scheduler._scheduler._requests
+                    if batch.count and not given_up:
+                        given_up.append(item.lifecycle.attempt_id)
+                        event = AttemptFailed(
+                            item.request_id, given_up[0], Outcome.BROKEN, "probe"
+                        )
+                        scheduler.post(event)
+                    return batch
+
+            all_scripts(servers, stream_of(1, 6))
+            with mock.patch.object(_routed_exchange, "EventFramer", Framer):
+                response = await host.call("/stream/1")
+            last_ids = [
+                item.headers.get("last-event-id") for item in all_requests(servers)
+            ]
+            return response, last_ids
+
+        response, last_ids = run(scenario, names=("a", "b"))
+        self.assertEqual([None, None], last_ids)
+        self.assertTrue(response.is_whole)
+        self.assertEqual(6, response.body.count(b"data:"))
+
     def test_unknown_versions_are_not_taken_for_the_same(self):
         async def scenario(host, servers):
             all_scripts(servers, break_after_three)
