Judge a service's only version by what is listed now, from a list that was current throughout

Found in review. The versions of a service were dated by the last change of the list: after a route's timeout without a change nothing was known any more, so that streams without a record were refused (one version, nothing changing for 6.5 s: 503); and one stream begun elsewhere made its version the only one beside another that had been listed all along. A host without lists for a while also counted that time as known, and told new peers so.

The upstreams that are listed now count as seen now. While the list is older than 2.5 s, the time for which versions are known begins anew, and peers are told that nothing is known.

The extended tests failed before (None for a steady list; v2 beside a listed v1).

--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -446,6 +446,7 @@
         return []
 
     def _on_tick(self, event: ev.Tick, now_seconds: float) -> list[ev.Action]:
+        self.software_versions.note_time(now_seconds)
         self.pool.expire_peers(now_seconds)
         self.pool.update_limit_states(now_seconds)
         self.pool.expire_pauses(now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -62,6 +62,11 @@
         if self.is_enabled:
             self.history.note_listed(self._upstreams, now_seconds)
 
+    def note_time(self, now_seconds: float) -> None:
+        """Record that time has passed."""
+        if self.is_enabled:
+            self.history.note_time(now_seconds)
+
     # Streams that callers take up.
 
     def check_resumption(
@@ -93,7 +98,10 @@
                 return begun.software_version, RECORDED
             return UNKNOWN_VERSION, UNKNOWN
         only = self.history.only_version(
-            arrival.service, arrival.max_stream_age_seconds, now_seconds
+            arrival.service,
+            self._upstreams,
+            arrival.max_stream_age_seconds,
+            now_seconds,
         )
         if only:
             return only, ONLY_VERSION
--- a/packages/rampwick-policy/src/rampwick_policy/_version_history.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_version_history.py
@@ -12,7 +12,7 @@
 from ._upstream import Upstream
 
 #: Age of the host list above which another version may have begun to serve elsewhere.
-MAX_LIST_AGE_SECONDS = 3.0
+MAX_LIST_AGE_SECONDS = 2.5
 
 #: Time for which a version is remembered after it was last listed.
 REMEMBERED_SECONDS = 600.0
@@ -46,6 +46,14 @@
             self._note(entry.group, entry.software_version, now_seconds)
         self._forget(now_seconds)
 
+    def note_time(self, now_seconds: float) -> None:
+        """Begin anew if the list is too old: versions may have come and gone unseen."""
+        if self._known_since_seconds is not None and self._is_list_old(now_seconds):
+            self._known_since_seconds = now_seconds
+
+    def _is_list_old(self, now_seconds: float) -> bool:
+        return self.list_age_seconds(now_seconds) > MAX_LIST_AGE_SECONDS
+
     def note_begun(self, service: str, version: str, now_seconds: float) -> None:
         """Record that a stream began at a version, which this host may not list."""
         self._note(service, version, now_seconds)
@@ -69,7 +77,7 @@
 
     def known_seconds(self, now_seconds: float) -> float:
         """Return for how long all listed versions are known."""
-        if self._known_since_seconds is None:
+        if self._known_since_seconds is None or self._is_list_old(now_seconds):
             return 0.0
         return max(0.0, now_seconds - self._known_since_seconds)
 
@@ -80,20 +88,25 @@
                 yield service, version, max(0.0, now_seconds - at_seconds)
 
     def only_version(
-        self, service: str, max_age_seconds: float, now_seconds: float
+        self,
+        service: str,
+        upstreams: Iterable[Upstream],
+        max_age_seconds: float,
+        now_seconds: float,
     ) -> str | None:
         """Return the version that all upstreams of a service had for some time.
 
-        ``None`` if there were several, or if this host can't know.
+        ``upstreams`` are those listed now. ``None`` if there were several versions, or
+        if this host can't know.
         """
-        if self.list_age_seconds(now_seconds) > MAX_LIST_AGE_SECONDS:
-            return None
         if self.known_seconds(now_seconds) < max_age_seconds:
             return None
         oldest_seconds = now_seconds - max_age_seconds
         versions = self._seen_at.get(service, {})
-        recent = [name for name, at in versions.items() if at >= oldest_seconds]
-        return recent[0] if len(recent) == 1 else None
+        recent = {name for name, at in versions.items() if at >= oldest_seconds}
+        entries = (upstream.entry for upstream in upstreams)
+        recent |= {item.software_version for item in entries if item.group == service}
+        return recent.pop() if len(recent) == 1 else None
 
     def _note(self, service: str, version: str, at_seconds: float) -> None:
         versions = self._seen_at.setdefault(service, {})
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -230,9 +230,9 @@
         await self.responder.start(head.status, headers)
 
     def _check_current(self, dispatch: Dispatch) -> None:
-        """Raise if the scheduler has given an attempt up, which may run on for a moment.
+        """Raise if the scheduler has given an attempt up that still runs.
 
-        What it brings must not reach the caller: the next attempt is chosen without it.
+        What it brings must not reach the caller: the next attempt is chosen without.
         """
         lifecycle = self.context.scheduler.run_query(
             lambda scheduler, _: scheduler.lifecycle(self.request_id)
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -108,10 +108,12 @@
 
     def test_initial_state_has_streams_and_versions(self):
         history = VersionHistory()
+        history.list_age_seconds = lambda now_seconds: 0.5
         history.note_listed([Listed("v1")], 1.0)
         own = BegunStreams(history)
         own.note_sent(KEY, make(), 11.0)
         peer_history = VersionHistory()
+        peer_history.list_age_seconds = lambda now_seconds: 0.5
         peer = BegunStreams(peer_history)
         peer.receive_update(own.initial_state(11.0), 111.0, must_forward=False)
         self.assertEqual("v1", self.version(peer, now=111.0))
@@ -128,34 +130,56 @@
 
     def test_only_version_is_known_after_as_long_as_a_stream_may_last(self):
         history = self.history(Listed("v1"), Listed("v1"))
-        self.assertEqual("v1", history.only_version("notes", 15.0, 20.0))
-        self.assertIsNone(history.only_version("notes", 25.0, 20.0))
-        self.assertIsNone(history.only_version("other", 15.0, 20.0))
+        self.assertEqual("v1", history.only_version("notes", [], 15.0, 20.0))
+        self.assertIsNone(history.only_version("notes", [], 25.0, 20.0))
+        self.assertIsNone(history.only_version("other", [], 15.0, 20.0))
+
+    def test_upstreams_that_stay_listed_count_however_old_the_list_is(self):
+        both = [Listed("v1"), Listed("v2")]
+        history = self.history(*both)
+        self.assertEqual(
+            "v1", history.only_version("notes", [Listed("v1")], 15.0, 60.0)
+        )
+        history.note_begun("notes", "v2", 90.0)
+        self.assertIsNone(history.only_version("notes", both, 15.0, 90.0))
+        self.assertEqual(
+            "v2", history.only_version("notes", [Listed("v2")], 15.0, 90.0)
+        )
+
+    def test_time_without_a_current_list_is_not_known(self):
+        history = self.history(Listed("v1"))
+        ages = iter((99.0, 0.5, 0.5, 0.5, 0.5))
+        history.list_age_seconds = lambda now_seconds: next(ages)
+        history.note_time(30.0)
+        self.assertIsNone(history.only_version("notes", [], 15.0, 40.0))
+        self.assertEqual(
+            "v1", history.only_version("notes", [Listed("v1")], 15.0, 45.0)
+        )
 
     def test_version_that_left_counts_as_long_as_its_streams_may_last(self):
         history = self.history(Listed("v1"), Listed("v2"))
         history.note_listed([Listed("v2")], 30.0)
-        self.assertIsNone(history.only_version("notes", 15.0, 30.0))
+        self.assertIsNone(history.only_version("notes", [], 15.0, 30.0))
         self.assertTrue(history.is_mixed)
-        self.assertEqual("v2", history.only_version("notes", 15.0, 36.0))
+        self.assertEqual("v2", history.only_version("notes", [], 15.0, 36.0))
 
     def test_old_list_proves_nothing(self):
         history = self.history(Listed("v1"))
         history.list_age_seconds = lambda now_seconds: MAX_LIST_AGE_SECONDS + 0.1
-        self.assertIsNone(history.only_version("notes", 15.0, 20.0))
+        self.assertIsNone(history.only_version("notes", [], 15.0, 20.0))
 
     def test_stream_of_a_version_that_is_not_listed_here_makes_a_service_mixed(self):
         history = self.history(Listed("v1"))
         history.note_begun("notes", "v2", 20.0)
-        self.assertIsNone(history.only_version("notes", 15.0, 20.0))
+        self.assertIsNone(history.only_version("notes", [], 15.0, 20.0))
 
     def test_version_that_is_not_stated_is_not_the_only_one(self):
         history = self.history(Listed(UNKNOWN_VERSION))
-        self.assertFalse(history.only_version("notes", 15.0, 20.0))
+        self.assertFalse(history.only_version("notes", [], 15.0, 20.0))
 
     def test_host_knows_as_long_as_its_peers_do(self):
         history = VersionHistory()
         history.list_age_seconds = lambda now_seconds: 0.5
         history.receive([], 100.0, 20.0)
         history.note_listed([Listed("v1")], 20.1)
-        self.assertEqual("v1", history.only_version("notes", 15.0, 20.2))
+        self.assertEqual("v1", history.only_version("notes", [], 15.0, 20.2))
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -289,6 +289,7 @@
         async def scenario(one, two, servers):
             all_scripts(servers, begin_or_go_on)
             await begin_stream(one, "s1")
+            await until(lambda: len(streams_of(two)) == 1)
             (version,) = versions_by_stream(servers)["s1"]
             for name in [name for name in servers if MIXED[name] == version]:
                 list_upstream(one.store, servers[name], "notes", "leaving", version)
@@ -303,9 +304,11 @@
     def test_stream_of_the_only_version_goes_on_without_a_record(self):
         async def scenario(one, two, servers):
             all_scripts(servers, begin_or_go_on)
-            history = two.daemon.scheduler._scheduler.software_versions.history
+            versions = two.daemon.scheduler._scheduler.software_versions
             early = await two.call("/stream/1", headers={"Last-Event-Id": "3"})
-            history._known_since_seconds -= 10.0
+            # The list hasn't changed for longer than a stream may last.
+            versions.history._known_since_seconds -= 100.0
+            versions.history._seen_at.clear()
             late = await two.call("/stream/1", headers={"Last-Event-Id": "3"})
             return early.status, late.status
 
