Tell requests with one id apart in the records of streams, and keep records in use

Two requests with the id of one caller, with different versions, left the record of the one with more attempts, though the caller's events came from the other. And a stream that was taken up, and broke again after its first request's deadline, had no record.

Cause: a record knew neither which request it is about nor that its stream goes on. It names the request by two bytes now; records of two requests with different versions leave the version unknown, in any order of arrival. Sending a stream on extends the record that its caller names. Peers are told of an extension only if it is longer than what rounding adds.

The new tests failed before (v2 for a stream of v1; no longer lifetime).

--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -21,8 +21,17 @@
 #: Length of a stream's key, and of its record in an update, which ends with the number
 #: of the attempt.
 KEY_BYTES = 8
-RECORD_BYTES = KEY_BYTES + 1
-MAX_ATTEMPT_NUMBER = 255
+INSTANCE_BYTES = 2
+RECORD_BYTES = KEY_BYTES + INSTANCE_BYTES + 1
+MAX_ATTEMPT_NUMBER = 254
+
+#: Number of a record whose key belongs to requests of different versions; it outweighs
+#: all others.
+CONFLICT_NUMBER = 255
+
+#: Time by which a stream's lifetime has to grow for peers to be told again: more than
+#: what rounding adds on the way over relays.
+MIN_EXTENSION_SECONDS = 1.5
 
 #: Maximum number of streams that a host remembers, and that one update has.
 MAX_STREAMS_COUNT = 50_000
@@ -48,8 +57,19 @@
 
     The workspace is part of it, so that no caller can name a stream of another one.
     """
-    text = f"{workspace_path}\0{request_id}".encode()
-    return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+    return _digest(f"{workspace_path}\0{request_id}", KEY_BYTES)
+
+
+def request_instance(own_request_id: str) -> bytes:
+    """Return what tells requests with one id of their caller apart.
+
+    ``own_request_id`` is unique over all hosts.
+    """
+    return _digest(own_request_id, INSTANCE_BYTES)
+
+
+def _digest(text: str, size_bytes: int) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=size_bytes).digest()
 
 
 @attrs.frozen(repr=False)
@@ -58,6 +78,8 @@
 
     service: str
     software_version: str
+    #: Which request with this key it was.
+    instance: bytes
     #: Number of the attempt within its request. A request may change the version before
     #: its first event, so that the last attempt counts.
     attempt_number: int
@@ -106,9 +128,9 @@
             expires_at_seconds = now_seconds + lifetime_seconds
             records = group.records
             for start in range(0, len(records) - RECORD_BYTES + 1, RECORD_BYTES):
-                key = records[start : start + KEY_BYTES]
-                number = records[start + KEY_BYTES]
-                stream = BegunStream(*names, number, expires_at_seconds)
+                record = records[start : start + RECORD_BYTES]
+                key, instance = record[:KEY_BYTES], record[KEY_BYTES:-1]
+                stream = BegunStream(*names, instance, record[-1], expires_at_seconds)
                 if self._add(key, stream, now_seconds) and must_forward:
                     self._enqueue(key)
 
@@ -147,15 +169,16 @@
 
     def _add(self, key: bytes, stream: BegunStream, now_seconds: float) -> bool:
         """Record a stream; return whether that is new."""
-        known = self._streams.get(key)
-        if known is not None and known.expires_at_seconds >= now_seconds:
-            if known.attempt_number > stream.attempt_number:
+        known = self.find(key, now_seconds)
+        if known is not None:
+            stream = _merge(known, stream)
+            extension_seconds = stream.expires_at_seconds - known.expires_at_seconds
+            is_same = (
+                attrs.evolve(stream, expires_at_seconds=known.expires_at_seconds)
+                == known
+            )
+            if is_same and extension_seconds < MIN_EXTENSION_SECONDS:
                 return False
-            if known.attempt_number == stream.attempt_number:
-                if _version(known) in (_version(stream), UNKNOWN_VERSION):
-                    return False
-                # Two hosts have got requests with the same id.
-                stream = attrs.evolve(stream, software_version=UNKNOWN_VERSION)
         # The newest streams are at the end.
         self._streams.pop(key, None)
         self._streams[key] = stream
@@ -176,8 +199,21 @@
             del self._streams[key]
 
 
-def _version(stream: BegunStream) -> str:
-    return stream.software_version
+def _merge(known: BegunStream, other: BegunStream) -> BegunStream:
+    """Return what two records of one key say together, in any order of arrival."""
+    expires_at_seconds = max(known.expires_at_seconds, other.expires_at_seconds)
+    newest = max(known, other, key=lambda item: item.attempt_number)
+    is_conflict = (
+        newest.attempt_number < CONFLICT_NUMBER
+        and known.instance != other.instance
+        and known.software_version != other.software_version
+    )
+    if is_conflict:
+        # The caller may hold events of either.
+        newest = attrs.evolve(
+            newest, software_version=UNKNOWN_VERSION, attempt_number=CONFLICT_NUMBER
+        )
+    return attrs.evolve(newest, expires_at_seconds=expires_at_seconds)
 
 
 def _to_update(
@@ -188,7 +224,7 @@
         # Lifetimes are rounded up to whole seconds, so that many share a group.
         left_seconds = max(0.0, stream.expires_at_seconds - now_seconds)
         group = (stream.service, stream.software_version, int(left_seconds) + 1)
-        record = key + bytes([min(stream.attempt_number, MAX_ATTEMPT_NUMBER)])
+        record = key + stream.instance + bytes([stream.attempt_number])
         records.setdefault(group, bytearray()).extend(record)
     return BegunStreamsUpdate(
         [
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -13,10 +13,12 @@
 from rampwick_schema import ReprMixin
 
 from ._begun_streams import (
+    MAX_ATTEMPT_NUMBER,
     RETENTION_SECONDS,
     UNKNOWN_VERSION,
     BegunStream,
     BegunStreams,
+    request_instance,
 )
 from ._queue import QueuedRequest
 from ._reasons import NO_SAME_VERSION, UNKNOWN_SOFTWARE
@@ -126,10 +128,16 @@
         stream = BegunStream(
             arrival.service,
             item.attempt_software_version,
-            item.lifecycle.attempts_count,
+            request_instance(arrival.request_id),
+            min(item.lifecycle.attempts_count, MAX_ATTEMPT_NUMBER),
             arrival.deadline_seconds + RETENTION_SECONDS,
         )
         self.streams.note_sent(arrival.stream_key, stream, now_seconds)
+        if arrival.is_resumption and arrival.resumed_key:
+            # The caller goes on naming the request that began the stream.
+            begun = self.streams.find(arrival.resumed_key, now_seconds) or stream
+            begun = attrs.evolve(begun, expires_at_seconds=stream.expires_at_seconds)
+            self.streams.note_sent(arrival.resumed_key, begun, now_seconds)
 
     def note_first_event(self, item: QueuedRequest) -> None:
         """Record that the current attempt of a request sends its first event."""
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -653,7 +653,7 @@
     software_version: str
     #: Time for which their callers may take them up, as of sending.
     lifetime_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
-    #: For each the hash of workspace and request id, 8 bytes, and the number of the attempt, one byte.
+    #: For each the hash of workspace and request id, 8 bytes, two that tell requests with one id apart, and the number of the attempt, one byte.
     records: bytes
 
 
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -4,9 +4,9 @@
 
 from rampwick_policy import BegunStream, BegunStreams, stream_key
 from rampwick_policy._begun_streams import (
+    KEY_BYTES,
     MAX_NAME_CHARACTERS,
     MAX_STREAMS_COUNT,
-    RECORD_BYTES,
     UNKNOWN_VERSION,
 )
 from rampwick_policy._version_history import MAX_LIST_AGE_SECONDS, VersionHistory
@@ -20,8 +20,8 @@
 KEY = stream_key("/a", "r1")
 
 
-def make(version="v1", number=1, until=20.0, service="notes"):
-    return BegunStream(service, version, number, until)
+def make(version="v1", number=1, until=20.0, instance=b"aa"):
+    return BegunStream("notes", version, instance, number, until)
 
 
 class Listed:
@@ -57,14 +57,32 @@
                 self.send()
             self.assertEqual("v2", self.version(peer), order)
 
-    def test_two_streams_of_one_id_have_no_known_version(self):
-        self.own.note_sent(KEY, make("v1"), 1.0)
-        self.peer.note_sent(KEY, make("v2"), 1.0)
-        self.send()
-        self.assertEqual(UNKNOWN_VERSION, self.version(self.peer))
-        self.own.note_sent(KEY, make("v1"), 1.0)
+    def test_requests_of_one_id_and_two_versions_have_no_known_version(self):
+        for numbers in ((1, 1), (2, 1), (1, 2)):
+            for versions in (("v1", "v2"), ("v2", "v1")):
+                own = BegunStreams(VersionHistory())
+                for instance, number, version in zip(
+                    (b"aa", b"bb"), numbers, versions, strict=True
+                ):
+                    own.note_sent(KEY, make(version, number, instance=instance), 1.0)
+                self.assertEqual(UNKNOWN_VERSION, self.version(own), numbers)
+                own.note_sent(KEY, make("v1", 3, instance=b"aa"), 1.0)
+                self.assertEqual(UNKNOWN_VERSION, self.version(own), numbers)
+
+    def test_requests_of_one_id_and_one_version_agree(self):
+        self.own.note_sent(KEY, make("v1", 2, instance=b"aa"), 1.0)
+        self.own.note_sent(KEY, make("v1", 1, instance=b"bb"), 1.0)
         self.assertEqual("v1", self.version(self.own))
 
+    def test_peers_are_told_of_a_longer_lifetime_but_not_of_its_rounding(self):
+        self.own.note_sent(KEY, make(until=3.0), 1.0)
+        self.send()
+        self.own.note_sent(KEY, make(until=3.9), 1.0)
+        self.assertIsNone(self.own.take_update(1.0))
+        self.own.note_sent(KEY, make(until=30.0), 1.0)
+        self.send()
+        self.assertEqual("v1", self.version(self.peer, now=29.0))
+
     def test_stream_is_forgotten_after_its_deadline(self):
         self.own.note_sent(KEY, make(until=3.0), 1.0)
         self.send()
@@ -84,7 +102,7 @@
 
     def test_torn_records_and_long_names_change_nothing(self):
         long = "v" * (MAX_NAME_CHARACTERS + 1)
-        records = KEY + b"\1"
+        records = KEY + b"aa\1"
         for group in (
             StreamGroup("notes", "v1", 9.0, records[:-1]),
             StreamGroup("notes", long, 9.0, records),
@@ -101,7 +119,7 @@
 
     def test_number_of_streams_is_bounded_and_the_newest_stay(self):
         for number in range(MAX_STREAMS_COUNT + 10):
-            key = number.to_bytes(RECORD_BYTES - 1, "big")
+            key = number.to_bytes(KEY_BYTES, "big")
             self.own.note_sent(key, make(until=1e9), 1.0)
         self.assertEqual(MAX_STREAMS_COUNT, len(self.own))
         self.assertIsNotNone(self.own.find(key, 1.0))
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -6,7 +6,7 @@
 import anyio
 from testtools import TestCase
 
-from rampwick_policy import AttemptFailed, Outcome
+from rampwick_policy import AttemptFailed, Outcome, stream_key
 from rampwick_router.entry import _routed_exchange
 from rampwick_router.entry._event_framing import EventFramer
 from rampwick_schema import UNANNOUNCED_MESSAGES_VERSION
@@ -246,6 +246,19 @@
         self.assertEqual([{"v1"}] * 6, list(found.values()))
         self.assertEqual([200] * 6, statuses)
 
+    def test_stream_may_be_taken_up_again_after_its_first_deadline(self):
+        async def scenario(one, two, servers):
+            all_scripts(servers, begin_or_go_on)
+            await begin_stream(one, "s1")
+            await until(lambda: len(streams_of(two)) == 1)
+            key = stream_key("/t", "s1")
+            first_seconds = streams_of(two).find(key, 0.0).expires_at_seconds
+            await anyio.sleep(2.0)
+            await resume(two, "s1", 1)
+            return streams_of(two).find(key, 0.0).expires_at_seconds - first_seconds
+
+        self.assertGreater(run_hosts(scenario), 1.5)
+
     def test_stream_goes_on_after_the_host_that_began_it_is_gone(self):
         async def scenario(one, two, servers):
             all_scripts(servers, begin_or_go_on)
