Let only streams that have begun go first, and without hiding other requests

Found in review. A caller that named any last event got precedence over others where a service has one version; four waiting streams of one version hid all requests behind them in their workspace; streams that are taken up went last in, first out; a caller's Last-Event-Id on a stream route that isn't resumable went to any version; an entry that stated another version later was not believed.

Cause: being bound to a version was taken for having begun. Precedence needs a record, or the host's own first event, now. Every stream route binds. The latest stated version counts. Where a route has several services, a stream without a named request is of unknown version.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -201,7 +201,13 @@
                     if not cannot_meet_target(item, now_seconds)
                     or is_due(item, now_seconds)
                 )
-            for _, item in zip(range(LOOKAHEAD_COUNT), requests, strict=False):
+            tried_count = 0
+            for item in requests:
+                if tried_count == LOOKAHEAD_COUNT:
+                    break
+                # Streams that wait for one of few upstreams must not hide requests
+                # that others could serve.
+                tried_count += not item.has_begun
                 action = self._try_dispatch(
                     item, is_late, fairness_key, capacity, now_seconds
                 )
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -63,6 +63,8 @@
     pause_target_seconds: float | None = None
     #: Answer length that the caller expects; ``None`` if it stated none.
     expected_answer_tokens: int | None = None
+    #: Whether its answer is a stream of events.
+    is_stream: bool = False
     #: Key of the stream that it may begin, and of the one that its caller says it goes
     #: on with; empty for none.
     stream_key: bytes = b""
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -52,6 +52,8 @@
     #: any. And that of the upstream of the current attempt.
     software_version: str | None = None
     attempt_software_version: str = ""
+    #: Whether its caller certainly has a part of the answer.
+    has_begun: bool = False
     #: The latest attempt that got no answer for long.
     stalled_attempt_id: str = ""
     #: Charges against the token limits.
@@ -60,11 +62,6 @@
     blocked_since_seconds: float | None = None
     blocked_reason: str = ""
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether its caller has events that bind it to a software version."""
-        return self.software_version is not None
-
     @property
     def request_id(self) -> str:
         """ID of the request."""
@@ -143,6 +140,14 @@
         queues[item.workspace_path] = {item.request_id: item, **queue}
         self._adjust(item, sign=1)
 
+    def add_begun(self, item: QueuedRequest) -> None:
+        """Insert a stream that has begun after the others and before new requests."""
+        queues = self._queues[item.arrival.priority_class]
+        queue = queues.get(item.workspace_path, {})
+        begun = {name: other for name, other in queue.items() if other.has_begun}
+        queues[item.workspace_path] = {**begun, item.request_id: item, **queue}
+        self._adjust(item, sign=1)
+
     def remove(self, item: QueuedRequest) -> None:
         """Remove a request from its queue."""
         queues = self._queues[item.arrival.priority_class]
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -252,7 +252,7 @@
         victim = self._intake.evict_for(item)
         if victim is not item:
             # What a caller has a part of goes before what it may begin elsewhere.
-            add = self.queue.add_first if item.has_begun else self.queue.add
+            add = self.queue.add_begun if item.has_begun else self.queue.add
             add(item)
         if victim is None:
             return []
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -76,7 +76,7 @@
     ) -> Unresumable | None:
         """Bind a stream that its caller takes up; return why it can't be."""
         arrival = item.arrival
-        if not (self.is_enabled and arrival.is_resumable and arrival.is_resumption):
+        if not (self.is_enabled and arrival.is_stream and arrival.is_resumption):
             return None
         version, found_by = self._find_version(item, now_seconds)
         if version != UNKNOWN_VERSION and not self._is_listed(
@@ -89,6 +89,8 @@
         if found_by == GONE:
             return Unresumable(NO_SAME_VERSION, NO_UPSTREAM_RETRY_SECONDS)
         item.software_version = version
+        # What a caller only says must not bring its request before others.
+        item.has_begun = found_by == RECORDED
         return None
 
     def _find_version(self, item: QueuedRequest, now_seconds: float) -> tuple[str, str]:
@@ -145,6 +147,7 @@
             return
         if item.software_version is None:
             item.software_version = item.attempt_software_version
+        item.has_begun = True
 
     def allowed_views(self, item: QueuedRequest, views: RunnerViews) -> RunnerViews:
         """Return the upstreams at which a request may run."""
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -200,9 +200,8 @@
         if known is not None and known.entry.address == entry.address:
             known.entry = attrs.evolve(
                 entry,
-                # An incarnation doesn't change its software; a peer of an older
-                # release does not pass the version on.
-                software_version=known.entry.software_version or entry.software_version,
+                # A peer of an older release does not pass the version on.
+                software_version=entry.software_version or known.entry.software_version,
             )
             self._apply_listed_state(known)
             self._apply_signals(entry.name)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -3,6 +3,8 @@
 Status and body are forwarded unchanged; the dialects select the headers.
 """
 
+import math
+
 import anyio
 
 from rampwick_policy import (
@@ -100,14 +102,26 @@
             identity=request.identity,
             pause_target_seconds=request.route.gap_target_seconds or None,
             expected_answer_tokens=self._call.expected_answer_tokens,
+            is_stream=request.route.is_stream,
             stream_key=stream_key(request.workspace.path, self._call.request_id),
             resumed_key=stream_key(request.workspace.path, self._call.resumed_id)
             if self._call.resumed_id
             else b"",
             is_resumption=bool(self._call.last_event_id),
-            max_stream_age_seconds=request.route.timeout_seconds,
+            max_stream_age_seconds=self._max_stream_age_seconds(),
         )
 
+    def _max_stream_age_seconds(self) -> float:
+        """Return how long ago a stream that is taken up can have begun.
+
+        Without the id of the request that began it, the service is not known either
+        where a route has several.
+        """
+        route = self._request.route
+        if len(route.targets) > 1 and not self._call.resumed_id:
+            return math.inf
+        return route.timeout_seconds
+
     async def attempt(self, dispatch: Dispatch, check: AttemptCheck) -> AttemptDone:
         """Make one attempt and forward the upstream's response."""
         attempt = RoutedAttempt(
