Send streams' records between halls once, again after losses, and cheaply to new peers

Found in review. Relays sent what came from other halls to all their peers, relays among them (380 messages with 20 relays where 19 are enough); a record that a slow peer dropped, or that came while a relay was gone, was never sent again; each new link cost 18 ms for the state of 5,000 streams on both sides.

Cause: one list of what is pending, for all peers, emptied once. A host keeps what is for all peers apart from what is for its own group, as a relay does with other updates; what was sent in the last 3 s is sent again while nothing newer is, and a host that becomes the relay passes on what it received in that time. The state for new peers is made once a second at most.

Tests of each failed before or need names that are new.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -15,6 +15,7 @@
 from ._begun_streams import (
     BegunStream as BegunStream,
     BegunStreams as BegunStreams,
+    Outbox as Outbox,
     stream_key as stream_key,
 )
 from ._burst_detector import BurstDetector as BurstDetector
--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -2,10 +2,11 @@
 
 A caller may take a broken stream up at any host, when the host that began it is gone or
 cut off. Each host therefore tells all others the version of each stream that it begins,
-when it sends the request: before the first event can reach the caller.
+shortly after it has sent the request, which mostly is before the first event comes.
 """
 
 import hashlib
+from collections import deque
 from collections.abc import Callable
 
 import attrs
@@ -43,6 +44,13 @@
 #: Longest time for which a peer may ask a host to remember a stream.
 MAX_LIFETIME_SECONDS = 600.0
 
+#: Time for which updates are retransmitted while there are no newer ones, and forwarded
+#: by a host that takes over as the relay.
+RETRANSMIT_SECONDS = 3.0
+
+#: Longest time for which the state for new peers is used again.
+STATE_AGE_SECONDS = 1.0
+
 #: Longest accepted name of a service or a version.
 MAX_NAME_CHARACTERS = 256
 
@@ -92,9 +100,14 @@
     def __init__(self, history: VersionHistory) -> None:
         self._history = history
         self._streams: dict[bytes, BegunStream] = {}
-        self._pending: dict[bytes, BegunStream] = {}
-        #: Called when there is an update to broadcast.
-        self.on_update: Callable[[], None] = _do_nothing
+        #: What all peers are to be told, and what only the peers of the own group are:
+        #: the relay of another hall has told the others.
+        self.to_all = Outbox(history)
+        self.to_group = Outbox(history)
+        self.to_all.read_initial_state = self.initial_state
+        #: Streams received lately while another host was the relay.
+        self._unforwarded: deque[tuple[float, bytes, bool]] = deque()
+        self._cached_state: tuple[float, BegunStreamsUpdate] | None = None
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -109,15 +122,23 @@
     def note_sent(self, key: bytes, stream: BegunStream, now_seconds: float) -> None:
         """Record that a request was sent that may begin a stream, and tell peers."""
         if self._add(key, stream, now_seconds):
-            self._enqueue(key)
+            self.to_all.put(key, self._streams[key], now_seconds)
 
     def receive_update(
-        self, update: BegunStreamsUpdate, now_seconds: float, *, must_forward: bool
+        self,
+        update: BegunStreamsUpdate,
+        now_seconds: float,
+        *,
+        must_forward: bool,
+        is_from_group: bool = True,
     ) -> None:
         """Apply a peer's update; values that can't be right are ignored.
 
-        With ``must_forward``, what is new is passed on to other peers.
+        With ``must_forward``, as at a relay, what is new is passed on: what comes from
+        the own group to all peers, else to the own group.
         """
+        if must_forward:
+            self._forward_late(now_seconds)
         self._history.receive(update.listed, update.known_seconds, now_seconds)
         for group in update.groups:
             names = (group.service, group.software_version)
@@ -131,25 +152,43 @@
                 record = records[start : start + RECORD_BYTES]
                 key, instance = record[:KEY_BYTES], record[KEY_BYTES:-1]
                 stream = BegunStream(*names, instance, record[-1], expires_at_seconds)
-                if self._add(key, stream, now_seconds) and must_forward:
-                    self._enqueue(key)
-
-    def take_update(self, now_seconds: float) -> BegunStreamsUpdate | None:
-        """Return the streams that peers have not been told yet, if any."""
-        if not self._pending:
-            return None
-        keys = list(self._pending)[:MAX_UPDATE_COUNT]
-        taken = {key: self._pending.pop(key) for key in keys}
-        if self._pending:
-            self.on_update()
-        return _to_update(taken, now_seconds)
-
-    def take_retransmission(self, now_seconds: float) -> None:
-        """Return nothing: a peer that misses an update gets it when it connects."""
-        return
-
-    def initial_state(self, now_seconds: float) -> BegunStreamsUpdate | None:
-        """Return the newest streams and the versions listed, for a new peer."""
+                if not self._add(key, stream, now_seconds):
+                    continue
+                if must_forward:
+                    self._forward(key, is_from_group, now_seconds)
+                else:
+                    self._unforwarded.append((now_seconds, key, is_from_group))
+        self._drop_unforwarded(now_seconds - RETRANSMIT_SECONDS)
+
+    def _forward(self, key: bytes, is_from_group: bool, now_seconds: float) -> None:
+        outbox = self.to_all if is_from_group else self.to_group
+        outbox.put(key, self._streams[key], now_seconds)
+
+    def _forward_late(self, now_seconds: float) -> None:
+        """Forward what came while the relay before this one may have been gone."""
+        self._drop_unforwarded(now_seconds - RETRANSMIT_SECONDS)
+        while self._unforwarded:
+            _, key, is_from_group = self._unforwarded.popleft()
+            if key in self._streams:
+                self._forward(key, is_from_group, now_seconds)
+
+    def _drop_unforwarded(self, before_seconds: float) -> None:
+        while self._unforwarded and self._unforwarded[0][0] < before_seconds:
+            self._unforwarded.popleft()
+
+    def initial_state(self, now_seconds: float) -> BegunStreamsUpdate:
+        """Return the newest streams and the versions listed, for a new peer.
+
+        Many peers may connect at once, so that it is made once a second at most.
+        """
+        cached = self._cached_state
+        if cached is not None and 0.0 <= now_seconds - cached[0] < STATE_AGE_SECONDS:
+            return cached[1]
+        state = self._make_state(now_seconds)
+        self._cached_state = (now_seconds, state)
+        return state
+
+    def _make_state(self, now_seconds: float) -> BegunStreamsUpdate:
         self._expire(now_seconds)
         keys = list(self._streams)[-MAX_UPDATE_COUNT:]
         update = _to_update({key: self._streams[key] for key in keys}, now_seconds)
@@ -162,11 +201,6 @@
             known_seconds=self._history.known_seconds(now_seconds),
         )
 
-    def batch_seconds(self) -> float:
-        """Return the time over which streams are collected for one update."""
-        is_mixed = self._history.is_mixed
-        return URGENT_BATCH_SECONDS if is_mixed else RELAXED_BATCH_SECONDS
-
     def _add(self, key: bytes, stream: BegunStream, now_seconds: float) -> bool:
         """Record a stream; return whether that is new."""
         known = self.find(key, now_seconds)
@@ -185,10 +219,6 @@
         self._expire(now_seconds)
         return True
 
-    def _enqueue(self, key: bytes) -> None:
-        self._pending[key] = self._streams[key]
-        self.on_update()
-
     def _expire(self, now_seconds: float) -> None:
         """Forget the oldest streams that have expired, or are too many."""
         while self._streams:
@@ -199,6 +229,59 @@
             del self._streams[key]
 
 
+class Outbox:
+    """Streams that some peers are to be told."""
+
+    def __init__(self, history: VersionHistory) -> None:
+        self._history = history
+        self._pending: dict[bytes, BegunStream] = {}
+        #: What peers were told lately, for retransmissions.
+        self._sent: deque[tuple[float, bytes, BegunStream]] = deque()
+        #: Called when there is an update to broadcast.
+        self.on_update: Callable[[], None] = _do_nothing
+        #: Returns the state for a newly connected peer.
+        self.read_initial_state: Callable[[float], BegunStreamsUpdate | None]
+        self.read_initial_state = _no_state
+
+    def put(self, key: bytes, stream: BegunStream, now_seconds: float) -> None:
+        """Add a stream to the next update."""
+        self._pending[key] = stream
+        self._sent.append((now_seconds, key, stream))
+        self.on_update()
+
+    def take_update(self, now_seconds: float) -> BegunStreamsUpdate | None:
+        """Return the streams that peers have not been told yet, if any."""
+        self._forget_sent(now_seconds)
+        if not self._pending:
+            return None
+        keys = list(self._pending)[:MAX_UPDATE_COUNT]
+        taken = {key: self._pending.pop(key) for key in keys}
+        if self._pending:
+            self.on_update()
+        return _to_update(taken, now_seconds)
+
+    def take_retransmission(self, now_seconds: float) -> BegunStreamsUpdate | None:
+        """Return what peers were told lately, if any."""
+        self._forget_sent(now_seconds)
+        recent = list(self._sent)[-MAX_UPDATE_COUNT:]
+        streams = {key: stream for _, key, stream in recent}
+        return _to_update(streams, now_seconds) if streams else None
+
+    def initial_state(self, now_seconds: float) -> BegunStreamsUpdate | None:
+        """Return the state that a newly connected peer needs, if any."""
+        return self.read_initial_state(now_seconds)
+
+    def batch_seconds(self) -> float:
+        """Return the time over which streams are collected for one update."""
+        is_mixed = self._history.is_mixed
+        return URGENT_BATCH_SECONDS if is_mixed else RELAXED_BATCH_SECONDS
+
+    def _forget_sent(self, now_seconds: float) -> None:
+        oldest_seconds = now_seconds - RETRANSMIT_SECONDS
+        while self._sent and self._sent[0][0] < oldest_seconds:
+            self._sent.popleft()
+
+
 def _merge(known: BegunStream, other: BegunStream) -> BegunStream:
     """Return what two records of one key say together, in any order of arrival."""
     expires_at_seconds = max(known.expires_at_seconds, other.expires_at_seconds)
@@ -236,3 +319,7 @@
 
 def _do_nothing() -> None:
     return
+
+
+def _no_state(now_seconds: float) -> None:
+    return
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -139,11 +139,14 @@
         history.list_age_seconds = read_age_seconds
 
     def receive_begun_streams(
-        self, update: BegunStreamsUpdate, *, must_forward: bool
+        self, update: BegunStreamsUpdate, *, must_forward: bool, is_from_group: bool
     ) -> None:
         """Apply a peer's update, which makes no waiting request dispatchable."""
         self._scheduler.software_versions.streams.receive_update(
-            update, self._read_clock(), must_forward=must_forward
+            update,
+            self._read_clock(),
+            must_forward=must_forward,
+            is_from_group=is_from_group,
         )
 
     def has_request_rate(self, upstream: str) -> bool:
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -289,8 +289,11 @@
             self._scheduler.post(LeavingUpdateReceived(message))
             self._relay(link, message)
         elif isinstance(message, BegunStreamsUpdate):
-            must_forward = self.roles.is_relay()
-            self._scheduler.receive_begun_streams(message, must_forward=must_forward)
+            self._scheduler.receive_begun_streams(
+                message,
+                must_forward=self.roles.is_relay(),
+                is_from_group=self.table.is_in_group(link.peer.hall),
+            )
         elif isinstance(message, CacheEventUpdate):
             self.cache_outbox.receive(link, message)
         elif isinstance(message, Members):
--- a/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
@@ -83,10 +83,14 @@
             UpdateBroadcaster(source, self._broadcast, read_clock) for source in sources
         ]
         if streams is not None:
-            batch = streams.batch_seconds
-            self._broadcasters.append(
-                UpdateBroadcaster(streams, self._broadcast, read_clock, batch)
+            outboxes = (
+                (streams.to_all, self._broadcast),
+                (streams.to_group, self._broadcast_to_group),
             )
+            self._broadcasters += [
+                UpdateBroadcaster(outbox, broadcast, read_clock, outbox.batch_seconds)
+                for outbox, broadcast in outboxes
+            ]
         #: Whether there is a burst to broadcast from this hall, and from another hall.
         self._is_own_burst = False
         self._is_remote_burst = False
@@ -156,6 +160,9 @@
         states = [item.source.initial_state(now_seconds) for item in self._broadcasters]
         return [state for state in states if state is not None]
 
+    def _broadcast_to_group(self, update: Update) -> None:
+        self._links.broadcast(update, self._roles.is_in_own_group)
+
     def _broadcast(self, update: Update) -> None:
         is_relay = self._roles.is_relay()
         self._links.broadcast(
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -39,7 +39,7 @@
 
     def send(self, now=1.0, must_forward=False):
         """Pass the pending update on to the peer, over the wire."""
-        update = self.own.take_update(now)
+        update = self.own.to_all.take_update(now)
         data = decode_message(encode_message(update)[4:])
         self.peer.receive_update(data, now, must_forward=must_forward)
 
@@ -78,7 +78,7 @@
         self.own.note_sent(KEY, make(until=3.0), 1.0)
         self.send()
         self.own.note_sent(KEY, make(until=3.9), 1.0)
-        self.assertIsNone(self.own.take_update(1.0))
+        self.assertIsNone(self.own.to_all.take_update(1.0))
         self.own.note_sent(KEY, make(until=30.0), 1.0)
         self.send()
         self.assertEqual("v1", self.version(self.peer, now=29.0))
@@ -94,11 +94,34 @@
 
     def test_relay_passes_each_stream_on_once(self):
         self.own.note_sent(KEY, make(), 1.0)
-        update = self.own.take_update(1.0)
-        for _ in range(3):
-            self.peer.receive_update(update, 1.0, must_forward=True)
-        self.assertIsNotNone(self.peer.take_update(1.0))
-        self.assertIsNone(self.peer.take_update(1.0))
+        update = self.own.to_all.take_update(1.0)
+        for is_from_group in (True, False):
+            relay = BegunStreams(VersionHistory())
+            for _ in range(3):
+                relay.receive_update(
+                    update, 1.0, must_forward=True, is_from_group=is_from_group
+                )
+            told = [relay.to_all.take_update(1.0), relay.to_group.take_update(1.0)]
+            self.assertEqual(
+                [is_from_group, not is_from_group], [item is not None for item in told]
+            )
+            self.assertIsNone(relay.to_all.take_update(1.0))
+            self.assertIsNone(relay.to_group.take_update(1.0))
+
+    def test_new_relay_passes_on_what_the_former_one_may_not_have(self):
+        self.own.note_sent(KEY, make(), 1.0)
+        self.peer.receive_update(
+            self.own.to_all.take_update(1.0), 1.0, must_forward=False
+        )
+        self.assertIsNone(self.peer.to_all.take_update(1.0))
+        self.peer.receive_update(BegunStreamsUpdate(), 2.0, must_forward=True)
+        self.assertIsNotNone(self.peer.to_all.take_update(2.0))
+
+    def test_updates_are_retransmitted_for_a_limited_time(self):
+        self.own.note_sent(KEY, make(), 1.0)
+        self.own.to_all.take_update(1.0)
+        self.assertIsNotNone(self.own.to_all.take_retransmission(2.0))
+        self.assertIsNone(self.own.to_all.take_retransmission(5.0))
 
     def test_torn_records_and_long_names_change_nothing(self):
         long = "v" * (MAX_NAME_CHARACTERS + 1)
