Prefer the version of the first attempt while a stream has not begun

Cause: records of one request may arrive singly. A retry stays with the version of its attempt before while an upstream of that version is left to try; one that can't leaves nothing of that version to go on at either, mostly.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -251,6 +251,7 @@
         if item.needs_budget and not budget.has_retry(now_seconds):
             self._mark_blocked(item, NO_RETRY_LEFT, now_seconds)
             return None
+        views = self._software_versions.preferred_views(item, views)
         views = self._allowed_views(item, views, now_seconds)
         if not views:
             self._mark_blocked(item, KEPT_APART, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -125,7 +125,7 @@
     def note_sent(self, item: QueuedRequest, now_seconds: float) -> None:
         """Record an attempt that may send the first event of a stream."""
         arrival = item.arrival
-        if not (self.is_enabled and arrival.is_resumable and arrival.stream_key):
+        if not self._is_recorded(item):
             return
         stream = BegunStream(
             arrival.service,
@@ -153,14 +153,38 @@
         """Return the upstreams at which a request may run."""
         if item.software_version is None:
             return views
-        names = [name for name in views.names if self._is_same(item, name)]
-        same = sorted(names, key=views.position)
-        return ListedViews(_view(views, name) for name in same)
-
-    def _is_same(self, item: QueuedRequest, name: str) -> bool:
-        upstream = self._upstreams.get(name)
-        assert item.software_version is not None
-        return upstream is not None and is_same_version(upstream, item.software_version)
+        return self._of_version(item.software_version, views)
+
+    def preferred_views(self, item: QueuedRequest, views: RunnerViews) -> RunnerViews:
+        """Return the upstreams at which a request should run, of those where it may.
+
+        Peers may have the record of its first attempt and lack that of another one, so
+        that the next attempt keeps the version where an upstream is left to try.
+        """
+        version = item.attempt_software_version
+        if item.software_version is not None or not self._is_recorded(item):
+            return views
+        same = self._of_version(version, views)
+        return (
+            same
+            if any(name not in item.tried_upstreams for name in same.names)
+            else views
+        )
+
+    def _of_version(self, version: str, views: RunnerViews) -> RunnerViews:
+        names = [
+            name
+            for name in views.names
+            if (upstream := self._upstreams.get(name)) is not None
+            and is_same_version(upstream, version)
+        ]
+        return ListedViews(
+            _view(views, name) for name in sorted(names, key=views.position)
+        )
+
+    def _is_recorded(self, item: QueuedRequest) -> bool:
+        arrival = item.arrival
+        return self.is_enabled and arrival.is_resumable and bool(arrival.stream_key)
 
 
 def is_same_version(upstream: Upstream, version: str) -> bool:
