Compare four ways to keep a taken-up stream at its software version

Cause: the way in use (each host tells all others the version of each stream) was chosen without a comparison under killed and cut-off hosts, changes of versions and hosts of an older release.

Change: `python -m measure stream_versions` decides each drawn take-up in four ways: ask nobody, ask the host that began the stream, tell all (the real BegunStreams and VersionHistory, with batches, links, halls and relays), and one record a stream in the store. At 300 hosts, callers take streams up at 40 drawn hosts, and only these and four hosts a hall store records.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -17,6 +17,7 @@
     restores,
     signals,
     slopes,
+    stream_versions,
 )
 
 MEASUREMENTS = {
@@ -34,6 +35,7 @@
     "restores": restores.main,
     "signals": signals.main,
     "slopes": slopes.main,
+    "stream_versions": stream_versions.main,
 }
 
 
