Record the version of a stream with its first event, not with its request

A model of fleets (measure stream_versions) found that a host which has only the record of a request's first attempt goes on at its version, though another attempt brought the first event: 1 of 2,319 taken-up streams at 20 hosts, and 1 to 2 in each of 6 runs where every request changes its upstream.

Cause: the record was sent before it was known to be true. It is sent with the first event now, so that a host has the right one or none, and without one a stream is refused or goes on at a service's only version. Weighed: keeping the version over retries before the first event, which only makes it rarer; that preference is taken out again. What it costs: a caller that comes to another host within the 20 ms in which records are collected is told to come again.

--- a/measure/_stream_hosts.py
+++ b/measure/_stream_hosts.py
@@ -113,7 +113,7 @@
             stream.attempt_number,
             expires_at_seconds,
         )
-        host.streams.note_sent(stream.key, begun, self.now_seconds)
+        host.streams.note_begun(stream.key, begun, self.now_seconds)
 
     def _batch(self, host: Host, outbox: Outbox) -> None:
         if outbox not in host.batches:
--- a/measure/stream_versions.py
+++ b/measure/stream_versions.py
@@ -202,7 +202,7 @@
             until_seconds = now_seconds + TIMEOUT_SECONDS + RETENTION_SECONDS
             begun = BegunStream(SERVICE, version, b"ab", 1, until_seconds)
             key = stream_key("/w/a", f"{number} {index}")
-            sender.note_sent(key, begun, now_seconds)
+            sender.note_begun(key, begun, now_seconds)
         body = encode_message(sender.to_all.take_update(now_seconds))[4:]
         began_seconds = time.process_time()
         update = decode_message(body)
--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -2,7 +2,8 @@
 
 A caller may take a broken stream up at any host, when the host that began it is gone or
 cut off. Each host therefore tells all others the version of each stream that it begins,
-shortly after it has sent the request, which mostly is before the first event comes.
+with the first event. Nothing is told of attempts without events: a host that had only
+such a record would go on at the wrong version, while one without any refuses.
 """
 
 import hashlib
@@ -88,8 +89,7 @@
     software_version: str
     #: Which request with this key it was.
     instance: bytes
-    #: Number of the attempt within its request. A request may change the version before
-    #: its first event, so that the last attempt counts.
+    #: Number of the attempt within its request; the last one that sent events counts.
     attempt_number: int
     expires_at_seconds: float
 
@@ -119,8 +119,8 @@
             return None
         return stream
 
-    def note_sent(self, key: bytes, stream: BegunStream, now_seconds: float) -> None:
-        """Record that a request was sent that may begin a stream, and tell peers."""
+    def note_begun(self, key: bytes, stream: BegunStream, now_seconds: float) -> None:
+        """Record a stream whose first event is about to be sent, and tell peers."""
         if self._add(key, stream, now_seconds):
             self.to_all.put(key, self._streams[key], now_seconds)
 
--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -251,7 +251,6 @@
         if item.needs_budget and not budget.has_retry(now_seconds):
             self._mark_blocked(item, NO_RETRY_LEFT, now_seconds)
             return None
-        views = self._software_versions.preferred_views(item, views)
         views = self._allowed_views(item, views, now_seconds)
         if not views:
             self._mark_blocked(item, KEPT_APART, now_seconds)
@@ -371,7 +370,6 @@
         item.attempt_software_version = upstream.entry.software_version
         item.sent_at_seconds = now_seconds
         self._request_quarantine.note_sent(item)
-        self._software_versions.note_sent(item, now_seconds)
         self._pool.rate_limiter.note_sent(upstream, now_seconds)
         upstream.start(
             attempt_id,
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -278,7 +278,7 @@
         if item is not None and item.lifecycle.deliver(
             event.attempt_id, may_continue=event.may_continue
         ):
-            self.software_versions.note_first_event(item)
+            self.software_versions.note_first_event(item, now_seconds)
             upstream = self.upstreams.get(item.upstream)
             self.pool.cache_transfers.end(event.attempt_id)
             if upstream is not None:
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -122,32 +122,29 @@
 
     # Attempts.
 
-    def note_sent(self, item: QueuedRequest, now_seconds: float) -> None:
-        """Record an attempt that may send the first event of a stream."""
+    def note_first_event(self, item: QueuedRequest, now_seconds: float) -> None:
+        """Record that the current attempt of a request sends its first event."""
         arrival = item.arrival
-        if not self._is_recorded(item):
+        if not self.is_enabled or not arrival.is_resumable:
+            return
+        if item.software_version is None:
+            item.software_version = item.attempt_software_version
+        item.has_begun = True
+        if not arrival.stream_key:
             return
         stream = BegunStream(
             arrival.service,
-            item.attempt_software_version,
+            item.software_version,
             request_instance(arrival.request_id),
             min(item.lifecycle.attempts_count, MAX_ATTEMPT_NUMBER),
             arrival.deadline_seconds + RETENTION_SECONDS,
         )
-        self.streams.note_sent(arrival.stream_key, stream, now_seconds)
+        self.streams.note_begun(arrival.stream_key, stream, now_seconds)
         if arrival.is_resumption and arrival.resumed_key:
             # The caller goes on naming the request that began the stream.
             begun = self.streams.find(arrival.resumed_key, now_seconds) or stream
             begun = attrs.evolve(begun, expires_at_seconds=stream.expires_at_seconds)
-            self.streams.note_sent(arrival.resumed_key, begun, now_seconds)
-
-    def note_first_event(self, item: QueuedRequest) -> None:
-        """Record that the current attempt of a request sends its first event."""
-        if not self.is_enabled or not item.arrival.is_resumable:
-            return
-        if item.software_version is None:
-            item.software_version = item.attempt_software_version
-        item.has_begun = True
+            self.streams.note_begun(arrival.resumed_key, begun, now_seconds)
 
     def allowed_views(self, item: QueuedRequest, views: RunnerViews) -> RunnerViews:
         """Return the upstreams at which a request may run."""
@@ -155,22 +152,6 @@
             return views
         return self._of_version(item.software_version, views)
 
-    def preferred_views(self, item: QueuedRequest, views: RunnerViews) -> RunnerViews:
-        """Return the upstreams at which a request should run, of those where it may.
-
-        Peers may have the record of its first attempt and lack that of another one, so
-        that the next attempt keeps the version where an upstream is left to try.
-        """
-        version = item.attempt_software_version
-        if item.software_version is not None or not self._is_recorded(item):
-            return views
-        same = self._of_version(version, views)
-        return (
-            same
-            if any(name not in item.tried_upstreams for name in same.names)
-            else views
-        )
-
     def _of_version(self, version: str, views: RunnerViews) -> RunnerViews:
         names = [
             name
@@ -182,10 +163,6 @@
             _view(views, name) for name in sorted(names, key=views.position)
         )
 
-    def _is_recorded(self, item: QueuedRequest) -> bool:
-        arrival = item.arrival
-        return self.is_enabled and arrival.is_resumable and bool(arrival.stream_key)
-
 
 def is_same_version(upstream: Upstream, version: str) -> bool:
     """Return whether an upstream certainly has a software version."""
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -238,6 +238,7 @@
             for name in {exchange.upstream.name for exchange in all_requests(servers)}:
                 list_upstream(one.store, servers[name], "notes", "leaving", MIXED[name])
                 await until(lambda name=name: is_leaving(two, name))
+            await until(lambda: len(streams_of(two)) == 6)
             views = [await resume(two, f"s{number}", 1) for number in range(6)]
             return versions_by_stream(servers), [view.status for view in views]
 
