--- a/measure/_stream_events.py
+++ b/measure/_stream_events.py
@@ -111,7 +111,7 @@
         """Open the links of a host."""
 
     @abstractmethod
-    def tell(self, host: Any, stream: Stream) -> None:
+    def record(self, host: Any, stream: Stream) -> None:
         """Record an attempt."""
 
     @abstractmethod
@@ -275,7 +275,7 @@
         is_same = host.is_up and host.incarnation == stream.incarnation
         has_event = stream.first_event_at_seconds <= self.now_seconds
         if is_same and has_event and stream.attempt_number == attempt_number:
-            self.tell(host, stream)
+            self.record(host, stream)
 
     def _break(self, stream: Stream) -> None:
         del self._active[stream]
--- a/measure/_stream_hosts.py
+++ b/measure/_stream_hosts.py
@@ -1,4 +1,4 @@
-"""Hosts that tell each other the versions of streams, with halls and relays."""
+"""Hosts that send each other the versions of streams, with halls and relays."""
 
 import functools
 import random
@@ -76,7 +76,7 @@
 
 
 class Records(Events):
-    """A fleet whose hosts tell each other what they begin."""
+    """A fleet whose hosts broadcast the streams that they begin."""
 
     def __init__(self, hosts_count: int, scenario: Scenario, seed: int) -> None:
         halls_count = FLEETS[hosts_count]
@@ -101,8 +101,8 @@
         for outbox in (host.streams.to_all, host.streams.to_group):
             outbox.on_update = functools.partial(self._batch, host, outbox)
 
-    def tell(self, host: Host, stream: Stream) -> None:
-        """Record an attempt, to be told to all hosts."""
+    def record(self, host: Host, stream: Stream) -> None:
+        """Record an attempt and broadcast it."""
         if host.is_older:
             return
         expires_at_seconds = stream.began_seconds + TIMEOUT_SECONDS + RETENTION_SECONDS
--- a/measure/stream_versions.py
+++ b/measure/stream_versions.py
@@ -28,8 +28,8 @@
 #: Time after which a caller repeats a refused request, at any host.
 REPEAT_SECONDS = 0.25
 
-ASK_NOBODY, ASK_HOST, TELL_ALL, STORE = "nobody", "beginner", "tell all", "store"
-WAYS = (ASK_NOBODY, ASK_HOST, TELL_ALL, STORE)
+ASK_NOBODY, ASK_HOST, BROADCAST, STORE = "nobody", "beginner", "broadcast", "store"
+WAYS = (ASK_NOBODY, ASK_HOST, BROADCAST, STORE)
 
 SCENARIOS = {
     "crashes only": Scenario(),
@@ -96,13 +96,13 @@
     def run(self) -> None:
         """Run to the end."""
         super().run()
-        self.figures[TELL_ALL].messages_count = self.messages_count
-        self.figures[TELL_ALL].bytes_count = self.bytes_count
+        self.figures[BROADCAST].messages_count = self.messages_count
+        self.figures[BROADCAST].bytes_count = self.bytes_count
 
-    def tell(self, host: Host, stream: Stream) -> None:
+    def record(self, host: Host, stream: Stream) -> None:
         """Record an attempt in all ways that keep records."""
         self._write(stream)
-        super().tell(host, stream)
+        super().record(host, stream)
 
     # Way (d): the platform's store.
 
@@ -238,7 +238,7 @@
     labs = [VersionsLab(hosts_count, scenario, seed) for seed in range(seeds)]
     for lab in labs:
         lab.run()
-    count = sum(lab.figures[TELL_ALL].count for lab in labs)
+    count = sum(lab.figures[BROADCAST].count for lab in labs)
     older_count = sum(lab.older_count for lab in labs)
     other_count = sum(lab.older_other_count for lab in labs)
     print(
--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -1,9 +1,9 @@
 """The software versions at which streams began, shared by all hosts.
 
 A caller may take a broken stream up at any host, when the host that began it is gone or
-cut off. Each host therefore tells all others the version of each stream that it begins,
-with the first event. Nothing is told of attempts without events: a host that had only
-such a record would go on at the wrong version, while one without any refuses.
+cut off. Each host therefore broadcasts the version of each stream that it begins, with
+the first event. Attempts without events are not recorded: a host that had only such a
+record would go on at the wrong version, while one without any refuses.
 """
 
 import hashlib
@@ -31,8 +31,8 @@
 #: all others.
 CONFLICT_NUMBER = 255
 
-#: Time by which a stream's lifetime has to grow for peers to be told again: more than
-#: what rounding adds on the way over relays.
+#: Time by which a stream's lifetime has to grow for peers to be notified again: more
+#: than what rounding adds on the way over relays.
 MIN_EXTENSION_SECONDS = 1.5
 
 #: Maximum number of streams that a host remembers, and that one update has.
@@ -70,7 +70,7 @@
 
 
 def request_instance(own_request_id: str) -> bytes:
-    """Return what tells requests with one id of their caller apart.
+    """Return what distinguishes requests with the same id of their caller.
 
     ``own_request_id`` is unique over all hosts.
     """
@@ -100,8 +100,8 @@
     def __init__(self, history: VersionHistory) -> None:
         self._history = history
         self._streams: dict[bytes, BegunStream] = {}
-        #: What all peers are to be told, and what only the peers of the own group are:
-        #: the relay of another hall has told the others.
+        #: Updates for all peers, and those for the own group only, whose other
+        #: recipients get them from the relay that sent them here.
         self.to_all = Outbox(history)
         self.to_group = Outbox(history)
         self.to_all.read_initial_state = self.initial_state
@@ -120,7 +120,7 @@
         return stream
 
     def note_begun(self, key: bytes, stream: BegunStream, now_seconds: float) -> None:
-        """Record a stream whose first event is about to be sent, and tell peers."""
+        """Record a stream whose first event is about to be sent, and notify peers."""
         if self._add(key, stream, now_seconds):
             self.to_all.put(key, self._streams[key], now_seconds)
 
@@ -230,12 +230,12 @@
 
 
 class Outbox:
-    """Streams that some peers are to be told."""
+    """Streams to be sent to some peers."""
 
     def __init__(self, history: VersionHistory) -> None:
         self._history = history
         self._pending: dict[bytes, BegunStream] = {}
-        #: What peers were told lately, for retransmissions.
+        #: What was sent lately, for retransmissions.
         self._sent: deque[tuple[float, bytes, BegunStream]] = deque()
         #: Called when there is an update to broadcast.
         self.on_update: Callable[[], None] = _do_nothing
@@ -250,7 +250,7 @@
         self.on_update()
 
     def take_update(self, now_seconds: float) -> BegunStreamsUpdate | None:
-        """Return the streams that peers have not been told yet, if any."""
+        """Return the streams that have not been sent yet, if any."""
         self._forget_sent(now_seconds)
         if not self._pending:
             return None
@@ -261,7 +261,7 @@
         return _to_update(taken, now_seconds)
 
     def take_retransmission(self, now_seconds: float) -> BegunStreamsUpdate | None:
-        """Return what peers were told lately, if any."""
+        """Return what was sent lately, if any."""
         self._forget_sent(now_seconds)
         recent = list(self._sent)[-MAX_UPDATE_COUNT:]
         streams = {key: stream for _, key, stream in recent}
--- a/tests/test_begun_stream_load.py
+++ b/tests/test_begun_stream_load.py
@@ -20,6 +20,7 @@
     build_chain,
     stream_key,
 )
+from rampwick_policy._software_versions import RECORDED
 from rampwick_policy._timeliness import is_due
 from rampwick_policy._tree import resolve_workspace
 from rampwick_schema import (
@@ -155,6 +156,8 @@
         self.assertLess(self.share("new", sent), 60)
         self.assertGreater(self.share("new", sent), waiting_since)
         self.assertEqual([], self.fleet.refused)
+        found = self.fleet.scheduler.software_versions.resumed_counts
+        self.assertEqual({RECORDED: 12}, dict(found))
 
     def test_streams_go_on_while_runners_of_their_version_leave(self):
         self.fleet.versions |= {"a3": "v1", "a4": "v1"}
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -74,7 +74,7 @@
         self.own.note_begun(KEY, make("v1", 1, instance=b"bb"), 1.0)
         self.assertEqual("v1", self.version(self.own))
 
-    def test_peers_are_told_of_a_longer_lifetime_but_not_of_its_rounding(self):
+    def test_peers_are_notified_of_a_longer_lifetime_but_not_of_its_rounding(self):
         self.own.note_begun(KEY, make(until=3.0), 1.0)
         self.send()
         self.own.note_begun(KEY, make(until=3.9), 1.0)
@@ -101,9 +101,9 @@
                 relay.receive_update(
                     update, 1.0, must_forward=True, is_from_group=is_from_group
                 )
-            told = [relay.to_all.take_update(1.0), relay.to_group.take_update(1.0)]
+            sent = [relay.to_all.take_update(1.0), relay.to_group.take_update(1.0)]
             self.assertEqual(
-                [is_from_group, not is_from_group], [item is not None for item in told]
+                [is_from_group, not is_from_group], [item is not None for item in sent]
             )
             self.assertIsNone(relay.to_all.take_update(1.0))
             self.assertIsNone(relay.to_group.take_update(1.0))
--- a/tests/test_stream_versions_lab.py
+++ b/tests/test_stream_versions_lab.py
@@ -1,7 +1,7 @@
 """No stream goes on at another software version, whatever happens to the hosts."""
 
 import attrs
-from measure.stream_versions import SCENARIOS, TELL_ALL, VersionsLab
+from measure.stream_versions import BROADCAST, SCENARIOS, VersionsLab
 from testtools import TestCase
 
 
@@ -11,7 +11,7 @@
         for hosts_count, seed in runs:
             lab = VersionsLab(hosts_count, scenario, seed)
             lab.run()
-            figures = lab.figures[TELL_ALL]
+            figures = lab.figures[BROADCAST]
             self.assertGreater(figures.same_count, 0)
             self.assertEqual(0, figures.other_count, (name, hosts_count, seed))
 
