--- a/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
@@ -75,9 +75,6 @@
         upstream = self._pool.upstreams.get(item.upstream)
         if upstream is None or event.outcome.proves_not_run:
             return []
-        if not upstream.is_runner:
-            # A plain service knows no attempts; the close of its connection has to do.
-            return []
         address = upstream.entry.address
         return [
             ev.CancelAttempt(event.request_id, event.attempt_id, upstream.name, address)
@@ -102,7 +99,7 @@
             self.charge_actual(item, 0.0, now_seconds)
             self._refund(item)
             return []
-        if upstream is None or not upstream.is_runner:
+        if upstream is None:
             return []
         address = upstream.entry.address
         return [ev.CancelAttempt(item.request_id, attempt_id, upstream.name, address)]
