Don't resume a stream whose attempt was given up

Cause: the error had the outcome of a broken connection, and the relay counted as having delivered before it was allowed to. The outcome is that of an outdated answer now, which is not resumed, and the relay counts as delivering only afterwards. The test asks for the outcome."

--- a/packages/rampwick-router/src/rampwick_router/entry/_delivery.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_delivery.py
@@ -27,7 +27,8 @@
     if lifecycle is None or lifecycle.attempt_id != dispatch.attempt_id:
         raise AttemptError(
             "the attempt was given up",
-            outcome=Outcome.BROKEN,
+            # Unlike a broken stream, it must not be resumed.
+            outcome=Outcome.STALE,
             step=step,
             peer=dispatch.upstream,
         )
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -218,8 +218,8 @@
     async def _start_response(self) -> None:
         if self._has_delivered:
             return
-        self._has_delivered = True
         post_delivery(self._context, self._target.request_id, self._dispatch, STEP)
+        self._has_delivered = True
         headers = [
             (b"x-request-id", self._target.request_id.encode()),
             (b"rampwick-upstream", self._dispatch.upstream.encode()),
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -376,6 +376,8 @@
                         relay._target.request_id, given_up[0], Outcome.BROKEN, "probe"
                     )
                     relay._context.scheduler.post(failed)
+                    await self.assert_stale(forward(relay, events, data_age_seconds))
+                    await anyio.sleep_forever()
                 await forward(relay, events, data_age_seconds)
 
             async with bench.run_host() as host:
@@ -386,6 +388,15 @@
         response = self.run_scenario(scenario)
         self.assertEqual((200, True), (response.status, response.is_whole))
 
+    async def assert_stale(self, delivery):
+        """Check that a delivery is refused in a way that starts no resumption."""
+        try:
+            await delivery
+        except AttemptError as error:
+            self.assertEqual(Outcome.STALE, error.outcome)
+        else:
+            self.fail("the attempt delivered")
+
 
 class ForcedShutdownTest(TestCase):
     def test_stream_at_a_forced_shutdown_is_cut_without_an_event_of_the_host(self):
