Put the comment of a field of an event at its pattern

The comment stood above the byte order mark, so that a reader took the mark for the pattern. Each of the two constants has its own comment now; the code is unchanged.

--- a/packages/rampwick-policy/src/rampwick_policy/_completeness.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_completeness.py
@@ -15,8 +15,10 @@
 #: The empty line that ends an event, with any of the three line terminators.
 BLANK_LINE = rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)"
 
-#: A field of an event, which is any line that is neither empty nor a comment.
+#: What may precede the first event of a stream.
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+
+#: A field of an event, which is any line that is neither empty nor a comment.
 FIELD_LINE = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 
 
