Ignore overlong names among the versions that a peer lists

Cause: the records of streams were checked for names above 256 characters, the versions listed in the same update were not. A peer's damaged or forged one made a service count as one of several versions, whose streams are then refused without a record, and stayed in memory for ten minutes.

Change: both parts of an update accept names of the same length.

Measured: the new test fails without the check; tests/test_begun_streams.py and tests/test_software_versions.py pass with it.

--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -14,7 +14,7 @@
 
 from rampwick_schema import BegunStreamsUpdate, ListedVersion, ReprMixin, StreamGroup
 
-from ._version_history import VersionHistory
+from ._version_history import MAX_NAME_CHARACTERS, VersionHistory
 
 #: Version of an upstream whose entry does not state one. It equals no version, not even
 #: itself: two upstreams of unknown versions may differ.
@@ -52,9 +52,6 @@
 #: Longest time for which the state for new peers is used again.
 STATE_AGE_SECONDS = 1.0
 
-#: Longest accepted name of a service or a version.
-MAX_NAME_CHARACTERS = 256
-
 #: Time over which streams are collected for one update while all upstreams of a service
 #: have one version, and while they have several.
 RELAXED_BATCH_SECONDS = 0.25
--- a/packages/rampwick-policy/src/rampwick_policy/_version_history.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_version_history.py
@@ -20,6 +20,9 @@
 #: Maximum number of versions of one service that are remembered.
 MAX_VERSIONS_COUNT = 64
 
+#: Longest name of a service or a version that is accepted from a peer.
+MAX_NAME_CHARACTERS = 256
+
 
 def _age_unknown(now_seconds: float) -> float:
     return math.inf
@@ -63,6 +66,8 @@
     ) -> None:
         """Add what a peer knows."""
         for item in listed:
+            if max(len(item.service), len(item.software_version)) > MAX_NAME_CHARACTERS:
+                continue
             self._note(
                 item.service, item.software_version, now_seconds - item.age_seconds
             )
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -5,13 +5,17 @@
 from rampwick_policy import BegunStream, BegunStreams, stream_key
 from rampwick_policy._begun_streams import (
     KEY_BYTES,
-    MAX_NAME_CHARACTERS,
     MAX_STREAMS_COUNT,
     UNKNOWN_VERSION,
 )
-from rampwick_policy._version_history import MAX_LIST_AGE_SECONDS, VersionHistory
+from rampwick_policy._version_history import (
+    MAX_LIST_AGE_SECONDS,
+    MAX_NAME_CHARACTERS,
+    VersionHistory,
+)
 from rampwick_schema import (
     BegunStreamsUpdate,
+    ListedVersion,
     StreamGroup,
     decode_message,
     encode_message,
@@ -140,6 +144,15 @@
         self.assertEqual(1, len(self.peer))
         self.assertIsNone(self.version(self.peer, now=700.0))
 
+    def test_long_names_of_listed_versions_change_nothing(self):
+        long = "v" * (MAX_NAME_CHARACTERS + 1)
+        history = VersionHistory()
+        names = [("notes", long), (long, "v1"), ("notes", "v1")]
+        listed = [ListedVersion(*item, 0.0) for item in names]
+        history.receive(listed, 0.0, 1.0)
+        self.assertEqual([("notes", "v1", 0.0)], list(history.ages(1.0)))
+        self.assertFalse(history.is_mixed)
+
     def test_number_of_streams_is_bounded_and_the_newest_stay(self):
         for number in range(MAX_STREAMS_COUNT + 10):
             key = number.to_bytes(KEY_BYTES, "big")
