Test the decisions about software versions directly

They were tested only through the scheduler and whole hosts. Two tests name the module itself: what is recorded depends on whether entries state versions, and an upstream without a version is the same as none.

Measured: tests/test_begun_stream_load.py passes; both tests fail on a copy of the module that records always and takes equal empty versions for the same.

--- a/tests/test_begun_stream_load.py
+++ b/tests/test_begun_stream_load.py
@@ -20,7 +20,11 @@
     build_chain,
     stream_key,
 )
-from rampwick_policy._software_versions import RECORDED
+from rampwick_policy._software_versions import (
+    RECORDED,
+    SoftwareVersions,
+    is_same_version,
+)
 from rampwick_policy._timeliness import is_due
 from rampwick_policy._tree import resolve_workspace
 from rampwick_schema import (
@@ -211,3 +215,22 @@
         self.assertFalse(is_due(item, 50.0))
         self.fleet.do(2.1, AttemptDelivered("one", dispatch.attempt_id))
         self.assertTrue(is_due(item, 50.0))
+
+
+class SoftwareVersionsTest(TestCase):
+    def test_listed_versions_are_recorded_only_if_entries_state_them(self):
+        upstreams = Fleet().scheduler.upstreams
+        for is_enabled, versions in ((True, ["v1", "v2"]), (False, [])):
+            software_versions = SoftwareVersions(upstreams, is_enabled=is_enabled)
+            software_versions.note_listed(1.0)
+            ages = software_versions.history.ages(1.0)
+            self.assertEqual(versions, sorted(version for _, version, _ in ages))
+
+    def test_upstream_without_a_version_is_the_same_as_none(self):
+        fleet = Fleet()
+        fleet.versions["c1"] = ""
+        fleet.put_list(1.0)
+        for name, version in fleet.versions.items():
+            upstream = fleet.scheduler.upstreams.get(name)
+            self.assertFalse(is_same_version(upstream, ""))
+            self.assertEqual(version == "v1", is_same_version(upstream, "v1"))
