Reproduce deadly requests that are sent on while a part is blamed

Callers saw 502 and cut streams while requests that crash their upstreams were sent to eight of them, one after the other. A part that is aboard at the crashes of several such requests exceeds each of them, so that none is found responsible; and a verdict on the part takes its crashes back from the requests that caused them.

--- /dev/null
+++ b/tests/test_blamed_bystanders.py
@@ -0,0 +1,54 @@
+"""Guards against parts that are blamed for the crashes of whole requests."""
+
+from testtools import TestCase
+
+from rampwick_policy import CrashTracker, IncarnationKey, QuarantineState
+from rampwick_policy._crash_attribution import CRASH_REPORTS_SECONDS
+
+DEADLY, OTHER_DEADLY = b"deadly", b"other deadly"
+GUIDE, LETTER = b"guide", b"letter"
+
+
+class Crashes:
+    """A tracker of crashes, one second apart."""
+
+    def __init__(self):
+        self.tracker = CrashTracker()
+        self.at_seconds = 0.0
+
+    def crash(self, **requests):
+        """Have an upstream crash under some requests; their values are parts."""
+        self.at_seconds += 1.0
+        key = IncarnationKey("u", str(self.at_seconds))
+        for name, parts in requests.items():
+            fingerprint = name.replace("_", " ").encode()
+            self.tracker.note_crash(
+                key, fingerprint, "/w", self.at_seconds, self.at_seconds, parts
+            )
+        self.at_seconds += CRASH_REPORTS_SECONDS
+        self.tracker.attribute_crashes(self.at_seconds)
+
+    def state(self, key):
+        return self.tracker.quarantine_state(key)
+
+
+class BlamedPartTest(TestCase):
+    def test_part_aboard_at_crashes_of_two_requests_delays_no_verdict_on_them(self):
+        crashes = Crashes()
+        letters = (GUIDE, LETTER)
+        for _ in range(2):
+            crashes.crash(deadly=(GUIDE,), a=letters)
+            crashes.crash(other_deadly=(GUIDE,), b=letters)
+        crashes.crash(deadly=(), c=letters)
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(DEADLY))
+        crashes.crash(other_deadly=(), d=letters)
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(OTHER_DEADLY))
+
+    def test_verdict_on_a_part_takes_no_crash_back_from_a_request(self):
+        crashes = Crashes()
+        crashes.crash(a=(LETTER,), deadly=())
+        crashes.crash(b=(LETTER,), deadly=())
+        crashes.crash(c=(LETTER,))
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(LETTER))
+        crashes.crash(deadly=())
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(DEADLY))
