--- a/measure/_attribution_lab.py
+++ b/measure/_attribution_lab.py
@@ -10,8 +10,9 @@
 """
 
 import itertools
+import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -27,14 +28,17 @@
     ClearedFact,
     CrashFact,
     Fact,
+    LiveFact,
+    QuarantineFact,
     quarantine_fact,
+    state_facts,
     to_update,
 )
 from rampwick_policy._rendezvous import rank
 from rampwick_policy._sound_parts import SoundParts
 from rampwick_schema import ReprMixin, encode_message
 
-from ._runner import Clock
+from ._runner import HOP_SECONDS, Clock
 
 #: Time from an upstream's crash to its restart.
 RESTART_SECONDS = 4.0
@@ -63,8 +67,7 @@
 #: Batching interval of broadcasts, and how often each one is sent.
 BROADCAST_BATCH_SECONDS = 0.02
 BROADCASTS_COUNT = 4
-#: Prompts begin with one of a few guides, followed by one of many letters.
-GUIDES_COUNT = 3
+#: Prompts begin with one of a few guides, followed by one of these letters.
 LETTERS_COUNT = 60
 
 
@@ -91,6 +94,35 @@
     #: Delay until a host's broadcast reaches the other hosts.
     broadcast_delay_seconds: float = 0.03
     length_seconds: float = 40.0
+    guides_count: int = 3
+    #: Mean time between restarts of hosts; a restarted host forgets what it knew.
+    mean_host_restarts_seconds: float = math.inf
+    #: Part of the hosts that reach no other hosts from a time on, and for how long.
+    cut_off_ratio: float = 0.0
+    cut_off_at_seconds: float = 8.0
+    cut_off_seconds: float = 6.0
+
+
+def _troubled(
+    hosts_count: int, deadly_count: int, length_seconds: float = 40.0
+) -> AttributionPattern:
+    """Return a pattern with deadly requests in the midst of other faults."""
+    upstreams_count = 5 if hosts_count == 6 else hosts_count // 2
+    return AttributionPattern(
+        f"{hosts_count} hosts, {deadly_count} requests, troubled",
+        hosts_count,
+        upstreams_count,
+        32.0 if hosts_count == 6 else 4.0 * hosts_count,
+        deadly_count,
+        mean_uptime_seconds=15.0 if hosts_count == 6 else 60.0,
+        broadcast_delay_seconds=0.03 if hosts_count == 6 else 0.12,
+        length_seconds=length_seconds,
+        guides_count=1,
+        mean_host_restarts_seconds=3.0,
+        cut_off_ratio=0.25,
+        cut_off_at_seconds=length_seconds / 5.0,
+        cut_off_seconds=length_seconds / 6.0,
+    )
 
 
 PATTERNS = (
@@ -116,6 +148,7 @@
         "6 hosts, 1 part that was sound", 6, 5, 32.0, 0, 1, was_sound=True
     ),
     AttributionPattern("6 hosts, 2 requests", 6, 5, 32.0, 2),
+    *(_troubled(6, count) for count in (2, 5, 10)),
     AttributionPattern(
         "6 hosts, no deadly ones, often ill", 6, 5, 32.0, mean_uptime_seconds=6.0
     ),
@@ -151,6 +184,8 @@
         broadcast_delay_seconds=0.12,
         length_seconds=10.0,
     ),
+    *(_troubled(90, count, 20.0) for count in (2, 10)),
+    *(_troubled(300, count, 10.0) for count in (2, 10)),
 )
 
 
@@ -173,7 +208,7 @@
 class KeepsBystanders(CrashTracker):
     """Counts crashes against bystanders after the responsible suspect is known."""
 
-    def _release_bystanders(self, responsible: Suspect) -> None:
+    def _update_explained(self, keys: Iterable[bytes]) -> None:
         return
 
 
@@ -254,6 +289,8 @@
     sound_parts: SoundParts = attrs.field(factory=SoundParts)
     #: Facts for the next broadcast.
     pending: list[Fact] = attrs.field(factory=list)
+    #: Whether it reaches the hosts that are not cut off.
+    is_connected: bool = True
 
     def restricted(self, request: SimulatedRequest) -> list[Suspect]:
         """Return the restricted suspects of a request, the narrowest last."""
@@ -285,8 +322,21 @@
             return any(cleared)
         if isinstance(fact, CrashFact):
             return self._apply_crash(fact, now_seconds)
+        if isinstance(fact, QuarantineFact):
+            return self._apply_quarantine(fact, now_seconds)
         return False
 
+    def _apply_quarantine(self, fact: QuarantineFact, now_seconds: float) -> bool:
+        tracker = self.trackers[-1 if fact.is_part else 0]
+        return tracker.note_quarantined(
+            fact.key,
+            fact.workspace_path,
+            fact.crashes_count,
+            fact.at_seconds,
+            now_seconds,
+            is_part=fact.is_part,
+        )
+
     def _apply_crash(self, crash: CrashFact, now_seconds: float) -> bool:
         first, *others = self.trackers
         key, path, at_seconds = crash.incarnation_key, "/w", crash.at_seconds
@@ -372,6 +422,12 @@
             self._schedule_deadly_part()
         for upstream in self._upstreams:
             self._schedule_spontaneous_crash(upstream)
+        if pattern.cut_off_ratio:
+            until_seconds = pattern.cut_off_at_seconds + pattern.cut_off_seconds
+            self._clock.after(pattern.cut_off_at_seconds, self._set_cut_off, True)
+            self._clock.after(until_seconds, self._set_cut_off, False)
+        if pattern.mean_host_restarts_seconds < math.inf:
+            self._schedule_host_restart()
         self._clock.run_until(pattern.length_seconds + 10.0)
         return self.result
 
@@ -379,7 +435,7 @@
         return next(self._numbers).to_bytes(16, "big")
 
     def _draw_guide(self) -> bytes:
-        return b"guide-%d" % self._draw.randrange(GUIDES_COUNT)
+        return b"guide-%d" % self._draw.randrange(self._pattern.guides_count)
 
     def _draw_letter(self) -> bytes:
         """Return a letter; low numbers are drawn more often."""
@@ -422,6 +478,54 @@
             self._crash(upstream)
         self._schedule_spontaneous_crash(upstream)
 
+    # Faults of hosts.
+
+    def _schedule_host_restart(self) -> None:
+        rate = 1.0 / self._pattern.mean_host_restarts_seconds
+        self._clock.after(self._draw.expovariate(rate), self._restart_host)
+
+    def _restart_host(self) -> None:
+        """Have a host forget all, and receive the state of its peers."""
+        host = self._draw.choice(self._hosts)
+        host.trackers = self._strategy.make_trackers()
+        host.sound_parts = SoundParts()
+        host.pending.clear()
+        host.isolated.clear()
+        self._exchange_states([host], self._hosts)
+        if self._clock.now_seconds < self._pattern.length_seconds:
+            self._schedule_host_restart()
+
+    def _set_cut_off(self, is_cut_off: bool) -> None:
+        count = round(self._pattern.cut_off_ratio * len(self._hosts))
+        hosts = self._hosts[: max(1, count)]
+        for host in hosts:
+            host.is_connected = not is_cut_off
+        if not is_cut_off:
+            self._exchange_states(hosts, self._hosts[len(hosts) :])
+            self._exchange_states(self._hosts[len(hosts) :], hosts)
+
+    def _exchange_states(
+        self, receivers: Iterable[_Host], senders: Sequence[_Host]
+    ) -> None:
+        """Have hosts receive the initial state of a peer for each tracker."""
+        now_seconds = self._clock.now_seconds
+        for receiver in receivers:
+            reachable = [
+                item
+                for item in senders
+                if item is not receiver and item.is_connected == receiver.is_connected
+            ]
+            if not reachable:
+                continue
+            sender = self._draw.choice(reachable)
+            for tracker in sender.trackers:
+                facts = list(state_facts(tracker, now_seconds))
+                self._clock.after(HOP_SECONDS, self._apply_all, receiver, facts)
+
+    def _apply_all(self, host: _Host, facts: Iterable[Fact]) -> None:
+        for fact in sorted(facts, key=_message_order):
+            host.apply(fact, self._clock.now_seconds)
+
     # Requests.
 
     def _arrive(self, request: SimulatedRequest) -> None:
@@ -626,6 +730,10 @@
 
     def _receive(self, sender: _Host, facts: list[Fact]) -> None:
         for host in self._hosts:
-            if host is not sender:
-                for fact in facts:
-                    host.apply(fact, self._clock.now_seconds)
+            if host is not sender and host.is_connected == sender.is_connected:
+                self._apply_all(host, facts)
+
+
+def _message_order(fact: Fact) -> int:
+    """Return the position of a fact among those that a host applies of a message."""
+    return (LiveFact, ClearedFact, CrashFact, QuarantineFact).index(type(fact))
--- a/measure/blame.py
+++ b/measure/blame.py
@@ -1,6 +1,6 @@
 """Compare strategies of crash attribution on the same arrivals.
 
-``python -m measure blame [--ways WAY …] [--seeds N]``
+``python -m measure blame [--ways WAY …] [--seeds N] [--pattern NAME]``
 """
 
 import argparse
@@ -25,13 +25,14 @@
         "--ways", nargs="*", choices=list(STRATEGIES), default=list(STRATEGIES)
     )
     parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--pattern", default="", help="part of the patterns' names")
     arguments = parser.parse_args(argv)
     print(
         "pattern                                      way         until known  "
         "crashes, mean  most  late  sound  refused  lost  later served  isolated"
         "  waited p99 s  KB a host"
     )
-    for pattern in PATTERNS:
+    for pattern in (item for item in PATTERNS if arguments.pattern in item.name):
         for strategy in arguments.ways:
             results = [
                 AttributionLab(pattern, strategy, seed).run()
--- a/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
@@ -5,7 +5,8 @@
 against all of these suspects. A complete answer clears a request with its parts, and an
 upstream that answers after its supposed crash retracts it. The suspect that explains
 most of the remaining crashes is held responsible: the others ran there by chance and
-complete on other upstreams.
+complete on other upstreams, and their crashes count as explained for as long as it is
+in quarantine.
 """
 
 import itertools
@@ -144,6 +145,9 @@
             self._note_seen(suspect, now_seconds)
             self._update_restriction(suspect)
         self._crashes[incarnation_key] = crash
+        keys = {key for key, _ in candidates}
+        has_quarantined = any(self._suspects[key].is_quarantined for key in keys)
+        self._update_explained(crash.suspect_keys if has_quarantined else keys)
         return True
 
     def note_live(self, incarnation_key: IncarnationKey, at_seconds: float) -> bool:
@@ -171,7 +175,7 @@
         self._cleared_at[key] = at_seconds
         quarantined_at_seconds = suspect.quarantined_at_seconds
         if quarantined_at_seconds is not None and quarantined_at_seconds <= at_seconds:
-            suspect.quarantined_at_seconds = None
+            self._lift_quarantine(suspect)
             suspect.reported_crashes_count = suspect.probes_count = 0
         for incarnation_key, crash in list(suspect.crashes.items()):
             if crash.at_seconds <= at_seconds:
@@ -235,32 +239,65 @@
         return quarantined
 
     def _other_suspects(self, suspect: Suspect) -> list[Suspect]:
+        """Return the suspects at the last crash of a suspect.
+
+        Of a part, also the requests at its other crashes: each of them may explain
+        those that they share.
+        """
         last = suspect.last_crash
         if last is None:
             return []
-        return [self._suspects[key] for key in last.suspect_keys if key != suspect.key]
+        keys = set(last.suspect_keys)
+        if suspect.is_part:
+            for crash in suspect.unexplained_crashes:
+                keys |= crash.suspect_keys & crash.requests.keys()
+        return [self._suspects[key] for key in keys if key != suspect.key]
 
     def _quarantine(self, suspect: Suspect, at_seconds: float) -> None:
         suspect.quarantined_at_seconds = at_seconds
         self._update_restriction(suspect)
-        self._release_bystanders(suspect)
-
-    def _release_bystanders(self, responsible: Suspect) -> None:
-        """Take the crashes of a responsible suspect back from the others.
+        self._update_explained(self._keys_beside(suspect))
 
-        Suspects that its own requests hold keep them: a part may explain the crashes of
-        a request that was held responsible.
+    def _lift_quarantine(self, suspect: Suspect) -> None:
+        """Lift a quarantine; what it explained counts against the others again."""
+        suspect.quarantined_at_seconds = None
+        self._update_explained(self._keys_beside(suspect))
+
+    def _keys_beside(self, suspect: Suspect) -> set[bytes]:
+        """Return the keys of all suspects at the crashes of one, and its own."""
+        crashes = suspect.crashes.values()
+        return {suspect.key}.union(*(crash.suspect_keys for crash in crashes))
+
+    def _update_explained(self, keys: Iterable[bytes]) -> None:
+        """Update which crashes of some suspects are explained."""
+        for key in list(keys):
+            suspect = self._suspects[key]
+            explained_keys = self._find_explained(suspect)
+            if explained_keys != suspect.explained_keys:
+                suspect.explained_keys = explained_keys
+                self._update_restriction(suspect)
+                self._unattributed.add(key)
+
+    def _find_explained(self, suspect: Suspect) -> set[IncarnationKey]:
+        """Return the crashes of a suspect that a quarantined one explains.
+
+        Suspects that the requests of the quarantined one hold keep them: a part may
+        explain the crashes of a request that was held responsible.
         """
-        requests = responsible.requests
-        for incarnation_key, crash in list(responsible.crashes.items()):
-            for key in list(crash.suspect_keys):
-                other = self._suspects[key]
-                if (
-                    other.quarantined_at_seconds is None
-                    and key != responsible.key
-                    and requests.isdisjoint(other.requests)
-                ):
-                    self._remove_crash(other, incarnation_key)
+        if suspect.is_quarantined:
+            return set()
+        return {
+            incarnation_key
+            for incarnation_key, crash in suspect.crashes.items()
+            if any(_explains(other, suspect) for other in self._quarantined(crash))
+        }
+
+    def _quarantined(self, crash: Crash) -> list[Suspect]:
+        """Return the suspects of a crash that are in quarantine."""
+        suspects = (
+            self._suspects[key] for key in crash.suspect_keys & self._restricted
+        )
+        return [suspect for suspect in suspects if suspect.is_quarantined]
 
     # Bounds on memory.
 
@@ -318,7 +355,8 @@
                 del times[key]  # type: ignore[arg-type]
 
     def _drop(self, suspect: Suspect) -> None:
-        suspect.quarantined_at_seconds = None
+        if suspect.is_quarantined:
+            self._lift_quarantine(suspect)
         for incarnation_key in list(suspect.crashes):
             self._remove_crash(suspect, incarnation_key)
         self._drop_if_empty(suspect)
@@ -341,6 +379,7 @@
 
     def _remove_crash(self, suspect: Suspect, incarnation_key: IncarnationKey) -> None:
         crash = suspect.crashes.pop(incarnation_key)
+        suspect.explained_keys.discard(incarnation_key)
         crash.suspect_keys.discard(suspect.key)
         # Without this suspect another one may explain the crash better than the rest.
         self._unattributed.update(crash.suspect_keys & self._restricted)
@@ -353,3 +392,14 @@
             self._restricted.discard(suspect.key)
         else:
             self._restricted.add(suspect.key)
+
+
+def _explains(quarantined: Suspect, suspect: Suspect) -> bool:
+    """Return whether a quarantined suspect explains the crashes it shares with another.
+
+    A request that crashed fewer upstreams than a part explains none of them: the part
+    may have caused them all.
+    """
+    if suspect.is_part and len(quarantined.crashes) < len(suspect.crashes):
+        return False
+    return suspect.requests.isdisjoint(quarantined.requests)
--- a/packages/rampwick-policy/src/rampwick_policy/_suspects.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_suspects.py
@@ -84,6 +84,8 @@
     was_sound: bool = False
     #: The crashes that count against it, by incarnation.
     crashes: dict[IncarnationKey, Crash] = attrs.field(factory=dict)
+    #: Those of its crashes that a quarantined suspect explains.
+    explained_keys: set[IncarnationKey] = attrs.field(factory=set)
     quarantined_at_seconds: float | None = None
     #: Last time that it arrived or that a report of it was received.
     seen_at_seconds: float = 0.0
@@ -108,12 +110,26 @@
         """Number of upstreams that crashed while running it."""
         return max(len(self.crashes), self.reported_crashes_count)
 
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether requests with it are not sent to upstreams."""
+        return self.quarantined_at_seconds is not None
+
+    @property
+    def unexplained_crashes(self) -> list[Crash]:
+        """The crashes that no quarantined suspect explains."""
+        return [
+            crash
+            for incarnation_key, crash in self.crashes.items()
+            if incarnation_key not in self.explained_keys
+        ]
+
     @property
     def state(self) -> QuarantineState:
         """How requests with it are restricted."""
         if self.quarantined_at_seconds is not None:
             return QuarantineState.STOPPED
-        if self.crashes_count >= ISOLATION_CRASHES_COUNT:
+        if len(self.crashes) - len(self.explained_keys) >= ISOLATION_CRASHES_COUNT:
             return QuarantineState.APART
         return QuarantineState.NONE
 
