Remember what was cleared before the report of its crash arrives

Sound requests were refused with 502 ends_upstreams for a part that had been answered many times.

Cause: a host that connects is told the crashes of the last minute with all parts of the requests that were running, and not which of these were cleared since. A clearing of a suspect that a host doesn't know yet was dropped, so that a report which arrives after it counted. The class: a message that takes back what the receiver has not heard yet.

Change: times of clearings are kept for suspects that aren't known, 8,192 at most, and a host that connects is told them with the crashes.

--- a/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
@@ -32,6 +32,9 @@
 #: loses its oldest.
 MAX_SUSPECTS_COUNT = 4096
 
+#: Maximum number of suspects of which the time of their clearing is kept.
+MAX_CLEARED_COUNT = 2 * MAX_SUSPECTS_COUNT
+
 #: Interval between two expiry sweeps; each iterates over all suspects.
 SWEEP_SECONDS = 10.0
 
@@ -167,12 +170,15 @@
         """Drop what was recorded of a suspect up to a time.
 
         A request with it was answered completely, or an operator released it. Return
-        whether it was tracked and not cleared before.
+        whether it was tracked and not cleared before. The time is kept for one that is
+        not tracked, too: reports of earlier crashes may still arrive.
         """
+        if self._cleared_at.get(key, -math.inf) >= at_seconds:
+            return False
+        self._note_cleared(key, at_seconds)
         suspect = self._suspects.get(key)
-        if suspect is None or self._cleared_at.get(key, -math.inf) >= at_seconds:
+        if suspect is None:
             return False
-        self._cleared_at[key] = at_seconds
         quarantined_at_seconds = suspect.quarantined_at_seconds
         if quarantined_at_seconds is not None and quarantined_at_seconds <= at_seconds:
             self._lift_quarantine(suspect)
@@ -183,6 +189,16 @@
         self._drop_if_empty(suspect)
         return True
 
+    def _note_cleared(self, key: bytes, at_seconds: float) -> None:
+        self._cleared_at.pop(key, None)
+        self._cleared_at[key] = at_seconds
+        if len(self._cleared_at) > MAX_CLEARED_COUNT:
+            del self._cleared_at[next(iter(self._cleared_at))]
+
+    def cleared_at_seconds(self, key: bytes) -> float:
+        """Return when a suspect was cleared last; minus infinity if it was not."""
+        return self._cleared_at.get(key, -math.inf)
+
     def note_quarantined(
         self,
         key: bytes,
--- a/packages/rampwick-policy/src/rampwick_policy/_crash_updates.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_updates.py
@@ -78,10 +78,21 @@
 
 
 def state_facts(tracker: CrashTracker, now_seconds: float) -> Iterator[Fact]:
-    """Yield the facts that a newly connected host needs."""
+    """Yield the facts that a newly connected host needs.
+
+    Of the suspects that were running at a crash, some may have been cleared since.
+    """
+    oldest_seconds = now_seconds - INITIAL_STATE_SECONDS
+    reported_keys: set[bytes] = set()
     for incarnation_key, crash in tracker.crashes():
-        if now_seconds - crash.at_seconds < INITIAL_STATE_SECONDS:
-            yield from _crash_facts(incarnation_key, crash)
+        if crash.at_seconds > oldest_seconds:
+            for fact in _crash_facts(incarnation_key, crash):
+                reported_keys.update((*fact.part_keys, fact.fingerprint))
+                yield fact
+    for key in sorted(reported_keys):
+        cleared_at_seconds = tracker.cleared_at_seconds(key)
+        if cleared_at_seconds > oldest_seconds:
+            yield ClearedFact(key, cleared_at_seconds)
     for suspect in tracker:
         if suspect.quarantined_at_seconds is not None:
             yield quarantine_fact(suspect)
--- a/packages/rampwick-policy/src/rampwick_policy/_request_quarantine.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_quarantine.py
@@ -349,8 +349,8 @@
             self.tracker.note_live(incarnation_key, now_seconds - live.age_seconds)
         for cleared in update.cleared:
             suspect = self.tracker.get(cleared.fingerprint)
+            self.tracker.clear(cleared.fingerprint, now_seconds - cleared.age_seconds)
             if suspect is not None:
-                self.tracker.clear(suspect.key, now_seconds - cleared.age_seconds)
                 name = suspect.key.hex()
                 self._state_changes.forget(suspect.kind, name, "a peer cleared it")
         for ended in update.ended:
--- a/tests/test_blamed_bystanders.py
+++ b/tests/test_blamed_bystanders.py
@@ -2,8 +2,21 @@
 
 from testtools import TestCase
 
-from rampwick_policy import CrashTracker, IncarnationKey, QuarantineState
+from rampwick_policy import (
+    CrashTracker,
+    CrashUpdateReceived,
+    IncarnationKey,
+    QuarantineState,
+)
 from rampwick_policy._crash_attribution import CRASH_REPORTS_SECONDS
+from rampwick_schema import (
+    AboardRequest,
+    ClearedRequest,
+    CrashUpdate,
+    EndedUpstream,
+)
+
+from .test_part_attribution import PartHost
 
 DEADLY, OTHER_DEADLY = b"deadly", b"other deadly"
 GUIDE, LETTER = b"guide", b"letter"
@@ -52,3 +65,40 @@
         self.assertEqual(QuarantineState.STOPPED, crashes.state(LETTER))
         crashes.crash(deadly=())
         self.assertEqual(QuarantineState.STOPPED, crashes.state(DEADLY))
+
+
+def ended(name, age_seconds, *requests):
+    """Return the report of a crash under some requests with their parts."""
+    aboard = [
+        AboardRequest(fingerprint, "/w", list(parts)) for fingerprint, parts in requests
+    ]
+    return EndedUpstream(name, "1", age_seconds, aboard)
+
+
+class LateReportTest(TestCase):
+    """Reports of crashes that arrive after an answer cleared a suspect."""
+
+    def test_host_that_connects_hears_which_parts_were_cleared(self):
+        host, new = PartHost(), PartHost()
+        for letter in (b"a", b"b", b"c"):
+            host.crash_under((GUIDE, letter))
+            host.serve(GUIDE)
+        new.at_seconds = host.at_seconds
+        state = host.scheduler.quarantine.initial_state(host.at_seconds)
+        new.do(CrashUpdateReceived(state))
+        new.advance()
+        self.assertEqual(QuarantineState.NONE, host.state(GUIDE))
+        self.assertEqual(QuarantineState.NONE, new.state(GUIDE))
+
+    def test_clearing_that_arrives_before_the_crash_is_remembered(self):
+        host = PartHost()
+        host.at_seconds = 10.0
+        cleared = CrashUpdate(cleared=[ClearedRequest(GUIDE, 0.1)])
+        host.do(CrashUpdateReceived(cleared))
+        reports = [
+            ended(f"v-{index}", 0.2 + index, (b"r%d" % index, (GUIDE,)))
+            for index in range(3)
+        ]
+        host.do(CrashUpdateReceived(CrashUpdate(ended=reports)))
+        host.advance()
+        self.assertEqual(QuarantineState.NONE, host.state(GUIDE))
