Share which parts had been answered over workspaces and hosts

Cause: whether a part had been answered was known by the workspace that got the answer, and by the host that gave it. The part's key stands for the same text in all workspaces of a cache scope, and the hosts that see the crashes are others. The class: a belief about a thing that is shared, kept under one of those that share it.

Change: answers count for the part, whoever got them; its workspace is kept for the bound only. The assertion that an answer of one workspace doesn't count for another is replaced by one that it does; the bound by workspace is checked as before.

Result: test_answer_at_another_host_counts and the one on workspaces fail before and pass.

--- a/measure/_attribution_lab.py
+++ b/measure/_attribution_lab.py
@@ -30,6 +30,7 @@
     Fact,
     LiveFact,
     QuarantineFact,
+    SoundFact,
     quarantine_fact,
     state_facts,
     to_update,
@@ -324,8 +325,21 @@
             return self._apply_crash(fact, now_seconds)
         if isinstance(fact, QuarantineFact):
             return self._apply_quarantine(fact, now_seconds)
+        if isinstance(fact, SoundFact):
+            for tracker in self.trackers:
+                tracker.note_sound(fact.key)
         return False
 
+    def find_sound(self, crash: CrashFact, now_seconds: float) -> list[SoundFact]:
+        """Return the suspected parts of a crash that this host had answered."""
+        return [
+            SoundFact(suspect.key, now_seconds)
+            for tracker in self.trackers
+            for suspect in tracker.restricted(crash.part_keys)
+            if not suspect.was_sound
+            and self.sound_parts.is_sound(suspect.key, now_seconds)
+        ]
+
     def _apply_quarantine(self, fact: QuarantineFact, now_seconds: float) -> bool:
         tracker = self.trackers[-1 if fact.is_part else 0]
         return tracker.note_quarantined(
@@ -525,6 +539,10 @@
     def _apply_all(self, host: _Host, facts: Iterable[Fact]) -> None:
         for fact in sorted(facts, key=_message_order):
             host.apply(fact, self._clock.now_seconds)
+            if isinstance(fact, CrashFact) and self._strategy.uses_sound_parts:
+                for sound in host.find_sound(fact, self._clock.now_seconds):
+                    host.apply(sound, self._clock.now_seconds)
+                    self._broadcast(host, sound)
 
     # Requests.
 
@@ -690,7 +708,7 @@
                 "/w",
                 now_seconds,
                 request.part_keys if host.has_parts else (),
-                host.sound_parts.are_sound("/w", request.part_keys, now_seconds)
+                host.sound_parts.are_sound(request.part_keys, now_seconds)
                 if self._strategy.uses_sound_parts
                 else (),
             )
@@ -736,4 +754,5 @@
 
 def _message_order(fact: Fact) -> int:
     """Return the position of a fact among those that a host applies of a message."""
-    return (LiveFact, ClearedFact, CrashFact, QuarantineFact).index(type(fact))
+    types = (LiveFact, ClearedFact, CrashFact, SoundFact, QuarantineFact)
+    return types.index(type(fact))
--- a/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
@@ -153,6 +153,13 @@
         self._update_explained(crash.suspect_keys if has_quarantined else keys)
         return True
 
+    def note_sound(self, key: bytes) -> None:
+        """Record that requests with a suspected part had been answered before."""
+        suspect = self._suspects.get(key)
+        if suspect is not None and suspect.is_part and not suspect.was_sound:
+            suspect.was_sound = True
+            self._unattributed.update(self._keys_beside(suspect) & self._restricted)
+
     def note_live(self, incarnation_key: IncarnationKey, at_seconds: float) -> bool:
         """Record an answer to a message sent at ``at_seconds``, and retract the crash.
 
--- a/packages/rampwick-policy/src/rampwick_policy/_crash_updates.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_updates.py
@@ -61,7 +61,15 @@
     probes_count: int
 
 
-Fact = CrashFact | LiveFact | ClearedFact | QuarantineFact
+@attrs.frozen(repr=False)
+class SoundFact(ReprMixin):
+    """A part that was running at crashes had been answered before."""
+
+    key: bytes
+    at_seconds: float
+
+
+Fact = CrashFact | LiveFact | ClearedFact | QuarantineFact | SoundFact
 
 
 def quarantine_fact(suspect: Suspect) -> QuarantineFact:
@@ -94,8 +102,10 @@
         if cleared_at_seconds > oldest_seconds:
             yield ClearedFact(key, cleared_at_seconds)
     for suspect in tracker:
-        if suspect.quarantined_at_seconds is not None:
+        if suspect.is_quarantined:
             yield quarantine_fact(suspect)
+        if suspect.was_sound:
+            yield SoundFact(suspect.key, now_seconds)
 
 
 def _crash_facts(incarnation_key: IncarnationKey, crash: Crash) -> Iterator[CrashFact]:
@@ -133,6 +143,8 @@
                 fact.probes_count,
             )
             update.stopped.append(stopped)
+        elif isinstance(fact, SoundFact):
+            update.sound.append(fact.key)
         else:
             key = fact.incarnation_key
             entry = ended.setdefault(
--- a/packages/rampwick-policy/src/rampwick_policy/_request_quarantine.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_quarantine.py
@@ -19,6 +19,7 @@
     CrashFact,
     Fact,
     LiveFact,
+    SoundFact,
     quarantine_fact,
     state_facts,
     to_update,
@@ -191,9 +192,7 @@
             identity.workspace_path,
             at_seconds,
             identity.part_keys,
-            self._sound_parts.are_sound(
-                identity.workspace_path, identity.part_keys, now_seconds
-            ),
+            self._sound_parts.are_sound(identity.part_keys, now_seconds),
         )
         if self._add_crash(crash, now_seconds):
             self._enqueue(crash)
@@ -355,6 +354,8 @@
                 self._state_changes.forget(suspect.kind, name, "a peer cleared it")
         for ended in update.ended:
             self._receive_crash(ended, now_seconds)
+        for key in update.sound:
+            self.tracker.note_sound(key)
         has_quarantined = False
         for quarantined in update.stopped:
             has_quarantined |= self._receive_quarantined(quarantined, now_seconds)
@@ -432,8 +433,20 @@
             keys = (*crash.part_keys, crash.fingerprint)
             for suspect in self.tracker.restricted(keys):
                 self._record_state(suspect)
+                self._report_sound(suspect, now_seconds)
         return is_new
 
+    def _report_sound(self, suspect: Suspect, now_seconds: float) -> None:
+        """Tell the other hosts of a suspected part that this one had answered.
+
+        The hosts that observed its crashes may not have answered it themselves.
+        """
+        if not suspect.is_part or suspect.was_sound:
+            return
+        if self._sound_parts.is_sound(suspect.key, now_seconds):
+            self.tracker.note_sound(suspect.key)
+            self._enqueue(SoundFact(suspect.key, now_seconds))
+
     def _record_state(self, suspect: Suspect) -> None:
         if suspect.state is QuarantineState.NONE:
             return
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -541,6 +541,8 @@
     cleared: list[ClearedRequest] = attrs.field(factory=list)
     #: Quarantined requests and parts.
     stopped: list[StoppedRequest] = attrs.field(factory=list)
+    #: Keys of parts that were running at crashes and that the sender had answered recently, 8 bytes each.
+    sound: list[bytes] = attrs.field(factory=list)
 
 
 @attrs.frozen(repr=False)
--- a/tests/test_blame_lab.py
+++ b/tests/test_blame_lab.py
@@ -19,6 +19,21 @@
             ratio = result.later_served_count / result.later_count
             self.assertGreaterEqual(ratio, MIN_SERVED_RATIO, (name, seed))
 
+    def check_sound(self, name, *seeds):
+        """Check that deadly requests are known in time and keep no sound ones out."""
+        (pattern,) = (pattern for pattern in PATTERNS if pattern.name == name)
+        for seed in seeds:
+            result = AttributionLab(pattern, "one ranking", seed).run()
+            self.assertEqual(0, result.refused_count, (name, seed))
+            late_runs = max(result.late_runs.values(), default=0)
+            self.assertLessEqual(late_runs, MAX_LATE_RUNS, (name, seed))
+
+    def test_two_deadly_requests_keep_no_sound_ones_out(self):
+        self.check_sound("6 hosts, 2 requests, troubled", 1, 2, 3)
+
+    def test_two_deadly_requests_keep_no_sound_ones_out_at_ninety_hosts(self):
+        self.check_sound("90 hosts, 2 requests, troubled", 1)
+
     def test_part_is_known_in_time_and_sound_requests_go_on(self):
         self.check("6 hosts, 5 upstreams, 1 part", 11, 12)
 
--- a/tests/test_blamed_bystanders.py
+++ b/tests/test_blamed_bystanders.py
@@ -14,6 +14,8 @@
     ClearedRequest,
     CrashUpdate,
     EndedUpstream,
+    decode_message,
+    encode_message,
 )
 
 from .test_part_attribution import PartHost
@@ -102,3 +104,32 @@
         host.do(CrashUpdateReceived(CrashUpdate(ended=reports)))
         host.advance()
         self.assertEqual(QuarantineState.NONE, host.state(GUIDE))
+
+
+class SoundPartTest(TestCase):
+    """A part that any host or workspace had an answer with is presumed sound."""
+
+    def exchange(self, sender, receiver):
+        update = sender.scheduler.quarantine.take_update(sender.at_seconds)
+        if update is not None:
+            message = encode_message(update)
+            receiver.do(CrashUpdateReceived(decode_message(message[4:])))
+
+    def crash_three(self, host, other):
+        for letter in (b"a", b"b", b"c"):
+            other.at_seconds = host.at_seconds
+            host.crash_under((GUIDE, letter))
+            self.exchange(host, other)
+            self.exchange(other, host)
+            host.advance()
+
+    def test_answer_at_another_host_counts(self):
+        host, other = PartHost(), PartHost()
+        other.serve(GUIDE)
+        self.crash_three(host, other)
+        self.assertEqual(QuarantineState.APART, host.state(GUIDE))
+
+    def test_part_that_no_host_had_answered_is_blamed(self):
+        host = PartHost()
+        self.crash_three(host, PartHost())
+        self.assertEqual(QuarantineState.STOPPED, host.state(GUIDE))
--- a/tests/test_part_attribution.py
+++ b/tests/test_part_attribution.py
@@ -416,9 +416,16 @@
         for number in range(2 * MAX_SOUND_PARTS_COUNT):
             parts.note_answered("/loud", [b"%d" % number], 1.0)
         self.assertEqual(MAX_SOUND_PARTS_COUNT, len(parts))
-        self.assertEqual((True,), parts.are_sound("/quiet", [b"p"], 2.0))
-        self.assertEqual((), parts.are_sound("/loud", [b"p"], 2.0))
-        self.assertEqual((), parts.are_sound("/quiet", [b"p"], 1000.0))
+        self.assertEqual((True,), parts.are_sound([b"p"], 2.0))
+        self.assertEqual((), parts.are_sound([b"0"], 2.0))
+        self.assertEqual((), parts.are_sound([b"p"], 1000.0))
+
+    def test_answer_of_one_workspace_counts_for_all_that_share_the_part(self):
+        parts = SoundParts()
+        parts.note_answered("/one", [b"p"], 0.0)
+        parts.note_answered("/other", [b"p"], 200.0)
+        self.assertEqual(1, len(parts))
+        self.assertEqual((False, True), parts.are_sound([b"q", b"p"], 400.0))
 
 
 class RuleTest(TestCase):
