Answer each request that ends without a response

Cause: the HTTP server ends a request whose application returns, fails or is cancelled before it starts a response with an empty 500, framed as complete. Requests that wait for the claim of their key are the ones that have not started when the drain of a stopping host ends and the server cancels what is left. The class: an end of a request for which nobody decided the response. Read for it: all returns, exceptions and cancellations of EntryApp, Exchange, RoutedEntry, the claims, and the server's task group. Four ways: the drain ends first; the host ends at once; an error that nothing expects, which was not logged either; the caller is taken for gone. There is no stored answer of a key: a second request with it gets 409.

Change: EntryApp sends an error to each request that ends without a response, with whether it may have run. Unexpected errors are logged. A forced shutdown answers 502 to requests that may have run, since 503 promises that they did not.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -43,6 +43,9 @@
 #: of a next request precede it.
 CALLER_CHECK_SECONDS = 0.25
 
+#: Time that the server is given to send the response to a request that has ended.
+ANSWER_TIMEOUT_SECONDS = 0.5
+
 log = ComponentLogger("entry")
 
 
@@ -83,7 +86,11 @@
                 await anyio.sleep(CALLER_CHECK_SECONDS)
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
-        """Serve one request with exactly one final response."""
+        """Serve one request with exactly one final response.
+
+        The HTTP server would answer a request that gets none with an empty 500, which
+        looks complete and does not tell whether the request ran.
+        """
         if scope["type"] != "http":
             return
         lifecycle = self._context.lifecycle
@@ -108,6 +115,8 @@
                 await self._end_cancelled(responder, scope["path"])
         finally:
             del self._open[responder]
+            if not responder.has_started:
+                await self._end_unanswered(responder, scope["path"])
 
     async def _serve_or_send_error(
         self,
@@ -125,6 +134,9 @@
         except RampwickError as error:
             log.problem("request failed", path=scope["path"], error=str(error))
             await responder.send_error(_internal_error(error))
+        except Exception as error:
+            log.problem("request failed", path=scope["path"], error=repr(error))
+            await responder.send_error(_unexpected_error(responder.was_dispatched))
 
     async def _end_cancelled(self, responder: Responder, path: str) -> None:
         if responder.has_caller_left():
@@ -134,6 +146,18 @@
             return
         await responder.send_error(_forced_shutdown_error(responder.was_dispatched))
 
+    async def _end_unanswered(self, responder: Responder, path: str) -> None:
+        """Answer a request that ended without a response.
+
+        Its caller is believed to have left, or the server is cancelling the request.
+        """
+        error = _unanswered_error(
+            responder.was_dispatched, is_leaving=not self._context.lifecycle.is_ready
+        )
+        log.info("request ended without response", path=path, code=error.code)
+        with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS, shield=True):
+            await responder.send_error(error)
+
     async def _serve(
         self,
         scope: Message,
@@ -278,16 +302,44 @@
 
 
 def _forced_shutdown_error(was_dispatched: bool) -> CallerError:
+    return _unserved_error(
+        "this host was forced to shut down", "leaving", "stop", was_dispatched
+    )
+
+
+def _unanswered_error(was_dispatched: bool, *, is_leaving: bool) -> CallerError:
+    if is_leaving:
+        return _unserved_error(
+            "this host shut down first", "leaving", "stop", was_dispatched
+        )
+    return _unserved_error(
+        "the request was cancelled", "cancelled", "serve request", was_dispatched
+    )
+
+
+def _unserved_error(
+    message: str, code: str, step: str, was_dispatched: bool
+) -> CallerError:
     return CallerError(
-        "this host was forced to shut down",
-        status=503,
-        code="leaving",
-        step="stop",
+        message,
+        status=502 if was_dispatched else 503,
+        code=code,
+        step=step,
         run_state=RunState.MAYBE_RUN if was_dispatched else RunState.NOT_SENT,
         retry_after_seconds=None if was_dispatched else 1.0,
     )
 
 
+def _unexpected_error(was_dispatched: bool) -> CallerError:
+    return CallerError(
+        "an unexpected error occurred",
+        status=500,
+        code="internal",
+        step="serve request",
+        run_state=RunState.MAYBE_RUN if was_dispatched else RunState.NOT_SENT,
+    )
+
+
 def _read_headers(scope: Message) -> dict[str, str]:
     return {
         name.decode("latin-1").lower(): value.decode("latin-1")
