Send cancellations to runners only

A plain service got DELETE /v1/streams/<attempt> after each attempt that broke (native interface): a call that no caller had sent. And a request that was given up while it was under way could be answered as not run, if its upstream had been taken off the list.

Cause: each attempt at a listed upstream was cancelled there, although only runners know attempts; and OpenRequests.abort told by the cancellation whether the request was under way. The class: one action stands for a fact that it only usually follows.

Change: abort tells by the attempt. Cancellations go to runners only.

--- a/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
@@ -14,6 +14,7 @@
 from ._refusals import Refusals
 from ._request import RunState
 from ._request_quarantine import RequestQuarantine
+from ._upstream import Upstream
 
 
 class OpenRequests:
@@ -72,13 +73,10 @@
 
     def cancel(self, item: QueuedRequest, event: ev.AttemptFailed) -> list[ev.Action]:
         """Cancel a failed attempt that may still run at its upstream."""
-        upstream = self._pool.upstreams.get(item.upstream)
-        if upstream is None or event.outcome.proves_not_run:
+        if event.outcome.proves_not_run:
             return []
-        address = upstream.entry.address
-        return [
-            ev.CancelAttempt(event.request_id, event.attempt_id, upstream.name, address)
-        ]
+        upstream = self._pool.upstreams.get(item.upstream)
+        return _cancellations(upstream, event.request_id, event.attempt_id)
 
     def drop(
         self, item: QueuedRequest, now_seconds: float, may_have_arrived: bool = True
@@ -99,10 +97,7 @@
             self.charge_actual(item, 0.0, now_seconds)
             self._refund(item)
             return []
-        if upstream is None:
-            return []
-        address = upstream.entry.address
-        return [ev.CancelAttempt(item.request_id, attempt_id, upstream.name, address)]
+        return _cancellations(upstream, item.request_id, attempt_id)
 
     def refuse(
         self,
@@ -133,8 +128,9 @@
         evidence: str = "",
     ) -> list[ev.Action]:
         """Refuse a request that is queued or under way, and cancel its attempt."""
+        is_under_way = bool(item.lifecycle.attempt_id)
         dropped = self.drop(item, now_seconds)
-        if dropped and item.lifecycle.run_state < RunState.MAYBE_RUN:
+        if is_under_way and item.lifecycle.run_state < RunState.MAYBE_RUN:
             # It was under way without an answer, so it may have run.
             item.lifecycle.run_state = RunState.MAYBE_RUN
         refusal = self.refuse(
@@ -170,3 +166,16 @@
         if item.lifecycle.run_state <= RunState.REFUSED:
             self._pool.limits.refund(item.limit_charges)
             item.limit_charges = []
+
+
+def _cancellations(
+    upstream: Upstream | None, request_id: str, attempt_id: str
+) -> list[ev.Action]:
+    """Return the cancellation of an attempt at a runner.
+
+    A plain service knows no attempts: the close of the connection has to do.
+    """
+    if upstream is None or not upstream.is_runner:
+        return []
+    address = upstream.entry.address
+    return [ev.CancelAttempt(request_id, attempt_id, upstream.name, address)]
