Say of unexpected errors whether the request may have run

An internal error was answered with was_run no, also after the request had been sent on: the error was made without a run state, whose default is not sent.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -133,10 +133,13 @@
             log.info("request cancelled", path=scope["path"], error=str(error))
         except RampwickError as error:
             log.problem("request failed", path=scope["path"], error=str(error))
-            await responder.send_error(_internal_error(error))
+            await responder.send_error(_internal_error(error, responder.was_dispatched))
         except Exception as error:
             log.problem("request failed", path=scope["path"], error=repr(error))
-            await responder.send_error(_unexpected_error(responder.was_dispatched))
+            unexpected = RampwickError("an unexpected error", step="serve request")
+            await responder.send_error(
+                _internal_error(unexpected, responder.was_dispatched)
+            )
 
     async def _end_cancelled(self, responder: Responder, path: str) -> None:
         if responder.has_caller_left():
@@ -330,16 +333,6 @@
     )
 
 
-def _unexpected_error(was_dispatched: bool) -> CallerError:
-    return CallerError(
-        "an unexpected error occurred",
-        status=500,
-        code="internal",
-        step="serve request",
-        run_state=RunState.MAYBE_RUN if was_dispatched else RunState.NOT_SENT,
-    )
-
-
 def _read_headers(scope: Message) -> dict[str, str]:
     return {
         name.decode("latin-1").lower(): value.decode("latin-1")
@@ -386,7 +379,12 @@
     )
 
 
-def _internal_error(error: RampwickError) -> CallerError:
+def _internal_error(error: RampwickError, was_dispatched: bool) -> CallerError:
     return CallerError(
-        error.message, status=500, code="internal", step=error.step, peer=error.peer
+        error.message,
+        status=500,
+        code="internal",
+        step=error.step,
+        peer=error.peer,
+        run_state=RunState.MAYBE_RUN if was_dispatched else RunState.NOT_SENT,
     )
--- a/tests/test_empty_answers.py
+++ b/tests/test_empty_answers.py
@@ -8,6 +8,7 @@
 from rampwick_platform import ClaimStore
 from rampwick_router._caller_sockets import CallerSocket
 from rampwick_router.entry._claims import ClaimTask
+from rampwick_router.entry._relay import Relay
 
 from .bench import TEST_TIMEOUT_SECONDS, send_stream, until
 from .case import ScenarioCase
@@ -87,6 +88,13 @@
         response = self.send_keyed(broken_claims, drain)
         self.assertEqual("internal", response.error_code)
 
+    def test_request_that_an_unexpected_error_ends_on_its_way_may_have_run(self):
+        error = ValueError("unexpected")
+        response = self.send_keyed(
+            lambda: mock.patch.object(Relay, "run", side_effect=error), drain
+        )
+        self.assertEqual(("internal", "maybe"), (response.error_code, response.was_run))
+
     def test_request_whose_caller_is_believed_gone(self):
         response = self.send_keyed(caller_believed_gone, drain)
         self.assertEqual((503, "no"), (response.status, response.was_run))
