Log when the event loop was blocked, with the processor time of the process

The check of deadlines, ten times a second while requests are open, now says when it was late by 0.3 s or more.

--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -5,6 +5,7 @@
 costs as much as a decision.
 """
 
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -41,12 +42,16 @@
     WeightsTarget,
 )
 
-from ._logs import ComponentLogger
+from ._logs import ComponentLogger, milliseconds
 
 #: Interval between checks of deadlines, and the interval while no request is open.
 TICK_SECONDS = 0.1
 IDLE_TICK_SECONDS = 1.0
 
+#: Delay of a check from which it is logged: peers take a host that doesn't answer a
+#: probe for that long for unreachable.
+BLOCKED_LOOP_SECONDS = 0.3
+
 #: Uncached prompt tokens from which a dispatch is published to peers immediately.
 LONG_PROMPT_TOKENS = 1000
 
@@ -57,6 +62,7 @@
 MAX_QUEUED_CANCELS = 10_000
 
 log = ComponentLogger("beliefs")
+loop_log = ComponentLogger("loop")
 
 
 @attrs.frozen(repr=False)
@@ -259,13 +265,29 @@
         """Post clock ticks until cancelled."""
         while True:
             if self._scheduler.open_count:
-                await anyio.sleep(TICK_SECONDS)
+                await self._sleep_one_tick()
             else:
                 self._has_open = anyio.Event()
                 with move_on_after_aligned(IDLE_TICK_SECONDS):
                     await self._has_open.wait()
             self.post(Tick())
 
+    async def _sleep_one_tick(self) -> None:
+        """Sleep, and log if the event loop woke this task up much too late.
+
+        The processor time tells whether this process was busy or was not run.
+        """
+        began_seconds, cpu_seconds = self._read_clock(), time.process_time()
+        await anyio.sleep(TICK_SECONDS)
+        late_seconds = self._read_clock() - began_seconds - TICK_SECONDS
+        if late_seconds >= BLOCKED_LOOP_SECONDS:
+            loop_log.problem(
+                "event loop was blocked",
+                blocked_ms=milliseconds(late_seconds),
+                processor_ms=milliseconds(time.process_time() - cpu_seconds),
+                open_count=self._scheduler.open_count,
+            )
+
     def _handle(self, event: Event, now_seconds: float) -> None:
         for action in self._scheduler.handle(event, now_seconds):
             self._execute(action, now_seconds)
