Count a probe only for the address that it was sent to

By review: an upstream that moves to another address while a probe of it is under way counted as probed there, or as down, by what the process at its earlier address did. It could get requests that it isn't ready for, or none for a second.

Cause: results of probes name the upstream only. The class: an answer that is attributed by a name which has been given out again. Read for it: results of attempts (by attempt), stalls and signals (by incarnation), weights (by incarnation), loads of the rollout controller (as probes, changed too).

--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -153,6 +153,8 @@
     report: LoadReport | None
     #: The path on which it answered.
     path: UpstreamPath = UpstreamPath.DIRECT
+    #: The address that was probed; empty if it is the listed one in any case.
+    address: str = ""
 
 
 @attrs.frozen(repr=False)
@@ -163,6 +165,8 @@
     message: str
     #: Whether a new connection to it was opened, so that its machine and link work.
     is_connected: bool = False
+    #: The address that was probed; empty if it is the listed one in any case.
+    address: str = ""
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -348,6 +348,16 @@
         upstream.cache_generation = None
         self._record_state(upstream, error, now_seconds)
 
+    def is_outdated(self, event: ev.LoadReported | ev.ProbeFailed) -> bool:
+        """Return whether a probe was sent to an earlier address of its upstream.
+
+        What is listed under its name now is another process, perhaps another service.
+        """
+        upstream = self.upstreams.get(event.upstream)
+        if upstream is None or not event.address:
+            return False
+        return upstream.entry.address != event.address
+
     def _on_load_report(self, event: ev.LoadReported, now_seconds: float) -> None:
         upstream = self.upstreams.get(event.upstream)
         if upstream is None:
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -366,6 +366,8 @@
         self, event: ev.ProbeFailed, now_seconds: float
     ) -> list[ev.Action]:
         """Mark an upstream as down, and fail its attempts that may be repeated."""
+        if self.pool.is_outdated(event):
+            return []
         if self.pool.may_be_silent(event, now_seconds):
             return []
         self.pool.handle(event, now_seconds)
@@ -410,6 +412,8 @@
     def _on_reported(
         self, event: ev.LoadReported, now_seconds: float
     ) -> list[ev.Action]:
+        if self.pool.is_outdated(event):
+            return []
         before = self.pool.paths.path(event.upstream)
         self.pool.handle(event, now_seconds)
         upstream = self.upstreams.get(event.upstream)
--- a/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
@@ -272,7 +272,7 @@
             return
         was_pending = entry.name in self._rollout.loads()
         self._rollout.note_report(entry.name, report, started_seconds)
-        self._scheduler.post(LoadReported(entry.name, report))
+        self._scheduler.post(LoadReported(entry.name, report, address=entry.address))
         if was_pending and entry.name not in self._rollout.loads():
             log.info(
                 "load finished",
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
@@ -65,10 +65,10 @@
             report, path = await race.run(self._tunnels, may_reuse=may_reuse)
         except AttemptError as error:
             self._scheduler.post(
-                ProbeFailed(entry.name, str(error), error.is_connected)
+                ProbeFailed(entry.name, str(error), error.is_connected, entry.address)
             )
             return
-        self._scheduler.post(LoadReported(entry.name, report, path))
+        self._scheduler.post(LoadReported(entry.name, report, path, entry.address))
 
     async def _check_link(self, entry: HostEntry) -> None:
         """Return to the own link of an upstream if it works again."""
@@ -79,7 +79,7 @@
         except AttemptError:
             # The upstream remains reachable through peers, and is checked again.
             return
-        self._scheduler.post(LoadReported(entry.name, report))
+        self._scheduler.post(LoadReported(entry.name, report, address=entry.address))
 
 
 class ProbeRace:
