Ignore figures of runners and peers that can't be true

By review: one wrong figure of a runner (slots, speed, running requests) made it always preferred or always full, one of a peer filled an upstream for all others, and a wrong number of hosts was kept until a restart, so that a host without peers allowed itself almost nothing.

Cause: messages are checked against the schema for their lower bounds only. The class: a number from outside that is believed whatever its size. Read for it: load reports, summaries (queues were bounded already), the counts of streams' versions.

Change: figures above what any engine or fleet has are ignored, those of a report with a line of the log; the rest of the message counts. A message that breaks them isn't rejected: the link would be closed again and again.

--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -12,6 +12,7 @@
 from rampwick_schema import ReprMixin, Summary
 
 from ._change_log import ChangeLog
+from ._reported_figures import without_implausible
 
 
 @attrs.frozen(repr=False)
@@ -62,6 +63,7 @@
         now_seconds: float,
     ) -> bool:
         """Record a summary; return false if it is older than the last."""
+        summary = without_implausible(summary)
         known = self._views.get(name)
         order = (incarnation, summary.sequence)
         if known and order <= (known.incarnation, known.summary.sequence):
--- a/packages/rampwick-policy/src/rampwick_policy/_peer_queues.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_peer_queues.py
@@ -13,11 +13,7 @@
 from ._admission import MAX_WAITING_REPORT_AGE_SECONDS
 from ._events import RANKED_CLASSES
 from ._membership import Membership, PeerView
-
-#: Largest plausible report for one service and rank. Ten times the requests that the
-#: queues of a hundred hosts hold, and as many prompts of 100,000 tokens.
-MAX_REPORTED_REQUESTS = 1_000_000
-MAX_REPORTED_TOKENS = 100_000_000_000
+from ._reported_figures import MAX_REPORTED_REQUESTS, MAX_REPORTED_TOKENS
 
 
 @attrs.define(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -22,6 +22,7 @@
 from ._membership import Membership
 from ._prefill_isolation import PrefillIsolation
 from ._prefix_cache_index import CacheGeneration
+from ._reported_figures import is_plausible_report
 from ._request import Outcome
 from ._request_rates import RateObservation, RequestRates
 from ._send_limits import SendLimits
@@ -364,6 +365,9 @@
             return
         is_same_generation = True
         if event.report is not None:
+            if not is_plausible_report(event.report):
+                reason = f"its figures can't be true: {event.report}"
+                self.state_changes.note("report", upstream.name, "ignored", reason)
             is_same_generation = not self.upstreams.note_report(upstream, event.report)
             self.caches.update_generation(upstream, event.report.cache_tokens)
         upstream.health.note_probe(is_same_generation, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -23,6 +23,7 @@
 from ._pauses import Pauses
 from ._prefill_speed import PrefillSpeed
 from ._prefix_cache_index import CacheGeneration
+from ._reported_figures import is_plausible_report
 from ._runner_state import RunnerState, state_expires_seconds
 from ._runner_views import RunnerView
 from ._shutdown_announcements import Incarnation, ShutdownAnnouncements
@@ -320,9 +321,10 @@
     def note_report(self, upstream: Upstream, report: LoadReport) -> bool:
         """Apply a runner's load report; return whether its generation is new."""
         upstream.model = report.model
-        upstream.slots_count = report.slots_count
-        upstream.reported_tokens_per_second = report.prefill_tokens_per_second
-        upstream.reported_running_count = report.running_count
+        if is_plausible_report(report):
+            upstream.slots_count = report.slots_count
+            upstream.reported_tokens_per_second = report.prefill_tokens_per_second
+            upstream.reported_running_count = report.running_count
         generation = CacheGeneration(report.incarnation, report.weights_version)
         is_new = self.note_generation(upstream, generation, is_own_report=True)
         upstream.role = report.role
