Read a leaving upstream within two seconds behind a dead connection

Cause: a change just after the answer to a watch waits for the pause between two watches (0.3 s), the next watch on the dead connection (1.2 s), the grace for its response (0.5 s) and the backoff (0.05 to 0.1 s): 2.05 to 2.1 s before the listing is sent. The class: a bound that several waits in a row use up, each of them chosen by itself.

Change: watches on upstreams wait for 1.0 s instead of 1.2 s, 15 in 100 more of these calls at the most. Ruled out: less grace, since a slow store would fail watches that it answers.

Result: the test gives 2.11 s before and 1.91 s after, bound 2 s.

--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -21,8 +21,9 @@
 
 #: Maximum wait of one watch on the upstreams. Its responses confirm the list to peers,
 #: which read the platform themselves once their data is older than FALLBACK_SECONDS.
-#: With 2 s, each host of a large fleet read a dozen times in 50 s.
-UPSTREAMS_WAIT_SECONDS = 1.2
+#: With the pause, the grace for the response and a backoff, a change is read within 2 s
+#: although the connection of the watch is dead.
+UPSTREAMS_WAIT_SECONDS = 1.0
 
 #: Time between two watches on the upstreams. Entries change constantly during a
 #: rollout, and an entry that is shutting down may be assigned work for some seconds
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -14,8 +14,14 @@
     Listing,
     PlatformUnavailableError,
     StoredObject,
+    _kind_watcher,
 )
+from rampwick_platform._http import WATCH_GRACE_SECONDS
 from rampwick_policy import ExpiredEntryGuard
+from rampwick_router.control._host_sources import (
+    UPSTREAMS_WAIT_SECONDS,
+    WATCH_PAUSE_SECONDS,
+)
 from rampwick_schema import HostEntry, HostList, join_version
 
 
@@ -112,6 +118,56 @@
     anyio.run(main)
 
 
+class DeadConnectionApi(ScriptedApi):
+    """A store that answers the first watch, and no other on its connection."""
+
+    async def watch(self, prefix, after_version, timeout_seconds):
+        if len(self.calls) > 1:
+            self.calls.append(("watch", after_version))
+            self.now += timeout_seconds + WATCH_GRACE_SECONDS
+            raise PlatformUnavailableError("no response", step="watch")
+        return await super().watch(prefix, after_version, timeout_seconds)
+
+    async def sleep(self, seconds):
+        """Let the scripted time pass."""
+        self.now += seconds
+        await anyio.lowlevel.checkpoint()
+
+
+class DeadConnectionTest(TestCase):
+    def test_a_change_behind_a_dead_connection_is_read_within_two_seconds(self):
+        answer = (0.01, Listing(6, []))
+        script = DeadConnectionApi((0.0, Listing(5, [])), answer, answer)
+        states, at_seconds = [], []
+
+        def note(state):
+            states.append(state)
+            at_seconds.append(script.now)
+
+        async def main():
+            watcher = KindWatcher(
+                script,
+                "k/",
+                wait_seconds=UPSTREAMS_WAIT_SECONDS,
+                pause_seconds=WATCH_PAUSE_SECONDS,
+                on_state=note,
+                on_problem=lambda _: None,
+                read_clock=script.clock,
+                rng=mock.Mock(uniform=lambda _, maximum: maximum),
+            )
+            sleep = mock.patch.object(_kind_watcher.anyio, "sleep", script.sleep)
+            with sleep, anyio.move_on_after(1.0):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(watcher.run)
+                    while len(states) < 3:
+                        await anyio.lowlevel.checkpoint()
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        # The change came just after the answer to the first watch.
+        self.assertLess(at_seconds[2] - at_seconds[1], 2.0)
+
+
 class KindWatcherTest(TestCase):
     def run_script(self, *responses, **options):
         self.states, self.problems = [], []
