--- a/packages/rampwick-standin/src/rampwick_standin/_service.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_service.py
@@ -69,8 +69,7 @@
             "bytes": len(body),
         }
         response = JSONResponse(response_body, status_code=status)
-        # Hosts also cancel failed calls, by DELETE; nobody waits for those responses.
-        if self.cut_answers_count > 0 and request.method != "DELETE":
+        if self.cut_answers_count > 0:
             self.cut_answers_count -= 1
             # Without the stated length, the server sends chunks.
             headers = response.headers if self.cut_answers_count % 2 else None
