Soak: say how late the soak itself was

Sight for slow calls at a cut-off host: all proxied links between hosts, peers and upstreams are forwarded by the soak's own process. The line of a run now says how often it was late, and how much.

--- a/soak/_run.py
+++ b/soak/_run.py
@@ -3,6 +3,7 @@
 import hashlib
 import random
 import time
+from collections.abc import Sequence
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -26,6 +27,11 @@
 #: Time limit for the fleet to recover after the last fault.
 RECOVERY_TIMEOUT_SECONDS = 60.0
 
+#: Interval at which the soak checks how late its own event loop is, and the delay that
+#: counts: all proxied links stand still meanwhile.
+OWN_CHECK_INTERVAL_SECONDS = 0.05
+OWN_DELAY_SECONDS = 0.2
+
 #: Poll intervals for the status of hosts, and for conditions that are awaited.
 STATUS_INTERVAL_SECONDS = 0.3
 POLL_INTERVAL_SECONDS = 0.1
@@ -51,6 +57,8 @@
     served_count: int
     cut_count: int
     runs_count: int
+    #: Times at which the soak's own event loop did not run, and for how long.
+    own_delays: list[tuple[float, float]]
 
 
 async def run_seed(parameters: RunParameters, directory: Path) -> RunResult:
@@ -81,6 +89,7 @@
         self._injector = FaultInjector(fleet)
         self._observations.injected_faults = self._injector.injected_faults
         self._is_over = False
+        self._own_delays: list[tuple[float, float]] = []
 
     async def execute(self, tasks: anyio.abc.TaskGroup) -> None:
         """Execute the run up to the collection of what the upstreams observed."""
@@ -93,6 +102,7 @@
             self._parameters.faults_count,
         )
         tasks.start_soon(self._monitor_hosts)
+        tasks.start_soon(self._monitor_own_loop)
         async with anyio.create_task_group() as callers:
             for number in range(self._parameters.size.callers_count):
                 callers.start_soon(self._call, f"c{number}")
@@ -115,6 +125,7 @@
             served_count=sum(call.observed.is_whole for call in calls),
             cut_count=sum(call.is_cut for call in calls),
             runs_count=len(self._observations.runs),
+            own_delays=self._own_delays,
         )
 
     async def _send_herd(self) -> None:
@@ -180,6 +191,15 @@
                 await self._read_status(host.name, self._fleet.ports(host)["admin"])
             await anyio.sleep(STATUS_INTERVAL_SECONDS)
 
+    async def _monitor_own_loop(self) -> None:
+        """Record when the soak itself, which runs the proxies, did not run."""
+        while True:
+            began_seconds = time.monotonic()
+            await anyio.sleep(OWN_CHECK_INTERVAL_SECONDS)
+            late_seconds = time.monotonic() - began_seconds - OWN_CHECK_INTERVAL_SECONDS
+            if late_seconds >= OWN_DELAY_SECONDS:
+                self._own_delays.append((began_seconds, late_seconds))
+
     async def _read_status(self, name: str, port: int) -> None:
         try:
             status = await self._fleet.get_json(port, "/status")
@@ -274,5 +294,10 @@
     return (
         f"seed {result.parameters.seed}: {state}; {result.calls_count} calls, "
         f"{result.served_count} complete, {result.cut_count} cut, "
-        f"{result.runs_count} runs of {RESPONSE_TOKENS} tokens"
+        f"{result.runs_count} runs of {RESPONSE_TOKENS} tokens; the soak itself late "
+        f"{len(result.own_delays)} times, {_longest(result.own_delays):.2f} s at most"
     )
+
+
+def _longest(delays: Sequence[tuple[float, float]]) -> float:
+    return max((seconds for _, seconds in delays), default=0.0)
