Take the paragraphs of prompts in one text for parts

Cause: parts were read from chats and from named parts; a prompt of /v1/completions had none.

Change: its paragraphs but the last are parts, or its lines if it has one paragraph.

Result: test_paragraph_of_many_prompts_in_one_text_crashes_at_most_five_runners (12 prompts, two hosts, four runners; at most 5 runs) fails without the change and passes.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -100,7 +100,10 @@
 from ._expired_entries import ExpiredEntryGuard as ExpiredEntryGuard
 from ._health import Health as Health, HealthState as HealthState
 from ._host_lists import diff_hosts as diff_hosts, patch_hosts as patch_hosts
-from ._identity import RequestIdentity as RequestIdentity
+from ._identity import (
+    MAX_PART_KEYS as MAX_PART_KEYS,
+    RequestIdentity as RequestIdentity,
+)
 from ._kv_store_contents import store_generation as store_generation
 from ._lease import LeaseWatcher as LeaseWatcher
 from ._limit_tracker import LimitState as LimitState
--- a/packages/rampwick-router/src/rampwick_router/entry/_call.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_call.py
@@ -13,6 +13,7 @@
 import orjson
 
 from rampwick_policy import (
+    MAX_PART_KEYS,
     PRIORITY_CLASSES,
     PrefixChain,
     Scope,
@@ -199,18 +200,28 @@
     )
 
 
-def read_message_keys(call: ModelCall) -> list[bytes]:
-    """Return the key of each message but the last; they don't depend on its position.
+def read_part_keys(call: ModelCall) -> list[bytes]:
+    """Return the key of each part of a prompt but the last, wherever it stands.
 
-    Callers of this interface name no parts, and the messages of a prompt are the units
-    that other prompts may share.
+    Callers of this interface name no parts. The units that other prompts may share are
+    the messages of a chat, and the paragraphs or lines of a prompt in one text.
     """
-    if not call.is_chat:
-        return []
-    return [
-        part_key(call.scope, _render_message(index, message))
-        for index, message in enumerate(call.body["messages"][:-1])
-    ]
+    if call.is_chat:
+        messages = enumerate(call.body["messages"][:-1])
+        texts = [_render_message(index, message) for index, message in messages]
+    else:
+        texts = _split_text(call.body["prompt"])[:-1]
+    return [part_key(call.scope, text) for text in texts]
+
+
+def _split_text(prompt: str) -> list[bytes]:
+    """Return the paragraphs of a text, or its lines if it has one paragraph only."""
+    for separator in ("\n\n", "\n"):
+        # What follows the parts that are considered stays one piece.
+        texts = prompt.strip().split(separator, MAX_PART_KEYS)
+        if len(texts) > 1:
+            break
+    return [_encode(text) for text in texts if text.strip()]
 
 
 def _read_object(raw: bytes) -> dict[str, Any]:
--- a/packages/rampwick-router/src/rampwick_router/entry/_model_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_model_exchange.py
@@ -13,7 +13,7 @@
 )
 
 from ._attempt_check import AttemptCheck
-from ._call import ENGINE_PRIORITIES, ModelCall, read_message_keys
+from ._call import ENGINE_PRIORITIES, ModelCall, read_part_keys
 from ._context import EntryContext
 from ._exchange import Exchange
 from ._relay import Relay, RelayTarget
@@ -57,7 +57,7 @@
                 terms.workspace.path,
                 self._path,
                 self._call.raw,
-                functools.partial(read_message_keys, self._call),
+                functools.partial(read_part_keys, self._call),
             ),
         )
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -20,6 +20,15 @@
     )
 
 
+async def complete(host, *texts):
+    """Send a prompt in one text with these paragraphs."""
+    return await host.client.post(
+        "/v1/completions",
+        json={"model": "lektor", "prompt": "\n\n".join(texts), "max_tokens": 4},
+        headers={"Authorization": f"Bearer {KEY}"},
+    )
+
+
 async def until_current(bench, hosts):
     """Wait until the hosts know the running incarnation of each runner."""
 
@@ -35,7 +44,9 @@
 
 
 class FleetTest(ScenarioCase):
-    def test_part_of_many_prompts_crashes_at_most_five_runners_over_all_hosts(self):
+    def run_prompts(self, ask):
+        """Send prompts with the part; return its runs and what sound ones got."""
+
         async def scenario(bench):
             for index in range(4):
                 bench.add_runner(f"lektor-{index}", deadly_text=CRASHING_PART)
@@ -49,6 +60,14 @@
                 runs = sum(CRASHING_PART in text for text in bench.ran())
                 return runs, [response.status_code for response in sound]
 
-        runs, statuses = self.run_scenario(scenario)
+        return self.run_scenario(scenario)
+
+    def test_part_of_many_prompts_crashes_at_most_five_runners_over_all_hosts(self):
+        runs, statuses = self.run_prompts(ask)
+        self.assertLessEqual(runs, ALLOWED_CRASHES)
+        self.assertEqual([200] * 12, statuses)
+
+    def test_paragraph_of_many_prompts_in_one_text_crashes_at_most_five_runners(self):
+        runs, statuses = self.run_prompts(complete)
         self.assertLessEqual(runs, ALLOWED_CRASHES)
         self.assertEqual([200] * 12, statuses)
--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -7,7 +7,7 @@
 from rampwick_policy import RequestIdentity, Workspace
 from rampwick_policy._identity import MAX_PART_KEYS
 from rampwick_router.entry import _exchange
-from rampwick_router.entry._call import CallTerms, read_message_keys, read_model_call
+from rampwick_router.entry._call import CallTerms, read_model_call, read_part_keys
 from rampwick_schema import PlacementSettings
 
 from .case import ScenarioCase
@@ -42,7 +42,7 @@
         raw = json.dumps({"model": "m", "messages": messages}).encode()
         terms = CallTerms(Workspace("/w", (), ()), "batch", 1.0, True)
         call = read_model_call(raw, terms, PlacementSettings(), is_chat=True)
-        return read_message_keys(call)
+        return read_part_keys(call)
 
     def test_messages_but_the_last_have_keys_that_do_not_depend_on_their_position(self):
         first = self.message_keys("a guide", "a label", "one question")
