Read-through: fewer facts to a new host, no line for callers that have left

A host that connects is told which parts were answered for the crashes that it is told of only. The line of a request that ended without a response is for callers that are still there. The speed of a report has its lower bound from the schema.

--- a/packages/rampwick-policy/src/rampwick_policy/_crash_updates.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_updates.py
@@ -104,7 +104,7 @@
     for suspect in tracker:
         if suspect.is_quarantined:
             yield quarantine_fact(suspect)
-        if suspect.was_sound:
+        if suspect.was_sound and suspect.key in reported_keys:
             yield SoundFact(suspect.key, now_seconds)
 
 
--- a/packages/rampwick-policy/src/rampwick_policy/_reported_figures.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_reported_figures.py
@@ -25,7 +25,7 @@
     return (
         report.slots_count <= MAX_SLOTS_COUNT
         and report.running_count <= MAX_REPORTED_REQUESTS
-        and 0.0 <= report.prefill_tokens_per_second <= MAX_TOKENS_PER_SECOND
+        and report.prefill_tokens_per_second <= MAX_TOKENS_PER_SECOND
     )
 
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -157,7 +157,8 @@
         error = _unanswered_error(
             responder.was_dispatched, is_leaving=not self._context.lifecycle.is_ready
         )
-        log.info("request ended without response", path=path, code=error.code)
+        if not responder.has_caller_left():
+            log.problem("request ended without response", path=path, code=error.code)
         with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS, shield=True):
             await responder.send_error(error)
 
