Take no crash back by a probe that names no incarnation

Cause: a new upstream was started at the address of one that had crashed, while the entry of that one was still listed. It answered the probe of the old one (9.27 s), whose crash was taken back at all hosts, and with it the evidence against all that had been aboard; the next request got 421. The report of a runner names no incarnation there, the listed one is assumed. The class: an answer attributed by a name that has been given out again, as with probes of moved upstreams; here the address stays and the process changes.

Change: a report says whether it named its incarnation. Only one that did takes a crash back; else an attempt that its upstream accepts does, which names its target. Read for it: health probes of plain services (checked), answers to attempts (421 from another), orders (checked by the runner's count), watches of caches (by epoch).

Result: test_probe_that_names_no_incarnation_takes_no_crash_back fails before (0 crashes left) and passes (1).

--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -418,9 +418,10 @@
         self.pool.handle(event, now_seconds)
         upstream = self.upstreams.get(event.upstream)
         if upstream is not None:
-            self.quarantine.note_live(
-                upstream.name, upstream.incarnation, upstream.probed_at_seconds
-            )
+            if event.report is None or event.report.is_identified:
+                self.quarantine.note_live(
+                    upstream.name, upstream.incarnation, upstream.probed_at_seconds
+                )
             self.quarantine.note_writing(
                 (item for item in self._requests if item.upstream == upstream.name),
                 upstream.incarnation,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_upstream.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_upstream.py
@@ -37,6 +37,8 @@
     fencing_number: int = attrs.field(default=0, validator=within(0, None))
     #: Orders that this incarnation has accepted.
     orders_count: int = attrs.field(default=0, validator=within(0, None))
+    #: Whether the response named its incarnation; otherwise the listed one is assumed.
+    is_identified: bool = attrs.field(default=True)
 
 
 @attrs.frozen(repr=False)
--- a/tests/test_blamed_bystanders.py
+++ b/tests/test_blamed_bystanders.py
@@ -6,7 +6,9 @@
     CrashTracker,
     CrashUpdateReceived,
     IncarnationKey,
+    LoadReported,
     QuarantineState,
+    RequestIdentity,
 )
 from rampwick_policy._crash_attribution import CRASH_REPORTS_SECONDS
 from rampwick_schema import (
@@ -14,6 +16,7 @@
     ClearedRequest,
     CrashUpdate,
     EndedUpstream,
+    LoadReport,
     decode_message,
     encode_message,
 )
@@ -106,6 +109,31 @@
         self.assertEqual(QuarantineState.NONE, host.state(GUIDE))
 
 
+class RebornUpstreamTest(TestCase):
+    """Another upstream that was started at the address of a crashed one."""
+
+    def crash_and_probe(self, **fields):
+        """Return the crashes of a request after a probe of its upstream."""
+        host = PartHost()
+        name, _ = host.send(body=b"deadly")
+        upstream = host.sent[name].upstream
+        host.crash(name)
+        host.advance(2.0)
+        host.scheduler.upstreams.due_probes(host.at_seconds)
+        host.advance(0.1)
+        report = LoadReport(upstream, "m", 1, 2, 0, 0, 8000.0, 60_000, **fields)
+        host.do(LoadReported(upstream, report))
+        fingerprint = RequestIdentity("/w", "h/x", b"deadly").fingerprint
+        suspect = host.scheduler.quarantine.tracker.get(fingerprint)
+        return suspect.crashes_count if suspect else 0
+
+    def test_probe_that_names_no_incarnation_takes_no_crash_back(self):
+        self.assertEqual(1, self.crash_and_probe(is_identified=False))
+
+    def test_probe_that_names_the_incarnation_does(self):
+        self.assertEqual(0, self.crash_and_probe())
+
+
 class SoundPartTest(TestCase):
     """A part that any host or workspace had an answer with is presumed sound."""
 
