--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -488,6 +488,8 @@
         )
         head = ResponseHead(200, [])
         report = self.control.read_probe(self.entry, head, body)
+        # A report names no incarnation.
+        self.assertFalse(report.is_identified)
         self.assertEqual(
             (3, "loading", 2),
             (report.weights_version, report.role, report.orders_count),
