--- a/tests/test_blame_lab.py
+++ b/tests/test_blame_lab.py
@@ -31,6 +31,9 @@
     def test_two_deadly_requests_keep_no_sound_ones_out(self):
         self.check_sound("6 hosts, 2 requests, troubled", 1, 2, 3)
 
+    def test_five_deadly_requests_keep_no_sound_ones_out(self):
+        self.check_sound("6 hosts, 5 requests, troubled", 1, 2, 3)
+
     def test_two_deadly_requests_keep_no_sound_ones_out_at_ninety_hosts(self):
         self.check_sound("90 hosts, 2 requests, troubled", 1)
 
