Record a crash whose suspects a full tracker evicts at once

By reading: a crash under a prompt with many parts could end the handling of its event with a KeyError. With 4,096 suspects of as many workspaces, the parts of one prompt make its workspace the largest, which loses its oldest suspect, a part of the same prompt.

Cause: since crashes count as explained, the suspects of a crash are looked up after all of them were added, and those evicted meanwhile are gone.

Change: only those that the crash still counts against are looked up.

Result: test_crash_whose_first_suspects_are_evicted_at_once_is_recorded fails before (KeyError) and passes.

--- a/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
@@ -148,7 +148,8 @@
             self._note_seen(suspect, now_seconds)
             self._update_restriction(suspect)
         self._crashes[incarnation_key] = crash
-        keys = {key for key, _ in candidates}
+        # A full tracker may have evicted some of them for the others.
+        keys = {key for key, _ in candidates} & crash.suspect_keys
         has_quarantined = any(self._suspects[key].is_quarantined for key in keys)
         self._update_explained(crash.suspect_keys if has_quarantined else keys)
         return True
--- a/tests/test_blamed_bystanders.py
+++ b/tests/test_blamed_bystanders.py
@@ -10,7 +10,10 @@
     QuarantineState,
     RequestIdentity,
 )
-from rampwick_policy._crash_attribution import CRASH_REPORTS_SECONDS
+from rampwick_policy._crash_attribution import (
+    CRASH_REPORTS_SECONDS,
+    MAX_SUSPECTS_COUNT,
+)
 from rampwick_schema import (
     AboardRequest,
     ClearedRequest,
@@ -72,6 +75,19 @@
         self.assertEqual(QuarantineState.STOPPED, crashes.state(DEADLY))
 
 
+class FullTrackerTest(TestCase):
+    def test_crash_whose_first_suspects_are_evicted_at_once_is_recorded(self):
+        tracker = CrashTracker()
+        for number in range(MAX_SUSPECTS_COUNT):
+            key = IncarnationKey("u", str(number))
+            tracker.note_crash(key, b"r%d" % number, f"/w{number}", 1.0, 1.0)
+        parts = tuple(b"p%d" % number for number in range(32))
+        self.assertTrue(
+            tracker.note_crash(IncarnationKey("v", "1"), b"r", "/w", 2.0, 2.0, parts)
+        )
+        self.assertEqual(MAX_SUSPECTS_COUNT, len(tracker))
+
+
 def ended(name, age_seconds, *requests):
     """Return the report of a crash under some requests with their parts."""
     aboard = [
