Log attempts that are abandoned because of a probe or a path

A request whose attempt ended by a failed probe, or with the path to its upstream, left no line but that of the next attempt or of the refusal. Now "beliefs: attempt is abandoned" names the attempt, its upstream and the reason.

--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -392,6 +392,9 @@
             failed = ev.AttemptFailed(
                 item.request_id, attempt_id, Outcome.BROKEN, message
             )
+            self.pool.state_changes.note_end(
+                "attempt", attempt_id, f"at {upstream}", "abandoned", message
+            )
             actions += self._on_failed(failed, now_seconds)
         return actions
 
--- a/packages/rampwick-policy/src/rampwick_policy/_state_changes.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_state_changes.py
@@ -33,6 +33,10 @@
         self._states[kind, name] = state
         self._pending.append(StateChange(kind, name, before, state, reason))
 
+    def note_end(self, kind: str, name: str, before: str, end: str, reason: str) -> None:
+        """Record how an object ended whose earlier states are not tracked."""
+        self._pending.append(StateChange(kind, name, before, end, reason))
+
     def has_state(self, kind: str, name: str) -> bool:
         """Return whether a state is recorded for an object."""
         return (kind, name) in self._states
