Give up an attempt on suspicion only if another one can go on with its answer

Callers got the beginning of an answer and then a closed connection, with most of their time left and a sound upstream. The class: an answer is ended on a suspicion although nothing can take its place. Change: Scheduler.may_give_up decides for all of them. An answer that has begun is given up only if its lifecycle, the retry budget and an upstream allow another attempt now; else it goes on until its upstream, its connection or its deadline ends it. The entry asks again every 0.2 s, so that it is replaced as soon as that is possible. Not affected: requests whose caller has nothing yet, which fail as early as before, so that their callers can try again.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -172,6 +172,16 @@
                 return False
         return True
 
+    def may_send_again(self, item: QueuedRequest, now_seconds: float) -> bool:
+        """Return whether an upstream and the retry budget allow another attempt."""
+        arrival = item.arrival
+        budget = self._budgets.of(arrival.service, self._pool.peers.known_hosts_count)
+        if not budget.has_retry(now_seconds):
+            return False
+        views = self._snapshot(now_seconds).views(arrival)
+        views = self._software_versions.allowed_views(item, views)
+        return bool(views and self._allowed_views(item, views, now_seconds))
+
     def _snapshot(self, now_seconds: float) -> CapacitySnapshot:
         pool = self._pool
         return CapacitySnapshot(
--- a/packages/rampwick-policy/src/rampwick_policy/_request.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request.py
@@ -154,9 +154,26 @@
         may_run_again = self.is_repeatable or self.run_state <= RunState.REFUSED
         return (
             self.is_waiting
-            and (not self.has_delivered or self.is_resumable)
             and may_run_again
-            and self.runs_count < self.max_attempts_count
+            and self._has_attempt_left(self.runs_count, now_seconds)
+        )
+
+    def may_replace(self, now_seconds: float) -> bool:
+        """Return whether another attempt may follow the one under way.
+
+        The one under way may have run.
+        """
+        return (
+            not self.is_waiting
+            and not self.has_ended
+            and self.is_repeatable
+            and self._has_attempt_left(self.runs_count + 1, now_seconds)
+        )
+
+    def _has_attempt_left(self, runs_count: int, now_seconds: float) -> bool:
+        return (
+            (not self.has_delivered or self.is_resumable)
+            and runs_count < self.max_attempts_count
             and self.attempts_count < self.max_attempts_count + MAX_REFUSALS
             and now_seconds < self.deadline_seconds
         )
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -230,6 +230,22 @@
             now_seconds,
         )
 
+    def may_give_up(self, request_id: str, now_seconds: float) -> bool:
+        """Return whether an attempt may end although its upstream may be sound.
+
+        That holds for answers of which the caller has nothing, and where another
+        attempt can go on with the answer. Otherwise the caller would lose what the
+        upstream may still send.
+        """
+        item = self._requests.get(request_id)
+        if item is None or not item.lifecycle.has_delivered:
+            return True
+        if now_seconds >= item.arrival.deadline_seconds:
+            return True
+        return item.lifecycle.may_replace(
+            now_seconds
+        ) and self._dispatcher.may_send_again(item, now_seconds)
+
     # Requests.
 
     def _on_arrived(
@@ -389,6 +405,8 @@
                 continue
             if only_stalled and item.stalled_attempt_id != attempt_id:
                 continue
+            if not self.may_give_up(item.request_id, now_seconds):
+                continue
             failed = ev.AttemptFailed(
                 item.request_id, attempt_id, Outcome.BROKEN, message
             )
--- a/packages/rampwick-policy/src/rampwick_policy/_state_changes.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_state_changes.py
@@ -33,7 +33,9 @@
         self._states[kind, name] = state
         self._pending.append(StateChange(kind, name, before, state, reason))
 
-    def note_end(self, kind: str, name: str, before: str, end: str, reason: str) -> None:
+    def note_end(
+        self, kind: str, name: str, before: str, end: str, reason: str
+    ) -> None:
         """Record how an object ended whose earlier states are not tracked."""
         self._pending.append(StateChange(kind, name, before, end, reason))
 
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -169,6 +169,10 @@
         pool = self._scheduler.pool
         return pool.withdrawal(upstream, incarnation, self._read_clock())
 
+    def may_give_up(self, request_id: str) -> bool:
+        """Return whether a request's attempt may end though it may be sound."""
+        return self._scheduler.may_give_up(request_id, self._read_clock())
+
     def path(self, upstream: str) -> UpstreamPath:
         """Return the path to an upstream or a store of cached prompts."""
         if self._scheduler.pool.is_tunnelled(upstream):
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -33,6 +33,9 @@
 #: well above the response time of a busy engine, well below what callers tolerate.
 UNRESPONSIVE_AFTER_SECONDS = 0.5
 
+#: Time between two checks whether an attempt at an unresponsive upstream may end.
+GIVE_UP_CHECK_SECONDS = 0.2
+
 STEP = "forward request"
 
 log = ComponentLogger("route")
@@ -84,7 +87,7 @@
             self._post_upstream_state(info, sent_at_seconds)
             self._check(head, info)
             with self._context.stall_detector.monitor(
-                self._stall_timeout_seconds()
+                self._stall_timeout_seconds(), self._may_give_up
             ) as monitor:
                 self._read_monitor = monitor
                 yield head
@@ -171,8 +174,15 @@
         # The cancelled read has consumed no bytes.
         with anyio.move_on_after(stall_timeout_seconds - UNRESPONSIVE_AFTER_SECONDS):
             return await self._connection.receive_head()
+        while not self._may_give_up():
+            with anyio.move_on_after(GIVE_UP_CHECK_SECONDS):
+                return await self._connection.receive_head()
         raise self.failed(Outcome.BROKEN, "the upstream is unresponsive")
 
+    def _may_give_up(self) -> bool:
+        """Return whether the attempt may end because its upstream is unresponsive."""
+        return self._context.scheduler.may_give_up(self._request_id)
+
     def _report_unresponsive(self) -> None:
         """Report to the scheduler that the upstream has not sent a response head."""
         log.problem(
--- a/packages/rampwick-router/src/rampwick_router/upstream/_stalls.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_stalls.py
@@ -22,6 +22,8 @@
     """State of reading one response; the reader records when it waits for data."""
 
     timeout_seconds: float
+    #: Returns whether a read that has stalled may be aborted.
+    may_abort: Callable[[], bool]
     #: Time since which the reader has been waiting for data; none while it is not.
     waiting_since_seconds: float | None = None
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
@@ -37,12 +39,15 @@
         self._has_reads = anyio.Event()
 
     @contextmanager
-    def monitor(self, timeout_seconds: float) -> Iterator[ReadMonitor]:
+    def monitor(
+        self, timeout_seconds: float, may_abort: Callable[[], bool]
+    ) -> Iterator[ReadMonitor]:
         """Monitor a response for the duration of the context.
 
         A stall ends the context early, without an error, and sets ``has_stalled``.
+        ``may_abort`` is asked again at each check.
         """
-        read = ReadMonitor(timeout_seconds)
+        read = ReadMonitor(timeout_seconds, may_abort)
         self._active.add(read)
         self._has_reads.set()
         try:
@@ -70,6 +75,7 @@
             since_seconds = read.waiting_since_seconds
             if since_seconds is None:
                 continue
-            if now_seconds - since_seconds > read.timeout_seconds:
+            has_timed_out = now_seconds - since_seconds > read.timeout_seconds
+            if has_timed_out and read.may_abort():
                 read.has_stalled = True
                 read.scope.cancel()
--- /dev/null
+++ b/tests/test_answers_cut_on_suspicion.py
@@ -0,0 +1,150 @@
+"""An answer that has begun is not cut because its upstream may be unresponsive."""
+
+import anyio
+from testtools import TestCase
+
+from rampwick_policy import (
+    AttemptDelivered,
+    AttemptFailed,
+    AttemptStalled,
+    Dispatch,
+    LoadReported,
+    Outcome,
+    ProbeFailed,
+    Refuse,
+    UpstreamPath,
+)
+from rampwick_schema import LoadReport
+
+from .test_routed import CHUNKED, chunk, event, run, stream_of
+from .test_scheduler import Session
+
+PAUSE_SECONDS = 0.9
+RETRY = "silence_timeout_seconds = 0.3"
+
+
+def pausing_stream(first, last, pause_after):
+    """Return a script that pauses between two events of its answer."""
+
+    async def script(exchange):
+        await exchange.send(exchange.head(extra=CHUNKED))
+        for number in range(first, last + 1):
+            await exchange.send(chunk(event(number)))
+            if number == pause_after:
+                await anyio.sleep(PAUSE_SECONDS)
+        await exchange.send(b"0\r\n\r\n")
+
+    return script
+
+
+class SuspectedUpstreamTest(TestCase):
+    """The caller has a part of the answer, and no other attempt may follow."""
+
+    def session(self, *, is_resumable=True, attempts_count=2, runners=3):
+        session = Session(runners=runners, slots=8)
+        session.arrive(
+            1.0, "r1", max_attempts_count=attempts_count, is_resumable=is_resumable
+        )
+        session.do(1.1, AttemptDelivered("r1", "r1.1"))
+        return session
+
+    def upstream(self, session):
+        return next(
+            item.name for item in session.scheduler.upstreams if item.own_attempts
+        )
+
+    def refusals(self, actions):
+        return [item for item in actions if isinstance(item, Refuse)]
+
+    def fail_probe(self, session, at):
+        name = self.upstream(session)
+        return session.do(at, ProbeFailed(name, "no response within 0.4 s"))
+
+    def attempt_id(self, session):
+        lifecycle = session.scheduler.lifecycle("r1")
+        return lifecycle.attempt_id if lifecycle else ""
+
+    def test_failed_probe_replaces_an_attempt_that_another_may_follow(self):
+        session = self.session()
+        (sent,) = [
+            item for item in self.fail_probe(session, 2.0) if isinstance(item, Dispatch)
+        ]
+        self.assertEqual("r1.2", sent.attempt_id)
+
+    def test_failed_probe_leaves_the_last_attempt_alone(self):
+        session = self.session()
+        self.fail_probe(session, 2.0)
+        session.do(2.1, AttemptDelivered("r1", "r1.2"))
+        self.assertEqual([], self.refusals(self.fail_probe(session, 3.0)))
+        self.assertEqual("r1.2", self.attempt_id(session))
+
+    def test_failed_probe_leaves_the_only_attempt_alone(self):
+        session = self.session(attempts_count=1)
+        self.assertEqual([], self.refusals(self.fail_probe(session, 2.0)))
+        self.assertEqual("r1.1", self.attempt_id(session))
+
+    def test_failed_probe_leaves_an_answer_that_cannot_be_resumed(self):
+        session = self.session(is_resumable=False)
+        self.assertEqual([], self.refusals(self.fail_probe(session, 2.0)))
+        self.assertEqual("r1.1", self.attempt_id(session))
+
+    def test_failed_probe_leaves_an_answer_without_another_upstream(self):
+        session = self.session(runners=1)
+        self.fail_probe(session, 2.0)
+        self.assertEqual("r1.1", self.attempt_id(session))
+
+    def test_failed_probe_leaves_an_answer_without_retry_budget(self):
+        session = self.session()
+        budget = session.scheduler.budgets.of("", 1)
+        while budget.spend(2.0):
+            continue
+        self.fail_probe(session, 2.0)
+        self.assertEqual("r1.1", self.attempt_id(session))
+
+    def test_replaced_path_leaves_the_last_attempt_alone(self):
+        session = self.session()
+        self.fail_probe(session, 2.0)
+        session.do(2.5, AttemptStalled("r1", "r1.2"))
+        report = LoadReport("one", "m", 1, 8, 0, 0, 8000.0, 60_000)
+        name = self.upstream(session)
+        actions = session.do(2.6, LoadReported(name, report, UpstreamPath.TUNNEL))
+        self.assertEqual([], self.refusals(actions))
+        self.assertEqual("r1.2", self.attempt_id(session))
+
+    def test_broken_connection_ends_the_last_attempt(self):
+        session = self.session(attempts_count=1)
+        failed = AttemptFailed("r1", "r1.1", Outcome.BROKEN, "closed", was_closed=True)
+        self.assertEqual(1, len(self.refusals(session.do(2.0, failed))))
+
+
+class PausingUpstreamTest(TestCase):
+    """The upstream of the last attempt pauses for longer than the timeout."""
+
+    def stream(self, script):
+        """Return the response if the first attempt breaks and the second one pauses."""
+
+        async def scenario(host, servers):
+            async def break_off(exchange):
+                for server in servers.values():
+                    server.scripts = [script]
+                await stream_of(1, 9, stop_after=3)(exchange)
+
+            for server in servers.values():
+                server.scripts = [break_off]
+            return await host.call("/stream/1")
+
+        return run(scenario, retry=RETRY)
+
+    def test_pause_in_the_last_attempt(self):
+        response = self.stream(pausing_stream(4, 9, pause_after=6))
+        self.assertTrue(response.is_whole)
+        self.assertEqual(9, response.body.count(b"data:"))
+
+    def test_pause_before_the_head_of_the_last_attempt(self):
+        async def pause(exchange):
+            await anyio.sleep(PAUSE_SECONDS)
+            await stream_of(4, 9)(exchange)
+
+        response = self.stream(pause)
+        self.assertTrue(response.is_whole)
+        self.assertEqual(9, response.body.count(b"data:"))
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -38,7 +38,7 @@
         """Return whether a read stalled; each step is a waiting flag and a duration."""
 
         async def main():
-            with self.detector.monitor(timeout_seconds) as monitored:
+            with self.detector.monitor(timeout_seconds, lambda: True) as monitored:
                 for is_waiting, seconds in steps:
                     monitored.waiting_since_seconds = None
                     if is_waiting:
