Let data that arrives outweigh a failed probe of its upstream

A failed probe ended the attempts at its upstream that may be repeated, also those whose answers were arriving: the callers' streams paused for a second attempt, and were cut when that one was ended the same way. By reading: probes wait 0.4 s, and a host that is late by that much fails the probes of sound upstreams. Class: a weaker sign outweighs a stronger one. Change: the scheduler asks how long an attempt's reader has waited; one that has got data within the time that a probe waits goes on, and its own silence ends it, if so. Result: test_failed_probe_leaves_an_answer_that_goes_on fails before (the attempt was replaced) and passes.

--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -6,6 +6,7 @@
 returned actions in order.
 """
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -53,10 +54,18 @@
 from ._suspects import QuarantineState
 from ._upstreams import Upstream, UpstreamTable
 
+#: Silence of an attempt from which a failed probe of its upstream ends it: about what a
+#: probe waits, so that later data outweighs the probe.
+MIN_SILENCE_SECONDS = 0.4
+
 #: Events that can't make a waiting request dispatchable; the next tick follows anyway.
 NON_DISPATCHING_EVENTS = (ev.AttemptAccepted, ev.LoadReported, ev.CacheReported)
 
 
+def _always_silent(attempt_id: str, now_seconds: float) -> float:
+    return math.inf
+
+
 class Scheduler:
     """State machine that queues, dispatches, retries and refuses requests."""
 
@@ -139,6 +148,8 @@
             # Hosts must not draw the same jitter.
             rng or random.Random(settings.host.name),
         )
+        #: Returns for how long the upstream of an attempt has sent nothing.
+        self.silent_seconds: Callable[[str, float], float] = _always_silent
         self._handlers: dict[type, Callable[[Any, float], list[ev.Action]]] = {
             ev.RequestArrived: self._on_arrived,
             ev.AttemptAccepted: self._on_accepted,
@@ -397,7 +408,7 @@
         *,
         only_stalled: bool = False,
     ) -> list[ev.Action]:
-        """Fail the attempts at an upstream that may be repeated."""
+        """Fail the silent attempts at an upstream that may be repeated."""
         actions: list[ev.Action] = []
         for item in self._requests:
             attempt_id = item.lifecycle.attempt_id
@@ -405,6 +416,8 @@
                 continue
             if only_stalled and item.stalled_attempt_id != attempt_id:
                 continue
+            if self.silent_seconds(attempt_id, now_seconds) < MIN_SILENCE_SECONDS:
+                continue
             if not self.may_give_up(item.request_id, now_seconds):
                 continue
             failed = ev.AttemptFailed(
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -138,6 +138,7 @@
         )
         self.gossip.cache_outbox.list_read_caches = self.cache_reader.read_names
         self.stall_detector = StallDetector(read_clock)
+        self.scheduler.set_silence(self.stall_detector.silent_seconds)
         self.context = EntryContext(
             settings=settings,
             scheduler=self.scheduler,
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -139,6 +139,10 @@
         versions = self._scheduler.software_versions
         return versions.streams if versions.is_enabled else None
 
+    def set_silence(self, silent_seconds: Callable[[str, float], float]) -> None:
+        """Set the function that returns how long an attempt's upstream is silent."""
+        self._scheduler.silent_seconds = silent_seconds
+
     def set_list_age(self, read_age_seconds: Callable[[float], float]) -> None:
         """Set the function that returns the age of the host list at a time."""
         history = self._scheduler.software_versions.history
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -87,7 +87,7 @@
             self._post_upstream_state(info, sent_at_seconds)
             self._check(head, info)
             with self._context.stall_detector.monitor(
-                self._stall_timeout_seconds(), self._may_give_up
+                dispatch.attempt_id, self._stall_timeout_seconds(), self._may_give_up
             ) as monitor:
                 self._read_monitor = monitor
                 yield head
--- a/packages/rampwick-router/src/rampwick_router/upstream/_stalls.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_stalls.py
@@ -5,6 +5,7 @@
 later than its timeout.
 """
 
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -21,6 +22,7 @@
 class ReadMonitor(ReprMixin):
     """State of reading one response; the reader records when it waits for data."""
 
+    attempt_id: str
     timeout_seconds: float
     #: Returns whether a read that has stalled may be aborted.
     may_abort: Callable[[], bool]
@@ -35,31 +37,42 @@
 
     def __init__(self, read_clock: Callable[[], float]) -> None:
         self._read_clock = read_clock
-        self._active: set[ReadMonitor] = set()
+        self._active: dict[str, ReadMonitor] = {}
         self._has_reads = anyio.Event()
 
     @contextmanager
     def monitor(
-        self, timeout_seconds: float, may_abort: Callable[[], bool]
+        self, attempt_id: str, timeout_seconds: float, may_abort: Callable[[], bool]
     ) -> Iterator[ReadMonitor]:
-        """Monitor a response for the duration of the context.
+        """Monitor an attempt's response for the duration of the context.
 
         A stall ends the context early, without an error, and sets ``has_stalled``.
         ``may_abort`` is asked again at each check.
         """
-        read = ReadMonitor(timeout_seconds, may_abort)
-        self._active.add(read)
+        read = ReadMonitor(attempt_id, timeout_seconds, may_abort)
+        self._active[attempt_id] = read
         self._has_reads.set()
         try:
             with read.scope:
                 yield read
         finally:
-            self._active.discard(read)
+            del self._active[attempt_id]
 
     def note_waiting(self, read: ReadMonitor) -> None:
         """Record that the reader waits for data from now on."""
         read.waiting_since_seconds = self._read_clock()
 
+    def silent_seconds(self, attempt_id: str, now_seconds: float) -> float:
+        """Return for how long an attempt's reader has waited; infinity before its head.
+
+        A reader that does not wait has data that its caller has not taken yet.
+        """
+        read = self._active.get(attempt_id)
+        if read is None:
+            return math.inf
+        since_seconds = read.waiting_since_seconds
+        return 0.0 if since_seconds is None else now_seconds - since_seconds
+
     async def run(self) -> None:
         """Check periodically until cancelled."""
         while True:
@@ -71,7 +84,7 @@
 
     def check(self, now_seconds: float) -> None:
         """Abort the reads that have stalled."""
-        for read in list(self._active):
+        for read in list(self._active.values()):
             since_seconds = read.waiting_since_seconds
             if since_seconds is None:
                 continue
--- a/tests/test_answers_cut_on_suspicion.py
+++ b/tests/test_answers_cut_on_suspicion.py
@@ -71,6 +71,12 @@
         ]
         self.assertEqual("r1.2", sent.attempt_id)
 
+    def test_failed_probe_leaves_an_answer_that_goes_on(self):
+        session = self.session()
+        session.scheduler.silent_seconds = lambda attempt_id, now_seconds: 0.1
+        self.fail_probe(session, 2.0)
+        self.assertEqual("r1.1", self.attempt_id(session))
+
     def test_failed_probe_leaves_the_last_attempt_alone(self):
         session = self.session()
         self.fail_probe(session, 2.0)
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -1,5 +1,7 @@
 """Tests of stalled responses, and of halls that become unreachable."""
 
+import math
+
 import anyio
 from testtools import TestCase
 
@@ -38,7 +40,9 @@
         """Return whether a read stalled; each step is a waiting flag and a duration."""
 
         async def main():
-            with self.detector.monitor(timeout_seconds, lambda: True) as monitored:
+            with self.detector.monitor(
+                "r1.1", timeout_seconds, lambda: True
+            ) as monitored:
                 for is_waiting, seconds in steps:
                     monitored.waiting_since_seconds = None
                     if is_waiting:
@@ -64,7 +68,40 @@
 
     def test_finished_reads_are_not_checked(self):
         self.read((True, 0.1))
-        self.assertEqual(set(), self.detector._active)
+        self.assertEqual({}, self.detector._active)
+
+    def test_silence_begins_when_the_reader_waits(self):
+        def silence():
+            return self.detector.silent_seconds("r1.1", self.now_seconds)
+
+        async def main():
+            observed = [silence()]
+            with self.detector.monitor("r1.1", 1.0, lambda: True) as monitored:
+                observed.append(silence())
+                self.detector.note_waiting(monitored)
+                self.now_seconds += 0.5
+                observed.append(silence())
+                monitored.waiting_since_seconds = None
+                observed.append(silence())
+            return [*observed, silence()]
+
+        expected = [math.inf, 0.0, 0.5, 0.0, math.inf]
+        self.assertEqual(expected, anyio.run(main))
+
+    def test_stall_that_must_not_end_the_response_is_asked_about_again(self):
+        answers = [False, True]
+
+        async def main():
+            stalled = []
+            with self.detector.monitor("r1.1", 1.0, lambda: answers.pop(0)) as read:
+                self.detector.note_waiting(read)
+                self.now_seconds += 1.1
+                for _ in range(2):
+                    self.detector.check(self.now_seconds)
+                    stalled.append(read.has_stalled)
+            return stalled
+
+        self.assertEqual([False, True], anyio.run(main))
 
 
 class UnreachableHallTest(TestCase):
