Wait for silent upstreams that are up if no other attempt may follow

Callers whose upstream was slow to answer got 502 after 1.2 s, though no other attempt could follow. Cause: silence alone ended an attempt, without a look at the retry budget, at the attempts left or at what probes say. Change: may_give_up asks for an attempt that may follow also where the caller has nothing yet. Without one it ends only where the upstream is down or no longer listed, so that the caller can try again itself. Result: test_silence_alone_does_not_end_the_attempt and test_pause_before_the_only_answer fail before (True; 502) and pass.

--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -247,6 +247,10 @@
         upstream = self.upstreams.get(name)
         return upstream is not None and upstream.health.state is HealthState.DOWN
 
+    def is_in_use(self, name: str) -> bool:
+        """Return whether an upstream is listed and not down."""
+        return self.upstreams.get(name) is not None and not self.is_down(name)
+
     def may_probe_idle_link(self, name: str) -> bool:
         """Return whether a kept connection may show that an upstream is reachable.
 
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -242,20 +242,21 @@
         )
 
     def may_give_up(self, request_id: str, now_seconds: float) -> bool:
-        """Return whether an attempt may end although its upstream may be sound.
+        """Return whether an attempt may end because its upstream is unresponsive.
 
-        That holds for answers of which the caller has nothing, and where another
-        attempt can go on with the answer. Otherwise the caller would lose what the
-        upstream may still send.
+        The upstream may still answer, so that another attempt must be possible. Without
+        one, a caller that has nothing of the answer yet may try again itself, which
+        makes sense only while the upstream is down.
         """
         item = self._requests.get(request_id)
-        if item is None or not item.lifecycle.has_delivered:
+        if item is None or now_seconds >= item.arrival.deadline_seconds:
             return True
-        if now_seconds >= item.arrival.deadline_seconds:
+        lifecycle = item.lifecycle
+        if lifecycle.may_replace(now_seconds) and self._dispatcher.may_send_again(
+            item, now_seconds
+        ):
             return True
-        return item.lifecycle.may_replace(
-            now_seconds
-        ) and self._dispatcher.may_send_again(item, now_seconds)
+        return not lifecycle.has_delivered and not self.pool.is_in_use(item.upstream)
 
     # Requests.
 
@@ -418,7 +419,9 @@
                 continue
             if self.silent_seconds(attempt_id, now_seconds) < MIN_SILENCE_SECONDS:
                 continue
-            if not self.may_give_up(item.request_id, now_seconds):
+            if item.lifecycle.has_delivered and not self.may_give_up(
+                item.request_id, now_seconds
+            ):
                 continue
             failed = ev.AttemptFailed(
                 item.request_id, attempt_id, Outcome.BROKEN, message
--- a/tests/test_answers_cut_on_suspicion.py
+++ b/tests/test_answers_cut_on_suspicion.py
@@ -123,6 +123,41 @@
         self.assertEqual(1, len(self.refusals(session.do(2.0, failed))))
 
 
+class SilentUpstreamTest(TestCase):
+    """The caller has nothing of the answer yet, and no other attempt may follow."""
+
+    def session(self):
+        session = Session(runners=2, slots=8)
+        session.arrive(1.0, "r1", max_attempts_count=1)
+        session.do(1.5, AttemptStalled("r1", "r1.1"))
+        return session
+
+    def may_give_up(self, session, at):
+        return session.scheduler.may_give_up("r1", at)
+
+    def test_silence_alone_does_not_end_the_attempt(self):
+        self.assertFalse(self.may_give_up(self.session(), 2.2))
+
+    def test_silence_of_an_upstream_that_is_down_does(self):
+        session = self.session()
+        (upstream,) = [
+            item.name for item in session.scheduler.upstreams if item.own_attempts
+        ]
+        failed = ProbeFailed(upstream, "no response within 0.4 s")
+        (refusal,) = [
+            item for item in session.do(2.2, failed) if isinstance(item, Refuse)
+        ]
+        self.assertEqual("upstream_failed", refusal.reason)
+
+    def test_deadline_ends_it(self):
+        self.assertTrue(self.may_give_up(self.session(), 61.0))
+
+    def test_another_attempt_may_follow(self):
+        session = Session(runners=2, slots=8)
+        session.arrive(1.0, "r1", max_attempts_count=2)
+        self.assertTrue(self.may_give_up(session, 2.2))
+
+
 class PausingUpstreamTest(TestCase):
     """The upstream of the last attempt pauses for longer than the timeout."""
 
@@ -146,6 +181,19 @@
         self.assertTrue(response.is_whole)
         self.assertEqual(9, response.body.count(b"data:"))
 
+    def test_pause_before_the_only_answer(self):
+        async def scenario(host, servers):
+            async def pause(exchange):
+                await anyio.sleep(PAUSE_SECONDS)
+                await exchange.answer()
+
+            for server in servers.values():
+                server.scripts = [pause]
+            host.daemon.scheduler._scheduler.budgets.of("labels", 1).balance = 0.0
+            return await host.call("/again/1")
+
+        self.assertEqual(200, run(scenario, retry=RETRY).status)
+
     def test_pause_before_the_head_of_the_last_attempt(self):
         async def pause(exchange):
             await anyio.sleep(PAUSE_SECONDS)
