Replace no attempt by one that the configuration may not allow

Callers of a host that could not confirm its configuration lost streams that had begun: the host gave up a silent attempt, and then refused to send the next one as stale_configuration. Cause: whether another attempt is allowed was asked only after the one under way had ended. Result: two new tests fail before (the attempt was replaced; the stream was cut) and pass.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -173,8 +173,13 @@
         return True
 
     def may_send_again(self, item: QueuedRequest, now_seconds: float) -> bool:
-        """Return whether an upstream and the retry budget allow another attempt."""
+        """Return whether another attempt can be sent now.
+
+        That takes an upstream, the retry budget, and a configuration that allows it.
+        """
         arrival = item.arrival
+        if not arrival.is_allowed():
+            return False
         budget = self._budgets.of(arrival.service, self._pool.peers.known_hosts_count)
         if not budget.has_retry(now_seconds):
             return False
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -1,5 +1,7 @@
 """Events that the scheduler processes and actions that it returns."""
 
+from collections.abc import Callable
+
 import attrs
 
 from rampwick_schema import (
@@ -30,6 +32,10 @@
 RANKED_CLASSES = (*PRIORITY_CLASSES, *(f"rank-{rank}" for rank in range(3, 10)))
 
 
+def _always() -> bool:
+    return True
+
+
 @attrs.frozen(repr=False)
 class RequestArrived(ReprMixin):
     """A caller's validated request arrived."""
@@ -73,6 +79,8 @@
     is_resumption: bool = False
     #: Longest time since a stream began that its caller may still take up.
     max_stream_age_seconds: float = 0.0
+    #: Returns whether the configuration in force allows that it is sent now.
+    is_allowed: Callable[[], bool] = _always
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -109,8 +109,12 @@
             else b"",
             is_resumption=bool(self._call.last_event_id),
             max_stream_age_seconds=self._max_stream_age_seconds(),
+            is_allowed=self._is_allowed,
         )
 
+    def _is_allowed(self) -> bool:
+        return self.context.check_access(self._call).verdict is Verdict.ALLOWED
+
     def _max_stream_age_seconds(self) -> float:
         """Return how long ago a stream that is taken up can have begun.
 
--- a/tests/test_answers_cut_on_suspicion.py
+++ b/tests/test_answers_cut_on_suspicion.py
@@ -3,6 +3,7 @@
 import anyio
 from testtools import TestCase
 
+from rampwick_platform import PlatformUnavailableError
 from rampwick_policy import (
     AttemptDelivered,
     AttemptFailed,
@@ -14,12 +15,14 @@
     Refuse,
     UpstreamPath,
 )
+from rampwick_router.entry._context import KEY_AGE_MARGIN_SECONDS
 from rampwick_schema import LoadReport
 
 from .test_routed import CHUNKED, chunk, event, run, stream_of
 from .test_scheduler import Session
 
 PAUSE_SECONDS = 0.9
+KEY_AGE_SECONDS = KEY_AGE_MARGIN_SECONDS + 0.2
 RETRY = "silence_timeout_seconds = 0.3"
 
 
@@ -40,11 +43,10 @@
 class SuspectedUpstreamTest(TestCase):
     """The caller has a part of the answer, and no other attempt may follow."""
 
-    def session(self, *, is_resumable=True, attempts_count=2, runners=3):
+    def session(self, *, attempts_count=2, runners=3, **fields):
         session = Session(runners=runners, slots=8)
-        session.arrive(
-            1.0, "r1", max_attempts_count=attempts_count, is_resumable=is_resumable
-        )
+        fields = {"is_resumable": True, **fields}
+        session.arrive(1.0, "r1", max_attempts_count=attempts_count, **fields)
         session.do(1.1, AttemptDelivered("r1", "r1.1"))
         return session
 
@@ -107,6 +109,11 @@
         self.fail_probe(session, 2.0)
         self.assertEqual("r1.1", self.attempt_id(session))
 
+    def test_failed_probe_leaves_an_answer_whose_access_cannot_be_confirmed(self):
+        session = self.session(is_allowed=lambda: False)
+        self.fail_probe(session, 2.0)
+        self.assertEqual("r1.1", self.attempt_id(session))
+
     def test_replaced_path_leaves_the_last_attempt_alone(self):
         session = self.session()
         self.fail_probe(session, 2.0)
@@ -123,6 +130,25 @@
         self.assertEqual(1, len(self.refusals(session.do(2.0, failed))))
 
 
+class UnconfirmedAccessTest(TestCase):
+    """The host can't confirm the configuration while an upstream pauses."""
+
+    def test_answer_is_not_given_up_for_an_attempt_that_is_not_allowed(self):
+        async def scenario(host, servers):
+            async def pause(exchange):
+                host.store.failure = PlatformUnavailableError("away", step="test")
+                host.store.changed.set()
+                await anyio.sleep(KEY_AGE_SECONDS - KEY_AGE_MARGIN_SECONDS)
+                await pausing_stream(1, 9, pause_after=6)(exchange)
+
+            for server in servers.values():
+                server.scripts = [pause]
+            return await host.call("/stream/1")
+
+        platform = f"max_key_age_seconds = {KEY_AGE_SECONDS}"
+        self.assertTrue(run(scenario, retry=RETRY, platform=platform).is_whole)
+
+
 class SilentUpstreamTest(TestCase):
     """The caller has nothing of the answer yet, and no other attempt may follow."""
 
