Reserve what replaces an attempt before it is given up

A reviewer who had not seen the work found answers that were still cut, each with a test: one failed probe gave up four answers where the budget held one retry (two after 4 s as no_retry_left); a stalled upstream counted as the other one that goes on; other upstreams without a free slot counted, too; bytes that a late host had not read were taken for silence; a failed probe took an upstream out of service while answers came from it; the late break of a kept attempt marked the next incarnation of its upstream as down; the silence of attempts was not wired in the daemon by any test. Cause: may_give_up asked less than what sends the next attempt, and reserved nothing. Change: it counts the retries and slots that other requests are about to use; the current upstream counts only if it answered something else in the last half second; unread bytes are no silence; an upstream that is sending is suspected, not down, after a failed probe; a failure counts for its own incarnation. Left, by the review: an attempt that gets nothing yet still ends with a failed probe; a replacement that is refused; tunnels of a leaving host; the native dialect.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -172,20 +172,31 @@
                 return False
         return True
 
-    def may_send_again(self, item: QueuedRequest, now_seconds: float) -> bool:
+    def may_send_again(
+        self, item: QueuedRequest, reserved_count: int, now_seconds: float
+    ) -> bool:
         """Return whether another attempt can be sent now.
 
-        That takes an upstream, the retry budget, and a configuration that allows it.
+        That takes a configuration that allows it, and a retry of the budget and a slot
+        besides the reserved ones. The upstream of the current attempt counts only if it
+        has answered something else very recently.
         """
         arrival = item.arrival
         if not arrival.is_allowed():
             return False
         budget = self._budgets.of(arrival.service, self._pool.peers.known_hosts_count)
-        if not budget.has_retry(now_seconds):
+        if not budget.has_retry(now_seconds, reserved_count):
             return False
         views = self._snapshot(now_seconds).views(arrival)
         views = self._software_versions.allowed_views(item, views)
-        return bool(views and self._allowed_views(item, views, now_seconds))
+        current = self._pool.upstreams.get(item.upstream)
+        if current is not None and not current.has_answered_recently(now_seconds):
+            views = ListedViews(view for view in views if view.name != current.name)
+        if not views:
+            return False
+        allowed = self._allowed_views(item, views, now_seconds)
+        free_count = sum(view.free_slots_count for view in allowed if view.has_slot)
+        return free_count > reserved_count
 
     def _snapshot(self, now_seconds: float) -> CapacitySnapshot:
         pool = self._pool
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -159,6 +159,8 @@
         if upstream is None:
             return
         if event.outcome.is_health_failure:
+            if failed.name and upstream.incarnation not in ("", failed.name):
+                return
             if self.paths.has_changed_since(upstream.name, sent_at_seconds):
                 return
             self._mark_down(upstream, event.message, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -40,6 +40,8 @@
     is_kept: bool = False
     #: Whether its next attempt is charged to the retry budget.
     needs_budget: bool = False
+    #: Attempt that was given up, whose replacement has a retry of the budget reserved.
+    given_up_attempt_id: str = ""
     #: Upstreams that had an attempt; others are preferred for the next one.
     tried_upstreams: set[str] = attrs.field(factory=set)
     #: Upstream of the current attempt, its incarnation, the time at which the attempt
--- a/packages/rampwick-policy/src/rampwick_policy/_retry.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_retry.py
@@ -36,10 +36,10 @@
         """Add the share that a new request earns."""
         self.balance = min(self.max_balance, self.balance + self.earned_ratio)
 
-    def has_retry(self, now_seconds: float) -> bool:
-        """Return whether the budget allows another retry now."""
+    def has_retry(self, now_seconds: float, reserved_count: int = 0) -> bool:
+        """Return whether the budget allows another retry now, besides reserved ones."""
         self._refill(now_seconds)
-        return self.balance >= 1.0
+        return self.balance >= 1.0 + reserved_count
 
     def spend(self, now_seconds: float) -> bool:
         """Charge one retry; return whether the budget allows it."""
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -246,18 +246,32 @@
 
         The upstream may still answer, so that another attempt must be possible. Without
         one, a caller that has nothing of the answer yet may try again itself, which
-        makes sense only while the upstream is down.
+        makes sense only while the upstream is down. Each attempt that may be replaced
+        has a retry of the budget reserved.
         """
         item = self._requests.get(request_id)
         if item is None or now_seconds >= item.arrival.deadline_seconds:
             return True
         lifecycle = item.lifecycle
         if lifecycle.may_replace(now_seconds) and self._dispatcher.may_send_again(
-            item, now_seconds
+            item, self._count_reserved(item), now_seconds
         ):
+            item.given_up_attempt_id = lifecycle.attempt_id
             return True
         return not lifecycle.has_delivered and not self.pool.is_in_use(item.upstream)
 
+    def _count_reserved(self, item: QueuedRequest) -> int:
+        """Return the retries that other requests of the service are about to use."""
+        return sum(
+            other.needs_budget
+            or (
+                other.given_up_attempt_id != ""
+                and other.given_up_attempt_id == other.lifecycle.attempt_id
+            )
+            for other in self._requests
+            if other is not item and other.arrival.service == item.arrival.service
+        )
+
     # Requests.
 
     def _on_arrived(
@@ -398,9 +412,22 @@
             return []
         if self.pool.may_be_silent(event, now_seconds):
             return []
-        self.pool.handle(event, now_seconds)
+        if self._is_sending(event.upstream, now_seconds):
+            # It gets no new requests until a probe succeeds.
+            self.pool.suspect(event.upstream, now_seconds)
+        else:
+            self.pool.handle(event, now_seconds)
         return self._fail_attempts(event.upstream, event.message, now_seconds)
 
+    def _is_sending(self, upstream: str, now_seconds: float) -> bool:
+        """Return whether any attempt at an upstream got data very recently."""
+        return any(
+            self.silent_seconds(item.lifecycle.attempt_id, now_seconds)
+            < MIN_SILENCE_SECONDS
+            for item in self._requests
+            if item.upstream == upstream
+        )
+
     def _fail_attempts(
         self,
         upstream: str,
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -181,6 +181,8 @@
 
     def _may_give_up(self) -> bool:
         """Return whether the attempt may end because its upstream is unresponsive."""
+        if self._connection.has_unread():
+            return False
         return self._context.scheduler.may_give_up(self._request_id)
 
     def _report_unresponsive(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
@@ -102,6 +102,10 @@
             return True
         return self._stream.has_unread()
 
+    def has_unread(self) -> bool:
+        """Return whether a read would return or fail at once."""
+        return self._is_closed or self._stream.has_unread()
+
     def data_age_seconds(self) -> float:
         """Return how long ago at least the bytes read last arrived at this host."""
         return 0.0 if self._is_closed else self._stream.data_age_seconds()
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -179,6 +179,10 @@
             self._was_closed = not data
             self._http.receive_data(data)
 
+    def has_unread(self) -> bool:
+        """Return whether there is something to read, which a late host has not read."""
+        return self._socket.has_unread()
+
     def data_age_seconds(self) -> float:
         """Return how long ago at least the bytes read last arrived at this host."""
         return self._socket.data_age_seconds()
--- a/packages/rampwick-router/src/rampwick_router/upstream/_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_sockets.py
@@ -28,6 +28,9 @@
     def is_readable(self) -> bool:
         """Return whether there is data to read, an end of stream or an error."""
 
+    def has_unread(self) -> bool:
+        """Return whether a read would return or fail at once."""
+
     def data_age_seconds(self) -> float:
         """Return how long ago at least the bytes read last arrived."""
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
@@ -121,6 +121,10 @@
             return True
         return True
 
+    def has_unread(self) -> bool:
+        """Return whether a read would return or fail at once."""
+        return self._is_closed or self.is_readable()
+
     def data_age_seconds(self) -> float:
         """Return how long ago at least the bytes read last arrived."""
         return 0.0 if self._is_closed else segment_age_seconds(self._raw)
