Write nothing to links whose connection is lost

Cause: a lost connection is known to the transport at once, to the stream one iteration later; broadcasts in between wrote on. Change: put asks the transport, too.

--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -182,7 +182,7 @@
         peers is not interrupted.
         """
         transport = self._transport
-        if transport is None or self._failure is not None:
+        if transport is None or self._failure is not None or transport.is_closing():
             return False
         if len(data) - LENGTH_BYTES > self._max_message_bytes:
             message = f"message of {len(data)} bytes exceeds the limit"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -199,6 +199,9 @@
     def abort(self):
         self.is_aborted = True
 
+    def is_closing(self):
+        return self.is_aborted
+
     def pause_reading(self):
         self.is_paused = True
 
@@ -252,6 +255,14 @@
 
         self.play(scenario)
 
+    def test_nothing_is_written_to_a_connection_that_is_lost(self):
+        async def scenario(stream, transport):
+            transport.abort()
+            self.assertFalse(stream.put(encode_message(Members([]))))
+            self.assertEqual([], transport.written)
+
+        self.play(scenario)
+
     def test_a_malformed_message_raises_from_deliver(self):
         ended = []
 
