Read a request to its end after a response that needed none of it

Callers that send their whole request before they read got nothing from a host that rejected the request by its head, was leaving, or found the body too large: their sending broke with a reset.

Cause: the response ended before the request's body was read. The HTTP server then closes the connection at once, with unread bytes, which is a reset. Ruled out: the head alone; without a body the same responses arrive.

JSON responses state their length, so that a caller has the whole response before that. The connection can be used again afterwards.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -19,13 +19,8 @@
 from ._context import EntryContext
 from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange
 from ._relay import relay_resumed
-from ._responder import (
-    Message,
-    Receive,
-    Responder,
-    Send,
-    read_body,
-)
+from ._request_body import Message, Receive, RequestBody, read_body
+from ._responder import Responder, Send
 from ._routed_entry import RoutedEntry
 from ._service_exchange import (
     REPEATABLE_METHODS,
@@ -96,12 +91,14 @@
         lifecycle = self._context.lifecycle
         caller = caller_socket(scope)
         arrived_at_seconds = self._context.read_clock() - caller.unread_seconds()
+        request = RequestBody(receive)
         responder = Responder(
             send,
             self._context.read_clock,
             is_draining=lambda: not lifecycle.is_ready,
             caller_socket=caller,
             http_version=scope.get("http_version", ""),
+            request=request,
         )
         cancel_scope = anyio.CancelScope()
         self._open[responder] = cancel_scope
@@ -109,7 +106,7 @@
         try:
             with cancel_scope:
                 await self._serve_or_send_error(
-                    scope, receive, responder, arrived_at_seconds
+                    scope, request, responder, arrived_at_seconds
                 )
             if cancel_scope.cancelled_caught:
                 await self._end_cancelled(responder, scope["path"])
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -35,7 +35,8 @@
 from ._call import CallTerms
 from ._claims import AcquiredClaim
 from ._context import EntryContext
-from ._responder import Receive, Responder, wait_disconnect
+from ._request_body import Receive, wait_disconnect
+from ._responder import Responder
 
 log = ComponentLogger("entry")
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_model_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_model_exchange.py
@@ -17,7 +17,8 @@
 from ._context import EntryContext
 from ._exchange import Exchange
 from ._relay import Relay, RelayTarget
-from ._responder import Receive, Responder
+from ._request_body import Receive
+from ._responder import Responder
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -9,9 +9,8 @@
 
 from .._caller_sockets import UNKNOWN_SOCKET, CallerSocket
 from .._errors import CallerError
+from ._request_body import Message, RequestBody
 
-Message = dict[str, Any]
-Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 
 Headers = Iterable[tuple[bytes, bytes]]
@@ -38,8 +37,10 @@
         is_draining: Callable[[], bool] = lambda: False,
         caller_socket: CallerSocket = UNKNOWN_SOCKET,
         http_version: str = "",
+        request: RequestBody | None = None,
     ) -> None:
         self._send = send
+        self._request = request
         self._caller_socket = caller_socket
         #: Whether the caller may take the close of its connection for the end of the
         #: body. Until the end, the connection is set to be closed by a reset, so that
@@ -87,17 +88,34 @@
 
     async def end(self, body: bytes = b"") -> None:
         """Send the last chunk of the body."""
-        if self._ends_with_close:
+        is_request_due = self._request is not None and not self._request.is_received
+        if self._ends_with_close or is_request_due:
             await self.send(body)
             body = b""
             self._caller_socket.set_reset_on_close(False)
         self.has_ended = True
+        if self._request is not None and not self._request.is_received:
+            await self._request.discard()
+            await self._end_unread(self._request)
+            return
         await self._send_timed({"type": "http.response.body", "body": body})
 
+    async def _end_unread(self, request: RequestBody) -> None:
+        """End the response, of whose request there may be more than can be discarded.
+
+        The server waits for room in its queue of received messages before it ends.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(request.discard)
+            await self._send_timed({"type": "http.response.body", "body": b""})
+            tasks.cancel_scope.cancel()
+
     async def send_json(self, status: int, data: Any, headers: Headers = ()) -> None:
         """Send a complete JSON response."""
-        await self.start(status, [JSON, *headers])
-        await self.end(orjson.dumps(data))
+        body = orjson.dumps(data)
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [JSON, length, *headers])
+        await self.end(body)
 
     async def send_error(self, error: CallerError) -> None:
         """Send an error as a response, or as the last event of a started stream.
@@ -122,43 +140,3 @@
         self.write_started_seconds = self._read_clock()
         await self._send(message)
         self.write_started_seconds = None
-
-
-async def read_body(
-    receive: Receive, *, max_body_bytes: int, timeout_seconds: float
-) -> bytes:
-    """Return a request's body, or raise a CallerError if it is too large or slow."""
-    step = "read body"
-    chunks = []
-    length = 0
-    with anyio.move_on_after(timeout_seconds):
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise CallerError(
-                    "the caller went away", status=400, code="cut_body", step=step
-                )
-            chunk = message.get("body", b"")
-            length += len(chunk)
-            if length > max_body_bytes:
-                raise CallerError(
-                    f"the body is larger than {max_body_bytes} bytes",
-                    status=413,
-                    code="body_too_large",
-                    step=step,
-                )
-            chunks.append(chunk)
-            if not message.get("more_body"):
-                return b"".join(chunks)
-    raise CallerError(
-        f"the body did not come within {timeout_seconds:g} seconds",
-        status=408,
-        code="body_too_slow",
-        step=step,
-    )
-
-
-async def wait_disconnect(receive: Receive) -> None:
-    """Return when the caller disconnects."""
-    while (await receive())["type"] != "http.disconnect":
-        continue
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -9,7 +9,8 @@
 from .._errors import OTHER_HOST_RETRY_SECONDS, CallerError, access_error
 from .._logs import ComponentLogger, milliseconds
 from ._context import EntryContext
-from ._responder import Message, Receive, Responder, read_body
+from ._request_body import Message, Receive, read_body
+from ._responder import Responder
 from ._routed_exchange import RoutedExchange
 from ._routed_request import RoutedRequest
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -31,7 +31,8 @@
 from ._delivery import post_delivery
 from ._event_framing import EventFramer
 from ._exchange import Exchange
-from ._responder import Receive, Responder
+from ._request_body import Receive
+from ._responder import Responder
 from ._routed_attempt import RoutedAttempt, is_success
 from ._routed_request import RoutedRequest
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -26,7 +26,8 @@
 from ._delivery import post_delivery
 from ._exchange import Exchange
 from ._rates import post_brittleness, post_rate_limit
-from ._responder import Receive, Responder
+from ._request_body import Receive
+from ._responder import Responder
 from ._signals import post_signals
 
 #: Idempotent methods of HTTP, which are repeatable by default.
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -478,6 +478,14 @@
         yield host
 
 
+async def all_received(
+    servers: dict[str, ScriptedUpstream], requests_count: int
+) -> None:
+    """Return once the upstreams have received a number of requests together."""
+    while sum(len(server.requests) for server in servers.values()) < requests_count:
+        await anyio.sleep(0.005)
+
+
 def list_upstream(
     store: MemoryStore,
     upstream: ScriptedUpstream,
