Answer a request whose response head the server refuses

The caller got an empty 500, framed as complete, if the HTTP server refused the head of the response (a header name or value that can't be sent, two lengths that differ).

Cause: the responder counted the response as started before the server had taken its head, so that neither the handler nor EntryApp sent an error, and the server sent its own. Ruled out: the suspected end of the whole connection; h11 refuses the head before its state changes, and the connection stayed usable for the server's 500.

The response counts as started only if its head was taken. The caller gets 500 `internal` with whether the request may have run.

Measured: the test gets an empty 500 before, 500 `internal`, `maybe` after.

--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -71,9 +71,18 @@
         all_headers = list(headers)
         if self._is_draining():
             all_headers.append(CLOSE)
-        await self._send_timed(
-            {"type": "http.response.start", "status": status, "headers": all_headers}
-        )
+        try:
+            await self._send_timed(
+                {
+                    "type": "http.response.start",
+                    "status": status,
+                    "headers": all_headers,
+                }
+            )
+        except Exception:
+            # The server has sent nothing of a head that it refuses.
+            self.has_started = False
+            raise
 
     async def start_events(self, headers: Headers = ()) -> None:
         """Start a stream of the OpenAI dialect, which may end with an error event."""
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -2,10 +2,13 @@
 
 import contextlib
 import json
+from unittest import mock
 
 import anyio
 from testtools import TestCase
 
+from rampwick_router._native_dialect import NativeUpstreamDialect
+
 from .scripted import HOST, KEY, read_response
 from .test_routed import run
 
@@ -90,3 +93,18 @@
                 return first.status, (await read_response(stream)).status
 
         self.assertEqual((400, 200), run(scenario))
+
+
+class UnsendableHeadTest(TestCase):
+    def test_head_that_the_server_refuses_becomes_an_error(self):
+        async def scenario(host, servers):
+            refused = [(b"bad name", b"x")]
+            with mock.patch.object(
+                NativeUpstreamDialect, "response_headers", lambda *_: refused
+            ):
+                return await host.call("/once/1")
+
+        response = run(scenario)
+        self.assertEqual(500, response.status)
+        error = json.loads(response.body)["error"]
+        self.assertEqual(("internal", "maybe"), (error["code"], error["was_run"]))
