Take data for an HTTP/2 stream that has ended

All streams of an HTTP/2 connection ended without an answer if one of its callers went on sending the body of a request that had its response, as after a rejection by its head.

Cause: hypercorn looks the stream of a DATA frame up among the open ones and fails with a KeyError, which ends the connection's tasks; nothing of ours logged it. Ruled out: a protocol error of the caller, which h2 would report.

Frames for a stream that has ended are discarded; their bytes still count for the connection's flow control, so that the other streams go on.

--- a/packages/rampwick-router/src/rampwick_router/_http2.py
+++ b/packages/rampwick-router/src/rampwick_router/_http2.py
@@ -1,4 +1,10 @@
-"""HTTP/2 connections on which an answer that was cut short is reset."""
+"""HTTP/2 connections on which each stream ends for itself.
+
+An answer that was cut short is reset, and what arrives for a stream that has ended
+leaves the others alone.
+"""
+
+from typing import Any
 
 import anyio
 import h2.errors
@@ -12,13 +18,33 @@
 FLUSH_SECONDS = 0.25
 
 
+class EndedStream:
+    """Takes what arrives for a stream after its response."""
+
+    idle = True
+
+    async def handle(self, event: StreamEvent) -> None:
+        """Discard an event of the caller."""
+
+
+class OpenStreams(dict[int, Any]):
+    """The open streams by id; any other one is a stream that has ended."""
+
+    def __missing__(self, stream_id: int) -> EndedStream:
+        return EndedStream()
+
+
 class ResettingH2Protocol(H2Protocol):
     """Resets the stream of an application that returns before the end of its answer.
 
     The base class leaves such a stream open, so that its caller waits for the rest
-    until its own timeout.
+    until its own timeout, and fails as a whole on data for a stream that has ended.
     """
 
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.streams = OpenStreams()
+
     async def stream_send(self, event: StreamEvent) -> None:
         """Send an event of an application; its return ends its stream."""
         if isinstance(event, StreamClosed):
@@ -47,4 +73,4 @@
 
 def reset_cut_streams() -> None:
     """Make hypercorn use this protocol; it has no setting for it."""
-    hypercorn.protocol.H2Protocol = ResettingH2Protocol  # type: ignore[misc]
+    hypercorn.protocol.H2Protocol = ResettingH2Protocol  # type: ignore[assignment,misc]
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -5,11 +5,14 @@
 from unittest import mock
 
 import anyio
+import h2.config
+import h2.connection
+import h2.events
 from testtools import TestCase
 
 from rampwick_router._native_dialect import NativeUpstreamDialect
 
-from .scripted import HOST, KEY, read_response
+from .scripted import HOST, KEY, all_received, read_response
 from .test_routed import run
 
 #: More than the buffers of both ends of a connection hold.
@@ -108,3 +111,84 @@
         self.assertEqual(500, response.status)
         error = json.loads(response.body)["error"]
         self.assertEqual(("internal", "maybe"), (error["code"], error["was_run"]))
+
+
+class Http2Caller:
+    """A caller with one HTTP/2 connection, on which a test sends what it likes."""
+
+    def __init__(self, stream):
+        self.stream = stream
+        config = h2.config.H2Configuration(client_side=True)
+        self.connection = h2.connection.H2Connection(config=config)
+        self.connection.initiate_connection()
+        self.statuses = {}
+        self.ended = set()
+
+    def send_headers(self, stream_id, path, *, has_body=False):
+        """Begin a request."""
+        headers = [
+            (":method", "POST"),
+            (":path", path),
+            (":scheme", "http"),
+            (":authority", HOST),
+            ("authorization", f"Bearer {KEY}"),
+        ]
+        if path.startswith("/once"):
+            headers.append(("rampwick-request-id", f"r{stream_id}"))
+        self.connection.send_headers(stream_id, headers, end_stream=not has_body)
+
+    async def flush(self):
+        """Send what is due."""
+        await self.stream.send(self.connection.data_to_send())
+
+    async def read_until_ended(self, stream_id):
+        """Read until a stream has ended."""
+        while stream_id not in self.ended:
+            data = await self.stream.receive()
+            for event in self.connection.receive_data(data):
+                if isinstance(event, h2.events.ResponseReceived):
+                    self.statuses[event.stream_id] = int(
+                        dict(event.headers)[b":status"]
+                    )
+                elif isinstance(event, h2.events.DataReceived):
+                    self.connection.acknowledge_received_data(
+                        event.flow_controlled_length, event.stream_id
+                    )
+                elif isinstance(event, h2.events.StreamEnded | h2.events.StreamReset):
+                    self.ended.add(event.stream_id)
+            await self.flush()
+
+
+class Http2Test(TestCase):
+    def test_data_after_a_response_leaves_other_streams_alone(self):
+        async def scenario(host, servers):
+            release = anyio.Event()
+
+            async def answer_later(exchange):
+                await release.wait()
+                await exchange.answer()
+
+            for upstream in servers.values():
+                upstream.scripts = [answer_later]
+            async with connect(host) as stream:
+                caller = Http2Caller(stream)
+                caller.send_headers(1, "/once/1")
+                caller.send_headers(3, "/nowhere", has_body=True)
+                await caller.flush()
+                await all_received(servers, 1)
+                # The host answers without the rest of this body, which is under way.
+                await caller.read_until_ended(3)
+                for _ in range(3):
+                    caller.connection.send_data(3, b"x" * 1000)
+                    await caller.flush()
+                    await anyio.sleep(0.02)
+                release.set()
+                await caller.read_until_ended(1)
+                return caller.statuses
+
+        with mock.patch(
+            "rampwick_router.entry._request_body.DISCARD_TIMEOUT_SECONDS",
+            0.05,
+            create=True,
+        ):
+            self.assertEqual({1: 200, 3: 400}, run(scenario))
