Serve requests that offer a websocket as plain HTTP

A GET with `Upgrade: websocket` got an empty 500, or an empty 400 if the offer was malformed, though its route could serve it.

Cause: hypercorn hands such a request to the application as a websocket, and the application returned at once. Ruled out: `Upgrade: h2c`, which is answered, also with settings that can't be decoded or are missing.

A server may ignore an offer to upgrade. It is dropped before the request is handed on, so that the request is served as what it is.

Measured: the test gets an empty 500 before, 200 with the answer after.

--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -15,6 +15,7 @@
 from rampwick_start import BACKLOG_COUNT, bind
 
 from ._caller_sockets import CallerListener
+from ._http1 import ignore_websockets
 from ._http2 import reset_cut_streams
 
 #: Time that the HTTP server is given to close idle connections.
@@ -88,6 +89,7 @@
     requests received by then can still complete. ``is_handed_on`` decides which
     connections to the first application are closed unread.
     """
+    ignore_websockets()
     reset_cut_streams()
     closing = anyio.Event()
     ended = []
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -113,6 +113,25 @@
         self.assertEqual(("internal", "maybe"), (error["code"], error["was_run"]))
 
 
+class UpgradeTest(TestCase):
+    def test_offer_of_a_websocket_is_ignored(self):
+        async def scenario(host, servers):
+            head = request_head(
+                "/once/1",
+                WITH_ID,
+                "Connection: upgrade",
+                "Upgrade: websocket",
+                "Sec-WebSocket-Version: 13",
+                "Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==",
+                method="GET",
+                length=None,
+            )
+            return await send_whole(host, head)
+
+        response = run(scenario)
+        self.assertEqual((200, b"done"), (response.status, response.body))
+
+
 class Http2Caller:
     """A caller with one HTTP/2 connection, on which a test sends what it likes."""
 
