Close idle connections by the configuration, and none with unread bytes

Callers lost requests that reached a host as the idle timer of their connection ended, or as the host's servers stopped; connections rested for 75 s whatever `idle_timeout_seconds` said; and each connection that its caller had closed kept its socket for up to 75 s more.

Cause: the server's timer closes the connection without regard for bytes in the reader or the kernel, which an event loop that was late has not seen; the configured bound was read by nobody; and the timer's task outlived the end of the caller's direction. Ruled out: a timer that ends in the same iteration as the read, where the read goes first.

The timer looks for unread bytes and lets them be read first; its bound is the greatest one in force during the rest, since callers may not know a shorter one yet; at the caller's end it stops.

--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -89,6 +89,10 @@
         self._gossip.seeds = frozenset(settings.peers.seeds)
         log.info("settings reloaded", changed=changed)
 
+    def read_idle_seconds(self) -> float:
+        """Return how long callers' connections may rest by the configuration."""
+        return self.follower.view.routes.routing.caller_limits.idle_timeout_seconds
+
     async def start(self, tasks: TaskGroup, listeners: Listeners) -> None:
         """Start all tasks; return when they have been scheduled."""
         tasks.start_soon(self.scheduler.run)
@@ -269,6 +273,7 @@
         serve_apps(
             served,
             daemon.hand_on.decide,
+            daemon.read_idle_seconds,
             settings.limits.max_header_bytes,
             tasks,
             stack,
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -14,6 +14,7 @@
 from rampwick_schema import ListenSettings, ReprMixin
 from rampwick_start import BACKLOG_COUNT, bind
 
+from ._caller_server import use_caller_servers
 from ._caller_sockets import CallerListener
 from ._http1 import ignore_websockets
 from ._http2 import reset_cut_streams
@@ -21,9 +22,9 @@
 #: Time that the HTTP server is given to close idle connections.
 CLOSE_TIMEOUT_SECONDS = 0.5
 
-#: Idle timeout of callers' connections; longer than the usual minute of balancers, so
-#: that the balancer closes first.
-KEEP_ALIVE_SECONDS = 75
+#: Idle timeout of connections to the other applications; longer than the usual minute
+#: of balancers, so that the balancer closes first.
+KEEP_ALIVE_SECONDS = 75.0
 
 
 @attrs.frozen(repr=False)
@@ -79,6 +80,7 @@
 def serve_apps(
     served: Sequence[tuple[Any, socket.socket]],
     is_handed_on: Callable[[float], bool],
+    read_idle_seconds: Callable[[], float],
     max_header_bytes: int,
     tasks: TaskGroup,
     stack: AsyncExitStack,
@@ -87,15 +89,18 @@
 
     The servers shut down before any resource that is on the stack already, so that
     requests received by then can still complete. ``is_handed_on`` decides which
-    connections to the first application are closed unread.
+    connections to the first application are closed unread, and ``read_idle_seconds``
+    returns how long its connections may rest.
     """
+    use_caller_servers()
     ignore_websockets()
     reset_cut_streams()
     closing = anyio.Event()
     ended = []
     for index, (app, bound) in enumerate(served):
         listener = CallerListener(bound.detach(), None if index else is_handed_on)
-        config = _server_config(listener, max_header_bytes)
+        read_seconds = _read_default_idle if index else read_idle_seconds
+        config = _server_config(listener, max_header_bytes, read_seconds)
         has_ended = anyio.Event()
         ended.append(has_ended)
         tasks.start_soon(_serve, listener.with_sockets(app), config, closing, has_ended)
@@ -112,9 +117,17 @@
 class _ServerConfig(Config):
     """Configuration of a server on a listener that is bound already."""
 
-    def __init__(self, listener: CallerListener) -> None:
+    def __init__(
+        self, listener: CallerListener, read_idle_seconds: Callable[[], float]
+    ) -> None:
         super().__init__()
         self._listener = listener
+        self._read_idle_seconds = read_idle_seconds
+
+    @property
+    def keep_alive_timeout(self) -> float:  # type: ignore[override]
+        """Maximum rest of a connection between two requests, in seconds."""
+        return self._read_idle_seconds()
 
     def create_sockets(self) -> Sockets:
         """Return the listener, listening."""
@@ -123,13 +136,20 @@
         return Sockets([], [self._listener], [])
 
 
-def _server_config(listener: CallerListener, max_header_bytes: int) -> Config:
-    config = _ServerConfig(listener)
+def _read_default_idle() -> float:
+    return KEEP_ALIVE_SECONDS
+
+
+def _server_config(
+    listener: CallerListener,
+    max_header_bytes: int,
+    read_idle_seconds: Callable[[], float] = _read_default_idle,
+) -> Config:
+    config = _ServerConfig(listener, read_idle_seconds)
     # The server sets the length of the listener's queue again.
     config.backlog = BACKLOG_COUNT
     config.h11_max_incomplete_size = max_header_bytes
     config.graceful_timeout = CLOSE_TIMEOUT_SECONDS
-    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
     config.include_server_header = False
     config.errorlog = None
     config.accesslog = None
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -1,18 +1,22 @@
 """Guards against callers' connections that end with a whole request unanswered."""
 
+import asyncio
 import contextlib
 import json
+import os
 from unittest import mock
 
 import anyio
+import attrs
 import h2.config
 import h2.connection
 import h2.events
 from testtools import TestCase
 
 from rampwick_router._native_dialect import NativeUpstreamDialect
+from rampwick_schema import CallerLimits
 
-from .scripted import HOST, KEY, all_received, read_response
+from .scripted import HOST, KEY, all_received, make_tree, read_response
 from .test_routed import run
 
 #: More than the buffers of both ends of a connection hold.
@@ -211,3 +215,87 @@
             create=True,
         ):
             self.assertEqual({1: 200, 3: 400}, run(scenario))
+
+
+class IdleTest(TestCase):
+    """Connections rest as long as the configuration says, and no request is cut."""
+
+    def idle_tree(self, idle_seconds, revision):
+        """Return a configuration with a bound on idle connections."""
+        tree = make_tree(revision)
+        limits = CallerLimits(idle_timeout_seconds=idle_seconds)
+        return attrs.evolve(
+            tree, routing=attrs.evolve(tree.routing, caller_limits=limits)
+        )
+
+    def call_after_rest(self, idle_seconds, rest_seconds):
+        """Return the response on a connection that has rested; None if it was closed.
+
+        The second bound comes into force while the connection rests.
+        """
+
+        async def scenario(host, servers):
+            async with connect(host) as stream:
+                for revision, seconds in enumerate(idle_seconds, 2):
+                    host.store.write("config/main", self.idle_tree(seconds, revision))
+                    while host.daemon.follower.revision < revision:
+                        await anyio.sleep(0.005)
+                    if revision == 2:
+                        await stream.send(request_head("/once/1", WITH_ID))
+                        await read_response(stream)
+                await anyio.sleep(rest_seconds)
+                try:
+                    await stream.send(request_head("/once/1", WITH_ID))
+                except anyio.BrokenResourceError:
+                    return 0
+                return (await read_response(stream)).status
+
+        with mock.patch("rampwick_router._servers.KEEP_ALIVE_SECONDS", 0.2):
+            return run(scenario)
+
+    def test_connection_rests_as_long_as_the_configuration_says(self):
+        self.assertEqual(200, self.call_after_rest([30.0], 0.6))
+        self.assertEqual(0, self.call_after_rest([0.1], 0.6))
+
+    def test_longer_bound_holds_for_connections_at_rest(self):
+        self.assertEqual(200, self.call_after_rest([0.4, 30.0], 1.0))
+
+    def test_request_that_arrives_as_the_idle_time_ends_is_answered(self):
+        async def scenario(host, servers):
+            host.store.write("config/main", self.idle_tree(0.2, 2))
+            while host.daemon.follower.revision < 2:
+                await anyio.sleep(0.005)
+            wait_for = asyncio.wait_for
+            callers = []
+
+            async def wait_then_send(awaitable, timeout):
+                try:
+                    return await wait_for(awaitable, timeout)
+                finally:
+                    # The event loop has no chance to read this before it closes.
+                    if "EventWrapper" in awaitable.__qualname__:
+                        os.write(callers[0], request_head("/once/1", WITH_ID))
+
+            with mock.patch.object(asyncio, "wait_for", wait_then_send):
+                async with connect(host) as stream:
+                    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                    callers.append(raw.fileno())
+                    return (await read_response(stream)).status
+
+        with mock.patch("rampwick_router._servers.KEEP_ALIVE_SECONDS", 0.2):
+            self.assertEqual(200, run(scenario))
+
+
+class ClosedConnectionTest(TestCase):
+    def test_connection_that_its_caller_closed_is_released(self):
+        async def scenario(host, servers):
+            await host.call("/once/1")
+            count = len(os.listdir("/proc/self/fd"))
+            for _ in range(20):
+                await host.call("/once/1")
+            with anyio.move_on_after(5.0):
+                while len(os.listdir("/proc/self/fd")) > count + 1:
+                    await anyio.sleep(0.01)
+            return len(os.listdir("/proc/self/fd")) - count
+
+        self.assertLessEqual(run(scenario), 1)
