Refresh an unconfirmed configuration before each attempt

A request that waited, or a stream that was to go on at another upstream, was refused or cut with `stale` when the host's configuration could not be confirmed at that moment, although one read of the store would have done so.

Cause: the check before an attempt took the configuration's age as it was; only the one on arrival read the store (or asked a peer) first.

Both checks now refresh, at most for 0.4 s.

--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -87,7 +87,7 @@
         ``check`` must be called before each write of the request.
         """
 
-    def recheck_access(self) -> None:
+    async def recheck_access(self) -> None:
         """Raise a CallerError if the request is no longer allowed."""
         return
 
@@ -183,7 +183,7 @@
     ) -> Dispatch | Refuse | None:
         """Make an attempt; return the next decision, or None after the response."""
         await self._ensure_claim()
-        self.recheck_access()
+        await self.recheck_access()
         self._record_dispatch()
         self._log_dispatch(dispatch)
         decision: Dispatch | Refuse | None = None
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -1,22 +1,18 @@
 """Requests on routes: parsing by the callers' dialect, access check, exchange."""
 
-import anyio
-
-from rampwick_policy import Access, Verdict, can_finish_before, choose_service
+from rampwick_policy import Verdict, can_finish_before, choose_service
 from rampwick_schema import Route, Service
 
 from .._dialects import RawCall, RoutedCall
 from .._errors import OTHER_HOST_RETRY_SECONDS, CallerError, access_error
 from .._logs import ComponentLogger, milliseconds
+from ._access_check import confirm_access
 from ._context import EntryContext
 from ._request_body import Message, Receive, read_body
 from ._responder import Responder
 from ._routed_exchange import RoutedExchange
 from ._routed_request import RoutedRequest
 
-#: Timeout of a configuration refresh for a request that no configuration covers yet.
-REFRESH_TIMEOUT_SECONDS = 0.4
-
 log = ComponentLogger("route")
 
 
@@ -64,9 +60,7 @@
     async def _check(
         self, call: RoutedCall, body: bytes, arrived_at_seconds: float
     ) -> RoutedRequest:
-        access = self._context.check_access(call)
-        if access.verdict in (Verdict.STALE, Verdict.NO_CONFIGURATION):
-            access = await self._refresh_and_check(call)
+        access = await confirm_access(self._context, call)
         if access.verdict is not Verdict.ALLOWED:
             raise access_error(access.verdict)
         assert access.route is not None and access.workspace is not None
@@ -107,11 +101,6 @@
             retry_after_seconds=OTHER_HOST_RETRY_SECONDS,
         )
 
-    async def _refresh_and_check(self, call: RoutedCall) -> Access:
-        with anyio.move_on_after(REFRESH_TIMEOUT_SECONDS):
-            await self._context.configuration.refresh()
-        return self._context.check_access(call)
-
     def _service(self, route: Route, call: RoutedCall) -> Service:
         # A stream that is taken up goes on in the service that began it.
         is_resumption = bool(call.last_event_id and call.resumed_id)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -24,6 +24,7 @@
 from .._errors import CallerError, access_error
 from .._headers import ResponseHead
 from .._logs import ComponentLogger
+from ._access_check import confirm_access
 from ._answer_end import BodyTracker, check_complete, has_events
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
@@ -300,9 +301,9 @@
         await self.responder.start(response.status, response.headers)
         await self.responder.end(response.body)
 
-    def recheck_access(self) -> None:
+    async def recheck_access(self) -> None:
         """Raise if the request's key may have been revoked since its arrival."""
-        access = self.context.check_access(self._call)
+        access = await confirm_access(self.context, self._call)
         if access.verdict is not Verdict.ALLOWED:
             run_state = RunState.MAYBE_RUN if self.may_have_run else RunState.NOT_SENT
             raise access_error(access.verdict, run_state)
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -14,6 +14,7 @@
 from testtools import TestCase
 
 from rampwick_router._native_dialect import NativeUpstreamDialect
+from rampwick_router.entry._routed_entry import RoutedEntry
 from rampwick_schema import CallerLimits
 
 from .scripted import HOST, KEY, all_received, make_tree, read_response
@@ -299,3 +300,23 @@
             return len(os.listdir("/proc/self/fd")) - count
 
         self.assertLessEqual(run(scenario), 1)
+
+
+class RecheckTest(TestCase):
+    def test_unconfirmed_configuration_is_refreshed_before_an_attempt(self):
+        """Guards against a resumed stream that is cut for want of a confirmation."""
+
+        async def scenario(host, servers):
+            daemon = host.daemon
+
+            async def check_then_expire(entry, call, body, arrived_at_seconds):
+                checked = await real_check(entry, call, body, arrived_at_seconds)
+                daemon._configuration._confirmed_at_seconds = -1e9
+                return checked
+
+            real_check = RoutedEntry._check
+            with mock.patch.object(RoutedEntry, "_check", check_then_expire):
+                return await host.call("/once/1")
+
+        platform = "max_key_age_seconds = 30.0"
+        self.assertEqual(200, run(scenario, platform=platform).status)
