Log and count each request that ends without a complete response

A request that ended without a complete response after it had begun left no line that said why in one place: some ways were logged by the exchange, others (the end of the drain, a cancellation by the server) by nobody.

EntryApp.__call__ is the one place through which every request ends. It now records each one whose response has no end: one log line ("request ended without complete response") and `rampwick_requests_unanswered_total` by reason: `caller_left`, `caller_stalled`, the code of the error that could not be sent any more, `leaving`, `cancelled`.

Measured: tests for an upstream that breaks off, a caller that leaves and a forced shutdown.

--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -192,6 +192,12 @@
             "Callers' connections closed unread, so that a less busy host serves them.",
             registry=registry,
         )
+        self.unanswered = Counter(
+            "rampwick_requests_unanswered",
+            "Requests that ended without a complete response, by reason.",
+            ("reason",),
+            registry=registry,
+        )
         self.control_bytes = Counter(
             "rampwick_control_bytes",
             "Bytes of messages between hosts, within a hall or across halls.",
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -112,8 +112,12 @@
                 await self._end_cancelled(responder, scope["path"])
         finally:
             del self._open[responder]
-            if not responder.has_started:
-                await self._end_unanswered(responder, scope["path"])
+            try:
+                if not responder.has_started:
+                    await self._end_unanswered(responder, scope["path"])
+            finally:
+                if not responder.has_ended:
+                    self._record_unanswered(responder, scope["path"])
 
     async def _serve_or_send_error(
         self,
@@ -159,6 +163,20 @@
         with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS, shield=True):
             await responder.send_error(error)
 
+    def _record_unanswered(self, responder: Responder, path: str) -> None:
+        """Record why a request has ended without a complete response."""
+        reason = _unanswered_reason(
+            responder, is_leaving=not self._context.lifecycle.is_ready
+        )
+        self._context.metrics.unanswered.labels(reason).inc()
+        log.problem(
+            "request ended without complete response",
+            path=path,
+            reason=reason,
+            had_begun=responder.has_started,
+            was_dispatched=responder.was_dispatched,
+        )
+
     async def _serve(
         self,
         scope: Message,
@@ -308,6 +326,16 @@
     )
 
 
+def _unanswered_reason(responder: Responder, *, is_leaving: bool) -> str:
+    if responder.has_caller_left():
+        return "caller_left"
+    if responder.cut_code:
+        return responder.cut_code
+    if responder.write_started_seconds is not None:
+        return "caller_stalled"
+    return "leaving" if is_leaving else "cancelled"
+
+
 def _unanswered_error(was_dispatched: bool, *, is_leaving: bool) -> CallerError:
     if is_leaving:
         return _unserved_error(
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -50,6 +50,8 @@
         self._read_clock = read_clock
         self.has_started = False
         self.has_ended = False
+        #: Code of the error that ended a started response before its end, if any.
+        self.cut_code = ""
         #: Start of the write that the caller has not accepted yet; None if idle.
         self.write_started_seconds: float | None = None
         #: Whether the request was dispatched to an upstream.
@@ -135,6 +137,7 @@
             return
         if self.has_started:
             if not self._has_error_events:
+                self.cut_code = error.code
                 return
             body = orjson.dumps(error.body)
             await self.end(b"event: error\ndata: %s\n\n" % body)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -122,6 +122,7 @@
         self, error: CallerError, request_id: str, responder: Responder
     ) -> None:
         if responder.has_started:
+            responder.cut_code = error.code
             return
         response = self._context.dialects.caller.write_error(error, request_id)
         await responder.start(response.status, response.headers)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -294,6 +294,7 @@
     async def send_error(self, error: CallerError) -> None:
         """Send the final response, or leave a started one visibly cut."""
         if self.responder.has_started:
+            self.responder.cut_code = error.code
             return
         response = self.context.dialects.caller.write_error(
             error, self._call.request_id
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -17,7 +17,7 @@
 from rampwick_router.entry._routed_entry import RoutedEntry
 from rampwick_schema import CallerLimits
 
-from .scripted import HOST, KEY, all_received, make_tree, read_response
+from .scripted import HOST, KEY, Hangup, all_received, make_tree, read_response
 from .test_routed import run
 
 #: More than the buffers of both ends of a connection hold.
@@ -320,3 +320,67 @@
 
         platform = "max_key_age_seconds = 30.0"
         self.assertEqual(200, run(scenario, platform=platform).status)
+
+
+class RecordTest(TestCase):
+    """Each request that ends without a complete response is counted by its reason."""
+
+    def count_cut(self, script, end):
+        """Return the counted reasons of one request."""
+
+        async def scenario(host, servers):
+            for upstream in servers.values():
+                upstream.scripts = [script]
+            async with connect(host) as stream:
+                await stream.send(request_head("/brittle/1", WITH_ID))
+                await end(host, servers, stream)
+            while host.daemon.entry.open_count:
+                await anyio.sleep(0.005)
+            samples = host.daemon._context.metrics.unanswered.collect()[0].samples
+            return {
+                sample.labels["reason"]: sample.value
+                for sample in samples
+                if sample.name.endswith("_total")
+            }
+
+        return run(scenario)
+
+    async def begin(self, exchange):
+        """Begin a stream."""
+        await exchange.send(exchange.head(extra=b"Content-Type: text/event-stream"))
+        await exchange.send(b"data: 1\n\n")
+
+    async def begin_and_break_off(self, exchange):
+        """Begin a stream and reset the connection."""
+        await self.begin(exchange)
+        exchange.reset()
+        raise Hangup
+
+    async def begin_and_wait(self, exchange):
+        """Begin a stream that does not end."""
+        await self.begin(exchange)
+        await anyio.sleep_forever()
+
+    def test_upstream_that_breaks_off(self):
+        async def end(host, servers, stream):
+            self.assertFalse((await read_response(stream)).is_whole)
+
+        reasons = self.count_cut(self.begin_and_break_off, end)
+        self.assertEqual({"upstream_failed": 1.0}, reasons)
+
+    def test_caller_that_leaves(self):
+        async def end(host, servers, stream):
+            await stream.receive()
+
+        self.assertEqual({"caller_left": 1.0}, self.count_cut(self.begin_and_wait, end))
+
+    def test_forced_shutdown(self):
+        async def end(host, servers, stream):
+            await stream.receive()
+            host.daemon.lifecycle.begin_stop()
+            host.daemon.lifecycle.begin_stop()
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    await stream.receive()
+
+        self.assertEqual({"leaving": 1.0}, self.count_cut(self.begin_and_wait, end))
