Give the head of a request as long as its body before a connection is idle

With a configured idle time shorter than the time for receiving a request, the idle timer closed connections on which the head of a request was still arriving.

Cause: hypercorn's timer runs until the head is complete. The bound is now the greater of the two times. The tests of the idle bound set both.

--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -90,8 +90,12 @@
         log.info("settings reloaded", changed=changed)
 
     def read_idle_seconds(self) -> float:
-        """Return how long callers' connections may rest by the configuration."""
-        return self.follower.view.routes.routing.caller_limits.idle_timeout_seconds
+        """Return how long callers' connections may rest by the configuration.
+
+        The head of a request that arrives slowly is not told from rest.
+        """
+        limits = self.follower.view.routes.routing.caller_limits
+        return max(limits.idle_timeout_seconds, limits.body_timeout_seconds)
 
     async def start(self, tasks: TaskGroup, listeners: Listeners) -> None:
         """Start all tasks; return when they have been scheduled."""
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -224,7 +224,9 @@
     def idle_tree(self, idle_seconds, revision):
         """Return a configuration with a bound on idle connections."""
         tree = make_tree(revision)
-        limits = CallerLimits(idle_timeout_seconds=idle_seconds)
+        limits = CallerLimits(
+            idle_timeout_seconds=idle_seconds, body_timeout_seconds=0.05
+        )
         return attrs.evolve(
             tree, routing=attrs.evolve(tree.routing, caller_limits=limits)
         )
@@ -258,6 +260,23 @@
         self.assertEqual(200, self.call_after_rest([30.0], 0.6))
         self.assertEqual(0, self.call_after_rest([0.1], 0.6))
 
+    def test_head_that_arrives_slowly_is_not_rest(self):
+        async def scenario(host, servers):
+            tree = self.idle_tree(0.05, 2)
+            limits = attrs.evolve(tree.routing.caller_limits, body_timeout_seconds=10.0)
+            routing = attrs.evolve(tree.routing, caller_limits=limits)
+            host.store.write("config/main", attrs.evolve(tree, routing=routing))
+            while host.daemon.follower.revision < 2:
+                await anyio.sleep(0.005)
+            head = request_head("/once/1", WITH_ID)
+            async with connect(host) as stream:
+                await stream.send(head[:40])
+                await anyio.sleep(0.3)
+                await stream.send(head[40:])
+                return (await read_response(stream)).status
+
+        self.assertEqual(200, run(scenario))
+
     def test_longer_bound_holds_for_connections_at_rest(self):
         self.assertEqual(200, self.call_after_rest([0.4, 30.0], 1.0))
 
