Keep a host up if a configuration can't be applied

An unexpected error while a configuration was decoded or announced ended the whole host, and every request on it was cut.

Cause: only errors of our own types were caught, and the announcement stood outside the block; anything else ended the source's task, and with it the daemon's task group.

The state is now applied in one place that logs any other error ("configuration not applied") and leaves the configuration in force.

Measured: both tests end the host before; after, its next request is answered.

--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -247,6 +247,14 @@
         return math.isfinite(self._held_until_seconds)
 
     def _apply_state(self, state: KindState) -> None:
+        try:
+            self._read_state(state)
+        except Exception as error:
+            # The end of this task would end the host, with all requests on it.
+            self._refused_version = state.version
+            log.problem("configuration not applied", error=repr(error))
+
+    def _read_state(self, state: KindState) -> None:
         self._task.note_problem("")
         self._refresh_interval_seconds = REFRESH_INTERVAL_SECONDS
         self._last_state = state
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -403,3 +403,35 @@
                     await stream.receive()
 
         self.assertEqual({"leaving": 1.0}, self.count_cut(self.begin_and_wait, end))
+
+
+class ConfigurationErrorTest(TestCase):
+    """An error while a configuration is applied ends no host, nor its requests."""
+
+    def call_after(self, faulty, name):
+        """Return the status of a call after an update during a fault."""
+
+        async def scenario(host, servers):
+            faults = []
+
+            def fail(*_):
+                faults.append(name)
+                raise ValueError("unexpected")
+
+            with mock.patch.object(faulty(host), name, fail):
+                host.store.write("config/main", make_tree(2))
+                while not faults:
+                    await anyio.sleep(0.005)
+            return (await host.call("/once/1")).status
+
+        return run(scenario)
+
+    def test_error_while_a_configuration_is_read(self):
+        status = self.call_after(
+            lambda host: host.daemon._configuration.source._decoder, "read_tree"
+        )
+        self.assertEqual(200, status)
+
+    def test_error_while_a_configuration_is_announced(self):
+        status = self.call_after(lambda host: host.daemon._configuration, "announce")
+        self.assertEqual(200, status)
