--- a/tests/test_connection_ends_fuzz.py
+++ b/tests/test_connection_ends_fuzz.py
@@ -7,6 +7,7 @@
 
 import os
 import random
+from collections import Counter
 
 import anyio
 import attrs
@@ -14,7 +15,15 @@
 
 from rampwick_schema import CallerLimits, Node, WeightedService
 
-from .scripted import HOST, KEY, Hangup, make_tree, read_response, run_routed
+from .scripted import (
+    HOST,
+    KEY,
+    Hangup,
+    MemoryStore,
+    make_tree,
+    read_response,
+    run_routed,
+)
 
 CASES_COUNT = int(os.environ.get("RAMPWICK_ENDS_CASES", "200"))
 FIRST_SEED = int(os.environ.get("RAMPWICK_ENDS_SEED", "1"))
@@ -70,6 +79,17 @@
         )
 
 
+class CountingStore(MemoryStore):
+    """Counts calls as the platform's client does, for the log lines of the host."""
+
+    def __init__(self):
+        super().__init__()
+        self.calls = Counter()
+
+    def _begin(self, call):
+        self.calls[call] += 1
+
+
 def change_tree(rng, revision):
     """Return a configuration that differs in one way from the usual one."""
     tree = make_tree(revision)
@@ -190,10 +210,8 @@
             if not response.status:
                 violations.append((case, "neither an answer nor a refusal"))
 
-    async with run_routed({"labels": ["a", "b"], "notes": ["c", "d"]}) as (
-        host,
-        servers,
-    ):
+    services = {"labels": ["a", "b"], "notes": ["c", "d"]}
+    async with run_routed(services, store=CountingStore()) as (host, servers):
         for server in servers.values():
             server.scripts = [script_of(cases)]
         end = rng.choice(["", "", "drain", "force"])
