--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -344,7 +344,7 @@
 class RecordTest(TestCase):
     """Each request that ends without a complete response is counted by its reason."""
 
-    def count_cut(self, script, end):
+    def count_cut(self, script, end, **options):
         """Return the counted reasons of one request."""
 
         async def scenario(host, servers):
@@ -362,7 +362,7 @@
                 if sample.name.endswith("_total")
             }
 
-        return run(scenario)
+        return run(scenario, **options)
 
     async def begin(self, exchange):
         """Begin a stream."""
@@ -393,6 +393,21 @@
 
         self.assertEqual({"caller_left": 1.0}, self.count_cut(self.begin_and_wait, end))
 
+    def test_caller_that_does_not_read(self):
+        async def send_much(exchange):
+            await self.begin(exchange)
+            while True:
+                await exchange.send(b"data: " + b"x" * 60_000 + b"\n\n")
+
+        async def end(host, servers, stream):
+            await all_received(servers, 1)
+            while host.daemon.entry.open_count:
+                await anyio.sleep(0.005)
+
+        limits = "[limits]\nwrite_timeout_seconds = 0.2\n"
+        reasons = self.count_cut(send_much, end, retry=limits)
+        self.assertEqual({"caller_stalled": 1.0}, reasons)
+
     def test_forced_shutdown(self):
         async def end(host, servers, stream):
             await stream.receive()
