--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -19,13 +19,8 @@
 from ._context import EntryContext
 from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange
 from ._relay import relay_resumed
-from ._responder import (
-    Message,
-    Receive,
-    Responder,
-    Send,
-    read_body,
-)
+from ._request_body import Message, Receive, RequestBody, read_body
+from ._responder import Responder, Send
 from ._routed_entry import RoutedEntry
 from ._service_exchange import (
     REPEATABLE_METHODS,
@@ -96,12 +91,14 @@
         lifecycle = self._context.lifecycle
         caller = caller_socket(scope)
         arrived_at_seconds = self._context.read_clock() - caller.unread_seconds()
+        request = RequestBody(receive)
         responder = Responder(
             send,
             self._context.read_clock,
             is_draining=lambda: not lifecycle.is_ready,
             caller_socket=caller,
             http_version=scope.get("http_version", ""),
+            request=request,
         )
         cancel_scope = anyio.CancelScope()
         self._open[responder] = cancel_scope
@@ -109,14 +106,18 @@
         try:
             with cancel_scope:
                 await self._serve_or_send_error(
-                    scope, receive, responder, arrived_at_seconds
+                    scope, request, responder, arrived_at_seconds
                 )
             if cancel_scope.cancelled_caught:
                 await self._end_cancelled(responder, scope["path"])
         finally:
             del self._open[responder]
-            if not responder.has_started:
-                await self._end_unanswered(responder, scope["path"])
+            try:
+                if not responder.has_started:
+                    await self._end_unanswered(responder, scope["path"])
+            finally:
+                if not responder.has_ended:
+                    self._record_unanswered(responder, scope["path"])
 
     async def _serve_or_send_error(
         self,
@@ -162,6 +163,20 @@
         with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS, shield=True):
             await responder.send_error(error)
 
+    def _record_unanswered(self, responder: Responder, path: str) -> None:
+        """Record why a request has ended without a complete response."""
+        reason = _unanswered_reason(
+            responder, is_leaving=not self._context.lifecycle.is_ready
+        )
+        self._context.metrics.unanswered.labels(reason).inc()
+        log.problem(
+            "request ended without complete response",
+            path=path,
+            reason=reason,
+            had_begun=responder.has_started,
+            was_dispatched=responder.was_dispatched,
+        )
+
     async def _serve(
         self,
         scope: Message,
@@ -311,6 +326,16 @@
     )
 
 
+def _unanswered_reason(responder: Responder, *, is_leaving: bool) -> str:
+    if responder.has_caller_left():
+        return "caller_left"
+    if responder.cut_code:
+        return responder.cut_code
+    if responder.write_started_seconds is not None:
+        return "caller_stalled"
+    return "leaving" if is_leaving else "cancelled"
+
+
 def _unanswered_error(was_dispatched: bool, *, is_leaving: bool) -> CallerError:
     if is_leaving:
         return _unserved_error(
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -35,7 +35,8 @@
 from ._call import CallTerms
 from ._claims import AcquiredClaim
 from ._context import EntryContext
-from ._responder import Receive, Responder, wait_disconnect
+from ._request_body import Receive, wait_disconnect
+from ._responder import Responder
 
 log = ComponentLogger("entry")
 
@@ -86,7 +87,7 @@
         ``check`` must be called before each write of the request.
         """
 
-    def recheck_access(self) -> None:
+    async def recheck_access(self) -> None:
         """Raise a CallerError if the request is no longer allowed."""
         return
 
@@ -182,7 +183,7 @@
     ) -> Dispatch | Refuse | None:
         """Make an attempt; return the next decision, or None after the response."""
         await self._ensure_claim()
-        self.recheck_access()
+        await self.recheck_access()
         self._record_dispatch()
         self._log_dispatch(dispatch)
         decision: Dispatch | Refuse | None = None
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -24,6 +24,7 @@
 from .._errors import CallerError, access_error
 from .._headers import ResponseHead
 from .._logs import ComponentLogger
+from ._access_check import confirm_access
 from ._answer_end import BodyTracker, check_complete, has_events
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
@@ -31,7 +32,8 @@
 from ._delivery import post_delivery
 from ._event_framing import EventFramer
 from ._exchange import Exchange
-from ._responder import Receive, Responder
+from ._request_body import Receive
+from ._responder import Responder
 from ._routed_attempt import RoutedAttempt, is_success
 from ._routed_request import RoutedRequest
 
@@ -296,6 +298,7 @@
     async def send_error(self, error: CallerError) -> None:
         """Send the final response, or leave a started one visibly cut."""
         if self.responder.has_started:
+            self.responder.cut_code = error.code
             return
         response = self.context.dialects.caller.write_error(
             error, self._call.request_id
@@ -303,9 +306,9 @@
         await self.responder.start(response.status, response.headers)
         await self.responder.end(response.body)
 
-    def recheck_access(self) -> None:
+    async def recheck_access(self) -> None:
         """Raise if the request's key may have been revoked since its arrival."""
-        access = self.context.check_access(self._call)
+        access = await confirm_access(self.context, self._call)
         if access.verdict is not Verdict.ALLOWED:
             run_state = RunState.MAYBE_RUN if self.may_have_run else RunState.NOT_SENT
             raise access_error(access.verdict, run_state)
