Guard the release of connections with a request behind the last response

A suspected leak of one task for each could not be shown: the tasks seen were those of the servers' start. The test passes on the code as it was.

--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -321,6 +321,24 @@
         self.assertLessEqual(run(scenario), 1)
 
 
+class PipelinedRequestTest(TestCase):
+    def test_connection_with_a_request_behind_its_last_response_is_released(self):
+        async def scenario(host, servers):
+            host.daemon.lifecycle.begin_stop()
+            await host.call("/once/1")
+            count = len(asyncio.all_tasks())
+            for _ in range(5):
+                async with connect(host) as stream:
+                    await stream.send(2 * request_head("/once/1", WITH_ID))
+                    self.assertEqual(200, (await read_response(stream)).status)
+            with anyio.move_on_after(5.0):
+                while len(asyncio.all_tasks()) > count + 1:
+                    await anyio.sleep(0.01)
+            return len(asyncio.all_tasks()) - count
+
+        self.assertLessEqual(run(scenario), 1)
+
+
 class RecheckTest(TestCase):
     def test_unconfirmed_configuration_is_refreshed_before_an_attempt(self):
         """Guards against a resumed stream that is cut for want of a confirmation."""
