Bound the wait for unread bytes at the end of a connection's rest

A caller that took nothing of what was sent to it could have kept the check for unread bytes running without a pause, since its connection is not read meanwhile. Found by reading; the check now pauses and ends after a second.

--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -11,6 +11,11 @@
 
 from ._logs import ComponentLogger
 
+#: Interval and number of checks whether what arrived by the end of a rest was read. A
+#: connection is not read while its caller takes nothing of what was sent to it.
+UNREAD_CHECK_SECONDS = 0.005
+UNREAD_CHECKS_COUNT = 200
+
 log = ComponentLogger("entry")
 
 
@@ -42,8 +47,10 @@
         await self._rest()
         # An event loop that was late handles the end of the rest before the bytes that
         # arrived until then. Reading them stops this task.
-        while self._has_unread():
-            await asyncio.sleep(0)
+        for _ in range(UNREAD_CHECKS_COUNT):
+            if not self._has_unread():
+                break
+            await asyncio.sleep(UNREAD_CHECK_SECONDS)
         await asyncio.shield(self._initiate_server_close())
 
     async def _rest(self) -> None:
