Let quarantined requests together explain the crashes of a part

Cause: a quarantined suspect explained crashes of a part only with as many crashes as the part. Each of several culprits has fewer than a part that is running at the crashes of all, so none explained any.

Change: quarantined suspects explain crashes of a part, also with fewer each, if together they crashed an upstream without it. Requests are judged before parts in a pass, each kind by the same evidence.

--- a/packages/rampwick-policy/src/rampwick_policy/_attribution_rules.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_attribution_rules.py
@@ -20,6 +20,12 @@
 #: that many requests share are running on all upstreams whenever one of them crashes.
 SOUND_PART_CRASHES_COUNT = 6
 
+#: Crashes of a part from which on quarantined suspects that crashed fewer upstreams do
+#: not explain them. Several parts that crash upstreams would otherwise protect each
+#: other, by requests that were running at the crashes of all of them.
+SHARED_BLAME_CRASHES_COUNT = 6
+SOUND_SHARED_BLAME_CRASHES_COUNT = 8
+
 #: Different requests with a part that must have been running at its crashes. Otherwise
 #: the only one, as a whole, explains them as well. After a part had been answered,
 #: several requests that crash upstreams are more likely than the part itself.
@@ -100,6 +106,13 @@
     return SOUND_PART_CRASHES_COUNT if part.was_sound else QUARANTINE_CRASHES_COUNT
 
 
+def shared_blame_limit(part: Suspect) -> int:
+    """Return the crashes of a part from which on several others explain none."""
+    if part.was_sound:
+        return SOUND_SHARED_BLAME_CRASHES_COUNT
+    return SHARED_BLAME_CRASHES_COUNT
+
+
 def _are_independent(part: Suspect, crashes: Sequence[Crash]) -> bool:
     """Return whether several requests with a part crashed upstreams, over some time."""
     times_seconds = [crash.at_seconds for crash in crashes]
--- a/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
@@ -13,7 +13,7 @@
 import math
 from collections.abc import Iterable, Iterator
 
-from ._attribution_rules import AttributionRule, MostCrashes
+from ._attribution_rules import AttributionRule, MostCrashes, shared_blame_limit
 from ._suspects import (
     ISOLATION_CRASHES_COUNT,
     SUSPECT_RETENTION_SECONDS,
@@ -152,8 +152,9 @@
         self._crashes[incarnation_key] = crash
         # A full tracker may have evicted some of them for the others.
         keys = {key for key, _ in candidates} & crash.suspect_keys
-        has_quarantined = not keys.isdisjoint(self._quarantined_keys)
-        self._update_explained(crash.suspect_keys if has_quarantined else keys)
+        for key in keys & self._quarantined_keys:
+            keys |= self._keys_beside(self._suspects[key])
+        self._update_explained(keys)
         return True
 
     def note_sound(self, key: bytes) -> None:
@@ -161,6 +162,7 @@
         suspect = self._suspects.get(key)
         if suspect is not None and suspect.is_part and not suspect.was_sound:
             suspect.was_sound = True
+            self._update_explained([key])
             self._unattributed.update(self._keys_beside(suspect) & self._restricted)
 
     def note_live(self, incarnation_key: IncarnationKey, at_seconds: float) -> bool:
@@ -250,18 +252,29 @@
 
     def attribute_crashes(self, now_seconds: float) -> list[Suspect]:
         """Quarantine the suspects found responsible by now, and return them."""
+        # Requests first: they may explain crashes that would count against parts.
+        return [
+            *self._attribute(now_seconds, are_parts=False),
+            *self._attribute(now_seconds, are_parts=True),
+        ]
+
+    def _attribute(self, now_seconds: float, *, are_parts: bool) -> list[Suspect]:
+        """Quarantine the responsible suspects of one kind, by the same evidence."""
         quarantined = []
         for key in list(self._unattributed):
             suspect = self._suspects.get(key)
             if suspect is None or suspect.quarantined_at_seconds is not None:
                 self._unattributed.discard(key)
                 continue
+            if suspect.is_part != are_parts:
+                continue
             if not self.has_complete_reports(key, now_seconds):
                 continue
             self._unattributed.discard(key)
             if self._rule.is_responsible(suspect, self._other_suspects(suspect)):
-                self._quarantine(suspect, now_seconds)
                 quarantined.append(suspect)
+        for suspect in quarantined:
+            self._quarantine(suspect, now_seconds)
         return quarantined
 
     def _other_suspects(self, suspect: Suspect) -> list[Suspect]:
@@ -306,22 +319,30 @@
                 self._unattributed.add(key)
 
     def _find_explained(self, suspect: Suspect) -> set[IncarnationKey]:
-        """Return the crashes of a suspect that a quarantined one explains.
+        """Return the crashes of a suspect that quarantined ones explain.
 
-        Suspects that the requests of the quarantined one hold keep them: a part may
+        Suspects that the requests of a quarantined one hold keep them: a part may
         explain the crashes of a request that was held responsible.
         """
         if suspect.is_quarantined:
             return set()
-        return {
-            incarnation_key
-            for incarnation_key, crash in suspect.crashes.items()
-            if any(_explains(other, suspect) for other in self._quarantined(crash))
-        }
-
-    def _quarantined(self, crash: Crash) -> list[Suspect]:
-        """Return the suspects of a crash that are in quarantine."""
-        keys = crash.suspect_keys & self._quarantined_keys
+        requests = suspect.requests
+        others = [
+            other
+            for other in self._quarantined_beside(suspect)
+            if requests.isdisjoint(other.requests)
+        ]
+        if suspect.is_part and not (
+            len(suspect.crashes) < shared_blame_limit(suspect)
+            and _have_own_evidence(others, suspect)
+        ):
+            crashes_count = len(suspect.crashes)
+            others = [other for other in others if len(other.crashes) >= crashes_count]
+        return suspect.crashes.keys() & _crash_keys(others)
+
+    def _quarantined_beside(self, suspect: Suspect) -> list[Suspect]:
+        """Return the quarantined suspects at the crashes of another one."""
+        keys = self._keys_beside(suspect) & self._quarantined_keys
         return [self._suspects[key] for key in keys]
 
     # Bounds on memory.
@@ -424,12 +445,13 @@
             self._quarantined_keys.discard(suspect.key)
 
 
-def _explains(quarantined: Suspect, suspect: Suspect) -> bool:
-    """Return whether a quarantined suspect explains the crashes it shares with another.
+def _have_own_evidence(quarantined: Iterable[Suspect], part: Suspect) -> bool:
+    """Return whether quarantined suspects also crashed an upstream without a part.
 
-    A request that crashed fewer upstreams than a part explains none of them: the part
-    may have caused them all.
+    Otherwise the part may have caused all of their crashes.
     """
-    if suspect.is_part and len(quarantined.crashes) < len(suspect.crashes):
-        return False
-    return suspect.requests.isdisjoint(quarantined.requests)
+    return not _crash_keys(quarantined) <= part.crashes.keys()
+
+
+def _crash_keys(suspects: Iterable[Suspect]) -> set[IncarnationKey]:
+    return set().union(*(suspect.crashes for suspect in suspects))
--- a/tests/test_blamed_bystanders.py
+++ b/tests/test_blamed_bystanders.py
@@ -76,6 +76,47 @@
         self.assertEqual(QuarantineState.STOPPED, crashes.state(DEADLY))
 
 
+class SeveralRequestsTest(TestCase):
+    """Guards against parts blamed for crashes of requests that are known already."""
+
+    def test_part_at_crashes_of_two_requests_is_not_blamed(self):
+        crashes = Crashes()
+        crashes.crash(deadly=(), a=(LETTER,))
+        crashes.crash(deadly=(), a=(LETTER,))
+        crashes.crash(deadly=())
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(DEADLY))
+        crashes.crash(other_deadly=(), b=(LETTER,))
+        crashes.crash(other_deadly=(), b=(LETTER,))
+        self.assertEqual(QuarantineState.APART, crashes.state(LETTER))
+
+    def test_part_is_not_blamed_at_the_crash_that_shows_the_request(self):
+        crashes = Crashes()
+        crashes.crash(deadly=())
+        crashes.crash(deadly=(), a=(LETTER,))
+        crashes.crash(a=(LETTER,))
+        crashes.crash(a=(LETTER,))
+        crashes.crash(deadly=(), b=(LETTER,))
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(DEADLY))
+        self.assertEqual(QuarantineState.APART, crashes.state(LETTER))
+
+    def test_part_is_blamed_beside_a_request_that_crashed_nothing_without_it(self):
+        crashes = Crashes()
+        for name in ("a", "b", "c"):
+            crashes.crash(sound=(), **{name: (LETTER,)})
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(b"sound"))
+        crashes.crash(d=(LETTER,))
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(LETTER))
+
+    def test_part_with_six_crashes_is_blamed_whatever_explains_them(self):
+        crashes = Crashes()
+        for name, first, second in (("x", "a", "b"), ("y", "c", "d"), ("z", "e", "f")):
+            self.assertNotEqual(QuarantineState.STOPPED, crashes.state(LETTER))
+            crashes.crash(**{name: ()})
+            crashes.crash(**{name: (), first: (LETTER,)})
+            crashes.crash(**{name: (), second: (LETTER,)})
+        self.assertEqual(QuarantineState.STOPPED, crashes.state(LETTER))
+
+
 class RankingTest(TestCase):
     def test_request_with_four_crashes_is_stopped_whatever_ran_beside_it(self):
         crashes = Crashes()
