Compare records of begun streams without copying them

A link that opens sends all records. Change: a record that repeats a known one, apart from a lifetime that is not much longer, is found by comparison.

--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -202,6 +202,8 @@
         """Record a stream; return whether that is new."""
         known = self.find(key, now_seconds)
         if known is not None:
+            if _adds_nothing(known, stream):
+                return False
             stream = _merge(known, stream)
             extension_seconds = stream.expires_at_seconds - known.expires_at_seconds
             is_same = (
@@ -279,6 +281,20 @@
             self._sent.popleft()
 
 
+def _adds_nothing(known: BegunStream, other: BegunStream) -> bool:
+    """Return whether a record repeats a known one, as most of a new peer's state does.
+
+    Records are compared without copies: a host may receive thousands of them at once.
+    """
+    return (
+        other.attempt_number == known.attempt_number
+        and other.instance == known.instance
+        and other.software_version == known.software_version
+        and other.service == known.service
+        and other.expires_at_seconds - known.expires_at_seconds < MIN_EXTENSION_SECONDS
+    )
+
+
 def _merge(known: BegunStream, other: BegunStream) -> BegunStream:
     """Return what two records of one key say together, in any order of arrival."""
     expires_at_seconds = max(known.expires_at_seconds, other.expires_at_seconds)
