Answer 504 where the deadline passes under an attempt

Callers of a route whose time passed while an upstream ran their request got 502 upstream_failed, although the upstream had not failed; callers.md and connection-ends.md name 504 deadline_passed. An attempt that ends as expired was treated like one that failed.

Whether the request may have run is still told.

--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -357,6 +357,8 @@
             reason = ENDS_UPSTREAMS if is_quarantined else UPSTREAM_FAILED
             if is_unsent:
                 reason, peer = DEADLINE_PASSED, ""
+            elif event.outcome is Outcome.EXPIRED and not is_quarantined:
+                reason = DEADLINE_PASSED
             refusal = self._requests.refuse(item, reason, now_seconds, peer=peer)
             return [*actions, refusal]
         item.needs_budget = self.budgets.is_charged(event.outcome)
--- a/tests/test_left_callers.py
+++ b/tests/test_left_callers.py
@@ -511,6 +511,15 @@
             upstream = session.scheduler.upstreams.get("lektor-1")
             self.assertEqual(0, len(upstream.own_attempts))
 
+    def test_request_whose_deadline_passes_under_an_attempt_is_not_a_bad_gateway(self):
+        session = Session(runners=1, slots=1)
+        session.arrive(1.0, "r1", deadline=0.5)
+        failed = AttemptFailed("r1", "r1.1", Outcome.EXPIRED, "late")
+        (refusal,) = [x for x in session.do(1.6, failed) if isinstance(x, Refuse)]
+        self.assertEqual("deadline_passed", refusal.reason)
+        self.assertEqual("lektor-1", refusal.peer)
+        self.assertEqual(RunState.MAYBE_RUN, refusal.run_state)
+
     def test_an_unsent_attempt_does_not_count_against_its_upstream(self):
         session = Session(runners=1, slots=1)
         session.arrive(1.0, "r1", deadline=0.5)
