Close callers' connections in order before a process ends

What callers saw: connections that ended without a response while hosts were stopped, and no host had a line about their requests.

Cause, shown by tests that failed before: the servers were stopped as soon as no request was open. Their listener was closed with connections in its queue, which the kernel resets; connections with a part of a head read were closed; and what a connection held then left no trace.

Now the exit of the daemon has one owner. Connections at rest are closed in order; late ones are accepted and refused as leaving; the listener is closed when nothing has waited and no connection has held bytes for 50 ms, within half a second and the grace. A connection is closed once the caller's kernel has acknowledged what was sent, within a bound. One that ends holding unread, unparsed or unsent bytes is logged and counted in rampwick_connections_ended_holding_bytes_total.

A second way to lose a request: asyncio.wait_for loses a cancellation that comes as its result is there, so a rest that ended as a request was read closed the connection under it. The server now checks that the connection still rests.

Ruled out by reading: a pipelined request (the callers in question send none); the pause between the drain's checks alone (the drain ends with no request open).

Not measured yet.

--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -5,10 +5,12 @@
 import struct
 import termios
 
+import h11
 import hypercorn.asyncio.run
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.events import Closed, Event, Updated
 
+from ._caller_connections import CallerConnections, HeldBytes
 from ._logs import ComponentLogger
 
 #: Interval and number of checks whether what arrived by the end of a rest was read. A
@@ -16,6 +18,11 @@
 UNREAD_CHECK_SECONDS = 0.005
 UNREAD_CHECKS_COUNT = 200
 
+#: Longest wait for a caller's kernel to acknowledge what was sent to it. A close with
+#: unread bytes is a reset, which discards what is still under way.
+LINGER_SECONDS = 0.25
+LINGER_CHECK_SECONDS = 0.005
+
 log = ComponentLogger("entry")
 
 
@@ -23,20 +30,43 @@
     """Closes no connection on which a request has arrived."""
 
     _has_read_all = False
+    _is_ending = False
+    _is_resting = True
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
+        connections = self._connections
+        if connections is not None:
+            connections.begin(self)
         try:
             await super().run()
         except BaseExceptionGroup as group:
             log.problem("connection failed", error=repr(group.exceptions))
+        finally:
+            if connections is not None:
+                connections.end(self)
 
     async def protocol_send(self, event: Event) -> None:
         """Send what the protocol has for the caller, or act on its state."""
         if isinstance(event, Updated) and event.idle and self._has_read_all:
             event = Closed()
+        if isinstance(event, Updated):
+            self._is_resting = event.idle
         await super().protocol_send(event)
 
+    def held_bytes(self) -> HeldBytes:
+        """Return the bytes that a close would discard."""
+        return HeldBytes(
+            self._count_unread(), self._count_unparsed(), self._count_unsent()
+        )
+
+    @property
+    def _connections(self) -> CallerConnections | None:
+        """The connections of this server, unless it is the server of another app."""
+        found = getattr(self.config, "connections", None)
+        assert found is None or isinstance(found, CallerConnections)
+        return found
+
     async def _read_data(self) -> None:
         await super()._read_data()
         # The caller can send no further request that the connection would rest for.
@@ -48,15 +78,26 @@
         # An event loop that was late handles the end of the rest before the bytes that
         # arrived until then. Reading them stops this task.
         for _ in range(UNREAD_CHECKS_COUNT):
-            if not self._has_unread():
+            if not self._count_unread() and not self._count_unparsed():
                 break
             await asyncio.sleep(UNREAD_CHECK_SECONDS)
+        if not self._is_resting:
+            # A request was read as the rest ended. Its cancellation of this task is
+            # lost if ``asyncio.wait_for`` has its result already.
+            return
+        if self._is_stopping and not self.writer.is_closing():
+            # From here on nothing is read: a request that crosses the close must not
+            # run, as its response could not be sent.
+            self.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            self.writer.write_eof()
         await asyncio.shield(self._initiate_server_close())
 
     async def _rest(self) -> None:
         """Return after the maximum rest, or when the server shuts down."""
         started_seconds = self.loop.time()
         idle_seconds = self.config.keep_alive_timeout
+        connections = self._connections
+        ending = connections.closing if connections else self.context.terminated
         while True:
             # Callers go by the bound that they know; a new one may not have arrived.
             idle_seconds = max(idle_seconds, self.config.keep_alive_timeout)
@@ -64,22 +105,74 @@
             if rested_seconds >= idle_seconds:
                 return
             try:
-                await asyncio.wait_for(
-                    self.context.terminated.wait(), idle_seconds - rested_seconds
-                )
+                await asyncio.wait_for(ending.wait(), idle_seconds - rested_seconds)
             except TimeoutError:
                 continue
             return
 
-    def _has_unread(self) -> bool:
-        """Return whether bytes of the caller wait in the reader or in the kernel."""
-        if self.reader._buffer:  # type: ignore[attr-defined]
-            return True
+    async def _initiate_server_close(self) -> None:
+        await self._end_visibly("closed at rest")
+        await super()._initiate_server_close()
+
+    async def _close(self) -> None:
+        await self._end_visibly("closed after a response")
+        await super()._close()
+
+    @property
+    def _is_stopping(self) -> bool:
+        connections = self._connections
+        return connections is not None and connections.closing.is_set()
+
+    async def _end_visibly(self, cause: str) -> None:
+        """Before a close of a stopping server, record what it will discard.
+
+        It waits, up to a bound, until the caller's kernel has what was sent.
+        """
+        connections = self._connections
+        if connections is None or not connections.closing.is_set():
+            return
+        if self._is_ending or self.writer.is_closing():
+            return
+        self._is_ending = True
+        end_seconds = self.loop.time() + LINGER_SECONDS
+        while self._count_unsent() and self.loop.time() < end_seconds:
+            await asyncio.sleep(LINGER_CHECK_SECONDS)
+        if not self.writer.is_closing():
+            connections.record_end(self.held_bytes(), cause=cause)
+
+    def _count_unread(self) -> int:
+        """Return the number of bytes that wait in the reader or in the kernel."""
+        buffered = len(self.reader._buffer)  # type: ignore[attr-defined]
+        return buffered + self._ask_kernel(termios.FIONREAD)
+
+    def _count_unparsed(self) -> int:
+        """Return the number of bytes read of a head that has not arrived whole."""
+        wrapper = getattr(self, "protocol", None)
+        connection = getattr(getattr(wrapper, "protocol", None), "connection", None)
+        if not isinstance(connection, h11.Connection):
+            return 0
+        if connection.their_state not in (h11.IDLE, h11.DONE):
+            return 0
+        return len(connection.trailing_data[0])
+
+    def _count_unsent(self) -> int:
+        """Return the number of bytes that the caller's kernel has not acknowledged."""
+        if self.writer.is_closing():
+            return 0
+        buffered = self.writer.transport.get_write_buffer_size()
+        # The kernel's count of a socket's bytes that are not acknowledged (SIOCOUTQ).
+        return buffered + self._ask_kernel(termios.TIOCOUTQ)
+
+    def _ask_kernel(self, request: int) -> int:
         descriptor = self.writer.get_extra_info("socket").fileno()
         if descriptor < 0:
-            return False
-        found = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(4))
-        return bool(struct.unpack("i", found)[0])
+            return 0
+        try:
+            found = fcntl.ioctl(descriptor, request, bytes(4))
+        except OSError:
+            # The caller has reset the connection.
+            return 0
+        return int(struct.unpack("i", found)[0])
 
 
 def use_caller_servers() -> None:
--- a/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
@@ -103,11 +103,19 @@
     """
 
     def __init__(
-        self, fileno: int, is_handed_on: Callable[[float], bool] | None = None
+        self,
+        fileno: int,
+        is_handed_on: Callable[[float], bool] | None = None,
+        note_accepted: Callable[[], None] = lambda: None,
     ) -> None:
-        """``is_handed_on`` decides by the seconds that a connection has waited."""
+        """``is_handed_on`` decides by the seconds that a connection has waited.
+
+        ``note_accepted`` is called for each connection that is to be served.
+        """
         super().__init__(fileno=fileno)
         self._is_handed_on = is_handed_on
+        self._note_accepted = note_accepted
+        self._is_accepting = True
         self._accepted_count = 0
         self._closed_count = 0
         self._accepted: WeakValueDictionary[tuple[Address, Address], CallerConnection]
@@ -115,13 +123,30 @@
 
     def accept(self) -> tuple[CallerConnection, Any]:
         """Accept a connection; raise BlockingIOError if none may be accepted now."""
+        if not self._is_accepting:
+            raise BlockingIOError
         if self._is_handed_on is None:
             connection, address = self._accept_next()
         else:
             connection, address = self._accept_paced(self._is_handed_on)
         self._accepted[_key(address, connection.getsockname())] = connection
+        self._note_accepted()
         return connection, address
 
+    def has_waiting(self) -> bool:
+        """Return whether a connection waits to be accepted."""
+        poll = select.poll()
+        poll.register(self, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def stop_accepting(self) -> None:
+        """Have the kernel refuse connections; it resets those that still wait."""
+        if not self._is_accepting:
+            return
+        self._is_accepting = False
+        asyncio.get_running_loop().remove_reader(self.fileno())
+        self.shutdown(socket.SHUT_RDWR)
+
     def _accept_next(self) -> tuple[CallerConnection, Any]:
         accepted, address = super().accept()
         return CallerConnection(fileno=accepted.detach()), address
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -14,11 +14,20 @@
 from rampwick_schema import Settings
 
 from ._assembly import Assembly, Clocks as Clocks
+from ._caller_connections import CallerConnections
 from ._fallback import read_fallback
 from ._hand_on import ConnectionHandOn
 from ._integration import Integration
 from ._logs import ComponentLogger, milliseconds
-from ._servers import CLOSE_TIMEOUT_SECONDS, Addresses, Listeners, listen, serve_apps
+from ._servers import (
+    CLOSE_TIMEOUT_SECONDS,
+    SETTLE_TIMEOUT_SECONDS,
+    Addresses,
+    CallerTerms,
+    Listeners,
+    listen,
+    serve_apps,
+)
 from .upstream import (
     ConnectionPool,
     UpstreamClient,
@@ -68,6 +77,9 @@
             assembly.context.metrics.handed_on,
             assembly.clocks.monotonic,
         )
+        self.caller_connections = CallerConnections(
+            assembly.context.metrics.connections_ended
+        )
 
     def load_fallback(self) -> None:
         """Apply the fallback tree and host list until newer ones are received."""
@@ -194,12 +206,25 @@
             while self.entry.open_count or self._gossip.tunnel_server.active_count:
                 # In a forced shutdown EntryApp ends each open request with an error.
                 await anyio.sleep(DRAIN_CHECK_SECONDS)
+        self.lifecycle.has_drained = True
         log.info(
             "stopped",
             open_count=self.entry.open_count,
+            connections_count=self.caller_connections.open_count,
             platform_calls=dict(getattr(self._api, "calls", {})),
         )
 
+    def read_settle_seconds(self) -> float:
+        """Return for how long callers' connections may be closed in order."""
+        if self.lifecycle.is_forced:
+            return 0.0
+        if self.lifecycle.exit_deadline_seconds is None:
+            return SETTLE_TIMEOUT_SECONDS
+        remaining_seconds = (
+            self.lifecycle.exit_deadline_seconds - self._clocks.monotonic()
+        )
+        return max(0.0, min(SETTLE_TIMEOUT_SECONDS, remaining_seconds))
+
     def _drain_seconds(self) -> float:
         """Return the maximum time to wait for open requests."""
         drain_seconds = self._settings.life.drain_timeout_seconds
@@ -276,8 +301,12 @@
             served.append((daemon.admin.ready_app, listeners.ready))
         serve_apps(
             served,
-            daemon.hand_on.decide,
-            daemon.read_idle_seconds,
+            CallerTerms(
+                daemon.hand_on.decide,
+                daemon.read_idle_seconds,
+                daemon.read_settle_seconds,
+                daemon.caller_connections,
+            ),
             settings.limits.max_header_bytes,
             tasks,
             stack,
--- a/packages/rampwick-router/src/rampwick_router/_lifecycle.py
+++ b/packages/rampwick-router/src/rampwick_router/_lifecycle.py
@@ -19,6 +19,9 @@
         self.exit_deadline_seconds: float | None = None
         #: Whether the balancer has had time to stop routing callers here.
         self.balancer_delay_elapsed = False
+        #: Whether the open requests have completed, and the callers' connections are
+        #: being closed.
+        self.has_drained = False
 
     @property
     def is_ready(self) -> bool:
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -192,6 +192,13 @@
             "Callers' connections closed unread, so that a less busy host serves them.",
             registry=registry,
         )
+        self.connections_ended = Counter(
+            "rampwick_connections_ended_holding_bytes",
+            "Callers' connections that a shutdown ended with bytes unread, unparsed "
+            "or unsent.",
+            ("kind",),
+            registry=registry,
+        )
         self.unanswered = Counter(
             "rampwick_requests_unanswered",
             "Requests that ended without a complete response, by reason.",
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -14,6 +14,7 @@
 from rampwick_schema import ListenSettings, ReprMixin
 from rampwick_start import BACKLOG_COUNT, bind
 
+from ._caller_connections import CallerConnections
 from ._caller_server import use_caller_servers
 from ._caller_sockets import CallerListener
 from ._http1 import ignore_websockets
@@ -22,6 +23,12 @@
 #: Time that the HTTP server is given to close idle connections.
 CLOSE_TIMEOUT_SECONDS = 0.5
 
+#: Longest time for callers' connections to be closed in order, before the server ends
+#: them, and for how long nothing may have arrived or waited by then.
+SETTLE_TIMEOUT_SECONDS = 0.5
+QUIET_SECONDS = 0.05
+SETTLE_CHECK_SECONDS = 0.005
+
 #: Idle timeout of connections to the other applications; longer than the usual minute
 #: of balancers, so that the balancer closes first.
 KEEP_ALIVE_SECONDS = 75.0
@@ -77,10 +84,22 @@
     return f"{host}:{port}"
 
 
+@attrs.frozen(repr=False)
+class CallerTerms(ReprMixin):
+    """How the callers' server treats connections."""
+
+    #: Decides by the seconds that a connection waited whether it is closed unread.
+    is_handed_on: Callable[[float], bool]
+    #: Returns how long a connection may rest.
+    read_idle_seconds: Callable[[], float]
+    #: Returns for how long, at most, the shutdown may close connections in order.
+    read_settle_seconds: Callable[[], float]
+    connections: CallerConnections
+
+
 def serve_apps(
     served: Sequence[tuple[Any, socket.socket]],
-    is_handed_on: Callable[[float], bool],
-    read_idle_seconds: Callable[[], float],
+    terms: CallerTerms,
     max_header_bytes: int,
     tasks: TaskGroup,
     stack: AsyncExitStack,
@@ -88,32 +107,66 @@
     """Serve ASGI applications on bound sockets until the stack is closed.
 
     The servers shut down before any resource that is on the stack already, so that
-    requests received by then can still complete. ``is_handed_on`` decides which
-    connections to the first application are closed unread, and ``read_idle_seconds``
-    returns how long its connections may rest.
+    requests received by then can still complete. ``terms`` are those of the callers,
+    whom the first application serves.
     """
     use_caller_servers()
     ignore_websockets()
     reset_cut_streams()
     closing = anyio.Event()
     ended = []
-    for index, (app, bound) in enumerate(served):
-        listener = CallerListener(bound.detach(), None if index else is_handed_on)
-        read_seconds = _read_default_idle if index else read_idle_seconds
-        config = _server_config(listener, max_header_bytes, read_seconds)
+    (app, bound), *others = served
+    callers = CallerListener(
+        bound.detach(), terms.is_handed_on, terms.connections.note_accepted
+    )
+    config = _server_config(callers, max_header_bytes, terms.read_idle_seconds)
+    config.connections = terms.connections
+    prepared = [(callers.with_sockets(app), config)]
+    for app, bound in others:
+        listener = CallerListener(bound.detach())
+        config = _server_config(listener, max_header_bytes)
+        prepared.append((listener.with_sockets(app), config))
+    for app, config in prepared:
         has_ended = anyio.Event()
         ended.append(has_ended)
-        tasks.start_soon(_serve, listener.with_sockets(app), config, closing, has_ended)
-    stack.push_async_callback(_close, closing, ended)
+        tasks.start_soon(_serve, app, config, closing, has_ended)
+    stack.push_async_callback(_close, callers, terms, closing, ended)
 
 
-async def _close(closing: anyio.Event, ended: Sequence[anyio.Event]) -> None:
+async def _close(
+    callers: CallerListener,
+    terms: CallerTerms,
+    closing: anyio.Event,
+    ended: Sequence[anyio.Event],
+) -> None:
+    with anyio.CancelScope(shield=True):
+        await _settle(callers, terms)
     closing.set()
     with anyio.move_on_after(2 * CLOSE_TIMEOUT_SECONDS, shield=True):
         for has_ended in ended:
             await has_ended.wait()
 
 
+async def _settle(callers: CallerListener, terms: CallerTerms) -> None:
+    """Close the callers' connections in order, and then their listener.
+
+    Connections that arrive meanwhile are served. A listener that is closed before its
+    queue is empty resets the connections in it.
+    """
+    connections = terms.connections
+    await connections.close_resting()
+    quiet_since_seconds = anyio.current_time()
+    with anyio.move_on_after(terms.read_settle_seconds()):
+        while anyio.current_time() - quiet_since_seconds < QUIET_SECONDS:
+            await anyio.sleep(SETTLE_CHECK_SECONDS)
+            if callers.has_waiting() or connections.holds_bytes():
+                quiet_since_seconds = anyio.current_time()
+        callers.stop_accepting()
+        while connections.open_count:
+            await anyio.sleep(SETTLE_CHECK_SECONDS)
+    callers.stop_accepting()
+
+
 class _ServerConfig(Config):
     """Configuration of a server on a listener that is bound already."""
 
@@ -123,6 +176,8 @@
         super().__init__()
         self._listener = listener
         self._read_idle_seconds = read_idle_seconds
+        #: The connections of callers; None on the server of another application.
+        self.connections: CallerConnections | None = None
 
     @property
     def keep_alive_timeout(self) -> float:  # type: ignore[override]
@@ -144,7 +199,7 @@
     listener: CallerListener,
     max_header_bytes: int,
     read_idle_seconds: Callable[[], float] = _read_default_idle,
-) -> Config:
+) -> _ServerConfig:
     config = _ServerConfig(listener, read_idle_seconds)
     # The server sets the length of the listener's queue again.
     config.backlog = BACKLOG_COUNT
@@ -157,7 +212,7 @@
 
 
 async def _serve(
-    app: Any, config: Config, closing: anyio.Event, has_ended: anyio.Event
+    app: Any, config: _ServerConfig, closing: anyio.Event, has_ended: anyio.Event
 ) -> None:
     # Hypercorn runs in this process, without worker processes. It is shielded and
     # stopped only by its trigger, because it raises errors when it is cancelled.
@@ -165,4 +220,6 @@
         with anyio.CancelScope(shield=True):
             await serve(app, config, shutdown_trigger=closing.wait)
     finally:
+        if config.connections is not None:
+            config.connections.record_remaining()
         has_ended.set()
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -77,6 +77,8 @@
     def _check_exit_deadline(self, route: Route, call: RoutedCall) -> None:
         """Raise if this host may exit before the response is complete."""
         lifecycle, now_seconds = self._context.lifecycle, self._context.read_clock()
+        if lifecycle.has_drained:
+            raise _leaving_error()
         if lifecycle.exit_deadline_seconds is None:
             return
         # While the balancer still routes callers here, only requests that would not fit
@@ -93,13 +95,7 @@
             overrun_ratio=overrun_ratio,
         ):
             return
-        raise CallerError(
-            "this host is leaving",
-            status=503,
-            code="leaving",
-            step="accept request",
-            retry_after_seconds=OTHER_HOST_RETRY_SECONDS,
-        )
+        raise _leaving_error()
 
     def _service(self, route: Route, call: RoutedCall) -> Service:
         # A stream that is taken up goes on in the service that began it.
@@ -129,6 +125,16 @@
         await responder.end(response.body)
 
 
+def _leaving_error() -> CallerError:
+    return CallerError(
+        "this host is leaving",
+        status=503,
+        code="leaving",
+        step="accept request",
+        retry_after_seconds=OTHER_HOST_RETRY_SECONDS,
+    )
+
+
 def _read_raw(scope: Message) -> RawCall:
     target = scope.get("raw_path", scope["path"].encode()).decode("latin-1")
     query = scope.get("query_string", b"").decode("latin-1")
--- /dev/null
+++ b/tests/test_stopped_connections.py
@@ -0,0 +1,160 @@
+"""Guards against requests that a stopping process ends without a trace.
+
+Callers' connections ended without a response while hosts were stopped, and no host had
+a line about their requests.
+"""
+
+import asyncio
+import contextlib
+import socket
+from unittest import mock
+
+import anyio
+import h11
+from anyio.to_thread import run_sync
+from testtools import TestCase
+
+from rampwick_router._caller_server import CallerServer
+
+from .test_connection_ends import WITH_ID, request_head, send_whole
+from .test_routed import run, run_routed
+
+
+def open_raw(host):
+    """Open a connection that only the kernel has accepted, as the loop doesn't run."""
+    address, _, port = host.address.partition(":")
+    return socket.create_connection((address, int(port)), timeout=10.0)
+
+
+async def drain(host):
+    """Carry out a planned shutdown up to the close of the connections."""
+    # The scripted store does not count its calls.
+    host.daemon._api = None
+    host.daemon.lifecycle.begin_stop()
+    await host.daemon.stop()
+
+
+def read_status(raw):
+    """Return the status of a response; 0 if the connection ends without one."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    connection.send(h11.EndOfMessage())
+    with contextlib.suppress(OSError):
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                data = raw.recv(65536)
+                if not data:
+                    break
+                connection.receive_data(data)
+            elif isinstance(event, h11.Response):
+                return event.status_code
+    return 0
+
+
+class StoppedConnectionTest(TestCase):
+    """What has reached a host by the time at which it stops gets a response."""
+
+    def statuses_at_stop(self, arrive, finish):
+        """Return the statuses on connections on which bytes arrive as a host stops.
+
+        ``arrive`` is called as the host has drained, and ``finish`` a moment later.
+        """
+
+        async def main():
+            async with (
+                contextlib.AsyncExitStack() as stack,
+                anyio.create_task_group() as tasks,
+            ):
+                async with run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _):
+                    await drain(host)
+                    raws = arrive(host)
+                    for raw in raws:
+                        stack.callback(raw.close)
+
+                    async def finish_later():
+                        await anyio.sleep(0.02)
+                        finish(raws)
+
+                    tasks.start_soon(finish_later)
+                return [await run_sync(read_status, raw) for raw in raws]
+
+        return anyio.run(main)
+
+    def test_connections_in_the_backlog_are_answered(self):
+        head = request_head("/once/1", WITH_ID)
+
+        def arrive(host):
+            raws = [open_raw(host) for _ in range(40)]
+            for raw in raws:
+                raw.sendall(head)
+            return raws
+
+        statuses = self.statuses_at_stop(arrive, lambda raws: None)
+        self.assertEqual([503] * 40, statuses)
+
+    def test_request_whose_head_has_arrived_in_part_is_answered(self):
+        head = request_head("/once/1", WITH_ID)
+
+        def arrive(host):
+            raw = open_raw(host)
+            raw.sendall(head[:30])
+            return [raw]
+
+        def finish(raws):
+            raws[0].sendall(head[30:])
+
+        self.assertEqual([503], self.statuses_at_stop(arrive, finish))
+
+    def test_request_on_a_connection_at_rest_is_answered(self):
+        head = request_head("/once/1", WITH_ID)
+
+        async def main():
+            async with run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _):
+                raw = open_raw(host)
+                raw.sendall(head)
+                first = await run_sync(read_status, raw)
+                await drain(host)
+                raw.sendall(head)
+            with contextlib.closing(raw):
+                return first, await run_sync(read_status, raw)
+
+        # The first response began before the shutdown and keeps the connection open.
+        self.assertEqual((200, 503), anyio.run(main))
+
+
+class LostCancellationTest(TestCase):
+    """A rest that ends as a request is read does not end the connection.
+
+    ``asyncio.wait_for`` loses a cancellation if its result is there already.
+    """
+
+    def test_request_is_answered_though_the_end_of_the_rest_goes_on(self):
+        async def rest_until_cancelled(server):
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(60.0)
+
+        async def scenario(host, servers):
+            with mock.patch.object(CallerServer, "_rest", rest_until_cancelled):
+                return await send_whole(host, request_head("/once/1", WITH_ID))
+
+        self.assertEqual(200, run(scenario).status)
+
+
+class StopRecordTest(TestCase):
+    """A connection that ends with bytes of its caller leaves a line and is counted."""
+
+    def test_head_that_never_arrives_whole_is_recorded(self):
+        async def main():
+            async with run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _):
+                stream = await anyio.connect_tcp(*host.address.split(":"))
+                await stream.send(request_head("/once/1", WITH_ID)[:30])
+                daemon = host.daemon
+                while not daemon.caller_connections.holds_bytes():
+                    await anyio.sleep(0.005)
+                await drain(host)
+            await stream.aclose()
+            return daemon._context.metrics.connections_ended
+
+        counter = anyio.run(main)
+        self.assertEqual(1, counter.labels("unparsed")._value.get())
