Close no connection whose caller may still go by a longer bound on rest

The longest bound that was in force during the rest holds now, and the rest lasts until that bound is confirmed, at least a second longer than the bound. test_longer_bound_that_was_in_force_for_a_part_of_the_rest_holds failed before.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -104,6 +104,7 @@
     MAX_PART_KEYS as MAX_PART_KEYS,
     RequestIdentity as RequestIdentity,
 )
+from ._idle_bounds import IdleBounds as IdleBounds
 from ._kv_store_contents import store_generation as store_generation
 from ._lease import LeaseWatcher as LeaseWatcher
 from ._limit_tracker import LimitState as LimitState
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/_caller_rest.py
@@ -0,0 +1,36 @@
+"""How long callers' connections may rest by the configuration."""
+
+from collections.abc import Callable
+
+from rampwick_policy import IdleBounds
+
+from .control import ConfigurationTask
+
+
+class CallerRest:
+    """Follows the bound on rest in the configuration."""
+
+    def __init__(
+        self, configuration: ConfigurationTask, read_clock: Callable[[], float]
+    ) -> None:
+        self._configuration = configuration
+        self._read_clock = read_clock
+        self._bounds = IdleBounds()
+        self._note_bound()
+        configuration.on_in_force = self._note_bound
+
+    def max_seconds(self, rested_seconds: float) -> float:
+        """Return how long a connection may rest that has rested for some seconds."""
+        now_seconds = self._read_clock()
+        return self._bounds.max_rest_seconds(
+            now_seconds - rested_seconds, self._configuration.age_seconds(now_seconds)
+        )
+
+    def _note_bound(self) -> None:
+        """Record the bound in force.
+
+        The head of a request that arrives slowly is not told from rest.
+        """
+        limits = self._configuration.follower.view.routes.routing.caller_limits
+        bound_seconds = max(limits.idle_timeout_seconds, limits.body_timeout_seconds)
+        self._bounds.note(bound_seconds, self._read_clock())
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -95,21 +95,26 @@
     async def _rest(self) -> None:
         """Return after the maximum rest, or when the server shuts down."""
         started_seconds = self.loop.time()
-        idle_seconds = self.config.keep_alive_timeout
         connections = self._connections
         ending = connections.closing if connections else self.context.terminated
         while True:
-            # Callers go by the bound that they know; a new one may not have arrived.
-            idle_seconds = max(idle_seconds, self.config.keep_alive_timeout)
             rested_seconds = self.loop.time() - started_seconds
-            if rested_seconds >= idle_seconds:
+            max_seconds = self._max_rest_seconds(rested_seconds)
+            if rested_seconds >= max_seconds:
                 return
             try:
-                await asyncio.wait_for(ending.wait(), idle_seconds - rested_seconds)
+                await asyncio.wait_for(ending.wait(), max_seconds - rested_seconds)
             except TimeoutError:
                 continue
             return
 
+    def _max_rest_seconds(self, rested_seconds: float) -> float:
+        find_max_rest = getattr(self.config, "max_rest_seconds", None)
+        if find_max_rest is None:
+            # A server of another package in this process.
+            return self.config.keep_alive_timeout
+        return float(find_max_rest(rested_seconds))
+
     async def _initiate_server_close(self) -> None:
         await self._end_visibly("closed at rest")
         await super()._initiate_server_close()
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -15,6 +15,7 @@
 
 from ._assembly import Assembly, Clocks as Clocks
 from ._caller_connections import CallerConnections
+from ._caller_rest import CallerRest
 from ._fallback import read_fallback
 from ._hand_on import ConnectionHandOn
 from ._integration import Integration
@@ -77,6 +78,7 @@
             assembly.context.metrics.handed_on,
             assembly.clocks.monotonic,
         )
+        self.caller_rest = CallerRest(assembly.configuration, assembly.clocks.monotonic)
         self.caller_connections = CallerConnections(
             assembly.context.metrics.connections_ended
         )
@@ -101,14 +103,6 @@
         self._gossip.seeds = frozenset(settings.peers.seeds)
         log.info("settings reloaded", changed=changed)
 
-    def read_idle_seconds(self) -> float:
-        """Return how long callers' connections may rest by the configuration.
-
-        The head of a request that arrives slowly is not told from rest.
-        """
-        limits = self.follower.view.routes.routing.caller_limits
-        return max(limits.idle_timeout_seconds, limits.body_timeout_seconds)
-
     async def start(self, tasks: TaskGroup, listeners: Listeners) -> None:
         """Start all tasks; return when they have been scheduled."""
         tasks.start_soon(self.scheduler.run)
@@ -303,7 +297,7 @@
             served,
             CallerTerms(
                 daemon.hand_on.decide,
-                daemon.read_idle_seconds,
+                daemon.caller_rest.max_seconds,
                 daemon.read_settle_seconds,
                 daemon.caller_connections,
             ),
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -90,8 +90,8 @@
 
     #: Decides by the seconds that a connection waited whether it is closed unread.
     is_handed_on: Callable[[float], bool]
-    #: Returns how long a connection may rest.
-    read_idle_seconds: Callable[[], float]
+    #: Returns how long a connection may rest that has rested for some seconds.
+    max_rest_seconds: Callable[[float], float]
     #: Returns for how long, at most, the shutdown may close connections in order.
     read_settle_seconds: Callable[[], float]
     connections: CallerConnections
@@ -119,7 +119,7 @@
     callers = CallerListener(
         bound.detach(), terms.is_handed_on, terms.connections.note_accepted
     )
-    config = _server_config(callers, max_header_bytes, terms.read_idle_seconds)
+    config = _server_config(callers, max_header_bytes, terms.max_rest_seconds)
     config.connections = terms.connections
     prepared = [(callers.with_sockets(app), config)]
     for app, bound in others:
@@ -171,19 +171,15 @@
     """Configuration of a server on a listener that is bound already."""
 
     def __init__(
-        self, listener: CallerListener, read_idle_seconds: Callable[[], float]
+        self, listener: CallerListener, max_rest_seconds: Callable[[float], float]
     ) -> None:
         super().__init__()
         self._listener = listener
-        self._read_idle_seconds = read_idle_seconds
+        #: Returns how long a connection may rest that has rested for some seconds.
+        self.max_rest_seconds = max_rest_seconds
         #: The connections of callers; None on the server of another application.
         self.connections: CallerConnections | None = None
 
-    @property
-    def keep_alive_timeout(self) -> float:  # type: ignore[override]
-        """Maximum rest of a connection between two requests, in seconds."""
-        return self._read_idle_seconds()
-
     def create_sockets(self) -> Sockets:
         """Return the listener, listening."""
         self._listener.setblocking(False)
@@ -191,16 +187,16 @@
         return Sockets([], [self._listener], [])
 
 
-def _read_default_idle() -> float:
+def _default_max_rest(rested_seconds: float) -> float:
     return KEEP_ALIVE_SECONDS
 
 
 def _server_config(
     listener: CallerListener,
     max_header_bytes: int,
-    read_idle_seconds: Callable[[], float] = _read_default_idle,
+    max_rest_seconds: Callable[[float], float] = _default_max_rest,
 ) -> _ServerConfig:
-    config = _ServerConfig(listener, read_idle_seconds)
+    config = _ServerConfig(listener, max_rest_seconds)
     # The server sets the length of the listener's queue again.
     config.backlog = BACKLOG_COUNT
     config.h11_max_incomplete_size = max_header_bytes
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration.py
@@ -17,6 +17,10 @@
 log = ComponentLogger("configuration")
 
 
+def _ignore() -> None:
+    return
+
+
 class ConfigurationSource(Protocol):
     """Source of the configuration."""
 
@@ -40,6 +44,8 @@
         self.source: ConfigurationSource | None = None
         #: Queries a peer that reads the platform; returns whether there is one.
         self.query_peer: Callable[[], bool] = lambda: False
+        #: Called when another revision comes into force.
+        self.on_in_force: Callable[[], None] = _ignore
         self._scheduler = scheduler
         self._read_clock = read_clock
         self._confirmed_at_seconds = -math.inf
@@ -66,6 +72,7 @@
             age_seconds=round(self.age_seconds(self._read_clock()), 3),
         )
         self._scheduler.post(TreeChanged(self.follower.view))
+        self.on_in_force()
         self.changed.set()
         self.changed = anyio.Event()
 
