--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -270,6 +270,9 @@
         """Return log fields of the answer that only requests on routes have."""
         return {
             "route": self._request.route.name,
+            "service": self._request.service.name,
+            "announced_tokens": self._call.max_answer_tokens,
+            "expected_tokens": self._call.expected_answer_tokens,
             "events_count": self._events_count,
             **self.body_fields(),
         }
