Estimate an answer's time by recent answers of a like length

A try of the first estimate, by the order of announced tokens: routes announce one maximum for all their requests, so that few kinds had twenty answers and the rest went by the fixed reckoning.

A rise is found among answers of like lengths, and raises only what was learned before it.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -9,7 +9,6 @@
 from ._answer_times import (
     AnswerKind as AnswerKind,
     AnswerTimes as AnswerTimes,
-    answer_kind as answer_kind,
 )
 from ._answer_timings import (
     AnswerTimer as AnswerTimer,
@@ -62,7 +61,7 @@
 from ._drain_admission import (
     DrainAdmission as DrainAdmission,
     DrainDecision as DrainDecision,
-    LateRequest as LateRequest,
+    DrainRequest as DrainRequest,
     SlowAnswerTracker as SlowAnswerTracker,
     can_finish_before as can_finish_before,
 )
--- a/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
@@ -4,8 +4,9 @@
 reckoning is wrong both ways: by a factor of ten on a fast service, whose requests it
 would refuse, and by three after an outage, when it would truncate their answers.
 
-A rise is believed at once: answers of a service that take a multiple of what is usual
-raise all its estimates. A fall is believed as the old answers are forgotten.
+The estimate is a high quantile over the recent answers whose length was expected to be
+most like it. A rise is believed at once: answers of a service that take a multiple of
+what is usual raise all that was learned before. A fall is believed slowly.
 """
 
 import math
@@ -18,11 +19,17 @@
 
 #: Answers of a kind that are remembered: the newest ones of a minute.
 MAX_AGE_SECONDS = 60.0
-MAX_VALUES_COUNT = 256
+MAX_ANSWERS_COUNT = 256
 
-#: Answers of a kind, and of all kinds, from which a high quantile is known.
-MIN_KIND_COUNT = 20
-MIN_TOTAL_COUNT = 50
+#: Answers of a kind from which an estimate is made, and the number of those most like
+#: the request by whose quantile it is made.
+MIN_ANSWERS_COUNT = 5
+NEAREST_COUNT = 20
+
+#: Multiple of the quantile that is expected, and its part that shrinks with the number
+#: of answers.
+MARGIN_RATIO = 1.2
+FEW_ANSWERS_MARGIN = 2.0
 
 #: Kinds that are remembered; the least recently seen ones are forgotten.
 MAX_KINDS_COUNT = 512
@@ -30,11 +37,9 @@
 #: Longest time of an answer that is plausible.
 MAX_ANSWER_SECONDS = 3600.0
 
-#: Resolution of quantiles, and the allowance for those of a small sample.
-QUANTILES_COUNT = 100
-MARGIN_RATIO = 1.2
-
-#: Interval at which the usual time of a kind is computed again.
+#: Step of sizes for which usual times are known, and the interval at which they are
+#: computed again.
+SIZE_STEP = 0.5
 USUAL_INTERVAL_SECONDS = 5.0
 
 #: Recent answers of a service by whose median multiple of the usual time a rise is
@@ -47,76 +52,88 @@
 
 @attrs.frozen(repr=False)
 class AnswerKind(ReprMixin):
-    """Requests whose answers take about as long."""
+    """Requests whose answers take about as long for their length."""
 
     service: str
     model: str = ""
     is_stream: bool = False
-    #: Binary order of magnitude of the tokens that the answer may have.
-    tokens_order: int = 0
 
 
-def answer_kind(
-    service: str, model: str, *, is_stream: bool, max_answer_tokens: int
-) -> AnswerKind:
-    """Return the kind of a request's answer."""
-    tokens_order = max(0, max_answer_tokens).bit_length()
-    return AnswerKind(service, model, is_stream, tokens_order)
+@attrs.frozen(repr=False)
+class Answer(ReprMixin):
+    """A complete answer."""
+
+    at_seconds: float
+    #: Logarithm of the tokens that were expected.
+    size: float
+    seconds: float
 
 
-class _RecentValues:
-    """Values of the last minute, up to a number, and their quantiles."""
+class _RecentAnswers:
+    """The recent answers of one kind."""
 
     def __init__(self) -> None:
-        self._values: deque[tuple[float, float]] = deque(maxlen=MAX_VALUES_COUNT)
-        self._usual: float | None = None
-        self._usual_at_seconds = -math.inf
-
-    def record(self, value: float, now_seconds: float) -> None:
-        self._values.append((now_seconds, value))
-
-    def count(self, now_seconds: float) -> int:
-        self._expire(now_seconds)
-        return len(self._values)
-
-    def usual(self, now_seconds: float) -> float | None:
-        """Return the median as of some seconds ago; None if few were known then."""
-        if now_seconds - self._usual_at_seconds >= USUAL_INTERVAL_SECONDS:
-            is_known = self.count(now_seconds) >= MIN_KIND_COUNT
-            self._usual = self.quantile(0.5) if is_known else None
-            self._usual_at_seconds = now_seconds
-        return self._usual
-
-    def quantile(self, ratio: float) -> float:
-        """Return a value that this share stays within; with few, the largest."""
-        values = [value for _, value in self._values]
-        cuts = statistics.quantiles(values, n=QUANTILES_COUNT, method="inclusive")
-        index = round(ratio * QUANTILES_COUNT) - 1
-        # The largest of few values is a lower bound of a high quantile.
-        return cuts[index] if len(values) * (1.0 - ratio) >= 1.0 else max(values)
-
-    def _expire(self, now_seconds: float) -> None:
-        while self._values and now_seconds - self._values[0][0] > MAX_AGE_SECONDS:
-            self._values.popleft()
-
-
-@attrs.define(repr=False)
-class _Rise(ReprMixin):
+        self._answers: deque[Answer] = deque(maxlen=MAX_ANSWERS_COUNT)
+        #: Median of the answers most like a rounded size, and when it was computed.
+        self._usual: dict[int, tuple[float, float | None]] = {}
+
+    def record(self, answer: Answer) -> None:
+        self._answers.append(answer)
+
+    def usual_seconds(self, size: float, now_seconds: float) -> float | None:
+        """Return the median of like answers as of some seconds ago, if known."""
+        rounded = round(size / SIZE_STEP)
+        computed_at_seconds, seconds = self._usual.get(rounded, (-math.inf, None))
+        if now_seconds - computed_at_seconds < USUAL_INTERVAL_SECONDS:
+            return seconds
+        nearest = self.nearest(rounded * SIZE_STEP, now_seconds)
+        seconds = None
+        if len(nearest) >= NEAREST_COUNT:
+            seconds = statistics.median(answer.seconds for answer in nearest)
+        self._usual[rounded] = (now_seconds, seconds)
+        return seconds
+
+    def nearest(self, size: float, now_seconds: float) -> list[Answer]:
+        """Return the recent answers that are most like a size; none if few are known.
+
+        Among those of one size, the newest come first.
+        """
+        recent = self._find_recent(now_seconds)
+        if len(recent) < MIN_ANSWERS_COUNT:
+            return []
+        newest_first = reversed(recent)
+        return sorted(newest_first, key=lambda item: abs(item.size - size))[
+            :NEAREST_COUNT
+        ]
+
+    def _find_recent(self, now_seconds: float) -> deque[Answer]:
+        oldest_seconds = now_seconds - MAX_AGE_SECONDS
+        while self._answers and self._answers[0].at_seconds < oldest_seconds:
+            self._answers.popleft()
+        return self._answers
+
+
+class _Rise:
     """Multiple of the usual time that the answers of one service take now."""
 
-    recent_ratios: deque[float] = attrs.field(
-        factory=lambda: deque(maxlen=RECENT_COUNT)
-    )
-    _ratio: float = 1.0
-    _noted_at_seconds: float = 0.0
+    def __init__(self) -> None:
+        self._recent: deque[tuple[float, float]] = deque(maxlen=RECENT_COUNT)
+        self._ratio = 1.0
+        self._noted_at_seconds = -math.inf
+        #: Time from which answers show the rise themselves.
+        self.began_at_seconds = -math.inf
 
     def note(self, ratio: float, now_seconds: float) -> None:
-        self.recent_ratios.append(ratio)
-        if len(self.recent_ratios) < RECENT_COUNT:
+        self._recent.append((now_seconds, ratio))
+        if len(self._recent) < RECENT_COUNT:
+            return
+        median = statistics.median(ratio for _, ratio in self._recent)
+        known_ratio = self.ratio(now_seconds)
+        if median < MIN_RISE_RATIO or median <= known_ratio:
             return
-        median = statistics.median(self.recent_ratios)
-        if median >= MIN_RISE_RATIO and median > self.ratio(now_seconds):
-            self._ratio, self._noted_at_seconds = median, now_seconds
+        if known_ratio < MIN_RISE_RATIO:
+            self.began_at_seconds = self._recent[0][0]
+        self._ratio, self._noted_at_seconds = median, now_seconds
 
     def ratio(self, now_seconds: float) -> float:
         elapsed_seconds = max(0.0, now_seconds - self._noted_at_seconds)
@@ -125,12 +142,10 @@
 
 
 class AnswerTimes:
-    """Learns how long answers take, by kind."""
+    """Learns how long answers take, by kind and expected tokens."""
 
     def __init__(self) -> None:
-        self._kinds: OrderedDict[AnswerKind, _RecentValues] = OrderedDict()
-        #: Multiples of the reckoned time that the answers of all kinds took.
-        self._multiples = _RecentValues()
+        self._kinds: OrderedDict[AnswerKind, _RecentAnswers] = OrderedDict()
         self._rises: dict[str, _Rise] = {}
 
     def note(
@@ -138,29 +153,24 @@
         kind: AnswerKind,
         answer_seconds: float,
         *,
-        reckoned_seconds: float,
+        expected_tokens: int,
         now_seconds: float,
     ) -> None:
-        """Record a complete answer.
-
-        ``reckoned_seconds`` is what a fixed reckoning says about it. An implausible
-        time is ignored.
-        """
+        """Record a complete answer; an implausible time is ignored."""
         if not 0.0 < answer_seconds <= MAX_ANSWER_SECONDS:
             return
-        values = self._kinds.get(kind)
-        if values is None:
-            values = self._kinds[kind] = _RecentValues()
+        answers = self._kinds.get(kind)
+        if answers is None:
+            answers = self._kinds[kind] = _RecentAnswers()
             if len(self._kinds) > MAX_KINDS_COUNT:
                 self._forget_oldest()
         self._kinds.move_to_end(kind)
-        usual_seconds = values.usual(now_seconds)
+        size = _size(expected_tokens)
+        usual_seconds = answers.usual_seconds(size, now_seconds)
         if usual_seconds is not None:
             rise = self._rises.setdefault(kind.service, _Rise())
             rise.note(answer_seconds / usual_seconds, now_seconds)
-        values.record(answer_seconds, now_seconds)
-        if reckoned_seconds > 0.0:
-            self._multiples.record(answer_seconds / reckoned_seconds, now_seconds)
+        answers.record(Answer(now_seconds, size, answer_seconds))
 
     def _forget_oldest(self) -> None:
         forgotten, _ = self._kinds.popitem(last=False)
@@ -172,23 +182,33 @@
         kind: AnswerKind,
         quantile: float,
         *,
-        reckoned_seconds: float,
+        expected_tokens: int,
         now_seconds: float,
     ) -> float | None:
         """Return a time that this share of such answers stays within.
 
-        If few of the kind were seen, it is the reckoned time by the multiples that
-        answers of all kinds took; None if few answers were seen at all.
+        None if few answers of the kind were seen.
         """
-        values = self._kinds.get(kind)
-        if values is not None and values.count(now_seconds) >= MIN_KIND_COUNT:
-            return self._raised(kind, values.quantile(quantile), now_seconds)
-        if self._multiples.count(now_seconds) < MIN_TOTAL_COUNT:
+        answers = self._kinds.get(kind)
+        size = _size(expected_tokens)
+        nearest = answers.nearest(size, now_seconds) if answers is not None else []
+        if not nearest:
             return None
-        multiple = self._multiples.quantile(quantile)
-        return self._raised(kind, multiple * reckoned_seconds, now_seconds)
-
-    def _raised(self, kind: AnswerKind, seconds: float, now_seconds: float) -> float:
+        times = sorted(self._raised_seconds(kind, a, now_seconds) for a in nearest)
+        slow_seconds = times[min(len(times), math.ceil(quantile * len(times))) - 1]
+        margin_ratio = MARGIN_RATIO + FEW_ANSWERS_MARGIN / len(times)
+        # Beyond the largest answer that was seen, time grows with the tokens.
+        excess = max(0.0, size - max(answer.size for answer in nearest))
+        return slow_seconds * margin_ratio * math.exp(excess)
+
+    def _raised_seconds(
+        self, kind: AnswerKind, answer: Answer, now_seconds: float
+    ) -> float:
         rise = self._rises.get(kind.service)
-        ratio = rise.ratio(now_seconds) if rise is not None else 1.0
-        return seconds * MARGIN_RATIO * ratio
+        if rise is None or answer.at_seconds >= rise.began_at_seconds:
+            return answer.seconds
+        return answer.seconds * rise.ratio(now_seconds)
+
+
+def _size(expected_tokens: int) -> float:
+    return math.log(max(1, expected_tokens))
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -8,11 +8,11 @@
 
 from ._answer_times import AnswerKind, AnswerTimes
 
-#: Share of answers within whose time a request is admitted. A cut answer costs its
-#: caller about as much as twenty refusals, each of which another host takes up at
-#: once, and more if the request must not run twice.
-REPEATABLE_QUANTILE = 0.95
-ONCE_QUANTILE = 0.99
+#: Share of like answers within whose time a request is admitted, and the additional
+#: margin for one that must not run twice. A cut answer costs its caller more than a
+#: refusal, which another host takes up at once.
+ADMISSION_QUANTILE = 0.99
+ONCE_MARGIN_RATIO = 1.25
 
 #: Estimated time for one answer token: about three times what current engines take at
 #: medium load.
@@ -64,17 +64,26 @@
 
 
 @attrs.frozen(repr=False)
-class LateRequest(ReprMixin):
-    """A request that arrives at a host which shuts down; times are monotonic."""
+class DrainRequest(ReprMixin):
+    """What the admission knows of a request; times are monotonic."""
 
     kind: AnswerKind
     latency_target_seconds: float
     max_answer_tokens: int
+    #: Tokens that its caller expects; None if it stated none.
+    expected_answer_tokens: int | None
     #: Whether it may run again, here or as its caller's next attempt.
     is_repeatable: bool
     #: Time at which its own timeout ends it in any case.
     deadline_seconds: float
 
+    @property
+    def expected_tokens(self) -> int:
+        """Return the tokens that its answer is expected to have."""
+        if self.expected_answer_tokens is None:
+            return self.max_answer_tokens
+        return min(self.expected_answer_tokens, self.max_answer_tokens)
+
 
 @attrs.frozen(repr=False)
 class DrainDecision(ReprMixin):
@@ -92,31 +101,25 @@
         self.slow_answers = SlowAnswerTracker()
 
     def note_answer(
-        self,
-        kind: AnswerKind,
-        answer_seconds: float,
-        *,
-        latency_target_seconds: float,
-        answer_tokens: int,
-        now_seconds: float,
+        self, request: DrainRequest, answer_seconds: float, now_seconds: float
     ) -> None:
         """Record the duration of a complete answer."""
         self.slow_answers.note(
             answer_seconds,
-            latency_target_seconds=latency_target_seconds,
-            answer_tokens=answer_tokens,
+            latency_target_seconds=request.latency_target_seconds,
+            answer_tokens=request.max_answer_tokens,
             now_seconds=now_seconds,
         )
         self.answer_times.note(
-            kind,
+            request.kind,
             answer_seconds,
-            reckoned_seconds=_estimated_seconds(latency_target_seconds, answer_tokens),
+            expected_tokens=request.expected_tokens,
             now_seconds=now_seconds,
         )
 
     def decide(
         self,
-        request: LateRequest,
+        request: DrainRequest,
         end_seconds: float,
         *,
         now_seconds: float,
@@ -130,16 +133,15 @@
         if request.deadline_seconds <= end_seconds:
             remaining_seconds = max(0.0, request.deadline_seconds - now_seconds)
             return DrainDecision(True, remaining_seconds)
-        reckoned_seconds = _estimated_seconds(
-            request.latency_target_seconds, request.max_answer_tokens
-        )
         expected_seconds = self.answer_times.expect(
             request.kind,
-            REPEATABLE_QUANTILE if request.is_repeatable else ONCE_QUANTILE,
-            reckoned_seconds=reckoned_seconds,
+            ADMISSION_QUANTILE,
+            expected_tokens=request.expected_tokens,
             now_seconds=now_seconds,
         )
         if expected_seconds is not None:
+            if not request.is_repeatable:
+                expected_seconds *= ONCE_MARGIN_RATIO
             return DrainDecision(
                 now_seconds + expected_seconds <= end_seconds, expected_seconds
             )
@@ -151,6 +153,9 @@
             now_seconds=now_seconds,
             overrun_ratio=ratio,
         )
+        reckoned_seconds = _estimated_seconds(
+            request.latency_target_seconds, request.max_answer_tokens
+        )
         return DrainDecision(is_admitted, reckoned_seconds * ratio)
 
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -1,6 +1,6 @@
 """Requests on routes: parsing by the callers' dialect, access check, exchange."""
 
-from rampwick_policy import LateRequest, Verdict, choose_service
+from rampwick_policy import Verdict, choose_service
 from rampwick_schema import Route, Service
 
 from .._dialects import RawCall, RoutedCall
@@ -87,13 +87,7 @@
         # known are only rejected if they would not fit at the usual pace. Later ones
         # arrive on persistent connections, and must fit at the slowest recent pace.
         decision = self._context.drain_admission.decide(
-            LateRequest(
-                kind=request.answer_kind,
-                latency_target_seconds=request.route.latency_target_seconds,
-                max_answer_tokens=request.call.max_answer_tokens,
-                is_repeatable=request.is_repeatable,
-                deadline_seconds=request.deadline_seconds,
-            ),
+            request.drain_request,
             lifecycle.exit_deadline_seconds,
             now_seconds=now_seconds,
             is_balancer_done=lifecycle.balancer_delay_elapsed,
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -259,11 +259,9 @@
     def _record_duration(self) -> None:
         now_seconds = self.context.read_clock()
         self.context.drain_admission.note_answer(
-            self._request.answer_kind,
+            self._request.drain_request,
             now_seconds - self.arrived_at_seconds,
-            latency_target_seconds=self._request.route.latency_target_seconds,
-            answer_tokens=self._call.max_answer_tokens,
-            now_seconds=now_seconds,
+            now_seconds,
         )
 
     def answer_fields(self) -> dict[str, object]:
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_request.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_request.py
@@ -4,11 +4,11 @@
 
 from rampwick_policy import (
     AnswerKind,
+    DrainRequest,
     PrefixChain,
     RequestIdentity,
     Scope,
     Workspace,
-    answer_kind,
     chain_from_parts,
     part_key,
 )
@@ -50,13 +50,15 @@
         return self.route.is_repeatable
 
     @property
-    def answer_kind(self) -> AnswerKind:
-        """Kind of its answer, by which times of answers are learned."""
-        return answer_kind(
-            self.service.name,
-            self.call.model,
-            is_stream=self.route.is_stream,
+    def drain_request(self) -> DrainRequest:
+        """What decides whether a host that shuts down takes the request."""
+        return DrainRequest(
+            kind=AnswerKind(self.service.name, self.call.model, self.route.is_stream),
+            latency_target_seconds=self.route.latency_target_seconds,
             max_answer_tokens=self.call.max_answer_tokens,
+            expected_answer_tokens=self.call.expected_answer_tokens,
+            is_repeatable=self.is_repeatable,
+            deadline_seconds=self.deadline_seconds,
         )
 
     @property
