Announce the end of HTTP/2 connections; count refusals; later retries

A stopping host ended HTTP/2 connections without a word: callers could not tell which streams had been read. Now a connection that ends at rest, or whose last stream ends while the host leaves, gets GOAWAY with the last stream read.

A connection closed at rest waits up to 0.1 s for its caller to close too, so that a request that crossed the close is recorded.

Ruled out by a test: waiting for the caller's kernel at the close after a response. The handler of that response is cancelled meanwhile, and the line of a whole answer was lost; the kernel sends the rest after an orderly close.

Refusals are counted by code (rampwick_requests_denied_total). A refusal says to come back the later the fewer peers are ready: 50 ms if all are, 1 s if none.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -64,6 +64,7 @@
     DrainRequest as DrainRequest,
     SlowAnswerTracker as SlowAnswerTracker,
     can_finish_before as can_finish_before,
+    retry_elsewhere_seconds as retry_elsewhere_seconds,
 )
 from ._errors import (
     ConflictError as ConflictError,
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -14,6 +14,11 @@
 ADMISSION_QUANTILE = 0.99
 ONCE_MARGIN_RATIO = 1.25
 
+#: Time after which a refused caller may try another host if all are ready, and if none
+#: is: about what a host takes to start again.
+OTHER_HOST_SECONDS = 0.05
+NO_HOST_SECONDS = 1.0
+
 #: Estimated time for one answer token: about three times what current engines take at
 #: medium load.
 TOKEN_SECONDS = 0.03
@@ -159,6 +164,19 @@
         return DrainDecision(is_admitted, reckoned_seconds * ratio)
 
 
+def retry_elsewhere_seconds(ready_count: int, peers_count: int) -> float:
+    """Return when a caller that this host refuses may try another one.
+
+    If few of the peers are ready, its next tries are likely to meet others that shut
+    down, and would be used up within a fraction of a second.
+    """
+    if not peers_count:
+        return OTHER_HOST_SECONDS
+    if not ready_count:
+        return NO_HOST_SECONDS
+    return min(NO_HOST_SECONDS, OTHER_HOST_SECONDS * peers_count / ready_count)
+
+
 def can_finish_before(
     end_seconds: float,
     *,
--- a/packages/rampwick-router/src/rampwick_router/_caller_connections.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_connections.py
@@ -4,7 +4,7 @@
 kernel or in the server, or while a part of its response has not been taken.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 import attrs
@@ -50,9 +50,13 @@
 class CallerConnections:
     """The connections of one server from their acceptance until they have ended."""
 
-    def __init__(self, ended_with: Counter) -> None:
-        """``ended_with`` counts ends of connections by the kind of bytes held."""
+    def __init__(self, ended_with: Counter, is_leaving: Callable[[], bool]) -> None:
+        """``ended_with`` counts ends of connections by the kind of bytes held.
+
+        ``is_leaving`` returns whether a planned shutdown has begun.
+        """
         self._ended_with = ended_with
+        self._is_leaving = is_leaving
         self._open: set[Connection] = set()
         self._waiting_count = 0
         #: Set when the server stops; connections that rest are then closed.
@@ -75,6 +79,10 @@
         """Close the connections that rest, now or after their response."""
         await self.closing.set()
 
+    def is_leaving(self) -> bool:
+        """Return whether the server ends connections because it stops."""
+        return self._is_leaving() or self.closing.is_set()
+
     @property
     def open_count(self) -> int:
         """Number of connections, with those that are accepted and not begun."""
@@ -88,7 +96,7 @@
 
     def record_end(self, held: HeldBytes, *, cause: str) -> None:
         """Log and count what a connection held as the stopping server ended it."""
-        if not held or not self.closing.is_set():
+        if not held or not self.is_leaving():
             return
         for kind in held.kinds():
             self._ended_with.labels(kind).inc()
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import select
 import struct
 import termios
 
@@ -23,6 +24,10 @@
 LINGER_SECONDS = 0.25
 LINGER_CHECK_SECONDS = 0.005
 
+#: Longest wait for a caller to close a connection that was closed at rest. What it had
+#: sent before has arrived by then, and is recorded.
+CROSSING_SECONDS = 0.1
+
 log = ComponentLogger("entry")
 
 
@@ -30,7 +35,7 @@
     """Closes no connection on which a request has arrived."""
 
     _has_read_all = False
-    _is_ending = False
+    _is_recorded = False
     _is_resting = True
 
     async def run(self) -> None:
@@ -89,7 +94,6 @@
             # From here on nothing is read: a request that crosses the close must not
             # run, as its response could not be sent.
             self.writer.transport.pause_reading()  # type: ignore[attr-defined]
-            self.writer.write_eof()
         await asyncio.shield(self._initiate_server_close())
 
     async def _rest(self) -> None:
@@ -111,34 +115,55 @@
             return
 
     async def _initiate_server_close(self) -> None:
-        await self._end_visibly("closed at rest")
-        await super()._initiate_server_close()
+        await self.protocol.handle(Closed())
+        if self._is_stopping and not self.writer.is_closing():
+            self.writer.write_eof()
+            await self._wait_until_left()
+            await self._linger()
+            self._record_end(
+                "closed at rest", self._count_unread(), self._count_unsent()
+            )
+        self.writer.close()
 
     async def _close(self) -> None:
-        await self._end_visibly("closed after a response")
+        # The handler of the last response is cancelled if it waits here. The kernel
+        # sends what is left after an orderly close.
+        self._record_end("closed after a response", self._count_unread())
         await super()._close()
 
     @property
     def _is_stopping(self) -> bool:
         connections = self._connections
-        return connections is not None and connections.closing.is_set()
-
-    async def _end_visibly(self, cause: str) -> None:
-        """Before a close of a stopping server, record what it will discard.
+        return connections is not None and connections.is_leaving()
 
-        It waits, up to a bound, until the caller's kernel has what was sent.
-        """
+    def _record_end(self, cause: str, unread_count: int, unsent_count: int = 0) -> None:
+        """Record, once, what the close by a stopping server discards."""
         connections = self._connections
-        if connections is None or not connections.closing.is_set():
-            return
-        if self._is_ending or self.writer.is_closing():
+        if connections is None or self._is_recorded or self.writer.is_closing():
             return
-        self._is_ending = True
+        self._is_recorded = True
+        held = HeldBytes(unread_count, self._count_unparsed(), unsent_count)
+        connections.record_end(held, cause=cause)
+
+    async def _linger(self) -> None:
+        """Return when the caller's kernel has what was sent, or after a bound."""
         end_seconds = self.loop.time() + LINGER_SECONDS
         while self._count_unsent() and self.loop.time() < end_seconds:
             await asyncio.sleep(LINGER_CHECK_SECONDS)
-        if not self.writer.is_closing():
-            connections.record_end(self.held_bytes(), cause=cause)
+
+    async def _wait_until_left(self) -> None:
+        """Return when the caller has closed its side too, or after a bound."""
+        end_seconds = self.loop.time() + CROSSING_SECONDS
+        while not self._has_left() and self.loop.time() < end_seconds:
+            await asyncio.sleep(LINGER_CHECK_SECONDS)
+
+    def _has_left(self) -> bool:
+        descriptor = self.writer.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return True
+        poll = select.poll()
+        poll.register(descriptor, select.POLLRDHUP)
+        return bool(poll.poll(0))
 
     def _count_unread(self) -> int:
         """Return the number of bytes that wait in the reader or in the kernel."""
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -78,7 +78,8 @@
             assembly.clocks.monotonic,
         )
         self.caller_connections = CallerConnections(
-            assembly.context.metrics.connections_ended
+            assembly.context.metrics.connections_ended,
+            lambda: not assembly.lifecycle.is_ready,
         )
 
     def load_fallback(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_http2.py
+++ b/packages/rampwick-router/src/rampwick_router/_http2.py
@@ -11,9 +11,12 @@
 import h2.exceptions
 import hypercorn.protocol
 import priority
+from hypercorn.events import Closed, Event
 from hypercorn.protocol.events import Event as StreamEvent, StreamClosed
 from hypercorn.protocol.h2 import H2Protocol
 
+from ._caller_connections import CallerConnections
+
 #: Time for which a caller may take what was sent before its stream is reset.
 FLUSH_SECONDS = 0.25
 
@@ -44,12 +47,37 @@
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self.streams = OpenStreams()
+        self._has_announced_end = False
+
+    async def handle(self, event: Event) -> None:
+        """Handle an event of the connection; announce an end at rest to the caller."""
+        if isinstance(event, Closed) and self.idle:
+            await self._announce_end()
+        await super().handle(event)
+
+    async def _announce_end(self) -> None:
+        """Name the last stream that was read; the caller may repeat later ones."""
+        if self._has_announced_end or self.closed:
+            return
+        self._has_announced_end = True
+        try:
+            self.connection.close_connection()
+        except h2.exceptions.ProtocolError:
+            return
+        await self._flush()
+
+    def _is_leaving(self) -> bool:
+        connections = getattr(self.config, "connections", None)
+        return isinstance(connections, CallerConnections) and connections.is_leaving()
 
     async def stream_send(self, event: StreamEvent) -> None:
         """Send an event of an application; its return ends its stream."""
         if isinstance(event, StreamClosed):
             await self._reset_if_cut(event.stream_id)
         await super().stream_send(event)
+        if isinstance(event, StreamClosed) and self.idle and self._is_leaving():
+            # The caller closes its side; if not, the server does as it ends.
+            await self._announce_end()
 
     async def _reset_if_cut(self, stream_id: int) -> None:
         buffer = self.stream_buffers.get(stream_id)
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -192,6 +192,12 @@
             "Callers' connections closed unread, so that a less busy host serves them.",
             registry=registry,
         )
+        self.denied = Counter(
+            "rampwick_requests_denied",
+            "Requests that were not submitted, by the code of their error.",
+            ("code",),
+            registry=registry,
+        )
         self.connections_ended = Counter(
             "rampwick_connections_ended_holding_bytes",
             "Callers' connections that a shutdown ended with bytes unread, unparsed "
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -185,6 +185,8 @@
         arrived_at_seconds: float,
     ) -> None:
         if self.is_closed:
+            self._context.metrics.denied.labels("leaving").inc()
+            log.info("request denied", path=scope["path"], code="leaving")
             raise CallerError(
                 "this host is leaving",
                 status=503,
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -1,10 +1,10 @@
 """Requests on routes: parsing by the callers' dialect, access check, exchange."""
 
-from rampwick_policy import Verdict, choose_service
+from rampwick_policy import Verdict, choose_service, retry_elsewhere_seconds
 from rampwick_schema import Route, Service
 
 from .._dialects import RawCall, RoutedCall
-from .._errors import OTHER_HOST_RETRY_SECONDS, CallerError, access_error
+from .._errors import CallerError, access_error
 from .._logs import ComponentLogger, milliseconds
 from ._access_check import confirm_access
 from ._context import EntryContext
@@ -45,6 +45,7 @@
             await self._send_error(error, request_id, responder)
 
     def _log_rejection(self, error: CallerError, request_id: str) -> None:
+        self._context.metrics.denied.labels(error.code).inc()
         configuration = self._context.configuration
         age_seconds = configuration.age_seconds(self._context.read_clock())
         log.info(
@@ -80,7 +81,7 @@
         """Raise if this host will likely exit before the response is complete."""
         lifecycle, now_seconds = self._context.lifecycle, self._context.read_clock()
         if lifecycle.has_drained:
-            raise _leaving_error("no request was open any more")
+            raise self._leaving_error("no request was open any more")
         if lifecycle.exit_deadline_seconds is None:
             return
         # While the balancer still routes callers here, requests of which too little is
@@ -94,11 +95,23 @@
         )
         if not decision.is_admitted:
             left_seconds = lifecycle.exit_deadline_seconds - now_seconds
-            raise _leaving_error(
+            raise self._leaving_error(
                 f"expected in {decision.expected_seconds:.3f} s, "
                 f"{left_seconds:.3f} s left"
             )
 
+    def _leaving_error(self, evidence: str) -> CallerError:
+        views = self._context.scheduler.peer_views(self._context.read_clock())
+        ready_count = sum(not view.summary.is_leaving for view in views)
+        return CallerError(
+            "this host is leaving",
+            status=503,
+            code="leaving",
+            step="accept request",
+            retry_after_seconds=retry_elsewhere_seconds(ready_count, len(views)),
+            evidence=f"{evidence}; {ready_count} of {len(views)} peers ready",
+        )
+
     def _service(self, route: Route, call: RoutedCall) -> Service:
         # A stream that is taken up goes on in the service that began it.
         is_resumption = bool(call.last_event_id and call.resumed_id)
@@ -127,17 +140,6 @@
         await responder.end(response.body)
 
 
-def _leaving_error(evidence: str) -> CallerError:
-    return CallerError(
-        "this host is leaving",
-        status=503,
-        code="leaving",
-        step="accept request",
-        retry_after_seconds=OTHER_HOST_RETRY_SECONDS,
-        evidence=evidence,
-    )
-
-
 def _read_raw(scope: Message) -> RawCall:
     target = scope.get("raw_path", scope["path"].encode()).decode("latin-1")
     query = scope.get("query_string", b"").decode("latin-1")
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -147,6 +147,8 @@
         self.connection.initiate_connection()
         self.statuses = {}
         self.ended = set()
+        #: The last stream that the host names as it ends the connection.
+        self.last_stream_id = None
 
     def send_headers(self, stream_id, path, *, has_body=False):
         """Begin a request."""
@@ -168,20 +170,23 @@
     async def read_until_ended(self, stream_id):
         """Read until a stream has ended."""
         while stream_id not in self.ended:
-            data = await self.stream.receive()
-            for event in self.connection.receive_data(data):
-                if isinstance(event, h2.events.ResponseReceived):
-                    self.statuses[event.stream_id] = int(
-                        dict(event.headers)[b":status"]
-                    )
-                elif isinstance(event, h2.events.DataReceived):
-                    self.connection.acknowledge_received_data(
-                        event.flow_controlled_length, event.stream_id
-                    )
-                elif isinstance(event, h2.events.StreamEnded | h2.events.StreamReset):
-                    self.ended.add(event.stream_id)
+            self.receive(await self.stream.receive())
             await self.flush()
 
+    def receive(self, data):
+        """Note what the host has sent."""
+        for event in self.connection.receive_data(data):
+            if isinstance(event, h2.events.ResponseReceived):
+                self.statuses[event.stream_id] = int(dict(event.headers)[b":status"])
+            elif isinstance(event, h2.events.DataReceived):
+                self.connection.acknowledge_received_data(
+                    event.flow_controlled_length, event.stream_id
+                )
+            elif isinstance(event, h2.events.StreamEnded | h2.events.StreamReset):
+                self.ended.add(event.stream_id)
+            elif isinstance(event, h2.events.ConnectionTerminated):
+                self.last_stream_id = event.last_stream_id
+
 
 class Http2Test(TestCase):
     def test_data_after_a_response_leaves_other_streams_alone(self):
--- a/tests/test_drain_admission.py
+++ b/tests/test_drain_admission.py
@@ -7,7 +7,12 @@
 
 from testtools import TestCase
 
-from rampwick_policy import AnswerKind, DrainAdmission, DrainRequest
+from rampwick_policy import (
+    AnswerKind,
+    DrainAdmission,
+    DrainRequest,
+    retry_elsewhere_seconds,
+)
 
 TARGET_SECONDS = 0.5
 TOKENS_COUNT = 80
@@ -154,3 +159,14 @@
         host.answer(*[0.3] * 30)
         for tokens in (10**12, 0, -5):
             self.assertTrue(host.decide(0.5, expected_answer_tokens=tokens))
+
+
+class RetryElsewhereTest(TestCase):
+    def test_refused_caller_waits_longer_the_fewer_peers_are_ready(self):
+        self.assertEqual(0.05, retry_elsewhere_seconds(5, 5))
+        self.assertEqual(0.25, retry_elsewhere_seconds(1, 5))
+        self.assertEqual(1.0, retry_elsewhere_seconds(0, 5))
+        self.assertEqual(1.0, retry_elsewhere_seconds(1, 299))
+
+    def test_host_without_peers_does_not_know(self):
+        self.assertEqual(0.05, retry_elsewhere_seconds(0, 0))
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -16,7 +16,13 @@
 
 from rampwick_router._caller_server import CallerServer
 
-from .test_connection_ends import WITH_ID, request_head, send_whole
+from .test_connection_ends import (
+    WITH_ID,
+    Http2Caller,
+    connect,
+    request_head,
+    send_whole,
+)
 from .test_routed import run, run_routed
 
 
@@ -39,16 +45,18 @@
     connection = h11.Connection(h11.CLIENT)
     connection.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
     connection.send(h11.EndOfMessage())
-    with contextlib.suppress(OSError):
+    status = 0
+    with contextlib.suppress(OSError, h11.RemoteProtocolError):
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                data = raw.recv(65536)
-                if not data:
-                    break
-                connection.receive_data(data)
+                connection.receive_data(raw.recv(65536))
             elif isinstance(event, h11.Response):
-                return event.status_code
+                status = event.status_code
+            elif isinstance(event, h11.EndOfMessage):
+                return status
+            elif isinstance(event, h11.ConnectionClosed):
+                break
     return 0
 
 
@@ -123,6 +131,52 @@
         self.assertEqual((200, 503), anyio.run(main))
 
 
+class Http2StopTest(TestCase):
+    """A caller on HTTP/2 is told which streams were read, and may repeat others."""
+
+    def last_stream_id(self, drive):
+        """Return the last stream that the host names as it ends a connection."""
+
+        async def main():
+            async with contextlib.AsyncExitStack() as stack:
+                async with run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _):
+                    stream = await stack.enter_async_context(connect(host))
+                    caller = Http2Caller(stream)
+                    caller.send_headers(1, "/once/1")
+                    await caller.flush()
+                    await caller.read_until_ended(1)
+                    await drive(host, caller)
+                return await read_goodbye(caller)
+
+        return anyio.run(main)
+
+    def test_connection_at_rest(self):
+        async def drive(host, caller):
+            await drain(host)
+
+        self.assertEqual(1, self.last_stream_id(drive))
+
+    def test_connection_with_a_response_while_the_host_leaves(self):
+        async def drive(host, caller):
+            host.daemon.lifecycle.begin_stop()
+            caller.send_headers(3, "/once/1")
+            await caller.flush()
+            await caller.read_until_ended(3)
+            with anyio.fail_after(5.0):
+                await read_goodbye(caller)
+
+        self.assertEqual(3, self.last_stream_id(drive))
+
+
+async def read_goodbye(caller):
+    """Return the last stream that a host names; None if it ends without a word."""
+    if caller.last_stream_id is None:
+        with contextlib.suppress(anyio.EndOfStream):
+            while caller.last_stream_id is None:
+                caller.receive(await caller.stream.receive())
+    return caller.last_stream_id
+
+
 class LostCancellationTest(TestCase):
     """A rest that ends as a request is read does not end the connection.
 
@@ -144,6 +198,31 @@
 class StopRecordTest(TestCase):
     """A connection that ends with bytes of its caller leaves a line and is counted."""
 
+    def test_request_that_crosses_the_close_is_recorded_and_does_not_run(self):
+        async def main():
+            async with run_routed({"labels": ["a"], "notes": ["b"]}) as (host, servers):
+                raw = open_raw(host)
+                raw.sendall(request_head("/once/1", WITH_ID))
+                await run_sync(read_status, raw)
+                daemon = host.daemon
+                wait = CallerServer._wait_until_left
+
+                async def cross(server):
+                    raw.sendall(request_head("/once/1", "Rampwick-Request-Id: r2"))
+                    await wait(server)
+
+                await drain(host)
+                self.enterContext(
+                    mock.patch.object(CallerServer, "_wait_until_left", cross)
+                )
+            with contextlib.closing(raw):
+                status = await run_sync(read_status, raw)
+            runs = sum(len(server.requests) for server in servers.values())
+            counter = daemon._context.metrics.connections_ended
+            return status, runs, counter.labels("unread")._value.get()
+
+        self.assertEqual((0, 1, 1), anyio.run(main))
+
     def test_head_that_never_arrives_whole_is_recorded(self):
         async def main():
             async with run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _):
