--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -6,6 +6,10 @@
     Verdict as Verdict,
     decide_access as decide_access,
 )
+from ._answer_times import (
+    AnswerKind as AnswerKind,
+    AnswerTimes as AnswerTimes,
+)
 from ._answer_timings import (
     AnswerTimer as AnswerTimer,
     AnswerTimings as AnswerTimings,
@@ -55,8 +59,12 @@
 )
 from ._crash_attribution import CrashTracker as CrashTracker
 from ._drain_admission import (
+    DrainAdmission as DrainAdmission,
+    DrainDecision as DrainDecision,
+    DrainRequest as DrainRequest,
     SlowAnswerTracker as SlowAnswerTracker,
     can_finish_before as can_finish_before,
+    retry_elsewhere_seconds as retry_elsewhere_seconds,
 )
 from ._errors import (
     ConflictError as ConflictError,
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -1,10 +1,10 @@
 """Requests on routes: parsing by the callers' dialect, access check, exchange."""
 
-from rampwick_policy import Verdict, can_finish_before, choose_service
+from rampwick_policy import Verdict, choose_service, retry_elsewhere_seconds
 from rampwick_schema import Route, Service
 
 from .._dialects import RawCall, RoutedCall
-from .._errors import OTHER_HOST_RETRY_SECONDS, CallerError, access_error
+from .._errors import CallerError, access_error
 from .._logs import ComponentLogger, milliseconds
 from ._access_check import confirm_access
 from ._context import EntryContext
@@ -45,6 +45,7 @@
             await self._send_error(error, request_id, responder)
 
     def _log_rejection(self, error: CallerError, request_id: str) -> None:
+        self._context.metrics.denied.labels(error.code).inc()
         configuration = self._context.configuration
         age_seconds = configuration.age_seconds(self._context.read_clock())
         log.info(
@@ -55,6 +56,7 @@
             revision=self._context.follower.revision,
             revision_age_ms=milliseconds(age_seconds),
             error=str(error),
+            evidence=error.evidence,
         )
 
     async def _check(
@@ -64,8 +66,7 @@
         if access.verdict is not Verdict.ALLOWED:
             raise access_error(access.verdict)
         assert access.route is not None and access.workspace is not None
-        self._check_exit_deadline(access.route, call)
-        return RoutedRequest(
+        request = RoutedRequest(
             call=call,
             route=access.route,
             service=self._service(access.route, call),
@@ -73,29 +74,43 @@
             body=body,
             arrived_at_seconds=arrived_at_seconds,
         )
+        self._check_exit_deadline(request)
+        return request
 
-    def _check_exit_deadline(self, route: Route, call: RoutedCall) -> None:
-        """Raise if this host may exit before the response is complete."""
+    def _check_exit_deadline(self, request: RoutedRequest) -> None:
+        """Raise if this host will likely exit before the response is complete."""
         lifecycle, now_seconds = self._context.lifecycle, self._context.read_clock()
         if lifecycle.has_drained:
-            raise _leaving_error()
+            raise self._leaving_error("no request was open any more")
         if lifecycle.exit_deadline_seconds is None:
             return
-        # While the balancer still routes callers here, only requests that would not fit
-        # at the usual pace are rejected. Later requests arrive on persistent
-        # connections and are rejected if they would not fit at the slowest recent pace.
-        overrun_ratio = 1.0
-        if lifecycle.balancer_delay_elapsed:
-            overrun_ratio = self._context.slow_answers.worst_ratio(now_seconds)
-        if can_finish_before(
+        # While the balancer still routes callers here, requests of which too little is
+        # known are only rejected if they would not fit at the usual pace. Later ones
+        # arrive on persistent connections, and must fit at the slowest recent pace.
+        decision = self._context.drain_admission.decide(
+            request.drain_request,
             lifecycle.exit_deadline_seconds,
-            latency_target_seconds=route.latency_target_seconds,
-            max_answer_tokens=call.max_answer_tokens,
             now_seconds=now_seconds,
-            overrun_ratio=overrun_ratio,
-        ):
-            return
-        raise _leaving_error()
+            is_balancer_done=lifecycle.balancer_delay_elapsed,
+        )
+        if not decision.is_admitted:
+            left_seconds = lifecycle.exit_deadline_seconds - now_seconds
+            raise self._leaving_error(
+                f"expected in {decision.expected_seconds:.3f} s, "
+                f"{left_seconds:.3f} s left"
+            )
+
+    def _leaving_error(self, evidence: str) -> CallerError:
+        views = self._context.scheduler.peer_views(self._context.read_clock())
+        ready_count = sum(not view.summary.is_leaving for view in views)
+        return CallerError(
+            "this host is leaving",
+            status=503,
+            code="leaving",
+            step="accept request",
+            retry_after_seconds=retry_elsewhere_seconds(ready_count, len(views)),
+            evidence=f"{evidence}; {ready_count} of {len(views)} peers ready",
+        )
 
     def _service(self, route: Route, call: RoutedCall) -> Service:
         # A stream that is taken up goes on in the service that began it.
@@ -125,16 +140,6 @@
         await responder.end(response.body)
 
 
-def _leaving_error() -> CallerError:
-    return CallerError(
-        "this host is leaving",
-        status=503,
-        code="leaving",
-        step="accept request",
-        retry_after_seconds=OTHER_HOST_RETRY_SECONDS,
-    )
-
-
 def _read_raw(scope: Message) -> RawCall:
     target = scope.get("raw_path", scope["path"].encode()).decode("latin-1")
     query = scope.get("query_string", b"").decode("latin-1")
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -258,17 +258,19 @@
 
     def _record_duration(self) -> None:
         now_seconds = self.context.read_clock()
-        self.context.slow_answers.note(
+        self.context.drain_admission.note_answer(
+            self._request.drain_request,
             now_seconds - self.arrived_at_seconds,
-            latency_target_seconds=self._request.route.latency_target_seconds,
-            answer_tokens=self._call.max_answer_tokens,
-            now_seconds=now_seconds,
+            now_seconds,
         )
 
     def answer_fields(self) -> dict[str, object]:
         """Return log fields of the answer that only requests on routes have."""
         return {
             "route": self._request.route.name,
+            "service": self._request.service.name,
+            "announced_tokens": self._call.max_answer_tokens,
+            "expected_tokens": self._call.expected_answer_tokens,
             "events_count": self._events_count,
             **self.body_fields(),
         }
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_request.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_request.py
@@ -3,6 +3,8 @@
 import attrs
 
 from rampwick_policy import (
+    AnswerKind,
+    DrainRequest,
     PrefixChain,
     RequestIdentity,
     Scope,
@@ -47,6 +49,18 @@
             return self.route.is_resumable
         return self.route.is_repeatable
 
+    @property
+    def drain_request(self) -> DrainRequest:
+        """What decides whether a host that shuts down takes the request."""
+        return DrainRequest(
+            kind=AnswerKind(self.service.name, self.call.model, self.route.is_stream),
+            latency_target_seconds=self.route.latency_target_seconds,
+            max_answer_tokens=self.call.max_answer_tokens,
+            expected_answer_tokens=self.call.expected_answer_tokens,
+            is_repeatable=self.is_repeatable,
+            deadline_seconds=self.deadline_seconds,
+        )
+
     @property
     def identity(self) -> RequestIdentity:
         """Identity shared with the caller's retries of the same request."""
