Open a second link beside a silent one before its peer counts as gone

Cause: two thresholds for one question. A peer was gone after 3 s without a message; its link was closed at two checks in a row after that, a second apart, and only then was the peer dialled again, since a peer that has a link is not dialled.

Change: links are checked twelve times in the time after which a peer counts as dead (0.25 s for 3 s). A link silent for 0.75 s is asked with a request that hosts of all releases answer; at 1.0 s the host whose name ranks first dials a second link, the other one at 1.25 s. The new link replaces the old one once its handshake is complete; an old link that answers earlier ends the dial, unless the peer may use the new one already. Messages go to the newest link that is not silent. Idle links carry a keep-alive each 0.5 s instead of 1 to 1.5 s. A host that was late itself counts silence from its own return; at most 32 links are replaced at a time. Nothing about the peer is believed because of it, and a failed second dial is not reported. No message changes.

Ruled out: a shorter time until a link is closed (a sound peer may be silent for a second or so, and a closed link loses messages); the kernel's keep-alive (a silent connection still acknowledges); deciding on both sides which link stays (each could close the one that the other keeps).

test_hosts_reconnect_after_their_links_die waited for the hosts to lose each other, which no longer happens while new connections work. New ones are now refused until they have, so that the test shows the same loss and return as before.

test_no_peer_is_given_up_while_new_connections_work failed before: each host dropped its peers. The stepped tests show the dial within 1.25 s, that a link that answers stays, and that a host that was late itself dials nobody.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -107,6 +107,7 @@
 from ._kv_store_contents import store_generation as store_generation
 from ._lease import LeaseWatcher as LeaseWatcher
 from ._limit_tracker import LimitState as LimitState
+from ._link_monitor import LinkMonitor as LinkMonitor, LinkState as LinkState
 from ._membership import Membership as Membership, PeerView as PeerView
 from ._orders import (
     PlannedOrder as PlannedOrder,
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -16,9 +16,10 @@
 from anyio.abc import TaskGroup
 
 from rampwick_platform import move_on_after_aligned, sleep_aligned
-from rampwick_policy import Member
+from rampwick_policy import LinkMonitor, LinkState, Member
 from rampwick_schema import (
     MESSAGES_VERSION,
+    ConfirmRequest,
     Members,
     PeerSettings,
     ReprMixin,
@@ -41,13 +42,20 @@
 #: membership changes earlier.
 RECONCILE_INTERVAL_SECONDS = 1.0
 
-#: Time between two checks for unresponsive and idle links, as a fraction of the time
-#: after which a peer counts as dead: two consecutive keep-alives may be lost.
-KEEP_ALIVE_RATIO = 1 / 3
+#: Checks of all links between two checks for unresponsive ones, so that two keep-alives
+#: may be lost.
+CHECKS_PER_CLOSE_CHECK = 4
 
 #: Sent on a link that has nothing else to send.
 KEEP_ALIVE = Members([])
 
+#: Sent on a silent link. Hosts of all releases reply, and the reply is ignored, since
+#: requests for ages have greater numbers.
+QUESTION = ConfirmRequest(0)
+
+#: Maximum number of silent links for which replacements are dialled at the same time.
+MAX_REPLACEMENTS_COUNT = 32
+
 #: Listen backlog. A whole fleet dials its seeds at the same time, and a connection that
 #: does not fit in the backlog is only retried after seconds.
 BACKLOG_COUNT = 1024
@@ -76,6 +84,12 @@
     messages_version: int = MESSAGES_VERSION
     #: Cancelled to close the link.
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    #: As of the last check, or sound since bytes were received.
+    state: LinkState = LinkState.SOUND
+    #: Whether another link was opened in its place, and whether it is silent while
+    #: another one to the peer is sound. Either is closed at the next check.
+    is_replaced: bool = False
+    is_spare: bool = False
     _was_unresponsive: bool = False
 
     @classmethod
@@ -96,6 +110,8 @@
     def mark_received(self, now_seconds: float) -> None:
         """Record that bytes were received."""
         self.received_at_seconds = now_seconds
+        self.state = LinkState.SOUND
+        self.is_spare = False
 
     def mark_sent(self, now_seconds: float) -> None:
         """Record that a message was sent."""
@@ -126,6 +142,26 @@
         self._send(data)
 
 
+@attrs.define(eq=False, repr=False)
+class _Dialler(ReprMixin):
+    """Connects to one address until it is cancelled, or replaced."""
+
+    address: str
+    #: Name of the member at the address; empty for a seed.
+    name: str
+    #: Silent links that the new one will replace.
+    replaced: list[Link] = attrs.field(factory=list)
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    stream: PeerStream | None = None
+    #: Whether the handshake is complete.
+    is_connected: bool = False
+
+    def abandon(self) -> None:
+        """Cancel, unless the peer may already use the new link."""
+        if self.stream is None or not self.stream.has_proved:
+            self.scope.cancel()
+
+
 class PeerLinks:
     """All links of this host."""
 
@@ -139,14 +175,15 @@
         read_clock: Callable[[], float],
     ) -> None:
         self._read_clock = read_clock
-        self._keep_alive_seconds = settings.dead_after_seconds * KEEP_ALIVE_RATIO
+        self._monitor = LinkMonitor(own.name, settings.dead_after_seconds)
+        self._checks_count = 0
         self._own = own
         self._settings = settings
         self._metrics = metrics
         self._list_wanted = list_wanted
         self._list_seeds = list_seeds
         self._links: list[Link] = []
-        self._dialled: dict[str, anyio.CancelScope] = {}
+        self._diallers: list[_Dialler] = []
         self._accepted_count = 0
         self._changed = anyio.Event()
         #: Called with each link that opens, before any message is received on it.
@@ -160,12 +197,17 @@
 
     @property
     def links(self) -> list[Link]:
-        """One link for each peer."""
-        return list({link.peer.name: link for link in self._links}.values())
+        """One link for each peer: its newest sound one, or its newest one."""
+        found: dict[str, Link] = {}
+        for link in self._links:
+            known = found.get(link.peer.name)
+            if known is None or _is_preferred(link, known):
+                found[link.peer.name] = link
+        return list(found.values())
 
     def link_to(self, name: str) -> Link | None:
-        """Return a link to a peer, if there is one."""
-        return next((link for link in self._links if link.peer.name == name), None)
+        """Return the link to a peer, if there is one."""
+        return next((link for link in self.links if link.peer.name == name), None)
 
     def broadcast(self, message: Any, is_recipient: Callable[[Member], bool]) -> None:
         """Send a message to all connected peers that ``is_recipient`` selects."""
@@ -209,23 +251,56 @@
         again.
         """
         while True:
-            await sleep_aligned(self._keep_alive_seconds)
-            now_seconds = self._read_clock()
-            for link in self._links:
+            await sleep_aligned(self._monitor.check_seconds)
+            self.check_links(self._read_clock())
+
+    def check_links(self, now_seconds: float) -> None:
+        """Check all links; close those that are replaced or unresponsive."""
+        self._monitor.begin_check(now_seconds)
+        self._checks_count += 1
+        must_close = self._checks_count % CHECKS_PER_CLOSE_CHECK == 0
+        for link in self._links:
+            if link.is_replaced or link.is_spare:
+                self._close_link(link, "closing replaced link", now_seconds)
+            elif must_close and link.is_unresponsive(
+                now_seconds, self._settings.dead_after_seconds
+            ):
+                self._close_link(link, "closing unresponsive link", now_seconds)
+            else:
                 self.check_link(link, now_seconds)
+        sound = {
+            item.peer.name for item in self._links if item.state is LinkState.SOUND
+        }
+        for link in self._links:
+            link.is_spare = link.state is LinkState.SILENT and link.peer.name in sound
+        if self._list_silent():
+            self.schedule_reconcile()
 
     def check_link(self, link: Link, now_seconds: float) -> None:
-        """Close an unresponsive link, or send a keep-alive on an idle one."""
-        if link.is_unresponsive(now_seconds, self._settings.dead_after_seconds):
-            silent_seconds = round(now_seconds - link.received_at_seconds, 1)
-            peer = link.peer.name
-            log.problem(
-                "closing unresponsive link", peer=peer, silent_seconds=silent_seconds
-            )
-            link.scope.cancel()
-        elif now_seconds - link.sent_at_seconds > self._keep_alive_seconds / 2:
+        """Ask a silent link for an answer, or send a keep-alive on an idle one."""
+        link.state = self._monitor.state(
+            link.peer.name, link.received_at_seconds, now_seconds
+        )
+        if link.state is LinkState.DOUBTFUL:
+            link.put(QUESTION)
+        elif self._monitor.needs_keep_alive(link.sent_at_seconds, now_seconds):
             link.put(KEEP_ALIVE)
 
+    def _close_link(self, link: Link, message: str, now_seconds: float) -> None:
+        silent_seconds = round(now_seconds - link.received_at_seconds, 1)
+        log.problem(message, peer=link.peer.name, silent_seconds=silent_seconds)
+        link.scope.cancel()
+
+    def _list_silent(self) -> dict[str, list[Link]]:
+        """Return by address the links to each peer of which all links are silent."""
+        return {
+            link.peer.address: [
+                other for other in self._links if other.peer.name == link.peer.name
+            ]
+            for link in self.links
+            if link.state is LinkState.SILENT
+        }
+
     def schedule_reconcile(self) -> None:
         """Reconcile now, since the set of wanted peers may have changed."""
         self._changed.set()
@@ -237,38 +312,78 @@
         addresses = dict(wanted)
         for seed in self._list_seeds():
             addresses.setdefault(seed, "")
-        for address in addresses.keys() - self._dialled.keys() - linked:
-            scope = self._dialled[address] = anyio.CancelScope()
-            tasks.start_soon(self._keep_dialing, address, addresses[address], scope)
-        for address in self._dialled.keys() - addresses.keys():
-            self._dialled.pop(address).cancel()
-
-    async def _keep_dialing(
-        self, address: str, name: str, scope: anyio.CancelScope
-    ) -> None:
+        for dialler in self._diallers:
+            if dialler.address not in addresses:
+                dialler.scope.cancel()
+        dialled = {dialler.address for dialler in self._diallers}
+        for address in addresses.keys() - dialled - linked:
+            self._start_dialler(tasks, _Dialler(address, addresses[address]))
+        self._replace_silent(tasks, wanted)
+
+    def _replace_silent(self, tasks: TaskGroup, wanted: dict[str, str]) -> None:
+        """Open second links to the peers from which nothing is received."""
+        dialling = {item.address for item in self._diallers if not item.is_connected}
+        room_count = MAX_REPLACEMENTS_COUNT - sum(
+            self._is_replacing(item) for item in self._diallers
+        )
+        silent = self._list_silent()
+        addresses = sorted((silent.keys() & wanted.keys()) - dialling)
+        for address in addresses[: max(0, room_count)]:
+            log.info("replacing silent link", peer=wanted[address])
+            dialler = _Dialler(address, wanted[address], silent[address])
+            self._start_dialler(tasks, dialler)
+
+    def _start_dialler(self, tasks: TaskGroup, dialler: _Dialler) -> None:
+        self._diallers.append(dialler)
+        tasks.start_soon(self._keep_dialing, dialler)
+
+    async def _keep_dialing(self, dialler: _Dialler) -> None:
         pause_seconds = REDIAL_SECONDS
-        with scope:
-            while True:
-                is_complete = False
-                try:
-                    await self._dial(address)
-                    is_complete = True
-                except (PeerError, OSError, TimeoutError, ValueError):
-                    # The failure detector of the membership handles dead peers; this
-                    # only reports that the address did not respond.
-                    if name:
-                        self.on_unreachable(name)
-                if is_complete:
-                    pause_seconds = REDIAL_SECONDS
-                await anyio.sleep(pause_seconds)
-                pause_seconds = min(MAX_REDIAL_SECONDS, pause_seconds * REDIAL_FACTOR)
-
-    async def _dial(self, address: str) -> None:
-        with anyio.fail_after(DIAL_TIMEOUT_SECONDS):
-            stream = await PeerStream.connect(
-                address, self._settings.max_message_bytes, self._metrics
-            )
-        await self._run_link(stream)
+        try:
+            with dialler.scope:
+                while not self._is_obsolete(dialler):
+                    is_complete = False
+                    try:
+                        await self._dial(dialler)
+                        is_complete = True
+                    except (PeerError, OSError, TimeoutError, ValueError):
+                        # The failure detector of the membership handles dead peers;
+                        # this only reports that the address did not respond.
+                        if dialler.name and not self._is_replacing(dialler):
+                            self.on_unreachable(dialler.name)
+                    if is_complete:
+                        pause_seconds = REDIAL_SECONDS
+                    await anyio.sleep(pause_seconds)
+                    pause_seconds = min(
+                        MAX_REDIAL_SECONDS, pause_seconds * REDIAL_FACTOR
+                    )
+        finally:
+            self._diallers.remove(dialler)
+
+    def _is_replacing(self, dialler: _Dialler) -> bool:
+        """Return whether a silent link is still open for which a second is dialled."""
+        return any(link in self._links for link in dialler.replaced)
+
+    def _is_obsolete(self, dialler: _Dialler) -> bool:
+        """Return whether a newer dialler connects, or a silent link has answered."""
+        newest = next(
+            item for item in reversed(self._diallers) if item.address == dialler.address
+        )
+        return newest is not dialler or any(
+            link in self._links and link.state is LinkState.SOUND
+            for link in dialler.replaced
+        )
+
+    async def _dial(self, dialler: _Dialler) -> None:
+        try:
+            with anyio.fail_after(DIAL_TIMEOUT_SECONDS):
+                dialler.stream = await PeerStream.connect(
+                    dialler.address, self._settings.max_message_bytes, self._metrics
+                )
+            await self._run_link(dialler.stream, dialler)
+        finally:
+            dialler.stream = None
+            dialler.is_connected = False
 
     async def _accept(self, stream: PeerStream) -> None:
         if self._accepted_count >= MAX_ACCEPTED_COUNT:
@@ -282,7 +397,9 @@
         finally:
             self._accepted_count -= 1
 
-    async def _run_link(self, stream: PeerStream) -> None:
+    async def _run_link(
+        self, stream: PeerStream, dialler: _Dialler | None = None
+    ) -> None:
         with closing(stream):
             peer = await stream.handshake(self._own, self._settings.secret)
             if peer.name == self._own.name:
@@ -296,9 +413,14 @@
                 peer, self._read_clock(), stream.put, stream.messages_version
             )
             self._links.append(link)
+            if dialler is not None:
+                dialler.is_connected = True
+                for replaced in dialler.replaced:
+                    replaced.is_replaced = True
+                dialler.replaced = []
             # Any received bytes count as activity, not only whole messages: a long
             # message takes seconds over a slow link.
-            stream.on_bytes = lambda: link.mark_received(self._read_clock())
+            stream.on_bytes = lambda: self._note_received(link)
             stream.on_sent = lambda: link.mark_sent(self._read_clock())
             log.info("peer connected", peer=peer.name, hall=peer.hall)
             try:
@@ -308,6 +430,19 @@
             finally:
                 self._links.remove(link)
 
+    def _note_received(self, link: Link) -> None:
+        """Record that bytes were received; a silent link that answers stays."""
+        was_silent = link.state is LinkState.SILENT
+        link.mark_received(self._read_clock())
+        if was_silent:
+            for dialler in self._diallers:
+                if link in dialler.replaced:
+                    dialler.abandon()
+
+
+def _is_preferred(newer: Link, older: Link) -> bool:
+    return newer.state is LinkState.SOUND or older.state is not LinkState.SOUND
+
 
 async def _refuse(stream: PeerStream, peer: Member) -> None:
     return
--- a/packages/rampwick-router/src/rampwick_router/peers/_stream.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream.py
@@ -108,6 +108,8 @@
         #: Error that ended the stream; none while it is open.
         self._failure: Exception | None = None
         self.peer = ""
+        #: Whether this side has proved its identity: the peer may use the stream then.
+        self.has_proved = False
         #: Version of the messages that the peer decodes.
         self.messages_version = UNANNOUNCED_MESSAGES_VERSION
         #: Called when bytes are received, and when a message is sent.
@@ -351,6 +353,7 @@
             )
         if len(remote.nonce) != NONCE_BYTES or remote.nonce == local.nonce:
             raise self._refused("invalid or reflected nonce")
+        self.has_proved = True
         await self.send(Proof(digest=_prove(secret, local, remote)))
         proof = self._expect(await self.receive(), Proof)
         if not hmac.compare_digest(proof.digest, _prove(secret, remote, local)):
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -36,6 +36,8 @@
 from rampwick_policy import (
     HostListRead,
     LeaseWatcher,
+    LinkMonitor,
+    LinkState,
     Member,
     Outcome,
     Scheduler,
@@ -49,7 +51,13 @@
 from rampwick_router.control._rollout_controller import RolloutController
 from rampwick_router.control._target_sources import WatchedTargetSource
 from rampwick_router.peers._links import Link, PeerLinks
-from rampwick_schema import HostEntry, HostList, WeightsTarget, parse_settings
+from rampwick_schema import (
+    HostEntry,
+    HostList,
+    Members,
+    WeightsTarget,
+    parse_settings,
+)
 from rampwick_standin import address_of, bind_loopback
 
 from .bench import make_settings, until
@@ -203,12 +211,14 @@
 
 
 class DeadLinkTest(ScenarioCase):
-    async def run_host(self, stack, tasks, name, seeds=()):
+    async def run_host(self, stack, tasks, name, seeds=(), **options):
         """Run a daemon that peers reach through a proxy; return both."""
         proxy = Proxy(name, 0, 0)
         await proxy.run(tasks)
         settings = make_settings(name, "", seeds=seeds)
-        peers = attrs.evolve(settings.peers, advertised_address=proxy.address)
+        peers = attrs.evolve(
+            settings.peers, advertised_address=proxy.address, **options
+        )
         settings = attrs.evolve(settings, peers=peers)
         daemon, addresses = await stack.enter_async_context(run_daemon(settings))
         proxy.target_port = int(addresses.peer.rpartition(":")[2])
@@ -224,12 +234,50 @@
                 peers = [lambda: self.names(one), lambda: self.names(two)]
                 await until(lambda: all(names() for names in peers))
                 for proxy in (first, second):
+                    proxy.conditions.refuses_new = True
                     proxy.blackhole_connections()
                 await until(lambda: not any(names() for names in peers))
+                for proxy in (first, second):
+                    proxy.conditions.refuses_new = False
                 await until(lambda: all(names() for names in peers))
 
         self.run_scenario(scenario)
 
+    def test_no_peer_is_given_up_while_new_connections_work(self):
+        """Each host believed itself alone, since a silent link hid its peer."""
+
+        async def scenario(bench):
+            async with AsyncExitStack() as stack:
+                tasks = await stack.enter_async_context(anyio.create_task_group())
+                stack.callback(tasks.cancel_scope.cancel)
+                hosts = []
+                for name in ("one", "two", "three"):
+                    seeds = [proxy.address for _, proxy in hosts]
+                    host = await self.run_host(
+                        stack, tasks, name, seeds, dead_after_seconds=6.0
+                    )
+                    hosts.append(host)
+                daemons = [daemon for daemon, _ in hosts]
+                await until(lambda: all(len(self.names(one)) == 2 for one in daemons))
+                for _ in range(2):
+                    for _, proxy in hosts:
+                        proxy.blackhole_connections()
+                    await anyio.sleep(0.1)
+                    cut_at_seconds = daemons[0].scheduler._read_clock()
+                    while not self.has_heard_all(daemons, cut_at_seconds):
+                        for daemon in daemons:
+                            self.assertEqual(2, len(self.names(daemon)))
+                        await anyio.sleep(0.02)
+
+        self.run_scenario(scenario)
+
+    def has_heard_all(self, daemons, since_seconds):
+        """Return whether each host has heard both of the others since a time."""
+        views = [
+            view for daemon in daemons for view in daemon.scheduler.peer_views(0.0)
+        ]
+        return all(view.last_seen_seconds > since_seconds for view in views)
+
     def names(self, daemon):
         return daemon.scheduler.live_names(daemon.scheduler._read_clock())
 
@@ -274,6 +322,135 @@
         return links
 
 
+class LinkReplacementTest(TestCase):
+    """A silent link is asked, then replaced, in simulated time."""
+
+    #: Time between two checks.
+    STEP_SECONDS = 0.25
+
+    def play(self, scenario):
+        clock = Clock()
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                proxy = Proxy("two", 0, 0)
+                await proxy.run(tasks)
+                listeners = [bind_loopback(), bind_loopback()]
+                proxy.target_port = listeners[1].getsockname()[1]
+                addresses = [address_of(listeners[0]), proxy.address]
+                members = [
+                    Member(name, "h", address)
+                    for name, address in zip(("one", "two"), addresses, strict=True)
+                ]
+                # Only the first host dials, as a host of a large fleet dials its relay.
+                one = self.make(clock, members[0], [members[1]])
+                two = self.make(clock, members[1], [])
+                for side, listener in zip((one, two), listeners, strict=True):
+                    tasks.start_soon(side.run, listener)
+                await until(lambda: one.links and two.links)
+                await self.step(clock, one, two)
+                await scenario(clock, proxy, one, two)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def make(self, clock, own, wanted):
+        settings = attrs.evolve(make_settings("", "").peers, dead_after_seconds=3.0)
+        links = PeerLinks(
+            own, settings, Metrics(), lambda: wanted, lambda: (), clock.read
+        )
+        links.monitor_links = anyio.sleep_forever
+        links.received = []
+        links.on_message = lambda link, message: links.received.append(message)
+        return links
+
+    async def step(self, clock, *sides, count=1):
+        """Check the links of these hosts repeatedly and let messages arrive."""
+        for _ in range(count):
+            clock.now_seconds += self.STEP_SECONDS
+            for side in sides:
+                side.check_links(clock.now_seconds)
+            await anyio.sleep(0.02)
+
+    def test_messages_arrive_over_a_second_link_soon(self):
+        async def scenario(clock, proxy, one, two):
+            old = one.links[0]
+            proxy.blackhole_connections()
+            silent_at_seconds = clock.now_seconds
+            while len(one._diallers) == 1:
+                await self.step(clock, one, two)
+            self.assertLessEqual(clock.now_seconds - silent_at_seconds, 1.5)
+            await until(lambda: len(one._links) == len(two._links) == 2)
+            one.received.clear()
+            two.broadcast(Members([]), lambda peer: True)
+            await until(lambda: one.received)
+            # The silent link is closed at both ends, and nothing else is opened.
+            await self.step(clock, one, two, count=8)
+            await until(lambda: len(one._links) == len(two._links) == 1)
+            self.assertNotIn(old, one._links)
+
+        self.play(scenario)
+
+    def test_a_link_that_answers_in_time_stays(self):
+        async def scenario(clock, proxy, one, two):
+            old = one.links[0]
+            for _ in range(3):
+                proxy.conditions.is_stalled_from_target = True
+                await self.step(clock, one, two, count=4)
+                proxy.conditions.is_stalled_from_target = False
+                await until(lambda: clock.is_now(old))
+                await self.step(clock, one, two, count=2)
+            await until(lambda: len(two._links) == 1)
+            self.assertEqual([old], one._links)
+
+        self.play(scenario)
+
+    def test_a_host_that_was_late_itself_replaces_nothing(self):
+        async def scenario(clock, proxy, one, two):
+            old = one.links[0]
+            proxy.conditions.is_stalled_from_target = True
+            for _ in range(3):
+                clock.now_seconds += 20.0
+                one.check_links(clock.now_seconds)
+                await anyio.sleep(0.02)
+            self.assertEqual([], [item for item in one._diallers if item.replaced])
+            proxy.conditions.is_stalled_from_target = False
+            two.check_links(clock.now_seconds)
+            await until(lambda: clock.is_now(old))
+
+        self.play(scenario)
+
+
+class LinkMonitorTest(TestCase):
+    def states(self, own, peer, *silent_seconds):
+        monitor = LinkMonitor(own, 3.0)
+        found = []
+        for step in range(13):
+            monitor.begin_check(100.0 + step * 0.25)
+            if step * 0.25 in silent_seconds:
+                found.append(monitor.state(peer, 100.0, 100.0 + step * 0.25))
+        return found
+
+    def test_one_host_of_a_pair_dials_first(self):
+        sound, doubtful, silent = LinkState
+        self.assertEqual(
+            [sound, doubtful, silent, silent],
+            self.states("a", "b", 0.5, 0.75, 1.0, 1.25),
+        )
+        self.assertEqual(
+            [sound, doubtful, doubtful, silent],
+            self.states("b", "a", 0.5, 0.75, 1.0, 1.25),
+        )
+
+    def test_silence_counts_from_the_end_of_an_own_pause(self):
+        monitor = LinkMonitor("a", 3.0)
+        monitor.begin_check(100.0)
+        monitor.begin_check(105.0)
+        self.assertIs(LinkState.SOUND, monitor.state("b", 100.0, 105.0))
+        monitor.begin_check(105.25)
+        self.assertIs(LinkState.SOUND, monitor.state("b", 100.0, 105.25))
+
+
 class UnresponsiveLinkTest(TestCase):
     def checks(self, *times):
         """Check a link at these times, with the last message received at the others."""
