Divide a rate among all hosts once none is heard

Hosts whose links all fall silent at once hear no other host from 3 s on. Each then chose itself as the only sender of an upstream's request rate, while for another 1.5 s it still counted all hosts as alive: the grace in which limits in tokens keep the host count was applied to a division that no longer did. Six hosts granted themselves 72 requests a second of an upstream that allows 12; beyond it the upstream refuses, and their callers are refused in turn.

A host that divides a rate among itself only now counts as one of the hosts known of late from that moment. Relays and roles that change keep the grace, since their hosts still divide among all.

Ruled out: no grace at all (a relay's change would cut the rate to one host's part for a moment, and refuse requests that should run).

--- a/packages/rampwick-policy/src/rampwick_policy/_limit_tracker.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_limit_tracker.py
@@ -254,9 +254,14 @@
             for path, limit in sorted(self._limits.items())
         ]
 
-    def share_ratio(self, now_seconds: float) -> float:
-        """Return the share of each limit that the live hosts may use."""
-        ratio = self._hosts_count / self._max_hosts_count
+    def share_ratio(self, now_seconds: float, *, is_alone: bool = False) -> float:
+        """Return the share of each limit that the live hosts may use.
+
+        ``is_alone`` states that this host divides a limit among itself only, so that
+        the previous host count does not apply.
+        """
+        hosts_count = 1 if is_alone else self._hosts_count
+        ratio = hosts_count / self._max_hosts_count
         missing_seconds = now_seconds - self._max_hosts_at_seconds
         if ratio >= MINORITY_RATIO and missing_seconds > UNCONFIRMED_SERVING_SECONDS:
             return 1.0
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -95,7 +95,7 @@
         self.rate_limiter = UpstreamRateLimiter(
             self.rates,
             LocalView(settings.host.name, settings.host.hall),
-            self.limits.share_ratio,
+            self._alive_ratio,
         )
         self.brittle = BrittleServices(
             self.peers, lambda: self.rate_limiter.local_view, self.state_changes
@@ -312,6 +312,12 @@
         )
         return True
 
+    def _alive_ratio(self, now_seconds: float) -> float:
+        """Return the share of the hosts that serve among which rates are divided."""
+        live_peers = self.rate_limiter.local_view.live_peers
+        is_alone = not (live_peers.alive or live_peers.halls)
+        return self.limits.share_ratio(now_seconds, is_alone=is_alone)
+
     def expire_peers(self, now_seconds: float) -> None:
         """Drop peers that have been unresponsive for too long."""
         for view in self.peers.expire(now_seconds):
