Divide what a brittle service withstands among all hosts once none is heard

Same moment as for request rates: a host that hears no other took itself for the only one, and kept as many unanswered requests at each upstream as the upstream withstands from all hosts together, beside half of its slots as certain room. Six hosts that are silent to each other kept up to 144 where 28 are bearable (24 of certain room and 4 rejections); an upstream of such a service fails by rejections, with the requests it runs.

The parts, the certain room and the interval of probes now heed the share of the fleet that a host can reach, as rates do. Alone, a host keeps at least one request a service.

Left: hosts that count alone for longer than the fleet's size is remembered (10 s) use the whole, as with limits.

test_unanswered_requests_stay_within_the_rejections_withstood failed before: 144 at 13.0 s, 28 allowed.

--- a/packages/rampwick-policy/src/rampwick_policy/_brittle_services.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_brittle_services.py
@@ -49,6 +49,10 @@
     stated_at_seconds: float
 
 
+def _all_alive(now_seconds: float) -> float:
+    return 1.0
+
+
 class BrittleServices:
     """The services that are brittle, and what this host may send to them."""
 
@@ -57,8 +61,11 @@
         peers: Membership,
         read_local_view: Callable[[], LocalView],
         state_changes: StateChangeTracker,
+        alive_ratio: Callable[[float], float] = _all_alive,
     ) -> None:
+        """``alive_ratio`` returns the share of the fleet that this host can reach."""
         self._peers = peers
+        self._alive_ratio = alive_ratio
         self._read_local_view = read_local_view
         self._state_changes = state_changes
         self._by_service: dict[str, Brittleness] = {}
@@ -116,10 +123,11 @@
         stated = self._by_service.get(upstream.entry.group)
         if stated is None:
             return True
-        part_count = self._part_count(upstream, stated)
+        alive_ratio = self._alive_ratio(now_seconds)
+        part_count = self._part_count(upstream, stated, alive_ratio)
         if len(upstream.unanswered_attempts) < part_count:
             return True
-        room_count = CERTAIN_ROOM_RATIO * upstream.slots_count
+        room_count = CERTAIN_ROOM_RATIO * upstream.slots_count * alive_ratio
         hosts_count = self._peers.hosts_count(now_seconds)
         own_count = len(upstream.own_attempts)
         peer_load = self._peers.load_of(upstream.name, upstream.generation_name)
@@ -128,7 +136,9 @@
             and own_count + peer_load.running_count < room_count
         )
 
-    def _part_count(self, upstream: Upstream, stated: Brittleness) -> int:
+    def _part_count(
+        self, upstream: Upstream, stated: Brittleness, alive_ratio: float = 1.0
+    ) -> int:
         """Return this host's part of the rejections that an upstream withstands.
 
         The part of a host is a whole number. Where there are more hosts than
@@ -137,7 +147,7 @@
         total_count = max(1, math.floor(stated.rejections_per_second))
         key = f"{upstream.name}/{upstream.known_incarnation}".encode()
         ratio = rate_share(self._read_local_view(), key, total_count)
-        return math.floor(total_count * ratio + ROUNDING_TOLERANCE)
+        return math.floor(total_count * ratio * alive_ratio + ROUNDING_TOLERANCE)
 
     def pause_seconds(
         self, upstream: Upstream, requested_seconds: float | None
@@ -151,4 +161,5 @@
         """Return the minimum time between two health probes by this host."""
         if upstream.is_runner or not self.is_brittle(upstream):
             return 0.0
-        return PROBE_SECONDS * self._peers.hosts_count(now_seconds)
+        hosts_count = self._peers.hosts_count(now_seconds)
+        return PROBE_SECONDS * hosts_count / self._alive_ratio(now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -98,7 +98,10 @@
             self._alive_ratio,
         )
         self.brittle = BrittleServices(
-            self.peers, lambda: self.rate_limiter.local_view, self.state_changes
+            self.peers,
+            lambda: self.rate_limiter.local_view,
+            self.state_changes,
+            self._alive_ratio,
         )
         self.upstreams.min_probe_interval = self.brittle.probe_interval_seconds
         self.view_cache = ViewCache(
--- a/tests/test_hosts_without_peers.py
+++ b/tests/test_hosts_without_peers.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from rampwick_policy import (
+    BrittlenessReported,
     HostListRead,
     LivePeers,
     LoadReported,
@@ -27,13 +28,18 @@
 COUNTED_SECONDS = 8.0
 
 RATE = 12.0
+REJECTIONS = 4.0
+SLOTS = 48
 
 
 class HostsWithoutPeersTest(TestCase):
     def setUp(self):
         super().setUp()
         self.hosts = [Scheduler(self.settings(name)) for name in NAMES]
-        entries = [HostEntry("r", "runner", "h", "r:1")]
+        entries = [
+            HostEntry("r", "runner", "h", "r:1"),
+            HostEntry("s", "service", "h", "s:1", group="g", slots_count=SLOTS),
+        ]
         self.do(0.0, HostListRead(HostList(1, entries)))
         report = LoadReport("i", "m", 1, 8, 0, 0, 8000.0, 60_000)
         self.do(0.0, LoadReported("r", report))
@@ -80,3 +86,23 @@
             ]
             self.assertLessEqual(sum(rates), RATE + 1e-6, now_seconds)
             self.assertGreater(sum(rates), 0.0)
+
+    def test_unanswered_requests_stay_within_the_rejections_withstood(self):
+        at = SILENT_AT_SECONDS
+        self.do(at, BrittlenessReported("s", REJECTIONS, at))
+        for now_seconds in self.play_silence():
+            counts = [self.count_sendable(host, now_seconds) for host in self.hosts]
+            self.assertLessEqual(sum(counts), SLOTS / 2 + REJECTIONS, now_seconds)
+            self.assertGreaterEqual(min(counts), 1)
+
+    def count_sendable(self, host, now_seconds):
+        """Return how many requests a host would keep unanswered at the service."""
+        upstream = host.upstreams.get("s")
+        count = 0
+        while host.pool.brittle.may_send(upstream, now_seconds):
+            count += 1
+            upstream.own_attempts[str(count)] = 0
+            upstream.unanswered_attempts.add(str(count))
+        upstream.own_attempts.clear()
+        upstream.unanswered_attempts.clear()
+        return count
