Wait for a silent link's replacement before a relay is skipped

Found by reading, in large fleets only: a host that hears nothing from its hall's relay for 1 s skips it for 5 s, closes its link to it, and turns to the next one. A silent link is replaced 1.0 to 1.5 s after its last byte, so a host whose link alone was silent skipped a sound relay first. The next relay hears the first one and reports nothing, so that it was skipped a second later as well, and so on until the 5 s were over: a host without a relay for 5 s, which then decides as if alone.

While the link to a relay is silent, or is newer than two checks, the relay has 1.75 s. A relay that is heard and reports nothing, one whose link was closed, and one to which there is no link have 1 s as before.

Ruled out: faster dials for relays (a sound host may be silent for a second or so, and a hall would dial its relay at once).

Price: a relay that is stopped, or whose machine vanishes without a reset, is skipped 0.75 s later.

test_a_relay_behind_a_silent_link_is_skipped_later and test_a_silent_link_excuses_its_peer_until_it_is_replaced cover it; neither exists before.

--- a/packages/rampwick-policy/src/rampwick_policy/_link_monitor.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_link_monitor.py
@@ -26,6 +26,9 @@
 #: other host has replaced the link by then.
 SECOND_DIALLER_CHECKS = 1.0
 
+#: Age up to which a link is new, in checks.
+NEW_CHECKS = 2.0
+
 #: Time between two checks above which this host was late itself, in checks.
 MAX_CHECK_GAP = 2.0
 
@@ -66,6 +69,10 @@
         ):
             self._resumed_at_seconds = now_seconds
 
+    def is_new(self, opened_at_seconds: float, now_seconds: float) -> bool:
+        """Return whether the first periodic message may not have arrived yet."""
+        return now_seconds - opened_at_seconds < NEW_CHECKS * self.check_seconds
+
     def needs_keep_alive(self, sent_at_seconds: float, now_seconds: float) -> bool:
         """Return whether nothing has been sent on a link for too long."""
         elapsed_seconds = now_seconds - sent_at_seconds
--- a/packages/rampwick-policy/src/rampwick_policy/_relay_listener.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_relay_listener.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -14,6 +14,9 @@
 #: Time without messages after which a relay is skipped: four of its intervals.
 RELAY_TIMEOUT_SECONDS = 1.0
 
+#: The same while the link to it may be silent and is being replaced.
+SILENT_LINK_TIMEOUT_SECONDS = 1.75
+
 #: Time for which a host is considered alive after a relay has listed it.
 HOST_ALIVE_SECONDS = 3.0
 
@@ -21,6 +24,10 @@
 MAX_SENT_SUMMARIES = 16
 
 
+def _is_never_doubtful(name: str) -> bool:
+    return False
+
+
 @attrs.frozen(repr=False)
 class _OwnReport(ReprMixin):
     sent_at_seconds: float
@@ -61,9 +68,16 @@
         self._last_seen[name] = now_seconds
 
     def is_relay_unresponsive(
-        self, relays: Sequence[Member], now_seconds: float
+        self,
+        relays: Sequence[Member],
+        now_seconds: float,
+        is_link_doubtful: Callable[[str], bool] = _is_never_doubtful,
     ) -> bool:
-        """Return whether the first relay has not sent a message in time."""
+        """Return whether the first relay has not sent a message in time.
+
+        ``is_link_doubtful`` returns whether the link to a host may be the reason. No
+        other relay reports to a host that has skipped a sound one.
+        """
         first = relays[0].name if relays else ""
         if first in ("", self._own.name):
             return False
@@ -72,7 +86,12 @@
         since_seconds = max(
             self._monitored_relay[1], self._last_seen.get(first, -math.inf)
         )
-        return now_seconds - since_seconds > RELAY_TIMEOUT_SECONDS
+        silent_seconds = now_seconds - since_seconds
+        if silent_seconds <= RELAY_TIMEOUT_SECONDS:
+            return False
+        return silent_seconds > SILENT_LINK_TIMEOUT_SECONDS or not is_link_doubtful(
+            first
+        )
 
     def receive(
         self,
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -242,7 +242,9 @@
         now_seconds = self._read_clock()
         if self.table.is_large:
             relays = self.table.relays(self.table.own.hall, now_seconds)
-            if self._relay_listener.is_relay_unresponsive(relays, now_seconds):
+            if self._relay_listener.is_relay_unresponsive(
+                relays, now_seconds, self._links.is_doubtful
+            ):
                 log.problem("relay unresponsive", peer=relays[0].name)
                 self.table.note_unreachable(relays[0].name, now_seconds)
                 self._links.schedule_reconcile()
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -77,9 +77,11 @@
     peer: Member
     #: Sends an encoded message; returns false if the peer is too slow.
     _send: Callable[[bytes], bool]
-    #: Times at which bytes were last received, and a message was last sent.
+    #: Times at which bytes were last received, a message was last sent, and the link
+    #: was opened.
     received_at_seconds: float
     sent_at_seconds: float
+    opened_at_seconds: float
     #: Version of the messages that the peer decodes; others are not sent.
     messages_version: int = MESSAGES_VERSION
     #: Cancelled to close the link.
@@ -101,7 +103,7 @@
         messages_version: int = MESSAGES_VERSION,
     ) -> "Link":
         """Return a link that has just been opened."""
-        return cls(peer, send, now_seconds, now_seconds, messages_version)
+        return cls(peer, send, now_seconds, now_seconds, now_seconds, messages_version)
 
     def accepts(self, message: Any) -> bool:
         """Return whether the peer decodes a message; it may be of an older release."""
@@ -209,6 +211,14 @@
         """Return the link to a peer, if there is one."""
         return next((link for link in self.links if link.peer.name == name), None)
 
+    def is_doubtful(self, name: str) -> bool:
+        """Return whether the link to a peer may be silent, or has just replaced one."""
+        link = self.link_to(name)
+        if link is None:
+            return False
+        is_new = self._monitor.is_new(link.opened_at_seconds, self._read_clock())
+        return is_new or link.state is not LinkState.SOUND
+
     def broadcast(self, message: Any, is_recipient: Callable[[Member], bool]) -> None:
         """Send a message to all connected peers that ``is_recipient`` selects."""
         links = [
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -138,6 +138,19 @@
         self.listener.note_message("first", 11.1)
         self.assertFalse(self.listener.is_relay_unresponsive(RELAYS, 11.2))
 
+    def test_a_relay_behind_a_silent_link_is_skipped_later(self):
+        """No other relay reports to a host that has skipped a sound one."""
+
+        def check(at, is_doubtful):
+            return self.listener.is_relay_unresponsive(
+                RELAYS, at, lambda name: is_doubtful and name == "first"
+            )
+
+        self.assertFalse(check(10.0, is_doubtful=True))
+        self.assertFalse(check(11.7, is_doubtful=True))
+        self.assertTrue(check(11.7, is_doubtful=False))
+        self.assertTrue(check(11.8, is_doubtful=True))
+
     def test_the_next_relay_has_its_own_timeout(self):
         self.listener.is_relay_unresponsive(RELAYS, 10.0)
         self.assertTrue(self.listener.is_relay_unresponsive(RELAYS, 11.5))
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -206,6 +206,9 @@
     def read(self):
         return self.now_seconds
 
+    def is_recent(self, link):
+        return self.now_seconds - link.received_at_seconds <= 0.5
+
     def is_now(self, link):
         return link.received_at_seconds == self.now_seconds
 
@@ -391,6 +394,33 @@
 
         self.play(scenario)
 
+    def test_a_silent_link_excuses_its_peer_until_it_is_replaced(self):
+        """The relay of a hall is skipped after a second without a message."""
+
+        async def scenario(clock, proxy, one, two):
+            await self.step_until_heard(clock, one, two)
+            self.assertFalse(one.is_doubtful("two"))
+            self.assertFalse(one.is_doubtful("nobody"))
+            proxy.blackhole_connections()
+            await self.step(clock, one, two, count=3)
+            while len(one._links) == 1:
+                self.assertTrue(one.is_doubtful("two"))
+                await self.step(clock, one, two)
+            # The new link is excused until its first messages are due.
+            self.assertTrue(one.is_doubtful("two"))
+            await until(lambda: len(two._links) == 2)
+            await self.step_until_heard(clock, one, two)
+            self.assertFalse(one.is_doubtful("two"))
+
+        self.play(scenario)
+
+    async def step_until_heard(self, clock, one, two):
+        """Step until a link of the first host is old and has carried a keep-alive."""
+        for _ in range(4):
+            await self.step(clock, two, one)
+            link = one.links[0]
+            await until(lambda link=link: clock.is_recent(link))
+
     def test_a_link_that_answers_in_time_stays(self):
         async def scenario(clock, proxy, one, two):
             old = one.links[0]
