Close idle connections whose neighbour was silent instead of lending them

Callers of requests that must not run twice waited for their deadline and got 502: a kept connection that has fallen silent for good is lent like any other, and nothing but time tells it from a slow upstream. After the first one was found silent, and a probe on a new connection had answered, the next requests still got its neighbours.

Now a reused connection without a response head for 0.5 s (when its upstream is suspected, too) is noted by the pool, and once a new connection to the upstream answers, idle ones that have proved nothing since that request was sent are closed.

Left as it was: a request that already waits on such a connection. Services that answer after more than half a second look the same, and an answer that is cut costs its caller more than a wait.

Price: a slow service loses idle connections that were older than the slow request, so the next ones cost a handshake each. Not measured.

--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -192,6 +192,7 @@
             request=self._request.call.request_id,
             upstream=self.dispatch.upstream,
         )
+        self._context.connection_pool.note_silent(self._connection)
         event = AttemptStalled(self._request_id, self.dispatch.attempt_id)
         self._context.scheduler.post(event)
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -70,6 +70,8 @@
     #: Maximum idle time; responses of the upstream may change it.
     max_idle_seconds: float = DEFAULT_IDLE_SECONDS
     idle_since_seconds: float = 0.0
+    #: When it was lent for the current request.
+    lent_at_seconds: float = 0.0
     requests_count: int = 0
     #: How the body of the current response ended; none while it has not.
     body_end: BodyEnd | None = None
@@ -246,6 +248,15 @@
     open_count: int = 0
 
 
+@attrs.frozen(repr=False)
+class _Doubt(ReprMixin):
+    """A kept connection to an upstream on which a request brought no response head."""
+
+    #: Connections that have been idle since before this time may be silent as well.
+    since_seconds: float
+    noted_at_seconds: float
+
+
 def _always_direct(upstream: str) -> UpstreamPath:
     return UpstreamPath.DIRECT
 
@@ -260,6 +271,7 @@
         #: Opens connections through peers; none if this host has no peers.
         self.tunnels: TunnelDialer | None = None
         self._by_upstream: dict[str, _UpstreamConnections] = {}
+        self._doubts: dict[str, _Doubt] = {}
         #: Number of connections opened so far, by reason.
         self._opened: Counter[str] = Counter()
 
@@ -267,6 +279,47 @@
         """Return the number of connections opened so far, by reason."""
         return dict(self._opened)
 
+    def idle_count(self, upstream: str) -> int:
+        """Return the number of idle connections to an upstream."""
+        return sum(len(item.idle) for item in self._list_connections(upstream))
+
+    def note_silent(self, connection: UpstreamConnection) -> None:
+        """Record that a request on a connection has brought no response head for long.
+
+        If it was kept from an earlier request, others kept since then may be silent as
+        well, although new ones work. They are closed once a new one answers; until then
+        it may be the upstream that is silent.
+        """
+        if connection.requests_count > 1:
+            self._doubts[connection.peer] = _Doubt(
+                connection.lent_at_seconds, self._read_clock()
+            )
+
+    def _note_answered(self, connection: UpstreamConnection) -> None:
+        """Close connections that may be silent, if a new one has just answered."""
+        doubt = self._doubts.get(connection.peer)
+        if (
+            doubt is None
+            or connection.requests_count != 1
+            or connection.lent_at_seconds < doubt.noted_at_seconds
+        ):
+            return
+        del self._doubts[connection.peer]
+        for connections in self._list_connections(connection.peer):
+            for other in list(connections.idle):
+                if other.idle_since_seconds < doubt.since_seconds:
+                    connections.idle.remove(other)
+                    connections.open_count -= 1
+                    other.close()
+
+    def _list_connections(self, upstream: str) -> list[_UpstreamConnections]:
+        """Return the connections to an upstream in all lanes."""
+        return [
+            connections
+            for key, connections in self._by_upstream.items()
+            if key.partition(" ")[0] == upstream
+        ]
+
     async def __aenter__(self) -> "ConnectionPool":
         return self
 
@@ -308,10 +361,13 @@
             connection = await self._open(
                 connections, upstream, address, max_count, reason, path
             )
+        connection.lent_at_seconds = self._read_clock()
         is_complete = False
         try:
             yield connection
             is_complete = connection.is_reusable()
+            if is_complete:
+                self._note_answered(connection)
         finally:
             if is_complete and connection.max_idle_seconds > 0.0:
                 connection.idle_since_seconds = self._read_clock()
@@ -387,6 +443,7 @@
                 self._close_expired(connections)
                 if not connections.open_count:
                     self._by_upstream.pop(upstream, None)
+                    self._doubts.pop(upstream, None)
 
     def _close_expired(self, connections: _UpstreamConnections) -> None:
         now_seconds = self._read_clock()
--- /dev/null
+++ b/tests/test_silent_neighbours.py
@@ -0,0 +1,163 @@
+"""Requests that must not run twice, on idle connections whose neighbours are silent."""
+
+import anyio
+from testtools import TestCase
+
+from rampwick_router.upstream._connection_pool import ConnectionPool
+
+from .bench import until
+from .scripted import run_routed
+
+TEST_TIMEOUT_SECONDS = 30.0
+
+#: Connections that are idle when they fall silent.
+COUNT = 4
+
+
+class SilentNeighbourTest(TestCase):
+    """Each request on such a connection waited for its deadline."""
+
+    def test_idle_connections_beside_a_silent_one_are_not_lent(self):
+        silent = set()
+        gate = anyio.Event()
+        count = 0
+
+        async def answer(exchange):
+            """Answer once all callers' requests are here, unless silent."""
+            nonlocal count
+            if exchange.stream in silent:
+                await anyio.sleep_forever()
+            if "/once/" in exchange.target:
+                count += 1
+                if count == COUNT:
+                    gate.set()
+                await gate.wait()
+            await exchange.answer()
+
+        async def main():
+            nonlocal gate, count
+            with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+                async with run_routed({"labels": ["a"]}) as (host, found):
+                    upstream = found["a"]
+                    upstream.scripts = [answer]
+                    before = await self.call_all(host, "before")
+                    silent.update(item.stream for item in upstream.requests)
+                    gate, count = anyio.Event(), 0
+                    state = host.daemon.scheduler._scheduler.upstreams.get("a")
+                    async with anyio.create_task_group() as tasks:
+                        tasks.start_soon(host.call, "/once/0")
+                        await until(lambda: state.is_suspected)
+                        # A probe on a new connection answers.
+                        await until(lambda: not state.is_suspected)
+                        after = await self.call_all(host, "after")
+                        tasks.cancel_scope.cancel()
+                    return before, after
+
+        self.assertEqual(([200] * COUNT, [200] * COUNT), anyio.run(main))
+
+    async def call_all(self, host, name):
+        """Send calls that must not run twice, at the same time; return the statuses."""
+        statuses = []
+
+        async def call(index):
+            request_id = f"{name}-{index}"
+            view = await host.call(f"/once/{request_id}", request_id=request_id)
+            statuses.append(view.status)
+
+        async with anyio.create_task_group() as tasks:
+            for index in range(COUNT):
+                tasks.start_soon(call, index)
+        return statuses
+
+
+class FakeSocket:
+    """A socket on which a response may arrive at any time."""
+
+    sent_bytes_count = 0
+
+    def __init__(self, data=b""):
+        self.data = data
+        self.is_closed = False
+
+    async def send(self, data, before_write):
+        before_write()
+        self.sent_bytes_count += len(data)
+
+    async def receive(self):
+        return b"HTTP/1.1 204 No\r\n\r\n"
+
+    def is_readable(self):
+        return False
+
+    def unwatch(self):
+        pass
+
+    def discard_unsent(self):
+        pass
+
+    def close(self):
+        self.is_closed = True
+
+
+class PoolTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now_seconds = 10.0
+        self.pool = ConnectionPool(lambda: self.now_seconds)
+        self.pool._connect = self.connect
+
+    async def connect(self, upstream, address, path):
+        return FakeSocket()
+
+    async def use(self, connection):
+        await connection.send("GET", "/", [(b"host", b"u")], b"")
+        await connection.receive_head()
+        async for _ in connection.receive_chunks():
+            pass
+
+    async def leave_idle(self, count):
+        """Leave connections idle that have answered at this time."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(self.use_one)
+
+    async def use_one(self, **options):
+        async with self.pool.borrow("u", "u:1", **options) as connection:
+            await anyio.sleep(0)
+            await self.use(connection)
+
+    def play(self, scenario):
+        anyio.run(scenario)
+
+    def test_only_connections_without_a_later_answer_are_closed(self):
+        async def scenario():
+            await self.leave_idle(4)
+            self.now_seconds = 11.0
+            async with self.pool.borrow("u", "u:1") as connection:
+                await connection.send("GET", "/", [(b"host", b"u")], b"")
+                self.now_seconds = 11.4
+                await self.use_one()
+                self.now_seconds = 11.5
+                self.pool.note_silent(connection)
+                self.assertEqual(3, self.pool.idle_count("u"))
+                # Only a new connection shows that the upstream is not silent itself.
+                await self.use_one()
+                self.assertEqual(3, self.pool.idle_count("u"))
+                await self.use_one(may_reuse=False)
+                self.assertEqual(2, self.pool.idle_count("u"))
+                connection.close()
+
+        self.play(scenario)
+
+    def test_a_new_connection_without_an_answer_says_nothing_about_others(self):
+        async def scenario():
+            await self.leave_idle(2)
+            self.now_seconds = 11.0
+            async with self.pool.borrow("u", "u:1", may_reuse=False) as connection:
+                await connection.send("GET", "/", [(b"host", b"u")], b"")
+                self.pool.note_silent(connection)
+                await self.use_one(may_reuse=False)
+                self.assertEqual(3, self.pool.idle_count("u"))
+                connection.close()
+
+        self.play(scenario)
