Test the bound on links that are replaced at the same time

A relay's links may all fall silent at once. The test of a link that answers in time holds new connections back until it has, since either could answer first.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -50,7 +50,7 @@
 from rampwick_router.control._lease_manager import LeaseManager
 from rampwick_router.control._rollout_controller import RolloutController
 from rampwick_router.control._target_sources import WatchedTargetSource
-from rampwick_router.peers._links import Link, PeerLinks
+from rampwick_router.peers._links import MAX_REPLACEMENTS_COUNT, Link, PeerLinks
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -426,15 +426,49 @@
             old = one.links[0]
             for _ in range(3):
                 proxy.conditions.is_stalled_from_target = True
+                proxy.conditions.holds_new = True
                 await self.step(clock, one, two, count=4)
+                await until(lambda: len(one._diallers) == 2)
                 proxy.conditions.is_stalled_from_target = False
                 await until(lambda: clock.is_now(old))
+                await until(lambda: len(one._diallers) == 1)
+                proxy.conditions.holds_new = False
                 await self.step(clock, one, two, count=2)
             await until(lambda: len(two._links) == 1)
             self.assertEqual([old], one._links)
 
         self.play(scenario)
 
+    def test_a_bounded_number_of_links_is_replaced_at_a_time(self):
+        """All links of a relay may fall silent at once."""
+        clock = Clock()
+        peers = [Member(f"p{number}", "h", f"p:{number}") for number in range(100)]
+
+        async def main():
+            links = self.make(clock, Member("a", "h", "a:1"), peers)
+            dialled = []
+
+            async def keep_dialing(dialler):
+                dialled.append(dialler)
+
+            links._keep_dialing = keep_dialing
+            links._links = [Link.open(peer, clock.now_seconds) for peer in peers]
+            for _ in range(6):
+                clock.now_seconds += self.STEP_SECONDS
+                links.check_links(clock.now_seconds)
+            async with anyio.create_task_group() as tasks:
+                links._reconcile(tasks)
+                links._reconcile(tasks)
+            self.assertEqual(MAX_REPLACEMENTS_COUNT, len(dialled))
+            # Those whose silent links are closed no longer count.
+            for dialler in dialled:
+                links._links.remove(dialler.replaced[0])
+            async with anyio.create_task_group() as tasks:
+                links._reconcile(tasks)
+            self.assertEqual(2 * MAX_REPLACEMENTS_COUNT, len(dialled))
+
+        anyio.run(main)
+
     def test_a_host_that_was_late_itself_replaces_nothing(self):
         async def scenario(clock, proxy, one, two):
             old = one.links[0]
