--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -52,6 +52,8 @@
 from rampwick_router.control._target_sources import WatchedTargetSource
 from rampwick_router.peers._links import MAX_REPLACEMENTS_COUNT, Link, PeerLinks
 from rampwick_schema import (
+    ConfirmReply,
+    ConfirmRequest,
     HostEntry,
     HostList,
     Members,
@@ -439,6 +441,25 @@
 
         self.play(scenario)
 
+    def test_a_peer_that_answers_questions_keeps_its_link(self):
+        """Hosts of an older release send keep-alives less often."""
+
+        async def scenario(clock, proxy, one, two):
+            old = one.links[0]
+
+            def answer(link, message):
+                if isinstance(message, ConfirmRequest):
+                    link.put(ConfirmReply(message.sequence, 1, 0.0, 1, 0.0, []))
+
+            two.on_message = answer
+            for _ in range(20):
+                await self.step(clock, one)
+                await until(lambda: old.state is LinkState.SOUND)
+            self.assertEqual([old], one._links)
+            self.assertEqual(1, len(one._diallers))
+
+        self.play(scenario)
+
     def test_a_bounded_number_of_links_is_replaced_at_a_time(self):
         """All links of a relay may fall silent at once."""
         clock = Clock()
