Send no faster to peers than the own link has room for

What callers saw: while a host on a link of 5 Mbit/s took over as the relay of its hall, it reached no upstream in time, suspected all of them, and its callers waited or were refused (docs/incidents/answers-cut-on-suspicion.md).

Nothing bounded what a host sends.

Change: a token bucket of 0.4 of the own link (SendBudget) and a queue by kind and peer (PacedQueue), both pure. Urgent messages go at once and are charged; a quarter of the share is kept for the others. Sums are states: one that still waits is not repeated, hosts get a heartbeat of 40 bytes instead, and after a surge it is replaced in its turn. Cache events and records of streams are differences and wait, in parts of 400; where they wait, later changes replace them. Differences that a slow peer didn't accept were dropped and are kept now. Sums and long messages to one peer are compressed (message 25, only to hosts that decode it).

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -20,6 +20,7 @@
     BegunStream as BegunStream,
     BegunStreams as BegunStreams,
     Outbox as Outbox,
+    split_update as split_update,
     stream_key as stream_key,
 )
 from ._burst_detector import BurstDetector as BurstDetector
@@ -114,6 +115,11 @@
     count_outdated as count_outdated,
     plan_orders as plan_orders,
 )
+from ._paced_queue import (
+    MessageKind as MessageKind,
+    PacedQueue as PacedQueue,
+    QueuedMessage as QueuedMessage,
+)
 from ._pause_costs import (
     PauseStrategy as PauseStrategy,
     PredictedPauses as PredictedPauses,
@@ -167,10 +173,12 @@
 )
 from ._routes import RouteIndex as RouteIndex, choose_service as choose_service
 from ._scheduler import Scheduler as Scheduler
+from ._send_budget import SendBudget as SendBudget
 from ._shares import DecayedUsage as DecayedUsage, UsageLedger as UsageLedger
 from ._shutdown_announcements import ShutdownAnnouncements as ShutdownAnnouncements
 from ._state_changes import StateChange as StateChange
 from ._summary_aggregator import (
+    MAX_PLACED as MAX_PLACED,
     SummaryAggregator as SummaryAggregator,
     subtract_summary as subtract_summary,
     sum_limits as sum_limits,
--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -8,7 +8,7 @@
 
 import hashlib
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -39,6 +39,10 @@
 MAX_STREAMS_COUNT = 50_000
 MAX_UPDATE_COUNT = 5_000
 
+#: Maximum number of streams in one part of an update, so that none of them takes a slow
+#: link for long.
+MAX_PART_COUNT = 400
+
 #: Time after a stream's deadline for which it is remembered: callers' clocks differ.
 RETENTION_SECONDS = 2.0
 
@@ -101,7 +105,6 @@
         #: recipients get them from the relay that sent them here.
         self.to_all = Outbox(history)
         self.to_group = Outbox(history)
-        self.to_all.read_initial_state = self.initial_state
         #: Streams received lately while another host was the relay.
         self._unforwarded: deque[tuple[float, bytes, bool]] = deque()
         self._cached_state: tuple[float, BegunStreamsUpdate] | None = None
@@ -238,9 +241,6 @@
         self._sent: deque[tuple[float, bytes, BegunStream]] = deque()
         #: Called when there is an update to broadcast.
         self.on_update: Callable[[], None] = _do_nothing
-        #: Returns the state for a newly connected peer.
-        self.read_initial_state: Callable[[float], BegunStreamsUpdate | None]
-        self.read_initial_state = _no_state
 
     def put(self, key: bytes, stream: BegunStream, now_seconds: float) -> None:
         """Add a stream to the next update."""
@@ -251,9 +251,11 @@
     def take_update(self, now_seconds: float) -> BegunStreamsUpdate | None:
         """Return the streams that have not been sent yet, if any."""
         self._forget_sent(now_seconds)
+        self._drop_expired(now_seconds)
         if not self._pending:
             return None
-        keys = list(self._pending)[:MAX_UPDATE_COUNT]
+        # The newest ones are useful for longest, should there be too many.
+        keys = list(self._pending)[-MAX_UPDATE_COUNT:]
         taken = {key: self._pending.pop(key) for key in keys}
         if self._pending:
             self.on_update()
@@ -267,14 +269,24 @@
         return _to_update(streams, now_seconds) if streams else None
 
     def initial_state(self, now_seconds: float) -> BegunStreamsUpdate | None:
-        """Return the state that a newly connected peer needs, if any."""
-        return self.read_initial_state(now_seconds)
+        """Return nothing: a newly connected peer needs all streams, not the latest."""
+        return None
 
     def batch_seconds(self) -> float:
         """Return the time over which streams are collected for one update."""
         is_mixed = self._history.is_mixed
         return URGENT_BATCH_SECONDS if is_mixed else RELAXED_BATCH_SECONDS
 
+    def _drop_expired(self, now_seconds: float) -> None:
+        """Drop streams that nobody can take up any more."""
+        expired = [
+            key
+            for key, stream in self._pending.items()
+            if stream.expires_at_seconds < now_seconds
+        ]
+        for key in expired:
+            del self._pending[key]
+
     def _forget_sent(self, now_seconds: float) -> None:
         oldest_seconds = now_seconds - RETRANSMIT_SECONDS
         while self._sent and self._sent[0][0] < oldest_seconds:
@@ -330,9 +342,28 @@
     )
 
 
-def _do_nothing() -> None:
-    return
+def split_update(update: BegunStreamsUpdate) -> Iterator[BegunStreamsUpdate]:
+    """Yield the versions of an update, then its streams in parts of limited size.
+
+    The versions outweigh missing records: a host that knows several versions of a
+    service refuses streams without a record.
+    """
+    yield attrs.evolve(update, groups=[])
+    groups: list[StreamGroup] = []
+    free_bytes = MAX_PART_COUNT * RECORD_BYTES
+    for group in update.groups:
+        start = 0
+        while start < len(group.records):
+            records = group.records[start : start + free_bytes]
+            groups.append(attrs.evolve(group, records=records))
+            start += len(records)
+            free_bytes -= len(records)
+            if free_bytes <= 0:
+                yield BegunStreamsUpdate(groups)
+                groups, free_bytes = [], MAX_PART_COUNT * RECORD_BYTES
+    if groups:
+        yield BegunStreamsUpdate(groups)
 
 
-def _no_state(now_seconds: float) -> None:
+def _do_nothing() -> None:
     return
--- a/packages/rampwick-policy/src/rampwick_policy/_cache_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_cache_events.py
@@ -5,6 +5,7 @@
 can map an event to their key of the part.
 """
 
+import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -18,6 +19,9 @@
 
 _KEY = b"cache events of "
 
+#: Maximum number of entries that wait to be sent, some 10 MB.
+MAX_ENTRIES_COUNT = 100_000
+
 
 @attrs.frozen(repr=False)
 class SaltContext(ReprMixin):
@@ -65,37 +69,85 @@
     #: Cached tokens by generation label and prefix.
     tokens: dict[str, dict[bytes, int]] = attrs.field(factory=dict)
 
+    @property
+    def count(self) -> int:
+        """The number of entries."""
+        return sum(map(len, self.tokens.values()))
+
+    def reset(self) -> None:
+        """Drop all entries, and tell receivers to do the same."""
+        self.is_reset = True
+        self.tokens.clear()
+
+    def take(self, upstream: str, max_count: int | None) -> CacheReported:
+        """Remove and return at most ``max_count`` entries."""
+        changes = []
+        for label, known in list(self.tokens.items()):
+            if max_count == 0:
+                break
+            if max_count is None or len(known) <= max_count:
+                part = self.tokens.pop(label)
+            else:
+                part = dict(itertools.islice(known.items(), max_count))
+                for prefix in part:
+                    del known[prefix]
+            if max_count is not None:
+                max_count -= len(part)
+            changes.append(CacheChanges(label, tuple(part), tuple(part.values())))
+        is_reset, self.is_reset = self.is_reset, False
+        return CacheReported(upstream, tuple(changes), is_reset)
+
 
 @attrs.define(repr=False)
 class CacheEventBuffer(ReprMixin):
     """Batches cache events; only the latest change of each entry is sent."""
 
     _by_upstream: dict[str, _PendingChanges] = attrs.field(factory=dict)
+    _entries_count: int = 0
 
     def add(self, event: CacheReported) -> None:
         """Add the changes of one cache."""
         pending = self._by_upstream.setdefault(event.upstream, _PendingChanges())
+        self._entries_count -= pending.count
         if event.is_reset:
-            pending.is_reset = True
-            pending.tokens.clear()
+            pending.reset()
         for change in event.changes:
             known = pending.tokens.setdefault(change.label, {})
             known.update(zip(change.prefixes, change.tokens, strict=False))
-
-    def take(self) -> list[CacheReported]:
-        """Return the batched changes by cache, and clear them."""
-        pending, self._by_upstream = self._by_upstream, {}
-        return [
-            CacheReported(
-                upstream,
-                tuple(
-                    CacheChanges(label, tuple(known), tuple(known.values()))
-                    for label, known in item.tokens.items()
-                ),
-                item.is_reset,
-            )
-            for upstream, item in pending.items()
-        ]
+        self._entries_count += pending.count
+        if self._entries_count > MAX_ENTRIES_COUNT:
+            self._reset_longest()
+
+    def _reset_longest(self) -> None:
+        """Replace the changes of the cache with the most of them by a reset.
+
+        Receivers then know less of that cache, but nothing that is wrong.
+        """
+        longest = max(self._by_upstream.values(), key=lambda pending: pending.count)
+        self._entries_count -= longest.count
+        longest.reset()
+
+    def __bool__(self) -> bool:
+        return bool(self._by_upstream)
+
+    def take(self, max_count: int | None = None) -> list[CacheReported]:
+        """Remove and return batched changes by cache, the oldest caches first.
+
+        ``max_count`` limits the number of entries; the others stay.
+        """
+        taken: list[CacheReported] = []
+        while self._by_upstream and (max_count is None or max_count > 0):
+            upstream, pending = next(iter(self._by_upstream.items()))
+            self._entries_count -= pending.count
+            event = pending.take(upstream, max_count)
+            self._entries_count += pending.count
+            if not pending.tokens:
+                del self._by_upstream[upstream]
+            if max_count is not None:
+                # A change without entries counts too, so that the loop is bounded.
+                max_count -= max(1, sum(len(item.prefixes) for item in event.changes))
+            taken.append(event)
+        return taken
 
 
 def is_cache_reader(own: Member, upstream: str, hall: str, peers: LivePeers) -> bool:
--- a/packages/rampwick-policy/src/rampwick_policy/_summary_aggregator.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_summary_aggregator.py
@@ -36,10 +36,24 @@
         self._placed += summary.placed
         del self._placed[:-MAX_PLACED]
 
-    def merge(self, summaries: Iterable[Summary], sequence: int) -> Summary:
-        """Return the sum of the summaries of the hosts of a hall."""
+    def restore(self, placed: Iterable[PlacedPrefix]) -> None:
+        """Add placements of a sum again that did not reach all its recipients."""
+        self._placed[:0] = placed
+        del self._placed[:-MAX_PLACED]
+
+    def merge(
+        self,
+        summaries: Iterable[Summary],
+        sequence: int,
+        max_placed: int = MAX_PLACED,
+    ) -> Summary:
+        """Return the sum of the summaries of the hosts of a hall.
+
+        It has at most ``max_placed`` placements, the newest ones; the others wait.
+        """
         host_summaries = list(summaries)
-        placed, self._placed = self._placed, []
+        placed = self._placed[-max_placed:]
+        del self._placed[-max_placed:]
         version = _newest_version(host_summaries)
         return Summary(
             sequence=sequence,
--- a/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
@@ -10,17 +10,28 @@
 
 import anyio
 
-from rampwick_policy import CacheEventBuffer, CacheReported, Member, MemberTable
+from rampwick_policy import (
+    CacheEventBuffer,
+    CacheReported,
+    Member,
+    MemberTable,
+    MessageKind,
+)
 from rampwick_schema import CacheEventUpdate
 
 from .._scheduler_task import SchedulerTask
 from ._links import Link, PeerLinks
 from ._messages import cache_events, to_cache_event_update
+from ._paced_sender import PacedSender
 
 #: Batching interval for events. It is well below the validity period of placements,
 #: which hosts exchange immediately.
 BATCH_SECONDS = 0.4
 
+#: Maximum number of entries of a message, so that none of them takes a slow link for
+#: long. The others wait where later changes replace them.
+MAX_ENTRIES_COUNT = 400
+
 
 class CacheOutbox:
     """Batches cache events and sends them to the hosts that need them."""
@@ -31,11 +42,13 @@
         links: PeerLinks,
         scheduler: SchedulerTask,
         list_live: Callable[[], set[str]],
+        sender: PacedSender,
     ) -> None:
         self._table = table
         self._links = links
         self._scheduler = scheduler
         self._list_live = list_live
+        self._sender = sender
         #: Events read by hosts of this hall.
         self._from_own_hall = CacheEventBuffer()
         #: Events received from other halls.
@@ -56,8 +69,15 @@
         contents = self._scheduler.run_query(
             lambda scheduler, now_seconds: scheduler.pool.caches.contents(names)
         )
-        if contents:
-            link.put(to_cache_event_update(contents))
+        parts = CacheEventBuffer()
+        for event in contents:
+            parts.add(event)
+        while parts:
+            self._sender.put_difference(
+                MessageKind.CACHE_EVENTS,
+                link,
+                to_cache_event_update(parts.take(MAX_ENTRIES_COUNT)),
+            )
 
     async def run(self) -> None:
         """Send batches until cancelled."""
@@ -87,13 +107,23 @@
                 self._has_update.set()
 
     def _flush(self) -> None:
-        own_hall, other_halls = (
-            self._from_own_hall.take(),
-            self._from_other_halls.take(),
-        )
-        if not own_hall and not other_halls:
-            return
+        """Send events until the link has no room for more; the rest waits here."""
         live = self._list_live()
+        while self._sender.is_sent(MessageKind.CACHE_EVENTS):
+            own_hall = self._from_own_hall.take(MAX_ENTRIES_COUNT)
+            other_halls = self._from_other_halls.take(MAX_ENTRIES_COUNT)
+            if not own_hall and not other_halls:
+                return
+            self._send_batch(own_hall, other_halls, live)
+        if self._from_own_hall or self._from_other_halls:
+            self._has_update.set()
+
+    def _send_batch(
+        self,
+        own_hall: list[CacheReported],
+        other_halls: list[CacheReported],
+        live: set[str],
+    ) -> None:
         if self._table.is_relay(live):
             self._send(own_hall, lambda peer: not self._table.is_in_group(peer.hall))
             self._send([*own_hall, *other_halls], self._is_in_own_group)
@@ -119,7 +149,9 @@
         self, events: list[CacheReported], is_recipient: Callable[[Member], bool]
     ) -> None:
         if events:
-            self._links.broadcast(to_cache_event_update(events), is_recipient)
+            self._sender.broadcast_difference(
+                MessageKind.CACHE_EVENTS, to_cache_event_update(events), is_recipient
+            )
 
 
 def _is_named(name: str) -> Callable[[Member], bool]:
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -54,7 +54,9 @@
     to_member,
     to_record,
 )
+from ._paced_sender import PacedSender
 from ._roles import Roles
+from ._stream_records import StreamRecordSender
 from ._summaries import SummaryPublisher
 from ._sync import PeerSync
 from ._tunnel_server import TunnelServer, TunnelsView
@@ -117,6 +119,10 @@
             read_clock,
         )
         self._member_updates = MemberUpdates(self._links)
+        self._sender = PacedSender(
+            self._links, own.link_megabits_per_second, read_clock
+        )
+        self._links.on_urgent = self._sender.note_urgent
         self._links.on_message = self._handle_message
         self._links.on_opened = self._on_link_opened
         self._links.on_unreachable = self._on_unreachable
@@ -132,6 +138,7 @@
             self._links,
             self.roles,
             self._sync,
+            self._sender,
             read_clock,
         )
         self.urgent_updates = UrgentUpdates(
@@ -140,7 +147,7 @@
             self._links,
             self.roles,
             read_clock,
-            scheduler.begun_streams,
+            self._make_record_sender(),
         )
         self.tunnels = TunnelClient(
             own,
@@ -161,7 +168,11 @@
         #: Message counters by class. Each is looked up only once.
         self._received = _Counters(metrics)
         self.cache_outbox = CacheOutbox(
-            self.table, self._links, scheduler, lambda: self.roles.live_names
+            self.table,
+            self._links,
+            scheduler,
+            lambda: self.roles.live_names,
+            self._sender,
         )
         #: Whether the fleet was large, and whether this host was a relay candidate,
         #: when the role was last checked.
@@ -177,6 +188,7 @@
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._links.run, listener)
+            tasks.start_soon(self._sender.run)
             tasks.start_soon(self._member_updates.run)
             tasks.start_soon(self.cache_outbox.run)
             tasks.start_soon(self.freshness.run)
@@ -184,6 +196,12 @@
             tasks.start_soon(self.urgent_updates.run)
             await self._publish_summaries()
 
+    def _make_record_sender(self) -> StreamRecordSender | None:
+        streams = self._scheduler.begun_streams
+        if streams is None:
+            return None
+        return StreamRecordSender(streams, self._sender, self.roles)
+
     def describe_tunnels(self) -> TunnelsView:
         """Return the tunnels of this host, for operators."""
         return TunnelsView(
@@ -220,8 +238,7 @@
         known = [to_record(member) for member in self.table]
         link.put(Members(known))
         self.cache_outbox.send_initial_state(link)
-        for message in self.urgent_updates.initial_states(self._read_clock()):
-            link.put(message)
+        self.urgent_updates.send_initial_states(link)
         if self._rollout_controller.is_holder:
             # Without this, a newly started host sent prompts to a runner that was about
             # to load, until the next rollout broadcast half a second later.
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -19,9 +19,11 @@
 from rampwick_policy import Member
 from rampwick_schema import (
     MESSAGES_VERSION,
+    Compressed,
     Members,
     PeerSettings,
     ReprMixin,
+    compress_message,
     encode_message,
 )
 
@@ -48,6 +50,9 @@
 #: Sent on a link that has nothing else to send.
 KEEP_ALIVE = Members([])
 
+#: Size from which a message to one peer is compressed.
+MIN_COMPRESSED_BYTES = 2_048
+
 #: Listen backlog. A whole fleet dials its seeds at the same time, and a connection that
 #: does not fit in the backlog is only retried after seconds.
 BACKLOG_COUNT = 1024
@@ -62,6 +67,10 @@
     return False
 
 
+def _ignore_size(size_bytes: int) -> None:
+    return
+
+
 @attrs.define(eq=False, repr=False)
 class Link(ReprMixin):
     """A link to an authenticated peer."""
@@ -76,6 +85,9 @@
     messages_version: int = MESSAGES_VERSION
     #: Cancelled to close the link.
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    #: Called with the size of each message that was sent regardless of this host's
+    #: send budget.
+    on_urgent: Callable[[int], None] = _ignore_size
     _was_unresponsive: bool = False
 
     @classmethod
@@ -115,7 +127,10 @@
         """Send a message, or drop it if the peer is too slow or doesn't know it."""
         if not self.accepts(message):
             return
-        self.put_encoded(encode_message(message))
+        data = encode_message(message)
+        if len(data) >= MIN_COMPRESSED_BYTES and self.accepts(Compressed):
+            data = compress_message(data)
+        self.put_encoded(data)
 
     def put_encoded(self, data: bytes) -> None:
         """Send a message that was encoded once for several peers.
@@ -123,7 +138,12 @@
         A message that is dropped for a slow peer is superseded by a later message of
         the same kind.
         """
-        self._send(data)
+        if self._send(data):
+            self.on_urgent(len(data))
+
+    def put_paced(self, data: bytes) -> bool:
+        """Send a message that waited for the budget; return whether it was sent."""
+        return self._send(data)
 
 
 class PeerLinks:
@@ -157,6 +177,8 @@
         self.serve_tunnel: Callable[[PeerStream, Member], Awaitable[None]] = _refuse
         #: Called with the name of a wanted member that could not be reached.
         self.on_unreachable: Callable[[str], None] = _ignore_name
+        #: Called with the size of each message that was sent regardless of the budget.
+        self.on_urgent: Callable[[int], None] = _ignore_size
 
     @property
     def links(self) -> list[Link]:
@@ -169,17 +191,27 @@
 
     def broadcast(self, message: Any, is_recipient: Callable[[Member], bool]) -> None:
         """Send a message to all connected peers that ``is_recipient`` selects."""
-        links = [
-            link
-            for link in self.links
-            if link.accepts(message) and is_recipient(link.peer)
-        ]
+        links = self.recipients(message, is_recipient)
         if not links:
             return
         data = encode_message(message)
         for link in links:
             link.put_encoded(data)
 
+    def recipients(
+        self, message: Any, is_recipient: Callable[[Member], bool]
+    ) -> list[Link]:
+        """Return the links of selected peers that decode a message."""
+        return [
+            link
+            for link in self.links
+            if link.accepts(message) and is_recipient(link.peer)
+        ]
+
+    def is_open(self, link: Link) -> bool:
+        """Return whether a link has not been closed."""
+        return link in self._links
+
     async def run(self, listener: socket.socket) -> None:
         """Accept and dial until cancelled."""
         async with AsyncExitStack() as stack:
@@ -295,6 +327,7 @@
             link = Link.open(
                 peer, self._read_clock(), stream.put, stream.messages_version
             )
+            link.on_urgent = self.on_urgent
             self._links.append(link)
             # Any received bytes count as activity, not only whole messages: a long
             # message takes seconds over a slow link.
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/peers/_paced_sender.py
@@ -0,0 +1,98 @@
+"""Messages to peers that are sent no faster than this host's link has room for."""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from rampwick_policy import Member, MessageKind, PacedQueue, SendBudget
+from rampwick_schema import Compressed, compress_message, encode_message
+
+from ._links import Link, PeerLinks
+
+#: Shortest time between two looks at the queue, so that messages of a slow link share
+#: iterations of the event loop.
+MIN_WAIT_SECONDS = 0.01
+
+
+class PacedSender:
+    """Sends what may wait, while other messages use links directly and go first."""
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        link_megabits_per_second: float,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._links = links
+        self._read_clock = read_clock
+        self._queue: PacedQueue[Link] = PacedQueue(SendBudget(link_megabits_per_second))
+        self._has_messages = anyio.Event()
+
+    def note_urgent(self, size_bytes: int) -> None:
+        """Record a message that was sent directly."""
+        self._queue.budget.spend_urgent(size_bytes, self._read_clock())
+
+    def broadcast_state(
+        self, kind: MessageKind, message: Any, is_recipient: Callable[[Member], bool]
+    ) -> None:
+        """Send a message that supersedes the last one of its kind."""
+        links = self._links.recipients(message, is_recipient)
+        if not links:
+            return
+        data = encode_message(message)
+        compressed = compress_message(data)
+        for link in links:
+            is_compressed = link.accepts(Compressed)
+            self._queue.put_state(
+                kind, link, compressed if is_compressed else data, self._read_clock()
+            )
+        self.send_waiting()
+
+    def broadcast_difference(
+        self, kind: MessageKind, message: Any, is_recipient: Callable[[Member], bool]
+    ) -> None:
+        """Send a message that no later one supersedes."""
+        links = self._links.recipients(message, is_recipient)
+        if links:
+            data = encode_message(message)
+            for link in links:
+                self._queue.put_difference(kind, link, data, self._read_clock())
+            self.send_waiting()
+
+    def put_difference(self, kind: MessageKind, link: Link, message: Any) -> None:
+        """Send a message that no later one supersedes to one peer."""
+        if link.accepts(message):
+            data = encode_message(message)
+            self._queue.put_difference(kind, link, data, self._read_clock())
+            self.send_waiting()
+
+    def is_sent(self, kind: MessageKind) -> bool:
+        """Return whether no message of a kind waits, but for slow peers."""
+        return self._queue.is_sent(kind)
+
+    async def run(self) -> None:
+        """Send what waits until cancelled."""
+        while True:
+            self.send_waiting()
+            wait_seconds = self._queue.wait_seconds(self._read_clock())
+            if math.isinf(wait_seconds):
+                self._has_messages = anyio.Event()
+                await self._has_messages.wait()
+            else:
+                await anyio.sleep(max(MIN_WAIT_SECONDS, wait_seconds))
+
+    def send_waiting(self) -> None:
+        """Send what may be sent now."""
+        now_seconds = self._read_clock()
+        while (message := self._queue.take(now_seconds)) is not None:
+            link = message.peer
+            if link.put_paced(message.data):
+                continue
+            if not self._links.is_open(link):
+                self._queue.remove(link)
+            elif message.kind.is_difference:
+                self._queue.return_blocked(message, now_seconds)
+        if not math.isinf(self._queue.wait_seconds(now_seconds)):
+            self._has_messages.set()
--- a/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
@@ -11,19 +11,26 @@
 import attrs
 
 from rampwick_policy import (
+    MAX_PLACED,
     BurstDetector,
     ConfigurationFollower,
+    MessageKind,
     SummaryAggregator,
     sum_limits,
     without_limits,
 )
-from rampwick_schema import Beat, FleetSummary, HallSummary, Summary
+from rampwick_schema import Beat, FleetSummary, HallSummary, PlacedPrefix, Summary
 
 from .._scheduler_task import SchedulerTask
 from ._links import PeerLinks
+from ._paced_sender import PacedSender
 from ._roles import Roles
 from ._sync import PeerSync
 
+#: Maximum number of placements in an aggregate while the link is too slow for one at
+#: each interval. They would be most of its size.
+MAX_PLACED_WHILE_BEHIND = 64
+
 #: Time without a summary after which another hall no longer counts as alive or as using
 #: shared limits: about two and a half publication intervals of its relay. Hosts that
 #: are cut off must fall back to their own share of a limit before both sides of a
@@ -41,6 +48,7 @@
         links: PeerLinks,
         roles: Roles,
         sync: PeerSync,
+        sender: PacedSender,
         read_clock: Callable[[], float],
     ) -> None:
         self._scheduler = scheduler
@@ -48,10 +56,16 @@
         self._links = links
         self._roles = roles
         self._sync = sync
+        self._sender = sender
         self._read_clock = read_clock
         #: Aggregates of this hall, for other halls, and of the fleet, for this hall.
         self._hall_aggregator = SummaryAggregator()
         self._fleet_aggregator = SummaryAggregator()
+        #: Whether an aggregate was left out because the last one was still being sent.
+        self._is_fleet_behind = False
+        #: Placements in the last aggregate of each kind.
+        self._fleet_placed: list[PlacedPrefix] = []
+        self._hall_placed: list[PlacedPrefix] = []
         self._burst_detector = BurstDetector()
         self._own: Summary | None = None
         self._sequence = 0
@@ -91,8 +105,18 @@
         self._links.broadcast(summary, self._roles.is_recipient)
         self.add_host(summary)
 
-    def publish_fleet(self) -> None:
-        """Send the hosts of this hall the aggregate of the whole fleet."""
+    def publish_fleet(self, *, has_surged: bool = False) -> None:
+        """Send the hosts of this hall the aggregate of the whole fleet.
+
+        While the last one is still being sent, a new one replaces it only after a
+        surge. Otherwise the hosts get a heartbeat.
+        """
+        if not self._sender.is_sent(MessageKind.FLEET_SUMMARY):
+            self._is_fleet_behind = True
+            if not has_surged:
+                self._send_heartbeats()
+                return
+            self._fleet_aggregator.restore(self._fleet_placed)
         own = self._roles.table.own
         now_seconds = self._read_clock()
         views = self._scheduler.peer_views(now_seconds)
@@ -103,9 +127,12 @@
             else view.summary
             for view in views
         ]
+        max_placed = MAX_PLACED_WHILE_BEHIND if self._is_fleet_behind else MAX_PLACED
+        self._is_fleet_behind = False
         summary = self._fleet_aggregator.merge(
-            self._with_own(summaries), self._sequence
+            self._with_own(summaries), self._sequence, max_placed
         )
+        self._fleet_placed = summary.placed
         message = FleetSummary(
             own.incarnation,
             self._sync.with_own_versions(summary),
@@ -124,20 +151,56 @@
             self._scheduler.targets(),
             self._scheduler.named_weights(),
         )
-        self._links.broadcast(message, self._roles.is_in_own_group)
+        self._sender.broadcast_state(
+            MessageKind.FLEET_SUMMARY, message, self._roles.is_in_own_group
+        )
+
+    def _send_heartbeats(self) -> None:
+        """Tell the hosts of this hall that their relay is alive."""
+        if self._own is None:
+            return
+        heartbeat = attrs.evolve(
+            self._own,
+            workspaces=[],
+            upstreams=[],
+            placed=[],
+            down=[],
+            waiting=[],
+            limits=[],
+            prefill_demand=[],
+            queued=[],
+        )
+        # Other relays of the hall need the rows and get them from publish_own().
+        self._links.broadcast(
+            heartbeat,
+            lambda peer: (
+                self._roles.is_in_own_group(peer) and not self._roles.is_recipient(peer)
+            ),
+        )
 
     def is_hall_burst(self) -> bool:
         """Return whether demand in this hall is far above the last published value."""
         return self._burst_detector.has_grown(sum_limits(self._hall_summaries()))
 
     def publish_hall(self, *, has_surged: bool = False) -> None:
-        """Send other halls the aggregate of this hall."""
+        """Send other halls the aggregate of this hall.
+
+        While the last one is still being sent, a new one replaces it only after a
+        surge.
+        """
+        if not self._sender.is_sent(MessageKind.HALL_SUMMARY):
+            if not has_surged:
+                return
+            self._hall_aggregator.restore(self._hall_placed)
         own = self._roles.table.own
         summary = self._hall_aggregator.merge(self._hall_summaries(), self._sequence)
+        self._hall_placed = summary.placed
         self._burst_detector.note_published(summary.limits)
         summary = attrs.evolve(summary, has_surged=has_surged)
         message = HallSummary(own.hall, own.name, own.incarnation, summary)
-        self._links.broadcast(message, self._roles.is_in_other_group)
+        self._sender.broadcast_state(
+            MessageKind.HALL_SUMMARY, message, self._roles.is_in_other_group
+        )
 
     def _hall_summaries(self) -> list[Summary]:
         views = self._scheduler.peer_views(self._read_clock())
--- a/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
@@ -6,11 +6,10 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Protocol
+from typing import Any, Protocol
 
 import anyio
 
-from rampwick_policy import BegunStreams
 from rampwick_schema import (
     BegunStreamsUpdate,
     CrashUpdate,
@@ -18,8 +17,9 @@
     RateLimitUpdate,
 )
 
-from ._links import PeerLinks
+from ._links import Link, PeerLinks
 from ._roles import Roles
+from ._stream_records import StreamRecordSender
 from ._summaries import SummaryPublisher
 
 #: Minimum time between two updates about long prompts: one round trip plus the time in
@@ -45,6 +45,10 @@
     return UPDATE_BATCH_SECONDS
 
 
+def _always() -> bool:
+    return True
+
+
 class UpdateSource(Protocol):
     """Source of updates that all hosts must receive."""
 
@@ -71,25 +75,29 @@
         links: PeerLinks,
         roles: Roles,
         read_clock: Callable[[], float],
-        streams: BegunStreams | None = None,
+        records: StreamRecordSender | None = None,
     ) -> None:
-        """``streams`` is the source for the streams that this host begins, if any."""
+        """``records`` sends the records of begun streams, if there are any."""
         self._summaries = summaries
         self._links = links
+        self._read_clock = read_clock
+        self._records = records
         self._roles = roles
         self._has_load = anyio.Event()
         self._has_burst = anyio.Event()
         self._broadcasters = [
             UpdateBroadcaster(source, self._broadcast, read_clock) for source in sources
         ]
-        if streams is not None:
-            outboxes = (
-                (streams.to_all, self._broadcast),
-                (streams.to_group, self._broadcast_to_group),
-            )
+        if records is not None:
             self._broadcasters += [
-                UpdateBroadcaster(outbox, broadcast, read_clock, outbox.batch_seconds)
-                for outbox, broadcast in outboxes
+                UpdateBroadcaster(
+                    outbox,
+                    broadcast,
+                    read_clock,
+                    outbox.batch_seconds,
+                    records.is_ready,
+                )
+                for outbox, broadcast in records.outboxes()
             ]
         #: Whether there is a burst to broadcast from this hall, and from another hall.
         self._is_own_burst = False
@@ -151,17 +159,19 @@
             return
         is_own = is_own and self._summaries.is_hall_burst()
         if is_own or is_remote:
-            self._summaries.publish_fleet()
+            self._summaries.publish_fleet(has_surged=True)
         if is_own:
             self._summaries.publish_hall(has_surged=True)
 
-    def initial_states(self, now_seconds: float) -> list[Update]:
-        """Return the updates that a newly connected host needs."""
-        states = [item.source.initial_state(now_seconds) for item in self._broadcasters]
-        return [state for state in states if state is not None]
-
-    def _broadcast_to_group(self, update: Update) -> None:
-        self._links.broadcast(update, self._roles.is_in_own_group)
+    def send_initial_states(self, link: Link) -> None:
+        """Send the updates that a newly connected host needs."""
+        now_seconds = self._read_clock()
+        for broadcaster in self._broadcasters:
+            state = broadcaster.source.initial_state(now_seconds)
+            if state is not None:
+                link.put(state)
+        if self._records is not None:
+            self._records.send_initial_state(link, now_seconds)
 
     def _broadcast(self, update: Update) -> None:
         is_relay = self._roles.is_relay()
@@ -176,10 +186,13 @@
     def __init__(
         self,
         source: UpdateSource,
-        broadcast: Callable[[Update], None],
+        broadcast: Callable[[Any], None],
         read_clock: Callable[[], float],
         read_batch_seconds: Callable[[], float] = _default_batch,
+        is_ready: Callable[[], bool] = _always,
     ) -> None:
+        """While ``is_ready`` returns false, updates stay in the source."""
+        self._is_ready = is_ready
         self.source = source
         self._read_batch_seconds = read_batch_seconds
         self._broadcast = broadcast
@@ -196,6 +209,8 @@
         while True:
             await self._has_update.wait()
             await anyio.sleep(self._read_batch_seconds())
+            while not self._is_ready():
+                await anyio.sleep(self._read_batch_seconds())
             self._has_update = anyio.Event()
             update = self.source.take_update(self._read_clock())
             while update is not None:
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -17,6 +17,7 @@
     ChangesReply as ChangesReply,
     ChangesRequest as ChangesRequest,
     ClearedRequest as ClearedRequest,
+    Compressed as Compressed,
     ConfirmReply as ConfirmReply,
     ConfirmRequest as ConfirmRequest,
     CrashUpdate as CrashUpdate,
@@ -110,6 +111,7 @@
     MESSAGES_VERSION as MESSAGES_VERSION,
     PROTOCOL_VERSION as PROTOCOL_VERSION,
     UNANNOUNCED_MESSAGES_VERSION as UNANNOUNCED_MESSAGES_VERSION,
+    compress_message as compress_message,
     decode_message as decode_message,
     encode_message as encode_message,
 )
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_peer.py
@@ -693,6 +693,16 @@
     known_seconds: float = attrs.field(default=0.0, validator=within(0.0, 1000000000.0))
 
 
+@attrs.frozen(repr=False)
+class Compressed(ReprMixin):
+    """Another message in compressed form, for links that are slow compared with its size."""
+
+    CODE: ClassVar[int] = 25
+
+    #: The other message without its length, compressed in the zlib format.
+    data: bytes
+
+
 #: Classes by the code that starts their message.
 MESSAGES: dict[int, type] = {
     Hello.CODE: Hello,
@@ -719,4 +729,5 @@
     TunnelData.CODE: TunnelData,
     TunnelEnd.CODE: TunnelEnd,
     BegunStreamsUpdate.CODE: BegunStreamsUpdate,
+    Compressed.CODE: Compressed,
 }
--- a/packages/rampwick-schema/src/rampwick_schema/_wire.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_wire.py
@@ -4,13 +4,14 @@
 Decoding raises only MessageError, whatever the input.
 """
 
+import zlib
 from typing import Any
 
 import msgpack
 
 from ._convert import structure_row, unstructure_row
 from ._errors import DataError, MessageError
-from ._generated_peer import MESSAGES
+from ._generated_peer import MESSAGES, Compressed
 
 #: Size of the length prefix of each message, which is in network byte order.
 LENGTH_BYTES = 4
@@ -25,6 +26,12 @@
 #: Version that hosts decode which announce none.
 UNANNOUNCED_MESSAGES_VERSION = 23
 
+#: Fast, and almost as small as the best level.
+COMPRESSION_LEVEL = 1
+
+#: Maximum size of a message after decompression.
+MAX_DECOMPRESSED_BYTES = 1_048_576
+
 STEP = "decode message"
 
 
@@ -34,8 +41,41 @@
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
+def compress_message(data: bytes) -> bytes:
+    """Return an encoded message in compressed form, or unchanged if that is smaller."""
+    body = data[LENGTH_BYTES:]
+    if len(body) > MAX_DECOMPRESSED_BYTES:
+        return data
+    compressed = encode_message(Compressed(zlib.compress(body, COMPRESSION_LEVEL)))
+    return min(compressed, data, key=len)
+
+
 def decode_message(body: bytes, *, peer: str = "") -> Any:
-    """Return the message in ``body``, which excludes the length prefix."""
+    """Return the message in ``body``, which excludes the length prefix.
+
+    A compressed message is returned as the message that it contains.
+    """
+    message = _decode(body, peer)
+    if not isinstance(message, Compressed):
+        return message
+    message = _decode(_decompress(message.data, peer), peer)
+    if isinstance(message, Compressed):
+        raise MessageError("compressed twice", step=STEP, peer=peer)
+    return message
+
+
+def _decompress(data: bytes, peer: str) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise MessageError(str(error), step=STEP, peer=peer) from None
+    if not decompressor.eof or decompressor.unused_data:
+        raise MessageError("not a whole compressed message", step=STEP, peer=peer)
+    return body
+
+
+def _decode(body: bytes, peer: str) -> Any:
     try:
         data = msgpack.unpackb(body, max_map_len=100_000, strict_map_key=True)
     except (ValueError, msgpack.UnpackException, RecursionError) as error:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -35,3 +35,21 @@
 
     async def list_objects(self, prefix, after_key=""):
         return Listing(self.store.version, self.store.list_items(prefix, after_key))
+
+
+class ImmediateSender:
+    """Fake sender of a host whose link has room for everything."""
+
+    def __init__(self, links=None):
+        self.links = links
+
+    def broadcast_state(self, kind, message, is_recipient):
+        self.links.broadcast(message, is_recipient)
+
+    broadcast_difference = broadcast_state
+
+    def put_difference(self, kind, link, message):
+        link.put(message)
+
+    def is_sent(self, kind):
+        return True
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -1,11 +1,15 @@
 """What hosts know of the software versions at which streams began."""
 
+import attrs
 from testtools import TestCase
 
-from rampwick_policy import BegunStream, BegunStreams, stream_key
+from rampwick_policy import BegunStream, BegunStreams, split_update, stream_key
 from rampwick_policy._begun_streams import (
     KEY_BYTES,
+    MAX_PART_COUNT,
     MAX_STREAMS_COUNT,
+    MAX_UPDATE_COUNT,
+    RECORD_BYTES,
     UNKNOWN_VERSION,
 )
 from rampwick_policy._version_history import (
@@ -28,6 +32,10 @@
     return BegunStream("notes", version, instance, number, until)
 
 
+def records_count(update):
+    return sum(len(group.records) for group in update.groups) // RECORD_BYTES
+
+
 class Listed:
     """An upstream as the history sees it."""
 
@@ -173,6 +181,47 @@
         self.assertEqual("v1", self.version(peer, now=111.0))
         self.assertEqual(10.0, peer_history.known_seconds(111.0))
 
+    def test_parts_of_an_update_are_equivalent_to_the_whole(self):
+        own = BegunStreams(VersionHistory())
+        for number in range(3 * MAX_PART_COUNT):
+            key = number.to_bytes(KEY_BYTES, "big")
+            own.note_begun(key, make(f"v{number % 2}", until=20.0 + number % 5), 1.0)
+        state = attrs.evolve(
+            own.initial_state(1.0),
+            listed=[ListedVersion("notes", "v1", 1.0)],
+            known_seconds=5.0,
+        )
+        versions, *parts = split_update(state)
+        self.assertEqual(
+            ([], state.listed, 5.0), attrs.astuple(versions, recurse=False)
+        )
+        for part in parts:
+            self.assertTrue(0 < records_count(part) <= MAX_PART_COUNT)
+        whole, joined = BegunStreams(VersionHistory()), BegunStreams(VersionHistory())
+        whole.receive_update(state, 2.0, must_forward=False)
+        for part in (versions, *parts):
+            joined.receive_update(part, 2.0, must_forward=False)
+        self.assertEqual(3 * MAX_PART_COUNT, len(joined))
+        self.assertEqual(whole._streams, joined._streams)
+
+    def test_streams_that_have_expired_are_not_sent(self):
+        for number in range(4):
+            key = number.to_bytes(KEY_BYTES, "big")
+            self.own.note_begun(key, make(until=5.0 + number), 1.0)
+        update = self.own.to_all.take_update(6.5)
+        self.assertEqual(2, records_count(update))
+        self.assertIs(None, self.own.to_all.take_update(6.5))
+
+    def test_the_newest_streams_are_sent_first(self):
+        for number in range(MAX_UPDATE_COUNT + 10):
+            key = number.to_bytes(KEY_BYTES, "big")
+            self.own.note_begun(key, make(), 1.0)
+        self.send()
+        self.assertIs(None, self.peer.find((9).to_bytes(KEY_BYTES, "big"), 1.0))
+        self.assertEqual(MAX_UPDATE_COUNT, len(self.peer))
+        self.send()
+        self.assertEqual(MAX_UPDATE_COUNT + 10, len(self.peer))
+
 
 class VersionHistoryTest(TestCase):
     def history(self, *listed, since=0.0, now=20.0):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,7 @@
 """Tests of connections between hosts: encoding, handshake and malformed input."""
 
+import zlib
+
 import anyio
 import msgpack
 from hypothesis import given, settings, strategies as st
@@ -14,7 +16,9 @@
     PROTOCOL_VERSION,
     Change,
     ChangesReply,
+    Compressed,
     Hello,
+    MemberRecord,
     Members,
     MessageError,
     Node,
@@ -28,10 +32,12 @@
     WaitingCount,
     WeightsTarget,
     WorkspaceUsage,
+    compress_message,
     decode_message,
     encode_message,
     parse_settings,
 )
+from rampwick_schema._wire import MAX_DECOMPRESSED_BYTES
 
 from .bench import SECRET, until
 from .case import ScenarioCase
@@ -62,6 +68,8 @@
     ),
 )
 
+MEMBER = MemberRecord("front-1", "hall", "10.0.0.1:7000", 5, 10.0)
+
 
 class WireTest(TestCase):
     @settings(derandomize=True, deadline=None)
@@ -91,6 +99,29 @@
         except MessageError:
             return
 
+    @given(SUMMARIES)
+    def test_compressed_messages_decode_to_what_was_compressed(self, summary):
+        many = Members([MEMBER] * 40)
+        for message in (summary, many):
+            data = compress_message(encode_message(message))
+            self.assertEqual(message, decode_message(data[LENGTH_BYTES:]))
+        self.assertTrue(len(data) < len(encode_message(many)) / 4)
+
+    def test_invalid_compressed_messages_raise_message_error(self):
+        whole = zlib.compress(encode_message(Members([MEMBER]))[LENGTH_BYTES:])
+        nested = encode_message(Compressed(whole))[LENGTH_BYTES:]
+        bomb = bytes(4 * MAX_DECOMPRESSED_BYTES)
+        for data in (
+            b"",
+            b"x",
+            whole[:-1],
+            whole + b"x",
+            zlib.compress(nested),
+            zlib.compress(bomb),
+        ):
+            message = encode_message(Compressed(data))[LENGTH_BYTES:]
+            self.assertRaises(MessageError, decode_message, message)
+
     def test_unknown_trailing_fields_are_ignored(self):
         body = msgpack.packb([2, b"digest", "unknown field"])
         self.assertEqual(b"digest", decode_message(body).digest)
