Count a restarted host as reachable again

Where the two fast hosts of a hall are restarted one after the other, both are skipped and the next in rank takes over, which is a slow one.

Change: a record with a newer incarnation ends the mark. A repeated or older record, or one that changes nothing but the address, doesn't.

Tests: test_a_host_that_has_restarted_is_not_skipped failed before. Also a test that peers of message version 24 get plain messages.

--- a/packages/rampwick-policy/src/rampwick_policy/_roles.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_roles.py
@@ -89,6 +89,9 @@
                 continue
             if known is not None and member.incarnation < known.incarnation:
                 continue
+            if known is not None and 0 < known.incarnation < member.incarnation:
+                # What was unreachable was the process before this one.
+                self._unreachable_until.pop(member.name, None)
             self._members[member.name] = member
             changed.append(member)
         if changed:
--- a/tests/test_paced_sending.py
+++ b/tests/test_paced_sending.py
@@ -1,10 +1,12 @@
 """What a relay sends to its peers fits its link, and nothing urgent waits for it."""
 
+import functools
+
 import anyio
 from measure.relay_takeover import FLEETS, Takeover
 from testtools import TestCase
 
-from rampwick_policy import MessageKind, PacedQueue, SendBudget
+from rampwick_policy import Member, MessageKind, PacedQueue, SendBudget
 from rampwick_policy._paced_queue import BLOCKED_SECONDS
 from rampwick_policy._relay_listener import HOST_ALIVE_SECONDS, RELAY_TIMEOUT_SECONDS
 from rampwick_policy._send_budget import (
@@ -12,6 +14,18 @@
     RESERVED_SHARE,
     SAVED_SECONDS,
 )
+from rampwick_router._metrics import Metrics
+from rampwick_router.peers._links import Link, PeerLinks
+from rampwick_router.peers._paced_sender import PacedSender
+from rampwick_schema import (
+    LENGTH_BYTES,
+    MESSAGES_VERSION,
+    MemberRecord,
+    Members,
+    decode_message,
+    encode_message,
+    parse_settings,
+)
 
 FLEET, HALL = MessageKind.FLEET_SUMMARY, MessageKind.HALL_SUMMARY
 STREAMS, CACHES = MessageKind.BEGUN_STREAMS, MessageKind.CACHE_EVENTS
@@ -170,6 +184,36 @@
         self.assertEqual(float("inf"), queue.wait_seconds(1.0))
 
 
+class CompressionTest(TestCase):
+    def test_only_hosts_that_decode_it_get_a_compressed_sum(self):
+        async def scenario():
+            sent = {}
+            links = PeerLinks(
+                Member("a", "h", "a:1"),
+                parse_settings('[host]\nname = "a"\nhall = "h"\n', source="t").peers,
+                Metrics(),
+                list,
+                list,
+                lambda: 1.0,
+            )
+            for name, version in (("new", MESSAGES_VERSION), ("old", 24)):
+                send = functools.partial(sent.__setitem__, name)
+                peer = Member(name, "h", f"{name}:1")
+                links._links.append(Link.open(peer, 1.0, send, version))
+            sender = PacedSender(links, 10.0, lambda: 1.0)
+            record = MemberRecord("front-1", "hall", "10.0.0.1:7000", 5, 10.0)
+            message = Members([record] * 100)
+            sender.broadcast_state(FLEET, message, lambda peer: True)
+            for link in links.links:
+                link.put(message)
+            return message, sent
+
+        message, sent = anyio.run(scenario)
+        self.assertEqual(encode_message(message), sent["old"])
+        self.assertTrue(len(sent["new"]) < len(sent["old"]) / 4)
+        self.assertEqual(message, decode_message(sent["new"][LENGTH_BYTES:]))
+
+
 class TakeoverTest(TestCase):
     """A host on a slow link becomes the relay of a hall of 17."""
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -131,6 +131,25 @@
         for table in successors:
             self.assertEqual(1 + 2 * 3, len(table.wanted_links(0.0)))
 
+    def test_a_host_that_has_restarted_is_not_skipped(self):
+        """Otherwise a host on a slow link relays while both fast ones are restarted."""
+        table = table_of(self.members[5], self.members)
+        first, second = table.relays("hall-0", 10.0)
+        table.note_unreachable(first.name, 10.0)
+        table.merge([attrs.evolve(first, incarnation=first.incarnation + 1)])
+        table.note_unreachable(second.name, 11.0)
+        names = [member.name for member in table.relays("hall-0", 11.0)]
+        self.assertEqual(first.name, names[0])
+        self.assertNotIn(second.name, names)
+
+    def test_an_old_record_of_an_unreachable_host_does_not_make_it_reachable(self):
+        table = table_of(self.members[5], self.members)
+        first = table.relays("hall-0", 10.0)[0]
+        table.note_unreachable(first.name, 10.0)
+        table.merge([first, attrs.evolve(first, incarnation=0)])
+        table.merge([attrs.evolve(first, address="10.9.9.9:1")])
+        self.assertTrue(table.is_marked_unreachable(first.name, 10.0))
+
     def test_an_unreachable_candidate_is_skipped_for_a_while(self):
         table = next(item for item in self.tables() if item.is_relay(self.live))
         other = next(
