Don't forward between two relays of one hall

Cause: hosts that are late differ on which of them is the relay of their hall. A relay forwarded whatever came from its hall to all its peers, so two of them sent each message back and forth, and to everybody else, for as long as they differed. The load kept them late.

Ruled out: long callbacks of the router's own; what a link holds back (the messages are of less than 1 KB).

Change: a host that sent a fleet summary in the last 1.25 s acts as a relay; no other host of its hall forwards what comes from it. Orders of the rollout controller are forwarded in its hall only as they come from it, which holds before the first sum, too.

--- a/packages/rampwick-policy/src/rampwick_policy/_relay_listener.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_relay_listener.py
@@ -14,6 +14,9 @@
 #: Time without messages after which a relay is skipped: four of its intervals.
 RELAY_TIMEOUT_SECONDS = 1.0
 
+#: Time for which a host counts as an acting relay after a fleet summary.
+ACTING_RELAY_SECONDS = 1.25
+
 #: Time for which a host is considered alive after a relay has listed it.
 HOST_ALIVE_SECONDS = 3.0
 
@@ -47,6 +50,8 @@
         self._active_relay = ""
         self._relayed_at_seconds = -math.inf
         self._last_seen: dict[str, float] = {}
+        #: Times at which hosts of the hall last sent a fleet summary.
+        self._summed_at: dict[str, float] = {}
         self._monitored_relay: tuple[str, float] = ("", 0.0)
         self._beats: dict[str, tuple[Beat, float]] = {}
         self._halls: frozenset[str] = frozenset()
@@ -60,6 +65,14 @@
         """Record that a message from a host of the hall arrived."""
         self._last_seen[name] = now_seconds
 
+    def is_acting_relay(self, name: str, now_seconds: float) -> bool:
+        """Return whether a host of the hall acts as its relay.
+
+        There may be several for a while, this host among them.
+        """
+        since_seconds = now_seconds - self._summed_at.get(name, -math.inf)
+        return since_seconds <= ACTING_RELAY_SECONDS
+
     def is_relay_unresponsive(
         self, relays: Sequence[Member], now_seconds: float
     ) -> bool:
@@ -83,6 +96,7 @@
     ) -> FleetReport | None:
         """Process a relay's message; ``None`` if another relay is active."""
         self.note_message(relay, now_seconds)
+        self._summed_at[relay] = now_seconds
         is_first = bool(relays) and relays[0].name == relay
         is_other = relay != self._active_relay and not is_first
         since_seconds = now_seconds - self._relayed_at_seconds
--- a/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
@@ -56,6 +56,8 @@
         self._has_update = anyio.Event()
         #: Returns the names of the caches that this host reads.
         self.list_read_caches: Callable[[], set[str]] = set
+        #: Returns whether a peer forwards the events that it sends itself.
+        self.is_acting_relay: Callable[[Link], bool] = _is_no_relay
 
     def send_initial_state(self, link: Link) -> None:
         """Send a newly connected peer the contents of the caches read here.
@@ -97,12 +99,14 @@
 
     def receive(self, link: Link, message: CacheEventUpdate) -> None:
         """Apply events received from a peer; a relay also forwards them."""
-        is_relay = self._table.is_relay(self._list_live())
+        must_forward = self._table.is_relay(
+            self._list_live()
+        ) and not self.is_acting_relay(link)
         is_own_hall = self._table.is_in_group(link.peer.hall)
         buffer = self._from_own_hall if is_own_hall else self._from_other_halls
         for event in cache_events(message):
             self._scheduler.post(event)
-            if is_relay:
+            if must_forward:
                 buffer.add(event)
                 self._has_update.set()
 
@@ -154,5 +158,9 @@
             )
 
 
+def _is_no_relay(link: Link) -> bool:
+    return False
+
+
 def _is_named(name: str) -> Callable[[Member], bool]:
     return lambda peer: peer.name == name
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -44,6 +44,7 @@
 from ..control import ConfigurationTask, HostListTask, RolloutController
 from ._cache_outbox import CacheOutbox
 from ._directory import PeerDirectory
+from ._forwarding import Forwarder
 from ._freshness import FreshnessPoller
 from ._links import Link, PeerLinks
 from ._member_updates import MemberUpdates
@@ -123,6 +124,7 @@
             self._links, own.link_megabits_per_second, read_clock
         )
         self._links.on_urgent = self._sender.note_urgent
+        self._forwarder = Forwarder(self._links, self.roles, read_clock)
         self._links.on_message = self._handle_message
         self._links.on_opened = self._on_link_opened
         self._links.on_unreachable = self._on_unreachable
@@ -174,6 +176,7 @@
             lambda: self.roles.live_names,
             self._sender,
         )
+        self.cache_outbox.is_acting_relay = self._forwarder.is_acting_relay
         #: Whether the fleet was large, and whether this host was a relay candidate,
         #: when the role was last checked.
         self._last_role = (False, False)
@@ -298,17 +301,17 @@
             self._handle_rollout_update(link, message)
         elif isinstance(message, CrashUpdate):
             self._scheduler.post(CrashUpdateReceived(message))
-            self._relay(link, message)
+            self._forwarder.forward(link, message)
         elif isinstance(message, RateLimitUpdate):
             self._scheduler.post(RateLimitUpdateReceived(message))
-            self._relay(link, message)
+            self._forwarder.forward(link, message)
         elif isinstance(message, LeavingUpdate):
             self._scheduler.post(LeavingUpdateReceived(message))
-            self._relay(link, message)
+            self._forwarder.forward(link, message)
         elif isinstance(message, BegunStreamsUpdate):
             self._scheduler.receive_begun_streams(
                 message,
-                must_forward=self.roles.is_relay(),
+                must_forward=self._forwarder.must_forward(link),
                 is_from_group=self.table.is_in_group(link.peer.hall),
             )
         elif isinstance(message, CacheEventUpdate):
@@ -392,20 +395,7 @@
         )
         for event in rollout_events(update, now_seconds):
             self._scheduler.post(event)
-        self._relay(link, update)
-
-    def _relay(self, link: Link, message: Any) -> None:
-        """Forward a message to the other peers, if this host is a relay."""
-        if not self.roles.is_relay():
-            return
-        is_own = self.table.is_in_group(link.peer.hall)
-        self._links.broadcast(
-            message,
-            lambda peer: (
-                peer.name != link.peer.name
-                and (is_own or self.roles.is_in_own_group(peer))
-            ),
-        )
+        self._forwarder.forward_rollout(link, update)
 
     # Outgoing messages.
 
