--- a/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_cache_outbox.py
@@ -10,17 +10,28 @@
 
 import anyio
 
-from rampwick_policy import CacheEventBuffer, CacheReported, Member, MemberTable
+from rampwick_policy import (
+    CacheEventBuffer,
+    CacheReported,
+    Member,
+    MemberTable,
+    MessageKind,
+)
 from rampwick_schema import CacheEventUpdate
 
 from .._scheduler_task import SchedulerTask
 from ._links import Link, PeerLinks
 from ._messages import cache_events, to_cache_event_update
+from ._paced_sender import PacedSender
 
 #: Batching interval for events. It is well below the validity period of placements,
 #: which hosts exchange immediately.
 BATCH_SECONDS = 0.4
 
+#: Maximum number of entries of a message, so that none of them takes a slow link for
+#: long. The others wait where later changes replace them.
+MAX_ENTRIES_COUNT = 400
+
 
 class CacheOutbox:
     """Batches cache events and sends them to the hosts that need them."""
@@ -31,11 +42,13 @@
         links: PeerLinks,
         scheduler: SchedulerTask,
         list_live: Callable[[], set[str]],
+        sender: PacedSender,
     ) -> None:
         self._table = table
         self._links = links
         self._scheduler = scheduler
         self._list_live = list_live
+        self._sender = sender
         #: Events read by hosts of this hall.
         self._from_own_hall = CacheEventBuffer()
         #: Events received from other halls.
@@ -43,6 +56,8 @@
         self._has_update = anyio.Event()
         #: Returns the names of the caches that this host reads.
         self.list_read_caches: Callable[[], set[str]] = set
+        #: Returns whether a peer forwards the events that it sends itself.
+        self.is_acting_relay: Callable[[Link], bool] = _is_no_relay
 
     def send_initial_state(self, link: Link) -> None:
         """Send a newly connected peer the contents of the caches read here.
@@ -56,8 +71,15 @@
         contents = self._scheduler.run_query(
             lambda scheduler, now_seconds: scheduler.pool.caches.contents(names)
         )
-        if contents:
-            link.put(to_cache_event_update(contents))
+        parts = CacheEventBuffer()
+        for event in contents:
+            parts.add(event)
+        while parts:
+            self._sender.put_difference(
+                MessageKind.CACHE_EVENTS,
+                link,
+                to_cache_event_update(parts.take(MAX_ENTRIES_COUNT)),
+            )
 
     async def run(self) -> None:
         """Send batches until cancelled."""
@@ -77,23 +99,35 @@
 
     def receive(self, link: Link, message: CacheEventUpdate) -> None:
         """Apply events received from a peer; a relay also forwards them."""
-        is_relay = self._table.is_relay(self._list_live())
+        must_forward = self._table.is_relay(
+            self._list_live()
+        ) and not self.is_acting_relay(link)
         is_own_hall = self._table.is_in_group(link.peer.hall)
         buffer = self._from_own_hall if is_own_hall else self._from_other_halls
         for event in cache_events(message):
             self._scheduler.post(event)
-            if is_relay:
+            if must_forward:
                 buffer.add(event)
                 self._has_update.set()
 
     def _flush(self) -> None:
-        own_hall, other_halls = (
-            self._from_own_hall.take(),
-            self._from_other_halls.take(),
-        )
-        if not own_hall and not other_halls:
-            return
+        """Send events until the link has no room for more; the rest waits here."""
         live = self._list_live()
+        while self._sender.is_sent(MessageKind.CACHE_EVENTS):
+            own_hall = self._from_own_hall.take(MAX_ENTRIES_COUNT)
+            other_halls = self._from_other_halls.take(MAX_ENTRIES_COUNT)
+            if not own_hall and not other_halls:
+                return
+            self._send_batch(own_hall, other_halls, live)
+        if self._from_own_hall or self._from_other_halls:
+            self._has_update.set()
+
+    def _send_batch(
+        self,
+        own_hall: list[CacheReported],
+        other_halls: list[CacheReported],
+        live: set[str],
+    ) -> None:
         if self._table.is_relay(live):
             self._send(own_hall, lambda peer: not self._table.is_in_group(peer.hall))
             self._send([*own_hall, *other_halls], self._is_in_own_group)
@@ -119,7 +153,13 @@
         self, events: list[CacheReported], is_recipient: Callable[[Member], bool]
     ) -> None:
         if events:
-            self._links.broadcast(to_cache_event_update(events), is_recipient)
+            self._sender.broadcast_difference(
+                MessageKind.CACHE_EVENTS, to_cache_event_update(events), is_recipient
+            )
+
+
+def _is_no_relay(link: Link) -> bool:
+    return False
 
 
 def _is_named(name: str) -> Callable[[Member], bool]:
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -19,10 +19,12 @@
 from rampwick_policy import LinkMonitor, LinkState, Member
 from rampwick_schema import (
     MESSAGES_VERSION,
+    Compressed,
     ConfirmRequest,
     Members,
     PeerSettings,
     ReprMixin,
+    compress_message,
     encode_message,
 )
 
@@ -56,6 +58,9 @@
 #: Maximum number of silent links for which replacements are dialled at the same time.
 MAX_REPLACEMENTS_COUNT = 32
 
+#: Size from which a message to one peer is compressed.
+MIN_COMPRESSED_BYTES = 2_048
+
 #: Listen backlog. A whole fleet dials its seeds at the same time, and a connection that
 #: does not fit in the backlog is only retried after seconds.
 BACKLOG_COUNT = 1024
@@ -70,6 +75,10 @@
     return False
 
 
+def _ignore_size(size_bytes: int) -> None:
+    return
+
+
 @attrs.define(eq=False, repr=False)
 class Link(ReprMixin):
     """A link to an authenticated peer."""
@@ -92,6 +101,9 @@
     #: another one to the peer is sound. Either is closed at the next check.
     is_replaced: bool = False
     is_spare: bool = False
+    #: Called with the size of each message that was sent regardless of this host's
+    #: send budget.
+    on_urgent: Callable[[int], None] = _ignore_size
     _was_unresponsive: bool = False
 
     @classmethod
@@ -133,7 +145,10 @@
         """Send a message, or drop it if the peer is too slow or doesn't know it."""
         if not self.accepts(message):
             return
-        self.put_encoded(encode_message(message))
+        data = encode_message(message)
+        if len(data) >= MIN_COMPRESSED_BYTES and self.accepts(Compressed):
+            data = compress_message(data)
+        self.put_encoded(data)
 
     def put_encoded(self, data: bytes) -> None:
         """Send a message that was encoded once for several peers.
@@ -141,7 +156,12 @@
         A message that is dropped for a slow peer is superseded by a later message of
         the same kind.
         """
-        self._send(data)
+        if self._send(data):
+            self.on_urgent(len(data))
+
+    def put_paced(self, data: bytes) -> bool:
+        """Send a message that waited for the budget; return whether it was sent."""
+        return self._send(data)
 
 
 @attrs.define(eq=False, repr=False)
@@ -196,6 +216,8 @@
         self.serve_tunnel: Callable[[PeerStream, Member], Awaitable[None]] = _refuse
         #: Called with the name of a wanted member that could not be reached.
         self.on_unreachable: Callable[[str], None] = _ignore_name
+        #: Called with the size of each message that was sent regardless of the budget.
+        self.on_urgent: Callable[[int], None] = _ignore_size
 
     @property
     def links(self) -> list[Link]:
@@ -221,17 +243,27 @@
 
     def broadcast(self, message: Any, is_recipient: Callable[[Member], bool]) -> None:
         """Send a message to all connected peers that ``is_recipient`` selects."""
-        links = [
-            link
-            for link in self.links
-            if link.accepts(message) and is_recipient(link.peer)
-        ]
+        links = self.recipients(message, is_recipient)
         if not links:
             return
         data = encode_message(message)
         for link in links:
             link.put_encoded(data)
 
+    def recipients(
+        self, message: Any, is_recipient: Callable[[Member], bool]
+    ) -> list[Link]:
+        """Return the links of selected peers that decode a message."""
+        return [
+            link
+            for link in self.links
+            if link.accepts(message) and is_recipient(link.peer)
+        ]
+
+    def is_open(self, link: Link) -> bool:
+        """Return whether a link has not been closed."""
+        return link in self._links
+
     async def run(self, listener: socket.socket) -> None:
         """Accept and dial until cancelled."""
         async with AsyncExitStack() as stack:
@@ -422,6 +454,7 @@
             link = Link.open(
                 peer, self._read_clock(), stream.put, stream.messages_version
             )
+            link.on_urgent = self.on_urgent
             self._links.append(link)
             if dialler is not None:
                 dialler.is_connected = True
