Send small messages of accepted connections at once

The event loop sets TCP_NODELAY on sockets that it connects; accepted ones of a listener without a protocol number, as socket.create_server makes them, have none. Ruled out: a blocked loop, the batching interval.

Listeners now have the option, and accepted connections inherit it. Callers' connections were made from a descriptor, which sets the number, and had the option already.

--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -32,9 +32,15 @@
 
 
 def bind(address: str) -> socket.socket:
-    """Return a listener on an address of the form ip:port."""
+    """Return a listener on an address of the form ip:port.
+
+    Accepted connections inherit that small messages are sent at once, rather than with
+    the acknowledgement of the one before. The event loop sets this option on sockets
+    that it connects, but not on accepted ones of a listener without a protocol number.
+    """
     host, _, port = address.rpartition(":")
     listener = socket.create_server((host, int(port)), backlog=BACKLOG_COUNT)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     listener.setblocking(False)
     return listener
 
