--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -144,12 +144,13 @@
             read_clock,
         )
         self.urgent_updates = UrgentUpdates(
-            (scheduler.quarantine, scheduler.rates, scheduler.shutdown_announcements),
+            (scheduler.rates, scheduler.shutdown_announcements),
             self.summaries,
             self._links,
             self.roles,
             read_clock,
             self._make_record_sender(),
+            scheduler.quarantine,
         )
         self.tunnels = TunnelClient(
             own,
--- a/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from rampwick_policy import RequestQuarantine
 from rampwick_schema import (
     BegunStreamsUpdate,
     CrashUpdate,
@@ -76,8 +77,13 @@
         roles: Roles,
         read_clock: Callable[[], float],
         records: StreamRecordSender | None = None,
+        quarantine: RequestQuarantine | None = None,
     ) -> None:
-        """``records`` sends the records of begun streams, if there are any."""
+        """Send the updates of ``sources``.
+
+        ``records`` sends the records of begun streams, if there are any, and
+        ``quarantine`` is the source for crashes; both set their batching intervals.
+        """
         self._summaries = summaries
         self._links = links
         self._read_clock = read_clock
@@ -99,6 +105,12 @@
                 )
                 for outbox, broadcast in records.outboxes()
             ]
+        if quarantine is not None:
+            self._broadcasters.append(
+                UpdateBroadcaster(
+                    quarantine, self._broadcast, read_clock, quarantine.batch_seconds
+                )
+            )
         #: Whether there is a burst to broadcast from this hall, and from another hall.
         self._is_own_burst = False
         self._is_remote_burst = False
