Limit what waits for a peer that accepts nothing

Since differences are kept for a slow peer, one whose link stays open took memory without bound.

Tests: test_what_waits_for_a_slow_peer_is_limited.

--- a/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
@@ -127,8 +127,16 @@
         lane.waiting.setdefault(message.peer, deque()).appendleft(message.data)
         self._blocked_until[message.peer] = now_seconds + BLOCKED_SECONDS
 
+    def waiting_bytes(self, peer: PeerT) -> int:
+        """Return the size of all messages that wait for a peer."""
+        return sum(
+            len(data)
+            for lane in self._lanes.values()
+            for data in lane.waiting.get(peer, ())
+        )
+
     def remove(self, peer: PeerT) -> None:
-        """Drop what waits for a peer whose link has closed."""
+        """Drop what waits for a peer whose link has closed, or that is too slow."""
         for lane in self._lanes.values():
             lane.waiting.pop(peer, None)
         self._blocked_until.pop(peer, None)
--- a/packages/rampwick-router/src/rampwick_router/peers/_paced_sender.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_paced_sender.py
@@ -9,8 +9,14 @@
 from rampwick_policy import Member, MessageKind, PacedQueue, SendBudget
 from rampwick_schema import Compressed, compress_message, encode_message
 
+from .._logs import ComponentLogger
 from ._links import Link, PeerLinks
 
+#: Maximum size of the messages that wait for a peer that is too slow to accept any.
+MAX_WAITING_BYTES = 524_288
+
+log = ComponentLogger("peers")
+
 #: Shortest time between two looks at the queue, so that messages of a slow link share
 #: iterations of the event loop.
 MIN_WAIT_SECONDS = 0.01
@@ -94,5 +100,17 @@
                 self._queue.remove(link)
             elif message.kind.is_difference:
                 self._queue.return_blocked(message, now_seconds)
+                self._check_slow(link)
         if not math.isinf(self._queue.wait_seconds(now_seconds)):
             self._has_messages.set()
+
+    def _check_slow(self, link: Link) -> None:
+        """Drop what waits for a peer that is too slow for too long."""
+        waiting_bytes = self._queue.waiting_bytes(link)
+        if waiting_bytes > MAX_WAITING_BYTES:
+            log.problem(
+                "dropping updates for slow peer",
+                peer=link.peer.name,
+                waiting_bytes=waiting_bytes,
+            )
+            self._queue.remove(link)
--- a/tests/test_paced_sending.py
+++ b/tests/test_paced_sending.py
@@ -16,7 +16,7 @@
 )
 from rampwick_router._metrics import Metrics
 from rampwick_router.peers._links import Link, PeerLinks
-from rampwick_router.peers._paced_sender import PacedSender
+from rampwick_router.peers._paced_sender import MAX_WAITING_BYTES, PacedSender
 from rampwick_schema import (
     LENGTH_BYTES,
     MESSAGES_VERSION,
@@ -34,6 +34,15 @@
 BYTES_PER_SECOND = 200_000.0
 
 
+RECORD = MemberRecord("front-1", "hall", "10.0.0.1:7000", 5, 10.0)
+
+
+def make_links():
+    settings = parse_settings('[host]\nname = "a"\nhall = "h"\n', source="t")
+    own = Member("a", "h", "a:1")
+    return PeerLinks(own, settings.peers, Metrics(), list, list, lambda: 1.0)
+
+
 def make_queue():
     return PacedQueue(SendBudget(4.0))
 
@@ -184,25 +193,53 @@
         self.assertEqual(float("inf"), queue.wait_seconds(1.0))
 
 
+class SlowLinkTest(TestCase):
+    """A peer that accepts nothing delays no other and takes limited memory."""
+
+    def send(self, count):
+        async def scenario():
+            received = []
+            links = make_links()
+            slow = Member("slow", "h", "slow:1")
+            link = Link.open(slow, 1.0, lambda data: self.accepts)
+            other = Link.open(
+                Member("other", "h", "other:1"),
+                1.0,
+                lambda data: received.append(data) or True,
+            )
+            links._links += [link, other]
+            sender = PacedSender(links, 1000.0, lambda: self.now_seconds)
+            for number in range(count):
+                self.now_seconds += 0.3
+                sender.broadcast_difference(
+                    CACHES, Members([RECORD] * 200), lambda peer: True
+                )
+                self.assertEqual(number + 1, len(received))
+            return sender._queue.waiting_bytes(link), len(received[0])
+
+        self.accepts, self.now_seconds = False, 1.0
+        return anyio.run(scenario)
+
+    def test_differences_wait_for_a_slow_peer(self):
+        waiting_bytes, size_bytes = self.send(5)
+        self.assertEqual(5 * size_bytes, waiting_bytes)
+
+    def test_what_waits_for_a_slow_peer_is_limited(self):
+        waiting_bytes, size_bytes = self.send(2 * MAX_WAITING_BYTES // 10_000)
+        self.assertTrue(waiting_bytes <= MAX_WAITING_BYTES + size_bytes)
+
+
 class CompressionTest(TestCase):
     def test_only_hosts_that_decode_it_get_a_compressed_sum(self):
         async def scenario():
             sent = {}
-            links = PeerLinks(
-                Member("a", "h", "a:1"),
-                parse_settings('[host]\nname = "a"\nhall = "h"\n', source="t").peers,
-                Metrics(),
-                list,
-                list,
-                lambda: 1.0,
-            )
+            links = make_links()
             for name, version in (("new", MESSAGES_VERSION), ("old", 24)):
                 send = functools.partial(sent.__setitem__, name)
                 peer = Member(name, "h", f"{name}:1")
                 links._links.append(Link.open(peer, 1.0, send, version))
             sender = PacedSender(links, 10.0, lambda: 1.0)
-            record = MemberRecord("front-1", "hall", "10.0.0.1:7000", 5, 10.0)
-            message = Members([record] * 100)
+            message = Members([RECORD] * 100)
             sender.broadcast_state(FLEET, message, lambda peer: True)
             for link in links.links:
                 link.put(message)
