Send an attempt after a silent one on a new connection

An attempt after one that may have run prefers a new connection, connections that are in doubt are lent only at the limit of connections, and a response that stalls in its body puts idle connections to its upstream in doubt, too.

--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -57,6 +57,7 @@
         check: AttemptCheck,
         *,
         is_resumed: bool,
+        prefers_new_connection: bool = False,
     ) -> None:
         self._context = context
         self._request = request
@@ -66,6 +67,9 @@
         self._check_write = check
         #: Whether the caller received part of a response that this attempt continues.
         self._is_resumed = is_resumed
+        #: Whether the connection that an earlier attempt used may be silent for good,
+        #: and the idle ones as well.
+        self._prefers_new_connection = prefers_new_connection
         self._connection: UpstreamConnection
         self._read_monitor: ReadMonitor
         #: Time for which the connection may stay idle after the response.
@@ -77,7 +81,10 @@
         dispatch = self.dispatch
         dialect = self._context.dialects.upstream
         async with self._context.connection_pool.borrow(
-            dispatch.upstream, dispatch.address, self._max_connections()
+            dispatch.upstream,
+            dispatch.address,
+            self._max_connections(),
+            prefers_new=self._prefers_new_connection,
         ) as self._connection:
             sent_at_seconds = self._context.read_clock()
             await self._send()
@@ -92,6 +99,9 @@
                 self._read_monitor = monitor
                 yield head
             if monitor.has_stalled:
+                self._context.connection_pool.note_stalled(
+                    self._connection, monitor.timeout_seconds
+                )
                 raise self.failed(Outcome.BROKEN, "the response stream is stalled")
         self.idle_timeout_seconds = self._connection.max_idle_seconds
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -138,6 +138,7 @@
             self._resume_after,
             check,
             is_resumed=self.responder.has_started,
+            prefers_new_connection=self.may_have_run,
         )
         with anyio.move_on_after(check.remaining_seconds):
             async with attempt.open() as head:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -291,9 +291,16 @@
         it may be the upstream that is silent.
         """
         if connection.requests_count > 1:
-            self._doubts[connection.peer] = _Doubt(
-                connection.lent_at_seconds, self._read_clock()
-            )
+            self._doubt(connection.peer, connection.lent_at_seconds)
+
+    def note_stalled(
+        self, connection: UpstreamConnection, silent_seconds: float
+    ) -> None:
+        """Record that a response has brought nothing for some seconds in its body."""
+        self._doubt(connection.peer, self._read_clock() - silent_seconds)
+
+    def _doubt(self, upstream: str, since_seconds: float) -> None:
+        self._doubts[upstream] = _Doubt(since_seconds, self._read_clock())
 
     def _note_answered(self, connection: UpstreamConnection) -> None:
         """Close connections that may be silent, if a new one has just answered."""
@@ -339,6 +346,7 @@
         path: UpstreamPath | None = None,
         *,
         may_reuse: bool = True,
+        prefers_new: bool = False,
         lane: str = "",
     ) -> AsyncIterator[UpstreamConnection]:
         """Lend a connection to an upstream, an idle one if available.
@@ -346,6 +354,8 @@
         ``reason`` states what the connection is for, for metrics on connection cost.
         ``path`` replaces the current path to the upstream. Without ``may_reuse`` the
         connection is a new one, which shows whether new ones can be opened.
+        With ``prefers_new`` it is an idle one only if no more may be opened, and so are
+        those that may be silent without it.
         Connections of one ``lane`` are not lent to another.
         Afterwards the connection returns to the pool if its response was complete.
         Otherwise it is closed, which also stops the upstream's work on the request.
@@ -356,7 +366,16 @@
         path = path or current_path
         # A kept connection of another path may have died in the meantime.
         may_reuse = may_reuse and path is current_path
-        connection = self._take_idle(connections, path) if may_reuse else None
+        connection = None
+        if may_reuse:
+            may_open = connections.open_count < max_count
+            doubt = self._doubts.get(upstream)
+            min_idle_since_seconds = -math.inf
+            if may_open and prefers_new:
+                min_idle_since_seconds = math.inf
+            elif may_open and doubt is not None:
+                min_idle_since_seconds = doubt.since_seconds
+            connection = self._take_idle(connections, path, min_idle_since_seconds)
         if connection is None:
             connection = await self._open(
                 connections, upstream, address, max_count, reason, path
@@ -377,10 +396,16 @@
                 connection.abort()
 
     def _take_idle(
-        self, connections: _UpstreamConnections, path: UpstreamPath
+        self,
+        connections: _UpstreamConnections,
+        path: UpstreamPath,
+        min_idle_since_seconds: float,
     ) -> UpstreamConnection | None:
         # Use the most recently used connection first, so that the others can expire.
-        while connections.idle:
+        while (
+            connections.idle
+            and connections.idle[-1].idle_since_seconds >= min_idle_since_seconds
+        ):
             connection = connections.idle.pop()
             is_usable = connection.may_stay_idle(self._read_clock())
             if is_usable and connection.path is path:
