--- a/packages/rampwick-router/src/rampwick_router/_caller_connections.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_connections.py
@@ -1,4 +1,4 @@
-"""The callers' connections of a server, and what each one holds when the server stops.
+"""The callers' connections of a server, and what each one holds when it is ended.
 
 A request is lost without a trace if its connection ends while its bytes wait in the
 kernel or in the server, or while a part of its response has not been taken.
@@ -95,14 +95,15 @@
         )
 
     def record_end(self, held: HeldBytes, *, cause: str) -> None:
-        """Log and count what a connection held as the stopping server ended it."""
-        if not held or not self.is_leaving():
+        """Log and count what a connection held as the server ended it."""
+        if not held:
             return
         for kind in held.kinds():
             self._ended_with.labels(kind).inc()
         log.problem(
-            "connection ended by the shutdown holding bytes",
+            "connection ended holding bytes",
             cause=cause,
+            is_leaving=self.is_leaving(),
             unread_count=held.unread_count,
             unparsed_count=held.unparsed_count,
             unsent_count=held.unsent_count,
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -90,7 +90,7 @@
             # A request was read as the rest ended. Its cancellation of this task is
             # lost if ``asyncio.wait_for`` has its result already.
             return
-        if self._is_stopping and not self.writer.is_closing():
+        if not self.writer.is_closing():
             # From here on nothing is read: a request that crosses the close must not
             # run, as its response could not be sent.
             self.writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -116,7 +116,7 @@
 
     async def _initiate_server_close(self) -> None:
         await self.protocol.handle(Closed())
-        if self._is_stopping and not self.writer.is_closing():
+        if not self.writer.is_closing():
             self.writer.write_eof()
             await self._wait_until_left()
             await self._linger()
@@ -131,13 +131,8 @@
         self._record_end("closed after a response", self._count_unread())
         await super()._close()
 
-    @property
-    def _is_stopping(self) -> bool:
-        connections = self._connections
-        return connections is not None and connections.is_leaving()
-
     def _record_end(self, cause: str, unread_count: int, unsent_count: int = 0) -> None:
-        """Record, once, what the close by a stopping server discards."""
+        """Record, once, what a close by the server discards."""
         connections = self._connections
         if connections is None or self._is_recorded or self.writer.is_closing():
             return
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -200,7 +200,7 @@
         )
         self.connections_ended = Counter(
             "rampwick_connections_ended_holding_bytes",
-            "Callers' connections that a shutdown ended with bytes unread, unparsed "
+            "Callers' connections that this host ended with bytes unread, unparsed "
             "or unsent.",
             ("kind",),
             registry=registry,
