Send the sum of a hall soon after it had to wait

A relay on a link of 5 Mbit/s told other halls of its hall each 1.18 s at the worst (relay_takeover, 69 hosts); they count a hall as cut off after 1.25 s.

Tests: test_a_sum_of_the_hall_that_was_left_out_is_due_at_the_next_interval.

--- a/measure/relay_takeover.py
+++ b/measure/relay_takeover.py
@@ -98,6 +98,8 @@
     #: one host of the hall received after its first aggregate.
     max_sum_gap_seconds: float
     max_silence_seconds: float
+    #: Longest time between two sums of the hall that a relay of another one received.
+    max_hall_gap_seconds: float
     #: Cache entries that still waited for that host at the end.
     unsent_entries_count: int
     #: Cache entries that this host received, and those that it sent to the host whose
@@ -178,6 +180,7 @@
         self._queued_bytes = self._max_queued_bytes = 0.0
         self._sums: dict[str, list[float]] = defaultdict(list)
         self._heard: dict[str, list[float]] = defaultdict(list)
+        self._hall_sums: dict[str, list[float]] = defaultdict(list)
         self._read_entries_count = self._told_entries_count = 0
 
     def _read_clock(self) -> float:
@@ -209,7 +212,7 @@
     def _publish(self, count: int) -> None:
         self._publisher.publish_own()
         self._publisher.publish_fleet()
-        if count % 2 == 0:
+        if count % 2 == 0 or self._publisher.is_hall_behind:
             self._publisher.publish_hall()
         for outbox, broadcast in self._records.outboxes():
             if not self._records.is_ready():
@@ -241,6 +244,8 @@
                 self._sums[peer.name].append(self.now_seconds)
             if kind in ("FleetSummary", "Summary"):
                 self._heard[peer.name].append(self.now_seconds)
+        if kind == "HallSummary":
+            self._hall_sums[peer.name].append(self.now_seconds)
         if kind == "CacheEventUpdate" and peer.name == self._standby:
             self._told_entries_count += _count_entries(message)
         return True
@@ -323,6 +328,7 @@
             self._max_queued_bytes / (self._megabits * 125_000),
             _max_gap(self._sums),
             _max_gap(self._heard),
+            _max_gap(self._hall_sums),
             self._count_unsent(),
             self._read_entries_count,
             self._told_entries_count,
@@ -368,6 +374,7 @@
         f"queued {figures.max_queued_seconds:.2f} s, "
         f"sums each {figures.max_sum_gap_seconds:.2f} s, "
         f"silent {figures.max_silence_seconds:.2f} s, "
+        f"hall's sums each {figures.max_hall_gap_seconds:.2f} s, "
         f"entries unsent {figures.unsent_entries_count}"
     )
 
--- a/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
@@ -31,7 +31,7 @@
     #: Sums of the fleet, for the own hall.
     FLEET_SUMMARY = ("fleet summary", 4.0, False, 1.0)
     #: Sums of the own hall, for other halls.
-    HALL_SUMMARY = ("hall summary", 2.0, False, 0.5)
+    HALL_SUMMARY = ("hall summary", 2.0, False, 0.25)
     #: Records of begun streams.
     BEGUN_STREAMS = ("begun streams", 2.0, True, math.inf)
     #: Cache events.
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -415,7 +415,8 @@
             self.summaries.publish_own()
             if self.roles.is_relay():
                 self.summaries.publish_fleet()
-                if count % SUMMARIES_PER_HALL_SUMMARY == 0:
+                is_due = count % SUMMARIES_PER_HALL_SUMMARY == 0
+                if is_due or self.summaries.is_hall_behind:
                     self.summaries.publish_hall()
             changed = self._configuration.changed
             with move_on_after_aligned(self._interval_seconds):
--- a/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_summaries.py
@@ -63,6 +63,7 @@
         self._fleet_aggregator = SummaryAggregator()
         #: Whether an aggregate was left out because the last one was still being sent.
         self._is_fleet_behind = False
+        self.is_hall_behind = False
         #: Placements in the last aggregate of each kind.
         self._fleet_placed: list[PlacedPrefix] = []
         self._hall_placed: list[PlacedPrefix] = []
@@ -189,11 +190,16 @@
         surge.
         """
         if not self._sender.is_sent(MessageKind.HALL_SUMMARY):
+            self.is_hall_behind = True
             if not has_surged:
                 return
             self._hall_aggregator.restore(self._hall_placed)
+        max_placed = MAX_PLACED_WHILE_BEHIND if self.is_hall_behind else MAX_PLACED
+        self.is_hall_behind = False
         own = self._roles.table.own
-        summary = self._hall_aggregator.merge(self._hall_summaries(), self._sequence)
+        summary = self._hall_aggregator.merge(
+            self._hall_summaries(), self._sequence, max_placed
+        )
         self._hall_placed = summary.placed
         self._burst_detector.note_published(summary.limits)
         summary = attrs.evolve(summary, has_surged=has_surged)
--- a/tests/test_paced_sending.py
+++ b/tests/test_paced_sending.py
@@ -17,6 +17,7 @@
 from rampwick_router._metrics import Metrics
 from rampwick_router.peers._links import Link, PeerLinks
 from rampwick_router.peers._paced_sender import MAX_WAITING_BYTES, PacedSender
+from rampwick_router.peers._summaries import HALL_TIMEOUT_SECONDS
 from rampwick_schema import (
     LENGTH_BYTES,
     MESSAGES_VERSION,
@@ -268,6 +269,7 @@
         found = self.run_takeover(is_paced=True)
         self.assertTrue(found.max_silence_seconds < RELAY_TIMEOUT_SECONDS, found)
         self.assertTrue(found.max_sum_gap_seconds < HOST_ALIVE_SECONDS, found)
+        self.assertTrue(found.max_hall_gap_seconds < HALL_TIMEOUT_SECONDS, found)
 
     def test_cache_events_that_wait_are_not_lost(self):
         found = self.run_takeover(is_paced=True)
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -191,6 +191,16 @@
         self.assertEqual(first.placed, second.placed)
         self.assertEqual(first.placed, hall.placed)
 
+    def test_a_sum_of_the_hall_that_was_left_out_is_due_at_the_next_interval(self):
+        """Other halls count a hall as cut off that is not heard for 1.25 s."""
+        self.sender.has_room = False
+        self.publisher.publish_hall()
+        self.assertEqual(([], True), (self.sender.sent, self.publisher.is_hall_behind))
+        self.sender.has_room = True
+        self.publisher.publish_hall()
+        self.assertEqual(1, len(self.sender.sent))
+        self.assertFalse(self.publisher.is_hall_behind)
+
     def test_placements_wait_while_sums_are_late(self):
         for number in range(1, 2 * MAX_PLACED_WHILE_BEHIND):
             self.publisher.add_host(
