Announce the end of an HTTP/2 connection once its streams have ended

A streamed answer on HTTP/2 lost its end while its host was leaving: the end of the connection was announced with the return of the application, after which nothing can be sent, and the end of the stream was still to be sent. Found by review, shown by a run; test_stream_whose_end_comes_after_its_data_is_ended failed before.

--- a/packages/rampwick-router/src/rampwick_router/_http2.py
+++ b/packages/rampwick-router/src/rampwick_router/_http2.py
@@ -51,7 +51,7 @@
 
     async def handle(self, event: Event) -> None:
         """Handle an event of the connection; announce an end at rest to the caller."""
-        if isinstance(event, Closed) and self.idle:
+        if isinstance(event, Closed) and self.idle and not self.stream_buffers:
             await self._announce_end()
         await super().handle(event)
 
@@ -75,8 +75,20 @@
         if isinstance(event, StreamClosed):
             await self._reset_if_cut(event.stream_id)
         await super().stream_send(event)
-        if isinstance(event, StreamClosed) and self.idle and self._is_leaving():
-            # The caller closes its side; if not, the server does as it ends.
+        await self._announce_end_if_leaving()
+
+    async def _send_data(self, stream_id: int) -> None:
+        """Send what is due of a stream, and then the end of the connection if due."""
+        await super()._send_data(stream_id)
+        await self._announce_end_if_leaving()
+
+    async def _announce_end_if_leaving(self) -> None:
+        """Announce the end once all streams have ended; the caller closes its side.
+
+        A stream has ended when the sending task has released its buffer. After the
+        announcement nothing more can be sent.
+        """
+        if self.idle and not self.stream_buffers and self._is_leaving():
             await self._announce_end()
 
     async def _reset_if_cut(self, stream_id: int) -> None:
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -23,7 +23,7 @@
     request_head,
     send_whole,
 )
-from .test_routed import run, run_routed
+from .test_routed import CHUNKED, chunk, event, run, run_routed
 
 
 def open_raw(host):
@@ -166,6 +166,29 @@
 
         self.assertEqual(3, self.last_stream_id(drive))
 
+    def test_stream_whose_end_comes_after_its_data_is_ended(self):
+        async def send_end_later(exchange):
+            await exchange.send(exchange.head(extra=CHUNKED))
+            await exchange.send(chunk(event(1)))
+            await anyio.sleep(0.1)
+            await exchange.send(b"0\r\n\r\n")
+
+        async def scenario(host, servers):
+            for upstream in servers.values():
+                upstream.scripts = [send_end_later]
+            async with connect(host) as stream:
+                caller = Http2Caller(stream)
+                caller.send_headers(1, "/stream/1")
+                await caller.flush()
+                while 1 not in caller.statuses:
+                    caller.receive(await stream.receive())
+                host.daemon.lifecycle.begin_stop()
+                with anyio.move_on_after(5.0), contextlib.suppress(anyio.EndOfStream):
+                    await caller.read_until_ended(1)
+                return caller.ended
+
+        self.assertEqual({1}, run(scenario))
+
 
 async def read_goodbye(caller):
     """Return the last stream that a host names; None if it ends without a word."""
