Resume streams and repeat calls of services on a new connection

In the native dialect and at plain services, the attempt after one that was silent, and each resumption of a stream, went on a kept connection, which may be as silent. A host that has drained refuses native requests at the entry, too: one that arrived then was sent to an upstream and cut with the process. Both found by review; the test of the resumption failed before.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -184,7 +184,9 @@
         responder: Responder,
         arrived_at_seconds: float,
     ) -> None:
-        if self.is_closed:
+        is_routed = self._serves_routes or len(self._context.view.routes)
+        has_drained = self._context.lifecycle.has_drained and not is_routed
+        if self.is_closed or has_drained:
             self._context.metrics.denied.labels("leaving").inc()
             log.info("request denied", path=scope["path"], code="leaving")
             raise CallerError(
@@ -194,7 +196,7 @@
                 step="accept request",
                 retry_after_seconds=1.0,
             )
-        if self._serves_routes or len(self._context.view.routes):
+        if is_routed:
             await self._routed.serve(scope, receive, responder, arrived_at_seconds)
             return
         headers = _read_headers(scope)
--- a/packages/rampwick-router/src/rampwick_router/entry/_model_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_model_exchange.py
@@ -73,6 +73,7 @@
             on_chunk=self._observe_chunk,
             check=check,
             recorder=self.recorder,
+            prefers_new_connection=self.may_have_run,
         )
         relay = Relay(target, dispatch)
         await relay.run(self._engine_body(dispatch))
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -62,6 +62,8 @@
     on_chunk: Callable[[], None]
     check: AttemptCheck
     recorder: AnswerRecorder
+    #: Whether the connection of an earlier attempt may be silent for good.
+    prefers_new_connection: bool = False
 
 
 class Relay:
@@ -97,7 +99,11 @@
         path = self._target.path
         sent_at_seconds = self._context.read_clock()
         async with client.start_stream(
-            self._dispatch, path, content, self._target.check
+            self._dispatch,
+            path,
+            content,
+            self._target.check,
+            prefers_new_connection=self._target.prefers_new_connection,
         ) as stream:
             await self._receive(stream, sent_at_seconds)
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -122,6 +122,7 @@
             headers=headers,
             body=self._call.body,
             check=check,
+            prefers_new_connection=self.may_have_run,
         ) as response:
             post_rate_limit(
                 self.context.scheduler,
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -74,10 +74,12 @@
         headers: RawHeaders = (),
         body: bytes = b"",
         check: SendCheck | None = None,
+        prefers_new_connection: bool = False,
     ) -> AsyncIterator["UpstreamResponse"]:
         """Send a request and yield its response; errors are AttemptError.
 
-        ``check`` raises an error before a write if no more may be sent.
+        ``check`` raises an error before a write if no more may be sent. A new
+        connection is preferred where the idle ones may be silent for good.
         """
         length = str(len(body)).encode()
         request_headers = [
@@ -85,7 +87,9 @@
             *headers,
             (b"content-length", length),
         ]
-        async with self._connection_pool.borrow(peer, address) as connection:
+        async with self._connection_pool.borrow(
+            peer, address, prefers_new=prefers_new_connection
+        ) as connection:
             await connection.send(method, target, request_headers, body, check)
             with self._read_timeout(step, peer):
                 head = await connection.receive_head()
@@ -113,7 +117,13 @@
 
     @asynccontextmanager
     async def start_stream(
-        self, dispatch: Dispatch, path: str, content: bytes, check: SendCheck
+        self,
+        dispatch: Dispatch,
+        path: str,
+        content: bytes,
+        check: SendCheck,
+        *,
+        prefers_new_connection: bool = False,
     ) -> AsyncIterator["UpstreamStream"]:
         """Send an attempt to a runner and yield the response stream."""
         async with self.request(
@@ -125,6 +135,7 @@
             headers=[(b"x-request-id", dispatch.attempt_id.encode()), JSON],
             body=content,
             check=check,
+            prefers_new_connection=prefers_new_connection,
         ) as response:
             yield UpstreamStream(response, dispatch.upstream, self._max_event_bytes)
 
@@ -143,7 +154,13 @@
         shape = "chat" if is_chat else "text"
         target = f"/v1/streams/{attempt_id}?position={position}&shape={shape}"
         async with self.request(
-            "GET", address, target, step="resume stream", peer=upstream, check=check
+            "GET",
+            address,
+            target,
+            step="resume stream",
+            peer=upstream,
+            check=check,
+            prefers_new_connection=True,
         ) as response:
             yield UpstreamStream(response, upstream, self._max_event_bytes)
 
--- a/tests/test_silent_neighbours.py
+++ b/tests/test_silent_neighbours.py
@@ -5,7 +5,8 @@
 import anyio
 from testtools import TestCase
 
-from rampwick_router.upstream._connection_pool import ConnectionPool
+from rampwick_router.upstream import UpstreamClient
+from rampwick_router.upstream._connection_pool import REQUEST, ConnectionPool
 
 from .bench import until
 from .scripted import run_routed
@@ -233,3 +234,13 @@
                 connection.close()
 
         self.play(scenario)
+
+    def test_stream_is_resumed_on_a_new_connection(self):
+        async def scenario():
+            client = UpstreamClient(self.pool, 10.0, 65_536)
+            await self.leave_idle(1)
+            resumed = client.resume_stream("u:1", "u", "r1.1", 3, is_chat=True)
+            async with resumed:
+                self.assertEqual({REQUEST: 2}, self.pool.opened_counts())
+
+        self.play(scenario)
