--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -122,7 +122,11 @@
     async def _initiate_server_close(self) -> None:
         await self.protocol.handle(Closed())
         if not self.writer.is_closing():
-            self.writer.write_eof()
+            try:
+                self.writer.write_eof()
+            except OSError:
+                # The caller has reset the connection.
+                return
             await self._wait_until_left()
             await self._linger()
             self._record_end(
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -300,7 +300,13 @@
         self._doubt(connection.peer, self._read_clock() - silent_seconds)
 
     def _doubt(self, upstream: str, since_seconds: float) -> None:
-        self._doubts[upstream] = _Doubt(since_seconds, self._read_clock())
+        doubt = _Doubt(since_seconds, self._read_clock())
+        earlier = self._doubts.get(upstream)
+        if earlier is not None:
+            # A connection that was opened after the first doubt may end it.
+            since_seconds = max(since_seconds, earlier.since_seconds)
+            doubt = _Doubt(since_seconds, earlier.noted_at_seconds)
+        self._doubts[upstream] = doubt
 
     def _note_answered(self, connection: UpstreamConnection) -> None:
         """Close connections that may be silent, if a new one has just answered."""
@@ -354,8 +360,8 @@
         ``reason`` states what the connection is for, for metrics on connection cost.
         ``path`` replaces the current path to the upstream. Without ``may_reuse`` the
         connection is a new one, which shows whether new ones can be opened.
-        With ``prefers_new`` it is a new one; idle ones that may be silent aren't lent
-        either. At the limit an idle one is closed for it.
+        With ``prefers_new`` it is a new one, too. Idle connections that may be silent
+        are not lent. At the limit a new connection replaces an idle one.
         Connections of one ``lane`` are not lent to another.
         Afterwards the connection returns to the pool if its response was complete.
         Otherwise it is closed, which also stops the upstream's work on the request.
--- a/tests/test_silent_neighbours.py
+++ b/tests/test_silent_neighbours.py
@@ -235,6 +235,24 @@
 
         self.play(scenario)
 
+    def test_later_doubt_takes_nothing_back_from_an_earlier_one(self):
+        async def scenario():
+            self.now_seconds = 9.5
+            await self.leave_idle(2)
+            self.now_seconds = 10.0
+            async with self.pool.borrow("u", "u:1") as connection:
+                await connection.send("GET", "/", [(b"host", b"u")], b"")
+                self.now_seconds = 10.5
+                self.pool.note_silent(connection)
+                # The body of another response has been silent since before.
+                self.pool.note_stalled(connection, silent_seconds=1.2)
+                async with self.pool.borrow("u", "u:1") as other:
+                    self.assertEqual(0, other.requests_count)
+                    other.close()
+                connection.close()
+
+        self.play(scenario)
+
     def test_stream_is_resumed_on_a_new_connection(self):
         async def scenario():
             client = UpstreamClient(self.pool, 10.0, 65_536)
