--- a/packages/rampwick-policy/src/rampwick_policy/_idle_bounds.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_idle_bounds.py
@@ -8,8 +8,7 @@
 #: bound, and its request is on the way then.
 MARGIN_SECONDS = 1.0
 
-#: Longest time for which rests are extended because the configuration is not confirmed,
-#: and for which callers may still go by a bound that is no longer in force.
+#: Longest time for which rests are extended because the configuration is not confirmed.
 MAX_UNCONFIRMED_SECONDS = 5.0
 
 
@@ -56,17 +55,13 @@
         return longest_seconds + max(MARGIN_SECONDS, unconfirmed_seconds)
 
     def longest_since(self, since_seconds: float) -> float:
-        """Return the longest bound that callers went by since then, in seconds.
+        """Return the longest bound in force at some time since then, in seconds.
 
-        They may learn of a shorter one later than this host. It is zero before the
-        first bound.
+        It is zero before the first bound.
         """
         for bound in self._bounds:
             ended_at_seconds = bound.ended_at_seconds
-            if (
-                ended_at_seconds is None
-                or ended_at_seconds + MAX_UNCONFIRMED_SECONDS >= since_seconds
-            ):
+            if ended_at_seconds is None or ended_at_seconds >= since_seconds:
                 return bound.seconds
         return 0.0
 
@@ -74,5 +69,4 @@
 def _may_matter(bound: _Bound, now_seconds: float) -> bool:
     """Return whether a connection may rest by a bound that is no longer in force."""
     assert bound.ended_at_seconds is not None
-    ended_seconds = now_seconds - bound.ended_at_seconds
-    return ended_seconds <= bound.seconds + 2 * MAX_UNCONFIRMED_SECONDS
+    return now_seconds - bound.ended_at_seconds <= bound.seconds
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -121,12 +121,7 @@
 
     async def _initiate_server_close(self) -> None:
         await self.protocol.handle(Closed())
-        if not self.writer.is_closing():
-            try:
-                self.writer.write_eof()
-            except OSError:
-                # The caller has reset the connection.
-                return
+        if not self.writer.is_closing() and self._end_sending():
             await self._wait_until_left()
             await self._linger()
             self._record_end(
@@ -155,6 +150,15 @@
         while self._count_unsent() and self.loop.time() < end_seconds:
             await asyncio.sleep(LINGER_CHECK_SECONDS)
 
+    def _end_sending(self) -> bool:
+        """Tell the caller that no more will be sent; return false if it has left."""
+        try:
+            self.writer.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            return False
+        return True
+
     async def _wait_until_left(self) -> None:
         """Return when the caller has closed its side too, or after a bound."""
         end_seconds = self.loop.time() + CROSSING_SECONDS
