--- a/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
@@ -1,12 +1,9 @@
 """How long answers take from the arrival of their request, learned from complete ones.
 
-A host that shuts down admits a request if its answer will be whole in time. A fixed
-reckoning is wrong both ways: by a factor of ten on a fast service, whose requests it
-would refuse, and by three after an outage, when it would truncate their answers.
-
-The estimate is a high quantile over the recent answers whose length was expected to be
-most like it. A rise is believed at once: answers of a service that take a multiple of
-what is usual raise all that was learned before. A fall is believed slowly.
+A host that shuts down admits a request if its answer will be complete in time. The
+estimate is a high quantile over the recent answers whose expected length was most like
+it. If the answers of a service take a multiple of their baseline, everything learned
+before is scaled up at once, and the multiple decays slowly.
 """
 
 import math
@@ -37,17 +34,17 @@
 #: Longest time of an answer that is plausible.
 MAX_ANSWER_SECONDS = 3600.0
 
-#: Step of sizes for which usual times are known, and the interval at which they are
+#: Step of sizes for which baselines are known, and the interval at which they are
 #: computed again.
 SIZE_STEP = 0.5
-USUAL_INTERVAL_SECONDS = 5.0
+BASELINE_INTERVAL_SECONDS = 5.0
 
-#: Recent answers of a service by whose median multiple of the usual time a rise is
-#: found, the multiple from which it is none by chance, and the time constant of its
+#: Recent answers of a service by whose median multiple of the baseline a slowdown is
+#: found, the smallest such multiple, and the time constant of its
 #: decay.
 RECENT_COUNT = 9
-MIN_RISE_RATIO = 1.5
-RISE_DECAY_SECONDS = 30.0
+MIN_SLOWDOWN_RATIO = 1.5
+SLOWDOWN_DECAY_SECONDS = 30.0
 
 
 @attrs.frozen(repr=False)
@@ -75,22 +72,22 @@
     def __init__(self) -> None:
         self._answers: deque[Answer] = deque(maxlen=MAX_ANSWERS_COUNT)
         #: Median of the answers most like a rounded size, and when it was computed.
-        self._usual: dict[int, tuple[float, float | None]] = {}
+        self._baselines: dict[int, tuple[float, float | None]] = {}
 
     def record(self, answer: Answer) -> None:
         self._answers.append(answer)
 
-    def usual_seconds(self, size: float, now_seconds: float) -> float | None:
+    def baseline_seconds(self, size: float, now_seconds: float) -> float | None:
         """Return the median of like answers as of some seconds ago, if known."""
         rounded = round(size / SIZE_STEP)
-        computed_at_seconds, seconds = self._usual.get(rounded, (-math.inf, None))
-        if now_seconds - computed_at_seconds < USUAL_INTERVAL_SECONDS:
+        computed_at_seconds, seconds = self._baselines.get(rounded, (-math.inf, None))
+        if now_seconds - computed_at_seconds < BASELINE_INTERVAL_SECONDS:
             return seconds
         nearest = self.nearest(rounded * SIZE_STEP, now_seconds)
         seconds = None
         if len(nearest) >= NEAREST_COUNT:
             seconds = statistics.median(answer.seconds for answer in nearest)
-        self._usual[rounded] = (now_seconds, seconds)
+        self._baselines[rounded] = (now_seconds, seconds)
         return seconds
 
     def nearest(self, size: float, now_seconds: float) -> list[Answer]:
@@ -113,14 +110,14 @@
         return self._answers
 
 
-class _Rise:
-    """Multiple of the usual time that the answers of one service take now."""
+class _Slowdown:
+    """Multiple of the baseline that the answers of one service take now."""
 
     def __init__(self) -> None:
         self._recent: deque[tuple[float, float]] = deque(maxlen=RECENT_COUNT)
         self._ratio = 1.0
         self._noted_at_seconds = -math.inf
-        #: Time from which answers show the rise themselves.
+        #: Time from which the answers include the slowdown.
         self.began_at_seconds = -math.inf
 
     def note(self, ratio: float, now_seconds: float) -> None:
@@ -129,15 +126,17 @@
             return
         median = statistics.median(ratio for _, ratio in self._recent)
         known_ratio = self.ratio(now_seconds)
-        if median < MIN_RISE_RATIO or median <= known_ratio:
+        if median < MIN_SLOWDOWN_RATIO or median <= known_ratio:
             return
-        if known_ratio < MIN_RISE_RATIO:
+        if known_ratio < MIN_SLOWDOWN_RATIO:
             self.began_at_seconds = self._recent[0][0]
         self._ratio, self._noted_at_seconds = median, now_seconds
 
     def ratio(self, now_seconds: float) -> float:
         elapsed_seconds = max(0.0, now_seconds - self._noted_at_seconds)
-        excess = (self._ratio - 1.0) * math.exp(-elapsed_seconds / RISE_DECAY_SECONDS)
+        excess = (self._ratio - 1.0) * math.exp(
+            -elapsed_seconds / SLOWDOWN_DECAY_SECONDS
+        )
         return 1.0 + excess
 
 
@@ -146,7 +145,7 @@
 
     def __init__(self) -> None:
         self._kinds: OrderedDict[AnswerKind, _RecentAnswers] = OrderedDict()
-        self._rises: dict[str, _Rise] = {}
+        self._slowdowns: dict[str, _Slowdown] = {}
 
     def note(
         self,
@@ -166,16 +165,16 @@
                 self._forget_oldest()
         self._kinds.move_to_end(kind)
         size = _size(expected_tokens)
-        usual_seconds = answers.usual_seconds(size, now_seconds)
-        if usual_seconds is not None:
-            rise = self._rises.setdefault(kind.service, _Rise())
-            rise.note(answer_seconds / usual_seconds, now_seconds)
+        baseline_seconds = answers.baseline_seconds(size, now_seconds)
+        if baseline_seconds is not None:
+            slowdown = self._slowdowns.setdefault(kind.service, _Slowdown())
+            slowdown.note(answer_seconds / baseline_seconds, now_seconds)
         answers.record(Answer(now_seconds, size, answer_seconds))
 
     def _forget_oldest(self) -> None:
         forgotten, _ = self._kinds.popitem(last=False)
         if all(kind.service != forgotten.service for kind in self._kinds):
-            self._rises.pop(forgotten.service, None)
+            self._slowdowns.pop(forgotten.service, None)
 
     def expect(
         self,
@@ -194,20 +193,20 @@
         nearest = answers.nearest(size, now_seconds) if answers is not None else []
         if not nearest:
             return None
-        times = sorted(self._raised_seconds(kind, a, now_seconds) for a in nearest)
+        times = sorted(self._slowed_seconds(kind, a, now_seconds) for a in nearest)
         slow_seconds = times[min(len(times), math.ceil(quantile * len(times))) - 1]
         margin_ratio = MARGIN_RATIO + FEW_ANSWERS_MARGIN / len(times)
         # Beyond the largest answer that was seen, time grows with the tokens.
         excess = max(0.0, size - max(answer.size for answer in nearest))
         return slow_seconds * margin_ratio * math.exp(excess)
 
-    def _raised_seconds(
+    def _slowed_seconds(
         self, kind: AnswerKind, answer: Answer, now_seconds: float
     ) -> float:
-        rise = self._rises.get(kind.service)
-        if rise is None or answer.at_seconds >= rise.began_at_seconds:
+        slowdown = self._slowdowns.get(kind.service)
+        if slowdown is None or answer.at_seconds >= slowdown.began_at_seconds:
             return answer.seconds
-        return answer.seconds * rise.ratio(now_seconds)
+        return answer.seconds * slowdown.ratio(now_seconds)
 
 
 def _size(expected_tokens: int) -> float:
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -132,7 +132,7 @@
     ) -> DrainDecision:
         """Decide whether a request is taken by a host that exits at ``end_seconds``.
 
-        While too few answers were seen, a fixed reckoning decides, once the balancer is
+        While too few answers were seen, a fixed estimate decides, once the balancer is
         done multiplied by what the slowest recent answers took of it.
         """
         if request.deadline_seconds <= end_seconds:
--- a/packages/rampwick-policy/src/rampwick_policy/_idle_bounds.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_idle_bounds.py
@@ -1,20 +1,21 @@
-"""How long callers' connections may rest, while the bound changes."""
+"""How long callers' connections may stay idle, while the idle timeout changes."""
 
 import attrs
 
 from rampwick_schema import ReprMixin
 
-#: Time for which connections rest beyond the bound. A caller may take one up until the
-#: bound, and its request is on the way then.
+#: Time for which connections stay open beyond the bound. A caller may take one up
+#: until the bound, and its request is on the way then.
 MARGIN_SECONDS = 1.0
 
-#: Longest time for which rests are extended because the configuration is not confirmed.
+#: Longest time for which the bound is extended because the configuration is not
+#: confirmed.
 MAX_UNCONFIRMED_SECONDS = 5.0
 
 
 @attrs.define(repr=False)
 class _Bound(ReprMixin):
-    """A bound on rest and the time until which it was in force; none if it still is."""
+    """An idle timeout and the time until which it was in force; none if it still is."""
 
     seconds: float
     ended_at_seconds: float | None = None
@@ -22,10 +23,10 @@
 
 @attrs.define(repr=False)
 class IdleBounds(ReprMixin):
-    """The bounds on rest that callers may still go by.
+    """The idle timeouts that callers may still go by.
 
     A caller takes up a connection by the bound that it knows, which may have been in
-    force only for a part of the rest.
+    force only for a part of the idle time.
     """
 
     #: From the earliest to the current one, each shorter than the one before.
@@ -42,10 +43,10 @@
         ]
         self._bounds.append(_Bound(bound_seconds))
 
-    def max_rest_seconds(
+    def max_idle_seconds(
         self, since_seconds: float, configuration_age_seconds: float
     ) -> float:
-        """Return how long a connection that rests since then may rest, in seconds.
+        """Return the idle timeout of a connection that is idle since then, in seconds.
 
         ``configuration_age_seconds`` is the time since the configuration in force was
         last confirmed. Callers may know a newer one with a longer bound.
@@ -67,6 +68,6 @@
 
 
 def _may_matter(bound: _Bound, now_seconds: float) -> bool:
-    """Return whether a connection may rest by a bound that is no longer in force."""
+    """Return whether a connection may be idle by a bound that is no longer in force."""
     assert bound.ended_at_seconds is not None
     return now_seconds - bound.ended_at_seconds <= bound.seconds
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -102,22 +102,22 @@
         connections = self._connections
         ending = connections.closing if connections else self.context.terminated
         while True:
-            rested_seconds = self.loop.time() - started_seconds
-            max_seconds = self._max_rest_seconds(rested_seconds)
-            if rested_seconds >= max_seconds:
+            idle_seconds = self.loop.time() - started_seconds
+            max_seconds = self._max_idle_seconds(idle_seconds)
+            if idle_seconds >= max_seconds:
                 return
             try:
-                await asyncio.wait_for(ending.wait(), max_seconds - rested_seconds)
+                await asyncio.wait_for(ending.wait(), max_seconds - idle_seconds)
             except TimeoutError:
                 continue
             return
 
-    def _max_rest_seconds(self, rested_seconds: float) -> float:
-        find_max_rest = getattr(self.config, "max_rest_seconds", None)
-        if find_max_rest is None:
+    def _max_idle_seconds(self, idle_seconds: float) -> float:
+        find_max_idle = getattr(self.config, "max_idle_seconds", None)
+        if find_max_idle is None:
             # A server of another package in this process.
             return self.config.keep_alive_timeout
-        return float(find_max_rest(rested_seconds))
+        return float(find_max_idle(idle_seconds))
 
     async def _initiate_server_close(self) -> None:
         await self.protocol.handle(Closed())
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -15,16 +15,16 @@
 
 from ._assembly import Assembly, Clocks as Clocks
 from ._caller_connections import CallerConnections
-from ._caller_rest import CallerRest
 from ._fallback import read_fallback
 from ._hand_on import ConnectionHandOn
+from ._idle_timeout import CallerIdleTimeout
 from ._integration import Integration
 from ._logs import ComponentLogger, milliseconds
 from ._servers import (
     CLOSE_TIMEOUT_SECONDS,
     SETTLE_TIMEOUT_SECONDS,
     Addresses,
-    CallerTerms,
+    CallerServerOptions,
     Listeners,
     listen,
     serve_apps,
@@ -78,7 +78,9 @@
             assembly.context.metrics.handed_on,
             assembly.clocks.monotonic,
         )
-        self.caller_rest = CallerRest(assembly.configuration, assembly.clocks.monotonic)
+        self.idle_timeout = CallerIdleTimeout(
+            assembly.configuration, assembly.clocks.monotonic
+        )
         self.caller_connections = CallerConnections(
             assembly.context.metrics.connections_ended,
             lambda: not assembly.lifecycle.is_ready,
@@ -296,9 +298,9 @@
             served.append((daemon.admin.ready_app, listeners.ready))
         serve_apps(
             served,
-            CallerTerms(
+            CallerServerOptions(
                 daemon.hand_on.decide,
-                daemon.caller_rest.max_seconds,
+                daemon.idle_timeout.max_seconds,
                 daemon.read_settle_seconds,
                 daemon.caller_connections,
             ),
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -85,13 +85,13 @@
 
 
 @attrs.frozen(repr=False)
-class CallerTerms(ReprMixin):
+class CallerServerOptions(ReprMixin):
     """How the callers' server treats connections."""
 
     #: Decides by the seconds that a connection waited whether it is closed unread.
     is_handed_on: Callable[[float], bool]
-    #: Returns how long a connection may rest that has rested for some seconds.
-    max_rest_seconds: Callable[[float], float]
+    #: Returns the idle timeout of a connection that has been idle for some seconds.
+    max_idle_seconds: Callable[[float], float]
     #: Returns for how long, at most, the shutdown may close connections in order.
     read_settle_seconds: Callable[[], float]
     connections: CallerConnections
@@ -99,7 +99,7 @@
 
 def serve_apps(
     served: Sequence[tuple[Any, socket.socket]],
-    terms: CallerTerms,
+    options: CallerServerOptions,
     max_header_bytes: int,
     tasks: TaskGroup,
     stack: AsyncExitStack,
@@ -107,7 +107,7 @@
     """Serve ASGI applications on bound sockets until the stack is closed.
 
     The servers shut down before any resource that is on the stack already, so that
-    requests received by then can still complete. ``terms`` are those of the callers,
+    requests received by then can still complete. ``options`` are those of the callers,
     whom the first application serves.
     """
     use_caller_servers()
@@ -117,10 +117,10 @@
     ended = []
     (app, bound), *others = served
     callers = CallerListener(
-        bound.detach(), terms.is_handed_on, terms.connections.note_accepted
+        bound.detach(), options.is_handed_on, options.connections.note_accepted
     )
-    config = _server_config(callers, max_header_bytes, terms.max_rest_seconds)
-    config.connections = terms.connections
+    config = _server_config(callers, max_header_bytes, options.max_idle_seconds)
+    config.connections = options.connections
     prepared = [(callers.with_sockets(app), config)]
     for app, bound in others:
         listener = CallerListener(bound.detach())
@@ -130,33 +130,33 @@
         has_ended = anyio.Event()
         ended.append(has_ended)
         tasks.start_soon(_serve, app, config, closing, has_ended)
-    stack.push_async_callback(_close, callers, terms, closing, ended)
+    stack.push_async_callback(_close, callers, options, closing, ended)
 
 
 async def _close(
     callers: CallerListener,
-    terms: CallerTerms,
+    options: CallerServerOptions,
     closing: anyio.Event,
     ended: Sequence[anyio.Event],
 ) -> None:
     with anyio.CancelScope(shield=True):
-        await _settle(callers, terms)
+        await _settle(callers, options)
     closing.set()
     with anyio.move_on_after(2 * CLOSE_TIMEOUT_SECONDS, shield=True):
         for has_ended in ended:
             await has_ended.wait()
 
 
-async def _settle(callers: CallerListener, terms: CallerTerms) -> None:
+async def _settle(callers: CallerListener, options: CallerServerOptions) -> None:
     """Close the callers' connections in order, and then their listener.
 
     Connections that arrive meanwhile are served. A listener that is closed before its
     queue is empty resets the connections in it.
     """
-    connections = terms.connections
+    connections = options.connections
     await connections.close_resting()
     quiet_since_seconds = anyio.current_time()
-    with anyio.move_on_after(terms.read_settle_seconds()):
+    with anyio.move_on_after(options.read_settle_seconds()):
         while anyio.current_time() - quiet_since_seconds < QUIET_SECONDS:
             await anyio.sleep(SETTLE_CHECK_SECONDS)
             if callers.has_waiting() or connections.holds_bytes():
@@ -171,12 +171,12 @@
     """Configuration of a server on a listener that is bound already."""
 
     def __init__(
-        self, listener: CallerListener, max_rest_seconds: Callable[[float], float]
+        self, listener: CallerListener, max_idle_seconds: Callable[[float], float]
     ) -> None:
         super().__init__()
         self._listener = listener
-        #: Returns how long a connection may rest that has rested for some seconds.
-        self.max_rest_seconds = max_rest_seconds
+        #: Returns the idle timeout of a connection that has been idle for some seconds.
+        self.max_idle_seconds = max_idle_seconds
         #: The connections of callers; None on the server of another application.
         self.connections: CallerConnections | None = None
 
@@ -187,16 +187,16 @@
         return Sockets([], [self._listener], [])
 
 
-def _default_max_rest(rested_seconds: float) -> float:
+def _default_max_idle(idle_seconds: float) -> float:
     return KEEP_ALIVE_SECONDS
 
 
 def _server_config(
     listener: CallerListener,
     max_header_bytes: int,
-    max_rest_seconds: Callable[[float], float] = _default_max_rest,
+    max_idle_seconds: Callable[[float], float] = _default_max_idle,
 ) -> _ServerConfig:
-    config = _ServerConfig(listener, max_rest_seconds)
+    config = _ServerConfig(listener, max_idle_seconds)
     # The server sets the length of the listener's queue again.
     config.backlog = BACKLOG_COUNT
     config.h11_max_incomplete_size = max_header_bytes
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -53,7 +53,7 @@
 
 #: Sent on a silent link. Hosts of all releases reply, and the reply is ignored, since
 #: requests for ages have greater numbers.
-QUESTION = ConfirmRequest(0)
+PING = ConfirmRequest(0)
 
 #: Maximum number of silent links for which replacements are dialled at the same time.
 MAX_REPLACEMENTS_COUNT = 32
@@ -288,9 +288,8 @@
     async def monitor_links(self) -> None:
         """Check all links periodically until cancelled.
 
-        An open connection may be dead without a FIN or RST. Without this check its link
-        hid the peer for the rest of a run, since a peer that has a link is not dialled
-        again.
+        An open connection may be dead without a FIN or RST, and a peer that has a link
+        is not dialled again.
         """
         while True:
             await sleep_aligned(self._monitor.check_seconds)
@@ -324,7 +323,7 @@
             link.peer.name, link.received_at_seconds, now_seconds
         )
         if link.state is LinkState.DOUBTFUL:
-            link.put(QUESTION)
+            link.put(PING)
         elif self._monitor.needs_keep_alive(link.sent_at_seconds, now_seconds):
             link.put(KEEP_ALIVE)
 
--- a/tests/test_drain_admission.py
+++ b/tests/test_drain_admission.py
@@ -1,6 +1,6 @@
 """Guards against a stopping host that refuses what it could finish, or cuts answers.
 
-A fixed reckoning refused four of five requests, whose answers took a tenth of it.
+A fixed estimate refused four of five requests, whose answers took a tenth of it.
 """
 
 import math
@@ -16,7 +16,7 @@
 
 TARGET_SECONDS = 0.5
 TOKENS_COUNT = 80
-#: What the fixed reckoning says: twice the target, and 30 ms a token.
+#: What the fixed estimate says: twice the target, and 30 ms a token.
 RECKONED_SECONDS = 2 * TARGET_SECONDS + 0.03 * TOKENS_COUNT
 KIND = AnswerKind("labels", "m", True)
 
--- a/tests/test_idle_bounds.py
+++ b/tests/test_idle_bounds.py
@@ -38,11 +38,11 @@
 
     def test_rest_lasts_until_its_bound_is_confirmed(self):
         bounds = self.bounds((15.0, 0.0))
-        self.assertEqual(17.5, bounds.max_rest_seconds(2.0, 2.5))
+        self.assertEqual(17.5, bounds.max_idle_seconds(2.0, 2.5))
         self.assertEqual(
-            15.0 + MAX_UNCONFIRMED_SECONDS, bounds.max_rest_seconds(2.0, float("inf"))
+            15.0 + MAX_UNCONFIRMED_SECONDS, bounds.max_idle_seconds(2.0, float("inf"))
         )
 
     def test_request_that_was_sent_at_the_end_of_the_rest_can_arrive(self):
         bounds = self.bounds((15.0, 0.0))
-        self.assertEqual(15.0 + MARGIN_SECONDS, bounds.max_rest_seconds(2.0, 0.0))
+        self.assertEqual(15.0 + MARGIN_SECONDS, bounds.max_idle_seconds(2.0, 0.0))
