Put connections to all upstreams in doubt once two upstreams are silent

The test failed before. The price is a handshake for connections idle since before two upstreams were slow within 2 s.

--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -42,6 +42,11 @@
 #: Statuses whose responses have no body.
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
+#: Number of upstreams in doubt within a time from which idle connections to all others
+#: may be silent, too.
+COMMON_DOUBT_COUNT = 2
+COMMON_DOUBT_SECONDS = 2.0
+
 #: Time between two sweeps for expired idle connections.
 SWEEP_SECONDS = 1.0
 
@@ -307,6 +312,24 @@
             since_seconds = max(since_seconds, earlier.since_seconds)
             doubt = _Doubt(since_seconds, earlier.noted_at_seconds)
         self._doubts[upstream] = doubt
+        self._doubt_others(doubt)
+
+    def _doubt_others(self, doubt: _Doubt) -> None:
+        """Doubt the connections to all upstreams if another one is in doubt, too.
+
+        A host may lose its connections to all upstreams at once. Each upstream would
+        cost the first request that is sent to it.
+        """
+        oldest_seconds = self._read_clock() - COMMON_DOUBT_SECONDS
+        recent = [
+            item
+            for item in self._doubts.values()
+            if item.noted_at_seconds >= oldest_seconds
+        ]
+        if len(recent) < COMMON_DOUBT_COUNT:
+            return
+        for key in self._by_upstream:
+            self._doubts.setdefault(key.partition(" ")[0], doubt)
 
     def _note_answered(self, connection: UpstreamConnection) -> None:
         """Close connections that may be silent, if a new one has just answered."""
--- a/tests/test_silent_neighbours.py
+++ b/tests/test_silent_neighbours.py
@@ -161,8 +161,8 @@
             for _ in range(count):
                 tasks.start_soon(self.use_one)
 
-    async def use_one(self, **options):
-        async with self.pool.borrow("u", "u:1", **options) as connection:
+    async def use_one(self, upstream="u", **options):
+        async with self.pool.borrow(upstream, "u:1", **options) as connection:
             await anyio.sleep(0)
             await self.use(connection)
 
@@ -253,6 +253,31 @@
 
         self.play(scenario)
 
+    def test_two_silent_upstreams_put_the_others_in_doubt(self):
+        async def scenario():
+            for upstream in ("u", "v", "w", "x"):
+                await self.use_one(upstream)
+            self.now_seconds = 11.0
+            async with (
+                self.pool.borrow("u", "u:1") as first,
+                self.pool.borrow("v", "u:1") as second,
+            ):
+                for connection in (first, second):
+                    await connection.send("GET", "/", [(b"host", b"u")], b"")
+                self.now_seconds = 11.5
+                self.pool.note_silent(first)
+                async with self.pool.borrow("w", "u:1") as other:
+                    self.assertEqual(1, other.requests_count)
+                    other.close()
+                self.pool.note_silent(second)
+                async with self.pool.borrow("x", "u:1") as other:
+                    self.assertEqual(0, other.requests_count)
+                    other.close()
+                for connection in (first, second):
+                    connection.close()
+
+        self.play(scenario)
+
     def test_stream_is_resumed_on_a_new_connection(self):
         async def scenario():
             client = UpstreamClient(self.pool, 10.0, 65_536)
