Forget an upstream's failures when it answers over another path

Callers of a cut-off host got nothing for up to 8 s although upstreams answered probes through its peers: the backoff that a crashing upstream gets grew with failures of the host's own links and of earlier tunnels, and an answer within it only turned the path.

Failures are forgotten with the path on which they were; a new generation still gets the ramp. test_backoff_of_one_path_does_not_hold_on_another failed before.

--- a/packages/rampwick-policy/src/rampwick_policy/_health.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_health.py
@@ -85,6 +85,14 @@
         self.state = HealthState.UP if is_same_generation else HealthState.RAMPING
         self.since_seconds = now_seconds
 
+    def forget_failures(self) -> None:
+        """Let the next answered probe readmit the upstream without a backoff.
+
+        It answers over another path than the one on which the failures were.
+        """
+        self.backoff_seconds = 0.0
+        self.last_error = ""
+
     def admit_ratio(self, now_seconds: float) -> float:
         """Return the share of the upstream's slots that may be used now."""
         if self.state is HealthState.UP:
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -390,9 +390,11 @@
                 self.state_changes.note("report", upstream.name, "ignored", reason)
             is_same_generation = not self.upstreams.note_report(upstream, event.report)
             self.caches.update_generation(upstream, event.report.cache_tokens)
+        is_new_path = self.paths.note_answer(upstream.name, event.path, now_seconds)
+        if is_new_path:
+            upstream.health.forget_failures()
         upstream.health.note_probe(is_same_generation, now_seconds)
         self.upstreams.clear(upstream, now_seconds)
-        is_new_path = self.paths.note_answer(upstream.name, event.path, now_seconds)
         if is_new_path and event.path is UpstreamPath.TUNNEL:
             self._suspect_own_links(now_seconds)
         self._record_state(upstream, "it answered a probe", now_seconds)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -241,6 +241,24 @@
         session.do(1.7, Tick())
         self.assertEqual("r1.2", session.scheduler.lifecycle("r1").attempt_id)
 
+    def test_backoff_of_one_path_does_not_hold_on_another(self):
+        session = Session(runners=1, slots=8)
+        health = session.scheduler.upstreams.get("lektor-1").health
+        at_seconds = 1.0
+        for _ in range(4):
+            session.do(at_seconds, ProbeFailed("lektor-1", "silent"))
+            at_seconds += health.backoff_seconds + 0.1
+            session.do(at_seconds, LoadReported("lektor-1", self.report()))
+            self.assertIs(HealthState.UP, health.state)
+        session.do(at_seconds, ProbeFailed("lektor-1", "silent"))
+        session.do(at_seconds + 0.1, LoadReported("lektor-1", self.report()))
+        self.assertIs(HealthState.DOWN, health.state)
+        session.do(at_seconds + 0.2, LoadReported("lektor-1", self.report(), TUNNEL))
+        self.assertIs(HealthState.UP, health.state)
+        session.do(at_seconds + 0.3, ProbeFailed("lektor-1", "silent"))
+        session.do(at_seconds + 0.6, LoadReported("lektor-1", self.report(), TUNNEL))
+        self.assertIs(HealthState.UP, health.state)
+
     def test_other_upstreams_are_probed_once_two_are_tunnelled(self):
         session = Session(runners=4, slots=8)
         for name in ("lektor-1", "lektor-2"):
