Decide which idle connections are in doubt in the policy

The connection pool decided by its own clock which idle connections may be silent, so that this could be tested only with connections. The end of one lane's connections no longer ends the doubt of another's.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -58,6 +58,7 @@
     is_busier_than_peers as is_busier_than_peers,
     is_overdue as is_overdue,
 )
+from ._connection_doubts import ConnectionDoubts as ConnectionDoubts
 from ._crash_attribution import CrashTracker as CrashTracker
 from ._drain_admission import (
     DrainAdmission as DrainAdmission,
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -16,7 +16,7 @@
 import h11
 
 from rampwick_platform import sleep_aligned
-from rampwick_policy import BodyEnd, Outcome, UpstreamPath
+from rampwick_policy import BodyEnd, ConnectionDoubts, Outcome, UpstreamPath
 from rampwick_schema import ReprMixin
 
 from .._errors import AttemptError
@@ -42,11 +42,6 @@
 #: Statuses whose responses have no body.
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
-#: Number of upstreams in doubt within a time from which idle connections to all others
-#: may be silent, too.
-COMMON_DOUBT_COUNT = 2
-COMMON_DOUBT_SECONDS = 2.0
-
 #: Time between two sweeps for expired idle connections.
 SWEEP_SECONDS = 1.0
 
@@ -253,13 +248,9 @@
     open_count: int = 0
 
 
-@attrs.frozen(repr=False)
-class _Doubt(ReprMixin):
-    """A kept connection to an upstream on which a request brought no response head."""
-
-    #: Connections that have been idle since before this time may be silent as well.
-    since_seconds: float
-    noted_at_seconds: float
+def _upstream_of(key: str) -> str:
+    """Return the upstream of a key, which may name a lane as well."""
+    return key.partition(" ")[0]
 
 
 def _always_direct(upstream: str) -> UpstreamPath:
@@ -276,7 +267,7 @@
         #: Opens connections through peers; none if this host has no peers.
         self.tunnels: TunnelDialer | None = None
         self._by_upstream: dict[str, _UpstreamConnections] = {}
-        self._doubts: dict[str, _Doubt] = {}
+        self._doubts = ConnectionDoubts()
         #: Number of connections opened so far, by reason.
         self._opened: Counter[str] = Counter()
 
@@ -305,45 +296,21 @@
         self._doubt(connection.peer, self._read_clock() - silent_seconds)
 
     def _doubt(self, upstream: str, since_seconds: float) -> None:
-        doubt = _Doubt(since_seconds, self._read_clock())
-        earlier = self._doubts.get(upstream)
-        if earlier is not None:
-            # A connection that was opened after the first doubt may end it.
-            since_seconds = max(since_seconds, earlier.since_seconds)
-            doubt = _Doubt(since_seconds, earlier.noted_at_seconds)
-        self._doubts[upstream] = doubt
-        self._doubt_others(doubt)
-
-    def _doubt_others(self, doubt: _Doubt) -> None:
-        """Doubt the connections to all upstreams if another one is in doubt, too.
-
-        A host may lose its connections to all upstreams at once. Each upstream would
-        cost the first request that is sent to it.
-        """
-        oldest_seconds = self._read_clock() - COMMON_DOUBT_SECONDS
-        recent = [
-            item
-            for item in self._doubts.values()
-            if item.noted_at_seconds >= oldest_seconds
-        ]
-        if len(recent) < COMMON_DOUBT_COUNT:
-            return
-        for key in self._by_upstream:
-            self._doubts.setdefault(key.partition(" ")[0], doubt)
+        connected = {_upstream_of(key) for key in self._by_upstream}
+        self._doubts.note(upstream, since_seconds, self._read_clock(), connected)
 
     def _note_answered(self, connection: UpstreamConnection) -> None:
         """Close connections that may be silent, if a new one has just answered."""
-        doubt = self._doubts.get(connection.peer)
-        if (
-            doubt is None
-            or connection.requests_count != 1
-            or connection.lent_at_seconds < doubt.noted_at_seconds
-        ):
+        if connection.requests_count != 1:
+            return
+        since_seconds = self._doubts.resolve(
+            connection.peer, connection.lent_at_seconds
+        )
+        if since_seconds is None:
             return
-        del self._doubts[connection.peer]
         for connections in self._list_connections(connection.peer):
             for other in list(connections.idle):
-                if other.idle_since_seconds < doubt.since_seconds:
+                if other.idle_since_seconds < since_seconds:
                     connections.idle.remove(other)
                     connections.open_count -= 1
                     other.close()
@@ -353,7 +320,7 @@
         return [
             connections
             for key, connections in self._by_upstream.items()
-            if key.partition(" ")[0] == upstream
+            if _upstream_of(key) == upstream
         ]
 
     async def __aenter__(self) -> "ConnectionPool":
@@ -397,11 +364,9 @@
         may_reuse = may_reuse and path is current_path
         connection = None
         if may_reuse:
-            min_idle_since_seconds = -math.inf
-            if prefers_new:
-                min_idle_since_seconds = math.inf
-            elif upstream in self._doubts:
-                min_idle_since_seconds = self._doubts[upstream].since_seconds
+            min_idle_since_seconds = (
+                math.inf if prefers_new else self._doubts.usable_since_seconds(upstream)
+            )
             connection = self._take_idle(connections, path, min_idle_since_seconds)
         if connection is None and connections.open_count >= max_count:
             self._close_oldest_idle(connections)
@@ -499,11 +464,12 @@
         """Close expired idle connections periodically until cancelled."""
         while True:
             await sleep_aligned(SWEEP_SECONDS)
-            for upstream, connections in list(self._by_upstream.items()):
+            for key, connections in list(self._by_upstream.items()):
                 self._close_expired(connections)
                 if not connections.open_count:
-                    self._by_upstream.pop(upstream, None)
-                    self._doubts.pop(upstream, None)
+                    self._by_upstream.pop(key, None)
+                    if not self._list_connections(_upstream_of(key)):
+                        self._doubts.forget(_upstream_of(key))
 
     def _close_expired(self, connections: _UpstreamConnections) -> None:
         now_seconds = self._read_clock()
