Name idle connections, unpaced messages and kinds by the field's terms

What a newcomer would read twice: rest for idle, urgent for messages that are not paced (urgent updates are another set), tuples of unnamed values for the kinds of waiting messages, a gap without its unit, and heard for received in tests. The cause in a log line reads 'closed while idle'. No behaviour changed; the tests of sending, links, stops and connection ends pass.

--- a/measure/relay_takeover.py
+++ b/measure/relay_takeover.py
@@ -145,7 +145,7 @@
         self._sender = PacedSender(
             self._links, megabits if is_paced else UNLIMITED_MEGABITS, self._read_clock
         )
-        self._links.on_urgent = self._sender.note_urgent
+        self._links.on_unpaced = self._sender.note_unpaced
         self._streams = BegunStreams(VersionHistory())
         self._records = StreamRecordSender(self._streams, self._sender, self._roles)
         self._outbox = CacheOutbox(
@@ -228,7 +228,7 @@
             lambda data: self._send(peer, data),
             MESSAGES_VERSION if self._is_paced else Compressed.CODE - 1,
         )
-        link.on_urgent = self._links.on_urgent
+        link.on_unpaced = self._links.on_unpaced
         self._links._links.append(link)
         link.put(Members([to_record(item) for item in self._roles.table]))
         self._records.send_initial_state(link, self.now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -158,10 +158,10 @@
             now_seconds=now_seconds,
             overrun_ratio=ratio,
         )
-        reckoned_seconds = _estimated_seconds(
+        estimated_seconds = _estimated_seconds(
             request.latency_target_seconds, request.max_answer_tokens
         )
-        return DrainDecision(is_admitted, reckoned_seconds * ratio)
+        return DrainDecision(is_admitted, estimated_seconds * ratio)
 
 
 def retry_elsewhere_seconds(ready_count: int, peers_count: int) -> float:
--- a/packages/rampwick-policy/src/rampwick_policy/_link_monitor.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_link_monitor.py
@@ -1,4 +1,4 @@
-"""Decides what the links to peers need, from when each was last heard and written to.
+"""Decides what the links to peers need, from when bytes were last received and sent.
 
 A connection may be silent for good while new ones work, and a sound peer may be silent
 for a second or so. A silent link is therefore asked first, and then a second one is
@@ -11,9 +11,9 @@
 
 from rampwick_schema import ReprMixin
 
-#: Checks within the time after which a peer counts as dead: enough to reach a sound
-#: peer over a second link well before that.
-CHECKS_PER_DEATH = 12
+#: Checks within the time after which a peer counts as dead, so that a sound peer is
+#: reached over a second link well before that.
+CHECKS_PER_TIMEOUT = 12
 
 #: Time since the last message sent after which a link gets a keep-alive, the silence
 #: after which a link is asked, and after which it needs a replacement, in checks. A
@@ -30,7 +30,7 @@
 NEW_CHECKS = 2.0
 
 #: Time between two checks above which this host was late itself, in checks.
-MAX_CHECK_GAP = 2.0
+MAX_GAP_CHECKS = 2.0
 
 
 class LinkState(enum.Enum):
@@ -57,7 +57,7 @@
     @property
     def check_seconds(self) -> float:
         """Time between two checks."""
-        return self.dead_after_seconds / CHECKS_PER_DEATH
+        return self.dead_after_seconds / CHECKS_PER_TIMEOUT
 
     def begin_check(self, now_seconds: float) -> None:
         """Note the time of a check of all links."""
@@ -65,7 +65,7 @@
         self._checked_at_seconds = now_seconds
         if (
             last_seconds is None
-            or now_seconds - last_seconds > MAX_CHECK_GAP * self.check_seconds
+            or now_seconds - last_seconds > MAX_GAP_CHECKS * self.check_seconds
         ):
             self._resumed_at_seconds = now_seconds
 
--- a/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
@@ -21,33 +21,54 @@
 BLOCKED_SECONDS = 0.25
 
 
+@attrs.frozen(repr=False)
+class _KindTraits(ReprMixin):
+    """How messages of one kind wait."""
+
+    label: str
+    #: Share of the link relative to other kinds.
+    weight: float
+    #: Whether the messages are differences; else they are states.
+    is_difference: bool
+    #: Time after which the messages are overdue. Hosts that receive nothing of the
+    #: others for longer take them for dead.
+    overdue_seconds: float = math.inf
+
+
 class MessageKind(enum.Enum):
-    """Kinds of messages that may wait, with their weights.
+    """Kinds of messages that may wait.
 
     Kinds with waiting messages share the link in proportion to their weights, unless
     one is overdue, which is then sent first.
     """
 
     #: Sums of the fleet, for the own hall.
-    FLEET_SUMMARY = ("fleet summary", 4.0, False, 1.0)
+    FLEET_SUMMARY = _KindTraits(
+        "fleet summary", weight=4.0, is_difference=False, overdue_seconds=1.0
+    )
     #: Sums of the own hall, for other halls.
-    HALL_SUMMARY = ("hall summary", 2.0, False, 0.25)
+    HALL_SUMMARY = _KindTraits(
+        "hall summary", weight=2.0, is_difference=False, overdue_seconds=0.25
+    )
     #: Records of begun streams.
-    BEGUN_STREAMS = ("begun streams", 2.0, True, math.inf)
+    BEGUN_STREAMS = _KindTraits("begun streams", weight=2.0, is_difference=True)
     #: Cache events.
-    CACHE_EVENTS = ("cache events", 2.0, True, math.inf)
-
-    def __init__(
-        self, label: str, weight: float, is_difference: bool, overdue_seconds: float
-    ) -> None:
-        self.label = label
-        #: Share of the link relative to other kinds.
-        self.weight = weight
-        #: Whether the messages are differences; else they are states.
-        self.is_difference = is_difference
-        #: Time after which the messages are overdue. Hosts that hear nothing of the
-        #: others for longer take them for dead.
-        self.overdue_seconds = overdue_seconds
+    CACHE_EVENTS = _KindTraits("cache events", weight=2.0, is_difference=True)
+
+    @property
+    def weight(self) -> float:
+        """Share of the link relative to other kinds."""
+        return self.value.weight
+
+    @property
+    def is_difference(self) -> bool:
+        """Whether the messages are differences; else they are states."""
+        return self.value.is_difference
+
+    @property
+    def overdue_seconds(self) -> float:
+        """Time after which the messages are overdue."""
+        return self.value.overdue_seconds
 
 
 @attrs.define(eq=False, repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_send_budget.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_send_budget.py
@@ -71,7 +71,7 @@
         """The share of the link for messages to peers."""
         return self._total.bytes_per_second
 
-    def spend_urgent(self, size_bytes: int, now_seconds: float) -> None:
+    def spend_unpaced(self, size_bytes: int, now_seconds: float) -> None:
         """Record an urgent message."""
         self._total.spend(size_bytes, now_seconds)
 
--- a/packages/rampwick-router/src/rampwick_router/_caller_connections.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_connections.py
@@ -59,7 +59,7 @@
         self._is_leaving = is_leaving
         self._open: set[Connection] = set()
         self._waiting_count = 0
-        #: Set when the server stops; connections that rest are then closed.
+        #: Set when the server stops; idle connections are then closed.
         self.closing = EventWrapper()
 
     def note_accepted(self) -> None:
@@ -75,8 +75,8 @@
         """Remove a connection that has ended."""
         self._open.discard(connection)
 
-    async def close_resting(self) -> None:
-        """Close the connections that rest, now or after their response."""
+    async def close_idle(self) -> None:
+        """Close the idle connections now, and others after their response."""
         await self.closing.set()
 
     def is_leaving(self) -> bool:
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -1,4 +1,4 @@
-"""The server of one caller's connection, and how long it rests between requests."""
+"""The server of one caller's connection, and how long it stays idle between them."""
 
 import asyncio
 import fcntl
@@ -14,8 +14,8 @@
 from ._caller_connections import CallerConnections, HeldBytes
 from ._logs import ComponentLogger
 
-#: Interval and number of checks whether what arrived by the end of a rest was read. A
-#: connection is not read while its caller takes nothing of what was sent to it.
+#: Interval and number of checks whether what arrived by the end of the idle time was
+#: read. A connection is not read while its caller takes nothing of what was sent to it.
 UNREAD_CHECK_SECONDS = 0.005
 UNREAD_CHECKS_COUNT = 200
 
@@ -24,8 +24,8 @@
 LINGER_SECONDS = 0.25
 LINGER_CHECK_SECONDS = 0.005
 
-#: Longest wait for a caller to close a connection that was closed at rest. What it had
-#: sent before has arrived by then, and is recorded.
+#: Longest wait for a caller to close a connection that was closed while idle. What it
+#: had sent before has arrived by then, and is recorded.
 CROSSING_SECONDS = 0.1
 
 log = ComponentLogger("entry")
@@ -36,7 +36,7 @@
 
     _has_read_all = False
     _is_recorded = False
-    _is_resting = True
+    _is_idle = True
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -56,7 +56,7 @@
         if isinstance(event, Updated) and event.idle and self._has_read_all:
             event = Closed()
         if isinstance(event, Updated):
-            self._is_resting = event.idle
+            self._is_idle = event.idle
         await super().protocol_send(event)
 
     def held_bytes(self) -> HeldBytes:
@@ -74,21 +74,21 @@
 
     async def _read_data(self) -> None:
         await super()._read_data()
-        # The caller can send no further request that the connection would rest for.
+        # The caller can send no further request on this connection.
         self._has_read_all = True
         await self.idle_task.stop()
 
     async def _idle_timeout(self) -> None:
-        await self._rest()
-        # An event loop that was late handles the end of the rest before the bytes that
-        # arrived until then. Reading them stops this task.
+        await self._wait_idle()
+        # An event loop that was late handles the end of the idle time before the bytes
+        # that arrived until then. Reading them stops this task.
         for _ in range(UNREAD_CHECKS_COUNT):
             if not self._count_unread() and not self._count_unparsed():
                 break
             await asyncio.sleep(UNREAD_CHECK_SECONDS)
-        if not self._is_resting:
-            # A request was read as the rest ended. Its cancellation of this task is
-            # lost if ``asyncio.wait_for`` has its result already.
+        if not self._is_idle:
+            # A request was read as the idle time ended. Its cancellation of this task
+            # is lost if ``asyncio.wait_for`` has its result already.
             return
         if not self.writer.is_closing():
             # From here on nothing is read: a request that crosses the close must not
@@ -96,8 +96,8 @@
             self.writer.transport.pause_reading()  # type: ignore[attr-defined]
         await asyncio.shield(self._initiate_server_close())
 
-    async def _rest(self) -> None:
-        """Return after the maximum rest, or when the server shuts down."""
+    async def _wait_idle(self) -> None:
+        """Return after the idle timeout, or when the server shuts down."""
         started_seconds = self.loop.time()
         connections = self._connections
         ending = connections.closing if connections else self.context.terminated
@@ -125,7 +125,7 @@
             await self._wait_until_left()
             await self._linger()
             self._record_end(
-                "closed at rest", self._count_unread(), self._count_unsent()
+                "closed while idle", self._count_unread(), self._count_unsent()
             )
         self.writer.close()
 
--- a/packages/rampwick-router/src/rampwick_router/_http2.py
+++ b/packages/rampwick-router/src/rampwick_router/_http2.py
@@ -50,7 +50,7 @@
         self._has_announced_end = False
 
     async def handle(self, event: Event) -> None:
-        """Handle an event of the connection; announce an end at rest to the caller."""
+        """Handle an event of the connection; announce the end of an idle one."""
         if isinstance(event, Closed) and self.idle and not self.stream_buffers:
             await self._announce_end()
         await super().handle(event)
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -154,7 +154,7 @@
     queue is empty resets the connections in it.
     """
     connections = options.connections
-    await connections.close_resting()
+    await connections.close_idle()
     quiet_since_seconds = anyio.current_time()
     with anyio.move_on_after(options.read_settle_seconds()):
         while anyio.current_time() - quiet_since_seconds < QUIET_SECONDS:
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -123,7 +123,7 @@
         self._sender = PacedSender(
             self._links, own.link_megabits_per_second, read_clock
         )
-        self._links.on_urgent = self._sender.note_urgent
+        self._links.on_unpaced = self._sender.note_unpaced
         self._forwarder = Forwarder(self._links, self.roles, read_clock)
         self._links.on_message = self._handle_message
         self._links.on_opened = self._on_link_opened
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -103,7 +103,7 @@
     is_spare: bool = False
     #: Called with the size of each message that was sent regardless of this host's
     #: send budget.
-    on_urgent: Callable[[int], None] = _ignore_size
+    on_unpaced: Callable[[int], None] = _ignore_size
     _was_unresponsive: bool = False
 
     @classmethod
@@ -157,7 +157,7 @@
         the same kind.
         """
         if self._send(data):
-            self.on_urgent(len(data))
+            self.on_unpaced(len(data))
 
     def put_paced(self, data: bytes) -> bool:
         """Send a message that waited for the budget; return whether it was sent."""
@@ -217,7 +217,7 @@
         #: Called with the name of a wanted member that could not be reached.
         self.on_unreachable: Callable[[str], None] = _ignore_name
         #: Called with the size of each message that was sent regardless of the budget.
-        self.on_urgent: Callable[[int], None] = _ignore_size
+        self.on_unpaced: Callable[[int], None] = _ignore_size
 
     @property
     def links(self) -> list[Link]:
@@ -453,7 +453,7 @@
             link = Link.open(
                 peer, self._read_clock(), stream.put, stream.messages_version
             )
-            link.on_urgent = self.on_urgent
+            link.on_unpaced = self.on_unpaced
             self._links.append(link)
             if dialler is not None:
                 dialler.is_connected = True
--- a/packages/rampwick-router/src/rampwick_router/peers/_paced_sender.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_paced_sender.py
@@ -36,9 +36,9 @@
         self._queue: PacedQueue[Link] = PacedQueue(SendBudget(link_megabits_per_second))
         self._has_messages = anyio.Event()
 
-    def note_urgent(self, size_bytes: int) -> None:
+    def note_unpaced(self, size_bytes: int) -> None:
         """Record a message that was sent directly."""
-        self._queue.budget.spend_urgent(size_bytes, self._read_clock())
+        self._queue.budget.spend_unpaced(size_bytes, self._read_clock())
 
     def broadcast_state(
         self, kind: MessageKind, message: Any, is_recipient: Callable[[Member], bool]
--- a/tests/test_paced_sending.py
+++ b/tests/test_paced_sending.py
@@ -83,7 +83,7 @@
 
     def test_other_messages_wait_for_urgent_ones(self):
         queue = make_queue()
-        queue.budget.spend_urgent(100_000, 0.0)
+        queue.budget.spend_unpaced(100_000, 0.0)
         queue.put_state(FLEET, "a", b"x" * 1000, 0.0)
         # The reserved part is saved up for the first message only.
         self.assertEqual(1, len(drain(queue, 0.2)))
@@ -99,7 +99,7 @@
             queue.put_difference(CACHES, number % 17, b"x" * 1000, 0.0)
 
         def refill(now):
-            queue.budget.spend_urgent(10_000, now)
+            queue.budget.spend_unpaced(10_000, now)
 
         taken = drain(queue, 4.0, refill=refill)
         self.assertTrue(size(taken) >= 0.2 * 4.0 * BYTES_PER_SECOND)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -269,14 +269,14 @@
                         proxy.blackhole_connections()
                     await anyio.sleep(0.1)
                     cut_at_seconds = daemons[0].scheduler._read_clock()
-                    while not self.has_heard_all(daemons, cut_at_seconds):
+                    while not self.have_all_received(daemons, cut_at_seconds):
                         for daemon in daemons:
                             self.assertEqual(2, len(self.names(daemon)))
                         await anyio.sleep(0.02)
 
         self.run_scenario(scenario)
 
-    def has_heard_all(self, daemons, since_seconds):
+    def have_all_received(self, daemons, since_seconds):
         """Return whether each host has heard both of the others since a time."""
         views = [
             view for daemon in daemons for view in daemon.scheduler.peer_views(0.0)
@@ -400,7 +400,7 @@
         """The relay of a hall is skipped after a second without a message."""
 
         async def scenario(clock, proxy, one, two):
-            await self.step_until_heard(clock, one, two)
+            await self.step_until_received(clock, one, two)
             self.assertFalse(one.is_doubtful("two"))
             self.assertFalse(one.is_doubtful("nobody"))
             proxy.blackhole_connections()
@@ -411,12 +411,12 @@
             # The new link is excused until its first messages are due.
             self.assertTrue(one.is_doubtful("two"))
             await until(lambda: len(two._links) == 2)
-            await self.step_until_heard(clock, one, two)
+            await self.step_until_received(clock, one, two)
             self.assertFalse(one.is_doubtful("two"))
 
         self.play(scenario)
 
-    async def step_until_heard(self, clock, one, two):
+    async def step_until_received(self, clock, one, two):
         """Step until a link of the first host is old and has carried a keep-alive."""
         for _ in range(4):
             await self.step(clock, two, one)
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -210,12 +210,12 @@
     """
 
     def test_request_is_answered_though_the_end_of_the_rest_goes_on(self):
-        async def rest_until_cancelled(server):
+        async def wait_until_cancelled(server):
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.sleep(60.0)
 
         async def scenario(host, servers):
-            with mock.patch.object(CallerServer, "_rest", rest_until_cancelled):
+            with mock.patch.object(CallerServer, "_wait_idle", wait_until_cancelled):
                 return await send_whole(host, request_head("/once/1", WITH_ID))
 
         self.assertEqual(200, run(scenario).status)
