--- a/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
@@ -142,6 +142,12 @@
         is_overdue = now_seconds - lane.since_seconds > kind.overdue_seconds
         return not (lane.waiting and is_overdue), lane.virtual_bytes
 
+    def refund(self, message: QueuedMessage[PeerT]) -> None:
+        """Give back what a message was charged that its peer did not accept."""
+        size_bytes = len(message.data)
+        self._lanes[message.kind].virtual_bytes -= size_bytes / message.kind.weight
+        self.budget.refund(size_bytes)
+
     def return_blocked(self, message: QueuedMessage[PeerT], now_seconds: float) -> None:
         """Put back a difference that its peer was too slow to accept."""
         lane = self._lanes[message.kind]
--- a/packages/rampwick-policy/src/rampwick_policy/_send_budget.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_send_budget.py
@@ -36,6 +36,12 @@
             self._balance_bytes - size_bytes, -self.bytes_per_second * MAX_DEBT_SECONDS
         )
 
+    def refund(self, size_bytes: int) -> None:
+        """Record that bytes were not sent after all."""
+        self._balance_bytes = min(
+            self._balance_bytes + size_bytes, self.bytes_per_second * SAVED_SECONDS
+        )
+
     def wait_seconds(self, now_seconds: float) -> float:
         """Return the time until something may be sent; 0 if that is now."""
         self._accrue(now_seconds)
@@ -80,6 +86,11 @@
         self._total.spend(size_bytes, now_seconds)
         self._reserved.spend(size_bytes, now_seconds)
 
+    def refund(self, size_bytes: int) -> None:
+        """Record that a message which waited was not accepted by its peer."""
+        self._total.refund(size_bytes)
+        self._reserved.refund(size_bytes)
+
     def wait_seconds(self, now_seconds: float) -> float:
         """Return the time until the next message that is not urgent; 0 for now."""
         return min(
--- a/packages/rampwick-router/src/rampwick_router/peers/_paced_sender.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_paced_sender.py
@@ -96,6 +96,7 @@
             link = message.peer
             if link.put_paced(message.data):
                 continue
+            self._queue.refund(message)
             if not self._links.is_open(link):
                 self._queue.remove(link)
             elif message.kind.is_difference:
--- a/tests/test_paced_sending.py
+++ b/tests/test_paced_sending.py
@@ -93,6 +93,14 @@
         reserved = BYTES_PER_SECOND * RESERVED_SHARE * (0.2 + SAVED_SECONDS)
         self.assertTrue(size(taken) <= reserved + 4000)
 
+    def test_message_that_its_peer_did_not_accept_delays_no_other(self):
+        queue = make_queue()
+        size_bytes = round(BYTES_PER_SECOND)
+        queue.put_state(FLEET, "slow", b"x" * size_bytes, 0.0)
+        queue.put_state(FLEET, "sound", b"x" * 1000, 0.0)
+        queue.refund(queue.take(0.0))
+        self.assertEqual("sound", queue.take(0.0).peer)
+
     def test_urgent_messages_do_not_starve_the_others(self):
         queue = make_queue()
         for number in range(1000):
