Let new records of begun streams go before the state of new peers

States of new peers are a kind of their own now. The test failed before. Cache events stay in one kind: there a state that comes after a newer change would undo it.

--- a/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_paced_queue.py
@@ -52,6 +52,10 @@
     )
     #: Records of begun streams.
     BEGUN_STREAMS = _KindTraits("begun streams", weight=2.0, is_difference=True)
+    #: Records of begun streams that a new peer lacks. New records do not wait for them.
+    BEGUN_STREAM_STATES = _KindTraits(
+        "begun stream states", weight=1.0, is_difference=True
+    )
     #: Cache events.
     CACHE_EVENTS = _KindTraits("cache events", weight=2.0, is_difference=True)
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_stream_records.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_stream_records.py
@@ -36,7 +36,7 @@
         versions, *parts = split_update(self._streams.initial_state(now_seconds))
         link.put(versions)
         for part in parts:
-            self._sender.put_difference(MessageKind.BEGUN_STREAMS, link, part)
+            self._sender.put_difference(MessageKind.BEGUN_STREAM_STATES, link, part)
 
     def _broadcast(self, update: BegunStreamsUpdate) -> None:
         is_relay = self._roles.is_relay()
--- a/tests/test_paced_sending.py
+++ b/tests/test_paced_sending.py
@@ -1,12 +1,14 @@
 """What a relay sends to its peers fits its link, and nothing urgent waits for it."""
 
 import functools
+from unittest import mock
 
 import anyio
 from measure.relay_takeover import FLEETS, Takeover
 from testtools import TestCase
 
 from rampwick_policy import Member, MessageKind, PacedQueue, SendBudget
+from rampwick_policy._begun_streams import RECORD_BYTES
 from rampwick_policy._paced_queue import BLOCKED_SECONDS
 from rampwick_policy._relay_listener import HOST_ALIVE_SECONDS, RELAY_TIMEOUT_SECONDS
 from rampwick_policy._send_budget import (
@@ -17,12 +19,15 @@
 from rampwick_router._metrics import Metrics
 from rampwick_router.peers._links import Link, PeerLinks
 from rampwick_router.peers._paced_sender import MAX_WAITING_BYTES, PacedSender
+from rampwick_router.peers._stream_records import StreamRecordSender
 from rampwick_router.peers._summaries import HALL_TIMEOUT_SECONDS
 from rampwick_schema import (
     LENGTH_BYTES,
     MESSAGES_VERSION,
+    BegunStreamsUpdate,
     MemberRecord,
     Members,
+    StreamGroup,
     decode_message,
     encode_message,
     parse_settings,
@@ -238,6 +243,27 @@
         self.assertTrue(waiting_bytes <= MAX_WAITING_BYTES + size_bytes)
 
 
+class NewPeerTest(TestCase):
+    """Records of new streams waited until each new peer had all earlier ones."""
+
+    def test_state_of_a_new_peer_holds_back_no_records_of_new_streams(self):
+        async def scenario():
+            group = StreamGroup("s", "v1", 9.0, records=bytes(50_000 * RECORD_BYTES))
+            streams = mock.Mock()
+            streams.initial_state.return_value = BegunStreamsUpdate([group])
+            links = make_links()
+            link = Link.open(Member("new", "h", "new:1"), 1.0, lambda data: True)
+            links._links.append(link)
+            sender = PacedSender(links, 1.0, lambda: 1.0)
+            records = StreamRecordSender(streams, sender, None)
+            records.send_initial_state(link, 1.0)
+            return sender._queue.waiting_bytes(link), records.is_ready()
+
+        waiting_bytes, is_ready = anyio.run(scenario)
+        self.assertGreater(waiting_bytes, 0)
+        self.assertTrue(is_ready)
+
+
 class CompressionTest(TestCase):
     def test_only_hosts_that_decode_it_get_a_compressed_sum(self):
         async def scenario():
