Let the soak silence all connections and stop all hosts in turn

The soak silenced one link at a time and stopped hosts among other faults, so that it knew neither hosts that lose all peers at once nor a release. Two phases follow the cuts: all open connections fall silent while new ones work (no host may lose a peer, and callers are served as before after 3 s), and all hosts stop in turn while callers keep their connections.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -52,6 +52,11 @@
 CUT_OFF_KNOWN_SECONDS = 3.0
 MIN_SERVED_RATIO = 2.0 / 3.0
 
+#: Time from the moment at which all open connections have fallen silent until callers
+#: are served as before, and the time before it that is compared.
+SILENCE_KNOWN_SECONDS = 3.0
+BEFORE_SILENCE_SECONDS = 2.0
+
 #: Longest time of a call that counts as served there; they usually take milliseconds.
 MAX_SERVED_SECONDS = 1.0
 
@@ -72,6 +77,8 @@
     #: Fencing numbers of the orders that each runner accepted, in order of arrival.
     orders: dict[str, list[int]] = attrs.field(factory=dict)
     revisions: list[ObservedRevision] = attrs.field(factory=list)
+    #: Hosts that did not know all their peers, and the time of each observation.
+    missing_peers: list[tuple[str, float]] = attrs.field(factory=list)
     injected_faults: list[InjectedFault] = attrs.field(factory=list)
     #: Violations that were found during the run.
     found_during_run: list[str] = attrs.field(factory=list)
@@ -109,6 +116,7 @@
         *check_rates(observations),
         *check_shutdown_announcements(observations),
         *check_cut_off_hosts(observations),
+        *check_silent_connections(observations),
     ]
     return [violation.replace(SHARED_PREFIX, "") for violation in found]
 
@@ -173,6 +181,41 @@
     return found
 
 
+def check_silent_connections(observations: RunObservations) -> list[str]:
+    """Hosts keep their peers, and callers are served as before soon afterwards."""
+    found = []
+    for injected in observations.injected_faults:
+        if injected.kind != "connections_silent_alone":
+            continue
+        began_seconds = injected.began_seconds
+        found += [
+            f"{name} lost a peer {at_seconds - began_seconds:.1f} s after all "
+            "connections fell silent, though new ones worked"
+            for name, at_seconds in observations.missing_peers
+            if began_seconds < at_seconds < injected.ended_seconds
+        ]
+        before = [
+            call
+            for call in observations.calls
+            if began_seconds - BEFORE_SILENCE_SECONDS < call.began_seconds
+            and call.ended_seconds < began_seconds
+        ]
+        after = [
+            call
+            for call in observations.calls
+            if began_seconds + SILENCE_KNOWN_SECONDS
+            < call.began_seconds
+            < injected.ended_seconds - MAX_SERVED_SECONDS
+        ]
+        if _served_ratio(after) < MIN_SERVED_RATIO * _served_ratio(before):
+            found.append(
+                f"served {_served_ratio(after):.2f} of {len(after)} calls after all "
+                f"connections fell silent, {_served_ratio(before):.2f} of "
+                f"{len(before)} before"
+            )
+    return found
+
+
 def _served_ratio(calls: Sequence[Call]) -> float:
     served = sum(
         call.observed.is_whole
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -107,6 +107,9 @@
 CUT_OFF_SECONDS = 6.0
 CUT_OFF_PAUSE_SECONDS = 0.7
 
+#: Time for which callers are observed after all connections have fallen silent.
+SILENT_SECONDS = 6.0
+
 #: How long a runner reports a rate limit, and the largest such limit.
 RATE_LIMIT_SECONDS = 9.0
 MAX_RATE = 3.0
@@ -283,6 +286,20 @@
             injected.ended_seconds = time.monotonic()
             await anyio.sleep(CUT_OFF_PAUSE_SECONDS)
 
+    async def silence_alone(self) -> None:
+        """Silence all open connections at once, while new ones work."""
+        injected = InjectedFault("connections_silent_alone", "", time.monotonic())
+        self.injected_faults.append(injected)
+        for proxy in self._fleet.proxies:
+            proxy.blackhole_connections()
+        await anyio.sleep(SILENT_SECONDS)
+        injected.ended_seconds = time.monotonic()
+
+    async def stop_in_turn(self) -> None:
+        """Stop and start all hosts one after the other, while callers go on."""
+        for index in range(len(self._fleet.hosts)):
+            await self._inject(Fault(0.0, 0.0, "host_term", index), time.monotonic())
+
     async def _host_cut_off(self, fault: Fault, injected: InjectedFault) -> None:
         """Make the links of a host to all upstreams, or to all runners, fail."""
         host = self._host(fault, injected)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -16,7 +16,12 @@
 from rampwick_schema import Node, NodeEdit
 
 from ._callers import KEY, KIND_WEIGHTS, RESPONSE_TOKENS, Call, Caller
-from ._checks import RESPONSE_SLACK_SECONDS, RunObservations, check_all
+from ._checks import (
+    BEFORE_SILENCE_SECONDS,
+    RESPONSE_SLACK_SECONDS,
+    RunObservations,
+    check_all,
+)
 from ._faults import MODEL, FaultInjector, draw_plan
 from ._fleet import Fleet, FleetSize
 from ._herd import SkewedLoad
@@ -111,6 +116,12 @@
             await self._await_recovery("after the faults")
             await self._injector.cut_off_alone(self._parameters.seed)
             await self._await_recovery("after the cuts")
+            # Calls before the silence show how callers are usually served.
+            await anyio.sleep(BEFORE_SILENCE_SECONDS)
+            await self._injector.silence_alone()
+            await self._await_recovery("after the silence")
+            await self._injector.stop_in_turn()
+            await self._await_recovery("after the stops")
             await self._send_herd()
             self._is_over = True
         await self._collect()
@@ -208,6 +219,8 @@
             return
         process = next(host for host in self._fleet.hosts if host.name == name).process
         incarnation = f"{name}/{process.pid if process else 0}"
+        if len(status["peers"]) < len(self._fleet.hosts) - 1:
+            self._observations.missing_peers.append((name, time.monotonic()))
         era = status["revision_era"] or 0
         self._observations.revisions.append(
             ObservedRevision(incarnation, status["revision"], era)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -225,6 +225,31 @@
         )
         self.assertNotEqual([], self.violations(calls=[stopped]))
 
+    def test_callers_who_wait_after_all_connections_fell_silent_are_reported(self):
+        def timed_call(at, seconds):
+            return attrs.evolve(call(f"p{at}", at=at), ended_seconds=at + seconds)
+
+        def violations_of(seconds):
+            calls = [timed_call(at, 0.1) for at in (98.5, 99.0, 99.5)]
+            calls += [timed_call(at, seconds) for at in (104.0, 104.5)]
+            silence = InjectedFault("connections_silent_alone", "", 100.0, 106.0)
+            return self.violations(calls=calls, injected_faults=[silence])
+
+        self.assertEqual([], violations_of(0.1))
+        self.assertNotEqual([], violations_of(4.0))
+
+    def test_host_that_loses_a_peer_over_silent_connections_is_reported(self):
+        def violations_of(at_seconds):
+            silence = InjectedFault("connections_silent_alone", "", 100.0, 106.0)
+            return self.violations(
+                calls=[call("p", at=99.0), call("q", at=104.0)],
+                missing_peers=[("e0", at_seconds)],
+                injected_faults=[silence],
+            )
+
+        self.assertEqual([], violations_of(107.0))
+        self.assertNotEqual([], violations_of(102.0))
+
     def test_cut_is_reported_during_planned_operations_only(self):
         cut = call("p", status=0, tokens=(), is_whole=False, is_cut=True)
         recorded = {"calls": [cut], "attempts": [attempt_record("p")]}
