--- a/measure/_workload.py
+++ b/measure/_workload.py
@@ -54,8 +54,8 @@
         Kind("portal", 0.08, "portal", 300, 10, has_levels=False),
     ),
 )
-SUSRET = WorkloadShape(
-    name="susret",
+VERDICTS = WorkloadShape(
+    name="verdicts",
     workspaces_count=8,
     guide_tokens=2_000,
     collections_count=12,
@@ -67,7 +67,7 @@
     ),
     nominal_hit_rate=0.75,
 )
-SHAPES = {shape.name: shape for shape in (HERBARIA, SUSRET)}
+SHAPES = {shape.name: shape for shape in (HERBARIA, VERDICTS)}
 
 
 @attrs.frozen
