--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -1,5 +1,7 @@
 """Requests on routes: parsing by the callers' dialect, access check, exchange."""
 
+import anyio
+
 from rampwick_policy import Verdict, choose_service, retry_elsewhere_seconds
 from rampwick_schema import Route, Service
 
@@ -37,8 +39,12 @@
             request_id = call.request_id
             # The body is read first: a connection that is closed with unread bytes is
             # reset, and the caller may lose its response.
-            body = await self._read_body(receive)
-            request = await self._check(call, body, arrived_at_seconds)
+            try:
+                body = await self._read_body(receive)
+                request = await self._check(call, body, arrived_at_seconds)
+            except anyio.get_cancelled_exc_class():
+                log.info("request cancelled before submission", request=request_id)
+                raise
             await RoutedExchange(self._context, request, receive, responder).run()
         except CallerError as error:
             self._log_rejection(error, request_id)
--- a/tests/test_left_callers.py
+++ b/tests/test_left_callers.py
@@ -25,6 +25,7 @@
 )
 from rampwick_policy._events import AttemptFailed, CancelAttempt
 from rampwick_router._caller_sockets import CallerListener, CallerSocket
+from rampwick_router.entry import _routed_entry
 from rampwick_schema import HostEntry, HostList
 
 from .bench import KEY as BENCH_KEY, until
@@ -139,6 +140,25 @@
 
         self.assertEqual(0, self.play(scenario))
 
+    def test_caller_that_leaves_before_submission_has_a_line_with_its_request(self):
+        async def scenario(host, found):
+            async def confirm_for_ever(context, call):
+                await anyio.sleep_forever()
+
+            with (
+                mock.patch.object(_routed_entry, "confirm_access", confirm_for_ever),
+                mock.patch.object(_routed_entry.log, "info") as info,
+            ):
+                caller = connect(host.address)
+                caller.sendall(format_request("/once/1", request_id="r7"))
+                await until(lambda: host.daemon.entry.open_count)
+                caller.close()
+                await until(lambda: not host.daemon.entry.open_count)
+                return [line for line in info.mock_calls if line.args]
+
+        line = mock.call("request cancelled before submission", request="r7")
+        self.assertEqual([line], self.play(scenario))
+
     def test_close_arrives_with_the_request_on_a_used_connection(self):
         async def scenario(host, found):
             caller = connect(host.address)
