--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -21,7 +21,7 @@
     hall: str
     #: Region of the hall.
     region: str = attrs.field(default="local")
-    #: Link speed of the host; hosts with faster links are preferred as readers of the platform and as relays.
+    #: Link speed of the host; hosts with faster links are preferred as readers of the platform and as relays, and messages to peers that may wait use 0.4 of it at most.
     link_megabits_per_second: float = attrs.field(
         default=1000.0, validator=within(0.001, 10000000.0)
     )
