Contain unexpected errors; carry any name of an upstream or reject it

Cause: bytes that are not UTF-8 were decoded to U+FFFD, the name of an entry was not checked, and a header value was encoded as Latin-1, which lacks that character. The UnicodeEncodeError was raised in the probe of one upstream; nothing caught it, so that it ended the task group of all probes, and with it the daemon. The class: each background task passed an unexpected error of one upstream, entry, target, cache, runner, peer or batch of claims to the daemon's task group.

Ruled out: requests to such an upstream, whose error ends only that request.

Change: each background task has an owner that decides what an unexpected error costs: a probe has failed, an entry or target is skipped, a cache is read again after a pause, the result of an order is lost, a link is closed, a claim fails. The daemon's tasks run again after a pause. Errors are logged with their traceback and counted (rampwick_unexpected_errors, status). What still ends the process: a listener that can't be served, invalid settings at the start, and the failure of a callers' server.

A name is carried in UTF-8 as it is, and recognized in both usual encodings; one that is not UTF-8 or that no header can carry names no upstream. Control characters in an object no longer hide the others, nor do objects without a name. Values of other types in cache events are a gap; a head that HTTP can't represent is an unsent request, not an error of the task. Connections are kept by upstream and lane, since a name may hold a space.

--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -120,6 +120,7 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
+        self._is_listed = False
         while True:
             while not self._must_read():
                 await sleep_aligned(ROLE_CHECK_INTERVAL_SECONDS)
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -24,6 +24,7 @@
 from ._logs import ComponentLogger
 from ._profile import MAX_PROFILE_SECONDS, Profiler
 from ._scheduler_task import Decision
+from ._unexpected_errors import unexpected_error_counts
 from .control import ConfigurationTask, HostListTask, RolloutController
 from .entry import EntryContext
 from .peers import RolesView, TunnelsView
@@ -129,6 +130,8 @@
             metrics.platform_calls.labels(purpose).set(count)
         for reason, count in self._context.connection_pool.opened_counts().items():
             metrics.connections_opened.labels(reason).set(count)
+        for task, count in unexpected_error_counts().items():
+            metrics.unexpected_errors.labels(task).set(count)
         tunnels = self._read_tunnels()
         metrics.tunnels.labels("opened").set(sum(tunnels.opened.values()))
         metrics.tunnels.labels("served").set(tunnels.served_count)
@@ -166,6 +169,7 @@
         status["tunnels"] = attrs.asdict(self._read_tunnels())
         status["platform_calls"] = dict(self._read_platform_calls())
         status["connections_opened"] = self._context.connection_pool.opened_counts()
+        status["unexpected_errors"] = unexpected_error_counts()
         status["degraded"] = self._list_problems(status)
         return JSONResponse(status)
 
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -1,7 +1,7 @@
 """The daemon: start of its tasks and planned shutdown."""
 
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -29,6 +29,7 @@
     listen,
     serve_apps,
 )
+from ._unexpected_errors import contain_errors, keep_running
 from .upstream import (
     ConnectionPool,
     UpstreamClient,
@@ -108,23 +109,29 @@
 
     async def start(self, tasks: TaskGroup, listeners: Listeners) -> None:
         """Start all tasks; return when they have been scheduled."""
-        tasks.start_soon(self.scheduler.run)
+        components = self._components
+
+        def start(task: str, run: Callable[[], Awaitable[None]]) -> None:
+            tasks.start_soon(keep_running, task, run)
+
+        start("scheduler", self.scheduler.run)
         self.load_fallback()
-        tasks.start_soon(self._hosts.run)
-        tasks.start_soon(self._configuration.run)
-        tasks.start_soon(self._components.claims.run)
-        tasks.start_soon(self._components.probes.run)
-        tasks.start_soon(self._components.cancels.run)
-        tasks.start_soon(self.rollout_controller.run)
-        tasks.start_soon(self._connection_pool.sweep)
-        tasks.start_soon(self._components.cache_reader.run)
-        if self._components.targets is not None:
-            tasks.start_soon(self._components.targets.run)
-        if self._components.directory is not None:
-            tasks.start_soon(self._components.directory.run)
-        tasks.start_soon(self.entry.watch_callers)
-        tasks.start_soon(self._components.stall_detector.run)
-        tasks.start_soon(self._log_state)
+        start("host list", self._hosts.run)
+        start("configuration", self._configuration.run)
+        start("claims", components.claims.run)
+        start("probes", components.probes.run)
+        start("cancellations", components.cancels.run)
+        start("rollout", self.rollout_controller.run)
+        start("connection pool", self._connection_pool.sweep)
+        start("cache reader", components.cache_reader.run)
+        if components.targets is not None:
+            start("weights targets", components.targets.run)
+        if components.directory is not None:
+            start("peer records", components.directory.run)
+        start("watch of callers", self.entry.watch_callers)
+        start("stall detector", components.stall_detector.run)
+        start("log of the state", self._log_state)
+        # The listeners can't be opened again: their servers' end is the process's end.
         tasks.start_soon(self._gossip.run, listeners.peer)
         log.info("started", host=self._settings.host.name)
 
@@ -193,8 +200,10 @@
         log.info("not ready, waiting for the balancer to stop routing here")
         self._gossip.summaries.is_leaving = True
         self._gossip.tunnel_server.is_leaving = True
-        await self.rollout_controller.retire()
-        self._gossip.summaries.publish_own()
+        with contain_errors("release of the lease"):
+            await self.rollout_controller.retire()
+        with contain_errors("summaries"):
+            self._gossip.summaries.publish_own()
         await self.lifecycle.pause(self._settings.life.balancer_delay_seconds)
         self.lifecycle.balancer_delay_elapsed = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
--- a/packages/rampwick-router/src/rampwick_router/_log_sink.py
+++ b/packages/rampwick-router/src/rampwick_router/_log_sink.py
@@ -4,6 +4,7 @@
 not fit there are dropped and counted.
 """
 
+import json
 import os
 import sys
 from collections import deque
@@ -31,14 +32,14 @@
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Write a message, or buffer it until the reader catches up."""
-        line = orjson.dumps(message, default=str) + b"\n"
+        line = _encode(message)
         self.flush()
         if self._buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
             self.dropped_count += 1
             return
         if self.dropped_count:
             message = {**message, "left_out_lines_count": self.dropped_count}
-            line = orjson.dumps(message, default=str) + b"\n"
+            line = _encode(message)
             self.dropped_count = 0
         self._buffer.append(line)
         self._buffered_bytes += len(line)
@@ -62,6 +63,14 @@
             self._buffer.popleft()
 
 
+def _encode(message: dict[str, Any]) -> bytes:
+    try:
+        return orjson.dumps(message, default=str) + b"\n"
+    except TypeError:
+        # A number of more than 64 bits, or text that UTF-8 can't represent.
+        return json.dumps(message, default=str).encode() + b"\n"
+
+
 @contextmanager
 def open_log(path: Path | None) -> Iterator[LogSink]:
     """Send log lines to a file, or to standard output, until the context ends."""
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -18,6 +18,7 @@
 from ._integration import Integration
 from ._log_sink import open_log
 from ._logs import ComponentLogger
+from ._unexpected_errors import contain_errors
 
 log = ComponentLogger("life")
 
@@ -126,7 +127,8 @@
 ) -> None:
     async for number in signals:
         if number == signal.SIGHUP:
-            _reload(daemon, path)
+            with contain_errors("reload of the settings"):
+                _reload(daemon, path)
         else:
             daemon.lifecycle.begin_stop()
 
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -241,6 +241,12 @@
             ("reason",),
             registry=registry,
         )
+        self.unexpected_errors = Gauge(
+            "rampwick_unexpected_errors",
+            "Unexpected errors that were contained, by the task in which they came.",
+            ("task",),
+            registry=registry,
+        )
         self.roles = Gauge(
             "rampwick_role",
             "Whether this host has a role: relay, reader, steward.",
--- a/packages/rampwick-router/src/rampwick_router/_native_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_native_dialect.py
@@ -120,19 +120,20 @@
             *call.forwarded_headers,
             (REQUEST_ID, call.request_id.encode("latin-1")),
             (DEADLINE, f"{terms.remaining_seconds:.3f}".encode()),
-            (INCARNATION, terms.incarnation.encode("latin-1")),
+            (INCARNATION, terms.incarnation.encode()),
             (PRIORITY, str(terms.priority_rank).encode()),
         ]
         optional = [
-            (WORKSPACE, terms.workspace),
-            (MODEL, call.model),
-            (PARTS, write_parts(call.parts)),
-            (SALT, terms.cache_salt),
-            (IMPORT_FROM, terms.import_address),
-            (SAVE_TO, terms.save_address),
-            (LAST_EVENT_ID, terms.resume_after),
+            (WORKSPACE, terms.workspace.encode()),
+            # These three are sent back as the caller's bytes.
+            (MODEL, call.model.encode("latin-1")),
+            (PARTS, write_parts(call.parts).encode("latin-1")),
+            (LAST_EVENT_ID, terms.resume_after.encode("latin-1")),
+            (SALT, terms.cache_salt.encode()),
+            (IMPORT_FROM, terms.import_address.encode()),
+            (SAVE_TO, terms.save_address.encode()),
         ]
-        headers += [(name, text.encode("latin-1")) for name, text in optional if text]
+        headers += [(name, value) for name, value in optional if value]
         if terms.weights_version:
             headers.append((WEIGHTS, str(terms.weights_version).encode()))
         return headers
@@ -141,15 +142,15 @@
         """Parse a response head; ``incarnation`` is the one that was addressed."""
         headers = head.headers
         not_run = find(headers, NOT_RUN)
-        reported = (find(headers, INCARNATION) or b"").decode("latin-1")
+        reported = find(headers, INCARNATION) or b""
         weights = find(headers, WEIGHTS)
         return ResponseInfo(
             request_id=(find(headers, REQUEST_ID) or b"").decode("latin-1"),
             was_refused=not_run is not None,
             is_misdirected=not_run == b"misdirected",
             is_signed=bool(reported),
-            is_other_incarnation=reported not in ("", incarnation),
-            weights_version=int(weights) if weights and weights.isdigit() else None,
+            is_other_incarnation=reported not in (b"", incarnation.encode()),
+            weights_version=_read_count(weights) if weights else None,
             max_idle_seconds=keep_alive_seconds(headers),
             is_closing=has_connection_close(headers),
             request_rate=read_request_rate(head, REQUEST_RATE),
@@ -223,8 +224,8 @@
         try:
             data = orjson.loads(body)
             return CacheEvents(
-                epoch=data["epoch"],
-                next_number=data["next_number"],
+                epoch=int(data["epoch"]),
+                next_number=int(data["next_number"]),
                 has_gap=data["has_gap"],
                 events=[
                     CacheEvent(salt, part.encode(), tokens)
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -43,6 +43,7 @@
 )
 
 from ._logs import ComponentLogger, milliseconds
+from ._unexpected_errors import contain_errors
 
 #: Interval between checks of deadlines, and the interval while no request is open.
 TICK_SECONDS = 0.1
@@ -278,7 +279,8 @@
                 self._has_open = anyio.Event()
                 with move_on_after_aligned(IDLE_TICK_SECONDS):
                     await self._has_open.wait()
-            self.post(Tick())
+            with contain_errors("scheduler tick"):
+                self.post(Tick())
 
     async def _sleep_one_tick(self) -> None:
         """Sleep, and log if the event loop woke this task up much too late.
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -26,6 +26,7 @@
 from rampwick_schema import DataError, RampwickError, Settings, Tree, era_of
 
 from .._logs import ComponentLogger
+from .._unexpected_errors import note_unexpected_error
 from ._configuration import ConfigurationTask
 
 #: Wait after a failed call, and time between two reads by a host that does not watch.
@@ -252,7 +253,7 @@
         except Exception as error:
             # The end of this task would end the host, with all requests on it.
             self._refused_version = state.version
-            log.problem("configuration not applied", error=repr(error))
+            note_unexpected_error("configuration", error, version=state.version)
 
     def _read_state(self, state: KindState) -> None:
         self._task.note_problem("")
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -18,6 +18,7 @@
 from rampwick_schema import DataError, HostEntry, HostList, RampwickError
 
 from .._logs import ComponentLogger
+from .._unexpected_errors import contain_errors, note_unexpected_error
 
 #: Maximum wait of one watch on the upstreams. Its responses confirm the list to peers,
 #: which read the platform themselves once their data is older than FALLBACK_SECONDS.
@@ -125,6 +126,10 @@
         self._task.note_problem(problem)
 
     def _apply_state(self, state: KindState) -> None:
+        with contain_errors("host list", version=state.version):
+            self._read_state(state)
+
+    def _read_state(self, state: KindState) -> None:
         self._task.note_problem("")
         entries = []
         for stored in state.objects.values():
@@ -134,6 +139,8 @@
                 log.problem(
                     "invalid upstream entry", entry=stored.key, error=str(error)
                 )
+            except Exception as error:
+                note_unexpected_error("upstream entry", error, entry=stored.key)
         self._guard.apply(
             entries,
             state.version,
@@ -158,4 +165,5 @@
             with anyio.move_on_after(wait_seconds) as scope:
                 await self._changed.wait()
             if scope.cancelled_caught:
-                self._offer_list()
+                with contain_errors("host list"):
+                    self._offer_list()
--- a/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
@@ -30,6 +30,7 @@
 from rampwick_schema import (
     DataError,
     HostEntry,
+    LoadReport,
     ReprMixin,
     Settings,
     StewardSettings,
@@ -38,6 +39,7 @@
 from .._errors import AttemptError
 from .._logs import ComponentLogger
 from .._scheduler_task import SchedulerTask
+from .._unexpected_errors import contain_errors, note_unexpected_error
 from ..upstream import CONTROL_TIMEOUT_SECONDS, UpstreamControl
 from ._lease_manager import LeaseManager
 
@@ -178,6 +180,8 @@
                 except (PlatformError, DataError) as error:
                     # The lease expires without renewal; no order is sent without it.
                     log.problem("rollout step failed", error=str(error))
+                except Exception as error:
+                    note_unexpected_error("rollout step", error)
                 with move_on_after_aligned(self._pause_seconds(is_busy)):
                     await self._wake.wait()
 
@@ -261,15 +265,21 @@
         started_seconds = self._read_clock()
         try:
             report = await self._control.probe(entry, UpstreamPath.DIRECT)
+            if report is not None:
+                self._handle_report(entry, report, started_seconds)
         except AttemptError as error:
             log.problem(
                 "runner report unavailable", runner=entry.name, error=str(error)
             )
             self._rollout.note_unresponsive(entry.name, self._read_clock())
-            self.wake()
-            return
-        if report is None:
-            return
+        except Exception as error:
+            note_unexpected_error("runner report", error, runner=entry.name)
+            self._rollout.note_unresponsive(entry.name, self._read_clock())
+        self.wake()
+
+    def _handle_report(
+        self, entry: HostEntry, report: LoadReport, started_seconds: float
+    ) -> None:
         was_pending = entry.name in self._rollout.loads()
         self._rollout.note_report(entry.name, report, started_seconds)
         self._scheduler.post(LoadReported(entry.name, report, address=entry.address))
@@ -282,7 +292,6 @@
             )
             self._note_observed(entry.name, report.incarnation, report.weights_version)
             self.notify_peers()
-        self.wake()
 
     def _note_observed(self, runner: str, incarnation: str, version: int) -> None:
         now_seconds = self._read_clock()
@@ -294,10 +303,16 @@
     async def _run_order(self, entry: HostEntry, planned: PlannedOrder) -> None:
         version = planned.order.weights_version
         await anyio.sleep(ANNOUNCE_LEAD_SECONDS)
-        result = await self._send_order(entry, planned)
-        self._rollout.note_result(entry.name, result)
-        if result not in (OrderResult.TAKEN, OrderResult.LOST):
-            self._scheduler.post(WeightsLoadOrdered(entry.name, "", version, 0.0))
+        try:
+            result = await self._send_order(entry, planned)
+        except Exception as error:
+            note_unexpected_error("order", error, runner=entry.name)
+            # The order may have been sent before the error.
+            result = OrderResult.LOST
+        with contain_errors("result of an order", runner=entry.name):
+            self._rollout.note_result(entry.name, result)
+            if result not in (OrderResult.TAKEN, OrderResult.LOST):
+                self._scheduler.post(WeightsLoadOrdered(entry.name, "", version, 0.0))
         self.wake()
 
     async def _send_order(self, entry: HostEntry, planned: PlannedOrder) -> OrderResult:
--- a/packages/rampwick-router/src/rampwick_router/control/_target_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_target_sources.py
@@ -19,6 +19,7 @@
 
 from .._logs import ComponentLogger
 from .._scheduler_task import SchedulerTask
+from .._unexpected_errors import contain_errors, note_unexpected_error
 
 #: Maximum wait of one watch on the targets. A watch whose connection has died receives
 #: no version until its wait ends. With 20 s the rollout controller received a version
@@ -86,13 +87,16 @@
                 log.problem(
                     "invalid weights target", target=stored.key, error=str(error)
                 )
-        _post_targets(
-            self._scheduler,
-            targets,
-            state.confirmed_at_seconds,
-            state.is_after_failure,
-            self._wake,
-        )
+            except Exception as error:
+                note_unexpected_error("weights target", error, target=stored.key)
+        with contain_errors("weights targets"):
+            _post_targets(
+                self._scheduler,
+                targets,
+                state.confirmed_at_seconds,
+                state.is_after_failure,
+                self._wake,
+            )
 
 
 class PolledTargetSource:
--- a/packages/rampwick-router/src/rampwick_router/entry/_claims.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_claims.py
@@ -14,6 +14,7 @@
 
 from .._errors import CallerError
 from .._logs import ComponentLogger
+from .._unexpected_errors import contain_errors, note_unexpected_error
 
 STEP = "claim key"
 
@@ -172,8 +173,12 @@
                     self.withdraw(AcquiredClaim(shard, write_id, -math.inf))
                 raise RampwickError(RESTORED_MESSAGE, step=STEP)
             self._retain(shard, batch, decision.won)
-        except RampwickError as error:
-            log.problem("failed to claim keys", error=str(error))
+        except Exception as error:
+            if isinstance(error, RampwickError):
+                log.problem("failed to claim keys", error=str(error))
+            else:
+                note_unexpected_error("claim of keys", error)
+                error = RampwickError("an unexpected error", step=STEP)
             for pending in batch:
                 _send_result(pending, error)
             return
@@ -243,10 +248,11 @@
             if self._store is None:
                 continue
             self._own_claims.pop(claim.write_id, None)
-            try:
-                await self._store.withdraw(claim.shard, [claim.write_id])
-            except RampwickError as error:
-                log.problem("failed to release a key", error=str(error))
+            with contain_errors("release of a key"):
+                try:
+                    await self._store.withdraw(claim.shard, [claim.write_id])
+                except RampwickError as error:
+                    log.problem("failed to release a key", error=str(error))
 
 
 def _send_result(pending: _PendingClaim, result: bool | RampwickError) -> None:
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -41,6 +41,7 @@
 from .._logs import ComponentLogger
 from .._metrics import Metrics
 from .._scheduler_task import SchedulerTask
+from .._unexpected_errors import keep_running
 from ..control import ConfigurationTask, HostListTask, RolloutController
 from ._cache_outbox import CacheOutbox
 from ._directory import PeerDirectory
@@ -192,13 +193,16 @@
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._links.run, listener)
-            tasks.start_soon(self._sender.run)
-            tasks.start_soon(self._member_updates.run)
-            tasks.start_soon(self.cache_outbox.run)
-            tasks.start_soon(self.freshness.run)
-            tasks.start_soon(self._broadcast_rollout)
-            tasks.start_soon(self.urgent_updates.run)
-            await self._publish_summaries()
+            for task, run in (
+                ("paced messages", self._sender.run),
+                ("member updates", self._member_updates.run),
+                ("cache updates", self.cache_outbox.run),
+                ("poll of a reader", self.freshness.run),
+                ("rollout updates", self._broadcast_rollout),
+                ("urgent updates", self.urgent_updates.run),
+                ("summaries", self._publish_summaries),
+            ):
+                tasks.start_soon(keep_running, task, run)
 
     def _make_record_sender(self) -> StreamRecordSender | None:
         streams = self._scheduler.begun_streams
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -31,6 +31,7 @@
 from .._errors import PeerError
 from .._logs import ComponentLogger
 from .._metrics import Metrics
+from .._unexpected_errors import contain_errors, keep_running, note_unexpected_error
 from ._stream import PeerStream
 
 #: Backoff before a peer is dialled again: initial delay, factor, maximum.
@@ -278,10 +279,11 @@
                 backlog=BACKLOG_COUNT,
             )
             stack.callback(server.close)
-            tasks.start_soon(self.monitor_links)
+            tasks.start_soon(keep_running, "monitor of links", self.monitor_links)
             while True:
                 self._changed = anyio.Event()
-                self._reconcile(tasks)
+                with contain_errors("reconciliation of links"):
+                    self._reconcile(tasks)
                 with move_on_after_aligned(RECONCILE_INTERVAL_SECONDS):
                     await self._changed.wait()
 
@@ -381,7 +383,7 @@
     async def _keep_dialing(self, dialler: _Dialler) -> None:
         pause_seconds = REDIAL_SECONDS
         try:
-            with dialler.scope:
+            with dialler.scope, contain_errors("dialling", peer=dialler.address):
                 while not self._is_obsolete(dialler):
                     is_complete = False
                     try:
@@ -392,6 +394,8 @@
                         # this only reports that the address did not respond.
                         if dialler.name and not self._is_replacing(dialler):
                             self.on_unreachable(dialler.name)
+                    except Exception as error:
+                        note_unexpected_error("link", error, peer=dialler.address)
                     if is_complete:
                         pause_seconds = REDIAL_SECONDS
                     await anyio.sleep(pause_seconds)
@@ -435,6 +439,8 @@
             await self._run_link(stream)
         except PeerError as error:
             log.info("accepted peer connection closed", error=str(error))
+        except Exception as error:
+            note_unexpected_error("accepted link", error, peer=stream.peer)
         finally:
             self._accepted_count -= 1
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_urgent_updates.py
@@ -18,6 +18,7 @@
     RateLimitUpdate,
 )
 
+from .._unexpected_errors import keep_running
 from ._links import Link, PeerLinks
 from ._roles import Roles
 from ._stream_records import StreamRecordSender
@@ -118,10 +119,10 @@
     async def run(self) -> None:
         """Broadcast until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._broadcast_load)
-            tasks.start_soon(self._broadcast_bursts)
+            tasks.start_soon(keep_running, "load updates", self._broadcast_load)
+            tasks.start_soon(keep_running, "burst updates", self._broadcast_bursts)
             for broadcaster in self._broadcasters:
-                tasks.start_soon(broadcaster.run)
+                tasks.start_soon(keep_running, "urgent updates", broadcaster.run)
 
     def note_load(self) -> None:
         """Record that a runner was sent a long prompt."""
--- a/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_cache_reader.py
@@ -4,6 +4,7 @@
 
 import anyio
 import attrs
+from anyio.abc import TaskGroup
 
 from rampwick_platform import sleep_aligned
 from rampwick_policy import (
@@ -26,6 +27,7 @@
 from .._errors import AttemptError
 from .._logs import ComponentLogger
 from .._scheduler_task import SchedulerTask
+from .._unexpected_errors import contain_errors, note_unexpected_error
 from ._connection_pool import ConnectionPool
 from ._control import call_upstream
 
@@ -157,15 +159,20 @@
         """Read until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                wanted = self._scheduler.run_query(self._list_sources)
-                for source in self._scopes.keys() - wanted:
-                    self._scopes.pop(source).cancel()
-                    self._caught_up.discard(source)
-                for source in wanted - self._scopes.keys():
-                    scope = self._scopes[source] = anyio.CancelScope()
-                    tasks.start_soon(self._follow, source, scope)
+                with contain_errors("scan for caches"):
+                    self._scan(tasks)
                 await sleep_aligned(self._scheduler.run_query(self._pause_seconds))
 
+    def _scan(self, tasks: TaskGroup) -> None:
+        """Follow the caches that this host is to read, and no others."""
+        wanted = self._scheduler.run_query(self._list_sources)
+        for source in self._scopes.keys() - wanted:
+            self._scopes.pop(source).cancel()
+            self._caught_up.discard(source)
+        for source in wanted - self._scopes.keys():
+            scope = self._scopes[source] = anyio.CancelScope()
+            tasks.start_soon(self._follow, source, scope)
+
     @property
     def is_caught_up(self) -> bool:
         """Whether the caches read here are known and their backlogs have been read."""
@@ -226,7 +233,10 @@
                         continue
                 except (AttemptError, DataError) as error:
                     self._note_failure(source, state, str(error))
-                    self._note_caught_up(source, state)
+                    await anyio.sleep(FAILURE_PAUSE_SECONDS)
+                except Exception as error:
+                    note_unexpected_error("cache events", error, cache=source.name)
+                    self._note_failure(source, state, repr(error))
                     await anyio.sleep(FAILURE_PAUSE_SECONDS)
                 self._note_caught_up(source, state)
                 await sleep_aligned(POLL_INTERVAL_SECONDS)
@@ -277,15 +287,17 @@
         self._caught_up.add(source)
         if state.backlog is None:
             return
-        changes = state.backlog.take()
-        state.backlog = None
-        if changes:
-            self._notify_peers(CacheReported(source.name, tuple(changes)))
+        backlog, state.backlog = state.backlog, None
+        with contain_errors("cache backlog", cache=source.name):
+            changes = backlog.take()
+            if changes:
+                self._notify_peers(CacheReported(source.name, tuple(changes)))
 
     def _note_failure(self, source: CacheSource, state: ReadState, error: str) -> None:
         if state.is_responding:
             log.problem("cache not responding", cache=source.name, error=error)
         state.is_responding = False
+        self._note_caught_up(source, state)
 
     def _publish(
         self,
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -114,17 +114,23 @@
         self._has_head = False
         self.body_end = None
         self._method = method
-        request = h11.Request(method=method, target=target, headers=list(headers))
-        head = self._http.send(request)
-        tail = b""
-        if body:
-            tail += self._http.send(h11.Data(data=body))
-        tail += self._http.send(h11.EndOfMessage())
-        data = head + tail
+        try:
+            data = self._encode(method, target, headers, body)
+        except h11.LocalProtocolError as error:
+            raise self._unsendable(error) from error
         # Sent in pieces, so that an early response is noticed.
         for start in range(0, len(data), CHUNK_BYTES):
             await self._send_bytes(data[start : start + CHUNK_BYTES], check)
 
+    def _encode(
+        self, method: str, target: str, headers: RawHeaders, body: bytes
+    ) -> bytes:
+        request = h11.Request(method=method, target=target, headers=list(headers))
+        data = self._http.send(request) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        return data + (self._http.send(h11.EndOfMessage()) or b"")
+
     async def _send_bytes(self, data: bytes, check: SendCheck | None) -> None:
         def before_write() -> None:
             if check is not None:
@@ -228,6 +234,13 @@
         self._has_failed = True
         self._socket.close()
 
+    def _unsendable(self, cause: Exception) -> AttemptError:
+        """Return the error for a request that HTTP can't represent."""
+        self._has_failed = True
+        return AttemptError(
+            str(cause), outcome=Outcome.UNSENT, step="send request", peer=self.peer
+        )
+
     def _broken(self, step: str, cause: object) -> AttemptError:
         self._has_failed = True
         is_reset = isinstance(cause, ConnectionResetError | BrokenPipeError)
@@ -248,11 +261,6 @@
     open_count: int = 0
 
 
-def _upstream_of(key: str) -> str:
-    """Return the upstream of a key, which may name a lane as well."""
-    return key.partition(" ")[0]
-
-
 def _always_direct(upstream: str) -> UpstreamPath:
     return UpstreamPath.DIRECT
 
@@ -266,7 +274,8 @@
         self.find_path: Callable[[str], UpstreamPath] = _always_direct
         #: Opens connections through peers; none if this host has no peers.
         self.tunnels: TunnelDialer | None = None
-        self._by_upstream: dict[str, _UpstreamConnections] = {}
+        #: By upstream and lane.
+        self._by_upstream: dict[tuple[str, str], _UpstreamConnections] = {}
         self._doubts = ConnectionDoubts()
         #: Number of connections opened so far, by reason.
         self._opened: Counter[str] = Counter()
@@ -296,7 +305,7 @@
         self._doubt(connection.peer, self._read_clock() - silent_seconds)
 
     def _doubt(self, upstream: str, since_seconds: float) -> None:
-        connected = {_upstream_of(key) for key in self._by_upstream}
+        connected = {known for known, _ in self._by_upstream}
         self._doubts.note(upstream, since_seconds, self._read_clock(), connected)
 
     def _note_answered(self, connection: UpstreamConnection) -> None:
@@ -319,8 +328,8 @@
         """Return the connections to an upstream in all lanes."""
         return [
             connections
-            for key, connections in self._by_upstream.items()
-            if _upstream_of(key) == upstream
+            for (known, _), connections in self._by_upstream.items()
+            if known == upstream
         ]
 
     async def __aenter__(self) -> "ConnectionPool":
@@ -356,8 +365,9 @@
         Afterwards the connection returns to the pool if its response was complete.
         Otherwise it is closed, which also stops the upstream's work on the request.
         """
-        key = f"{upstream} {lane}" if lane else upstream
-        connections = self._by_upstream.setdefault(key, _UpstreamConnections())
+        connections = self._by_upstream.setdefault(
+            (upstream, lane), _UpstreamConnections()
+        )
         current_path = self.find_path(upstream)
         path = path or current_path
         # A kept connection of another path may have died in the meantime.
@@ -468,8 +478,8 @@
                 self._close_expired(connections)
                 if not connections.open_count:
                     self._by_upstream.pop(key, None)
-                    if not self._list_connections(_upstream_of(key)):
-                        self._doubts.forget(_upstream_of(key))
+                    if not self._list_connections(key[0]):
+                        self._doubts.forget(key[0])
 
     def _close_expired(self, connections: _UpstreamConnections) -> None:
         now_seconds = self._read_clock()
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tasks.py
@@ -9,6 +9,7 @@
 from .._errors import AttemptError
 from .._logs import ComponentLogger
 from .._scheduler_task import SchedulerTask
+from .._unexpected_errors import contain_errors, note_unexpected_error
 from ._control import UpstreamControl
 from ._sockets import TunnelDialer
 
@@ -63,23 +64,34 @@
         race = ProbeRace(self._control, entry, may_be_silent=may_be_silent)
         try:
             report, path = await race.run(self._tunnels, may_reuse=may_reuse)
+            self._scheduler.post(LoadReported(entry.name, report, path, entry.address))
         except AttemptError as error:
+            self._post_failed(entry, str(error), error.is_connected)
+        except Exception as error:
+            note_unexpected_error("probe", error, upstream=entry.name)
+            self._post_failed(entry, repr(error))
+
+    def _post_failed(
+        self, entry: HostEntry, error: str, is_connected: bool = False
+    ) -> None:
+        with contain_errors("failed probe", upstream=entry.name):
             self._scheduler.post(
-                ProbeFailed(entry.name, str(error), error.is_connected, entry.address)
+                ProbeFailed(entry.name, error, is_connected, entry.address)
             )
-            return
-        self._scheduler.post(LoadReported(entry.name, report, path, entry.address))
 
     async def _check_link(self, entry: HostEntry) -> None:
         """Return to the own link of an upstream if it works again."""
-        try:
-            report = await self._control.probe(
-                entry, UpstreamPath.DIRECT, may_reuse=False
+        with contain_errors("link check", upstream=entry.name):
+            try:
+                report = await self._control.probe(
+                    entry, UpstreamPath.DIRECT, may_reuse=False
+                )
+            except AttemptError:
+                # The upstream remains reachable through peers, and is checked again.
+                return
+            self._scheduler.post(
+                LoadReported(entry.name, report, address=entry.address)
             )
-        except AttemptError:
-            # The upstream remains reachable through peers, and is checked again.
-            return
-        self._scheduler.post(LoadReported(entry.name, report, address=entry.address))
 
 
 class ProbeRace:
@@ -184,9 +196,10 @@
                 )
 
     async def _cancel(self, address: str, upstream: str, attempt_id: str) -> None:
-        try:
-            await self._control.cancel(address, upstream, attempt_id)
-        except AttemptError as error:
-            log.problem(
-                "attempt cancellation failed", attempt=attempt_id, error=str(error)
-            )
+        with contain_errors("cancellation", upstream=upstream, attempt=attempt_id):
+            try:
+                await self._control.cancel(address, upstream, attempt_id)
+            except AttemptError as error:
+                log.problem(
+                    "attempt cancellation failed", attempt=attempt_id, error=str(error)
+                )
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -417,6 +417,7 @@
     retry: str = "",
     store=None,
     versions: dict[str, str] | None = None,
+    probe_interval_seconds: float = 0.0,
 ) -> AsyncIterator[tuple[RoutedHost, dict[str, ScriptedUpstream]]]:
     """Run a host with scripted upstreams, whose names are given by service.
 
@@ -433,7 +434,11 @@
                 version = (versions or {}).get(name, "")
                 list_upstream(store, servers[name], service, version=version)
         async with run_routed_host(
-            store, platform=platform, retry=retry, has_versions=versions is not None
+            store,
+            platform=platform,
+            retry=retry,
+            has_versions=versions is not None,
+            probe_interval_seconds=probe_interval_seconds,
         ) as host:
             with anyio.fail_after(20.0):
                 while host.upstreams_count < len(servers):
@@ -453,6 +458,7 @@
     retry: str = "",
     peers: str = "",
     has_versions: bool = False,
+    probe_interval_seconds: float = 0.0,
 ) -> AsyncIterator[RoutedHost]:
     """Run a host on a store; yield it once it has the configuration."""
     settings = parse_settings(
@@ -460,7 +466,7 @@
         "[life]\nbalancer_delay_seconds = 0.0\n"
         f"[platform]\nconfirm_wait_seconds = 0.05\n{platform}\n"
         f"[peers]\n{peers}\n"
-        f"[retry]\nprobe_interval_seconds = 0.0\n{retry}\n",
+        f"[retry]\nprobe_interval_seconds = {probe_interval_seconds}\n{retry}\n",
         source="test",
     )
     integration = Integration(
