Keep the first error of a connection, whichever call the kernel tells it

Cause: the kernel reports a reset once, to the next call on the socket. A frozen host runs its timers before it reads its sockets; the detector of stalls asked whether a connection has unread bytes, with a recv(MSG_PEEK) that took the ECONNRESET and dropped it. The next read returned no bytes, as after an orderly close, which ends a body without a length. The class: an error that the kernel tells once, told to a call that does not decide how the body ended.

Other calls that take such an error: a write (kept since an earlier incident), a read (a second read returned an end), SO_ERROR (only while connecting). The check of a pooled connection before its next use took it too, and closed the connection. Callers, peers' streams and listeners ask poll(), which takes nothing; the store's client raises a read error, and a cut JSON body is no JSON. A tunnel's end is a message of its own. There the error of a write ended the other direction at once: the answer that the upstream had sent before its reset was lost, and the caller's host saw a lost tunnel in place of the reset.

Change: TcpSocket keeps the first error of its connection. Reads raise it once the last bytes are read, every time; checks ask poll(). A tunnel forwards what came before a failed write, and the error as its end.

--- a/packages/rampwick-router/src/rampwick_router/peers/_tunnel_server.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnel_server.py
@@ -74,10 +74,13 @@
                     break
                 self._awaits_answer = True
                 await self._upstream.send(message.data, _pass)
-        except (PeerError, OSError):
-            # The caller's host has closed the tunnel, or reads the error of the
-            # upstream from the other direction.
+        except PeerError:
+            # The caller's host has closed the tunnel.
             pass
+        except OSError:
+            # The connection to the upstream has failed. The other direction forwards
+            # what the upstream had sent before, and the error as the tunnel's end.
+            return
         scope.cancel()
 
     async def _forward_answers(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -35,8 +36,9 @@
         #: Whether the loop watches the socket, and whether it has become readable.
         self._is_watched = False
         self._has_bytes = asyncio.Event()
-        #: Error of a write. The kernel reports a reset once, to a write or to a read.
-        self._send_error: OSError | None = None
+        #: First error of the connection. The kernel reports a reset once, to whichever
+        #: call comes next; a read after that returns no bytes, as after a close.
+        self._error: OSError | None = None
 
     @classmethod
     async def connect(cls, address: str) -> "TcpSocket":
@@ -68,13 +70,13 @@
             except BlockingIOError:
                 await anyio.wait_writable(self._raw)
             except OSError as error:
-                self._send_error = error
-                raise
+                raise self._first_error(error) from None
 
     async def receive(self) -> bytes:
         """Return the next bytes; empty once the peer has closed its side.
 
-        A reset that a write has met is an error here, too, and no end of stream.
+        A connection that has failed, in whichever call, raises the error that ended it
+        once its last bytes are read.
         """
         while True:
             self._watch()
@@ -82,12 +84,20 @@
             self._has_bytes.clear()
             try:
                 data = self._raw.recv(RECEIVE_BYTES)
-                if not data and self._send_error is not None:
-                    raise self._send_error
-                return data
             except BlockingIOError:
                 # Woken for bytes that an earlier read has already consumed.
                 continue
+            except OSError as error:
+                raise self._first_error(error) from None
+            if not data and self._error is not None:
+                raise self._error
+            return data
+
+    def _first_error(self, error: OSError) -> OSError:
+        """Return the error that ended the connection; later ones follow from it."""
+        if self._error is None:
+            self._error = error
+        return self._error
 
     def unwatch(self) -> None:
         """Stop watching the socket, since no read is expected."""
@@ -112,18 +122,20 @@
         self._has_bytes.set()
 
     def is_readable(self) -> bool:
-        """Return whether there is data to read, an end of stream or an error."""
-        try:
-            self._raw.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
+        """Return whether there is data to read, an end of stream or an error.
+
+        A look at the data would take the error from the next read.
+        """
+        if self._is_closed or self._error is not None:
             return True
-        return True
+        poll = select.poll()
+        # Errors and hang-ups are reported without being requested.
+        poll.register(self._raw, select.POLLIN | select.POLLRDHUP)
+        return bool(poll.poll(0))
 
     def has_unread(self) -> bool:
         """Return whether a read would return or fail at once."""
-        return self._is_closed or self.is_readable()
+        return self.is_readable()
 
     def data_age_seconds(self) -> float:
         """Return how long ago at least the bytes read last arrived."""
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,6 +1,7 @@
 """Answers that were cut short are never framed as complete."""
 
 import gc
+import math
 import socket
 import struct
 from unittest import mock
@@ -223,6 +224,43 @@
         )
 
 
+class FrozenHostTest(TestCase):
+    """After a freeze, timers run before the event loop reads its sockets."""
+
+    def test_stream_reset_while_its_host_was_frozen_goes_on_elsewhere(self):
+        async def scenario(host, servers):
+            detector = host.daemon._components.stall_detector
+
+            async def reset_unseen(exchange):
+                for server in servers.values():
+                    server.scripts = [in_chunks(event(4))]
+                stream_type = b"Content-Type: text/event-stream"
+                await exchange.send(exchange.head(extra=stream_type) + whole(3))
+                await anyio.sleep(0.05)
+                await until(
+                    lambda: all(
+                        read.waiting_since_seconds is not None
+                        for read in detector._active.values()
+                    )
+                )
+                exchange.reset()
+                exchange.stream._transport.pause_reading()
+                exchange.stream.extra(
+                    anyio.abc.SocketAttribute.raw_socket
+                )._sock.close()
+                detector.check(now_seconds=math.inf)
+                raise Hangup
+
+            all_scripts(servers, reset_unseen)
+            return await host.call("/stream/1"), ran(servers)
+
+        response, received = run(scenario)
+        self.assertEqual(
+            (whole(4), True, ["c", "d"]),
+            (response.body, response.is_whole, received),
+        )
+
+
 class DefectTest(TestCase):
     def defect(self, body, body_end):
         framer = EventFramer(1000, "peer")
--- a/tests/test_tcp_socket.py
+++ b/tests/test_tcp_socket.py
@@ -6,6 +6,7 @@
 import time
 
 import anyio
+from hypothesis import given, settings, strategies as st
 from testtools import TestCase
 
 from rampwick_router.upstream._tcp_socket import TcpSocket
@@ -103,3 +104,96 @@
             self.assertEqual(b"one", await reader.receive())
 
         self.run_with(scenario)
+
+
+class ResetTest(TestCase):
+    """A reset is no end of stream, whichever call the kernel reports it to."""
+
+    def run_after_reset(self, scenario, unread=b""):
+        """Run a scenario on a connection that was reset after some unread bytes."""
+
+        async def main():
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                reader = await TcpSocket.connect(f"127.0.0.1:{port}")
+                remote, _ = listener.accept()
+                remote.send(b"half")
+                self.assertEqual(b"half", await reader.receive())
+                if unread:
+                    remote.send(unread)
+                linger = struct.pack("ii", 1, 0)
+                remote.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                remote.close()
+                try:
+                    await scenario(reader)
+                finally:
+                    reader.close()
+
+        anyio.run(main)
+
+    async def try_send(self, reader):
+        with self.assertRaises(OSError):
+            await reader.send(b"rest of the request", lambda: None)
+
+    async def try_receive(self, reader):
+        """Read to the end; return the bytes before the reset."""
+        received = b""
+        with self.assertRaises(OSError):
+            while True:
+                data = await reader.receive()
+                self.assertNotEqual(b"", data)
+                received += data
+        return received
+
+    def test_check_for_unread_bytes_does_not_consume_a_reset(self):
+        async def scenario(reader):
+            self.assertTrue(reader.has_unread())
+            self.assertTrue(reader.is_readable())
+            with self.assertRaises(ConnectionResetError):
+                await reader.receive()
+
+        self.run_after_reset(scenario)
+
+    def test_reset_is_reported_again_by_each_read(self):
+        async def scenario(reader):
+            for _ in range(3):
+                with self.assertRaises(ConnectionResetError):
+                    await reader.receive()
+
+        self.run_after_reset(scenario)
+
+    @given(
+        calls=st.lists(st.sampled_from(["check", "send", "receive", "unwatch"])),
+        unread=st.sampled_from([b"", b"unread"]),
+    )
+    @settings(max_examples=60, deadline=None)
+    def test_no_order_of_calls_turns_a_reset_into_an_end(self, calls, unread):
+        async def scenario(reader):
+            received = b""
+            for call in calls:
+                if call == "check":
+                    self.assertTrue(reader.has_unread())
+                elif call == "send":
+                    await self.try_send(reader)
+                elif call == "unwatch":
+                    reader.unwatch()
+                else:
+                    received += await self.try_receive(reader)
+            received += await self.try_receive(reader)
+            self.assertEqual(unread, received)
+
+        self.run_after_reset(scenario, unread)
+
+    def test_closed_connection_is_readable_without_a_reset(self):
+        async def main():
+            local, remote = socket.socketpair()
+            local.setblocking(False)
+            reader = TcpSocket(local)
+            self.assertFalse(reader.has_unread())
+            remote.close()
+            self.assertTrue(reader.has_unread())
+            self.assertEqual(b"", await reader.receive())
+            reader.close()
+            self.assertTrue(reader.has_unread())
+
+        anyio.run(main)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -2,6 +2,8 @@
 
 import itertools
 import math
+import socket
+import struct
 from collections import Counter
 from contextlib import contextmanager
 from unittest import mock
@@ -27,9 +29,10 @@
     CHECKED_COUNT,
     UpstreamPaths,
 )
-from rampwick_router.peers import _tunnels
+from rampwick_router.peers import _tunnel_server, _tunnels
 from rampwick_router.peers._tunnels import TunnelLostError, TunnelRefusedError
-from rampwick_schema import LoadReport
+from rampwick_router.upstream._tcp_socket import TcpSocket
+from rampwick_schema import LoadReport, TunnelData, TunnelEnd
 
 from .bench import until
 from .partitions import HANG, LOSE_NEW, RESET
@@ -491,6 +494,42 @@
         self.assertEqual("reset", ending)
         self.assertTrue(received.endswith(b"part"))
 
+    def test_reset_that_a_write_meets_does_not_lose_the_answer_before_it(self):
+        class Peer:
+            """The stream of a peer that sends one request and waits."""
+
+            def __init__(self):
+                self.requests = [TunnelData(b"request")]
+                self.answers = []
+
+            async def receive(self):
+                while not self.requests:
+                    await anyio.sleep_forever()
+                return self.requests.pop()
+
+            async def send_all(self, message):
+                self.answers.append(message)
+
+        async def main():
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                port = listener.getsockname()[1]
+                upstream = await TcpSocket.connect(f"127.0.0.1:{port}")
+                remote, _ = listener.accept()
+                remote.send(b"early answer")
+                linger = struct.pack("ii", 1, 0)
+                remote.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                remote.close()
+                peer = Peer()
+                served = _tunnel_server.ServedTunnel(peer, upstream, anyio.current_time)
+                with mock.patch.object(_tunnel_server, "CLOSE_TIMEOUT_SECONDS", 0.0):
+                    await served.run()
+                return peer.answers
+
+        data, end = run(main)
+        self.assertEqual(TunnelData(b"early answer"), data)
+        self.assertIsInstance(end, TunnelEnd)
+        self.assertNotEqual("", end.error)
+
     def test_break_between_the_hosts_is_no_end_of_an_answer(self):
         async def main():
             async with run_hosts() as (hosts, bench, _):
