Bring a manifest into force part by part

Cause: the schema bounds max_attempts_count by 10; the value of the manifest was passed on unchanged, so that the tree could not be built and the whole version was rejected. A version that is known and not in force keeps the older one from being confirmed, and keys need a confirmation. The class: bounds and rules of rampwick's own settings tree, applied to what the platform's store has accepted.

Change: the manifest is read part by part at the boundary. Bounds that were guesses go (attempts, times, connections, slots: up to 10^9). Those that protect arithmetic or messages stay, and numbers beyond them are reduced: weights together, so that their ratio holds, and priorities beyond the last of ten ranks to their order. The tree of operators keeps its stricter rules (validate_written_tree). Names of tenants are escaped in paths, and upstreams are told the true name. A service that is not listed is asked nevertheless.

What can't be carried out fails alone: a route without a service, or a tenant whose name no header carries, is refused with 503, not as unknown (Verdict.UNUSABLE); a part without a host or prefix is left out. Each problem is logged with its field, counted (rampwick_configuration_problems, rampwick_unusable_routes) and listed in the status. A version read in part is in force and confirmed. Only what has no version, or no lists of routes and services, is still rejected as a whole.

--- a/packages/rampwick-platform/src/rampwick_platform/_tree_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_tree_store.py
@@ -14,9 +14,9 @@
 from rampwick_policy import (
     ConfigurationFollower,
     ConflictError,
-    TreeView,
     apply_change,
     touched_paths,
+    validate_written_tree,
 )
 from rampwick_schema import Change, DataError, NodeEdit, ReprMixin, Tree, era_of
 
@@ -118,7 +118,7 @@
             edits=edits,
         )
         tree = apply_change(stored.tree, change)
-        TreeView(tree)
+        validate_written_tree(tree)
         try:
             key = change_key(change.revision)
             version = await put_idempotent(self._api, key, change, ABSENT)
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -212,6 +212,7 @@
     moved as moved,
     touched_paths as touched_paths,
     validate_tree as validate_tree,
+    validate_written_tree as validate_written_tree,
 )
 from ._tunnel_peers import (
     BUSY as BUSY,
--- a/packages/rampwick-policy/src/rampwick_policy/_access.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_access.py
@@ -23,6 +23,8 @@
     UNKNOWN_ROUTE = "unknown_route"
     NO_KEY = "no_key"
     UNKNOWN_KEY = "unknown_key"
+    #: The route or key is known, but its part of the configuration can't be served.
+    UNUSABLE = "unusable_configuration"
     #: The configuration is too old to decide.
     STALE = "stale_configuration"
 
@@ -65,12 +67,16 @@
     route = view.routes.find(host, path)
     if route is None:
         return _denied(Verdict.UNKNOWN_ROUTE, age_seconds, rules)
+    if not route.targets:
+        return Access(Verdict.UNUSABLE, route)
     if route.is_public:
         return Access(Verdict.ALLOWED, route, view.public_workspace)
     if key_hash is None:
         return Access(Verdict.NO_KEY, route)
     workspace = view.find_workspace(key_hash)
     if workspace is None:
+        if view.is_unusable_key(key_hash):
+            return Access(Verdict.UNUSABLE, route)
         return _denied(Verdict.UNKNOWN_KEY, age_seconds, rules)
     max_age_seconds = rules.max_key_age_seconds
     if max_age_seconds is not None and age_seconds > max_age_seconds:
--- a/packages/rampwick-policy/src/rampwick_policy/_routes.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_routes.py
@@ -44,7 +44,7 @@
 
 
 def choose_service(route: Route, request_id: str) -> str:
-    """Return the service that receives a request, by the weights of the route.
+    """Return the service that receives a request, by the weights of a route with any.
 
     The choice depends only on the request ID, so all hosts make the same choice.
     """
@@ -71,7 +71,9 @@
         owner = owners.setdefault((route.host, prefix), route.name)
         if owner != route.name:
             yield f"route {route.name}: same host and path_prefix as {owner}"
-        if not sum(target.weight for target in route.targets) > 0.0:
+        weights = [target.weight for target in route.targets]
+        # A route without services is known and can't be served.
+        if weights and not sum(weights) > 0.0:
             yield f"route {route.name}: total weight of its services is not positive"
         for target in route.targets:
             if target.service not in names:
--- a/packages/rampwick-policy/src/rampwick_policy/_tree.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_tree.py
@@ -18,8 +18,12 @@
 
 ROOT = "/"
 
-#: A path component: letters, digits, dash, underscore and dot.
-_COMPONENT = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z")
+#: A path component that operators write: letters, digits, dash, underscore and dot.
+_WRITTEN_COMPONENT = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z")
+#: A path component from any source, in which other characters are percent-encoded.
+_COMPONENT = re.compile(
+    r"(?:[A-Za-z0-9]|%[0-9A-F]{2})(?:[A-Za-z0-9_.~-]|%[0-9A-F]{2})*\Z"
+)
 _KEY_HASH = re.compile(r"[0-9a-f]{64}\Z")
 
 #: Values that a node inherits from the nearest ancestor that sets them.
@@ -30,8 +34,10 @@
 #: Maximum depth of a path, which bounds the length of share vectors.
 MAX_DEPTH = 8
 
-#: Maximum number of nodes, so that the snapshot of a tree stays under 1 MB.
-MAX_NODES = 2000
+#: Maximum number of nodes, so that the compressed snapshot of a tree stays under 1 MB.
+MAX_NODES = 20_000
+#: The same in a tree that operators write, which stays legible.
+MAX_WRITTEN_NODES = 2000
 
 STEP = "validate tree"
 
@@ -115,7 +121,12 @@
     def find_workspace(self, key_hash: str) -> Workspace | None:
         """Return the workspace with this SHA-256 of a bearer key, if any."""
         path = self._by_key_hash.get(key_hash)
-        return self._workspaces[path] if path else None
+        return self._workspaces.get(path) if path else None
+
+    def is_unusable_key(self, key_hash: str) -> bool:
+        """Return whether a key belongs to a node that can't be served."""
+        path = self._by_key_hash.get(key_hash)
+        return path is not None and path not in self._workspaces
 
 
 def empty_tree() -> Tree:
@@ -185,10 +196,30 @@
 
 
 def validate_tree(tree: Tree) -> None:
-    """Raise a TreeError that lists all problems of the tree."""
-    problems = list(_problems(tree))
-    if problems:
-        raise TreeError("; ".join(problems), step=STEP)
+    """Raise a TreeError that lists what keeps the tree from coming into force."""
+    _raise_problems(_problems(tree))
+
+
+def validate_written_tree(tree: Tree) -> None:
+    """Raise a TreeError that lists all problems of a tree that operators write."""
+    _raise_problems([*_problems(tree), *_written_problems(tree)])
+
+
+def _raise_problems(problems: Iterable[str]) -> None:
+    found = list(problems)
+    if found:
+        raise TreeError("; ".join(found), step=STEP)
+
+
+def _written_problems(tree: Tree) -> Iterator[str]:
+    if len(tree.nodes) > MAX_WRITTEN_NODES:
+        yield f"{len(tree.nodes)} nodes exceed the maximum of {MAX_WRITTEN_NODES}"
+    for path, node in tree.nodes.items():
+        parts = path.split("/")[1:] if path != ROOT else []
+        if not all(_WRITTEN_COMPONENT.match(part) for part in parts):
+            yield f"{path!r}: not a path like /group/workspace"
+        if node.key_hashes and not node.is_workspace:
+            yield f"{path}: has keys but is_workspace is false"
 
 
 def _problems(tree: Tree) -> Iterator[str]:
@@ -199,8 +230,6 @@
     owners: dict[str, str] = {}
     for path, node in tree.nodes.items():
         yield from _path_problems(tree, path)
-        if node.key_hashes and not node.is_workspace:
-            yield f"{path}: has keys but is_workspace is false"
         for key_hash in node.key_hashes:
             if not _KEY_HASH.match(key_hash):
                 yield f"{path}: key_hashes holds {key_hash!r}, not a SHA-256 in hex"
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -32,6 +32,10 @@
 log = ComponentLogger("admin")
 
 
+#: Maximum number of problems of the configuration in the status.
+MAX_LISTED_PROBLEMS = 50
+
+
 class AdminApp:
     """Builds the ASGI application for operators."""
 
@@ -130,6 +134,8 @@
             metrics.platform_calls.labels(purpose).set(count)
         for reason, count in self._context.connection_pool.opened_counts().items():
             metrics.connections_opened.labels(reason).set(count)
+        metrics.configuration_problems.set(len(self._configuration.part_problems))
+        metrics.unusable_routes.set(len(self._list_unusable_routes()))
         for task, count in unexpected_error_counts().items():
             metrics.unexpected_errors.labels(task).set(count)
         tunnels = self._read_tunnels()
@@ -170,9 +176,18 @@
         status["platform_calls"] = dict(self._read_platform_calls())
         status["connections_opened"] = self._context.connection_pool.opened_counts()
         status["unexpected_errors"] = unexpected_error_counts()
+        status["configuration_problems"] = list(
+            self._configuration.part_problems[:MAX_LISTED_PROBLEMS]
+        )
+        status["unusable_routes"] = self._list_unusable_routes()
         status["degraded"] = self._list_problems(status)
         return JSONResponse(status)
 
+    def _list_unusable_routes(self) -> list[str]:
+        """Return the routes in force to which no request can be served."""
+        routes = self._context.follower.view.routes.routing.routes
+        return [route.name for route in routes if not route.targets]
+
     def _describe_lease(self) -> dict[str, Any]:
         lease = self._rollout_controller.lease
         return {
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -83,8 +83,7 @@
 
     status: int
     message: str
-    #: Whether every retry of the request is refused as well, so that 503, which invites
-    #: a retry, must not be sent.
+    #: Whether every retry of the request is refused as well, which must not be invited.
     is_permanent: bool = False
 
 
@@ -129,6 +128,9 @@
     Verdict.UNKNOWN_ROUTE: ErrorKind(404, "no route leads there"),
     Verdict.NO_KEY: ErrorKind(401, "a bearer key is needed"),
     Verdict.UNKNOWN_KEY: ErrorKind(401, "the key is unknown"),
+    Verdict.UNUSABLE: ErrorKind(
+        503, "the configuration of the route or key can't be carried out", True
+    ),
     Verdict.STALE: ErrorKind(503, "the configuration can't be confirmed here now"),
 }
 
@@ -138,7 +140,7 @@
 ) -> CallerError:
     """Return the error for a request that the configuration does not allow."""
     kind = DENIALS[verdict]
-    is_retryable_elsewhere = kind.status == 503
+    is_retryable_elsewhere = kind.status == 503 and not kind.is_permanent
     may_retry = is_retryable_elsewhere and run_state <= RunState.REFUSED
     return CallerError(
         kind.message,
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -241,6 +241,17 @@
             ("reason",),
             registry=registry,
         )
+        self.configuration_problems = Gauge(
+            "rampwick_configuration_problems",
+            "Parts of the newest configuration read here that are not in force as "
+            "written.",
+            registry=registry,
+        )
+        self.unusable_routes = Gauge(
+            "rampwick_unusable_routes",
+            "Routes in force whose requests can't be served.",
+            registry=registry,
+        )
         self.unexpected_errors = Gauge(
             "rampwick_unexpected_errors",
             "Unexpected errors that were contained, by the task in which they came.",
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration.py
@@ -1,7 +1,7 @@
 """Maintenance of the configuration in force and of its age."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import anyio
@@ -11,6 +11,9 @@
 from .._logs import ComponentLogger
 from .._scheduler_task import SchedulerTask
 
+#: Maximum number of problems of one revision that are logged.
+MAX_LOGGED_PROBLEMS = 20
+
 #: Maximum wait for a confirmation by a peer before the platform is queried.
 PEER_CONFIRM_SECONDS = 0.1
 
@@ -51,6 +54,9 @@
         self._confirmed_at_seconds = -math.inf
         #: Why the platform cannot be read at present; empty if it can.
         self.problem = ""
+        #: Parts of the newest revision read here that are not in force as written.
+        self.part_problems: Sequence[str] = ()
+        self._part_problems_revision = -1
         #: Set when another revision comes into force, then replaced.
         self.changed = anyio.Event()
 
@@ -84,6 +90,19 @@
             log.info("platform available again")
         self.problem = problem
 
+    def note_part_problems(self, revision: int, problems: Sequence[str]) -> None:
+        """Record and log the parts of a revision that are not in force as written."""
+        if (revision, problems) == (self._part_problems_revision, self.part_problems):
+            return
+        self._part_problems_revision, self.part_problems = revision, problems
+        for problem in problems[:MAX_LOGGED_PROBLEMS]:
+            log.problem(
+                "part of the configuration not in force as written",
+                revision=revision,
+                problem=problem,
+                problems_count=len(problems),
+            )
+
     async def run(self) -> None:
         """Follow the source until cancelled."""
         if self.source is not None:
--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -154,8 +154,13 @@
     def configuration_prefix(self) -> str:
         """Key prefix of the configuration."""
 
-    def read_tree(self, state: KindState) -> Tree | None:
-        """Return the tree if there is one, or raise a RampwickError."""
+    def read_tree(
+        self, state: KindState, on_problem: Callable[[str], None]
+    ) -> Tree | None:
+        """Return the tree if there is one, or raise a RampwickError.
+
+        ``on_problem`` receives a text for each part that is not in force as written.
+        """
 
 
 class WatchedTreeSource:
@@ -263,8 +268,10 @@
         is_new = is_in_force = False
         if state.version != self._refused_version:
             try:
-                tree = self._decoder.read_tree(state)
+                problems: list[str] = []
+                tree = self._decoder.read_tree(state, problems.append)
                 if tree is not None:
+                    self._task.note_part_problems(tree.revision, problems)
                     is_new = self._offer(tree, state)
                     is_same = tree.revision == follower.revision
                     is_in_force = is_same and not self._is_held
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -106,6 +106,7 @@
     join_version as join_version,
     revision_of as revision_of,
 )
+from ._validators import field_bounds as field_bounds
 from ._wire import (
     LENGTH_BYTES as LENGTH_BYTES,
     MESSAGES_VERSION as MESSAGES_VERSION,
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_routing.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_routing.py
@@ -31,7 +31,7 @@
     host: str
     #: Prefix of the path; starts and ends with a slash.
     path_prefix: str
-    #: Services that share the traffic.
+    #: Services that share the traffic; none if the route can't be served.
     targets: list[WeightedService]
     #: Whether a request may be retried after an attempt that may have started running.
     is_repeatable: bool = attrs.field(default=False)
@@ -42,15 +42,19 @@
     #: Whether requests need no key.
     is_public: bool = attrs.field(default=False)
     #: Maximum time for a request.
-    timeout_seconds: float = attrs.field(default=60.0, validator=within(0.001, 3600.0))
+    timeout_seconds: float = attrs.field(
+        default=60.0, validator=within(0.001, 1000000000.0)
+    )
     #: Target latency of the response, or of its first event.
     latency_target_seconds: float = attrs.field(
-        default=1.0, validator=within(0.001, 3600.0)
+        default=1.0, validator=within(0.001, 1000000000.0)
     )
     #: Target for the maximum gap between two events; 0 for no target.
-    gap_target_seconds: float = attrs.field(default=0.0, validator=within(0.0, 3600.0))
+    gap_target_seconds: float = attrs.field(
+        default=0.0, validator=within(0.0, 1000000000.0)
+    )
     #: Maximum number of upstreams on which a request may run.
-    max_attempts_count: int = attrs.field(default=1, validator=within(1, 10))
+    max_attempts_count: int = attrs.field(default=1, validator=within(1, 1000000000))
     #: Priority of the requests; 0 is the highest.
     priority_rank: int = attrs.field(default=1, validator=within(0, 9))
 
@@ -64,13 +68,15 @@
     #: Path of the upstreams' health check.
     health_path: str = attrs.field(default="/health")
     #: Connections that one upstream accepts from all hosts together.
-    max_connections_count: int = attrs.field(default=1024, validator=within(1, 1000000))
+    max_connections_count: int = attrs.field(
+        default=1024, validator=within(1, 1000000000)
+    )
     #: Whether its upstreams are model engines.
     is_engine: bool = attrs.field(default=False)
     #: Model that the engines serve.
     model: str = attrs.field(default="")
     #: Concurrent requests of one upstream; 0 if unknown.
-    slots_count: int = attrs.field(default=0, validator=within(0, 100000))
+    slots_count: int = attrs.field(default=0, validator=within(0, 1000000000))
     #: Capacity of one engine's prefix cache in tokens.
     cache_tokens: int = attrs.field(default=0, validator=within(0, None))
     #: Cache size of one token in bytes.
@@ -109,11 +115,11 @@
     max_body_bytes: int = attrs.field(default=4194304, validator=within(0, 1073741824))
     #: Maximum time for receiving a request.
     body_timeout_seconds: float = attrs.field(
-        default=10.0, validator=within(0.01, 3600.0)
+        default=10.0, validator=within(0.01, 1000000000.0)
     )
     #: Maximum idle time of a persistent connection.
     idle_timeout_seconds: float = attrs.field(
-        default=75.0, validator=within(0.01, 3600.0)
+        default=75.0, validator=within(0.01, 1000000000.0)
     )
 
 
--- a/packages/rampwick-schema/src/rampwick_schema/_validators.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_validators.py
@@ -38,6 +38,14 @@
         return value
 
 
+def field_bounds(cls: type, name: str) -> tuple[float | None, float | None]:
+    """Return the bounds of a field of a generated class; None where one is open."""
+    validator = attrs.fields_dict(cls)[name].validator
+    if isinstance(validator, Within):
+        return validator.low, validator.high
+    return None, None
+
+
 def within(low: float | None, high: float | None) -> Callable[..., None]:
     """Return a validator that accepts None and numbers from ``low`` to ``high``."""
     return Within(low, high)
