Bound bytes without end in heads and bodies, at every client of a host

Cause: each interim response is a complete head, so that the limit on a head's size bounds none of them.

Change: - at most 32 interim responses before a head; - the chunks of one read are forwarded together, and a read of many chunks lets other tasks run; - an answer has at most limits.max_answer_bytes, 256 MiB unless set; - events are framed in the buffer in which they arrive; - the store's responses have at most 4 MiB, come compressed never, and at 100 kB/s at least once their timeout is over; - an unexpected error in an attempt is a failed attempt of its upstream with the usual retries, no 500; ids of events and versions in heads that are no numbers of ours are no errors.

--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -28,6 +28,7 @@
     StoreRestoredError,
     VersionConflictError,
 )
+from ._bounded_streams import bound_responses
 from ._budget import CallBudget
 from ._entity_tags import EntityTagDialect
 from ._socket_options import LIVENESS_OPTIONS
@@ -77,19 +78,22 @@
         #: Called when a restore of the store is detected, with the previous and the new
         #: era and the call whose response had the new era.
         self.on_restored: Callable[[int, int, str], None] = _ignore_restore
+        transport = httpx.AsyncHTTPTransport(
+            trust_env=False,
+            # Loading certificates that are not needed takes a tenth of the startup.
+            verify=url.startswith("https:"),
+            # Each dead connection in the pool makes a call wait for its whole timeout,
+            # unless the kernel has closed it before.
+            socket_options=LIVENESS_OPTIONS,
+            limits=httpx.Limits(keepalive_expiry=MAX_IDLE_SECONDS),
+        )
+        bound_responses(transport)
         self._client = httpx.AsyncClient(
             base_url=url,
             timeout=call_timeout_seconds,
             trust_env=False,
-            transport=httpx.AsyncHTTPTransport(
-                trust_env=False,
-                # Loading certificates that are not needed takes a tenth of the startup.
-                verify=url.startswith("https:"),
-                # Each dead connection in the pool makes a call wait for its whole
-                # timeout, unless the kernel has closed it before.
-                socket_options=LIVENESS_OPTIONS,
-                limits=httpx.Limits(keepalive_expiry=MAX_IDLE_SECONDS),
-            ),
+            headers={"accept-encoding": "identity"},
+            transport=transport,
         )
 
     async def __aenter__(self) -> "HttpObjectApi":
@@ -188,14 +192,7 @@
         step = request.step
         self.calls[f"{step} {request.path}"] += 1
         try:
-            response = await self._client.request(
-                request.method,
-                request.path,
-                params=request.parameters,
-                headers=request.headers,
-                content=request.content,
-                **options,
-            )
+            response = await self._exchange(request, **options)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise PlatformUnavailableError(
                 _describe(error), step=step, peer=self._url
@@ -214,6 +211,25 @@
         self._has_response = True
         return response
 
+    async def _exchange(self, request: StoreRequest, **options: Any) -> httpx.Response:
+        """Return the response with its body, which must not be compressed.
+
+        A small compressed body may fill the memory.
+        """
+        async with self._client.stream(
+            request.method,
+            request.path,
+            params=request.parameters,
+            headers=request.headers,
+            content=request.content,
+            **options,
+        ) as response:
+            encoding = response.headers.get("content-encoding", "identity")
+            if encoding != "identity":
+                raise httpx.DecodingError(f"content encoding {encoding!r}")
+            await response.aread()
+            return response
+
     def _observe_era(self, era: int, call: str) -> None:
         before, self.era = self.era, max(era, self.era)
         if self._has_response and era > before:
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -276,7 +276,7 @@
             api.on_restored = _log_restore
         clocks = clocks or Clocks()
         connection_pool = await stack.enter_async_context(
-            ConnectionPool(clocks.monotonic)
+            ConnectionPool(clocks.monotonic, settings.limits.max_answer_bytes)
         )
         upstreams = UpstreamClient(
             connection_pool,
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface: dispatch of requests to their handlers."""
 
+import re
 from urllib.parse import unquote
 
 import anyio
@@ -33,6 +34,9 @@
 STREAMS_PREFIX = "/v1/streams/"
 MODELS_PATH = "/v1/models"
 
+#: Position in the id of an event.
+POSITION = re.compile(r"[0-9]{1,12}")
+
 #: Interval between checks of all callers with open requests. Upstreams must stop
 #: within half a second of a caller's close, which the server does not report if bytes
 #: of a next request precede it.
@@ -386,7 +390,7 @@
     if last_id is None:
         return 0
     token_in_id, _, position = last_id.rpartition(".")
-    if token_in_id != token or not position.isdigit() or len(position) > 12:
+    if token_in_id != token or not POSITION.fullmatch(position):
         raise bad_request("last-event-id is not of this stream")
     return int(position) + 1
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
@@ -4,6 +4,7 @@
 that another upstream can resume the stream after the last id that the caller received.
 """
 
+import itertools
 import re
 
 import attrs
@@ -14,8 +15,12 @@
 from .._errors import AttemptError
 
 EVENT_END = re.compile(BLANK_LINE)
+LONGEST_END_BYTES = len(b"\r\n\r\n")
 ID_LINE = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n]*)")
 
+#: Maximum length of an id that is compared as a number.
+MAX_ID_DIGITS = 18
+
 STEP = "read stream"
 
 
@@ -36,39 +41,41 @@
     def __init__(self, max_event_bytes: int, peer: str, after_id: str = "") -> None:
         self._max_event_bytes = max_event_bytes
         self._peer = peer
-        self._remainder = b""
+        self._remainder = bytearray()
         #: Number of complete events so far that were not dropped as duplicates.
         self.events_count = 0
         #: Events with ids up to this one are dropped; None if ids are not numeric.
-        self._after_id = int(after_id) if after_id.isdigit() else None
+        self._after_id = _read_number(after_id)
 
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._remainder)
 
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes so far end inside an event."""
-        return has_field(self._remainder)
+        return has_field(bytes(self._remainder))
 
     def feed(self, data: bytes) -> EventBatch:
         """Add bytes and return the events that they complete."""
-        buffer = self._remainder + data
+        # The end of an event may have begun in the remainder.
+        first = max(0, len(self._remainder) - LONGEST_END_BYTES)
+        self._remainder += data
+        ends = [end.end() for end in EVENT_END.finditer(self._remainder, first)]
         new_blocks = []
         new_count = 0
         last_id = ""
-        start = 0
-        for end in EVENT_END.finditer(buffer):
-            event = buffer[start : end.end()]
-            start = end.end()
+        for start, end in itertools.pairwise([0, *ends]):
+            event = bytes(self._remainder[start:end])
             event_id = _read_id(event)
             if self._is_duplicate(event_id):
                 continue
             new_count += has_field(event)
             new_blocks.append(event)
             last_id = event_id or last_id
-        self._remainder = buffer[start:]
+        if ends:
+            del self._remainder[: ends[-1]]
         if len(self._remainder) > self._max_event_bytes:
             raise AttemptError(
                 f"event larger than {self._max_event_bytes} bytes",
@@ -80,11 +87,15 @@
         return EventBatch(b"".join(new_blocks), new_count, last_id)
 
     def _is_duplicate(self, event_id: str) -> bool:
-        return (
-            self._after_id is not None
-            and event_id.isdigit()
-            and int(event_id) <= self._after_id
-        )
+        number = _read_number(event_id)
+        if number is None or self._after_id is None:
+            return False
+        return number <= self._after_id
+
+
+def _read_number(event_id: str) -> int | None:
+    is_number = event_id.isascii() and event_id.isdigit()
+    return int(event_id) if is_number and len(event_id) <= MAX_ID_DIGITS else None
 
 
 def _read_id(event: bytes) -> str:
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -16,11 +16,13 @@
     AttemptDone,
     AttemptFailed,
     Dispatch,
+    Outcome,
     Refuse,
     RequestArrived,
     RequestCancelled,
     RunState,
 )
+from rampwick_schema import RampwickError
 
 from .._errors import (
     REFUSALS,
@@ -30,6 +32,7 @@
     ErrorKind,
 )
 from .._logs import ComponentLogger, milliseconds
+from .._unexpected_errors import note_unexpected_error
 from ._answer_recorder import AnswerLine, AnswerRecorder
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
@@ -216,29 +219,25 @@
             self._cancel_scope.cancel()
             return
         except AttemptError as error:
-            self._running_check = None
-            self._count_attempt(dispatch, error.outcome.value)
-            self.may_have_run |= not error.outcome.proves_not_run
-            log.problem(
-                "attempt failed",
+            self._note_failed(dispatch, error)
+            return
+        except RampwickError:
+            raise
+        except Exception as error:
+            note_unexpected_error(
+                "attempt",
+                error,
                 request=self.caller_request_id,
-                attempt=dispatch.attempt_id,
-                outcome=error.outcome.value,
                 upstream=dispatch.upstream,
-                error=str(error),
-                **self._identity_fields(error),
-                **self.body_fields(),
             )
-            # The decision that follows cancels this task group.
-            self.context.scheduler.post(
-                AttemptFailed(
-                    request_id=self.request_id,
-                    attempt_id=dispatch.attempt_id,
-                    outcome=error.outcome,
-                    message=str(error),
-                    retry_after_seconds=error.retry_after_seconds,
-                    was_closed=error.was_closed,
-                )
+            self._note_failed(
+                dispatch,
+                AttemptError(
+                    f"unexpected error: {error!r}",
+                    outcome=Outcome.BROKEN,
+                    step="make attempt",
+                    peer=dispatch.upstream,
+                ),
             )
             return
         self._count_attempt(dispatch, "done")
@@ -250,6 +249,32 @@
         self.context.scheduler.post(done)
         scope.cancel()
 
+    def _note_failed(self, dispatch: Dispatch, error: AttemptError) -> None:
+        """Report a failed attempt; the decision that follows ends its task group."""
+        self._running_check = None
+        self._count_attempt(dispatch, error.outcome.value)
+        self.may_have_run |= not error.outcome.proves_not_run
+        log.problem(
+            "attempt failed",
+            request=self.caller_request_id,
+            attempt=dispatch.attempt_id,
+            outcome=error.outcome.value,
+            upstream=dispatch.upstream,
+            error=str(error),
+            **self._identity_fields(error),
+            **self.body_fields(),
+        )
+        self.context.scheduler.post(
+            AttemptFailed(
+                request_id=self.request_id,
+                attempt_id=dispatch.attempt_id,
+                outcome=error.outcome,
+                message=str(error),
+                retry_after_seconds=error.retry_after_seconds,
+                was_closed=error.was_closed,
+            )
+        )
+
     async def _ensure_claim(self) -> None:
         key = self.terms.idempotency_key
         if key and self._claim is None:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -37,6 +37,9 @@
     HTTPStatus.PRECONDITION_FAILED: OrderResult.CONFLICT,
 }
 
+#: Maximum length of a weights version in a header.
+MAX_VERSION_DIGITS = 18
+
 JSON = (b"content-type", b"application/json")
 
 
@@ -317,7 +320,7 @@
         return StreamStart(
             attempt_id=headers.get("x-request-id", ""),
             incarnation=headers.get("x-engine-incarnation", ""),
-            weights_version=int(version) if version.isdigit() else 0,
+            weights_version=int(version) if _is_number(version) else 0,
         )
 
     async def batches(self) -> AsyncIterator[list[StreamEvent]]:
@@ -338,6 +341,10 @@
         )
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_VERSION_DIGITS
+
+
 def _read_report(body: bytes, step: str, upstream: str) -> LoadReport:
     try:
         data = orjson.loads(body)
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -5,6 +5,7 @@
 closed: a new connection costs one round trip, a stale one a failed response.
 """
 
+import itertools
 import math
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
@@ -39,6 +40,17 @@
 #: Maximum size of a response head.
 MAX_HEAD_BYTES = 65536
 
+#: Maximum number of interim responses before a response head. Each is a complete head,
+#: so that the limit on a head's size does not bound them.
+MAX_INTERIM_RESPONSES_COUNT = 32
+
+#: Parsed events after which a read of a body lets other tasks run. A chunk of one byte
+#: is an event, too.
+EVENTS_PER_TURN = 256
+
+#: Default maximum size of a response body.
+MAX_BODY_BYTES = 268_435_456
+
 #: Statuses whose responses have no body.
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
@@ -66,6 +78,7 @@
     peer: str
     _socket: UpstreamSocket
     path: UpstreamPath = UpstreamPath.DIRECT
+    max_body_bytes: int = MAX_BODY_BYTES
     _http: h11.Connection = attrs.field(init=False)
     #: Maximum idle time; responses of the upstream may change it.
     max_idle_seconds: float = DEFAULT_IDLE_SECONDS
@@ -82,6 +95,7 @@
     #: by a length or by chunks.
     _has_head: bool = False
     _is_delimited: bool = False
+    _interim_count: int = 0
     _has_failed: bool = False
     #: Whether the upstream has closed or reset the connection.
     _was_closed: bool = False
@@ -112,6 +126,7 @@
         self.requests_count += 1
         self._earlier_bytes_count = self._socket.sent_bytes_count
         self._has_head = False
+        self._interim_count = 0
         self.body_end = None
         self._method = method
         try:
@@ -151,19 +166,47 @@
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise self._broken("read answer", "the connection closed")
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES_COUNT:
+                raise self._broken("read answer", "too many interim responses")
 
     async def receive_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body in chunks; raise an error if it is truncated."""
-        while True:
-            event = await self._next_event()
+        """Yield the body as it arrives; raise an error if it is truncated or too large.
+
+        The chunks of one read are yielded together.
+        """
+        body_bytes = 0
+        has_ended = False
+        while not has_ended:
+            data, has_ended = await self._receive_data()
+            body_bytes += len(data)
+            if body_bytes > self.max_body_bytes:
+                message = f"body larger than {self.max_body_bytes} bytes"
+                raise self._broken("read answer", message)
+            if data:
+                yield data
+        is_delimited = self._is_delimited
+        self.body_end = BodyEnd.DELIMITED if is_delimited else BodyEnd.CLOSED
+
+    async def _receive_data(self) -> tuple[bytes, bool]:
+        """Return the next bytes of the body, and whether they are the last ones."""
+        parts: list[bytes] = []
+        for count in itertools.count(1):
+            event = self._parse(has_data=bool(parts))
             if isinstance(event, h11.Data):
-                yield bytes(event.data)
+                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                is_delimited = self._is_delimited
-                self.body_end = BodyEnd.DELIMITED if is_delimited else BodyEnd.CLOSED
-                return
+                return b"".join(parts), True
+            elif parts:
+                # An error is raised by the next call, after the bytes before it.
+                return b"".join(parts), False
+            elif event is h11.NEED_DATA:
+                await self._read()
             else:
                 raise self._broken("read answer", "the connection closed")
+            if count % EVENTS_PER_TURN == 0:
+                await anyio.sleep(0)
+        raise AssertionError("unreachable")
 
     def _has_delimited_body(self, response: h11.Response) -> bool:
         """Return whether the end of the body is known without the connection's."""
@@ -174,18 +217,27 @@
 
     async def _next_event(self) -> object:
         while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise self._broken("read answer", error) from error
+            event = self._parse()
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._socket.receive()
-            except OSError as error:
-                raise self._broken("read answer", error) from error
-            self._was_closed = not data
-            self._http.receive_data(data)
+            await self._read()
+
+    def _parse(self, *, has_data: bool = False) -> object:
+        """Return the next event; no event if it is an error and there is data."""
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            if has_data:
+                return None
+            raise self._broken("read answer", error) from error
+
+    async def _read(self) -> None:
+        try:
+            data = await self._socket.receive()
+        except OSError as error:
+            raise self._broken("read answer", error) from error
+        self._was_closed = not data
+        self._http.receive_data(data)
 
     def has_unread(self) -> bool:
         """Return whether there is something to read, which a late host has not read."""
@@ -268,8 +320,11 @@
 class ConnectionPool:
     """Connections to all upstreams of one host, opened by itself or through peers."""
 
-    def __init__(self, read_clock: Callable[[], float]) -> None:
+    def __init__(
+        self, read_clock: Callable[[], float], max_body_bytes: int = MAX_BODY_BYTES
+    ) -> None:
         self._read_clock = read_clock
+        self._max_body_bytes = max_body_bytes
         #: Returns the current path to an upstream.
         self.find_path: Callable[[str], UpstreamPath] = _always_direct
         #: Opens connections through peers; none if this host has no peers.
@@ -451,7 +506,7 @@
         self._opened[reason] += 1
         if path is UpstreamPath.TUNNEL:
             self._opened[TUNNEL] += 1
-        return UpstreamConnection(upstream, upstream_socket, path)
+        return UpstreamConnection(upstream, upstream_socket, path, self._max_body_bytes)
 
     async def _connect(
         self, upstream: str, address: str, path: UpstreamPath
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -159,7 +159,7 @@
             is_connected = not may_reuse
             await connection.send(request.method, request.path, headers, request.body)
             head = await connection.receive_head()
-            body = b""
+            body = bytearray()
             async for chunk in connection.receive_chunks():
                 body += chunk
                 if len(body) > MAX_RESPONSE_BYTES:
@@ -168,7 +168,7 @@
                         request,
                         name,
                     )
-            return head, body
+            return head, bytes(body)
     raise _failed(
         f"no response within {timeout_seconds} s", request, name, is_connected
     )
--- a/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
@@ -35,7 +35,7 @@
     def __init__(self, max_event_bytes: int, peer: str) -> None:
         self._max_event_bytes = max_event_bytes
         self._peer = peer
-        self._buffered = b""
+        self._buffered = bytearray()
         #: A carriage return at the end of the last read, which may be half of a
         #: terminator.
         self._held = b""
@@ -45,8 +45,14 @@
         data, self._held = self._held + data, b""
         if data.endswith(b"\r"):
             data, self._held = data[:-1], b"\r"
-        buffer = self._buffered + data.replace(b"\r\n", b"\n")
-        *blocks, self._buffered = buffer.split(EVENT_END)
+        # The end of an event may have begun in the buffer.
+        first = max(0, len(self._buffered) - len(EVENT_END) + 1)
+        self._buffered += data.replace(b"\r\n", b"\n")
+        blocks: list[bytes] = []
+        end = self._buffered.rfind(EVENT_END, first)
+        if end >= 0:
+            blocks = bytes(self._buffered[:end]).split(EVENT_END)
+            del self._buffered[: end + len(EVENT_END)]
         if len(self._buffered) > self._max_event_bytes:
             raise self._error(f"event larger than {self._max_event_bytes} bytes")
         return [self._parse(block) for block in blocks if block]
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -237,6 +237,10 @@
     max_event_bytes: int = attrs.field(
         default=1048576, validator=within(1024, 16777216)
     )
+    #: Maximum size of the body of an upstream's answer.
+    max_answer_bytes: int = attrs.field(
+        default=268435456, validator=within(1024, 1099511627776)
+    )
     #: Timeout for writing a chunk to a caller.
     write_timeout_seconds: float = attrs.field(
         default=30.0, validator=within(0.05, 600.0)
--- a/packages/rampwick-schema/src/rampwick_schema/_validators.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_validators.py
@@ -1,5 +1,6 @@
 """attrs validators of the generated classes."""
 
+import functools
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -38,6 +39,7 @@
         return value
 
 
+@functools.cache
 def field_bounds(cls: type, name: str) -> tuple[float | None, float | None]:
     """Return the bounds of a field of a generated class; None where one is open."""
     validator = attrs.fields_dict(cls)[name].validator
