Keep a starting host beside a reload; recognize a lease by its machine

Two faults that the review saw without a case.

The first statement of the process now notes such a signal, and the settings are read again once the daemon runs. Left: the first few milliseconds, in which the interpreter itself starts.

A lease was recognized by the host's name alone, so that a new machine of the holder's name took it at once, while the former one might still send orders. The id of each write now ends in a hash of the machine's address: a process that is started again on the same machine takes its lease up at once, as before, another one of the name waits for the lease to end, and the former one gives up when it reads the newer write. Records of the version before have no hash, so that their lease is waited for.

Red before: EarlyReloadTest ended with no line of output on (the process was killed by the signal). The lease test needs the address, which the class did not have; there may_acquire() of another machine was True at once.

Result: both pass, with test_orders, test_restored_store and test_silent_connections.

--- a/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
@@ -64,7 +64,7 @@
     ) -> bool:
         record = LeaseRecord(
             holder=watcher.host,
-            write_id=secrets.token_hex(8),
+            write_id=watcher.new_write_id(),
             duration_seconds=watcher.duration_seconds,
         )
         started_seconds = read_clock()
--- a/packages/rampwick-policy/src/rampwick_policy/_lease.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_lease.py
@@ -10,7 +10,9 @@
 they first observe a version of the new era.
 """
 
+import hashlib
 import math
+import secrets
 
 import attrs
 
@@ -19,6 +21,9 @@
 #: Version of a lease object that does not exist.
 ABSENT = 0
 
+#: Bytes of the hash by which a write shows the address of its machine.
+ADDRESS_BYTES = 8
+
 
 @attrs.define(repr=False)
 class LeaseWatcher(ReprMixin):
@@ -29,6 +34,8 @@
     #: Time after its write in which a holder may send orders. The rest of the lease
     #: separates its last order from those of the next holder.
     order_window_seconds: float = math.inf
+    #: Address of this machine, at which another may have borne its host's name.
+    address: str = ""
     #: Last observed version of the record; 0 if there is none.
     version: int = ABSENT
     record: LeaseRecord | None = None
@@ -52,7 +59,7 @@
         self.version = version
         self.record = record
         self._seen_at_seconds = now_seconds
-        if record is None or record.holder != self.host:
+        if record is None or not self._wrote(record):
             self.give_up()
 
     def observe_absence(self, now_seconds: float) -> None:
@@ -86,12 +93,28 @@
         In a restored store, a record of this host may be older than one that another
         host wrote.
         """
-        if self.record is None or self.record.holder != self.host:
+        if self.record is None or not self._wrote(self.record):
             return False
         if self.is_held(now_seconds) or self.version == self._written_version:
             return True
         return not era_of(self.version)
 
+    @property
+    def _write_id_end(self) -> str:
+        if not self.address:
+            return ""
+        digest = hashlib.blake2b(self.address.encode(), digest_size=ADDRESS_BYTES)
+        return f"-{digest.hexdigest()}"
+
+    def new_write_id(self) -> str:
+        """Return a random id by which a later process here recognizes the write."""
+        return secrets.token_hex(8) + self._write_id_end
+
+    def _wrote(self, record: LeaseRecord) -> bool:
+        """Return whether a record was written by a process on this machine."""
+        is_of_host = record.holder == self.host
+        return is_of_host and record.write_id.endswith(self._write_id_end)
+
     def note_written(
         self, record: LeaseRecord, version: int, write_began_seconds: float
     ) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -100,7 +100,7 @@
                 self.scheduler,
             )
         self.rollout_controller = RolloutController(
-            api, settings, self.scheduler, control, read_clock, rng
+            api, settings, self.scheduler, control, read_clock, rng, peer_address
         )
         self.hosts = HostListTask(self.scheduler)
         self.scheduler.set_list_age(self.hosts.age_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -12,6 +12,7 @@
 
 from rampwick_platform import new_event_loop
 from rampwick_schema import RampwickError, Settings, read_settings
+from rampwick_start import early_reloads
 
 from ._daemon import Clocks, Daemon, run_daemon
 from ._fallback import read_fallback
@@ -112,6 +113,8 @@
         ):
             # Objects allocated so far are permanent; exempt them from collections.
             gc.freeze()
+            if early_reloads.is_requested:
+                _reload(daemon, path)
             tasks.start_soon(_watch_signals, signals, daemon, path)
             announce(
                 f"rampwickd {settings.host.name} entry={addresses.entry} "
@@ -127,14 +130,14 @@
 ) -> None:
     async for number in signals:
         if number == signal.SIGHUP:
-            with contain_errors("reload of the settings"):
-                _reload(daemon, path)
+            _reload(daemon, path)
         else:
             daemon.lifecycle.begin_stop()
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
-    try:
-        daemon.reload(read_settings(path, _log_problem))
-    except RampwickError as error:
-        log.problem("settings not reloaded, keeping the old ones", error=str(error))
+    with contain_errors("reload of the settings"):
+        try:
+            daemon.reload(read_settings(path, _log_problem))
+        except RampwickError as error:
+            log.problem("settings not reloaded, keeping the old ones", error=str(error))
--- a/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_rollout_controller.py
@@ -98,6 +98,7 @@
         control: UpstreamControl,
         read_clock: Callable[[], float],
         rng: random.Random,
+        address: str = "",
     ) -> None:
         self._settings = settings.steward
         self._scheduler = scheduler
@@ -110,6 +111,7 @@
                 settings.host.name,
                 _lease_seconds(settings.steward),
                 settings.steward.order_window_seconds,
+                address,
             ),
             self._targets_age_seconds,
             self._can_send_orders,
--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -1,4 +1,6 @@
-"""Early start of a host: the callers' listener is bound before the daemon is imported.
+"""Early start of a host: what must not wait until the daemon is imported.
+
+The callers' listener is bound, and the signal for a reload no longer ends the process.
 
 The import takes about half a second. If all hosts restart at once, a caller whose
 connection is refused meanwhile tries the next host, which refuses it as well, until it
@@ -9,6 +11,7 @@
 
 import gc
 import importlib
+import signal
 import socket
 import tomllib
 from pathlib import Path
@@ -18,6 +21,27 @@
 BACKLOG_COUNT = 1024
 
 
+class EarlyReloads:
+    """Reloads that are requested before the daemon handles signals.
+
+    Until a handler is set, the signal ends the process.
+    """
+
+    def __init__(self) -> None:
+        self.is_requested = False
+
+    def listen(self) -> None:
+        """Note the signal for a reload from now on."""
+        signal.signal(signal.SIGHUP, self._note)
+
+    def _note(self, number: int, frame: Any) -> None:
+        self.is_requested = True
+
+
+#: The reloads of this process.
+early_reloads = EarlyReloads()
+
+
 def bind_early(path: Path) -> socket.socket | None:
     """Listen on the callers' address in a settings file, if it contains one.
 
@@ -45,6 +69,12 @@
     return listener
 
 
+def main() -> int:
+    """Load and run the daemon of rampwick's own platform; return its exit code."""
+    early_reloads.listen()
+    return int(load("rampwick_router").main())
+
+
 def load(name: str) -> Any:
     """Import a module with the garbage collector disabled.
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -277,6 +277,22 @@
         # The last order of the first holder arrives at 10.0 + 0.8 at the latest.
         self.assertGreaterEqual(14.0 - 10.8, 3.0)
 
+    def test_another_machine_of_the_holders_name_waits_for_its_lease(self):
+        holder = LeaseWatcher("one", 3.8, 0.8, "10.0.0.1:7340")
+        record = LeaseRecord("one", holder.new_write_id(), 3.8)
+        holder.note_written(record, 5, 10.0)
+        newer = LeaseWatcher("one", 3.8, 0.8, "10.0.0.2:7340")
+        newer.observe(record, 5, 10.3)
+        self.assertFalse(newer.may_acquire(10.3))
+        self.assertTrue(newer.may_acquire(14.2))
+        restarted = LeaseWatcher("one", 3.8, 0.8, "10.0.0.1:7340")
+        restarted.observe(record, 5, 10.3)
+        self.assertTrue(restarted.may_acquire(10.3))
+        # The former machine, which may still run, gives the lease up.
+        taken = LeaseRecord("one", newer.new_write_id(), 3.8)
+        holder.observe(taken, 6, 11.0)
+        self.assertFalse(holder.is_held(11.0))
+
     def test_a_released_lease_is_free_after_its_recorded_duration(self):
         lease = LeaseWatcher("two", 3.8, 0.8)
         lease.observe(LeaseRecord("", "", 0.0), 6, 10.0)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,7 +1,12 @@
 """Start of a host: early listener, peer discovery and transfer of cache contents."""
 
+import os
 import random
+import signal
 import socket
+import subprocess
+import sys
+import time
 from functools import partial
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -104,6 +109,44 @@
         self.assertIs(socket, load("socket"))
 
 
+class EarlyReloadTest(TestCase):
+    """A reload that is requested while the daemon is being imported ends no host."""
+
+    def test_reloads_during_the_start_do_not_end_the_process(self):
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            entry = f"127.0.0.1:{free.getsockname()[1]}"
+        path = Path(folder.name) / "host.toml"
+        path.write_text(
+            '[host]\nname = "h"\nhall = "a"\n'
+            f'[listen]\nentry = "{entry}"\nadmin_port = 0\npeer_port = 0\n'
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-m", "rampwick_adapter"],
+            env={**os.environ, "RAMPWICK_BOOT": str(path)},
+            stdout=subprocess.PIPE,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        self.addCleanup(process.stdout.close)
+        host, _, port = entry.partition(":")
+        # The listener comes first, long before the daemon handles signals.
+        while True:
+            try:
+                socket.create_connection((host, int(port)), timeout=5.0).close()
+                break
+            except ConnectionRefusedError:
+                self.assertIsNone(process.poll())
+                time.sleep(0.002)
+        process.send_signal(signal.SIGHUP)
+        lines = []
+        while b"settings reloaded" not in (line := process.stdout.readline()):
+            self.assertNotEqual(b"", line, lines)
+            lines.append(line)
+        self.assertIsNone(process.poll())
+
+
 def record(name):
     return encode_record(HostRecord(name, "h", f"{name}:1", "w"))
 
