Retract a crash when an answer of the upstream goes on after it

Cause: a crash was retracted only by an answer to something sent after it. The other half of the streams went on for seconds, and told nothing.

Ruled out: the state of the open connections at the time of a crash. Its reset may be lost on the way, so that an open one proves nothing.

Change: a complete answer proves that its upstream was alive as the last bytes arrived, less 0.25 s in which bytes of a crashed one may still come.

--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -142,6 +142,8 @@
     #: Whether the answer stated its end; otherwise the end of the connection was its
     #: end, and may have been a crash.
     has_certain_end: bool = True
+    #: When the last bytes of the answer arrived at this host, if that is known.
+    last_bytes_at_seconds: float | None = None
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -66,6 +66,10 @@
     return math.inf
 
 
+#: Longest time for which bytes of a crashed upstream may still be on their way.
+IN_FLIGHT_SECONDS = 0.25
+
+
 class Scheduler:
     """State machine that queues, dispatches, retries and refuses requests."""
 
@@ -374,6 +378,13 @@
         if item is None or not item.lifecycle.finish(event.attempt_id):
             return []
         upstream = self.upstreams.get(item.upstream)
+        if event.last_bytes_at_seconds is not None:
+            # An upstream that crashes resets all connections at that time.
+            self.quarantine.note_live(
+                item.upstream,
+                item.incarnation,
+                event.last_bytes_at_seconds - IN_FLIGHT_SECONDS,
+            )
         self.quarantine.note_answered(item, event, now_seconds)
         self._requests.release(item, event.attempt_id, now_seconds)
         if upstream is not None and event.connection_idle_seconds > 0.0:
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -78,6 +78,7 @@
         #: How the body of the last attempt ended, and its bytes after the last event.
         self._body_end: BodyEnd | None = None
         self._remainder_bytes = 0
+        self._last_bytes_at_seconds: float | None = None
 
     @property
     def caller_request_id(self) -> str:
@@ -256,6 +257,8 @@
     def _note_body_end(self, attempt: RoutedAttempt, remainder_bytes: int = 0) -> None:
         self._body_end = attempt.body_end
         self._remainder_bytes = remainder_bytes
+        now_seconds = self.context.read_clock()
+        self._last_bytes_at_seconds = now_seconds - attempt.data_age_seconds()
 
     def _record_duration(self) -> None:
         now_seconds = self.context.read_clock()
@@ -296,6 +299,7 @@
             connection_idle_seconds=attempt.idle_timeout_seconds,
             status=head.status,
             has_certain_end=attempt.body_end is not BodyEnd.CLOSED,
+            last_bytes_at_seconds=self._last_bytes_at_seconds,
         )
 
     async def send_error(self, error: CallerError) -> None:
