Keep the error that a check of a connection meets

It looks at the data again and keeps the error for the next read: the socket owns its first error, whichever call meets it, so that no call has to avoid it.

--- a/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import select
 import socket
 import struct
 from collections.abc import Callable
@@ -122,16 +121,17 @@
         self._has_bytes.set()
 
     def is_readable(self) -> bool:
-        """Return whether there is data to read, an end of stream or an error.
-
-        A look at the data would take the error from the next read.
-        """
+        """Return whether there is data to read, an end of stream or an error."""
         if self._is_closed or self._error is not None:
             return True
-        poll = select.poll()
-        # Errors and hang-ups are reported without being requested.
-        poll.register(self._raw, select.POLLIN | select.POLLRDHUP)
-        return bool(poll.poll(0))
+        try:
+            self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            # It is reported to no other call, so that the next read raises it.
+            self._first_error(error)
+        return True
 
     def has_unread(self) -> bool:
         """Return whether a read would return or fail at once."""
