Count an unexpected error of an attempt against no upstream

An unexpected error in an attempt was an attempt whose connection broke, which takes its upstream down. A request that brings the error about at each of its attempts would take one upstream after the other along.

Change: an outcome of its own, after which the attempt may have run, its usual retries follow, and the state of the upstream stays.

Red on: FAILED test_contained_errors.py::UnexpectedErrorTest::test_attempt_that_fails_unexpectedly_leaves_its_upstream_in_use (502 and 503 instead of 502 alone, since no upstream was left)

--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -234,7 +234,7 @@
                 dispatch,
                 AttemptError(
                     f"unexpected error: {error!r}",
-                    outcome=Outcome.BROKEN,
+                    outcome=Outcome.FAILED_HERE,
                     step="make attempt",
                     peer=dispatch.upstream,
                 ),
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -14,6 +14,7 @@
 from rampwick_adapter._records import StoreTranslation
 from rampwick_adapter._requests import UpstreamTranslation
 from rampwick_platform import KindState, KindView
+from rampwick_policy import HealthState
 from rampwick_router import AttemptTerms, CacheEvent, ResponseHead
 from rampwick_router._native_dialect import (
     NativeControlDialect,
@@ -91,6 +92,29 @@
             served = run_beside_odd()
         self.assertIn(200, served)
 
+    def test_attempt_that_fails_unexpectedly_leaves_its_upstream_in_use(self):
+        """A request that no attempt survives must not take all upstreams along."""
+        statuses, states = [], []
+
+        async def setup(host, servers):
+            for number in range(4):
+                view = await host.call("/again/x", request_id=f"odd{number}")
+                statuses.append(view.status)
+
+        def is_sound(host):
+            found = host.daemon.scheduler._scheduler.upstreams
+            states.extend(item.health.state for item in found)
+
+        with failing(
+            NativeUpstreamDialect,
+            "request_headers",
+            lambda call, terms: call.request_id.startswith("odd"),
+        ):
+            served = run_beside_odd(is_sound, setup)
+        self.assertEqual({502}, set(statuses))
+        self.assertEqual({200}, set(served))
+        self.assertEqual({HealthState.UP}, set(states))
+
     def test_entry_that_fails_unexpectedly_hides_no_other(self):
         with failing(
             NativeDecoder,
