Tell callers an internal error as one, after the retries that it allows

test_request_that_an_unexpected_error_ends_on_its_way_may_have_run failed once unexpected errors had become failed attempts: its caller was told "upstream_failed" for an error of this host. The retries stay; a request whose last attempt ended by an error of this host is answered "internal" with status 500 and was_run "maybe", as before.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -9,7 +9,7 @@
 from rampwick_schema import RampwickError
 
 from .._caller_sockets import caller_socket
-from .._errors import AttemptError, CallerError, CallerLeftError
+from .._errors import INTERNAL, AttemptError, CallerError, CallerLeftError
 from .._logs import ComponentLogger
 from ._call import (
     bad_request,
@@ -417,7 +417,7 @@
     return CallerError(
         error.message,
         status=500,
-        code="internal",
+        code=INTERNAL,
         step=error.step,
         peer=error.peer,
         run_state=RunState.MAYBE_RUN if was_dispatched else RunState.NOT_SENT,
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -13,6 +13,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream
 
 from rampwick_policy import (
+    UPSTREAM_FAILED,
     AttemptDone,
     AttemptFailed,
     Dispatch,
@@ -25,6 +26,8 @@
 from rampwick_schema import RampwickError
 
 from .._errors import (
+    INTERNAL,
+    INTERNAL_ERROR,
     REFUSALS,
     AttemptError,
     CallerError,
@@ -73,6 +76,8 @@
         self._has_result = False
         #: Whether any attempt ran or may have run.
         self.may_have_run = False
+        #: Whether an error of this host ended the last attempt.
+        self._has_failed_here = False
         #: Check of the attempt that is running; none between attempts.
         self._running_check: AttemptCheck | None = None
         self._cancel_scope: anyio.CancelScope
@@ -252,6 +257,7 @@
     def _note_failed(self, dispatch: Dispatch, error: AttemptError) -> None:
         """Report a failed attempt; the decision that follows ends its task group."""
         self._running_check = None
+        self._has_failed_here = error.outcome is Outcome.FAILED_HERE
         self._count_attempt(dispatch, error.outcome.value)
         self.may_have_run |= not error.outcome.proves_not_run
         log.problem(
@@ -290,11 +296,13 @@
             )
 
     def _refusal(self, refuse: Refuse) -> CallerError:
-        kind = REFUSALS[refuse.reason]
+        kind, code = REFUSALS[refuse.reason], refuse.reason
+        if code == UPSTREAM_FAILED and self._has_failed_here:
+            kind, code = INTERNAL_ERROR, INTERNAL
         return CallerError(
             kind.message,
             status=_refusal_status(kind, refuse.run_state),
-            code=refuse.reason,
+            code=code,
             step="schedule request",
             peer=refuse.peer,
             run_state=refuse.run_state,
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -111,7 +111,7 @@
             lambda call, terms: call.request_id.startswith("odd"),
         ):
             served = run_beside_odd(is_sound, setup)
-        self.assertEqual({502}, set(statuses))
+        self.assertEqual({500}, set(statuses))
         self.assertEqual({200}, set(served))
         self.assertEqual({HealthState.UP}, set(states))
 
