Name the parts of a configuration that are not in force among what is degraded

The status listed them in fields of its own, which the command line does not print. A route without a service is named at every host, the other problems at the hosts that read the platform.

Result: PartlyReadTest, which asks for the lines, was red before.

--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -202,6 +202,13 @@
             problems.append(f"configuration: {self._configuration.problem}")
         if self._context.follower.problem:
             problems.append(f"configuration: {self._context.follower.problem}")
+        problems += [
+            f"configuration: {problem}" for problem in status["configuration_problems"]
+        ]
+        problems += [
+            f"route {name}: its requests can't be served"
+            for name in status["unusable_routes"]
+        ]
         if self._hosts.problem:
             problems.append(f"host list: {self._hosts.problem}")
         claims_seconds = self._context.claims.recovery_remaining_seconds
--- a/tests/test_manifest_parts.py
+++ b/tests/test_manifest_parts.py
@@ -324,3 +324,5 @@
         problems, status = anyio.run(main)
         self.assertEqual(2, len(problems))
         self.assertEqual(problems, status["configuration_problems"])
+        for problem in problems:
+            self.assertIn(f"configuration: {problem}", status["degraded"])
