Let an unexpected error of an attempt end its request, as before

Such an error may come from the caller's side, as here, where another attempt does not help and the state of the request is not known.

Change: back to that; the error is counted and logged with its traceback.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -162,7 +162,6 @@
     PrefixCacheIndex as PrefixCacheIndex,
     generation_label as generation_label,
 )
-from ._reasons import UPSTREAM_FAILED as UPSTREAM_FAILED
 from ._relay_listener import RelayListener as RelayListener
 from ._request import (
     Outcome as Outcome,
--- a/packages/rampwick-policy/src/rampwick_policy/_request.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request.py
@@ -51,9 +51,6 @@
     BROKEN = "broken"
     #: The deadline passed first; the upstream may have run the request.
     EXPIRED = "expired"
-    #: An error of this host ended the attempt, which says nothing of the upstream; it
-    #: may have run the request.
-    FAILED_HERE = "failed here"
     #: The upstream answered from another incarnation than the one it was chosen for.
     STALE = "stale"
     #: The request reached another upstream or incarnation than intended, which
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -117,10 +117,6 @@
 }
 
 
-#: Code and kind of the answer to a request that an error of this host ended.
-INTERNAL = "internal"
-INTERNAL_ERROR = ErrorKind(500, "an unexpected error")
-
 #: Retry-after for requests that another host may serve, such as those that this host
 #: cannot check against a current configuration. It is short because hosts fail
 #: independently, so that another host can serve them immediately.
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -9,8 +9,9 @@
 from rampwick_schema import RampwickError
 
 from .._caller_sockets import caller_socket
-from .._errors import INTERNAL, AttemptError, CallerError, CallerLeftError
+from .._errors import AttemptError, CallerError, CallerLeftError
 from .._logs import ComponentLogger
+from .._unexpected_errors import note_unexpected_error
 from ._call import (
     bad_request,
     find_workspace,
@@ -141,6 +142,7 @@
             await responder.send_error(_internal_error(error, responder.was_dispatched))
         except Exception as error:
             log.problem("request failed", path=scope["path"], error=repr(error))
+            note_unexpected_error("request", error, path=scope["path"])
             unexpected = RampwickError("an unexpected error", step="serve request")
             await responder.send_error(
                 _internal_error(unexpected, responder.was_dispatched)
@@ -417,7 +419,7 @@
     return CallerError(
         error.message,
         status=500,
-        code=INTERNAL,
+        code="internal",
         step=error.step,
         peer=error.peer,
         run_state=RunState.MAYBE_RUN if was_dispatched else RunState.NOT_SENT,
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -13,21 +13,16 @@
 from anyio.streams.memory import MemoryObjectReceiveStream
 
 from rampwick_policy import (
-    UPSTREAM_FAILED,
     AttemptDone,
     AttemptFailed,
     Dispatch,
-    Outcome,
     Refuse,
     RequestArrived,
     RequestCancelled,
     RunState,
 )
-from rampwick_schema import RampwickError
 
 from .._errors import (
-    INTERNAL,
-    INTERNAL_ERROR,
     REFUSALS,
     AttemptError,
     CallerError,
@@ -35,7 +30,6 @@
     ErrorKind,
 )
 from .._logs import ComponentLogger, milliseconds
-from .._unexpected_errors import note_unexpected_error
 from ._answer_recorder import AnswerLine, AnswerRecorder
 from ._attempt_check import AttemptCheck
 from ._call import CallTerms
@@ -76,8 +70,6 @@
         self._has_result = False
         #: Whether any attempt ran or may have run.
         self.may_have_run = False
-        #: Whether an error of this host ended the last attempt.
-        self._has_failed_here = False
         #: Check of the attempt that is running; none between attempts.
         self._running_check: AttemptCheck | None = None
         self._cancel_scope: anyio.CancelScope
@@ -224,25 +216,29 @@
             self._cancel_scope.cancel()
             return
         except AttemptError as error:
-            self._note_failed(dispatch, error)
-            return
-        except RampwickError:
-            raise
-        except Exception as error:
-            note_unexpected_error(
-                "attempt",
-                error,
+            self._running_check = None
+            self._count_attempt(dispatch, error.outcome.value)
+            self.may_have_run |= not error.outcome.proves_not_run
+            log.problem(
+                "attempt failed",
                 request=self.caller_request_id,
+                attempt=dispatch.attempt_id,
+                outcome=error.outcome.value,
                 upstream=dispatch.upstream,
+                error=str(error),
+                **self._identity_fields(error),
+                **self.body_fields(),
             )
-            self._note_failed(
-                dispatch,
-                AttemptError(
-                    f"unexpected error: {error!r}",
-                    outcome=Outcome.FAILED_HERE,
-                    step="make attempt",
-                    peer=dispatch.upstream,
-                ),
+            # The decision that follows cancels this task group.
+            self.context.scheduler.post(
+                AttemptFailed(
+                    request_id=self.request_id,
+                    attempt_id=dispatch.attempt_id,
+                    outcome=error.outcome,
+                    message=str(error),
+                    retry_after_seconds=error.retry_after_seconds,
+                    was_closed=error.was_closed,
+                )
             )
             return
         self._count_attempt(dispatch, "done")
@@ -254,33 +250,6 @@
         self.context.scheduler.post(done)
         scope.cancel()
 
-    def _note_failed(self, dispatch: Dispatch, error: AttemptError) -> None:
-        """Report a failed attempt; the decision that follows ends its task group."""
-        self._running_check = None
-        self._has_failed_here = error.outcome is Outcome.FAILED_HERE
-        self._count_attempt(dispatch, error.outcome.value)
-        self.may_have_run |= not error.outcome.proves_not_run
-        log.problem(
-            "attempt failed",
-            request=self.caller_request_id,
-            attempt=dispatch.attempt_id,
-            outcome=error.outcome.value,
-            upstream=dispatch.upstream,
-            error=str(error),
-            **self._identity_fields(error),
-            **self.body_fields(),
-        )
-        self.context.scheduler.post(
-            AttemptFailed(
-                request_id=self.request_id,
-                attempt_id=dispatch.attempt_id,
-                outcome=error.outcome,
-                message=str(error),
-                retry_after_seconds=error.retry_after_seconds,
-                was_closed=error.was_closed,
-            )
-        )
-
     async def _ensure_claim(self) -> None:
         key = self.terms.idempotency_key
         if key and self._claim is None:
@@ -296,13 +265,11 @@
             )
 
     def _refusal(self, refuse: Refuse) -> CallerError:
-        kind, code = REFUSALS[refuse.reason], refuse.reason
-        if code == UPSTREAM_FAILED and self._has_failed_here:
-            kind, code = INTERNAL_ERROR, INTERNAL
+        kind = REFUSALS[refuse.reason]
         return CallerError(
             kind.message,
             status=_refusal_status(kind, refuse.run_state),
-            code=code,
+            code=refuse.reason,
             step="schedule request",
             peer=refuse.peer,
             run_state=refuse.run_state,
--- a/soak/_failed_seeds.py
+++ b/soak/_failed_seeds.py
@@ -29,6 +29,7 @@
     8309: "the soak: a reset raced with the close of the same connection",
     8406: "open: as 7000, beside four benchmark runs and a test run",
     9331: "as 11",
+    79112: "open: as 7000, at load 16 to 25",
     79207: "open: for a second no upstream answered probes of any host, and 72 of 115 "
     "requests of a herd were served; beside plays, tests and two soaks, at load 22",
     79304: "open: calls at a cut-off host took more than 1 s, as seeds 9305 to 9340",
