--- a/packages/rampwick-platform/src/rampwick_platform/_bounded_streams.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_bounded_streams.py
@@ -15,8 +15,8 @@
 #: Maximum size of a response, with its head: several pages of the largest listing.
 MAX_RESPONSE_BYTES = 4_194_304
 
-#: Rate that a response must have after its timeout. Links of hosts have several times
-#: this rate.
+#: Rate that a response must keep once its timeout is over, so that one which arrives
+#: byte by byte ends. It is far below the rate of a usable link.
 MIN_BYTES_PER_SECOND = 100_000.0
 
 
@@ -65,8 +65,7 @@
         self._stream = stream
         self._read_clock = read_clock
         self._received_bytes = 0
-        #: Time by which the response must arrive, plus that for its bytes; none before
-        #: its first read, or without a timeout.
+        #: End of the timeout that began with the first read; none if there is none.
         self._due_seconds: float | None = None
         self._has_begun = False
 
@@ -74,18 +73,21 @@
         """Return the next bytes of the response, or raise a ReadError or timeout."""
         if not self._has_begun:
             self._has_begun = True
-            self._due_seconds = timeout and self._read_clock() + timeout
-        data = await self._stream.read(max_bytes, self._limit(timeout))
+            if timeout is not None:
+                self._due_seconds = self._read_clock() + timeout
+        limit = self._limit(timeout, self._read_clock())
+        data = await self._stream.read(max_bytes, limit)
         self._received_bytes += len(data)
         if self._received_bytes > MAX_RESPONSE_BYTES:
             raise httpcore.ReadError(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
         return data
 
-    def _limit(self, timeout: float | None) -> float | None:
+    def _limit(self, timeout: float | None, now_seconds: float) -> float | None:
+        """Return the timeout of one read, or raise ReadTimeout if none is left."""
         if self._due_seconds is None or timeout is None:
             return timeout
         due_seconds = self._due_seconds + self._received_bytes / MIN_BYTES_PER_SECOND
-        remaining_seconds = due_seconds - self._read_clock()
+        remaining_seconds = due_seconds - now_seconds
         if remaining_seconds <= 0.0:
             raise httpcore.ReadTimeout("the response is too slow")
         return min(timeout, remaining_seconds)
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -120,6 +120,7 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
+        # An error may have left an earlier run with a part of the changes.
         self._is_listed = False
         while True:
             while not self._must_read():
--- a/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
@@ -64,7 +64,7 @@
     ) -> bool:
         record = LeaseRecord(
             holder=watcher.host,
-            write_id=watcher.new_write_id(),
+            write_id=watcher.mark_write_id(secrets.token_hex(8)),
             duration_seconds=watcher.duration_seconds,
         )
         started_seconds = read_clock()
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -202,6 +202,7 @@
 )
 from ._targets import TargetWeights as TargetWeights
 from ._tree import (
+    MAX_NODES as MAX_NODES,
     ROOT as ROOT,
     TreeView as TreeView,
     Workspace as Workspace,
--- a/packages/rampwick-policy/src/rampwick_policy/_access.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_access.py
@@ -68,7 +68,7 @@
     if route is None:
         return _denied(Verdict.UNKNOWN_ROUTE, age_seconds, rules)
     if not route.targets:
-        return Access(Verdict.UNUSABLE, route)
+        return _denied(Verdict.UNUSABLE, age_seconds, rules)
     if route.is_public:
         return Access(Verdict.ALLOWED, route, view.public_workspace)
     if key_hash is None:
@@ -76,7 +76,7 @@
     workspace = view.find_workspace(key_hash)
     if workspace is None:
         if view.is_unusable_key(key_hash):
-            return Access(Verdict.UNUSABLE, route)
+            return _denied(Verdict.UNUSABLE, age_seconds, rules)
         return _denied(Verdict.UNKNOWN_KEY, age_seconds, rules)
     max_age_seconds = rules.max_key_age_seconds
     if max_age_seconds is not None and age_seconds > max_age_seconds:
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -142,7 +142,7 @@
     #: Whether the answer stated its end; otherwise the end of the connection was its
     #: end, and may have been a crash.
     has_certain_end: bool = True
-    #: When the last bytes of the answer arrived at this host, if that is known.
+    #: Earliest time at which the last bytes of the answer may have arrived, if known.
     last_bytes_at_seconds: float | None = None
 
 
--- a/packages/rampwick-policy/src/rampwick_policy/_lease.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_lease.py
@@ -12,7 +12,6 @@
 
 import hashlib
 import math
-import secrets
 
 import attrs
 
@@ -34,7 +33,8 @@
     #: Time after its write in which a holder may send orders. The rest of the lease
     #: separates its last order from those of the next holder.
     order_window_seconds: float = math.inf
-    #: Address of this machine, at which another may have borne its host's name.
+    #: Address of this machine, by which a later one of the same name is told apart;
+    #: empty if unknown.
     address: str = ""
     #: Last observed version of the record; 0 if there is none.
     version: int = ABSENT
@@ -100,20 +100,20 @@
         return not era_of(self.version)
 
     @property
-    def _write_id_end(self) -> str:
+    def _write_id_suffix(self) -> str:
         if not self.address:
             return ""
         digest = hashlib.blake2b(self.address.encode(), digest_size=ADDRESS_BYTES)
         return f"-{digest.hexdigest()}"
 
-    def new_write_id(self) -> str:
-        """Return a random id by which a later process here recognizes the write."""
-        return secrets.token_hex(8) + self._write_id_end
+    def mark_write_id(self, write_id: str) -> str:
+        """Return an id by which later processes on this machine recognize the write."""
+        return write_id + self._write_id_suffix
 
     def _wrote(self, record: LeaseRecord) -> bool:
         """Return whether a record was written by a process on this machine."""
         is_of_host = record.holder == self.host
-        return is_of_host and record.write_id.endswith(self._write_id_end)
+        return is_of_host and record.write_id.endswith(self._write_id_suffix)
 
     def note_written(
         self, record: LeaseRecord, version: int, write_began_seconds: float
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -62,14 +62,14 @@
 NON_DISPATCHING_EVENTS = (ev.AttemptAccepted, ev.LoadReported, ev.CacheReported)
 
 
-def _always_silent(attempt_id: str, now_seconds: float) -> float:
-    return math.inf
-
-
 #: Longest time for which bytes of a crashed upstream may still be on their way.
 IN_FLIGHT_SECONDS = 0.25
 
 
+def _always_silent(attempt_id: str, now_seconds: float) -> float:
+    return math.inf
+
+
 class Scheduler:
     """State machine that queues, dispatches, retries and refuses requests."""
 
@@ -379,7 +379,7 @@
             return []
         upstream = self.upstreams.get(item.upstream)
         if event.last_bytes_at_seconds is not None:
-            # An upstream that crashes resets all connections at that time.
+            # A crash ends all connections of an upstream at once.
             self.quarantine.note_live(
                 item.upstream,
                 item.incarnation,
--- a/packages/rampwick-policy/src/rampwick_policy/_tree.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_tree.py
@@ -35,8 +35,8 @@
 MAX_DEPTH = 8
 
 #: Maximum number of nodes, so that the compressed snapshot of a tree stays under 1 MB.
-MAX_NODES = 20_000
-#: The same in a tree that operators write, which stays legible.
+MAX_NODES = 5000
+#: The same in a tree that operators write, whose snapshot is stored uncompressed.
 MAX_WRITTEN_NODES = 2000
 
 STEP = "validate tree"
@@ -206,7 +206,7 @@
 
 
 def _raise_problems(problems: Iterable[str]) -> None:
-    found = list(problems)
+    found = dict.fromkeys(problems)
     if found:
         raise TreeError("; ".join(found), step=STEP)
 
--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -20,6 +20,7 @@
     read_request_rate as read_request_rate,
     read_resumed_id as read_resumed_id,
     read_signals as read_signals,
+    read_whole_number as read_whole_number,
 )
 from ._errors import CallerError as CallerError
 from ._headers import (
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -22,6 +22,17 @@
 DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
+#: Maximum of numbers in reports, which messages carry as 64 bits.
+MAX_WHOLE_NUMBER = 2**62
+
+
+def read_whole_number(value: object) -> int:
+    """Return a number of decoded JSON, or raise ValueError if it is not a whole one."""
+    if type(value) is not int or not 0 <= value <= MAX_WHOLE_NUMBER:
+        raise ValueError(f"{value!r}, expected a whole number")
+    return value
+
+
 @attrs.frozen(repr=False)
 class RawCall(ReprMixin):
     """A caller's request line and headers as received."""
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -83,7 +83,8 @@
 
     status: int
     message: str
-    #: Whether every retry of the request is refused as well, which must not be invited.
+    #: Whether every retry of the request is refused as well, so that callers get no
+    #: time for one.
     is_permanent: bool = False
 
 
--- a/packages/rampwick-router/src/rampwick_router/_native_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_native_dialect.py
@@ -32,6 +32,7 @@
     read_request_rate,
     read_resumed_id,
     read_signals,
+    read_whole_number,
 )
 from ._errors import CallerError
 from ._headers import (
@@ -224,11 +225,11 @@
         try:
             data = orjson.loads(body)
             return CacheEvents(
-                epoch=int(data["epoch"]),
-                next_number=int(data["next_number"]),
+                epoch=read_whole_number(data["epoch"]),
+                next_number=read_whole_number(data["next_number"]),
                 has_gap=data["has_gap"],
                 events=[
-                    CacheEvent(salt, part.encode(), tokens)
+                    CacheEvent(salt, part.encode(), read_whole_number(tokens))
                     for salt, part, tokens in data["events"]
                 ],
             )
--- a/packages/rampwick-router/src/rampwick_router/_unexpected_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_unexpected_errors.py
@@ -56,13 +56,19 @@
 
 async def keep_running(task: str, run: Callable[[], Awaitable[None]]) -> None:
     """Run a task until it returns; run it again after an unexpected error."""
-    pause_seconds = RESTART_SECONDS
+    pause_seconds = 0.0
     while True:
         started_seconds = anyio.current_time()
         with contain_errors(task):
             await run()
             return
-        if anyio.current_time() - started_seconds > MAX_RESTART_SECONDS:
-            pause_seconds = RESTART_SECONDS
+        ran_seconds = anyio.current_time() - started_seconds
+        pause_seconds = _restart_pause(pause_seconds, ran_seconds)
         await anyio.sleep(pause_seconds)
-        pause_seconds = min(MAX_RESTART_SECONDS, pause_seconds * RESTART_FACTOR)
+
+
+def _restart_pause(last_pause_seconds: float, ran_seconds: float) -> float:
+    """Return the wait before a task that failed after some seconds runs again."""
+    if not last_pause_seconds or ran_seconds > MAX_RESTART_SECONDS:
+        return RESTART_SECONDS
+    return min(MAX_RESTART_SECONDS, last_pause_seconds * RESTART_FACTOR)
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -141,7 +141,6 @@
             log.problem("request failed", path=scope["path"], error=str(error))
             await responder.send_error(_internal_error(error, responder.was_dispatched))
         except Exception as error:
-            log.problem("request failed", path=scope["path"], error=repr(error))
             note_unexpected_error("request", error, path=scope["path"])
             unexpected = RampwickError("an unexpected error", step="serve request")
             await responder.send_error(
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -135,6 +135,10 @@
         """Return how long ago at least the bytes read last arrived at this host."""
         return self._connection.data_age_seconds()
 
+    def max_data_age_seconds(self) -> float | None:
+        """Return an upper bound on the age of the bytes read last, if known."""
+        return self._connection.max_data_age_seconds()
+
     def failed(
         self, outcome: Outcome, message: str, info: ResponseInfo | None = None
     ) -> AttemptError:
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -257,8 +257,10 @@
     def _note_body_end(self, attempt: RoutedAttempt, remainder_bytes: int = 0) -> None:
         self._body_end = attempt.body_end
         self._remainder_bytes = remainder_bytes
-        now_seconds = self.context.read_clock()
-        self._last_bytes_at_seconds = now_seconds - attempt.data_age_seconds()
+        age_seconds = attempt.max_data_age_seconds()
+        self._last_bytes_at_seconds = (
+            None if age_seconds is None else self.context.read_clock() - age_seconds
+        )
 
     def _record_duration(self) -> None:
         now_seconds = self.context.read_clock()
--- a/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_tunnels.py
@@ -110,6 +110,10 @@
         """Return how long ago at least the bytes read last arrived at this host."""
         return 0.0 if self._is_closed else self._stream.data_age_seconds()
 
+    def max_data_age_seconds(self) -> float | None:
+        """Return None: the peer may have held the bytes back."""
+        return None
+
     def discard_unsent(self) -> None:
         """Make the close discard the bytes that the kernel has not sent yet."""
         self._stream.discard_unsent()
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -5,7 +5,6 @@
 closed: a new connection costs one round trip, a stale one a failed response.
 """
 
-import itertools
 import math
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
@@ -18,7 +17,7 @@
 
 from rampwick_platform import sleep_aligned
 from rampwick_policy import BodyEnd, ConnectionDoubts, Outcome, UpstreamPath
-from rampwick_schema import ReprMixin
+from rampwick_schema import RampwickError, ReprMixin
 
 from .._errors import AttemptError
 from .._headers import RawHeaders, ResponseHead
@@ -67,6 +66,10 @@
 TUNNEL = "tunnel"
 
 
+class UnsendableRequestError(RampwickError):
+    """A request that HTTP can't represent; no byte of it was sent."""
+
+
 class ConnectionLimitError(AttemptError):
     """All connections that this host may open to an upstream are in use."""
 
@@ -132,7 +135,10 @@
         try:
             data = self._encode(method, target, headers, body)
         except h11.LocalProtocolError as error:
-            raise self._unsendable(error) from error
+            self._has_failed = True
+            raise UnsendableRequestError(
+                str(error), step="send request", peer=self.peer
+            ) from error
         # Sent in pieces, so that an early response is noticed.
         for start in range(0, len(data), CHUNK_BYTES):
             await self._send_bytes(data[start : start + CHUNK_BYTES], check)
@@ -191,7 +197,8 @@
     async def _receive_data(self) -> tuple[bytes, bool]:
         """Return the next bytes of the body, and whether they are the last ones."""
         parts: list[bytes] = []
-        for count in itertools.count(1):
+        events_count = 0
+        while True:
             event = self._parse(has_data=bool(parts))
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
@@ -204,9 +211,9 @@
                 await self._read()
             else:
                 raise self._broken("read answer", "the connection closed")
-            if count % EVENTS_PER_TURN == 0:
+            events_count += 1
+            if events_count % EVENTS_PER_TURN == 0:
                 await anyio.sleep(0)
-        raise AssertionError("unreachable")
 
     def _has_delimited_body(self, response: h11.Response) -> bool:
         """Return whether the end of the body is known without the connection's."""
@@ -247,6 +254,10 @@
         """Return how long ago at least the bytes read last arrived at this host."""
         return self._socket.data_age_seconds()
 
+    def max_data_age_seconds(self) -> float | None:
+        """Return an upper bound on the age of the bytes read last, if known."""
+        return self._socket.max_data_age_seconds()
+
     def is_reusable(self) -> bool:
         """Return whether the response was complete and no data followed it.
 
@@ -286,13 +297,6 @@
         self._has_failed = True
         self._socket.close()
 
-    def _unsendable(self, cause: Exception) -> AttemptError:
-        """Return the error for a request that HTTP can't represent."""
-        self._has_failed = True
-        return AttemptError(
-            str(cause), outcome=Outcome.UNSENT, step="send request", peer=self.peer
-        )
-
     def _broken(self, step: str, cause: object) -> AttemptError:
         self._has_failed = True
         is_reset = isinstance(cause, ConnectionResetError | BrokenPipeError)
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -12,7 +12,7 @@
 from .._errors import AttemptError
 from .._headers import ResponseHead
 from .._scheduler_task import SchedulerTask
-from ._connection_pool import ConnectionPool
+from ._connection_pool import ConnectionPool, UnsendableRequestError
 
 #: Timeout of a control call. An order is sent only if the lease outlives this timeout,
 #: so it is short; responses take a few milliseconds.
@@ -157,7 +157,12 @@
             lane=lane,
         ) as connection:
             is_connected = not may_reuse
-            await connection.send(request.method, request.path, headers, request.body)
+            try:
+                await connection.send(
+                    request.method, request.path, headers, request.body
+                )
+            except UnsendableRequestError as error:
+                raise _failed(error.message, request, name) from error
             head = await connection.receive_head()
             body = bytearray()
             async for chunk in connection.receive_chunks():
--- a/packages/rampwick-router/src/rampwick_router/upstream/_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_sockets.py
@@ -34,6 +34,9 @@
     def data_age_seconds(self) -> float:
         """Return how long ago at least the bytes read last arrived."""
 
+    def max_data_age_seconds(self) -> float | None:
+        """Return an upper bound on the age of the bytes read last, if known."""
+
     def discard_unsent(self) -> None:
         """Make the close discard the bytes that have not been sent yet."""
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_tcp_socket.py
@@ -18,7 +18,7 @@
 
 from rampwick_platform import LIVENESS_OPTIONS
 
-from .._segment_age import segment_age_seconds
+from .._segment_age import max_segment_age_seconds, segment_age_seconds
 
 #: Maximum number of bytes per read from the kernel.
 RECEIVE_BYTES = 65536
@@ -141,6 +141,10 @@
         """Return how long ago at least the bytes read last arrived."""
         return 0.0 if self._is_closed else segment_age_seconds(self._raw)
 
+    def max_data_age_seconds(self) -> float | None:
+        """Return how long ago at most the bytes read last arrived, if known."""
+        return None if self._is_closed else max_segment_age_seconds(self._raw)
+
     def discard_unsent(self) -> None:
         """Make the close discard the bytes that the kernel has not sent yet."""
         if not self._is_closed:
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -22,6 +22,7 @@
 from rampwick_platform._records import decode_record, encode_record
 from rampwick_router import Integration, run_daemon
 from rampwick_router._native_dialect import NATIVE_DIALECTS
+from rampwick_router.upstream._tcp_socket import TcpSocket
 from rampwick_schema import (
     HostEntry,
     Node,
@@ -90,9 +91,37 @@
 
     def reset(self) -> None:
         """Make the close of the connection a reset."""
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        linger = struct.pack("ii", 1, 0)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        set_reset_on_close(self.stream.extra(anyio.abc.SocketAttribute.raw_socket))
+
+
+def set_reset_on_close(raw: socket.socket) -> None:
+    """Make the close of a connection a reset."""
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+@asynccontextmanager
+async def open_reset_connection(
+    received: bytes = b"", unread: bytes = b""
+) -> AsyncIterator[TcpSocket]:
+    """Yield a connection that its peer has reset.
+
+    Before the reset the peer sent bytes that were received, and others that were not.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        opened = await TcpSocket.connect(f"127.0.0.1:{port}")
+        remote, _ = listener.accept()
+        with remote:
+            if received:
+                remote.send(received)
+                assert await opened.receive() == received
+            if unread:
+                remote.send(unread)
+            set_reset_on_close(remote)
+        try:
+            yield opened
+        finally:
+            opened.close()
 
 
 async def answer_done(exchange: Exchange) -> None:
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -16,17 +16,22 @@
 from rampwick_platform import KindState, KindView
 from rampwick_policy import HealthState
 from rampwick_router import AttemptTerms, CacheEvent, ResponseHead
+from rampwick_router._dialects import ControlRequest
+from rampwick_router._errors import AttemptError
 from rampwick_router._native_dialect import (
+    NativeCacheDialect,
     NativeControlDialect,
     NativeUpstreamDialect,
 )
 from rampwick_router._unexpected_errors import unexpected_error_counts
 from rampwick_router.peers._gossip import GossipTask
+from rampwick_router.upstream._connection_pool import ConnectionPool
+from rampwick_router.upstream._control import call_upstream
 from rampwick_schema import DataError, HostEntry, StewardSettings, WeightsTarget
 
 from .bench import run_two_hosts, until
 from .case import ScenarioCase
-from .scripted import NativeDecoder, list_upstream, run_routed
+from .scripted import NativeDecoder, ScriptedUpstream, list_upstream, run_routed
 from .test_adapter import stored
 
 ODD = "odd"
@@ -164,6 +169,10 @@
     return ResponseHead(status, fields)
 
 
+def encode(data):
+    return json.dumps(data).encode()
+
+
 def entry(name):
     return HostEntry(
         name, "service", "a", "10.0.0.1:80", group="plain", incarnation=name
@@ -210,6 +219,43 @@
     return found, refused
 
 
+class UnsendableRequestTest(TestCase):
+    """A request that HTTP can't represent, for whatever reason."""
+
+    HEADERS = ((b"x-a", b"a\nb"),)
+
+    def test_request_is_an_internal_error_and_no_passed_deadline(self):
+        async def main():
+            async with run_routed({"labels": ["a"]}) as (host, servers):
+                with mock.patch.object(
+                    NativeUpstreamDialect,
+                    "request_headers",
+                    side_effect=lambda call, terms: list(self.HEADERS),
+                ):
+                    view = await host.call("/once/x")
+                return view.status, len(servers["a"].requests)
+
+        self.assertEqual((500, 0), anyio.run(main))
+
+    def test_control_call_fails_as_such(self):
+        async def main():
+            upstream = ScriptedUpstream("a")
+            async with (
+                anyio.create_task_group() as tasks,
+                ConnectionPool(anyio.current_time) as pool,
+            ):
+                await tasks.start(upstream.serve)
+                request = ControlRequest("probe", "GET", "/", self.HEADERS)
+                try:
+                    await call_upstream(pool, "a", upstream.address, request, 5.0)
+                except AttemptError as error:
+                    return str(error)
+                finally:
+                    tasks.cancel_scope.cancel()
+
+        self.assertIn("probe", anyio.run(main))
+
+
 class NamesOfUpstreamsTest(TestCase):
     """Names of entries of any writer: carried as they are, or no upstream."""
 
@@ -290,6 +336,16 @@
                 self.assertRaises(DataError, self.read, **{field: value})
         self.assertRaises(DataError, self.read, events=7)
 
+    def test_numbers_of_other_types_in_native_events_are_errors_of_their_cache(self):
+        sound = {"epoch": 1, "next_number": 4, "has_gap": False, "events": []}
+        odd = [{**sound, "events": [["s", "part", "many"]]}]
+        for field in ("epoch", "next_number"):
+            odd += [{**sound, field: value} for value in ("4", None, 1.5, -1, 1e400)]
+        dialect = NativeCacheDialect()
+        self.assertEqual(4, dialect.read_events(head(), encode(sound)).next_number)
+        for data in odd:
+            self.assertRaises(DataError, dialect.read_events, head(), encode(data))
+
     def test_invalid_event_is_a_gap_and_hides_no_other(self):
         sound = [2, "+", "s", "part", 5, "m"]
         for odd in (
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -277,20 +277,22 @@
 
     def test_answer_that_goes_on_after_a_reset_retracts_the_crash(self):
         """A reset of some connections while the others go on is the network's."""
-        for last_bytes_seconds, crashes_count in ((0.1, 1), (0.5, 0)):
+        for last_bytes_seconds, crashes_count in ((None, 1), (0.1, 1), (0.5, 0)):
             host = Host(names=["u-0"])
             other, _ = host.arrive(OTHER)
             deadly, _ = host.arrive(DEADLY)
             host.do(AttemptAccepted(other, host.sent[other].attempt_id))
             host.advance(1.0)
             host.crash(deadly)
-            reset_at_seconds = host.at_seconds
+            last_bytes_at_seconds = None
+            if last_bytes_seconds is not None:
+                last_bytes_at_seconds = host.at_seconds + last_bytes_seconds
             host.advance(2.0)
             host.do(
                 AttemptDone(
                     other,
                     host.sent[other].attempt_id,
-                    last_bytes_at_seconds=reset_at_seconds + last_bytes_seconds,
+                    last_bytes_at_seconds=last_bytes_at_seconds,
                 )
             )
             suspects = list(host.scheduler.quarantine.tracker.crashes())
--- a/tests/test_manifest_parts.py
+++ b/tests/test_manifest_parts.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings, strategies as st
 from testtools import TestCase
 
+from rampwick_adapter._manifest import MAX_TENANTS_COUNT
 from rampwick_adapter._objects import ObjectsTranslation
 from rampwick_adapter._records import StoreTranslation
 from rampwick_adapter._requests import UpstreamTranslation
@@ -54,7 +55,9 @@
     return json.dumps(data).encode()
 
 
-def decide(view, *, key="k1", host="one.example", path="/a/x"):
+def decide(
+    view, *, key="k1", host="one.example", path="/a/x", age_seconds=0.0, rules=None
+):
     """Return the verdict on a request."""
     key_hash = hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
     access = decide_access(
@@ -62,8 +65,8 @@
         host=host,
         path=path,
         key_hash=key_hash,
-        age_seconds=0.0,
-        rules=AccessRules(),
+        age_seconds=age_seconds,
+        rules=rules or AccessRules(),
     )
     return access.verdict
 
@@ -219,10 +222,10 @@
     def test_snapshot_of_many_tenants_fits_in_a_message(self):
         tenants = [
             {"name": f"tenant-{number}", "api_keys": [f"k{number}", f"l{number}"]}
-            for number in range(5000)
+            for number in range(MAX_TENANTS_COUNT)
         ]
         view, problems = read({**MANIFEST, "tenants": tenants})
-        self.assertEqual((5000, []), (len(view.workspaces), problems))
+        self.assertEqual((MAX_TENANTS_COUNT, []), (len(view.workspaces), problems))
         message = compress_message(encode_message(TreeReply(view.tree)))
         self.assertTrue(len(message) < 1_048_576)
 
@@ -230,7 +233,7 @@
 class NamesOfTenantsTest(TestCase):
     """Any name is carried to the upstreams as it is."""
 
-    def test_name_of_any_text_is_told_as_it_is(self):
+    def test_name_of_any_text_is_sent_to_upstreams_unchanged(self):
         for name in ("a b", "a/b", "/a", "%41", "%", "ő", "..", "-a", "~", "a" * 300):
             view, problems = read(changed("tenants", 0, name=name))
             workspace = view.find_workspace(hashlib.sha256(b"k1").hexdigest())
@@ -283,6 +286,15 @@
             self.assertIs(Verdict.ALLOWED, decide(view, key="k3", path="/b/x"))
             self.assertIn("routes[0]", problems[-1])
 
+    def test_outdated_host_refreshes_before_it_refuses(self):
+        rules = AccessRules(max_denial_age_seconds=1.0)
+        view, _ = read(changed("routes", 0, traffic_split=[], service=7))
+        nameless, _ = read(changed("tenants", 0, name=7))
+        for found in (view, nameless):
+            for age_seconds, verdict in ((0.5, Verdict.UNUSABLE), (2.0, Verdict.STALE)):
+                decided = decide(found, age_seconds=age_seconds, rules=rules)
+                self.assertIs(verdict, decided)
+
     def test_unknown_service_is_asked_nevertheless(self):
         view, problems = read(changed("routes", 1, service="elsewhere"))
         self.assertIsNotNone(view.routes.service("elsewhere"))
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -279,7 +279,7 @@
 
     def test_another_machine_of_the_holders_name_waits_for_its_lease(self):
         holder = LeaseWatcher("one", 3.8, 0.8, "10.0.0.1:7340")
-        record = LeaseRecord("one", holder.new_write_id(), 3.8)
+        record = LeaseRecord("one", holder.mark_write_id("1"), 3.8)
         holder.note_written(record, 5, 10.0)
         newer = LeaseWatcher("one", 3.8, 0.8, "10.0.0.2:7340")
         newer.observe(record, 5, 10.3)
@@ -289,7 +289,7 @@
         restarted.observe(record, 5, 10.3)
         self.assertTrue(restarted.may_acquire(10.3))
         # The former machine, which may still run, gives the lease up.
-        taken = LeaseRecord("one", newer.new_write_id(), 3.8)
+        taken = LeaseRecord("one", newer.mark_write_id("2"), 3.8)
         holder.observe(taken, 6, 11.0)
         self.assertFalse(holder.is_held(11.0))
 
--- a/tests/test_tcp_socket.py
+++ b/tests/test_tcp_socket.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import socket
-import struct
-import time
 
 import anyio
 from hypothesis import given, settings, strategies as st
@@ -11,6 +9,8 @@
 
 from rampwick_router.upstream._tcp_socket import TcpSocket
 
+from .scripted import open_reset_connection
+
 
 class TcpSocketTest(TestCase):
     def run_with(self, scenario):
@@ -46,21 +46,11 @@
 
     def test_reset_that_a_write_has_met_is_no_end_of_stream(self):
         async def main():
-            with socket.create_server(("127.0.0.1", 0)) as listener:
-                port = listener.getsockname()[1]
-                reader = await TcpSocket.connect(f"127.0.0.1:{port}")
-                remote, _ = listener.accept()
-                remote.send(b"half")
-                self.assertEqual(b"half", await reader.receive())
-                linger = struct.pack("ii", 1, 0)
-                remote.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                remote.close()
-                time.sleep(0.05)
+            async with open_reset_connection(b"half") as reader:
                 with self.assertRaises(OSError):
                     await reader.send(b"rest of the request", lambda: None)
                 with self.assertRaises(OSError):
                     await reader.receive()
-                reader.close()
 
         anyio.run(main)
 
@@ -113,21 +103,8 @@
         """Run a scenario on a connection that was reset after some unread bytes."""
 
         async def main():
-            with socket.create_server(("127.0.0.1", 0)) as listener:
-                port = listener.getsockname()[1]
-                reader = await TcpSocket.connect(f"127.0.0.1:{port}")
-                remote, _ = listener.accept()
-                remote.send(b"half")
-                self.assertEqual(b"half", await reader.receive())
-                if unread:
-                    remote.send(unread)
-                linger = struct.pack("ii", 1, 0)
-                remote.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                remote.close()
-                try:
-                    await scenario(reader)
-                finally:
-                    reader.close()
+            async with open_reset_connection(b"half", unread) as reader:
+                await scenario(reader)
 
         anyio.run(main)
 
@@ -184,6 +161,21 @@
 
         self.run_after_reset(scenario, unread)
 
+    def test_age_of_the_last_bytes_is_bounded_only_if_it_is_known(self):
+        async def main():
+            async with open_reset_connection(b"half") as reader:
+                ages = [reader.max_data_age_seconds()]
+            local, remote = socket.socketpair()
+            remote.close()
+            other = TcpSocket(local)
+            ages.append(other.max_data_age_seconds())
+            other.close()
+            return [*ages, other.max_data_age_seconds(), reader.max_data_age_seconds()]
+
+        known, *unknown = anyio.run(main)
+        self.assertTrue(known > 0.0)
+        self.assertEqual([None, None, None], unknown)
+
     def test_closed_connection_is_readable_without_a_reset(self):
         async def main():
             local, remote = socket.socketpair()
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -2,8 +2,6 @@
 
 import itertools
 import math
-import socket
-import struct
 from collections import Counter
 from contextlib import contextmanager
 from unittest import mock
@@ -31,12 +29,11 @@
 )
 from rampwick_router.peers import _tunnel_server, _tunnels
 from rampwick_router.peers._tunnels import TunnelLostError, TunnelRefusedError
-from rampwick_router.upstream._tcp_socket import TcpSocket
 from rampwick_schema import LoadReport, TunnelData, TunnelEnd
 
 from .bench import until
 from .partitions import HANG, LOSE_NEW, RESET
-from .scripted import ScriptedUpstream
+from .scripted import ScriptedUpstream, open_reset_connection
 from .test_hosts_cut_off import TERMS, run_hosts
 from .test_scheduler import Session
 
@@ -511,14 +508,7 @@
                 self.answers.append(message)
 
         async def main():
-            with socket.create_server(("127.0.0.1", 0)) as listener:
-                port = listener.getsockname()[1]
-                upstream = await TcpSocket.connect(f"127.0.0.1:{port}")
-                remote, _ = listener.accept()
-                remote.send(b"early answer")
-                linger = struct.pack("ii", 1, 0)
-                remote.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                remote.close()
+            async with open_reset_connection(unread=b"early answer") as upstream:
                 peer = Peer()
                 served = _tunnel_server.ServedTunnel(peer, upstream, anyio.current_time)
                 with mock.patch.object(_tunnel_server, "CLOSE_TIMEOUT_SECONDS", 0.0):
