--- a/packages/rampwick-router/src/rampwick_router/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/__init__.py
@@ -6,6 +6,7 @@
     run_daemon as run_daemon,
 )
 from ._dialects import (
+    MAX_WHOLE_NUMBER as MAX_WHOLE_NUMBER,
     AttemptTerms as AttemptTerms,
     CacheEvent as CacheEvent,
     CacheEvents as CacheEvents,
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -45,7 +45,7 @@
 
 #: Parsed events after which a read of a body lets other tasks run. A chunk of one byte
 #: is an event, too.
-EVENTS_PER_TURN = 256
+EVENTS_PER_YIELD = 256
 
 #: Default maximum size of a response body.
 MAX_BODY_BYTES = 268_435_456
@@ -212,7 +212,7 @@
             else:
                 raise self._broken("read answer", "the connection closed")
             events_count += 1
-            if events_count % EVENTS_PER_TURN == 0:
+            if events_count % EVENTS_PER_YIELD == 0:
                 await anyio.sleep(0)
 
     def _has_delimited_body(self, response: h11.Response) -> bool:
