Read each record of the store by itself

Callers saw: one entry of another writer that is nested deeply, or has a number of 5,000 digits, and hosts went on with their old list: requests to upstreams that had left up to 28 s before; hosts that started meanwhile answered 503 to all.

Cause: a listing or a watch was decoded as one JSON text. Where orjson gave up (depth, numbers) and json too (recursion, digits), no record of it was read. Class: one record decides whether all others are read.

Ruled out: a limit of the stack alone. The decoder now has its own bounds: an answer that can't be decoded as a whole is split into records without recursion, and each is decoded by itself; what is nested deeper than 64 is read as null, and longer numbers as infinite, so that fields that nobody reads cost nothing. A revision or a tombstone that is invalid costs its record. Both dialects and all records use the same decoder.

A second fault beside it: a page whose last name can't be read was listed again and again, without an end and with a growing list. It now ends with an error.

--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -3,6 +3,8 @@
 from ._api import (
     ABSENT as ABSENT,
     MAX_VALUE_BYTES as MAX_VALUE_BYTES,
+    NAMELESS as NAMELESS,
+    UNREADABLE as UNREADABLE,
     HistoryGoneError as HistoryGoneError,
     Listing as Listing,
     ObjectApi as ObjectApi,
@@ -22,6 +24,15 @@
     KindWatcher as KindWatcher,
 )
 from ._lease_store import LeaseStore as LeaseStore
+from ._record_reading import (
+    MAX_NESTING as MAX_NESTING,
+    NestingError as NestingError,
+    decode_answer as decode_answer,
+    decode_json as decode_json,
+    encode_json as encode_json,
+    read_revision as read_revision,
+    split_answer as split_answer,
+)
 from ._records import (
     decode_record as decode_record,
     encode_record as encode_record,
--- a/packages/rampwick-platform/src/rampwick_platform/_api.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_api.py
@@ -10,6 +10,12 @@
 #: Expected version for the creation of an object.
 ABSENT = 0
 
+#: Value of an object that can't be read, which is valid for no kind of objects.
+UNREADABLE = b"null"
+
+#: Name of all objects of a listing whose own names can't be read.
+NAMELESS = " (a record without a readable name)"
+
 #: Maximum size of a value in the platform's store.
 MAX_VALUE_BYTES = 1_000_000
 
@@ -65,6 +71,12 @@
     #: Whether more objects follow after the last key.
     is_truncated: bool = False
 
+    @property
+    def last_key(self) -> str:
+        """Key after which the next page is listed: the last one that is readable."""
+        keys = (item.key for item in reversed(self.objects))
+        return next((key for key in keys if not key.endswith(NAMELESS)), "")
+
 
 class ObjectApi(Protocol):
     """The platform calls that rampwick uses; each method is one call of the budget."""
--- a/packages/rampwick-platform/src/rampwick_platform/_entity_tags.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_entity_tags.py
@@ -6,12 +6,15 @@
 
 from ._api import (
     ABSENT,
+    NAMELESS,
+    UNREADABLE,
     Listing,
     OutcomeUnknownError,
     PlatformError,
     StoredObject,
     VersionConflictError,
 )
+from ._record_reading import decode_answer, read_revision
 from ._store_dialect import StoreRequest, read_era
 
 #: Response header with the era of the store.
@@ -71,26 +74,31 @@
     def read_listing(self, prefix: str, response: httpx.Response) -> Listing:
         """Return the objects in the response to a listing or a watch."""
         step = "list objects"
-        data = _json(response, step)
         try:
-            objects = [
-                StoredObject(item["key"], item["version"], item["value"].encode())
-                for item in data["objects"]
-            ]
-            return Listing(version=data["version"], objects=objects)
-        except (KeyError, TypeError, AttributeError) as error:
+            data = decode_answer(response.content, ("objects",))
+            version = read_revision(data["version"])
+            parsed = [_read_item(prefix, item, version) for item in data["objects"]]
+        except (KeyError, TypeError, ValueError) as error:
             raise PlatformError(f"invalid response: {error!r}", step=step) from None
+        return Listing(version=version, objects=parsed)
 
 
 def _version(response: httpx.Response, step: str) -> int:
     try:
-        return int(response.headers["ETag"].strip('"'))
+        return read_revision(response.headers["ETag"].strip('"'))
     except (KeyError, ValueError):
         raise OutcomeUnknownError("answer without version", step=step) from None
 
 
-def _json(response: httpx.Response, step: str) -> Any:
+def _read_item(prefix: str, item: Any, listed_version: int) -> StoredObject:
+    """Return an object of a listing; one with an unreadable value if it is invalid."""
     try:
-        return response.json()
-    except ValueError:
-        raise PlatformError("answer is not JSON", step=step) from None
+        key = item["key"]
+        key.encode()
+    except (KeyError, TypeError, AttributeError, ValueError):
+        return StoredObject(f"{prefix}{NAMELESS}", listed_version, UNREADABLE)
+    try:
+        version = min(read_revision(item["version"]), listed_version)
+        return StoredObject(key, version, item["value"].encode())
+    except (KeyError, TypeError, AttributeError, ValueError):
+        return StoredObject(key, listed_version, UNREADABLE)
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -178,8 +178,13 @@
         listing = await self._api.list_objects(self._prefix)
         objects = list(listing.objects)
         version = listing.version
+        after_keys = {""}
         while listing.is_truncated and listing.objects:
-            listing = await self._api.list_objects(self._prefix, objects[-1].key)
+            if listing.last_key in after_keys:
+                message = f"the page after {listing.last_key!r} can't be read"
+                raise PlatformError(message, step="list", peer=self._prefix)
+            after_keys.add(listing.last_key)
+            listing = await self._api.list_objects(self._prefix, listing.last_key)
             if era_of(listing.version) != era_of(version):
                 raise HistoryGoneError("store restored", step="list", peer=self._prefix)
             objects += listing.objects
--- a/packages/rampwick-platform/src/rampwick_platform/_records.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_records.py
@@ -10,6 +10,7 @@
 from rampwick_schema import structure, unstructure
 
 from ._api import ObjectApi, OutcomeUnknownError, StoredObject, VersionConflictError
+from ._record_reading import decode_json
 
 T = TypeVar("T")
 
@@ -27,7 +28,7 @@
     """Return the record in a stored object, or raise DataError."""
     step = f"read {cls.__name__}"
     try:
-        data = json.loads(stored.value)
+        data = decode_json(stored.value)
     except ValueError:
         data = None
     return structure(data, cls, step=step, peer=stored.key)
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -5,6 +5,7 @@
 """
 
 import re
+import reprlib
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Protocol
@@ -29,7 +30,7 @@
 def read_whole_number(value: object) -> int:
     """Return a number of decoded JSON, or raise ValueError if it is not a whole one."""
     if type(value) is not int or not 0 <= value <= MAX_WHOLE_NUMBER:
-        raise ValueError(f"{value!r}, expected a whole number")
+        raise ValueError(f"{reprlib.repr(value)}, expected a whole number")
     return value
 
 
