Refuse ports with zeros in front, and text that no message carries

Cause: only the first six characters of a port were checked. Beside it, the texts of an entry (zone, service, version) could hold a lone surrogate or 300,000 characters, which hosts can't or needn't send to each other.

Ruled out: the address's IP part, which the standard library checks.

Evidence, before: "True is not false : b''" and "['servers/a'] != ['servers/odd', 'servers/a']".

--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -68,6 +68,7 @@
         "true": b"true",
         "negative": b"-1",
         "fraction": b"1.5",
+        "port with zeros": b'"10.0.0.1:00000199999"',
         "port of digits": b'"10.0.0.1:' + b"9" * 5000 + b'"',
         "long text": b'"' + b"x" * 300_000 + b'"',
         "brackets in a text": b'"]}\\"]}["',
@@ -197,6 +198,42 @@
             both.pop("servers/other", None)
             self.assertEqual(alone, both, title)
 
+    def test_text_that_utf8_cannot_represent_names_no_upstream(self):
+        for field in ("zone", "service", "version"):
+            for raw in (b'"\\ud800"', b'"\xff"', b'"' + b"x" * 300_000 + b'"'):
+                record = RawRecord(b'"odd"', make_spec(**{field: raw}))
+                found = read_upstreams(read("servers/", record, RawRecord(b'"a"')))
+                self.assertEqual(["servers/a"], list(found))
+
+    def test_port_is_a_short_number_without_zeros_in_front(self):
+        def is_read(port):
+            address = b'"10.0.0.1:%s"' % port
+            record = RawRecord(b'"odd"', make_spec(address=address))
+            return bool(read_upstreams(read("servers/", record)))
+
+        for port in (b"1", b"80", b"8080", b"65535"):
+            self.assertTrue(is_read(port), port)
+        for port in (
+            b"00000199999",
+            b"000080",
+            b"080",
+            b"0",
+            b"65536",
+            b"199999",
+            b"8" * 5000,
+            b"-1",
+            b"+80",
+            b"80 ",
+            b" 80",
+            b"8_0",
+            b"80\\n",
+            b"",
+            b"80.0",
+            "８０".encode(),
+            "²".encode(),
+        ):
+            self.assertFalse(is_read(port), port)
+
     def test_targets_are_read_beside_each_odd_one(self):
         sound = RawRecord(b'"m"', b'{"model":"m","version":3}')
         for title, raw in odd_values().items():
