A stop during the start answers the callers that wait

What callers saw: connections that a starting host had in its listener's queue were reset as the host got SIGTERM before its daemon had been loaded: no answer and no refusal.

Cause: the listener is bound before the daemon is imported, and only SIGHUP had a handler by then. SIGTERM ended the process at once, with the listener's queue. Class: a signal that arrives between two owners has nobody who handles it.

Evidence: test_callers_in_the_queue_are_answered_if_the_start_is_stopped failed before: b'ConnectionRe...' (ConnectionResetError) in place of b'HTTP/1.1 503'.

Change: such a stop is noted with its time; the daemon begins it as soon as it runs, and its bounds count from the signal.

--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -190,7 +190,8 @@
     async def stop(self) -> None:
         """Wait for the start of a planned shutdown and carry it out."""
         await self.lifecycle.wait_stopping()
-        started_seconds = self._clocks.monotonic()
+        waited_seconds = self.lifecycle.stop_waited_seconds
+        started_seconds = self._clocks.monotonic() - waited_seconds
         stop_within_seconds = self._settings.life.stop_within_seconds
         if stop_within_seconds:
             exit_deadline_seconds = (
@@ -204,7 +205,8 @@
             await self.rollout_controller.retire()
         with contain_errors("summaries"):
             self._gossip.summaries.publish_own()
-        await self.lifecycle.pause(self._settings.life.balancer_delay_seconds)
+        balancer_delay_seconds = self._settings.life.balancer_delay_seconds
+        await self.lifecycle.pause(max(0.0, balancer_delay_seconds - waited_seconds))
         self.lifecycle.balancer_delay_elapsed = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("draining open requests", open_count=self.entry.open_count)
--- a/packages/rampwick-router/src/rampwick_router/_lifecycle.py
+++ b/packages/rampwick-router/src/rampwick_router/_lifecycle.py
@@ -15,6 +15,8 @@
     def __init__(self) -> None:
         self._stopping = anyio.Event()
         self._forced = anyio.Event()
+        #: For how long the request to stop had waited when the shutdown began.
+        self.stop_waited_seconds = 0.0
         #: Monotonic time by which the process exits; None if there is no such time.
         self.exit_deadline_seconds: float | None = None
         #: Whether the balancer has had time to stop routing callers here.
@@ -33,10 +35,15 @@
         """Whether the shutdown does not wait for open requests."""
         return self._forced.is_set()
 
-    def begin_stop(self) -> None:
-        """Begin a planned shutdown, or force one that has begun."""
+    def begin_stop(self, waited_seconds: float = 0.0) -> None:
+        """Begin a planned shutdown, or force one that has begun.
+
+        ``waited_seconds`` is for how long the request to stop could not be handled.
+        """
         if self._stopping.is_set():
             self._forced.set()
+            return
+        self.stop_waited_seconds = waited_seconds
         self._stopping.set()
 
     async def wait_stopping(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
@@ -12,7 +13,7 @@
 
 from rampwick_platform import new_event_loop
 from rampwick_schema import RampwickError, Settings, read_settings
-from rampwick_start import early_reloads
+from rampwick_start import early_signals
 
 from ._daemon import Clocks, Daemon, run_daemon
 from ._fallback import read_fallback
@@ -113,8 +114,10 @@
         ):
             # Objects allocated so far are permanent; exempt them from collections.
             gc.freeze()
-            if early_reloads.is_requested:
+            if early_signals.is_reload_requested:
                 _reload(daemon, path)
+            for requested_at_seconds in early_signals.stops_requested_at_seconds:
+                daemon.lifecycle.begin_stop(time.monotonic() - requested_at_seconds)
             tasks.start_soon(_watch_signals, signals, daemon, path)
             announce(
                 f"rampwickd {settings.host.name} entry={addresses.entry} "
--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -1,6 +1,7 @@
 """Early start of a host: what must not wait until the daemon is imported.
 
-The callers' listener is bound, and the signal for a reload no longer ends the process.
+The callers' listener is bound, and signals that the daemon handles no longer end the
+process: connections that wait by then would be reset.
 
 The import takes about half a second. If all hosts restart at once, a caller whose
 connection is refused meanwhile tries the next host, which refuses it as well, until it
@@ -13,6 +14,7 @@
 import importlib
 import signal
 import socket
+import time
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -21,25 +23,31 @@
 BACKLOG_COUNT = 1024
 
 
-class EarlyReloads:
-    """Reloads that are requested before the daemon handles signals.
+class EarlySignals:
+    """Signals that arrive before the daemon handles them.
 
-    Until a handler is set, the signal ends the process.
+    Until a handler is set, each of them ends the process.
     """
 
     def __init__(self) -> None:
-        self.is_requested = False
+        self.is_reload_requested = False
+        #: Monotonic times of the requests to stop.
+        self.stops_requested_at_seconds: list[float] = []
 
     def listen(self) -> None:
-        """Note the signal for a reload from now on."""
-        signal.signal(signal.SIGHUP, self._note)
+        """Note signals from now on."""
+        signal.signal(signal.SIGHUP, self._note_reload)
+        signal.signal(signal.SIGTERM, self._note_stop)
 
-    def _note(self, number: int, frame: Any) -> None:
-        self.is_requested = True
+    def _note_reload(self, number: int, frame: Any) -> None:
+        self.is_reload_requested = True
 
+    def _note_stop(self, number: int, frame: Any) -> None:
+        self.stops_requested_at_seconds.append(time.monotonic())
 
-#: The reloads of this process.
-early_reloads = EarlyReloads()
+
+#: The signals of this process.
+early_signals = EarlySignals()
 
 
 def bind_early(path: Path) -> socket.socket | None:
@@ -71,7 +79,7 @@
 
 def main() -> int:
     """Load and run the daemon of rampwick's own platform; return its exit code."""
-    early_reloads.listen()
+    early_signals.listen()
     return int(load("rampwick_router").main())
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from contextlib import ExitStack
 from functools import partial
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -109,18 +110,21 @@
         self.assertIs(socket, load("socket"))
 
 
-class EarlyReloadTest(TestCase):
-    """A reload that is requested while the daemon is being imported ends no host."""
+class EarlySignalTest(TestCase):
+    """Signals that arrive while the daemon is being imported do not end the host."""
 
-    def test_reloads_during_the_start_do_not_end_the_process(self):
+    def start_host(self):
+        """Return a process that listens and has not loaded the daemon, its address."""
         folder = TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         with socket.create_server(("127.0.0.1", 0)) as free:
-            entry = f"127.0.0.1:{free.getsockname()[1]}"
+            address = free.getsockname()
         path = Path(folder.name) / "host.toml"
         path.write_text(
             '[host]\nname = "h"\nhall = "a"\n'
-            f'[listen]\nentry = "{entry}"\nadmin_port = 0\npeer_port = 0\n'
+            f'[listen]\nentry = "127.0.0.1:{address[1]}"\n'
+            "admin_port = 0\npeer_port = 0\n"
+            "[life]\nbalancer_delay_seconds = 0.5\nstop_within_seconds = 8.0\n"
         )
         process = subprocess.Popen(
             [sys.executable, "-m", "rampwick_adapter"],
@@ -130,15 +134,17 @@
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
         self.addCleanup(process.stdout.close)
-        host, _, port = entry.partition(":")
         # The listener comes first, long before the daemon handles signals.
         while True:
             try:
-                socket.create_connection((host, int(port)), timeout=5.0).close()
-                break
+                socket.create_connection(address, timeout=5.0).close()
+                return process, address
             except ConnectionRefusedError:
                 self.assertIsNone(process.poll())
                 time.sleep(0.002)
+
+    def test_reloads_during_the_start_do_not_end_the_process(self):
+        process, _ = self.start_host()
         process.send_signal(signal.SIGHUP)
         lines = []
         while b"settings reloaded" not in (line := process.stdout.readline()):
@@ -146,6 +152,27 @@
             lines.append(line)
         self.assertIsNone(process.poll())
 
+    def test_callers_in_the_queue_are_answered_if_the_start_is_stopped(self):
+        process, address = self.start_host()
+        with ExitStack() as stack:
+            callers = []
+            for number in range(20):
+                caller = stack.enter_context(socket.create_connection(address, 10.0))
+                caller.sendall(f"GET /{number} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+                callers.append(caller)
+            process.send_signal(signal.SIGTERM)
+            heads = [_read_or_error(caller)[:12] for caller in callers]
+        self.assertEqual([b"HTTP/1.1 503"] * len(callers), heads)
+        process.stdout.read()
+        self.assertEqual(0, process.wait(8.0))
+
+
+def _read_or_error(connection):
+    try:
+        return connection.recv(65536)
+    except OSError as error:
+        return repr(error).encode()
+
 
 def record(name):
     return encode_record(HostRecord(name, "h", f"{name}:1", "w"))
