A stopping host waits for the first request of a new connection

What callers saw: a connection that a stopping host had accepted ended without an answer though its request was on the way. Trials (eight hosts, half of them stopped in turn 0.2 s apart, twice, callers that go on asking hosts at random, load 8 to 10): 7 of 5,522 requests, all on new connections, each closed as idle with unread bytes.

Cause: a connection counts as idle from its acceptance, and the stop closes idle connections at once. A connection opened for a request is accepted a moment before its bytes arrive; from the close on nothing is read, so the request was neither served nor refused. Class: a connection that has not been used yet was taken for one at rest.

Ruled out: the hand-on of connections (none in these runs), the listener's queue (each of the 7 was accepted and served by the process until its close).

Evidence: test_request_on_a_connection_that_was_just_opened_is_answered failed before: [503, 503, 503, 503, 503] != [0, 0, 0, 0, 0].

Change: in a stop a connection without a request yet is closed 0.5 s after it began, not at once. Connections at rest after a response are closed as before.

--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -28,6 +28,10 @@
 #: had sent before has arrived by then, and is recorded.
 CROSSING_SECONDS = 0.1
 
+#: Time in which a new connection is expected to bring its first request, as its caller
+#: opened it for one. A caller on a busy machine sends it late.
+FIRST_REQUEST_SECONDS = 0.5
+
 log = ComponentLogger("entry")
 
 
@@ -37,9 +41,13 @@
     _has_read_all = False
     _is_recorded = False
     _is_idle = True
+    #: Whether a request has begun to arrive on it.
+    _has_received_request = False
+    _began_seconds = 0.0
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
+        self._began_seconds = self.loop.time()
         connections = self._connections
         if connections is not None:
             connections.begin(self)
@@ -57,6 +65,7 @@
             event = Closed()
         if isinstance(event, Updated):
             self._is_idle = event.idle
+            self._has_received_request |= not event.idle
         await super().protocol_send(event)
 
     def held_bytes(self) -> HeldBytes:
@@ -80,6 +89,7 @@
 
     async def _idle_timeout(self) -> None:
         await self._wait_idle()
+        await self._wait_first_request()
         # An event loop that was late handles the end of the idle time before the bytes
         # that arrived until then. Reading them stops this task.
         for _ in range(UNREAD_CHECKS_COUNT):
@@ -112,6 +122,16 @@
                 continue
             return
 
+    async def _wait_first_request(self) -> None:
+        """Return when a new connection has had time for its first request.
+
+        The arrival of the request cancels the wait.
+        """
+        if self._connections is None or self._has_received_request:
+            return
+        end_seconds = self._began_seconds + FIRST_REQUEST_SECONDS
+        await asyncio.sleep(max(0.0, end_seconds - self.loop.time()))
+
     def _max_idle_seconds(self, idle_seconds: float) -> float:
         find_max_idle = getattr(self.config, "max_idle_seconds", None)
         if find_max_idle is None:
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -113,6 +113,16 @@
 
         self.assertEqual([503], self.statuses_at_stop(arrive, finish))
 
+    def test_request_on_a_connection_that_was_just_opened_is_answered(self):
+        def arrive(host):
+            return [open_raw(host) for _ in range(5)]
+
+        def finish(raws):
+            for raw in raws:
+                raw.sendall(request_head("/once/1", WITH_ID))
+
+        self.assertEqual([503] * 5, self.statuses_at_stop(arrive, finish))
+
     def test_request_on_a_connection_at_rest_is_answered(self):
         head = request_head("/once/1", WITH_ID)
 
