Keep begun streams and software versions in the store

What callers saw: after all hosts had ended at once, each stream that its caller took up again was refused with unknown_software_version for a route's whole timeout, though upstreams of its version served.

Cause: where a stream began is known to hosts only. Broadcasts outlive some hosts, not all of them; and the history that answers while a service has one version began anew with the process.

Ruled out: that the records were lost by gossip (with one host left the same streams go on), and that the version had left (entries of it were listed).

Change: one host of each group writes the streams that its group began, while their service has several versions, in segments that are overwritten once their streams have expired; and every 4 s a history of versions together with the version of the store up to which it is complete. A host that starts reads both, and from the store's own changes the entries that came and went since, so that no gap is taken for known. A history that the store can't complete (410, restored copy) proves nothing; streams without a record stay unknown.

--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -37,6 +37,11 @@
     StoreRequest as StoreRequest,
     read_era as read_era,
 )
+from ._stream_store import (
+    ReadSegment as ReadSegment,
+    ReadStreams as ReadStreams,
+    StreamStore as StreamStore,
+)
 from ._timers import (
     align_delay as align_delay,
     move_on_after_aligned as move_on_after_aligned,
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -187,7 +187,14 @@
 from ._send_budget import SendBudget as SendBudget
 from ._shares import DecayedUsage as DecayedUsage, UsageLedger as UsageLedger
 from ._shutdown_announcements import ShutdownAnnouncements as ShutdownAnnouncements
+from ._software_versions import SoftwareVersions as SoftwareVersions
 from ._state_changes import StateChange as StateChange
+from ._stream_segments import (
+    MAX_SEGMENTS_COUNT as MAX_SEGMENTS_COUNT,
+    SegmentWrite as SegmentWrite,
+    StreamSegments as StreamSegments,
+    write_interval_seconds as write_interval_seconds,
+)
 from ._summary_aggregator import (
     MAX_PLACED as MAX_PLACED,
     SummaryAggregator as SummaryAggregator,
--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -8,7 +8,8 @@
 
 import hashlib
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol
 
 import attrs
 
@@ -93,6 +94,18 @@
     #: Number of the attempt within its request; the last one that sent events counts.
     attempt_number: int
     expires_at_seconds: float
+    #: Whether only the store told of it, after all hosts had ended.
+    is_from_store: bool = attrs.field(default=False, eq=False)
+
+
+class StreamStorage(Protocol):
+    """Keeps streams that the hosts of the own group began."""
+
+    def put(self, key: bytes, stream: BegunStream) -> None:
+        """Add a stream, or replace it."""
+
+    def discard(self, key: bytes, stream: BegunStream) -> None:
+        """Drop a stream that can't be taken up any more."""
 
 
 class BegunStreams:
@@ -105,6 +118,8 @@
         #: recipients get them from the relay that sent them here.
         self.to_all = Outbox(history)
         self.to_group = Outbox(history)
+        #: Where streams of the own group go that are to outlive all hosts.
+        self.storage: StreamStorage | None = None
         #: Streams received lately while another host was the relay.
         self._unforwarded: deque[tuple[float, bytes, bool]] = deque()
         self._cached_state: tuple[float, BegunStreamsUpdate] | None = None
@@ -145,14 +160,8 @@
             if max(map(len, names)) > MAX_NAME_CHARACTERS:
                 continue
             self._history.note_begun(*names, now_seconds)
-            lifetime_seconds = min(group.lifetime_seconds, MAX_LIFETIME_SECONDS)
-            expires_at_seconds = now_seconds + lifetime_seconds
-            records = group.records
-            for start in range(0, len(records) - RECORD_BYTES + 1, RECORD_BYTES):
-                record = records[start : start + RECORD_BYTES]
-                key, instance = record[:KEY_BYTES], record[KEY_BYTES:-1]
-                stream = BegunStream(*names, instance, record[-1], expires_at_seconds)
-                if not self._add(key, stream, now_seconds):
+            for key, stream in read_group(group, now_seconds):
+                if not self._add(key, stream, now_seconds, is_stored=is_from_group):
                     continue
                 if must_forward:
                     self._forward(key, is_from_group, now_seconds)
@@ -160,6 +169,16 @@
                     self._unforwarded.append((now_seconds, key, is_from_group))
         self._drop_unforwarded(now_seconds - RETRANSMIT_SECONDS)
 
+    def restore(self, groups: Iterable[StreamGroup], now_seconds: float) -> None:
+        """Add streams from the store, which may be of any host."""
+        for group in groups:
+            names = (group.service, group.software_version)
+            if max(map(len, names)) > MAX_NAME_CHARACTERS:
+                continue
+            for key, stream in read_group(group, now_seconds):
+                stored = attrs.evolve(stream, is_from_store=True)
+                self._add(key, stored, now_seconds, is_stored=False)
+
     def _forward(self, key: bytes, is_from_group: bool, now_seconds: float) -> None:
         outbox = self.to_all if is_from_group else self.to_group
         outbox.put(key, self._streams[key], now_seconds)
@@ -201,8 +220,15 @@
             known_seconds=self._history.known_seconds(now_seconds),
         )
 
-    def _add(self, key: bytes, stream: BegunStream, now_seconds: float) -> bool:
-        """Record a stream; return whether that is new."""
+    def _add(
+        self,
+        key: bytes,
+        stream: BegunStream,
+        now_seconds: float,
+        *,
+        is_stored: bool = True,
+    ) -> bool:
+        """Record a stream, in the store if need be; return whether that is new."""
         known = self.find(key, now_seconds)
         if known is not None:
             if _adds_nothing(known, stream):
@@ -218,6 +244,8 @@
         # The newest streams are at the end.
         self._streams.pop(key, None)
         self._streams[key] = stream
+        if is_stored and self.storage is not None:
+            self.storage.put(key, stream)
         self._expire(now_seconds)
         return True
 
@@ -228,7 +256,9 @@
             has_expired = self._streams[key].expires_at_seconds < now_seconds
             if not has_expired and len(self._streams) <= MAX_STREAMS_COUNT:
                 return
-            del self._streams[key]
+            stream = self._streams.pop(key)
+            if self.storage is not None:
+                self.storage.discard(key, stream)
 
 
 class Outbox:
@@ -324,9 +354,31 @@
     return attrs.evolve(newest, expires_at_seconds=expires_at_seconds)
 
 
-def _to_update(
+def read_group(
+    group: StreamGroup, now_seconds: float
+) -> Iterator[tuple[bytes, BegunStream]]:
+    """Yield the streams of a group, and their keys."""
+    lifetime_seconds = min(group.lifetime_seconds, MAX_LIFETIME_SECONDS)
+    expires_at_seconds = now_seconds + lifetime_seconds
+    records = group.records
+    for start in range(0, len(records) - RECORD_BYTES + 1, RECORD_BYTES):
+        record = records[start : start + RECORD_BYTES]
+        yield (
+            record[:KEY_BYTES],
+            BegunStream(
+                group.service,
+                group.software_version,
+                record[KEY_BYTES:-1],
+                record[-1],
+                expires_at_seconds,
+            ),
+        )
+
+
+def make_groups(
     streams: dict[bytes, BegunStream], now_seconds: float
-) -> BegunStreamsUpdate:
+) -> list[StreamGroup]:
+    """Return streams as they are sent and stored."""
     records: dict[tuple[str, str, int], bytearray] = {}
     for key, stream in streams.items():
         # Lifetimes are rounded up to whole seconds, so that many share a group.
@@ -334,12 +386,16 @@
         group = (stream.service, stream.software_version, int(left_seconds) + 1)
         record = key + stream.instance + bytes([stream.attempt_number])
         records.setdefault(group, bytearray()).extend(record)
-    return BegunStreamsUpdate(
-        [
-            StreamGroup(service, version, float(seconds), bytes(data))
-            for (service, version, seconds), data in records.items()
-        ]
-    )
+    return [
+        StreamGroup(service, version, float(seconds), bytes(data))
+        for (service, version, seconds), data in records.items()
+    ]
+
+
+def _to_update(
+    streams: dict[bytes, BegunStream], now_seconds: float
+) -> BegunStreamsUpdate:
+    return BegunStreamsUpdate(make_groups(streams, now_seconds))
 
 
 def split_update(update: BegunStreamsUpdate) -> Iterator[BegunStreamsUpdate]:
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -23,6 +23,7 @@
 from ._queue import QueuedRequest
 from ._reasons import NO_SAME_VERSION, UNKNOWN_SOFTWARE
 from ._runner_views import ListedViews, RunnerView, RunnerViews
+from ._stream_segments import StreamSegments
 from ._upstream import Upstream
 from ._upstreams import UpstreamTable
 from ._version_history import VersionHistory
@@ -36,7 +37,8 @@
 NO_UPSTREAM_RETRY_SECONDS = 1.0
 
 #: How the version of a stream that a caller takes up was found, as used in metrics.
-RECORDED, ONLY_VERSION, UNKNOWN, GONE = "recorded", "only version", "unknown", "gone"
+RECORDED, STORED, ONLY_VERSION = "recorded", "stored", "only version"
+UNKNOWN, GONE = "unknown", "gone"
 
 
 @attrs.frozen(repr=False)
@@ -56,6 +58,9 @@
         self.is_enabled = is_enabled
         self.history = VersionHistory()
         self.streams = BegunStreams(self.history)
+        self.segments = StreamSegments(self.history)
+        if is_enabled:
+            self.streams.storage = self.segments
         #: Number of streams that callers took up, by how their version was found.
         self.resumed_counts: Counter[str] = Counter()
 
@@ -90,7 +95,7 @@
             return Unresumable(NO_SAME_VERSION, NO_UPSTREAM_RETRY_SECONDS)
         item.software_version = version
         # What a caller only says must not bring its request before others.
-        item.has_begun = found_by == RECORDED
+        item.has_begun = found_by in (RECORDED, STORED)
         return None
 
     def _find_version(self, item: QueuedRequest, now_seconds: float) -> tuple[str, str]:
@@ -99,7 +104,8 @@
         if begun is not None:
             is_known = begun.software_version != UNKNOWN_VERSION
             if is_known and begun.service == arrival.service:
-                return begun.software_version, RECORDED
+                found_by = STORED if begun.is_from_store else RECORDED
+                return begun.software_version, found_by
             return UNKNOWN_VERSION, UNKNOWN
         only = self.history.only_version(
             arrival.service,
--- a/packages/rampwick-policy/src/rampwick_policy/_version_history.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_version_history.py
@@ -7,7 +7,7 @@
 import math
 from collections.abc import Callable, Iterable, Iterator
 
-from rampwick_schema import ListedVersion
+from rampwick_schema import HostEntry, ListedVersion
 
 from ._upstream import Upstream
 
@@ -39,6 +39,8 @@
         self.list_age_seconds: Callable[[float], float] = _age_unknown
         #: Whether any service has upstreams of several versions.
         self.is_mixed = False
+        #: Number of times at which the history began anew.
+        self.resets_count = 0
 
     def note_listed(self, upstreams: Iterable[Upstream], now_seconds: float) -> None:
         """Record the listed upstreams, before and after each change of the list."""
@@ -53,6 +55,7 @@
         """Begin anew if the list is too old: versions may have come and gone unseen."""
         if self._known_since_seconds is not None and self._is_list_old(now_seconds):
             self._known_since_seconds = now_seconds
+            self.resets_count += 1
 
     def _is_list_old(self, now_seconds: float) -> bool:
         return self.list_age_seconds(now_seconds) > MAX_LIST_AGE_SECONDS
@@ -80,6 +83,30 @@
                 else min(own_seconds, since_seconds)
             )
 
+    def recover(
+        self,
+        listed: Iterable[ListedVersion],
+        known_seconds: float,
+        changed: Iterable[HostEntry],
+        now_seconds: float,
+    ) -> None:
+        """Add a history from the store, and the entries that changed after it.
+
+        When it was written is not known: its versions count as if that were now, so
+        that they are remembered for too long rather than forgotten too early.
+        """
+        for entry in changed:
+            self._note(entry.group, entry.software_version, now_seconds)
+        self.receive(listed, known_seconds, now_seconds)
+
+    def had_several(
+        self, service: str, within_seconds: float, now_seconds: float
+    ) -> bool:
+        """Return whether a service has had several versions lately."""
+        oldest_seconds = now_seconds - within_seconds
+        versions = self._seen_at.get(service, {})
+        return sum(at >= oldest_seconds for at in versions.values()) > 1
+
     def known_seconds(self, now_seconds: float) -> float:
         """Return for how long all listed versions are known."""
         if self._known_since_seconds is None or self._is_list_old(now_seconds):
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -23,6 +23,7 @@
     PolledTargetSource,
     ReaderRole,
     RolloutController,
+    StreamStorage,
     TreeStoreSource,
     WatchedHostSource,
     WatchedTargetSource,
@@ -41,6 +42,9 @@
     UpstreamControl,
 )
 
+#: Name of the only group of a small fleet.
+WHOLE_FLEET = "fleet"
+
 
 @attrs.frozen(repr=False)
 class Clocks(ReprMixin):
@@ -179,6 +183,7 @@
         """Connect the tasks that follow the platform to their sources."""
         self.targets: PolledTargetSource | WatchedTargetSource | None = None
         self.directory: PeerDirectory | None = None
+        self.stream_storage: StreamStorage | None = None
         if api is None:
             return
         settings, scheduler, rollout_controller = (
@@ -217,9 +222,24 @@
             api, decoder, settings, role.must_read_configuration, read_clock, rng
         )
         self.configuration.query_peer = self.gossip.freshness.query_reader
-        self.hosts.source = WatchedHostSource(
+        host_source = WatchedHostSource(
             api, decoder, role.must_read_hosts, read_clock, rng
         )
+        self.hosts.source = host_source
+        if integration.has_software_versions:
+            self.stream_storage = StreamStorage(
+                api,
+                decoder,
+                scheduler.software_versions,
+                role.is_recorder,
+                self._find_group,
+                lambda: (
+                    host_source.store_version,
+                    self.hosts.age_seconds(read_clock()),
+                ),
+                read_clock,
+                rng,
+            )
         self.targets = WatchedTargetSource(
             api,
             decoder,
@@ -236,6 +256,13 @@
         self.gossip.directory = self.directory
         rollout_controller.is_candidate = role.is_candidate
 
+    def _find_group(self) -> tuple[str, int]:
+        """Return the name of this host's group, and the number of groups."""
+        table = self.gossip.roles.table
+        if not table.is_large:
+            return WHOLE_FLEET, 1
+        return table.own.hall, len({member.hall for member in table})
+
     def _find_health_path(self, service: str) -> str:
         found = self.follower.view.routes.service(service)
         return found.health_path if found else "/health"
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -128,6 +128,8 @@
             start("weights targets", components.targets.run)
         if components.directory is not None:
             start("peer records", components.directory.run)
+        if components.stream_storage is not None:
+            start("stream storage", components.stream_storage.run)
         start("watch of callers", self.entry.watch_callers)
         start("stall detector", components.stall_detector.run)
         start("log of the state", self._log_state)
@@ -136,21 +138,23 @@
         log.info("started", host=self._settings.host.name)
 
     async def wait_initial_state(self) -> None:
-        """Wait, up to a timeout, for the configuration, host list and cache contents.
+        """Wait, up to a timeout, for the configuration and what hosts knew before.
 
         Callers' connections are queued meanwhile. Without the configuration the host
-        would reject requests, and without the cache contents it would treat each
-        runner's cache as full.
+        would reject requests, without the cache contents it would treat each runner's
+        cache as full, and without the stored streams it would refuse them.
         """
         with anyio.move_on_after(INITIAL_STATE_TIMEOUT_SECONDS):
             while not self._has_initial_state():
                 await anyio.sleep(INITIAL_STATE_CHECK_SECONDS)
 
     def _has_initial_state(self) -> bool:
+        storage = self._components.stream_storage
         return (
             self.follower.revision > 0
             and self._hosts.version >= 0
             and self._components.cache_reader.is_caught_up
+            and (storage is None or storage.is_caught_up)
         )
 
     async def _log_state(self) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -31,6 +31,7 @@
     RequestRates,
     Scheduler,
     ShutdownAnnouncements,
+    SoftwareVersions,
     StateChange,
     Tick,
     UpstreamPath,
@@ -135,6 +136,11 @@
         """Upstreams that announced a shutdown."""
         return self._scheduler.upstreams.shutdown_announcements
 
+    @property
+    def software_versions(self) -> SoftwareVersions:
+        """The versions of upstreams, and those that streams have to stay with."""
+        return self._scheduler.software_versions
+
     @property
     def begun_streams(self) -> BegunStreams | None:
         """The versions at which streams began; none where entries state no versions."""
--- a/packages/rampwick-router/src/rampwick_router/control/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/control/__init__.py
@@ -20,6 +20,7 @@
 )
 from ._reader_role import ReaderRole as ReaderRole
 from ._rollout_controller import RolloutController as RolloutController
+from ._stream_storage import StreamStorage as StreamStorage
 from ._target_sources import (
     PolledTargetSource as PolledTargetSource,
     TargetDecoder as TargetDecoder,
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -114,6 +114,9 @@
             rng=rng,
         )
         self._task: HostListConsumer
+        #: Version of the store up to which the lists passed on are complete; 0 before
+        #: the first one.
+        self.store_version = 0
 
     async def run(self, task: HostListConsumer) -> None:
         """Watch until cancelled."""
@@ -149,6 +152,7 @@
             self._task.host_list,
         )
         self._offer_list()
+        self.store_version = state.store_version
         self._task.confirm(state.confirmed_at_seconds)
         self._changed.set()
 
--- a/packages/rampwick-router/src/rampwick_router/control/_reader_role.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_reader_role.py
@@ -26,6 +26,10 @@
 #: Wait of a host that knows no other member: seeds may be the last ones to listen.
 ALONE_GRACE_SECONDS = 1.0
 
+#: Time after its start from which a host may write for its group: links to peers open
+#: within it.
+RECORDER_GRACE_SECONDS = 1.0
+
 #: Number of hosts of each group, by rank, that compete for the rollout lease.
 CANDIDATES_COUNT = 2
 
@@ -62,6 +66,18 @@
         """Return whether this host reads the platform for its group."""
         return self._is_past_grace() and self._table.is_reader(self._list_live())
 
+    def is_recorder(self) -> bool:
+        """Return whether this host writes the streams that its group began.
+
+        After a simultaneous start each host knows itself alone at first.
+        """
+        uptime_seconds = self._read_clock() - self._started_seconds
+        is_settled = uptime_seconds >= RECORDER_GRACE_SECONDS
+        return is_settled and self.is_reader() and not self._rank()
+
+    def _rank(self) -> int:
+        return self._table.rank(self._list_live())
+
     def is_disconnected(self) -> bool:
         """Return whether this host has no live peer."""
         return self._has_no_live_peers()
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
@@ -0,0 +1,270 @@
+"""Storage of begun streams and software versions beyond the end of all hosts.
+
+Each host reads what is stored once at its start, and the history of versions again
+after its own one was interrupted. One host of each group writes.
+"""
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from rampwick_platform import (
+    ABSENT,
+    HistoryGoneError,
+    ObjectApi,
+    PlatformError,
+    ReadStreams,
+    StoredObject,
+    StreamStore,
+)
+from rampwick_policy import (
+    MAX_SEGMENTS_COUNT,
+    SegmentWrite,
+    SoftwareVersions,
+    write_interval_seconds,
+)
+from rampwick_schema import (
+    DataError,
+    HostEntry,
+    ListedVersion,
+    RampwickError,
+    StoredHistory,
+)
+
+from .._logs import ComponentLogger
+from ._host_sources import UpstreamDecoder
+
+#: Interval of the checks while a host that has just started hasn't read everything, and
+#: of those afterwards at hosts that don't write.
+START_INTERVAL_SECONDS = 0.02
+IDLE_INTERVAL_SECONDS = 0.5
+
+#: Time between two writes of the history. A host that starts has the changes since then
+#: from the store, as long as that remembers them.
+HISTORY_INTERVAL_SECONDS = 4.0
+
+#: Maximum age of the host list with which a history is joined or written.
+MAX_LIST_AGE_SECONDS = 2.0
+
+#: Backoff after failures: initial, factor and maximum.
+INITIAL_BACKOFF_SECONDS = 0.1
+BACKOFF_FACTOR = 1.6
+MAX_BACKOFF_SECONDS = 3.0
+
+log = ComponentLogger("streams")
+
+
+class StreamStorage:
+    """Reads and writes what is stored about begun streams."""
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        decoder: UpstreamDecoder,
+        versions: SoftwareVersions,
+        is_recorder: Callable[[], bool],
+        find_group: Callable[[], tuple[str, int]],
+        read_list: Callable[[], tuple[int, float]],
+        read_clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        """Store the streams of ``versions``.
+
+        ``find_group`` returns the name of this host's group and the number of groups,
+        and ``read_list`` the version of the store up to which this host's own list of
+        upstreams is complete, and the age of its list.
+        """
+        self._api = api
+        self._store = StreamStore(api, _log_unreadable)
+        self._decoder = decoder
+        self._versions = versions
+        self._is_recorder = is_recorder
+        self._find_group = find_group
+        self._read_list = read_list
+        self._read_clock = read_clock
+        self._rng = rng
+        #: The last reading; none if it has to be read before the next write.
+        self._read: ReadStreams | None = None
+        #: Resets of the history up to which it has been recovered.
+        self._recovered_resets_count = -1
+        self._history_due_seconds = 0.0
+        self._failures_count = 0
+        #: Name of the group that the last reading was for.
+        self._group = ""
+        versions.segments.first_number = rng.randrange(MAX_SEGMENTS_COUNT)
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether all that is stored has been read."""
+        return not self._needs_recovery()
+
+    async def run(self) -> None:
+        """Read and write until cancelled."""
+        # An error may have interrupted a write.
+        self._read = None
+        while True:
+            try:
+                await self._advance()
+            except (PlatformError, DataError) as error:
+                self._read = None
+                self._note_failure(error)
+                await self._back_off()
+            else:
+                self._note_success()
+                await anyio.sleep(self._interval_seconds())
+
+    async def _advance(self) -> None:
+        group, _ = self._find_group()
+        if group != self._group:
+            self._group, self._read = group, None
+        if self._needs_recovery():
+            await self._recover()
+        if self._is_recorder():
+            await self._write()
+
+    def _interval_seconds(self) -> float:
+        if self._needs_recovery():
+            return START_INTERVAL_SECONDS
+        if not self._is_recorder():
+            return IDLE_INTERVAL_SECONDS
+        _, groups_count = self._find_group()
+        return write_interval_seconds(groups_count)
+
+    def _note_failure(self, error: RampwickError) -> None:
+        if not self._failures_count:
+            log.problem("streams in the store unavailable", error=str(error))
+        self._failures_count += 1
+
+    def _note_success(self) -> None:
+        if self._failures_count:
+            log.info("streams in the store available again")
+        self._failures_count = 0
+
+    async def _back_off(self) -> None:
+        seconds = INITIAL_BACKOFF_SECONDS * BACKOFF_FACTOR ** min(
+            self._failures_count - 1, 10
+        )
+        await anyio.sleep(
+            min(MAX_BACKOFF_SECONDS, seconds) * self._rng.uniform(0.5, 1.0)
+        )
+
+    # Reading.
+
+    def _needs_recovery(self) -> bool:
+        return self._recovered_resets_count != self._versions.history.resets_count
+
+    async def _read_all(self) -> ReadStreams:
+        read = await self._store.read()
+        now_seconds = self._read_clock()
+        for segment in read.segments:
+            self._versions.streams.restore(segment.streams, now_seconds)
+        self._versions.segments.note_read(
+            [
+                (
+                    segment.number,
+                    segment.version,
+                    max(
+                        (item.lifetime_seconds for item in segment.streams), default=0.0
+                    ),
+                )
+                for segment in read.segments
+                if segment.group == self._group
+            ],
+            now_seconds,
+        )
+        self._read = read
+        return read
+
+    async def _recover(self) -> None:
+        """Read the history, and which entries changed since it was written."""
+        read = self._read or await self._read_all()
+        _, list_age_seconds = self._read_list()
+        if list_age_seconds > MAX_LIST_AGE_SECONDS:
+            # Without a list from now on, the history would have a gap.
+            return
+        resets_count = self._versions.history.resets_count
+        history = max(
+            read.histories.values(), key=lambda item: item.store_version, default=None
+        )
+        if history is not None:
+            await self._join_history(history)
+        self._recovered_resets_count = resets_count
+        if not self._is_recorder():
+            # After the next interruption there will be a newer history.
+            self._read = None
+
+    async def _join_history(self, history: StoredHistory) -> None:
+        try:
+            changed = await self._store.read_changes(
+                self._decoder.upstreams_prefix, history.store_version
+            )
+            entries = [self._read_entry(stored) for stored in changed]
+        except (HistoryGoneError, DataError) as error:
+            log.problem("history of versions incomplete", error=str(error))
+            return
+        self._versions.history.recover(
+            [
+                ListedVersion(item.service, item.software_version, item.age_seconds)
+                for item in history.versions
+            ],
+            history.known_seconds,
+            entries,
+            self._read_clock(),
+        )
+        log.info(
+            "history of versions recovered",
+            known_seconds=history.known_seconds,
+            changes_count=len(entries),
+        )
+
+    def _read_entry(self, stored: StoredObject) -> HostEntry:
+        """Return an entry that changed; an unreadable one may have had any version."""
+        try:
+            return self._decoder.read_upstream(stored)
+        except RampwickError as error:
+            raise DataError(str(error), step="read entry", peer=stored.key) from None
+
+    # Writing.
+
+    async def _write(self) -> None:
+        read = self._read or await self._read_all()
+        await self._write_history(read)
+        write = self._versions.segments.next_write(self._read_clock())
+        if write is not None:
+            await self._write_segment(write)
+
+    async def _write_segment(self, write: SegmentWrite) -> None:
+        is_written = False
+        try:
+            version = await self._store.write_segment(
+                self._group, write.number, write.expected_version, write.groups
+            )
+            is_written = True
+        finally:
+            if not is_written:
+                self._versions.segments.note_failed(write)
+        self._versions.segments.note_written(write, version)
+
+    async def _write_history(self, read: ReadStreams) -> None:
+        now_seconds = self._read_clock()
+        history = self._versions.history
+        store_version, list_age_seconds = self._read_list()
+        known_seconds = history.known_seconds(now_seconds)
+        is_current = list_age_seconds <= MAX_LIST_AGE_SECONDS and known_seconds > 0.0
+        if now_seconds < self._history_due_seconds or not (
+            is_current and store_version
+        ):
+            return
+        self._history_due_seconds = now_seconds + HISTORY_INTERVAL_SECONDS
+        read.versions[self._group] = await self._store.write_history(
+            self._group,
+            read.versions.get(self._group, ABSENT),
+            store_version,
+            known_seconds,
+            history.ages(now_seconds),
+        )
+
+
+def _log_unreadable(key: str, error: Exception) -> None:
+    log.problem("unreadable streams in the store", object=key, error=str(error))
--- a/packages/rampwick-schema/src/rampwick_schema/__init__.py
+++ b/packages/rampwick-schema/src/rampwick_schema/__init__.py
@@ -64,6 +64,10 @@
     HostList as HostList,
     HostRecord as HostRecord,
     LeaseRecord as LeaseRecord,
+    StoredHistory as StoredHistory,
+    StoredStreamGroup as StoredStreamGroup,
+    StoredVersion as StoredVersion,
+    StreamSegment as StreamSegment,
     WeightsTarget as WeightsTarget,
     WeightsTargets as WeightsTargets,
 )
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
@@ -119,3 +119,53 @@
     write_id: str
     #: One target for each model.
     targets: list[WeightsTarget]
+
+
+@attrs.frozen(repr=False)
+class StoredStreamGroup(ReprMixin):
+    """Requests that began a stream at one software version."""
+
+    #: Service of the streams.
+    service: str
+    #: Software version of the upstreams; empty if it is not known.
+    software_version: str
+    #: Time for which their callers may take them up, as of writing.
+    lifetime_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
+    #: The records as in updates between hosts, in base64.
+    records: str
+
+
+@attrs.frozen(repr=False)
+class StreamSegment(ReprMixin):
+    """A part of the streams that the hosts of a group began, while their services had several software versions."""
+
+    #: Random id of the last write.
+    write_id: str
+    #: The streams.
+    groups: list[StoredStreamGroup]
+
+
+@attrs.frozen(repr=False)
+class StoredVersion(ReprMixin):
+    """A software version that upstreams of a service have or had."""
+
+    #: Name of the service.
+    service: str
+    #: Version of the software.
+    software_version: str
+    #: Time since an upstream of this version was last listed, as of writing.
+    age_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
+
+
+@attrs.frozen(repr=False)
+class StoredHistory(ReprMixin):
+    """The software versions of all services up to one version of the store."""
+
+    #: Random id of the last write.
+    write_id: str
+    #: Version of the store up to which changes of the upstreams' entries are included.
+    store_version: int = attrs.field(validator=within(0, 9223372036854775807))
+    #: Time for which the writer knew all versions that were listed.
+    known_seconds: float = attrs.field(validator=within(0.0, 1000000000.0))
+    #: All versions that were listed in that time.
+    versions: list[StoredVersion]
