Test heads of answers that broke off, at each byte and on each route

A report from other operators: a runner stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. Tests cut bodies so far, not heads.

Connections: nine framings with CRLF and bare line feeds (length, chunks, until close, HTTP/1.0, 102 and 103 before, folded headers), cut at each byte, by close and by reset, whole and in single bytes; 204, 304 and HEAD; leftovers of the answer before.

What can't be seen stays so: a whole head without a length whose connection closes in order.

--- /dev/null
+++ b/tests/test_broken_heads.py
@@ -0,0 +1,279 @@
+"""Heads of answers that were broken off never become answers to callers."""
+
+import json
+
+import anyio
+from testtools import TestCase
+
+from rampwick_policy import BodyEnd
+from rampwick_router._errors import AttemptError
+from rampwick_router.upstream._connection_pool import UpstreamConnection
+
+from .bench import until
+from .scripted import Hangup
+from .test_routed import CHUNKED, all_scripts, chunk, event, ran, run
+
+BODY = b"hello"
+
+#: Whole answers with the same body, by their framing.
+ANSWERS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"5\r\nhello\r\n0\r\n\r\n",
+    "until close": b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nhello",
+    "HTTP/1.0": b"HTTP/1.0 200 OK\r\nX-A: b\r\n\r\nhello",
+    "HTTP/1.0 with length": b"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    "no reason": b"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello",
+    "interim": b"HTTP/1.1 102 Processing\r\nX-A: b\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+    b"\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    "folded": b"HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\nContent-Length: 5\r\n\r\nhello",
+    "length of two digits": b"HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n" + BODY * 3,
+}
+
+#: Framings whose end is the connection's, so that a cut of the body can't be seen.
+ENDLESS = ("until close", "HTTP/1.0")
+
+BODILESS = {
+    "204": ("GET", b"HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n"),
+    "304": ("GET", b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n"),
+    "HEAD": ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"),
+}
+
+CLOSE, RESET, SILENCE = "close", "reset", "silence"
+
+
+class PlayedSocket:
+    """A connection on which given bytes arrive, and then its end."""
+
+    def __init__(self, reads, ending):
+        self.reads = list(reads)
+        self.ending = ending
+        self.sent_bytes_count = 0
+
+    async def send(self, data, before_write):
+        before_write()
+        self.sent_bytes_count += len(data)
+
+    async def receive(self):
+        if self.reads:
+            return self.reads.pop(0)
+        if self.ending == RESET:
+            raise ConnectionResetError("reset")
+        if self.ending == SILENCE:
+            await anyio.sleep_forever()
+        return b""
+
+    def unwatch(self):
+        """Do nothing."""
+
+    def is_readable(self):
+        return bool(self.reads) or self.ending != SILENCE
+
+    def discard_unsent(self):
+        """Do nothing."""
+
+    def close(self):
+        """Do nothing."""
+
+
+async def receive(connection, method="GET"):
+    """Send a request; return status, body and its end, or None if it broke."""
+    await connection.send(method, "/", [(b"host", b"a")], b"")
+    try:
+        head = await connection.receive_head()
+        body = b"".join([part async for part in connection.receive_chunks()])
+    except AttemptError:
+        return None
+    return head.status, body, connection.body_end
+
+
+def play(data, ending, method="GET", size=None):
+    """Return what a connection reads of an answer that arrives in pieces of a size."""
+
+    async def main():
+        step = size or max(1, len(data))
+        reads = [data[at : at + step] for at in range(0, len(data), step)]
+        connection = UpstreamConnection("u", PlayedSocket(reads, ending))
+        with anyio.move_on_after(0.001 if ending == SILENCE else 10.0):
+            return await receive(connection, method)
+
+    return anyio.run(main)
+
+
+class HeadTest(TestCase):
+    """A connection ends an answer only where the answer itself ends."""
+
+    def variants(self):
+        """Yield answers, also with bare line feeds in all heads."""
+        for name, answer in ANSWERS.items():
+            yield name, answer
+            head, end, body = answer.partition(b"\r\n\r\n")
+            while body.startswith(b"HTTP"):
+                more, end, body = body.partition(b"\r\n\r\n")
+                head += end + more
+            bare = (head + end).replace(b"\r\n", b"\n")
+            yield f"{name}, bare line feeds", bare + body
+
+    def test_answer_cut_at_any_byte_is_no_answer(self):
+        for name, answer in self.variants():
+            body = BODY * 3 if "two digits" in name else BODY
+            is_endless = name.split(",")[0] in ENDLESS
+            end = BodyEnd.CLOSED if is_endless else BodyEnd.DELIMITED
+            whole_from = len(answer) - (len(body) if is_endless else 0)
+            self.assertEqual((200, body, end), play(answer, CLOSE), name)
+            for at in range(len(answer)):
+                for ending in (CLOSE, RESET):
+                    received = play(answer[:at], ending)
+                    if is_endless and at >= whole_from and ending == CLOSE:
+                        cut = body[: at - whole_from]
+                        self.assertEqual((200, cut, end), received, name)
+                        continue
+                    self.assertIsNone(received, (name, answer[:at], ending))
+
+    def test_size_of_reads_makes_no_difference(self):
+        for name, answer in self.variants():
+            whole = play(answer, CLOSE)
+            for size in (1, 2, 3, 7):
+                self.assertEqual(whole, play(answer, CLOSE, size=size), name)
+            for at in (1, 12, 17, 30, len(answer) // 2):
+                expected = play(answer[:at], CLOSE)
+                self.assertEqual(expected, play(answer[:at], CLOSE, size=1), name)
+
+    def test_answer_without_a_body_is_cut_like_any_other(self):
+        for name, (method, answer) in BODILESS.items():
+            received = play(answer, CLOSE, method)
+            self.assertEqual((b"", BodyEnd.DELIMITED), received[1:], name)
+            for at in range(len(answer)):
+                self.assertIsNone(play(answer[:at], CLOSE, method), (name, at))
+
+    def test_upstream_that_falls_silent_in_its_head_has_not_answered(self):
+        for name, answer in ANSWERS.items():
+            head_end = answer.rindex(b"\r\n\r\n") if "chunks" not in name else 20
+            for at in (0, 9, 17, head_end, head_end + 2):
+                self.assertIsNone(play(answer[:at], SILENCE), (name, at))
+
+    def test_leftovers_of_an_answer_belong_to_no_other(self):
+        first = ANSWERS["length"]
+        for rest in (b"\r\n", b"HTTP/1.1 200 OK\r\n", first[:-1], first, b"x"):
+            for reads in ([first + rest], [first, rest]):
+
+                async def main(reads=reads):
+                    connection = UpstreamConnection("u", PlayedSocket(reads, SILENCE))
+                    await receive(connection)
+                    return connection.is_reusable()
+
+                self.assertFalse(anyio.run(main), (rest, len(reads)))
+
+
+def cuts(head):
+    """Return the beginnings of a head after which its upstream stops."""
+    lines = head.removesuffix(b"\r\n\r\n").split(b"\r\n")
+    length = head.lower().find(b"length: ")
+    telling = [b"", head[:7], lines[0], head[:-4], head[:-2], head[:-1]]
+    telling += [b"\r\n".join(lines[:count]) + b"\r\n" for count in range(1, len(lines))]
+    telling += [
+        head[:-2] + b"\r",
+        head[: length + 9] if length > 0 else head[:-5],
+        lines[0] + b"\r\nTransfer-Enc",
+        lines[0] + b"\r\nTransfer-Encoding: chunked\r\n",
+        lines[0] + b"\r\nX-A: b\r\n ",
+        lines[0].replace(b"/1.1", b"/1.0") + b"\r\n",
+        head[:-2].replace(b"\r\n", b"\n"),
+        b"HTTP/1.1 102 Processing\r\n\r\n",
+        b"HTTP/1.1 102 Processing\r\n\r\n" + head[:-2],
+        b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        b"HTTP/1.1 204 No Content\r\n",
+    ]
+    return list(dict.fromkeys(telling))
+
+
+def broken_then_sound(cut_of, sound, ending=CLOSE):
+    """Return a script that breaks off the first answer to each request."""
+    seen = set()
+
+    async def script(exchange):
+        key = exchange.headers.get("rampwick-request-id", exchange.target)
+        if key in seen:
+            await sound(exchange)
+            return
+        seen.add(key)
+        await exchange.send(cut_of(exchange))
+        if ending == RESET:
+            # The bytes before it are read first.
+            await anyio.sleep(0.005)
+            exchange.reset()
+        raise Hangup
+
+    return script
+
+
+async def answer_plain(exchange):
+    """Answer like a sound service."""
+    await exchange.answer(BODY)
+
+
+async def answer_stream(exchange):
+    """Answer with a stream of one event."""
+    await exchange.send(exchange.head(extra=CHUNKED) + chunk(event(1)) + b"0\r\n\r\n")
+
+
+NAMES = [f"u{number}" for number in range(12)]
+HEAD = b"HTTP/1.1 200 OK\r\nRampwick-Request-Id: r\r\nRampwick-Incarnation: u\r\n"
+HEAD_OF_LENGTH = HEAD + b"Content-Length: 1234\r\n\r\n"
+HEAD_OF_CHUNKS = HEAD + b"%s\r\n\r\n" % CHUNKED
+
+#: By route: a sound answer, its body, and whether another attempt may follow.
+ROUTES = {
+    "/once/": (answer_plain, BODY, False),
+    "/again/": (answer_plain, BODY, True),
+    "/brittle/": (answer_stream, event(1), False),
+    "/stream/": (answer_stream, event(1), True),
+}
+
+
+class RouteTest(TestCase):
+    """A head that broke off is repeated if the request may be, and 502 otherwise."""
+
+    def send_all(self, path, sound, heads, ending):
+        async def scenario(host, servers):
+            found = {}
+            for number, head in enumerate(heads):
+                own = f"r{number}".encode()
+                cut = head.replace(b"Id: r", b"Id: " + own)
+
+                def cut_of(exchange, cut=cut):
+                    name = exchange.upstream.name.encode()
+                    return cut.replace(b"nation: u", b"nation: " + name)
+
+                all_scripts(servers, broken_then_sound(cut_of, sound, ending))
+                before = len(ran(servers))
+                await until(lambda: host.daemon.scheduler.run_query(usable_count) > 2)
+                view = await host.call(f"{path}{number}", request_id=f"r{number}")
+                found[cut] = view, len(ran(servers)) - before
+            return found
+
+        service = "labels" if sound is answer_plain else "notes"
+        return run(scenario, {service: NAMES})
+
+    def test_head_that_broke_off_is_no_answer(self):
+        heads = dict.fromkeys([*cuts(HEAD_OF_LENGTH), *cuts(HEAD_OF_CHUNKS)])
+        for path, (sound, body, may_repeat) in ROUTES.items():
+            for ending in (CLOSE, RESET):
+                found = self.send_all(path, sound, heads, ending)
+                for cut, (view, runs_count) in found.items():
+                    case = path, ending, cut
+                    self.assertTrue(view.is_whole, case)
+                    if may_repeat:
+                        self.assertEqual(
+                            (200, body, 2), (view.status, view.body, runs_count), case
+                        )
+                        continue
+                    self.assertEqual((502, 1), (view.status, runs_count), case)
+                    self.assertEqual(
+                        "maybe", json.loads(view.body)["error"]["was_run"], case
+                    )
+
+
+def usable_count(scheduler, now_seconds):
+    """Return the number of upstreams that get new requests."""
+    return sum(item.health.admit_ratio(now_seconds) > 0 for item in scheduler.upstreams)
