Probe an upstream soon after each connection that it closes

Callers of equal requests got 502 ends_upstreams for good, most without having been sent anywhere, after a handful of answers broke off in their heads while all upstreams were alive (14 broken heads cost 66 of 72 callers a 502).

Cause: a closed connection is taken for a crash until its upstream answers a probe. That probe came up to 0.4 s after the one before, longer after several failures, while the verdict on the request comes 0.15 s after the third crash. In the trace the first four closes were taken back within 12 ms each by probes at once; the next three, 40 ms later, waited 0.36 s for theirs, and the verdict came after 0.16 s. The class: a decision that does not wait for, or hasten, the evidence that would refute it.

Ruled out: health (three upstreams were up) and the retry budget: 72 different requests beside the same breaks got 69 answers, three had both attempts broken.

Now a closed connection makes one probe due 0.05 s after the last one at the latest; it is the next probe brought forward, so that a crash costs one probe more at the most. Upstreams that crashed refuse it, and the verdict is the same.

Failed before: 0 != 4 (heads that no attempt reached any more), and ValueError: not enough values to unpack (no probe due).

--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -168,7 +168,9 @@
             if self.paths.has_changed_since(upstream.name, sent_at_seconds):
                 return
             self._mark_down(upstream, event.message, now_seconds)
-            if not event.was_closed:
+            if event.was_closed:
+                upstream.closed_at_seconds = now_seconds
+            else:
                 self._check_hall_outage(upstream, now_seconds)
         elif event.outcome.shows_other_generation:
             # The next probe reports the current generation.
--- a/packages/rampwick-policy/src/rampwick_policy/_upstream.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstream.py
@@ -89,6 +89,8 @@
     )
     #: When it was last probed.
     probed_at_seconds: float = -math.inf
+    #: When it last closed a connection before the answer on it was complete.
+    closed_at_seconds: float = -math.inf
     #: Moving average of the time for which an attempt holds a slot.
     run_seconds: float = attrs.field(
         default=INITIAL_RUN_SECONDS, on_setattr=_note_change
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -47,6 +47,10 @@
 PROBE_BACKOFF_FACTOR = 1.6
 MAX_UNUSABLE_PROBE_SECONDS = 2.0
 
+#: The same after a closed connection, until one probe has shown whether the upstream
+#: crashed. Hosts wait three times as long before they attribute a crash to requests.
+CLOSED_PROBE_SECONDS = 0.05
+
 #: Time after an upstream went down in which it is expected to recover shortly.
 EXPECTED_RECOVERY_SECONDS = 2.0
 
@@ -286,6 +290,8 @@
             )
         if not interval_seconds:
             return math.inf
+        if upstream.closed_at_seconds > upstream.probed_at_seconds:
+            interval_seconds = min(interval_seconds, CLOSED_PROBE_SECONDS)
         interval_seconds = max(
             interval_seconds, self.min_probe_interval(upstream, now_seconds)
         )
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -18,6 +18,7 @@
 from rampwick_policy import (
     Action,
     AnswerTimings,
+    AttemptFailed,
     BegunStreams,
     CancelAttempt,
     Dispatch,
@@ -311,6 +312,8 @@
             event.workspace, now_seconds
         ):
             self.on_burst()
+        if isinstance(event, AttemptFailed) and event.was_closed:
+            self._request_probes()
         for change in self._scheduler.pool.state_changes.take():
             self._log_state_change(change)
 
@@ -323,8 +326,11 @@
             reason=change.reason,
         )
         if change.kind == "upstream":
-            self.probe_requested.set()
-            self.probe_requested = anyio.Event()
+            self._request_probes()
+
+    def _request_probes(self) -> None:
+        self.probe_requested.set()
+        self.probe_requested = anyio.Event()
 
     def _execute(self, action: Action, now_seconds: float) -> None:
         if isinstance(action, CancelAttempt):
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -11,6 +11,7 @@
 
 from .bench import until
 from .scripted import Hangup
+from .test_crash_attribution import DEADLY, NAMES as UPSTREAMS, OTHER, Host
 from .test_routed import CHUNKED, all_scripts, chunk, event, ran, run
 
 BODY = b"hello"
@@ -277,3 +278,59 @@
 def usable_count(scheduler, now_seconds):
     """Return the number of upstreams that get new requests."""
     return sum(item.health.admit_ratio(now_seconds) > 0 for item in scheduler.upstreams)
+
+
+class EqualRequestsTest(TestCase):
+    """Broken connections of live upstreams are not held against what was asked."""
+
+    def test_equal_requests_are_served_after_many_broken_heads(self):
+        broken_count = 14
+        left = [broken_count]
+
+        async def script(exchange):
+            if not left[0]:
+                await anyio.sleep(0.1)
+                await answer_stream(exchange)
+                return
+            left[0] -= 1
+            await exchange.send(exchange.head()[:40])
+            await anyio.sleep(0.05)
+            raise Hangup
+
+        async def scenario(host, servers):
+            views = []
+
+            async def send(number):
+                await anyio.sleep(0.02 * number)
+                views.append(await host.call("/stream/1", request_id=f"r{number}"))
+
+            all_scripts(servers, script)
+            async with anyio.create_task_group() as tasks:
+                for number in range(72):
+                    tasks.start_soon(send, number)
+            return views
+
+        views = run(scenario, {"notes": ["a", "b", "c", "d"]})
+        errors = [json.loads(view.body)["error"] for view in views if view.status > 200]
+        self.assertEqual(0, left[0])
+        # Each of them had both its attempts broken off.
+        self.assertLessEqual(len(errors), broken_count // 2)
+        for error in errors:
+            self.assertEqual(
+                ("upstream_failed", "maybe"), (error["code"], error["was_run"])
+            )
+
+    def test_upstream_is_probed_soon_after_each_connection_that_it_closes(self):
+        host = Host(UPSTREAMS[:1])
+        first, _ = host.arrive(DEADLY)
+        second, _ = host.arrive(OTHER)
+        upstreams = host.scheduler.upstreams
+        host.crash(first)
+        upstreams.due_probes(host.at_seconds)
+        self.assertGreater(upstreams.probe_delay(host.at_seconds), 0.2)
+        host.at_seconds += 0.01
+        host.crash(second)
+        host.at_seconds += 0.1
+        (entry,) = upstreams.due_probes(host.at_seconds)
+        self.assertEqual(UPSTREAMS[0], entry.name)
+        self.assertGreater(upstreams.probe_delay(host.at_seconds), 0.2)
