Read reports, events, targets and hosts beside an odd one

Seen by trying each place where records of several others are decoded together with odd values: one caller's run in a runner's report, one event of a cache, one target, one entry of the host list, one record of a peer or one object among the changes of the tree made all others unreadable: the runner counted as not reachable and its leaving went unread, the cache was read again from the same number for ever, and so on.

Cause: the class of the store's answers, one record decides whether all others are read. Each is now decoded by itself with the same decoder. An invalid change of the tree still ends the log, since what follows may depend on it; claims and leases stay closed as well.

--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -10,6 +10,8 @@
 
 from rampwick_schema import (
     MAX_REVISION,
+    DataError,
+    HostEntry,
     HostList,
     era_of,
     join_version,
@@ -31,6 +33,7 @@
 from ._bounded_streams import bound_responses
 from ._budget import CallBudget
 from ._entity_tags import EntityTagDialect
+from ._record_reading import decode_answer, read_revision
 from ._socket_options import LIVENESS_OPTIONS
 from ._steady_clock import read_steady_clock
 from ._store_dialect import StoreDialect, StoreRequest
@@ -179,13 +182,22 @@
         request = StoreRequest("read host list", "GET", "/v1/hosts")
         response = await self._call(request)
         try:
-            data = response.json()
-        except ValueError:
+            data = decode_answer(response.content, ("hosts",))
+            revision = read_revision(data["version"])
+            entries = [self._read_host(item) for item in data["hosts"]]
+        except (ValueError, KeyError, TypeError) as error:
             raise PlatformError(
-                "answer is not JSON", step=request.step, peer=self._url
+                f"invalid host list: {error!r}", step=request.step, peer=self._url
             ) from None
-        host_list = structure(data, HostList, step=request.step, peer=self._url)
-        return attrs.evolve(host_list, version=self._version_of(host_list.version))
+        hosts = [entry for entry in entries if entry is not None]
+        return HostList(self._version_of(revision), hosts)
+
+    def _read_host(self, data: Any) -> HostEntry | None:
+        """Return an entry of the host list; None if it is invalid."""
+        try:
+            return structure(data, HostEntry, step="read host list", peer=self._url)
+        except DataError:
+            return None
 
     async def _call(self, request: StoreRequest, **options: Any) -> httpx.Response:
         await anyio.sleep(self._budget.reserve(self._read_clock()))
--- a/packages/rampwick-platform/src/rampwick_platform/_tree_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_tree_store.py
@@ -6,6 +6,7 @@
 updated snapshot object spares starting hosts from reading the whole log.
 """
 
+import re
 import secrets
 from collections.abc import Callable, Sequence
 
@@ -31,6 +32,7 @@
 from ._records import decode_record, encode_record, put_idempotent
 
 CHANGES_PREFIX = "config/changes/"
+CHANGE_KEY = re.compile(re.escape(CHANGES_PREFIX) + "[0-9]{12,}")
 SNAPSHOT_KEY = "config/snapshot"
 
 #: Number of revisions between two updates of the snapshot.
@@ -167,8 +169,16 @@
 
 
 def decode_changes(listing: Listing) -> list[Change]:
-    """Return the changes in a listing, or raise DataError if one is invalid."""
-    return [_decode_change(stored) for stored in listing.objects]
+    """Return the changes in a listing, or raise DataError if one is invalid.
+
+    No change after an invalid one may count as known. Objects of other writers, whose
+    keys are of no revision, are not part of the log.
+    """
+    return [
+        _decode_change(stored)
+        for stored in listing.objects
+        if CHANGE_KEY.fullmatch(stored.key)
+    ]
 
 
 def _decode_change(stored: StoredObject) -> Change:
--- a/packages/rampwick-platform/src/rampwick_platform/_weights_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_weights_store.py
@@ -2,10 +2,11 @@
 
 import secrets
 
-from rampwick_schema import WeightsTarget, WeightsTargets
+from rampwick_schema import DataError, WeightsTarget, WeightsTargets, structure
 
-from ._api import ABSENT, ObjectApi
-from ._records import decode_record, put_idempotent
+from ._api import ABSENT, ObjectApi, StoredObject
+from ._record_reading import decode_answer
+from ._records import put_idempotent
 
 WEIGHTS_KEY = "weights/targets"
 
@@ -19,15 +20,34 @@
     async def load(self) -> list[WeightsTarget]:
         """Return the targets; an empty list if none has been set."""
         stored = await self._api.get(WEIGHTS_KEY)
-        return decode_record(stored, WeightsTargets).targets if stored else []
+        return _read_targets(stored) if stored else []
 
     async def set_target(self, target: WeightsTarget) -> None:
         """Replace the target of a model; VersionConflictError if a write came first."""
         stored = await self._api.get(WEIGHTS_KEY)
-        current = decode_record(stored, WeightsTargets).targets if stored else []
+        current = _read_targets(stored) if stored else []
         other_targets = [item for item in current if item.model != target.model]
         record = WeightsTargets(
             write_id=secrets.token_hex(8), targets=[*other_targets, target]
         )
         version = stored.version if stored else ABSENT
         await put_idempotent(self._api, WEIGHTS_KEY, record, version)
+
+
+def _read_targets(stored: StoredObject) -> list[WeightsTarget]:
+    """Return the targets that are valid; raise DataError if there is no list."""
+    step = "read WeightsTargets"
+    try:
+        items = decode_answer(stored.value, ("targets",))["targets"]
+    except (ValueError, KeyError):
+        raise DataError("has no targets", step=step, peer=stored.key) from None
+    if not isinstance(items, list):
+        raise DataError("targets is not a list", step=step, peer=stored.key)
+    targets = []
+    for item in items:
+        try:
+            targets.append(structure(item, WeightsTarget, step=step, peer=stored.key))
+        except DataError:
+            # The models of the others keep their targets.
+            continue
+    return targets
--- a/packages/rampwick-router/src/rampwick_router/_native_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_native_dialect.py
@@ -4,9 +4,11 @@
 """
 
 import math
+from typing import Any
 
 import orjson
 
+from rampwick_platform import decode_answer, decode_json
 from rampwick_policy import OrderResult, PromptPart
 from rampwick_schema import (
     DataError,
@@ -180,8 +182,8 @@
         if not body and entry.kind == "service":
             return None
         try:
-            data = orjson.loads(body)
-        except orjson.JSONDecodeError as error:
+            data = decode_json(body)
+        except ValueError as error:
             raise DataError(
                 f"cut report: {error}", step=step, peer=entry.name
             ) from None
@@ -223,20 +225,29 @@
         if head.status != 200:
             raise DataError(f"status {head.status}", step=step)
         try:
-            data = orjson.loads(body)
+            data = decode_answer(body, ("events",))
+            parsed = [_parse_event(item) for item in data["events"]]
+            events = [event for event in parsed if event is not None]
             return CacheEvents(
                 epoch=read_whole_number(data["epoch"]),
                 next_number=read_whole_number(data["next_number"]),
-                has_gap=data["has_gap"],
-                events=[
-                    CacheEvent(salt, part.encode(), read_whole_number(tokens))
-                    for salt, part, tokens in data["events"]
-                ],
+                has_gap=bool(data["has_gap"]) or len(events) < len(parsed),
+                events=events,
             )
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise DataError(f"bad events: {error!r}", step=step) from None
 
 
+def _parse_event(item: Any) -> CacheEvent | None:
+    """Return an event, or None if it is invalid: events may be lost as well."""
+    try:
+        salt, part, tokens = item
+        salt.encode()
+        return CacheEvent(salt, part.encode(), read_whole_number(tokens))
+    except (ValueError, TypeError, AttributeError):
+        return None
+
+
 NATIVE_DIALECTS = Dialects(
     NativeCallerDialect(),
     NativeUpstreamDialect(),
--- a/packages/rampwick-router/src/rampwick_router/peers/_directory.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_directory.py
@@ -10,6 +10,7 @@
     ABSENT,
     ObjectApi,
     PlatformError,
+    StoredObject,
     decode_record,
     put_idempotent,
 )
@@ -83,7 +84,9 @@
         listing = await self._api.list_objects(PEERS_PREFIX)
         members = []
         for stored in listing.objects:
-            record = decode_record(stored, HostRecord)
+            record = _decode(stored)
+            if record is None:
+                continue
             members.append(
                 Member(
                     record.host,
@@ -106,13 +109,21 @@
         )
         stored = await self._api.get(key)
         version = stored.version if stored else ABSENT
-        is_current = stored is not None and (
-            decode_record(stored, HostRecord).peer_address == record.peer_address
-        )
+        known = _decode(stored) if stored else None
+        is_current = known is not None and known.peer_address == record.peer_address
         if not is_current:
             await put_idempotent(self._api, key, record, version)
         self._recorded_era = self._api.era
 
 
+def _decode(stored: StoredObject) -> HostRecord | None:
+    """Return a host's record; None if it is invalid, which hides no other."""
+    try:
+        return decode_record(stored, HostRecord)
+    except DataError as error:
+        log.problem("invalid peer record", record=stored.key, error=str(error))
+        return None
+
+
 def _do_nothing() -> None:
     return
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -11,6 +11,7 @@
 import attrs
 import orjson
 
+from rampwick_platform import decode_json
 from rampwick_policy import BodyEnd, Dispatch, OrderResult, Outcome, UpstreamPath
 from rampwick_schema import (
     DataError,
@@ -347,7 +348,7 @@
 
 def _read_report(body: bytes, step: str, upstream: str) -> LoadReport:
     try:
-        data = orjson.loads(body)
+        data = decode_json(body)
         return structure(data, LoadReport, step=step, peer=upstream)
     except (ValueError, DataError) as error:
         raise AttemptError(
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -7,16 +7,24 @@
 
 import anyio
 import httpx
+import orjson
 from hypothesis import given, settings, strategies as st
 from testtools import TestCase
 
+from rampwick_adapter._caches import CacheTranslation
+from rampwick_adapter._control import ControlTranslation
 from rampwick_adapter._objects import ObjectsTranslation
 from rampwick_adapter._records import StoreTranslation
 from rampwick_platform import (
+    WEIGHTS_KEY,
     EntityTagDialect,
+    KindState,
     KindWatcher,
     NestingError,
     StoredObject,
+    TreeStore,
+    WeightsStore,
+    change_key,
     decode_answer,
     decode_json,
     decode_record,
@@ -25,10 +33,25 @@
     split_answer,
 )
 from rampwick_platform._record_reading import MAX_DIGITS, MAX_NESTING
+from rampwick_policy import Member
+from rampwick_router import CacheEvent, ResponseHead
+from rampwick_router._native_dialect import NativeCacheDialect
 from rampwick_router.control._host_sources import WatchedHostSource
-from rampwick_schema import DataError, HostEntry, HostList, WeightsTarget
+from rampwick_router.peers._directory import PeerDirectory
+from rampwick_schema import (
+    Change,
+    DataError,
+    HostEntry,
+    HostList,
+    HostRecord,
+    StewardSettings,
+    WeightsTarget,
+    unstructure,
+)
 
 from .raw_store import RawRecord, RawStore, make_spec
+from .scripted import MemoryStore
+from .test_adapter import MANIFEST, read_tree
 
 DEPTHS = (60, 300, 980, 990, 1020, 1030, 3000, 20_000, 100_000)
 DIGITS = (25, 400, 4301, 5000, 100_000)
@@ -405,6 +428,139 @@
             self.fail(title)
 
 
+class OtherPlacesTest(TestCase):
+    """Other records of several writers that are read together."""
+
+    REPORT = b'{"models":[{"name":"m","version":1}],"busy":false,"seq":2,"running":1,'
+
+    def runner(self):
+        return HostEntry("i-1", "runner", "a", "10.0.0.1:80", incarnation="i-1")
+
+    def test_report_is_read_beside_the_odd_run_of_a_caller(self):
+        control = ControlTranslation("host", StewardSettings())
+        for title, raw in odd_values().items():
+            body = (
+                self.REPORT + b'"kv_total":9,"state":"draining","runs":[[%s,1]]}' % raw
+            )
+            report = control.read_probe(self.runner(), ResponseHead(200, []), body)
+            self.assertEqual((1, 9), (report.running_count, report.cache_tokens), title)
+            signals = control.read_signals(ResponseHead(200, []), body)
+            self.assertTrue(signals.is_leaving, title)
+
+    def test_odd_figures_of_a_report_are_errors_of_it_or_bounded(self):
+        control = ControlTranslation("host", StewardSettings())
+        for title, raw in odd_values().items():
+            body = self.REPORT + b'"kv_total":%s}' % raw
+            try:
+                report = control.read_probe(self.runner(), ResponseHead(200, []), body)
+            except DataError as error:
+                self.assertTrue(len(str(error)) < 1000, title)
+                continue
+            self.assertTrue(0 <= report.cache_tokens <= 2**62, title)
+
+    def test_cache_events_are_read_beside_each_odd_one(self):
+        sound = b'[2,"+","s","part",5,"m"]'
+        for title, raw in odd_values().items():
+            for odd in (raw, b'[1,"+",%s,"x",1,"m"]' % raw, b'[1,"+","s",%s,1]' % raw):
+                body = b'{"epoch":1,"next_page_token":4,"lost":false,"events":[%s]}'
+                found = CacheTranslation().read_events(
+                    ResponseHead(200, []), body % b",".join((odd, sound))
+                )
+                self.assertEqual(CacheEvent("s", b"part", 5), found.events[-1], title)
+
+    def test_native_cache_events_are_read_beside_each_odd_one(self):
+        for title, raw in odd_values().items():
+            body = b'{"epoch":1,"next_number":4,"has_gap":false,"events":[%s]}'
+            found = NativeCacheDialect().read_events(
+                ResponseHead(200, []), body % (raw + b',["s","part",5]')
+            )
+            self.assertEqual(CacheEvent("s", b"part", 5), found.events[-1], title)
+
+    def test_routes_are_read_beside_each_odd_part(self):
+        for title, raw in odd_values().items():
+            for odd in (raw, b'{"name":"odd","host":%s}' % raw):
+                spec = orjson.dumps(MANIFEST).replace(
+                    b'"routes":[', b'"unknown":%s,"routes":[%s,' % (raw, odd)
+                )
+                objects = read("config/", RawRecord(b'"main"', spec))
+                tree = StoreTranslation().read_tree(KindState(objects, 1, 0.0))
+                expected = read_tree(MANIFEST)
+                self.assertEqual(expected.revision, tree.revision, title)
+                names = {route.name for route in tree.routing.routes}
+                self.assertEqual({"r-1", "r-2"}, names - {"odd"}, title)
+                self.assertEqual(expected.nodes, tree.nodes, title)
+
+    def test_targets_of_the_command_line_hide_no_other(self):
+        async def main(raw):
+            store = MemoryStore()
+            value = (
+                b'{"write_id":"x","targets":[%s,{"model":"m","weights_version":3}]}'
+                % raw
+            )
+            store.objects[WEIGHTS_KEY] = StoredObject(WEIGHTS_KEY, 1, value)
+            return await WeightsStore(store).load()
+
+        for title, raw in odd_values().items():
+            found = anyio.run(main, raw)
+            self.assertEqual([WeightsTarget("m", 3)], found, title)
+
+    def test_host_list_is_read_beside_each_odd_entry(self):
+        sound = orjson.dumps(unstructure(self.runner()))
+
+        async def main(raw):
+            def answer(request):
+                content = b'{"version":4,"hosts":[%s,%s]}' % (raw, sound)
+                return httpx.Response(200, content=content)
+
+            api = RawStore().open_api()
+            api._client = httpx.AsyncClient(
+                transport=httpx.MockTransport(answer), base_url="http://store"
+            )
+            return await api.read_hosts()
+
+        for title, raw in odd_values().items():
+            found = anyio.run(main, raw)
+            self.assertEqual(HostList(4, [self.runner()]), found, title)
+
+    def test_peer_records_are_read_beside_each_odd_one(self):
+        async def main(raw):
+            store = MemoryStore()
+            record = HostRecord(host="b", hall="x", peer_address="c", write_id="w")
+            store.objects["peers/a"] = StoredObject("peers/a", 1, raw)
+            store.write("peers/b", record)
+            directory = PeerDirectory(
+                store,
+                Member("a", "x", "d"),
+                lambda: True,
+                lambda: True,
+                random.Random(1),
+            )
+            with anyio.move_on_after(0.05):
+                await directory.run()
+            await directory._write_record()
+            await directory._read_records()
+            return {item.name for item in directory.members()}
+
+        for raw in (maps(3000), b"9" * 5000, b"NaN", b"[]", b"\xff"):
+            self.assertEqual({"a", "b"}, anyio.run(main, raw))
+
+    def test_object_of_another_key_hides_no_change_of_the_tree(self):
+        async def main(raw):
+            store = MemoryStore()
+            for key in ("config/changes/x", "config/changes/", "config/changes/-1"):
+                store.objects[key] = StoredObject(key, 1, raw)
+            store.write(
+                change_key(1),
+                Change(
+                    revision=1, write_id="w", author="x", made_at_seconds=0.0, edits=[]
+                ),
+            )
+            return (await TreeStore(store).load()).tree.revision
+
+        for raw in (maps(3000), b"{}"):
+            self.assertEqual(1, anyio.run(main, raw))
+
+
 class DecoderTest(TestCase):
     """Decoding within bounds that depend on no interpreter."""
 
