A stopping host empties its listener's queue before it closes it

What callers saw: connections that the kernel had accepted for a stopping host were reset without an answer.

Cause: the time for the close was bounded by a clock, 0.5 s, and was none at all if a request was open until the exit. A late event loop used it up without accepting what waited (8 connections an iteration), and where connections went on arriving the queue was never seen empty. At the bound the listener was closed, and the kernel reset its queue. Class: a bound in time that a slow machine uses up.

Ruled out: the second signal (none was sent); the server's own end (the connections had not been accepted).

Evidence, failed before: test_connections_that_arrive_while_the_loop_stands_ still_are_answered (23 of 40 got no answer in place of 503), test_connections_in_the_queue_at_the_end_of_the_grace_are_answered (32 of 40), test_connections_that_never_cease_to_arrive_are_answered_or_refused ("Items in actual but not in expected: [0]").

Change: the kernel drops the first segment of new connections (a packet filter on the listener) before the queue is emptied, so that the listener is closed empty. The waits are bounded by numbers of checks, and by the exit. The close begins 0.5 s before the exit although requests are open, which are served meanwhile. Signals are handled until the servers have ended, as the close may now take until the exit.

--- a/packages/rampwick-router/src/rampwick_router/_caller_connections.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_connections.py
@@ -94,6 +94,10 @@
             connection.held_bytes() for connection in self._open
         )
 
+    def held_bytes(self) -> list[HeldBytes]:
+        """Return what each open connection holds."""
+        return [connection.held_bytes() for connection in self._open]
+
     def record_end(self, held: HeldBytes, *, cause: str) -> None:
         """Log and count what a connection held as the server ended it."""
         if not held:
--- a/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
@@ -13,11 +13,15 @@
 from typing import Any
 from weakref import WeakValueDictionary
 
+from ._logs import ComponentLogger
+from ._new_connections import drop_new_connections
 from ._segment_age import segment_age_seconds
 
 #: Key of a caller's socket among the extensions of an ASGI scope.
 EXTENSION = "rampwick.caller_socket"
 
+log = ComponentLogger("entry")
+
 Address = tuple[Any, ...]
 App = Callable[[Any, Any, Any], Awaitable[None]]
 
@@ -139,6 +143,13 @@
         poll.register(self, select.POLLIN)
         return bool(poll.poll(0))
 
+    def drop_new(self) -> None:
+        """Have the kernel drop new connections; those in the queue are accepted."""
+        try:
+            drop_new_connections(self)
+        except OSError as error:
+            log.problem("listener without filter", error=str(error))
+
     def stop_accepting(self) -> None:
         """Have the kernel refuse connections; it resets those that still wait."""
         if not self._is_accepting:
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -1,5 +1,6 @@
 """The daemon: start of its tasks and planned shutdown."""
 
+import math
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -22,7 +23,6 @@
 from ._logs import ComponentLogger, milliseconds
 from ._servers import (
     CLOSE_TIMEOUT_SECONDS,
-    SETTLE_TIMEOUT_SECONDS,
     Addresses,
     CallerServerOptions,
     Listeners,
@@ -42,6 +42,13 @@
 #: the HTTP server is given to close its connections.
 STOP_MARGIN_SECONDS = 1.5 * CLOSE_TIMEOUT_SECONDS
 
+#: Time before a stopping process exits that is kept to close the callers' connections
+#: in order, beside the requests that are open until then.
+SETTLE_SECONDS = 0.5
+
+#: Longest time for that if the process may take any time to exit.
+MAX_SETTLE_SECONDS = 5.0
+
 #: Longest delay of a host's start for the initial configuration and cache state. It
 #: allows for a few calls to the store and to caches under normal load, and under
 #: overload is a small part of what callers tolerate.
@@ -73,6 +80,8 @@
         self.rollout_controller = assembly.rollout_controller
         self.entry = assembly.entry
         self.admin = assembly.admin
+        self._tasks: TaskGroup
+        self._drain_end_seconds = -math.inf
         self.hand_on = ConnectionHandOn(
             assembly.scheduler,
             lambda: self.entry.open_count,
@@ -109,11 +118,8 @@
 
     async def start(self, tasks: TaskGroup, listeners: Listeners) -> None:
         """Start all tasks; return when they have been scheduled."""
-        components = self._components
-
-        def start(task: str, run: Callable[[], Awaitable[None]]) -> None:
-            tasks.start_soon(keep_running, task, run)
-
+        self._tasks = tasks
+        components, start = self._components, self.run_task
         start("scheduler", self.scheduler.run)
         self.load_fallback()
         start("host list", self._hosts.run)
@@ -135,6 +141,10 @@
         tasks.start_soon(self._gossip.run, listeners.peer)
         log.info("started", host=self._settings.host.name)
 
+    def run_task(self, task: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task until the daemon's servers have ended."""
+        self._tasks.start_soon(keep_running, task, run)
+
     async def wait_initial_state(self) -> None:
         """Wait, up to a timeout, for the configuration, host list and cache contents.
 
@@ -210,8 +220,14 @@
         self.lifecycle.balancer_delay_elapsed = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("draining open requests", open_count=self.entry.open_count)
-        with anyio.move_on_after(self._drain_seconds()):
-            while self.entry.open_count or self._gossip.tunnel_server.active_count:
+        drain_seconds = min(
+            self._settings.life.drain_timeout_seconds, self._remaining_seconds(math.inf)
+        )
+        self._drain_end_seconds = self._clocks.monotonic() + drain_seconds
+        # What is left then is served while the other connections are closed.
+        settle_at_seconds = self._remaining_seconds(math.inf) - SETTLE_SECONDS
+        with anyio.move_on_after(max(0.0, min(drain_seconds, settle_at_seconds))):
+            while self._has_open_requests():
                 # In a forced shutdown EntryApp ends each open request with an error.
                 await anyio.sleep(DRAIN_CHECK_SECONDS)
         self.lifecycle.has_drained = True
@@ -222,26 +238,25 @@
             platform_calls=dict(getattr(self._api, "calls", {})),
         )
 
+    def awaits_open_requests(self) -> bool:
+        """Return whether the shutdown waits for requests of callers or of peers."""
+        is_draining = self._clocks.monotonic() < self._drain_end_seconds
+        return is_draining and self._has_open_requests()
+
     def read_settle_seconds(self) -> float:
         """Return for how long callers' connections may be closed in order."""
         if self.lifecycle.is_forced:
             return 0.0
-        if self.lifecycle.exit_deadline_seconds is None:
-            return SETTLE_TIMEOUT_SECONDS
-        remaining_seconds = (
-            self.lifecycle.exit_deadline_seconds - self._clocks.monotonic()
-        )
-        return max(0.0, min(SETTLE_TIMEOUT_SECONDS, remaining_seconds))
+        return max(0.0, self._remaining_seconds(MAX_SETTLE_SECONDS))
 
-    def _drain_seconds(self) -> float:
-        """Return the maximum time to wait for open requests."""
-        drain_seconds = self._settings.life.drain_timeout_seconds
+    def _has_open_requests(self) -> bool:
+        return bool(self.entry.open_count or self._gossip.tunnel_server.active_count)
+
+    def _remaining_seconds(self, unbounded_seconds: float) -> float:
+        """Return the time until the process exits; the given one without a bound."""
         if self.lifecycle.exit_deadline_seconds is None:
-            return drain_seconds
-        remaining_seconds = (
-            self.lifecycle.exit_deadline_seconds - self._clocks.monotonic()
-        )
-        return max(0.0, min(drain_seconds, remaining_seconds))
+            return unbounded_seconds
+        return self.lifecycle.exit_deadline_seconds - self._clocks.monotonic()
 
 
 def _log_restore(era_before: int, era: int, call: str) -> None:
@@ -313,6 +328,7 @@
                 daemon.hand_on.decide,
                 daemon.idle_timeout.max_seconds,
                 daemon.read_settle_seconds,
+                daemon.awaits_open_requests,
                 daemon.caller_connections,
             ),
             settings.limits.max_header_bytes,
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -106,26 +107,22 @@
     integration = make_integration(settings) if make_integration else None
     # Signals during the start are queued until the daemon runs.
     with anyio.open_signal_receiver(*SIGNALS) as signals:
-        async with (
-            run_daemon(
-                settings, clocks=clocks, integration=integration, listener=listener
-            ) as (daemon, addresses),
-            anyio.create_task_group() as tasks,
-        ):
+        async with run_daemon(
+            settings, clocks=clocks, integration=integration, listener=listener
+        ) as (daemon, addresses):
             # Objects allocated so far are permanent; exempt them from collections.
             gc.freeze()
             if early_signals.is_reload_requested:
                 _reload(daemon, path)
             for requested_at_seconds in early_signals.stops_requested_at_seconds:
                 daemon.lifecycle.begin_stop(time.monotonic() - requested_at_seconds)
-            tasks.start_soon(_watch_signals, signals, daemon, path)
+            daemon.run_task("signals", partial(_watch_signals, signals, daemon, path))
             announce(
                 f"rampwickd {settings.host.name} entry={addresses.entry} "
                 f"admin={addresses.admin} peer={addresses.peer}",
                 flush=True,
             )
             await daemon.stop()
-            tasks.cancel_scope.cancel()
 
 
 async def _watch_signals(
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -23,12 +23,21 @@
 #: Time that the HTTP server is given to close idle connections.
 CLOSE_TIMEOUT_SECONDS = 0.5
 
-#: Longest time for callers' connections to be closed in order, before the server ends
-#: them, and for how long nothing may have arrived or waited by then.
-SETTLE_TIMEOUT_SECONDS = 0.5
-QUIET_SECONDS = 0.05
+#: Interval between checks of the callers' connections in a shutdown. Its steps are
+#: bounded by numbers of checks: an event loop that was late has handled little, however
+#: long it took.
 SETTLE_CHECK_SECONDS = 0.005
 
+#: Checks at which nothing may have arrived or waited, until new connections are dropped
+#: and after that, when only those that the kernel was opening can still come.
+QUIET_CHECKS = 10
+QUEUE_CHECKS = 2
+
+#: Most checks until new connections are dropped, and most without any change until the
+#: server ends the connections that are left.
+MAX_QUIET_CHECKS = 50
+MAX_UNCHANGED_CHECKS = 100
+
 #: Idle timeout of connections to the other applications; longer than the usual minute
 #: of balancers, so that the balancer closes first.
 KEEP_ALIVE_SECONDS = 75.0
@@ -92,8 +101,11 @@
     is_handed_on: Callable[[float], bool]
     #: Returns the idle timeout of a connection that has been idle for some seconds.
     max_idle_seconds: Callable[[float], float]
-    #: Returns for how long, at most, the shutdown may close connections in order.
+    #: Returns for how long, at most, the shutdown may close connections in order; it
+    #: does not take that long unless something arrives, or is sent, all the time.
     read_settle_seconds: Callable[[], float]
+    #: Returns whether the shutdown waits for requests, also those of peers.
+    awaits_open_requests: Callable[[], bool]
     connections: CallerConnections
 
 
@@ -153,20 +165,67 @@
     Connections that arrive meanwhile are served. A listener that is closed before its
     queue is empty resets the connections in it.
     """
-    connections = options.connections
-    await connections.close_idle()
-    quiet_since_seconds = anyio.current_time()
+    settling = _Settling(callers, options)
+    await options.connections.close_idle()
     with anyio.move_on_after(options.read_settle_seconds()):
-        while anyio.current_time() - quiet_since_seconds < QUIET_SECONDS:
-            await anyio.sleep(SETTLE_CHECK_SECONDS)
-            if callers.has_waiting() or connections.holds_bytes():
-                quiet_since_seconds = anyio.current_time()
+        # Connections may go on arriving: what is left is needed to serve them.
+        with anyio.move_on_after(options.read_settle_seconds() / 2):
+            await settling.wait_quiet()
+        callers.drop_new()
+        await settling.wait_queue_empty()
         callers.stop_accepting()
-        while connections.open_count:
-            await anyio.sleep(SETTLE_CHECK_SECONDS)
+        await settling.wait_ended()
     callers.stop_accepting()
 
 
+class _Settling:
+    """Waits of a shutdown for the callers' connections."""
+
+    def __init__(self, callers: CallerListener, options: CallerServerOptions) -> None:
+        self._callers = callers
+        self._options = options
+        self._connections = options.connections
+
+    async def wait_quiet(self) -> None:
+        """Return when nothing waited, and nothing was held, at successive checks."""
+        quiet_count = 0
+        for _ in range(MAX_QUIET_CHECKS):
+            await self._pause()
+            is_quiet = not (
+                self._callers.has_waiting() or self._connections.holds_bytes()
+            )
+            quiet_count = quiet_count + 1 if is_quiet else 0
+            if quiet_count == QUIET_CHECKS:
+                return
+
+    async def wait_queue_empty(self) -> None:
+        """Return when no connection waited at successive checks."""
+        empty_count = 0
+        while empty_count < QUEUE_CHECKS:
+            await self._pause()
+            is_empty = not self._callers.has_waiting()
+            empty_count = empty_count + 1 if is_empty else 0
+
+    async def wait_ended(self) -> None:
+        """Return when all connections have ended, or nothing changes any more."""
+        unchanged_count = 0
+        before: object = None
+        while unchanged_count < MAX_UNCHANGED_CHECKS:
+            if not self._options.read_settle_seconds():
+                return
+            await self._pause()
+            awaits_requests = self._options.awaits_open_requests()
+            if not (self._connections.open_count or awaits_requests):
+                return
+            now = self._connections.open_count, self._connections.held_bytes()
+            is_unchanged = now == before and not awaits_requests
+            unchanged_count = unchanged_count + 1 if is_unchanged else 0
+            before = now
+
+    async def _pause(self) -> None:
+        await anyio.sleep(SETTLE_CHECK_SECONDS)
+
+
 class _ServerConfig(Config):
     """Configuration of a server on a listener that is bound already."""
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -448,6 +448,7 @@
     store=None,
     versions: dict[str, str] | None = None,
     probe_interval_seconds: float = 0.0,
+    life: str = "",
 ) -> AsyncIterator[tuple[RoutedHost, dict[str, ScriptedUpstream]]]:
     """Run a host with scripted upstreams, whose names are given by service.
 
@@ -469,6 +470,7 @@
             retry=retry,
             has_versions=versions is not None,
             probe_interval_seconds=probe_interval_seconds,
+            life=life,
         ) as host:
             with anyio.fail_after(20.0):
                 while host.upstreams_count < len(servers):
@@ -489,11 +491,12 @@
     peers: str = "",
     has_versions: bool = False,
     probe_interval_seconds: float = 0.0,
+    life: str = "",
 ) -> AsyncIterator[RoutedHost]:
     """Run a host on a store; yield it once it has the configuration."""
     settings = parse_settings(
         f'[host]\nname = "{name}"\nhall = "trnava"\n'
-        "[life]\nbalancer_delay_seconds = 0.0\n"
+        f"[life]\nbalancer_delay_seconds = 0.0\n{life}\n"
         f"[platform]\nconfirm_wait_seconds = 0.05\n{platform}\n"
         f"[peers]\n{peers}\n"
         f"[retry]\nprobe_interval_seconds = {probe_interval_seconds}\n{retry}\n",
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from unittest import mock
 
 import anyio
@@ -100,6 +101,78 @@
         statuses = self.statuses_at_stop(arrive, lambda raws: None)
         self.assertEqual([503] * 40, statuses)
 
+    def test_connections_that_arrive_while_the_loop_stands_still_are_answered(self):
+        head = request_head("/once/1", WITH_ID)
+        raws = []
+
+        def arrive(host):
+            raws.append(open_raw(host))
+            return raws
+
+        def finish(raws):
+            for _ in range(39):
+                raws.append(socket.create_connection(raws[0].getpeername(), 10.0))
+            for raw in raws:
+                raw.sendall(head)
+            time.sleep(0.8)
+
+        self.assertEqual([503] * 40, self.statuses_at_stop(arrive, finish))
+
+    def test_connections_that_never_cease_to_arrive_are_answered_or_refused(self):
+        head = request_head("/once/1", WITH_ID)
+        raws = []
+
+        def open_many(address, stack):
+            # A connection that is not accepted at once is not accepted at all.
+            with contextlib.suppress(OSError):
+                while True:
+                    raw = socket.create_connection(address, timeout=0.5)
+                    stack.callback(raw.close)
+                    raw.sendall(head)
+                    raw.settimeout(10.0)
+                    raws.append(raw)
+
+        async def main(stack):
+            async with (
+                anyio.create_task_group() as tasks,
+                run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _),
+            ):
+                await drain(host)
+                address, _, port = host.address.partition(":")
+                for _ in range(2):
+                    tasks.start_soon(run_sync, open_many, (address, int(port)), stack)
+                await anyio.sleep(0.1)
+            return [await run_sync(read_status, raw) for raw in raws]
+
+        with contextlib.ExitStack() as stack:
+            statuses = anyio.run(main, stack)
+        self.assertEqual({503}, set(statuses))
+
+    def test_connections_in_the_queue_at_the_end_of_the_grace_are_answered(self):
+        head = request_head("/once/1", WITH_ID)
+
+        async def main(stack):
+            async with run_routed(
+                {"labels": ["a"], "notes": ["b"]}, life="stop_within_seconds = 2.25"
+            ) as (host, servers):
+                for server in servers.values():
+                    server.scripts = [lambda exchange: anyio.sleep_forever()]
+                raws = [open_raw(host)]
+                raws[0].sendall(head)
+                while not host.daemon.entry.open_count:
+                    await anyio.sleep(0.005)
+                await drain(host)
+                raws += [open_raw(host) for _ in range(40)]
+                for raw in raws:
+                    stack.callback(raw.close)
+                for raw in raws[1:]:
+                    raw.sendall(head)
+            return [await run_sync(read_status, raw) for raw in raws]
+
+        with contextlib.ExitStack() as stack:
+            statuses = anyio.run(main, stack)
+        self.assertEqual([502] + [503] * 40, statuses)
+
     def test_request_whose_head_has_arrived_in_part_is_answered(self):
         head = request_head("/once/1", WITH_ID)
 
