Store begun streams also while a service has one version

What callers saw, in the model: streams that had begun before another version was listed were refused after all hosts had ended, if that version came shortly before the end or while no host ran.

Cause: streams were stored only while a service had several versions. A version that is listed as all hosts are gone makes the history mixed for streams that nothing was stored of.

Change: such streams are written too, each second instead of each 0.1 s, and at once with the first version that comes beside. A history that began with the host's own start is not written before the stored one was joined.

--- a/measure/_stream_events.py
+++ b/measure/_stream_events.py
@@ -11,7 +11,7 @@
 
 from rampwick_policy import stream_key
 
-SERVICE, OLD, NEW = "notes", "2026.1", "2026.2"
+SERVICE, OLD, NEW, NEWEST = "notes", "2026.1", "2026.2", "2026.3"
 
 #: Time between two crashes of one upstream, and until it serves again.
 CRASH_SECONDS, DOWN_SECONDS = 8.0, 1.0
@@ -22,6 +22,7 @@
 CUT_SECONDS, LIST_SECONDS, TICK_SECONDS = 3.0, 0.25, 0.05
 #: Times between which upstreams change to the new version, and a third of them back.
 CHANGES_SECONDS, RETURNS_SECONDS = (6.0, 14.0), (16.0, 19.0)
+NEWEST_SECONDS = (10.0, 18.0)
 
 
 @attrs.frozen
@@ -43,6 +44,9 @@
     start_seconds: float = 2.0
     #: Whether versions change; else one upstream always has the new one.
     has_changes: bool = True
+    #: Number of versions: with three the second one is replaced as it comes, with one
+    #: no version changes.
+    versions_count: int = 2
 
 
 @attrs.define
@@ -118,6 +122,14 @@
     def take_up(self, stream: Stream) -> None:
         """Decide about a stream that its caller takes up."""
 
+    def can_read_list(self) -> bool:
+        """Return whether hosts can read the list of upstreams."""
+        return True
+
+    def note_list_change(self) -> None:
+        """Take note of a change of the list."""
+        return
+
     def _schedule(self) -> None:
         scenario = self._scenario
         self._tick(0)
@@ -130,12 +142,15 @@
             for number in range(count):
                 share = (number + self.rng.uniform(0.2, 0.8)) / count
                 self.after(share * scenario.length_seconds, call)
-        if not scenario.has_changes:
+        if not scenario.has_changes or scenario.versions_count == 1:
             return
         count = len(self._upstreams)
+        last = (RETURNS_SECONDS, OLD, count // 3)
+        if scenario.versions_count == 3:
+            last = (NEWEST_SECONDS, NEWEST, count)
         for (began, ended), version, changed_count in (
             (CHANGES_SECONDS, NEW, count),
-            (RETURNS_SECONDS, OLD, count // 3),
+            last,
         ):
             for index in range(changed_count):
                 at_seconds = began + (ended - began) * index / changed_count
@@ -148,7 +163,7 @@
         for host in self.hosts[step % steps :: steps]:
             if host.is_up:
                 host.history.note_time(self.now_seconds)
-            if not host.is_reachable:
+            if not host.is_reachable or not self.can_read_list():
                 continue
             host.listed_at_seconds = self.now_seconds
             if self._read.get(host.index) != self._list_version:
@@ -160,12 +175,14 @@
     def _change(self, index: int, version: str) -> None:
         self.listed.pop(index, None)
         self._list_version += 1
+        self.note_list_change()
         self.after(DRAIN_SECONDS, self._stop, index)
         self.after(DRAIN_SECONDS + OFF_SECONDS, self._list, index, version)
 
     def _list(self, index: int, version: str) -> None:
         self.listed[index] = version
         self._list_version += 1
+        self.note_list_change()
         self.after(self._scenario.start_seconds, self._serve, index, version)
 
     def _serve(self, index: int, version: str) -> None:
@@ -237,7 +254,10 @@
         scenario = self._scenario
         rate = scenario.fleet_rate or scenario.rate * len(self.hosts)
         self.after(self.rng.expovariate(rate), self._begin_streams)
-        host = self.rng.choice([host for host in self.hosts if host.is_up])
+        up = [host for host in self.hosts if host.is_up]
+        if not up:
+            return
+        host = self.rng.choice(up)
         key = stream_key("/w/a", str(next(self._numbers)))
         stream = Stream(key, host.index, host.incarnation, self.now_seconds)
         self._active[stream] = None
--- a/measure/stream_versions.py
+++ b/measure/stream_versions.py
@@ -18,6 +18,7 @@
 from rampwick_schema import decode_message, encode_message
 
 from ._stream_events import SERVICE, Scenario, Stream
+from ._stream_herds import SCENARIOS as HERDS, print_herds
 from ._stream_hosts import FLEETS, TIMEOUT_SECONDS, Host, Listed, Records
 
 #: The platform's store: duration of a call, accepted writes a second, and outages.
@@ -219,7 +220,14 @@
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--hosts", type=int, nargs="*", default=list(FLEETS))
     parser.add_argument("--scenarios", nargs="*", default=list(SCENARIOS))
+    parser.add_argument(
+        "--herds", nargs="*", choices=list(HERDS), help="all hosts end at once"
+    )
     arguments = parser.parse_args(argv)
+    if arguments.herds is not None:
+        names = arguments.herds or list(HERDS)
+        print_herds(arguments.hosts, names, arguments.seeds)
+        return
     for updates in (50, 500, 1500):
         cost = time_receiving(1500, updates)
         print(f"1500 streams/s in {updates} updates/s: {cost:.2f} us a stream")
--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -104,7 +104,7 @@
     def put(self, key: bytes, stream: BegunStream) -> None:
         """Add a stream, or replace it."""
 
-    def discard(self, key: bytes, stream: BegunStream) -> None:
+    def discard(self, key: bytes) -> None:
         """Drop a stream that can't be taken up any more."""
 
 
@@ -256,9 +256,9 @@
             has_expired = self._streams[key].expires_at_seconds < now_seconds
             if not has_expired and len(self._streams) <= MAX_STREAMS_COUNT:
                 return
-            stream = self._streams.pop(key)
+            del self._streams[key]
             if self.storage is not None:
-                self.storage.discard(key, stream)
+                self.storage.discard(key)
 
 
 class Outbox:
--- a/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
@@ -1,10 +1,10 @@
-"""The part of the begun streams that is kept in the store, in segments.
+"""The begun streams that are kept in the store, in segments.
 
 Streams in the store outlive the end of all hosts. One host of each group writes those
 that its group began. A segment is one object: it is written again as streams are added
-to it, then closed, and overwritten once all of its streams have expired. Only streams
-of services that had several versions lately are written, since the version of the
-others is found without.
+to it, then closed, and overwritten once all of its streams have expired. Streams are
+written at once while a service has several versions. Otherwise they are needed only if
+another version is listed while no host runs, and are written less often.
 """
 
 import math
@@ -14,7 +14,7 @@
 
 from rampwick_schema import ReprMixin, StreamGroup
 
-from ._begun_streams import MAX_LIFETIME_SECONDS, BegunStream, make_groups
+from ._begun_streams import BegunStream, make_groups
 from ._version_history import VersionHistory
 
 #: Number of streams from which a segment is closed, and maximum added by one write.
@@ -25,13 +25,14 @@
 #: overwritten.
 MAX_SEGMENTS_COUNT = 100
 
-#: Time beyond the lifetime of its streams for which a service that had several versions
-#: counts as mixed: hosts that read the history later remember versions for longer.
-MIXED_MARGIN_SECONDS = 20.0
+#: Time after which a service counts as of one version again.
+MIXED_SECONDS = 30.0
 
-#: Time between two writes of one group, and of all groups together.
+#: Time between two writes of one group and of all groups together, while a service has
+#: several versions, and between two writes of one group otherwise.
 GROUP_INTERVAL_SECONDS = 0.1
 FLEET_INTERVAL_SECONDS = 0.025
+RELAXED_INTERVAL_SECONDS = 1.0
 
 
 def write_interval_seconds(groups_count: int) -> float:
@@ -64,33 +65,24 @@
 
     def __init__(self, history: VersionHistory) -> None:
         self._history = history
-        #: Streams that aren't stored, by service.
-        self._pending: dict[str, dict[bytes, BegunStream]] = {}
+        #: Streams that aren't stored.
+        self._pending: dict[bytes, BegunStream] = {}
+        self._written_at_seconds = -math.inf
         self._segments: dict[int, Segment] = {}
         self._open_number: int | None = None
         #: Number from which a free segment is searched; it differs between hosts, so
         #: that two that write at the same time seldom choose the same one.
         self.first_number = 0
 
-    @property
-    def pending_count(self) -> int:
-        """Number of streams that aren't stored, needed or not."""
-        return sum(map(len, self._pending.values()))
-
     # The streams of the own group.
 
     def put(self, key: bytes, stream: BegunStream) -> None:
         """Add a stream, or replace it."""
-        self._pending.setdefault(stream.service, {})[key] = stream
+        self._pending[key] = stream
 
-    def discard(self, key: bytes, stream: BegunStream) -> None:
+    def discard(self, key: bytes) -> None:
         """Drop a stream that can't be taken up any more."""
-        pending = self._pending.get(stream.service)
-        if pending is None:
-            return
-        pending.pop(key, None)
-        if not pending:
-            del self._pending[stream.service]
+        self._pending.pop(key, None)
 
     # The segments.
 
@@ -104,11 +96,17 @@
             for number, version, lifetime_seconds in segments
         }
 
-    def next_write(self, now_seconds: float) -> SegmentWrite | None:
-        """Return the next write, if there is anything to be stored."""
+    def next_write(self, groups_count: int, now_seconds: float) -> SegmentWrite | None:
+        """Return the write that is due, if there is one."""
+        due_seconds = self._written_at_seconds + self._interval_seconds(
+            groups_count, now_seconds
+        )
+        if now_seconds < due_seconds:
+            return None
         added = self._take_pending(now_seconds)
         if not added:
             return None
+        self._written_at_seconds = now_seconds
         number = self._choose_segment(now_seconds)
         segment = self._segments.get(number)
         streams = (
@@ -134,34 +132,23 @@
 
     def note_failed(self, write: SegmentWrite) -> None:
         """Keep the streams of a write that may not have taken effect."""
-        for key, stream in write.streams.items():
-            self._pending.setdefault(stream.service, {}).setdefault(key, stream)
+        self._pending = {**write.streams, **self._pending}
         self._open_number = None
 
+    def _interval_seconds(self, groups_count: int, now_seconds: float) -> float:
+        if not self._history.had_several(MIXED_SECONDS, now_seconds):
+            return max(RELAXED_INTERVAL_SECONDS, FLEET_INTERVAL_SECONDS * groups_count)
+        return write_interval_seconds(groups_count)
+
     def _take_pending(self, now_seconds: float) -> dict[bytes, BegunStream]:
-        taken: dict[bytes, BegunStream] = {}
-        for service in list(self._pending):
-            if not self._is_mixed(service, now_seconds):
-                continue
-            pending = self._pending[service]
-            # The newest ones are useful for longest, should there be too many.
-            for key in list(pending)[len(taken) - MAX_WRITE_COUNT :]:
-                stream = pending.pop(key)
-                if stream.expires_at_seconds >= now_seconds:
-                    taken[key] = stream
-            if not pending:
-                del self._pending[service]
-            if len(taken) >= MAX_WRITE_COUNT:
-                break
-        return taken
-
-    def _is_mixed(self, service: str, now_seconds: float) -> bool:
-        newest = next(reversed(self._pending[service].values()))
-        lifetime_seconds = newest.expires_at_seconds - now_seconds
-        within_seconds = min(lifetime_seconds, MAX_LIFETIME_SECONDS)
-        return self._history.had_several(
-            service, within_seconds + MIXED_MARGIN_SECONDS, now_seconds
-        )
+        # The newest ones are useful for longest, should there be too many.
+        keys = list(self._pending)[-MAX_WRITE_COUNT:]
+        taken = {key: self._pending.pop(key) for key in keys}
+        return {
+            key: stream
+            for key, stream in taken.items()
+            if stream.expires_at_seconds >= now_seconds
+        }
 
     def _choose_segment(self, now_seconds: float) -> int:
         if self._open_number is not None:
--- a/packages/rampwick-policy/src/rampwick_policy/_version_history.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_version_history.py
@@ -99,13 +99,13 @@
             self._note(entry.group, entry.software_version, now_seconds)
         self.receive(listed, known_seconds, now_seconds)
 
-    def had_several(
-        self, service: str, within_seconds: float, now_seconds: float
-    ) -> bool:
-        """Return whether a service has had several versions lately."""
+    def had_several(self, within_seconds: float, now_seconds: float) -> bool:
+        """Return whether any service has had several versions lately."""
         oldest_seconds = now_seconds - within_seconds
-        versions = self._seen_at.get(service, {})
-        return sum(at >= oldest_seconds for at in versions.values()) > 1
+        return any(
+            sum(at >= oldest_seconds for at in versions.values()) > 1
+            for versions in self._seen_at.values()
+        )
 
     def known_seconds(self, now_seconds: float) -> float:
         """Return for how long all listed versions are known."""
--- a/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
@@ -229,8 +229,12 @@
 
     async def _write(self) -> None:
         read = self._read or await self._read_all()
-        await self._write_history(read)
-        write = self._versions.segments.next_write(self._read_clock())
+        if not self._needs_recovery():
+            # One that begins with this host's start must not replace a longer one.
+            await self._write_history(read)
+        _, groups_count = self._find_group()
+        segments = self._versions.segments
+        write = segments.next_write(groups_count, self._read_clock())
         if write is not None:
             await self._write_segment(write)
 
--- a/tests/test_stream_versions_lab.py
+++ b/tests/test_stream_versions_lab.py
@@ -1,6 +1,14 @@
 """No stream goes on at another software version, whatever happens to the hosts."""
 
 import attrs
+from measure._stream_herds import (
+    MAX_WRITE_RATE,
+    MEMORY,
+    SCENARIOS as HERDS,
+    SEGMENTS,
+    WINDOW_SECONDS,
+    HerdLab,
+)
 from measure.stream_versions import BROADCAST, SCENARIOS, VersionsLab
 from testtools import TestCase
 
@@ -27,3 +35,32 @@
         # Each request changes its upstream before the first event.
         changes = {"second_ratio": 1.0, "kills_count": 12, "cuts_count": 8}
         self.check("second attempts", (6, 4), (6, 5), **changes)
+
+
+class StreamHerdsLabTest(TestCase):
+    def check(self, name, hosts_count, seed, min_ratio):
+        figures = {}
+        for way in (MEMORY, SEGMENTS):
+            lab = HerdLab(hosts_count, HERDS[name], seed, way)
+            lab.run()
+            figures[way] = lab.figures
+            self.assertEqual(0, lab.figures.other_count, (name, way, seed))
+        before, after = figures[MEMORY], figures[SEGMENTS]
+        self.assertGreater(after.count, 0)
+        self.assertEqual(before.count, after.count)
+        self.assertGreater(after.repeated_count, before.repeated_count)
+        usable_count = after.count - after.gone_count
+        self.assertGreaterEqual(after.repeated_count, min_ratio * usable_count)
+        self.assertLess(after.most_writes_count, MAX_WRITE_RATE * WINDOW_SECONDS / 4)
+
+    def test_streams_go_on_after_all_hosts_have_ended(self):
+        for seed in range(3):
+            self.check("all end", 6, seed, min_ratio=0.8)
+            self.check("three versions", 6, seed, min_ratio=0.8)
+            self.check("one version, store away", 6, seed, min_ratio=0.95)
+
+    def test_no_stream_goes_on_at_another_version_while_the_store_has_faults(self):
+        for seed in range(3):
+            self.check("store away", 6, seed, min_ratio=0.0)
+            self.check("store slow", 6, seed, min_ratio=0.0)
+            self.check("one version, history gone", 6, seed, min_ratio=0.0)
