Write streams of mixed services as they begin

What callers saw: streams that had begun up to 0.1 s before all hosts ended were refused, though little was written at that time.

Change: a write is made 5 ms after a stream has begun if the last write is long enough ago, instead of at fixed intervals; a host that doesn't write isn't woken. The rates' bounds are as before.

--- a/measure/_stream_herds.py
+++ b/measure/_stream_herds.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from rampwick_policy import StreamSegments, write_interval_seconds
+from rampwick_policy import StreamSegments
 from rampwick_policy._begun_streams import UNKNOWN_VERSION, BegunStream
 from rampwick_schema import HostEntry, ListedVersion
 
@@ -26,6 +26,7 @@
 #: Accepted writes a second of the store, counted in windows.
 MAX_WRITE_RATE, WINDOW_SECONDS = 400, 0.1
 CALL_SECONDS, SLOW_CALL_SECONDS = 0.004, 0.4
+CHECK_SECONDS = 0.01
 HISTORY_SECONDS, GRACE_SECONDS = 4.0, 1.0
 #: Time between tries of a reading that failed, and of a caller's request.
 RETRY_SECONDS, REPEAT_SECONDS, REPEATS_COUNT = 0.2, 0.25, 3
@@ -190,7 +191,7 @@
         groups_count = len(self._halls) if self._is_large else 1
         if self._way == OWN:
             groups_count = len(self.hosts)
-        interval = INTERVALS.get(self._way, write_interval_seconds(groups_count))
+        interval = INTERVALS.get(self._way, CHECK_SECONDS)
         if host.streams.storage is None or not self._is_writer(host):
             self.after(interval, self._write, host)
             return
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -193,7 +193,6 @@
     MAX_SEGMENTS_COUNT as MAX_SEGMENTS_COUNT,
     SegmentWrite as SegmentWrite,
     StreamSegments as StreamSegments,
-    write_interval_seconds as write_interval_seconds,
 )
 from ._summary_aggregator import (
     MAX_PLACED as MAX_PLACED,
--- a/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -35,11 +35,6 @@
 RELAXED_INTERVAL_SECONDS = 1.0
 
 
-def write_interval_seconds(groups_count: int) -> float:
-    """Return the time between two writes of one of several groups."""
-    return max(GROUP_INTERVAL_SECONDS, FLEET_INTERVAL_SECONDS * groups_count)
-
-
 @attrs.define(repr=False)
 class Segment(ReprMixin):
     """What is known of a segment in the store."""
@@ -68,6 +63,8 @@
         #: Streams that aren't stored.
         self._pending: dict[bytes, BegunStream] = {}
         self._written_at_seconds = -math.inf
+        #: Called when there are streams to be written.
+        self.on_pending: Callable[[], None] = _do_nothing
         self._segments: dict[int, Segment] = {}
         self._open_number: int | None = None
         #: Number from which a free segment is searched; it differs between hosts, so
@@ -79,6 +76,7 @@
     def put(self, key: bytes, stream: BegunStream) -> None:
         """Add a stream, or replace it."""
         self._pending[key] = stream
+        self.on_pending()
 
     def discard(self, key: bytes) -> None:
         """Drop a stream that can't be taken up any more."""
@@ -96,12 +94,14 @@
             for number, version, lifetime_seconds in segments
         }
 
+    def due_seconds(self, groups_count: int, now_seconds: float) -> float:
+        """Return when the next write may be made."""
+        interval_seconds = self._interval_seconds(groups_count, now_seconds)
+        return self._written_at_seconds + interval_seconds
+
     def next_write(self, groups_count: int, now_seconds: float) -> SegmentWrite | None:
         """Return the write that is due, if there is one."""
-        due_seconds = self._written_at_seconds + self._interval_seconds(
-            groups_count, now_seconds
-        )
-        if now_seconds < due_seconds:
+        if now_seconds < self.due_seconds(groups_count, now_seconds):
             return None
         added = self._take_pending(now_seconds)
         if not added:
@@ -136,9 +136,11 @@
         self._open_number = None
 
     def _interval_seconds(self, groups_count: int, now_seconds: float) -> float:
-        if not self._history.had_several(MIXED_SECONDS, now_seconds):
-            return max(RELAXED_INTERVAL_SECONDS, FLEET_INTERVAL_SECONDS * groups_count)
-        return write_interval_seconds(groups_count)
+        is_mixed = self._history.had_several(MIXED_SECONDS, now_seconds)
+        return max(
+            GROUP_INTERVAL_SECONDS if is_mixed else RELAXED_INTERVAL_SECONDS,
+            FLEET_INTERVAL_SECONDS * groups_count,
+        )
 
     def _take_pending(self, now_seconds: float) -> dict[bytes, BegunStream]:
         # The newest ones are useful for longest, should there be too many.
@@ -168,3 +170,7 @@
             if number not in ends:
                 return number
         return min(numbers, key=lambda number: ends[number])
+
+
+def _do_nothing() -> None:
+    return
--- a/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
@@ -22,7 +22,6 @@
     MAX_SEGMENTS_COUNT,
     SegmentWrite,
     SoftwareVersions,
-    write_interval_seconds,
 )
 from rampwick_schema import (
     DataError,
@@ -40,6 +39,9 @@
 START_INTERVAL_SECONDS = 0.02
 IDLE_INTERVAL_SECONDS = 0.5
 
+#: Time over which streams are collected for a write after a quiet time.
+BATCH_SECONDS = 0.005
+
 #: Time between two writes of the history. A host that starts has the changes since then
 #: from the store, as long as that remembers them.
 HISTORY_INTERVAL_SECONDS = 4.0
@@ -92,6 +94,8 @@
         self._failures_count = 0
         #: Name of the group that the last reading was for.
         self._group = ""
+        self._has_pending = anyio.Event()
+        versions.segments.on_pending = self._wake
         versions.segments.first_number = rng.randrange(MAX_SEGMENTS_COUNT)
 
     @property
@@ -112,7 +116,7 @@
                 await self._back_off()
             else:
                 self._note_success()
-                await anyio.sleep(self._interval_seconds())
+                await self._pause()
 
     async def _advance(self) -> None:
         group, _ = self._find_group()
@@ -123,13 +127,24 @@
         if self._is_recorder():
             await self._write()
 
-    def _interval_seconds(self) -> float:
+    async def _pause(self) -> None:
+        """Wait until there is something to be read or written."""
         if self._needs_recovery():
-            return START_INTERVAL_SECONDS
+            await anyio.sleep(START_INTERVAL_SECONDS)
+            return
         if not self._is_recorder():
-            return IDLE_INTERVAL_SECONDS
+            await anyio.sleep(IDLE_INTERVAL_SECONDS)
+            return
+        with anyio.move_on_after(IDLE_INTERVAL_SECONDS):
+            await self._has_pending.wait()
+        self._has_pending = anyio.Event()
         _, groups_count = self._find_group()
-        return write_interval_seconds(groups_count)
+        now_seconds = self._read_clock()
+        due_seconds = self._versions.segments.due_seconds(groups_count, now_seconds)
+        await anyio.sleep(max(BATCH_SECONDS, due_seconds - now_seconds))
+
+    def _wake(self) -> None:
+        self._has_pending.set()
 
     def _note_failure(self, error: RampwickError) -> None:
         if not self._failures_count:
