Refuse a stored history from beyond the store's version

A history that states a later version of the store than the store has would be joined without the changes up to there, so that a version could be taken for the only one. It is reported as unreadable. Versions in use count as listed until a history is written: the list is read anew at changes only.

The model notes the versions before an entry goes and after one has come.

--- a/measure/_stream_events.py
+++ b/measure/_stream_events.py
@@ -127,8 +127,8 @@
         return True
 
     def note_list_change(self) -> None:
-        """Take note of a change of the list."""
-        return
+        """Count a change of the list, before an entry goes or after one has come."""
+        self._list_version += 1
 
     def _schedule(self) -> None:
         scenario = self._scenario
@@ -173,15 +173,13 @@
         self.after(TICK_SECONDS, self._tick, step + 1)
 
     def _change(self, index: int, version: str) -> None:
-        self.listed.pop(index, None)
-        self._list_version += 1
         self.note_list_change()
+        self.listed.pop(index, None)
         self.after(DRAIN_SECONDS, self._stop, index)
         self.after(DRAIN_SECONDS + OFF_SECONDS, self._list, index, version)
 
     def _list(self, index: int, version: str) -> None:
         self.listed[index] = version
-        self._list_version += 1
         self.note_list_change()
         self.after(self._scenario.start_seconds, self._serve, index, version)
 
--- a/measure/_stream_herds.py
+++ b/measure/_stream_herds.py
@@ -133,7 +133,8 @@
         return not self._is_in(self._away)
 
     def note_list_change(self) -> None:
-        """Record the versions listed after a change."""
+        """Record the versions listed at a change."""
+        super().note_list_change()
         self._changes += [(self._list_version, v) for v in set(self.listed.values())]
 
     def _end_all(self, back_seconds: float) -> None:
@@ -229,6 +230,8 @@
             return
         writers = [host for host in self.hosts if self._is_group_writer(host)]
         for host in writers:
+            upstreams = [Listed(version) for version in host.listed.values()]
+            host.history.note_listed(upstreams, self.now_seconds)
             known_seconds = host.history.known_seconds(self.now_seconds)
             if known_seconds and self._count_write(OBJECT_BYTES):
                 ages = [
@@ -260,9 +263,6 @@
                 for key, stream in streams.items():
                     stored = attrs.evolve(stream, is_from_store=True)
                     host.streams._add(key, stored, now_seconds, is_stored=False)
-                    host.history.note_begun(
-                        SERVICE, stream.software_version, now_seconds
-                    )
         segments = [
             (
                 number,
--- a/packages/rampwick-platform/src/rampwick_platform/_stream_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_stream_store.py
@@ -67,27 +67,31 @@
     async def read(self) -> ReadStreams:
         """Return all readable segments and histories."""
         found = ReadStreams()
-        for stored in await self._list():
+        objects, store_version = await self._list()
+        for stored in objects:
             group, _, name = stored.key.removeprefix(STREAMS_PREFIX).rpartition("-")
             try:
                 if name == _HISTORY:
                     found.versions[group] = stored.version
-                    found.histories[group] = decode_record(stored, StoredHistory)
+                    found.histories[group] = _read_history(stored, store_version)
                 elif group and name.isascii() and name.isdigit() and len(name) < 9:
                     found.segments.append(_read_segment(group, int(name), stored))
             except (DataError, RecursionError) as error:
                 self._on_problem(stored.key, error)
         return found
 
-    async def _list(self) -> list[StoredObject]:
+    async def _list(self) -> tuple[list[StoredObject], int]:
+        """Return the objects, and the version of the store at the first page."""
         objects: list[StoredObject] = []
+        store_version = 0
         for _ in range(MAX_PAGES_COUNT):
             after_key = objects[-1].key if objects else ""
             listing = await self._api.list_objects(STREAMS_PREFIX, after_key)
+            store_version = store_version or listing.version
             objects += listing.objects
             if not listing.is_truncated or not listing.objects:
                 break
-        return objects
+        return objects, store_version
 
     async def read_changes(self, prefix: str, after_version: int) -> list[StoredObject]:
         """Return the objects that changed after a version of the store.
@@ -149,6 +153,15 @@
     )
 
 
+def _read_history(stored: StoredObject, store_version: int) -> StoredHistory:
+    history = decode_record(stored, StoredHistory)
+    if history.store_version > store_version:
+        # The changes after it would be missing.
+        message = f"store_version is {history.store_version}, above {store_version}"
+        raise DataError(message, step="read history", peer=stored.key)
+    return history
+
+
 def _read_segment(group: str, number: int, stored: StoredObject) -> ReadSegment:
     try:
         record = decode_record(stored, StreamSegment)
--- a/tests/test_streams_outlive_hosts.py
+++ b/tests/test_streams_outlive_hosts.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from rampwick_platform import HistoryGoneError, PlatformUnavailableError
+from rampwick_schema import StoredHistory, StoredVersion
 
 from .bench import until
 from .scripted import (
@@ -200,10 +201,20 @@
         status = run(scenario, versions=ONE, timeout_seconds=ROUTE_SECONDS)
         self.assertEqual(503, status)
 
+    def test_history_of_a_later_version_of_the_store_proves_nothing(self):
+        async def scenario(store, servers):
+            versions = [StoredVersion("notes", "v1", 0.0)]
+            history = StoredHistory("x", store.version + 50, 500.0, versions)
+            store.write("streams/fleet-history", history)
+            async with hosts(store) as (one, _):
+                return (await resume(one, "unwritten", 1)).status
+
+        self.assertEqual(503, run(scenario, versions=ONE))
+
     def test_unreadable_segment_leaves_the_others_readable(self):
         async def scenario(store, servers):
             await begin(store, servers)
-            for name in ("fleet-97", "fleet-x", "history-fleet", "else"):
+            for name in ("fleet-97", "fleet-x", "other-history", "else"):
                 store.write(f"streams/{name}", make_tree())
             async with hosts(store) as (one, _):
                 return await resume_all(one), versions_by_stream(servers)
