Test broken heads at services, models, resumed streams and behind a peer

The same question on the other ways: plain services (19 cuts, HTTP/1.1 and 1.0, close and reset), the OpenAI dialect streamed and whole, streams that a host resumes, and connections through a peer, where the peer forwards bytes and the host that asked it frames the answer. GET and what may be repeated get another attempt's whole answer, POST and "never" 502.

--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -1,18 +1,27 @@
 """Heads of answers that were broken off never become answers to callers."""
 
+import itertools
 import json
+import math
+from contextlib import suppress
 
 import anyio
+import attrs
 from testtools import TestCase
 
 from rampwick_policy import BodyEnd
 from rampwick_router._errors import AttemptError
 from rampwick_router.upstream._connection_pool import UpstreamConnection
+from rampwick_schema import HostEntry
 
 from .bench import until
-from .scripted import Hangup
+from .case import ScenarioCase
+from .scripted import Hangup, ScriptedUpstream, set_reset_on_close
+from .test_broken_answers import GET_SERVICE, call_service
 from .test_crash_attribution import DEADLY, NAMES as UPSTREAMS, OTHER, Host
+from .test_hosts_cut_off import run_hosts
 from .test_routed import CHUNKED, all_scripts, chunk, event, ran, run
+from .test_tunnels import cut_off, is_tunnelled, run as run_tunnelled
 
 BODY = b"hello"
 
@@ -280,6 +289,232 @@
     return sum(item.health.admit_ratio(now_seconds) > 0 for item in scheduler.upstreams)
 
 
+#: Head of an answer of a plain service.
+SERVICE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/x\r\nContent-Length: 12\r\n\r\n"
+
+
+class ServiceTest(ScenarioCase):
+    """Plain services: idempotent methods get another attempt, POST gets 502."""
+
+    def call_all(self, method, head):
+        async def scenario(bench):
+            upstreams = [ScriptedUpstream(name) for name in NAMES]
+            for upstream in upstreams:
+                await bench.tasks.start(upstream.serve)
+                bench.list_entry(
+                    HostEntry(
+                        upstream.name,
+                        "service",
+                        "trnava",
+                        upstream.address,
+                        group="portal",
+                    )
+                )
+            async with bench.run_host() as host:
+                await host.until_ready()
+                await until(lambda: all(host.upstream(name) for name in NAMES))
+                query = host.daemon.scheduler.run_query
+                found = {}
+                for number, cut in enumerate(cuts(head)):
+                    for ending in (CLOSE, RESET):
+                        script = broken_then_sound(
+                            lambda _, cut=cut: cut, answer_unsigned, ending
+                        )
+                        for upstream in upstreams:
+                            upstream.scripts = [script]
+                        before = sum(len(item.requests) for item in upstreams)
+                        await until(lambda: query(usable_count) > 2)
+                        request = GET_SERVICE.replace(b"/x ", b"/%d ") % number
+                        request = request.replace(b"GET", method)
+                        view = await call_service(host, request)
+                        runs = sum(len(item.requests) for item in upstreams) - before
+                        found[cut, ending] = view, runs
+                return found
+
+        return self.run_scenario(scenario)
+
+    def test_head_that_broke_off_is_no_answer(self):
+        for method, expected in ((b"GET", (200, True, 2)), (b"POST", (502, True, 1))):
+            for head in (SERVICE_HEAD, SERVICE_HEAD.replace(b"1.1", b"1.0")):
+                for case, (view, runs) in self.call_all(method, head).items():
+                    seen = view.status, view.is_whole, runs
+                    self.assertEqual(expected, seen, (method, case))
+                    if method == b"GET":
+                        self.assertEqual(BODY, view.body, case)
+
+
+async def answer_unsigned(exchange):
+    """Answer like a sound plain service."""
+    await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + BODY)
+
+
+class CuttingProxy:
+    """Stands before an upstream and breaks off the heads of some of its answers."""
+
+    def __init__(self, address):
+        self._target = address
+        self.address = ""
+        #: Beginning of the requests whose answers are broken off, and the numbers of
+        #: bytes after which the next of these answers end.
+        self.prefix = b"POST"
+        self.cuts_bytes = []
+        self.is_reset = False
+
+    async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        task_status.started()
+        await listener.serve(self._serve_connection)
+
+    async def _serve_connection(self, caller):
+        host, _, port = self._target.partition(":")
+        left = [math.inf]
+        async with (
+            caller,
+            await anyio.connect_tcp(host, int(port)) as upstream,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(self._forward_requests, caller, upstream, left)
+            with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+                async for data in upstream:
+                    await caller.send(data[: int(min(len(data), left[0]))])
+                    left[0] -= len(data)
+                    if left[0] <= 0:
+                        break
+            if left[0] <= 0 and self.is_reset:
+                await anyio.sleep(0.01)
+                set_reset_on_close(caller.extra(anyio.abc.SocketAttribute.raw_socket))
+            tasks.cancel_scope.cancel()
+
+    async def _forward_requests(self, caller, upstream, left):
+        with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            async for data in caller:
+                if self.cuts_bytes and data.startswith(self.prefix):
+                    left[0] = self.cuts_bytes.pop(0)
+                await upstream.send(data)
+            await upstream.send_eof()
+
+
+async def add_proxies(bench):
+    """Put a proxy before each runner of a bench; return them by name."""
+    proxies = {}
+    for name, entry in list(bench.entries.items()):
+        if entry.kind == "runner":
+            proxies[name] = CuttingProxy(entry.address)
+            await bench.tasks.start(proxies[name].serve)
+            bench.list_entry(attrs.evolve(entry, address=proxies[name].address))
+    return proxies
+
+
+#: Lengths of a runner's heads, cut in its status line and between and in its headers.
+CUTS_BYTES = (1, 9, 15, 17, 40, 60, 100, 140)
+
+
+class ModelTest(ScenarioCase):
+    """The OpenAI dialect, streamed and whole, over own links."""
+
+    async def send(self, host, proxies, headers, is_streamed, name):
+        """Send a request whose first answers break off; return status and text."""
+        await until(lambda: host.daemon.scheduler.run_query(usable_count) > 1)
+        if is_streamed:
+            answer = await host.stream(name, headers=headers)
+            return answer.status, answer.is_whole, len(answer.tokens)
+        answer = await host.complete(name, headers=headers)
+        is_whole = "usage" in answer.json()
+        return answer.status_code, is_whole, 4 if is_whole else 0
+
+    def send_all(self, headers):
+        async def scenario(bench):
+            for number in range(12):
+                bench.add_runner(f"r{number}")
+            proxies = await add_proxies(bench)
+            async with bench.run_host() as host:
+                await host.until_ready(*bench.runners)
+                found = {}
+                for case in itertools.product(CUTS_BYTES, (False, True), (False, True)):
+                    cut_bytes, is_reset, is_streamed = case
+                    cuts_bytes = [cut_bytes]
+                    for proxy in proxies.values():
+                        # Whichever is asked first breaks its answer off.
+                        proxy.cuts_bytes, proxy.is_reset = cuts_bytes, is_reset
+                    found[case] = await self.send(
+                        host, proxies, headers, is_streamed, f"cut {case}"
+                    )
+                    self.assertEqual([], cuts_bytes, case)
+                return found
+
+        return self.run_scenario(scenario)
+
+    def test_request_is_repeated_elsewhere(self):
+        for case, seen in self.send_all({}).items():
+            self.assertEqual((200, True, 4), seen, case)
+
+    def test_request_that_must_not_be_repeated_gets_an_error(self):
+        for case, seen in self.send_all({"Rampwick-Repeat": "never"}).items():
+            self.assertEqual((502, False, 0), seen, case)
+
+    def test_stream_whose_resumption_breaks_off_is_resumed_again(self):
+        async def scenario(bench):
+            bench.add_runner("r0")
+            proxies = await add_proxies(bench)
+            async with bench.run_host() as host:
+                await host.until_ready("r0")
+                faults = bench.runners["r0"].engine.faults
+                found = []
+                for cut_bytes in CUTS_BYTES:
+                    faults.cut_after_count = 3
+                    proxies["r0"].prefix = b"GET /v1/streams"
+                    proxies["r0"].cuts_bytes = cuts_bytes = [cut_bytes]
+                    await until(lambda: host.daemon.scheduler.run_query(usable_count))
+                    answer = await host.stream(f"cut {cut_bytes}", max_tokens=6)
+                    found.append((answer.status, answer.is_whole, len(answer.tokens)))
+                    self.assertEqual([], cuts_bytes)
+                return found
+
+        for seen in self.run_scenario(scenario):
+            self.assertEqual((200, True, 6), seen)
+
+
+class TunnelTest(TestCase):
+    """A peer forwards bytes; the host that asked it frames the answer."""
+
+    def test_head_that_broke_off_behind_a_peer_is_no_answer(self):
+        async def main():
+            async with run_hosts(runners=4) as (hosts, bench, partition):
+                host = hosts["entry-1"]
+                proxies = await add_proxies(bench)
+                for name, proxy in proxies.items():
+                    for each in hosts.values():
+                        await until(
+                            lambda each=each, name=name, proxy=proxy: (
+                                each.upstream(name).entry.address == proxy.address
+                                and each.is_available(name)
+                            )
+                        )
+                await cut_off(host, bench, partition)
+                found = {}
+                for case in itertools.product(
+                    (1, 17, 60), (False, True), (None, "never")
+                ):
+                    cut_bytes, is_reset, repeat = case
+                    cuts_bytes = [cut_bytes]
+                    for proxy in proxies.values():
+                        proxy.cuts_bytes, proxy.is_reset = cuts_bytes, is_reset
+                    headers = {"Rampwick-Repeat": repeat} if repeat else {}
+                    await until(
+                        lambda: host.daemon.scheduler.run_query(usable_count) > 1
+                    )
+                    answer = await host.stream(f"cut {case}", headers=headers)
+                    found[case] = answer.status, answer.is_whole
+                    self.assertEqual([], cuts_bytes, case)
+                    self.assertTrue(is_tunnelled(host, *bench.runners), case)
+                return found
+
+        for (_, _, repeat), seen in run_tunnelled(main).items():
+            self.assertEqual((502, False) if repeat else (200, True), seen)
+
+
 class EqualRequestsTest(TestCase):
     """Broken connections of live upstreams are not held against what was asked."""
 
