Resume a stream again if the head of the resumption broke off

A caller that resumed its stream got 410 stream_lost when the connection to the runner closed inside the head of the answer, although the runner still had the whole stream. 410 tells callers to send the request anew: another run, and the events that they had are lost to them.

Cause: every failed attempt of a resumption was taken for a stream that is gone. The class: a broken connection is taken for the end of what it carried. The host's own resumption tries three times; the one that a caller asks for did once.

Now both do, by the same constants, while nothing was sent to the caller and the upstream closed or reset the connection. A stream that the runner does not know, another incarnation and a refused connection are 410 at once, as before.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface: dispatch of requests to their handlers."""
 
+import functools
 import re
 from urllib.parse import unquote
 
@@ -20,7 +21,7 @@
 )
 from ._context import EntryContext
 from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange
-from ._relay import relay_resumed
+from ._relay import MAX_RESUMES, RESUME_DELAY_SECONDS, relay_resumed
 from ._request_body import Message, Receive, RequestBody, read_body
 from ._responder import Responder, Send
 from ._routed_entry import RoutedEntry
@@ -294,20 +295,34 @@
         )
         if upstream is None:
             raise _lost_stream("its upstream is gone")
-        try:
-            async with self._context.upstreams.resume_stream(
-                upstream.entry.address,
-                reference.upstream,
-                reference.attempt_id,
-                position,
-                is_chat=reference.is_chat,
-                check=lambda has_sent: _check_caller(responder),
-            ) as stream:
-                stream.check_start(reference.attempt_id, reference.incarnation)
-                await responder.start_events()
-                await relay_resumed(stream, token.encode(), position, responder)
-        except AttemptError as error:
-            raise _lost_stream(str(error)) from error
+        resume = functools.partial(
+            self._context.upstreams.resume_stream,
+            upstream.entry.address,
+            reference.upstream,
+            reference.attempt_id,
+            position,
+            is_chat=reference.is_chat,
+            check=lambda has_sent: _check_caller(responder),
+        )
+        for attempts_left_count in reversed(range(MAX_RESUMES)):
+            try:
+                async with resume() as stream:
+                    stream.check_start(reference.attempt_id, reference.incarnation)
+                    await responder.start_events()
+                    await relay_resumed(stream, token.encode(), position, responder)
+                return
+            except AttemptError as error:
+                # The stream outlasts its connections.
+                may_repeat = error.was_closed and not responder.has_started
+                if not may_repeat or not attempts_left_count:
+                    raise _lost_stream(str(error)) from error
+                log.problem(
+                    "resumption failed",
+                    attempt=reference.attempt_id,
+                    upstream=reference.upstream,
+                    error=str(error),
+                )
+            await anyio.sleep(RESUME_DELAY_SECONDS)
 
     async def _serve_models(
         self, headers: dict[str, str], responder: Responder
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -14,7 +14,7 @@
 from rampwick_router.upstream._connection_pool import UpstreamConnection
 from rampwick_schema import HostEntry
 
-from .bench import until
+from .bench import KEY, until
 from .case import ScenarioCase
 from .scripted import Hangup, ScriptedUpstream, set_reset_on_close
 from .test_broken_answers import GET_SERVICE, call_service
@@ -475,6 +475,32 @@
         for seen in self.run_scenario(scenario):
             self.assertEqual((200, True, 6), seen)
 
+    def test_stream_that_its_caller_resumes_is_not_lost_by_a_broken_head(self):
+        async def scenario(bench):
+            bench.add_runner("r0")
+            proxies = await add_proxies(bench)
+            proxies["r0"].prefix = b"GET /v1/streams"
+            async with bench.run_host() as host:
+                await host.until_ready("r0")
+                headers = {"Authorization": f"Bearer {KEY}"}
+                first = await host.client.post(
+                    "/v1/completions",
+                    json={"model": "lektor", "prompt": "p", "stream": True},
+                    headers=headers,
+                )
+                path = f"/v1/streams/{first.headers['rampwick-stream']}"
+                found = [await host.client.get(path, headers=headers)]
+                for cut_bytes in CUTS_BYTES:
+                    proxies["r0"].cuts_bytes = cuts_bytes = [cut_bytes, cut_bytes]
+                    found.append(await host.client.get(path, headers=headers))
+                    self.assertEqual([], cuts_bytes)
+                return [(answer.status_code, answer.content) for answer in found]
+
+        whole, *found = self.run_scenario(scenario)
+        self.assertTrue(whole[1].endswith(b"[DONE]\n\n"))
+        for seen in found:
+            self.assertEqual(whole, seen)
+
 
 class TunnelTest(TestCase):
     """A peer forwards bytes; the host that asked it frames the answer."""
