Keep reading the rest of a body as a stop is forced

Cause: the rest of a body is read after the response, since a close with unread bytes is a reset, which may take the response. A forced stop cancelled every open request each 0.25 s, those among them of which only the rest was read.

Ruled out, by a trace of each handler, send and close: a handler that never began; a connection taken for idle.

Evidence: the new test failed before with (413, True) != (0, False).

Change: a forced stop leaves requests alone whose response was sent. The bounds of the reading, 2 s and 64 MiB, stay, and so does the end for callers that left.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -80,7 +80,8 @@
             for responder, scope in self._open.items():
                 since = responder.write_started_seconds
                 is_stalled = since is not None and since < oldest
-                if is_forced or is_stalled or responder.has_caller_left():
+                is_ended = is_forced and not responder.is_discarding
+                if is_ended or is_stalled or responder.has_caller_left():
                     scope.cancel()
             if is_forced:
                 await anyio.sleep(CALLER_CHECK_SECONDS)
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -50,6 +50,9 @@
         self._read_clock = read_clock
         self.has_started = False
         self.has_ended = False
+        #: Whether the whole body was sent and only the rest of the request is read. A
+        #: close with unread bytes is a reset, which may take the response.
+        self.is_discarding = False
         #: Code of the error that ended a started response before its end, if any.
         self.cut_code = ""
         #: Start of the write that the caller has not accepted yet; None if idle.
@@ -106,6 +109,7 @@
             self._caller_socket.set_reset_on_close(False)
         self.has_ended = True
         if self._request is not None and not self._request.is_received:
+            self.is_discarding = True
             await self._request.discard()
             await self._end_unread(self._request)
             return
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import select
 from unittest import mock
 
 import anyio
@@ -15,6 +16,7 @@
 
 from rampwick_policy._idle_bounds import MARGIN_SECONDS
 from rampwick_router._native_dialect import NativeUpstreamDialect
+from rampwick_router.entry._entry import CALLER_CHECK_SECONDS
 from rampwick_router.entry._routed_entry import RoutedEntry
 from rampwick_schema import CallerLimits
 
@@ -59,6 +61,16 @@
         return await read_response(stream)
 
 
+async def response_waits(stream):
+    """Return when the kernel has a part of the response."""
+    poll = select.poll()
+    poll.register(
+        stream.extra(anyio.abc.SocketAttribute.raw_socket).fileno(), select.POLLIN
+    )
+    while not poll.poll(0):
+        await anyio.sleep(0.005)
+
+
 def error_code(response):
     """Return the code of an error response."""
     return json.loads(response.body)["error"]["code"]
@@ -92,6 +104,24 @@
         response = run(scenario)
         self.assertEqual((413, True), (response.status, response.is_whole))
 
+    def test_forced_stop_while_the_rest_of_the_body_is_read(self):
+        # The stop ended the reading, and the reset took the response from its caller.
+        async def scenario(host, servers):
+            async with connect(host) as stream:
+                head = request_head("/once/1", WITH_ID, length=LARGE_BODY_BYTES)
+                await stream.send(head)
+                for _ in range(LARGE_BODY_BYTES // CHUNK_BYTES - 1):
+                    await stream.send(b"x" * CHUNK_BYTES)
+                await response_waits(stream)
+                host.daemon.lifecycle.begin_stop()
+                host.daemon.lifecycle.begin_stop()
+                await anyio.sleep(2 * CALLER_CHECK_SECONDS)
+                await stream.send(b"x" * CHUNK_BYTES)
+                return await read_response(stream)
+
+        response = run(scenario)
+        self.assertEqual((413, True), (response.status, response.is_whole))
+
     def test_connection_goes_on_after_a_body_that_was_discarded(self):
         async def scenario(host, servers):
             async with connect(host) as stream:
