Show records that can't be read, and the ages of the lists

An operator could not see that a host's list stood still, and one entry that could not be read wrote a line with each poll. Now the status and the metrics have the age of each list and the records of each kind that were left out (upstreams, targets, peers), with their first names; `degraded` says both; the log has one line as such a record appears or changes and one as it is readable or gone, at most ten for one reading.

--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -75,6 +75,8 @@
         self._read_clock = read_clock
         #: Number of calls by step and path; a watch is one call.
         self.calls: Counter[str] = Counter()
+        #: Errors of the hosts that the last list left out, by their place.
+        self.unread_hosts: dict[str, str] = {}
         #: Highest era of the store in any response.
         self.era = 0
         self._has_response = False
@@ -184,7 +186,10 @@
         try:
             data = decode_answer(response.content, ("hosts",))
             revision = read_revision(data["version"])
-            entries = [self._read_host(item) for item in data["hosts"]]
+            self.unread_hosts = {}
+            entries = [
+                self._read_host(index, item) for index, item in enumerate(data["hosts"])
+            ]
         except (ValueError, KeyError, TypeError) as error:
             raise PlatformError(
                 f"invalid host list: {error!r}", step=request.step, peer=self._url
@@ -192,11 +197,12 @@
         hosts = [entry for entry in entries if entry is not None]
         return HostList(self._version_of(revision), hosts)
 
-    def _read_host(self, data: Any) -> HostEntry | None:
+    def _read_host(self, index: int, data: Any) -> HostEntry | None:
         """Return an entry of the host list; None if it is invalid."""
         try:
             return structure(data, HostEntry, step="read host list", peer=self._url)
-        except DataError:
+        except DataError as error:
+            self.unread_hosts[f"hosts[{index}]"] = str(error)
             return None
 
     async def _call(self, request: StoreRequest, **options: Any) -> httpx.Response:
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -1,5 +1,6 @@
 """The operators' HTTP interface: health, metrics, status, explain, drain, profile."""
 
+import math
 import resource
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -26,6 +27,7 @@
 from ._profile import MAX_PROFILE_SECONDS, Profiler
 from ._scheduler_task import Decision
 from ._unexpected_errors import unexpected_error_counts
+from ._unread_records import UnreadRecords
 from .control import ConfigurationTask, HostListTask, RolloutController
 from .entry import EntryContext
 from .peers import RolesView, TunnelsView
@@ -33,6 +35,10 @@
 log = ComponentLogger("admin")
 
 
+#: Age from which a list that was confirmed before counts as standing still: several
+#: watches long.
+STALE_LIST_SECONDS = 10.0
+
 #: Maximum number of problems of the configuration in the status.
 MAX_LISTED_PROBLEMS = 50
 
@@ -51,6 +57,8 @@
         read_store_era: Callable[[], int],
         read_roles: Callable[[], RolesView],
         read_tunnels: Callable[[], TunnelsView],
+        read_unread: Callable[[], Mapping[str, UnreadRecords]],
+        read_clock: Callable[[], float],
         needs_configuration: bool,
     ) -> None:
         self._context = context
@@ -63,6 +71,8 @@
         self._read_store_era = read_store_era
         self._read_roles = read_roles
         self._read_tunnels = read_tunnels
+        self._read_unread = read_unread
+        self._read_clock = read_clock
         self._profiler = Profiler()
         self.app = Starlette(
             routes=[
@@ -137,6 +147,10 @@
         for reason, count in self._context.connection_pool.opened_counts().items():
             metrics.connections_opened.labels(reason).set(count)
         metrics.configuration_problems.set(len(self._configuration.part_problems))
+        for kind, unread in self._read_unread().items():
+            metrics.unread_records.labels(kind).set(len(unread.errors))
+        for kind, age_seconds in self._list_ages().items():
+            metrics.list_age.labels(kind).set(age_seconds)
         metrics.unusable_routes.set(len(self._list_unusable_routes()))
         for task, count in unexpected_error_counts().items():
             metrics.unexpected_errors.labels(task).set(count)
@@ -182,9 +196,39 @@
             self._configuration.part_problems[:MAX_LISTED_PROBLEMS]
         )
         status["unusable_routes"] = self._list_unusable_routes()
+        status["unread_records"] = {
+            kind: {
+                "count": len(unread.errors),
+                "names": unread.names(MAX_LISTED_PROBLEMS),
+            }
+            for kind, unread in self._read_unread().items()
+        }
+        # Infinity is no JSON.
+        status["list_ages_seconds"] = {
+            kind: round(age_seconds, 3) if math.isfinite(age_seconds) else None
+            for kind, age_seconds in self._list_ages().items()
+        }
+        status["host_list_version"] = self._hosts.version
         status["degraded"] = self._list_problems(status)
         return JSONResponse(status)
 
+    def _list_ages(self) -> dict[str, float]:
+        """Return the time since each list was last confirmed as the newest."""
+        now_seconds = self._read_clock()
+        return {
+            "configuration": self._configuration.age_seconds(now_seconds),
+            "targets": self._context.scheduler.targets_age_seconds(),
+            "upstreams": self._hosts.age_seconds(now_seconds),
+        }
+
+    def _list_unread_problems(self) -> list[str]:
+        return [
+            f"{kind}: {len(unread.errors)} records can't be read: "
+            + ", ".join(unread.names(MAX_LISTED_PROBLEMS))
+            for kind, unread in self._read_unread().items()
+            if unread.errors
+        ]
+
     def _list_unusable_routes(self) -> list[str]:
         """Return the routes in force to which no request can be served."""
         routes = self._context.follower.view.routes.routing.routes
@@ -213,6 +257,10 @@
         ]
         if self._hosts.problem:
             problems.append(f"host list: {self._hosts.problem}")
+        age_seconds = self._list_ages()["upstreams"]
+        if STALE_LIST_SECONDS < age_seconds < math.inf:
+            problems.append(f"host list: not confirmed for {age_seconds:.1f} s")
+        problems += self._list_unread_problems()
         claims_seconds = self._context.claims.recovery_remaining_seconds
         if claims_seconds > 0.0:
             problems.append(
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -16,6 +16,7 @@
 from ._metrics import Metrics
 from ._native_dialect import NATIVE_DIALECTS
 from ._scheduler_task import SchedulerTask
+from ._unread_records import UnreadRecords
 from .control import (
     ConfigurationTask,
     HostListTask,
@@ -167,6 +168,8 @@
             lambda: api.era if api else 0,
             self.gossip.roles.describe,
             self.gossip.describe_tunnels,
+            self._read_unread,
+            clocks.monotonic,
             needs_configuration=integration is not None,
         )
 
@@ -236,6 +239,15 @@
         self.gossip.directory = self.directory
         rollout_controller.is_candidate = role.is_candidate
 
+    def _read_unread(self) -> dict[str, UnreadRecords]:
+        """Return the records of each kind that can't be read."""
+        sources = {
+            "upstreams": self.hosts.source,
+            "targets": self.targets,
+            "peers": self.directory,
+        }
+        return {kind: source.unread for kind, source in sources.items() if source}
+
     def _find_health_path(self, service: str) -> str:
         found = self.follower.view.routes.service(service)
         return found.health_path if found else "/health"
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -271,6 +271,18 @@
             "written.",
             registry=registry,
         )
+        self.unread_records = Gauge(
+            "rampwick_unread_records",
+            "Records of a kind that can't be read, while the others are.",
+            ("kind",),
+            registry=registry,
+        )
+        self.list_age = Gauge(
+            "rampwick_list_age_seconds",
+            "Time since a list was last confirmed as the newest.",
+            ("kind",),
+            registry=registry,
+        )
         self.unusable_routes = Gauge(
             "rampwick_unusable_routes",
             "Routes in force whose requests can't be served.",
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -19,6 +19,7 @@
 
 from .._logs import ComponentLogger
 from .._unexpected_errors import contain_errors, note_unexpected_error
+from .._unread_records import UnreadRecords
 
 #: Maximum wait of one watch on the upstreams. Its responses confirm the list to peers,
 #: which read the platform themselves once their data is older than FALLBACK_SECONDS.
@@ -53,6 +54,9 @@
 class HostSource(Protocol):
     """Source of the host list."""
 
+    #: Entries that the last reading left out.
+    unread: UnreadRecords
+
     async def run(self, task: HostListConsumer) -> None:
         """Pass on each list that is read, until cancelled."""
 
@@ -63,6 +67,7 @@
     def __init__(self, api: ObjectApi, interval_seconds: float) -> None:
         self._api = api
         self._interval_seconds = interval_seconds
+        self.unread = _make_unread()
 
     async def run(self, task: HostListConsumer) -> None:
         """Poll until cancelled."""
@@ -70,6 +75,7 @@
             try:
                 task.offer(await self._api.read_hosts())
                 task.note_problem("")
+                self.unread.update(getattr(self._api, "unread_hosts", {}))
             except (PlatformError, DataError) as error:
                 # Keep the last list: upstreams are probed in any case.
                 task.note_problem(str(error))
@@ -101,6 +107,7 @@
         self._decoder = decoder
         self._read_clock = read_clock
         self._guard = ExpiredEntryGuard()
+        self.unread = _make_unread()
         self._changed = anyio.Event()
         self._watcher = KindWatcher(
             api,
@@ -132,15 +139,15 @@
     def _read_state(self, state: KindState) -> None:
         self._task.note_problem("")
         entries = []
+        unread = {}
         for stored in state.objects.values():
             try:
                 entries.append(self._decoder.read_upstream(stored))
             except RampwickError as error:
-                log.problem(
-                    "invalid upstream entry", entry=stored.key, error=str(error)
-                )
+                unread[stored.key] = str(error)
             except Exception as error:
                 note_unexpected_error("upstream entry", error, entry=stored.key)
+        self.unread.update(unread)
         self._guard.apply(
             entries,
             state.version,
@@ -167,3 +174,7 @@
             if scope.cancelled_caught:
                 with contain_errors("host list"):
                     self._offer_list()
+
+
+def _make_unread() -> UnreadRecords:
+    return UnreadRecords(log, "invalid upstream entry", "entry")
--- a/packages/rampwick-router/src/rampwick_router/control/_target_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_target_sources.py
@@ -20,6 +20,7 @@
 from .._logs import ComponentLogger
 from .._scheduler_task import SchedulerTask
 from .._unexpected_errors import contain_errors, note_unexpected_error
+from .._unread_records import UnreadRecords
 
 #: Maximum wait of one watch on the targets. A watch whose connection has died receives
 #: no version until its wait ends. With 20 s the rollout controller received a version
@@ -63,6 +64,7 @@
         self._decoder = decoder
         self._scheduler = scheduler
         self._wake = wake
+        self.unread = _make_unread()
         self._watcher = KindWatcher(
             api,
             decoder.targets_prefix,
@@ -80,15 +82,15 @@
 
     def _apply_state(self, state: KindState) -> None:
         targets = []
+        unread = {}
         for stored in state.objects.values():
             try:
                 targets.append(self._decoder.read_target(stored))
             except RampwickError as error:
-                log.problem(
-                    "invalid weights target", target=stored.key, error=str(error)
-                )
+                unread[stored.key] = str(error)
             except Exception as error:
                 note_unexpected_error("weights target", error, target=stored.key)
+        self.unread.update(unread)
         with contain_errors("weights targets"):
             _post_targets(
                 self._scheduler,
@@ -115,6 +117,7 @@
         self._scheduler = scheduler
         self._must_read = must_read
         self._wake = wake
+        self.unread = _make_unread()
 
     async def run(self) -> None:
         """Read the targets periodically while this host needs them, until cancelled."""
@@ -124,6 +127,7 @@
                 started_seconds = self._read_clock()
                 try:
                     targets = await self._store.load()
+                    self.unread.update(self._store.unread)
                     _post_targets(
                         self._scheduler,
                         targets,
@@ -155,6 +159,10 @@
     wake()
 
 
+def _make_unread() -> UnreadRecords:
+    return UnreadRecords(log, "invalid weights target", "target")
+
+
 def _log_problem(problem: str) -> None:
     """Log that the targets cannot be watched; the last ones stay in effect."""
     log.problem("target watch failed", error=problem)
--- a/packages/rampwick-router/src/rampwick_router/peers/_directory.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_directory.py
@@ -18,6 +18,7 @@
 from rampwick_schema import DataError, HostRecord
 
 from .._logs import ComponentLogger
+from .._unread_records import UnreadRecords
 
 #: Key prefix of the records.
 PEERS_PREFIX = "peers/"
@@ -49,6 +50,7 @@
         self._is_reader = is_reader
         self._rng = rng
         self._members: list[Member] = []
+        self.unread = UnreadRecords(log, "invalid peer record", "record")
         #: Called after the records have been read.
         self.on_records_read: Callable[[], None] = _do_nothing
         #: Store era in which this host's record was written; none until it is written.
@@ -83,9 +85,12 @@
     async def _read_records(self) -> None:
         listing = await self._api.list_objects(PEERS_PREFIX)
         members = []
+        unread = {}
         for stored in listing.objects:
-            record = _decode(stored)
-            if record is None:
+            try:
+                record = decode_record(stored, HostRecord)
+            except DataError as error:
+                unread[stored.key] = str(error)
                 continue
             members.append(
                 Member(
@@ -96,6 +101,7 @@
                 )
             )
         self._members = members
+        self.unread.update(unread)
 
     async def _write_record(self) -> None:
         own = self._own
@@ -109,20 +115,18 @@
         )
         stored = await self._api.get(key)
         version = stored.version if stored else ABSENT
-        known = _decode(stored) if stored else None
-        is_current = known is not None and known.peer_address == record.peer_address
-        if not is_current:
+        if stored is None or not _has_address(stored, record.peer_address):
             await put_idempotent(self._api, key, record, version)
         self._recorded_era = self._api.era
 
 
-def _decode(stored: StoredObject) -> HostRecord | None:
-    """Return a host's record; None if it is invalid, which hides no other."""
+def _has_address(stored: StoredObject, address: str) -> bool:
+    """Return whether a host's record is valid and has an address."""
     try:
-        return decode_record(stored, HostRecord)
-    except DataError as error:
-        log.problem("invalid peer record", record=stored.key, error=str(error))
-        return None
+        return decode_record(stored, HostRecord).peer_address == address
+    except DataError:
+        # The writer replaces it, whatever it holds.
+        return False
 
 
 def _do_nothing() -> None:
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import anyio
+import httpx
 import orjson
 from testtools import TestCase
 
@@ -24,6 +25,7 @@
     NativeUpstreamDialect,
 )
 from rampwick_router._unexpected_errors import unexpected_error_counts
+from rampwick_router._unread_records import MAX_LOGGED_RECORDS, UnreadRecords
 from rampwick_router.peers._gossip import GossipTask
 from rampwick_router.upstream._connection_pool import ConnectionPool
 from rampwick_router.upstream._control import call_upstream
@@ -219,6 +221,75 @@
     return found, refused
 
 
+class UnreadRecordsTest(TestCase):
+    """What an operator sees of records that can't be read."""
+
+    def test_unread_entry_is_in_the_status_the_metrics_and_once_in_the_log(self):
+        async def main():
+            async with (
+                run_routed({"labels": ["sound"]}) as (host, _),
+                httpx.AsyncClient(base_url=f"http://{host.admin_address}") as client,
+            ):
+
+                async def status():
+                    await anyio.sleep(0.8)
+                    return (await client.get("/status")).json()
+
+                found = [await status()]
+                key = "upstreams/odd"
+                host.store.write(key, {"name": 7})
+                # Other entries change, so that the list is read again and again.
+                for number in range(5):
+                    host.store.write("upstreams/more", {"name": number})
+                    await anyio.sleep(0.35)
+                found.append(await status())
+                metrics = (await client.get("/metrics")).text
+                host.store.delete(key)
+                host.store.delete("upstreams/more")
+                found.append(await status())
+                return found, metrics
+
+        lines = []
+        with mock.patch(
+            "rampwick_router._unread_records.ComponentLogger._write",
+            lambda self, level, text, fields: lines.append((text, fields)),
+        ):
+            (before, during, after), metrics = anyio.run(main)
+        empty = {"count": 0, "names": []}
+        self.assertEqual(empty, before["unread_records"]["upstreams"])
+        unread = during["unread_records"]["upstreams"]
+        self.assertEqual(2, unread["count"])
+        self.assertEqual({"upstreams/odd", "upstreams/more"}, set(unread["names"]))
+        named = [item for item in during["degraded"] if "upstreams/odd" in item]
+        self.assertEqual(1, len(named), during["degraded"])
+        self.assertTrue(during["list_ages_seconds"]["upstreams"] < 5.0)
+        self.assertTrue(during["host_list_version"] > before["host_list_version"])
+        self.assertEqual(empty, after["unread_records"]["upstreams"])
+        self.assertIn('rampwick_unread_records{kind="upstreams"} 2.0', metrics)
+        self.assertIn('rampwick_list_age_seconds{kind="upstreams"}', metrics)
+        odd = [text for text, fields in lines if fields.get("entry") == "upstreams/odd"]
+        self.assertEqual(
+            ["invalid upstream entry", "invalid upstream entry: readable or gone"], odd
+        )
+
+    def test_many_unread_records_take_few_lines(self):
+        lines = []
+        log = mock.Mock(
+            problem=lambda text, **fields: lines.append(fields),
+            info=lambda text, **fields: lines.append(fields),
+        )
+        unread = UnreadRecords(log, "invalid", "entry")
+        errors = {f"k/{number}" + "x" * 1000: "odd" for number in range(1000)}
+        for _ in range(3):
+            unread.update(errors)
+        self.assertEqual(MAX_LOGGED_RECORDS, len(lines))
+        self.assertEqual({1000}, {fields["unread_count"] for fields in lines})
+        self.assertTrue(all(len(fields["entry"]) <= 200 for fields in lines))
+        self.assertEqual(20, len(unread.names(20)))
+        unread.update({})
+        self.assertEqual(2 * MAX_LOGGED_RECORDS, len(lines))
+
+
 class UnsendableRequestTest(TestCase):
     """A request that HTTP can't represent, for whatever reason."""
 
