Soak: an odd entry of another writer, beside which a runner leaves

The soak wrote sound entries only. The host list of the stand-in platform can now hold JSON of any kind (nested deeply, numbers of 5,000 digits, NaN, a lone surrogate, not UTF-8, no JSON), which appears among the other faults, and alone while a runner leaves. The check of what runners see, no request later than 2 s after a runner is listed as leaving, holds beside it: an odd entry excuses nothing.

--- a/packages/rampwick-standin/src/rampwick_standin/_platform.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_platform.py
@@ -4,7 +4,8 @@
 ``delay_seconds`` delays each call, ``lost_answers_count`` loses the responses of that
 many writes after they took effect, ``is_stale`` serves reads from the state at the time
 of the call to ``/faults``. ``POST /copy`` saves a copy of the store, and ``POST
-/restore`` restores the store from that copy in a new era.
+/restore`` restores the store from that copy in a new era. ``POST /odd`` takes JSON of
+any kind, which the host list then contains as it is; an empty body removes it.
 """
 
 import copy
@@ -48,6 +49,8 @@
         self.hosts = HostList(version=0, hosts=[])
         self.faults = PlatformFaults()
         self.calls_count = 0
+        #: JSON of another writer among the hosts.
+        self.odd_host = b""
         self._stale_store = self.store
         self._copy = copy.deepcopy(self.store)
         self.era = 0
@@ -60,6 +63,7 @@
                 Route("/v1/hosts", self._read_hosts, methods=["GET"]),
                 Route("/v1/hosts", self._write_hosts, methods=["PUT"]),
                 Route("/faults", self._set_faults, methods=["POST"]),
+                Route("/odd", self._set_odd, methods=["POST"]),
                 Route("/copy", self._handle_copy, methods=["POST"]),
                 Route("/restore", self._handle_restore, methods=["POST"]),
             ],
@@ -171,7 +175,14 @@
     async def _read_hosts(self, request: Request) -> Response:
         if failure := await self._apply_faults():
             return failure
-        return JSONResponse(unstructure(self.hosts))
+        hosts = [json.dumps(item).encode() for item in unstructure(self.hosts)["hosts"]]
+        if self.odd_host:
+            hosts.insert(len(hosts) // 2, self.odd_host)
+        content = b'{"version":%d,"hosts":[%s]}' % (
+            self.hosts.version,
+            b",".join(hosts),
+        )
+        return Response(content, media_type="application/json")
 
     async def _write_hosts(self, request: Request) -> Response:
         entries = structure(
@@ -180,6 +191,12 @@
         self.set_hosts(entries)
         return Response(status_code=204)
 
+    async def _set_odd(self, request: Request) -> Response:
+        self.odd_host = await request.body()
+        # Hosts read a list whose version they know as unchanged.
+        self.set_hosts(self.hosts.hosts)
+        return Response(status_code=204)
+
     async def _handle_copy(self, request: Request) -> Response:
         self.save_copy()
         return Response(status_code=204)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -17,7 +17,7 @@
 )
 
 from ._callers import RESPONSE_TOKENS, SHARED_PREFIX, Call, at_most_once_prompts
-from ._faults import PLANNED, InjectedFault
+from ._faults import WITHOUT_EFFECT, InjectedFault
 from ._fleet import CRASHING_PROMPT
 from ._limited import LIMITED_PREFIX, check_limited_runs
 
@@ -430,7 +430,7 @@
 ) -> bool:
     """Return whether only planned operations overlapped a time span."""
     return not any(
-        injected.kind not in PLANNED
+        injected.kind not in WITHOUT_EFFECT
         and injected.began_seconds < to_seconds
         and injected.ended_seconds > from_seconds
         for injected in injected_faults
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -53,6 +53,9 @@
 #: Planned operations: none may make a request fail.
 PLANNED = ("host_term", "configure", "set_weights_target", "runner_leave")
 
+#: Faults that excuse nothing: what hosts owe callers holds beside them.
+WITHOUT_EFFECT = (*PLANNED, "odd_entry")
+
 #: All other faults.
 UNPLANNED = (
     "clock_step",
@@ -96,6 +99,18 @@
     "torn_streams",
     "cut_answers",
     "crashing_part",
+    "odd_entry",
+)
+
+#: JSON of other writers in the host list, which no decoder or no reader takes.
+ODD_ENTRIES = (
+    b'{"name":' + b'{"a":' * 3000 + b"1" + b"}" * 3001,
+    b"[" * 100_000 + b"]" * 100_000,
+    b'{"name":"odd","slots_count":' + b"9" * 5000 + b"}",
+    b'{"name":"odd","kind":"runner","hall":NaN,"address":-1e400}',
+    b'{"name":"\\ud800","kind":"runner"}',
+    b'"\xff\xfe"',
+    b"01x",
 )
 
 #: Ways in which a host's links to the upstreams fail: all bytes are held back, all
@@ -107,6 +122,9 @@
 CUT_OFF_SECONDS = 6.0
 CUT_OFF_PAUSE_SECONDS = 0.7
 
+#: How long an odd entry is listed while a runner leaves.
+ODD_SECONDS = 6.0
+
 #: Time for which callers are observed after all connections have fallen silent.
 SILENT_SECONDS = 6.0
 
@@ -514,6 +532,24 @@
         injected.ended_seconds = time.monotonic()
         await self._fleet.publish()
 
+    async def leave_beside_odd_entry(self, number: int) -> None:
+        """Have a runner leave while an odd entry is listed, and nothing else happens.
+
+        It is checked as any other that leaves: an odd entry excuses nothing.
+        """
+        async with anyio.create_task_group() as tasks:
+            strength = number % len(ODD_ENTRIES) / len(ODD_ENTRIES)
+            odd = Fault(0.0, ODD_SECONDS, "odd_entry", number, strength)
+            tasks.start_soon(self._inject, odd, time.monotonic())
+            leaving = Fault(ODD_SECONDS / 4, ODD_SECONDS / 2, "runner_leave", number)
+            tasks.start_soon(self._inject, leaving, time.monotonic())
+
+    async def _odd_entry(self, fault: Fault, injected: InjectedFault) -> None:
+        raw = ODD_ENTRIES[int(fault.strength * len(ODD_ENTRIES)) % len(ODD_ENTRIES)]
+        await self._fleet.list_odd_host(raw)
+        await anyio.sleep(fault.duration_seconds)
+        await self._fleet.list_odd_host(b"")
+
     # The platform, and changes by operators.
 
     async def _platform_down(self, fault: Fault, injected: InjectedFault) -> None:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -271,6 +271,11 @@
         response = await self._client.put(f"{self.platform_url}/v1/hosts", json=body)
         response.raise_for_status()
 
+    async def list_odd_host(self, raw: bytes) -> None:
+        """Have the host list contain JSON of another writer; remove it if empty."""
+        url = f"{self.platform_url}/odd"
+        (await self._client.post(url, content=raw)).raise_for_status()
+
     async def post(self, child: ManagedProcess, path: str, data: object = None) -> None:
         """Send a command to a stand-in, such as the faults to apply."""
         url = f"http://{LOOPBACK}:{child.port}{path}"
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -119,6 +119,8 @@
             await self._injector.inject_all(plan, time.monotonic())
             await self._injector.clear_faults()
             await self._await_recovery("after the faults")
+            await self._injector.leave_beside_odd_entry(self._parameters.seed)
+            await self._await_recovery("after the odd entry")
             await self._injector.cut_off_alone(self._parameters.seed)
             await self._await_recovery("after the cuts")
             # Calls before the silence show how callers are usually served.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -302,6 +302,19 @@
             )
             self.assertEqual(is_reported, bool(violations), at)
 
+    def test_request_to_a_draining_runner_beside_an_odd_entry_is_reported(self):
+        injected_faults = [
+            InjectedFault("odd_entry", "", 99.0, 111.0),
+            InjectedFault("runner_leave", "r0", 100.0, 110.0),
+        ]
+        for at, is_reported in ((101.0, False), (105.0, True)):
+            violations = self.violations(
+                attempts=[attempt_record("p")],
+                started={"a.1": at},
+                injected_faults=injected_faults,
+            )
+            self.assertEqual(is_reported, bool(violations), at)
+
     def test_complete_response_with_broken_content_is_reported(self):
         bodies = (
             ("stream", 200, b'id: 1\ndata: {"cho'),
