A request is not sent to an upstream that was removed meanwhile

What callers saw: a request that waited for its connection was sent although the list that the host had read meanwhile did not have the upstream any more, or had it at another address.

Cause: `Pool.withdrawal`, which is asked before the first write of each attempt, knew upstreams that leave or pause, and took one that is not in the table for one that may be sent to. Class: what is absent was taken for what is allowed.

Ruled out: a listed upstream that leaves (withdrawn before this change, too); orders and probes (they don't count).

Evidence, failed before: (200, {'a': 0, 'b': 1}) != (200, {'a': 1, 'b': 0}) for the removed one, (200, 0) != (200, 1) for the one that moved.

Change: an upstream that is not listed at the address of the attempt withdraws it, and the request is placed again without a charge to the retry budget. The two tests that call `withdrawal` pass the address, and check what they did.

--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -290,16 +290,16 @@
         return UNKNOWN
 
     def withdrawal(
-        self, name: str, incarnation: str, now_seconds: float
+        self, name: str, address: str, incarnation: str, now_seconds: float
     ) -> IneligibleReason | None:
         """Return why a request that was placed must not be sent any more, if so.
 
         An upstream's shutdown or pause that is announced while a request waits for its
-        connection also applies to that request.
+        connection also applies to that request, and so does its removal.
         """
         upstream = self.upstreams.get(name)
-        if upstream is None:
-            return None
+        if upstream is None or upstream.entry.address != address:
+            return IneligibleReason.REMOVED
         if incarnation not in ("", upstream.incarnation):
             return None
         reason = self.upstreams.ineligible_reason(upstream, now_seconds)
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -84,6 +84,8 @@
     #: Its weights are too old for new requests.
     OUTDATED = "outdated"
     DOWN = "down"
+    #: Its entry has been removed, or replaced by one with another address.
+    REMOVED = "removed"
 
     @property
     def is_requested_by_upstream(self) -> bool:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -170,10 +170,14 @@
         found = self._scheduler.upstreams.get(upstream)
         return found is not None and self._scheduler.pool.brittle.is_brittle(found)
 
-    def withdrawal(self, upstream: str, incarnation: str) -> IneligibleReason | None:
+    def withdrawal(self, dispatch: Dispatch) -> IneligibleReason | None:
         """Return why a dispatched request must not be sent; None if it may be."""
-        pool = self._scheduler.pool
-        return pool.withdrawal(upstream, incarnation, self._read_clock())
+        return self._scheduler.pool.withdrawal(
+            dispatch.upstream,
+            dispatch.address,
+            dispatch.incarnation,
+            self._read_clock(),
+        )
 
     def may_give_up(self, request_id: str) -> bool:
         """Return whether a request's attempt may end though it may be sound."""
--- a/packages/rampwick-router/src/rampwick_router/entry/_signals.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_signals.py
@@ -26,7 +26,7 @@
 
 def check_not_withdrawn(scheduler: SchedulerTask, dispatch: Dispatch) -> None:
     """Raise if the upstream has stopped accepting requests since the dispatch."""
-    ineligible_reason = scheduler.withdrawal(dispatch.upstream, dispatch.incarnation)
+    ineligible_reason = scheduler.withdrawal(dispatch)
     if ineligible_reason is not None:
         raise AttemptError(
             f"the upstream is {ineligible_reason.value}",
--- a/tests/test_requests_to_leaving_upstreams.py
+++ b/tests/test_requests_to_leaving_upstreams.py
@@ -3,6 +3,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import attrs
 from testtools import TestCase
 
 from rampwick_adapter._control import ControlTranslation
@@ -66,28 +67,60 @@
         self.assertEqual({200}, set(statuses))
         self.assertEqual(1, count)
 
-    def test_no_request_is_sent_that_waited_for_its_connection_meanwhile(self):
+    def count_sent(self, change):
+        """Return a status, and what each upstream got of a request that had to wait.
+
+        ``change`` is called with the host while the request waits for its connection.
+        """
+
         async def main():
             with anyio.fail_after(TEST_TIMEOUT_SECONDS):
                 async with run_routed({"labels": ["a", "b"]}) as (host, found):
-                    scheduler = host.daemon.scheduler
                     connection_pool = host.daemon.entry._context.connection_pool
                     borrow = connection_pool.borrow
 
                     @asynccontextmanager
-                    async def announce_first(upstream, *terms, **options):
+                    async def change_first(upstream, *terms, **options):
                         async with borrow(upstream, *terms, **options) as connection:
-                            signal = UpstreamSignalled("a", "a", is_leaving=True)
-                            scheduler.post(signal)
+                            change(host)
                             yield connection
 
-                    connection_pool.borrow = announce_first
+                    connection_pool.borrow = change_first
                     answer = await host.call("/once/1")
                     return answer.status, {
                         name: len(item.requests) for name, item in found.items()
                     }
 
-        self.assertEqual((200, {"a": 0, "b": 1}), anyio.run(main))
+        return anyio.run(main)
+
+    def test_no_request_is_sent_that_waited_for_its_connection_meanwhile(self):
+        def announce(host):
+            signal = UpstreamSignalled("a", "a", is_leaving=True)
+            host.daemon.scheduler.post(signal)
+
+        self.assertEqual((200, {"a": 0, "b": 1}), self.count_sent(announce))
+
+    def test_no_request_is_sent_to_an_upstream_that_was_removed_meanwhile(self):
+        def remove(host):
+            listed = host.daemon._hosts.host_list
+            left = [entry for entry in listed.hosts if entry.name != "a"]
+            host.daemon._hosts.offer(HostList(listed.version + 1, left))
+
+        self.assertEqual((200, {"a": 0, "b": 1}), self.count_sent(remove))
+
+    def test_no_request_is_sent_to_the_address_that_an_upstream_had_before(self):
+        def move(host):
+            listed = host.daemon._hosts.host_list
+            moved = [
+                attrs.evolve(entry, address="127.0.0.1:9")
+                if entry.name == "a"
+                else entry
+                for entry in listed.hosts
+            ]
+            host.daemon._hosts.offer(HostList(listed.version + 1, moved))
+
+        status, counts = self.count_sent(move)
+        self.assertEqual((200, 0), (status, counts["a"]))
 
 
 def announce_shutdown(session, at, *names, incarnation="one"):
@@ -152,7 +185,9 @@
         session = Session(runners=2, slots=8)
         (first,) = session.arrive(1.0, "r1", is_repeatable=False)
         announce_shutdown(session, 1.0, first.upstream)
-        found = session.scheduler.pool.withdrawal(first.upstream, "one", 1.0)
+        found = session.scheduler.pool.withdrawal(
+            first.upstream, first.address, "one", 1.0
+        )
         self.assertEqual(IneligibleReason.LEAVING, found)
         before = session.scheduler.budgets.min_balance
         failed = AttemptFailed("r1", "r1.1", Outcome.WITHDRAWN, "it is draining")
--- a/tests/test_requests_within_a_pause.py
+++ b/tests/test_requests_within_a_pause.py
@@ -113,9 +113,11 @@
 
     def test_a_request_placed_before_the_pause_is_not_sent(self):
         session = Session(runners=2, slots=8)
-        (first,) = self.sent_to(session.arrive(1.0, "r1"))
-        self.pause(session, 1.0, first)
-        found = session.scheduler.pool.withdrawal(first, "one", 1.0)
+        (first,) = session.arrive(1.0, "r1")
+        self.pause(session, 1.0, first.upstream)
+        found = session.scheduler.pool.withdrawal(
+            first.upstream, first.address, "one", 1.0
+        )
         self.assertEqual(IneligibleReason.PAUSED, found)
 
     def test_requests_are_refused_while_all_upstreams_are_paused(self):
