Tell new peers that listed versions are in use until now

What callers could see: a stream went on at another software version. A host that has just started was told that a version was last listed when the list last changed, minutes ago. If all upstreams of it left before the host's own first list, the new version was taken for the only one.

Cause: the list is applied at changes only, and the age of a version counted from there, also while its upstreams were listed.

Evidence, on the code before: SoftwareVersionsTest. test_new_peer_knows_versions_that_left_before_its_first_list fails with "'v2' is not None".

Change: versions listed now are noted before ages are sent or stored, if the list is current. The focused tests pass.

--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -120,6 +120,8 @@
         self.to_group = Outbox(history)
         #: Where streams of the own group go that are to outlive all hosts.
         self.storage: StreamStorage | None = None
+        #: Called before peers are told which versions were listed, and when.
+        self.on_state: Callable[[float], None] = _ignore_time
         #: Streams received lately while another host was the relay.
         self._unforwarded: deque[tuple[float, bytes, bool]] = deque()
         self._cached_state: tuple[float, BegunStreamsUpdate] | None = None
@@ -208,6 +210,7 @@
         return state
 
     def _make_state(self, now_seconds: float) -> BegunStreamsUpdate:
+        self.on_state(now_seconds)
         self._expire(now_seconds)
         keys = list(self._streams)[-MAX_UPDATE_COUNT:]
         update = _to_update({key: self._streams[key] for key in keys}, now_seconds)
@@ -423,3 +426,7 @@
 
 def _do_nothing() -> None:
     return
+
+
+def _ignore_time(now_seconds: float) -> None:
+    return
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -58,6 +58,7 @@
         self.is_enabled = is_enabled
         self.history = VersionHistory()
         self.streams = BegunStreams(self.history)
+        self.streams.on_state = self.note_in_use
         self.segments = StreamSegments(self.history)
         if is_enabled:
             self.streams.storage = self.segments
@@ -69,6 +70,14 @@
         if self.is_enabled:
             self.history.note_listed(self._upstreams, now_seconds)
 
+    def note_in_use(self, now_seconds: float) -> None:
+        """Record that the listed versions are in use until now.
+
+        The list is read anew at changes only. An old list tells nothing of now.
+        """
+        if self.history.known_seconds(now_seconds):
+            self.note_listed(now_seconds)
+
     def note_time(self, now_seconds: float) -> None:
         """Record that time has passed."""
         if self.is_enabled:
--- a/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
@@ -276,8 +276,7 @@
         ):
             return
         self._history_due_seconds = now_seconds + HISTORY_INTERVAL_SECONDS
-        # The list is read anew at changes only, and its versions are in use until now.
-        self._versions.note_listed(now_seconds)
+        self._versions.note_in_use(now_seconds)
         read.versions[self._group] = await self._store.write_history(
             self._group,
             read.versions.get(self._group, ABSENT),
--- a/tests/test_begun_stream_load.py
+++ b/tests/test_begun_stream_load.py
@@ -27,6 +27,7 @@
 )
 from rampwick_policy._timeliness import is_due
 from rampwick_policy._tree import resolve_workspace
+from rampwick_policy._version_history import VersionHistory
 from rampwick_schema import (
     HostEntry,
     HostList,
@@ -226,6 +227,21 @@
             ages = software_versions.history.ages(1.0)
             self.assertEqual(versions, sorted(version for _, version, _ in ages))
 
+    def test_new_peer_knows_versions_that_left_before_its_first_list(self):
+        upstreams = Fleet().scheduler.upstreams
+        own = SoftwareVersions(upstreams, is_enabled=True)
+        peer = VersionHistory()
+        for history in (own.history, peer):
+            history.list_age_seconds = lambda now_seconds: 0.5
+        own.note_listed(1.0)
+        # The list stays the same for long.
+        state = own.streams.initial_state(300.0)
+        peer.receive(state.listed, state.known_seconds, 300.0)
+        (service,) = {upstream.entry.group for upstream in upstreams}
+        left = [item for item in upstreams if item.entry.software_version == "v2"]
+        peer.note_listed(left, 300.1)
+        self.assertIsNone(peer.only_version(service, left, 10.0, 300.2))
+
     def test_upstream_without_a_version_is_the_same_as_none(self):
         fleet = Fleet()
         fleet.versions["c1"] = ""
