Let a standby store begun streams too

What callers saw: with two hosts of which the one that writes for the group can't write (the store may refuse single hosts), streams were refused after both had ended.

Evidence, on the code before: test_streams_go_on_though_one_host_could_not_ write, "[200, 200, 200] != [503, 503, 503]".

Change: the second host of each group writes as well, each second while a service has several versions and each 4 s otherwise, in segments of its own.

--- a/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
@@ -1,10 +1,12 @@
 """The begun streams that are kept in the store, in segments.
 
 Streams in the store outlive the end of all hosts. One host of each group writes those
-that its group began. A segment is one object: it is written again as streams are added
-to it, then closed, and overwritten once all of its streams have expired. Streams are
-written at once while a service has several versions. Otherwise they are needed only if
-another version is listed while no host runs, and are written less often.
+that its group began, and a standby does so less often, in segments of its own.
+
+A segment is one object: it is written again as streams are added to it, then closed,
+and overwritten once all of its streams have expired. Streams are written at once while
+a service has several versions. Otherwise they are needed only if another version is
+listed while no host runs, and are written less often.
 """
 
 import math
@@ -31,9 +33,12 @@
 #: Time between two writes of one group and of all groups together, while a service has
 #: several versions, and between two writes of one group otherwise.
 GROUP_INTERVAL_SECONDS = 0.1
-FLEET_INTERVAL_SECONDS = 0.025
+FLEET_INTERVAL_SECONDS = 0.03
 RELAXED_INTERVAL_SECONDS = 1.0
 
+#: Factor of the interval of a standby, which writes each second at most.
+STANDBY_FACTOR = 4.0
+
 
 @attrs.define(repr=False)
 class Segment(ReprMixin):
@@ -63,6 +68,8 @@
         #: Streams that aren't stored.
         self._pending: dict[bytes, BegunStream] = {}
         self._written_at_seconds = -math.inf
+        #: Whether another host of the group writes as well, and more often.
+        self.is_standby = False
         #: Called when there are streams to be written.
         self.on_pending: Callable[[], None] = _do_nothing
         self._segments: dict[int, Segment] = {}
@@ -137,10 +144,10 @@
 
     def _interval_seconds(self, groups_count: int, now_seconds: float) -> float:
         is_mixed = self._history.had_several(MIXED_SECONDS, now_seconds)
-        return max(
-            GROUP_INTERVAL_SECONDS if is_mixed else RELAXED_INTERVAL_SECONDS,
-            FLEET_INTERVAL_SECONDS * groups_count,
-        )
+        seconds = GROUP_INTERVAL_SECONDS if is_mixed else RELAXED_INTERVAL_SECONDS
+        if self.is_standby:
+            seconds = max(RELAXED_INTERVAL_SECONDS, STANDBY_FACTOR * seconds)
+        return max(seconds, FLEET_INTERVAL_SECONDS * groups_count)
 
     def _take_pending(self, now_seconds: float) -> dict[bytes, BegunStream]:
         # The newest ones are useful for longest, should there be too many.
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -231,7 +231,7 @@
                 api,
                 decoder,
                 scheduler.software_versions,
-                role.is_recorder,
+                role.recorder_rank,
                 self._find_group,
                 lambda: (
                     host_source.store_version,
--- a/packages/rampwick-router/src/rampwick_router/control/_reader_role.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_reader_role.py
@@ -30,6 +30,9 @@
 #: within it.
 RECORDER_GRACE_SECONDS = 1.0
 
+#: Hosts of each group that write: the store may refuse one of them.
+RECORDERS_COUNT = 2
+
 #: Number of hosts of each group, by rank, that compete for the rollout lease.
 CANDIDATES_COUNT = 2
 
@@ -66,17 +69,17 @@
         """Return whether this host reads the platform for its group."""
         return self._is_past_grace() and self._table.is_reader(self._list_live())
 
-    def is_recorder(self) -> bool:
-        """Return whether this host writes the streams that its group began.
+    def recorder_rank(self) -> int | None:
+        """Return the rank of this host among those that write what its group began.
 
-        After a simultaneous start each host knows itself alone at first.
+        None if it doesn't write. After a simultaneous start each host knows itself
+        alone at first.
         """
         uptime_seconds = self._read_clock() - self._started_seconds
-        is_settled = uptime_seconds >= RECORDER_GRACE_SECONDS
-        return is_settled and self.is_reader() and not self._rank()
-
-    def _rank(self) -> int:
-        return self._table.rank(self._list_live())
+        if uptime_seconds < RECORDER_GRACE_SECONDS or not self._is_past_grace():
+            return None
+        rank = self._table.rank(self._list_live())
+        return rank if rank < RECORDERS_COUNT else None
 
     def is_disconnected(self) -> bool:
         """Return whether this host has no live peer."""
--- a/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
@@ -1,7 +1,7 @@
 """Storage of begun streams and software versions beyond the end of all hosts.
 
 Each host reads what is stored once at its start, and the history of versions again
-after its own one was interrupted. One host of each group writes.
+after its own one was interrupted. Few hosts of each group write.
 """
 
 import random
@@ -65,7 +65,7 @@
         api: ObjectApi,
         decoder: UpstreamDecoder,
         versions: SoftwareVersions,
-        is_recorder: Callable[[], bool],
+        recorder_rank: Callable[[], int | None],
         find_group: Callable[[], tuple[str, int]],
         read_list: Callable[[], tuple[int, float]],
         read_clock: Callable[[], float],
@@ -73,15 +73,15 @@
     ) -> None:
         """Store the streams of ``versions``.
 
-        ``find_group`` returns the name of this host's group and the number of groups,
-        and ``read_list`` the version of the store up to which this host's own list of
+        ``recorder_rank`` returns the rank of this host among those of its group that
+        write, or None; ``find_group`` the name of its group and the number of groups;
+        ``read_list`` the version of the store up to which this host's own list of
         upstreams is complete, and the age of its list.
         """
-        self._api = api
         self._store = StreamStore(api, _log_unreadable)
         self._decoder = decoder
         self._versions = versions
-        self._is_recorder = is_recorder
+        self._recorder_rank = recorder_rank
         self._find_group = find_group
         self._read_list = read_list
         self._read_clock = read_clock
@@ -124,7 +124,9 @@
             self._group, self._read = group, None
         if self._needs_recovery():
             await self._recover()
-        if self._is_recorder():
+        rank = self._recorder_rank()
+        if rank is not None:
+            self._versions.segments.is_standby = rank > 0
             await self._write()
 
     async def _pause(self) -> None:
@@ -132,7 +134,7 @@
         if self._needs_recovery():
             await anyio.sleep(START_INTERVAL_SECONDS)
             return
-        if not self._is_recorder():
+        if self._recorder_rank() is None:
             await anyio.sleep(IDLE_INTERVAL_SECONDS)
             return
         with anyio.move_on_after(IDLE_INTERVAL_SECONDS):
@@ -205,7 +207,7 @@
         if history is not None:
             await self._join_history(history)
         self._recovered_resets_count = resets_count
-        if not self._is_recorder():
+        if self._recorder_rank() is None:
             # After the next interruption there will be a newer history.
             self._read = None
 
@@ -244,7 +246,8 @@
 
     async def _write(self) -> None:
         read = self._read or await self._read_all()
-        if not self._needs_recovery():
+        is_first = not self._versions.segments.is_standby
+        if is_first and not self._needs_recovery():
             # One that begins with this host's start must not replace a longer one.
             await self._write_history(read)
         _, groups_count = self._find_group()
--- a/tests/test_stream_segments.py
+++ b/tests/test_stream_segments.py
@@ -77,6 +77,16 @@
             self.assertIsNone(segments.next_write(1, due_seconds - 0.01))
             self.assertIsNotNone(segments.next_write(1, due_seconds + 0.01))
 
+    def test_standby_writes_each_second_at_most(self):
+        for versions in (["v1", "v2"], ["v1"]):
+            streams, segments = make_streams(*versions)
+            segments.is_standby = True
+            begin(streams, "a")
+            self.write(segments, 0.0)
+            begin(streams, "b")
+            self.assertIsNone(segments.next_write(1, 0.99))
+            self.assertIsNotNone(segments.next_write(1, 4.01))
+
     def test_all_groups_together_write_at_a_bounded_rate(self):
         streams, segments = make_streams("v1", "v2")
         writes_count = 0
--- a/tests/test_streams_outlive_hosts.py
+++ b/tests/test_streams_outlive_hosts.py
@@ -75,19 +75,22 @@
 
 
 @asynccontextmanager
-async def hosts(store, count=4, must_list=True):
-    """Run two hosts; the end of the context ends both at once, without a stop."""
+async def hosts(store, count=4, cut_off=None):
+    """Run two hosts; the end of the context ends both at once, without a stop.
+
+    ``cut_off`` is the number of a host whose writes fail.
+    """
     async with AsyncExitStack() as stack:
         found, seeds = [], ""
-        for name in ("entry-1", "entry-2"):
+        for number, name in enumerate(("entry-1", "entry-2")):
+            seen = RefusedWrites(store) if number == cut_off else store
             host = await stack.enter_async_context(
-                run_routed_host(store, name, peers=PEERS + seeds, has_versions=True)
+                run_routed_host(seen, name, peers=PEERS + seeds, has_versions=True)
             )
             seeds = f'seeds = ["{host.peer_address}"]\n'
             found.append(host)
-        if must_list:
-            for host in found:
-                await until(lambda host=host: host.upstreams_count == count)
+        for host in found:
+            await until(lambda host=host: host.upstreams_count == count)
         yield found
 
 
@@ -178,6 +181,20 @@
 
         self.assertEqual(([503] * 3, 0), run(scenario))
 
+    def test_streams_go_on_though_one_host_could_not_write(self):
+        async def scenario(store, servers):
+            async with hosts(store, cut_off=cut_off) as (one, two):
+                await until(lambda: two.daemon.scheduler.hosts_count == 2)
+                await anyio.sleep(WRITTEN_SECONDS)
+                for number in range(3):
+                    await begin_stream(one, f"s{number}")
+                await anyio.sleep(1.5)
+            async with hosts(store) as (one, _):
+                return await resume_all(one, 3)
+
+        for cut_off in (0, 1):
+            self.assertEqual([200] * 3, run(scenario), cut_off)
+
     def test_streams_go_on_once_the_store_answers_after_the_start(self):
         async def scenario(store, servers):
             await begin(store, servers)
@@ -248,6 +265,13 @@
         return await self._store.list_objects(prefix, after_key)
 
 
+class RefusedWrites(StoreProxy):
+    """A store that refuses to write."""
+
+    async def put(self, key, value, expected_version):
+        raise PlatformUnavailableError("status 503", step="put object")
+
+
 class ForgottenHistory(StoreProxy):
     """A store that has forgotten what was before this object was made."""
 
