Take a stream without its first event for a broken attempt

The route's other attempt was not used, and a caller had no reason to ask again.

Cause: find_defect asks for an event only where the close ends the body. The class is known: the end of a container is taken for the end of its content.

Now the first event of a stream on a route is due, as the event that an earlier attempt was cut in already was (is_event_due): another attempt follows if it may, else 502. Not where the caller resumes a stream, which may have had its last event; nor for 204, HEAD, other types, errors and plain services.

Failed before: (200, event, True, 2) != (200, empty, True, 1).

--- a/packages/rampwick-policy/src/rampwick_policy/_completeness.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_completeness.py
@@ -52,8 +52,8 @@
     events_count: int = 0
     #: Whether the body ended between the first and the last byte of an event.
     is_inside_event: bool = False
-    #: Whether an earlier attempt of the same answer ended inside an event, so that at
-    #: least one more event is due.
+    #: Whether at least one more event is due: the first one of a stream, or the one
+    #: that an earlier attempt of the same answer was cut in.
     is_event_due: bool = False
     #: Whether the event that marks the end of a complete answer was received.
     has_final_event: bool = False
@@ -72,7 +72,7 @@
     if answer.is_inside_event:
         return "the stream ended inside an event"
     if answer.is_event_due and not answer.events_count:
-        return "the stream ended without the event that was cut before"
+        return "the stream ended without an event that was due"
     has_no_evidence = answer.body_end is BodyEnd.CLOSED and not answer.events_count
     if answer.content is AnswerContent.EVENTS and has_no_evidence:
         return "the connection closed before the first event"
--- a/packages/rampwick-router/src/rampwick_router/_headers.py
+++ b/packages/rampwick-router/src/rampwick_router/_headers.py
@@ -1,6 +1,7 @@
 """Headers of requests and responses, and the selection of end-to-end headers."""
 
 from collections.abc import Iterable, Sequence
+from http import HTTPStatus
 
 import attrs
 
@@ -9,6 +10,9 @@
 Header = tuple[bytes, bytes]
 RawHeaders = Sequence[Header]
 
+#: Statuses whose responses have no body.
+BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
 #: Requests per second that a rampwick upstream accepts from all hosts together.
 REQUEST_RATE = b"rampwick-request-rate"
 
@@ -93,3 +97,8 @@
     if value is None:
         return False
     return any(token.strip().lower() == b"close" for token in value.split(b","))
+
+
+def is_bodiless(method: str, status: int) -> bool:
+    """Return whether a response has no body, whatever its head states."""
+    return method == "HEAD" or status in BODILESS_STATUSES
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -22,7 +22,7 @@
 )
 
 from .._errors import CallerError, access_error
-from .._headers import ResponseHead
+from .._headers import ResponseHead, is_bodiless
 from .._logs import ComponentLogger
 from ._access_check import confirm_access
 from ._answer_end import BodyTracker, check_complete, has_events
@@ -176,7 +176,7 @@
                 attempt.body_end,
                 events_count=events.events_count,
                 is_inside_event=events.is_inside_event,
-                is_event_due=was_inside_event,
+                is_event_due=was_inside_event or self._is_first_event_due(head),
             ),
             STEP,
             dispatch.upstream,
@@ -184,6 +184,15 @@
         await self._start_response(head, dispatch)
         await self.responder.end(events.remainder)
 
+    def _is_first_event_due(self, head: ResponseHead) -> bool:
+        """Return whether the caller has no event of a stream whose body may have one.
+
+        One that resumes a stream may have had all of them.
+        """
+        if is_bodiless(self._call.method, head.status):
+            return False
+        return not (self._events_count or self._resume_after)
+
     async def _forward_events(
         self, attempt: RoutedAttempt, head: ResponseHead, events: EventFramer
     ) -> None:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -9,7 +9,6 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from http import HTTPStatus
 
 import anyio
 import attrs
@@ -20,7 +19,7 @@
 from rampwick_schema import RampwickError, ReprMixin
 
 from .._errors import AttemptError
-from .._headers import RawHeaders, ResponseHead
+from .._headers import RawHeaders, ResponseHead, is_bodiless
 from ._sockets import CHUNK_BYTES, TunnelDialer, UpstreamSocket
 from ._tcp_socket import TcpSocket
 
@@ -50,9 +49,6 @@
 #: Default maximum size of a response body.
 MAX_BODY_BYTES = 268_435_456
 
-#: Statuses whose responses have no body.
-BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-
 #: Time between two sweeps for expired idle connections.
 SWEEP_SECONDS = 1.0
 
@@ -217,7 +213,7 @@
 
     def _has_delimited_body(self, response: h11.Response) -> bool:
         """Return whether the end of the body is known without the connection's."""
-        if self._method == "HEAD" or response.status_code in BODILESS_STATUSES:
+        if is_bodiless(self._method, response.status_code):
             return True
         names = {name for name, _ in response.headers}
         return b"content-length" in names or b"transfer-encoding" in names
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -16,7 +16,7 @@
 
 from .bench import KEY, until
 from .case import ScenarioCase
-from .scripted import Hangup, ScriptedUpstream, set_reset_on_close
+from .scripted import KEY as ROUTE_KEY, Hangup, ScriptedUpstream, set_reset_on_close
 from .test_broken_answers import GET_SERVICE, call_service
 from .test_crash_attribution import DEADLY, NAMES as UPSTREAMS, OTHER, Host
 from .test_hosts_cut_off import run_hosts
@@ -595,3 +595,77 @@
         (entry,) = upstreams.due_probes(host.at_seconds)
         self.assertEqual(UPSTREAMS[0], entry.name)
         self.assertGreater(upstreams.probe_delay(host.at_seconds), 0.2)
+
+
+class StreamWithoutEventsTest(TestCase):
+    """A stream that has not begun is no answer, whatever frames its end."""
+
+    def send(self, path, first, *, method="POST", headers=None):
+        async def scenario(host, servers):
+            async def first_then_sound(exchange):
+                all_scripts(servers, answer_stream)
+                await first(exchange)
+
+            all_scripts(servers, first_then_sound)
+            view = await host.call(path, method=method, headers=headers)
+            return view.status, view.body, view.is_whole, len(ran(servers))
+
+        return run(scenario)
+
+    def test_stream_that_ends_without_an_event_is_no_answer(self):
+        stream_type = b"Content-Type: text/event-stream"
+        for body in (b"", b"\n", b"\xef\xbb\xbf"):
+
+            async def with_length(exchange, body=body):
+                await exchange.answer(body, extra=stream_type)
+
+            async def in_chunks(exchange, body=body):
+                data = chunk(body) if body else b""
+                head = exchange.head(extra=stream_type + b"\r\n" + CHUNKED)
+                await exchange.send(head + data + b"0\r\n\r\n")
+
+            for first in (with_length, in_chunks):
+                case = body, first.__name__
+                seen = self.send("/stream/1", first)
+                self.assertEqual((200, event(1), True, 2), seen, case)
+                seen = self.send("/brittle/1", first)
+                self.assertEqual((502, True, 1), (seen[0], *seen[2:]), case)
+
+    def test_stream_with_nothing_left_after_its_last_event_is_complete(self):
+        async def nothing(exchange):
+            await exchange.answer(b"", extra=b"Content-Type: text/event-stream")
+
+        headers = {"Last-Event-Id": "7"}
+        seen = self.send("/stream/1", nothing, headers=headers)
+        self.assertEqual((200, b"", True, 1), seen)
+
+    def test_answers_that_are_no_streams_need_no_event(self):
+        for status, extra in (
+            (204, b"X-A: b"),
+            (200, b"Content-Type: application/json"),
+            (500, b"Content-Type: text/event-stream"),
+        ):
+
+            async def empty(exchange, status=status, extra=extra):
+                length = None if status == 204 else 0
+                await exchange.send(exchange.head(status, extra, length=length))
+
+            seen = self.send("/brittle/1", empty)
+            self.assertEqual((status, b"", True, 1), seen)
+
+    def test_head_of_a_stream_needs_no_event(self):
+        async def scenario(host, servers):
+            async def head_only(exchange):
+                await exchange.send(exchange.head(extra=CHUNKED))
+
+            all_scripts(servers, head_only)
+            address, _, port = host.address.partition(":")
+            request = (
+                b"HEAD /brittle/1 HTTP/1.1\r\nHost: labels.example\r\n"
+                b"Rampwick-Request-Id: r1\r\nAuthorization: Bearer %s\r\n\r\n"
+            )
+            async with await anyio.connect_tcp(address, int(port)) as stream:
+                await stream.send(request % ROUTE_KEY.encode())
+                return await stream.receive()
+
+        self.assertEqual(b"HTTP/1.1 200", run(scenario)[:12])
