Lift a verdict whose crashes turn out to be broken connections

After a verdict on a request (three upstreams crashed under it), callers of equal requests got 502 ends_upstreams for at least a minute, although the upstreams answered right afterwards and the host knew it: the crashes were taken back, one by one, and the verdict stayed with none left (trace: verdict at 0.558 s, two of its three crashes taken back at 0.738 and 0.754 s, 65 of 72 requests refused until the end).

Cause: an answer retracts a crash, but not what was decided on it.

Now an answer within a second of a supposed crash clears a suspect that fewer crashes than a verdict needs still speak against, and peers are told as of any other clearing. Later answers change nothing: an upstream may have been restarted, and not all of them name their incarnation. A verdict that a peer reported counts all crashes that the peer knew.

Failed before: STOPPED is not NONE, in three of four new tests; the fourth (an answer after 1.5 s) holds on both.

--- a/packages/rampwick-policy/src/rampwick_policy/_attribution_rules.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_attribution_rules.py
@@ -97,13 +97,16 @@
 def _may_be_responsible(part: Suspect) -> bool:
     """Return whether the crashes of a part suffice, regardless of its rivals."""
     crashes = part.unexplained_crashes
-    if len(crashes) < _required_crashes_count(part):
+    if len(crashes) < min_crashes_count(part):
         return False
     return _are_independent(part, crashes) and not (part.was_sound and _is_common(part))
 
 
-def _required_crashes_count(part: Suspect) -> int:
-    return SOUND_PART_CRASHES_COUNT if part.was_sound else QUARANTINE_CRASHES_COUNT
+def min_crashes_count(suspect: Suspect) -> int:
+    """Return the crashes below which a suspect is not held responsible."""
+    if suspect.is_part and suspect.was_sound:
+        return SOUND_PART_CRASHES_COUNT
+    return QUARANTINE_CRASHES_COUNT
 
 
 def shared_blame_limit(part: Suspect) -> int:
--- a/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
@@ -13,7 +13,12 @@
 import math
 from collections.abc import Iterable, Iterator
 
-from ._attribution_rules import AttributionRule, MostCrashes, shared_blame_limit
+from ._attribution_rules import (
+    AttributionRule,
+    MostCrashes,
+    min_crashes_count,
+    shared_blame_limit,
+)
 from ._suspects import (
     ISOLATION_CRASHES_COUNT,
     SUSPECT_RETENTION_SECONDS,
@@ -28,6 +33,10 @@
 #: have arrived. A hop takes milliseconds, and two relays batch for 50 ms each.
 CRASH_REPORTS_SECONDS = 0.15
 
+#: Time after its supposed crash up to which an answer of an upstream refutes a verdict.
+#: Later it may have been restarted: not all of them name their incarnation.
+REFUTATION_SECONDS = 1.0
+
 #: Maximum number of tracked suspects. Beyond it, the workspace with the most of them
 #: loses its oldest.
 MAX_SUSPECTS_COUNT = 4096
@@ -178,6 +187,25 @@
             self._remove_crash(self._suspects[key], incarnation_key)
         return True
 
+    def find_refuted(
+        self, incarnation_key: IncarnationKey, at_seconds: float
+    ) -> list[Suspect]:
+        """Return the quarantined suspects that too few crashes speak against.
+
+        The incarnation answered a message sent at ``at_seconds``.
+        """
+        crash = self._crashes.get(incarnation_key)
+        if crash is None:
+            return []
+        if not 0.0 < at_seconds - crash.at_seconds < REFUTATION_SECONDS:
+            return []
+        return [
+            self._suspects[key]
+            for key in crash.suspect_keys & self._quarantined_keys
+            if self._suspects[key].crashes_count
+            <= min_crashes_count(self._suspects[key])
+        ]
+
     def clear(self, key: bytes, at_seconds: float) -> bool:
         """Drop what was recorded of a suspect up to a time.
 
--- a/packages/rampwick-policy/src/rampwick_policy/_request_quarantine.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_quarantine.py
@@ -164,8 +164,13 @@
             self._confirm_answers(incarnation_key, sent_at_seconds)
         if not len(self.tracker):
             return
+        refuted = self.tracker.find_refuted(incarnation_key, sent_at_seconds)
         if self.tracker.note_live(incarnation_key, sent_at_seconds):
             self._enqueue(LiveFact(incarnation_key, sent_at_seconds))
+        for suspect in refuted:
+            # Peers repeat the verdict for some seconds; it is older than the clearing.
+            at_seconds = max(sent_at_seconds, suspect.quarantined_at_seconds or 0.0)
+            self.clear(suspect.key, at_seconds, "its upstreams had not crashed")
 
     def note_writing(
         self,
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -9,7 +9,15 @@
 import attrs
 from testtools import TestCase
 
-from rampwick_policy import BodyEnd
+from rampwick_policy import (
+    BodyEnd,
+    CrashUpdateReceived,
+    Dispatch,
+    IncarnationKey,
+    LoadReported,
+    QuarantineState,
+    RequestIdentity,
+)
 from rampwick_router._errors import AttemptError
 from rampwick_router.upstream._connection_pool import UpstreamConnection
 from rampwick_schema import HostEntry
@@ -597,6 +605,70 @@
         self.assertGreater(upstreams.probe_delay(host.at_seconds), 0.2)
 
 
+class RefutedVerdictTest(TestCase):
+    """A verdict lasts no longer than the crashes that it is based on."""
+
+    def stop(self, upstreams_count=3):
+        """Return a host with a verdict on a request, and the upstreams under it."""
+        host = Host(UPSTREAMS[:upstreams_count])
+        names = []
+        for _ in range(3):
+            name, _ = host.arrive(DEADLY)
+            names.append(host.sent[name].upstream)
+            host.crash(name)
+            host.advance()
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+        return host, names
+
+    def answer_probe(self, host, name, after_seconds):
+        host.at_seconds += after_seconds
+        host.scheduler.upstreams.get(name).probed_at_seconds = host.at_seconds
+        return host.do(LoadReported(name, None))
+
+    def test_request_is_served_again_once_its_upstreams_prove_alive(self):
+        host, names = self.stop()
+        self.answer_probe(host, names[-1], 0.3)
+        self.assertIs(QuarantineState.NONE, host.quarantine_state(DEADLY))
+        self.answer_probe(host, names[-1], 0.3)
+        _, (action,) = host.arrive(DEADLY)
+        self.assertIsInstance(action, Dispatch)
+
+    def test_repeated_report_of_the_verdict_does_not_restore_it(self):
+        host, names = self.stop()
+        peer = Host()
+        update = host.scheduler.quarantine.take_update(host.at_seconds)
+        peer.at_seconds = host.at_seconds
+        peer.do(CrashUpdateReceived(update))
+        self.assertIs(QuarantineState.STOPPED, peer.quarantine_state(DEADLY))
+        self.answer_probe(host, names[-1], 0.3)
+        quarantine = host.scheduler.quarantine
+        quarantine.take_update(host.at_seconds)
+        again = quarantine.take_retransmission(host.at_seconds)
+        for each in (host, peer):
+            each.at_seconds = host.at_seconds + 0.01
+            each.do(CrashUpdateReceived(again))
+            self.assertIs(QuarantineState.NONE, each.quarantine_state(DEADLY))
+
+    def test_upstream_that_answers_much_later_may_have_been_restarted(self):
+        host, names = self.stop()
+        self.answer_probe(host, names[-1], 1.5)
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+
+    def test_verdict_that_three_other_crashes_support_stays(self):
+        host = Host()
+        # Two hosts saw four crashes; the verdict names them all.
+        fingerprint = RequestIdentity("/w", "h/x", DEADLY).fingerprint
+        tracker = host.scheduler.quarantine.tracker
+        for name in UPSTREAMS[:4]:
+            tracker.note_crash(IncarnationKey(name, name), fingerprint, "/w", 0.0, 0.0)
+        host.advance()
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+        self.answer_probe(host, UPSTREAMS[0], 0.1)
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+        self.answer_probe(host, UPSTREAMS[1], 0.1)
+        self.assertIs(QuarantineState.NONE, host.quarantine_state(DEADLY))
+
+
 class StreamWithoutEventsTest(TestCase):
     """A stream that has not begun is no answer, whatever frames its end."""
 
