--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -9,14 +9,22 @@
 import attrs
 from testtools import TestCase
 
-from rampwick_policy import BodyEnd
+from rampwick_policy import (
+    BodyEnd,
+    CrashUpdateReceived,
+    Dispatch,
+    IncarnationKey,
+    LoadReported,
+    QuarantineState,
+    RequestIdentity,
+)
 from rampwick_router._errors import AttemptError
 from rampwick_router.upstream._connection_pool import UpstreamConnection
 from rampwick_schema import HostEntry
 
 from .bench import KEY, until
 from .case import ScenarioCase
-from .scripted import Hangup, ScriptedUpstream, set_reset_on_close
+from .scripted import KEY as ROUTE_KEY, Hangup, ScriptedUpstream, set_reset_on_close
 from .test_broken_answers import GET_SERVICE, call_service
 from .test_crash_attribution import DEADLY, NAMES as UPSTREAMS, OTHER, Host
 from .test_hosts_cut_off import run_hosts
@@ -595,3 +603,141 @@
         (entry,) = upstreams.due_probes(host.at_seconds)
         self.assertEqual(UPSTREAMS[0], entry.name)
         self.assertGreater(upstreams.probe_delay(host.at_seconds), 0.2)
+
+
+class RefutedVerdictTest(TestCase):
+    """A verdict lasts no longer than the crashes that it is based on."""
+
+    def stop(self, upstreams_count=3):
+        """Return a host with a verdict on a request, and the upstreams under it."""
+        host = Host(UPSTREAMS[:upstreams_count])
+        names = []
+        for _ in range(3):
+            name, _ = host.arrive(DEADLY)
+            names.append(host.sent[name].upstream)
+            host.crash(name)
+            host.advance()
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+        return host, names
+
+    def answer_probe(self, host, name, after_seconds):
+        host.at_seconds += after_seconds
+        host.scheduler.upstreams.get(name).probed_at_seconds = host.at_seconds
+        return host.do(LoadReported(name, None))
+
+    def test_request_is_served_again_once_its_upstreams_prove_alive(self):
+        host, names = self.stop()
+        self.answer_probe(host, names[-1], 0.3)
+        self.assertIs(QuarantineState.NONE, host.quarantine_state(DEADLY))
+        self.answer_probe(host, names[-1], 0.3)
+        _, (action,) = host.arrive(DEADLY)
+        self.assertIsInstance(action, Dispatch)
+
+    def test_repeated_report_of_the_verdict_does_not_restore_it(self):
+        host, names = self.stop()
+        peer = Host()
+        update = host.scheduler.quarantine.take_update(host.at_seconds)
+        peer.at_seconds = host.at_seconds
+        peer.do(CrashUpdateReceived(update))
+        self.assertIs(QuarantineState.STOPPED, peer.quarantine_state(DEADLY))
+        self.answer_probe(host, names[-1], 0.3)
+        quarantine = host.scheduler.quarantine
+        quarantine.take_update(host.at_seconds)
+        again = quarantine.take_retransmission(host.at_seconds)
+        for each in (host, peer):
+            each.at_seconds = host.at_seconds + 0.01
+            each.do(CrashUpdateReceived(again))
+            self.assertIs(QuarantineState.NONE, each.quarantine_state(DEADLY))
+
+    def test_upstream_that_answers_much_later_may_have_been_restarted(self):
+        host, names = self.stop()
+        self.answer_probe(host, names[-1], 1.5)
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+
+    def test_verdict_that_three_other_crashes_support_stays(self):
+        host = Host()
+        # Two hosts saw four crashes; the verdict names them all.
+        fingerprint = RequestIdentity("/w", "h/x", DEADLY).fingerprint
+        tracker = host.scheduler.quarantine.tracker
+        for name in UPSTREAMS[:4]:
+            tracker.note_crash(IncarnationKey(name, name), fingerprint, "/w", 0.0, 0.0)
+        host.advance()
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+        self.answer_probe(host, UPSTREAMS[0], 0.1)
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+        self.answer_probe(host, UPSTREAMS[1], 0.1)
+        self.assertIs(QuarantineState.NONE, host.quarantine_state(DEADLY))
+
+
+class StreamWithoutEventsTest(TestCase):
+    """A stream that has not begun is no answer, whatever frames its end."""
+
+    def send(self, path, first, *, method="POST", headers=None):
+        async def scenario(host, servers):
+            async def first_then_sound(exchange):
+                all_scripts(servers, answer_stream)
+                await first(exchange)
+
+            all_scripts(servers, first_then_sound)
+            view = await host.call(path, method=method, headers=headers)
+            return view.status, view.body, view.is_whole, len(ran(servers))
+
+        return run(scenario)
+
+    def test_stream_that_ends_without_an_event_is_no_answer(self):
+        stream_type = b"Content-Type: text/event-stream"
+        for body in (b"", b"\n", b"\xef\xbb\xbf"):
+
+            async def with_length(exchange, body=body):
+                await exchange.answer(body, extra=stream_type)
+
+            async def in_chunks(exchange, body=body):
+                data = chunk(body) if body else b""
+                head = exchange.head(extra=stream_type + b"\r\n" + CHUNKED)
+                await exchange.send(head + data + b"0\r\n\r\n")
+
+            for first in (with_length, in_chunks):
+                case = body, first.__name__
+                seen = self.send("/stream/1", first)
+                self.assertEqual((200, event(1), True, 2), seen, case)
+                seen = self.send("/brittle/1", first)
+                self.assertEqual((502, True, 1), (seen[0], *seen[2:]), case)
+
+    def test_stream_with_nothing_left_after_its_last_event_is_complete(self):
+        async def nothing(exchange):
+            await exchange.answer(b"", extra=b"Content-Type: text/event-stream")
+
+        headers = {"Last-Event-Id": "7"}
+        seen = self.send("/stream/1", nothing, headers=headers)
+        self.assertEqual((200, b"", True, 1), seen)
+
+    def test_answers_that_are_no_streams_need_no_event(self):
+        for status, extra in (
+            (204, b"X-A: b"),
+            (200, b"Content-Type: application/json"),
+            (500, b"Content-Type: text/event-stream"),
+        ):
+
+            async def empty(exchange, status=status, extra=extra):
+                length = None if status == 204 else 0
+                await exchange.send(exchange.head(status, extra, length=length))
+
+            seen = self.send("/brittle/1", empty)
+            self.assertEqual((status, b"", True, 1), seen)
+
+    def test_head_of_a_stream_needs_no_event(self):
+        async def scenario(host, servers):
+            async def head_only(exchange):
+                await exchange.send(exchange.head(extra=CHUNKED))
+
+            all_scripts(servers, head_only)
+            address, _, port = host.address.partition(":")
+            request = (
+                b"HEAD /brittle/1 HTTP/1.1\r\nHost: labels.example\r\n"
+                b"Rampwick-Request-Id: r1\r\nAuthorization: Bearer %s\r\n\r\n"
+            )
+            async with await anyio.connect_tcp(address, int(port)) as stream:
+                await stream.send(request % ROUTE_KEY.encode())
+                return await stream.receive()
+
+        self.assertEqual(b"HTTP/1.1 200", run(scenario)[:12])
