Acquire a lease whose record can't be read, after a lease's time

One odd record under the lease's key kept every host from acquiring it, for ever: no weights were loaded any more. It now counts as the lease of an unknown holder for the usual duration, from when it is first observed, and is then replaced by a conditional write, so fencing numbers go on rising. The status names the holder as one whose record can't be read.

tests/test_odd_records.py: a lease with each of five odd records is acquired after 3 s and not before; before, DataError or RecursionError.

--- a/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_lease_store.py
@@ -4,11 +4,14 @@
 from collections.abc import Callable
 
 from rampwick_policy import LeaseWatcher
-from rampwick_schema import LeaseRecord, era_of
+from rampwick_schema import DataError, LeaseRecord, era_of
 
 from ._api import ABSENT, ObjectApi, VersionConflictError
 from ._records import decode_record, encode_record, put_idempotent
 
+#: Holder of a lease whose record can't be read, for the status.
+UNREADABLE_HOLDER = "(a record that can't be read)"
+
 
 class LeaseStore:
     """A lease object that is acquired by conditional writes."""
@@ -56,7 +59,11 @@
         if stored is None:
             watcher.observe_absence(read_clock())
             return
-        record = decode_record(stored, LeaseRecord)
+        try:
+            record = decode_record(stored, LeaseRecord)
+        except DataError:
+            # Whoever wrote it may act as a holder for as long as any lease lasts.
+            record = LeaseRecord(UNREADABLE_HOLDER, "", watcher.duration_seconds)
         watcher.observe(record, stored.version, read_clock())
 
     async def _write(
--- a/packages/rampwick-platform/src/rampwick_platform/_records.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_records.py
@@ -7,7 +7,7 @@
 import json
 from typing import Any, TypeVar
 
-from rampwick_schema import structure, unstructure
+from rampwick_schema import DataError, structure, unstructure
 
 from ._api import ObjectApi, OutcomeUnknownError, StoredObject, VersionConflictError
 from ._record_reading import decode_json
@@ -56,7 +56,11 @@
 
 
 def _is_own_write(stored: StoredObject, record: Any) -> bool:
-    return decode_record(stored, type(record)).write_id == record.write_id
+    try:
+        return decode_record(stored, type(record)).write_id == record.write_id
+    except DataError:
+        # Own writes are valid.
+        return False
 
 
 async def _read_back(
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -20,6 +20,7 @@
     EntityTagDialect,
     KindState,
     KindWatcher,
+    LeaseStore,
     NestingError,
     StoredObject,
     TreeStore,
@@ -33,7 +34,7 @@
     split_answer,
 )
 from rampwick_platform._record_reading import MAX_DIGITS, MAX_NESTING
-from rampwick_policy import Member
+from rampwick_policy import LeaseWatcher, Member
 from rampwick_router import CacheEvent, ResponseHead
 from rampwick_router._native_dialect import NativeCacheDialect
 from rampwick_router.control._host_sources import WatchedHostSource
@@ -544,6 +545,21 @@
         for raw in (maps(3000), b"9" * 5000, b"NaN", b"[]", b"\xff"):
             self.assertEqual({"a", "b"}, anyio.run(main, raw))
 
+    def test_lease_with_an_odd_record_is_acquired_after_its_time(self):
+        async def main(raw):
+            store = MemoryStore()
+            store.version = 1
+            store.objects["lease"] = StoredObject("lease", 1, raw)
+            watcher = LeaseWatcher("a", duration_seconds=3.0)
+            lease = LeaseStore(store, "lease")
+            found = []
+            for now in (100.0, 102.9, 103.1):
+                found.append(await lease.try_acquire(watcher, lambda now=now: now))
+            return found, watcher.version
+
+        for raw in (maps(3000), b"9" * 5000, b"NaN", b"[]", b"\xff"):
+            self.assertEqual(([False, False, True], 2), anyio.run(main, raw))
+
     def test_object_of_another_key_hides_no_change_of_the_tree(self):
         async def main(raw):
             store = MemoryStore()
