Don't retain an entry that has changed and can't be read

After a failure or a restore of the store, entries that are missing are retained for 1.8 s, since they may only have expired. An entry that is there and can't be read is not missing: its upstream may have said that it leaves. It is no longer retained.

tests/test_kind_watcher.py: "['a', 'c'] != ['a', 'b', 'c']" without the change.

--- a/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
@@ -6,7 +6,7 @@
 about two seconds of the store's return; until then missing entries count as listed.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -46,10 +46,12 @@
         is_after_failure: bool,
         now_seconds: float,
         newest: HostList | None = None,
+        unread: Collection[str] = (),
     ) -> None:
         """Apply the entries that the store lists now.
 
-        ``newest`` is the newest list known here, read by this host or another.
+        ``newest`` is the newest list known here, read by this host or another, and
+        ``unread`` has the upstreams whose entries have changed and can't be read.
         """
         if is_after_failure or self._is_restored(version, newest):
             self._store_returned_at_seconds = now_seconds
@@ -63,6 +65,7 @@
                 name: entry
                 for name, entry in previous.items()
                 if name not in listed
+                and name not in unread
                 and entry.state != "leaving"
                 and entry.address not in used_addresses
             }
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -107,6 +107,8 @@
         self._decoder = decoder
         self._read_clock = read_clock
         self._guard = ExpiredEntryGuard()
+        #: Names of the upstreams by the keys of their entries.
+        self._names: dict[str, str] = {}
         self.unread = _make_unread()
         self._changed = anyio.Event()
         self._watcher = KindWatcher(
@@ -139,21 +141,27 @@
     def _read_state(self, state: KindState) -> None:
         self._task.note_problem("")
         entries = []
-        unread = {}
+        names, unread = {}, {}
         for stored in state.objects.values():
             try:
-                entries.append(self._decoder.read_upstream(stored))
+                entry = self._decoder.read_upstream(stored)
+                entries.append(entry)
+                names[stored.key] = entry.name
             except RampwickError as error:
                 unread[stored.key] = str(error)
             except Exception as error:
                 note_unexpected_error("upstream entry", error, entry=stored.key)
         self.unread.update(unread)
+        # An entry that can't be read any more keeps its upstream's name.
+        kept = {key: self._names[key] for key in unread if key in self._names}
+        self._names = names | kept
         self._guard.apply(
             entries,
             state.version,
             state.is_after_failure,
             self._read_clock(),
             self._task.host_list,
+            set(kept.values()),
         )
         self._offer_list()
         self._task.confirm(state.confirmed_at_seconds)
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -307,6 +307,12 @@
         guard.apply([entry("a")], 10, False, 15.2, guard.host_list(15.2))
         self.assertEqual(["a", "c"], self.names(guard, 15.3))
 
+    def test_an_entry_that_can_no_longer_be_read_is_not_retained(self):
+        guard = ExpiredEntryGuard()
+        guard.apply([entry("a"), entry("b"), entry("c")], 5, False, 10.0)
+        guard.apply([entry("a")], 9, True, 15.0, unread={"b"})
+        self.assertEqual(["a", "c"], self.names(guard, 15.0))
+
     def test_entries_missing_in_a_restored_copy_are_retained_until_they_return(self):
         """The watch fails with missing history, which does not count as an outage."""
         guard = ExpiredEntryGuard()
