Refuse records with text that no message between hosts can carry

An entry of rampwick's own list with a lone surrogate in a text was taken as sound; the message with the whole list then could not be encoded (UnicodeEncodeError), for every peer that asked for it. Such a text is now an error of its record.

tests/test_odd_records.py, before: decode_record returned the HostEntry with the name '\ud800'.

--- a/packages/rampwick-schema/src/rampwick_schema/_convert.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_convert.py
@@ -89,6 +89,19 @@
     return convert
 
 
+_strict_text = _strict_hook(str)
+
+
+def _structure_text(value: Any, kind: Any) -> Any:
+    if type(value) is str and not value.isascii():
+        try:
+            value.encode()
+        except UnicodeEncodeError:
+            # No message could carry it.
+            raise FieldError("", f"is {value!r}, which UTF-8 can't represent") from None
+    return _strict_text(value, kind)
+
+
 def _structure_list(value: Any, kind: Any) -> Any:
     if not isinstance(value, list | tuple):
         raise FieldError("", f"is {value!r}, allowed is a list")
@@ -181,6 +194,7 @@
     converter = cattrs.Converter(detailed_validation=False)
     for kind in TYPE_NAMES:
         converter.register_structure_hook(kind, _strict_hook(kind))
+    converter.register_structure_hook(str, _structure_text)
     converter.register_structure_hook_func(_is_list, _structure_list)
     converter.register_structure_hook_func(_is_map, _structure_map)
     converter.register_structure_hook_factory(attrs.has, _dict_hook)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -523,6 +523,18 @@
             found = anyio.run(main, raw)
             self.assertEqual(HostList(4, [self.runner()]), found, title)
 
+    def test_text_that_no_message_carries_is_an_error_of_its_record(self):
+        plain = unstructure(self.runner())
+        for field in ("name", "hall", "address", "model"):
+            for text in ("\ud800", "a\udcff"):
+                value = json.dumps({**plain, field: text}).encode()
+                self.assertRaises(
+                    DataError, decode_record, StoredObject("k", 1, value), HostEntry
+                )
+        value = json.dumps({**plain, "hall": "žilina"}).encode()
+        found = decode_record(StoredObject("k", 1, value), HostEntry)
+        self.assertEqual("žilina", found.hall)
+
     def test_peer_records_are_read_beside_each_odd_one(self):
         async def main(raw):
             store = MemoryStore()
