Reject bodies that are nested too deeply for engines, as not run

A native caller's body nested 255 to 1,024 deep was decoded, could not be encoded for the engine, and its caller got 500 with `was_run` maybe. It now gets 400. The bound is 200, below the encoder's.

--- a/packages/rampwick-platform/src/rampwick_platform/__init__.py
+++ b/packages/rampwick-platform/src/rampwick_platform/__init__.py
@@ -30,6 +30,7 @@
     decode_answer as decode_answer,
     decode_json as decode_json,
     encode_json as encode_json,
+    is_nested_deeper as is_nested_deeper,
     read_revision as read_revision,
     split_answer as split_answer,
 )
--- a/packages/rampwick-platform/src/rampwick_platform/_record_reading.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_record_reading.py
@@ -72,7 +72,7 @@
         return orjson.dumps(value)
     except TypeError:
         pass
-    if _is_nested_deeper(value, MAX_NESTING):
+    if is_nested_deeper(value, MAX_NESTING):
         raise NestingError(f"nested deeper than {MAX_NESTING}")
     return json.dumps(value).encode()
 
@@ -133,7 +133,8 @@
         return NO_RECORD
 
 
-def _is_nested_deeper(value: Any, limit: int) -> bool:
+def is_nested_deeper(value: Any, limit: int) -> bool:
+    """Return whether a decoded value has more levels than a limit."""
     containers = [value]
     for _ in range(limit + 1):
         containers = [item for item in containers if isinstance(item, dict | list)]
--- a/packages/rampwick-router/src/rampwick_router/entry/_call.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_call.py
@@ -12,6 +12,7 @@
 import attrs
 import orjson
 
+from rampwick_platform import is_nested_deeper
 from rampwick_policy import (
     MAX_PART_KEYS,
     PRIORITY_CLASSES,
@@ -37,6 +38,9 @@
 MAX_MESSAGES = 4096
 MAX_ANSWER_TOKENS = 1_000_000
 
+#: Deepest nesting of a body. Bodies are encoded again for engines, within 254 levels.
+MAX_BODY_NESTING = 200
+
 STEP = "check request"
 
 #: Priorities sent to engines, which serve lower numbers first.
@@ -231,6 +235,9 @@
         raise bad_request(f"the body is not JSON: {error}") from None
     if not isinstance(body, dict):
         raise bad_request("the body is not a JSON object")
+    brackets_count = raw.count(b"[") + raw.count(b"{")
+    if brackets_count > MAX_BODY_NESTING and is_nested_deeper(body, MAX_BODY_NESTING):
+        raise bad_request(f"the body is nested deeper than {MAX_BODY_NESTING} levels")
     return body
 
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -27,6 +27,25 @@
 
         anyio.run(scenario)
 
+    def test_deeply_nested_bodies_are_rejected_as_not_run(self):
+        async def scenario():
+            async with run_bench() as bench:
+                bench.add_runner("lektor-1")
+                async with bench.run_host() as host:
+                    await until(lambda: host.is_available("lektor-1"))
+                    await until(lambda: host.daemon.follower.revision == 1)
+                    statuses = {}
+                    for depth in (100, 190, 260, 300, 900):
+                        nested = 1
+                        for _ in range(depth):
+                            nested = [nested]
+                        response = await host.complete(extra=nested, max_tokens=1)
+                        statuses[depth] = response.status_code
+                    return statuses
+
+        expected = {100: 200, 190: 200, 260: 400, 300: 400, 900: 400}
+        self.assertEqual(expected, anyio.run(scenario))
+
     def test_unknown_key_is_rejected(self):
         async def scenario():
             async with run_bench() as bench, bench.run_host() as host:
