--- a/measure/_stream_herds.py
+++ b/measure/_stream_herds.py
@@ -355,7 +355,9 @@
 }
 
 
-def print_herds(hosts_counts: list[int], names: list[str], seeds_count: int) -> None:
+def print_herds(
+    hosts_counts: list[int], names: list[str], ways: list[str], seeds_count: int
+) -> None:
     """Print the figures of all ways."""
     print(
         "all hosts end at once; way: take-ups, share that goes on at once, with 3 "
@@ -365,7 +367,7 @@
     for hosts_count in hosts_counts:
         for name in names:
             print(f"{hosts_count} hosts, {name}")
-            for way in WAYS:
+            for way in ways:
                 _print_way(hosts_count, SCENARIOS[name], seeds_count, way)
 
 
--- a/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
@@ -33,7 +33,7 @@
 #: Time between two writes of one group and of all groups together, while a service has
 #: several versions, and between two writes of one group otherwise.
 GROUP_INTERVAL_SECONDS = 0.1
-FLEET_INTERVAL_SECONDS = 0.03
+FLEET_INTERVAL_SECONDS = 0.025
 RELAXED_INTERVAL_SECONDS = 1.0
 
 #: Factor of the interval of a standby, which writes each second at most.
