Test broken heads at callers, time limits, control calls and the store

Callers of HTTP/1.0 and HTTP/2 see a whole 502. A head that ends as its upstream seems unresponsive (0.45 to 0.55 s) is read; one that ends about the deadline is a whole answer or 504. Calls to upstreams (probes, orders) and the four calls of the store's client take no part of an answer for it, cut at each byte and at each fifth.

--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -9,6 +9,7 @@
 import attrs
 from testtools import TestCase
 
+from rampwick_platform import HttpObjectApi, PlatformError
 from rampwick_policy import (
     BodyEnd,
     CrashUpdateReceived,
@@ -18,14 +19,24 @@
     QuarantineState,
     RequestIdentity,
 )
+from rampwick_router._dialects import ControlRequest
 from rampwick_router._errors import AttemptError
-from rampwick_router.upstream._connection_pool import UpstreamConnection
+from rampwick_router.upstream._connection_pool import (
+    ConnectionPool,
+    UpstreamConnection,
+)
+from rampwick_router.upstream._control import call_upstream
 from rampwick_schema import HostEntry
 
 from .bench import KEY, until
 from .case import ScenarioCase
 from .scripted import KEY as ROUTE_KEY, Hangup, ScriptedUpstream, set_reset_on_close
-from .test_broken_answers import GET_SERVICE, call_service
+from .test_broken_answers import (
+    GET_SERVICE,
+    call_service,
+    read_http2,
+    read_until_close,
+)
 from .test_crash_attribution import DEADLY, NAMES as UPSTREAMS, OTHER, Host
 from .test_hosts_cut_off import run_hosts
 from .test_routed import CHUNKED, all_scripts, chunk, event, ran, run
@@ -549,6 +560,172 @@
             self.assertEqual((502, False) if repeat else (200, True), seen)
 
 
+class CallerTest(TestCase):
+    """Callers of each version see an error with its end."""
+
+    def test_callers_of_old_and_multiplexed_connections_get_a_whole_error(self):
+        async def scenario(host, servers):
+            async def cut(exchange):
+                await exchange.send(HEAD_OF_CHUNKS[:60])
+                raise Hangup
+
+            all_scripts(servers, cut)
+            old = await read_until_close(host, b"1.0")
+            await until(lambda: host.daemon.scheduler.run_query(usable_count) > 1)
+            data, ends = await read_http2(host, ["/brittle/2"], 1)
+            return old, data[1], ends
+
+        (received, was_reset), data, ends = run(scenario, {"notes": ["a", "b", "c"]})
+        self.assertTrue(received.startswith(b"HTTP/1.1 502"), received)
+        self.assertFalse(was_reset)
+        for body in (received.partition(b"\r\n\r\n")[2], data):
+            self.assertEqual("maybe", json.loads(body)["error"]["was_run"])
+        self.assertEqual({1: "ended"}, ends)
+
+    def call_slowly(self, delays_seconds, deadline_seconds):
+        """Send requests whose heads end after a time; return the views by delay."""
+
+        async def scenario(host, servers):
+            views = {}
+
+            async def script(exchange):
+                head = exchange.head(length=5)
+                await exchange.send(head[:30])
+                await anyio.sleep(float(exchange.target.rpartition("/")[2]))
+                await exchange.send(head[30:] + BODY)
+
+            async def call(path, seconds):
+                headers = {"Rampwick-Deadline-Seconds": str(deadline_seconds)}
+                target = f"{path}{seconds}"
+                views[path, seconds] = await host.call(
+                    target, request_id=target, headers=headers
+                )
+
+            all_scripts(servers, script)
+            async with anyio.create_task_group() as tasks:
+                for path, seconds in itertools.product(
+                    ("/once/", "/again/"), delays_seconds
+                ):
+                    tasks.start_soon(call, path, seconds)
+            return views
+
+        return run(scenario, {"labels": NAMES})
+
+    def test_head_that_ends_as_its_upstream_seems_unresponsive_is_read(self):
+        delays_seconds = (0.0, 0.45, 0.49, 0.5, 0.51, 0.55)
+        for case, view in self.call_slowly(delays_seconds, 5.0).items():
+            self.assertEqual(
+                (200, BODY, True), (view.status, view.body, view.is_whole), case
+            )
+
+    def test_head_that_ends_at_the_deadline_is_whole_or_late(self):
+        delays_seconds = (0.9, 0.94, 0.96, 0.98, 0.99, 1.0, 1.02, 1.5)
+        for case, view in self.call_slowly(delays_seconds, 1.0).items():
+            self.assertTrue(view.is_whole, case)
+            seen = view.status, view.body == BODY
+            self.assertIn(seen, {(200, True), (504, False)}, case)
+
+
+class CutServer:
+    """Answers each request with the beginning of an answer and closes."""
+
+    def __init__(self):
+        self.answer = b""
+        self.ending = CLOSE
+        self.address = ""
+
+    async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        task_status.started()
+        await listener.serve(self._serve_connection)
+
+    async def _serve_connection(self, stream):
+        with suppress(anyio.BrokenResourceError, anyio.EndOfStream):
+            async with stream:
+                await stream.receive()
+                await stream.send(self.answer)
+                if self.ending == RESET:
+                    await anyio.sleep(0.001)
+                    set_reset_on_close(
+                        stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                    )
+
+
+class ControlTest(TestCase):
+    """Control calls and the store's client take no part of an answer for it."""
+
+    def cut(self, answer, step, call):
+        """Make a call for each beginning of an answer; return what came of it."""
+
+        async def main():
+            found = {}
+            async with anyio.create_task_group() as tasks:
+                server = CutServer()
+                await tasks.start(server.serve)
+                for at in range(0, len(answer) + 1, step):
+                    server.answer = answer[:at]
+                    for server.ending in (CLOSE, RESET):
+                        found[at, server.ending] = await call(server.address)
+                server.answer, server.ending = answer, CLOSE
+                whole = await call(server.address)
+                tasks.cancel_scope.cancel()
+            return whole, [
+                (case, result)
+                for case, result in found.items()
+                if case[0] < len(answer) and result is not None
+            ]
+
+        return anyio.run(main)
+
+    def test_calls_to_upstreams(self):
+        async def call(address):
+            pool = ConnectionPool(anyio.current_time)
+            request = ControlRequest("probe", "GET", "/", [(b"host", b"a")])
+            try:
+                head, body = await call_upstream(pool, "u", address, request, 5.0)
+            except AttemptError:
+                return None
+            return head.status, body
+
+        for name in ("length", "chunks", "HTTP/1.0 with length", "interim"):
+            whole, partial = self.cut(ANSWERS[name], 1, call)
+            self.assertEqual(((200, BODY), []), (whole, partial), name)
+
+    def test_calls_to_the_store(self):
+        value = b'{"version": 3, "objects": []}'
+        heads = {
+            "length": b"Content-Length: %d\r\n\r\n" % len(value) + value,
+            "chunks": b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(value)
+            + value
+            + b"\r\n0\r\n\r\n",
+        }
+        calls = {
+            "get": lambda api: api.get("a/b"),
+            "put": lambda api: api.put("a/b", b"{}", 2),
+            "list": lambda api: api.list_objects("a/"),
+            "watch": lambda api: api.watch("a/", 2, 0.1),
+        }
+        for (framing, rest), (name, run_call) in itertools.product(
+            heads.items(), calls.items()
+        ):
+
+            async def call(address, run_call=run_call):
+                async with HttpObjectApi(
+                    f"http://{address}", call_timeout_seconds=5.0, calls_per_second=1e6
+                ) as api:
+                    try:
+                        return await run_call(api)
+                    except PlatformError:
+                        return None
+
+            answer = b'HTTP/1.1 200 OK\r\nETag: "3"\r\n' + rest
+            whole, partial = self.cut(answer, 5, call)
+            self.assertIsNotNone(whole, (framing, name))
+            self.assertEqual([], partial, (framing, name))
+
+
 class EqualRequestsTest(TestCase):
     """Broken connections of live upstreams are not held against what was asked."""
 
