A request is not sent by a host list that is too old

What callers and upstreams saw: upstreams that had said that they leave got requests more than 2 s later from hosts whose event loop had not run.

Cause: what was queued while the loop stood still is placed and written in the first iterations after it, before the store's answer is read; nothing asked how old the list was. The same holds, by reading, for a host whose readers have all stopped: it reads the store itself when its list is 2.3 s old, more than the 2 s that upstreams allow. Class: a decision by data whose age nobody asks.

Ruled out: attempts that wait for a connection (few, 0.25 s).

Evidence, failed before: test_a_list_that_nobody_confirms_is_read_before_a_ request_is_sent ({'a': 0, 'b': 4} != {'a': 4, 'b': 0}), test_a_request_that_the_ event_loop_held_up_is_placed_by_a_newer_list ({'a': 0, 'b': 4} != {'a': 1, 'b': 3}).

Change: a list older than 1.8 s is read again before an attempt begins, and at the first write withdraws it. All requests of a host wait for the one reading, 0.5 s at most; if it fails, the list is used at any age until a newer one is known. The line of each attempt has the version and the age of the list.

--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -102,7 +102,7 @@
         self.rollout_controller = RolloutController(
             api, settings, self.scheduler, control, read_clock, rng, peer_address
         )
-        self.hosts = HostListTask(self.scheduler)
+        self.hosts = HostListTask(self.scheduler, read_clock)
         self.scheduler.set_list_age(self.hosts.age_seconds)
         self.configuration = ConfigurationTask(
             self.follower, self.scheduler, read_clock
@@ -151,6 +151,7 @@
             lifecycle=self.lifecycle,
             read_clock=read_clock,
             configuration=self.configuration,
+            hosts=self.hosts,
             connection_pool=connection_pool,
             dialects=dialects,
             salts=salts,
--- a/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
@@ -1,23 +1,41 @@
 """Maintenance of the newest host list and of its age."""
 
 import math
+from collections.abc import Callable
 
+import anyio
+
+from rampwick_platform import PlatformError
 from rampwick_policy import HostListRead
-from rampwick_schema import HostList
+from rampwick_schema import DataError, HostList
 
-from .._logs import ComponentLogger
+from .._logs import ComponentLogger, milliseconds
 from .._scheduler_task import SchedulerTask
 from ._host_sources import HostSource
 
+#: Age of the list from which it is read again before a request is sent by it: upstreams
+#: that leave may expect no requests 2 s later, and the request takes time to arrive.
+MAX_AGE_SECONDS = 1.8
+
+#: Longest time that requests wait for that. After a refresh that failed they are sent
+#: by the old list, until a newer one is known.
+REFRESH_TIMEOUT_SECONDS = 0.5
+
 log = ComponentLogger("upstreams")
 
 
 class HostListTask:
     """Holds the newest host list from any source and publishes each newer one."""
 
-    def __init__(self, scheduler: SchedulerTask) -> None:
+    def __init__(
+        self, scheduler: SchedulerTask, read_clock: Callable[[], float]
+    ) -> None:
         self.source: HostSource | None = None
         self._scheduler = scheduler
+        self._read_clock = read_clock
+        self._refresh_requested = anyio.Event()
+        self._refreshed = anyio.Event()
+        self._has_refresh_failed = False
         #: The newest list; peers' addresses are taken from it.
         self.host_list = HostList(version=0, hosts=[])
         #: Version of that list; -1 before the first one.
@@ -33,11 +51,54 @@
     def confirm(self, at_seconds: float) -> None:
         """Record a monotonic time at which the list was the newest."""
         self._confirmed_at_seconds = max(self._confirmed_at_seconds, at_seconds)
+        if self._is_recent():
+            self._has_refresh_failed = False
+
+    def must_refresh(self) -> bool:
+        """Return whether the list is too old for requests to be sent by it.
+
+        It is if the event loop did not run, or if the hosts that read it for this one
+        have stopped. A list that can't be read is used at any age.
+        """
+        if self.source is None or not self.source.can_refresh:
+            return False
+        return not (self._has_refresh_failed or self._is_recent())
+
+    async def wait_recent(self) -> None:
+        """Return when requests may be sent by the list."""
+        while self.must_refresh():
+            refreshed = self._refreshed
+            self._refresh_requested.set()
+            await refreshed.wait()
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
         if self.source is not None:
-            await self.source.run(self)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._refresh_on_request, self.source)
+                await self.source.run(self)
+
+    async def _refresh_on_request(self, source: HostSource) -> None:
+        while True:
+            await self._refresh_requested.wait()
+            error = "timeout"
+            with anyio.move_on_after(REFRESH_TIMEOUT_SECONDS):
+                try:
+                    await source.refresh()
+                    error = ""
+                except (PlatformError, DataError) as problem:
+                    error = str(problem)
+            age_seconds = self.age_seconds(self._read_clock())
+            log.info(
+                "host list refreshed", age_ms=milliseconds(age_seconds), error=error
+            )
+            self._has_refresh_failed = not self._is_recent()
+            self._refresh_requested = anyio.Event()
+            self._refreshed.set()
+            self._refreshed = anyio.Event()
+
+    def _is_recent(self) -> bool:
+        return self.age_seconds(self._read_clock()) <= MAX_AGE_SECONDS
 
     def note_problem(self, problem: str) -> None:
         """Record why the list cannot be read; an empty text means that it can."""
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -56,10 +56,18 @@
     async def run(self, task: HostListConsumer) -> None:
         """Pass on each list that is read, until cancelled."""
 
+    #: Whether the lists that are read are confirmed, and can be read on request.
+    can_refresh: bool
+
+    async def refresh(self) -> None:
+        """Read the list now, or raise a PlatformError or a DataError."""
+
 
 class PolledHostSource:
     """Rampwick's own host list, read periodically."""
 
+    can_refresh = False
+
     def __init__(self, api: ObjectApi, interval_seconds: float) -> None:
         self._api = api
         self._interval_seconds = interval_seconds
@@ -75,6 +83,9 @@
                 task.note_problem(str(error))
             await anyio.sleep(self._interval_seconds)
 
+    async def refresh(self) -> None:
+        """Do nothing: the next poll reads the list."""
+
 
 class UpstreamDecoder(Protocol):
     """Decodes the store entries of upstreams that register themselves."""
@@ -90,6 +101,8 @@
 class WatchedHostSource:
     """Upstreams that maintain an entry each in the store."""
 
+    can_refresh = True
+
     def __init__(
         self,
         api: ObjectApi,
@@ -122,6 +135,10 @@
             tasks.start_soon(self._expire_entries)
             await self._watcher.run()
 
+    async def refresh(self) -> None:
+        """Read all entries now."""
+        await self._watcher.refresh()
+
     def _note_problem(self, problem: str) -> None:
         self._task.note_problem(problem)
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_attempt_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_attempt_check.py
@@ -47,7 +47,7 @@
     def __call__(self, has_sent: bool) -> None:
         """Check before a write; ``has_sent`` tells whether one has preceded it."""
         if not has_sent:
-            check_not_withdrawn(self._context.scheduler, self._dispatch)
+            check_not_withdrawn(self._context, self._dispatch)
         self.check_caller()
         remaining_seconds = self.remaining_seconds
         if remaining_seconds <= 0.0 or (
--- a/packages/rampwick-router/src/rampwick_router/entry/_context.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_context.py
@@ -20,7 +20,7 @@
 from .._lifecycle import Lifecycle
 from .._metrics import Metrics
 from .._scheduler_task import SchedulerTask
-from ..control import ConfigurationTask
+from ..control import ConfigurationTask, HostListTask
 from ..upstream import ConnectionPool, StallDetector, UpstreamClient
 from ._call import hash_key
 from ._claims import ClaimTask
@@ -71,6 +71,7 @@
     lifecycle: Lifecycle
     read_clock: Callable[[], float]
     configuration: ConfigurationTask
+    hosts: HostListTask
     connection_pool: ConnectionPool
     dialects: Dialects
     salts: SaltTable
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -184,6 +184,7 @@
         """Make an attempt; return the next decision, or None after the response."""
         await self._ensure_claim()
         await self.recheck_access()
+        await self.context.hosts.wait_recent()
         self._record_dispatch()
         self._log_dispatch(dispatch)
         decision: Dispatch | Refuse | None = None
@@ -337,7 +338,9 @@
                     for candidate in choice.considered[:MAX_LOGGED_SCORES]
                 },
             }
-        waited = self.context.read_clock() - self.arrived_at_seconds
+        now_seconds = self.context.read_clock()
+        waited = now_seconds - self.arrived_at_seconds
+        hosts = self.context.hosts
         log.info(
             "attempt sent",
             request=self.caller_request_id,
@@ -346,6 +349,8 @@
             weights_version=dispatch.weights_version,
             software_version=dispatch.software_version,
             waited_ms=round(waited * 1000),
+            list_version=hosts.version,
+            list_age_ms=milliseconds(hosts.age_seconds(now_seconds)),
             is_saved=bool(dispatch.save_address),
             **fields,
         )
--- a/packages/rampwick-router/src/rampwick_router/entry/_signals.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_signals.py
@@ -5,6 +5,7 @@
 from .._dialects import UpstreamSignals
 from .._errors import AttemptError
 from .._scheduler_task import SchedulerTask
+from ._context import EntryContext
 
 
 def post_signals(
@@ -24,13 +25,23 @@
     )
 
 
-def check_not_withdrawn(scheduler: SchedulerTask, dispatch: Dispatch) -> None:
-    """Raise if the upstream has stopped accepting requests since the dispatch."""
-    ineligible_reason = scheduler.withdrawal(dispatch)
+def check_not_withdrawn(context: EntryContext, dispatch: Dispatch) -> None:
+    """Raise if the upstream has stopped accepting requests since the dispatch.
+
+    A list that has become too old may lack that. The request is placed again, by a
+    newer one.
+    """
+    ineligible_reason = context.scheduler.withdrawal(dispatch)
     if ineligible_reason is not None:
-        raise AttemptError(
-            f"the upstream is {ineligible_reason.value}",
-            outcome=Outcome.WITHDRAWN,
-            step="forward request",
-            peer=dispatch.upstream,
-        )
+        raise _withdrawn(dispatch, f"the upstream is {ineligible_reason.value}")
+    if context.hosts.must_refresh():
+        raise _withdrawn(dispatch, "the host list is too old")
+
+
+def _withdrawn(dispatch: Dispatch, message: str) -> AttemptError:
+    return AttemptError(
+        message,
+        outcome=Outcome.WITHDRAWN,
+        step="forward request",
+        peer=dispatch.upstream,
+    )
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -54,7 +54,7 @@
         self.configuration = ConfigurationTask(
             self.follower, self.scheduler, self.read_clock
         )
-        self.hosts = HostListTask(self.scheduler)
+        self.hosts = HostListTask(self.scheduler, self.read_clock)
         self.sync = PeerSync(
             self.follower,
             self.configuration,
--- a/tests/test_requests_to_leaving_upstreams.py
+++ b/tests/test_requests_to_leaving_upstreams.py
@@ -1,5 +1,6 @@
 """Guards against requests to an upstream that announced its shutdown in a response."""
 
+import time
 from contextlib import asynccontextmanager
 
 import anyio
@@ -38,7 +39,7 @@
 
 from .bench import run_two_hosts, until
 from .case import ScenarioCase
-from .scripted import run_routed
+from .scripted import list_upstream, run_routed
 from .test_scheduler import Session
 
 TEST_TIMEOUT_SECONDS = 30.0
@@ -123,6 +124,73 @@
         self.assertEqual((200, 0), (status, counts["a"]))
 
 
+class OldListTest(TestCase):
+    """No request is sent by a host list so old that upstreams may have left since."""
+
+    def call(self, prepare, count=1):
+        """Return statuses, times, and what each upstream got, after ``prepare``."""
+
+        async def main():
+            with anyio.fail_after(TEST_TIMEOUT_SECONDS):
+                async with run_routed({"labels": ["a", "b"]}) as (host, found):
+                    await prepare(host, found)
+                    answers = []
+                    for number in range(count):
+                        began_seconds = anyio.current_time()
+                        answer = await host.call("/once/1", request_id=f"r{number}")
+                        seconds = anyio.current_time() - began_seconds
+                        answers.append((answer.status, seconds))
+                    return answers, {
+                        name: len(item.requests) for name, item in found.items()
+                    }
+
+        return anyio.run(main)
+
+    def test_a_list_that_nobody_confirms_is_read_before_a_request_is_sent(self):
+        async def prepare(host, found):
+            async def hang(*terms):
+                await anyio.sleep_forever()
+
+            host.store.watch = hang
+            # The watch that was under way when the store began to hang ends first.
+            await anyio.sleep(1.5)
+            list_upstream(host.store, found["a"], "labels", state="leaving")
+            await anyio.sleep(2.0)
+
+        answers, counts = self.call(prepare, count=4)
+        self.assertEqual({200}, {status for status, _ in answers})
+        self.assertEqual({"a": 0, "b": 4}, counts)
+
+    def test_a_request_that_the_event_loop_held_up_is_placed_by_a_newer_list(self):
+        async def prepare(host, found):
+            connection_pool = host.daemon.entry._context.connection_pool
+            borrow = connection_pool.borrow
+
+            @asynccontextmanager
+            async def block_first(upstream, *terms, **options):
+                async with borrow(upstream, *terms, **options) as connection:
+                    if found["a"].name == upstream:
+                        list_upstream(host.store, found["a"], "labels", "leaving")
+                        time.sleep(2.0)
+                    yield connection
+
+            connection_pool.borrow = block_first
+
+        answers, counts = self.call(prepare, count=4)
+        self.assertEqual({200}, {status for status, _ in answers})
+        self.assertEqual({"a": 0, "b": 4}, counts)
+
+    def test_a_list_that_cannot_be_read_is_used_at_any_age(self):
+        async def prepare(host, found):
+            host.store.failure = PlatformUnavailableError("down", step="test")
+            await anyio.sleep(2.5)
+
+        answers, counts = self.call(prepare, count=20)
+        self.assertEqual({200}, {status for status, _ in answers})
+        self.assertEqual(20, sum(counts.values()))
+        self.assertLess(sum(seconds for _, seconds in answers), 2.0)
+
+
 def announce_shutdown(session, at, *names, incarnation="one"):
     """Have upstreams announce their shutdown in a response."""
     for name in names:
--- a/tests/test_restored_trees.py
+++ b/tests/test_restored_trees.py
@@ -64,7 +64,11 @@
         )
         self.source._task = self.task
         self.sync = PeerSync(
-            self.follower, self.task, HostListTask(scheduler), scheduler, read_clock
+            self.follower,
+            self.task,
+            HostListTask(scheduler, read_clock),
+            scheduler,
+            read_clock,
         )
 
     def read(self, era, written, store, tree):
