The store's stand-in hides no write that comes as a watch ends

Two lists of version 109 were in use; in one the server was live.

Cause: the stand-in for the platform answered a watch that ran out with the store's version at that moment and the objects of its last check, up to 20 ms before. A write between the two was never seen by that host.

Evidence: test_write_after_the_last_check_is_in_the_response_with_its_version failed before: (1, ['upstreams/a']) != (1, []).

Change: the objects are read again for the answer.

--- a/packages/rampwick-standin/src/rampwick_standin/_platform.py
+++ b/packages/rampwick-standin/src/rampwick_standin/_platform.py
@@ -153,10 +153,12 @@
                     return Response(status_code=410)
                 items = self._visible_store.written_after(prefix, after_version)
                 await anyio.sleep(0 if items else WATCH_STEP_SECONDS)
-        return (
-            Response(status_code=503)
-            if self.faults.is_down
-            else self._list_response(items)
+        if self.faults.is_down:
+            return Response(status_code=503)
+        # Read again, since a write may have come after the last check. A response with
+        # its version but without its object would hide it from the caller for good.
+        return self._list_response(
+            self._visible_store.written_after(prefix, after_version)
         )
 
     def _list_response(self, items: list[Item]) -> Response:
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -24,6 +24,8 @@
 )
 from rampwick_schema import HostEntry, HostList, join_version
 
+from .scripted import RestorableStore
+
 
 def stored(name, version, is_deleted=False):
     return StoredObject(f"k/{name}", version, b"{}", is_deleted)
@@ -263,6 +265,32 @@
     return HostEntry(name, "runner", "h", f"{name}:1", state=state)
 
 
+class StandInWatchTest(TestCase):
+    """A watch of the stand-in for the platform never hides a write."""
+
+    def test_write_after_the_last_check_is_in_the_response_with_its_version(self):
+        store = RestorableStore()
+        find_written = store.stand_in.store.written_after
+
+        def write_after_first(prefix, version):
+            found = find_written(prefix, version)
+            if not store.stand_in.store.version:
+                store.stand_in.store.put("upstreams/a", b"{}", 0)
+            return found
+
+        async def main():
+            with mock.patch.object(
+                type(store.stand_in.store),
+                "written_after",
+                lambda _, prefix, version: write_after_first(prefix, version),
+            ):
+                return await store.watch("upstreams/", 0, 0.0)
+
+        listing = anyio.run(main)
+        keys = [item.key for item in listing.objects]
+        self.assertEqual((1, ["upstreams/a"]), (listing.version, keys))
+
+
 class ExpiredEntryGuardTest(TestCase):
     def names(self, guard, now):
         return sorted(item.name for item in guard.host_list(now).hosts)
