Ask a runner that may have crashed for its identity

Cause: a runner's report does not name it, since another upstream may have been started at its address, so that no probe could take a supposed crash back. Only a later answer could, and after the verdict there was none.

Ruled out: a report over a connection that was open before the crash as proof (requests use the same connections up first, so that often none is left), and taking reports for proof without a name.

Now the probe of a runner with a crash recorded within the last second also asks the health path, whose answer names the runner, for 0.1 s at the most: a busy runner answers late, and then nothing is proved, as before.

Failed before: (True, report and health) != (False, report only).

--- a/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
@@ -187,6 +187,13 @@
             self._remove_crash(self._suspects[key], incarnation_key)
         return True
 
+    def is_refutable(self, incarnation_key: IncarnationKey, at_seconds: float) -> bool:
+        """Return whether a crash is recorded that an answer at a time may refute."""
+        crash = self._crashes.get(incarnation_key)
+        if crash is None:
+            return False
+        return 0.0 < at_seconds - crash.at_seconds < REFUTATION_SECONDS
+
     def find_refuted(
         self, incarnation_key: IncarnationKey, at_seconds: float
     ) -> list[Suspect]:
@@ -194,14 +201,12 @@
 
         The incarnation answered a message sent at ``at_seconds``.
         """
-        crash = self._crashes.get(incarnation_key)
-        if crash is None:
-            return []
-        if not 0.0 < at_seconds - crash.at_seconds < REFUTATION_SECONDS:
+        if not self.is_refutable(incarnation_key, at_seconds):
             return []
         return [
             self._suspects[key]
-            for key in crash.suspect_keys & self._quarantined_keys
+            for key in self._crashes[incarnation_key].suspect_keys
+            & self._quarantined_keys
             if self._suspects[key].crashes_count
             <= min_crashes_count(self._suspects[key])
         ]
--- a/packages/rampwick-router/src/rampwick_router/_dialects.py
+++ b/packages/rampwick-router/src/rampwick_router/_dialects.py
@@ -260,6 +260,12 @@
     ) -> LoadReport | None:
         """Return a runner's report, None for a healthy service, or raise DataError."""
 
+    def identity_probe(self, entry: HostEntry, health_path: str) -> ControlRequest:
+        """Return the request to which an upstream names its incarnation."""
+
+    def names_incarnation(self, entry: HostEntry, head: ResponseHead) -> bool:
+        """Return whether the response to it is from the listed incarnation."""
+
     def read_signals(self, head: ResponseHead, body: bytes) -> UpstreamSignals:
         """Return the signals in a response verified to come from the upstream."""
 
--- a/packages/rampwick-router/src/rampwick_router/_native_dialect.py
+++ b/packages/rampwick-router/src/rampwick_router/_native_dialect.py
@@ -187,6 +187,14 @@
             ) from None
         return structure(data, LoadReport, step=step, peer=entry.name)
 
+    def identity_probe(self, entry: HostEntry, health_path: str) -> ControlRequest:
+        """Return the probe, whose report names the incarnation."""
+        return self.probe(entry, health_path)
+
+    def names_incarnation(self, entry: HostEntry, head: ResponseHead) -> bool:
+        """Return False: the report names it, not the head."""
+        return False
+
     def read_signals(self, head: ResponseHead, body: bytes) -> UpstreamSignals:
         """Return no signals: control responses carry no incarnation to verify."""
         return UpstreamSignals()
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -4,13 +4,21 @@
 from typing import Protocol
 
 import anyio
-
-from rampwick_policy import OrderResult, Outcome, UpstreamPath, UpstreamSignalled
+import attrs
+
+from rampwick_policy import (
+    IncarnationKey,
+    OrderResult,
+    Outcome,
+    UpstreamPath,
+    UpstreamSignalled,
+)
 from rampwick_schema import DataError, HostEntry, LoadReport, Order
 
 from .._dialects import ControlDialect, ControlRequest
 from .._errors import AttemptError
 from .._headers import ResponseHead
+from .._logs import ComponentLogger
 from .._scheduler_task import SchedulerTask
 from ._connection_pool import ConnectionPool, UnsendableRequestError
 
@@ -21,9 +29,15 @@
 #: The same through a peer, which first has to be reached.
 TUNNEL_TIMEOUT_SECONDS = 0.6
 
+#: Time for an upstream to name its incarnation after a supposed crash, less than that
+#: after which the crash is attributed to a request.
+IDENTITY_TIMEOUT_SECONDS = 0.1
+
 #: Maximum size of a response to a control call.
 MAX_RESPONSE_BYTES = 1_048_576
 
+log = ComponentLogger("upstreams")
+
 
 class UpstreamControl(Protocol):
     """Control operations on upstreams, besides serving requests."""
@@ -75,11 +89,42 @@
             entry, self._probe_request(entry), path, may_reuse=may_reuse
         )
         try:
-            return self._dialect.read_probe(entry, head, body)
+            report = self._dialect.read_probe(entry, head, body)
         except DataError as error:
             raise AttemptError(
                 error.message, outcome=Outcome.BROKEN, step=error.step, peer=entry.name
             ) from error
+        if report is None or report.is_identified or not self._may_have_crashed(entry):
+            return report
+        is_identified = await self._is_same_incarnation(entry, path)
+        return attrs.evolve(report, is_identified=is_identified)
+
+    def _may_have_crashed(self, entry: HostEntry) -> bool:
+        """Return whether an answer that names the incarnation may refute a crash."""
+        incarnation_key = IncarnationKey(entry.name, entry.incarnation)
+        return bool(
+            self._scheduler.run_query(
+                lambda scheduler, now_seconds: (
+                    scheduler.quarantine.tracker.is_refutable(
+                        incarnation_key, now_seconds
+                    )
+                )
+            )
+        )
+
+    async def _is_same_incarnation(
+        self, entry: HostEntry, path: UpstreamPath | None
+    ) -> bool:
+        health_path = self._find_health_path(entry.group)
+        request = self._dialect.identity_probe(entry, health_path)
+        try:
+            # A busy upstream may answer late, and its report must not wait for that.
+            with anyio.fail_after(IDENTITY_TIMEOUT_SECONDS):
+                head, _ = await self._call(entry, request, path)
+        except (AttemptError, TimeoutError) as error:
+            log.info("incarnation unknown", upstream=entry.name, error=repr(error))
+            return False
+        return self._dialect.names_incarnation(entry, head)
 
     async def send_order(self, entry: HostEntry, order: Order) -> OrderResult:
         """Send an order and return its result; a missing response is a result too."""
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -4,14 +4,18 @@
 import json
 import math
 from contextlib import suppress
+from unittest import mock
 
 import anyio
 import attrs
+import orjson
 from testtools import TestCase
 
+from rampwick_adapter._control import ControlTranslation
 from rampwick_platform import HttpObjectApi, PlatformError
 from rampwick_policy import (
     BodyEnd,
+    CrashTracker,
     CrashUpdateReceived,
     Dispatch,
     IncarnationKey,
@@ -25,8 +29,8 @@
     ConnectionPool,
     UpstreamConnection,
 )
-from rampwick_router.upstream._control import call_upstream
-from rampwick_schema import HostEntry
+from rampwick_router.upstream._control import DialectControl, call_upstream
+from rampwick_schema import HostEntry, StewardSettings
 
 from .bench import KEY, until
 from .case import ScenarioCase
@@ -846,6 +850,83 @@
         self.assertIs(QuarantineState.NONE, host.quarantine_state(DEADLY))
 
 
+class IdentityTest(TestCase):
+    """A runner whose report does not name it proves that it has not crashed."""
+
+    def probe(self, crash_age_seconds=0.05, instance_id=b"i-1", pause_seconds=0.0):
+        """Probe a runner; return whether it is identified, and the paths."""
+        report = orjson.dumps(
+            {
+                "models": [{"name": "m", "version": 1}],
+                "running": 0,
+                "kv_total": 1,
+                "busy": False,
+                "seq": 0,
+            }
+        )
+        paths = []
+
+        async def serve(stream):
+            async with stream:
+                while True:
+                    try:
+                        request = await stream.receive()
+                    except anyio.EndOfStream:
+                        return
+                    paths.append(request.split()[1].decode())
+                    body = report
+                    if paths[-1] == "/well":
+                        await anyio.sleep(pause_seconds)
+                        body = b""
+                    await stream.send(
+                        b"HTTP/1.1 200 OK\r\nX-Rampwick-Instance-Id: %s\r\n"
+                        b"Content-Length: %d\r\n\r\n%s" % (instance_id, len(body), body)
+                    )
+
+        async def main():
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            entry = HostEntry(
+                "i-1", "runner", "h", f"127.0.0.1:{port}", incarnation="i-1"
+            )
+            tracker = CrashTracker()
+            now_seconds = anyio.current_time()
+            tracker.note_crash(
+                IncarnationKey("i-1", "i-1"),
+                b"request",
+                "/w",
+                now_seconds - crash_age_seconds,
+                now_seconds,
+            )
+            scheduler = mock.Mock()
+            quarantined = mock.Mock(quarantine=mock.Mock(tracker=tracker))
+            scheduler.run_query = lambda query: query(quarantined, now_seconds)
+            control = DialectControl(
+                ConnectionPool(anyio.current_time),
+                ControlTranslation("entry-1", StewardSettings()),
+                lambda group: "/well",
+                scheduler,
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                found = await control.probe(entry)
+                tasks.cancel_scope.cancel()
+            return found.is_identified, paths
+
+        return anyio.run(main)
+
+    def test_runner_is_asked_for_its_identity_after_a_supposed_crash(self):
+        paths = ["/-/report", "/well"]
+        self.assertEqual((True, paths), self.probe())
+        self.assertEqual((False, paths), self.probe(instance_id=b"i-2"))
+        self.assertEqual((False, paths), self.probe(pause_seconds=0.5))
+
+    def test_runner_is_not_asked_without_one_or_long_after_it(self):
+        for age_seconds in (5.0, -1.0):
+            found = self.probe(crash_age_seconds=age_seconds)
+            self.assertEqual((False, ["/-/report"]), found)
+
+
 class StreamWithoutEventsTest(TestCase):
     """A stream that has not begun is no answer, whatever frames its end."""
 
