Bound the time for text that is no JSON

The splitter searched for the next bracket. In text that has none, or an open quote, a search that fails is tried anew at each byte: quadratic, in the loop of the host. The pattern now always matches, with nothing where no bracket follows.

tests/test_odd_records.py, test_time_is_linear_in_the_size_of_invalid_text: before, not done within 60 s; now done, under 3 s of processor time for each of ten texts.

--- a/packages/rampwick-platform/src/rampwick_platform/_record_reading.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_record_reading.py
@@ -43,7 +43,8 @@
 #: A container with few levels, as of a usual record.
 _SHALLOW = _container(_container(_container()))
 _SHALLOW_CONTAINER = re.compile(_SHALLOW, re.DOTALL)
-_NEXT_BRACKETS = rb"([\[{]++|[\]}]++)"
+#: Empty where none follow: a pattern that fails would be tried anew at each byte.
+_NEXT_BRACKETS = rb"([\[{]++|[\]}]++|)"
 _BRACKETS = re.compile(_skipped() + _NEXT_BRACKETS, re.DOTALL)
 #: The next brackets of a container that is not shallow.
 _DEEP_BRACKETS = re.compile(_skipped(_SHALLOW) + _NEXT_BRACKETS, re.DOTALL)
@@ -154,6 +155,8 @@
     for found in _BRACKETS.finditer(raw):
         start, end = found.span(1)
         count = end - start
+        if not count:
+            break
         if raw[start] in b"[{":
             if depth <= MAX_NESTING < depth + count:
                 kept.append(raw[kept_until : start + MAX_NESTING - depth])
@@ -191,12 +194,15 @@
     depth = 0
     for found in _DEEP_BRACKETS.finditer(content, start):
         first, end = found.span(1)
+        count = end - first
+        if not count:
+            break
         if content[first] in b"[{":
-            depth += end - first
-        elif end - first >= depth:
+            depth += count
+        elif count >= depth:
             return first + depth
         else:
-            depth -= end - first
+            depth -= count
     raise ValueError("brackets are not closed")
 
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -653,6 +653,26 @@
         text = json.dumps(data, indent=indent, ensure_ascii=is_ascii)
         self.assertEqual(data, split_answer(text.encode(), ("items",)))
 
+    def test_time_is_linear_in_the_size_of_invalid_text(self):
+        """A search that starts anew at each byte takes minutes."""
+        long = 300_000
+        for raw in (
+            b"[" * 100 + b"x" * long,
+            b"[" * 100 + b'"' + b"x" * long,
+            b"[" * 100 + b"]" * 100 + b"x" * long,
+            b"[" * 100 + b"]" * 100 + b'"' + b"x" * long,
+            b'{"items":[[[[[["' + b"x" * long,
+            b'{"items":[[[[[[' + b"x " * long,
+            b'{"items":[' + b'{"a":"' * 50_000,
+            b'{"items":[' + b'["",' * 70_000 + b'"',
+            b'{"items":[[[[[' + b"[1]," * 70_000 + b'"',
+            b'{"items":[' + b'[1,"\\",[2,[3,[4,' * 20_000,
+        ):
+            started = time.process_time()
+            self.assertRaises(ValueError, decode_json, raw)
+            self.assertRaises(ValueError, decode_answer, raw, ("items",))
+            self.assertTrue(time.process_time() - started < 3.0, raw[:20])
+
     def test_time_is_linear_in_the_size(self):
         def seconds(count):
             records = b",".join(RawRecord(b'"a"').encode(1) for _ in range(count))
