--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -151,6 +151,26 @@
         self.assertEqual((0, 2), (created[0], missing[0]))
         self.assertIn("no-such-file.toml", missing[2])
 
+    def test_weights_are_shown_and_set_beside_an_odd_target(self):
+        odd = b'{"a":' * 3000 + b"1" + b"}" * 3000
+        sound = b'{"model":"m","weights_version":2}'
+        value = b'{"write_id":"x","targets":[%s,%s]}' % (odd, sound)
+
+        async def scenario(bench):
+            platform = ("--platform", bench.platform_url)
+            bench.platform.store.put("weights/targets", value, 0)
+            before = await run("weights", "show", "--json", *platform)
+            done = await run("weights", "set", "lektor", "3", "--json", *platform)
+            after = await run("weights", "show", "--json", *platform)
+            return before, done, after
+
+        before, done, after = self.run_scenario(scenario)
+        self.assertEqual([{"model": "m", "weights_version": 2}], json.loads(before[1]))
+        self.assertIn("not read: weights/targets[0]", before[2])
+        self.assertIn("replaced: weights/targets[0]", done[2])
+        self.assertEqual(2, len(json.loads(after[1])))
+        self.assertEqual((0, 0, 0, ""), (before[0], done[0], after[0], after[2]))
+
 
 class ProfileCommandTest(ScenarioCase):
     def test_profile_lists_modules_and_cpu_share(self):
