Hold requests on while the hosts of a restarted fleet return

Cause: requests are held for a second after a start of all hosts. A host that is back over a second before its peers then decides by the share of the hosts that it reaches, though all callers come to it, and counts each token for the missing hosts too.

Ruled out: the limit itself (14 of 180 tokens were used as a host refused).

Evidence: real processes, eight hosts back over 2 s, 9 of 116 refused with "usable share of the limit 0.25, known for 1.7 s".

Change: while known hosts are missing, and for 0.5 s after, a request without room is held on and decided again each 0.1 s, for 5 s after the first return at most, and not in the last 3 s before its deadline. Held requests of a report count for a second.

--- a/measure/_limit_patterns.py
+++ b/measure/_limit_patterns.py
@@ -30,6 +30,8 @@
     killed_ratio: float = 1.0
     #: Time over which these hosts are killed one after the other; 0 means at once.
     killed_over_seconds: float = 0.0
+    #: Time between the returns of the first and of the last of them.
+    returned_over_seconds: float = 0.0
     #: When they are killed again.
     killed_again_at_seconds: float = math.inf
     #: When a hall is partitioned off, and how long it continues to serve.
@@ -206,4 +208,38 @@
         for usual_ratio in (1.0 / 1.8, 0.8)
         for killed_seconds in (0.3, 2.0)
     ),
+    *(
+        LimitPattern(
+            f"calm_killed_and_back_over_{returned_over_seconds:.0f}_s_"
+            f"at_{hosts_count}_hosts",
+            80_000.0,
+            80_000.0,
+            slack_tokens=40_000.0 * hosts_count / 8,
+            usual_ratio=1.0 / 1.8,
+            killed_at_seconds=14.0,
+            killed_seconds=0.3,
+            returned_over_seconds=returned_over_seconds,
+            hosts_count=hosts_count,
+            halls_count=halls_count,
+        )
+        for hosts_count, halls_count in ((8, 1), (66, 3))
+        for returned_over_seconds in (1.0, 2.0)
+    ),
+    *(
+        LimitPattern(
+            f"killed_in_a_surge_and_back_over_{returned_over_seconds:.0f}_s_"
+            f"at_{hosts_count}_hosts",
+            slack_tokens=110_000.0,
+            usual_ratio=1.0 / 1.8,
+            hot_ratio=7.5,
+            hot_until_seconds=22.0,
+            killed_at_seconds=15.0,
+            killed_seconds=0.3,
+            returned_over_seconds=returned_over_seconds,
+            hosts_count=hosts_count,
+            halls_count=halls_count,
+        )
+        for hosts_count, halls_count in ((8, 1), (66, 3))
+        for returned_over_seconds in (2.0, 4.0)
+    ),
 )
--- a/measure/_limit_strategies.py
+++ b/measure/_limit_strategies.py
@@ -18,7 +18,7 @@
 class Strategy(Protocol):
     """Admission under a limit, as decided by one host."""
 
-    def hold_seconds(self, tokens: int, now_seconds: float) -> float:
+    def hold_seconds(self, tokens: int, was_held: bool, now_seconds: float) -> float:
         """Return how long a request is held before its admission is decided."""
         ...
 
@@ -84,9 +84,11 @@
         self._workspace = workspace(pattern)
         self.book.apply({PATH: self._workspace}, now_seconds)
 
-    def hold_seconds(self, tokens: int, now_seconds: float) -> float:
+    def hold_seconds(self, tokens: int, was_held: bool, now_seconds: float) -> float:
         """Return how long a request is held before its admission is decided."""
-        return self.book.hold_seconds(self._arrival(tokens, now_seconds), now_seconds)
+        arrival = self._arrival(tokens, now_seconds)
+        arrival = attrs.evolve(arrival, was_held=was_held)
+        return self.book.hold_seconds(arrival, now_seconds)
 
     def ask(self, tokens: int, was_held: bool, now_seconds: float) -> bool:
         """Return whether a request is admitted."""
--- a/measure/_limits_lab.py
+++ b/measure/_limits_lab.py
@@ -142,13 +142,16 @@
         partitioned_seconds = now_seconds - self._pattern.cut_at_seconds
         if host.hall == 0 and partitioned_seconds > self._pattern.cut_serves_seconds:
             return
-        hold_seconds = host.strategy.hold_seconds(tokens, now_seconds)
-        was_held = hold_seconds > 0.0
-        self.clock.after(hold_seconds, self._decide, host, tokens, was_held)
+        self.clock.after(0.0, self._decide, host, tokens, False)
 
     def _decide(self, host: _Host, tokens: int, was_held: bool) -> None:
         now_seconds = self.clock.now_seconds
-        if not host.is_down:
+        if host.is_down:
+            return
+        hold_seconds = host.strategy.hold_seconds(tokens, was_held, now_seconds)
+        if hold_seconds:
+            self.clock.after(hold_seconds, self._decide, host, tokens, True)
+        else:
             was_admitted = host.strategy.ask(tokens, was_held, now_seconds)
             self.requests.append(RequestSample(now_seconds, tokens, was_admitted))
             if host.strategy.has_surged(now_seconds):
@@ -315,9 +318,12 @@
         count = round(len(self.hosts) * self._pattern.killed_ratio)
         for index, host in enumerate(self.hosts[:count]):
             delay_seconds = self._pattern.killed_over_seconds * index / count
-            self.clock.after(at_seconds + delay_seconds, self._crash, host)
+            later_seconds = self._pattern.returned_over_seconds * index / count
+            self.clock.after(
+                at_seconds + delay_seconds, self._crash, host, later_seconds
+            )
 
-    def _crash(self, host: _Host) -> None:
+    def _crash(self, host: _Host, later_seconds: float) -> None:
         if host.is_down:
             return
         if host is self._relay(host.hall):
@@ -330,6 +336,7 @@
         host.is_down = True
         host.published = None
         down_seconds = self._pattern.killed_seconds + 0.3 * self._draw.random()
+        down_seconds += later_seconds
         self.clock.after(down_seconds, self._restart_host, host)
 
     def _restart_host(self, host: _Host) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_account.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_account.py
@@ -22,6 +22,9 @@
 #: each side of a partition has divided the limit.
 ALIVE_SECONDS = 3.0
 
+#: Age up to which requests in a report count as held.
+HELD_SECONDS = 1.0
+
 #: Time by which the hosts of a fleet that starts at once may differ in their start.
 START_SPREAD_SECONDS = 1.0
 
@@ -213,11 +216,14 @@
         )
 
     def held_tokens(self, now_seconds: float) -> float:
-        """Return the tokens of requests that live peers hold after a start."""
+        """Return the tokens of requests that peers hold after a start.
+
+        Those of an older report were released meanwhile, or are in a newer one.
+        """
         return sum(
             source.usage.held_tokens
             for source in self._sources.values()
-            if source.is_alive(now_seconds)
+            if now_seconds - source.at_seconds < HELD_SECONDS
         )
 
     def assumed_tokens(self, now_seconds: float) -> float:
--- a/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_fleet_limit.py
@@ -63,6 +63,9 @@
 #: before it received the demand of the others.
 HOLD_SECONDS = 1.0
 
+#: Interval at which a request that is held for want of room is decided again.
+RECHECK_SECONDS = 0.1
+
 #: Fraction of a limit up to which a request is negligible: neither held nor sampled.
 NEGLIGIBLE_RATIO = 1.0 / 5000.0
 
@@ -190,7 +193,9 @@
         self._refused_at_seconds = -math.inf
         self._counting_since_seconds = now_seconds
         self._demand_since_seconds: float | None = None
+        #: Tokens of the requests that are held here, and the time until which they are.
         self._held_tokens = 0.0
+        self._held_until_seconds = -math.inf
         #: Demand in the last report to the peers, in tokens per second.
         self._published_demand = 0.0
 
@@ -305,29 +310,47 @@
     # Admission.
 
     def hold_seconds(
-        self, tokens: float, window_seconds: float, now_seconds: float
+        self,
+        tokens: float,
+        parameters: LimitParameters,
+        now_seconds: float,
+        *,
+        was_held: bool = False,
+        may_wait: bool = False,
     ) -> float:
         """Return how long a request is held until peers have reported their demand.
 
-        Called during warm-up only; the demand report includes held requests.
+        Called during warm-up only. A request for which there is no room is held on if
+        it ``may_wait``: while other hosts are starting, those that are back have only
+        their share, and count each token for the missing ones too.
         """
-        if tokens <= self._negligible_tokens(window_seconds):
+        if tokens <= self._negligible_tokens(parameters.window_seconds):
             return 0.0
         since_seconds = self._demand_since_seconds
         if since_seconds is None:
             since_seconds = now_seconds
         hold_seconds = max(0.0, since_seconds + HOLD_SECONDS - now_seconds)
-        if hold_seconds:
+        if (
+            not hold_seconds
+            and may_wait
+            and not self._has_room(tokens, parameters, now_seconds, was_held=was_held)
+        ):
+            return RECHECK_SECONDS
+        return hold_seconds
+
+    def note_held(
+        self, tokens: float, hold_seconds: float, now_seconds: float, *, was_held: bool
+    ) -> None:
+        """Record that a request is held from now on, or held on if it was already."""
+        until_seconds = now_seconds + hold_seconds
+        self._held_until_seconds = max(self._held_until_seconds, until_seconds)
+        if not was_held:
             self.record_demand(tokens, now_seconds)
             self._held_tokens += tokens
-        return hold_seconds
 
     def _held(self, now_seconds: float) -> float:
-        """Return the tokens of the requests held here, which are released together."""
-        if self._demand_since_seconds is None:
-            return 0.0
-        released_at_seconds = self._demand_since_seconds + HOLD_SECONDS
-        is_held = now_seconds < released_at_seconds + CLOCK_TOLERANCE_SECONDS
+        """Return the tokens of the requests held here."""
+        is_held = now_seconds < self._held_until_seconds + CLOCK_TOLERANCE_SECONDS
         return self._held_tokens if is_held else 0.0
 
     def record_demand(self, tokens: float, now_seconds: float) -> None:
@@ -377,6 +400,23 @@
             expected_elsewhere=held_elsewhere / parameters.share_ratio,
         )
 
+    def _has_room(
+        self,
+        tokens: float,
+        parameters: LimitParameters,
+        now_seconds: float,
+        *,
+        was_held: bool,
+    ) -> bool:
+        """Return whether a request would be admitted whatever chance decides."""
+        forecast = self._make_forecast(parameters, now_seconds)
+        if was_held:
+            forecast = self._released(forecast, parameters, now_seconds)
+        cost = tokens / parameters.share_ratio
+        return forecast.is_below_ceiling(
+            cost
+        ) and forecast.expected_elsewhere <= forecast.headroom(cost)
+
     def _may_admit(
         self, tokens: float, parameters: LimitParameters, forecast: _Forecast
     ) -> bool:
--- a/packages/rampwick-policy/src/rampwick_policy/_limit_tracker.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_limit_tracker.py
@@ -25,6 +25,11 @@
 #: demand at the other hosts is known.
 WARM_UP_SECONDS = 3.0
 
+#: The same while known hosts are missing, which may still be starting, and the time by
+#: which the others know what a host that is back has sent.
+RETURN_SECONDS = 5.0
+REPORT_SECONDS = 0.5
+
 #: Time for which a host without live peers keeps the previous host count. After a
 #: change of relay or role the next summary arrives shortly, and with 90 hosts the share
 #: of a single host is less than one long prompt.
@@ -111,6 +116,8 @@
         self._hosts_count = 1
         self._max_hosts_count = 1
         self._max_hosts_at_seconds = 0.0
+        #: Time at which known hosts were missing.
+        self._missing_at_seconds = -math.inf
         self._peers_seen_at_seconds = -math.inf
 
     def apply(self, workspaces: Mapping[str, Workspace], now_seconds: float) -> None:
@@ -165,22 +172,43 @@
         """Return how long a request is held until the demand of the fleet is known.
 
         The result is 0 except shortly after the start of a whole fleet, when no host
-        has any usage history.
+        has any usage history. A request that was held is asked about again. Reports to
+        the peers include held requests.
         """
-        if self.known_seconds(now_seconds) > WARM_UP_SECONDS:
+        known_seconds = self.known_seconds(now_seconds)
+        parameters = self._parameters(now_seconds)
+        if parameters.share_ratio < 1.0:
+            self._missing_at_seconds = now_seconds
+        missing_seconds = now_seconds - self._missing_at_seconds
+        is_returning = missing_seconds < REPORT_SECONDS
+        if known_seconds > (RETURN_SECONDS if is_returning else WARM_UP_SECONDS):
             return 0.0
-        return max(
+        has_time = event.deadline_seconds - now_seconds > WARM_UP_SECONDS
+        may_wait = is_returning and has_time
+        charged = [
+            (fleet_limit, _charged_tokens(limit, event))
+            for limit in event.workspace.limits
+            if (fleet_limit := self._limits.get(limit.path)) is not None
+        ]
+        hold_seconds = max(
             (
                 fleet_limit.hold_seconds(
-                    _charged_tokens(limit, event),
-                    self._settings.window_seconds,
+                    tokens,
+                    parameters,
                     now_seconds,
+                    was_held=event.was_held,
+                    may_wait=may_wait,
                 )
-                for limit in event.workspace.limits
-                if (fleet_limit := self._limits.get(limit.path)) is not None
+                for fleet_limit, tokens in charged
             ),
             default=0.0,
         )
+        if hold_seconds:
+            for fleet_limit, tokens in charged:
+                fleet_limit.note_held(
+                    tokens, hold_seconds, now_seconds, was_held=event.was_held
+                )
+        return hold_seconds
 
     def admit(
         self, event: ev.RequestArrived, now_seconds: float
@@ -391,6 +419,8 @@
         if hosts_count >= self._max_hosts_count or is_expired:
             self._max_hosts_count = hosts_count
             self._max_hosts_at_seconds = now_seconds
+        else:
+            self._missing_at_seconds = now_seconds
         oldest_seconds = now_seconds - self._settings.window_seconds
         self._former = {
             path: (limit, left_at_seconds)
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -134,15 +134,17 @@
 
     async def _delay_after_restart(self, arrival: RequestArrived) -> RequestArrived:
         """Delay the request while a restarted fleet learns the demand on all hosts."""
-        hold_seconds = self.context.scheduler.run_query(
+        while hold_seconds := self._hold_seconds(arrival):
+            await anyio.sleep(hold_seconds)
+            arrival = attrs.evolve(arrival, was_held=True)
+        return arrival
+
+    def _hold_seconds(self, arrival: RequestArrived) -> float:
+        return self.context.scheduler.run_query(
             lambda scheduler, now_seconds: scheduler.limits.hold_seconds(
                 arrival, now_seconds
             )
         )
-        if not hold_seconds:
-            return arrival
-        await anyio.sleep(hold_seconds)
-        return attrs.evolve(arrival, was_held=True)
 
     def _record_cancellation(self) -> None:
         """Record that the caller disconnected before the final response."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -19,6 +19,7 @@
     TreeView,
     subtract_summary,
 )
+from rampwick_policy._fleet_limit import OverLimit
 from rampwick_policy._limit_tracker import LimitTracker, SummarySender
 from rampwick_policy._sliding_window import SlidingWindow
 from rampwick_schema import LimitUsage, Node, QuotaSettings, Summary, Tree
@@ -332,6 +333,53 @@
     def test_first_requests_are_held_for_two_relay_hops(self):
         self.assertEqual((1.0, 0.5), self.hold(0.2, tokens_per_second=1000.0))
 
+    def starting_host(self):
+        """Return the limits of a host that is back before its seven peers."""
+        settings = QuotaSettings(over_ratio=0.1, slack_tokens=0.0)
+        tracker = LimitTracker(settings, "h")
+        limit = Node(is_workspace=True, tokens_per_second=1000.0, burst_tokens=1000.0)
+        view = TreeView(Tree(1, {"/": Node(), "/w": limit}))
+        tracker.apply(view.workspaces, 100.0)
+        tracker.note_members(8, 100.0)
+        tracker.note_time(1, 100.0)
+        arrival = RequestArrived(
+            "r", view.workspaces["/w"], "portal", 200.0, False, declared_tokens=100
+        )
+        return tracker, arrival
+
+    def admit_first(self, tracker, arrival):
+        """Hold two requests; admit the first one, which takes the host's share."""
+        self.assertEqual(1.0, tracker.hold_seconds(arrival, 100.0))
+        self.assertEqual(1.0, tracker.hold_seconds(arrival, 100.0))
+        held = attrs.evolve(arrival, was_held=True)
+        self.assertEqual(0.0, tracker.hold_seconds(held, 101.0))
+        self.assertNotIsInstance(tracker.admit(held, 101.0), OverLimit)
+        return held
+
+    def test_a_request_without_room_is_held_on_until_other_hosts_are_back(self):
+        # Hosts that were back first refused callers within their limit.
+        tracker, arrival = self.starting_host()
+        held = self.admit_first(tracker, arrival)
+        self.assertGreater(tracker.hold_seconds(held, 101.0), 0.0)
+        tracker.note_time(8, 101.5)
+        self.assertEqual(0.0, tracker.hold_seconds(held, 101.5))
+        self.assertNotIsInstance(tracker.admit(held, 101.5), OverLimit)
+
+    def test_a_request_is_held_on_no_longer_than_its_deadline_allows(self):
+        tracker, arrival = self.starting_host()
+        held = self.admit_first(tracker, arrival)
+        short = attrs.evolve(held, deadline_seconds=103.0)
+        self.assertEqual(0.0, tracker.hold_seconds(short, 101.0))
+
+    def test_a_request_is_held_on_for_a_bounded_time(self):
+        tracker, arrival = self.starting_host()
+        self.admit_first(tracker, arrival)
+        large = attrs.evolve(arrival, was_held=True, declared_tokens=100_000)
+        for _ in range(2):
+            tracker.admit(large, 104.0)
+        self.assertGreater(tracker.hold_seconds(large, 104.9), 0.0)
+        self.assertEqual(0.0, tracker.hold_seconds(large, 105.1))
+
     def test_a_negligible_request_is_not_held(self):
         self.assertEqual((0.0, 0.0), self.hold(0.2, tokens_per_second=1e6))
 
--- a/tests/test_limits_of_processes.py
+++ b/tests/test_limits_of_processes.py
@@ -41,6 +41,8 @@
 SURGE_SECONDS = 2.5
 AFTER_SECONDS = 9.0
 DOWN_SECONDS = 0.3
+#: Time over which hosts start that return one after the other.
+RETURN_SECONDS = 2.0
 START_TIMEOUT_SECONDS = 60.0
 
 
@@ -121,6 +123,17 @@
         """Kill all hosts at once."""
         await self.kill(len(self.fleet.hosts))
 
+    async def kill_all_back_in_turn(self) -> None:
+        """Kill all hosts at once, and start them again one after the other."""
+        for host in self.fleet.hosts:
+            host.signal(signal.SIGKILL)
+        for host in self.fleet.hosts:
+            await host.wait_exited()
+        await anyio.sleep(DOWN_SECONDS)
+        for host in self.fleet.hosts:
+            host.start()
+            await anyio.sleep(RETURN_SECONDS / len(self.fleet.hosts))
+
     async def kill_most(self) -> None:
         """Kill nine hosts of ten at once."""
         await self.kill(round(0.9 * len(self.fleet.hosts)))
