List stored streams after the last name that can be read

What callers would have seen: after all hosts had ended, with more than one page of stored streams, one record without a readable name at the end of a page made the same page come twenty times, and the history on a later one was not read: streams refused. Found by the review, with a stub of the store.

Beside it, begun streams are in an OrderedDict: the oldest are dropped first, for which a plain dict is searched from its beginning.

--- a/packages/rampwick-platform/src/rampwick_platform/_stream_store.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_stream_store.py
@@ -84,13 +84,14 @@
         """Return the objects, and the version of the store at the first page."""
         objects: list[StoredObject] = []
         store_version = 0
+        after_key = ""
         for _ in range(MAX_PAGES_COUNT):
-            after_key = objects[-1].key if objects else ""
             listing = await self._api.list_objects(STREAMS_PREFIX, after_key)
             store_version = store_version or listing.version
             objects += listing.objects
-            if not listing.is_truncated or not listing.objects:
+            if not listing.is_truncated or listing.last_key in ("", after_key):
                 break
+            after_key = listing.last_key
         return objects, store_version
 
     async def read_changes(self, prefix: str, after_version: int) -> list[StoredObject]:
--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -7,7 +7,7 @@
 """
 
 import hashlib
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
@@ -113,7 +113,8 @@
 
     def __init__(self, history: VersionHistory) -> None:
         self._history = history
-        self._streams: dict[bytes, BegunStream] = {}
+        #: The oldest are dropped first, which a plain dict does in linear time.
+        self._streams: OrderedDict[bytes, BegunStream] = OrderedDict()
         #: Updates for all peers, and those for the own group only, whose other
         #: recipients get them from the relay that sent them here.
         self.to_all = Outbox(history)
