Keep a verdict if its upstream could not be reached since the crash

What upstreams would have seen: a request that crashes them was sent again, as the verdict on it was lifted by an upstream that had been started again under its name within a second.

Cause: an answer soon after a crash counted as proof that there was none, although a probe in between had found nobody there. Class: the weaker sign outlives the stronger one against it.

Evidence, failed before: test_upstream_that_refused_a_probe_may_have_been_restarted (NONE is not STOPPED). A crash is confirmed by a probe that opened no connection, and no answer refutes it afterwards.

--- a/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_crash_attribution.py
@@ -190,10 +190,16 @@
     def is_refutable(self, incarnation_key: IncarnationKey, at_seconds: float) -> bool:
         """Return whether a crash is recorded that an answer at a time may refute."""
         crash = self._crashes.get(incarnation_key)
-        if crash is None:
+        if crash is None or crash.is_confirmed:
             return False
         return 0.0 < at_seconds - crash.at_seconds < REFUTATION_SECONDS
 
+    def note_unreachable(self, incarnation_key: IncarnationKey) -> None:
+        """Record that an incarnation could not be reached, after a crash if any."""
+        crash = self._crashes.get(incarnation_key)
+        if crash is not None:
+            crash.is_confirmed = True
+
     def find_refuted(
         self, incarnation_key: IncarnationKey, at_seconds: float
     ) -> list[Suspect]:
--- a/packages/rampwick-policy/src/rampwick_policy/_request_quarantine.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request_quarantine.py
@@ -172,6 +172,10 @@
             at_seconds = max(sent_at_seconds, suspect.quarantined_at_seconds or 0.0)
             self.clear(suspect.key, at_seconds, "its upstreams had not crashed")
 
+    def note_unreachable(self, upstream: str, incarnation: str) -> None:
+        """Record that no connection to an incarnation could be opened."""
+        self.tracker.note_unreachable(IncarnationKey(upstream, incarnation))
+
     def note_writing(
         self,
         items: Iterable[QueuedRequest],
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -430,6 +430,9 @@
         """Mark an upstream as down, and fail its attempts that may be repeated."""
         if self.pool.is_outdated(event):
             return []
+        upstream = self.upstreams.get(event.upstream)
+        if upstream is not None and not event.is_connected:
+            self.quarantine.note_unreachable(upstream.name, upstream.incarnation)
         if self.pool.may_be_silent(event, now_seconds):
             return []
         if self._is_sending(event.upstream, now_seconds):
--- a/packages/rampwick-policy/src/rampwick_policy/_suspects.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_suspects.py
@@ -62,6 +62,9 @@
     """A crash of one incarnation of an upstream."""
 
     at_seconds: float
+    #: Whether the upstream could not be reached since. What answers afterwards may have
+    #: been started again.
+    is_confirmed: bool = False
     #: The requests that it was running, by fingerprint.
     requests: dict[bytes, CrashedRequest] = attrs.field(factory=dict)
     #: Keys of the suspects against which it counts.
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -20,6 +20,7 @@
     Dispatch,
     IncarnationKey,
     LoadReported,
+    ProbeFailed,
     QuarantineState,
     RequestIdentity,
 )
@@ -835,6 +836,13 @@
         self.answer_probe(host, names[-1], 1.5)
         self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
 
+    def test_upstream_that_refused_a_probe_may_have_been_restarted(self):
+        host, names = self.stop()
+        for name in names:
+            host.do(ProbeFailed(name, "connection refused"))
+        self.answer_probe(host, names[-1], 0.3)
+        self.assertIs(QuarantineState.STOPPED, host.quarantine_state(DEADLY))
+
     def test_verdict_that_three_other_crashes_support_stays(self):
         host = Host()
         # Two hosts saw four crashes; the verdict names them all.
