Keep the order of a crash's fields

The new field stood before the requests, which tests give by position: two tests of test_part_attribution.py failed (ValueError: not enough values to unpack).

--- a/packages/rampwick-policy/src/rampwick_policy/_suspects.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_suspects.py
@@ -62,13 +62,13 @@
     """A crash of one incarnation of an upstream."""
 
     at_seconds: float
-    #: Whether the upstream could not be reached since. What answers afterwards may have
-    #: been started again.
-    is_confirmed: bool = False
     #: The requests that it was running, by fingerprint.
     requests: dict[bytes, CrashedRequest] = attrs.field(factory=dict)
     #: Keys of the suspects against which it counts.
     suspect_keys: set[bytes] = attrs.field(factory=set)
+    #: Whether the upstream could not be reached since. What answers afterwards may have
+    #: been started again.
+    is_confirmed: bool = False
 
 
 @attrs.define(eq=False, repr=False)
