Store streams though answers of the store are lost

What callers saw: while the store lost answers, streams that began were not stored, so that after the end of all hosts they were refused.

Cause: the host that writes waited for the client's time-out of 2 s for each lost answer, then listed everything again, and that answer could be lost too.

Evidence, on the code before: test_streams_go_on_though_the_store_lost_calls, "[200, 200, 200, 200] != [503, 503, 503, 503]" (each second call of a host about streams is lost).

Change: calls about streams are limited to 0.4 s, twice as long after each time-out and four times what the last answer took; a write that may have been done leaves its segment alone, and the streams go to another one at once. Everything is listed again after a conflict, or 20 such writes.

--- a/measure/_stream_herds.py
+++ b/measure/_stream_herds.py
@@ -218,7 +218,7 @@
         if is_accepted:
             segments.note_written(write, 1)
         else:
-            segments.note_failed(write)
+            segments.note_failed(write, may_be_done=False)
 
     def _store(self, key: tuple, streams: dict[bytes, BegunStream]) -> None:
         self._version += 1
--- a/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
@@ -27,6 +27,9 @@
 #: overwritten.
 MAX_SEGMENTS_COUNT = 100
 
+#: Version of a segment after a write that may have been done.
+UNKNOWN_VERSION = -1
+
 #: Time after which a service counts as of one version again.
 MIXED_SECONDS = 30.0
 
@@ -74,6 +77,7 @@
         self.on_pending: Callable[[], None] = _do_nothing
         self._segments: dict[int, Segment] = {}
         self._open_number: int | None = None
+        self._in_flight: SegmentWrite | None = None
         #: Number from which a free segment is searched; it differs between hosts, so
         #: that two that write at the same time seldom choose the same one.
         self.first_number = 0
@@ -110,6 +114,9 @@
         """Return the write that is due, if there is one."""
         if now_seconds < self.due_seconds(groups_count, now_seconds):
             return None
+        if self._in_flight is not None:
+            # An unexpected error ended it.
+            self.note_failed(self._in_flight, may_be_done=True)
         added = self._take_pending(now_seconds)
         if not added:
             return None
@@ -121,10 +128,14 @@
         )
         streams |= added
         version = segment.version if segment else 0
-        return SegmentWrite(number, version, streams, make_groups(streams, now_seconds))
+        self._in_flight = SegmentWrite(
+            number, version, streams, make_groups(streams, now_seconds)
+        )
+        return self._in_flight
 
     def note_written(self, write: SegmentWrite, version: int) -> None:
         """Record the version of a segment after a write."""
+        self._in_flight = None
         is_closed = len(write.streams) >= SEGMENT_COUNT
         expires_at_seconds = max(
             stream.expires_at_seconds for stream in write.streams.values()
@@ -137,10 +148,24 @@
             {} if is_closed else dict(write.streams),
         )
 
-    def note_failed(self, write: SegmentWrite) -> None:
-        """Keep the streams of a write that may not have taken effect."""
+    def note_failed(self, write: SegmentWrite, *, may_be_done: bool) -> None:
+        """Keep the streams of a write that failed, or may not have taken effect.
+
+        A segment of which it isn't known what it holds is left alone until the next
+        reading.
+        """
+        self._in_flight = None
         self._pending = {**write.streams, **self._pending}
         self._open_number = None
+        if may_be_done:
+            self._segments[write.number] = Segment(UNKNOWN_VERSION, math.inf)
+
+    @property
+    def unknown_count(self) -> int:
+        """Number of segments of which it isn't known what they hold."""
+        return sum(
+            segment.version == UNKNOWN_VERSION for segment in self._segments.values()
+        )
 
     def _interval_seconds(self, groups_count: int, now_seconds: float) -> float:
         is_mixed = self._history.had_several(MIXED_SECONDS, now_seconds)
--- a/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
@@ -13,10 +13,12 @@
     ABSENT,
     HistoryGoneError,
     ObjectApi,
+    OutcomeUnknownError,
     PlatformError,
     ReadStreams,
     StoredObject,
     StreamStore,
+    VersionConflictError,
 )
 from rampwick_policy import (
     MAX_SEGMENTS_COUNT,
@@ -32,6 +34,7 @@
 )
 
 from .._logs import ComponentLogger
+from ._adaptive_timeout import AdaptiveTimeout
 from ._host_sources import UpstreamDecoder
 
 #: Interval of the checks while a host that has just started hasn't read everything, and
@@ -49,6 +52,9 @@
 #: Maximum age of the host list with which a history is joined or written.
 MAX_LIST_AGE_SECONDS = 2.0
 
+#: Number of segments in an unknown state from which all are read again.
+MAX_UNKNOWN_COUNT = 20
+
 #: Backoff after failures: initial, factor and maximum.
 INITIAL_BACKOFF_SECONDS = 0.1
 BACKOFF_FACTOR = 1.6
@@ -91,6 +97,7 @@
         #: Resets of the history up to which it has been recovered.
         self._recovered_resets_count = -1
         self._history_due_seconds = 0.0
+        self._timeout = AdaptiveTimeout(read_clock)
         self._failures_count = 0
         #: Name of the group that the last reading was for.
         self._group = ""
@@ -111,7 +118,8 @@
             try:
                 await self._advance()
             except (PlatformError, DataError) as error:
-                self._read = None
+                if isinstance(error, VersionConflictError):
+                    self._read = None
                 self._note_failure(error)
                 await self._back_off()
             else:
@@ -172,7 +180,8 @@
         return self._recovered_resets_count != self._versions.history.resets_count
 
     async def _read_all(self) -> ReadStreams:
-        read = await self._store.read()
+        with self._timeout.limit():
+            read = await self._store.read()
         now_seconds = self._read_clock()
         for segment in read.segments:
             self._versions.streams.restore(segment.streams, now_seconds)
@@ -213,9 +222,10 @@
 
     async def _join_history(self, history: StoredHistory) -> None:
         try:
-            changed = await self._store.read_changes(
-                self._decoder.upstreams_prefix, history.store_version
-            )
+            with self._timeout.limit():
+                changed = await self._store.read_changes(
+                    self._decoder.upstreams_prefix, history.store_version
+                )
             entries = [self._read_entry(stored) for stored in changed]
         except (HistoryGoneError, DataError) as error:
             log.problem("history of versions incomplete", error=str(error))
@@ -257,16 +267,23 @@
             await self._write_segment(write)
 
     async def _write_segment(self, write: SegmentWrite) -> None:
-        is_written = False
+        segments = self._versions.segments
         try:
-            version = await self._store.write_segment(
-                self._group, write.number, write.expected_version, write.groups
-            )
-            is_written = True
-        finally:
-            if not is_written:
-                self._versions.segments.note_failed(write)
-        self._versions.segments.note_written(write, version)
+            with self._timeout.limit():
+                version = await self._store.write_segment(
+                    self._group, write.number, write.expected_version, write.groups
+                )
+        except OutcomeUnknownError as error:
+            # The next write goes to another segment, without a pause.
+            segments.note_failed(write, may_be_done=True)
+            log.problem("write of streams not confirmed", error=str(error))
+            if segments.unknown_count >= MAX_UNKNOWN_COUNT:
+                self._read = None
+        except PlatformError:
+            segments.note_failed(write, may_be_done=False)
+            raise
+        else:
+            segments.note_written(write, version)
 
     async def _write_history(self, read: ReadStreams) -> None:
         now_seconds = self._read_clock()
@@ -280,13 +297,14 @@
             return
         self._history_due_seconds = now_seconds + HISTORY_INTERVAL_SECONDS
         self._versions.note_in_use(now_seconds)
-        read.versions[self._group] = await self._store.write_history(
-            self._group,
-            read.versions.get(self._group, ABSENT),
-            store_version,
-            known_seconds,
-            history.ages(now_seconds),
-        )
+        with self._timeout.limit():
+            read.versions[self._group] = await self._store.write_history(
+                self._group,
+                read.versions.get(self._group, ABSENT),
+                store_version,
+                known_seconds,
+                history.ages(now_seconds),
+            )
 
 
 def _log_unreadable(key: str, error: Exception) -> None:
--- a/tests/test_stream_segments.py
+++ b/tests/test_stream_segments.py
@@ -100,15 +100,34 @@
         begin(streams, "a")
         write = segments.next_write(1, 0.0)
         begin(streams, "a", version="v2", instance=b"cd")
-        segments.note_failed(write)
+        segments.note_failed(write, may_be_done=False)
         (stream,) = segments.next_write(1, 1.0).streams.values()
         self.assertEqual(CONFLICT_NUMBER, stream.attempt_number)
 
+    def test_segment_whose_write_may_have_been_done_is_left_alone(self):
+        streams, segments = make_streams("v1", "v2")
+        begin(streams, "a")
+        write = self.write(segments, 0.0)
+        begin(streams, "b")
+        segments.note_failed(segments.next_write(1, 1.0), may_be_done=True)
+        again = segments.next_write(1, 2.0)
+        self.assertNotEqual(write.number, again.number)
+        self.assertEqual(2, len(again.streams))
+        self.assertEqual(1, segments.unknown_count)
+        segments.note_read([], 2.0)
+        self.assertEqual(0, segments.unknown_count)
+
+    def test_write_that_an_error_ended_is_made_again(self):
+        streams, segments = make_streams("v1", "v2")
+        begin(streams, "a")
+        segments.next_write(1, 0.0)
+        self.assertEqual(1, len(segments.next_write(1, 1.0).streams))
+
     def test_segment_is_overwritten_only_after_its_streams_have_expired(self):
         streams, segments = make_streams("v1", "v2")
         segments.note_read([(0, 5, LIFETIME_SECONDS), (1, 6, 2.0)], 0.0)
         begin(streams, "a", 1.0)
-        self.assertEqual((2, 0), _target(segments.next_write(1, 1.0)))
+        self.assertEqual((2, 0), _target(self.write(segments, 1.0)))
         begin(streams, "b", 3.0)
         segments.note_read([(0, 5, LIFETIME_SECONDS - 3.0), (1, 6, -1.0)], 3.0)
         self.assertEqual((1, 6), _target(segments.next_write(1, 3.0)))
--- a/tests/test_streams_outlive_hosts.py
+++ b/tests/test_streams_outlive_hosts.py
@@ -6,7 +6,11 @@
 import attrs
 from testtools import TestCase
 
-from rampwick_platform import HistoryGoneError, PlatformUnavailableError
+from rampwick_platform import (
+    HistoryGoneError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+)
 from rampwick_schema import StoredHistory, StoredVersion
 
 from .bench import until
@@ -75,15 +79,18 @@
 
 
 @asynccontextmanager
-async def hosts(store, count=4, cut_off=None):
+async def hosts(store, count=4, cut_off=None, see=None):
     """Run two hosts; the end of the context ends both at once, without a stop.
 
-    ``cut_off`` is the number of a host whose writes fail.
+    ``cut_off`` is the number of a host whose writes fail, and ``see`` returns the store
+    as a host sees it.
     """
     async with AsyncExitStack() as stack:
         found, seeds = [], ""
         for number, name in enumerate(("entry-1", "entry-2")):
-            seen = RefusedWrites(store) if number == cut_off else store
+            seen = see(store) if see else store
+            if number == cut_off:
+                seen = RefusedWrites(store)
             host = await stack.enter_async_context(
                 run_routed_host(seen, name, peers=PEERS + seeds, has_versions=True)
             )
@@ -195,6 +202,21 @@
         for cut_off in (0, 1):
             self.assertEqual([200] * 3, run(scenario), cut_off)
 
+    def test_streams_go_on_though_the_store_lost_calls(self):
+        async def scenario(store, servers):
+            async with hosts(store, see=LostCalls) as (one, _):
+                await anyio.sleep(WRITTEN_SECONDS)
+                for number in range(4):
+                    await begin_stream(one, f"s{number}")
+                # Less than the time-out of a call.
+                await anyio.sleep(1.2)
+            async with hosts(store) as (one, _):
+                return await resume_all(one, 4), versions_by_stream(servers)
+
+        statuses, found = run(scenario)
+        self.assertEqual([200] * 4, statuses)
+        self.assertEqual([1] * 4, [len(versions) for versions in found.values()])
+
     def test_streams_go_on_once_the_store_answers_after_the_start(self):
         async def scenario(store, servers):
             await begin(store, servers)
@@ -272,6 +294,29 @@
         raise PlatformUnavailableError("status 503", step="put object")
 
 
+class LostCalls(StoreProxy):
+    """A store that loses each second call about streams."""
+
+    def __init__(self, store):
+        super().__init__(store)
+        self._calls_count = 0
+
+    async def _lose(self, key):
+        if key.startswith("streams/"):
+            self._calls_count += 1
+            if self._calls_count % 2:
+                await anyio.sleep(2.0)
+                raise OutcomeUnknownError("timed out", step="lost")
+
+    async def put(self, key, value, expected_version):
+        await self._lose(key)
+        return await self._store.put(key, value, expected_version)
+
+    async def list_objects(self, prefix, after_key=""):
+        await self._lose(prefix)
+        return await self._store.list_objects(prefix, after_key)
+
+
 class ForgottenHistory(StoreProxy):
     """A store that has forgotten what was before this object was made."""
 
