Recover the history of versions beside interruptions and odd entries

Found by the review, with stubs of the store; callers would have seen refused streams after all hosts had ended, in one case a text of two versions:

- A history was joined although the own one had been interrupted while the store's answer was awaited, which covered a gap in which a version may have served.
- A host that writes recovered from the history that it had read at its start.
- Each reading after a failed write restored the streams again, with lifetimes counted anew, in one turn of the event loop.
- The newest history was taken, of whatever group; now that of the own group goes first, and another one follows if the store has forgotten its changes.

--- a/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_stream_storage.py
@@ -94,6 +94,11 @@
         self._rng = rng
         #: The last reading; none if it has to be read before the next write.
         self._read: ReadStreams | None = None
+        #: Resets of the history as of that reading.
+        self._read_resets_count = -1
+        #: Whether the streams have been read. Their lifetimes count from each reading,
+        #: so that more readings would prolong them.
+        self._has_restored = False
         #: Resets of the history up to which it has been recovered.
         self._recovered_resets_count = -1
         self._history_due_seconds = 0.0
@@ -180,11 +185,12 @@
         return self._recovered_resets_count != self._versions.history.resets_count
 
     async def _read_all(self) -> ReadStreams:
+        resets_count = self._versions.history.resets_count
         with self._timeout.limit():
             read = await self._store.read()
         now_seconds = self._read_clock()
-        for segment in read.segments:
-            self._versions.streams.restore(segment.streams, now_seconds)
+        if not self._has_restored:
+            await self._restore(read, now_seconds)
         self._versions.segments.note_read(
             [
                 (
@@ -199,37 +205,69 @@
             ],
             now_seconds,
         )
-        self._read = read
+        self._read, self._read_resets_count = read, resets_count
         return read
 
+    async def _restore(self, read: ReadStreams, now_seconds: float) -> None:
+        for segment in read.segments:
+            self._versions.streams.restore(segment.streams, now_seconds)
+            # Callers return at the same time.
+            await anyio.sleep(0)
+        self._has_restored = True
+
     async def _recover(self) -> None:
         """Read the history, and which entries changed since it was written."""
-        read = self._read or await self._read_all()
-        _, list_age_seconds = self._read_list()
-        if list_age_seconds > MAX_LIST_AGE_SECONDS:
-            # Without a list from now on, the history would have a gap.
-            return
         resets_count = self._versions.history.resets_count
-        history = max(
-            read.histories.values(), key=lambda item: item.store_version, default=None
-        )
-        if history is not None:
-            await self._join_history(history)
+        read = self._read
+        if read is None or self._read_resets_count != resets_count:
+            # The history of an earlier reading ends before that of this host began.
+            read = await self._read_all()
+        for history in self._histories(read):
+            if not self._is_list_current(resets_count):
+                # Without a list from now on, the history would have a gap.
+                return
+            entries = await self._read_changes(history)
+            if not self._is_list_current(resets_count):
+                return
+            if entries is not None:
+                self._join_history(history, entries)
+                break
+        if not self._is_list_current(resets_count):
+            return
         self._recovered_resets_count = resets_count
         if self._recorder_rank() is None:
             # After the next interruption there will be a newer history.
             self._read = None
 
-    async def _join_history(self, history: StoredHistory) -> None:
+    def _histories(self, read: ReadStreams) -> list[StoredHistory]:
+        """Return the histories: that of the own group, then the newest ones."""
+        found = sorted(
+            read.histories.items(),
+            key=lambda item: (item[0] == self._group, item[1].store_version),
+            reverse=True,
+        )
+        return [history for _, history in found]
+
+    def _is_list_current(self, resets_count: int) -> bool:
+        """Return whether the own history has gone on since it had so many resets."""
+        _, list_age_seconds = self._read_list()
+        is_same = self._versions.history.resets_count == resets_count
+        return is_same and list_age_seconds <= MAX_LIST_AGE_SECONDS
+
+    async def _read_changes(self, history: StoredHistory) -> list[HostEntry] | None:
+        """Return the entries that changed after a history; None if that is unknown."""
         try:
             with self._timeout.limit():
                 changed = await self._store.read_changes(
                     self._decoder.upstreams_prefix, history.store_version
                 )
-            entries = [self._read_entry(stored) for stored in changed]
-        except (HistoryGoneError, DataError) as error:
+        except HistoryGoneError as error:
             log.problem("history of versions incomplete", error=str(error))
-            return
+            return None
+        entries = [self._read_entry(stored) for stored in changed]
+        return [entry for entry in entries if entry is not None]
+
+    def _join_history(self, history: StoredHistory, entries: list[HostEntry]) -> None:
         self._versions.history.recover(
             [
                 ListedVersion(item.service, item.software_version, item.age_seconds)
@@ -245,12 +283,16 @@
             changes_count=len(entries),
         )
 
-    def _read_entry(self, stored: StoredObject) -> HostEntry:
-        """Return an entry that changed; an unreadable one may have had any version."""
+    def _read_entry(self, stored: StoredObject) -> HostEntry | None:
+        """Return an entry that changed; None if it is unreadable.
+
+        By an unreadable entry no host sends requests.
+        """
         try:
             return self._decoder.read_upstream(stored)
         except RampwickError as error:
-            raise DataError(str(error), step="read entry", peer=stored.key) from None
+            log.problem("unreadable upstream entry", entry=stored.key, error=str(error))
+            return None
 
     # Writing.
 
--- a/tests/test_streams_outlive_hosts.py
+++ b/tests/test_streams_outlive_hosts.py
@@ -240,6 +240,16 @@
         status = run(scenario, versions=ONE, timeout_seconds=ROUTE_SECONDS)
         self.assertEqual(503, status)
 
+    def test_odd_entry_written_while_no_host_ran_hides_no_history(self):
+        async def scenario(store, servers):
+            await begin(store, servers, seconds=ROUTE_SECONDS + 5.0)
+            store.write("upstreams/odd", make_tree())
+            async with hosts(store) as (one, _):
+                return (await resume(one, "unwritten", 1)).status
+
+        status = run(scenario, versions=ONE, timeout_seconds=ROUTE_SECONDS)
+        self.assertEqual(200, status)
+
     def test_history_of_a_later_version_of_the_store_proves_nothing(self):
         async def scenario(store, servers):
             versions = [StoredVersion("notes", "v1", 0.0)]
