--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -17,6 +17,13 @@
 
 from rampwick_router._caller_server import CallerServer
 
+from .scripted import (
+    MemoryStore,
+    ScriptedUpstream,
+    list_upstream,
+    make_tree,
+    run_routed_host,
+)
 from .test_connection_ends import (
     WITH_ID,
     Http2Caller,
@@ -173,6 +180,34 @@
             statuses = anyio.run(main, stack)
         self.assertEqual([502] + [503] * 40, statuses)
 
+    def test_request_that_is_open_while_the_connections_are_closed_is_served(self):
+        async def answer_late(exchange):
+            await anyio.sleep(1.3)
+            await exchange.answer()
+
+        async def main():
+            server, store = ScriptedUpstream("a"), MemoryStore()
+            server.scripts = [answer_late]
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(server.serve)
+                store.write("config/main", make_tree())
+                list_upstream(store, server, "labels")
+                life = "stop_within_seconds = 2.25"
+                async with run_routed_host(store, life=life) as host:
+                    while not host.upstreams_count:
+                        await anyio.sleep(0.005)
+                    raw = open_raw(host)
+                    raw.sendall(request_head("/once/1", WITH_ID))
+                    while not host.daemon.entry.open_count:
+                        await anyio.sleep(0.005)
+                    await drain(host)
+                    open_count = host.daemon.entry.open_count
+                tasks.cancel_scope.cancel()
+            with contextlib.closing(raw):
+                return open_count, await run_sync(read_status, raw)
+
+        self.assertEqual((1, 200), anyio.run(main))
+
     def test_request_whose_head_has_arrived_in_part_is_answered(self):
         head = request_head("/once/1", WITH_ID)
 
