Attach the listener's filter without a foreign function library

ctypes was only used for the address of the program, which an array gives, too; its import costs each host's start.

--- a/packages/rampwick-router/src/rampwick_router/_new_connections.py
+++ b/packages/rampwick-router/src/rampwick_router/_new_connections.py
@@ -5,7 +5,7 @@
 caller sends that segment again a second later, when the closed listener refuses it.
 """
 
-import ctypes
+import array
 import socket
 import struct
 
@@ -32,6 +32,7 @@
 def drop_new_connections(listener: socket.socket) -> None:
     """Have the kernel drop connections that begin from now on; may raise OSError."""
     instructions = b"".join(struct.pack("HBBI", *item) for item in _PROGRAM)
-    memory = ctypes.create_string_buffer(instructions)
-    program = struct.pack("HL", len(_PROGRAM), ctypes.addressof(memory))
+    memory = array.array("B", instructions)
+    address, _ = memory.buffer_info()
+    program = struct.pack("HP", len(_PROGRAM), address)
     listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
