Wait for a newer host list at most 0.25 s, and once in 5 s

What callers saw: on a busy host, whose list is old because its event loop is late, all requests waited for the list to be read again, up to 0.5 s each time. So costs callers most where hosts have least to spare.

Change: such a wait takes 0.25 s at most, and the next one begins 5 s later at the earliest; meanwhile requests go by the list that there is.

--- a/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
@@ -17,9 +17,11 @@
 #: that leave may expect no requests 2 s later, and the request takes time to arrive.
 MAX_AGE_SECONDS = 1.8
 
-#: Longest time that requests wait for that. After a refresh that failed they are sent
-#: by the old list, until a newer one is known.
-REFRESH_TIMEOUT_SECONDS = 0.5
+#: Longest time that requests wait for that, and least time between two such waits: on
+#: a busy host, whose list is old for that reason, requests must not wait all the time.
+#: Meanwhile, and after a refresh that failed, they are sent by the old list.
+REFRESH_TIMEOUT_SECONDS = 0.25
+REFRESH_INTERVAL_SECONDS = 5.0
 
 log = ComponentLogger("upstreams")
 
@@ -36,6 +38,7 @@
         self._refresh_requested = anyio.Event()
         self._refreshed = anyio.Event()
         self._has_refresh_failed = False
+        self._refreshed_at_seconds = -math.inf
         #: The newest list; peers' addresses are taken from it.
         self.host_list = HostList(version=0, hosts=[])
         #: Version of that list; -1 before the first one.
@@ -58,10 +61,14 @@
         """Return whether the list is too old for requests to be sent by it.
 
         It is if the event loop did not run, or if the hosts that read it for this one
-        have stopped. A list that can't be read is used at any age.
+        have stopped. A list that can't be read is used at any age, and so is any list
+        shortly after it was read for that reason.
         """
         if self.source is None or not self.source.can_refresh:
             return False
+        now_seconds = self._read_clock()
+        if now_seconds - self._refreshed_at_seconds < REFRESH_INTERVAL_SECONDS:
+            return False
         return not (self._has_refresh_failed or self._is_recent())
 
     async def wait_recent(self) -> None:
@@ -88,7 +95,8 @@
                     error = ""
                 except (PlatformError, DataError) as problem:
                     error = str(problem)
-            age_seconds = self.age_seconds(self._read_clock())
+            self._refreshed_at_seconds = self._read_clock()
+            age_seconds = self.age_seconds(self._refreshed_at_seconds)
             log.info(
                 "host list refreshed", age_ms=milliseconds(age_seconds), error=error
             )
