--- a/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_begun_streams.py
@@ -113,7 +113,7 @@
 
     def __init__(self, history: VersionHistory) -> None:
         self._history = history
-        #: The oldest are dropped first, which a plain dict does in linear time.
+        #: The oldest are dropped first, which takes linear time in a plain dict.
         self._streams: OrderedDict[bytes, BegunStream] = OrderedDict()
         #: Updates for all peers, and those for the own group only, whose other
         #: recipients get them from the relay that sent them here.
