--- a/measure/_stream_herds.py
+++ b/measure/_stream_outages.py
@@ -36,7 +36,7 @@
 
 
 @attrs.frozen
-class HerdScenario(Scenario):
+class OutageScenario(Scenario):
     """All hosts end some times, beside a store with faults."""
 
     #: Times between which all hosts end, and until they are back.
@@ -50,7 +50,7 @@
 
 
 @attrs.define
-class HerdFigures:
+class OutageFigures:
     """Take-ups after all hosts had ended, and calls to the store."""
 
     count: int = 0
@@ -64,20 +64,20 @@
     most_writes_count: int = 0
 
 
-class HerdLab(Records):
+class OutageLab(Records):
     """A fleet whose hosts all end at once, in one way."""
 
     def __init__(
-        self, hosts_count: int, scenario: HerdScenario, seed: int, way: str
+        self, hosts_count: int, scenario: OutageScenario, seed: int, way: str
     ) -> None:
         self._way, self._seed = way, seed
-        self.figures = HerdFigures()
+        self.figures = OutageFigures()
         self._segments: dict[Host, StreamSegments] = {}
         self._started: dict[Host, float] = {}
         #: Incarnation of each host that has read the history.
         self._joined: dict[Host, int] = {}
         self._back_at_seconds = 0.0
-        self._herd: set[Stream] = set()
+        self._broken_off: set[Stream] = set()
         #: The store: objects by group and number, histories by group, and the changes
         #: of the list of upstreams.
         self._objects: dict[tuple, dict[bytes, BegunStream]] = {}
@@ -145,7 +145,7 @@
             host.is_up, host.incarnation = False, host.incarnation + 1
             host.gone_at_seconds = self.now_seconds
         for stream in list(self._active):
-            self._herd.add(stream)
+            self._broken_off.add(stream)
             self._break(stream)
         for host in self.hosts:
             jitter_seconds = self.rng.uniform(0.0, 0.3)
@@ -303,7 +303,7 @@
 
     def take_up(self, stream: Stream) -> None:
         """Decide about streams that broke as all hosts ended."""
-        if stream not in self._herd:
+        if stream not in self._broken_off:
             return
         rng = random.Random(f"{self._seed} {stream.key!r}")
         self.figures.count += 1
@@ -341,21 +341,21 @@
 
 
 SCENARIOS = {
-    "all end": HerdScenario(rate=1.0),
-    "store away": HerdScenario(rate=1.0, away_seconds=3.0),
-    "store slow": HerdScenario(rate=1.0, slow_seconds=4.0),
-    "three versions": HerdScenario(rate=1.0, versions_count=3),
-    "one version": HerdScenario(rate=1.0, versions_count=1),
-    "one version, store away": HerdScenario(
+    "all end": OutageScenario(rate=1.0),
+    "store away": OutageScenario(rate=1.0, away_seconds=3.0),
+    "store slow": OutageScenario(rate=1.0, slow_seconds=4.0),
+    "three versions": OutageScenario(rate=1.0, versions_count=3),
+    "one version": OutageScenario(rate=1.0, versions_count=1),
+    "one version, store away": OutageScenario(
         rate=1.0, versions_count=1, away_seconds=3.0
     ),
-    "one version, history gone": HerdScenario(
+    "one version, history gone": OutageScenario(
         rate=1.0, versions_count=1, is_forgetful=True
     ),
 }
 
 
-def print_herds(
+def print_outages(
     hosts_counts: list[int], names: list[str], ways: list[str], seeds_count: int
 ) -> None:
     """Print the figures of all ways."""
@@ -372,13 +372,13 @@
 
 
 def _print_way(
-    hosts_count: int, scenario: HerdScenario, seeds_count: int, way: str
+    hosts_count: int, scenario: OutageScenario, seeds_count: int, way: str
 ) -> None:
-    total = HerdFigures()
+    total = OutageFigures()
     for seed in range(seeds_count):
-        lab = HerdLab(hosts_count, scenario, seed, way)
+        lab = OutageLab(hosts_count, scenario, seed, way)
         lab.run()
-        for field in attrs.fields(HerdFigures):
+        for field in attrs.fields(OutageFigures):
             value = getattr(total, field.name) + getattr(lab.figures, field.name)
             setattr(total, field.name, value)
     count, seconds = total.count or 1, scenario.length_seconds * seeds_count
--- a/measure/stream_versions.py
+++ b/measure/stream_versions.py
@@ -18,8 +18,8 @@
 from rampwick_schema import decode_message, encode_message
 
 from ._stream_events import SERVICE, Scenario, Stream
-from ._stream_herds import SCENARIOS as HERDS, WAYS as HERD_WAYS, print_herds
 from ._stream_hosts import TIMEOUT_SECONDS, Host, Listed, Records
+from ._stream_outages import SCENARIOS as OUTAGES, WAYS as HERD_WAYS, print_outages
 
 #: The platform's store: duration of a call, accepted writes a second, and outages.
 STORE_SECONDS, MAX_WRITE_RATE, STORE_WINDOW_SECONDS = 0.004, 400, 0.1
@@ -221,15 +221,15 @@
     parser.add_argument("--hosts", type=int, nargs="*", default=[6, 20, 300])
     parser.add_argument("--scenarios", nargs="*", default=list(SCENARIOS))
     parser.add_argument(
-        "--herds", nargs="*", choices=list(HERDS), help="all hosts end at once"
+        "--outages", nargs="*", choices=list(OUTAGES), help="all hosts end at once"
     )
     parser.add_argument(
-        "--ways", nargs="*", choices=HERD_WAYS, default=HERD_WAYS, help="with --herds"
+        "--ways", nargs="*", choices=HERD_WAYS, default=HERD_WAYS, help="with --outages"
     )
     arguments = parser.parse_args(argv)
-    if arguments.herds is not None:
-        names = arguments.herds or list(HERDS)
-        print_herds(arguments.hosts, names, arguments.ways, arguments.seeds)
+    if arguments.outages is not None:
+        names = arguments.outages or list(OUTAGES)
+        print_outages(arguments.hosts, names, arguments.ways, arguments.seeds)
         return
     for updates in (50, 500, 1500):
         cost = time_receiving(1500, updates)
--- a/tests/test_stream_versions_lab.py
+++ b/tests/test_stream_versions_lab.py
@@ -1,13 +1,13 @@
 """No stream goes on at another software version, whatever happens to the hosts."""
 
 import attrs
-from measure._stream_herds import (
+from measure._stream_outages import (
     MAX_WRITE_RATE,
     MEMORY,
-    SCENARIOS as HERDS,
+    SCENARIOS as OUTAGES,
     SEGMENTS,
     WINDOW_SECONDS,
-    HerdLab,
+    OutageLab,
 )
 from measure.stream_versions import BROADCAST, SCENARIOS, VersionsLab
 from testtools import TestCase
@@ -37,11 +37,11 @@
         self.check("second attempts", (6, 4), (6, 5), **changes)
 
 
-class StreamHerdsLabTest(TestCase):
+class StreamOutagesLabTest(TestCase):
     def check(self, name, hosts_count, seed, min_ratio):
         figures = {}
         for way in (MEMORY, SEGMENTS):
-            lab = HerdLab(hosts_count, HERDS[name], seed, way)
+            lab = OutageLab(hosts_count, OUTAGES[name], seed, way)
             lab.run()
             figures[way] = lab.figures
             self.assertEqual(0, lab.figures.other_count, (name, way, seed))
