Store begun streams no more often in fleets of many groups

What operators would have seen: more calls to the store with each group of hosts.

Cause: each group wrote at its own interval, up to 40 writes a second in all, and each second while a service has one version. Now all groups together write ten times a second, and once a second. A fleet of one group writes as before.

What is given up: in large fleets more streams of the last tenths of a second before all hosts end are refused.

--- a/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
@@ -33,10 +33,9 @@
 #: Time after which a service counts as of one version again.
 MIXED_SECONDS = 30.0
 
-#: Time between two writes of one group and of all groups together, while a service has
-#: several versions, and between two writes of one group otherwise.
-GROUP_INTERVAL_SECONDS = 0.1
-FLEET_INTERVAL_SECONDS = 0.025
+#: Time between two writes of all groups together, while a service has several versions
+#: and otherwise: the store's calls must not grow with the number of groups.
+URGENT_INTERVAL_SECONDS = 0.1
 RELAXED_INTERVAL_SECONDS = 1.0
 
 #: Factor of the interval of a standby, which writes each second at most.
@@ -169,10 +168,10 @@
 
     def _interval_seconds(self, groups_count: int, now_seconds: float) -> float:
         is_mixed = self._history.had_several(MIXED_SECONDS, now_seconds)
-        seconds = GROUP_INTERVAL_SECONDS if is_mixed else RELAXED_INTERVAL_SECONDS
+        seconds = URGENT_INTERVAL_SECONDS if is_mixed else RELAXED_INTERVAL_SECONDS
         if self.is_standby:
             seconds = max(RELAXED_INTERVAL_SECONDS, STANDBY_FACTOR * seconds)
-        return max(seconds, FLEET_INTERVAL_SECONDS * groups_count)
+        return seconds * groups_count
 
     def _take_pending(self, now_seconds: float) -> dict[bytes, BegunStream]:
         # The newest ones are useful for longest, should there be too many.
