--- a/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_stream_segments.py
@@ -38,7 +38,8 @@
 URGENT_INTERVAL_SECONDS = 0.1
 RELAXED_INTERVAL_SECONDS = 1.0
 
-#: Factor of the interval of a standby, which writes each second at most.
+#: Number of intervals between two writes of a standby, which also waits for at least
+#: a relaxed one.
 STANDBY_FACTOR = 4.0
 
 
--- a/tests/test_stream_segments.py
+++ b/tests/test_stream_segments.py
@@ -199,10 +199,10 @@
         history.recover(listed, known_seconds, changed, 100.0)
         return history.only_version("s", [], LIFETIME_SECONDS, 100.0)
 
-    def test_history_of_one_version_tells_it(self):
+    def test_only_version_is_known_by_its_history(self):
         self.assertEqual("v1", self.recover([ListedVersion("s", "v1", 0.0)], 60.0))
 
-    def test_history_that_is_too_short_tells_nothing(self):
+    def test_history_that_is_too_short_proves_nothing(self):
         self.assertIsNone(self.recover([ListedVersion("s", "v1", 0.0)], 5.0))
 
     def test_version_that_came_after_the_history_was_written_counts(self):
