Admit at a stopping host by the evidence of its answers, open ones included

Cause: an estimate without evidence decided. Complete answers alone counted, so that what was open, however old, and the pace of open streams counted for nothing; below five answers the latency target decided, also for requests that must not run twice; and the 0.99 quantile of the 20 nearest answers was their slowest.

Change: the quantile is one of Kaplan and Meier over the newest 100 like answers and the ages of the open ones; if it is not reached, twice the oldest age is expected, and no request that must not run twice is taken. Known times are scaled by the present pace of open streams. A request that must not run twice needs 20 like answers, and once the balancer is done two of a kind without answers may be open. Up to 0.05 of safe requests may be cut until the balancer is done, 0.01 after that, half of those that may have run. A decision states its evidence. The router does not note open requests yet.

The whole minute instead of the newest 100: a test that a fall of the times is believed after 100 answers fails.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -5,6 +5,7 @@
 from . import (
     blame,
     decisions,
+    drain,
     herd,
     lab,
     limits,
@@ -25,6 +26,7 @@
 MEASUREMENTS = {
     "blame": blame.main,
     "decisions": decisions.main,
+    "drain": drain.main,
     "herd": herd.main,
     "lab": lab.main,
     "limits": limits.main,
--- /dev/null
+++ b/measure/drain.py
@@ -0,0 +1,301 @@
+"""Compare ways to decide which requests a host that shuts down still takes.
+
+One host serves generated requests, gets SIGTERM, and judges each later one by what it
+has seen. Time is simulated, and arrivals are the same for each way.
+"""
+
+import argparse
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager
+from unittest import mock
+
+import attrs
+
+from rampwick_policy import (
+    AnswerKind,
+    DrainAdmission,
+    DrainRequest,
+    OpenAnswer,
+    _answer_times as times_module,
+    _drain_admission as admission_module,
+)
+from rampwick_policy._answer_times import AnswerTimes, _RecentAnswers
+from rampwick_policy._open_answers import OpenAnswers
+
+#: SIGTERM is at 0; when the balancer is done, and when the host exits.
+BALANCER_DONE_SECONDS, EXIT_SECONDS = 2.5, 7.25
+#: Time after SIGTERM from which no answer may be cut.
+LATE_SECONDS = 3.0
+REQUESTS_PER_SECOND = 12.0
+LATENCY_TARGET_SECONDS = 0.3
+TIMEOUT_SECONDS = 30.0
+
+
+@attrs.frozen
+class Pattern:
+    """Requests and the work of their answers."""
+
+    name: str
+    #: Returns the time that an answer takes at full pace.
+    draw_seconds: Callable[[random.Random], float]
+    #: Events of a stream, as announced; 0 for a plain request.
+    events_count: int = 0
+    #: Multiple of the time that all work takes after SIGTERM.
+    slow_ratio: float = 1.0
+    #: When the requests begin to arrive.
+    begin_seconds: float = -30.0
+
+
+def _evenly(low: float, high: float) -> Callable[[random.Random], float]:
+    return lambda rng: rng.uniform(low, high)
+
+
+def _two(short: float, long: float, share: float) -> Callable[[random.Random], float]:
+    return lambda rng: rng.uniform(0.9, 1.1) * (long if rng.random() < share else short)
+
+
+PATTERNS = [
+    Pattern("plain, 0.1 to 0.4 s", _evenly(0.1, 0.4)),
+    Pattern("plain, 0.05 s, 3 in 100 2.5 s", _two(0.05, 2.5, 0.03)),
+    Pattern("plain, 0.05 s, 3 in 100 5 s", _two(0.05, 5.0, 0.03)),
+    Pattern("streams of 1 to 5 s", _evenly(1.0, 5.0), 25),
+    Pattern("streams, 0.25 s, 3 in 100 6 s", _two(0.25, 6.0, 0.03), 25),
+    Pattern("streams, 0.25 s, 30 in 100 6 s", _two(0.25, 6.0, 0.3), 25),
+    Pattern("streams of 0.5 to 1.5 s, pace / 2", _evenly(0.5, 1.5), 25, 2.0),
+    Pattern("streams of 0.5 to 1.5 s, pace / 4", _evenly(0.5, 1.5), 25, 4.0),
+    Pattern("streams of 0.5 to 1.5 s, pace / 10", _evenly(0.5, 1.5), 25, 10.0),
+    Pattern("plain, 0.1 to 0.4 s, pace / 10", _evenly(0.1, 0.4), 0, 10.0),
+    Pattern("plain, 2.5 s, first at 4 s", _evenly(2.4, 2.6), begin_seconds=4.0),
+    Pattern("streams of 6 s, first at 0.4 s", _evenly(5.9, 6.1), 49, 1.0, 0.4),
+    Pattern("host up for 2 s, 0.05 or 2.5 s", _two(0.05, 2.5, 0.3), 0, 1.0, -2.0),
+    Pattern("host up for 2 s, streams 1 to 5 s", _evenly(1.0, 5.0), 25, 1.0, -2.0),
+]
+
+
+def _nearest(answers: _RecentAnswers, size: float, now_seconds: float) -> list[object]:
+    return list(answers.nearest(size, now_seconds))
+
+
+def _no_ages(*args: object, **kwargs: object) -> list[float]:
+    return []
+
+
+def _no_oldest(*args: object, **kwargs: object) -> float:
+    return 0.0
+
+
+def _no_pace(*args: object) -> None:
+    return None
+
+
+Patch = AbstractContextManager[object]
+
+#: Patches that take one mechanism away.
+NEAREST = [mock.patch.object(_RecentAnswers, "find_like", _nearest)]
+NO_AGES = [
+    mock.patch.object(AnswerTimes, "_open_seconds", _no_ages),
+    mock.patch.object(AnswerTimes, "oldest_open_seconds", _no_oldest),
+]
+NO_PACE = [mock.patch.object(OpenAnswers, "event_seconds", _no_pace)]
+
+
+def _set(**constants: float) -> list[Patch]:
+    return [
+        mock.patch.object(admission_module, name, value)
+        for name, value in constants.items()
+    ]
+
+
+NO_EVIDENCE = _set(MIN_ONCE_ANSWERS_COUNT=0, MAX_UNKNOWN_COUNT=1_000_000)
+ONE_RATIO = _set(MAX_EARLY_CUT_RATIO=0.01)
+SMALL_MARGIN: list[Patch] = [mock.patch.object(times_module, "MARGIN_RATIO", 1.1)]
+ALWAYS_MORE = _set(MAX_EARLY_CUT_RATIO=0.05, MAX_CUT_RATIO=0.05)
+
+#: The way that knows how answers are distributed, but not how long each one takes.
+KNOWN = "distribution known"
+KNOWN_SAMPLES_COUNT = 1000
+
+WAYS = {
+    "nearest 20, slowest": NEAREST + NO_AGES + NO_PACE + NO_EVIDENCE + ONE_RATIO,
+    "newest 100, 0.99": NO_AGES + NO_PACE + NO_EVIDENCE + ONE_RATIO,
+    "and ages of open ones": NO_PACE + NO_EVIDENCE + ONE_RATIO,
+    "and pace of open ones": NO_EVIDENCE + ONE_RATIO,
+    "and no unknown ones": ONE_RATIO,
+    "and 0.95 until the balancer is done": [],
+    "and 0.95 always": ALWAYS_MORE,
+    "and a margin of 1.1": SMALL_MARGIN,
+    KNOWN: [],
+}
+
+
+@contextmanager
+def _applied(patches: list[Patch]) -> Iterator[None]:
+    with ExitStack() as stack:
+        for patch in patches:
+            stack.enter_context(patch)
+        yield
+
+
+@attrs.define
+class Figures:
+    """Requests after SIGTERM."""
+
+    arrived_count: int = 0
+    fitting_count: int = 0
+    taken_count: int = 0
+    served_count: int = 0
+    cut_count: int = 0
+    late_taken_count: int = 0
+    late_cut_count: int = 0
+
+    def __add__(self, other: "Figures") -> "Figures":
+        mine, theirs = attrs.astuple(self), attrs.astuple(other)
+        return Figures(*(a + b for a, b in zip(mine, theirs, strict=True)))
+
+
+class DrainLab:
+    """A simulation of one way."""
+
+    def __init__(
+        self,
+        pattern: Pattern,
+        seed: int,
+        *,
+        is_repeatable: bool,
+        is_known: bool = False,
+    ) -> None:
+        self._pattern = pattern
+        self._rng = random.Random(seed)
+        self._is_repeatable = is_repeatable
+        self._policy = DrainAdmission()
+        #: Times of answers that begin after SIGTERM; empty if the policy decides.
+        self._known_seconds: list[float] = []
+        if is_known:
+            rng = random.Random(seed + 1)
+            self._known_seconds = sorted(
+                pattern.draw_seconds(rng) * pattern.slow_ratio
+                for _ in range(KNOWN_SAMPLES_COUNT)
+            )
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._sequence = itertools.count()
+        self.figures = Figures()
+
+    def run(self) -> Figures:
+        """Run the simulation until the host exits, and return the figures."""
+        at = self._pattern.begin_seconds
+        while (at := at + self._rng.expovariate(REQUESTS_PER_SECOND)) < EXIT_SECONDS:
+            seconds = self._pattern.draw_seconds(self._rng)
+            self._after(at, lambda now, work=seconds: self._arrive(work, now))
+        while self._events:
+            now, _, action = heapq.heappop(self._events)
+            action(now)
+        return self.figures
+
+    def _after(self, at: float, action: Callable[[float], None]) -> None:
+        if at < EXIT_SECONDS:
+            heapq.heappush(self._events, (at, next(self._sequence), action))
+
+    def _end_of(self, work_seconds: float, now: float) -> float:
+        """Return when work is done that begins now."""
+        full_seconds = min(work_seconds, max(0.0, -now))
+        slow_seconds = (work_seconds - full_seconds) * self._pattern.slow_ratio
+        return now + full_seconds + slow_seconds
+
+    def _arrive(self, work_seconds: float, now: float) -> None:
+        request = DrainRequest(
+            AnswerKind("s", is_stream=bool(self._pattern.events_count)),
+            LATENCY_TARGET_SECONDS,
+            self._pattern.events_count,
+            None,
+            self._is_repeatable,
+            now + TIMEOUT_SECONDS,
+        )
+        end = self._end_of(work_seconds, now)
+        if now >= 0.0 and not self._judge(request, end, now):
+            return
+        progress = self._policy.begin(request, now)
+        progress.note_sent(now)
+        for index in range(self._pattern.events_count):
+            share = (index + 1) / self._pattern.events_count
+            self._after(
+                self._end_of(work_seconds * share, now),
+                lambda at: progress.note_events(1, at),
+            )
+        self._after(end, lambda at: self._end(request, progress, at))
+
+    def _judge(self, request: DrainRequest, end: float, now: float) -> bool:
+        is_taken = self._decide(request, now)
+        is_late, fits = now > LATE_SECONDS, end < EXIT_SECONDS
+        self.figures += Figures(
+            arrived_count=1,
+            fitting_count=fits,
+            taken_count=is_taken,
+            served_count=is_taken and fits,
+            cut_count=is_taken and not fits,
+            late_taken_count=is_taken and is_late,
+            late_cut_count=is_taken and is_late and not fits,
+        )
+        return is_taken
+
+    def _decide(self, request: DrainRequest, now: float) -> bool:
+        is_balancer_done = now >= BALANCER_DONE_SECONDS
+        if not self._known_seconds:
+            return self._policy.decide(
+                request,
+                EXIT_SECONDS,
+                now_seconds=now,
+                is_balancer_done=is_balancer_done,
+            ).is_admitted
+        ratio = admission_module.max_cut_ratio(
+            request, is_balancer_done=is_balancer_done
+        )
+        index = int((1.0 - ratio) * (len(self._known_seconds) - 1))
+        return now + self._known_seconds[index] < EXIT_SECONDS
+
+    def _end(self, request: DrainRequest, progress: OpenAnswer, now: float) -> None:
+        self._policy.end(progress)
+        self._policy.note_answer(
+            request, now - progress.began_at_seconds, now, progress=progress
+        )
+
+
+def main(argv: list[str]) -> None:
+    """Print a table of the ways for each pattern, safe and unsafe requests."""
+    parser = argparse.ArgumentParser(prog="measure drain", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10)
+    seeds = range(1, parser.parse_args(argv).seeds + 1)
+    print("| requests | way | taken of fitting | cut per 1,000 | late | once: taken |")
+    print("|---|---|---|---|---|---|")
+    for pattern in PATTERNS:
+        for way, patches in WAYS.items():
+            with _applied(patches):
+                safe, once = (
+                    sum(
+                        (
+                            DrainLab(
+                                pattern,
+                                seed,
+                                is_repeatable=is_repeatable,
+                                is_known=way == KNOWN,
+                            ).run()
+                            for seed in seeds
+                        ),
+                        Figures(),
+                    )
+                    for is_repeatable in (True, False)
+                )
+            print(
+                f"| {pattern.name} | {way} | {_share(safe)} | {_cut(safe)} | "
+                f"{safe.late_cut_count} | {_share(once)}, {once.cut_count} ended |"
+            )
+
+
+def _share(figures: Figures) -> str:
+    return f"{figures.served_count / max(1, figures.fitting_count):.2f}"
+
+
+def _cut(figures: Figures) -> str:
+    return f"{1000.0 * figures.cut_count / max(1, figures.taken_count):.1f}"
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -7,7 +7,6 @@
     decide_access as decide_access,
 )
 from ._answer_times import (
-    AnswerKind as AnswerKind,
     AnswerTimes as AnswerTimes,
 )
 from ._answer_timings import (
@@ -120,6 +119,10 @@
 from ._limit_tracker import LimitState as LimitState
 from ._link_monitor import LinkMonitor as LinkMonitor, LinkState as LinkState
 from ._membership import Membership as Membership, PeerView as PeerView
+from ._open_answers import (
+    AnswerKind as AnswerKind,
+    OpenAnswer as OpenAnswer,
+)
 from ._orders import (
     PlannedOrder as PlannedOrder,
     RunnerState as RunnerState,
--- a/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
@@ -1,9 +1,10 @@
-"""How long answers take from the arrival of their request, learned from complete ones.
+"""How long answers take, learned from complete ones and from those that are open.
 
 A host that shuts down admits a request if its answer will be complete in time. The
-estimate is a high quantile over the recent answers whose expected length was most like
-it. If the answers of a service take a multiple of their baseline, everything learned
-before is scaled up at once, and the multiple decays slowly.
+estimate is a quantile over the newest answers whose expected length was like its own,
+in which open ones count with their age. If the answers of a service take a multiple of
+their baseline, or the events of its open streams do, everything learned before is
+scaled up at once.
 """
 
 import math
@@ -14,13 +15,20 @@
 
 from rampwick_schema import ReprMixin
 
+from ._open_answers import AnswerKind, OpenAnswers
+from ._survival import duration_quantile
+
 #: Answers of a kind that are remembered: the newest ones of a minute.
 MAX_AGE_SECONDS = 60.0
 MAX_ANSWERS_COUNT = 256
 
-#: Answers of a kind from which an estimate is made, and the number of those most like
-#: the request by whose quantile it is made.
+#: Answers of a kind from which an estimate is made.
 MIN_ANSWERS_COUNT = 5
+
+#: Largest ratio of the expected tokens of like answers, the number of the newest that
+#: count, and of the nearest ones where too few are as like.
+LIKE_SIZE_RATIO = 1.25
+LIKE_COUNT = 100
 NEAREST_COUNT = 20
 
 #: Multiple of the quantile that is expected, and its part that shrinks with the number
@@ -46,14 +54,13 @@
 MIN_SLOWDOWN_RATIO = 1.5
 SLOWDOWN_DECAY_SECONDS = 30.0
 
+#: Multiple of the age of the oldest open answer that is expected if more answers are
+#: open that long than may be late.
+OPEN_AGE_RATIO = 2.0
 
-@attrs.frozen(repr=False)
-class AnswerKind(ReprMixin):
-    """Requests whose answers take about as long for their length."""
-
-    service: str
-    model: str = ""
-    is_stream: bool = False
+#: Smallest multiple of their usual time that the events of open streams take, from
+#: which complete answers are scaled.
+MIN_PACE_RATIO = 1.25
 
 
 @attrs.frozen(repr=False)
@@ -63,7 +70,22 @@
     at_seconds: float
     #: Logarithm of the tokens that were expected.
     size: float
+    #: Time from the arrival of its request, and from the first write of its attempt.
+    seconds: float
+    run_seconds: float
+    #: Time between two events of such streams as it ended; None if not known.
+    event_seconds: float | None = None
+
+
+@attrs.frozen(repr=False)
+class AnswerEstimate(ReprMixin):
+    """Estimated time of an answer, and the evidence for it."""
+
     seconds: float
+    #: Whether complete answers show the time, and not only the ages of open ones.
+    is_bounded: bool
+    answers_count: int
+    open_count: int
 
 
 class _RecentAnswers:
@@ -103,6 +125,14 @@
             :NEAREST_COUNT
         ]
 
+    def find_like(self, size: float, now_seconds: float) -> list[Answer]:
+        """Return the newest answers of a like size, or the nearest if few are."""
+        recent = self._find_recent(now_seconds)
+        like = [answer for answer in recent if _is_like(answer.size, size)]
+        if len(like) >= NEAREST_COUNT:
+            return like[-LIKE_COUNT:]
+        return self.nearest(size, now_seconds)
+
     def _find_recent(self, now_seconds: float) -> deque[Answer]:
         oldest_seconds = now_seconds - MAX_AGE_SECONDS
         while self._answers and self._answers[0].at_seconds < oldest_seconds:
@@ -146,6 +176,7 @@
     def __init__(self) -> None:
         self._kinds: OrderedDict[AnswerKind, _RecentAnswers] = OrderedDict()
         self._slowdowns: dict[str, _Slowdown] = {}
+        self.open_answers = OpenAnswers()
 
     def note(
         self,
@@ -154,8 +185,14 @@
         *,
         expected_tokens: int,
         now_seconds: float,
+        run_seconds: float | None = None,
+        event_seconds: float | None = None,
     ) -> None:
-        """Record a complete answer; an implausible time is ignored."""
+        """Record a complete answer; an implausible time is ignored.
+
+        ``run_seconds`` is the time since the first write of its attempt,
+        ``event_seconds`` the mean time between its events.
+        """
         if not 0.0 < answer_seconds <= MAX_ANSWER_SECONDS:
             return
         answers = self._kinds.get(kind)
@@ -169,7 +206,14 @@
         if baseline_seconds is not None:
             slowdown = self._slowdowns.setdefault(kind.service, _Slowdown())
             slowdown.note(answer_seconds / baseline_seconds, now_seconds)
-        answers.record(Answer(now_seconds, size, answer_seconds))
+        if run_seconds is None:
+            run_seconds = answer_seconds
+        pace_seconds = self.open_answers.event_seconds(kind, now_seconds)
+        if pace_seconds is not None:
+            event_seconds = pace_seconds
+        answers.record(
+            Answer(now_seconds, size, answer_seconds, run_seconds, event_seconds)
+        )
 
     def _forget_oldest(self) -> None:
         forgotten, _ = self._kinds.popitem(last=False)
@@ -183,30 +227,94 @@
         *,
         expected_tokens: int,
         now_seconds: float,
-    ) -> float | None:
+        is_from_send: bool = False,
+    ) -> AnswerEstimate | None:
         """Return a time that this share of such answers stays within.
 
+        It counts from the arrival of a request, or from the first write of an attempt.
         None if few answers of the kind were seen.
         """
         answers = self._kinds.get(kind)
         size = _size(expected_tokens)
-        nearest = answers.nearest(size, now_seconds) if answers is not None else []
-        if not nearest:
+        like = answers.find_like(size, now_seconds) if answers is not None else []
+        if not like:
             return None
-        times = sorted(self._slowed_seconds(kind, a, now_seconds) for a in nearest)
-        slow_seconds = times[min(len(times), math.ceil(quantile * len(times))) - 1]
-        margin_ratio = MARGIN_RATIO + FEW_ANSWERS_MARGIN / len(times)
+        ended_seconds = self._scaled_seconds(
+            kind, like, now_seconds, is_from_send=is_from_send
+        )
+        largest_size = max(answer.size for answer in like)
+        open_seconds = self._open_seconds(
+            kind, min(size, largest_size), now_seconds, is_from_send=is_from_send
+        )
+        slow_seconds = duration_quantile(ended_seconds, open_seconds, quantile)
+        is_bounded = math.isfinite(slow_seconds)
+        if not is_bounded:
+            slow_seconds = max(open_seconds) * OPEN_AGE_RATIO
+        margin_ratio = MARGIN_RATIO + FEW_ANSWERS_MARGIN / len(like)
         # Beyond the largest answer that was seen, time grows with the tokens.
-        excess = max(0.0, size - max(answer.size for answer in nearest))
-        return slow_seconds * margin_ratio * math.exp(excess)
+        excess = max(0.0, size - largest_size)
+        return AnswerEstimate(
+            slow_seconds * margin_ratio * math.exp(excess),
+            is_bounded=is_bounded,
+            answers_count=len(like),
+            open_count=len(open_seconds),
+        )
+
+    def oldest_open_seconds(
+        self, kind: AnswerKind, *, expected_tokens: int, now_seconds: float
+    ) -> float:
+        """Return the age of the oldest open answer that is expected no longer."""
+        return max(
+            (
+                now_seconds - answer.began_at_seconds
+                for answer in self.open_answers.of(kind)
+                if answer.expected_tokens <= expected_tokens
+            ),
+            default=0.0,
+        )
+
+    def _open_seconds(
+        self, kind: AnswerKind, size: float, now_seconds: float, *, is_from_send: bool
+    ) -> list[float]:
+        ages = [
+            answer.age_seconds(now_seconds, is_from_send=is_from_send)
+            for answer in self.open_answers.of(kind)
+            if _is_like(_size(answer.expected_tokens), size)
+        ]
+        return [seconds for seconds in ages if seconds is not None]
 
-    def _slowed_seconds(
+    def _scaled_seconds(
+        self,
+        kind: AnswerKind,
+        answers: list[Answer],
+        now_seconds: float,
+        *,
+        is_from_send: bool,
+    ) -> list[float]:
+        """Return the times that these answers would take at the present pace."""
+        pace_seconds = self.open_answers.event_seconds(kind, now_seconds)
+        scaled = []
+        for answer in answers:
+            ratio = self._slowdown_ratio(kind, answer, now_seconds)
+            if pace_seconds is not None and answer.event_seconds:
+                pace_ratio = pace_seconds / answer.event_seconds
+                if pace_ratio >= MIN_PACE_RATIO:
+                    ratio = max(ratio, pace_ratio)
+            seconds = answer.run_seconds if is_from_send else answer.seconds
+            scaled.append(seconds * ratio)
+        return scaled
+
+    def _slowdown_ratio(
         self, kind: AnswerKind, answer: Answer, now_seconds: float
     ) -> float:
         slowdown = self._slowdowns.get(kind.service)
         if slowdown is None or answer.at_seconds >= slowdown.began_at_seconds:
-            return answer.seconds
-        return answer.seconds * slowdown.ratio(now_seconds)
+            return 1.0
+        return slowdown.ratio(now_seconds)
+
+
+def _is_like(size: float, other_size: float) -> bool:
+    return abs(size - other_size) <= math.log(LIKE_SIZE_RATIO)
 
 
 def _size(expected_tokens: int) -> float:
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -1,18 +1,34 @@
 """Admission of requests to a draining host, by the estimated time of their answers."""
 
+import enum
 import math
 
 import attrs
 
 from rampwick_schema import ReprMixin
 
-from ._answer_times import AnswerKind, AnswerTimes
+from ._answer_times import AnswerTimes
+from ._open_answers import AnswerKind, OpenAnswer
 
-#: Share of like answers within whose time a request is admitted, and the additional
-#: margin for one that must not run twice. A cut answer costs its caller more than a
-#: refusal, which another host takes up at once.
-ADMISSION_QUANTILE = 0.99
+#: Chance of a cut answer up to which a request is admitted. A cut costs its caller more
+#: than a refusal, which another host takes up at once. While the balancer still sends
+#: callers here, one that is refused may come back to this host.
+MAX_CUT_RATIO = 0.01
+MAX_EARLY_CUT_RATIO = 0.05
+
+#: The same for another attempt of a request that may have run: a refusal loses what the
+#: earlier attempt was worth, as a cut does.
+MAX_REPEAT_CUT_RATIO = 0.5
+
+#: The same for a request that must not run twice, the additional margin for it, and the
+#: answers without which none is admitted.
+MAX_ONCE_CUT_RATIO = 0.0
 ONCE_MARGIN_RATIO = 1.25
+MIN_ONCE_ANSWERS_COUNT = 20
+
+#: Open requests of a kind without known answers from which, once the balancer is done,
+#: no other is admitted: their answers show first how long such ones take.
+MAX_UNKNOWN_COUNT = 2
 
 #: Time after which a refused caller may try another host if all are ready, and if none
 #: is: about what a host takes to start again.
@@ -90,12 +106,29 @@
         return min(self.expected_answer_tokens, self.max_answer_tokens)
 
 
+class DurationSource(enum.Enum):
+    """From what the time of an answer was expected."""
+
+    #: Its own timeout ends it before the host exits.
+    TIMEOUT = "timeout"
+    #: Recent answers, and the ages of open ones.
+    ANSWERS = "answers"
+    #: Latency target and tokens, and the ages and pace of open answers.
+    TARGET = "target"
+
+
 @attrs.frozen(repr=False)
 class DrainDecision(ReprMixin):
     """Whether a request is taken, and within which time its answer is expected."""
 
     is_admitted: bool
+    #: Infinite if nothing shows that it will be complete in any time.
     expected_seconds: float
+    #: Time until the host exits.
+    remaining_seconds: float
+    source: DurationSource
+    answers_count: int = 0
+    open_count: int = 0
 
 
 class DrainAdmission:
@@ -105,8 +138,23 @@
         self.answer_times = AnswerTimes()
         self.slow_answers = SlowAnswerTracker()
 
+    def begin(self, request: DrainRequest, now_seconds: float) -> OpenAnswer:
+        """Record a request that has arrived; ``end`` must follow."""
+        answer = OpenAnswer(request.kind, request.expected_tokens, now_seconds)
+        self.answer_times.open_answers.add(answer)
+        return answer
+
+    def end(self, answer: OpenAnswer) -> None:
+        """Record that a request has ended, with an answer or without."""
+        self.answer_times.open_answers.remove(answer)
+
     def note_answer(
-        self, request: DrainRequest, answer_seconds: float, now_seconds: float
+        self,
+        request: DrainRequest,
+        answer_seconds: float,
+        now_seconds: float,
+        *,
+        progress: OpenAnswer | None = None,
     ) -> None:
         """Record the duration of a complete answer."""
         self.slow_answers.note(
@@ -115,11 +163,17 @@
             answer_tokens=request.max_answer_tokens,
             now_seconds=now_seconds,
         )
+        run_seconds = event_seconds = None
+        if progress is not None:
+            run_seconds = progress.age_seconds(now_seconds, is_from_send=True)
+            event_seconds = progress.mean_event_seconds(now_seconds)
         self.answer_times.note(
             request.kind,
             answer_seconds,
             expected_tokens=request.expected_tokens,
             now_seconds=now_seconds,
+            run_seconds=run_seconds,
+            event_seconds=event_seconds,
         )
 
     def decide(
@@ -129,39 +183,100 @@
         *,
         now_seconds: float,
         is_balancer_done: bool,
+        is_waiting: bool = False,
+        may_have_run: bool = False,
     ) -> DrainDecision:
         """Decide whether a request is taken by a host that exits at ``end_seconds``.
 
-        While too few answers were seen, a fixed estimate decides, once the balancer is
-        done multiplied by what the slowest recent answers took of it.
+        ``is_waiting`` is for one that was taken before and is about to be sent,
+        ``may_have_run`` for one of which an attempt may have run. While too few answers
+        were seen, a fixed estimate decides, once the balancer is done multiplied by
+        what the slowest recent answers took of it; a request that must not run twice is
+        refused then.
         """
+        remaining_seconds = max(0.0, end_seconds - now_seconds)
         if request.deadline_seconds <= end_seconds:
-            remaining_seconds = max(0.0, request.deadline_seconds - now_seconds)
-            return DrainDecision(True, remaining_seconds)
-        expected_seconds = self.answer_times.expect(
+            timeout_seconds = max(0.0, request.deadline_seconds - now_seconds)
+            return DrainDecision(
+                True, timeout_seconds, remaining_seconds, DurationSource.TIMEOUT
+            )
+        estimate = self.answer_times.expect(
             request.kind,
-            ADMISSION_QUANTILE,
+            1.0
+            - max_cut_ratio(
+                request, is_balancer_done=is_balancer_done, may_have_run=may_have_run
+            ),
             expected_tokens=request.expected_tokens,
             now_seconds=now_seconds,
+            is_from_send=is_waiting,
         )
-        if expected_seconds is not None:
-            if not request.is_repeatable:
-                expected_seconds *= ONCE_MARGIN_RATIO
-            return DrainDecision(
-                now_seconds + expected_seconds <= end_seconds, expected_seconds
+        if estimate is None:
+            return self._decide_by_target(
+                request, remaining_seconds, now_seconds, is_balancer_done
             )
-        ratio = self.slow_answers.worst_ratio(now_seconds) if is_balancer_done else 1.0
-        is_admitted = can_finish_before(
-            end_seconds,
-            latency_target_seconds=request.latency_target_seconds,
-            max_answer_tokens=request.max_answer_tokens,
+        expected_seconds = estimate.seconds
+        if not request.is_repeatable:
+            expected_seconds *= ONCE_MARGIN_RATIO
+            if not estimate.is_bounded:
+                expected_seconds = math.inf
+        if _lacks_answers(request, estimate.answers_count):
+            expected_seconds = math.inf
+        return DrainDecision(
+            expected_seconds <= remaining_seconds,
+            expected_seconds,
+            remaining_seconds,
+            DurationSource.ANSWERS,
+            answers_count=estimate.answers_count,
+            open_count=estimate.open_count,
+        )
+
+    def _decide_by_target(
+        self,
+        request: DrainRequest,
+        remaining_seconds: float,
+        now_seconds: float,
+        is_balancer_done: bool,
+    ) -> DrainDecision:
+        open_answers = self.answer_times.open_answers
+        expected_seconds = _estimated_seconds(
+            request.latency_target_seconds,
+            request.max_answer_tokens,
+            open_answers.event_seconds(request.kind, now_seconds),
+        )
+        open_count = len(open_answers.of(request.kind))
+        if is_balancer_done:
+            if open_count >= MAX_UNKNOWN_COUNT:
+                expected_seconds = math.inf
+            expected_seconds *= self.slow_answers.worst_ratio(now_seconds)
+        oldest_seconds = self.answer_times.oldest_open_seconds(
+            request.kind,
+            expected_tokens=request.expected_tokens,
             now_seconds=now_seconds,
-            overrun_ratio=ratio,
         )
-        estimated_seconds = _estimated_seconds(
-            request.latency_target_seconds, request.max_answer_tokens
+        if _lacks_answers(request, 0) or oldest_seconds > expected_seconds:
+            expected_seconds = math.inf
+        return DrainDecision(
+            expected_seconds <= remaining_seconds,
+            expected_seconds,
+            remaining_seconds,
+            DurationSource.TARGET,
+            open_count=open_count,
         )
-        return DrainDecision(is_admitted, estimated_seconds * ratio)
+
+
+def _lacks_answers(request: DrainRequest, answers_count: int) -> bool:
+    return not request.is_repeatable and answers_count < MIN_ONCE_ANSWERS_COUNT
+
+
+def max_cut_ratio(
+    request: DrainRequest, *, is_balancer_done: bool, may_have_run: bool = False
+) -> float:
+    """Return the chance of a cut answer up to which a request is admitted."""
+    if not request.is_repeatable:
+        return MAX_ONCE_CUT_RATIO
+    if may_have_run:
+        return MAX_REPEAT_CUT_RATIO
+    return MAX_CUT_RATIO if is_balancer_done else MAX_EARLY_CUT_RATIO
 
 
 def retry_elsewhere_seconds(ready_count: int, peers_count: int) -> float:
@@ -194,5 +309,10 @@
     return now_seconds + estimated_seconds * overrun_ratio <= end_seconds
 
 
-def _estimated_seconds(latency_target_seconds: float, answer_tokens: int) -> float:
-    return latency_target_seconds * START_FACTOR + answer_tokens * TOKEN_SECONDS
+def _estimated_seconds(
+    latency_target_seconds: float,
+    answer_tokens: int,
+    event_seconds: float | None = None,
+) -> float:
+    token_seconds = max(TOKEN_SECONDS, event_seconds or 0.0)
+    return latency_target_seconds * START_FACTOR + answer_tokens * token_seconds
--- a/tests/test_drain_admission.py
+++ b/tests/test_drain_admission.py
@@ -46,14 +46,39 @@
             self.now_seconds += apart_seconds
             self.policy.note_answer(self.request(**terms), value, self.now_seconds)
 
-    def decide(self, left_seconds, *, is_balancer_done=True, **terms):
+    def open(self, count, **terms):
+        """Begin requests; return their answers."""
+        answers = []
+        for _ in range(count):
+            answer = self.policy.begin(self.request(**terms), self.now_seconds)
+            answer.note_sent(self.now_seconds)
+            answers.append(answer)
+        return answers
+
+    def decide(self, left_seconds, **terms):
         """Return whether a request is taken with so many seconds left."""
+        return self.judge(left_seconds, **terms).is_admitted
+
+    def judge(
+        self,
+        left_seconds,
+        *,
+        is_balancer_done=True,
+        is_waiting=False,
+        may_have_run=False,
+        **terms,
+    ):
+        """Return the decision on a request with so many seconds left."""
+        options = {}
+        if is_waiting or may_have_run:
+            options = {"is_waiting": is_waiting, "may_have_run": may_have_run}
         return self.policy.decide(
             self.request(**terms),
             self.now_seconds + left_seconds,
             now_seconds=self.now_seconds,
             is_balancer_done=is_balancer_done,
-        ).is_admitted
+            **options,
+        )
 
 
 class LearnedAdmissionTest(TestCase):
@@ -141,6 +166,159 @@
         self.assertTrue(host.decide(0.55))
 
 
+class EvidenceTest(TestCase):
+    """A request is not taken on an estimate that nothing supports."""
+
+    def test_request_that_must_not_run_twice_needs_answers(self):
+        host = Admission()
+        for is_balancer_done in (False, True):
+            terms = {"is_repeatable": False, "is_balancer_done": is_balancer_done}
+            self.assertFalse(host.decide(9.0, max_answer_tokens=0, **terms))
+        host.answer(*[0.3] * 19)
+        self.assertFalse(host.decide(5.0, is_repeatable=False))
+        host.answer(0.3)
+        self.assertTrue(host.decide(5.0, is_repeatable=False))
+
+    def test_once_the_balancer_is_done_few_requests_of_unknown_time_are_open(self):
+        host = Admission()
+        self.assertTrue(host.decide(9.0))
+        host.open(2)
+        self.assertFalse(host.decide(9.0))
+        self.assertTrue(host.decide(9.0, is_balancer_done=False))
+        self.assertTrue(host.decide(9.0, kind=AnswerKind("other")))
+
+    def test_long_answers_are_risked_only_while_the_balancer_sends_callers_here(self):
+        host = Admission()
+        host.answer(*([0.25] * 32 + [6.0]) * 3)
+        self.assertTrue(host.decide(5.0, is_balancer_done=False))
+        self.assertFalse(host.decide(5.0))
+        self.assertFalse(host.decide(5.0, is_balancer_done=False, is_repeatable=False))
+
+    def test_one_long_answer_of_a_hundred_does_not_refuse_all(self):
+        host = Admission()
+        host.answer(*[0.25] * 95, 6.0, *[0.25] * 4)
+        self.assertTrue(host.decide(5.0))
+        self.assertFalse(host.decide(5.0, is_repeatable=False))
+
+    def test_decision_states_its_evidence(self):
+        host = Admission()
+        decision = host.judge(9.0)
+        self.assertEqual(("target", 0), (decision.source.value, decision.answers_count))
+        host.answer(*[0.3] * 30)
+        host.open(3)
+        decision = host.judge(2.0)
+        self.assertEqual("answers", decision.source.value)
+        self.assertEqual((30, 3), (decision.answers_count, decision.open_count))
+        self.assertAlmostEqual(2.0, decision.remaining_seconds)
+        self.assertEqual(
+            "timeout",
+            host.judge(2.0, deadline_seconds=host.now_seconds).source.value,
+        )
+
+
+class OpenAnswerTest(TestCase):
+    """What is not complete yet shows that answers take at least that long."""
+
+    def test_open_requests_that_are_older_than_every_known_answer(self):
+        host = Admission()
+        host.answer(*[0.3] * 20)
+        host.open(20)
+        self.assertTrue(host.decide(1.0))
+        host.now_seconds += 2.0
+        self.assertFalse(host.decide(3.0))
+        self.assertTrue(host.decide(6.0))
+        self.assertFalse(host.decide(6.0, is_repeatable=False))
+
+    def test_open_requests_of_a_host_that_has_few_answers(self):
+        host = Admission()
+        self.assertTrue(host.decide(9.0, is_balancer_done=False))
+        host.open(1)
+        host.now_seconds += RECKONED_SECONDS + 0.1
+        self.assertFalse(host.decide(9.0, is_balancer_done=False))
+
+    def test_open_requests_that_have_ended_or_are_longer_do_not_count(self):
+        host = Admission()
+        host.answer(*[0.3] * 20, expected_answer_tokens=5)
+        longer = host.open(10, expected_answer_tokens=60)
+        like = host.open(10, expected_answer_tokens=5)
+        host.now_seconds += 2.0
+        self.assertFalse(host.decide(2.0, expected_answer_tokens=5))
+        for answer in like:
+            host.policy.end(answer)
+        self.assertTrue(host.decide(2.0, expected_answer_tokens=5))
+        for answer in longer:
+            host.policy.end(answer)
+        self.assertEqual({}, host.policy.answer_times.open_answers._kinds)
+
+    def test_pace_of_open_streams_that_falls(self):
+        host = Admission()
+        usual = host.open(5)
+        for _ in range(40):
+            host.now_seconds += 0.02
+            for answer in usual:
+                answer.note_events(1, host.now_seconds)
+        for answer in usual * 4:
+            host.policy.note_answer(
+                host.request(), 0.8, host.now_seconds, progress=answer
+            )
+        self.assertTrue(host.decide(2.0))
+        for _ in range(8):
+            host.now_seconds += 0.1
+            for answer in usual:
+                answer.note_events(1, host.now_seconds)
+        self.assertFalse(host.decide(4.0))
+        self.assertTrue(host.decide(6.0))
+
+    def test_streams_whose_events_cease(self):
+        host = Admission()
+        answers = host.open(5)
+        for _ in range(40):
+            host.now_seconds += 0.02
+            for answer in answers:
+                answer.note_events(1, host.now_seconds)
+        for answer in answers * 4:
+            host.policy.note_answer(
+                host.request(), 0.8, host.now_seconds, progress=answer
+            )
+        self.assertTrue(host.decide(2.0))
+        host.now_seconds += 1.0
+        self.assertFalse(host.decide(4.0))
+
+    def test_pace_of_open_streams_replaces_that_of_the_fixed_estimate(self):
+        host = Admission()
+        answers = host.open(1)
+        self.assertTrue(host.decide(7.0))
+        for _ in range(10):
+            host.now_seconds += 0.1
+            answers[0].note_events(1, host.now_seconds)
+        self.assertFalse(host.decide(7.0))
+
+
+class WaitingRequestTest(TestCase):
+    """A request that waited is judged by what is left once it is sent."""
+
+    def test_time_of_an_attempt_counts_from_its_first_write(self):
+        host = Admission()
+        for _ in range(30):
+            answer = host.policy.begin(host.request(), host.now_seconds)
+            answer.note_sent(host.now_seconds + 3.0)
+            host.now_seconds += 4.0
+            host.policy.end(answer)
+            host.policy.note_answer(
+                host.request(), 4.0, host.now_seconds, progress=answer
+            )
+        self.assertFalse(host.decide(2.0))
+        self.assertTrue(host.decide(2.0, is_waiting=True))
+        self.assertFalse(host.decide(1.0, is_waiting=True))
+
+    def test_request_that_may_have_run_is_sent_if_it_is_likely_to_fit(self):
+        host = Admission()
+        host.answer(*[0.3, 0.3, 0.3, 3.0] * 10)
+        self.assertFalse(host.decide(1.0, is_waiting=True))
+        self.assertTrue(host.decide(1.0, is_waiting=True, may_have_run=True))
+        self.assertFalse(host.decide(0.2, is_waiting=True, may_have_run=True))
+
+
 class ImplausibleTimeTest(TestCase):
     def test_implausible_durations_are_ignored(self):
         host = Admission()
