Record open requests and the events of open streams for the admission

Cause: the admission of a stopping host knew complete answers only. Change: a request on a route is an open answer from its arrival to its end, with the first write of its attempt and the events that have come. Two tests through the router failed before: no open answer was known, and with two open requests of unknown time a third was taken.

--- a/packages/rampwick-router/src/rampwick_router/entry/_attempt_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_attempt_check.py
@@ -5,6 +5,8 @@
 pass, or the upstream may stop accepting requests.
 """
 
+from collections.abc import Callable
+
 from rampwick_policy import Dispatch, Outcome
 
 from .._errors import AttemptError, CallerLeftError
@@ -30,12 +32,14 @@
         dispatch: Dispatch,
         deadline_seconds: float,
         recorder: AnswerRecorder,
+        check_first_write: Callable[[], None],
     ) -> None:
         self._context = context
         self._responder = responder
         self._dispatch = dispatch
         self._deadline_seconds = deadline_seconds
         self._recorder = recorder
+        self._check_first_write = check_first_write
         #: Whether a write was allowed, so that the upstream may know the request.
         self.has_passed = False
 
@@ -59,6 +63,8 @@
                 step=STEP,
                 peer=self._dispatch.upstream,
             )
+        if not has_sent:
+            self._check_first_write()
         if not self.has_passed:
             self._recorder.note_sent()
         self.has_passed = True
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -91,6 +91,10 @@
         """Raise a CallerError if the request is no longer allowed."""
         return
 
+    def check_first_write(self) -> None:
+        """Check or record the first write of an attempt."""
+        return
+
     async def send_error(self, error: CallerError) -> None:
         """Send an error to the caller as the final response."""
         await self.responder.send_error(error)
@@ -210,6 +214,7 @@
             dispatch,
             self.arrived_at_seconds + self.terms.deadline_seconds,
             self.recorder,
+            self.check_first_write,
         )
         self._running_check = check
         try:
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -13,6 +13,7 @@
     AttemptDone,
     BodyEnd,
     Dispatch,
+    OpenAnswer,
     Outcome,
     ReceivedAnswer,
     RequestArrived,
@@ -79,12 +80,28 @@
         self._body_end: BodyEnd | None = None
         self._remainder_bytes = 0
         self._last_bytes_at_seconds: float | None = None
+        self._progress: OpenAnswer
 
     @property
     def caller_request_id(self) -> str:
         """Request id in logs and towards the caller, chosen by the caller."""
         return self._call.request_id
 
+    async def run(self) -> None:
+        """Serve the request; return once the final response has been sent."""
+        admission = self.context.drain_admission
+        self._progress = admission.begin(
+            self._request.drain_request, self.arrived_at_seconds
+        )
+        try:
+            await super().run()
+        finally:
+            admission.end(self._progress)
+
+    def check_first_write(self) -> None:
+        """Record that an attempt is about to be sent."""
+        self._progress.note_sent(self.context.read_clock())
+
     def arrival(self) -> RequestArrived:
         """Return the event that submits the request to the scheduler."""
         request = self._request
@@ -203,6 +220,7 @@
                 continue
             if batch.count:
                 self.recorder.note_events(batch.count, attempt.data_age_seconds)
+                self._progress.note_events(batch.count, self.context.read_clock())
             has_id = bool(batch.last_id or self._resume_after)
             await self._start_response(
                 head, attempt.dispatch, may_continue=has_id or not batch.count
@@ -277,6 +295,7 @@
             self._request.drain_request,
             now_seconds - self.arrived_at_seconds,
             now_seconds,
+            progress=self._progress,
         )
 
     def answer_fields(self) -> dict[str, object]:
