Check again before an attempt is sent that it can be answered before the exit

Cause: a request was judged once, on its arrival. In the waits after that (for a list, a free upstream, a connection, an earlier attempt) the host may have begun to leave, or what was left may have been used up; it was sent all the same, and ended at the exit.

Change: before the first write of an attempt a host that leaves decides again, by the times of like attempts since their first write. What no longer fits is refused as not run (503 leaving, retry after as on arrival). If an earlier attempt may have run, the answer is lost either way unless the next one succeeds, so that it is sent if it is more likely than not to fit, and else refused at once as maybe run (502). A response that has begun goes on. Among requests without known answers, those that wait count for nothing.

Ruled out: to raise an attempt's error, after which the scheduler would dispatch the request again and report a deadline.

--- a/measure/drain.py
+++ b/measure/drain.py
@@ -83,10 +83,6 @@
     return []
 
 
-def _no_oldest(*args: object, **kwargs: object) -> float:
-    return 0.0
-
-
 def _no_pace(*args: object) -> None:
     return None
 
@@ -97,7 +93,7 @@
 NEAREST = [mock.patch.object(_RecentAnswers, "find_like", _nearest)]
 NO_AGES = [
     mock.patch.object(AnswerTimes, "_open_seconds", _no_ages),
-    mock.patch.object(AnswerTimes, "oldest_open_seconds", _no_oldest),
+    mock.patch.object(AnswerTimes, "open_ages_seconds", _no_ages),
 ]
 NO_PACE = [mock.patch.object(OpenAnswers, "event_seconds", _no_pace)]
 
--- a/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
@@ -260,18 +260,22 @@
             open_count=len(open_seconds),
         )
 
-    def oldest_open_seconds(
-        self, kind: AnswerKind, *, expected_tokens: int, now_seconds: float
-    ) -> float:
-        """Return the age of the oldest open answer that is expected no longer."""
-        return max(
-            (
-                now_seconds - answer.began_at_seconds
-                for answer in self.open_answers.of(kind)
-                if answer.expected_tokens <= expected_tokens
-            ),
-            default=0.0,
-        )
+    def open_ages_seconds(
+        self,
+        kind: AnswerKind,
+        *,
+        expected_tokens: int,
+        now_seconds: float,
+        is_from_send: bool = False,
+    ) -> list[float]:
+        """Return the ages of open answers that are expected to be no longer."""
+        return [
+            seconds
+            for answer in self.open_answers.of(kind)
+            if answer.expected_tokens <= expected_tokens
+            and (seconds := answer.age_seconds(now_seconds, is_from_send=is_from_send))
+            is not None
+        ]
 
     def _open_seconds(
         self, kind: AnswerKind, size: float, now_seconds: float, *, is_from_send: bool
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -212,7 +212,11 @@
         )
         if estimate is None:
             return self._decide_by_target(
-                request, remaining_seconds, now_seconds, is_balancer_done
+                request,
+                remaining_seconds,
+                now_seconds=now_seconds,
+                is_balancer_done=is_balancer_done,
+                is_waiting=is_waiting,
             )
         expected_seconds = estimate.seconds
         if not request.is_repeatable:
@@ -234,33 +238,38 @@
         self,
         request: DrainRequest,
         remaining_seconds: float,
+        *,
         now_seconds: float,
         is_balancer_done: bool,
+        is_waiting: bool,
     ) -> DrainDecision:
-        open_answers = self.answer_times.open_answers
+        # Requests that wait as this one does show nothing.
+        ages_seconds = self.answer_times.open_ages_seconds(
+            request.kind,
+            expected_tokens=request.expected_tokens,
+            now_seconds=now_seconds,
+            is_from_send=is_waiting,
+        )
         expected_seconds = _estimated_seconds(
             request.latency_target_seconds,
             request.max_answer_tokens,
-            open_answers.event_seconds(request.kind, now_seconds),
+            self.answer_times.open_answers.event_seconds(request.kind, now_seconds),
         )
-        open_count = len(open_answers.of(request.kind))
         if is_balancer_done:
-            if open_count >= MAX_UNKNOWN_COUNT:
-                expected_seconds = math.inf
             expected_seconds *= self.slow_answers.worst_ratio(now_seconds)
-        oldest_seconds = self.answer_times.oldest_open_seconds(
-            request.kind,
-            expected_tokens=request.expected_tokens,
-            now_seconds=now_seconds,
+        is_unknown = (
+            _lacks_answers(request, 0)
+            or (is_balancer_done and len(ages_seconds) >= MAX_UNKNOWN_COUNT)
+            or max(ages_seconds, default=0.0) > expected_seconds
         )
-        if _lacks_answers(request, 0) or oldest_seconds > expected_seconds:
+        if is_unknown:
             expected_seconds = math.inf
         return DrainDecision(
             expected_seconds <= remaining_seconds,
             expected_seconds,
             remaining_seconds,
             DurationSource.TARGET,
-            open_count=open_count,
+            open_count=len(ages_seconds),
         )
 
 
--- a/packages/rampwick-policy/src/rampwick_policy/_open_answers.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_open_answers.py
@@ -41,6 +41,10 @@
     _mark: tuple[float, int] = (0.0, 0)
     _earlier_mark: tuple[float, int] = (0.0, 0)
 
+    def note_attempt(self) -> None:
+        """Record that an attempt begins, which has not been sent."""
+        self.sent_at_seconds = None
+
     def note_sent(self, now_seconds: float) -> None:
         """Record the first write of an attempt."""
         self.sent_at_seconds = now_seconds
--- a/packages/rampwick-router/src/rampwick_router/entry/_attempt_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_attempt_check.py
@@ -2,7 +2,7 @@
 
 Between a decision to send and the write lie waits: for the event loop, a connection, or
 an upstream that reads slowly. In each of them the caller may leave, the deadline may
-pass, or the upstream may stop accepting requests.
+pass, the upstream may stop accepting requests, or this host may begin to leave.
 """
 
 from collections.abc import Callable
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -16,6 +16,7 @@
     AttemptDone,
     AttemptFailed,
     Dispatch,
+    Outcome,
     Refuse,
     RequestArrived,
     RequestCancelled,
@@ -70,6 +71,8 @@
         self._has_result = False
         #: Whether any attempt ran or may have run.
         self.may_have_run = False
+        #: Why an attempt was not sent, and no other one must be.
+        self._unsent_error: CallerError | None = None
         #: Check of the attempt that is running; none between attempts.
         self._running_check: AttemptCheck | None = None
         self._cancel_scope: anyio.CancelScope
@@ -92,7 +95,7 @@
         return
 
     def check_first_write(self) -> None:
-        """Check or record the first write of an attempt."""
+        """Raise a CallerError if neither this attempt nor another one must be sent."""
         return
 
     async def send_error(self, error: CallerError) -> None:
@@ -181,7 +184,9 @@
             if not self._has_result:
                 # The scheduler did not make this decision, so the request is still
                 # open there.
-                self.context.scheduler.post(RequestCancelled(self.request_id))
+                self.context.scheduler.post(
+                    RequestCancelled(self.request_id, may_have_arrived=False)
+                )
             await self._end_with_error(error)
 
     async def _run_attempt(
@@ -201,6 +206,8 @@
             self.may_have_run |= self._may_have_arrived()
             task_group.cancel_scope.cancel()
         self._running_check = None
+        if self._unsent_error is not None:
+            raise self._unsent_error
         return None if self.responder.has_ended else decision
 
     def _may_have_arrived(self) -> bool:
@@ -219,6 +226,13 @@
         self._running_check = check
         try:
             done = await self.attempt(dispatch, check)
+        except CallerError as error:
+            # Raised before the first write.
+            self._running_check = None
+            self._count_attempt(dispatch, Outcome.UNSENT.value)
+            self._unsent_error = error
+            scope.cancel()
+            return
         except CallerLeftError:
             self._count_attempt(dispatch, "cancelled")
             self._cancel_scope.cancel()
--- /dev/null
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
@@ -0,0 +1,91 @@
+"""The check that a request will have its answer before a host that leaves exits.
+
+It is made when the request arrives, and again before an attempt is sent: between the
+two lie waits, for a free upstream, a connection or an earlier attempt.
+"""
+
+import math
+
+from rampwick_policy import DrainDecision, RunState, retry_elsewhere_seconds
+
+from .._errors import CallerError
+from ._context import EntryContext
+from ._responder import Responder
+from ._routed_request import RoutedRequest
+
+
+class ExitCheck:
+    """Refuses requests that are not expected to be answered before the exit."""
+
+    def __init__(self, context: EntryContext) -> None:
+        self._context = context
+
+    def check_arrival(self, request: RoutedRequest) -> None:
+        """Raise if a request that has arrived is not taken."""
+        lifecycle = self._context.lifecycle
+        if lifecycle.has_drained:
+            raise self._leaving_error("accept request", "no request was open any more")
+        if lifecycle.exit_deadline_seconds is None:
+            return
+        # While the balancer still routes callers here, requests of which too little is
+        # known are only rejected if they would not fit at the usual pace. Later ones
+        # arrive on persistent connections, and must fit at the slowest recent pace.
+        decision = self._context.drain_admission.decide(
+            request.drain_request,
+            lifecycle.exit_deadline_seconds,
+            now_seconds=self._context.read_clock(),
+            is_balancer_done=lifecycle.balancer_delay_elapsed,
+        )
+        if not decision.is_admitted:
+            raise self._leaving_error("accept request", _describe(decision))
+
+    def check_send(
+        self, request: RoutedRequest, responder: Responder, *, may_have_run: bool
+    ) -> None:
+        """Raise if an attempt must not be sent any more.
+
+        A response that has begun goes on as long as it can: its caller can take it up
+        elsewhere after its last event.
+        """
+        lifecycle = self._context.lifecycle
+        if lifecycle.exit_deadline_seconds is None or responder.has_started:
+            return
+        decision = self._context.drain_admission.decide(
+            request.drain_request,
+            lifecycle.exit_deadline_seconds,
+            now_seconds=self._context.read_clock(),
+            is_balancer_done=lifecycle.balancer_delay_elapsed,
+            is_waiting=True,
+            may_have_run=may_have_run,
+        )
+        if not decision.is_admitted:
+            raise self._leaving_error(
+                "send request", _describe(decision), may_have_run=may_have_run
+            )
+
+    def _leaving_error(
+        self, step: str, evidence: str, *, may_have_run: bool = False
+    ) -> CallerError:
+        views = self._context.scheduler.peer_views(self._context.read_clock())
+        ready_count = sum(not view.summary.is_leaving for view in views)
+        retry_seconds = retry_elsewhere_seconds(ready_count, len(views))
+        return CallerError(
+            "this host is leaving",
+            status=502 if may_have_run else 503,
+            code="leaving",
+            step=step,
+            run_state=RunState.MAYBE_RUN if may_have_run else RunState.NOT_SENT,
+            retry_after_seconds=None if may_have_run else retry_seconds,
+            evidence=f"{evidence}; {ready_count} of {len(views)} peers ready",
+        )
+
+
+def _describe(decision: DrainDecision) -> str:
+    expected = "no known time"
+    if math.isfinite(decision.expected_seconds):
+        expected = f"{decision.expected_seconds:.3f} s"
+    return (
+        f"expected in {expected} by {decision.source.value} "
+        f"({decision.answers_count} answers, {decision.open_count} open), "
+        f"{decision.remaining_seconds:.3f} s left"
+    )
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from rampwick_policy import Verdict, choose_service, retry_elsewhere_seconds
+from rampwick_policy import Verdict, choose_service
 from rampwick_schema import Route, Service
 
 from .._dialects import RawCall, RoutedCall
@@ -10,6 +10,7 @@
 from .._logs import ComponentLogger, milliseconds
 from ._access_check import confirm_access
 from ._context import EntryContext
+from ._exit_check import ExitCheck
 from ._request_body import Message, Receive, read_body
 from ._responder import Responder
 from ._routed_exchange import RoutedExchange
@@ -23,6 +24,7 @@
 
     def __init__(self, context: EntryContext) -> None:
         self._context = context
+        self._exit_check = ExitCheck(context)
 
     async def serve(
         self,
@@ -42,6 +44,7 @@
             try:
                 body = await self._read_body(receive)
                 request = await self._check(call, body, arrived_at_seconds)
+                self._exit_check.check_arrival(request)
             except anyio.get_cancelled_exc_class():
                 log.info("request cancelled before submission", request=request_id)
                 raise
@@ -72,7 +75,7 @@
         if access.verdict is not Verdict.ALLOWED:
             raise access_error(access.verdict)
         assert access.route is not None and access.workspace is not None
-        request = RoutedRequest(
+        return RoutedRequest(
             call=call,
             route=access.route,
             service=self._service(access.route, call),
@@ -80,43 +83,6 @@
             body=body,
             arrived_at_seconds=arrived_at_seconds,
         )
-        self._check_exit_deadline(request)
-        return request
-
-    def _check_exit_deadline(self, request: RoutedRequest) -> None:
-        """Raise if this host will likely exit before the response is complete."""
-        lifecycle, now_seconds = self._context.lifecycle, self._context.read_clock()
-        if lifecycle.has_drained:
-            raise self._leaving_error("no request was open any more")
-        if lifecycle.exit_deadline_seconds is None:
-            return
-        # While the balancer still routes callers here, requests of which too little is
-        # known are only rejected if they would not fit at the usual pace. Later ones
-        # arrive on persistent connections, and must fit at the slowest recent pace.
-        decision = self._context.drain_admission.decide(
-            request.drain_request,
-            lifecycle.exit_deadline_seconds,
-            now_seconds=now_seconds,
-            is_balancer_done=lifecycle.balancer_delay_elapsed,
-        )
-        if not decision.is_admitted:
-            left_seconds = lifecycle.exit_deadline_seconds - now_seconds
-            raise self._leaving_error(
-                f"expected in {decision.expected_seconds:.3f} s, "
-                f"{left_seconds:.3f} s left"
-            )
-
-    def _leaving_error(self, evidence: str) -> CallerError:
-        views = self._context.scheduler.peer_views(self._context.read_clock())
-        ready_count = sum(not view.summary.is_leaving for view in views)
-        return CallerError(
-            "this host is leaving",
-            status=503,
-            code="leaving",
-            step="accept request",
-            retry_after_seconds=retry_elsewhere_seconds(ready_count, len(views)),
-            evidence=f"{evidence}; {ready_count} of {len(views)} peers ready",
-        )
 
     def _service(self, route: Route, call: RoutedCall) -> Service:
         # A stream that is taken up goes on in the service that began it.
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -33,6 +33,7 @@
 from ._delivery import post_delivery
 from ._event_framing import EventFramer
 from ._exchange import Exchange
+from ._exit_check import ExitCheck
 from ._request_body import Receive
 from ._responder import Responder
 from ._routed_attempt import RoutedAttempt, is_success
@@ -80,6 +81,7 @@
         self._body_end: BodyEnd | None = None
         self._remainder_bytes = 0
         self._last_bytes_at_seconds: float | None = None
+        self._exit_check = ExitCheck(context)
         self._progress: OpenAnswer
 
     @property
@@ -99,7 +101,10 @@
             admission.end(self._progress)
 
     def check_first_write(self) -> None:
-        """Record that an attempt is about to be sent."""
+        """Raise if this host will likely exit before the response is complete."""
+        self._exit_check.check_send(
+            self._request, self.responder, may_have_run=self.may_have_run
+        )
         self._progress.note_sent(self.context.read_clock())
 
     def arrival(self) -> RequestArrived:
@@ -148,6 +153,7 @@
 
     async def attempt(self, dispatch: Dispatch, check: AttemptCheck) -> AttemptDone:
         """Make one attempt and forward the upstream's response."""
+        self._progress.note_attempt()
         attempt = RoutedAttempt(
             self.context,
             self._request,
--- a/tests/test_drain_admission.py
+++ b/tests/test_drain_admission.py
@@ -311,6 +311,18 @@
         self.assertTrue(host.decide(2.0, is_waiting=True))
         self.assertFalse(host.decide(1.0, is_waiting=True))
 
+    def test_requests_that_wait_show_nothing_to_each_other(self):
+        host = Admission()
+        waiting = host.open(3)
+        for answer in waiting:
+            answer.note_attempt()
+        host.now_seconds += RECKONED_SECONDS * 2 + 0.1
+        self.assertFalse(host.decide(9.0))
+        self.assertTrue(host.decide(9.0, is_waiting=True))
+        for answer in waiting[:2]:
+            answer.note_sent(host.now_seconds)
+        self.assertFalse(host.decide(9.0, is_waiting=True))
+
     def test_request_that_may_have_run_is_sent_if_it_is_likely_to_fit(self):
         host = Admission()
         host.answer(*[0.3, 0.3, 0.3, 3.0] * 10)
--- a/tests/test_requests_taken_while_leaving.py
+++ b/tests/test_requests_taken_while_leaving.py
@@ -7,9 +7,10 @@
 
 from rampwick_policy import AnswerKind, DrainRequest
 from rampwick_router._logs import ComponentLogger
+from rampwick_router.control import HostListTask
 
-from .scripted import all_received
-from .test_routed import all_scripts, run
+from .scripted import Hangup, all_received
+from .test_routed import all_scripts, ran, run
 
 TIMEOUT_SECONDS = 10.0
 
@@ -76,6 +77,19 @@
 
 
 class EvidenceTest(TestCase):
+    def test_request_that_must_not_run_twice_is_refused_without_answers(self):
+        async def scenario(host, servers):
+            leave(host, 4.5)
+            refused = await host.call("/once/1")
+            learn(host, 0.05)
+            return refused, await host.call("/once/1"), ran(servers)
+
+        (refused, served, received), lines = run_logged(scenario)
+        self.assertEqual((503, 200, 1), (refused.status, served.status, len(received)))
+        [denied] = find(lines, "request denied")
+        expected = "no known time by target (0 answers, 0 open)"
+        self.assertIn(expected, denied["evidence"])
+
     def test_open_requests_count_until_they_end(self):
         async def scenario(host, servers):
             finish = anyio.Event()
@@ -121,3 +135,83 @@
             return open_answers(host)._kinds
 
         self.assertEqual({}, run(scenario))
+
+
+class WaitedRequestTest(TestCase):
+    """A request that was taken may have waited until it no longer fits."""
+
+    def call_after_wait(self, path, left_seconds):
+        """Return the response to a request that waits after it was taken."""
+
+        async def scenario(host, servers):
+            learn(host, 1.0)
+            leave(host, 4.5)
+            may_send, waits = anyio.Event(), anyio.Event()
+
+            async def wait_recent(self):
+                waits.set()
+                await may_send.wait()
+
+            responses = []
+
+            async def call():
+                responses.append(await host.call(path))
+
+            with mock.patch.object(HostListTask, "wait_recent", wait_recent):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(call)
+                    await waits.wait()
+                    leave(host, left_seconds)
+                    may_send.set()
+            return responses[0], ran(servers)
+
+        return run_logged(scenario)
+
+    def test_request_that_no_longer_fits_is_refused_as_not_run(self):
+        for path in ("/once/1", "/again/1"):
+            (response, received), lines = self.call_after_wait(path, 0.6)
+            self.assertEqual((503, []), (response.status, received))
+            self.assertIn("retry-after", response.headers)
+            [refused] = find(lines, "request refused")
+            self.assertEqual(
+                ("leaving", "not_sent"), (refused["code"], refused["run_state"])
+            )
+            self.assertIn("by answers (40 answers", refused["evidence"])
+
+    def test_request_that_still_fits_is_sent(self):
+        for path in ("/once/1", "/again/1"):
+            (response, received), _ = self.call_after_wait(path, 3.0)
+            self.assertEqual((200, 1), (response.status, len(received)))
+
+    def call_broken_once(self, left_seconds):
+        """Return the response to a request whose first attempt may have run."""
+
+        async def scenario(host, servers):
+            learn(host, 1.0)
+
+            async def begin_to_leave(exchange):
+                leave(host, left_seconds)
+                for server in servers.values():
+                    server.scripts = server.scripts[-1:]
+                raise Hangup
+
+            async def answer(exchange):
+                await exchange.answer()
+
+            all_scripts(servers, begin_to_leave, answer)
+            response = await host.call("/again/1")
+            return response, ran(servers)
+
+        return run_logged(scenario)
+
+    def test_second_attempt_that_can_not_fit_is_not_sent(self):
+        (response, received), lines = self.call_broken_once(0.6)
+        self.assertEqual((502, 1), (response.status, len(received)))
+        [refused] = find(lines, "request refused")
+        self.assertEqual(
+            ("leaving", "maybe_run"), (refused["code"], refused["run_state"])
+        )
+
+    def test_second_attempt_that_is_likely_to_fit_is_sent(self):
+        (response, received), _ = self.call_broken_once(2.0)
+        self.assertEqual((200, 2), (response.status, len(received)))
