Log what was expected of a request that a leaving host takes, and name those it ends

Cause: a request that was taken while leaving left no line of why, and the lines of requests that ended without a response, or without a complete one, named none.

Change: `request taken while leaving` has the expected time, from what it was expected (answers, target, own timeout), the numbers of complete and open answers, and the time left; the evidence of a refusal has the same. Lines of requests that end without response have the caller's request id, the exchange's id, the age, and these fields.

Two tests failed before (no such fields), and the line of the taken one was missing.

--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -11,7 +11,7 @@
 
 from .._caller_sockets import caller_socket
 from .._errors import AttemptError, CallerError, CallerLeftError
-from .._logs import ComponentLogger
+from .._logs import ComponentLogger, milliseconds
 from .._unexpected_errors import note_unexpected_error
 from ._call import (
     bad_request,
@@ -121,10 +121,14 @@
             del self._open[responder]
             try:
                 if not responder.has_started:
-                    await self._end_unanswered(responder, scope["path"])
+                    await self._end_unanswered(
+                        responder, scope["path"], arrived_at_seconds
+                    )
             finally:
                 if not responder.has_ended:
-                    self._record_unanswered(responder, scope["path"])
+                    self._record_unanswered(
+                        responder, scope["path"], arrived_at_seconds
+                    )
 
     async def _serve_or_send_error(
         self,
@@ -157,7 +161,9 @@
             return
         await responder.send_error(_forced_shutdown_error(responder.was_dispatched))
 
-    async def _end_unanswered(self, responder: Responder, path: str) -> None:
+    async def _end_unanswered(
+        self, responder: Responder, path: str, arrived_at_seconds: float
+    ) -> None:
         """Answer a request that ended without a response.
 
         Its caller is believed to have left, or the server is cancelling the request.
@@ -166,11 +172,20 @@
             responder.was_dispatched, is_leaving=not self._context.lifecycle.is_ready
         )
         if not responder.has_caller_left():
-            log.problem("request ended without response", path=path, code=error.code)
+            log.problem(
+                "request ended without response",
+                path=path,
+                code=error.code,
+                was_dispatched=responder.was_dispatched,
+                age_ms=milliseconds(self._context.read_clock() - arrived_at_seconds),
+                **responder.log_fields,
+            )
         with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS, shield=True):
             await responder.send_error(error)
 
-    def _record_unanswered(self, responder: Responder, path: str) -> None:
+    def _record_unanswered(
+        self, responder: Responder, path: str, arrived_at_seconds: float
+    ) -> None:
         """Record why a request has ended without a complete response."""
         reason = _unanswered_reason(
             responder, is_leaving=not self._context.lifecycle.is_ready
@@ -182,6 +197,8 @@
             reason=reason,
             had_begun=responder.has_started,
             was_dispatched=responder.was_dispatched,
+            age_ms=milliseconds(self._context.read_clock() - arrived_at_seconds),
+            **responder.log_fields,
         )
 
     async def _serve(
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -109,6 +109,10 @@
 
     async def run(self) -> None:
         """Serve the request; return once the final response has been sent."""
+        self.responder.log_fields |= {
+            "request": self.caller_request_id,
+            "exchange": self.request_id,
+        }
         if self.responder.has_caller_left():
             self._record_cancellation()
             return
--- a/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
@@ -9,10 +9,13 @@
 from rampwick_policy import DrainDecision, RunState, retry_elsewhere_seconds
 
 from .._errors import CallerError
+from .._logs import ComponentLogger, milliseconds
 from ._context import EntryContext
 from ._responder import Responder
 from ._routed_request import RoutedRequest
 
+log = ComponentLogger("route")
+
 
 class ExitCheck:
     """Refuses requests that are not expected to be answered before the exit."""
@@ -20,7 +23,7 @@
     def __init__(self, context: EntryContext) -> None:
         self._context = context
 
-    def check_arrival(self, request: RoutedRequest) -> None:
+    def check_arrival(self, request: RoutedRequest, responder: Responder) -> None:
         """Raise if a request that has arrived is not taken."""
         lifecycle = self._context.lifecycle
         if lifecycle.has_drained:
@@ -38,6 +41,14 @@
         )
         if not decision.is_admitted:
             raise self._leaving_error("accept request", _describe(decision))
+        responder.log_fields.update(_fields(decision))
+        log.info(
+            "request taken while leaving",
+            request=request.call.request_id,
+            service=request.service.name,
+            is_repeatable=request.is_repeatable,
+            **_fields(decision),
+        )
 
     def check_send(
         self, request: RoutedRequest, responder: Responder, *, may_have_run: bool
@@ -62,6 +73,7 @@
             raise self._leaving_error(
                 "send request", _describe(decision), may_have_run=may_have_run
             )
+        responder.log_fields.update(_fields(decision))
 
     def _leaving_error(
         self, step: str, evidence: str, *, may_have_run: bool = False
@@ -89,3 +101,13 @@
         f"({decision.answers_count} answers, {decision.open_count} open), "
         f"{decision.remaining_seconds:.3f} s left"
     )
+
+
+def _fields(decision: DrainDecision) -> dict[str, object]:
+    return {
+        "expected_ms": milliseconds(decision.expected_seconds),
+        "expected_by": decision.source.value,
+        "answers_count": decision.answers_count,
+        "open_count": decision.open_count,
+        "left_ms": milliseconds(decision.remaining_seconds),
+    }
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -61,6 +61,8 @@
         self.was_dispatched = False
         #: Whether the server has reported that the caller disconnected.
         self.is_disconnected = False
+        #: What the log line of a response that is not complete contains of its request.
+        self.log_fields: dict[str, object] = {}
         #: Whether the response is a stream in which an error is an event.
         self._has_error_events = False
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -39,12 +39,13 @@
         try:
             call = self._context.dialects.caller.read_call(raw)
             request_id = call.request_id
+            responder.log_fields["request"] = request_id
             # The body is read first: a connection that is closed with unread bytes is
             # reset, and the caller may lose its response.
             try:
                 body = await self._read_body(receive)
                 request = await self._check(call, body, arrived_at_seconds)
-                self._exit_check.check_arrival(request)
+                self._exit_check.check_arrival(request, responder)
             except anyio.get_cancelled_exc_class():
                 log.info("request cancelled before submission", request=request_id)
                 raise
--- a/tests/test_requests_taken_while_leaving.py
+++ b/tests/test_requests_taken_while_leaving.py
@@ -1,5 +1,6 @@
 """Guards against requests that a stopping host takes, sends, and ends at its exit."""
 
+import socket
 from unittest import mock
 
 import anyio
@@ -9,10 +10,11 @@
 from rampwick_router._logs import ComponentLogger
 from rampwick_router.control import HostListTask
 
-from .scripted import Hangup, all_received
+from .scripted import HOST, KEY, Hangup, all_received
 from .test_routed import all_scripts, ran, run
 
 TIMEOUT_SECONDS = 10.0
+UPSTREAM_SECONDS = 2.0
 
 PLAIN_KIND = AnswerKind("labels")
 STREAM_KIND = AnswerKind("notes", is_stream=True)
@@ -89,6 +91,11 @@
         [denied] = find(lines, "request denied")
         expected = "no known time by target (0 answers, 0 open)"
         self.assertIn(expected, denied["evidence"])
+        [taken] = find(lines, "request taken while leaving")
+        self.assertEqual(
+            ("answers", 40), (taken["expected_by"], taken["answers_count"])
+        )
+        self.assertLess(taken["expected_ms"], taken["left_ms"])
 
     def test_open_requests_count_until_they_end(self):
         async def scenario(host, servers):
@@ -215,3 +222,63 @@
     def test_second_attempt_that_is_likely_to_fit_is_sent(self):
         (response, received), _ = self.call_broken_once(2.0)
         self.assertEqual((200, 2), (response.status, len(received)))
+
+
+class UnansweredLineTest(TestCase):
+    def test_line_of_a_request_that_is_ended_at_the_exit(self):
+        async def scenario(host, servers):
+            learn(host, 0.05)
+            leave(host, 4.5)
+            received = anyio.Event()
+
+            async def never(exchange):
+                received.set()
+                # The host ends before its upstreams do.
+                with anyio.move_on_after(UPSTREAM_SECONDS, shield=True):
+                    await anyio.sleep_forever()
+
+            all_scripts(servers, never)
+            address, _, port = host.address.partition(":")
+            caller = socket.create_connection((address, int(port)))
+            self.addCleanup(caller.close)
+            caller.sendall(
+                f"POST /once/1 HTTP/1.1\r\nHost: {HOST}\r\n"
+                f"Rampwick-Request-Id: caller-8\r\nContent-Length: 0\r\n"
+                f"Authorization: Bearer {KEY}\r\n\r\n".encode()
+            )
+            await received.wait()
+
+        _, lines = run_logged(scenario)
+        [ended] = find(lines, "request ended without response")
+        self.assertEqual("caller-8", ended["request"])
+        self.assertEqual("answers", ended["expected_by"])
+        self.assertTrue(ended["was_dispatched"])
+
+    def test_line_names_the_request_and_what_was_expected(self):
+        async def scenario(host, servers):
+            learn(host, 0.05, kind=STREAM_KIND)
+            leave(host, 4.5)
+            begun = anyio.Event()
+
+            async def begin(exchange):
+                await exchange.send(exchange.head(extra=CHUNKED) + chunk(1))
+                begun.set()
+                await anyio.sleep_forever()
+
+            all_scripts(servers, begin)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: host.call("/stream/1", request_id="caller-7"))
+                await begun.wait()
+                with anyio.fail_after(TIMEOUT_SECONDS):
+                    while not has_begun(host):
+                        await anyio.sleep(0.005)
+                host.daemon.lifecycle.begin_stop()
+
+        _, lines = run_logged(scenario)
+        [ended] = find(lines, "request ended without complete response")
+        self.assertEqual("caller-7", ended["request"])
+        self.assertTrue(ended["exchange"].startswith("entry-1-"))
+        self.assertEqual("answers", ended["expected_by"])
+        self.assertEqual(40, ended["answers_count"])
+        self.assertIn("left_ms", ended)
+        self.assertIn("age_ms", ended)
