Refuse the connections in the queue as the callers' listener is closed

Ruled out: a filter that lets connections through, and callers that send after the idle timeout: their connections would have been accepted.

The queue is now accepted to its end in the step in which the listener is closed, and what it held gets 503 without being read. The wait for an empty queue has a bound of its own, so that open connections have time after it; without a filter there is none, as nothing empties the queue.

--- a/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
@@ -13,8 +13,11 @@
 from typing import Any
 from weakref import WeakValueDictionary
 
+from rampwick_start import BACKLOG_COUNT
+
 from ._logs import ComponentLogger
 from ._new_connections import drop_new_connections
+from ._refused_connections import RefusedConnections
 from ._segment_age import segment_age_seconds
 
 #: Key of a caller's socket among the extensions of an ASGI scope.
@@ -98,6 +101,10 @@
 #: Connections that one iteration closes; each takes a few system calls only.
 MAX_CLOSED_COUNT = 64
 
+#: Connections that are refused as the listener is closed. More than its queue holds, as
+#: they may go on arriving meanwhile.
+MAX_REFUSED_COUNT = 4 * BACKLOG_COUNT
+
 
 class CallerListener(socket.socket):
     """A listening socket that remembers the connections it accepted while they live.
@@ -143,20 +150,42 @@
         poll.register(self, select.POLLIN)
         return bool(poll.poll(0))
 
-    def drop_new(self) -> None:
-        """Have the kernel drop new connections; those in the queue are accepted."""
+    def drop_new(self) -> bool:
+        """Have the kernel drop new connections; those in the queue are accepted.
+
+        Return whether it does.
+        """
         try:
             drop_new_connections(self)
         except OSError as error:
             log.problem("listener without filter", error=str(error))
+            return False
+        return True
+
+    def stop_accepting(self, refused: RefusedConnections) -> None:
+        """Refuse the connections in the queue, and have the kernel refuse others.
 
-    def stop_accepting(self) -> None:
-        """Have the kernel refuse connections; it resets those that still wait."""
+        The kernel resets those that arrive between the last one that is accepted here
+        and the close, so both happen in one step.
+        """
         if not self._is_accepting:
             return
         self._is_accepting = False
+        refused_count = self._refuse_waiting(refused)
         asyncio.get_running_loop().remove_reader(self.fileno())
         self.shutdown(socket.SHUT_RDWR)
+        log.info("listener closed", refused_count=refused_count)
+
+    def _refuse_waiting(self, refused: RefusedConnections) -> int:
+        for count in range(MAX_REFUSED_COUNT):
+            try:
+                connection, _ = self._accept_next()
+            except OSError as error:
+                if not isinstance(error, BlockingIOError):
+                    log.problem("queue not accepted", error=str(error))
+                return count
+            refused.refuse(connection)
+        return MAX_REFUSED_COUNT
 
     def _accept_next(self) -> tuple[CallerConnection, Any]:
         accepted, address = super().accept()
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -12,15 +12,18 @@
 from anyio.abc import TaskGroup
 
 from rampwick_platform import HttpObjectApi, ObjectApi, sleep_aligned
+from rampwick_policy import retry_elsewhere_seconds
 from rampwick_schema import Settings
 
 from ._assembly import Assembly, Clocks as Clocks
 from ._caller_connections import CallerConnections
+from ._errors import CallerError
 from ._fallback import read_fallback
 from ._hand_on import ConnectionHandOn
 from ._idle_timeout import CallerIdleTimeout
 from ._integration import Integration
 from ._logs import ComponentLogger, milliseconds
+from ._refused_connections import encode_response
 from ._servers import (
     CLOSE_TIMEOUT_SECONDS,
     Addresses,
@@ -253,6 +256,19 @@
             return 0.0
         return max(0.0, self._remaining_seconds(MAX_SETTLE_SECONDS))
 
+    def write_refusal(self) -> bytes:
+        """Return a response for connections that are refused as this host stops."""
+        views = self._context.scheduler.peer_views(self._clocks.monotonic())
+        ready_count = sum(not view.summary.is_leaving for view in views)
+        error = CallerError(
+            "this host is leaving",
+            status=503,
+            code="leaving",
+            step="accept connection",
+            retry_after_seconds=retry_elsewhere_seconds(ready_count, len(views)),
+        )
+        return encode_response(self._context.dialects.caller.write_error(error, ""))
+
     def _has_open_requests(self) -> bool:
         return bool(self.entry.open_count or self._gossip.tunnel_server.active_count)
 
@@ -333,6 +349,7 @@
                 daemon.idle_timeout.max_seconds,
                 daemon.read_settle_seconds,
                 daemon.awaits_open_requests,
+                daemon.write_refusal,
                 daemon.caller_connections,
             ),
             settings.limits.max_header_bytes,
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -19,6 +19,7 @@
 from ._caller_sockets import CallerListener
 from ._http1 import ignore_websockets
 from ._http2 import reset_cut_streams
+from ._refused_connections import RefusedConnections
 
 #: Time that the HTTP server is given to close idle connections.
 CLOSE_TIMEOUT_SECONDS = 0.5
@@ -33,9 +34,11 @@
 QUIET_CHECKS = 10
 QUEUE_CHECKS = 2
 
-#: Most checks until new connections are dropped, and most without any change until the
-#: server ends the connections that are left.
+#: Most checks until new connections are dropped, and from then until those that wait
+#: are refused; most without any change until the server ends the connections that are
+#: left.
 MAX_QUIET_CHECKS = 50
+MAX_QUEUE_CHECKS = 50
 MAX_UNCHANGED_CHECKS = 100
 
 #: Idle timeout of connections to the other applications; longer than the usual minute
@@ -106,6 +109,8 @@
     read_settle_seconds: Callable[[], float]
     #: Returns whether the shutdown waits for requests, also those of peers.
     awaits_open_requests: Callable[[], bool]
+    #: Returns a response to connections in the queue of the listener as it is closed.
+    write_refusal: Callable[[], bytes]
     connections: CallerConnections
 
 
@@ -151,39 +156,51 @@
     closing: anyio.Event,
     ended: Sequence[anyio.Event],
 ) -> None:
+    refused = RefusedConnections(options.write_refusal)
     with anyio.CancelScope(shield=True):
-        await _settle(callers, options)
+        await _settle(callers, options, refused)
     closing.set()
     with anyio.move_on_after(2 * CLOSE_TIMEOUT_SECONDS, shield=True):
         for has_ended in ended:
             await has_ended.wait()
+    refused.close()
 
 
-async def _settle(callers: CallerListener, options: CallerServerOptions) -> None:
+async def _settle(
+    callers: CallerListener, options: CallerServerOptions, refused: RefusedConnections
+) -> None:
     """Close the callers' connections in order, and then their listener.
 
-    Connections that arrive meanwhile are served. A listener that is closed before its
-    queue is empty resets the connections in it.
+    Connections that arrive meanwhile are served. Each wait has a bound of its own: the
+    last one needs time, also where the kernel does not drop new connections.
     """
-    settling = _Settling(callers, options)
+    settling = _Settling(callers, options, refused)
     await options.connections.close_idle()
-    with anyio.move_on_after(options.read_settle_seconds()):
+    settle_seconds = options.read_settle_seconds()
+    with anyio.move_on_after(settle_seconds):
         # Connections may go on arriving: what is left is needed to serve them.
-        with anyio.move_on_after(options.read_settle_seconds() / 2):
+        with anyio.move_on_after(settle_seconds / 2):
             await settling.wait_quiet()
-        callers.drop_new()
-        await settling.wait_queue_empty()
-        callers.stop_accepting()
+        if callers.drop_new():
+            with anyio.move_on_after(settle_seconds / 4):
+                await settling.wait_queue_empty()
+        callers.stop_accepting(refused)
         await settling.wait_ended()
-    callers.stop_accepting()
+    callers.stop_accepting(refused)
 
 
 class _Settling:
     """Waits of a shutdown for the callers' connections."""
 
-    def __init__(self, callers: CallerListener, options: CallerServerOptions) -> None:
+    def __init__(
+        self,
+        callers: CallerListener,
+        options: CallerServerOptions,
+        refused: RefusedConnections,
+    ) -> None:
         self._callers = callers
         self._options = options
+        self._refused = refused
         self._connections = options.connections
 
     async def wait_quiet(self) -> None:
@@ -201,10 +218,12 @@
     async def wait_queue_empty(self) -> None:
         """Return when no connection waited at successive checks."""
         empty_count = 0
-        while empty_count < QUEUE_CHECKS:
+        for _ in range(MAX_QUEUE_CHECKS):
             await self._pause()
             is_empty = not self._callers.has_waiting()
             empty_count = empty_count + 1 if is_empty else 0
+            if empty_count == QUEUE_CHECKS:
+                return
 
     async def wait_ended(self) -> None:
         """Return when all connections have ended, or nothing changes any more."""
@@ -215,9 +234,11 @@
                 return
             await self._pause()
             awaits_requests = self._options.awaits_open_requests()
-            if not (self._connections.open_count or awaits_requests):
+            refused_count = self._refused.count_open()
+            open_count = self._connections.open_count + refused_count
+            if not (open_count or awaits_requests):
                 return
-            now = self._connections.open_count, self._connections.held_bytes()
+            now = open_count, self._connections.held_bytes()
             is_unchanged = now == before and not awaits_requests
             unchanged_count = unchanged_count + 1 if is_unchanged else 0
             before = now
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -6,16 +6,26 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import time
+from functools import partial
 from unittest import mock
 
 import anyio
+import h2.connection
+import h2.events
 import h11
 from anyio.to_thread import run_sync
 from testtools import TestCase
 
+from rampwick_router import _daemon
 from rampwick_router._caller_server import CallerServer
+from rampwick_router._caller_sockets import CallerListener
+from rampwick_router._dialects import ErrorResponse
+from rampwick_router._logs import ComponentLogger
+from rampwick_router._new_connections import SO_ATTACH_FILTER
+from rampwick_router._refused_connections import RefusedConnections, encode_response
 
 from .scripted import (
     MemoryStore,
@@ -67,6 +77,45 @@
     return 0
 
 
+def open_until_not_accepted(address, add):
+    """Open connections as fast as they are accepted."""
+    # A connection that is not accepted at once is not accepted at all.
+    with contextlib.suppress(OSError):
+        while True:
+            add(socket.create_connection(address, timeout=0.5))
+
+
+def statuses_of_ceaseless_connections(open_many=open_until_not_accepted):
+    """Return the statuses on connections that never cease to arrive in a stop."""
+    head = request_head("/once/1", WITH_ID)
+    raws = []
+
+    def add(stack, raw):
+        stack.callback(raw.close)
+        raw.settimeout(10.0)
+        raws.append(raw)
+        # A connection that was reset is read, too: it has no status.
+        with contextlib.suppress(OSError):
+            raw.sendall(head)
+
+    async def main(stack):
+        async with (
+            anyio.create_task_group() as tasks,
+            run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _),
+        ):
+            await drain(host)
+            address, _, port = host.address.partition(":")
+            for _ in range(2):
+                tasks.start_soon(
+                    run_sync, open_many, (address, int(port)), partial(add, stack)
+                )
+            await anyio.sleep(0.1)
+        return [await run_sync(read_status, raw) for raw in raws]
+
+    with contextlib.ExitStack() as stack:
+        return anyio.run(main, stack)
+
+
 class StoppedConnectionTest(TestCase):
     """What has reached a host by the time at which it stops gets a response."""
 
@@ -126,34 +175,7 @@
         self.assertEqual([503] * 40, self.statuses_at_stop(arrive, finish))
 
     def test_connections_that_never_cease_to_arrive_are_answered_or_refused(self):
-        head = request_head("/once/1", WITH_ID)
-        raws = []
-
-        def open_many(address, stack):
-            # A connection that is not accepted at once is not accepted at all.
-            with contextlib.suppress(OSError):
-                while True:
-                    raw = socket.create_connection(address, timeout=0.5)
-                    stack.callback(raw.close)
-                    raw.sendall(head)
-                    raw.settimeout(10.0)
-                    raws.append(raw)
-
-        async def main(stack):
-            async with (
-                anyio.create_task_group() as tasks,
-                run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _),
-            ):
-                await drain(host)
-                address, _, port = host.address.partition(":")
-                for _ in range(2):
-                    tasks.start_soon(run_sync, open_many, (address, int(port)), stack)
-                await anyio.sleep(0.1)
-            return [await run_sync(read_status, raw) for raw in raws]
-
-        with contextlib.ExitStack() as stack:
-            statuses = anyio.run(main, stack)
-        self.assertEqual({503}, set(statuses))
+        self.assertEqual({503}, set(statuses_of_ceaseless_connections()))
 
     def test_connections_in_the_queue_at_the_end_of_the_grace_are_answered(self):
         head = request_head("/once/1", WITH_ID)
@@ -248,6 +270,103 @@
         self.assertEqual((200, 503), anyio.run(main))
 
 
+class RefusedOptionTest(TestCase):
+    """A stop where the kernel refuses what makes it drop new connections."""
+
+    def refuse(self, *options):
+        """Have the kernel refuse options of the callers' listener."""
+        self.closes = []
+
+        def set_option(listener, level, option, value):
+            if option in options:
+                raise PermissionError(errno.EPERM, "Operation not permitted")
+            socket.socket.setsockopt(listener, level, option, value)
+
+        def note(log, text, **fields):
+            if text == "listener closed":
+                self.closes.append(fields)
+
+        self.enterContext(mock.patch.object(CallerListener, "setsockopt", set_option))
+        self.enterContext(mock.patch.object(ComponentLogger, "info", note))
+
+    def test_connections_of_the_last_moment_are_answered_where_all_is_refused(self):
+        self.refuse(SO_ATTACH_FILTER)
+        head = request_head("/once/1", WITH_ID)
+        stop_accepting = CallerListener.stop_accepting
+        raws = []
+
+        def arrive_and_stop(listener, *arguments):
+            if not raws:
+                for _ in range(20):
+                    raws.append(socket.create_connection(listener.getsockname(), 10.0))
+                    raws[-1].sendall(head)
+            stop_accepting(listener, *arguments)
+
+        async def main():
+            async with run_routed({"labels": ["a"], "notes": ["b"]}) as (host, _):
+                await drain(host)
+            statuses = []
+            for raw in raws:
+                with raw:
+                    statuses.append(await run_sync(read_status, raw))
+            return statuses
+
+        with mock.patch.object(CallerListener, "stop_accepting", arrive_and_stop):
+            self.assertEqual([503] * 20, anyio.run(main))
+        (fields,) = self.closes
+        self.assertEqual(20, fields["refused_count"])
+
+
+class FullQueueTest(TestCase):
+    """A queue that can't be served in time is refused before the listener closes."""
+
+    def test_connections_that_wait_at_the_end_are_refused(self):
+        self.enterContext(mock.patch.object(_daemon, "MAX_SETTLE_SECONDS", 0.05))
+        statuses = statuses_of_ceaseless_connections()
+        self.assertEqual({503}, set(statuses))
+
+    def refuse_one(self, sent):
+        """Return what a caller receives whose connection is refused unread."""
+        refused = RefusedConnections(lambda: b"HTTP/1.1 503 Service Unavailable")
+        caller, accepted = socket.socketpair()
+        with caller:
+            caller.sendall(sent)
+            refused.refuse(accepted)
+            self.assertEqual(1, refused.count_open())
+            caller.settimeout(5.0)
+            received = caller.recv(4096)
+            caller.shutdown(socket.SHUT_RDWR)
+            self.assertEqual(0, refused.count_open())
+        return received
+
+    def test_caller_on_http1(self):
+        received = self.refuse_one(request_head("/once/1", WITH_ID))
+        self.assertEqual(b"HTTP/1.1 503 Service Unavailable", received)
+
+    def test_caller_that_has_sent_nothing_yet(self):
+        self.assertEqual(b"HTTP/1.1 503 Service Unavailable", self.refuse_one(b""))
+
+    def test_caller_on_http2_is_told_that_no_stream_was_read(self):
+        client = h2.connection.H2Connection()
+        client.initiate_connection()
+        events = client.receive_data(self.refuse_one(client.data_to_send()))
+        (goodbye,) = (
+            item for item in events if isinstance(item, h2.events.ConnectionTerminated)
+        )
+        self.assertEqual((0, 0), (goodbye.last_stream_id, goodbye.error_code))
+
+    def test_response_is_http(self):
+        response = ErrorResponse(503, [(b"content-length", b"2")], b"no")
+        connection = h11.Connection(h11.CLIENT)
+        connection.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+        connection.send(h11.EndOfMessage())
+        connection.receive_data(encode_response(response))
+        head = connection.next_event()
+        self.assertEqual((503, b"Service Unavailable"), (head.status_code, head.reason))
+        self.assertIn((b"connection", b"close"), head.headers)
+        self.assertEqual(b"no", bytes(connection.next_event().data))
+
+
 class Http2StopTest(TestCase):
     """A caller on HTTP/2 is told which streams were read, and may repeat others."""
 
