Bound the bytes of answers that a process buffers

Cause: each answer had bounds of its own (256 MiB a body, 1 MiB an event, 256 KiB of a routed answer), and nothing bounded their sum. In the OpenAI dialect without streaming the parsed events were kept, a multiple of their bytes. A runner that sends without end took the memory of the host, and ended the requests of others.

Change: one budget for a process, reserved as bytes are buffered and released as they are sent or dropped (rampwick_policy._buffer_budget). The largest answer is ended, the oldest of equals. An answer over its own bound is a failure of its upstream; for the process's bound only if that upstream fills half of the budget, and never if the bytes wait for a caller. Otherwise it is too large: 502 answer_too_large, no other attempt. Routed answers are forwarded early instead. Whole answers keep their escaped text only. Long bodies are written in pieces of 64 KiB, so that no second copy waits in the server.

Weighed: refusing whoever asks for more (sound small answers pay), waiting for room (callers that read nothing stop all others); see docs/design/platform.md.

Ruled out: heads, chunk framing, a single unfinished event; they were bounded.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -27,6 +27,12 @@
     split_update as split_update,
     stream_key as stream_key,
 )
+from ._buffer_budget import (
+    BufferBudget as BufferBudget,
+    BufferCut as BufferCut,
+    BufferedAnswer as BufferedAnswer,
+    BufferLimit as BufferLimit,
+)
 from ._burst_detector import BurstDetector as BurstDetector
 from ._cache_events import (
     CacheEventBuffer as CacheEventBuffer,
--- a/packages/rampwick-policy/src/rampwick_policy/_reasons.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_reasons.py
@@ -5,6 +5,8 @@
 DEADLINE_UNREACHABLE = "deadline_unreachable"
 DEADLINE_PASSED = "deadline_passed"
 UPSTREAM_FAILED = "upstream_failed"
+#: This host had no room to buffer the answer.
+ANSWER_TOO_LARGE = "answer_too_large"
 #: The request is quarantined, because upstreams crashed while running it.
 ENDS_UPSTREAMS = "ends_upstreams"
 NO_UPSTREAM = "no_upstream"
--- a/packages/rampwick-policy/src/rampwick_policy/_request.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_request.py
@@ -49,6 +49,9 @@
     BUSY = "busy"
     #: The connection broke or stalled; the upstream may have run the request.
     BROKEN = "broken"
+    #: This host had no room to buffer the answer of an upstream that may have run the
+    #: request.
+    TOO_LARGE = "too large"
     #: The deadline passed first; the upstream may have run the request.
     EXPIRED = "expired"
     #: The upstream answered from another incarnation than the one it was chosen for.
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -37,6 +37,7 @@
 from ._prefix_cache_index import PrefixCacheIndex
 from ._queue import QueuedRequest, WaitingQueue
 from ._reasons import (
+    ANSWER_TOO_LARGE,
     DEADLINE_PASSED,
     DEADLINE_UNREACHABLE,
     ENDS_UPSTREAMS,
@@ -364,10 +365,14 @@
             item.lifecycle.run_state < RunState.MAYBE_RUN
             or self.limits.may_repeat(item.limit_charges, now_seconds)
         )
-        if is_unsent or is_quarantined or not may_retry:
+        # The same answer would be as large from another upstream.
+        is_too_large = event.outcome is Outcome.TOO_LARGE
+        if is_unsent or is_quarantined or is_too_large or not may_retry:
             reason = ENDS_UPSTREAMS if is_quarantined else UPSTREAM_FAILED
             if is_unsent:
                 reason, peer = DEADLINE_PASSED, ""
+            elif is_too_large and not is_quarantined:
+                reason = ANSWER_TOO_LARGE
             elif event.outcome is Outcome.EXPIRED and not is_quarantined:
                 reason = DEADLINE_PASSED
             refusal = self._requests.refuse(item, reason, now_seconds, peer=peer)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -14,6 +14,7 @@
 from rampwick_platform import HttpObjectApi, ObjectApi, sleep_aligned
 from rampwick_schema import Settings
 
+from ._answer_buffers import make_buffers
 from ._assembly import Assembly, Clocks as Clocks
 from ._caller_connections import CallerConnections
 from ._fallback import read_fallback
@@ -297,7 +298,11 @@
             api.on_restored = _log_restore
         clocks = clocks or Clocks()
         connection_pool = await stack.enter_async_context(
-            ConnectionPool(clocks.monotonic, settings.limits.max_answer_bytes)
+            ConnectionPool(
+                clocks.monotonic,
+                settings.limits.max_answer_bytes,
+                make_buffers(settings.limits),
+            )
         )
         upstreams = UpstreamClient(
             connection_pool,
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -112,6 +112,9 @@
     "upstreams_paused": ErrorKind(503, "the upstreams want no requests for a while"),
     "no_retry_left": ErrorKind(503, "the retry budget is spent for now"),
     "upstream_failed": ErrorKind(502, "the upstream failed"),
+    "answer_too_large": ErrorKind(
+        502, "the host has no room to buffer the upstream's answer"
+    ),
     "ends_upstreams": ErrorKind(
         502, "upstreams end when they run this request", is_permanent=True
     ),
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -305,12 +305,16 @@
             is_chat=reference.is_chat,
             check=lambda has_sent: _check_caller(responder),
         )
+        buffers = self._context.connection_pool.buffers
         for attempts_left_count in reversed(range(MAX_RESUMES)):
             try:
-                async with resume() as stream:
-                    stream.check_start(reference.attempt_id, reference.incarnation)
-                    await responder.start_events()
-                    await relay_resumed(stream, token.encode(), position, responder)
+                with buffers.open(reference.upstream) as buffer:
+                    async with resume() as stream:
+                        stream.check_start(reference.attempt_id, reference.incarnation)
+                        await responder.start_events()
+                        await relay_resumed(
+                            stream, token.encode(), position, responder, buffer
+                        )
                 return
             except AttemptError as error:
                 # The stream outlasts its connections.
--- a/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
@@ -52,6 +52,11 @@
         """Bytes after the last complete event."""
         return bytes(self._remainder)
 
+    @property
+    def remainder_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._remainder)
+
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes so far end inside an event."""
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -16,6 +16,7 @@
 )
 from rampwick_schema import ReprMixin
 
+from .._answer_buffers import AnswerBuffer
 from .._dialects import read_request_rate, read_signals
 from .._errors import AttemptError
 from .._headers import BRITTLE, LEAVING, REQUEST_RATE
@@ -45,7 +46,23 @@
     """The content of a response received so far."""
 
     usage: dict[str, Any] | None = None
-    chunks: list[dict[str, Any]] = attrs.field(factory=list)
+    #: Text of a response that is sent as a whole, escaped as in JSON. The events take a
+    #: multiple of its memory.
+    text: bytearray = attrs.field(factory=bytearray)
+    finish_reason: Any = "stop"
+
+    def add(self, chunk: dict[str, Any], *, is_chat: bool) -> None:
+        """Add an event of a response that is sent as a whole."""
+        choices = chunk.get("choices")
+        if not choices:
+            return
+        choice = choices[0]
+        source = choice.get("delta", {}) if is_chat else choice
+        text = source.get("content" if is_chat else "text") or ""
+        if not isinstance(text, str):
+            raise TypeError(f"text of an event is {type(text).__name__}")
+        self.text += orjson.dumps(text)[1:-1]
+        self.finish_reason = choice.get("finish_reason")
 
 
 @attrs.frozen(repr=False)
@@ -77,6 +94,8 @@
         self._has_delivered = False
         self._is_complete = False
         self.response = ReceivedResponse()
+        self._buffer: AnswerBuffer
+        self._remainder_bytes = 0
         reference = StreamReference(
             workspace=target.call.terms.workspace.path,
             upstream=dispatch.upstream,
@@ -88,11 +107,13 @@
 
     async def run(self, content: bytes) -> None:
         """Relay the complete response, resuming the stream if its connection breaks."""
-        try:
-            await self._start(content)
-        except AttemptError as error:
-            await self._resume_after(error)
-        await self._finish()
+        buffers = self._context.connection_pool.buffers
+        with buffers.open(self._dispatch.upstream) as self._buffer:
+            try:
+                await self._start(content)
+            except AttemptError as error:
+                await self._resume_after(error)
+            await self._finish()
 
     async def _start(self, content: bytes) -> None:
         client = self._context.upstreams
@@ -164,12 +185,16 @@
         self._context.scheduler.post(
             AttemptAccepted(self._target.request_id, dispatch.attempt_id)
         )
-        async for events in stream.batches():
+        async for events in stream.batches(self._hold):
             await self._forward(events, stream.data_age_seconds)
             if self._is_complete:
                 break
         _check_final_event(self._is_complete, dispatch.upstream)
 
+    def _hold(self, remainder_bytes: int) -> None:
+        self._remainder_bytes = remainder_bytes
+        self._buffer.hold(len(self.response.text) + remainder_bytes)
+
     async def _forward(
         self, events: list[StreamEvent], data_age_seconds: Callable[[], float]
     ) -> None:
@@ -181,7 +206,11 @@
         self._target.on_chunk()
         self._target.recorder.note_events(len(chunks), data_age_seconds)
         if not self._target.call.is_streamed:
-            self.response.chunks += [orjson.loads(event.data) for event in chunks]
+            for event in chunks:
+                self.response.add(
+                    orjson.loads(event.data), is_chat=self._target.call.is_chat
+                )
+            self._hold(self._remainder_bytes)
             return
         await self._start_response()
         first = self._sequence.next_position - len(chunks)
@@ -192,7 +221,9 @@
             format_event(self._token, first + index, event.data)
             for index, event in enumerate(chunks)
         )
+        self._buffer.hold_for_caller(len(body) + self._remainder_bytes)
         await self._target.responder.send(body)
+        self._hold(self._remainder_bytes)
         self._target.recorder.note_written()
 
     def _check_fingerprint(self, event: StreamEvent) -> None:
@@ -243,7 +274,8 @@
             (b"x-request-id", self._target.request_id.encode()),
             (b"rampwick-upstream", self._dispatch.upstream.encode()),
         ]
-        await self._target.responder.send_json(200, body, headers)
+        self._buffer.hold_for_caller(len(body))
+        await self._target.responder.send_json_bytes(200, body, headers)
 
     def _error(self, outcome: Outcome, message: str) -> AttemptError:
         return AttemptError(
@@ -251,36 +283,44 @@
         )
 
 
-def _build_response(target: RelayTarget, response: ReceivedResponse) -> dict[str, Any]:
-    choices = [chunk["choices"][0] for chunk in response.chunks if chunk.get("choices")]
-    reason = choices[-1].get("finish_reason") if choices else "stop"
-    choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+def _build_response(target: RelayTarget, response: ReceivedResponse) -> bytes:
+    """Return the body of a whole response; the text received is dropped."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": response.finish_reason}
+    text = orjson.Fragment(b'"%s"' % response.text)
+    response.text.clear()
     if target.call.is_chat:
-        contents = (item.get("delta", {}).get("content") or "" for item in choices)
-        choice["message"] = {"role": "assistant", "content": "".join(contents)}
+        choice["message"] = {"role": "assistant", "content": text}
     else:
-        choice["text"] = "".join(item.get("text") or "" for item in choices)
+        choice["text"] = text
     kind = "chat.completion" if target.call.is_chat else "text_completion"
-    return {
-        "id": target.request_id,
-        "object": kind,
-        "model": target.call.scope.model,
-        "choices": [choice],
-        "usage": response.usage,
-    }
+    return orjson.dumps(
+        {
+            "id": target.request_id,
+            "object": kind,
+            "model": target.call.scope.model,
+            "choices": [choice],
+            "usage": response.usage,
+        }
+    )
 
 
 async def relay_resumed(
-    stream: UpstreamStream, token: bytes, position: int, responder: Responder
+    stream: UpstreamStream,
+    token: bytes,
+    position: int,
+    responder: Responder,
+    buffer: AnswerBuffer,
 ) -> None:
     """Relay a stream that a caller resumes, starting at ``position``."""
     order = SequenceFilter(position, "")
     has_final_event = False
-    async for body in _resumed_bodies(stream, token, order):
+    async for body in _resumed_bodies(stream, token, order, buffer):
         if body is None:
             has_final_event = True
             break
+        buffer.hold_for_caller(len(body))
         await responder.send(body)
+        buffer.hold(0)
     _check_final_event(has_final_event, "")
     await responder.end(b"data: " + DONE + b"\n\n")
 
@@ -293,9 +333,9 @@
 
 
 async def _resumed_bodies(
-    stream: UpstreamStream, token: bytes, order: SequenceFilter
+    stream: UpstreamStream, token: bytes, order: SequenceFilter, buffer: AnswerBuffer
 ) -> AsyncIterator[bytes | None]:
-    async for events in stream.batches():
+    async for events in stream.batches(buffer.hold):
         chunks: list[bytes] = []
         for event in events:
             if event.is_done:
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -7,6 +7,7 @@
 import anyio
 import orjson
 
+from .._answer_buffers import WRITE_BYTES
 from .._caller_sockets import UNKNOWN_SOCKET, CallerSocket
 from .._errors import CallerError
 from ._request_body import Message, RequestBody
@@ -95,15 +96,21 @@
         await self.start(200, [*EVENT_STREAM, *headers])
 
     async def send(self, body: bytes) -> None:
-        """Send a chunk of the body."""
-        await self._send_timed(
-            {"type": "http.response.body", "body": body, "more_body": True}
-        )
+        """Send a part of the body, in chunks that a slow caller takes one by one."""
+        for start in range(0, max(1, len(body)), WRITE_BYTES):
+            await self._send_timed(
+                {
+                    "type": "http.response.body",
+                    "body": body[start : start + WRITE_BYTES],
+                    "more_body": True,
+                }
+            )
 
     async def end(self, body: bytes = b"") -> None:
         """Send the last chunk of the body."""
         is_request_due = self._request is not None and not self._request.is_received
-        if self._ends_with_close or is_request_due:
+        is_long = len(body) > WRITE_BYTES
+        if self._ends_with_close or is_request_due or is_long:
             await self.send(body)
             body = b""
             self._caller_socket.set_reset_on_close(False)
@@ -127,7 +134,12 @@
 
     async def send_json(self, status: int, data: Any, headers: Headers = ()) -> None:
         """Send a complete JSON response."""
-        body = orjson.dumps(data)
+        await self.send_json_bytes(status, orjson.dumps(data), headers)
+
+    async def send_json_bytes(
+        self, status: int, body: bytes, headers: Headers = ()
+    ) -> None:
+        """Send a complete JSON response that has been serialized."""
         length = (b"content-length", str(len(body)).encode())
         await self.start(status, [JSON, length, *headers])
         await self.end(body)
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -21,6 +21,7 @@
     stream_key,
 )
 
+from .._answer_buffers import AnswerBuffer
 from .._errors import CallerError, access_error
 from .._headers import ResponseHead, is_bodiless
 from .._logs import ComponentLogger
@@ -79,6 +80,7 @@
         self._body_end: BodyEnd | None = None
         self._remainder_bytes = 0
         self._last_bytes_at_seconds: float | None = None
+        self._buffer: AnswerBuffer
 
     @property
     def caller_request_id(self) -> str:
@@ -141,9 +143,11 @@
             is_resumed=self.responder.has_started,
             prefers_new_connection=self.may_have_run,
         )
+        buffers = self.context.connection_pool.buffers
         with anyio.move_on_after(check.remaining_seconds):
-            async with attempt.open() as head:
-                await self._forward(attempt, head)
+            with buffers.open(dispatch.upstream) as self._buffer:
+                async with attempt.open() as head:
+                    await self._forward(attempt, head)
             self._record_duration()
             return self._done(attempt, head)
         if not check.has_passed:
@@ -199,6 +203,7 @@
         """Forward complete events as they arrive."""
         async for chunk in attempt.chunks():
             batch = events.feed(chunk)
+            self._buffer.hold(events.remainder_bytes)
             if not batch.data:
                 continue
             if batch.count:
@@ -211,7 +216,9 @@
             # caller must not be sent again.
             self._resume_after = batch.last_id or self._resume_after
             self._events_count += batch.count
+            self._buffer.hold_for_caller(len(batch.data) + events.remainder_bytes)
             await self.responder.send(batch.data)
+            self._buffer.hold(events.remainder_bytes)
             self.recorder.note_written()
 
     async def _forward_buffered(
@@ -223,18 +230,29 @@
         async for chunk in attempt.chunks():
             tracker.feed(chunk)
             buffer += chunk
-            if self.responder.has_started or len(buffer) > MAX_BUFFERED_BYTES:
+            # Without room for the buffer the answer is forwarded as it arrives.
+            is_forwarded = (
+                self.responder.has_started
+                or len(buffer) > MAX_BUFFERED_BYTES
+                or not self._buffer.has_room(len(chunk))
+            )
+            if not is_forwarded:
+                self._buffer.hold(len(buffer))
+            else:
+                self._buffer.hold_for_caller(len(buffer))
                 self.recorder.note_events(1, attempt.data_age_seconds)
                 await self._start_response(head, dispatch)
                 await self.responder.send(buffer)
                 self.recorder.note_written()
                 buffer = b""
+                self._buffer.hold(0)
         self._note_body_end(attempt)
         tracker.check(attempt.body_end, STEP, dispatch.upstream)
         self.recorder.note_events(1, attempt.data_age_seconds)
         if not self.responder.has_started:
             length = str(len(buffer)).encode()
             await self._start_response(head, dispatch, ((b"content-length", length),))
+        self._buffer.hold_for_caller(len(buffer))
         await self.responder.end(buffer)
         self.recorder.note_written()
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_service_exchange.py
@@ -15,6 +15,7 @@
 )
 from rampwick_schema import ReprMixin
 
+from .._answer_buffers import AnswerBuffer
 from .._dialects import read_request_rate, read_signals
 from .._errors import AttemptError
 from .._headers import BRITTLE, LEAVING, REQUEST_RATE
@@ -150,7 +151,8 @@
             self.context.scheduler.post(
                 AttemptAccepted(self.request_id, dispatch.attempt_id)
             )
-            await self._forward(dispatch, response)
+            with self.context.connection_pool.buffers.open(dispatch.upstream) as buffer:
+                await self._forward(dispatch, response, buffer)
         return AttemptDone(
             self.request_id,
             dispatch.attempt_id,
@@ -158,7 +160,9 @@
             has_certain_end=response.read_body_end() is not BodyEnd.CLOSED,
         )
 
-    async def _forward(self, dispatch: Dispatch, response: UpstreamResponse) -> None:
+    async def _forward(
+        self, dispatch: Dispatch, response: UpstreamResponse, buffer: AnswerBuffer
+    ) -> None:
         headers = [
             (name, value)
             for name, value in response.head.headers
@@ -178,10 +182,15 @@
         self.recorder.note_events(1, response.data_age_seconds)
         post_delivery(self.context, self.request_id, dispatch, STEP)
         await self.responder.start(response.status, headers)
-        await self.responder.send(first)
+        await self._send(first, buffer)
         async for chunk in chunks:
             tracker.feed(chunk)
-            await self.responder.send(chunk)
+            await self._send(chunk, buffer)
         tracker.check(response.read_body_end(), STEP, dispatch.upstream)
         await self.responder.end()
         self.recorder.note_written()
+
+    async def _send(self, chunk: bytes, buffer: AnswerBuffer) -> None:
+        buffer.hold_for_caller(len(chunk))
+        await self.responder.send(chunk)
+        buffer.hold(0)
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -324,11 +324,17 @@
             weights_version=int(version) if _is_number(version) else 0,
         )
 
-    async def batches(self) -> AsyncIterator[list[StreamEvent]]:
-        """Yield events in batches as they arrive."""
+    async def batches(
+        self, hold: Callable[[int], None]
+    ) -> AsyncIterator[list[StreamEvent]]:
+        """Yield events in batches as they arrive.
+
+        ``hold`` is called with the number of bytes of an event that is not complete.
+        """
         splitter = EventSplitter(self._max_event_bytes, self._upstream)
         async for data in self._chunks:
             events = splitter.feed(data)
+            hold(splitter.buffered_bytes)
             if events:
                 yield events
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -18,6 +18,7 @@
 from rampwick_policy import BodyEnd, ConnectionDoubts, Outcome, UpstreamPath
 from rampwick_schema import RampwickError, ReprMixin
 
+from .._answer_buffers import AnswerBuffers, make_buffers
 from .._errors import AttemptError
 from .._headers import RawHeaders, ResponseHead, is_bodiless
 from ._sockets import CHUNK_BYTES, TunnelDialer, UpstreamSocket
@@ -321,9 +322,14 @@
     """Connections to all upstreams of one host, opened by itself or through peers."""
 
     def __init__(
-        self, read_clock: Callable[[], float], max_body_bytes: int = MAX_BODY_BYTES
+        self,
+        read_clock: Callable[[], float],
+        max_body_bytes: int = MAX_BODY_BYTES,
+        buffers: AnswerBuffers | None = None,
     ) -> None:
         self._read_clock = read_clock
+        #: Buffers of the answers that come over these connections.
+        self.buffers = buffers or make_buffers()
         self._max_body_bytes = max_body_bytes
         #: Returns the current path to an upstream.
         self.find_path: Callable[[str], UpstreamPath] = _always_direct
--- a/packages/rampwick-router/src/rampwick_router/upstream/_control.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_control.py
@@ -210,14 +210,16 @@
                 raise _failed(error.message, request, name) from error
             head = await connection.receive_head()
             body = bytearray()
-            async for chunk in connection.receive_chunks():
-                body += chunk
-                if len(body) > MAX_RESPONSE_BYTES:
-                    raise _failed(
-                        f"response larger than {MAX_RESPONSE_BYTES} bytes",
-                        request,
-                        name,
-                    )
+            with connection_pool.buffers.open(name) as buffer:
+                async for chunk in connection.receive_chunks():
+                    body += chunk
+                    buffer.hold(len(body))
+                    if len(body) > MAX_RESPONSE_BYTES:
+                        raise _failed(
+                            f"response larger than {MAX_RESPONSE_BYTES} bytes",
+                            request,
+                            name,
+                        )
             return head, bytes(body)
     raise _failed(
         f"no response within {timeout_seconds} s", request, name, is_connected
--- a/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
@@ -40,6 +40,11 @@
         #: terminator.
         self._held = b""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._buffered)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that these bytes complete."""
         data, self._held = self._held + data, b""
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -241,6 +241,14 @@
     max_answer_bytes: int = attrs.field(
         default=268435456, validator=within(1024, 1099511627776)
     )
+    #: Maximum number of bytes of answers that the process buffers at once; the largest answer is ended first.
+    max_buffered_bytes: int = attrs.field(
+        default=25165824, validator=within(1048576, 1099511627776)
+    )
+    #: Maximum number of bytes that are buffered for one answer.
+    max_buffered_answer_bytes: int = attrs.field(
+        default=8388608, validator=within(65536, 1099511627776)
+    )
     #: Timeout for writing a chunk to a caller.
     write_timeout_seconds: float = attrs.field(
         default=30.0, validator=within(0.05, 600.0)
