Use a service's only version only by a list read after the request

A stream without a record went on at the only version of its service by a list of up to 2.5 s of age. A host that is cut off from its peers and from the store, or gets the store's answers late, doesn't have the record of a stream that began elsewhere, nor the entry of the runner of another version at which it began, if that joined after its list was read.

The entry of an upstream is in the store before any host uses it. So a list read after the take-up's request was read has all versions at which its stream can have begun. The host now reads the list for such a request, within 0.5 s; requests that arrive meanwhile share a reading. Records and services with several versions need no reading. Refusals and the line of the attempt state the evidence.

Ruled out: recent contact with peers (it ends up to a gossip interval after the cut), and a shorter maximum age of the list (a runner is used, crashes and its stream is taken up within fractions of a second).

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -450,6 +450,7 @@
             save_address=save_address,
             expected_wait_seconds=item.expected_wait_seconds,
             software_version=upstream.entry.software_version,
+            version_evidence=item.version_evidence,
         )
 
     def _note_import(
--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -1,5 +1,6 @@
 """Events that the scheduler processes and actions that it returns."""
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -79,6 +80,8 @@
     is_resumption: bool = False
     #: Longest time since a stream began that its caller may still take up.
     max_stream_age_seconds: float = 0.0
+    #: When this host read the request. Whatever the request goes on with began earlier.
+    received_at_seconds: float = math.inf
     #: Returns whether the configuration in force allows that it is sent now.
     is_allowed: Callable[[], bool] = _always
 
@@ -381,6 +384,8 @@
     expected_wait_seconds: float | None = None
     #: Version of the upstream's software; empty if it is not known.
     software_version: str = ""
+    #: How the version of a stream that its caller takes up was found, for logs.
+    version_evidence: str = ""
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_intake.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_intake.py
@@ -33,6 +33,8 @@
     limit_path: str = ""
     #: Time until there is capacity again, if the reason determines it.
     retry_after_seconds: float | None = None
+    #: State that the refusal is based on, if it isn't that of the upstreams.
+    evidence: str = ""
 
 
 class Intake:
@@ -100,7 +102,9 @@
         unresumable = self._software_versions.check_resumption(item, now_seconds)
         if unresumable is not None:
             return Rejection(
-                unresumable.reason, retry_after_seconds=unresumable.retry_after_seconds
+                unresumable.reason,
+                retry_after_seconds=unresumable.retry_after_seconds,
+                evidence=unresumable.evidence,
             )
         postponed = self._forecasts.find_postponement_on_arrival(item, now_seconds)
         if postponed is not None:
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -57,6 +57,8 @@
     #: any. And that of the upstream of the current attempt.
     software_version: str | None = None
     attempt_software_version: str = ""
+    #: How the version was found if the caller takes the stream up, for logs.
+    version_evidence: str = ""
     #: Whether its caller certainly has a part of the answer.
     has_begun: bool = False
     #: Key of the quarantined suspect that it probes; empty for none.
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -297,6 +297,7 @@
                     now_seconds,
                     rejection.limit_path,
                     rejection.retry_after_seconds,
+                    rejection.evidence,
                 )
             ]
         victim = self._intake.evict_for(item)
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -20,6 +20,7 @@
     BegunStreams,
     request_instance,
 )
+from ._events import RequestArrived
 from ._queue import QueuedRequest
 from ._reasons import NO_SAME_VERSION, UNKNOWN_SOFTWARE
 from ._runner_views import ListedViews, RunnerView, RunnerViews
@@ -47,6 +48,17 @@
 
     reason: str
     retry_after_seconds: float
+    #: Why the version is not known or can't be used.
+    evidence: str = ""
+
+
+@attrs.frozen(repr=False)
+class FoundVersion(ReprMixin):
+    """The version at which a stream began, as far as this host can tell."""
+
+    found_by: str
+    software_version: str = UNKNOWN_VERSION
+    evidence: str = ""
 
 
 class SoftwareVersions:
@@ -90,41 +102,81 @@
     ) -> Unresumable | None:
         """Bind a stream that its caller takes up; return why it can't be."""
         arrival = item.arrival
-        if not (self.is_enabled and arrival.is_stream and arrival.is_resumption):
+        if not self._is_resumption(arrival):
             return None
-        version, found_by = self._find_version(item, now_seconds)
-        if version != UNKNOWN_VERSION and not self._is_listed(
-            arrival.service, version, now_seconds
+        found = self._find_version(arrival, now_seconds)
+        if found.found_by != UNKNOWN and not self._is_listed(
+            arrival.service, found.software_version, now_seconds
         ):
-            found_by = GONE
-        self.resumed_counts[found_by] += 1
-        if found_by == UNKNOWN:
-            return Unresumable(UNKNOWN_SOFTWARE, UNKNOWN_RETRY_SECONDS)
-        if found_by == GONE:
-            return Unresumable(NO_SAME_VERSION, NO_UPSTREAM_RETRY_SECONDS)
-        item.software_version = version
+            found = attrs.evolve(found, found_by=GONE)
+        self.resumed_counts[found.found_by] += 1
+        if found.found_by == UNKNOWN:
+            return Unresumable(UNKNOWN_SOFTWARE, UNKNOWN_RETRY_SECONDS, found.evidence)
+        evidence = f"version {found.software_version}, {found.evidence}"
+        if found.found_by == GONE:
+            return Unresumable(NO_SAME_VERSION, NO_UPSTREAM_RETRY_SECONDS, evidence)
+        item.software_version = found.software_version
+        item.version_evidence = evidence
         # What a caller only says must not bring its request before others.
-        item.has_begun = found_by in (RECORDED, STORED)
+        item.has_begun = found.found_by in (RECORDED, STORED)
         return None
 
-    def _find_version(self, item: QueuedRequest, now_seconds: float) -> tuple[str, str]:
-        arrival = item.arrival
-        begun = self.streams.find(arrival.resumed_key, now_seconds)
-        if begun is not None:
-            is_known = begun.software_version != UNKNOWN_VERSION
-            if is_known and begun.service == arrival.service:
-                found_by = STORED if begun.is_from_store else RECORDED
-                return begun.software_version, found_by
-            return UNKNOWN_VERSION, UNKNOWN
-        only = self.history.only_version(
+    def needs_recent_list(self, arrival: RequestArrived, now_seconds: float) -> bool:
+        """Return whether a list that is read now can tell where a stream began."""
+        if not self._is_resumption(arrival):
+            return False
+        has_record = self.streams.find(arrival.resumed_key, now_seconds) is not None
+        return (
+            not has_record
+            and not self._is_confirmed(arrival, now_seconds)
+            and bool(self._only_version(arrival, now_seconds))
+        )
+
+    def _is_resumption(self, arrival: RequestArrived) -> bool:
+        return self.is_enabled and arrival.is_stream and arrival.is_resumption
+
+    def _is_confirmed(self, arrival: RequestArrived, now_seconds: float) -> bool:
+        """Return whether the list has all upstreams at which a stream can have begun.
+
+        An upstream that was listed after the list was read may have begun it at another
+        host, whose update may have been lost.
+        """
+        confirmed_at_seconds = self.history.confirmed_at_seconds(now_seconds)
+        return confirmed_at_seconds >= arrival.received_at_seconds
+
+    def _only_version(self, arrival: RequestArrived, now_seconds: float) -> str | None:
+        return self.history.only_version(
             arrival.service,
             self._upstreams,
             arrival.max_stream_age_seconds,
             now_seconds,
         )
-        if only:
-            return only, ONLY_VERSION
-        return UNKNOWN_VERSION, UNKNOWN
+
+    def _find_version(
+        self, arrival: RequestArrived, now_seconds: float
+    ) -> FoundVersion:
+        begun = self.streams.find(arrival.resumed_key, now_seconds)
+        if begun is not None:
+            return _read_record(begun, arrival.service)
+        only = self._only_version(arrival, now_seconds)
+        if not only:
+            known_seconds = self.history.known_seconds(now_seconds)
+            evidence = (
+                f"no record; all versions known for {known_seconds:.1f} s, "
+                f"a stream may be {arrival.max_stream_age_seconds:.1f} s old"
+            )
+            return FoundVersion(UNKNOWN, evidence=evidence)
+        confirmed_at_seconds = self.history.confirmed_at_seconds(now_seconds)
+        after_seconds = confirmed_at_seconds - arrival.received_at_seconds
+        age_seconds = now_seconds - confirmed_at_seconds
+        evidence = (
+            f"only version {only} by a list of age {age_seconds:.3f} s, confirmed "
+            f"{abs(after_seconds):.3f} s {'before' if after_seconds < 0 else 'after'} "
+            "the request was read"
+        )
+        if self._is_confirmed(arrival, now_seconds):
+            return FoundVersion(ONLY_VERSION, only, evidence)
+        return FoundVersion(UNKNOWN, evidence=f"no record; {evidence}")
 
     def _is_listed(self, service: str, version: str, now_seconds: float) -> bool:
         """Return whether an upstream of a version is listed and not leaving."""
@@ -179,6 +231,17 @@
         )
 
 
+def _read_record(begun: BegunStream, service: str) -> FoundVersion:
+    if begun.software_version == UNKNOWN_VERSION:
+        return FoundVersion(UNKNOWN, evidence="recorded without a single version")
+    if begun.service != service:
+        evidence = f"recorded in service {begun.service}"
+        return FoundVersion(UNKNOWN, evidence=evidence)
+    if begun.is_from_store:
+        return FoundVersion(STORED, begun.software_version, "recorded in the store")
+    return FoundVersion(RECORDED, begun.software_version, "recorded by a host")
+
+
 def is_same_version(upstream: Upstream, version: str) -> bool:
     """Return whether an upstream certainly has a software version."""
     return version != UNKNOWN_VERSION and upstream.entry.software_version == version
--- a/packages/rampwick-policy/src/rampwick_policy/_version_history.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_version_history.py
@@ -113,6 +113,10 @@
             return 0.0
         return max(0.0, now_seconds - self._known_since_seconds)
 
+    def confirmed_at_seconds(self, now_seconds: float) -> float:
+        """Return the last time at which the list certainly had all upstreams."""
+        return now_seconds - self.list_age_seconds(now_seconds)
+
     def ages(self, now_seconds: float) -> Iterator[tuple[str, str, float]]:
         """Yield service, version and the time since the version was last seen."""
         for service, versions in self._seen_at.items():
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -157,6 +157,11 @@
         history = self._scheduler.software_versions.history
         history.list_age_seconds = read_age_seconds
 
+    def needs_recent_list(self, arrival: RequestArrived) -> bool:
+        """Return whether a request must wait for a list that is read now."""
+        versions = self._scheduler.software_versions
+        return versions.needs_recent_list(arrival, self._read_clock())
+
     def receive_begun_streams(
         self, update: BegunStreamsUpdate, *, must_forward: bool, is_from_group: bool
     ) -> None:
--- a/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
@@ -23,6 +23,11 @@
 REFRESH_TIMEOUT_SECONDS = 0.25
 REFRESH_INTERVAL_SECONDS = 5.0
 
+#: Longest time for which a request waits for a list that is read after it arrived, and
+#: least time between two readings, which the requests that arrive meanwhile share.
+CONFIRM_TIMEOUT_SECONDS = 0.5
+CONFIRM_INTERVAL_SECONDS = 0.1
+
 log = ComponentLogger("upstreams")
 
 
@@ -39,6 +44,9 @@
         self._refreshed = anyio.Event()
         self._has_refresh_failed = False
         self._refreshed_at_seconds = -math.inf
+        self._confirmation_requested = anyio.Event()
+        #: Set at each confirmation and failure to get one, then replaced by a new event.
+        self._attempted = anyio.Event()
         #: The newest list; peers' addresses are taken from it.
         self.host_list = HostList(version=0, hosts=[])
         #: Version of that list; -1 before the first one.
@@ -54,6 +62,7 @@
     def confirm(self, at_seconds: float) -> None:
         """Record a monotonic time at which the list was the newest."""
         self._confirmed_at_seconds = max(self._confirmed_at_seconds, at_seconds)
+        self._note_attempted()
         if self._is_recent():
             self._has_refresh_failed = False
 
@@ -78,11 +87,22 @@
             self._refresh_requested.set()
             await refreshed.wait()
 
+    async def wait_confirmed(self, at_seconds: float) -> None:
+        """Return once the list was the newest at a time, or after a short time."""
+        if self.source is None or not self.source.can_refresh:
+            return
+        with anyio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
+            while self._confirmed_at_seconds < at_seconds:
+                attempted = self._attempted
+                self._confirmation_requested.set()
+                await attempted.wait()
+
     async def run(self) -> None:
         """Follow the source until cancelled."""
         if self.source is not None:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._refresh_on_request, self.source)
+                tasks.start_soon(self._confirm_on_request, self.source)
                 await self.source.run(self)
 
     async def _refresh_on_request(self, source: HostSource) -> None:
@@ -105,6 +125,26 @@
             self._refreshed.set()
             self._refreshed = anyio.Event()
 
+    async def _confirm_on_request(self, source: HostSource) -> None:
+        while True:
+            await self._confirmation_requested.wait()
+            self._confirmation_requested = anyio.Event()
+            error = "timeout"
+            with anyio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
+                try:
+                    await source.refresh()
+                    error = ""
+                except (PlatformError, DataError) as problem:
+                    error = str(problem)
+            if error:
+                log.problem("host list not confirmed", error=error)
+                self._note_attempted()
+            await anyio.sleep(CONFIRM_INTERVAL_SECONDS)
+
+    def _note_attempted(self) -> None:
+        self._attempted.set()
+        self._attempted = anyio.Event()
+
     def _is_recent(self) -> bool:
         return self.age_seconds(self._read_clock()) <= MAX_AGE_SECONDS
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -106,6 +106,7 @@
             self._record_cancellation()
             return
         arrival = await self._delay_after_restart(self.arrival())
+        await self._confirm_versions(arrival)
         self._arrival = arrival
         submitted = self.context.scheduler.submit(arrival, self.caller_request_id)
         with submitted as decisions:
@@ -139,6 +140,11 @@
             arrival = attrs.evolve(arrival, was_held=True)
         return arrival
 
+    async def _confirm_versions(self, arrival: RequestArrived) -> None:
+        """Wait for a list that tells where a stream began that the caller takes up."""
+        if self.context.scheduler.needs_recent_list(arrival):
+            await self.context.hosts.wait_confirmed(arrival.received_at_seconds)
+
     def _hold_seconds(self, arrival: RequestArrived) -> float:
         return self.context.scheduler.run_query(
             lambda scheduler, now_seconds: scheduler.limits.hold_seconds(
@@ -350,6 +356,7 @@
             upstream=dispatch.upstream,
             weights_version=dispatch.weights_version,
             software_version=dispatch.software_version,
+            version_evidence=dispatch.version_evidence,
             waited_ms=round(waited * 1000),
             list_version=hosts.version,
             list_age_ms=milliseconds(hosts.age_seconds(now_seconds)),
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -112,6 +112,7 @@
             else b"",
             is_resumption=bool(self._call.last_event_id),
             max_stream_age_seconds=self._max_stream_age_seconds(),
+            received_at_seconds=self.context.read_clock(),
             is_allowed=self._is_allowed,
         )
 
