Begin the history of versions anew after a pause before the list is confirmed

The history of versions notes the age of the list at the scheduler's ticks only. When a process that stood still wakes, an answer of the store may confirm the list before the next tick: the pause is then never seen, and a version that came and went in it counts as never listed. A stream that began there went on at the other version. The age is now noted before each confirmation but the first.

--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -157,6 +157,13 @@
         history = self._scheduler.software_versions.history
         history.list_age_seconds = read_age_seconds
 
+    def note_list_confirmed(self) -> None:
+        """Note the age that the host list has reached before it is confirmed again.
+
+        After a pause of the event loop the list may be confirmed before the next tick.
+        """
+        self._scheduler.software_versions.note_time(self._read_clock())
+
     def needs_recent_list(self, arrival: RequestArrived) -> bool:
         """Return whether a request must wait for a list that is read now."""
         versions = self._scheduler.software_versions
--- a/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
@@ -45,7 +45,7 @@
         self._has_refresh_failed = False
         self._refreshed_at_seconds = -math.inf
         self._confirmation_requested = anyio.Event()
-        #: Set at each confirmation and failure to get one, then replaced by a new event.
+        #: Set at each confirmation and failed reading, then replaced by a new event.
         self._attempted = anyio.Event()
         #: The newest list; peers' addresses are taken from it.
         self.host_list = HostList(version=0, hosts=[])
@@ -61,6 +61,8 @@
 
     def confirm(self, at_seconds: float) -> None:
         """Record a monotonic time at which the list was the newest."""
+        if self._confirmed_at_seconds > -math.inf:
+            self._scheduler.note_list_confirmed()
         self._confirmed_at_seconds = max(self._confirmed_at_seconds, at_seconds)
         self._note_attempted()
         if self._is_recent():
--- a/tests/test_versions_out_of_step.py
+++ b/tests/test_versions_out_of_step.py
@@ -201,3 +201,15 @@
             return view.status, host.store.calls["list upstreams/"] - before
 
         self.assertEqual((200, 0), run_known(scenario))
+
+
+class StoppedProcessTest(TestCase):
+    def test_version_that_came_and_went_while_the_process_stood_still(self):
+        async def scenario(host, servers):
+            hosts = host.daemon._hosts
+            # The store confirms the list before the next tick of the scheduler.
+            hosts._confirmed_at_seconds -= 5.0
+            hosts.confirm(hosts._read_clock())
+            return (await resume(host, "begun-elsewhere", 1)).status
+
+        self.assertEqual(503, run_known(scenario))
