--- a/measure/_stream_hosts.py
+++ b/measure/_stream_hosts.py
@@ -26,7 +26,7 @@
 TAKERS_COUNT, CANDIDATES_COUNT = 40, 4
 
 #: Number of hosts and of halls.
-FLEETS = {6: 1, 20: 4, 66: 4, 300: 6}
+FLEETS = {2: 1, 6: 1, 20: 4, 66: 4, 300: 6}
 
 
 @attrs.define(eq=False)
--- a/measure/stream_versions.py
+++ b/measure/stream_versions.py
@@ -20,6 +20,7 @@
 from ._stream_events import SERVICE, Scenario, Stream
 from ._stream_hosts import TIMEOUT_SECONDS, Host, Listed, Records
 from ._stream_outages import SCENARIOS as OUTAGES, WAYS as HERD_WAYS, print_outages
+from ._stream_steps import print_steps
 
 #: The platform's store: duration of a call, accepted writes a second, and outages.
 STORE_SECONDS, MAX_WRITE_RATE, STORE_WINDOW_SECONDS = 0.004, 400, 0.1
@@ -226,7 +227,13 @@
     parser.add_argument(
         "--ways", nargs="*", choices=HERD_WAYS, default=HERD_WAYS, help="with --outages"
     )
+    parser.add_argument(
+        "--out-of-step", action="store_true", help="hosts that miss a version"
+    )
     arguments = parser.parse_args(argv)
+    if arguments.out_of_step:
+        print_steps(arguments.hosts, arguments.seeds)
+        return
     if arguments.outages is not None:
         names = arguments.outages or list(OUTAGES)
         print_outages(arguments.hosts, names, arguments.ways, arguments.seeds)
--- a/tests/test_stream_versions_lab.py
+++ b/tests/test_stream_versions_lab.py
@@ -9,6 +9,14 @@
     WINDOW_SECONDS,
     OutageLab,
 )
+from measure._stream_steps import (
+    CONFIRMED,
+    CUT,
+    OLD_LIST,
+    ROUNDS_COUNT,
+    SCENARIOS as STEPS,
+    StepLab,
+)
 from measure.stream_versions import BROADCAST, SCENARIOS, VersionsLab
 from testtools import TestCase
 
@@ -64,3 +72,26 @@
             self.check("store away", 6, seed, min_ratio=0.0)
             self.check("store slow", 6, seed, min_ratio=0.0)
             self.check("one version, history gone", 6, seed, min_ratio=0.0)
+
+
+class HostsOutOfStepLabTest(TestCase):
+    def run_labs(self, fault):
+        """Return the labs of one fault."""
+        labs = [StepLab(6, fault, seed) for seed in range(ROUNDS_COUNT)]
+        for lab in labs:
+            lab.run()
+        return labs
+
+    def sum(self, labs, way, name):
+        return sum(getattr(lab.figures[way], name) for lab in labs)
+
+    def test_no_stream_goes_on_at_another_version_at_a_host_out_of_step(self):
+        for fault in STEPS:
+            labs = self.run_labs(fault)
+            self.assertEqual(0, self.sum(labs, CONFIRMED, "other_count"), fault)
+            refused = self.sum(labs, CONFIRMED, "unknown_count")
+            self.assertLess(refused, 0.3 * self.sum(labs, CONFIRMED, "count"), fault)
+
+    def test_events_lead_to_another_version_by_the_list_alone(self):
+        labs = self.run_labs(CUT)
+        self.assertGreater(self.sum(labs, OLD_LIST, "other_count"), 0)
