Don't list an upstream again that left while one host was cut off

Cause: a host retains for 1.8 s the entries that are missing after calls of its own to the store failed, since they may have expired in an outage. A host whose own links were cut takes removals for expiries.

Ruled out: that the entry was written again, by the process or by a late write.

Change: a retained entry carries the version of the last list that had it (HostEntry.last_listed_version, 0 otherwise). A later list of the same era that lacks it, or has it as leaving, shows that it was removed. Hosts drop such entries from lists they receive and from their own; a host that retains entries requests the list of each peer once to compare it. A list that lacks dropped entries is no base for differences, and differences repeat retained entries. Hosts of older releases skip the field, and retained entries are to them what they were.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -107,7 +107,11 @@
     WeightsLoadOrdered as WeightsLoadOrdered,
     WeightsReported as WeightsReported,
 )
-from ._expired_entries import ExpiredEntryGuard as ExpiredEntryGuard
+from ._expired_entries import (
+    ExpiredEntryGuard as ExpiredEntryGuard,
+    drop_removed as drop_removed,
+    is_later_list as is_later_list,
+)
 from ._health import Health as Health, HealthState as HealthState
 from ._host_lists import diff_hosts as diff_hosts, patch_hosts as patch_hosts
 from ._identity import (
--- a/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
@@ -4,6 +4,10 @@
 after an outage the entries of live upstreams are missing, and a store that was restored
 from a copy lacks the upstreams that started since the copy. They register again within
 about two seconds of the store's return; until then missing entries count as listed.
+
+A host can't tell an outage of the store from one of its own links. Entries that it
+retains therefore have the version of the last list with them: a list of another host
+that is newer and lacks an entry shows that it was removed, not expired.
 """
 
 from collections.abc import Collection, Iterable
@@ -22,6 +26,9 @@
 #: Time after the store's return in which a missing entry may be registered again.
 ENTRY_GRACE_SECONDS = 1.8
 
+#: State of the entry of a draining upstream.
+LEAVING_STATE = "leaving"
+
 
 @attrs.define(repr=False)
 class ExpiredEntryGuard(ReprMixin):
@@ -32,6 +39,11 @@
     _version: int = 0
     _store_returned_at_seconds: float | None = None
 
+    @property
+    def retained_names(self) -> list[str]:
+        """Names of the upstreams whose missing entries count as listed."""
+        return sorted(self._expired)
+
     @property
     def grace_end_seconds(self) -> float | None:
         """When entries that are still missing count as removed, if there are any."""
@@ -58,6 +70,7 @@
         listed = {entry.name: entry for entry in entries}
         if self._is_in_grace_period(now_seconds):
             previous = self._previous_entries(newest)
+            removed = removed_names(previous.values(), newest) if newest else set()
             # If another entry has the address, the previous upstream is gone: it may
             # have restarted under another name.
             used_addresses = {entry.address for entry in listed.values()}
@@ -66,7 +79,8 @@
                 for name, entry in previous.items()
                 if name not in listed
                 and name not in unread
-                and entry.state != "leaving"
+                and name not in removed
+                and entry.state != LEAVING_STATE
                 and entry.address not in used_addresses
             }
         else:
@@ -81,11 +95,14 @@
 
     def _previous_entries(self, newest: HostList | None) -> dict[str, HostEntry]:
         """Return the previous entries; those that are missing now may have expired."""
-        if newest is None or newest.version <= list_version(self._version, 1):
-            return {**self._expired, **self._entries}
+        own_version = list_version(self._version, 1)
+        if newest is None or newest.version <= own_version:
+            own = _as_listed_last(self._entries.values(), own_version)
+            return {**self._expired, **own}
         # Other hosts read newer lists while this one could not. With its own older
         # list, upstreams removed meanwhile would be listed again and get requests.
-        return {entry.name: entry for entry in newest.hosts if entry.kind != "entry"}
+        upstreams = [entry for entry in newest.hosts if entry.kind != "entry"]
+        return _as_listed_last(upstreams, newest.version)
 
     def host_list(self, now_seconds: float) -> HostList:
         """Return the hosts that count as listed now.
@@ -107,6 +124,44 @@
         )
 
 
+def removed_names(entries: Iterable[HostEntry], known: HostList) -> set[str]:
+    """Return the retained ones of some entries that a list shows to be removed.
+
+    A list of a store that was restored since then shows nothing: it may be a copy from
+    before the upstream's start.
+    """
+    retained = {item.name for item in entries if is_later_list(known.version, item)}
+    if not retained:
+        return retained
+    live = {entry.name for entry in known.hosts if entry.state != LEAVING_STATE}
+    return retained - live
+
+
+def is_later_list(version: int, entry: HostEntry) -> bool:
+    """Return whether a list shows if a retained entry was removed, by its version."""
+    last_version = entry.last_listed_version
+    return 0 < last_version < version and era_of(last_version) == era_of(version)
+
+
+def drop_removed(host_list: HostList, known: HostList) -> HostList:
+    """Return a list without the retained entries that another shows to be removed."""
+    removed = removed_names(host_list.hosts, known)
+    if not removed:
+        return host_list
+    hosts = [entry for entry in host_list.hosts if entry.name not in removed]
+    return attrs.evolve(host_list, hosts=hosts)
+
+
+def _as_listed_last(entries: Iterable[HostEntry], version: int) -> dict[str, HostEntry]:
+    """Return entries by name with the version of the last list that has them."""
+    return {
+        entry.name: attrs.evolve(
+            entry, last_listed_version=entry.last_listed_version or version
+        )
+        for entry in entries
+    }
+
+
 def list_version(version: int, stage: int) -> int:
     """Return the list version for a store version and a stage of the grace period."""
     return join_version(era_of(version), 2 * revision_of(version) + stage)
--- a/packages/rampwick-policy/src/rampwick_policy/_host_lists.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_host_lists.py
@@ -4,13 +4,20 @@
 
 
 def diff_hosts(base: HostList, current: HostList) -> HostListChanges:
-    """Return the changes from ``base`` to ``current``."""
+    """Return the changes from ``base`` to ``current``.
+
+    Retained entries are always included: the receiver's list may lack them.
+    """
     before = {entry.name: entry for entry in base.hosts}
     after = {entry.name: entry for entry in current.hosts}
     return HostListChanges(
         base_version=base.version,
         version=current.version,
-        changed=[entry for name, entry in after.items() if before.get(name) != entry],
+        changed=[
+            entry
+            for name, entry in after.items()
+            if entry.last_listed_version or before.get(name) != entry
+        ],
         removed=sorted(before.keys() - after.keys()),
     )
 
@@ -19,7 +26,7 @@
     """Return the patched list; ``None`` if the changes have another base version."""
     if base.version != changes.base_version:
         return None
-    hosts = {entry.name: entry for entry in base.hosts}
+    hosts = {entry.name: entry for entry in base.hosts if not entry.last_listed_version}
     for name in changes.removed:
         hosts.pop(name, None)
     for entry in changes.changed:
--- a/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_upstreams.py
@@ -17,6 +17,7 @@
 )
 
 from ._change_log import ChangeLog
+from ._expired_entries import LEAVING_STATE
 from ._former_entries import FormerEntries
 from ._health import Health, HealthState
 from ._membership import Membership
@@ -67,9 +68,6 @@
 UNCONFIRMED_SECONDS = 5.0
 RESTORED_DRAINING_SECONDS = 20.0
 
-#: State of the entry of a draining upstream.
-LEAVING_STATE = "leaving"
-
 
 class IneligibleReason(enum.Enum):
     """Why an upstream gets no new requests."""
@@ -140,11 +138,12 @@
         return self._upstreams.get(name)
 
     def apply_list(self, host_list: HostList, now_seconds: float) -> list[str]:
-        """Apply a newer host list; return the names of removed upstreams.
+        """Apply a host list; return the names of removed upstreams.
 
-        An older version is ignored. A known name with a new address is a new upstream.
+        An older version is ignored; the same one may lack entries that were retained. A
+        known name with a new address is a new upstream.
         """
-        if host_list.version <= self.list_version:
+        if host_list.version < self.list_version:
             return []
         known_version, new_version = self.list_version, host_list.version
         is_restored = known_version >= 0 and era_of(known_version) < era_of(new_version)
--- a/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
@@ -6,8 +6,8 @@
 import anyio
 
 from rampwick_platform import PlatformError
-from rampwick_policy import HostListRead
-from rampwick_schema import DataError, HostList
+from rampwick_policy import HostListRead, drop_removed, is_later_list
+from rampwick_schema import DataError, HostEntry, HostList
 
 from .._logs import ComponentLogger, milliseconds
 from .._scheduler_task import SchedulerTask
@@ -43,6 +43,9 @@
         self.host_list = HostList(version=0, hosts=[])
         #: Version of that list; -1 before the first one.
         self.version = -1
+        #: Whether the list lacks entries that another host's list of this version has.
+        self.is_partial = False
+        self._retained: list[HostEntry] = []
         self._confirmed_at_seconds = -math.inf
         #: Why the list cannot be read at present; empty if it can.
         self.problem = ""
@@ -117,12 +120,41 @@
         self.problem = problem
 
     def offer(self, host_list: HostList) -> None:
-        """Accept a list if it is newer than the current one."""
-        if host_list.version <= self.version:
+        """Accept a list if it is newer than the current one.
+
+        A host that was cut off may retain entries whose removal other hosts have read:
+        they are dropped from either list by what the other one shows.
+        """
+        if host_list.version > self.version:
+            accepted = drop_removed(host_list, self.host_list)
+            self._apply(accepted, is_partial=accepted is not host_list)
             return
+        remaining = drop_removed(self.host_list, host_list)
+        if remaining is not self.host_list:
+            log.info(
+                "retained entries removed by another host's list",
+                version=self.version,
+                other_version=host_list.version,
+            )
+            self._apply(remaining, is_partial=True)
+
+    def retains_entries(self) -> bool:
+        """Return whether the list has entries that the store lacks since an outage."""
+        return bool(self._retained)
+
+    def must_compare(self, version: int) -> bool:
+        """Return whether a list of a version may show that retained ones were removed.
+
+        Such a list need not be newer than the current one.
+        """
+        return any(is_later_list(version, entry) for entry in self._retained)
+
+    def _apply(self, host_list: HostList, is_partial: bool) -> None:
         self._log_changes(host_list)
         self.version = host_list.version
         self.host_list = host_list
+        self.is_partial = is_partial
+        self._retained = [item for item in host_list.hosts if item.last_listed_version]
         self._scheduler.post(HostListRead(host_list))
 
     def _log_changes(self, host_list: HostList) -> None:
@@ -134,4 +166,7 @@
             added=sorted(after.keys() - before.keys()),
             removed=sorted(before.keys() - after.keys()),
             leaving=sorted(name for name, state in after.items() if state != "live"),
+            retained=sorted(
+                entry.name for entry in host_list.hosts if entry.last_listed_version
+            ),
         )
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -42,7 +42,7 @@
     host_list: HostList
 
     def offer(self, host_list: HostList) -> None:
-        """Accept a list if it is newer than the current one."""
+        """Accept a list if it is newer than the current one, or compare it."""
 
     def confirm(self, at_seconds: float) -> None:
         """Record a monotonic time at which the list was the newest."""
@@ -120,6 +120,8 @@
         self._decoder = decoder
         self._read_clock = read_clock
         self._guard = ExpiredEntryGuard()
+        #: Names of the upstreams that were retained at the last reading.
+        self._retained: list[str] = []
         #: Names of the upstreams by the keys of their entries.
         self._names: dict[str, str] = {}
         self.unread = _make_unread()
@@ -183,11 +185,18 @@
             self._task.host_list,
             set(kept.values()),
         )
+        self._log_retained()
         self._offer_list()
         self.store_version = state.store_version
         self._task.confirm(state.confirmed_at_seconds)
         self._changed.set()
 
+    def _log_retained(self) -> None:
+        retained = self._guard.retained_names
+        if retained != self._retained:
+            log.info("missing entries retained after an outage", retained=retained)
+            self._retained = retained
+
     def _offer_list(self) -> None:
         self._task.offer(self._guard.host_list(self._read_clock()))
 
--- a/packages/rampwick-router/src/rampwick_router/peers/_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_sync.py
@@ -68,6 +68,8 @@
     _lists: dict[int, HostList] = attrs.field(factory=dict)
     _requested_at: dict[int, float] = attrs.field(factory=dict)
     _sequence: int = 0
+    #: Peers whose lists were requested to compare retained entries with them.
+    _compared_peers: set[str] = attrs.field(factory=set)
     #: Time of the last reply.
     answered_at_seconds: float = -math.inf
 
@@ -150,7 +152,25 @@
         if version.is_newer_than(known):
             link.put(ChangesRequest(known.revision, known.store_era))
         if list_version > self._hosts.version:
-            link.put(HostListRequest(self._hosts.version))
+            # A difference does not have what was dropped from the base.
+            base_version = -1 if self._hosts.is_partial else self._hosts.version
+            link.put(HostListRequest(base_version))
+        elif self._must_compare(link, list_version):
+            self._compared_peers.add(link.peer.name)
+            link.put(HostListRequest(-1))
+
+    def _must_compare(self, link: Link, list_version: int) -> bool:
+        """Return whether a peer's list, not newer than the own one, is requested.
+
+        It is once for each peer and outage: it may show which of the entries retained
+        here were removed while this host was cut off.
+        """
+        if not self._hosts.retains_entries():
+            self._compared_peers.clear()
+            return False
+        if link.peer.name in self._compared_peers:
+            return False
+        return self._hosts.must_compare(list_version)
 
     def _reply_changes(self, link: Link, known: TreeVersion) -> None:
         changes = self._follower.changes_after(known)
@@ -164,7 +184,8 @@
         current = self._hosts.host_list
         if self._hosts.version <= after_version:
             return
-        self._lists[self._hosts.version] = current
+        if not self._hosts.is_partial:
+            self._lists[self._hosts.version] = current
         while len(self._lists) > MAX_RETAINED_LISTS:
             del self._lists[next(iter(self._lists))]
         known = self._lists.get(after_version)
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_platform.py
@@ -39,6 +39,8 @@
     checks_fencing: bool = attrs.field(default=False)
     #: Version of the upstream's software, not of its weights; empty if the list does not state it.
     software_version: str = attrs.field(default="")
+    #: Version of the last list with the entry, if the store lacks it since an outage and it may only have expired; 0 while the store has it.
+    last_listed_version: int = attrs.field(default=0, validator=within(0, None))
 
 
 @attrs.frozen(repr=False)
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -40,6 +40,17 @@
         view.apply_listing(Listing(5, []))
         self.assertEqual(["k/a"], list(view.objects))
 
+    def test_state_of_an_older_revision_does_not_replace_a_newer_one(self):
+        """An upstream that said that it leaves does not seem to be ready again."""
+        view = KindView()
+        view.apply_listing(Listing(20, [StoredObject("k/a", 20, b"draining")]))
+        view.merge_changes(Listing(21, [StoredObject("k/a", 15, b"ready")]))
+        self.assertEqual(b"draining", view.objects["k/a"].value)
+        self.assertFalse(
+            view.apply_listing(Listing(18, [StoredObject("k/a", 15, b"ready")]))
+        )
+        self.assertEqual(b"draining", view.objects["k/a"].value)
+
     def test_a_deletion_increases_the_version(self):
         view = KindView()
         view.apply_listing(Listing(10, [stored("a", 9)]))
