--- a/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
@@ -130,12 +130,11 @@
     A list of a store that was restored since then shows nothing: it may be a copy from
     before the upstream's start.
     """
+    retained = {item.name for item in entries if is_later_list(known.version, item)}
+    if not retained:
+        return retained
     live = {entry.name for entry in known.hosts if entry.state != LEAVING_STATE}
-    return {
-        entry.name
-        for entry in entries
-        if entry.name not in live and is_later_list(known.version, entry)
-    }
+    return retained - live
 
 
 def is_later_list(version: int, entry: HostEntry) -> bool:
--- a/tests/test_retained_entries.py
+++ b/tests/test_retained_entries.py
@@ -280,6 +280,33 @@
         self.assertEqual(["a", "b", "c"], self.hosts[0].used)
 
 
+class StableStoreTest(TestCase):
+    """Entries that change while all hosts read the store."""
+
+    def setUp(self):
+        super().setUp()
+        self.host = Host("one", SimpleNamespace(now=100.0))
+        self.host.read(10, entry("a"), entry("b"))
+
+    def test_upstream_cut_off_from_the_store_is_used_once_it_is_written_again(self):
+        self.host.read(11, entry("b"))
+        self.assertEqual(["b"], self.host.used)
+        self.host.read(12, entry("a"), entry("b"))
+        self.assertEqual(["a", "b"], self.host.used)
+
+    def test_all_upstreams_are_used_once_they_are_written_again(self):
+        self.host.read(11)
+        self.assertEqual([], self.host.used)
+        self.host.read(13, entry("a"), entry("b"))
+        self.assertEqual(["a", "b"], self.host.used)
+
+    def test_cancelled_shutdown_counts_once_a_later_revision_states_it(self):
+        self.host.read(11, entry("a", "leaving"), entry("b"))
+        self.assertEqual(["b"], self.host.used)
+        self.host.read(12, entry("a"), entry("b"))
+        self.assertEqual(["a", "b"], self.host.used)
+
+
 class ListChangesTest(TestCase):
     """Differences between lists with retained entries."""
 
