Ignore a watch's response that is older than the listed state

All objects may be listed while a watch is under way: before a request is sent by an old list, and now for streams that are taken up. If the watch was answered before and its response arrives after the listing, an object that was removed in between came back, and stayed: the next watch began after its removal. Requests would then go to an upstream that has left.

A response whose store version isn't above that of the state has nothing new. The versions of the single changes aren't compared, as a store may give a removal the object's last version.

The new test failed before: the view had k/a at version 5.

--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -66,7 +66,13 @@
         return True
 
     def merge_changes(self, listing: Listing) -> None:
-        """Merge the response to a watch; older versions of an object are ignored."""
+        """Merge the response to a watch; older versions of an object are ignored.
+
+        All objects may have been listed while the response was on its way. It then has
+        nothing new, and an object that was removed meanwhile must not come back.
+        """
+        if listing.version <= self.store_version:
+            return
         for item in listing.objects:
             known = self.objects.get(item.key)
             if known is not None and known.version > item.version:
--- a/tests/test_kind_watcher.py
+++ b/tests/test_kind_watcher.py
@@ -40,6 +40,14 @@
         view.apply_listing(Listing(5, []))
         self.assertEqual(["k/a"], list(view.objects))
 
+    def test_a_late_response_brings_no_removed_object_back(self):
+        view = KindView()
+        view.apply_listing(Listing(4, []))
+        # A watch after version 4 is answered at 5, and a listing at 6 arrives first.
+        view.apply_listing(Listing(6, []))
+        view.merge_changes(Listing(5, [stored("a", 5)]))
+        self.assertEqual(({}, 6), (view.objects, view.store_version))
+
     def test_a_deletion_increases_the_version(self):
         view = KindView()
         view.apply_listing(Listing(10, [stored("a", 9)]))
