Note the versions of entries that came and went between two lists

A watch's response has each change of the upstreams' entries, but hosts saw only the list after all of them. A runner of a newer version that joined, began a stream elsewhere and was removed within one response left no trace in the history of versions, and its stream went on at the version that was left. The host list's source now passes on the entries that the list doesn't have. What came and went while a host listed anew is not seen still.

The stand-in for the list's consumer in test_odd_records.py got the new method.

--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import anyio
 import attrs
@@ -38,6 +38,8 @@
     is_after_failure: bool = False
     #: Version of the store, which changes of other kinds also increase.
     store_version: int = 0
+    #: What the last watch brought, also of objects that have gone again.
+    changes: Sequence[StoredObject] = ()
 
 
 @attrs.define(repr=False)
@@ -118,6 +120,8 @@
         self._must_read = must_read
         self._view = KindView()
         self._is_listed = False
+        #: Changes by the last watch that no state has had yet.
+        self._changes: Sequence[StoredObject] = ()
         #: Failures since the last successful watch, and whether the last call failed.
         self._failures_count = 0
         self._has_failed = False
@@ -173,6 +177,7 @@
         self._failures_count = 0
         self._history_gone_count = 0
         self._view.merge_changes(listing)
+        self._changes = listing.objects
         waited_seconds = self._read_clock() - started_seconds
         # A response without changes was sent at the end of the wait. It confirms the
         # state as of then, without the transit time of the response.
@@ -214,7 +219,9 @@
             confirmed_at_seconds=confirmed_at_seconds,
             is_after_failure=self._has_failed,
             store_version=self._view.store_version,
+            changes=self._changes,
         )
+        self._changes = ()
         self._has_failed = False
         self._on_state(state)
 
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -7,10 +7,11 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 
 import attrs
 
-from rampwick_schema import ReprMixin
+from rampwick_schema import HostEntry, ReprMixin
 
 from ._begun_streams import (
     MAX_ATTEMPT_NUMBER,
@@ -82,6 +83,13 @@
         if self.is_enabled:
             self.history.note_listed(self._upstreams, now_seconds)
 
+    def note_gone(self, entries: Iterable[HostEntry], now_seconds: float) -> None:
+        """Record the versions of entries that came and went between two lists."""
+        if not self.is_enabled:
+            return
+        for entry in entries:
+            self.history.note_begun(entry.group, entry.software_version, now_seconds)
+
     def note_in_use(self, now_seconds: float) -> None:
         """Record that the listed versions are in use until now.
 
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -7,7 +7,7 @@
 
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import anyio
@@ -39,6 +39,7 @@
 )
 from rampwick_schema import (
     BegunStreamsUpdate,
+    HostEntry,
     NamedWeights,
     ReprMixin,
     Summary,
@@ -164,6 +165,11 @@
         """
         self._scheduler.software_versions.note_time(self._read_clock())
 
+    def note_gone(self, entries: Iterable[HostEntry]) -> None:
+        """Record entries that no list had, but by which other hosts may have sent."""
+        versions = self._scheduler.software_versions
+        versions.note_gone(entries, self._read_clock())
+
     def needs_recent_list(self, arrival: RequestArrived) -> bool:
         """Return whether a request must wait for a list that is read now."""
         versions = self._scheduler.software_versions
--- a/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
@@ -7,7 +7,7 @@
 
 from rampwick_platform import PlatformError
 from rampwick_policy import HostListRead
-from rampwick_schema import DataError, HostList
+from rampwick_schema import DataError, HostEntry, HostList
 
 from .._logs import ComponentLogger, milliseconds
 from .._scheduler_task import SchedulerTask
@@ -150,6 +150,10 @@
     def _is_recent(self) -> bool:
         return self.age_seconds(self._read_clock()) <= MAX_AGE_SECONDS
 
+    def note_gone(self, entries: list[HostEntry]) -> None:
+        """Record entries that came after the list before and have gone again."""
+        self._scheduler.note_gone(entries)
+
     def note_problem(self, problem: str) -> None:
         """Record why the list cannot be read; an empty text means that it can."""
         if problem and not self.problem:
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -44,6 +44,9 @@
     def offer(self, host_list: HostList) -> None:
         """Accept a list if it is newer than the current one."""
 
+    def note_gone(self, entries: list[HostEntry]) -> None:
+        """Record entries that came after the list before and have gone again."""
+
     def confirm(self, at_seconds: float) -> None:
         """Record a monotonic time at which the list was the newest."""
 
@@ -184,10 +187,27 @@
             set(kept.values()),
         )
         self._offer_list()
+        self._task.note_gone(self._read_gone(state))
         self.store_version = state.store_version
         self._task.confirm(state.confirmed_at_seconds)
         self._changed.set()
 
+    def _read_gone(self, state: KindState) -> list[HostEntry]:
+        """Return the changes that are not in the state, as far as they are readable."""
+        entries = []
+        for stored in state.changes:
+            current = state.objects.get(stored.key)
+            if current is not None and current.version == stored.version:
+                continue
+            try:
+                entries.append(self._decoder.read_upstream(stored))
+            except RampwickError:
+                # No host sends requests by such an entry, and a removal may have none.
+                continue
+            except Exception as error:
+                note_unexpected_error("upstream entry", error, entry=stored.key)
+        return entries
+
     def _offer_list(self) -> None:
         self._task.offer(self._guard.host_list(self._read_clock()))
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -140,6 +140,9 @@
         if host_list.version > self.host_list.version:
             self.host_list = host_list
 
+    def note_gone(self, entries):
+        pass
+
     def confirm(self, at_seconds):
         pass
 
--- a/tests/test_versions_out_of_step.py
+++ b/tests/test_versions_out_of_step.py
@@ -17,6 +17,7 @@
 from rampwick_policy._tree import resolve_workspace
 from rampwick_schema import HostEntry, HostList, Node, Tree, parse_settings
 
+from .bench import until
 from .scripted import ScriptedUpstream, list_upstream
 from .test_routed import all_scripts
 from .test_software_versions import (
@@ -168,6 +169,18 @@
 
         self.assertEqual((503, True, 0), run_known(scenario))
 
+    def test_version_that_came_and_went_between_two_lists_is_respected(self):
+        async def scenario(host, servers):
+            joined = ScriptedUpstream("b")
+            joined.address = servers["a"].address
+            list_upstream(host.store, joined, "notes", version="v2")
+            host.store.delete("upstreams/b")
+            source = host.daemon._hosts.source
+            await until(lambda: source.store_version >= host.store.version)
+            return (await resume(host, "begun-elsewhere", 1)).status
+
+        self.assertEqual(503, run_known(scenario))
+
     def test_take_ups_that_wait_share_one_reading(self):
         async def scenario(host, servers):
             store, statuses = host.store, []
