--- a/tests/test_out_of_step_processes.py
+++ b/tests/test_out_of_step_processes.py
@@ -19,7 +19,7 @@
 import orjson
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
-from soak._fleet import _reserve_block
+from soak._fleet import _is_free, _reserve_block
 from soak._proxy import Proxy
 from testtools import TestCase
 
@@ -154,7 +154,7 @@
         self._tasks, self._store_tasks, self._stack = tasks, store_tasks, stack
         self.store = RawStore()
         self.over = anyio.Event()
-        self._ports = iter(_reserve_block(random.Random(), stack))
+        self._ports = filter(_is_free, _reserve_block(random.Random(), stack))
         self._folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         self._store_port = next(self._ports)
         self.runners = []
@@ -188,7 +188,7 @@
         """Start a host and its proxies."""
         for proxy in (host.to_store, host.from_peers):
             await proxy.run(self._tasks)
-        # Links in both directions go through proxies of the second host.
+        # Links go through proxies, whichever host opens them.
         seeds = [item.from_peers.address for item in (self.in_step, self.out_of_step)]
         host.start(self._folder, seeds, self._stack)
 
