Drop new connections by a hop limit where the kernel refuses the filter

Users' hosts logged `listener without filter`, EPERM, at each stop. New connections then go on arriving, the wait for an empty queue never ends, and the kernel resets the queue at the close.

The hop limit needs no privilege. Accepted connections that inherit it are freed of it. listen(0) was left out: while its queue is full the kernel drops the last segment of handshakes, too, so that callers take a connection for open that the close resets.

One line, `listener closed`, says what was in force, what the kernel refused and how many connections were refused unread; `listener without filter` goes.

test_new_connections_are_dropped_where_filters_are_refused was red on the code before (the connection was accepted), and so was the test of the inherited limit without its lifting (2 in place of 0). test_stopped_connections.py: 23 passed.

--- a/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
@@ -16,7 +16,12 @@
 from rampwick_start import BACKLOG_COUNT
 
 from ._logs import ComponentLogger
-from ._new_connections import drop_new_connections
+from ._new_connections import (
+    DropMethod,
+    DropResult,
+    drop_new_connections,
+    receive_again,
+)
 from ._refused_connections import RefusedConnections
 from ._segment_age import segment_age_seconds
 
@@ -127,6 +132,7 @@
         self._is_handed_on = is_handed_on
         self._note_accepted = note_accepted
         self._is_accepting = True
+        self._drop_result = DropResult(DropMethod.NONE)
         self._accepted_count = 0
         self._closed_count = 0
         self._accepted: WeakValueDictionary[tuple[Address, Address], CallerConnection]
@@ -155,12 +161,8 @@
 
         Return whether it does.
         """
-        try:
-            drop_new_connections(self)
-        except OSError as error:
-            log.problem("listener without filter", error=str(error))
-            return False
-        return True
+        self._drop_result = drop_new_connections(self)
+        return self._drop_result.method is not DropMethod.NONE
 
     def stop_accepting(self, refused: RefusedConnections) -> None:
         """Refuse the connections in the queue, and have the kernel refuse others.
@@ -174,7 +176,12 @@
         refused_count = self._refuse_waiting(refused)
         asyncio.get_running_loop().remove_reader(self.fileno())
         self.shutdown(socket.SHUT_RDWR)
-        log.info("listener closed", refused_count=refused_count)
+        log.info(
+            "listener closed",
+            new_connections_dropped_by=self._drop_result.method.value,
+            errors=self._drop_result.errors,
+            refused_count=refused_count,
+        )
 
     def _refuse_waiting(self, refused: RefusedConnections) -> int:
         for count in range(MAX_REFUSED_COUNT):
@@ -189,7 +196,10 @@
 
     def _accept_next(self) -> tuple[CallerConnection, Any]:
         accepted, address = super().accept()
-        return CallerConnection(fileno=accepted.detach()), address
+        connection = CallerConnection(fileno=accepted.detach())
+        if self._drop_result.method is DropMethod.HOP_LIMIT:
+            receive_again(connection)
+        return connection, address
 
     def _accept_paced(
         self, is_handed_on: Callable[[float], bool]
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -19,12 +19,12 @@
 from anyio.to_thread import run_sync
 from testtools import TestCase
 
-from rampwick_router import _daemon
+from rampwick_router import _daemon, _new_connections
 from rampwick_router._caller_server import CallerServer
 from rampwick_router._caller_sockets import CallerListener
 from rampwick_router._dialects import ErrorResponse
 from rampwick_router._logs import ComponentLogger
-from rampwick_router._new_connections import SO_ATTACH_FILTER
+from rampwick_router._new_connections import IP_MINTTL, SO_ATTACH_FILTER
 from rampwick_router._refused_connections import RefusedConnections, encode_response
 
 from .scripted import (
@@ -85,6 +85,15 @@
             add(socket.create_connection(address, timeout=0.5))
 
 
+def open_until_refused(address, add):
+    """Open connections steadily, fewer than the queue holds, until one is refused."""
+    with contextlib.suppress(ConnectionRefusedError):
+        while True:
+            with contextlib.suppress(TimeoutError):
+                add(socket.create_connection(address, timeout=0.5))
+            time.sleep(0.003)
+
+
 def statuses_of_ceaseless_connections(open_many=open_until_not_accepted):
     """Return the statuses on connections that never cease to arrive in a stop."""
     head = request_head("/once/1", WITH_ID)
@@ -289,8 +298,28 @@
         self.enterContext(mock.patch.object(CallerListener, "setsockopt", set_option))
         self.enterContext(mock.patch.object(ComponentLogger, "info", note))
 
-    def test_connections_of_the_last_moment_are_answered_where_all_is_refused(self):
+    def test_connections_are_answered_where_filters_are_refused(self):
         self.refuse(SO_ATTACH_FILTER)
+        statuses = statuses_of_ceaseless_connections(open_until_refused)
+        self.assertEqual({503}, set(statuses))
+        (fields,) = self.closes
+        self.assertEqual("hop limit", fields["new_connections_dropped_by"])
+        self.assertEqual(0, fields["refused_count"])
+        self.assertEqual(1, len(fields["errors"]))
+
+    def test_new_connections_are_dropped_where_filters_are_refused(self):
+        self.refuse(SO_ATTACH_FILTER)
+        bound = socket.create_server(("127.0.0.1", 0))
+        with CallerListener(bound.detach()) as listener:
+            address = listener.getsockname()
+            with socket.create_connection(address, timeout=0.5):
+                listener.drop_new()
+                self.assertRaises(
+                    TimeoutError, socket.create_connection, address, timeout=0.5
+                )
+
+    def test_connections_of_the_last_moment_are_answered_where_all_is_refused(self):
+        self.refuse(SO_ATTACH_FILTER, IP_MINTTL)
         head = request_head("/once/1", WITH_ID)
         stop_accepting = CallerListener.stop_accepting
         raws = []
@@ -314,7 +343,22 @@
         with mock.patch.object(CallerListener, "stop_accepting", arrive_and_stop):
             self.assertEqual([503] * 20, anyio.run(main))
         (fields,) = self.closes
+        self.assertEqual("none", fields["new_connections_dropped_by"])
         self.assertEqual(20, fields["refused_count"])
+        self.assertEqual(2, len(fields["errors"]))
+
+    def test_accepted_connection_does_not_inherit_the_hop_limit(self):
+        self.refuse(SO_ATTACH_FILTER)
+        # Segments on loopback start with more than this.
+        self.enterContext(mock.patch.object(_new_connections, "MAX_HOP_LIMIT", 2))
+        bound = socket.create_server(("127.0.0.1", 0))
+        with CallerListener(bound.detach()) as listener:
+            listener.drop_new()
+            with socket.create_connection(listener.getsockname(), timeout=0.5):
+                accepted, _ = listener.accept()
+                with accepted:
+                    found = accepted.getsockopt(socket.IPPROTO_IP, IP_MINTTL)
+        self.assertEqual(0, found)
 
 
 class FullQueueTest(TestCase):
