Tests: streams that become slow in a stop (red until the admission is changed)

Streams of 0.5 to 2 s take two to four times that from 2 s after SIGTERM on. No stream that was sent over 3 s after SIGTERM may be cut after a 200.

--- a/tests/test_stops_of_processes.py
+++ b/tests/test_stops_of_processes.py
@@ -29,6 +29,9 @@
 #: The longest time from SIGTERM to the end of a process.
 GRACE_SECONDS = 8.0
 
+#: Time after SIGTERM from which no stream that is answered with 200 may be cut.
+UNCUT_AFTER_SECONDS = 3.0
+
 #: Longest time that a caller waits for an answer.
 TIMEOUT_SECONDS = 15.0
 
@@ -432,6 +435,15 @@
         ]
         self.assertEqual([], ended, self.summary)
 
+    def test_streams_that_slow_down_at_the_stop_are_not_cut(self):
+        played = self.play(Scenario.slow_down_streams)
+        cut = [
+            (item.sent_seconds, item.ended_seconds, item.target)
+            for item in played.requests
+            if item.is_cut and item.sent_seconds > UNCUT_AFTER_SECONDS
+        ]
+        self.assertEqual([], cut, self.summary)
+
     def test_few_long_requests_do_not_keep_the_others_from_being_served(self):
         played = self.play(Scenario.send_few_long_requests)
         fitting = [item for item in played.requests if item.target == "/again/0.25"]
