Answer connections that have waited at a host that stops

A host that is much busier than its peers closes connections unread that waited over 0.1 s, for a peer. A stopping host now closes none unread and refuses with 503.

The test was red before: five connections that had waited ended without a response. test_stopped_connections.py and test_connection_herd.py passed.

--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -90,6 +90,7 @@
             lambda: self.entry.open_count,
             assembly.context.metrics.handed_on,
             assembly.clocks.monotonic,
+            lambda: not assembly.lifecycle.is_ready,
         )
         self.idle_timeout = CallerIdleTimeout(
             assembly.configuration, assembly.clocks.monotonic
--- a/packages/rampwick-router/src/rampwick_router/_hand_on.py
+++ b/packages/rampwick-router/src/rampwick_router/_hand_on.py
@@ -24,18 +24,26 @@
         count_open: Callable[[], int],
         counter: Counter,
         read_clock: Callable[[], float],
+        is_leaving: Callable[[], bool],
     ) -> None:
-        """``count_open`` returns the number of requests under way at this host."""
+        """``count_open`` returns the number of requests under way at this host.
+
+        ``is_leaving`` returns whether a planned shutdown has begun.
+        """
         self._scheduler = scheduler
         self._count_open = count_open
         self._counter = counter
         self._read_clock = read_clock
+        self._is_leaving = is_leaving
         self._unlogged_count = 0
         self._logged_at_seconds = 0.0
 
     def decide(self, waited_seconds: float) -> bool:
-        """Return whether a connection that waited to be accepted is closed unread."""
-        if not is_overdue(waited_seconds):
+        """Return whether a connection that waited to be accepted is closed unread.
+
+        A host that shuts down closes none: its refusals say that nothing was run.
+        """
+        if self._is_leaving() or not is_overdue(waited_seconds):
             return False
         loads = self._read_loads()
         if not is_busier_than_peers(loads):
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -19,7 +19,7 @@
 from anyio.to_thread import run_sync
 from testtools import TestCase
 
-from rampwick_router import _daemon, _new_connections
+from rampwick_router import _daemon, _hand_on, _new_connections
 from rampwick_router._caller_server import CallerServer
 from rampwick_router._caller_sockets import CallerListener
 from rampwick_router._dialects import ErrorResponse
@@ -166,6 +166,20 @@
         statuses = self.statuses_at_stop(arrive, lambda raws: None)
         self.assertEqual([503] * 40, statuses)
 
+    def test_connections_that_have_waited_are_answered_by_a_busy_host(self):
+        for decide in ("is_overdue", "is_busier_than_peers"):
+            self.enterContext(mock.patch.object(_hand_on, decide, lambda found: True))
+        head = request_head("/once/1", WITH_ID)
+        raws = []
+
+        def arrive(host):
+            raws.extend(open_raw(host) for _ in range(5))
+            for raw in raws:
+                raw.sendall(head)
+            return raws
+
+        self.assertEqual([503] * 5, self.statuses_at_stop(arrive, lambda raws: None))
+
     def test_connections_that_arrive_while_the_loop_stands_still_are_answered(self):
         head = request_head("/once/1", WITH_ID)
         raws = []
