Count long answers at a stopping host only for the time in which they were observed

Cause: among the answers that end in some seconds, and those open then, long ones are too many, since they began before: 3 in 100 that take 6 s counted as 5.

Change: the estimate takes each answer into account from the age at which the oldest known one ended (left truncation); an age at which few were observed yet counts all.

--- a/measure/drain.py
+++ b/measure/drain.py
@@ -92,7 +92,7 @@
 #: Patches that take one mechanism away.
 NEAREST = [mock.patch.object(_RecentAnswers, "find_like", _nearest)]
 NO_AGES = [
-    mock.patch.object(AnswerTimes, "_open_seconds", _no_ages),
+    mock.patch.object(AnswerTimes, "_open_durations", _no_ages),
     mock.patch.object(AnswerTimes, "open_ages_seconds", _no_ages),
 ]
 NO_PACE = [mock.patch.object(OpenAnswers, "event_seconds", _no_pace)]
--- a/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
@@ -16,7 +16,7 @@
 from rampwick_schema import ReprMixin
 
 from ._open_answers import AnswerKind, OpenAnswers
-from ._survival import duration_quantile
+from ._survival import Duration, duration_quantile
 
 #: Answers of a kind that are remembered: the newest ones of a minute.
 MAX_AGE_SECONDS = 60.0
@@ -239,17 +239,23 @@
         like = answers.find_like(size, now_seconds) if answers is not None else []
         if not like:
             return None
-        ended_seconds = self._scaled_seconds(
-            kind, like, now_seconds, is_from_send=is_from_send
-        )
+        since_seconds = min(answer.at_seconds for answer in like)
         largest_size = max(answer.size for answer in like)
-        open_seconds = self._open_seconds(
-            kind, min(size, largest_size), now_seconds, is_from_send=is_from_send
+        ended = self._ended_durations(
+            kind, like, since_seconds, now_seconds, is_from_send=is_from_send
+        )
+        still_open = self._open_durations(
+            kind,
+            min(size, largest_size),
+            since_seconds,
+            now_seconds,
+            is_from_send=is_from_send,
         )
-        slow_seconds = duration_quantile(ended_seconds, open_seconds, quantile)
+        slow_seconds = duration_quantile([*ended, *still_open], quantile)
         is_bounded = math.isfinite(slow_seconds)
         if not is_bounded:
-            slow_seconds = max(open_seconds) * OPEN_AGE_RATIO
+            oldest_seconds = max(duration.seconds for duration in still_open)
+            slow_seconds = oldest_seconds * OPEN_AGE_RATIO
         margin_ratio = MARGIN_RATIO + FEW_ANSWERS_MARGIN / len(like)
         # Beyond the largest answer that was seen, time grows with the tokens.
         excess = max(0.0, size - largest_size)
@@ -257,7 +263,7 @@
             slow_seconds * margin_ratio * math.exp(excess),
             is_bounded=is_bounded,
             answers_count=len(like),
-            open_count=len(open_seconds),
+            open_count=len(still_open),
         )
 
     def open_ages_seconds(
@@ -277,27 +283,40 @@
             is not None
         ]
 
-    def _open_seconds(
-        self, kind: AnswerKind, size: float, now_seconds: float, *, is_from_send: bool
-    ) -> list[float]:
+    def _open_durations(
+        self,
+        kind: AnswerKind,
+        size: float,
+        since_seconds: float,
+        now_seconds: float,
+        *,
+        is_from_send: bool,
+    ) -> list[Duration]:
+        """Return the durations of like open answers as observed since some time."""
+        observed_seconds = now_seconds - since_seconds
         ages = [
             answer.age_seconds(now_seconds, is_from_send=is_from_send)
             for answer in self.open_answers.of(kind)
             if _is_like(_size(answer.expected_tokens), size)
         ]
-        return [seconds for seconds in ages if seconds is not None]
+        return [
+            Duration(seconds, max(0.0, seconds - observed_seconds), is_open=True)
+            for seconds in ages
+            if seconds is not None
+        ]
 
-    def _scaled_seconds(
+    def _ended_durations(
         self,
         kind: AnswerKind,
         answers: list[Answer],
+        since_seconds: float,
         now_seconds: float,
         *,
         is_from_send: bool,
-    ) -> list[float]:
-        """Return the times that these answers would take at the present pace."""
+    ) -> list[Duration]:
+        """Return the durations that these answers would have at the present pace."""
         pace_seconds = self.open_answers.event_seconds(kind, now_seconds)
-        scaled = []
+        durations = []
         for answer in answers:
             ratio = self._slowdown_ratio(kind, answer, now_seconds)
             if pace_seconds is not None and answer.event_seconds:
@@ -305,8 +324,9 @@
                 if pace_ratio >= MIN_PACE_RATIO:
                     ratio = max(ratio, pace_ratio)
             seconds = answer.run_seconds if is_from_send else answer.seconds
-            scaled.append(seconds * ratio)
-        return scaled
+            entry_seconds = max(0.0, seconds - (answer.at_seconds - since_seconds))
+            durations.append(Duration(seconds * ratio, entry_seconds * ratio))
+        return durations
 
     def _slowdown_ratio(
         self, kind: AnswerKind, answer: Answer, now_seconds: float
--- a/tests/test_drain_admission.py
+++ b/tests/test_drain_admission.py
@@ -13,6 +13,7 @@
     DrainRequest,
     retry_elsewhere_seconds,
 )
+from rampwick_policy._survival import Duration, duration_quantile
 
 TARGET_SECONDS = 0.5
 TOKENS_COUNT = 80
@@ -294,6 +295,35 @@
         self.assertFalse(host.decide(7.0))
 
 
+class DurationQuantileTest(TestCase):
+    def test_ages_of_open_ones_are_lower_bounds(self):
+        ended = [Duration(seconds / 10) for seconds in range(1, 11)]
+        self.assertEqual(0.5, duration_quantile(ended, 0.5))
+        young = [Duration(0.05, is_open=True)] * 10
+        self.assertEqual(0.5, duration_quantile([*ended, *young], 0.5))
+        old = [Duration(2.0, is_open=True)] * 10
+        self.assertEqual(1.0, duration_quantile([*ended, *old], 0.5))
+        for quantile in (0.6, 1.0):
+            self.assertEqual(math.inf, duration_quantile([*ended, *old], quantile))
+
+    def test_long_ones_that_began_before_the_others_do_not_count_at_first(self):
+        short = [Duration(0.25)] * 94
+        former = [Duration(6.0, entry_seconds=5.5)] * 4
+        still_open = [Duration(3.0, is_open=True)] * 2
+        durations = [*short, *former, *still_open]
+        self.assertEqual(0.25, duration_quantile(durations, 0.95))
+        self.assertEqual(6.0, duration_quantile(durations, 0.99))
+        self.assertEqual(6.0, duration_quantile(durations, 1.0))
+
+    def test_end_of_one_among_many_that_began_earlier(self):
+        durations = [Duration(0.2), *[Duration(6.0, entry_seconds=3.0)] * 5]
+        self.assertEqual(6.0, duration_quantile(durations, 0.95))
+
+    def test_nothing_known(self):
+        for quantile in (0.5, 1.0):
+            self.assertEqual(math.inf, duration_quantile([], quantile))
+
+
 class WaitingRequestTest(TestCase):
     """A request that waited is judged by what is left once it is sent."""
 
