--- a/measure/drain.py
+++ b/measure/drain.py
@@ -106,6 +106,7 @@
 
 
 NO_EVIDENCE = _set(MIN_ONCE_ANSWERS_COUNT=0, MAX_UNKNOWN_COUNT=1_000_000)
+SLOWEST = _set(MAX_EARLY_CUT_RATIO=0.0, MAX_CUT_RATIO=0.0)
 ONE_RATIO = _set(MAX_EARLY_CUT_RATIO=0.01)
 SMALL_MARGIN: list[Patch] = [mock.patch.object(times_module, "MARGIN_RATIO", 1.1)]
 ALWAYS_MORE = _set(MAX_EARLY_CUT_RATIO=0.05, MAX_CUT_RATIO=0.05)
@@ -115,7 +116,7 @@
 KNOWN_SAMPLES_COUNT = 1000
 
 WAYS = {
-    "nearest 20, slowest": NEAREST + NO_AGES + NO_PACE + NO_EVIDENCE + ONE_RATIO,
+    "nearest 20, slowest": NEAREST + NO_AGES + NO_PACE + NO_EVIDENCE + SLOWEST,
     "newest 100, 0.99": NO_AGES + NO_PACE + NO_EVIDENCE + ONE_RATIO,
     "and ages of open ones": NO_PACE + NO_EVIDENCE + ONE_RATIO,
     "and pace of open ones": NO_EVIDENCE + ONE_RATIO,
