--- a/measure/drain.py
+++ b/measure/drain.py
@@ -32,6 +32,8 @@
 REQUESTS_PER_SECOND = 12.0
 LATENCY_TARGET_SECONDS = 0.3
 TIMEOUT_SECONDS = 30.0
+#: Time of a stream that announces its length, as a multiple of the usual one.
+ANNOUNCED_RATIOS = (0.8, 1.2)
 
 
 @attrs.frozen
@@ -43,6 +45,8 @@
     draw_seconds: Callable[[random.Random], float]
     #: Events of a stream, as announced; 0 for a plain request.
     events_count: int = 0
+    #: Events in a second of streams that announce their length; 0 for none.
+    events_per_second: float = 0.0
     #: Multiple of the time that all work takes after SIGTERM.
     slow_ratio: float = 1.0
     #: When the requests begin to arrive.
@@ -62,16 +66,21 @@
     Pattern("plain, 0.05 s, 3 in 100 2.5 s", _two(0.05, 2.5, 0.03)),
     Pattern("plain, 0.05 s, 3 in 100 5 s", _two(0.05, 5.0, 0.03)),
     Pattern("streams of 1 to 5 s", _evenly(1.0, 5.0), 25),
+    Pattern("streams of 1 to 5 s, announced", _evenly(1.0, 5.0), 0, 10.0),
     Pattern("streams, 0.25 s, 3 in 100 6 s", _two(0.25, 6.0, 0.03), 25),
     Pattern("streams, 0.25 s, 30 in 100 6 s", _two(0.25, 6.0, 0.3), 25),
-    Pattern("streams of 0.5 to 1.5 s, pace / 2", _evenly(0.5, 1.5), 25, 2.0),
-    Pattern("streams of 0.5 to 1.5 s, pace / 4", _evenly(0.5, 1.5), 25, 4.0),
-    Pattern("streams of 0.5 to 1.5 s, pace / 10", _evenly(0.5, 1.5), 25, 10.0),
-    Pattern("plain, 0.1 to 0.4 s, pace / 10", _evenly(0.1, 0.4), 0, 10.0),
+    Pattern("streams of 0.5 to 1.5 s, pace / 2", _evenly(0.5, 1.5), 25, slow_ratio=2.0),
+    Pattern("streams of 0.5 to 1.5 s, pace / 4", _evenly(0.5, 1.5), 25, slow_ratio=4.0),
+    Pattern(
+        "streams of 0.5 to 1.5 s, pace / 10", _evenly(0.5, 1.5), 25, slow_ratio=10.0
+    ),
+    Pattern("plain, 0.1 to 0.4 s, pace / 10", _evenly(0.1, 0.4), 0, slow_ratio=10.0),
     Pattern("plain, 2.5 s, first at 4 s", _evenly(2.4, 2.6), begin_seconds=4.0),
-    Pattern("streams of 6 s, first at 0.4 s", _evenly(5.9, 6.1), 49, 1.0, 0.4),
-    Pattern("host up for 2 s, 0.05 or 2.5 s", _two(0.05, 2.5, 0.3), 0, 1.0, -2.0),
-    Pattern("host up for 2 s, streams 1 to 5 s", _evenly(1.0, 5.0), 25, 1.0, -2.0),
+    Pattern("streams of 6 s, first at 0.4 s", _evenly(5.9, 6.1), 49, begin_seconds=0.4),
+    Pattern("host up for 2 s, 0.05 or 2.5 s", _two(0.05, 2.5, 0.3), begin_seconds=-2.0),
+    Pattern(
+        "host up for 2 s, streams 1 to 5 s", _evenly(1.0, 5.0), 25, begin_seconds=-2.0
+    ),
 ]
 
 
@@ -202,10 +211,14 @@
         return now + full_seconds + slow_seconds
 
     def _arrive(self, work_seconds: float, now: float) -> None:
+        events_count = self._pattern.events_count
+        if self._pattern.events_per_second:
+            events_count = round(work_seconds * self._pattern.events_per_second)
+            work_seconds *= self._rng.uniform(*ANNOUNCED_RATIOS)
         request = DrainRequest(
-            AnswerKind("s", is_stream=bool(self._pattern.events_count)),
+            AnswerKind("s", is_stream=bool(events_count)),
             LATENCY_TARGET_SECONDS,
-            self._pattern.events_count,
+            events_count,
             None,
             self._is_repeatable,
             now + TIMEOUT_SECONDS,
@@ -215,8 +228,8 @@
             return
         progress = self._policy.begin(request, now)
         progress.note_sent(now)
-        for index in range(self._pattern.events_count):
-            share = (index + 1) / self._pattern.events_count
+        for index in range(events_count):
+            share = (index + 1) / events_count
             self._after(
                 self._end_of(work_seconds * share, now),
                 lambda at: progress.note_events(1, at),
@@ -249,6 +262,13 @@
         ratio = admission_module.max_cut_ratio(
             request, is_balancer_done=is_balancer_done
         )
+        if self._pattern.events_per_second:
+            announced_seconds = (
+                request.max_answer_tokens / self._pattern.events_per_second
+            )
+            low, high = ANNOUNCED_RATIOS
+            own_ratio = high - ratio * (high - low)
+            return now + announced_seconds * own_ratio < EXIT_SECONDS
         index = int((1.0 - ratio) * (len(self._known_seconds) - 1))
         return now + self._known_seconds[index] < EXIT_SECONDS
 
--- a/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
@@ -27,7 +27,7 @@
 
 #: Largest ratio of the expected tokens of like answers, the number of the newest that
 #: count, and of the nearest ones where too few are as like.
-LIKE_SIZE_RATIO = 1.25
+LIKE_SIZE_RATIO = 1.1
 LIKE_COUNT = 100
 NEAREST_COUNT = 20
 
