Refund no tokens of a request that ends between attempts and may have run

Cause: since a request that the exchange itself ended, by access, claim or the exit, was cancelled as one that had not arrived, so that its tokens were refunded though an earlier attempt may have used them. Change: the cancellation says whether any attempt may have run. The test failed before for the second attempt (not run instead of may have run). 10 tests of the file passed three times.

--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -189,7 +189,9 @@
                 # The scheduler did not make this decision, so the request is still
                 # open there.
                 self.context.scheduler.post(
-                    RequestCancelled(self.request_id, may_have_arrived=False)
+                    RequestCancelled(
+                        self.request_id, may_have_arrived=self.may_have_run
+                    )
                 )
             await self._end_with_error(error)
 
--- a/tests/test_requests_taken_while_leaving.py
+++ b/tests/test_requests_taken_while_leaving.py
@@ -1,13 +1,15 @@
 """Guards against requests that a stopping host takes, sends, and ends at its exit."""
 
 import socket
+from contextlib import contextmanager
 from unittest import mock
 
 import anyio
 from testtools import TestCase
 
-from rampwick_policy import AnswerKind, DrainRequest
+from rampwick_policy import AnswerKind, DrainRequest, RequestCancelled
 from rampwick_router._logs import ComponentLogger
+from rampwick_router._scheduler_task import SchedulerTask
 from rampwick_router.control import HostListTask
 
 from .scripted import HOST, KEY, Hangup, all_received
@@ -73,6 +75,21 @@
         return run(scenario, **options), lines
 
 
+@contextmanager
+def record_cancellations():
+    """Yield the cancellations that are posted to schedulers."""
+    cancellations = []
+    post = SchedulerTask.post
+
+    def record(self, event):
+        if isinstance(event, RequestCancelled):
+            cancellations.append(event)
+        post(self, event)
+
+    with mock.patch.object(SchedulerTask, "post", record):
+        yield cancellations
+
+
 def find(lines, text):
     """Return the fields of the lines with a text."""
     return [fields for line, fields in lines if line == text]
@@ -219,6 +236,17 @@
             ("leaving", "maybe_run"), (refused["code"], refused["run_state"])
         )
 
+    def test_tokens_are_refunded_unless_it_may_have_run(self):
+        for call, may_have_run in (
+            (lambda: self.call_after_wait("/again/1", 0.6), False),
+            (lambda: self.call_broken_once(0.6), True),
+        ):
+            with record_cancellations() as cancellations:
+                call()
+            self.assertEqual(
+                [may_have_run], [item.may_have_arrived for item in cancellations]
+            )
+
     def test_second_attempt_that_is_likely_to_fit_is_sent(self):
         (response, received), _ = self.call_broken_once(2.0)
         self.assertEqual((200, 2), (response.status, len(received)))
