Tests: the last lines of a stopped host are both checked

It now asks for 'stopped' and then 'listener closed' as the last two, whole. test_lifecycle.py passed.

--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -69,7 +69,8 @@
         reloads = [item for item in lines if "reloaded" in item["message"]]
         self.assertEqual(["peers"], reloads[0]["changed"])
         self.assertEqual("problem", reloads[1]["level"])
-        self.assertIn("stopped", lines[-1]["message"])
+        last = [item["message"] for item in lines[-2:]]
+        self.assertEqual(["life: stopped", "entry: listener closed"], last)
 
 
 class LogSinkTest(TestCase):
