Refuse requests that arrive after a second signal

A forced shutdown ended the open requests, but went on taking new ones until it found none open: they were passed on, run and ended with 502 within 0.25 s. Trial with processes, second SIGTERM 3 s after the first: two of the unsafe requests sent after it had run.

--- a/packages/rampwick-router/src/rampwick_router/_lifecycle.py
+++ b/packages/rampwick-router/src/rampwick_router/_lifecycle.py
@@ -21,8 +21,8 @@
         self.exit_deadline_seconds: float | None = None
         #: Whether the balancer has had time to stop routing callers here.
         self.balancer_delay_elapsed = False
-        #: Whether the open requests have completed, and the callers' connections are
-        #: being closed.
+        #: Whether the open requests have completed or are being ended, and the callers'
+        #: connections are being closed. No request is taken any more.
         self.has_drained = False
 
     @property
@@ -42,6 +42,8 @@
         """
         if self._stopping.is_set():
             self._forced.set()
+            # What is taken now would run and be ended at once.
+            self.has_drained = True
             return
         self.stop_waited_seconds = waited_seconds
         self._stopping.set()
--- a/tests/test_stopped_connections.py
+++ b/tests/test_stopped_connections.py
@@ -293,6 +293,31 @@
         self.assertEqual((200, 503), anyio.run(main))
 
 
+class ForcedStopTest(TestCase):
+    """A second signal ends the open requests, and no further one runs."""
+
+    def test_request_that_arrives_after_the_second_signal_does_not_run(self):
+        async def scenario(host, servers):
+            for server in servers.values():
+                server.scripts = [lambda exchange: anyio.sleep_forever()]
+            head = request_head("/once/1", WITH_ID)
+            raws = [open_raw(host)]
+            raws[0].sendall(head)
+            while not servers["a"].requests:
+                await anyio.sleep(0.005)
+            host.daemon.lifecycle.begin_stop()
+            host.daemon.lifecycle.begin_stop()
+            raws.append(open_raw(host))
+            raws[1].sendall(request_head("/once/1", "Rampwick-Request-Id: r2"))
+            statuses = []
+            for raw in raws:
+                with contextlib.closing(raw):
+                    statuses.append(await run_sync(read_status, raw))
+            return statuses, len(servers["a"].requests)
+
+        self.assertEqual(([502, 503], 1), run(scenario))
+
+
 class RefusedOptionTest(TestCase):
     """A stop where the kernel refuses what makes it drop new connections."""
 
