Pace answers that take much of the processor

Cause: a connection on which bytes can always be read never waits, so each turn of the event loop parses one read, or 256 chunks, of every such connection. A request of another caller needs many turns.

Change: processor time is measured by answer. One that takes over 0.03 of the processor after a burst of 20 ms pauses, and shares 0.25 of the processor with all others of that kind. A large read is charged for the system calls and callbacks that no task sees.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -33,6 +33,10 @@
     BufferedAnswer as BufferedAnswer,
     BufferLimit as BufferLimit,
 )
+from ._bulk_pacing import (
+    AnswerWork as AnswerWork,
+    BulkPacing as BulkPacing,
+)
 from ._burst_detector import BurstDetector as BurstDetector
 from ._cache_events import (
     CacheEventBuffer as CacheEventBuffer,
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -15,12 +15,19 @@
 import h11
 
 from rampwick_platform import sleep_aligned
-from rampwick_policy import BodyEnd, ConnectionDoubts, Outcome, UpstreamPath
+from rampwick_policy import (
+    BodyEnd,
+    BulkPacing,
+    ConnectionDoubts,
+    Outcome,
+    UpstreamPath,
+)
 from rampwick_schema import RampwickError, ReprMixin
 
 from .._answer_buffers import AnswerBuffers, make_buffers
 from .._errors import AttemptError
 from .._headers import RawHeaders, ResponseHead, is_bodiless
+from ._read_pacer import ReadPacer
 from ._sockets import CHUNK_BYTES, TunnelDialer, UpstreamSocket
 from ._tcp_socket import TcpSocket
 
@@ -45,7 +52,7 @@
 
 #: Parsed events after which a read of a body lets other tasks run. A chunk of one byte
 #: is an event, too.
-EVENTS_PER_YIELD = 256
+EVENTS_PER_YIELD = 64
 
 #: Default maximum size of a response body.
 MAX_BODY_BYTES = 268_435_456
@@ -79,6 +86,7 @@
     _socket: UpstreamSocket
     path: UpstreamPath = UpstreamPath.DIRECT
     max_body_bytes: int = MAX_BODY_BYTES
+    _pacer: ReadPacer = attrs.field(factory=ReadPacer)
     _http: h11.Connection = attrs.field(init=False)
     #: Maximum idle time; responses of the upstream may change it.
     max_idle_seconds: float = DEFAULT_IDLE_SECONDS
@@ -180,6 +188,7 @@
         """
         body_bytes = 0
         has_ended = False
+        self._pacer.begin()
         while not has_ended:
             data, has_ended = await self._receive_data()
             body_bytes += len(data)
@@ -205,12 +214,13 @@
                 # An error is raised by the next call, after the bytes before it.
                 return b"".join(parts), False
             elif event is h11.NEED_DATA:
-                await self._read()
+                await self._pacer.before_read()
+                self._pacer.begin(await self._read())
             else:
                 raise self._broken("read answer", "the connection closed")
             events_count += 1
             if events_count % EVENTS_PER_YIELD == 0:
-                await anyio.sleep(0)
+                await self._pacer.pause()
 
     def _has_delimited_body(self, response: h11.Response) -> bool:
         """Return whether the end of the body is known without the connection's."""
@@ -235,13 +245,15 @@
                 return None
             raise self._broken("read answer", error) from error
 
-    async def _read(self) -> None:
+    async def _read(self) -> int:
+        """Read once; return the number of bytes."""
         try:
             data = await self._socket.receive()
         except OSError as error:
             raise self._broken("read answer", error) from error
         self._was_closed = not data
         self._http.receive_data(data)
+        return len(data)
 
     def has_unread(self) -> bool:
         """Return whether there is something to read, which a late host has not read."""
@@ -338,6 +350,7 @@
         #: By upstream and lane.
         self._by_upstream: dict[tuple[str, str], _UpstreamConnections] = {}
         self._doubts = ConnectionDoubts()
+        self._pacing = BulkPacing()
         #: Number of connections opened so far, by reason.
         self._opened: Counter[str] = Counter()
 
@@ -512,7 +525,13 @@
         self._opened[reason] += 1
         if path is UpstreamPath.TUNNEL:
             self._opened[TUNNEL] += 1
-        return UpstreamConnection(upstream, upstream_socket, path, self._max_body_bytes)
+        return UpstreamConnection(
+            upstream,
+            upstream_socket,
+            path,
+            self._max_body_bytes,
+            ReadPacer(self._pacing, self._read_clock),
+        )
 
     async def _connect(
         self, upstream: str, address: str, path: UpstreamPath
