Fail attempts whose answers bring bytes but no progress

Cause: a stream of comments or empty lines, and a body in chunks of a byte, kept the stall detector content and ended at the caller's deadline only. That is no failure of the upstream, so it was asked again and again. In the OpenAI dialect a comment was taken for an event without position. A read of 64 KiB of empty lines took 62 ms to frame, of comments 40 ms, in one turn of the loop.

Ruled out: heads, interim responses, chunk extensions and trailers; they are bounded by 64 KiB or 32 responses and count for health already.

Change: 64 KiB of comments and empty lines without an event, three times the silence timeout without an event while another attempt may follow, or 256 KiB of framing that is twice the content are a broken attempt: counted by health, tried again where an attempt is owed. Comments are dropped in the OpenAI dialect, and many of them are framed at once.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -199,6 +199,11 @@
 from ._shutdown_announcements import ShutdownAnnouncements as ShutdownAnnouncements
 from ._software_versions import SoftwareVersions as SoftwareVersions
 from ._state_changes import StateChange as StateChange
+from ._stream_progress import (
+    is_idle_stream as is_idle_stream,
+    is_mostly_framing as is_mostly_framing,
+    max_idle_seconds as max_idle_seconds,
+)
 from ._stream_segments import (
     MAX_SEGMENTS_COUNT as MAX_SEGMENTS_COUNT,
     SegmentWrite as SegmentWrite,
--- a/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from rampwick_policy import BLANK_LINE, Outcome, has_field
+from rampwick_policy import BLANK_LINE, Outcome, has_field, is_idle_stream
 from rampwick_schema import ReprMixin
 
 from .._errors import AttemptError
@@ -18,6 +18,9 @@
 LONGEST_END_BYTES = len(b"\r\n\r\n")
 ID_LINE = re.compile(rb"(?:\A|[\r\n])id: ?([^\r\n]*)")
 
+#: Length above which bytes are searched for an event before they are split.
+LONG_BYTES = 1024
+
 #: Maximum length of an id that is compared as a number.
 MAX_ID_DIGITS = 18
 
@@ -42,6 +45,8 @@
         self._max_event_bytes = max_event_bytes
         self._peer = peer
         self._remainder = bytearray()
+        #: Bytes of comments and empty lines since the last event.
+        self._idle_bytes = 0
         #: Number of complete events so far that were not dropped as duplicates.
         self.events_count = 0
         #: Events with ids up to this one are dropped; None if ids are not numeric.
@@ -67,30 +72,41 @@
         # The end of an event may have begun in the remainder.
         first = max(0, len(self._remainder) - LONGEST_END_BYTES)
         self._remainder += data
-        ends = [end.end() for end in EVENT_END.finditer(self._remainder, first)]
+        ends = self._find_ends(first)
         new_blocks = []
         new_count = 0
         last_id = ""
         for start, end in itertools.pairwise([0, *ends]):
             event = bytes(self._remainder[start:end])
-            event_id = _read_id(event)
+            is_event = has_field(event)
+            self._idle_bytes = 0 if is_event else self._idle_bytes + len(event)
+            event_id = _read_id(event) if is_event else ""
             if self._is_duplicate(event_id):
                 continue
-            new_count += has_field(event)
+            new_count += is_event
             new_blocks.append(event)
             last_id = event_id or last_id
         if ends:
             del self._remainder[: ends[-1]]
         if len(self._remainder) > self._max_event_bytes:
-            raise AttemptError(
-                f"event larger than {self._max_event_bytes} bytes",
-                outcome=Outcome.BROKEN,
-                step=STEP,
-                peer=self._peer,
-            )
+            raise self._error(f"event larger than {self._max_event_bytes} bytes")
+        if is_idle_stream(self._idle_bytes):
+            raise self._error(f"no event in {self._idle_bytes} bytes")
         self.events_count += new_count
         return EventBatch(b"".join(new_blocks), new_count, last_id)
 
+    def _find_ends(self, first: int) -> list[int]:
+        """Return the ends of the blocks that are complete."""
+        if len(self._remainder) > LONG_BYTES and not self.is_inside_event:
+            # Comments and empty lines only, which are handled as one block.
+            last = self._remainder.rfind(b"\n\n", first)
+            if last >= 0:
+                return [last + len(b"\n\n")]
+        return [end.end() for end in EVENT_END.finditer(self._remainder, first)]
+
+    def _error(self, message: str) -> AttemptError:
+        return AttemptError(message, outcome=Outcome.BROKEN, step=STEP, peer=self._peer)
+
     def _is_duplicate(self, event_id: str) -> bool:
         number = _read_number(event_id)
         if number is None or self._after_id is None:
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -126,6 +126,10 @@
         # The caller may take the end of the answer slowly.
         monitor.waiting_since_seconds = None
 
+    def note_progress(self) -> None:
+        """Record that the stream has begun, or has brought an event."""
+        self._context.stall_detector.note_progress(self._read_monitor)
+
     @property
     def body_end(self) -> BodyEnd | None:
         """How the body of the response ended; none while it has not."""
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -201,6 +201,7 @@
         self, attempt: RoutedAttempt, head: ResponseHead, events: EventFramer
     ) -> None:
         """Forward complete events as they arrive."""
+        attempt.note_progress()
         async for chunk in attempt.chunks():
             batch = events.feed(chunk)
             self._buffer.hold(events.remainder_bytes)
@@ -219,6 +220,8 @@
             self._buffer.hold_for_caller(len(batch.data) + events.remainder_bytes)
             await self.responder.send(batch.data)
             self._buffer.hold(events.remainder_bytes)
+            if batch.count:
+                attempt.note_progress()
             self.recorder.note_written()
 
     async def _forward_buffered(
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -12,7 +12,14 @@
 import orjson
 
 from rampwick_platform import decode_json
-from rampwick_policy import BodyEnd, Dispatch, OrderResult, Outcome, UpstreamPath
+from rampwick_policy import (
+    BodyEnd,
+    Dispatch,
+    OrderResult,
+    Outcome,
+    UpstreamPath,
+    max_idle_seconds,
+)
 from rampwick_schema import (
     DataError,
     HostEntry,
@@ -141,7 +148,7 @@
             check=check,
             prefers_new_connection=prefers_new_connection,
         ) as response:
-            yield UpstreamStream(response, dispatch.upstream, self._max_event_bytes)
+            yield self._stream(response, dispatch.upstream)
 
     @asynccontextmanager
     async def resume_stream(
@@ -166,7 +173,11 @@
             check=check,
             prefers_new_connection=True,
         ) as response:
-            yield UpstreamStream(response, upstream, self._max_event_bytes)
+            yield self._stream(response, upstream)
+
+    def _stream(self, response: "UpstreamResponse", upstream: str) -> "UpstreamStream":
+        idle_seconds = max_idle_seconds(self._stall_timeout_seconds)
+        return UpstreamStream(response, upstream, self._max_event_bytes, idle_seconds)
 
     async def cancel(self, address: str, upstream: str, attempt_id: str) -> None:
         """Cancel an attempt whose result is no longer needed."""
@@ -283,8 +294,13 @@
     """The events of a streamed response in progress."""
 
     def __init__(
-        self, response: UpstreamResponse, upstream: str, max_event_bytes: int
+        self,
+        response: UpstreamResponse,
+        upstream: str,
+        max_event_bytes: int,
+        idle_seconds: float,
     ) -> None:
+        self._max_idle_seconds = idle_seconds
         self._status = response.status
         self.head = response.head
         self._headers = response.texts()
@@ -332,17 +348,26 @@
         ``hold`` is called with the number of bytes of an event that is not complete.
         """
         splitter = EventSplitter(self._max_event_bytes, self._upstream)
+        progress_at_seconds = anyio.current_time()
         async for data in self._chunks:
             events = splitter.feed(data)
             hold(splitter.buffered_bytes)
             if events:
                 yield events
-
-    def _error(self, outcome: Outcome, message: str) -> AttemptError:
+                progress_at_seconds = anyio.current_time()
+            idle_seconds = anyio.current_time() - progress_at_seconds
+            if idle_seconds > self._max_idle_seconds:
+                raise self._error(
+                    Outcome.BROKEN, f"no event for {idle_seconds:.1f} s", "read stream"
+                )
+
+    def _error(
+        self, outcome: Outcome, message: str, step: str = "start stream"
+    ) -> AttemptError:
         return AttemptError(
             message,
             outcome=outcome,
-            step="start stream",
+            step=step,
             peer=self._upstream,
             retry_after_seconds=read_signals(self.head, LEAVING).pause_seconds,
         )
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -21,6 +21,7 @@
     ConnectionDoubts,
     Outcome,
     UpstreamPath,
+    is_mostly_framing,
 )
 from rampwick_schema import RampwickError, ReprMixin
 
@@ -104,6 +105,8 @@
     _has_head: bool = False
     _is_delimited: bool = False
     _interim_count: int = 0
+    #: Bytes read for the body of the current response, with their framing.
+    _read_bytes: int = 0
     _has_failed: bool = False
     #: Whether the upstream has closed or reset the connection.
     _was_closed: bool = False
@@ -188,6 +191,7 @@
         """
         body_bytes = 0
         has_ended = False
+        self._read_bytes = 0
         self._pacer.begin()
         while not has_ended:
             data, has_ended = await self._receive_data()
@@ -195,6 +199,8 @@
             if body_bytes > self.max_body_bytes:
                 message = f"body larger than {self.max_body_bytes} bytes"
                 raise self._broken("read answer", message)
+            if is_mostly_framing(self._read_bytes, body_bytes):
+                raise self._broken("read answer", "the body is mostly framing")
             if data:
                 yield data
         is_delimited = self._is_delimited
@@ -253,6 +259,7 @@
             raise self._broken("read answer", error) from error
         self._was_closed = not data
         self._http.receive_data(data)
+        self._read_bytes += len(data)
         return len(data)
 
     def has_unread(self) -> bool:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from rampwick_policy import is_idle_stream
 from rampwick_schema import ReprMixin
 
 from .._errors import AttemptError, Outcome
@@ -13,6 +14,9 @@
 EVENT_END = b"\n\n"
 DONE = b"[DONE]"
 
+#: Beginnings of the lines that are read.
+FIELDS = (b"data: ", b"id: ")
+
 STEP = "read stream"
 
 
@@ -23,6 +27,11 @@
     position: int | None
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it is no event: a comment, or an empty block."""
+        return self.position is None and not self.data
+
     @property
     def is_done(self) -> bool:
         """Whether this event ends a complete response."""
@@ -36,6 +45,8 @@
         self._max_event_bytes = max_event_bytes
         self._peer = peer
         self._buffered = bytearray()
+        #: Bytes of comments and empty lines since the last event.
+        self._idle_bytes = 0
         #: A carriage return at the end of the last read, which may be half of a
         #: terminator.
         self._held = b""
@@ -56,11 +67,26 @@
         blocks: list[bytes] = []
         end = self._buffered.rfind(EVENT_END, first)
         if end >= 0:
-            blocks = bytes(self._buffered[:end]).split(EVENT_END)
+            complete = bytes(self._buffered[:end])
             del self._buffered[: end + len(EVENT_END)]
+            if any(field in complete for field in FIELDS):
+                blocks = complete.split(EVENT_END)
+            else:
+                # Comments and empty lines only, which may be many.
+                self._idle_bytes += end + len(EVENT_END)
         if len(self._buffered) > self._max_event_bytes:
             raise self._error(f"event larger than {self._max_event_bytes} bytes")
-        return [self._parse(block) for block in blocks if block]
+        events = []
+        for block in blocks:
+            event = self._parse(block) if block else None
+            if event is None or event.is_comment:
+                self._idle_bytes += len(block) + len(EVENT_END)
+            else:
+                self._idle_bytes = 0
+                events.append(event)
+        if is_idle_stream(self._idle_bytes):
+            raise self._error(f"no event in {self._idle_bytes} bytes")
+        return events
 
     def _parse(self, block: bytes) -> StreamEvent:
         position = None
--- a/packages/rampwick-router/src/rampwick_router/upstream/_stalls.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_stalls.py
@@ -12,6 +12,7 @@
 import anyio
 import attrs
 
+from rampwick_policy import max_idle_seconds
 from rampwick_schema import ReprMixin
 
 #: Time between two checks: small compared to the timeouts in use.
@@ -28,6 +29,9 @@
     may_abort: Callable[[], bool]
     #: Time since which the reader has been waiting for data; none while it is not.
     waiting_since_seconds: float | None = None
+    #: Time of the last event, or of the response head, as known at the last wait. A
+    #: response without events brings progress with each read.
+    progress_at_seconds: float | None = None
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     has_stalled: bool = False
 
@@ -58,6 +62,10 @@
         finally:
             del self._active[attempt_id]
 
+    def note_progress(self, read: ReadMonitor) -> None:
+        """Record that an event of a stream has been passed on, or that one is due."""
+        read.progress_at_seconds = self._read_clock()
+
     def note_waiting(self, read: ReadMonitor) -> None:
         """Record that the reader waits for data from now on."""
         read.waiting_since_seconds = self._read_clock()
@@ -89,6 +97,10 @@
             if since_seconds is None:
                 continue
             has_timed_out = now_seconds - since_seconds > read.timeout_seconds
+            progress_seconds = read.progress_at_seconds
+            if progress_seconds is not None:
+                idle_seconds = now_seconds - progress_seconds
+                has_timed_out |= idle_seconds > max_idle_seconds(read.timeout_seconds)
             if has_timed_out and read.may_abort():
                 read.has_stalled = True
                 read.scope.cancel()
