Report which bound ended an answer, and the bytes buffered

Cause: an answer that was ended by a bound looked like any other broken one in metrics, and nothing told how many bytes a host holds.

Change: `rampwick_answers_ended` by upstream and bound, `rampwick_buffered_bytes` held, at peak and allowed, also in the status; the line "attempt failed" names the bound.

--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -146,6 +146,8 @@
             metrics.platform_calls.labels(purpose).set(count)
         for reason, count in self._context.connection_pool.opened_counts().items():
             metrics.connections_opened.labels(reason).set(count)
+        for kind, count in self._context.connection_pool.buffers.describe().items():
+            metrics.buffered_bytes.labels(kind).set(count)
         metrics.configuration_problems.set(len(self._configuration.part_problems))
         for kind, unread in self._read_unread().items():
             metrics.unread_records.labels(kind).set(len(unread.errors))
@@ -191,6 +193,7 @@
         status["tunnels"] = attrs.asdict(self._read_tunnels())
         status["platform_calls"] = dict(self._read_platform_calls())
         status["connections_opened"] = self._context.connection_pool.opened_counts()
+        status["buffered_bytes"] = self._context.connection_pool.buffers.describe()
         status["unexpected_errors"] = unexpected_error_counts()
         status["configuration_problems"] = list(
             self._configuration.part_problems[:MAX_LISTED_PROBLEMS]
--- a/packages/rampwick-router/src/rampwick_router/_answer_buffers.py
+++ b/packages/rampwick-router/src/rampwick_router/_answer_buffers.py
@@ -1,6 +1,5 @@
 """Buffers of answers in progress, within the budget of the process."""
 
-from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -64,8 +63,6 @@
     def __init__(self, budget: BufferBudget) -> None:
         self.budget = budget
         self._by_answer: dict[BufferedAnswer, AnswerBuffer] = {}
-        #: Answers ended so far, by upstream and limit.
-        self.cut_counts: Counter[tuple[str, str]] = Counter()
 
     @contextmanager
     def open(self, upstream: str) -> Iterator[AnswerBuffer]:
@@ -86,6 +83,15 @@
         if buffer.cut is not None and buffer.scope.cancelled_caught:
             raise _cut_error(buffer.cut)
 
+    def describe(self) -> dict[str, int]:
+        """Return the bytes held now and at peak, and the bound."""
+        budget = self.budget
+        return {
+            "held": budget.held_bytes,
+            "peak": budget.peak_bytes,
+            "max": budget.max_bytes,
+        }
+
     def resize(
         self, buffer: AnswerBuffer, count_bytes: int, *, waits_for_caller: bool = False
     ) -> None:
@@ -99,11 +105,9 @@
             raise _cut_error(buffer.cut)
 
     def _end(self, cut: BufferCut) -> None:
-        upstream = cut.answer.upstream
-        self.cut_counts[upstream, cut.limit.value] += 1
         log.problem(
             "answer ended by a bound on buffered bytes",
-            upstream=upstream,
+            upstream=cut.answer.upstream,
             limit=cut.limit.value,
             answer_bytes=cut.answer.held_bytes,
             held_bytes=self.budget.held_bytes,
@@ -121,4 +125,5 @@
         outcome=Outcome.BROKEN if cut.is_upstream_failure else Outcome.TOO_LARGE,
         step=STEP,
         peer=cut.answer.upstream,
+        bound=f"{cut.limit.value} buffer",
     )
--- a/packages/rampwick-router/src/rampwick_router/_errors.py
+++ b/packages/rampwick-router/src/rampwick_router/_errors.py
@@ -59,9 +59,12 @@
         retry_after_seconds: float | None = None,
         was_closed: bool = False,
         is_connected: bool = False,
+        bound: str = "",
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.outcome = outcome
+        #: The bound on an answer's bytes that ended it; empty for another reason.
+        self.bound = bound
         self.retry_after_seconds = retry_after_seconds
         #: Whether the upstream closed or reset the connection.
         self.was_closed = was_closed
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -265,6 +265,18 @@
             ("reason",),
             registry=registry,
         )
+        self.answers_ended = Counter(
+            "rampwick_answers_ended",
+            "Answers of upstreams ended by a bound on their bytes.",
+            ("upstream", "bound"),
+            registry=registry,
+        )
+        self.buffered_bytes = Gauge(
+            "rampwick_buffered_bytes",
+            "Bytes of answers that are buffered: held now, at peak, and the bound.",
+            ("kind",),
+            registry=registry,
+        )
         self.configuration_problems = Gauge(
             "rampwick_configuration_problems",
             "Parts of the newest configuration read here that are not in force as "
--- a/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_event_framing.py
@@ -89,9 +89,11 @@
         if ends:
             del self._remainder[: ends[-1]]
         if len(self._remainder) > self._max_event_bytes:
-            raise self._error(f"event larger than {self._max_event_bytes} bytes")
+            message = f"event larger than {self._max_event_bytes} bytes"
+            raise self._error(message, "event")
         if is_idle_stream(self._idle_bytes):
-            raise self._error(f"no event in {self._idle_bytes} bytes")
+            message = f"no event in {self._idle_bytes} bytes"
+            raise self._error(message, "bytes without an event")
         self.events_count += new_count
         return EventBatch(b"".join(new_blocks), new_count, last_id)
 
@@ -104,8 +106,10 @@
                 return [last + len(b"\n\n")]
         return [end.end() for end in EVENT_END.finditer(self._remainder, first)]
 
-    def _error(self, message: str) -> AttemptError:
-        return AttemptError(message, outcome=Outcome.BROKEN, step=STEP, peer=self._peer)
+    def _error(self, message: str, bound: str) -> AttemptError:
+        return AttemptError(
+            message, outcome=Outcome.BROKEN, step=STEP, peer=self._peer, bound=bound
+        )
 
     def _is_duplicate(self, event_id: str) -> bool:
         number = _read_number(event_id)
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -222,6 +222,9 @@
             self._running_check = None
             self._count_attempt(dispatch, error.outcome.value)
             self.may_have_run |= not error.outcome.proves_not_run
+            if error.bound:
+                metrics = self.context.metrics
+                metrics.answers_ended.labels(dispatch.upstream, error.bound).inc()
             log.problem(
                 "attempt failed",
                 request=self.caller_request_id,
@@ -229,6 +232,7 @@
                 outcome=error.outcome.value,
                 upstream=dispatch.upstream,
                 error=str(error),
+                **({"bound": error.bound} if error.bound else {}),
                 **self._identity_fields(error),
                 **self.body_fields(),
             )
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_attempt.py
@@ -22,7 +22,7 @@
 from .._errors import AttemptError
 from .._headers import ResponseHead
 from .._logs import ComponentLogger
-from ..upstream import ReadMonitor, UpstreamConnection
+from ..upstream import IDLE_TIME_BOUND, ReadMonitor, UpstreamConnection
 from ._attempt_check import AttemptCheck
 from ._context import EntryContext
 from ._rates import post_brittleness, post_rate_limit
@@ -98,6 +98,9 @@
             ) as monitor:
                 self._read_monitor = monitor
                 yield head
+            if monitor.is_idle:
+                message = "the response stream brings no event"
+                raise self.failed(Outcome.BROKEN, message, bound=IDLE_TIME_BOUND)
             if monitor.has_stalled:
                 self._context.connection_pool.note_stalled(
                     self._connection, monitor.timeout_seconds
@@ -144,7 +147,12 @@
         return self._connection.max_data_age_seconds()
 
     def failed(
-        self, outcome: Outcome, message: str, info: ResponseInfo | None = None
+        self,
+        outcome: Outcome,
+        message: str,
+        info: ResponseInfo | None = None,
+        *,
+        bound: str = "",
     ) -> AttemptError:
         """Return the error for an attempt that ended with an outcome."""
         return AttemptError(
@@ -153,6 +161,7 @@
             step=STEP,
             peer=self.dispatch.upstream,
             retry_after_seconds=info.signals.pause_seconds if info else None,
+            bound=bound,
         )
 
     @property
--- a/packages/rampwick-router/src/rampwick_router/upstream/__init__.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/__init__.py
@@ -33,6 +33,7 @@
     format_event as format_event,
 )
 from ._stalls import (
+    IDLE_TIME_BOUND as IDLE_TIME_BOUND,
     ReadMonitor as ReadMonitor,
     StallDetector as StallDetector,
 )
--- a/packages/rampwick-router/src/rampwick_router/upstream/_client.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_client.py
@@ -36,6 +36,7 @@
 from ._connection_pool import ConnectionPool, SendCheck, UpstreamConnection
 from ._control import call_upstream, timeout_seconds
 from ._sse import EventSplitter, StreamEvent
+from ._stalls import IDLE_TIME_BOUND
 
 #: Result of an order by response status.
 ORDER_RESULTS: dict[int, OrderResult] = {
@@ -357,17 +358,19 @@
                 progress_at_seconds = anyio.current_time()
             idle_seconds = anyio.current_time() - progress_at_seconds
             if idle_seconds > self._max_idle_seconds:
-                raise self._error(
-                    Outcome.BROKEN, f"no event for {idle_seconds:.1f} s", "read stream"
+                raise AttemptError(
+                    f"no event for {idle_seconds:.1f} s",
+                    outcome=Outcome.BROKEN,
+                    step="read stream",
+                    peer=self._upstream,
+                    bound=IDLE_TIME_BOUND,
                 )
 
-    def _error(
-        self, outcome: Outcome, message: str, step: str = "start stream"
-    ) -> AttemptError:
+    def _error(self, outcome: Outcome, message: str) -> AttemptError:
         return AttemptError(
             message,
             outcome=outcome,
-            step=step,
+            step="start stream",
             peer=self._upstream,
             retry_after_seconds=read_signals(self.head, LEAVING).pause_seconds,
         )
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -182,7 +182,9 @@
                 raise self._broken("read answer", "the connection closed")
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_RESPONSES_COUNT:
-                raise self._broken("read answer", "too many interim responses")
+                raise self._broken(
+                    "read answer", "too many interim responses", "interim responses"
+                )
 
     async def receive_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise an error if it is truncated or too large.
@@ -198,9 +200,10 @@
             body_bytes += len(data)
             if body_bytes > self.max_body_bytes:
                 message = f"body larger than {self.max_body_bytes} bytes"
-                raise self._broken("read answer", message)
+                raise self._broken("read answer", message, "body")
             if is_mostly_framing(self._read_bytes, body_bytes):
-                raise self._broken("read answer", "the body is mostly framing")
+                message = "the body is mostly framing"
+                raise self._broken("read answer", message, "framing")
             if data:
                 yield data
         is_delimited = self._is_delimited
@@ -313,7 +316,7 @@
         self._has_failed = True
         self._socket.close()
 
-    def _broken(self, step: str, cause: object) -> AttemptError:
+    def _broken(self, step: str, cause: object, bound: str = "") -> AttemptError:
         self._has_failed = True
         is_reset = isinstance(cause, ConnectionResetError | BrokenPipeError)
         return AttemptError(
@@ -322,6 +325,7 @@
             step=step,
             peer=self.peer,
             was_closed=self._was_closed or is_reset,
+            bound=bound,
         )
 
 
--- a/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_sse.py
@@ -75,7 +75,8 @@
                 # Comments and empty lines only, which may be many.
                 self._idle_bytes += end + len(EVENT_END)
         if len(self._buffered) > self._max_event_bytes:
-            raise self._error(f"event larger than {self._max_event_bytes} bytes")
+            message = f"event larger than {self._max_event_bytes} bytes"
+            raise self._error(message, "event")
         events = []
         for block in blocks:
             event = self._parse(block) if block else None
@@ -85,7 +86,8 @@
                 self._idle_bytes = 0
                 events.append(event)
         if is_idle_stream(self._idle_bytes):
-            raise self._error(f"no event in {self._idle_bytes} bytes")
+            message = f"no event in {self._idle_bytes} bytes"
+            raise self._error(message, "bytes without an event")
         return events
 
     def _parse(self, block: bytes) -> StreamEvent:
@@ -103,8 +105,10 @@
             raise self._error(f"position {text[:20]!r} is not a number")
         return int(text)
 
-    def _error(self, message: str) -> AttemptError:
-        return AttemptError(message, outcome=Outcome.BROKEN, step=STEP, peer=self._peer)
+    def _error(self, message: str, bound: str = "") -> AttemptError:
+        return AttemptError(
+            message, outcome=Outcome.BROKEN, step=STEP, peer=self._peer, bound=bound
+        )
 
 
 class SequenceFilter:
--- a/packages/rampwick-router/src/rampwick_router/upstream/_stalls.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_stalls.py
@@ -18,6 +18,9 @@
 #: Time between two checks: small compared to the timeouts in use.
 CHECK_INTERVAL_SECONDS = 0.2
 
+#: Name of the bound on the time without an event, in logs and metrics.
+IDLE_TIME_BOUND = "time without an event"
+
 
 @attrs.define(eq=False, repr=False)
 class ReadMonitor(ReprMixin):
@@ -34,6 +37,8 @@
     progress_at_seconds: float | None = None
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     has_stalled: bool = False
+    #: Whether it has stalled although data came.
+    is_idle: bool = False
 
 
 class StallDetector:
@@ -96,11 +101,14 @@
             since_seconds = read.waiting_since_seconds
             if since_seconds is None:
                 continue
-            has_timed_out = now_seconds - since_seconds > read.timeout_seconds
+            has_timed_out = is_silent = (
+                now_seconds - since_seconds > read.timeout_seconds
+            )
             progress_seconds = read.progress_at_seconds
             if progress_seconds is not None:
                 idle_seconds = now_seconds - progress_seconds
                 has_timed_out |= idle_seconds > max_idle_seconds(read.timeout_seconds)
             if has_timed_out and read.may_abort():
                 read.has_stalled = True
+                read.is_idle = not is_silent
                 read.scope.cancel()
--- a/tests/test_answers_without_progress.py
+++ b/tests/test_answers_without_progress.py
@@ -1,8 +1,10 @@
 """Answers that bring bytes but no progress are failed attempts."""
 
 import anyio
+import httpx
 from testtools import TestCase
 
+from rampwick_policy import BufferBudget, BufferedAnswer
 from rampwick_router._errors import AttemptError
 from rampwick_router.entry._event_framing import EventFramer
 from rampwick_router.upstream._sse import EventSplitter
@@ -12,8 +14,7 @@
 
 CALLS_COUNT = 30
 
-#: Time in which a bad upstream is asked again a few times at the most: its backoff
-#: doubles with each failure.
+#: How often a bad upstream is asked at the most: its backoff doubles with each failure.
 MAX_ASKED_COUNT = 6
 
 EVENT_STREAM = b"Content-Type: text/event-stream"
@@ -109,3 +110,59 @@
             with self.assertRaises(AttemptError):
                 for _ in range(100):
                     framer.feed(b":\n\n" * 1000)
+
+
+class BufferTest(TestCase):
+    """Requests whose answers do not fit into the buffers."""
+
+    def play(self, budget, path="/stream/x", held_bytes=()):
+        """Return the response, and what operators see."""
+
+        async def main():
+            with anyio.fail_after(30.0):
+                async with run_routed({"notes": ["c", "d"]}) as (host, servers):
+                    servers["c"].scripts = [pour_event]
+                    servers["d"].scripts = [stream_of(1, 2)]
+                    host.daemon._connection_pool.buffers.budget = budget
+                    for number, count in enumerate(held_bytes):
+                        other = BufferedAnswer(f"other-{number}")
+                        budget.add(other)
+                        budget.resize(other, count)
+                    views = []
+                    while not servers["c"].requests:
+                        views.append(await host.call(path, request_id=str(len(views))))
+                    async with httpx.AsyncClient(
+                        base_url=f"http://{host.admin_address}"
+                    ) as client:
+                        metrics = (await client.get("/metrics")).text
+                        status = (await client.get("/status")).json()
+                    return views[-1], len(servers["c"].requests), metrics, status
+
+        return anyio.run(main)
+
+    def test_answer_over_its_own_bound_is_replaced(self):
+        view, _, metrics, status = self.play(BufferBudget(10_000_000, 100_000))
+        self.assertEqual((200, True), (view.status, view.is_whole))
+        ended = 'rampwick_answers_ended_total{bound="answer buffer",upstream="c"} 1.0'
+        self.assertIn(ended, metrics)
+        self.assertIn('rampwick_buffered_bytes{kind="held"} 0.0', metrics)
+        self.assertEqual(0, status["buffered_bytes"]["held"])
+        self.assertTrue(status["buffered_bytes"]["peak"] > 90_000)
+
+    def test_answer_ended_for_others_is_refused_once(self):
+        view, asked_count, metrics, status = self.play(
+            BufferBudget(1_000_000, 900_000), held_bytes=(320_000, 340_000)
+        )
+        self.assertEqual((502, 1), (view.status, asked_count))
+        self.assertIn(b"answer_too_large", view.body)
+        ended = 'rampwick_answers_ended_total{bound="process buffer",upstream="c"} 1.0'
+        self.assertIn(ended, metrics)
+        beliefs = {item["name"]: item["belief"] for item in status["upstreams"]}
+        self.assertEqual("up", beliefs["c"])
+
+
+async def pour_event(exchange):
+    """Send an event without end."""
+    await exchange.send(exchange.head(extra=EVENT_STREAM) + b"data: ")
+    while True:
+        await exchange.send(b"a" * 8192)
