Take no hall for cut off because its upstreams send without end

Cause: a failed attempt whose connection did not close counts as unresponsive, and two unresponsive upstreams make a host suspect all others of their hall that have not answered just now. Two upstreams that pour did so, though their bytes arrive.

Change: an attempt that a bound on its bytes has ended says so (`is_over_bound`), and is no sign of a cut.

--- a/packages/rampwick-policy/src/rampwick_policy/_events.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_events.py
@@ -116,6 +116,8 @@
     retry_after_seconds: float | None = None
     #: Whether the upstream closed or reset the connection, as in a crash.
     was_closed: bool = False
+    #: Whether the upstream sent more than an answer may have, so that it is reachable.
+    is_over_bound: bool = False
 
 
 @attrs.frozen(repr=False)
--- a/packages/rampwick-policy/src/rampwick_policy/_pool.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_pool.py
@@ -170,7 +170,7 @@
             self._mark_down(upstream, event.message, now_seconds)
             if event.was_closed:
                 upstream.closed_at_seconds = now_seconds
-            else:
+            elif not event.is_over_bound:
                 self._check_hall_outage(upstream, now_seconds)
         elif event.outcome.shows_other_generation:
             # The next probe reports the current generation.
--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -245,6 +245,7 @@
                     message=str(error),
                     retry_after_seconds=error.retry_after_seconds,
                     was_closed=error.was_closed,
+                    is_over_bound=bool(error.bound),
                 )
             )
             return
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -179,3 +179,25 @@
             )
             self.do(1.2, failed)
         self.assertEqual(5, len(self.open_names(1.2)))
+
+    def test_answers_ended_by_a_bound_are_not_stalls(self):
+        first, second = self.send(1.0, 20)[:2]
+        for sent in (first, second):
+            failed = AttemptFailed(
+                sent.request_id,
+                sent.attempt_id,
+                Outcome.BROKEN,
+                "no event in 70000 bytes",
+                is_over_bound=True,
+            )
+            self.do(1.2, failed)
+        self.assertEqual(5, len(self.open_names(1.2)))
+
+    def test_answer_without_room_is_tried_nowhere_else(self):
+        first = self.send(1.0, 20)[0]
+        failed = AttemptFailed(
+            first.request_id, first.attempt_id, Outcome.TOO_LARGE, "no room"
+        )
+        (refusal,) = self.do(1.2, failed)
+        self.assertEqual("answer_too_large", refusal.reason)
+        self.assertEqual(7, len(self.open_names(1.2)))
