--- a/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exchange.py
@@ -253,6 +253,9 @@
             self._running_check = None
             self._count_attempt(dispatch, error.outcome.value)
             self.may_have_run |= not error.outcome.proves_not_run
+            if error.bound:
+                metrics = self.context.metrics
+                metrics.answers_ended.labels(dispatch.upstream, error.bound).inc()
             log.problem(
                 "attempt failed",
                 request=self.caller_request_id,
@@ -260,6 +263,7 @@
                 outcome=error.outcome.value,
                 upstream=dispatch.upstream,
                 error=str(error),
+                **({"bound": error.bound} if error.bound else {}),
                 **self._identity_fields(error),
                 **self.body_fields(),
             )
@@ -272,6 +276,7 @@
                     message=str(error),
                     retry_after_seconds=error.retry_after_seconds,
                     was_closed=error.was_closed,
+                    is_over_bound=bool(error.bound),
                 )
             )
             return
