--- a/tests/test_bulk_pacing.py
+++ b/tests/test_bulk_pacing.py
@@ -1,6 +1,7 @@
 """Connections that pour leave the event loop to others."""
 
 import time
+from unittest import mock
 
 import anyio
 from testtools import TestCase
@@ -77,3 +78,32 @@
         for name in ("until close", "large chunks", "chunks of one byte"):
             ratio = self.share(*BODIES[name])
             self.assertTrue(ratio > 0.3, (name, ratio))
+
+
+class ReadPacerTest(TestCase):
+    def count_paced(self, read_bytes, reads_count=200):
+        """Return how many reads are paced beside other tasks that use the processor."""
+
+        async def main():
+            now_seconds, used_seconds, paced_count = 0.0, 0.0, 0
+            pacer = ReadPacer(BulkPacing(), lambda: now_seconds)
+            clock = "rampwick_router.upstream._read_pacer.time.thread_time"
+            with mock.patch(clock, lambda: used_seconds):
+                for _ in range(reads_count):
+                    pacer.begin(read_bytes)
+                    # Others run while the answer waits for its caller.
+                    now_seconds += 0.02
+                    used_seconds += 0.02
+                    await pacer.before_read()
+                    paced_count += pacer.is_paced
+                    if pacer.is_paced:
+                        break
+            return paced_count
+
+        return anyio.run(main)
+
+    def test_stream_that_waits_for_its_caller_on_a_busy_host_is_not_paced(self):
+        self.assertEqual(0, self.count_paced(150))
+
+    def test_answer_that_pours_on_a_busy_host_is_paced(self):
+        self.assertEqual(1, self.count_paced(65_536))
