--- a/packages/rampwick-policy/src/rampwick_policy/_bulk_pacing.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_bulk_pacing.py
@@ -9,11 +9,11 @@
 
 from rampwick_schema import ReprMixin
 
-#: Work for one answer that is done at once: parsing a few megabytes in large chunks.
+#: Work for one answer that is done at once.
 BURST_SECONDS = 0.02
 
-#: Part of the processor that one answer may take without being paced, more than a
-#: stream of fifty events a second needs.
+#: Part of the processor that one answer may take without being paced, meant to be more
+#: than a stream of tokens needs.
 UNPACED_RATIO = 0.03
 
 #: Part of the processor for all paced answers together.
