Forward answers while there is room for it, and end none that is sound

Change: what can be forwarded waits in two thirds of the budget only; the rest is for what can't, and for writes.

--- a/packages/rampwick-policy/src/rampwick_policy/_buffer_budget.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_buffer_budget.py
@@ -15,6 +15,10 @@
 #: single upstream that fills as much leaves too little for all others.
 MAX_UPSTREAM_RATIO = 0.5
 
+#: Share of the budget above which answers that can be forwarded as they arrive are not
+#: buffered. The rest is for those that can't, and for writes that wait for a caller.
+MAX_WAITING_RATIO = 2 / 3
+
 
 class BufferLimit(enum.Enum):
     """The bound that ended an answer."""
@@ -75,8 +79,11 @@
             self.held_bytes -= answer.held_bytes
 
     def has_room(self, additional_bytes: int) -> bool:
-        """Return whether more bytes can be held without the end of an answer."""
-        return self.held_bytes + additional_bytes <= self._max_bytes
+        """Return whether more bytes can wait for the end of their answer.
+
+        Without room, they are forwarded while there is still room to do so.
+        """
+        return self.held_bytes + additional_bytes <= MAX_WAITING_RATIO * self._max_bytes
 
     def resize(
         self, answer: BufferedAnswer, held_bytes: int, *, waits_for_caller: bool = False
--- a/packages/rampwick-router/src/rampwick_router/_answer_buffers.py
+++ b/packages/rampwick-router/src/rampwick_router/_answer_buffers.py
@@ -45,7 +45,7 @@
         self._buffers.resize(self, count_bytes + copied_bytes, waits_for_caller=True)
 
     def has_room(self, additional_bytes: int) -> bool:
-        """Return whether more bytes can be held without the end of an answer."""
+        """Return whether more bytes can wait for the end of their answer."""
         return self._buffers.budget.has_room(additional_bytes)
 
 
