Ask for the whole list where retained entries are known

Cause (found by review): a difference was applied to a base without its retained entries, and the sender repeated its own. A peer of the release before does not repeat them, so that a sound upstream was dropped until its next registration. Change: a list with retained entries is no base; the whole one is requested.

--- a/packages/rampwick-policy/src/rampwick_policy/_host_lists.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_host_lists.py
@@ -23,10 +23,16 @@
 
 
 def patch_hosts(base: HostList, changes: HostListChanges) -> HostList | None:
-    """Return the patched list; ``None`` if the changes have another base version."""
+    """Return the patched list; ``None`` if the whole list is needed.
+
+    It is if the changes have another base version, or the base has retained entries:
+    the sender's base may lack them, or an older release may not mark them.
+    """
     if base.version != changes.base_version:
         return None
-    hosts = {entry.name: entry for entry in base.hosts if not entry.last_listed_version}
+    if any(entry.last_listed_version for entry in base.hosts):
+        return None
+    hosts = {entry.name: entry for entry in base.hosts}
     for name in changes.removed:
         hosts.pop(name, None)
     for entry in changes.changed:
--- a/packages/rampwick-router/src/rampwick_router/peers/_sync.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_sync.py
@@ -152,8 +152,10 @@
         if version.is_newer_than(known):
             link.put(ChangesRequest(known.revision, known.store_era))
         if list_version > self._hosts.version:
-            # A difference does not have what was dropped from the base.
-            base_version = -1 if self._hosts.is_partial else self._hosts.version
+            # A difference does not have what was dropped from the base, and does not
+            # tell which of the entries retained in it are still listed.
+            needs_whole = self._hosts.is_partial or self._hosts.retains_entries()
+            base_version = -1 if needs_whole else self._hosts.version
             link.put(HostListRequest(base_version))
         elif self._must_compare(link, list_version):
             self._compared_peers.add(link.peer.name)
