--- a/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_answer_times.py
@@ -7,6 +7,7 @@
 scaled up at once.
 """
 
+import heapq
 import math
 import statistics
 from collections import OrderedDict, deque
@@ -31,6 +32,9 @@
 LIKE_COUNT = 100
 NEAREST_COUNT = 20
 
+#: Like open answers that count, the oldest ones: each decision sorts them.
+OPEN_COUNT = 256
+
 #: Multiple of the quantile that is expected, and its part that shrinks with the number
 #: of answers.
 MARGIN_RATIO = 1.2
@@ -294,15 +298,15 @@
     ) -> list[Duration]:
         """Return the durations of like open answers as observed since some time."""
         observed_seconds = now_seconds - since_seconds
-        ages = [
+        ages = (
             answer.age_seconds(now_seconds, is_from_send=is_from_send)
             for answer in self.open_answers.of(kind)
             if _is_like(_size(answer.expected_tokens), size)
-        ]
+        )
+        known_ages = (seconds for seconds in ages if seconds is not None)
         return [
             Duration(seconds, max(0.0, seconds - observed_seconds), is_open=True)
-            for seconds in ages
-            if seconds is not None
+            for seconds in heapq.nlargest(OPEN_COUNT, known_ages)
         ]
 
     def _ended_durations(
