--- a/tests/test_begun_stream_load.py
+++ b/tests/test_begun_stream_load.py
@@ -104,6 +104,7 @@
             resumed_key=stream_key("/w", resumes) if resumes else b"",
             is_resumption=bool(resumes),
             max_stream_age_seconds=60.0,
+            received_at_seconds=at,
         )
         self.do(at, event)
 
