--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -119,7 +119,7 @@
 from ._expired_entries import (
     ExpiredEntryGuard as ExpiredEntryGuard,
     drop_removed as drop_removed,
-    is_later_list as is_later_list,
+    is_newer_than_entry as is_newer_than_entry,
 )
 from ._health import Health as Health, HealthState as HealthState
 from ._host_lists import diff_hosts as diff_hosts, patch_hosts as patch_hosts
--- a/packages/rampwick-policy/src/rampwick_policy/_buffer_budget.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_buffer_budget.py
@@ -103,13 +103,13 @@
                 (item for item in self._answers if not item.is_cut),
                 key=lambda item: item.held_bytes,
             )
-            is_failure = not largest.waits_for_caller and self._fills_most(
+            is_failure = not largest.waits_for_caller and self._fills_budget(
                 largest.upstream
             )
             cuts.append(self._cut(largest, BufferLimit.PROCESS, is_failure))
         return cuts
 
-    def _fills_most(self, upstream: str) -> bool:
+    def _fills_budget(self, upstream: str) -> bool:
         held_bytes = sum(
             item.held_bytes
             for item in self._answers
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -22,9 +22,9 @@
 
 #: The same for a request that must not run twice, the additional margin for it, and the
 #: answers without which none is admitted.
-MAX_ONCE_CUT_RATIO = 0.0
+MAX_UNREPEATABLE_CUT_RATIO = 0.0
 ONCE_MARGIN_RATIO = 1.25
-MIN_ONCE_ANSWERS_COUNT = 20
+MIN_UNREPEATABLE_ANSWERS_COUNT = 20
 
 #: Open requests of a kind without known answers from which, once the balancer is done,
 #: no other is admitted: their answers show first how long such ones take.
@@ -274,7 +274,7 @@
 
 
 def _lacks_answers(request: DrainRequest, answers_count: int) -> bool:
-    return not request.is_repeatable and answers_count < MIN_ONCE_ANSWERS_COUNT
+    return not request.is_repeatable and answers_count < MIN_UNREPEATABLE_ANSWERS_COUNT
 
 
 def max_cut_ratio(
@@ -282,7 +282,7 @@
 ) -> float:
     """Return the chance of a cut answer up to which a request is admitted."""
     if not request.is_repeatable:
-        return MAX_ONCE_CUT_RATIO
+        return MAX_UNREPEATABLE_CUT_RATIO
     if may_have_run:
         return MAX_REPEAT_CUT_RATIO
     return MAX_CUT_RATIO if is_balancer_done else MAX_EARLY_CUT_RATIO
--- a/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
@@ -130,14 +130,16 @@
     A list of a store that was restored since then shows nothing: it may be a copy from
     before the upstream's start.
     """
-    retained = {item.name for item in entries if is_later_list(known.version, item)}
+    retained = {
+        item.name for item in entries if is_newer_than_entry(known.version, item)
+    }
     if not retained:
         return retained
     live = {entry.name for entry in known.hosts if entry.state != LEAVING_STATE}
     return retained - live
 
 
-def is_later_list(version: int, entry: HostEntry) -> bool:
+def is_newer_than_entry(version: int, entry: HostEntry) -> bool:
     """Return whether a list shows if a retained entry was removed, by its version."""
     last_version = entry.last_listed_version
     return 0 < last_version < version and era_of(last_version) == era_of(version)
--- a/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_software_versions.py
@@ -83,7 +83,7 @@
         if self.is_enabled:
             self.history.note_listed(self._upstreams, now_seconds)
 
-    def note_gone(self, entries: Iterable[HostEntry], now_seconds: float) -> None:
+    def note_transient(self, entries: Iterable[HostEntry], now_seconds: float) -> None:
         """Record the versions of entries that came and went between two lists."""
         if not self.is_enabled:
             return
--- a/packages/rampwick-router/src/rampwick_router/_refused_connections.py
+++ b/packages/rampwick-router/src/rampwick_router/_refused_connections.py
@@ -46,6 +46,8 @@
     def __init__(self, write_refusal: Callable[[], bytes]) -> None:
         """``write_refusal`` returns the response, with its head."""
         self._write_refusal = write_refusal
+        #: The response on HTTP/1.1; empty before the first one.
+        self._refusal = b""
         self._open: list[socket.socket] = []
 
     def refuse(self, connection: socket.socket) -> None:
@@ -54,7 +56,8 @@
         # A caller that has left gets no response, and nothing is lost.
         with contextlib.suppress(OSError):
             is_http2 = _read(connection).startswith(HTTP2_PREFACE)
-            connection.send(_HTTP2_REFUSAL if is_http2 else self._write_refusal())
+            self._refusal = self._refusal or self._write_refusal()
+            connection.send(_HTTP2_REFUSAL if is_http2 else self._refusal)
             connection.shutdown(socket.SHUT_WR)
         self._open.append(connection)
 
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -165,10 +165,10 @@
         """
         self._scheduler.software_versions.note_time(self._read_clock())
 
-    def note_gone(self, entries: Iterable[HostEntry]) -> None:
+    def note_transient(self, entries: Iterable[HostEntry]) -> None:
         """Record entries that no list had, but by which other hosts may have sent."""
         versions = self._scheduler.software_versions
-        versions.note_gone(entries, self._read_clock())
+        versions.note_transient(entries, self._read_clock())
 
     def needs_recent_list(self, arrival: RequestArrived) -> bool:
         """Return whether a request must wait for a list that is read now."""
--- a/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_lists.py
@@ -6,7 +6,7 @@
 import anyio
 
 from rampwick_platform import PlatformError
-from rampwick_policy import HostListRead, drop_removed, is_later_list
+from rampwick_policy import HostListRead, drop_removed, is_newer_than_entry
 from rampwick_schema import DataError, HostEntry, HostList
 
 from .._logs import ComponentLogger, milliseconds
@@ -153,9 +153,9 @@
     def _is_recent(self) -> bool:
         return self.age_seconds(self._read_clock()) <= MAX_AGE_SECONDS
 
-    def note_gone(self, entries: list[HostEntry]) -> None:
+    def note_transient(self, entries: list[HostEntry]) -> None:
         """Record entries that came after the list before and have gone again."""
-        self._scheduler.note_gone(entries)
+        self._scheduler.note_transient(entries)
 
     def note_problem(self, problem: str) -> None:
         """Record why the list cannot be read; an empty text means that it can."""
@@ -193,7 +193,7 @@
 
         Such a list need not be newer than the current one.
         """
-        return any(is_later_list(version, entry) for entry in self._retained)
+        return any(is_newer_than_entry(version, entry) for entry in self._retained)
 
     def _apply(self, host_list: HostList, is_partial: bool) -> None:
         self._log_changes(host_list)
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -44,7 +44,7 @@
     def offer(self, host_list: HostList) -> None:
         """Accept a list if it is newer than the current one, or compare it."""
 
-    def note_gone(self, entries: list[HostEntry]) -> None:
+    def note_transient(self, entries: list[HostEntry]) -> None:
         """Record entries that came after the list before and have gone again."""
 
     def confirm(self, at_seconds: float) -> None:
@@ -190,7 +190,7 @@
         )
         self._log_retained()
         self._offer_list()
-        self._task.note_gone(self._read_gone(state))
+        self._task.note_transient(self._read_transient(state))
         self.store_version = state.store_version
         self._task.confirm(state.confirmed_at_seconds)
         self._changed.set()
@@ -201,7 +201,7 @@
             log.info("missing entries retained after an outage", retained=retained)
             self._retained = retained
 
-    def _read_gone(self, state: KindState) -> list[HostEntry]:
+    def _read_transient(self, state: KindState) -> list[HostEntry]:
         """Return the changes that are not in the state, as far as they are readable."""
         entries = []
         for stored in state.changes:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -140,7 +140,7 @@
         if host_list.version > self.host_list.version:
             self.host_list = host_list
 
-    def note_gone(self, entries):
+    def note_transient(self, entries):
         pass
 
     def confirm(self, at_seconds):
--- a/tests/test_retained_entries.py
+++ b/tests/test_retained_entries.py
@@ -139,7 +139,7 @@
             host.read(11, entry("b"))
 
     def return_first(self):
-        """Make the host read the store before its peers do, and before it hears one."""
+        """Make the host read the store before its peers do or answer."""
         self.clock.now = 104.0
         self.cut_off.read(12, entry("b"), entry("c"), is_after_failure=True)
 
@@ -150,7 +150,7 @@
             self.assertEqual(["b", "c"], host.listed)
             self.assertEqual(["b", "c"], host.used)
 
-    def test_host_that_was_cut_off_drops_it_once_it_hears_a_peer(self):
+    def test_host_that_was_cut_off_drops_it_once_a_peer_answers(self):
         self.return_first()
         self.assertEqual(["a", "b", "c"], self.cut_off.used)
         gossip(*self.all)
@@ -191,7 +191,7 @@
         gossip(self.one, self.cut_off)
         self.assertEqual((["b"], ["b"]), (self.one.used, self.cut_off.used))
 
-    def test_host_that_starts_by_such_a_list_drops_it_once_it_hears_another(self):
+    def test_host_that_starts_by_such_a_list_drops_it_once_another_list_arrives(self):
         self.return_first()
         started = Host("started", self.clock)
         gossip(started, self.cut_off)
