--- a/measure/drain.py
+++ b/measure/drain.py
@@ -114,7 +114,7 @@
     ]
 
 
-NO_EVIDENCE = _set(MIN_ONCE_ANSWERS_COUNT=0, MAX_UNKNOWN_COUNT=1_000_000)
+NO_EVIDENCE = _set(MIN_UNREPEATABLE_ANSWERS_COUNT=0, MAX_UNKNOWN_COUNT=1_000_000)
 SLOWEST = _set(MAX_EARLY_CUT_RATIO=0.0, MAX_CUT_RATIO=0.0)
 ONE_RATIO = _set(MAX_EARLY_CUT_RATIO=0.01)
 SMALL_MARGIN: list[Patch] = [mock.patch.object(times_module, "MARGIN_RATIO", 1.1)]
