Tests: leave no patched method on the logger of exchanges

Cause, traced by running test_fingerprints.py before them: testtools restores a patched method of a class by setting it on the instance, where it hides later patches of the class. mock removes it again; the checks are the same. Failed before in that order, passes now.

--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -1,6 +1,7 @@
 """Fingerprints, which relate retries of a request in a host's logs."""
 
 import json
+from unittest import mock
 
 from testtools import TestCase
 
@@ -64,10 +65,12 @@
     def record_lines(self):
         """Return a list to which the log lines of exchanges are added."""
         lines = []
-        self.patch(
-            _exchange.log,
-            "_write",
-            lambda level, text, fields: lines.append((text, fields)),
+        self.enterContext(
+            mock.patch.object(
+                _exchange.log,
+                "_write",
+                lambda level, text, fields: lines.append((text, fields)),
+            )
         )
         return lines
 
