State why a leaving host takes no request, also after a second signal

The evidence of a refusal said that no request was open, which is wrong once a stop is forced; two comments described the admission as it was before. Lint and the tests of leaving hosts and of the admission pass; no decision is changed.

--- a/packages/rampwick-policy/src/rampwick_policy/_open_answers.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_open_answers.py
@@ -6,7 +6,7 @@
 
 from rampwick_schema import ReprMixin
 
-#: Length of the intervals over which the pace of a stream is measured: the current one
+#: Length of the intervals over which the pace of a stream is computed: the current one
 #: and the one before it.
 PACE_INTERVAL_SECONDS = 0.25
 
--- a/packages/rampwick-policy/src/rampwick_policy/_survival.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_survival.py
@@ -21,8 +21,8 @@
     """A duration, and from which age on it was observed."""
 
     seconds: float
-    #: Its age when the observation began. Among durations that end in some time, long
-    #: ones are too many, as they began before it; at their first ages they don't count.
+    #: Its age when the observation began; it does not count at younger ages. Long
+    #: durations would be overrepresented otherwise, as more of them began earlier.
     entry_seconds: float = 0.0
     #: Whether it goes on, so that it is longer than its age.
     is_open: bool = False
--- a/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
@@ -27,12 +27,11 @@
         """Raise if a request that has arrived is not taken."""
         lifecycle = self._context.lifecycle
         if lifecycle.has_drained:
-            raise self._leaving_error("accept request", "no request was open any more")
+            raise self._leaving_error("accept request", "no request is taken any more")
         if lifecycle.exit_deadline_seconds is None:
             return
-        # While the balancer still routes callers here, requests of which too little is
-        # known are only rejected if they would not fit at the usual pace. Later ones
-        # arrive on persistent connections, and must fit at the slowest recent pace.
+        # While the balancer still routes callers here, a refused caller may come back.
+        # Later requests arrive on persistent connections, and their callers can move.
         decision = self._context.drain_admission.decide(
             request.drain_request,
             lifecycle.exit_deadline_seconds,
