Ignore repeated SIGTERMs while the grace runs

Cause: each further request to stop forced the shutdown. Supervisors send SIGTERM more than once, and the platform kills by the first one: the second says nothing new. Class: a shared signal that takes back what was promised to open requests. Ruled out: counting the time anew (the process would be killed meanwhile); ending only what has not run. Change: with life.stop_within_seconds a repeated SIGTERM is logged and ignored. SIGINT and a second drain request force as before, and without that setting so does a second SIGTERM. Signals during the start count the same way.

--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -206,6 +206,26 @@
             "loads_count": len(self.rollout_controller.loads()),
         }
 
+    def request_stop(
+        self, waited_seconds: float = 0.0, *, is_urgent: bool = False
+    ) -> None:
+        """Begin a planned shutdown, or force one that has begun if this is urgent.
+
+        ``waited_seconds`` is for how long the request could not be handled. Where the
+        process has a time within which it must exit, its callers have that time, and a
+        supervisor that repeats its signal does not shorten it. Without such a time each
+        repeated request is urgent.
+        """
+        is_repeated = not self.lifecycle.is_ready
+        if is_repeated and not is_urgent and self._settings.life.stop_within_seconds:
+            log.info(
+                "repeated request to stop ignored",
+                open_count=self.entry.open_count,
+                left_ms=milliseconds(self._remaining_seconds(math.inf)),
+            )
+            return
+        self.lifecycle.begin_stop(waited_seconds)
+
     async def stop(self) -> None:
         """Wait for the start of a planned shutdown and carry it out."""
         await self.lifecycle.wait_stopping()
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -33,7 +33,7 @@
 
 EXAMPLES = """\
 examples:
-  rampwickd host.toml            run until SIGTERM; a second one forces the shutdown
+  rampwickd host.toml            run until SIGTERM; SIGINT then forces the shutdown
   rampwickd --check host.toml    check the settings and exit
 """
 
@@ -115,7 +115,7 @@
             if early_signals.is_reload_requested:
                 _reload(daemon, path)
             for requested_at_seconds in early_signals.stops_requested_at_seconds:
-                daemon.lifecycle.begin_stop(time.monotonic() - requested_at_seconds)
+                daemon.request_stop(time.monotonic() - requested_at_seconds)
             daemon.run_task("signals", partial(_watch_signals, signals, daemon, path))
             announce(
                 f"rampwickd {settings.host.name} entry={addresses.entry} "
@@ -132,7 +132,7 @@
         if number == signal.SIGHUP:
             _reload(daemon, path)
         else:
-            daemon.lifecycle.begin_stop()
+            daemon.request_stop(is_urgent=number == signal.SIGINT)
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
