Take a call to the store from its budget only when it is made

Cause: a call reserved its part of the budget before it waited for it, and a call that was cancelled while it waited kept it. Each denied request began a refresh, gave up after 0.4 s and left its reservation behind: about 46 a second against a budget of 20. The watches, whose answers would have ended the denials, waited behind reservations of nobody.

Now calls wait in the order of arrival, and only the first of them takes a call, as it is made. What is cancelled before costs nothing.

Calls that wait were seen nowhere: the line `calls to the store delayed by their budget` and its end, `platform_calls_waiting_count` in the state line and rampwick_platform_calls_waiting show them.

--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -47,6 +47,9 @@
 #: received nothing for 7.3 s.
 MAX_IDLE_SECONDS = 2.0
 
+#: Wait for the call budget from which a call counts as delayed.
+DELAYED_CALL_SECONDS = 0.5
+
 #: Error statuses that the dialect interprets.
 DIALECT_STATUSES = frozenset(
     {
@@ -71,10 +74,18 @@
     ) -> None:
         self._url = url
         self._budget = CallBudget(calls_per_second)
+        #: Held by the call that is the next to be made.
+        self._turn = anyio.Lock()
         self._dialect = dialect or EntityTagDialect()
         self._read_clock = read_clock
         #: Number of calls by step and path; a watch is one call.
         self.calls: Counter[str] = Counter()
+        #: Number of calls that wait for the budget.
+        self.waiting_count = 0
+        self._is_delayed = False
+        #: Called with the first call that the budget has delayed, and with the first
+        #: one after it that it has not: whether it was, how long it waited, the call.
+        self.on_delayed: Callable[[bool, float, str], None] = _ignore_delay
         #: Errors of the hosts that the last list left out, by their place.
         self.unread_hosts: dict[str, str] = {}
         #: Highest era of the store in any response.
@@ -206,7 +217,7 @@
             return None
 
     async def _call(self, request: StoreRequest, **options: Any) -> httpx.Response:
-        await anyio.sleep(self._budget.reserve(self._read_clock()))
+        await self._wait_for_budget(request)
         step = request.step
         self.calls[f"{step} {request.path}"] += 1
         try:
@@ -229,6 +240,27 @@
         self._has_response = True
         return response
 
+    async def _wait_for_budget(self, request: StoreRequest) -> None:
+        """Return when the call may be made; calls are made in the order of arrival.
+
+        One that is cancelled while it waits takes nothing from those behind it.
+        """
+        started_seconds = self._read_clock()
+        self.waiting_count += 1
+        try:
+            async with self._turn:
+                await anyio.sleep(self._budget.wait_seconds(self._read_clock()))
+                self._budget.take(self._read_clock())
+        finally:
+            self.waiting_count -= 1
+        waited_seconds = self._read_clock() - started_seconds
+        is_delayed = waited_seconds >= DELAYED_CALL_SECONDS
+        if is_delayed is not self._is_delayed:
+            self._is_delayed = is_delayed
+            self.on_delayed(
+                is_delayed, waited_seconds, f"{request.step} {request.path}"
+            )
+
     async def _exchange(self, request: StoreRequest, **options: Any) -> httpx.Response:
         """Return the response with its body, which must not be compressed.
 
@@ -270,5 +302,9 @@
     return
 
 
+def _ignore_delay(is_delayed: bool, waited_seconds: float, call: str) -> None:
+    return
+
+
 def _describe(error: Exception) -> str:
     return str(error) or type(error).__name__
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -54,6 +54,7 @@
         hosts: HostListTask,
         rollout_controller: RolloutController,
         read_platform_calls: Callable[[], Mapping[str, int]],
+        read_platform_calls_waiting: Callable[[], int],
         read_store_era: Callable[[], int],
         read_roles: Callable[[], RolesView],
         read_tunnels: Callable[[], TunnelsView],
@@ -68,6 +69,7 @@
         self._hosts = hosts
         self._rollout_controller = rollout_controller
         self._read_platform_calls = read_platform_calls
+        self._read_platform_calls_waiting = read_platform_calls_waiting
         self._read_store_era = read_store_era
         self._read_roles = read_roles
         self._read_tunnels = read_tunnels
@@ -144,6 +146,7 @@
         metrics.outdated_runners.set(self._rollout_controller.outdated_count())
         for purpose, count in self._read_platform_calls().items():
             metrics.platform_calls.labels(purpose).set(count)
+        metrics.platform_calls_waiting.set(self._read_platform_calls_waiting())
         for reason, count in self._context.connection_pool.opened_counts().items():
             metrics.connections_opened.labels(reason).set(count)
         for kind, count in self._context.connection_pool.buffers.describe().items():
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -170,6 +170,7 @@
             self.hosts,
             self.rollout_controller,
             lambda: getattr(api, "calls", {}),
+            lambda: getattr(api, "waiting_count", 0),
             lambda: api.era if api else 0,
             self.gossip.roles.describe,
             self.gossip.describe_tunnels,
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -191,6 +191,7 @@
                 hosts_heard_count=len(self._gossip.roles.live_names),
                 connections_opened=self._connection_pool.opened_counts(),
                 platform_calls=dict(getattr(self._api, "calls", {})),
+                platform_calls_waiting_count=getattr(self._api, "waiting_count", 0),
                 store_era=self._api.era if self._api else 0,
             )
 
@@ -287,6 +288,14 @@
     )
 
 
+def _log_delay(is_delayed: bool, waited_seconds: float, call: str) -> None:
+    fields = {"waited_ms": milliseconds(waited_seconds), "call": call}
+    if is_delayed:
+        log.problem("calls to the store delayed by their budget", **fields)
+    else:
+        log.info("calls to the store no longer delayed by their budget", **fields)
+
+
 @asynccontextmanager
 async def run_daemon(
     settings: Settings,
@@ -313,6 +322,7 @@
             )
         if isinstance(api, HttpObjectApi):
             api.on_restored = _log_restore
+            api.on_delayed = _log_delay
         clocks = clocks or Clocks()
         connection_pool = await stack.enter_async_context(
             ConnectionPool(
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -259,6 +259,11 @@
             ("purpose",),
             registry=registry,
         )
+        self.platform_calls_waiting = Gauge(
+            "rampwick_platform_calls_waiting",
+            "Calls to the platform that wait for the call budget.",
+            registry=registry,
+        )
         self.connections_opened = Gauge(
             "rampwick_connections_opened",
             "Connections opened to upstreams by reason.",
