Share one refresh of the configuration that outlives its first caller

Each request that the configuration couldn't confirm began a reading of the store, gave up after 0.4 s and cancelled it; as a cancelled reading left the time of the last one as it was, the next denied request began another. So a slow store, or a budget that was used up, got the more readings the less it answered, and none was read to its end.

The source now reads in a task of its own. All who ask wait for that reading, it goes on when they leave, and the next one is at least the refresh interval after its end.

test_configuration_refresh: the source runs, as the reading is its own now. The test for a first caller that is cancelled demanded that the next one reads anew (2 calls); now it demands that the next one is confirmed by the reading that was begun (1 call; on 2, so that it failed). What it guards stays: the caller who stays gets a confirmed configuration.

--- a/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_configuration_sources.py
@@ -26,7 +26,7 @@
 from rampwick_schema import DataError, RampwickError, Settings, Tree, era_of
 
 from .._logs import ComponentLogger
-from .._unexpected_errors import note_unexpected_error
+from .._unexpected_errors import contain_errors, note_unexpected_error
 from ._configuration import ConfigurationTask
 
 #: Wait after a failed call, and time between two reads by a host that does not watch.
@@ -179,7 +179,9 @@
         self._read_clock = read_clock
         self._task: ConfigurationTask
         self._refreshed_at_seconds = -REFRESH_INTERVAL_SECONDS
-        self._refreshing: anyio.Event | None = None
+        self._refresh_requested = anyio.Event()
+        #: Set at the end of each requested reading, then replaced by a new event.
+        self._refreshed = anyio.Event()
         self._refresh_interval_seconds = REFRESH_INTERVAL_SECONDS
         self._refused_version = 0
         self._restored = RestoredTrees()
@@ -203,6 +205,7 @@
         self._task = task
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._apply_held)
+            tasks.start_soon(self._refresh_on_request)
             await self._watcher.run()
 
     async def _apply_held(self) -> None:
@@ -218,31 +221,36 @@
     async def refresh(self) -> None:
         """Read the configuration now, unless it was read very recently.
 
-        Concurrent callers wait for the read in progress. After a simultaneous restart,
-        a dozen requests at each host need the configuration at once. When only the
-        first of them waited, the others were answered as unconfirmed immediately: 1,001
-        of the first requests to 90 hosts (logs).
+        Concurrent callers wait for one reading, which goes on if they leave. Otherwise
+        each of them would begin a reading for whose end it does not wait.
         """
-        while self._refreshing is not None:
-            await self._refreshing.wait()
-        elapsed_seconds = self._read_clock() - self._refreshed_at_seconds
-        if elapsed_seconds < self._refresh_interval_seconds:
-            return
-        self._refreshing = anyio.Event()
-        try:
-            await self._watcher.refresh()
-            self._refreshed_at_seconds = self._read_clock()
-        except PlatformError as error:
-            self._refreshed_at_seconds = self._read_clock()
-            self._refresh_interval_seconds = min(
-                MAX_REFRESH_INTERVAL_SECONDS, 2.0 * self._refresh_interval_seconds
-            )
-            self._note_problem(str(error))
-        finally:
-            # A cancelled caller leaves the refresh time unchanged, so the next one
-            # reads.
-            self._refreshing.set()
-            self._refreshing = None
+        if not self._refresh_requested.is_set():
+            elapsed_seconds = self._read_clock() - self._refreshed_at_seconds
+            if elapsed_seconds < self._refresh_interval_seconds:
+                return
+            self._refresh_requested.set()
+        await self._refreshed.wait()
+
+    async def _refresh_on_request(self) -> None:
+        while True:
+            await self._refresh_requested.wait()
+            try:
+                await self._read_once()
+            finally:
+                self._refreshed_at_seconds = self._read_clock()
+                self._refresh_requested = anyio.Event()
+                self._refreshed.set()
+                self._refreshed = anyio.Event()
+
+    async def _read_once(self) -> None:
+        with contain_errors("configuration"):
+            try:
+                await self._watcher.refresh()
+            except PlatformError as error:
+                self._refresh_interval_seconds = min(
+                    MAX_REFRESH_INTERVAL_SECONDS, 2.0 * self._refresh_interval_seconds
+                )
+                self._note_problem(str(error))
 
     def _note_problem(self, problem: str) -> None:
         self._task.note_problem(problem)
--- a/tests/test_configuration_refresh.py
+++ b/tests/test_configuration_refresh.py
@@ -62,9 +62,12 @@
                 api, Reader(), SETTINGS, lambda: False, lambda: clock.now, random
             )
             task.source = source
-            source._task = task
             with anyio.fail_after(10.0):
-                return await scenario(task, api, clock)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(source.run, task)
+                    result = await scenario(task, api, clock)
+                    tasks.cancel_scope.cancel()
+            return result
 
         return anyio.run(main)
 
@@ -88,7 +91,7 @@
         self.assertEqual([0.0] * 10, ages)
         self.assertEqual(1, calls_count)
 
-    def test_next_request_refreshes_if_the_first_is_cancelled(self):
+    def test_next_request_shares_the_refresh_of_one_that_was_cancelled(self):
         async def scenario(task, api, clock):
             async with anyio.create_task_group() as tasks:
                 first = anyio.CancelScope()
@@ -106,7 +109,7 @@
                 api.may_respond.set()
             return task.age_seconds(clock.now), api.calls_count
 
-        self.assertEqual((0.0, 2), self.run_scenario(scenario))
+        self.assertEqual((0.0, 1), self.run_scenario(scenario))
 
     def test_refreshes_back_off_while_the_store_is_down(self):
         """Ten requests a second trigger refreshes during an outage of five seconds."""
