Release the keys of callers who left, and bound their claims in progress

A caller whose request was cancelled while its idempotency key was being claimed got 409 key_already_used for its repeated request until the claim expired (600 s), though nothing had run: the claim was won for nobody, and nothing released it. And each batch of claims was a task of its own, however many were in progress: at a slow store they grew by one a shard every 5 ms, with two calls or more each, whether their callers were still there or not, and all other calls of the host, the watches too, waited behind them for the call budget.

Now a shard has one batch in progress. What arrives meanwhile is the next one, without the claims whose callers left; and a claim that was won for a request cancelled meanwhile is withdrawn, as its request was never sent. Batches of one shard at the same time also overwrote each other's conditional writes and repeated them.

--- a/packages/rampwick-router/src/rampwick_router/entry/_claims.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_claims.py
@@ -56,6 +56,10 @@
     claim: Claim
     result: MemoryObjectSendStream[bool | RampwickError]
 
+    def has_caller(self) -> bool:
+        """Return whether the request still waits for the result."""
+        return self.result.statistics().open_receive_streams > 0
+
 
 @attrs.frozen(repr=False)
 class _RetainedClaim(ReprMixin):
@@ -82,6 +86,9 @@
         self._restored_at_seconds = -math.inf
         self._read_clock = read_clock
         self._read_wall_clock = read_wall_clock
+        #: Claims that wait for the batch of their shard that is in progress, by shard;
+        #: a shard without such a batch has no entry.
+        self._waiting: dict[int, list[_PendingClaim]] = {}
         self._pending_sender: MemoryObjectSendStream[_PendingClaim]
         self._pending: MemoryObjectReceiveStream[_PendingClaim]
         self._pending_sender, self._pending = anyio.create_memory_object_stream(
@@ -143,12 +150,11 @@
             task_group.start_soon(self._watch_era)
             async for first in self._pending:
                 await anyio.sleep(self._settings.batch_seconds)
-                batch = [first, *self._receive_pending()]
-                for shard in {pending.shard for pending in batch}:
-                    shard_batch = [
-                        pending for pending in batch if pending.shard == shard
-                    ]
-                    task_group.start_soon(self._claim_batch, shard, shard_batch)
+                for pending in [first, *self._receive_pending()]:
+                    if pending.shard not in self._waiting:
+                        self._waiting[pending.shard] = []
+                        task_group.start_soon(self._claim_waiting, pending.shard)
+                    self._waiting[pending.shard].append(pending)
 
     def _receive_pending(self) -> list[_PendingClaim]:
         batch = []
@@ -158,6 +164,22 @@
             except anyio.WouldBlock:
                 return batch
 
+    async def _claim_waiting(self, shard: int) -> None:
+        """Claim what waits for a shard, one batch after another.
+
+        Batches of one shard at the same time would overwrite each other, and the calls
+        that they wait for would delay all other calls of this host. Claims whose
+        requests were cancelled meanwhile are dropped.
+        """
+        try:
+            while waiting := self._waiting[shard]:
+                self._waiting[shard] = []
+                batch = [pending for pending in waiting if pending.has_caller()]
+                if batch:
+                    await self._claim_batch(shard, batch)
+        finally:
+            del self._waiting[shard]
+
     async def _claim_batch(self, shard: int, batch: list[_PendingClaim]) -> None:
         try:
             if self._store is None:
@@ -183,7 +205,10 @@
                 _send_result(pending, error)
             return
         for pending in batch:
-            _send_result(pending, pending.claim.write_id in decision.won)
+            write_id = pending.claim.write_id
+            is_won = write_id in decision.won
+            if not _send_result(pending, is_won) and is_won:
+                self.withdraw(AcquiredClaim(shard, write_id, -math.inf))
 
     def _retain(
         self, shard: int, batch: list[_PendingClaim], won: frozenset[str]
@@ -255,12 +280,13 @@
                     log.problem("failed to release a key", error=str(error))
 
 
-def _send_result(pending: _PendingClaim, result: bool | RampwickError) -> None:
+def _send_result(pending: _PendingClaim, result: bool | RampwickError) -> bool:
+    """Send the result to the request; return False if that was cancelled."""
     try:
         pending.result.send_nowait(result)
     except anyio.BrokenResourceError:
-        # The caller disconnected; the claim stays in the store until it expires.
-        return
+        return False
+    return True
 
 
 def _unavailable(
