Leave late requests of a stop to hosts that are ready

Callers saw streams cut that they had sent 3.2 to 4.2 s after SIGTERM: the stopping host took them by the pace of the answers so far, and the pace fell after that.

Cause: the admission allows for a share of cuts (0.01 once the balancer is done) where the promise is none, and no estimate foresees a fall of the pace. Where another host is ready nothing is gained by the risk: a caller that is refused at once is served there 50 ms later.

Change: once the balancer is done, a request that arrives is left to the others if a peer is known to be ready, unless its own timeout ends before the exit. With no ready peer the estimate decides as before, as it does for what was taken earlier and waits, and for another attempt of what may have run. A peer is ready if it was heard recently, has a configuration and does not leave; a sum of several hosts says nothing of that, so in large fleets the hosts of the own hall count that the relay has listed. Whether the balancer is done is read from the clock: the task that sets it may be late (the release of the lease is awaited before, or the loop stood still). The 503's evidence says "left to ready hosts"; "request taken while leaving" has the number of ready peers.

--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -129,6 +129,9 @@
     source: DurationSource
     answers_count: int = 0
     open_count: int = 0
+    #: Whether it is refused, although it is expected to fit, since other hosts can
+    #: answer it whatever its time.
+    is_left_to_others: bool = False
 
 
 class DrainAdmission:
@@ -185,6 +188,7 @@
         is_balancer_done: bool,
         is_waiting: bool = False,
         may_have_run: bool = False,
+        is_elsewhere_ready: bool = False,
     ) -> DrainDecision:
         """Decide whether a request is taken by a host that exits at ``end_seconds``.
 
@@ -193,7 +197,42 @@
         were seen, a fixed estimate decides, once the balancer is done multiplied by
         what the slowest recent answers took of it; a request that must not run twice is
         refused then.
+
+        ``is_elsewhere_ready`` tells that a refused caller finds another host. No
+        estimate foresees that the pace falls, so once the balancer is done a request
+        that arrives then is left to that host, unless its own timeout ends before the
+        exit.
         """
+        decision = self._decide_by_time(
+            request,
+            end_seconds,
+            now_seconds=now_seconds,
+            is_balancer_done=is_balancer_done,
+            is_waiting=is_waiting,
+            may_have_run=may_have_run,
+        )
+        is_left_to_others = (
+            decision.is_admitted
+            and decision.source is not DurationSource.TIMEOUT
+            and is_elsewhere_ready
+            and is_balancer_done
+            and not (is_waiting or may_have_run)
+        )
+        if not is_left_to_others:
+            return decision
+        return attrs.evolve(decision, is_admitted=False, is_left_to_others=True)
+
+    def _decide_by_time(
+        self,
+        request: DrainRequest,
+        end_seconds: float,
+        *,
+        now_seconds: float,
+        is_balancer_done: bool,
+        is_waiting: bool,
+        may_have_run: bool,
+    ) -> DrainDecision:
+        """Decide whether a request is expected to fit."""
         remaining_seconds = max(0.0, end_seconds - now_seconds)
         if request.deadline_seconds <= end_seconds:
             timeout_seconds = max(0.0, request.deadline_seconds - now_seconds)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -231,6 +231,10 @@
         await self.lifecycle.wait_stopping()
         waited_seconds = self.lifecycle.stop_waited_seconds
         started_seconds = self._clocks.monotonic() - waited_seconds
+        balancer_delay_seconds = self._settings.life.balancer_delay_seconds
+        self.lifecycle.balancer_done_at_seconds = (
+            started_seconds + balancer_delay_seconds
+        )
         stop_within_seconds = self._settings.life.stop_within_seconds
         if stop_within_seconds:
             exit_deadline_seconds = (
@@ -244,7 +248,6 @@
             await self.rollout_controller.retire()
         with contain_errors("summaries"):
             self._gossip.summaries.publish_own()
-        balancer_delay_seconds = self._settings.life.balancer_delay_seconds
         await self.lifecycle.pause(max(0.0, balancer_delay_seconds - waited_seconds))
         self.lifecycle.balancer_delay_elapsed = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
--- a/packages/rampwick-router/src/rampwick_router/_lifecycle.py
+++ b/packages/rampwick-router/src/rampwick_router/_lifecycle.py
@@ -1,5 +1,7 @@
 """Shutdown state of the daemon."""
 
+import math
+
 import anyio
 
 from rampwick_platform import move_on_after_aligned
@@ -21,6 +23,8 @@
         self.exit_deadline_seconds: float | None = None
         #: Whether the balancer has had time to stop routing callers here.
         self.balancer_delay_elapsed = False
+        #: Monotonic time from which this is so, whenever the shutdown gets there.
+        self.balancer_done_at_seconds = math.inf
         #: Whether the open requests have completed or are being ended, and the callers'
         #: connections are being closed. No request is taken any more.
         self.has_drained = False
@@ -35,6 +39,12 @@
         """Whether the shutdown does not wait for open requests."""
         return self._forced.is_set()
 
+    def is_balancer_done(self, now_seconds: float) -> bool:
+        """Return whether the balancer has had time to stop routing callers here."""
+        return self.balancer_delay_elapsed or (
+            now_seconds >= self.balancer_done_at_seconds
+        )
+
     def begin_stop(self, waited_seconds: float = 0.0) -> None:
         """Begin a planned shutdown, or force one that has begun.
 
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -228,6 +228,10 @@
         """Return the latest state of the peers that are alive."""
         return list(self._scheduler.peers.live(now_seconds))
 
+    def list_ready_peers(self, now_seconds: float) -> set[str]:
+        """Return the names of the peers that are known to serve requests."""
+        return self._scheduler.list_ready_peers(now_seconds)
+
     def live_names(self, now_seconds: float) -> set[str]:
         """Return the names of the peers that are alive."""
         return {view.name for view in self._scheduler.peers.live(now_seconds)}
--- a/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
@@ -32,21 +32,25 @@
             return
         # While the balancer still routes callers here, a refused caller may come back.
         # Later requests arrive on persistent connections, and their callers can move.
+        now_seconds = self._context.read_clock()
+        ready_count = len(self._context.scheduler.list_ready_peers(now_seconds))
         decision = self._context.drain_admission.decide(
             request.drain_request,
             lifecycle.exit_deadline_seconds,
-            now_seconds=self._context.read_clock(),
-            is_balancer_done=lifecycle.balancer_delay_elapsed,
+            now_seconds=now_seconds,
+            is_balancer_done=lifecycle.is_balancer_done(now_seconds),
+            is_elsewhere_ready=ready_count > 0,
         )
         if not decision.is_admitted:
             raise self._leaving_error("accept request", _describe(decision))
-        responder.log_fields.update(_fields(decision))
+        fields = {**_fields(decision), "ready_count": ready_count}
+        responder.log_fields.update(fields)
         log.info(
             "request taken while leaving",
             request=request.call.request_id,
             service=request.service.name,
             is_repeatable=request.is_repeatable,
-            **_fields(decision),
+            **fields,
         )
 
     def check_send(
@@ -60,11 +64,12 @@
         lifecycle = self._context.lifecycle
         if lifecycle.exit_deadline_seconds is None or responder.has_started:
             return
+        now_seconds = self._context.read_clock()
         decision = self._context.drain_admission.decide(
             request.drain_request,
             lifecycle.exit_deadline_seconds,
-            now_seconds=self._context.read_clock(),
-            is_balancer_done=lifecycle.balancer_delay_elapsed,
+            now_seconds=now_seconds,
+            is_balancer_done=lifecycle.is_balancer_done(now_seconds),
             is_waiting=True,
             may_have_run=may_have_run,
         )
@@ -77,8 +82,12 @@
     def _leaving_error(
         self, step: str, evidence: str, *, may_have_run: bool = False
     ) -> CallerError:
-        views = self._context.scheduler.peer_views(self._context.read_clock())
-        ready_count = sum(not view.summary.is_leaving for view in views)
+        now_seconds = self._context.read_clock()
+        views = self._context.scheduler.peer_views(now_seconds)
+        ready_count = sum(
+            bool(view.summary.revision) and not view.summary.is_leaving
+            for view in views
+        )
         retry_seconds = retry_elsewhere_seconds(ready_count, len(views))
         return CallerError(
             "this host is leaving",
@@ -95,8 +104,9 @@
     expected = "no known time"
     if math.isfinite(decision.expected_seconds):
         expected = f"{decision.expected_seconds:.3f} s"
+    reason = "left to ready hosts, " if decision.is_left_to_others else ""
     return (
-        f"expected in {expected} by {decision.source.value} "
+        f"{reason}expected in {expected} by {decision.source.value} "
         f"({decision.answers_count} answers, {decision.open_count} open), "
         f"{decision.remaining_seconds:.3f} s left"
     )
--- a/tests/test_drain_admission.py
+++ b/tests/test_drain_admission.py
@@ -67,12 +67,15 @@
         is_balancer_done=True,
         is_waiting=False,
         may_have_run=False,
+        is_elsewhere_ready=False,
         **terms,
     ):
         """Return the decision on a request with so many seconds left."""
         options = {}
         if is_waiting or may_have_run:
             options = {"is_waiting": is_waiting, "may_have_run": may_have_run}
+        if is_elsewhere_ready:
+            options["is_elsewhere_ready"] = True
         return self.policy.decide(
             self.request(**terms),
             self.now_seconds + left_seconds,
--- /dev/null
+++ b/tests/test_late_requests_while_others_are_ready.py
@@ -0,0 +1,207 @@
+"""Streams that were taken late in a stop and cut at its end, beside ready hosts."""
+
+import anyio
+from testtools import TestCase
+
+from rampwick_policy import (
+    LivePeers,
+    PeersChanged,
+    PeerSummaryReceived,
+    Scheduler,
+)
+from rampwick_schema import Summary, parse_settings
+
+from .scripted import Hangup
+from .test_drain_admission import Admission
+from .test_requests_taken_while_leaving import find, learn, leave, run_logged
+from .test_routed import all_scripts, ran
+
+DEAD_AFTER_SECONDS = 3.0
+SETTINGS = (
+    f'[host]\nname = "own"\nhall = "h"\n'
+    f"[peers]\ndead_after_seconds = {DEAD_AFTER_SECONDS}\n"
+)
+
+#: Times between SIGTERM, the arrival of a late request and the exit.
+ARRIVES_AFTER_SECONDS = 3.2
+EXITS_AFTER_SECONDS = 7.25
+LEFT_SECONDS = EXITS_AFTER_SECONDS - ARRIVES_AFTER_SECONDS
+
+
+def summary(*, revision=1, is_leaving=False, hosts_count=1):
+    """Return the summary of a peer, or of several."""
+    return Summary(1, revision, 1, is_leaving, [], [], [], [], hosts_count=hosts_count)
+
+
+class LateRequestTest(TestCase):
+    """Where others are ready, a late request is left to them unless it can't be cut."""
+
+    def judge(self, **terms):
+        """Return the decisions beside ready hosts and alone, at a steady pace."""
+        host = Admission()
+        host.answer(*[0.8] * 30)
+        return [
+            host.judge(LEFT_SECONDS, is_elsewhere_ready=is_ready, **terms)
+            for is_ready in (True, False)
+        ]
+
+    def test_request_whose_pace_may_fall_after_it_was_taken(self):
+        beside_others, alone = self.judge()
+        self.assertFalse(beside_others.is_admitted)
+        self.assertTrue(beside_others.is_left_to_others)
+        self.assertTrue(alone.is_admitted)
+        self.assertFalse(alone.is_left_to_others)
+
+    def test_request_that_must_not_run_twice_or_of_which_nothing_is_known(self):
+        for terms in ({"is_repeatable": False}, {"max_answer_tokens": 0}):
+            beside_others, alone = self.judge(**terms)
+            self.assertEqual(
+                (False, True), (beside_others.is_admitted, alone.is_admitted), terms
+            )
+        host = Admission()
+        self.assertTrue(host.decide(9.0))
+        self.assertFalse(host.decide(9.0, is_elsewhere_ready=True))
+
+    def test_request_that_its_own_timeout_ends_first_is_taken(self):
+        host = Admission()
+        at = host.now_seconds
+        for is_ready in (True, False):
+            self.assertTrue(
+                host.decide(1.0, deadline_seconds=at + 1, is_elsewhere_ready=is_ready)
+            )
+
+    def test_until_the_balancer_is_done_the_estimate_decides(self):
+        host = Admission()
+        host.answer(*[0.8] * 30)
+        for left_seconds, is_taken in ((2.0, True), (0.7, False)):
+            decision = host.judge(
+                left_seconds, is_balancer_done=False, is_elsewhere_ready=True
+            )
+            self.assertEqual(is_taken, decision.is_admitted)
+            self.assertFalse(decision.is_left_to_others)
+
+    def test_what_was_taken_earlier_is_sent_by_the_estimate(self):
+        host = Admission()
+        host.answer(*[0.8] * 30)
+        for may_have_run in (True, False):
+            terms = {"is_waiting": True, "may_have_run": may_have_run}
+            for left_seconds, is_sent in ((2.0, True), (0.7, False)):
+                self.assertEqual(
+                    is_sent,
+                    host.decide(left_seconds, is_elsewhere_ready=True, **terms),
+                )
+
+    def test_request_that_does_not_fit_is_refused_for_that(self):
+        host = Admission()
+        host.answer(*[0.8] * 30)
+        decision = host.judge(0.7, is_elsewhere_ready=True)
+        self.assertFalse(decision.is_admitted)
+        self.assertFalse(decision.is_left_to_others)
+
+
+class ReadyPeersTest(TestCase):
+    """Which peers are known to be ready."""
+
+    def hear(self, *summaries, at=10.0):
+        """Return a host that has received the summaries of peers."""
+        host = Scheduler(parse_settings(SETTINGS, source="own"))
+        for number, item in enumerate(summaries):
+            host.handle(PeerSummaryReceived(f"e{number}", "h", 1, item), at)
+        return host
+
+    def test_peers_that_leave_or_start_or_are_silent_are_not_ready(self):
+        host = self.hear(summary(), summary(is_leaving=True), summary(revision=0))
+        self.assertEqual({"e0"}, host.list_ready_peers(10.0))
+        almost_dead_seconds = 10.0 + DEAD_AFTER_SECONDS - 0.01
+        self.assertEqual({"e0"}, host.list_ready_peers(almost_dead_seconds))
+        self.assertEqual(set(), host.list_ready_peers(10.0 + DEAD_AFTER_SECONDS))
+
+    def test_sum_of_several_hosts_does_not_say_that_one_is_ready(self):
+        host = self.hear(summary(hosts_count=40))
+        self.assertEqual(set(), host.list_ready_peers(10.0))
+        names = frozenset({"a", "b"})
+        live = LivePeers(names, frozenset({"b"}), frozenset({"h"}))
+        host.handle(PeersChanged(live, is_leaving=True), 10.0)
+        self.assertEqual({"b"}, host.list_ready_peers(10.0))
+
+    def test_host_without_peers_knows_of_none(self):
+        self.assertEqual(set(), self.hear().list_ready_peers(10.0))
+
+
+class LateRequestAtHostTest(TestCase):
+    def call_late(self, *summaries, path="/again/1"):
+        """Return a late response, the upstreams that ran it, and the log lines."""
+
+        async def scenario(host, servers):
+            context = host.daemon._context
+            for number, item in enumerate(summaries):
+                context.scheduler.post(
+                    PeerSummaryReceived(f"e{number}", "trnava", 1, item)
+                )
+            learn(host, 0.05)
+            leave(host, LEFT_SECONDS)
+            with anyio.fail_after(LEFT_SECONDS):
+                response = await host.call(path)
+            return response, ran(servers)
+
+        return run_logged(scenario)
+
+    def test_late_request_is_left_to_the_hosts_that_are_ready(self):
+        for path in ("/again/1", "/once/1"):
+            (response, received), lines = self.call_late(
+                summary(), summary(is_leaving=True), path=path
+            )
+            self.assertEqual((503, []), (response.status, received))
+            self.assertIn("retry-after", response.headers)
+            [denied] = find(lines, "request denied")
+            self.assertIn("left to ready hosts", denied["evidence"])
+            self.assertIn("1 of 2 peers ready", denied["evidence"])
+            self.assertEqual([], find(lines, "request taken while leaving"))
+
+    def test_late_request_that_no_other_host_can_take_is_served(self):
+        for summaries in ((), (summary(is_leaving=True), summary(revision=0))):
+            (response, received), lines = self.call_late(*summaries)
+            self.assertEqual((200, 1), (response.status, len(received)))
+            [taken] = find(lines, "request taken while leaving")
+            self.assertEqual(0, taken["ready_count"])
+
+    def test_late_request_that_is_read_before_the_stop_got_so_far(self):
+        async def scenario(host, servers):
+            context = host.daemon._context
+            context.scheduler.post(PeerSummaryReceived("e0", "trnava", 1, summary()))
+            learn(host, 0.05)
+            leave(host, LEFT_SECONDS)
+            lifecycle = host.daemon.lifecycle
+            lifecycle.balancer_delay_elapsed = False
+            # The loop stood still: the task that waits for the balancer is late.
+            statuses = []
+            for late_seconds in (-60.0, 0.0):
+                lifecycle.balancer_done_at_seconds = context.read_clock() - late_seconds
+                statuses.append((await host.call("/again/1")).status)
+            return statuses
+
+        statuses, _ = run_logged(scenario)
+        self.assertEqual([200, 503], statuses)
+
+    def test_second_attempt_is_sent_beside_ready_hosts(self):
+        async def scenario(host, servers):
+            learn(host, 1.0)
+
+            async def begin_to_leave(exchange):
+                host.daemon._context.scheduler.post(
+                    PeerSummaryReceived("e0", "trnava", 1, summary())
+                )
+                leave(host, 2.0)
+                for server in servers.values():
+                    server.scripts = server.scripts[-1:]
+                raise Hangup
+
+            async def answer(exchange):
+                await exchange.answer()
+
+            all_scripts(servers, begin_to_leave, answer)
+            response = await host.call("/again/1")
+            return response, ran(servers)
+
+        (response, received), _ = run_logged(scenario)
+        self.assertEqual((200, 2), (response.status, len(received)))
