End no host by a signal after its orderly stop

Cause: the event loop restores the default action of the signals as the receiver is closed, some time before the interpreter has ended. Supervisors repeat SIGTERM, so that the same holds for it.

Change: once the servers have ended, both signals are blocked for the rest of the process, while the loop still handles them, so that no moment is between. SIGINT stays: an operator can end a process that hangs there.

--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -123,6 +123,7 @@
                 flush=True,
             )
             await daemon.stop()
+        early_signals.hold_back()
 
 
 async def _watch_signals(
--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -24,21 +24,32 @@
 
 
 class EarlySignals:
-    """Signals that arrive before the daemon handles them.
+    """Signals that arrive before the daemon handles them, or after that.
 
-    Until a handler is set, each of them ends the process.
+    Without a handler, each of them ends the process.
     """
 
     def __init__(self) -> None:
+        self._is_listening = False
         self.is_reload_requested = False
         #: Monotonic times of the requests to stop.
         self.stops_requested_at_seconds: list[float] = []
 
     def listen(self) -> None:
         """Note signals from now on."""
+        self._is_listening = True
         signal.signal(signal.SIGHUP, self._note_reload)
         signal.signal(signal.SIGTERM, self._note_stop)
 
+    def hold_back(self) -> None:
+        """Deliver no signal any more to a process that listened and now exits.
+
+        The event loop restores their default action as it closes.
+        """
+        if self._is_listening:
+            numbers = (signal.SIGHUP, signal.SIGTERM)
+            signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+
     def _note_reload(self, number: int, frame: Any) -> None:
         self.is_reload_requested = True
 
