Take no peer for silent while this host itself stood still

A host that was stopped, starved or blocked for longer than dead_after_seconds opens no tunnels, divides its share of the slots and drops its peers' load, though their summaries wait unread.

Cause: Membership.live and expire compare the present time with that of the last summary that was read. Whoever runs first after the loop stood still asks before the messages that waited were read. LinkMonitor leaves such a time out already, the membership did not.

Change: silence is measured by a clock that counts no more than two check intervals of the links (a sixth of dead_after_seconds) between two checks, however far apart they are, and stands still while a check is overdue. The order in which tasks run after a block does not matter. Unlike in LinkMonitor silence does not begin anew, so that a host that is late again and again still sees a peer that is gone.

Ruled out: beginning silence anew at each late check (a starved host would never see a dead peer); waiting with decisions until messages were read (each decision would need it).

--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -2,7 +2,8 @@
 
 Summaries are ordered by incarnation, then by sequence; an older one never replaces a
 newer one. A peer that is unresponsive for too long is considered dead. Its reported
-load is then dropped, while its usage of the pool decays on its own.
+load is then dropped, while its usage of the pool decays on its own. Time in which this
+host itself did not run is no silence of its peers.
 """
 
 from collections.abc import Iterator
@@ -11,7 +12,9 @@
 
 from rampwick_schema import ReprMixin, Summary
 
+from ._attentive_clock import AttentiveClock
 from ._change_log import ChangeLog
+from ._link_monitor import CHECKS_PER_TIMEOUT, MAX_GAP_CHECKS
 from ._reported_figures import without_implausible
 
 
@@ -24,6 +27,9 @@
     incarnation: int
     summary: Summary
     last_seen_seconds: float
+    #: The same by the clock of the host that holds the view, which leaves out the time
+    #: in which it did not run.
+    last_heard_seconds: float = 0.0
 
 
 @attrs.frozen(repr=False)
@@ -45,6 +51,9 @@
     def __init__(self, dead_after_seconds: float) -> None:
         self._dead_after_seconds = dead_after_seconds
         self._views: dict[str, PeerView] = {}
+        self._attentive = AttentiveClock(
+            MAX_GAP_CHECKS * dead_after_seconds / CHECKS_PER_TIMEOUT
+        )
         # Sums over all views, updated incrementally so that placement does not iterate.
         self._loads: dict[tuple[str, str], PeerLoad] = {}
         #: Upstreams whose load by peers changed.
@@ -72,16 +81,17 @@
         known = self._views.get(name)
         order = (incarnation, summary.sequence)
         if known and order <= (known.incarnation, known.summary.sequence):
-            is_unresponsive = (
-                now_seconds - known.last_seen_seconds >= self._dead_after_seconds
-            )
+            is_unresponsive = not self._is_live(known, now_seconds)
             # Another relay may take over the reports of a hall; its summaries count
             # once the previous relay is unresponsive.
             if incarnation == known.incarnation or not is_unresponsive:
                 return False
         self.version += 1
         self._replace_load(known.summary if known else None, summary)
-        self._views[name] = PeerView(name, hall, incarnation, summary, now_seconds)
+        heard_seconds = self._attentive.read(now_seconds)
+        self._views[name] = PeerView(
+            name, hall, incarnation, summary, now_seconds, heard_seconds
+        )
         self.known_hosts_count = max(
             self.known_hosts_count, self.hosts_count(now_seconds)
         )
@@ -94,9 +104,13 @@
     def live(self, now_seconds: float) -> Iterator[PeerView]:
         """Yield the peers that sent a summary recently."""
         for view in self._views.values():
-            if now_seconds - view.last_seen_seconds < self._dead_after_seconds:
+            if self._is_live(view, now_seconds):
                 yield view
 
+    def note_check(self, now_seconds: float) -> None:
+        """Record that this host runs, at each check of its links."""
+        self._attentive.note_check(now_seconds)
+
     def expire(self, now_seconds: float) -> list[PeerView]:
         """Drop and return the peers that have been unresponsive for too long."""
         live = {view.name for view in self.live(now_seconds)}
@@ -137,6 +151,10 @@
         """Return the load of all peers that have not expired at an upstream."""
         return self._loads.get((upstream, incarnation), NO_LOAD)
 
+    def _is_live(self, view: PeerView, now_seconds: float) -> bool:
+        silent_seconds = self._attentive.read(now_seconds) - view.last_heard_seconds
+        return silent_seconds < self._dead_after_seconds
+
     def _replace_load(self, old: Summary | None, new: Summary | None) -> None:
         differences: dict[tuple[str, str], tuple[int, int]] = {}
         for usage in new.upstreams if new is not None else ():
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -232,6 +232,10 @@
         """Return the names of the peers that are alive."""
         return {view.name for view in self._scheduler.peers.live(now_seconds)}
 
+    def note_check(self, now_seconds: float) -> None:
+        """Record that this host reads what its peers send, at each check of links."""
+        self._scheduler.peers.note_check(now_seconds)
+
     def targets(self) -> list[WeightsTarget]:
         """Return the newest known target version of each model's weights."""
         return self._scheduler.upstreams.targets.all_newest()
--- a/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_gossip.py
@@ -129,6 +129,7 @@
         self._links.on_message = self._handle_message
         self._links.on_opened = self._on_link_opened
         self._links.on_unreachable = self._on_unreachable
+        self._links.on_checked = scheduler.note_check
         self._sync = PeerSync(
             configuration.follower, configuration, hosts, scheduler, read_clock
         )
--- a/packages/rampwick-router/src/rampwick_router/peers/_links.py
+++ b/packages/rampwick-router/src/rampwick_router/peers/_links.py
@@ -80,6 +80,10 @@
     return
 
 
+def _ignore_time(now_seconds: float) -> None:
+    return
+
+
 @attrs.define(eq=False, repr=False)
 class Link(ReprMixin):
     """A link to an authenticated peer."""
@@ -219,6 +223,8 @@
         self.on_unreachable: Callable[[str], None] = _ignore_name
         #: Called with the size of each message that was sent regardless of the budget.
         self.on_unpaced: Callable[[int], None] = _ignore_size
+        #: Called with the time of each check of the links.
+        self.on_checked: Callable[[float], None] = _ignore_time
 
     @property
     def links(self) -> list[Link]:
@@ -300,6 +306,7 @@
     def check_links(self, now_seconds: float) -> None:
         """Check all links; close those that are replaced or unresponsive."""
         self._monitor.begin_check(now_seconds)
+        self.on_checked(now_seconds)
         self._checks_count += 1
         must_close = self._checks_count % CHECKS_PER_CLOSE_CHECK == 0
         for link in self._links:
