Soak: stopping hosts get SIGHUP and SIGTERM again

A second SIGTERM cut open answers and no soak sent one: its stops had one signal, and its hosts no time within which they must exit. Now they have one, and every other stop is followed by SIGHUP and two more SIGTERMs.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -21,6 +21,9 @@
 #: Time within which a dead connection is detected and its requests have ended.
 DETECTION_SECONDS = 5.0
 
+#: Time between repeated signals to a stopping host.
+REPEAT_SECONDS = 0.2
+
 #: Delay before a stopped process is started again.
 RESTART_SECONDS = 0.3
 
@@ -260,6 +263,8 @@
             return
         self.down.add(host.name)
         host.signal(signal.SIGTERM)
+        if fault.index % 2:
+            await self._repeat_signals(host)
         # A shutdown may be slow while the process is paused or its links are cut.
         if not await host.wait_exited():
             self.slow_stops.append(host.name)
@@ -267,6 +272,12 @@
             await host.wait_exited()
         await self._restart(host)
 
+    async def _repeat_signals(self, host: ManagedProcess) -> None:
+        """Signal a stopping host as supervisors do, which shortens no answer."""
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
+            host.signal(number)
+            await anyio.sleep(REPEAT_SECONDS)
+
     async def _host_kill(self, fault: Fault, injected: InjectedFault) -> None:
         await self._kill([self._host(fault, injected)])
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -86,6 +86,7 @@
 [life]
 balancer_delay_seconds = 0.3
 drain_timeout_seconds = 5.0
+stop_within_seconds = 8.0
 """
 
 
