Return retries that reached no upstream to the retry budget

A retry was charged to the budget of its service at its dispatch, and stayed charged if its caller left before a byte was sent, or if it reached no upstream and the request was then refused. What was paid for nothing was missing to other callers: with the floor of 0.5 a second, two seconds for each once a budget is used up.

A request now knows whether a retry was charged that no upstream has received. The next attempt uses it, as before; if the request ends without one, the budget gets it back. A retry that may have arrived stays charged.

--- a/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_dispatcher.py
@@ -299,7 +299,7 @@
             if not name:
                 return None
             if item.needs_budget:
-                budget.spend(now_seconds)
+                item.has_unused_retry = budget.spend(now_seconds)
             return self._dispatch(item, share_choice(name, views), now_seconds)
         if not views.has_headroom:
             return None
@@ -330,7 +330,7 @@
         if not may_dispatch:
             return None
         if item.needs_budget:
-            budget.spend(now_seconds)
+            item.has_unused_retry = budget.spend(now_seconds)
         return self._dispatch(item, choice, now_seconds)
 
     def _gives_way(self, item: QueuedRequest, now_seconds: float) -> bool:
--- a/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_open_requests.py
@@ -14,6 +14,7 @@
 from ._refusals import Refusals
 from ._request import RunState
 from ._request_quarantine import RequestQuarantine
+from ._retry import RetryBudgets
 from ._upstream import Upstream
 
 
@@ -27,12 +28,14 @@
         admission: Admission,
         refusals: Refusals,
         quarantine: RequestQuarantine,
+        budgets: RetryBudgets,
     ) -> None:
         self._pool = pool
         self._queue = queue
         self._admission = admission
         self._refusals = refusals
         self._request_quarantine = quarantine
+        self._budgets = budgets
         self._items: dict[str, QueuedRequest] = {}
 
     def __len__(self) -> int:
@@ -97,6 +100,7 @@
             self.charge_actual(item, 0.0, now_seconds)
             self._refund(item, now_seconds)
             return []
+        item.has_unused_retry = False
         return _cancellations(upstream, item.request_id, attempt_id)
 
     def refuse(
@@ -162,7 +166,14 @@
         return actions
 
     def _refund(self, item: QueuedRequest, now_seconds: float) -> None:
-        """Refund the limit charges of a request that certainly did not run."""
+        """Refund what was charged for attempts that reached no upstream.
+
+        Limit charges are refunded if the request certainly did not run.
+        """
+        if item.has_unused_retry:
+            hosts_count = self._pool.peers.known_hosts_count
+            self._budgets.of(item.arrival.service, hosts_count).refund()
+            item.has_unused_retry = False
         if item.lifecycle.run_state <= RunState.REFUSED:
             self._pool.limits.refund(item.limit_charges, now_seconds)
             item.limit_charges = []
--- a/packages/rampwick-policy/src/rampwick_policy/_queue.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_queue.py
@@ -41,6 +41,8 @@
     is_kept: bool = False
     #: Whether its next attempt is charged to the retry budget.
     needs_budget: bool = False
+    #: Whether a retry was charged to the budget that no upstream has received yet.
+    has_unused_retry: bool = False
     #: Attempt that was given up, whose replacement has a retry of the budget reserved.
     given_up_attempt_id: str = ""
     #: Upstreams that had an attempt; others are preferred for the next one.
--- a/packages/rampwick-policy/src/rampwick_policy/_retry.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_retry.py
@@ -48,6 +48,10 @@
         self.balance -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Return a retry that was charged and reached no upstream."""
+        self.balance = min(self.max_balance, self.balance + 1.0)
+
     def _refill(self, now_seconds: float) -> None:
         if self._at_seconds is not None and self.balance < 1.0:
             elapsed_seconds = now_seconds - self._at_seconds
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -143,7 +143,12 @@
             self.quarantine,
         )
         self._requests = OpenRequests(
-            self.pool, self.queue, self.admission, self._refusals, self.quarantine
+            self.pool,
+            self.queue,
+            self.admission,
+            self._refusals,
+            self.quarantine,
+            self.budgets,
         )
         self.early_refusals = EarlyRefusals(
             settings.queue.estimates_start,
@@ -346,6 +351,8 @@
         item = self._requests.get(event.request_id)
         if item is None or not item.lifecycle.fail(event.attempt_id, event.outcome):
             return []
+        if not event.outcome.never_arrived:
+            item.has_unused_retry = False
         peer = item.upstream
         item.tried_upstreams.add(peer)
         if event.was_closed and self.upstreams.has_crashed(peer, now_seconds):
