Play late streams beside ready hosts, and a stop of the only host

test_late_streams_that_slow_down_are_left_to_ready_hosts: 16 streams reach the stopping host 3.2 s after its SIGTERM, all runners become six times slower 0.7 s later.

Beside ready hosts late requests are now refused whatever the estimate says, so the two plays that check the estimate (unsafe requests late in the grace, streams that slow down at the stop) would show less of it. Each is played a second time with the only host, where the estimate decides as before; the plays of three hosts stay as they were.

--- a/measure/drain.py
+++ b/measure/drain.py
@@ -1,7 +1,8 @@
 """Compare ways to decide which requests a host that shuts down still takes.
 
 One host serves generated requests, gets SIGTERM, and judges each later one by what it
-has seen. Time is simulated, and arrivals are the same for each way.
+has seen. Time is simulated, and arrivals are the same for each way. With ``--fleet``
+the callers that it refuses go on to other hosts, and what becomes of them is counted.
 """
 
 import argparse
@@ -21,6 +22,7 @@
     OpenAnswer,
     _answer_times as times_module,
     _drain_admission as admission_module,
+    retry_elsewhere_seconds,
 )
 from rampwick_policy._answer_times import AnswerTimes, _RecentAnswers
 from rampwick_policy._open_answers import OpenAnswers
@@ -49,6 +51,8 @@
     events_per_second: float = 0.0
     #: Multiple of the time that all work takes after SIGTERM.
     slow_ratio: float = 1.0
+    #: The time from which it does.
+    slow_at_seconds: float = 0.0
     #: When the requests begin to arrive.
     begin_seconds: float = -30.0
 
@@ -124,6 +128,72 @@
 KNOWN = "distribution known"
 KNOWN_SAMPLES_COUNT = 1000
 
+#: Patterns whose pace falls after late requests were taken.
+LATE_FALLS = [
+    Pattern(
+        f"{name}, pace / 6 from 4 s",
+        _evenly(low, high),
+        events_count,
+        slow_ratio=6.0,
+        slow_at_seconds=4.0,
+    )
+    for name, low, high, events_count in (
+        ("streams of 0.5 to 1.5 s", 0.5, 1.5, 25),
+        ("plain, 0.1 to 0.4 s", 0.1, 0.4, 0),
+    )
+]
+
+#: Tries of a caller, the time at which hosts that stop are ready again, and the delay
+#: by which an answer may come later than at a host that does not stop.
+TRIES_COUNT = 4
+READY_AGAIN_SECONDS = 9.5
+AIM_SECONDS = 0.3
+
+
+@attrs.frozen
+class Fleet:
+    """The hosts beside the one that stops."""
+
+    name: str
+    ready_count: int
+    #: Hosts that stop at the same time.
+    leaving_count: int
+
+    @property
+    def retry_seconds(self) -> float:
+        """Return after which time a refused caller tries another host."""
+        peers_count = self.ready_count + self.leaving_count
+        return retry_elsewhere_seconds(self.ready_count, peers_count)
+
+
+FLEETS = [
+    Fleet("5 others ready", 5, 0),
+    Fleet("1 other ready, 1 stops", 1, 1),
+    Fleet("5 others stop", 0, 5),
+]
+
+
+@attrs.frozen
+class FleetWay:
+    """Which late requests are left to other hosts that are ready."""
+
+    name: str
+    leaves_late: bool = False
+    leaves_early: bool = False
+    #: Multiple of the slowest known answer within which a late request is taken, beside
+    #: ready hosts and without; 0 for the estimate.
+    margin_beside: float = 0.0
+    margin_alone: float = 0.0
+
+
+FLEET_WAYS = [
+    FleetWay("estimate alone"),
+    FleetWay("slowest known, x 4", margin_beside=4.0, margin_alone=4.0),
+    FleetWay("the same beside ready hosts", margin_beside=4.0),
+    FleetWay("left to ready hosts after 2.5 s", leaves_late=True),
+    FleetWay("the same from SIGTERM on", leaves_late=True, leaves_early=True),
+]
+
 WAYS = {
     "nearest 20, slowest": NEAREST + NO_AGES + NO_PACE + NO_EVIDENCE + SLOWEST,
     "newest 100, 0.99": NO_AGES + NO_PACE + NO_EVIDENCE + ONE_RATIO,
@@ -206,7 +276,7 @@
 
     def _end_of(self, work_seconds: float, now: float) -> float:
         """Return when work is done that begins now."""
-        full_seconds = min(work_seconds, max(0.0, -now))
+        full_seconds = min(work_seconds, max(0.0, self._pattern.slow_at_seconds - now))
         slow_seconds = (work_seconds - full_seconds) * self._pattern.slow_ratio
         return now + full_seconds + slow_seconds
 
@@ -279,11 +349,166 @@
         )
 
 
+@attrs.define
+class FleetFigures:
+    """What became of the requests that reached the stopping host after SIGTERM."""
+
+    arrived_count: int = 0
+    #: Whole, and not later than at a host that does not stop.
+    within_aim_count: int = 0
+    later_count: int = 0
+    cut_count: int = 0
+    late_cut_count: int = 0
+    #: Refused in each try.
+    refused_count: int = 0
+    tries_count: int = 0
+    delay_seconds: float = 0.0
+
+    def __add__(self, other: "FleetFigures") -> "FleetFigures":
+        mine, theirs = attrs.astuple(self), attrs.astuple(other)
+        return FleetFigures(*(a + b for a, b in zip(mine, theirs, strict=True)))
+
+
+class FleetLab(DrainLab):
+    """The same beside other hosts, of which those that stop know as much."""
+
+    def __init__(
+        self,
+        pattern: Pattern,
+        seed: int,
+        fleet: Fleet,
+        way: FleetWay,
+        *,
+        is_repeatable: bool,
+    ) -> None:
+        super().__init__(pattern, seed, is_repeatable=is_repeatable)
+        self._fleet = fleet
+        self._way = way
+        self._callers_rng = random.Random(seed + 2)
+        self.fleet_figures = FleetFigures()
+
+    def _judge(self, request: DrainRequest, end: float, now: float) -> bool:
+        is_taken = self._decide(request, now)
+        figures = FleetFigures(arrived_count=1, tries_count=1)
+        if not is_taken:
+            figures += self._go_on(request, end, now)
+        elif end < EXIT_SECONDS:
+            figures += FleetFigures(within_aim_count=1)
+        else:
+            figures += FleetFigures(cut_count=1, late_cut_count=now > LATE_SECONDS)
+        self.fleet_figures += figures
+        return is_taken
+
+    def _go_on(self, request: DrainRequest, end: float, now: float) -> FleetFigures:
+        """Return what becomes of a request that was refused; its work begins later."""
+        work_seconds = self._work_of(end, now)
+        others = ["ready"] * self._fleet.ready_count
+        others += ["leaving"] * self._fleet.leaving_count
+        self._callers_rng.shuffle(others)
+        at = now
+        for tries_count in range(1, TRIES_COUNT):
+            at += self._fleet.retry_seconds
+            kind = others.pop() if others else "leaving"
+            figures = FleetFigures(tries_count=tries_count)
+            new_end = self._end_of(work_seconds, at)
+            if kind == "ready" or at >= READY_AGAIN_SECONDS:
+                delay_seconds = max(0.0, new_end - end)
+                is_within = delay_seconds <= AIM_SECONDS
+                return figures + FleetFigures(
+                    within_aim_count=is_within,
+                    later_count=not is_within,
+                    delay_seconds=delay_seconds,
+                )
+            if at < EXIT_SECONDS and self._decide(request, at):
+                if new_end >= EXIT_SECONDS:
+                    return figures + FleetFigures(
+                        cut_count=1, late_cut_count=at > LATE_SECONDS
+                    )
+                delay_seconds = max(0.0, new_end - end)
+                is_within = delay_seconds <= AIM_SECONDS
+                return figures + FleetFigures(
+                    within_aim_count=is_within,
+                    later_count=not is_within,
+                    delay_seconds=delay_seconds,
+                )
+        return FleetFigures(refused_count=1, tries_count=TRIES_COUNT - 1)
+
+    def _work_of(self, end: float, now: float) -> float:
+        """Return the time that work takes at full pace; the reverse of its end."""
+        full_seconds = min(end - now, max(0.0, self._pattern.slow_at_seconds - now))
+        return full_seconds + (end - now - full_seconds) / self._pattern.slow_ratio
+
+    def _decide(self, request: DrainRequest, now: float) -> bool:
+        is_elsewhere_ready = self._fleet.ready_count > 0
+        is_balancer_done = now >= BALANCER_DONE_SECONDS
+        way = self._way
+        margin = way.margin_beside if is_elsewhere_ready else way.margin_alone
+        if margin and is_balancer_done:
+            with _applied(SLOWEST):
+                decision = self._policy.decide(
+                    request, EXIT_SECONDS, now_seconds=now, is_balancer_done=True
+                )
+            expected_seconds = decision.expected_seconds * margin
+            return expected_seconds <= decision.remaining_seconds
+        if is_elsewhere_ready and way.leaves_early:
+            is_balancer_done = True
+        return self._policy.decide(
+            request,
+            EXIT_SECONDS,
+            now_seconds=now,
+            is_balancer_done=is_balancer_done,
+            is_elsewhere_ready=is_elsewhere_ready and way.leaves_late,
+        ).is_admitted
+
+
+def _print_fleets(seeds: range) -> None:
+    """Print what becomes of the callers, by fleet, pattern and way."""
+    print(
+        "| fleet | requests | way | within aim | later | cut (late) | refused "
+        "| tries | delay |"
+    )
+    print("|---|---|---|---|---|---|---|---|---|")
+    for fleet in FLEETS:
+        totals = {way.name: FleetFigures() for way in FLEET_WAYS}
+        for pattern in PATTERNS + LATE_FALLS:
+            for way in FLEET_WAYS:
+                figures = FleetFigures()
+                for seed, is_repeatable in itertools.product(seeds, (True, False)):
+                    lab = FleetLab(
+                        pattern, seed, fleet, way, is_repeatable=is_repeatable
+                    )
+                    lab.run()
+                    figures += lab.fleet_figures
+                totals[way.name] += figures
+                _print_fleet_row(fleet.name, pattern.name, way.name, figures)
+        for name, figures in totals.items():
+            _print_fleet_row(fleet.name, "all", name, figures)
+
+
+def _print_fleet_row(fleet: str, pattern: str, way: str, figures: FleetFigures) -> None:
+    arrived_count = max(1, figures.arrived_count)
+    served_count = max(1, figures.within_aim_count + figures.later_count)
+    print(
+        f"| {fleet} | {pattern} | {way} "
+        f"| {figures.within_aim_count / arrived_count:.3f} "
+        f"| {figures.later_count / arrived_count:.3f} "
+        f"| {figures.cut_count} ({figures.late_cut_count}) "
+        f"| {figures.refused_count / arrived_count:.3f} "
+        f"| {figures.tries_count / arrived_count:.2f} "
+        f"| {figures.delay_seconds / served_count:.3f} s |"
+    )
+
+
 def main(argv: list[str]) -> None:
     """Print a table of the ways for each pattern, safe and unsafe requests."""
     parser = argparse.ArgumentParser(prog="measure drain", description=__doc__)
     parser.add_argument("--seeds", type=int, default=10)
-    seeds = range(1, parser.parse_args(argv).seeds + 1)
+    parser.add_argument("--fleet", action="store_true", help="follow refused callers")
+    arguments = parser.parse_args(argv)
+    seeds = range(1, arguments.seeds + 1)
+    if arguments.fleet:
+        _print_fleets(seeds)
+        return
     print("| requests | way | taken of fitting | cut per 1,000 | late | once: taken |")
     print("|---|---|---|---|---|---|")
     for pattern in PATTERNS:
--- a/tests/test_stops_of_processes.py
+++ b/tests/test_stops_of_processes.py
@@ -1,5 +1,6 @@
 """What callers of a host get while its process stops, by what the servers ran."""
 
+import functools
 import random
 import select
 import signal
@@ -53,6 +54,12 @@
 #: Time from SIGTERM until the runners become slow.
 SLOWED_AFTER_SECONDS = 2.0
 
+#: The same for late streams, with the time from which these are sent, and how many.
+LATE_AFTER_SECONDS = 3.2
+LATE_SLOWED_AFTER_SECONDS = 3.9
+LATE_STREAMS_COUNT = 16
+LATE_PACE_RATIO = 6.0
+
 
 def make_route(name: str, service: str, kind: str) -> dict[str, object]:
     """Return a route of the manifest, whose path prefix is its name."""
@@ -376,6 +383,29 @@
         for server in self.servers:
             server.pace_ratio = self.rng.uniform(2.0, 4.0)
 
+    async def slow_down_late_streams(self) -> None:
+        """Have all runners become slow after late streams were sent."""
+        host = self.callers.stopped_host
+        await until_logged(host, "beliefs: peer is heard", HOSTS_COUNT - 1)
+        for _ in range(30):
+            self.tasks.start_soon(self.callers.send, "/stream/30", 30)
+            await anyio.sleep(0.1)
+        # It does not exit while this one is open.
+        self.tasks.start_soon(self.callers.send, "/again/6.5")
+        await anyio.sleep(0.1)
+        self.callers.stop_host()
+        await until_logged(host, "life: not ready", 1)
+        await anyio.sleep(LATE_AFTER_SECONDS)
+        for _ in range(LATE_STREAMS_COUNT):
+            self.tasks.start_soon(
+                functools.partial(
+                    self.callers.send, "/stream/30", 30, tries_count=TRIES_COUNT
+                )
+            )
+        await anyio.sleep(LATE_SLOWED_AFTER_SECONDS - LATE_AFTER_SECONDS)
+        for server in self.servers:
+            server.pace_ratio = LATE_PACE_RATIO
+
     async def send_few_long_requests(self) -> None:
         """Send requests of which three in a hundred are long."""
 
@@ -388,18 +418,29 @@
         self.callers.stop_host()
 
 
+async def until_logged(host: HostProcess, text: str, count: int) -> None:
+    """Wait until the log of a host has so many lines with a text."""
+    with anyio.fail_after(TIMEOUT_SECONDS):
+        while host.log_path.read_bytes().count(text.encode()) < count:
+            await anyio.sleep(0.02)
+
+
 def read_problems(host: HostProcess) -> Counter[str]:
     """Return the messages of problems in a host's log, with their number."""
     lines = (orjson.loads(line) for line in host.log_path.read_bytes().splitlines())
     return Counter(line["message"] for line in lines if line["level"] == "problem")
 
 
-async def play(drive: Callable[[Scenario], Awaitable[None]], seed: int) -> Played:
+async def play(
+    drive: Callable[[Scenario], Awaitable[None]],
+    seed: int,
+    hosts_count: int = HOSTS_COUNT,
+) -> Played:
     """Play a stop of one host, until all of its callers have an answer."""
     rng = random.Random(seed)
     servers = [WorkServer(f"i-{number}") for number in range(SERVERS_COUNT)]
     async with run_fleet(StoppedFleet, MANIFEST) as (fleet, _):
-        await fleet.start_all([PlainServer("i-plain"), *servers], HOSTS_COUNT)
+        await fleet.start_all([PlainServer("i-plain"), *servers], hosts_count)
         callers = Callers(fleet, servers, rng)
         async with anyio.create_task_group() as tasks:
             await drive(Scenario(callers, servers, rng, tasks))
@@ -415,11 +456,11 @@
 class StopsOfProcessesTest(TestCase):
     """A request at a stopping host is served whole, or refused while it has not run."""
 
-    def play(self, drive, seed=88):
-        played = anyio.run(play, drive, seed)
+    def play(self, drive, seed=88, hosts_count=HOSTS_COUNT):
+        played = anyio.run(play, drive, seed, hosts_count)
         self.summary = (
-            f"{drive.__name__}, seed {seed}: {played.describe()}; problems: "
-            f"{dict(played.problems)}"
+            f"{drive.__name__}, seed {seed}, {hosts_count} hosts: "
+            f"{played.describe()}; problems: {dict(played.problems)}"
         )
         print(self.summary)
         missing = [
@@ -431,7 +472,11 @@
         return played
 
     def test_unsafe_requests_late_in_the_grace_are_not_run_and_ended(self):
-        played = self.play(Scenario.send_late_unsafe_requests)
+        for hosts_count in (HOSTS_COUNT, 1):
+            self.check_unsafe_requests_late_in_the_grace(hosts_count)
+
+    def check_unsafe_requests_late_in_the_grace(self, hosts_count):
+        played = self.play(Scenario.send_late_unsafe_requests, hosts_count=hosts_count)
         ended = [
             (item.sent_seconds, item.ended_seconds, item.view.status)
             for item in played.requests
@@ -439,8 +484,25 @@
         ]
         self.assertEqual([], ended, self.summary)
 
+    def test_late_streams_that_slow_down_are_left_to_ready_hosts(self):
+        played = self.play(Scenario.slow_down_late_streams)
+        late = [
+            item for item in played.requests if item.sent_seconds > UNCUT_AFTER_SECONDS
+        ]
+        self.assertEqual(LATE_STREAMS_COUNT, len(late))
+        not_served = [
+            (item.sent_seconds, item.ended_seconds, item.view.status)
+            for item in late
+            if not item.is_served
+        ]
+        self.assertEqual([], not_served, self.summary)
+
     def test_streams_that_slow_down_at_the_stop_are_not_cut(self):
-        played = self.play(Scenario.slow_down_streams)
+        for hosts_count in (HOSTS_COUNT, 1):
+            self.check_streams_that_slow_down_at_the_stop(hosts_count)
+
+    def check_streams_that_slow_down_at_the_stop(self, hosts_count):
+        played = self.play(Scenario.slow_down_streams, hosts_count=hosts_count)
         cut = [
             (item.sent_seconds, item.ended_seconds, item.target)
             for item in played.requests
