Let no caller hold a stopping process past its exit

Callers saw: the process was killed at the end of its grace, and with it everything else that was open, with no line of what was cut.

Cause: when the HTTP server's time to close is over, it cancels the tasks of its connections. The cancellation ends a response, and its end closes the connection and waits until the caller has taken what the transport holds. A caller that takes nothing is waited for without a bound, and the server's task is shielded.

Evidence: with an answer of 16 MB of which the caller takes nothing, the tasks of a host past its exit stand in TCPServer._close (wait_closed) until the caller closes its connection.

Ruled out: a bound on each close (a slow caller may take what is left until the exit, as before).

Change: a connection whose task the terminated server has cancelled is aborted.

--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -153,6 +153,10 @@
         # The handler of the last response is cancelled if it waits here. The kernel
         # sends what is left after an orderly close.
         self._record_end("closed after a response", self._count_unread())
+        task = asyncio.current_task()
+        if self.context.terminated.is_set() and task is not None and task.cancelling():
+            # The close would wait for the caller to take what the transport holds.
+            self.writer.transport.abort()
         await super()._close()
 
     def _record_end(self, cause: str, unread_count: int, unsent_count: int = 0) -> None:
