Log why a stopping host cuts a request, and what is open before its exit

The line about a request without a complete response told neither when the request had come by the request to stop, nor whether its upstream was still at work, so that a late request, an answer that was held and an early end looked alike. A process that is killed wrote no line at all.

Change: the reason of a request that a stopping host ends is leaving (came before the balancer's delay was over, upstream at work), leaving_late, leaving_silent, leaving_undelivered or leaving_early, in the log and in rampwick_requests_unanswered_total. The line has arrived_after_stop_ms, after_stop_ms, until_exit_ms, last_upstream_ms, upstream_ended_ms, write_pending_ms, unacknowledged_bytes and is_forced. A write that is pending as the host exits is the host's cut, unless the caller has stalled for the write timeout.

The kernel's counts of bytes are in a module of their own.

--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -1,10 +1,7 @@
 """The server of one caller's connection, and how long it stays idle between them."""
 
 import asyncio
-import fcntl
 import select
-import struct
-import termios
 
 import h11
 import hypercorn.asyncio.run
@@ -12,6 +9,7 @@
 from hypercorn.events import Closed, Event, Updated
 
 from ._caller_connections import CallerConnections, HeldBytes
+from ._kernel_bytes import unacknowledged_bytes, unread_bytes
 from ._logs import ComponentLogger
 
 #: Interval and number of checks whether what arrived by the end of the idle time was
@@ -200,7 +198,7 @@
     def _count_unread(self) -> int:
         """Return the number of bytes that wait in the reader or in the kernel."""
         buffered = len(self.reader._buffer)  # type: ignore[attr-defined]
-        return buffered + self._ask_kernel(termios.FIONREAD)
+        return buffered + unread_bytes(self._descriptor)
 
     def _count_unparsed(self) -> int:
         """Return the number of bytes read of a head that has not arrived whole."""
@@ -217,19 +215,11 @@
         if self.writer.is_closing():
             return 0
         buffered = self.writer.transport.get_write_buffer_size()
-        # The kernel's count of a socket's bytes that are not acknowledged (SIOCOUTQ).
-        return buffered + self._ask_kernel(termios.TIOCOUTQ)
+        return buffered + unacknowledged_bytes(self._descriptor)
 
-    def _ask_kernel(self, request: int) -> int:
-        descriptor = self.writer.get_extra_info("socket").fileno()
-        if descriptor < 0:
-            return 0
-        try:
-            found = fcntl.ioctl(descriptor, request, bytes(4))
-        except OSError:
-            # The caller has reset the connection.
-            return 0
-        return int(struct.unpack("i", found)[0])
+    @property
+    def _descriptor(self) -> int:
+        return int(self.writer.get_extra_info("socket").fileno())
 
 
 def use_caller_servers() -> None:
--- a/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_sockets.py
@@ -15,6 +15,7 @@
 
 from rampwick_start import BACKLOG_COUNT
 
+from ._kernel_bytes import unacknowledged_bytes
 from ._logs import ComponentLogger
 from ._new_connections import (
     DropMethod,
@@ -54,6 +55,10 @@
         poll.register(self._raw, select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of bytes sent that have not reached the caller's kernel."""
+        return 0 if self._raw is None else unacknowledged_bytes(self._raw.fileno())
+
     def set_reset_on_close(self, is_reset: bool) -> None:
         """Make the close of the connection a reset, or an orderly one again."""
         if self._raw is not None and self._raw.fileno() >= 0:
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -211,6 +211,7 @@
         await self.lifecycle.wait_stopping()
         waited_seconds = self.lifecycle.stop_waited_seconds
         started_seconds = self._clocks.monotonic() - waited_seconds
+        self.lifecycle.stop_requested_at_seconds = started_seconds
         stop_within_seconds = self._settings.life.stop_within_seconds
         if stop_within_seconds:
             exit_deadline_seconds = (
@@ -240,9 +241,11 @@
                 # In a forced shutdown EntryApp ends each open request with an error.
                 await anyio.sleep(DRAIN_CHECK_SECONDS)
         self.lifecycle.has_drained = True
+        self.entry.log_open()
         log.info(
             "stopped",
             open_count=self.entry.open_count,
+            tunnels_count=self._gossip.tunnel_server.active_count,
             connections_count=self.caller_connections.open_count,
             platform_calls=dict(getattr(self._api, "calls", {})),
         )
--- a/packages/rampwick-router/src/rampwick_router/_lifecycle.py
+++ b/packages/rampwick-router/src/rampwick_router/_lifecycle.py
@@ -17,6 +17,8 @@
         self._forced = anyio.Event()
         #: For how long the request to stop had waited when the shutdown began.
         self.stop_waited_seconds = 0.0
+        #: Monotonic time of the request to stop; None before the shutdown.
+        self.stop_requested_at_seconds: float | None = None
         #: Monotonic time by which the process exits; None if there is no such time.
         self.exit_deadline_seconds: float | None = None
         #: Whether the balancer has had time to stop routing callers here.
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -11,7 +11,7 @@
 
 from .._caller_sockets import caller_socket
 from .._errors import AttemptError, CallerError, CallerLeftError
-from .._logs import ComponentLogger, milliseconds
+from .._logs import ComponentLogger
 from .._unexpected_errors import note_unexpected_error
 from ._call import (
     bad_request,
@@ -31,6 +31,7 @@
     ServiceExchange,
     is_forwarded_header,
 )
+from ._stop_evidence import StopEvidence
 
 SERVICES_PREFIX = "/services/"
 STREAMS_PREFIX = "/v1/streams/"
@@ -47,6 +48,9 @@
 #: Time that the server is given to send the response to a request that has ended.
 ANSWER_TIMEOUT_SECONDS = 0.5
 
+#: Most requests that are logged as open before the exit.
+MAX_LOGGED_OPEN_COUNT = 50
+
 log = ComponentLogger("entry")
 
 
@@ -59,7 +63,11 @@
         #: Whether new requests are rejected because this host is shutting down.
         self.is_closed = False
         self._routed = RoutedEntry(context)
+        self._evidence = StopEvidence(
+            context.lifecycle, context.settings.life.balancer_delay_seconds
+        )
         self._open: dict[Responder, anyio.CancelScope] = {}
+        self._arrived_at_seconds: dict[Responder, float] = {}
         self._has_open = anyio.Event()
 
     @property
@@ -67,6 +75,17 @@
         """Number of requests whose response is not complete."""
         return len(self._open)
 
+    def log_open(self) -> None:
+        """Log the open requests, as a process that is killed can't log their ends."""
+        now_seconds = self._context.read_clock()
+        open_items = list(self._arrived_at_seconds.items())
+        for responder, arrived_at_seconds in open_items[:MAX_LOGGED_OPEN_COUNT]:
+            log.info(
+                "request still open before the exit",
+                **self._evidence.fields(responder, arrived_at_seconds, now_seconds),
+                **responder.log_fields,
+            )
+
     async def watch_callers(self) -> None:
         """Cancel requests of callers that stall or left; in a forced shutdown, all."""
         while True:
@@ -109,6 +128,7 @@
         )
         cancel_scope = anyio.CancelScope()
         self._open[responder] = cancel_scope
+        self._arrived_at_seconds[responder] = arrived_at_seconds
         self._has_open.set()
         try:
             with cancel_scope:
@@ -118,7 +138,7 @@
             if cancel_scope.cancelled_caught:
                 await self._end_cancelled(responder, scope["path"])
         finally:
-            del self._open[responder]
+            del self._open[responder], self._arrived_at_seconds[responder]
             try:
                 if not responder.has_started:
                     await self._end_unanswered(
@@ -176,8 +196,9 @@
                 "request ended without response",
                 path=path,
                 code=error.code,
-                was_dispatched=responder.was_dispatched,
-                age_ms=milliseconds(self._context.read_clock() - arrived_at_seconds),
+                **self._evidence.fields(
+                    responder, arrived_at_seconds, self._context.read_clock()
+                ),
                 **responder.log_fields,
             )
         with anyio.move_on_after(ANSWER_TIMEOUT_SECONDS, shield=True):
@@ -187,20 +208,37 @@
         self, responder: Responder, path: str, arrived_at_seconds: float
     ) -> None:
         """Record why a request has ended without a complete response."""
-        reason = _unanswered_reason(
-            responder, is_leaving=not self._context.lifecycle.is_ready
-        )
+        now_seconds = self._context.read_clock()
+        reason = self._unanswered_reason(responder, arrived_at_seconds, now_seconds)
         self._context.metrics.unanswered.labels(reason).inc()
         log.problem(
             "request ended without complete response",
             path=path,
             reason=reason,
-            had_begun=responder.has_started,
-            was_dispatched=responder.was_dispatched,
-            age_ms=milliseconds(self._context.read_clock() - arrived_at_seconds),
+            **self._evidence.fields(responder, arrived_at_seconds, now_seconds),
             **responder.log_fields,
         )
 
+    def _unanswered_reason(
+        self, responder: Responder, arrived_at_seconds: float, now_seconds: float
+    ) -> str:
+        if responder.has_caller_left():
+            return "caller_left"
+        # The refusal of a forced shutdown has the same code.
+        if responder.cut_code not in ("", "leaving"):
+            return responder.cut_code
+        write_at_seconds = responder.write_started_seconds
+        write_timeout_seconds = self._context.settings.limits.write_timeout_seconds
+        is_leaving = not self._context.lifecycle.is_ready
+        if write_at_seconds is not None:
+            is_late = now_seconds - write_at_seconds >= write_timeout_seconds
+            if is_late or not is_leaving:
+                return "caller_stalled"
+        if not is_leaving:
+            return "cancelled"
+        cut = self._evidence.find_cut(responder, arrived_at_seconds, now_seconds)
+        return cut.value
+
     async def _serve(
         self,
         scope: Message,
@@ -372,16 +410,6 @@
     )
 
 
-def _unanswered_reason(responder: Responder, *, is_leaving: bool) -> str:
-    if responder.has_caller_left():
-        return "caller_left"
-    if responder.cut_code:
-        return responder.cut_code
-    if responder.write_started_seconds is not None:
-        return "caller_stalled"
-    return "leaving" if is_leaving else "cancelled"
-
-
 def _unanswered_error(was_dispatched: bool, *, is_leaving: bool) -> CallerError:
     if is_leaving:
         return _unserved_error(
--- a/packages/rampwick-router/src/rampwick_router/entry/_relay.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_relay.py
@@ -185,9 +185,12 @@
         self._context.scheduler.post(
             AttemptAccepted(self._target.request_id, dispatch.attempt_id)
         )
+        upstream, read_clock = self._target.responder.upstream, self._context.read_clock
         async for events in stream.batches(self._hold):
+            upstream.note_bytes(read_clock())
             await self._forward(events, stream.data_age_seconds)
             if self._is_complete:
+                upstream.note_ended(read_clock())
                 break
         _check_final_event(self._is_complete, dispatch.upstream)
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -5,8 +5,11 @@
 from typing import Any
 
 import anyio
+import attrs
 import orjson
 
+from rampwick_schema import ReprMixin
+
 from .._answer_buffers import WRITE_BYTES
 from .._caller_sockets import UNKNOWN_SOCKET, CallerSocket
 from .._errors import CallerError
@@ -24,6 +27,25 @@
 )
 
 
+@attrs.define(repr=False)
+class UpstreamProgress(ReprMixin):
+    """When the parts of an upstream's response were received."""
+
+    #: When bytes of it were read last; None before the first ones.
+    bytes_at_seconds: float | None = None
+    #: When its end was read; None before.
+    ended_at_seconds: float | None = None
+
+    def note_bytes(self, now_seconds: float) -> None:
+        """Record that bytes were read, of a response that goes on."""
+        self.bytes_at_seconds = now_seconds
+        self.ended_at_seconds = None
+
+    def note_ended(self, now_seconds: float) -> None:
+        """Record that the end was read."""
+        self.ended_at_seconds = now_seconds
+
+
 class Responder:
     """Sends one response: status and headers, body chunks, end of the body.
 
@@ -60,6 +82,8 @@
         self.write_started_seconds: float | None = None
         #: Whether the request was dispatched to an upstream.
         self.was_dispatched = False
+        #: Progress of the response that is forwarded.
+        self.upstream = UpstreamProgress()
         #: Whether the server has reported that the caller disconnected.
         self.is_disconnected = False
         #: What the log line of a response that is not complete contains of its request.
@@ -71,6 +95,10 @@
         """Return whether the caller's close has reached this host."""
         return self.is_disconnected or self._caller_socket.has_left()
 
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of bytes in the kernel that the caller's kernel lacks."""
+        return self._caller_socket.unacknowledged_bytes()
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers; during a shutdown, with ``Connection: close``."""
         self.has_started = True
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_exchange.py
@@ -227,6 +227,7 @@
         """Forward complete events as they arrive."""
         attempt.note_progress()
         async for chunk in attempt.chunks():
+            self._note_bytes()
             batch = events.feed(chunk)
             self._buffer.hold(events.remainder_bytes)
             if not batch.data:
@@ -256,6 +257,7 @@
         tracker = BodyTracker(head)
         buffer = b""
         async for chunk in attempt.chunks():
+            self._note_bytes()
             tracker.feed(chunk)
             buffer += chunk
             # Without room for the buffer the answer is forwarded as it arrives.
@@ -309,8 +311,13 @@
         headers = [*self.context.dialects.upstream.response_headers(head), *extra]
         await self.responder.start(head.status, headers)
 
+    def _note_bytes(self) -> None:
+        self.responder.upstream.note_bytes(self.context.read_clock())
+
     def _note_body_end(self, attempt: RoutedAttempt, remainder_bytes: int = 0) -> None:
         self._body_end = attempt.body_end
+        if self._body_end is not None:
+            self.responder.upstream.note_ended(self.context.read_clock())
         self._remainder_bytes = remainder_bytes
         age_seconds = attempt.max_data_age_seconds()
         self._last_bytes_at_seconds = (
