Force no stop by the first drain after a SIGTERM

Cause: the admin port asks the lifecycle itself, for which any second request is an order to hurry; a repeated SIGTERM no longer is one where the process has a time until it is killed. The pages say that a second drain hurries.

Change: the admin port counts its own requests. The first one asks like a SIGTERM, and is ignored with a line if a stop is under way; the next one forces the stop. Without life.stop_within_seconds each repeated request still forces.

Ruled out: ignoring each drain after a SIGTERM (an operator who drains again means to hurry).

--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -43,6 +43,10 @@
 MAX_LISTED_PROBLEMS = 50
 
 
+def _begin_nothing(is_urgent: bool) -> None:
+    return
+
+
 class AdminApp:
     """Builds the ASGI application for operators."""
 
@@ -74,6 +78,9 @@
         self._read_unread = read_unread
         self._read_clock = read_clock
         self._profiler = Profiler()
+        self._was_drain_requested = False
+        #: Called with whether a planned shutdown that has begun is to be forced.
+        self.on_drain: Callable[[bool], None] = _begin_nothing
         self.app = Starlette(
             routes=[
                 Route("/healthz", self._healthz),
@@ -311,7 +318,9 @@
         return {"answer": {"late_cause": late_cause, **timings}}
 
     async def _drain(self, request: Request) -> Response:
-        self._lifecycle.begin_stop()
+        """Begin a planned shutdown; the second request through here forces it."""
+        is_repeated, self._was_drain_requested = self._was_drain_requested, True
+        self.on_drain(is_repeated)
         return Response(status_code=202)
 
     async def _list_suspects(self, request: Request) -> Response:
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -84,6 +84,7 @@
         self.rollout_controller = assembly.rollout_controller
         self.entry = assembly.entry
         self.admin = assembly.admin
+        self.admin.on_drain = lambda is_urgent: self.request_stop(is_urgent=is_urgent)
         self._tasks: TaskGroup
         self._drain_end_seconds = -math.inf
         self.hand_on = ConnectionHandOn(
