Count a stop from when its signal may have arrived

Cause: the times of a stop count from when the signal is handled. After a wait of more than the margin of 0.75 s the host believes that it has time after it has been killed, and takes requests for that time, too. Only signals during the start were counted from their arrival.

Change: the kernel does not tell when a signal arrived, but a host knows when its periodic checks were last in time. If a check is overdue or was late just before, the stop counts from the one before it, the earliest moment at which the signal can have come unhandled.

Ruled out: a handler that notes the time of the signal in the interpreter (it does not run in a process that is stopped or gets no processor time); a larger margin (each stop would pay for it).

Before, LateSignalTest failed for the signal that waited.

--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -133,7 +133,10 @@
         if number == signal.SIGHUP:
             _reload(daemon, path)
         else:
-            daemon.request_stop(is_urgent=number == signal.SIGINT)
+            daemon.request_stop(
+                daemon.scheduler.unattended_seconds(),
+                is_urgent=number == signal.SIGINT,
+            )
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
