Count a stop from its signal, not from when a busy loop handles it

What callers would see: the times of a stop counted from the moment at which the event loop handled SIGTERM, but the platform kills by the moment of the signal. A loop that stands still for longer than the margin (0.75 s) when the signal comes, or a start that takes as long, makes the process end by the kill: open requests are cut without a line, and late ones are admitted by an exit that never comes.

Cause: only signals from before the loop's own receiver were noted with their time.

Change: the handler that notes the time stays in force beside the loop's receiver (the loop is woken by any signal that has a handler). The receiver's task takes the oldest noted time.

--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -5,7 +5,6 @@
 import signal
 import socket
 import sys
-import time
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 from pathlib import Path
@@ -107,6 +106,8 @@
     integration = make_integration(settings) if make_integration else None
     # Signals during the start are queued until the daemon runs.
     with anyio.open_signal_receiver(*SIGNALS) as signals:
+        early_stops_count = len(early_signals.stops_requested_at_seconds)
+        early_signals.note_stops()
         async with run_daemon(
             settings, clocks=clocks, integration=integration, listener=listener
         ) as (daemon, addresses):
@@ -114,8 +115,8 @@
             gc.freeze()
             if early_signals.is_reload_requested:
                 _reload(daemon, path)
-            for requested_at_seconds in early_signals.stops_requested_at_seconds:
-                daemon.request_stop(time.monotonic() - requested_at_seconds)
+            for _ in range(early_stops_count):
+                daemon.request_stop(early_signals.take_stop_wait_seconds())
             daemon.run_task("signals", partial(_watch_signals, signals, daemon, path))
             announce(
                 f"rampwickd {settings.host.name} entry={addresses.entry} "
@@ -132,8 +133,10 @@
     async for number in signals:
         if number == signal.SIGHUP:
             _reload(daemon, path)
+        elif number == signal.SIGTERM:
+            daemon.request_stop(early_signals.take_stop_wait_seconds())
         else:
-            daemon.request_stop(is_urgent=number == signal.SIGINT)
+            daemon.request_stop(is_urgent=True)
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -39,8 +39,21 @@
         """Note signals from now on."""
         self._is_listening = True
         signal.signal(signal.SIGHUP, self._note_reload)
+        self.note_stops()
+
+    def note_stops(self) -> None:
+        """Note requests to stop from now on, also while the event loop is busy.
+
+        The loop is woken by any signal that has a handler, whichever it is.
+        """
         signal.signal(signal.SIGTERM, self._note_stop)
 
+    def take_stop_wait_seconds(self) -> float:
+        """Return for how long the oldest noted request to stop has waited, or 0."""
+        if not self.stops_requested_at_seconds:
+            return 0.0
+        return time.monotonic() - self.stops_requested_at_seconds.pop(0)
+
     def hold_back(self) -> None:
         """Deliver no signal any more to a process that listened and now exits.
 
