--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -5,7 +5,6 @@
 import signal
 import socket
 import sys
-import time
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 from pathlib import Path
@@ -107,6 +106,8 @@
     integration = make_integration(settings) if make_integration else None
     # Signals during the start are queued until the daemon runs.
     with anyio.open_signal_receiver(*SIGNALS) as signals:
+        early_stops_count = len(early_signals.stops_requested_at_seconds)
+        early_signals.note_stops()
         async with run_daemon(
             settings, clocks=clocks, integration=integration, listener=listener
         ) as (daemon, addresses):
@@ -114,8 +115,8 @@
             gc.freeze()
             if early_signals.is_reload_requested:
                 _reload(daemon, path)
-            for requested_at_seconds in early_signals.stops_requested_at_seconds:
-                daemon.request_stop(time.monotonic() - requested_at_seconds)
+            for _ in range(early_stops_count):
+                daemon.request_stop(early_signals.take_stop_wait_seconds())
             daemon.run_task("signals", partial(_watch_signals, signals, daemon, path))
             announce(
                 f"rampwickd {settings.host.name} entry={addresses.entry} "
@@ -132,11 +133,12 @@
     async for number in signals:
         if number == signal.SIGHUP:
             _reload(daemon, path)
-        else:
-            daemon.request_stop(
-                daemon.scheduler.unattended_seconds(),
-                is_urgent=number == signal.SIGINT,
-            )
+            continue
+        waited_seconds = daemon.scheduler.unattended_seconds()
+        if number == signal.SIGTERM:
+            noted_seconds = early_signals.take_stop_wait_seconds()
+            waited_seconds = max(waited_seconds, noted_seconds)
+        daemon.request_stop(waited_seconds, is_urgent=number == signal.SIGINT)
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
