Count a stop from its signal, not from the last check before

Change instead: a handler in the interpreter notes when SIGTERM arrives. It runs between two instructions, also while the loop is busy or waits for processor time, and the event loop is woken up as before. The times of the stop count from then, as they do for a signal during the start. The line of the stop says how long the signal waited (waited_ms).

Left: a process that is stopped or frozen runs no handler, so that its stop counts from when it goes on (stopping.md, *Left*).

--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -151,10 +151,6 @@
         """Return the load of all peers that have not expired at an upstream."""
         return self._loads.get((upstream, incarnation), NO_LOAD)
 
-    def unattended_seconds(self, now_seconds: float) -> float:
-        """Return for how long this host may not have run until just now."""
-        return self._attentive.unattended_seconds(now_seconds)
-
     def _is_live(self, view: PeerView, now_seconds: float) -> bool:
         silent_seconds = self._attentive.read(now_seconds) - view.last_heard_seconds
         return silent_seconds < self._dead_after_seconds
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -238,7 +238,10 @@
                 started_seconds + stop_within_seconds - STOP_MARGIN_SECONDS
             )
             self.lifecycle.exit_deadline_seconds = exit_deadline_seconds
-        log.info("not ready, waiting for the balancer to stop routing here")
+        log.info(
+            "not ready, waiting for the balancer to stop routing here",
+            waited_ms=milliseconds(waited_seconds),
+        )
         self._gossip.summaries.is_leaving = True
         self._gossip.tunnel_server.is_leaving = True
         with contain_errors("release of the lease"):
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -112,6 +112,7 @@
         ) as (daemon, addresses):
             # Objects allocated so far are permanent; exempt them from collections.
             gc.freeze()
+            early_signals.time_stops()
             if early_signals.is_reload_requested:
                 _reload(daemon, path)
             for requested_at_seconds in early_signals.stops_requested_at_seconds:
@@ -133,10 +134,11 @@
         if number == signal.SIGHUP:
             _reload(daemon, path)
         else:
-            daemon.request_stop(
-                daemon.scheduler.unattended_seconds(),
-                is_urgent=number == signal.SIGINT,
+            is_urgent = number == signal.SIGINT
+            waited_seconds = (
+                0.0 if is_urgent else early_signals.waited_seconds(time.monotonic())
             )
+            daemon.request_stop(waited_seconds, is_urgent=is_urgent)
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -236,10 +236,6 @@
         """Record that this host reads what its peers send, at each check of links."""
         self._scheduler.peers.note_check(now_seconds)
 
-    def unattended_seconds(self) -> float:
-        """Return for how long what is handled now may have waited to be handled."""
-        return self._scheduler.peers.unattended_seconds(self._read_clock())
-
     def targets(self) -> list[WeightsTarget]:
         """Return the newest known target version of each model's weights."""
         return self._scheduler.upstreams.targets.all_newest()
--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._is_listening = False
+        self._first_timed_at_seconds: float | None = None
         self.is_reload_requested = False
         #: Monotonic times of the requests to stop.
         self.stops_requested_at_seconds: list[float] = []
@@ -41,6 +42,21 @@
         signal.signal(signal.SIGHUP, self._note_reload)
         signal.signal(signal.SIGTERM, self._note_stop)
 
+    def time_stops(self) -> None:
+        """Note from now on when a request to stop arrives that the event loop handles.
+
+        The interpreter runs this handler between two instructions, also while the loop
+        is busy or has to wait for processor time; the loop is woken up all the same.
+        """
+        if self._is_listening:
+            signal.signal(signal.SIGTERM, self._time_stop)
+
+    def waited_seconds(self, now_seconds: float) -> float:
+        """Return for how long the first timed request to stop has waited, if any."""
+        if self._first_timed_at_seconds is None:
+            return 0.0
+        return max(0.0, now_seconds - self._first_timed_at_seconds)
+
     def hold_back(self) -> None:
         """Deliver no signal any more to a process that listened and now exits.
 
@@ -56,6 +72,10 @@
     def _note_stop(self, number: int, frame: Any) -> None:
         self.stops_requested_at_seconds.append(time.monotonic())
 
+    def _time_stop(self, number: int, frame: Any) -> None:
+        if self._first_timed_at_seconds is None:
+            self._first_timed_at_seconds = time.monotonic()
+
 
 #: The signals of this process.
 early_signals = EarlySignals()
