--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -192,6 +192,7 @@
                 hosts_heard_count=len(self._gossip.roles.live_names),
                 connections_opened=self._connection_pool.opened_counts(),
                 platform_calls=dict(getattr(self._api, "calls", {})),
+                platform_calls_waiting_count=getattr(self._api, "waiting_count", 0),
                 store_era=self._api.era if self._api else 0,
             )
 
@@ -232,6 +233,11 @@
         await self.lifecycle.wait_stopping()
         waited_seconds = self.lifecycle.stop_waited_seconds
         started_seconds = self._clocks.monotonic() - waited_seconds
+        self.lifecycle.stop_requested_at_seconds = started_seconds
+        balancer_delay_seconds = self._settings.life.balancer_delay_seconds
+        self.lifecycle.balancer_done_at_seconds = (
+            started_seconds + balancer_delay_seconds
+        )
         stop_within_seconds = self._settings.life.stop_within_seconds
         if stop_within_seconds:
             exit_deadline_seconds = (
@@ -248,7 +254,6 @@
             await self.rollout_controller.retire()
         with contain_errors("summaries"):
             self._gossip.summaries.publish_own()
-        balancer_delay_seconds = self._settings.life.balancer_delay_seconds
         await self.lifecycle.pause(max(0.0, balancer_delay_seconds - waited_seconds))
         self.lifecycle.balancer_delay_elapsed = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
@@ -264,9 +269,11 @@
                 # In a forced shutdown EntryApp ends each open request with an error.
                 await anyio.sleep(DRAIN_CHECK_SECONDS)
         self.lifecycle.has_drained = True
+        self.entry.log_open()
         log.info(
             "stopped",
             open_count=self.entry.open_count,
+            tunnels_count=self._gossip.tunnel_server.active_count,
             connections_count=self.caller_connections.open_count,
             platform_calls=dict(getattr(self._api, "calls", {})),
         )
@@ -311,6 +318,14 @@
     )
 
 
+def _log_delay(is_delayed: bool, waited_seconds: float, call: str) -> None:
+    fields = {"waited_ms": milliseconds(waited_seconds), "call": call}
+    if is_delayed:
+        log.problem("calls to the store delayed by their budget", **fields)
+    else:
+        log.info("calls to the store no longer delayed by their budget", **fields)
+
+
 @asynccontextmanager
 async def run_daemon(
     settings: Settings,
@@ -337,6 +352,7 @@
             )
         if isinstance(api, HttpObjectApi):
             api.on_restored = _log_restore
+            api.on_delayed = _log_delay
         clocks = clocks or Clocks()
         connection_pool = await stack.enter_async_context(
             ConnectionPool(
--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -31,7 +31,6 @@
 
     def __init__(self) -> None:
         self._is_listening = False
-        self._first_timed_at_seconds: float | None = None
         self.is_reload_requested = False
         #: Monotonic times of the requests to stop.
         self.stops_requested_at_seconds: list[float] = []
@@ -40,22 +39,20 @@
         """Note signals from now on."""
         self._is_listening = True
         signal.signal(signal.SIGHUP, self._note_reload)
-        signal.signal(signal.SIGTERM, self._note_stop)
+        self.note_stops()
 
-    def time_stops(self) -> None:
-        """Note from now on when a request to stop arrives that the event loop handles.
+    def note_stops(self) -> None:
+        """Note requests to stop from now on, also while the event loop is busy.
 
-        The interpreter runs this handler between two instructions, also while the loop
-        is busy or has to wait for processor time; the loop is woken up all the same.
+        The loop is woken by any signal that has a handler, whichever it is.
         """
-        if self._is_listening:
-            signal.signal(signal.SIGTERM, self._time_stop)
+        signal.signal(signal.SIGTERM, self._note_stop)
 
-    def waited_seconds(self, now_seconds: float) -> float:
-        """Return for how long the first timed request to stop has waited, if any."""
-        if self._first_timed_at_seconds is None:
+    def take_stop_wait_seconds(self) -> float:
+        """Return for how long the oldest noted request to stop has waited, or 0."""
+        if not self.stops_requested_at_seconds:
             return 0.0
-        return max(0.0, now_seconds - self._first_timed_at_seconds)
+        return time.monotonic() - self.stops_requested_at_seconds.pop(0)
 
     def hold_back(self) -> None:
         """Deliver no signal any more to a process that listened and now exits.
@@ -72,10 +69,6 @@
     def _note_stop(self, number: int, frame: Any) -> None:
         self.stops_requested_at_seconds.append(time.monotonic())
 
-    def _time_stop(self, number: int, frame: Any) -> None:
-        if self._first_timed_at_seconds is None:
-            self._first_timed_at_seconds = time.monotonic()
-
 
 #: The signals of this process.
 early_signals = EarlySignals()
--- a/tests/test_stops_handled_late.py
+++ b/tests/test_stops_handled_late.py
@@ -32,7 +32,7 @@
                 anyio.open_signal_receiver(*_main.SIGNALS) as signals,
             ):
                 early_signals.listen()
-                early_signals.time_stops()
+                early_signals.note_stops()
                 for number in numbers:
                     os.kill(os.getpid(), number)
                     time.sleep(LATE_SECONDS)
