--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -134,11 +134,10 @@
         if number == signal.SIGHUP:
             _reload(daemon, path)
             continue
-        waited_seconds = daemon.scheduler.unattended_seconds()
-        if number == signal.SIGTERM:
-            noted_seconds = early_signals.take_stop_wait_seconds()
-            waited_seconds = max(waited_seconds, noted_seconds)
-        daemon.request_stop(waited_seconds, is_urgent=number == signal.SIGINT)
+        if number == signal.SIGINT:
+            daemon.request_stop(is_urgent=True)
+        else:
+            daemon.request_stop(early_signals.take_stop_wait_seconds())
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
