Bound the release of the lease as a host stops

What callers would see: the host that holds the lease of rollouts released it first, and did all else of its stop after that. The release waits for a renewal in progress, for the call budget behind all calls that wait there, and for the store. While it did, peers were not told at once that the host leaves, the wait for the balancer had not begun, and past the end of the grace the process was killed with its connections open.

Cause: a step of the stop that waits for the store without a bound of its own.

Change: peers are told first, the balancer's time counts from the signal, and the release is given up, with a line, when the connections have to be closed.

--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -245,11 +245,13 @@
         log.info("not ready, waiting for the balancer to stop routing here")
         self._gossip.summaries.is_leaving = True
         self._gossip.tunnel_server.is_leaving = True
-        with contain_errors("release of the lease"):
-            await self.rollout_controller.retire()
         with contain_errors("summaries"):
             self._gossip.summaries.publish_own()
-        await self.lifecycle.pause(max(0.0, balancer_delay_seconds - waited_seconds))
+        await self._release_lease()
+        delay_seconds = (
+            self.lifecycle.balancer_done_at_seconds - self._clocks.monotonic()
+        )
+        await self.lifecycle.pause(max(0.0, delay_seconds))
         self.lifecycle.balancer_delay_elapsed = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("draining open requests", open_count=self.entry.open_count)
@@ -271,6 +273,18 @@
             platform_calls=dict(getattr(self._api, "calls", {})),
         )
 
+    async def _release_lease(self) -> None:
+        """Release the lease, in a time that leaves the stop its other steps.
+
+        The store may not answer, or other calls to it may be waiting.
+        """
+        settle_seconds = self._remaining_seconds(math.inf) - SETTLE_SECONDS
+        with anyio.move_on_after(max(0.0, settle_seconds)) as scope:
+            with contain_errors("release of the lease"):
+                await self.rollout_controller.retire()
+        if scope.cancelled_caught:
+            log.problem("lease not released in time")
+
     def awaits_open_requests(self) -> bool:
         """Return whether the shutdown waits for requests of callers or of peers."""
         is_draining = self._clocks.monotonic() < self._drain_end_seconds
