--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -84,6 +84,7 @@
         self.rollout_controller = assembly.rollout_controller
         self.entry = assembly.entry
         self.admin = assembly.admin
+        self.admin.on_drain = lambda is_urgent: self.request_stop(is_urgent=is_urgent)
         self._tasks: TaskGroup
         self._drain_end_seconds = -math.inf
         self.hand_on = ConnectionHandOn(
@@ -232,6 +233,7 @@
         await self.lifecycle.wait_stopping()
         waited_seconds = self.lifecycle.stop_waited_seconds
         started_seconds = self._clocks.monotonic() - waited_seconds
+        self.lifecycle.stop_requested_at_seconds = started_seconds
         balancer_delay_seconds = self._settings.life.balancer_delay_seconds
         self.lifecycle.balancer_done_at_seconds = (
             started_seconds + balancer_delay_seconds
@@ -266,9 +268,11 @@
                 # In a forced shutdown EntryApp ends each open request with an error.
                 await anyio.sleep(DRAIN_CHECK_SECONDS)
         self.lifecycle.has_drained = True
+        self.entry.log_open()
         log.info(
             "stopped",
             open_count=self.entry.open_count,
+            tunnels_count=self._gossip.tunnel_server.active_count,
             connections_count=self.caller_connections.open_count,
             platform_calls=dict(getattr(self._api, "calls", {})),
         )
