End a stopping process before it is killed, also on a busy machine

Callers saw: on a busy machine a host that used its grace was killed at its end, and what it cut had no line.

Cause: the margin of 0.75 s before the kill is fixed. The servers' close took 0.5 s of it, however late the event loop was by then; the ends of the requests, the connections, the servers and the interpreter follow one after another.

Change: the lateness of the event loop is measured from the request to stop on, the newest second counts. The servers' close gets what is left less three iterations that are so late. A guard ends the process itself, after a line for each open request, when the next check may come too late for it, at the earliest at the planned exit. The interpreter's teardown is left out.

Not weighed: an end by a thread, which would not wait for the iteration.

--- a/packages/rampwick-router/src/rampwick_router/__main__.py
+++ b/packages/rampwick-router/src/rampwick_router/__main__.py
@@ -1,8 +1,8 @@
 """Run the command as a module."""
 
-import sys
+from rampwick_start import end_process
 
 from ._main import main
 
 if __name__ == "__main__":
-    sys.exit(main())
+    end_process(main())
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -19,6 +19,7 @@
 from ._assembly import Assembly, Clocks as Clocks
 from ._caller_connections import CallerConnections
 from ._errors import CallerError
+from ._exit_guard import ExitGuard
 from ._fallback import read_fallback
 from ._hand_on import ConnectionHandOn
 from ._idle_timeout import CallerIdleTimeout
@@ -50,6 +51,10 @@
 #: in order, beside the requests that are open until then.
 SETTLE_SECONDS = 0.5
 
+#: Iterations of the event loop from the end of the servers' time to that of the
+#: process: the ends of the requests, of the connections and of the servers.
+END_STEPS_COUNT = 3
+
 #: Longest time for that if the process may take any time to exit.
 MAX_SETTLE_SECONDS = 5.0
 
@@ -100,6 +105,7 @@
             assembly.context.metrics.connections_ended,
             lambda: not assembly.lifecycle.is_ready,
         )
+        self.exit_guard = ExitGuard(assembly.lifecycle, STOP_MARGIN_SECONDS)
 
     def load_fallback(self) -> None:
         """Apply the fallback tree and host list until newer ones are received."""
@@ -261,6 +267,38 @@
             return 0.0
         return max(0.0, self._remaining_seconds(MAX_SETTLE_SECONDS))
 
+    def read_close_seconds(self) -> float:
+        """Return for how long the servers may go on with what is open at the exit.
+
+        A late event loop takes longer for what follows: the ends of the requests, of
+        the servers and of the process.
+        """
+        remaining_seconds = self.exit_guard.remaining_seconds(self._clocks.monotonic())
+        if remaining_seconds is None:
+            return CLOSE_TIMEOUT_SECONDS
+        end_seconds = STOP_MARGIN_SECONDS - CLOSE_TIMEOUT_SECONDS
+        end_seconds += END_STEPS_COUNT * self.exit_guard.late_seconds
+        return min(CLOSE_TIMEOUT_SECONDS, max(0.0, remaining_seconds - end_seconds))
+
+    def start_exit_guard(self, end_process: Callable[[], None]) -> None:
+        """Have ``end_process`` called before this process would be killed."""
+
+        def end() -> None:
+            log.problem(
+                "process ends before its connections, as it would be killed",
+                open_count=self.entry.open_count,
+                connections_count=self.caller_connections.open_count,
+                late_ms=milliseconds(self.exit_guard.late_seconds),
+            )
+            self.entry.record_remaining()
+            self.caller_connections.record_remaining()
+            end_process()
+
+        async def run() -> None:
+            await self.exit_guard.run(self._clocks.monotonic, end)
+
+        self.run_task("exit guard", run)
+
     def write_refusal(self) -> bytes:
         """Return a response for connections that are refused as this host stops."""
         views = self._context.scheduler.peer_views(self._clocks.monotonic())
@@ -360,6 +398,7 @@
                 daemon.awaits_open_requests,
                 daemon.write_refusal,
                 daemon.caller_connections,
+                daemon.read_close_seconds,
             ),
             settings.limits.max_header_bytes,
             tasks,
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -14,7 +14,7 @@
 
 from rampwick_platform import new_event_loop
 from rampwick_schema import RampwickError, Settings, read_settings
-from rampwick_start import early_signals
+from rampwick_start import early_signals, end_process
 
 from ._daemon import Clocks, Daemon, run_daemon
 from ._fallback import read_fallback
@@ -60,6 +60,9 @@
             arguments.settings,
             None,
             announce,
+            None,
+            None,
+            end_process,
             backend_options={"loop_factory": new_event_loop},
         )
     return EXIT_OK
@@ -96,12 +99,14 @@
     announce: Callable[..., None] = _announce_nothing,
     clocks: Clocks | None = None,
     listener: socket.socket | None = None,
+    end_process: Callable[[], None] | None = None,
 ) -> None:
     """Run a daemon until a signal stops it.
 
     ``path`` is the settings file, which SIGHUP reloads. ``clocks`` default to the
     system's. ``listener`` is a socket for callers that was bound before the daemon was
-    loaded, if any.
+    loaded, if any. ``end_process`` ends the process at once; without it, a process that
+    is late is killed.
     """
     settings = read_settings(path, _log_problem)
     integration = make_integration(settings) if make_integration else None
@@ -117,6 +122,8 @@
             for requested_at_seconds in early_signals.stops_requested_at_seconds:
                 daemon.lifecycle.begin_stop(time.monotonic() - requested_at_seconds)
             daemon.run_task("signals", partial(_watch_signals, signals, daemon, path))
+            if end_process is not None:
+                daemon.start_exit_guard(end_process)
             announce(
                 f"rampwickd {settings.host.name} entry={addresses.entry} "
                 f"admin={addresses.admin} peer={addresses.peer}",
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -112,6 +112,8 @@
     #: Returns a response to connections in the queue of the listener as it is closed.
     write_refusal: Callable[[], bytes]
     connections: CallerConnections
+    #: Returns for how long the servers go on with what is open as they are stopped.
+    read_close_seconds: Callable[[], float]
 
 
 def serve_apps(
@@ -147,18 +149,23 @@
         has_ended = anyio.Event()
         ended.append(has_ended)
         tasks.start_soon(_serve, app, config, closing, has_ended)
-    stack.push_async_callback(_close, callers, options, closing, ended)
+    configs = [config for _, config in prepared]
+    stack.push_async_callback(_close, callers, options, configs, closing, ended)
 
 
 async def _close(
     callers: CallerListener,
     options: CallerServerOptions,
+    configs: Sequence[Config],
     closing: anyio.Event,
     ended: Sequence[anyio.Event],
 ) -> None:
     refused = RefusedConnections(options.write_refusal)
     with anyio.CancelScope(shield=True):
         await _settle(callers, options, refused)
+    close_seconds = options.read_close_seconds()
+    for config in configs:
+        config.graceful_timeout = close_seconds
     closing.set()
     with anyio.move_on_after(2 * CLOSE_TIMEOUT_SECONDS, shield=True):
         for has_ended in ended:
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -5,9 +5,10 @@
 from urllib.parse import unquote
 
 import anyio
+import attrs
 
 from rampwick_policy import RunState
-from rampwick_schema import RampwickError
+from rampwick_schema import RampwickError, ReprMixin
 
 from .._caller_sockets import caller_socket
 from .._errors import AttemptError, CallerError, CallerLeftError
@@ -54,6 +55,14 @@
 log = ComponentLogger("entry")
 
 
+@attrs.frozen(repr=False)
+class OpenRequest(ReprMixin):
+    """A request whose response is not complete."""
+
+    path: str
+    arrived_at_seconds: float
+
+
 class EntryApp:
     """ASGI application for callers."""
 
@@ -67,7 +76,7 @@
             context.lifecycle, context.settings.life.balancer_delay_seconds
         )
         self._open: dict[Responder, anyio.CancelScope] = {}
-        self._arrived_at_seconds: dict[Responder, float] = {}
+        self._requests: dict[Responder, OpenRequest] = {}
         self._has_open = anyio.Event()
 
     @property
@@ -78,14 +87,24 @@
     def log_open(self) -> None:
         """Log the open requests, as a process that is killed can't log their ends."""
         now_seconds = self._context.read_clock()
-        open_items = list(self._arrived_at_seconds.items())
-        for responder, arrived_at_seconds in open_items[:MAX_LOGGED_OPEN_COUNT]:
+        for responder, request in list(self._requests.items())[:MAX_LOGGED_OPEN_COUNT]:
             log.info(
                 "request still open before the exit",
-                **self._evidence.fields(responder, arrived_at_seconds, now_seconds),
+                path=request.path,
+                **self._evidence.fields(
+                    responder, request.arrived_at_seconds, now_seconds
+                ),
                 **responder.log_fields,
             )
 
+    def record_remaining(self) -> None:
+        """Record the open requests of a process that ends now."""
+        for responder, request in self._requests.items():
+            if not responder.has_ended:
+                self._record_unanswered(
+                    responder, request.path, request.arrived_at_seconds
+                )
+
     async def watch_callers(self) -> None:
         """Cancel requests of callers that stall or left; in a forced shutdown, all."""
         while True:
@@ -128,7 +147,7 @@
         )
         cancel_scope = anyio.CancelScope()
         self._open[responder] = cancel_scope
-        self._arrived_at_seconds[responder] = arrived_at_seconds
+        self._requests[responder] = OpenRequest(scope["path"], arrived_at_seconds)
         self._has_open.set()
         try:
             with cancel_scope:
@@ -138,7 +157,7 @@
             if cancel_scope.cancelled_caught:
                 await self._end_cancelled(responder, scope["path"])
         finally:
-            del self._open[responder], self._arrived_at_seconds[responder]
+            del self._open[responder], self._requests[responder]
             try:
                 if not responder.has_started:
                     await self._end_unanswered(
--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -12,12 +12,14 @@
 
 import gc
 import importlib
+import os
 import signal
 import socket
+import sys
 import time
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 #: Length of the queue of connections that wait to be accepted.
 BACKLOG_COUNT = 1024
@@ -83,6 +85,17 @@
     return int(load("rampwick_router").main())
 
 
+def end_process(exit_code: int = 0) -> NoReturn:
+    """End the process without the interpreter's steps, which only return memory.
+
+    On a busy machine they take longer than what is left until a stopping process is
+    killed. Locks and threads are not waited for.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(exit_code)
+
+
 def load(name: str) -> Any:
     """Import a module with the garbage collector disabled.
 
