Leave late requests to others only where half of the peers are ready

Change: at least half of the known peers have to be ready; with fewer the estimate decides as before.

--- a/measure/drain.py
+++ b/measure/drain.py
@@ -168,7 +168,10 @@
 
 FLEETS = [
     Fleet("5 others ready", 5, 0),
+    Fleet("3 others ready, 2 stop", 3, 2),
     Fleet("1 other ready, 1 stops", 1, 1),
+    Fleet("2 others ready, 3 stop", 2, 3),
+    Fleet("1 other ready, 4 stop", 1, 4),
     Fleet("5 others stop", 0, 5),
 ]
 
@@ -439,10 +442,10 @@
         return full_seconds + (end - now - full_seconds) / self._pattern.slow_ratio
 
     def _decide(self, request: DrainRequest, now: float) -> bool:
-        is_elsewhere_ready = self._fleet.ready_count > 0
+        is_some_ready = self._fleet.ready_count > 0
         is_balancer_done = now >= BALANCER_DONE_SECONDS
         way = self._way
-        margin = way.margin_beside if is_elsewhere_ready else way.margin_alone
+        margin = way.margin_beside if is_some_ready else way.margin_alone
         if margin and is_balancer_done:
             with _applied(SLOWEST):
                 decision = self._policy.decide(
@@ -450,14 +453,14 @@
                 )
             expected_seconds = decision.expected_seconds * margin
             return expected_seconds <= decision.remaining_seconds
-        if is_elsewhere_ready and way.leaves_early:
+        if is_some_ready and way.leaves_early:
             is_balancer_done = True
         return self._policy.decide(
             request,
             EXIT_SECONDS,
             now_seconds=now,
             is_balancer_done=is_balancer_done,
-            is_elsewhere_ready=is_elsewhere_ready and way.leaves_late,
+            is_elsewhere_ready=is_some_ready and way.leaves_late,
         ).is_admitted
 
 
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -75,6 +75,7 @@
     DrainRequest as DrainRequest,
     SlowAnswerTracker as SlowAnswerTracker,
     can_finish_before as can_finish_before,
+    is_elsewhere_ready as is_elsewhere_ready,
     retry_elsewhere_seconds as retry_elsewhere_seconds,
 )
 from ._errors import (
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -327,6 +327,15 @@
     return MAX_CUT_RATIO if is_balancer_done else MAX_EARLY_CUT_RATIO
 
 
+def is_elsewhere_ready(ready_count: int, peers_count: int) -> bool:
+    """Return whether a caller that this host refuses is likely to find a ready one.
+
+    If fewer than half of the peers are ready, its tries may all meet others that shut
+    down: refusals then cost more answers than the cuts that they avoid.
+    """
+    return ready_count > 0 and 2 * ready_count >= peers_count
+
+
 def retry_elsewhere_seconds(ready_count: int, peers_count: int) -> float:
     """Return when a caller that this host refuses may try another one.
 
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -205,24 +205,26 @@
         """The other hosts."""
         return self.pool.peers
 
-    def list_ready_peers(self, now_seconds: float) -> set[str]:
-        """Return the names of the peers that are known to serve requests.
+    def list_peers(self, now_seconds: float) -> tuple[set[str], set[str]]:
+        """Return the names of the known peers, and of those known to serve requests.
 
-        They were heard recently, have a configuration and don't leave. A sum of several
-        hosts doesn't say which of them do; of those, the hosts of this hall are known
-        that its relay has listed.
+        The latter have a configuration and don't leave. A sum of several hosts doesn't
+        say which of them do; of those, the hosts of this hall are known that its relay
+        has listed.
         """
         views = list(self.peers.live(now_seconds))
+        single = [view for view in views if view.summary.hosts_count == 1]
+        known = {view.name for view in single}
         ready = {
             view.name
-            for view in views
-            if view.summary.hosts_count == 1
-            and view.summary.revision
-            and not view.summary.is_leaving
+            for view in single
+            if view.summary.revision and not view.summary.is_leaving
         }
-        if any(view.summary.hosts_count > 1 for view in views):
-            ready |= self.pool.rate_limiter.local_view.live_peers.not_draining
-        return ready
+        if len(single) < len(views):
+            live_peers = self.pool.rate_limiter.local_view.live_peers
+            known |= live_peers.alive
+            ready |= live_peers.not_draining
+        return known, ready
 
     @property
     def ledger(self) -> UsageLedger:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -228,9 +228,9 @@
         """Return the latest state of the peers that are alive."""
         return list(self._scheduler.peers.live(now_seconds))
 
-    def list_ready_peers(self, now_seconds: float) -> set[str]:
-        """Return the names of the peers that are known to serve requests."""
-        return self._scheduler.list_ready_peers(now_seconds)
+    def list_peers(self, now_seconds: float) -> tuple[set[str], set[str]]:
+        """Return the names of the known peers, and of those known to serve requests."""
+        return self._scheduler.list_peers(now_seconds)
 
     def live_names(self, now_seconds: float) -> set[str]:
         """Return the names of the peers that are alive."""
--- a/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
@@ -6,7 +6,12 @@
 
 import math
 
-from rampwick_policy import DrainDecision, RunState, retry_elsewhere_seconds
+from rampwick_policy import (
+    DrainDecision,
+    RunState,
+    is_elsewhere_ready,
+    retry_elsewhere_seconds,
+)
 
 from .._errors import CallerError
 from .._logs import ComponentLogger, milliseconds
@@ -33,17 +38,17 @@
         # While the balancer still routes callers here, a refused caller may come back.
         # Later requests arrive on persistent connections, and their callers can move.
         now_seconds = self._context.read_clock()
-        ready_count = len(self._context.scheduler.list_ready_peers(now_seconds))
+        known, ready = self._context.scheduler.list_peers(now_seconds)
         decision = self._context.drain_admission.decide(
             request.drain_request,
             lifecycle.exit_deadline_seconds,
             now_seconds=now_seconds,
             is_balancer_done=lifecycle.is_balancer_done(now_seconds),
-            is_elsewhere_ready=ready_count > 0,
+            is_elsewhere_ready=is_elsewhere_ready(len(ready), len(known)),
         )
         if not decision.is_admitted:
             raise self._leaving_error("accept request", _describe(decision))
-        fields = {**_fields(decision), "ready_count": ready_count}
+        fields = {**_fields(decision), "ready_count": len(ready)}
         responder.log_fields.update(fields)
         log.info(
             "request taken while leaving",
