--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -113,11 +113,13 @@
     """End the process without the interpreter's steps, which only return memory.
 
     On a busy machine they take longer than what is left until a stopping process is
-    killed. Locks and threads are not waited for.
+    killed. Locks and threads are not waited for, and neither is the reader of a pipe.
     """
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(exit_code)
+    try:
+        sys.stdout.flush()
+        sys.stderr.flush()
+    finally:
+        os._exit(exit_code)
 
 
 def load(name: str) -> Any:
