--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Callable
-from contextlib import AsyncExitStack
 from typing import Any
 
 import anyio
@@ -75,10 +74,8 @@
     ) -> None:
         self._url = url
         self._budget = CallBudget(calls_per_second)
-        #: Held by the call that is the next to be made, and by the first one of those
-        #: that aren't watches.
+        #: Held by the call that is the next to be made.
         self._turn = anyio.Lock()
-        self._other_turn = anyio.Lock()
         self._dialect = dialect or EntityTagDialect()
         self._read_clock = read_clock
         #: Number of calls by step and path; a watch is one call.
@@ -166,7 +163,7 @@
             prefix, revision_of(after_version), timeout_seconds
         )
         response = await self._call(
-            request, is_watch=True, timeout=timeout_seconds + WATCH_GRACE_SECONDS
+            request, timeout=timeout_seconds + WATCH_GRACE_SECONDS
         )
         self._check_watched_era(after_version)
         return self._listing_with_era(self._dialect.read_listing(prefix, response))
@@ -219,10 +216,8 @@
             self.unread_hosts[f"hosts[{index}]"] = str(error)
             return None
 
-    async def _call(
-        self, request: StoreRequest, *, is_watch: bool = False, **options: Any
-    ) -> httpx.Response:
-        await self._wait_for_budget(request, is_watch=is_watch)
+    async def _call(self, request: StoreRequest, **options: Any) -> httpx.Response:
+        await self._wait_for_budget(request)
         step = request.step
         self.calls[f"{step} {request.path}"] += 1
         try:
@@ -245,20 +240,15 @@
         self._has_response = True
         return response
 
-    async def _wait_for_budget(self, request: StoreRequest, *, is_watch: bool) -> None:
+    async def _wait_for_budget(self, request: StoreRequest) -> None:
         """Return when the call may be made; calls are made in the order of arrival.
 
-        A watch confirms what requests are decided by, so that it waits for one of the
-        other calls at the most. A call that is cancelled while it waits takes nothing
-        from those behind it.
+        One that is cancelled while it waits takes nothing from those behind it.
         """
         started_seconds = self._read_clock()
         self.waiting_count += 1
         try:
-            async with AsyncExitStack() as turns:
-                if not is_watch:
-                    await turns.enter_async_context(self._other_turn)
-                await turns.enter_async_context(self._turn)
+            async with self._turn:
                 await anyio.sleep(self._budget.wait_seconds(self._read_clock()))
                 self._budget.take(self._read_clock())
         finally:
