Let a forced stop not wait for the release of the lease

What operators would see: SIGINT or a second drain ended the open requests, but the process stayed until the store had answered the release of its lease, or without life.stop_within_seconds for as long as the release took.

Cause: the stop awaits the release and heeds no force meanwhile.

Measured: the test failed before (not stopped after 5 s) and holds now.

--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -284,11 +284,18 @@
         """
         settle_seconds = self._remaining_seconds(math.inf) - SETTLE_SECONDS
         with anyio.move_on_after(max(0.0, settle_seconds)) as scope:
-            with contain_errors("release of the lease"):
-                await self.rollout_controller.retire()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._cancel_when_forced, scope)
+                with contain_errors("release of the lease"):
+                    await self.rollout_controller.retire()
+                tasks.cancel_scope.cancel()
         if scope.cancelled_caught:
             log.problem("lease not released in time")
 
+    async def _cancel_when_forced(self, scope: anyio.CancelScope) -> None:
+        await self.lifecycle.wait_forced()
+        scope.cancel()
+
     def awaits_open_requests(self) -> bool:
         """Return whether the shutdown waits for requests of callers or of peers."""
         is_draining = self._clocks.monotonic() < self._drain_end_seconds
--- a/packages/rampwick-router/src/rampwick_router/_lifecycle.py
+++ b/packages/rampwick-router/src/rampwick_router/_lifecycle.py
@@ -64,6 +64,10 @@
         """Return when a shutdown has begun."""
         await self._stopping.wait()
 
+    async def wait_forced(self) -> None:
+        """Return when the shutdown no longer waits for open requests."""
+        await self._forced.wait()
+
     async def pause(self, seconds: float) -> None:
         """Sleep, at most until the shutdown is forced."""
         with move_on_after_aligned(seconds):
--- a/tests/test_stop_beside_a_silent_store.py
+++ b/tests/test_stop_beside_a_silent_store.py
@@ -27,6 +27,33 @@
         self.assertTrue(has_drained)
         self.assertEqual(1, len(find(lines, "lease not released in time")))
 
+    def test_forced_stop_does_not_wait_for_the_release(self):
+        async def scenario(host, servers):
+            daemon = host.daemon
+            releasing, stopped = anyio.Event(), anyio.Event()
+
+            async def retire():
+                releasing.set()
+                await anyio.sleep_forever()
+
+            async def stop():
+                await daemon.stop()
+                stopped.set()
+
+            daemon.rollout_controller.retire = retire
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(stop)
+                daemon.request_stop()
+                await releasing.wait()
+                daemon.request_stop(is_urgent=True)
+                with anyio.move_on_after(TIMEOUT_SECONDS):
+                    await stopped.wait()
+                tasks.cancel_scope.cancel()
+            return stopped.is_set()
+
+        has_stopped, _ = run_logged(scenario)
+        self.assertTrue(has_stopped)
+
     def test_peers_and_balancer_do_not_wait_for_the_release(self):
         async def scenario(host, servers):
             daemon = host.daemon
