Measure: one sum of figures, and one count of a served request

Cause: the lab of a fleet repeated the sum of the lab of one host, and the figures of a served request twice. Change: both stand once (Counts, FleetFigures.served); the condition for late requests keeps its name.

--- a/measure/drain.py
+++ b/measure/drain.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, ExitStack, contextmanager
+from typing import Self
 from unittest import mock
 
 import attrs
@@ -219,7 +220,16 @@
 
 
 @attrs.define
-class Figures:
+class Counts:
+    """Numbers that add up field by field."""
+
+    def __add__(self, other: Self) -> Self:
+        mine, theirs = attrs.astuple(self), attrs.astuple(other)
+        return type(self)(*(a + b for a, b in zip(mine, theirs, strict=True)))
+
+
+@attrs.define
+class Figures(Counts):
     """Requests after SIGTERM."""
 
     arrived_count: int = 0
@@ -230,10 +240,6 @@
     late_taken_count: int = 0
     late_cut_count: int = 0
 
-    def __add__(self, other: "Figures") -> "Figures":
-        mine, theirs = attrs.astuple(self), attrs.astuple(other)
-        return Figures(*(a + b for a, b in zip(mine, theirs, strict=True)))
-
 
 class DrainLab:
     """A simulation of one way."""
@@ -353,7 +359,7 @@
 
 
 @attrs.define
-class FleetFigures:
+class FleetFigures(Counts):
     """What became of the requests that reached the stopping host after SIGTERM."""
 
     arrived_count: int = 0
@@ -367,9 +373,15 @@
     tries_count: int = 0
     delay_seconds: float = 0.0
 
-    def __add__(self, other: "FleetFigures") -> "FleetFigures":
-        mine, theirs = attrs.astuple(self), attrs.astuple(other)
-        return FleetFigures(*(a + b for a, b in zip(mine, theirs, strict=True)))
+    @classmethod
+    def served(cls, delay_seconds: float) -> "FleetFigures":
+        """Return the figures of a request that was served with a delay."""
+        is_within = delay_seconds <= AIM_SECONDS
+        return cls(
+            within_aim_count=is_within,
+            later_count=not is_within,
+            delay_seconds=delay_seconds,
+        )
 
 
 class FleetLab(DrainLab):
@@ -414,25 +426,14 @@
             kind = others.pop() if others else "leaving"
             figures = FleetFigures(tries_count=tries_count)
             new_end = self._end_of(work_seconds, at)
+            served = FleetFigures.served(max(0.0, new_end - end))
             if kind == "ready" or at >= READY_AGAIN_SECONDS:
-                delay_seconds = max(0.0, new_end - end)
-                is_within = delay_seconds <= AIM_SECONDS
-                return figures + FleetFigures(
-                    within_aim_count=is_within,
-                    later_count=not is_within,
-                    delay_seconds=delay_seconds,
-                )
+                return figures + served
             if at < EXIT_SECONDS and self._decide(request, at):
-                if new_end >= EXIT_SECONDS:
-                    return figures + FleetFigures(
-                        cut_count=1, late_cut_count=at > LATE_SECONDS
-                    )
-                delay_seconds = max(0.0, new_end - end)
-                is_within = delay_seconds <= AIM_SECONDS
+                if new_end < EXIT_SECONDS:
+                    return figures + served
                 return figures + FleetFigures(
-                    within_aim_count=is_within,
-                    later_count=not is_within,
-                    delay_seconds=delay_seconds,
+                    cut_count=1, late_cut_count=at > LATE_SECONDS
                 )
         return FleetFigures(refused_count=1, tries_count=TRIES_COUNT - 1)
 
