Decide the end of a late process in policy, and name what was new once

- When a late process ends was decided in the router, inside the task that checks it, with the lifecycle at hand.
ExitGuard is in rampwick_policy now, takes the planned exit and the present time, and also decides how long the servers go on.
The daemon's task only checks and logs.
- Ready peers were counted in three ways, one of which took hosts without a configuration for ready (write_refusal).
All ask Scheduler.list_peers now.
- Lifecycle had a flag and a time for the same moment, the log of cuts computed it a third time, and open requests stood in two tables.
Each stands once.
A clock is not read inside take_stop_wait_seconds any more.
The retry tests compare the same balances.
No check is left out.

--- a/packages/rampwick-platform/src/rampwick_platform/_budget.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_budget.py
@@ -22,7 +22,7 @@
         return max(0.0, (1.0 - self._tokens) / self.calls_per_second)
 
     def take(self, now_seconds: float) -> None:
-        """Take one call, which is made now; what waits and is given up takes none."""
+        """Take one call, which is made now."""
         self._refill(now_seconds)
         self._tokens -= 1.0
 
--- a/packages/rampwick-platform/src/rampwick_platform/_http.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_http.py
@@ -74,8 +74,8 @@
     ) -> None:
         self._url = url
         self._budget = CallBudget(calls_per_second)
-        #: Held by the call that is the next to be made.
-        self._turn = anyio.Lock()
+        #: Held by the first of the calls that wait for the budget.
+        self._budget_lock = anyio.Lock()
         self._dialect = dialect or EntityTagDialect()
         self._read_clock = read_clock
         #: Number of calls by step and path; a watch is one call.
@@ -83,8 +83,8 @@
         #: Number of calls that wait for the budget.
         self.waiting_count = 0
         self._is_delayed = False
-        #: Called with the first call that the budget has delayed, and with the first
-        #: one after it that it has not: whether it was, how long it waited, the call.
+        #: Called when the budget begins to delay calls and when it no longer does, with
+        #: whether the last call was delayed, its wait in seconds, and the call.
         self.on_delayed: Callable[[bool, float, str], None] = _ignore_delay
         #: Errors of the hosts that the last list left out, by their place.
         self.unread_hosts: dict[str, str] = {}
@@ -248,7 +248,7 @@
         started_seconds = self._read_clock()
         self.waiting_count += 1
         try:
-            async with self._turn:
+            async with self._budget_lock:
                 await anyio.sleep(self._budget.wait_seconds(self._read_clock()))
                 self._budget.take(self._read_clock())
         finally:
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -75,7 +75,7 @@
     DrainRequest as DrainRequest,
     SlowAnswerTracker as SlowAnswerTracker,
     can_finish_before as can_finish_before,
-    is_elsewhere_ready as is_elsewhere_ready,
+    finds_ready_host as finds_ready_host,
     retry_elsewhere_seconds as retry_elsewhere_seconds,
 )
 from ._errors import (
@@ -117,6 +117,10 @@
     WeightsLoadOrdered as WeightsLoadOrdered,
     WeightsReported as WeightsReported,
 )
+from ._exit_guard import (
+    EXIT_CHECK_SECONDS as EXIT_CHECK_SECONDS,
+    ExitGuard as ExitGuard,
+)
 from ._expired_entries import (
     ExpiredEntryGuard as ExpiredEntryGuard,
     drop_removed as drop_removed,
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -129,8 +129,8 @@
     source: DurationSource
     answers_count: int = 0
     open_count: int = 0
-    #: Whether it is refused, although it is expected to fit, since other hosts can
-    #: answer it whatever its time.
+    #: Whether it is refused although it is expected to fit, since another host can
+    #: answer it however long it takes.
     is_left_to_others: bool = False
 
 
@@ -198,10 +198,10 @@
         what the slowest recent answers took of it; a request that must not run twice is
         refused then.
 
-        ``is_elsewhere_ready`` tells that a refused caller finds another host. No
-        estimate foresees that the pace falls, so once the balancer is done a request
-        that arrives then is left to that host, unless its own timeout ends before the
-        exit.
+        ``is_elsewhere_ready`` is whether a refused caller finds a ready host. No
+        estimate foresees that answers become slower. Once the balancer is done, a
+        request that arrives is therefore left to that host, unless its own timeout ends
+        before the exit.
         """
         decision = self._decide_by_time(
             request,
@@ -327,7 +327,7 @@
     return MAX_CUT_RATIO if is_balancer_done else MAX_EARLY_CUT_RATIO
 
 
-def is_elsewhere_ready(ready_count: int, peers_count: int) -> bool:
+def finds_ready_host(ready_count: int, peers_count: int) -> bool:
     """Return whether a caller that this host refuses is likely to find a ready one.
 
     If fewer than half of the peers are ready, its tries may all meet others that shut
--- a/packages/rampwick-policy/src/rampwick_policy/_membership.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_membership.py
@@ -3,7 +3,7 @@
 Summaries are ordered by incarnation, then by sequence; an older one never replaces a
 newer one. A peer that is unresponsive for too long is considered dead. Its reported
 load is then dropped, while its usage of the pool decays on its own. Time in which this
-host itself did not run is no silence of its peers.
+host itself did not run does not count as silence of its peers.
 """
 
 from collections.abc import Iterator
@@ -12,10 +12,10 @@
 
 from rampwick_schema import ReprMixin, Summary
 
-from ._attentive_clock import AttentiveClock
 from ._change_log import ChangeLog
 from ._link_monitor import CHECKS_PER_TIMEOUT, MAX_GAP_CHECKS
 from ._reported_figures import without_implausible
+from ._running_clock import RunningClock
 
 
 @attrs.frozen(repr=False)
@@ -27,9 +27,8 @@
     incarnation: int
     summary: Summary
     last_seen_seconds: float
-    #: The same by the clock of the host that holds the view, which leaves out the time
-    #: in which it did not run.
-    last_heard_seconds: float = 0.0
+    #: The same by the holder's ``RunningClock``.
+    last_seen_running_seconds: float = 0.0
 
 
 @attrs.frozen(repr=False)
@@ -51,7 +50,7 @@
     def __init__(self, dead_after_seconds: float) -> None:
         self._dead_after_seconds = dead_after_seconds
         self._views: dict[str, PeerView] = {}
-        self._attentive = AttentiveClock(
+        self._running_clock = RunningClock(
             MAX_GAP_CHECKS * dead_after_seconds / CHECKS_PER_TIMEOUT
         )
         # Sums over all views, updated incrementally so that placement does not iterate.
@@ -81,16 +80,17 @@
         known = self._views.get(name)
         order = (incarnation, summary.sequence)
         if known and order <= (known.incarnation, known.summary.sequence):
-            is_unresponsive = not self._is_live(known, now_seconds)
+            since_seconds = self._live_since_seconds(now_seconds)
+            is_unresponsive = known.last_seen_running_seconds <= since_seconds
             # Another relay may take over the reports of a hall; its summaries count
             # once the previous relay is unresponsive.
             if incarnation == known.incarnation or not is_unresponsive:
                 return False
         self.version += 1
         self._replace_load(known.summary if known else None, summary)
-        heard_seconds = self._attentive.read(now_seconds)
+        running_seconds = self._running_clock.read(now_seconds)
         self._views[name] = PeerView(
-            name, hall, incarnation, summary, now_seconds, heard_seconds
+            name, hall, incarnation, summary, now_seconds, running_seconds
         )
         self.known_hosts_count = max(
             self.known_hosts_count, self.hosts_count(now_seconds)
@@ -103,13 +103,14 @@
 
     def live(self, now_seconds: float) -> Iterator[PeerView]:
         """Yield the peers that sent a summary recently."""
+        since_seconds = self._live_since_seconds(now_seconds)
         for view in self._views.values():
-            if self._is_live(view, now_seconds):
+            if view.last_seen_running_seconds > since_seconds:
                 yield view
 
     def note_check(self, now_seconds: float) -> None:
         """Record that this host runs, at each check of its links."""
-        self._attentive.note_check(now_seconds)
+        self._running_clock.note_check(now_seconds)
 
     def expire(self, now_seconds: float) -> list[PeerView]:
         """Drop and return the peers that have been unresponsive for too long."""
@@ -151,9 +152,9 @@
         """Return the load of all peers that have not expired at an upstream."""
         return self._loads.get((upstream, incarnation), NO_LOAD)
 
-    def _is_live(self, view: PeerView, now_seconds: float) -> bool:
-        silent_seconds = self._attentive.read(now_seconds) - view.last_heard_seconds
-        return silent_seconds < self._dead_after_seconds
+    def _live_since_seconds(self, now_seconds: float) -> float:
+        """Return the running time after which a live peer was seen."""
+        return self._running_clock.read(now_seconds) - self._dead_after_seconds
 
     def _replace_load(self, old: Summary | None, new: Summary | None) -> None:
         differences: dict[tuple[str, str], tuple[int, int]] = {}
--- a/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_scheduler.py
@@ -211,11 +211,10 @@
         return self.pool.peers
 
     def list_peers(self, now_seconds: float) -> tuple[set[str], set[str]]:
-        """Return the names of the known peers, and of those known to serve requests.
+        """Return the names of the live peers, and of those that are ready.
 
-        The latter have a configuration and don't leave. A sum of several hosts doesn't
-        say which of them do; of those, the hosts of this hall are known that its relay
-        has listed.
+        A ready peer has a configuration and does not leave. A summary of several hosts
+        does not name them; the hosts of this hall are then taken from its relay's list.
         """
         views = list(self.peers.live(now_seconds))
         single = [view for view in views if view.summary.hosts_count == 1]
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -43,7 +43,7 @@
 MAX_LISTED_PROBLEMS = 50
 
 
-def _begin_nothing(is_urgent: bool) -> None:
+def _ignore_drain(is_urgent: bool) -> None:
     return
 
 
@@ -81,8 +81,8 @@
         self._read_clock = read_clock
         self._profiler = Profiler()
         self._was_drain_requested = False
-        #: Called with whether a planned shutdown that has begun is to be forced.
-        self.on_drain: Callable[[bool], None] = _begin_nothing
+        #: Called for a drain request, with whether it is to force the shutdown.
+        self.on_drain: Callable[[bool], None] = _ignore_drain
         self.app = Starlette(
             routes=[
                 Route("/healthz", self._healthz),
@@ -321,7 +321,7 @@
         return {"answer": {"late_cause": late_cause, **timings}}
 
     async def _drain(self, request: Request) -> Response:
-        """Begin a planned shutdown; the second request through here forces it."""
+        """Begin a planned shutdown; the second drain request forces it."""
         is_repeated, self._was_drain_requested = self._was_drain_requested, True
         self.on_drain(is_repeated)
         return Response(status_code=202)
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -12,14 +13,17 @@
 from anyio.abc import TaskGroup
 
 from rampwick_platform import HttpObjectApi, ObjectApi, sleep_aligned
-from rampwick_policy import retry_elsewhere_seconds
+from rampwick_policy import (
+    EXIT_CHECK_SECONDS,
+    ExitGuard,
+    retry_elsewhere_seconds,
+)
 from rampwick_schema import Settings
 
 from ._answer_buffers import make_buffers
 from ._assembly import Assembly, Clocks as Clocks
 from ._caller_connections import CallerConnections
 from ._errors import CallerError
-from ._exit_guard import ExitGuard
 from ._fallback import read_fallback
 from ._hand_on import ConnectionHandOn
 from ._idle_timeout import CallerIdleTimeout
@@ -51,10 +55,6 @@
 #: in order, beside the requests that are open until then.
 SETTLE_SECONDS = 0.5
 
-#: Iterations of the event loop from the end of the servers' time to that of the
-#: process: the ends of the requests, of the connections and of the servers.
-END_STEPS_COUNT = 3
-
 #: Longest time for that if the process may take any time to exit.
 MAX_SETTLE_SECONDS = 5.0
 
@@ -106,7 +106,7 @@
             assembly.context.metrics.connections_ended,
             lambda: not assembly.lifecycle.is_ready,
         )
-        self.exit_guard = ExitGuard(assembly.lifecycle, STOP_MARGIN_SECONDS)
+        self.exit_guard = ExitGuard(STOP_MARGIN_SECONDS)
 
     def load_fallback(self) -> None:
         """Apply the fallback tree and host list until newer ones are received."""
@@ -263,7 +263,6 @@
             self.lifecycle.balancer_done_at_seconds - self._clocks.monotonic()
         )
         await self.lifecycle.pause(max(0.0, delay_seconds))
-        self.lifecycle.balancer_delay_elapsed = True
         self.entry.is_closed = self._settings.life.refuses_while_leaving
         log.info("draining open requests", open_count=self.entry.open_count)
         drain_seconds = min(
@@ -317,47 +316,45 @@
         return max(0.0, self._remaining_seconds(MAX_SETTLE_SECONDS))
 
     def read_close_seconds(self) -> float:
-        """Return for how long the servers may go on with what is open at the exit.
-
-        A late event loop takes longer for what follows: the ends of the requests, of
-        the servers and of the process.
-        """
-        remaining_seconds = self.exit_guard.remaining_seconds(self._clocks.monotonic())
-        if remaining_seconds is None:
-            return CLOSE_TIMEOUT_SECONDS
-        end_seconds = STOP_MARGIN_SECONDS - CLOSE_TIMEOUT_SECONDS
-        end_seconds += END_STEPS_COUNT * self.exit_guard.late_seconds
-        return min(CLOSE_TIMEOUT_SECONDS, max(0.0, remaining_seconds - end_seconds))
+        """Return for how long the servers may go on with open requests at the exit."""
+        return self.exit_guard.close_seconds(
+            self.lifecycle.exit_deadline_seconds,
+            CLOSE_TIMEOUT_SECONDS,
+            self._clocks.monotonic(),
+        )
 
     def start_exit_guard(self, end_process: Callable[[], None]) -> None:
-        """Have ``end_process`` called before this process would be killed."""
+        """Call ``end_process`` if a shutdown is so late that it would be killed."""
+        self.run_task("exit guard", partial(self._guard_exit, end_process))
 
-        def end() -> None:
-            log.problem(
-                "process ends before its connections, as it would be killed",
-                open_count=self.entry.open_count,
-                connections_count=self.caller_connections.open_count,
-                late_ms=milliseconds(self.exit_guard.late_seconds),
-            )
-            self.entry.record_remaining()
-            self.caller_connections.record_remaining()
-            end_process()
-
-        async def run() -> None:
-            await self.exit_guard.run(self._clocks.monotonic, end)
-
-        self.run_task("exit guard", run)
+    async def _guard_exit(self, end_process: Callable[[], None]) -> None:
+        await self.lifecycle.wait_stopping()
+        read_clock, is_late = self._clocks.monotonic, False
+        while not is_late:
+            due_seconds = read_clock() + EXIT_CHECK_SECONDS
+            await anyio.sleep(EXIT_CHECK_SECONDS)
+            self.exit_guard.note_check(due_seconds, read_clock())
+            exit_at_seconds = self.lifecycle.exit_deadline_seconds
+            is_late = self.exit_guard.must_end(exit_at_seconds, read_clock())
+        log.problem(
+            "process ends before its connections, as it would be killed",
+            open_count=self.entry.open_count,
+            connections_count=self.caller_connections.open_count,
+            late_ms=milliseconds(self.exit_guard.late_seconds),
+        )
+        self.entry.record_remaining()
+        self.caller_connections.record_remaining()
+        end_process()
 
     def write_refusal(self) -> bytes:
         """Return a response for connections that are refused as this host stops."""
-        views = self._context.scheduler.peer_views(self._clocks.monotonic())
-        ready_count = sum(not view.summary.is_leaving for view in views)
+        peers, ready = self._context.scheduler.list_peers(self._clocks.monotonic())
         error = CallerError(
             "this host is leaving",
             status=503,
             code="leaving",
             step="accept connection",
-            retry_after_seconds=retry_elsewhere_seconds(ready_count, len(views)),
+            retry_after_seconds=retry_elsewhere_seconds(len(ready), len(peers)),
         )
         return encode_response(self._context.dialects.caller.write_error(error, ""))
 
--- a/packages/rampwick-router/src/rampwick_router/_lifecycle.py
+++ b/packages/rampwick-router/src/rampwick_router/_lifecycle.py
@@ -23,9 +23,7 @@
         self.stop_requested_at_seconds: float | None = None
         #: Monotonic time by which the process exits; None if there is no such time.
         self.exit_deadline_seconds: float | None = None
-        #: Whether the balancer has had time to stop routing callers here.
-        self.balancer_delay_elapsed = False
-        #: Monotonic time from which this is so, whenever the shutdown gets there.
+        #: Monotonic time from which the balancer routes no callers here any more.
         self.balancer_done_at_seconds = math.inf
         #: Whether the open requests have completed or are being ended, and the callers'
         #: connections are being closed. No request is taken any more.
@@ -43,9 +41,7 @@
 
     def is_balancer_done(self, now_seconds: float) -> bool:
         """Return whether the balancer has had time to stop routing callers here."""
-        return self.balancer_delay_elapsed or (
-            now_seconds >= self.balancer_done_at_seconds
-        )
+        return now_seconds >= self.balancer_done_at_seconds
 
     def begin_stop(self, waited_seconds: float = 0.0) -> None:
         """Begin a planned shutdown, or force one that has begun.
--- a/packages/rampwick-router/src/rampwick_router/_main.py
+++ b/packages/rampwick-router/src/rampwick_router/_main.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 from pathlib import Path
@@ -54,16 +55,10 @@
         # Tests and demos that use ephemeral ports read the addresses from this line.
         # It is omitted where standard output carries the log.
         announce = print if arguments.log else _announce_nothing
-        anyio.run(
-            run_host,
-            arguments.settings,
-            None,
-            announce,
-            None,
-            None,
-            end_process,
-            backend_options={"loop_factory": new_event_loop},
+        run = partial(
+            run_host, arguments.settings, announce=announce, end_process=end_process
         )
+        anyio.run(run, backend_options={"loop_factory": new_event_loop})
     return EXIT_OK
 
 
@@ -121,7 +116,7 @@
             if early_signals.is_reload_requested:
                 _reload(daemon, path)
             for _ in range(early_stops_count):
-                daemon.request_stop(early_signals.take_stop_wait_seconds())
+                daemon.request_stop(_take_stop_wait_seconds())
             daemon.run_task("signals", partial(_watch_signals, signals, daemon, path))
             if end_process is not None:
                 daemon.start_exit_guard(end_process)
@@ -131,7 +126,7 @@
                 flush=True,
             )
             await daemon.stop()
-        early_signals.hold_back()
+        early_signals.block()
 
 
 async def _watch_signals(
@@ -140,11 +135,14 @@
     async for number in signals:
         if number == signal.SIGHUP:
             _reload(daemon, path)
-            continue
-        if number == signal.SIGINT:
+        elif number == signal.SIGINT:
             daemon.request_stop(is_urgent=True)
         else:
-            daemon.request_stop(early_signals.take_stop_wait_seconds())
+            daemon.request_stop(_take_stop_wait_seconds())
+
+
+def _take_stop_wait_seconds() -> float:
+    return early_signals.take_stop_wait_seconds(time.monotonic())
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
--- a/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
+++ b/packages/rampwick-router/src/rampwick_router/_scheduler_task.py
@@ -229,7 +229,7 @@
         return list(self._scheduler.peers.live(now_seconds))
 
     def list_peers(self, now_seconds: float) -> tuple[set[str], set[str]]:
-        """Return the names of the known peers, and of those known to serve requests."""
+        """Return the names of the live peers, and of those that are ready."""
         return self._scheduler.list_peers(now_seconds)
 
     def live_names(self, now_seconds: float) -> set[str]:
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -2,6 +2,7 @@
 
 import functools
 import re
+from itertools import islice
 from urllib.parse import unquote
 
 import anyio
@@ -61,6 +62,8 @@
 
     path: str
     arrived_at_seconds: float
+    #: Cancels the request.
+    scope: anyio.CancelScope
 
 
 class EntryApp:
@@ -72,11 +75,8 @@
         #: Whether new requests are rejected because this host is shutting down.
         self.is_closed = False
         self._routed = RoutedEntry(context)
-        self._evidence = StopEvidence(
-            context.lifecycle, context.settings.life.balancer_delay_seconds
-        )
-        self._open: dict[Responder, anyio.CancelScope] = {}
-        self._requests: dict[Responder, OpenRequest] = {}
+        self._evidence = StopEvidence(context.lifecycle)
+        self._open: dict[Responder, OpenRequest] = {}
         self._has_open = anyio.Event()
 
     @property
@@ -85,9 +85,9 @@
         return len(self._open)
 
     def log_open(self) -> None:
-        """Log the open requests, as a process that is killed can't log their ends."""
+        """Log the open requests, whose ends a process that is killed can't log."""
         now_seconds = self._context.read_clock()
-        for responder, request in list(self._requests.items())[:MAX_LOGGED_OPEN_COUNT]:
+        for responder, request in islice(self._open.items(), MAX_LOGGED_OPEN_COUNT):
             log.info(
                 "request still open before the exit",
                 path=request.path,
@@ -99,7 +99,7 @@
 
     def record_remaining(self) -> None:
         """Record the open requests of a process that ends now."""
-        for responder, request in self._requests.items():
+        for responder, request in self._open.items():
             if not responder.has_ended:
                 self._record_unanswered(
                     responder, request.path, request.arrived_at_seconds
@@ -116,12 +116,12 @@
             oldest = self._context.read_clock() - (
                 self._context.settings.limits.write_timeout_seconds
             )
-            for responder, scope in self._open.items():
+            for responder, request in self._open.items():
                 since = responder.write_started_seconds
                 is_stalled = since is not None and since < oldest
                 is_ended = is_forced and not responder.is_discarding
                 if is_ended or is_stalled or responder.has_caller_left():
-                    scope.cancel()
+                    request.scope.cancel()
             if is_forced:
                 await anyio.sleep(CALLER_CHECK_SECONDS)
 
@@ -146,8 +146,9 @@
             request=request,
         )
         cancel_scope = anyio.CancelScope()
-        self._open[responder] = cancel_scope
-        self._requests[responder] = OpenRequest(scope["path"], arrived_at_seconds)
+        self._open[responder] = OpenRequest(
+            scope["path"], arrived_at_seconds, cancel_scope
+        )
         self._has_open.set()
         try:
             with cancel_scope:
@@ -157,7 +158,7 @@
             if cancel_scope.cancelled_caught:
                 await self._end_cancelled(responder, scope["path"])
         finally:
-            del self._open[responder], self._requests[responder]
+            del self._open[responder]
             try:
                 if not responder.has_started:
                     await self._end_unanswered(
--- a/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
@@ -9,7 +9,7 @@
 from rampwick_policy import (
     DrainDecision,
     RunState,
-    is_elsewhere_ready,
+    finds_ready_host,
     retry_elsewhere_seconds,
 )
 
@@ -38,13 +38,13 @@
         # While the balancer still routes callers here, a refused caller may come back.
         # Later requests arrive on persistent connections, and their callers can move.
         now_seconds = self._context.read_clock()
-        known, ready = self._context.scheduler.list_peers(now_seconds)
+        peers, ready = self._context.scheduler.list_peers(now_seconds)
         decision = self._context.drain_admission.decide(
             request.drain_request,
             lifecycle.exit_deadline_seconds,
             now_seconds=now_seconds,
             is_balancer_done=lifecycle.is_balancer_done(now_seconds),
-            is_elsewhere_ready=is_elsewhere_ready(len(ready), len(known)),
+            is_elsewhere_ready=finds_ready_host(len(ready), len(peers)),
         )
         if not decision.is_admitted:
             raise self._leaving_error("accept request", _describe(decision))
@@ -87,13 +87,8 @@
     def _leaving_error(
         self, step: str, evidence: str, *, may_have_run: bool = False
     ) -> CallerError:
-        now_seconds = self._context.read_clock()
-        views = self._context.scheduler.peer_views(now_seconds)
-        ready_count = sum(
-            bool(view.summary.revision) and not view.summary.is_leaving
-            for view in views
-        )
-        retry_seconds = retry_elsewhere_seconds(ready_count, len(views))
+        peers, ready = self._context.scheduler.list_peers(self._context.read_clock())
+        retry_seconds = retry_elsewhere_seconds(len(ready), len(peers))
         return CallerError(
             "this host is leaving",
             status=502 if may_have_run else 503,
@@ -101,7 +96,7 @@
             step=step,
             run_state=RunState.MAYBE_RUN if may_have_run else RunState.NOT_SENT,
             retry_after_seconds=None if may_have_run else retry_seconds,
-            evidence=f"{evidence}; {ready_count} of {len(views)} peers ready",
+            evidence=f"{evidence}; {len(ready)} of {len(peers)} peers ready",
         )
 
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_stop_evidence.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_stop_evidence.py
@@ -6,10 +6,10 @@
 from .._logs import milliseconds
 from ._responder import Responder
 
-#: Time without a byte from the upstream from which on it counts as silent.
+#: Time without a byte after which an upstream counts as silent.
 SILENT_SECONDS = 1.0
 
-#: How much earlier than planned an end at the exit can seem to be.
+#: Timers may end this much early, so that an end at the exit seems to come before it.
 EXIT_TOLERANCE_SECONDS = 0.05
 
 
@@ -18,9 +18,9 @@
 
     #: It was ended before the exit.
     EARLY = "leaving_early"
-    #: The upstream's response was received, or its caller did not take what was.
+    #: The whole response was received from the upstream, or the caller did not read.
     UNDELIVERED = "leaving_undelivered"
-    #: The upstream had sent nothing for a while.
+    #: The upstream had sent nothing for ``SILENT_SECONDS``.
     SILENT = "leaving_silent"
     #: The upstream was at work on a request that came after the balancer's delay.
     LATE = "leaving_late"
@@ -31,9 +31,8 @@
 class StopEvidence:
     """Describes the requests of a host by its planned shutdown."""
 
-    def __init__(self, lifecycle: Lifecycle, balancer_delay_seconds: float) -> None:
+    def __init__(self, lifecycle: Lifecycle) -> None:
         self._lifecycle = lifecycle
-        self._balancer_delay_seconds = balancer_delay_seconds
 
     def find_cut(
         self, responder: Responder, arrived_at_seconds: float, now_seconds: float
@@ -51,11 +50,8 @@
         heard_at_seconds = upstream.bytes_at_seconds or arrived_at_seconds
         if now_seconds - heard_at_seconds > SILENT_SECONDS:
             return StopCut.SILENT
-        requested_at_seconds = lifecycle.stop_requested_at_seconds
-        if requested_at_seconds is not None:
-            late_from_seconds = requested_at_seconds + self._balancer_delay_seconds
-            if arrived_at_seconds > late_from_seconds:
-                return StopCut.LATE
+        if lifecycle.is_balancer_done(arrived_at_seconds):
+            return StopCut.LATE
         return StopCut.AT_WORK
 
     def fields(
--- a/packages/rampwick-router/src/rampwick_start/__init__.py
+++ b/packages/rampwick-router/src/rampwick_start/__init__.py
@@ -26,7 +26,7 @@
 
 
 class EarlySignals:
-    """Signals that arrive before the daemon handles them, or after that.
+    """Signals that arrive while no event loop handles them.
 
     Without a handler, each of them ends the process.
     """
@@ -50,16 +50,17 @@
         """
         signal.signal(signal.SIGTERM, self._note_stop)
 
-    def take_stop_wait_seconds(self) -> float:
+    def take_stop_wait_seconds(self, now_seconds: float) -> float:
         """Return for how long the oldest noted request to stop has waited, or 0."""
         if not self.stops_requested_at_seconds:
             return 0.0
-        return time.monotonic() - self.stops_requested_at_seconds.pop(0)
+        return now_seconds - self.stops_requested_at_seconds.pop(0)
 
-    def hold_back(self) -> None:
-        """Deliver no signal any more to a process that listened and now exits.
+    def block(self) -> None:
+        """Block the signals of a process that listened and now exits.
 
-        The event loop restores their default action as it closes.
+        The event loop restores their default action, the end of the process, as it
+        closes.
         """
         if self._is_listening:
             numbers = (signal.SIGHUP, signal.SIGTERM)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -263,6 +263,7 @@
             return
         self.down.add(host.name)
         host.signal(signal.SIGTERM)
+        # Every other host is signalled as by a supervisor that repeats its signal.
         if fault.index % 2:
             await self._repeat_signals(host)
         # A shutdown may be slow while the process is paused or its links are cut.
@@ -273,7 +274,7 @@
         await self._restart(host)
 
     async def _repeat_signals(self, host: ManagedProcess) -> None:
-        """Signal a stopping host as supervisors do, which shortens no answer."""
+        """Signal a stopping host again, which must end no request."""
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
             host.signal(number)
             await anyio.sleep(REPEAT_SECONDS)
--- a/tests/test_cut_lines.py
+++ b/tests/test_cut_lines.py
@@ -1,22 +1,19 @@
 """The log line of a request that a stopping host cuts tells why it did."""
 
-import socket
-
 import anyio
 from testtools import TestCase
 
+from rampwick_router._lifecycle import Lifecycle
 from rampwick_router.entry._responder import Responder
 from rampwick_router.entry._stop_evidence import StopCut, StopEvidence
 
-from .scripted import HOST, KEY
-from .test_process_end import until_held
+from .test_process_end import begin_stream, until_write_blocked
 from .test_requests_taken_while_leaving import (
     CHUNKED,
     STREAM_KIND,
     all_scripts,
     chunk,
     find,
-    has_begun,
     learn,
     leave,
     run_logged,
@@ -42,18 +39,10 @@
                 learn(host, 0.05, kind=STREAM_KIND)
                 leave(host, 4.5)
             all_scripts(servers, script)
-            address, _, port = host.address.partition(":")
-            caller = socket.create_connection((address, int(port)))
+            caller = await begin_stream(host, "caller-9")
             self.addCleanup(caller.close)
-            caller.sendall(
-                f"POST /stream/1 HTTP/1.1\r\nHost: {HOST}\r\n"
-                f"Rampwick-Request-Id: caller-9\r\nContent-Length: 0\r\n"
-                f"Authorization: Bearer {KEY}\r\n\r\n".encode()
-            )
-            with anyio.fail_after(TIMEOUT_SECONDS):
-                while not has_begun(host):
-                    await anyio.sleep(0.005)
-                if after is not None:
+            if after is not None:
+                with anyio.fail_after(TIMEOUT_SECONDS):
                     await after(host)
             leave(host, left_seconds)
             now_seconds = host.daemon._clocks.monotonic()
@@ -118,7 +107,7 @@
                 await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
             await exchange.send(b"0\r\n\r\n")
 
-        ended = self.cut_line(send_all, after=until_held)
+        ended = self.cut_line(send_all, after=until_write_blocked)
         self.assertEqual("leaving_undelivered", ended["reason"])
         self.assertGreater(ended["write_pending_ms"], 0)
         self.assertGreater(ended["unacknowledged_bytes"], 0)
@@ -131,19 +120,16 @@
         self.assertEqual(set(), still_open.keys() - ended.keys())
 
 
-class Lifecycle:
-    is_forced = False
-    stop_requested_at_seconds = 10.0
-    exit_deadline_seconds = 17.25
-
-
 class StopCutTest(TestCase):
     def find_cut(self, *, arrived, now=17.25, last_bytes=None, ended=None):
         """Return why a request that arrived at a time is cut."""
         responder = Responder(send=None, read_clock=None)
         responder.upstream.bytes_at_seconds = last_bytes
         responder.upstream.ended_at_seconds = ended
-        return StopEvidence(Lifecycle(), 2.5).find_cut(responder, arrived, now)
+        lifecycle = Lifecycle()
+        lifecycle.balancer_done_at_seconds = 12.5
+        lifecycle.exit_deadline_seconds = 17.25
+        return StopEvidence(lifecycle).find_cut(responder, arrived, now)
 
     def test_causes(self):
         cuts = [
--- a/tests/test_late_requests_while_others_are_ready.py
+++ b/tests/test_late_requests_while_others_are_ready.py
@@ -8,14 +8,19 @@
     PeersChanged,
     PeerSummaryReceived,
     Scheduler,
-    is_elsewhere_ready,
+    finds_ready_host,
 )
 from rampwick_schema import Summary, parse_settings
 
-from .scripted import Hangup
 from .test_drain_admission import Admission
-from .test_requests_taken_while_leaving import find, learn, leave, run_logged
-from .test_routed import all_scripts, ran
+from .test_requests_taken_while_leaving import (
+    break_first_attempt,
+    find,
+    learn,
+    leave,
+    run_logged,
+)
+from .test_routed import ran
 
 DEAD_AFTER_SECONDS = 3.0
 SETTINGS = (
@@ -71,7 +76,7 @@
                 host.decide(1.0, deadline_seconds=at + 1, is_elsewhere_ready=is_ready)
             )
 
-    def test_until_the_balancer_is_done_the_estimate_decides(self):
+    def test_early_request_is_taken_if_it_is_expected_to_fit(self):
         host = Admission()
         host.answer(*[0.8] * 30)
         for left_seconds, is_taken in ((2.0, True), (0.7, False)):
@@ -81,7 +86,7 @@
             self.assertEqual(is_taken, decision.is_admitted)
             self.assertFalse(decision.is_left_to_others)
 
-    def test_what_was_taken_earlier_is_sent_by_the_estimate(self):
+    def test_waiting_request_is_sent_if_it_is_expected_to_fit(self):
         host = Admission()
         host.answer(*[0.8] * 30)
         for may_have_run in (True, False):
@@ -135,7 +140,7 @@
             (2, 5, False),
             (3, 5, True),
         ):
-            self.assertEqual(is_ready, is_elsewhere_ready(ready_count, peers_count))
+            self.assertEqual(is_ready, finds_ready_host(ready_count, peers_count))
 
     def test_host_without_peers_knows_of_none(self):
         self.assertEqual(set(), self.hear().list_peers(10.0)[1])
@@ -183,14 +188,13 @@
             [taken] = find(lines, "request taken while leaving")
             self.assertEqual(ready_count, taken["ready_count"])
 
-    def test_late_request_that_is_read_before_the_stop_got_so_far(self):
+    def test_balancer_delay_is_over_although_its_task_is_late(self):
         async def scenario(host, servers):
             context = host.daemon._context
             context.scheduler.post(PeerSummaryReceived("e0", "trnava", 1, summary()))
             learn(host, 0.05)
             leave(host, LEFT_SECONDS)
             lifecycle = host.daemon.lifecycle
-            lifecycle.balancer_delay_elapsed = False
             # The loop stood still: the task that waits for the balancer is late.
             statuses = []
             for late_seconds in (-60.0, 0.0):
@@ -205,19 +209,13 @@
         async def scenario(host, servers):
             learn(host, 1.0)
 
-            async def begin_to_leave(exchange):
+            def begin_to_leave():
                 host.daemon._context.scheduler.post(
                     PeerSummaryReceived("e0", "trnava", 1, summary())
                 )
                 leave(host, 2.0)
-                for server in servers.values():
-                    server.scripts = server.scripts[-1:]
-                raise Hangup
-
-            async def answer(exchange):
-                await exchange.answer()
 
-            all_scripts(servers, begin_to_leave, answer)
+            break_first_attempt(servers, begin_to_leave)
             response = await host.call("/again/1")
             return response, ran(servers)
 
--- a/tests/test_peers_of_a_late_host.py
+++ b/tests/test_peers_of_a_late_host.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from rampwick_policy._membership import Membership
+from rampwick_policy._running_clock import RunningClock
 
 from .test_hosts_cut_off import run_hosts
 from .test_stopping import summary
@@ -66,6 +67,27 @@
         self.assertFalse(self.peers.has_live_peers(6.2))
 
 
+class RunningClockTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = RunningClock(max_gap_seconds=0.5)
+
+    def test_it_goes_on_between_checks_in_time(self):
+        self.assertEqual(3.0, self.clock.read(3.0))
+        for at_seconds in (3.0, 3.25, 3.75):
+            self.clock.note_check(at_seconds)
+        self.assertEqual(4.25, self.clock.read(4.25))
+
+    def test_it_stands_still_while_a_check_is_overdue(self):
+        self.clock.note_check(1.0)
+        self.assertEqual([1.5, 1.5], [self.clock.read(at) for at in (1.5, 9.0)])
+
+    def test_it_goes_on_after_a_late_check(self):
+        self.clock.note_check(1.0)
+        self.clock.note_check(9.0)
+        self.assertEqual([1.5, 1.75], [self.clock.read(at) for at in (9.0, 9.25)])
+
+
 class LateLoopTest(TestCase):
     def test_peers_are_known_in_the_first_step_after_the_loop_stood_still(self):
         async def main():
--- a/tests/test_repeated_stop_signals.py
+++ b/tests/test_repeated_stop_signals.py
@@ -28,31 +28,39 @@
     await _main._watch_signals(receive(), daemon, Path("unused.toml"))
 
 
+def status_after(request_stops, life):
+    """Return the status of a request that is open while stops are requested.
+
+    It is answered after them, unless they force the stop.
+    """
+
+    async def scenario(host, servers):
+        may_answer = anyio.Event()
+
+        async def answer_late(exchange):
+            await may_answer.wait()
+            await exchange.answer()
+
+        for server in servers.values():
+            server.scripts = [answer_late]
+        with contextlib.closing(open_raw(host)) as raw:
+            raw.sendall(request_head("/once/1", WITH_ID))
+            while not any(server.requests for server in servers.values()):
+                await anyio.sleep(0.005)
+            await request_stops(host)
+            if not host.daemon.lifecycle.is_forced:
+                may_answer.set()
+            return await run_sync(read_status, raw)
+
+    return run(scenario, life=life)
+
+
 class RepeatedStopTest(TestCase):
     """A repeated SIGTERM cuts no answer that has time until the process is killed."""
 
     def status_after(self, *numbers, life=GRACE):
         """Return the status of a request that is open as the signals arrive."""
-
-        async def scenario(host, servers):
-            may_answer = anyio.Event()
-
-            async def answer_late(exchange):
-                await may_answer.wait()
-                await exchange.answer()
-
-            for server in servers.values():
-                server.scripts = [answer_late]
-            with contextlib.closing(open_raw(host)) as raw:
-                raw.sendall(request_head("/once/1", WITH_ID))
-                while not any(server.requests for server in servers.values()):
-                    await anyio.sleep(0.005)
-                await _deliver(host.daemon, *numbers)
-                if not host.daemon.lifecycle.is_forced:
-                    may_answer.set()
-                return await run_sync(read_status, raw)
-
-        return run(scenario, life=life)
+        return status_after(lambda host: _deliver(host.daemon, *numbers), life)
 
     def test_repeated_signals_leave_the_grace_to_open_requests(self):
         self.assertEqual(200, self.status_after(*[signal.SIGTERM] * 3))
--- a/tests/test_requests_taken_while_leaving.py
+++ b/tests/test_requests_taken_while_leaving.py
@@ -46,7 +46,24 @@
         lifecycle.begin_stop()
     now_seconds = host.daemon._clocks.monotonic()
     lifecycle.exit_deadline_seconds = now_seconds + left_seconds
-    lifecycle.balancer_delay_elapsed = True
+    lifecycle.balancer_done_at_seconds = min(
+        lifecycle.balancer_done_at_seconds, now_seconds
+    )
+
+
+def break_first_attempt(servers, on_attempt):
+    """Let servers close the connection of the first attempt, and answer the next."""
+
+    async def close(exchange):
+        on_attempt()
+        for server in servers.values():
+            server.scripts = server.scripts[-1:]
+        raise Hangup
+
+    async def answer(exchange):
+        await exchange.answer()
+
+    all_scripts(servers, close, answer)
 
 
 def learn(host, seconds, kind=PLAIN_KIND):
@@ -213,16 +230,7 @@
         async def scenario(host, servers):
             learn(host, 1.0)
 
-            async def begin_to_leave(exchange):
-                leave(host, left_seconds)
-                for server in servers.values():
-                    server.scripts = server.scripts[-1:]
-                raise Hangup
-
-            async def answer(exchange):
-                await exchange.answer()
-
-            all_scripts(servers, begin_to_leave, answer)
+            break_first_attempt(servers, lambda: leave(host, left_seconds))
             response = await host.call("/again/1")
             return response, ran(servers)
 
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -153,7 +153,7 @@
                 )
             daemon.lifecycle.begin_stop()
             daemon.lifecycle.exit_deadline_seconds = now_seconds + left_seconds
-            daemon.lifecycle.balancer_delay_elapsed = True
+            daemon.lifecycle.balancer_done_at_seconds = now_seconds
             return await host.call("/again/1"), ran(servers)
 
         return run(scenario)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -351,36 +351,30 @@
             spent += budget.spend(0.0)
         self.assertLessEqual(spent, 101)
 
-    def test_retry_that_reached_no_upstream_is_returned_to_the_budget(self):
+    def retries_left_after(self, *events):
+        """Return the change of the retry budget by a retry that ends with events."""
         session = Session()
         budget = session.scheduler.budgets.of("", 1)
-        before = budget.balance
-        session.arrive(1.0, "left")
-        session.do(1.1, AttemptFailed("left", "left.1", Outcome.BROKEN, "reset"))
-        session.do(1.2, Tick())
-        self.assertEqual(before + budget.earned_ratio - 1.0, budget.balance)
-        session.do(1.3, RequestCancelled("left", may_have_arrived=False))
-        self.assertEqual(before + budget.earned_ratio, budget.balance)
-
-    def test_retry_that_was_refused_unsent_is_returned_to_the_budget(self):
-        session = Session()
-        budget = session.scheduler.budgets.of("", 1)
-        before = budget.balance
         session.arrive(1.0, "r1")
+        before = budget.balance
         session.do(1.1, AttemptFailed("r1", "r1.1", Outcome.BROKEN, "reset"))
         session.do(1.2, Tick())
-        session.do(1.3, AttemptFailed("r1", "r1.2", Outcome.UNSENT, "deadline"))
-        self.assertEqual(before + budget.earned_ratio, budget.balance)
+        for event in events:
+            session.do(1.3, event)
+        return budget.balance - before
+
+    def test_retry_is_charged_to_the_budget(self):
+        self.assertEqual(-1.0, self.retries_left_after())
+
+    def test_retry_that_reached_no_upstream_is_returned_to_the_budget(self):
+        for event in (
+            RequestCancelled("r1", may_have_arrived=False),
+            AttemptFailed("r1", "r1.2", Outcome.UNSENT, "deadline"),
+        ):
+            self.assertEqual(0.0, self.retries_left_after(event), event)
 
     def test_retry_that_may_have_run_is_not_returned_to_the_budget(self):
-        session = Session()
-        budget = session.scheduler.budgets.of("", 1)
-        before = budget.balance
-        session.arrive(1.0, "r1")
-        session.do(1.1, AttemptFailed("r1", "r1.1", Outcome.BROKEN, "reset"))
-        session.do(1.2, Tick())
-        session.do(1.3, RequestCancelled("r1"))
-        self.assertEqual(before + budget.earned_ratio - 1.0, budget.balance)
+        self.assertEqual(-1.0, self.retries_left_after(RequestCancelled("r1")))
 
     def test_empty_budget_refills_with_time(self):
         budget = RetryBudget(0.1)
