--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -788,6 +788,11 @@
     code = 2
 
     async def bounded() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        # A case that is stopped still ends all processes that it started.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(MAX_PLAY_SECONDS):
             return await play(record)
 
@@ -796,9 +801,7 @@
         for line in breaks:
             record.note(f"BROKEN: {line}")
         code = 1 if breaks else 0
-    except CannotRunError as error:
-        record.note(f"could not run: {error}")
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.note(f"could not run: {error!r}")
     record.write(Path(folder) / "record.txt")
     names = {0: "the rule held", 1: "the rule was broken", 2: "could not run"}
