--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -31,6 +31,21 @@
         self.assertEqual(4, len(parse_known_failures(f"{LINE}\n" * 4)))
         self.assertRaises(ValueError, parse_known_failures, f"{LINE}\n" * 5)
 
+    def test_only_tests_of_clients_beyond_limits_may_be_uncounted(self):
+        line = LINE.replace("test_known_red", "test_clients_beyond_limits")
+        others = [line.replace("test_b", f"test_{n}") for n in range(5)]
+        uncounted = [f"uncounted {other}" for other in others]
+        known = parse_known_failures("\n".join([LINE] * 4 + uncounted))
+        self.assertEqual([True] * 4 + [False] * 5, [item.is_counted for item in known])
+        self.assertEqual(others[0].partition(" |")[0], known[4].test)
+        for lines in (
+            [f"uncounted {LINE}"],
+            [LINE] * 5 + uncounted,
+            [uncounted[0]] * 2,
+            others,
+        ):
+            self.assertRaises(ValueError, parse_known_failures, "\n".join(lines))
+
     def test_entry_for_a_nonexistent_test_is_found(self):
         (known,) = parse_known_failures(LINE)
         here = "tests/test_known_red.py"
