Bound what callers hold in a process

Seen: 60 callers whose bodies stop just short of their end bring a host of 150 MB to 304 MB, one HTTP/2 connection with 100 such streams beyond 150 MB; 60 bodies over the limit bring it to 459 MB, 1,500 unfinished heads to 260 MB; 600 idle connections take all of 400 descriptors.

Cause: each body, head and connection has a limit, their sum has none. Bodies were read before anything weighed them, also those that were announced as too large; the kernel buffered megabytes for each connection; a body was copied twice as it was sent on. Nothing read the machine's memory and descriptors from the settings.

All that callers hold is now charged to one budget (0.4 of the memory): a connection, a head as it arrives, a body as it is announced or arrives, until the response has ended. What doesn't fit ends what has waited longest for its caller: idle connections, and requests that arrive slower than 64 kB/s. Then it is refused with 503, which is true, as no body was complete. A body announced as too large gets its 413 unread. Large requests leave a third to small ones. The number of connections is bounded by memory and descriptors, the kernel's buffer by 64 kB (of which it takes twice as much), the server's reader by 48 kB; a connection that waits unread for its response reserves both. The body is sent on without copies.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -43,6 +43,12 @@
     SaltTable as SaltTable,
     is_cache_reader as is_cache_reader,
 )
+from ._caller_budget import (
+    CallerBudget as CallerBudget,
+    HolderState as HolderState,
+    MemoryHolder as MemoryHolder,
+    Reservation as Reservation,
+)
 from ._claims import (
     ClaimDecision as ClaimDecision,
     decide_claims as decide_claims,
--- a/packages/rampwick-router/src/rampwick_router/_admin.py
+++ b/packages/rampwick-router/src/rampwick_router/_admin.py
@@ -158,6 +158,8 @@
             metrics.connections_opened.labels(reason).set(count)
         for kind, count in self._context.connection_pool.buffers.describe().items():
             metrics.buffered_bytes.labels(kind).set(count)
+        for kind, count in self._context.caller_memory.describe().items():
+            metrics.caller_memory.labels(kind).set(count)
         metrics.configuration_problems.set(len(self._configuration.part_problems))
         for kind, unread in self._read_unread().items():
             metrics.unread_records.labels(kind).set(len(unread.errors))
@@ -204,6 +206,7 @@
         status["platform_calls"] = dict(self._read_platform_calls())
         status["connections_opened"] = self._context.connection_pool.opened_counts()
         status["buffered_bytes"] = self._context.connection_pool.buffers.describe()
+        status["caller_memory"] = self._context.caller_memory.describe()
         status["unexpected_errors"] = unexpected_error_counts()
         status["configuration_problems"] = list(
             self._configuration.part_problems[:MAX_LISTED_PROBLEMS]
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -11,6 +11,7 @@
 from rampwick_schema import ReprMixin, Settings
 
 from ._admin import AdminApp
+from ._caller_memory import CallerMemory, make_budget
 from ._integration import Integration
 from ._lifecycle import Lifecycle
 from ._metrics import Metrics
@@ -144,6 +145,9 @@
         self.gossip.cache_outbox.list_read_caches = self.cache_reader.read_names
         self.stall_detector = StallDetector(read_clock)
         self.scheduler.set_silence(self.stall_detector.silent_seconds)
+        self.caller_memory = CallerMemory(
+            make_budget(settings.limits), self._metrics.callers_limited, read_clock
+        )
         self.context = EntryContext(
             settings=settings,
             scheduler=self.scheduler,
@@ -161,6 +165,7 @@
             dialects=dialects,
             salts=salts,
             stall_detector=self.stall_detector,
+            caller_memory=self.caller_memory,
         )
         self.entry = EntryApp(self.context, serves_routes=integration is not None)
         self.admin = AdminApp(
--- a/packages/rampwick-router/src/rampwick_router/_caller_connections.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_connections.py
@@ -13,6 +13,7 @@
 
 from rampwick_schema import ReprMixin
 
+from ._caller_memory import CallerMemory
 from ._logs import ComponentLogger
 
 log = ComponentLogger("entry")
@@ -50,11 +51,17 @@
 class CallerConnections:
     """The connections of one server from their acceptance until they have ended."""
 
-    def __init__(self, ended_with: Counter, is_leaving: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        ended_with: Counter,
+        is_leaving: Callable[[], bool],
+        memory: CallerMemory,
+    ) -> None:
         """``ended_with`` counts ends of connections by the kind of bytes held.
 
         ``is_leaving`` returns whether a planned shutdown has begun.
         """
+        self.memory = memory
         self._ended_with = ended_with
         self._is_leaving = is_leaving
         self._open: set[Connection] = set()
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -6,12 +6,25 @@
 import h11
 import hypercorn.asyncio.run
 from hypercorn.asyncio.tcp_server import TCPServer
-from hypercorn.events import Closed, Event, Updated
+from hypercorn.events import Closed, Event, RawData, Updated
+
+from rampwick_policy import HolderState
 
 from ._caller_connections import CallerConnections, HeldBytes
+from ._caller_memory import (
+    CONNECTION_BYTES,
+    UNREAD_BYTES,
+    HeldMemory,
+)
+from ._http1 import CallerConnectionParser, ReadingPaused
 from ._kernel_bytes import unacknowledged_bytes, unread_bytes
 from ._logs import ComponentLogger
 
+#: Bytes of a connection that are read at once, and bytes from which on its reader reads
+#: no more until they are taken.
+READ_BYTES = 32_768
+READER_BYTES = 16_384
+
 #: Interval and number of checks whether what arrived by the end of the idle time was
 #: read. A connection is not read while its caller takes nothing of what was sent to it.
 UNREAD_CHECK_SECONDS = 0.005
@@ -43,19 +56,48 @@
     _has_received_request = False
     _began_seconds = 0.0
 
+    #: What the connection holds; none on the server of another application.
+    _held: HeldMemory | None = None
+
     async def run(self) -> None:
         """Serve the connection until it ends."""
         self._began_seconds = self.loop.time()
+        self._bound_reader()
         connections = self._connections
-        if connections is not None:
-            connections.begin(self)
+        if connections is None:
+            await self._run()
+            return
+        connections.begin(self)
+        self._held = connections.memory.open_connection(self._end_for_others)
+        try:
+            if self._held is None:
+                self.writer.transport.abort()
+                return
+            await self._run()
+        finally:
+            connections.end(self)
+            if self._held is not None:
+                connections.memory.close(self._held)
+
+    async def _run(self) -> None:
         try:
             await super().run()
         except BaseExceptionGroup as group:
             log.problem("connection failed", error=repr(group.exceptions))
-        finally:
-            if connections is not None:
-                connections.end(self)
+
+    def _bound_reader(self) -> None:
+        """Read no more ahead than is used soon; neither has a setting for it."""
+        self.reader._limit = READER_BYTES  # type: ignore[attr-defined]
+        self.writer.transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+
+    def _end_for_others(self) -> None:
+        """Close a connection without a request, whose room others need."""
+        transport = self.writer.transport
+        if not transport.get_write_buffer_size():
+            transport.abort()
+            return
+        transport.close()
+        self.loop.call_later(LINGER_SECONDS, transport.abort)
 
     async def protocol_send(self, event: Event) -> None:
         """Send what the protocol has for the caller, or act on its state."""
@@ -64,7 +106,26 @@
         if isinstance(event, Updated):
             self._is_idle = event.idle
             self._has_received_request |= not event.idle
-        await super().protocol_send(event)
+            self._set_state(HolderState.IDLE if event.idle else HolderState.KEPT)
+        if isinstance(event, ReadingPaused):
+            self._hold_unread(is_paused=event.is_paused)
+        else:
+            await super().protocol_send(event)
+
+    def _set_state(self, state: HolderState) -> None:
+        held = self._held
+        if held is None:
+            return
+        held.set_state(state)
+        if state is HolderState.IDLE and held.holder.held_bytes > CONNECTION_BYTES:
+            held.hold(CONNECTION_BYTES)
+
+    def _hold_unread(self, *, is_paused: bool) -> None:
+        """Reserve memory for what arrives while the connection is not read."""
+        if self._held is None:
+            return
+        if not self._held.hold(CONNECTION_BYTES + UNREAD_BYTES * is_paused):
+            self.writer.transport.abort()
 
     def held_bytes(self) -> HeldBytes:
         """Return the bytes that a close would discard."""
@@ -80,11 +141,38 @@
         return found
 
     async def _read_data(self) -> None:
-        await super()._read_data()
+        while not self.reader.at_eof():
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except OSError:
+                break
+            await self.protocol.handle(RawData(data))
+            if not self._hold_unparsed():
+                self.writer.transport.abort()
+                break
+        await self.protocol.handle(Closed())
         # The caller can send no further request on this connection.
         self._has_read_all = True
         await self.idle_task.stop()
 
+    def _hold_unparsed(self) -> bool:
+        """Reserve memory for the head that arrives; return whether there is room."""
+        held = self._held
+        if held is None or not self._is_idle:
+            return True
+        unparsed_bytes = self._read_unparsed()
+        held_bytes = CONNECTION_BYTES + unparsed_bytes
+        if unparsed_bytes:
+            held.set_state(HolderState.RECEIVING)
+            held.holder.received_bytes = unparsed_bytes
+        return held_bytes == held.holder.held_bytes or held.hold(held_bytes)
+
+    def _read_unparsed(self) -> int:
+        connection = self.protocol.protocol.connection
+        if isinstance(connection, CallerConnectionParser):
+            return connection.unparsed_bytes
+        return 0
+
     async def _idle_timeout(self) -> None:
         await self._wait_idle()
         await self._wait_first_request()
@@ -148,6 +236,8 @@
         self.writer.close()
 
     async def _close(self) -> None:
+        # A caller that takes nothing may delay it.
+        self._set_state(HolderState.IDLE)
         # The handler of the last response is cancelled if it waits here. The kernel
         # sends what is left after an orderly close.
         self._record_end("closed after a response", self._count_unread())
--- a/packages/rampwick-router/src/rampwick_router/_daemon.py
+++ b/packages/rampwick-router/src/rampwick_router/_daemon.py
@@ -105,6 +105,7 @@
         self.caller_connections = CallerConnections(
             assembly.context.metrics.connections_ended,
             lambda: not assembly.lifecycle.is_ready,
+            assembly.caller_memory,
         )
         self.exit_guard = ExitGuard(STOP_MARGIN_SECONDS)
 
--- a/packages/rampwick-router/src/rampwick_router/_metrics.py
+++ b/packages/rampwick-router/src/rampwick_router/_metrics.py
@@ -229,6 +229,19 @@
             ("kind",),
             registry=registry,
         )
+        self.caller_memory = Gauge(
+            "rampwick_caller_memory",
+            "Bytes and connections that callers hold, now and at peak, and the bounds.",
+            ("kind",),
+            registry=registry,
+        )
+        self.callers_limited = Counter(
+            "rampwick_callers_limited",
+            "Callers' connections and requests that were ended or refused by a bound "
+            "on what callers hold or send, by the bound.",
+            ("bound",),
+            registry=registry,
+        )
         self.unanswered = Counter(
             "rampwick_requests_unanswered",
             "Requests that ended without a complete response, by reason.",
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -41,6 +41,10 @@
 MAX_QUEUE_CHECKS = 50
 MAX_UNCHANGED_CHECKS = 100
 
+#: Size of the kernel's buffer for what a caller sends, of which it takes twice as much
+#: at most. Without it the kernel lets each buffer grow to several megabytes.
+RECEIVE_BUFFER_BYTES = 65_536
+
 #: Idle timeout of connections to the other applications; longer than the usual minute
 #: of balancers, so that the balancer closes first.
 KEEP_ALIVE_SECONDS = 75.0
@@ -138,6 +142,7 @@
     callers = CallerListener(
         bound.detach(), options.is_handed_on, options.connections.note_accepted
     )
+    callers.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     config = _server_config(callers, max_header_bytes, options.max_idle_seconds)
     config.connections = options.connections
     prepared = [(callers.with_sockets(app), config)]
--- a/packages/rampwick-router/src/rampwick_router/entry/_context.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_context.py
@@ -16,6 +16,7 @@
 )
 from rampwick_schema import ReprMixin, Settings
 
+from .._caller_memory import CallerMemory
 from .._dialects import Dialects, RoutedCall
 from .._lifecycle import Lifecycle
 from .._metrics import Metrics
@@ -76,6 +77,7 @@
     dialects: Dialects
     salts: SaltTable
     stall_detector: StallDetector
+    caller_memory: CallerMemory
     #: Decides during a shutdown, by recent response times, which requests still fit.
     drain_admission: DrainAdmission = attrs.field(factory=DrainAdmission)
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -24,7 +24,7 @@
 from ._context import EntryContext
 from ._model_exchange import CHAT_PATH, TEXT_PATH, ModelExchange
 from ._relay import MAX_RESUMES, RESUME_DELAY_SECONDS, relay_resumed
-from ._request_body import Message, Receive, RequestBody, read_body
+from ._request_body import Message, Receive, RequestBody
 from ._responder import Responder, Send
 from ._routed_entry import RoutedEntry
 from ._service_exchange import (
@@ -133,10 +133,20 @@
         """
         if scope["type"] != "http":
             return
+        version = scope.get("http_version", "")
+        head_bytes = sum(len(name) + len(value) for name, value in scope["headers"])
+        with self._context.caller_memory.open_request(
+            head_bytes, ends_connection=version.startswith("1")
+        ) as memory:
+            request = RequestBody(receive, memory, scope["headers"])
+            await self._serve_request(scope, request, send)
+
+    async def _serve_request(
+        self, scope: Message, request: RequestBody, send: Send
+    ) -> None:
         lifecycle = self._context.lifecycle
         caller = caller_socket(scope)
         arrived_at_seconds = self._context.read_clock() - caller.unread_seconds()
-        request = RequestBody(receive)
         responder = Responder(
             send,
             self._context.read_clock,
@@ -173,7 +183,7 @@
     async def _serve_or_send_error(
         self,
         scope: Message,
-        receive: Receive,
+        receive: RequestBody,
         responder: Responder,
         arrived_at_seconds: float,
     ) -> None:
@@ -262,7 +272,7 @@
     async def _serve(
         self,
         scope: Message,
-        receive: Receive,
+        receive: RequestBody,
         responder: Responder,
         arrived_at_seconds: float,
     ) -> None:
@@ -299,10 +309,9 @@
         else:
             raise _unknown_path(method, path)
 
-    async def _read_body(self, receive: Receive) -> bytes:
+    async def _read_body(self, request: RequestBody) -> bytes:
         limits = self._context.settings.limits
-        return await read_body(
-            receive,
+        return await request.read(
             max_body_bytes=limits.max_body_bytes,
             timeout_seconds=limits.body_timeout_seconds,
         )
@@ -311,7 +320,7 @@
         self,
         path: str,
         headers: dict[str, str],
-        receive: Receive,
+        receive: RequestBody,
         responder: Responder,
         arrived_at_seconds: float,
     ) -> None:
@@ -334,7 +343,7 @@
         self,
         scope: Message,
         headers: dict[str, str],
-        receive: Receive,
+        receive: RequestBody,
         responder: Responder,
         arrived_at_seconds: float,
     ) -> None:
--- a/packages/rampwick-router/src/rampwick_router/entry/_request_body.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_request_body.py
@@ -1,10 +1,12 @@
 """Reading of a request's body, to its end even if the response needs none of it."""
 
-from collections.abc import Awaitable, Callable
+import io
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import anyio
 
+from .._caller_memory import RequestMemory, memory_error
 from .._errors import CallerError
 
 Message = dict[str, Any]
@@ -15,12 +17,25 @@
 DISCARD_TIMEOUT_SECONDS = 2.0
 MAX_DISCARDED_BYTES = 67_108_864
 
+#: Memory that is reserved at once for a body whose length is not announced.
+RESERVED_BYTES = 65_536
+
+STEP = "read body"
+
 
 class RequestBody:
     """Receives a request's messages and notes whether its body has been received."""
 
-    def __init__(self, receive: Receive) -> None:
+    def __init__(
+        self,
+        receive: Receive,
+        memory: RequestMemory,
+        headers: Iterable[tuple[bytes, bytes]] = (),
+    ) -> None:
         self._receive = receive
+        self._headers = headers
+        #: Memory that the request takes.
+        self.memory = memory
         #: Whether nothing more of the request can arrive.
         self.is_received = False
 
@@ -31,45 +46,79 @@
             self.is_received = True
         return message
 
-    async def discard(self) -> None:
-        """Read the rest of the body, within bounds of time and size."""
-        discarded_bytes = 0
-        with anyio.move_on_after(DISCARD_TIMEOUT_SECONDS):
-            while not self.is_received and discarded_bytes < MAX_DISCARDED_BYTES:
-                discarded_bytes += len((await self()).get("body", b""))
+    async def read(self, *, max_body_bytes: int, timeout_seconds: float) -> bytes:
+        """Return the body, or raise a CallerError.
+
+        It may be too large or too slow, or there is no memory left for it.
+        """
+        announced_bytes = self._announced_bytes()
+        if announced_bytes > max_body_bytes:
+            raise _too_large(max_body_bytes)
+        self.memory.hold_body(announced_bytes)
+        with (
+            anyio.move_on_after(timeout_seconds) as scope,
+            self.memory.receiving(scope.cancel),
+        ):
+            body = await self._collect(max_body_bytes)
+        if self.memory.is_evicted:
+            raise memory_error()
+        if scope.cancelled_caught:
+            raise CallerError(
+                f"the body did not come within {timeout_seconds:g} seconds",
+                status=408,
+                code="body_too_slow",
+                step=STEP,
+            )
+        return body
 
+    def _announced_bytes(self) -> int:
+        for name, value in self._headers:
+            if name == b"content-length" and value.isdigit():
+                return int(value)
+        return 0
 
-async def read_body(
-    receive: Receive, *, max_body_bytes: int, timeout_seconds: float
-) -> bytes:
-    """Return a request's body, or raise a CallerError if it is too large or slow."""
-    step = "read body"
-    chunks = []
-    length = 0
-    with anyio.move_on_after(timeout_seconds):
+    async def _collect(self, max_body_bytes: int) -> bytes:
+        message = await self()
+        if message["type"] == "http.request" and not message.get("more_body"):
+            chunk = bytes(message.get("body", b""))
+            self._reserve(len(chunk), max_body_bytes)
+            return chunk
+        # One buffer that grows, since each of many small chunks would take much more.
+        buffer = io.BytesIO()
         while True:
-            message = await receive()
             if message["type"] == "http.disconnect":
                 raise CallerError(
-                    "the caller went away", status=400, code="cut_body", step=step
+                    "the caller went away", status=400, code="cut_body", step=STEP
                 )
             chunk = message.get("body", b"")
-            length += len(chunk)
-            if length > max_body_bytes:
-                raise CallerError(
-                    f"the body is larger than {max_body_bytes} bytes",
-                    status=413,
-                    code="body_too_large",
-                    step=step,
-                )
-            chunks.append(chunk)
+            self._reserve(buffer.tell() + len(chunk), max_body_bytes)
+            buffer.write(chunk)
             if not message.get("more_body"):
-                return b"".join(chunks)
-    raise CallerError(
-        f"the body did not come within {timeout_seconds:g} seconds",
-        status=408,
-        code="body_too_slow",
-        step=step,
+                return buffer.getvalue()
+            message = await self()
+
+    def _reserve(self, length_bytes: int, max_body_bytes: int) -> None:
+        if length_bytes > max_body_bytes:
+            raise _too_large(max_body_bytes)
+        whole_bytes = -(-length_bytes // RESERVED_BYTES) * RESERVED_BYTES
+        self.memory.hold_body(min(whole_bytes, max_body_bytes), length_bytes)
+
+    async def discard(self) -> None:
+        """Read the rest of the body, within bounds of time and size."""
+        if self.memory.is_evicted:
+            return
+        discarded_bytes = 0
+        with anyio.move_on_after(DISCARD_TIMEOUT_SECONDS):
+            while not self.is_received and discarded_bytes < MAX_DISCARDED_BYTES:
+                discarded_bytes += len((await self()).get("body", b""))
+
+
+def _too_large(max_body_bytes: int) -> CallerError:
+    return CallerError(
+        f"the body is larger than {max_body_bytes} bytes",
+        status=413,
+        code="body_too_large",
+        step=STEP,
     )
 
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -11,7 +11,7 @@
 from ._access_check import confirm_access
 from ._context import EntryContext
 from ._exit_check import ExitCheck
-from ._request_body import Message, Receive, read_body
+from ._request_body import Message, RequestBody
 from ._responder import Responder
 from ._routed_exchange import RoutedExchange
 from ._routed_request import RoutedRequest
@@ -29,7 +29,7 @@
     async def serve(
         self,
         scope: Message,
-        receive: Receive,
+        receive: RequestBody,
         responder: Responder,
         arrived_at_seconds: float,
     ) -> None:
@@ -94,10 +94,9 @@
         assert service is not None, "the configuration was validated"
         return service
 
-    async def _read_body(self, receive: Receive) -> bytes:
+    async def _read_body(self, request: RequestBody) -> bytes:
         limits = self._context.view.routes.routing.caller_limits
-        return await read_body(
-            receive,
+        return await request.read(
             max_body_bytes=limits.max_body_bytes,
             timeout_seconds=limits.body_timeout_seconds,
         )
--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager
 
 import anyio
@@ -141,24 +141,26 @@
         self.body_end = None
         self._method = method
         try:
-            data = self._encode(method, target, headers, body)
+            parts = self._encode(method, target, headers, body)
         except h11.LocalProtocolError as error:
             self._has_failed = True
             raise UnsendableRequestError(
                 str(error), step="send request", peer=self.peer
             ) from error
         # Sent in pieces, so that an early response is noticed.
-        for start in range(0, len(data), CHUNK_BYTES):
-            await self._send_bytes(data[start : start + CHUNK_BYTES], check)
+        for piece in _in_pieces(parts):
+            await self._send_bytes(piece, check)
 
     def _encode(
         self, method: str, target: str, headers: RawHeaders, body: bytes
-    ) -> bytes:
+    ) -> list[bytes]:
+        """Return the parts of a request; the body is not copied."""
         request = h11.Request(method=method, target=target, headers=list(headers))
-        data = self._http.send(request) or b""
+        parts = self._http.send_with_data_passthrough(request) or []
         if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        return data + (self._http.send(h11.EndOfMessage()) or b"")
+            data = h11.Data(data=body)
+            parts += self._http.send_with_data_passthrough(data) or []
+        return parts + (self._http.send_with_data_passthrough(h11.EndOfMessage()) or [])
 
     async def _send_bytes(self, data: bytes, check: SendCheck | None) -> None:
         def before_write() -> None:
@@ -341,6 +343,22 @@
     return UpstreamPath.DIRECT
 
 
+def _in_pieces(parts: Sequence[bytes]) -> Iterator[bytes]:
+    """Yield bytes in pieces of equal size, which do not end where a part does."""
+    pending = b""
+    for part in parts:
+        view = memoryview(part)
+        while view:
+            taken = view[: CHUNK_BYTES - len(pending)]
+            pending += taken
+            view = view[len(taken) :]
+            if len(pending) == CHUNK_BYTES:
+                yield pending
+                pending = b""
+    if pending:
+        yield pending
+
+
 class ConnectionPool:
     """Connections to all upstreams of one host, opened by itself or through peers."""
 
--- a/packages/rampwick-schema/src/rampwick_schema/_filled_values.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_filled_values.py
@@ -3,7 +3,7 @@
 A deployment may generate the settings of its hosts from a template. A value in an
 unexpected form (a fraction, an empty string, a word) must not prevent a whole fleet
 from starting. The file therefore has such values in separate tables below ``filled``,
-as strings with an optional unit of time::
+as strings with an optional unit of time or memory::
 
     [filled.platform]
     max_key_age_seconds = "5000 ms"
@@ -27,10 +27,10 @@
 #: Strings that deployment tools write for a missing value.
 EMPTY_VALUES = ("", "null", "none", "nil")
 
-#: Seconds for each unit of time; without a unit, seconds.
-UNIT_SECONDS = {"ms": 0.001, "s": 1.0, "": 1.0}
+#: Seconds or bytes for each unit; without a unit, seconds or bytes.
+UNIT_FACTORS = {"ms": 0.001, "s": 1.0, "MB": 1e6, "": 1.0}
 
-_VALUE_PATTERN = re.compile(r"(?P<number>.*?)\s*(?P<unit>ms|s|)", re.DOTALL)
+_VALUE_PATTERN = re.compile(r"(?P<number>.*?)\s*(?P<unit>ms|s|MB|)", re.DOTALL)
 
 
 def merge_filled_values(
@@ -87,7 +87,7 @@
     if number.lower() in EMPTY_VALUES:
         return None
     try:
-        value = float(number) * UNIT_SECONDS[match["unit"]]
+        value = float(number) * UNIT_FACTORS[match["unit"]]
     except ValueError:
         value = math.nan
     if not math.isfinite(value):
