--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -49,6 +49,9 @@
     MemoryHolder as MemoryHolder,
     Reservation as Reservation,
 )
+from ._caller_frames import (
+    PieceMeter as PieceMeter,
+)
 from ._claims import (
     ClaimDecision as ClaimDecision,
     decide_claims as decide_claims,
--- a/packages/rampwick-router/src/rampwick_router/_caller_memory.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_memory.py
@@ -49,6 +49,7 @@
 
     CONNECTIONS = "connections"
     MEMORY = "memory"
+    CHUNKS = "chunks"
 
 
 def make_budget(limits: LimitSettings) -> CallerBudget:
--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -45,6 +45,9 @@
 #: at most. Without it the kernel lets each buffer grow to several megabytes.
 RECEIVE_BUFFER_BYTES = 65_536
 
+#: Messages of a request that the server reads ahead of the application.
+MAX_MESSAGES_COUNT = 2
+
 #: Idle timeout of connections to the other applications; longer than the usual minute
 #: of balancers, so that the balancer closes first.
 KEEP_ALIVE_SECONDS = 75.0
@@ -292,6 +295,7 @@
     # The server sets the length of the listener's queue again.
     config.backlog = BACKLOG_COUNT
     config.h11_max_incomplete_size = max_header_bytes
+    config.max_app_queue_size = MAX_MESSAGES_COUNT
     config.graceful_timeout = CLOSE_TIMEOUT_SECONDS
     config.include_server_header = False
     config.errorlog = None
