Bound the frames without content on HTTP/2

Seen: 60 callers that send empty SETTINGS, PING, empty DATA or unknown frames, or reset each stream at once: ordinary requests were not answered in 15 s.

Cause: each read was parsed whole, 7,000 empty frames at a time, and nothing bounded frames that neither bring a request nor go with one. Frames of a head without end were held without a bound of their own.

A connection may send 1,000 such frames, 10 more a second and two for each frame of content that it was sent; beyond that it gets GOAWAY (ENHANCE_YOUR_CALM). 4 kB are parsed in a turn, a head that grows is charged and bounded by the limit on heads. Priorities are ignored, as RFC 9113 allows. What a caller is sent is not bounded by this, and no request is refused by it.

In the test of streams that are reset, callers now let each other go on: a send that needs no wait kept the others from sending, so that the crowd came one by one. Its bounds are unchanged.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -50,6 +50,7 @@
     Reservation as Reservation,
 )
 from ._caller_frames import (
+    FrameAllowance as FrameAllowance,
     PieceMeter as PieceMeter,
 )
 from ._claims import (
--- a/packages/rampwick-policy/src/rampwick_policy/_caller_frames.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_caller_frames.py
@@ -13,6 +13,14 @@
 MAX_SMALL_PIECES_COUNT = 32_768
 MIN_MEAN_PIECE_BYTES = 16
 
+#: Frames without content of a request that one connection may send at once, and in the
+#: long run. Acknowledgements of what it was sent are allowed beside these.
+MAX_CONTROL_FRAMES_COUNT = 1_000
+CONTROL_FRAMES_PER_SECOND = 10.0
+
+#: Frames that a caller may send for each frame with content that it was sent.
+ACKNOWLEDGEMENTS_PER_FRAME = 2
+
 
 @attrs.define(repr=False)
 class PieceMeter(ReprMixin):
@@ -32,3 +40,27 @@
         if self.pieces_count <= MAX_SMALL_PIECES_COUNT:
             return False
         return self.received_bytes < self.pieces_count * MIN_MEAN_PIECE_BYTES
+
+
+@attrs.define(repr=False)
+class FrameAllowance(ReprMixin):
+    """Frames without content that a connection may still send."""
+
+    _refilled_at_seconds: float
+    _remaining_count: float = MAX_CONTROL_FRAMES_COUNT
+
+    def note_sent(self) -> None:
+        """Record a frame with content to the caller, who acknowledges it."""
+        self._remaining_count += ACKNOWLEDGEMENTS_PER_FRAME
+
+    def take(self, frames_count: int, now_seconds: float) -> bool:
+        """Record frames of the caller; return whether they were allowed."""
+        passed_seconds = now_seconds - self._refilled_at_seconds
+        self._refilled_at_seconds = now_seconds
+        if self._remaining_count < MAX_CONTROL_FRAMES_COUNT:
+            self._remaining_count = min(
+                self._remaining_count + passed_seconds * CONTROL_FRAMES_PER_SECOND,
+                MAX_CONTROL_FRAMES_COUNT,
+            )
+        self._remaining_count -= frames_count
+        return self._remaining_count >= 0.0
--- a/packages/rampwick-router/src/rampwick_router/_caller_memory.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_memory.py
@@ -50,6 +50,7 @@
     CONNECTIONS = "connections"
     MEMORY = "memory"
     CHUNKS = "chunks"
+    FRAMES = "frames"
 
 
 def make_budget(limits: LimitSettings) -> CallerBudget:
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -14,9 +14,12 @@
 from ._caller_memory import (
     CONNECTION_BYTES,
     UNREAD_BYTES,
+    CallerBound,
+    CallerMemory,
     HeldMemory,
 )
 from ._http1 import CallerConnectionParser, ReadingPaused
+from ._http2 import LimitExceeded, ResettingH2Protocol
 from ._kernel_bytes import unacknowledged_bytes, unread_bytes
 from ._logs import ComponentLogger
 
@@ -109,6 +112,8 @@
             self._set_state(HolderState.IDLE if event.idle else HolderState.KEPT)
         if isinstance(event, ReadingPaused):
             self._hold_unread(is_paused=event.is_paused)
+        elif isinstance(event, LimitExceeded):
+            self._end_for_bound(event.bound)
         else:
             await super().protocol_send(event)
 
@@ -127,6 +132,11 @@
         if not self._held.hold(CONNECTION_BYTES + UNREAD_BYTES * is_paused):
             self.writer.transport.abort()
 
+    def _end_for_bound(self, bound: CallerBound) -> None:
+        if self._memory is not None:
+            self._memory.note_limited(bound, "connection closed")
+        self.writer.transport.abort()
+
     def held_bytes(self) -> HeldBytes:
         """Return the bytes that a close would discard."""
         return HeldBytes(
@@ -140,6 +150,10 @@
         assert found is None or isinstance(found, CallerConnections)
         return found
 
+    @property
+    def _memory(self) -> CallerMemory | None:
+        return self._connections.memory if self._connections else None
+
     async def _read_data(self) -> None:
         while not self.reader.at_eof():
             try:
@@ -168,7 +182,10 @@
         return held_bytes == held.holder.held_bytes or held.hold(held_bytes)
 
     def _read_unparsed(self) -> int:
-        connection = self.protocol.protocol.connection
+        protocol = self.protocol.protocol
+        if isinstance(protocol, ResettingH2Protocol):
+            return protocol.unparsed_bytes
+        connection = protocol.connection
         if isinstance(connection, CallerConnectionParser):
             return connection.unparsed_bytes
         return 0
--- a/packages/rampwick-router/src/rampwick_router/_http2.py
+++ b/packages/rampwick-router/src/rampwick_router/_http2.py
@@ -7,15 +7,35 @@
 from typing import Any
 
 import anyio
+import attrs
 import h2.errors
+import h2.events
 import h2.exceptions
 import hypercorn.protocol
 import priority
-from hypercorn.events import Closed, Event
+from hypercorn.events import Closed, Event, RawData
 from hypercorn.protocol.events import Event as StreamEvent, StreamClosed
 from hypercorn.protocol.h2 import H2Protocol
 
+from rampwick_policy import FrameAllowance, PieceMeter
+from rampwick_schema import ReprMixin
+
 from ._caller_connections import CallerConnections
+from ._caller_memory import CallerBound
+
+#: Bytes that are parsed before other connections get their turn.
+TURN_BYTES = 4_096
+
+#: Bytes beyond the largest head that may arrive without completing anything: frames of
+#: content, and the frames of a head.
+MAX_FRAME_BYTES = 32_768
+
+#: What brings a request, or goes with what does.
+CONTENT_EVENTS = (
+    h2.events.RequestReceived,
+    h2.events.StreamEnded,
+    h2.events.TrailersReceived,
+)
 
 #: Time for which a caller may take what was sent before its stream is reset.
 FLUSH_SECONDS = 0.25
@@ -37,6 +57,13 @@
         return EndedStream()
 
 
+@attrs.frozen(repr=False)
+class LimitExceeded(Event, ReprMixin):
+    """The caller has exceeded a bound on what it sends; its connection ends."""
+
+    bound: CallerBound
+
+
 class ResettingH2Protocol(H2Protocol):
     """Resets the stream of an application that returns before the end of its answer.
 
@@ -48,13 +75,66 @@
         super().__init__(*args)
         self.streams = OpenStreams()
         self._has_announced_end = False
+        self._allowance = FrameAllowance(anyio.current_time())
+        self._meter = PieceMeter()
+        #: Bytes received since the last event.
+        self.unparsed_bytes = 0
 
     async def handle(self, event: Event) -> None:
         """Handle an event of the connection; announce the end of an idle one."""
+        if isinstance(event, RawData):
+            for start in range(0, len(event.data), TURN_BYTES):
+                if start:
+                    await anyio.sleep(0)
+                if self.closed:
+                    return
+                await self._handle_bytes(event.data[start : start + TURN_BYTES])
+            return
         if isinstance(event, Closed) and self.idle and not self.stream_buffers:
             await self._announce_end()
         await super().handle(event)
 
+    async def _handle_bytes(self, data: bytes) -> None:
+        try:
+            events = self.connection.receive_data(data)
+        except h2.exceptions.ProtocolError:
+            await self._flush()
+            await self.send(Closed())
+            return
+        self.unparsed_bytes = 0 if events else self.unparsed_bytes + len(data)
+        if not self._is_within_bounds(events):
+            await self._end_for_bound()
+            return
+        await self._handle_events(events)
+
+    def _is_within_bounds(self, events: list[h2.events.Event]) -> bool:
+        control_count = 0
+        for event in events:
+            if isinstance(event, h2.events.DataReceived) and event.data:
+                self._meter.note(len(event.data))
+            elif not isinstance(event, CONTENT_EVENTS):
+                control_count += 1
+        max_bytes = self.config.h11_max_incomplete_size + MAX_FRAME_BYTES
+        return (
+            self._allowance.take(control_count, anyio.current_time())
+            and not self._meter.is_exceeded
+            and self.unparsed_bytes <= max_bytes
+        )
+
+    async def _end_for_bound(self) -> None:
+        with anyio.move_on_after(FLUSH_SECONDS):
+            try:
+                self.connection.close_connection(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM)
+                await self._flush()
+            except h2.exceptions.ProtocolError:
+                # The caller has closed the connection already.
+                pass
+        await self.send(LimitExceeded(CallerBound.FRAMES))
+        await self.handle(Closed())
+
+    async def _priority_updated(self, event: h2.events.PriorityUpdated) -> None:
+        """Ignore priorities, as RFC 9113 (5.3.2) allows; they name any stream."""
+
     async def _announce_end(self) -> None:
         """Name the last stream that was read; the caller may repeat later ones."""
         if self._has_announced_end or self.closed:
@@ -79,6 +159,7 @@
 
     async def _send_data(self, stream_id: int) -> None:
         """Send what is due of a stream, and then the end of the connection if due."""
+        self._allowance.note_sent()
         await super()._send_data(stream_id)
         await self._announce_end_if_leaving()
 
--- a/tests/test_clients_beyond_limits.py
+++ b/tests/test_clients_beyond_limits.py
@@ -465,6 +465,8 @@
                     headers = struct.pack(">xHBBI", len(fields), 1, 5, stream_id)
                     reset = struct.pack(">xHBBII", 4, 3, 0, stream_id, 8)
                     await caller.send(headers + fields + reset)
+                    # A send that need not wait does not let other callers go on.
+                    await asyncio.sleep(0)
             finally:
                 reading.cancel()
 
