Charge the values of a request to a model before they are parsed

Seen: 8 requests of 4 MiB each, with a list of empty objects, end a host.

Cause: a value of three bytes takes more than 70 once it is parsed, so that a body inside the limits takes more than 100 MB.

The memory of the parsed body is estimated from the characters that separate values outside of texts, and from the width of its texts, and is reserved before it is parsed. What can't fit a process at all is refused with 413, what doesn't fit now with 503. A prompt of 4 MiB in text is served.

--- a/packages/rampwick-policy/src/rampwick_policy/_caller_budget.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_caller_budget.py
@@ -141,6 +141,10 @@
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
         return Reservation(True, evicted)
 
+    def can_hold(self, held_bytes: int) -> bool:
+        """Return whether so much fits if nothing else is held."""
+        return held_bytes <= self._max_bytes_for(held_bytes)
+
     def _max_bytes_for(self, held_bytes: int) -> float:
         is_large = held_bytes >= LARGE_REQUEST_BYTES
         return self.max_bytes * (MAX_LARGE_RATIO if is_large else 1.0)
--- a/packages/rampwick-router/src/rampwick_router/_caller_memory.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_memory.py
@@ -133,6 +133,10 @@
             raise memory_error()
         self._body_bytes = body_bytes
 
+    def can_hold(self, body_bytes: int) -> bool:
+        """Return whether a body fits if no other request is held."""
+        return self._held._memory.budget.can_hold(self._head_bytes + body_bytes)
+
 
 class CallerMemory:
     """What all callers of this process hold."""
--- a/packages/rampwick-router/src/rampwick_router/entry/_call.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_call.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import math
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -43,6 +44,18 @@
 
 STEP = "check request"
 
+#: Memory of a value of a parsed body, of its containers, and the size up to which it is
+#: estimated without a look at what is text.
+VALUE_BYTES = 64
+LIST_BYTES = 128
+OBJECT_BYTES = 300
+ROUGH_ESTIMATE_BYTES = 262_144
+
+_JSON_TEXT = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"', re.DOTALL)
+
+#: What only texts beyond the basic multilingual plane contain.
+_WIDE_CHARACTER = re.compile(rb"[\xf0-\xf4]|\\u[dD][89abAB]")
+
 #: Priorities sent to engines, which serve lower numbers first.
 ENGINE_PRIORITIES = {name: rank for rank, name in enumerate(PRIORITY_CLASSES)}
 
@@ -162,6 +175,34 @@
     return default if text is None else text == "allowed"
 
 
+def parsed_bytes(raw: bytes) -> int:
+    """Return an estimate of the memory that a body takes, with its parsed values.
+
+    It is the body itself, its text, the body for the upstream, and a fixed amount for
+    each value, since a short value takes many times its length.
+    """
+    copies_count = 2 + _character_bytes(raw)
+    rough_bytes = copies_count * len(raw) + _values_bytes(raw)
+    if rough_bytes <= ROUGH_ESTIMATE_BYTES:
+        return rough_bytes
+    return copies_count * len(raw) + _values_bytes(_JSON_TEXT.sub(b"", raw))
+
+
+def _character_bytes(raw: bytes) -> int:
+    """Return the bytes of a character in a text that may hold any of a body."""
+    if raw.isascii() and b"\\u" not in raw:
+        return 1
+    return 4 if _WIDE_CHARACTER.search(raw) else 2
+
+
+def _values_bytes(raw: bytes) -> int:
+    return (
+        raw.count(b",") * VALUE_BYTES
+        + raw.count(b"[") * LIST_BYTES
+        + raw.count(b"{") * OBJECT_BYTES
+    )
+
+
 def read_model_call(
     raw: bytes, terms: CallTerms, settings: PlacementSettings, *, is_chat: bool
 ) -> ModelCall:
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -18,6 +18,7 @@
 from ._call import (
     bad_request,
     find_workspace,
+    parsed_bytes,
     read_model_call,
     read_terms,
 )
@@ -332,6 +333,7 @@
             repeatable_by_default=True,
         )
         raw = await self._read_body(receive)
+        receive.hold_parsed(parsed_bytes(raw))
         call = read_model_call(
             raw, terms, settings.placement, is_chat=path == CHAT_PATH
         )
--- a/packages/rampwick-router/src/rampwick_router/entry/_request_body.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_request_body.py
@@ -103,6 +103,17 @@
         whole_bytes = -(-length_bytes // RESERVED_BYTES) * RESERVED_BYTES
         self.memory.hold_body(min(whole_bytes, max_body_bytes), length_bytes)
 
+    def hold_parsed(self, parsed_bytes: int) -> None:
+        """Reserve memory of a parsed body, or raise a CallerError if there is none."""
+        if not self.memory.can_hold(parsed_bytes):
+            raise CallerError(
+                "the values of the body take more memory than this host has for them",
+                status=413,
+                code="body_too_large",
+                step=STEP,
+            )
+        self.memory.hold_body(parsed_bytes)
+
     async def discard(self) -> None:
         """Read the rest of the body, within bounds of time and size."""
         if self.memory.is_evicted:
