Bound the number of bodies that are read after their response

Seen: after a 413 each of 60 callers could have 64 MiB read within 2 s, and did: 12 to 20 GB in 9 s went through the event loop.

Cause: a body is read on so that its caller gets the response, with bounds for one body and none for all.

16 bodies are read on at once; the connections of others are closed after the response, which may reset them. A request that was ended because it stalled is not read on.

--- a/packages/rampwick-router/src/rampwick_router/_caller_memory.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_memory.py
@@ -34,6 +34,10 @@
 #: more than the current request: in the kernel, in the server's reader and its parser.
 UNREAD_BYTES = 196_608
 
+#: Bodies that are read on after their response at once, so that callers which send more
+#: than is wanted don't take the time of others.
+MAX_DISCARDING_COUNT = 16
+
 #: Interval between log lines on one bound. Callers choose how many they reach.
 LOG_SECONDS = 1.0
 
@@ -51,6 +55,7 @@
     MEMORY = "memory"
     CHUNKS = "chunks"
     FRAMES = "frames"
+    DISCARDED = "discarded bodies"
 
 
 def make_budget(limits: LimitSettings) -> CallerBudget:
@@ -133,6 +138,20 @@
             raise memory_error()
         self._body_bytes = body_bytes
 
+    @contextmanager
+    def discarding(self) -> Iterator[bool]:
+        """Yield whether the rest of the body may be read although it isn't needed."""
+        memory = self._held._memory
+        if memory.discarding_count >= MAX_DISCARDING_COUNT:
+            memory.note_limited(CallerBound.DISCARDED, "not read")
+            yield False
+            return
+        memory.discarding_count += 1
+        try:
+            yield True
+        finally:
+            memory.discarding_count -= 1
+
     def can_hold(self, body_bytes: int) -> bool:
         """Return whether a body fits if no other request is held."""
         return self._held._memory.budget.can_hold(self._head_bytes + body_bytes)
@@ -147,6 +166,8 @@
         """``limited`` counts what a bound ended or refused, by the bound."""
         self.budget = budget
         self.read_clock = read_clock
+        #: Bodies that are read although their response has been sent.
+        self.discarding_count = 0
         self._limited = limited
         self._by_holder: dict[MemoryHolder, HeldMemory] = {}
         self._logged_at_seconds: dict[CallerBound, float] = {}
--- a/packages/rampwick-router/src/rampwick_router/entry/_request_body.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_request_body.py
@@ -114,13 +114,25 @@
             )
         self.memory.hold_body(parsed_bytes)
 
+    async def make_room(self) -> None:
+        """Take messages, so that the server can end the request."""
+        while not self.is_received:
+            await self()
+
     async def discard(self) -> None:
-        """Read the rest of the body, within bounds of time and size."""
+        """Read the rest of the body, within bounds of time, size and number."""
         if self.memory.is_evicted:
             return
         discarded_bytes = 0
-        with anyio.move_on_after(DISCARD_TIMEOUT_SECONDS):
-            while not self.is_received and discarded_bytes < MAX_DISCARDED_BYTES:
+        with (
+            anyio.move_on_after(DISCARD_TIMEOUT_SECONDS),
+            self.memory.discarding() as is_allowed,
+        ):
+            while (
+                is_allowed
+                and not self.is_received
+                and discarded_bytes < MAX_DISCARDED_BYTES
+            ):
                 discarded_bytes += len((await self()).get("body", b""))
 
 
--- a/packages/rampwick-router/src/rampwick_router/entry/_responder.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_responder.py
@@ -158,7 +158,7 @@
         The server waits for room in its queue of received messages before it ends.
         """
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(request.discard)
+            tasks.start_soon(request.make_room)
             await self._send_timed({"type": "http.response.body", "body": b""})
             tasks.cancel_scope.cancel()
 
