Take no status above 599 for an answer

Seen: a service, or a server on a route, whose answer has the status 600 or 999: its caller gets that status as an answer, the first time and each time.

Cause: the parser refuses statuses below 200 (000, 099 and 199 never reached a caller: 502, or another attempt), and takes all of three digits above. HTTP has none above 599 (RFC 9110, 15).

A head with such a status is broken, like one with 000: the request is tried again if it may be, and gets 502 with was_run "maybe" if not. All clients of upstreams read heads in this one place: services, routes, streams, resumptions, probes and orders.

--- a/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
+++ b/packages/rampwick-router/src/rampwick_router/upstream/_connection_pool.py
@@ -62,6 +62,10 @@
 SWEEP_SECONDS = 1.0
 
 
+#: Highest status of HTTP. The parser refuses those below the lowest one.
+MAX_STATUS = 599
+
+
 #: Called before each write of a request, with whether a part of it has been sent.
 SendCheck = Callable[[bool], None]
 
@@ -177,6 +181,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self._check_status(event.status_code)
                 self._has_head = True
                 self._is_delimited = self._has_delimited_body(event)
                 return ResponseHead(event.status_code, list(event.headers))
@@ -188,6 +193,11 @@
                     "read answer", "too many interim responses", "interim responses"
                 )
 
+    def _check_status(self, status: int) -> None:
+        """Raise an error for a status that HTTP does not have (RFC 9110, 15)."""
+        if status > MAX_STATUS:
+            raise self._broken("read answer", f"status {status}")
+
     async def receive_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise an error if it is truncated or too large.
 
