Charge the headers of a request before they are parsed

Seen: 100 requests inside the limit on heads, each with 15,000 headers of three bytes, bring a host to 251 MB; 8 HTTP/2 connections, each with 100 requests of 1,800 repeated headers (2 kB on the wire), to 191 MB, and an ordinary request beside them got no answer in 15 s.

Cause: a header takes some 400 bytes beside its own, and more by HTTP/2, where one byte names a whole header. Only the bytes were charged.

The lines of a head are charged before it is parsed, and the headers of each request as it begins, until its response has ended. One such request is served.

--- a/packages/rampwick-router/src/rampwick_router/_caller_memory.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_memory.py
@@ -30,6 +30,9 @@
 #: Memory of a request beside its head and body: its task and its exchange.
 REQUEST_BYTES = 8_192
 
+#: Memory of a header beside its bytes, in the parser and in the request.
+HEADER_BYTES = 400
+
 #: Memory for what may arrive on a connection that is not read, as its caller has sent
 #: more than the current request: in the kernel, in the server's reader and its parser.
 UNREAD_BYTES = 196_608
--- a/packages/rampwick-router/src/rampwick_router/_caller_server.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_server.py
@@ -13,6 +13,7 @@
 from ._caller_connections import CallerConnections, HeldBytes
 from ._caller_memory import (
     CONNECTION_BYTES,
+    HEADER_BYTES,
     UNREAD_BYTES,
     CallerBound,
     CallerMemory,
@@ -61,6 +62,8 @@
 
     #: What the connection holds; none on the server of another application.
     _held: HeldMemory | None = None
+    #: Lines of the head that arrives.
+    _lines_count = 0
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -122,6 +125,7 @@
         if held is None:
             return
         held.set_state(state)
+        self._lines_count = 0
         if state is HolderState.IDLE and held.holder.held_bytes > CONNECTION_BYTES:
             held.hold(CONNECTION_BYTES)
 
@@ -160,26 +164,29 @@
                 data = await self.reader.read(READ_BYTES)
             except OSError:
                 break
-            await self.protocol.handle(RawData(data))
-            if not self._hold_unparsed():
+            if not self._hold_head(data):
                 self.writer.transport.abort()
                 break
+            await self.protocol.handle(RawData(data))
         await self.protocol.handle(Closed())
         # The caller can send no further request on this connection.
         self._has_read_all = True
         await self.idle_task.stop()
 
-    def _hold_unparsed(self) -> bool:
-        """Reserve memory for the head that arrives; return whether there is room."""
+    def _hold_head(self, data: bytes) -> bool:
+        """Reserve memory for a head that arrives; return whether there is room.
+
+        It is reserved before the head is parsed, and until its response has ended.
+        """
         held = self._held
         if held is None or not self._is_idle:
             return True
-        unparsed_bytes = self._read_unparsed()
-        held_bytes = CONNECTION_BYTES + unparsed_bytes
-        if unparsed_bytes:
-            held.set_state(HolderState.RECEIVING)
-            held.holder.received_bytes = unparsed_bytes
-        return held_bytes == held.holder.held_bytes or held.hold(held_bytes)
+        arrived_bytes = self._read_unparsed() + len(data)
+        self._lines_count += count_head_lines(data)
+        held.set_state(HolderState.RECEIVING)
+        held.holder.received_bytes = arrived_bytes
+        lines_bytes = self._lines_count * HEADER_BYTES
+        return held.hold(CONNECTION_BYTES + arrived_bytes + lines_bytes)
 
     def _read_unparsed(self) -> int:
         protocol = self.protocol.protocol
@@ -329,6 +336,12 @@
         return int(self.writer.get_extra_info("socket").fileno())
 
 
+def count_head_lines(data: bytes) -> int:
+    """Return the number of lines of a head in bytes that may go beyond it."""
+    end = data.find(b"\r\n\r\n")
+    return data.count(b"\n", 0, end if end >= 0 else len(data))
+
+
 def use_caller_servers() -> None:
     """Make hypercorn use these servers; it has no setting for it."""
     hypercorn.asyncio.run.TCPServer = CallerServer  # type: ignore[misc]
--- a/packages/rampwick-router/src/rampwick_router/entry/_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_entry.py
@@ -11,6 +11,7 @@
 from rampwick_policy import RunState
 from rampwick_schema import RampwickError, ReprMixin
 
+from .._caller_memory import HEADER_BYTES
 from .._caller_sockets import caller_socket
 from .._errors import AttemptError, CallerError, CallerLeftError
 from .._logs import ComponentLogger
@@ -135,7 +136,9 @@
         if scope["type"] != "http":
             return
         version = scope.get("http_version", "")
-        head_bytes = sum(len(name) + len(value) for name, value in scope["headers"])
+        head_bytes = sum(
+            len(name) + len(value) + HEADER_BYTES for name, value in scope["headers"]
+        )
         with self._context.caller_memory.open_request(
             head_bytes, ends_connection=version.startswith("1")
         ) as memory:
--- a/tests/test_clients_beyond_limits.py
+++ b/tests/test_clients_beyond_limits.py
@@ -310,6 +310,16 @@
 
         self.play(script, 1500)
 
+    def test_many_small_headers(self):
+        start = b"GET %b HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %b\r\n"
+        request = start % (SLOW_SERVICE, KEY.encode()) + b"a:\r\n" * 15_000 + b"\r\n"
+
+        async def script(caller):
+            await caller.send(request)
+            await caller.read_on()
+
+        self.play(script, 100)
+
     def test_head_without_end(self):
         async def script(caller):
             await caller.send(b"GET " + SERVICE + b" HTTP/1.1\r\nHost: a\r\nX-A: ")
@@ -454,6 +464,24 @@
         frame = struct.pack(">xHBBI", 16_000, 9, 0, 1) + b"a" * 16_000
         self._flood(frame, 60, headers)
 
+    def test_many_small_headers(self):
+        path = SLOW_SERVICE
+        fields = b"\x82\x86\x04" + bytes([len(path)]) + path + b"\x41\x01a"
+        fields += b"\x0f\x08\x0c" + b"Bearer " + KEY.encode()
+        # A header that the first request adds to the table, and others name.
+        first = fields + b"\x40\x01a\x01b" + b"\xbe" * 1_800
+        later = fields.replace(b"\x41\x01a", b"\x01\x01a") + b"\xbe" * 1_800
+
+        async def script(caller):
+            await caller.send(PREFACE + SETTINGS_FRAME)
+            for stream_id in range(1, 201, 2):
+                block = first if stream_id == 1 else later
+                head_frame = struct.pack(">xHBBI", len(block), 1, 5, stream_id)
+                await caller.send(head_frame + block)
+            await caller.read_on()
+
+        self.play(script, 8)
+
     def test_streams_that_are_reset(self):
         async def script(caller):
             await caller.send(PREFACE + SETTINGS_FRAME)
