Check the access of a request on a route before its long body is read

Seen: 60 callers without a key, whose bodies on a route that needs one stop just short of their end, bring a host to 319 MB; it is the same on a public route.

Cause: on routes the whole body was read before the access check, so that callers without a key held memory.

A body of more than 64 kB, or of unknown length, is read only after its caller's access is confirmed; access is checked again once it has arrived, as before. Short bodies are read first, so that the connection can go on after a refusal.

--- a/packages/rampwick-router/src/rampwick_router/entry/_request_body.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_request_body.py
@@ -20,6 +20,9 @@
 #: Memory that is reserved at once for a body whose length is not announced.
 RESERVED_BYTES = 65_536
 
+#: Size up to which a body is read before its caller's access is checked.
+SHORT_BODY_BYTES = 65_536
+
 STEP = "read body"
 
 
@@ -71,6 +74,13 @@
             )
         return body
 
+    @property
+    def is_long(self) -> bool:
+        """Whether the body is long, or may be as its length is not announced."""
+        if self._announced_bytes() > SHORT_BODY_BYTES:
+            return True
+        return any(name == b"transfer-encoding" for name, _ in self._headers)
+
     def _announced_bytes(self) -> int:
         for name, value in self._headers:
             if name == b"content-length" and value.isdigit():
--- a/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_routed_entry.py
@@ -40,9 +40,11 @@
             call = self._context.dialects.caller.read_call(raw)
             request_id = call.request_id
             responder.log_fields["request"] = request_id
-            # The body is read first: a connection that is closed with unread bytes is
-            # reset, and the caller may lose its response.
+            # A short body is read first: a connection that is closed with unread bytes
+            # is reset, and the caller may lose its response.
             try:
+                if receive.is_long:
+                    await self._check(call, b"", arrived_at_seconds)
                 body = await self._read_body(receive)
                 request = await self._check(call, body, arrived_at_seconds)
                 self._exit_check.check_arrival(request, responder)
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -131,7 +131,47 @@
         self._listener.close()
 
 
-class Host:
+class MeteredHost:
+    """A host as a process, whose memory and descriptors are read."""
+
+    def __init__(self, process: subprocess.Popen, entry: str) -> None:
+        self._process = process
+        self.port = int(entry.rpartition(":")[2])
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self._process.kill()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process lives."""
+        return self._process.poll() is None
+
+    def held_bytes(self) -> int:
+        """Return resident memory and unread bytes of callers; 0 if it has ended."""
+        with suppress(FileNotFoundError, AttributeError):
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+            resident_kb = int(re.search(r"VmRSS:\s+(\d+) kB", status).group(1))
+            return resident_kb * 1024 + self._unread_bytes()
+        return 0
+
+    def _unread_bytes(self) -> int:
+        unread = 0
+        local = f"0100007F:{self.port:04X}"
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            if fields[1] == local and fields[3] != "0A":
+                unread += int(fields[4].partition(":")[2], 16)
+        return unread
+
+    def files_count(self) -> int:
+        """Return the number of open descriptors; 0 if it has ended."""
+        with suppress(FileNotFoundError):
+            return len(list(Path(f"/proc/{self._process.pid}/fd").iterdir()))
+        return 0
+
+
+class Host(MeteredHost):
     """A host as a process, with one runner and one service."""
 
     def __init__(
@@ -156,7 +196,7 @@
                 limits = (max_files_count, max_files_count)
                 resource.setrlimit(resource.RLIMIT_NOFILE, limits)
 
-        self._process = subprocess.Popen(
+        process = subprocess.Popen(
             [
                 *(sys.executable, "-m", "rampwick_router", str(path)),
                 *("--log", str(self.log_path)),
@@ -166,51 +206,20 @@
             preexec_fn=lower_limit,
         )
         stack.callback(self._end)
-        assert self._process.stdout is not None
-        line = self._process.stdout.readline()
+        assert process.stdout is not None
+        self._process = process
+        line = process.stdout.readline()
         self.entry, self.admin = (
             re.search(rf"{name}[ =:]+([0-9.]+:[0-9]+)", line).group(1)
             for name in ("entry", "admin")
         )
-        self.port = int(self.entry.rpartition(":")[2])
+        super().__init__(process, self.entry)
 
     def _end(self) -> None:
         self._process.kill()
         self._process.wait()
         self._process.stdout.close()
 
-    def kill(self) -> None:
-        """Kill the process."""
-        self._process.kill()
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the process lives."""
-        return self._process.poll() is None
-
-    def held_bytes(self) -> int:
-        """Return resident memory and unread bytes of callers; 0 if it has ended."""
-        with suppress(FileNotFoundError, AttributeError):
-            status = Path(f"/proc/{self._process.pid}/status").read_text()
-            resident_kb = int(re.search(r"VmRSS:\s+(\d+) kB", status).group(1))
-            return resident_kb * 1024 + self._unread_bytes()
-        return 0
-
-    def _unread_bytes(self) -> int:
-        unread = 0
-        local = f"0100007F:{self.port:04X}"
-        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            fields = line.split()
-            if fields[1] == local and fields[3] != "0A":
-                unread += int(fields[4].partition(":")[2], 16)
-        return unread
-
-    def files_count(self) -> int:
-        """Return the number of open descriptors; 0 if it has ended."""
-        with suppress(FileNotFoundError):
-            return len(list(Path(f"/proc/{self._process.pid}/fd").iterdir()))
-        return 0
-
     def until_up(self) -> None:
         """Wait until the upstreams are known to be up."""
         deadline = time.monotonic() + 20.0
@@ -269,7 +278,7 @@
 class Crowd:
     """Callers that each follow a script on a connection of their own."""
 
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: MeteredHost) -> None:
         self._host = host
         self.peaks = Peaks()
         self.callers: list[Caller] = []
--- a/tests/test_clients_beyond_limits.py
+++ b/tests/test_clients_beyond_limits.py
@@ -7,6 +7,7 @@
 import struct
 from contextlib import ExitStack, suppress
 
+import anyio
 import h2.config
 import h2.connection
 import h2.events
@@ -20,9 +21,11 @@
     Caller,
     Crowd,
     Host,
+    MeteredHost,
     Upstream,
     ask,
 )
+from .host_processes import CALLED_HOST, LIMITS, HostFleet, PlainServer, run_fleet
 
 #: Limits that hosts have by default.
 BODY_BYTES = 4_194_304
@@ -301,6 +304,71 @@
         self.play(script, 8)
 
 
+class RouteTest(TestCase):
+    """The same at hosts that serve routes, which read a body for a caller's key."""
+
+    def play(self, path, callers_count=60):
+        manifest = {
+            "version": 1,
+            "routes": [
+                {
+                    "name": name,
+                    "host": CALLED_HOST,
+                    "path_prefix": f"/{name}/",
+                    "kind": "idempotent",
+                    "timeout_ms": 4000,
+                    "target_latency_ms": 600,
+                    "service": "plain",
+                    "max_attempts": 2,
+                    "public": name == "a",
+                }
+                for name in ("a", "keyed")
+            ],
+            "services": [
+                {"name": "plain", "health_path": "/health", "max_connections": 200}
+            ],
+            "limits": {**LIMITS, "max_body_bytes": BODY_BYTES},
+        }
+        start = b"\r\n".join(
+            (
+                b"POST %b HTTP/1.1" % path,
+                b"Host: " + CALLED_HOST.encode(),
+                b"X-Rampwick-Request-Id: 1",
+                b"Content-Length: %d" % BODY_BYTES,
+            )
+        )
+
+        async def script(caller):
+            await caller.send(start + b"\r\n\r\n")
+            await send_body(caller, BLOCK, BODY_BYTES - MISSING_BYTES)
+
+        async def main():
+            async with run_fleet(HostFleet, manifest) as (fleet, _):
+                await fleet.start_all([PlainServer("p")], 1)
+                (host,) = fleet.hosts
+                crowd = Crowd(MeteredHost(host.process, host.address))
+                statuses = []
+
+                async def ask_beside():
+                    statuses.append(await fleet.call(host.address))
+
+                await crowd.play(script, callers_count, ask_beside)
+                statuses.append(await fleet.call(host.address))
+                return crowd.peaks, statuses, host.has_ended
+
+        peaks, statuses, has_ended = anyio.run(main)
+        seen = f"{peaks}, ordinary requests {statuses}"
+        self.assertFalse(has_ended, seen)
+        self.assertTrue(peaks.held_bytes < HOST_BYTES, seen)
+        self.assertEqual([200, 200], statuses, seen)
+
+    def test_bodies_without_a_key(self):
+        self.play(b"/keyed/x")
+
+    def test_bodies_short_of_their_end(self):
+        self.play(b"/a/x")
+
+
 class HeadsTest(CrowdTest):
     def test_heads_short_of_their_end(self):
         start = b"GET " + SERVICE + b" HTTP/1.1\r\nHost: a\r\nX-A: "
