--- a/packages/rampwick-router/src/rampwick_router/_caller_memory.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_memory.py
@@ -106,7 +106,10 @@
 class RequestMemory:
     """What one request of a caller holds, until its response has ended."""
 
-    def __init__(self, held: HeldMemory, head_bytes: int) -> None:
+    def __init__(
+        self, memory: "CallerMemory", held: HeldMemory, head_bytes: int
+    ) -> None:
+        self._memory = memory
         self._held = held
         self._head_bytes = head_bytes + REQUEST_BYTES
         self._body_bytes = 0
@@ -144,7 +147,7 @@
     @contextmanager
     def discarding(self) -> Iterator[bool]:
         """Yield whether the rest of the body may be read although it isn't needed."""
-        memory = self._held._memory
+        memory = self._memory
         if memory.discarding_count >= MAX_DISCARDING_COUNT:
             memory.note_limited(CallerBound.DISCARDED, "not read")
             yield False
@@ -157,7 +160,7 @@
 
     def can_hold(self, body_bytes: int) -> bool:
         """Return whether a body fits if no other request is held."""
-        return self._held._memory.budget.can_hold(self._head_bytes + body_bytes)
+        return self._memory.budget.can_hold(self._head_bytes + body_bytes)
 
 
 class CallerMemory:
@@ -211,7 +214,7 @@
         self.budget.add(holder)
         self._by_holder[holder] = held
         try:
-            yield RequestMemory(held, head_bytes)
+            yield RequestMemory(self, held, head_bytes)
         finally:
             self.close(held)
 
