--- a/packages/rampwick-router/src/rampwick_router/_servers.py
+++ b/packages/rampwick-router/src/rampwick_router/_servers.py
@@ -43,7 +43,7 @@
 
 #: Size of the kernel's buffer for what a caller sends, of which it takes twice as much
 #: at most. Without it the kernel lets each buffer grow to several megabytes.
-RECEIVE_BUFFER_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 32_768
 
 #: Messages of a request that the server reads ahead of the application.
 MAX_MESSAGES_COUNT = 2
