Count the frames of HTTP/2 before they are parsed, and begin one request a turn

Cause: events were counted instead of frames; a reset has cost a request and counted as one frame; up to 55 requests began in one turn of a connection.

Frames are counted as the parser takes them, with what it holds of an unfinished one. A reset counts as ten, and a whole response allows for one. Only frames with content that were sent allow for acknowledgements. 512 bytes are parsed in a turn, and each request begins in a turn of its own.

The server behind the hosts of these tests read on at the end of a connection without a whole head, for ever: beside requests that are cut it answered no one. It is mended, and a process of its own, so that a crowd doesn't keep it from answering. Crowds and bounds are as they were.

--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -50,6 +50,7 @@
     Reservation as Reservation,
 )
 from ._caller_frames import (
+    FRAMES_PER_RESET as FRAMES_PER_RESET,
     FrameAllowance as FrameAllowance,
     PieceMeter as PieceMeter,
 )
--- a/packages/rampwick-policy/src/rampwick_policy/_caller_frames.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_caller_frames.py
@@ -18,6 +18,10 @@
 MAX_CONTROL_FRAMES_COUNT = 1_000
 CONTROL_FRAMES_PER_SECOND = 10.0
 
+#: Frames that a reset of a stream counts as, since it has cost a request. A response
+#: that was sent whole allows for one.
+FRAMES_PER_RESET = 10
+
 #: Frames that a caller may send for each frame with content that it was sent.
 ACKNOWLEDGEMENTS_PER_FRAME = 2
 
@@ -49,9 +53,17 @@
     _refilled_at_seconds: float
     _remaining_count: float = MAX_CONTROL_FRAMES_COUNT
 
-    def note_sent(self) -> None:
-        """Record a frame with content to the caller, who acknowledges it."""
-        self._remaining_count += ACKNOWLEDGEMENTS_PER_FRAME
+    def note_sent(self, content_bytes: int) -> None:
+        """Record a frame with content to the caller, who may acknowledge it.
+
+        A caller can bring about tiny ones, which allow for nothing.
+        """
+        if content_bytes >= MIN_MEAN_PIECE_BYTES:
+            self._remaining_count += ACKNOWLEDGEMENTS_PER_FRAME
+
+    def note_response(self) -> None:
+        """Record a whole response."""
+        self._remaining_count += FRAMES_PER_RESET
 
     def take(self, frames_count: int, now_seconds: float) -> bool:
         """Record frames of the caller; return whether they were allowed."""
--- a/packages/rampwick-router/src/rampwick_router/_http2.py
+++ b/packages/rampwick-router/src/rampwick_router/_http2.py
@@ -13,30 +13,26 @@
 import h2.exceptions
 import hypercorn.protocol
 import priority
+from h2.frame_buffer import FrameBuffer
 from hypercorn.events import Closed, Event, RawData
 from hypercorn.protocol.events import Event as StreamEvent, StreamClosed
 from hypercorn.protocol.h2 import H2Protocol
+from hyperframe.frame import DataFrame, Frame, HeadersFrame, RstStreamFrame
 
-from rampwick_policy import FrameAllowance, PieceMeter
+from rampwick_policy import FRAMES_PER_RESET, FrameAllowance, PieceMeter
 from rampwick_schema import ReprMixin
 
 from ._caller_connections import CallerConnections
 from ._caller_memory import CallerBound
 
-#: Bytes that are parsed before other connections get their turn.
-TURN_BYTES = 4_096
+#: Bytes that are parsed before other connections get their turn. They may bring several
+#: requests.
+TURN_BYTES = 512
 
 #: Bytes beyond the largest head that may arrive without completing anything: frames of
 #: content, and the frames of a head.
 MAX_FRAME_BYTES = 32_768
 
-#: What brings a request, or goes with what does.
-CONTENT_EVENTS = (
-    h2.events.RequestReceived,
-    h2.events.StreamEnded,
-    h2.events.TrailersReceived,
-)
-
 #: Time for which a caller may take what was sent before its stream is reset.
 FLUSH_SECONDS = 0.25
 
@@ -64,6 +60,37 @@
     bound: CallerBound
 
 
+class CallerFrames(FrameBuffer):
+    """Counts the frames of a caller, also those that the parser makes nothing of."""
+
+    def __init__(self, max_frame_size: int) -> None:
+        super().__init__(server=True)
+        self.max_frame_size = max_frame_size
+        self._control_count = 0
+        #: Frames with content.
+        self.meter = PieceMeter()
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Bytes of a frame, or of the frames of a head, that has not ended."""
+        return len(self._data) + sum(len(frame.data) for frame in self._headers_buffer)
+
+    def take_control_count(self) -> int:
+        """Return the number of frames without content since the last call."""
+        count, self._control_count = self._control_count, 0
+        return count
+
+    def __next__(self) -> Frame:
+        frame = super().__next__()
+        if isinstance(frame, DataFrame) and frame.data:
+            self.meter.note(len(frame.data))
+        elif isinstance(frame, RstStreamFrame):
+            self._control_count += FRAMES_PER_RESET
+        elif not isinstance(frame, HeadersFrame):
+            self._control_count += 1
+        return frame
+
+
 class ResettingH2Protocol(H2Protocol):
     """Resets the stream of an application that returns before the end of its answer.
 
@@ -76,9 +103,20 @@
         self.streams = OpenStreams()
         self._has_announced_end = False
         self._allowance = FrameAllowance(anyio.current_time())
-        self._meter = PieceMeter()
-        #: Bytes received since the last event.
-        self.unparsed_bytes = 0
+        self._frames = CallerFrames(self.connection.max_inbound_frame_size)
+        self.connection.incoming_buffer = self._frames
+        self._send_frame = self.connection.send_data
+        self.connection.send_data = self._send_counted  # type: ignore[assignment]
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Number of bytes that were read and not parsed."""
+        return self._frames.unparsed_bytes
+
+    def _send_counted(self, stream_id: int, data: bytes, **options: Any) -> None:
+        """Send content, which the caller may acknowledge."""
+        self._send_frame(stream_id, data, **options)
+        self._allowance.note_sent(len(data))
 
     async def handle(self, event: Event) -> None:
         """Handle an event of the connection; announce the end of an idle one."""
@@ -101,23 +139,17 @@
             await self._flush()
             await self.send(Closed())
             return
-        self.unparsed_bytes = 0 if events else self.unparsed_bytes + len(data)
-        if not self._is_within_bounds(events):
+        if not self._is_within_bounds():
             await self._end_for_bound()
             return
         await self._handle_events(events)
 
-    def _is_within_bounds(self, events: list[h2.events.Event]) -> bool:
-        control_count = 0
-        for event in events:
-            if isinstance(event, h2.events.DataReceived) and event.data:
-                self._meter.note(len(event.data))
-            elif not isinstance(event, CONTENT_EVENTS):
-                control_count += 1
+    def _is_within_bounds(self) -> bool:
         max_bytes = self.config.h11_max_incomplete_size + MAX_FRAME_BYTES
+        control_count = self._frames.take_control_count()
         return (
             self._allowance.take(control_count, anyio.current_time())
-            and not self._meter.is_exceeded
+            and not self._frames.meter.is_exceeded
             and self.unparsed_bytes <= max_bytes
         )
 
@@ -132,6 +164,11 @@
         await self.send(LimitExceeded(CallerBound.FRAMES))
         await self.handle(Closed())
 
+    async def _create_stream(self, request: h2.events.RequestReceived) -> None:
+        """Begin a request; one in a turn, as on a connection of HTTP/1.1."""
+        await anyio.sleep(0)
+        await super()._create_stream(request)
+
     async def _priority_updated(self, event: h2.events.PriorityUpdated) -> None:
         """Ignore priorities, as RFC 9113 (5.3.2) allows; they name any stream."""
 
@@ -153,13 +190,15 @@
     async def stream_send(self, event: StreamEvent) -> None:
         """Send an event of an application; its return ends its stream."""
         if isinstance(event, StreamClosed):
+            buffer = self.stream_buffers.get(event.stream_id)
+            if buffer is None or buffer._complete:
+                self._allowance.note_response()
             await self._reset_if_cut(event.stream_id)
         await super().stream_send(event)
         await self._announce_end_if_leaving()
 
     async def _send_data(self, stream_id: int) -> None:
         """Send what is due of a stream, and then the end of the connection if due."""
-        self._allowance.note_sent()
         await super()._send_data(stream_id)
         await self._announce_end_if_leaving()
 
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -17,6 +17,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack, suppress
 from pathlib import Path
+from typing import BinaryIO
 
 import attrs
 import httpx
@@ -25,6 +26,8 @@
 
 from rampwick_router.entry._call import hash_key
 
+ROOT = Path(__file__).resolve().parent.parent
+
 KEY = "a key"
 
 #: Memory of the smallest hosts that are in use.
@@ -86,7 +89,7 @@
 }
 
 
-class Upstream:
+class Server:
     """Answers probes, and other requests once they are not held."""
 
     def __init__(self) -> None:
@@ -107,12 +110,15 @@
 
     def _serve(self, accepted: socket.socket) -> None:
         with accepted, accepted.makefile("rb") as reader, suppress(OSError):
-            while head := b"".join(iter(reader.readline, b"\r\n")):
+            while head := self._read_head(reader):
                 length = re.search(rb"(?i)content-length: (\d+)", head)
                 remaining = int(length.group(1)) if length else 0
                 size = remaining
                 while remaining:
-                    remaining -= len(reader.read(min(READ_BYTES, remaining)))
+                    data = reader.read(min(READ_BYTES, remaining))
+                    if not data:
+                        return
+                    remaining -= len(data)
                 if b" /load " in head:
                     self._answer(accepted, orjson.dumps(REPORT))
                     continue
@@ -121,14 +127,60 @@
                     self.may_answer.wait()
                 self._answer(accepted, b"ok")
 
+    def _read_head(self, reader: BinaryIO) -> bytes:
+        """Return a whole head; empty if the connection ends before."""
+        head = b""
+        while (line := reader.readline()) != b"\r\n":
+            if not line:
+                return b""
+            head += line
+        return head
+
     def _answer(self, accepted: socket.socket, body: bytes) -> None:
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
         accepted.sendall(head + body)
 
+    def run(self) -> None:
+        """Obey the lines of standard input until its end."""
+        print(self.address, flush=True)
+        for line in sys.stdin:
+            if line == "answer\n":
+                self.may_answer.set()
+            print(orjson.dumps(self.bodies).decode(), flush=True)
+
+
+class Upstream:
+    """A server as a process of its own, which no crowd keeps from answering."""
+
+    def __init__(self) -> None:
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "tests.crowds"],
+            cwd=ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.address = self._process.stdout.readline().strip()
+
+    def _ask(self, line: str) -> list[int]:
+        self._process.stdin.write(line)
+        self._process.stdin.flush()
+        return orjson.loads(self._process.stdout.readline())
+
+    def answer(self) -> None:
+        """Answer what is held."""
+        self._ask("answer\n")
+
+    def bodies(self) -> list[int]:
+        """Return the sizes of the bodies of all requests."""
+        return self._ask("bodies\n")
+
     def close(self) -> None:
-        """Accept no more connections, and answer what is held."""
-        self.may_answer.set()
-        self._listener.close()
+        """End the process."""
+        self._process.kill()
+        self._process.wait()
+        self._process.stdin.close()
+        self._process.stdout.close()
 
 
 class MeteredHost:
@@ -338,3 +390,7 @@
             return answer.status_code
     except httpx.HTTPError:
         return 0
+
+
+if __name__ == "__main__":
+    Server().run()
--- a/tests/test_caller_budget.py
+++ b/tests/test_caller_budget.py
@@ -288,9 +288,17 @@
     def test_acknowledgements_are_allowed(self):
         allowance = FrameAllowance(0.0)
         for _ in range(10_000):
-            allowance.note_sent()
+            allowance.note_sent(MIN_MEAN_PIECE_BYTES)
             self.assertTrue(allowance.take(2, 0.0))
 
+    def test_tiny_frames_that_a_caller_asks_for_allow_nothing(self):
+        allowance = FrameAllowance(0.0)
+        for _ in range(MAX_CONTROL_FRAMES_COUNT):
+            allowance.note_sent(1)
+            self.assertTrue(allowance.take(1, 0.0))
+        allowance.note_sent(1)
+        self.assertFalse(allowance.take(1, 0.0))
+
 
 def memory_of(value):
     """Return the memory of a parsed value."""
--- a/tests/test_clients_beyond_limits.py
+++ b/tests/test_clients_beyond_limits.py
@@ -5,12 +5,14 @@
 
 import asyncio
 import struct
+import time
 from contextlib import ExitStack, suppress
 
 import anyio
 import h2.config
 import h2.connection
 import h2.events
+import httpx
 from testtools import TestCase
 
 from .crowds import (
@@ -99,7 +101,7 @@
         One request is sent while the callers are still connected, one after they left.
         """
         with ExitStack() as stack:
-            upstream = self.upstream = Upstream()
+            upstream = Upstream()
             stack.callback(upstream.close)
             host = Host(upstream, stack, settings, max_files_count)
             host.until_up()
@@ -109,8 +111,9 @@
             async def ask_beside() -> None:
                 statuses.append(await ask(host.entry))
                 await self.ask_more(host)
-                upstream.may_answer.set()
+                upstream.answer()
                 await self.read_answers(crowd)
+                self.bodies = upstream.bodies()
 
             async def run() -> None:
                 await crowd.play(script, callers_count, ask_beside, **options)
@@ -279,7 +282,7 @@
         self.assertTrue(served_count > 0, self.statuses)
         refused = {status for status in self.statuses if status != 200}
         self.assertTrue(refused <= REFUSALS, self.statuses)
-        self.assertEqual(served_count, self.upstream.bodies.count(BODY_BYTES))
+        self.assertEqual(served_count, self.bodies.count(BODY_BYTES))
 
     def test_one_in_calm(self):
         body = b"b" * BODY_BYTES
@@ -527,6 +530,30 @@
         headers = struct.pack(">xHBBI", len(fields), 1, 4, 1) + fields
         self._flood(struct.pack(">xHBBI", 0, 0, 0, 1) * 5000, 60, headers)
 
+    def test_updates_of_a_window(self):
+        fields = b"\x82\x86\x04" + bytes([len(SLOW_SERVICE)]) + SLOW_SERVICE
+        fields += b"\x41\x01a\x0f\x08\x0c" + b"Bearer " + KEY.encode()
+        headers = struct.pack(">xHBBI", len(fields), 1, 5, 1) + fields
+        self._flood(struct.pack(">xHBBII", 4, 8, 0, 1, 1) * 3000, 60, headers)
+
+    def test_empty_data_of_a_stream_that_was_reset(self):
+        fields = b"\x83\x86\x04\x12" + SERVICE + b"\x41\x01a"
+        fields += b"\x0f\x08\x0c" + b"Bearer " + KEY.encode()
+        headers = struct.pack(">xHBBI", len(fields), 1, 4, 1) + fields
+        # A stream whose window overflows is reset.
+        overflow = struct.pack(">xHBBII", 4, 8, 0, 1, 0x7FFFFFFF)
+        empty = struct.pack(">xHBBI", 0, 0, 0, 1) * 5000
+        self._flood(empty, 60, headers + overflow)
+
+    def test_long_frame(self):
+        async def script(caller):
+            announced = b"\xff\xff\xff\x01\x04" + struct.pack(">I", 1)
+            await caller.send(PREFACE + SETTINGS_FRAME + announced)
+            for _ in range(250):
+                await caller.send(BLOCK)
+
+        self.play(script, 60)
+
     def test_continuations_without_end(self):
         headers = struct.pack(">xHBBI", 2, 1, 0, 1) + b"\x83\x86"
         frame = struct.pack(">xHBBI", 16_000, 9, 0, 1) + b"a" * 16_000
@@ -567,3 +594,68 @@
                 reading.cancel()
 
         self.play(script, 20)
+
+
+class ReleaseTest(TestCase):
+    """What callers held is free again once they have left."""
+
+    def held(self, host):
+        return httpx.get(f"http://{host.admin}/status").json()["caller_memory"]
+
+    def play(self, script):
+        with ExitStack() as stack:
+            upstream = Upstream()
+            stack.callback(upstream.close)
+            host = Host(upstream, stack)
+            host.until_up()
+            crowd = Crowd(host)
+            peaks = []
+
+            async def look() -> None:
+                peaks.append(await asyncio.to_thread(self.held, host))
+
+            asyncio.run(crowd.play(script, 30, look))
+            upstream.answer()
+            for _ in range(200):
+                left = self.held(host)
+                if not left["held_bytes"]:
+                    break
+                time.sleep(0.05)
+            self.assertTrue(peaks[0]["peak_bytes"] > 0)
+            self.assertEqual((0, 0), (left["held_bytes"], left["connections_count"]))
+
+    def test_bodies_short_of_their_end(self):
+        async def script(caller):
+            await caller.send(with_length(SERVICE, BODY_BYTES))
+            await send_body(caller, BLOCK, BODY_BYTES - MISSING_BYTES)
+
+        self.play(script)
+
+    def test_whole_requests(self):
+        async def script(caller):
+            await caller.send(with_length(SLOW_SERVICE, 100_000))
+            await caller.send(b"b" * 100_000)
+
+        self.play(script)
+
+    def test_small_chunks(self):
+        async def script(caller):
+            await caller.send(in_chunks(SERVICE))
+            await send_body(caller, TINY_CHUNKS, 500_000)
+
+        self.play(script)
+
+    def test_http2(self):
+        async def script(caller):
+            await caller.send(PREFACE + SETTINGS_FRAME + PING_FRAME * 900)
+            await caller.send(struct.pack(">xHBBI", 16_000, 1, 0, 1) + b"\x82" * 15_000)
+
+        self.play(script)
+
+    def test_requests_behind_one_another(self):
+        request = b"GET %b HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %b\r\n\r\n"
+
+        async def script(caller):
+            await caller.send(request % (SLOW_SERVICE, KEY.encode()) * 100)
+
+        self.play(script)
