Correct a reason, a test's name and what is guaranteed

The comment on when to try again said that requests which arrive have ended within a second; they may take ten, and only those that stall may be ended by then.

--- a/packages/rampwick-router/src/rampwick_router/_caller_memory.py
+++ b/packages/rampwick-router/src/rampwick_router/_caller_memory.py
@@ -44,8 +44,8 @@
 #: Interval between log lines on one bound. Callers choose how many they reach.
 LOG_SECONDS = 1.0
 
-#: When a caller that was refused for lack of memory may try again. Requests that are
-#: arriving have ended or failed by then.
+#: When a caller that was refused for lack of memory may try again. Requests that have
+#: stalled since may be ended for it by then.
 RETRY_SECONDS = 1.0
 
 log = ComponentLogger("entry")
--- a/tests/test_caller_budget.py
+++ b/tests/test_caller_budget.py
@@ -311,7 +311,7 @@
 
 
 class ParsedTest(TestCase):
-    def test_estimate_is_no_less_than_what_a_body_takes(self):
+    def test_estimate_covers_the_memory_of_a_parsed_body(self):
         for value in (
             b'{"a":[' + b"{}," * 50_000 + b"{}]}",
             b'{"a":[' + b"[]," * 50_000 + b"[]]}",
