Refuse late streams that the exit may cut

Cause: beside too few ready peers an estimate went on to admit late streams, where no answer may be cut. Whatever an estimate is made from, it is a chance. The hint, which the reviewer suspected, is one way among several: the same happens to requests that state their true length if the pace falls.

Change: once the balancer is done, a stream is taken only if its own timeout ends before the exit. That holds whatever its answer does. Plain requests are judged as before: their response begins when it is complete, so that the exit makes it a 502.

Tests of the estimate use plain requests now, as it no longer decides alone on late streams; what they check of it is unchanged.

--- a/measure/drain.py
+++ b/measure/drain.py
@@ -8,6 +8,7 @@
 import argparse
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, ExitStack, contextmanager
@@ -26,6 +27,7 @@
     retry_elsewhere_seconds,
 )
 from rampwick_policy._answer_times import AnswerTimes, _RecentAnswers
+from rampwick_policy._drain_admission import TOKEN_SECONDS
 from rampwick_policy._open_answers import OpenAnswers
 
 #: SIGTERM is at 0; when the balancer is done, and when the host exits.
@@ -159,6 +161,8 @@
     ready_count: int
     #: Hosts that stop at the same time.
     leaving_count: int
+    #: Whether new connections reach hosts that stop only where no other is ready.
+    is_balanced: bool = False
 
     @property
     def retry_seconds(self) -> float:
@@ -173,29 +177,46 @@
     Fleet("1 other ready, 1 stops", 1, 1),
     Fleet("2 others ready, 3 stop", 2, 3),
     Fleet("1 other ready, 4 stop", 1, 4),
+    Fleet("1 other ready, 4 stop, balanced", 1, 4, is_balanced=True),
     Fleet("5 others stop", 0, 5),
 ]
 
 
 @attrs.frozen
 class FleetWay:
-    """Which late requests are left to other hosts that are ready."""
+    """Which requests are left to other hosts or refused, once the balancer is done."""
 
     name: str
-    leaves_late: bool = False
+    #: Least ratio of peers that are ready for which late requests are left to them.
+    min_ready_ratio: float = math.inf
+    #: Whether that holds from SIGTERM on.
     leaves_early: bool = False
     #: Multiple of the slowest known answer within which a late request is taken, beside
     #: ready hosts and without; 0 for the estimate.
     margin_beside: float = 0.0
     margin_alone: float = 0.0
+    #: Multiple of the time that the announced events take at the present pace, within
+    #: which a late stream is taken; 0 for the estimate.
+    announced_margin: float = 0.0
+    #: Whether late streams are refused unless their own timeout ends before the exit.
+    refuses_streams: bool = False
+    #: Whether a refusal tells when a host is ready again, if none is.
+    tells_return: bool = False
 
 
 FLEET_WAYS = [
     FleetWay("estimate alone"),
     FleetWay("slowest known, x 4", margin_beside=4.0, margin_alone=4.0),
     FleetWay("the same beside ready hosts", margin_beside=4.0),
-    FleetWay("left to ready hosts after 2.5 s", leaves_late=True),
-    FleetWay("the same from SIGTERM on", leaves_late=True, leaves_early=True),
+    FleetWay("left to half of the hosts after 2.5 s", 0.5),
+    FleetWay("left to any ready host after 2.5 s", 0.01),
+    FleetWay("the same from SIGTERM on", 0.01, leaves_early=True),
+    FleetWay("half, else announced, x 2", 0.5, announced_margin=2.0),
+    FleetWay("half, and streams refused", 0.5, refuses_streams=True),
+    FleetWay("any, and streams refused", 0.01, refuses_streams=True),
+    FleetWay(
+        "half, streams refused, told when", 0.5, refuses_streams=True, tells_return=True
+    ),
 ]
 
 WAYS = {
@@ -332,12 +353,14 @@
     def _decide(self, request: DrainRequest, now: float) -> bool:
         is_balancer_done = now >= BALANCER_DONE_SECONDS
         if not self._known_seconds:
-            return self._policy.decide(
+            decision = self._policy.decide(
                 request,
                 EXIT_SECONDS,
                 now_seconds=now,
                 is_balancer_done=is_balancer_done,
-            ).is_admitted
+            )
+            # Compared is what the estimate says of late streams, too.
+            return decision.is_admitted or decision.is_unbounded
         ratio = admission_module.max_cut_ratio(
             request, is_balancer_done=is_balancer_done
         )
@@ -420,9 +443,12 @@
         others = ["ready"] * self._fleet.ready_count
         others += ["leaving"] * self._fleet.leaving_count
         self._callers_rng.shuffle(others)
+        if self._fleet.is_balanced:
+            # The last one is tried first, and "ready" sorts behind "leaving".
+            others.sort()
         at = now
         for tries_count in range(1, TRIES_COUNT):
-            at += self._fleet.retry_seconds
+            at = self._retry_at(at)
             kind = others.pop() if others else "leaving"
             figures = FleetFigures(tries_count=tries_count)
             new_end = self._end_of(work_seconds, at)
@@ -442,10 +468,17 @@
         full_seconds = min(end - now, max(0.0, self._pattern.slow_at_seconds - now))
         return full_seconds + (end - now - full_seconds) / self._pattern.slow_ratio
 
+    def _retry_at(self, now: float) -> float:
+        """Return when a caller that is refused now tries again."""
+        at = now + self._fleet.retry_seconds
+        if self._way.tells_return and not self._fleet.ready_count:
+            at = max(at, READY_AGAIN_SECONDS)
+        return at
+
     def _decide(self, request: DrainRequest, now: float) -> bool:
-        is_some_ready = self._fleet.ready_count > 0
+        fleet, way = self._fleet, self._way
+        is_some_ready = fleet.ready_count > 0
         is_balancer_done = now >= BALANCER_DONE_SECONDS
-        way = self._way
         margin = way.margin_beside if is_some_ready else way.margin_alone
         if margin and is_balancer_done:
             with _applied(SLOWEST):
@@ -454,15 +487,25 @@
                 )
             expected_seconds = decision.expected_seconds * margin
             return expected_seconds <= decision.remaining_seconds
+        peers_count = fleet.ready_count + fleet.leaving_count
+        leaves = fleet.ready_count >= way.min_ready_ratio * peers_count
         if is_some_ready and way.leaves_early:
             is_balancer_done = True
-        return self._policy.decide(
+        decision = self._policy.decide(
             request,
             EXIT_SECONDS,
             now_seconds=now,
             is_balancer_done=is_balancer_done,
-            is_elsewhere_ready=is_some_ready and way.leaves_late,
-        ).is_admitted
+            is_elsewhere_ready=is_some_ready and leaves,
+        )
+        if not decision.is_unbounded or way.refuses_streams:
+            return decision.is_admitted
+        if not way.announced_margin:
+            return True
+        answers = self._policy.answer_times.open_answers
+        event_seconds = answers.event_seconds(request.kind, now) or TOKEN_SECONDS
+        announced_seconds = request.max_answer_tokens * event_seconds
+        return announced_seconds * way.announced_margin <= decision.remaining_seconds
 
 
 def _print_fleets(seeds: range) -> None:
--- a/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_drain_admission.py
@@ -132,6 +132,9 @@
     #: Whether it is refused although it is expected to fit, since another host can
     #: answer it however long it takes.
     is_left_to_others: bool = False
+    #: Whether it is refused although it is expected to fit, since nothing ends its
+    #: answer before the exit, which would cut it.
+    is_unbounded: bool = False
 
 
 class DrainAdmission:
@@ -198,10 +201,13 @@
         what the slowest recent answers took of it; a request that must not run twice is
         refused then.
 
-        ``is_elsewhere_ready`` is whether a refused caller finds a ready host. No
-        estimate foresees that answers become slower. Once the balancer is done, a
-        request that arrives is therefore left to that host, unless its own timeout ends
-        before the exit.
+        No estimate foresees that an answer is longer than like ones, or that answers
+        become slower. Once the balancer is done, only the own timeout of a request that
+        arrives is certain. Unless it ends before the exit, the request is left to the
+        other hosts if ``is_elsewhere_ready``, that is if a refused caller finds a ready
+        one, and a stream is refused in any case: the exit would cut what it has begun.
+        The answer of a plain request begins when it is complete, so that its caller
+        gets an error at the exit.
         """
         decision = self._decide_by_time(
             request,
@@ -211,16 +217,15 @@
             is_waiting=is_waiting,
             may_have_run=may_have_run,
         )
-        is_left_to_others = (
-            decision.is_admitted
-            and decision.source is not DurationSource.TIMEOUT
-            and is_elsewhere_ready
-            and is_balancer_done
-            and not (is_waiting or may_have_run)
-        )
-        if not is_left_to_others:
+        is_late_arrival = is_balancer_done and not (is_waiting or may_have_run)
+        is_certain = decision.source is DurationSource.TIMEOUT
+        if not decision.is_admitted or is_certain or not is_late_arrival:
             return decision
-        return attrs.evolve(decision, is_admitted=False, is_left_to_others=True)
+        if is_elsewhere_ready:
+            return attrs.evolve(decision, is_admitted=False, is_left_to_others=True)
+        if request.kind.is_stream:
+            return attrs.evolve(decision, is_admitted=False, is_unbounded=True)
+        return decision
 
     def _decide_by_time(
         self,
--- a/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
+++ b/packages/rampwick-router/src/rampwick_router/entry/_exit_check.py
@@ -104,7 +104,11 @@
     expected = "no known time"
     if math.isfinite(decision.expected_seconds):
         expected = f"{decision.expected_seconds:.3f} s"
-    reason = "left to ready hosts, " if decision.is_left_to_others else ""
+    reason = ""
+    if decision.is_left_to_others:
+        reason = "left to ready hosts, "
+    elif decision.is_unbounded:
+        reason = "a stream that the exit may cut, "
     return (
         f"{reason}expected in {expected} by {decision.source.value} "
         f"({decision.answers_count} answers, {decision.open_count} open), "
--- a/tests/test_drain_admission.py
+++ b/tests/test_drain_admission.py
@@ -19,7 +19,8 @@
 TOKENS_COUNT = 80
 #: What the fixed estimate says: twice the target, and 30 ms a token.
 RECKONED_SECONDS = 2 * TARGET_SECONDS + 0.03 * TOKENS_COUNT
-KIND = AnswerKind("labels", "m", True)
+#: Plain requests: once the balancer is done, the estimate alone admits no stream.
+KIND = AnswerKind("labels", "m")
 
 
 class Admission:
--- a/tests/test_late_requests_while_others_are_ready.py
+++ b/tests/test_late_requests_while_others_are_ready.py
@@ -1,26 +1,29 @@
-"""Streams that were taken late in a stop and cut at its end, beside ready hosts."""
+"""Streams that were taken late in a stop and cut at its end."""
 
 import anyio
 from testtools import TestCase
 
 from rampwick_policy import (
+    AnswerKind,
     LivePeers,
     PeersChanged,
     PeerSummaryReceived,
     Scheduler,
     finds_ready_host,
 )
+from rampwick_policy._drain_admission import DurationSource
 from rampwick_schema import Summary, parse_settings
 
 from .test_drain_admission import Admission
 from .test_requests_taken_while_leaving import (
+    STREAM_KIND,
     break_first_attempt,
     find,
     learn,
     leave,
     run_logged,
 )
-from .test_routed import ran
+from .test_routed import all_scripts, ran, stream_of
 
 DEAD_AFTER_SECONDS = 3.0
 SETTINGS = (
@@ -105,6 +108,63 @@
         self.assertFalse(decision.is_left_to_others)
 
 
+class LateStreamTest(TestCase):
+    """A late stream that is longer than expected is not begun and cut at the exit."""
+
+    kind = AnswerKind("labels", "m", is_stream=True)
+
+    def host(self, *seconds):
+        """Return a host that has seen answers of these durations."""
+        host = Admission()
+        host.answer(*seconds, kind=self.kind)
+        return host
+
+    def test_stream_longer_than_all_answers_with_a_like_hint_is_refused(self):
+        host = self.host(*[0.8] * 30)
+        for terms in (
+            {},
+            {"expected_answer_tokens": 1},
+            {"expected_answer_tokens": 10},
+            {"max_answer_tokens": 0},
+            {"is_repeatable": False},
+        ):
+            decision = host.judge(LEFT_SECONDS, kind=self.kind, **terms)
+            self.assertEqual(
+                (False, True),
+                (decision.is_admitted, decision.is_unbounded),
+                terms,
+            )
+
+    def test_stream_of_which_nothing_is_known_is_refused(self):
+        decision = self.host().judge(29.0, kind=self.kind)
+        self.assertEqual(DurationSource.TARGET, decision.source)
+        self.assertTrue(decision.is_unbounded)
+
+    def test_stream_that_its_own_timeout_ends_first_is_taken(self):
+        host = self.host(*[8.0] * 30)
+        for left_seconds, is_taken in ((1.0, True), (0.9, False)):
+            decision = host.judge(
+                left_seconds, kind=self.kind, deadline_seconds=host.now_seconds + 1.0
+            )
+            self.assertEqual(is_taken, decision.is_admitted)
+            self.assertFalse(decision.is_unbounded)
+
+    def test_stream_that_arrived_early_is_sent_if_it_is_expected_to_fit(self):
+        host = self.host(*[0.8] * 30)
+        self.assertTrue(host.decide(2.0, kind=self.kind, is_balancer_done=False))
+        for may_have_run in (True, False):
+            terms = {"is_waiting": True, "may_have_run": may_have_run}
+            self.assertTrue(host.decide(2.0, kind=self.kind, **terms))
+
+    def test_stream_is_left_to_ready_hosts_for_that_reason(self):
+        decision = self.host(*[0.8] * 30).judge(
+            LEFT_SECONDS, kind=self.kind, is_elsewhere_ready=True
+        )
+        self.assertEqual(
+            (True, False), (decision.is_left_to_others, decision.is_unbounded)
+        )
+
+
 class ReadyPeersTest(TestCase):
     """Which peers are known to be ready."""
 
@@ -147,7 +207,7 @@
 
 
 class LateRequestAtHostTest(TestCase):
-    def call_late(self, *summaries, path="/again/1"):
+    def call_late(self, *summaries, path="/again/1", scripts=(), **options):
         """Return a late response, the upstreams that ran it, and the log lines."""
 
         async def scenario(host, servers):
@@ -157,9 +217,12 @@
                     PeerSummaryReceived(f"e{number}", "trnava", 1, item)
                 )
             learn(host, 0.05)
+            learn(host, 0.05, kind=STREAM_KIND)
+            if scripts:
+                all_scripts(servers, *scripts)
             leave(host, LEFT_SECONDS)
             with anyio.fail_after(LEFT_SECONDS):
-                response = await host.call(path)
+                response = await host.call(path, **options)
             return response, ran(servers)
 
         return run_logged(scenario)
@@ -188,6 +251,24 @@
             [taken] = find(lines, "request taken while leaving")
             self.assertEqual(ready_count, taken["ready_count"])
 
+    def test_late_stream_is_refused_as_not_run_whoever_is_ready(self):
+        leaving = summary(is_leaving=True)
+        for summaries in ((), (leaving,), (leaving, leaving, summary())):
+            (response, received), lines = self.call_late(*summaries, path="/stream/1")
+            self.assertEqual((503, []), (response.status, received))
+            self.assertIn("retry-after", response.headers)
+            [denied] = find(lines, "request denied")
+            self.assertIn("a stream that the exit may cut", denied["evidence"])
+
+    def test_late_stream_that_its_own_timeout_ends_first_is_begun(self):
+        headers = {"Rampwick-Deadline-Seconds": "2.0"}
+        (response, received), lines = self.call_late(
+            path="/stream/1", scripts=[stream_of(1, 3)], headers=headers
+        )
+        self.assertEqual((200, 1), (response.status, len(received)))
+        [taken] = find(lines, "request taken while leaving")
+        self.assertEqual("timeout", taken["expected_by"])
+
     def test_balancer_delay_is_over_although_its_task_is_late(self):
         async def scenario(host, servers):
             context = host.daemon._context
--- a/tests/test_requests_taken_while_leaving.py
+++ b/tests/test_requests_taken_while_leaving.py
@@ -1,5 +1,6 @@
 """Guards against requests that a stopping host takes, sends, and ends at its exit."""
 
+import math
 import socket
 from contextlib import contextmanager
 from unittest import mock
@@ -294,6 +295,7 @@
         async def scenario(host, servers):
             learn(host, 0.05, kind=STREAM_KIND)
             leave(host, 4.5)
+            host.daemon.lifecycle.balancer_done_at_seconds = math.inf
             begun = anyio.Event()
 
             async def begin(exchange):
--- a/tests/test_stops_of_processes.py
+++ b/tests/test_stops_of_processes.py
@@ -213,6 +213,11 @@
         """The host that is stopped."""
         return self._fleet.hosts[0]
 
+    @property
+    def other_hosts(self) -> list[HostProcess]:
+        """The other hosts."""
+        return self._fleet.hosts[1:]
+
     def stop_host(self) -> None:
         """Send SIGTERM to the host that is stopped."""
         self._stopped_at_seconds = self.stopped_host.signal(signal.SIGTERM)
@@ -385,6 +390,13 @@
 
     async def slow_down_late_streams(self) -> None:
         """Have all runners become slow after late streams were sent."""
+        await self._slow_down_late_streams([])
+
+    async def slow_down_late_streams_while_all_stop(self) -> None:
+        """Do the same while all other hosts stop, so that none is ready."""
+        await self._slow_down_late_streams(self.callers.other_hosts)
+
+    async def _slow_down_late_streams(self, stopped_too: list[HostProcess]) -> None:
         host = self.callers.stopped_host
         await until_logged(host, "beliefs: peer is heard", HOSTS_COUNT - 1)
         for _ in range(30):
@@ -393,6 +405,8 @@
         # It does not exit while this one is open.
         self.tasks.start_soon(self.callers.send, "/again/6.5")
         await anyio.sleep(0.1)
+        for other in stopped_too:
+            other.signal(signal.SIGTERM)
         self.callers.stop_host()
         await until_logged(host, "life: not ready", 1)
         await anyio.sleep(LATE_AFTER_SECONDS)
@@ -497,6 +511,20 @@
         ]
         self.assertEqual([], not_served, self.summary)
 
+    def test_late_streams_are_not_begun_and_cut_while_all_hosts_stop(self):
+        # Guards against streams that an estimate admits late, which the exit cuts.
+        played = self.play(Scenario.slow_down_late_streams_while_all_stop)
+        late = [
+            item for item in played.requests if item.sent_seconds > UNCUT_AFTER_SECONDS
+        ]
+        self.assertEqual(LATE_STREAMS_COUNT, len(late))
+        begun = [
+            (item.sent_seconds, item.ended_seconds, item.view.status, item.is_cut)
+            for item in late
+            if item.is_cut or item.request_id in played.run_ids
+        ]
+        self.assertEqual([], begun, self.summary)
+
     def test_streams_that_slow_down_at_the_stop_are_not_cut(self):
         for hosts_count in (HOSTS_COUNT, 1):
             self.check_streams_that_slow_down_at_the_stop(hosts_count)
