Retain missing entries only after an outage in which they can expire

Callers saw: an upstream left without a word, its entry went, and around that moment the store cut the waiting watches twice.

Cause: each failed call was the sign of an outage of the store. What was missing in the next listing was retained for 1.8 s from it, and each further cut began that time anew.

Evidence, from the hosts' logs: the listing 0.1 s after the cut is answered and lacks the entry, which is retained; the second cut at 0.90 s, its listing at 1.01 s, the removal at 2.81 s. All 52 attempts at the upstream from 0.13 s on name the version of the list that retains it, none the one before. Not told apart before, and added: how long the outage was.

Change: the watcher measures outages by its listings, since a watch may be cut at any time: from the last answer before a failed listing until an answer without one. Entries are retained after an outage of 1.75 renewals; they expire after three. The interval comes from the deployment (platform.entry_renewal_seconds).

--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -5,6 +5,7 @@
 not make outdated state appear fresh.
 """
 
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -40,6 +41,38 @@
     store_version: int = 0
     #: What the last watch brought, also of objects that have gone again.
     changes: Sequence[StoredObject] = ()
+    #: How long the store was away before; 0 if it was not. A watch that is cut while it
+    #: waits does not show that: then the next listing is answered.
+    outage_seconds: float = 0.0
+
+
+@attrs.define(repr=False)
+class OutageClock(ReprMixin):
+    """Measures outages of the store by its listings; times are monotonic seconds.
+
+    An outage lasts until an answer with no failed listing since the answer before it. A
+    store in trouble answers some calls.
+    """
+
+    _answered_at_seconds: float = -math.inf
+    _has_listing_failed: bool = False
+    _began_at_seconds: float | None = None
+
+    def note_failed_listing(self) -> None:
+        """Record that a listing failed."""
+        self._has_listing_failed = True
+
+    def note_answer(self, now_seconds: float) -> float:
+        """Record an answer; return for how long the store was away before, or 0."""
+        if not self._has_listing_failed:
+            self._began_at_seconds = None
+        elif self._began_at_seconds is None:
+            self._began_at_seconds = self._answered_at_seconds
+        self._has_listing_failed = False
+        self._answered_at_seconds = now_seconds
+        if self._began_at_seconds is None:
+            return 0.0
+        return now_seconds - self._began_at_seconds
 
 
 @attrs.define(repr=False)
@@ -122,6 +155,7 @@
         self._is_listed = False
         #: Changes by the last watch that no state has had yet.
         self._changes: Sequence[StoredObject] = ()
+        self._outage_clock = OutageClock()
         #: Failures since the last successful watch, and whether the last call failed.
         self._failures_count = 0
         self._has_failed = False
@@ -149,6 +183,8 @@
                     self._failures_count += 1
                     await self._back_off()
             except (PlatformError, DataError) as error:
+                if not self._is_listed:
+                    self._outage_clock.note_failed_listing()
                 # A watch confirms the state only after its wait, a listing within one
                 # round trip.
                 self._is_listed = False
@@ -220,6 +256,7 @@
             is_after_failure=self._has_failed,
             store_version=self._view.store_version,
             changes=self._changes,
+            outage_seconds=self._outage_clock.note_answer(self._read_clock()),
         )
         self._changes = ()
         self._has_failed = False
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -134,6 +134,7 @@
 )
 from ._expired_entries import (
     ExpiredEntryGuard as ExpiredEntryGuard,
+    can_expire_in as can_expire_in,
     drop_removed as drop_removed,
     is_newer_than_entry as is_newer_than_entry,
 )
--- a/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
@@ -5,6 +5,9 @@
 from a copy lacks the upstreams that started since the copy. They register again within
 about two seconds of the store's return; until then missing entries count as listed.
 
+No entry expires in an outage that is shorter than some renewals. What is missing after
+it was removed, and must not be retained: its upstream soon expects no more requests.
+
 A host can't tell an outage of the store from one of its own links. Entries that it
 retains therefore have the version of the last list with them: a list of another host
 that is newer and lacks an entry shows that it was removed, not expired.
@@ -26,6 +29,10 @@
 #: Time after the store's return in which a missing entry may be registered again.
 ENTRY_GRACE_SECONDS = 1.8
 
+#: Renewals that an outage must suppress for an entry to expire. It does after three, of
+#: which one may have been due as the outage began, and each may come a little late.
+MIN_EXPIRY_RENEWALS = 1.75
+
 #: State of the entry of a draining upstream.
 LEAVING_STATE = "leaving"
 
@@ -55,17 +62,19 @@
         self,
         entries: Iterable[HostEntry],
         version: int,
-        is_after_failure: bool,
+        may_have_expired: bool,
         now_seconds: float,
         newest: HostList | None = None,
         unread: Collection[str] = (),
     ) -> None:
         """Apply the entries that the store lists now.
 
-        ``newest`` is the newest list known here, read by this host or another, and
-        ``unread`` has the upstreams whose entries have changed and can't be read.
+        ``may_have_expired`` is whether an outage since the last ones was long enough
+        for that, ``newest`` is the newest list known here, read by this host or
+        another, and ``unread`` has the upstreams whose entries have changed and can't
+        be read.
         """
-        if is_after_failure or self._is_restored(version, newest):
+        if may_have_expired or self._is_restored(version, newest):
             self._store_returned_at_seconds = now_seconds
         listed = {entry.name: entry for entry in entries}
         if self._is_in_grace_period(now_seconds):
@@ -124,6 +133,11 @@
         )
 
 
+def can_expire_in(outage_seconds: float, renewal_seconds: float) -> bool:
+    """Return whether entries renewed at an interval may expire in an outage."""
+    return outage_seconds >= MIN_EXPIRY_RENEWALS * renewal_seconds
+
+
 def removed_names(entries: Iterable[HostEntry], known: HostList) -> set[str]:
     """Return the retained ones of some entries that a list shows to be removed.
 
--- a/packages/rampwick-router/src/rampwick_router/_assembly.py
+++ b/packages/rampwick-router/src/rampwick_router/_assembly.py
@@ -233,7 +233,12 @@
         )
         self.configuration.query_peer = self.gossip.freshness.query_reader
         host_source = WatchedHostSource(
-            api, decoder, role.must_read_hosts, read_clock, rng
+            api,
+            decoder,
+            role.must_read_hosts,
+            read_clock,
+            rng,
+            settings.platform.entry_renewal_seconds,
         )
         self.hosts.source = host_source
         if integration.has_software_versions:
--- a/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
+++ b/packages/rampwick-router/src/rampwick_router/control/_host_sources.py
@@ -14,10 +14,10 @@
     PlatformError,
     StoredObject,
 )
-from rampwick_policy import ExpiredEntryGuard
+from rampwick_policy import ExpiredEntryGuard, can_expire_in
 from rampwick_schema import DataError, HostEntry, HostList, RampwickError
 
-from .._logs import ComponentLogger
+from .._logs import ComponentLogger, milliseconds
 from .._unexpected_errors import contain_errors, note_unexpected_error
 from .._unread_records import UnreadRecords
 
@@ -119,10 +119,12 @@
         must_read: Callable[[], bool],
         read_clock: Callable[[], float],
         rng: random.Random,
+        renewal_seconds: float,
     ) -> None:
         self._decoder = decoder
         self._read_clock = read_clock
         self._guard = ExpiredEntryGuard()
+        self._renewal_seconds = renewal_seconds
         #: Names of the upstreams that were retained at the last reading.
         self._retained: list[str] = []
         #: Names of the upstreams by the keys of their entries.
@@ -183,22 +185,26 @@
         self._guard.apply(
             entries,
             state.version,
-            state.is_after_failure,
+            can_expire_in(state.outage_seconds, self._renewal_seconds),
             self._read_clock(),
             self._task.host_list,
             set(kept.values()),
         )
-        self._log_retained()
+        self._log_retained(state.outage_seconds)
         self._offer_list()
         self._task.note_transient(self._read_transient(state))
         self.store_version = state.store_version
         self._task.confirm(state.confirmed_at_seconds)
         self._changed.set()
 
-    def _log_retained(self) -> None:
+    def _log_retained(self, outage_seconds: float) -> None:
         retained = self._guard.retained_names
         if retained != self._retained:
-            log.info("missing entries retained after an outage", retained=retained)
+            log.info(
+                "missing entries retained after an outage",
+                retained=retained,
+                outage_ms=milliseconds(outage_seconds),
+            )
             self._retained = retained
 
     def _read_transient(self, state: KindState) -> list[HostEntry]:
--- a/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
+++ b/packages/rampwick-schema/src/rampwick_schema/_generated_settings.py
@@ -75,6 +75,10 @@
     host_list_interval_seconds: float = attrs.field(
         default=1.0, validator=within(0.05, 60.0)
     )
+    #: Interval at which upstreams renew their entries. After an outage in which several renewals may have been missed, entries that are missing may have expired and are retained until their upstreams can have registered again.
+    entry_renewal_seconds: float = attrs.field(
+        default=1.2, validator=within(0.05, 3600.0)
+    )
     #: Rate limit of this process for platform calls.
     calls_per_second: float = attrs.field(default=20.0, validator=within(0.1, 2000.0))
 
--- a/tests/raw_store.py
+++ b/tests/raw_store.py
@@ -1,5 +1,7 @@
 """A store in the users' protocol whose records are given as raw JSON."""
 
+from collections import Counter
+
 import anyio
 import attrs
 import httpx
@@ -75,6 +77,12 @@
         self._events: list[tuple[int, str, bytes]] = []
         self._changed = anyio.Event()
         self.listings_count = 0
+        #: Whether all calls are refused.
+        self.is_away = False
+        #: How often the waiting watches of each kind were cut.
+        self._cuts: Counter[str] = Counter()
+        #: Number of watches that wait now, by kind.
+        self.waiting_count: Counter[str] = Counter()
         routes = [
             Route("/-/objects/{kind}", self._list),
             Route("/-/objects/{kind}/{name}", self._get),
@@ -106,16 +114,31 @@
         _, record = self._records.pop((kind, name))
         self._publish(kind, record, b"true")
 
+    def cut_watches(self, kind: str = "servers") -> None:
+        """Cut the watches of a kind that wait now."""
+        self._cuts[kind] += 1
+        self._wake()
+
+    def set_away(self, is_away: bool) -> None:
+        """Begin or end an outage, in which all calls are refused and watches cut."""
+        self.is_away = is_away
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def _publish(self, kind: str, record: RawRecord, tombstone: bytes) -> None:
         event = b'{"object":%s,"tombstone":%s}' % (
             record.encode(self.revision),
             record.tombstone or tombstone,
         )
         self._events.append((self.revision, kind, event))
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._wake()
 
     async def _list(self, request: Request) -> Response:
+        if self.is_away:
+            return await self._refuse(request)
         kind = request.path_params["kind"]
         if "watch" in request.query_params:
             return await self._watch(kind, request)
@@ -135,9 +158,16 @@
 
     async def _watch(self, kind: str, request: Request) -> Response:
         after = int(request.query_params["watch"])
-        with anyio.move_on_after(int(request.query_params["wait_ms"]) / 1000):
-            while not self._events_after(kind, after):
-                await self._changed.wait()
+        cuts_count = self._cuts[kind]
+        self.waiting_count[kind] += 1
+        try:
+            with anyio.move_on_after(int(request.query_params["wait_ms"]) / 1000):
+                while not self._events_after(kind, after):
+                    await self._changed.wait()
+                    if self.is_away or self._cuts[kind] != cuts_count:
+                        return await self._refuse(request)
+        finally:
+            self.waiting_count[kind] -= 1
         events = self._events_after(kind, after)
         return self._answer(b'"events":[%s]' % b",".join(events))
 
@@ -153,6 +183,8 @@
         return Response(content, media_type="application/json")
 
     async def _get(self, request: Request) -> Response:
+        if self.is_away:
+            return await self._refuse(request)
         key = (request.path_params["kind"], orjson.dumps(request.path_params["name"]))
         if key not in self._records:
             return Response(b"{}", status_code=404)
--- a/tests/test_odd_entry_processes.py
+++ b/tests/test_odd_entry_processes.py
@@ -7,6 +7,7 @@
 import time
 
 import anyio
+import orjson
 from testtools import TestCase
 
 from .host_processes import (
@@ -100,6 +101,11 @@
         server.left_at_seconds = time.monotonic()
         self.store.write(server.record("draining"))
 
+    def depart(self, server):
+        """Have a server leave without a word: its entry goes, and it serves on."""
+        server.left_at_seconds = time.monotonic()
+        self.store.delete(orjson.dumps(server.name))
+
     def late_seconds(self):
         """Return how much too late requests began at servers that leave."""
         return [
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -131,6 +131,7 @@
             lambda: True,
             anyio.current_time,
             random.Random(1),
+            renewal_seconds=1.2,
         )
 
     async def run(self):
--- a/tests/test_retained_entries.py
+++ b/tests/test_retained_entries.py
@@ -1,5 +1,6 @@
 """Entries retained by a host that was cut off, at hosts that read their removal."""
 
+import math
 from types import SimpleNamespace
 
 from testtools import TestCase
@@ -33,6 +34,9 @@
 
 from .test_reading import RecordingLink
 
+#: Interval at which the upstreams renew their entries.
+RENEWAL_SECONDS = 1.2
+
 #: Bytes of the length before a message.
 LENGTH_BYTES = 4
 
@@ -62,12 +66,13 @@
     def __init__(self, name, clock):
         self.name = name
         self.clock = clock
+        self.read_at_seconds = -math.inf
         settings = parse_settings(f'[host]\nname = "{name}"\nhall = "h"\n', source="t")
         read_clock = lambda: self.clock.now  # noqa: E731
         self.scheduler = SchedulerTask(Scheduler(settings), read_clock)
         self.hosts = HostListTask(self.scheduler, read_clock)
         self.source = WatchedHostSource(
-            None, Decoder(), lambda: False, read_clock, None
+            None, Decoder(), lambda: False, read_clock, None, RENEWAL_SECONDS
         )
         self.source._task = self.hosts
         follower = ConfigurationFollower()
@@ -77,11 +82,25 @@
         )
 
     def read(self, version, *entries, is_after_failure=False):
-        """Make the host read the entries of the store as of a version."""
+        """Make the host read the entries of the store as of a version.
+
+        After a failure the store was away since the host's last reading.
+        """
+        outage_seconds = 0.0
+        if is_after_failure:
+            outage_seconds = self.clock.now - self.read_at_seconds
+        self.read_at_seconds = self.clock.now
         objects = {
             item.name: SimpleNamespace(key=item.name, value=item) for item in entries
         }
-        state = KindState(objects, version, self.clock.now, is_after_failure, version)
+        state = KindState(
+            objects,
+            version,
+            self.clock.now,
+            is_after_failure,
+            version,
+            outage_seconds=outage_seconds,
+        )
         self.source._apply_state(state)
 
     def poll(self):
