Soak: stops that overlap, and a runner that leaves beside cut watches

The soak stopped hosts one after the other, each after the one before had returned, so that most others were always ready; and its hosts met cut calls to the platform only among faults that excuse late requests.

Added after the drawn plan, so that the seeds keep theirs: all hosts stopped half a second apart, and a runner that leaves while all links to the platform are reset each 0.6 s, which excuses nothing.

The hosts of the soak poll their list and judge native requests, so neither fault is known to show here before its fix: not run on the earlier code.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -24,6 +24,12 @@
 #: Time between repeated signals to a stopping host.
 REPEAT_SECONDS = 0.2
 
+#: Time between two hosts that are stopped while the one before still stops.
+OVERLAP_SECONDS = 0.5
+
+#: Time between two cuts of the watches on the platform.
+CUT_WATCHES_SECONDS = 0.6
+
 #: Delay before a stopped process is started again.
 RESTART_SECONDS = 0.3
 
@@ -57,7 +63,7 @@
 PLANNED = ("host_term", "configure", "set_weights_target", "runner_leave")
 
 #: Faults that excuse nothing: what hosts owe callers holds beside them.
-WITHOUT_EFFECT = (*PLANNED, "odd_entry")
+WITHOUT_EFFECT = (*PLANNED, "odd_entry", "platform_watches_cut")
 
 #: All other faults.
 UNPLANNED = (
@@ -330,6 +336,14 @@
         for index in range(len(self._fleet.hosts)):
             await self._inject(Fault(0.0, 0.0, "host_term", index), time.monotonic())
 
+    async def stop_overlapping(self) -> None:
+        """Stop all hosts a moment apart, so that for a while none of them is ready."""
+        async with anyio.create_task_group() as tasks:
+            for index in range(len(self._fleet.hosts)):
+                fault = Fault(0.0, 0.0, "host_term", index)
+                tasks.start_soon(self._inject, fault, time.monotonic())
+                await anyio.sleep(OVERLAP_SECONDS)
+
     async def _host_cut_off(self, fault: Fault, injected: InjectedFault) -> None:
         """Make the links of a host to all upstreams, or to all runners, fail."""
         host = self._host(fault, injected)
@@ -549,13 +563,32 @@
 
         It is checked as any other that leaves: an odd entry excuses nothing.
         """
+        strength = number % len(ODD_ENTRIES) / len(ODD_ENTRIES)
+        odd = Fault(0.0, ODD_SECONDS, "odd_entry", number, strength)
+        await self._leave_beside(odd)
+
+    async def leave_beside_cut_watches(self, number: int) -> None:
+        """Have a runner leave while watches are cut, which excuses nothing."""
+        cuts = Fault(0.0, ODD_SECONDS, "platform_watches_cut", number)
+        await self._leave_beside(cuts)
+
+    async def _leave_beside(self, other: Fault) -> None:
         async with anyio.create_task_group() as tasks:
-            strength = number % len(ODD_ENTRIES) / len(ODD_ENTRIES)
-            odd = Fault(0.0, ODD_SECONDS, "odd_entry", number, strength)
-            tasks.start_soon(self._inject, odd, time.monotonic())
-            leaving = Fault(ODD_SECONDS / 4, ODD_SECONDS / 2, "runner_leave", number)
+            tasks.start_soon(self._inject, other, time.monotonic())
+            leaving = Fault(
+                ODD_SECONDS / 4, ODD_SECONDS / 2, "runner_leave", other.index
+            )
             tasks.start_soon(self._inject, leaving, time.monotonic())
 
+    async def _platform_watches_cut(
+        self, fault: Fault, injected: InjectedFault
+    ) -> None:
+        with anyio.move_on_after(fault.duration_seconds):
+            while True:
+                for link in self._fleet.to_platform.values():
+                    link.reset()
+                await anyio.sleep(CUT_WATCHES_SECONDS)
+
     async def _odd_entry(self, fault: Fault, injected: InjectedFault) -> None:
         raw = ODD_ENTRIES[int(fault.strength * len(ODD_ENTRIES)) % len(ODD_ENTRIES)]
         await self._fleet.list_odd_host(raw)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -121,6 +121,8 @@
             await self._await_recovery("after the faults")
             await self._injector.leave_beside_odd_entry(self._parameters.seed)
             await self._await_recovery("after the odd entry")
+            await self._injector.leave_beside_cut_watches(self._parameters.seed)
+            await self._await_recovery("after the cut watches")
             await self._injector.cut_off_alone(self._parameters.seed)
             await self._await_recovery("after the cuts")
             # Calls before the silence show how callers are usually served.
@@ -129,6 +131,8 @@
             await self._await_recovery("after the silence")
             await self._injector.stop_in_turn()
             await self._await_recovery("after the stops")
+            await self._injector.stop_overlapping()
+            await self._await_recovery("after the overlapping stops")
             await self._send_herd()
             self._is_over = True
         await self._collect()
