--- a/soak/_failed_seeds.py
+++ b/soak/_failed_seeds.py
@@ -33,6 +33,9 @@
     79207: "open: for a second no upstream answered probes of any host, and 72 of 115 "
     "requests of a herd were served; beside plays, tests and two soaks, at load 22",
     79304: "open: calls at a cut-off host took more than 1 s, as seeds 9305 to 9340",
+    101306: "open: after a restore of the store a revision was accepted with a lower "
+    "number than the one in force, which all hosts kept, at load 18",
+    101310: "open: as 79207, at load 20",
     9200: "an answer that the service had cut was ended with the text of an error, and "
     "its framing was complete",
 }
