Decide in policy what counts as an outage, and test where its bound comes from

On reading the change again: OutageClock decides when an outage begins and ends and stood in the store's client; it moves to policy, with a docstring that says why watches don't count and what is infinite. The reason of MIN_EXPIRY_RENEWALS took two readings.

No test failed if the template did not fill in the interval of renewals, or the source of the list ignored it: the template is rendered with another interval now, and a host is given two.

--- a/measure/retention.py
+++ b/measure/retention.py
@@ -17,9 +17,8 @@
     BACKOFF_FACTOR,
     INITIAL_BACKOFF_SECONDS,
     MAX_BACKOFF_SECONDS,
-    OutageClock,
 )
-from rampwick_policy import ExpiredEntryGuard
+from rampwick_policy import ExpiredEntryGuard, OutageClock
 from rampwick_policy._expired_entries import MIN_EXPIRY_RENEWALS
 from rampwick_router.control._host_sources import (
     UPSTREAMS_WAIT_SECONDS,
@@ -108,7 +107,7 @@
 
 def _after_outage(renewals: float) -> Callable[[Reading], bool]:
     least_seconds = renewals * RENEWAL_SECONDS
-    return lambda reading: 0.0 < least_seconds <= reading.outage_seconds
+    return lambda reading: reading.outage_seconds >= least_seconds
 
 
 #: Readings after which missing entries are retained.
--- a/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
+++ b/packages/rampwick-platform/src/rampwick_platform/_kind_watcher.py
@@ -5,13 +5,13 @@
 not make outdated state appear fresh.
 """
 
-import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 
 import anyio
 import attrs
 
+from rampwick_policy import OutageClock
 from rampwick_schema import DataError, ReprMixin, era_of
 
 from ._api import HistoryGoneError, Listing, ObjectApi, PlatformError, StoredObject
@@ -41,40 +41,11 @@
     store_version: int = 0
     #: What the last watch brought, also of objects that have gone again.
     changes: Sequence[StoredObject] = ()
-    #: How long the store was away before; 0 if it was not. A watch that is cut while it
-    #: waits does not show that: then the next listing is answered.
+    #: Duration of the store's outage up to this state; 0 without one, infinite if the
+    #: store was away when the watcher started.
     outage_seconds: float = 0.0
 
 
-@attrs.define(repr=False)
-class OutageClock(ReprMixin):
-    """Measures outages of the store by its listings; times are monotonic seconds.
-
-    An outage lasts until an answer with no failed listing since the answer before it. A
-    store in trouble answers some calls.
-    """
-
-    _answered_at_seconds: float = -math.inf
-    _has_listing_failed: bool = False
-    _began_at_seconds: float | None = None
-
-    def note_failed_listing(self) -> None:
-        """Record that a listing failed."""
-        self._has_listing_failed = True
-
-    def note_answer(self, now_seconds: float) -> float:
-        """Record an answer; return for how long the store was away before, or 0."""
-        if not self._has_listing_failed:
-            self._began_at_seconds = None
-        elif self._began_at_seconds is None:
-            self._began_at_seconds = self._answered_at_seconds
-        self._has_listing_failed = False
-        self._answered_at_seconds = now_seconds
-        if self._began_at_seconds is None:
-            return 0.0
-        return now_seconds - self._began_at_seconds
-
-
 @attrs.define(repr=False)
 class KindView(ReprMixin):
     """Merged state of listings and watched changes, without I/O or clock access."""
--- a/packages/rampwick-policy/src/rampwick_policy/__init__.py
+++ b/packages/rampwick-policy/src/rampwick_policy/__init__.py
@@ -223,6 +223,7 @@
 from ._shutdown_announcements import ShutdownAnnouncements as ShutdownAnnouncements
 from ._software_versions import SoftwareVersions as SoftwareVersions
 from ._state_changes import StateChange as StateChange
+from ._store_outages import OutageClock as OutageClock
 from ._stream_progress import (
     is_idle_stream as is_idle_stream,
     is_mostly_framing as is_mostly_framing,
--- a/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
+++ b/packages/rampwick-policy/src/rampwick_policy/_expired_entries.py
@@ -29,8 +29,9 @@
 #: Time after the store's return in which a missing entry may be registered again.
 ENTRY_GRACE_SECONDS = 1.8
 
-#: Renewals that an outage must suppress for an entry to expire. It does after three, of
-#: which one may have been due as the outage began, and each may come a little late.
+#: Shortest outage in which an entry can expire, in intervals of renewal. An entry
+#: expires three intervals after its last renewal, which was at most one before the
+#: outage; the rest is for renewals that come a little late.
 MIN_EXPIRY_RENEWALS = 1.75
 
 #: State of the entry of a draining upstream.
@@ -69,10 +70,10 @@
     ) -> None:
         """Apply the entries that the store lists now.
 
-        ``may_have_expired`` is whether an outage since the last ones was long enough
-        for that, ``newest`` is the newest list known here, read by this host or
-        another, and ``unread`` has the upstreams whose entries have changed and can't
-        be read.
+        ``may_have_expired`` is whether an outage since the previous entries was long
+        enough for some of them to expire, ``newest`` is the newest list known here,
+        read by this host or another, and ``unread`` has the upstreams whose entries
+        have changed and can't be read.
         """
         if may_have_expired or self._is_restored(version, newest):
             self._store_returned_at_seconds = now_seconds
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -689,6 +689,10 @@
         self.assertEqual(3.0, settings.steward.orders_apart_seconds)
         self.assertEqual(FIELDS["seeds"], settings.peers.seeds)
 
+    def test_the_interval_of_renewals_comes_from_the_deployment(self):
+        settings = self.render({**FIELDS, "heartbeat_ms": 800})
+        self.assertEqual(0.8, settings.platform.entry_renewal_seconds)
+
     def test_the_template_yields_valid_settings_without_bounds(self):
         bounds = {"grace_s": 8}
         settings = self.render({**FIELDS, "seeds": [], "bounds": bounds})
--- a/tests/test_cut_watches.py
+++ b/tests/test_cut_watches.py
@@ -8,7 +8,6 @@
 from testtools import TestCase
 
 from rampwick_platform import Listing, PlatformUnavailableError
-from rampwick_policy import can_expire_in
 from rampwick_policy._expired_entries import (
     ENTRY_GRACE_SECONDS,
     MIN_EXPIRY_RENEWALS,
@@ -86,10 +85,10 @@
         super().setUp()
         self.start()
 
-    def start(self):
+    def start(self, renewal_seconds=RENEWAL_SECONDS):
         """Start a host that has read two entries."""
         self.clock = SimpleNamespace(now=100.0)
-        self.host = Host("one", self.clock)
+        self.host = Host("one", self.clock, renewal_seconds)
         self.host.read(10, entry("a"), entry("b"))
 
     def read_later(self, seconds, version, *entries):
@@ -119,8 +118,10 @@
         self.assertEqual(["b"], self.host.used)
 
     def test_shortest_outage_depends_on_the_interval_of_renewals(self):
-        self.assertTrue(can_expire_in(1.0, 0.5))
-        self.assertFalse(can_expire_in(1.0, 1.0))
+        for renewal_seconds, names in ((0.5, ["a", "b"]), (1.0, ["b"])):
+            self.start(renewal_seconds)
+            self.read_later(1.0, 11, entry("b"))
+            self.assertEqual(names, self.host.used, renewal_seconds)
 
 
 async def call_beside(act):
--- a/tests/test_retained_entries.py
+++ b/tests/test_retained_entries.py
@@ -63,7 +63,7 @@
 class Host:
     """A host that reads the entries of a store controlled by the test."""
 
-    def __init__(self, name, clock):
+    def __init__(self, name, clock, renewal_seconds=RENEWAL_SECONDS):
         self.name = name
         self.clock = clock
         self.read_at_seconds = -math.inf
@@ -72,7 +72,7 @@
         self.scheduler = SchedulerTask(Scheduler(settings), read_clock)
         self.hosts = HostListTask(self.scheduler, read_clock)
         self.source = WatchedHostSource(
-            None, Decoder(), lambda: False, read_clock, None, RENEWAL_SECONDS
+            None, Decoder(), lambda: False, read_clock, None, renewal_seconds
         )
         self.source._task = self.hosts
         follower = ConfigurationFollower()
